The thin whole path: router, sidecar and stand-ins as separate processes

A caller's streaming chat goes through a router and a sidecar to an engine and back; a second turn reuses the cached prefix and its usage says so.

Decided here: JSON-RPC over one TCP connection a pair, with answers as framed notifications that carry stream and offset, so that flow control, resumption and silent connections are one mechanism (attach from an offset). Ruled out: a long poll for each piece of an answer, since it doubles the messages a token. Not there yet: load bounds, queues, retries, drain, TLS, the operators' command.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,16 @@
+# What a developer runs. `make test` is also what CI runs.
+
+GO ?= go
+
+.PHONY: test check build
+
+test: check
+	$(GO) test ./...
+
+check:
+	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+build:
+	$(GO) build -o bin/ ./cmd/...
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,116 @@
+// Package platform is the face of the operators' platform: the object API,
+// which keeps what must last, and the list of VMs.
+//
+// Store and VMList are the only ways in which this project touches the
+// platform. HTTPStore and HTTPVMList speak to it over HTTP; tests put fakes in
+// their place.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Version orders the changes of one store. A later change of any object has a
+// higher version than every earlier one.
+type Version int64
+
+// Kind is a kind of object.
+type Kind string
+
+// The kinds of object that this project keeps.
+const (
+	KindProfile      Kind = "profile"
+	KindOrganisation Kind = "organisation"
+)
+
+// Ref names an object.
+type Ref struct {
+	Kind Kind   `json:"kind"`
+	Name string `json:"name"`
+}
+
+// String returns kind/name.
+func (r Ref) String() string {
+	return fmt.Sprintf("%s/%s", r.Kind, r.Name)
+}
+
+// Object is a value in the store at one version.
+type Object struct {
+	Ref
+	Version Version         `json:"version"`
+	Value   json.RawMessage `json:"value,omitempty"`
+	Deleted bool            `json:"deleted,omitempty"` // in watch events only
+}
+
+// Errors of a Store. A caller matches them with errors.Is.
+var (
+	// ErrNotFound is an object that does not exist.
+	ErrNotFound = errors.New("platform: not found")
+	// ErrConflict is a conditional write whose condition did not hold. Nothing was written.
+	ErrConflict = errors.New("platform: conflict")
+	// ErrRefused is a call that the store turned away unprocessed. Nothing was written.
+	ErrRefused = errors.New("platform: refused")
+	// ErrUnknown is a call whose answer was lost. A write may have taken effect.
+	ErrUnknown = errors.New("platform: outcome unknown")
+	// ErrCompacted is a watch from a version that the store no longer holds.
+	ErrCompacted = errors.New("platform: version compacted")
+)
+
+// Page is one page of a listing.
+type Page struct {
+	Objects  []Object `json:"objects"`
+	Version  Version  `json:"version"`            // of the store when the listing began
+	Continue string   `json:"continue,omitempty"` // for the next page; empty on the last
+}
+
+// Store is the platform's object API.
+type Store interface {
+	Get(ctx context.Context, ref Ref) (Object, error)
+	// List returns a page of the objects of a kind.
+	List(ctx context.Context, kind Kind, cont string) (Page, error)
+	// Put writes an object if its version is still ifVersion; zero means that
+	// it must not exist.
+	Put(ctx context.Context, ref Ref, value json.RawMessage, ifVersion Version) (Object, error)
+	// Delete removes an object if its version is still ifVersion.
+	Delete(ctx context.Context, ref Ref, ifVersion Version) error
+	// Watch waits up to wait for changes of the kinds after since. It returns
+	// at once when there are any, and an empty page when the wait is over.
+	Watch(ctx context.Context, kinds []Kind, since Version, wait time.Duration) (Page, error)
+}
+
+// Role is what a VM does.
+type Role string
+
+// Roles of VMs.
+const (
+	RoleRouter   Role = "router"
+	RoleUpstream Role = "upstream"
+)
+
+// VM is an entry of the platform's list. The list lags behind the truth.
+type VM struct {
+	ID            string `json:"id"`
+	Role          Role   `json:"role"`
+	Addr          string `json:"addr"` // of the router's or sidecar's protocol, host:port
+	Pool          string `json:"pool,omitempty"`
+	FailureDomain string `json:"failure_domain,omitempty"`
+	Weight        int    `json:"weight,omitempty"` // relative capacity; zero means one
+	Leaving       bool   `json:"leaving,omitempty"`
+}
+
+// VMs is one reading of the list. Tag identifies its content.
+type VMs struct {
+	Tag     string `json:"tag"`
+	Entries []VM   `json:"vms"`
+}
+
+// VMList is the platform's lagging list of VMs.
+type VMList interface {
+	// VMs returns the list, or changed=false when its tag is still the given one.
+	VMs(ctx context.Context, tag string) (vms VMs, changed bool, err error)
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,146 @@
+package router
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/loop"
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/token"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
+)
+
+const (
+	// watchWait is how long a watch of the store waits for a change.
+	watchWait = 20 * time.Second
+	// listEvery is how often the list of VMs is read.
+	listEvery = 2 * time.Second
+	// platformRetry is the pause after a failed call of the platform.
+	platformRetry = time.Second
+)
+
+// configKinds are the kinds of object that a router follows.
+var configKinds = []platform.Kind{platform.KindProfile, platform.KindOrganisation}
+
+// Config is what a router is told at its start.
+type Config struct {
+	Store platform.Store
+	VMs   platform.VMList
+	Ring  *token.Ring
+	Dial  func(ctx context.Context, addr string) (net.Conn, error)
+}
+
+// Router serves requests.
+type Router struct {
+	config Config
+	loop   *loop.Loop[Event, Effect]
+	state  *State
+	view   atomic.Pointer[View]
+
+	mu    sync.Mutex
+	peers map[string]*wire.Peer // by address
+}
+
+// New returns a Router that works until ctx ends.
+func New(ctx context.Context, c Config) *Router {
+	r := &Router{config: c, state: NewState(), peers: make(map[string]*wire.Peer)}
+	r.view.Store(r.state.View())
+	r.loop = loop.New(r.state, func(Effect) {}, func() { r.view.Store(r.state.View()) })
+	go r.loop.Run(ctx)
+	go r.followConfig(ctx)
+	go r.followVMs(ctx)
+	return r
+}
+
+// View returns the present picture of the control state.
+func (r *Router) View() *View {
+	return r.view.Load()
+}
+
+// Ready reports whether the router knows a configuration and upstreams.
+func (r *Router) Ready() bool {
+	v := r.View()
+	return len(v.Profiles) > 0 && len(v.VMs) > 0
+}
+
+// followConfig keeps the configuration up to date: a listing, then watches.
+func (r *Router) followConfig(ctx context.Context) {
+	for ctx.Err() == nil {
+		version, err := r.listConfig(ctx)
+		for err == nil {
+			version, err = r.watchConfig(ctx, version)
+		}
+		sleep(ctx, platformRetry)
+	}
+}
+
+func (r *Router) listConfig(ctx context.Context) (platform.Version, error) {
+	var objects []platform.Object
+	version := platform.Version(-1)
+	for _, kind := range configKinds {
+		cont := ""
+		for {
+			page, err := r.config.Store.List(ctx, kind, cont)
+			if err != nil {
+				return 0, err
+			}
+			objects = append(objects, page.Objects...)
+			// Watch from the oldest page on, so that no change made while
+			// listing is missed.
+			if version < 0 || page.Version < version {
+				version = page.Version
+			}
+			cont = page.Continue
+			if cont == "" {
+				break
+			}
+		}
+	}
+	r.loop.Post(ObjectsChanged{Objects: objects, Version: version})
+	return version, nil
+}
+
+func (r *Router) watchConfig(ctx context.Context, since platform.Version) (platform.Version, error) {
+	page, err := r.config.Store.Watch(ctx, configKinds, since, watchWait)
+	if err != nil {
+		return since, err
+	}
+	if len(page.Objects) > 0 {
+		r.loop.Post(ObjectsChanged{Objects: page.Objects, Version: page.Version})
+	}
+	return max(since, page.Version), nil
+}
+
+func (r *Router) followVMs(ctx context.Context) {
+	tag := ""
+	for ctx.Err() == nil {
+		vms, changed, err := r.config.VMs.VMs(ctx, tag)
+		if err == nil && changed {
+			tag = vms.Tag
+			r.loop.Post(VMsChanged{VMs: vms})
+		}
+		sleep(ctx, listEvery)
+	}
+}
+
+// peer returns the Peer for a sidecar's address.
+func (r *Router) peer(addr string) *wire.Peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.peers[addr]
+	if p == nil {
+		p = wire.NewPeer(func(ctx context.Context) (net.Conn, error) { return r.config.Dial(ctx, addr) })
+		r.peers[addr] = p
+	}
+	return p
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/sidecar/sidecar.go
@@ -0,0 +1,231 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/loop"
+	"github.com/parsleyfront/parsleyfront/internal/token"
+	"github.com/parsleyfront/parsleyfront/internal/upstream"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
+)
+
+// Config is what a sidecar is told at its start.
+type Config struct {
+	VM          string
+	Incarnation uint64
+	Upstream    upstream.Upstream
+}
+
+// Sidecar serves routers.
+type Sidecar struct {
+	config  Config
+	loop    *loop.Loop[Event, Effect]
+	ctx     context.Context
+	tickets atomic.Uint64
+
+	mu      sync.Mutex
+	waiting map[uint64]chan admission
+	answers map[token.Nonce]*held
+	conns   map[*wire.Conn]map[token.Nonce]*sender
+}
+
+// admission is the decision on a submitted request.
+type admission struct {
+	reply wire.Admission
+	err   *verdict.Error
+}
+
+// held is an answer with the organisation that may read it.
+type held struct {
+	org    string
+	answer *answer
+}
+
+// New returns a Sidecar that works until ctx ends.
+func New(ctx context.Context, c Config) *Sidecar {
+	s := &Sidecar{
+		config:  c,
+		ctx:     ctx,
+		waiting: make(map[uint64]chan admission),
+		answers: make(map[token.Nonce]*held),
+		conns:   make(map[*wire.Conn]map[token.Nonce]*sender),
+	}
+	s.loop = loop.New(NewState(c.Incarnation), s.act, func() {})
+	go s.loop.Run(ctx)
+	return s
+}
+
+// Serve accepts routers on l until l fails or the context of New ends.
+func (s *Sidecar) Serve(l net.Listener) error {
+	stop := context.AfterFunc(s.ctx, func() { _ = l.Close() })
+	defer stop()
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			if s.ctx.Err() != nil {
+				return nil
+			}
+			return err
+		}
+		s.accept(c)
+	}
+}
+
+func (s *Sidecar) accept(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	conn := wire.NewConn(s.ctx, c, s)
+	s.conns[conn] = make(map[token.Nonce]*sender)
+	go func() {
+		<-conn.Done()
+		s.drop(conn)
+	}()
+}
+
+func (s *Sidecar) drop(conn *wire.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, sender := range s.conns[conn] {
+		sender.stop()
+	}
+	delete(s.conns, conn)
+}
+
+// act carries out an effect, on the loop's goroutine.
+func (s *Sidecar) act(effect Effect) {
+	switch e := effect.(type) {
+	case Start:
+		s.start(e.Submit)
+	case Admit:
+		s.decide(e.Ticket, admission{reply: e.Admission})
+	case Refuse:
+		s.decide(e.Ticket, admission{err: e.Error})
+	}
+}
+
+func (s *Sidecar) decide(ticket uint64, a admission) {
+	s.mu.Lock()
+	ch := s.waiting[ticket]
+	delete(s.waiting, ticket)
+	s.mu.Unlock()
+	if ch != nil {
+		ch <- a
+	}
+}
+
+func (s *Sidecar) start(sub wire.Submit) {
+	h := &held{org: sub.Org, answer: newAnswer()}
+	s.mu.Lock()
+	s.answers[sub.Key.Nonce] = h
+	s.mu.Unlock()
+	go s.run(sub, h.answer)
+}
+
+// HandleCall implements wire.Handler.
+func (s *Sidecar) HandleCall(ctx context.Context, c *wire.Conn, m wire.Method, params json.RawMessage) (any, error) {
+	switch m {
+	case wire.MethodHello:
+		return wire.Hello{VM: s.config.VM, Incarnation: s.config.Incarnation}, nil
+	case wire.MethodPing:
+		return wire.Empty{}, nil
+	case wire.MethodSubmit:
+		return serve(params, func(sub wire.Submit) (any, error) { return s.submit(ctx, c, sub) })
+	case wire.MethodAttach:
+		return serve(params, func(a wire.Attach) (any, error) { return s.attach(c, a) })
+	}
+	return nil, verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "unknown method %q", m)
+}
+
+// serve decodes the parameters of a call for f.
+func serve[P any](params json.RawMessage, f func(P) (any, error)) (any, error) {
+	var p P
+	if err := json.Unmarshal(params, &p); err != nil {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "%s", err)
+	}
+	return f(p)
+}
+
+// HandleNotification implements wire.Handler.
+func (s *Sidecar) HandleNotification(c *wire.Conn, m wire.Method, params json.RawMessage) {
+	switch m {
+	case wire.MethodCredit:
+		var credit wire.Credit
+		if json.Unmarshal(params, &credit) == nil {
+			s.withSender(c, credit.Stream, func(out *sender) { out.grant(credit.UpTo) })
+		}
+	case wire.MethodDetach:
+		var detach wire.Detach
+		if json.Unmarshal(params, &detach) == nil {
+			s.withSender(c, detach.Stream, (*sender).stop)
+		}
+	}
+}
+
+func (s *Sidecar) withSender(c *wire.Conn, id token.Nonce, f func(*sender)) {
+	s.mu.Lock()
+	out := s.conns[c][id]
+	s.mu.Unlock()
+	if out != nil {
+		f(out)
+	}
+}
+
+func (s *Sidecar) submit(ctx context.Context, c *wire.Conn, sub wire.Submit) (any, error) {
+	ticket := s.tickets.Add(1)
+	decided := make(chan admission, 1)
+	s.mu.Lock()
+	s.waiting[ticket] = decided
+	s.mu.Unlock()
+	if !s.loop.Post(Submitted{Now: time.Now(), Ticket: ticket, Submit: sub}) {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonDraining, "the sidecar is stopping")
+	}
+	var a admission
+	select {
+	case a = <-decided:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if a.err != nil {
+		return nil, a.err
+	}
+	att := wire.Attach{Key: sub.Key, Org: sub.Org, Window: sub.Window}
+	if _, err := s.attach(c, att); err != nil {
+		return nil, err
+	}
+	return a.reply, nil
+}
+
+// attach starts sending an answer. Another organisation's request is answered
+// like one that does not exist.
+func (s *Sidecar) attach(c *wire.Conn, a wire.Attach) (any, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.answers[a.Key.Nonce]
+	if a.Key.Incarnation != s.config.Incarnation || h == nil || h.org != a.Org {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonUnknownRequest, "no such request here")
+	}
+	senders := s.conns[c]
+	if senders == nil {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonConnection, "the connection has ended")
+	}
+	if former := senders[a.Key.Nonce]; former != nil {
+		former.stop()
+	}
+	out := newSender(c, a, h.answer)
+	senders[a.Key.Nonce] = out
+	go func() {
+		out.send()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.conns[c][a.Key.Nonce] == out {
+			delete(s.conns[c], a.Key.Nonce)
+		}
+	}()
+	return wire.Admission{Joined: true}, nil
+}
--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,222 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// EngineConfig describes a stand-in engine.
+type EngineConfig struct {
+	Model      string
+	TokenDelay time.Duration // between tokens
+	Tokens     int           // in an answer
+	CacheSize  int           // prompt prefixes that are kept
+}
+
+// Engine is a model engine: it speaks the usual chat protocol, caches prompt
+// prefixes and logs its runs. Its answers follow from the prompt alone, so a
+// test can tell whose answer it has.
+type Engine struct {
+	config EngineConfig
+	mu     sync.Mutex
+	cache  []string // prefixes, the least recently used first
+	runs   []Run
+}
+
+// Run is one request that an engine or service has started.
+type Run struct {
+	Key  string `json:"key"` // of the request, as the sidecar passed it on
+	Text string `json:"text"`
+}
+
+// RunHeader carries the request key to upstreams, for their own records.
+const RunHeader = "X-Request-Id"
+
+// NewEngine returns an Engine.
+func NewEngine(c EngineConfig) *Engine {
+	return &Engine{config: c}
+}
+
+// Register adds the engine's routes to mux.
+func (e *Engine) Register(mux *http.ServeMux) {
+	mux.HandleFunc("POST /v1/chat/completions", e.chat)
+	mux.HandleFunc("GET /v1/models", e.models)
+	mux.HandleFunc("GET /debug/runs", e.serveRuns)
+}
+
+// Runs returns the log of runs.
+func (e *Engine) Runs() []Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Run(nil), e.runs...)
+}
+
+func (e *Engine) serveRuns(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, e.Runs())
+}
+
+func (e *Engine) models(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, modelList{Object: "list", Data: []model{{ID: e.config.Model, Object: "model"}}})
+}
+
+type modelList struct {
+	Object string  `json:"object"`
+	Data   []model `json:"data"`
+}
+
+type model struct {
+	ID     string `json:"id"`
+	Object string `json:"object"`
+}
+
+type chatRequest struct {
+	Model    string        `json:"model"`
+	Messages []chatMessage `json:"messages"`
+	Stream   bool          `json:"stream"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type chatUsage struct {
+	PromptTokens     int           `json:"prompt_tokens"`
+	CompletionTokens int           `json:"completion_tokens"`
+	TotalTokens      int           `json:"total_tokens"`
+	PromptDetails    promptDetails `json:"prompt_tokens_details"`
+}
+
+type promptDetails struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+type chatChoice struct {
+	Index        int          `json:"index"`
+	Message      *chatMessage `json:"message,omitempty"`
+	Delta        *chatMessage `json:"delta,omitempty"`
+	FinishReason *string      `json:"finish_reason"`
+}
+
+type chatAnswer struct {
+	ID      string       `json:"id"`
+	Object  string       `json:"object"`
+	Model   string       `json:"model"`
+	Choices []chatChoice `json:"choices"`
+	Usage   *chatUsage   `json:"usage,omitempty"`
+}
+
+func (e *Engine) chat(w http.ResponseWriter, r *http.Request) {
+	var req chatRequest
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil || len(req.Messages) == 0 {
+		http.Error(w, `{"error":{"message":"bad chat request"}}`, http.StatusBadRequest)
+		return
+	}
+	words := e.answer(req)
+	usage := e.start(r.Header.Get(RunHeader), req, len(words))
+	id := "chatcmpl-" + r.Header.Get(RunHeader)
+	if req.Stream {
+		e.stream(w, r, id, words, usage)
+		return
+	}
+	for range words {
+		if !pause(r, e.config.TokenDelay) {
+			return
+		}
+	}
+	text := strings.Join(words, "")
+	stop := "stop"
+	choice := chatChoice{Message: &chatMessage{Role: "assistant", Content: text}, FinishReason: &stop}
+	writeJSON(w, chatAnswer{ID: id, Object: "chat.completion", Model: req.Model, Choices: []chatChoice{choice}, Usage: usage})
+}
+
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, id string, words []string, usage *chatUsage) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	chunk := chatAnswer{ID: id, Object: "chat.completion.chunk", Model: e.config.Model}
+	for _, word := range words {
+		if !pause(r, e.config.TokenDelay) {
+			return
+		}
+		chunk.Choices = []chatChoice{{Delta: &chatMessage{Role: "assistant", Content: word}}}
+		writeEvent(w, chunk)
+	}
+	stop := "stop"
+	chunk.Choices = []chatChoice{{Delta: &chatMessage{}, FinishReason: &stop}}
+	chunk.Usage = usage
+	writeEvent(w, chunk)
+	fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+func writeEvent(w http.ResponseWriter, v any) {
+	b, _ := json.Marshal(v)
+	fmt.Fprintf(w, "data: %s\n\n", b)
+	w.(http.Flusher).Flush()
+}
+
+// pause waits for d. It reports false when the request was cancelled meanwhile.
+func pause(r *http.Request, d time.Duration) bool {
+	if d == 0 {
+		return r.Context().Err() == nil
+	}
+	select {
+	case <-time.After(d):
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// answer returns the words of the answer, which follow from the prompt.
+func (e *Engine) answer(req chatRequest) []string {
+	h := fnv.New64a()
+	for _, m := range req.Messages {
+		fmt.Fprintf(h, "%s\x00%s\x00", m.Role, m.Content)
+	}
+	words := make([]string, e.config.Tokens)
+	for i := range words {
+		words[i] = fmt.Sprintf("w%x-%d ", h.Sum64()&0xffffff, i)
+	}
+	return words
+}
+
+// start logs the run and works out how much of the prompt was cached.
+func (e *Engine) start(key string, req chatRequest, tokens int) *chatUsage {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	last := req.Messages[len(req.Messages)-1].Content
+	e.runs = append(e.runs, Run{Key: key, Text: last})
+	cached, total := 0, 0
+	prefix := ""
+	for _, m := range req.Messages {
+		prefix += m.Role + "\x00" + m.Content + "\x00"
+		total += len(strings.Fields(m.Content))
+		if e.touch(prefix) {
+			cached = total
+		}
+	}
+	u := &chatUsage{PromptTokens: total, CompletionTokens: tokens, TotalTokens: total + tokens}
+	u.PromptDetails.CachedTokens = cached
+	return u
+}
+
+// touch makes prefix the most recently used and reports whether it was cached.
+func (e *Engine) touch(prefix string) bool {
+	found := false
+	for i, p := range e.cache {
+		if p == prefix {
+			e.cache = append(e.cache[:i], e.cache[i+1:]...)
+			found = true
+			break
+		}
+	}
+	e.cache = append(e.cache, prefix)
+	if len(e.cache) > e.config.CacheSize {
+		e.cache = e.cache[1:]
+	}
+	return found
+}
--- /dev/null
+++ b/internal/standin/service.go
@@ -0,0 +1,50 @@
+package standin
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+)
+
+// Service is a plain service: it logs each call and answers with what it was asked.
+type Service struct {
+	name string
+	mu   sync.Mutex
+	runs []Run
+}
+
+// NewService returns a Service.
+func NewService(name string) *Service {
+	return &Service{name: name}
+}
+
+// Register adds the service's routes to mux.
+func (s *Service) Register(mux *http.ServeMux) {
+	mux.HandleFunc("GET /debug/runs", s.serveRuns)
+	mux.HandleFunc("/", s.serve)
+}
+
+// Runs returns the log of calls.
+func (s *Service) Runs() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Run(nil), s.runs...)
+}
+
+func (s *Service) serveRuns(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, s.Runs())
+}
+
+func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	s.runs = append(s.runs, Run{Key: r.Header.Get(RunHeader), Text: r.Method + " " + r.URL.Path})
+	n := len(s.runs)
+	s.mu.Unlock()
+	w.Header().Set("Content-Type", "text/plain")
+	fmt.Fprintf(w, "%s %d: %s %s %s\n", s.name, n, r.Method, r.URL.RequestURI(), body)
+}
--- /dev/null
+++ b/internal/token/token.go
@@ -0,0 +1,191 @@
+// Package token makes and checks the signed tokens that the fleet hands to
+// callers: request keys, which name the one sidecar incarnation on which a
+// request may run, and placement tickets, which remember where a session's
+// prompt prefix was cached last.
+//
+// A token is opaque to callers. Only routers make and check tokens; sidecars
+// trust what an authenticated router tells them.
+package token
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/hex"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Purpose separates the kinds of token, so that one cannot stand in for another.
+type Purpose byte
+
+const (
+	// PurposeKey marks a request key.
+	PurposeKey Purpose = 'k'
+	// PurposeTicket marks a placement ticket.
+	PurposeTicket Purpose = 't'
+)
+
+const (
+	formatVersion = 1
+	macSize       = 16
+	nonceSize     = 8
+	maxVMLen      = 64
+	fixedSize     = 1 + 1 + 1 + 8 + 8 + 8 + nonceSize + 4 + 1
+	maxEncodedLen = 256
+)
+
+// Errors that Open returns.
+var (
+	ErrForged  = errors.New("token: not signed by this fleet")
+	ErrPurpose = errors.New("token: of another kind")
+)
+
+// Nonce tells apart the tokens of one incarnation.
+type Nonce [nonceSize]byte
+
+// NewNonce returns a random nonce.
+func NewNonce() Nonce {
+	var n Nonce
+	rand.Read(n[:]) // never fails, as crypto/rand documents
+	return n
+}
+
+// String returns the nonce in hexadecimal.
+func (n Nonce) String() string {
+	return hex.EncodeToString(n[:])
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (n Nonce) MarshalText() ([]byte, error) {
+	return hex.AppendEncode(nil, n[:]), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (n *Nonce) UnmarshalText(text []byte) error {
+	if hex.DecodedLen(len(text)) != nonceSize {
+		return errors.Errorf("token: nonce of %d characters", len(text))
+	}
+	_, err := hex.Decode(n[:], text)
+	return err
+}
+
+// Token is the content of a request key or of a placement ticket.
+type Token struct {
+	Purpose     Purpose
+	Org         uint64 // hash of the organisation's name
+	Session     uint64 // hash of the session
+	Incarnation uint64 // of the sidecar
+	Nonce       Nonce
+	Expires     time.Time // whole seconds
+	VM          string    // at most 64 bytes
+}
+
+// Expired reports whether the token's time is over at now.
+func (t Token) Expired(now time.Time) bool {
+	return now.After(t.Expires)
+}
+
+// Secret is a signing key with the id by which tokens name it.
+type Secret struct {
+	ID    byte
+	Value []byte
+}
+
+// Ring signs with its first secret and accepts all of them, so that a secret
+// can be rotated while tokens signed with the former one are still in use.
+type Ring struct {
+	secrets []Secret
+}
+
+// NewRing returns a Ring over secrets, the one to sign with first.
+func NewRing(secrets ...Secret) (*Ring, error) {
+	if len(secrets) == 0 {
+		return nil, errors.New("token: no secret")
+	}
+	seen := make(map[byte]bool, len(secrets))
+	for _, s := range secrets {
+		if seen[s.ID] {
+			return nil, errors.Errorf("token: two secrets with id %d", s.ID)
+		}
+		if len(s.Value) < 16 {
+			return nil, errors.Errorf("token: secret %d is shorter than 16 bytes", s.ID)
+		}
+		seen[s.ID] = true
+	}
+	return &Ring{secrets: secrets}, nil
+}
+
+// Seal signs and encodes t.
+func (r *Ring) Seal(t Token) string {
+	s := r.secrets[0]
+	b := make([]byte, 0, fixedSize+len(t.VM)+macSize)
+	b = append(b, formatVersion, s.ID, byte(t.Purpose))
+	b = binary.BigEndian.AppendUint64(b, t.Org)
+	b = binary.BigEndian.AppendUint64(b, t.Session)
+	b = binary.BigEndian.AppendUint64(b, t.Incarnation)
+	b = append(b, t.Nonce[:]...)
+	b = binary.BigEndian.AppendUint32(b, uint32(t.Expires.Unix()))
+	b = append(b, byte(len(t.VM)))
+	b = append(b, t.VM...)
+	b = append(b, mac(s.Value, b)...)
+	return base64.RawURLEncoding.EncodeToString(b)
+}
+
+// Open checks and decodes s. It does not judge the expiry, because an expired
+// key still names the sidecar that knows what became of its request.
+func (r *Ring) Open(s string, p Purpose) (Token, error) {
+	if len(s) > maxEncodedLen {
+		return Token{}, ErrForged
+	}
+	b, err := base64.RawURLEncoding.DecodeString(s)
+	if err != nil || len(b) < fixedSize+macSize || b[0] != formatVersion {
+		return Token{}, ErrForged
+	}
+	signed, sum := b[:len(b)-macSize], b[len(b)-macSize:]
+	if !r.signedBy(signed, sum) {
+		return Token{}, ErrForged
+	}
+	t, err := decode(signed)
+	if err != nil {
+		return Token{}, err
+	}
+	if t.Purpose != p {
+		return Token{}, ErrPurpose
+	}
+	return t, nil
+}
+
+func (r *Ring) signedBy(signed, sum []byte) bool {
+	id := signed[1]
+	for _, s := range r.secrets {
+		if s.ID == id {
+			return hmac.Equal(mac(s.Value, signed), sum)
+		}
+	}
+	return false
+}
+
+func decode(b []byte) (Token, error) {
+	t := Token{Purpose: Purpose(b[2])}
+	t.Org = binary.BigEndian.Uint64(b[3:])
+	t.Session = binary.BigEndian.Uint64(b[11:])
+	t.Incarnation = binary.BigEndian.Uint64(b[19:])
+	copy(t.Nonce[:], b[27:27+nonceSize])
+	t.Expires = time.Unix(int64(binary.BigEndian.Uint32(b[35:])), 0)
+	n := int(b[39])
+	if n > maxVMLen || len(b) != fixedSize+n {
+		return Token{}, ErrForged
+	}
+	t.VM = string(b[fixedSize:])
+	return t, nil
+}
+
+func mac(secret, b []byte) []byte {
+	h := hmac.New(sha256.New, secret)
+	h.Write(b)
+	return h.Sum(nil)[:macSize]
+}
--- /dev/null
+++ b/internal/wire/message.go
@@ -0,0 +1,179 @@
+// Package wire is the protocol between routers and sidecars: JSON-RPC 2.0 over
+// one TCP connection a pair, which both calls and the frames of answers share.
+//
+// A router calls; a sidecar replies to calls and sends the frames of the
+// streams that the router has open. A frame names its stream by the nonce of
+// the request key and carries its offset in the answer, so a receiver can tell
+// a crossed, repeated or missing frame from the one it waits for.
+package wire
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/token"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+)
+
+// Method is the name of a JSON-RPC method.
+type Method string
+
+// Calls from a router to a sidecar.
+const (
+	MethodHello  Method = "hello"
+	MethodSubmit Method = "submit"
+	MethodAttach Method = "attach"
+	MethodCancel Method = "cancel"
+	MethodStatus Method = "status"
+	MethodPing   Method = "ping"
+)
+
+// Notifications from a router to a sidecar.
+const (
+	MethodCredit Method = "credit"
+	MethodDetach Method = "detach"
+)
+
+// Notifications from a sidecar to a router.
+const (
+	MethodHead Method = "head"
+	MethodData Method = "data"
+	MethodEnd  Method = "end"
+)
+
+// Key is a request key as routers and sidecars know it: the content of the
+// signed token without its signature.
+type Key struct {
+	VM          string      `json:"vm"`
+	Incarnation uint64      `json:"inc"`
+	Nonce       token.Nonce `json:"nonce"`
+	Expires     int64       `json:"exp"` // Unix seconds
+}
+
+// Call is the request to be made of the upstream.
+type Call struct {
+	Method string      `json:"method"`
+	Path   string      `json:"path"` // with the query, if any
+	Header http.Header `json:"header,omitempty"`
+	Body   []byte      `json:"body,omitempty"`
+}
+
+// Treatment is what the profile and the organisation ask for one request. It
+// travels with the request, so a sidecar needs no configuration of its own.
+type Treatment struct {
+	Profile       string        `json:"profile"`
+	Priority      int           `json:"prio,omitempty"`  // higher runs earlier
+	LoadMultiple  float64       `json:"mult,omitempty"`  // of the pool's mean load; zero: unbounded
+	QueueBound    int           `json:"queue,omitempty"` // requests waiting, of this profile
+	OrgWeight     int           `json:"weight,omitempty"`
+	OrgQueueBound int           `json:"org_queue,omitempty"`
+	Idempotent    bool          `json:"idem,omitempty"`
+	KeepAnswer    time.Duration `json:"keep,omitempty"`
+	FirstByte     time.Duration `json:"first,omitempty"`    // left until the first byte is due
+	Deadline      time.Duration `json:"deadline,omitempty"` // left for the whole answer
+}
+
+// Submit asks a sidecar to run a request once.
+type Submit struct {
+	Key         Key       `json:"key"`
+	Org         string    `json:"org"`
+	Session     uint64    `json:"session,omitempty"`
+	Fingerprint uint64    `json:"print,omitempty"` // of the organisation and the call
+	Treatment   Treatment `json:"treat"`
+	Call        Call      `json:"call"`
+	Window      int       `json:"window"` // bytes that may be sent ahead of credit
+	Trace       string    `json:"trace,omitempty"`
+	Control     Control   `json:"ctl"`
+}
+
+// Control is what nodes tell each other on the back of a request or a reply.
+type Control struct {
+	Load    int `json:"load,omitempty"`    // requests admitted and not yet ended at the sender
+	Running int `json:"running,omitempty"` // those of them at the upstream
+}
+
+// Admission is the reply to a Submit or Attach that was accepted.
+type Admission struct {
+	Joined  bool    `json:"joined,omitempty"` // the key was known; its answer is joined or replayed
+	Control Control `json:"ctl"`
+}
+
+// Attach asks for the answer to a key from an offset on.
+type Attach struct {
+	Key    Key    `json:"key"`
+	Org    string `json:"org"`
+	Offset int64  `json:"offset"`
+	Window int    `json:"window"`
+}
+
+// Cancel asks a sidecar to end a request.
+type Cancel struct {
+	Key Key    `json:"key"`
+	Org string `json:"org"`
+}
+
+// StatusRequest asks what became of a key.
+type StatusRequest struct {
+	Key Key    `json:"key"`
+	Org string `json:"org"`
+}
+
+// RequestState says how far a request has come.
+type RequestState string
+
+// States of a request.
+const (
+	StateQueued  RequestState = "queued"
+	StateRunning RequestState = "running"
+	StateDone    RequestState = "done"
+)
+
+// Status is what a sidecar knows of a request.
+type Status struct {
+	State   RequestState    `json:"state"`
+	Verdict verdict.Verdict `json:"verdict"`
+	Length  int64           `json:"length"` // bytes of the answer so far
+}
+
+// Hello is a sidecar's introduction.
+type Hello struct {
+	VM          string  `json:"vm"`
+	Incarnation uint64  `json:"inc"`
+	Control     Control `json:"ctl"`
+}
+
+// Head is the start of an answer.
+type Head struct {
+	Stream token.Nonce `json:"s"`
+	Status int         `json:"status"`
+	Header http.Header `json:"header,omitempty"`
+}
+
+// Data is a piece of an answer.
+type Data struct {
+	Stream token.Nonce `json:"s"`
+	Offset int64       `json:"o"`
+	Bytes  []byte      `json:"d"`
+}
+
+// End is the end of an answer. Without an Error the answer is whole.
+type End struct {
+	Stream  token.Nonce    `json:"s"`
+	Length  int64          `json:"len"`
+	Error   *verdict.Error `json:"err,omitempty"`
+	Control Control        `json:"ctl"`
+}
+
+// Credit lets a sidecar send up to an offset.
+type Credit struct {
+	Stream token.Nonce `json:"s"`
+	UpTo   int64       `json:"to"`
+}
+
+// Detach tells a sidecar to send no more of a stream.
+type Detach struct {
+	Stream token.Nonce `json:"s"`
+}
+
+// Empty is the result of a call that returns nothing.
+type Empty struct{}
--- /dev/null
+++ b/test/fleet_test.go
@@ -0,0 +1,173 @@
+package test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os/exec"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/profile"
+	"github.com/parsleyfront/parsleyfront/internal/standin"
+)
+
+const (
+	apiKey      = "club-key"
+	model       = "notes-7b"
+	tokenSecret = "1:000102030405060708090a0b0c0d0e0f"
+	startWithin = 20 * time.Second
+)
+
+// fleet is a set of processes: a platform, upstreams with their sidecars, and
+// routers.
+type fleet struct {
+	platformURL string
+	store       *platform.HTTP
+	upstreams   []*upstreamVM
+	routers     []*process
+}
+
+// process is a running program and the address that it serves.
+type process struct {
+	addr    string
+	session *gexec.Session
+}
+
+// upstreamVM is an upstream with its sidecar.
+type upstreamVM struct {
+	id       string
+	upstream *process
+	sidecar  *process
+}
+
+func start(program, addr string, args ...string) *process {
+	GinkgoHelper()
+	session, err := gexec.Start(exec.Command(program, args...), GinkgoWriter, GinkgoWriter)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { session.Kill().Wait(startWithin) })
+	Eventually(func() error {
+		c, err := net.Dial("tcp", addr)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err
+	}, startWithin, 20*time.Millisecond).Should(Succeed())
+	return &process{addr: addr, session: session}
+}
+
+func freeAddr() string {
+	GinkgoHelper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// newFleet starts a platform with one chat profile and one organisation.
+func newFleet() *fleet {
+	GinkgoHelper()
+	addr := freeAddr()
+	start(standinPath, addr, "--kind", "platform", "--listen", addr)
+	f := &fleet{platformURL: "http://" + addr}
+	f.store = platform.NewHTTP(f.platformURL)
+	f.put(platform.Ref{Kind: platform.KindProfile, Name: "chat"},
+		profile.Profile{Name: "chat", Pool: "notes", Model: model, Deadline: profile.Duration(time.Minute)})
+	f.put(platform.Ref{Kind: platform.KindProfile, Name: "clips"},
+		profile.Profile{Name: "clips", Pool: "clips", Service: "clips", Deadline: profile.Duration(10 * time.Second)})
+	f.put(platform.Ref{Kind: platform.KindOrganisation, Name: "club"},
+		profile.Organisation{Name: "club", Profiles: []string{"chat", "clips"}, Keys: []profile.APIKey{{ID: "k", SHA256: profile.HashKey(apiKey)}}})
+	return f
+}
+
+func (f *fleet) put(ref platform.Ref, v any) {
+	GinkgoHelper()
+	b, err := json.Marshal(v)
+	Expect(err).NotTo(HaveOccurred())
+	_, err = f.store.Put(context.Background(), ref, b, 0)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+// addUpstream starts an upstream of a kind with its sidecar and lists the VM.
+func (f *fleet) addUpstream(kind, pool string) *upstreamVM {
+	GinkgoHelper()
+	vm := &upstreamVM{id: fmt.Sprintf("vm-%d", len(f.upstreams))}
+	addr := freeAddr()
+	vm.upstream = start(standinPath, addr, "--kind", kind, "--listen", addr, "--name", model)
+	sidecarAddr := freeAddr()
+	vm.sidecar = start(daemonPath, sidecarAddr, "sidecar", "--listen", sidecarAddr, "--vm", vm.id, "--upstream", "http://"+addr)
+	f.list(platform.VM{ID: vm.id, Role: platform.RoleUpstream, Addr: sidecarAddr, Pool: pool})
+	f.upstreams = append(f.upstreams, vm)
+	return vm
+}
+
+func (f *fleet) list(vm platform.VM) {
+	GinkgoHelper()
+	b, err := json.Marshal(vm)
+	Expect(err).NotTo(HaveOccurred())
+	req, err := http.NewRequest(http.MethodPut, f.platformURL+"/v1/vms/"+vm.ID, bytes.NewReader(b))
+	Expect(err).NotTo(HaveOccurred())
+	resp, err := http.DefaultClient.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(resp.Body.Close()).To(Succeed())
+}
+
+// addRouter starts a router and waits until it is ready.
+func (f *fleet) addRouter() *process {
+	GinkgoHelper()
+	addr := freeAddr()
+	r := start(daemonPath, addr, "router", "--listen", addr, "--platform", f.platformURL, "--token-secret", tokenSecret)
+	Eventually(func() (int, error) {
+		resp, err := http.Get("http://" + addr + "/readyz")
+		if err != nil {
+			return 0, err
+		}
+		return resp.StatusCode, resp.Body.Close()
+	}, startWithin, 20*time.Millisecond).Should(Equal(http.StatusOK))
+	f.routers = append(f.routers, r)
+	return r
+}
+
+// reply is a whole answer as its caller saw it.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+}
+
+func send(method, url, key string, body any, header http.Header) reply {
+	GinkgoHelper()
+	b, err := json.Marshal(body)
+	Expect(err).NotTo(HaveOccurred())
+	req, err := http.NewRequest(method, url, bytes.NewReader(b))
+	Expect(err).NotTo(HaveOccurred())
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := http.DefaultClient.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(text)}
+}
+
+// runs returns the log of an upstream.
+func (vm *upstreamVM) runs() []standin.Run {
+	GinkgoHelper()
+	resp, err := http.Get("http://" + vm.upstream.addr + "/debug/runs")
+	Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	var runs []standin.Run
+	Expect(json.NewDecoder(resp.Body).Decode(&runs)).To(Succeed())
+	return runs
+}
