--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 GO ?= go
 
-.PHONY: test check build
+.PHONY: test check build bench
 
 test: check
 	$(GO) test ./...
@@ -14,3 +14,7 @@
 
 build:
 	$(GO) build -o bin/ ./cmd/...
+
+# Speeds and policies, measured. Not part of the tests: the figures vary.
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./...
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -30,17 +30,11 @@
 	tickets atomic.Uint64
 
 	mu      sync.Mutex
-	waiting map[uint64]chan admission
+	waiting map[uint64]chan wire.Admission
 	answers map[token.Nonce]*held
 	conns   map[*wire.Conn]map[token.Nonce]*sender
 }
 
-// admission is the decision on a submitted request.
-type admission struct {
-	reply wire.Admission
-	err   *verdict.Error
-}
-
 // held is an answer with the organisation that may read it.
 type held struct {
 	org    string
@@ -52,7 +46,7 @@
 	s := &Sidecar{
 		config:  c,
 		ctx:     ctx,
-		waiting: make(map[uint64]chan admission),
+		waiting: make(map[uint64]chan wire.Admission),
 		answers: make(map[token.Nonce]*held),
 		conns:   make(map[*wire.Conn]map[token.Nonce]*sender),
 	}
@@ -102,14 +96,12 @@
 	switch e := effect.(type) {
 	case Start:
 		s.start(e.Submit)
-	case Admit:
-		s.decide(e.Ticket, admission{reply: e.Admission})
-	case Refuse:
-		s.decide(e.Ticket, admission{err: e.Error})
+	case Reply:
+		s.decide(e.Ticket, e.Admission)
 	}
 }
 
-func (s *Sidecar) decide(ticket uint64, a admission) {
+func (s *Sidecar) decide(ticket uint64, a wire.Admission) {
 	s.mu.Lock()
 	ch := s.waiting[ticket]
 	delete(s.waiting, ticket)
@@ -178,27 +170,27 @@
 
 func (s *Sidecar) submit(ctx context.Context, c *wire.Conn, sub wire.Submit) (any, error) {
 	ticket := s.tickets.Add(1)
-	decided := make(chan admission, 1)
+	decided := make(chan wire.Admission, 1)
 	s.mu.Lock()
 	s.waiting[ticket] = decided
 	s.mu.Unlock()
 	if !s.loop.Post(Submitted{Now: time.Now(), Ticket: ticket, Submit: sub}) {
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonDraining, "the sidecar is stopping")
 	}
-	var a admission
+	var a wire.Admission
 	select {
 	case a = <-decided:
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	if a.err != nil {
-		return nil, a.err
+	if a.Error != nil {
+		return a, nil
 	}
 	att := wire.Attach{Key: sub.Key, Org: sub.Org, Window: sub.Window}
 	if _, err := s.attach(c, att); err != nil {
 		return nil, err
 	}
-	return a.reply, nil
+	return a, nil
 }
 
 // attach starts sending an answer. Another organisation's request is answered
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -17,7 +17,7 @@
 // Submitted is a request that a router has sent.
 type Submitted struct {
 	Now    time.Time
-	Ticket uint64 // of the caller who waits for the Admit or Refuse
+	Ticket uint64 // of the caller who waits for the Reply
 	Submit wire.Submit
 }
 
@@ -38,21 +38,14 @@
 	Submit wire.Submit
 }
 
-// Admit tells a router that its request was accepted.
-type Admit struct {
+// Reply tells a router whether its request was accepted.
+type Reply struct {
 	Ticket    uint64
 	Admission wire.Admission
 }
 
-// Refuse tells a router that its request was not accepted.
-type Refuse struct {
-	Ticket uint64
-	Error  *verdict.Error
-}
-
-func (Start) isEffect()  {}
-func (Admit) isEffect()  {}
-func (Refuse) isEffect() {}
+func (Start) isEffect() {}
+func (Reply) isEffect() {}
 
 // State is a sidecar's control state.
 type State struct {
@@ -81,16 +74,16 @@
 	key := e.Submit.Key
 	if key.Incarnation != s.incarnation {
 		err := verdict.New(verdict.MayHaveRun, verdict.ReasonIncarnationGone, "the sidecar has restarted since the key was made")
-		return []Effect{Refuse{Ticket: e.Ticket, Error: err}}
+		return []Effect{Reply{Ticket: e.Ticket, Admission: wire.Admission{Error: err, Control: s.control()}}}
 	}
 	if s.known[key.Nonce] {
-		return []Effect{Admit{Ticket: e.Ticket, Admission: wire.Admission{Joined: true, Control: s.control()}}}
+		return []Effect{Reply{Ticket: e.Ticket, Admission: wire.Admission{Joined: true, Control: s.control()}}}
 	}
 	s.known[key.Nonce] = true
 	s.running++
 	return []Effect{
 		Start{Submit: e.Submit},
-		Admit{Ticket: e.Ticket, Admission: wire.Admission{Control: s.control()}},
+		Reply{Ticket: e.Ticket, Admission: wire.Admission{Control: s.control()}},
 	}
 }
 
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -8,9 +8,11 @@
 package wire
 
 import (
+	"encoding/json"
 	"net/http"
 	"time"
 
+	"github.com/parsleyfront/parsleyfront/internal/platform"
 	"github.com/parsleyfront/parsleyfront/internal/token"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
 )
@@ -26,6 +28,19 @@
 	MethodCancel Method = "cancel"
 	MethodStatus Method = "status"
 	MethodPing   Method = "ping"
+	MethodNotice Method = "notice"
+	MethodReport Method = "report"
+	MethodOrder  Method = "order"
+)
+
+// Calls that either side makes of the other.
+const (
+	MethodConfigSince Method = "config.since"
+)
+
+// Calls from a leaving sidecar to another.
+const (
+	MethodImport Method = "import"
 )
 
 // Notifications from a router to a sidecar.
@@ -76,6 +91,8 @@
 // Submit asks a sidecar to run a request once.
 type Submit struct {
 	Key         Key       `json:"key"`
+	Successor   *Key      `json:"succ,omitempty"` // where the request goes on if it is refused here
+	Home        string    `json:"home,omitempty"` // VM that ranks first for the session
 	Org         string    `json:"org"`
 	Session     uint64    `json:"session,omitempty"`
 	Fingerprint uint64    `json:"print,omitempty"` // of the organisation and the call
@@ -88,14 +105,22 @@
 
 // Control is what nodes tell each other on the back of a request or a reply.
 type Control struct {
-	Load    int `json:"load,omitempty"`    // requests admitted and not yet ended at the sender
-	Running int `json:"running,omitempty"` // those of them at the upstream
+	Load     int              `json:"load,omitempty"`    // requests admitted and not yet ended; of sidecars
+	Running  int              `json:"running,omitempty"` // those of them at the upstream
+	Draining bool             `json:"drain,omitempty"`   // the sidecar takes no new work
+	Down     bool             `json:"down,omitempty"`    // the upstream does not answer its sidecar
+	Samples  []byte           `json:"samples,omitempty"` // loads of other upstreams, packed by package load
+	Config   platform.Version `json:"config,omitempty"`  // newest configuration object known
+	Suspects json.RawMessage  `json:"suspects,omitempty"`
 }
 
-// Admission is the reply to a Submit or Attach that was accepted.
+// Admission is the reply to a Submit or Attach. Without an Error the answer
+// follows as frames.
 type Admission struct {
-	Joined  bool    `json:"joined,omitempty"` // the key was known; its answer is joined or replayed
-	Control Control `json:"ctl"`
+	Joined  bool           `json:"joined,omitempty"` // the key was known; its answer is joined or replayed
+	Error   *verdict.Error `json:"err,omitempty"`
+	Moved   *Key           `json:"moved,omitempty"` // with an Error of ReasonMoved: follow this key
+	Control Control        `json:"ctl"`
 }
 
 // Attach asks for the answer to a key from an offset on.
@@ -175,5 +200,24 @@
 	Stream token.Nonce `json:"s"`
 }
 
+// Notice tells a sidecar that its VM is to leave or to stay. Notices of one VM
+// are ordered by Version; a sidecar ignores one that is older than it knows.
+type Notice struct {
+	Leaving bool             `json:"leaving"`
+	Version platform.Version `json:"version"` // zero: from the list of VMs, which has no versions
+}
+
+// ConfigSince asks for the configuration objects newer than Version.
+type ConfigSince struct {
+	Version platform.Version `json:"version"`
+}
+
+// ConfigDelta is the answer to ConfigSince. Objects are in order of version.
+type ConfigDelta struct {
+	Objects []platform.Object `json:"objects"`
+	Version platform.Version  `json:"version"` // the asker is complete up to here once it has the objects
+	Full    bool              `json:"full,omitempty"`
+}
+
 // Empty is the result of a call that returns nothing.
 type Empty struct{}
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -78,7 +78,8 @@
 	return conn, hello, nil
 }
 
-// Submit asks the sidecar to run a request. The Stream carries its answer.
+// Submit asks the sidecar to run a request. The Stream carries its answer. A
+// refusal is an error together with the Admission that explains it.
 func (p *Peer) Submit(ctx context.Context, s Submit) (*Stream, Admission, error) {
 	return p.open(ctx, s.Key.Nonce, 0, s.Window, MethodSubmit, s)
 }
@@ -108,6 +109,10 @@
 		p.forget(s)
 		return nil, Admission{}, err
 	}
+	if adm.Error != nil {
+		p.forget(s)
+		return nil, adm, adm.Error
+	}
 	return s, adm, nil
 }
 
