make test: never take a cached verdict

Cause: specs in test/ build the programs at run time, which the test cache does not see, so a broken daemon could pass as (cached).

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 .PHONY: test check build bench
 
 test: check
-	$(GO) test ./...
+	$(GO) test -count=1 ./...
 
 check:
 	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
