profile: pools, drain orders and sizes with a unit

Cause: the controller and the drain path need the types of their objects before the commands that write them are there. Change: Pool (what its upstreams load, and which share may be out at a time), Drain (named by the VM's id), Size for max_body ("1MiB"; JSON text, the number in bytes by int64()), platform kinds pool and drain, VM.AdminAddr for a router's operators' API. retry_budget loses omitempty: an explicit 0 means no retries and must not turn into a default on the way through the store. Ruled out: a list of models in one pool; upstreams of a pool are interchangeable for placement, so what they load is one thing.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -148,7 +148,7 @@
 
 func maxBody(p *profile.Profile) int64 {
 	if p.MaxBody > 0 {
-		return p.MaxBody
+		return int64(p.MaxBody)
 	}
 	return defaultMaxBody
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -26,6 +26,8 @@
 const (
 	KindProfile      Kind = "profile"
 	KindOrganisation Kind = "organisation"
+	KindPool         Kind = "pool"
+	KindDrain        Kind = "drain" // by the id of the VM
 )
 
 // Ref names an object.
@@ -96,7 +98,8 @@
 type VM struct {
 	ID            string `json:"id"`
 	Role          Role   `json:"role"`
-	Addr          string `json:"addr"` // of the router's or sidecar's protocol, host:port
+	Addr          string `json:"addr"`                 // of the router's or sidecar's protocol, host:port
+	AdminAddr     string `json:"admin_addr,omitempty"` // of a router's HTTP API for operators, host:port
 	Pool          string `json:"pool,omitempty"`
 	FailureDomain string `json:"failure_domain,omitempty"`
 	Weight        int    `json:"weight,omitempty"` // relative capacity; zero means one
--- a/internal/profile/profile.go
+++ b/internal/profile/profile.go
@@ -1,15 +1,20 @@
 // Package profile defines what operators configure: profiles, which state how
-// a kind of traffic is treated, and organisations, which may use them.
+// a kind of traffic is treated; organisations, which may use them; pools, which
+// state what their upstreams load; and drain orders.
+//
+// It is the one place for the types, their defaults and what is valid. The
+// command line, the daemon and the tests read through it. Files are YAML; the
+// platform's store holds the same fields as JSON.
 package profile
 
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"time"
 )
 
 // Profile states how one kind of traffic is treated.
 type Profile struct {
+	// Name of the profile, by which organisations and callers refer to it.
 	Name string `json:"name"`
 	// Pool names the upstreams that serve the traffic.
 	Pool string `json:"pool"`
@@ -22,7 +27,7 @@
 
 	// Priority orders waiting requests: higher runs earlier.
 	Priority int `json:"priority,omitempty"`
-	// FirstToken is how long the first byte of an answer may take.
+	// FirstToken is how long the first byte of an answer may take; zero leaves it to Deadline.
 	FirstToken Duration `json:"first_token,omitempty"`
 	// Deadline is how long a whole answer may take.
 	Deadline Duration `json:"deadline"`
@@ -31,31 +36,36 @@
 	// Queue bounds the requests that wait at an upstream.
 	Queue Queue `json:"queue,omitzero"`
 	// RetryBudget is the share of attempts that may be retries or hedges.
-	RetryBudget float64 `json:"retry_budget,omitempty"`
+	RetryBudget float64 `json:"retry_budget"`
 	// Idempotent allows a request that may have run to be run again.
 	Idempotent bool `json:"idempotent,omitempty"`
-	// HedgeAfter is when a second attempt of an idempotent call starts.
+	// HedgeAfter is when a second attempt of an idempotent call starts; zero is never.
 	HedgeAfter Duration `json:"hedge_after,omitempty"`
 	// KeepAnswer is how long a finished answer can be fetched.
 	KeepAnswer Duration `json:"keep_answer,omitempty"`
-	// MaxBody is the largest request body, in bytes.
-	MaxBody int64 `json:"max_body,omitempty"`
+	// MaxBody is the largest request body.
+	MaxBody Size `json:"max_body,omitempty"`
 }
 
 // Route matches calls of a service.
 type Route struct {
+	// Methods are the HTTP methods that match; none means all.
 	Methods []string `json:"methods,omitempty"`
-	Prefix  string   `json:"prefix,omitempty"` // of the path after the service's name
+	// Prefix is the start of the path after the service's name.
+	Prefix string `json:"prefix,omitempty"`
 }
 
 // Queue bounds the requests that wait at one upstream.
 type Queue struct {
-	PerUpstream     int `json:"per_upstream,omitempty"`
+	// PerUpstream bounds the waiting requests of the profile at one upstream.
+	PerUpstream int `json:"per_upstream,omitempty"`
+	// PerOrganisation bounds those of one organisation among them.
 	PerOrganisation int `json:"per_organisation,omitempty"`
 }
 
 // Organisation is a customer of the operators.
 type Organisation struct {
+	// Name of the organisation.
 	Name string `json:"name"`
 	// Weight is the organisation's share where several wait.
 	Weight int `json:"weight,omitempty"`
@@ -69,7 +79,9 @@
 
 // APIKey is a caller's key, stored as its hash.
 type APIKey struct {
-	ID     string `json:"id"`
+	// ID tells the keys of an organisation apart.
+	ID string `json:"id"`
+	// SHA256 is the hash of the key, as 64 hexadecimal digits.
 	SHA256 string `json:"sha256"`
 }
 
@@ -79,22 +91,40 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// Duration is a time.Duration that is written like "1.9s".
-type Duration time.Duration
-
-// MarshalText implements encoding.TextMarshaler.
-func (d Duration) MarshalText() ([]byte, error) {
-	return []byte(time.Duration(d).String()), nil
+// Pool states what the upstreams of a pool load. The pool of a plain service
+// loads nothing: only its name is set.
+type Pool struct {
+	// Name of the pool, as in the platform's list of VMs.
+	Name string `json:"name"`
+	// Model that its upstreams load.
+	Model string `json:"model,omitempty"`
+	// Version of the model.
+	Version string `json:"version,omitempty"`
+	// Adapters that are loaded beside the model.
+	Adapters []string `json:"adapters,omitempty"`
+	// Role of the upstreams in serving the model.
+	Role EngineRole `json:"role,omitempty"`
+	// MaxUnavailable is the share of the upstreams that may be out at a time while they load.
+	MaxUnavailable float64 `json:"max_unavailable,omitempty"`
 }
 
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (d *Duration) UnmarshalText(text []byte) error {
-	v, err := time.ParseDuration(string(text))
-	*d = Duration(v)
-	return err
-}
+// EngineRole is the part of a request that an engine works on.
+type EngineRole string
 
-// Std returns d as a time.Duration.
-func (d Duration) Std() time.Duration {
-	return time.Duration(d)
+// Roles of engines.
+const (
+	// EngineMixed reads prompts and generates.
+	EngineMixed EngineRole = "mixed"
+	// EnginePrefill only reads prompts.
+	EnginePrefill EngineRole = "prefill"
+	// EngineDecode only generates.
+	EngineDecode EngineRole = "decode"
+)
+
+// Drain orders that a VM takes no new work. It lasts until it is deleted.
+type Drain struct {
+	// Name is the VM's id in the platform's list.
+	Name string `json:"name"`
+	// Reason tells other operators why.
+	Reason string `json:"reason,omitempty"`
 }
