--- /dev/null
+++ b/internal/retry/retry.go
@@ -0,0 +1,93 @@
+package retry
+
+import (
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+)
+
+// Next is what may follow a failed attempt.
+type Next uint8
+
+const (
+	// Stop means that the failure is final.
+	Stop Next = iota
+	// Walk means that the request may be offered to another upstream. The
+	// failed attempt reached none, so this costs no budget.
+	Walk
+	// Again means that the request may run again, if the budget allows.
+	Again
+)
+
+// Failure is how an attempt has failed.
+type Failure struct {
+	Err *verdict.Error
+	// Asked reports that the upstream was asked, even if it took nothing.
+	Asked bool
+}
+
+// Conditions are the properties of a request on which a retry depends.
+type Conditions struct {
+	Idempotent bool // the profile allows the request to run more than once
+	Read       bool // the method is safe: it changes nothing
+	Sent       bool // the caller has been sent a part of the answer
+}
+
+// After returns what may follow a failure.
+//
+// Once a part of the answer has gone out, nothing may: a second run may answer
+// differently, and the caller would get the head of one answer with the tail
+// of another.
+func After(f Failure, c Conditions) Next {
+	if c.Sent || final(f.Err.Reason) {
+		return Stop
+	}
+	notRun := f.Err.Verdict == verdict.NotRun
+	switch {
+	case notRun && !f.Asked:
+		return Walk
+	case notRun || c.Idempotent:
+		return Again
+	default:
+		return Stop
+	}
+}
+
+// final reports whether a reason holds at every upstream.
+func final(r verdict.Reason) bool {
+	switch r {
+	case verdict.ReasonOverBound, verdict.ReasonQueueFull, verdict.ReasonDraining,
+		verdict.ReasonNoUpstream, verdict.ReasonUpstreamDown, verdict.ReasonUpstreamFailed,
+		verdict.ReasonIncarnationGone, verdict.ReasonConnection, verdict.ReasonInternal,
+		verdict.ReasonUnknownRequest, verdict.ReasonAnswerGone, verdict.ReasonEvicted:
+		return false
+	}
+	return true
+}
+
+// MayHedge reports whether a second attempt may start while the first is still
+// out. Only for reads: of a write that is called idempotent, two runs at the
+// same time are still more than one run after the other.
+func MayHedge(c Conditions) bool {
+	return c.Idempotent && c.Read && !c.Sent
+}
+
+const (
+	firstBackoff = 50 * time.Millisecond
+	maxBackoff   = 800 * time.Millisecond
+)
+
+// Backoff returns how long to wait before reconnecting for the nth time, from
+// 1 on. The first time is at once: most lost connections were only forgotten
+// by something in between. jitter, from 0 to 1, spreads the routers that lost
+// the same upstream.
+func Backoff(n int, jitter float64) time.Duration {
+	if n <= 1 {
+		return 0
+	}
+	d := firstBackoff
+	for range n - 2 {
+		d = min(2*d, maxBackoff)
+	}
+	return d/2 + time.Duration(jitter*float64(d)/2)
+}
