idempotency: the bounded table of request keys

Cause: the sidecar knew only whether it had seen a nonce; it forgot nothing, remembered no refusal, and a resend of a refused request could run after its caller had been told not-run.

Change: a table as note 0001 says: join, replay, tombstones with the first refused successor, eviction with a watermark, expired keys never run, another organisation sees nothing. Key moves here from wire, which keeps an alias, so that the package needs nothing but the vocabulary. The clock only moves forward: with a wall clock that steps back, a key answered not-run as expired became fresh again (found by the property).

Decided: a key that comes back with a different fingerprint is answered not-run only if the key was refused. If it was admitted the answer is may-have-run, since a resend whose body differs by a byte is the same request to its caller.

Ruled out: dropping expired entries regardless of kept answers (an overnight answer outlives its key), and evicting live entries.

--- /dev/null
+++ b/internal/idempotency/table.go
@@ -0,0 +1,239 @@
+// Package idempotency decides whether a request under a key may run.
+//
+// A Table holds the keys that one sidecar incarnation has decided on. It is
+// bounded, and what has left it is never run anew: see docs/design/0001,
+// "Request keys and the chain".
+package idempotency
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/token"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+)
+
+// Attempt is one arrival of a request under a key.
+type Attempt struct {
+	Key         Key
+	Org         string
+	Fingerprint uint64 // of the request; zero: not known
+	Successor   *Key   // where the request goes on if it is refused here
+}
+
+// Outcome is what a table holds of a key.
+type Outcome uint8
+
+const (
+	// Unseen is a key that may run: it is to be admitted or refused now.
+	Unseen Outcome = iota
+	// Live is a key whose request waits or runs.
+	Live
+	// Done is a key whose request has ended.
+	Done
+	// Moved is a key that was refused here and goes on under its successor.
+	Moved
+	// Rejected is a key that does not run here, whatever comes.
+	Rejected
+)
+
+// Finding is a table's answer to an attempt.
+type Finding struct {
+	Outcome   Outcome
+	Verdict   verdict.Verdict // of Done
+	Successor *Key            // of Moved
+	Err       *verdict.Error  // of Moved and Rejected
+}
+
+// Table is the bounded table of the keys of one sidecar incarnation.
+type Table struct {
+	incarnation uint64
+	limit       int
+	entries     map[token.Nonce]*entry
+	settled     byLeaving // entries that are not live
+	watermark   int64     // latest expiry of an entry that has left, in Unix seconds
+	now         int64     // latest time seen, in Unix seconds
+}
+
+// entry is kept small, since there is one for each request of the last while.
+type entry struct {
+	nonce       token.Nonce
+	org         string
+	fingerprint uint64
+	expires     int64
+	leaves      int64 // when it may be forgotten, in Unix seconds
+	outcome     Outcome
+	verdict     verdict.Verdict
+	reason      verdict.Reason // of a refusal
+	successor   *Key
+}
+
+// NewTable returns an empty table that holds limit entries, or as many as are
+// live if those are more.
+func NewTable(incarnation uint64, limit int) *Table {
+	return &Table{incarnation: incarnation, limit: limit, entries: make(map[token.Nonce]*entry)}
+}
+
+// Look returns what is known of an attempt's key. After Unseen the caller
+// admits or refuses the attempt before it looks again.
+func (t *Table) Look(now time.Time, a Attempt) Finding {
+	t.advance(now)
+	if a.Key.Incarnation != t.incarnation {
+		return rejected(verdict.MayHaveRun, verdict.ReasonIncarnationGone, "the sidecar has restarted since the key was made")
+	}
+	if e := t.entries[a.Key.Nonce]; e != nil {
+		return e.find(a)
+	}
+	// A copy of a request can arrive after its entry has left to make room. It
+	// looks new, and would run a second time or after its caller was told
+	// not-run. Every entry that has left expired at or before the watermark.
+	if a.Key.Expires <= t.watermark {
+		return rejected(verdict.MayHaveRun, verdict.ReasonEvicted, "the key is no longer known")
+	}
+	if a.Key.Expires < t.now {
+		return rejected(verdict.NotRun, verdict.ReasonBadKey, "the key has expired")
+	}
+	return Finding{Outcome: Unseen}
+}
+
+// advance moves the clock forward only. If the wall clock steps back, a key
+// that was answered not-run because it had expired would become fresh and run.
+func (t *Table) advance(now time.Time) {
+	t.now = max(t.now, now.Unix())
+}
+
+func (e *entry) find(a Attempt) Finding {
+	if e.org != a.Org {
+		return rejected(verdict.NotRun, verdict.ReasonBadKey, "the key is not valid")
+	}
+	if e.fingerprint != 0 && a.Fingerprint != 0 && e.fingerprint != a.Fingerprint {
+		return rejected(e.coarse(), verdict.ReasonKeyReused, "the key was used for a different request")
+	}
+	switch {
+	case e.outcome == Rejected && e.successor != nil:
+		return Finding{
+			Outcome:   Moved,
+			Successor: e.successor,
+			Err:       verdict.New(verdict.NotRun, verdict.ReasonMoved, "refused here (%s)", e.reason),
+		}
+	case e.outcome == Rejected:
+		return rejected(verdict.NotRun, e.reason, "refused before")
+	default:
+		return Finding{Outcome: e.outcome, Verdict: e.verdict}
+	}
+}
+
+// coarse is the verdict on a key as a whole. A resend whose body differs by a
+// byte is the same request to its caller, so the reuse of a key that was
+// admitted is not answered not-run.
+func (e *entry) coarse() verdict.Verdict {
+	if e.outcome == Rejected {
+		return verdict.NotRun
+	}
+	return verdict.MayHaveRun
+}
+
+func rejected(v verdict.Verdict, r verdict.Reason, detail string) Finding {
+	return Finding{Outcome: Rejected, Err: verdict.New(v, r, "%s", detail)}
+}
+
+// Admit records that an unseen attempt runs or waits to.
+func (t *Table) Admit(a Attempt) {
+	e := t.insert(a)
+	e.outcome = Live
+	t.trim()
+}
+
+// Refuse records that an unseen attempt does not run here. Later copies are
+// sent to its successor, or answered not-run when it has none.
+func (t *Table) Refuse(a Attempt, r verdict.Reason) {
+	t.refuse(t.insert(a), r)
+}
+
+// Withdraw turns a live key that has not run into a refused one and returns
+// its successor, if it has one.
+func (t *Table) Withdraw(n token.Nonce, r verdict.Reason) *Key {
+	e := t.entries[n]
+	if e == nil || e.outcome != Live {
+		return nil
+	}
+	t.refuse(e, r)
+	return e.successor
+}
+
+// Finish records the end of a live key's request. Its entry stays until its
+// key has expired and keepUntil has passed.
+func (t *Table) Finish(n token.Nonce, v verdict.Verdict, keepUntil time.Time) {
+	e := t.entries[n]
+	if e == nil || e.outcome != Live {
+		return
+	}
+	e.outcome, e.verdict = Done, v
+	e.leaves = max(e.expires, keepUntil.Unix())
+	t.settle(e)
+}
+
+// Expire forgets what has served its time.
+func (t *Table) Expire(now time.Time) {
+	t.advance(now)
+	for len(t.settled) > 0 && t.settled[0].leaves < t.now {
+		t.evict()
+	}
+}
+
+// Len is the number of entries.
+func (t *Table) Len() int {
+	return len(t.entries)
+}
+
+func (t *Table) insert(a Attempt) *entry {
+	e := &entry{
+		nonce:       a.Key.Nonce,
+		org:         a.Org,
+		fingerprint: a.Fingerprint,
+		expires:     a.Key.Expires,
+		leaves:      a.Key.Expires,
+		successor:   a.Successor,
+	}
+	t.entries[e.nonce] = e
+	return e
+}
+
+func (t *Table) refuse(e *entry, r verdict.Reason) {
+	e.outcome, e.reason = Rejected, r
+	t.settle(e)
+}
+
+func (t *Table) settle(e *entry) {
+	heap.Push(&t.settled, e)
+	t.trim()
+}
+
+// trim makes room. Live entries stay whatever the limit, because their answers
+// are being read; admission bounds their number.
+func (t *Table) trim() {
+	for len(t.entries) > t.limit && len(t.settled) > 0 {
+		t.evict()
+	}
+}
+
+func (t *Table) evict() {
+	e := heap.Pop(&t.settled).(*entry)
+	delete(t.entries, e.nonce)
+	t.watermark = max(t.watermark, e.expires)
+}
+
+// byLeaving is a heap of entries, the one that leaves first on top.
+type byLeaving []*entry
+
+func (h byLeaving) Len() int           { return len(h) }
+func (h byLeaving) Less(i, j int) bool { return h[i].leaves < h[j].leaves }
+func (h byLeaving) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *byLeaving) Push(x any)        { *h = append(*h, x.(*entry)) }
+func (h *byLeaving) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return e
+}
--- /dev/null
+++ b/internal/idempotency/table_test.go
@@ -0,0 +1,228 @@
+package idempotency
+
+import (
+	"encoding/binary"
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/parsleyfront/parsleyfront/internal/token"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+const testIncarnation = 7
+
+func testKey(inc uint64, id int, expires int64) Key {
+	var n token.Nonce
+	binary.BigEndian.PutUint64(n[:], uint64(id))
+	return Key{VM: "vm", Incarnation: inc, Nonce: n, Expires: expires}
+}
+
+// keyHistory is what happened to one key, as an outside observer saw it.
+type keyHistory struct {
+	attempt  Attempt
+	admitted int
+	live     bool
+	notRun   bool // said to the key's own organisation
+}
+
+// A guest books a room. Copies of the request arrive late and through other
+// routers, the table overflows meanwhile and the clock steps back. The room
+// must be held at most once, and never after the guest was told not-run.
+func TestKeyStartsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := int64(1000)
+		table := NewTable(testIncarnation, rapid.IntRange(1, 6).Draw(t, "limit"))
+		keys := make([]*keyHistory, 10)
+		for i := range keys {
+			key := testKey(testIncarnation, i, rapid.Int64Range(990, 1040).Draw(t, "expires"))
+			keys[i] = &keyHistory{attempt: Attempt{Key: key, Org: "a", Fingerprint: 1}}
+		}
+		draw := func() *keyHistory { return rapid.SampledFrom(keys).Draw(t, "key") }
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": func(t *rapid.T) { submitOnce(t, table, draw(), now) },
+			"end": func(t *rapid.T) {
+				if k := draw(); k.live {
+					k.live = false
+					table.Finish(k.attempt.Key.Nonce, verdict.Ran, time.Unix(now+rapid.Int64Range(0, 30).Draw(t, "keep"), 0))
+				}
+			},
+			"withdraw": func(t *rapid.T) {
+				if k := draw(); k.live {
+					k.live, k.admitted, k.notRun = false, 0, true
+					table.Withdraw(k.attempt.Key.Nonce, verdict.ReasonDeadline)
+				}
+			},
+			"time": func(t *rapid.T) {
+				now += rapid.Int64Range(-5, 10).Draw(t, "seconds")
+				table.Expire(time.Unix(now, 0))
+			},
+		})
+	})
+}
+
+func submitOnce(t *rapid.T, table *Table, k *keyHistory, now int64) {
+	a := k.attempt
+	a.Org = rapid.SampledFrom([]string{"a", "a", "b"}).Draw(t, "org")
+	a.Fingerprint = rapid.SampledFrom([]uint64{1, 1, 2}).Draw(t, "fingerprint")
+	known := k.live || k.admitted > 0 || k.notRun
+	if known && a.Org == "b" {
+		otherOrganisation(t, table, a, now)
+		return
+	}
+	a.Org = "a"
+	f := table.Look(time.Unix(now, 0), a)
+	switch {
+	case f.Outcome == Unseen && rapid.Bool().Draw(t, "admit"):
+		k.attempt.Fingerprint = a.Fingerprint
+		k.admitted++
+		k.live = true
+		table.Admit(a)
+	case f.Outcome == Unseen:
+		k.attempt.Fingerprint = a.Fingerprint
+		k.notRun = true
+		table.Refuse(a, verdict.ReasonOverBound)
+	case f.Outcome == Rejected && f.Err.Verdict == verdict.NotRun:
+		k.notRun = true
+	case a.Fingerprint != k.attempt.Fingerprint && f.Outcome != Rejected:
+		t.Fatalf("a different request under a known key found %v", f.Outcome)
+	}
+	if k.admitted > 1 || (k.admitted > 0 && k.notRun) {
+		t.Fatalf("key admitted %d times, not-run said: %v", k.admitted, k.notRun)
+	}
+	if k.live && a.Fingerprint == k.attempt.Fingerprint && f.Outcome != Live && f.Outcome != Unseen {
+		t.Fatalf("a running request is not joined but %v", f)
+	}
+	if table.Len() > table.limit && len(table.settled) > 0 {
+		t.Fatalf("%d entries, limit %d", table.Len(), table.limit)
+	}
+}
+
+func otherOrganisation(t *rapid.T, table *Table, a Attempt, now int64) {
+	f := table.Look(time.Unix(now, 0), a)
+	if f.Outcome != Rejected || f.Successor != nil {
+		t.Fatalf("another organisation's key shows %v", f)
+	}
+}
+
+// copyOnItsWay is one copy of a request, carried by one router along the chain.
+type copyOnItsWay struct {
+	at      Key
+	links   int
+	over    bool
+	verdict verdict.Verdict
+}
+
+// A coach tags a clip and, hearing nothing, sends it again: the copies travel
+// through different routers, which propose different successors where they are
+// refused, while sidecars restart and forget. The clip is tagged at most once,
+// and not at all when one of the routers has said not-run.
+func TestOneLinkOfAChainRuns(t *testing.T) {
+	const sidecars, maxLinks = 4, 4
+	rapid.Check(t, func(t *rapid.T) {
+		tables := make([]*Table, sidecars)
+		for i := range tables {
+			tables[i] = NewTable(uint64(i), 2)
+		}
+		at := func(k Key) *Table { return tables[k.Incarnation%sidecars] }
+		keys, runs := 0, 0
+		newKey := func() Key {
+			keys++
+			on := rapid.IntRange(0, sidecars-1).Draw(t, "sidecar")
+			k := testKey(tables[on].incarnation, keys, rapid.Int64Range(1000, 1010).Draw(t, "expires"))
+			return k
+		}
+		first := newKey()
+		copies := make([]*copyOnItsWay, 3)
+		for i := range copies {
+			copies[i] = &copyOnItsWay{at: first, links: 1}
+		}
+		now := time.Unix(1000, 0)
+		t.Repeat(map[string]func(*rapid.T){
+			"forward": func(t *rapid.T) {
+				c := rapid.SampledFrom(copies).Draw(t, "copy")
+				if c.over {
+					return
+				}
+				a := Attempt{Key: c.at, Org: "a"}
+				if c.links < maxLinks {
+					next := newKey()
+					a.Successor = &next
+				}
+				f := at(c.at).Look(now, a)
+				if f.Outcome == Unseen && rapid.Bool().Draw(t, "admit") {
+					at(c.at).Admit(a)
+					runs++
+					c.over, c.verdict = true, verdict.Ran
+					return
+				}
+				if f.Outcome == Unseen {
+					at(c.at).Refuse(a, verdict.ReasonOverBound)
+					f = at(c.at).Look(now, a)
+				}
+				c.follow(f)
+			},
+			"traffic": func(t *rapid.T) {
+				k := newKey()
+				at(k).Refuse(Attempt{Key: k, Org: "b"}, verdict.ReasonQueueFull)
+			},
+			"restart": func(t *rapid.T) {
+				i := rapid.IntRange(0, sidecars-1).Draw(t, "sidecar")
+				tables[i] = NewTable(tables[i].incarnation+sidecars, 2)
+			},
+			"": func(t *rapid.T) { checkChain(t, copies, runs) },
+		})
+	})
+}
+
+func (c *copyOnItsWay) follow(f Finding) {
+	switch f.Outcome {
+	case Moved:
+		c.at = *f.Successor
+		c.links++
+	case Rejected:
+		c.over, c.verdict = true, f.Err.Verdict
+	default:
+		c.over, c.verdict = true, verdict.Ran
+	}
+}
+
+func checkChain(t *rapid.T, copies []*copyOnItsWay, runs int) {
+	if runs > 1 {
+		t.Fatalf("%d runs", runs)
+	}
+	for i, c := range copies {
+		if c.over && c.verdict == verdict.NotRun && runs > 0 {
+			t.Fatalf("copy %d was told not-run, and it ran", i)
+		}
+	}
+}
+
+// BenchmarkTable measures one entry's bytes and one attempt's time.
+func BenchmarkTable(b *testing.B) {
+	for _, n := range []int{1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("entries=%d", n), func(b *testing.B) {
+			table := NewTable(testIncarnation, n)
+			next := Key{VM: "vm-0000"}
+			id := 0
+			now := time.Unix(1000, 0)
+			b.ReportAllocs()
+			for b.Loop() {
+				id++
+				a := Attempt{Key: testKey(testIncarnation, id, 2000+int64(id/100)), Org: "a", Successor: &next}
+				if table.Look(now, a).Outcome == Unseen {
+					table.Admit(a)
+					table.Finish(a.Key.Nonce, verdict.Ran, now)
+				}
+			}
+		})
+	}
+}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"time"
 
+	"github.com/parsleyfront/parsleyfront/internal/idempotency"
 	"github.com/parsleyfront/parsleyfront/internal/platform"
 	"github.com/parsleyfront/parsleyfront/internal/token"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
@@ -56,14 +57,8 @@
 	MethodEnd  Method = "end"
 )
 
-// Key is a request key as routers and sidecars know it: the content of the
-// signed token without its signature.
-type Key struct {
-	VM          string      `json:"vm"`
-	Incarnation uint64      `json:"inc"`
-	Nonce       token.Nonce `json:"nonce"`
-	Expires     int64       `json:"exp"` // Unix seconds
-}
+// Key is a request key without its signature.
+type Key = idempotency.Key
 
 // Call is the request to be made of the upstream.
 type Call struct {
