--- /dev/null
+++ b/internal/placement/bench_test.go
@@ -0,0 +1,37 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/parsleyfront/parsleyfront/internal/load"
+)
+
+// BenchmarkChoose is the cost of one decision: with a session and without.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{130, 1000, 2900} {
+		for _, weights := range []int{1, 3} {
+			ms := members(n)
+			table := load.NewTable()
+			for i := range ms {
+				ms[i].Weight = 1 + i%weights
+				table.Observe(start, ms[i].VM, load.Report{Load: 50 + i%7, Weight: ms[i].Weight})
+			}
+			p := NewPool(ms, Locality{})
+			for _, kind := range []string{"session", "spread"} {
+				b.Run(fmt.Sprintf("upstreams=%d/weights=%d/%s", n, weights, kind), func(b *testing.B) {
+					b.ReportAllocs()
+					var out [Candidates]int
+					q := Query{Ticket: None, Multiple: 1.25}
+					for i := range b.N {
+						q.Random = uint64(i)
+						if kind == "session" {
+							q.Session = mix(uint64(i)) | 1
+						}
+						p.Choose(start, table, q, &out)
+					}
+				})
+			}
+		}
+	}
+}
