quarantine: the Book of suspects; lease: the fence; wire: orders and leave

Cause: sidecar and router need the types before the parts behind them are deep. Ruled out: an isolation lane chosen by rendezvous over the pool. Routers whose lists of VMs differ would choose two lanes and lose two upstreams. The lane is the VM whose crash made the suspect: its name travels with the suspicion. State machine still to come.

--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,47 @@
+// Package lease keeps one holder at a time of a role, by an object in the
+// platform's store, and gives each holder a fencing token.
+//
+// No clock of another VM is trusted: a holder counts its time from before it
+// sent the write that made it holder, and a candidate counts the same time,
+// and a margin, from after it first saw that write. Fencing tokens make orders
+// safe even where clocks run at rates that differ by more than the margin.
+package lease
+
+import (
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
+)
+
+const (
+	// TTL is how long a lease lasts after the write that took or renewed it.
+	TTL = 15 * time.Second
+	// Margin is what a candidate waits beyond TTL, for clocks that run at
+	// different rates.
+	Margin = 3 * time.Second
+	// Every is the pause between a holder's renewals and a candidate's reads.
+	Every = 5 * time.Second
+	// Candidates is how many routers stand for the lease at a time. The others
+	// make no calls of the store for it.
+	Candidates = 3
+
+	retryOrder = time.Second
+)
+
+// Record is the value of a lease object.
+type Record struct {
+	Holder  string            `json:"holder"`          // empty: released
+	Attempt string            `json:"attempt"`         // names the write, so that its writer can tell it again
+	Token   wire.FencingToken `json:"token,omitempty"` // zero in the write that takes the lease
+}
+
+// TokenOf returns the fencing token of a lease object at version v. The token
+// is the version of the write by which the holder took the lease, which the
+// store makes higher than all before, also when the object was deleted between.
+func TokenOf(r Record, v platform.Version) wire.FencingToken {
+	if r.Token == 0 {
+		return wire.FencingToken(v)
+	}
+	return r.Token
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -27,7 +27,10 @@
 	KindProfile      Kind = "profile"
 	KindOrganisation Kind = "organisation"
 	KindPool         Kind = "pool"
-	KindDrain        Kind = "drain" // by the id of the VM
+	KindDrain        Kind = "drain"      // by the id of the VM
+	KindClaim        Kind = "claim"      // of a caller's own idempotency key
+	KindConviction   Kind = "conviction" // of a request that crashes upstreams
+	KindLease        Kind = "lease"
 )
 
 // Ref names an object.
--- /dev/null
+++ b/internal/quarantine/entry.go
@@ -0,0 +1,81 @@
+// Package quarantine decides what becomes of requests that may crash the
+// upstream that runs them.
+//
+// Each node keeps a Book. A sidecar enters the crashes of its upstream with
+// the fingerprints that were running; the Books tell each other on the back of
+// traffic and by reports. A Book is pure: it does no I/O and reads no clock.
+package quarantine
+
+import "time"
+
+// Print is the fingerprint of a request: a hash of its organisation and call.
+type Print uint64
+
+// Crash names one crash of one upstream.
+type Crash uint64
+
+// Standing is what is known of a fingerprint in respect of one crash. Higher
+// values replace lower ones, so Books that merge in any order agree.
+type Standing uint8
+
+const (
+	// Suspect was running when the upstream crashed.
+	Suspect Standing = iota
+	// Cleared has since run without a crash.
+	Cleared
+	// Convicted crashed the upstream while it ran alone, as a suspect of another crash.
+	Convicted
+	// Pardoned is a conviction that an operator has lifted.
+	Pardoned
+)
+
+// Entry is one fingerprint that was running at one crash. All but Standing
+// are fixed by the sidecar that saw the crash.
+type Entry struct {
+	Print    Print
+	Crash    Crash
+	Site     string        // VM of the crash
+	At       time.Time     // of the crash, whole milliseconds
+	Exposure time.Duration // for which it had run, whole milliseconds
+	Alone    bool          // nothing else was running
+	Standing Standing
+}
+
+// key identifies an Entry.
+type key struct {
+	print Print
+	crash Crash
+}
+
+func (e *Entry) key() key { return key{e.Print, e.Crash} }
+
+// ttl is how long the entry counts, from the crash on.
+func (e *Entry) ttl() time.Duration {
+	if e.Standing >= Convicted {
+		return ConvictedFor
+	}
+	return SuspectFor
+}
+
+// live reports whether the entry counts at now. One from the future is from a
+// node whose clock is wrong, and would never age out.
+func (e *Entry) live(now time.Time) bool {
+	return now.Before(e.At.Add(e.ttl())) && e.At.Before(now.Add(maxSkew))
+}
+
+const (
+	// SuspectFor is how long after a crash its suspects count as such.
+	SuspectFor = 15 * time.Minute
+	// ConvictedFor is how long a conviction stands.
+	ConvictedFor = 24 * time.Hour
+	// RetryAfter is when a caller should come back whose request waits for its
+	// turn to run alone.
+	RetryAfter = time.Second
+
+	// maxEntries bounds the entries of a Book.
+	maxEntries = 4096
+	// maxSkew is how far a crash may lie in the future by the clock of another VM.
+	maxSkew = time.Minute
+	// minAlone is the least time for which a suspect runs alone.
+	minAlone = time.Second
+)
--- /dev/null
+++ b/internal/quarantine/judge.go
@@ -0,0 +1,169 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// count returns at how many crashes the entries' fingerprint was running.
+func (b *Book) count(now time.Time, entries []*Entry) int {
+	n := 0
+	for _, e := range entries {
+		if e.live(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// convicted reports whether p is convicted: by the word of the sidecar that
+// saw it, or because two sidecars each saw a part of it.
+func (b *Book) convicted(now time.Time, p Print) bool {
+	return b.pronounced(now, p) || b.proved(now, p)
+}
+
+// pronounced reports whether a sidecar has convicted p.
+func (b *Book) pronounced(now time.Time, p Print) bool {
+	return slices.ContainsFunc(b.byPrint[p], func(e *Entry) bool {
+		return e.Standing == Convicted && e.live(now)
+	})
+}
+
+// proved reports whether p was alone at one crash and running at another that
+// no other convict explains. Two sidecars saw one crash each here, and neither
+// knew of the other's.
+func (b *Book) proved(now time.Time, p Print) bool {
+	wasAlone, n := false, 0
+	for _, e := range b.byPrint[p] {
+		if e.Standing != Suspect || !e.live(now) || b.explainedBy(now, e, b.pronounced) {
+			continue
+		}
+		wasAlone = wasAlone || e.Alone
+		n++
+	}
+	return wasAlone && n > 1
+}
+
+// explainedBy reports whether another fingerprint that was running at e's
+// crash is guilty. This clears all bystanders of a crash at once, and because
+// it is worked out from what the Book holds, not stored, Books that hold the
+// same agree whatever they heard first.
+func (b *Book) explainedBy(now time.Time, e *Entry, guilty func(time.Time, Print) bool) bool {
+	return slices.ContainsFunc(b.byCrash[e.Crash], func(o *Entry) bool {
+		return o.Print != e.Print && guilty(now, o.Print)
+	})
+}
+
+// first returns the earliest entry that makes its fingerprint a suspect, or nil.
+func (b *Book) first(now time.Time, entries []*Entry) *Entry {
+	var first *Entry
+	for _, e := range entries {
+		if e.Standing != Suspect || !e.live(now) || b.explainedBy(now, e, b.convicted) {
+			continue
+		}
+		if first == nil || earlier(e, first) {
+			first = e
+		}
+	}
+	return first
+}
+
+// earlier orders entries by what is fixed in them, the same at all nodes.
+func earlier(x, y *Entry) bool {
+	if !x.At.Equal(y.At) {
+		return x.At.Before(y.At)
+	}
+	if x.Crash != y.Crash {
+		return x.Crash < y.Crash
+	}
+	return x.Print < y.Print
+}
+
+// enter merges an entry.
+func (b *Book) enter(now time.Time, e Entry) {
+	if !e.live(now) {
+		return
+	}
+	for _, known := range b.byPrint[e.Print] {
+		if known.Crash == e.Crash {
+			b.raise(now, known, e.Standing)
+			return
+		}
+	}
+	if b.size >= maxEntries && !b.makeRoom(now, &e) {
+		return
+	}
+	b.size++
+	b.byPrint[e.Print] = append(b.byPrint[e.Print], &e)
+	b.byCrash[e.Crash] = append(b.byCrash[e.Crash], &e)
+	b.tell.add(now, &e)
+}
+
+// raise lifts an entry's standing. An outcome ends the leave to run alone,
+// also when it was another sidecar that saw it.
+func (b *Book) raise(now time.Time, e *Entry, to Standing) {
+	if to <= e.Standing {
+		return
+	}
+	e.Standing = to
+	b.Withdraw(e.Print)
+	b.tell.add(now, e)
+}
+
+// Expire forgets what has aged out.
+func (b *Book) Expire(now time.Time) {
+	for _, entries := range b.byPrint {
+		for _, e := range slices.Clone(entries) {
+			if !e.live(now) {
+				b.forget(e)
+			}
+		}
+	}
+}
+
+// makeRoom forgets what has aged out, or else the oldest entry, unless it is
+// newer than that itself. Convictions go last: forgetting one costs upstreams.
+func (b *Book) makeRoom(now time.Time, e *Entry) bool {
+	b.Expire(now)
+	if b.size < maxEntries {
+		return true
+	}
+	oldest := e
+	for _, entries := range b.byPrint {
+		for _, o := range entries {
+			if lesser(o, oldest) {
+				oldest = o
+			}
+		}
+	}
+	if oldest == e {
+		return false
+	}
+	b.forget(oldest)
+	return true
+}
+
+// lesser orders entries by what a full Book gives up first.
+func lesser(x, y *Entry) bool {
+	xc, yc := x.Standing == Convicted, y.Standing == Convicted
+	if xc != yc {
+		return yc
+	}
+	return earlier(x, y)
+}
+
+func (b *Book) forget(e *Entry) {
+	b.size--
+	b.tell.drop(e)
+	remove(b.byPrint, e.Print, e)
+	remove(b.byCrash, e.Crash, e)
+}
+
+func remove[K comparable](m map[K][]*Entry, k K, e *Entry) {
+	left := slices.DeleteFunc(m[k], func(o *Entry) bool { return o == e })
+	if len(left) == 0 {
+		delete(m, k)
+		return
+	}
+	m[k] = left
+}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -105,6 +105,11 @@
 	ReasonKeyReused Reason = "key-reused"
 	// ReasonQuarantined is a request that is known to crash its upstream.
 	ReasonQuarantined Reason = "quarantined"
+	// ReasonSuspect is a request that may have crashed an upstream and waits
+	// for its turn to run alone.
+	ReasonSuspect Reason = "suspect"
+	// ReasonFenced is an order from a former holder of a lease.
+	ReasonFenced Reason = "fenced"
 	// ReasonStoreDown is an idempotency key that could not be claimed.
 	ReasonStoreDown Reason = "store-down"
 	// ReasonConcurrency is an organisation at its concurrency limit.
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -96,6 +96,10 @@
 	Window      int       `json:"window"` // bytes that may be sent ahead of credit
 	Trace       string    `json:"trace,omitempty"`
 	Control     Control   `json:"ctl"`
+
+	// Leave is the word of the sidecar that saw the upstream crash under this
+	// request: it may run alone at another VM (package quarantine).
+	Leave bool `json:"leave,omitempty"`
 }
 
 // Control is what nodes tell each other on the back of a request or a reply.
@@ -115,6 +119,7 @@
 	Joined  bool           `json:"joined,omitempty"` // the key was known; its answer is joined or replayed
 	Error   *verdict.Error `json:"err,omitempty"`
 	Moved   *Key           `json:"moved,omitempty"` // with an Error of ReasonMoved: follow this key
+	Leave   bool           `json:"leave,omitempty"` // with Moved: for Submit.Leave along the chain
 	Control Control        `json:"ctl"`
 }
 
@@ -214,5 +219,11 @@
 	Full    bool              `json:"full,omitempty"`
 }
 
+// Report tells a sidecar of suspects for which it is the home: a resend of the
+// request would be offered to it first.
+type Report struct {
+	Suspects json.RawMessage `json:"suspects"`
+}
+
 // Empty is the result of a call that returns nothing.
 type Empty struct{}
