router/dispatch: the state machine of one request

Ruled out: the same logic inside the goroutine that does the I/O. It could be tested only through connections, and its paths are the product. Change: State.Step(event) []Effect, pure and clock-free: offers, successor keys, resubmission to the same sidecar, attach, hedge, deadlines and the final verdict. Seen to fail, each with its guard off: a doubt outweighed by a later refusal ("said not-run of what ran"), a resubmission taken for a first one (same), a deadline that ignores what is out (same), a retry without budget ("2 runs with 0 paid for"), a caller's key that goes elsewhere after its refusal.

--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -39,11 +39,13 @@
 // differently, and the caller would get the head of one answer with the tail
 // of another.
 func After(f Failure, c Conditions) Next {
-	if c.Sent || final(f.Err.Reason) {
+	if c.Sent || !elsewhere(f.Err.Reason) {
 		return Stop
 	}
 	notRun := f.Err.Verdict == verdict.NotRun
 	switch {
+	case !notRun && f.Err.Reason == verdict.ReasonDeadline:
+		return Stop
 	case notRun && !f.Asked:
 		return Walk
 	case notRun || c.Idempotent:
@@ -53,16 +55,26 @@
 	}
 }
 
-// final reports whether a reason holds at every upstream.
-func final(r verdict.Reason) bool {
+// elsewhere reports whether a reason may not hold at another upstream. A reason
+// that is not listed, such as one of a newer peer, counts as final.
+func elsewhere(r verdict.Reason) bool {
+	switch r {
+	case verdict.ReasonUpstreamFailed, verdict.ReasonIncarnationGone, verdict.ReasonUnknownRequest,
+		verdict.ReasonAnswerGone, verdict.ReasonEvicted, verdict.ReasonDeadline:
+		return true
+	}
+	return Transient(r)
+}
+
+// Transient reports whether a refusal may not be repeated a little later.
+func Transient(r verdict.Reason) bool {
 	switch r {
 	case verdict.ReasonOverBound, verdict.ReasonQueueFull, verdict.ReasonDraining,
-		verdict.ReasonNoUpstream, verdict.ReasonUpstreamDown, verdict.ReasonUpstreamFailed,
-		verdict.ReasonIncarnationGone, verdict.ReasonConnection, verdict.ReasonInternal,
-		verdict.ReasonUnknownRequest, verdict.ReasonAnswerGone, verdict.ReasonEvicted:
-		return false
+		verdict.ReasonNoUpstream, verdict.ReasonUpstreamDown, verdict.ReasonConnection,
+		verdict.ReasonInternal, verdict.ReasonStoreDown, verdict.ReasonConcurrency, verdict.ReasonDeadline:
+		return true
 	}
-	return true
+	return false
 }
 
 // MayHedge reports whether a second attempt may start while the first is still
--- /dev/null
+++ b/internal/router/dispatch/dispatch_test.go
@@ -0,0 +1,252 @@
+package dispatch
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/parsleyfront/parsleyfront/internal/retry"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+// sidecarSide is the truth about one attempt at its sidecar.
+type sidecarSide struct {
+	ran, closed bool // started; never to be started
+	restarted   bool
+}
+
+// world answers the effects of one request as sidecars and networks might.
+type world struct {
+	t         *rapid.T
+	plan      Plan
+	budget    *retry.Budget
+	state     *State
+	now       time.Time
+	sides     []*sidecarSide
+	withdrawn int
+	offers    int
+	delivered bool
+	refused   bool // the caller's key, for good: each copy of the request is told so
+	final     *Finish
+	queue     []Event
+}
+
+func (w *world) Withdraw() bool {
+	ok := w.budget.Withdraw()
+	if ok {
+		w.withdrawn++
+	}
+	return ok
+}
+
+func (w *world) act(effect Effect) {
+	switch e := effect.(type) {
+	case Offer:
+		w.offers++
+		if w.delivered {
+			w.t.Fatal("offered again after a part of the answer went out")
+		}
+		w.begin(e.Attempt)
+	case Follow:
+		w.begin(e.Attempt)
+	case Resubmit:
+		w.submit(e.Attempt)
+	case Attach:
+		w.attach(e.Attempt)
+	case Deliver:
+		w.delivered = true
+		w.piece(e.Attempt)
+	case Finish:
+		w.final = &e
+	}
+}
+
+func (w *world) begin(attempt int) {
+	if attempt != len(w.sides) {
+		w.t.Fatalf("attempt %d follows %d", attempt, len(w.sides)-1)
+	}
+	w.sides = append(w.sides, &sidecarSide{})
+	w.submit(attempt)
+}
+
+func (w *world) post(e Event) { w.queue = append(w.queue, e) }
+
+// submit lets one submission meet its fate.
+func (w *world) submit(i int) {
+	side := w.sides[i]
+	held := w.plan.Held && w.state.attempts[i].held
+	switch fate := rapid.IntRange(0, 5).Draw(w.t, "fate"); {
+	case fate == 0:
+		w.post(Unreachable{Now: w.now, Attempt: i, Err: verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, "")})
+	case fate == 1: // lost before or after it got there
+		if rapid.Bool().Draw(w.t, "arrived") && !side.closed {
+			side.ran = true
+		}
+		w.post(Lost{Now: w.now, Attempt: i})
+	case fate == 2 && rapid.Bool().Draw(w.t, "restart"):
+		side.restarted = true
+		w.post(Refused{Now: w.now, Attempt: i, Err: verdict.New(verdict.MayHaveRun, verdict.ReasonIncarnationGone, "")})
+	case side.restarted:
+		w.post(Refused{Now: w.now, Attempt: i, Err: verdict.New(verdict.MayHaveRun, verdict.ReasonIncarnationGone, "")})
+	case side.ran:
+		w.admit(i)
+	case fate == 3:
+		side.closed = true
+		r := Refused{Now: w.now, Attempt: i, Err: verdict.New(verdict.NotRun, verdict.ReasonOverBound, "")}
+		if held && rapid.Bool().Draw(w.t, "moved") {
+			r.Moved = &wire.Key{}
+		}
+		w.refused = w.refused || held && r.Moved == nil
+		w.post(r)
+	default:
+		side.ran = true
+		w.admit(i)
+	}
+}
+
+func (w *world) admit(i int) {
+	w.post(Admitted{Attempt: i})
+	w.piece(i)
+}
+
+func (w *world) attach(i int) {
+	if w.sides[i].restarted {
+		w.post(Refused{Now: w.now, Attempt: i, Err: verdict.New(verdict.MayHaveRun, verdict.ReasonIncarnationGone, "")})
+		return
+	}
+	w.piece(i)
+}
+
+// piece lets an admitted attempt go on.
+func (w *world) piece(i int) {
+	switch rapid.IntRange(0, 6).Draw(w.t, "piece") {
+	case 0:
+		w.post(Lost{Now: w.now, Attempt: i})
+	case 1:
+		w.sides[i].restarted = true
+		w.post(Lost{Now: w.now, Attempt: i})
+	case 2:
+		w.post(Ended{Now: w.now, Attempt: i, Err: verdict.New(verdict.Ran, verdict.ReasonUpstreamFailed, "")})
+	case 3: // silence, until a deadline
+	default:
+		if w.delivered {
+			w.post(Ended{Now: w.now, Attempt: i})
+		} else {
+			w.post(Opened{Now: w.now, Attempt: i})
+		}
+	}
+}
+
+// step delivers one of the waiting events, or lets time pass.
+func (w *world) step() {
+	if len(w.queue) == 0 || rapid.IntRange(0, 9).Draw(w.t, "tick") == 0 {
+		if at := w.state.Wake(); !at.IsZero() {
+			w.now = at
+		}
+		w.apply(Ticked{Now: w.now})
+		return
+	}
+	i := rapid.IntRange(0, len(w.queue)-1).Draw(w.t, "next")
+	e := w.queue[i]
+	w.queue = append(w.queue[:i], w.queue[i+1:]...)
+	w.apply(e)
+}
+
+func (w *world) apply(e Event) {
+	for _, effect := range w.state.Step(e) {
+		w.act(effect)
+	}
+}
+
+func (w *world) ran() int {
+	n := 0
+	for _, side := range w.sides {
+		if side.ran {
+			n++
+		}
+	}
+	return n
+}
+
+// A guest books a room. Connections break before and after the booking
+// service has started, sidecars refuse, restart and move the request on, and
+// deadlines pass. The guest is then told "not run" while a room is held, or
+// finds two bookings, if any path through the machine forgets an attempt.
+func TestVerdictsAreTrueOnEveryPath(t *testing.T) {
+	finals := make(map[verdict.Verdict]int)
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		w := &world{t: t, now: now, budget: &retry.Budget{}}
+		w.plan = Plan{
+			Idempotent: rapid.Bool().Draw(t, "idempotent"),
+			Read:       rapid.Bool().Draw(t, "read"),
+			Held:       rapid.Bool().Draw(t, "held"),
+			Offers:     rapid.IntRange(1, 4).Draw(t, "offers"),
+			HedgeAfter: time.Second,
+			FirstByte:  now.Add(2 * time.Second),
+			Deadline:   now.Add(3 * time.Second),
+		}
+		for range rapid.IntRange(0, 30).Draw(t, "earlier requests") {
+			w.budget.Deposit(retry.MaxRatio)
+		}
+		w.state = New(w.plan, w)
+		w.apply(Began{Now: now})
+		for steps := 0; w.final == nil; steps++ {
+			if steps > 1000 {
+				t.Fatal("no end")
+			}
+			w.step()
+		}
+		if w.final.Err == nil {
+			return
+		}
+		finals[w.final.Err.Verdict]++
+		if w.final.Err.Verdict == verdict.NotRun && w.ran() > 0 {
+			t.Fatalf("said not-run of what ran: %v", w.final.Err)
+		}
+		if !w.plan.Idempotent && w.ran() > 1 {
+			t.Fatalf("ran %d times", w.ran())
+		}
+		if w.refused && w.ran() > 0 {
+			t.Fatal("ran although other copies of the request are told not-run")
+		}
+		if w.ran() > 1+w.withdrawn {
+			t.Fatalf("%d runs with %d paid for", w.ran(), w.withdrawn)
+		}
+	})
+	for _, v := range []verdict.Verdict{verdict.NotRun, verdict.MayHaveRun, verdict.Ran} {
+		if finals[v] == 0 {
+			t.Errorf("no path ended in %v", v)
+		}
+	}
+}
+
+// The first upstream is slow to answer a clip fetch, the hedge answers, and
+// then the first one does too. Two answers to one request would be mixed.
+func TestOnlyTheFirstOfTwoHedgedAnswersIsDelivered(t *testing.T) {
+	now := time.Unix(1000, 0)
+	budget := &retry.Budget{}
+	for range 11 {
+		budget.Deposit(retry.MaxRatio)
+	}
+	s := New(Plan{Idempotent: true, Read: true, Offers: 2, HedgeAfter: time.Second}, budget)
+	s.Step(Began{Now: now})
+	s.Step(Admitted{Attempt: 0})
+	if got := s.Step(Ticked{Now: s.Wake()}); len(got) != 1 || got[0] != (Offer{Attempt: 1, Candidate: 1}) {
+		t.Fatalf("hedge: %v", got)
+	}
+	if got := s.Step(Opened{Attempt: 1}); len(got) != 2 || got[0] != (Drop{Attempt: 0}) || got[1] != (Deliver{Attempt: 1}) {
+		t.Fatalf("winner: %v", got)
+	}
+	if got := s.Step(Opened{Attempt: 0}); got != nil {
+		t.Fatalf("loser: %v", got)
+	}
+}
--- /dev/null
+++ b/internal/router/dispatch/state.go
@@ -0,0 +1,169 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/retry"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
+)
+
+const (
+	// MaxLinks is the longest chain of keys under which one request may go on.
+	MaxLinks = 4
+
+	// maxReconnects is how often a connection to one sidecar is opened anew for
+	// a request without any progress in between.
+	maxReconnects = 6
+
+	// maxReconnectsUnsent is the same for what may simply run elsewhere.
+	maxReconnectsUnsent = 1
+
+	// comeBack is the advice to a caller where nobody gave a better one.
+	comeBack = time.Second
+)
+
+// Budget is what retries and hedges are paid from.
+type Budget interface {
+	// Withdraw pays for one more attempt or reports false.
+	Withdraw() bool
+}
+
+// phase is how far an attempt has come.
+type phase uint8
+
+const (
+	submitted phase = iota // it may or may not have reached the sidecar
+	admitted               // the sidecar has it in its table
+	over
+)
+
+type attempt struct {
+	phase      phase
+	held       bool // under the caller's key, or a successor of it
+	link       int  // place in the chain of keys
+	reconnects int  // since the last progress
+}
+
+// State is the state of one request.
+type State struct {
+	plan     Plan
+	budget   Budget
+	began    time.Time
+	attempts []attempt
+	offered  int // candidates used so far
+	hedged   bool
+	winner   int // attempt whose answer goes to the caller, or none
+	finished bool
+
+	doubt *verdict.Error // why the request may have run, if that is so
+	later time.Duration  // the shortest advice of those who refused
+}
+
+const none = -1
+
+// New returns the State of a request that is about to begin.
+func New(p Plan, b Budget) *State {
+	return &State{plan: p, budget: b, winner: none}
+}
+
+// Finished reports whether Finish has been returned.
+func (s *State) Finished() bool {
+	return s.finished
+}
+
+// Wake returns when Ticked is due next; the zero time means never.
+func (s *State) Wake() time.Time {
+	next := s.plan.Deadline
+	if s.winner == none {
+		next = earlier(next, s.plan.FirstByte)
+		if s.mayHedge() {
+			next = earlier(next, s.began.Add(s.plan.HedgeAfter))
+		}
+	}
+	return next
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
+		return b
+	}
+	return a
+}
+
+// Step applies an event.
+func (s *State) Step(event Event) []Effect {
+	if s.finished {
+		return nil
+	}
+	switch e := event.(type) {
+	case Began:
+		s.began = e.Now
+		return s.offer(s.plan.Held)
+	case Unreachable:
+		return s.unreachable(e)
+	case Refused:
+		return s.refused(e)
+	case Lost:
+		return s.lost(e.Attempt)
+	case Admitted:
+		s.admitted(e.Attempt)
+	case Opened:
+		return s.opened(e.Attempt)
+	case Advanced:
+		s.attempts[s.winner].reconnects = 0
+	case Ended:
+		return s.ended(e)
+	case Sealed:
+		s.attempts[e.Attempt].phase = over
+	case Ticked:
+		return s.ticked(e.Now)
+	}
+	return nil
+}
+
+func (s *State) conditions() retry.Conditions {
+	return retry.Conditions{Idempotent: s.plan.Idempotent, Read: s.plan.Read, Sent: s.winner != none}
+}
+
+func (s *State) mayHedge() bool {
+	return !s.hedged && s.plan.HedgeAfter > 0 && !s.plan.Held &&
+		s.offered < s.plan.Offers && retry.MayHedge(s.conditions())
+}
+
+// alive counts the attempts that are not over.
+func (s *State) alive() int {
+	n := 0
+	for _, a := range s.attempts {
+		if a.phase != over {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *State) start(a attempt) int {
+	s.attempts = append(s.attempts, a)
+	return len(s.attempts) - 1
+}
+
+func (s *State) admitted(i int) {
+	a := &s.attempts[i]
+	if a.phase == submitted {
+		a.phase = admitted
+		a.reconnects = 0
+	}
+}
+
+func (s *State) offer(held bool) []Effect {
+	if s.offered >= s.plan.Offers {
+		return s.finish(verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, "no upstream is left to try"))
+	}
+	candidate := s.offered
+	s.offered++
+	return []Effect{Offer{Attempt: s.start(attempt{held: held}), Candidate: candidate}}
+}
+
+func (s *State) follow(link int, key wire.Key) []Effect {
+	return []Effect{Follow{Attempt: s.start(attempt{held: true, link: link}), Key: key}}
+}
--- /dev/null
+++ b/internal/router/dispatch/step.go
@@ -0,0 +1,205 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/retry"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+)
+
+// unreachable handles a sidecar that cannot be connected to. What has been
+// sent to it before may be running there, so that is tried again for a while.
+//
+// A key that a caller holds may have reached the sidecar through another
+// router, so that nothing is known of it until the sidecar is asked.
+func (s *State) unreachable(e Unreachable) []Effect {
+	a := &s.attempts[e.Attempt]
+	if a.phase == over {
+		return nil
+	}
+	fresh := a.phase == submitted && a.reconnects == 0 && !a.held
+	if fresh {
+		return s.failed(e.Attempt, retry.Failure{Err: e.Err})
+	}
+	return s.lost(e.Attempt)
+}
+
+// lost handles a connection that broke. The sidecar either has the request or
+// not, and the same key to the same sidecar settles it either way: it joins
+// what runs, or runs for the first time.
+func (s *State) lost(i int) []Effect {
+	a := &s.attempts[i]
+	if a.phase == over {
+		return nil
+	}
+	a.reconnects++
+	if a.reconnects > s.patience() {
+		err := verdict.New(verdict.MayHaveRun, verdict.ReasonConnection, "the upstream's sidecar cannot be reached")
+		return s.failed(i, retry.Failure{Err: err, Asked: true})
+	}
+	if a.phase == admitted {
+		return []Effect{Attach{Attempt: i, Retry: a.reconnects}}
+	}
+	return []Effect{Resubmit{Attempt: i, Retry: a.reconnects}}
+}
+
+func (s *State) patience() int {
+	if s.plan.Idempotent && s.winner == none && s.offered < s.plan.Offers {
+		return maxReconnectsUnsent
+	}
+	return maxReconnects
+}
+
+func (s *State) refused(e Refused) []Effect {
+	a := s.attempts[e.Attempt]
+	if a.phase == over {
+		return nil
+	}
+	if e.Moved != nil && a.link+1 < MaxLinks {
+		s.attempts[e.Attempt].phase = over
+		return s.follow(a.link+1, *e.Moved)
+	}
+	if e.Moved != nil {
+		e.Err = verdict.New(verdict.MayHaveRun, verdict.ReasonMoved, "the request has moved too often to be followed")
+	}
+	// An attach is refused by a sidecar that has the request no longer, or by
+	// the next incarnation. The request had been admitted there.
+	asked := a.phase == admitted
+	return s.failed(e.Attempt, retry.Failure{Err: e.Err, Asked: asked})
+}
+
+// opened handles the first piece of an answer. The first attempt to get there
+// answers the caller; a hedge that comes second is cancelled.
+func (s *State) opened(i int) []Effect {
+	if s.winner != none || s.attempts[i].phase == over {
+		return nil
+	}
+	s.winner = i
+	return append(s.dropOthers(i), Deliver{Attempt: i})
+}
+
+func (s *State) dropOthers(keep int) []Effect {
+	var effects []Effect
+	for i := range s.attempts {
+		if i != keep && s.attempts[i].phase != over {
+			s.attempts[i].phase = over
+			effects = append(effects, Drop{Attempt: i})
+		}
+	}
+	return effects
+}
+
+func (s *State) ended(e Ended) []Effect {
+	if e.Err != nil {
+		return s.failed(e.Attempt, retry.Failure{Err: e.Err, Asked: true})
+	}
+	s.attempts[e.Attempt].phase = over
+	s.finished = true
+	return []Effect{Finish{}}
+}
+
+// failed ends an attempt and decides what follows.
+func (s *State) failed(i int, f retry.Failure) []Effect {
+	a := &s.attempts[i]
+	if a.phase == over {
+		return nil
+	}
+	a.phase = over
+	s.note(f.Err)
+	if i != s.winner && s.alive() > 0 {
+		return nil // the other of two hedged attempts goes on
+	}
+	switch next := s.after(*a, f); {
+	case s.offered >= s.plan.Offers || next == retry.Stop:
+		return s.finish(f.Err)
+	case next == retry.Again && !s.budget.Withdraw():
+		return s.finish(f.Err)
+	default:
+		return s.offer(false)
+	}
+}
+
+// after returns what may follow a failure. A refusal of a key that the caller
+// holds is remembered by the sidecar and told to every copy of the request, so
+// no copy may run under another key.
+func (s *State) after(a attempt, f retry.Failure) retry.Next {
+	if a.held && f.Err.Verdict == verdict.NotRun {
+		return retry.Stop
+	}
+	return retry.After(f, s.conditions())
+}
+
+// note remembers what an attempt's failure says about the request as a whole.
+func (s *State) note(err *verdict.Error) {
+	if err.Verdict != verdict.NotRun {
+		s.doubt = err
+	}
+	if err.RetryAfter > 0 && (s.later == 0 || err.RetryAfter < s.later) {
+		s.later = err.RetryAfter
+	}
+}
+
+// finish ends the request with err, or with what makes err untrue: one attempt
+// that may have run outweighs any number that have not.
+func (s *State) finish(err *verdict.Error) []Effect {
+	var effects []Effect
+	if s.hedged {
+		effects = s.dropOthers(s.winner)
+	}
+	s.finished = true
+	if err.Verdict == verdict.NotRun && s.doubt != nil {
+		err = s.doubt
+	}
+	if s.winner != none && err.Verdict != verdict.Ran {
+		sent := *err
+		sent.Verdict = verdict.Ran // the caller has a part of the answer
+		err = &sent
+	}
+	if worthwhile(err) {
+		err = err.Later(s.advice())
+	}
+	return append(effects, Finish{Err: err})
+}
+
+// advice returns when to come back: the soonest that an upstream named.
+func (s *State) advice() time.Duration {
+	if s.later > 0 {
+		return s.later
+	}
+	return comeBack
+}
+
+// worthwhile reports whether the same request may fare better later.
+func worthwhile(err *verdict.Error) bool {
+	return err.Verdict == verdict.NotRun && retry.Transient(err.Reason)
+}
+
+// ticked handles the deadlines and starts the hedge.
+func (s *State) ticked(now time.Time) []Effect {
+	switch {
+	case due(s.plan.Deadline, now):
+		return s.overdue("the answer is not complete within the profile's deadline")
+	case s.winner == none && due(s.plan.FirstByte, now):
+		return s.overdue("the answer has not begun within the profile's deadline")
+	case s.mayHedge() && due(s.began.Add(s.plan.HedgeAfter), now):
+		s.hedged = true
+		if s.alive() > 0 && s.budget.Withdraw() {
+			return s.offer(false)
+		}
+	}
+	return nil
+}
+
+func due(at, now time.Time) bool {
+	return !at.IsZero() && !now.Before(at)
+}
+
+// overdue ends the request at a deadline. Attempts that were never sent have
+// been sealed before, so one that is alive may have run.
+func (s *State) overdue(detail string) []Effect {
+	v := verdict.NotRun
+	if s.alive() > 0 {
+		v = verdict.MayHaveRun
+	}
+	return s.finish(verdict.New(v, verdict.ReasonDeadline, "%s", detail))
+}
