telemetry: typed counters, a span for each hop, and their operators' page

Ruled out: expvar.Handler, which shows the command line and with it any secret given in a flag; context values for spans, which allocate while tracing is off; label values from outside, which would hold memory for good. Change: counters, gauges, families and histograms that check their names and publish by expvar; spans whose trace context travels as a string, so that a process without tracing passes it through; OTLP over HTTP from a bounded queue; a test that compares the operators' page with the registry in both directions. Failed first: the command line and family tests without their guards; the fuzz target found reserved trace flags that the usual library refuses, now refused. Conclusion: off the hot path when off; the API is ready for the other packages.

--- /dev/null
+++ b/internal/telemetry/metric.go
@@ -0,0 +1,297 @@
+// Package telemetry is how a process tells what it does: counters by expvar,
+// a span for each hop by OpenTelemetry, and lines for changes of state by slog.
+//
+// Metrics are package variables of the package that counts:
+//
+//	var strayFrames = telemetry.NewCounter("wire_stray_frames_total",
+//		"Frames dropped because they belong to no open stream.")
+//
+// Their names begin with the package, end with the unit, and have a row on the
+// operators' page of counters, which a test compares with the registry. A
+// process counts in one place even when it holds several roles, as in dev mode.
+package telemetry
+
+import (
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Kind is a kind of metric.
+type Kind string
+
+// Kinds of metric.
+const (
+	KindCounter   Kind = "counter"
+	KindGauge     Kind = "gauge"
+	KindHistogram Kind = "histogram"
+)
+
+// Desc describes a metric to operators.
+type Desc struct {
+	Name  string
+	Kind  Kind
+	Label string // what the values of a family are told apart by; else empty
+	Help  string
+	Alert bool // a value that grows wants a person to look
+}
+
+// Option changes the Desc of a metric.
+type Option func(*Desc)
+
+// Alert marks a counter that stands still in a healthy fleet.
+func Alert(d *Desc) {
+	d.Alert = true
+}
+
+// namePattern is the shape of metric names.
+var namePattern = regexp.MustCompile(`^[a-z][a-z0-9]*(_[a-z0-9]+)+$`)
+
+// gaugeUnits are the last words that a gauge's name may have.
+var gaugeUnits = []string{
+	"bytes", "seconds", "ratio", "info", "version",
+	"connections", "entries", "objects", "requests", "streams", "tokens", "upstreams", "vms",
+}
+
+var registry struct {
+	mu    sync.Mutex
+	descs []Desc
+}
+
+// Descs returns the metrics of this process in order of name.
+func Descs() []Desc {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	return slices.Clone(registry.descs)
+}
+
+// register publishes v. It panics on a name that breaks the rules or is taken,
+// which shows as soon as the process starts.
+func register(d Desc, v expvar.Var, opts []Option) {
+	for _, opt := range opts {
+		opt(&d)
+	}
+	if err := checkName(d); err != nil {
+		panic(err)
+	}
+	expvar.Publish(d.Name, v)
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	at, _ := slices.BinarySearchFunc(registry.descs, d, func(a, b Desc) int { return strings.Compare(a.Name, b.Name) })
+	registry.descs = slices.Insert(registry.descs, at, d)
+}
+
+func checkName(d Desc) error {
+	unit := d.Name[strings.LastIndexByte(d.Name, '_')+1:]
+	fits := false
+	switch d.Kind {
+	case KindCounter:
+		fits = unit == "total"
+	case KindGauge:
+		fits = slices.Contains(gaugeUnits, unit)
+	case KindHistogram:
+		fits = unit == "seconds"
+	}
+	if !fits || !namePattern.MatchString(d.Name) {
+		return fmt.Errorf("telemetry: %q is no name for a %s", d.Name, d.Kind)
+	}
+	if d.Help == "" {
+		return fmt.Errorf("telemetry: %s has no help", d.Name)
+	}
+	return nil
+}
+
+// Counter is a number that only grows.
+type Counter struct {
+	v expvar.Int
+}
+
+// NewCounter registers a Counter. Its name ends with _total.
+func NewCounter(name, help string, opts ...Option) *Counter {
+	c := &Counter{}
+	register(Desc{Name: name, Kind: KindCounter, Help: help}, &c.v, opts)
+	return c
+}
+
+// Inc adds one.
+func (c *Counter) Inc() {
+	c.v.Add(1)
+}
+
+// Add adds n, which is not negative.
+func (c *Counter) Add(n int64) {
+	c.v.Add(n)
+}
+
+// Value returns the count since the process started.
+func (c *Counter) Value() int64 {
+	return c.v.Value()
+}
+
+// Gauge is a number that rises and falls.
+type Gauge struct {
+	v expvar.Int
+}
+
+// NewGauge registers a Gauge. Its name ends with its unit.
+func NewGauge(name, help string, opts ...Option) *Gauge {
+	g := &Gauge{}
+	register(Desc{Name: name, Kind: KindGauge, Help: help}, &g.v, opts)
+	return g
+}
+
+// Set replaces the value.
+func (g *Gauge) Set(n int64) {
+	g.v.Set(n)
+}
+
+// Add changes the value by n, which may be negative.
+func (g *Gauge) Add(n int64) {
+	g.v.Add(n)
+}
+
+// Value returns the present value.
+func (g *Gauge) Value() int64 {
+	return g.v.Value()
+}
+
+const (
+	// maxLabels bounds the values of a family's label. Were a label ever taken
+	// from outside, say a caller's header, each new spelling would otherwise
+	// hold memory for good.
+	maxLabels  = 64
+	otherLabel = "other"
+)
+
+// Family is a set of counters told apart by one label, whose values are
+// constants of type L.
+type Family[L ~string] struct {
+	m      expvar.Map
+	mu     sync.Mutex // held while a label is added
+	labels int
+}
+
+// NewFamily registers a Family. Its name ends with _total.
+func NewFamily[L ~string](name, label, help string, opts ...Option) *Family[L] {
+	f := &Family[L]{}
+	register(Desc{Name: name, Kind: KindCounter, Label: label, Help: help}, &f.m, opts)
+	return f
+}
+
+// Inc adds one to the counter of label.
+func (f *Family[L]) Inc(label L) {
+	f.Add(label, 1)
+}
+
+// Add adds n, which is not negative, to the counter of label.
+func (f *Family[L]) Add(label L, n int64) {
+	if f.m.Get(string(label)) == nil {
+		label = f.admit(label)
+	}
+	f.m.Add(string(label), n)
+}
+
+// admit makes room for a label, or returns the one that stands for the rest.
+func (f *Family[L]) admit(label L) L {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.m.Get(string(label)) != nil {
+		return label
+	}
+	if f.labels >= maxLabels {
+		return otherLabel
+	}
+	f.labels++
+	f.m.Add(string(label), 0)
+	return label
+}
+
+// Value returns the count of label since the process started.
+func (f *Family[L]) Value(label L) int64 {
+	if v, ok := f.m.Get(string(label)).(*expvar.Int); ok {
+		return v.Value()
+	}
+	return 0
+}
+
+// What a Histogram can tell apart.
+const (
+	histogramUnit    = 10 * time.Microsecond
+	histogramMax     = time.Hour
+	histogramDigits  = 2
+	histogramWindows = 4
+	windowLength     = 15 * time.Second
+)
+
+// Histogram is a distribution of durations: how many there were in all, and
+// the quantiles of the last minute.
+type Histogram struct {
+	mu      sync.Mutex
+	recent  *hdrhistogram.WindowedHistogram
+	rotated time.Time
+	count   int64
+	sum     time.Duration
+}
+
+// NewHistogram registers a Histogram. Its name ends with _seconds.
+func NewHistogram(name, help string, opts ...Option) *Histogram {
+	h := &Histogram{recent: hdrhistogram.NewWindowed(histogramWindows, 1, int64(histogramMax/histogramUnit), histogramDigits)}
+	register(Desc{Name: name, Kind: KindHistogram, Help: help}, h, opts)
+	return h
+}
+
+// Observe counts a duration. One over an hour counts as an hour.
+func (h *Histogram) Observe(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.rotate(time.Now())
+	units := min(max(d, 0), histogramMax) / histogramUnit
+	_ = h.recent.Current.RecordValue(int64(units)) // within the bounds
+	h.count++
+	h.sum += d
+}
+
+// rotate drops the windows that have grown old. It needs h.mu held.
+func (h *Histogram) rotate(now time.Time) {
+	due := int(now.Sub(h.rotated) / windowLength)
+	if due == 0 {
+		return
+	}
+	h.rotated = now
+	for range min(due, histogramWindows) {
+		h.recent.Rotate()
+	}
+}
+
+// summary is a Histogram as operators see it; all but Count in seconds.
+type summary struct {
+	Count int64   `json:"count"`
+	Sum   float64 `json:"sum"`
+	P50   float64 `json:"p50_last_minute"`
+	P99   float64 `json:"p99_last_minute"`
+	Max   float64 `json:"max_last_minute"`
+}
+
+// String implements expvar.Var.
+func (h *Histogram) String() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.rotate(time.Now())
+	recent := h.recent.Merge()
+	seconds := func(units int64) float64 { return (time.Duration(units) * histogramUnit).Seconds() }
+	b, _ := json.Marshal(summary{ // plain numbers: it can't fail
+		Count: h.count,
+		Sum:   h.sum.Seconds(),
+		P50:   seconds(recent.ValueAtQuantile(50)),
+		P99:   seconds(recent.ValueAtQuantile(99)),
+		Max:   seconds(recent.Max()),
+	})
+	return string(b)
+}
--- /dev/null
+++ b/internal/telemetry/telemetry_test.go
@@ -0,0 +1,160 @@
+package telemetry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	oteltrace "go.opentelemetry.io/otel/trace"
+)
+
+const parent = Traceparent("00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01")
+
+var (
+	testFamily    = NewFamily[ControlKind]("test_family_total", "kind", "Test.")
+	testHistogram = NewHistogram("test_wait_seconds", "Test.")
+)
+
+// hops does to spans what a request does on its way through the fleet.
+func hops(p Traceparent) Traceparent {
+	for _, hop := range []Hop{HopCaller, HopRouter, HopSidecar, HopUpstream} {
+		span := Start(hop, p)
+		span.Set(AttrVM, "vm-1")
+		span.Fail("deadline")
+		p = span.Traceparent()
+		span.End()
+	}
+	return p
+}
+
+func TestTracingOffCostsNothing(t *testing.T) {
+	if n := testing.AllocsPerRun(100, func() { hops(parent) }); n != 0 {
+		t.Errorf("%v allocations a request while tracing is off", n)
+	}
+	if got := hops(parent); got != parent {
+		t.Errorf("the caller's trace context became %q on its way through", got)
+	}
+}
+
+func TestEachHopIsTheParentOfTheNext(t *testing.T) {
+	recorder := tracetest.NewInMemoryExporter()
+	stop := startTracing(TraceConfig{Ratio: 0}, trace.WithSyncer(recorder))
+	last := hops(parent)
+	spans := recorder.GetSpans()
+	if err := stop(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if len(spans) != 4 {
+		t.Fatalf("%d spans, want one a hop", len(spans))
+	}
+	before := "00f067aa0ba902b7"
+	for _, s := range spans {
+		if got := s.Parent.SpanID().String(); got != before || s.SpanContext.TraceID().String() != "4bf92f3577b34da6a3ce929d0e0e4736" {
+			t.Errorf("span %s of trace %s has parent %s, want %s of the caller's trace", s.Name, s.SpanContext.TraceID(), got, before)
+		}
+		before = s.SpanContext.SpanID().String()
+	}
+	if !strings.Contains(string(last), before) {
+		t.Errorf("the upstream was told %q, want span %s", last, before)
+	}
+}
+
+func FuzzParseTraceparent(f *testing.F) {
+	f.Add(string(parent))
+	f.Add("00-00000000000000000000000000000000-00f067aa0ba902b7-01")
+	f.Add("00-4BF92F3577B34DA6A3CE929D0E0E4736-00f067aa0ba902b7-01")
+	f.Add("ff-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01\r\n")
+	f.Add("00-00000000000000000000000000000001-0000000000000001-10")
+	f.Fuzz(func(t *testing.T, s string) {
+		got := ParseTraceparent(s)
+		if got == "" {
+			return
+		}
+		// What is passed on must mean the same to the usual library.
+		carrier := propagation.MapCarrier{"traceparent": s}
+		want := oteltrace.SpanContextFromContext(propagation.TraceContext{}.Extract(context.Background(), carrier))
+		sc, _ := got.context()
+		if string(got) != s || sc.TraceID() != want.TraceID() || sc.SpanID() != want.SpanID() {
+			t.Errorf("%q was read as %v, by the library as %v", s, sc, want)
+		}
+	})
+}
+
+// An operator who passes a secret in a flag, against the manual, must not find
+// it on the page of counters, which more people may read than the process list.
+// expvar's own handler shows the command line there.
+func TestHandlerHidesTheCommandLine(t *testing.T) {
+	former := os.Args
+	defer func() { os.Args = former }()
+	os.Args = append(os.Args[:len(os.Args):len(os.Args)], "--token=5ec4e7")
+	testFamily.Add(ControlLoad, 7)
+	testHistogram.Observe(30 * time.Millisecond)
+	w := httptest.NewRecorder()
+	Handler().ServeHTTP(w, httptest.NewRequest("GET", "/debug/vars", nil))
+	var page struct {
+		Family map[ControlKind]int64 `json:"test_family_total"`
+		Wait   summary               `json:"test_wait_seconds"`
+	}
+	if err := json.Unmarshal(w.Body.Bytes(), &page); err != nil {
+		t.Fatalf("%s in %s", err, w.Body)
+	}
+	if strings.Contains(w.Body.String(), "5ec4e7") {
+		t.Error("the command line is on the page")
+	}
+	if page.Family[ControlLoad] != 7 || page.Wait.Count != 1 || page.Wait.P99 < 0.0299 || page.Wait.P99 > 0.0304 {
+		t.Errorf("the page says %+v", page)
+	}
+}
+
+// A caller sends each request with another value of a header that a careless
+// change counts by: without a bound the process grows until it is killed.
+func TestFamilyIsBounded(t *testing.T) {
+	f := NewFamily[string]("test_bounded_total", "kind", "Test.")
+	for i := range 10 * maxLabels {
+		f.Inc(fmt.Sprint(i))
+	}
+	if got := f.Value(otherLabel); got != 9*maxLabels {
+		t.Errorf("%d counted as other, want %d", got, 9*maxLabels)
+	}
+	if got := f.Value("0"); got != 1 {
+		t.Errorf("a known label has %d, want 1", got)
+	}
+}
+
+func TestNamesCarryUnits(t *testing.T) {
+	for _, d := range []Desc{
+		{Name: "router_refusals", Kind: KindCounter, Help: "x"},
+		{Name: "router_wait_ms", Kind: KindHistogram, Help: "x"},
+		{Name: "routerStreams", Kind: KindGauge, Help: "x"},
+		{Name: "router_refusals_total", Kind: KindCounter},
+	} {
+		if checkName(d) == nil {
+			t.Errorf("%+v was taken", d)
+		}
+	}
+}
+
+func BenchmarkSpans(b *testing.B) {
+	b.Run("off", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			hops(parent)
+		}
+	})
+	b.Run("on", func(b *testing.B) {
+		stop := startTracing(TraceConfig{Ratio: 1}, trace.WithBatcher(tracetest.NewNoopExporter()))
+		defer func() { _ = stop(context.Background()) }()
+		b.ReportAllocs()
+		for b.Loop() {
+			hops(parent)
+		}
+	})
+}
