admission: bound, slots, fair queueing and deadlines

Cause: the sidecar started every request at once; a surge of one organisation took the upstream from all others, and nothing was refused in time.

Change: package admission. A request is refused at once (not-run, with a time to come back) over the load bound, when its deadline cannot be met by the measured service time, or when its queue is full; what waits starts by priority and by fair shares of time at the upstream. A reserve of slots is for organisations under their share while several are active; headroom lets a higher priority pass at upstreams that honour priorities.

--- /dev/null
+++ b/internal/admission/admission.go
@@ -0,0 +1,256 @@
+// Package admission decides which requests an upstream takes and in which
+// order they start.
+//
+// A request is refused at once when it would take the load over its bound,
+// cannot meet its deadline, or finds its queue full. Those that wait start by
+// priority, and within a priority by fair shares of the organisations.
+package admission
+
+import (
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/token"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+)
+
+// Config bounds what an upstream is given.
+type Config struct {
+	// Slots is how many requests may run at once.
+	Slots int
+	// Reserve is how many of the slots are kept for organisations that use less
+	// than their share, while several organisations are active.
+	Reserve int
+	// Headroom is how many requests may run beyond Slots while as many of lower
+	// priority run; for upstreams that honour priorities themselves.
+	Headroom int
+	// MaxWaiting is how many requests may wait at most.
+	MaxWaiting int
+}
+
+// Request is a request as admission sees it.
+type Request struct {
+	ID            token.Nonce
+	Org           string
+	Profile       string
+	Priority      int       // higher starts earlier
+	Weight        int       // of the organisation; below one counts as one
+	FirstByteBy   time.Time // zero: no deadline
+	Deadline      time.Time // zero: no deadline
+	LoadBound     int       // load including this request; zero: unbounded
+	QueueBound    int       // waiting requests of the profile; zero: unbounded
+	OrgQueueBound int       // those of them of the organisation; zero: unbounded
+}
+
+// expires is when the request is too late to start; zero: never.
+func (r *Request) expires() time.Time {
+	if r.FirstByteBy.IsZero() || (!r.Deadline.IsZero() && r.Deadline.Before(r.FirstByteBy)) {
+		return r.Deadline
+	}
+	return r.FirstByteBy
+}
+
+// Queue holds the requests that wait for an upstream and those that run there.
+type Queue struct {
+	config  Config
+	classes []*class // by priority, the highest first
+	waiting map[token.Nonce]*item
+	running map[token.Nonce]*slot
+	orgs    map[string]*organisation
+	queued  map[queueKey]int
+	foreign int // requests at the upstream that are not ours
+	arrived uint64
+	swept   time.Time
+	service average            // time at the upstream
+	first   map[string]average // time until the first byte, by profile
+}
+
+// item is a waiting request.
+type item struct {
+	Request
+	seq uint64
+}
+
+// slot is a running request.
+type slot struct {
+	Request
+	started  time.Time
+	charged  float64 // in seconds
+	answered bool
+}
+
+// queueKey names a queue with a bound: of a profile, or of an organisation in
+// a profile.
+type queueKey struct{ profile, org string }
+
+// NewQueue returns an empty queue.
+func NewQueue(c Config) *Queue {
+	return &Queue{
+		config:  c,
+		waiting: make(map[token.Nonce]*item),
+		running: make(map[token.Nonce]*slot),
+		orgs:    make(map[string]*organisation),
+		queued:  make(map[queueKey]int),
+		first:   make(map[string]average),
+	}
+}
+
+// Load is the number of requests that have been admitted and have not ended,
+// with those at the upstream that are not ours.
+func (q *Queue) Load() int {
+	return len(q.waiting) + q.Running()
+}
+
+// Running is the number of requests at the upstream.
+func (q *Queue) Running() int {
+	return len(q.running) + q.foreign
+}
+
+// SetForeign says how many requests run at the upstream that this queue did not start.
+func (q *Queue) SetForeign(n int) {
+	q.foreign = max(0, n)
+}
+
+// Offer admits a request, or says why not. A refusal is NotRun and carries the
+// time after which there should be room.
+func (q *Queue) Offer(now time.Time, r Request) *verdict.Error {
+	r.Weight = max(1, r.Weight)
+	q.seen(now, &r)
+	if err := q.refuse(now, &r); err != nil {
+		return err
+	}
+	q.arrived++
+	it := &item{Request: r, seq: q.arrived}
+	q.waiting[r.ID] = it
+	q.class(r.Priority).push(it)
+	q.count(&r, 1)
+	q.orgs[r.Org].waiting++
+	return nil
+}
+
+func (q *Queue) refuse(now time.Time, r *Request) *verdict.Error {
+	if r.LoadBound > 0 && q.Load() >= r.LoadBound {
+		return notRun(verdict.ReasonOverBound, "the upstream is at its bound of %d", r.LoadBound).Later(q.release())
+	}
+	if q.startsNow(r) {
+		return nil
+	}
+	if late := q.lateness(now, r); late > 0 {
+		return notRun(verdict.ReasonDeadline, "the queue is too long for the deadline").Later(late)
+	}
+	full := len(q.waiting) >= q.config.MaxWaiting ||
+		(r.QueueBound > 0 && q.queued[queueKey{profile: r.Profile}] >= r.QueueBound) ||
+		(r.OrgQueueBound > 0 && q.queued[queueKey{r.Profile, r.Org}] >= r.OrgQueueBound)
+	if full {
+		return notRun(verdict.ReasonQueueFull, "the queue is full").Later(q.release())
+	}
+	return nil
+}
+
+func notRun(r verdict.Reason, format string, args ...any) *verdict.Error {
+	return verdict.New(verdict.NotRun, r, format, args...)
+}
+
+// startsNow reports whether a request would start at once.
+func (q *Queue) startsNow(r *Request) bool {
+	for _, c := range q.classes {
+		if c.priority >= r.Priority && c.waiting > 0 {
+			return false
+		}
+	}
+	return q.room(r.Priority).fits(r.Org)
+}
+
+// Next takes the request that is to start now, if one is.
+func (q *Queue) Next(now time.Time) (Request, bool) {
+	q.forget(now)
+	for _, c := range q.classes {
+		if c.waiting == 0 {
+			continue
+		}
+		f := c.next(q.room(c.priority))
+		if f == nil {
+			return Request{}, false // lower priorities do not pass
+		}
+		it := f.items[0]
+		q.unqueue(it)
+		s := &slot{Request: it.Request, started: now, charged: q.expected().Seconds()}
+		c.charge(f, s.charged)
+		q.running[it.ID] = s
+		q.orgs[it.Org].running++
+		return it.Request, true
+	}
+	return Request{}, false
+}
+
+// Expired takes the waiting requests that are too late to start. Each is to be
+// answered at once.
+func (q *Queue) Expired(now time.Time) []Request {
+	var out []Request
+	for _, c := range q.classes {
+		for _, it := range c.expired(now) {
+			q.unqueue(it)
+			out = append(out, it.Request)
+		}
+	}
+	return out
+}
+
+// NextExpiry is when Expired has something to take; zero: never.
+func (q *Queue) NextExpiry() time.Time {
+	var next time.Time
+	for _, it := range q.waiting {
+		if t := it.expires(); !t.IsZero() && (next.IsZero() || t.Before(next)) {
+			next = t
+		}
+	}
+	return next
+}
+
+// Remove takes a waiting request out. It reports false when it does not wait.
+func (q *Queue) Remove(id token.Nonce) bool {
+	it := q.waiting[id]
+	if it == nil {
+		return false
+	}
+	q.unqueue(it)
+	return true
+}
+
+// FirstByte records that a running request's answer has begun.
+func (q *Queue) FirstByte(now time.Time, id token.Nonce) {
+	s := q.running[id]
+	if s == nil || s.answered {
+		return
+	}
+	s.answered = true
+	q.observeFirst(s.Profile, now.Sub(s.started))
+}
+
+// Done records that a running request has ended.
+func (q *Queue) Done(now time.Time, id token.Nonce) {
+	s := q.running[id]
+	if s == nil {
+		return
+	}
+	delete(q.running, id)
+	q.orgs[s.Org].running--
+	took := now.Sub(s.started)
+	q.service.observe(took)
+	q.class(s.Priority).settle(&s.Request, max(took.Seconds(), minCost)-s.charged)
+}
+
+func (q *Queue) unqueue(it *item) {
+	delete(q.waiting, it.ID)
+	q.class(it.Priority).remove(it)
+	q.count(&it.Request, -1)
+	q.orgs[it.Org].waiting--
+}
+
+func (q *Queue) count(r *Request, by int) {
+	for _, k := range [...]queueKey{{profile: r.Profile}, {r.Profile, r.Org}} {
+		q.queued[k] += by
+		if q.queued[k] == 0 {
+			delete(q.queued, k)
+		}
+	}
+}
--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,376 @@
+package admission
+
+import (
+	"encoding/binary"
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/parsleyfront/parsleyfront/internal/token"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.checks", "300")
+	_ = flag.Set("rapid.steps", "60")
+}
+
+var epoch = time.Unix(1000, 0)
+
+func id(n int) token.Nonce {
+	var out token.Nonce
+	binary.BigEndian.PutUint64(out[:], uint64(n))
+	return out
+}
+
+// model drives a Queue and keeps its own books.
+type model struct {
+	q       *Queue
+	now     time.Time
+	offered int
+	waiting map[token.Nonce]Request
+	running map[token.Nonce]Request
+}
+
+// Coaches and guests send at all priorities, with deadlines and bounds, while
+// requests end, are withdrawn and time passes. No upstream goes over its bound
+// or its slots, none idles while work may start, notes go before overnight
+// work, and whatever is too late is handed back and never started.
+func TestQueueKeepsItsRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := Config{
+			Slots:      rapid.IntRange(1, 5).Draw(t, "slots"),
+			Headroom:   rapid.IntRange(0, 2).Draw(t, "headroom"),
+			MaxWaiting: 12,
+		}
+		c.Reserve = rapid.IntRange(0, c.Slots-1).Draw(t, "reserve")
+		m := &model{q: NewQueue(c), now: epoch, waiting: make(map[token.Nonce]Request), running: make(map[token.Nonce]Request)}
+		t.Repeat(map[string]func(*rapid.T){
+			"offer": m.offer,
+			"end":   m.end,
+			"remove": func(t *rapid.T) {
+				if r, ok := anyOf(t, m.waiting); ok {
+					delete(m.waiting, r.ID)
+					m.q.Remove(r.ID)
+				}
+			},
+			"time": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": m.settle,
+		})
+	})
+}
+
+func anyOf(t *rapid.T, from map[token.Nonce]Request) (Request, bool) {
+	if len(from) == 0 {
+		return Request{}, false
+	}
+	all := make([]Request, 0, len(from))
+	for _, r := range from {
+		all = append(all, r)
+	}
+	slices.SortFunc(all, func(a, b Request) int { return slices.Compare(a.ID[:], b.ID[:]) })
+	return rapid.SampledFrom(all).Draw(t, "request"), true
+}
+
+func (m *model) offer(t *rapid.T) {
+	m.offered++
+	r := Request{
+		ID:            id(m.offered),
+		Org:           rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "org"),
+		Profile:       rapid.SampledFrom([]string{"notes", "overnight"}).Draw(t, "profile"),
+		Priority:      rapid.IntRange(0, 2).Draw(t, "priority"),
+		Weight:        rapid.IntRange(1, 3).Draw(t, "weight"),
+		LoadBound:     rapid.IntRange(0, 12).Draw(t, "bound"),
+		QueueBound:    rapid.IntRange(0, 6).Draw(t, "queue"),
+		OrgQueueBound: rapid.IntRange(0, 3).Draw(t, "org queue"),
+	}
+	if rapid.Bool().Draw(t, "urgent") {
+		r.FirstByteBy = m.now.Add(time.Duration(rapid.IntRange(0, 9).Draw(t, "seconds")) * time.Second)
+	}
+	mayStart := len(m.waiting) == 0 && len(m.running)+m.q.config.Reserve < m.q.config.Slots
+	err := m.q.Offer(m.now, r)
+	if err == nil {
+		m.waiting[r.ID] = r
+		if r.LoadBound > 0 && m.q.Load() > r.LoadBound {
+			t.Fatalf("load %d over the bound %d", m.q.Load(), r.LoadBound)
+		}
+		return
+	}
+	if err.Verdict != verdict.NotRun || err.RetryAfter <= 0 {
+		t.Fatalf("refusal %v without a time to come back", err)
+	}
+	if mayStart && err.Reason != verdict.ReasonOverBound {
+		t.Fatalf("refused with %s though a slot is free", err.Reason)
+	}
+}
+
+func (m *model) end(t *rapid.T) {
+	if r, ok := anyOf(t, m.running); ok {
+		delete(m.running, r.ID)
+		m.q.FirstByte(m.now, r.ID)
+		m.q.Done(m.now, r.ID)
+	}
+}
+
+// settle does what the sidecar does after each event, and checks it.
+func (m *model) settle(t *rapid.T) {
+	if next := m.q.NextExpiry(); len(m.q.waiting) > 0 && !next.IsZero() && next.Before(epoch) {
+		t.Fatalf("next expiry at %s", next)
+	}
+	for _, r := range m.q.Expired(m.now) {
+		if m.now.Before(r.FirstByteBy) {
+			t.Fatalf("given up before its deadline: %v", r)
+		}
+		delete(m.waiting, r.ID)
+	}
+	for {
+		r, ok := m.q.Next(m.now)
+		if !ok {
+			break
+		}
+		m.checkStart(t, r)
+		delete(m.waiting, r.ID)
+		m.running[r.ID] = r
+	}
+	m.checkIdle(t)
+}
+
+func (m *model) checkStart(t *rapid.T, r Request) {
+	if _, ok := m.waiting[r.ID]; !ok {
+		t.Fatalf("started %v, which does not wait", r)
+	}
+	if !r.FirstByteBy.IsZero() && !m.now.Before(r.FirstByteBy) {
+		t.Fatalf("started too late: %v", r)
+	}
+	lower := 0
+	for _, other := range m.running {
+		if other.Priority < r.Priority {
+			lower++
+		}
+	}
+	if len(m.running) >= m.q.config.Slots+min(lower, m.q.config.Headroom) {
+		t.Fatalf("%d run before %v starts", len(m.running), r)
+	}
+	for _, other := range m.waiting {
+		if other.Priority > r.Priority {
+			t.Fatalf("%v passed %v", r, other)
+		}
+	}
+}
+
+func (m *model) checkIdle(t *rapid.T) {
+	if len(m.waiting) != len(m.q.waiting) || len(m.running) != m.q.Running() {
+		t.Fatalf("books differ: %d of %d wait, %d of %d run", len(m.q.waiting), len(m.waiting), m.q.Running(), len(m.running))
+	}
+	idle := m.q.config.Slots - len(m.running)
+	if len(m.q.orgs) > 1 {
+		idle -= m.q.config.Reserve
+	}
+	if idle > 0 && len(m.waiting) > 0 {
+		t.Fatalf("%d slots idle while %d wait", idle, len(m.waiting))
+	}
+}
+
+// arrival is a request in a simulated queue.
+type arrival struct {
+	org string
+	at  int // seconds
+}
+
+const serviceSeconds = 10
+
+// simulate runs arrivals, in order of time, through a queue whose requests all
+// take serviceSeconds, and returns how long each of org's waited.
+func simulate(c Config, arrivals []arrival, org string) []int {
+	q := NewQueue(c)
+	var waits []int
+	ends := make(map[int][]token.Nonce)
+	arrived := make(map[token.Nonce]int)
+	next := 0
+	for now := 0; next < len(arrivals) || q.Load() > 0; now++ {
+		t := epoch.Add(time.Duration(now) * time.Second)
+		for _, n := range ends[now] {
+			q.Done(t, n)
+		}
+		for ; next < len(arrivals) && arrivals[next].at <= now; next++ {
+			r := Request{ID: id(next), Org: arrivals[next].org, Weight: 1}
+			arrived[r.ID] = now
+			if err := q.Offer(t, r); err != nil {
+				panic(err)
+			}
+		}
+		for r, ok := q.Next(t); ok; r, ok = q.Next(t) {
+			ends[now+serviceSeconds] = append(ends[now+serviceSeconds], r.ID)
+			if r.Org == org {
+				waits = append(waits, now-arrived[r.ID])
+			}
+		}
+	}
+	return waits
+}
+
+// One club sends hundreds of requests at once, another has always more to do
+// than its share, and their requests take longer. A third, which uses no more
+// than its share of the slots, must wait as without the surge, but for the time
+// until slots that the surge already holds come free: one service time.
+func TestSurgeDelaysOnlyItsOwn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share := rapid.IntRange(1, 3).Draw(t, "share")
+		c := Config{Slots: 3 * share, Reserve: rapid.IntRange(0, 1).Draw(t, "reserve"), MaxWaiting: 10000}
+		var arrivals []arrival
+		for i := range rapid.IntRange(1, 12).Draw(t, "steady") {
+			// share requests in each service time
+			at := rapid.IntRange(0, serviceSeconds-1).Draw(t, "at") / share
+			arrivals = append(arrivals, arrival{"b", (i/share)*2*serviceSeconds + at})
+		}
+		for range rapid.IntRange(0, 60).Draw(t, "background") {
+			arrivals = append(arrivals, arrival{"c", 0})
+		}
+		byTime := func(x, y arrival) int { return x.at - y.at }
+		slices.SortStableFunc(arrivals, byTime)
+		alone := slices.Max(simulate(c, arrivals, "b"))
+		start := rapid.IntRange(0, 60).Draw(t, "surge from")
+		for range rapid.IntRange(1, 80).Draw(t, "surge") {
+			arrivals = append(arrivals, arrival{"a", rapid.IntRange(start, 60).Draw(t, "at")})
+		}
+		slices.SortStableFunc(arrivals, byTime)
+		if worst := slices.Max(simulate(c, arrivals, "b")); worst > alone+serviceSeconds {
+			t.Fatalf("waits %d s in the surge, %d s without", worst, alone)
+		}
+	})
+}
+
+// A surge holds all slots, and a club that asks for one note at a time waits
+// for a slot each time. One slot in reserve lets it start at once; the surge's
+// own club, once alone again, has that slot as well.
+func TestReserveLetsTheSmallStartAtOnce(t *testing.T) {
+	var arrivals []arrival
+	for range 200 {
+		arrivals = append(arrivals, arrival{"a", 1})
+	}
+	for i := range 10 {
+		arrivals = append(arrivals, arrival{"b", 13 * i})
+	}
+	slices.SortStableFunc(arrivals, func(x, y arrival) int { return x.at - y.at })
+	for reserve, want := range []bool{false, true} {
+		c := Config{Slots: 8, Reserve: reserve, MaxWaiting: 1000}
+		waits := simulate(c, arrivals, "b")
+		if atOnce := slices.Max(waits) == 0; atOnce != want {
+			t.Errorf("reserve %d: waits %v s", reserve, waits)
+		}
+		last := slices.Max(simulate(c, arrivals, "a"))
+		t.Logf("reserve %d: small organisation waits %v s, the surge is over after %d s", reserve, waits, last)
+	}
+}
+
+// Half-time: three hundred notes are asked for within seconds, far more than
+// can be ready in time. Those too many must hear so at once, with a time to
+// come back, and not be held until their deadline passes in the queue.
+func TestTooLateIsSaidAtOnce(t *testing.T) {
+	const slots = 4
+	q := NewQueue(Config{Slots: slots, MaxWaiting: 1000})
+	expired, refused := 0, 0
+	var running []token.Nonce
+	for second := range 300 {
+		now := epoch.Add(time.Duration(second) * time.Second)
+		if second%serviceSeconds == 0 {
+			for _, n := range running {
+				q.Done(now, n)
+			}
+			running = nil
+		}
+		expired += len(q.Expired(now))
+		if err := q.Offer(now, Request{ID: id(second), Org: "a", FirstByteBy: now.Add(2 * serviceSeconds * time.Second)}); err != nil {
+			refused++
+			if err.Reason != verdict.ReasonDeadline || err.RetryAfter <= 0 {
+				t.Fatalf("refused with %v", err)
+			}
+		}
+		for r, ok := q.Next(now); ok; r, ok = q.Next(now) {
+			running = append(running, r.ID)
+		}
+	}
+	if refused < 150 || expired > slots {
+		t.Fatalf("%d refused at once, %d expired in the queue", refused, expired)
+	}
+}
+
+// Organisations that all have more to do than there is room for, with requests
+// of different lengths, the first of which comes back after a long pause. From
+// then on each gets time at the upstream in proportion to its weight, whatever
+// the others send, so none starves; the pause is not made up for.
+func TestNobodyStarves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := NewQueue(Config{Slots: 1, MaxWaiting: 10000})
+		weights := rapid.SliceOfN(rapid.IntRange(1, 5), 2, 5).Draw(t, "weights")
+		seconds := rapid.SliceOfN(rapid.IntRange(1, 5), len(weights), len(weights)).Draw(t, "seconds")
+		total, n := 0, 0
+		offer := func(at time.Time, org, w int) {
+			for range 600 {
+				n++
+				if err := q.Offer(at, Request{ID: id(n), Org: fmt.Sprint(org), Weight: w}); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		for org, w := range weights {
+			total += w
+			if org > 0 {
+				offer(epoch, org, w)
+			}
+		}
+		used := make([]int, len(weights))
+		run := func(from, until int) {
+			for now := from; now < until; {
+				r, _ := q.Next(epoch.Add(time.Duration(now) * time.Second))
+				var org int
+				_, _ = fmt.Sscan(r.Org, &org)
+				now += seconds[org]
+				used[org] += seconds[org]
+				q.Done(epoch.Add(time.Duration(now)*time.Second), r.ID)
+			}
+		}
+		const back, window = 200, 400
+		run(0, back)
+		clear(used)
+		offer(epoch.Add(back*time.Second), 0, weights[0])
+		run(back, back+window)
+		for org, w := range weights {
+			if fair := window * w / total; used[org] < fair*8/10-10 {
+				t.Fatalf("organisation %d of weight %d had %d s, fair were %d (of %v)", org, w, used[org], fair, used)
+			}
+		}
+	})
+}
+
+// BenchmarkQueue measures an offer, a start and an end with n waiting.
+func BenchmarkQueue(b *testing.B) {
+	for _, n := range []int{16, 128, 1024} {
+		b.Run(fmt.Sprintf("waiting=%d", n), func(b *testing.B) {
+			q := NewQueue(Config{Slots: 32, MaxWaiting: 2 * n})
+			offer := func(i int) {
+				_ = q.Offer(epoch, Request{ID: id(i), Org: fmt.Sprint(i % 16), Profile: "notes", Weight: 1})
+			}
+			for i := range n {
+				offer(i)
+			}
+			i := n
+			b.ReportAllocs()
+			for b.Loop() {
+				i++
+				offer(i)
+				if r, ok := q.Next(epoch); ok {
+					q.Done(epoch, r.ID)
+				}
+			}
+		})
+	}
+}
