--- /dev/null
+++ b/internal/profile/check.go
@@ -0,0 +1,252 @@
+package profile
+
+import (
+	"fmt"
+	"net/http"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Bounds of the fields.
+const (
+	MaxPriority       = 100 // and its negative
+	MinDeadline       = Duration(10 * time.Millisecond)
+	MaxDeadline       = Duration(24 * time.Hour)
+	MaxLoadMultiple   = 10.0
+	MaxQueue          = 100_000
+	MinKeepAnswer     = Duration(10 * time.Second)
+	MaxKeepAnswer     = Duration(24 * time.Hour)
+	MaxMaxBody        = 8 * MiB // a frame of 16 MiB holds it in base64
+	MaxWeight         = 1000
+	MaxConcurrency    = 1_000_000
+	MaxMaxUnavailable = 0.5
+	MaxVMName         = 64 // bytes, as in a request key
+	MaxModelName      = 128
+)
+
+var (
+	label      = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+	vmName     = regexp.MustCompile(`^[!-.0-~]+$`) // printable, without space and slash
+	modelName  = regexp.MustCompile(`^[!-~]+$`)
+	sha256Hash = regexp.MustCompile(`^[0-9a-f]{64}$`)
+)
+
+var methods = []string{
+	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
+	http.MethodPatch, http.MethodDelete, http.MethodOptions,
+}
+
+// Check returns all that is wrong with an object by itself. What it refers to
+// is checked by CheckReferences.
+func Check(o Object) Problems {
+	c := checker{object: o}
+	o.check(&c)
+	return c.problems
+}
+
+// checker collects the problems of one object.
+type checker struct {
+	object   Object
+	problems Problems
+}
+
+func (c *checker) add(field, format string, args ...any) {
+	c.problems = append(c.problems, Problem{Ref: c.object.Ref(), Field: field, Message: fmt.Sprintf(format, args...)})
+}
+
+// label checks a name that stands in paths, metrics and command lines.
+func (c *checker) label(field, value string) {
+	switch {
+	case value == "":
+		c.add(field, "is missing: write a name such as halftime-notes")
+	case !label.MatchString(value):
+		c.add(field, "%q is not a name: write up to 63 of a-z, 0-9 and -, not - at either end", value)
+	}
+}
+
+func checkRange[T int | float64](c *checker, field string, value, least, most T) {
+	if !(value >= least && value <= most) {
+		c.add(field, "%v is out of range: write %v to %v", value, least, most)
+	}
+}
+
+func (c *checker) duration(field string, value, least, most Duration) {
+	if value < least || value > most {
+		c.add(field, "%s is out of range: write %s to %s", value, least, most)
+	}
+}
+
+func (p *Profile) check(c *checker) {
+	c.label("name", p.Name)
+	c.label("pool", p.Pool)
+	p.checkTraffic(c)
+	p.checkTimes(c)
+	checkRange(c, "priority", p.Priority, -MaxPriority, MaxPriority)
+	if !(p.LoadMultiple > 1 && p.LoadMultiple <= MaxLoadMultiple) {
+		c.add("load_multiple", "%v is out of range: write more than 1 and at most %v; at 1 any upstream above the mean would refuse", p.LoadMultiple, MaxLoadMultiple)
+	}
+	p.Queue.check(c)
+	checkRange(c, "retry_budget", p.RetryBudget, 0, 1)
+	if p.MaxBody < Byte || p.MaxBody > MaxMaxBody {
+		c.add("max_body", "%s is out of range: write %s to %s", p.MaxBody, Byte, MaxMaxBody)
+	}
+}
+
+// checkTraffic checks which calls the profile is for.
+func (p *Profile) checkTraffic(c *checker) {
+	switch {
+	case p.Model == "" && p.Service == "":
+		c.add("model", "is missing: write model for chats, or service for a plain service")
+	case p.Model != "" && p.Service != "":
+		c.add("service", "stands beside model: a profile is for chats or for a plain service, so remove one of them")
+	case p.Model != "":
+		c.model("model", p.Model)
+	default:
+		c.label("service", p.Service)
+	}
+	if len(p.Routes) > 0 && p.Service == "" {
+		c.add("routes", "are for a plain service: write service, or remove routes")
+	}
+	for i, r := range p.Routes {
+		r.check(c, fmt.Sprintf("routes[%d]", i))
+	}
+}
+
+func (c *checker) model(field, value string) {
+	if len(value) > MaxModelName || !modelName.MatchString(value) {
+		c.add(field, "%q is not a name: write up to %d printable characters without spaces", value, MaxModelName)
+	}
+}
+
+func (r Route) check(c *checker, field string) {
+	if len(r.Methods) == 0 && r.Prefix == "" {
+		c.add(field, "matches every call: write methods or prefix, or remove the route")
+	}
+	for i, m := range r.Methods {
+		if !slices.Contains(methods, m) {
+			c.add(fmt.Sprintf("%s.methods[%d]", field, i), "%q is not a method: write %s", m, strings.Join(methods, ", "))
+		}
+	}
+	if r.Prefix != "" && !strings.HasPrefix(r.Prefix, "/") {
+		c.add(field+".prefix", "%q does not begin with a slash: write %q", r.Prefix, "/"+r.Prefix)
+	}
+}
+
+func (p *Profile) checkTimes(c *checker) {
+	if p.Deadline == 0 {
+		c.add("deadline", "is missing: write how long a whole answer may take, such as 30s")
+	} else {
+		c.duration("deadline", p.Deadline, MinDeadline, MaxDeadline)
+		c.duration("first_token", p.FirstToken, 0, p.Deadline)
+	}
+	c.duration("keep_answer", p.KeepAnswer, MinKeepAnswer, MaxKeepAnswer)
+	if p.HedgeAfter != 0 {
+		p.checkHedge(c)
+	}
+}
+
+// checkHedge checks that a second attempt is harmless, affordable and in time.
+func (p *Profile) checkHedge(c *checker) {
+	within, field := p.Deadline, "deadline"
+	if p.FirstToken > 0 {
+		within, field = p.FirstToken, "first_token"
+	}
+	if within > 0 && (p.HedgeAfter < 0 || p.HedgeAfter >= within) {
+		c.add("hedge_after", "%s is out of range: write less than %s, which is %s", p.HedgeAfter, field, within)
+	}
+	if !p.Idempotent {
+		c.add("hedge_after", "would run a call twice that is not idempotent: remove it, or write idempotent: true if repeating the call does no harm")
+	}
+	if p.RetryBudget == 0 {
+		c.add("hedge_after", "is paid for by retry_budget, which is 0: write a budget such as 0.1, or remove hedge_after")
+	}
+}
+
+func (q Queue) check(c *checker) {
+	checkRange(c, "queue.per_upstream", q.PerUpstream, 1, MaxQueue)
+	checkRange(c, "queue.per_organisation", q.PerOrganisation, 1, MaxQueue)
+	if q.PerUpstream > 0 && q.PerOrganisation > q.PerUpstream {
+		c.add("queue.per_organisation", "%d is over queue.per_upstream, which is %d: write at most that", q.PerOrganisation, q.PerUpstream)
+	}
+}
+
+func (o *Organisation) check(c *checker) {
+	c.label("name", o.Name)
+	checkRange(c, "weight", o.Weight, 1, MaxWeight)
+	checkRange(c, "concurrency", o.Concurrency, 0, MaxConcurrency)
+	if len(o.Profiles) == 0 {
+		c.add("profiles", "is missing: write the profiles that the organisation may use")
+	}
+	for i, name := range o.Profiles {
+		field := fmt.Sprintf("profiles[%d]", i)
+		c.label(field, name)
+		if slices.Contains(o.Profiles[:i], name) {
+			c.add(field, "%q is there twice: remove one", name)
+		}
+	}
+	o.checkKeys(c)
+}
+
+func (o *Organisation) checkKeys(c *checker) {
+	for i, k := range o.Keys {
+		field := fmt.Sprintf("keys[%d]", i)
+		c.label(field+".id", k.ID)
+		if !sha256Hash.MatchString(k.SHA256) {
+			// The value may be the key itself, so it is not repeated.
+			c.add(field+".sha256", "is not a hash: write the 64 hexadecimal digits that parsleyctl key prints, not the key")
+		}
+		for _, other := range o.Keys[:i] {
+			if other.ID == k.ID {
+				c.add(field+".id", "%q is there twice: give each key its own id", k.ID)
+			}
+			if other.SHA256 == k.SHA256 {
+				c.add(field+".sha256", "is also that of key %q: remove one", other.ID)
+			}
+		}
+	}
+}
+
+func (p *Pool) check(c *checker) {
+	c.label("name", p.Name)
+	switch p.Role {
+	case EngineMixed, EnginePrefill, EngineDecode:
+	default:
+		c.add("role", "%q is not a role: write %s, %s or %s", p.Role, EngineMixed, EnginePrefill, EngineDecode)
+	}
+	if !(p.MaxUnavailable > 0 && p.MaxUnavailable <= MaxMaxUnavailable) {
+		c.add("max_unavailable", "%v is out of range: write more than 0 and at most %v of the upstreams", p.MaxUnavailable, MaxMaxUnavailable)
+	}
+	if p.Model == "" {
+		p.checkPlain(c)
+		return
+	}
+	c.model("model", p.Model)
+	if p.Version == "" {
+		c.add("version", "is missing: write the version of model %q to load", p.Model)
+	}
+	for i, a := range p.Adapters {
+		field := fmt.Sprintf("adapters[%d]", i)
+		c.model(field, a)
+		if slices.Contains(p.Adapters[:i], a) {
+			c.add(field, "%q is there twice: remove one", a)
+		}
+	}
+}
+
+// checkPlain checks the pool of a plain service, which loads nothing.
+func (p *Pool) checkPlain(c *checker) {
+	if p.Version != "" {
+		c.add("version", "stands without model: write model, or remove version")
+	}
+	if len(p.Adapters) > 0 {
+		c.add("adapters", "stand without model: write model, or remove adapters")
+	}
+}
+
+func (d *Drain) check(c *checker) {
+	if len(d.Name) > MaxVMName || !vmName.MatchString(d.Name) {
+		c.add("name", "%q is not the id of a VM: write the id as in the platform's list", d.Name)
+	}
+}
--- /dev/null
+++ b/internal/profile/decode.go
@@ -0,0 +1,266 @@
+package profile
+
+import (
+	"encoding"
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+)
+
+// nearEnough is the edit distance up to which a field name counts as misspelt.
+const nearEnough = 3
+
+// decoder reads YAML nodes into Go values by their json tags. Unlike the
+// library's own decoder it goes on after a mistake, so that an operator sees
+// all of them at once.
+type decoder struct {
+	file     string
+	at       map[string]position
+	broken   map[string]bool // fields that could not be read
+	problems Problems
+}
+
+func (d *decoder) mark(field string, n ast.Node) {
+	if m, ok := n.(*ast.MappingNode); ok && !m.IsFlowStyle && len(m.Values) > 0 {
+		n = m.Values[0].Key // the node's own token is the colon
+	}
+	if t := n.GetToken(); t != nil && t.Position != nil {
+		d.at[field] = position{t.Position.Line, t.Position.Column}
+	}
+}
+
+// add notes a problem at a field that has been marked.
+func (d *decoder) add(field, format string, args ...any) {
+	at := d.at[field]
+	d.problems = append(d.problems, Problem{
+		File: d.file, Line: at.line, Column: at.column, Field: field, Message: fmt.Sprintf(format, args...),
+	})
+	if d.broken == nil {
+		d.broken = make(map[string]bool)
+	}
+	d.broken[field] = true
+}
+
+// mapping returns the fields of a mapping.
+func mapping(n ast.Node) ([]*ast.MappingValueNode, bool) {
+	switch m := n.(type) {
+	case *ast.MappingNode:
+		return m.Values, true
+	case *ast.MappingValueNode:
+		return []*ast.MappingValueNode{m}, true
+	}
+	return nil, false
+}
+
+// kind returns the document's kind, or "" when it has none that exists.
+func (d *decoder) kind(fields []*ast.MappingValueNode) platform.Kind {
+	for _, f := range fields {
+		if keyName(f) != kindField {
+			continue
+		}
+		d.mark(kindField, f.Value)
+		var kind string
+		d.value(f.Value, reflect.ValueOf(&kind).Elem(), kindField)
+		if New(platform.Kind(kind)) == nil && !d.broken[kindField] {
+			d.add(kindField, "%q does not exist: write %s", kind, kindNames())
+		}
+		return platform.Kind(kind)
+	}
+	d.add("", "has no kind: write kind: %s", kindNames())
+	return ""
+}
+
+func keyName(f *ast.MappingValueNode) string {
+	if s, ok := f.Key.(*ast.StringNode); ok {
+		return s.Value
+	}
+	return f.Key.String()
+}
+
+// object reads the fields of a document into o.
+func (d *decoder) object(fields []*ast.MappingValueNode, o Object) {
+	own := make([]*ast.MappingValueNode, 0, len(fields))
+	for _, f := range fields {
+		if keyName(f) != kindField {
+			own = append(own, f)
+		}
+	}
+	d.fields(own, reflect.ValueOf(o).Elem(), "")
+}
+
+func (d *decoder) fields(fields []*ast.MappingValueNode, into reflect.Value, parent string) {
+	index := fieldIndex(into.Type())
+	for _, f := range fields {
+		name := keyName(f)
+		path := join(parent, name)
+		i, ok := index[name]
+		if !ok {
+			d.mark(path, f.Key)
+			d.add(path, "unknown field: %s", adviseField(name, into.Type()))
+			continue
+		}
+		d.value(f.Value, into.Field(i), path)
+	}
+}
+
+func (d *decoder) value(n ast.Node, v reflect.Value, path string) {
+	d.mark(path, n)
+	switch n.(type) {
+	case *ast.NullNode:
+		d.add(path, "has no value: write one, or leave the field out")
+		return
+	case *ast.AnchorNode, *ast.AliasNode, *ast.TagNode, *ast.MergeKeyNode:
+		// Aliases of aliases make a short file unfold beyond all memory.
+		d.add(path, "uses an anchor, an alias or a tag: write the value out")
+		return
+	}
+	if u, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		d.text(n, u, path)
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		d.structure(n, v, path)
+	case reflect.Slice:
+		d.slice(n, v, path)
+	default:
+		d.scalar(n, v, path)
+	}
+}
+
+func (d *decoder) text(n ast.Node, u encoding.TextUnmarshaler, path string) {
+	s, ok := n.(ast.ScalarNode)
+	if !ok {
+		d.add(path, "is not a single value: write one with a unit")
+		return
+	}
+	if err := u.UnmarshalText([]byte(fmt.Sprint(s.GetValue()))); err != nil {
+		d.add(path, "%s", err)
+	}
+}
+
+func (d *decoder) structure(n ast.Node, v reflect.Value, path string) {
+	fields, ok := mapping(n)
+	if !ok {
+		d.add(path, "is not an object: write its fields, which are %s", fieldNames(v.Type()))
+		return
+	}
+	d.fields(fields, v, path)
+}
+
+func (d *decoder) slice(n ast.Node, v reflect.Value, path string) {
+	s, ok := n.(*ast.SequenceNode)
+	if !ok {
+		d.add(path, "is not a list: write each element on a line of its own, after a dash")
+		return
+	}
+	v.Set(reflect.MakeSlice(v.Type(), len(s.Values), len(s.Values)))
+	for i, element := range s.Values {
+		d.value(element, v.Index(i), path+"["+strconv.Itoa(i)+"]")
+	}
+}
+
+func (d *decoder) scalar(n ast.Node, v reflect.Value, path string) {
+	s, ok := n.(ast.ScalarNode)
+	if !ok {
+		d.add(path, "is not a single value: write one")
+		return
+	}
+	switch v.Kind() {
+	case reflect.String:
+		if text, ok := s.GetValue().(string); ok {
+			v.SetString(text)
+			return
+		}
+		d.add(path, "is not text: write it in quotes, as %q", n.GetToken().Value)
+	case reflect.Bool:
+		if b, ok := s.GetValue().(bool); ok {
+			v.SetBool(b)
+			return
+		}
+		d.add(path, "%v is neither true nor false: write one of them", s.GetValue())
+	case reflect.Int:
+		i, err := strconv.Atoi(fmt.Sprint(s.GetValue()))
+		if _, quoted := s.GetValue().(string); quoted || err != nil {
+			d.add(path, "%v is not a whole number: write one, without quotes or unit", s.GetValue())
+			return
+		}
+		v.SetInt(int64(i))
+	case reflect.Float64:
+		f, err := strconv.ParseFloat(fmt.Sprint(s.GetValue()), 64)
+		if _, quoted := s.GetValue().(string); quoted || err != nil {
+			d.add(path, "%v is not a number: write one such as 1.25, without quotes or unit", s.GetValue())
+			return
+		}
+		v.SetFloat(f)
+	}
+}
+
+func join(parent, name string) string {
+	if parent == "" {
+		return name
+	}
+	return parent + "." + name
+}
+
+func fieldName(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+	return name
+}
+
+func fieldIndex(t reflect.Type) map[string]int {
+	index := make(map[string]int, t.NumField())
+	for i := range t.NumField() {
+		index[fieldName(t.Field(i))] = i
+	}
+	return index
+}
+
+func fieldNames(t reflect.Type) string {
+	names := make([]string, t.NumField())
+	for i := range t.NumField() {
+		names[i] = fieldName(t.Field(i))
+	}
+	return strings.Join(names, ", ")
+}
+
+// adviseField says which field was probably meant.
+func adviseField(name string, t reflect.Type) string {
+	best, nearest := "", nearEnough+1
+	for i := range t.NumField() {
+		known := fieldName(t.Field(i))
+		if n := distance(name, known); n < nearest && n < len(known) {
+			best, nearest = known, n
+		}
+	}
+	if best != "" {
+		return "write " + best
+	}
+	return "write one of " + fieldNames(t)
+}
+
+// distance is the Levenshtein distance of a and b.
+func distance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			cost := diagonal
+			if a[i] != b[j] {
+				cost++
+			}
+			diagonal = row[j+1]
+			row[j+1] = min(cost, row[j]+1, diagonal+1)
+		}
+	}
+	return row[len(b)]
+}
--- /dev/null
+++ b/internal/profile/genschema/main.go
@@ -0,0 +1,87 @@
+// Command genschema writes the JSON Schema of each kind of configuration
+// object, made from the types of package profile. Editors use them to complete
+// and check YAML files; what is valid is still decided by package profile.
+package main
+
+import (
+	"encoding/json"
+	"log"
+	"os"
+	"path/filepath"
+
+	"github.com/invopop/jsonschema"
+
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/profile"
+)
+
+const (
+	module     = "github.com/parsleyfront/parsleyfront/internal/profile"
+	schemaBase = "urn:parsleyfront:schema:"
+	fileSuffix = ".schema.json"
+)
+
+func main() {
+	if len(os.Args) != 2 {
+		log.Fatal("usage: genschema DIRECTORY")
+	}
+	for _, kind := range profile.Kinds {
+		text, err := schema(kind, ".")
+		if err != nil {
+			log.Fatal(err)
+		}
+		if err := os.WriteFile(filepath.Join(os.Args[1], string(kind)+fileSuffix), text, 0o644); err != nil {
+			log.Fatal(err)
+		}
+	}
+}
+
+// schema returns the JSON Schema of kind. The descriptions are the doc comments
+// in the package's source, which is in dir.
+func schema(kind platform.Kind, dir string) ([]byte, error) {
+	r := jsonschema.Reflector{ExpandedStruct: true, FieldNameTag: "json", Mapper: unit}
+	if err := r.AddGoComments(module, dir); err != nil {
+		return nil, err
+	}
+	s := r.Reflect(profile.New(kind))
+	s.ID = jsonschema.ID(schemaBase + string(kind))
+	s.Properties.Set("kind", &jsonschema.Schema{Const: string(kind)})
+	s.Required = append([]string{"kind"}, required(kind)...)
+	if err := setDefaults(s, kind); err != nil {
+		return nil, err
+	}
+	text, err := json.MarshalIndent(s, "", "  ")
+	return append(text, '\n'), err
+}
+
+// setDefaults adds the defaults of the fields that have one.
+func setDefaults(s *jsonschema.Schema, kind platform.Kind) error {
+	text, err := profile.Encode(profile.New(kind))
+	if err != nil {
+		return err
+	}
+	var defaults map[string]any
+	if err := json.Unmarshal(text, &defaults); err != nil {
+		return err
+	}
+	for _, name := range append(required(kind), "keys") {
+		delete(defaults, name)
+	}
+	for name, value := range defaults {
+		if property, ok := s.Properties.Get(name); ok {
+			property.Default = value
+		}
+	}
+	return nil
+}
+
+// required returns the fields without a default.
+func required(kind platform.Kind) []string {
+	switch kind {
+	case platform.KindProfile:
+		return []string{"name", "pool", "deadline"}
+	case platform.KindOrganisation:
+		return []string{"name", "profiles"}
+	}
+	return []string{"name"}
+}
--- /dev/null
+++ b/internal/profile/object.go
@@ -0,0 +1,113 @@
+package profile
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+)
+
+// Kinds are the kinds of object that operators write.
+var Kinds = []platform.Kind{platform.KindProfile, platform.KindOrganisation, platform.KindPool, platform.KindDrain}
+
+// Defaults of the fields that have one. A field that is left out gets its
+// default when the object is read, before it is stored, so that a release with
+// other defaults does not change what operators wrote under this one.
+const (
+	DefaultLoadMultiple    = 1.25
+	DefaultPerUpstream     = 64
+	DefaultPerOrganisation = 16
+	DefaultRetryBudget     = 0.1
+	DefaultKeepAnswer      = Duration(5 * time.Minute)
+	DefaultMaxBody         = 1 * MiB
+	DefaultWeight          = 1
+	DefaultEngineRole      = EngineMixed
+	DefaultMaxUnavailable  = 0.1
+)
+
+// Object is one of *Profile, *Organisation, *Pool and *Drain.
+type Object interface {
+	// Ref names the object in the store.
+	Ref() platform.Ref
+	check(c *checker)
+}
+
+// Ref implements Object.
+func (p *Profile) Ref() platform.Ref {
+	return platform.Ref{Kind: platform.KindProfile, Name: p.Name}
+}
+
+// Ref implements Object.
+func (o *Organisation) Ref() platform.Ref {
+	return platform.Ref{Kind: platform.KindOrganisation, Name: o.Name}
+}
+
+// Ref implements Object.
+func (p *Pool) Ref() platform.Ref {
+	return platform.Ref{Kind: platform.KindPool, Name: p.Name}
+}
+
+// Ref implements Object.
+func (d *Drain) Ref() platform.Ref {
+	return platform.Ref{Kind: platform.KindDrain, Name: d.Name}
+}
+
+// New returns an object of kind with every default set, or nil when kind is
+// not one of Kinds.
+func New(kind platform.Kind) Object {
+	switch kind {
+	case platform.KindProfile:
+		return &Profile{
+			LoadMultiple: DefaultLoadMultiple,
+			Queue:        Queue{PerUpstream: DefaultPerUpstream, PerOrganisation: DefaultPerOrganisation},
+			RetryBudget:  DefaultRetryBudget,
+			KeepAnswer:   DefaultKeepAnswer,
+			MaxBody:      DefaultMaxBody,
+		}
+	case platform.KindOrganisation:
+		return &Organisation{Weight: DefaultWeight}
+	case platform.KindPool:
+		return &Pool{Role: DefaultEngineRole, MaxUnavailable: DefaultMaxUnavailable}
+	case platform.KindDrain:
+		return &Drain{}
+	}
+	return nil
+}
+
+// Decode reads an object as the store holds it and checks it. All that is
+// wrong is in the error, which is a Problems. Fields that this release does not
+// know are left aside: a fleet is upgraded router by router, and a router that
+// dropped the whole object would treat its traffic by no profile at all.
+func Decode(ref platform.Ref, value json.RawMessage) (Object, error) {
+	o := New(ref.Kind)
+	if o == nil {
+		return nil, Problems{{Ref: ref, Message: "unknown kind: write " + kindNames()}}
+	}
+	if err := json.Unmarshal(value, o); err != nil {
+		return nil, Problems{{Ref: ref, Message: err.Error()}}
+	}
+	problems := Check(o)
+	if o.Ref() != ref {
+		problems = append(problems, Problem{Ref: ref, Field: "name", Message: "differs from the name under which the object is stored"})
+	}
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	return o, nil
+}
+
+// Encode returns an object as the store holds it.
+func Encode(o Object) (json.RawMessage, error) {
+	return json.Marshal(o)
+}
+
+// kindNames lists the kinds for messages.
+func kindNames() string {
+	names := make([]string, len(Kinds))
+	for i, k := range Kinds {
+		names[i] = string(k)
+	}
+	last := len(names) - 1
+	return strings.Join(names[:last], ", ") + " or " + names[last]
+}
--- /dev/null
+++ b/internal/profile/problem.go
@@ -0,0 +1,54 @@
+package profile
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+)
+
+// Problem is one mistake in what an operator wrote.
+type Problem struct {
+	File    string       `json:"file,omitempty"`   // empty for an object from the store
+	Line    int          `json:"line,omitempty"`   // from 1; zero when not known
+	Column  int          `json:"column,omitempty"` // from 1
+	Ref     platform.Ref `json:"object,omitzero"`
+	Field   string       `json:"field,omitempty"` // such as queue.per_upstream or keys[1].sha256
+	Message string       `json:"message"`         // what is wrong and what to write instead
+}
+
+// String returns file:line:column: kind/name: field: message, without the
+// parts that are not known.
+func (p Problem) String() string {
+	var b strings.Builder
+	if p.File != "" {
+		fmt.Fprintf(&b, "%s:", p.File)
+	}
+	if p.Line > 0 {
+		fmt.Fprintf(&b, "%d:%d:", p.Line, p.Column)
+	}
+	if b.Len() > 0 {
+		b.WriteByte(' ')
+	}
+	if p.Ref.Kind != "" {
+		fmt.Fprintf(&b, "%s: ", p.Ref)
+	}
+	if p.Field != "" {
+		fmt.Fprintf(&b, "%s: ", p.Field)
+	}
+	b.WriteString(p.Message)
+	return b.String()
+}
+
+// Problems are all the mistakes found, in the order of files and lines. It is
+// an error with one line each.
+type Problems []Problem
+
+// Error implements error.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, one := range p {
+		lines[i] = one.String()
+	}
+	return strings.Join(lines, "\n")
+}
--- a/internal/profile/profile.go
+++ b/internal/profile/profile.go
@@ -12,6 +12,8 @@
 	"encoding/hex"
 )
 
+//go:generate go run ./genschema ../../docs/schema
+
 // Profile states how one kind of traffic is treated.
 type Profile struct {
 	// Name of the profile, by which organisations and callers refer to it.
--- /dev/null
+++ b/internal/profile/read.go
@@ -0,0 +1,177 @@
+package profile
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
+	"github.com/pkg/errors"
+
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+)
+
+// MaxFile is the largest file that is read, in bytes.
+const MaxFile = 16 << 20
+
+// kindField tells the kind of a document in a file. The store does not hold
+// it: there the kind is part of the object's name.
+const kindField = "kind"
+
+// Document is an object as it stands in a file.
+type Document struct {
+	Object Object
+	File   string
+	at     map[string]position // of each field that is written
+}
+
+// position is a place in a file.
+type position struct{ line, column int }
+
+// Load reads the files at paths and the .yaml and .yml files in the
+// directories among them. It checks each object by itself, and not what the
+// objects refer to. Problems come with the documents that are whole; the error
+// is one of reading.
+func Load(paths ...string) ([]Document, Problems, error) {
+	files, err := expand(paths)
+	if err != nil {
+		return nil, nil, err
+	}
+	var docs []Document
+	var problems Problems
+	for _, file := range files {
+		text, err := readFile(file)
+		if err != nil {
+			return nil, nil, err
+		}
+		d, p := Read(file, text)
+		docs, problems = append(docs, d...), append(problems, p...)
+	}
+	return docs, problems, nil
+}
+
+// expand replaces directories by the files in them.
+func expand(paths []string) ([]string, error) {
+	var files []string
+	for _, path := range paths {
+		err := filepath.WalkDir(path, func(name string, d fs.DirEntry, err error) error {
+			if err != nil || d.IsDir() {
+				return err
+			}
+			if name == path || slices.Contains([]string{".yaml", ".yml"}, filepath.Ext(name)) {
+				files = append(files, name)
+			}
+			return nil
+		})
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+	}
+	return files, nil
+}
+
+func readFile(name string) ([]byte, error) {
+	info, err := os.Stat(name)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if info.Size() > MaxFile {
+		return nil, errors.Errorf("%s is over %d bytes: split it", name, MaxFile)
+	}
+	text, err := os.ReadFile(name)
+	return text, errors.WithStack(err)
+}
+
+// Read reads the documents of one file. See Load.
+func Read(file string, text []byte) ([]Document, Problems) {
+	parsed, err := parser.ParseBytes(text, 0)
+	if err != nil {
+		return nil, Problems{syntaxProblem(file, err)}
+	}
+	var docs []Document
+	var problems Problems
+	for _, body := range parsed.Docs {
+		if body.Body == nil || body.Body.Type() == ast.NullType || body.Body.Type() == ast.CommentType {
+			continue
+		}
+		doc, found := readDocument(file, body.Body)
+		if len(found) == 0 {
+			docs = append(docs, doc)
+		}
+		problems = append(problems, found...)
+	}
+	return docs, problems
+}
+
+// located is an error of the YAML library that knows its place.
+type located interface {
+	GetToken() *token.Token
+	GetMessage() string
+}
+
+func syntaxProblem(file string, err error) Problem {
+	p := Problem{File: file, Message: "is not YAML: " + err.Error()}
+	var at located
+	if errors.As(err, &at) && at.GetToken() != nil {
+		pos := at.GetToken().Position
+		p.Line, p.Column = pos.Line, pos.Column
+		p.Message = "is not YAML: " + at.GetMessage()
+	}
+	return p
+}
+
+// readDocument reads one object and checks it.
+func readDocument(file string, body ast.Node) (Document, Problems) {
+	d := decoder{file: file, at: make(map[string]position)}
+	d.mark("", body)
+	fields, ok := mapping(body)
+	if !ok {
+		d.add("", "is not an object: write fields, beginning with kind: %s", kindNames())
+		return Document{}, d.problems
+	}
+	object := New(d.kind(fields))
+	if object == nil {
+		return Document{}, d.problems
+	}
+	d.object(fields, object)
+	problems := d.problems
+	for i := range problems {
+		problems[i].Ref = object.Ref()
+	}
+	doc := Document{Object: object, File: file, at: d.at}
+	for _, p := range Check(object) {
+		// A field that could not be read holds its default or nothing, of
+		// which nothing more need be said.
+		if !d.broken[p.Field] {
+			problems = append(problems, doc.locate(p))
+		}
+	}
+	slices.SortStableFunc(problems, func(a, b Problem) int { return a.Line - b.Line })
+	return doc, problems
+}
+
+// locate adds the place of a problem in the document: that of its field, or of
+// the nearest one around it when the field is not written.
+func (d Document) locate(p Problem) Problem {
+	field := p.Field
+	at, ok := d.at[field]
+	for !ok && field != "" {
+		field = field[:max(0, strings.LastIndexAny(field, ".["))]
+		at, ok = d.at[field]
+	}
+	p.File, p.Line, p.Column = d.File, at.line, at.column
+	return p
+}
+
+// Refs returns the names of the documents' objects.
+func Refs(docs []Document) []platform.Ref {
+	refs := make([]platform.Ref, len(docs))
+	for i, d := range docs {
+		refs[i] = d.Object.Ref()
+	}
+	return refs
+}
--- /dev/null
+++ b/internal/profile/refs.go
@@ -0,0 +1,136 @@
+package profile
+
+import (
+	"fmt"
+
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+)
+
+// Set is objects by name.
+type Set map[platform.Ref]Object
+
+// CheckReferences returns what does not fit between docs and the objects that
+// they refer to: those among docs, else those in stored, which may be nil. It
+// also looks at the stored objects that refer to docs.
+func CheckReferences(docs []Document, stored Set) Problems {
+	c := referenceChecker{all: make(Set, len(docs)+len(stored)), owners: make(map[string]platform.Ref)}
+	for ref, o := range stored {
+		c.all[ref] = o
+	}
+	first := make(map[platform.Ref]Document, len(docs))
+	for _, d := range docs {
+		ref := d.Object.Ref()
+		if former, twice := first[ref]; twice {
+			c.add(d, "name", "is there twice, first in %s line %d: remove one or rename it", former.File, former.at["name"].line)
+			continue
+		}
+		first[ref] = d
+		c.all[ref] = d.Object
+	}
+	for ref, o := range stored {
+		if _, replaced := first[ref]; !replaced {
+			c.claimKeys(Document{Object: o})
+		}
+	}
+	for _, d := range docs {
+		c.check(d)
+	}
+	for ref, o := range stored {
+		if p, ok := o.(*Profile); ok && first[ref].Object == nil {
+			c.pool(Document{Object: p}, p)
+		}
+	}
+	return c.problems
+}
+
+type referenceChecker struct {
+	all      Set
+	owners   map[string]platform.Ref // of API keys, by hash
+	problems Problems
+}
+
+func (c *referenceChecker) add(d Document, field, format string, args ...any) {
+	p := Problem{Ref: d.Object.Ref(), Field: field, Message: fmt.Sprintf(format, args...)}
+	if d.at != nil {
+		p = d.locate(p)
+	}
+	c.problems = append(c.problems, p)
+}
+
+func (c *referenceChecker) check(d Document) {
+	switch o := d.Object.(type) {
+	case *Profile:
+		c.pool(d, o)
+	case *Organisation:
+		for i, name := range o.Profiles {
+			if c.all[platform.Ref{Kind: platform.KindProfile, Name: name}] == nil {
+				c.add(d, fmt.Sprintf("profiles[%d]", i), "profile %q does not exist: %s", name, c.advise(platform.KindProfile, name))
+			}
+		}
+		c.claimKeys(d)
+	}
+}
+
+// pool checks that a profile fits its pool.
+func (c *referenceChecker) pool(d Document, p *Profile) {
+	pool, ok := c.all[platform.Ref{Kind: platform.KindPool, Name: p.Pool}].(*Pool)
+	switch {
+	case !ok:
+		c.add(d, "pool", "pool %q does not exist: %s", p.Pool, c.advise(platform.KindPool, p.Pool))
+	case p.Model != "" && pool.Model == "":
+		c.add(d, "pool", "pool %q loads no model: write a pool that loads %q", p.Pool, p.Model)
+	case p.Model != "" && !pool.Serves(p.Model):
+		c.add(d, "model", "pool %q does not load it: write %q or one of its adapters", p.Pool, pool.Model)
+	case p.Service != "" && pool.Model != "":
+		c.add(d, "pool", "pool %q loads model %q: write the pool of a plain service", p.Pool, pool.Model)
+	}
+}
+
+// Serves reports whether the pool's upstreams answer to a model's name: that
+// of the model or of one of its adapters.
+func (p *Pool) Serves(model string) bool {
+	if p.Model == model {
+		return true
+	}
+	for _, a := range p.Adapters {
+		if a == model {
+			return true
+		}
+	}
+	return false
+}
+
+// claimKeys checks that no API key belongs to two organisations, as it does
+// when an organisation's file is copied to make another: the calls of one
+// would then be taken for the other's.
+func (c *referenceChecker) claimKeys(d Document) {
+	o, ok := d.Object.(*Organisation)
+	if !ok {
+		return
+	}
+	for i, k := range o.Keys {
+		owner, taken := c.owners[k.SHA256]
+		if taken && owner != o.Ref() {
+			c.add(d, fmt.Sprintf("keys[%d].sha256", i), "is that of %s too: make a key of its own with parsleyctl key", owner)
+		}
+		c.owners[k.SHA256] = o.Ref()
+	}
+}
+
+// advise names the object of the kind that was probably meant.
+func (c *referenceChecker) advise(kind platform.Kind, name string) string {
+	best, nearest := "", nearEnough+1
+	for ref := range c.all {
+		if ref.Kind != kind {
+			continue
+		}
+		n := distance(name, ref.Name)
+		if n < nearest || n == nearest && ref.Name < best {
+			best, nearest = ref.Name, n
+		}
+	}
+	if best != "" {
+		return "write " + best
+	}
+	return fmt.Sprintf("write one that exists, or add it with kind: %s", kind)
+}
