token: secrets from a file, replaceable while in use, never printed

Ruled out: a lock around the ring (an atomic pointer costs the hot path one load); a redacting string type for the value alone (JSON and %x go around it). Change: Ring.Set swaps the secrets; ParseSecrets reads the file's content and refuses one whose last line has no end, which is how a half-written file looks; a token has one spelling only.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,9 +3,7 @@
 package settings
 
 import (
-	"encoding/hex"
 	"net/url"
-	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -52,29 +50,11 @@
 
 // Ring returns the token secrets.
 func (r Router) Ring() (*token.Ring, error) {
-	secrets := make([]token.Secret, 0, len(r.Secrets))
-	for _, text := range r.Secrets {
-		s, err := parseSecret(text)
-		if err != nil {
-			return nil, err
-		}
-		secrets = append(secrets, s)
-	}
-	return token.NewRing(secrets...)
-}
-
-// parseSecret reads id:hex. Its errors do not repeat the secret.
-func parseSecret(text string) (token.Secret, error) {
-	id, value, ok := strings.Cut(text, ":")
-	n, err := strconv.ParseUint(id, 10, 8)
-	if !ok || err != nil {
-		return token.Secret{}, errors.New("want id:hex with an id from 0 to 255")
-	}
-	b, err := hex.DecodeString(value)
+	secrets, err := token.ParseSecrets(strings.Join(r.Secrets, "\n") + "\n")
 	if err != nil {
-		return token.Secret{}, errors.Errorf("secret %d is not hexadecimal", n)
+		return nil, err
 	}
-	return token.Secret{ID: byte(n), Value: b}, nil
+	return token.NewRing(secrets...)
 }
 
 // Check returns all that is wrong with the settings, in one error.
--- a/internal/token/token.go
+++ b/internal/token/token.go
@@ -14,6 +14,7 @@
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/hex"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,15 +30,20 @@
 	PurposeTicket Purpose = 't'
 )
 
+// MaxVMLen is the longest VM id that a token can carry, in bytes.
+const MaxVMLen = 64
+
 const (
 	formatVersion = 1
 	macSize       = 16
 	nonceSize     = 8
-	maxVMLen      = 64
 	fixedSize     = 1 + 1 + 1 + 8 + 8 + 8 + nonceSize + 4 + 1
 	maxEncodedLen = 256
 )
 
+// encoding is strict: it refuses stray bits after the last byte.
+var encoding = base64.RawURLEncoding.Strict()
+
 // Errors that Open returns.
 var (
 	ErrForged  = errors.New("token: not signed by this fleet")
@@ -81,7 +87,7 @@
 	Incarnation uint64 // of the sidecar
 	Nonce       Nonce
 	Expires     time.Time // whole seconds
-	VM          string    // at most 64 bytes
+	VM          string    // at most MaxVMLen bytes
 }
 
 // Expired reports whether the token's time is over at now.
@@ -89,39 +95,34 @@
 	return now.After(t.Expires)
 }
 
-// Secret is a signing key with the id by which tokens name it.
-type Secret struct {
-	ID    byte
-	Value []byte
-}
-
 // Ring signs with its first secret and accepts all of them, so that a secret
 // can be rotated while tokens signed with the former one are still in use.
 type Ring struct {
-	secrets []Secret
+	secrets atomic.Pointer[[]Secret]
 }
 
 // NewRing returns a Ring over secrets, the one to sign with first.
 func NewRing(secrets ...Secret) (*Ring, error) {
-	if len(secrets) == 0 {
-		return nil, errors.New("token: no secret")
+	r := &Ring{}
+	if err := r.Set(secrets...); err != nil {
+		return nil, err
 	}
-	seen := make(map[byte]bool, len(secrets))
-	for _, s := range secrets {
-		if seen[s.ID] {
-			return nil, errors.Errorf("token: two secrets with id %d", s.ID)
-		}
-		if len(s.Value) < 16 {
-			return nil, errors.Errorf("token: secret %d is shorter than 16 bytes", s.ID)
-		}
-		seen[s.ID] = true
+	return r, nil
+}
+
+// Set replaces the secrets, the one to sign with first. After an error the
+// former ones stay.
+func (r *Ring) Set(secrets ...Secret) error {
+	if err := checkSecrets(secrets); err != nil {
+		return err
 	}
-	return &Ring{secrets: secrets}, nil
+	r.secrets.Store(&secrets)
+	return nil
 }
 
 // Seal signs and encodes t.
 func (r *Ring) Seal(t Token) string {
-	s := r.secrets[0]
+	s := (*r.secrets.Load())[0]
 	b := make([]byte, 0, fixedSize+len(t.VM)+macSize)
 	b = append(b, formatVersion, s.ID, byte(t.Purpose))
 	b = binary.BigEndian.AppendUint64(b, t.Org)
@@ -132,7 +133,7 @@
 	b = append(b, byte(len(t.VM)))
 	b = append(b, t.VM...)
 	b = append(b, mac(s.Value, b)...)
-	return base64.RawURLEncoding.EncodeToString(b)
+	return encoding.EncodeToString(b)
 }
 
 // Open checks and decodes s. It does not judge the expiry, because an expired
@@ -141,10 +142,15 @@
 	if len(s) > maxEncodedLen {
 		return Token{}, ErrForged
 	}
-	b, err := base64.RawURLEncoding.DecodeString(s)
+	b, err := encoding.DecodeString(s)
 	if err != nil || len(b) < fixedSize+macSize || b[0] != formatVersion {
 		return Token{}, ErrForged
 	}
+	// The decoder skips line breaks. A token has one spelling only, so that
+	// two requests with the same key also carry the same text.
+	if len(s) != encoding.EncodedLen(len(b)) {
+		return Token{}, ErrForged
+	}
 	signed, sum := b[:len(b)-macSize], b[len(b)-macSize:]
 	if !r.signedBy(signed, sum) {
 		return Token{}, ErrForged
@@ -161,7 +167,7 @@
 
 func (r *Ring) signedBy(signed, sum []byte) bool {
 	id := signed[1]
-	for _, s := range r.secrets {
+	for _, s := range *r.secrets.Load() {
 		if s.ID == id {
 			return hmac.Equal(mac(s.Value, signed), sum)
 		}
@@ -177,7 +183,7 @@
 	copy(t.Nonce[:], b[27:27+nonceSize])
 	t.Expires = time.Unix(int64(binary.BigEndian.Uint32(b[35:])), 0)
 	n := int(b[39])
-	if n > maxVMLen || len(b) != fixedSize+n {
+	if n > MaxVMLen || len(b) != fixedSize+n {
 		return Token{}, ErrForged
 	}
 	t.VM = string(b[fixedSize:])
--- /dev/null
+++ b/internal/token/token_test.go
@@ -0,0 +1,143 @@
+package token
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+func secret(id byte) Secret {
+	return Secret{ID: id, Value: bytes.Repeat([]byte{id ^ 0x5a}, 32)}
+}
+
+func ring(t interface{ Fatal(...any) }, secrets ...Secret) *Ring {
+	r, err := NewRing(secrets...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func drawToken(t *rapid.T) Token {
+	return Token{
+		Purpose:     rapid.SampledFrom([]Purpose{PurposeKey, PurposeTicket}).Draw(t, "purpose"),
+		Org:         rapid.Uint64().Draw(t, "org"),
+		Session:     rapid.Uint64().Draw(t, "session"),
+		Incarnation: rapid.Uint64().Draw(t, "incarnation"),
+		Nonce:       Nonce(rapid.SliceOfN(rapid.Byte(), nonceSize, nonceSize).Draw(t, "nonce")),
+		Expires:     time.Unix(int64(rapid.Uint32().Draw(t, "expires")), 0),
+		VM:          rapid.StringMatching(`[a-z0-9-]{0,64}`).Draw(t, "vm"),
+	}
+}
+
+// A guest returns with a ticket or key from before the night's rotation of the
+// secret, through routers that have and have not yet read the new file. Each
+// must know it as its own, or a returning chat loses its cached prefix and a
+// retried booking its at-most-once. Nothing else may pass: not a changed byte,
+// not a ticket as a key, not one signed by a secret that was taken out.
+func TestRotation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := drawToken(t)
+		r := ring(t, secret(1))
+		sealed := r.Seal(want)
+		if err := r.Set(secret(2), secret(1)); err != nil {
+			t.Fatal(err)
+		}
+		late := ring(t, secret(1), secret(2)) // has the new secret, signs with the former
+		for _, s := range []string{sealed, r.Seal(want), late.Seal(want)} {
+			for _, opener := range []*Ring{r, late} {
+				if got, err := opener.Open(s, want.Purpose); err != nil || got != want {
+					t.Fatalf("got %+v, %v, want %+v", got, err, want)
+				}
+			}
+		}
+		if _, err := r.Open(sealed, 'k'^'t'^want.Purpose); !errors.Is(err, ErrPurpose) {
+			t.Fatalf("as another kind of token: %v", err)
+		}
+		at := rapid.IntRange(0, len(sealed)-1).Draw(t, "at")
+		forged := sealed[:at] + string(rapid.Byte().Filter(func(b byte) bool { return b != sealed[at] }).Draw(t, "byte")) + sealed[at+1:]
+		if _, err := r.Open(forged, want.Purpose); err == nil {
+			t.Fatalf("a token with byte %d changed was taken", at)
+		}
+		if _, err := ring(t, secret(2)).Open(sealed, want.Purpose); !errors.Is(err, ErrForged) {
+			t.Fatalf("signed by a secret that was taken out: %v", err)
+		}
+	})
+}
+
+func FuzzOpen(f *testing.F) {
+	r := ring(f, secret(2), secret(1))
+	sealed := r.Seal(Token{Purpose: PurposeKey, VM: "vm-12", Expires: time.Unix(1<<31, 0)})
+	f.Add(sealed)
+	f.Add(sealed[:20] + "\n" + sealed[20:])
+	f.Add(sealed[:len(sealed)-1] + string(sealed[len(sealed)-1]+1))
+	f.Add(ring(f, secret(1)).Seal(Token{Purpose: PurposeKey}))
+	f.Add("")
+	f.Add(strings.Repeat("A", maxEncodedLen))
+	f.Fuzz(func(t *testing.T, s string) {
+		got, err := r.Open(s, PurposeKey)
+		if err == nil && r.Seal(got) != s && ring(t, secret(1)).Seal(got) != s {
+			t.Errorf("%q was taken but is not the spelling that we gave out", s)
+		}
+	})
+}
+
+func FuzzParseSecrets(f *testing.F) {
+	f.Add("# made on Monday\n2:" + strings.Repeat("5e", 32) + "\n\n1:" + strings.Repeat("c4", 16) + "\r\n")
+	f.Add("2:" + strings.Repeat("5e", 16))
+	f.Add("256:00\n")
+	f.Add("1:" + strings.Repeat("zz", 16) + "\n")
+	f.Add(":\n")
+	f.Fuzz(func(t *testing.T, content string) {
+		secrets, err := ParseSecrets(content)
+		if err == nil {
+			if _, err := NewRing(secrets...); err != nil {
+				t.Errorf("read from %q, refused by the ring: %v", content, err)
+			}
+			return
+		}
+		for line := range strings.Lines(content) {
+			if _, value, _ := strings.Cut(strings.TrimSpace(line), ":"); len(value) >= minSecretLen && strings.Contains(err.Error(), value) {
+				t.Errorf("the error %q shows a secret", err)
+			}
+		}
+	})
+}
+
+// A deploy tool is still writing the file while a router reads it: all of the
+// first 16 to 31 bytes of a secret are good hexadecimal, so the router would
+// sign with half a secret and every other router refuse its tokens.
+func TestHalfWrittenSecretIsRefused(t *testing.T) {
+	whole := "1:" + strings.Repeat("5e", 32) + "\n"
+	for n := 1; n < len(whole); n++ {
+		if _, err := ParseSecrets(whole[:n]); err == nil {
+			t.Errorf("the first %d bytes of %d were taken for the whole file", n, len(whole))
+		}
+	}
+}
+
+func TestSecretsNeverPrint(t *testing.T) {
+	s := Secret{ID: 7, Value: []byte("the-booking-secret")}
+	holder := struct{ Secrets []Secret }{[]Secret{s}}
+	var log bytes.Buffer
+	slog.New(slog.NewTextHandler(&log, nil)).Info("x", "secret", s, "holder", holder)
+	slog.New(slog.NewJSONHandler(&log, nil)).Info("x", "secret", s, "holder", holder)
+	j, err := json.Marshal(holder)
+	out := fmt.Sprintf("%v %+v %#v %s %x %d %q %v", s, s, s, s, s, s, &s, holder) + log.String() + string(j)
+	if err != nil || strings.Contains(out, "booking") || strings.Contains(out, "626f6f6b") || strings.Contains(out, "98 111") {
+		t.Errorf("%v, a secret in %s", err, out)
+	}
+}
