router: carry out the dispatch machine

Cause: package dispatch decides, and nothing carried it out; the thin path's Dispatch knew neither resubmission, attach, deadlines nor load. Ruled out: one goroutine an attempt for the whole answer, which doubles the goroutines of each open stream. Only what waits for a sidecar before the first byte has one; then the caller's own goroutine reads the stream. Also ruled out: load samples as loop events that make a new View; the beliefs of a pool outlive the views that point at them, so a sample costs one table entry. Change: Answer drives dispatch.State: keys, successor keys for callers' own keys, join and attach after a lost connection, hedges, deadlines with sealed attempts, a lane for each further reader of one answer, detach or cancel when the caller leaves, per-organisation concurrency, retry budgets by profile, placement by package placement with ticket and load table. Conclusion: the specs of the thin path pass on it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -180,11 +180,11 @@
 		return
 	}
 	defer answer.Close()
-	w.Header().Set(HeaderRequestID, answer.ID)
-	w.Header().Set(HeaderTicket, answer.Ticket)
+	w.Header().Set(HeaderRequestID, answer.ID())
+	w.Header().Set(HeaderTicket, answer.Ticket())
 	started := false
 	for {
-		piece, err := answer.Next(r.Context())
+		piece, err := answer.Next()
 		if err == nil && piece.End != nil && piece.End.Error == nil {
 			return
 		}
@@ -192,7 +192,7 @@
 			err = piece.End.Error
 		}
 		if err != nil {
-			cutShort(w, answer.ID, err, started)
+			cutShort(w, answer.ID(), err, started)
 			return
 		}
 		started = true
--- /dev/null
+++ b/internal/router/answer.go
@@ -0,0 +1,332 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/retry"
+	"github.com/parsleyfront/parsleyfront/internal/router/dispatch"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
+)
+
+// Answer is an upstream's answer on its way to the caller. It carries out what
+// dispatch decides: the goroutine that calls Next owns it, and each effect that
+// waits for a sidecar runs on a goroutine of its own until it has an outcome.
+type Answer struct {
+	router     *Router
+	req        Request
+	plan       dispatch.Plan
+	pool       *Pool
+	view       *View
+	candidates []platform.VM
+	home       string // VM that ranks first
+	session    uint64
+	print      uint64
+	release    func() // of the organisation's concurrency
+
+	caller   context.Context
+	ctx      context.Context // ends at Close
+	stop     context.CancelFunc
+	state    *dispatch.State
+	attempts []*attempt
+	outcomes chan outcome
+	winner   *attempt
+	result   *verdict.Error // once state is finished; nil: the answer is whole
+	end      *wire.End
+}
+
+// outcome is an event with the attempt that it is about.
+type outcome struct {
+	attempt *attempt
+	event   dispatch.Event // nil: nothing to decide
+	last    bool           // the attempt's goroutine has ended
+}
+
+// post hands an outcome to the Answer, or reports false if the Answer was closed
+// or the attempt dropped.
+func (a *Answer) post(o outcome) bool {
+	select {
+	case a.outcomes <- o:
+		return true
+	case <-o.attempt.ctx.Done():
+		return false
+	}
+}
+
+// run carries the request up to its first piece or its final verdict.
+func (a *Answer) run() error {
+	a.step(dispatch.Began{Now: time.Now()})
+	for a.winner == nil && !a.state.Finished() {
+		if err := a.wait(); err != nil {
+			return err
+		}
+	}
+	if a.winner == nil {
+		return a.result
+	}
+	return nil
+}
+
+// wait takes in the next thing that happens to the request.
+func (a *Answer) wait() error {
+	timer := time.NewTimer(untilWake(a.state.Wake()))
+	defer timer.Stop()
+	select {
+	case o := <-a.outcomes:
+		a.take(o)
+	case <-timer.C:
+		a.tick()
+	case <-a.caller.Done():
+		return a.caller.Err()
+	}
+	return nil
+}
+
+// farAway stands for never.
+const farAway = 24 * time.Hour
+
+func untilWake(at time.Time) time.Duration {
+	if at.IsZero() {
+		return farAway
+	}
+	return time.Until(at)
+}
+
+func (a *Answer) take(o outcome) {
+	at := o.attempt
+	if o.last {
+		at.busy = false
+		if at.ctx.Err() != nil {
+			at.close() // dropped while it was busy
+		}
+	}
+	if o.event != nil {
+		a.step(o.event)
+	}
+}
+
+// tick tells the state that time has passed. At a deadline the attempts that
+// have not been sent are sealed first, so that the verdict on them is known.
+func (a *Answer) tick() {
+	now := time.Now()
+	if a.overdue(now) {
+		for _, at := range a.attempts {
+			if at.gate.seal() {
+				a.step(dispatch.Sealed{Attempt: at.number})
+			}
+		}
+	}
+	a.step(dispatch.Ticked{Now: now})
+}
+
+func (a *Answer) overdue(now time.Time) bool {
+	return passed(a.plan.Deadline, now) || a.winner == nil && passed(a.plan.FirstByte, now)
+}
+
+func passed(at, now time.Time) bool {
+	return !at.IsZero() && !now.Before(at)
+}
+
+func (a *Answer) step(e dispatch.Event) {
+	for _, effect := range a.state.Step(e) {
+		a.act(effect)
+	}
+}
+
+func (a *Answer) act(effect dispatch.Effect) {
+	switch e := effect.(type) {
+	case dispatch.Offer:
+		a.offer(e)
+	case dispatch.Follow:
+		a.follow(e)
+	case dispatch.Resubmit:
+		a.launch(a.attempts[e.Attempt], e.Retry, a.submit)
+	case dispatch.Attach:
+		a.launch(a.attempts[e.Attempt], e.Retry, a.attach)
+	case dispatch.Deliver:
+		a.winner = a.attempts[e.Attempt]
+	case dispatch.Drop:
+		a.drop(a.attempts[e.Attempt])
+	case dispatch.Finish:
+		a.result = e.Err
+	}
+}
+
+func (a *Answer) add(vm platform.VM) *attempt {
+	ctx, stop := context.WithCancel(a.ctx)
+	at := &attempt{ctx: ctx, stop: stop, number: len(a.attempts), vm: vm, lane: lane{lanes: &a.router.lanes}}
+	a.attempts = append(a.attempts, at)
+	return at
+}
+
+func (a *Answer) offer(e dispatch.Offer) {
+	at := a.add(a.candidates[e.Candidate])
+	if a.req.Key != nil && e.Attempt == 0 {
+		a.hold(at, *a.req.Key)
+		return
+	}
+	a.launch(at, 0, a.submit)
+}
+
+func (a *Answer) follow(e dispatch.Follow) {
+	former := a.attempts[len(a.attempts)-1]
+	at := a.add(a.view.VMs[e.Key.VM])
+	at.link, at.leave = former.link+1, former.leave
+	a.hold(at, e.Key)
+}
+
+// hold submits an attempt under a key that others may have used before. Of a
+// VM that the list does not know nothing can be learnt: what ran there may have
+// run.
+func (a *Answer) hold(at *attempt, key wire.Key) {
+	at.key = &key
+	at.lane.hold(key.Nonce)
+	if at.vm.ID == "" {
+		err := verdict.New(verdict.MayHaveRun, verdict.ReasonIncarnationGone, "the VM of the key has left")
+		a.launch(at, 0, func(*attempt) dispatch.Event {
+			return dispatch.Refused{Now: time.Now(), Attempt: at.number, Err: err}
+		})
+		return
+	}
+	a.launch(at, 0, a.submit)
+}
+
+// launch runs f for an attempt on a goroutine, after the pause that the retryth
+// reconnect asks for.
+func (a *Answer) launch(at *attempt, retryth int, f func(*attempt) dispatch.Event) {
+	at.busy = true
+	pause := retry.Backoff(retryth, rand.Float64())
+	go func() {
+		if pause > 0 {
+			sleep(at.ctx, pause)
+		}
+		o := outcome{attempt: at, event: f(at), last: true}
+		if !a.post(o) {
+			at.close()
+		}
+	}()
+}
+
+// drop cancels the loser of two hedged attempts.
+func (a *Answer) drop(at *attempt) {
+	if !at.gate.seal() {
+		a.router.cancel(at.vm.Addr, a.req.Org.Name, *at.key)
+	}
+	at.stop()
+	if !at.busy {
+		at.close()
+	}
+}
+
+// Next returns the next piece of the answer. After an End there is nothing
+// more; an error means that the answer stays incomplete.
+func (a *Answer) Next() (wire.Piece, error) {
+	for !a.state.Finished() {
+		p, ok, err := a.read()
+		if err != nil {
+			return wire.Piece{}, err
+		}
+		if ok {
+			return p, nil
+		}
+	}
+	if a.result != nil {
+		return wire.Piece{}, a.result
+	}
+	return wire.Piece{End: a.end}, nil
+}
+
+// read returns what the winner has to say next, if that is for the caller.
+func (a *Answer) read() (wire.Piece, bool, error) {
+	at := a.winner
+	if len(at.pieces) > 0 {
+		p := at.pieces[0]
+		at.pieces = at.pieces[1:]
+		return a.forward(p)
+	}
+	if at.busy {
+		return wire.Piece{}, false, a.wait()
+	}
+	p, err := a.nextPiece()
+	switch {
+	case err == nil:
+		return a.forward(p)
+	case a.caller.Err() != nil:
+		return wire.Piece{}, false, a.caller.Err()
+	case passed(a.plan.Deadline, time.Now()):
+		a.tick()
+	default:
+		at.stream.Close()
+		at.stream = nil
+		resumedStreams.Inc()
+		a.step(dispatch.Lost{Now: time.Now(), Attempt: at.number})
+	}
+	return wire.Piece{}, false, nil
+}
+
+func (a *Answer) nextPiece() (wire.Piece, error) {
+	if a.winner.stream == nil {
+		return wire.Piece{}, verdict.New(verdict.MayHaveRun, verdict.ReasonConnection, "not attached")
+	}
+	if a.plan.Deadline.IsZero() {
+		return a.winner.stream.Next(a.caller)
+	}
+	ctx, done := context.WithDeadline(a.caller, a.plan.Deadline)
+	defer done()
+	return a.winner.stream.Next(ctx)
+}
+
+// forward takes note of a piece and reports whether the caller gets it. The
+// head comes again with each attach, and goes out once.
+func (a *Answer) forward(p wire.Piece) (wire.Piece, bool, error) {
+	at := a.winner
+	switch {
+	case p.End != nil:
+		a.end = p.End
+		a.router.heard(time.Now(), at.vm, p.End.Control)
+		a.step(dispatch.Ended{Now: time.Now(), Attempt: at.number, Err: p.End.Error})
+		return p, false, nil
+	case p.Head != nil:
+		again := at.headed
+		at.headed = true
+		return p, !again, nil
+	default:
+		at.offset += int64(len(p.Bytes))
+		a.step(dispatch.Advanced{})
+		return p, true, nil
+	}
+}
+
+// Close ends the caller's interest in the answer.
+func (a *Answer) Close() {
+	if !a.state.Finished() {
+		a.leave()
+	}
+	a.stop()
+	for _, at := range a.attempts {
+		if !at.busy {
+			at.close()
+		}
+	}
+	a.release()
+}
+
+// leave handles a caller that is gone before its answer is complete. If the
+// caller may come back for the answer, the request goes on: it holds the key,
+// or has been told the id while the profile keeps answers. A write goes on as
+// well, because to break it off in the middle helps nobody.
+func (a *Answer) leave() {
+	mayReturn := a.req.Key != nil || a.req.Profile.KeepAnswer > 0
+	if mayReturn || !a.req.Profile.Idempotent {
+		return
+	}
+	for _, at := range a.attempts {
+		open := at.busy || at.stream != nil
+		if open && !at.gate.seal() {
+			a.router.cancel(at.vm.Addr, a.req.Org.Name, *at.key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/router/attempt.go
@@ -0,0 +1,221 @@
+package router
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/router/dispatch"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
+)
+
+// streamWindow is how far a sidecar may send ahead of the caller, in bytes. It
+// bounds what a caller that reads slowly holds in the router.
+const streamWindow = 16 << 10
+
+// gate says whether an attempt has been sent. At a deadline the router closes
+// the gates of attempts that are still connecting, and may then say not-run.
+type gate struct{ v atomic.Int32 }
+
+const (
+	gateUnsent int32 = iota
+	gateSent
+	gateSealed
+)
+
+// pass opens the gate for good, or reports false if it was sealed before.
+func (g *gate) pass() bool {
+	return g.v.CompareAndSwap(gateUnsent, gateSent) || g.v.Load() == gateSent
+}
+
+// seal closes the gate, or reports false if something was sent before.
+func (g *gate) seal() bool {
+	return g.v.CompareAndSwap(gateUnsent, gateSealed)
+}
+
+// attempt is one attempt of a request. While busy, its fields other than gate
+// belong to the goroutine that carries out an effect, else to the Answer.
+type attempt struct {
+	ctx    context.Context
+	stop   context.CancelFunc
+	busy   bool // a goroutine is carrying out an effect; owned by the Answer
+	number int
+	vm     platform.VM
+	link   int       // place in the chain of the caller's key
+	key    *wire.Key // nil until drawn
+	leave  bool      // word of the site of a crash, for Submit
+	gate   gate
+	lane   lane
+	stream *wire.Stream
+	pieces []wire.Piece // read ahead of delivery
+	offset int64        // of the next byte for the caller
+	headed bool         // the head has gone to the caller
+}
+
+// close ends the router's interest in the attempt.
+func (at *attempt) close() {
+	at.stop()
+	if at.stream != nil {
+		at.stream.Close()
+		at.stream = nil
+	}
+	at.lane.release()
+}
+
+// submit sends the attempt to its sidecar, for the first time or again, and
+// returns what came of it.
+func (a *Answer) submit(at *attempt) dispatch.Event {
+	peer, err := a.connect(at)
+	if err != nil {
+		return dispatch.Unreachable{Now: time.Now(), Attempt: at.number, Err: verdict.From(err)}
+	}
+	successor := a.successor(at)
+	if !at.gate.pass() {
+		return nil
+	}
+	now := time.Now()
+	stream, adm, err := peer.Submit(at.ctx, wire.Submit{
+		Key:         *at.key,
+		Successor:   successor,
+		Home:        a.home,
+		Org:         a.req.Org.Name,
+		Session:     a.session,
+		Fingerprint: a.print,
+		Treatment:   a.req.treatment(now, a.plan),
+		Call:        a.req.Call,
+		Window:      streamWindow,
+		Trace:       a.req.Trace,
+		Control:     a.router.control(now, a.pool),
+		Leave:       at.leave,
+	})
+	if err != nil {
+		return a.refusal(at, adm, err)
+	}
+	return a.begun(at, stream, adm)
+}
+
+// attach asks for the rest of the attempt's answer.
+func (a *Answer) attach(at *attempt) dispatch.Event {
+	peer, err := a.connect(at)
+	if err != nil {
+		return dispatch.Unreachable{Now: time.Now(), Attempt: at.number, Err: verdict.From(err)}
+	}
+	stream, adm, err := peer.Attach(at.ctx, wire.Attach{
+		Key:    *at.key,
+		Org:    a.req.Org.Name,
+		Offset: at.offset,
+		Window: streamWindow,
+	})
+	if err != nil {
+		return a.refusal(at, adm, err)
+	}
+	return a.begun(at, stream, adm)
+}
+
+// connect returns the peer of the attempt's sidecar, connected, and draws the
+// attempt's key if it has none.
+func (a *Answer) connect(at *attempt) (*wire.Peer, error) {
+	peer := a.router.peer(at.vm.Addr, at.lane.number)
+	hello, err := peer.Connect(at.ctx)
+	if err != nil {
+		a.router.avoid(at.vm.ID)
+		return nil, err
+	}
+	if at.key == nil {
+		key := newKey(at.vm.ID, hello.Incarnation, time.Now())
+		at.key = &key
+		at.lane.hold(key.Nonce)
+	}
+	return peer, nil
+}
+
+// successor returns the key under which the request goes on if the sidecar
+// refuses it. Only a request whose key its caller holds needs one: copies of it
+// may arrive through other routers, and all must go the same way. The next
+// sidecar is connected to first, because a key names its incarnation.
+func (a *Answer) successor(at *attempt) *wire.Key {
+	if a.req.Key == nil || at.link+1 >= dispatch.MaxLinks || at.link+1 >= len(a.candidates) {
+		return nil
+	}
+	for _, vm := range a.candidates[at.link+1:] {
+		if vm.ID == at.vm.ID {
+			continue
+		}
+		hello, err := a.router.peer(vm.Addr, 0).Connect(at.ctx)
+		if err == nil {
+			key := newKey(vm.ID, hello.Incarnation, time.Now())
+			return &key
+		}
+		a.router.avoid(vm.ID)
+	}
+	return nil
+}
+
+// refusal turns a failed call into an event. A sidecar's own word has an
+// admission or a reason of its own; everything else is a lost connection.
+func (a *Answer) refusal(at *attempt, adm wire.Admission, err error) dispatch.Event {
+	now := time.Now()
+	e := verdict.From(err)
+	if adm.Error == nil && e.Reason == verdict.ReasonConnection {
+		return dispatch.Lost{Now: now, Attempt: at.number}
+	}
+	if adm.Error == nil && e.Reason == verdict.ReasonNoUpstream {
+		return dispatch.Unreachable{Now: now, Attempt: at.number, Err: e}
+	}
+	a.router.heard(now, at.vm, adm.Control)
+	at.leave = adm.Leave
+	return dispatch.Refused{Now: now, Attempt: at.number, Err: e, Moved: adm.Moved}
+}
+
+// begun waits for the first piece of an admitted attempt's answer. A head
+// alone is not one: until there is a byte, nothing is sent to the caller, and
+// what is idempotent can still be tried elsewhere.
+func (a *Answer) begun(at *attempt, stream *wire.Stream, adm wire.Admission) dispatch.Event {
+	at.stream = stream
+	a.router.heard(time.Now(), at.vm, adm.Control)
+	a.post(outcome{attempt: at, event: dispatch.Admitted{Attempt: at.number}})
+	if at.headed {
+		return nil // the Answer reads on by itself
+	}
+	at.pieces = nil
+	for {
+		p, err := stream.Next(at.ctx)
+		if err != nil {
+			return a.broken(at)
+		}
+		if p.End != nil && p.End.Error != nil {
+			a.router.heard(time.Now(), at.vm, p.End.Control)
+			return dispatch.Ended{Now: time.Now(), Attempt: at.number, Err: p.End.Error}
+		}
+		at.pieces = append(at.pieces, p)
+		if p.Head == nil {
+			return dispatch.Opened{Now: time.Now(), Attempt: at.number}
+		}
+	}
+}
+
+// broken closes a stream that has failed. The end of the request's own context
+// is no failure of the stream.
+func (a *Answer) broken(at *attempt) dispatch.Event {
+	if at.ctx.Err() != nil {
+		return nil
+	}
+	at.stream.Close()
+	at.stream = nil
+	return dispatch.Lost{Now: time.Now(), Attempt: at.number}
+}
+
+// cancelTimeout bounds the attempt to cancel what nobody waits for. If it
+// fails, the request runs to its own deadline.
+const cancelTimeout = 3 * time.Second
+
+// cancel asks a sidecar to end a request, in the background.
+func (r *Router) cancel(addr, org string, key wire.Key) {
+	go func() {
+		ctx, done := context.WithTimeout(context.Background(), cancelTimeout)
+		defer done()
+		_ = r.peer(addr, 0).Call(ctx, wire.MethodCancel, wire.Cancel{Key: key, Org: org}, nil)
+	}()
+}
--- /dev/null
+++ b/internal/router/limits.go
@@ -0,0 +1,83 @@
+package router
+
+import (
+	"sync"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/profile"
+	"github.com/parsleyfront/parsleyfront/internal/retry"
+	"github.com/parsleyfront/parsleyfront/internal/router/dispatch"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+)
+
+// concurrencySlack is how far over its even share of an organisation's
+// concurrency a router goes, since the balancer does not spread callers evenly.
+// The fleet admits at most the larger of concurrencySlack times the limit and
+// one request a router.
+const concurrencySlack = 2
+
+// limits holds what a router counts of its own traffic.
+type limits struct {
+	mu      sync.Mutex
+	open    map[string]int // requests in flight, by organisation
+	budgets map[string]*retry.Budget
+}
+
+func newLimits() *limits {
+	return &limits{open: make(map[string]int), budgets: make(map[string]*retry.Budget)}
+}
+
+// enter counts a request of org in until the result is called.
+func (l *limits) enter(org *profile.Organisation, routers int) (leave func(), err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if org.Concurrency > 0 && l.open[org.Name] >= share(org.Concurrency, routers) {
+		e := verdict.New(verdict.NotRun, verdict.ReasonConcurrency, "the organisation has %d requests in flight here", l.open[org.Name])
+		return nil, e.Later(time.Second)
+	}
+	l.open[org.Name]++
+	return func() { l.leave(org.Name) }, nil
+}
+
+func (l *limits) leave(org string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[org]--
+	if l.open[org] == 0 {
+		delete(l.open, org)
+	}
+}
+
+// share returns one router's share of a limit.
+func share(limit, routers int) int {
+	if routers <= 1 {
+		return limit
+	}
+	return min(limit, (concurrencySlack*limit+routers-1)/routers)
+}
+
+// budget returns the retry budget of a profile, which the request has paid into.
+func (l *limits) budget(p *profile.Profile) dispatch.Budget {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.budgets[p.Name]
+	if b == nil {
+		b = &retry.Budget{}
+		l.budgets[p.Name] = b
+	}
+	b.Deposit(p.RetryBudget)
+	return sharedBudget{limits: l, budget: b}
+}
+
+// sharedBudget is a Budget that the requests of a profile share.
+type sharedBudget struct {
+	limits *limits
+	budget *retry.Budget
+}
+
+// Withdraw implements dispatch.Budget.
+func (s sharedBudget) Withdraw() bool {
+	s.limits.mu.Lock()
+	defer s.limits.mu.Unlock()
+	return s.budget.Withdraw()
+}
--- /dev/null
+++ b/internal/router/peers.go
@@ -0,0 +1,71 @@
+package router
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/load"
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
+)
+
+// avoidFor is how long an upstream whose sidecar could not be reached is
+// offered a request only after the others. It is this router's own experience
+// and is not told to others, whose way to the sidecar may be whole.
+const avoidFor = 2 * time.Second
+
+// peerKey names a connection to a sidecar.
+type peerKey struct {
+	addr string
+	lane int
+}
+
+// peer returns the Peer for a sidecar's address.
+func (r *Router) peer(addr string, lane int) *wire.Peer {
+	key := peerKey{addr: addr, lane: lane}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.peers[key]
+	if p == nil {
+		p = wire.NewPeer(func(ctx context.Context) (net.Conn, error) { return r.config.Dial(ctx, addr) })
+		r.peers[key] = p
+	}
+	return p
+}
+
+// heard takes in what a sidecar says on the back of a reply.
+func (r *Router) heard(now time.Time, vm platform.VM, c wire.Control) {
+	if pool := r.View().Pools[vm.Pool]; pool != nil {
+		pool.beliefs.heard(now, load.Hash(vm.ID), max(vm.Weight, 1), c)
+	}
+}
+
+// control returns what a sidecar of pool is told on the back of a request.
+func (r *Router) control(now time.Time, pool *Pool) wire.Control {
+	c := wire.Control{Config: r.View().Version}
+	if pool != nil {
+		c.Samples = pool.beliefs.samples(now)
+	}
+	return c
+}
+
+// avoid puts an upstream behind the others for a while.
+func (r *Router) avoid(vm string) {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, until := range r.avoided {
+		if now.After(until) {
+			delete(r.avoided, id)
+		}
+	}
+	r.avoided[vm] = now.Add(avoidFor)
+}
+
+// avoids reports whether an upstream is avoided at now.
+func (r *Router) avoids(vm string, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Before(r.avoided[vm])
+}
--- /dev/null
+++ b/internal/router/request.go
@@ -0,0 +1,113 @@
+package router
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/parsleyfront/parsleyfront/internal/profile"
+	"github.com/parsleyfront/parsleyfront/internal/router/dispatch"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
+)
+
+const (
+	// deadlineMargin is how much earlier than the router a sidecar ends a
+	// request at its deadline. The sidecar knows whether the request has run,
+	// so its word should arrive before the router has to say that it does not.
+	deadlineMargin = 50 * time.Millisecond
+	// marginShare limits the margin to a part of a short deadline.
+	marginShare = 10
+)
+
+// Request is a caller's request after authentication.
+type Request struct {
+	Org     *profile.Organisation
+	Profile *profile.Profile
+	Session string    // names the chat within the organisation; empty: none
+	Ticket  string    // as the caller sent it back, or empty
+	Key     *wire.Key // that the caller holds, or nil
+	Call    wire.Call
+	Trace   string // W3C traceparent for the sidecar, or empty
+}
+
+// read reports whether the request's method is safe, in the sense of HTTP.
+func (r *Request) read() bool {
+	switch r.Call.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	}
+	return false
+}
+
+// plan returns what dispatch needs to know of the request.
+func (r *Request) plan(now time.Time, offers int) dispatch.Plan {
+	return dispatch.Plan{
+		Idempotent: r.Profile.Idempotent,
+		Read:       r.read(),
+		Held:       r.Key != nil,
+		Offers:     offers,
+		HedgeAfter: r.Profile.HedgeAfter.Std(),
+		FirstByte:  after(now, r.Profile.FirstToken.Std()),
+		Deadline:   after(now, r.Profile.Deadline.Std()),
+	}
+}
+
+// after returns the time d after now, or the zero time if there is no d.
+func after(now time.Time, d time.Duration) time.Time {
+	if d <= 0 {
+		return time.Time{}
+	}
+	return now.Add(d)
+}
+
+// treatment returns what the sidecar is to know, with what is left of the
+// deadlines of plan at now.
+func (r *Request) treatment(now time.Time, plan dispatch.Plan) wire.Treatment {
+	p := r.Profile
+	return wire.Treatment{
+		Profile:       p.Name,
+		Priority:      p.Priority,
+		LoadMultiple:  p.LoadMultiple,
+		QueueBound:    p.Queue.PerUpstream,
+		OrgQueueBound: p.Queue.PerOrganisation,
+		OrgWeight:     r.Org.Weight,
+		Idempotent:    p.Idempotent,
+		KeepAnswer:    p.KeepAnswer.Std(),
+		FirstByte:     left(plan.FirstByte, now, p.FirstToken.Std()),
+		Deadline:      left(plan.Deadline, now, p.Deadline.Std()),
+	}
+}
+
+// left returns what a sidecar may use of the time until a deadline.
+func left(at, now time.Time, whole time.Duration) time.Duration {
+	if at.IsZero() {
+		return 0
+	}
+	margin := min(deadlineMargin, whole/marginShare)
+	return max(at.Sub(now)-margin, time.Millisecond)
+}
+
+// fingerprint identifies a request by its content: copies of a request that
+// its caller sends again have the same.
+func (r *Request) fingerprint() uint64 {
+	h := xxh3.New()
+	for _, part := range []string{r.Org.Name, r.Profile.Name, r.Call.Method, r.Call.Path} {
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(r.Call.Body)
+	return max(h.Sum64(), 1) // zero means not known
+}
+
+func orgHash(name string) uint64 {
+	return xxh3.HashString(name)
+}
+
+// sessionHash returns the hash of a session, or zero for none.
+func sessionHash(org, session string) uint64 {
+	if session == "" {
+		return 0
+	}
+	return max(xxh3.HashStringSeed(session, orgHash(org)), 1)
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/loop"
+	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/platform"
 	"github.com/parsleyfront/parsleyfront/internal/token"
 	"github.com/parsleyfront/parsleyfront/internal/wire"
@@ -31,6 +32,8 @@
 	VMs   platform.VMList
 	Ring  *token.Ring
 	Dial  func(ctx context.Context, addr string) (net.Conn, error)
+	// FailureDomain in which the router runs; empty: not known.
+	FailureDomain string
 }
 
 // Router serves requests.
@@ -39,14 +42,24 @@
 	loop   *loop.Loop[Event, Effect]
 	state  *State
 	view   atomic.Pointer[View]
+	limits *limits
+	lanes  lanes
 
-	mu    sync.Mutex
-	peers map[string]*wire.Peer // by address
+	mu      sync.Mutex
+	peers   map[peerKey]*wire.Peer
+	avoided map[string]time.Time // VMs that could not be reached, until when
 }
 
 // New returns a Router that works until ctx ends.
 func New(ctx context.Context, c Config) *Router {
-	r := &Router{config: c, state: NewState(), peers: make(map[string]*wire.Peer)}
+	r := &Router{
+		config:  c,
+		state:   NewState(placement.Locality{Domain: c.FailureDomain}),
+		limits:  newLimits(),
+		lanes:   lanes{used: make(map[token.Nonce]uint32)},
+		peers:   make(map[peerKey]*wire.Peer),
+		avoided: make(map[string]time.Time),
+	}
 	r.view.Store(r.state.View())
 	r.loop = loop.New(r.state, func(Effect) {}, func() { r.view.Store(r.state.View()) })
 	go r.loop.Run(ctx)
@@ -126,18 +139,6 @@
 	}
 }
 
-// peer returns the Peer for a sidecar's address.
-func (r *Router) peer(addr string) *wire.Peer {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	p := r.peers[addr]
-	if p == nil {
-		p = wire.NewPeer(func(ctx context.Context) (net.Conn, error) { return r.config.Dial(ctx, addr) })
-		r.peers[addr] = p
-	}
-	return p
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -5,8 +5,7 @@
 
 import (
 	"encoding/json"
-	"slices"
-	"strings"
+	"maps"
 
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/platform"
@@ -40,11 +39,15 @@
 	profiles map[string]*profile.Profile
 	orgs     map[string]*profile.Organisation
 	vms      platform.VMs
+	beliefs  map[string]*beliefs // by pool
+	self     placement.Locality
 }
 
-// NewState returns the State of a router that knows nothing yet.
-func NewState() *State {
+// NewState returns the State of a router at self that knows nothing yet.
+func NewState(self placement.Locality) *State {
 	return &State{
+		beliefs:  make(map[string]*beliefs),
+		self:     self,
 		objects:  make(map[platform.Ref]platform.Version),
 		profiles: make(map[string]*profile.Profile),
 		orgs:     make(map[string]*profile.Organisation),
@@ -91,98 +94,20 @@
 	}
 }
 
-// View is an immutable picture of a router's control state, for traffic.
-type View struct {
-	Version  platform.Version
-	Profiles map[string]*profile.Profile
-	Orgs     map[string]*profile.Organisation // by the hash of an API key
-	Pools    map[string]*Pool
-	VMs      map[string]platform.VM
-}
-
-// Pool is the upstreams of one pool.
-type Pool struct {
-	VMs   []platform.VM
-	Seeds []uint64
-}
-
 // View builds the picture of the present state.
 func (s *State) View() *View {
 	v := &View{
 		Version:  s.version,
-		Profiles: make(map[string]*profile.Profile, len(s.profiles)),
+		Profiles: maps.Clone(s.profiles),
 		Orgs:     make(map[string]*profile.Organisation, len(s.orgs)),
 		Pools:    make(map[string]*Pool),
 		VMs:      make(map[string]platform.VM, len(s.vms.Entries)),
 	}
-	for name, p := range s.profiles {
-		v.Profiles[name] = p
-	}
 	for _, o := range s.orgs {
 		for _, k := range o.Keys {
 			v.Orgs[k.SHA256] = o
 		}
 	}
-	for _, vm := range s.vms.Entries {
-		v.addVM(vm)
-	}
+	v.buildPools(s.vms.Entries, s.beliefs, s.self)
 	return v
 }
-
-func (v *View) addVM(vm platform.VM) {
-	v.VMs[vm.ID] = vm
-	if vm.Role != platform.RoleUpstream || vm.Leaving {
-		return
-	}
-	p := v.Pools[vm.Pool]
-	if p == nil {
-		p = &Pool{}
-		v.Pools[vm.Pool] = p
-	}
-	p.VMs = append(p.VMs, vm)
-	p.Seeds = append(p.Seeds, placement.Seed(vm.ID))
-}
-
-// ForModel returns the profile by which org uses model: the named one, or the
-// first of its profiles that serves the model.
-func (v *View) ForModel(org *profile.Organisation, name, model string) *profile.Profile {
-	for _, allowed := range org.Profiles {
-		p := v.Profiles[allowed]
-		if p != nil && p.Model == model && (name == "" || name == p.Name) {
-			return p
-		}
-	}
-	return nil
-}
-
-// ForService returns the profile by which org makes a call of a service. Among
-// several the one with the longest matching route counts.
-func (v *View) ForService(org *profile.Organisation, name, service, method, path string) *profile.Profile {
-	var best *profile.Profile
-	longest := -1
-	for _, allowed := range org.Profiles {
-		p := v.Profiles[allowed]
-		if p == nil || p.Service != service || (name != "" && name != p.Name) {
-			continue
-		}
-		if n := matchRoutes(p.Routes, method, path); n > longest {
-			best, longest = p, n
-		}
-	}
-	return best
-}
-
-// matchRoutes returns the length of the longest matching prefix, or -1.
-func matchRoutes(routes []profile.Route, method, path string) int {
-	if len(routes) == 0 {
-		return 0
-	}
-	longest := -1
-	for _, r := range routes {
-		methodFits := len(r.Methods) == 0 || slices.Contains(r.Methods, method)
-		if methodFits && strings.HasPrefix(path, r.Prefix) {
-			longest = max(longest, len(r.Prefix))
-		}
-	}
-	return longest
-}
