--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,320 @@
+package lease
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"pgregory.net/rapid"
+
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.steps", "300")
+	_ = flag.Set("rapid.checks", "500")
+}
+
+// world is candidates with clocks of their own before one store, in virtual
+// time, and one sidecar that takes orders.
+type world struct {
+	now        time.Duration // since the start, true time
+	candidates []*candidate
+	object     platform.Object // the lease object; version zero: none
+	version    platform.Version
+	down       bool
+	calls      []*call
+	orders     []*order
+	fence      Fence
+	history    []porcupine.Operation
+}
+
+type candidate struct {
+	id      string
+	state   *State
+	offset  time.Duration
+	permil  int64 // rate of its clock
+	paused  bool
+	waiting []Event
+}
+
+// call is a call of the store on its way. A write may take effect long after
+// its caller has given it up.
+type call struct {
+	from     *candidate
+	state    *State // of from, which may have been restarted since
+	effect   Effect
+	answered bool
+	applied  bool
+}
+
+type order struct {
+	from  *candidate
+	token wire.FencingToken
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{}
+	for i := range 3 {
+		w.candidates = append(w.candidates, &candidate{
+			id:     fmt.Sprint("router-", i),
+			state:  NewState(fmt.Sprint("router-", i)),
+			offset: time.Duration(rapid.IntRange(-1000, 1000).Draw(t, "offset")) * time.Second,
+			permil: int64(rapid.IntRange(950, 1050).Draw(t, "rate")),
+		})
+	}
+	return w
+}
+
+func (w *world) clock(c *candidate) time.Time {
+	return time.UnixMilli(1_800_000_000_000).Add(c.offset + w.now*time.Duration(c.permil)/1000)
+}
+
+// step hands c an event, or keeps it until c is resumed. The time in a Tick is
+// that of the clock; answers are stamped when they are handed over.
+func (w *world) step(c *candidate, event Event) {
+	if c.paused {
+		c.waiting = append(c.waiting, event)
+		return
+	}
+	switch e := event.(type) {
+	case Read:
+		e.Now = w.clock(c)
+		event = e
+	case Wrote:
+		e.Now = w.clock(c)
+		event = e
+	}
+	for _, effect := range c.state.Step(event) {
+		w.calls = append(w.calls, &call{from: c, state: c.state, effect: effect})
+	}
+}
+
+// apply lets a call take effect at the store and returns its outcome.
+func (w *world) apply(k *call) (platform.Object, error) {
+	k.applied = true
+	if w.down {
+		return platform.Object{}, platform.ErrRefused
+	}
+	put, writes := k.effect.(Put)
+	if !writes {
+		if w.object.Version == 0 {
+			return platform.Object{}, platform.ErrNotFound
+		}
+		return w.object, nil
+	}
+	if w.object.Version != put.IfVersion {
+		return platform.Object{}, platform.ErrConflict
+	}
+	w.version++
+	value, _ := json.Marshal(put.Record)
+	w.object = platform.Object{Version: w.version, Value: value}
+	return w.object, nil
+}
+
+func (w *world) answer(k *call, o platform.Object, err error) {
+	k.answered = true
+	if k.state != k.from.state {
+		return
+	}
+	if _, writes := k.effect.(Put); writes {
+		w.step(k.from, Wrote{Object: o, Err: err})
+		return
+	}
+	w.step(k.from, Read{Object: o, Err: err})
+}
+
+// lose loses the answer to a call, before or after its effect.
+func (w *world) lose(k *call) {
+	if _, writes := k.effect.(Put); writes {
+		w.answer(k, platform.Object{}, platform.ErrUnknown)
+		return
+	}
+	w.answer(k, platform.Object{}, platform.ErrRefused)
+}
+
+func (w *world) pending(want func(*call) bool) []*call {
+	var out []*call
+	for _, k := range w.calls {
+		if want(k) {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+// serve processes all calls that have not been answered.
+func (w *world) serve() {
+	for i := 0; i < len(w.calls); i++ {
+		if k := w.calls[i]; !k.answered && !k.applied {
+			o, err := w.apply(k)
+			w.answer(k, o, err)
+		}
+	}
+}
+
+func (w *world) resume(c *candidate) {
+	c.paused = false
+	waiting := c.waiting
+	c.waiting = nil
+	for _, event := range waiting {
+		w.step(c, event)
+	}
+}
+
+// arrive brings an order to the sidecar.
+func (w *world) arrive(o *order) {
+	if !w.fence.Known() && !w.down && w.object.Version != 0 {
+		var r Record
+		_ = json.Unmarshal(w.object.Value, &r)
+		w.fence.Learn(TokenOf(r, w.object.Version))
+	}
+	err := w.fence.Check(o.token)
+	// The upstream works on orders in the order of their arrival.
+	n := int64(len(w.history))
+	w.history = append(w.history, porcupine.Operation{Call: 2 * n, Return: 2*n + 1, Input: *o, Output: err == nil})
+}
+
+// held returns who believes to hold the lease.
+func (w *world) held() []*candidate {
+	var out []*candidate
+	for _, c := range w.candidates {
+		if c.state.Grant().Valid(w.clock(c)) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// inTokenOrder is a sidecar's register of the token whose order it took last.
+// It takes orders in the order of tokens, and none of two holders with one token.
+var inTokenOrder = porcupine.Model{
+	Init: func() any { return order{} },
+	Step: func(state, input, output any) (bool, any) {
+		last, o := state.(order), input.(order)
+		if !output.(bool) {
+			return true, last
+		}
+		same := o.token == last.token && o.from == last.from
+		return o.token > last.token || same, o
+	},
+}
+
+func (w *world) pass(t *rapid.T, ms int) {
+	w.now += time.Duration(rapid.IntRange(1, ms).Draw(t, "ms")) * time.Millisecond
+}
+
+func (w *world) tick() {
+	for _, c := range w.candidates {
+		if !c.paused {
+			w.step(c, Tick{Now: w.clock(c), Stands: true})
+		}
+	}
+}
+
+// run is a while in which all goes well, but for who is paused.
+func (w *world) run(t *rapid.T) {
+	w.tick()
+	w.serve()
+	w.pass(t, 4000)
+}
+
+func (w *world) actions(t *rapid.T) map[string]func(*rapid.T) {
+	one := func(t *rapid.T) *candidate { return rapid.SampledFrom(w.candidates).Draw(t, "candidate") }
+	unanswered := func(k *call) bool { return !k.answered && !k.applied }
+	return map[string]func(*rapid.T){
+		"run":      w.run,
+		"run on":   w.run, // likelier than faults, so that leases are won and lapse
+		"run more": w.run,
+		"tick":     func(t *rapid.T) { w.tick() },
+		"pass":     func(t *rapid.T) { w.pass(t, 12000) },
+		"lose": func(t *rapid.T) {
+			if calls := w.pending(unanswered); len(calls) > 0 {
+				k := rapid.SampledFrom(calls).Draw(t, "call")
+				if rapid.Bool().Draw(t, "after its effect") {
+					_, _ = w.apply(k)
+				}
+				w.lose(k)
+			}
+		},
+		"late write": func(t *rapid.T) {
+			if calls := w.pending(func(k *call) bool { return k.answered && !k.applied }); len(calls) > 0 {
+				_, _ = w.apply(rapid.SampledFrom(calls).Draw(t, "call"))
+			}
+		},
+		"pause":   func(t *rapid.T) { one(t).paused = true },
+		"resume":  func(t *rapid.T) { w.resume(one(t)) },
+		"outage":  func(t *rapid.T) { w.down = rapid.IntRange(0, 2).Draw(t, "out") == 0 },
+		"restart": func(t *rapid.T) { w.fence = Fence{} },
+		"resign": func(t *rapid.T) {
+			if rapid.IntRange(0, 9).Draw(t, "rarely") == 0 {
+				c := one(t)
+				w.step(c, Resign{})
+				c.waiting = nil
+				c.state = NewState(fmt.Sprint(c.id, "-", w.now))
+			}
+		},
+		"prepare": func(t *rapid.T) { // checks the lease, and is paused before it sends
+			for _, c := range w.held() {
+				w.orders = append(w.orders, &order{from: c, token: c.state.Grant().Token})
+			}
+		},
+		"arrive": func(t *rapid.T) {
+			if len(w.orders) > 0 {
+				i := rapid.IntRange(0, len(w.orders)-1).Draw(t, "order")
+				w.arrive(w.orders[i])
+				w.orders = append(w.orders[:i], w.orders[i+1:]...)
+			}
+		},
+		"": func(t *rapid.T) {
+			if holders := w.held(); len(holders) > 1 {
+				t.Fatalf("%s and %s hold the lease", holders[0].id, holders[1].id)
+			}
+		},
+	}
+}
+
+// A router that holds the lease is frozen after it has checked its lease and
+// before its order goes out. Another takes the lease and gives orders. The
+// first wakes up, or its order arrives late: the upstream would load a model
+// that nobody wants any more. Answers of the store are lost before and after
+// their effect, writes land late, and the sidecar restarts in between.
+func TestOrdersOnlyInTokenOrder(t *testing.T) {
+	accepted, refused := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		t.Repeat(w.actions(t))
+		if !porcupine.CheckOperations(inTokenOrder, w.history) {
+			t.Fatalf("orders were taken out of token order: %v", w.history)
+		}
+		for _, op := range w.history {
+			if op.Output.(bool) {
+				accepted++
+			} else {
+				refused++
+			}
+		}
+		w.down = false
+		for _, c := range w.candidates {
+			w.resume(c)
+		}
+		for range 12 {
+			w.tick()
+			w.serve()
+			w.now += Every
+		}
+		if len(w.held()) != 1 {
+			t.Fatalf("%d hold the lease after a quiet minute", len(w.held()))
+		}
+	})
+	t.Logf("%d orders taken, %d refused", accepted, refused)
+	if accepted == 0 || refused == 0 {
+		t.Fatal("orders must be both taken and refused, or the test shows nothing")
+	}
+}
--- /dev/null
+++ b/internal/lease/runner.go
@@ -0,0 +1,128 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/parsleyfront/parsleyfront/internal/loop"
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+)
+
+// tickEvery is how often a Runner looks at the clock.
+const tickEvery = 250 * time.Millisecond
+
+// Runner keeps a State against the platform's store.
+type Runner struct {
+	store  platform.Store
+	ref    platform.Ref
+	stands func() bool
+	state  *State
+	loop   *loop.Loop[Event, Effect]
+	grant  atomic.Pointer[Grant]
+	ctx    context.Context
+	over   chan struct{} // closed when the resignation is written, or can't be
+}
+
+// NewRunner returns a Runner for the lease object of that name, as the
+// candidate self, which must be unique to the process. It stands for the lease
+// while stands reports true.
+func NewRunner(store platform.Store, name, self string, stands func() bool) *Runner {
+	r := &Runner{
+		store:  store,
+		ref:    platform.Ref{Kind: platform.KindLease, Name: name},
+		stands: stands,
+		state:  NewState(self),
+		over:   make(chan struct{}),
+	}
+	r.grant.Store(&Grant{})
+	r.loop = loop.New(r.state, r.act, r.publish)
+	return r
+}
+
+// Run keeps the lease until ctx ends, and then resigns.
+func (r *Runner) Run(ctx context.Context) {
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	r.ctx = background
+	go r.loop.Run(background)
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			// The time is taken here and not from the tick, which may have
+			// waited while the process was paused.
+			r.loop.Post(Tick{Now: time.Now(), Stands: r.stands()})
+		case <-ctx.Done():
+			r.quit()
+			return
+		}
+	}
+}
+
+// quit resigns and waits until the store has heard of it, or for a renewal's time.
+func (r *Runner) quit() {
+	held := r.Grant().Valid(time.Now())
+	r.loop.Post(Resign{})
+	if !held {
+		return
+	}
+	select {
+	case <-r.over:
+	case <-time.After(Every):
+	}
+}
+
+// Grant returns what is held now. Who acts under it checks Valid before each effect.
+func (r *Runner) Grant() Grant {
+	return *r.grant.Load()
+}
+
+func (r *Runner) publish() {
+	g := r.state.Grant()
+	r.grant.Store(&g)
+}
+
+func (r *Runner) act(effect Effect) {
+	switch e := effect.(type) {
+	case Get:
+		go func() {
+			o, err := r.store.Get(r.ctx, r.ref)
+			r.loop.Post(Read{Now: time.Now(), Object: o, Err: err})
+		}()
+	case Put:
+		go r.write(e)
+	}
+}
+
+func (r *Runner) write(p Put) {
+	value, err := json.Marshal(p.Record)
+	if err != nil {
+		panic(err) // a Record has no value that could fail
+	}
+	o, err := r.store.Put(r.ctx, r.ref, value, p.IfVersion)
+	r.loop.Post(Wrote{Now: time.Now(), Object: o, Err: err})
+	if p.Record.Holder == "" {
+		close(r.over)
+	}
+}
+
+// Stands reports whether self is among the routers that stand for a lease: the
+// first few by a hash, so that hundreds of routers do not all ask the store.
+// Where routers disagree on the list, more or fewer stand for a while.
+func Stands(name, self string, routers []string) bool {
+	mine := xxh3.HashString(name + "\x00" + self)
+	before, listed := 0, false
+	for _, r := range routers {
+		if r == self {
+			listed = true
+		} else if xxh3.HashString(name+"\x00"+r) < mine {
+			before++
+		}
+	}
+	return listed && before < Candidates
+}
--- /dev/null
+++ b/internal/lease/state.go
@@ -0,0 +1,259 @@
+package lease
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
+)
+
+// Event is something that has happened to a candidate.
+type Event interface{ isEvent() }
+
+// Tick is the passing of time.
+type Tick struct {
+	Now    time.Time
+	Stands bool // this router is to stand for the lease
+}
+
+// Read is the end of a Get. Now is a time after the answer has come.
+type Read struct {
+	Now    time.Time
+	Object platform.Object
+	Err    error
+}
+
+// Wrote is the end of a Put.
+type Wrote struct {
+	Now    time.Time
+	Object platform.Object
+	Err    error
+}
+
+// Resign gives the lease up, for a planned stop. The holding ends at once; the
+// store is told, so that the next holder need not wait. If that write is lost,
+// the lease lapses.
+type Resign struct{}
+
+func (Tick) isEvent()   {}
+func (Read) isEvent()   {}
+func (Wrote) isEvent()  {}
+func (Resign) isEvent() {}
+
+// Effect is a call of the store. A State has one out at a time.
+type Effect interface{ isEffect() }
+
+// Get reads the lease object.
+type Get struct{}
+
+// Put writes the lease object if it is still at IfVersion.
+type Put struct {
+	Record    Record
+	IfVersion platform.Version
+}
+
+func (Get) isEffect() {}
+func (Put) isEffect() {}
+
+// attempt is a write whose outcome may not be known.
+type attempt struct {
+	id        string
+	record    Record
+	sent      time.Time // before it was sent
+	ifVersion platform.Version
+}
+
+// State is a candidate's or holder's view of the lease.
+type State struct {
+	self    string // unique to this process, so that a restarted one is another
+	written uint64
+
+	calling  bool // a call is out
+	stands   bool
+	resigned bool
+	owes     bool      // the store is to hear of the resignation
+	next     time.Time // of the next call
+
+	known   bool // the object has been read
+	record  Record
+	version platform.Version // zero: there is no object
+	since   time.Time        // when version was seen first
+
+	attempts []attempt
+	token    wire.FencingToken // zero: not the holder
+	deadline time.Time
+}
+
+// NewState returns the State of a candidate. self must be unique to the process.
+func NewState(self string) *State {
+	return &State{self: self}
+}
+
+// Held returns the fencing token while the lease is held.
+func (s *State) Held(now time.Time) (wire.FencingToken, bool) {
+	return s.token, s.token != 0 && now.Before(s.deadline)
+}
+
+// Grant is an immutable picture of the lease for those that act under it.
+type Grant struct {
+	Token    wire.FencingToken
+	Deadline time.Time
+}
+
+// Valid reports whether the lease is held at now. A holder asks before each
+// effect: one that was paused wakes up with the belief of the time before. The
+// wall clock counts as well, since the monotonic one stands still while a VM
+// is suspended.
+func (g Grant) Valid(now time.Time) bool {
+	return g.Token != 0 && now.Before(g.Deadline) && now.Round(0).Before(g.Deadline.Round(0))
+}
+
+// Grant returns the present picture.
+func (s *State) Grant() Grant {
+	return Grant{Token: s.token, Deadline: s.deadline}
+}
+
+// Step applies an event.
+func (s *State) Step(event Event) []Effect {
+	effects := s.apply(event)
+	if !s.owes || s.calling {
+		return effects
+	}
+	s.owes = false
+	if s.record.Holder != s.self {
+		return effects
+	}
+	return append(effects, s.put(s.next, Record{}, s.next)...)
+}
+
+func (s *State) apply(event Event) []Effect {
+	switch e := event.(type) {
+	case Tick:
+		s.stands = e.Stands
+		return s.tick(e.Now)
+	case Read:
+		s.calling = false
+		return s.read(e)
+	case Wrote:
+		s.calling = false
+		return s.wrote(e)
+	case Resign:
+		s.resigned, s.owes = true, s.token != 0
+		s.token = 0
+	}
+	return nil
+}
+
+func (s *State) tick(now time.Time) []Effect {
+	if s.calling || s.resigned || now.Before(s.next) {
+		return nil
+	}
+	if s.token != 0 {
+		return s.put(now, Record{Holder: s.self, Token: s.token}, now.Add(Every))
+	}
+	if !s.stands {
+		return nil
+	}
+	return s.get(now.Add(Every))
+}
+
+func (s *State) get(next time.Time) []Effect {
+	s.calling, s.next = true, next
+	return []Effect{Get{}}
+}
+
+func (s *State) put(now time.Time, r Record, next time.Time) []Effect {
+	s.written++
+	r.Attempt = fmt.Sprintf("%s#%d", s.self, s.written)
+	s.calling, s.next = true, next
+	s.attempts = append(s.attempts, attempt{id: r.Attempt, record: r, sent: now, ifVersion: s.version})
+	return []Effect{Put{Record: r, IfVersion: s.version}}
+}
+
+func (s *State) read(e Read) []Effect {
+	switch {
+	case errors.Is(e.Err, platform.ErrNotFound):
+		s.see(e.Now, Record{}, 0)
+	case e.Err != nil:
+		return nil
+	default:
+		var r Record
+		if json.Unmarshal(e.Object.Value, &r) != nil {
+			return nil
+		}
+		s.see(e.Now, r, e.Object.Version)
+	}
+	if s.resigned || s.token != 0 || !s.stands || !s.free(e.Now) {
+		return nil
+	}
+	return s.put(e.Now, Record{Holder: s.self}, e.Now.Add(Every))
+}
+
+// see takes in the object as it was read.
+//
+// A write whose answer was lost may have made this process the holder, or may
+// still be on its way. The attempt id in the object tells: if it is one of
+// ours, that write took effect, and the lease counts from before it was sent.
+func (s *State) see(now time.Time, r Record, v platform.Version) {
+	if v != 0 && v < s.version {
+		return // a read that lags
+	}
+	if !s.known || v != s.version {
+		s.since = now
+	}
+	s.known, s.record, s.version = true, r, v
+	i := slices.IndexFunc(s.attempts, func(a attempt) bool { return a.id == r.Attempt })
+	switch {
+	case i >= 0 && r.Holder == s.self:
+		s.hold(TokenOf(r, v), s.attempts[i].sent)
+	case r.Holder != s.self || TokenOf(r, v) != s.token:
+		s.token = 0
+	}
+	// A write takes effect only while the object is at the version it names.
+	s.attempts = slices.DeleteFunc(s.attempts, func(a attempt) bool { return a.ifVersion != v })
+}
+
+func (s *State) hold(t wire.FencingToken, sent time.Time) {
+	if s.resigned {
+		return
+	}
+	s.token = t
+	s.deadline = sent.Add(TTL)
+}
+
+// free reports whether the lease may be taken. Its holder counts TTL from
+// before its write was sent; this counts from after that write was seen, and
+// longer, so the holder has stopped by then.
+func (s *State) free(now time.Time) bool {
+	return s.record.Holder == "" || now.Sub(s.since) >= TTL+Margin
+}
+
+func (s *State) wrote(e Wrote) []Effect {
+	last := s.attempts[len(s.attempts)-1]
+	switch {
+	case e.Err == nil:
+		s.see(e.Now, last.record, e.Object.Version)
+		return nil
+	case errors.Is(e.Err, platform.ErrRefused):
+		s.drop(last)
+		s.next = e.Now.Add(time.Second)
+		return nil
+	case errors.Is(e.Err, platform.ErrConflict), errors.Is(e.Err, platform.ErrNotFound):
+		s.drop(last)
+	}
+	if s.resigned {
+		return nil
+	}
+	// Another wrote, or the outcome is unknown: read back.
+	return s.get(e.Now.Add(Every))
+}
+
+// drop forgets a write that certainly had no effect.
+func (s *State) drop(a attempt) {
+	s.attempts = slices.DeleteFunc(s.attempts, func(o attempt) bool { return o == a })
+}
