wire: frames in CBOR beside JSON-RPC, numbered; dialling apart from the lock

Cause: each token went through jsonrpc2's reader, which decodes a message several times over and once into a map; request bodies did so in base64. A second reading of the same answer on one connection got the frames, the head and the detach of the first. Dialling held the peer's lock. A submit could be sent on a connection that was being closed as idle. A call into a connection that was dead in one direction only was never found. Change: frames carry a number (repeats dropped, gaps end the connection), a stream id of their own for each attachment, the nonce and the offset; bodies go ahead of their Submit; a call that was not sent is NotRun; peers dial once for all and fail fast while a sidecar is unreachable; a router asks for a sign of life also while replies are due; a Peer can serve calls. Counters by frame and control kind. Ruled out: batching tokens in a frame, which adds to the time between tokens.

--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -28,7 +28,8 @@
 	defer r.mu.Unlock()
 	p := r.peers[key]
 	if p == nil {
-		p = wire.NewPeer(func(ctx context.Context) (net.Conn, error) { return r.config.Dial(ctx, addr) })
+		dial := func(ctx context.Context) (net.Conn, error) { return r.config.Dial(ctx, addr) }
+		p = wire.NewPeer(wire.PeerConfig{Dial: dial})
 		r.peers[key] = p
 	}
 	return p
--- a/internal/sidecar/sender.go
+++ b/internal/sidecar/sender.go
@@ -60,19 +60,19 @@
 		v := s.answer.from(offset, int(max(0, min(upTo-offset, frameSize))))
 		if !headSent && v.head != nil {
 			headSent = true
-			if s.conn.Notify(wire.MethodHead, wire.Head{Stream: s.attach.Key.Nonce, Status: v.head.status, Header: v.head.header}) != nil {
+			if s.conn.Send(wire.Head{Stream: s.attach.Stream, Nonce: s.attach.Key.Nonce, Status: v.head.status, Header: v.head.header}) != nil {
 				return
 			}
 		}
 		if len(v.bytes) > 0 {
-			if s.conn.Notify(wire.MethodData, wire.Data{Stream: s.attach.Key.Nonce, Offset: offset, Bytes: v.bytes}) != nil {
+			if s.conn.Send(wire.Data{Stream: s.attach.Stream, Nonce: s.attach.Key.Nonce, Offset: offset, Bytes: v.bytes}) != nil {
 				return
 			}
 			offset += int64(len(v.bytes))
 			continue
 		}
 		if v.done && offset >= v.length {
-			_ = s.conn.Notify(wire.MethodEnd, wire.End{Stream: s.attach.Key.Nonce, Length: v.length, Error: v.err})
+			_ = s.conn.Send(wire.End{Stream: s.attach.Stream, Nonce: s.attach.Key.Nonce, Length: v.length, Error: v.err})
 			return
 		}
 		select {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -32,7 +31,7 @@
 	mu      sync.Mutex
 	waiting map[uint64]chan wire.Admission
 	answers map[token.Nonce]*held
-	conns   map[*wire.Conn]map[token.Nonce]*sender
+	conns   map[*wire.Conn]map[wire.StreamID]*sender
 }
 
 // held is an answer with the organisation that may read it.
@@ -48,7 +47,7 @@
 		ctx:     ctx,
 		waiting: make(map[uint64]chan wire.Admission),
 		answers: make(map[token.Nonce]*held),
-		conns:   make(map[*wire.Conn]map[token.Nonce]*sender),
+		conns:   make(map[*wire.Conn]map[wire.StreamID]*sender),
 	}
 	s.loop = loop.New(NewState(c.Incarnation), s.act, func() {})
 	go s.loop.Run(ctx)
@@ -75,7 +74,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	conn := wire.NewConn(s.ctx, c, s)
-	s.conns[conn] = make(map[token.Nonce]*sender)
+	s.conns[conn] = make(map[wire.StreamID]*sender)
 	go func() {
 		<-conn.Done()
 		s.drop(conn)
@@ -120,12 +119,10 @@
 }
 
 // HandleCall implements wire.Handler.
-func (s *Sidecar) HandleCall(ctx context.Context, c *wire.Conn, m wire.Method, params json.RawMessage) (any, error) {
+func (s *Sidecar) HandleCall(ctx context.Context, c *wire.Conn, m wire.Method, params wire.Params) (any, error) {
 	switch m {
 	case wire.MethodHello:
 		return wire.Hello{VM: s.config.VM, Incarnation: s.config.Incarnation}, nil
-	case wire.MethodPing:
-		return wire.Empty{}, nil
 	case wire.MethodSubmit:
 		return serve(params, func(sub wire.Submit) (any, error) { return s.submit(ctx, c, sub) })
 	case wire.MethodAttach:
@@ -135,37 +132,32 @@
 }
 
 // serve decodes the parameters of a call for f.
-func serve[P any](params json.RawMessage, f func(P) (any, error)) (any, error) {
+func serve[P any](params wire.Params, f func(P) (any, error)) (any, error) {
 	var p P
-	if err := json.Unmarshal(params, &p); err != nil {
-		return nil, verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "%s", err)
+	if err := params.Decode(&p); err != nil {
+		return nil, err
 	}
 	return f(p)
 }
 
-// HandleNotification implements wire.Handler.
-func (s *Sidecar) HandleNotification(c *wire.Conn, m wire.Method, params json.RawMessage) {
-	switch m {
-	case wire.MethodCredit:
-		var credit wire.Credit
-		if json.Unmarshal(params, &credit) == nil {
-			s.withSender(c, credit.Stream, func(out *sender) { out.grant(credit.UpTo) })
+// HandleFrame implements wire.Handler.
+func (s *Sidecar) HandleFrame(c *wire.Conn, f wire.Frame) {
+	switch f := f.(type) {
+	case wire.Credit:
+		if out := s.sender(c, f.Stream); out != nil {
+			out.grant(f.UpTo)
 		}
-	case wire.MethodDetach:
-		var detach wire.Detach
-		if json.Unmarshal(params, &detach) == nil {
-			s.withSender(c, detach.Stream, (*sender).stop)
+	case wire.Detach:
+		if out := s.sender(c, f.Stream); out != nil {
+			out.stop()
 		}
 	}
 }
 
-func (s *Sidecar) withSender(c *wire.Conn, id token.Nonce, f func(*sender)) {
+func (s *Sidecar) sender(c *wire.Conn, id wire.StreamID) *sender {
 	s.mu.Lock()
-	out := s.conns[c][id]
-	s.mu.Unlock()
-	if out != nil {
-		f(out)
-	}
+	defer s.mu.Unlock()
+	return s.conns[c][id]
 }
 
 func (s *Sidecar) submit(ctx context.Context, c *wire.Conn, sub wire.Submit) (any, error) {
@@ -186,7 +178,7 @@
 	if a.Error != nil {
 		return a, nil
 	}
-	att := wire.Attach{Key: sub.Key, Org: sub.Org, Window: sub.Window}
+	att := wire.Attach{Key: sub.Key, Org: sub.Org, Stream: sub.Stream, Window: sub.Window}
 	if _, err := s.attach(c, att); err != nil {
 		return nil, err
 	}
@@ -206,17 +198,14 @@
 	if senders == nil {
 		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonConnection, "the connection has ended")
 	}
-	if former := senders[a.Key.Nonce]; former != nil {
-		former.stop()
-	}
 	out := newSender(c, a, h.answer)
-	senders[a.Key.Nonce] = out
+	senders[a.Stream] = out
 	go func() {
 		out.send()
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if s.conns[c][a.Key.Nonce] == out {
-			delete(s.conns[c], a.Key.Nonce)
+		if s.conns[c][a.Stream] == out {
+			delete(s.conns[c], a.Stream)
 		}
 	}()
 	return wire.Admission{Joined: true}, nil
--- a/internal/wire/answer.go
+++ b/internal/wire/answer.go
@@ -8,29 +8,32 @@
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
 )
 
-// Stream is a router's view of one answer.
+// Stream is a router's reading of one answer over one connection.
 type Stream struct {
-	peer   *Peer
-	conn   *Conn
-	id     token.Nonce
-	window int
-
-	mu     sync.Mutex
-	wake   chan struct{} // holds one token when there is something new
-	head   *Head
-	buf    []byte
-	next   int64 // offset of the next byte to arrive
-	taken  int64 // offset of the next byte to be read
-	credit int64 // offset up to which the sidecar may send
-	end    *End
-	err    *verdict.Error
-}
-
-func newStream(p *Peer, c *Conn, id token.Nonce, offset int64, window int) *Stream {
+	link   *link
+	id     StreamID
+	nonce  token.Nonce
+	window int64
+
+	mu      sync.Mutex
+	wake    chan struct{} // holds one token when there is something new
+	opened  bool          // the Head has come
+	skip    bool          // the reader has the Head from an earlier Stream
+	head    *Head         // not yet taken
+	buf     []byte        // not yet taken
+	next    int64         // offset of the next byte to arrive
+	taken   int64         // offset of the next byte to be read
+	credit  int64         // offset up to which the sidecar may send
+	end     *End
+	err     *verdict.Error
+	granted bool // a credit is being sent
+}
+
+func newStream(l *link, id StreamID, o opening) *Stream {
 	return &Stream{
-		peer: p, conn: c, id: id, window: window,
-		wake: make(chan struct{}, 1),
-		next: offset, taken: offset, credit: offset + int64(window),
+		link: l, id: id, nonce: o.nonce, window: int64(o.window),
+		wake: make(chan struct{}, 1), skip: o.headSeen,
+		next: o.offset, taken: o.offset, credit: o.offset + int64(o.window),
 	}
 }
 
@@ -41,7 +44,8 @@
 	End   *End
 }
 
-// Next waits for the next piece. An error means that the stream is broken at
+// Next waits for the next piece: the Head, unless it was seen before, then the
+// bytes in order, then the End. An error means that the stream is broken at
 // Offset; the answer can be attached to again from there.
 func (s *Stream) Next(ctx context.Context) (Piece, error) {
 	for {
@@ -65,34 +69,42 @@
 func (s *Stream) take() (Piece, bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.head != nil {
+	switch {
+	case s.head != nil:
 		head := s.head
 		s.head = nil
 		return Piece{Head: head}, true, nil
-	}
-	if len(s.buf) > 0 {
+	case len(s.buf) > 0:
 		b := s.buf
 		s.buf = nil
 		s.taken += int64(len(b))
 		s.grant()
 		return Piece{Bytes: b}, true, nil
-	}
-	if s.end != nil {
+	case s.end != nil:
 		return Piece{End: s.end}, true, nil
-	}
-	if s.err != nil {
+	case s.err != nil:
 		return Piece{}, false, s.err
 	}
 	return Piece{}, false, nil
 }
 
+// grant sends new credit, away from the reader since a write can block. It
+// needs s.mu held.
 func (s *Stream) grant() {
-	upTo := s.taken + int64(s.window)
-	if s.end != nil || upTo-s.credit < int64(s.window)/2 {
+	if s.granted || s.end != nil || s.err != nil || s.taken+s.window-s.credit < s.window/2 {
 		return
 	}
-	s.credit = upTo
-	go func() { _ = s.conn.Notify(MethodCredit, Credit{Stream: s.id, UpTo: upTo}) }()
+	s.granted = true
+	go s.sendCredit()
+}
+
+func (s *Stream) sendCredit() {
+	s.mu.Lock()
+	s.granted = false
+	s.credit = s.taken + s.window
+	upTo := s.credit
+	s.mu.Unlock()
+	_ = s.link.conn.Send(Credit{Stream: s.id, UpTo: upTo})
 }
 
 // Offset is the offset of the next byte that Next will return.
@@ -104,12 +116,13 @@
 
 // Close ends the stream on this side. The request goes on at the sidecar.
 func (s *Stream) Close() {
-	s.peer.forget(s)
+	s.link.forget(s)
 	s.mu.Lock()
-	over := s.end != nil || s.err != nil
+	whole := s.end != nil
 	s.mu.Unlock()
-	if !over {
-		go func() { _ = s.conn.Notify(MethodDetach, Detach{Stream: s.id}) }()
+	s.fail(verdict.New(verdict.MayHaveRun, verdict.ReasonCancelled, "the reader has gone"))
+	if !whole {
+		s.link.detach(s.id)
 	}
 }
 
@@ -120,53 +133,98 @@
 	}
 }
 
+// admit reports whether a frame is for this stream. A frame that names another
+// request is crossed: it must not reach this reader in any way.
+func (s *Stream) admit(nonce token.Nonce) bool {
+	if nonce == s.nonce {
+		return s.end == nil && s.err == nil
+	}
+	crossedFrames.Inc()
+	return false
+}
+
+// onHead takes the Head. There is one: a second one is dropped, since the
+// caller has been told its status and headers already.
 func (s *Stream) onHead(h Head) {
 	s.mu.Lock()
-	s.head = &h
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	if !s.admit(h.Nonce) || s.opened {
+		return
+	}
+	s.opened = true
+	if !s.skip {
+		s.head = &h
+	}
 	s.signal()
 }
 
 // onData takes the part of a frame that comes next in the answer. What was
-// seen before is dropped. A gap means that a frame was lost, which a TCP
-// connection does not do unless something in between is broken: the stream
-// fails there and the answer is attached to anew.
+// seen before is dropped. A gap, bytes ahead of the Head or bytes beyond the
+// credit break the stream: the answer is then attached to anew from what has
+// been read, so no byte is missed, repeated or given to the reader out of order.
 func (s *Stream) onData(d Data) {
 	s.mu.Lock()
-	skip := s.next - d.Offset
+	defer s.mu.Unlock()
+	if !s.admit(d.Nonce) {
+		return
+	}
+	seen := s.next - d.Offset
 	switch {
-	case s.err != nil || s.end != nil || skip >= int64(len(d.Bytes)):
-	case skip < 0:
-		s.err = verdict.New(verdict.MayHaveRun, verdict.ReasonConnection, "gap at offset %d", s.next)
+	case !s.opened:
+		s.breakOff("bytes ahead of the head")
+	case seen < 0:
+		s.breakOff("a gap")
+	case seen >= int64(len(d.Bytes)):
+	case d.Offset+int64(len(d.Bytes)) > s.credit:
+		s.breakOff("bytes beyond the credit")
 	default:
-		fresh := d.Bytes[skip:]
-		s.buf = append(s.buf, fresh...)
-		s.next += int64(len(fresh))
+		s.push(d.Bytes[seen:])
+	}
+}
+
+// push needs s.mu held.
+func (s *Stream) push(b []byte) {
+	s.next += int64(len(b))
+	if len(s.buf) == 0 {
+		s.buf = b
+	} else {
+		s.buf = append(s.buf, b...)
 	}
-	s.mu.Unlock()
 	s.signal()
 }
 
-// onEnd ends the stream, unless bytes are missing before the end.
+// onEnd ends the stream, unless something is missing before the end.
 func (s *Stream) onEnd(e End) {
 	s.mu.Lock()
+	ok := s.admit(e.Nonce)
 	switch {
-	case s.err != nil || s.end != nil:
-	case e.Error == nil && e.Length != s.next:
-		s.err = verdict.New(verdict.MayHaveRun, verdict.ReasonConnection, "end at %d of %d", s.next, e.Length)
+	case !ok:
+	case e.Length != s.next:
+		s.breakOff("an end with bytes missing")
+	case !s.opened && e.Error == nil:
+		s.breakOff("an end without a head")
 	default:
 		s.end = &e
+		s.signal()
 	}
 	s.mu.Unlock()
+	if ok {
+		s.link.forget(s)
+	}
+}
+
+// breakOff needs s.mu held.
+func (s *Stream) breakOff(why string) {
+	brokenStreams.Inc()
+	s.err = verdict.New(verdict.MayHaveRun, verdict.ReasonConnection, "%s at offset %d", why, s.next)
 	s.signal()
-	s.peer.forget(s)
 }
 
 func (s *Stream) fail(err *verdict.Error) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.end == nil && s.err == nil {
 		s.err = err
+		s.signal()
 	}
-	s.mu.Unlock()
-	s.signal()
 }
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,64 +13,200 @@
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
 )
 
-// codeVerdict is the JSON-RPC error code of an error that carries a verdict.
-const codeVerdict = 4000
+const (
+	// codeVerdict is the JSON-RPC error code of an error that carries a verdict.
+	codeVerdict = 4000
 
-// Handler serves what a peer sends. Calls run on a goroutine each;
-// notifications run one after the other in the order of their arrival, so they
-// must not block.
+	// writeTimeout bounds a write to a peer that has stopped reading.
+	writeTimeout = 3 * time.Second
+)
+
+// keepAlive lets the kernel find a connection that nobody sends on and that
+// something in between has forgotten. A router asks for itself where an answer
+// is due; this is for the sidecar, which would keep the rest for ever.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 30 * time.Second, Interval: 10 * time.Second, Count: 3}
+
+// Handler serves what a peer sends.
 type Handler interface {
-	HandleCall(ctx context.Context, c *Conn, m Method, params json.RawMessage) (any, error)
-	HandleNotification(c *Conn, m Method, params json.RawMessage)
+	// HandleCall serves a call, on a goroutine of its own. Its context ends
+	// with the connection.
+	HandleCall(ctx context.Context, c *Conn, m Method, p Params) (any, error)
+	// HandleFrame takes a frame. Frames come one after the other in the order
+	// of their arrival, so it must not block.
+	HandleFrame(c *Conn, f Frame)
 }
 
 // Conn is one connection between a router and a sidecar.
 type Conn struct {
 	rpc     *jsonrpc2.Conn
-	stream  *frameStream
+	link    *transport
 	handler Handler
-	active  atomic.Int64
+	body    *body      // waits for its Submit; used by the reading goroutine alone
+	calls   sync.Mutex // keeps a body and its Submit together
+	replies sync.Mutex // keeps link.method right for a reply
+	ponging sync.Mutex // held while a pong is written
 }
 
-// NewConn runs the protocol over c until Close or until c fails.
+// NewConn runs the protocol over c until Close, until ctx ends or until c fails.
 func NewConn(ctx context.Context, c net.Conn, h Handler) *Conn {
-	conn := &Conn{stream: newFrameStream(c), handler: h}
-	conn.rpc = jsonrpc2.NewConn(ctx, conn.stream, conn)
+	return newConn(ctx, c, h, nil)
+}
+
+// newConn calls onClose once the connection has ended.
+func newConn(ctx context.Context, c net.Conn, h Handler, onClose func(*Conn)) *Conn {
+	setKeepAlive(c)
+	conn := &Conn{link: newTransport(c, writeTimeout), handler: h}
+	conn.link.onFrame = conn.handleFrame
+	if onClose != nil {
+		conn.link.onClose = func() { onClose(conn) }
+	}
+	openConnections.Add(1)
+	conn.rpc = jsonrpc2.NewConn(ctx, conn.link, conn,
+		jsonrpc2.OnSend(conn.onSend), jsonrpc2.OnRecv(conn.onReceive), jsonrpc2.SetLogger(quiet{}))
 	return conn
 }
 
+func setKeepAlive(c net.Conn) {
+	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = wrapped.NetConn()
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetKeepAliveConfig(keepAlive) // without it the connection still works
+	}
+}
+
+// quiet drops what jsonrpc2 would log at the end of a connection: the counters
+// tell of it.
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
 // Handle implements jsonrpc2.Handler.
 func (c *Conn) Handle(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
-	var params json.RawMessage
-	if req.Params != nil {
-		params = *req.Params
-	}
 	if req.Notif {
-		c.handler.HandleNotification(c, Method(req.Method), params)
 		return
 	}
-	go c.serveCall(ctx, rpc, req, params)
+	p := Params{}
+	if req.Params != nil {
+		p.json = *req.Params
+	}
+	if Method(req.Method) == MethodSubmit {
+		p.body, c.body = c.body, nil
+	}
+	go c.serveCall(ctx, rpc, req, p)
 }
 
-func (c *Conn) serveCall(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request, params json.RawMessage) {
-	result, err := c.handler.HandleCall(ctx, c, Method(req.Method), params)
+func (c *Conn) serveCall(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request, p Params) {
+	m := Method(req.Method)
+	reply := &jsonrpc2.Response{ID: req.ID}
+	result, err := c.handler.HandleCall(ctx, c, m, p)
+	if adm, ok := result.(Admission); ok {
+		countControl(adm.Control)
+	}
+	if err == nil {
+		err = reply.SetResult(result)
+	}
 	if err != nil {
-		_ = rpc.ReplyWithError(ctx, req.ID, encodeError(err))
+		reply.Error = encodeError(err)
+	}
+	if errors.Is(c.reply(rpc, m, reply), ErrTooLarge) {
+		// Without this the caller would wait for a reply that never comes.
+		e := encodeError(verdict.New(verdict.MayHaveRun, verdict.ReasonTooLarge, "the reply is too large"))
+		_ = c.reply(rpc, m, &jsonrpc2.Response{ID: req.ID, Error: e})
+	}
+}
+
+func (c *Conn) reply(rpc *jsonrpc2.Conn, m Method, r *jsonrpc2.Response) error {
+	c.replies.Lock()
+	defer c.replies.Unlock()
+	c.link.replying = m
+	return rpc.SendResponse(context.Background(), r)
+}
+
+// onSend notes what is written next. It is called in front of WriteObject
+// under the same lock.
+func (c *Conn) onSend(req *jsonrpc2.Request, _ *jsonrpc2.Response) {
+	if req != nil {
+		c.link.method = Method(req.Method)
+		return
+	}
+	c.link.method = c.link.replying
+}
+
+// onReceive counts what was read last.
+func (c *Conn) onReceive(req *jsonrpc2.Request, _ *jsonrpc2.Response) {
+	if req != nil {
+		count(Method(req.Method), c.link.size)
+	}
+}
+
+func (c *Conn) handleFrame(f Frame) {
+	switch f := f.(type) {
+	case body:
+		c.body = &f
+	case ping:
+		c.pong()
+	default:
+		c.handler.HandleFrame(c, f)
+	}
+}
+
+// pong answers a ping, away from the reading goroutine since a write can
+// block. While one is under way, more pings need no more answers.
+func (c *Conn) pong() {
+	if !c.ponging.TryLock() {
 		return
 	}
-	_ = rpc.Reply(ctx, req.ID, result)
+	go func() {
+		defer c.ponging.Unlock()
+		_ = c.link.writeFrame(pong{})
+	}()
 }
 
 // Call makes a call and waits for its result. An error of the peer keeps its
-// verdict; a failure of the connection is MayHaveRun.
+// verdict. A call that was never wholly sent is NotRun; one whose reply did
+// not come, because ctx or the connection ended, is MayHaveRun.
 func (c *Conn) Call(ctx context.Context, m Method, params, result any) error {
-	err := c.rpc.Call(ctx, string(m), params, result)
-	return decodeError(err)
+	if ctx.Err() != nil {
+		return notSent(ctx.Err())
+	}
+	waiter, err := c.dispatch(ctx, m, params)
+	if err != nil {
+		return notSent(err)
+	}
+	return decodeError(waiter.Wait(ctx, result))
+}
+
+func notSent(err error) error {
+	if errors.Is(err, ErrTooLarge) {
+		return verdict.New(verdict.NotRun, verdict.ReasonTooLarge, "the request is too large to be sent")
+	}
+	return verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, "not sent: %s", err)
 }
 
-// Notify sends a notification.
-func (c *Conn) Notify(m Method, params any) error {
-	return c.rpc.Notify(context.Background(), string(m), params)
+func (c *Conn) dispatch(ctx context.Context, m Method, params any) (jsonrpc2.Waiter, error) {
+	s, ok := params.(Submit)
+	if !ok {
+		return c.rpc.DispatchCall(ctx, string(m), params)
+	}
+	countControl(s.Control)
+	c.calls.Lock()
+	defer c.calls.Unlock()
+	if s.Call.Length = len(s.Call.Body); s.Call.Length > 0 {
+		if err := c.link.writeFrame(body{Stream: s.Stream, Bytes: s.Call.Body}); err != nil {
+			return jsonrpc2.Waiter{}, err
+		}
+	}
+	return c.rpc.DispatchCall(ctx, string(m), s)
+}
+
+// Send sends a frame. After an error other than ErrTooLarge the connection has
+// ended.
+func (c *Conn) Send(f Frame) error {
+	if end, ok := f.(End); ok {
+		countControl(end.Control)
+	}
+	return c.link.writeFrame(f)
 }
 
 // Close ends the connection.
@@ -83,14 +219,36 @@
 	return c.rpc.DisconnectNotify()
 }
 
-// LastRead is the time at which the peer was heard last.
-func (c *Conn) LastRead() time.Time {
-	return time.Unix(0, c.stream.lastRead.Load())
+// lastRead is the time at which the peer was heard last.
+func (c *Conn) lastRead() time.Time {
+	return time.Unix(0, c.link.lastRead.Load())
+}
+
+// Params is the content of a call.
+type Params struct {
+	json json.RawMessage
+	body *body
 }
 
-// Bytes returns how many bytes the connection has read and written.
-func (c *Conn) Bytes() (read, written int64) {
-	return c.stream.read.Load(), c.stream.written.Load()
+// Decode decodes the content into v. An error is NotRun: nobody can have acted
+// on the call.
+func (p Params) Decode(v any) error {
+	if err := json.Unmarshal(p.json, v); err != nil {
+		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "%s", err)
+	}
+	s, ok := v.(*Submit)
+	if !ok {
+		return nil
+	}
+	countControl(s.Control)
+	if s.Call.Length == 0 {
+		return nil
+	}
+	if p.body == nil || p.body.Stream != s.Stream || len(p.body.Bytes) != s.Call.Length {
+		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "the body did not come with the request")
+	}
+	s.Call.Body = p.body.Bytes
+	return nil
 }
 
 func encodeError(err error) *jsonrpc2.Error {
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -1,10 +1,11 @@
-// Package wire is the protocol between routers and sidecars: JSON-RPC 2.0 over
-// one TCP connection a pair, which both calls and the frames of answers share.
+// Package wire is the protocol between routers and sidecars, over one TCP
+// connection a pair: calls as JSON-RPC 2.0, answers and their flow control as
+// frames in CBOR beside it.
 //
-// A router calls; a sidecar replies to calls and sends the frames of the
-// streams that the router has open. A frame names its stream by the nonce of
-// the request key and carries its offset in the answer, so a receiver can tell
-// a crossed, repeated or missing frame from the one it waits for.
+// Either side calls. A sidecar sends the frames of the streams that a router
+// has open. A frame names its stream, the nonce of the request key and its
+// offset in the answer, so a receiver can tell a late, crossed, repeated or
+// missing frame from the one it waits for.
 package wire
 
 import (
@@ -14,7 +15,6 @@
 
 	"github.com/parsleyfront/parsleyfront/internal/idempotency"
 	"github.com/parsleyfront/parsleyfront/internal/platform"
-	"github.com/parsleyfront/parsleyfront/internal/token"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
 )
 
@@ -28,7 +28,6 @@
 	MethodAttach Method = "attach"
 	MethodCancel Method = "cancel"
 	MethodStatus Method = "status"
-	MethodPing   Method = "ping"
 	MethodNotice Method = "notice"
 	MethodReport Method = "report"
 	MethodOrder  Method = "order"
@@ -44,19 +43,6 @@
 	MethodImport Method = "import"
 )
 
-// Notifications from a router to a sidecar.
-const (
-	MethodCredit Method = "credit"
-	MethodDetach Method = "detach"
-)
-
-// Notifications from a sidecar to a router.
-const (
-	MethodHead Method = "head"
-	MethodData Method = "data"
-	MethodEnd  Method = "end"
-)
-
 // Key is a request key without its signature.
 type Key = idempotency.Key
 
@@ -65,7 +51,8 @@
 	Method string      `json:"method"`
 	Path   string      `json:"path"` // with the query, if any
 	Header http.Header `json:"header,omitempty"`
-	Body   []byte      `json:"body,omitempty"`
+	Body   []byte      `json:"-"`             // travels beside the message
+	Length int         `json:"len,omitempty"` // of Body; set on the way
 }
 
 // Treatment is what the profile and the organisation ask for one request. It
@@ -93,6 +80,7 @@
 	Fingerprint uint64    `json:"print,omitempty"` // of the organisation and the call
 	Treatment   Treatment `json:"treat"`
 	Call        Call      `json:"call"`
+	Stream      StreamID  `json:"stream"` // set by Peer
 	Window      int       `json:"window"` // bytes that may be sent ahead of credit
 	Trace       string    `json:"trace,omitempty"`
 	Control     Control   `json:"ctl"`
@@ -125,10 +113,12 @@
 
 // Attach asks for the answer to a key from an offset on.
 type Attach struct {
-	Key    Key    `json:"key"`
-	Org    string `json:"org"`
-	Offset int64  `json:"offset"`
-	Window int    `json:"window"`
+	Key      Key      `json:"key"`
+	Org      string   `json:"org"`
+	Offset   int64    `json:"offset"`
+	Stream   StreamID `json:"stream"` // set by Peer
+	Window   int      `json:"window"`
+	HeadSeen bool     `json:"-"` // the reader has the Head and is not given it again
 }
 
 // Cancel asks a sidecar to end a request.
@@ -167,39 +157,6 @@
 	Control     Control `json:"ctl"`
 }
 
-// Head is the start of an answer.
-type Head struct {
-	Stream token.Nonce `json:"s"`
-	Status int         `json:"status"`
-	Header http.Header `json:"header,omitempty"`
-}
-
-// Data is a piece of an answer.
-type Data struct {
-	Stream token.Nonce `json:"s"`
-	Offset int64       `json:"o"`
-	Bytes  []byte      `json:"d"`
-}
-
-// End is the end of an answer. Without an Error the answer is whole.
-type End struct {
-	Stream  token.Nonce    `json:"s"`
-	Length  int64          `json:"len"`
-	Error   *verdict.Error `json:"err,omitempty"`
-	Control Control        `json:"ctl"`
-}
-
-// Credit lets a sidecar send up to an offset.
-type Credit struct {
-	Stream token.Nonce `json:"s"`
-	UpTo   int64       `json:"to"`
-}
-
-// Detach tells a sidecar to send no more of a stream.
-type Detach struct {
-	Stream token.Nonce `json:"s"`
-}
-
 // Notice tells a sidecar that its VM is to leave or to stay. Notices of one VM
 // are ordered by Version; a sidecar ignores one that is older than it knows.
 type Notice struct {
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"sync"
 	"time"
@@ -11,106 +10,103 @@
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
 )
 
-const (
-	// heartbeatEvery is how long a connection with open streams may be quiet
-	// before the router asks whether the sidecar is still there.
-	heartbeatEvery = time.Second
-
-	// silentAfter is how long such a connection may stay quiet before it counts
-	// as lost. A connection that something in between has forgotten neither
-	// delivers nor fails, so only silence shows it; streams then resume on a
-	// new one.
-	silentAfter = 3 * time.Second
-
-	// idleAfter is how long a connection without streams is kept. A router
-	// serves a sliver of the traffic before thousands of sidecars, so keeping
-	// them all would cost more memory than the answers in flight.
-	idleAfter = 30 * time.Second
-)
-
 // Dialer opens a connection to a sidecar.
 type Dialer func(ctx context.Context) (net.Conn, error)
 
+// CallHandler serves the calls that a sidecar makes of a router.
+type CallHandler func(ctx context.Context, m Method, p Params) (any, error)
+
+// PeerConfig is what a Peer is told at its start.
+type PeerConfig struct {
+	Dial   Dialer
+	Calls  CallHandler // nil: the router serves none
+	Timing Timing      // zero: DefaultTiming
+}
+
 // Peer is a router's side of the protocol with one sidecar. It keeps at most
 // one connection, opened when needed.
 type Peer struct {
-	dial Dialer
+	config PeerConfig
+	ctx    context.Context // ends with Close
+	cancel context.CancelFunc
 
 	mu      sync.Mutex
-	conn    *Conn
-	hello   Hello
-	streams map[token.Nonce]*Stream
-	stray   int64 // frames for no stream
+	link    *link
+	dialing *dialing
+	failed  *verdict.Error // of the last dial; nil: it went well
+	tried   time.Time      // when the last dial ended
+}
+
+// dialing is the opening of a connection, which all wait for who need it.
+type dialing struct {
+	done chan struct{}
+	err  *verdict.Error // set before done is closed
 }
 
-// NewPeer returns a Peer that connects with dial.
-func NewPeer(dial Dialer) *Peer {
-	return &Peer{dial: dial, streams: make(map[token.Nonce]*Stream)}
+// NewPeer returns a Peer. It connects when it is first used.
+func NewPeer(c PeerConfig) *Peer {
+	if c.Timing == (Timing{}) {
+		c.Timing = DefaultTiming()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Peer{config: c, ctx: ctx, cancel: cancel}
 }
 
 // Connect returns the sidecar's introduction, connecting first when there is
 // no connection. An error is NotRun: nothing has been asked of the sidecar.
 func (p *Peer) Connect(ctx context.Context) (Hello, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	_, hello, err := p.connect(ctx)
-	return hello, err
-}
-
-// connect needs p.mu held. It holds it while dialling, so that callers share
-// one connection.
-func (p *Peer) connect(ctx context.Context) (*Conn, Hello, error) {
-	if p.conn != nil {
-		return p.conn, p.hello, nil
-	}
-	nc, err := p.dial(ctx)
+	l, err := p.acquire(ctx)
 	if err != nil {
-		return nil, Hello{}, verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, "connect: %s", err)
-	}
-	conn := NewConn(context.Background(), nc, (*peerHandler)(p))
-	var hello Hello
-	if err := conn.Call(ctx, MethodHello, Empty{}, &hello); err != nil {
-		_ = conn.Close()
-		return nil, Hello{}, verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, "hello: %s", err)
+		return Hello{}, err
 	}
-	p.conn, p.hello = conn, hello
-	go p.watch(conn)
-	return conn, hello, nil
+	defer l.release()
+	return l.hello, nil
 }
 
 // Submit asks the sidecar to run a request. The Stream carries its answer. A
-// refusal is an error together with the Admission that explains it.
+// refusal is an error together with the Admission that explains it. An error
+// that is NotRun with ReasonNoUpstream says that the request was not sent.
 func (p *Peer) Submit(ctx context.Context, s Submit) (*Stream, Admission, error) {
-	return p.open(ctx, s.Key.Nonce, 0, s.Window, MethodSubmit, s)
+	o := opening{nonce: s.Key.Nonce, window: s.Window}
+	return p.open(ctx, o, MethodSubmit, func(id StreamID) any {
+		s.Stream = id
+		return s
+	})
 }
 
 // Attach asks for the answer to a request from an offset on.
 func (p *Peer) Attach(ctx context.Context, a Attach) (*Stream, Admission, error) {
-	return p.open(ctx, a.Key.Nonce, a.Offset, a.Window, MethodAttach, a)
+	o := opening{nonce: a.Key.Nonce, offset: a.Offset, window: a.Window, headSeen: a.HeadSeen}
+	return p.open(ctx, o, MethodAttach, func(id StreamID) any {
+		a.Stream = id
+		return a
+	})
 }
 
-func (p *Peer) open(ctx context.Context, id token.Nonce, offset int64, window int, m Method, params any) (*Stream, Admission, error) {
-	p.mu.Lock()
-	conn, _, err := p.connect(ctx)
+// opening is what a Stream begins with.
+type opening struct {
+	nonce    token.Nonce
+	offset   int64
+	window   int
+	headSeen bool
+}
+
+func (p *Peer) open(ctx context.Context, o opening, m Method, params func(StreamID) any) (*Stream, Admission, error) {
+	l, err := p.acquire(ctx)
 	if err != nil {
-		p.mu.Unlock()
 		return nil, Admission{}, err
 	}
-	if _, busy := p.streams[id]; busy {
-		p.mu.Unlock()
-		return nil, Admission{}, verdict.New(verdict.MayHaveRun, verdict.ReasonKeyReused, "the request is being served already")
-	}
-	s := newStream(p, conn, id, offset, window)
-	p.streams[id] = s
-	conn.active.Add(1)
-	p.mu.Unlock()
+	defer l.release()
+	// Frames can overtake the reply, so the stream is there before the call.
+	s := l.open(o)
 	var adm Admission
-	if err := conn.Call(ctx, m, params, &adm); err != nil {
-		p.forget(s)
+	if err := l.conn.Call(ctx, m, params(s.id), &adm); err != nil {
+		s.Close()
 		return nil, Admission{}, err
 	}
+	countControl(adm.Control)
 	if adm.Error != nil {
-		p.forget(s)
+		l.forget(s)
 		return nil, adm, adm.Error
 	}
 	return s, adm, nil
@@ -118,124 +114,130 @@
 
 // Call makes a call of the sidecar, connecting first when there is no connection.
 func (p *Peer) Call(ctx context.Context, m Method, params, result any) error {
-	p.mu.Lock()
-	conn, _, err := p.connect(ctx)
-	p.mu.Unlock()
+	l, err := p.acquire(ctx)
 	if err != nil {
 		return err
 	}
-	conn.active.Add(1)
-	defer conn.active.Add(-1)
-	return conn.Call(ctx, m, params, result)
+	defer l.release()
+	return l.conn.Call(ctx, m, params, result)
 }
 
-// Close ends the connection.
+// Close ends the connection and breaks its streams. The Peer connects no more.
 func (p *Peer) Close() {
+	p.cancel()
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.conn != nil {
-		_ = p.conn.Close()
-	}
-}
-
-func (p *Peer) forget(s *Stream) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.streams[s.id] == s {
-		delete(p.streams, s.id)
-		s.conn.active.Add(-1)
+	l := p.link
+	p.mu.Unlock()
+	if l != nil {
+		_ = l.conn.Close()
 	}
 }
 
-// watch ends conn when it has gone silent or has long been idle, and breaks
-// its streams when it has ended.
-func (p *Peer) watch(conn *Conn) {
-	tick := time.NewTicker(heartbeatEvery)
-	defer tick.Stop()
-	idleSince := time.Now()
+// acquire returns the connection for a call, whose end release tells. It waits
+// for a connection to be opened, except where the last try failed: then it
+// returns that failure while another try goes on in the background, since a
+// request is better off at another upstream than waiting for a dead one.
+func (p *Peer) acquire(ctx context.Context) (*link, error) {
 	for {
+		l, d, err := p.current(time.Now())
+		if l != nil || err != nil {
+			return l, err
+		}
 		select {
-		case <-conn.Done():
-			p.lost(conn)
-			return
-		case now := <-tick.C:
-			if conn.active.Load() > 0 {
-				idleSince = now
-			}
-			p.check(conn, now, idleSince)
+		case <-d.done:
+		case <-ctx.Done():
+			return nil, unreachable(ctx.Err())
+		}
+		if d.err != nil {
+			return nil, d.err
 		}
 	}
 }
 
-func (p *Peer) check(conn *Conn, now, idleSince time.Time) {
-	if now.Sub(idleSince) > idleAfter {
-		_ = conn.Close()
-		return
+// current returns the connection or else its opening, or the failure of the
+// last try.
+func (p *Peer) current(now time.Time) (*link, *dialing, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.link != nil && p.link.acquire(now) {
+		return p.link, nil, nil
 	}
-	if conn.active.Load() == 0 {
-		return
+	p.link = nil
+	since := now.Sub(p.tried)
+	t := p.config.Timing
+	if p.dialing == nil && (p.failed == nil || since >= t.Redial) {
+		p.dialing = &dialing{done: make(chan struct{})}
+		go p.connect(p.dialing)
 	}
-	quiet := now.Sub(conn.LastRead())
-	switch {
-	case quiet > silentAfter:
-		_ = conn.Close()
-	case quiet > heartbeatEvery:
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), silentAfter)
-			defer cancel()
-			_ = conn.Call(ctx, MethodPing, Empty{}, nil)
-		}()
+	if p.failed != nil && since < t.FailFast {
+		return nil, nil, p.failed
 	}
+	return nil, p.dialing, nil
+}
+
+func unreachable(err error) *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, "connect: %s", err)
 }
 
-func (p *Peer) lost(conn *Conn) {
+// connect runs without p.mu held, so that it holds up nobody but those who
+// wait for it.
+func (p *Peer) connect(d *dialing) {
+	dials.Inc()
+	l, err := p.greet()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.conn == conn {
-		p.conn = nil
+	if err == nil && !l.alive() {
+		err = errLost()
 	}
-	for id, s := range p.streams {
-		if s.conn == conn {
-			delete(p.streams, id)
-			s.fail(verdict.New(verdict.MayHaveRun, verdict.ReasonConnection, "connection lost"))
-		}
+	if err != nil {
+		dialFailures.Inc()
+		d.err = unreachable(err)
+	} else {
+		p.link = l
 	}
+	p.failed, p.tried, p.dialing = d.err, time.Now(), nil
+	close(d.done)
 }
 
-// peerHandler is the Peer as the receiver of frames.
-type peerHandler Peer
-
-// HandleCall implements Handler: sidecars make no calls.
-func (h *peerHandler) HandleCall(context.Context, *Conn, Method, json.RawMessage) (any, error) {
-	return nil, verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "routers serve no calls")
+// greet opens a connection and hears the sidecar's introduction.
+func (p *Peer) greet() (*link, error) {
+	if err := p.ctx.Err(); err != nil {
+		return nil, err
+	}
+	c, err := p.config.Dial(p.ctx)
+	if err != nil {
+		return nil, err
+	}
+	l := newLink(p, c)
+	ctx, cancel := context.WithTimeout(p.ctx, p.config.Timing.Hello)
+	defer cancel()
+	if err := l.conn.Call(ctx, MethodHello, Empty{}, &l.hello); err != nil {
+		_ = l.conn.Close()
+		return nil, err
+	}
+	return l, nil
 }
 
-// HandleNotification implements Handler.
-func (h *peerHandler) HandleNotification(conn *Conn, m Method, params json.RawMessage) {
-	switch m {
-	case MethodHead:
-		deliver(h, conn, params, func(f Head) token.Nonce { return f.Stream }, (*Stream).onHead)
-	case MethodData:
-		deliver(h, conn, params, func(f Data) token.Nonce { return f.Stream }, (*Stream).onData)
-	case MethodEnd:
-		deliver(h, conn, params, func(f End) token.Nonce { return f.Stream }, (*Stream).onEnd)
+// lost takes l out of use.
+func (p *Peer) lost(l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.link == l {
+		p.link = nil
 	}
 }
 
-// deliver hands a frame to its stream. A frame whose stream is not open on
-// this connection is late or crossed: it is dropped and counted.
-func deliver[F any](h *peerHandler, conn *Conn, params json.RawMessage, id func(F) token.Nonce, on func(*Stream, F)) {
-	var frame F
-	if json.Unmarshal(params, &frame) != nil {
-		return
+// retire closes l if nothing is awaited on it. It takes l out of use first,
+// under the lock that acquire holds, so that no request is sent on a
+// connection that is about to be closed.
+func (p *Peer) retire(l *link) {
+	p.mu.Lock()
+	idle := l.idle(time.Now())
+	if idle && p.link == l {
+		p.link = nil
 	}
-	h.mu.Lock()
-	s := h.streams[id(frame)]
-	if s == nil || s.conn != conn {
-		h.stray++
-		h.mu.Unlock()
-		return
+	p.mu.Unlock()
+	if idle {
+		_ = l.conn.Close()
 	}
-	h.mu.Unlock()
-	on(s, frame)
 }
--- /dev/null
+++ b/internal/wire/transport.go
@@ -0,0 +1,269 @@
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+const (
+	// headerSize is the length in bytes of a frame's header: the length of the
+	// content, its kind and the frame's number.
+	headerSize = 4 + 1 + 4
+
+	readBufferSize = 4 << 10
+
+	// readStep is how much of a frame is made room for at a time. A length that
+	// is a lie costs no more memory than the bytes that really come.
+	readStep = 64 << 10
+
+	// writeStep is how much is written under one deadline, in bytes.
+	writeStep = 256 << 10
+
+	// keptBuffer is the largest buffer that is kept for the next frame.
+	keptBuffer = 64 << 10
+)
+
+// Errors that end a connection.
+var (
+	// ErrTooLarge is a frame over the limit of its kind.
+	ErrTooLarge = errors.New("wire: frame too large")
+	// ErrGap is a frame that does not follow the one before it.
+	ErrGap = errors.New("wire: frames are missing")
+)
+
+// transport carries frames over a connection. It implements
+// jsonrpc2.ObjectStream for the calls and replies among them and hands the
+// others to onFrame, in order of arrival and on the same goroutine.
+//
+// Frames are numbered. TCP keeps them in order, but what stands between the
+// two ends may not: a repeated frame is dropped, so that a call is not served
+// twice; a missing one ends the connection, so that nobody waits for an answer
+// or a credit that never comes.
+type transport struct {
+	conn         net.Conn
+	in           *bufio.Reader
+	onFrame      func(Frame)
+	onClose      func()
+	writeTimeout time.Duration
+	received     uint32       // frames
+	lastRead     atomic.Int64 // Unix nanoseconds
+	size         int          // bytes of the frame that was read last
+	method       Method       // of the call or reply that is written next
+	replying     Method       // of the call that is replied to
+
+	mu   sync.Mutex // held while a frame is written
+	sent uint32     // frames
+}
+
+func newTransport(c net.Conn, writeTimeout time.Duration) *transport {
+	t := &transport{conn: c, in: bufio.NewReaderSize(c, readBufferSize), writeTimeout: writeTimeout}
+	t.lastRead.Store(time.Now().UnixNano())
+	return t
+}
+
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// writeFrame writes a frame with CBOR content.
+func (t *transport) writeFrame(f Frame) error {
+	return t.write(f.kind(), func(b *bytes.Buffer) error { return cbor.MarshalToBuffer(f, b) })
+}
+
+// WriteObject implements jsonrpc2.ObjectStream.
+func (t *transport) WriteObject(obj any) error {
+	return t.write(kindRPC, func(b *bytes.Buffer) error { return json.NewEncoder(b).Encode(obj) })
+}
+
+// write sends one frame. After an error other than ErrTooLarge the peer has
+// not got the frame, or only a part that it can't use, and the connection is
+// of no further use.
+func (t *transport) write(k kind, encode func(*bytes.Buffer) error) error {
+	b := buffers.Get().(*bytes.Buffer)
+	defer release(b)
+	b.Reset()
+	b.Write(make([]byte, headerSize))
+	if err := encode(b); err != nil {
+		return errors.WithStack(err)
+	}
+	frame := b.Bytes()
+	content := len(frame) - headerSize
+	if content > maxSize[k] {
+		return ErrTooLarge
+	}
+	binary.BigEndian.PutUint32(frame, uint32(content))
+	frame[4] = byte(k)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sent++
+	binary.BigEndian.PutUint32(frame[5:], t.sent)
+	if err := t.writeAll(frame); err != nil {
+		_ = closeNow(t.conn)
+		return err
+	}
+	count(t.label(k), len(frame))
+	return nil
+}
+
+// label names a frame that is written, for the counters.
+func (t *transport) label(k kind) Method {
+	if k == kindRPC {
+		return t.method
+	}
+	return labels[k]
+}
+
+func release(b *bytes.Buffer) {
+	if b.Cap() <= keptBuffer {
+		buffers.Put(b)
+	}
+}
+
+// writeAll writes b. The deadline guards against a peer that has stopped
+// reading, which would hold all who share the connection for ever.
+func (t *transport) writeAll(b []byte) error {
+	for len(b) > 0 {
+		if err := t.conn.SetWriteDeadline(time.Now().Add(t.writeTimeout)); err != nil {
+			return errors.WithStack(err)
+		}
+		n, err := t.conn.Write(b[:min(len(b), writeStep)])
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		b = b[n:]
+	}
+	return nil
+}
+
+// ReadObject implements jsonrpc2.ObjectStream.
+func (t *transport) ReadObject(v any) error {
+	for {
+		k, content, err := t.next()
+		if err != nil {
+			return err
+		}
+		if k == kindRPC {
+			return malformed(json.Unmarshal(content, v))
+		}
+		f, err := decodeFrame(k, content)
+		if err != nil {
+			return malformed(err)
+		}
+		if f != nil {
+			count(labels[k], t.size)
+			t.onFrame(f)
+		}
+	}
+}
+
+func malformed(err error) error {
+	if err != nil {
+		protocolErrors.Inc()
+	}
+	return errors.WithStack(err)
+}
+
+// next returns the next frame that was not there before.
+func (t *transport) next() (kind, []byte, error) {
+	for {
+		h, content, err := readFrame(t.in)
+		if err != nil {
+			return 0, nil, err
+		}
+		switch ahead := int32(h.number - t.received); {
+		case ahead <= 0:
+			duplicateFrames.Inc()
+		case ahead > 1:
+			gaps.Inc()
+			return 0, nil, ErrGap
+		default:
+			t.received++
+			t.size = headerSize + len(content)
+			t.lastRead.Store(time.Now().UnixNano())
+			return h.kind, content, nil
+		}
+	}
+}
+
+// Close implements jsonrpc2.ObjectStream.
+func (t *transport) Close() error {
+	err := closeNow(t.conn)
+	if t.onClose != nil {
+		t.onClose()
+	}
+	return err
+}
+
+// closeNow closes c without the farewell of TLS, which would wait for a peer
+// that does not read. An End tells a whole answer from one that was cut.
+func closeNow(c net.Conn) error {
+	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = wrapped.NetConn()
+	}
+	return c.Close()
+}
+
+type header struct {
+	length int
+	kind   kind
+	number uint32
+}
+
+// readFrame reads one frame.
+func readFrame(r io.Reader) (header, []byte, error) {
+	var b [headerSize]byte
+	if _, err := io.ReadFull(r, b[:]); err != nil {
+		return header{}, nil, err
+	}
+	h := header{
+		length: int(binary.BigEndian.Uint32(b[:])),
+		kind:   kind(b[4]),
+		number: binary.BigEndian.Uint32(b[5:]),
+	}
+	if h.length > limit(h.kind) {
+		return header{}, nil, malformed(ErrTooLarge)
+	}
+	content, err := readContent(r, h.length)
+	return h, content, err
+}
+
+// limit returns the largest content of a kind, which may be one that only a
+// newer peer knows.
+func limit(k kind) int {
+	if k >= kindCount || maxSize[k] == 0 {
+		return maxUnknown
+	}
+	return maxSize[k]
+}
+
+func readContent(r io.Reader, n int) ([]byte, error) {
+	content := make([]byte, min(n, readStep))
+	for have := 0; ; {
+		if _, err := io.ReadFull(r, content[have:]); err != nil {
+			return nil, noEOF(err)
+		}
+		have = len(content)
+		if have == n {
+			return content, nil
+		}
+		grown := make([]byte, min(n, 2*have))
+		copy(grown, content)
+		content = grown
+	}
+}
+
+// noEOF turns an end of the stream within a frame into the error that it is.
+func noEOF(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
