router: one connection a sidecar serves every reader of an answer

Cause: frames named an answer by its nonce only, so each further reader of the same answer through one router took a connection of its own, up to 32. Ruled out: keeping the lanes as a second defence; they cost a connection each and a table under a lock.

--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -157,7 +157,7 @@
 
 func (a *Answer) add(vm platform.VM) *attempt {
 	ctx, stop := context.WithCancel(a.ctx)
-	at := &attempt{ctx: ctx, stop: stop, number: len(a.attempts), vm: vm, lane: lane{lanes: &a.router.lanes}}
+	at := &attempt{ctx: ctx, stop: stop, number: len(a.attempts), vm: vm}
 	a.attempts = append(a.attempts, at)
 	return at
 }
@@ -183,7 +183,6 @@
 // run.
 func (a *Answer) hold(at *attempt, key wire.Key) {
 	at.key = &key
-	at.lane.hold(key.Nonce)
 	if at.vm.ID == "" {
 		err := verdict.New(verdict.MayHaveRun, verdict.ReasonIncarnationGone, "the VM of the key has left")
 		a.launch(at, 0, func(*attempt) dispatch.Event {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -47,7 +47,6 @@
 	key    *wire.Key // nil until drawn
 	leave  bool      // word of the site of a crash, for Submit
 	gate   gate
-	lane   lane
 	stream *wire.Stream
 	pieces []wire.Piece // read ahead of delivery
 	offset int64        // of the next byte for the caller
@@ -61,7 +60,6 @@
 		at.stream.Close()
 		at.stream = nil
 	}
-	at.lane.release()
 }
 
 // submit sends the attempt to its sidecar, for the first time or again, and
@@ -117,7 +115,7 @@
 // connect returns the peer of the attempt's sidecar, connected, and draws the
 // attempt's key if it has none.
 func (a *Answer) connect(at *attempt) (*wire.Peer, error) {
-	peer := a.router.peer(at.vm.Addr, at.lane.number)
+	peer := a.router.peer(at.vm.Addr)
 	hello, err := peer.Connect(at.ctx)
 	if err != nil {
 		a.router.avoid(at.vm.ID)
@@ -126,7 +124,6 @@
 	if at.key == nil {
 		key := newKey(at.vm.ID, hello.Incarnation, time.Now())
 		at.key = &key
-		at.lane.hold(key.Nonce)
 	}
 	return peer, nil
 }
@@ -143,7 +140,7 @@
 		if vm.ID == at.vm.ID {
 			continue
 		}
-		hello, err := a.router.peer(vm.Addr, 0).Connect(at.ctx)
+		hello, err := a.router.peer(vm.Addr).Connect(at.ctx)
 		if err == nil {
 			key := newKey(vm.ID, hello.Incarnation, time.Now())
 			return &key
@@ -216,6 +213,6 @@
 	go func() {
 		ctx, done := context.WithTimeout(context.Background(), cancelTimeout)
 		defer done()
-		_ = r.peer(addr, 0).Call(ctx, wire.MethodCancel, wire.Cancel{Key: key, Org: org}, nil)
+		_ = r.peer(addr).Call(ctx, wire.MethodCancel, wire.Cancel{Key: key, Org: org}, nil)
 	}()
 }
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -15,22 +15,15 @@
 // and is not told to others, whose way to the sidecar may be whole.
 const avoidFor = 2 * time.Second
 
-// peerKey names a connection to a sidecar.
-type peerKey struct {
-	addr string
-	lane int
-}
-
 // peer returns the Peer for a sidecar's address.
-func (r *Router) peer(addr string, lane int) *wire.Peer {
-	key := peerKey{addr: addr, lane: lane}
+func (r *Router) peer(addr string) *wire.Peer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p := r.peers[key]
+	p := r.peers[addr]
 	if p == nil {
 		dial := func(ctx context.Context) (net.Conn, error) { return r.config.Dial(ctx, addr) }
 		p = wire.NewPeer(wire.PeerConfig{Dial: dial})
-		r.peers[key] = p
+		r.peers[addr] = p
 	}
 	return p
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -43,11 +43,10 @@
 	state  *State
 	view   atomic.Pointer[View]
 	limits *limits
-	lanes  lanes
 
 	mu      sync.Mutex
-	peers   map[peerKey]*wire.Peer
-	avoided map[string]time.Time // VMs that could not be reached, until when
+	peers   map[string]*wire.Peer // by address
+	avoided map[string]time.Time  // VMs that could not be reached, until when
 }
 
 // New returns a Router that works until ctx ends.
@@ -56,8 +55,7 @@
 		config:  c,
 		state:   NewState(placement.Locality{Domain: c.FailureDomain}),
 		limits:  newLimits(),
-		lanes:   lanes{used: make(map[token.Nonce]uint32)},
-		peers:   make(map[peerKey]*wire.Peer),
+		peers:   make(map[string]*wire.Peer),
 		avoided: make(map[string]time.Time),
 	}
 	r.view.Store(r.state.View())
