admin: the routers' API for operators, and the wait for a change

Cause: operators' commands need the fleet's state and an answer to "is it in force everywhere", without a picture of the fleet kept anywhere. Change: Node is what the API needs of a router; Server serves status, fleet, config versions, wait, explain and the counters; Client calls it. A fleet call goes to any router, which asks its peers, 64 at a time, each bounded. The wait hints a router that is behind to look at the store, asks again only those that were behind, and names who did not answer; a router without admin_addr counts as one that did not. Ruled out: holding each peer's request for the whole wait, because routers far behind would hold the slots that others need; rounds of 500 ms do not. The wait's test fails without the hint: the router with the silent watch is named as behind.

--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,249 @@
+// Package admin is the HTTP API that routers serve to operators, on a listener
+// of its own. It only reads, but for the hint to look at the store.
+//
+// An operator's command asks any one router, which asks its peers: the command
+// needs to reach one router, and no node keeps a picture of the whole fleet.
+package admin
+
+import (
+	"context"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/profile"
+)
+
+// Paths of the API. Those under fleet ask every live router.
+const (
+	PathStatus   = "/admin/status"
+	PathVersions = "/admin/config/versions"
+	PathWait     = "/admin/config/wait"
+	PathExplain  = "/admin/explain"
+	PathFleet    = "/admin/fleet"
+	PathFleetAll = "/admin/fleet/wait"
+	PathVars     = "/debug/vars"
+)
+
+// Node is what the API needs of the router that serves it. Its methods may be
+// called from many goroutines and return what is known now, without I/O.
+type Node interface {
+	// Status returns the router's state. Upstreams are left out when brief.
+	Status(brief bool) Status
+	// InForce says how far the router follows an object.
+	InForce(ref platform.Ref) InForce
+	// Changed is closed when the configuration in force changes next.
+	Changed() <-chan struct{}
+	// Refresh hints that the store has news, and returns at once. A watch that
+	// has gone silent costs seconds; a hint from those who know of a change
+	// does not wait for it.
+	Refresh()
+	// Explain tells where a request would go now and why.
+	Explain(Query) (Explanation, error)
+	// VMs returns the list of VMs as the router knows it.
+	VMs() []platform.VM
+}
+
+// InForce is how far a router follows one object.
+type InForce struct {
+	// Version of the object by which the router treats traffic. For one that it
+	// does not hold, the version of the store up to which it is complete.
+	Version platform.Version `json:"version"`
+	// Problem is why a newer version, of which the router knows, is not in
+	// force: it is invalid for the router's release.
+	Problem string `json:"problem,omitempty"`
+}
+
+// Status is a router's state.
+type Status struct {
+	VM            string        `json:"vm"`
+	FailureDomain string        `json:"failure_domain,omitempty"`
+	Started       time.Time     `json:"started"`
+	Ready         bool          `json:"ready"`
+	Draining      bool          `json:"draining,omitempty"`
+	Config        ConfigStatus  `json:"config"`
+	Pools         []PoolStatus  `json:"pools"`
+	Control       []ControlRate `json:"control"`
+	Quarantined   []Quarantined `json:"quarantined,omitempty"`
+}
+
+// ConfigStatus is how far a router follows the configuration.
+type ConfigStatus struct {
+	Version platform.Version `json:"version"` // of the newest object in force
+	// Rejected are the objects that the router holds to be invalid. It goes on
+	// with the version before.
+	Rejected []profile.Problem `json:"rejected,omitempty"`
+	// StoreHeard is when the store answered last; zero is never.
+	StoreHeard time.Time `json:"store_heard,omitzero"`
+}
+
+// PoolStatus is a pool as one router sees it, by samples of other nodes.
+type PoolStatus struct {
+	Name     string  `json:"name"`
+	Known    int     `json:"known"` // upstreams of the list of VMs that are not leaving
+	Serving  int     `json:"serving"`
+	Draining int     `json:"draining"`
+	Down     int     `json:"down"`
+	Mean     float64 `json:"mean_load"`
+	Max      int     `json:"max_load"`
+	// Skew is the busiest upstream's load over the mean; zero without load.
+	Skew      float64          `json:"skew"`
+	Busiest   string           `json:"busiest,omitempty"`
+	Upstreams []UpstreamStatus `json:"upstreams,omitempty"`
+}
+
+// UpstreamStatus is an upstream as one router sees it.
+type UpstreamStatus struct {
+	VM            string `json:"vm"`
+	FailureDomain string `json:"failure_domain,omitempty"`
+	State         string `json:"state"` // serving, draining, down or unheard
+	Load          int    `json:"load"`  // requests admitted and not ended
+}
+
+// ControlRate is what a router spends on control traffic of one kind.
+type ControlRate struct {
+	Kind           string  `json:"kind"`
+	Bytes          int64   `json:"bytes"`            // since its start
+	BytesPerSecond float64 `json:"bytes_per_second"` // mean since its start
+}
+
+// Quarantined is a request that crashes upstreams, or may.
+type Quarantined struct {
+	Fingerprint string    `json:"fingerprint"`
+	State       string    `json:"state"`
+	Until       time.Time `json:"until,omitzero"`
+}
+
+// Query asks where a request would go. Model or Service is set.
+type Query struct {
+	Organisation string `json:"organisation"`
+	Profile      string `json:"profile,omitempty"` // as the caller would ask for; empty: the one that fits
+	Model        string `json:"model,omitempty"`
+	Service      string `json:"service,omitempty"`
+	Method       string `json:"method,omitempty"` // of a call of a service
+	Path         string `json:"path,omitempty"`   // of a call of a service, after its name
+	Session      string `json:"session,omitempty"`
+	Ticket       string `json:"ticket,omitempty"` // placement ticket that the caller would send
+}
+
+// Explanation is where a request would go and why.
+type Explanation struct {
+	VM         string      `json:"vm"` // router that answers
+	Profile    string      `json:"profile"`
+	Pool       string      `json:"pool"`
+	Mean       float64     `json:"mean_load"`
+	Multiple   float64     `json:"load_multiple"`
+	TicketNote string      `json:"ticket"` // what became of the ticket
+	Candidates []Candidate `json:"candidates"`
+}
+
+// Candidate is an upstream to which a request would be offered, in order.
+type Candidate struct {
+	VM            string `json:"vm"`
+	FailureDomain string `json:"failure_domain,omitempty"`
+	State         string `json:"state"`
+	Load          int    `json:"load"`
+	Bound         int    `json:"bound"` // as the router estimates it; zero: none
+	Why           string `json:"why"`
+}
+
+// ObjectVersion is an object at a version.
+type ObjectVersion struct {
+	platform.Ref
+	Version platform.Version `json:"version"`
+}
+
+// WaitRequest asks whether objects are in force.
+type WaitRequest struct {
+	Objects []ObjectVersion `json:"objects"`
+	// WaitMillis is how long the answer may take while some are not, at most
+	// maxWait.
+	WaitMillis int `json:"wait_ms"`
+}
+
+// WaitReply names the objects that are not in force at a router.
+type WaitReply struct {
+	VM     string   `json:"vm"`
+	Behind []Behind `json:"behind,omitempty"`
+}
+
+// Behind is an object that is not in force.
+type Behind struct {
+	ObjectVersion
+	InForce InForce `json:"in_force"`
+}
+
+// FleetStatus is what the routers say of themselves.
+type FleetStatus struct {
+	VM      string         `json:"vm"` // router that asked the others
+	Routers []RouterStatus `json:"routers"`
+	VMs     []platform.VM  `json:"vms"` // the list, as that router knows it
+}
+
+// RouterStatus is one router's Status, or why there is none.
+type RouterStatus struct {
+	VM     string  `json:"vm"`
+	Status *Status `json:"status,omitempty"`
+	Error  string  `json:"error,omitempty"`
+}
+
+// FleetWait is what the routers say about objects.
+type FleetWait struct {
+	VM      string       `json:"vm"` // router that asked the others
+	Routers []RouterWait `json:"routers"`
+}
+
+// RouterWait is one router's WaitReply, or why there is none.
+type RouterWait struct {
+	VM     string   `json:"vm"`
+	Behind []Behind `json:"behind,omitempty"`
+	Error  string   `json:"error,omitempty"`
+}
+
+// Pending returns the routers at which not all is in force, or of which it is
+// not known.
+func (w FleetWait) Pending() []RouterWait {
+	var out []RouterWait
+	for _, r := range w.Routers {
+		if r.pending() {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+func (r RouterWait) pending() bool {
+	return r.Error != "" || len(r.Behind) > 0
+}
+
+// behind returns those of objects that are not in force at n.
+func behind(n Node, objects []ObjectVersion) []Behind {
+	var out []Behind
+	for _, o := range objects {
+		if in := n.InForce(o.Ref); in.Version < o.Version {
+			out = append(out, Behind{ObjectVersion: o, InForce: in})
+		}
+	}
+	return out
+}
+
+// await returns what is not in force at n, as soon as that is nothing or when
+// ctx ends.
+func await(ctx context.Context, n Node, objects []ObjectVersion) []Behind {
+	hinted := false
+	for {
+		changed := n.Changed()
+		late := behind(n, objects)
+		if len(late) == 0 {
+			return nil
+		}
+		if !hinted {
+			hinted = true
+			n.Refresh()
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return late
+		}
+	}
+}
--- /dev/null
+++ b/internal/admin/client.go
@@ -0,0 +1,116 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleyfront/parsleyfront/internal/telemetry"
+)
+
+// maxAnswer is the most that an answer may hold, in bytes.
+const maxAnswer = 64 << 20
+
+// fleetTimeout bounds the calls that ask every router, beyond their wait.
+const fleetTimeout = 10 * time.Second
+
+// errNoAddress is a router that the list of VMs shows without admin_addr.
+var errNoAddress = errors.New("the list of VMs gives no admin_addr")
+
+// Client calls the API of one router.
+type Client struct {
+	base    string
+	token   string
+	http    *http.Client
+	missing bool // the address is not known
+}
+
+// NewClient returns a Client of the router whose API is at addr, host:port.
+func NewClient(addr, token string) *Client {
+	return &Client{base: "http://" + addr, token: token, http: &http.Client{Transport: newTransport()}}
+}
+
+// CloseIdle closes the connection that is kept for the next call.
+func (c *Client) CloseIdle() {
+	c.http.CloseIdleConnections()
+}
+
+// Status returns the router's own state, with its upstreams.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var s Status
+	err := c.get(ctx, PathStatus, nil, &s)
+	return s, err
+}
+
+// Fleet returns the state of every router that the asked one knows.
+func (c *Client) Fleet(ctx context.Context) (FleetStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, fleetTimeout)
+	defer cancel()
+	var s FleetStatus
+	err := c.get(ctx, PathFleet, nil, &s)
+	return s, err
+}
+
+// FleetWait asks every router that the asked one knows whether objects are in
+// force, and returns when they are or r.WaitMillis have passed.
+func (c *Client) FleetWait(ctx context.Context, r WaitRequest) (FleetWait, error) {
+	ctx, cancel := context.WithTimeout(ctx, waitTime(r)+fleetTimeout)
+	defer cancel()
+	var w FleetWait
+	err := c.post(ctx, PathFleetAll, r, &w)
+	return w, err
+}
+
+// Explain tells where a request would go and why.
+func (c *Client) Explain(ctx context.Context, q Query) (Explanation, error) {
+	var e Explanation
+	err := c.post(ctx, PathExplain, q, &e)
+	return e, err
+}
+
+func (c *Client) get(ctx context.Context, path string, q url.Values, out any) error {
+	return c.call(ctx, http.MethodGet, path+"?"+q.Encode(), nil, out)
+}
+
+func (c *Client) post(ctx context.Context, path string, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return c.call(ctx, http.MethodPost, path, body, out)
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte, out any) error {
+	if c.missing {
+		return errNoAddress
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	if c.token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	telemetry.ControlBytes.Add(telemetry.ControlStatus, int64(len(body)+len(text)))
+	if resp.StatusCode != http.StatusOK {
+		var p problem
+		_ = json.Unmarshal(text, &p)
+		return errors.Errorf("status %d: %s", resp.StatusCode, p.Detail)
+	}
+	return errors.Wrap(json.Unmarshal(text, out), "malformed answer")
+}
--- /dev/null
+++ b/internal/admin/fleet.go
@@ -0,0 +1,144 @@
+package admin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+)
+
+const (
+	// maxConcurrent bounds the peers that are asked at a time.
+	maxConcurrent = 64
+	// peerTimeout bounds what a peer's answer may take beyond its wait. A router
+	// that hangs is named as one that did not answer, and holds up nobody.
+	peerTimeout = 1500 * time.Millisecond
+	// roundWait is how long a peer that is behind may take to catch up before it
+	// is asked again.
+	roundWait = 500 * time.Millisecond
+	// roundPause is the pause between rounds, for peers that fail at once.
+	roundPause = 100 * time.Millisecond
+	// keepConnection is how long a connection to a peer is kept. A command asks
+	// every half second or so while it waits; nobody asks otherwise.
+	keepConnection = 10 * time.Second
+)
+
+// peer is a router that is asked.
+type peer struct {
+	vm   platform.VM
+	self bool
+}
+
+// newTransport returns a transport for calls of the routers' API.
+func newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: peerTimeout}).DialContext,
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     keepConnection,
+	}
+}
+
+// routers returns the routers among vms. The one that asks is always among
+// them, also when the list does not show it yet or any more.
+func (s *Server) routers(vms []platform.VM) []peer {
+	var peers []peer
+	listed := false
+	for _, vm := range vms {
+		if vm.Role != platform.RoleRouter {
+			continue
+		}
+		self := vm.ID == s.config.VM
+		listed = listed || self
+		peers = append(peers, peer{vm: vm, self: self})
+	}
+	if !listed {
+		peers = append(peers, peer{vm: platform.VM{ID: s.config.VM, Role: platform.RoleRouter}, self: true})
+	}
+	return peers
+}
+
+// askAll asks peers, some at a time, and returns the answers in their order.
+func askAll[T any](s *Server, peers []peer, ask func(peer) T) []T {
+	answers := make([]T, len(peers))
+	slots := make(chan struct{}, maxConcurrent)
+	var wg sync.WaitGroup
+	for i, p := range peers {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			answers[i] = ask(p)
+		})
+	}
+	wg.Wait()
+	return answers
+}
+
+// awaitAll asks every router until objects are in force at all of them or ctx
+// ends. After the first round it asks only those that were behind. A router
+// that leaves the list of VMs is no longer waited for.
+func (s *Server) awaitAll(ctx context.Context, objects []ObjectVersion) []RouterWait {
+	done := make(map[string]bool)
+	for {
+		peers := s.routers(s.config.Node.VMs())
+		pending := slices.DeleteFunc(slices.Clone(peers), func(p peer) bool { return done[p.vm.ID] })
+		answers := askAll(s, pending, func(p peer) RouterWait { return s.askWait(ctx, p, objects) })
+		for _, a := range answers {
+			done[a.VM] = a.Error == "" && len(a.Behind) == 0
+		}
+		if whole := !slices.ContainsFunc(answers, RouterWait.pending); whole || !pause(ctx, roundPause) {
+			return report(peers, answers)
+		}
+	}
+}
+
+// report returns the answer of each router. Those without one in the last round
+// had all in force before.
+func report(peers []peer, answers []RouterWait) []RouterWait {
+	late := make(map[string]RouterWait, len(answers))
+	for _, a := range answers {
+		late[a.VM] = a
+	}
+	out := make([]RouterWait, len(peers))
+	for i, p := range peers {
+		out[i] = late[p.vm.ID]
+		out[i].VM = p.vm.ID
+	}
+	return out
+}
+
+// askWait asks one router. The wait is that of a round, so that a router that
+// is far behind does not hold a slot that another one needs.
+func (s *Server) askWait(ctx context.Context, p peer, objects []ObjectVersion) RouterWait {
+	if p.self {
+		ctx, cancel := context.WithTimeout(ctx, roundWait)
+		defer cancel()
+		return RouterWait{VM: p.vm.ID, Behind: await(ctx, s.config.Node, objects)}
+	}
+	// The answer may come after the whole wait has ended: what is known late is
+	// better than a router that is named although it is up to date.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), roundWait+s.peerTimeout)
+	defer cancel()
+	var reply WaitReply
+	req := WaitRequest{Objects: objects, WaitMillis: int(roundWait.Milliseconds())}
+	if err := s.peerClient(p).post(ctx, PathWait, req, &reply); err != nil {
+		return RouterWait{VM: p.vm.ID, Error: err.Error()}
+	}
+	return RouterWait{VM: p.vm.ID, Behind: reply.Behind}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Server) peerClient(p peer) *Client {
+	return &Client{base: "http://" + p.vm.AdminAddr, token: s.config.Token, http: s.client, missing: p.vm.AdminAddr == ""}
+}
