gateway: requests by id, keys, and problems that say what is known

Ruled out: JSON state and stored answer in one document. An answer is bytes of any kind and length; without offset the route tells the state, with offset it streams the answer from there, with the status and headers it had. A not-run that the key's sidecar has not said has earlier_attempts: unknown.

--- /dev/null
+++ b/internal/gateway/forward.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"mime"
+	"net/http"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/router"
+	"github.com/parsleyfront/parsleyfront/internal/telemetry"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
+)
+
+// stalledAfter is how long a caller may take no byte of its answer. A caller
+// that is gone without a word would otherwise hold its connection for good.
+const stalledAfter = time.Minute
+
+// forward sends the request on and copies the answer to the caller.
+func (g *Gateway) forward(x *exchange, req router.Request) error {
+	key, err := g.key(x, req.Profile, req.Session)
+	if err != nil {
+		return err
+	}
+	req.Key = key
+	req.Ticket = x.r.Header.Get(HeaderTicket)
+	span := telemetry.Start(telemetry.HopCaller, telemetry.ParseTraceparent(x.r.Header.Get(telemetry.HeaderTraceparent)))
+	defer span.End()
+	span.Set(telemetry.AttrOrganisation, req.Org.Name)
+	span.Set(telemetry.AttrProfile, req.Profile.Name)
+	req.Trace = string(span.Traceparent())
+	x.offered = true
+	answer, err := g.router.Dispatch(x.r.Context(), req)
+	if err != nil {
+		span.Fail(string(verdict.From(err).Reason))
+		return err
+	}
+	h := x.w.Header()
+	h.Set(HeaderNextKey, answer.NextKey())
+	if ticket := answer.Ticket(); ticket != "" {
+		h.Set(HeaderTicket, ticket)
+	}
+	if err := x.copyAnswer(answer, 0); err != nil {
+		span.Fail(string(err.Reason))
+	}
+	return nil
+}
+
+// copier writes one answer to its caller.
+type copier struct {
+	w      http.ResponseWriter
+	ctl    *http.ResponseController
+	id     string
+	events bool   // the answer is a stream of server-sent events
+	offset int64  // of the next byte of the answer
+	tail   []byte // last bytes that were sent, to know where an event ends
+}
+
+// copyAnswer copies an answer to the caller and closes it. The error is one
+// that the caller has been shown already.
+func (x *exchange) copyAnswer(answer *router.Answer, offset int64) *verdict.Error {
+	defer answer.Close()
+	c := &copier{w: x.w, ctl: http.NewResponseController(x.w), id: answer.ID(), offset: offset}
+	x.w.Header().Set(HeaderRequestID, c.id)
+	for {
+		piece, err := answer.Next()
+		if err != nil {
+			return c.cutShort(verdict.From(err))
+		}
+		if piece.End != nil {
+			// The connection may serve another request, much later.
+			_ = c.ctl.SetWriteDeadline(time.Time{})
+			return nil
+		}
+		if c.write(piece) != nil {
+			return verdict.New(verdict.Ran, verdict.ReasonConnection, "the caller is gone")
+		}
+	}
+}
+
+func (c *copier) write(p wire.Piece) error {
+	if p.Head != nil {
+		c.head(p.Head)
+		return nil
+	}
+	_ = c.ctl.SetWriteDeadline(time.Now().Add(stalledAfter))
+	if _, err := c.w.Write(p.Bytes); err != nil {
+		return err
+	}
+	c.offset += int64(len(p.Bytes))
+	c.tail = append(c.tail[:0], p.Bytes[max(0, len(p.Bytes)-len(eventEnd)):]...)
+	return c.ctl.Flush()
+}
+
+func (c *copier) head(head *wire.Head) {
+	h := c.w.Header()
+	for name, values := range without(head.Header, replaced) {
+		h[name] = values
+	}
+	if c.offset > 0 {
+		h.Del("Content-Length") // of the whole answer
+	}
+	mediaType, _, _ := mime.ParseMediaType(h.Get("Content-Type"))
+	c.events = mediaType == "text/event-stream"
+	h.Set(HeaderVerdict, verdict.Ran.String())
+	c.w.WriteHeader(head.Status)
+}
+
+var eventEnd = []byte("\n\n")
+
+// cutShort shows the caller that the answer is not whole and never will be by
+// itself. Bytes have gone out, so the status can't change any more. A stream of
+// events gets one that chat clients take for an error; then the connection is
+// broken, for a regular end would make a whole answer of what was sent.
+func (c *copier) cutShort(e *verdict.Error) *verdict.Error {
+	if c.events {
+		if !bytes.HasSuffix(c.tail, eventEnd) {
+			_, _ = c.w.Write(eventEnd)
+		}
+		body, _ := json.Marshal(struct { // has no value that could fail
+			Error chatError `json:"error"`
+		}{chatError{Message: e.Error(), Type: e.Reason, Code: e.Reason, Verdict: e.Verdict, RequestID: c.id, Offset: &c.offset}})
+		_, _ = fmt.Fprintf(c.w, "data: %s\n\n", body)
+		_ = c.ctl.Flush()
+	}
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/internal/gateway/keys.go
@@ -0,0 +1,154 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/profile"
+	"github.com/parsleyfront/parsleyfront/internal/router"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
+)
+
+// mintLimit is the largest body of a call for keys, in bytes.
+const mintLimit = 4 << 10
+
+// mintRequest is the body of POST /v1/keys.
+type mintRequest struct {
+	Profile string `json:"profile"`
+	Session string `json:"session,omitempty"`
+	Count   int    `json:"count,omitempty"` // zero means one
+}
+
+// mintAnswer is the answer to it.
+type mintAnswer struct {
+	Keys    []string  `json:"keys"`
+	Expires time.Time `json:"expires"`
+}
+
+func (g *Gateway) mint(x *exchange) error {
+	body, err := x.body(mintLimit)
+	if err != nil {
+		return err
+	}
+	req := mintRequest{}
+	if err := json.Unmarshal(body, &req); err != nil {
+		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "the body is not a request for keys: %s", err)
+	}
+	count := max(req.Count, 1)
+	if req.Count < 0 || count > router.MaxMint {
+		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "count is out of range: ask for 1 to %d keys", router.MaxMint)
+	}
+	p := x.profileFor(req.Profile)
+	if p == nil {
+		return verdict.New(verdict.NotRun, verdict.ReasonUnknownProfile, "you have no profile of this name")
+	}
+	keys, expires, err := g.router.Mint(x.r.Context(), x.org, p, req.Session, count)
+	if err != nil {
+		return err
+	}
+	writeJSON(x.w, http.StatusOK, mintAnswer{Keys: keys, Expires: expires.UTC()})
+	return nil
+}
+
+// key returns the request key that the caller wants its request to run under,
+// or nil if it has none.
+func (g *Gateway) key(x *exchange, p *profile.Profile, session string) (*wire.Key, error) {
+	values := x.r.Header.Values(HeaderIdempotencyKey)
+	if len(values) == 0 {
+		return nil, nil
+	}
+	text := values[0]
+	if len(values) > 1 || !validKey(text) {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonBadKey, "the idempotency key is not 1 to %d printable characters", maxName)
+	}
+	key, err := g.ownKey(x, p, session, text)
+	if err != nil {
+		return nil, err
+	}
+	if vm, ok := x.view.VMs[key.VM]; ok && vm.Pool != p.Pool {
+		e := verdict.New(verdict.NotRun, verdict.ReasonKeyReused, "the key is for requests of another profile")
+		e.EarlierUnknown = true
+		return nil, e
+	}
+	return &key, nil
+}
+
+func (g *Gateway) ownKey(x *exchange, p *profile.Profile, session, text string) (wire.Key, error) {
+	if strings.HasPrefix(text, router.KeyPrefix) {
+		return g.router.OpenKey(x.org.Name, text)
+	}
+	return g.router.Claim(x.r.Context(), x.org, p, session, text)
+}
+
+func validKey(s string) bool {
+	for _, c := range []byte(s) {
+		if c < ' ' || c > '~' {
+			return false
+		}
+	}
+	return len(s) > 0 && len(s) <= maxName
+}
+
+// requestState is the answer to GET and DELETE of a request.
+type requestState struct {
+	ID      string            `json:"id"`
+	State   wire.RequestState `json:"state"`
+	Verdict verdict.Verdict   `json:"verdict"`
+	Length  int64             `json:"length"` // bytes of the answer so far
+}
+
+// request tells the state of an earlier request or, with an offset, the rest
+// of its answer.
+func (g *Gateway) request(x *exchange) error {
+	key, err := g.earlier(x)
+	if err != nil {
+		return err
+	}
+	if !x.r.URL.Query().Has("offset") {
+		status, err := g.router.Status(x.r.Context(), x.org.Name, key)
+		return x.writeState(status, err)
+	}
+	offset, err := strconv.ParseInt(x.r.URL.Query().Get("offset"), 10, 64)
+	if err != nil || offset < 0 {
+		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "offset is not a number of bytes")
+	}
+	answer, err := g.router.Resume(x.r.Context(), x.org, key, offset)
+	if err != nil {
+		return err
+	}
+	x.w.Header().Set(HeaderOffset, strconv.FormatInt(offset, 10))
+	x.copyAnswer(answer, offset)
+	return nil
+}
+
+func (g *Gateway) cancel(x *exchange) error {
+	key, err := g.earlier(x)
+	if err != nil {
+		return err
+	}
+	status, err := g.router.Cancel(x.r.Context(), x.org.Name, key)
+	return x.writeState(status, err)
+}
+
+// earlier returns the key of the request that the path names. To its caller an
+// id of another organisation is one that does not exist.
+func (g *Gateway) earlier(x *exchange) (wire.Key, error) {
+	key, err := g.router.OpenKey(x.org.Name, x.r.PathValue("id"))
+	if err != nil {
+		return key, verdict.New(verdict.NotRun, verdict.ReasonUnknownRequest, "there is no request of yours with this id")
+	}
+	return key, nil
+}
+
+func (x *exchange) writeState(s wire.Status, err error) error {
+	if err != nil {
+		return err
+	}
+	x.w.Header().Set(HeaderVerdict, s.Verdict.String())
+	writeJSON(x.w, http.StatusOK, requestState{ID: x.r.PathValue("id"), State: s.State, Verdict: s.Verdict, Length: s.Length})
+	return nil
+}
--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -25,6 +25,7 @@
 	home       string // VM that ranks first
 	session    uint64
 	print      uint64
+	resumeAt   int64  // offset from which an earlier answer is wanted
 	release    func() // of the organisation's concurrency
 
 	caller   context.Context
@@ -141,13 +142,15 @@
 	case dispatch.Offer:
 		a.offer(e)
 	case dispatch.Follow:
-		a.follow(e)
+		a.follow(e.Key, a.submit)
+	case dispatch.FollowAttach:
+		a.follow(e.Key, a.attach)
 	case dispatch.Resubmit:
 		a.launch(a.attempts[e.Attempt], e.Retry, a.submit)
 	case dispatch.Attach:
-		a.launch(a.attempts[e.Attempt], e.Retry, a.attach)
+		a.reattach(e)
 	case dispatch.Deliver:
-		a.winner = a.attempts[e.Attempt]
+		a.deliver(a.attempts[e.Attempt])
 	case dispatch.Drop:
 		a.drop(a.attempts[e.Attempt])
 	case dispatch.Finish:
@@ -157,7 +160,7 @@
 
 func (a *Answer) add(vm platform.VM) *attempt {
 	ctx, stop := context.WithCancel(a.ctx)
-	at := &attempt{ctx: ctx, stop: stop, number: len(a.attempts), vm: vm}
+	at := &attempt{ctx: ctx, stop: stop, number: len(a.attempts), vm: vm, call: a.req.Call}
 	a.attempts = append(a.attempts, at)
 	return at
 }
@@ -165,23 +168,44 @@
 func (a *Answer) offer(e dispatch.Offer) {
 	at := a.add(a.candidates[e.Candidate])
 	if a.req.Key != nil && e.Attempt == 0 {
-		a.hold(at, *a.req.Key)
+		a.hold(at, *a.req.Key, a.submit)
 		return
 	}
 	a.launch(at, 0, a.submit)
 }
 
-func (a *Answer) follow(e dispatch.Follow) {
+func (a *Answer) follow(key wire.Key, how effectFunc) {
 	former := a.attempts[len(a.attempts)-1]
-	at := a.add(a.view.VMs[e.Key.VM])
+	at := a.add(a.view.VMs[key.VM])
 	at.link, at.leave = former.link+1, former.leave
-	a.hold(at, e.Key)
+	a.hold(at, key, how)
+}
+
+// reattach asks for the rest of an attempt's answer, or for the answer to an
+// earlier request if that is all that is wanted.
+func (a *Answer) reattach(e dispatch.Attach) {
+	if e.Attempt < len(a.attempts) {
+		a.launch(a.attempts[e.Attempt], e.Retry, a.attach)
+		return
+	}
+	at := a.add(a.candidates[0])
+	at.offset = a.resumeAt
+	a.hold(at, *a.req.Key, a.attach)
+}
+
+// deliver makes an attempt's answer the caller's. From here on the request
+// itself is not needed any more: an answer that goes on for minutes does not
+// hold the body that asked for it.
+func (a *Answer) deliver(at *attempt) {
+	a.winner = at
+	at.call = wire.Call{}
+	a.req.Call = wire.Call{Method: a.req.Call.Method}
 }
 
 // hold submits an attempt under a key that others may have used before. Of a
 // VM that the list does not know nothing can be learnt: what ran there may have
 // run.
-func (a *Answer) hold(at *attempt, key wire.Key) {
+func (a *Answer) hold(at *attempt, key wire.Key, how effectFunc) {
 	at.key = &key
 	if at.vm.ID == "" {
 		err := verdict.New(verdict.MayHaveRun, verdict.ReasonIncarnationGone, "the VM of the key has left")
@@ -190,12 +214,15 @@
 		})
 		return
 	}
-	a.launch(at, 0, a.submit)
+	a.launch(at, 0, how)
 }
 
+// effectFunc carries out an effect on an attempt and returns what came of it.
+type effectFunc func(*attempt) dispatch.Event
+
 // launch runs f for an attempt on a goroutine, after the pause that the retryth
 // reconnect asks for.
-func (a *Answer) launch(at *attempt, retryth int, f func(*attempt) dispatch.Event) {
+func (a *Answer) launch(at *attempt, retryth int, f effectFunc) {
 	at.busy = true
 	pause := retry.Backoff(retryth, rand.Float64())
 	go func() {
@@ -313,12 +340,12 @@
 	a.release()
 }
 
-// leave handles a caller that is gone before its answer is complete. If the
-// caller may come back for the answer, the request goes on: it holds the key,
-// or has been told the id while the profile keeps answers. A write goes on as
-// well, because to break it off in the middle helps nobody.
+// leave handles a caller that is gone before its answer is complete. If it may
+// come back for the answer, the request goes on: the caller holds the key, or
+// has been told the request's id. A write goes on as well, because to break it
+// off in the middle helps nobody.
 func (a *Answer) leave() {
-	mayReturn := a.req.Key != nil || a.req.Profile.KeepAnswer > 0
+	mayReturn := a.req.Key != nil || a.winner != nil && !a.req.read()
 	if mayReturn || !a.req.Profile.Idempotent {
 		return
 	}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -43,6 +43,7 @@
 	busy   bool // a goroutine is carrying out an effect; owned by the Answer
 	number int
 	vm     platform.VM
+	call   wire.Call
 	link   int       // place in the chain of the caller's key
 	key    *wire.Key // nil until drawn
 	leave  bool      // word of the site of a crash, for Submit
@@ -82,7 +83,7 @@
 		Session:     a.session,
 		Fingerprint: a.print,
 		Treatment:   a.req.treatment(now, a.plan),
-		Call:        a.req.Call,
+		Call:        at.call,
 		Window:      streamWindow,
 		Trace:       a.req.Trace,
 		Control:     a.router.control(now, a.pool),
@@ -101,10 +102,11 @@
 		return dispatch.Unreachable{Now: time.Now(), Attempt: at.number, Err: verdict.From(err)}
 	}
 	stream, adm, err := peer.Attach(at.ctx, wire.Attach{
-		Key:    *at.key,
-		Org:    a.req.Org.Name,
-		Offset: at.offset,
-		Window: streamWindow,
+		Key:      *at.key,
+		Org:      a.req.Org.Name,
+		Offset:   at.offset,
+		Window:   streamWindow,
+		HeadSeen: at.headed,
 	})
 	if err != nil {
 		return a.refusal(at, adm, err)
--- a/internal/router/dispatch/event.go
+++ b/internal/router/dispatch/event.go
@@ -15,6 +15,7 @@
 	Idempotent bool // it may run more than once
 	Read       bool // it changes nothing
 	Held       bool // its caller holds the key: the first attempt runs under it
+	Resume     bool // only the answer to an earlier request under the held key is wanted
 	Offers     int  // how many upstreams it may be offered to
 
 	HedgeAfter time.Duration // until a second attempt; zero: none
@@ -110,6 +111,12 @@
 	Key     wire.Key
 }
 
+// FollowAttach asks for the answer under a successor key.
+type FollowAttach struct {
+	Attempt int
+	Key     wire.Key
+}
+
 // Resubmit sends an attempt to the same sidecar again, under the same key. The
 // sidecar runs it once however often it comes.
 type Resubmit struct {
@@ -138,10 +145,11 @@
 	Err *verdict.Error
 }
 
-func (Offer) isEffect()    {}
-func (Follow) isEffect()   {}
-func (Resubmit) isEffect() {}
-func (Attach) isEffect()   {}
-func (Deliver) isEffect()  {}
-func (Drop) isEffect()     {}
-func (Finish) isEffect()   {}
+func (Offer) isEffect()        {}
+func (Follow) isEffect()       {}
+func (FollowAttach) isEffect() {}
+func (Resubmit) isEffect()     {}
+func (Attach) isEffect()       {}
+func (Deliver) isEffect()      {}
+func (Drop) isEffect()         {}
+func (Finish) isEffect()       {}
--- a/internal/router/dispatch/state.go
+++ b/internal/router/dispatch/state.go
@@ -99,6 +99,10 @@
 	switch e := event.(type) {
 	case Began:
 		s.began = e.Now
+		if s.plan.Resume {
+			s.offered++
+			return []Effect{Attach{Attempt: s.start(attempt{phase: admitted, held: true})}}
+		}
 		return s.offer(s.plan.Held)
 	case Unreachable:
 		return s.unreachable(e)
@@ -165,5 +169,8 @@
 }
 
 func (s *State) follow(link int, key wire.Key) []Effect {
+	if s.plan.Resume {
+		return []Effect{FollowAttach{Attempt: s.start(attempt{phase: admitted, held: true, link: link}), Key: key}}
+	}
 	return []Effect{Follow{Attempt: s.start(attempt{held: true, link: link}), Key: key}}
 }
--- a/internal/router/dispatch/step.go
+++ b/internal/router/dispatch/step.go
@@ -110,7 +110,7 @@
 		return nil // the other of two hedged attempts goes on
 	}
 	switch next := s.after(*a, f); {
-	case s.offered >= s.plan.Offers || next == retry.Stop:
+	case s.plan.Resume || s.offered >= s.plan.Offers || next == retry.Stop:
 		return s.finish(f.Err)
 	case next == retry.Again && !s.budget.Withdraw():
 		return s.finish(f.Err)
@@ -201,5 +201,7 @@
 	if s.alive() > 0 {
 		v = verdict.MayHaveRun
 	}
-	return s.finish(verdict.New(v, verdict.ReasonDeadline, "%s", detail))
+	err := verdict.New(v, verdict.ReasonDeadline, "%s", detail)
+	err.EarlierUnknown = s.plan.Held && v == verdict.NotRun
+	return s.finish(err)
 }
--- a/internal/router/limits.go
+++ b/internal/router/limits.go
@@ -28,7 +28,7 @@
 }
 
 // enter counts a request of org in until the result is called.
-func (l *limits) enter(org *profile.Organisation, routers int) (leave func(), err error) {
+func (l *limits) enter(org *profile.Organisation, routers int) (leave func(), refusal *verdict.Error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if org.Concurrency > 0 && l.open[org.Name] >= share(org.Concurrency, routers) {
--- /dev/null
+++ b/internal/router/lookup.go
@@ -0,0 +1,118 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/profile"
+	"github.com/parsleyfront/parsleyfront/internal/retry"
+	"github.com/parsleyfront/parsleyfront/internal/router/dispatch"
+	"github.com/parsleyfront/parsleyfront/internal/token"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
+)
+
+const (
+	// lookupTimeout bounds a question about an earlier request.
+	lookupTimeout = 3 * time.Second
+	// MaxMint is how many request keys one call hands out at most.
+	MaxMint = 1000
+)
+
+// Resume returns the answer to an earlier request of org, from offset on. The
+// request is not run again, whatever comes.
+func (r *Router) Resume(ctx context.Context, org *profile.Organisation, key wire.Key, offset int64) (*Answer, error) {
+	view := r.View()
+	a := &Answer{
+		router:     r,
+		req:        Request{Org: org, Profile: &profile.Profile{}, Key: &key},
+		view:       view,
+		candidates: []platform.VM{view.VMs[key.VM]},
+		resumeAt:   offset,
+		release:    func() {},
+		caller:     ctx,
+		outcomes:   make(chan outcome),
+		plan:       dispatch.Plan{Held: true, Resume: true, Offers: 1},
+	}
+	a.ctx, a.stop = context.WithCancel(context.WithoutCancel(ctx))
+	a.state = dispatch.New(a.plan, &retry.Budget{})
+	if err := a.run(); err != nil {
+		a.Close()
+		return nil, err
+	}
+	return a, nil
+}
+
+// Status returns what is known of an earlier request of org.
+func (r *Router) Status(ctx context.Context, org string, key wire.Key) (wire.Status, error) {
+	var status wire.Status
+	err := r.ask(ctx, key, wire.MethodStatus, wire.StatusRequest{Key: key, Org: org}, &status)
+	return status, err
+}
+
+// Cancel ends an earlier request of org.
+func (r *Router) Cancel(ctx context.Context, org string, key wire.Key) (wire.Status, error) {
+	var status wire.Status
+	err := r.ask(ctx, key, wire.MethodCancel, wire.Cancel{Key: key, Org: org}, &status)
+	return status, err
+}
+
+// ask puts a question about a request to the sidecar that decides on its key.
+// Where the sidecar can't be asked, the request may have run.
+func (r *Router) ask(ctx context.Context, key wire.Key, m wire.Method, params, result any) error {
+	vm, ok := r.View().VMs[key.VM]
+	if !ok {
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonIncarnationGone, "the VM of the request has left")
+	}
+	ctx, done := context.WithTimeout(ctx, lookupTimeout)
+	defer done()
+	err := r.peer(vm.Addr).Call(ctx, m, params, result)
+	if err == nil {
+		return nil
+	}
+	e := verdict.From(err)
+	switch e.Reason {
+	case verdict.ReasonNoUpstream, verdict.ReasonConnection, verdict.ReasonInternal:
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonConnection, "the upstream's sidecar cannot be reached").Later(time.Second)
+	}
+	return e
+}
+
+// Mint returns n request keys for requests of a profile, and when they expire.
+func (r *Router) Mint(ctx context.Context, org *profile.Organisation, p *profile.Profile, session string, n int) ([]string, time.Time, error) {
+	first, err := r.mint(ctx, org, p, session)
+	if err != nil {
+		return nil, time.Time{}, err
+	}
+	hash := sessionHash(org.Name, session)
+	keys := make([]string, n)
+	for i := range keys {
+		key := first
+		key.Nonce = token.NewNonce()
+		keys[i] = r.sealKey(org.Name, hash, key)
+	}
+	return keys, time.Unix(first.Expires, 0), nil
+}
+
+// mint draws a key for the upstream to which the session's next request would
+// be offered first.
+func (r *Router) mint(ctx context.Context, org *profile.Organisation, p *profile.Profile, session string) (wire.Key, error) {
+	now := time.Now()
+	view := r.View()
+	vms := r.choose(now, &Answer{
+		view:    view,
+		pool:    view.Pools[p.Pool],
+		req:     Request{Org: org, Profile: p},
+		session: sessionHash(org.Name, session),
+	})
+	for _, vm := range vms {
+		hello, err := r.peer(vm.Addr).Connect(ctx)
+		if err == nil {
+			return newKey(vm.ID, hello.Incarnation, now), nil
+		}
+		r.avoid(vm.ID)
+	}
+	e := verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, "no upstream of pool %q could be reached", p.Pool)
+	return wire.Key{}, e.Later(time.Second)
+}
--- a/internal/router/offer.go
+++ b/internal/router/offer.go
@@ -24,6 +24,8 @@
 	view := r.View()
 	release, err := r.limits.enter(req.Org, view.Routers)
 	if err != nil {
+		// An earlier copy of a request under a key may be among those in flight.
+		err.EarlierUnknown = req.Key != nil
 		return nil, err
 	}
 	a := r.newAnswer(ctx, view, req)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -43,6 +43,7 @@
 	state  *State
 	view   atomic.Pointer[View]
 	limits *limits
+	claims *claimBudget
 
 	mu      sync.Mutex
 	peers   map[string]*wire.Peer // by address
@@ -55,6 +56,7 @@
 		config:  c,
 		state:   NewState(placement.Locality{Domain: c.FailureDomain}),
 		limits:  newLimits(),
+		claims:  newClaimBudget(time.Now()),
 		peers:   make(map[string]*wire.Peer),
 		avoided: make(map[string]time.Time),
 	}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -130,6 +130,9 @@
 	Reason     Reason        `json:"reason"`
 	Detail     string        `json:"detail,omitempty"`
 	RetryAfter time.Duration `json:"retry_after_ns,omitempty"` // zero: no advice
+	// EarlierUnknown limits a NotRun to this arrival of the request: of earlier
+	// ones under the same key nothing is known.
+	EarlierUnknown bool `json:"earlier_unknown,omitempty"`
 }
 
 // Error implements error.
