--- a/internal/daemon/counters_test.go
+++ b/internal/daemon/counters_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	_ "github.com/parsleyfront/parsleyfront/internal/secure" // registers metrics
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 )
 
--- /dev/null
+++ b/internal/secure/bench_test.go
@@ -0,0 +1,143 @@
+package secure
+
+import (
+	"bufio"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"runtime"
+	"syscall"
+	"testing"
+
+	"github.com/parsleyfront/parsleyfront/internal/telemetry"
+)
+
+// cpuTime returns the processor time of this process in nanoseconds.
+func cpuTime(b *testing.B) int64 {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return u.Utime.Nano() + u.Stime.Nano()
+}
+
+// BenchmarkHandshake measures what a connection of a router to a sidecar costs
+// both sides together: processor time and the bytes of the handshake.
+func BenchmarkHandshake(b *testing.B) {
+	ca := newCA(b)
+	side, _ := newMutual(b, ca, sidecar)
+	addr := serve(b, side)
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	must(b, plain, err)
+	defer plain.Close()
+	go echo(plain)
+	r, _ := newMutual(b, ca, router)
+	run := func(name string, dial func() error) {
+		b.Run(name, func(b *testing.B) {
+			bytes, cpu := telemetry.ControlBytes.Value(telemetry.ControlHandshake), cpuTime(b)
+			for b.Loop() {
+				if err := dial(); err != nil {
+					b.Fatal(err)
+				}
+			}
+			n := float64(b.N)
+			b.ReportMetric(float64(cpuTime(b)-cpu)/n/1e3, "cpu-µs/op")
+			b.ReportMetric(float64(telemetry.ControlBytes.Value(telemetry.ControlHandshake)-bytes)/2/n, "handshake-B/op")
+		})
+	}
+	run("none", func() error { return knock(net.Dial("tcp", plain.Addr().String())) })
+	run("resumed", func() error {
+		_, err := talk(r, addr)
+		return err
+	})
+	run("full", func() error {
+		r.sessions = tls.NewLRUClientSessionCache(1)
+		_, err := talk(r, addr)
+		return err
+	})
+}
+
+func echo(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			_, _ = io.CopyN(c, c, 1)
+			_ = c.Close()
+		}()
+	}
+}
+
+func knock(c net.Conn, err error) error {
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	if _, err := c.Write([]byte("x")); err != nil {
+		return err
+	}
+	_, err = io.ReadFull(c, make([]byte, 1))
+	return err
+}
+
+// readBuffer is the buffer that package wire reads through, in bytes.
+const readBuffer = 4 << 10
+
+// BenchmarkIdleConnections measures the memory of idle connections, both ends
+// in this process, each read by a goroutine as package wire does.
+func BenchmarkIdleConnections(b *testing.B) {
+	ca := newCA(b)
+	side, _ := newMutual(b, ca, sidecar)
+	r, _ := newMutual(b, ca, router)
+	for _, transport := range []struct {
+		name     string
+		from, to Transport
+	}{{"plain", Plain{}, Plain{}}, {"tls", r, side}} {
+		for _, n := range []int{100, 1000, 2900} {
+			b.Run(fmt.Sprintf("%s/%d", transport.name, n), func(b *testing.B) {
+				for b.Loop() {
+					b.ReportMetric(memoryOf(b, transport.from, transport.to, n)/float64(n), "B/pair")
+				}
+			})
+		}
+	}
+}
+
+func memoryOf(b *testing.B, from, to Transport, n int) float64 {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	l := to.Listen(must(b, raw, err))
+	before := memoryInUse()
+	conns := make([]net.Conn, 0, 2*n)
+	defer func() {
+		for _, c := range conns {
+			_ = c.Close()
+		}
+		_ = l.Close()
+	}()
+	for range n {
+		near, err := from.Dial(b.Context(), sidecar.VM, raw.Addr().String())
+		must(b, near, err)
+		far, err := l.Accept()
+		must(b, far, err)
+		conns = append(conns, near, far)
+		for _, c := range []net.Conn{near, far} {
+			go func() { _, _ = bufio.NewReaderSize(c, readBuffer).Discard(math.MaxInt) }()
+		}
+		if _, err := far.Write([]byte("x")); err != nil { // after the session ticket
+			b.Fatal(err)
+		}
+	}
+	return memoryInUse() - before
+}
+
+func memoryInUse() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapInuse + m.StackInuse)
+}
--- /dev/null
+++ b/internal/secure/securetest/securetest.go
@@ -0,0 +1,90 @@
+// Package securetest issues certificates to tests, as an operator's own
+// authority would.
+package securetest
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/url"
+	"time"
+)
+
+// life is how long the certificates last from now.
+const life = time.Hour
+
+// CA is a certificate authority.
+type CA struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	PEM  []byte // its certificate
+}
+
+// NewCA returns a new authority.
+func NewCA(name string) (*CA, error) {
+	template := &x509.Certificate{
+		Subject: pkix.Name{CommonName: name}, IsCA: true, BasicConstraintsValid: true,
+		KeyUsage: x509.KeyUsageCertSign,
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	der, err := sign(template, template, key, key)
+	if err != nil {
+		return nil, err
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, err
+	}
+	return &CA{cert: cert, key: key, PEM: encode("CERTIFICATE", der)}, nil
+}
+
+// Issue returns a certificate and its key. It names uri, or the loopback
+// address when uri is nil.
+func (ca *CA) Issue(uri *url.URL) (cert, key []byte, err error) {
+	template := &x509.Certificate{
+		Subject:     pkix.Name{CommonName: "parsley"},
+		KeyUsage:    x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	}
+	if uri != nil {
+		template.URIs = []*url.URL{uri}
+	} else {
+		template.IPAddresses = []net.IP{net.IPv4(127, 0, 0, 1)}
+	}
+	own, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, nil, err
+	}
+	der, err := sign(template, ca.cert, own, ca.key)
+	if err != nil {
+		return nil, nil, err
+	}
+	keyDER, err := x509.MarshalPKCS8PrivateKey(own)
+	if err != nil {
+		return nil, nil, err
+	}
+	return encode("CERTIFICATE", der), encode("PRIVATE KEY", keyDER), nil
+}
+
+func sign(template, parent *x509.Certificate, own, signer *ecdsa.PrivateKey) ([]byte, error) {
+	serial, err := rand.Int(rand.Reader, big.NewInt(1<<62))
+	if err != nil {
+		return nil, err
+	}
+	template.SerialNumber = serial
+	template.NotBefore = time.Now().Add(-time.Minute)
+	template.NotAfter = time.Now().Add(life)
+	return x509.CreateCertificate(rand.Reader, template, parent, &own.PublicKey, signer)
+}
+
+func encode(kind string, der []byte) []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+}
--- /dev/null
+++ b/internal/secure/transport.go
@@ -0,0 +1,243 @@
+package secure
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleyfront/parsleyfront/internal/telemetry"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection to a sidecar.
+	dialTimeout = time.Second
+	// handshakeTimeout bounds a handshake. A peer that connects and then says
+	// nothing would otherwise hold a place for ever.
+	handshakeTimeout = 3 * time.Second
+	// maxHandshakes bounds the handshakes that a listener works on at a time,
+	// so that a flood of connections waits in the kernel, not in memory.
+	maxHandshakes = 256
+	// refusalLogEvery is the least time between two lines about refused peers.
+	refusalLogEvery = time.Minute
+)
+
+// handshakeKind tells how much work a handshake was.
+type handshakeKind string
+
+const (
+	handshakeFull    handshakeKind = "full"
+	handshakeResumed handshakeKind = "resumed"
+)
+
+var (
+	handshakes = telemetry.NewFamily[handshakeKind]("secure_handshakes_total", "kind",
+		"TLS handshakes between routers and sidecars, on either side.")
+	refusedPeers = telemetry.NewCounter("secure_refused_peers_total",
+		"TLS handshakes between routers and sidecars in which a certificate was missing or refused.", telemetry.Alert)
+	brokenHandshakes = telemetry.NewCounter("secure_broken_handshakes_total",
+		"TLS handshakes between routers and sidecars that broke off or took too long.")
+)
+
+// Transport opens and accepts the connections between routers and sidecars.
+type Transport interface {
+	// Dial connects to the sidecar of a VM.
+	Dial(ctx context.Context, vm, addr string) (net.Conn, error)
+	// Listen returns a listener for peers that arrive on l.
+	Listen(l net.Listener) net.Listener
+}
+
+// Plain is a Transport without any trust, for development on one machine.
+type Plain struct{}
+
+// Dial implements Transport.
+func (Plain) Dial(ctx context.Context, _, addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// Listen implements Transport.
+func (Plain) Listen(l net.Listener) net.Listener {
+	return l
+}
+
+// Conn is a connection whose peer has shown who it is.
+type Conn struct {
+	*tls.Conn
+	Peer Identity
+}
+
+// PeerOf returns who is at the other end of a connection of a Transport. It
+// reports false for a Plain one.
+func PeerOf(c net.Conn) (Identity, bool) {
+	conn, ok := c.(*Conn)
+	if !ok {
+		return Identity{}, false
+	}
+	return conn.Peer, true
+}
+
+// Dial implements Transport.
+func (m *Mutual) Dial(ctx context.Context, vm, addr string) (net.Conn, error) {
+	raw, err := Plain{}.Dial(ctx, vm, addr)
+	if err != nil {
+		return nil, err
+	}
+	return m.shake(ctx, raw, func(c net.Conn) *tls.Conn { return tls.Client(c, m.Client(vm)) })
+}
+
+// shake runs a handshake over raw and closes raw when it fails.
+func (m *Mutual) shake(ctx context.Context, raw net.Conn, wrap func(net.Conn) *tls.Conn) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	counted := &countingConn{Conn: raw}
+	conn := wrap(counted)
+	err := conn.HandshakeContext(ctx)
+	var peer Identity
+	if err == nil {
+		peer, err = identityOf(conn.ConnectionState().PeerCertificates[0], m.domain)
+	}
+	telemetry.ControlBytes.Add(telemetry.ControlHandshake, counted.n.Load())
+	if err != nil {
+		_ = raw.Close()
+		m.countFailure(raw.RemoteAddr(), err)
+		return nil, err
+	}
+	kind := handshakeFull
+	if conn.ConnectionState().DidResume {
+		kind = handshakeResumed
+	}
+	handshakes.Inc(kind)
+	return &Conn{Conn: conn, Peer: peer}, nil
+}
+
+// countFailure tells a peer that is not trusted, or does not trust us, from a
+// connection that broke.
+func (m *Mutual) countFailure(from net.Addr, err error) {
+	if isBroken(err) {
+		brokenHandshakes.Inc()
+		return
+	}
+	refusedPeers.Inc()
+	now := time.Now().UnixNano()
+	last := m.refusalLogged.Load()
+	if now-last > int64(refusalLogEvery) && m.refusalLogged.CompareAndSwap(last, now) {
+		slog.Warn("peer refused; more within a minute are only counted", "peer", from.String(), "error", err)
+	}
+}
+
+// remoteAlert is the Op of the error that crypto/tls returns for an alert that
+// the other side has sent.
+const remoteAlert = "remote error"
+
+func isBroken(err error) bool {
+	var op *net.OpError
+	if errors.As(err, &op) {
+		return op.Op != remoteAlert
+	}
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
+}
+
+// countingConn counts the bytes of a handshake in both directions. Its count
+// runs on afterwards, unread.
+type countingConn struct {
+	net.Conn
+	n atomic.Int64
+}
+
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+// Listen implements Transport. Handshakes run beside each other, so that a
+// peer that is slow or silent holds up no other.
+func (m *Mutual) Listen(l net.Listener) net.Listener {
+	out := &listener{
+		Listener: l,
+		mutual:   m,
+		ready:    make(chan net.Conn),
+		closed:   make(chan struct{}),
+		places:   make(chan struct{}, maxHandshakes),
+	}
+	go out.run()
+	return out
+}
+
+type listener struct {
+	net.Listener
+	mutual *Mutual
+	ready  chan net.Conn
+	places chan struct{}
+	once   sync.Once
+	closed chan struct{}
+	err    error // why accepting has ended; set before closed is
+}
+
+func (l *listener) run() {
+	config := l.mutual.Server()
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			l.end(err)
+			return
+		}
+		select {
+		case l.places <- struct{}{}:
+		case <-l.closed:
+			_ = raw.Close()
+			return
+		}
+		go l.serve(raw, config)
+	}
+}
+
+func (l *listener) serve(raw net.Conn, config *tls.Config) {
+	conn, err := l.mutual.shake(context.Background(), raw, func(c net.Conn) *tls.Conn { return tls.Server(c, config) })
+	<-l.places
+	if err != nil {
+		return
+	}
+	select {
+	case l.ready <- conn:
+	case <-l.closed:
+		_ = conn.Close()
+	}
+}
+
+func (l *listener) end(err error) {
+	l.once.Do(func() {
+		l.err = err
+		close(l.closed)
+	})
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.ready:
+		return c, nil
+	case <-l.closed:
+		return nil, l.err
+	}
+}
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.end(net.ErrClosed)
+	return l.Listener.Close()
+}
--- a/internal/token/secret.go
+++ b/internal/token/secret.go
@@ -1,6 +1,7 @@
 package token
 
 import (
+	"crypto/subtle"
 	"encoding/hex"
 	"fmt"
 	"io"
@@ -20,6 +21,11 @@
 	Value []byte
 }
 
+// Equal reports whether o is the same secret under the same id.
+func (s Secret) Equal(o Secret) bool {
+	return s.ID == o.ID && subtle.ConstantTimeCompare(s.Value, o.Value) == 1
+}
+
 // redacted stands in for the value of a secret.
 const redacted = "[redacted]"
 
