router: the operators' API, and nothing invalid in force

Cause: the API needs a router behind it, and a router took any JSON for a profile or dropped it without a word. Change: Operators is the router's face for package admin: status, versions in force, hints, explain. The control state reads objects through profile.Decode; one that is invalid leaves the version before in force and is reported. The ledger of versions is published after the View that goes with it, so what the wait reports is what traffic is treated by. The new test fails on the former state: the invalid profile is in force.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -37,18 +37,24 @@
 	if err != nil {
 		return err
 	}
+	o, err := listenOperators(s.AdminListen, s.VM, s.AdminToken)
+	if err != nil {
+		return err
+	}
 	p := platform.NewHTTP(s.Platform)
 	slog.Info("router listening", "addr", l.Addr().String())
-	return serveCallers(ctx, l, router.Config{Store: p, VMs: p, Ring: ring, Dial: dial})
+	return serveCallers(ctx, l, router.Config{Store: p, VMs: p, Ring: ring, Dial: dial}, o)
 }
 
 // serveCallers runs a router on l. When ctx ends it stops taking connections
 // and waits for the requests in flight.
-func serveCallers(ctx context.Context, l net.Listener, c router.Config) error {
+func serveCallers(ctx context.Context, l net.Listener, c router.Config, o operators) error {
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
+	r := router.New(background, c)
+	o.serve(background, r)
 	server := &http.Server{
-		Handler:           gateway.New(router.New(background, c)),
+		Handler:           gateway.New(r),
 		ReadHeaderTimeout: headerTimeout,
 	}
 	failed := make(chan error, 1)
--- a/internal/daemon/dev.go
+++ b/internal/daemon/dev.go
@@ -19,6 +19,7 @@
 
 // What dev mode configures.
 const (
+	devRouter     = "router-0"
 	devKey        = "dev-key"
 	devModel      = "notes-7b"
 	devPool       = "notes"
@@ -57,8 +58,13 @@
 	if err != nil {
 		return err
 	}
+	o, err := listenOperators("127.0.0.1:0", devRouter, "")
+	if err != nil {
+		return err
+	}
+	vms.Set(platform.VM{ID: devRouter, Role: platform.RoleRouter, Addr: l.Addr().String(), AdminAddr: o.listener.Addr().String()})
 	fmt.Fprintf(out, "platform  %s\nrouter    http://%s\n\ntry:\n  %s\n", base, l.Addr(), devCurl(l.Addr().String()))
-	return serveCallers(ctx, l, router.Config{Store: p, VMs: p, Ring: ring, Dial: dial})
+	return serveCallers(ctx, l, router.Config{Store: p, VMs: p, Ring: ring, Dial: dial}, o)
 }
 
 func devCurl(addr string) string {
--- a/internal/profile/decode.go
+++ b/internal/profile/decode.go
@@ -22,6 +22,7 @@
 	file     string
 	at       map[string]position
 	broken   map[string]bool // fields that could not be read
+	change   string
 	problems Problems
 }
 
@@ -86,7 +87,11 @@
 func (d *decoder) object(fields []*ast.MappingValueNode, o Object) {
 	own := make([]*ast.MappingValueNode, 0, len(fields))
 	for _, f := range fields {
-		if keyName(f) != kindField {
+		switch keyName(f) {
+		case kindField:
+		case changeField:
+			d.value(f.Value, reflect.ValueOf(&d.change).Elem(), changeField)
+		default:
 			own = append(own, f)
 		}
 	}
--- a/internal/profile/read.go
+++ b/internal/profile/read.go
@@ -18,14 +18,21 @@
 // MaxFile is the largest file that is read, in bytes.
 const MaxFile = 16 << 20
 
-// kindField tells the kind of a document in a file. The store does not hold
-// it: there the kind is part of the object's name.
-const kindField = "kind"
+// Fields of a document beside the object's own. The store does not hold them
+// in the object.
+const (
+	kindField   = "kind"
+	changeField = "change"
+)
 
 // Document is an object as it stands in a file.
 type Document struct {
 	Object Object
 	File   string
+	// Change is the id of the change that the file was made from; empty when it
+	// does not say. Whoever writes the object has to refuse when the object has
+	// been changed since.
+	Change string
 	at     map[string]position // of each field that is written
 }
 
@@ -142,7 +149,7 @@
 	for i := range problems {
 		problems[i].Ref = object.Ref()
 	}
-	doc := Document{Object: object, File: file, at: d.at}
+	doc := Document{Object: object, File: file, Change: d.change, at: d.at}
 	for _, p := range Check(object) {
 		// A field that could not be read holds its default or nothing, of
 		// which nothing more need be said.
--- a/internal/profile/refs.go
+++ b/internal/profile/refs.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/parsleyfront/parsleyfront/internal/platform"
 )
@@ -11,7 +12,7 @@
 
 // CheckReferences returns what does not fit between docs and the objects that
 // they refer to: those among docs, else those in stored, which may be nil. It
-// also looks at the stored objects that refer to docs.
+// also looks at the stored profiles whose pool is among docs.
 func CheckReferences(docs []Document, stored Set) Problems {
 	c := referenceChecker{all: make(Set, len(docs)+len(stored)), owners: make(map[string]platform.Ref)}
 	for ref, o := range stored {
@@ -36,7 +37,9 @@
 		c.check(d)
 	}
 	for ref, o := range stored {
-		if p, ok := o.(*Profile); ok && first[ref].Object == nil {
+		p, ok := o.(*Profile)
+		_, replaced := first[ref]
+		if _, poolChanges := first[poolRef(p)]; ok && !replaced && poolChanges {
 			c.pool(Document{Object: p}, p)
 		}
 	}
@@ -73,7 +76,7 @@
 
 // pool checks that a profile fits its pool.
 func (c *referenceChecker) pool(d Document, p *Profile) {
-	pool, ok := c.all[platform.Ref{Kind: platform.KindPool, Name: p.Pool}].(*Pool)
+	pool, ok := c.all[poolRef(p)].(*Pool)
 	switch {
 	case !ok:
 		c.add(d, "pool", "pool %q does not exist: %s", p.Pool, c.advise(platform.KindPool, p.Pool))
@@ -86,6 +89,14 @@
 	}
 }
 
+// poolRef names a profile's pool; p may be nil.
+func poolRef(p *Profile) platform.Ref {
+	if p == nil {
+		return platform.Ref{}
+	}
+	return platform.Ref{Kind: platform.KindPool, Name: p.Pool}
+}
+
 // Serves reports whether the pool's upstreams answer to a model's name: that
 // of the model or of one of its adapters.
 func (p *Pool) Serves(model string) bool {
@@ -134,3 +145,14 @@
 	}
 	return fmt.Sprintf("write one that exists, or add it with kind: %s", kind)
 }
+
+// RefersTo reports whether o needs the object that ref names.
+func RefersTo(o Object, ref platform.Ref) bool {
+	switch o := o.(type) {
+	case *Profile:
+		return poolRef(o) == ref
+	case *Organisation:
+		return ref.Kind == platform.KindProfile && slices.Contains(o.Profiles, ref.Name)
+	}
+	return false
+}
--- /dev/null
+++ b/internal/router/admin.go
@@ -0,0 +1,220 @@
+package router
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleyfront/parsleyfront/internal/admin"
+	"github.com/parsleyfront/parsleyfront/internal/load"
+	"github.com/parsleyfront/parsleyfront/internal/placement"
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/profile"
+	"github.com/parsleyfront/parsleyfront/internal/telemetry"
+)
+
+// unheard is the state of an upstream of which nothing has been heard lately.
+const unheard = "unheard"
+
+// Operators is a Router as the operators' API sees it. It implements admin.Node.
+type Operators struct {
+	router  *Router
+	vm      string
+	started time.Time
+}
+
+// Operators returns the face of the router on a VM for the operators' API.
+func (r *Router) Operators(vm string) *Operators {
+	return &Operators{router: r, vm: vm, started: time.Now()}
+}
+
+// Status implements admin.Node.
+func (o *Operators) Status(brief bool) admin.Status {
+	now := time.Now()
+	view := o.router.View()
+	s := admin.Status{
+		VM:            o.vm,
+		FailureDomain: o.router.config.FailureDomain,
+		Started:       o.started,
+		Ready:         o.router.Ready(),
+		Config:        o.router.ledger.status(),
+		Control:       controlRates(now.Sub(o.started)),
+	}
+	for name, pool := range view.Pools {
+		p := pool.status(now, brief)
+		p.Name = name
+		s.Pools = append(s.Pools, p)
+	}
+	slices.SortFunc(s.Pools, func(x, y admin.PoolStatus) int { return cmp.Compare(x.Name, y.Name) })
+	return s
+}
+
+func controlRates(since time.Duration) []admin.ControlRate {
+	var rates []admin.ControlRate
+	telemetry.ControlBytes.Do(func(kind telemetry.ControlKind, n int64) {
+		rates = append(rates, admin.ControlRate{Kind: string(kind), Bytes: n, BytesPerSecond: float64(n) / max(since.Seconds(), 1)})
+	})
+	return rates
+}
+
+// InForce implements admin.Node.
+func (o *Operators) InForce(ref platform.Ref) admin.InForce { return o.router.ledger.inForce(ref) }
+
+// Changed implements admin.Node.
+func (o *Operators) Changed() <-chan struct{} { return o.router.ledger.next() }
+
+// Refresh implements admin.Node.
+func (o *Operators) Refresh() { o.router.refreshConfig() }
+
+// VMs implements admin.Node.
+func (o *Operators) VMs() []platform.VM {
+	view := o.router.View()
+	vms := make([]platform.VM, 0, len(view.VMs))
+	for _, vm := range view.VMs {
+		vms = append(vms, vm)
+	}
+	slices.SortFunc(vms, func(x, y platform.VM) int { return cmp.Compare(x.ID, y.ID) })
+	return vms
+}
+
+// status returns the pool as the router believes it to be.
+func (p *Pool) status(now time.Time, brief bool) admin.PoolStatus {
+	s := admin.PoolStatus{Known: len(p.VMs)}
+	p.beliefs.mu.Lock()
+	defer p.beliefs.mu.Unlock()
+	s.Mean, _ = p.beliefs.table.Mean(now)
+	for _, vm := range p.VMs {
+		report, heard := p.beliefs.table.Get(now, load.Hash(vm.ID))
+		state := stateName(report, heard)
+		switch state {
+		case "draining":
+			s.Draining++
+		case "down":
+			s.Down++
+		default:
+			s.Serving++
+		}
+		perWeight := float64(report.Load) / float64(max(report.Weight, 1))
+		if s.Mean > 0 && perWeight/s.Mean > s.Skew {
+			s.Skew, s.Max, s.Busiest = perWeight/s.Mean, report.Load, vm.ID
+		}
+		if !brief {
+			s.Upstreams = append(s.Upstreams, admin.UpstreamStatus{VM: vm.ID, FailureDomain: vm.FailureDomain, State: state, Load: report.Load})
+		}
+	}
+	return s
+}
+
+func stateName(r load.Report, heard bool) string {
+	switch {
+	case !heard:
+		return unheard
+	case r.State == load.Draining:
+		return "draining"
+	case r.State == load.Down:
+		return "down"
+	default:
+		return "serving"
+	}
+}
+
+// Explain implements admin.Node.
+func (o *Operators) Explain(q admin.Query) (admin.Explanation, error) {
+	now := time.Now()
+	view := o.router.View()
+	org, p, err := view.find(q)
+	if err != nil {
+		return admin.Explanation{}, err
+	}
+	pool := view.Pools[p.Pool]
+	if pool == nil {
+		return admin.Explanation{}, errors.Errorf("pool %q has no upstream in the list of VMs", p.Pool)
+	}
+	a := &Answer{
+		router:  o.router,
+		req:     Request{Org: org, Profile: p, Session: q.Session, Ticket: q.Ticket},
+		view:    view,
+		pool:    pool,
+		session: sessionHash(org.Name, q.Session),
+	}
+	e := admin.Explanation{VM: o.vm, Profile: p.Name, Pool: p.Pool, Multiple: p.LoadMultiple}
+	followed := o.router.ticketVM(q.Ticket, a.session)
+	e.TicketNote = ticketNote(q, pool, followed)
+	chosen := o.router.choose(now, a)
+	pool.beliefs.mu.Lock()
+	defer pool.beliefs.mu.Unlock()
+	var known int
+	e.Mean, known = pool.beliefs.table.Mean(now)
+	for _, vm := range chosen {
+		report, heard := pool.beliefs.table.Get(now, load.Hash(vm.ID))
+		bound := load.Bound(e.Mean, known, p.LoadMultiple, max(vm.Weight, 1))
+		if p.LoadMultiple <= 0 {
+			bound = 0
+		}
+		e.Candidates = append(e.Candidates, admin.Candidate{
+			VM: vm.ID, FailureDomain: vm.FailureDomain, State: stateName(report, heard),
+			Load: report.Load, Bound: bound,
+			Why: o.why(now, vm, a.session != 0, vm.ID == followed, report, bound),
+		})
+	}
+	return e, nil
+}
+
+// why says what put an upstream among the candidates and where.
+func (o *Operators) why(now time.Time, vm platform.VM, session, ticket bool, r load.Report, bound int) string {
+	var parts []string
+	switch {
+	case ticket:
+		parts = append(parts, "the ticket names it")
+	case session:
+		parts = append(parts, "ranks high for the session")
+	default:
+		parts = append(parts, "less loaded of two random upstreams; no session")
+	}
+	if r.State != load.Serving {
+		parts = append(parts, "believed to refuse")
+	} else if bound > 0 && r.Load >= bound {
+		parts = append(parts, "believed full, after those with room")
+	}
+	if o.router.avoids(vm.ID, now) {
+		parts = append(parts, "could not be reached lately, so last")
+	}
+	return strings.Join(parts, "; ")
+}
+
+func ticketNote(q admin.Query, pool *Pool, followed string) string {
+	switch {
+	case q.Ticket == "":
+		return "none given"
+	case followed == "":
+		return "not followed: not of this session, or not signed by this fleet"
+	case pool.placed.Index(load.Hash(followed)) == placement.None:
+		return "not followed: " + followed + " is not in the pool any more"
+	default:
+		return "followed to " + followed
+	}
+}
+
+// find returns the organisation and the profile by which a request is treated.
+func (v *View) find(q admin.Query) (*profile.Organisation, *profile.Profile, error) {
+	var org *profile.Organisation
+	for _, o := range v.Orgs {
+		if o.Name == q.Organisation {
+			org = o
+		}
+	}
+	if org == nil {
+		return nil, nil, errors.Errorf("organisation %q does not exist or has no key", q.Organisation)
+	}
+	p := v.ForModel(org, q.Profile, q.Model)
+	if q.Service != "" {
+		p = v.ForService(org, q.Profile, q.Service, q.Method, q.Path)
+	}
+	if p == nil {
+		return nil, nil, errors.Errorf("no profile of organisation %q fits the request", q.Organisation)
+	}
+	return org, p, nil
+}
--- /dev/null
+++ b/internal/router/ledger.go
@@ -0,0 +1,97 @@
+package router
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"github.com/parsleyfront/parsleyfront/internal/admin"
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/profile"
+)
+
+// Followed is an Effect: objects have come into force, or were rejected.
+type Followed struct {
+	Objects  []admin.ObjectVersion
+	Rejected []profile.Problem // each object's first problem
+	Complete platform.Version  // of the store, up to which all is known
+}
+
+func (Followed) isEffect() {}
+
+// ledger is which version of each object is in force, for operators. The
+// control loop writes it, and publishes after the View that goes with it.
+type ledger struct {
+	mu       sync.Mutex
+	versions map[platform.Ref]platform.Version
+	rejected map[platform.Ref]profile.Problem
+	complete platform.Version
+	newest   platform.Version
+	dirty    bool
+	changed  chan struct{} // closed and replaced at each publication
+}
+
+func newLedger() *ledger {
+	return &ledger{
+		versions: make(map[platform.Ref]platform.Version),
+		rejected: make(map[platform.Ref]profile.Problem),
+		changed:  make(chan struct{}),
+	}
+}
+
+func (l *ledger) follow(f Followed) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, o := range f.Objects {
+		l.versions[o.Ref] = o.Version
+		l.newest = max(l.newest, o.Version)
+		delete(l.rejected, o.Ref)
+	}
+	for _, p := range f.Rejected {
+		l.rejected[p.Ref] = p
+	}
+	l.complete = max(l.complete, f.Complete)
+	l.dirty = true
+}
+
+func (l *ledger) publish() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.dirty {
+		l.dirty = false
+		close(l.changed)
+		l.changed = make(chan struct{})
+	}
+}
+
+func (l *ledger) inForce(ref platform.Ref) admin.InForce {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	in := admin.InForce{Version: l.versions[ref]}
+	if p, ok := l.rejected[ref]; ok {
+		in.Problem = p.String()
+		return in
+	}
+	if in.Version == 0 {
+		// Not held, so deleted or never there, up to where all is known.
+		in.Version = l.complete
+	}
+	return in
+}
+
+func (l *ledger) status() admin.ConfigStatus {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := admin.ConfigStatus{Version: l.newest}
+	for _, p := range l.rejected {
+		s.Rejected = append(s.Rejected, p)
+	}
+	slices.SortFunc(s.Rejected, func(x, y profile.Problem) int { return cmp.Compare(x.Ref.String(), y.Ref.String()) })
+	return s
+}
+
+func (l *ledger) next() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.changed
+}
--- /dev/null
+++ b/internal/router/ledger_test.go
@@ -0,0 +1,50 @@
+package router
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/placement"
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/profile"
+)
+
+// An operator's machine runs a newer release and writes a profile that this
+// router holds to be invalid. Were it taken, its traffic would be treated by a
+// bound that cannot work; were it dropped, callers would be told that their
+// profile does not exist; were it passed over without a word, apply --wait
+// would say that it is in force.
+func TestInvalidObjectLeavesTheVersionBeforeInForce(t *testing.T) {
+	s, l := NewState(placement.Locality{}), newLedger()
+	step := func(v platform.Version, p profile.Profile) {
+		value, err := json.Marshal(p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		o := platform.Object{Ref: p.Ref(), Version: v, Value: value}
+		for _, e := range s.Step(ObjectsChanged{Objects: []platform.Object{o}, Version: v}) {
+			l.follow(e.(Followed))
+		}
+	}
+	good := profile.Profile{Name: "chat", Pool: "notes", Model: "m", Deadline: profile.Duration(time.Second)}
+	bad := good
+	bad.LoadMultiple = 0.5
+
+	step(7, good)
+	step(8, bad)
+	if p := s.View().Profiles["chat"]; p == nil || p.LoadMultiple != profile.DefaultLoadMultiple {
+		t.Errorf("in force is %+v, want the version before", p)
+	}
+	if in := l.inForce(good.Ref()); in.Version != 7 || in.Problem == "" || len(l.status().Rejected) != 1 {
+		t.Errorf("operators are told %+v, %+v", in, l.status())
+	}
+	step(9, good)
+	if in := l.inForce(good.Ref()); in.Version != 9 || in.Problem != "" {
+		t.Errorf("after a valid version operators are told %+v", in)
+	}
+	gone := platform.Ref{Kind: platform.KindPool, Name: "gone"}
+	if in := l.inForce(gone); in.Version != 9 {
+		t.Errorf("an object that does not exist is said to be followed to %d, want 9", in.Version)
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -10,6 +10,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/loop"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/profile"
 	"github.com/parsleyfront/parsleyfront/internal/token"
 	"github.com/parsleyfront/parsleyfront/internal/wire"
 )
@@ -24,7 +25,7 @@
 )
 
 // configKinds are the kinds of object that a router follows.
-var configKinds = []platform.Kind{platform.KindProfile, platform.KindOrganisation}
+var configKinds = profile.Kinds
 
 // Config is what a router is told at its start.
 type Config struct {
@@ -44,6 +45,8 @@
 	view   atomic.Pointer[View]
 	limits *limits
 	claims *claimBudget
+	ledger *ledger
+	hints  chan struct{} // to look at the store now
 
 	mu      sync.Mutex
 	peers   map[string]*wire.Peer // by address
@@ -57,17 +60,41 @@
 		state:   NewState(placement.Locality{Domain: c.FailureDomain}),
 		limits:  newLimits(),
 		claims:  newClaimBudget(time.Now()),
+		ledger:  newLedger(),
+		hints:   make(chan struct{}, 1),
 		peers:   make(map[string]*wire.Peer),
 		avoided: make(map[string]time.Time),
 	}
 	r.view.Store(r.state.View())
-	r.loop = loop.New(r.state, func(Effect) {}, func() { r.view.Store(r.state.View()) })
+	r.loop = loop.New(r.state, r.act, r.publish)
 	go r.loop.Run(ctx)
 	go r.followConfig(ctx)
 	go r.followVMs(ctx)
 	return r
 }
 
+// act carries out an effect, on the loop's goroutine.
+func (r *Router) act(effect Effect) {
+	if e, ok := effect.(Followed); ok {
+		r.ledger.follow(e)
+	}
+}
+
+// publish shows traffic the new state, and then tells operators of it.
+func (r *Router) publish() {
+	r.view.Store(r.state.View())
+	r.ledger.publish()
+}
+
+// refreshConfig gives up the present watch of the store for a new one, which
+// is answered at once if there is news.
+func (r *Router) refreshConfig() {
+	select {
+	case r.hints <- struct{}{}:
+	default:
+	}
+}
+
 // View returns the present picture of the control state.
 func (r *Router) View() *View {
 	return r.view.Load()
@@ -117,13 +144,27 @@
 }
 
 func (r *Router) watchConfig(ctx context.Context, since platform.Version) (platform.Version, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	hinted := make(chan struct{})
+	go func() {
+		select {
+		case <-r.hints:
+			close(hinted)
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	page, err := r.config.Store.Watch(ctx, configKinds, since, watchWait)
+	select {
+	case <-hinted:
+		return since, nil
+	default:
+	}
 	if err != nil {
 		return since, err
 	}
-	if len(page.Objects) > 0 {
-		r.loop.Post(ObjectsChanged{Objects: page.Objects, Version: page.Version})
-	}
+	r.loop.Post(ObjectsChanged{Objects: page.Objects, Version: page.Version})
 	return max(since, page.Version), nil
 }
 
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -4,9 +4,11 @@
 package router
 
 import (
-	"encoding/json"
 	"maps"
 
+	"github.com/pkg/errors"
+
+	"github.com/parsleyfront/parsleyfront/internal/admin"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/platform"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
@@ -58,10 +60,12 @@
 func (s *State) Step(event Event) []Effect {
 	switch e := event.(type) {
 	case ObjectsChanged:
+		s.version = max(s.version, e.Version)
+		followed := Followed{Complete: s.version}
 		for _, o := range e.Objects {
-			s.apply(o)
+			s.apply(o, &followed)
 		}
-		s.version = max(s.version, e.Version)
+		return []Effect{followed}
 	case VMsChanged:
 		s.vms = e.VMs
 	}
@@ -69,29 +73,54 @@
 }
 
 // apply takes an object unless a newer version of it is known. A listing or a
-// watch that lags must not bring back what has been replaced.
-func (s *State) apply(o platform.Object) {
+// watch that lags must not bring back what has been replaced. An object that is
+// invalid for this release is not taken: the version before stays in force.
+func (s *State) apply(o platform.Object, f *Followed) {
 	if s.objects[o.Ref] >= o.Version {
 		return
 	}
 	s.objects[o.Ref] = o.Version
-	switch o.Kind {
-	case platform.KindProfile:
-		store(s.profiles, o)
-	case platform.KindOrganisation:
-		store(s.orgs, o)
+	if err := s.take(o); err != nil {
+		f.Rejected = append(f.Rejected, rejection(o.Ref, err))
+		return
 	}
+	f.Objects = append(f.Objects, admin.ObjectVersion{Ref: o.Ref, Version: o.Version})
 }
 
-func store[T any](into map[string]*T, o platform.Object) {
+func (s *State) take(o platform.Object) error {
 	if o.Deleted {
-		delete(into, o.Name)
-		return
+		s.drop(o.Ref)
+		return nil
+	}
+	v, err := profile.Decode(o.Ref, o.Value)
+	if err != nil {
+		return err
+	}
+	switch v := v.(type) {
+	case *profile.Profile:
+		s.profiles[o.Name] = v
+	case *profile.Organisation:
+		s.orgs[o.Name] = v
 	}
-	v := new(T)
-	if json.Unmarshal(o.Value, v) == nil {
-		into[o.Name] = v
+	return nil
+}
+
+func (s *State) drop(ref platform.Ref) {
+	switch ref.Kind {
+	case platform.KindProfile:
+		delete(s.profiles, ref.Name)
+	case platform.KindOrganisation:
+		delete(s.orgs, ref.Name)
+	}
+}
+
+// rejection returns the first problem of an object.
+func rejection(ref platform.Ref, err error) profile.Problem {
+	var problems profile.Problems
+	if errors.As(err, &problems) && len(problems) > 0 {
+		return problems[0]
 	}
+	return profile.Problem{Ref: ref, Message: err.Error()}
 }
 
 // View builds the picture of the present state.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,9 +20,12 @@
 
 // Router is the settings of the router role.
 type Router struct {
-	Listen   string   `long:"listen" env:"PARSLEY_LISTEN" default:"127.0.0.1:8080" description:"address for callers"`
-	Platform string   `long:"platform" env:"PARSLEY_PLATFORM" description:"URL of the platform's API" required:"true"`
-	Secrets  []string `long:"token-secret" env:"PARSLEY_TOKEN_SECRETS" env-delim:"," description:"id:hex of a secret that signs request keys, the one to sign with first" required:"true"`
+	Listen      string   `long:"listen" env:"PARSLEY_LISTEN" default:"127.0.0.1:8080" description:"address for callers"`
+	Platform    string   `long:"platform" env:"PARSLEY_PLATFORM" description:"URL of the platform's API" required:"true"`
+	VM          string   `long:"vm" env:"PARSLEY_VM" description:"this VM's id in the platform's list; required with --admin-listen"`
+	AdminListen string   `long:"admin-listen" env:"PARSLEY_ADMIN_LISTEN" description:"address for operators, on the management network; default: none"`
+	AdminToken  string   `long:"admin-token" env:"PARSLEY_ADMIN_TOKEN" default-mask:"-" description:"token that operators' requests carry, the same at all routers; default: none is asked for"`
+	Secrets     []string `long:"token-secret" env:"PARSLEY_TOKEN_SECRETS" env-delim:"," description:"id:hex of a secret that signs request keys, the one to sign with first" required:"true"`
 }
 
 // Sidecar is the settings of the sidecar role.
@@ -45,6 +48,9 @@
 	if _, err := r.Ring(); err != nil {
 		c.add("--token-secret: %s", err)
 	}
+	if r.AdminListen != "" && r.VM == "" {
+		c.add("--vm: want this VM's id, by which routers know each other, when --admin-listen is set")
+	}
 	return c.err()
 }
 
--- a/internal/telemetry/metric.go
+++ b/internal/telemetry/metric.go
@@ -221,6 +221,15 @@
 	return 0
 }
 
+// Do calls fn for each label that has been counted, in order.
+func (f *Family[L]) Do(fn func(label L, n int64)) {
+	f.m.Do(func(kv expvar.KeyValue) {
+		if v, ok := kv.Value.(*expvar.Int); ok {
+			fn(L(kv.Key), v.Value())
+		}
+	})
+}
+
 // What a Histogram can tell apart.
 const (
 	histogramUnit    = 10 * time.Microsecond
