router: dial a VM, not an address

Cause: mutual TLS has to know which VM's certificate to expect; the address alone does not say, and a replaced VM can get the address of a former one. Ruled out: comparing the id after the hello, when the caller's chat may already be on its way to another connection of the same address. Change: router.Config.Dial takes the VM, and peers are kept by id and address.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -69,9 +69,9 @@
 	return server.Shutdown(stop)
 }
 
-func dial(ctx context.Context, addr string) (net.Conn, error) {
+func dial(ctx context.Context, vm platform.VM) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
-	return d.DialContext(ctx, "tcp", addr)
+	return d.DialContext(ctx, "tcp", vm.Addr)
 }
 
 // RunSidecar serves routers until ctx ends.
--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -239,7 +239,7 @@
 // drop cancels the loser of two hedged attempts.
 func (a *Answer) drop(at *attempt) {
 	if !at.gate.seal() {
-		a.router.cancel(at.vm.Addr, a.req.Org.Name, *at.key)
+		a.router.cancel(at.vm, a.req.Org.Name, *at.key)
 	}
 	at.stop()
 	if !at.busy {
@@ -352,7 +352,7 @@
 	for _, at := range a.attempts {
 		open := at.busy || at.stream != nil
 		if open && !at.gate.seal() {
-			a.router.cancel(at.vm.Addr, a.req.Org.Name, *at.key)
+			a.router.cancel(at.vm, a.req.Org.Name, *at.key)
 		}
 	}
 }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -117,7 +117,7 @@
 // connect returns the peer of the attempt's sidecar, connected, and draws the
 // attempt's key if it has none.
 func (a *Answer) connect(at *attempt) (*wire.Peer, error) {
-	peer := a.router.peer(at.vm.Addr)
+	peer := a.router.peer(at.vm)
 	hello, err := peer.Connect(at.ctx)
 	if err != nil {
 		a.router.avoid(at.vm.ID)
@@ -142,7 +142,7 @@
 		if vm.ID == at.vm.ID {
 			continue
 		}
-		hello, err := a.router.peer(vm.Addr).Connect(at.ctx)
+		hello, err := a.router.peer(vm).Connect(at.ctx)
 		if err == nil {
 			key := newKey(vm.ID, hello.Incarnation, time.Now())
 			return &key
@@ -211,10 +211,10 @@
 const cancelTimeout = 3 * time.Second
 
 // cancel asks a sidecar to end a request, in the background.
-func (r *Router) cancel(addr, org string, key wire.Key) {
+func (r *Router) cancel(vm platform.VM, org string, key wire.Key) {
 	go func() {
 		ctx, done := context.WithTimeout(context.Background(), cancelTimeout)
 		defer done()
-		_ = r.peer(addr).Call(ctx, wire.MethodCancel, wire.Cancel{Key: key, Org: org}, nil)
+		_ = r.peer(vm).Call(ctx, wire.MethodCancel, wire.Cancel{Key: key, Org: org}, nil)
 	}()
 }
--- a/internal/router/lookup.go
+++ b/internal/router/lookup.go
@@ -67,7 +67,7 @@
 	}
 	ctx, done := context.WithTimeout(ctx, lookupTimeout)
 	defer done()
-	err := r.peer(vm.Addr).Call(ctx, m, params, result)
+	err := r.peer(vm).Call(ctx, m, params, result)
 	if err == nil {
 		return nil
 	}
@@ -107,7 +107,7 @@
 		session: sessionHash(org.Name, session),
 	})
 	for _, vm := range vms {
-		hello, err := r.peer(vm.Addr).Connect(ctx)
+		hello, err := r.peer(vm).Connect(ctx)
 		if err == nil {
 			return newKey(vm.ID, hello.Incarnation, now), nil
 		}
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -15,15 +15,22 @@
 // and is not told to others, whose way to the sidecar may be whole.
 const avoidFor = 2 * time.Second
 
-// peer returns the Peer for a sidecar's address.
-func (r *Router) peer(addr string) *wire.Peer {
+// endpoint is a sidecar at an address. A new VM may get the address of a former
+// one, and is not to be taken for it.
+type endpoint struct {
+	vm, addr string
+}
+
+// peer returns the Peer for a VM's sidecar.
+func (r *Router) peer(vm platform.VM) *wire.Peer {
+	at := endpoint{vm: vm.ID, addr: vm.Addr}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p := r.peers[addr]
+	p := r.peers[at]
 	if p == nil {
-		dial := func(ctx context.Context) (net.Conn, error) { return r.config.Dial(ctx, addr) }
+		dial := func(ctx context.Context) (net.Conn, error) { return r.config.Dial(ctx, vm) }
 		p = wire.NewPeer(wire.PeerConfig{Dial: dial})
-		r.peers[addr] = p
+		r.peers[at] = p
 	}
 	return p
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -32,7 +32,8 @@
 	Store platform.Store
 	VMs   platform.VMList
 	Ring  *token.Ring
-	Dial  func(ctx context.Context, addr string) (net.Conn, error)
+	// Dial connects to the sidecar of a VM and makes sure that it is that one.
+	Dial func(ctx context.Context, vm platform.VM) (net.Conn, error)
 	// FailureDomain in which the router runs; empty: not known.
 	FailureDomain string
 }
@@ -49,8 +50,8 @@
 	hints  chan struct{} // to look at the store now
 
 	mu      sync.Mutex
-	peers   map[string]*wire.Peer // by address
-	avoided map[string]time.Time  // VMs that could not be reached, until when
+	peers   map[endpoint]*wire.Peer
+	avoided map[string]time.Time // VMs that could not be reached, until when
 }
 
 // New returns a Router that works until ctx ends.
@@ -62,7 +63,7 @@
 		claims:  newClaimBudget(time.Now()),
 		ledger:  newLedger(),
 		hints:   make(chan struct{}, 1),
-		peers:   make(map[string]*wire.Peer),
+		peers:   make(map[endpoint]*wire.Peer),
 		avoided: make(map[string]time.Time),
 	}
 	r.view.Store(r.state.View())
