wire: tests of lost, repeated, reordered, cut and silent connections

Cause: the guards of the frame layer stood without a test. Change: two properties by rapid under synctest. One puts a middle between router and sidecar that drops, repeats, swaps and cuts frames or goes silent in one direction, while callers read slowly, let go and come back: each must get its own whole answer, one head, from one run. The other has a sidecar send any frames at all to a stream. No test fails without the check in acquire that a link has ended: the call then fails as not sent, which is true as well.

--- /dev/null
+++ b/internal/wire/middle_test.go
@@ -0,0 +1,328 @@
+package wire
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"flag"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/token"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+// fault is what a middle does to one frame.
+type fault string
+
+const (
+	drop    fault = "drop"
+	repeat  fault = "repeat"
+	swap    fault = "swap"    // with the next one
+	cut     fault = "cut"     // end the connection within the frame
+	silence fault = "silence" // deliver nothing from here on, in this direction
+)
+
+// faults maps numbers of frames of one direction to what happens to them.
+type faults map[int]fault
+
+// middle stands between a router and a sidecar, one for each connection.
+type middle struct {
+	up, down faults // up: from the router to the sidecar
+}
+
+// join connects a router's end to a sidecar's end through m.
+func (m middle) join(router, sidecar net.Conn) {
+	go relay(router, sidecar, m.up)
+	go relay(sidecar, router, m.down)
+}
+
+// relay passes on frames with their faults. It always reads, so that no writer
+// ever waits for it.
+func relay(from, to net.Conn, f faults) {
+	defer from.Close()
+	defer to.Close()
+	in := bufio.NewReader(from)
+	var held []byte
+	silent := false
+	for i := 0; ; i++ {
+		frame, err := rawFrame(in)
+		if err != nil {
+			return
+		}
+		switch f[i] {
+		case drop:
+			continue
+		case repeat:
+			frame = append(frame, frame...)
+		case swap:
+			held = append(held, frame...)
+			continue
+		case cut:
+			frame = frame[:len(frame)/2]
+		case silence:
+			silent = true
+		}
+		if silent {
+			continue
+		}
+		frame = append(frame, held...)
+		held = nil
+		if _, err := to.Write(frame); err != nil || f[i] == cut {
+			return
+		}
+	}
+}
+
+func rawFrame(in *bufio.Reader) ([]byte, error) {
+	h, content, err := readFrame(in)
+	if err != nil {
+		return nil, err
+	}
+	frame := binary.BigEndian.AppendUint32(nil, uint32(h.length))
+	frame = append(frame, byte(h.kind))
+	frame = binary.BigEndian.AppendUint32(frame, h.number)
+	return append(frame, content...), nil
+}
+
+// chunk is a piece of an answer and the pause ahead of it.
+type chunk struct {
+	size  int
+	pause time.Duration
+}
+
+// script is how an upstream answers one request. Its bytes follow from the
+// request's body, so that a crossed answer shows.
+type script []chunk
+
+func (s script) bytes(body []byte) []byte {
+	var out []byte
+	for _, c := range s {
+		for range c.size {
+			out = append(out, body[len(out)%len(body)]+byte(len(out)/len(body)))
+		}
+	}
+	return out
+}
+
+// fakeSidecar runs scripts, each key once, and sends the answers.
+type fakeSidecar struct {
+	mu      sync.Mutex
+	scripts map[token.Nonce]script
+	answers map[token.Nonce][]byte // whole
+	ready   map[token.Nonce]int    // bytes produced so far
+	runs    map[token.Nonce]int
+	credits map[*Conn]map[StreamID]chan int64
+	mute    atomic.Bool // reply to no submit
+}
+
+func newFakeSidecar() *fakeSidecar {
+	return &fakeSidecar{
+		scripts: make(map[token.Nonce]script),
+		answers: make(map[token.Nonce][]byte),
+		ready:   make(map[token.Nonce]int),
+		runs:    make(map[token.Nonce]int),
+		credits: make(map[*Conn]map[StreamID]chan int64),
+	}
+}
+
+func (f *fakeSidecar) HandleCall(ctx context.Context, c *Conn, m Method, p Params) (any, error) {
+	switch m {
+	case MethodSubmit:
+		var s Submit
+		if err := p.Decode(&s); err != nil {
+			return nil, err
+		}
+		f.run(s)
+		f.send(c, Attach{Key: s.Key, Stream: s.Stream, Window: s.Window})
+		if f.mute.Load() {
+			<-ctx.Done()
+		}
+		return Admission{}, nil
+	case MethodAttach:
+		var a Attach
+		if err := p.Decode(&a); err != nil {
+			return nil, err
+		}
+		f.send(c, a)
+		return Admission{Joined: true}, nil
+	}
+	return Hello{VM: "vm"}, nil
+}
+
+func (f *fakeSidecar) run(s Submit) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	id := s.Key.Nonce
+	if f.answers[id] != nil {
+		return
+	}
+	f.runs[id]++
+	chunks := f.scripts[id]
+	f.answers[id] = chunks.bytes(s.Call.Body)
+	go func() {
+		for _, c := range chunks {
+			time.Sleep(c.pause)
+			f.mu.Lock()
+			f.ready[id] += c.size
+			f.mu.Unlock()
+		}
+	}()
+}
+
+func (f *fakeSidecar) produced(id token.Nonce) (ready int, whole []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ready[id], f.answers[id]
+}
+
+// send sends an answer from an offset on, looking for more every few
+// milliseconds.
+func (f *fakeSidecar) send(c *Conn, a Attach) {
+	credits := make(chan int64, 100)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.credits[c] == nil {
+		f.credits[c] = make(map[StreamID]chan int64)
+	}
+	f.credits[c][a.Stream] = credits
+	go func() {
+		id, offset, upTo := a.Key.Nonce, a.Offset, a.Offset+int64(a.Window)
+		err := c.Send(Head{Stream: a.Stream, Nonce: id, Status: 200})
+		for err == nil {
+			ready, whole := f.produced(id)
+			if end := min(int64(ready), upTo, offset+1000); end > offset {
+				err = c.Send(Data{Stream: a.Stream, Nonce: id, Offset: offset, Bytes: whole[offset:end]})
+				offset = end
+				continue
+			}
+			if offset == int64(len(whole)) {
+				_ = c.Send(End{Stream: a.Stream, Nonce: id, Length: offset})
+				return
+			}
+			select {
+			case to := <-credits:
+				if to < 0 {
+					return
+				}
+				upTo = max(upTo, to)
+			case <-time.After(5 * time.Millisecond):
+			case <-c.Done():
+				return
+			}
+		}
+	}()
+}
+
+func (f *fakeSidecar) HandleFrame(c *Conn, fr Frame) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch fr := fr.(type) {
+	case Credit:
+		if ch := f.credits[c][fr.Stream]; ch != nil {
+			ch <- fr.UpTo
+		}
+	case Detach:
+		if ch := f.credits[c][fr.Stream]; ch != nil {
+			ch <- -1
+		}
+	}
+}
+
+// network connects a Peer to a fake sidecar. The first connections go through
+// the given middles, all later ones through one without faults.
+type network struct {
+	sidecar *fakeSidecar
+	mu      sync.Mutex
+	middles []middle
+	dials   int
+}
+
+func (n *network) dial(context.Context) (net.Conn, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.dials++
+	var m middle
+	if len(n.middles) > 0 {
+		m, n.middles = n.middles[0], n.middles[1:]
+	}
+	router, near := net.Pipe()
+	sidecar, far := net.Pipe()
+	m.join(near, far)
+	NewConn(context.Background(), sidecar, n.sidecar)
+	return router, nil
+}
+
+// reading is one caller's reading of one answer, across connections.
+type reading struct {
+	peer   *Peer
+	key    Key
+	body   []byte
+	window int
+	pause  time.Duration // the caller takes between pieces
+	leaves []int64       // offsets at which it lets go and attaches again
+
+	sent  bool // admitted once
+	heads int
+	got   []byte
+}
+
+// read reads to the end, attaching again whenever the stream breaks.
+func (r *reading) read(ctx context.Context) error {
+	for ctx.Err() == nil {
+		s, err := r.open(ctx)
+		if err != nil {
+			if v := verdict.From(err); v.Reason != verdict.ReasonConnection && v.Reason != verdict.ReasonNoUpstream {
+				return err
+			}
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
+		whole := r.follow(ctx, s)
+		s.Close()
+		if whole {
+			return nil
+		}
+	}
+	return ctx.Err()
+}
+
+func (r *reading) open(ctx context.Context) (*Stream, error) {
+	if !r.sent {
+		s, _, err := r.peer.Submit(ctx, Submit{Key: r.key, Window: r.window, Call: Call{Body: r.body}})
+		r.sent = err == nil
+		return s, err
+	}
+	a := Attach{Key: r.key, Offset: int64(len(r.got)), Window: r.window, HeadSeen: r.heads > 0}
+	s, _, err := r.peer.Attach(ctx, a)
+	return s, err
+}
+
+// follow reads until the end of the answer, or until the stream breaks or the
+// caller lets go of it.
+func (r *reading) follow(ctx context.Context, s *Stream) bool {
+	for {
+		p, err := s.Next(ctx)
+		switch {
+		case err != nil:
+			return false
+		case p.End != nil:
+			return true
+		case p.Head != nil:
+			r.heads++
+		}
+		r.got = append(r.got, p.Bytes...)
+		time.Sleep(r.pause)
+		if len(r.leaves) > 0 && int64(len(r.got)) >= r.leaves[0] {
+			r.leaves = r.leaves[1:]
+			return false
+		}
+	}
+}
--- /dev/null
+++ b/internal/wire/peer_test.go
@@ -0,0 +1,352 @@
+package wire
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/parsleyfront/parsleyfront/internal/token"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+)
+
+// steady is an answer of n bytes a tenth of a second.
+func steady(tenths, n int) script {
+	var s script
+	for range tenths {
+		s = append(s, chunk{size: n, pause: 100 * time.Millisecond})
+	}
+	return s
+}
+
+// shut closes p and lets what it has started come to its end.
+func shut(p *Peer) {
+	p.Close()
+	time.Sleep(time.Second)
+	synctest.Wait()
+}
+
+// reads starts a reading of a script under a fresh key.
+func (n *network) reads(p *Peer, id byte, s script) *reading {
+	r := &reading{peer: p, key: Key{Nonce: token.Nonce{id}}, body: []byte{id}, window: 16 << 10}
+	n.sidecar.mu.Lock()
+	defer n.sidecar.mu.Unlock()
+	n.sidecar.scripts[r.key.Nonce] = s
+	return r
+}
+
+// An answer is under way when the connection goes silent in one direction, for
+// good. Its reader, or the next caller, must not wait longer than some seconds:
+// what is due does not come although nothing fails. In the upward case frames
+// of the first answer keep coming, so only the reply that is due shows it.
+func TestSilentConnectionIsFoundWithinSeconds(t *testing.T) {
+	cases := map[string]middle{
+		"upward":   {up: faults{3: silence}},
+		"downward": {down: faults{15: silence}},
+		"both":     {up: faults{3: silence}, down: faults{15: silence}},
+	}
+	for name, m := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			n := &network{sidecar: newFakeSidecar(), middles: []middle{m}}
+			p := NewPeer(PeerConfig{Dial: n.dial})
+			first, second := n.reads(p, 1, steady(100, 10)), n.reads(p, 2, steady(1, 10))
+			began := time.Now()
+			var wg sync.WaitGroup
+			wg.Go(func() { _ = first.read(t.Context()) })
+			time.Sleep(2 * time.Second)
+			_ = second.read(t.Context())
+			if waited := time.Since(began) - 2*time.Second; waited > 4*time.Second {
+				t.Errorf("%s: the second caller waited for %s", name, waited)
+			}
+			wg.Wait()
+			if waited := time.Since(began) - 10*time.Second; waited > 4*time.Second {
+				t.Errorf("%s: the first caller waited for %s", name, waited)
+			}
+			shut(p)
+		})
+	}
+}
+
+// A connection has not been used for a minute, and something in between has
+// forgotten it. The caller who comes next should not pay the full time in which
+// silence is found.
+func TestStaleConnectionIsProbed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &network{sidecar: newFakeSidecar(), middles: []middle{{up: faults{1: silence}}}}
+		timing := DefaultTiming()
+		timing.Idle = time.Hour
+		p := NewPeer(PeerConfig{Dial: n.dial, Timing: timing})
+		if _, err := p.Connect(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Minute)
+		began := time.Now()
+		_ = n.reads(p, 1, steady(1, 10)).read(t.Context())
+		if waited := time.Since(began); waited > 2*time.Second {
+			t.Errorf("waited for %s", waited)
+		}
+		shut(p)
+	})
+}
+
+// One caller stops reading a long answer. Another, whose answer comes over the
+// same connection, must not notice.
+func TestSlowReaderHoldsNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &network{sidecar: newFakeSidecar()}
+		p := NewPeer(PeerConfig{Dial: n.dial})
+		slow, fast := n.reads(p, 1, steady(1, 1<<20)), n.reads(p, 2, steady(1, 1<<20))
+		s, err := slow.open(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		began := time.Now()
+		if err := fast.read(t.Context()); err != nil || time.Since(began) > time.Second {
+			t.Errorf("%v after %s", err, time.Since(began))
+		}
+		s.mu.Lock()
+		if len(s.buf) > slow.window {
+			t.Errorf("%d bytes held for a window of %d", len(s.buf), slow.window)
+		}
+		s.mu.Unlock()
+		shut(p)
+	})
+}
+
+// Callers come at the very moment at which the connection has been idle for
+// long enough to be closed. None may be told that its request may have run
+// because it was sent on a connection that was being closed.
+func TestIdleCloseLosesNoRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &network{sidecar: newFakeSidecar()}
+		p := NewPeer(PeerConfig{Dial: n.dial})
+		for range 300 {
+			if err := p.Call(t.Context(), MethodStatus, Empty{}, nil); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(p.config.Timing.Idle)
+		}
+		if n.dials < 2 {
+			t.Error("the connection was never closed as idle")
+		}
+		shut(p)
+	})
+}
+
+// A sidecar's VM swallows what is sent to it. The first caller finds out; those
+// who come after it are not to wait as well, and the way is found open again
+// once it is.
+func TestUnreachableSidecarHoldsOneCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &network{sidecar: newFakeSidecar(), middles: []middle{{up: faults{0: silence}}, {up: faults{0: silence}}}}
+		p := NewPeer(PeerConfig{Dial: n.dial})
+		began := time.Now()
+		for i := range 10 {
+			_, err := p.Connect(t.Context())
+			if e := verdict.From(err); err == nil || e.Verdict != verdict.NotRun {
+				t.Fatalf("caller %d: %v", i, err)
+			}
+		}
+		if waited := time.Since(began); waited > p.config.Timing.Hello {
+			t.Errorf("ten callers waited for %s", waited)
+		}
+		time.Sleep(2 * time.Second)
+		_, _ = p.Connect(t.Context()) // starts the second try, which hangs as well
+		time.Sleep(2 * time.Second)
+		_, _ = p.Connect(t.Context())
+		time.Sleep(time.Second)
+		if _, err := p.Connect(t.Context()); err != nil {
+			t.Errorf("still %v", err)
+		}
+		shut(p)
+	})
+}
+
+// A router stops while a caller waits for a reply that never comes, another
+// reads a stream and a third waits for a connection to another sidecar. All
+// must return, and nothing may be left running.
+func TestCloseEndsAllThatWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &network{sidecar: newFakeSidecar()}
+		p := NewPeer(PeerConfig{Dial: n.dial})
+		hung := NewPeer(PeerConfig{Dial: func(ctx context.Context) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}})
+		s, err := n.reads(p, 1, steady(1000, 1)).open(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.sidecar.mute.Store(true)
+		var wg sync.WaitGroup
+		wg.Go(func() { _, _ = n.reads(p, 2, nil).open(t.Context()) })
+		wg.Go(func() { _, _ = hung.Connect(t.Context()) })
+		wg.Go(func() {
+			for err == nil {
+				_, err = s.Next(t.Context())
+			}
+		})
+		time.Sleep(5 * time.Second)
+		p.Close()
+		hung.Close()
+		wg.Wait()
+		if _, err := p.Connect(t.Context()); verdict.From(err).Verdict != verdict.NotRun {
+			t.Errorf("after Close: %v", err)
+		}
+		time.Sleep(time.Hour) // the fake's script
+		synctest.Wait()
+	})
+}
+
+// A router has stopped reading. The sidecar's write to it must end, and the
+// connection with it: all streams of that router share it.
+func TestWriteToStalledPeerEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		defer far.Close()
+		c := NewConn(context.Background(), near, newFakeSidecar())
+		if err := c.Send(Head{Status: 200}); err == nil {
+			t.Error("written to nobody")
+		}
+		<-c.Done()
+	})
+}
+
+// The process is stopped for a minute and goes on. That nothing was read in
+// the meantime says nothing about the sidecars: no connection may be given up
+// for it before the sidecar has been asked anew.
+func TestOwnPauseIsNoSilence(t *testing.T) {
+	timing := DefaultTiming()
+	start := time.Unix(1000, 0)
+	p := pulse{checked: start, settled: start}
+	p.ask(start, timing.Silent)
+	after := start.Add(time.Minute)
+	if got := p.check(timing, after, start, true); got != carePing {
+		t.Fatalf("after a pause: %d", got)
+	}
+	p.ask(after, timing.Silent)
+	for now := after; now.Before(after.Add(timing.Silent)); now = now.Add(timing.tick()) {
+		if got := p.check(timing, now, start, true); got != careNone {
+			t.Fatalf("%s later: %d", now.Sub(after), got)
+		}
+	}
+	if got := p.check(timing, after.Add(timing.Silent), start, true); got != careLost {
+		t.Fatalf("in the end: %d", got)
+	}
+}
+
+// rogue sends the frames that it is given, whatever they are.
+type rogue struct {
+	frames   []Frame
+	detached atomic.Uint32 // stream, the latest
+}
+
+func (r *rogue) HandleCall(_ context.Context, c *Conn, m Method, _ Params) (any, error) {
+	if m == MethodSubmit {
+		go func() {
+			for _, f := range r.frames {
+				_ = c.Send(f)
+				time.Sleep(time.Millisecond)
+			}
+		}()
+	}
+	return Admission{}, nil
+}
+
+func (r *rogue) HandleFrame(_ *Conn, f Frame) {
+	if d, ok := f.(Detach); ok {
+		r.detached.Store(uint32(d.Stream))
+	}
+}
+
+func (r *rogue) dial(context.Context) (net.Conn, error) {
+	near, far := net.Pipe()
+	NewConn(context.Background(), far, r)
+	return near, nil
+}
+
+// A router lets go of an answer before its sidecar has begun to send it, and
+// the word of it gets there too early to find anything to stop. The sidecar
+// must be told again once it sends, or it keeps a sender for nobody.
+func TestLateFramesStopTheirSender(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &rogue{frames: []Frame{Head{Stream: 77, Status: 200}}}
+		p := NewPeer(PeerConfig{Dial: r.dial})
+		_, _, _ = p.Submit(t.Context(), Submit{})
+		time.Sleep(time.Second)
+		if r.detached.Load() != 77 {
+			t.Error("the sidecar was not told")
+		}
+		shut(p)
+	})
+}
+
+// A sidecar sends more than it was given credit for to a caller that does not
+// read. The router's memory must not grow with it.
+func TestSenderCannotOverfillItsReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &rogue{frames: []Frame{Head{Stream: 1, Status: 200}, Data{Stream: 1, Bytes: make([]byte, 9)}}}
+		p := NewPeer(PeerConfig{Dial: r.dial})
+		s, _, err := p.Submit(t.Context(), Submit{Window: 8})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = s.Next(t.Context())
+		if piece, err := s.Next(t.Context()); err == nil {
+			t.Errorf("took %d bytes", len(piece.Bytes))
+		}
+		shut(p)
+	})
+}
+
+// A sidecar has a fault and sends frames of other requests, twice, in a wrong
+// order or not at all. The caller gets the beginning of its own answer and then
+// either all of it or the news that the stream is broken.
+func TestStreamTakesOnlyWhatFits(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		mine, other := token.Nonce{1}, token.Nonce{2}
+		answer := []byte("0123456789")[:rapid.SampledFrom([]int{0, 10}).Draw(rt, "length")]
+		frame := rapid.Custom(func(t *rapid.T) Frame {
+			nonce := rapid.SampledFrom([]token.Nonce{mine, mine, mine, other}).Draw(t, "nonce")
+			from := rapid.OneOf(rapid.Just(0), rapid.IntRange(0, len(answer))).Draw(t, "from")
+			to := rapid.IntRange(from, len(answer)).Draw(t, "to")
+			content := bytes.Clone(answer[from:to])
+			if nonce == other {
+				content = bytes.Repeat([]byte("x"), len(content))
+			}
+			return rapid.SampledFrom([]Frame{
+				Head{Stream: 1, Nonce: nonce, Status: 200},
+				Data{Stream: 1, Nonce: nonce, Offset: int64(from), Bytes: content},
+				Data{Stream: 1, Nonce: nonce, Offset: int64(from), Bytes: content},
+				End{Stream: 1, Nonce: nonce, Length: int64(len(answer))},
+			}).Draw(t, "frame")
+		})
+		frames := rapid.SliceOfN(frame, 1, 12).Draw(rt, "frames")
+		if rapid.Bool().Draw(rt, "begins well") {
+			frames = append([]Frame{Head{Stream: 1, Nonce: mine, Status: 200}}, frames...)
+		}
+		r := &reading{key: Key{Nonce: mine}, window: 100}
+		var whole bool
+		synctest.Test(t, func(t *testing.T) {
+			p := NewPeer(PeerConfig{Dial: (&rogue{frames: frames}).dial})
+			r.peer = p
+			s, err := r.open(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			whole = r.follow(ctx, s)
+			shut(p)
+		})
+		if !bytes.HasPrefix(answer, r.got) || r.heads > 1 || r.heads < 1 && (whole || len(r.got) > 0) || whole && len(r.got) < len(answer) {
+			rt.Errorf("got %q, %d heads, whole %t", r.got, r.heads, whole)
+		}
+	})
+}
--- /dev/null
+++ b/internal/wire/stream_test.go
@@ -0,0 +1,91 @@
+package wire
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/parsleyfront/parsleyfront/internal/token"
+)
+
+func drawFaults(t *rapid.T, label string) faults {
+	kinds := rapid.SampledFrom([]fault{drop, repeat, swap, cut, silence})
+	return rapid.MapOfN(rapid.IntRange(0, 40), kinds, 0, 5).Draw(t, label)
+}
+
+func drawScript(t *rapid.T) script {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) chunk {
+		return chunk{
+			size:  rapid.IntRange(1, 3000).Draw(t, "size"),
+			pause: time.Duration(rapid.SampledFrom([]int{0, 1, 20, 700, 9000}).Draw(t, "pause")) * time.Millisecond,
+		}
+	}), 1, 8).Draw(t, "script")
+}
+
+func drawReading(t *rapid.T, p *Peer, i int) *reading {
+	return &reading{
+		peer:   p,
+		key:    Key{Nonce: token.Nonce{byte(i)}},
+		body:   bytes.Repeat([]byte{byte(40 * i)}, rapid.IntRange(1, 2000).Draw(t, "body")),
+		window: rapid.SampledFrom([]int{64, 1000, 16 << 10}).Draw(t, "window"),
+		pause:  time.Duration(rapid.SampledFrom([]int{0, 0, 5, 500}).Draw(t, "reader's pause")) * time.Millisecond,
+		leaves: rapid.SliceOfN(rapid.Int64Range(0, 3000), 0, 3).Draw(t, "leaves"),
+	}
+}
+
+// Several callers read long answers through one router while what stands
+// between router and sidecar drops, repeats, swaps and cuts frames or goes
+// silent in one direction. Callers also let go and come back in the middle.
+// Each must end with its own whole answer, its head once, from one run.
+func TestEachReaderGetsItsWholeAnswerOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := &network{sidecar: newFakeSidecar()}
+		for range rapid.IntRange(0, 4).Draw(rt, "faulty connections") {
+			n.middles = append(n.middles, middle{up: drawFaults(rt, "up"), down: drawFaults(rt, "down")})
+		}
+		var readings []*reading
+		for i := range rapid.IntRange(1, 3).Draw(rt, "readers") {
+			readings = append(readings, drawReading(rt, nil, i+1))
+			n.sidecar.scripts[readings[i].key.Nonce] = drawScript(rt)
+		}
+		var failures []error
+		synctest.Test(t, func(*testing.T) { failures = n.serve(readings) })
+		for _, err := range failures {
+			rt.Error(err)
+		}
+	})
+}
+
+// serve carries out the readings and returns what went wrong.
+func (n *network) serve(readings []*reading) []error {
+	p := NewPeer(PeerConfig{Dial: n.dial})
+	defer synctest.Wait() // nothing may be left running
+	defer p.Close()
+	errs := make([]error, len(readings))
+	var wg sync.WaitGroup
+	for i, r := range readings {
+		r.peer = p
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Minute)
+			defer cancel()
+			errs[i] = r.read(ctx)
+		})
+	}
+	wg.Wait()
+	var failures []error
+	for i, r := range readings {
+		id := r.key.Nonce
+		want := n.sidecar.scripts[id].bytes(r.body)
+		if errs[i] != nil || !bytes.Equal(r.got, want) || r.heads != 1 || n.sidecar.runs[id] != 1 {
+			failures = append(failures, fmt.Errorf("reader %d: error %v, equal %t (%d of %d bytes), %d heads, %d runs",
+				i, errs[i], bytes.Equal(r.got, want), len(r.got), len(want), r.heads, n.sidecar.runs[id]))
+		}
+	}
+	return failures
+}
