standin: faults of the object API and the list of VMs

Cause: nothing could bring about an outage, a lost answer, a stale read, a gap or a silent watch, so no promise about configuration could be tried. Change: ObjectAPI implements platform.Store itself, with the HTTP handlers as a thin layer, so that tests with virtual time use it in-process. Faults by SetFaults or PUT /faults/objects and /faults/vms: down, silent, slow, rate limits, writes whose answer or request is lost or that take effect late, reads from a replica that lags, watches that leave out a change or never answer, compaction; a list of VMs that lags or is down. The log is found by version and bounded; only watches of the changed kind wake; listings use a sorted index. Ruled out: a scan of all objects a page (14,000 objects x 28 pages x 330 routers). Run: make test passes.

--- a/internal/standin/objectapi.go
+++ b/internal/standin/objectapi.go
@@ -9,194 +9,243 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
-	"net/http"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/parsleyfront/parsleyfront/internal/platform"
 )
 
 const (
 	maxObject = 1 << 20
 	pageSize  = 500
+	// logLength is how many changes a watch can go back.
+	logLength = 10000
 )
 
-// ObjectAPI is the platform's object API.
+// errDown is an outage: the store refuses everything.
+var errDown = errors.Wrap(platform.ErrRefused, "the store is down")
+
+// errTooMany is a call over the rate limit.
+var errTooMany = errors.Wrap(platform.ErrRefused, "too many calls")
+
+// ObjectAPI is the platform's object API. It implements platform.Store, for
+// tests in the same process, and serves it over HTTP.
 type ObjectAPI struct {
 	mu      sync.Mutex
-	version platform.Version
-	objects map[platform.Ref]platform.Object
-	log     []platform.Object // every change, in order of version
-	changed chan struct{}     // closed and replaced at each change
-	calls   map[string]int
+	present *objects
+	replica *objects // lags behind present
+	log     []change // the latest changes, in order of version
+	waiters map[*waiter]struct{}
+	faults  ObjectFaults
+	reads   bucket
+	writes  bucket
+	counts  ObjectCounts
 }
 
-// NewObjectAPI returns an empty ObjectAPI.
+// change is an entry of the log.
+type change struct {
+	platform.Object
+	at time.Time
+}
+
+// waiter is a watch that waits for a change of its kinds.
+type waiter struct {
+	kinds []platform.Kind
+	woken chan struct{} // of capacity one
+}
+
+// ObjectCounts are the calls that the API has received.
+type ObjectCounts struct {
+	Reads   int `json:"reads"` // watches included
+	Writes  int `json:"writes"`
+	Watches int `json:"watches"`
+	Waiting int `json:"waiting"` // watches now
+	Refused int `json:"refused"` // over the rate limit or in an outage
+}
+
+// NewObjectAPI returns an empty ObjectAPI without faults.
 func NewObjectAPI() *ObjectAPI {
 	return &ObjectAPI{
-		objects: make(map[platform.Ref]platform.Object),
-		changed: make(chan struct{}),
-		calls:   make(map[string]int),
+		present: newObjects(),
+		replica: newObjects(),
+		waiters: make(map[*waiter]struct{}),
 	}
 }
 
-// Register adds the API's routes to mux.
-func (a *ObjectAPI) Register(mux *http.ServeMux) {
-	mux.HandleFunc("GET /v1/objects/{kind}/{name}", a.get)
-	mux.HandleFunc("GET /v1/objects/{kind}", a.list)
-	mux.HandleFunc("PUT /v1/objects/{kind}/{name}", a.put)
-	mux.HandleFunc("DELETE /v1/objects/{kind}/{name}", a.remove)
-	mux.HandleFunc("GET /v1/watch", a.watch)
+// Counts returns the calls so far.
+func (a *ObjectAPI) Counts() ObjectCounts {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	c := a.counts
+	c.Waiting = len(a.waiters)
+	return c
 }
 
-// Calls returns how many calls were served, by HTTP method.
-func (a *ObjectAPI) Calls() map[string]int {
+// Get implements platform.Store.
+func (a *ObjectAPI) Get(ctx context.Context, ref platform.Ref) (platform.Object, error) {
+	if err := a.admit(ctx, false); err != nil {
+		return platform.Object{}, err
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	out := make(map[string]int, len(a.calls))
-	for k, v := range a.calls {
-		out[k] = v
+	o, ok := a.readable().byRef[ref]
+	if !ok {
+		return platform.Object{}, platform.ErrNotFound
 	}
-	return out
+	return o, nil
 }
 
-func (a *ObjectAPI) count(r *http.Request) {
-	a.calls[r.Method]++
+// List implements platform.Store.
+func (a *ObjectAPI) List(ctx context.Context, kind platform.Kind, cont string) (platform.Page, error) {
+	if err := a.admit(ctx, false); err != nil {
+		return platform.Page{}, err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.readable().page(kind, cont), nil
 }
 
-func ref(r *http.Request) platform.Ref {
-	return platform.Ref{Kind: platform.Kind(r.PathValue("kind")), Name: r.PathValue("name")}
+// Put implements platform.Store.
+func (a *ObjectAPI) Put(ctx context.Context, ref platform.Ref, value json.RawMessage, ifVersion platform.Version) (platform.Object, error) {
+	if err := a.admit(ctx, true); err != nil {
+		return platform.Object{}, err
+	}
+	return a.write(platform.Object{Ref: ref, Value: slices.Clone(value)}, ifVersion)
 }
 
-func (a *ObjectAPI) get(w http.ResponseWriter, r *http.Request) {
-	a.mu.Lock()
-	a.count(r)
-	o, ok := a.objects[ref(r)]
-	a.mu.Unlock()
-	if !ok {
-		w.WriteHeader(http.StatusNotFound)
-		return
+// Delete implements platform.Store.
+func (a *ObjectAPI) Delete(ctx context.Context, ref platform.Ref, ifVersion platform.Version) error {
+	if err := a.admit(ctx, true); err != nil {
+		return err
 	}
-	writeJSON(w, o)
+	_, err := a.write(platform.Object{Ref: ref, Deleted: true}, ifVersion)
+	return err
 }
 
-func (a *ObjectAPI) list(w http.ResponseWriter, r *http.Request) {
+// write makes a conditional change, or loses it or its answer.
+func (a *ObjectAPI) write(o platform.Object, ifVersion platform.Version) (platform.Object, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.count(r)
-	kind := platform.Kind(r.PathValue("kind"))
-	after := r.URL.Query().Get("continue")
-	p := platform.Page{Version: a.version}
-	for ref, o := range a.objects {
-		if ref.Kind == kind && ref.Name > after {
-			p.Objects = append(p.Objects, o)
-		}
+	switch {
+	case take(&a.faults.LoseRequests):
+		return platform.Object{}, errors.Wrap(platform.ErrUnknown, "connection cut")
+	case take(&a.faults.LateWrites):
+		time.AfterFunc(a.faults.LateBy.Std(), func() {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			_, _ = a.commit(o, ifVersion)
+		})
+		return platform.Object{}, errors.Wrap(platform.ErrUnknown, "connection cut")
+	case take(&a.faults.LoseAnswers):
+		_, _ = a.commit(o, ifVersion)
+		return platform.Object{}, errors.Wrap(platform.ErrUnknown, "connection cut")
 	}
-	slices.SortFunc(p.Objects, func(x, y platform.Object) int { return strings.Compare(x.Name, y.Name) })
-	if len(p.Objects) > pageSize {
-		p.Objects = p.Objects[:pageSize]
-		p.Continue = p.Objects[pageSize-1].Name
-	}
-	writeJSON(w, p)
+	return a.commit(o, ifVersion)
 }
 
-func (a *ObjectAPI) put(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxObject))
-	if err != nil || !json.Valid(body) {
-		w.WriteHeader(http.StatusBadRequest)
-		return
+// commit makes a change if its condition holds. It needs a.mu held.
+func (a *ObjectAPI) commit(o platform.Object, ifVersion platform.Version) (platform.Object, error) {
+	now, exists := a.present.byRef[o.Ref]
+	if o.Deleted && !exists {
+		return platform.Object{}, platform.ErrNotFound
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.count(r)
-	id := ref(r)
-	if !a.holds(id, r.Header) {
-		w.WriteHeader(http.StatusPreconditionFailed)
-		return
+	if now.Version != ifVersion {
+		return platform.Object{}, platform.ErrConflict
+	}
+	o.Version = a.present.version + 1
+	a.present.apply(o)
+	a.log = append(a.log, change{Object: o, at: time.Now()})
+	if len(a.log) > 2*logLength {
+		a.compact(len(a.log) - logLength)
+	}
+	for w := range a.waiters {
+		if slices.Contains(w.kinds, o.Kind) {
+			w.wake()
+		}
 	}
-	o := platform.Object{Ref: id, Value: body}
-	writeJSON(w, a.commit(o))
+	return o, nil
 }
 
-func (a *ObjectAPI) remove(w http.ResponseWriter, r *http.Request) {
+// Compact forgets all changes but the last keep. Watches from before them fail.
+func (a *ObjectAPI) Compact(keep int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.count(r)
-	id := ref(r)
-	if _, ok := a.objects[id]; !ok {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	if !a.holds(id, r.Header) {
-		w.WriteHeader(http.StatusPreconditionFailed)
-		return
-	}
-	writeJSON(w, a.commit(platform.Object{Ref: id, Deleted: true}))
+	a.compact(max(0, len(a.log)-keep))
 }
 
-// holds reports whether the condition in h is true of the object now.
-func (a *ObjectAPI) holds(id platform.Ref, h http.Header) bool {
-	o, exists := a.objects[id]
-	if h.Get("If-None-Match") == "*" {
-		return !exists
+func (a *ObjectAPI) compact(n int) {
+	for _, c := range a.log[:n] {
+		a.replica.catchUp(c.Object)
 	}
-	want := h.Get("If-Match")
-	return exists && want == strconv.Quote(strconv.FormatInt(int64(o.Version), 10))
+	a.log = slices.Clone(a.log[n:])
 }
 
-func (a *ObjectAPI) commit(o platform.Object) platform.Object {
-	a.version++
-	o.Version = a.version
-	if o.Deleted {
-		delete(a.objects, o.Ref)
-	} else {
-		a.objects[o.Ref] = o
+// Watch implements platform.Store.
+func (a *ObjectAPI) Watch(ctx context.Context, kinds []platform.Kind, since platform.Version, wait time.Duration) (platform.Page, error) {
+	if err := a.admit(ctx, false); err != nil {
+		return platform.Page{}, err
 	}
-	a.log = append(a.log, o)
-	close(a.changed)
-	a.changed = make(chan struct{})
-	return o
-}
-
-func (a *ObjectAPI) watch(w http.ResponseWriter, r *http.Request) {
-	q := r.URL.Query()
-	since, _ := strconv.ParseInt(q.Get("since"), 10, 64)
-	waitMS, _ := strconv.ParseInt(q.Get("wait_ms"), 10, 64)
-	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(waitMS)*time.Millisecond)
-	defer cancel()
+	end := time.NewTimer(wait)
+	defer end.Stop()
+	w := &waiter{kinds: kinds, woken: make(chan struct{}, 1)}
 	a.mu.Lock()
-	a.count(r)
-	for {
-		p := a.since(platform.Version(since), q["kind"])
-		changed := a.changed
-		a.mu.Unlock()
-		if len(p.Objects) > 0 || ctx.Err() != nil {
-			writeJSON(w, p)
-			return
+	a.counts.Watches++
+	silent := take(&a.faults.SilentWatches)
+	a.waiters[w] = struct{}{}
+	a.mu.Unlock()
+	defer func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		delete(a.waiters, w)
+	}()
+	if silent {
+		<-ctx.Done()
+		return platform.Page{}, errors.Wrap(platform.ErrRefused, "no answer")
+	}
+	for over := false; ; {
+		page, err := a.since(since, kinds)
+		if err != nil || over || len(page.Objects) > 0 {
+			return page, err
 		}
 		select {
-		case <-changed:
+		case <-w.woken:
+		case <-end.C:
+			over = true
 		case <-ctx.Done():
+			return platform.Page{}, errors.Wrap(platform.ErrRefused, "no answer")
 		}
-		a.mu.Lock()
 	}
 }
 
-func (a *ObjectAPI) since(v platform.Version, kinds []string) platform.Page {
-	p := platform.Page{Version: a.version}
-	for _, o := range a.log {
-		if o.Version > v && slices.Contains(kinds, string(o.Kind)) {
-			p.Objects = append(p.Objects, o)
+// since returns the changes of kinds after v.
+func (a *ObjectAPI) since(v platform.Version, kinds []platform.Kind) (platform.Page, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.faults.Down {
+		return platform.Page{}, errDown
+	}
+	page := platform.Page{Version: a.readable().version}
+	first := a.present.version - platform.Version(len(a.log)) // before the log
+	if v < first {
+		return platform.Page{}, platform.ErrCompacted
+	}
+	for _, c := range a.log[min(int(v-first), len(a.log)):] {
+		if c.Version <= page.Version && slices.Contains(kinds, c.Kind) {
+			page.Objects = append(page.Objects, c.Object)
 		}
 	}
-	return p
+	if len(page.Objects) > 0 && take(&a.faults.WatchGaps) {
+		page.Objects = page.Objects[1:]
+	}
+	return page, nil
 }
 
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
+func (w *waiter) wake() {
+	select {
+	case w.woken <- struct{}{}:
+	default:
+	}
 }
--- /dev/null
+++ b/internal/standin/objecthttp.go
@@ -0,0 +1,120 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+)
+
+// Register adds the API's routes to mux. GET and PUT of /faults/objects read
+// and set the faults, POST of /faults/objects/compact forgets old changes, and
+// GET of /debug/objects tells the counts.
+func (a *ObjectAPI) Register(mux *http.ServeMux) {
+	mux.HandleFunc("GET /v1/objects/{kind}/{name}", a.serveGet)
+	mux.HandleFunc("GET /v1/objects/{kind}", a.serveList)
+	mux.HandleFunc("PUT /v1/objects/{kind}/{name}", a.servePut)
+	mux.HandleFunc("DELETE /v1/objects/{kind}/{name}", a.serveDelete)
+	mux.HandleFunc("GET /v1/watch", a.serveWatch)
+	mux.HandleFunc("GET /debug/objects", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, a.Counts()) })
+	mux.HandleFunc("GET /faults/objects", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, a.Faults()) })
+	mux.HandleFunc("PUT /faults/objects", func(w http.ResponseWriter, r *http.Request) { serveFaults(w, r, a.SetFaults) })
+	mux.HandleFunc("POST /faults/objects/compact", func(http.ResponseWriter, *http.Request) { a.Compact(0) })
+}
+
+// serveFaults sets faults from the body.
+func serveFaults[F any](w http.ResponseWriter, r *http.Request, set func(F)) {
+	var f F
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	set(f)
+}
+
+func ref(r *http.Request) platform.Ref {
+	return platform.Ref{Kind: platform.Kind(r.PathValue("kind")), Name: r.PathValue("name")}
+}
+
+func (a *ObjectAPI) serveGet(w http.ResponseWriter, r *http.Request) {
+	o, err := a.Get(r.Context(), ref(r))
+	reply(w, o, err)
+}
+
+func (a *ObjectAPI) serveList(w http.ResponseWriter, r *http.Request) {
+	p, err := a.List(r.Context(), platform.Kind(r.PathValue("kind")), r.URL.Query().Get("continue"))
+	reply(w, p, err)
+}
+
+func (a *ObjectAPI) servePut(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxObject))
+	v, ok := condition(r.Header)
+	if err != nil || !ok || !json.Valid(body) {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	o, err := a.Put(r.Context(), ref(r), body, v)
+	reply(w, o, err)
+}
+
+func (a *ObjectAPI) serveDelete(w http.ResponseWriter, r *http.Request) {
+	v, ok := condition(r.Header)
+	if !ok {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	reply(w, struct{}{}, a.Delete(r.Context(), ref(r), v))
+}
+
+func (a *ObjectAPI) serveWatch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	since, _ := strconv.ParseInt(q.Get("since"), 10, 64)
+	waitMS, _ := strconv.ParseInt(q.Get("wait_ms"), 10, 64)
+	var kinds []platform.Kind
+	for _, k := range q["kind"] {
+		kinds = append(kinds, platform.Kind(k))
+	}
+	p, err := a.Watch(r.Context(), kinds, platform.Version(since), time.Duration(waitMS)*time.Millisecond)
+	reply(w, p, err)
+}
+
+// condition reads the version on which a write depends; zero: must not exist.
+func condition(h http.Header) (platform.Version, bool) {
+	if h.Get("If-None-Match") == "*" {
+		return 0, true
+	}
+	v, err := strconv.ParseInt(strings.Trim(h.Get("If-Match"), `"`), 10, 64)
+	return platform.Version(v), err == nil
+}
+
+func reply(w http.ResponseWriter, v any, err error) {
+	switch {
+	case err == nil:
+		writeJSON(w, v)
+	case errors.Is(err, platform.ErrNotFound):
+		w.WriteHeader(http.StatusNotFound)
+	case errors.Is(err, platform.ErrConflict):
+		w.WriteHeader(http.StatusPreconditionFailed)
+	case errors.Is(err, platform.ErrCompacted):
+		w.WriteHeader(http.StatusGone)
+	case errors.Is(err, errTooMany):
+		w.WriteHeader(http.StatusTooManyRequests)
+	case errors.Is(err, errDown):
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		panic(http.ErrAbortHandler) // cuts the connection
+	}
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/standin/objects.go
@@ -0,0 +1,79 @@
+package standin
+
+import (
+	"slices"
+
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+)
+
+// objects is the content of a store, or of a replica of it, at a version.
+type objects struct {
+	version platform.Version
+	byRef   map[platform.Ref]platform.Object
+	names   map[platform.Kind][]string // sorted, of the kinds that were listed
+}
+
+func newObjects() *objects {
+	return &objects{
+		byRef: make(map[platform.Ref]platform.Object),
+		names: make(map[platform.Kind][]string),
+	}
+}
+
+func (s *objects) apply(o platform.Object) {
+	_, existed := s.byRef[o.Ref]
+	s.version = o.Version
+	if o.Deleted {
+		delete(s.byRef, o.Ref)
+	} else {
+		s.byRef[o.Ref] = o
+	}
+	if names, listed := s.names[o.Kind]; listed && existed == o.Deleted {
+		i, _ := slices.BinarySearch(names, o.Name)
+		if o.Deleted {
+			s.names[o.Kind] = slices.Delete(names, i, i+1)
+		} else {
+			s.names[o.Kind] = slices.Insert(names, i, o.Name)
+		}
+	}
+}
+
+// catchUp applies a change of the log that was not applied before.
+func (s *objects) catchUp(o platform.Object) {
+	if o.Version > s.version {
+		s.apply(o)
+	}
+}
+
+// page returns the objects of a kind whose names come after cont.
+func (s *objects) page(kind platform.Kind, cont string) platform.Page {
+	names, listed := s.names[kind]
+	if !listed {
+		names = s.index(kind)
+	}
+	i, found := slices.BinarySearch(names, cont)
+	if found {
+		i++
+	}
+	end := min(i+pageSize, len(names))
+	p := platform.Page{Version: s.version}
+	for _, name := range names[i:end] {
+		p.Objects = append(p.Objects, s.byRef[platform.Ref{Kind: kind, Name: name}])
+	}
+	if end < len(names) {
+		p.Continue = names[end-1]
+	}
+	return p
+}
+
+func (s *objects) index(kind platform.Kind) []string {
+	names := []string{}
+	for ref := range s.byRef {
+		if ref.Kind == kind {
+			names = append(names, ref.Name)
+		}
+	}
+	slices.Sort(names)
+	s.names[kind] = names
+	return names
+}
--- a/internal/standin/vmlist.go
+++ b/internal/standin/vmlist.go
@@ -1,21 +1,41 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/profile"
 )
 
-// VMList is the platform's list of VMs.
+// VMFaults are what is wrong with a VMList.
+type VMFaults struct {
+	// Down refuses all readings.
+	Down bool `json:"down,omitempty"`
+	// Lag is how late a reading shows a change.
+	Lag profile.Duration `json:"lag,omitempty"`
+}
+
+// VMList is the platform's list of VMs. It implements platform.VMList.
 type VMList struct {
 	mu      sync.Mutex
 	tag     int
 	entries map[string]platform.VM
+	late    []vmChange // not shown yet, the oldest first
+	faults  VMFaults
+}
+
+// vmChange is a change of one entry; without a VM it removes the entry.
+type vmChange struct {
+	at time.Time
+	id string
+	vm *platform.VM
 }
 
 // NewVMList returns an empty VMList.
@@ -24,47 +44,78 @@
 }
 
 // Register adds the list's routes to mux. PUT and DELETE of /v1/vms/{id} are
-// how tests and dev mode change the list.
+// how tests and dev mode change the list, PUT of /faults/vms sets its faults.
 func (l *VMList) Register(mux *http.ServeMux) {
 	mux.HandleFunc("GET /v1/vms", l.get)
 	mux.HandleFunc("PUT /v1/vms/{id}", l.put)
 	mux.HandleFunc("DELETE /v1/vms/{id}", l.remove)
+	mux.HandleFunc("PUT /faults/vms", func(w http.ResponseWriter, r *http.Request) { serveFaults(w, r, l.SetFaults) })
 }
 
-// Set adds or replaces an entry.
-func (l *VMList) Set(vm platform.VM) {
+// SetFaults replaces the faults.
+func (l *VMList) SetFaults(f VMFaults) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.entries[vm.ID] = vm
-	l.tag++
+	l.faults = f
+}
+
+// Set adds or replaces an entry.
+func (l *VMList) Set(vm platform.VM) {
+	l.change(vmChange{id: vm.ID, vm: &vm})
 }
 
 // Remove takes an entry out.
 func (l *VMList) Remove(id string) {
+	l.change(vmChange{id: id})
+}
+
+func (l *VMList) change(c vmChange) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.entries, id)
-	l.tag++
+	c.at = time.Now()
+	l.late = append(l.late, c)
 }
 
-func (l *VMList) read() platform.VMs {
+// VMs implements platform.VMList.
+func (l *VMList) VMs(_ context.Context, tag string) (platform.VMs, bool, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.faults.Down {
+		return platform.VMs{}, false, errDown
+	}
+	l.show(time.Now().Add(-l.faults.Lag.Std()))
 	out := platform.VMs{Tag: strconv.Itoa(l.tag)}
+	if out.Tag == tag {
+		return platform.VMs{}, false, nil
+	}
 	for _, vm := range l.entries {
 		out.Entries = append(out.Entries, vm)
 	}
 	slices.SortFunc(out.Entries, func(x, y platform.VM) int { return strings.Compare(x.ID, y.ID) })
-	return out
+	return out, true, nil
+}
+
+// show makes the changes up to a time visible.
+func (l *VMList) show(until time.Time) {
+	for len(l.late) > 0 && !l.late[0].at.After(until) {
+		c := l.late[0]
+		l.late = l.late[1:]
+		l.tag++
+		if c.vm == nil {
+			delete(l.entries, c.id)
+		} else {
+			l.entries[c.id] = *c.vm
+		}
+	}
 }
 
 func (l *VMList) get(w http.ResponseWriter, r *http.Request) {
-	vms := l.read()
-	if r.Header.Get("If-None-Match") == strconv.Quote(vms.Tag) {
+	vms, changed, err := l.VMs(r.Context(), strings.Trim(r.Header.Get("If-None-Match"), `"`))
+	if err == nil && !changed {
 		w.WriteHeader(http.StatusNotModified)
 		return
 	}
-	writeJSON(w, vms)
+	reply(w, vms, err)
 }
 
 func (l *VMList) put(w http.ResponseWriter, r *http.Request) {
