settings, daemon: every mistake at once, mutual TLS, and a planned stop of routers

A mistake in the settings showed one restart at a time, secrets stood in flags, routers and sidecars trusted any connection, and a router that got SIGTERM closed its listener while the balancer still sent. Ruled out: go-flags' own required, choice and typed values, which stop at the first mistake; closing kept connections at the start of a stop, on which a request may be on its way. Dev mode has a second pool, of a plain service. The specs in test/ now run over mutual TLS.

--- a/internal/daemon/counters_test.go
+++ b/internal/daemon/counters_test.go
@@ -7,7 +7,6 @@
 	"strings"
 	"testing"
 
-	_ "github.com/parsleyfront/parsleyfront/internal/secure" // registers metrics
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 )
 
--- a/internal/daemon/dev.go
+++ b/internal/daemon/dev.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"crypto/sha256"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -15,73 +17,110 @@
 	"github.com/parsleyfront/parsleyfront/internal/platform"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
 	"github.com/parsleyfront/parsleyfront/internal/router"
+	"github.com/parsleyfront/parsleyfront/internal/secure"
 	"github.com/parsleyfront/parsleyfront/internal/settings"
 	"github.com/parsleyfront/parsleyfront/internal/standin"
 	"github.com/parsleyfront/parsleyfront/internal/token"
 )
 
-// What dev mode configures.
+// What dev mode configures: a pool of engines for chats and a plain service.
 const (
 	devRouter     = "router-0"
-	devKey        = "dev-key"
 	devModel      = "notes-7b"
-	devPool       = "notes"
+	devNotes      = "notes"
+	devClips      = "clips"
+	devServices   = 2
 	devTokenDelay = 20 * time.Millisecond
 	devTokens     = 24
 	devCache      = 256
+	devMultiple   = 1.25
 )
 
-// RunDev runs a small fleet with stand-ins in this process until ctx ends, and
+// runDev runs a small fleet with stand-ins in this process until ctx ends, and
 // tells out how to use it.
-func RunDev(ctx context.Context, s settings.Dev, out io.Writer) error {
+func runDev(ctx context.Context, s settings.Dev, out io.Writer) error {
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
 	vms := standin.NewVMList()
-	api := standin.NewObjectAPI()
 	mux := http.NewServeMux()
-	api.Register(mux)
+	standin.NewObjectAPI().Register(mux)
 	vms.Register(mux)
-	base, err := listenHTTP(ctx, mux)
+	base, err := listenHTTP(background, mux)
 	if err != nil {
 		return err
 	}
 	p := platform.NewHTTP(base)
-	if err := configure(ctx, p); err != nil {
+	if err := configure(ctx, p, string(s.Key)); err != nil {
 		return err
 	}
-	for i := range s.Engines {
-		if err := startEngine(ctx, vms, fmt.Sprintf("engine-%d", i)); err != nil {
-			return err
-		}
+	if err := startUpstreams(background, vms, s.Engines.N); err != nil {
+		return err
 	}
-	nonce := token.NewNonce()
-	ring, err := token.NewRing(token.Secret{ID: 1, Value: append(nonce[:], nonce[:]...)})
+	ring, err := newRing()
 	if err != nil {
 		return err
 	}
 	l, err := net.Listen("tcp", s.Listen)
 	if err != nil {
-		return err
+		return errors.WithStack(err)
 	}
-	o, err := listenOperators("127.0.0.1:0", devRouter, "")
+	o, err := listenOperators(s.AdminListen, settings.Node{VM: devRouter})
 	if err != nil {
 		return err
 	}
-	vms.Set(platform.VM{ID: devRouter, Role: platform.RoleRouter, Addr: l.Addr().String(), AdminAddr: o.listener.Addr().String()})
-	fmt.Fprintf(out, "platform  %s\nrouter    http://%s\n\ntry:\n  %s\n", base, l.Addr(), devCurl(l.Addr().String()))
-	return serveCallers(ctx, l, router.Config{Store: p, VMs: p, Ring: ring, Dial: dial}, o)
+	admin := o.listener.Addr().String()
+	vms.Set(platform.VM{ID: devRouter, Role: platform.RoleRouter, Addr: l.Addr().String(), AdminAddr: admin})
+	fmt.Fprint(out, devUsage(base, l.Addr().String(), admin, string(s.Key)))
+	server := callerServer{
+		listener: l,
+		config:   router.Config{Store: p, VMs: p, Ring: ring, Dial: dialer(secure.Plain{})},
+		admin:    o,
+		plan:     stopPlan{timeout: s.StopTimeout.D},
+	}
+	return server.serve(ctx, background)
 }
 
-func devCurl(addr string) string {
-	return fmt.Sprintf(`curl -iN http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{"model":"%s","stream":true,"messages":[{"role":"user","content":"Who lost the ball?"}]}'`, addr, devKey, devModel)
+// newRing returns a Ring with a secret of this process.
+func newRing() (*token.Ring, error) {
+	secret := make([]byte, sha256.Size)
+	rand.Read(secret) // never fails, as crypto/rand documents
+	return token.NewRing(token.Secret{ID: 1, Value: secret})
 }
 
-// configure writes the profile and organisation of dev mode.
-func configure(ctx context.Context, store platform.Store) error {
-	chat := profile.Profile{Name: "chat", Pool: devPool, Model: devModel, Deadline: profile.Duration(time.Minute), LoadMultiple: 1.25}
-	org := profile.Organisation{Name: "dev", Weight: 1, Profiles: []string{"chat"}, Keys: []profile.APIKey{{ID: "dev", SHA256: profile.HashKey(devKey)}}}
-	if err := create(ctx, store, platform.Ref{Kind: platform.KindProfile, Name: chat.Name}, chat); err != nil {
-		return err
+func devUsage(base, addr, admin, key string) string {
+	return fmt.Sprintf(`platform  %[1]s
+router    http://%[2]s
+operators http://%[3]s/debug/vars
+
+a chat:
+  curl -iN http://%[2]s/v1/chat/completions -H 'Authorization: Bearer %[4]s' -d '{"model":"%[5]s","stream":true,"messages":[{"role":"user","content":"Who lost the ball?"}]}'
+a call of a plain service:
+  curl -i http://%[2]s/services/%[6]s/tags -H 'Authorization: Bearer %[4]s' -d 'corner'
+`, base, addr, admin, key, devModel, devClips)
+}
+
+// configure writes the profiles and the organisation of dev mode.
+func configure(ctx context.Context, store platform.Store, key string) error {
+	objects := []struct {
+		ref   platform.Ref
+		value any
+	}{
+		{platform.Ref{Kind: platform.KindProfile, Name: devNotes}, profile.Profile{
+			Name: devNotes, Pool: devNotes, Model: devModel, Deadline: profile.Duration(time.Minute), LoadMultiple: devMultiple,
+		}},
+		{platform.Ref{Kind: platform.KindProfile, Name: devClips}, profile.Profile{
+			Name: devClips, Pool: devClips, Service: devClips, Deadline: profile.Duration(10 * time.Second), LoadMultiple: devMultiple,
+		}},
+		{platform.Ref{Kind: platform.KindOrganisation, Name: "dev"}, profile.Organisation{
+			Name: "dev", Weight: 1, Profiles: []string{devNotes, devClips}, Keys: []profile.APIKey{{ID: "dev", SHA256: profile.HashKey(key)}},
+		}},
+	}
+	for _, o := range objects {
+		if err := create(ctx, store, o.ref, o.value); err != nil {
+			return err
+		}
 	}
-	return create(ctx, store, platform.Ref{Kind: platform.KindOrganisation, Name: org.Name}, org)
+	return nil
 }
 
 func create(ctx context.Context, store platform.Store, ref platform.Ref, v any) error {
@@ -96,20 +135,38 @@
 	return nil
 }
 
-// startEngine runs a stand-in engine with its sidecar and lists its VM.
-func startEngine(ctx context.Context, vms *standin.VMList, id string) error {
-	mux := http.NewServeMux()
-	standin.NewEngine(standin.EngineConfig{Model: devModel, TokenDelay: devTokenDelay, Tokens: devTokens, CacheSize: devCache}).Register(mux)
-	base, err := listenHTTP(ctx, mux)
+// startUpstreams runs the stand-ins of both pools, each with its sidecar.
+func startUpstreams(ctx context.Context, vms *standin.VMList, engines int) error {
+	for i := range engines {
+		mux := http.NewServeMux()
+		standin.NewEngine(standin.EngineConfig{Model: devModel, TokenDelay: devTokenDelay, Tokens: devTokens, CacheSize: devCache}).Register(mux)
+		if err := startUpstream(ctx, vms, platform.VM{ID: fmt.Sprintf("engine-%d", i), Pool: devNotes}, mux); err != nil {
+			return err
+		}
+	}
+	for i := range devServices {
+		mux := http.NewServeMux()
+		standin.NewService(devClips).Register(mux)
+		if err := startUpstream(ctx, vms, platform.VM{ID: fmt.Sprintf("clips-%d", i), Pool: devClips}, mux); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startUpstream runs an upstream with its sidecar and lists its VM.
+func startUpstream(ctx context.Context, vms *standin.VMList, vm platform.VM, h http.Handler) error {
+	base, err := listenHTTP(ctx, h)
 	if err != nil {
 		return err
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return err
+		return errors.WithStack(err)
 	}
-	go func() { _ = serveRouters(ctx, l, id, base) }()
-	vms.Set(platform.VM{ID: id, Role: platform.RoleUpstream, Addr: l.Addr().String(), Pool: devPool})
+	go func() { _ = serveRouters(ctx, l, vm.ID, base) }()
+	vm.Role, vm.Addr = platform.RoleUpstream, l.Addr().String()
+	vms.Set(vm)
 	return nil
 }
 
--- /dev/null
+++ b/internal/daemon/fleet.go
@@ -0,0 +1,89 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/secure"
+	"github.com/parsleyfront/parsleyfront/internal/settings"
+	"github.com/parsleyfront/parsleyfront/internal/telemetry"
+)
+
+const (
+	// spareFiles is how many files a process needs beside its connections.
+	spareFiles = 256
+	// acceptPause is the pause after a connection that could not be accepted.
+	acceptPause = 100 * time.Millisecond
+)
+
+var acceptFailures = telemetry.NewCounter("daemon_accept_failures_total",
+	"Connections of routers that could not be accepted, for want of files or memory.", telemetry.Alert)
+
+// fleetTransport returns how this process connects to others of the fleet.
+func fleetTransport(ctx context.Context, f settings.Fleet, n settings.Node, role secure.Role) (secure.Transport, error) {
+	if f.InsecurePlain.On {
+		slog.Warn("routers and sidecars connect without TLS: --insecure-plain is for development on one machine")
+		return secure.Plain{}, nil
+	}
+	m, err := secure.NewMutual(n.Identity(role), f.TrustDomain, secure.Paths{Cert: f.Cert, Key: f.Key, CA: f.CA})
+	if err != nil {
+		return nil, err
+	}
+	go m.Files().Run(ctx, n.ReloadInterval.D)
+	return m, nil
+}
+
+func dialer(t secure.Transport) func(context.Context, platform.VM) (net.Conn, error) {
+	return func(ctx context.Context, vm platform.VM) (net.Conn, error) {
+		return t.Dial(ctx, vm.ID, vm.Addr)
+	}
+}
+
+// checkFileLimit says when the limit of open files is too low for the
+// settings. It is the operator's to change.
+func checkFileLimit(connections int) {
+	need := uint64(connections + spareFiles)
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		slog.Warn("the limit of open files could not be read", "error", err)
+		return
+	}
+	if limit.Cur < need {
+		slog.Warn("the limit of open files is lower than the settings may need", "limit", limit.Cur, "need", need)
+	}
+}
+
+// patientListener goes on after a connection that could not be accepted.
+// Without it a process that runs out of files for a moment would stop to
+// listen for good, though it serves what it has.
+type patientListener struct {
+	net.Listener
+}
+
+// Accept implements net.Listener.
+func (l patientListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err == nil || !passing(err) {
+			return c, err
+		}
+		acceptFailures.Inc()
+		time.Sleep(acceptPause)
+	}
+}
+
+// passing reports whether an error of accepting says nothing about the listener.
+func passing(err error) bool {
+	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -5,12 +5,17 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
 
 	"github.com/parsleyfront/parsleyfront/internal/admin"
 	"github.com/parsleyfront/parsleyfront/internal/router"
+	"github.com/parsleyfront/parsleyfront/internal/settings"
 )
 
-// operators is what a router's API for operators needs.
+// operators is what the API for operators needs.
 type operators struct {
 	vm       string
 	token    string
@@ -18,23 +23,42 @@
 }
 
 // listenOperators opens the API's listener; an empty addr turns the API off.
-func listenOperators(addr, vm, token string) (operators, error) {
+func listenOperators(addr string, n settings.Node) (operators, error) {
 	if addr == "" {
 		return operators{}, nil
 	}
+	token, err := readToken(n.AdminTokenFile)
+	if err != nil {
+		return operators{}, err
+	}
 	l, err := net.Listen("tcp", addr)
-	return operators{vm: vm, token: token, listener: l}, err
+	return operators{vm: n.VM, token: token, listener: l}, errors.WithStack(err)
+}
+
+func readToken(path string) (string, error) {
+	if path == "" {
+		return "", nil
+	}
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return "", errors.Wrap(err, "admin token")
+	}
+	token := strings.TrimSpace(string(b))
+	if token == "" {
+		return "", errors.Errorf("admin token: %s is empty", path)
+	}
+	return token, nil
 }
 
-// serve serves the API of r until ctx ends.
-func (o operators) serve(ctx context.Context, r *router.Router) {
+// serve serves the API of r, and its health, until ctx ends.
+func (o operators) serve(ctx context.Context, r *router.Router, h *health) {
 	if o.listener == nil {
 		return
 	}
-	server := &http.Server{
-		Handler:           admin.NewServer(admin.Config{VM: o.vm, Node: r.Operators(o.vm), Token: o.token}),
-		ReadHeaderTimeout: headerTimeout,
-	}
+	mux := http.NewServeMux()
+	h.register(mux)
+	mux.Handle("/", admin.NewServer(admin.Config{VM: o.vm, Node: r.Operators(o.vm), Token: o.token}))
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	go func() { _ = server.Serve(o.listener) }()
 	slog.Info("operators' API listening", "addr", o.listener.Addr().String())
--- /dev/null
+++ b/internal/daemon/router.go
@@ -0,0 +1,166 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/net/netutil"
+
+	"github.com/parsleyfront/parsleyfront/internal/gateway"
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/router"
+	"github.com/parsleyfront/parsleyfront/internal/secure"
+	"github.com/parsleyfront/parsleyfront/internal/settings"
+)
+
+const (
+	// headerTimeout bounds how long a caller may take to send its headers.
+	headerTimeout = 10 * time.Second
+	// idleTimeout bounds how long a caller's connection is kept between requests.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds the headers of a request.
+	maxHeaderBytes = 64 << 10
+	// sidecarFiles is how many sidecars a router may be connected to at the
+	// target's size, for the check of the file limit.
+	sidecarFiles = 3000
+)
+
+// callerServer is what a router serves callers by.
+type callerServer struct {
+	listener net.Listener
+	tls      *tls.Config // nil: plain HTTP
+	config   router.Config
+	admin    operators
+	plan     stopPlan
+}
+
+// stopPlan is how a router leaves.
+type stopPlan struct {
+	delay   time.Duration // until the balancer has noticed
+	timeout time.Duration // for the requests in flight
+}
+
+func runRouter(ctx context.Context, s settings.Router) error {
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	checkFileLimit(s.MaxConnections.N + sidecarFiles)
+	transport, err := fleetTransport(background, s.Fleet, s.Node, secure.RoleRouter)
+	if err != nil {
+		return err
+	}
+	secrets, err := secure.NewSecrets(s.TokenSecrets)
+	if err != nil {
+		return err
+	}
+	go secrets.Files().Run(background, s.ReloadInterval.D)
+	p, err := platformClient(background, s)
+	if err != nil {
+		return err
+	}
+	server := callerServer{
+		config: router.Config{Store: p, VMs: p, Ring: secrets.Ring, Dial: dialer(transport), FailureDomain: s.FailureDomain},
+		plan:   stopPlan{delay: s.DrainDelay.D, timeout: s.StopTimeout.D},
+	}
+	if server.tls, err = callerTLS(background, s); err != nil {
+		return err
+	}
+	if server.admin, err = listenOperators(s.AdminListen, s.Node); err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	server.listener = netutil.LimitListener(l, s.MaxConnections.N)
+	slog.Info("router listening", "addr", l.Addr().String(), "vm", s.VM)
+	return server.serve(ctx, background)
+}
+
+func platformClient(ctx context.Context, s settings.Router) (*platform.HTTP, error) {
+	p := platform.NewHTTP(string(s.Platform))
+	if s.PlatformCA == "" {
+		return p, nil
+	}
+	c, err := secure.NewClient(s.PlatformCA)
+	if err != nil {
+		return nil, err
+	}
+	go c.Files().Run(ctx, s.ReloadInterval.D)
+	return p.Via(c), nil
+}
+
+// callerTLS returns nil when callers speak plain HTTP.
+func callerTLS(ctx context.Context, s settings.Router) (*tls.Config, error) {
+	if s.CallerCert == "" {
+		return nil, nil
+	}
+	c, err := secure.NewServer(s.CallerCert, s.CallerKey)
+	if err != nil {
+		return nil, err
+	}
+	go c.Files().Run(ctx, s.ReloadInterval.D)
+	return c.Config(), nil
+}
+
+// serve serves callers until ctx ends and the planned stop is over. background
+// ends after that.
+func (c callerServer) serve(ctx, background context.Context) error {
+	r := router.New(background, c.config)
+	h := newHealth(r.Alive, r.Ready)
+	c.admin.serve(background, r, h)
+	server := &http.Server{
+		Handler:           h.wrap(gateway.New(r)),
+		TLSConfig:         c.tls,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	failed := make(chan error, 1)
+	go func() {
+		if c.tls != nil {
+			failed <- server.ServeTLS(c.listener, "", "")
+			return
+		}
+		failed <- server.Serve(c.listener)
+	}()
+	select {
+	case err := <-failed:
+		return errors.WithStack(err)
+	case <-ctx.Done():
+	}
+	return c.plan.stop(background, h, server)
+}
+
+// stop ends a router without cutting a request. Readiness fails first, while
+// the router serves on: until the balancer has looked, it still sends. Each
+// answer then asks its connection to be closed, so that kept connections, on
+// which a request might cross with our closing them, are gone by the end of the
+// delay. Then no connection is accepted, what is in flight ends, and so does
+// the router.
+func (p stopPlan) stop(ctx context.Context, h *health, server *http.Server) error {
+	h.leave()
+	slog.Info("leaving: readiness fails, requests are still taken", "for", p.delay)
+	wait(ctx, p.delay)
+	slog.Info("leaving: no more requests are taken, those in flight go on", "for at most", p.timeout)
+	ctx, cancel := context.WithTimeout(ctx, p.timeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		return errors.Wrap(err, "requests were still in flight at the end of --stop-timeout")
+	}
+	slog.Info("left: nothing was in flight")
+	return nil
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -2,7 +2,11 @@
 // applies events to it in order and carries out the effects that come back.
 package loop
 
-import "context"
+import (
+	"context"
+
+	"github.com/pkg/errors"
+)
 
 // queueLength is how many events may wait for the loop.
 const queueLength = 1024
@@ -19,9 +23,13 @@
 	act     func(F)
 	settled func()
 	events  chan E
+	probes  chan struct{}
 	done    chan struct{}
 }
 
+// ErrEnded is a loop that runs no more.
+var ErrEnded = errors.New("loop: ended")
+
 // New returns a Loop that hands each effect to act, and calls settled each
 // time it has run out of events. Both run on the loop's goroutine: act must not
 // post to the loop from there, and neither may block for long.
@@ -31,6 +39,7 @@
 		act:     act,
 		settled: settled,
 		events:  make(chan E, queueLength),
+		probes:  make(chan struct{}),
 		done:    make(chan struct{}),
 	}
 }
@@ -45,6 +54,19 @@
 	}
 }
 
+// Probe waits until the loop takes a turn. A loop that is stuck in a step or an
+// effect takes none: its process answers on the network and decides nothing.
+func (l *Loop[E, F]) Probe(ctx context.Context) error {
+	select {
+	case l.probes <- struct{}{}:
+		return nil
+	case <-l.done:
+		return ErrEnded
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Run applies events until ctx ends.
 func (l *Loop[E, F]) Run(ctx context.Context) {
 	defer close(l.done)
@@ -52,6 +74,8 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-l.probes:
+			continue
 		case event := <-l.events:
 			l.apply(event)
 		}
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -37,6 +37,13 @@
 	return &HTTP{base: base, client: &http.Client{}}
 }
 
+// Via makes calls go through t, such as one that trusts the platform's own
+// authorities, and returns h.
+func (h *HTTP) Via(t http.RoundTripper) *HTTP {
+	h.client = &http.Client{Transport: t}
+	return h
+}
+
 // Get implements Store.
 func (h *HTTP) Get(ctx context.Context, ref Ref) (Object, error) {
 	var o Object
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -107,6 +107,11 @@
 	return len(v.Profiles) > 0 && len(v.VMs) > 0
 }
 
+// Alive returns nil when the control loop turns.
+func (r *Router) Alive(ctx context.Context) error {
+	return r.loop.Probe(ctx)
+}
+
 // followConfig keeps the configuration up to date: a listing, then watches.
 func (r *Router) followConfig(ctx context.Context) {
 	for ctx.Err() == nil {
--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,171 @@
+package settings
+
+import (
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/telemetry"
+	"github.com/parsleyfront/parsleyfront/internal/token"
+)
+
+// Bounds of settings.
+const (
+	minReload = 50 * time.Millisecond
+	maxReload = time.Minute
+	maxDelay  = time.Hour
+	maxStop   = 24 * time.Hour
+)
+
+// Mistakes is all that is wrong with a command line and environment.
+type Mistakes []string
+
+// Error implements error, one mistake a line.
+func (m Mistakes) Error() string {
+	return "mistakes in the settings:\n  " + strings.Join(m, "\n  ")
+}
+
+func (m *Mistakes) add(flag, format string, args ...any) {
+	*m = append(*m, "--"+flag+": "+fmt.Sprintf(format, args...))
+}
+
+func (m *Mistakes) required(flag, value string) {
+	if value == "" {
+		m.add(flag, "is required")
+	}
+}
+
+func (m *Mistakes) address(flag, value string) {
+	if _, _, err := net.SplitHostPort(value); err != nil {
+		m.add(flag, "want an address such as 10.0.0.2:8080, have %q", value)
+	}
+}
+
+func (m *Mistakes) optionalAddress(flag, value string) {
+	if value != "" {
+		m.address(flag, value)
+	}
+}
+
+func (m *Mistakes) oneOf(flag, value string, allowed ...string) {
+	for _, a := range allowed {
+		if value == a {
+			return
+		}
+	}
+	m.add(flag, "want one of %s, have %q", strings.Join(allowed, ", "), value)
+}
+
+func (m *Mistakes) duration(flag string, v Duration, low, high time.Duration) {
+	if v.err == nil && (v.D < low || v.D > high) {
+		m.add(flag, "want from %s to %s, have %s", low, high, v.D)
+	}
+}
+
+func (m *Mistakes) count(flag string, v Count, low, high int) {
+	if v.err == nil && (v.N < low || v.N > high) {
+		m.add(flag, "want from %d to %d, have %d", low, high, v.N)
+	}
+}
+
+// file checks that a file can be read; an empty name is none.
+func (m *Mistakes) file(flag, path string) {
+	if path == "" {
+		return
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		m.add(flag, "%s", err)
+		return
+	}
+	_ = f.Close()
+}
+
+// checkable is the settings of a role.
+type checkable interface{ check(m *Mistakes) }
+
+func (c Common) check(m *Mistakes) {
+	m.oneOf("log-format", c.LogFormat, string(telemetry.LogText), string(telemetry.LogJSON))
+	if _, err := c.Level(); err != nil {
+		m.add("log-level", "want debug, info, warn or error, have %q", c.LogLevel)
+	}
+	m.duration("stop-timeout", c.StopTimeout, time.Second, maxStop)
+}
+
+// Level returns the least level of lines that are written.
+func (c Common) Level() (slog.Level, error) {
+	var l slog.Level
+	err := l.UnmarshalText([]byte(c.LogLevel))
+	return l, err
+}
+
+func (n Node) check(m *Mistakes) {
+	m.required("vm", n.VM)
+	if len(n.VM) > token.MaxVMLen {
+		m.add("vm", "is over %d bytes, more than a request key can carry", token.MaxVMLen)
+	}
+	m.file("admin-token-file", n.AdminTokenFile)
+	m.duration("reload-interval", n.ReloadInterval, minReload, maxReload)
+}
+
+func (f Fleet) check(m *Mistakes) {
+	given := 0
+	for _, path := range []string{f.Cert, f.Key, f.CA} {
+		if path != "" {
+			given++
+		}
+	}
+	switch {
+	case f.InsecurePlain.On && given > 0:
+		m.add("insecure-plain", "does not go with --fleet-cert, --fleet-key and --fleet-ca: choose")
+	case !f.InsecurePlain.On && given < 3:
+		m.add("fleet-cert", "is required together with --fleet-key and --fleet-ca; on one machine, for development, --insecure-plain does without")
+	}
+	m.file("fleet-cert", f.Cert)
+	m.file("fleet-key", f.Key)
+	m.file("fleet-ca", f.CA)
+	m.required("trust-domain", f.TrustDomain)
+}
+
+func (r Router) check(m *Mistakes) {
+	r.Common.check(m)
+	r.Node.check(m)
+	r.Fleet.check(m)
+	m.address("listen", r.Listen)
+	m.optionalAddress("admin-listen", r.AdminListen)
+	if (r.CallerCert == "") != (r.CallerKey == "") {
+		m.add("caller-cert", "goes with --caller-key: give both or none")
+	}
+	m.file("caller-cert", r.CallerCert)
+	m.file("caller-key", r.CallerKey)
+	m.required("platform", string(r.Platform))
+	m.file("platform-ca", r.PlatformCA)
+	m.required("token-secrets", r.TokenSecrets)
+	m.file("token-secrets", r.TokenSecrets)
+	m.duration("drain-delay", r.DrainDelay, 0, maxDelay)
+	m.count("max-connections", r.MaxConnections, 1, 1<<20)
+}
+
+func (s Sidecar) check(m *Mistakes) {
+	s.Common.check(m)
+	s.Node.check(m)
+	s.Fleet.check(m)
+	m.address("listen", s.Listen)
+	m.optionalAddress("admin-listen", s.AdminListen)
+	m.required("upstream", string(s.Upstream))
+	// Without TLS whoever reaches the port may run work.
+	if host, _, err := net.SplitHostPort(s.Listen); err == nil && s.InsecurePlain.On && !net.ParseIP(host).IsLoopback() {
+		m.add("listen", "with --insecure-plain only a loopback address such as 127.0.0.1:7400, have %q", s.Listen)
+	}
+}
+
+func (d Dev) check(m *Mistakes) {
+	d.Common.check(m)
+	m.address("listen", d.Listen)
+	m.address("admin-listen", d.AdminListen)
+	m.count("engines", d.Engines, 1, 100)
+	m.required("key", string(d.Key))
+}
--- /dev/null
+++ b/internal/settings/parse.go
@@ -0,0 +1,161 @@
+package settings
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+)
+
+// envPrefix begins every environment variable of parsleyd.
+const envPrefix = "PARSLEYD_"
+
+// helpFlag is what the parser adds to the settings.
+const helpFlag = "help"
+
+// Role is what a process does.
+type Role string
+
+// Roles, as the command line names them.
+const (
+	RoleRouter  Role = "router"
+	RoleSidecar Role = "sidecar"
+	RoleDev     Role = "dev"
+)
+
+// Parsed is a command line and environment that has been read.
+type Parsed struct {
+	Daemon
+	Role    Role
+	options []*flags.Option
+}
+
+// Help is a request for help, with the text to print.
+type Help string
+
+// Error implements error.
+func (h Help) Error() string { return string(h) }
+
+// Parse reads a command line, without the program's name, and the environment.
+// The error is Help or Mistakes; with Mistakes, what could be read is returned too.
+func Parse(args []string) (*Parsed, error) {
+	p := &Parsed{}
+	var m Mistakes
+	parser := flags.NewParser(&p.Daemon, flags.HelpFlag|flags.PassDoubleDash)
+	parser.UnknownOptionHandler = func(name string, _ flags.SplitArgument, rest []string) ([]string, error) {
+		m.add(name, "no such setting") // the value stays unsaid: it may be a secret
+		return rest, nil
+	}
+	rest, err := parser.ParseArgs(args)
+	if err != nil {
+		if flags.WroteHelp(err) {
+			return nil, Help(err.Error())
+		}
+		return p, append(m, err.Error())
+	}
+	if len(rest) > 0 {
+		m = append(m, fmt.Sprintf("arguments that belong to no flag: %d", len(rest)))
+	}
+	p.Role = Role(parser.Active.Name)
+	p.options = optionsOf(parser.Active.Group)
+	m = append(m, unknownVariables(parser)...)
+	for _, o := range p.options {
+		if v, ok := o.Value().(mistaken); ok && v.mistake() != nil {
+			m.add(o.LongName, "%s", v.mistake())
+		}
+	}
+	p.role().check(&m)
+	if len(m) > 0 {
+		return p, m
+	}
+	return p, nil
+}
+
+func (p *Parsed) role() checkable {
+	switch p.Role {
+	case RoleRouter:
+		return p.Router
+	case RoleSidecar:
+		return p.Sidecar
+	default:
+		return p.Dev
+	}
+}
+
+// Common returns the settings that the roles share.
+func (p *Parsed) Common() Common {
+	switch p.Role {
+	case RoleRouter:
+		return p.Router.Common
+	case RoleSidecar:
+		return p.Sidecar.Common
+	default:
+		return p.Dev.Common
+	}
+}
+
+// Node returns the settings of a process of a fleet; dev mode has none.
+func (p *Parsed) Node() Node {
+	switch p.Role {
+	case RoleRouter:
+		return p.Router.Node
+	case RoleSidecar:
+		return p.Sidecar.Node
+	default:
+		return Node{}
+	}
+}
+
+func optionsOf(g *flags.Group) []*flags.Option {
+	out := g.Options()
+	for _, sub := range g.Groups() {
+		out = append(out, optionsOf(sub)...)
+	}
+	return out
+}
+
+// unknownVariables names variables that look like ours and that no role reads.
+// A misspelt variable would otherwise leave its setting at the default unseen.
+func unknownVariables(parser *flags.Parser) []string {
+	known := make(map[string]bool)
+	for _, c := range parser.Commands() {
+		for _, o := range optionsOf(c.Group) {
+			known[o.EnvDefaultKey] = true
+		}
+	}
+	var out []string
+	for _, variable := range os.Environ() {
+		name, _, _ := strings.Cut(variable, "=")
+		if strings.HasPrefix(name, envPrefix) && !known[name] {
+			out = append(out, name+": no such setting")
+		}
+	}
+	return out
+}
+
+// Print writes the settings of the active role, one a line: flag, value,
+// variable and where the value comes from. Secrets are not written.
+func (p *Parsed) Print(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, o := range p.options {
+		if o.LongName == helpFlag {
+			continue
+		}
+		fmt.Fprintf(table, "--%s\t%v\t%s\t%s\n", o.LongName, o.Value(), o.EnvDefaultKey, source(o))
+	}
+	return errors.WithStack(table.Flush())
+}
+
+func source(o *flags.Option) string {
+	if o.IsSet() && !o.IsSetDefault() {
+		return "flag"
+	}
+	if _, ok := os.LookupEnv(o.EnvDefaultKey); ok && o.EnvDefaultKey != "" {
+		return "environment"
+	}
+	return "default"
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,15 +1,8 @@
 // Package settings defines the flags and environment variables of parsleyd and
-// checks them before anything starts.
+// checks them, all at once, before anything starts.
 package settings
 
-import (
-	"net/url"
-	"strings"
-
-	"github.com/pkg/errors"
-
-	"github.com/parsleyfront/parsleyfront/internal/token"
-)
+import "github.com/parsleyfront/parsleyfront/internal/secure"
 
 // Daemon is the command line of parsleyd.
 type Daemon struct {
@@ -18,75 +11,74 @@
 	Dev     Dev     `command:"dev" description:"run a small fleet with stand-ins in one process"`
 }
 
-// Router is the settings of the router role.
-type Router struct {
-	Listen      string   `long:"listen" env:"PARSLEY_LISTEN" default:"127.0.0.1:8080" description:"address for callers"`
-	Platform    string   `long:"platform" env:"PARSLEY_PLATFORM" description:"URL of the platform's API" required:"true"`
-	VM          string   `long:"vm" env:"PARSLEY_VM" description:"this VM's id in the platform's list; required with --admin-listen"`
-	AdminListen string   `long:"admin-listen" env:"PARSLEY_ADMIN_LISTEN" description:"address for operators, on the management network; default: none"`
-	AdminToken  string   `long:"admin-token" env:"PARSLEY_ADMIN_TOKEN" default-mask:"-" description:"token that operators' requests carry, the same at all routers; default: none is asked for"`
-	Secrets     []string `long:"token-secret" env:"PARSLEY_TOKEN_SECRETS" env-delim:"," description:"id:hex of a secret that signs request keys, the one to sign with first" required:"true"`
+// Common is the settings of every role.
+type Common struct {
+	PrintSettings Switch   `long:"print-settings" optional:"yes" optional-value:"true" description:"print the settings with where each comes from, and end"`
+	LogFormat     string   `long:"log-format" env:"PARSLEYD_LOG_FORMAT" default:"text" description:"text or json"`
+	LogLevel      string   `long:"log-level" env:"PARSLEYD_LOG_LEVEL" default:"info" description:"debug, info, warn or error"`
+	TraceEndpoint URL      `long:"trace-endpoint" env:"PARSLEYD_TRACE_ENDPOINT" description:"URL of an OTLP collector over HTTP, such as http://10.0.0.9:4318/v1/traces; without it there are no traces"`
+	TraceRatio    Ratio    `long:"trace-ratio" env:"PARSLEYD_TRACE_RATIO" default:"0.01" description:"share of traces to begin, from 0 to 1; a trace that a caller has begun keeps its decision"`
+	StopTimeout   Duration `long:"stop-timeout" env:"PARSLEYD_STOP_TIMEOUT" default:"1h" description:"how long a planned stop waits for requests in flight"`
 }
 
-// Sidecar is the settings of the sidecar role.
-type Sidecar struct {
-	Listen   string `long:"listen" env:"PARSLEY_LISTEN" default:"127.0.0.1:7400" description:"address for routers"`
-	VM       string `long:"vm" env:"PARSLEY_VM" description:"this VM's id in the platform's list" required:"true"`
-	Upstream string `long:"upstream" env:"PARSLEY_UPSTREAM" description:"URL of the upstream beside this sidecar" required:"true"`
+// Node is the settings of a process of a fleet.
+type Node struct {
+	VM             string   `long:"vm" env:"PARSLEYD_VM" description:"this VM's id in the platform's list"`
+	Region         string   `long:"region" env:"PARSLEYD_REGION" description:"region of this VM"`
+	FailureDomain  string   `long:"failure-domain" env:"PARSLEYD_FAILURE_DOMAIN" description:"failure domain of this VM, as in the platform's list"`
+	AdminTokenFile string   `long:"admin-token-file" env:"PARSLEYD_ADMIN_TOKEN_FILE" description:"file with the token that operators' requests must carry, the same at all routers; without it none is asked for"`
+	ReloadInterval Duration `long:"reload-interval" env:"PARSLEYD_RELOAD_INTERVAL" default:"5s" description:"how often files of certificates, keys and secrets are looked at; a change is taken at the second look that finds it"`
 }
 
-// Dev is the settings of dev mode.
-type Dev struct {
-	Listen  string `long:"listen" env:"PARSLEY_LISTEN" default:"127.0.0.1:8080" description:"address for callers"`
-	Engines int    `long:"engines" default:"3" description:"stand-in engines to run"`
+// Fleet is the settings of trust between routers and sidecars.
+type Fleet struct {
+	Cert          string `long:"fleet-cert" env:"PARSLEYD_FLEET_CERT" description:"PEM file of this process's certificate, which names its role and VM"`
+	Key           string `long:"fleet-key" env:"PARSLEYD_FLEET_KEY" description:"PEM file of its key"`
+	CA            string `long:"fleet-ca" env:"PARSLEYD_FLEET_CA" description:"PEM file of the authorities of the fleet"`
+	TrustDomain   string `long:"trust-domain" env:"PARSLEYD_TRUST_DOMAIN" default:"parsleyfront" description:"trust domain of the SPIFFE ids in certificates"`
+	InsecurePlain Switch `long:"insecure-plain" env:"PARSLEYD_INSECURE_PLAIN" optional:"yes" optional-value:"true" description:"connect routers and sidecars without TLS, for development on one machine"`
 }
 
-// Check returns all that is wrong with the settings, in one error.
-func (r Router) Check() error {
-	var c checks
-	c.url("--platform", r.Platform)
-	if _, err := r.Ring(); err != nil {
-		c.add("--token-secret: %s", err)
-	}
-	if r.AdminListen != "" && r.VM == "" {
-		c.add("--vm: want this VM's id, by which routers know each other, when --admin-listen is set")
-	}
-	return c.err()
-}
+// Router is the settings of the router role.
+type Router struct {
+	Common `group:"Process"`
+	Node   `group:"Node"`
+	Fleet  `group:"Fleet"`
 
-// Ring returns the token secrets.
-func (r Router) Ring() (*token.Ring, error) {
-	secrets, err := token.ParseSecrets(strings.Join(r.Secrets, "\n") + "\n")
-	if err != nil {
-		return nil, err
-	}
-	return token.NewRing(secrets...)
-}
+	Listen       string `long:"listen" env:"PARSLEYD_LISTEN" default:"127.0.0.1:8080" description:"address for callers"`
+	AdminListen  string `long:"admin-listen" env:"PARSLEYD_ADMIN_LISTEN" description:"address for operators, on the management network; without it there is none"`
+	CallerCert   string `long:"caller-cert" env:"PARSLEYD_CALLER_CERT" description:"PEM file of the certificate that callers see; without it callers speak plain HTTP"`
+	CallerKey    string `long:"caller-key" env:"PARSLEYD_CALLER_KEY" description:"PEM file of its key"`
+	Platform     URL    `long:"platform" env:"PARSLEYD_PLATFORM" description:"URL of the platform's API"`
+	PlatformCA   string `long:"platform-ca" env:"PARSLEYD_PLATFORM_CA" description:"PEM file of the authorities that sign the platform's certificate; without it those of the system count"`
+	TokenSecrets string `long:"token-secrets" env:"PARSLEYD_TOKEN_SECRETS" description:"file of the secrets that sign request keys and tickets: id:hex on each line, the one to sign with first"`
 
-// Check returns all that is wrong with the settings, in one error.
-func (s Sidecar) Check() error {
-	var c checks
-	c.url("--upstream", s.Upstream)
-	return c.err()
+	DrainDelay     Duration `long:"drain-delay" env:"PARSLEYD_DRAIN_DELAY" default:"10s" description:"how long a planned stop goes on taking requests after readiness has begun to fail: longer than the balancer takes to notice"`
+	MaxConnections Count    `long:"max-connections" env:"PARSLEYD_MAX_CONNECTIONS" default:"12000" description:"callers' connections that are open at a time; more wait to be accepted"`
 }
 
-// checks collects mistakes, so that an operator sees all of them at once.
-type checks []string
+// Sidecar is the settings of the sidecar role.
+type Sidecar struct {
+	Common `group:"Process"`
+	Node   `group:"Node"`
+	Fleet  `group:"Fleet"`
 
-func (c *checks) add(format string, args ...any) {
-	*c = append(*c, errors.Errorf(format, args...).Error())
+	Listen      string `long:"listen" env:"PARSLEYD_LISTEN" default:"127.0.0.1:7400" description:"address for routers"`
+	AdminListen string `long:"admin-listen" env:"PARSLEYD_ADMIN_LISTEN" description:"address for operators, on the management network; without it there is none"`
+	Upstream    URL    `long:"upstream" env:"PARSLEYD_UPSTREAM" description:"URL of the upstream beside this sidecar"`
 }
 
-func (c *checks) url(name, value string) {
-	u, err := url.Parse(value)
-	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
-		c.add("%s: want a URL such as http://10.0.0.2:7000, have %q", name, value)
-	}
+// Dev is the settings of dev mode.
+type Dev struct {
+	Common `group:"Process"`
+
+	Listen      string `long:"listen" env:"PARSLEYD_LISTEN" default:"127.0.0.1:8080" description:"address for callers"`
+	AdminListen string `long:"admin-listen" env:"PARSLEYD_ADMIN_LISTEN" default:"127.0.0.1:0" description:"address for operators"`
+	Engines     Count  `long:"engines" env:"PARSLEYD_ENGINES" default:"3" description:"stand-in engines to run"`
+	Key         Secret `long:"key" env:"PARSLEYD_KEY" default:"dev-key" description:"API key that callers use"`
 }
 
-func (c checks) err() error {
-	if len(c) == 0 {
-		return nil
-	}
-	return errors.New(strings.Join(c, "\n"))
+// Identity is whom the certificate of a process of the fleet names.
+func (n Node) Identity(role secure.Role) secure.Identity {
+	return secure.Identity{Role: role, VM: n.VM}
 }
--- /dev/null
+++ b/internal/settings/value.go
@@ -0,0 +1,139 @@
+package settings
+
+import (
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// The kinds of value below accept any text and keep what is wrong with it. A
+// parser that gave up at the first would show an operator one mistake at a
+// time, one restart apart.
+
+// mistaken is a value that may have been given wrongly.
+type mistaken interface{ mistake() error }
+
+// Duration is a length of time, such as 10s or 1h30m.
+type Duration struct {
+	D   time.Duration
+	err error
+}
+
+// UnmarshalFlag implements flags.Unmarshaler.
+func (d *Duration) UnmarshalFlag(text string) error {
+	d.D, d.err = time.ParseDuration(text)
+	if d.err != nil {
+		d.err = errors.Errorf("want a duration such as 10s, have %q", text)
+	}
+	return nil
+}
+
+// String implements fmt.Stringer.
+func (d Duration) String() string { return d.D.String() }
+
+func (d Duration) mistake() error { return d.err }
+
+// Count is a whole number.
+type Count struct {
+	N   int
+	err error
+}
+
+// UnmarshalFlag implements flags.Unmarshaler.
+func (c *Count) UnmarshalFlag(text string) error {
+	c.N, c.err = strconv.Atoi(text)
+	if c.err != nil {
+		c.err = errors.Errorf("want a whole number, have %q", text)
+	}
+	return nil
+}
+
+// String implements fmt.Stringer.
+func (c Count) String() string { return strconv.Itoa(c.N) }
+
+func (c Count) mistake() error { return c.err }
+
+// Ratio is a number from 0 to 1.
+type Ratio struct {
+	R   float64
+	err error
+}
+
+// UnmarshalFlag implements flags.Unmarshaler.
+func (r *Ratio) UnmarshalFlag(text string) error {
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(v >= 0 && v <= 1) {
+		r.err = errors.Errorf("want a number from 0 to 1, have %q", text)
+		return nil
+	}
+	r.R, r.err = v, nil
+	return nil
+}
+
+// String implements fmt.Stringer.
+func (r Ratio) String() string { return strconv.FormatFloat(r.R, 'g', -1, 64) }
+
+func (r Ratio) mistake() error { return r.err }
+
+// Switch is on or off. A flag without a value switches it on.
+type Switch struct {
+	On  bool
+	err error
+}
+
+// UnmarshalFlag implements flags.Unmarshaler.
+func (s *Switch) UnmarshalFlag(text string) error {
+	s.On, s.err = strconv.ParseBool(text)
+	if s.err != nil {
+		s.err = errors.Errorf("want true or false, have %q", text)
+	}
+	return nil
+}
+
+// String implements fmt.Stringer.
+func (s Switch) String() string { return strconv.FormatBool(s.On) }
+
+func (s Switch) mistake() error { return s.err }
+
+// URL is an http or https URL. A password in it is not printed.
+type URL string
+
+// String implements fmt.Stringer, without the password.
+func (u URL) String() string {
+	parsed, err := url.Parse(string(u))
+	if err != nil {
+		return "(not a URL)"
+	}
+	return parsed.Redacted()
+}
+
+// MarshalText implements encoding.TextMarshaler, without the password.
+func (u URL) MarshalText() ([]byte, error) {
+	return []byte(u.String()), nil
+}
+
+func (u URL) mistake() error {
+	parsed, err := url.Parse(string(u))
+	if u == "" || (err == nil && parsed.Host != "" && (parsed.Scheme == "http" || parsed.Scheme == "https")) {
+		return nil
+	}
+	return errors.Errorf("want a URL such as http://10.0.0.2:7000, have %s", u)
+}
+
+// Secret is a value that is not printed.
+type Secret string
+
+// String implements fmt.Stringer.
+func (s Secret) String() string {
+	if s == "" {
+		return ""
+	}
+	return "[redacted]"
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (s Secret) MarshalText() ([]byte, error) {
+	return []byte(s.String()), nil
+}
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/config/change"
 	"github.com/parsleyfront/parsleyfront/internal/platform"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
+	"github.com/parsleyfront/parsleyfront/internal/secure"
 	"github.com/parsleyfront/parsleyfront/internal/standin"
 )
 
@@ -31,6 +32,7 @@
 // fleet is a set of processes: a platform, upstreams with their sidecars, and
 // routers.
 type fleet struct {
+	trust       *trust
 	platformURL string
 	store       *platform.HTTP
 	upstreams   []*upstreamVM
@@ -78,7 +80,7 @@
 	GinkgoHelper()
 	addr := freeAddr()
 	start(standinPath, addr, "--kind", "platform", "--listen", addr)
-	f := &fleet{platformURL: "http://" + addr}
+	f := &fleet{trust: newTrust(), platformURL: "http://" + addr}
 	f.store = platform.NewHTTP(f.platformURL)
 	f.put(platform.Ref{Kind: platform.KindProfile, Name: "chat"},
 		profile.Profile{Name: "chat", Pool: "notes", Model: model, Deadline: profile.Duration(time.Minute)})
@@ -105,7 +107,9 @@
 	addr := freeAddr()
 	vm.upstream = start(standinPath, addr, "--kind", kind, "--listen", addr, "--name", model)
 	sidecarAddr := freeAddr()
-	vm.sidecar = start(daemonPath, sidecarAddr, "sidecar", "--listen", sidecarAddr, "--vm", vm.id, "--upstream", "http://"+addr)
+	args := []string{"sidecar", "--listen", sidecarAddr, "--upstream", "http://" + addr}
+	args = append(args, f.trust.flags(secure.Identity{Role: secure.RoleSidecar, VM: vm.id})...)
+	vm.sidecar = start(daemonPath, sidecarAddr, args...)
 	f.list(platform.VM{ID: vm.id, Role: platform.RoleUpstream, Addr: sidecarAddr, Pool: pool})
 	f.upstreams = append(f.upstreams, vm)
 	return vm
@@ -122,11 +126,14 @@
 	Expect(resp.Body.Close()).To(Succeed())
 }
 
-// addRouter starts a router and waits until it is ready.
-func (f *fleet) addRouter() *process {
+// addRouter starts a router, with more settings, and waits until it is ready.
+func (f *fleet) addRouter(settings ...string) *process {
 	GinkgoHelper()
 	addr := freeAddr()
-	r := start(daemonPath, addr, "router", "--listen", addr, "--platform", f.platformURL, "--token-secret", tokenSecret)
+	args := []string{"router", "--listen", addr, "--platform", f.platformURL, "--token-secrets", f.trust.secrets}
+	id := secure.Identity{Role: secure.RoleRouter, VM: fmt.Sprintf("entry-%d", len(f.routers))}
+	args = append(args, f.trust.flags(id)...)
+	r := start(daemonPath, addr, append(args, settings...)...)
 	Eventually(func() (int, error) {
 		resp, err := http.Get("http://" + addr + "/readyz")
 		if err != nil {
