platform: calls that survive silent connections and never guess an outcome

Cause: one HTTP client for all calls. A kept connection that something in between has forgotten held a read for its whole timeout and failed it, an answer without a body counted as version 0, a failed dial counted as an unknown write, and over HTTPS a cloned default transport took the proxy from the environment. Change: connections in three lanes (reads, watches, writes); writes open their own; a read without an answer on a kept connection is made once more on a new one; a watch is given up 1 s after its wait; a write without a connection is refused, one with a malformed, oversized or 5xx answer unknown; 429 and 503 are refused, which the platform must keep to. Calls, outcomes and bytes are counted, bytes on the connection, also as control bytes of config, lease and vms. TLS comes as a configuration (HTTP.TLS; secure.Client.Config replaces its RoundTripper), so that the lanes and counters hold for HTTPS as well. Conclusion: outcomes are as certain as the answer was.

--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -91,7 +91,7 @@
 		return nil, err
 	}
 	go c.Files().Run(ctx, s.ReloadInterval.D)
-	return p.Via(c), nil
+	return p.TLS(c.Config), nil
 }
 
 // callerTLS returns nil when callers speak plain HTTP.
--- /dev/null
+++ b/internal/platform/http_test.go
@@ -0,0 +1,188 @@
+package platform_test
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/profile"
+	"github.com/parsleyfront/parsleyfront/internal/standin"
+)
+
+// pipes is a network of in-memory connections to one server.
+type pipes struct {
+	accepted chan net.Conn
+	dials    int
+	down     bool
+	silence  *atomic.Bool // of the connections opened from now on
+}
+
+// mute is a connection that something in between may have forgotten: what is
+// written to it gets lost and nothing comes back.
+type mute struct {
+	net.Conn
+	silent *atomic.Bool
+}
+
+func (m mute) Write(b []byte) (int, error) {
+	if m.silent.Load() {
+		return len(b), nil
+	}
+	return m.Conn.Write(b)
+}
+
+func (p *pipes) dial(context.Context, string, string) (net.Conn, error) {
+	if p.down {
+		return nil, errors.New("unreachable")
+	}
+	p.dials++
+	near, far := net.Pipe()
+	p.accepted <- far
+	return mute{near, p.silence}, nil
+}
+
+func (p *pipes) Accept() (net.Conn, error) {
+	c, open := <-p.accepted
+	if !open {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+func (p *pipes) Close() error   { return nil }
+func (p *pipes) Addr() net.Addr { return &net.UnixAddr{} }
+
+// overPipes runs f with a client of an object API, in virtual time.
+func overPipes(t *testing.T, f func(*testing.T, *pipes, *standin.ObjectAPI, *platform.HTTP)) {
+	synctest.Test(t, func(t *testing.T) {
+		api := standin.NewObjectAPI()
+		mux := http.NewServeMux()
+		api.Register(mux)
+		mux.HandleFunc("PUT /v1/objects/huge/{name}", func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte(strings.Repeat(" ", 2<<20)))
+		})
+		mux.HandleFunc("PUT /v1/objects/proxy/{name}", func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusBadGateway)
+		})
+		n := &pipes{accepted: make(chan net.Conn), silence: new(atomic.Bool)}
+		server := &http.Server{Handler: mux}
+		go func() { _ = server.Serve(n) }()
+		f(t, n, api, platform.NewHTTPOver("http://store", n.dial))
+		close(n.accepted)
+		_ = server.Close()
+		synctest.Wait()
+	})
+}
+
+var ref = platform.Ref{Kind: platform.KindProfile, Name: "chat"}
+
+// A connection to the store has been forgotten by something in between: what is
+// sent on it gets lost, and no error ever comes. Operators see a router that
+// falls behind while the store works. A read is repeated on a new connection, a
+// watch is given up shortly after its wait, and writes never use a kept
+// connection, so that theirs do not end as unknown.
+func TestSilentConnectionsAreLeft(t *testing.T) {
+	overPipes(t, func(t *testing.T, n *pipes, _ *standin.ObjectAPI, h *platform.HTTP) {
+		ctx := t.Context()
+		o, err := h.Put(ctx, ref, json.RawMessage(`1`), 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := h.Get(ctx, ref); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := h.Watch(ctx, []platform.Kind{ref.Kind}, 0, time.Second); err != nil {
+			t.Fatal(err)
+		}
+		n.silence.Store(true)
+		n.silence = new(atomic.Bool)
+		if _, err := h.Put(ctx, ref, json.RawMessage(`2`), o.Version); err != nil {
+			t.Errorf("a write while kept connections are silent: %s", err)
+		}
+		if got, err := h.Get(ctx, ref); err != nil || string(got.Value) != "2" {
+			t.Errorf("a read on a silent connection: %s, %v", got.Value, err)
+		}
+		began := time.Now()
+		if _, err := h.Watch(ctx, []platform.Kind{ref.Kind}, 0, 2*time.Second); err == nil {
+			t.Error("a watch on a silent connection was answered")
+		}
+		if took := time.Since(began); took > 3*time.Second {
+			t.Errorf("a silent watch was given up after %s", took)
+		}
+		if p, err := h.Watch(ctx, []platform.Kind{ref.Kind}, 0, 2*time.Second); err != nil || len(p.Objects) == 0 {
+			t.Errorf("the next watch: %v, %v", p, err)
+		}
+	})
+}
+
+// A write gets no answer, or one that does not say what became of it. If it
+// counted as refused, an operator would be told that a change in force was not
+// made; if a refusal counted as unknown, nobody would dare to try again.
+func TestOutcomesOfWrites(t *testing.T) {
+	overPipes(t, func(t *testing.T, n *pipes, api *standin.ObjectAPI, h *platform.HTTP) {
+		one := json.RawMessage(`1`)
+		put := func(r platform.Ref, v platform.Version) error {
+			_, err := h.Put(t.Context(), r, one, v)
+			return err
+		}
+		check := func(what string, err, want error) {
+			t.Helper()
+			if !errors.Is(err, want) {
+				t.Errorf("%s: %v, want %v", what, err, want)
+			}
+		}
+		api.SetFaults(standin.ObjectFaults{LoseAnswers: 1})
+		check("answer lost after the effect", put(ref, 0), platform.ErrUnknown)
+		check("made again", put(ref, 0), platform.ErrConflict)
+		api.SetFaults(standin.ObjectFaults{Down: true})
+		check("store down", put(ref, 1), platform.ErrRefused)
+		api.SetFaults(standin.ObjectFaults{WritesPerSecond: 0.5})
+		check("over the rate", put(ref, 1), platform.ErrRefused)
+		api.SetFaults(standin.ObjectFaults{Silent: true})
+		check("no answer in time", put(ref, 1), platform.ErrUnknown)
+		api.SetFaults(standin.ObjectFaults{Delay: profile.Duration(time.Minute)})
+		check("too slow", put(ref, 1), platform.ErrUnknown)
+		api.SetFaults(standin.ObjectFaults{})
+		check("gateway failed", put(platform.Ref{Kind: "proxy", Name: "x"}, 0), platform.ErrUnknown)
+		check("answer too large", put(platform.Ref{Kind: "huge", Name: "x"}, 0), platform.ErrUnknown)
+		n.down = true
+		check("no connection", put(ref, 1), platform.ErrRefused)
+		n.down = false
+		large := json.RawMessage(`"` + strings.Repeat("x", 1<<20) + `"`)
+		_, err := h.Put(t.Context(), ref, large, 1)
+		check("value too large", err, platform.ErrRefused)
+		if o, err := h.Get(t.Context(), ref); err != nil || o.Version != 1 {
+			t.Errorf("in the end: %v, %v", o, err)
+		}
+	})
+}
+
+// The platform's certificate is signed by the operators' own authority. A
+// router that trusts it is answered; one that does not sends nothing, so its
+// writes count as refused.
+func TestPlatformOverTLS(t *testing.T) {
+	mux := http.NewServeMux()
+	standin.NewObjectAPI().Register(mux)
+	server := httptest.NewTLSServer(mux)
+	defer server.Close()
+	trusting := server.Client().Transport.(*http.Transport).TLSClientConfig
+	for _, c := range []struct {
+		config *tls.Config
+		want   error
+	}{{&tls.Config{}, platform.ErrRefused}, {trusting, nil}} {
+		h := platform.NewHTTP(server.URL).TLS(func() *tls.Config { return c.config })
+		if _, err := h.Put(t.Context(), ref, json.RawMessage(`1`), 0); !errors.Is(err, c.want) {
+			t.Errorf("%v, want %v", err, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/transport.go
@@ -0,0 +1,195 @@
+package platform
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleyfront/parsleyfront/internal/telemetry"
+)
+
+const (
+	dialTimeout = time.Second
+	// idleTimeout is how long an unused connection is kept.
+	idleTimeout = 30 * time.Second
+	// keptConnections is how many unused ones are kept for each lane.
+	keptConnections = 2
+)
+
+// lane is a set of connections that calls of one sort share.
+type lane uint8
+
+const (
+	// laneRead and laneWatch keep connections. They are apart, so that a watch
+	// that has gone silent does not take the others down with it.
+	laneRead lane = iota
+	laneWatch
+	// laneWrite opens a connection for each write. On a kept one that something
+	// in between has forgotten, the write would wait in vain and its outcome be
+	// unknown; a new one fails before anything is sent.
+	laneWrite
+	laneCount
+)
+
+// callName tells the calls of the platform apart.
+type callName string
+
+const (
+	callGet    callName = "get"
+	callList   callName = "list"
+	callPut    callName = "put"
+	callDelete callName = "delete"
+	callWatch  callName = "watch"
+	callVMs    callName = "vms"
+)
+
+func (c callName) lane() lane {
+	switch c {
+	case callPut, callDelete:
+		return laneWrite
+	case callWatch:
+		return laneWatch
+	default:
+		return laneRead
+	}
+}
+
+// callOutcome is how a call has ended.
+type callOutcome string
+
+const (
+	outcomeOK        callOutcome = "ok"
+	outcomeConflict  callOutcome = "conflict"
+	outcomeRefused   callOutcome = "refused"
+	outcomeUnknown   callOutcome = "unknown"
+	outcomeCompacted callOutcome = "compacted"
+)
+
+var (
+	calls = telemetry.NewFamily[callName]("platform_calls_total", "call",
+		"Calls made of the platform, repeated ones included. A waiting watch is one.")
+	outcomes = telemetry.NewFamily[callOutcome]("platform_outcomes_total", "outcome",
+		"Calls of the platform by how they ended; unknown are writes whose answer was lost.")
+	callBytes = telemetry.NewFamily[callName]("platform_bytes_total", "call",
+		"Bytes sent to and received from the platform, headers included.")
+)
+
+func outcomeOf(err error) callOutcome {
+	switch {
+	case err == nil, errors.Is(err, ErrNotFound), errors.Is(err, errNotModified):
+		return outcomeOK
+	case errors.Is(err, ErrConflict):
+		return outcomeConflict
+	case errors.Is(err, ErrCompacted):
+		return outcomeCompacted
+	case errors.Is(err, ErrUnknown):
+		return outcomeUnknown
+	default:
+		return outcomeRefused
+	}
+}
+
+// DialFunc opens a connection to the platform.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+func newClient(l lane, dial DialFunc) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+				c, err := dial(ctx, network, addr)
+				if err != nil {
+					return nil, err
+				}
+				return &countedConn{Conn: c}, nil
+			},
+			DisableKeepAlives:   l == laneWrite,
+			MaxIdleConnsPerHost: keptConnections,
+			IdleConnTimeout:     idleTimeout,
+		},
+		// A redirected write would be sent to one who may not know its condition.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+func dialTLS(dial DialFunc, config func() *tls.Config) DialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		host, _, err := net.SplitHostPort(addr)
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		own := config().Clone()
+		own.ServerName = host
+		secured := tls.Client(c, own)
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		if err := secured.HandshakeContext(ctx); err != nil {
+			_ = c.Close()
+			return nil, errors.WithStack(err)
+		}
+		return secured, nil
+	}
+}
+
+// countedConn counts its bytes for the call that uses it. HTTP/1.1 has one call
+// at a time on a connection.
+type countedConn struct {
+	net.Conn
+	use atomic.Pointer[connUse]
+}
+
+// connUse is what a connection is used for.
+type connUse struct {
+	call    callName
+	control telemetry.ControlKind
+}
+
+// attribute makes c count for r from now on.
+func attribute(c net.Conn, r request) {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	if counted, ok := c.(*countedConn); ok {
+		counted.use.Store(&connUse{call: r.name, control: controlKind(r)})
+	}
+}
+
+func controlKind(r request) telemetry.ControlKind {
+	switch {
+	case r.name == callVMs:
+		return telemetry.ControlVMs
+	case r.kind == KindLease, r.kind == KindClaim:
+		return telemetry.ControlLease
+	default:
+		return telemetry.ControlConfig
+	}
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.count(n)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.count(n)
+	return n, err
+}
+
+func (c *countedConn) count(n int) {
+	if u := c.use.Load(); u != nil {
+		callBytes.Add(u.call, int64(n))
+		telemetry.ControlBytes.Add(u.control, int64(n))
+	}
+}
--- a/internal/secure/public.go
+++ b/internal/secure/public.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/tls"
-	"net/http"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -44,10 +43,10 @@
 	}
 }
 
-// Client is HTTPS towards the platform.
+// Client is TLS towards the platform.
 type Client struct {
-	files     *Files
-	transport atomic.Pointer[http.Transport]
+	files  *Files
+	config atomic.Pointer[tls.Config]
 }
 
 // NewClient reads the authorities that sign the platform's certificate.
@@ -68,15 +67,11 @@
 	if err != nil {
 		return err
 	}
-	t := http.DefaultTransport.(*http.Transport).Clone()
-	t.TLSClientConfig = &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: roots}
-	if former := c.transport.Swap(t); former != nil {
-		former.CloseIdleConnections()
-	}
+	c.config.Store(&tls.Config{MinVersion: tls.VersionTLS12, RootCAs: roots})
 	return nil
 }
 
-// RoundTrip implements http.RoundTripper.
-func (c *Client) RoundTrip(r *http.Request) (*http.Response, error) {
-	return c.transport.Load().RoundTrip(r)
+// Config returns the configuration for connections opened from now on.
+func (c *Client) Config() *tls.Config {
+	return c.config.Load()
 }
