bench/speed: added latency, requests a core, memory a stream

Cause: nothing measured what the fleet adds to a call. Change: make speed. Callers and platform stand-ins in the test, the stub, the sidecar and the router as processes of two cores each; calls through the fleet and calls of the stub take turns in one run. Ruled out: 10,000 idle streams with the stub in the test's process, which would need more than the 20,000 descriptors that one process may have.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 GO ?= go
 
-.PHONY: test check build bench
+.PHONY: test check build bench speed
 
 test: check
 	$(GO) test -count=1 ./...
@@ -15,6 +15,10 @@
 build:
 	$(GO) build -o bin/ ./cmd/...
 
+# What the fleet adds to a call, across processes. Under a minute.
+speed:
+	$(GO) test -run '^$$' -bench . -benchtime 1x ./bench/speed
+
 # Speeds and policies, measured. Not part of the tests: the figures vary.
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
--- /dev/null
+++ b/bench/speed/memory_test.go
@@ -0,0 +1,73 @@
+package speed
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+)
+
+// openIdle opens a stream that says one thing and then nothing, over a
+// connection of its own and without the memory that an HTTP client would take.
+func openIdle(base string) (net.Conn, error) {
+	u, err := url.Parse(base)
+	if err != nil {
+		return nil, err
+	}
+	c, err := net.Dial("tcp", u.Host)
+	if err != nil {
+		return nil, err
+	}
+	_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nContent-Length: 0\r\n\r\n", u.Path, u.Host, apiKey)
+	if err != nil {
+		return c, err
+	}
+	in := bufio.NewReaderSize(c, 1<<10)
+	status, err := in.ReadString('\n')
+	if err == nil && !strings.Contains(status, "200") {
+		err = fmt.Errorf("%s", status)
+	}
+	for line := status; err == nil && !strings.HasPrefix(line, "data: "); {
+		line, err = in.ReadString('\n')
+	}
+	return c, err
+}
+
+// BenchmarkIdleStreams measures what an open stream on which nothing is said
+// takes in the router and in the sidecar, in bytes of resident memory.
+func BenchmarkIdleStreams(b *testing.B) {
+	for _, n := range []int{1_000, 10_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for range b.N {
+				idleStreams(b, n)
+			}
+		})
+	}
+}
+
+func idleStreams(b *testing.B, n int) {
+	f := newFleet(b)
+	for range 200 { // warm up
+		unary(b, f.url(true, "/unary"))
+	}
+	router, sidecar := resident(b, f.routerProcess), resident(b, f.sidecarPID)
+	for range n {
+		c, err := openIdle(f.url(true, "/idle"))
+		if c != nil {
+			defer func(c io.Closer) { _ = c.Close() }(c)
+		}
+		if err != nil {
+			b.Fatal(err)
+		}
+	}
+	time.Sleep(settle)
+	b.ReportMetric(float64(resident(b, f.routerProcess)-router)/float64(n), "router-B/stream")
+	b.ReportMetric(float64(resident(b, f.sidecarPID)-sidecar)/float64(n), "sidecar-B/stream")
+}
+
+// settle is how long the processes are left alone before they are measured.
+const settle = 3 * time.Second
