bench/speed: start the daemon by its command line

Change: the benchmark starts roles by the arguments that operators use, in this process as well, so that settings may change without it. Ruled out: exporting the roles' start again only for a benchmark.

--- a/bench/speed/fleet_test.go
+++ b/bench/speed/fleet_test.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -20,19 +21,16 @@
 	"testing"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
 	"github.com/parsleyfront/parsleyfront/internal/config/change"
 	"github.com/parsleyfront/parsleyfront/internal/daemon"
 	"github.com/parsleyfront/parsleyfront/internal/platform"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
-	"github.com/parsleyfront/parsleyfront/internal/settings"
 	"github.com/parsleyfront/parsleyfront/internal/standin"
 )
 
 const (
 	apiKey      = "speed-key"
-	secret      = "1:000102030405060708090a0b0c0d0e0f"
+	secret      = "1:000102030405060708090a0b0c0d0e0f\n"
 	stubVar     = "SPEED_STUB" // address; set in the process that is the stub
 	startWithin = 10 * time.Second
 )
@@ -63,9 +61,8 @@
 
 // fleet is one router before one sidecar before the stub.
 type fleet struct {
-	router, stub  string // URLs
-	routerProcess int    // 0: this one
-	sidecarPID    int
+	router, stub          string // URLs
+	routerPID, sidecarPID int    // both this process's with -inprocess
 }
 
 func newFleet(b *testing.B) *fleet {
@@ -80,9 +77,13 @@
 	stubAddr, sidecarAddr, routerAddr := freeAddr(b), freeAddr(b), freeAddr(b)
 	f := &fleet{router: "http://" + routerAddr, stub: "http://" + stubAddr}
 	startStub(b, stubAddr)
-	f.sidecarPID = parsleyd(b, sidecarAddr, "sidecar", "--listen", sidecarAddr, "--vm", "vm-1", "--upstream", f.stub)
+	f.sidecarPID = parsleyd(b, sidecarAddr, "sidecar", "--insecure-plain", "--listen", sidecarAddr, "--vm", "vm-1", "--upstream", f.stub)
 	vms.Set(platform.VM{ID: "vm-1", Role: platform.RoleUpstream, Addr: sidecarAddr, Pool: "bench"})
-	f.routerProcess = parsleyd(b, routerAddr, "router", "--listen", routerAddr, "--platform", p.URL, "--token-secret", secret)
+	secrets := filepath.Join(b.TempDir(), "secrets")
+	if err := os.WriteFile(secrets, []byte(secret), 0o600); err != nil {
+		b.Fatal(err)
+	}
+	f.routerPID = parsleyd(b, routerAddr, "router", "--insecure-plain", "--listen", routerAddr, "--vm", "vm-r", "--platform", p.URL, "--token-secrets", secrets)
 	await(b, func() bool {
 		resp, err := http.Get(f.router + "/readyz")
 		return err == nil && resp.Body.Close() == nil && resp.StatusCode == http.StatusOK
@@ -132,20 +133,7 @@
 	if !*inProcess {
 		return run(b, exec.Command(daemonBin, args...), addr)
 	}
-	var s settings.Daemon
-	parser := flags.NewParser(&s, flags.Default)
-	if _, err := parser.ParseArgs(args); err != nil {
-		b.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	b.Cleanup(cancel)
-	go func() {
-		if parser.Active.Name == "router" {
-			_ = daemon.RunRouter(ctx, s.Router)
-			return
-		}
-		_ = daemon.RunSidecar(ctx, s.Sidecar)
-	}()
+	go daemon.Main(args, io.Discard, os.Stderr) // until the benchmark's process ends
 	awaitAddr(b, addr)
 	return os.Getpid()
 }
--- a/bench/speed/latency_test.go
+++ b/bench/speed/latency_test.go
@@ -77,7 +77,7 @@
 // processor time.
 func capacity(b *testing.B, f *fleet) (rate float64) {
 	const callers, lasts = 64, 3 * time.Second
-	routerCPU, sidecarCPU := cpu(b, f.routerProcess), cpu(b, f.sidecarPID)
+	routerCPU, sidecarCPU := cpu(b, f.routerPID), cpu(b, f.sidecarPID)
 	began := time.Now()
 	var done samples
 	var wg sync.WaitGroup
@@ -90,7 +90,7 @@
 	}
 	wg.Wait()
 	n := float64(len(done.d))
-	b.ReportMetric(n/(cpu(b, f.routerProcess)-routerCPU).Seconds(), "req/s/router-core")
+	b.ReportMetric(n/(cpu(b, f.routerPID)-routerCPU).Seconds(), "req/s/router-core")
 	b.ReportMetric(n/(cpu(b, f.sidecarPID)-sidecarCPU).Seconds(), "req/s/sidecar-core")
 	return n / time.Since(began).Seconds()
 }
--- a/bench/speed/memory_test.go
+++ b/bench/speed/memory_test.go
@@ -54,7 +54,7 @@
 	for range 200 { // warm up
 		unary(b, f.url(true, "/unary"))
 	}
-	router, sidecar := resident(b, f.routerProcess), resident(b, f.sidecarPID)
+	router, sidecar := resident(b, f.routerPID), resident(b, f.sidecarPID)
 	for range n {
 		c, err := openIdle(f.url(true, "/idle"))
 		if c != nil {
@@ -65,7 +65,7 @@
 		}
 	}
 	time.Sleep(settle)
-	b.ReportMetric(float64(resident(b, f.routerProcess)-router)/float64(n), "router-B/stream")
+	b.ReportMetric(float64(resident(b, f.routerPID)-router)/float64(n), "router-B/stream")
 	b.ReportMetric(float64(resident(b, f.sidecarPID)-sidecar)/float64(n), "sidecar-B/stream")
 }
 
