parsleyctl: change the configuration and learn what became of it

Cause: operators had no way to change anything but raw writes to the store. Change: validate, diff, apply, get, list, history, rollback, delete, status, drain, undrain, explain, key, completion; -o table, json and yaml; exit codes 0 to 9, of which 5 says that it is unknown whether a change took effect. Specs run the command as a process against the stand-in platform and live routers. Checked: without the comparison of change ids the spec of racing operators fails, the second apply wins without a word. The spec found that status passed over a router that the asked one did not know yet; it is named now. Conclusion: the specs for a lost answer, an unknown outcome, a router that does not confirm, a mistake and a race pass.

--- /dev/null
+++ b/cmd/parsleyctl/main.go
@@ -0,0 +1,19 @@
+// Command parsleyctl is how operators change the configuration of a
+// parsleyfront fleet and see what it does.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/parsleyfront/parsleyfront/internal/ctl"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	code := ctl.Run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(int(code))
+}
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -58,7 +58,7 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !s.authorized(r) {
-		writeError(w, http.StatusUnauthorized, "the token is missing or wrong: set it with --admin-token or PARSLEY_ADMIN_TOKEN")
+		writeError(w, http.StatusUnauthorized, "the token is missing or wrong: set --admin-token-file")
 		return
 	}
 	s.mux.ServeHTTP(w, r)
--- /dev/null
+++ b/internal/ctl/apply.go
@@ -0,0 +1,204 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/parsleyfront/parsleyfront/internal/config"
+	"github.com/parsleyfront/parsleyfront/internal/config/change"
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/profile"
+)
+
+// validated is what validate found.
+type validated struct {
+	Objects  []platform.Ref    `json:"objects"`
+	Problems []profile.Problem `json:"problems"`
+}
+
+func (v validated) table(w io.Writer) {
+	if len(v.Problems) == 0 {
+		fmt.Fprintf(w, "%d objects are valid\n", len(v.Objects))
+	}
+}
+
+// validate checks files by themselves: what they refer to must be among them.
+func (a *app) validate(context.Context) error {
+	docs, problems, err := profile.Load(a.options.Validate.paths()...)
+	if err != nil {
+		return err
+	}
+	if len(problems) == 0 {
+		// With an object missing, those that refer to it would be blamed.
+		problems = profile.CheckReferences(docs, nil)
+	}
+	v := validated{Objects: profile.Refs(docs), Problems: problems}
+	if err := a.print(v); err != nil {
+		return err
+	}
+	if len(problems) > 0 {
+		return problems
+	}
+	return nil
+}
+
+// load reads files and checks them together with the store. It returns the
+// changes that they ask for.
+func (a *app) load(ctx context.Context, paths []string) ([]edit, error) {
+	docs, problems, err := profile.Load(paths...)
+	if err != nil {
+		return nil, err
+	}
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	stored, err := a.neighbours(ctx, docs)
+	if err != nil {
+		return nil, err
+	}
+	if problems := profile.CheckReferences(docs, stored); len(problems) > 0 {
+		return nil, problems
+	}
+	edits := make([]edit, len(docs))
+	for i, d := range docs {
+		base, err := a.editor.Read(ctx, d.Object.Ref())
+		if err != nil {
+			return nil, err
+		}
+		spec, err := profile.Encode(d.Object)
+		if err != nil {
+			return nil, err
+		}
+		edits[i] = edit{base: base, spec: spec, to: d.File}
+		if err := a.checkBase(ctx, d, edits[i]); err != nil {
+			return nil, err
+		}
+	}
+	return edits, nil
+}
+
+// checkBase refuses a file that was made from a revision that has been replaced
+// since: applying it would undo another operator's change without a word.
+func (a *app) checkBase(ctx context.Context, d profile.Document, e edit) error {
+	now := e.base.Revision.Change.ID
+	if d.Change == "" || config.ChangeID(d.Change) == now || e.same() {
+		return nil
+	}
+	c := change.Conflict{Base: change.Current{Ref: e.base.Ref}, Mine: config.Revision{Spec: e.spec}, Theirs: e.base}
+	history, err := a.editor.History(ctx, e.base)
+	if err != nil {
+		return err
+	}
+	for _, r := range history {
+		if r.Change.ID == config.ChangeID(d.Change) {
+			c.Base.Revision = r
+		}
+	}
+	return a.conflict(c, e.to)
+}
+
+func (a *app) apply(ctx context.Context) error {
+	o := a.options.Apply
+	edits, err := a.load(ctx, o.paths())
+	if err != nil {
+		return err
+	}
+	return a.make(ctx, o.changeOptions, edits)
+}
+
+// difference is what an apply would do to one object.
+type difference struct {
+	platform.Ref
+	State state  `json:"state"`
+	Diff  string `json:"diff,omitempty"`
+}
+
+type differences struct {
+	Objects []difference `json:"objects"`
+}
+
+func (d differences) table(w io.Writer) {
+	for _, o := range d.Objects {
+		fmt.Fprint(w, o.Diff)
+	}
+}
+
+func (a *app) diff(ctx context.Context) error {
+	edits, err := a.load(ctx, a.options.Diff.paths())
+	if err != nil {
+		return err
+	}
+	r := differences{Objects: []difference{}}
+	differ := false
+	for _, e := range edits {
+		one := difference{Ref: e.base.Ref, State: stateUnchanged}
+		if !e.same() {
+			differ = true
+			one.State = appliedState(e)
+			one.Diff, err = diffSpecs(e.base.Ref, e.base.Revision.Spec, e.spec, "in the store", "in "+e.to)
+			if err != nil {
+				return err
+			}
+		}
+		r.Objects = append(r.Objects, one)
+	}
+	if err := a.print(r); err != nil {
+		return err
+	}
+	if differ {
+		return fail(ExitDiffers, "", "the files differ from the store")
+	}
+	return nil
+}
+
+// delete removes an object that nothing refers to.
+func (a *app) delete(ctx context.Context) error {
+	o := a.options.Delete
+	ref := platform.Ref(o.Args.Object)
+	base, err := a.existing(ctx, ref)
+	if err != nil {
+		return err
+	}
+	users, err := a.users(ctx, ref)
+	if err != nil {
+		return err
+	}
+	if len(users) > 0 {
+		return fail(ExitInvalid, "change or delete those first", "%s is used by %s", ref, users)
+	}
+	return a.make(ctx, o.changeOptions, []edit{{base: base}})
+}
+
+// users returns the stored objects that refer to one.
+func (a *app) users(ctx context.Context, ref platform.Ref) ([]platform.Ref, error) {
+	var kind platform.Kind
+	switch ref.Kind {
+	case platform.KindPool:
+		kind = platform.KindProfile
+	case platform.KindProfile:
+		kind = platform.KindOrganisation
+	default:
+		return nil, nil
+	}
+	objects, err := a.editor.List(ctx, kind)
+	if err != nil {
+		return nil, err
+	}
+	var users []platform.Ref
+	for _, c := range objects {
+		if o, err := profile.Decode(c.Ref, c.Revision.Spec); err == nil && profile.RefersTo(o, ref) {
+			users = append(users, c.Ref)
+		}
+	}
+	return users, nil
+}
+
+// existing reads an object that has to exist.
+func (a *app) existing(ctx context.Context, ref platform.Ref) (change.Current, error) {
+	now, err := a.editor.Read(ctx, ref)
+	if err == nil && !now.Exists() {
+		err = fail(ExitNotFound, fmt.Sprintf("see 'parsleyctl list %s'", ref.Kind), "%s does not exist", ref)
+	}
+	return now, err
+}
--- /dev/null
+++ b/internal/ctl/change.go
@@ -0,0 +1,211 @@
+package ctl
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+
+	"github.com/parsleyfront/parsleyfront/internal/config"
+	"github.com/parsleyfront/parsleyfront/internal/config/change"
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/profile"
+)
+
+// edit is a change to be made, with what the store has now.
+type edit struct {
+	base change.Current
+	spec json.RawMessage // nil deletes
+	to   string          // what the new content is called in a diff
+}
+
+// same reports whether the store has that content already.
+func (e edit) same() bool {
+	if e.spec == nil || !e.base.Exists() {
+		return e.spec == nil && !e.base.Exists()
+	}
+	return equalSpecs(e.base, e.spec)
+}
+
+// equalSpecs compares after reading both, so that a field that an older release
+// left to its default is no difference by itself.
+func equalSpecs(base change.Current, spec json.RawMessage) bool {
+	stored, err := profile.Decode(base.Ref, base.Revision.Spec)
+	if err != nil {
+		return false
+	}
+	text, err := profile.Encode(stored)
+	return err == nil && string(text) == string(spec)
+}
+
+// state is what became of one object of an apply.
+type state string
+
+const (
+	stateCreated   state = "created"
+	stateUpdated   state = "updated"
+	stateDeleted   state = "deleted"
+	stateUnchanged state = "unchanged"
+	stateConflict  state = "conflict"
+	stateFailed    state = "failed"
+	stateUnknown   state = "unknown"
+	stateSkipped   state = "skipped" // not tried, because one before it ended badly
+)
+
+// applied is what became of one object.
+type applied struct {
+	platform.Ref
+	State   state            `json:"state"`
+	Version platform.Version `json:"version,omitempty"`
+	Change  config.ChangeID  `json:"change,omitempty"`
+	Error   string           `json:"error,omitempty"`
+}
+
+func (a applied) changed() bool {
+	return a.State == stateCreated || a.State == stateUpdated || a.State == stateDeleted
+}
+
+// applyResult is what became of an apply.
+type applyResult struct {
+	Objects []applied `json:"objects"`
+	Key     *newKey   `json:"key,omitempty"`      // of key add
+	InForce *inForce  `json:"in_force,omitempty"` // with --wait
+}
+
+func (r applyResult) table(w io.Writer) {
+	fmt.Fprintln(w, "OBJECT\tSTATE\tVERSION\tCHANGE")
+	for _, o := range r.Objects {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", o.Ref, o.State, dash(int64(o.Version)), o.Change)
+	}
+	if r.InForce != nil {
+		r.InForce.table(w)
+	}
+	if r.Key != nil {
+		fmt.Fprintln(w)
+		r.Key.table(w)
+	}
+}
+
+// dash returns n, or a dash for what is not known.
+func dash(n int64) string {
+	if n == 0 {
+		return "-"
+	}
+	return fmt.Sprint(n)
+}
+
+// rank orders writes so that no object refers to one that is not there yet;
+// deletions go the other way round.
+func rank(k platform.Kind) int {
+	return slices.Index([]platform.Kind{platform.KindPool, platform.KindProfile, platform.KindOrganisation, platform.KindDrain}, k)
+}
+
+// make makes edits, prints what became of each and waits if asked to.
+func (a *app) make(ctx context.Context, o changeOptions, edits []edit) error {
+	r, failed := a.change(ctx, o, edits)
+	if err := a.print(r); err != nil {
+		return err
+	}
+	return failed
+}
+
+// change makes edits one after the other and stops at the first that ends badly.
+func (a *app) change(ctx context.Context, o changeOptions, edits []edit) (applyResult, error) {
+	slices.SortStableFunc(edits, func(x, y edit) int { return cmp.Compare(rank(x.base.Ref.Kind), rank(y.base.Ref.Kind)) })
+	var r applyResult
+	var failed error
+	for _, e := range edits {
+		if failed != nil {
+			r.Objects = append(r.Objects, applied{Ref: e.base.Ref, State: stateSkipped})
+			continue
+		}
+		var one applied
+		one, failed = a.makeOne(ctx, o, e)
+		r.Objects = append(r.Objects, one)
+	}
+	if failed == nil && o.Wait {
+		r.InForce, failed = a.await(ctx, o.WaitTimeout, r.Objects)
+	}
+	return r, partial(r, failed)
+}
+
+// partial turns the failure of one object into that of the whole when others
+// have been changed already.
+func partial(r applyResult, failed error) error {
+	if failed == nil || !slices.ContainsFunc(r.Objects, applied.changed) {
+		return failed
+	}
+	if code, _ := classify(failed); code == ExitUnknown || code == ExitNotInForce {
+		return failed
+	}
+	return fail(ExitPartial, "what is listed as created, updated or deleted is in the store; mend the rest and apply again", "%s", failed)
+}
+
+func (a *app) makeOne(ctx context.Context, o changeOptions, e edit) (applied, error) {
+	one := applied{Ref: e.base.Ref, Version: e.base.Version, Change: e.base.Revision.Change.ID, State: stateUnchanged}
+	if e.same() {
+		return one, nil
+	}
+	bounded, cancel := context.WithTimeout(ctx, a.options.Timeout)
+	defer cancel()
+	result := a.editor.Commit(bounded, change.Edit{Base: e.base, Spec: e.spec, Author: a.author(), Reason: o.Reason})
+	one.Version, one.Change = result.Version, result.Change.ID
+	switch {
+	case result.Outcome == change.Applied:
+		one.State = appliedState(e)
+		if result.Superseded {
+			a.note("warning: %s has been changed again by another operator since", e.base.Ref)
+		}
+		return one, nil
+	case result.Outcome == change.Unknown:
+		one.State, one.Error = stateUnknown, fmt.Sprint(result.Cause)
+		return one, fail(ExitUnknown,
+			fmt.Sprintf("look for change %s in 'parsleyctl history %s'; applying the same content again is safe", one.Change, e.base.Ref),
+			"%s: it is unknown whether the change took effect: %s", e.base.Ref, one.Error)
+	case result.Conflict != nil:
+		one.State = stateConflict
+		return one, a.conflict(*result.Conflict, e.to)
+	default:
+		one.State, one.Error = stateFailed, fmt.Sprint(result.Cause)
+		code, advice := classify(result.Cause)
+		return one, fail(code, advice, "%s was not changed: %s", e.base.Ref, one.Error)
+	}
+}
+
+func appliedState(e edit) state {
+	switch {
+	case e.spec == nil:
+		return stateDeleted
+	case e.base.Exists():
+		return stateUpdated
+	default:
+		return stateCreated
+	}
+}
+
+// conflict shows what both operators did to what they had in common.
+func (a *app) conflict(c change.Conflict, mine string) error {
+	ref, base := c.Base.Ref, c.Base.Revision.Spec
+	theirs, err := diffSpecs(ref, base, c.Theirs.Revision.Spec, "before", "as changed by "+by(c.Theirs.Revision.Change))
+	if err != nil {
+		return err
+	}
+	own, err := diffSpecs(ref, base, c.Mine.Spec, "before", mine)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(a.errOut, "%s%s", theirs, own)
+	return fail(ExitConflict,
+		fmt.Sprintf("see 'parsleyctl get %s', bring both changes together and apply again", ref),
+		"%s was changed by another operator at the same time; your change was not made", ref)
+}
+
+// by names who made a change.
+func by(c config.Change) string {
+	if c.Author == "" {
+		return "change " + string(c.ID)
+	}
+	return fmt.Sprintf("%s in change %s", c.Author, c.ID)
+}
--- /dev/null
+++ b/internal/ctl/key.go
@@ -0,0 +1,99 @@
+package ctl
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"slices"
+
+	"github.com/parsleyfront/parsleyfront/internal/config/change"
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/profile"
+)
+
+// keyPrefix lets a key that leaked into a log or a repository be found.
+const keyPrefix = "pfk_"
+
+// newKey is a key as it is shown once.
+type newKey struct {
+	Key    string `json:"key"`
+	SHA256 string `json:"sha256"`
+}
+
+func (k newKey) table(w io.Writer) {
+	fmt.Fprintf(w, "key\t%s\nsha256\t%s\n", k.Key, k.SHA256)
+}
+
+// drawKey makes a key of at least 128 random bits.
+func drawKey() newKey {
+	key := keyPrefix + rand.Text()
+	return newKey{Key: key, SHA256: profile.HashKey(key)}
+}
+
+func (a *app) keyNew(context.Context) error {
+	return a.print(drawKey())
+}
+
+// keyAdd stores the hash of a new key and prints the key, unless it is certain
+// that the hash was not stored: a change whose answer was lost must not leave a
+// valid key that nobody knows.
+func (a *app) keyAdd(ctx context.Context) error {
+	o := a.options.Key.Add
+	base, org, err := a.organisation(ctx, o.Args.Organisation)
+	if err != nil {
+		return err
+	}
+	key := drawKey()
+	org.Keys = append(org.Keys, profile.APIKey{ID: o.Args.ID, SHA256: key.SHA256})
+	if problems := profile.Check(org); len(problems) > 0 {
+		return problems
+	}
+	e, err := keysEdit(base, org)
+	if err != nil {
+		return err
+	}
+	r, failed := a.change(ctx, o.changeOptions, []edit{e})
+	if r.Objects[0].changed() || r.Objects[0].State == stateUnknown {
+		r.Key = &key
+	}
+	if err := a.print(r); err != nil {
+		return err
+	}
+	return failed
+}
+
+func (a *app) keyRemove(ctx context.Context) error {
+	o := a.options.Key.Remove
+	base, org, err := a.organisation(ctx, o.Args.Organisation)
+	if err != nil {
+		return err
+	}
+	left := slices.DeleteFunc(slices.Clone(org.Keys), func(k profile.APIKey) bool { return k.ID == o.Args.ID })
+	if len(left) == len(org.Keys) {
+		return fail(ExitNotFound, fmt.Sprintf("see 'parsleyctl get %s'", org.Ref()), "%s has no key %q", org.Ref(), o.Args.ID)
+	}
+	org.Keys = left
+	e, err := keysEdit(base, org)
+	if err != nil {
+		return err
+	}
+	return a.make(ctx, o.changeOptions, []edit{e})
+}
+
+func keysEdit(base change.Current, org *profile.Organisation) (edit, error) {
+	spec, err := profile.Encode(org)
+	return edit{base: base, spec: spec, to: "with its keys changed"}, err
+}
+
+func (a *app) organisation(ctx context.Context, name string) (change.Current, *profile.Organisation, error) {
+	base, err := a.existing(ctx, platform.Ref{Kind: platform.KindOrganisation, Name: name})
+	if err != nil {
+		return base, nil, err
+	}
+	o, err := profile.Decode(base.Ref, base.Revision.Spec)
+	if err != nil {
+		return base, nil, err
+	}
+	return base, o.(*profile.Organisation), nil
+}
--- /dev/null
+++ b/internal/ctl/wait.go
@@ -0,0 +1,192 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/admin"
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+)
+
+const (
+	// waitRound is how long one call of the wait lasts at most. A router that
+	// stops while it is asked costs no more than that.
+	waitRound = 2 * time.Second
+	// waitPause is the pause between rounds that ended early.
+	waitPause = 200 * time.Millisecond
+	// routerTimeout bounds the call of one router before the next is tried.
+	routerTimeout = 5 * time.Second
+)
+
+// inForce says how far the routers are with a change.
+type inForce struct {
+	Everywhere bool               `json:"everywhere"`
+	Routers    int                `json:"routers"`
+	Seconds    float64            `json:"seconds"` // how long it was waited
+	Pending    []admin.RouterWait `json:"pending,omitempty"`
+}
+
+func (f inForce) table(w io.Writer) {
+	fmt.Fprintf(w, "\nin force at %d of %d routers after %.1f s\n", f.Routers-len(f.Pending), f.Routers, f.Seconds)
+	for _, p := range f.Pending {
+		fmt.Fprintf(w, "pending: %s\n", describe(p))
+	}
+}
+
+// describe says why a router is waited for.
+func describe(p admin.RouterWait) string {
+	if p.Error != "" {
+		return fmt.Sprintf("%s did not answer: %s", p.VM, p.Error)
+	}
+	var parts []string
+	for _, b := range p.Behind {
+		part := fmt.Sprintf("%s at version %d, not %d", b.Ref, b.InForce.Version, b.Version)
+		if b.InForce.Problem != "" {
+			part += ", because it is invalid there: " + b.InForce.Problem
+		}
+		parts = append(parts, part)
+	}
+	return p.VM + " has " + strings.Join(parts, "; ")
+}
+
+// await waits until what was applied is in force at every live router.
+func (a *app) await(ctx context.Context, timeout time.Duration, objects []applied) (*inForce, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	began := time.Now()
+	var r inForce
+	wanted, err := a.versions(ctx, objects)
+	for err == nil {
+		r, err = a.awaitRound(ctx, wanted)
+		r.Seconds = time.Since(began).Seconds()
+		if r.Everywhere || !sleep(ctx, waitPause) {
+			break
+		}
+		if err != nil {
+			a.note("waiting: %s", err)
+			err = nil
+		}
+	}
+	if r.Everywhere {
+		return &r, nil
+	}
+	reason := "see who is pending"
+	if err != nil {
+		reason = err.Error()
+	}
+	return &r, fail(ExitNotInForce,
+		"the change is accepted and stays; see 'parsleyctl status', and wait again by applying the same files with --wait",
+		"the change is accepted but not known to be in force everywhere after %s: %s", timeout, reason)
+}
+
+// versions returns what to wait for. An object that was changed again before
+// its version could be read is waited for at its present version.
+func (a *app) versions(ctx context.Context, objects []applied) ([]admin.ObjectVersion, error) {
+	var wanted []admin.ObjectVersion
+	for _, o := range objects {
+		version := o.Version
+		if version == 0 && o.State != stateUnchanged {
+			now, err := a.editor.Read(ctx, o.Ref)
+			if err != nil {
+				return nil, err
+			}
+			version = now.Version
+		}
+		wanted = append(wanted, admin.ObjectVersion{Ref: o.Ref, Version: version})
+	}
+	return wanted, nil
+}
+
+// awaitRound asks one router for all. A router that the list of VMs shows here
+// but not there is pending too: lists lag, and differ while they do.
+func (a *app) awaitRound(ctx context.Context, wanted []admin.ObjectVersion) (inForce, error) {
+	listed, err := a.routers(ctx)
+	if err != nil {
+		return inForce{}, err
+	}
+	req := admin.WaitRequest{Objects: wanted, WaitMillis: int(waitRound.Milliseconds())}
+	wait, err := askAny(ctx, a, listed, func(ctx context.Context, c *admin.Client) (admin.FleetWait, error) {
+		return c.FleetWait(ctx, req)
+	})
+	if err != nil {
+		return inForce{Routers: len(listed), Pending: unasked(listed, nil)}, err
+	}
+	pending := append(wait.Pending(), unasked(listed, wait.Routers)...)
+	total := len(wait.Routers) + len(unasked(listed, wait.Routers))
+	return inForce{Everywhere: len(pending) == 0, Routers: total, Pending: pending}, nil
+}
+
+// unasked returns the routers of the list that are not among the asked ones.
+func unasked(listed []platform.VM, asked []admin.RouterWait) []admin.RouterWait {
+	known := make(map[string]bool, len(asked))
+	for _, r := range asked {
+		known[r.VM] = true
+	}
+	var out []admin.RouterWait
+	for _, vm := range listed {
+		if vm.ID != "" && !known[vm.ID] {
+			out = append(out, admin.RouterWait{VM: vm.ID, Error: "was not asked"})
+		}
+	}
+	return out
+}
+
+// routers returns the routers that can be asked: the one that the operator
+// names, or those of the platform's list in random order, so that no router
+// pays for all commands.
+func (a *app) routers(ctx context.Context) ([]platform.VM, error) {
+	if a.options.Router != "" {
+		return []platform.VM{{AdminAddr: a.options.Router}}, nil
+	}
+	if a.http == nil {
+		return nil, fail(ExitUsage, "set --platform or --router", "it is not known where the routers are")
+	}
+	vms, _, err := a.http.VMs(ctx, "")
+	if err != nil {
+		return nil, err
+	}
+	var routers []platform.VM
+	for _, vm := range vms.Entries {
+		if vm.Role == platform.RoleRouter {
+			routers = append(routers, vm)
+		}
+	}
+	rand.Shuffle(len(routers), func(i, j int) { routers[i], routers[j] = routers[j], routers[i] })
+	return routers, nil
+}
+
+// askAny asks one router after the other until one answers.
+func askAny[T any](ctx context.Context, a *app, routers []platform.VM, ask func(context.Context, *admin.Client) (T, error)) (T, error) {
+	var none T
+	last := fail(ExitFailed, "see that the list of VMs shows routers with admin_addr, or name one with --router", "no router can be asked")
+	for _, vm := range routers {
+		if vm.AdminAddr == "" || ctx.Err() != nil {
+			continue
+		}
+		client := admin.NewClient(vm.AdminAddr, a.token)
+		bounded, cancel := context.WithTimeout(ctx, routerTimeout)
+		answer, err := ask(bounded, client)
+		cancel()
+		client.CloseIdle()
+		if err == nil {
+			return answer, nil
+		}
+		last = err
+	}
+	return none, last
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/test/ctl_test.go
@@ -0,0 +1,213 @@
+package test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+
+	"github.com/parsleyfront/parsleyfront/internal/ctl"
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+)
+
+const (
+	sharedProfile = `kind: profile
+name: shared
+pool: notes
+model: notes-7b
+deadline: 30s
+`
+	notesPool = `kind: pool
+name: notes
+model: notes-7b
+version: "1"
+---
+`
+)
+
+// ended is a command that has ended.
+type ended struct {
+	code   ctl.Code
+	out    string
+	errOut string
+}
+
+// run runs parsleyctl against a platform.
+func run(platformURL string, args ...string) ended {
+	GinkgoHelper()
+	cmd := exec.Command(ctlPath, args...)
+	cmd.Env = append(os.Environ(), "PARSLEYCTL_PLATFORM="+platformURL, "PARSLEYCTL_AUTHOR=ann")
+	session, err := gexec.Start(cmd, GinkgoWriter, GinkgoWriter)
+	Expect(err).NotTo(HaveOccurred())
+	session.Wait(2 * startWithin)
+	return ended{ctl.Code(session.ExitCode()), string(session.Out.Contents()), string(session.Err.Contents())}
+}
+
+// write writes a file for parsleyctl.
+func write(text string) string {
+	GinkgoHelper()
+	name := filepath.Join(GinkgoT().TempDir(), "objects.yaml")
+	Expect(os.WriteFile(name, []byte(text), 0o600)).To(Succeed())
+	return name
+}
+
+// addListedRouter starts a router with an API for operators and lists its VM.
+// It returns the VM's id.
+func (f *fleet) addListedRouter() string {
+	GinkgoHelper()
+	addr := freeAddr()
+	id := fmt.Sprintf("entry-%d", len(f.routers))
+	f.list(platform.VM{ID: id, Role: platform.RoleRouter, AdminAddr: addr})
+	f.addRouter("--admin-listen", addr)
+	return id
+}
+
+// losing is a proxy before the platform that loses answers to writes.
+type losing struct {
+	*httptest.Server
+	kind platform.Kind
+	down atomic.Bool  // after a write has been let through, nothing answers
+	left atomic.Int64 // how many answers are to be lost; below zero: no more
+	stop bool         // whether the platform is down from then on
+}
+
+func newLosing(platformURL string, kind platform.Kind, answers int64, stop bool) *losing {
+	GinkgoHelper()
+	target, err := url.Parse(platformURL)
+	Expect(err).NotTo(HaveOccurred())
+	l := &losing{kind: kind, stop: stop}
+	l.left.Store(answers)
+	proxy := httputil.NewSingleHostReverseProxy(target)
+	l.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if l.down.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if !l.loses(r) {
+			proxy.ServeHTTP(w, r)
+			return
+		}
+		l.down.Store(l.stop)
+		proxy.ServeHTTP(httptest.NewRecorder(), r)
+		panic(http.ErrAbortHandler)
+	}))
+	DeferCleanup(l.Server.Close)
+	return l
+}
+
+func (l *losing) loses(r *http.Request) bool {
+	writes := r.Method == http.MethodPut && strings.HasPrefix(r.URL.Path, "/v1/objects/"+string(l.kind)+"/")
+	return writes && l.left.Add(-1) >= 0
+}
+
+var _ = Describe("parsleyctl", func() {
+	var f *fleet
+
+	BeforeEach(func() {
+		f = newFleet()
+	})
+
+	It("brings a change into force and back, and tells of it", func() {
+		f.addUpstream("engine", "notes")
+		f.addListedRouter()
+		router := f.addListedRouter()
+		file := write(notesPool + sharedProfile)
+		Expect(run(f.platformURL, "validate", file).code).To(Equal(ctl.ExitOK))
+		Expect(run(f.platformURL, "diff", file).code).To(Equal(ctl.ExitDiffers))
+
+		first := run(f.platformURL, "apply", "--wait", "-m", "new", file)
+		Expect(first.code).To(Equal(ctl.ExitOK), first.errOut)
+		Expect(first.out).To(ContainSubstring("in force at 2 of 2 routers"))
+		Expect(run(f.platformURL, "diff", file).code).To(Equal(ctl.ExitOK))
+
+		longer := write(strings.Replace(sharedProfile, "30s", "40s", 1))
+		Expect(run(f.platformURL, "apply", "--wait", longer).code).To(Equal(ctl.ExitOK))
+		Expect(run(f.platformURL, "rollback", "--wait", "profile/shared").code).To(Equal(ctl.ExitOK))
+		Expect(run(f.platformURL, "get", "profile/shared").out).To(ContainSubstring("deadline: 30s"))
+
+		history := run(f.platformURL, "history", "profile/shared", "-o", "json")
+		var h struct {
+			Changes []struct{ Author, Reason, Diff string }
+		}
+		Expect(json.Unmarshal([]byte(history.out), &h)).To(Succeed())
+		Expect(h.Changes).To(HaveLen(3))
+		Expect(h.Changes[0].Reason).To(HavePrefix("rollback to "))
+		Expect(h.Changes[0].Diff).To(ContainSubstring("-deadline: 40s\n+deadline: 30s"))
+		Expect(h.Changes[2].Author).To(Equal("ann"))
+
+		Expect(run(f.platformURL, "drain", "vm-0", "--wait").code).To(Equal(ctl.ExitOK))
+		Expect(run(f.platformURL, "list", "drain").out).To(ContainSubstring("vm-0"))
+		Expect(run(f.platformURL, "undrain", "vm-0", "--wait").code).To(Equal(ctl.ExitOK))
+		Expect(run(f.platformURL, "drain", "vm-9").code).To(Equal(ctl.ExitNotFound))
+
+		Eventually(func() string { return run(f.platformURL, "status").out }, startWithin).
+			Should(And(MatchRegexp(router+` .* serving`), Not(ContainSubstring("behind")), Not(ContainSubstring("no answer"))))
+		explained := run(f.platformURL, "explain", "--organisation", "club", "--model", model, "--session", "s")
+		Expect(explained.out).To(MatchRegexp(`1 +vm-0 .* ranks high for the session`))
+	})
+
+	// A router has died and the list of VMs still shows it. An operator who
+	// waits for a change must not be told that it is in force there.
+	It("names the router that does not confirm a change", func() {
+		f.addListedRouter()
+		f.list(platform.VM{ID: "entry-9", Role: platform.RoleRouter, AdminAddr: freeAddr()})
+		got := run(f.platformURL, "apply", "--wait", "--wait-timeout", "1s", write(notesPool+sharedProfile))
+		Expect(got.code).To(Equal(ctl.ExitNotInForce))
+		Expect(got.out).To(ContainSubstring("in force at 1 of 2 routers"))
+		Expect(got.out).To(ContainSubstring("pending: entry-9 did not answer"))
+		Expect(run(f.platformURL, "get", "profile/shared").code).To(Equal(ctl.ExitOK))
+	})
+
+	// The store commits the change and its answer is lost. Told "failed", the
+	// operator would make it again on top of another's; told "done" without
+	// knowing, they would go home while it is not.
+	It("resolves a lost answer", func() {
+		l := newLosing(f.platformURL, platform.KindPool, 1, false)
+		got := run(l.URL, "apply", write(notesPool))
+		Expect(got.code).To(Equal(ctl.ExitOK), got.errOut)
+		Expect(got.out).To(ContainSubstring("created"))
+		Expect(run(f.platformURL, "history", "pool/notes", "-o", "yaml").out).NotTo(ContainSubstring("parent"))
+	})
+
+	It("says that it does not know when the store is down after a lost answer", func() {
+		l := newLosing(f.platformURL, platform.KindPool, 1, true)
+		got := run(l.URL, "--timeout", "2s", "apply", write(notesPool+sharedProfile))
+		Expect(got.code).To(Equal(ctl.ExitUnknown))
+		Expect(got.out).To(MatchRegexp(`pool/notes +unknown`))
+		Expect(got.out).To(MatchRegexp(`profile/shared +skipped`))
+		Expect(got.errOut).To(ContainSubstring("advice: look for change"))
+	})
+
+	// Two operators edit the same profile. Whoever applies second would undo
+	// the other's change without a word, and neither would know.
+	It("lets one of two racing operators win and shows both changes to the other", func() {
+		Expect(run(f.platformURL, "apply", write(notesPool+sharedProfile)).code).To(Equal(ctl.ExitOK))
+		base := run(f.platformURL, "get", "profile/shared").out
+		faster := write(strings.Replace(base, "30s", "40s", 1))
+		slower := write(strings.Replace(base, "retry_budget: 0.1", "retry_budget: 0.2", 1))
+		Expect(run(f.platformURL, "apply", faster).code).To(Equal(ctl.ExitOK))
+		got := run(f.platformURL, "apply", slower)
+		Expect(got.code).To(Equal(ctl.ExitConflict))
+		Expect(got.errOut).To(And(ContainSubstring("+deadline: 40s"), ContainSubstring("+retry_budget: 0.2")))
+		now := run(f.platformURL, "get", "profile/shared").out
+		Expect(now).To(And(ContainSubstring("deadline: 40s"), ContainSubstring("retry_budget: 0.1")))
+	})
+
+	It("writes nothing when a file has a mistake", func() {
+		got := run(f.platformURL, "apply", write(notesPool+sharedProfile+"loadmultiple: 2\n"))
+		Expect(got.code).To(Equal(ctl.ExitInvalid))
+		Expect(got.errOut).To(ContainSubstring("objects.yaml:11:1: profile/shared: loadmultiple: unknown field: write load_multiple"))
+		Expect(run(f.platformURL, "get", "pool/notes").code).To(Equal(ctl.ExitNotFound))
+	})
+})
--- a/test/suite_test.go
+++ b/test/suite_test.go
@@ -9,7 +9,7 @@
 	"github.com/onsi/gomega/gexec"
 )
 
-var daemonPath, standinPath string // of the built programs
+var daemonPath, standinPath, ctlPath string // of the built programs
 
 func TestWholePath(t *testing.T) {
 	RegisterFailHandler(Fail)
@@ -22,6 +22,8 @@
 	var err error
 	daemonPath, err = gexec.Build("github.com/parsleyfront/parsleyfront/cmd/parsleyd")
 	Expect(err).NotTo(HaveOccurred())
+	ctlPath, err = gexec.Build("github.com/parsleyfront/parsleyfront/cmd/parsleyctl")
+	Expect(err).NotTo(HaveOccurred())
 	standinPath, err = gexec.Build("github.com/parsleyfront/parsleyfront/cmd/parsleystandin")
 	Expect(err).NotTo(HaveOccurred())
 })
