admin, ctl: status tells when the store was heard; the cost of a wait, measured

Change: the ledger notes the store's last answer, the server asks the process whether it is leaving. Connections to peers are kept 3 s instead of 10 s, which outlasts the rounds of a wait.

--- a/internal/admin/fleet.go
+++ b/internal/admin/fleet.go
@@ -24,7 +24,7 @@
 	roundPause = 100 * time.Millisecond
 	// keepConnection is how long a connection to a peer is kept. A command asks
 	// every half second or so while it waits; nobody asks otherwise.
-	keepConnection = 10 * time.Second
+	keepConnection = 3 * time.Second
 )
 
 // peer is a router that is asked.
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -26,6 +26,8 @@
 	VM    string // of this router
 	Node  Node
 	Token string // that requests carry as a bearer token; empty: none is asked for
+	// Leaving reports whether the router is in its planned stop; nil: never.
+	Leaving func() bool
 }
 
 // Server serves the API of one router.
@@ -73,7 +75,13 @@
 }
 
 func (s *Server) status(w http.ResponseWriter, r *http.Request) {
-	writeJSON(w, s.config.Node.Status(r.URL.Query().Has("brief")))
+	writeJSON(w, s.ownStatus(r.URL.Query().Has("brief")))
+}
+
+func (s *Server) ownStatus(brief bool) Status {
+	own := s.config.Node.Status(brief)
+	own.Draining = s.config.Leaving != nil && s.config.Leaving()
+	return own
 }
 
 // versions answers for the objects named by ref=kind/name.
@@ -127,7 +135,7 @@
 
 func (s *Server) askStatus(ctx context.Context, p peer) RouterStatus {
 	if p.self {
-		own := s.config.Node.Status(true)
+		own := s.ownStatus(true)
 		return RouterStatus{VM: p.vm.ID, Status: &own}
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.peerTimeout)
--- /dev/null
+++ b/internal/ctl/bench_test.go
@@ -0,0 +1,113 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/parsleyfront/parsleyfront/internal/admin"
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/standin"
+)
+
+// promptNode is a router that has every change in force at once.
+type promptNode struct{ vms func() []platform.VM }
+
+func (promptNode) Status(bool) admin.Status                             { return admin.Status{} }
+func (promptNode) Changed() <-chan struct{}                             { return nil }
+func (promptNode) Refresh()                                             {}
+func (n promptNode) VMs() []platform.VM                                 { return n.vms() }
+func (promptNode) InForce(platform.Ref) admin.InForce                   { return admin.InForce{Version: 1 << 60} }
+func (promptNode) Explain(admin.Query) (e admin.Explanation, err error) { return e, err }
+
+// counts wraps a handler and counts its calls and the bytes of bodies.
+type counts struct{ calls, bytes atomic.Int64 }
+
+type countingWriter struct {
+	http.ResponseWriter
+	counts *counts
+}
+
+func (w countingWriter) Write(b []byte) (int, error) {
+	w.counts.bytes.Add(int64(len(b)))
+	return w.ResponseWriter.Write(b)
+}
+
+func (c *counts) wrap(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c.calls.Add(1)
+		c.bytes.Add(max(r.ContentLength, 0))
+		h.ServeHTTP(countingWriter{w, c}, r)
+	})
+}
+
+// BenchmarkApplyWait is one parsleyctl apply --wait of one profile: calls of the
+// store and of the routers, and the bytes of their bodies. It names the router
+// to ask, since all of them share this process's limit of open files; without
+// that the command reads the list of VMs once more.
+func BenchmarkApplyWait(b *testing.B) {
+	for _, n := range []int{10, 100, 330} {
+		b.Run(fmt.Sprintf("routers=%d", n), func(b *testing.B) {
+			var store, routers counts
+			url, router := startPlatform(b, n, &store, &routers)
+			dir := b.TempDir()
+			run := func(deadline int) {
+				file := filepath.Join(dir, "objects.yaml")
+				text := fmt.Sprintf("{kind: pool, name: p, model: m, version: '1'}\n---\n{kind: profile, name: chat, pool: p, model: m, deadline: %ds}\n", deadline)
+				if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+					b.Fatal(err)
+				}
+				var errOut bytes.Buffer
+				args := []string{"--platform", url, "--router", router, "apply", "--wait", file}
+				if code := Run(context.Background(), args, io.Discard, &errOut); code != ExitOK {
+					b.Fatal(code, errOut.String())
+				}
+			}
+			for i := range historyFull {
+				run(100 + i) // until the history is as long as it gets
+			}
+			store, routers = counts{}, counts{}
+			for i := 0; b.Loop(); i++ {
+				run(1000 + i)
+			}
+			per := func(c *atomic.Int64) float64 { return float64(c.Load()) / float64(b.N) }
+			b.ReportMetric(per(&store.calls), "store-calls/op")
+			b.ReportMetric(per(&store.bytes), "store-B/op")
+			b.ReportMetric(per(&routers.calls), "router-calls/op")
+			b.ReportMetric(per(&routers.bytes), "router-B/op")
+		})
+	}
+}
+
+// historyFull is more changes than an object's history keeps.
+const historyFull = 25
+
+// startPlatform starts a platform with n listed routers. It returns its URL and
+// the address of one router.
+func startPlatform(b *testing.B, n int, store, routers *counts) (url, router string) {
+	mux := http.NewServeMux()
+	list := standin.NewVMList()
+	standin.NewObjectAPI().Register(mux)
+	list.Register(mux)
+	var vms []platform.VM
+	node := promptNode{vms: func() []platform.VM { return vms }}
+	for i := range n {
+		vm := platform.VM{ID: fmt.Sprintf("entry-%d", i), Role: platform.RoleRouter}
+		server := httptest.NewServer(routers.wrap(admin.NewServer(admin.Config{VM: vm.ID, Node: node})))
+		b.Cleanup(server.Close)
+		vm.AdminAddr = strings.TrimPrefix(server.URL, "http://")
+		vms = append(vms, vm)
+		list.Set(vm)
+	}
+	server := httptest.NewServer(store.wrap(mux))
+	b.Cleanup(server.Close)
+	return server.URL, vms[0].AdminAddr
+}
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -57,7 +57,9 @@
 	}
 	mux := http.NewServeMux()
 	h.register(mux)
-	mux.Handle("/", admin.NewServer(admin.Config{VM: o.vm, Node: r.Operators(o.vm), Token: o.token}))
+	mux.Handle("/", admin.NewServer(admin.Config{
+		VM: o.vm, Node: r.Operators(o.vm), Token: o.token, Leaving: h.leaving.Load,
+	}))
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	go func() { _ = server.Serve(o.listener) }()
--- a/internal/router/ledger.go
+++ b/internal/router/ledger.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/admin"
 	"github.com/parsleyfront/parsleyfront/internal/platform"
@@ -28,6 +29,7 @@
 	complete platform.Version
 	newest   platform.Version
 	dirty    bool
+	heard    time.Time     // of the store
 	changed  chan struct{} // closed and replaced at each publication
 }
 
@@ -54,6 +56,13 @@
 	l.dirty = true
 }
 
+// storeHeard notes that the store has answered.
+func (l *ledger) storeHeard(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heard = now
+}
+
 func (l *ledger) publish() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -82,7 +91,7 @@
 func (l *ledger) status() admin.ConfigStatus {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := admin.ConfigStatus{Version: l.newest}
+	s := admin.ConfigStatus{Version: l.newest, StoreHeard: l.heard}
 	for _, p := range l.rejected {
 		s.Rejected = append(s.Rejected, p)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -145,6 +145,7 @@
 			}
 		}
 	}
+	r.ledger.storeHeard(time.Now())
 	r.loop.Post(ObjectsChanged{Objects: objects, Version: version})
 	return version, nil
 }
@@ -170,6 +171,7 @@
 	if err != nil {
 		return since, err
 	}
+	r.ledger.storeHeard(time.Now())
 	r.loop.Post(ObjectsChanged{Objects: page.Objects, Version: page.Version})
 	return max(since, page.Version), nil
 }
