ctl: what get prints can be applied; an empty file is a mistake

Cause: in dev mode the file of a failed get was empty, and applying it said nothing and exited 0. A text such as .inf is written without quotes by the YAML library and was refused when it came back. Dev mode had no pool objects, so its own profiles could not be applied again. Ruled out: quoting every text in get, which the library cannot do for objects that come from JSON. Conclusion: get, edit and apply work in dev mode without further files.

--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/parsleyfront/parsleyfront/internal/config"
 	"github.com/parsleyfront/parsleyfront/internal/config/change"
@@ -25,7 +26,7 @@
 
 // validate checks files by themselves: what they refer to must be among them.
 func (a *app) validate(context.Context) error {
-	docs, problems, err := profile.Load(a.options.Validate.paths()...)
+	docs, problems, err := read(a.options.Validate.paths())
 	if err != nil {
 		return err
 	}
@@ -43,10 +44,20 @@
 	return nil
 }
 
+// read reads files. None with an object in it is a mistake: a file that a
+// failed command has left empty would otherwise be applied with success.
+func read(paths []string) ([]profile.Document, profile.Problems, error) {
+	docs, problems, err := profile.Load(paths...)
+	if err == nil && len(docs)+len(problems) == 0 {
+		err = fail(ExitInvalid, "name files, or directories with .yaml or .yml files", "there is no object in %s", strings.Join(paths, ", "))
+	}
+	return docs, problems, err
+}
+
 // load reads files and checks them together with the store. It returns the
 // changes that they ask for.
 func (a *app) load(ctx context.Context, paths []string) ([]edit, error) {
-	docs, problems, err := profile.Load(paths...)
+	docs, problems, err := read(paths)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/ctl/document_test.go
@@ -0,0 +1,34 @@
+package ctl
+
+import (
+	"testing"
+
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/profile"
+)
+
+// An operator edits what get has printed and applies it. A version such as 1.10
+// or a model named null must come back as the text that it is, not as a number
+// or as nothing: the upstreams would load another version.
+func TestDocumentComesBackAsItWas(t *testing.T) {
+	for _, text := range []string{"1", "1.10", "0x1f", "1e5", "true", "null", "~", "2026-03-01", "a:b", "#x", "-", "*a", "&a", "!t", "[", "{", "'", `"`, "%x", "@x", "|", ">", "?", "no", "=", ".inf", ".nan", "-.Inf", "1_000", "0o7", "+1", "1:30"} {
+		pool := profile.New(platform.KindPool).(*profile.Pool)
+		pool.Name, pool.Model, pool.Version, pool.Adapters = "p", text, text, []string{text}
+		spec, err := profile.Encode(pool)
+		if err != nil {
+			t.Fatal(err)
+		}
+		doc, err := document(platform.KindPool, "CHANGE", spec)
+		if err != nil {
+			t.Fatal(err)
+		}
+		docs, problems := profile.Read("f", []byte(doc))
+		if len(problems) > 0 || len(docs) != 1 {
+			t.Errorf("%q: %s\n%s", text, problems, doc)
+			continue
+		}
+		if back, _ := profile.Encode(docs[0].Object); string(back) != string(spec) || docs[0].Change != "CHANGE" {
+			t.Errorf("%q: came back as %s, want %s", text, back, spec)
+		}
+	}
+}
--- a/internal/daemon/dev.go
+++ b/internal/daemon/dev.go
@@ -99,12 +99,18 @@
 `, base, addr, admin, key, devModel, devClips)
 }
 
-// configure writes the profiles and the organisation of dev mode.
+// configure writes the pools, profiles and organisation of dev mode.
 func configure(ctx context.Context, store platform.Store, key string) error {
 	objects := []struct {
 		ref   platform.Ref
 		value any
 	}{
+		{platform.Ref{Kind: platform.KindPool, Name: devNotes}, profile.Pool{
+			Name: devNotes, Model: devModel, Version: "1", Role: profile.DefaultEngineRole, MaxUnavailable: profile.DefaultMaxUnavailable,
+		}},
+		{platform.Ref{Kind: platform.KindPool, Name: devClips}, profile.Pool{
+			Name: devClips, Role: profile.DefaultEngineRole, MaxUnavailable: profile.DefaultMaxUnavailable,
+		}},
 		{platform.Ref{Kind: platform.KindProfile, Name: devNotes}, profile.Profile{
 			Name: devNotes, Pool: devNotes, Model: devModel, Deadline: profile.Duration(time.Minute), LoadMultiple: devMultiple,
 		}},
--- a/internal/profile/decode.go
+++ b/internal/profile/decode.go
@@ -178,6 +178,12 @@
 	}
 	switch v.Kind() {
 	case reflect.String:
+		switch n.(type) {
+		case *ast.InfinityNode, *ast.NanNode:
+			// The library writes such a text without quotes.
+			v.SetString(n.GetToken().Value)
+			return
+		}
 		if text, ok := s.GetValue().(string); ok {
 			v.SetString(text)
 			return
--- a/test/ctl_test.go
+++ b/test/ctl_test.go
@@ -209,5 +209,6 @@
 		Expect(got.code).To(Equal(ctl.ExitInvalid))
 		Expect(got.errOut).To(ContainSubstring("objects.yaml:11:1: profile/shared: loadmultiple: unknown field: write load_multiple"))
 		Expect(run(f.platformURL, "get", "pool/notes").code).To(Equal(ctl.ExitNotFound))
+		Expect(run(f.platformURL, "apply", write("")).code).To(Equal(ctl.ExitInvalid))
 	})
 })
