--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -36,13 +36,14 @@
 	Weight        int       // of the organisation; below one counts as one
 	FirstByteBy   time.Time // zero: no deadline
 	Deadline      time.Time // zero: no deadline
-	LoadBound     int       // load including this request; zero: unbounded
+	LoadBound     int       // load up to which it is admitted, itself included
 	QueueBound    int       // waiting requests of the profile; zero: unbounded
 	OrgQueueBound int       // those of them of the organisation; zero: unbounded
 }
 
-// expires is when the request is too late to start; zero: never.
-func (r *Request) expires() time.Time {
+// Expires is when the request is too late to start; zero: never. Who holds the
+// queue removes it then and answers it at once.
+func (r *Request) Expires() time.Time {
 	if r.FirstByteBy.IsZero() || (!r.Deadline.IsZero() && r.Deadline.Before(r.FirstByteBy)) {
 		return r.Deadline
 	}
@@ -128,8 +129,8 @@
 }
 
 func (q *Queue) refuse(now time.Time, r *Request) *verdict.Error {
-	if r.LoadBound > 0 && q.Load() >= r.LoadBound {
-		return notRun(verdict.ReasonOverBound, "the upstream is at its bound of %d", r.LoadBound).Later(q.release())
+	if q.Load() >= r.LoadBound {
+		return notRun(verdict.ReasonOverBound, "the upstream is at its bound of %d", r.LoadBound).Later(q.Backoff())
 	}
 	if q.startsNow(r) {
 		return nil
@@ -141,7 +142,7 @@
 		(r.QueueBound > 0 && q.queued[queueKey{profile: r.Profile}] >= r.QueueBound) ||
 		(r.OrgQueueBound > 0 && q.queued[queueKey{r.Profile, r.Org}] >= r.OrgQueueBound)
 	if full {
-		return notRun(verdict.ReasonQueueFull, "the queue is full").Later(q.release())
+		return notRun(verdict.ReasonQueueFull, "the queue is full").Later(q.Backoff())
 	}
 	return nil
 }
@@ -173,37 +174,24 @@
 		}
 		it := f.items[0]
 		q.unqueue(it)
-		s := &slot{Request: it.Request, started: now, charged: q.expected().Seconds()}
-		c.charge(f, s.charged)
-		q.running[it.ID] = s
-		q.orgs[it.Org].running++
+		c.charge(f, q.begin(now, it.Request).charged)
 		return it.Request, true
 	}
 	return Request{}, false
 }
 
-// Expired takes the waiting requests that are too late to start. Each is to be
-// answered at once.
-func (q *Queue) Expired(now time.Time) []Request {
-	var out []Request
-	for _, c := range q.classes {
-		for _, it := range c.expired(now) {
-			q.unqueue(it)
-			out = append(out, it.Request)
-		}
-	}
-	return out
+// Begin starts a request past the queue.
+func (q *Queue) Begin(now time.Time, r Request) {
+	r.Weight = max(1, r.Weight)
+	q.seen(now, &r)
+	q.begin(now, r)
 }
 
-// NextExpiry is when Expired has something to take; zero: never.
-func (q *Queue) NextExpiry() time.Time {
-	var next time.Time
-	for _, it := range q.waiting {
-		if t := it.expires(); !t.IsZero() && (next.IsZero() || t.Before(next)) {
-			next = t
-		}
-	}
-	return next
+func (q *Queue) begin(now time.Time, r Request) *slot {
+	s := &slot{Request: r, started: now, charged: q.expected().Seconds()}
+	q.running[r.ID] = s
+	q.orgs[r.Org].running++
+	return s
 }
 
 // Remove takes a waiting request out. It reports false when it does not wait.
--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -46,8 +46,9 @@
 	q.first[profile] = a
 }
 
-// release is how long it takes until a running request is likely to end.
-func (q *Queue) release() time.Duration {
+// Backoff is how long it takes until a running request is likely to end, and
+// room with it.
+func (q *Queue) Backoff() time.Duration {
 	return q.expected() / time.Duration(max(1, q.Running()))
 }
 
@@ -56,7 +57,7 @@
 // nothing is ruled out. A request that need not wait is never refused for
 // this, or an average that has grown too long would never be corrected.
 func (q *Queue) lateness(now time.Time, r *Request) time.Duration {
-	expires := r.expires()
+	expires := r.Expires()
 	if expires.IsZero() || !q.service.known || q.config.Slots <= 0 {
 		return 0
 	}
--- a/internal/admission/fair.go
+++ b/internal/admission/fair.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 )
 
 // minCost is the least that a request is charged, in seconds. Without it
@@ -109,19 +108,6 @@
 	c.waiting--
 }
 
-func (c *class) expired(now time.Time) []*item {
-	var out []*item
-	for _, f := range c.flows {
-		for _, it := range f.items {
-			if t := it.expires(); !t.IsZero() && !now.Before(t) {
-				out = append(out, it)
-			}
-		}
-	}
-	slices.SortFunc(out, func(a, b *item) int { return cmp.Compare(a.seq, b.seq) })
-	return out
-}
-
 // ahead estimates how many waiting requests start before a new one: all of
 // higher priority, and of each other flow as many as its weight earns while
 // this organisation's turn comes.
--- a/internal/daemon/dev.go
+++ b/internal/daemon/dev.go
@@ -19,6 +19,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/router"
 	"github.com/parsleyfront/parsleyfront/internal/secure"
 	"github.com/parsleyfront/parsleyfront/internal/settings"
+	"github.com/parsleyfront/parsleyfront/internal/sidecar"
 	"github.com/parsleyfront/parsleyfront/internal/standin"
 	"github.com/parsleyfront/parsleyfront/internal/token"
 )
@@ -53,7 +54,7 @@
 	if err := configure(ctx, p, string(s.Key)); err != nil {
 		return err
 	}
-	if err := startUpstreams(background, vms, s.Engines.N); err != nil {
+	if err := startUpstreams(background, vms, base, s.Engines.N); err != nil {
 		return err
 	}
 	ring, err := newRing()
@@ -142,18 +143,18 @@
 }
 
 // startUpstreams runs the stand-ins of both pools, each with its sidecar.
-func startUpstreams(ctx context.Context, vms *standin.VMList, engines int) error {
+func startUpstreams(ctx context.Context, vms *standin.VMList, platformURL string, engines int) error {
 	for i := range engines {
 		mux := http.NewServeMux()
 		standin.NewEngine(standin.EngineConfig{Model: devModel, TokenDelay: devTokenDelay, Tokens: devTokens, CacheSize: devCache}).Register(mux)
-		if err := startUpstream(ctx, vms, platform.VM{ID: fmt.Sprintf("engine-%d", i), Pool: devNotes}, mux); err != nil {
+		if err := startUpstream(ctx, vms, platformURL, platform.VM{ID: fmt.Sprintf("engine-%d", i), Pool: devNotes}, mux); err != nil {
 			return err
 		}
 	}
 	for i := range devServices {
 		mux := http.NewServeMux()
 		standin.NewService(devClips).Register(mux)
-		if err := startUpstream(ctx, vms, platform.VM{ID: fmt.Sprintf("clips-%d", i), Pool: devClips}, mux); err != nil {
+		if err := startUpstream(ctx, vms, platformURL, platform.VM{ID: fmt.Sprintf("clips-%d", i), Pool: devClips}, mux); err != nil {
 			return err
 		}
 	}
@@ -161,7 +162,7 @@
 }
 
 // startUpstream runs an upstream with its sidecar and lists its VM.
-func startUpstream(ctx context.Context, vms *standin.VMList, vm platform.VM, h http.Handler) error {
+func startUpstream(ctx context.Context, vms *standin.VMList, platformURL string, vm platform.VM, h http.Handler) error {
 	base, err := listenHTTP(ctx, h)
 	if err != nil {
 		return err
@@ -170,7 +171,13 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	go func() { _ = serveRouters(ctx, l, vm.ID, base) }()
+	parsed, err := settings.Parse([]string{"sidecar", "--vm", vm.ID, "--upstream", base, "--platform", platformURL, "--insecure-plain"})
+	if err != nil {
+		return err
+	}
+	c := sidecarConfig(parsed.Sidecar)
+	c.Dial = dialer(secure.Plain{})
+	go func() { _ = sidecar.New(c).Serve(ctx, l) }()
 	vm.Role, vm.Addr = platform.RoleUpstream, l.Addr().String()
 	vms.Set(vm)
 	return nil
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -8,6 +8,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/parsleyfront/parsleyfront/internal/admission"
+	"github.com/parsleyfront/parsleyfront/internal/platform"
 	"github.com/parsleyfront/parsleyfront/internal/secure"
 	"github.com/parsleyfront/parsleyfront/internal/settings"
 	"github.com/parsleyfront/parsleyfront/internal/sidecar"
@@ -30,15 +32,34 @@
 		return errors.WithStack(err)
 	}
 	slog.Info("sidecar listening", "addr", l.Addr().String(), "vm", s.VM)
-	return serveRouters(ctx, transport.Listen(patientListener{l}), s.VM, string(s.Upstream))
+	c := sidecarConfig(s)
+	c.Dial = dialer(transport)
+	return sidecar.New(c).Serve(ctx, transport.Listen(patientListener{l}))
 }
 
-func serveRouters(ctx context.Context, l net.Listener, vm, base string) error {
+func sidecarConfig(s settings.Sidecar) sidecar.Config {
 	nonce := token.NewNonce()
-	s := sidecar.New(ctx, sidecar.Config{
-		VM:          vm,
-		Incarnation: binary.BigEndian.Uint64(nonce[:]),
-		Upstream:    upstream.NewHTTP(base),
-	})
-	return s.Serve(l)
+	c := sidecar.Config{
+		Settings: sidecar.Settings{
+			VM:          s.VM,
+			Incarnation: binary.BigEndian.Uint64(nonce[:]),
+			Weight:      s.Weight.N,
+			Keys:        s.Keys.N,
+			Admission: admission.Config{
+				Slots:      s.Slots.N,
+				Reserve:    s.Reserve.N,
+				Headroom:   s.Headroom.N,
+				MaxWaiting: s.MaxWaiting.N,
+			},
+			DetachGrace: s.DetachGrace.D,
+			KeepAnswer:  s.KeepAnswer.D,
+			StopWithin:  s.StopTimeout.D,
+		},
+		Buffer:   sidecar.Buffer{PerAnswer: s.AnswerBytes.N, Total: s.BufferBytes.N},
+		Upstream: upstream.NewHTTP(string(s.Upstream)),
+	}
+	if s.Platform != "" {
+		c.VMs = platform.NewHTTP(string(s.Platform))
+	}
+	return c
 }
--- a/internal/idempotency/table.go
+++ b/internal/idempotency/table.go
@@ -161,6 +161,15 @@
 	return e.successor
 }
 
+// Cancel refuses a live key that has not run for good: unlike one that is
+// withdrawn, it does not go on elsewhere.
+func (t *Table) Cancel(n token.Nonce) {
+	if e := t.entries[n]; e != nil && e.outcome == Live {
+		e.successor = nil
+		t.refuse(e, verdict.ReasonCancelled)
+	}
+}
+
 // Finish records the end of a live key's request. Its entry stays until its
 // key has expired and keepUntil has passed.
 func (t *Table) Finish(n token.Nonce, v verdict.Verdict, keepUntil time.Time) {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -186,6 +186,9 @@
 		}
 		if p.End != nil && p.End.Error != nil {
 			a.router.heard(time.Now(), at.vm, p.End.Control)
+			if p.End.Moved != nil { // it waited there and was sent on
+				return dispatch.Refused{Now: time.Now(), Attempt: at.number, Err: p.End.Error, Moved: p.End.Moved}
+			}
 			return dispatch.Ended{Now: time.Now(), Attempt: at.number, Err: p.End.Error}
 		}
 		at.pieces = append(at.pieces, p)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -18,6 +18,17 @@
 	maxReload = time.Minute
 	maxDelay  = time.Hour
 	maxStop   = 24 * time.Hour
+
+	maxWeight = 255 // that a sample of loads can carry
+	maxSlots  = 1 << 16
+	minKeys   = 1 << 10
+	maxKeys   = 1 << 22
+
+	// minAnswerBytes lets a router that has lost its connection find what was
+	// on its way.
+	minAnswerBytes = 64 << 10
+	maxAnswerBytes = 1 << 30
+	maxBufferBytes = 1 << 40
 )
 
 // Mistakes is all that is wrong with a command line and environment.
@@ -156,12 +167,30 @@
 	m.address("listen", s.Listen)
 	m.optionalAddress("admin-listen", s.AdminListen)
 	m.required("upstream", string(s.Upstream))
+	s.Admission.check(m)
+	s.Answers.check(m)
 	// Without TLS whoever reaches the port may run work.
 	if host, _, err := net.SplitHostPort(s.Listen); err == nil && s.InsecurePlain.On && !net.ParseIP(host).IsLoopback() {
 		m.add("listen", "with --insecure-plain only a loopback address such as 127.0.0.1:7400, have %q", s.Listen)
 	}
 }
 
+func (a Admission) check(m *Mistakes) {
+	m.count("weight", a.Weight, 1, maxWeight)
+	m.count("slots", a.Slots, 1, maxSlots)
+	m.count("reserve", a.Reserve, 0, a.Slots.N-1)
+	m.count("headroom", a.Headroom, 0, maxSlots)
+	m.count("max-waiting", a.MaxWaiting, 0, maxSlots)
+	m.count("keys", a.Keys, minKeys, maxKeys)
+}
+
+func (a Answers) check(m *Mistakes) {
+	m.duration("detach-grace", a.DetachGrace, time.Second, maxDelay)
+	m.duration("keep-answer", a.KeepAnswer, time.Second, maxDelay)
+	m.count("answer-bytes", a.AnswerBytes, minAnswerBytes, maxAnswerBytes)
+	m.count("buffer-bytes", a.BufferBytes, a.AnswerBytes.N, maxBufferBytes)
+}
+
 func (d Dev) check(m *Mistakes) {
 	d.Common.check(m)
 	m.address("listen", d.Listen)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -66,6 +66,28 @@
 	Listen      string `long:"listen" env:"PARSLEYD_LISTEN" default:"127.0.0.1:7400" description:"address for routers"`
 	AdminListen string `long:"admin-listen" env:"PARSLEYD_ADMIN_LISTEN" description:"address for operators, on the management network; without it there is none"`
 	Upstream    URL    `long:"upstream" env:"PARSLEYD_UPSTREAM" description:"URL of the upstream beside this sidecar"`
+	Platform    URL    `long:"platform" env:"PARSLEYD_PLATFORM" description:"URL of the platform's API; without it cached prefixes are not handed on when the upstream leaves"`
+
+	Admission `group:"Admission"`
+	Answers   `group:"Answers"`
+}
+
+// Admission is what an upstream is given.
+type Admission struct {
+	Weight     Count `long:"weight" env:"PARSLEYD_WEIGHT" default:"1" description:"capacity of the upstream relative to others of its pool, as in the platform's list"`
+	Slots      Count `long:"slots" env:"PARSLEYD_SLOTS" default:"32" description:"requests that run at the upstream at once"`
+	Reserve    Count `long:"reserve" env:"PARSLEYD_RESERVE" default:"1" description:"slots kept for organisations under their share while several are active"`
+	Headroom   Count `long:"headroom" env:"PARSLEYD_HEADROOM" default:"0" description:"requests beyond the slots that may pass running ones of lower priority; for upstreams that honour priorities"`
+	MaxWaiting Count `long:"max-waiting" env:"PARSLEYD_MAX_WAITING" default:"256" description:"requests that wait at most"`
+	Keys       Count `long:"keys" env:"PARSLEYD_KEYS" default:"65536" description:"request keys that are remembered"`
+}
+
+// Answers is what a sidecar keeps of answers.
+type Answers struct {
+	DetachGrace Duration `long:"detach-grace" env:"PARSLEYD_DETACH_GRACE" default:"15s" description:"how long a request goes on that nobody reads"`
+	KeepAnswer  Duration `long:"keep-answer" env:"PARSLEYD_KEEP_ANSWER" default:"30s" description:"how long each answer is kept at least"`
+	AnswerBytes Count    `long:"answer-bytes" env:"PARSLEYD_ANSWER_BYTES" default:"1048576" description:"bytes of one answer that are kept"`
+	BufferBytes Count    `long:"buffer-bytes" env:"PARSLEYD_BUFFER_BYTES" default:"268435456" description:"bytes of all answers that are kept"`
 }
 
 // Dev is the settings of dev mode.
--- /dev/null
+++ b/internal/sidecar/conn.go
@@ -0,0 +1,200 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/telemetry"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
+)
+
+func (s *Sidecar) accept(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	conn := wire.NewConn(s.ctx, c, s)
+	s.conns[conn] = make(map[wire.StreamID]*sender)
+	go func() {
+		<-conn.Done()
+		s.drop(conn)
+	}()
+}
+
+func (s *Sidecar) drop(conn *wire.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, sender := range s.conns[conn] {
+		sender.stop()
+	}
+	delete(s.conns, conn)
+}
+
+// HandleCall implements wire.Handler.
+func (s *Sidecar) HandleCall(ctx context.Context, c *wire.Conn, m wire.Method, params wire.Params) (any, error) {
+	switch m {
+	case wire.MethodHello:
+		return wire.Hello{VM: s.config.Settings.VM, Incarnation: s.config.Settings.Incarnation}, nil
+	case wire.MethodSubmit:
+		return serve(params, func(p wire.Submit) (any, error) { return s.submit(ctx, c, p) })
+	case wire.MethodAttach:
+		return serve(params, func(p wire.Attach) (any, error) { return s.attach(ctx, c, p) })
+	case wire.MethodCancel:
+		return serve(params, func(p wire.Cancel) (any, error) {
+			return s.admission(ctx, func(t Ticket) Event { return Cancelled{Now: time.Now(), Ticket: t, Cancel: p} })
+		})
+	case wire.MethodStatus:
+		return serve(params, func(p wire.StatusRequest) (any, error) { return s.status(ctx, p) })
+	case wire.MethodNotice:
+		return serve(params, func(p wire.Notice) (any, error) {
+			return s.admission(ctx, func(t Ticket) Event { return Noticed{Now: time.Now(), Ticket: t, Notice: p} })
+		})
+	case wire.MethodReport:
+		return serve(params, func(p wire.Report) (any, error) {
+			return s.admission(ctx, func(t Ticket) Event { return Reported{Now: time.Now(), Ticket: t, Report: p} })
+		})
+	case wire.MethodImport:
+		return serve(params, func(p wire.Import) (any, error) { return s.takeImport(ctx, p) })
+	}
+	return nil, verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "unknown method %q", m)
+}
+
+// serve decodes the parameters of a call for f.
+func serve[P any](params wire.Params, f func(P) (any, error)) (any, error) {
+	var p P
+	if err := params.Decode(&p); err != nil {
+		return nil, err
+	}
+	return f(p)
+}
+
+// HandleFrame implements wire.Handler.
+func (s *Sidecar) HandleFrame(c *wire.Conn, f wire.Frame) {
+	switch f := f.(type) {
+	case wire.Credit:
+		if out := s.sender(c, f.Stream); out != nil {
+			out.grant(f.UpTo)
+		}
+	case wire.Detach:
+		if out := s.sender(c, f.Stream); out != nil {
+			out.stop()
+		}
+	}
+}
+
+func (s *Sidecar) sender(c *wire.Conn, id wire.StreamID) *sender {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conns[c][id]
+}
+
+func (s *Sidecar) submit(ctx context.Context, c *wire.Conn, sub wire.Submit) (any, error) {
+	span := telemetry.Start(telemetry.HopSidecar, telemetry.Traceparent(sub.Trace))
+	defer span.End()
+	sub.Trace = string(span.Traceparent())
+	a, err := s.admission(ctx, func(t Ticket) Event { return Submitted{Now: time.Now(), Ticket: t, Submit: sub} })
+	if err != nil || a.Error != nil {
+		return a, err
+	}
+	s.read(c, wire.Attach{Key: sub.Key, Org: sub.Org, Stream: sub.Stream, Window: sub.Window}, &a)
+	return a, nil
+}
+
+func (s *Sidecar) attach(ctx context.Context, c *wire.Conn, p wire.Attach) (any, error) {
+	a, err := s.admission(ctx, func(t Ticket) Event { return Attached{Now: time.Now(), Ticket: t, Attach: p} })
+	if err != nil || a.Error != nil {
+		return a, err
+	}
+	s.read(c, p, &a)
+	return a, nil
+}
+
+// read starts sending an answer to a router, or says in adm that it is gone.
+func (s *Sidecar) read(c *wire.Conn, p wire.Attach, adm *wire.Admission) {
+	n := p.Key.Nonce
+	ans := s.answers.get(n)
+	if ans == nil || p.Offset < 0 {
+		adm.Error = errAnswerGone()
+		return
+	}
+	out := newSender(connFrames{conn: c, attach: p}, ans, p)
+	joined, ok := ans.join(out, p.Offset)
+	if !ok {
+		adm.Error = errAnswerGone()
+		return
+	}
+	s.post(joined)
+	s.enlist(c, p.Stream, out)
+	go func() {
+		whole := out.send()
+		s.delist(c, p.Stream)
+		s.post(ans.part(out, whole))
+	}()
+}
+
+func errAnswerGone() *verdict.Error {
+	return verdict.New(verdict.MayHaveRun, verdict.ReasonAnswerGone, "the answer is no longer held")
+}
+
+// post tells the reducer of a change of readers.
+func (s *Sidecar) post(r Readers) {
+	r.Now = time.Now()
+	s.loop.Post(r)
+}
+
+// enlist lets credit reach a sender.
+func (s *Sidecar) enlist(c *wire.Conn, id wire.StreamID, out *sender) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if senders := s.conns[c]; senders != nil {
+		senders[id] = out
+		return
+	}
+	out.stop() // the connection has ended
+}
+
+func (s *Sidecar) delist(c *wire.Conn, id wire.StreamID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns[c], id)
+}
+
+func (s *Sidecar) status(ctx context.Context, p wire.StatusRequest) (any, error) {
+	e, err := s.ask(ctx, func(t Ticket) Event { return StatusAsked{Now: time.Now(), Ticket: t, Status: p} })
+	if err != nil {
+		return nil, err
+	}
+	reply := e.(ReplyStatus)
+	if reply.Error != nil {
+		return nil, reply.Error
+	}
+	if a := s.answers.get(reply.Nonce); a != nil {
+		reply.Status.Length = a.length()
+	}
+	return reply.Status, nil
+}
+
+// connFrames sends the frames of one stream over a connection.
+type connFrames struct {
+	conn   *wire.Conn
+	attach wire.Attach
+}
+
+func (f connFrames) head(h *head) error {
+	return f.conn.Send(wire.Head{Stream: f.attach.Stream, Nonce: f.attach.Key.Nonce, Status: h.status, Header: h.header})
+}
+
+func (f connFrames) data(offset int64, b []byte) error {
+	return f.conn.Send(wire.Data{Stream: f.attach.Stream, Nonce: f.attach.Key.Nonce, Offset: offset, Bytes: b})
+}
+
+func (f connFrames) end(length int64, e Finish) error {
+	return f.conn.Send(wire.End{
+		Stream:  f.attach.Stream,
+		Nonce:   f.attach.Key.Nonce,
+		Length:  length,
+		Error:   e.Error,
+		Moved:   e.Moved,
+		Control: e.Control,
+	})
+}
--- /dev/null
+++ b/internal/sidecar/counters.go
@@ -0,0 +1,40 @@
+package sidecar
+
+import (
+	"github.com/parsleyfront/parsleyfront/internal/telemetry"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+)
+
+var (
+	admittedRequests = telemetry.NewCounter("sidecar_admitted_total",
+		"Requests admitted to run or to wait.")
+	refusedRequests = telemetry.NewFamily[verdict.Reason]("sidecar_refused_total", "reason",
+		"Requests not admitted, by reason.")
+	joinedRequests = telemetry.NewCounter("sidecar_joined_total",
+		"Requests whose key was known: they were given the answer that was there.")
+	failedRequests = telemetry.NewFamily[verdict.Reason]("sidecar_failed_total", "reason",
+		"Admitted requests that ended without a whole answer, by reason.")
+	droppedAnswers = telemetry.NewCounter("sidecar_dropped_answers_total",
+		"Finished answers dropped before their time because the buffer was full.")
+	exportedSessions = telemetry.NewCounter("sidecar_exported_sessions_total",
+		"Cached prefixes handed to another upstream before leaving.")
+	exportFailures = telemetry.NewCounter("sidecar_export_failures_total",
+		"Cached prefixes that could not be handed over.")
+	importedSessions = telemetry.NewCounter("sidecar_imported_sessions_total",
+		"Cached prefixes taken over from upstreams that leave.")
+)
+
+func countReply(e Reply) {
+	switch {
+	case e.Admission.Error != nil:
+		refusedRequests.Inc(e.Admission.Error.Reason)
+	case e.Admission.Joined:
+		joinedRequests.Inc()
+	}
+}
+
+func countFinish(e Finish) {
+	if e.Error != nil {
+		failedRequests.Inc(e.Error.Reason)
+	}
+}
--- /dev/null
+++ b/internal/sidecar/event.go
@@ -0,0 +1,194 @@
+package sidecar
+
+import (
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/token"
+	"github.com/parsleyfront/parsleyfront/internal/upstream"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
+)
+
+// Event is something that has happened to a sidecar.
+type Event interface{ at() time.Time }
+
+// Ticket names a caller who waits for the reply to what it asked.
+type Ticket uint64
+
+// Submitted is a request that a router has sent.
+type Submitted struct {
+	Now    time.Time
+	Ticket Ticket
+	Submit wire.Submit
+}
+
+// Attached is a router that asks for an answer.
+type Attached struct {
+	Now    time.Time
+	Ticket Ticket
+	Attach wire.Attach
+}
+
+// Cancelled is a router that asks to end a request.
+type Cancelled struct {
+	Now    time.Time
+	Ticket Ticket
+	Cancel wire.Cancel
+}
+
+// StatusAsked is a router that asks what became of a request.
+type StatusAsked struct {
+	Now    time.Time
+	Ticket Ticket
+	Status wire.StatusRequest
+}
+
+// Readers is how many routers read an answer. Seq orders the counts of one
+// answer, since they come from different goroutines.
+type Readers struct {
+	Now       time.Time
+	Nonce     token.Nonce
+	Seq       uint64
+	Count     int
+	Delivered bool // some router has been sent the whole answer
+}
+
+// Headed is an answer that has begun.
+type Headed struct {
+	Now   time.Time
+	Nonce token.Nonce
+}
+
+// Ended is a call of the upstream that is over. A nil Err means that the
+// answer is whole.
+type Ended struct {
+	Now   time.Time
+	Nonce token.Nonce
+	Err   *verdict.Error
+}
+
+// Probed is the result of a probe of the upstream.
+type Probed struct {
+	Now    time.Time
+	Health upstream.Health
+}
+
+// Noticed is word that the VM is to leave or to stay.
+type Noticed struct {
+	Now    time.Time
+	Ticket Ticket
+	Notice wire.Notice
+}
+
+// Reported is a router's report of suspects.
+type Reported struct {
+	Now    time.Time
+	Ticket Ticket
+	Report wire.Report
+}
+
+// Exported is the end of the export of cached prefixes.
+type Exported struct {
+	Now time.Time
+}
+
+// Stopping is the order to end the process once nothing is in flight.
+type Stopping struct {
+	Now time.Time
+}
+
+// Ticked is the passing of time. It is due at State.Wake.
+type Ticked struct {
+	Now time.Time
+}
+
+func (e Submitted) at() time.Time   { return e.Now }
+func (e Attached) at() time.Time    { return e.Now }
+func (e Cancelled) at() time.Time   { return e.Now }
+func (e StatusAsked) at() time.Time { return e.Now }
+func (e Readers) at() time.Time     { return e.Now }
+func (e Headed) at() time.Time      { return e.Now }
+func (e Ended) at() time.Time       { return e.Now }
+func (e Probed) at() time.Time      { return e.Now }
+func (e Noticed) at() time.Time     { return e.Now }
+func (e Reported) at() time.Time    { return e.Now }
+func (e Exported) at() time.Time    { return e.Now }
+func (e Stopping) at() time.Time    { return e.Now }
+func (e Ticked) at() time.Time      { return e.Now }
+
+// Effect is something that a sidecar is to do.
+type Effect interface{ isEffect() }
+
+// Open makes room for the answer to a request that has been admitted.
+type Open struct {
+	Nonce token.Nonce
+	Org   string
+}
+
+// Start makes the call of the upstream.
+type Start struct {
+	Submit   wire.Submit
+	Deadline time.Time // zero: none
+}
+
+// Abort ends a call of the upstream; its Ended follows.
+type Abort struct {
+	Nonce token.Nonce
+}
+
+// Unhold lets a call go on whose answer nobody reads: what does not fit into
+// the buffer is dropped, instead of being held back.
+type Unhold struct {
+	Nonce token.Nonce
+}
+
+// Finish ends an answer for those who read it. A nil Error means that it is whole.
+type Finish struct {
+	Nonce   token.Nonce
+	Error   *verdict.Error
+	Moved   *wire.Key // with an Error: the request goes on under this key
+	Control wire.Control
+}
+
+// Drop forgets an answer.
+type Drop struct {
+	Nonce token.Nonce
+}
+
+// Reply answers a Submitted, Attached, Cancelled, Noticed or Reported.
+type Reply struct {
+	Ticket    Ticket
+	Admission wire.Admission
+}
+
+// ReplyStatus answers a StatusAsked. Who carries it out adds the length.
+type ReplyStatus struct {
+	Ticket Ticket
+	Nonce  token.Nonce
+	Status wire.Status
+	Error  *verdict.Error
+}
+
+// Probe asks how the upstream is; Probed follows.
+type Probe struct{}
+
+// Export hands the cached prefixes of sessions, the latest first, to the VMs
+// that serve them next; Exported follows.
+type Export struct {
+	Sessions []uint64
+}
+
+// Exit ends the process.
+type Exit struct{}
+
+func (Open) isEffect()        {}
+func (Start) isEffect()       {}
+func (Abort) isEffect()       {}
+func (Unhold) isEffect()      {}
+func (Finish) isEffect()      {}
+func (Drop) isEffect()        {}
+func (Reply) isEffect()       {}
+func (ReplyStatus) isEffect() {}
+func (Probe) isEffect()       {}
+func (Export) isEffect()      {}
+func (Exit) isEffect()        {}
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -5,52 +5,96 @@
 	"io"
 	"time"
 
+	"github.com/parsleyfront/parsleyfront/internal/telemetry"
+	"github.com/parsleyfront/parsleyfront/internal/token"
+	"github.com/parsleyfront/parsleyfront/internal/upstream"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
-	"github.com/parsleyfront/parsleyfront/internal/wire"
 )
 
 // readSize is how much of an answer is read from the upstream at a time, in bytes.
 const readSize = 8 << 10
 
-// run makes the call of the upstream and collects the answer.
-func (s *Sidecar) run(sub wire.Submit, a *answer) {
-	err := s.collect(sub, a)
-	if err == nil {
-		a.finish(nil)
-	} else {
-		a.finish(verdict.From(err))
+// start runs a call on a goroutine of its own.
+func (s *Sidecar) start(e Start) {
+	n := e.Submit.Key.Nonce
+	ctx, cancel := withDeadline(s.ctx, e.Deadline)
+	s.mu.Lock()
+	s.calls[n] = cancel
+	s.mu.Unlock()
+	go func() {
+		defer s.release(n)
+		err := s.call(ctx, e, s.answers.get(n))
+		s.loop.Post(Ended{Now: time.Now(), Nonce: n, Err: verdict.From(err)})
+	}()
+}
+
+func withDeadline(ctx context.Context, at time.Time) (context.Context, context.CancelFunc) {
+	if at.IsZero() {
+		return context.WithCancel(ctx)
 	}
-	s.loop.Post(Ended{Now: time.Now(), Nonce: sub.Key.Nonce})
+	return context.WithDeadline(ctx, at)
+}
+
+// release frees what belongs to a call that is over.
+func (s *Sidecar) release(n token.Nonce) {
+	s.mu.Lock()
+	cancel := s.calls[n]
+	delete(s.calls, n)
+	s.mu.Unlock()
+	cancel()
 }
 
-func (s *Sidecar) collect(sub wire.Submit, a *answer) error {
-	ctx, cancel := deadline(s.ctx, sub.Treatment.Deadline)
-	defer cancel()
-	resp, err := s.config.Upstream.Do(ctx, sub.Key.Nonce.String(), sub.Call)
+func (s *Sidecar) abort(n token.Nonce) {
+	s.mu.Lock()
+	cancel := s.calls[n]
+	s.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+// call makes the call of the upstream and collects the answer.
+func (s *Sidecar) call(ctx context.Context, e Start, a *answer) error {
+	span := telemetry.Start(telemetry.HopUpstream, telemetry.Traceparent(e.Submit.Trace))
+	defer span.End()
+	resp, err := s.config.Upstream.Do(ctx, upstream.Request{
+		ID:          e.Submit.Key.Nonce.String(),
+		Session:     e.Submit.Session,
+		Priority:    e.Submit.Treatment.Priority,
+		Idempotent:  e.Submit.Treatment.Idempotent,
+		Traceparent: string(span.Traceparent()),
+		Call:        e.Submit.Call,
+	})
 	if err != nil {
+		span.Fail(string(verdict.From(err).Reason))
 		return err
 	}
 	defer resp.Body.Close()
 	a.setHead(resp.Status, resp.Header)
+	err = s.collect(ctx, resp.Body, a)
+	if err != nil {
+		span.Fail(string(verdict.From(err).Reason))
+	}
+	return err
+}
+
+func (s *Sidecar) collect(ctx context.Context, body io.Reader, a *answer) error {
 	buf := make([]byte, readSize)
+	first := true
 	for {
-		n, err := resp.Body.Read(buf)
-		if n > 0 {
-			a.append(buf[:n])
+		n, err := body.Read(buf)
+		if n > 0 && first {
+			first = false
+			s.loop.Post(Headed{Now: time.Now(), Nonce: a.nonce})
+		}
+		if werr := a.write(ctx, buf[:n]); werr != nil {
+			return upstream.Broken(werr)
 		}
 		if err == io.EOF {
 			return nil
 		}
 		if err != nil {
-			return verdict.New(verdict.Ran, verdict.ReasonUpstreamFailed, "the answer broke off: %s", err)
+			return upstream.Broken(err)
 		}
 	}
 }
-
-// deadline bounds ctx by d; zero is no bound.
-func deadline(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
-	if d <= 0 {
-		return context.WithCancel(ctx)
-	}
-	return context.WithTimeout(ctx, d)
-}
--- a/internal/sidecar/sender.go
+++ b/internal/sidecar/sender.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
 	"github.com/parsleyfront/parsleyfront/internal/wire"
 )
 
@@ -11,9 +12,10 @@
 
 // sender sends one answer to one router, no further than the router's credit.
 type sender struct {
-	conn   *wire.Conn
-	attach wire.Attach
+	out    frames
 	answer *answer
+	offset int64 // of the next byte to send
+	window int64
 
 	mu      sync.Mutex
 	upTo    int64
@@ -22,23 +24,45 @@
 	once    sync.Once
 }
 
-func newSender(c *wire.Conn, a wire.Attach, ans *answer) *sender {
+// frames is where a sender's frames go.
+type frames interface {
+	head(h *head) error
+	data(offset int64, b []byte) error
+	end(length int64, f Finish) error
+}
+
+func newSender(out frames, ans *answer, a wire.Attach) *sender {
 	return &sender{
-		conn: c, attach: a, answer: ans,
+		out: out, answer: ans,
+		offset:  a.Offset,
+		window:  int64(a.Window),
 		upTo:    a.Offset + int64(a.Window),
 		changed: make(chan struct{}),
 		stopped: make(chan struct{}),
 	}
 }
 
+// grant takes credit from the router.
 func (s *sender) grant(upTo int64) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if upTo > s.upTo {
+	grown := upTo > s.upTo
+	if grown {
 		s.upTo = upTo
 		close(s.changed)
 		s.changed = make(chan struct{})
 	}
+	s.mu.Unlock()
+	if grown {
+		s.answer.wake()
+	}
+}
+
+// taken is the offset up to which the router has passed the answer on: it
+// grants its window ahead of that.
+func (s *sender) taken() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.upTo - s.window
 }
 
 func (s *sender) stop() {
@@ -51,35 +75,40 @@
 	return s.upTo, s.changed
 }
 
-// send sends until the answer is over, the stream is stopped or the
-// connection fails; the router resumes elsewhere after a failure.
-func (s *sender) send() {
-	offset, headSent := s.attach.Offset, false
+// send sends until the answer is over, the stream is stopped or the connection
+// fails; the router resumes elsewhere after a failure. It reports whether the
+// whole answer went out.
+func (s *sender) send() (whole bool) {
+	headed := false
 	for {
 		upTo, granted := s.credit()
-		v := s.answer.from(offset, int(max(0, min(upTo-offset, frameSize))))
-		if !headSent && v.head != nil {
-			headSent = true
-			if s.conn.Send(wire.Head{Stream: s.attach.Stream, Nonce: s.attach.Key.Nonce, Status: v.head.status, Header: v.head.header}) != nil {
-				return
+		v := s.answer.from(s.offset, min(upTo-s.offset, frameSize))
+		if v.gone {
+			err := verdict.New(verdict.MayHaveRun, verdict.ReasonAnswerGone, "the answer is no longer held from offset %d", s.offset)
+			_ = s.out.end(v.length, Finish{Error: err})
+			return false
+		}
+		if v.head != nil && !headed {
+			headed = true
+			if s.out.head(v.head) != nil {
+				return false
 			}
 		}
 		if len(v.bytes) > 0 {
-			if s.conn.Send(wire.Data{Stream: s.attach.Stream, Nonce: s.attach.Key.Nonce, Offset: offset, Bytes: v.bytes}) != nil {
-				return
+			if s.out.data(s.offset, v.bytes) != nil {
+				return false
 			}
-			offset += int64(len(v.bytes))
+			s.offset += int64(len(v.bytes))
 			continue
 		}
-		if v.done && offset >= v.length {
-			_ = s.conn.Send(wire.End{Stream: s.attach.Stream, Nonce: s.attach.Key.Nonce, Length: v.length, Error: v.err})
-			return
+		if v.end != nil && s.offset >= v.length {
+			return s.out.end(v.length, *v.end) == nil
 		}
 		select {
 		case <-v.changed:
 		case <-granted:
 		case <-s.stopped:
-			return
+			return false
 		}
 	}
 }
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -6,87 +6,203 @@
 import (
 	"time"
 
+	"github.com/parsleyfront/parsleyfront/internal/admission"
+	"github.com/parsleyfront/parsleyfront/internal/idempotency"
+	"github.com/parsleyfront/parsleyfront/internal/load"
+	"github.com/parsleyfront/parsleyfront/internal/quarantine"
 	"github.com/parsleyfront/parsleyfront/internal/token"
+	"github.com/parsleyfront/parsleyfront/internal/upstream"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
 	"github.com/parsleyfront/parsleyfront/internal/wire"
 )
 
-// Event is something that has happened to a sidecar.
-type Event interface{ isEvent() }
+const (
+	// samplesTold is how many loads of other upstreams a reply carries.
+	samplesTold = 8
+	// suspectsTold is how much of a reply may be word of suspects, in bytes.
+	suspectsTold = 256
+)
 
-// Submitted is a request that a router has sent.
-type Submitted struct {
-	Now    time.Time
-	Ticket uint64 // of the caller who waits for the Reply
-	Submit wire.Submit
+// Settings is what a sidecar's decisions depend on.
+type Settings struct {
+	VM          string
+	Incarnation uint64
+	Weight      int // relative capacity of the upstream; below one counts as one
+	Keys        int // entries of the key table
+	Admission   admission.Config
+	// DetachGrace is how long a request goes on that nobody reads.
+	DetachGrace time.Duration
+	// KeepAnswer is how long each answer is kept at least.
+	KeepAnswer time.Duration
+	// StopWithin bounds the wait for requests in flight when the process ends.
+	StopWithin time.Duration
 }
 
-// Ended is a request that has ended at the upstream.
-type Ended struct {
-	Now   time.Time
-	Nonce token.Nonce
+// State is a sidecar's control state.
+type State struct {
+	settings Settings
+	self     load.VM
+	table    *idempotency.Table
+	queue    *admission.Queue
+	loads    *load.Table
+	book     *quarantine.Book
+	requests map[token.Nonce]*request
+	arrived  uint64 // requests admitted so far
+	timers   timers
+	lane     []*request // suspects that wait to run alone
+	solo     *request   // the suspect that runs alone
+	soloNext time.Time  // when it is looked at next
+	broken   []*request // calls that broke off, until it is known why
+	probe    probe
+	leave    leave
+	recent   sessions
 }
 
-func (Submitted) isEvent() {}
-func (Ended) isEvent()     {}
+// phase is how far a request has come.
+type phase uint8
 
-// Effect is something that a sidecar is to do.
-type Effect interface{ isEffect() }
-
-// Start runs a request at the upstream.
-type Start struct {
-	Submit wire.Submit
-}
+const (
+	queued phase = iota
+	running
+	broken // its call broke off, and it is not known yet whether the upstream crashed
+	ended
+)
 
-// Reply tells a router whether its request was accepted.
-type Reply struct {
-	Ticket    uint64
-	Admission wire.Admission
+// request is a request whose answer is awaited or kept.
+type request struct {
+	submit    wire.Submit // without the call once it has started
+	seq       uint64      // of its arrival
+	phase     phase
+	alone     bool
+	cancelled bool      // by its caller
+	crashed   bool      // it is entered in the book for a crash that its call has not noticed yet
+	expires   time.Time // when it is too late to start; zero: never
+	deadline  time.Time // zero: none
+	started   time.Time
+	failure   *verdict.Error // of a broken call
+	readers   int
+	readSeq   uint64
+	delivered bool
+	unread    time.Time // since when nobody has read; zero: somebody does
+	unheld    bool
+	closed    time.Time // when the answer ended
+	keepUntil time.Time
 }
 
-func (Start) isEffect() {}
-func (Reply) isEffect() {}
+func (r *request) nonce() token.Nonce      { return r.submit.Key.Nonce }
+func (r *request) print() quarantine.Print { return quarantine.Print(r.submit.Fingerprint) }
 
-// State is a sidecar's control state.
-type State struct {
-	incarnation uint64
-	known       map[token.Nonce]bool
-	running     int
+// NewState returns the State of a sidecar that has just started. It starts no
+// request before it has heard from its upstream.
+func NewState(c Settings) *State {
+	return &State{
+		settings: c,
+		self:     load.Hash(c.VM),
+		table:    idempotency.NewTable(c.Incarnation, c.Keys),
+		queue:    admission.NewQueue(c.Admission),
+		loads:    load.NewTable(),
+		book:     quarantine.New(c.VM, c.Incarnation),
+		requests: make(map[token.Nonce]*request),
+	}
 }
 
-// NewState returns the State of a sidecar that has just started.
-func NewState(incarnation uint64) *State {
-	return &State{incarnation: incarnation, known: make(map[token.Nonce]bool)}
+// Step applies an event: what the event itself asks for, then what has come
+// due, then what may start.
+func (s *State) Step(event Event) []Effect {
+	now := event.at()
+	effects := s.apply(event)
+	effects = append(effects, s.review(now)...)
+	return append(effects, s.schedule(now)...)
 }
 
-// Step applies an event.
-func (s *State) Step(event Event) []Effect {
+func (s *State) apply(event Event) []Effect {
 	switch e := event.(type) {
 	case Submitted:
 		return s.submitted(e)
+	case Attached:
+		return s.attached(e)
+	case Cancelled:
+		return s.cancelled(e)
+	case StatusAsked:
+		return s.statusAsked(e)
+	case Readers:
+		return s.read(e)
+	case Headed:
+		s.queue.FirstByte(e.Now, e.Nonce)
 	case Ended:
-		s.running--
+		return s.ended(e)
+	case Probed:
+		return s.probed(e)
+	case Noticed:
+		return s.noticed(e)
+	case Reported:
+		return s.reported(e)
+	case Exported:
+		s.leave.exported = true
+	case Stopping:
+		s.stop(e.Now)
 	}
 	return nil
 }
 
-func (s *State) submitted(e Submitted) []Effect {
-	key := e.Submit.Key
-	if key.Incarnation != s.incarnation {
-		err := verdict.New(verdict.MayHaveRun, verdict.ReasonIncarnationGone, "the sidecar has restarted since the key was made")
-		return []Effect{Reply{Ticket: e.Ticket, Admission: wire.Admission{Error: err, Control: s.control()}}}
+// hear takes in what came on the back of a message. Malformed parts are
+// dropped: they are hints.
+func (s *State) hear(now time.Time, c wire.Control) {
+	_ = s.loads.Merge(now, c.Samples)
+	_ = s.book.Merge(now, c.Suspects)
+}
+
+func (s *State) reported(e Reported) []Effect {
+	_ = s.book.Merge(e.Now, e.Report.Suspects)
+	return s.reply(e.Now, e.Ticket, wire.Admission{})
+}
+
+// load is the number of requests that have been admitted and have not ended.
+func (s *State) load() int {
+	return s.queue.Load() + len(s.lane)
+}
+
+// observe enters the sidecar's own load among those of the pool.
+func (s *State) observe(now time.Time) {
+	r := load.Report{Load: s.load(), Weight: s.settings.Weight}
+	switch {
+	case s.leaving(now):
+		r.State = load.Draining
+	case s.probe.down:
+		r.State = load.Down
 	}
-	if s.known[key.Nonce] {
-		return []Effect{Reply{Ticket: e.Ticket, Admission: wire.Admission{Joined: true, Control: s.control()}}}
+	s.loads.Observe(now, s.self, r)
+}
+
+// control is what goes out on the back of a message.
+func (s *State) control(now time.Time) wire.Control {
+	s.observe(now)
+	return wire.Control{
+		Load:     s.load(),
+		Running:  s.queue.Running(),
+		Draining: s.leaving(now),
+		Down:     s.probe.down,
+		Samples:  s.loads.Pack(now, samplesTold),
+		Suspects: s.book.Gossip(now, suspectsTold),
 	}
-	s.known[key.Nonce] = true
-	s.running++
-	return []Effect{
-		Start{Submit: e.Submit},
-		Reply{Ticket: e.Ticket, Admission: wire.Admission{Control: s.control()}},
+}
+
+func (s *State) reply(now time.Time, t Ticket, a wire.Admission) []Effect {
+	suspects := a.Control.Suspects
+	a.Control = s.control(now)
+	if suspects != nil {
+		a.Control.Suspects = suspects
 	}
+	return []Effect{Reply{Ticket: t, Admission: a}}
 }
 
-func (s *State) control() wire.Control {
-	return wire.Control{Load: s.running, Running: s.running}
+// probe is what is known of the upstream's health.
+type probe struct {
+	asked    bool // a probe is under way
+	heard    bool // one has come back since the start
+	next     time.Time
+	down     bool
+	frozen   int // probes in a row that timed out
+	instance upstream.Instance
+	foreign  int // requests at the upstream from before this incarnation
 }
--- /dev/null
+++ b/internal/sidecar/submit.go
@@ -0,0 +1,242 @@
+package sidecar
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/admission"
+	"github.com/parsleyfront/parsleyfront/internal/idempotency"
+	"github.com/parsleyfront/parsleyfront/internal/load"
+	"github.com/parsleyfront/parsleyfront/internal/quarantine"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
+)
+
+// maxLane is how many suspects may wait to run alone.
+const maxLane = 8
+
+// refusal is why a request is not admitted.
+type refusal struct {
+	err      *verdict.Error
+	leave    bool            // it may run alone at its successor's VM
+	suspects json.RawMessage // for the router, so that it knows where else to ask
+}
+
+func refuse(r verdict.Reason, format string, args ...any) *refusal {
+	return &refusal{err: verdict.New(verdict.NotRun, r, format, args...)}
+}
+
+func (r *refusal) later(d time.Duration) *refusal {
+	r.err = r.err.Later(d)
+	return r
+}
+
+// submitted decides on an attempt: what is known of its key goes first.
+func (s *State) submitted(e Submitted) []Effect {
+	s.hear(e.Now, e.Submit.Control)
+	a := idempotency.Attempt{
+		Key:         e.Submit.Key,
+		Org:         e.Submit.Org,
+		Fingerprint: e.Submit.Fingerprint,
+		Successor:   e.Submit.Successor,
+	}
+	f := s.table.Look(e.Now, a)
+	if f.Outcome != idempotency.Unseen {
+		return s.reply(e.Now, e.Ticket, found(f))
+	}
+	alone, no := s.consider(e.Now, &e.Submit)
+	if no != nil {
+		s.table.Refuse(a, no.err.Reason)
+		adm := wire.Admission{Error: no.err, Moved: a.Successor, Leave: no.leave}
+		adm.Control.Suspects = no.suspects
+		return s.reply(e.Now, e.Ticket, adm)
+	}
+	s.table.Admit(a)
+	s.enter(e.Now, e.Submit, alone)
+	return append([]Effect{Open{Nonce: e.Submit.Key.Nonce, Org: e.Submit.Org}},
+		s.reply(e.Now, e.Ticket, wire.Admission{})...)
+}
+
+// found turns what the table knows of a key into a reply.
+func found(f idempotency.Finding) wire.Admission {
+	switch f.Outcome {
+	case idempotency.Live, idempotency.Done:
+		return wire.Admission{Joined: true}
+	case idempotency.Unseen:
+		return wire.Admission{Error: verdict.New(verdict.MayHaveRun, verdict.ReasonUnknownRequest, "no such request here")}
+	default:
+		return wire.Admission{Error: f.Err, Moved: f.Successor}
+	}
+}
+
+// consider admits a request to the queue, or to the lane of those that run
+// alone, or says why not.
+func (s *State) consider(now time.Time, sub *wire.Submit) (alone bool, no *refusal) {
+	if s.leaving(now) {
+		return false, refuse(verdict.ReasonDraining, "the upstream is leaving")
+	}
+	alone, no = s.judge(now, sub)
+	if no != nil {
+		return false, no
+	}
+	if s.probe.down {
+		return false, refuse(verdict.ReasonUpstreamDown, "the upstream is down").later(probeDown)
+	}
+	bound := s.bound(now, sub.Treatment.LoadMultiple)
+	if !alone {
+		if err := s.queue.Offer(now, s.admissible(now, sub, bound)); err != nil {
+			return false, &refusal{err: err}
+		}
+		return false, nil
+	}
+	if len(s.lane) >= maxLane || s.load() >= bound {
+		return false, refuse(verdict.ReasonSuspect, "too many suspects wait to run alone").later(quarantine.RetryAfter)
+	}
+	s.book.Grant(quarantine.Print(sub.Fingerprint), s.grantEnds(now, sub))
+	return true, nil
+}
+
+// judge applies the quarantine. A suspect whose upstream is down may run alone
+// elsewhere, at one place at a time.
+func (s *State) judge(now time.Time, sub *wire.Submit) (alone bool, no *refusal) {
+	if sub.Fingerprint == 0 {
+		return false, nil
+	}
+	p := quarantine.Print(sub.Fingerprint)
+	switch r := s.book.Decide(now, p, sub.Leave); r.Action {
+	case quarantine.Refuse:
+		return false, refuse(verdict.ReasonQuarantined, "%d upstreams crashed while they ran this request", r.Crashes)
+	case quarantine.Wait:
+		return false, refuse(verdict.ReasonSuspect, "a copy of this request is running alone").later(quarantine.RetryAfter)
+	case quarantine.Elsewhere:
+		no := refuse(verdict.ReasonSuspect, "the request may run alone at %s only", r.Site).later(quarantine.RetryAfter)
+		no.suspects = s.book.About(now, p)
+		return false, no
+	case quarantine.Alone:
+		if s.probe.down && sub.Successor != nil && !s.book.Lent(now) {
+			s.book.Grant(p, s.grantEnds(now, sub))
+			no := refuse(verdict.ReasonMoved, "the upstream is down; the request may run alone at %s", sub.Successor.VM)
+			no.leave = true
+			return false, no
+		}
+		return true, nil
+	default:
+		return false, nil
+	}
+}
+
+func (s *State) grantEnds(now time.Time, sub *wire.Submit) time.Time {
+	if d := sub.Treatment.Deadline; d > 0 {
+		return now.Add(d)
+	}
+	return now.Add(quarantine.SuspectFor)
+}
+
+// bound is the load that the upstream may have, by the loads of its pool.
+func (s *State) bound(now time.Time, multiple float64) int {
+	s.observe(now)
+	mean, known := s.loads.Mean(now)
+	return load.Bound(mean, known, multiple, s.settings.Weight)
+}
+
+// admissible is a request as admission sees it. The bound leaves out the lane,
+// which admission does not count.
+func (s *State) admissible(now time.Time, sub *wire.Submit, bound int) admission.Request {
+	t := &sub.Treatment
+	return admission.Request{
+		ID:            sub.Key.Nonce,
+		Org:           sub.Org,
+		Profile:       t.Profile,
+		Priority:      t.Priority,
+		Weight:        t.OrgWeight,
+		FirstByteBy:   within(now, t.FirstByte),
+		Deadline:      within(now, t.Deadline),
+		LoadBound:     bound - len(s.lane),
+		QueueBound:    t.QueueBound,
+		OrgQueueBound: t.OrgQueueBound,
+	}
+}
+
+// within is the time d from now; zero d is no deadline.
+func within(now time.Time, d time.Duration) time.Time {
+	if d <= 0 {
+		return time.Time{}
+	}
+	return now.Add(d)
+}
+
+// enter begins the books on an admitted request. Until a router reads its
+// answer it counts as unread, since the one that sent it may be gone.
+func (s *State) enter(now time.Time, sub wire.Submit, alone bool) {
+	adm := s.admissible(now, &sub, 0)
+	s.arrived++
+	r := &request{
+		submit:   sub,
+		seq:      s.arrived,
+		alone:    alone,
+		expires:  adm.Expires(),
+		deadline: adm.Deadline,
+		unread:   now,
+	}
+	s.requests[r.nonce()] = r
+	s.timers.add(now.Add(s.settings.DetachGrace), r.nonce())
+	if !r.expires.IsZero() {
+		s.timers.add(r.expires, r.nonce())
+	}
+	if alone {
+		s.lane = append(s.lane, r)
+	}
+}
+
+func (s *State) attached(e Attached) []Effect {
+	f := s.table.Look(e.Now, idempotency.Attempt{Key: e.Attach.Key, Org: e.Attach.Org})
+	return s.reply(e.Now, e.Ticket, found(f))
+}
+
+// cancelled ends a request for good. A key that has not been seen is refused,
+// because the request itself may still be on its way.
+func (s *State) cancelled(e Cancelled) []Effect {
+	a := idempotency.Attempt{Key: e.Cancel.Key, Org: e.Cancel.Org}
+	f := s.table.Look(e.Now, a)
+	var effects []Effect
+	switch f.Outcome {
+	case idempotency.Unseen:
+		s.table.Refuse(a, verdict.ReasonCancelled)
+		return s.reply(e.Now, e.Ticket, wire.Admission{})
+	case idempotency.Live:
+		s.requests[a.Key.Nonce].cancelled = true
+		effects = s.abort(e.Now, s.requests[a.Key.Nonce])
+	}
+	adm := found(f)
+	return append(effects, s.reply(e.Now, e.Ticket, adm)...)
+}
+
+// abort ends a request that waits, or has the call of one that runs cut off.
+func (s *State) abort(now time.Time, r *request) []Effect {
+	if r.phase == queued {
+		err := verdict.New(verdict.NotRun, verdict.ReasonCancelled, "cancelled before it ran")
+		return s.withdraw(now, r, err)
+	}
+	return []Effect{Abort{Nonce: r.nonce()}}
+}
+
+func (s *State) statusAsked(e StatusAsked) []Effect {
+	f := s.table.Look(e.Now, idempotency.Attempt{Key: e.Status.Key, Org: e.Status.Org})
+	out := ReplyStatus{Ticket: e.Ticket, Nonce: e.Status.Key.Nonce}
+	switch f.Outcome {
+	case idempotency.Live:
+		out.Status = s.statusOf(s.requests[e.Status.Key.Nonce])
+	case idempotency.Done:
+		out.Status = wire.Status{State: wire.StateDone, Verdict: f.Verdict}
+	default:
+		out.Error = found(f).Error
+	}
+	return []Effect{out}
+}
+
+func (s *State) statusOf(r *request) wire.Status {
+	if r.phase == queued {
+		return wire.Status{State: wire.StateQueued}
+	}
+	return wire.Status{State: wire.StateRunning}
+}
--- /dev/null
+++ b/internal/sidecar/timer.go
@@ -0,0 +1,120 @@
+package sidecar
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/token"
+)
+
+// timer is a time at which a request, or with a zero nonce the sidecar as a
+// whole, is to be looked at. Timers are not taken back: what is looked at too
+// early or in vain is left as it is.
+type timer struct {
+	at    time.Time
+	nonce token.Nonce
+}
+
+// timers is a heap, the earliest on top.
+type timers []timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at.Before(t[j].at) }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	last := len(*t) - 1
+	x := (*t)[last]
+	*t = (*t)[:last]
+	return x
+}
+
+func (t *timers) add(at time.Time, n token.Nonce) {
+	heap.Push(t, timer{at: at, nonce: n})
+}
+
+// due takes a timer that has come due.
+func (t *timers) due(now time.Time) (timer, bool) {
+	if len(*t) == 0 || now.Before((*t)[0].at) {
+		return timer{}, false
+	}
+	return heap.Pop(t).(timer), true
+}
+
+// Wake is when Ticked is due; zero: never.
+func (s *State) Wake() time.Time {
+	if len(s.timers) == 0 {
+		return time.Time{}
+	}
+	return s.timers[0].at
+}
+
+// review looks at what has come due.
+func (s *State) review(now time.Time) []Effect {
+	var effects []Effect
+	for t, ok := s.timers.due(now); ok; t, ok = s.timers.due(now) {
+		if r := s.requests[t.nonce]; r != nil {
+			effects = append(effects, s.reviewRequest(now, r)...)
+		}
+	}
+	effects = append(effects, s.reviewProbe(now)...)
+	return append(effects, s.reviewLeave(now)...)
+}
+
+func (s *State) reviewRequest(now time.Time, r *request) []Effect {
+	switch {
+	case r.phase == ended:
+		return s.reviewEnded(now, r)
+	case r.phase == queued && !r.expires.IsZero() && !now.Before(r.expires):
+		return s.tooLate(now, r)
+	case !r.unread.IsZero() && now.Sub(r.unread) >= s.settings.DetachGrace:
+		return s.reviewUnread(now, r)
+	}
+	return nil
+}
+
+// reviewEnded drops an answer that has been kept for its time.
+func (s *State) reviewEnded(now time.Time, r *request) []Effect {
+	if now.Before(r.keepUntil) {
+		return nil
+	}
+	if r.readers > 0 {
+		s.timers.add(now.Add(s.settings.DetachGrace), r.nonce())
+		return nil
+	}
+	delete(s.requests, r.nonce())
+	return []Effect{Drop{Nonce: r.nonce()}}
+}
+
+// reviewUnread ends a request that nobody has read for the grace. Its router
+// may have died and its caller may come back through another one, so it is
+// given time. What is not idempotent goes on to its end, for the upstream has
+// begun it and the caller will want to know what became of it.
+func (s *State) reviewUnread(now time.Time, r *request) []Effect {
+	if r.phase == queued || r.submit.Treatment.Idempotent {
+		return s.abort(now, r)
+	}
+	if r.unheld {
+		return nil
+	}
+	r.unheld = true
+	return []Effect{Unhold{Nonce: r.nonce()}}
+}
+
+// read takes a count of an answer's readers, unless a later one is known.
+func (s *State) read(e Readers) []Effect {
+	r := s.requests[e.Nonce]
+	if r == nil || e.Seq <= r.readSeq {
+		return nil
+	}
+	r.readSeq, r.readers = e.Seq, e.Count
+	r.delivered = r.delivered || e.Delivered
+	switch {
+	case e.Count > 0:
+		r.unread = time.Time{}
+	case r.unread.IsZero():
+		r.unread = e.Now
+		s.timers.add(e.Now.Add(s.settings.DetachGrace), r.nonce())
+	}
+	return nil
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -26,6 +26,9 @@
 	mu     sync.Mutex
 	cache  []string // prefixes, the least recently used first
 	runs   []Run
+
+	sessions map[string][]string // prefixes, by session
+	health   health
 }
 
 // Run is one request that an engine or service has started.
@@ -39,7 +42,7 @@
 
 // NewEngine returns an Engine.
 func NewEngine(c EngineConfig) *Engine {
-	return &Engine{config: c}
+	return &Engine{config: c, sessions: make(map[string][]string), health: newHealth()}
 }
 
 // Register adds the engine's routes to mux.
@@ -47,6 +50,9 @@
 	mux.HandleFunc("POST /v1/chat/completions", e.chat)
 	mux.HandleFunc("GET /v1/models", e.models)
 	mux.HandleFunc("GET /debug/runs", e.serveRuns)
+	mux.HandleFunc("GET /health", e.health.serve)
+	mux.HandleFunc("GET /kv/export", e.exportCache)
+	mux.HandleFunc("POST /kv/import", e.importCache)
 }
 
 // Runs returns the log of runs.
@@ -112,13 +118,14 @@
 }
 
 func (e *Engine) chat(w http.ResponseWriter, r *http.Request) {
+	defer e.health.enter()()
 	var req chatRequest
 	if err := json.NewDecoder(r.Body).Decode(&req); err != nil || len(req.Messages) == 0 {
 		http.Error(w, `{"error":{"message":"bad chat request"}}`, http.StatusBadRequest)
 		return
 	}
 	words := e.answer(req)
-	usage := e.start(r.Header.Get(RunHeader), req, len(words))
+	usage := e.start(r.Header.Get(RunHeader), r.Header.Get(SessionHeader), req, len(words))
 	id := "chatcmpl-" + r.Header.Get(RunHeader)
 	if req.Stream {
 		e.stream(w, r, id, words, usage)
@@ -185,20 +192,25 @@
 }
 
 // start logs the run and works out how much of the prompt was cached.
-func (e *Engine) start(key string, req chatRequest, tokens int) *chatUsage {
+func (e *Engine) start(key, session string, req chatRequest, tokens int) *chatUsage {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	last := req.Messages[len(req.Messages)-1].Content
 	e.runs = append(e.runs, Run{Key: key, Text: last})
 	cached, total := 0, 0
 	prefix := ""
+	var prefixes []string
 	for _, m := range req.Messages {
 		prefix += m.Role + "\x00" + m.Content + "\x00"
 		total += len(strings.Fields(m.Content))
+		prefixes = append(prefixes, prefix)
 		if e.touch(prefix) {
 			cached = total
 		}
 	}
+	if session != "" {
+		e.sessions[session] = prefixes
+	}
 	u := &chatUsage{PromptTokens: total, CompletionTokens: tokens, TotalTokens: total + tokens}
 	u.PromptDetails.CachedTokens = cached
 	return u
--- /dev/null
+++ b/internal/standin/health.go
@@ -0,0 +1,33 @@
+package standin
+
+import (
+	"net/http"
+	"sync/atomic"
+
+	"github.com/parsleyfront/parsleyfront/internal/token"
+)
+
+// health is what a stand-in says of itself to its sidecar.
+type health struct {
+	instance string
+	running  *atomic.Int64
+}
+
+func newHealth() health {
+	return health{instance: token.NewNonce().String(), running: new(atomic.Int64)}
+}
+
+// enter counts a request; the result counts its end.
+func (h health) enter() func() {
+	h.running.Add(1)
+	return func() { h.running.Add(-1) }
+}
+
+func (h health) serve(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, healthReport{Instance: h.instance, Running: h.running.Load()})
+}
+
+type healthReport struct {
+	Instance string `json:"instance"`
+	Running  int64  `json:"running"`
+}
--- /dev/null
+++ b/internal/standin/kv.go
@@ -0,0 +1,50 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// SessionHeader carries the session, by which its cached prefix is exported.
+const SessionHeader = "X-Session-Id"
+
+// exportCache hands out the prefixes of a session that are still cached.
+func (e *Engine) exportCache(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var kept []string
+	for _, prefix := range e.sessions[r.URL.Query().Get("session")] {
+		if e.cached(prefix) {
+			kept = append(kept, prefix)
+		}
+	}
+	if len(kept) == 0 {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	writeJSON(w, kept)
+}
+
+// importCache takes over prefixes that another engine has exported.
+func (e *Engine) importCache(w http.ResponseWriter, r *http.Request) {
+	var prefixes []string
+	if err := json.NewDecoder(r.Body).Decode(&prefixes); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, prefix := range prefixes {
+		e.touch(prefix)
+	}
+	e.sessions[r.URL.Query().Get("session")] = prefixes
+}
+
+func (e *Engine) cached(prefix string) bool {
+	for _, p := range e.cache {
+		if p == prefix {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -12,16 +12,19 @@
 	name string
 	mu   sync.Mutex
 	runs []Run
+
+	health health
 }
 
 // NewService returns a Service.
 func NewService(name string) *Service {
-	return &Service{name: name}
+	return &Service{name: name, health: newHealth()}
 }
 
 // Register adds the service's routes to mux.
 func (s *Service) Register(mux *http.ServeMux) {
 	mux.HandleFunc("GET /debug/runs", s.serveRuns)
+	mux.HandleFunc("GET /health", s.health.serve)
 	mux.HandleFunc("/", s.serve)
 }
 
@@ -37,6 +40,7 @@
 }
 
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	defer s.health.enter()()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
--- /dev/null
+++ b/internal/upstream/kv.go
@@ -0,0 +1,57 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	exportPath = "/kv/export?session="
+	importPath = "/kv/import?session="
+
+	// MaxCached bounds the exported prefix of one session, in bytes, so that it
+	// fits into one message between sidecars.
+	MaxCached = 4 << 20
+)
+
+// ErrNotCached is a session of which the upstream holds nothing.
+var ErrNotCached = errors.New("upstream: nothing is cached")
+
+// Export implements Upstream.
+func (h *HTTP) Export(ctx context.Context, session uint64) ([]byte, error) {
+	resp, err := h.get(ctx, exportPath+sessionID(session))
+	if err != nil {
+		return nil, errors.Wrap(err, "upstream: export")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, ErrNotCached
+	}
+	b, err := io.ReadAll(io.LimitReader(resp.Body, MaxCached+1))
+	if err != nil || len(b) > MaxCached {
+		return nil, errors.Errorf("upstream: export of over %d bytes, or cut short", MaxCached)
+	}
+	return b, nil
+}
+
+// Import implements Upstream.
+func (h *HTTP) Import(ctx context.Context, session uint64, cached []byte) error {
+	url := h.base + importPath + sessionID(session)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(cached))
+	if err != nil {
+		return errors.Wrap(err, "upstream: import")
+	}
+	resp, err := h.fresh.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "upstream: import")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return errors.Errorf("upstream: import refused with %d", resp.StatusCode)
+	}
+	return nil
+}
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -100,6 +100,7 @@
 	Length  int64          `cbor:"3,keyasint"` // of the answer in bytes
 	Error   *verdict.Error `cbor:"4,keyasint,omitempty"`
 	Control Control        `cbor:"5,keyasint"`
+	Moved   *Key           `cbor:"6,keyasint,omitempty"` // with an Error: the request goes on under this key
 }
 
 // Credit lets a sidecar send up to an offset.
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -171,6 +171,13 @@
 // ConfigDelta is a piece of the answer to ConfigSince.
 type ConfigDelta = config.Delta
 
+// Import hands the cached prefix of a session to the sidecar that serves the
+// session next.
+type Import struct {
+	Session uint64 `json:"session"`
+	Cached  []byte `json:"cached"` // as the engine exported it
+}
+
 // Report tells a sidecar of suspects for which it is the home: a resend of the
 // request would be offered to it first.
 type Report struct {
