sidecar: the first tick waits for the loop

Change: the timer is armed after the loop is there and before it runs. Ruled out: posting the first tick without a timer, which would leave two ways in which ticks come about.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -53,8 +53,8 @@
 	}
 	s.ctx, s.exit = context.WithCancel(context.Background())
 	state := NewState(c.Settings)
-	s.timer = time.AfterFunc(0, s.tick)
 	s.loop = loop.New(state, s.act, func() { s.rearm(state.Wake()) })
+	s.timer = time.AfterFunc(0, s.tick) // the first probe is due at once
 	go s.loop.Run(s.ctx)
 	return s
 }
