--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/subtle"
 	"log/slog"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/admin"
 	"github.com/parsleyfront/parsleyfront/internal/router"
 	"github.com/parsleyfront/parsleyfront/internal/settings"
+	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 )
 
 // operators is what the API for operators needs.
@@ -50,16 +52,44 @@
 	return token, nil
 }
 
-// serve serves the API of r, and its health, until ctx ends.
-func (o operators) serve(ctx context.Context, r *router.Router, h *health) {
+// serveRouter serves the API of r, and its health, until ctx ends.
+func (o operators) serveRouter(ctx context.Context, r *router.Router, h *health) {
+	if o.listener != nil {
+		o.serve(ctx, admin.NewServer(admin.Config{
+			VM: o.vm, Node: r.Operators(o.vm), Token: o.token, Leaving: h.leaving.Load,
+		}), h)
+	}
+}
+
+// serveSidecar serves the metrics of a sidecar, and its health, until ctx ends.
+func (o operators) serveSidecar(ctx context.Context, h *health) {
 	if o.listener == nil {
 		return
 	}
+	mux := http.NewServeMux()
+	mux.Handle("GET "+admin.PathVars, telemetry.Handler())
+	o.serve(ctx, o.guard(mux), h)
+}
+
+// guard lets requests pass that carry the token.
+func (o operators) guard(next http.Handler) http.Handler {
+	if o.token == "" {
+		return next
+	}
+	want := "Bearer " + o.token
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte(want)) != 1 {
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (o operators) serve(ctx context.Context, api http.Handler, h *health) {
 	mux := http.NewServeMux()
 	h.register(mux)
-	mux.Handle("/", admin.NewServer(admin.Config{
-		VM: o.vm, Node: r.Operators(o.vm), Token: o.token, Leaving: h.leaving.Load,
-	}))
+	mux.Handle("/", api)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	go func() { _ = server.Serve(o.listener) }()
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -112,7 +112,7 @@
 func (c callerServer) serve(ctx, background context.Context) error {
 	r := router.New(background, c.config)
 	h := newHealth(r.Alive, r.Ready)
-	c.admin.serve(background, r, h)
+	c.admin.serveRouter(background, r, h)
 	server := &http.Server{
 		Handler:           h.wrap(gateway.New(r)),
 		TLSConfig:         c.tls,
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -22,8 +22,14 @@
 const routerFiles = 400
 
 func runSidecar(ctx context.Context, s settings.Sidecar) error {
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
 	checkFileLimit(routerFiles)
-	transport, err := fleetTransport(ctx, s.Fleet, s.Node, secure.RoleSidecar)
+	transport, err := fleetTransport(background, s.Fleet, s.Node, secure.RoleSidecar)
+	if err != nil {
+		return err
+	}
+	o, err := listenOperators(s.AdminListen, s.Node)
 	if err != nil {
 		return err
 	}
@@ -34,7 +40,11 @@
 	slog.Info("sidecar listening", "addr", l.Addr().String(), "vm", s.VM)
 	c := sidecarConfig(s)
 	c.Dial = dialer(transport)
-	return sidecar.New(c).Serve(ctx, transport.Listen(patientListener{l}))
+	sc := sidecar.New(c)
+	h := newHealth(sc.Alive, func() bool { return true })
+	context.AfterFunc(ctx, h.leave)
+	o.serveSidecar(background, h)
+	return sc.Serve(ctx, transport.Listen(patientListener{l}))
 }
 
 func sidecarConfig(s settings.Sidecar) sidecar.Config {
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -50,6 +50,7 @@
 	id       string
 	upstream *process
 	sidecar  *process
+	admin    string // the sidecar's address for operators
 }
 
 func start(program, addr string, args ...string) *process {
@@ -100,14 +101,17 @@
 	Expect(result.Outcome).To(Equal(change.Applied))
 }
 
-// addUpstream starts an upstream of a kind with its sidecar and lists the VM.
-func (f *fleet) addUpstream(kind, pool string) *upstreamVM {
+// addUpstream starts an upstream of a kind, with more settings, and its
+// sidecar, and lists the VM.
+func (f *fleet) addUpstream(kind, pool string, settings ...string) *upstreamVM {
 	GinkgoHelper()
 	vm := &upstreamVM{id: fmt.Sprintf("vm-%d", len(f.upstreams))}
 	addr := freeAddr()
-	vm.upstream = start(standinPath, addr, "--kind", kind, "--listen", addr, "--name", model)
+	standin := append([]string{"--kind", kind, "--listen", addr, "--name", model}, settings...)
+	vm.upstream = start(standinPath, addr, standin...)
 	sidecarAddr := freeAddr()
-	args := []string{"sidecar", "--listen", sidecarAddr, "--upstream", "http://" + addr}
+	vm.admin = freeAddr()
+	args := []string{"sidecar", "--listen", sidecarAddr, "--upstream", "http://" + addr, "--admin-listen", vm.admin}
 	args = append(args, f.trust.flags(secure.Identity{Role: secure.RoleSidecar, VM: vm.id})...)
 	vm.sidecar = start(daemonPath, sidecarAddr, args...)
 	f.list(platform.VM{ID: vm.id, Role: platform.RoleUpstream, Addr: sidecarAddr, Pool: pool})
--- /dev/null
+++ b/test/stop_test.go
@@ -0,0 +1,115 @@
+package test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"syscall"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+)
+
+// stream is a chat whose answer arrives bit by bit.
+type stream struct {
+	resp  *http.Response
+	lines *bufio.Reader
+}
+
+// open begins a streamed chat and returns when its first line has come.
+func open(url, text string) *stream {
+	GinkgoHelper()
+	body, err := json.Marshal(chat{Model: model, Stream: true, Messages: []message{{"user", text}}})
+	Expect(err).NotTo(HaveOccurred())
+	req, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("Authorization", "Bearer "+apiKey)
+	resp, err := http.DefaultClient.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(resp.StatusCode).To(Equal(http.StatusOK))
+	s := &stream{resp: resp, lines: bufio.NewReader(resp.Body)}
+	_, err = s.lines.ReadString('\n')
+	Expect(err).NotTo(HaveOccurred())
+	return s
+}
+
+// rest reads the answer to its end.
+func (s *stream) rest() (string, error) {
+	defer s.resp.Body.Close()
+	b, err := io.ReadAll(s.lines)
+	return string(b), err
+}
+
+// visit is one request that the balancer sent while the router was leaving.
+type visit struct {
+	status int
+	closes bool // the answer asks for its connection to be closed
+}
+
+// balancer sends requests and keeps connections, as balancers do.
+type balancer struct {
+	client *http.Client
+	url    string
+}
+
+func (b balancer) visit() (visit, error) {
+	req, err := http.NewRequest(http.MethodGet, b.url, nil)
+	if err != nil {
+		return visit{}, err
+	}
+	req.Header.Set("Authorization", "Bearer "+apiKey)
+	resp, err := b.client.Do(req)
+	if err != nil {
+		return visit{}, err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return visit{resp.StatusCode, resp.Close}, err
+}
+
+var _ = Describe("a planned stop of a router", func() {
+	// A router is replaced during a match. Its balancer looks at readiness now
+	// and then and sends until it has seen it fail. Were the listener closed at
+	// once, coaches would see refused connections and halftime notes that break
+	// off; were kept connections closed, requests that cross with the closing.
+	It("cuts no stream while the balancer still sends", func() {
+		f := newFleet()
+		// The streams go on after the delay, which begins when the router leaves.
+		f.addUpstream("engine", "notes", "--token-delay", "20ms", "--tokens", "250")
+		f.addUpstream("service", "clips")
+		r := f.addRouter("--drain-delay", "3s")
+		url := "http://" + r.addr + "/v1/chat/completions"
+		var streams []*stream
+		for _, text := range []string{"who lost the ball", "and then", "the second half"} {
+			streams = append(streams, open(url, text))
+		}
+		sends := balancer{client: &http.Client{Transport: &http.Transport{}}, url: "http://" + r.addr + "/services/clips/clip"}
+		Expect(sends.visit()).To(Equal(visit{http.StatusOK, false}))
+		r.session.Signal(syscall.SIGTERM)
+
+		Eventually(func() (int, error) {
+			resp, err := http.Get("http://" + r.addr + "/readyz")
+			if err != nil {
+				return 0, err
+			}
+			return resp.StatusCode, resp.Body.Close()
+		}, startWithin).Should(Equal(http.StatusServiceUnavailable), "readiness fails while the listener is open")
+		live := send(http.MethodGet, "http://"+r.addr+"/livez", apiKey, nil, nil)
+		Expect(live.status).To(Equal(http.StatusOK), "a router that is leaving is not to be killed")
+
+		for range 20 {
+			Expect(sends.visit()).To(Equal(visit{status: http.StatusOK, closes: true}))
+		}
+		for _, s := range streams {
+			answer, err := s.rest()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(answer).To(HaveSuffix("data: [DONE]\n\n"))
+		}
+		_, err := sends.visit()
+		Expect(err).To(MatchError(syscall.ECONNREFUSED), "the streams ended after the listener closed")
+		Eventually(r.session, startWithin).Should(gexec.Exit(0))
+	})
+})
