ctl: a wait that ends says what it knew last; specs of a silent watch and a race

Cause: when the time of a wait was over, its last round was cut off and the result named routers as not asked that had answered a moment before. Change: a round ends before the whole wait does, and one that is cut off does not replace the one before. Conclusion: who is pending is named with the reason that holds.

--- a/internal/ctl/wait.go
+++ b/internal/ctl/wait.go
@@ -16,6 +16,8 @@
 	// waitRound is how long one call of the wait lasts at most. A router that
 	// stops while it is asked costs no more than that.
 	waitRound = 2 * time.Second
+	// roundMargin is how much earlier than the whole wait its last round ends.
+	roundMargin = 700 * time.Millisecond
 	// waitPause is the pause between rounds that ended early.
 	waitPause = 200 * time.Millisecond
 	// routerTimeout bounds the call of one router before the next is tried.
@@ -61,7 +63,12 @@
 	var r inForce
 	wanted, err := a.versions(ctx, objects)
 	for err == nil {
-		r, err = a.awaitRound(ctx, wanted)
+		var round inForce
+		round, err = a.awaitRound(ctx, wanted)
+		if err == nil || r.Routers == 0 {
+			// A round that is cut off at the end says less than the one before.
+			r = round
+		}
 		r.Seconds = time.Since(began).Seconds()
 		if r.Everywhere || !sleep(ctx, waitPause) {
 			break
@@ -108,7 +115,7 @@
 	if err != nil {
 		return inForce{}, err
 	}
-	req := admin.WaitRequest{Objects: wanted, WaitMillis: int(waitRound.Milliseconds())}
+	req := admin.WaitRequest{Objects: wanted, WaitMillis: int(roundTime(ctx).Milliseconds())}
 	wait, err := askAny(ctx, a, listed, func(ctx context.Context, c *admin.Client) (admin.FleetWait, error) {
 		return c.FleetWait(ctx, req)
 	})
@@ -120,6 +127,16 @@
 	return inForce{Everywhere: len(pending) == 0, Routers: total, Pending: pending}, nil
 }
 
+// roundTime returns how long a round may last, so that its answer comes before
+// ctx ends.
+func roundTime(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return waitRound
+	}
+	return max(0, min(waitRound, time.Until(deadline)-roundMargin))
+}
+
 // unasked returns the routers of the list that are not among the asked ones.
 func unasked(listed []platform.VM, asked []admin.RouterWait) []admin.RouterWait {
 	known := make(map[string]bool, len(asked))
--- a/test/ctl_test.go
+++ b/test/ctl_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -19,6 +20,7 @@
 
 	"github.com/parsleyfront/parsleyfront/internal/ctl"
 	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/standin"
 )
 
 const (
@@ -111,6 +113,28 @@
 	return writes && l.left.Add(-1) >= 0
 }
 
+// faults breaks the platform's object API.
+func (f *fleet) faults(faults standin.ObjectFaults) {
+	GinkgoHelper()
+	b, err := json.Marshal(faults)
+	Expect(err).NotTo(HaveOccurred())
+	req, err := http.NewRequest(http.MethodPut, f.platformURL+"/faults/objects", bytes.NewReader(b))
+	Expect(err).NotTo(HaveOccurred())
+	resp, err := http.DefaultClient.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(resp.Body.Close()).To(Succeed())
+}
+
+func (f *fleet) objectFaults() standin.ObjectFaults {
+	GinkgoHelper()
+	resp, err := http.Get(f.platformURL + "/faults/objects")
+	Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	var faults standin.ObjectFaults
+	Expect(json.NewDecoder(resp.Body).Decode(&faults)).To(Succeed())
+	return faults
+}
+
 var _ = Describe("parsleyctl", func() {
 	var f *fleet
 
@@ -169,6 +193,20 @@
 		Expect(run(f.platformURL, "get", "profile/shared").code).To(Equal(ctl.ExitOK))
 	})
 
+	// The connection on which a router waits for changes has gone silent: nothing
+	// fails and nothing arrives. An operator who waits for a change would sit
+	// there until the router gives the watch up by itself.
+	It("does not wait for a watch that has gone silent", func() {
+		f.addListedRouter()
+		file := write(notesPool + sharedProfile)
+		f.faults(standin.ObjectFaults{SilentWatches: 1})
+		Expect(run(f.platformURL, "apply", file).code).To(Equal(ctl.ExitOK))
+		Eventually(func() int { return f.objectFaults().SilentWatches }, startWithin).Should(BeZero())
+		longer := write(strings.Replace(sharedProfile, "30s", "40s", 1))
+		got := run(f.platformURL, "apply", "--wait", "--wait-timeout", "6s", longer)
+		Expect(got.code).To(Equal(ctl.ExitOK), got.out)
+	})
+
 	// The store commits the change and its answer is lost. Told "failed", the
 	// operator would make it again on top of another's; told "done" without
 	// knowing, they would go home while it is not.
@@ -204,6 +242,31 @@
 		Expect(now).To(And(ContainSubstring("deadline: 40s"), ContainSubstring("retry_budget: 0.1")))
 	})
 
+	// The same at the same moment, from several machines: some read before the
+	// winner's write and lose at the store, others after and lose by the change id.
+	It("lets exactly one of many simultaneous changes win", func() {
+		Expect(run(f.platformURL, "apply", write(notesPool+sharedProfile)).code).To(Equal(ctl.ExitOK))
+		base := run(f.platformURL, "get", "profile/shared").out
+		const racers = 8
+		codes := make(chan ctl.Code, racers)
+		for i := range racers {
+			file := write(strings.Replace(base, "30s", fmt.Sprintf("%ds", 31+i), 1))
+			go func() {
+				defer GinkgoRecover()
+				codes <- run(f.platformURL, "apply", file).code
+			}()
+		}
+		count := make(map[ctl.Code]int)
+		for range racers {
+			var code ctl.Code
+			Eventually(codes, 2*startWithin).Should(Receive(&code))
+			count[code]++
+		}
+		Expect(count).To(Equal(map[ctl.Code]int{ctl.ExitOK: 1, ctl.ExitConflict: racers - 1}))
+		history := run(f.platformURL, "history", "profile/shared", "-o", "yaml").out
+		Expect(strings.Count(history, "- id:")).To(Equal(2))
+	})
+
 	It("writes nothing when a file has a mistake", func() {
 		got := run(f.platformURL, "apply", write(notesPool+sharedProfile+"loadmultiple: 2\n"))
 		Expect(got.code).To(Equal(ctl.ExitInvalid))
