--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/parsleyfront/parsleyfront/internal/platform"
 	"github.com/parsleyfront/parsleyfront/internal/router/dispatch"
+	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
 	"github.com/parsleyfront/parsleyfront/internal/wire"
 )
@@ -52,11 +53,13 @@
 	pieces []wire.Piece // read ahead of delivery
 	offset int64        // of the next byte for the caller
 	headed bool         // the head has gone to the caller
+	span   telemetry.Span
 }
 
 // close ends the router's interest in the attempt.
 func (at *attempt) close() {
 	at.stop()
+	at.span.End()
 	if at.stream != nil {
 		at.stream.Close()
 		at.stream = nil
@@ -66,6 +69,9 @@
 // submit sends the attempt to its sidecar, for the first time or again, and
 // returns what came of it.
 func (a *Answer) submit(at *attempt) dispatch.Event {
+	at.span.End() // of the time before
+	at.span = telemetry.Start(telemetry.HopRouter, telemetry.Traceparent(a.req.Trace))
+	at.span.Set(telemetry.AttrVM, at.vm.ID)
 	peer, err := a.connect(at)
 	if err != nil {
 		return dispatch.Unreachable{Now: time.Now(), Attempt: at.number, Err: verdict.From(err)}
@@ -85,11 +91,12 @@
 		Treatment:   a.req.treatment(now, a.plan),
 		Call:        at.call,
 		Window:      streamWindow,
-		Trace:       a.req.Trace,
+		Trace:       string(at.span.Traceparent()),
 		Control:     a.router.control(now, a.pool),
 		Leave:       at.leave,
 	})
 	if err != nil {
+		at.span.Fail(string(verdict.From(err).Reason))
 		return a.refusal(at, adm, err)
 	}
 	return a.begun(at, stream, adm)
--- a/internal/telemetry/export.go
+++ b/internal/telemetry/export.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
@@ -16,6 +17,9 @@
 // away, later spans are dropped: traces may be lost, requests may not wait.
 const maxQueuedSpans = 2048
 
+// exportEvery is how long spans wait to be handed over together.
+const exportEvery = time.Second
+
 var exportFailures = NewCounter("telemetry_export_failures_total",
 	"Batches of spans that could not be handed to the trace collector.")
 
@@ -41,7 +45,7 @@
 	// The library writes a line for each failure; here failures are counted.
 	otel.SetLogger(logr.Discard())
 	otel.SetErrorHandler(otel.ErrorHandlerFunc(func(error) { exportFailures.Inc() }))
-	return startTracing(c, trace.WithBatcher(exporter, trace.WithMaxQueueSize(maxQueuedSpans))), nil
+	return startTracing(c, trace.WithBatcher(exporter, trace.WithMaxQueueSize(maxQueuedSpans), trace.WithBatchTimeout(exportEvery))), nil
 }
 
 func startTracing(c TraceConfig, out trace.TracerProviderOption) (stop func(context.Context) error) {
