bench/speed: a control chain of relays, and an older binary in the same run

Change: relays as a control, paths in turns within one run, processor time for each request, -before for a second binary.

--- a/bench/speed/fleet_test.go
+++ b/bench/speed/fleet_test.go
@@ -31,13 +31,15 @@
 const (
 	apiKey      = "speed-key"
 	secret      = "1:000102030405060708090a0b0c0d0e0f\n"
-	stubVar     = "SPEED_STUB" // address; set in the process that is the stub
+	stubVar     = "SPEED_STUB"  // address; set in the process that is the stub
+	relayVar    = "SPEED_RELAY" // from and to; set in a process that is a relay
 	startWithin = 10 * time.Second
 )
 
 var (
 	inProcess = flag.Bool("inprocess", false, "run router, sidecar and stub in this process")
 	procs     = flag.Int("procs", 2, "GOMAXPROCS of each of the other processes")
+	before    = flag.String("before", "", "an older parsleyd to measure as well, in turns with this one")
 	daemonBin string
 )
 
@@ -45,6 +47,9 @@
 	if addr := os.Getenv(stubVar); addr != "" {
 		panic(http.ListenAndServe(addr, stub()))
 	}
+	if addrs := os.Getenv(relayVar); addrs != "" {
+		relay(addrs)
+	}
 	flag.Parse()
 	dir, err := os.MkdirTemp("", "speed")
 	if err != nil {
@@ -59,13 +64,31 @@
 	os.Exit(code)
 }
 
-// fleet is one router before one sidecar before the stub.
-type fleet struct {
-	router, stub          string // URLs
-	routerPID, sidecarPID int    // both this process's with -inprocess
+// path is a way from the caller to the stub.
+type path struct {
+	name                  string
+	url                   string // to which a path of the stub is added
+	routerPID, sidecarPID int    // 0 where there are none; this process's with -inprocess
 }
 
-func newFleet(b *testing.B) *fleet {
+// newPaths starts the stub and the ways to it: directly; through two processes
+// that copy bytes and do nothing else, which shows what the machine adds; and
+// through a fleet of one router and one sidecar.
+func newPaths(b *testing.B) []path {
+	addr := freeAddr(b)
+	startStub(b, addr)
+	url := "http://" + addr
+	paths := []path{{name: "direct", url: url}}
+	if !*inProcess {
+		paths = append(paths, path{name: "relays", url: "http://" + startRelay(b, startRelay(b, addr))})
+	}
+	if *before != "" {
+		paths = append(paths, newFleet(b, "before", *before, url))
+	}
+	return append(paths, newFleet(b, "fleet", daemonBin, url))
+}
+
+func newFleet(b *testing.B, name, binary, stub string) path {
 	mux := http.NewServeMux()
 	vms := standin.NewVMList()
 	standin.NewObjectAPI().Register(mux)
@@ -73,21 +96,22 @@
 	p := httptest.NewServer(mux)
 	b.Cleanup(p.Close)
 	configure(b, p.URL)
-
-	stubAddr, sidecarAddr, routerAddr := freeAddr(b), freeAddr(b), freeAddr(b)
-	f := &fleet{router: "http://" + routerAddr, stub: "http://" + stubAddr}
-	startStub(b, stubAddr)
-	f.sidecarPID = parsleyd(b, sidecarAddr, "sidecar", "--insecure-plain", "--listen", sidecarAddr, "--vm", "vm-1", "--upstream", f.stub)
-	vms.Set(platform.VM{ID: "vm-1", Role: platform.RoleUpstream, Addr: sidecarAddr, Pool: "bench"})
 	secrets := filepath.Join(b.TempDir(), "secrets")
 	if err := os.WriteFile(secrets, []byte(secret), 0o600); err != nil {
 		b.Fatal(err)
 	}
-	f.routerPID = parsleyd(b, routerAddr, "router", "--insecure-plain", "--listen", routerAddr, "--vm", "vm-r", "--platform", p.URL, "--token-secrets", secrets)
+	sidecar, router := freeAddr(b), freeAddr(b)
+	f := path{name: name, url: "http://" + router + "/services/bench"}
+	f.sidecarPID = parsleyd(b, binary, sidecar, "sidecar", "--insecure-plain", "--listen", sidecar, "--vm", "vm-1", "--upstream", stub)
+	vms.Set(platform.VM{ID: "vm-1", Role: platform.RoleUpstream, Addr: sidecar, Pool: "bench"})
+	f.routerPID = parsleyd(b, binary, router, "router", "--insecure-plain", "--listen", router, "--vm", "vm-r", "--platform", p.URL, "--token-secrets", secrets)
 	await(b, func() bool {
-		resp, err := http.Get(f.router + "/readyz")
+		resp, err := http.Get("http://" + router + "/readyz")
 		return err == nil && resp.Body.Close() == nil && resp.StatusCode == http.StatusOK
 	})
+	for range 200 { // warm up
+		unary(b, f)
+	}
 	return f
 }
 
@@ -121,17 +145,55 @@
 		awaitAddr(b, addr)
 		return
 	}
+	runSelf(b, addr, stubVar+"="+addr)
+}
+
+// startRelay starts a process that copies between its address, which is
+// returned, and to.
+func startRelay(b *testing.B, to string) string {
+	addr := freeAddr(b)
+	runSelf(b, addr, relayVar+"="+addr+" "+to)
+	return addr
+}
+
+// relay copies between connections to the first address and ones to the second.
+func relay(addrs string) {
+	from, to, _ := strings.Cut(addrs, " ")
+	l, err := net.Listen("tcp", from)
+	if err != nil {
+		panic(err)
+	}
+	for {
+		near, err := l.Accept()
+		if err != nil {
+			panic(err)
+		}
+		far, err := net.Dial("tcp", to)
+		if err != nil {
+			panic(err)
+		}
+		join := func(to, from net.Conn) {
+			_, _ = io.Copy(struct{ io.Writer }{to}, from) // not by splice: through this process
+			_ = to.Close()
+		}
+		go join(near, far)
+		go join(far, near)
+	}
+}
+
+// runSelf starts this program as another process.
+func runSelf(b *testing.B, addr, env string) {
 	self, err := os.Executable()
 	if err != nil {
 		b.Fatal(err)
 	}
-	run(b, exec.Command(self), addr, stubVar+"="+addr)
+	run(b, exec.Command(self), addr, env)
 }
 
 // parsleyd starts a role and returns its process id.
-func parsleyd(b *testing.B, addr string, args ...string) int {
+func parsleyd(b *testing.B, binary, addr string, args ...string) int {
 	if !*inProcess {
-		return run(b, exec.Command(daemonBin, args...), addr)
+		return run(b, exec.Command(binary, args...), addr)
 	}
 	go daemon.Main(args, io.Discard, os.Stderr) // until the benchmark's process ends
 	awaitAddr(b, addr)
@@ -180,14 +242,6 @@
 	return l.Addr().String()
 }
 
-// url returns where to call path: directly at the stub, or through the fleet.
-func (f *fleet) url(through bool, path string) string {
-	if through {
-		return f.router + "/services/bench" + path
-	}
-	return f.stub + path
-}
-
 // clockTick is the unit of processor times in /proc, 1/100 s on Linux.
 const clockTick = 10 * time.Millisecond
 
--- a/bench/speed/latency_test.go
+++ b/bench/speed/latency_test.go
@@ -35,9 +35,9 @@
 }
 
 // unary makes one 1 KB call and returns how long it took.
-func unary(b *testing.B, url string) time.Duration {
+func unary(b *testing.B, p path) time.Duration {
 	began := time.Now()
-	resp := call(b, url)
+	resp := call(b, p.url+"/unary")
 	if resp == nil {
 		return 0
 	}
@@ -63,58 +63,74 @@
 	return s.d[int(q*float64(len(s.d)-1))]
 }
 
-func report(b *testing.B, direct, through *samples, what string) {
+// report reports the quantiles on the direct path and what the others add.
+func report(b *testing.B, paths []path, results []samples, what string) {
 	for _, q := range []float64{0.5, 0.99} {
-		d, t := direct.quantile(q), through.quantile(q)
-		name := fmt.Sprintf("%s-p%g", what, 100*q)
-		b.ReportMetric(float64(d.Microseconds()), "direct-"+name+"-us")
-		b.ReportMetric(float64((t - d).Microseconds()), "added-"+name+"-us")
+		direct := results[0].quantile(q)
+		name := fmt.Sprintf("%s-p%g-us", what, 100*q)
+		b.ReportMetric(float64(direct.Microseconds()), "direct-"+name)
+		for i := range paths[1:] {
+			added := results[i+1].quantile(q) - direct
+			b.ReportMetric(float64(added.Microseconds()), paths[i+1].name+"-adds-"+name)
+		}
 	}
 }
 
-// capacity returns how many unary calls a second go through with as many
-// callers as it takes, and per second of the router's and the sidecar's
-// processor time.
-func capacity(b *testing.B, f *fleet) (rate float64) {
-	const callers, lasts = 64, 3 * time.Second
-	routerCPU, sidecarCPU := cpu(b, f.routerPID), cpu(b, f.sidecarPID)
+// work is what was done on a path and the processor time that it took.
+type work struct {
+	calls           int
+	router, sidecar time.Duration
+}
+
+// saturate makes unary calls with many callers for a second.
+func (w *work) saturate(b *testing.B, p path) {
+	const callers = 64
+	router, sidecar := cpu(b, p.routerPID), cpu(b, p.sidecarPID)
 	began := time.Now()
 	var done samples
 	var wg sync.WaitGroup
 	for range callers {
 		wg.Go(func() {
-			for time.Since(began) < lasts {
-				done.add(unary(b, f.url(true, "/unary")))
+			for time.Since(began) < time.Second {
+				done.add(unary(b, p))
 			}
 		})
 	}
 	wg.Wait()
-	n := float64(len(done.d))
-	b.ReportMetric(n/(cpu(b, f.routerPID)-routerCPU).Seconds(), "req/s/router-core")
-	b.ReportMetric(n/(cpu(b, f.sidecarPID)-sidecarCPU).Seconds(), "req/s/sidecar-core")
-	return n / time.Since(began).Seconds()
+	w.calls += len(done.d)
+	w.router += cpu(b, p.routerPID) - router
+	w.sidecar += cpu(b, p.sidecarPID) - sidecar
 }
 
-// BenchmarkUnary compares 1 KB calls through the fleet with calls of the stub,
-// both at half of the rate at which the fleet is saturated, in turns.
+// BenchmarkUnary compares 1 KB calls on each path, in turns: first with as many
+// callers as it takes to saturate the fleet, then at half of that rate.
 func BenchmarkUnary(b *testing.B) {
-	f := newFleet(b)
-	for range 100 { // warm up
-		unary(b, f.url(true, "/unary"))
-		unary(b, f.url(false, "/unary"))
+	const turns = 5
+	paths := newPaths(b)
+	rate := 0.0
+	done := make([]work, len(paths))
+	for range turns {
+		for i, p := range paths {
+			if p.routerPID != 0 {
+				done[i].saturate(b, p)
+			}
+		}
+	}
+	for i, w := range done {
+		if w.calls > 0 {
+			b.ReportMetric(float64(w.calls)/w.router.Seconds(), paths[i].name+"-req/s/router-core")
+			b.ReportMetric(float64(w.calls)/w.sidecar.Seconds(), paths[i].name+"-req/s/sidecar-core")
+			rate = float64(w.calls) / turns / 2
+		}
 	}
-	rate := capacity(b, f) / 2
 	b.ReportMetric(rate, "half-load-req/s")
-	var results [2]samples
-	for range b.N {
-		for turn := range 10 {
-			through := turn % 2
-			atRate(rate, time.Second, func() {
-				results[through].add(unary(b, f.url(through == 1, "/unary")))
-			})
+	results := make([]samples, len(paths))
+	for range turns {
+		for i, p := range paths {
+			atRate(rate, time.Second, func() { results[i].add(unary(b, p)) })
 		}
 	}
-	report(b, &results[0], &results[1], "call")
+	report(b, paths, results, "call")
 }
 
 // atRate runs f at a steady rate for a while, each on its own goroutine, and
@@ -162,30 +178,27 @@
 	return first, gaps, ages
 }
 
-// BenchmarkStream compares streams through the fleet with streams from the
-// stub, in turns: the time to the first token, the time between tokens, and the
-// age of a token on arrival.
+// BenchmarkStream compares streams on each path, in turns: the time to the
+// first token, the time between tokens, and the age of a token on arrival.
 func BenchmarkStream(b *testing.B) {
-	const streams = 50
-	f := newFleet(b)
-	unary(b, f.url(true, "/unary"))
-	var first, gaps, ages [2]samples
-	for range b.N {
-		for turn := range 8 {
-			through := turn % 2
+	const streams, turns = 50, 4
+	paths := newPaths(b)
+	first, gaps, ages := make([]samples, len(paths)), make([]samples, len(paths)), make([]samples, len(paths))
+	for range turns {
+		for i, p := range paths {
 			var wg sync.WaitGroup
 			for range streams {
 				wg.Go(func() {
-					one, between, old := stream(b, f.url(through == 1, "/stream?n=100&gap=10ms"))
-					first[through].add(one)
-					gaps[through].add(between...)
-					ages[through].add(old...)
+					one, between, old := stream(b, p.url+"/stream?n=100&gap=10ms")
+					first[i].add(one)
+					gaps[i].add(between...)
+					ages[i].add(old...)
 				})
 			}
 			wg.Wait()
 		}
 	}
-	report(b, &first[0], &first[1], "first")
-	report(b, &gaps[0], &gaps[1], "gap")
-	report(b, &ages[0], &ages[1], "age")
+	report(b, paths, first, "first")
+	report(b, paths, gaps, "gap")
+	report(b, paths, ages, "age")
 }
--- a/bench/speed/memory_test.go
+++ b/bench/speed/memory_test.go
@@ -50,13 +50,12 @@
 }
 
 func idleStreams(b *testing.B, n int) {
-	f := newFleet(b)
-	for range 200 { // warm up
-		unary(b, f.url(true, "/unary"))
-	}
+	addr := freeAddr(b)
+	startStub(b, addr)
+	f := newFleet(b, "fleet", daemonBin, "http://"+addr)
 	router, sidecar := resident(b, f.routerPID), resident(b, f.sidecarPID)
 	for range n {
-		c, err := openIdle(f.url(true, "/idle"))
+		c, err := openIdle(f.url + "/idle")
 		if c != nil {
 			defer func(c io.Closer) { _ = c.Close() }(c)
 		}
