--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -45,6 +45,21 @@
 	}
 }
 
+// platformClient returns the platform's client, which trusts the authorities
+// of the settings.
+func platformClient(ctx context.Context, s settings.Platform, reload time.Duration) (*platform.HTTP, error) {
+	p := platform.NewHTTP(string(s.URL))
+	if s.CA == "" {
+		return p, nil
+	}
+	c, err := secure.NewClient(s.CA)
+	if err != nil {
+		return nil, err
+	}
+	go c.Files().Run(ctx, reload)
+	return p.TLS(c.Config), nil
+}
+
 // checkFileLimit says when the limit of open files is too low for the
 // settings. It is the operator's to change.
 func checkFileLimit(connections int) {
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -12,7 +12,6 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/parsleyfront/parsleyfront/internal/gateway"
-	"github.com/parsleyfront/parsleyfront/internal/platform"
 	"github.com/parsleyfront/parsleyfront/internal/router"
 	"github.com/parsleyfront/parsleyfront/internal/secure"
 	"github.com/parsleyfront/parsleyfront/internal/settings"
@@ -58,7 +57,7 @@
 		return err
 	}
 	go secrets.Files().Run(background, s.ReloadInterval.D)
-	p, err := platformClient(background, s)
+	p, err := platformClient(background, s.Platform, s.ReloadInterval.D)
 	if err != nil {
 		return err
 	}
@@ -81,19 +80,6 @@
 	return server.serve(ctx, background)
 }
 
-func platformClient(ctx context.Context, s settings.Router) (*platform.HTTP, error) {
-	p := platform.NewHTTP(string(s.Platform))
-	if s.PlatformCA == "" {
-		return p, nil
-	}
-	c, err := secure.NewClient(s.PlatformCA)
-	if err != nil {
-		return nil, err
-	}
-	go c.Files().Run(ctx, s.ReloadInterval.D)
-	return p.TLS(c.Config), nil
-}
-
 // callerTLS returns nil when callers speak plain HTTP.
 func callerTLS(ctx context.Context, s settings.Router) (*tls.Config, error) {
 	if s.CallerCert == "" {
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -9,7 +9,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/parsleyfront/parsleyfront/internal/admission"
-	"github.com/parsleyfront/parsleyfront/internal/platform"
 	"github.com/parsleyfront/parsleyfront/internal/secure"
 	"github.com/parsleyfront/parsleyfront/internal/settings"
 	"github.com/parsleyfront/parsleyfront/internal/sidecar"
@@ -40,6 +39,13 @@
 	slog.Info("sidecar listening", "addr", l.Addr().String(), "vm", s.VM)
 	c := sidecarConfig(s)
 	c.Dial = dialer(transport)
+	if s.Platform.URL != "" {
+		p, err := platformClient(background, s.Platform, s.ReloadInterval.D)
+		if err != nil {
+			return err
+		}
+		c.VMs = p
+	}
 	sc := sidecar.New(c)
 	h := newHealth(sc.Alive, func() bool { return true })
 	context.AfterFunc(ctx, h.leave)
@@ -68,8 +74,5 @@
 		Buffer:   sidecar.Buffer{PerAnswer: s.AnswerBytes.N, Total: s.BufferBytes.N},
 		Upstream: upstream.NewHTTP(string(s.Upstream)),
 	}
-	if s.Platform != "" {
-		c.VMs = platform.NewHTTP(string(s.Platform))
-	}
 	return c
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -152,8 +152,8 @@
 	}
 	m.file("caller-cert", r.CallerCert)
 	m.file("caller-key", r.CallerKey)
-	m.required("platform", string(r.Platform))
-	m.file("platform-ca", r.PlatformCA)
+	m.required("platform", string(r.Platform.URL))
+	m.file("platform-ca", r.Platform.CA)
 	m.required("token-secrets", r.TokenSecrets)
 	m.file("token-secrets", r.TokenSecrets)
 	m.duration("drain-delay", r.DrainDelay, 0, maxDelay)
@@ -167,6 +167,7 @@
 	m.address("listen", s.Listen)
 	m.optionalAddress("admin-listen", s.AdminListen)
 	m.required("upstream", string(s.Upstream))
+	m.file("platform-ca", s.Platform.CA)
 	s.Admission.check(m)
 	s.Answers.check(m)
 	// Without TLS whoever reaches the port may run work.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,18 +39,23 @@
 	InsecurePlain Switch `long:"insecure-plain" env:"PARSLEYD_INSECURE_PLAIN" optional:"yes" optional-value:"true" description:"connect routers and sidecars without TLS, for development on one machine"`
 }
 
+// Platform is where the platform is.
+type Platform struct {
+	URL URL    `long:"platform" env:"PARSLEYD_PLATFORM" description:"URL of the platform's API; a sidecar without it hands on no cached prefixes when its upstream leaves"`
+	CA  string `long:"platform-ca" env:"PARSLEYD_PLATFORM_CA" description:"PEM file of the authorities that sign the platform's certificate; without it those of the system count"`
+}
+
 // Router is the settings of the router role.
 type Router struct {
-	Common `group:"Process"`
-	Node   `group:"Node"`
-	Fleet  `group:"Fleet"`
+	Common   `group:"Process"`
+	Node     `group:"Node"`
+	Fleet    `group:"Fleet"`
+	Platform `group:"Platform"`
 
 	Listen       string `long:"listen" env:"PARSLEYD_LISTEN" default:"127.0.0.1:8080" description:"address for callers"`
 	AdminListen  string `long:"admin-listen" env:"PARSLEYD_ADMIN_LISTEN" description:"address for operators, on the management network; without it there is none"`
 	CallerCert   string `long:"caller-cert" env:"PARSLEYD_CALLER_CERT" description:"PEM file of the certificate that callers see; without it callers speak plain HTTP"`
 	CallerKey    string `long:"caller-key" env:"PARSLEYD_CALLER_KEY" description:"PEM file of its key"`
-	Platform     URL    `long:"platform" env:"PARSLEYD_PLATFORM" description:"URL of the platform's API"`
-	PlatformCA   string `long:"platform-ca" env:"PARSLEYD_PLATFORM_CA" description:"PEM file of the authorities that sign the platform's certificate; without it those of the system count"`
 	TokenSecrets string `long:"token-secrets" env:"PARSLEYD_TOKEN_SECRETS" description:"file of the secrets that sign request keys and tickets: id:hex on each line, the one to sign with first"`
 
 	DrainDelay     Duration `long:"drain-delay" env:"PARSLEYD_DRAIN_DELAY" default:"10s" description:"how long a planned stop goes on taking requests after readiness has begun to fail: longer than the balancer takes to notice"`
@@ -59,14 +64,14 @@
 
 // Sidecar is the settings of the sidecar role.
 type Sidecar struct {
-	Common `group:"Process"`
-	Node   `group:"Node"`
-	Fleet  `group:"Fleet"`
+	Common   `group:"Process"`
+	Node     `group:"Node"`
+	Fleet    `group:"Fleet"`
+	Platform `group:"Platform"`
 
 	Listen      string `long:"listen" env:"PARSLEYD_LISTEN" default:"127.0.0.1:7400" description:"address for routers"`
 	AdminListen string `long:"admin-listen" env:"PARSLEYD_ADMIN_LISTEN" description:"address for operators, on the management network; without it there is none"`
 	Upstream    URL    `long:"upstream" env:"PARSLEYD_UPSTREAM" description:"URL of the upstream beside this sidecar"`
-	Platform    URL    `long:"platform" env:"PARSLEYD_PLATFORM" description:"URL of the platform's API; without it cached prefixes are not handed on when the upstream leaves"`
 
 	Admission `group:"Admission"`
 	Answers   `group:"Answers"`
