gateway: callers are told the truth, as a property over faults

Ruled out: real sockets and clocks. Connections in memory that break or go silent after any byte, in a synctest bubble, cover every step of the protocol in milliseconds and never wait in vain. Change: a fleet of real routers, gateways and sidecars over a faulty network; random cuts, silences, sidecar restarts, routers that lose all connections, copies through two routers, resumption at the other router. Routers close their connections when their context ends. The sidecar under test is still the thin path's.

--- /dev/null
+++ b/internal/gateway/fleet_test.go
@@ -0,0 +1,334 @@
+package gateway_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/config"
+	"github.com/parsleyfront/parsleyfront/internal/gateway"
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/profile"
+	"github.com/parsleyfront/parsleyfront/internal/router"
+	"github.com/parsleyfront/parsleyfront/internal/sidecar"
+	"github.com/parsleyfront/parsleyfront/internal/token"
+	"github.com/parsleyfront/parsleyfront/internal/upstream"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
+)
+
+const (
+	apiKey  = "club-key"
+	booking = "booking" // a profile and service whose calls must not be repeated
+	clips   = "clips"   // one whose calls may
+	tick    = 10 * time.Millisecond
+)
+
+// fleet is routers, sidecars and upstreams in one process, with a store that
+// can be taken away.
+type fleet struct {
+	net      *network
+	store    *store
+	vms      *vmList
+	gateways []*gateway.Gateway
+	kill     []context.CancelFunc // of the routers
+	vm       []*vm
+	stop     context.CancelFunc
+	ctx      context.Context
+	ring     *token.Ring
+}
+
+// vm is an upstream VM whose sidecar can be replaced by a new incarnation.
+type vm struct {
+	id       string
+	mu       sync.Mutex // held while it is replaced
+	upstream *fakeUpstream
+	stop     context.CancelFunc
+	starts   uint64
+}
+
+func newFleet(vms, routers int, faults []fault) *fleet {
+	ring, _ := token.NewRing(token.Secret{ID: 1, Value: bytes.Repeat([]byte{7}, 16)})
+	f := &fleet{net: newNetwork(faults), store: newStore(), vms: &vmList{}, ring: ring}
+	f.ctx, f.stop = context.WithCancel(context.Background())
+	for _, name := range []string{booking, clips} {
+		p := profile.New(platform.KindProfile).(*profile.Profile)
+		p.Name, p.Service, p.Pool = name, name, "p"
+		p.Idempotent = name == clips
+		p.Deadline = profile.Duration(map[string]time.Duration{booking: 20 * time.Second, clips: 2 * time.Second}[name])
+		f.store.put(platform.KindProfile, name, p)
+	}
+	f.store.put(platform.KindOrganisation, "club", profile.Organisation{
+		Name: "club", Weight: 1, Profiles: []string{booking, clips}, Keys: []profile.APIKey{{ID: "k", SHA256: profile.HashKey(apiKey)}},
+	})
+	for i := range vms {
+		v := &vm{id: fmt.Sprintf("vm-%d", i), upstream: &fakeUpstream{}}
+		f.vm = append(f.vm, v)
+		f.startSidecar(v)
+		f.vms.set(platform.VM{ID: v.id, Role: platform.RoleUpstream, Addr: v.id, Pool: "p"})
+	}
+	for i := range routers {
+		f.startRouter(fmt.Sprintf("router-%d", i))
+	}
+	time.Sleep(time.Second) // of the bubble's clock: configuration and list are read
+	return f
+}
+
+func (f *fleet) startRouter(name string) {
+	ctx, kill := context.WithCancel(f.ctx)
+	r := router.New(ctx, router.Config{Store: f.store, VMs: f.vms, Ring: f.ring, Dial: f.net.dialer(name)})
+	f.gateways = append(f.gateways, gateway.New(r))
+	f.kill = append(f.kill, kill)
+}
+
+func (f *fleet) startSidecar(v *vm) {
+	ctx, stop := context.WithCancel(f.ctx)
+	v.starts++
+	v.stop = stop
+	s := sidecar.New(ctx, sidecar.Config{VM: v.id, Incarnation: v.starts, Upstream: v.upstream})
+	l := f.net.listen(v.id)
+	go func() { _ = s.Serve(l) }()
+}
+
+// restart replaces a sidecar, which forgets all that it knew.
+func (f *fleet) restart(v *vm) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.stop()
+	f.net.cut(func(c *faultyConn) bool { return c.addr == v.id })
+	f.startSidecar(v)
+}
+
+func (f *fleet) close() {
+	f.stop()
+	f.net.cut(func(*faultyConn) bool { return true })
+}
+
+// runs returns how often each request, told apart by its body, has run.
+func (f *fleet) runs() map[string]int {
+	out := make(map[string]int)
+	for _, v := range f.vm {
+		v.upstream.mu.Lock()
+		for _, body := range v.upstream.runs {
+			out[body]++
+		}
+		v.upstream.mu.Unlock()
+	}
+	return out
+}
+
+// fakeUpstream logs its runs and answers with what follows from the body.
+type fakeUpstream struct {
+	mu     sync.Mutex
+	runs   []string
+	do     func(ctx context.Context, body string) error // before a run is logged
+	frozen bool                                         // runs, and never answers
+}
+
+func (u *fakeUpstream) Do(ctx context.Context, _ string, call wire.Call) (*upstream.Response, error) {
+	body := string(call.Body)
+	u.mu.Lock()
+	do, frozen := u.do, u.frozen
+	u.mu.Unlock()
+	if do != nil {
+		if err := do(ctx, body); err != nil {
+			return nil, err
+		}
+	}
+	u.mu.Lock()
+	u.runs = append(u.runs, body)
+	u.mu.Unlock()
+	if frozen {
+		<-ctx.Done()
+		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonDeadline, "%s", ctx.Err())
+	}
+	h := http.Header{"Content-Type": {"text/event-stream"}}
+	return &upstream.Response{Status: http.StatusOK, Header: h, Body: &slowBody{ctx: ctx, rest: expected(body)}}, nil
+}
+
+// expected is the answer to a body. No two bodies have the same.
+func expected(body string) []byte {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(body))
+	var b bytes.Buffer
+	for i := range 8 {
+		fmt.Fprintf(&b, "data: %x %d %s\n\n", h.Sum64(), i, bytes.Repeat([]byte{'x'}, i*37))
+	}
+	return b.Bytes()
+}
+
+// slowBody is an answer that comes piece by piece.
+type slowBody struct {
+	ctx  context.Context
+	rest []byte
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	select {
+	case <-time.After(tick):
+	case <-b.ctx.Done():
+		return 0, b.ctx.Err()
+	}
+	if len(b.rest) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p[:min(len(p), 100)], b.rest)
+	b.rest = b.rest[n:]
+	return n, nil
+}
+
+func (b *slowBody) Close() error { return nil }
+
+// reply is what a caller has got.
+type reply struct {
+	status  int
+	header  http.Header
+	body    []byte
+	cut     bool // the connection was broken off
+	verdict string
+}
+
+// whole reports whether the caller has good reason to take the answer for whole.
+func (r reply) whole() bool { return r.status == http.StatusOK && !r.cut }
+
+// send makes a request of a router as its HTTP server would.
+func (f *fleet) send(ctx context.Context, router int, method, path, body string, header http.Header) (out reply) {
+	w := httptest.NewRecorder()
+	req := httptest.NewRequestWithContext(ctx, method, path, bytes.NewBufferString(body))
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	req.Header.Set("Authorization", "Bearer "+apiKey)
+	defer func() {
+		if p := recover(); p != nil && p != http.ErrAbortHandler {
+			panic(p)
+		} else if p != nil {
+			out.cut = true
+		}
+		out.status, out.header, out.body = w.Code, w.Header(), w.Body.Bytes()
+		out.verdict = w.Header().Get(gateway.HeaderVerdict)
+	}()
+	f.gateways[router].ServeHTTP(w, req)
+	return out
+}
+
+// mint returns a request key.
+func (f *fleet) mint(router int, profile string) string {
+	r := f.send(f.ctx, router, http.MethodPost, "/v1/keys", `{"profile":"`+profile+`"}`, nil)
+	var keys struct{ Keys []string }
+	if json.Unmarshal(r.body, &keys) != nil || len(keys.Keys) == 0 {
+		return ""
+	}
+	return keys.Keys[0]
+}
+
+// store implements platform.Store in memory.
+type store struct {
+	mu      sync.Mutex
+	version platform.Version
+	objects map[platform.Ref]platform.Object
+	down    bool
+	lose    int // answers to writes that are lost after they took effect
+}
+
+func newStore() *store {
+	return &store{objects: make(map[platform.Ref]platform.Object)}
+}
+
+func (s *store) put(kind platform.Kind, name string, v any) {
+	spec, _ := json.Marshal(v)
+	value, _ := config.Revision{Change: config.Change{ID: config.ChangeID(name)}, Spec: spec}.Encode()
+	_, _ = s.Put(context.Background(), platform.Ref{Kind: kind, Name: name}, value, 0)
+}
+
+func (s *store) set(f func(*store)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s)
+}
+
+func (s *store) Get(_ context.Context, ref platform.Ref) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return platform.Object{}, platform.ErrRefused
+	}
+	o, ok := s.objects[ref]
+	if !ok {
+		return o, platform.ErrNotFound
+	}
+	return o, nil
+}
+
+func (s *store) List(_ context.Context, kind platform.Kind, _ string) (platform.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return platform.Page{}, platform.ErrRefused
+	}
+	p := platform.Page{Version: s.version}
+	for ref, o := range s.objects {
+		if ref.Kind == kind {
+			p.Objects = append(p.Objects, o)
+		}
+	}
+	return p, nil
+}
+
+func (s *store) Put(_ context.Context, ref platform.Ref, value json.RawMessage, ifVersion platform.Version) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return platform.Object{}, platform.ErrUnknown
+	}
+	if s.objects[ref].Version != ifVersion {
+		return platform.Object{}, platform.ErrConflict
+	}
+	s.version++
+	o := platform.Object{Ref: ref, Version: s.version, Value: value}
+	s.objects[ref] = o
+	if s.lose > 0 {
+		s.lose--
+		return platform.Object{}, platform.ErrUnknown
+	}
+	return o, nil
+}
+
+func (s *store) Delete(context.Context, platform.Ref, platform.Version) error {
+	return platform.ErrRefused
+}
+
+func (s *store) Watch(ctx context.Context, _ []platform.Kind, since platform.Version, wait time.Duration) (platform.Page, error) {
+	select {
+	case <-time.After(wait):
+		return platform.Page{Version: since}, nil
+	case <-ctx.Done():
+		return platform.Page{}, ctx.Err()
+	}
+}
+
+// vmList implements platform.VMList.
+type vmList struct {
+	mu  sync.Mutex
+	vms platform.VMs
+}
+
+func (l *vmList) set(vm platform.VM) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.vms.Entries = append(l.vms.Entries, vm)
+	l.vms.Tag = fmt.Sprint(len(l.vms.Entries))
+}
+
+func (l *vmList) VMs(_ context.Context, tag string) (platform.VMs, bool, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.vms, l.vms.Tag != tag, nil
+}
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -70,3 +70,12 @@
 	defer r.mu.Unlock()
 	return now.Before(r.avoided[vm])
 }
+
+// closePeers ends all connections to sidecars.
+func (r *Router) closePeers() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.peers {
+		p.Close()
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -68,6 +68,7 @@
 	}
 	r.view.Store(r.state.View())
 	r.loop = loop.New(r.state, r.act, r.publish)
+	context.AfterFunc(ctx, r.closePeers)
 	go r.loop.Run(ctx)
 	go r.followConfig(ctx)
 	go r.followVMs(ctx)
