gateway: deadlines, retries, own keys, forged keys and resumption, each broken once

A not-run before a key's sidecar was asked is limited in one place, the gateway, no longer also where claims are made. Seen to fail, guard off: without the deadline the frozen service holds the call for ever; without sealing, may-have-run for what was never sent; with a budget that always pays, 3 attempts for 1 request; with a claim that trusts its own proposal, booked 2 times; with foreign keys let through, another organisation's answer; with a resumption that forgets its offset, 1652 bytes for 1252. Ruled out as a test: the race between sealing and sending. The attempt's context ends as well, so the gate alone can't be made to fail here.

--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -9,9 +9,11 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/parsleyfront/parsleyfront/internal/admission"
 	"github.com/parsleyfront/parsleyfront/internal/config"
 	"github.com/parsleyfront/parsleyfront/internal/gateway"
 	"github.com/parsleyfront/parsleyfront/internal/platform"
@@ -21,7 +23,6 @@
 	"github.com/parsleyfront/parsleyfront/internal/token"
 	"github.com/parsleyfront/parsleyfront/internal/upstream"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
-	"github.com/parsleyfront/parsleyfront/internal/wire"
 )
 
 const (
@@ -50,7 +51,7 @@
 	id       string
 	mu       sync.Mutex // held while it is replaced
 	upstream *fakeUpstream
-	stop     context.CancelFunc
+	stop     func()
 	starts   uint64
 }
 
@@ -69,7 +70,7 @@
 		Name: "club", Weight: 1, Profiles: []string{booking, clips}, Keys: []profile.APIKey{{ID: "k", SHA256: profile.HashKey(apiKey)}},
 	})
 	for i := range vms {
-		v := &vm{id: fmt.Sprintf("vm-%d", i), upstream: &fakeUpstream{}}
+		v := &vm{id: fmt.Sprintf("vm-%d", i), upstream: &fakeUpstream{thaw: make(chan struct{})}}
 		f.vm = append(f.vm, v)
 		f.startSidecar(v)
 		f.vms.set(platform.VM{ID: v.id, Role: platform.RoleUpstream, Addr: v.id, Pool: "p"})
@@ -89,12 +90,22 @@
 }
 
 func (f *fleet) startSidecar(v *vm) {
-	ctx, stop := context.WithCancel(f.ctx)
 	v.starts++
-	v.stop = stop
-	s := sidecar.New(ctx, sidecar.Config{VM: v.id, Incarnation: v.starts, Upstream: v.upstream})
+	s := sidecar.New(sidecar.Config{
+		Settings: sidecar.Settings{
+			VM:          v.id,
+			Incarnation: v.starts,
+			Keys:        1000,
+			Admission:   admission.Config{Slots: 16, MaxWaiting: 64},
+			DetachGrace: time.Second,
+			KeepAnswer:  time.Minute,
+		},
+		Buffer:   sidecar.Buffer{PerAnswer: 1 << 20, Total: 1 << 24},
+		Upstream: v.upstream,
+	})
 	l := f.net.listen(v.id)
-	go func() { _ = s.Serve(l) }()
+	v.stop = func() { _ = l.Close() } // at once, like a killed process
+	go func() { _ = s.Serve(context.Background(), l) }()
 }
 
 // restart replaces a sidecar, which forgets all that it knew.
@@ -108,6 +119,10 @@
 
 func (f *fleet) close() {
 	f.stop()
+	for _, v := range f.vm {
+		close(v.upstream.thaw)
+		v.stop()
+	}
 	f.net.cut(func(*faultyConn) bool { return true })
 }
 
@@ -129,11 +144,22 @@
 	mu     sync.Mutex
 	runs   []string
 	do     func(ctx context.Context, body string) error // before a run is logged
-	frozen bool                                         // runs, and never answers
+	frozen bool                                         // runs, and answers nothing until thaw
+	thaw   chan struct{}
 }
 
-func (u *fakeUpstream) Do(ctx context.Context, _ string, call wire.Call) (*upstream.Response, error) {
-	body := string(call.Body)
+// Probe implements upstream.Upstream.
+func (u *fakeUpstream) Probe(context.Context) upstream.Health { return upstream.Health{} }
+
+// Export implements upstream.Upstream.
+func (u *fakeUpstream) Export(context.Context, uint64) ([]byte, error) { return nil, nil }
+
+// Import implements upstream.Upstream.
+func (u *fakeUpstream) Import(context.Context, uint64, []byte) error { return nil }
+
+// Do implements upstream.Upstream.
+func (u *fakeUpstream) Do(ctx context.Context, r upstream.Request) (*upstream.Response, error) {
+	body := string(r.Call.Body)
 	u.mu.Lock()
 	do, frozen := u.do, u.frozen
 	u.mu.Unlock()
@@ -146,8 +172,8 @@
 	u.runs = append(u.runs, body)
 	u.mu.Unlock()
 	if frozen {
-		<-ctx.Done()
-		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonDeadline, "%s", ctx.Err())
+		<-u.thaw
+		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonUpstreamFailed, "")
 	}
 	h := http.Header{"Content-Type": {"text/event-stream"}}
 	return &upstream.Response{Status: http.StatusOK, Header: h, Body: &slowBody{ctx: ctx, rest: expected(body)}}, nil
@@ -332,3 +358,10 @@
 	defer l.mu.Unlock()
 	return l.vms, l.vms.Tag != tag, nil
 }
+
+// foreignKey returns a key like those of this fleet, of another organisation.
+func (f *fleet) foreignKey() (string, error) {
+	t, err := f.ring.Open(strings.TrimPrefix(f.mint(0, booking), router.KeyPrefix), token.PurposeKey)
+	t.Org++
+	return router.KeyPrefix + f.ring.Seal(t), err
+}
--- /dev/null
+++ b/internal/gateway/promise_test.go
@@ -0,0 +1,189 @@
+package gateway_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/gateway"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+)
+
+// inBubble runs f with a fleet on a clock of its own.
+func inBubble(t *testing.T, f func(*testing.T, *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(testVMs, testRouters, nil)
+		defer fl.close()
+		f(t, fl)
+	})
+}
+
+func (f *fleet) call(router int, profile, body, key string) reply {
+	header := http.Header{}
+	if key != "" {
+		header.Set(gateway.HeaderIdempotencyKey, key)
+	}
+	return f.send(context.Background(), router, http.MethodPost, "/services/"+profile+"/x", body, header)
+}
+
+func (r reply) expect(t *testing.T, status int, verdict, reason string) {
+	t.Helper()
+	if got := r.header.Get(gateway.HeaderReason); r.status != status || r.verdict != verdict || got != reason {
+		t.Fatalf("got %d %s %s, want %d %s %s: %s", r.status, r.verdict, got, status, verdict, reason, r.body)
+	}
+}
+
+// The clip service freezes while a coach on the bench fetches a clip: it takes
+// the call and never answers. Without a deadline in the router the app hangs
+// until the match is over.
+func TestFrozenServiceDoesNotHoldACallPastItsDeadline(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fleet) {
+		for _, v := range f.vm {
+			v.upstream.frozen = true
+		}
+		began := time.Now()
+		r := f.call(0, clips, "fetch", "")
+		if took := time.Since(began); took > 2*time.Second {
+			t.Fatalf("took %s of 2s", took)
+		}
+		r.expect(t, http.StatusGatewayTimeout, "may-have-run", "deadline")
+	})
+}
+
+// The sidecar's VM stops dead: connections open and nothing ever answers. The
+// caller's deadline passes before anything has been sent for it, so that
+// nothing ran, and it is told so.
+func TestDeadlineBeforeAnythingWasSentIsNotRun(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fleet) {
+		f.net.cut(func(*faultyConn) bool { return true })
+		f.net.mu.Lock()
+		for range 100 {
+			f.net.faults = append(f.net.faults, fault{silent: true})
+		}
+		f.net.mu.Unlock()
+		r := f.call(0, clips, "fetch", "")
+		if r.verdict != "not-run" || r.header.Get("Retry-After") == "" {
+			t.Fatalf("got %s, retry after %q", r.verdict, r.header.Get("Retry-After"))
+		}
+		time.Sleep(time.Minute)
+		if runs := f.runs(); len(runs) != 0 {
+			t.Fatalf("ran: %v", runs)
+		}
+	})
+}
+
+// Every upstream fails what it is asked. If each caller's request is tried
+// again, the upstreams see a multiple of the traffic and stay down under it.
+func TestRetriesDoNotAmplify(t *testing.T) {
+	for _, v := range []verdict.Verdict{verdict.MayHaveRun, verdict.NotRun} {
+		t.Run(v.String(), func(t *testing.T) {
+			inBubble(t, func(t *testing.T, f *fleet) {
+				var mu sync.Mutex
+				asked := 0
+				fail := func(context.Context, string) error {
+					mu.Lock()
+					defer mu.Unlock()
+					asked++
+					return verdict.New(v, verdict.ReasonUpstreamFailed, "")
+				}
+				for _, v := range f.vm {
+					v.upstream.do = fail
+				}
+				for requests := 1; requests <= 200; requests++ {
+					f.call(0, clips, "fetch", "")
+					if asked > requests && 10*asked >= 11*requests {
+						t.Fatalf("%d attempts for %d requests", asked, requests)
+					}
+				}
+				if asked <= 200 {
+					t.Fatal("nothing was tried again")
+				}
+			})
+		})
+	}
+}
+
+// A guest's app sends a booking under an idempotency key of its own. The
+// store's answer to the claim is lost, the app sends again through another
+// router, and the room must be booked once. With the store out, the guest
+// hears at once that this request has not run, and that nothing is known of
+// earlier ones.
+func TestCallersOwnKeyRunsOnceOrNotAtAll(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fleet) {
+		f.store.set(func(s *store) { s.lose = 1 })
+		var wg sync.WaitGroup
+		for router := range testRouters {
+			wg.Go(func() { f.call(router, booking, "book", "mine").expect(t, http.StatusOK, "ran", "") })
+		}
+		wg.Wait()
+		if n := f.runs()["book"]; n != 1 {
+			t.Fatalf("booked %d times", n)
+		}
+		f.store.set(func(s *store) { s.down = true })
+		began := time.Now()
+		r := f.call(0, booking, "book", "mine")
+		r.expect(t, http.StatusServiceUnavailable, "not-run", "store-down")
+		if r.header.Get(gateway.HeaderEarlierAttempts) != "unknown" || r.header.Get("Retry-After") == "" {
+			t.Fatalf("headers %v", r.header)
+		}
+		if took := time.Since(began); took > time.Second {
+			t.Fatalf("took %s", took)
+		}
+		if n := f.runs()["book"]; n != 1 {
+			t.Fatalf("booked %d times", n)
+		}
+		f.call(0, booking, "without a key", "").expect(t, http.StatusOK, "ran", "")
+	})
+}
+
+// What a caller may try with keys and ids that are not its own, or not ours.
+func TestForgedAndForeignKeysAreRefusedAlike(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fleet) {
+		key := f.mint(0, booking)
+		other, err := f.foreignKey()
+		if err != nil {
+			t.Fatal(err)
+		}
+		forged := key[:len(key)-2] + strings.Map(func(r rune) rune { return 'A' + (r-'A'+1)%26 }, key[len(key)-2:])
+		var bodies []string
+		for _, k := range []string{forged, other, "rk-", "rk-" + strings.Repeat("A", 200)} {
+			r := f.call(0, booking, "book", k)
+			r.expect(t, http.StatusBadRequest, "not-run", "bad-key")
+			bodies = append(bodies, string(r.body))
+			r = f.send(context.Background(), 0, http.MethodGet, "/v1/requests/"+k+"?offset=0", "", nil)
+			r.expect(t, http.StatusNotFound, "not-run", "unknown-request")
+		}
+		for _, b := range bodies {
+			if b != bodies[0] {
+				t.Fatalf("answers differ: %s and %s", bodies[0], b)
+			}
+		}
+		if runs := f.runs(); len(runs) != 0 {
+			t.Fatalf("ran: %v", runs)
+		}
+	})
+}
+
+// A caller loses its router in mid-answer and comes back for the rest through
+// another one. It is the one who holds the answer's beginning, so each byte
+// must come once, and the request must not run again.
+func TestAnswerIsResumedThroughAnotherRouter(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fleet) {
+		ctx, leave := context.WithTimeout(context.Background(), 4*tick)
+		defer leave()
+		first := f.send(ctx, 0, http.MethodPost, "/services/"+booking+"/x", "book", nil)
+		id := first.header.Get(gateway.HeaderRequestID)
+		a := arrival{body: "book", first: first, answer: first.body}
+		a.resume(f, 1)
+		if id == "" || len(first.body) == 0 || !a.whole || string(a.answer) != string(expected("book")) {
+			t.Fatalf("%d bytes at first, %d in all, whole %v", len(first.body), len(a.answer), a.whole)
+		}
+		if n := f.runs()["book"]; n != 1 {
+			t.Fatalf("booked %d times", n)
+		}
+	})
+}
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -61,7 +61,7 @@
 
 // Claim returns the request key that stands for a caller's own idempotency key:
 // the one under which it was used before, or a fresh one. When it can't be told
-// which, the request is not run; earlier attempts under the key may have.
+// which, this request is not run.
 func (r *Router) Claim(ctx context.Context, org *profile.Organisation, p *profile.Profile, session, own string) (wire.Key, error) {
 	if !r.claims.take(time.Now(), r.View().Routers) {
 		claims.Inc(claimNoBudget)
@@ -69,9 +69,7 @@
 	}
 	proposed, err := r.mint(ctx, org, p, session)
 	if err != nil {
-		e := verdict.From(err)
-		e.EarlierUnknown = true
-		return wire.Key{}, e
+		return wire.Key{}, err
 	}
 	ctx, done := context.WithTimeout(ctx, claimWait)
 	defer done()
@@ -84,9 +82,7 @@
 }
 
 func unclaimed(detail string) *verdict.Error {
-	e := verdict.New(verdict.NotRun, verdict.ReasonStoreDown, "%s", detail).Later(time.Second)
-	e.EarlierUnknown = true
-	return e
+	return verdict.New(verdict.NotRun, verdict.ReasonStoreDown, "%s", detail).Later(time.Second)
 }
 
 // claim creates the claim object or reads the one that is there. An unanswered
