sidecar: a copy of the configuration, and tests of the running process

Cause: routers that start while the store is down had nobody to ask, and a drain order reached a sidecar only as a notice. A finished answer that a router was still reading could be dropped to make room, which cut it.

Change: State steps a config.Follower (NewCopy), asks the connected routers, serves MethodConfigSince and takes the order to drain its own VM from there. Eviction passes over answers that are read.

Ruled out: keeping a second flag for forgotten answers; the offset of the first byte that is kept says it.

--- a/internal/sidecar/answer.go
+++ b/internal/sidecar/answer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -23,7 +24,6 @@
 	base    int64 // offset of the first byte that is kept
 	body    []byte
 	end     *Finish
-	gone    bool // forgotten to make room
 	unheld  bool // what does not fit is forgotten while nobody reads
 	readers map[*sender]bool
 	seq     uint64 // counts the changes of readers
@@ -122,7 +122,7 @@
 	defer a.mu.Unlock()
 	a.store.used.Add(int64(-len(a.body)))
 	a.base += int64(len(a.body))
-	a.body, a.gone = nil, true
+	a.body = nil
 	a.update()
 }
 
@@ -133,6 +133,13 @@
 	a.update()
 }
 
+// read reports whether a router reads the answer.
+func (a *answer) read() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.readers) > 0
+}
+
 func (a *answer) length() int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -144,7 +151,7 @@
 func (a *answer) join(r *sender, offset int64) (Readers, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.gone || offset < a.base {
+	if offset < a.base {
 		return Readers{}, false
 	}
 	a.readers[r] = true
@@ -182,7 +189,7 @@
 	defer a.mu.Unlock()
 	v := view{head: a.head, length: a.base + int64(len(a.body)), end: a.end, changed: a.changed}
 	switch {
-	case offset < a.base || (a.gone && offset < v.length):
+	case offset < a.base:
 		v.gone = true
 	case offset < v.length && limit > 0:
 		v.bytes = a.body[offset-a.base : min(v.length, offset+limit)-a.base]
@@ -258,18 +265,25 @@
 	return s.buffer.PerAnswer
 }
 
+// evict drops the answer that ended first among those that nobody reads, or
+// reports false.
 func (s *answers) evict() bool {
 	s.mu.Lock()
-	if len(s.ended) == 0 {
+	i := slices.IndexFunc(s.ended, func(n token.Nonce) bool {
+		a := s.byNonce[n]
+		return a == nil || !a.read()
+	})
+	if i < 0 {
 		s.mu.Unlock()
 		return false
 	}
-	oldest := s.ended[0]
-	s.ended = s.ended[1:]
+	n := s.ended[i]
+	s.ended = slices.Delete(s.ended, i, i+1)
+	known := s.byNonce[n] != nil
 	s.mu.Unlock()
-	if a := s.get(oldest); a != nil {
+	if known {
 		droppedAnswers.Inc()
 	}
-	s.drop(oldest)
+	s.drop(n)
 	return true
 }
--- a/internal/sidecar/conn.go
+++ b/internal/sidecar/conn.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"time"
 
+	"github.com/parsleyfront/parsleyfront/internal/config"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
 	"github.com/parsleyfront/parsleyfront/internal/wire"
@@ -12,9 +14,14 @@
 
 func (s *Sidecar) accept(c net.Conn) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	conn := wire.NewConn(s.ctx, c, s)
-	s.conns[conn] = make(map[wire.StreamID]*sender)
+	s.peers++
+	s.conns[conn] = &routerConn{
+		peer:    config.Peer(strconv.FormatUint(s.peers, 10)),
+		senders: make(map[wire.StreamID]*sender),
+	}
+	s.mu.Unlock()
+	s.peersChanged()
 	go func() {
 		<-conn.Done()
 		s.drop(conn)
@@ -23,11 +30,12 @@
 
 func (s *Sidecar) drop(conn *wire.Conn) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, sender := range s.conns[conn] {
+	for _, sender := range s.conns[conn].senders {
 		sender.stop()
 	}
 	delete(s.conns, conn)
+	s.mu.Unlock()
+	s.peersChanged()
 }
 
 // HandleCall implements wire.Handler.
@@ -53,6 +61,8 @@
 		return serve(params, func(p wire.Report) (any, error) {
 			return s.admission(ctx, func(t Ticket) Event { return Reported{Now: time.Now(), Ticket: t, Report: p} })
 		})
+	case wire.MethodConfigSince:
+		return serve(params, func(p wire.ConfigSince) (any, error) { return s.configSince(ctx, c, p) })
 	case wire.MethodImport:
 		return serve(params, func(p wire.Import) (any, error) { return s.takeImport(ctx, p) })
 	}
@@ -85,14 +95,20 @@
 func (s *Sidecar) sender(c *wire.Conn, id wire.StreamID) *sender {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.conns[c][id]
+	if r := s.conns[c]; r != nil {
+		return r.senders[id]
+	}
+	return nil
 }
 
 func (s *Sidecar) submit(ctx context.Context, c *wire.Conn, sub wire.Submit) (any, error) {
 	span := telemetry.Start(telemetry.HopSidecar, telemetry.Traceparent(sub.Trace))
 	defer span.End()
 	sub.Trace = string(span.Traceparent())
-	a, err := s.admission(ctx, func(t Ticket) Event { return Submitted{Now: time.Now(), Ticket: t, Submit: sub} })
+	from := s.peer(c)
+	a, err := s.admission(ctx, func(t Ticket) Event {
+		return Submitted{Now: time.Now(), Ticket: t, Peer: from, Submit: sub}
+	})
 	if err != nil || a.Error != nil {
 		return a, err
 	}
@@ -146,8 +162,8 @@
 func (s *Sidecar) enlist(c *wire.Conn, id wire.StreamID, out *sender) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if senders := s.conns[c]; senders != nil {
-		senders[id] = out
+	if r := s.conns[c]; r != nil {
+		r.senders[id] = out
 		return
 	}
 	out.stop() // the connection has ended
@@ -156,7 +172,9 @@
 func (s *Sidecar) delist(c *wire.Conn, id wire.StreamID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.conns[c], id)
+	if r := s.conns[c]; r != nil {
+		delete(r.senders, id)
+	}
 }
 
 func (s *Sidecar) status(ctx context.Context, p wire.StatusRequest) (any, error) {
--- a/internal/sidecar/event.go
+++ b/internal/sidecar/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/parsleyfront/parsleyfront/internal/config"
 	"github.com/parsleyfront/parsleyfront/internal/token"
 	"github.com/parsleyfront/parsleyfront/internal/upstream"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
@@ -19,6 +20,7 @@
 type Submitted struct {
 	Now    time.Time
 	Ticket Ticket
+	Peer   config.Peer // the router
 	Submit wire.Submit
 }
 
--- a/internal/sidecar/leave.go
+++ b/internal/sidecar/leave.go
@@ -41,17 +41,20 @@
 // noticed takes a notice. Operators' orders have versions, by which an order
 // that was overtaken is told; whatever arrives last must not win.
 func (s *State) noticed(e Noticed) []Effect {
-	n := e.Notice
-	switch {
-	case n.Version > s.leave.order.Version:
-		s.leave.order = n
-	case n.Version == 0 && n.Leaving:
+	s.order(e.Notice)
+	if e.Notice.Version == 0 && e.Notice.Leaving {
 		s.leave.listed = e.Now.Add(listedFor)
 		s.timers.add(s.leave.listed, token.Nonce{})
 	}
 	return s.reply(e.Now, e.Ticket, wire.Admission{})
 }
 
+func (s *State) order(n wire.Notice) {
+	if n.Version > s.leave.order.Version {
+		s.leave.order = n
+	}
+}
+
 func (s *State) stop(now time.Time) {
 	if s.leave.stopping {
 		return
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/parsleyfront/parsleyfront/internal/config"
+	"github.com/parsleyfront/parsleyfront/internal/config/follow"
 	"github.com/parsleyfront/parsleyfront/internal/loop"
 	"github.com/parsleyfront/parsleyfront/internal/platform"
 	"github.com/parsleyfront/parsleyfront/internal/token"
@@ -33,13 +35,23 @@
 	ctx     context.Context
 	exit    context.CancelFunc
 	tickets atomic.Uint64
+	follow  follow.Runner
 	timer   *time.Timer // posts Ticked; owned by the loop's goroutine
 	answers *answers
 
+	peering sync.Mutex
+
 	mu      sync.Mutex
 	waiting map[Ticket]chan Effect
 	calls   map[token.Nonce]context.CancelFunc
-	conns   map[*wire.Conn]map[wire.StreamID]*sender
+	conns   map[*wire.Conn]*routerConn
+	peers   uint64 // connections so far
+}
+
+// routerConn is a connection of a router with the answers that it reads.
+type routerConn struct {
+	peer    config.Peer
+	senders map[wire.StreamID]*sender
 }
 
 // New returns a Sidecar that works until its Serve returns.
@@ -49,13 +61,15 @@
 		answers: newAnswers(c.Buffer),
 		waiting: make(map[Ticket]chan Effect),
 		calls:   make(map[token.Nonce]context.CancelFunc),
-		conns:   make(map[*wire.Conn]map[wire.StreamID]*sender),
+		conns:   make(map[*wire.Conn]*routerConn),
 	}
 	s.ctx, s.exit = context.WithCancel(context.Background())
 	state := NewState(c.Settings)
 	s.loop = loop.New(state, s.act, func() { s.rearm(state.Wake()) })
 	s.timer = time.AfterFunc(0, s.tick) // the first probe is due at once
+	s.follow = follow.Runner{Ask: s.askConfig, Post: func(e config.Event) { s.loop.Post(Configured{Now: time.Now(), Event: e}) }}
 	go s.loop.Run(s.ctx)
+	go s.follow.Run(s.ctx)
 	return s
 }
 
@@ -111,6 +125,10 @@
 		s.deliver(e.Ticket, e)
 	case ReplyStatus:
 		s.deliver(e.Ticket, e)
+	case ReplyConfig:
+		s.deliver(e.Ticket, e)
+	case Follow:
+		s.follow.Do(s.ctx, e.Effect)
 	case Probe:
 		go s.probe()
 	case Export:
--- /dev/null
+++ b/internal/sidecar/sidecar_test.go
@@ -0,0 +1,261 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/admission"
+	"github.com/parsleyfront/parsleyfront/internal/token"
+	"github.com/parsleyfront/parsleyfront/internal/upstream"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
+)
+
+// fakeUpstream answers each call with what the test writes to body.
+type fakeUpstream struct {
+	body  *io.PipeReader
+	calls int
+}
+
+func (u *fakeUpstream) Do(ctx context.Context, _ upstream.Request) (*upstream.Response, error) {
+	u.calls++
+	if u.body == nil { // frozen
+		<-ctx.Done()
+		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonDeadline, "%s", ctx.Err())
+	}
+	context.AfterFunc(ctx, func() { _ = u.body.CloseWithError(ctx.Err()) })
+	return &upstream.Response{Status: http.StatusOK, Body: u.body}, nil
+}
+
+func (u *fakeUpstream) Probe(context.Context) upstream.Health { return upstream.Health{} }
+func (u *fakeUpstream) Export(context.Context, uint64) ([]byte, error) {
+	return nil, upstream.ErrNotCached
+}
+func (u *fakeUpstream) Import(context.Context, uint64, []byte) error { return nil }
+
+// pipes is a listener whose connections stay within the process.
+type pipes struct {
+	conns chan net.Conn
+	done  chan struct{}
+}
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.conns:
+		return c, nil
+	case <-p.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p *pipes) Close() error {
+	close(p.done)
+	return nil
+}
+
+func (p *pipes) Addr() net.Addr { return nil }
+
+func (p *pipes) dial(context.Context) (net.Conn, error) {
+	near, far := net.Pipe()
+	select {
+	case p.conns <- far:
+		return near, nil
+	case <-p.done:
+		return nil, errors.New("the sidecar has gone")
+	}
+}
+
+// bench is a sidecar with a router's connection to it.
+type bench struct {
+	t      *testing.T
+	up     *fakeUpstream
+	feed   *io.PipeWriter // of the upstream's answer
+	pipes  *pipes
+	peer   *wire.Peer
+	stop   context.CancelFunc
+	served chan error
+	ctx    context.Context // of the test
+}
+
+// tooLong bounds a test that waits for what does not come. The sidecar's own
+// timers go on, so it would not show as a deadlock.
+const tooLong = time.Hour
+
+var errTooLong = errors.New("waited too long")
+
+func newBench(t *testing.T, frozen bool) *bench {
+	b := &bench{t: t, up: &fakeUpstream{}, pipes: &pipes{conns: make(chan net.Conn), done: make(chan struct{})}, served: make(chan error, 1)}
+	if !frozen {
+		b.up.body, b.feed = io.Pipe()
+		time.AfterFunc(tooLong, func() { _ = b.feed.CloseWithError(errTooLong) })
+	}
+	s := New(Config{
+		Settings: Settings{
+			VM: "vm", Incarnation: 1, Keys: 100, Admission: admission.Config{Slots: 4, MaxWaiting: 4},
+			DetachGrace: 10 * time.Second, KeepAnswer: 30 * time.Second, StopWithin: tooLong,
+		},
+		Buffer:   Buffer{PerAnswer: 64 << 10, Total: 1 << 20},
+		Upstream: b.up,
+	})
+	var done context.CancelFunc
+	b.ctx, done = context.WithTimeoutCause(context.Background(), tooLong, errTooLong)
+	t.Cleanup(done)
+	var ctx context.Context
+	ctx, b.stop = context.WithCancel(context.Background())
+	go func() { b.served <- s.Serve(ctx, b.pipes) }()
+	b.peer = wire.NewPeer(wire.PeerConfig{Dial: b.pipes.dial})
+	return b
+}
+
+func testSubmit(n byte, t wire.Treatment) wire.Submit {
+	key := wire.Key{VM: "vm", Incarnation: 1, Nonce: token.Nonce{n}, Expires: time.Now().Add(time.Hour).Unix()}
+	return wire.Submit{Key: key, Org: "club", Treatment: t, Window: 16 << 10}
+}
+
+// next reads a stream up to n bytes or its end.
+func (b *bench) next(s *wire.Stream, n int) (got []byte, end *wire.End) {
+	b.t.Helper()
+	for len(got) < n {
+		p, err := s.Next(b.ctx)
+		if err != nil {
+			b.t.Fatalf("after %d bytes: %s", len(got), err)
+		}
+		if p.End != nil {
+			return got, p.End
+		}
+		got = append(got, p.Bytes...)
+	}
+	return got, nil
+}
+
+// A login check goes to a service that has frozen: it accepts the call and says
+// nothing. The guest must hear at the deadline that it may have run, and the
+// call must not hold the service's slot any longer.
+func TestFrozenServiceHoldsNoCallPastItsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, true)
+		began := time.Now()
+		s, _, err := b.peer.Submit(b.ctx, testSubmit(1, wire.Treatment{Deadline: 3 * time.Second}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, end := b.next(s, 1)
+		if end == nil || end.Error == nil || end.Error.Verdict != verdict.MayHaveRun || end.Error.Reason != verdict.ReasonDeadline {
+			t.Errorf("end: %+v", end)
+		}
+		if took := time.Since(began); took != 3*time.Second {
+			t.Errorf("held for %s", took)
+		}
+		if end != nil && end.Control.Running != 0 {
+			t.Errorf("%d calls are still under way", end.Control.Running)
+		}
+		b.finish()
+	})
+}
+
+// finish stops the sidecar, which must end by itself.
+func (b *bench) finish() {
+	b.t.Helper()
+	b.stop()
+	if err := <-b.served; err != nil {
+		b.t.Errorf("serve: %s", err)
+	}
+	b.peer.Close()
+}
+
+// A coach reads a breakdown when its router is killed, and resumes through
+// another router from where the first had got. The sidecar is told to stop in
+// the middle: it takes no new work, lets the coach read to the end, and goes.
+func TestPlannedStopCutsNoAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, false)
+		ctx := b.ctx
+		sub := testSubmit(1, wire.Treatment{})
+		first, _, err := b.peer.Submit(ctx, sub)
+		if err != nil {
+			t.Fatal(err)
+		}
+		whole := bytes.Repeat([]byte("0123456789abcdef"), 20<<10/16)
+		written := make(chan struct{})
+		go func() {
+			defer close(written)
+			_, _ = b.feed.Write(whole[:10<<10])
+			time.Sleep(5 * time.Second)
+			_, _ = b.feed.Write(whole[10<<10:])
+			_ = b.feed.Close()
+		}()
+		head, _ := b.next(first, 10<<10)
+		b.peer.Close() // the router is killed
+		b.stop()
+		time.Sleep(time.Second)
+
+		other := wire.NewPeer(wire.PeerConfig{Dial: b.pipes.dial})
+		_, _, err = other.Submit(ctx, testSubmit(2, wire.Treatment{}))
+		if e := verdict.From(err); e == nil || e.Verdict != verdict.NotRun || e.Reason != verdict.ReasonDraining {
+			t.Errorf("new work while stopping: %v", err)
+		}
+		second, _, err := other.Attach(ctx, wire.Attach{Key: sub.Key, Org: "club", Offset: int64(len(head)), Window: 4 << 10})
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(30 * time.Second) // the coach is away for longer than the grace
+		rest, end := b.next(second, len(whole))
+		if !bytes.Equal(append(head, rest...), whole) || end == nil || end.Error != nil {
+			t.Errorf("%d and %d bytes of %d, end %+v", len(head), len(rest), len(whole), end)
+		}
+		<-written
+		if err := <-b.served; err != nil {
+			t.Errorf("serve: %s", err)
+		}
+		if b.up.calls != 1 {
+			t.Errorf("%d calls of the upstream", b.up.calls)
+		}
+		other.Close()
+	})
+}
+
+// A guest's phone drops off while an answer runs that is longer than the
+// buffer. A search, which may be repeated, is given up after the grace; a
+// payment is not: it goes on to its end and the guest can ask what became of it.
+func TestOnlyWhatMayBeRepeatedIsGivenUp(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBench(t, false)
+			sub := testSubmit(1, wire.Treatment{Idempotent: idempotent})
+			s, _, err := b.peer.Submit(b.ctx, sub)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.Close()
+			_, err = b.feed.Write(make([]byte, 200<<10))
+			_ = b.feed.Close()
+			if gaveUp := err != nil; gaveUp != idempotent {
+				t.Errorf("idempotent %v: given up %v", idempotent, gaveUp)
+			}
+			time.Sleep(time.Second)
+			var status wire.Status
+			if err := b.peer.Call(b.ctx, wire.MethodStatus, wire.StatusRequest{Key: sub.Key, Org: "club"}, &status); err != nil {
+				t.Fatal(err)
+			}
+			if status.State != wire.StateDone || status.Verdict != verdict.Ran {
+				t.Errorf("status: %+v", status)
+			}
+			_, _, err = b.peer.Attach(b.ctx, wire.Attach{Key: sub.Key, Org: "club", Window: 1})
+			if e := verdict.From(err); !idempotent && (e == nil || e.Reason != verdict.ReasonAnswerGone) {
+				t.Errorf("the beginning of an answer that did not fit: %v", err)
+			}
+			_, _, err = b.peer.Attach(b.ctx, wire.Attach{Key: sub.Key, Org: "other", Window: 1})
+			if e := verdict.From(err); e == nil || e.Reason != verdict.ReasonBadKey {
+				t.Errorf("another organisation: %v", err)
+			}
+			b.finish()
+		})
+	}
+}
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/admission"
+	"github.com/parsleyfront/parsleyfront/internal/config"
 	"github.com/parsleyfront/parsleyfront/internal/idempotency"
 	"github.com/parsleyfront/parsleyfront/internal/load"
 	"github.com/parsleyfront/parsleyfront/internal/quarantine"
@@ -46,6 +47,7 @@
 	queue    *admission.Queue
 	loads    *load.Table
 	book     *quarantine.Book
+	config   *config.Follower // a copy, for routers
 	requests map[token.Nonce]*request
 	arrived  uint64 // requests admitted so far
 	timers   timers
@@ -102,6 +104,7 @@
 		queue:    admission.NewQueue(c.Admission),
 		loads:    load.NewTable(),
 		book:     quarantine.New(c.VM, c.Incarnation),
+		config:   config.NewCopy(c.Incarnation),
 		requests: make(map[token.Nonce]*request),
 	}
 }
@@ -139,6 +142,10 @@
 		return s.reported(e)
 	case Exported:
 		s.leave.exported = true
+	case Configured:
+		return s.configured(e)
+	case ConfigAsked:
+		return s.configAsked(e)
 	case Stopping:
 		s.stop(e.Now)
 	}
@@ -147,9 +154,11 @@
 
 // hear takes in what came on the back of a message. Malformed parts are
 // dropped: they are hints.
-func (s *State) hear(now time.Time, c wire.Control) {
+func (s *State) hear(now time.Time, from config.Peer, c wire.Control) []Effect {
 	_ = s.loads.Merge(now, c.Samples)
 	_ = s.book.Merge(now, c.Suspects)
+	mark := config.Mark{Version: c.Config}
+	return s.configured(Configured{Now: now, Event: config.Heard{Now: now, Peer: from, Mark: mark}})
 }
 
 func (s *State) reported(e Reported) []Effect {
@@ -184,6 +193,7 @@
 		Down:     s.probe.down,
 		Samples:  s.loads.Pack(now, samplesTold),
 		Suspects: s.book.Gossip(now, suspectsTold),
+		Config:   s.config.Set().Version(),
 	}
 }
 
--- a/internal/sidecar/state_test.go
+++ b/internal/sidecar/state_test.go
@@ -345,7 +345,7 @@
 	f.tickets++
 	r := &f.routers[rapid.IntRange(0, len(f.routers)-1).Draw(t, "router")]
 	sub.Control = wire.Control{Samples: r.loads.Pack(f.now, 8), Suspects: r.suspects}
-	n.state.hear(f.now, sub.Control)
+	n.state.hear(f.now, "", sub.Control)
 	before, bound := n.state.load(), n.state.bound(f.now, sub.Treatment.LoadMultiple)
 	a := f.step(t, n, Submitted{Now: f.now, Ticket: f.tickets, Submit: sub})
 	if a == nil {
--- a/internal/sidecar/submit.go
+++ b/internal/sidecar/submit.go
@@ -31,9 +31,12 @@
 	return r
 }
 
-// submitted decides on an attempt: what is known of its key goes first.
 func (s *State) submitted(e Submitted) []Effect {
-	s.hear(e.Now, e.Submit.Control)
+	return append(s.hear(e.Now, e.Peer, e.Submit.Control), s.decide(e)...)
+}
+
+// decide decides on an attempt: what is known of its key goes first.
+func (s *State) decide(e Submitted) []Effect {
 	a := idempotency.Attempt{
 		Key:         e.Submit.Key,
 		Org:         e.Submit.Org,
