ctl, admin: many objects at once, within the platform's rate and few bytes

Cause: an apply of a whole deployment broke off in the middle when the platform refused a write at its rate limit; each object was read alone, twice; the wait named every object to every router, which for 14,000 objects and 330 routers would be some 300 MB. Change: refused calls are made again for about six seconds, which is safe since a refused call has had no effect. Objects are read once, by listing where there are more than 20 of a kind. More than 20 objects are waited for by their newest version; routers then name what they reject. Conclusion: both examples, 34 objects, are applied and waited for at 10 writes a second.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -31,6 +31,11 @@
 	Status(brief bool) Status
 	// InForce says how far the router follows an object.
 	InForce(ref platform.Ref) InForce
+	// Complete is the version of the store up to which the router has taken every
+	// change, or rejected it as invalid.
+	Complete() platform.Version
+	// Rejected names the objects of which a version is held to be invalid.
+	Rejected() []platform.Ref
 	// Changed is closed when the configuration in force changes next.
 	Changed() <-chan struct{}
 	// Refresh hints that the store has news, and returns at once. A watch that
@@ -154,7 +159,10 @@
 
 // WaitRequest asks whether objects are in force.
 type WaitRequest struct {
-	Objects []ObjectVersion `json:"objects"`
+	Objects []ObjectVersion `json:"objects,omitempty"`
+	// Complete is a version of the store up to which every change is to be in
+	// force. It stands for a long list of objects.
+	Complete platform.Version `json:"complete,omitempty"`
 	// WaitMillis is how long the answer may take while some are not, at most
 	// maxWait.
 	WaitMillis int `json:"wait_ms"`
@@ -164,9 +172,13 @@
 type WaitReply struct {
 	VM     string   `json:"vm"`
 	Behind []Behind `json:"behind,omitempty"`
+	// Rejected are the objects that the router holds to be invalid, in answer to
+	// a request with Complete.
+	Rejected []platform.Ref `json:"rejected,omitempty"`
 }
 
-// Behind is an object that is not in force.
+// Behind is an object that is not in force; one without a kind stands for all
+// changes up to the version.
 type Behind struct {
 	ObjectVersion
 	InForce InForce `json:"in_force"`
@@ -194,9 +206,8 @@
 
 // RouterWait is one router's WaitReply, or why there is none.
 type RouterWait struct {
-	VM     string   `json:"vm"`
-	Behind []Behind `json:"behind,omitempty"`
-	Error  string   `json:"error,omitempty"`
+	WaitReply
+	Error string `json:"error,omitempty"`
 }
 
 // Pending returns the routers at which not all is in force, or of which it is
@@ -204,37 +215,46 @@
 func (w FleetWait) Pending() []RouterWait {
 	var out []RouterWait
 	for _, r := range w.Routers {
-		if r.pending() {
+		if r.Pending() {
 			out = append(out, r)
 		}
 	}
 	return out
 }
 
-func (r RouterWait) pending() bool {
+// Pending reports whether not all is in force at the router, or not known.
+func (r RouterWait) Pending() bool {
 	return r.Error != "" || len(r.Behind) > 0
 }
 
-// behind returns those of objects that are not in force at n.
-func behind(n Node, objects []ObjectVersion) []Behind {
-	var out []Behind
-	for _, o := range objects {
+// reply says what of r is not in force at n now.
+func (r WaitRequest) reply(vm string, n Node) WaitReply {
+	out := WaitReply{VM: vm}
+	for _, o := range r.Objects {
 		if in := n.InForce(o.Ref); in.Version < o.Version {
-			out = append(out, Behind{ObjectVersion: o, InForce: in})
+			out.Behind = append(out.Behind, Behind{ObjectVersion: o, InForce: in})
 		}
 	}
+	if r.Complete == 0 {
+		return out
+	}
+	if complete := n.Complete(); complete < r.Complete {
+		all := ObjectVersion{Version: r.Complete}
+		out.Behind = append(out.Behind, Behind{ObjectVersion: all, InForce: InForce{Version: complete}})
+	}
+	out.Rejected = n.Rejected()
 	return out
 }
 
 // await returns what is not in force at n, as soon as that is nothing or when
 // ctx ends.
-func await(ctx context.Context, n Node, objects []ObjectVersion) []Behind {
+func (r WaitRequest) await(ctx context.Context, vm string, n Node) WaitReply {
 	hinted := false
 	for {
 		changed := n.Changed()
-		late := behind(n, objects)
-		if len(late) == 0 {
-			return nil
+		reply := r.reply(vm, n)
+		if len(reply.Behind) == 0 {
+			return reply
 		}
 		if !hinted {
 			hinted = true
@@ -243,7 +263,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return late
+			return reply
 		}
 	}
 }
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -31,6 +31,9 @@
 func (n *fakeNode) Explain(Query) (Explanation, error) { return Explanation{}, nil }
 func (n *fakeNode) VMs() []platform.VM                 { return n.vms }
 
+func (n *fakeNode) Complete() platform.Version { return n.InForce(chat).Version }
+func (n *fakeNode) Rejected() []platform.Ref   { return nil }
+
 func (n *fakeNode) InForce(platform.Ref) InForce {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -140,20 +143,21 @@
 		platform.VM{ID: "hanging", Role: platform.RoleRouter, AdminAddr: hanging.Addr().String()},
 		platform.VM{ID: "unlisted", Role: platform.RoleRouter},
 		platform.VM{ID: "engine", Role: platform.RoleUpstream})
-	wait, err := client.FleetWait(context.Background(), WaitRequest{
-		Objects:    []ObjectVersion{{Ref: chat, Version: 5}},
-		WaitMillis: 700,
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	var got []string
-	for _, r := range wait.Pending() {
-		got = append(got, fmt.Sprintf("%s behind=%d error=%t", r.VM, len(r.Behind), r.Error != ""))
-	}
-	want := "router-002 behind=1 error=false, stopped behind=0 error=true, hanging behind=0 error=true, unlisted behind=0 error=true"
-	if strings.Join(got, ", ") != want || len(wait.Routers) != 7 {
-		t.Errorf("of %d routers, pending are %s, want %s", len(wait.Routers), strings.Join(got, ", "), want)
+	for _, req := range []WaitRequest{{Objects: []ObjectVersion{{Ref: chat, Version: 5}}}, {Complete: 5}} {
+		silent.version = 4
+		req.WaitMillis = 700
+		wait, err := client.FleetWait(context.Background(), req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got []string
+		for _, r := range wait.Pending() {
+			got = append(got, fmt.Sprintf("%s behind=%d error=%t", r.VM, len(r.Behind), r.Error != ""))
+		}
+		want := "router-002 behind=1 error=false, stopped behind=0 error=true, hanging behind=0 error=true, unlisted behind=0 error=true"
+		if strings.Join(got, ", ") != want || len(wait.Routers) != 7 {
+			t.Errorf("of %d routers, pending are %s, want %s", len(wait.Routers), strings.Join(got, ", "), want)
+		}
 	}
 }
 
--- a/internal/admin/fleet.go
+++ b/internal/admin/fleet.go
@@ -77,57 +77,55 @@
 	return answers
 }
 
-// awaitAll asks every router until objects are in force at all of them or ctx
-// ends. After the first round it asks only those that were behind. A router
+// awaitAll asks every router until what req names is in force at all of them or
+// ctx ends. After the first round it asks only those that were behind. A router
 // that leaves the list of VMs is no longer waited for.
-func (s *Server) awaitAll(ctx context.Context, objects []ObjectVersion) []RouterWait {
-	done := make(map[string]bool)
+func (s *Server) awaitAll(ctx context.Context, req WaitRequest) []RouterWait {
+	req.WaitMillis = int(roundWait.Milliseconds())
+	done := make(map[string]RouterWait)
 	for {
 		peers := s.routers(s.config.Node.VMs())
-		pending := slices.DeleteFunc(slices.Clone(peers), func(p peer) bool { return done[p.vm.ID] })
-		answers := askAll(s, pending, func(p peer) RouterWait { return s.askWait(ctx, p, objects) })
+		pending := slices.DeleteFunc(slices.Clone(peers), func(p peer) bool {
+			last, asked := done[p.vm.ID]
+			return asked && !last.Pending()
+		})
+		answers := askAll(s, pending, func(p peer) RouterWait { return s.askWait(ctx, p, req) })
 		for _, a := range answers {
-			done[a.VM] = a.Error == "" && len(a.Behind) == 0
+			done[a.VM] = a
 		}
-		if whole := !slices.ContainsFunc(answers, RouterWait.pending); whole || !pause(ctx, roundPause) {
-			return report(peers, answers)
+		if whole := !slices.ContainsFunc(answers, RouterWait.Pending); whole || !pause(ctx, roundPause) {
+			return inOrder(peers, done)
 		}
 	}
 }
 
-// report returns the answer of each router. Those without one in the last round
-// had all in force before.
-func report(peers []peer, answers []RouterWait) []RouterWait {
-	late := make(map[string]RouterWait, len(answers))
-	for _, a := range answers {
-		late[a.VM] = a
-	}
+// inOrder returns each router's last answer.
+func inOrder(peers []peer, answers map[string]RouterWait) []RouterWait {
 	out := make([]RouterWait, len(peers))
 	for i, p := range peers {
-		out[i] = late[p.vm.ID]
-		out[i].VM = p.vm.ID
+		out[i] = answers[p.vm.ID]
 	}
 	return out
 }
 
 // askWait asks one router. The wait is that of a round, so that a router that
 // is far behind does not hold a slot that another one needs.
-func (s *Server) askWait(ctx context.Context, p peer, objects []ObjectVersion) RouterWait {
+func (s *Server) askWait(ctx context.Context, p peer, req WaitRequest) RouterWait {
 	if p.self {
 		ctx, cancel := context.WithTimeout(ctx, roundWait)
 		defer cancel()
-		return RouterWait{VM: p.vm.ID, Behind: await(ctx, s.config.Node, objects)}
+		return RouterWait{WaitReply: req.await(ctx, p.vm.ID, s.config.Node)}
 	}
 	// The answer may come after the whole wait has ended: what is known late is
 	// better than a router that is named although it is up to date.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), roundWait+s.peerTimeout)
 	defer cancel()
-	var reply WaitReply
-	req := WaitRequest{Objects: objects, WaitMillis: int(roundWait.Milliseconds())}
-	if err := s.peerClient(p).post(ctx, PathWait, req, &reply); err != nil {
-		return RouterWait{VM: p.vm.ID, Error: err.Error()}
+	var reply RouterWait
+	if err := s.peerClient(p).post(ctx, PathWait, req, &reply.WaitReply); err != nil {
+		reply = RouterWait{Error: err.Error()}
 	}
-	return RouterWait{VM: p.vm.ID, Behind: reply.Behind}
+	reply.VM = p.vm.ID
+	return reply
 }
 
 func pause(ctx context.Context, d time.Duration) bool {
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -106,7 +106,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), waitTime(req))
 	defer cancel()
-	writeJSON(w, WaitReply{VM: s.config.VM, Behind: await(ctx, s.config.Node, req.Objects)})
+	writeJSON(w, req.await(ctx, s.config.VM, s.config.Node))
 }
 
 func waitTime(r WaitRequest) time.Duration {
@@ -155,7 +155,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), waitTime(req))
 	defer cancel()
-	writeJSON(w, FleetWait{VM: s.config.VM, Routers: s.awaitAll(ctx, req.Objects)})
+	writeJSON(w, FleetWait{VM: s.config.VM, Routers: s.awaitAll(ctx, req)})
 }
 
 // problem is the body of an answer that is an error.
--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -64,16 +64,16 @@
 	if len(problems) > 0 {
 		return nil, problems
 	}
-	stored, err := a.neighbours(ctx, docs)
-	if err != nil {
+	store := a.newSnapshot()
+	if err := store.expect(ctx, docs); err != nil {
 		return nil, err
 	}
-	if problems := profile.CheckReferences(docs, stored); len(problems) > 0 {
-		return nil, problems
+	if err := store.checkReferences(ctx, docs); err != nil {
+		return nil, err
 	}
 	edits := make([]edit, len(docs))
 	for i, d := range docs {
-		base, err := a.editor.Read(ctx, d.Object.Ref())
+		base, err := store.read(ctx, d.Object.Ref())
 		if err != nil {
 			return nil, err
 		}
--- a/internal/ctl/bench_test.go
+++ b/internal/ctl/bench_test.go
@@ -23,6 +23,8 @@
 
 func (promptNode) Status(bool) admin.Status                             { return admin.Status{} }
 func (promptNode) Changed() <-chan struct{}                             { return nil }
+func (promptNode) Complete() platform.Version                           { return 1 << 60 }
+func (promptNode) Rejected() []platform.Ref                             { return nil }
 func (promptNode) Refresh()                                             {}
 func (n promptNode) VMs() []platform.VM                                 { return n.vms() }
 func (promptNode) InForce(platform.Ref) admin.InForce                   { return admin.InForce{Version: 1 << 60} }
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -131,7 +131,7 @@
 		}
 		a.http.TLS(client.Config)
 	}
-	a.editor = change.NewEditor(a.http)
+	a.editor = change.NewEditor(patientStore{a.http})
 	return nil
 }
 
--- a/internal/ctl/get.go
+++ b/internal/ctl/get.go
@@ -141,19 +141,11 @@
 }
 
 func (a *app) checkFormer(ctx context.Context, ref platform.Ref, former config.Revision) error {
-	former1, err := profile.Decode(ref, former.Spec)
+	o, err := profile.Decode(ref, former.Spec)
 	if err != nil {
 		return err
 	}
-	docs := []profile.Document{{Object: former1}}
-	stored, err := a.neighbours(ctx, docs)
-	if err != nil {
-		return err
-	}
-	if problems := profile.CheckReferences(docs, stored); len(problems) > 0 {
-		return problems
-	}
-	return nil
+	return a.newSnapshot().checkReferences(ctx, []profile.Document{{Object: o}})
 }
 
 // pick returns the revision with an id, or the last one before the present one
--- /dev/null
+++ b/internal/ctl/neighbours.go
@@ -0,0 +1,148 @@
+package ctl
+
+import (
+	"context"
+
+	"github.com/parsleyfront/parsleyfront/internal/config/change"
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/profile"
+)
+
+// listOver is how many objects of a kind are read one by one. For more a
+// listing, of some hundred objects a page, costs fewer calls.
+const listOver = 20
+
+// snapshot is objects as the store had them, each read once.
+type snapshot struct {
+	app     *app
+	objects map[platform.Ref]change.Current
+	listed  map[platform.Kind]bool
+}
+
+func (a *app) newSnapshot() *snapshot {
+	return &snapshot{app: a, objects: make(map[platform.Ref]change.Current), listed: make(map[platform.Kind]bool)}
+}
+
+// expect lists the kinds of which very many objects will be read.
+func (s *snapshot) expect(ctx context.Context, docs []profile.Document) error {
+	count := make(map[platform.Kind]int)
+	for _, d := range docs {
+		kind := d.Object.Ref().Kind
+		if count[kind]++; count[kind] == listOver+1 {
+			if err := s.list(ctx, kind); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// read returns an object; one that does not exist is no error.
+func (s *snapshot) read(ctx context.Context, ref platform.Ref) (change.Current, error) {
+	if now, ok := s.objects[ref]; ok {
+		return now, nil
+	}
+	// A listing leaves out deleted objects, whose versions are needed.
+	now, err := s.app.editor.Read(ctx, ref)
+	if err == nil {
+		s.objects[ref] = now
+	}
+	return now, err
+}
+
+// list reads all objects of a kind. What has been read before stays.
+func (s *snapshot) list(ctx context.Context, kind platform.Kind) error {
+	if s.listed[kind] {
+		return nil
+	}
+	all, err := s.app.editor.List(ctx, kind)
+	if err != nil {
+		return err
+	}
+	s.listed[kind] = true
+	for _, o := range all {
+		if _, known := s.objects[o.Ref]; !known {
+			s.objects[o.Ref] = o
+		}
+	}
+	return nil
+}
+
+// around reads what a check of docs needs of the store: the objects that docs
+// refer to, and those that could be broken by docs. A store holds very many
+// organisations, and most changes concern few.
+func (s *snapshot) around(ctx context.Context, docs []profile.Document) error {
+	for _, d := range docs {
+		var err error
+		switch o := d.Object.(type) {
+		case *profile.Profile:
+			_, err = s.read(ctx, platform.Ref{Kind: platform.KindPool, Name: o.Pool})
+		case *profile.Pool:
+			err = s.list(ctx, platform.KindProfile)
+		case *profile.Organisation:
+			err = s.aroundOrganisation(ctx, o)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *snapshot) aroundOrganisation(ctx context.Context, o *profile.Organisation) error {
+	for _, name := range o.Profiles {
+		if _, err := s.read(ctx, platform.Ref{Kind: platform.KindProfile, Name: name}); err != nil {
+			return err
+		}
+	}
+	now, err := s.read(ctx, o.Ref())
+	if err != nil || !hasNewKey(o, now) {
+		return err
+	}
+	// Only a new key can be another organisation's.
+	return s.list(ctx, platform.KindOrganisation)
+}
+
+// hasNewKey reports whether o has a key that the stored object has not.
+func hasNewKey(o *profile.Organisation, now change.Current) bool {
+	known := make(map[string]bool)
+	if stored, err := profile.Decode(now.Ref, now.Revision.Spec); err == nil {
+		for _, k := range stored.(*profile.Organisation).Keys {
+			known[k.SHA256] = true
+		}
+	}
+	for _, k := range o.Keys {
+		if !known[k.SHA256] {
+			return true
+		}
+	}
+	return false
+}
+
+// set returns the objects that exist and are valid. Routers refuse the others.
+func (s *snapshot) set() profile.Set {
+	set := make(profile.Set, len(s.objects))
+	for ref, now := range s.objects {
+		if !now.Exists() {
+			continue
+		}
+		o, err := profile.Decode(ref, now.Revision.Spec)
+		if err != nil {
+			s.app.note("warning: the stored %s is invalid: %s", ref, err)
+			continue
+		}
+		set[ref] = o
+	}
+	return set
+}
+
+// checkReferences checks docs together with the store.
+func (s *snapshot) checkReferences(ctx context.Context, docs []profile.Document) error {
+	if err := s.around(ctx, docs); err != nil {
+		return err
+	}
+	if problems := profile.CheckReferences(docs, s.set()); len(problems) > 0 {
+		return problems
+	}
+	return nil
+}
--- a/internal/ctl/wait.go
+++ b/internal/ctl/wait.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -45,7 +46,14 @@
 		return fmt.Sprintf("%s did not answer: %s", p.VM, p.Error)
 	}
 	var parts []string
+	for _, ref := range p.Rejected {
+		parts = append(parts, fmt.Sprintf("%s rejected as invalid", ref))
+	}
 	for _, b := range p.Behind {
+		if b.Kind == "" {
+			parts = append(parts, fmt.Sprintf("the changes up to version %d, not %d", b.InForce.Version, b.Version))
+			continue
+		}
 		part := fmt.Sprintf("%s at version %d, not %d", b.Ref, b.InForce.Version, b.Version)
 		if b.InForce.Problem != "" {
 			part += ", because it is invalid there: " + b.InForce.Problem
@@ -61,10 +69,10 @@
 	defer cancel()
 	began := time.Now()
 	var r inForce
-	wanted, err := a.versions(ctx, objects)
+	what, err := a.wanted(ctx, objects)
 	for err == nil {
 		var round inForce
-		round, err = a.awaitRound(ctx, wanted)
+		round, err = a.awaitRound(ctx, what)
 		if err == nil || r.Routers == 0 {
 			// A round that is cut off at the end says less than the one before.
 			r = round
@@ -90,39 +98,66 @@
 		"the change is accepted but not known to be in force everywhere after %s: %s", timeout, reason)
 }
 
-// versions returns what to wait for. An object that was changed again before
-// its version could be read is waited for at its present version.
-func (a *app) versions(ctx context.Context, objects []applied) ([]admin.ObjectVersion, error) {
-	var wanted []admin.ObjectVersion
+// wanted is what to wait for.
+type wanted struct {
+	request admin.WaitRequest
+	refs    []platform.Ref
+}
+
+// wanted returns what to wait for. An object that was changed again before its
+// version could be read is waited for at its present version. Many objects are
+// waited for by their newest version, because each router is told the list.
+func (a *app) wanted(ctx context.Context, objects []applied) (wanted, error) {
+	var w wanted
+	newest := platform.Version(0)
 	for _, o := range objects {
 		version := o.Version
 		if version == 0 && o.State != stateUnchanged {
 			now, err := a.editor.Read(ctx, o.Ref)
 			if err != nil {
-				return nil, err
+				return w, err
 			}
 			version = now.Version
 		}
-		wanted = append(wanted, admin.ObjectVersion{Ref: o.Ref, Version: version})
+		newest = max(newest, version)
+		w.refs = append(w.refs, o.Ref)
+		w.request.Objects = append(w.request.Objects, admin.ObjectVersion{Ref: o.Ref, Version: version})
+	}
+	if len(objects) > listOver {
+		w.request = admin.WaitRequest{Complete: newest}
+	}
+	return w, nil
+}
+
+// pending returns the routers at which not all is in force. Of the objects that
+// a router rejects only those that are waited for count.
+func (w wanted) pending(f admin.FleetWait) []admin.RouterWait {
+	var out []admin.RouterWait
+	for _, r := range f.Routers {
+		r.Rejected = slices.DeleteFunc(r.Rejected, func(ref platform.Ref) bool { return !slices.Contains(w.refs, ref) })
+		if r.Pending() || len(r.Rejected) > 0 {
+			out = append(out, r)
+		}
 	}
-	return wanted, nil
+	return out
 }
 
 // awaitRound asks one router for all. A router that the list of VMs shows here
 // but not there is pending too: lists lag, and differ while they do.
-func (a *app) awaitRound(ctx context.Context, wanted []admin.ObjectVersion) (inForce, error) {
+func (a *app) awaitRound(ctx context.Context, w wanted) (inForce, error) {
 	listed, err := a.routers(ctx)
 	if err != nil {
 		return inForce{}, err
 	}
-	req := admin.WaitRequest{Objects: wanted, WaitMillis: int(roundTime(ctx).Milliseconds())}
+	req := w.request
+	req.WaitMillis = int(roundTime(ctx).Milliseconds())
 	wait, err := askAny(ctx, a, listed, func(ctx context.Context, c *admin.Client) (admin.FleetWait, error) {
 		return c.FleetWait(ctx, req)
 	})
 	if err != nil {
 		return inForce{Routers: len(listed), Pending: unasked(listed, nil)}, err
 	}
-	pending := append(wait.Pending(), unasked(listed, wait.Routers)...)
+	pending := append(w.pending(wait), unasked(listed, wait.Routers)...)
 	total := len(wait.Routers) + len(unasked(listed, wait.Routers))
 	return inForce{Everywhere: len(pending) == 0, Routers: total, Pending: pending}, nil
 }
@@ -146,7 +181,7 @@
 	var out []admin.RouterWait
 	for _, vm := range listed {
 		if vm.ID != "" && !known[vm.ID] {
-			out = append(out, admin.RouterWait{VM: vm.ID, Error: "was not asked"})
+			out = append(out, admin.RouterWait{WaitReply: admin.WaitReply{VM: vm.ID}, Error: "was not asked"})
 		}
 	}
 	return out
--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -63,6 +63,18 @@
 // InForce implements admin.Node.
 func (o *Operators) InForce(ref platform.Ref) admin.InForce { return o.router.ledger.inForce(ref) }
 
+// Complete implements admin.Node.
+func (o *Operators) Complete() platform.Version { return o.router.ledger.completeTo() }
+
+// Rejected implements admin.Node.
+func (o *Operators) Rejected() []platform.Ref {
+	var refs []platform.Ref
+	for _, p := range o.router.ledger.status().Rejected {
+		refs = append(refs, p.Ref)
+	}
+	return refs
+}
+
 // Changed implements admin.Node.
 func (o *Operators) Changed() <-chan struct{} { return o.router.ledger.next() }
 
--- a/internal/router/ledger.go
+++ b/internal/router/ledger.go
@@ -88,6 +88,12 @@
 	return in
 }
 
+func (l *ledger) completeTo() platform.Version {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.complete
+}
+
 func (l *ledger) status() admin.ConfigStatus {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/test/ctl_test.go
+++ b/test/ctl_test.go
@@ -267,6 +267,16 @@
 		Expect(strings.Count(history, "- id:")).To(Equal(2))
 	})
 
+	// A whole deployment is applied while the platform serves few writes a second.
+	// An apply that breaks off in the middle leaves half of it in force.
+	It("applies many objects within the platform's rate", func() {
+		f.addListedRouter()
+		f.faults(standin.ObjectFaults{WritesPerSecond: 10})
+		got := run(f.platformURL, "apply", "--wait", "../examples/atlas", "../examples/thamel")
+		Expect(got.code).To(Equal(ctl.ExitOK), got.errOut)
+		Expect(strings.Count(got.out, " created ")).To(Equal(34))
+	})
+
 	It("writes nothing when a file has a mistake", func() {
 		got := run(f.platformURL, "apply", write(notesPool+sharedProfile+"loadmultiple: 2\n"))
 		Expect(got.code).To(Equal(ctl.ExitInvalid))
