--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -111,7 +111,7 @@
 	vm.upstream = start(standinPath, addr, standin...)
 	sidecarAddr := freeAddr()
 	vm.admin = freeAddr()
-	args := []string{"sidecar", "--listen", sidecarAddr, "--upstream", "http://" + addr, "--admin-listen", vm.admin}
+	args := []string{"sidecar", "--listen", sidecarAddr, "--upstream", "http://" + addr, "--admin-listen", vm.admin, "--platform", f.platformURL}
 	args = append(args, f.trust.flags(secure.Identity{Role: secure.RoleSidecar, VM: vm.id})...)
 	vm.sidecar = start(daemonPath, sidecarAddr, args...)
 	f.list(platform.VM{ID: vm.id, Role: platform.RoleUpstream, Addr: sidecarAddr, Pool: pool})
