router: follow the configuration by config.Follower, and serve it to sidecars

Cause: the router's own watch loop knew the store only. Ruled out: keeping the View whole and building it after each event. Change: State owns a Follower; its effects run by config/follow; sidecars are asked and answered by config.since, and versions on the back of replies start a pull. Drain orders take upstreams out of new placement. The ledger test steps through the follower now; its checks are the same.

--- a/internal/config/event.go
+++ b/internal/config/event.go
@@ -63,7 +63,12 @@
 	Compacted bool // the store no longer holds the changes that were asked for
 }
 
+// Hinted is word from an operator's command that the store has news. It ends
+// the pause before the next watch.
+type Hinted struct{ Now time.Time }
+
 func (Ticked) isConfigEvent()       {}
+func (Hinted) isConfigEvent()       {}
 func (PeersChanged) isConfigEvent() {}
 func (Heard) isConfigEvent()        {}
 func (Answered) isConfigEvent()     {}
--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -151,6 +151,11 @@
 	switch e := event.(type) {
 	case Ticked:
 		return f.ticked(e.Now)
+	case Hinted:
+		if f.phase == phaseWaiting && f.failures == 0 {
+			f.resume = e.Now
+		}
+		return f.ticked(e.Now)
 	case PeersChanged:
 		f.peers = e.Peers
 		return f.ticked(e.Now)
--- a/internal/router/ledger.go
+++ b/internal/router/ledger.go
@@ -16,6 +16,8 @@
 	Objects  []admin.ObjectVersion
 	Rejected []profile.Problem // each object's first problem
 	Complete platform.Version  // of the store, up to which all is known
+	// StoreHeard is when the store last answered with what was not stale.
+	StoreHeard time.Time
 }
 
 func (Followed) isEffect() {}
@@ -52,15 +54,9 @@
 	for _, p := range f.Rejected {
 		l.rejected[p.Ref] = p
 	}
+	l.dirty = l.dirty || len(f.Objects)+len(f.Rejected) > 0 || f.Complete > l.complete
 	l.complete = max(l.complete, f.Complete)
-	l.dirty = true
-}
-
-// storeHeard notes that the store has answered.
-func (l *ledger) storeHeard(now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.heard = now
+	l.heard = f.StoreHeard
 }
 
 func (l *ledger) publish() {
--- a/internal/router/ledger_test.go
+++ b/internal/router/ledger_test.go
@@ -17,7 +17,7 @@
 // profile does not exist; were it passed over without a word, apply --wait
 // would say that it is in force.
 func TestInvalidObjectLeavesTheVersionBeforeInForce(t *testing.T) {
-	s, l := NewState(placement.Locality{}), newLedger()
+	s, l := NewState(placement.Locality{}, 1), newLedger()
 	step := func(v platform.Version, p profile.Profile) {
 		spec, err := json.Marshal(p)
 		if err != nil {
@@ -28,8 +28,11 @@
 			t.Fatal(err)
 		}
 		o := platform.Object{Ref: p.Ref(), Version: v, Value: value}
-		for _, e := range s.Step(ObjectsChanged{Objects: []platform.Object{o}, Version: v}) {
-			l.follow(e.(Followed))
+		listed := config.Listed{Now: time.Unix(int64(v), 0), Objects: []platform.Object{o}, Version: v}
+		for _, e := range s.Step(ConfigEvent{Event: listed}) {
+			if followed, ok := e.(Followed); ok {
+				l.follow(followed)
+			}
 		}
 	}
 	good := profile.Profile{Name: "chat", Pool: "notes", Model: "m", Deadline: profile.Duration(time.Second)}
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"github.com/parsleyfront/parsleyfront/internal/config"
 	"github.com/parsleyfront/parsleyfront/internal/load"
 	"github.com/parsleyfront/parsleyfront/internal/platform"
 	"github.com/parsleyfront/parsleyfront/internal/wire"
@@ -29,7 +30,10 @@
 	p := r.peers[at]
 	if p == nil {
 		dial := func(ctx context.Context) (net.Conn, error) { return r.config.Dial(ctx, vm) }
-		p = wire.NewPeer(wire.PeerConfig{Dial: dial})
+		calls := func(ctx context.Context, m wire.Method, params wire.Params) (any, error) {
+			return r.serve(ctx, vm, m, params)
+		}
+		p = wire.NewPeer(wire.PeerConfig{Dial: dial, Calls: calls})
 		r.peers[at] = p
 	}
 	return p
@@ -37,6 +41,10 @@
 
 // heard takes in what a sidecar says on the back of a reply.
 func (r *Router) heard(now time.Time, vm platform.VM, c wire.Control) {
+	if c.Config > 0 && c.Config != r.View().Version {
+		mark := config.Mark{Version: c.Config}
+		r.loop.Post(ConfigEvent{Event: config.Heard{Now: now, Peer: config.Peer(vm.ID), Mark: mark}})
+	}
 	if pool := r.View().Pools[vm.Pool]; pool != nil {
 		pool.beliefs.heard(now, load.Hash(vm.ID), max(vm.Weight, 1), c)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -2,30 +2,23 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/parsleyfront/parsleyfront/internal/config"
+	"github.com/parsleyfront/parsleyfront/internal/config/follow"
 	"github.com/parsleyfront/parsleyfront/internal/loop"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/platform"
-	"github.com/parsleyfront/parsleyfront/internal/profile"
 	"github.com/parsleyfront/parsleyfront/internal/token"
 	"github.com/parsleyfront/parsleyfront/internal/wire"
 )
 
-const (
-	// watchWait is how long a watch of the store waits for a change.
-	watchWait = 20 * time.Second
-	// listEvery is how often the list of VMs is read.
-	listEvery = 2 * time.Second
-	// platformRetry is the pause after a failed call of the platform.
-	platformRetry = time.Second
-)
-
-// configKinds are the kinds of object that a router follows.
-var configKinds = profile.Kinds
+// listEvery is how often the list of VMs is read.
+const listEvery = 2 * time.Second
 
 // Config is what a router is told at its start.
 type Config struct {
@@ -41,15 +34,19 @@
 // Router serves requests.
 type Router struct {
 	config Config
+	ctx    context.Context
+	runner *follow.Runner
 	loop   *loop.Loop[Event, Effect]
 	state  *State
 	view   atomic.Pointer[View]
 	limits *limits
 	claims *claimBudget
 	ledger *ledger
-	hints  chan struct{} // to look at the store now
+	hints  chan struct{} // to give up the present watch of the store
 
 	mu      sync.Mutex
+	asked   map[uint64]chan config.Delta // calls of sidecars that wait for a reply
+	tickets uint64
 	peers   map[endpoint]*wire.Peer
 	avoided map[string]time.Time // VMs that could not be reached, until when
 }
@@ -58,26 +55,38 @@
 func New(ctx context.Context, c Config) *Router {
 	r := &Router{
 		config:  c,
-		state:   NewState(placement.Locality{Domain: c.FailureDomain}),
+		ctx:     ctx,
+		state:   NewState(placement.Locality{Domain: c.FailureDomain}, rand.Uint64()),
+		asked:   make(map[uint64]chan config.Delta),
 		limits:  newLimits(),
 		claims:  newClaimBudget(time.Now()),
 		ledger:  newLedger(),
-		hints:   make(chan struct{}, 1),
+		hints:   make(chan struct{}),
 		peers:   make(map[endpoint]*wire.Peer),
 		avoided: make(map[string]time.Time),
 	}
+	r.runner = &follow.Runner{
+		Store: hintedStore{Store: c.Store, hints: r.hints},
+		Ask:   r.askConfig,
+		Post:  func(e config.Event) { r.loop.Post(ConfigEvent{Event: e}) },
+	}
 	r.view.Store(r.state.View())
 	r.loop = loop.New(r.state, r.act, r.publish)
 	context.AfterFunc(ctx, r.closePeers)
 	go r.loop.Run(ctx)
-	go r.followConfig(ctx)
+	go r.runner.Run(ctx)
 	go r.followVMs(ctx)
 	return r
 }
 
 // act carries out an effect, on the loop's goroutine.
 func (r *Router) act(effect Effect) {
-	if e, ok := effect.(Followed); ok {
+	switch e := effect.(type) {
+	case ConfigEffect:
+		r.runner.Do(r.ctx, e.Effect)
+	case ConfigReply:
+		r.reply(e)
+	case Followed:
 		r.ledger.follow(e)
 	}
 }
@@ -88,15 +97,6 @@
 	r.ledger.publish()
 }
 
-// refreshConfig gives up the present watch of the store for a new one, which
-// is answered at once if there is news.
-func (r *Router) refreshConfig() {
-	select {
-	case r.hints <- struct{}{}:
-	default:
-	}
-}
-
 // View returns the present picture of the control state.
 func (r *Router) View() *View {
 	return r.view.Load()
@@ -105,7 +105,7 @@
 // Ready reports whether the router knows a configuration and upstreams.
 func (r *Router) Ready() bool {
 	v := r.View()
-	return len(v.Profiles) > 0 && len(v.VMs) > 0
+	return v.Trusted && len(v.Profiles) > 0 && len(v.VMs) > 0
 }
 
 // Alive returns nil when the control loop turns.
@@ -113,77 +113,13 @@
 	return r.loop.Probe(ctx)
 }
 
-// followConfig keeps the configuration up to date: a listing, then watches.
-func (r *Router) followConfig(ctx context.Context) {
-	for ctx.Err() == nil {
-		version, err := r.listConfig(ctx)
-		for err == nil {
-			version, err = r.watchConfig(ctx, version)
-		}
-		sleep(ctx, platformRetry)
-	}
-}
-
-func (r *Router) listConfig(ctx context.Context) (platform.Version, error) {
-	var objects []platform.Object
-	version := platform.Version(-1)
-	for _, kind := range configKinds {
-		cont := ""
-		for {
-			page, err := r.config.Store.List(ctx, kind, cont)
-			if err != nil {
-				return 0, err
-			}
-			objects = append(objects, page.Objects...)
-			// Watch from the oldest page on, so that no change made while
-			// listing is missed.
-			if version < 0 || page.Version < version {
-				version = page.Version
-			}
-			cont = page.Continue
-			if cont == "" {
-				break
-			}
-		}
-	}
-	r.ledger.storeHeard(time.Now())
-	r.loop.Post(ObjectsChanged{Objects: objects, Version: version})
-	return version, nil
-}
-
-func (r *Router) watchConfig(ctx context.Context, since platform.Version) (platform.Version, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	hinted := make(chan struct{})
-	go func() {
-		select {
-		case <-r.hints:
-			close(hinted)
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
-	page, err := r.config.Store.Watch(ctx, configKinds, since, watchWait)
-	select {
-	case <-hinted:
-		return since, nil
-	default:
-	}
-	if err != nil {
-		return since, err
-	}
-	r.ledger.storeHeard(time.Now())
-	r.loop.Post(ObjectsChanged{Objects: page.Objects, Version: page.Version})
-	return max(since, page.Version), nil
-}
-
 func (r *Router) followVMs(ctx context.Context) {
 	tag := ""
 	for ctx.Err() == nil {
 		vms, changed, err := r.config.VMs.VMs(ctx, tag)
 		if err == nil && changed {
 			tag = vms.Tag
-			r.loop.Post(VMsChanged{VMs: vms})
+			r.loop.Post(VMsChanged{Now: time.Now(), VMs: vms})
 		}
 		sleep(ctx, listEvery)
 	}
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -4,7 +4,7 @@
 package router
 
 import (
-	"maps"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -18,69 +18,128 @@
 // Event is something that has happened to a router.
 type Event interface{ isEvent() }
 
-// ObjectsChanged are configuration objects at a newer version.
-type ObjectsChanged struct {
-	Objects []platform.Object
-	Version platform.Version // of the store, up to which this is complete
+// ConfigEvent is something that concerns the configuration.
+type ConfigEvent struct {
+	Event config.Event
+}
+
+// ConfigAsked is a sidecar that asks for configuration.
+type ConfigAsked struct {
+	Now    time.Time
+	Peer   config.Peer
+	Query  config.Query
+	Ticket uint64 // of the call that waits for the ConfigReply
 }
 
 // VMsChanged is a new reading of the list of VMs.
 type VMsChanged struct {
+	Now time.Time
 	VMs platform.VMs
 }
 
-func (ObjectsChanged) isEvent() {}
-func (VMsChanged) isEvent()     {}
+func (ConfigEvent) isEvent() {}
+func (ConfigAsked) isEvent() {}
+func (VMsChanged) isEvent()  {}
 
 // Effect is something that a router is to do.
 type Effect interface{ isEffect() }
 
+// ConfigEffect is something to be done for the configuration's follower.
+type ConfigEffect struct {
+	Effect config.Effect
+}
+
+// ConfigReply answers a ConfigAsked.
+type ConfigReply struct {
+	Ticket uint64
+	Delta  config.Delta
+}
+
+func (ConfigEffect) isEffect() {}
+func (ConfigReply) isEffect()  {}
+
 // State is a router's control state.
 type State struct {
-	version  platform.Version
-	objects  map[platform.Ref]platform.Version
+	self     placement.Locality
+	follower *config.Follower
 	profiles map[string]*profile.Profile
 	orgs     map[string]*profile.Organisation
+	drains   map[string]platform.Version // orders in force, by VM
 	vms      platform.VMs
 	beliefs  map[string]*beliefs // by pool
-	self     placement.Locality
+
+	view  *View   // as it was published last
+	stale changes // since then
+}
+
+// changes says which parts of a View have to be built anew.
+type changes struct {
+	profiles, orgs, pools bool
 }
 
-// NewState returns the State of a router at self that knows nothing yet.
-func NewState(self placement.Locality) *State {
+// NewState returns the State of a router at self that knows nothing yet. seed
+// sets the jitter of its calls to the store.
+func NewState(self placement.Locality, seed uint64) *State {
 	return &State{
-		beliefs:  make(map[string]*beliefs),
 		self:     self,
-		objects:  make(map[platform.Ref]platform.Version),
+		follower: config.NewFollower(seed),
 		profiles: make(map[string]*profile.Profile),
 		orgs:     make(map[string]*profile.Organisation),
+		drains:   make(map[string]platform.Version),
+		beliefs:  make(map[string]*beliefs),
+		view:     &View{},
+		stale:    changes{profiles: true, orgs: true, pools: true},
 	}
 }
 
 // Step applies an event.
 func (s *State) Step(event Event) []Effect {
 	switch e := event.(type) {
-	case ObjectsChanged:
-		s.version = max(s.version, e.Version)
-		followed := Followed{Complete: s.version}
-		for _, o := range e.Objects {
-			s.apply(o, &followed)
-		}
-		return []Effect{followed}
+	case ConfigEvent:
+		return s.configure(e.Event)
+	case ConfigAsked:
+		heard := s.configure(config.Heard{Now: e.Now, Peer: e.Peer, Mark: e.Query.Mark})
+		return append(heard, ConfigReply{Ticket: e.Ticket, Delta: s.follower.Set().Answer(e.Query)})
 	case VMsChanged:
 		s.vms = e.VMs
+		s.stale.pools = true
+		return s.configure(config.PeersChanged{Now: e.Now, Peers: s.peers()})
 	}
 	return nil
 }
 
-// apply takes an object unless a newer version of it is known. A listing or a
-// watch that lags must not bring back what has been replaced. An object that is
-// invalid for this release is not taken: the version before stays in force.
-func (s *State) apply(o platform.Object, f *Followed) {
-	if s.objects[o.Ref] >= o.Version {
-		return
+// peers returns whom to ask for configuration: all sidecars keep a copy.
+func (s *State) peers() []config.Peer {
+	var out []config.Peer
+	for _, vm := range s.vms.Entries {
+		if vm.Role == platform.RoleUpstream && !vm.Leaving {
+			out = append(out, config.Peer(vm.ID))
+		}
+	}
+	return out
+}
+
+// configure passes an event to the follower and takes what it says is in force.
+func (s *State) configure(e config.Event) []Effect {
+	var effects []Effect
+	followed := Followed{}
+	for _, effect := range s.follower.Step(e) {
+		if changed, ok := effect.(config.Changed); ok {
+			for _, o := range changed.Objects {
+				s.apply(o, &followed)
+			}
+		} else {
+			effects = append(effects, ConfigEffect{Effect: effect})
+		}
 	}
-	s.objects[o.Ref] = o.Version
+	status := s.follower.Status()
+	followed.Complete, followed.StoreHeard = status.Complete, status.StoreHeard
+	return append(effects, followed)
+}
+
+// apply takes an object. One that is invalid for this release is not taken: the
+// version before stays in force.
+func (s *State) apply(o platform.Object, f *Followed) {
 	if err := s.take(o); err != nil {
 		f.Rejected = append(f.Rejected, rejection(o.Ref, err))
 		return
@@ -107,9 +166,11 @@
 	}
 	switch v := v.(type) {
 	case *profile.Profile:
-		s.profiles[o.Name] = v
+		s.profiles[o.Name], s.stale.profiles = v, true
 	case *profile.Organisation:
-		s.orgs[o.Name] = v
+		s.orgs[o.Name], s.stale.orgs = v, true
+	case *profile.Drain:
+		s.drains[o.Name], s.stale.pools = o.Version, true
 	}
 	return nil
 }
@@ -118,8 +179,13 @@
 	switch ref.Kind {
 	case platform.KindProfile:
 		delete(s.profiles, ref.Name)
+		s.stale.profiles = true
 	case platform.KindOrganisation:
 		delete(s.orgs, ref.Name)
+		s.stale.orgs = true
+	case platform.KindDrain:
+		delete(s.drains, ref.Name)
+		s.stale.pools = true
 	}
 }
 
@@ -131,21 +197,3 @@
 	}
 	return profile.Problem{Ref: ref, Message: err.Error()}
 }
-
-// View builds the picture of the present state.
-func (s *State) View() *View {
-	v := &View{
-		Version:  s.version,
-		Profiles: maps.Clone(s.profiles),
-		Orgs:     make(map[string]*profile.Organisation, len(s.orgs)),
-		Pools:    make(map[string]*Pool),
-		VMs:      make(map[string]platform.VM, len(s.vms.Entries)),
-	}
-	for _, o := range s.orgs {
-		for _, k := range o.Keys {
-			v.Orgs[k.SHA256] = o
-		}
-	}
-	v.buildPools(s.vms.Entries, s.beliefs, s.self)
-	return v
-}
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"maps"
 	"slices"
 	"strings"
 
@@ -10,9 +11,11 @@
 	"github.com/parsleyfront/parsleyfront/internal/profile"
 )
 
-// View is an immutable picture of a router's control state, for traffic.
+// View is an immutable picture of a router's control state, for traffic. Views
+// share the parts that have not changed between them.
 type View struct {
-	Version  platform.Version
+	Version  platform.Version // of the configuration, as nodes tell each other
+	Trusted  bool             // the configuration is known to be a recent one
 	Profiles map[string]*profile.Profile
 	Orgs     map[string]*profile.Organisation // by the hash of an API key
 	Pools    map[string]*Pool
@@ -27,25 +30,61 @@
 	beliefs *beliefs
 }
 
-// buildPools sorts the upstreams that are not leaving by pool. Beliefs about a
-// pool are carried over from one View to the next.
-func (v *View) buildPools(vms []platform.VM, known map[string]*beliefs, self placement.Locality) {
+// View returns the picture of the present state: the former one if nothing that
+// shows in it has changed.
+func (s *State) View() *View {
+	version, trusted := s.follower.Set().Mark().Version, s.follower.Ready()
+	if s.stale == (changes{}) && s.view.Version == version && s.view.Trusted == trusted {
+		return s.view
+	}
+	v := *s.view
+	v.Version, v.Trusted = version, trusted
+	if s.stale.profiles {
+		v.Profiles = maps.Clone(s.profiles)
+	}
+	if s.stale.orgs {
+		v.Orgs = byKey(s.orgs)
+	}
+	if s.stale.pools {
+		s.viewVMs(&v)
+	}
+	s.view, s.stale = &v, changes{}
+	return s.view
+}
+
+// byKey orders organisations by the hashes of their API keys.
+func byKey(orgs map[string]*profile.Organisation) map[string]*profile.Organisation {
+	out := make(map[string]*profile.Organisation, len(orgs))
+	for _, o := range orgs {
+		for _, k := range o.Keys {
+			out[k.SHA256] = o
+		}
+	}
+	return out
+}
+
+// viewVMs sorts the upstreams that take new work by pool.
+func (s *State) viewVMs(v *View) {
 	members := make(map[string][]platform.VM)
-	for _, vm := range vms {
+	v.VMs = make(map[string]platform.VM, len(s.vms.Entries))
+	v.Routers = 0
+	for _, vm := range s.vms.Entries {
 		v.VMs[vm.ID] = vm
-		if vm.Role == platform.RoleRouter && !vm.Leaving {
+		switch {
+		case vm.Leaving:
+		case vm.Role == platform.RoleRouter:
 			v.Routers++
-		}
-		if vm.Role == platform.RoleUpstream && !vm.Leaving {
+		case vm.Role == platform.RoleUpstream && s.drains[vm.ID] == 0:
 			members[vm.Pool] = append(members[vm.Pool], vm)
 		}
 	}
 	v.Routers = max(v.Routers, 1)
+	v.Pools = make(map[string]*Pool, len(members))
 	for name, vms := range members {
-		if known[name] == nil {
-			known[name] = newBeliefs()
+		if s.beliefs[name] == nil {
+			s.beliefs[name] = newBeliefs()
 		}
-		v.Pools[name] = newPool(vms, known[name], self)
+		v.Pools[name] = newPool(vms, s.beliefs[name], s.self)
 	}
 }
 
