test: an apply that breaks off, and an unknown change that did take effect

Change: a proxy before the platform serves the writes of one kind as the spec says. After the unknown outcome the platform comes back: the change had taken effect, and applying the same files again writes only what is missing. Ruled out: the stand-in's own faults, which count writes of all kinds; the history's write comes first.

--- a/test/ctl_test.go
+++ b/test/ctl_test.go
@@ -75,42 +75,28 @@
 	return id
 }
 
-// losing is a proxy before the platform that loses answers to writes.
-type losing struct {
-	*httptest.Server
-	kind platform.Kind
-	down atomic.Bool  // after a write has been let through, nothing answers
-	left atomic.Int64 // how many answers are to be lost; below zero: no more
-	stop bool         // whether the platform is down from then on
-}
-
-func newLosing(platformURL string, kind platform.Kind, answers int64, stop bool) *losing {
+// platformProxy stands before the platform. serve answers a write of an object
+// of kind; all else is passed on.
+func platformProxy(platformURL string, kind platform.Kind, serve func(http.ResponseWriter, *http.Request, http.Handler)) *httptest.Server {
 	GinkgoHelper()
 	target, err := url.Parse(platformURL)
 	Expect(err).NotTo(HaveOccurred())
-	l := &losing{kind: kind, stop: stop}
-	l.left.Store(answers)
 	proxy := httputil.NewSingleHostReverseProxy(target)
-	l.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if l.down.Load() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		if !l.loses(r) {
-			proxy.ServeHTTP(w, r)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPut && strings.HasPrefix(r.URL.Path, "/v1/objects/"+string(kind)+"/") {
+			serve(w, r, proxy)
 			return
 		}
-		l.down.Store(l.stop)
-		proxy.ServeHTTP(httptest.NewRecorder(), r)
-		panic(http.ErrAbortHandler)
+		proxy.ServeHTTP(w, r)
 	}))
-	DeferCleanup(l.Server.Close)
-	return l
+	DeferCleanup(server.Close)
+	return server
 }
 
-func (l *losing) loses(r *http.Request) bool {
-	writes := r.Method == http.MethodPut && strings.HasPrefix(r.URL.Path, "/v1/objects/"+string(l.kind)+"/")
-	return writes && l.left.Add(-1) >= 0
+// loseAnswer lets a write take effect and breaks the connection.
+func loseAnswer(r *http.Request, proxy http.Handler) {
+	proxy.ServeHTTP(httptest.NewRecorder(), r)
+	panic(http.ErrAbortHandler)
 }
 
 // faults breaks the platform's object API.
@@ -211,20 +197,46 @@
 	// operator would make it again on top of another's; told "done" without
 	// knowing, they would go home while it is not.
 	It("resolves a lost answer", func() {
-		l := newLosing(f.platformURL, platform.KindPool, 1, false)
-		got := run(l.URL, "apply", write(notesPool))
+		var lost atomic.Bool
+		p := platformProxy(f.platformURL, platform.KindPool, func(w http.ResponseWriter, r *http.Request, proxy http.Handler) {
+			if lost.CompareAndSwap(false, true) {
+				loseAnswer(r, proxy)
+			}
+			proxy.ServeHTTP(w, r)
+		})
+		got := run(p.URL, "apply", write(notesPool))
 		Expect(got.code).To(Equal(ctl.ExitOK), got.errOut)
 		Expect(got.out).To(ContainSubstring("created"))
 		Expect(run(f.platformURL, "history", "pool/notes", "-o", "yaml").out).NotTo(ContainSubstring("parent"))
 	})
 
 	It("says that it does not know when the store is down after a lost answer", func() {
-		l := newLosing(f.platformURL, platform.KindPool, 1, true)
-		got := run(l.URL, "--timeout", "2s", "apply", write(notesPool+sharedProfile))
+		p := platformProxy(f.platformURL, platform.KindPool, func(_ http.ResponseWriter, r *http.Request, proxy http.Handler) {
+			defer f.faults(standin.ObjectFaults{Down: true})
+			loseAnswer(r, proxy)
+		})
+		got := run(p.URL, "--timeout", "2s", "apply", write(notesPool+sharedProfile))
 		Expect(got.code).To(Equal(ctl.ExitUnknown))
 		Expect(got.out).To(MatchRegexp(`pool/notes +unknown`))
 		Expect(got.out).To(MatchRegexp(`profile/shared +skipped`))
 		Expect(got.errOut).To(ContainSubstring("advice: look for change"))
+
+		f.faults(standin.ObjectFaults{})
+		again := run(f.platformURL, "apply", write(notesPool+sharedProfile))
+		Expect(again.code).To(Equal(ctl.ExitOK))
+		Expect(again.out).To(And(MatchRegexp(`pool/notes +unchanged`), MatchRegexp(`profile/shared +created`)))
+	})
+
+	// The platform stops serving between two objects. An operator who is told
+	// "failed" believes that nothing has changed.
+	It("says which objects were changed when an apply breaks off", func() {
+		p := platformProxy(f.platformURL, platform.KindProfile, func(w http.ResponseWriter, _ *http.Request, _ http.Handler) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		got := run(p.URL, "--timeout", "1s", "apply", write(notesPool+sharedProfile))
+		Expect(got.code).To(Equal(ctl.ExitPartial))
+		Expect(got.out).To(And(MatchRegexp(`pool/notes +created`), MatchRegexp(`profile/shared +failed`)))
+		Expect(run(f.platformURL, "get", "profile/shared").code).To(Equal(ctl.ExitNotFound))
 	})
 
 	// Two operators edit the same profile. Whoever applies second would undo
