--- /dev/null
+++ b/internal/controller/controller_test.go
@@ -0,0 +1,222 @@
+package controller
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/parsleyfront/parsleyfront/internal/lease"
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/profile"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.steps", "200")
+	_ = flag.Set("rapid.checks", "400")
+}
+
+const (
+	loadEvery = 10 * time.Second
+	maxOut    = 2
+)
+
+// engine is an upstream with its sidecar.
+type engine struct {
+	vm     platform.VM
+	fence  lease.Fence
+	status wire.OrderStatus
+}
+
+// take is what a sidecar does with an order.
+func (e *engine) take(o wire.Order, loads func()) (wire.OrderStatus, *verdict.Error) {
+	if err := e.fence.Check(o.Token); err != nil {
+		return e.status, err
+	}
+	switch {
+	case o.Action == wire.OrderQuery || e.status.Phase == wire.PhaseRunning:
+	case o.Action == wire.OrderPrepare && e.status.Phase == wire.PhaseReady:
+		e.status.ID = o.ID
+	case o.Action == wire.OrderPrepare:
+		e.status.ID, e.status.Phase = o.ID, wire.PhaseDraining
+	case e.status.ID == o.ID && e.status.Phase == wire.PhaseReady:
+		e.status.Phase, e.status.Loaded = wire.PhaseRunning, o.Want
+		loads()
+	}
+	return e.status, nil
+}
+
+func (e *engine) out() bool {
+	return e.status.Phase != wire.PhaseNone && e.status.Phase != wire.PhaseDone
+}
+
+// rollout is two routers that hold the lease in turn, before six engines that
+// are to load another version, in virtual time.
+type rollout struct {
+	now     time.Time
+	engines []*engine
+	holder  *State
+	token   wire.FencingToken
+	sent    []Send // by the present holder
+	late    []Send // by former holders
+	loaded  map[string]int
+	last    time.Time // of a load
+	tooSoon int
+}
+
+func newRollout() *rollout {
+	r := &rollout{now: time.Unix(1_800_000_000, 0), loaded: make(map[string]int)}
+	for i := range 6 {
+		e := &engine{vm: platform.VM{ID: fmt.Sprint("vm-", i), Pool: "notes"}}
+		e.fence.Learn(0)
+		e.status.Loaded = wire.Loaded{Model: "notes-7b", Version: "1"}
+		r.engines = append(r.engines, e)
+	}
+	r.takeOver()
+	return r
+}
+
+// takeOver gives the lease to a router that knows nothing.
+func (r *rollout) takeOver() {
+	r.late = append(r.late, r.sent...)
+	r.sent = nil
+	r.token++
+	r.holder = NewState(loadEvery)
+	d := Desired{Pools: []profile.Pool{{Name: "notes", Model: "notes-7b", Version: "2", MaxUnavailable: float64(maxOut) / 6}}}
+	for _, e := range r.engines {
+		d.VMs = append(d.VMs, e.vm)
+	}
+	r.holder.Step(Held{Now: r.now, Token: r.token})
+	r.holder.Step(d)
+}
+
+// arrive brings an order to its engine.
+func (r *rollout) arrive(s Send) (wire.OrderStatus, *verdict.Error) {
+	i := slices.IndexFunc(r.engines, func(e *engine) bool { return e.vm.ID == s.VM.ID })
+	return r.engines[i].take(s.Order, func() {
+		if !r.last.IsZero() && r.now.Sub(r.last) < loadEvery {
+			r.tooSoon++
+		}
+		r.last = r.now
+		r.loaded[s.VM.ID]++
+	})
+}
+
+// deliver ends the calls that are out. lost says what is lost of each.
+func (r *rollout) deliver(lost func() int) {
+	sent := r.sent
+	r.sent = nil
+	for _, s := range sent {
+		reply := Replied{Now: r.now, VM: s.VM.ID, Order: s.Order}
+		gone := verdict.New(verdict.MayHaveRun, verdict.ReasonConnection, "lost")
+		switch lost() {
+		case 0:
+			reply.Err = gone // the order
+		case 1:
+			_, _ = r.arrive(s)
+			reply.Err = gone // the reply
+		default:
+			reply.Status, reply.Err = r.arrive(s)
+		}
+		r.holder.Step(reply)
+	}
+}
+
+func (r *rollout) tick() {
+	r.sent = append(r.sent, r.holder.Step(Tick{Now: r.now})...)
+}
+
+// progress lets the engines get on.
+func (r *rollout) progress(which func() bool) {
+	for _, e := range r.engines {
+		switch {
+		case !e.out() || !which():
+		case e.status.Phase == wire.PhaseDraining:
+			e.status.Phase = wire.PhaseReady
+		case e.status.Phase == wire.PhaseRunning:
+			e.status.Phase = wire.PhaseDone
+		}
+	}
+}
+
+func (r *rollout) check(t *rapid.T) {
+	out := 0
+	for _, e := range r.engines {
+		if e.out() {
+			out++
+		}
+		if n := r.loaded[e.vm.ID]; n > 1 {
+			t.Fatalf("%s has loaded the version %d times", e.vm.ID, n)
+		}
+	}
+	if out > maxOut {
+		t.Fatalf("%d engines are out, and %d may be", out, maxOut)
+	}
+	if r.tooSoon > 0 {
+		t.Fatal("the weight store was asked too soon")
+	}
+}
+
+func (r *rollout) actions() map[string]func(*rapid.T) {
+	step := func(t *rapid.T) {
+		r.tick()
+		r.deliver(func() int { return rapid.IntRange(0, 7).Draw(t, "lost") })
+		r.now = r.now.Add(time.Duration(rapid.IntRange(100, 4000).Draw(t, "ms")) * time.Millisecond)
+	}
+	return map[string]func(*rapid.T){
+		"step":     step,
+		"step on":  step,
+		"tick":     func(*rapid.T) { r.tick() },
+		"progress": func(t *rapid.T) { r.progress(func() bool { return rapid.Bool().Draw(t, "this") }) },
+		"take over": func(t *rapid.T) {
+			if rapid.IntRange(0, 3).Draw(t, "rarely") == 0 {
+				r.tick() // what the former holder had decided on when it was frozen
+				r.takeOver()
+			}
+		},
+		"late order": func(t *rapid.T) {
+			if len(r.late) > 0 {
+				i := rapid.IntRange(0, len(r.late)-1).Draw(t, "order")
+				_, _ = r.arrive(r.late[i])
+				r.late = append(r.late[:i], r.late[i+1:]...)
+			}
+		},
+		"": r.check,
+	}
+}
+
+// A new version is rolled out while the controller's lease changes hands,
+// orders and replies are lost, and orders of former holders arrive late. If the
+// new holder loaded at once, or took "no answer" for "no order", the weight
+// store would be asked too often, a pool would lose more engines than it may,
+// or an engine would load the same version twice.
+func TestRolloutSurvivesItsHolders(t *testing.T) {
+	loads := 0
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRollout()
+		t.Repeat(r.actions())
+		for range 300 {
+			r.tick()
+			r.deliver(func() int { return 7 })
+			r.progress(func() bool { return true })
+			r.check(t)
+			r.now = r.now.Add(time.Second)
+		}
+		for _, e := range r.engines {
+			loads += r.loaded[e.vm.ID]
+			if e.status.Loaded.Version != "2" {
+				t.Fatalf("%s still has version %s", e.vm.ID, e.status.Loaded.Version)
+			}
+		}
+	})
+	if loads == 0 {
+		t.Fatal("nothing was loaded: the test shows nothing")
+	}
+}
--- /dev/null
+++ b/internal/standin/orders.go
@@ -0,0 +1,103 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/wire"
+)
+
+// OrdersConfig says how a stand-in engine takes orders.
+type OrdersConfig struct {
+	Loaded  wire.Loaded   // at the start
+	Fences  bool          // refuse an order with an older fencing token than before
+	Weights string        // URL of the weight store; empty: loads need none
+	Takes   time.Duration // how long a load takes
+}
+
+// Orders is the part of a stand-in engine that takes orders.
+type Orders struct {
+	config OrdersConfig
+
+	mu     sync.Mutex
+	status wire.OrderStatus
+	taken  []wire.Order
+}
+
+// NewOrders returns an Orders.
+func NewOrders(c OrdersConfig) *Orders {
+	return &Orders{config: c, status: wire.OrderStatus{Loaded: c.Loaded}}
+}
+
+// Register adds the routes to mux.
+func (o *Orders) Register(mux *http.ServeMux) {
+	mux.HandleFunc("GET /orders", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, o.Status()) })
+	mux.HandleFunc("POST /orders", o.take)
+	mux.HandleFunc("GET /debug/orders", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, o.Taken()) })
+}
+
+// Status returns the latest order.
+func (o *Orders) Status() wire.OrderStatus {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.status
+}
+
+// Taken returns the orders that were begun, in order.
+func (o *Orders) Taken() []wire.Order {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return append([]wire.Order{}, o.taken...)
+}
+
+func (o *Orders) take(w http.ResponseWriter, r *http.Request) {
+	var order wire.Order
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	token, _ := strconv.ParseInt(r.Header.Get("X-Fencing-Token"), 10, 64)
+	w.WriteHeader(o.begin(order, wire.FencingToken(token)))
+}
+
+// begin starts an order and returns the status code. An order that is known
+// already is not begun again.
+func (o *Orders) begin(order wire.Order, token wire.FencingToken) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch {
+	case o.config.Fences && token < o.status.Token:
+		return http.StatusPreconditionFailed
+	case order.ID == o.status.ID:
+		return http.StatusOK
+	case o.status.Phase == wire.PhaseRunning:
+		return http.StatusConflict
+	}
+	o.status.ID, o.status.Phase, o.status.Token = order.ID, wire.PhaseRunning, token
+	o.taken = append(o.taken, order)
+	go o.load(order)
+	return http.StatusAccepted
+}
+
+func (o *Orders) load(order wire.Order) {
+	phase := wire.PhaseDone
+	if o.config.Weights != "" {
+		resp, err := http.Get(o.config.Weights + "/weights/" + order.Want.Model + "/" + order.Want.Version)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		if err != nil || resp.StatusCode != http.StatusOK {
+			phase = wire.PhaseFailed
+		}
+	}
+	time.Sleep(o.config.Takes)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.status.Phase = phase
+	if phase == wire.PhaseDone {
+		o.status.Loaded = order.Want
+	}
+}
--- /dev/null
+++ b/internal/upstream/orders.go
@@ -0,0 +1,70 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
+)
+
+const (
+	ordersPath = "/orders"
+
+	// HeaderFencingToken carries the fencing token of an order. Some upstreams
+	// refuse an order with an old one, others ignore it.
+	HeaderFencingToken = "X-Fencing-Token"
+
+	maxOrderStatus = 64 << 10
+)
+
+// OrderStatus returns the upstream's latest order and what it serves.
+func (h *HTTP) OrderStatus(ctx context.Context) (wire.OrderStatus, error) {
+	var status wire.OrderStatus
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, h.base+ordersPath, nil)
+	if err != nil {
+		return status, verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "%s", err)
+	}
+	resp, err := h.kept.Do(req)
+	if err != nil {
+		return status, verdict.New(verdict.NotRun, verdict.ReasonUpstreamDown, "%s", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return status, verdict.New(verdict.NotRun, verdict.ReasonNoOrders, "the upstream takes no orders: status %d", resp.StatusCode)
+	}
+	body := http.MaxBytesReader(nil, resp.Body, maxOrderStatus)
+	if err := json.NewDecoder(body).Decode(&status); err != nil {
+		return status, verdict.New(verdict.NotRun, verdict.ReasonNoOrders, "%s", err)
+	}
+	return status, nil
+}
+
+// Load has the upstream begin a load.
+func (h *HTTP) Load(ctx context.Context, o wire.Order) error {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "%s", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, h.base+ordersPath, bytes.NewReader(body))
+	if err != nil {
+		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "%s", err)
+	}
+	req.Header.Set(HeaderFencingToken, strconv.FormatInt(int64(o.Token), 10))
+	resp, err := h.fresh.Do(req)
+	if err != nil {
+		return failure(err, true)
+	}
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusAccepted, http.StatusOK:
+		return nil
+	case http.StatusPreconditionFailed:
+		return verdict.New(verdict.NotRun, verdict.ReasonFenced, "the upstream knows a newer fencing token")
+	default:
+		return verdict.New(verdict.NotRun, verdict.ReasonBusy, "the upstream refused the order: status %d", resp.StatusCode)
+	}
+}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -110,6 +110,10 @@
 	ReasonSuspect Reason = "suspect"
 	// ReasonFenced is an order from a former holder of a lease.
 	ReasonFenced Reason = "fenced"
+	// ReasonNoOrders is an upstream that takes no orders.
+	ReasonNoOrders Reason = "no-orders"
+	// ReasonBusy is an upstream that works on another order.
+	ReasonBusy Reason = "busy"
 	// ReasonStoreDown is an idempotency key that could not be claimed.
 	ReasonStoreDown Reason = "store-down"
 	// ReasonConcurrency is an organisation at its concurrency limit.
--- a/internal/wire/order.go
+++ b/internal/wire/order.go
@@ -14,7 +14,11 @@
 	// OrderQuery asks what the upstream has loaded, and makes the sidecar turn
 	// away orders with a lower fencing token from then on.
 	OrderQuery OrderAction = "query"
-	// OrderLoad makes the upstream load what Order.Want says.
+	// OrderPrepare empties the upstream for a load: its sidecar takes no new
+	// work and lets what runs finish.
+	OrderPrepare OrderAction = "prepare"
+	// OrderLoad makes an upstream that has been prepared under the same id load
+	// what Order.Want says.
 	OrderLoad OrderAction = "load"
 )
 
@@ -39,10 +43,12 @@
 
 // Phases of an order.
 const (
-	PhaseNone    OrderPhase = "" // the upstream has had no order
-	PhaseRunning OrderPhase = "running"
-	PhaseDone    OrderPhase = "done"
-	PhaseFailed  OrderPhase = "failed"
+	PhaseNone     OrderPhase = ""         // the upstream has had no order
+	PhaseDraining OrderPhase = "draining" // requests are still running
+	PhaseReady    OrderPhase = "ready"    // prepared, and waits for the load
+	PhaseRunning  OrderPhase = "running"  // it loads
+	PhaseDone     OrderPhase = "done"
+	PhaseFailed   OrderPhase = "failed"
 )
 
 // OrderStatus is the reply to an Order: the latest order at the upstream, and
