sidecar: too late is said before the router gives up; greet with the load

Cause: a request that waited too long was answered not-run at its deadline. The router counts the same time from a moment earlier and had said may-have-run by then: the caller was left in doubt about what had not run. A router that connects learnt nothing of the sidecar's load or drain.

Change: waiting requests expire 50 ms, at most a tenth of their time, before the deadline. Hello carries Control.

Ruled out: taking the margin from running calls too; both sides say may-have-run there.

Seen failing first: TestTooLateIsSaidBeforeTheRouterGivesUp ("after 2s").

--- a/internal/sidecar/conn.go
+++ b/internal/sidecar/conn.go
@@ -42,7 +42,7 @@
 func (s *Sidecar) HandleCall(ctx context.Context, c *wire.Conn, m wire.Method, params wire.Params) (any, error) {
 	switch m {
 	case wire.MethodHello:
-		return wire.Hello{VM: s.config.Settings.VM, Incarnation: s.config.Settings.Incarnation}, nil
+		return s.hello(ctx)
 	case wire.MethodSubmit:
 		return serve(params, func(p wire.Submit) (any, error) { return s.submit(ctx, c, p) })
 	case wire.MethodAttach:
@@ -69,6 +69,16 @@
 	return nil, verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "unknown method %q", m)
 }
 
+// hello introduces the sidecar, with its load and whether it takes new work.
+func (s *Sidecar) hello(ctx context.Context) (any, error) {
+	a, err := s.admission(ctx, func(t Ticket) Event { return Greeted{Now: time.Now(), Ticket: t} })
+	if err != nil {
+		return nil, err
+	}
+	c := s.config.Settings
+	return wire.Hello{VM: c.VM, Incarnation: c.Incarnation, Control: a.Control}, nil
+}
+
 // serve decodes the parameters of a call for f.
 func serve[P any](params wire.Params, f func(P) (any, error)) (any, error) {
 	var p P
--- a/internal/sidecar/event.go
+++ b/internal/sidecar/event.go
@@ -24,6 +24,12 @@
 	Submit wire.Submit
 }
 
+// Greeted is a router that has connected.
+type Greeted struct {
+	Now    time.Time
+	Ticket Ticket
+}
+
 // Attached is a router that asks for an answer.
 type Attached struct {
 	Now    time.Time
@@ -105,6 +111,7 @@
 }
 
 func (e Submitted) at() time.Time   { return e.Now }
+func (e Greeted) at() time.Time     { return e.Now }
 func (e Attached) at() time.Time    { return e.Now }
 func (e Cancelled) at() time.Time   { return e.Now }
 func (e StatusAsked) at() time.Time { return e.Now }
@@ -157,7 +164,7 @@
 	Nonce token.Nonce
 }
 
-// Reply answers a Submitted, Attached, Cancelled, Noticed or Reported.
+// Reply answers a Submitted, Greeted, Attached, Cancelled, Noticed or Reported.
 type Reply struct {
 	Ticket    Ticket
 	Admission wire.Admission
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -160,6 +160,33 @@
 	})
 }
 
+// A note waits behind four that are stuck, until it is too late to start it.
+// The router counts the same time and says may-have-run when it is over: the
+// sidecar's word, that it has not run, must be there before.
+func TestTooLateIsSaidBeforeTheRouterGivesUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, true)
+		for n := range byte(4) {
+			if _, _, err := b.peer.Submit(b.ctx, testSubmit(n, wire.Treatment{Deadline: 10 * time.Second})); err != nil {
+				t.Fatal(err)
+			}
+		}
+		began := time.Now()
+		s, _, err := b.peer.Submit(b.ctx, testSubmit(9, wire.Treatment{FirstByte: 2 * time.Second}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, end := b.next(s, 1)
+		if end == nil || end.Error == nil || end.Error.Verdict != verdict.NotRun || end.Error.RetryAfter <= 0 {
+			t.Errorf("end: %+v", end)
+		}
+		if took := time.Since(began); took >= 2*time.Second || took < 1900*time.Millisecond {
+			t.Errorf("after %s", took)
+		}
+		b.finish()
+	})
+}
+
 // finish stops the sidecar, which must end by itself.
 func (b *bench) finish() {
 	b.t.Helper()
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -122,6 +122,8 @@
 	switch e := event.(type) {
 	case Submitted:
 		return s.submitted(e)
+	case Greeted:
+		return s.reply(e.Now, e.Ticket, wire.Admission{})
 	case Attached:
 		return s.attached(e)
 	case Cancelled:
--- a/internal/sidecar/submit.go
+++ b/internal/sidecar/submit.go
@@ -12,8 +12,12 @@
 	"github.com/parsleyfront/parsleyfront/internal/wire"
 )
 
-// maxLane is how many suspects may wait to run alone.
-const maxLane = 8
+const (
+	// maxLane is how many suspects may wait to run alone.
+	maxLane = 8
+	// answerMargin is how long an answer takes to reach the router at most.
+	answerMargin = 50 * time.Millisecond
+)
 
 // refusal is why a request is not admitted.
 type refusal struct {
@@ -152,8 +156,8 @@
 		Profile:       t.Profile,
 		Priority:      t.Priority,
 		Weight:        t.OrgWeight,
-		FirstByteBy:   within(now, t.FirstByte),
-		Deadline:      within(now, t.Deadline),
+		FirstByteBy:   within(now, early(t.FirstByte)),
+		Deadline:      within(now, early(t.Deadline)),
 		LoadBound:     bound - len(s.lane),
 		QueueBound:    t.QueueBound,
 		OrgQueueBound: t.OrgQueueBound,
@@ -168,6 +172,13 @@
 	return now.Add(d)
 }
 
+// early is by when a request must start that has d left. The router counts the
+// same time from a moment before, and when it is over can only say that the
+// request may have run; the word that it has not must reach it first.
+func early(d time.Duration) time.Duration {
+	return d - min(answerMargin, d/10)
+}
+
 // enter begins the books on an admitted request. Until a router reads its
 // answer it counts as unread, since the one that sent it may be gone.
 func (s *State) enter(now time.Time, sub wire.Submit, alone bool) {
@@ -178,7 +189,7 @@
 		seq:      s.arrived,
 		alone:    alone,
 		expires:  adm.Expires(),
-		deadline: adm.Deadline,
+		deadline: within(now, sub.Treatment.Deadline),
 		unread:   now,
 	}
 	s.requests[r.nonce()] = r
