router: status shows upstreams that are to leave

Cause: a drained upstream vanished from parsleyctl status, since traffic's view leaves it out; an operator could not tell it from one that had died. Change: pools in the status come from the list of VMs; those that traffic leaves out, by a drain order or because the list says leaving, count as draining. Ruled out: keeping them in traffic's view with a mark, which every choice of an upstream would have to look at. Checked: the spec's line about vm-0 fails on the former state, where it is not listed (seen in dev mode before the change). Conclusion: known = serving + draining + down.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -84,9 +84,9 @@
 // PoolStatus is a pool as one router sees it, by samples of other nodes.
 type PoolStatus struct {
 	Name     string  `json:"name"`
-	Known    int     `json:"known"` // upstreams of the list of VMs that are not leaving
-	Serving  int     `json:"serving"`
-	Draining int     `json:"draining"`
+	Known    int     `json:"known"`    // upstreams of the list of VMs
+	Serving  int     `json:"serving"`  // as far as is known, also those unheard of lately
+	Draining int     `json:"draining"` // told to leave, or say so themselves
 	Down     int     `json:"down"`
 	Mean     float64 `json:"mean_load"`
 	Max      int     `json:"max_load"`
--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -16,8 +16,13 @@
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 )
 
-// unheard is the state of an upstream of which nothing has been heard lately.
-const unheard = "unheard"
+// States of an upstream as operators see it.
+const (
+	serving  = "serving"
+	draining = "draining" // told to leave, or says so itself
+	down     = "down"
+	unheard  = "unheard" // nothing has been heard of it lately
+)
 
 // Operators is a Router as the operators' API sees it. It implements admin.Node.
 type Operators struct {
@@ -43,15 +48,48 @@
 		Config:        o.router.ledger.status(),
 		Control:       controlRates(now.Sub(o.started)),
 	}
-	for name, pool := range view.Pools {
-		p := pool.status(now, brief)
+	for name, out := range o.upstreams() {
+		var p admin.PoolStatus
+		if pool := view.Pools[name]; pool != nil {
+			p = pool.status(now, brief)
+			out = slices.DeleteFunc(out, pool.has)
+		}
 		p.Name = name
+		addLeaving(&p, out, brief)
 		s.Pools = append(s.Pools, p)
 	}
 	slices.SortFunc(s.Pools, func(x, y admin.PoolStatus) int { return cmp.Compare(x.Name, y.Name) })
 	return s
 }
 
+// upstreams returns the upstreams of the list of VMs by pool, those included
+// that take no new work because they are to leave.
+func (o *Operators) upstreams() map[string][]platform.VM {
+	pools := make(map[string][]platform.VM)
+	for _, vm := range o.VMs() {
+		if vm.Role == platform.RoleUpstream {
+			pools[vm.Pool] = append(pools[vm.Pool], vm)
+		}
+	}
+	return pools
+}
+
+// addLeaving adds upstreams that are to leave, of whose loads traffic knows nothing.
+func addLeaving(p *admin.PoolStatus, vms []platform.VM, brief bool) {
+	p.Known += len(vms)
+	p.Draining += len(vms)
+	if brief {
+		return
+	}
+	for _, vm := range vms {
+		p.Upstreams = append(p.Upstreams, admin.UpstreamStatus{VM: vm.ID, FailureDomain: vm.FailureDomain, State: draining})
+	}
+}
+
+func (p *Pool) has(vm platform.VM) bool {
+	return slices.ContainsFunc(p.VMs, func(other platform.VM) bool { return other.ID == vm.ID })
+}
+
 func controlRates(since time.Duration) []admin.ControlRate {
 	var rates []admin.ControlRate
 	telemetry.ControlBytes.Do(func(kind telemetry.ControlKind, n int64) {
@@ -102,9 +140,9 @@
 		report, heard := p.beliefs.table.Get(now, load.Hash(vm.ID))
 		state := stateName(report, heard)
 		switch state {
-		case "draining":
+		case draining:
 			s.Draining++
-		case "down":
+		case down:
 			s.Down++
 		default:
 			s.Serving++
@@ -125,11 +163,11 @@
 	case !heard:
 		return unheard
 	case r.State == load.Draining:
-		return "draining"
+		return draining
 	case r.State == load.Down:
-		return "down"
+		return down
 	default:
-		return "serving"
+		return serving
 	}
 }
 
--- a/test/ctl_test.go
+++ b/test/ctl_test.go
@@ -158,6 +158,7 @@
 
 		Expect(run(f.platformURL, "drain", "vm-0", "--wait").code).To(Equal(ctl.ExitOK))
 		Expect(run(f.platformURL, "list", "drain").out).To(ContainSubstring("vm-0"))
+		Expect(run(f.platformURL, "status", "--upstreams").out).To(MatchRegexp(`vm-0 +notes +draining`))
 		Expect(run(f.platformURL, "undrain", "vm-0", "--wait").code).To(Equal(ctl.ExitOK))
 		Expect(run(f.platformURL, "drain", "vm-9").code).To(Equal(ctl.ExitNotFound))
 
