router: suspects confined to their site, convicts answered at once, crashes reported

Ruled out: counting a crashed attempt against its upstream only. A retry of the idempotent would be the next crash; it goes to the site now, to run alone. Change: the router's Book, merged from each reply and End, told with each submission; Decide before the first offer and each further one; a report to the first two candidates before the caller is answered; a hedge dropped when its sibling's upstream crashes. What only waited at a sidecar and was sent away costs no retry budget. Not shown to be needed by a test: Decide before the first offer; what the sidecars are told with the submission suffices there, it saves them the refusal.

--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -70,7 +71,7 @@
 		Name: "club", Weight: 1, Profiles: []string{booking, clips}, Keys: []profile.APIKey{{ID: "k", SHA256: profile.HashKey(apiKey)}},
 	})
 	for i := range vms {
-		v := &vm{id: fmt.Sprintf("vm-%d", i), upstream: &fakeUpstream{thaw: make(chan struct{})}}
+		v := &vm{id: fmt.Sprintf("vm-%d", i), upstream: &fakeUpstream{thaw: make(chan struct{}), crash: make(chan struct{})}}
 		f.vm = append(f.vm, v)
 		f.startSidecar(v)
 		f.vms.set(platform.VM{ID: v.id, Role: platform.RoleUpstream, Addr: v.id, Pool: "p"})
@@ -144,12 +145,35 @@
 	mu     sync.Mutex
 	runs   []string
 	do     func(ctx context.Context, body string) error // before a run is logged
-	frozen bool                                         // runs, and answers nothing until thaw
+	downTo time.Time                                    // it has crashed and is down until then
+	crash  chan struct{}                                // closed when it crashes, and replaced
+	starts int
+	frozen bool // runs, and answers nothing until thaw
 	thaw   chan struct{}
 }
 
 // Probe implements upstream.Upstream.
-func (u *fakeUpstream) Probe(context.Context) upstream.Health { return upstream.Health{} }
+func (u *fakeUpstream) Probe(context.Context) upstream.Health {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if time.Now().Before(u.downTo) {
+		return upstream.Health{State: upstream.Gone}
+	}
+	return upstream.Health{Instance: upstream.Instance(fmt.Sprint(u.starts))}
+}
+
+// poison begins the body of a request that crashes each upstream that runs it.
+const poison = "poison"
+
+// crashes ends all that runs, and the upstream for a while.
+func (u *fakeUpstream) crashes() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.starts++
+	u.downTo = time.Now().Add(time.Second)
+	close(u.crash)
+	u.crash = make(chan struct{})
+}
 
 // Export implements upstream.Upstream.
 func (u *fakeUpstream) Export(context.Context, uint64) ([]byte, error) { return nil, nil }
@@ -161,8 +185,11 @@
 func (u *fakeUpstream) Do(ctx context.Context, r upstream.Request) (*upstream.Response, error) {
 	body := string(r.Call.Body)
 	u.mu.Lock()
-	do, frozen := u.do, u.frozen
+	do, frozen, crash, down := u.do, u.frozen, u.crash, time.Now().Before(u.downTo)
 	u.mu.Unlock()
+	if down {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonUpstreamDown, "")
+	}
 	if do != nil {
 		if err := do(ctx, body); err != nil {
 			return nil, err
@@ -175,8 +202,13 @@
 		<-u.thaw
 		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonUpstreamFailed, "")
 	}
+	if strings.HasPrefix(body, poison) {
+		time.Sleep(2 * tick)
+		u.crashes()
+		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonUpstreamFailed, "")
+	}
 	h := http.Header{"Content-Type": {"text/event-stream"}}
-	return &upstream.Response{Status: http.StatusOK, Header: h, Body: &slowBody{ctx: ctx, rest: expected(body)}}, nil
+	return &upstream.Response{Status: http.StatusOK, Header: h, Body: &slowBody{ctx: ctx, crash: crash, rest: expected(body)}}, nil
 }
 
 // expected is the answer to a body. No two bodies have the same.
@@ -192,13 +224,16 @@
 
 // slowBody is an answer that comes piece by piece.
 type slowBody struct {
-	ctx  context.Context
-	rest []byte
+	ctx   context.Context
+	crash <-chan struct{}
+	rest  []byte
 }
 
 func (b *slowBody) Read(p []byte) (int, error) {
 	select {
 	case <-time.After(tick):
+	case <-b.crash:
+		return 0, io.ErrUnexpectedEOF
 	case <-b.ctx.Done():
 		return 0, b.ctx.Err()
 	}
@@ -365,3 +400,9 @@
 	t.Org++
 	return router.KeyPrefix + f.ring.Seal(t), err
 }
+
+func (u *fakeUpstream) ran(body string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.Contains(u.runs, body)
+}
--- a/internal/gateway/promise_test.go
+++ b/internal/gateway/promise_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"sync"
@@ -187,3 +188,65 @@
 		}
 	})
 }
+
+// One request crashes each upstream that runs it. Its caller's app sends it
+// again at once, through whichever router answers, while other guests' calls
+// run beside it. Without quarantine the whole fleet goes down, one upstream
+// after the other; a careless one convicts the bystanders.
+func TestCrashingRequestTakesTwoUpstreamsAtMost(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fleet) {
+		var wg sync.WaitGroup
+		for i := range 30 {
+			wg.Go(func() {
+				time.Sleep(time.Duration(i) * 200 * time.Millisecond)
+				body := fmt.Sprint("bystander ", i)
+				if r := f.call(i%testRouters, clips, body, ""); r.header.Get(gateway.HeaderReason) == "quarantined" {
+					t.Errorf("%s was convicted", body)
+				}
+			})
+		}
+		var last reply
+		for i := range 40 {
+			last = f.call(i%testRouters, clips, poison, "")
+			time.Sleep(20 * time.Millisecond)
+			if last.header.Get("Retry-After") != "" {
+				time.Sleep(time.Second)
+			}
+		}
+		wg.Wait()
+		last.expect(t, http.StatusUnprocessableEntity, "not-run", "quarantined")
+		if n := f.runs()[poison]; n > 2 {
+			t.Fatalf("%d upstreams crashed", n)
+		}
+	})
+}
+
+// The session's home is down for a moment, so the crashing request runs at the
+// next upstream. Its caller sends it again through a router that has heard of
+// nothing, and the home is back. Unless the home was told before the caller
+// was answered, each of two routers goes by its own crash and a third follows.
+func TestHomeHearsOfACrashBeforeTheCallerDoes(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fleet) {
+		header := http.Header{gateway.HeaderSession: {"s"}}
+		send := func(router int, body string) reply {
+			return f.send(context.Background(), router, http.MethodPost, "/services/"+booking+"/x", body, header)
+		}
+		send(0, "who is home")
+		var home *vm
+		for _, v := range f.vm {
+			if v.upstream.ran("who is home") {
+				home = v
+			}
+		}
+		home.upstream.mu.Lock()
+		home.upstream.downTo = time.Now().Add(2 * time.Second)
+		home.upstream.mu.Unlock()
+		for i := range 12 {
+			send(i%testRouters, poison)
+			time.Sleep(time.Second)
+		}
+		if n := f.runs()[poison]; n != 2 {
+			t.Fatalf("%d upstreams crashed, want 2", n)
+		}
+	})
+}
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -24,6 +24,19 @@
 	Err *verdict.Error
 	// Asked reports that the upstream was asked, even if it took nothing.
 	Asked bool
+	// Final reports that no other upstream would take the request.
+	Final bool
+}
+
+// Asked reports whether a request that its sidecar had admitted got as far as
+// the upstream before it failed. One that only waited there has cost the
+// upstream nothing.
+func Asked(err *verdict.Error) bool {
+	switch err.Reason {
+	case verdict.ReasonDraining, verdict.ReasonDeadline, verdict.ReasonSuspect:
+		return err.Verdict != verdict.NotRun
+	}
+	return true
 }
 
 // Conditions are the properties of a request on which a retry depends.
@@ -39,7 +52,7 @@
 // differently, and the caller would get the head of one answer with the tail
 // of another.
 func After(f Failure, c Conditions) Next {
-	if c.Sent || !elsewhere(f.Err.Reason) {
+	if c.Sent || f.Final || !elsewhere(f.Err.Reason) {
 		return Stop
 	}
 	notRun := f.Err.Verdict == verdict.NotRun
@@ -71,7 +84,7 @@
 	switch r {
 	case verdict.ReasonOverBound, verdict.ReasonQueueFull, verdict.ReasonDraining,
 		verdict.ReasonNoUpstream, verdict.ReasonUpstreamDown, verdict.ReasonConnection,
-		verdict.ReasonInternal, verdict.ReasonStoreDown, verdict.ReasonConcurrency, verdict.ReasonDeadline:
+		verdict.ReasonInternal, verdict.ReasonSuspect, verdict.ReasonStoreDown, verdict.ReasonConcurrency, verdict.ReasonDeadline:
 		return true
 	}
 	return false
--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -25,6 +25,8 @@
 	home       string // VM that ranks first
 	session    uint64
 	print      uint64
+	suspect    bool   // it may have crashed an upstream: it runs alone
+	lent       bool   // it may run alone where it is offered
 	resumeAt   int64  // offset from which an earlier answer is wanted
 	release    func() // of the organisation's concurrency
 
@@ -166,7 +168,12 @@
 }
 
 func (a *Answer) offer(e dispatch.Offer) {
-	at := a.add(a.candidates[e.Candidate])
+	vm := a.candidates[e.Candidate]
+	if e.Attempt > 0 {
+		vm = a.reassign(vm)
+	}
+	at := a.add(vm)
+	at.leave = a.lent
 	if a.req.Key != nil && e.Attempt == 0 {
 		a.hold(at, *a.req.Key, a.submit)
 		return
@@ -313,6 +320,9 @@
 	case p.End != nil:
 		a.end = p.End
 		a.router.heard(time.Now(), at.vm, p.End.Control)
+		if p.End.Error != nil {
+			a.report(at, p.End.Error)
+		}
 		a.step(dispatch.Ended{Now: time.Now(), Attempt: at.number, Err: p.End.Error})
 		return p, false, nil
 	case p.Head != nil:
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -92,7 +92,7 @@
 		Call:        at.call,
 		Window:      streamWindow,
 		Trace:       string(at.span.Traceparent()),
-		Control:     a.router.control(now, a.pool),
+		Control:     a.router.control(now, a.pool, a.print),
 		Leave:       at.leave,
 	})
 	if err != nil {
@@ -138,11 +138,12 @@
 }
 
 // successor returns the key under which the request goes on if the sidecar
-// refuses it. Only a request whose key its caller holds needs one: copies of it
-// may arrive through other routers, and all must go the same way. The next
-// sidecar is connected to first, because a key names its incarnation.
+// refuses it. A request whose key its caller holds needs one: copies of it may
+// arrive through other routers, and all must go the same way. So does a suspect,
+// which the site of its crash may send on. The next sidecar is connected to
+// first, because a key names its incarnation.
 func (a *Answer) successor(at *attempt) *wire.Key {
-	if a.req.Key == nil || at.link+1 >= dispatch.MaxLinks || at.link+1 >= len(a.candidates) {
+	if a.req.Key == nil && !a.suspect || at.link+1 >= dispatch.MaxLinks || at.link+1 >= len(a.candidates) {
 		return nil
 	}
 	for _, vm := range a.candidates[at.link+1:] {
@@ -172,7 +173,13 @@
 	}
 	a.router.heard(now, at.vm, adm.Control)
 	at.leave = adm.Leave
-	return dispatch.Refused{Now: now, Attempt: at.number, Err: e, Moved: adm.Moved}
+	return dispatch.Refused{Now: now, Attempt: at.number, Err: e, Moved: adm.Moved, Final: a.stranded(at, e)}
+}
+
+// stranded reports whether a refused suspect has nowhere else to go: it was the
+// only VM where it may run that refused it.
+func (a *Answer) stranded(at *attempt, err *verdict.Error) bool {
+	return err.Reason == verdict.ReasonSuspect && a.reassign(at.vm).ID == at.vm.ID
 }
 
 // begun waits for the first piece of an admitted attempt's answer. A head
@@ -193,6 +200,7 @@
 		}
 		if p.End != nil && p.End.Error != nil {
 			a.router.heard(time.Now(), at.vm, p.End.Control)
+			a.report(at, p.End.Error)
 			if p.End.Moved != nil { // it waited there and was sent on
 				return dispatch.Refused{Now: time.Now(), Attempt: at.number, Err: p.End.Error, Moved: p.End.Moved}
 			}
--- a/internal/router/dispatch/event.go
+++ b/internal/router/dispatch/event.go
@@ -45,6 +45,7 @@
 	Attempt int
 	Err     *verdict.Error
 	Moved   *wire.Key // the key under which the request goes on, if any
+	Final   bool      // no other upstream would take it
 }
 
 // Lost is a connection that broke after the request had been sent over it.
--- a/internal/router/dispatch/step.go
+++ b/internal/router/dispatch/step.go
@@ -65,7 +65,7 @@
 	// An attach is refused by a sidecar that has the request no longer, or by
 	// the next incarnation. The request had been admitted there.
 	asked := a.phase == admitted
-	return s.failed(e.Attempt, retry.Failure{Err: e.Err, Asked: asked})
+	return s.failed(e.Attempt, retry.Failure{Err: e.Err, Asked: asked, Final: e.Final})
 }
 
 // opened handles the first piece of an answer. The first attempt to get there
@@ -91,7 +91,7 @@
 
 func (s *State) ended(e Ended) []Effect {
 	if e.Err != nil {
-		return s.failed(e.Attempt, retry.Failure{Err: e.Err, Asked: true})
+		return s.failed(e.Attempt, retry.Failure{Err: e.Err, Asked: retry.Asked(e.Err)})
 	}
 	s.attempts[e.Attempt].phase = over
 	s.finished = true
@@ -106,10 +106,19 @@
 	}
 	a.phase = over
 	s.note(f.Err)
+	// If it was the request that crashed the upstream, its hedge is about to
+	// crash the next one.
+	if s.hedged && f.Err.Reason == verdict.ReasonUpstreamFailed && f.Err.Verdict != verdict.NotRun {
+		return append(s.dropOthers(s.winner), s.next(*a, f)...)
+	}
 	if i != s.winner && s.alive() > 0 {
 		return nil // the other of two hedged attempts goes on
 	}
-	switch next := s.after(*a, f); {
+	return s.next(*a, f)
+}
+
+func (s *State) next(a attempt, f retry.Failure) []Effect {
+	switch next := s.after(a, f); {
 	case s.plan.Resume || s.offered >= s.plan.Offers || next == retry.Stop:
 		return s.finish(f.Err)
 	case next == retry.Again && !s.budget.Withdraw():
--- a/internal/router/offer.go
+++ b/internal/router/offer.go
@@ -30,6 +30,10 @@
 	}
 	a := r.newAnswer(ctx, view, req)
 	a.release = release
+	if err := a.confine(time.Now()); err != nil {
+		a.Close()
+		return nil, err
+	}
 	if len(a.candidates) == 0 {
 		a.Close()
 		e := verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, "pool %q has no upstream", req.Profile.Pool)
@@ -88,12 +92,21 @@
 	if vm := r.ticketVM(a.req.Ticket, a.session); vm != "" {
 		q.Ticket = a.pool.placed.Index(load.Hash(vm))
 	}
+	return r.order(now, a.pool, q)
+}
+
+// rank returns the upstreams of a pool by their rank for a hash.
+func (r *Router) rank(now time.Time, p *Pool, hash uint64) []platform.VM {
+	return r.order(now, p, placement.Query{Session: hash, Ticket: placement.None})
+}
+
+func (r *Router) order(now time.Time, p *Pool, q placement.Query) []platform.VM {
 	var out [placement.Candidates]int
-	n := a.pool.beliefs.choose(now, a.pool.placed, q, &out)
+	n := p.beliefs.choose(now, p.placed, q, &out)
 	vms := make([]platform.VM, 0, n+1)
 	avoided := make([]platform.VM, 0, n)
 	for _, i := range out[:n] {
-		vm := a.pool.VMs[i]
+		vm := p.VMs[i]
 		if r.avoids(vm.ID, now) {
 			avoided = append(avoided, vm)
 		} else {
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -45,14 +45,17 @@
 		mark := config.Mark{Version: c.Config}
 		r.loop.Post(ConfigEvent{Event: config.Heard{Now: now, Peer: config.Peer(vm.ID), Mark: mark}})
 	}
+	r.suspects.merge(now, c.Suspects)
 	if pool := r.View().Pools[vm.Pool]; pool != nil {
 		pool.beliefs.heard(now, load.Hash(vm.ID), max(vm.Weight, 1), c)
 	}
 }
 
-// control returns what a sidecar of pool is told on the back of a request.
-func (r *Router) control(now time.Time, pool *Pool) wire.Control {
+// control returns what a sidecar of pool is told on the back of a request with
+// a fingerprint.
+func (r *Router) control(now time.Time, pool *Pool, print uint64) wire.Control {
 	c := wire.Control{Config: r.View().Version}
+	_, c.Suspects = r.suspects.rule(now, print)
 	if pool != nil {
 		c.Samples = pool.beliefs.samples(now)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -33,16 +33,17 @@
 
 // Router serves requests.
 type Router struct {
-	config Config
-	ctx    context.Context
-	runner *follow.Runner
-	loop   *loop.Loop[Event, Effect]
-	state  *State
-	view   atomic.Pointer[View]
-	limits *limits
-	claims *claimBudget
-	ledger *ledger
-	hints  chan struct{} // to give up the present watch of the store
+	config   Config
+	ctx      context.Context
+	runner   *follow.Runner
+	loop     *loop.Loop[Event, Effect]
+	state    *State
+	view     atomic.Pointer[View]
+	limits   *limits
+	claims   *claimBudget
+	suspects *suspects
+	ledger   *ledger
+	hints    chan struct{} // to give up the present watch of the store
 
 	mu      sync.Mutex
 	asked   map[uint64]chan config.Delta // calls of sidecars that wait for a reply
@@ -54,16 +55,17 @@
 // New returns a Router that works until ctx ends.
 func New(ctx context.Context, c Config) *Router {
 	r := &Router{
-		config:  c,
-		ctx:     ctx,
-		state:   NewState(placement.Locality{Domain: c.FailureDomain}, rand.Uint64()),
-		asked:   make(map[uint64]chan config.Delta),
-		limits:  newLimits(),
-		claims:  newClaimBudget(time.Now()),
-		ledger:  newLedger(),
-		hints:   make(chan struct{}),
-		peers:   make(map[endpoint]*wire.Peer),
-		avoided: make(map[string]time.Time),
+		config:   c,
+		ctx:      ctx,
+		state:    NewState(placement.Locality{Domain: c.FailureDomain}, rand.Uint64()),
+		asked:    make(map[uint64]chan config.Delta),
+		limits:   newLimits(),
+		claims:   newClaimBudget(time.Now()),
+		suspects: newSuspects(),
+		ledger:   newLedger(),
+		hints:    make(chan struct{}),
+		peers:    make(map[endpoint]*wire.Peer),
+		avoided:  make(map[string]time.Time),
 	}
 	r.runner = &follow.Runner{
 		Store: hintedStore{Store: c.Store, hints: r.hints},
@@ -116,6 +118,7 @@
 func (r *Router) followVMs(ctx context.Context) {
 	tag := ""
 	for ctx.Err() == nil {
+		r.suspects.expire(time.Now())
 		vms, changed, err := r.config.VMs.VMs(ctx, tag)
 		if err == nil && changed {
 			tag = vms.Tag
