router: a resend without a session meets the upstreams that were told

Calls without a session go to the less loaded of two upstreams drawn at random, so the resend met one that no report had reached. Ruled out: to tell the whole pool, which is 2,900 calls for a crash at the target's size; to place such calls by fingerprint alone, which gives up the choice by load that keeps the small pools even. Change: the two choices follow from the request's fingerprint, so a copy draws the same two through any router of a failure domain; the report goes to those two of each domain, and to the home as a router that knows no loads ranks it.

--- a/internal/router/offer.go
+++ b/internal/router/offer.go
@@ -87,7 +87,7 @@
 		Session:  a.session,
 		Ticket:   placement.None,
 		Multiple: a.req.Profile.LoadMultiple,
-		Random:   rand.Uint64(),
+		Random:   a.random(),
 	}
 	if vm := r.ticketVM(a.req.Ticket, a.session); vm != "" {
 		q.Ticket = a.pool.placed.Index(load.Hash(vm))
@@ -95,6 +95,16 @@
 	return r.order(now, a.pool, q)
 }
 
+// random returns what the choice for a request without a session begins with. It
+// follows from the request, so that a copy of it meets the same few upstreams,
+// and those can be told if it has crashed one.
+func (a *Answer) random() uint64 {
+	if a.print != 0 {
+		return a.print
+	}
+	return rand.Uint64()
+}
+
 // rank returns the upstreams of a pool by their rank for a hash.
 func (r *Router) rank(now time.Time, p *Pool, hash uint64) []platform.VM {
 	return r.order(now, p, placement.Query{Session: hash, Ticket: placement.None})
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/parsleyfront/parsleyfront/internal/load"
+	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/platform"
 	"github.com/parsleyfront/parsleyfront/internal/quarantine"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
@@ -18,8 +22,10 @@
 	suspectsTold = 256
 	// reportTimeout bounds a report of a crash, which a caller waits for.
 	reportTimeout = 500 * time.Millisecond
-	// reportTo is how many sidecars are told of a crash at most.
-	reportTo = 2
+	// homesPerRouter is how many upstreams a resend through one router may meet
+	// first: those two that it chooses the less loaded of, or the home and the
+	// VM of the ticket.
+	homesPerRouter = 2
 )
 
 var (
@@ -143,7 +149,7 @@
 // resend that comes at once, through another router, takes the next upstream
 // with it.
 func (a *Answer) report(at *attempt, err *verdict.Error) {
-	if err.Reason != verdict.ReasonUpstreamFailed {
+	if err.Reason != verdict.ReasonUpstreamFailed || err.Verdict == verdict.NotRun {
 		return
 	}
 	told := a.router.suspects.about(time.Now(), a.print)
@@ -153,8 +159,8 @@
 	ctx, done := context.WithTimeout(context.Background(), reportTimeout)
 	defer done()
 	var wg sync.WaitGroup
-	for i, vm := range a.candidates {
-		if i >= reportTo || vm.ID == "" || vm.ID == at.vm.ID {
+	for _, vm := range a.homes() {
+		if vm.ID == at.vm.ID {
 			continue
 		}
 		wg.Go(func() {
@@ -167,3 +173,34 @@
 	}
 	wg.Wait()
 }
+
+// homes returns the VMs that a resend would be offered to first: through this
+// router, and through one of each failure domain that knows no loads.
+func (a *Answer) homes() []platform.VM {
+	seen := make(map[string]platform.VM)
+	for _, vm := range a.candidates[:min(homesPerRouter, len(a.candidates))] {
+		seen[vm.ID] = vm
+	}
+	if a.pool != nil {
+		a.homesByDomain(seen)
+	}
+	delete(seen, "") // the VM of a key that the list does not know
+	return slices.Collect(maps.Values(seen))
+}
+
+func (a *Answer) homesByDomain(seen map[string]platform.VM) {
+	members := a.pool.members()
+	domains := make(map[string]bool)
+	for _, vm := range a.pool.VMs {
+		domains[vm.FailureDomain] = true
+	}
+	q := placement.Query{Session: a.session, Ticket: placement.None, Random: a.random()}
+	for domain := range domains {
+		p := placement.NewPool(members, placement.Locality{Domain: domain})
+		var out [placement.Candidates]int
+		n := p.Choose(time.Now(), load.NewTable(), q, &out)
+		for _, i := range out[:min(homesPerRouter, n)] {
+			seen[a.pool.VMs[i].ID] = a.pool.VMs[i]
+		}
+	}
+}
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -89,19 +89,29 @@
 }
 
 func newPool(vms []platform.VM, b *beliefs, self placement.Locality) *Pool {
-	members := make([]placement.Member, len(vms))
-	ids := make([]load.VM, len(vms))
-	for i, vm := range vms {
-		ids[i] = load.Hash(vm.ID)
-		members[i] = placement.Member{
-			VM:     ids[i],
+	p := &Pool{VMs: vms, beliefs: b}
+	members := p.members()
+	ids := make([]load.VM, len(members))
+	for i, m := range members {
+		ids[i] = m.VM
+	}
+	b.keep(ids)
+	p.placed = placement.NewPool(members, self)
+	return p
+}
+
+// members returns the upstreams as package placement sees them.
+func (p *Pool) members() []placement.Member {
+	out := make([]placement.Member, len(p.VMs))
+	for i, vm := range p.VMs {
+		out[i] = placement.Member{
+			VM:     load.Hash(vm.ID),
 			Seed:   placement.Seed(vm.ID),
 			Weight: max(vm.Weight, 1),
 			Domain: vm.FailureDomain,
 		}
 	}
-	b.keep(ids)
-	return &Pool{VMs: vms, placed: placement.NewPool(members, self), beliefs: b}
+	return out
 }
 
 // ForModel returns the profile by which org uses model: the named one, or the
