--- a/test/failure_test.go
+++ b/test/failure_test.go
@@ -120,14 +120,14 @@
 	return n
 }
 
-// busy returns the upstream that has run something, and the other one.
-func (f *fleet) busy() (busy, other *upstreamVM) {
+// other returns the one upstream besides vm.
+func (f *fleet) other(vm *upstreamVM) *upstreamVM {
 	GinkgoHelper()
 	Expect(f.upstreams).To(HaveLen(2))
-	if len(f.upstreams[0].runs()) > 0 {
-		return f.upstreams[0], f.upstreams[1]
+	if f.upstreams[0] == vm {
+		return f.upstreams[1]
 	}
-	return f.upstreams[1], f.upstreams[0]
+	return f.upstreams[0]
 }
 
 var _ = Describe("an answer under way", func() {
@@ -178,7 +178,7 @@
 		f.addUpstream("engine", "notes", pace...)
 		admin := freeAddr()
 		c := streams(f.addRouter("--admin-listen", admin), "notes")
-		vm, _ := f.busy()
+		vm := f.busy()
 		vm.sidecar.session.Signal(syscall.SIGSTOP)
 		Eventually(func() float64 { return counter(admin, "wire_silent_connections_total") }, startWithin).Should(BeEquivalentTo(1))
 		vm.sidecar.session.Signal(syscall.SIGCONT)
@@ -195,12 +195,12 @@
 		f.addUpstream("engine", "notes", pace...)
 		f.addUpstream("engine", "notes", pace...)
 		c := streams(f.addRouter(), "notes")
-		vm, other := f.busy()
+		vm := f.busy()
 		kill(vm)
 		Expect(c.reads(all)).NotTo(MatchError("EOF"))
 		Expect(c.got).NotTo(beWhole(tokens))
 		Expect(string(c.got)).To(ContainSubstring(`"verdict":"ran"`))
-		Expect(other.runs()).To(BeEmpty())
+		Expect(f.other(vm).runs()).To(BeEmpty())
 	},
 		Entry("its sidecar is killed", func(vm *upstreamVM) { vm.sidecar.session.Kill().Wait(startWithin) }),
 		Entry("its upstream is killed", func(vm *upstreamVM) { vm.upstream.session.Kill().Wait(startWithin) }),
@@ -219,7 +219,7 @@
 			answered <- send(http.MethodPost, chatURL(r), apiKey, ask(false, "tag this clip"), nil)
 		}()
 		Eventually(f.runs, startWithin).Should(Equal(1))
-		vm, _ := f.busy()
+		vm := f.busy()
 		vm.sidecar.session.Kill().Wait(startWithin)
 		var got reply
 		Eventually(answered, startWithin).Should(Receive(&got))
@@ -239,7 +239,7 @@
 		f.addUpstream("engine", "notes", slow...)
 		r := f.addRouter()
 		c := streams(r, "full match breakdown")
-		leaver, _ := f.busy()
+		leaver := f.busy()
 		f.vmFaults(standin.VMFaults{Lag: profile.Duration(time.Second)})
 		f.list(platform.VM{ID: leaver.id, Role: platform.RoleUpstream, Addr: leaver.sidecar.addr, Pool: "notes", Leaving: true})
 
