config: accepted changes are in force within 7 s, shown by histories

Cause: nothing showed that what parsleyctl calls accepted takes hold and stays. Change: a fleet of routers and sidecars with virtual time around the stand-in store; operators race while it is down, silent, slow, stale, rate limited, loses answers and requests, lets writes take effect late, leaves out changes, and routers restart. porcupine checks a register of revisions per object, in which a router's read may lag by 7 s of time with an open path, and no node may go back. Found by it and mended: a watch that timed out was followed by the pause of an outage on top of its own wait (two silent connections took 8.5 s); retries of up to 3.75 s added to that. Not shown: three or more silent connections in a row, and a change that every router's watch left out, which only the next listing finds.

--- a/internal/config/event.go
+++ b/internal/config/event.go
@@ -61,6 +61,7 @@
 type StoreFailed struct {
 	Now       time.Time
 	Compacted bool // the store no longer holds the changes that were asked for
+	Silent    bool // no answer came in time
 }
 
 // Hinted is word from an operator's command that the store has news. It ends
--- /dev/null
+++ b/internal/config/follow/fleet_test.go
@@ -0,0 +1,241 @@
+package follow_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleyfront/parsleyfront/internal/config"
+	"github.com/parsleyfront/parsleyfront/internal/config/change"
+	"github.com/parsleyfront/parsleyfront/internal/config/follow"
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/standin"
+)
+
+// fleet is routers and sidecars around a store, in virtual time. Only their
+// configuration is there.
+type fleet struct {
+	t     *testing.T
+	store *standin.ObjectAPI
+	refs  []platform.Ref
+	began time.Time
+
+	cut atomic.Pointer[node] // a sidecar that hears no news, but can be asked
+
+	mu       sync.Mutex
+	rand     *rand.Rand
+	nodes    map[config.Peer]*node
+	routers  []*node
+	sidecars []*node
+	born     int
+	history  history
+}
+
+// node is a router or a sidecar.
+type node struct {
+	fleet  *fleet
+	name   config.Peer
+	stop   context.CancelFunc
+	ctx    context.Context
+	runner follow.Runner
+
+	mu       sync.Mutex
+	follower *config.Follower
+	held     map[platform.Ref]platform.Version
+}
+
+const (
+	mostRouters  = 4
+	sidecarCount = 6
+	linkDelay    = time.Millisecond
+	trafficEvery = 100 * time.Millisecond
+)
+
+func newFleet(t *testing.T, ctx context.Context, seed uint64, objects int) *fleet {
+	f := &fleet{
+		t:     t,
+		store: standin.NewObjectAPI(),
+		began: time.Now(),
+		rand:  rand.New(rand.NewPCG(seed, 0)),
+		nodes: make(map[config.Peer]*node),
+	}
+	for i := range objects {
+		f.refs = append(f.refs, platform.Ref{Kind: platform.KindProfile, Name: fmt.Sprint("profile-", i)})
+	}
+	for range sidecarCount {
+		f.sidecars = append(f.sidecars, f.start(ctx, config.NewCopy(f.rand.Uint64()), nil))
+	}
+	for range 1 + f.rand.IntN(mostRouters) {
+		f.startRouter(ctx)
+	}
+	return f
+}
+
+func (f *fleet) startRouter(ctx context.Context) {
+	n := f.start(ctx, config.NewFollower(f.rand.Uint64()), f.store)
+	f.routers = append(f.routers, n)
+	var peers []config.Peer
+	for _, s := range f.sidecars {
+		peers = append(peers, s.name)
+	}
+	n.step(config.PeersChanged{Now: time.Now(), Peers: peers})
+	go n.runner.Run(n.ctx)
+	go n.traffic()
+}
+
+func (f *fleet) start(ctx context.Context, c *config.Follower, store platform.Store) *node {
+	f.born++
+	n := &node{
+		fleet:    f,
+		name:     config.Peer(fmt.Sprint("node-", f.born)),
+		follower: c,
+		held:     make(map[platform.Ref]platform.Version),
+	}
+	n.ctx, n.stop = context.WithCancel(ctx)
+	n.runner = follow.Runner{Store: store, Ask: n.ask, Post: n.step}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nodes[n.name] = n
+	return n
+}
+
+// restart ends a router without warning and starts another in its place.
+func (f *fleet) restart(ctx context.Context, i int) {
+	n := f.routers[i]
+	n.stop()
+	f.mu.Lock()
+	delete(f.nodes, n.name)
+	f.routers = append(f.routers[:i:i], f.routers[i+1:]...)
+	f.mu.Unlock()
+	f.startRouter(ctx)
+}
+
+func (f *fleet) intN(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rand.IntN(n)
+}
+
+func (f *fleet) node(name config.Peer) *node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes[name]
+}
+
+func (n *node) step(e config.Event) {
+	if n.fleet.cut.Load() == n {
+		return
+	}
+	n.mu.Lock()
+	effects := n.follower.Step(e)
+	n.neverBack()
+	n.mu.Unlock()
+	for _, effect := range effects {
+		n.runner.Do(n.ctx, effect)
+	}
+}
+
+// neverBack checks that no object is at a lower version than before.
+func (n *node) neverBack() {
+	for _, ref := range n.fleet.refs {
+		v := n.follower.Set().Held(ref)
+		if v < n.held[ref] {
+			n.fleet.t.Errorf("%s: %s went back from %d to %d", n.name, ref, n.held[ref], v)
+		}
+		n.held[ref] = v
+	}
+}
+
+// ask puts a query to another node, which hears this one's mark in passing.
+func (n *node) ask(_ context.Context, peer config.Peer, q config.Query) (config.Delta, error) {
+	time.Sleep(linkDelay)
+	to := n.fleet.node(peer)
+	if to == nil || n.ctx.Err() != nil {
+		return config.Delta{}, errors.New("gone")
+	}
+	to.mu.Lock()
+	d := to.follower.Set().Answer(q)
+	to.mu.Unlock()
+	to.step(config.Heard{Now: time.Now(), Peer: n.name, Mark: q.Mark})
+	return d, nil
+}
+
+// traffic exchanges versions with sidecars on the back of requests.
+func (n *node) traffic() {
+	for n.ctx.Err() == nil {
+		time.Sleep(trafficEvery)
+		s := n.fleet.sidecars[n.fleet.intN(sidecarCount)]
+		s.step(config.Heard{Now: time.Now(), Peer: n.name, Mark: config.Mark{Version: n.version()}})
+		n.step(config.Heard{Now: time.Now(), Peer: s.name, Mark: config.Mark{Version: s.version()}})
+	}
+}
+
+func (n *node) version() platform.Version {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.follower.Set().Version()
+}
+
+// inForce returns the change in force of an object, which is none when it does
+// not exist, and whether the router is ready to serve.
+func (n *node) inForce(ref platform.Ref) (id config.ChangeID, ready bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	o, ok := n.follower.Set().Get(ref)
+	if !ok {
+		return "", n.follower.Ready()
+	}
+	r, _ := config.Decode(o.Value)
+	return r.Change.ID, n.follower.Ready()
+}
+
+// observe records each second what every router has in force.
+func (f *fleet) observe(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(time.Second)
+		f.mu.Lock()
+		routers := append([]*node(nil), f.routers...)
+		f.mu.Unlock()
+		for _, n := range routers {
+			for _, ref := range f.refs {
+				if id, ready := n.inForce(ref); ready {
+					f.history.read(ref, n.name, id, f.now())
+				}
+			}
+		}
+	}
+}
+
+func (f *fleet) now() time.Duration {
+	return time.Since(f.began)
+}
+
+// operate lets an operator change objects now and then. Each change begins with
+// what the operator reads, as parsleyctl does.
+func (f *fleet) operate(ctx context.Context) {
+	e := change.NewEditor(f.store)
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(200+f.intN(3000)) * time.Millisecond)
+		ref := f.refs[f.intN(len(f.refs))]
+		within, cancel := context.WithTimeout(ctx, 10*time.Second)
+		base, err := e.Read(within, ref)
+		if err == nil {
+			time.Sleep(time.Duration(f.intN(2000)) * time.Millisecond) // to edit it
+			call := f.now()
+			edit := change.Edit{Base: base, Spec: json.RawMessage(`{}`), Author: "a"}
+			if f.intN(5) == 0 {
+				edit.Spec = nil
+			}
+			r := e.Commit(within, edit)
+			f.history.commit(ref, r, edit.Spec == nil, call, f.now())
+		}
+		cancel()
+	}
+}
--- a/internal/config/follow/follow.go
+++ b/internal/config/follow/follow.go
@@ -77,14 +77,18 @@
 	defer cancel()
 	page, err := r.Store.Watch(ctx, config.Kinds(), e.Since, e.Wait)
 	if err != nil {
-		r.failed(err)
+		r.failed(ctx, err)
 		return
 	}
 	r.Post(config.Watched{Now: time.Now(), Since: e.Since, Page: page})
 }
 
-func (r *Runner) failed(err error) {
-	r.Post(config.StoreFailed{Now: time.Now(), Compacted: errors.Is(err, platform.ErrCompacted)})
+func (r *Runner) failed(ctx context.Context, err error) {
+	r.Post(config.StoreFailed{
+		Now:       time.Now(),
+		Compacted: errors.Is(err, platform.ErrCompacted),
+		Silent:    ctx.Err() != nil,
+	})
 }
 
 // list reads all kinds. The version of the whole is that of its oldest page:
@@ -96,7 +100,7 @@
 		for {
 			page, err := r.page(ctx, kind, cont)
 			if err != nil {
-				r.failed(err)
+				r.failed(ctx, err)
 				return
 			}
 			all.Objects = append(all.Objects, page.Objects...)
--- /dev/null
+++ b/internal/config/follow/follow_test.go
@@ -0,0 +1,104 @@
+package follow_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/profile"
+	"github.com/parsleyfront/parsleyfront/internal/standin"
+)
+
+const (
+	seeds   = 40
+	phases  = 8
+	objects = 3
+	longest = 20 // of a phase, in seconds
+)
+
+// faultKinds are the faults of a phase. Those in which the store gives no
+// answer at all block the news.
+var faultKinds = []struct {
+	faults  standin.ObjectFaults
+	blocks  bool
+	compact bool
+	gaps    bool
+}{
+	{},
+	{faults: standin.ObjectFaults{Down: true}, blocks: true, compact: true},
+	{faults: standin.ObjectFaults{Silent: true}, blocks: true},
+	{faults: standin.ObjectFaults{Delay: profile.Duration(800 * time.Millisecond)}},
+	{faults: standin.ObjectFaults{LoseAnswers: 12}},
+	{faults: standin.ObjectFaults{LoseAnswers: 6, LoseKind: platform.KindProfile, WritesPerSecond: 1}},
+	{faults: standin.ObjectFaults{LoseAnswers: 6, LoseKind: platform.KindProfile, StaleEvery: 2, StaleBy: profile.Duration(3 * time.Second)}},
+	{faults: standin.ObjectFaults{LateWrites: 6, LateBy: profile.Duration(3 * time.Second), LoseKind: platform.KindProfile}},
+	{faults: standin.ObjectFaults{LoseRequests: 1000, LoseKind: platform.KindProfile}},
+	{faults: standin.ObjectFaults{LoseRequests: 20}},
+	{faults: standin.ObjectFaults{StaleEvery: 2, StaleBy: profile.Duration(3 * time.Second)}},
+	{gaps: true},
+	{faults: standin.ObjectFaults{SilentWatches: 1}},
+	{faults: standin.ObjectFaults{ReadsPerSecond: 8, WritesPerSecond: 3}},
+}
+
+// Operators change profiles while the store is down, slow, lags, loses answers
+// and lets watches miss changes, and routers restart. An operator whom
+// parsleyctl told "applied" finds a router that still serves by the former
+// profile, or one that comes back to it: because its watch went silent, missed
+// the change or began anew from a listing that lags, or because the router
+// started from a sidecar that had not heard. Or one who was told "not applied"
+// finds the change in force.
+//
+// Each router's configuration must be one that was in force within the last 7 s,
+// and what operators were told must fit one order of the changes.
+func TestAcceptedChangesAreInForceAndStay(t *testing.T) {
+	for seed := range uint64(seeds) {
+		var f *fleet
+		synctest.Test(t, func(t *testing.T) { f = runFaults(t, seed) })
+		f.history.check(t, f.refs)
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+}
+
+// runFaults lets operators work through phases of faults.
+func runFaults(t *testing.T, seed uint64) *fleet {
+	ctx, stop := context.WithCancel(t.Context())
+	f := newFleet(t, ctx, seed, objects)
+	for range 3 {
+		go f.operate(ctx)
+	}
+	go f.observe(ctx)
+	for range phases {
+		kind := faultKinds[f.intN(len(faultKinds))]
+		if kind.gaps {
+			// A change that all have missed is found by the next listing only.
+			kind.faults.WatchGaps = len(f.routers) - 1
+		}
+		f.store.SetFaults(kind.faults)
+		f.cut.Store(f.sidecars[f.intN(sidecarCount)])
+		from := f.now()
+		for range 1 + f.intN(longest) {
+			time.Sleep(time.Second)
+			if !kind.gaps && f.intN(4) == 0 {
+				f.restart(ctx, f.intN(len(f.routers)))
+			}
+		}
+		if kind.compact {
+			f.store.Compact(0)
+		}
+		f.store.SetFaults(standin.ObjectFaults{})
+		f.cut.Store(nil)
+		if kind.blocks {
+			f.history.block(from, f.now())
+		}
+		time.Sleep(time.Duration(f.intN(5)) * time.Second)
+	}
+	time.Sleep(2 * promised)
+	stop()
+	synctest.Wait()
+	time.Sleep(time.Minute) // late writes and calls that were given up end
+	return f
+}
--- /dev/null
+++ b/internal/config/follow/history_test.go
@@ -0,0 +1,186 @@
+package follow_test
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/parsleyfront/parsleyfront/internal/config"
+	"github.com/parsleyfront/parsleyfront/internal/config/change"
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+)
+
+// promised is how soon an accepted change is in force at every router.
+const promised = 7 * time.Second
+
+// checkTimeout bounds the search for an order of a history's operations.
+const checkTimeout = 10 * time.Second
+
+// history is what operators and routers have seen, in virtual time.
+type history struct {
+	mu         sync.Mutex
+	operations []porcupine.Operation
+	reads      []*reads
+	latest     map[config.Peer]map[platform.Ref]*reads
+	blocked    []span // when neither store nor peer could tell the news
+}
+
+// reads are those that have returned the same. If the first and the last of
+// them fit, all between them do.
+type reads struct {
+	ref         platform.Ref
+	id          config.ChangeID
+	first, last time.Duration
+}
+
+type span struct{ from, to time.Duration }
+
+// input is an operation: a commit on top of parent, or a read when id is empty.
+type input struct {
+	ref        platform.Ref
+	id, parent config.ChangeID
+	deletes    bool
+}
+
+// output is the outcome of a commit, or the change that a read has returned,
+// which is none when the object does not exist.
+type output struct {
+	outcome change.Outcome
+	clash   bool // not applied because another change was faster
+	id      config.ChangeID
+}
+
+func (h *history) add(i input, o output, call, end time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.operations = append(h.operations, porcupine.Operation{Input: i, Output: o, Call: int64(call), Return: int64(end)})
+}
+
+func (h *history) commit(ref platform.Ref, r change.Result, deletes bool, call, end time.Duration) {
+	if r.Outcome == change.Unknown {
+		end = math.MaxInt64 // it may take effect at any time
+	}
+	in := input{ref: ref, id: r.Change.ID, parent: r.Change.Parent, deletes: deletes}
+	h.add(in, output{outcome: r.Outcome, clash: r.Conflict != nil}, call, end)
+}
+
+// read records what a router has in force. Reads of a change are taken together
+// for all routers; of a deletion, which has no name, only those of one router
+// that follow each other.
+func (h *history) read(ref platform.Ref, router config.Peer, id config.ChangeID, at time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.latest == nil {
+		h.latest = make(map[config.Peer]map[platform.Ref]*reads)
+	}
+	if h.latest[router] == nil {
+		h.latest[router] = make(map[platform.Ref]*reads)
+	}
+	r := h.latest[router][ref]
+	if r == nil || r.id != id {
+		r = h.readsOf(ref, id)
+	}
+	if r == nil {
+		r = &reads{ref: ref, id: id, first: at}
+		h.reads = append(h.reads, r)
+	}
+	r.last = at
+	h.latest[router][ref] = r
+}
+
+func (h *history) readsOf(ref platform.Ref, id config.ChangeID) *reads {
+	i := slices.IndexFunc(h.reads, func(r *reads) bool { return r.ref == ref && r.id == id && id != "" })
+	if i < 0 {
+		return nil
+	}
+	return h.reads[i]
+}
+
+// readOperations returns the first and the last of each reads.
+func (h *history) readOperations() []porcupine.Operation {
+	var out []porcupine.Operation
+	for _, r := range h.reads {
+		for _, at := range []time.Duration{r.first, r.last} {
+			out = append(out, porcupine.Operation{Input: input{ref: r.ref}, Output: output{id: r.id}, Call: int64(h.since(at)), Return: int64(at)})
+		}
+	}
+	return out
+}
+
+func (h *history) block(from, to time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.blocked = append(h.blocked, span{from, to})
+}
+
+// since returns the earliest time whose state a read at a time may still show:
+// promised ago, not counting the time in which no path was open.
+func (h *history) since(at time.Duration) time.Duration {
+	left, end := promised, at
+	for i := len(h.blocked) - 1; i >= 0; i-- {
+		b := h.blocked[i]
+		if b.from >= end {
+			continue
+		}
+		open := max(0, end-b.to)
+		if open >= left {
+			break
+		}
+		left -= open
+		end = b.from
+	}
+	return end - left
+}
+
+// model is a register of revisions. A commit takes effect only on top of its
+// parent; a read returns the last change. A commit without a known outcome may
+// take effect or not.
+func model() porcupine.Model {
+	m := porcupine.NondeterministicModel{
+		Init: func() []any { return []any{state{}} },
+		Step: func(s, in, out any) []any {
+			now, i, o := s.(state), in.(input), out.(output)
+			next := state{last: i.id}
+			if !i.deletes {
+				next.visible = i.id
+			}
+			switch {
+			case i.id == "":
+				return then(now, o.id == now.visible)
+			case o.outcome == change.Applied:
+				return then(next, now.last == i.parent)
+			case o.outcome == change.NotApplied:
+				return then(now, !o.clash || now.last != i.parent)
+			default:
+				return append(then(next, now.last == i.parent), now)
+			}
+		},
+	}
+	return m.ToModel()
+}
+
+// state is the last change of an object, and what a reader sees of it: nothing
+// after a deletion.
+type state struct{ last, visible config.ChangeID }
+
+func then(s state, legal bool) []any {
+	if !legal {
+		return nil
+	}
+	return []any{s}
+}
+
+func (h *history) check(t *testing.T, refs []platform.Ref) {
+	t.Helper()
+	all := append(h.readOperations(), h.operations...)
+	for _, ref := range refs {
+		ops := slices.DeleteFunc(slices.Clone(all), func(o porcupine.Operation) bool { return o.Input.(input).ref != ref })
+		if result := porcupine.CheckOperationsTimeout(model(), ops, checkTimeout); result != porcupine.Ok {
+			t.Errorf("%s: %s, in a history of %d operations", ref, result, len(ops))
+		}
+	}
+}
--- a/internal/config/follow_store.go
+++ b/internal/config/follow_store.go
@@ -57,13 +57,19 @@
 	// The store's watches begin later than what we know. It shows as a watch
 	// that is refused however often it is tried; a listing starts anew.
 	f.relist = f.relist || e.Compacted
+	if e.Silent {
+		// The wait was pause enough: the next connection may work at once.
+		f.failures++
+		f.pause(e.Now, retryFirst)
+		return
+	}
 	f.fail(e.Now)
 }
 
 func (f *Follower) listedStore(e Listed) []Effect {
 	f.status.Listings++
 	f.relist = false
-	f.nextList = e.Now.Add(f.jitter(listEvery))
+	f.nextList = e.Now.Add(f.jitter(f.listInterval()))
 	stale := e.Version < f.set.Complete()
 	out := f.changed(Batch{Objects: e.Objects, Claim: &Claim{To: e.Version}, Known: e.Version})
 	seen := make(map[platform.Ref]struct{}, len(e.Objects))
@@ -83,6 +89,11 @@
 	return append(out, f.tickStore(e.Now)...)
 }
 
+// listInterval is the time between listings: what keeps them within listRate.
+func (f *Follower) listInterval() time.Duration {
+	return max(listEvery, time.Duration(f.set.Bytes())*time.Second/listRate)
+}
+
 func (f *Follower) storeAnswered(now time.Time) {
 	f.confirmed = true
 	f.failures = 0
--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -27,13 +27,15 @@
 	watchPause = 600 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed call of the store.
 	retryFirst = 250 * time.Millisecond
-	retryMost  = 2500 * time.Millisecond
+	retryMost  = 2 * time.Second
 
 	// listSoon is when a router that began with what a peer had verifies it
-	// against the store, and listEvery how often it does so later. A change that
-	// all peers have missed shows nowhere else.
+	// against the store. Later it does so every listEvery, or less often so that
+	// the values read stay within listRate in bytes a second. A change that all
+	// nodes have missed shows nowhere else.
 	listSoon  = 5 * time.Minute
-	listEvery = 24 * time.Hour
+	listEvery = time.Minute
+	listRate  = 256
 
 	// checkEvery is how often a router compares with a peer that it draws.
 	checkEvery = 2500 * time.Millisecond
--- /dev/null
+++ b/internal/config/follower_test.go
@@ -0,0 +1,52 @@
+package config
+
+import (
+	"testing"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+)
+
+var object = platform.Ref{Kind: platform.KindProfile, Name: "chat"}
+
+func at(v platform.Version) platform.Object {
+	return platform.Object{Ref: object, Version: v, Value: value(int(v))}
+}
+
+// The store is down and a router starts. The first sidecar that it asks has
+// been cut off for an hour, and callers are served by the rules of an hour ago
+// until the router happens to ask another. It is ready only when it has
+// compared a few.
+func TestReadyAfterComparingPeers(t *testing.T) {
+	f, now := NewFollower(1), time.Unix(0, 0)
+	held := map[Peer]platform.Version{"cut": 3, "a": 9, "b": 9, "c": 9}
+	f.peers = []Peer{"cut", "a", "b", "c"}
+	f.ask(now, "cut", 0)
+	for !f.Ready() {
+		if f.pull == nil {
+			now = now.Add(TickEvery)
+			f.Step(Ticked{Now: now})
+			continue
+		}
+		v := held[f.pull.peer]
+		d := Delta{Objects: []platform.Object{at(v)}, Mark: Mark{Version: v, Complete: v}}
+		f.Step(Answered{Now: now, Peer: f.pull.peer, Delta: d})
+	}
+	if have := f.set.Held(object); have != 9 {
+		t.Errorf("ready at version %d although peers have 9", have)
+	}
+}
+
+// A profile is deleted from the store by hand, made again and deleted again. A
+// peer that has seen the first deletion and a later listing sends the first
+// deletion. The profile that a router has read in between must not stay.
+func TestDeletionThatCameBackIsTaken(t *testing.T) {
+	f, now := NewFollower(1), time.Unix(0, 0)
+	f.Step(Heard{Now: now, Peer: "a", Mark: Mark{Version: 1}})
+	f.Step(Listed{Now: now, Objects: []platform.Object{at(2)}, Version: 2})
+	gone := platform.Object{Ref: object, Version: 1, Deleted: true}
+	f.Step(Answered{Now: now, Peer: "a", Delta: Delta{Objects: []platform.Object{gone}, Known: 3, Mark: Mark{Version: 1, Complete: 3}}})
+	if o, ok := f.set.Get(object); ok {
+		t.Errorf("version %d is still in force", o.Version)
+	}
+}
--- a/internal/config/set_test.go
+++ b/internal/config/set_test.go
@@ -16,7 +16,7 @@
 func init() {
 	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.nofailfile", "true")
-	_ = flag.Set("rapid.checks", "1000")
+	_ = flag.Set("rapid.checks", "1500")
 	_ = flag.Set("rapid.steps", "60")
 }
 
@@ -130,6 +130,14 @@
 	w.nodes[i].set.Apply(Batch{Objects: objects[:len(objects)/2]})
 }
 
+// overtake delivers changes with a claim that may begin after what the node
+// has, as when an answer overtakes the one before it.
+func (w *world) overtake(i int) {
+	from := w.past()
+	to := max(from, w.past())
+	w.nodes[i].set.Apply(Batch{Objects: w.log[from:to], Claim: &Claim{From: from, To: to}})
+}
+
 func (w *world) hear(i, from int) {
 	m := w.nodes[from].set.Mark()
 	w.step(i, Heard{Now: w.now, Peer: name(from), Mark: m})
@@ -199,13 +207,14 @@
 
 func (w *world) actions() map[string]func(*rapid.T) {
 	return map[string]func(*rapid.T){
-		"":       w.check,
-		"write":  func(*rapid.T) { w.write() },
-		"list":   func(*rapid.T) { w.list(w.router(), w.past()) },
-		"watch":  func(*rapid.T) { w.watch(w.router(), w.past()) },
-		"replay": func(*rapid.T) { w.replay(w.node()) },
-		"hear":   func(*rapid.T) { w.hear(w.node(), w.node()) },
-		"answer": func(*rapid.T) { w.answer() },
+		"":         w.check,
+		"write":    func(*rapid.T) { w.write() },
+		"list":     func(*rapid.T) { w.list(w.router(), w.past()) },
+		"watch":    func(*rapid.T) { w.watch(w.router(), w.past()) },
+		"overtake": func(*rapid.T) { w.overtake(w.node()) },
+		"replay":   func(*rapid.T) { w.replay(w.node()) },
+		"hear":     func(*rapid.T) { w.hear(w.node(), w.node()) },
+		"answer":   func(*rapid.T) { w.answer() },
 	}
 }
 
--- a/internal/standin/objectapi.go
+++ b/internal/standin/objectapi.go
@@ -130,6 +130,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch {
+	case a.faults.LoseKind != "" && a.faults.LoseKind != o.Kind:
 	case take(&a.faults.LoseRequests):
 		return platform.Object{}, errors.Wrap(platform.ErrUnknown, "connection cut")
 	case take(&a.faults.LateWrites):
--- a/internal/standin/objectfault.go
+++ b/internal/standin/objectfault.go
@@ -29,6 +29,8 @@
 	// LateWrites is how many get no answer and take effect later, by LateBy.
 	LateWrites int              `json:"late_writes,omitempty"`
 	LateBy     profile.Duration `json:"late_by,omitempty"`
+	// LoseKind restricts these to objects of a kind; empty is all.
+	LoseKind platform.Kind `json:"lose_kind,omitempty"`
 
 	// StaleEvery lets every n-th read be answered by a replica that lags by StaleBy.
 	StaleEvery int              `json:"stale_every,omitempty"`
