daemon: routers stand for the controller's lease, sidecars take its orders

Cause: the lease, the controller and the desk were not part of the programs. Router views carry what pools load. Ruled out: a lease time that each router takes from its own settings; a router with a shorter one would take over too early, so the object carries it. Test: 3 routers, 4 engines (2 ignore fencing tokens) as processes; the holder is frozen in a roll-out, another finishes it, the old token is refused by each sidecar, each engine loads once, no violation at the weight store. Fails at the old order when the fence lets old tokens pass.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -35,6 +35,8 @@
 	Self  string // this router's VM
 	// Process is unique to this process: a restarted one is another candidate.
 	Process string
+	// LeaseTTL is how long the lease lasts without renewal.
+	LeaseTTL time.Duration
 	// LoadEvery is the time between two loads that the weight store allows.
 	LoadEvery time.Duration
 	// Routers returns the VMs of routers that the platform lists.
@@ -56,7 +58,7 @@
 // New returns a Controller.
 func New(c Config) *Controller {
 	stands := func() bool { return lease.Stands(LeaseName, c.Self, c.Routers()) }
-	ctl := &Controller{config: c, lease: lease.NewRunner(c.Store, LeaseName, c.Self+"/"+c.Process, stands)}
+	ctl := &Controller{config: c, lease: lease.NewRunner(c.Store, LeaseName, c.Self+"/"+c.Process, c.LeaseTTL, stands)}
 	ctl.loop = loop.New(NewState(c.LoadEvery), ctl.act, func() {})
 	return ctl
 }
--- a/internal/controller/state.go
+++ b/internal/controller/state.go
@@ -21,7 +21,7 @@
 	// ask thousands of sidecars at once.
 	asksAtOnce = 32
 	// askRunning is how often an upstream is asked that works on an order.
-	askRunning = 2 * time.Second
+	askRunning = time.Second
 	// askFailed is how long after a failed call an upstream is asked again.
 	askFailed = 5 * time.Second
 	// askIdle is how often any other upstream is asked.
--- a/internal/daemon/dev.go
+++ b/internal/daemon/dev.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/parsleyfront/parsleyfront/internal/config/change"
+	"github.com/parsleyfront/parsleyfront/internal/lease"
 	"github.com/parsleyfront/parsleyfront/internal/platform"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
 	"github.com/parsleyfront/parsleyfront/internal/router"
@@ -22,6 +23,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/sidecar"
 	"github.com/parsleyfront/parsleyfront/internal/standin"
 	"github.com/parsleyfront/parsleyfront/internal/token"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
 )
 
 // What dev mode configures: a pool of engines for chats and a plain service.
@@ -34,6 +36,8 @@
 	devTokenDelay = 20 * time.Millisecond
 	devTokens     = 24
 	devCache      = 256
+	devLoadEvery  = time.Second
+	devLoadTakes  = time.Second
 	devMultiple   = 1.25
 )
 
@@ -77,6 +81,12 @@
 		config:   router.Config{Store: p, VMs: p, Ring: ring, Dial: dialer(secure.Plain{})},
 		admin:    o,
 		plan:     stopPlan{timeout: s.StopTimeout.D},
+
+		vm: devRouter,
+		controller: settings.Controller{
+			LeaseTTL:           settings.Duration{D: lease.DefaultTTL},
+			WeightLoadInterval: settings.Duration{D: devLoadEvery},
+		},
 	}
 	return server.serve(ctx, background)
 }
@@ -147,6 +157,8 @@
 	for i := range engines {
 		mux := http.NewServeMux()
 		standin.NewEngine(standin.EngineConfig{Model: devModel, TokenDelay: devTokenDelay, Tokens: devTokens, CacheSize: devCache}).Register(mux)
+		loaded := wire.Loaded{Model: devModel, Version: "1", Role: string(profile.DefaultEngineRole)}
+		standin.NewOrders(standin.OrdersConfig{Loaded: loaded, Takes: devLoadTakes}).Register(mux)
 		if err := startUpstream(ctx, vms, platformURL, platform.VM{ID: fmt.Sprintf("engine-%d", i), Pool: devNotes}, mux); err != nil {
 			return err
 		}
@@ -177,6 +189,7 @@
 	}
 	c := sidecarConfig(parsed.Sidecar)
 	c.Dial = dialer(secure.Plain{})
+	c.Token = currentToken(platform.NewHTTP(platformURL))
 	go func() { _ = sidecar.New(c).Serve(ctx, l) }()
 	vm.Role, vm.Addr = platform.RoleUpstream, l.Addr().String()
 	vms.Set(vm)
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -36,6 +36,9 @@
 	config   router.Config
 	admin    operators
 	plan     stopPlan
+
+	vm         string // as the platform lists it
+	controller settings.Controller
 }
 
 // stopPlan is how a router leaves.
@@ -64,6 +67,9 @@
 	server := callerServer{
 		config: router.Config{Store: p, VMs: p, Ring: secrets.Ring, Dial: dialer(transport), FailureDomain: s.FailureDomain},
 		plan:   stopPlan{delay: s.DrainDelay.D, timeout: s.StopTimeout.D},
+
+		vm:         s.VM,
+		controller: s.Controller,
 	}
 	if server.tls, err = callerTLS(background, s); err != nil {
 		return err
@@ -99,6 +105,7 @@
 	r := router.New(background, c.config)
 	h := newHealth(r.Alive, r.Ready)
 	c.admin.serveRouter(background, r, h)
+	go runController(ctx, c.config.Store, c.vm, c.controller, r)
 	server := &http.Server{
 		Handler:           h.wrap(gateway.New(r)),
 		TLSConfig:         c.tls,
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -45,6 +45,7 @@
 			return err
 		}
 		c.VMs = p
+		c.Token = currentToken(p)
 	}
 	sc := sidecar.New(c)
 	h := newHealth(sc.Alive, func() bool { return true })
@@ -55,6 +56,7 @@
 
 func sidecarConfig(s settings.Sidecar) sidecar.Config {
 	nonce := token.NewNonce()
+	up := upstream.NewHTTP(string(s.Upstream))
 	c := sidecar.Config{
 		Settings: sidecar.Settings{
 			VM:          s.VM,
@@ -72,7 +74,8 @@
 			StopWithin:  s.StopTimeout.D,
 		},
 		Buffer:   sidecar.Buffer{PerAnswer: s.AnswerBytes.N, Total: s.BufferBytes.N},
-		Upstream: upstream.NewHTTP(string(s.Upstream)),
+		Upstream: up,
+		Orders:   up,
 	}
 	return c
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -8,24 +8,30 @@
 package lease
 
 import (
+	"context"
+	"encoding/json"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/parsleyfront/parsleyfront/internal/platform"
 	"github.com/parsleyfront/parsleyfront/internal/wire"
 )
 
 const (
-	// TTL is how long a lease lasts after the write that took or renewed it.
-	TTL = 15 * time.Second
-	// Margin is what a candidate waits beyond TTL, for clocks that run at
-	// different rates.
-	Margin = 3 * time.Second
-	// Every is the pause between a holder's renewals and a candidate's reads.
-	Every = 5 * time.Second
+	// DefaultTTL is how long a lease lasts after the write that took or renewed it.
+	DefaultTTL = 15 * time.Second
 	// Candidates is how many routers stand for the lease at a time. The others
 	// make no calls of the store for it.
 	Candidates = 3
 
+	// marginShare of the TTL is what a candidate waits beyond it, for clocks
+	// that run at different rates.
+	marginShare = 5
+	// callShare of the TTL is the pause between a holder's renewals and between
+	// a candidate's reads.
+	callShare = 3
+
 	retryOrder = time.Second
 )
 
@@ -33,6 +39,7 @@
 type Record struct {
 	Holder  string            `json:"holder"`          // empty: released
 	Attempt string            `json:"attempt"`         // names the write, so that its writer can tell it again
+	TTL     time.Duration     `json:"ttl_ns"`          // by which all judge this holding, whatever their own settings
 	Token   wire.FencingToken `json:"token,omitempty"` // zero in the write that takes the lease
 }
 
@@ -45,3 +52,16 @@
 	}
 	return r.Token
 }
+
+// Current reads the fencing token of a lease from the store.
+func Current(ctx context.Context, store platform.Store, name string) (wire.FencingToken, error) {
+	o, err := store.Get(ctx, platform.Ref{Kind: platform.KindLease, Name: name})
+	if err != nil {
+		return 0, err
+	}
+	var r Record
+	if err := json.Unmarshal(o.Value, &r); err != nil {
+		return 0, errors.Wrap(err, "lease")
+	}
+	return TokenOf(r, o.Version), nil
+}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -64,7 +64,7 @@
 	for i := range 3 {
 		w.candidates = append(w.candidates, &candidate{
 			id:     fmt.Sprint("router-", i),
-			state:  NewState(fmt.Sprint("router-", i)),
+			state:  NewState(fmt.Sprint("router-", i), DefaultTTL),
 			offset: time.Duration(rapid.IntRange(-1000, 1000).Draw(t, "offset")) * time.Second,
 			permil: int64(rapid.IntRange(950, 1050).Draw(t, "rate")),
 		})
@@ -257,7 +257,7 @@
 				c := one(t)
 				w.step(c, Resign{})
 				c.waiting = nil
-				c.state = NewState(fmt.Sprint(c.id, "-", w.now))
+				c.state = NewState(fmt.Sprint(c.id, "-", w.now), DefaultTTL)
 			}
 		},
 		"prepare": func(t *rapid.T) { // checks the lease, and is paused before it sends
@@ -307,7 +307,7 @@
 		for range 12 {
 			w.tick()
 			w.serve()
-			w.now += Every
+			w.now += DefaultTTL / callShare
 		}
 		if len(w.held()) != 1 {
 			t.Fatalf("%d hold the lease after a quiet minute", len(w.held()))
--- a/internal/lease/runner.go
+++ b/internal/lease/runner.go
@@ -19,6 +19,7 @@
 type Runner struct {
 	store  platform.Store
 	ref    platform.Ref
+	ttl    time.Duration
 	stands func() bool
 	state  *State
 	loop   *loop.Loop[Event, Effect]
@@ -29,13 +30,14 @@
 
 // NewRunner returns a Runner for the lease object of that name, as the
 // candidate self, which must be unique to the process. It stands for the lease
-// while stands reports true.
-func NewRunner(store platform.Store, name, self string, stands func() bool) *Runner {
+// while stands reports true, and takes it for ttl at a time.
+func NewRunner(store platform.Store, name, self string, ttl time.Duration, stands func() bool) *Runner {
 	r := &Runner{
 		store:  store,
 		ref:    platform.Ref{Kind: platform.KindLease, Name: name},
+		ttl:    ttl,
 		stands: stands,
-		state:  NewState(self),
+		state:  NewState(self, ttl),
 		over:   make(chan struct{}),
 	}
 	r.grant.Store(&Grant{})
@@ -73,7 +75,7 @@
 	}
 	select {
 	case <-r.over:
-	case <-time.After(Every):
+	case <-time.After(r.ttl / callShare):
 	}
 }
 
--- a/internal/lease/state.go
+++ b/internal/lease/state.go
@@ -71,6 +71,7 @@
 // State is a candidate's or holder's view of the lease.
 type State struct {
 	self    string // unique to this process, so that a restarted one is another
+	ttl     time.Duration
 	written uint64
 
 	calling  bool // a call is out
@@ -89,11 +90,15 @@
 	deadline time.Time
 }
 
-// NewState returns the State of a candidate. self must be unique to the process.
-func NewState(self string) *State {
-	return &State{self: self}
+// NewState returns the State of a candidate that takes the lease for ttl at a
+// time. self must be unique to the process.
+func NewState(self string, ttl time.Duration) *State {
+	return &State{self: self, ttl: ttl}
 }
 
+// every is the pause between calls of the store.
+func (s *State) every() time.Duration { return s.ttl / callShare }
+
 // Held returns the fencing token while the lease is held.
 func (s *State) Held(now time.Time) (wire.FencingToken, bool) {
 	return s.token, s.token != 0 && now.Before(s.deadline)
@@ -154,12 +159,12 @@
 		return nil
 	}
 	if s.token != 0 {
-		return s.put(now, Record{Holder: s.self, Token: s.token}, now.Add(Every))
+		return s.put(now, Record{Holder: s.self, Token: s.token}, now.Add(s.every()))
 	}
 	if !s.stands {
 		return nil
 	}
-	return s.get(now.Add(Every))
+	return s.get(now.Add(s.every()))
 }
 
 func (s *State) get(next time.Time) []Effect {
@@ -169,6 +174,7 @@
 
 func (s *State) put(now time.Time, r Record, next time.Time) []Effect {
 	s.written++
+	r.TTL = s.ttl
 	r.Attempt = fmt.Sprintf("%s#%d", s.self, s.written)
 	s.calling, s.next = true, next
 	s.attempts = append(s.attempts, attempt{id: r.Attempt, record: r, sent: now, ifVersion: s.version})
@@ -191,7 +197,7 @@
 	if s.resigned || s.token != 0 || !s.stands || !s.free(e.Now) {
 		return nil
 	}
-	return s.put(e.Now, Record{Holder: s.self}, e.Now.Add(Every))
+	return s.put(e.Now, Record{Holder: s.self}, e.Now.Add(s.every()))
 }
 
 // see takes in the object as it was read.
@@ -223,14 +229,15 @@
 		return
 	}
 	s.token = t
-	s.deadline = sent.Add(TTL)
+	s.deadline = sent.Add(s.ttl)
 }
 
 // free reports whether the lease may be taken. Its holder counts TTL from
 // before its write was sent; this counts from after that write was seen, and
 // longer, so the holder has stopped by then.
 func (s *State) free(now time.Time) bool {
-	return s.record.Holder == "" || now.Sub(s.since) >= TTL+Margin
+	ttl := s.record.TTL
+	return s.record.Holder == "" || now.Sub(s.since) >= ttl+ttl/marginShare
 }
 
 func (s *State) wrote(e Wrote) []Effect {
@@ -250,7 +257,7 @@
 		return nil
 	}
 	// Another wrote, or the outcome is unknown: read back.
-	return s.get(e.Now.Add(Every))
+	return s.get(e.Now.Add(s.every()))
 }
 
 // drop forgets a write that certainly had no effect.
--- /dev/null
+++ b/internal/router/order.go
@@ -0,0 +1,40 @@
+package router
+
+import (
+	"context"
+
+	"github.com/parsleyfront/parsleyfront/internal/controller"
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
+)
+
+// Order gives an order of the controller to the sidecar of a VM.
+func (r *Router) Order(ctx context.Context, vm platform.VM, o wire.Order) (wire.OrderStatus, error) {
+	var status wire.OrderStatus
+	err := r.peer(vm).Call(ctx, wire.MethodOrder, o, &status)
+	return status, err
+}
+
+// Desired returns what pools are to load, and their upstreams that take work.
+func (r *Router) Desired() controller.Desired {
+	view := r.View()
+	var d controller.Desired
+	for name, p := range view.Loads {
+		d.Pools = append(d.Pools, *p)
+		if pool := view.Pools[name]; pool != nil {
+			d.VMs = append(d.VMs, pool.VMs...)
+		}
+	}
+	return d
+}
+
+// RouterVMs returns the ids of the routers that the platform lists.
+func (r *Router) RouterVMs() []string {
+	var out []string
+	for id, vm := range r.View().VMs {
+		if vm.Role == platform.RoleRouter && !vm.Leaving {
+			out = append(out, id)
+		}
+	}
+	return out
+}
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -64,6 +64,7 @@
 	follower *config.Follower
 	profiles map[string]*profile.Profile
 	orgs     map[string]*profile.Organisation
+	loads    map[string]*profile.Pool    // what pools load
 	drains   map[string]platform.Version // orders in force, by VM
 	vms      platform.VMs
 	beliefs  map[string]*beliefs // by pool
@@ -85,6 +86,7 @@
 		follower: config.NewFollower(seed),
 		profiles: make(map[string]*profile.Profile),
 		orgs:     make(map[string]*profile.Organisation),
+		loads:    make(map[string]*profile.Pool),
 		drains:   make(map[string]platform.Version),
 		beliefs:  make(map[string]*beliefs),
 		view:     &View{},
@@ -169,6 +171,8 @@
 		s.profiles[o.Name], s.stale.profiles = v, true
 	case *profile.Organisation:
 		s.orgs[o.Name], s.stale.orgs = v, true
+	case *profile.Pool:
+		s.loads[o.Name], s.stale.pools = v, true
 	case *profile.Drain:
 		s.drains[o.Name], s.stale.pools = o.Version, true
 	}
@@ -183,6 +187,9 @@
 	case platform.KindOrganisation:
 		delete(s.orgs, ref.Name)
 		s.stale.orgs = true
+	case platform.KindPool:
+		delete(s.loads, ref.Name)
+		s.stale.pools = true
 	case platform.KindDrain:
 		delete(s.drains, ref.Name)
 		s.stale.pools = true
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -20,7 +20,8 @@
 	Orgs     map[string]*profile.Organisation // by the hash of an API key
 	Pools    map[string]*Pool
 	VMs      map[string]platform.VM
-	Routers  int // that the list of VMs knows, at least one
+	Routers  int                      // that the list of VMs knows, at least one
+	Loads    map[string]*profile.Pool // what pools load
 }
 
 // Pool is the upstreams of one pool.
@@ -79,6 +80,7 @@
 		}
 	}
 	v.Routers = max(v.Routers, 1)
+	v.Loads = maps.Clone(s.loads)
 	v.Pools = make(map[string]*Pool, len(members))
 	for name, vms := range members {
 		if s.beliefs[name] == nil {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -158,6 +158,8 @@
 	m.file("token-secrets", r.TokenSecrets)
 	m.duration("drain-delay", r.DrainDelay, 0, maxDelay)
 	m.count("max-connections", r.MaxConnections, 1, 1<<20)
+	m.duration("lease-ttl", r.LeaseTTL, time.Second, maxDelay)
+	m.duration("weight-load-interval", r.WeightLoadInterval, 0, maxDelay)
 }
 
 func (s Sidecar) check(m *Mistakes) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,7 +41,7 @@
 
 // Platform is where the platform is.
 type Platform struct {
-	URL URL    `long:"platform" env:"PARSLEYD_PLATFORM" description:"URL of the platform's API; a sidecar without it hands on no cached prefixes when its upstream leaves"`
+	URL URL    `long:"platform" env:"PARSLEYD_PLATFORM" description:"URL of the platform's API; a sidecar without it hands on no cached prefixes when its upstream leaves, and takes no orders"`
 	CA  string `long:"platform-ca" env:"PARSLEYD_PLATFORM_CA" description:"PEM file of the authorities that sign the platform's certificate; without it those of the system count"`
 }
 
@@ -58,8 +58,11 @@
 	CallerKey    string `long:"caller-key" env:"PARSLEYD_CALLER_KEY" description:"PEM file of its key"`
 	TokenSecrets string `long:"token-secrets" env:"PARSLEYD_TOKEN_SECRETS" description:"file of the secrets that sign request keys and tickets: id:hex on each line, the one to sign with first"`
 
-	DrainDelay     Duration `long:"drain-delay" env:"PARSLEYD_DRAIN_DELAY" default:"10s" description:"how long a planned stop goes on taking requests after readiness has begun to fail: longer than the balancer takes to notice"`
-	MaxConnections Count    `long:"max-connections" env:"PARSLEYD_MAX_CONNECTIONS" default:"12000" description:"callers' connections that are open at a time; more wait to be accepted"`
+	DrainDelay Duration `long:"drain-delay" env:"PARSLEYD_DRAIN_DELAY" default:"10s" description:"how long a planned stop goes on taking requests after readiness has begun to fail: longer than the balancer takes to notice"`
+
+	MaxConnections Count `long:"max-connections" env:"PARSLEYD_MAX_CONNECTIONS" default:"12000" description:"callers' connections that are open at a time; more wait to be accepted"`
+
+	Controller `group:"Controller"`
 }
 
 // Sidecar is the settings of the sidecar role.
@@ -77,6 +80,13 @@
 	Answers   `group:"Answers"`
 }
 
+// Controller is the settings of the one router that gives orders to upstreams.
+// They are the same for all routers of a fleet.
+type Controller struct {
+	LeaseTTL           Duration `long:"lease-ttl" env:"PARSLEYD_LEASE_TTL" default:"15s" description:"how long another router waits until it takes over from one that has stopped giving orders"`
+	WeightLoadInterval Duration `long:"weight-load-interval" env:"PARSLEYD_WEIGHT_LOAD_INTERVAL" default:"5s" description:"time between two loads of models that the weight store allows the whole fleet"`
+}
+
 // Admission is what an upstream is given.
 type Admission struct {
 	Weight     Count `long:"weight" env:"PARSLEYD_WEIGHT" default:"1" description:"capacity of the upstream relative to others of its pool, as in the platform's list"`
--- a/internal/sidecar/conn.go
+++ b/internal/sidecar/conn.go
@@ -63,6 +63,8 @@
 		})
 	case wire.MethodConfigSince:
 		return serve(params, func(p wire.ConfigSince) (any, error) { return s.configSince(ctx, c, p) })
+	case wire.MethodOrder:
+		return serve(params, func(p wire.Order) (any, error) { return s.order(ctx, p) })
 	case wire.MethodImport:
 		return serve(params, func(p wire.Import) (any, error) { return s.takeImport(ctx, p) })
 	}
--- a/internal/sidecar/event.go
+++ b/internal/sidecar/event.go
@@ -100,6 +100,18 @@
 	Now time.Time
 }
 
+// Emptying is an order to take no new work until Refilled. The reply comes when
+// nothing runs.
+type Emptying struct {
+	Now    time.Time
+	Ticket Ticket
+}
+
+// Refilled ends Emptying.
+type Refilled struct {
+	Now time.Time
+}
+
 // Stopping is the order to end the process once nothing is in flight.
 type Stopping struct {
 	Now time.Time
@@ -122,6 +134,8 @@
 func (e Noticed) at() time.Time     { return e.Now }
 func (e Reported) at() time.Time    { return e.Now }
 func (e Exported) at() time.Time    { return e.Now }
+func (e Emptying) at() time.Time    { return e.Now }
+func (e Refilled) at() time.Time    { return e.Now }
 func (e Stopping) at() time.Time    { return e.Now }
 func (e Ticked) at() time.Time      { return e.Now }
 
--- a/internal/sidecar/leave.go
+++ b/internal/sidecar/leave.go
@@ -35,7 +35,7 @@
 }
 
 func (s *State) leaving(now time.Time) bool {
-	return s.leave.stopping || s.leave.order.Leaving || now.Before(s.leave.listed)
+	return s.leave.stopping || s.emptying.on || s.leave.order.Leaving || now.Before(s.leave.listed)
 }
 
 // noticed takes a notice. Operators' orders have versions, by which an order
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -10,6 +10,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/config"
 	"github.com/parsleyfront/parsleyfront/internal/config/follow"
 	"github.com/parsleyfront/parsleyfront/internal/loop"
+	"github.com/parsleyfront/parsleyfront/internal/order"
 	"github.com/parsleyfront/parsleyfront/internal/platform"
 	"github.com/parsleyfront/parsleyfront/internal/token"
 	"github.com/parsleyfront/parsleyfront/internal/upstream"
@@ -22,6 +23,11 @@
 	Settings Settings
 	Buffer   Buffer
 	Upstream upstream.Upstream
+	// Orders is the upstream as it takes orders; nil: it takes none.
+	Orders order.Upstream
+	// Token reads the controller's fencing token from the store; nil: there is
+	// no store, and no order is taken.
+	Token func(ctx context.Context) (wire.FencingToken, error)
 	// VMs and Dial serve the export of cached prefixes when the upstream
 	// leaves. Without VMs nothing is exported.
 	VMs  platform.VMList
@@ -38,6 +44,7 @@
 	follow  follow.Runner
 	timer   *time.Timer // posts Ticked; owned by the loop's goroutine
 	answers *answers
+	desk    *order.Desk // nil: the upstream takes no orders
 
 	peering sync.Mutex
 
@@ -68,6 +75,7 @@
 	s.loop = loop.New(state, s.act, func() { s.rearm(state.Wake()) })
 	s.timer = time.AfterFunc(0, s.tick) // the first probe is due at once
 	s.follow = follow.Runner{Ask: s.askConfig, Post: func(e config.Event) { s.loop.Post(Configured{Now: time.Now(), Event: e}) }}
+	s.desk = s.newDesk()
 	go s.loop.Run(s.ctx)
 	go s.follow.Run(s.ctx)
 	return s
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -57,6 +57,7 @@
 	broken   []*request // calls that broke off, until it is known why
 	probe    probe
 	leave    leave
+	emptying emptying
 	recent   sessions
 }
 
@@ -148,6 +149,10 @@
 		return s.configured(e)
 	case ConfigAsked:
 		return s.configAsked(e)
+	case Emptying:
+		s.emptying = emptying{on: true, ticket: e.Ticket}
+	case Refilled:
+		s.emptying = emptying{}
 	case Stopping:
 		s.stop(e.Now)
 	}
--- a/internal/sidecar/timer.go
+++ b/internal/sidecar/timer.go
@@ -58,7 +58,8 @@
 		}
 	}
 	effects = append(effects, s.reviewProbe(now)...)
-	return append(effects, s.reviewLeave(now)...)
+	effects = append(effects, s.reviewLeave(now)...)
+	return append(effects, s.reviewEmptying(now)...)
 }
 
 func (s *State) reviewRequest(now time.Time, r *request) []Effect {
--- /dev/null
+++ b/test/orders_test.go
@@ -0,0 +1,130 @@
+package test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/parsleyfront/parsleyfront/internal/controller"
+	"github.com/parsleyfront/parsleyfront/internal/lease"
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/profile"
+	"github.com/parsleyfront/parsleyfront/internal/secure"
+	"github.com/parsleyfront/parsleyfront/internal/standin"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
+)
+
+// fetch reads a stand-in's report.
+func fetch[T any](url string) T {
+	GinkgoHelper()
+	resp, err := http.Get(url)
+	Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	var v T
+	Expect(json.NewDecoder(resp.Body).Decode(&v)).To(Succeed())
+	return v
+}
+
+// holder returns the VM of the router that holds the controller's lease, and
+// its fencing token.
+func (f *fleet) holder() (string, wire.FencingToken) {
+	o, err := f.store.Get(context.Background(), platform.Ref{Kind: platform.KindLease, Name: controller.LeaseName})
+	if err != nil {
+		return "", 0
+	}
+	var r lease.Record
+	Expect(json.Unmarshal(o.Value, &r)).To(Succeed())
+	vm, _, _ := strings.Cut(r.Holder, "/")
+	return vm, lease.TokenOf(r, o.Version)
+}
+
+// order gives an order to a sidecar as a router would.
+func (f *fleet) order(vm *upstreamVM, o wire.Order) wire.OrderStatus {
+	GinkgoHelper()
+	id := secure.Identity{Role: secure.RoleRouter, VM: "entry-9"}
+	as, err := secure.NewMutual(id, trustDomain, f.trust.issue(id))
+	Expect(err).NotTo(HaveOccurred())
+	peer := wire.NewPeer(wire.PeerConfig{Dial: func(ctx context.Context) (net.Conn, error) {
+		return as.Dial(ctx, vm.id, vm.sidecar.addr)
+	}})
+	defer peer.Close()
+	var status wire.OrderStatus
+	Expect(peer.Call(context.Background(), wire.MethodOrder, o, &status)).To(Succeed())
+	return status
+}
+
+var _ = Describe("orders", func() {
+	// A new model version is being rolled out when the router that gives the
+	// orders freezes. Another takes the lease and goes on. The first wakes up
+	// believing that it still holds the lease. If its orders were taken, engines
+	// would load twice, or the old version again, and the weight store would be
+	// asked beyond its rate. Two of the four engines ignore fencing tokens.
+	It("are taken from the holder of the lease alone", func() {
+		weightsAddr := freeAddr()
+		start(standinPath, weightsAddr, "--kind", "weights", "--listen", weightsAddr, "--load-every", "900ms")
+		f := newFleet()
+		for i := range 4 {
+			settings := []string{"--weights", "http://" + weightsAddr}
+			if i%2 == 0 {
+				settings = append(settings, "--fences")
+			}
+			f.addUpstream("engine", "notes", settings...)
+		}
+		for i := range 3 {
+			r := f.addRouter("--lease-ttl", "2s", "--weight-load-interval", "1s")
+			f.list(platform.VM{ID: fmt.Sprintf("entry-%d", i), Role: platform.RoleRouter, Addr: r.addr})
+		}
+		Eventually(func() string { vm, _ := f.holder(); return vm }, startWithin, 50*time.Millisecond).ShouldNot(BeEmpty())
+		f.put(platform.Ref{Kind: platform.KindPool, Name: "notes"},
+			profile.Pool{Name: "notes", Model: model, Version: "2", Role: profile.EngineMixed, MaxUnavailable: 0.25})
+
+		taken := func() int {
+			n := 0
+			for _, vm := range f.upstreams {
+				n += len(fetch[[]wire.Order]("http://" + vm.upstream.addr + "/debug/orders"))
+			}
+			return n
+		}
+		Eventually(taken, startWithin, 20*time.Millisecond).Should(BeNumerically(">=", 1))
+		frozenVM, oldToken := f.holder()
+		var frozen *process
+		for i, r := range f.routers {
+			if fmt.Sprintf("entry-%d", i) == frozenVM {
+				frozen = r
+			}
+		}
+		frozen.session.Signal(syscall.SIGSTOP)
+		Eventually(func() wire.FencingToken { _, t := f.holder(); return t }, startWithin, 50*time.Millisecond).Should(BeNumerically(">", oldToken))
+		Eventually(taken, startWithin, 50*time.Millisecond).Should(Equal(len(f.upstreams)))
+		frozen.session.Signal(syscall.SIGCONT)
+
+		for i, vm := range f.upstreams {
+			old := wire.Order{ID: "old", Token: oldToken, Action: wire.OrderPrepare, Want: wire.Loaded{Model: model, Version: "1"}}
+			status := f.order(vm, old)
+			Expect(status.Error).NotTo(BeNil(), "engine %d took an old order", i)
+			Expect(status.Error.Reason).To(Equal(verdict.ReasonFenced))
+		}
+		Eventually(func() []string {
+			var versions []string
+			for _, vm := range f.upstreams {
+				versions = append(versions, fetch[wire.OrderStatus]("http://"+vm.upstream.addr+"/orders").Loaded.Version)
+			}
+			return versions
+		}, startWithin, 50*time.Millisecond).Should(HaveEach("2"))
+		for _, vm := range f.upstreams {
+			Expect(fetch[[]wire.Order]("http://" + vm.upstream.addr + "/debug/orders")).To(HaveLen(1))
+		}
+		report := fetch[standin.WeightReport]("http://" + weightsAddr + "/debug/weights")
+		Expect(report.Loads).To(Equal(len(f.upstreams)))
+		Expect(report.Violations).To(BeZero())
+	})
+})
