controller: orders before queries

Cause: an upstream that is asked as often as the controller ticks was never given its load; seen when the query interval of a running order went to 1 s. Change: what is to be ordered is ordered first. Ruled out: longer intervals only hide it. Run: TestRolloutSurvivesItsHolders failed before and passes.

--- a/internal/controller/state.go
+++ b/internal/controller/state.go
@@ -201,12 +201,13 @@
 	if s.token == 0 {
 		return nil
 	}
-	sends := s.ask(now)
 	s.fence(now)
 	if !s.fenced {
-		return sends
+		return s.ask(now)
 	}
-	return append(sends, s.rollOut(now)...)
+	// Orders go first: an upstream that is being asked is given none.
+	orders := s.rollOut(now)
+	return append(orders, s.ask(now)...)
 }
 
 // fence waits until every upstream has been asked under the token. From then
