--- a/test/orders_test.go
+++ b/test/orders_test.go
@@ -23,8 +23,8 @@
 	"github.com/parsleyfront/parsleyfront/internal/wire"
 )
 
-// fetch reads a stand-in's report.
-func fetch[T any](url string) T {
+// reported reads a stand-in's report.
+func reported[T any](url string) T {
 	GinkgoHelper()
 	resp, err := http.Get(url)
 	Expect(err).NotTo(HaveOccurred())
@@ -90,7 +90,7 @@
 		taken := func() int {
 			n := 0
 			for _, vm := range f.upstreams {
-				n += len(fetch[[]wire.Order]("http://" + vm.upstream.addr + "/debug/orders"))
+				n += len(reported[[]wire.Order]("http://" + vm.upstream.addr + "/debug/orders"))
 			}
 			return n
 		}
@@ -116,14 +116,14 @@
 		Eventually(func() []string {
 			var versions []string
 			for _, vm := range f.upstreams {
-				versions = append(versions, fetch[wire.OrderStatus]("http://"+vm.upstream.addr+"/orders").Loaded.Version)
+				versions = append(versions, reported[wire.OrderStatus]("http://"+vm.upstream.addr+"/orders").Loaded.Version)
 			}
 			return versions
 		}, startWithin, 50*time.Millisecond).Should(HaveEach("2"))
 		for _, vm := range f.upstreams {
-			Expect(fetch[[]wire.Order]("http://" + vm.upstream.addr + "/debug/orders")).To(HaveLen(1))
+			Expect(reported[[]wire.Order]("http://" + vm.upstream.addr + "/debug/orders")).To(HaveLen(1))
 		}
-		report := fetch[standin.WeightReport]("http://" + weightsAddr + "/debug/weights")
+		report := reported[standin.WeightReport]("http://" + weightsAddr + "/debug/weights")
 		Expect(report.Loads).To(Equal(len(f.upstreams)))
 		Expect(report.Violations).To(BeZero())
 	})
