router: tell sidecars that their VM is to leave

Change: a reducer of notices: operators' orders with their version, word from the list repeated while it says so; sent by routers that are connected and by the three that rank highest for the VM; retried each second until taken, and again when a reply shows that the sidecar has forgotten. Peers of VMs that have left are forgotten. Seen to fail: without notices a stale router's work "ran at the upstream that leaves"; without the rank all 40 routers seek; without the retry and without the memory of loss, the repeat test.

--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -65,7 +65,7 @@
 		return err
 	}
 	server := callerServer{
-		config: router.Config{Store: p, VMs: p, Ring: secrets.Ring, Dial: dialer(transport), FailureDomain: s.FailureDomain},
+		config: router.Config{Store: p, VMs: p, Ring: secrets.Ring, Dial: dialer(transport), VM: s.VM, FailureDomain: s.FailureDomain},
 		plan:   stopPlan{delay: s.DrainDelay.D, timeout: s.StopTimeout.D},
 
 		vm:         s.VM,
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -77,15 +78,17 @@
 		f.vms.set(platform.VM{ID: v.id, Role: platform.RoleUpstream, Addr: v.id, Pool: "p"})
 	}
 	for i := range routers {
-		f.startRouter(fmt.Sprintf("router-%d", i))
+		name := fmt.Sprintf("router-%d", i)
+		f.vms.set(platform.VM{ID: name, Role: platform.RoleRouter})
+		f.startRouter(name, f.store, f.vms)
 	}
 	time.Sleep(time.Second) // of the bubble's clock: configuration and list are read
 	return f
 }
 
-func (f *fleet) startRouter(name string) {
+func (f *fleet) startRouter(name string, s platform.Store, l platform.VMList) {
 	ctx, kill := context.WithCancel(f.ctx)
-	r := router.New(ctx, router.Config{Store: f.store, VMs: f.vms, Ring: f.ring, Dial: f.net.dialer(name)})
+	r := router.New(ctx, router.Config{VM: name, Store: s, VMs: l, Ring: f.ring, Dial: f.net.dialer(name)})
 	f.gateways = append(f.gateways, gateway.New(r))
 	f.kill = append(f.kill, kill)
 }
@@ -295,12 +298,13 @@
 	mu      sync.Mutex
 	version platform.Version
 	objects map[platform.Ref]platform.Object
+	changed chan struct{} // closed at each change, and replaced
 	down    bool
 	lose    int // answers to writes that are lost after they took effect
 }
 
 func newStore() *store {
-	return &store{objects: make(map[platform.Ref]platform.Object)}
+	return &store{objects: make(map[platform.Ref]platform.Object), changed: make(chan struct{})}
 }
 
 func (s *store) put(kind platform.Kind, name string, v any) {
@@ -355,6 +359,8 @@
 	s.version++
 	o := platform.Object{Ref: ref, Version: s.version, Value: value}
 	s.objects[ref] = o
+	close(s.changed)
+	s.changed = make(chan struct{})
 	if s.lose > 0 {
 		s.lose--
 		return platform.Object{}, platform.ErrUnknown
@@ -366,12 +372,29 @@
 	return platform.ErrRefused
 }
 
-func (s *store) Watch(ctx context.Context, _ []platform.Kind, since platform.Version, wait time.Duration) (platform.Page, error) {
-	select {
-	case <-time.After(wait):
-		return platform.Page{Version: since}, nil
-	case <-ctx.Done():
-		return platform.Page{}, ctx.Err()
+func (s *store) Watch(ctx context.Context, kinds []platform.Kind, since platform.Version, wait time.Duration) (platform.Page, error) {
+	for end := time.Now().Add(wait); ; {
+		s.mu.Lock()
+		p := platform.Page{Version: s.version}
+		for ref, o := range s.objects {
+			if o.Version > since && slices.Contains(kinds, ref.Kind) {
+				p.Objects = append(p.Objects, o)
+			}
+		}
+		down, changed := s.down, s.changed
+		s.mu.Unlock()
+		if down {
+			return platform.Page{}, platform.ErrRefused
+		}
+		if len(p.Objects) > 0 || !time.Now().Before(end) {
+			return p, nil
+		}
+		select {
+		case <-changed:
+		case <-time.After(time.Until(end)):
+		case <-ctx.Done():
+			return platform.Page{}, ctx.Err()
+		}
 	}
 }
 
@@ -384,8 +407,9 @@
 func (l *vmList) set(vm platform.VM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.vms.Entries = slices.DeleteFunc(slices.Clone(l.vms.Entries), func(o platform.VM) bool { return o.ID == vm.ID })
 	l.vms.Entries = append(l.vms.Entries, vm)
-	l.vms.Tag = fmt.Sprint(len(l.vms.Entries))
+	l.vms.Tag += "+"
 }
 
 func (l *vmList) VMs(_ context.Context, tag string) (platform.VMs, bool, error) {
@@ -406,3 +430,17 @@
 	defer u.mu.Unlock()
 	return slices.Contains(u.runs, body)
 }
+
+// clone returns a store that stays as this one is now.
+func (s *store) clone() *store {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &store{version: s.version, objects: maps.Clone(s.objects), changed: make(chan struct{})}
+}
+
+// clone returns a list that stays as this one is now.
+func (l *vmList) clone() *vmList {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return &vmList{vms: l.vms}
+}
--- a/internal/gateway/promise_test.go
+++ b/internal/gateway/promise_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/gateway"
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/profile"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
 )
 
@@ -250,3 +252,41 @@
 		}
 	})
 }
+
+// An operator drains an upstream, or the list of VMs says that it leaves, while
+// one router is cut off from the store and the list: it goes on sending there
+// what it always sent. The upstream must get no new work all the same, and what
+// it was doing must end well.
+func TestLeavingUpstreamGetsNoNewWorkFromAStaleRouter(t *testing.T) {
+	leave := map[string]func(*fleet, *vm){
+		"drain order": func(f *fleet, v *vm) { f.store.put(platform.KindDrain, v.id, profile.Drain{Name: v.id}) },
+		"list of VMs": func(f *fleet, v *vm) {
+			f.vms.set(platform.VM{ID: v.id, Role: platform.RoleUpstream, Addr: v.id, Pool: "p", Leaving: true})
+		},
+	}
+	for name, order := range leave {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, f *fleet) {
+				stale := len(f.gateways)
+				f.startRouter("stale", f.store.clone(), f.vms.clone())
+				time.Sleep(3 * time.Second)
+				v := f.vm[0]
+				var inFlight sync.WaitGroup
+				for i := range 9 {
+					inFlight.Go(func() { f.call(stale, booking, fmt.Sprint("before ", i), "").expect(t, http.StatusOK, "ran", "") })
+				}
+				time.Sleep(tick)
+				order(f, v)
+				inFlight.Wait()
+				time.Sleep(4 * time.Second)
+				for i := range 30 {
+					body := fmt.Sprint("after ", i)
+					f.call(stale, booking, body, "").expect(t, http.StatusOK, "ran", "")
+					if v.upstream.ran(body) {
+						t.Fatalf("%s ran at the upstream that leaves", body)
+					}
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/router/notice.go
@@ -0,0 +1,160 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/placement"
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/telemetry"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
+)
+
+const (
+	// noticeSeekers is how many routers connect to a sidecar for the sake of a
+	// notice: enough that one of them gets through.
+	noticeSeekers = 3
+	// noticeRetry is the pause before a notice that was not taken is sent again.
+	noticeRetry = time.Second
+	// noticeRepeat is the pause before word from the list of VMs is repeated. It
+	// has no version, so sidecars let it lapse.
+	noticeRepeat = 30 * time.Second
+	// noticeTimeout bounds the sending of a notice.
+	noticeTimeout = 2 * time.Second
+)
+
+var notices = telemetry.NewCounter("router_notices_total",
+	"Notices to sidecars that their VM is to leave or to stay, repeats included.")
+
+// Notify tells a sidecar that its VM is to leave or to stay. NoticeTaken
+// follows if it was told.
+type Notify struct {
+	VM     platform.VM
+	Notice wire.Notice
+	Seek   bool // connect on purpose; otherwise only if there is a connection
+}
+
+// NoticeTaken is a sidecar that has taken a notice, or needs none of this router.
+type NoticeTaken struct {
+	VM     string
+	Notice wire.Notice
+}
+
+// NoticeLost is a sidecar that takes new work although it was told to leave: it
+// has started anew since.
+type NoticeLost struct {
+	VM string
+}
+
+func (Notify) isEffect()     {}
+func (NoticeTaken) isEvent() {}
+func (NoticeLost) isEvent()  {}
+
+// order is an operator's order to a VM.
+type order struct {
+	version platform.Version
+	leave   bool // else to stay after all
+}
+
+// sent is a notice that is on its way or has arrived.
+type sent struct {
+	notice wire.Notice
+	at     time.Time
+	taken  bool
+}
+
+// noticesFor returns what each VM of the list is to be told.
+func (s *State) noticesFor() map[string]wire.Notice {
+	out := make(map[string]wire.Notice)
+	for _, vm := range s.vms.Entries {
+		if vm.Role != platform.RoleUpstream {
+			continue
+		}
+		if o, ok := s.orders[vm.ID]; ok {
+			out[vm.ID] = wire.Notice{Leaving: o.leave, Version: o.version}
+		}
+		if vm.Leaving && !out[vm.ID].Leaving {
+			out[vm.ID] = wire.Notice{Leaving: true}
+		}
+	}
+	return out
+}
+
+// notify returns the notices that are due.
+func (s *State) notify(now time.Time) []Effect {
+	var effects []Effect
+	for _, vm := range s.vms.Entries {
+		n, ok := s.wanted[vm.ID]
+		if !ok || !s.due(now, vm.ID, n) {
+			continue
+		}
+		s.sent[vm.ID] = sent{notice: n, at: now}
+		effects = append(effects, Notify{VM: vm, Notice: n, Seek: s.seeks(vm.ID)})
+	}
+	return effects
+}
+
+func (s *State) due(now time.Time, vm string, n wire.Notice) bool {
+	former, ok := s.sent[vm]
+	switch {
+	case !ok || former.notice != n:
+		return true
+	case !former.taken:
+		return now.Sub(former.at) >= noticeRetry
+	default:
+		return n.Version == 0 && now.Sub(former.at) >= noticeRepeat
+	}
+}
+
+// seeks reports whether this router is one of those that rank highest for a VM.
+// Routers that agree on the list agree on who they are.
+func (s *State) seeks(vm string) bool {
+	own, listed, higher, routers := rank(s.vm, vm), false, 0, 0
+	for _, r := range s.vms.Entries {
+		if r.Role != platform.RoleRouter || r.Leaving {
+			continue
+		}
+		routers++
+		listed = listed || r.ID == s.vm
+		if rank(r.ID, vm) > own {
+			higher++
+		}
+	}
+	return routers == 0 || listed && higher < noticeSeekers
+}
+
+func rank(router, vm string) uint64 {
+	return placement.Seed(router + "\x00" + vm)
+}
+
+func (s *State) taken(e NoticeTaken) {
+	if former, ok := s.sent[e.VM]; ok && former.notice == e.Notice {
+		former.taken = true
+		s.sent[e.VM] = former
+	}
+}
+
+// lost makes a notice due again, a while after it was sent: replies that left
+// the sidecar before the notice came still say that it takes work.
+func (s *State) lost(e NoticeLost) {
+	if former, ok := s.sent[e.VM]; ok {
+		former.taken = false
+		s.sent[e.VM] = former
+	}
+}
+
+// notify sends a notice, in the background.
+func (r *Router) notify(e Notify) {
+	go func() {
+		peer := r.peer(e.VM)
+		if e.Seek || peer.Connected() {
+			ctx, done := context.WithTimeout(r.ctx, noticeTimeout)
+			defer done()
+			notices.Inc()
+			if peer.Call(ctx, wire.MethodNotice, e.Notice, nil) != nil {
+				return // it is due again after noticeRetry
+			}
+		}
+		r.loop.Post(NoticeTaken{VM: e.VM.ID, Notice: e.Notice})
+	}()
+}
--- /dev/null
+++ b/internal/router/notice_test.go
@@ -0,0 +1,79 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/config"
+	"github.com/parsleyfront/parsleyfront/internal/placement"
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+)
+
+// notify steps a state through a tick and returns its notices.
+func notify(s *State, now time.Time) []Notify {
+	var out []Notify
+	for _, e := range s.Step(ConfigEvent{Event: config.Ticked{Now: now}}) {
+		if n, ok := e.(Notify); ok {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// An upstream is to leave that no router happens to be connected to. The first
+// router with old news connects, and its work is accepted: nobody has told the
+// sidecar. Were all routers to tell it, each leaving would cost it hundreds of
+// connections.
+func TestThreeRoutersSeekOutALeavingVM(t *testing.T) {
+	const routers = 40
+	list := platform.VMs{Entries: []platform.VM{{ID: "engine", Role: platform.RoleUpstream, Leaving: true}}}
+	for i := range routers {
+		list.Entries = append(list.Entries, platform.VM{ID: fmt.Sprint("router-", i), Role: platform.RoleRouter})
+	}
+	now := time.Unix(1000, 0)
+	seekers := 0
+	for i := range routers {
+		s := NewState(fmt.Sprint("router-", i), placement.Locality{}, 1)
+		s.Step(VMsChanged{Now: now, VMs: list})
+		sent := notify(s, now)
+		if len(sent) != 1 {
+			t.Fatalf("router %d sends %v", i, sent)
+		}
+		if sent[0].Seek {
+			seekers++
+		}
+	}
+	if seekers != noticeSeekers {
+		t.Fatalf("%d routers connect on purpose", seekers)
+	}
+}
+
+// The notice is lost on its way, or the sidecar restarts after it has taken it
+// and takes new work again.
+func TestNoticeIsRepeatedUntilItHolds(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := NewState("r", placement.Locality{}, 1)
+	s.Step(VMsChanged{Now: now, VMs: platform.VMs{Entries: []platform.VM{{ID: "engine", Role: platform.RoleUpstream, Leaving: true}}}})
+	first := notify(s, now)
+	if len(first) != 1 || len(notify(s, now)) != 0 {
+		t.Fatal("not sent once at first")
+	}
+	now = now.Add(noticeRetry)
+	if len(notify(s, now)) != 1 {
+		t.Fatal("not sent again although it was not taken")
+	}
+	s.Step(NoticeTaken{VM: "engine", Notice: first[0].Notice})
+	now = now.Add(noticeRetry)
+	if len(notify(s, now)) != 0 {
+		t.Fatal("sent again although it was taken")
+	}
+	s.Step(NoticeLost{VM: "engine"})
+	if len(notify(s, now)) != 1 {
+		t.Fatal("not sent again to a sidecar that has restarted")
+	}
+	s.Step(NoticeTaken{VM: "engine", Notice: first[0].Notice})
+	if len(notify(s, now.Add(noticeRepeat))) != 1 {
+		t.Fatal("word from the list lapses at the sidecar")
+	}
+}
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -45,6 +45,9 @@
 		mark := config.Mark{Version: c.Config}
 		r.loop.Post(ConfigEvent{Event: config.Heard{Now: now, Peer: config.Peer(vm.ID), Mark: mark}})
 	}
+	if !c.Draining && r.View().Leaving[vm.ID] {
+		r.loop.Post(NoticeLost{VM: vm.ID})
+	}
 	r.suspects.merge(now, c.Suspects)
 	if pool := r.View().Pools[vm.Pool]; pool != nil {
 		pool.beliefs.heard(now, load.Hash(vm.ID), max(vm.Weight, 1), c)
@@ -82,6 +85,20 @@
 	return now.Before(r.avoided[vm])
 }
 
+// prunePeers forgets the sidecars of VMs that have left. VMs come and go by the
+// thousand in the life of a router.
+func (r *Router) prunePeers() {
+	vms := r.View().VMs
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for at, p := range r.peers {
+		if vm, ok := vms[at.vm]; (!ok || vm.Addr != at.addr) && !p.Connected() {
+			p.Close()
+			delete(r.peers, at)
+		}
+	}
+}
+
 // closePeers ends all connections to sidecars.
 func (r *Router) closePeers() {
 	r.mu.Lock()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -27,6 +27,8 @@
 	Ring  *token.Ring
 	// Dial connects to the sidecar of a VM and makes sure that it is that one.
 	Dial func(ctx context.Context, vm platform.VM) (net.Conn, error)
+	// VM on which the router runs, by its id in the list.
+	VM string
 	// FailureDomain in which the router runs; empty: not known.
 	FailureDomain string
 }
@@ -57,7 +59,7 @@
 	r := &Router{
 		config:   c,
 		ctx:      ctx,
-		state:    NewState(placement.Locality{Domain: c.FailureDomain}, rand.Uint64()),
+		state:    NewState(c.VM, placement.Locality{Domain: c.FailureDomain}, rand.Uint64()),
 		asked:    make(map[uint64]chan config.Delta),
 		limits:   newLimits(),
 		claims:   newClaimBudget(time.Now()),
@@ -88,6 +90,8 @@
 		r.runner.Do(r.ctx, e.Effect)
 	case ConfigReply:
 		r.reply(e)
+	case Notify:
+		r.notify(e)
 	case Followed:
 		r.ledger.follow(e)
 	}
@@ -119,6 +123,7 @@
 	tag := ""
 	for ctx.Err() == nil {
 		r.suspects.expire(time.Now())
+		r.prunePeers()
 		vms, changed, err := r.config.VMs.VMs(ctx, tag)
 		if err == nil && changed {
 			tag = vms.Tag
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -13,6 +13,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/platform"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
 )
 
 // Event is something that has happened to a router.
@@ -64,8 +65,11 @@
 	follower *config.Follower
 	profiles map[string]*profile.Profile
 	orgs     map[string]*profile.Organisation
-	loads    map[string]*profile.Pool    // what pools load
-	drains   map[string]platform.Version // orders in force, by VM
+	loads    map[string]*profile.Pool // what pools load
+	vm       string                   // of this router
+	orders   map[string]order         // of operators, by VM
+	wanted   map[string]wire.Notice   // what each VM is to be told
+	sent     map[string]sent          // what it has been told
 	vms      platform.VMs
 	beliefs  map[string]*beliefs // by pool
 
@@ -78,16 +82,18 @@
 	profiles, orgs, pools bool
 }
 
-// NewState returns the State of a router at self that knows nothing yet. seed
-// sets the jitter of its calls to the store.
-func NewState(self placement.Locality, seed uint64) *State {
+// NewState returns the State of a router on VM vm at self that knows nothing
+// yet. seed sets the jitter of its calls to the store.
+func NewState(vm string, self placement.Locality, seed uint64) *State {
 	return &State{
+		vm:       vm,
 		self:     self,
 		follower: config.NewFollower(seed),
 		profiles: make(map[string]*profile.Profile),
 		orgs:     make(map[string]*profile.Organisation),
 		loads:    make(map[string]*profile.Pool),
-		drains:   make(map[string]platform.Version),
+		orders:   make(map[string]order),
+		sent:     make(map[string]sent),
 		beliefs:  make(map[string]*beliefs),
 		view:     &View{},
 		stale:    changes{profiles: true, orgs: true, pools: true},
@@ -98,13 +104,22 @@
 func (s *State) Step(event Event) []Effect {
 	switch e := event.(type) {
 	case ConfigEvent:
-		return s.configure(e.Event)
+		effects := s.configure(e.Event)
+		if tick, ok := e.Event.(config.Ticked); ok {
+			effects = append(effects, s.notify(tick.Now)...)
+		}
+		return effects
+	case NoticeTaken:
+		s.taken(e)
+	case NoticeLost:
+		s.lost(e)
 	case ConfigAsked:
 		heard := s.configure(config.Heard{Now: e.Now, Peer: e.Peer, Mark: e.Query.Mark})
 		return append(heard, ConfigReply{Ticket: e.Ticket, Delta: s.follower.Set().Answer(e.Query)})
 	case VMsChanged:
 		s.vms = e.VMs
 		s.stale.pools = true
+		s.wanted = s.noticesFor()
 		return s.configure(config.PeersChanged{Now: e.Now, Peers: s.peers()})
 	}
 	return nil
@@ -151,7 +166,7 @@
 
 func (s *State) take(o platform.Object) error {
 	if o.Deleted {
-		s.drop(o.Ref)
+		s.drop(o)
 		return nil
 	}
 	spec, err := config.Spec(o)
@@ -159,7 +174,7 @@
 		return err
 	}
 	if len(spec) == 0 {
-		s.drop(o.Ref)
+		s.drop(o)
 		return nil
 	}
 	v, err := profile.Decode(o.Ref, spec)
@@ -174,25 +189,31 @@
 	case *profile.Pool:
 		s.loads[o.Name], s.stale.pools = v, true
 	case *profile.Drain:
-		s.drains[o.Name], s.stale.pools = o.Version, true
+		s.order(o, true)
 	}
 	return nil
 }
 
-func (s *State) drop(ref platform.Ref) {
-	switch ref.Kind {
+// order takes an operator's order to a VM.
+func (s *State) order(o platform.Object, leave bool) {
+	s.orders[o.Name] = order{version: o.Version, leave: leave}
+	s.wanted = s.noticesFor()
+	s.stale.pools = true
+}
+
+func (s *State) drop(o platform.Object) {
+	switch o.Kind {
 	case platform.KindProfile:
-		delete(s.profiles, ref.Name)
+		delete(s.profiles, o.Name)
 		s.stale.profiles = true
 	case platform.KindOrganisation:
-		delete(s.orgs, ref.Name)
+		delete(s.orgs, o.Name)
 		s.stale.orgs = true
 	case platform.KindPool:
-		delete(s.loads, ref.Name)
+		delete(s.loads, o.Name)
 		s.stale.pools = true
 	case platform.KindDrain:
-		delete(s.drains, ref.Name)
-		s.stale.pools = true
+		s.order(o, false)
 	}
 }
 
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -20,8 +20,9 @@
 	Orgs     map[string]*profile.Organisation // by the hash of an API key
 	Pools    map[string]*Pool
 	VMs      map[string]platform.VM
-	Routers  int                      // that the list of VMs knows, at least one
 	Loads    map[string]*profile.Pool // what pools load
+	Leaving  map[string]bool          // VMs that are to leave
+	Routers  int                      // that the list of VMs knows, at least one
 }
 
 // Pool is the upstreams of one pool.
@@ -75,12 +76,18 @@
 		case vm.Leaving:
 		case vm.Role == platform.RoleRouter:
 			v.Routers++
-		case vm.Role == platform.RoleUpstream && s.drains[vm.ID] == 0:
+		case vm.Role == platform.RoleUpstream && !s.orders[vm.ID].leave:
 			members[vm.Pool] = append(members[vm.Pool], vm)
 		}
 	}
 	v.Routers = max(v.Routers, 1)
 	v.Loads = maps.Clone(s.loads)
+	v.Leaving = make(map[string]bool)
+	for vm, n := range s.wanted {
+		if n.Leaving {
+			v.Leaving[vm] = true
+		}
+	}
 	v.Pools = make(map[string]*Pool, len(members))
 	for name, vms := range members {
 		if s.beliefs[name] == nil {
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -133,6 +133,13 @@
 	}
 }
 
+// Connected reports whether there is a connection.
+func (p *Peer) Connected() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.link != nil && p.link.alive()
+}
+
 // acquire returns the connection for a call, whose end release tells. It waits
 // for a connection to be opened, except where the last try failed: then it
 // returns that failure while another try goes on in the background, since a
