router: status names the requests that may crash upstreams

Cause: the routers keep a Book of suspects now, and status did not show it. Change: each suspect and convict with its fingerprint, how many upstreams crashed while it ran, and until when that counts; status of the fleet unites what the routers know. quarantine: Entry.Expires. Ruled out: asking the sidecars, 2,900 of them, for what routers have been told on the back of traffic. Checked: the spec (an engine is killed while it answers) fails when the status leaves the Book out.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -114,7 +114,8 @@
 // Quarantined is a request that crashes upstreams, or may.
 type Quarantined struct {
 	Fingerprint string    `json:"fingerprint"`
-	State       string    `json:"state"`
+	State       string    `json:"state"`   // suspect or convicted
+	Crashes     int       `json:"crashes"` // of upstreams while it ran
 	Until       time.Time `json:"until,omitzero"`
 }
 
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -57,10 +57,15 @@
 	return SuspectFor
 }
 
+// Expires is when the entry ceases to count.
+func (e *Entry) Expires() time.Time {
+	return e.At.Add(e.ttl())
+}
+
 // live reports whether the entry counts at now. One from the future is from a
 // node whose clock is wrong, and would never age out.
 func (e *Entry) live(now time.Time) bool {
-	return now.Before(e.At.Add(e.ttl())) && e.At.Before(now.Add(maxSkew))
+	return now.Before(e.Expires()) && e.At.Before(now.Add(maxSkew))
 }
 
 const (
--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -13,6 +15,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/platform"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
+	"github.com/parsleyfront/parsleyfront/internal/quarantine"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 )
 
@@ -24,6 +27,12 @@
 	unheard  = "unheard" // nothing has been heard of it lately
 )
 
+// States of a quarantined request as operators see it.
+const (
+	suspected = "suspect"   // runs alone, at one upstream
+	convicted = "convicted" // answered at once
+)
+
 // Operators is a Router as the operators' API sees it. It implements admin.Node.
 type Operators struct {
 	router  *Router
@@ -47,6 +56,7 @@
 		Ready:         o.router.Ready(),
 		Config:        o.router.ledger.status(),
 		Control:       controlRates(now.Sub(o.started)),
+		Quarantined:   o.router.suspects.quarantined(now),
 	}
 	for name, out := range o.upstreams() {
 		var p admin.PoolStatus
@@ -90,6 +100,39 @@
 	return slices.ContainsFunc(p.VMs, func(other platform.VM) bool { return other.ID == vm.ID })
 }
 
+// quarantined returns the requests that are suspected or convicted of crashing
+// upstreams, as far as this router has been told.
+func (s *suspects) quarantined(now time.Time) []admin.Quarantined {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	latest := make(map[quarantine.Print]admin.Quarantined)
+	for _, e := range s.book.Entries(now) {
+		if e.Standing == quarantine.Cleared || e.Standing == quarantine.Pardoned {
+			continue
+		}
+		q := admin.Quarantined{Fingerprint: fmt.Sprintf("%016x", uint64(e.Print)), State: suspected, Crashes: 1, Until: e.Expires()}
+		if former, ok := latest[e.Print]; ok {
+			q.Crashes += former.Crashes
+			q.Until = later(q.Until, former.Until)
+		}
+		latest[e.Print] = q
+	}
+	for _, p := range s.book.Convicted(now) {
+		if q, ok := latest[p]; ok {
+			q.State = convicted
+			latest[p] = q
+		}
+	}
+	return slices.SortedFunc(maps.Values(latest), func(x, y admin.Quarantined) int { return cmp.Compare(x.Fingerprint, y.Fingerprint) })
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func controlRates(since time.Duration) []admin.ControlRate {
 	var rates []admin.ControlRate
 	telemetry.ControlBytes.Do(func(kind telemetry.ControlKind, n int64) {
--- a/test/ctl_test.go
+++ b/test/ctl_test.go
@@ -180,6 +180,20 @@
 		Expect(run(f.platformURL, "get", "profile/shared").code).To(Equal(ctl.ExitOK))
 	})
 
+	// A request was running when its upstream crashed at night. In the morning
+	// nobody would know of it, unless status names it.
+	It("names a request that may crash upstreams", func() {
+		vm := f.addUpstream("engine", "notes", "--token-delay", "60ms")
+		f.addListedRouter()
+		answer := open("http://"+f.routers[0].addr+"/v1/chat/completions", "who lost the ball")
+		Expect(run(f.platformURL, "status").out).NotTo(ContainSubstring("QUARANTINED"))
+		vm.upstream.session.Kill().Wait(startWithin)
+		_, err := answer.rest()
+		Expect(err).To(HaveOccurred())
+		Eventually(func() string { return run(f.platformURL, "status").out }, startWithin).
+			Should(MatchRegexp(`(?s)QUARANTINED REQUEST.*[0-9a-f]{16} +suspect +1 `))
+	})
+
 	// The connection on which a router waits for changes has gone silent: nothing
 	// fails and nothing arrives. An operator who waits for a change would sit
 	// there until the router gives the watch up by itself.
