config: hints cut a silent watch; routine comparisons use open connections

Change: Unwatch and Unwatched in the Follower and its Runner replace the wrapped store in the router; PeersNear names sidecars with an open connection, drawn first once the router is ready; sidecars compare once a minute. Ruled out: no comparisons where there is no connection (a quiet fleet would keep a gap until the next listing). The test of the hint failed first without Unwatch. The test fleet drew its random numbers without its lock, found by -race, mended. Run: make test; go test -race ./internal/config/follow: pass.

--- a/internal/config/event.go
+++ b/internal/config/event.go
@@ -64,13 +64,23 @@
 	Silent    bool // no answer came in time
 }
 
+// PeersNear names the peers that a connection is open to. Routine comparisons
+// prefer them: a new connection costs more than what is compared.
+type PeersNear struct{ Peers []Peer }
+
 // Hinted is word from an operator's command that the store has news. It ends
-// the pause before the next watch.
+// the pause before the next watch, or the watch that waits: that one may have
+// gone silent.
 type Hinted struct{ Now time.Time }
 
+// Unwatched is the end of a watch that Unwatch has cut short.
+type Unwatched struct{ Now time.Time }
+
 func (Ticked) isConfigEvent()       {}
 func (Hinted) isConfigEvent()       {}
 func (PeersChanged) isConfigEvent() {}
+func (PeersNear) isConfigEvent()    {}
+func (Unwatched) isConfigEvent()    {}
 func (Heard) isConfigEvent()        {}
 func (Answered) isConfigEvent()     {}
 func (AskFailed) isConfigEvent()    {}
@@ -91,6 +101,10 @@
 	Wait  time.Duration
 }
 
+// Unwatch cuts the present watch short. Unwatched follows, unless the watch ends
+// by itself before.
+type Unwatch struct{}
+
 // Ask sends a query to a peer. Answered or AskFailed follows.
 type Ask struct {
 	Peer  Peer
@@ -102,5 +116,6 @@
 
 func (List) isConfigEffect()    {}
 func (Watch) isConfigEffect()   {}
+func (Unwatch) isConfigEffect() {}
 func (Ask) isConfigEffect()     {}
 func (Changed) isConfigEffect() {}
--- a/internal/config/follow/fleet_test.go
+++ b/internal/config/follow/fleet_test.go
@@ -70,17 +70,19 @@
 		f.refs = append(f.refs, platform.Ref{Kind: platform.KindProfile, Name: fmt.Sprint("profile-", i)})
 	}
 	for range sidecarCount {
-		f.sidecars = append(f.sidecars, f.start(ctx, config.NewCopy(f.rand.Uint64()), nil))
+		f.sidecars = append(f.sidecars, f.start(ctx, config.NewCopy(uint64(f.intN(1<<30))), nil))
 	}
-	for range 1 + f.rand.IntN(mostRouters) {
+	for range 1 + f.intN(mostRouters) {
 		f.startRouter(ctx)
 	}
 	return f
 }
 
 func (f *fleet) startRouter(ctx context.Context) {
-	n := f.start(ctx, config.NewFollower(f.rand.Uint64()), f.store)
+	n := f.start(ctx, config.NewFollower(uint64(f.intN(1<<30))), f.store)
+	f.mu.Lock()
 	f.routers = append(f.routers, n)
+	f.mu.Unlock()
 	var peers []config.Peer
 	for _, s := range f.sidecars {
 		peers = append(peers, s.name)
--- a/internal/config/follow/follow.go
+++ b/internal/config/follow/follow.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -32,6 +33,9 @@
 	Ask func(ctx context.Context, peer config.Peer, q config.Query) (config.Delta, error)
 	// Post gives an event to the goroutine that owns the Follower.
 	Post func(config.Event)
+
+	mu      sync.Mutex
+	unwatch context.CancelCauseFunc // of the present watch
 }
 
 // Run posts the passing of time until ctx ends.
@@ -55,7 +59,11 @@
 	case config.List:
 		go r.list(ctx)
 	case config.Watch:
+		ctx, cancel := context.WithCancelCause(ctx)
+		r.watching(cancel)
 		go r.watch(ctx, e)
+	case config.Unwatch:
+		r.watching(nil)
 	case config.Ask:
 		go r.ask(ctx, e)
 	}
@@ -72,15 +80,31 @@
 	r.Post(config.Answered{Now: time.Now(), Peer: e.Peer, Delta: d})
 }
 
+// errUnwatched is why a watch was cut short.
+var errUnwatched = errors.New("follow: unwatched")
+
+// watching cuts the present watch short and remembers how to cut the next one.
+func (r *Runner) watching(next context.CancelCauseFunc) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.unwatch != nil {
+		r.unwatch(errUnwatched)
+	}
+	r.unwatch = next
+}
+
 func (r *Runner) watch(ctx context.Context, e config.Watch) {
-	ctx, cancel := context.WithTimeout(ctx, e.Wait+config.WatchGrace)
+	bounded, cancel := context.WithTimeout(ctx, e.Wait+config.WatchGrace)
 	defer cancel()
-	page, err := r.Store.Watch(ctx, config.Kinds(), e.Since, e.Wait)
-	if err != nil {
-		r.failed(ctx, err)
-		return
+	page, err := r.Store.Watch(bounded, config.Kinds(), e.Since, e.Wait)
+	switch {
+	case err == nil:
+		r.Post(config.Watched{Now: time.Now(), Since: e.Since, Page: page})
+	case errors.Is(context.Cause(ctx), errUnwatched):
+		r.Post(config.Unwatched{Now: time.Now()})
+	default:
+		r.failed(bounded, err)
 	}
-	r.Post(config.Watched{Now: time.Now(), Since: e.Since, Page: page})
 }
 
 func (r *Runner) failed(ctx context.Context, err error) {
--- a/internal/config/follow/follow_test.go
+++ b/internal/config/follow/follow_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/parsleyfront/parsleyfront/internal/config"
 	"github.com/parsleyfront/parsleyfront/internal/platform"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
 	"github.com/parsleyfront/parsleyfront/internal/standin"
@@ -102,3 +104,35 @@
 	time.Sleep(time.Minute) // late writes and calls that were given up end
 	return f
 }
+
+// An operator applies a change and waits for it. The watch of a router has gone
+// silent just then, and apply --wait would have to sit out its whole wait. A
+// hint begins a new watch at once.
+func TestHintEndsSilentWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		f := newFleet(t, ctx, 1, 1)
+		time.Sleep(time.Minute)
+		n := f.routers[0]
+		f.store.SetFaults(standin.ObjectFaults{SilentWatches: len(f.routers)})
+		time.Sleep(3 * time.Second)
+		f.store.SetFaults(standin.ObjectFaults{})
+		value, _ := config.Revision{Change: config.Change{ID: "c"}, Spec: json.RawMessage(`1`)}.Encode()
+		if _, err := f.store.Put(ctx, f.refs[0], value, 0); err != nil {
+			t.Fatal(err)
+		}
+		n.step(config.Hinted{Now: time.Now()})
+		time.Sleep(config.TickEvery)
+		if id, _ := n.inForce(f.refs[0]); id != "c" {
+			t.Errorf("the change is not in force %s after the hint", config.TickEvery)
+		}
+		n.mu.Lock()
+		failures := n.follower.Status().StoreFailures
+		n.mu.Unlock()
+		if failures != 0 {
+			t.Errorf("%d failures of the store are counted", failures)
+		}
+		stop()
+		time.Sleep(time.Second) // all goroutines end
+	})
+}
--- a/internal/config/follow_peer.go
+++ b/internal/config/follow_peer.go
@@ -66,25 +66,27 @@
 	return f.ask(now, f.draw(), f.set.Version())
 }
 
-// draw returns a peer at random, at the start one that has not been heard.
+// draw returns a peer at random: at the start one that has not been heard,
+// later one that there is a connection to.
 func (f *Follower) draw() Peer {
-	peer := f.peers[f.rand.IntN(len(f.peers))]
-	if f.Ready() {
-		return peer
+	if f.Ready() && len(f.near) > 0 {
+		return f.near[f.rand.IntN(len(f.near))]
 	}
 	for _, p := range f.peers {
-		if _, ok := f.heard[p]; !ok && f.rand.IntN(2) == 0 {
+		if _, ok := f.heard[p]; !ok && !f.Ready() && f.rand.IntN(2) == 0 {
 			return p
 		}
 	}
-	return peer
+	return f.peers[f.rand.IntN(len(f.peers))]
 }
 
 func (f *Follower) checkInterval() time.Duration {
 	switch {
 	case !f.Ready():
 		return TickEvery
-	case f.phase != phaseNone && f.failures > 0:
+	case f.phase == phaseNone:
+		return checkOfCopy
+	case f.failures > 0:
 		return checkWhileBlind
 	default:
 		return checkEvery
--- a/internal/config/follow_store.go
+++ b/internal/config/follow_store.go
@@ -52,6 +52,18 @@
 	f.pause(now, d)
 }
 
+// hinted looks for news at once, unless the store has failed just now.
+func (f *Follower) hinted(now time.Time) []Effect {
+	switch {
+	case f.phase == phaseWatching:
+		return []Effect{Unwatch{}}
+	case f.phase == phaseWaiting && f.failures == 0:
+		f.resume = now
+		return f.tickStore(now)
+	}
+	return nil
+}
+
 func (f *Follower) storeFailed(e StoreFailed) {
 	f.status.StoreFailures++
 	// The store's watches begin later than what we know. It shows as a watch
--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -39,6 +39,8 @@
 
 	// checkEvery is how often a router compares with a peer that it draws.
 	checkEvery = 2500 * time.Millisecond
+	// checkOfCopy is how often a sidecar does so. Many routers ask it as well.
+	checkOfCopy = time.Minute
 	// checkWhileBlind is the same while the store does not answer.
 	checkWhileBlind = 500 * time.Millisecond
 	// askTimeout is after how long an Ask counts as failed.
@@ -92,6 +94,7 @@
 	confirmed bool // the store has answered
 
 	peers     []Peer
+	near      []Peer // of them, those with a connection
 	started   time.Time
 	waited    bool              // for peers, long enough
 	heard     map[Peer]struct{} // peers that have answered, up to enoughPeers
@@ -154,10 +157,12 @@
 	case Ticked:
 		return f.ticked(e.Now)
 	case Hinted:
-		if f.phase == phaseWaiting && f.failures == 0 {
-			f.resume = e.Now
-		}
+		return f.hinted(e.Now)
+	case Unwatched:
+		f.phase, f.resume = phaseWaiting, e.Now
 		return f.ticked(e.Now)
+	case PeersNear:
+		f.near = e.Peers
 	case PeersChanged:
 		f.peers = e.Peers
 		return f.ticked(e.Now)
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -64,39 +65,21 @@
 	}
 }
 
-// refreshConfig gives up the present watch of the store, if there is one, for a
-// new one, which is answered at once if there is news.
+// refreshConfig looks for news in the store at once.
 func (r *Router) refreshConfig() {
-	select {
-	case r.hints <- struct{}{}:
-	default:
-		r.loop.Post(ConfigEvent{Event: config.Hinted{Now: time.Now()}})
-	}
+	r.loop.Post(ConfigEvent{Event: config.Hinted{Now: time.Now()}})
 }
 
-// errHinted is a watch that was given up at a hint.
-var errHinted = errors.Wrap(platform.ErrRefused, "router: the watch is begun anew")
-
-// hintedStore is a Store whose watches end at a hint.
-type hintedStore struct {
-	platform.Store
-	hints <-chan struct{}
-}
-
-// Watch implements platform.Store.
-func (s hintedStore) Watch(ctx context.Context, kinds []platform.Kind, since platform.Version, wait time.Duration) (platform.Page, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	go func() {
-		select {
-		case <-s.hints:
-			cancel(errHinted)
-		case <-ctx.Done():
+// nearPeers tells the follower which sidecars there is a connection to.
+func (r *Router) nearPeers() {
+	r.mu.Lock()
+	var near []config.Peer
+	for at, p := range r.peers {
+		if p.Connected() {
+			near = append(near, config.Peer(at.vm))
 		}
-	}()
-	page, err := s.Store.Watch(ctx, kinds, since, wait)
-	if errors.Is(context.Cause(ctx), errHinted) && err != nil {
-		return page, errHinted
 	}
-	return page, err
+	r.mu.Unlock()
+	slices.Sort(near)
+	r.loop.Post(ConfigEvent{Event: config.PeersNear{Peers: near}})
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -45,7 +45,6 @@
 	claims   *claimBudget
 	suspects *suspects
 	ledger   *ledger
-	hints    chan struct{} // to give up the present watch of the store
 
 	mu      sync.Mutex
 	asked   map[uint64]chan config.Delta // calls of sidecars that wait for a reply
@@ -65,12 +64,11 @@
 		claims:   newClaimBudget(time.Now()),
 		suspects: newSuspects(),
 		ledger:   newLedger(),
-		hints:    make(chan struct{}),
 		peers:    make(map[endpoint]*wire.Peer),
 		avoided:  make(map[string]time.Time),
 	}
 	r.runner = &follow.Runner{
-		Store: hintedStore{Store: c.Store, hints: r.hints},
+		Store: c.Store,
 		Ask:   r.askConfig,
 		Post:  func(e config.Event) { r.loop.Post(ConfigEvent{Event: e}) },
 	}
@@ -129,6 +127,7 @@
 			tag = vms.Tag
 			r.loop.Post(VMsChanged{Now: time.Now(), VMs: vms})
 		}
+		r.nearPeers()
 		sleep(ctx, listEvery)
 	}
 }
