sidecar: a bound on waiting bytes, spans of whole requests, and what operators see

Cause: 256 waiting requests of 16 MB each would have taken 4 GB. The sidecar's span ended with the admission, before the wait. A crash of the upstream and a change between serving, down and leaving showed nowhere.

Change: admission bounds the bytes of what waits (--max-waiting-bytes, 64 MiB). A span lasts from the submission to the end of the answer. The reducer tells of crashes (alert counter, line) and of turns (line); gauges for load, running calls, keys and kept bytes.

Ruled out: counting a crash in the runtime, which does not know whether a call broke off alone.

Seen failing first: TestQueueKeepsItsRules with the bound on bytes taken out, and with bytes that are not given back.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -25,6 +25,8 @@
 	Headroom int
 	// MaxWaiting is how many requests may wait at most.
 	MaxWaiting int
+	// MaxBytes is how large those may be together, in bytes.
+	MaxBytes int
 }
 
 // Request is a request as admission sees it.
@@ -33,6 +35,7 @@
 	Org           string
 	Profile       string
 	Priority      int       // higher starts earlier
+	Size          int       // in bytes
 	Weight        int       // of the organisation; below one counts as one
 	FirstByteBy   time.Time // zero: no deadline
 	Deadline      time.Time // zero: no deadline
@@ -58,6 +61,7 @@
 	running map[token.Nonce]*slot
 	orgs    map[string]*organisation
 	queued  map[queueKey]int
+	bytes   int // of the waiting requests
 	foreign int // requests at the upstream that are not ours
 	arrived uint64
 	swept   time.Time
@@ -125,6 +129,7 @@
 	q.class(r.Priority).push(it)
 	q.count(&r, 1)
 	q.orgs[r.Org].waiting++
+	q.bytes += r.Size
 	return nil
 }
 
@@ -138,7 +143,7 @@
 	if late := q.lateness(now, r); late > 0 {
 		return notRun(verdict.ReasonDeadline, "the queue is too long for the deadline").Later(late)
 	}
-	full := len(q.waiting) >= q.config.MaxWaiting ||
+	full := len(q.waiting) >= q.config.MaxWaiting || q.bytes+r.Size > q.config.MaxBytes ||
 		(r.QueueBound > 0 && q.queued[queueKey{profile: r.Profile}] >= r.QueueBound) ||
 		(r.OrgQueueBound > 0 && q.queued[queueKey{r.Profile, r.Org}] >= r.OrgQueueBound)
 	if full {
@@ -232,6 +237,7 @@
 	q.class(it.Priority).remove(it)
 	q.count(&it.Request, -1)
 	q.orgs[it.Org].waiting--
+	q.bytes -= it.Size
 }
 
 func (q *Queue) count(r *Request, by int) {
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -49,6 +49,7 @@
 			Slots:      rapid.IntRange(1, 5).Draw(t, "slots"),
 			Headroom:   rapid.IntRange(0, 2).Draw(t, "headroom"),
 			MaxWaiting: 12,
+			MaxBytes:   6,
 		}
 		c.Reserve = rapid.IntRange(0, c.Slots-1).Draw(t, "reserve")
 		m := &model{q: NewQueue(c), now: epoch, waiting: make(map[token.Nonce]Request), running: make(map[token.Nonce]Request)}
@@ -88,6 +89,7 @@
 		Org:           rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "org"),
 		Profile:       rapid.SampledFrom([]string{"notes", "overnight"}).Draw(t, "profile"),
 		Priority:      rapid.IntRange(0, 2).Draw(t, "priority"),
+		Size:          rapid.IntRange(0, 5).Draw(t, "size"),
 		Weight:        rapid.IntRange(1, 3).Draw(t, "weight"),
 		LoadBound:     rapid.IntRange(0, 12).Draw(t, "bound"),
 		QueueBound:    rapid.IntRange(0, 6).Draw(t, "queue"),
@@ -165,6 +167,13 @@
 	if len(m.waiting) != len(m.q.waiting) || len(m.running) != m.q.Running() {
 		t.Fatalf("books differ: %d of %d wait, %d of %d run", len(m.q.waiting), len(m.waiting), m.q.Running(), len(m.running))
 	}
+	size := 0
+	for _, r := range m.waiting {
+		size += r.Size
+	}
+	if size > m.q.config.MaxBytes || size != m.q.bytes {
+		t.Fatalf("%d bytes wait, %d are counted", size, m.q.bytes)
+	}
 	idle := m.q.config.Slots - len(m.running)
 	if len(m.q.orgs) > 1 {
 		idle -= m.q.config.Reserve
@@ -219,7 +228,7 @@
 func TestSurgeDelaysOnlyItsOwn(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		share := rapid.IntRange(1, 3).Draw(t, "share")
-		c := Config{Slots: 3 * share, Reserve: rapid.IntRange(0, 1).Draw(t, "reserve"), MaxWaiting: 10000}
+		c := Config{Slots: 3 * share, Reserve: rapid.IntRange(0, 1).Draw(t, "reserve"), MaxWaiting: 10000, MaxBytes: 1}
 		var arrivals []arrival
 		for i := range rapid.IntRange(1, 12).Draw(t, "steady") {
 			// share requests in each service time
@@ -256,7 +265,7 @@
 	}
 	slices.SortStableFunc(arrivals, func(x, y arrival) int { return x.at - y.at })
 	for reserve, want := range []bool{false, true} {
-		c := Config{Slots: 8, Reserve: reserve, MaxWaiting: 1000}
+		c := Config{Slots: 8, Reserve: reserve, MaxWaiting: 1000, MaxBytes: 1}
 		waits := simulate(c, arrivals, "b")
 		if atOnce := slices.Max(waits) == 0; atOnce != want {
 			t.Errorf("reserve %d: waits %v s", reserve, waits)
@@ -271,7 +280,7 @@
 // come back, and not be held until their deadline passes in the queue.
 func TestTooLateIsSaidAtOnce(t *testing.T) {
 	const slots = 4
-	q := NewQueue(Config{Slots: slots, MaxWaiting: 1000})
+	q := NewQueue(Config{Slots: slots, MaxWaiting: 1000, MaxBytes: 1})
 	expired, refused := 0, 0
 	var running []token.Nonce
 	var waiting []Request
@@ -311,7 +320,7 @@
 // the others send, so none starves; the pause is not made up for.
 func TestNobodyStarves(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		q := NewQueue(Config{Slots: 1, MaxWaiting: 10000})
+		q := NewQueue(Config{Slots: 1, MaxWaiting: 10000, MaxBytes: 1})
 		weights := rapid.SliceOfN(rapid.IntRange(1, 5), 2, 5).Draw(t, "weights")
 		seconds := rapid.SliceOfN(rapid.IntRange(1, 5), len(weights), len(weights)).Draw(t, "seconds")
 		total, n := 0, 0
@@ -357,7 +366,7 @@
 func BenchmarkQueue(b *testing.B) {
 	for _, n := range []int{16, 128, 1024} {
 		b.Run(fmt.Sprintf("waiting=%d", n), func(b *testing.B) {
-			q := NewQueue(Config{Slots: 32, MaxWaiting: 2 * n})
+			q := NewQueue(Config{Slots: 32, MaxWaiting: 2 * n, MaxBytes: 1})
 			offer := func(i int) {
 				_ = q.Offer(epoch, Request{ID: id(i), Org: fmt.Sprint(i % 16), Profile: "notes", Weight: 1, LoadBound: math.MaxInt})
 			}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -94,6 +94,7 @@
 	Reserve    Count `long:"reserve" env:"PARSLEYD_RESERVE" default:"1" description:"slots kept for organisations under their share while several are active"`
 	Headroom   Count `long:"headroom" env:"PARSLEYD_HEADROOM" default:"0" description:"requests beyond the slots that may pass running ones of lower priority; for upstreams that honour priorities"`
 	MaxWaiting Count `long:"max-waiting" env:"PARSLEYD_MAX_WAITING" default:"256" description:"requests that wait at most"`
+	MaxBytes   Count `long:"max-waiting-bytes" env:"PARSLEYD_MAX_WAITING_BYTES" default:"67108864" description:"bytes of the requests that wait at most"`
 	Keys       Count `long:"keys" env:"PARSLEYD_KEYS" default:"65536" description:"request keys that are remembered"`
 }
 
--- a/internal/sidecar/bench_test.go
+++ b/internal/sidecar/bench_test.go
@@ -19,7 +19,7 @@
 func benchState(slots, keys int) *State {
 	s := NewState(Settings{
 		VM: "vm-0000", Incarnation: 1, Keys: keys,
-		Admission:   admission.Config{Slots: slots, MaxWaiting: math.MaxInt},
+		Admission:   admission.Config{Slots: slots, MaxWaiting: math.MaxInt, MaxBytes: math.MaxInt},
 		DetachGrace: 15 * time.Second, KeepAnswer: 30 * time.Second,
 	})
 	s.Step(Probed{Now: benchStart, Health: upstream.Health{}})
--- a/internal/sidecar/conn.go
+++ b/internal/sidecar/conn.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/config"
-	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
 	"github.com/parsleyfront/parsleyfront/internal/wire"
 )
@@ -114,13 +113,12 @@
 }
 
 func (s *Sidecar) submit(ctx context.Context, c *wire.Conn, sub wire.Submit) (any, error) {
-	span := telemetry.Start(telemetry.HopSidecar, telemetry.Traceparent(sub.Trace))
-	defer span.End()
-	sub.Trace = string(span.Traceparent())
+	span := s.spans.begin(&sub)
 	from := s.peer(c)
 	a, err := s.admission(ctx, func(t Ticket) Event {
 		return Submitted{Now: time.Now(), Ticket: t, Peer: from, Submit: sub}
 	})
+	s.spans.replied(sub.Key.Nonce, span, a, err)
 	if err != nil || a.Error != nil {
 		return a, err
 	}
--- a/internal/sidecar/counters.go
+++ b/internal/sidecar/counters.go
@@ -16,6 +16,8 @@
 		"Admitted requests that ended without a whole answer, by reason.")
 	droppedAnswers = telemetry.NewCounter("sidecar_dropped_answers_total",
 		"Finished answers dropped before their time because the buffer was full.")
+	crashes = telemetry.NewCounter("sidecar_crashes_total",
+		"Crashes of the upstream.", telemetry.Alert)
 	exportedSessions = telemetry.NewCounter("sidecar_exported_sessions_total",
 		"Cached prefixes handed to another upstream before leaving.")
 	exportFailures = telemetry.NewCounter("sidecar_export_failures_total",
@@ -24,6 +26,24 @@
 		"Cached prefixes taken over from upstreams that leave.")
 )
 
+var (
+	loadGauge = telemetry.NewGauge("sidecar_load_requests",
+		"Requests admitted that have not ended.")
+	runningGauge = telemetry.NewGauge("sidecar_running_requests",
+		"Requests at the upstream, those of a former sidecar included.")
+	keysGauge = telemetry.NewGauge("sidecar_key_entries",
+		"Request keys that are remembered.")
+	usedBytes = telemetry.NewGauge("sidecar_answer_bytes",
+		"Bytes of the answers that are kept.")
+)
+
+// gauge shows the state to operators.
+func (s *State) gauge() {
+	loadGauge.Set(int64(s.load()))
+	runningGauge.Set(int64(s.queue.Running()))
+	keysGauge.Set(int64(s.table.Len()))
+}
+
 func countReply(e Reply) {
 	switch {
 	case e.Admission.Error != nil:
--- a/internal/sidecar/event.go
+++ b/internal/sidecar/event.go
@@ -201,6 +201,17 @@
 	Sessions []uint64
 }
 
+// Crashed tells operators of a crash of the upstream.
+type Crashed struct {
+	Running int // calls that were under way
+}
+
+// Turned tells operators that the upstream has begun or ceased to be served.
+type Turned struct {
+	Down    bool
+	Leaving bool
+}
+
 // Exit ends the process.
 type Exit struct{}
 
@@ -214,4 +225,6 @@
 func (ReplyStatus) isEffect() {}
 func (Probe) isEffect()       {}
 func (Export) isEffect()      {}
+func (Crashed) isEffect()     {}
+func (Turned) isEffect()      {}
 func (Exit) isEffect()        {}
--- a/internal/sidecar/finish.go
+++ b/internal/sidecar/finish.go
@@ -141,19 +141,21 @@
 		return nil
 	}
 	s.broken = nil
+	var effects []Effect
 	if crashed {
-		s.enterCrash(now, victims)
+		effects = append(effects, Crashed{Running: s.enterCrash(now, victims)})
 	}
-	var effects []Effect
 	for _, r := range victims {
 		effects = append(effects, s.failed(now, r, r.failure)...)
 	}
 	return effects
 }
 
-func (s *State) enterCrash(now time.Time, victims []*request) {
+// enterCrash returns how many calls were under way.
+func (s *State) enterCrash(now time.Time, victims []*request) int {
 	var entries []quarantine.Running
-	for _, r := range append(s.inPhase(running), victims...) {
+	all := append(s.inPhase(running), victims...)
+	for _, r := range all {
 		r.crashed = true
 		if r.print() != 0 {
 			entries = append(entries, quarantine.Running{Print: r.print(), Started: r.started})
@@ -162,6 +164,7 @@
 	if len(entries) > 0 {
 		s.book.Crashed(now, entries)
 	}
+	return len(all)
 }
 
 // setDown notes whether the upstream answers. When it does not, what waits can
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -129,7 +129,7 @@
 		VM:          n.vm,
 		Incarnation: n.inc,
 		Keys:        4,
-		Admission:   admission.Config{Slots: testSlots, Reserve: 1, MaxWaiting: 4},
+		Admission:   admission.Config{Slots: testSlots, Reserve: 1, MaxWaiting: 4, MaxBytes: 1 << 20},
 		DetachGrace: testGrace,
 		KeepAnswer:  testGrace,
 		StopWithin:  time.Hour,
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/loop"
 	"github.com/parsleyfront/parsleyfront/internal/order"
 	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/token"
 	"github.com/parsleyfront/parsleyfront/internal/upstream"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
@@ -45,6 +47,7 @@
 	timer   *time.Timer // posts Ticked; owned by the loop's goroutine
 	answers *answers
 	desk    *order.Desk // nil: the upstream takes no orders
+	spans   spans
 
 	peering sync.Mutex
 
@@ -66,13 +69,18 @@
 	s := &Sidecar{
 		config:  c,
 		answers: newAnswers(c.Buffer),
+		spans:   spans{open: make(map[token.Nonce]telemetry.Span)},
 		waiting: make(map[Ticket]chan Effect),
 		calls:   make(map[token.Nonce]context.CancelFunc),
 		conns:   make(map[*wire.Conn]*routerConn),
 	}
 	s.ctx, s.exit = context.WithCancel(context.Background())
 	state := NewState(c.Settings)
-	s.loop = loop.New(state, s.act, func() { s.rearm(state.Wake()) })
+	s.loop = loop.New(state, s.act, func() {
+		state.gauge()
+		usedBytes.Set(s.answers.used.Load())
+		s.rearm(state.Wake())
+	})
 	s.timer = time.AfterFunc(0, s.tick) // the first probe is due at once
 	s.follow = follow.Runner{Ask: s.askConfig, Post: func(e config.Event) { s.loop.Post(Configured{Now: time.Now(), Event: e}) }}
 	s.desk = s.newDesk()
@@ -125,6 +133,7 @@
 		}
 	case Finish:
 		countFinish(e)
+		s.spans.finish(e.Nonce, e.Error)
 		s.answers.finish(e)
 	case Drop:
 		s.answers.drop(e.Nonce)
@@ -141,6 +150,11 @@
 		go s.probe()
 	case Export:
 		go s.export(e.Sessions)
+	case Crashed:
+		crashes.Inc()
+		slog.Error("the upstream has crashed", "vm", s.config.Settings.VM, "running", e.Running)
+	case Turned:
+		slog.Info("the upstream's service has changed", "vm", s.config.Settings.VM, "down", e.Down, "leaving", e.Leaving)
 	case Exit:
 		s.exit()
 	}
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -59,6 +59,7 @@
 	leave    leave
 	emptying emptying
 	recent   sessions
+	turned   Turned // as told last
 }
 
 // phase is how far a request has come.
@@ -116,7 +117,18 @@
 	now := event.at()
 	effects := s.apply(event)
 	effects = append(effects, s.review(now)...)
-	return append(effects, s.schedule(now)...)
+	effects = append(effects, s.schedule(now)...)
+	return append(effects, s.turn(now)...)
+}
+
+// turn notes a change of what operators see of the upstream.
+func (s *State) turn(now time.Time) []Effect {
+	is := Turned{Down: s.probe.down, Leaving: s.leaving(now)}
+	if is == s.turned {
+		return nil
+	}
+	s.turned = is
+	return []Effect{is}
 }
 
 func (s *State) apply(event Event) []Effect {
--- a/internal/sidecar/submit.go
+++ b/internal/sidecar/submit.go
@@ -155,6 +155,7 @@
 		Org:           sub.Org,
 		Profile:       t.Profile,
 		Priority:      t.Priority,
+		Size:          len(sub.Call.Body),
 		Weight:        t.OrgWeight,
 		FirstByteBy:   within(now, early(t.FirstByte)),
 		Deadline:      within(now, early(t.Deadline)),
