--- a/internal/gateway/promise_test.go
+++ b/internal/gateway/promise_test.go
@@ -290,3 +290,29 @@
 		})
 	}
 }
+
+// The store goes out, and the entry VMs are replaced meanwhile. A router that
+// starts now has no configuration of its own; turned away by it, callers are
+// out for as long as the store is, although every upstream is well.
+func TestRouterThatStartsWhileTheStoreIsOutServes(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fleet) {
+		for i := range 9 { // routers and sidecars compare what they know on the way
+			f.call(i%testRouters, booking, fmt.Sprint("before ", i), "").expect(t, http.StatusOK, "ran", "")
+		}
+		time.Sleep(10 * time.Second)
+		f.store.set(func(s *store) { s.down = true })
+		late := len(f.gateways)
+		f.startRouter("late", f.store, f.vms)
+		time.Sleep(5 * time.Second)
+		f.call(late, booking, "first", "").expect(t, http.StatusOK, "ran", "")
+		time.Sleep(20 * time.Minute) // longer than keys last
+		f.call(late, booking, "second", f.mint(late, booking)).expect(t, http.StatusOK, "ran", "")
+		f.store.set(func(s *store) { s.down = false })
+		f.store.put(platform.KindOrganisation, "other", profile.Organisation{
+			Name: "other", Weight: 1, Profiles: []string{booking}, Keys: []profile.APIKey{{ID: "k", SHA256: profile.HashKey("other-key")}},
+		})
+		time.Sleep(7 * time.Second)
+		header := http.Header{"Authorization": {"Bearer other-key"}}
+		f.send(f.ctx, late, http.MethodPost, "/services/"+booking+"/x", "third", header).expect(t, http.StatusOK, "ran", "")
+	})
+}
