secure: what was learnt under former files ends with them

Cause: an authority that is taken out of the bundle shut out new connections only; one that was open went on. Ruled out: a largest age for connections, which would cost every connection a handshake; checking the certificates of a session when it is resumed, which only the server can do. Change: on a change of files connections are judged anew and ended if they fail, those too whose handshake was on its way; sessions belong to the state of the files and end with it; a chain that has been verified under the present authorities is not verified again until its first certificate ends.

--- a/internal/secure/bench_test.go
+++ b/internal/secure/bench_test.go
@@ -53,7 +53,7 @@
 		return err
 	})
 	run("full", func() error {
-		r.sessions = tls.NewLRUClientSessionCache(1)
+		r.material.Load().sessions = tls.NewLRUClientSessionCache(1)
 		_, err := talk(r, addr)
 		return err
 	})
--- /dev/null
+++ b/internal/secure/material.go
@@ -0,0 +1,153 @@
+package secure
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// maxVerified bounds the certificates that are known to verify: twice the peers
+// at the target's size.
+const maxVerified = 8192
+
+// material is what one state of the files holds, with what has been learnt
+// under it. All of that ends with it: a session that began under other
+// authorities, or with a certificate that has been replaced since, is of no use
+// under the present ones, and resuming it would only be refused.
+type material struct {
+	cert     tls.Certificate
+	roots    *x509.CertPool
+	sessions tls.ClientSessionCache // of the sidecars that this process dials
+
+	mu       sync.Mutex
+	verified map[fingerprint]verified
+}
+
+// verified is a chain of certificates that has been verified.
+type verified struct {
+	peer  Identity
+	until time.Time // the first of its certificates ends
+}
+
+func parseMaterial(contents [][]byte) (*material, error) {
+	cert, err := tls.X509KeyPair(contents[0], contents[1])
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	roots, err := parseCAs(contents[2])
+	if err != nil {
+		return nil, err
+	}
+	return &material{
+		cert:     cert,
+		roots:    roots,
+		sessions: tls.NewLRUClientSessionCache(sessionsKept),
+		verified: make(map[fingerprint]verified),
+	}, nil
+}
+
+// parseCAs reads a bundle. Unlike x509.CertPool it refuses what it can't read,
+// so that a bundle that is cut short is not taken for a smaller one.
+func parseCAs(b []byte) (*x509.CertPool, error) {
+	pool := x509.NewCertPool()
+	n := 0
+	for {
+		var block *pem.Block
+		block, b = pem.Decode(b)
+		if block == nil {
+			break
+		}
+		cert, err := x509.ParseCertificate(block.Bytes)
+		if err != nil {
+			return nil, errors.Wrap(err, "authority")
+		}
+		pool.AddCert(cert)
+		n++
+	}
+	if n == 0 || len(bytes.TrimSpace(b)) > 0 {
+		return nil, errors.Errorf("want only PEM certificates of authorities, have %d and then %d other bytes", n, len(b))
+	}
+	return pool, nil
+}
+
+// verify checks that a chain of certificates, the peer's own first, was signed
+// for a use by an authority, and returns whom it names. Whoever can prove to
+// hold the key comes back with the same chain, so a chain is looked at once.
+func (m *material) verify(chain []*x509.Certificate, domain string, use x509.ExtKeyUsage) (Identity, error) {
+	now := time.Now()
+	key := fingerprintOfChain(chain, use)
+	m.mu.Lock()
+	known, ok := m.verified[key]
+	m.mu.Unlock()
+	if ok && now.Before(known.until) {
+		return known.peer, nil
+	}
+	fresh, err := verifyChain(chain, m.roots, domain, use, now)
+	if err != nil {
+		return Identity{}, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.verified) >= maxVerified {
+		clear(m.verified)
+	}
+	m.verified[key] = fresh
+	return fresh.peer, nil
+}
+
+// ownIdentity returns whom the own certificate names to peers.
+func (m *material) ownIdentity(domain string) (Identity, error) {
+	chain, err := parseChain(m.cert)
+	if err != nil {
+		return Identity{}, err
+	}
+	v, err := verifyChain(chain, m.roots, domain, x509.ExtKeyUsageAny, time.Now())
+	return v.peer, err
+}
+
+func parseChain(c tls.Certificate) ([]*x509.Certificate, error) {
+	chain := make([]*x509.Certificate, len(c.Certificate))
+	for i, der := range c.Certificate {
+		cert, err := x509.ParseCertificate(der)
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		chain[i] = cert
+	}
+	return chain, nil
+}
+
+func verifyChain(chain []*x509.Certificate, roots *x509.CertPool, domain string, use x509.ExtKeyUsage, now time.Time) (verified, error) {
+	between := x509.NewCertPool()
+	for _, c := range chain[1:] {
+		between.AddCert(c)
+	}
+	opts := x509.VerifyOptions{Roots: roots, Intermediates: between, CurrentTime: now, KeyUsages: []x509.ExtKeyUsage{use}}
+	found, err := chain[0].Verify(opts)
+	if err != nil {
+		return verified{}, errors.WithStack(err)
+	}
+	until := chain[0].NotAfter
+	for _, c := range found[0] {
+		if c.NotAfter.Before(until) {
+			until = c.NotAfter
+		}
+	}
+	peer, err := identityOf(chain[0], domain)
+	return verified{peer: peer, until: until}, err
+}
+
+func fingerprintOfChain(chain []*x509.Certificate, use x509.ExtKeyUsage) fingerprint {
+	h := sha256.New()
+	for _, c := range chain {
+		h.Write(c.Raw)
+	}
+	h.Write([]byte{byte(use)})
+	return fingerprint(h.Sum(nil))
+}
--- a/internal/secure/mutual.go
+++ b/internal/secure/mutual.go
@@ -1,12 +1,10 @@
 package secure
 
 import (
-	"bytes"
 	"crypto/tls"
 	"crypto/x509"
-	"encoding/pem"
+	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -22,48 +20,6 @@
 	Cert, Key, CA string
 }
 
-// material is what one state of the files holds.
-type material struct {
-	cert  tls.Certificate
-	roots *x509.CertPool
-}
-
-func parseMaterial(contents [][]byte) (*material, error) {
-	cert, err := tls.X509KeyPair(contents[0], contents[1])
-	if err != nil {
-		return nil, errors.WithStack(err)
-	}
-	roots, err := parseCAs(contents[2])
-	if err != nil {
-		return nil, err
-	}
-	return &material{cert: cert, roots: roots}, nil
-}
-
-// parseCAs reads a bundle. Unlike x509.CertPool it refuses what it can't read,
-// so that a bundle that is cut short is not taken for a smaller one.
-func parseCAs(b []byte) (*x509.CertPool, error) {
-	pool := x509.NewCertPool()
-	n := 0
-	for {
-		var block *pem.Block
-		block, b = pem.Decode(b)
-		if block == nil {
-			break
-		}
-		cert, err := x509.ParseCertificate(block.Bytes)
-		if err != nil {
-			return nil, errors.Wrap(err, "authority")
-		}
-		pool.AddCert(cert)
-		n++
-	}
-	if n == 0 || len(bytes.TrimSpace(b)) > 0 {
-		return nil, errors.Errorf("want only PEM certificates of authorities, have %d and then %d other bytes", n, len(b))
-	}
-	return pool, nil
-}
-
 // Mutual is TLS in which both sides show certificates of the fleet. Whom a
 // certificate names and who signed it is checked on each connection against
 // the present files, resumed sessions included: a session outlives the
@@ -73,10 +29,12 @@
 	domain   string
 	files    *Files
 	material atomic.Pointer[material]
-	sessions tls.ClientSessionCache // of the sidecars that this process dials
-	tickets  *ticketStore           // of the routers that dial this process
+	tickets  *ticketStore // of the routers that dial this process
 
 	refusalLogged atomic.Int64 // when a line was written last, in Unix nanoseconds
+
+	mu    sync.Mutex
+	conns map[*Conn]struct{} // open
 }
 
 // fleetCurves leaves out the hybrid key exchange that the library prefers: it
@@ -90,7 +48,12 @@
 
 // NewMutual reads the files. The own certificate must name self.
 func NewMutual(self Identity, domain string, p Paths) (*Mutual, error) {
-	m := &Mutual{self: self, domain: domain, sessions: tls.NewLRUClientSessionCache(sessionsKept), tickets: newTicketStore(sessionsKept)}
+	m := &Mutual{
+		self:   self,
+		domain: domain,
+		conns:  make(map[*Conn]struct{}),
+	}
+	m.tickets = newTicketStore(sessionsKept, m.material.Load)
 	var err error
 	m.files, err = Follow([]string{p.Cert, p.Key, p.CA}, m.take)
 	return m, errors.Wrap(err, "secure: certificates of the fleet")
@@ -108,30 +71,48 @@
 	}
 	// An own certificate that peers will refuse is a mistake to notice here,
 	// where the former one can stay in use.
-	id, err := verify(fresh.cert.Leaf, nil, fresh.roots, m.domain, x509.ExtKeyUsageAny)
+	own, err := fresh.ownIdentity(m.domain)
 	if err != nil {
 		return err
 	}
-	if id != m.self {
-		return errors.Wrapf(ErrIdentity, "%s of VM %q, want %s of VM %q", id.Role, id.VM, m.self.Role, m.self.VM)
+	if own != m.self {
+		return errors.Wrapf(ErrIdentity, "%s of VM %q, want %s of VM %q", own.Role, own.VM, m.self.Role, m.self.VM)
 	}
 	m.material.Store(fresh)
 	certificateExpiry.Set(fresh.cert.Leaf.NotAfter.Unix())
+	m.endDistrusted()
 	return nil
 }
 
-// verify checks that a certificate was signed for a use by one of roots, and
-// returns whom it names.
-func verify(cert *x509.Certificate, intermediates []*x509.Certificate, roots *x509.CertPool, domain string, use x509.ExtKeyUsage) (Identity, error) {
-	between := x509.NewCertPool()
-	for _, c := range intermediates {
-		between.AddCert(c)
+func (m *Mutual) remember(c *Conn) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.conns[c] = struct{}{}
+}
+
+func (m *Mutual) forget(c *Conn) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.conns, c)
+}
+
+// endDistrusted ends connections whose peer's certificate the present files
+// refuse. A connection lasts as long as there is traffic on it, so a peer with
+// a leaked certificate would otherwise keep what it has. A peer that has a new
+// certificate connects again and resumes its streams.
+func (m *Mutual) endDistrusted() {
+	m.mu.Lock()
+	var ended []*Conn
+	for c := range m.conns {
+		if _, err := m.peer(c.ConnectionState(), c.use); err != nil {
+			ended = append(ended, c)
+		}
 	}
-	opts := x509.VerifyOptions{Roots: roots, Intermediates: between, CurrentTime: time.Now(), KeyUsages: []x509.ExtKeyUsage{use}}
-	if _, err := cert.Verify(opts); err != nil {
-		return Identity{}, errors.WithStack(err)
+	m.mu.Unlock()
+	for _, c := range ended {
+		distrusted.Inc()
+		_ = c.Close()
 	}
-	return identityOf(cert, domain)
 }
 
 // peer checks the certificates of the other side of a connection.
@@ -139,7 +120,7 @@
 	if len(cs.PeerCertificates) == 0 {
 		return Identity{}, errors.Wrap(ErrIdentity, "no certificate")
 	}
-	return verify(cs.PeerCertificates[0], cs.PeerCertificates[1:], m.material.Load().roots, m.domain, use)
+	return m.material.Load().verify(cs.PeerCertificates, m.domain, use)
 }
 
 // Server returns the configuration by which a sidecar serves routers and
@@ -165,16 +146,15 @@
 // Client returns the configuration by which a process dials the sidecar of a VM.
 func (m *Mutual) Client(vm string) *tls.Config {
 	want := Identity{Role: RoleSidecar, VM: vm}
+	mat := m.material.Load()
 	return &tls.Config{
 		MinVersion:       tls.VersionTLS13,
 		CurvePreferences: fleetCurves,
 		// Sidecars have ids instead of host names. VerifyConnection checks the
 		// chain and the id, and unlike the usual check also on resumption.
-		InsecureSkipVerify: true,
-		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
-			return &m.material.Load().cert, nil
-		},
-		ClientSessionCache: m.sessions,
+		InsecureSkipVerify:   true,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &mat.cert, nil },
+		ClientSessionCache:   mat.sessions,
 		VerifyConnection: func(cs tls.ConnectionState) error {
 			id, err := m.peer(cs, x509.ExtKeyUsageServerAuth)
 			if err == nil && id != want {
--- a/internal/secure/secure_test.go
+++ b/internal/secure/secure_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/x509"
 	"io"
+	"log/slog"
 	"net"
 	"net/url"
 	"os"
@@ -30,6 +31,10 @@
 	sidecar = Identity{Role: RoleSidecar, VM: "vm-7"}
 )
 
+func init() {
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+}
+
 func must[T any](t testing.TB, v T, err error) T {
 	t.Helper()
 	if err != nil {
@@ -164,9 +169,10 @@
 }
 
 // Operators take an authority out of the bundle because its key has leaked.
-// A router with a certificate of that authority comes back with a session from
-// before: resumption skips the certificates, so it would stay in for a week.
-func TestResumedSessionIsCheckedAnew(t *testing.T) {
+// A router with a certificate of that authority has a connection open, and
+// comes back with a session from before: resumption skips the certificates, so
+// it would stay in for as long as it likes.
+func TestLeakedAuthorityIsShutOut(t *testing.T) {
 	former, next := newCA(t), newCA(t)
 	side := must2(t, NewMutual, sidecar, domain, place(t, next, sidecar.URI(domain), append(next.PEM, former.PEM...)))
 	addr := serve(t, side)
@@ -176,9 +182,15 @@
 			t.Fatalf("connection %d: %v", i, err)
 		}
 	}
+	open, err := r.Dial(context.Background(), sidecar.VM, addr)
+	must(t, open, err)
 	write(t, side.files.paths[2], next.PEM)
 	side.files.poll()
 	side.files.poll()
+	_ = open.SetReadDeadline(time.Now().Add(countedWithin))
+	if _, err := open.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a connection from before is still open: %v", err)
+	}
 	if _, err := talk(r, addr); err == nil {
 		t.Error("a session of the former authority was resumed")
 	}
--- a/internal/secure/ticket.go
+++ b/internal/secure/ticket.go
@@ -16,9 +16,10 @@
 // certificates, which travels twice on each resumption; routers come and go at
 // thousands of sidecars, and count each byte that is no request.
 //
-// The sessions are lost with the process, and the next connection then begins
-// with a full handshake.
+// The sessions are lost with the process, and of no use once the files have
+// changed; the next connection then begins with a full handshake.
 type ticketStore struct {
+	present  func() *material
 	mu       sync.Mutex
 	limit    int
 	byTicket map[[ticketSize]byte]*list.Element
@@ -27,11 +28,12 @@
 
 type storedSession struct {
 	ticket [ticketSize]byte
+	under  *material
 	state  *tls.SessionState
 }
 
-func newTicketStore(limit int) *ticketStore {
-	return &ticketStore{limit: limit, byTicket: make(map[[ticketSize]byte]*list.Element), order: list.New()}
+func newTicketStore(limit int, present func() *material) *ticketStore {
+	return &ticketStore{present: present, limit: limit, byTicket: make(map[[ticketSize]byte]*list.Element), order: list.New()}
 }
 
 func (s *ticketStore) install(c *tls.Config) {
@@ -40,7 +42,7 @@
 }
 
 func (s *ticketStore) wrap(_ tls.ConnectionState, state *tls.SessionState) ([]byte, error) {
-	e := &storedSession{state: state}
+	e := &storedSession{under: s.present(), state: state}
 	rand.Read(e.ticket[:]) // never fails, as crypto/rand documents
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -64,7 +66,11 @@
 		return nil, nil
 	}
 	s.remove(at)
-	return at.Value.(*storedSession).state, nil
+	stored := at.Value.(*storedSession)
+	if stored.under != s.present() {
+		return nil, nil
+	}
+	return stored.state, nil
 }
 
 // remove needs s.mu held.
--- a/internal/secure/transport.go
+++ b/internal/secure/transport.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"crypto/x509"
 	"io"
 	"log/slog"
 	"net"
@@ -41,6 +42,8 @@
 		"TLS handshakes between routers and sidecars, on either side.")
 	refusedPeers = telemetry.NewCounter("secure_refused_peers_total",
 		"TLS handshakes between routers and sidecars in which a certificate was missing or refused.", telemetry.Alert)
+	distrusted = telemetry.NewCounter("secure_distrusted_connections_total",
+		"Connections between routers and sidecars ended because the present files no longer trust the peer's certificate.")
 	brokenHandshakes = telemetry.NewCounter("secure_broken_handshakes_total",
 		"TLS handshakes between routers and sidecars that broke off or took too long.")
 )
@@ -70,7 +73,15 @@
 // Conn is a connection whose peer has shown who it is.
 type Conn struct {
 	*tls.Conn
-	Peer Identity
+	Peer   Identity
+	use    x509.ExtKeyUsage // that the peer's certificate must allow
+	mutual *Mutual
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.mutual.forget(c)
+	return c.Conn.Close()
 }
 
 // PeerOf returns who is at the other end of a connection of a Transport. It
@@ -89,13 +100,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return m.shake(ctx, raw, func(c net.Conn) *tls.Conn { return tls.Client(c, m.Client(vm)) })
+	return m.shake(ctx, raw, x509.ExtKeyUsageServerAuth, func(c net.Conn) *tls.Conn { return tls.Client(c, m.Client(vm)) })
 }
 
-// shake runs a handshake over raw and closes raw when it fails.
-func (m *Mutual) shake(ctx context.Context, raw net.Conn, wrap func(net.Conn) *tls.Conn) (net.Conn, error) {
+// shake runs a handshake over raw, with a peer whose certificate must allow
+// use, and closes raw when it fails.
+func (m *Mutual) shake(ctx context.Context, raw net.Conn, use x509.ExtKeyUsage, wrap func(net.Conn) *tls.Conn) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
+	judged := m.material.Load()
 	counted := &countingConn{Conn: raw}
 	conn := wrap(counted)
 	err := conn.HandshakeContext(ctx)
@@ -114,7 +127,14 @@
 		kind = handshakeResumed
 	}
 	handshakes.Inc(kind)
-	return &Conn{Conn: conn, Peer: peer}, nil
+	c := &Conn{Conn: conn, Peer: peer, use: use, mutual: m}
+	m.remember(c)
+	// Files that changed during the handshake have judged only the connections
+	// that were there.
+	if m.material.Load() != judged {
+		m.endDistrusted()
+	}
+	return c, nil
 }
 
 // countFailure tells a peer that is not trusted, or does not trust us, from a
@@ -207,7 +227,7 @@
 }
 
 func (l *listener) serve(raw net.Conn, config *tls.Config) {
-	conn, err := l.mutual.shake(context.Background(), raw, func(c net.Conn) *tls.Conn { return tls.Server(c, config) })
+	conn, err := l.mutual.shake(context.Background(), raw, x509.ExtKeyUsageClientAuth, func(c net.Conn) *tls.Conn { return tls.Server(c, config) })
 	<-l.places
 	if err != nil {
 		return
--- a/test/trust_test.go
+++ b/test/trust_test.go
@@ -116,6 +116,7 @@
 			// A router that starts in the middle of it connects anew.
 			joined := f.addRouter()
 			Expect(send(http.MethodPost, "http://"+joined.addr+"/v1/chat/completions", apiKey, opening, nil).status).To(Equal(http.StatusOK))
+			joined.session.Kill().Wait(startWithin) // its certificate is not renewed
 		}
 		reloaded([]string{admin}, func() {
 			replace(f.trust.secrets, []byte("2:"+strings.Repeat("42", 16)+"\n"+tokenSecret+"\n"))
