wire: connections are kept for ten minutes, unprobed; sidecars miss silent readers

Cause: a router at the target's size comes back to a sidecar every two minutes (23 requests a second before 2,900), so that connections closed after 30 s idle meant a handshake for four requests of five. Go's keepalives of 15 s, which the former setting missed under TLS, would be some 400 probes a second at 2,900 connections. And a sidecar never found out that a router was gone which had lost the connection: a planned stop waited for its reader. Change: idle connections last ten minutes; the kernel probes them only after eleven, also inside TLS (countingConn shows what it wraps, one method in internal/secure). The sidecar asks a router that reads an answer for a sign of life after 30 s without a word (one line in internal/sidecar). Failed first: TestIdleConnectionsAreNotProbed (15 s without the setting), TestPlannedStopDoesNotWaitForSilentReaders (an hour without the watch). Ruled out: TCP_USER_TIMEOUT, which sees nothing while no data is on the way; keepalives of a minute at the sidecar, 48 answers a second at a router.

--- a/internal/secure/transport.go
+++ b/internal/secure/transport.go
@@ -172,6 +172,11 @@
 	n atomic.Int64
 }
 
+// NetConn returns the connection within, as that of tls.Conn does.
+func (c *countingConn) NetConn() net.Conn {
+	return c.Conn
+}
+
 func (c *countingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.n.Add(int64(n))
--- a/internal/sidecar/conn.go
+++ b/internal/sidecar/conn.go
@@ -20,6 +20,7 @@
 		senders: make(map[wire.StreamID]*sender),
 	}
 	s.mu.Unlock()
+	conn.Watch(wire.ReaderTiming(), func() bool { return s.reads(conn) })
 	s.peersChanged()
 	go func() {
 		<-conn.Done()
@@ -37,6 +38,14 @@
 	s.peersChanged()
 }
 
+// reads reports whether an answer is being sent over conn.
+func (s *Sidecar) reads(conn *wire.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.conns[conn]
+	return r != nil && len(r.senders) > 0
+}
+
 // HandleCall implements wire.Handler.
 func (s *Sidecar) HandleCall(ctx context.Context, c *wire.Conn, m wire.Method, params wire.Params) (any, error) {
 	switch m {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -248,6 +248,65 @@
 	})
 }
 
+// The network swallows all between a router and a sidecar in the middle of an
+// answer; the router resumes on another connection and the coach reads to the
+// end. The sidecar hears nothing of that on the first connection: a planned stop
+// must not wait for the reader that it still sees there.
+func TestPlannedStopDoesNotWaitForSilentReaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, false)
+		near, far := net.Pipe()
+		b.pipes.conns <- far
+		silent := make(chan struct{})
+		peer := wire.NewPeer(wire.PeerConfig{Dial: func(context.Context) (net.Conn, error) { return swallow(near, silent), nil }})
+		sub := testSubmit(1, wire.Treatment{})
+		s, _, err := peer.Submit(b.ctx, sub)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = b.feed.Write([]byte("half"))
+		b.next(s, 4)
+		close(silent)
+		second, _, err := b.peer.Attach(b.ctx, wire.Attach{Key: sub.Key, Org: "club", Offset: 4, Window: 4 << 10})
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { // more than the silent reader's window
+			_, _ = b.feed.Write(make([]byte, 20<<10))
+			_ = b.feed.Close()
+		}()
+		b.next(second, 21<<10)
+		began := time.Now()
+		b.finish()
+		if waited := time.Since(began); waited > 2*time.Minute {
+			t.Errorf("waited for %s", waited)
+		}
+		peer.Close()
+	})
+}
+
+// swallow passes bytes on until silent is closed.
+func swallow(far net.Conn, silent chan struct{}) net.Conn {
+	near, end := net.Pipe()
+	pass := func(to, from net.Conn) {
+		buf := make([]byte, 4<<10)
+		for {
+			n, err := from.Read(buf)
+			if err != nil {
+				return
+			}
+			select {
+			case <-silent:
+			default:
+				_, _ = to.Write(buf[:n])
+			}
+		}
+	}
+	go pass(end, far)
+	go pass(far, end)
+	return near
+}
+
 // A guest's phone drops off while an answer runs that is longer than the
 // buffer. A search, which may be repeated, is given up after the grace; a
 // payment is not: it goes on to its end and the guest can ask what became of it.
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -21,10 +21,12 @@
 	writeTimeout = 3 * time.Second
 )
 
-// keepAlive lets the kernel find a connection that nobody sends on and that
-// something in between has forgotten. A router asks for itself where an answer
-// is due; this is for the sidecar, which would keep the rest for ever.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 30 * time.Second, Interval: 10 * time.Second, Count: 3}
+// keepAlive lets the kernel find idle connections whose other end is gone, which
+// a sidecar would keep for ever. It begins later than a router closes an idle
+// connection, so that a healthy one is never probed: by Go's default of fifteen
+// seconds a router before 2,900 sidecars would take part in some 400 probes a
+// second, which is more than all its control traffic may come to.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 11 * time.Minute, Interval: 30 * time.Second, Count: 3}
 
 // Handler serves what a peer sends.
 type Handler interface {
@@ -45,6 +47,7 @@
 	submits sync.Mutex // keeps a Submit and its call together
 	replies sync.Mutex // keeps link.method right for a reply
 	ponging sync.Mutex // held while a pong is written
+	pulse   pulse
 }
 
 // NewConn runs the protocol over c until Close, until ctx ends or until c fails.
@@ -67,10 +70,7 @@
 }
 
 func setKeepAlive(c net.Conn) {
-	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok {
-		c = wrapped.NetConn()
-	}
-	if tcp, ok := c.(*net.TCPConn); ok {
+	if tcp, ok := innermost(c).(*net.TCPConn); ok {
 		_ = tcp.SetKeepAliveConfig(keepAlive) // without it the connection still works
 	}
 }
@@ -146,6 +146,8 @@
 		c.submit = &f
 	case ping:
 		c.pong()
+	case pong:
+		c.ponged()
 	default:
 		c.handler.HandleFrame(c, f)
 	}
@@ -217,6 +219,15 @@
 	return c.rpc.DisconnectNotify()
 }
 
+func (c *Conn) ended() bool {
+	select {
+	case <-c.Done():
+		return true
+	default:
+		return false
+	}
+}
+
 // lastRead is the time at which the peer was heard last.
 func (c *Conn) lastRead() time.Time {
 	return time.Unix(0, c.link.lastRead.Load())
--- a/internal/wire/counters.go
+++ b/internal/wire/counters.go
@@ -22,7 +22,7 @@
 	brokenStreams = telemetry.NewCounter("wire_broken_streams_total",
 		"Streams broken off because their frames did not fit together.", telemetry.Alert)
 	silentConnections = telemetry.NewCounter("wire_silent_connections_total",
-		"Connections ended because the sidecar was not heard.")
+		"Connections between routers and sidecars ended because the other side was not heard.")
 	dials = telemetry.NewCounter("wire_dials_total",
 		"Connections opened to sidecars, or tried to.")
 	dialFailures = telemetry.NewCounter("wire_dial_failures_total",
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -22,7 +22,6 @@
 	newest  StreamID
 	calls   int // under way
 	used    time.Time
-	pulse   pulse
 	timer   *time.Timer // set while the connection lives
 }
 
@@ -52,10 +51,7 @@
 	}
 	t := l.peer.config.Timing
 	if l.calls == 0 && len(l.streams) == 0 {
-		l.pulse = pulse{checked: now, settled: now}
-		if now.Sub(l.conn.lastRead()) >= t.Stale {
-			l.ping(now, t.Probe)
-		}
+		l.conn.begin(t, now)
 		l.timer.Reset(t.tick())
 	}
 	l.calls++
@@ -119,24 +115,14 @@
 		l.peer.retire(l)
 		return
 	}
-	need := l.pulse.check(t, now, l.conn.lastRead(), l.calls > 0)
-	if need == carePing {
-		l.ping(now, t.Silent)
-	}
+	calls := l.calls > 0
 	l.timer.Reset(t.tick())
 	l.mu.Unlock()
-	if need == careLost {
-		silentConnections.Inc()
+	if l.conn.beat(t, now, calls) {
 		_ = l.conn.Close()
 	}
 }
 
-// ping needs l.mu held. The write can block, so it has its own goroutine.
-func (l *link) ping(now time.Time, patient time.Duration) {
-	l.pulse.ask(now, patient)
-	go func() { _ = l.conn.Send(ping{}) }()
-}
-
 func errLost() *verdict.Error {
 	return verdict.New(verdict.MayHaveRun, verdict.ReasonConnection, "connection lost")
 }
@@ -180,10 +166,6 @@
 		if s := l.find(f.Stream); s != nil {
 			s.onEnd(f)
 		}
-	case pong:
-		l.mu.Lock()
-		l.pulse.answered(time.Now())
-		l.mu.Unlock()
 	}
 }
 
--- a/internal/wire/peer_test.go
+++ b/internal/wire/peer_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -218,6 +220,35 @@
 	})
 }
 
+// A router keeps thousands of connections, most of them idle, each of which the
+// kernel would probe every fifteen seconds if nobody told it otherwise: the
+// probes alone would exceed what a router may spend on control. TLS and what
+// counts its bytes wrap the connection.
+func TestIdleConnectionsAreNotProbed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	raw, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := NewConn(context.Background(), tls.Client(tls.Client(raw, nil), nil), newFakeSidecar())
+	defer c.Close()
+	sys, err := raw.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var idle int
+	_ = sys.Control(func(fd uintptr) {
+		idle, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_KEEPIDLE)
+	})
+	if after := time.Duration(idle) * time.Second; err != nil || after <= DefaultTiming().Idle {
+		t.Errorf("probed after %s: %v", after, err)
+	}
+}
+
 // The process is stopped for a minute and goes on. That nothing was read in
 // the meantime says nothing about the sidecars: no connection may be given up
 // for it before the sidecar has been asked anew.
--- a/internal/wire/pulse.go
+++ b/internal/wire/pulse.go
@@ -1,15 +1,18 @@
 package wire
 
-import "time"
+import (
+	"sync"
+	"time"
+)
 
-// Timing is how a router watches its connections to sidecars.
+// Timing is how a connection is watched.
 type Timing struct {
 	// Quiet is how long a connection from which something is awaited may say
-	// nothing before the sidecar is asked for a sign of life. It is also how
+	// nothing before the peer is asked for a sign of life. It is also how
 	// often that is looked at, twice over.
 	Quiet time.Duration
 
-	// Silent is how long a sidecar may leave that question unanswered before
+	// Silent is how long the peer may leave that question unanswered before
 	// the connection counts as lost. A connection that something in between
 	// has forgotten neither delivers nor fails, so only silence shows it.
 	Silent time.Duration
@@ -19,7 +22,9 @@
 	// Probe: what stands in between forgets unused connections first.
 	Stale, Probe time.Duration
 
-	// Idle is how long a connection on which nothing is awaited is kept.
+	// Idle is how long a connection on which nothing is awaited is kept. At the
+	// target's size a router comes back to a sidecar every two minutes on
+	// average, and each new connection costs a handshake.
 	Idle time.Duration
 
 	// Hello bounds the introduction on a new connection.
@@ -30,7 +35,7 @@
 	Redial, FailFast time.Duration
 }
 
-// DefaultTiming returns the Timing of a router in service. A lost connection
+// DefaultTiming returns the Timing of routers towards sidecars. A lost connection
 // is found within two ticks, Quiet and Silent, three and a half seconds in all.
 func DefaultTiming() Timing {
 	return Timing{
@@ -38,13 +43,21 @@
 		Silent:   1500 * time.Millisecond,
 		Stale:    5 * time.Second,
 		Probe:    time.Second,
-		Idle:     30 * time.Second,
+		Idle:     10 * time.Minute,
 		Hello:    time.Second,
 		Redial:   250 * time.Millisecond,
 		FailFast: 5 * time.Second,
 	}
 }
 
+// ReaderTiming returns the Timing of sidecars towards routers that read an
+// answer. A router is only heard when it has read half a window, and a sidecar
+// can wait for longer than a caller: what a reader that is gone holds is memory
+// and, at a planned stop, time.
+func ReaderTiming() Timing {
+	return Timing{Quiet: 30 * time.Second, Silent: 15 * time.Second}
+}
+
 func (t Timing) tick() time.Duration {
 	return t.Quiet / 2
 }
@@ -61,6 +74,7 @@
 // pulse decides when a connection is asked for a sign of life and when it
 // counts as lost.
 type pulse struct {
+	mu      sync.Mutex    // held by those of a Conn
 	asked   time.Time     // when the ping without an answer was sent; zero: none
 	patient time.Duration // how long its answer is waited for
 	settled time.Time     // when the last answer came
@@ -102,3 +116,64 @@
 	}
 	return careNone
 }
+
+// begin starts to watch the peer, from which something is awaited from now on.
+// A connection that has not been used for long is probed at once.
+func (c *Conn) begin(t Timing, now time.Time) {
+	c.pulse.mu.Lock()
+	defer c.pulse.mu.Unlock()
+	c.pulse.asked, c.pulse.settled, c.pulse.checked = time.Time{}, now, now
+	if t.Stale > 0 && now.Sub(c.lastRead()) >= t.Stale {
+		c.ping(now, t.Probe)
+	}
+}
+
+// beat looks at the peer and reports whether it counts as lost.
+func (c *Conn) beat(t Timing, now time.Time, calls bool) (lost bool) {
+	c.pulse.mu.Lock()
+	defer c.pulse.mu.Unlock()
+	switch c.pulse.check(t, now, c.lastRead(), calls) {
+	case carePing:
+		c.ping(now, t.Silent)
+	case careLost:
+		silentConnections.Inc()
+		return true
+	}
+	return false
+}
+
+// ping needs c.pulse.mu held. The write can block, so it has its own goroutine.
+func (c *Conn) ping(now time.Time, patient time.Duration) {
+	c.pulse.ask(now, patient)
+	go func() { _ = c.Send(ping{}) }()
+}
+
+func (c *Conn) ponged() {
+	c.pulse.mu.Lock()
+	defer c.pulse.mu.Unlock()
+	c.pulse.answered(time.Now())
+}
+
+// Watch ends the connection when its peer falls silent while awaited says that
+// something is expected of it.
+func (c *Conn) Watch(t Timing, awaited func() bool) {
+	active := false
+	var timer *time.Timer
+	ready := make(chan struct{})
+	timer = time.AfterFunc(t.tick(), func() {
+		<-ready
+		was, now := active, time.Now()
+		active = awaited()
+		switch {
+		case c.ended():
+			return
+		case active && !was:
+			c.begin(t, now)
+		case active && c.beat(t, now, false):
+			_ = c.Close()
+			return
+		}
+		timer.Reset(t.tick())
+	})
+	close(ready)
+}
--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -205,10 +205,18 @@
 // closeNow closes c without the farewell of TLS, which would wait for a peer
 // that does not read. An End tells a whole answer from one that was cut.
 func closeNow(c net.Conn) error {
-	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok {
+	return innermost(c).Close()
+}
+
+// innermost returns the connection inside those that wrap it, such as TLS.
+func innermost(c net.Conn) net.Conn {
+	for {
+		wrapped, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return c
+		}
 		c = wrapped.NetConn()
 	}
-	return c.Close()
 }
 
 type header struct {
