--- /dev/null
+++ b/bench/speed/capacity_test.go
@@ -0,0 +1,206 @@
+package speed
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/secure"
+	"github.com/parsleyfront/parsleyfront/internal/secure/securetest"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
+)
+
+// greeter is a sidecar that only introduces itself.
+type greeter struct{}
+
+func (greeter) HandleCall(context.Context, *wire.Conn, wire.Method, wire.Params) (any, error) {
+	return wire.Hello{VM: "vm-1"}, nil
+}
+
+func (greeter) HandleFrame(*wire.Conn, wire.Frame) {}
+
+var (
+	routerID  = secure.Identity{Role: secure.RoleRouter, VM: "vm-r"}
+	sidecarID = secure.Identity{Role: secure.RoleSidecar, VM: "vm-1"}
+)
+
+// transport returns mutual TLS by the files in dir, or none without a dir.
+func transport(id secure.Identity, dir string) secure.Transport {
+	if dir == "" {
+		return secure.Plain{}
+	}
+	m, err := secure.NewMutual(id, "speed", paths(id, dir))
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+func paths(id secure.Identity, dir string) secure.Paths {
+	base := filepath.Join(dir, id.VM)
+	return secure.Paths{Cert: base + ".crt", Key: base + ".key", CA: filepath.Join(dir, "ca")}
+}
+
+// issue writes certificates for both ends.
+func issue(b *testing.B) (dir string) {
+	dir = b.TempDir()
+	write := func(name string, content []byte) {
+		if err := os.WriteFile(name, content, 0o600); err != nil {
+			b.Fatal(err)
+		}
+	}
+	ca, err := securetest.NewCA("speed")
+	if err != nil {
+		b.Fatal(err)
+	}
+	for _, id := range []secure.Identity{routerID, sidecarID} {
+		cert, key, err := ca.Issue(id.URI("speed"))
+		if err != nil {
+			b.Fatal(err)
+		}
+		p := paths(id, dir)
+		write(p.Cert, cert)
+		write(p.Key, key)
+		write(p.CA, ca.PEM)
+	}
+	return dir
+}
+
+// greet serves greeters on the first of two words, with the certificates in
+// the directory that the second one names.
+func greet(args string) {
+	addr, dir, _ := strings.Cut(args, " ")
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		panic(err)
+	}
+	l = transport(sidecarID, dir).Listen(l)
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			panic(err)
+		}
+		wire.NewConn(context.Background(), c, greeter{})
+	}
+}
+
+// BenchmarkConnections measures what an idle connection to a sidecar takes at
+// each end, in bytes, at some numbers of them. The sidecars are one process.
+func BenchmarkConnections(b *testing.B) {
+	for _, n := range []int{100, 1000, 2900} {
+		b.Run(fmt.Sprintf("plain/%d", n), func(b *testing.B) {
+			for range b.N {
+				connections(b, n, "")
+			}
+		})
+		b.Run(fmt.Sprintf("tls/%d", n), func(b *testing.B) {
+			for range b.N {
+				connections(b, n, issue(b))
+			}
+		})
+	}
+}
+
+func connections(b *testing.B, n int, dir string) {
+	addr := freeAddr(b)
+	pid := runSelf(b, addr, greeterVar+"="+addr+" "+dir)
+	timing := wire.DefaultTiming()
+	timing.Idle = time.Hour
+	t := transport(routerID, dir)
+	dial := func(ctx context.Context) (net.Conn, error) { return t.Dial(ctx, sidecarID.VM, addr) }
+	connect := func() *wire.Peer {
+		p := wire.NewPeer(wire.PeerConfig{Dial: dial, Timing: timing})
+		if _, err := p.Connect(context.Background()); err != nil {
+			b.Fatal(err)
+		}
+		return p
+	}
+	defer connect().Close() // what the first one alone takes
+	near, far := inUse(), resident(b, pid)
+	for range n {
+		defer connect().Close()
+	}
+	time.Sleep(settle)
+	b.ReportMetric(float64(inUse()-near)/float64(n), "router-B/conn")
+	b.ReportMetric(float64(resident(b, pid)-far)/float64(n), "sidecar-B/conn")
+}
+
+// inUse returns the heap and the stacks of this process in bytes.
+func inUse() int {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int(m.HeapInuse + m.StackInuse)
+}
+
+// frameBytes returns a router's counters of bytes by frame.
+func frameBytes(b *testing.B, p path) map[string]float64 {
+	resp, err := http.Get("http://" + p.admin + "/debug/vars")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var vars struct {
+		Bytes map[string]float64 `json:"wire_frame_bytes_total"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&vars); err != nil {
+		b.Fatal(err)
+	}
+	return vars.Bytes
+}
+
+// BenchmarkBytes measures what requests and tokens take on the wire between
+// router and sidecar: streams of tokens, then one that says nothing.
+func BenchmarkBytes(b *testing.B) {
+	const streams, tokens, quiet = 20, 200, 10 * time.Second
+	addr := freeAddr(b)
+	startStub(b, addr)
+	f := newFleet(b, "fleet", daemonBin, "http://"+addr)
+	for range b.N {
+		before := frameBytes(b, f)
+		for range streams {
+			stream(b, fmt.Sprintf("%s/stream?n=%d&gap=1ms", f.url, tokens))
+		}
+		after := frameBytes(b, f)
+		for frame, n := range after {
+			per, unit := float64(streams), frame+"-B/req"
+			if frame == "data" {
+				per, unit = streams*tokens, "data-B/token"
+			}
+			if n -= before[frame]; n > 0 {
+				b.ReportMetric(n/per, unit)
+			}
+		}
+		c, err := openIdle(f.url + "/idle")
+		if err != nil {
+			b.Fatal(err)
+		}
+		before = frameBytes(b, f)
+		time.Sleep(quiet)
+		after = frameBytes(b, f)
+		heartbeat := after["ping"] + after["pong"] - before["ping"] - before["pong"]
+		b.ReportMetric(heartbeat/quiet.Seconds(), "heartbeat-B/s")
+		_ = c.Close()
+	}
+}
+
+// serveAs turns this process into a part of a benchmark, if it was started as one.
+func serveAs() {
+	if addr := os.Getenv(stubVar); addr != "" {
+		panic(http.ListenAndServe(addr, stub()))
+	}
+	if addrs := os.Getenv(relayVar); addrs != "" {
+		relay(addrs)
+	}
+	if addr := os.Getenv(greeterVar); addr != "" {
+		greet(addr)
+	}
+}
--- a/bench/speed/fleet_test.go
+++ b/bench/speed/fleet_test.go
@@ -31,8 +31,9 @@
 const (
 	apiKey      = "speed-key"
 	secret      = "1:000102030405060708090a0b0c0d0e0f\n"
-	stubVar     = "SPEED_STUB"  // address; set in the process that is the stub
-	relayVar    = "SPEED_RELAY" // from and to; set in a process that is a relay
+	stubVar     = "SPEED_STUB"    // address; set in the process that is the stub
+	relayVar    = "SPEED_RELAY"   // from and to; set in a process that is a relay
+	greeterVar  = "SPEED_GREETER" // address, directory; set in a process of sidecars that only introduce themselves
 	startWithin = 10 * time.Second
 )
 
@@ -44,12 +45,7 @@
 )
 
 func TestMain(m *testing.M) {
-	if addr := os.Getenv(stubVar); addr != "" {
-		panic(http.ListenAndServe(addr, stub()))
-	}
-	if addrs := os.Getenv(relayVar); addrs != "" {
-		relay(addrs)
-	}
+	serveAs()
 	flag.Parse()
 	dir, err := os.MkdirTemp("", "speed")
 	if err != nil {
@@ -68,6 +64,7 @@
 type path struct {
 	name                  string
 	url                   string // to which a path of the stub is added
+	admin                 string // the router's address for operators
 	routerPID, sidecarPID int    // 0 where there are none; this process's with -inprocess
 }
 
@@ -100,11 +97,11 @@
 	if err := os.WriteFile(secrets, []byte(secret), 0o600); err != nil {
 		b.Fatal(err)
 	}
-	sidecar, router := freeAddr(b), freeAddr(b)
-	f := path{name: name, url: "http://" + router + "/services/bench"}
+	sidecar, router, admin := freeAddr(b), freeAddr(b), freeAddr(b)
+	f := path{name: name, admin: admin, url: "http://" + router + "/services/bench"}
 	f.sidecarPID = parsleyd(b, binary, sidecar, "sidecar", "--insecure-plain", "--listen", sidecar, "--vm", "vm-1", "--upstream", stub)
 	vms.Set(platform.VM{ID: "vm-1", Role: platform.RoleUpstream, Addr: sidecar, Pool: "bench"})
-	f.routerPID = parsleyd(b, binary, router, "router", "--insecure-plain", "--listen", router, "--vm", "vm-r", "--platform", p.URL, "--token-secrets", secrets)
+	f.routerPID = parsleyd(b, binary, router, "router", "--insecure-plain", "--listen", router, "--admin-listen", admin, "--vm", "vm-r", "--platform", p.URL, "--token-secrets", secrets)
 	await(b, func() bool {
 		resp, err := http.Get("http://" + router + "/readyz")
 		return err == nil && resp.Body.Close() == nil && resp.StatusCode == http.StatusOK
@@ -182,12 +179,12 @@
 }
 
 // runSelf starts this program as another process.
-func runSelf(b *testing.B, addr, env string) {
+func runSelf(b *testing.B, addr, env string) int {
 	self, err := os.Executable()
 	if err != nil {
 		b.Fatal(err)
 	}
-	run(b, exec.Command(self), addr, env)
+	return run(b, exec.Command(self), addr, env)
 }
 
 // parsleyd starts a role and returns its process id.
