config: copies at 64 sidecars, bounded calls, faster recovery after compaction

In bursts routers took each change twice, from the store and from a sidecar (6.8 questions a router and second at 10 changes/s). Change: Copies picks 64 sidecars by hash, routers tell only those of versions and ask only those; a router gives its watch 2 s before it asks a peer; a sidecar pulls at most every 500 ms; compaction leads to a listing after 250 ms, of all kinds at the same time. Ruled out: every n-th sidecar by the sidecar's own choice, since routers must know whom to ask. TestCallsOfTheStoreAreBounded fails without the pause after news (10.1 reads) and with retries each 250 ms (3.3).

--- /dev/null
+++ b/internal/config/bench_test.go
@@ -0,0 +1,109 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+)
+
+// valueBytes is about what an organisation with its change takes in the store.
+const valueBytes = 600
+
+// sizes are numbers of objects; the last is the target's.
+var sizes = []int{1400, 4700, 14000}
+
+func organisation(i int, v platform.Version) platform.Object {
+	r := Revision{
+		Change: Change{ID: "ABCDEFGHIJKLMNOPQRSTUVWXYZ", Author: "operator", Time: time.Unix(1e9, 0), Reason: "routine", Parent: "ZYXWVUTSRQPONMLKJIHGFEDCBA"},
+		Spec:   json.RawMessage(`"` + strings.Repeat("x", valueBytes-200) + `"`),
+	}
+	value, _ := r.Encode()
+	return platform.Object{Ref: platform.Ref{Kind: platform.KindOrganisation, Name: fmt.Sprintf("organisation-%05d", i)}, Version: v, Value: value}
+}
+
+// filled returns a Set of n objects, as after a listing.
+func filled(n int) *Set {
+	s := NewSet()
+	var all []platform.Object
+	for i := range n {
+		all = append(all, organisation(i, platform.Version(i+1)))
+	}
+	s.Apply(Batch{Objects: all, Claim: &Claim{To: platform.Version(n)}, Known: platform.Version(n)})
+	return s
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkSet measures a node's configuration: what it holds, what a change
+// costs, and what is sent to one who lacks a change or everything.
+func BenchmarkSet(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("hold/objects=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				before := heap()
+				s := filled(n)
+				b.ReportMetric(float64(heap()-before)/float64(n), "heap-B/object")
+				b.ReportMetric(float64(s.Bytes())/float64(n), "value-B/object")
+			}
+		})
+		b.Run(fmt.Sprintf("change/objects=%d", n), func(b *testing.B) {
+			s := filled(n)
+			next := make([]platform.Object, 1000)
+			v := platform.Version(n)
+			for i := range next {
+				next[i] = organisation(i*7%n, 0)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				v++
+				o := next[i%len(next)]
+				o.Version = v
+				s.Apply(Batch{Objects: []platform.Object{o}, Claim: &Claim{From: v - 1, To: v}})
+			}
+		})
+		b.Run(fmt.Sprintf("answer/objects=%d", n), func(b *testing.B) {
+			s := filled(n)
+			q := Query{Since: s.Version() - 1, Mark: s.Mark()}
+			b.ReportAllocs()
+			var d Delta
+			for b.Loop() {
+				d = s.Answer(q)
+			}
+			b.ReportMetric(encoded(q), "query-B")
+			b.ReportMetric(encoded(d), "delta-B")
+			b.ReportMetric(encoded(s.Answer(Query{Since: s.Version(), Mark: s.Mark()})), "no-news-B")
+		})
+		b.Run(fmt.Sprintf("whole/objects=%d", n), func(b *testing.B) {
+			s := filled(n)
+			for b.Loop() {
+				size, pieces := 0.0, 0
+				to := NewFollower(1)
+				effects := to.ask(time.Unix(0, 0), "peer", 0)
+				for to.pull != nil {
+					d := s.Answer(effects[len(effects)-1].(Ask).Query)
+					size += encoded(d)
+					pieces++
+					effects = to.Step(Answered{Peer: "peer", Delta: d})
+				}
+				b.ReportMetric(size/float64(n), "wire-B/object")
+				b.ReportMetric(float64(pieces), "pieces")
+			}
+		})
+	}
+}
+
+func encoded(v any) float64 {
+	b, _ := json.Marshal(v)
+	return float64(len(b))
+}
--- /dev/null
+++ b/internal/config/follow/calls_test.go
@@ -0,0 +1,77 @@
+package follow_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/config/change"
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/standin"
+)
+
+// load is what the fleet is put through while its calls are counted.
+type load struct {
+	name    string
+	changes int // by operators
+	down    bool
+	within  time.Duration
+	reads   float64 // of the store, at most, per router and second
+}
+
+var loads = []load{
+	{name: "15,000 changes a day", changes: 104, within: 10 * time.Minute, reads: 0.6},
+	{name: "10 changes a second", changes: 600, within: time.Minute, reads: 2},
+	{name: "store down", down: true, within: 10 * time.Minute, reads: 1},
+}
+
+// The store serves about two thousand reads a second, a waiting watch counted
+// as one, and 330 routers share it with everything else. If each router called
+// as often as there are changes, or hammered a store that is down, the store
+// would refuse the operators' own calls. The calls of a router do not grow with
+// the fleet, and a burst of changes or an outage does not multiply them.
+func TestCallsOfTheStoreAreBounded(t *testing.T) {
+	for _, l := range loads {
+		for _, routers := range []int{4, 12, 36} {
+			t.Run(fmt.Sprintf("%s/routers=%d", l.name, routers), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { countCalls(t, l, routers) })
+			})
+		}
+	}
+}
+
+func countCalls(t *testing.T, l load, routers int) {
+	ctx, stop := context.WithCancel(t.Context())
+	f := newFleet(t, ctx, 1, 1, routers)
+	e := change.NewEditor(f.store)
+	if r := e.Commit(ctx, change.Edit{Base: change.Current{Ref: f.refs[0]}, Spec: json.RawMessage(`1`)}); r.Outcome != change.Applied {
+		t.Fatal(r.Cause)
+	}
+	time.Sleep(time.Minute)
+	before, asked := f.store.Counts(), f.asked.Load()
+	f.store.SetFaults(standin.ObjectFaults{Down: l.down})
+	for i := range l.changes {
+		base := change.Current{Ref: platform.Ref{Kind: platform.KindProfile, Name: fmt.Sprint("new-", i)}}
+		if r := e.Commit(ctx, change.Edit{Base: base, Spec: json.RawMessage(`1`)}); r.Outcome != change.Applied {
+			t.Fatalf("%s: %v", r.Outcome, r.Cause)
+		}
+		time.Sleep(l.within / time.Duration(l.changes))
+	}
+	if l.changes == 0 {
+		time.Sleep(l.within)
+	}
+	after := f.store.Counts()
+	seconds := l.within.Seconds()
+	perRouter := func(n int) float64 { return float64(n) / seconds / float64(routers) }
+	reads := perRouter(after.Reads - before.Reads)
+	t.Logf("a router and second: %.2f reads (%d watches now waiting), %.2f questions to peers; %.2f writes a change",
+		reads, after.Waiting, perRouter(int(f.asked.Load()-asked)), float64(after.Writes-before.Writes)/float64(max(l.changes, 1)))
+	if reads > l.reads {
+		t.Errorf("%.2f reads of the store a router and second, want at most %.2f", reads, l.reads)
+	}
+	stop()
+	time.Sleep(time.Second) // all goroutines end
+}
--- a/internal/config/follow/fleet_test.go
+++ b/internal/config/follow/fleet_test.go
@@ -27,7 +27,8 @@
 	refs  []platform.Ref
 	began time.Time
 
-	cut atomic.Pointer[node] // a sidecar that hears no news, but can be asked
+	cut   atomic.Pointer[node] // a sidecar that hears no news, but can be asked
+	asked atomic.Int64         // queries between nodes
 
 	mu       sync.Mutex
 	rand     *rand.Rand
@@ -52,13 +53,12 @@
 }
 
 const (
-	mostRouters  = 4
 	sidecarCount = 6
 	linkDelay    = time.Millisecond
 	trafficEvery = 100 * time.Millisecond
 )
 
-func newFleet(t *testing.T, ctx context.Context, seed uint64, objects int) *fleet {
+func newFleet(t *testing.T, ctx context.Context, seed uint64, objects, routers int) *fleet {
 	f := &fleet{
 		t:     t,
 		store: standin.NewObjectAPI(),
@@ -72,7 +72,7 @@
 	for range sidecarCount {
 		f.sidecars = append(f.sidecars, f.start(ctx, config.NewCopy(uint64(f.intN(1<<30))), nil))
 	}
-	for range 1 + f.intN(mostRouters) {
+	for range routers {
 		f.startRouter(ctx)
 	}
 	return f
@@ -157,6 +157,7 @@
 
 // ask puts a query to another node, which hears this one's mark in passing.
 func (n *node) ask(_ context.Context, peer config.Peer, q config.Query) (config.Delta, error) {
+	n.fleet.asked.Add(1)
 	time.Sleep(linkDelay)
 	to := n.fleet.node(peer)
 	if to == nil || n.ctx.Err() != nil {
--- a/internal/config/follow/follow.go
+++ b/internal/config/follow/follow.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/parsleyfront/parsleyfront/internal/config"
 	"github.com/parsleyfront/parsleyfront/internal/platform"
@@ -115,31 +116,43 @@
 	})
 }
 
-// list reads all kinds. The version of the whole is that of its oldest page:
-// an object that changed while listing is told by the watch from there.
+// list reads all kinds at the same time. The version of the whole is that of its
+// oldest page: an object that changed while listing is told by the watch from
+// there.
 func (r *Runner) list(ctx context.Context) {
-	all := config.Listed{Version: -1}
-	for _, kind := range config.Kinds() {
-		cont := ""
-		for {
-			page, err := r.page(ctx, kind, cont)
-			if err != nil {
-				r.failed(ctx, err)
-				return
-			}
-			all.Objects = append(all.Objects, page.Objects...)
-			if all.Version < 0 || page.Version < all.Version {
-				all.Version = page.Version
-			}
-			if cont = page.Continue; cont == "" {
-				break
-			}
-		}
+	kinds := config.Kinds()
+	parts := make([]config.Listed, len(kinds))
+	group, within := errgroup.WithContext(ctx)
+	for i, kind := range kinds {
+		group.Go(func() (err error) {
+			parts[i], err = r.listKind(within, kind)
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		r.failed(ctx, err)
+		return
+	}
+	all := parts[0]
+	for _, part := range parts[1:] {
+		all.Objects = append(all.Objects, part.Objects...)
+		all.Version = min(all.Version, part.Version)
 	}
 	all.Now = time.Now()
 	r.Post(all)
 }
 
+func (r *Runner) listKind(ctx context.Context, kind platform.Kind) (config.Listed, error) {
+	page, err := r.page(ctx, kind, "")
+	out := config.Listed{Objects: page.Objects, Version: page.Version}
+	for err == nil && page.Continue != "" {
+		page, err = r.page(ctx, kind, page.Continue)
+		out.Objects = append(out.Objects, page.Objects...)
+		out.Version = min(out.Version, page.Version)
+	}
+	return out, err
+}
+
 func (r *Runner) page(ctx context.Context, kind platform.Kind, cont string) (platform.Page, error) {
 	page, err := r.Store.List(ctx, kind, cont)
 	for try := 1; err != nil && try < pageTries; try++ {
--- a/internal/config/follow/follow_test.go
+++ b/internal/config/follow/follow_test.go
@@ -18,6 +18,8 @@
 	phases  = 8
 	objects = 3
 	longest = 20 // of a phase, in seconds
+
+	mostRouters = 4
 )
 
 // faultKinds are the faults of a phase. Those in which the store gives no
@@ -68,7 +70,7 @@
 // runFaults lets operators work through phases of faults.
 func runFaults(t *testing.T, seed uint64) *fleet {
 	ctx, stop := context.WithCancel(t.Context())
-	f := newFleet(t, ctx, seed, objects)
+	f := newFleet(t, ctx, seed, objects, 1+int(seed%mostRouters))
 	for range 3 {
 		go f.operate(ctx)
 	}
@@ -111,7 +113,7 @@
 func TestHintEndsSilentWatch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
-		f := newFleet(t, ctx, 1, 1)
+		f := newFleet(t, ctx, 1, 1, 2)
 		time.Sleep(time.Minute)
 		n := f.routers[0]
 		f.store.SetFaults(standin.ObjectFaults{SilentWatches: len(f.routers)})
--- a/internal/config/follow_peer.go
+++ b/internal/config/follow_peer.go
@@ -59,9 +59,15 @@
 	if f.pull != nil && now.After(f.pull.deadline) {
 		f.pull = nil
 	}
+	if f.pull == nil && f.behind != "" && now.After(f.nextPull) {
+		return f.ask(now, f.behind, f.set.Version())
+	}
 	if f.pull != nil || len(f.peers) == 0 || now.Before(f.nextCheck) {
 		return nil
 	}
+	if f.phase == phaseNone && f.set.Complete() == 0 {
+		return nil // no router wants this sidecar to keep a copy
+	}
 	f.nextCheck = now.Add(f.jitter(f.checkInterval()))
 	return f.ask(now, f.draw(), f.set.Version())
 }
@@ -97,6 +103,7 @@
 // many peers say at once that there is news, and one of them is enough.
 func (f *Follower) ask(now time.Time, peer Peer, since platform.Version) []Effect {
 	f.behind = ""
+	f.nextPull = now.Add(pullEvery)
 	f.pull = &pull{
 		peer:     peer,
 		query:    Query{Since: since, Mark: f.set.Mark()},
@@ -121,11 +128,36 @@
 	case m.comparable(mine):
 		return f.differ(now, peer, m)
 	case m.Version > mine.Version && !f.isFutile(now, m.Version):
-		return f.ask(now, peer, mine.Version)
+		return f.catchUp(now, peer, m.Version)
 	}
 	return nil
 }
 
+// news is a version that a peer has and this node has not.
+type news struct {
+	version platform.Version
+	heard   time.Time
+}
+
+// catchUp asks a peer for what is new there. While the store answers, its watch
+// is about to tell the same, so a router waits a little: in a burst of changes
+// it would otherwise take each of them twice. Sidecars collect the changes of a
+// moment into one pull.
+func (f *Follower) catchUp(now time.Time, peer Peer, v platform.Version) []Effect {
+	switch {
+	case f.phase == phaseNone && now.Before(f.nextPull):
+		f.behind = peer
+		return nil
+	case f.phase == phaseNone:
+	case f.confirmed && f.failures == 0 && f.news.version <= f.set.Version():
+		f.news = news{version: v, heard: now}
+		return nil
+	case f.confirmed && f.failures == 0 && now.Sub(f.news.heard) < watchPatience:
+		return nil
+	}
+	return f.ask(now, peer, f.set.Version())
+}
+
 // refresh asks, now and then, a peer with the same objects how far it is
 // complete. Without it, the store may have compacted the changes since what a
 // sidecar knows, and a router that starts from there must list everything.
@@ -223,9 +255,6 @@
 	if f.pull == nil {
 		out = append(out, f.compare(e.Now, e.Peer, e.Delta.Mark)...)
 	}
-	if f.pull == nil && f.behind != "" {
-		out = append(out, f.ask(e.Now, f.behind, f.set.Version())...)
-	}
 	return out
 }
 
--- a/internal/config/follow_store.go
+++ b/internal/config/follow_store.go
@@ -66,16 +66,19 @@
 
 func (f *Follower) storeFailed(e StoreFailed) {
 	f.status.StoreFailures++
-	// The store's watches begin later than what we know. It shows as a watch
-	// that is refused however often it is tried; a listing starts anew.
-	f.relist = f.relist || e.Compacted
-	if e.Silent {
+	switch {
+	case e.Compacted:
+		// The store's watches begin later than what we know. It shows as a watch
+		// that is refused however often it is tried; a listing starts anew.
+		f.relist = true
+		f.pause(e.Now, retryFirst)
+	case e.Silent:
 		// The wait was pause enough: the next connection may work at once.
 		f.failures++
 		f.pause(e.Now, retryFirst)
-		return
+	default:
+		f.fail(e.Now)
 	}
-	f.fail(e.Now)
 }
 
 func (f *Follower) listedStore(e Listed) []Effect {
--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -43,6 +43,10 @@
 	checkOfCopy = time.Minute
 	// checkWhileBlind is the same while the store does not answer.
 	checkWhileBlind = 500 * time.Millisecond
+	// watchPatience is how long a router lets its watch bring what a peer has.
+	watchPatience = 2 * time.Second
+	// pullEvery is the least time between the pulls of a sidecar.
+	pullEvery = 500 * time.Millisecond
 	// askTimeout is after how long an Ask counts as failed.
 	askTimeout = 2 * time.Second
 	// peersFirst is how long a new router waits for peers to give it a
@@ -101,6 +105,8 @@
 	pull      *pull
 	behind    Peer // said to know more than we do
 	futile    futile
+	news      news
+	nextPull  time.Time
 	nextCheck time.Time
 	repair    repair
 
@@ -115,7 +121,8 @@
 	return f
 }
 
-// NewCopy returns the Follower of a sidecar, which only asks its peers.
+// NewCopy returns the Follower of a sidecar, which only asks its peers. It keeps
+// nothing until a router tells it of a version; see Copies.
 func NewCopy(seed uint64) *Follower {
 	return &Follower{
 		set:   NewSet(),
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -92,7 +92,7 @@
 		Call:        at.call,
 		Window:      streamWindow,
 		Trace:       string(at.span.Traceparent()),
-		Control:     a.router.control(now, a.pool, a.print),
+		Control:     a.router.control(now, at.vm.ID, a.pool, a.print),
 		Leave:       at.leave,
 	})
 	if err != nil {
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -70,12 +70,14 @@
 	r.loop.Post(ConfigEvent{Event: config.Hinted{Now: time.Now()}})
 }
 
-// nearPeers tells the follower which sidecars there is a connection to.
+// nearPeers tells the follower which of the sidecars with a copy of the
+// configuration there is a connection to.
 func (r *Router) nearPeers() {
+	copies := r.View().Copies
 	r.mu.Lock()
 	var near []config.Peer
 	for at, p := range r.peers {
-		if p.Connected() {
+		if copies[at.vm] && p.Connected() {
 			near = append(near, config.Peer(at.vm))
 		}
 	}
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -54,10 +54,14 @@
 	}
 }
 
-// control returns what a sidecar of pool is told on the back of a request with
-// a fingerprint.
-func (r *Router) control(now time.Time, pool *Pool, print uint64) wire.Control {
-	c := wire.Control{Config: r.View().Version}
+// control returns what the sidecar of a VM of pool is told on the back of a
+// request with a fingerprint. Only those that are to keep a copy of the
+// configuration hear of its version.
+func (r *Router) control(now time.Time, vm string, pool *Pool, print uint64) wire.Control {
+	var c wire.Control
+	if view := r.View(); view.Copies[vm] {
+		c.Config = view.Version
+	}
 	_, c.Suspects = r.suspects.rule(now, print)
 	if pool != nil {
 		c.Samples = pool.beliefs.samples(now)
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -125,7 +125,7 @@
 	return nil
 }
 
-// peers returns whom to ask for configuration: all sidecars keep a copy.
+// peers returns whom to ask for configuration: the sidecars that keep a copy.
 func (s *State) peers() []config.Peer {
 	var out []config.Peer
 	for _, vm := range s.vms.Entries {
@@ -133,7 +133,7 @@
 			out = append(out, config.Peer(vm.ID))
 		}
 	}
-	return out
+	return config.Copies(out)
 }
 
 // configure passes an event to the follower and takes what it says is in force.
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -22,6 +22,7 @@
 	VMs      map[string]platform.VM
 	Loads    map[string]*profile.Pool // what pools load
 	Leaving  map[string]bool          // VMs that are to leave
+	Copies   map[string]bool          // VMs whose sidecars keep a copy of the configuration
 	Routers  int                      // that the list of VMs knows, at least one
 }
 
@@ -81,6 +82,10 @@
 		}
 	}
 	v.Routers = max(v.Routers, 1)
+	v.Copies = make(map[string]bool)
+	for _, p := range s.peers() {
+		v.Copies[string(p)] = true
+	}
 	v.Loads = maps.Clone(s.loads)
 	v.Leaving = make(map[string]bool)
 	for vm, n := range s.wanted {
