secure: the test of a leaked authority waits for both ends

Cause: TLS 1.3 lets the dialling side finish first, so the connection that the test meant to find open was at times still in its handshake, and was ended there: the test then passed without the guard (seen while reverting it). Change: a round trip before the files change.

--- a/internal/secure/bench_test.go
+++ b/internal/secure/bench_test.go
@@ -77,11 +77,7 @@
 		return err
 	}
 	defer c.Close()
-	if _, err := c.Write([]byte("x")); err != nil {
-		return err
-	}
-	_, err = io.ReadFull(c, make([]byte, 1))
-	return err
+	return roundTrip(c)
 }
 
 // readBuffer is the buffer that package wire reads through, in bytes.
--- a/internal/secure/secure_test.go
+++ b/internal/secure/secure_test.go
@@ -84,7 +84,7 @@
 	return must(t, m, err), p
 }
 
-// serve echoes one byte to each authenticated peer and returns the address.
+// serve echoes to each authenticated peer and returns the address.
 func serve(t testing.TB, m *Mutual) string {
 	t.Helper()
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
@@ -97,7 +97,7 @@
 				return
 			}
 			go func() {
-				_, _ = io.CopyN(c, c, 1)
+				_, _ = io.Copy(c, c)
 				_ = c.Close()
 			}()
 		}
@@ -112,11 +112,15 @@
 		return nil, err
 	}
 	defer c.Close()
+	return c.(*Conn), roundTrip(c)
+}
+
+func roundTrip(c net.Conn) error {
 	if _, err := c.Write([]byte("x")); err != nil {
-		return nil, err
+		return err
 	}
-	_, err = io.ReadFull(c, make([]byte, 1))
-	return c.(*Conn), err
+	_, err := io.ReadFull(c, make([]byte, 1))
+	return err
 }
 
 // A process of another role, another fleet or another VM, or one whose
@@ -183,6 +187,9 @@
 		}
 	}
 	open, err := r.Dial(context.Background(), sidecar.VM, addr)
+	if err != nil || roundTrip(open) != nil {
+		t.Fatal(err)
+	}
 	must(t, open, err)
 	write(t, side.files.paths[2], next.PEM)
 	side.files.poll()
