test: the story of the quarantined request as it is

Cause: the story said morning, but a suspect counts for 15 minutes only. Change: the story names whoever is called for the upstream.

--- a/test/ctl_test.go
+++ b/test/ctl_test.go
@@ -180,8 +180,8 @@
 		Expect(run(f.platformURL, "get", "profile/shared").code).To(Equal(ctl.ExitOK))
 	})
 
-	// A request was running when its upstream crashed at night. In the morning
-	// nobody would know of it, unless status names it.
+	// A request was running when its upstream crashed. Whoever is called for the
+	// upstream has to learn that a request may have done it.
 	It("names a request that may crash upstreams", func() {
 		vm := f.addUpstream("engine", "notes", "--token-delay", "60ms")
 		f.addListedRouter()
