admin: the test of the wait in virtual time

The test depended on real time. Change: the routers of the test speak over in-memory connections in a synctest bubble; the product's own limits hold, and the setting for tests is gone. The test asks for the same as before. The benchmark runs over the same connections. Conclusion: no real time is left in the test.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -2,15 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
-	"time"
+	"testing/synctest"
 
 	"github.com/parsleyfront/parsleyfront/internal/platform"
 )
@@ -56,17 +56,11 @@
 	}
 }
 
-// fleet is routers with a list of VMs that shows them all.
-type fleet struct {
-	nodes []*fakeNode
-	bytes atomic.Int64 // on all connections between the routers, one way each
-	calls atomic.Int64
-}
-
-// countingListener counts what its connections carry.
-type countingListener struct {
-	net.Listener
-	bytes *atomic.Int64
+// network is in-memory connections to the routers, by address.
+type network struct {
+	mu       sync.Mutex
+	accepted map[string]chan net.Conn
+	bytes    atomic.Int64 // both ways
 }
 
 type countingConn struct {
@@ -74,11 +68,6 @@
 	bytes *atomic.Int64
 }
 
-func (l countingListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	return countingConn{c, l.bytes}, err
-}
-
 func (c countingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.bytes.Add(int64(n))
@@ -91,32 +80,89 @@
 	return n, err
 }
 
+// listen opens an address. Connections to it hang until they are accepted.
+func (n *network) listen(addr string) *listener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	const backlog = 16
+	l := &listener{accepted: make(chan net.Conn, backlog), closed: make(chan struct{})}
+	n.accepted[addr] = l.accepted
+	return l
+}
+
+func (n *network) dial(_ context.Context, _, addr string) (net.Conn, error) {
+	n.mu.Lock()
+	accepted := n.accepted[strings.TrimSuffix(addr, ":80")]
+	n.mu.Unlock()
+	if accepted == nil {
+		return nil, errors.New("refused")
+	}
+	near, far := net.Pipe()
+	accepted <- far
+	return countingConn{near, &n.bytes}, nil
+}
+
+func (n *network) client(t testing.TB) *http.Client {
+	transport := newTransport()
+	transport.DialContext = n.dial
+	t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport}
+}
+
+// listener is an open address of a network.
+type listener struct {
+	accepted chan net.Conn
+	closed   chan struct{}
+	once     sync.Once
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accepted:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return &net.UnixAddr{} }
+
+// fleet is routers with a list of VMs that shows them all.
+type fleet struct {
+	network network
+	nodes   []*fakeNode
+	calls   atomic.Int64
+}
+
 // newFleet starts n routers at version and returns a client of the first.
 func newFleet(t testing.TB, n int, version platform.Version) (*fleet, *Client) {
-	f := &fleet{}
-	servers := make([]*Server, n)
+	f := &fleet{network: network{accepted: make(map[string]chan net.Conn)}}
 	vms := make([]platform.VM, n)
 	for i := range n {
 		node := &fakeNode{version: version, store: version, changed: make(chan struct{})}
 		f.nodes = append(f.nodes, node)
 		id := fmt.Sprintf("router-%03d", i)
-		servers[i] = NewServer(Config{VM: id, Node: node, Token: "t"})
-		servers[i].peerTimeout = 300 * time.Millisecond
-		server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		api := NewServer(Config{VM: id, Node: node, Token: "t"})
+		api.client = f.network.client(t)
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			f.calls.Add(1)
-			servers[i].ServeHTTP(w, r)
-		}))
-		server.Listener = countingListener{server.Listener, &f.bytes}
-		server.Start()
-		t.Cleanup(server.Close)
-		t.Cleanup(servers[i].client.CloseIdleConnections)
-		vms[i] = platform.VM{ID: id, Role: platform.RoleRouter, AdminAddr: strings.TrimPrefix(server.URL, "http://")}
+			api.ServeHTTP(w, r)
+		})}
+		l := f.network.listen(id)
+		go func() { _ = server.Serve(l) }()
+		t.Cleanup(func() { _ = server.Close() })
+		vms[i] = platform.VM{ID: id, Role: platform.RoleRouter, AdminAddr: id}
 	}
 	for _, node := range f.nodes {
 		node.vms = vms
 	}
 	client := NewClient(vms[0].AdminAddr, "t")
-	t.Cleanup(client.CloseIdle)
+	client.http = f.network.client(t)
 	return f, client
 }
 
@@ -125,39 +171,33 @@
 // silent watch waited out, each change would cost seconds; were the others
 // passed over, the operator would be told something untrue.
 func TestFleetWaitNamesTheRoutersThatDoNotFollow(t *testing.T) {
+	for _, req := range []WaitRequest{{Objects: []ObjectVersion{{Ref: chat, Version: 5}}}, {Complete: 5}} {
+		synctest.Test(t, func(t *testing.T) { checkFleetWait(t, req) })
+	}
+}
+
+func checkFleetWait(t *testing.T, req WaitRequest) {
 	f, client := newFleet(t, 4, 5)
 	silent, stuck := f.nodes[1], f.nodes[2]
 	silent.version, stuck.version, stuck.stuck = 4, 4, true
-	hanging, err := net.Listen("tcp", "127.0.0.1:0")
+	f.network.listen("hanging")
+	f.nodes[0].vms = append(f.nodes[0].vms,
+		platform.VM{ID: "stopped", Role: platform.RoleRouter, AdminAddr: "stopped"},
+		platform.VM{ID: "hanging", Role: platform.RoleRouter, AdminAddr: "hanging"},
+		platform.VM{ID: "unlisted", Role: platform.RoleRouter},
+		platform.VM{ID: "engine", Role: platform.RoleUpstream})
+	req.WaitMillis = 700
+	wait, err := client.FleetWait(t.Context(), req)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer hanging.Close()
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	var got []string
+	for _, r := range wait.Pending() {
+		got = append(got, fmt.Sprintf("%s behind=%d error=%t", r.VM, len(r.Behind), r.Error != ""))
 	}
-	closed.Close()
-	f.nodes[0].vms = append(f.nodes[0].vms,
-		platform.VM{ID: "stopped", Role: platform.RoleRouter, AdminAddr: closed.Addr().String()},
-		platform.VM{ID: "hanging", Role: platform.RoleRouter, AdminAddr: hanging.Addr().String()},
-		platform.VM{ID: "unlisted", Role: platform.RoleRouter},
-		platform.VM{ID: "engine", Role: platform.RoleUpstream})
-	for _, req := range []WaitRequest{{Objects: []ObjectVersion{{Ref: chat, Version: 5}}}, {Complete: 5}} {
-		silent.version = 4
-		req.WaitMillis = 700
-		wait, err := client.FleetWait(context.Background(), req)
-		if err != nil {
-			t.Fatal(err)
-		}
-		var got []string
-		for _, r := range wait.Pending() {
-			got = append(got, fmt.Sprintf("%s behind=%d error=%t", r.VM, len(r.Behind), r.Error != ""))
-		}
-		want := "router-002 behind=1 error=false, stopped behind=0 error=true, hanging behind=0 error=true, unlisted behind=0 error=true"
-		if strings.Join(got, ", ") != want || len(wait.Routers) != 7 {
-			t.Errorf("of %d routers, pending are %s, want %s", len(wait.Routers), strings.Join(got, ", "), want)
-		}
+	want := "router-002 behind=1 error=false, stopped behind=0 error=true, hanging behind=0 error=true, unlisted behind=0 error=true"
+	if strings.Join(got, ", ") != want || len(wait.Routers) != 7 {
+		t.Errorf("of %d routers, pending are %s, want %s", len(wait.Routers), strings.Join(got, ", "), want)
 	}
 }
 
@@ -177,15 +217,15 @@
 			f, client := newFleet(b, n, 5)
 			req := WaitRequest{Objects: []ObjectVersion{{Ref: chat, Version: 5}}, WaitMillis: 1000}
 			f.calls.Store(0)
-			f.bytes.Store(0)
+			f.network.bytes.Store(0)
 			for b.Loop() {
 				if w, err := client.FleetWait(context.Background(), req); err != nil || len(w.Pending()) > 0 {
 					b.Fatal(w.Pending(), err)
 				}
 			}
 			b.ReportMetric(float64(f.calls.Load())/float64(b.N), "calls/op")
-			b.ReportMetric(float64(f.bytes.Load())/float64(b.N), "wire-B/op")
-			b.ReportMetric(float64(f.bytes.Load())/float64(b.N)/float64(n), "wire-B/router")
+			b.ReportMetric(float64(f.network.bytes.Load())/float64(b.N), "wire-B/op")
+			b.ReportMetric(float64(f.network.bytes.Load())/float64(b.N)/float64(n), "wire-B/router")
 		})
 	}
 }
--- a/internal/admin/fleet.go
+++ b/internal/admin/fleet.go
@@ -118,7 +118,7 @@
 	}
 	// The answer may come after the whole wait has ended: what is known late is
 	// better than a router that is named although it is up to date.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), roundWait+s.peerTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), roundWait+peerTimeout)
 	defer cancel()
 	var reply RouterWait
 	if err := s.peerClient(p).post(ctx, PathWait, req, &reply.WaitReply); err != nil {
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -35,18 +35,11 @@
 	config Config
 	mux    *http.ServeMux
 	client *http.Client // to the peers
-
-	peerTimeout time.Duration
 }
 
 // NewServer returns the API of the router in c.
 func NewServer(c Config) *Server {
-	s := &Server{
-		config:      c,
-		mux:         http.NewServeMux(),
-		client:      &http.Client{Transport: newTransport()},
-		peerTimeout: peerTimeout,
-	}
+	s := &Server{config: c, mux: http.NewServeMux(), client: &http.Client{Transport: newTransport()}}
 	s.mux.HandleFunc("GET "+PathStatus, s.status)
 	s.mux.HandleFunc("GET "+PathVersions, s.versions)
 	s.mux.HandleFunc("POST "+PathWait, s.wait)
@@ -138,7 +131,7 @@
 		own := s.ownStatus(true)
 		return RouterStatus{VM: p.vm.ID, Status: &own}
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.peerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	var status Status
 	err := s.peerClient(p).get(ctx, PathStatus, url.Values{"brief": {"1"}}, &status)
