daemon, secure: liveness as a test, a second signal, and keep-alive under TLS

Cause: nothing proved that /livez and /readyz differ, nor that a second signal ends a router; and the TCP connection below a mutual TLS one could not be reached, so wire's keep-alive was not set and a sidecar would keep the connections of a router that had vanished.

--- /dev/null
+++ b/internal/daemon/health_test.go
@@ -0,0 +1,60 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+
+	"github.com/parsleyfront/parsleyfront/internal/loop"
+)
+
+// stuck is a control state whose step does not return until it is let go.
+type stuck chan struct{}
+
+// Step implements loop.Reducer.
+func (s stuck) Step(struct{}) []struct{} {
+	<-s
+	return nil
+}
+
+// A router's control loop hangs in a step: its listener accepts, it answers from
+// an old view, and nothing that changes reaches it. Whoever restarts processes
+// must see it, and must not see a router that only has no configuration yet, or
+// is leaving, as one to be restarted.
+func TestLiveAndReadyTellDifferentTruths(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		state := make(stuck)
+		l := loop.New(state, func(struct{}) {}, func() {})
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		go l.Run(ctx)
+		known := false
+		h := newHealth(l.Probe, func() bool { return known })
+		var next http.HandlerFunc = func(http.ResponseWriter, *http.Request) {}
+		expect := func(when string, live, ready int) {
+			t.Helper()
+			for path, want := range map[string]int{pathLive: live, pathReady: ready} {
+				w := httptest.NewRecorder()
+				h.wrap(next).ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
+				if w.Code != want {
+					t.Errorf("%s: %s answers %d, want %d", when, path, w.Code, want)
+				}
+			}
+		}
+		expect("at the start", http.StatusOK, http.StatusServiceUnavailable)
+		known = true
+		expect("serving", http.StatusOK, http.StatusOK)
+		l.Post(struct{}{})
+		synctest.Wait()
+		expect("stuck", http.StatusServiceUnavailable, http.StatusOK)
+		state <- struct{}{}
+		expect("let go", http.StatusOK, http.StatusOK)
+		h.leave()
+		expect("leaving", http.StatusOK, http.StatusServiceUnavailable)
+		stop()
+		synctest.Wait()
+		expect("ended", http.StatusServiceUnavailable, http.StatusServiceUnavailable)
+	})
+}
--- a/internal/secure/secure_test.go
+++ b/internal/secure/secure_test.go
@@ -123,6 +123,21 @@
 	return err
 }
 
+// A router's VM vanishes without a word while a connection to a sidecar is idle.
+// Package wire has the kernel probe idle connections, for which it must find the
+// TCP connection below; else the sidecar keeps each such connection for good.
+func TestTCPConnectionCanBeReached(t *testing.T) {
+	side, _ := newMutual(t, newCA(t), sidecar)
+	c, err := talk(side, serve(t, side))
+	below, ok := must(t, c, err).NetConn().(interface{ NetConn() net.Conn })
+	if !ok {
+		t.Fatal("the connection below is hidden")
+	}
+	if _, ok := below.NetConn().(*net.TCPConn); !ok {
+		t.Errorf("%T is no TCP connection", below.NetConn())
+	}
+}
+
 // A process of another role, another fleet or another VM, or one whose
 // certificate names nobody, gets hold of a sidecar's address: it must not get
 // work run, and a router must not hand a guest's chat to it in turn.
--- a/test/stop_test.go
+++ b/test/stop_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 	"github.com/onsi/gomega/gexec"
 )
 
@@ -112,4 +113,20 @@
 		Expect(err).To(MatchError(syscall.ECONNREFUSED), "the streams ended after the listener closed")
 		Eventually(r.session, startWithin).Should(gexec.Exit(0))
 	})
+
+	// An operator who has sent SIGTERM by mistake to a router with a long
+	// answer in flight, or cannot wait, must not need kill -9.
+	It("ends at once on a second signal", func() {
+		f := newFleet()
+		f.addUpstream("engine", "notes", "--token-delay", "100ms", "--tokens", "3000")
+		r := f.addRouter("--drain-delay", "1h")
+		answer := open("http://"+r.addr+"/v1/chat/completions", "who lost the ball")
+		r.session.Signal(syscall.SIGTERM)
+		Eventually(r.session.Err, startWithin).Should(gbytes.Say("leaving: readiness fails"))
+		r.session.Signal(syscall.SIGTERM)
+		Eventually(r.session, startWithin).Should(gexec.Exit())
+		Expect(r.session.ExitCode()).NotTo(BeZero())
+		_, err := answer.rest()
+		Expect(err).To(HaveOccurred(), "a cut answer must not look whole")
+	})
 })
