--- a/internal/secure/transport.go
+++ b/internal/secure/transport.go
@@ -177,11 +177,6 @@
 	return c.Conn
 }
 
-// NetConn returns the connection below, as tls.Conn.NetConn does.
-func (c *countingConn) NetConn() net.Conn {
-	return c.Conn
-}
-
 func (c *countingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.n.Add(int64(n))
