sidecar: what is kept of answers is bounded in number, not only in bytes

Cause: found by reading: the entry, the timers and the place in the order of eviction of each finished request stayed for as long as its profile keeps answers, and the last for ever: at 100 requests a second kept for 12 hours, four million entries of about a kilobyte.

Change: no more finished requests are kept than the key table has entries, the first of them go first, and those that are read when their reader leaves. Stale timers are swept. A dropped answer leaves the order of eviction.

Ruled out: a setting of its own; the key table forgets at the same pace.

--- a/internal/sidecar/answer.go
+++ b/internal/sidecar/answer.go
@@ -1,9 +1,9 @@
 package sidecar
 
 import (
+	"container/list"
 	"context"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -26,8 +26,9 @@
 	end     *Finish
 	unheld  bool // what does not fit is forgotten while nobody reads
 	readers map[*sender]bool
-	seq     uint64 // counts the changes of readers
-	whole   bool   // some reader has had all of it
+	seq     uint64        // counts the changes of readers
+	place   *list.Element // among the ended; guarded by the store
+	whole   bool          // some reader has had all of it
 }
 
 type head struct {
@@ -204,7 +205,7 @@
 
 	mu      sync.Mutex
 	byNonce map[token.Nonce]*answer
-	ended   []token.Nonce // in the order of their end; dropped ones may be among them
+	ended   list.List // of *answer, in the order of their end
 }
 
 // Buffer bounds the answers that a sidecar holds.
@@ -236,7 +237,9 @@
 func (s *answers) finish(f Finish) {
 	s.mu.Lock()
 	a := s.byNonce[f.Nonce]
-	s.ended = append(s.ended, f.Nonce)
+	if a != nil {
+		a.place = s.ended.PushBack(a)
+	}
 	s.mu.Unlock()
 	if a != nil {
 		a.finish(f)
@@ -247,6 +250,9 @@
 	s.mu.Lock()
 	a := s.byNonce[n]
 	delete(s.byNonce, n)
+	if a != nil && a.place != nil {
+		s.ended.Remove(a.place)
+	}
 	s.mu.Unlock()
 	if a != nil {
 		a.forget()
@@ -268,22 +274,22 @@
 // evict drops the answer that ended first among those that nobody reads, or
 // reports false.
 func (s *answers) evict() bool {
-	s.mu.Lock()
-	i := slices.IndexFunc(s.ended, func(n token.Nonce) bool {
-		a := s.byNonce[n]
-		return a == nil || !a.read()
-	})
-	if i < 0 {
-		s.mu.Unlock()
+	a := s.oldestUnread()
+	if a == nil {
 		return false
 	}
-	n := s.ended[i]
-	s.ended = slices.Delete(s.ended, i, i+1)
-	known := s.byNonce[n] != nil
-	s.mu.Unlock()
-	if known {
-		droppedAnswers.Inc()
-	}
-	s.drop(n)
+	droppedAnswers.Inc()
+	s.drop(a.nonce)
 	return true
 }
+
+func (s *answers) oldestUnread() *answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for e := s.ended.Front(); e != nil; e = e.Next() {
+		if a := e.Value.(*answer); !a.read() {
+			return a
+		}
+	}
+	return nil
+}
--- a/internal/sidecar/answer_test.go
+++ b/internal/sidecar/answer_test.go
@@ -79,7 +79,12 @@
 				}
 			},
 		})
-		store.drop(read.nonce)
+		for n := range byte(10) {
+			store.drop(token.Nonce{n})
+		}
+		if store.ended.Len() > 0 || store.used.Load() != 0 {
+			t.Fatalf("%d dropped answers are listed, %d bytes counted", store.ended.Len(), store.used.Load())
+		}
 		if v := read.from(0, 1); !v.gone {
 			t.Fatal("a dropped answer is not said to be gone")
 		}
--- a/internal/sidecar/finish.go
+++ b/internal/sidecar/finish.go
@@ -79,7 +79,8 @@
 	r.submit.Call.Body, r.submit.Call.Header = nil, nil
 	s.timers.add(now.Add(s.settings.DetachGrace), r.nonce())
 	s.timers.add(r.keepUntil, r.nonce())
-	return []Effect{f}
+	s.kept = append(s.kept, r)
+	return append([]Effect{f}, s.trim()...)
 }
 
 // reviewProbe starts a probe that is due.
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -28,6 +28,7 @@
 const (
 	testVMs   = 3
 	testSlots = 2
+	testKeys  = 4
 	testGrace = 10 * time.Second
 )
 
@@ -128,7 +129,7 @@
 	n.state = NewState(Settings{
 		VM:          n.vm,
 		Incarnation: n.inc,
-		Keys:        4,
+		Keys:        testKeys,
 		Admission:   admission.Config{Slots: testSlots, Reserve: 1, MaxWaiting: 4, MaxBytes: 1 << 20},
 		DetachGrace: testGrace,
 		KeepAnswer:  testGrace,
@@ -296,8 +297,11 @@
 			t.Fatalf("request %d ran %d times", req, runs)
 		}
 	}
-	waiting := 0
+	waiting, kept := 0, 0
 	for _, r := range n.state.requests {
+		if r.phase == ended && r.readers == 0 {
+			kept++
+		}
 		if r.phase == queued {
 			waiting++
 		}
@@ -305,6 +309,12 @@
 			t.Fatalf("%s holds a request past its deadline", n.vm)
 		}
 	}
+	if kept > testKeys {
+		t.Fatalf("%s keeps %d answers that nobody reads", n.vm, kept)
+	}
+	if timers := len(n.state.timers); timers > 8*len(n.state.requests)+spareTimers {
+		t.Fatalf("%s has %d timers for %d requests", n.vm, timers, len(n.state.requests))
+	}
 	if have := n.state.load() - n.state.queue.Running(); have != waiting {
 		t.Fatalf("%s: %d wait, and %d are counted", n.vm, waiting, have)
 	}
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -51,6 +51,7 @@
 	requests map[token.Nonce]*request
 	arrived  uint64 // requests admitted so far
 	timers   timers
+	kept     []*request // whose answers have ended, the first of them first
 	lane     []*request // suspects that wait to run alone
 	solo     *request   // the suspect that runs alone
 	soloNext time.Time  // when it is looked at next
--- a/internal/sidecar/state_test.go
+++ b/internal/sidecar/state_test.go
@@ -102,6 +102,26 @@
 	})
 }
 
+// Clip tags come by the thousand under a profile that keeps answers overnight.
+// What the sidecar holds of them must not grow until the morning.
+func TestAnswersKeptForLongAreBounded(t *testing.T) {
+	const keys, requests = 100, 5000
+	s := benchState(1, keys)
+	for i := range requests {
+		sub := benchSubmit(i)
+		sub.Key.Expires += int64(i)
+		sub.Treatment.KeepAnswer = 12 * time.Hour
+		s.Step(Submitted{Now: benchStart, Submit: sub})
+		s.Step(Ended{Now: benchStart, Nonce: sub.Key.Nonce})
+	}
+	if s.arrived != requests {
+		t.Fatalf("%d requests ran", s.arrived)
+	}
+	if len(s.requests) > keys || s.table.Len() > keys || len(s.timers) > 8*keys+spareTimers {
+		t.Errorf("%d requests, %d keys, %d timers after %d requests", len(s.requests), s.table.Len(), len(s.timers), requests)
+	}
+}
+
 // wind lets everything come to its end: nobody may be left without an answer.
 func (f *fleet) wind(t *rapid.T) {
 	for _, n := range f.nodes {
--- a/internal/sidecar/timer.go
+++ b/internal/sidecar/timer.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/token"
@@ -33,6 +34,22 @@
 	heap.Push(t, timer{at: at, nonce: n})
 }
 
+// spareTimers is how many timers may be stale before they are looked through.
+const spareTimers = 1024
+
+// sweep forgets the timers of requests that are no longer known, once they
+// outweigh the others: an answer that is to be kept for hours and is dropped
+// to make room leaves its timer behind.
+func (s *State) sweep() {
+	if len(s.timers) <= 8*len(s.requests)+spareTimers {
+		return
+	}
+	s.timers = slices.DeleteFunc(s.timers, func(t timer) bool {
+		return t.nonce != token.Nonce{} && s.requests[t.nonce] == nil
+	})
+	heap.Init(&s.timers)
+}
+
 // due takes a timer that has come due.
 func (t *timers) due(now time.Time) (timer, bool) {
 	if len(*t) == 0 || now.Before((*t)[0].at) {
@@ -57,6 +74,7 @@
 			effects = append(effects, s.reviewRequest(now, r)...)
 		}
 	}
+	s.sweep()
 	effects = append(effects, s.reviewProbe(now)...)
 	effects = append(effects, s.reviewLeave(now)...)
 	return append(effects, s.reviewEmptying(now)...)
@@ -83,10 +101,34 @@
 		s.timers.add(now.Add(s.settings.DetachGrace), r.nonce())
 		return nil
 	}
+	return s.drop(r)
+}
+
+// drop forgets an answer that has ended.
+func (s *State) drop(r *request) []Effect {
+	if s.requests[r.nonce()] != r {
+		return nil
+	}
 	delete(s.requests, r.nonce())
 	return []Effect{Drop{Nonce: r.nonce()}}
 }
 
+// trim bounds the answers that are kept by the size of the key table, whatever
+// time their profiles ask for. Those that are read stay until they are not.
+func (s *State) trim() []Effect {
+	var effects []Effect
+	for len(s.kept) > s.settings.Keys {
+		r := s.kept[0]
+		s.kept = s.kept[1:]
+		if r.readers > 0 {
+			r.keepUntil = r.closed
+			continue
+		}
+		effects = append(effects, s.drop(r)...)
+	}
+	return effects
+}
+
 // reviewUnread ends a request that nobody has read for the grace. Its router
 // may have died and its caller may come back through another one, so it is
 // given time. What is not idempotent goes on to its end, for the upstream has
@@ -113,6 +155,8 @@
 	switch {
 	case e.Count > 0:
 		r.unread = time.Time{}
+	case r.phase == ended:
+		return s.reviewEnded(e.Now, r)
 	case r.unread.IsZero():
 		r.unread = e.Now
 		s.timers.add(e.Now.Add(s.settings.DetachGrace), r.nonce())
