test: TLS towards callers and the platform; telemetry: an unsampled trace costs nothing

Cause: both had code and no test. A trace that its first hop had decided against still cost every later hop a span. Ruled out: deciding about sampling at the first hop ourselves, which the library does well enough once a request. Change: a spec that renews the callers' certificate under a chat, a test of the platform's authority; a hop whose parent is not sampled passes it on.

--- /dev/null
+++ b/internal/daemon/platform_test.go
@@ -0,0 +1,55 @@
+package daemon
+
+import (
+	"crypto/tls"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/secure/securetest"
+	"github.com/parsleyfront/parsleyfront/internal/settings"
+	"github.com/parsleyfront/parsleyfront/internal/standin"
+)
+
+// The platform has an authority of its own. A process that was told of it must
+// reach the platform, and one that was not must not hand it the configuration's
+// requests: it could be anyone.
+func TestPlatformOverTLS(t *testing.T) {
+	ca, err := securetest.NewCA("platform")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cert, key, err := ca.Issue(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pair, err := tls.X509KeyPair(cert, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	mux := http.NewServeMux()
+	standin.NewVMList().Register(mux)
+	server := httptest.NewUnstartedServer(mux)
+	server.TLS = &tls.Config{Certificates: []tls.Certificate{pair}}
+	server.StartTLS()
+	defer server.Close()
+	path := filepath.Join(t.TempDir(), "ca.pem")
+	if err := os.WriteFile(path, ca.PEM, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		ca    string
+		works bool
+	}{"with its authority": {path, true}, "without": {"", false}} {
+		p, err := platformClient(t.Context(), settings.Platform{URL: settings.URL(server.URL), CA: c.ca}, time.Hour)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, _, err := p.VMs(t.Context(), ""); (err == nil) != c.works {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- a/internal/telemetry/span.go
+++ b/internal/telemetry/span.go
@@ -109,6 +109,9 @@
 	}
 	ctx := context.Background()
 	if sc, ok := parent.context(); ok {
+		if !sc.IsSampled() {
+			return Span{parent: parent} // decided at the first hop
+		}
 		ctx = trace.ContextWithRemoteSpanContext(ctx, sc)
 	}
 	_, span := (*t).Start(ctx, string(hop), trace.WithSpanKind(hopKinds[hop]))
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -37,13 +37,19 @@
 	return p
 }
 
-func TestTracingOffCostsNothing(t *testing.T) {
+func TestNoTraceCostsNothing(t *testing.T) {
 	if n := testing.AllocsPerRun(100, func() { hops(parent) }); n != 0 {
 		t.Errorf("%v allocations a request while tracing is off", n)
 	}
 	if got := hops(parent); got != parent {
 		t.Errorf("the caller's trace context became %q on its way through", got)
 	}
+	stop := startTracing(TraceConfig{Ratio: 1}, trace.WithSyncer(tracetest.NewNoopExporter()))
+	defer func() { _ = stop(context.Background()) }()
+	unsampled := parent[:len(parent)-1] + "0"
+	if n := testing.AllocsPerRun(100, func() { hops(unsampled) }); n != 0 {
+		t.Errorf("%v allocations a request whose caller has decided against a trace", n)
+	}
 }
 
 func TestEachHopIsTheParentOfTheNext(t *testing.T) {
@@ -151,6 +157,14 @@
 			hops(parent)
 		}
 	})
+	b.Run("unsampled", func(b *testing.B) {
+		stop := startTracing(TraceConfig{Ratio: 0}, trace.WithBatcher(tracetest.NewNoopExporter()))
+		defer func() { _ = stop(context.Background()) }()
+		b.ReportAllocs()
+		for b.Loop() {
+			hops("")
+		}
+	})
 	b.Run("on", func(b *testing.B) {
 		stop := startTracing(TraceConfig{Ratio: 1}, trace.WithBatcher(tracetest.NewNoopExporter()))
 		defer func() { _ = stop(context.Background()) }()
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -132,12 +132,27 @@
 
 // addRouter starts a router, with more settings, and waits until it is ready.
 func (f *fleet) addRouter(settings ...string) *process {
+	GinkgoHelper()
+	r := f.startRouter(settings...)
+	waitReady(r.addr)
+	return r
+}
+
+// startRouter starts a router, with more settings.
+func (f *fleet) startRouter(settings ...string) *process {
 	GinkgoHelper()
 	addr := freeAddr()
 	args := []string{"router", "--listen", addr, "--platform", f.platformURL, "--token-secrets", f.trust.secrets}
 	id := secure.Identity{Role: secure.RoleRouter, VM: fmt.Sprintf("entry-%d", len(f.routers))}
 	args = append(args, f.trust.flags(id)...)
 	r := start(daemonPath, addr, append(args, settings...)...)
+	f.routers = append(f.routers, r)
+	return r
+}
+
+// waitReady waits until the process that has its health at addr is ready.
+func waitReady(addr string) {
+	GinkgoHelper()
 	Eventually(func() (int, error) {
 		resp, err := http.Get("http://" + addr + "/readyz")
 		if err != nil {
@@ -145,8 +160,6 @@
 		}
 		return resp.StatusCode, resp.Body.Close()
 	}, startWithin, 20*time.Millisecond).Should(Equal(http.StatusOK))
-	f.routers = append(f.routers, r)
-	return r
 }
 
 // reply is a whole answer as its caller saw it.
--- a/test/stop_test.go
+++ b/test/stop_test.go
@@ -22,13 +22,18 @@
 
 // open begins a streamed chat and returns when its first line has come.
 func open(url, text string) *stream {
+	GinkgoHelper()
+	return openWith(http.DefaultClient, url, text)
+}
+
+func openWith(client *http.Client, url, text string) *stream {
 	GinkgoHelper()
 	body, err := json.Marshal(chat{Model: model, Stream: true, Messages: []message{{"user", text}}})
 	Expect(err).NotTo(HaveOccurred())
 	req, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(body))
 	Expect(err).NotTo(HaveOccurred())
 	req.Header.Set("Authorization", "Bearer "+apiKey)
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	Expect(err).NotTo(HaveOccurred())
 	Expect(resp.StatusCode).To(Equal(http.StatusOK))
 	s := &stream{resp: resp, lines: bufio.NewReader(resp.Body)}
--- a/test/trust_test.go
+++ b/test/trust_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -134,6 +136,45 @@
 		Expect(counter(upstream.admin, "secure_refused_peers_total")).To(BeZero())
 	})
 
+	// The certificate that callers see is renewed while a chat is under way:
+	// callers that connect anew see the new one, and the chat goes on.
+	It("serves callers over TLS and renews its certificate under them", func() {
+		f := newFleet()
+		f.addUpstream("engine", "notes", "--token-delay", "20ms", "--tokens", "100")
+		dir, admin := f.trust.dir, freeAddr()
+		cert, key := filepath.Join(dir, "caller.crt"), filepath.Join(dir, "caller.key")
+		authority := newAuthority()
+		renew := func() *x509.Certificate {
+			c, k, err := authority.Issue(nil)
+			Expect(err).NotTo(HaveOccurred())
+			replace(cert, c)
+			replace(key, k)
+			pair, err := tls.X509KeyPair(c, k)
+			Expect(err).NotTo(HaveOccurred())
+			return pair.Leaf
+		}
+		first := renew()
+		r := f.startRouter("--caller-cert", cert, "--caller-key", key, "--admin-listen", admin)
+		waitReady(admin)
+		roots := x509.NewCertPool()
+		Expect(roots.AppendCertsFromPEM(authority.PEM)).To(BeTrue())
+		seen := func() *x509.Certificate {
+			c, err := tls.Dial("tcp", r.addr, &tls.Config{RootCAs: roots})
+			Expect(err).NotTo(HaveOccurred())
+			defer c.Close()
+			return c.ConnectionState().PeerCertificates[0]
+		}
+		Expect(seen().Equal(first)).To(BeTrue())
+		client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots}, ForceAttemptHTTP2: true}}
+		answer := openWith(client, "https://"+r.addr+"/v1/chat/completions", "who lost the ball")
+		var second *x509.Certificate
+		reloaded([]string{admin}, func() { second = renew() })
+		Expect(seen().Equal(second)).To(BeTrue())
+		text, err := answer.rest()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(text).To(HaveSuffix("data: [DONE]\n\n"))
+	})
+
 	// Someone gets hold of the sidecars' addresses, and a certificate of
 	// another authority. The sidecar must run nothing for it, and a caller of
 	// that router must be told that nothing ran.
