dispatch: reconnecting is free, running elsewhere is not; callers' side under test

Cause: an idempotent request whose connection broke was given up after one reconnect when the retry budget was empty, although the same key at the same sidecar costs no attempt: "may-have-run, connection" for what could be joined. Ruled out: to reconnect only, which holds a read at a dead sidecar while others could serve it. Change: it runs elsewhere if the budget pays, and else goes on reconnecting. The property now draws upstreams that refuse (one slot, one waiting) and planned stops of sidecars, up to six requests at a time.

--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -29,6 +29,7 @@
 	apiKey  = "club-key"
 	booking = "booking" // a profile and service whose calls must not be repeated
 	clips   = "clips"   // one whose calls may
+	model   = "notes"
 	tick    = 10 * time.Millisecond
 )
 
@@ -44,6 +45,7 @@
 	stop     context.CancelFunc
 	ctx      context.Context
 	ring     *token.Ring
+	slots    int
 }
 
 // vm is an upstream VM whose sidecar can be replaced by a new incarnation.
@@ -52,12 +54,15 @@
 	mu       sync.Mutex // held while it is replaced
 	upstream *fakeUpstream
 	stop     func()
+	leave    func() // a planned stop
 	starts   uint64
 }
 
-func newFleet(vms, routers int, faults []fault) *fleet {
+// newFleet starts a fleet whose upstreams take so many requests at a time, and
+// let as many wait.
+func newFleet(vms, routers, slots int) *fleet {
 	ring, _ := token.NewRing(token.Secret{ID: 1, Value: bytes.Repeat([]byte{7}, 16)})
-	f := &fleet{net: newNetwork(faults), store: newStore(), vms: &vmList{}, ring: ring}
+	f := &fleet{net: newNetwork(), slots: slots, store: newStore(), vms: &vmList{}, ring: ring}
 	f.ctx, f.stop = context.WithCancel(context.Background())
 	for _, name := range []string{booking, clips} {
 		p := profile.New(platform.KindProfile).(*profile.Profile)
@@ -66,8 +71,11 @@
 		p.Deadline = profile.Duration(map[string]time.Duration{booking: 20 * time.Second, clips: 2 * time.Second}[name])
 		f.store.put(platform.KindProfile, name, p)
 	}
+	chat := profile.New(platform.KindProfile).(*profile.Profile)
+	chat.Name, chat.Model, chat.Pool, chat.Deadline = "chat", model, "p", profile.Duration(time.Minute)
+	f.store.put(platform.KindProfile, chat.Name, chat)
 	f.store.put(platform.KindOrganisation, "club", profile.Organisation{
-		Name: "club", Weight: 1, Profiles: []string{booking, clips}, Keys: []profile.APIKey{{ID: "k", SHA256: profile.HashKey(apiKey)}},
+		Name: "club", Weight: 1, Profiles: []string{booking, clips, chat.Name}, Keys: []profile.APIKey{{ID: "k", SHA256: profile.HashKey(apiKey)}},
 	})
 	for i := range vms {
 		v := &vm{id: fmt.Sprintf("vm-%d", i), upstream: &fakeUpstream{thaw: make(chan struct{}), crash: make(chan struct{})}}
@@ -98,7 +106,7 @@
 			VM:          v.id,
 			Incarnation: v.starts,
 			Keys:        1000,
-			Admission:   admission.Config{Slots: 16, MaxWaiting: 64},
+			Admission:   admission.Config{Slots: f.slots, MaxWaiting: f.slots},
 			DetachGrace: time.Second,
 			KeepAnswer:  time.Minute,
 		},
@@ -106,8 +114,20 @@
 		Upstream: v.upstream,
 	})
 	l := f.net.listen(v.id)
+	ctx, leave := context.WithCancel(context.Background())
 	v.stop = func() { _ = l.Close() } // at once, like a killed process
-	go func() { _ = s.Serve(context.Background(), l) }()
+	v.leave = leave
+	go func() { _ = s.Serve(ctx, l) }()
+}
+
+// replace stops a sidecar as planned, and starts another when that has ended.
+func (f *fleet) replace(v *vm) {
+	v.mu.Lock()
+	leave := v.leave
+	v.mu.Unlock()
+	leave()
+	time.Sleep(10 * time.Second)
+	f.restart(v)
 }
 
 // restart replaces a sidecar, which forgets all that it knew.
@@ -145,6 +165,8 @@
 type fakeUpstream struct {
 	mu     sync.Mutex
 	runs   []string
+	header http.Header                                  // of the last call
+	left   int                                          // runs that were cancelled
 	do     func(ctx context.Context, body string) error // before a run is logged
 	downTo time.Time                                    // it has crashed and is down until then
 	crash  chan struct{}                                // closed when it crashes, and replaced
@@ -197,7 +219,7 @@
 		}
 	}
 	u.mu.Lock()
-	u.runs = append(u.runs, body)
+	u.runs, u.header = append(u.runs, body), r.Call.Header
 	u.mu.Unlock()
 	if frozen {
 		<-u.thaw
@@ -208,7 +230,12 @@
 		u.crashes()
 		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonUpstreamFailed, "")
 	}
-	h := http.Header{"Content-Type": {"text/event-stream"}}
+	context.AfterFunc(ctx, func() {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		u.left++
+	})
+	h := http.Header{"Content-Type": {"text/event-stream"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}, "X-Own": {"1"}, "Set-Cookie": {"a=b"}, "Parsley-Ticket": {"spoofed"}}
 	return &upstream.Response{Status: http.StatusOK, Header: h, Body: &slowBody{ctx: ctx, crash: crash, rest: expected(body)}}, nil
 }
 
--- a/internal/gateway/network_test.go
+++ b/internal/gateway/network_test.go
@@ -27,8 +27,8 @@
 	open      map[*faultyConn]bool
 }
 
-func newNetwork(faults []fault) *network {
-	return &network{listeners: make(map[string]*listener), faults: faults, open: make(map[*faultyConn]bool)}
+func newNetwork() *network {
+	return &network{listeners: make(map[string]*listener), open: make(map[*faultyConn]bool)}
 }
 
 // listener implements net.Listener.
--- a/internal/gateway/promise_test.go
+++ b/internal/gateway/promise_test.go
@@ -19,7 +19,7 @@
 // inBubble runs f with a fleet on a clock of its own.
 func inBubble(t *testing.T, f func(*testing.T, *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		fl := newFleet(testVMs, testRouters, nil)
+		fl := newFleet(testVMs, testRouters, 64)
 		defer fl.close()
 		f(t, fl)
 	})
--- a/internal/gateway/truth_test.go
+++ b/internal/gateway/truth_test.go
@@ -27,7 +27,9 @@
 // scenario is what befalls a small fleet and its callers.
 type scenario struct {
 	faults   []fault
+	slots    int      // of each upstream
 	restarts []moment // of sidecars
+	leaves   []moment // planned stops of sidecars
 	kills    []moment // of all connections of a router
 	callers  []caller
 }
@@ -74,9 +76,11 @@
 	})
 	return scenario{
 		faults:   rapid.SliceOfN(faults, 0, 12).Draw(t, "faults"),
+		slots:    rapid.SampledFrom([]int{1, 64}).Draw(t, "slots"),
+		leaves:   rapid.SliceOfN(when(testVMs), 0, 1).Draw(t, "leaves"),
 		restarts: rapid.SliceOfN(when(testVMs), 0, 2).Draw(t, "restarts"),
 		kills:    rapid.SliceOfN(when(testRouters), 0, 2).Draw(t, "kills"),
-		callers:  rapid.SliceOfN(callers, 1, 4).Draw(t, "callers"),
+		callers:  rapid.SliceOfN(callers, 1, 6).Draw(t, "callers"),
 	}
 }
 
@@ -92,7 +96,7 @@
 
 // play runs a scenario and returns the callers' history and the log of runs.
 func play(s scenario) ([]arrival, map[string]int) {
-	f := newFleet(testVMs, testRouters, nil)
+	f := newFleet(testVMs, testRouters, s.slots)
 	defer f.close()
 	keys := make([]string, len(s.callers))
 	for i, c := range s.callers {
@@ -111,6 +115,12 @@
 			f.restart(f.vm[m.who])
 		})
 	}
+	for _, m := range s.leaves {
+		wg.Go(func() {
+			time.Sleep(m.at)
+			f.replace(f.vm[m.who])
+		})
+	}
 	for _, m := range s.kills {
 		wg.Go(func() {
 			time.Sleep(m.at)
--- a/internal/router/dispatch/state.go
+++ b/internal/router/dispatch/state.go
@@ -16,8 +16,8 @@
 	// a request without any progress in between.
 	maxReconnects = 6
 
-	// maxReconnectsUnsent is the same for what may simply run elsewhere.
-	maxReconnectsUnsent = 1
+	// patience is after how many of these a request runs elsewhere that may.
+	patience = 1
 
 	// comeBack is the advice to a caller where nobody gave a better one.
 	comeBack = time.Second
--- a/internal/router/dispatch/step.go
+++ b/internal/router/dispatch/step.go
@@ -33,21 +33,25 @@
 		return nil
 	}
 	a.reconnects++
-	if a.reconnects > s.patience() {
-		err := verdict.New(verdict.MayHaveRun, verdict.ReasonConnection, "the upstream's sidecar cannot be reached")
+	err := verdict.New(verdict.MayHaveRun, verdict.ReasonConnection, "the upstream's sidecar cannot be reached")
+	if a.reconnects > maxReconnects {
 		return s.failed(i, retry.Failure{Err: err, Asked: true})
 	}
+	if a.reconnects > patience && s.alive() == 1 && s.mayRunElsewhere() && s.budget.Withdraw() {
+		a.phase = over
+		s.note(err)
+		return s.offer(false)
+	}
 	if a.phase == admitted {
 		return []Effect{Attach{Attempt: i, Retry: a.reconnects}}
 	}
 	return []Effect{Resubmit{Attempt: i, Retry: a.reconnects}}
 }
 
-func (s *State) patience() int {
-	if s.plan.Idempotent && s.winner == none && s.offered < s.plan.Offers {
-		return maxReconnectsUnsent
-	}
-	return maxReconnects
+// mayRunElsewhere reports whether a second run may take the place of a sidecar
+// that does not answer. It costs budget, while more tries to reconnect do not.
+func (s *State) mayRunElsewhere() bool {
+	return s.plan.Idempotent && s.winner == none && s.offered < s.plan.Offers
 }
 
 func (s *State) refused(e Refused) []Effect {
