sidecar: calls by role

Cause: sidecars trust each other's certificates, because they hand on cached prefixes; with the certificate of one, work could be run and ordered on every other upstream, and a forged configuration given to it. Ruled out: a listener of its own for sidecars (one more port on each VM). Change: a sidecar may only say hello and import; a router everything else; a connection that has ended nothing, since its role is not known any more. The copy of the configuration asks routers only. Refusals are counted, as an alert.

--- /dev/null
+++ b/internal/daemon/role_test.go
@@ -0,0 +1,118 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleyfront/parsleyfront/internal/secure"
+	"github.com/parsleyfront/parsleyfront/internal/secure/securetest"
+	"github.com/parsleyfront/parsleyfront/internal/settings"
+	"github.com/parsleyfront/parsleyfront/internal/sidecar"
+	"github.com/parsleyfront/parsleyfront/internal/token"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
+)
+
+const testDomain = "fleet.test"
+
+// mutual returns the transport of a process with a certificate of ca.
+func mutual(t *testing.T, ca *securetest.CA, id secure.Identity) *secure.Mutual {
+	t.Helper()
+	cert, key, err := ca.Issue(id.URI(testDomain))
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	p := secure.Paths{Cert: filepath.Join(dir, "cert"), Key: filepath.Join(dir, "key"), CA: filepath.Join(dir, "ca")}
+	for path, b := range map[string][]byte{p.Cert: cert, p.Key: key, p.CA: ca.PEM} {
+		if err := os.WriteFile(path, b, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	m, err := secure.NewMutual(id, testDomain, p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+// serveSidecar runs the sidecar of VM vm-1 before an upstream that counts bookings.
+func serveSidecar(t *testing.T, ca *securetest.CA) (addr string, runs *atomic.Int64) {
+	t.Helper()
+	runs = new(atomic.Int64)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/book" {
+			runs.Add(1)
+		}
+	}))
+	t.Cleanup(server.Close)
+	p, err := settings.Parse([]string{"sidecar", "--vm", "vm-1", "--upstream", server.URL, "--insecure-plain"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	m := mutual(t, ca, secure.Identity{Role: secure.RoleSidecar, VM: "vm-1"})
+	go func() { _ = sidecar.New(sidecarConfig(p.Sidecar)).Serve(ctx, m.Listen(l)) }()
+	return l.Addr().String(), runs
+}
+
+// What runs on one upstream VM gets hold of its sidecar's certificate, which all
+// other sidecars trust, because sidecars hand each other cached prefixes. With
+// it bookings could be run on every upstream, past all routers.
+func TestSidecarRunsNothingForAnotherSidecar(t *testing.T) {
+	ca, err := securetest.NewCA("fleet")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr, runs := serveSidecar(t, ca)
+	for _, c := range []struct {
+		id      secure.Identity
+		allowed bool
+	}{
+		{secure.Identity{Role: secure.RoleSidecar, VM: "vm-2"}, false},
+		{secure.Identity{Role: secure.RoleRouter, VM: "entry-1"}, true},
+	} {
+		m := mutual(t, ca, c.id)
+		peer := wire.NewPeer(wire.PeerConfig{Dial: func(ctx context.Context) (net.Conn, error) { return m.Dial(ctx, "vm-1", addr) }})
+		defer peer.Close()
+		hello, err := peer.Connect(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		key := wire.Key{VM: "vm-1", Incarnation: hello.Incarnation, Nonce: token.NewNonce(), Expires: 1 << 33}
+		stream, _, err := peer.Submit(t.Context(), wire.Submit{Key: key, Org: "club", Window: 1 << 10, Call: wire.Call{Method: http.MethodPost, Path: "/book"}})
+		if err == nil {
+			for piece, next := stream.Next(t.Context()); next == nil && piece.End == nil; piece, next = stream.Next(t.Context()) {
+				continue
+			}
+		}
+		refusal := verdict.From(err)
+		switch {
+		case c.allowed && (err != nil || runs.Load() != 1):
+			t.Errorf("a %s had %d requests run: %v", c.id.Role, runs.Load(), err)
+		case !c.allowed && (err == nil || refusal.Reason != verdict.ReasonForbidden || runs.Load() != 0):
+			t.Errorf("a %s had %d requests run: %v", c.id.Role, runs.Load(), err)
+		}
+		for _, method := range []wire.Method{wire.MethodOrder, wire.MethodCancel, wire.MethodNotice, wire.MethodReport, wire.MethodConfigSince, wire.MethodImport} {
+			err := peer.Call(t.Context(), method, json.RawMessage("{}"), nil)
+			forbidden := err != nil && verdict.From(err).Reason == verdict.ReasonForbidden
+			if want := (method == wire.MethodImport) == c.allowed; forbidden != want {
+				t.Errorf("%s calls %s: forbidden is %v, want %v (%v)", c.id.Role, method, forbidden, want, errors.Cause(err))
+			}
+		}
+	}
+}
--- a/internal/sidecar/conn.go
+++ b/internal/sidecar/conn.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/config"
+	"github.com/parsleyfront/parsleyfront/internal/secure"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
 	"github.com/parsleyfront/parsleyfront/internal/wire"
 )
@@ -15,8 +16,10 @@
 	s.mu.Lock()
 	conn := wire.NewConn(s.ctx, c, s)
 	s.peers++
+	id, _ := secure.PeerOf(c)
 	s.conns[conn] = &routerConn{
 		peer:    config.Peer(strconv.FormatUint(s.peers, 10)),
+		role:    id.Role,
 		senders: make(map[wire.StreamID]*sender),
 	}
 	s.mu.Unlock()
@@ -46,8 +49,41 @@
 	return r != nil && len(r.senders) > 0
 }
 
+// permits reports whether a peer of a role may make a call. A sidecar runs
+// beside an upstream, which runs what others have written: what gets hold of
+// one sidecar's certificate must not run work on all other upstreams.
+func permits(r secure.Role, m wire.Method) bool {
+	switch r {
+	case secure.RoleSidecar:
+		return m == wire.MethodHello || m == wire.MethodImport
+	case secure.RoleRouter:
+		return m != wire.MethodImport
+	default:
+		return true // without TLS nobody says who it is
+	}
+}
+
+// admits returns an error for a call that the peer of a connection may not make.
+// The peer of one that has ended is not known any more, so it may make none.
+func (s *Sidecar) admits(c *wire.Conn, m wire.Method) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.conns[c]
+	if r == nil {
+		return verdict.New(verdict.NotRun, verdict.ReasonConnection, "the connection has ended")
+	}
+	if !permits(r.role, m) {
+		forbiddenCalls.Inc()
+		return verdict.New(verdict.NotRun, verdict.ReasonForbidden, "a %s may not call %s here", r.role, m)
+	}
+	return nil
+}
+
 // HandleCall implements wire.Handler.
 func (s *Sidecar) HandleCall(ctx context.Context, c *wire.Conn, m wire.Method, params wire.Params) (any, error) {
+	if err := s.admits(c, m); err != nil {
+		return nil, err
+	}
 	switch m {
 	case wire.MethodHello:
 		return s.hello(ctx)
--- a/internal/sidecar/counters.go
+++ b/internal/sidecar/counters.go
@@ -18,6 +18,8 @@
 		"Finished answers dropped before their time because the buffer was full.")
 	crashes = telemetry.NewCounter("sidecar_crashes_total",
 		"Crashes of the upstream.", telemetry.Alert)
+	forbiddenCalls = telemetry.NewCounter("sidecar_forbidden_calls_total",
+		"Calls refused because the caller's certificate is of a role that does not make them.", telemetry.Alert)
 	exportedSessions = telemetry.NewCounter("sidecar_exported_sessions_total",
 		"Cached prefixes handed to another upstream before leaving.")
 	exportFailures = telemetry.NewCounter("sidecar_export_failures_total",
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/config"
+	"github.com/parsleyfront/parsleyfront/internal/secure"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
 	"github.com/parsleyfront/parsleyfront/internal/wire"
 )
@@ -18,7 +19,9 @@
 	s.mu.Lock()
 	var names []config.Peer
 	for _, r := range s.conns {
-		names = append(names, r.peer)
+		if r.role != secure.RoleSidecar { // which has no configuration to give
+			names = append(names, r.peer)
+		}
 	}
 	s.mu.Unlock()
 	slices.Sort(names)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -13,6 +13,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/loop"
 	"github.com/parsleyfront/parsleyfront/internal/order"
 	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/secure"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/token"
 	"github.com/parsleyfront/parsleyfront/internal/upstream"
@@ -61,6 +62,7 @@
 // routerConn is a connection of a router with the answers that it reads.
 type routerConn struct {
 	peer    config.Peer
+	role    secure.Role // empty without TLS
 	senders map[wire.StreamID]*sender
 }
 
