quarantine: leave that is not used is given back; a leaving home tells of suspects

A sidecar that leaves refused suspects before it judged them. Change: leave travels along the whole chain; a router whose attempt ends not-run under it tells the site (Report.Unused, by the key that got it); a site that leaves lends like one that is down; only the site keeps the place; the quarantine is asked before anything else refuses. Ruled out: a shorter leave; a copy that still waits for its turn elsewhere could then run beside the next one, and a third upstream is lost.

--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -184,7 +184,8 @@
 func (a *Answer) follow(key wire.Key, how effectFunc) {
 	former := a.attempts[len(a.attempts)-1]
 	at := a.add(a.view.VMs[key.VM])
-	at.link, at.leave = former.link+1, former.leave
+	at.link = former.link + 1
+	at.leave, at.site, at.given = former.leave, former.site, former.given
 	a.hold(at, key, how)
 }
 
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -8,6 +8,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/platform"
 	"github.com/parsleyfront/parsleyfront/internal/router/dispatch"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
+	"github.com/parsleyfront/parsleyfront/internal/token"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
 	"github.com/parsleyfront/parsleyfront/internal/wire"
 )
@@ -48,6 +49,8 @@
 	link   int       // place in the chain of the caller's key
 	key    *wire.Key // nil until drawn
 	leave  bool      // word of the site of a crash, for Submit
+	site   platform.VM
+	given  token.Nonce // of the key to which the site gave leave
 	gate   gate
 	stream *wire.Stream
 	pieces []wire.Piece // read ahead of delivery
@@ -172,7 +175,12 @@
 		return dispatch.Unreachable{Now: now, Attempt: at.number, Err: e}
 	}
 	a.router.heard(now, at.vm, adm.Control)
-	at.leave = adm.Leave
+	if adm.Leave && !at.leave {
+		at.leave, at.site, at.given = true, at.vm, at.key.Nonce
+	}
+	if adm.Moved == nil && e.Verdict == verdict.NotRun {
+		a.giveBack(at)
+	}
 	return dispatch.Refused{Now: now, Attempt: at.number, Err: e, Moved: adm.Moved, Final: a.stranded(at, e)}
 }
 
@@ -204,6 +212,9 @@
 			if p.End.Moved != nil { // it waited there and was sent on
 				return dispatch.Refused{Now: time.Now(), Attempt: at.number, Err: p.End.Error, Moved: p.End.Moved}
 			}
+			if p.End.Error.Verdict == verdict.NotRun {
+				a.giveBack(at)
+			}
 			return dispatch.Ended{Now: time.Now(), Attempt: at.number, Err: p.End.Error}
 		}
 		at.pieces = append(at.pieces, p)
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -174,6 +174,18 @@
 	wg.Wait()
 }
 
+// giveBack tells the site of a crash that the leave it gave an attempt will not
+// be used: no sidecar on its way has taken it.
+func (a *Answer) giveBack(at *attempt) {
+	if !at.leave || at.site.ID == "" {
+		return
+	}
+	ctx, done := context.WithTimeout(context.Background(), reportTimeout)
+	defer done()
+	unused := wire.Leave{Fingerprint: a.print, Nonce: at.given}
+	_ = a.router.peer(at.site).Call(ctx, wire.MethodReport, wire.Report{Unused: &unused}, nil)
+}
+
 // homes returns the VMs that a resend would be offered to first: through this
 // router, and through one of each failure domain that knows no loads.
 func (a *Answer) homes() []platform.VM {
--- a/internal/sidecar/submit.go
+++ b/internal/sidecar/submit.go
@@ -79,13 +79,15 @@
 // consider admits a request to the queue, or to the lane of those that run
 // alone, or says why not.
 func (s *State) consider(now time.Time, sub *wire.Submit) (alone bool, no *refusal) {
-	if s.leaving(now) {
-		return false, refuse(verdict.ReasonDraining, "the upstream is leaving")
-	}
+	// The quarantine first: whoever refuses a suspect for another reason sends it
+	// on to a sidecar that may not have heard of it.
 	alone, no = s.judge(now, sub)
 	if no != nil {
 		return false, no
 	}
+	if s.leaving(now) {
+		return false, refuse(verdict.ReasonDraining, "the upstream is leaving")
+	}
 	if s.probe.down {
 		return false, refuse(verdict.ReasonUpstreamDown, "the upstream is down").later(probeDown)
 	}
@@ -120,9 +122,8 @@
 		no.suspects = s.book.About(now, p)
 		return false, no
 	case quarantine.Alone:
-		if s.probe.down && sub.Successor != nil && !s.book.Lent(now) {
-			s.book.Grant(p, s.grantEnds(now, sub))
-			no := refuse(verdict.ReasonMoved, "the upstream is down; the request may run alone at %s", sub.Successor.VM)
+		if s.mayLend(now, sub) {
+			no := refuse(verdict.ReasonMoved, "the request may run alone at %s", sub.Successor.VM)
 			no.leave = true
 			return false, no
 		}
@@ -165,6 +166,25 @@
 	}
 }
 
+// mayLend reports whether a suspect goes on to its successor's VM to run alone
+// there: because the upstream is down or leaves, to one VM at a time. The site
+// of the crash keeps other copies waiting meanwhile; where it was sent from
+// there, it is only passed on.
+func (s *State) mayLend(now time.Time, sub *wire.Submit) bool {
+	if sub.Successor == nil || !s.probe.down && !s.leaving(now) {
+		return false
+	}
+	if sub.Leave {
+		return true
+	}
+	if s.book.Lent(now) {
+		return false
+	}
+	s.book.Grant(quarantine.Print(sub.Fingerprint), s.grantEnds(now, sub))
+	s.lent = wire.Leave{Fingerprint: sub.Fingerprint, Nonce: sub.Key.Nonce}
+	return true
+}
+
 // within is the time d from now; zero d is no deadline.
 func within(now time.Time, d time.Duration) time.Time {
 	if d <= 0 {
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -16,6 +16,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/config"
 	"github.com/parsleyfront/parsleyfront/internal/idempotency"
 	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/token"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
 )
 
@@ -180,7 +181,14 @@
 // Report tells a sidecar of suspects for which it is the home: a resend of the
 // request would be offered to it first.
 type Report struct {
-	Suspects json.RawMessage `json:"suspects"`
+	Suspects json.RawMessage `json:"suspects,omitempty"`
+	Unused   *Leave          `json:"unused,omitempty"`
+}
+
+// Leave names the leave to run alone elsewhere that a sidecar gave a submission.
+type Leave struct {
+	Fingerprint uint64      `json:"print"`
+	Nonce       token.Nonce `json:"nonce"` // of the key that was submitted
 }
 
 // Empty is the result of a call that returns nothing.
--- a/test/quarantine_test.go
+++ b/test/quarantine_test.go
@@ -15,7 +15,8 @@
 const (
 	poisonWord = "offside-trap"
 	bystanders = 6
-	waves      = 8
+	maxWaves   = 40 // until the chat is quarantined
+	moreWaves  = 3  // after that
 )
 
 // told is what the caller of a chat was told.
@@ -69,7 +70,9 @@
 		}
 		lost := 0
 		var last told
-		for wave := range waves {
+		quarantined := 0 // waves since
+		for wave := 0; quarantined < moreWaves; wave++ {
+			Expect(wave).To(BeNumerically("<", maxWaves), "still told %+v", last)
 			var wg sync.WaitGroup
 			replies := make([]told, bystanders)
 			for i := range bystanders {
@@ -94,7 +97,11 @@
 				}
 			}
 			lost += f.replaceDead(settings...)
-			if last.reason == "suspect" {
+			GinkgoWriter.Printf("wave %d: %+v, %d engines lost, others %+v\n", wave, last, lost, replies)
+			switch last.reason {
+			case "quarantined":
+				quarantined++
+			case "suspect":
 				time.Sleep(time.Second) // as Retry-After says
 			}
 		}
