--- a/internal/daemon/health.go
+++ b/internal/daemon/health.go
@@ -53,7 +53,7 @@
 	case h.leaving.Load():
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
 	case !h.ready():
-		http.Error(w, "no configuration or no upstream is known yet", http.StatusServiceUnavailable)
+		http.Error(w, "not ready: a router knows no configuration or no upstream yet, a sidecar's upstream is down or leaving", http.StatusServiceUnavailable)
 	}
 }
 
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -48,7 +48,7 @@
 		c.Token = currentToken(p)
 	}
 	sc := sidecar.New(c)
-	h := newHealth(sc.Alive, func() bool { return true })
+	h := newHealth(sc.Alive, sc.Ready)
 	context.AfterFunc(ctx, h.leave)
 	o.serveSidecar(background, h)
 	return sc.Serve(ctx, transport.Listen(patientListener{l}))
--- a/internal/secure/bench_test.go
+++ b/internal/secure/bench_test.go
@@ -1,13 +1,9 @@
 package secure
 
 import (
-	"bufio"
 	"crypto/tls"
-	"fmt"
 	"io"
-	"math"
 	"net"
-	"runtime"
 	"syscall"
 	"testing"
 
@@ -79,61 +75,3 @@
 	defer c.Close()
 	return roundTrip(c)
 }
-
-// readBuffer is the buffer that package wire reads through, in bytes.
-const readBuffer = 4 << 10
-
-// BenchmarkIdleConnections measures the memory of idle connections, both ends
-// in this process, each read by a goroutine as package wire does.
-func BenchmarkIdleConnections(b *testing.B) {
-	ca := newCA(b)
-	side, _ := newMutual(b, ca, sidecar)
-	r, _ := newMutual(b, ca, router)
-	for _, transport := range []struct {
-		name     string
-		from, to Transport
-	}{{"plain", Plain{}, Plain{}}, {"tls", r, side}} {
-		for _, n := range []int{100, 1000, 2900} {
-			b.Run(fmt.Sprintf("%s/%d", transport.name, n), func(b *testing.B) {
-				for b.Loop() {
-					b.ReportMetric(memoryOf(b, transport.from, transport.to, n)/float64(n), "B/pair")
-				}
-			})
-		}
-	}
-}
-
-func memoryOf(b *testing.B, from, to Transport, n int) float64 {
-	raw, err := net.Listen("tcp", "127.0.0.1:0")
-	l := to.Listen(must(b, raw, err))
-	before := memoryInUse()
-	conns := make([]net.Conn, 0, 2*n)
-	defer func() {
-		for _, c := range conns {
-			_ = c.Close()
-		}
-		_ = l.Close()
-	}()
-	for range n {
-		near, err := from.Dial(b.Context(), sidecar.VM, raw.Addr().String())
-		must(b, near, err)
-		far, err := l.Accept()
-		must(b, far, err)
-		conns = append(conns, near, far)
-		for _, c := range []net.Conn{near, far} {
-			go func() { _, _ = bufio.NewReaderSize(c, readBuffer).Discard(math.MaxInt) }()
-		}
-		if _, err := far.Write([]byte("x")); err != nil { // after the session ticket
-			b.Fatal(err)
-		}
-	}
-	return memoryInUse() - before
-}
-
-func memoryInUse() float64 {
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return float64(m.HeapInuse + m.StackInuse)
-}
--- a/internal/sidecar/alive.go
+++ b/internal/sidecar/alive.go
@@ -6,3 +6,8 @@
 func (s *Sidecar) Alive(ctx context.Context) error {
 	return s.loop.Probe(ctx)
 }
+
+// Ready reports whether new work is taken: the upstream answers and is not leaving.
+func (s *Sidecar) Ready() bool {
+	return !s.out.Load()
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -44,6 +44,7 @@
 	ctx     context.Context
 	exit    context.CancelFunc
 	tickets atomic.Uint64
+	out     atomic.Bool // no new work is taken; for Ready
 	follow  follow.Runner
 	timer   *time.Timer // posts Ticked; owned by the loop's goroutine
 	answers *answers
@@ -156,6 +157,7 @@
 		crashes.Inc()
 		slog.Error("the upstream has crashed", "vm", s.config.Settings.VM, "running", e.Running)
 	case Turned:
+		s.out.Store(e.Down || e.Leaving)
 		slog.Info("the upstream's service has changed", "vm", s.config.Settings.VM, "down", e.Down, "leaving", e.Leaving)
 	case Exit:
 		s.exit()
--- a/test/stop_test.go
+++ b/test/stop_test.go
@@ -135,3 +135,19 @@
 		Expect(err).To(HaveOccurred(), "a cut answer must not look whole")
 	})
 })
+
+var _ = Describe("a sidecar whose upstream is down", func() {
+	// The upstream's process ends at night. What watches the sidecar must see
+	// that nothing is served there, and must not restart the sidecar for it:
+	// with the sidecar would go what it knows of the requests that ran.
+	It("is live and not ready", func() {
+		f := newFleet()
+		vm := f.addUpstream("engine", "notes")
+		waitReady(vm.admin)
+		vm.upstream.session.Kill().Wait(startWithin)
+		Eventually(func() int {
+			return send(http.MethodGet, "http://"+vm.admin+"/readyz", "", nil, nil).status
+		}, startWithin).Should(Equal(http.StatusServiceUnavailable))
+		Expect(send(http.MethodGet, "http://"+vm.admin+"/livez", "", nil, nil).status).To(Equal(http.StatusOK))
+	})
+})
