quarantine: convictions kept in the store; the cost of the Book and the controller

Cause: a router that started knew of no conviction, and operators' status counted bystanders whom a conviction had cleared. Change: conviction/<fingerprint> is written by the router that saw it come about and read by routers that start; Book.Cases for status; Gossip returns before it sorts when the rate leaves no room; the controller looks at the pools once a second and compares without allocating. Pardon is gone: nothing could call it. Ruled out: watching convictions in the store; 330 watches for a few a year. Seen to fail: the spec's new router without reading convictions.

--- /dev/null
+++ b/internal/controller/bench_test.go
@@ -0,0 +1,75 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/profile"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
+)
+
+// settled returns a State that has asked n upstreams, all with what is wanted.
+func settled(n int) (*State, time.Time) {
+	s, now := NewState(time.Second), time.Unix(1_800_000_000, 0)
+	s.Step(Held{Now: now, Token: 1})
+	s.Step(fleetOf(n))
+	for !s.fenced {
+		for _, send := range s.Step(Tick{Now: now}) {
+			have := wire.Loaded{Model: "m", Version: "1"}
+			s.Step(Replied{Now: now, VM: send.VM.ID, Order: send.Order, Status: wire.OrderStatus{Loaded: have}})
+		}
+	}
+	return s, now
+}
+
+func fleetOf(n int) Desired {
+	var d Desired
+	for i := range 22 {
+		d.Pools = append(d.Pools, profile.Pool{Name: fmt.Sprint("pool-", i), Model: "m", Version: "1", MaxUnavailable: 0.1})
+	}
+	for i := range n {
+		d.VMs = append(d.VMs, platform.VM{ID: fmt.Sprint("vm-", i), Pool: fmt.Sprint("pool-", i%22)})
+	}
+	return d
+}
+
+var benchSizes = []int{20, 300, 2900}
+
+// What the holder does four times a second when nothing is to be loaded.
+func BenchmarkTick(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprint("upstreams=", n), func(b *testing.B) {
+			s, now := settled(n)
+			now = now.Add(time.Minute)
+			for b.Loop() {
+				s.Step(Tick{Now: now})
+			}
+		})
+	}
+}
+
+// What the holder does every second: to look at the pools and their upstreams.
+func BenchmarkDesired(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprint("upstreams=", n), func(b *testing.B) {
+			s, _ := settled(n)
+			d := fleetOf(n)
+			for b.Loop() {
+				s.Step(d)
+			}
+		})
+	}
+}
+
+// The first round of queries by a new holder.
+func BenchmarkTakeOver(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprint("upstreams=", n), func(b *testing.B) {
+			for b.Loop() {
+				settled(n)
+			}
+		})
+	}
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -18,6 +18,8 @@
 
 	// tickEvery is how often the controller looks for what is due.
 	tickEvery = 250 * time.Millisecond
+	// desiredEvery is how often it looks at the pools and their upstreams.
+	desiredEvery = time.Second
 	// orderTimeout bounds one call of a sidecar.
 	orderTimeout = 5 * time.Second
 )
@@ -53,6 +55,8 @@
 	lease  *lease.Runner
 	loop   *loop.Loop[Event, Send]
 	ctx    context.Context
+	looked time.Time         // at the pools; owned by Run
+	acting wire.FencingToken // under which it looked; owned by Run
 }
 
 // New returns a Controller.
@@ -101,7 +105,10 @@
 	if grant.Token == 0 {
 		return
 	}
-	c.loop.Post(c.config.Desired())
+	if now.Sub(c.looked) >= desiredEvery || grant.Token != c.acting {
+		c.looked, c.acting = now, grant.Token
+		c.loop.Post(c.config.Desired())
+	}
 	c.loop.Post(Tick{Now: now})
 }
 
--- a/internal/controller/rollout.go
+++ b/internal/controller/rollout.go
@@ -50,8 +50,11 @@
 		return nil
 	}
 	for _, u := range s.order {
+		if !u.reached || u.calling || u.pending || u.status.Phase != wire.PhaseReady {
+			continue
+		}
 		o := s.orderTo(u, s.pools[u.vm.Pool], wire.OrderLoad)
-		if !u.reached || u.calling || u.pending || u.status.Phase != wire.PhaseReady || u.status.ID != o.ID {
+		if u.status.ID != o.ID {
 			continue
 		}
 		s.nextLoad = now.Add(s.loadEvery)
@@ -130,7 +133,14 @@
 func matches(want, have wire.Loaded) bool {
 	open := func(w, h string) bool { return w == "" || w == h }
 	return open(want.Model, have.Model) && open(want.Version, have.Version) && open(want.Role, have.Role) &&
-		slices.Equal(slices.Sorted(slices.Values(want.Adapters)), slices.Sorted(slices.Values(have.Adapters)))
+		sameAdapters(want.Adapters, have.Adapters)
+}
+
+func sameAdapters(want, have []string) bool {
+	if len(want) != len(have) {
+		return false
+	}
+	return len(want) == 0 || slices.Equal(slices.Sorted(slices.Values(want)), slices.Sorted(slices.Values(have)))
 }
 
 // orderID names an order by what it asks and of whom, and by how often that has
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"encoding/binary"
 	"slices"
 	"time"
@@ -201,13 +202,6 @@
 	return true
 }
 
-// Pardon lifts the conviction of p, at an operator's word.
-func (b *Book) Pardon(now time.Time, p Print) {
-	for _, e := range b.byPrint[p] {
-		b.raise(now, e, Pardoned)
-	}
-}
-
 // MoreLikely orders suspects that wait to run alone: it reports whether p is a
 // likelier culprit than q. What was running at more crashes is, and then what
 // had started last, since a request that crashes its upstream mostly does so
@@ -230,16 +224,30 @@
 	return d
 }
 
-// Entries returns all that counts at now, in no order.
-func (b *Book) Entries(now time.Time) []Entry {
-	var out []Entry
-	for _, entries := range b.byPrint {
+// Case is what operators are told of a fingerprint.
+type Case struct {
+	Print     Print
+	Convicted bool // else a suspect
+	Crashes   int
+	Until     time.Time
+}
+
+// Cases returns the suspects and convicts, in the order of their fingerprints.
+func (b *Book) Cases(now time.Time) []Case {
+	var out []Case
+	for p, entries := range b.byPrint {
+		c := Case{Print: p, Convicted: b.convicted(now, p), Crashes: b.count(now, entries)}
+		if !c.Convicted && b.first(now, entries) == nil {
+			continue
+		}
 		for _, e := range entries {
-			if e.live(now) {
-				out = append(out, *e)
+			if until := e.At.Add(e.ttl()); until.After(c.Until) {
+				c.Until = until
 			}
 		}
+		out = append(out, c)
 	}
+	slices.SortFunc(out, func(x, y Case) int { return cmp.Compare(x.Print, y.Print) })
 	return out
 }
 
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -6,11 +6,17 @@
 // traffic and by reports. A Book is pure: it does no I/O and reads no clock.
 package quarantine
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Print is the fingerprint of a request: a hash of its organisation and call.
 type Print uint64
 
+// String returns the fingerprint in hexadecimal, as operators see it.
+func (p Print) String() string { return fmt.Sprintf("%016x", uint64(p)) }
+
 // Crash names one crash of one upstream.
 type Crash uint64
 
@@ -25,8 +31,6 @@
 	Cleared
 	// Convicted crashed the upstream while it ran alone, as a suspect of another crash.
 	Convicted
-	// Pardoned is a conviction that an operator has lifted.
-	Pardoned
 )
 
 // Entry is one fingerprint that was running at one crash. All but Standing
@@ -51,7 +55,7 @@
 
 // ttl is how long the entry counts, from the crash on.
 func (e *Entry) ttl() time.Duration {
-	if e.Standing >= Convicted {
+	if e.Standing == Convicted {
 		return ConvictedFor
 	}
 	return SuspectFor
--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -17,6 +17,10 @@
 	// tellBurst is how many bytes a node may tell at once.
 	tellBurst = 2048
 
+	// minTold is what a message must have room for, in bytes. Between the few
+	// messages that the rate allows, nothing is sorted.
+	minTold = 128
+
 	// maxGossip is the longest message that a Book reads, in bytes.
 	maxGossip = 64 << 10
 )
@@ -72,8 +76,12 @@
 		return nil
 	}
 	b.tell.refill(now)
+	budget = min(budget, int(b.tell.bytes))
+	if budget < minTold {
+		return nil
+	}
 	picked := b.tell.pick(now)
-	out, n := encode(picked, min(budget, int(b.tell.bytes)))
+	out, n := encode(picked, budget)
 	b.tell.bytes -= float64(len(out))
 	for _, e := range picked[:n] {
 		b.tell.news[e.key()].told++
@@ -185,7 +193,7 @@
 		At:       time.UnixMilli(c.At),
 		Exposure: time.Duration(s[1]) * time.Millisecond,
 		Alone:    c.Alone,
-		Standing: min(Standing(s[2]), Pardoned),
+		Standing: min(Standing(s[2]), Convicted),
 	}
 }
 
--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -2,8 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -15,7 +13,6 @@
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/platform"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
-	"github.com/parsleyfront/parsleyfront/internal/quarantine"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 )
 
@@ -105,32 +102,15 @@
 func (s *suspects) quarantined(now time.Time) []admin.Quarantined {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	latest := make(map[quarantine.Print]admin.Quarantined)
-	for _, e := range s.book.Entries(now) {
-		if e.Standing == quarantine.Cleared || e.Standing == quarantine.Pardoned {
-			continue
+	var out []admin.Quarantined
+	for _, c := range s.book.Cases(now) {
+		state := suspected
+		if c.Convicted {
+			state = convicted
 		}
-		q := admin.Quarantined{Fingerprint: fmt.Sprintf("%016x", uint64(e.Print)), State: suspected, Crashes: 1, Until: e.Expires()}
-		if former, ok := latest[e.Print]; ok {
-			q.Crashes += former.Crashes
-			q.Until = later(q.Until, former.Until)
-		}
-		latest[e.Print] = q
-	}
-	for _, p := range s.book.Convicted(now) {
-		if q, ok := latest[p]; ok {
-			q.State = convicted
-			latest[p] = q
-		}
-	}
-	return slices.SortedFunc(maps.Values(latest), func(x, y admin.Quarantined) int { return cmp.Compare(x.Fingerprint, y.Fingerprint) })
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
+		out = append(out, admin.Quarantined{Fingerprint: c.Print.String(), State: state, Crashes: c.Crashes, Until: c.Until})
 	}
-	return b
+	return out
 }
 
 func controlRates(since time.Duration) []admin.ControlRate {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -78,6 +78,7 @@
 	go r.loop.Run(ctx)
 	go r.runner.Run(ctx)
 	go r.followVMs(ctx)
+	go r.readConvictions(ctx)
 	return r
 }
 
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -156,6 +156,9 @@
 	if len(told) == 0 {
 		return
 	}
+	if ruling, _ := a.router.suspects.rule(time.Now(), a.print); ruling.Action == quarantine.Refuse {
+		go a.router.keepConviction(a.print)
+	}
 	ctx, done := context.WithTimeout(context.Background(), reportTimeout)
 	defer done()
 	var wg sync.WaitGroup
--- a/test/quarantine_test.go
+++ b/test/quarantine_test.go
@@ -10,6 +10,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	adminapi "github.com/parsleyfront/parsleyfront/internal/admin"
 )
 
 const (
@@ -107,6 +109,16 @@
 		}
 		Expect(lost).To(Equal(2))
 		Expect(last).To(Equal(told{http.StatusUnprocessableEntity, "not-run", "quarantined"}))
+		// A router that starts now knows of it before any copy arrives.
+		admin := freeAddr()
+		f.addRouter("--admin-listen", admin)
+		Eventually(func() []string {
+			var states []string
+			for _, q := range reported[adminapi.Status]("http://" + admin + adminapi.PathStatus).Quarantined {
+				states = append(states, q.State)
+			}
+			return states
+		}, startWithin, 50*time.Millisecond).Should(ConsistOf("convicted"))
 		for i := range bystanders {
 			Eventually(func() int { return askChat(f.routers[i%3], fmt.Sprint("bystander ", i)).status },
 				startWithin, 100*time.Millisecond).Should(Equal(http.StatusOK))
