--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -83,6 +83,8 @@
 
 	// maxEntries bounds the entries of a Book.
 	maxEntries = 4096
+	// evictShare of the entries leave at a time when a Book is full.
+	evictShare = 8
 	// maxSkew is how far a crash may lie in the future by the clock of another VM.
 	maxSkew = time.Minute
 	// minAlone is the least time for which a suspect runs alone.
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -125,25 +125,31 @@
 	}
 }
 
-// makeRoom forgets what has aged out, or else the oldest entry, unless it is
-// newer than that itself. Convictions go last: forgetting one costs upstreams.
+// makeRoom forgets what has aged out, or else the oldest part, and reports
+// whether e has a place among the rest. Convictions go last: forgetting one
+// costs upstreams. Entries leave many at a time, because to find the oldest
+// means to look at all.
 func (b *Book) makeRoom(now time.Time, e *Entry) bool {
 	b.Expire(now)
 	if b.size < maxEntries {
 		return true
 	}
-	oldest := e
+	all := make([]*Entry, 0, b.size)
 	for _, entries := range b.byPrint {
-		for _, o := range entries {
-			if lesser(o, oldest) {
-				oldest = o
-			}
-		}
+		all = append(all, entries...)
 	}
-	if oldest == e {
+	slices.SortFunc(all, func(x, y *Entry) int {
+		if lesser(x, y) {
+			return -1
+		}
+		return 1
+	})
+	if lesser(e, all[0]) {
 		return false
 	}
-	b.forget(oldest)
+	for _, o := range all[:maxEntries/evictShare] {
+		b.forget(o)
+	}
 	return true
 }
 
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -72,3 +72,55 @@
 		}
 	})
 }
+
+// Engines crash by the dozen, each with fifty requests running. A table without
+// a bound would grow into the memory of the answers; one that forgot convictions
+// first would lose two more engines to each convict.
+func TestFullBookKeepsConvictions(t *testing.T) {
+	b := New("a", 1)
+	for range 2 {
+		b.Crashed(epoch, []Running{{Print: 1, Started: epoch}})
+	}
+	for i := range 200 {
+		running := make([]Running, 50)
+		for j := range running {
+			running[j] = Running{Print: Print(100 + 50*i + j), Started: epoch}
+		}
+		b.Crashed(epoch.Add(time.Duration(i)*time.Second), running)
+	}
+	if b.size > maxEntries || b.size < maxEntries-maxEntries/evictShare {
+		t.Fatalf("%d entries, of %d", b.size, maxEntries)
+	}
+	if r := b.Decide(epoch, 1, false); r.Action != Refuse {
+		t.Fatalf("the convict is ruled %d", r.Action)
+	}
+	b.Expire(epoch.Add(ConvictedFor))
+	if b.size != 0 || len(b.byPrint) != 0 || len(b.byCrash) != 0 || len(b.tell.news) != 0 {
+		t.Fatalf("%d entries are left after a day", b.size)
+	}
+}
+
+// A router sends thousands of messages after a crash. What it tells with them
+// must stay within what a node may spend on control, and end.
+func TestGossipKeepsToItsRate(t *testing.T) {
+	b := New("a", 1)
+	running := make([]Running, 500)
+	for i := range running {
+		running[i] = Running{Print: Print(i), Started: epoch}
+	}
+	b.Crashed(epoch, running)
+	told, heard := 0, New("b", 2)
+	for ms := range 60_000 {
+		m := b.Gossip(epoch.Add(time.Duration(ms)*time.Millisecond), 256)
+		told += len(m)
+		if err := heard.Merge(epoch, m); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if limit := tellBurst + tellRate*int(tellFor.Seconds()); told > limit {
+		t.Fatalf("%d bytes told, more than %d", told, limit)
+	}
+	if heard.size < len(running)/2 {
+		t.Fatalf("only %d of %d were heard of", heard.size, len(running))
+	}
+}
