--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -51,23 +51,13 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	checkFileLimit(s.MaxConnections.N + sidecarFiles)
-	transport, err := fleetTransport(background, s.Fleet, s.Node, secure.RoleRouter)
-	if err != nil {
-		return err
-	}
-	secrets, err := secure.NewSecrets(s.TokenSecrets)
-	if err != nil {
-		return err
-	}
-	go secrets.Files().Run(background, s.ReloadInterval.D)
-	p, err := platformClient(background, s.Platform, s.ReloadInterval.D)
+	c, err := routerConfig(background, s)
 	if err != nil {
 		return err
 	}
 	server := callerServer{
-		config: router.Config{Store: p, VMs: p, Ring: secrets.Ring, Dial: dialer(transport), VM: s.VM, FailureDomain: s.FailureDomain},
-		plan:   stopPlan{delay: s.DrainDelay.D, timeout: s.StopTimeout.D},
-
+		config:     c,
+		plan:       stopPlan{delay: s.DrainDelay.D, timeout: s.StopTimeout.D},
 		vm:         s.VM,
 		controller: s.Controller,
 	}
@@ -86,6 +76,27 @@
 	return server.serve(ctx, background)
 }
 
+// routerConfig opens what a router reaches others by. Its files are followed
+// until ctx ends.
+func routerConfig(ctx context.Context, s settings.Router) (router.Config, error) {
+	transport, err := fleetTransport(ctx, s.Fleet, s.Node, secure.RoleRouter)
+	if err != nil {
+		return router.Config{}, err
+	}
+	secrets, err := secure.NewSecrets(s.TokenSecrets)
+	if err != nil {
+		return router.Config{}, err
+	}
+	go secrets.Files().Run(ctx, s.ReloadInterval.D)
+	p, err := platformClient(ctx, s.Platform, s.ReloadInterval.D)
+	if err != nil {
+		return router.Config{}, err
+	}
+	return router.Config{
+		Store: p, VMs: p, Ring: secrets.Ring, Dial: dialer(transport), VM: s.VM, FailureDomain: s.FailureDomain,
+	}, nil
+}
+
 // callerTLS returns nil when callers speak plain HTTP.
 func callerTLS(ctx context.Context, s settings.Router) (*tls.Config, error) {
 	if s.CallerCert == "" {
