sidecar: the tests' upstream counts its calls atomically

Cause: go test -race reported the counter of the fake upstream, which four calls raise at once; the packages' own code was not named in it. Change: an atomic counter; the check on the number of calls is the same. Ruled out: a race in the sidecar: the run with the change passes under -race.

--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,11 +22,11 @@
 // fakeUpstream answers each call with what the test writes to body.
 type fakeUpstream struct {
 	body  *io.PipeReader
-	calls int
+	calls atomic.Int32
 }
 
 func (u *fakeUpstream) Do(ctx context.Context, _ upstream.Request) (*upstream.Response, error) {
-	u.calls++
+	u.calls.Add(1)
 	if u.body == nil { // frozen
 		<-ctx.Done()
 		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonDeadline, "%s", ctx.Err())
@@ -241,8 +242,8 @@
 		if err := <-b.served; err != nil {
 			t.Errorf("serve: %s", err)
 		}
-		if b.up.calls != 1 {
-			t.Errorf("%d calls of the upstream", b.up.calls)
+		if n := b.up.calls.Load(); n != 1 {
+			t.Errorf("%d calls of the upstream", n)
 		}
 		other.Close()
 	})
