config: gaps found by digests on traffic; metrics, history without losers, pages

With gaps at two routers of three, sidecars carried on what those two had; a router whose watch had not ended yet took over from them up to where it was complete, and watched from there. And a router that started while the store took calls without answering waited for its listing for ever when the Store has no time limit of its own (the one over HTTP has). Change: the watch goes on from what the store itself has told; versions on the back of traffic come with a digest (wire.Control.ConfigDigest, only for the sidecars with a copy), one step of repair a second; pages of a listing have 3 s. Entries of changes that were not applied leave the history. Failing first, each without its guard: TestPeersDoNotMoveTheWatch, TestStartWhileStoreIsSilent, TestHistoryIsWhatWasInForce (entries of losers; also without the trim and without parents). Run: make test.

--- a/internal/config/change/change.go
+++ b/internal/config/change/change.go
@@ -165,8 +165,11 @@
 	}
 	c := commit{editor: e, base: edit.Base, mine: r, value: value}
 	result := c.run(ctx)
-	if result.Outcome == Applied {
+	switch result.Outcome {
+	case Applied:
 		e.trimHistory(ctx, edit.Base.Ref, ancestors)
+	case NotApplied:
+		e.dropHistory(ctx, edit.Base.Ref, r.Change.ID)
 	}
 	return result
 }
--- /dev/null
+++ b/internal/config/change/change_test.go
@@ -0,0 +1,68 @@
+package change_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/parsleyfront/parsleyfront/internal/config"
+	"github.com/parsleyfront/parsleyfront/internal/config/change"
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/standin"
+)
+
+// A profile is changed 30 times, and now and then another operator loses the
+// race. The next morning someone asks who changed what: the history must show
+// the changes that were in force and no others, and must not grow for ever.
+// Then they roll back, which must not make the later changes disappear.
+func TestHistoryIsWhatWasInForce(t *testing.T) {
+	ctx, store := context.Background(), standin.NewObjectAPI()
+	e := change.NewEditor(store)
+	ref := platform.Ref{Kind: platform.KindProfile, Name: "chat"}
+	read := func() change.Current {
+		now, err := e.Read(ctx, ref)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return now
+	}
+	var inForce []config.ChangeID
+	for i := range 30 {
+		base := read()
+		r := e.Commit(ctx, change.Edit{Base: base, Spec: json.RawMessage(fmt.Sprint(i))})
+		if r.Outcome != change.Applied {
+			t.Fatalf("%s: %v", r.Outcome, r.Cause)
+		}
+		inForce = append([]config.ChangeID{r.Change.ID}, inForce...)
+		if i%10 != 5 {
+			continue
+		}
+		late := e.Commit(ctx, change.Edit{Base: base, Spec: json.RawMessage(`"late"`)})
+		if late.Conflict == nil || late.Conflict.Theirs.Revision.Change.ID != r.Change.ID || string(late.Conflict.Mine.Spec) != `"late"` {
+			t.Fatalf("the slower operator is told %+v", late)
+		}
+	}
+	history, err := e.History(ctx, read())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ids := func(revisions []config.Revision) (out []config.ChangeID) {
+		for _, r := range revisions {
+			out = append(out, r.Change.ID)
+		}
+		return out
+	}
+	if got, want := ids(history), inForce[:change.MaxHistory+1]; !slices.Equal(got, want) {
+		t.Errorf("history is %v, want %v", got, want)
+	}
+	if page, _ := store.List(ctx, platform.KindHistory, ""); len(page.Objects) > change.MaxHistory+1 {
+		t.Errorf("%d entries are kept", len(page.Objects))
+	}
+	back := e.Rollback(ctx, read(), history[4], "a", "undo")
+	now := read()
+	if back.Outcome != change.Applied || string(now.Revision.Spec) != "25" || now.Revision.Change.Parent != inForce[0] {
+		t.Errorf("after the rollback: %+v, %+v", back, now)
+	}
+}
--- a/internal/config/change/history.go
+++ b/internal/config/change/history.go
@@ -96,13 +96,18 @@
 	}
 }
 
-// trimHistory removes the entry that has fallen off the end. A failure leaves
-// an object behind that no chain names.
+// trimHistory removes the entries that have fallen off the end.
 func (e *Editor) trimHistory(ctx context.Context, ref platform.Ref, ancestors []config.ChangeID) {
 	for _, id := range ancestors[min(len(ancestors), MaxHistory):] {
-		o, err := e.store.Get(ctx, historyRef(ref, id))
-		if err == nil {
-			_ = e.store.Delete(ctx, o.Ref, o.Version)
-		}
+		e.dropHistory(ctx, ref, id)
+	}
+}
+
+// dropHistory removes an entry. A failure leaves an object behind that no chain
+// names.
+func (e *Editor) dropHistory(ctx context.Context, ref platform.Ref, id config.ChangeID) {
+	o, err := e.store.Get(ctx, historyRef(ref, id))
+	if err == nil {
+		_ = e.store.Delete(ctx, o.Ref, o.Version)
 	}
 }
--- a/internal/config/delta.go
+++ b/internal/config/delta.go
@@ -32,6 +32,12 @@
 	Known platform.Version `json:"known,omitempty"`
 }
 
+// HeardMark returns the mark of a node as it travels on the back of traffic: its
+// version and digest. The node is complete at least up to its version.
+func HeardMark(v platform.Version, digest uint64) Mark {
+	return Mark{Version: v, Complete: v, Digest: digest}
+}
+
 // Mark returns the Set's summary. The digest is left out while the Set holds
 // objects beyond those up to which it is complete: equal sets would differ.
 func (s *Set) Mark() Mark {
--- a/internal/config/event.go
+++ b/internal/config/event.go
@@ -111,11 +111,16 @@
 	Query Query
 }
 
+// Differed tells that a peer that is as complete holds other objects: somewhere a
+// change went missing. Asks that settle it follow.
+type Differed struct{ Peer Peer }
+
 // Changed tells the role which objects have changed. They are in force from now.
 type Changed struct{ Objects []platform.Object }
 
-func (List) isConfigEffect()    {}
-func (Watch) isConfigEffect()   {}
-func (Unwatch) isConfigEffect() {}
-func (Ask) isConfigEffect()     {}
-func (Changed) isConfigEffect() {}
+func (List) isConfigEffect()     {}
+func (Watch) isConfigEffect()    {}
+func (Unwatch) isConfigEffect()  {}
+func (Ask) isConfigEffect()      {}
+func (Changed) isConfigEffect()  {}
+func (Differed) isConfigEffect() {}
--- a/internal/config/follow/fleet_test.go
+++ b/internal/config/follow/fleet_test.go
@@ -170,20 +170,21 @@
 	return d, nil
 }
 
-// traffic exchanges versions with sidecars on the back of requests.
+// traffic exchanges marks with sidecars on the back of requests.
 func (n *node) traffic() {
 	for n.ctx.Err() == nil {
 		time.Sleep(trafficEvery)
 		s := n.fleet.sidecars[n.fleet.intN(sidecarCount)]
-		s.step(config.Heard{Now: time.Now(), Peer: n.name, Mark: config.Mark{Version: n.version()}})
-		n.step(config.Heard{Now: time.Now(), Peer: s.name, Mark: config.Mark{Version: s.version()}})
+		s.step(config.Heard{Now: time.Now(), Peer: n.name, Mark: n.mark()})
+		n.step(config.Heard{Now: time.Now(), Peer: s.name, Mark: s.mark()})
 	}
 }
 
-func (n *node) version() platform.Version {
+func (n *node) mark() config.Mark {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.follower.Set().Version()
+	m := n.follower.Set().Mark()
+	return config.HeardMark(m.Version, m.Digest)
 }
 
 // inForce returns the change in force of an object, which is none when it does
@@ -220,6 +221,14 @@
 	return time.Since(f.began)
 }
 
+// put creates the first object.
+func (f *fleet) put(ctx context.Context, id config.ChangeID) {
+	value, _ := config.Revision{Change: config.Change{ID: id}, Spec: json.RawMessage(`1`)}.Encode()
+	if _, err := f.store.Put(ctx, f.refs[0], value, 0); err != nil {
+		f.t.Error(err)
+	}
+}
+
 // operate lets an operator change objects now and then. Each change begins with
 // what the operator reads, as parsleyctl does.
 func (f *fleet) operate(ctx context.Context) {
--- a/internal/config/follow/follow.go
+++ b/internal/config/follow/follow.go
@@ -13,11 +13,14 @@
 
 	"github.com/parsleyfront/parsleyfront/internal/config"
 	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 )
 
 const (
 	// askTimeout bounds a call of a peer. It is the Follower's own patience.
 	askTimeout = 2 * time.Second
+	// pageTimeout bounds the wait for a page of a listing.
+	pageTimeout = 3 * time.Second
 	// pageTries is how often a page of a listing is tried. A store that limits
 	// its rate refuses some of the pages when many routers start at once, and
 	// to start over would read the others again.
@@ -26,6 +29,21 @@
 	pagePause = 500 * time.Millisecond
 )
 
+var (
+	storeFailures = telemetry.NewCounter("config_store_failures_total",
+		"Watches and listings of the platform's store that failed.", telemetry.Alert)
+	storeHeard = telemetry.NewGauge("config_store_heard_seconds",
+		"When the store answered a watch or a listing last, in seconds since 1970.")
+	listings = telemetry.NewCounter("config_listings_total",
+		"Listings of the whole configuration, at the start, after a compaction and to verify.")
+	questions = telemetry.NewCounter("config_peer_questions_total",
+		"Questions to other nodes for configuration.")
+	questionFailures = telemetry.NewCounter("config_peer_failures_total",
+		"Questions to other nodes for configuration that were not answered.")
+	differences = telemetry.NewCounter("config_differences_total",
+		"Comparisons with a node that should have held the same configuration and did not.", telemetry.Alert)
+)
+
 // Runner carries out the effects of one Follower.
 type Runner struct {
 	// Store is nil for a sidecar.
@@ -65,6 +83,8 @@
 		go r.watch(ctx, e)
 	case config.Unwatch:
 		r.watching(nil)
+	case config.Differed:
+		differences.Inc()
 	case config.Ask:
 		go r.ask(ctx, e)
 	}
@@ -73,8 +93,10 @@
 func (r *Runner) ask(ctx context.Context, e config.Ask) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
+	questions.Inc()
 	d, err := r.Ask(ctx, e.Peer, e.Query)
 	if err != nil {
+		questionFailures.Inc()
 		r.Post(config.AskFailed{Now: time.Now(), Peer: e.Peer})
 		return
 	}
@@ -100,6 +122,7 @@
 	page, err := r.Store.Watch(bounded, config.Kinds(), e.Since, e.Wait)
 	switch {
 	case err == nil:
+		storeHeard.Set(time.Now().Unix())
 		r.Post(config.Watched{Now: time.Now(), Since: e.Since, Page: page})
 	case errors.Is(context.Cause(ctx), errUnwatched):
 		r.Post(config.Unwatched{Now: time.Now()})
@@ -109,9 +132,13 @@
 }
 
 func (r *Runner) failed(ctx context.Context, err error) {
+	compacted := errors.Is(err, platform.ErrCompacted)
+	if !compacted {
+		storeFailures.Inc()
+	}
 	r.Post(config.StoreFailed{
 		Now:       time.Now(),
-		Compacted: errors.Is(err, platform.ErrCompacted),
+		Compacted: compacted,
 		Silent:    ctx.Err() != nil,
 	})
 }
@@ -138,6 +165,8 @@
 		all.Objects = append(all.Objects, part.Objects...)
 		all.Version = min(all.Version, part.Version)
 	}
+	listings.Inc()
+	storeHeard.Set(time.Now().Unix())
 	all.Now = time.Now()
 	r.Post(all)
 }
@@ -154,7 +183,7 @@
 }
 
 func (r *Runner) page(ctx context.Context, kind platform.Kind, cont string) (platform.Page, error) {
-	page, err := r.Store.List(ctx, kind, cont)
+	page, err := r.tryPage(ctx, kind, cont)
 	for try := 1; err != nil && try < pageTries; try++ {
 		pause := time.NewTimer(pagePause/2 + rand.N(pagePause))
 		select {
@@ -163,7 +192,15 @@
 			return page, ctx.Err()
 		case <-pause.C:
 		}
-		page, err = r.Store.List(ctx, kind, cont)
+		page, err = r.tryPage(ctx, kind, cont)
 	}
 	return page, err
 }
+
+// tryPage reads a page. Without a bound of its own, a store that takes a call
+// and never answers would hold up the node for good.
+func (r *Runner) tryPage(ctx context.Context, kind platform.Kind, cont string) (platform.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
+	defer cancel()
+	return r.Store.List(ctx, kind, cont)
+}
--- a/internal/config/follow/follow_test.go
+++ b/internal/config/follow/follow_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -119,17 +118,14 @@
 		f.store.SetFaults(standin.ObjectFaults{SilentWatches: len(f.routers)})
 		time.Sleep(3 * time.Second)
 		f.store.SetFaults(standin.ObjectFaults{})
-		value, _ := config.Revision{Change: config.Change{ID: "c"}, Spec: json.RawMessage(`1`)}.Encode()
-		if _, err := f.store.Put(ctx, f.refs[0], value, 0); err != nil {
-			t.Fatal(err)
-		}
+		f.put(ctx, "c")
 		n.step(config.Hinted{Now: time.Now()})
 		time.Sleep(config.TickEvery)
 		if id, _ := n.inForce(f.refs[0]); id != "c" {
 			t.Errorf("the change is not in force %s after the hint", config.TickEvery)
 		}
 		n.mu.Lock()
-		failures := n.follower.Status().StoreFailures
+		failures := n.follower.Status().Failures
 		n.mu.Unlock()
 		if failures != 0 {
 			t.Errorf("%d failures of the store are counted", failures)
@@ -138,3 +134,25 @@
 		time.Sleep(time.Second) // all goroutines end
 	})
 }
+
+// All routers start while the store takes calls and answers none. Half a minute
+// later it works again, but the routers wait for the listings that they began
+// then, and never serve.
+func TestStartWhileStoreIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		f := newFleet(t, ctx, 1, 1, 2)
+		f.store.SetFaults(standin.ObjectFaults{Silent: true})
+		time.Sleep(30 * time.Second)
+		f.store.SetFaults(standin.ObjectFaults{})
+		f.put(ctx, "c")
+		time.Sleep(promised)
+		for _, n := range f.routers {
+			if id, ready := n.inForce(f.refs[0]); id != "c" || !ready {
+				t.Errorf("%s has %q in force %s later, ready: %t", n.name, id, promised, ready)
+			}
+		}
+		stop()
+		time.Sleep(time.Second) // all goroutines end
+	})
+}
--- a/internal/config/follow_peer.go
+++ b/internal/config/follow_peer.go
@@ -24,6 +24,10 @@
 // Widths of a repair: how many changes before the newest a pull begins.
 var repairWidths = [...]int{64, 1024}
 
+// repairEvery is the time between the steps of a repair. The peer repairs itself
+// at the same time, and one of the two has nothing to gain.
+const repairEvery = time.Second
+
 // resyncEvery bounds how often a difference that pulls do not settle leads to
 // everything being read again.
 const resyncEvery = 10 * time.Minute
@@ -40,7 +44,8 @@
 // although its version is the same.
 type repair struct {
 	digest uint64 // of the peer
-	width  int    // index of the next width
+	next   time.Time
+	width  int // index of the next width
 	resync time.Time
 	whole  time.Time
 }
@@ -182,22 +187,25 @@
 		f.repair.digest = m.Digest
 		f.repair.width = 0
 	}
+	if now.Before(f.repair.next) {
+		return nil
+	}
+	f.repair.next = now.Add(repairEvery)
+	differed := []Effect{Differed{Peer: peer}}
 	if f.repair.width < len(repairWidths) {
 		since := min(f.set.back(repairWidths[f.repair.width]), f.set.Version())
 		f.repair.width++
-		f.status.Repairs++
-		return f.ask(now, peer, since)
+		return append(differed, f.ask(now, peer, since)...)
 	}
 	if now.Before(f.repair.resync) {
 		return nil
 	}
 	f.repair.resync = now.Add(resyncEvery)
-	f.status.Repairs++
 	if f.phase == phaseNone {
-		return f.ask(now, peer, 0)
+		return append(differed, f.ask(now, peer, 0)...)
 	}
 	f.relist = true
-	return nil
+	return differed
 }
 
 func (f *Follower) answered(e Answered) []Effect {
@@ -245,9 +253,6 @@
 	if len(f.heard) < enoughPeers {
 		f.heard[e.Peer] = struct{}{}
 	}
-	if len(e.Delta.Objects) > 0 {
-		f.status.Pulls++
-	}
 	out := f.conclude(e, p)
 	if e.Delta.Mark.Version > f.set.Version() {
 		f.futile = futile{version: e.Delta.Mark.Version, until: e.Now.Add(checkEvery)}
--- a/internal/config/follow_store.go
+++ b/internal/config/follow_store.go
@@ -33,7 +33,18 @@
 	if f.failures > 0 {
 		wait = watchWaitAfterFailure
 	}
-	return []Effect{Watch{Since: f.set.Complete(), Wait: wait}}
+	if !f.confirmed {
+		f.told = f.set.Complete() // by a peer, at the start
+	}
+	return []Effect{Watch{Since: f.told, Wait: wait}}
+}
+
+// The watch goes on from what the store itself has told, not from what peers
+// make the Set complete up to. Else one router's gap becomes that of others:
+// they hear from a peer that there is nothing new up to a version, and watch
+// from there.
+func (f *Follower) tellStore(v platform.Version) {
+	f.told = max(f.told, v)
 }
 
 // pause makes the next call of the store wait for about d.
@@ -65,7 +76,6 @@
 }
 
 func (f *Follower) storeFailed(e StoreFailed) {
-	f.status.StoreFailures++
 	switch {
 	case e.Compacted:
 		// The store's watches begin later than what we know. It shows as a watch
@@ -82,8 +92,8 @@
 }
 
 func (f *Follower) listedStore(e Listed) []Effect {
-	f.status.Listings++
 	f.relist = false
+	f.tellStore(e.Version)
 	f.nextList = e.Now.Add(f.jitter(f.listInterval()))
 	stale := e.Version < f.set.Complete()
 	out := f.changed(Batch{Objects: e.Objects, Claim: &Claim{To: e.Version}, Known: e.Version})
@@ -95,7 +105,6 @@
 	if stale {
 		// A listing by a replica that lags proves nothing about the present. If
 		// the watch is refused again, the next listing waits longer.
-		f.status.StaleAnswers++
 		f.fail(e.Now)
 		return out
 	}
@@ -112,17 +121,17 @@
 func (f *Follower) storeAnswered(now time.Time) {
 	f.confirmed = true
 	f.failures = 0
-	f.status.StoreHeard = now
+	f.storeHeard = now
 }
 
 func (f *Follower) watched(e Watched) []Effect {
 	if e.Page.Version < e.Since {
 		// A replica that lags behind what is in force here.
-		f.status.StaleAnswers++
 		f.fail(e.Now)
 		return f.changed(Batch{Objects: e.Page.Objects})
 	}
 	f.storeAnswered(e.Now)
+	f.tellStore(e.Page.Version)
 	claim := Claim{From: e.Since, To: e.Page.Version}
 	out := f.changed(Batch{Objects: e.Page.Objects, Claim: &claim})
 	if len(e.Page.Objects) > 0 {
--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -61,16 +61,12 @@
 
 // Status is what a Follower knows about its own state.
 type Status struct {
-	Version       platform.Version `json:"version"`
-	Complete      platform.Version `json:"complete"`
-	Objects       int              `json:"objects"`
-	Bytes         int              `json:"bytes"`
-	StoreHeard    time.Time        `json:"store_heard"`    // of the last answer that was not stale
-	StoreFailures int64            `json:"store_failures"` // calls without an answer
-	StaleAnswers  int64            `json:"stale_answers"`  // of the store, older than what is in force
-	Listings      int64            `json:"listings"`
-	Pulls         int64            `json:"pulls"`   // from peers
-	Repairs       int64            `json:"repairs"` // pulls because a peer of the same version differed
+	Version    platform.Version `json:"version"`
+	Complete   platform.Version `json:"complete"`
+	Objects    int              `json:"objects"`
+	Bytes      int              `json:"bytes"`
+	StoreHeard time.Time        `json:"store_heard"` // of the last answer that was not stale
+	Failures   int              `json:"failures"`    // of calls of the store, in a row
 }
 
 // storePhase says what a Follower is doing at the store.
@@ -86,16 +82,17 @@
 // Follower keeps a Set up to date from the store and from peers. It is a
 // reducer: Step never blocks and takes the time from its events.
 type Follower struct {
-	set    *Set
-	rand   *rand.Rand
-	status Status
+	set        *Set
+	rand       *rand.Rand
+	storeHeard time.Time
 
 	phase     storePhase
 	resume    time.Time
 	relist    bool // the next call of the store is a listing
 	nextList  time.Time
-	failures  int  // in a row
-	confirmed bool // the store has answered
+	failures  int              // in a row
+	told      platform.Version // by the store, all changes up to here
+	confirmed bool             // the store has answered
 
 	peers     []Peer
 	near      []Peer // of them, those with a connection
@@ -136,14 +133,16 @@
 	return f.set
 }
 
-// Status returns the counts.
+// Status returns how far the Follower is.
 func (f *Follower) Status() Status {
-	s := f.status
-	s.Version = f.set.Version()
-	s.Complete = f.set.Complete()
-	s.Objects = f.set.Len()
-	s.Bytes = f.set.Bytes()
-	return s
+	return Status{
+		Version:    f.set.Version(),
+		Complete:   f.set.Complete(),
+		Objects:    f.set.Len(),
+		Bytes:      f.set.Bytes(),
+		StoreHeard: f.storeHeard,
+		Failures:   f.failures,
+	}
 }
 
 // Ready reports whether the configuration can be trusted to be a recent one:
--- a/internal/config/follower_test.go
+++ b/internal/config/follower_test.go
@@ -50,3 +50,23 @@
 		t.Errorf("version %d is still in force", o.Version)
 	}
 }
+
+// The watches of two routers of three leave out a change. The third has not
+// been told yet when it hears from a sidecar, which one of the two has brought
+// up to date, that there is nothing new. If it then watched from there, the
+// change would be in force nowhere.
+func TestPeersDoNotMoveTheWatch(t *testing.T) {
+	f, now := NewFollower(1), time.Unix(0, 0)
+	f.peers = []Peer{"a"}
+	f.Step(Listed{Now: now, Objects: []platform.Object{at(2)}, Version: 5})
+	f.ask(now, "a", 2)
+	f.Step(Answered{Now: now, Peer: "a", Delta: Delta{Mark: Mark{Version: 2, Complete: 9}}})
+	if f.set.Complete() != 9 {
+		t.Fatalf("complete up to %d, want what the peer claims", f.set.Complete())
+	}
+	for _, e := range f.Step(Watched{Now: now, Since: 5, Page: platform.Page{Version: 5}}) {
+		if w, ok := e.(Watch); ok && w.Since != 5 {
+			t.Errorf("watches from %d, want from what the store has told", w.Since)
+		}
+	}
+}
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -41,8 +41,9 @@
 
 // heard takes in what a sidecar says on the back of a reply.
 func (r *Router) heard(now time.Time, vm platform.VM, c wire.Control) {
-	if c.Config > 0 && c.Config != r.View().Version {
-		mark := config.Mark{Version: c.Config}
+	view := r.View()
+	if c.Config > 0 && (c.Config != view.Version || c.ConfigDigest != view.Digest) {
+		mark := config.HeardMark(c.Config, c.ConfigDigest)
 		r.loop.Post(ConfigEvent{Event: config.Heard{Now: now, Peer: config.Peer(vm.ID), Mark: mark}})
 	}
 	if !c.Draining && r.View().Leaving[vm.ID] {
@@ -60,7 +61,7 @@
 func (r *Router) control(now time.Time, vm string, pool *Pool, print uint64) wire.Control {
 	var c wire.Control
 	if view := r.View(); view.Copies[vm] {
-		c.Config = view.Version
+		c.Config, c.ConfigDigest = view.Version, view.Digest
 	}
 	_, c.Suspects = r.suspects.rule(now, print)
 	if pool != nil {
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -15,6 +15,7 @@
 // share the parts that have not changed between them.
 type View struct {
 	Version  platform.Version // of the configuration, as nodes tell each other
+	Digest   uint64           // of the configuration at that version
 	Trusted  bool             // the configuration is known to be a recent one
 	Profiles map[string]*profile.Profile
 	Orgs     map[string]*profile.Organisation // by the hash of an API key
@@ -36,12 +37,13 @@
 // View returns the picture of the present state: the former one if nothing that
 // shows in it has changed.
 func (s *State) View() *View {
-	version, trusted := s.follower.Set().Mark().Version, s.follower.Ready()
-	if s.stale == (changes{}) && s.view.Version == version && s.view.Trusted == trusted {
+	mark, trusted := s.follower.Set().Mark(), s.follower.Ready()
+	same := s.view.Version == mark.Version && s.view.Digest == mark.Digest && s.view.Trusted == trusted
+	if s.stale == (changes{}) && same {
 		return s.view
 	}
 	v := *s.view
-	v.Version, v.Trusted = version, trusted
+	v.Version, v.Digest, v.Trusted = mark.Version, mark.Digest, trusted
 	if s.stale.profiles {
 		v.Profiles = maps.Clone(s.profiles)
 	}
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -178,7 +178,7 @@
 func (s *State) hear(now time.Time, from config.Peer, c wire.Control) []Effect {
 	_ = s.loads.Merge(now, c.Samples)
 	_ = s.book.Merge(now, c.Suspects)
-	mark := config.Mark{Version: c.Config}
+	mark := config.HeardMark(c.Config, c.ConfigDigest)
 	return s.configured(Configured{Now: now, Event: config.Heard{Now: now, Peer: from, Mark: mark}})
 }
 
@@ -213,15 +213,18 @@
 // control is what goes out on the back of a message.
 func (s *State) control(now time.Time) wire.Control {
 	s.observe(now)
-	return wire.Control{
+	c := wire.Control{
 		Load:     s.load(),
 		Running:  s.queue.Running(),
 		Draining: s.leaving(now),
 		Down:     s.probe.down,
 		Samples:  s.loads.Pack(now, samplesTold, s.self),
 		Suspects: s.book.Gossip(now, suspectsTold),
-		Config:   s.config.Set().Version(),
 	}
+	if mark := s.config.Set().Mark(); mark.Version > 0 {
+		c.Config, c.ConfigDigest = mark.Version, mark.Digest
+	}
+	return c
 }
 
 func (s *State) reply(now time.Time, t Ticket, a wire.Admission) []Effect {
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -93,13 +93,14 @@
 
 // Control is what nodes tell each other on the back of a request or a reply.
 type Control struct {
-	Load     int              `json:"load,omitempty"`    // requests admitted and not yet ended; of sidecars
-	Running  int              `json:"running,omitempty"` // those of them at the upstream
-	Draining bool             `json:"drain,omitempty"`   // the sidecar takes no new work
-	Down     bool             `json:"down,omitempty"`    // the upstream does not answer its sidecar
-	Samples  []byte           `json:"samples,omitempty"` // loads of other upstreams, packed by package load
-	Config   platform.Version `json:"config,omitempty"`  // newest configuration object known
-	Suspects json.RawMessage  `json:"suspects,omitempty"`
+	Load         int              `json:"load,omitempty"`          // requests admitted and not yet ended; of sidecars
+	Running      int              `json:"running,omitempty"`       // those of them at the upstream
+	Draining     bool             `json:"drain,omitempty"`         // the sidecar takes no new work
+	Down         bool             `json:"down,omitempty"`          // the upstream does not answer its sidecar
+	Samples      []byte           `json:"samples,omitempty"`       // loads of other upstreams, packed by package load
+	Config       platform.Version `json:"config,omitempty"`        // newest configuration object known; only between nodes that keep a copy
+	ConfigDigest uint64           `json:"config_digest,omitempty"` // of all configuration at that version
+	Suspects     json.RawMessage  `json:"suspects,omitempty"`
 }
 
 // Admission is the reply to a Submit or Attach. Without an Error the answer
