placement: home first, overflow below the mean, concurrent turns apart

In the old order (ticket first) upstreams that joined stayed half empty.

Change: a session goes home first, then to its ticket's upstream, then to those of its ranking that are not above the mean. Turns whose ticket is under 5 s old run at the same time as others of their chat and go below the mean first. Regions (a failure domain is written region/domain) are left only when none of their upstreams serves. The mean costs the same in a pool of any size.

In router: the age of a ticket follows from its expiry.

--- a/internal/load/table.go
+++ b/internal/load/table.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"math"
 	"time"
 )
 
@@ -12,7 +13,10 @@
 type Table struct {
 	entries []entry
 	index   map[VM]int
+	serving sums
 	trend   trend
+	// expiry is when the first sample may be too old, in milliseconds.
+	expiry int64
 }
 
 // entry is a sample of one upstream.
@@ -24,9 +28,26 @@
 	at     int64 // when it was true, in milliseconds
 }
 
+// sums are kept over the upstreams that serve, so that the mean costs the same
+// in a pool of any size.
+type sums struct {
+	known, loads, weights int64
+	times                 int64 // of the samples times weight, in milliseconds
+}
+
+func (s *sums) add(e *entry, sign int64) {
+	if e.state != Serving {
+		return
+	}
+	s.known += sign
+	s.loads += sign * int64(e.load)
+	s.weights += sign * int64(e.weight)
+	s.times += sign * int64(e.weight) * e.at
+}
+
 // NewTable returns an empty Table.
 func NewTable() *Table {
-	return &Table{index: make(map[VM]int)}
+	return &Table{index: make(map[VM]int), expiry: math.MaxInt64}
 }
 
 // Observe records what an upstream's own sidecar says now.
@@ -46,11 +67,7 @@
 	for _, vm := range members {
 		wanted[vm] = true
 	}
-	for i := len(t.entries) - 1; i >= 0; i-- {
-		if !wanted[t.entries[i].vm] {
-			t.remove(i)
-		}
-	}
+	t.removeIf(func(e *entry) bool { return !wanted[e.vm] })
 }
 
 // Get returns the last report of an upstream, if it is not too old.
@@ -68,54 +85,73 @@
 // pool's trend.
 func (t *Table) Mean(now time.Time) (mean float64, known int) {
 	ms := now.UnixMilli()
-	var loads, weights int
-	var age float64 // in seconds, times weight
-	for i := range t.entries {
-		e := &t.entries[i]
-		if e.state != Serving || !e.fresh(ms) {
-			continue
-		}
-		loads += int(e.load)
-		weights += int(e.weight)
-		age += min(max(float64(ms-e.at)/1000, 0), trendSpan) * float64(e.weight)
-		known++
-	}
-	if known == 0 {
+	t.expire(ms)
+	s := t.serving
+	if s.known == 0 {
 		return 0, 0
 	}
-	mean = float64(loads) / float64(weights)
-	change := t.trend.perSecond() * age / float64(weights)
+	mean = float64(s.loads) / float64(s.weights)
+	age := float64(ms-s.times/s.weights) / 1000
+	change := t.trend.perSecond() * min(max(age, 0), trendSpan)
 	// Whatever samples claim, the trend does not outweigh them.
-	return mean + min(max(change, -mean/2), mean/2), known
+	return mean + min(max(change, -mean/2), mean/2), int(s.known)
 }
 
 // put records a sample unless a newer one is known.
 func (t *Table) put(e entry) {
-	if i, ok := t.index[e.vm]; ok {
-		if t.entries[i].at <= e.at {
-			t.trend.learn(&t.entries[i], &e)
-			t.entries[i] = e
-		}
+	i, ok := t.index[e.vm]
+	if ok && t.entries[i].at > e.at {
 		return
 	}
-	if len(t.entries) >= maxEntries {
-		t.remove(t.oldest())
+	if ok {
+		t.trend.learn(&t.entries[i], &e)
+		t.serving.add(&t.entries[i], -1)
+		t.entries[i] = e
+	} else {
+		t.makeRoom()
+		t.index[e.vm] = len(t.entries)
+		t.entries = append(t.entries, e)
 	}
-	t.index[e.vm] = len(t.entries)
-	t.entries = append(t.entries, e)
+	t.serving.add(&e, 1)
+	t.expiry = min(t.expiry, e.at+maxAge.Milliseconds())
 }
 
-func (t *Table) oldest() int {
+// makeRoom drops the oldest sample of a full table.
+func (t *Table) makeRoom() {
+	if len(t.entries) < maxEntries {
+		return
+	}
 	oldest := 0
 	for i := range t.entries {
 		if t.entries[i].at < t.entries[oldest].at {
 			oldest = i
 		}
 	}
-	return oldest
+	t.remove(oldest)
+}
+
+// expire drops the samples that are too old.
+func (t *Table) expire(ms int64) {
+	if ms <= t.expiry {
+		return
+	}
+	t.removeIf(func(e *entry) bool { return !e.fresh(ms) })
+	t.expiry = math.MaxInt64
+	for i := range t.entries {
+		t.expiry = min(t.expiry, t.entries[i].at+maxAge.Milliseconds())
+	}
+}
+
+func (t *Table) removeIf(unwanted func(*entry) bool) {
+	for i := len(t.entries) - 1; i >= 0; i-- {
+		if unwanted(&t.entries[i]) {
+			t.remove(i)
+		}
+	}
 }
 
 func (t *Table) remove(i int) {
+	t.serving.add(&t.entries[i], -1)
 	delete(t.index, t.entries[i].vm)
 	last := len(t.entries) - 1
 	if i != last {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -1,13 +1,41 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/load"
 )
 
-// depth is how far down a session's ranking an upstream with room is sought.
-const depth = 16
+const (
+	// depth is how far down a session's ranking an upstream with room is sought.
+	depth = 16
+	// concurrentWithin is the age of a ticket up to which a session counts as
+	// one whose turns run at the same time. People take longer to read an answer.
+	concurrentWithin = 5 * time.Second
+)
+
+// Query is a request that looks for an upstream.
+type Query struct {
+	Session   uint64        // hash of organisation and session; zero: none
+	Ticket    int           // index of the upstream that served the session last, or None
+	TicketAge time.Duration // since the ticket was given
+	Multiple  float64       // bound on load as a multiple of the mean; zero: none
+	Random    uint64        // for requests without a session
+}
+
+// Choose writes the upstreams to which a request is offered to out, in order,
+// and returns how many there are. It is advice: each upstream's sidecar decides.
+func (p *Pool) Choose(now time.Time, t *load.Table, q Query, out *[Candidates]int) int {
+	c := chooser{pool: p, table: t, now: now, multiple: q.Multiple, out: out}
+	c.mean, c.known = t.Mean(now)
+	if q.Session == 0 {
+		c.spread(q.Random)
+	} else {
+		c.follow(q)
+	}
+	return c.n
+}
 
 // chooser collects the candidates of one request.
 type chooser struct {
@@ -21,31 +49,111 @@
 	n        int
 }
 
-// offer adds upstream i unless it is believed to refuse.
-func (c *chooser) offer(i int) {
-	if c.n < Candidates && !c.has(i) && c.room(i) {
-		c.out[c.n] = i
-		c.n++
+// follow chooses for a session. Its home comes first, since that is where
+// prefixes are handed when upstreams come and go, then the upstream of its
+// ticket, where it was served last if its home had no room.
+//
+// A session that runs many turns at the same time would fill its home to the
+// bound and refuse its way down the ranking, and with it displace the sessions
+// of others. It is spread over upstreams below the mean instead, always in the
+// order of its ranking, so that it warms few caches.
+func (c *chooser) follow(q Query) {
+	var ranked [depth]int
+	order := ranked[:c.pool.near.top(q.Session, ranked[:])]
+	ticket := q.Ticket
+	if ticket < 0 || ticket >= len(c.pool.isNear) || !c.pool.isNear[ticket] {
+		ticket = None
+	}
+	if ticket != None && q.TicketAge < concurrentWithin {
+		c.offerBelowMean([]int{ticket})
+		c.offerBelowMean(order)
 	}
+	c.offer(order[:min(len(order), 1)]...)
+	if ticket != None {
+		c.offer(ticket)
+	}
+	c.offerBelowMean(order)
+	c.offer(order...)
+	c.fill(order)
+	c.leaveRegion(q.Session)
 }
 
-// fill adds upstreams that are believed to be full, then those believed not to
-// serve, where too few others are left: beliefs can be wrong, and the sidecar
-// knows.
-func (c *chooser) fill(order []int) {
-	for _, serving := range [...]bool{true, false} {
-		for _, i := range order {
-			if c.n < Candidates && c.serves(i) == serving && !c.has(i) {
-				c.out[c.n] = i
-				c.n++
+// spread chooses for a request without a session: the less loaded of two
+// random upstreams, those of the router's own failure domain before others.
+func (c *chooser) spread(random uint64) {
+	for _, group := range [...][]int{c.pool.own, c.pool.rest} {
+		for range group {
+			if c.n == Candidates {
+				return
+			}
+			i, j := pick(group, &random), pick(group, &random)
+			if c.load(j) < c.load(i) {
+				i, j = j, i
 			}
+			c.offer(i, j)
 		}
 	}
+	c.fill(c.pool.own)
+	c.fill(c.pool.rest)
+	c.leaveRegion(random)
 }
 
-func (c *chooser) serves(i int) bool {
-	r, ok := c.table.Get(c.now, c.pool.members[i].VM)
-	return !ok || r.State == load.Serving
+func pick(group []int, random *uint64) int {
+	*random = mix(*random)
+	return group[*random%uint64(len(group))]
+}
+
+// offer adds those of order that are not believed to refuse.
+func (c *chooser) offer(order ...int) {
+	for _, i := range order {
+		if c.n < Candidates && !c.has(i) && c.room(i) {
+			c.add(i)
+		}
+	}
+}
+
+// offerBelowMean adds those of order whose load is not above the mean. That
+// leaves the room up to the bound to the sessions that have their home there.
+func (c *chooser) offerBelowMean(order []int) {
+	for _, i := range order {
+		r, ok := c.table.Get(c.now, c.pool.members[i].VM)
+		// Rounded up, so that in a pool with little to do a single request does
+		// not send the next turn of its chat away.
+		if !ok || r.Load <= int(math.Ceil(c.mean*float64(r.Weight))) {
+			c.offer(i)
+		}
+	}
+}
+
+// fill adds upstreams that are believed to be full where too few others are
+// left: beliefs can be wrong, and the sidecar knows.
+func (c *chooser) fill(order []int) {
+	for _, i := range order {
+		if c.n < Candidates && !c.has(i) && c.serves(i) {
+			c.add(i)
+		}
+	}
+}
+
+// leaveRegion adds upstreams of other regions if none of this one is believed
+// to serve, and those of this one all the same if no other does.
+func (c *chooser) leaveRegion(session uint64) {
+	if c.n > 0 {
+		return
+	}
+	var ranked [Candidates]int
+	c.fill(ranked[:c.pool.far.top(session, ranked[:])])
+	if c.n > 0 {
+		return
+	}
+	for _, i := range ranked[:c.pool.near.top(session, ranked[:])] {
+		c.add(i)
+	}
+}
+
+func (c *chooser) add(i int) {
+	c.out[c.n] = i
+	c.n++
 }
 
 func (c *chooser) has(i int) bool {
@@ -57,6 +165,11 @@
 	return false
 }
 
+func (c *chooser) serves(i int) bool {
+	r, ok := c.table.Get(c.now, c.pool.members[i].VM)
+	return !ok || r.State == load.Serving
+}
+
 // room reports whether upstream i is believed to take one more request.
 func (c *chooser) room(i int) bool {
 	r, ok := c.table.Get(c.now, c.pool.members[i].VM)
@@ -69,27 +182,6 @@
 	return r.Load < load.Bound(c.mean, c.known, c.multiple, r.Weight)
 }
 
-// spread chooses for a request without a session: the less loaded of two
-// random upstreams, those of the router's own failure domain before others.
-func (c *chooser) spread(random uint64) {
-	own, rest := c.pool.near.domain(c.pool.self.Domain)
-	for _, group := range [...][]int{own, rest} {
-		for len(group) > 0 && c.n < Candidates {
-			i, j := pick(group, &random), pick(group, &random)
-			if c.load(j) < c.load(i) {
-				i, j = j, i
-			}
-			before := c.n
-			c.offer(i)
-			c.offer(j)
-			if c.n == before {
-				break
-			}
-		}
-	}
-	c.fill(c.pool.near.index)
-}
-
 // load returns the believed load of upstream i for each unit of its weight.
 func (c *chooser) load(i int) float64 {
 	r, ok := c.table.Get(c.now, c.pool.members[i].VM)
@@ -98,8 +190,3 @@
 	}
 	return float64(r.Load) / float64(r.Weight)
 }
-
-func pick(group []int, random *uint64) int {
-	*random = mix(*random)
-	return group[*random%uint64(len(group))]
-}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -1,7 +1,7 @@
 package placement
 
 import (
-	"time"
+	"strings"
 
 	"github.com/parsleyfront/parsleyfront/internal/load"
 )
@@ -14,39 +14,55 @@
 	VM     load.VM
 	Seed   uint64 // hash of the VM's id, from Seed
 	Weight int    // relative capacity; zero means one
-	Region string
-	Domain string // failure domain
+	Domain string // failure domain: "region/domain", or "domain" if there are no regions
 }
 
-// Locality is where a router runs.
+// Locality is where a router or sidecar runs.
 type Locality struct {
-	Region string
 	Domain string
 }
 
-// Pool is an immutable list of upstreams as one router sees it.
+// region returns the part of a failure domain's name before the first slash.
+func region(domain string) string {
+	name, _, found := strings.Cut(domain, "/")
+	if !found {
+		return ""
+	}
+	return name
+}
+
+// Pool is an immutable list of upstreams as one node sees it.
 type Pool struct {
-	members []Member
-	near    ranking // members of the router's region, or all when it has none
-	self    Locality
+	members   []Member
+	isNear    []bool  // in the node's region
+	near, far ranking // of the node's region, and of the others
+	own, rest []int   // of the node's failure domain, and of its region's others
 }
 
-// NewPool returns the Pool of members for a router at self. The members keep
-// their indices.
+// NewPool returns the Pool of members for a node at self. The members keep
+// their indices. A region without upstreams counts as one with the others.
 func NewPool(members []Member, self Locality) *Pool {
-	p := &Pool{members: members, self: self}
-	var near []int
+	p := &Pool{members: members, isNear: make([]bool, len(members))}
+	var near, far []int
 	for i, m := range members {
-		if m.Region == self.Region {
+		if region(m.Domain) == region(self.Domain) {
 			near = append(near, i)
+		} else {
+			far = append(far, i)
 		}
 	}
 	if len(near) == 0 {
-		for i := range members {
-			near = append(near, i)
+		near, far = far, nil
+	}
+	for _, i := range near {
+		p.isNear[i] = true
+		if members[i].Domain == self.Domain {
+			p.own = append(p.own, i)
+		} else {
+			p.rest = append(p.rest, i)
 		}
 	}
-	p.near = newRanking(members, near)
+	p.near, p.far = newRanking(members, near), newRanking(members, far)
 	return p
 }
 
@@ -65,6 +81,11 @@
 	return None
 }
 
+// Home returns the upstream that ranks first for a session, or None.
+func (p *Pool) Home(session uint64) int {
+	return p.Successor(session, None)
+}
+
 // Successor returns the upstream to which a session goes when leaving, the
 // index of its present upstream, is gone; None if there is no other.
 func (p *Pool) Successor(session uint64, leaving int) int {
@@ -77,33 +98,3 @@
 	}
 	return None
 }
-
-// Query is a request that looks for an upstream.
-type Query struct {
-	Session  uint64  // hash of organisation and session; zero: none
-	Ticket   int     // index of the upstream that served the session last, or None
-	Multiple float64 // bound on load as a multiple of the mean; zero: none
-	Random   uint64  // for requests without a session
-}
-
-// Choose writes the upstreams to which the request is offered to out, in order, and
-// returns how many there are. It is advice: each upstream's sidecar decides.
-func (p *Pool) Choose(now time.Time, t *load.Table, q Query, out *[Candidates]int) int {
-	c := chooser{pool: p, table: t, now: now, out: out}
-	c.mean, c.known = t.Mean(now)
-	c.multiple = q.Multiple
-	if q.Session == 0 {
-		c.spread(q.Random)
-		return c.n
-	}
-	var ranked [depth]int
-	order := ranked[:p.near.top(q.Session, ranked[:])]
-	if q.Ticket != None && p.near.has(q.Ticket) {
-		c.offer(q.Ticket)
-	}
-	for _, i := range order {
-		c.offer(i)
-	}
-	c.fill(order)
-	return c.n
-}
--- a/internal/placement/rank.go
+++ b/internal/placement/rank.go
@@ -1,76 +1,121 @@
 package placement
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // ranking orders a set of upstreams for each session by weighted rendezvous
-// hashing: upstream i scores -weight/ln(u), with u drawn from (0, 1) by the
-// hash of session and upstream. It needs no state and no agreement: routers
-// with the same list agree, and a change of the list moves only the sessions of
-// the upstream that came or went.
+// hashing: of the upstreams' random numbers u in (0, 1), drawn by the hash of
+// session and upstream, the smallest -ln(u)/weight wins. It needs no state and
+// no agreement: routers with the same list agree, and a change of the list
+// moves only the sessions of the upstream that came or went.
 type ranking struct {
-	members []Member
-	index   []int // into members
-	isNear  []bool
-	equal   bool // all weights are the same, so that hashes can be compared
+	index   []int     // of the upstreams, in the caller's list
+	seeds   []uint64  // in the order of index
+	classes []uint8   // index into weights; nil if all weights are the same
+	weights []float64 // that occur
 }
 
+// maxClasses bounds the different weights that a ranking tells apart.
+const maxClasses = math.MaxUint8
+
 func newRanking(members []Member, index []int) ranking {
-	r := ranking{members: members, index: index, isNear: make([]bool, len(members)), equal: true}
-	for _, i := range index {
-		r.isNear[i] = true
-		if members[i].Weight != members[index[0]].Weight {
-			r.equal = false
-		}
+	r := ranking{index: index, seeds: make([]uint64, len(index))}
+	classes := make([]uint8, len(index))
+	for at, i := range index {
+		r.seeds[at] = members[i].Seed
+		classes[at] = r.class(float64(max(members[i].Weight, 1)))
+	}
+	if len(r.weights) > 1 {
+		r.classes = classes
 	}
 	return r
 }
 
-func (r *ranking) has(i int) bool {
-	return i >= 0 && i < len(r.isNear) && r.isNear[i]
+// class returns the index of a weight, or of the nearest one if there are too
+// many.
+func (r *ranking) class(weight float64) uint8 {
+	if at := slices.Index(r.weights, weight); at >= 0 {
+		return uint8(at)
+	}
+	if len(r.weights) < maxClasses {
+		r.weights = append(r.weights, weight)
+		return uint8(len(r.weights) - 1)
+	}
+	nearest := 0
+	for at, w := range r.weights {
+		if math.Abs(w-weight) < math.Abs(r.weights[nearest]-weight) {
+			nearest = at
+		}
+	}
+	return uint8(nearest)
 }
 
-// domain splits the upstreams into those of a failure domain and the others.
-func (r *ranking) domain(name string) (own, rest []int) {
-	for _, i := range r.index {
-		if r.members[i].Domain == name {
-			own = append(own, i)
-		} else {
-			rest = append(rest, i)
+// top writes the indices of the upstreams that rank highest for session to
+// best, the highest first, and returns how many there are.
+func (r *ranking) top(session uint64, best []int) int {
+	if r.classes != nil {
+		return r.topWeighted(session, best)
+	}
+	var scores [depth]uint64
+	n, bar := 0, uint64(0) // bar is the score to beat, zero until best is full
+	for at, seed := range r.seeds {
+		score := mix(session ^ seed)
+		if score <= bar {
+			continue
+		}
+		n = min(n+1, len(best))
+		place := n - 1
+		for place > 0 && scores[place-1] < score {
+			scores[place], best[place] = scores[place-1], best[place-1]
+			place--
+		}
+		scores[place], best[place] = score, r.index[at]
+		if n == len(best) {
+			bar = scores[n-1]
 		}
 	}
-	return own, rest
+	return n
 }
 
-// top writes the upstreams with the highest scores for session to best, the
-// highest first, and returns how many there are.
-func (r *ranking) top(session uint64, best []int) int {
-	var scores [depth]float64
+// topWeighted is top for different weights. To take few logarithms, it keeps a
+// hash for each weight below which an upstream cannot be among the best.
+func (r *ranking) topWeighted(session uint64, best []int) int {
+	var costs [depth]float64
+	var bars [maxClasses]uint64
 	n := 0
-	for _, i := range r.index {
-		score := r.score(session, i)
-		if n == len(best) && score <= scores[n-1] {
+	for at, seed := range r.seeds {
+		class := r.classes[at]
+		hash := mix(session ^ seed)
+		if hash < bars[class] {
 			continue
 		}
-		if n < len(best) {
-			n++
+		weight := r.weights[class]
+		cost := -math.Log(unit(hash)) / weight
+		if n == len(best) && cost >= costs[n-1] {
+			bars[class] = hashOf(math.Exp(-costs[n-1] * weight))
+			continue
 		}
-		at := n - 1
-		for at > 0 && scores[at-1] < score {
-			scores[at], best[at] = scores[at-1], best[at-1]
-			at--
+		n = min(n+1, len(best))
+		place := n - 1
+		for place > 0 && costs[place-1] > cost {
+			costs[place], best[place] = costs[place-1], best[place-1]
+			place--
 		}
-		scores[at], best[at] = score, i
+		costs[place], best[place] = cost, r.index[at]
 	}
 	return n
 }
 
-func (r *ranking) score(session uint64, i int) float64 {
-	h := mix(session ^ r.members[i].Seed)
-	u := (float64(h>>11) + 0.5) / (1 << 53)
-	if r.equal {
-		return u
-	}
-	return -float64(max(r.members[i].Weight, 1)) / math.Log(u)
+// unit maps a hash to a number in (0, 1).
+func unit(hash uint64) float64 {
+	return (float64(hash>>11) + 0.5) / (1 << 53)
+}
+
+// hashOf returns a hash that unit maps to u or to a little less.
+func hashOf(u float64) uint64 {
+	return uint64(max(u*(1<<53)-1, 0)) << 11
 }
 
 // mix is the finaliser of SplitMix64: each bit of the input changes half of
--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -214,7 +214,7 @@
 		session: sessionHash(org.Name, q.Session),
 	}
 	e := admin.Explanation{VM: o.vm, Profile: p.Name, Pool: p.Pool, Multiple: p.LoadMultiple}
-	followed := o.router.ticketVM(q.Ticket, a.session)
+	followed, _ := o.router.ticketVM(now, q.Ticket, a.session)
 	e.TicketNote = ticketNote(q, pool, followed)
 	chosen := o.router.choose(now, a)
 	pool.beliefs.mu.Lock()
--- a/internal/router/keys.go
+++ b/internal/router/keys.go
@@ -64,16 +64,16 @@
 	return wire.Key{VM: t.VM, Incarnation: t.Incarnation, Nonce: t.Nonce, Expires: t.Expires.Unix()}, nil
 }
 
-// ticketVM returns the VM that a session's ticket names, or "" if the ticket
-// is not one of this fleet for this session. A ticket is a hint: a bad one
-// costs its caller the cached prefix and nothing else.
-func (r *Router) ticketVM(ticket string, session uint64) string {
+// ticketVM returns the VM that a session's ticket names and how old the ticket
+// is, or "" if the ticket is not one of this fleet for this session. A ticket is
+// a hint: a bad one costs its caller the cached prefix and nothing else.
+func (r *Router) ticketVM(now time.Time, ticket string, session uint64) (vm string, age time.Duration) {
 	if ticket == "" || session == 0 {
-		return ""
+		return "", 0
 	}
 	t, err := r.config.Ring.Open(ticket, token.PurposeTicket)
 	if err != nil || t.Session != session {
-		return ""
+		return "", 0
 	}
-	return t.VM
+	return t.VM, now.Sub(t.Expires.Add(-ticketLife))
 }
--- a/internal/router/offer.go
+++ b/internal/router/offer.go
@@ -89,8 +89,8 @@
 		Multiple: a.req.Profile.LoadMultiple,
 		Random:   a.random(),
 	}
-	if vm := r.ticketVM(a.req.Ticket, a.session); vm != "" {
-		q.Ticket = a.pool.placed.Index(load.Hash(vm))
+	if vm, age := r.ticketVM(now, a.req.Ticket, a.session); vm != "" {
+		q.Ticket, q.TicketAge = a.pool.placed.Index(load.Hash(vm)), age
 	}
 	return r.order(now, a.pool, q)
 }
