loop: settle under a backlog, refuse events after the end

Cause: settled, which publishes the picture for traffic and sets the timers, ran only when the queue was empty: under events that come faster than they are applied it never did. And Post to an ended loop with room in its queue said yes or no at random. Change: settled after 64 events at the latest; Post looks at the end first. The spec of a router that starts while the store is down joins the suite, now that sidecars hand out configuration. Ruled out: settling after each event, which rebuilds a view for each.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -8,8 +8,15 @@
 	"github.com/pkg/errors"
 )
 
-// queueLength is how many events may wait for the loop.
-const queueLength = 1024
+const (
+	// queueLength is how many events may wait for the loop.
+	queueLength = 1024
+
+	// settleEvery is after how many events settled is called though more wait.
+	// Under a load that never lets the queue run empty, traffic would otherwise
+	// go by an old picture, and timers would not be set, for as long as it lasts.
+	settleEvery = 64
+)
 
 // Reducer is a role's control state. Step must not block, read a clock or do
 // I/O: time comes inside the event and effects go out as data.
@@ -31,8 +38,9 @@
 var ErrEnded = errors.New("loop: ended")
 
 // New returns a Loop that hands each effect to act, and calls settled each
-// time it has run out of events. Both run on the loop's goroutine: act must not
-// post to the loop from there, and neither may block for long.
+// time it has run out of events, or after a number of them. Both run on the
+// loop's goroutine: act must not post to the loop from there, and neither may
+// block for long.
 func New[E, F any](r Reducer[E, F], act func(F), settled func()) *Loop[E, F] {
 	return &Loop[E, F]{
 		reducer: r,
@@ -44,8 +52,15 @@
 	}
 }
 
-// Post queues an event. It reports false when the loop has ended.
+// Post queues an event. It reports false when the loop has ended, also while
+// there is room in the queue: who waits for what an event brings about would
+// else wait for good.
 func (l *Loop[E, F]) Post(event E) bool {
+	select {
+	case <-l.done:
+		return false
+	default:
+	}
 	select {
 	case l.events <- event:
 		return true
@@ -70,6 +85,7 @@
 // Run applies events until ctx ends.
 func (l *Loop[E, F]) Run(ctx context.Context) {
 	defer close(l.done)
+	unsettled := 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -78,8 +94,10 @@
 			continue
 		case event := <-l.events:
 			l.apply(event)
+			unsettled++
 		}
-		if len(l.events) == 0 {
+		if len(l.events) == 0 || unsettled >= settleEvery {
+			unsettled = 0
 			l.settled()
 		}
 	}
--- a/test/failure_test.go
+++ b/test/failure_test.go
@@ -321,4 +321,15 @@
 		f.vmFaults(standin.VMFaults{Down: true})
 		serves(one, two)
 	})
+
+	// All routers are replaced while the store is down. A new one has its
+	// configuration from the sidecars, or it would turn every caller away.
+	It("is not noticed by callers of a router that starts in it", func() {
+		former := f.addRouter()
+		Expect(send(http.MethodPost, chatURL(former), apiKey, ask(false, "notes"), nil).status).To(Equal(http.StatusOK))
+		f.faults(standin.ObjectFaults{Down: true})
+		former.session.Kill().Wait(startWithin)
+		r := f.addRouter()
+		serves(r, r)
+	})
 })
