gateway, dispatch: convictions that outlive a fleet, and a crashing hedge, tested

Cause: that a conviction outlives the replacement of every VM, and that a hedge is cancelled when its sibling's upstream crashes, had no test through callers. Change: a fleet whose routers are killed and whose sidecars are restarted answers a convicted request at once; a hedge is dropped after the crash. Seen to fail: without the write or the read of convictions the request runs again (502 upstream-failed for 422 quarantined); with the hedge left alone, "after the crash: []".

--- a/internal/gateway/promise_test.go
+++ b/internal/gateway/promise_test.go
@@ -316,3 +316,29 @@
 		f.send(f.ctx, late, http.MethodPost, "/services/"+booking+"/x", "third", header).expect(t, http.StatusOK, "ran", "")
 	})
 }
+
+// A request was found to crash upstreams last night, and by the morning every
+// VM of the fleet has been replaced. Its caller is still sending it. If nobody
+// remembers, it takes two upstreams each morning.
+func TestConvictionOutlivesEveryVM(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fleet) {
+		for i := range 10 {
+			f.call(i%testRouters, booking, poison, "")
+			time.Sleep(time.Second)
+		}
+		before := f.runs()[poison]
+		for _, kill := range f.kill {
+			kill()
+		}
+		for _, v := range f.vm {
+			f.restart(v)
+		}
+		late := len(f.gateways)
+		f.startRouter("late", f.store, f.vms)
+		time.Sleep(5 * time.Second)
+		f.call(late, booking, poison, "").expect(t, http.StatusUnprocessableEntity, "not-run", "quarantined")
+		if n := f.runs()[poison]; n != before || n > 2 {
+			t.Fatalf("%d upstreams crashed, %d of them before", n, before)
+		}
+	})
+}
--- a/internal/router/dispatch/dispatch_test.go
+++ b/internal/router/dispatch/dispatch_test.go
@@ -250,3 +250,22 @@
 		t.Fatalf("loser: %v", got)
 	}
 }
+
+// A clip fetch crashes its upstream while its hedge runs at the next one. Left
+// alone, the hedge crashes that one too, before anyone has heard of the first.
+func TestHedgeIsCancelledWhenItsSiblingCrashesAnUpstream(t *testing.T) {
+	now := time.Unix(1000, 0)
+	budget := &retry.Budget{}
+	for range 11 {
+		budget.Deposit(retry.MaxRatio)
+	}
+	s := New(Plan{Idempotent: true, Read: true, Offers: 2, HedgeAfter: time.Second}, budget)
+	s.Step(Began{Now: now})
+	s.Step(Ticked{Now: s.Wake()})
+	s.Step(Admitted{Attempt: 1})
+	crash := verdict.New(verdict.MayHaveRun, verdict.ReasonUpstreamFailed, "")
+	got := s.Step(Ended{Now: now, Attempt: 0, Err: crash})
+	if len(got) != 2 || got[0] != (Drop{Attempt: 1}) || got[1] != (Finish{Err: crash}) {
+		t.Fatalf("after the crash: %v", got)
+	}
+}
