router: write a request again that was not sent

With more upstreams the request went to another one and lost its cached prefix. Ruled out: to treat it like a lost connection; nothing was sent, so nothing is in doubt, and a deadline in between must not become may-have-run. Also ruled out: once more at once; that meets the same connection before its end has been noticed (seen: "cut after 2 bytes ... not sent" on the second try). Change: up to two more times, after 25 ms and more. Seen to fail: without it, "cut after 4 bytes: ... not sent"; with it, a cut after each of 0 to 399 bytes, three runs.

--- a/internal/gateway/promise_test.go
+++ b/internal/gateway/promise_test.go
@@ -342,3 +342,23 @@
 		}
 	})
 }
+
+// The one upstream of a small pool closes its idle connections, as when
+// certificates change, just as a request is written. Nothing was sent and a
+// fresh connection works, but the caller was refused.
+func TestRequestOutlivesAConnectionThatClosesAsItIsSent(t *testing.T) {
+	for up := range 400 {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(1, 1, 64)
+			defer f.close()
+			f.net.cut(func(*faultyConn) bool { return true })
+			f.net.mu.Lock()
+			f.net.faults = []fault{{up: up, down: -1}}
+			f.net.mu.Unlock()
+			r := f.call(0, booking, "book", "")
+			if strings.Contains(string(r.body), `"detail":"not sent`) {
+				t.Fatalf("cut after %d bytes: %s", up, r.body)
+			}
+		})
+	}
+}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/retry"
 	"github.com/parsleyfront/parsleyfront/internal/router/dispatch"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/token"
@@ -40,23 +42,24 @@
 // attempt is one attempt of a request. While busy, its fields other than gate
 // belong to the goroutine that carries out an effect, else to the Answer.
 type attempt struct {
-	ctx    context.Context
-	stop   context.CancelFunc
-	busy   bool // a goroutine is carrying out an effect; owned by the Answer
-	number int
-	vm     platform.VM
-	call   wire.Call
-	link   int       // place in the chain of the caller's key
-	key    *wire.Key // nil until drawn
-	leave  bool      // word of the site of a crash, for Submit
-	site   platform.VM
-	given  token.Nonce // of the key to which the site gave leave
-	gate   gate
-	stream *wire.Stream
-	pieces []wire.Piece // read ahead of delivery
-	offset int64        // of the next byte for the caller
-	headed bool         // the head has gone to the caller
-	span   telemetry.Span
+	ctx     context.Context
+	stop    context.CancelFunc
+	busy    bool // a goroutine is carrying out an effect; owned by the Answer
+	number  int
+	vm      platform.VM
+	call    wire.Call
+	link    int       // place in the chain of the caller's key
+	key     *wire.Key // nil until drawn
+	leave   bool      // word of the site of a crash, for Submit
+	site    platform.VM
+	given   token.Nonce // of the key to which the site gave leave
+	gate    gate
+	resends int // how often it was written again, since it had not been sent
+	stream  *wire.Stream
+	pieces  []wire.Piece // read ahead of delivery
+	offset  int64        // of the next byte for the caller
+	headed  bool         // the head has gone to the caller
+	span    telemetry.Span
 }
 
 // close ends the router's interest in the attempt.
@@ -98,6 +101,11 @@
 		Control:     a.router.control(now, at.vm.ID, a.pool, a.print),
 		Leave:       at.leave,
 	})
+	if unsent(adm, err) && at.resends < maxResends {
+		at.resends++
+		sleep(at.ctx, retry.Backoff(at.resends+1, rand.Float64()))
+		return a.submit(at)
+	}
 	if err != nil {
 		at.span.Fail(string(verdict.From(err).Reason))
 		return a.refusal(at, adm, err)
@@ -163,6 +171,18 @@
 	return nil
 }
 
+// maxResends is how often an attempt is written again that was not sent. The
+// first time may meet the same connection, before its end has been noticed.
+const maxResends = 2
+
+// unsent reports whether a call failed before any of it was sent. A connection
+// that was fine a moment ago has then been closed, as after a change of
+// certificates; a fresh one mostly works, and where a pool has no other
+// upstream the caller would be refused for nothing.
+func unsent(adm wire.Admission, err error) bool {
+	return err != nil && adm.Error == nil && verdict.From(err).Reason == verdict.ReasonNoUpstream
+}
+
 // refusal turns a failed call into an event. A sidecar's own word has an
 // admission or a reason of its own; everything else is a lost connection.
 func (a *Answer) refusal(at *attempt, adm wire.Admission, err error) dispatch.Event {
@@ -171,7 +191,7 @@
 	if adm.Error == nil && e.Reason == verdict.ReasonConnection {
 		return dispatch.Lost{Now: now, Attempt: at.number}
 	}
-	if adm.Error == nil && e.Reason == verdict.ReasonNoUpstream {
+	if unsent(adm, err) {
 		return dispatch.Unreachable{Now: now, Attempt: at.number, Err: e}
 	}
 	a.router.heard(now, at.vm, adm.Control)
