wire: submits and their replies are frames

Cause: profile of a router process at saturation: 12 of 100 parts of its processor time in sending the JSON-RPC call of a submit, 11 in reading its reply, 4 in decoding the result, most of it jsonrpc2's repeated passes. Change: Submit and its reply go as CBOR frames paired by the stream's id; the lock and the check that kept a submit and its call together go. JSON-RPC stays for all other calls. The gauge of open connections went up and never down; the test of Close fails without the fix (2 left). Ruled out: Attach as well; it comes once for each lost connection. Also bench/speed: several sidecars, sessions that spread over them, answers kept for ten seconds, since five minutes of a saturated sidecar's answers are more than any upstream makes.

--- a/bench/speed/fleet_test.go
+++ b/bench/speed/fleet_test.go
@@ -39,6 +39,7 @@
 
 var (
 	inProcess = flag.Bool("inprocess", false, "run router, sidecar and stub in this process")
+	sidecars  = flag.Int("sidecars", 4, "sidecars of a fleet; all have the same stub")
 	procs     = flag.Int("procs", 2, "GOMAXPROCS of each of the other processes")
 	fixedRate = flag.Float64("rate", 0, "unary calls a second to measure latencies at; default: half of what saturates the fleet")
 	before    = flag.String("before", "", "an older parsleyd to measure as well, in turns with this one")
@@ -63,10 +64,11 @@
 
 // path is a way from the caller to the stub.
 type path struct {
-	name                  string
-	url                   string // to which a path of the stub is added
-	admin                 string // the router's address for operators
-	routerPID, sidecarPID int    // 0 where there are none; this process's with -inprocess
+	name        string
+	url         string // to which a path of the stub is added
+	admin       string // the router's address for operators
+	routerPID   int    // 0 where there is none; this process's with -inprocess
+	sidecarPIDs []int
 }
 
 // newPaths starts the stub and the ways to it: directly; through two processes
@@ -98,10 +100,14 @@
 	if err := os.WriteFile(secrets, []byte(secret), 0o600); err != nil {
 		b.Fatal(err)
 	}
-	sidecar, router, admin := freeAddr(b), freeAddr(b), freeAddr(b)
+	router, admin := freeAddr(b), freeAddr(b)
 	f := path{name: name, admin: admin, url: "http://" + router + "/services/bench"}
-	f.sidecarPID = parsleyd(b, binary, sidecar, "sidecar", "--insecure-plain", "--slots", "20000", "--max-waiting", "20000", "--listen", sidecar, "--vm", "vm-1", "--upstream", stub)
-	vms.Set(platform.VM{ID: "vm-1", Role: platform.RoleUpstream, Addr: sidecar, Pool: "bench"})
+	for i := range *sidecars {
+		addr, vm := freeAddr(b), fmt.Sprintf("vm-%d", i)
+		pid := parsleyd(b, binary, addr, "sidecar", "--insecure-plain", "--slots", "20000", "--max-waiting", "20000", "--listen", addr, "--vm", vm, "--upstream", stub)
+		f.sidecarPIDs = append(f.sidecarPIDs, pid)
+		vms.Set(platform.VM{ID: vm, Role: platform.RoleUpstream, Addr: addr, Pool: "bench"})
+	}
 	f.routerPID = parsleyd(b, binary, router, "router", "--insecure-plain", "--listen", router, "--admin-listen", admin, "--vm", "vm-r", "--platform", p.URL, "--token-secrets", secrets)
 	await(b, func() bool {
 		resp, err := http.Get("http://" + router + "/readyz")
@@ -126,7 +132,7 @@
 		}
 	}
 	put(platform.KindProfile, "bench", profile.Profile{
-		Name: "bench", Pool: "bench", Service: "bench", Deadline: profile.Duration(time.Hour), Idempotent: true, LoadMultiple: profile.MaxLoadMultiple,
+		Name: "bench", Pool: "bench", Service: "bench", Deadline: profile.Duration(time.Hour), Idempotent: true, KeepAnswer: profile.MinKeepAnswer, LoadMultiple: profile.MaxLoadMultiple,
 		Queue: profile.Queue{PerUpstream: profile.MaxQueue, PerOrganisation: profile.MaxQueue},
 	})
 	put(platform.KindOrganisation, "org", profile.Organisation{
@@ -243,30 +249,34 @@
 // clockTick is the unit of processor times in /proc, 1/100 s on Linux.
 const clockTick = 10 * time.Millisecond
 
-// cpu returns the processor time that a process has used.
-func cpu(b *testing.B, pid int) time.Duration {
-	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		b.Fatal(err)
+// cpu returns the processor time that processes have used.
+func cpu(b *testing.B, pids ...int) (used time.Duration) {
+	for _, pid := range pids {
+		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+		if err != nil {
+			b.Fatal(err)
+		}
+		fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+2:]))
+		user, _ := strconv.Atoi(fields[11])
+		system, _ := strconv.Atoi(fields[12])
+		used += time.Duration(user+system) * clockTick
 	}
-	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+2:]))
-	user, _ := strconv.Atoi(fields[11])
-	system, _ := strconv.Atoi(fields[12])
-	return time.Duration(user+system) * clockTick
+	return used
 }
 
-// resident returns the resident memory of a process in bytes.
-func resident(b *testing.B, pid int) int {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		b.Fatal(err)
-	}
-	for line := range strings.Lines(string(status)) {
-		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
-			kb, _ := strconv.Atoi(strings.Fields(rest)[0])
-			return kb << 10
+// resident returns the resident memory of processes in bytes.
+func resident(b *testing.B, pids ...int) (bytes int) {
+	for _, pid := range pids {
+		status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+		if err != nil {
+			b.Fatal(err)
+		}
+		for line := range strings.Lines(string(status)) {
+			if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+				kb, _ := strconv.Atoi(strings.Fields(rest)[0])
+				bytes += kb << 10
+			}
 		}
 	}
-	b.Fatal("no VmRSS")
-	return 0
+	return bytes
 }
--- a/bench/speed/latency_test.go
+++ b/bench/speed/latency_test.go
@@ -10,12 +10,15 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
 
 var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1000, DisableCompression: true}}
 
+var sessions atomic.Int64
+
 func call(b *testing.B, url string) *http.Response {
 	req, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(make([]byte, unarySize)))
 	if err != nil {
@@ -23,6 +26,7 @@
 		return nil
 	}
 	req.Header.Set("Authorization", "Bearer "+apiKey)
+	req.Header.Set("Parsley-Session", strconv.FormatInt(sessions.Add(1), 10)) // they spread over the sidecars
 	resp, err := client.Do(req)
 	if err != nil {
 		b.Error(err)
@@ -85,7 +89,7 @@
 // saturate makes unary calls with many callers for a second.
 func (w *work) saturate(b *testing.B, p path) {
 	const callers = 64
-	router, sidecar := cpu(b, p.routerPID), cpu(b, p.sidecarPID)
+	router, sidecar := cpu(b, p.routerPID), cpu(b, p.sidecarPIDs...)
 	began := time.Now()
 	var done samples
 	var wg sync.WaitGroup
@@ -99,7 +103,7 @@
 	wg.Wait()
 	w.calls += len(done.d)
 	w.router += cpu(b, p.routerPID) - router
-	w.sidecar += cpu(b, p.sidecarPID) - sidecar
+	w.sidecar += cpu(b, p.sidecarPIDs...) - sidecar
 }
 
 // BenchmarkUnary compares 1 KB calls on each path, in turns: first with as many
--- a/bench/speed/memory_test.go
+++ b/bench/speed/memory_test.go
@@ -53,7 +53,7 @@
 	addr := freeAddr(b)
 	startStub(b, addr)
 	f := newFleet(b, "fleet", daemonBin, "http://"+addr)
-	router, sidecar := resident(b, f.routerPID), resident(b, f.sidecarPID)
+	router, sidecar := resident(b, f.routerPID), resident(b, f.sidecarPIDs...)
 	for range n {
 		c, err := openIdle(f.url + "/idle")
 		if c != nil {
@@ -65,7 +65,7 @@
 	}
 	time.Sleep(settle)
 	b.ReportMetric(float64(resident(b, f.routerPID)-router)/float64(n), "router-B/stream")
-	b.ReportMetric(float64(resident(b, f.sidecarPID)-sidecar)/float64(n), "sidecar-B/stream")
+	b.ReportMetric(float64(resident(b, f.sidecarPIDs...)-sidecar)/float64(n), "sidecar-B/stream")
 }
 
 // settle is how long the processes are left alone before they are measured.
--- a/internal/wire/bench_test.go
+++ b/internal/wire/bench_test.go
@@ -71,8 +71,7 @@
 				Call: Call{Method: "POST", Path: "/v1/chat/completions", Header: http.Header{"Content-Type": {"application/json"}}, Body: make([]byte, size)},
 			}
 			for range b.N {
-				var a Admission
-				if err := c.Call(context.Background(), MethodSubmit, s, &a); err != nil {
+				if _, err := c.submit(context.Background(), s); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -43,11 +43,13 @@
 	rpc     *jsonrpc2.Conn
 	link    *transport
 	handler Handler
-	submit  *Submit    // waits for its call; used by the reading goroutine alone
-	submits sync.Mutex // keeps a Submit and its call together
-	replies sync.Mutex // keeps link.method right for a reply
-	ponging sync.Mutex // held while a pong is written
+	ctx     context.Context // ends with the connection
+	replies sync.Mutex      // keeps link.method right for a reply
+	ponging sync.Mutex      // held while a pong is written
 	pulse   pulse
+
+	mu      sync.Mutex
+	submits map[StreamID]chan admitted // that wait for their reply
 }
 
 // NewConn runs the protocol over c until Close, until ctx ends or until c fails.
@@ -58,10 +60,16 @@
 // newConn calls onClose once the connection has ended.
 func newConn(ctx context.Context, c net.Conn, h Handler, onClose func(*Conn)) *Conn {
 	setKeepAlive(c)
-	conn := &Conn{link: newTransport(c, writeTimeout), handler: h}
+	conn := &Conn{link: newTransport(c, writeTimeout), handler: h, submits: make(map[StreamID]chan admitted)}
 	conn.link.onFrame = conn.handleFrame
-	if onClose != nil {
-		conn.link.onClose = func() { onClose(conn) }
+	ctx, cancel := context.WithCancel(ctx)
+	conn.ctx = ctx
+	conn.link.onClose = func() {
+		openConnections.Add(-1)
+		cancel()
+		if onClose != nil {
+			onClose(conn)
+		}
 	}
 	openConnections.Add(1)
 	conn.rpc = jsonrpc2.NewConn(ctx, conn.link, conn,
@@ -90,9 +98,6 @@
 	if req.Params != nil {
 		p.json = *req.Params
 	}
-	if Method(req.Method) == MethodSubmit {
-		p.submit, c.submit = c.submit, nil
-	}
 	go c.serveCall(ctx, rpc, req, p)
 }
 
@@ -100,9 +105,6 @@
 	m := Method(req.Method)
 	reply := &jsonrpc2.Response{ID: req.ID}
 	result, err := c.handler.HandleCall(ctx, c, m, p)
-	if adm, ok := result.(Admission); ok {
-		countControl(adm.Control)
-	}
 	if err == nil {
 		err = reply.SetResult(result)
 	}
@@ -143,7 +145,9 @@
 func (c *Conn) handleFrame(f Frame) {
 	switch f := f.(type) {
 	case Submit:
-		c.submit = &f
+		go c.serveSubmit(f)
+	case admitted:
+		c.deliver(f)
 	case ping:
 		c.pong()
 	case pong:
@@ -172,7 +176,7 @@
 	if ctx.Err() != nil {
 		return notSent(ctx.Err())
 	}
-	waiter, err := c.dispatch(ctx, m, params)
+	waiter, err := c.rpc.DispatchCall(ctx, string(m), params)
 	if err != nil {
 		return notSent(err)
 	}
@@ -186,18 +190,62 @@
 	return verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, "not sent: %s", err)
 }
 
-func (c *Conn) dispatch(ctx context.Context, m Method, params any) (jsonrpc2.Waiter, error) {
-	s, ok := params.(Submit)
-	if !ok {
-		return c.rpc.DispatchCall(ctx, string(m), params)
+// submit sends a Submit and waits for its reply. Errors are those of Call.
+func (c *Conn) submit(ctx context.Context, s Submit) (Admission, error) {
+	if ctx.Err() != nil {
+		return Admission{}, notSent(ctx.Err())
 	}
 	countControl(s.Control)
-	c.submits.Lock()
-	defer c.submits.Unlock()
+	reply := make(chan admitted, 1)
+	c.await(s.Stream, reply)
+	defer c.await(s.Stream, nil)
 	if err := c.link.writeFrame(s); err != nil {
-		return jsonrpc2.Waiter{}, err
+		return Admission{}, notSent(err)
+	}
+	select {
+	case a := <-reply:
+		if a.Error != nil {
+			return Admission{}, a.Error
+		}
+		return a.Admission, nil
+	case <-ctx.Done():
+		return Admission{}, verdict.New(verdict.MayHaveRun, verdict.ReasonConnection, "%s", ctx.Err())
+	case <-c.ctx.Done():
+		return Admission{}, errLost()
+	}
+}
+
+// await sets, or with nil takes away, who waits for the reply to a Submit.
+func (c *Conn) await(id StreamID, reply chan admitted) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if reply == nil {
+		delete(c.submits, id)
+		return
+	}
+	c.submits[id] = reply
+}
+
+// deliver hands a reply to who waits for it, once.
+func (c *Conn) deliver(a admitted) {
+	c.mu.Lock()
+	reply := c.submits[a.Stream]
+	delete(c.submits, a.Stream)
+	c.mu.Unlock()
+	if reply != nil {
+		reply <- a // it has room for the one
 	}
-	return c.rpc.DispatchCall(ctx, string(m), submitRef{Stream: s.Stream})
+}
+
+func (c *Conn) serveSubmit(s Submit) {
+	countControl(s.Control)
+	result, err := c.handler.HandleCall(c.ctx, c, MethodSubmit, Params{submit: &s})
+	reply := admitted{Stream: s.Stream, Error: verdict.From(err)}
+	if adm, ok := result.(Admission); ok {
+		countControl(adm.Control)
+		reply.Admission = adm
+	}
+	_ = c.link.writeFrame(reply)
 }
 
 // Send sends a frame. After an error other than ErrTooLarge the connection has
@@ -236,26 +284,17 @@
 // Params is the content of a call.
 type Params struct {
 	json   json.RawMessage
-	submit *Submit // that came ahead of a submit call
+	submit *Submit // instead, for a submit
 }
 
 // Decode decodes the content into v. An error is NotRun: nobody can have acted
 // on the call.
 func (p Params) Decode(v any) error {
-	s, isSubmit := v.(*Submit)
-	if !isSubmit {
-		return unreadable(json.Unmarshal(p.json, v))
-	}
-	var ref submitRef
-	if err := json.Unmarshal(p.json, &ref); err != nil {
-		return unreadable(err)
-	}
-	if p.submit == nil || p.submit.Stream != ref.Stream {
-		return unreadable(errors.New("the submit did not come with its call"))
+	if s, ok := v.(*Submit); ok && p.submit != nil {
+		*s = *p.submit
+		return nil
 	}
-	countControl(p.submit.Control)
-	*s = *p.submit
-	return nil
+	return unreadable(json.Unmarshal(p.json, v))
 }
 
 func unreadable(err error) error {
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -14,8 +14,9 @@
 
 // Kinds of frame. All but kindRPC hold CBOR.
 const (
-	kindRPC    kind = iota + 1 // a JSON-RPC call or reply
-	kindSubmit                 // the content of the submit call that comes next
+	kindRPC kind = iota + 1 // a JSON-RPC call or reply
+	kindSubmit
+	kindAdmitted
 	kindHead
 	kindData
 	kindEnd
@@ -44,27 +45,29 @@
 )
 
 var maxSize = [kindCount]int{
-	kindRPC:    MaxMessage,
-	kindSubmit: MaxBody + maxHead,
-	kindHead:   maxHead,
-	kindData:   MaxData + maxExtra,
-	kindEnd:    maxEnd,
-	kindCredit: maxSmall,
-	kindDetach: maxSmall,
-	kindPing:   maxSmall,
-	kindPong:   maxSmall,
+	kindRPC:      MaxMessage,
+	kindSubmit:   MaxBody + maxHead,
+	kindAdmitted: maxEnd,
+	kindHead:     maxHead,
+	kindData:     MaxData + maxExtra,
+	kindEnd:      maxEnd,
+	kindCredit:   maxSmall,
+	kindDetach:   maxSmall,
+	kindPing:     maxSmall,
+	kindPong:     maxSmall,
 }
 
 // labels names the kinds that are no calls, for the counters.
 var labels = [kindCount]Method{
-	kindSubmit: MethodSubmit,
-	kindHead:   "head",
-	kindData:   "data",
-	kindEnd:    "end",
-	kindCredit: "credit",
-	kindDetach: "detach",
-	kindPing:   "ping",
-	kindPong:   "pong",
+	kindSubmit:   MethodSubmit,
+	kindAdmitted: "admitted",
+	kindHead:     "head",
+	kindData:     "data",
+	kindEnd:      "end",
+	kindCredit:   "credit",
+	kindDetach:   "detach",
+	kindPing:     "ping",
+	kindPong:     "pong",
 }
 
 // StreamID numbers the readings of answers on one connection. Each Submit and
@@ -72,7 +75,10 @@
 // same answer is told from what belongs to the present one.
 type StreamID uint32
 
-// Frame is a Head, Data, End, Credit or Detach.
+// Frame is a Head, Data, End, Credit or Detach; within this package also a
+// Submit and its reply. Those are no JSON-RPC call because jsonrpc2 decodes and
+// encodes a message several times over, which was a quarter of what a request
+// cost a router.
 type Frame interface {
 	kind() kind
 }
@@ -114,23 +120,25 @@
 	Stream StreamID `cbor:"1,keyasint"`
 }
 
-// submitRef is all that the submit call itself carries. The Submit travels ahead
-// of it as a frame: jsonrpc2 would scan it nine times over.
-type submitRef struct {
-	Stream StreamID `json:"stream"`
+// admitted is the reply to the Submit of a stream.
+type admitted struct {
+	Stream    StreamID       `cbor:"1,keyasint"`
+	Admission Admission      `cbor:"2,keyasint"`
+	Error     *verdict.Error `cbor:"3,keyasint,omitempty"` // instead of an Admission
 }
 
 type ping struct{}
 type pong struct{}
 
-func (Head) kind() kind   { return kindHead }
-func (Data) kind() kind   { return kindData }
-func (End) kind() kind    { return kindEnd }
-func (Credit) kind() kind { return kindCredit }
-func (Detach) kind() kind { return kindDetach }
-func (Submit) kind() kind { return kindSubmit }
-func (ping) kind() kind   { return kindPing }
-func (pong) kind() kind   { return kindPong }
+func (Head) kind() kind     { return kindHead }
+func (Data) kind() kind     { return kindData }
+func (End) kind() kind      { return kindEnd }
+func (Credit) kind() kind   { return kindCredit }
+func (Detach) kind() kind   { return kindDetach }
+func (Submit) kind() kind   { return kindSubmit }
+func (admitted) kind() kind { return kindAdmitted }
+func (ping) kind() kind     { return kindPing }
+func (pong) kind() kind     { return kindPong }
 
 // decodeFrame decodes the content of a frame. It returns nil for a kind that
 // it does not know: a newer peer may send more than we understand.
@@ -148,6 +156,8 @@
 		return decodeAs[Detach](content)
 	case kindSubmit:
 		return decodeAs[Submit](content)
+	case kindAdmitted:
+		return decodeAs[admitted](content)
 	case kindPing:
 		return ping{}, nil
 	case kindPong:
--- a/internal/wire/fuzz_test.go
+++ b/internal/wire/fuzz_test.go
@@ -31,7 +31,7 @@
 	Data{Stream: 1, Offset: 7, Bytes: []byte("x")},
 	End{Stream: 1, Length: 8, Error: verdict.New(verdict.Ran, verdict.ReasonCancelled, "d")},
 	Credit{Stream: 1, UpTo: 9}, Detach{Stream: 1},
-	Submit{Stream: 1, Session: 2, Treatment: Treatment{Deadline: 3}, Call: Call{Body: []byte("y")}, Control: Control{Suspects: json.RawMessage("{}")}}, ping{}, pong{},
+	Submit{Stream: 1, Session: 2, Treatment: Treatment{Deadline: 3}, Call: Call{Body: []byte("y")}, Control: Control{Suspects: json.RawMessage("{}")}}, admitted{Stream: 1, Admission: Admission{Joined: true}}, ping{}, pong{},
 }
 
 // FuzzFrames reads a connection that may hold anything: it must end in an
@@ -74,7 +74,7 @@
 // FuzzMessages decodes the parameters and results of calls.
 func FuzzMessages(f *testing.F) {
 	types := []any{
-		submitRef{}, Attach{}, Cancel{}, StatusRequest{}, Status{}, Hello{}, Admission{},
+		Attach{}, Cancel{}, StatusRequest{}, Status{}, Hello{}, Admission{},
 		Notice{}, ConfigSince{}, ConfigDelta{}, Report{}, Order{}, OrderStatus{},
 	}
 	for i, v := range types {
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -68,18 +68,19 @@
 // that is NotRun with ReasonNoUpstream says that the request was not sent.
 func (p *Peer) Submit(ctx context.Context, s Submit) (*Stream, Admission, error) {
 	o := opening{nonce: s.Key.Nonce, window: s.Window}
-	return p.open(ctx, o, MethodSubmit, func(id StreamID) any {
+	return p.open(ctx, o, func(c *Conn, id StreamID) (Admission, error) {
 		s.Stream = id
-		return s
+		return c.submit(ctx, s)
 	})
 }
 
 // Attach asks for the answer to a request from an offset on.
 func (p *Peer) Attach(ctx context.Context, a Attach) (*Stream, Admission, error) {
 	o := opening{nonce: a.Key.Nonce, offset: a.Offset, window: a.Window, headSeen: a.HeadSeen}
-	return p.open(ctx, o, MethodAttach, func(id StreamID) any {
+	return p.open(ctx, o, func(c *Conn, id StreamID) (adm Admission, err error) {
 		a.Stream = id
-		return a
+		err = c.Call(ctx, MethodAttach, a, &adm)
+		return adm, err
 	})
 }
 
@@ -91,7 +92,8 @@
 	headSeen bool
 }
 
-func (p *Peer) open(ctx context.Context, o opening, m Method, params func(StreamID) any) (*Stream, Admission, error) {
+// open opens a stream by a call, which it hands the stream's id.
+func (p *Peer) open(ctx context.Context, o opening, call func(*Conn, StreamID) (Admission, error)) (*Stream, Admission, error) {
 	l, err := p.acquire(ctx)
 	if err != nil {
 		return nil, Admission{}, err
@@ -99,8 +101,8 @@
 	defer l.release()
 	// Frames can overtake the reply, so the stream is there before the call.
 	s := l.open(o)
-	var adm Admission
-	if err := l.conn.Call(ctx, m, params(s.id), &adm); err != nil {
+	adm, err := call(l.conn, s.id)
+	if err != nil {
 		s.Close()
 		return nil, Admission{}, err
 	}
--- a/internal/wire/peer_test.go
+++ b/internal/wire/peer_test.go
@@ -175,6 +175,7 @@
 // must return, and nothing may be left running.
 func TestCloseEndsAllThatWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		open := openConnections.Value()
 		n := &network{sidecar: newFakeSidecar()}
 		p := NewPeer(PeerConfig{Dial: n.dial})
 		hung := NewPeer(PeerConfig{Dial: func(ctx context.Context) (net.Conn, error) {
@@ -203,6 +204,9 @@
 		}
 		time.Sleep(time.Hour) // the fake's script
 		synctest.Wait()
+		if left := openConnections.Value() - open; left != 0 {
+			t.Errorf("%d connections count as open", left)
+		}
 	})
 }
 
