load, placement: beliefs brought up to now; a home is always tried

Cause: after a surge the mean fell with the trend while the loads that a router had heard stayed at the height of the surge. And in calm, homes at their bound were left out though they had room again by then.

Change: Table.Get brings a load up to now as the mean is, and a session's home is tried whatever its load is believed to be, unless its turns run concurrently. A refusal costs a message, a wrong belief costs the prefix.

--- a/internal/load/table.go
+++ b/internal/load/table.go
@@ -70,14 +70,18 @@
 	t.removeIf(func(e *entry) bool { return !wanted[e.vm] })
 }
 
-// Get returns the last report of an upstream, if it is not too old.
+// Get returns the last report of an upstream, if it is not too old, with the
+// load brought up to now by the pool's trend, as the mean is.
 func (t *Table) Get(now time.Time, vm VM) (Report, bool) {
+	ms := now.UnixMilli()
 	i, ok := t.index[vm]
-	if !ok || !t.entries[i].fresh(now.UnixMilli()) {
+	if !ok || !t.entries[i].fresh(ms) {
 		return Report{}, false
 	}
-	e := t.entries[i]
-	return Report{Load: int(e.load), Weight: int(e.weight), State: e.state}, true
+	e := &t.entries[i]
+	age := float64(ms-e.at) / 1000
+	load := t.trend.ahead(float64(e.load), float64(e.weight), age)
+	return Report{Load: int(math.Round(load)), Weight: int(e.weight), State: e.state}, true
 }
 
 // Mean returns the mean load for each unit of weight over the known upstreams
@@ -92,9 +96,7 @@
 	}
 	mean = float64(s.loads) / float64(s.weights)
 	age := float64(ms-s.times/s.weights) / 1000
-	change := t.trend.perSecond() * min(max(age, 0), trendSpan)
-	// Whatever samples claim, the trend does not outweigh them.
-	return mean + min(max(change, -mean/2), mean/2), int(s.known)
+	return t.trend.ahead(mean, 1, age), int(s.known)
 }
 
 // put records a sample unless a newer one is known.
--- a/internal/load/trend.go
+++ b/internal/load/trend.go
@@ -42,10 +42,12 @@
 	t.seconds += span * float64(new.weight)
 }
 
-// perSecond returns the rise of load in a second for each unit of weight.
-func (t *trend) perSecond() float64 {
+// ahead brings a load that was true age seconds ago up to now. Whatever samples
+// claim, the trend does not outweigh them.
+func (t *trend) ahead(load, weight, age float64) float64 {
 	if t.seconds < minEvidence {
-		return 0
+		return load
 	}
-	return t.rise / t.seconds
+	change := t.rise / t.seconds * weight * min(max(age, 0), trendSpan)
+	return load + min(max(change, -load/2), load/2)
 }
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -68,7 +68,7 @@
 		c.offerBelowMean([]int{ticket})
 		c.offerBelowMean(order)
 	}
-	c.offer(order[:min(len(order), 1)]...)
+	c.fill(order[:min(len(order), 1)])
 	if ticket != None {
 		c.offer(ticket)
 	}
