test: retries under a failing service, and a frozen one

Cause: the retry budget and the deadlines held in packages only. Change: a plain service in the test's process behind real sidecars and routers: one that breaks off every call gets at most 1.1 times what its callers send, and one that takes calls and says nothing is answered for at the deadline, as may-have-run, and freed of the call. Ruled out: a fault of the stand-in service; a handler in the test needs none.

--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -109,14 +109,21 @@
 	addr := freeAddr()
 	standin := append([]string{"--kind", kind, "--listen", addr, "--name", model}, settings...)
 	vm.upstream = start(standinPath, addr, standin...)
+	f.addSidecar(vm, pool, "http://"+addr)
+	return vm
+}
+
+// addSidecar starts the sidecar of an upstream that is served at a URL, and
+// lists the VM.
+func (f *fleet) addSidecar(vm *upstreamVM, pool, url string) {
+	GinkgoHelper()
 	sidecarAddr := freeAddr()
 	vm.admin = freeAddr()
-	args := []string{"sidecar", "--listen", sidecarAddr, "--upstream", "http://" + addr, "--admin-listen", vm.admin, "--platform", f.platformURL}
+	args := []string{"sidecar", "--listen", sidecarAddr, "--upstream", url, "--admin-listen", vm.admin, "--platform", f.platformURL}
 	args = append(args, f.trust.flags(secure.Identity{Role: secure.RoleSidecar, VM: vm.id})...)
 	vm.sidecar = start(daemonPath, sidecarAddr, args...)
 	f.list(platform.VM{ID: vm.id, Role: platform.RoleUpstream, Addr: sidecarAddr, Pool: pool})
 	f.upstreams = append(f.upstreams, vm)
-	return vm
 }
 
 func (f *fleet) list(vm platform.VM) {
