sidecar: hand cached prefixes to an upstream that joins

Cause: sessions go to the upstream that ranks first, so one that joins is sent chats whose prefixes are cached elsewhere.

Change: a sidecar announces itself to its pool once its upstream serves and the list of VMs names it; the others hand it the prefixes of the sessions that now rank it first, by the list and not by what the caller says. What was handed over is remembered, so that it is handed on at the next leave.

The test fails without the announcement, and without the memory of imports.

--- a/internal/daemon/role_test.go
+++ b/internal/daemon/role_test.go
@@ -107,10 +107,11 @@
 		case !c.allowed && (err == nil || refusal.Reason != verdict.ReasonForbidden || runs.Load() != 0):
 			t.Errorf("a %s had %d requests run: %v", c.id.Role, runs.Load(), err)
 		}
-		for _, method := range []wire.Method{wire.MethodOrder, wire.MethodCancel, wire.MethodNotice, wire.MethodReport, wire.MethodConfigSince, wire.MethodImport} {
+		for _, method := range []wire.Method{wire.MethodOrder, wire.MethodCancel, wire.MethodNotice, wire.MethodReport, wire.MethodConfigSince, wire.MethodImport, wire.MethodJoined} {
 			err := peer.Call(t.Context(), method, json.RawMessage("{}"), nil)
 			forbidden := err != nil && verdict.From(err).Reason == verdict.ReasonForbidden
-			if want := (method == wire.MethodImport) == c.allowed; forbidden != want {
+			between := method == wire.MethodImport || method == wire.MethodJoined // sidecars
+			if want := between == c.allowed; forbidden != want {
 				t.Errorf("%s calls %s: forbidden is %v, want %v (%v)", c.id.Role, method, forbidden, want, errors.Cause(err))
 			}
 		}
--- a/internal/sidecar/conn.go
+++ b/internal/sidecar/conn.go
@@ -55,9 +55,9 @@
 func permits(r secure.Role, m wire.Method) bool {
 	switch r {
 	case secure.RoleSidecar:
-		return m == wire.MethodHello || m == wire.MethodImport
+		return m == wire.MethodHello || m == wire.MethodImport || m == wire.MethodJoined
 	case secure.RoleRouter:
-		return m != wire.MethodImport
+		return m != wire.MethodImport && m != wire.MethodJoined
 	default:
 		return true // without TLS nobody says who it is
 	}
@@ -109,6 +109,11 @@
 		return serve(params, func(p wire.ConfigSince) (any, error) { return s.configSince(ctx, c, p) })
 	case wire.MethodOrder:
 		return serve(params, func(p wire.Order) (any, error) { return s.order(ctx, p) })
+	case wire.MethodJoined:
+		return serve(params, func(p wire.Joined) (any, error) {
+			s.loop.Post(Welcomed{Now: time.Now(), VM: p.VM})
+			return wire.Empty{}, nil
+		})
 	case wire.MethodImport:
 		return serve(params, func(p wire.Import) (any, error) { return s.takeImport(ctx, p) })
 	}
--- a/internal/sidecar/counters.go
+++ b/internal/sidecar/counters.go
@@ -21,11 +21,11 @@
 	forbiddenCalls = telemetry.NewCounter("sidecar_forbidden_calls_total",
 		"Calls refused because the caller's certificate is of a role that does not make them.", telemetry.Alert)
 	exportedSessions = telemetry.NewCounter("sidecar_exported_sessions_total",
-		"Cached prefixes handed to another upstream before leaving.")
+		"Cached prefixes handed to another upstream, before leaving or because it joined.")
 	exportFailures = telemetry.NewCounter("sidecar_export_failures_total",
 		"Cached prefixes that could not be handed over.")
 	importedSessions = telemetry.NewCounter("sidecar_imported_sessions_total",
-		"Cached prefixes taken over from upstreams that leave.")
+		"Cached prefixes taken over from other upstreams.")
 )
 
 var (
--- a/internal/sidecar/event.go
+++ b/internal/sidecar/event.go
@@ -95,11 +95,23 @@
 	Report wire.Report
 }
 
-// Exported is the end of the export of cached prefixes.
+// Exported is the end of the export of cached prefixes before leaving.
 type Exported struct {
 	Now time.Time
 }
 
+// Welcomed is word that another upstream has joined the pool.
+type Welcomed struct {
+	Now time.Time
+	VM  string
+}
+
+// Imported is a cached prefix that another sidecar has handed over.
+type Imported struct {
+	Now     time.Time
+	Session uint64
+}
+
 // Emptying is an order to take no new work until Refilled. The reply comes when
 // nothing runs.
 type Emptying struct {
@@ -134,6 +146,8 @@
 func (e Noticed) at() time.Time     { return e.Now }
 func (e Reported) at() time.Time    { return e.Now }
 func (e Exported) at() time.Time    { return e.Now }
+func (e Welcomed) at() time.Time    { return e.Now }
+func (e Imported) at() time.Time    { return e.Now }
 func (e Emptying) at() time.Time    { return e.Now }
 func (e Refilled) at() time.Time    { return e.Now }
 func (e Stopping) at() time.Time    { return e.Now }
@@ -201,6 +215,16 @@
 	Sessions []uint64
 }
 
+// Welcome hands the cached prefixes of those of sessions that rank first at a
+// VM that has joined to that VM.
+type Welcome struct {
+	VM       string
+	Sessions []uint64
+}
+
+// Announce tells the other upstreams of the pool that this one has joined.
+type Announce struct{}
+
 // Crashed tells operators of a crash of the upstream.
 type Crashed struct {
 	Running int // calls that were under way
@@ -225,6 +249,8 @@
 func (ReplyStatus) isEffect() {}
 func (Probe) isEffect()       {}
 func (Export) isEffect()      {}
+func (Welcome) isEffect()     {}
+func (Announce) isEffect()    {}
 func (Crashed) isEffect()     {}
 func (Turned) isEffect()      {}
 func (Exit) isEffect()        {}
--- a/internal/sidecar/export.go
+++ b/internal/sidecar/export.go
@@ -6,15 +6,21 @@
 	"sync"
 	"time"
 
-	"github.com/parsleyfront/parsleyfront/internal/load"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/platform"
 	"github.com/parsleyfront/parsleyfront/internal/upstream"
 	"github.com/parsleyfront/parsleyfront/internal/wire"
 )
 
-// exportAtOnce is how many prefixes are on their way at a time.
-const exportAtOnce = 4
+const (
+	// exportAtOnce is how many prefixes are on their way at a time.
+	exportAtOnce = 4
+	// announceWithin bounds the wait for the list of VMs to name a new VM, and
+	// its announcement to the others.
+	announceWithin = 2 * time.Minute
+	// listAgain is how often the list is read meanwhile.
+	listAgain = 2 * time.Second
+)
 
 // export hands the cached prefixes of sessions to the upstreams that rank first
 // for them once this one has left. It is best effort and bounded in time: a
@@ -31,51 +37,117 @@
 		exportFailures.Add(int64(len(sessions)))
 		return
 	}
-	x := exporter{sidecar: s, heirs: newHeirs(list.Entries, s.config.Settings.VM), peers: make(map[string]*wire.Peer)}
+	heirs := newHeirs(list.Entries, s.config.Settings.VM)
+	s.hand(ctx, sessions, heirs.of)
+}
+
+// welcome hands the cached prefixes of those of sessions that rank first at a
+// VM that has joined to that VM. Whoever asks for it, they go to VMs that the
+// list of VMs names, by their rank.
+func (s *Sidecar) welcome(e Welcome) {
+	if s.config.VMs == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, exportWithin)
+	defer cancel()
+	list, _, err := s.config.VMs.VMs(ctx, "")
+	if err != nil {
+		return
+	}
+	heirs := newHeirs(list.Entries, s.config.Settings.VM)
+	s.hand(ctx, e.Sessions, func(session uint64) (platform.VM, bool) {
+		home, ok := heirs.home(session)
+		return home, ok && home.ID == e.VM
+	})
+}
+
+// announce asks the other upstreams of the pool for the cached prefixes of the
+// sessions that rank first here now that this one has joined. Routers send
+// those here as soon as they see this VM in the list, and without their
+// prefixes each of them would be computed anew.
+func (s *Sidecar) announce() {
+	if s.config.VMs == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, announceWithin)
+	defer cancel()
+	heirs, ok := s.listed(ctx)
+	if !ok {
+		return
+	}
+	x := exporter{sidecar: s, peers: make(map[string]*wire.Peer)}
 	defer x.close()
-	x.run(ctx, sessions)
+	atOnce(exportAtOnce, heirs.others(), func(vm platform.VM) {
+		_ = x.peer(vm).Call(ctx, wire.MethodJoined, wire.Joined{VM: s.config.Settings.VM}, nil)
+	})
+}
+
+// listed waits until the list of VMs names this one.
+func (s *Sidecar) listed(ctx context.Context) (h heirs, ok bool) {
+	for {
+		list, _, err := s.config.VMs.VMs(ctx, "")
+		if err == nil {
+			if h = newHeirs(list.Entries, s.config.Settings.VM); h.self != placement.None {
+				return h, true
+			}
+		}
+		select {
+		case <-time.After(listAgain):
+		case <-ctx.Done():
+			return h, false
+		}
+	}
 }
 
-// takeImport gives the engine a prefix that a leaving sidecar hands over.
+// takeImport gives the engine a prefix that another sidecar hands over.
 func (s *Sidecar) takeImport(ctx context.Context, p wire.Import) (any, error) {
 	if err := s.config.Upstream.Import(ctx, p.Session, p.Cached); err != nil {
 		return nil, err
 	}
+	s.loop.Post(Imported{Now: time.Now(), Session: p.Session})
 	importedSessions.Inc()
 	return wire.Empty{}, nil
 }
 
-// exporter is one export.
-type exporter struct {
-	sidecar *Sidecar
-	heirs   heirs
-
-	mu    sync.Mutex
-	peers map[string]*wire.Peer // by VM
+// hand exports the prefixes of sessions and hands each to the VM that to names,
+// if it names one.
+func (s *Sidecar) hand(ctx context.Context, sessions []uint64, to func(uint64) (platform.VM, bool)) {
+	x := exporter{sidecar: s, peers: make(map[string]*wire.Peer)}
+	defer x.close()
+	atOnce(exportAtOnce, sessions, func(session uint64) {
+		if vm, ok := to(session); ok {
+			x.hand(ctx, session, vm)
+		}
+	})
 }
 
-func (x *exporter) run(ctx context.Context, sessions []uint64) {
-	work := make(chan uint64)
+// atOnce calls do for each of items, for up to n at a time.
+func atOnce[T any](n int, items []T, do func(T)) {
+	work := make(chan T)
 	var workers sync.WaitGroup
-	for range exportAtOnce {
+	for range n {
 		workers.Go(func() {
-			for session := range work {
-				x.hand(ctx, session)
+			for item := range work {
+				do(item)
 			}
 		})
 	}
-	for _, session := range sessions {
-		work <- session
+	for _, item := range items {
+		work <- item
 	}
 	close(work)
 	workers.Wait()
 }
 
-func (x *exporter) hand(ctx context.Context, session uint64) {
-	to, ok := x.heirs.of(session)
-	if !ok {
-		return
-	}
+// exporter is one export.
+type exporter struct {
+	sidecar *Sidecar
+
+	mu    sync.Mutex
+	peers map[string]*wire.Peer // by VM
+}
+
+func (x *exporter) hand(ctx context.Context, session uint64, to platform.VM) {
 	cached, err := x.sidecar.config.Upstream.Export(ctx, session)
 	if err == upstream.ErrNotCached {
 		return
@@ -109,47 +181,3 @@
 		p.Close()
 	}
 }
-
-// heirs are the upstreams of a pool, of which one leaves.
-type heirs struct {
-	vms  []platform.VM
-	pool *placement.Pool
-	self int // index of the one that leaves
-}
-
-func newHeirs(list []platform.VM, self string) heirs {
-	h := heirs{self: placement.None}
-	var own platform.VM
-	for _, vm := range list {
-		if vm.ID == self {
-			own = vm
-		}
-	}
-	var members []placement.Member
-	for _, vm := range list {
-		if vm.Role != platform.RoleUpstream || vm.Pool != own.Pool || (vm.Leaving && vm.ID != self) {
-			continue
-		}
-		if vm.ID == self {
-			h.self = len(members)
-		}
-		members = append(members, placement.Member{
-			VM:     load.Hash(vm.ID),
-			Seed:   placement.Seed(vm.ID),
-			Weight: vm.Weight,
-			Domain: vm.FailureDomain,
-		})
-		h.vms = append(h.vms, vm)
-	}
-	h.pool = placement.NewPool(members, placement.Locality{Domain: own.FailureDomain})
-	return h
-}
-
-// of returns the upstream that serves a session next.
-func (h *heirs) of(session uint64) (platform.VM, bool) {
-	i := h.pool.Successor(session, h.self)
-	if i == placement.None {
-		return platform.VM{}, false
-	}
-	return h.vms[i], true
-}
--- a/internal/sidecar/finish.go
+++ b/internal/sidecar/finish.go
@@ -104,6 +104,7 @@
 	}
 	effects := s.settleBroken(e.Now, h.State == upstream.Gone || restarted)
 	effects = append(effects, s.setDown(e.Now, h.State)...)
+	effects = append(effects, s.reviewJoin(h.State)...)
 	s.probe.next = e.Now.Add(s.probeEvery())
 	s.timers.add(s.probe.next, token.Nonce{})
 	return effects
--- /dev/null
+++ b/internal/sidecar/heirs.go
@@ -0,0 +1,66 @@
+package sidecar
+
+import (
+	"slices"
+
+	"github.com/parsleyfront/parsleyfront/internal/load"
+	"github.com/parsleyfront/parsleyfront/internal/placement"
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+)
+
+// heirs are the upstreams of a pool, to which one of them hands its prefixes.
+type heirs struct {
+	vms  []platform.VM
+	pool *placement.Pool
+	self int // index of the one that hands over, or placement.None
+}
+
+func newHeirs(list []platform.VM, self string) heirs {
+	h := heirs{self: placement.None}
+	var own platform.VM
+	for _, vm := range list {
+		if vm.ID == self {
+			own = vm
+		}
+	}
+	var members []placement.Member
+	for _, vm := range list {
+		if vm.Role != platform.RoleUpstream || vm.Pool != own.Pool || (vm.Leaving && vm.ID != self) {
+			continue
+		}
+		if vm.ID == self {
+			h.self = len(members)
+		}
+		members = append(members, placement.Member{
+			VM:     load.Hash(vm.ID),
+			Seed:   placement.Seed(vm.ID),
+			Weight: vm.Weight,
+			Domain: vm.FailureDomain,
+		})
+		h.vms = append(h.vms, vm)
+	}
+	h.pool = placement.NewPool(members, placement.Locality{Domain: own.FailureDomain})
+	return h
+}
+
+// of returns the upstream that serves a session once this one has left.
+func (h *heirs) of(session uint64) (platform.VM, bool) {
+	return h.at(h.pool.Successor(session, h.self))
+}
+
+// home returns the upstream that ranks first for a session.
+func (h *heirs) home(session uint64) (platform.VM, bool) {
+	return h.at(h.pool.Home(session))
+}
+
+// others returns all but this one.
+func (h *heirs) others() []platform.VM {
+	return slices.DeleteFunc(slices.Clone(h.vms), func(vm platform.VM) bool { return vm.ID == h.vms[h.self].ID })
+}
+
+func (h *heirs) at(i int) (platform.VM, bool) {
+	if i == placement.None {
+		return platform.VM{}, false
+	}
+	return h.vms[i], true
+}
--- /dev/null
+++ b/internal/sidecar/join_test.go
@@ -0,0 +1,144 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/admission"
+	"github.com/parsleyfront/parsleyfront/internal/platform"
+	"github.com/parsleyfront/parsleyfront/internal/token"
+	"github.com/parsleyfront/parsleyfront/internal/upstream"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
+)
+
+// kvUpstream is an engine with a cache of prefixes.
+type kvUpstream struct {
+	mu       sync.Mutex
+	cached   map[uint64]bool
+	imported []uint64
+}
+
+func (u *kvUpstream) Do(_ context.Context, r upstream.Request) (*upstream.Response, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.cached[r.Session] = true
+	return &upstream.Response{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader(""))}, nil
+}
+
+func (u *kvUpstream) Probe(context.Context) upstream.Health { return upstream.Health{} }
+
+func (u *kvUpstream) Export(_ context.Context, session uint64) ([]byte, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.cached[session] {
+		return nil, upstream.ErrNotCached
+	}
+	return []byte("kv"), nil
+}
+
+func (u *kvUpstream) Import(_ context.Context, session uint64, _ []byte) error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.cached[session] = true
+	u.imported = append(u.imported, session)
+	return nil
+}
+
+func (u *kvUpstream) taken() []uint64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.Sorted(slices.Values(u.imported))
+}
+
+// kvPool is a pool of sidecars, listed as they start.
+type kvPool struct {
+	mu    sync.Mutex
+	list  []platform.VM
+	pipes map[string]*pipes
+}
+
+func (p *kvPool) VMs(context.Context, string) (platform.VMs, bool, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return platform.VMs{Entries: slices.Clone(p.list)}, true, nil
+}
+
+func (p *kvPool) dial(ctx context.Context, vm platform.VM) (net.Conn, error) {
+	p.mu.Lock()
+	to := p.pipes[vm.ID]
+	p.mu.Unlock()
+	return to.dial(ctx)
+}
+
+func (p *kvPool) add(id string) *pipes {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pipes[id] = &pipes{conns: make(chan net.Conn), done: make(chan struct{})}
+	p.list = append(p.list, platform.VM{ID: id, Role: platform.RoleUpstream, Pool: "notes"})
+	return p.pipes[id]
+}
+
+// start runs a sidecar until stop, and gives it time to meet the others.
+func (p *kvPool) start(id string) (u *kvUpstream, stop func()) {
+	u = &kvUpstream{cached: make(map[uint64]bool)}
+	listener := p.add(id)
+	s := New(Config{
+		Settings: Settings{
+			VM: id, Incarnation: 1, Keys: 1000, Admission: admission.Config{Slots: 4, MaxWaiting: 4, MaxBytes: 1 << 20},
+			DetachGrace: time.Second, KeepAnswer: time.Second, StopWithin: time.Minute,
+		},
+		Buffer:   Buffer{PerAnswer: 64 << 10, Total: 1 << 20},
+		Upstream: u, VMs: p, Dial: p.dial,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(ctx, listener) }()
+	time.Sleep(time.Minute)
+	return u, func() { cancel(); <-served }
+}
+
+// Chats have their prefixes cached at one engine when a second one joins, and
+// routers send those to it that rank it first. Were they not handed over, each
+// would be computed anew. When the new engine leaves before they have returned,
+// they are to come back with it.
+func TestPrefixesFollowTheirSessionsAsUpstreamsJoinAndLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &kvPool{pipes: make(map[string]*pipes)}
+		first, stopFirst := p.start("vm-0")
+		peer := wire.NewPeer(wire.PeerConfig{Dial: p.pipes["vm-0"].dial})
+		const sessions = 40
+		for n := range byte(sessions) {
+			key := wire.Key{VM: "vm-0", Incarnation: 1, Nonce: token.Nonce{n}, Expires: time.Now().Add(time.Hour).Unix()}
+			if _, _, err := peer.Submit(t.Context(), wire.Submit{Key: key, Org: "club", Session: uint64(n) + 1, Window: 1 << 10}); err != nil {
+				t.Fatal(err)
+			}
+			synctest.Wait()
+		}
+		peer.Close()
+
+		second, stopSecond := p.start("vm-1")
+		heirs := newHeirs(p.list, "vm-1")
+		var homed []uint64
+		for session := uint64(1); session <= sessions; session++ {
+			if vm, _ := heirs.home(session); vm.ID == "vm-1" {
+				homed = append(homed, session)
+			}
+		}
+		if got := second.taken(); len(homed) == 0 || !slices.Equal(got, homed) {
+			t.Errorf("handed over at the join: %v, want %v", got, homed)
+		}
+		stopSecond()
+		if got := first.taken(); !slices.Equal(got, homed) {
+			t.Errorf("handed back at the leave: %v, want %v", got, homed)
+		}
+		stopFirst()
+	})
+}
--- a/internal/sidecar/leave.go
+++ b/internal/sidecar/leave.go
@@ -18,8 +18,9 @@
 	listedFor = 2 * time.Minute
 	// exportWithin bounds the export of cached prefixes.
 	exportWithin = 20 * time.Second
-	// recentSessions is how many sessions' prefixes are exported at most.
-	recentSessions = 512
+	// recentSessions is how many sessions' prefixes are exported at most: twice
+	// an upstream's share of 6.3 million chats over 2,900 upstreams.
+	recentSessions = 4096
 )
 
 // leave is what is known of the upstream's leaving.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -31,8 +31,8 @@
 	// Token reads the controller's fencing token from the store; nil: there is
 	// no store, and no order is taken.
 	Token func(ctx context.Context) (wire.FencingToken, error)
-	// VMs and Dial serve the export of cached prefixes when the upstream
-	// leaves. Without VMs nothing is exported.
+	// VMs and Dial serve the handing over of cached prefixes when upstreams
+	// leave and join. Without VMs nothing is handed over.
 	VMs  platform.VMList
 	Dial func(ctx context.Context, vm platform.VM) (net.Conn, error)
 }
@@ -153,6 +153,10 @@
 		go s.probe()
 	case Export:
 		go s.export(e.Sessions)
+	case Welcome:
+		go s.welcome(e)
+	case Announce:
+		go s.announce()
 	case Crashed:
 		crashes.Inc()
 		slog.Error("the upstream has crashed", "vm", s.config.Settings.VM, "running", e.Running)
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -61,6 +61,7 @@
 	leave    leave
 	emptying emptying
 	recent   sessions
+	join     join
 	turned   Turned // as told last
 }
 
@@ -159,6 +160,10 @@
 		return s.reported(e)
 	case Exported:
 		s.leave.exported = true
+	case Welcomed:
+		return s.welcomed(e)
+	case Imported:
+		s.recent.touch(e.Session)
 	case Configured:
 		return s.configured(e)
 	case ConfigAsked:
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -40,9 +40,10 @@
 	MethodConfigSince Method = "config.since"
 )
 
-// Calls from a leaving sidecar to another.
+// Calls from a sidecar that leaves or has joined to another.
 const (
 	MethodImport Method = "import"
+	MethodJoined Method = "joined"
 )
 
 // Key is a request key without its signature.
@@ -179,6 +180,12 @@
 	Cached  []byte `json:"cached"` // as the engine exported it
 }
 
+// Joined asks a sidecar to hand over the cached prefixes of the sessions that
+// rank first at an upstream that has joined the pool.
+type Joined struct {
+	VM string `json:"vm"`
+}
+
 // Report tells a sidecar of suspects for which it is the home: a resend of the
 // request would be offered to it first.
 type Report struct {
