sidecar, router: samples where they pay; the load as a request found it

Change: five samples with each submission, refusal and end of an answer, none with an admission; the reply to an admitted request tells the load that it found.

Ruled out: samples with admissions, which follow the end of another answer within a second anyway.

--- a/internal/router/belief.go
+++ b/internal/router/belief.go
@@ -10,7 +10,7 @@
 )
 
 // samplesPerMessage is how many loads of other upstreams go with each message.
-const samplesPerMessage = 8
+const samplesPerMessage = 5
 
 // beliefs are the loads of one pool's upstreams as this router has heard them.
 // They outlive the views that refer to them, so a new sample costs one entry
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	// samplesTold is how many loads of other upstreams a reply carries.
-	samplesTold = 8
+	// samplesTold is how many loads of other upstreams a refusal or the end of
+	// an answer carries.
+	samplesTold = 5
 	// suspectsTold is how much of a reply may be word of suspects, in bytes.
 	suspectsTold = 256
 )
--- a/internal/sidecar/submit.go
+++ b/internal/sidecar/submit.go
@@ -60,8 +60,18 @@
 	}
 	s.table.Admit(a)
 	s.enter(e.Now, e.Submit, alone)
-	return append([]Effect{Open{Nonce: e.Submit.Key.Nonce, Org: e.Submit.Org}},
-		s.reply(e.Now, e.Ticket, wire.Admission{})...)
+	return []Effect{Open{Nonce: e.Submit.Key.Nonce, Org: e.Submit.Org}, s.admitted(e.Now, e.Ticket)}
+}
+
+// admitted is the reply to a request that has been admitted. It tells the load
+// that the request found: requests come more often to where many are already,
+// and with each of them counted in its own report the pool's mean would come out
+// too high. Samples of others come with the end of the answer.
+func (s *State) admitted(now time.Time, t Ticket) Effect {
+	c := s.control(now)
+	c.Load--
+	c.Samples = nil
+	return Reply{Ticket: t, Admission: wire.Admission{Control: c}}
 }
 
 // found turns what the table knows of a key into a reply.
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -94,7 +94,9 @@
 
 // Control is what nodes tell each other on the back of a request or a reply.
 type Control struct {
-	Load         int              `json:"load,omitempty"`          // requests admitted and not yet ended; of sidecars
+	// Load is, of sidecars, the requests admitted and not yet ended. The reply to
+	// a Submit that has been admitted tells them as it found them.
+	Load         int              `json:"load,omitempty"`
 	Running      int              `json:"running,omitempty"`       // those of them at the upstream
 	Draining     bool             `json:"drain,omitempty"`         // the sidecar takes no new work
 	Down         bool             `json:"down,omitempty"`          // the upstream does not answer its sidecar
