exchange: the end of a stream that comes with its last event is no pause

Change: a Stream remembers that its body is over. Test: TestNoteEndsWithItsLastEvent, 3 runs of a note before, 1 now.

--- a/internal/exchange/stream.go
+++ b/internal/exchange/stream.go
@@ -29,6 +29,7 @@
 	release func() bool
 	headed  bool
 	buf     []byte
+	over    bool // the body has ended, though its last bytes had yet to be handed out
 	closed  bool
 	pause   time.Duration // that the next piece may take; zero: any
 }
@@ -78,13 +79,16 @@
 	if s.buf == nil {
 		s.buf = make([]byte, pieceBytes)
 	}
-	if s.pause > 0 && s.silent() {
+	if !s.over && s.pause > 0 && s.silent() {
 		return wire.Piece{}, ErrSilent
 	}
 	for {
 		n, err := s.resp.Body.Read(s.buf)
 		switch {
 		case n > 0:
+			// The end comes with the last bytes if it was in one packet with them.
+			// Nothing follows then, which is not to be taken for a pause.
+			s.over = errors.Is(err, io.EOF)
 			return wire.Piece{Bytes: s.buf[:n]}, nil
 		case errors.Is(err, io.EOF):
 			s.finish()
