config: removals that a listing shows are pulled at once where one reads for many

A delta tells no such removal, and the whole pull that does was allowed once a minute. Routers that had used it kept the runner for seconds, gave up one parent after the other as one that cannot be pulled from, and told those that relied on them so. Ruled out: pulls that are slow or fail (3 to 60 ms, none failed); a draining state that was overwritten (this runner never said that it leaves). Change: with a relay, everything is pulled at once when a peer's listing is newer than the last one pulled. Without one, hundreds of routers list and the minute stays. Test: TestRemovalsThatAListingShowsArePulledAtOnce.

--- a/internal/config/follow_peer.go
+++ b/internal/config/follow_peer.go
@@ -37,7 +37,9 @@
 const refreshEvery = time.Minute
 
 // wholeEvery bounds how often everything is pulled because the peers have
-// forgotten deletions that this node may not know of.
+// forgotten deletions that this node may not know of. Where hundreds of routers list
+// the store, one of them always has listed it a moment ago. Where one does for all,
+// each of its listings is pulled once by those that were behind.
 const wholeEvery = time.Minute
 
 // repair is what has been tried about a peer whose objects differ from ours
@@ -48,6 +50,7 @@
 	width  int // index of the next width
 	resync time.Time
 	whole  time.Time
+	known  topo.Version // of the peer from which everything was pulled last
 }
 
 // futile is a version that a peer has claimed and not made good: it holds an
@@ -276,10 +279,10 @@
 	case f.set.Mark().same(d.Mark):
 		// None of the deletions mattered to us.
 		f.set.listed = max(f.set.listed, d.Known)
-	case e.Now.Before(f.repair.whole):
+	case e.Now.Before(f.repair.whole) && !(f.pace.Relayed && d.Known > f.repair.known):
 		return nil
 	default:
-		f.repair.whole = e.Now.Add(wholeEvery)
+		f.repair.whole, f.repair.known = e.Now.Add(wholeEvery), d.Known
 		return f.ask(e.Now, p.peer, 0)
 	}
 	return append(out, f.changed(Batch{Claim: &Claim{From: p.query.Since, To: p.complete}})...)
--- a/internal/config/follow_store.go
+++ b/internal/config/follow_store.go
@@ -45,7 +45,7 @@
 	switch {
 	case f.failures > 0:
 		return f.pace.WatchWaitAfterFailure
-	case !f.pace.ReadsForOthers || f.storeHeard.IsZero():
+	case !f.pace.Relayed || f.storeHeard.IsZero():
 		return f.pace.WatchWait
 	}
 	least := time.Duration(watchLeast * float64(f.pace.WatchWait))
--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -51,9 +51,10 @@
 	// it a burst of changes would wake every router for each of them, which at
 	// 330 routers is more than the store serves.
 	WatchPause time.Duration
-	// ReadsForOthers is set where other routers rely on what this one reads: a pause
-	// is then part of the watch that follows it, which costs a tenth more calls.
-	ReadsForOthers bool
+	// Relayed is set where routers rely on what one of them reads. A pause is then
+	// part of the watch that follows it, which costs a tenth more calls; and what a
+	// listing has shown to be gone is pulled at once, since few routers list.
+	Relayed bool
 	// RetryFirst and RetryMost bound the pause after a failed call of the store.
 	RetryFirst, RetryMost time.Duration
 	// PeersFirst is how long a new router waits for peers to give it a
--- a/internal/config/follower_test.go
+++ b/internal/config/follower_test.go
@@ -135,6 +135,53 @@
 	}
 }
 
+// exchange has a follower ask another one until it has nothing more to ask.
+func exchange(to, from *Follower, now time.Time, asks []Effect) {
+	for len(asks) > 0 {
+		var next []Effect
+		for _, e := range asks {
+			if ask, ok := e.(Ask); ok {
+				next = append(next, to.Step(Answered{Now: now, Peer: ask.Peer, Delta: from.set.Answer(ask.Query)})...)
+			}
+		}
+		asks = next
+	}
+}
+
+// Three runners are removed from the store, one after the other, and each time another
+// router has begun to read for all meanwhile: it knows the removal from its listing,
+// which tells no deletions. Those that rely on it must hear of each of them, or they
+// send requests to runners that are gone for as long as a minute.
+func TestRemovalsThatAListingShowsArePulledAtOnce(t *testing.T) {
+	now := time.Unix(0, 0)
+	runner := func(i int, v topo.Version) topo.Object {
+		return topo.Object{Ref: topo.Ref{Kind: "runners", Name: fmt.Sprint(i)}, Version: v, Value: value(i)}
+	}
+	pace := DefaultPace()
+	pace.Relayed = true
+	reader, to := NewFollower(1, pace), NewFollower(2, pace)
+	reader.Step(Listed{Now: now, Objects: []topo.Object{runner(1, 1), runner(2, 2), runner(3, 3), runner(4, 4)}, Version: 4})
+	to.Step(Ticked{Now: now})
+	to.Step(Duty{Now: now})
+	exchange(to, reader, now, to.Step(PeersChanged{Now: now, Peers: []Peer{"reader"}}))
+	left := []topo.Object{runner(2, 2), runner(3, 3), runner(4, 4)}
+	for gone := 1; gone <= 3; gone++ {
+		now = now.Add(2 * time.Second)
+		version := topo.Version(4 + gone)
+		reader.Step(Listed{Now: now, Objects: left, Version: version})
+		reader.set.Apply(Batch{Objects: []topo.Object{runner(4, version)}, Claim: &Claim{To: version}})
+		left = left[1:]
+		mark := reader.set.Mark()
+		exchange(to, reader, now, to.Step(Heard{Now: now, Peer: "reader", Mark: mark}))
+		if _, listed := to.set.Get(runner(gone, 1).Ref); listed {
+			t.Errorf("runner %d is still listed", gone)
+		}
+		if to.set.Version() != mark.Version {
+			t.Errorf("after removal %d: up to version %d, want %d", gone, to.set.Version(), mark.Version)
+		}
+	}
+}
+
 // A router has lost the store, and waits for its next try. Another of its calls is
 // answered meanwhile: it tries again at once, since a change may be in force that it
 // has not heard of.
@@ -163,7 +210,7 @@
 // pause: the others would take it for cut off, and all read the store themselves.
 func TestPauseIsPartOfTheWatch(t *testing.T) {
 	pace := DefaultPace()
-	pace.ReadsForOthers = true
+	pace.Relayed = true
 	f, now := NewFollower(1, pace), time.Unix(0, 0)
 	f.Step(Listed{Now: now, Objects: []topo.Object{at(2)}, Version: 2})
 	f.Step(Watched{Now: now, Since: 2, Page: topo.Page{Version: 3, Objects: []topo.Object{at(3)}}})
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -193,7 +193,7 @@
 	pace.RetryMost = storeRetryMost
 	pace.PeersFirst = 0
 	pace.Settle = settleTime
-	pace.ReadsForOthers = n.Packets != nil
+	pace.Relayed = n.Packets != nil
 	return router.Config{
 		Store:  store,
 		Source: platform.NewConfig(store),
