config, relay: a whole pull that fails is tried again; followers do not all read

And when the reader said that the store refuses it, those who only pass that on said so too: ten routers began to read in the same millisecond, eight more a tenth of a second later. Change: a whole pull counts when it is over; a claim is given up only when nothing more is asked; only who reads says that the store does not answer. Test: TestRemovalsThatAListingShowsArePulledAtOnce now loses each whole pull once.

--- a/internal/config/follow_peer.go
+++ b/internal/config/follow_peer.go
@@ -258,7 +258,7 @@
 		f.heard[e.Peer] = struct{}{}
 	}
 	out := f.conclude(e, p)
-	if e.Delta.Mark.Version > f.set.Version() {
+	if f.pull == nil && e.Delta.Mark.Version > f.set.Version() {
 		f.futile = futile{version: e.Delta.Mark.Version, until: e.Now.Add(checkEvery)}
 	}
 	if f.pull == nil {
@@ -275,6 +275,7 @@
 	case p.query.Mark.Complete >= d.Known:
 		// No deletion that the peer has forgotten is news to us.
 	case p.whole():
+		f.repair.known = d.Known
 		out = tell(f.set.Retain(p.seen, d.Known))
 	case f.set.Mark().same(d.Mark):
 		// None of the deletions mattered to us.
@@ -282,7 +283,7 @@
 	case e.Now.Before(f.repair.whole) && !(f.pace.Relayed && d.Known > f.repair.known):
 		return nil
 	default:
-		f.repair.whole, f.repair.known = e.Now.Add(wholeEvery), d.Known
+		f.repair.whole = e.Now.Add(wholeEvery)
 		return f.ask(e.Now, p.peer, 0)
 	}
 	return append(out, f.changed(Batch{Claim: &Claim{From: p.query.Since, To: p.complete}})...)
--- a/internal/config/follower_test.go
+++ b/internal/config/follower_test.go
@@ -138,20 +138,27 @@
 // exchange has a follower ask another one until it has nothing more to ask.
 func exchange(to, from *Follower, now time.Time, asks []Effect) {
 	for len(asks) > 0 {
-		var next []Effect
-		for _, e := range asks {
-			if ask, ok := e.(Ask); ok {
-				next = append(next, to.Step(Answered{Now: now, Peer: ask.Peer, Delta: from.set.Answer(ask.Query)})...)
-			}
+		asks = answerOnce(to, from, now, asks)
+	}
+}
+
+// answerOnce has a follower's questions answered by another one, and returns what it
+// wants then.
+func answerOnce(to, from *Follower, now time.Time, asks []Effect) []Effect {
+	var next []Effect
+	for _, e := range asks {
+		if ask, ok := e.(Ask); ok {
+			next = append(next, to.Step(Answered{Now: now, Peer: ask.Peer, Delta: from.set.Answer(ask.Query)})...)
 		}
-		asks = next
 	}
+	return next
 }
 
 // Three runners are removed from the store, one after the other, and each time another
 // router has begun to read for all meanwhile: it knows the removal from its listing,
 // which tells no deletions. Those that rely on it must hear of each of them, or they
-// send requests to runners that are gone for as long as a minute.
+// send requests to runners that are gone for as long as a minute. That holds also where
+// the router that is asked for everything ceases to answer then.
 func TestRemovalsThatAListingShowsArePulledAtOnce(t *testing.T) {
 	now := time.Unix(0, 0)
 	runner := func(i int, v topo.Version) topo.Object {
@@ -172,6 +179,10 @@
 		reader.set.Apply(Batch{Objects: []topo.Object{runner(4, version)}, Claim: &Claim{To: version}})
 		left = left[1:]
 		mark := reader.set.Mark()
+		first := to.Step(Heard{Now: now, Peer: "lost", Mark: mark})
+		answerOnce(to, reader, now, first) // then it asks for everything, in vain
+		to.Step(AskFailed{Now: now, Peer: "lost"})
+		now = now.Add(pace.PullEvery)
 		exchange(to, reader, now, to.Step(Heard{Now: now, Peer: "reader", Mark: mark}))
 		if _, listed := to.set.Get(runner(gone, 1).Ref); listed {
 			t.Errorf("runner %d is still listed", gone)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -64,8 +64,9 @@
 	// it routers that lost the store would rely on each other in a circle, until what
 	// one of them knew before has grown too old.
 	Path []string `cbor:"4,keyasint,omitempty"`
-	// Failing tells that the store does not answer the sender, and nobody else does in
-	// its place: what it knows only grows older.
+	// Failing tells that the store does not answer the sender, which is to read it, and
+	// nobody else does in its place: what it knows only grows older. Those who only
+	// pass that on do not say so, or a whole region would read at once.
 	Failing   bool            `cbor:"5,keyasint,omitempty"`
 	Knowledge Sets[Knowledge] `cbor:"2,keyasint"`
 	// Sharing is what the sender knows beside that. A State does not look at it.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -362,6 +362,7 @@
 func TestRefusedReaderSaysSo(t *testing.T) {
 	const soon = bound / 2
 	for _, size := range []int{3, 5, 21, 28, 100} {
+		most := 0
 		for seed := range uint64(200 / size) {
 			w := newWorld(size, 4)
 			luck := rand.New(rand.NewPCG(seed, 0))
@@ -388,8 +389,9 @@
 			if told < size*9/10 {
 				t.Errorf("seed %d: %d of %d routers know after %v", seed, told, size, soon)
 			}
-			if n := w.turns - turns; n > size/2+8 {
-				t.Errorf("seed %d: %d routers began or ceased to read %d times", seed, size, n)
+			most = max(most, w.turns-turns)
+			if most > 24 {
+				t.Errorf("seed %d: %d routers began or ceased to read %d times", seed, size, most)
 			}
 		}
 	}
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -453,7 +453,7 @@
 	b := Beat{From: s.self, Knowledge: s.own, Failing: s.reading && s.failing}
 	source, at := s.own, s.ownAt
 	if s.parent != nil {
-		b.Failing = s.parent.beat.Failing
+		b.Failing = s.reading && s.parent.beat.Failing
 		b.Path = append(slices.Clone(s.parent.beat.Path), s.parent.node.Name)
 		source, at = s.parent.beat.Knowledge, s.parent.beatAt
 	}
