gateway: requests wait for a router's first configuration; callers that left are told once

Ruled out: the program's own start (14 ms from main to listening, 5 ms of processor time for all packages' initialisation). Change: in its first half second a router lets requests wait for its first configuration. A caller that has left is told of by the line on the request's end. Tests: TestRequestsWaitForTheFirstConfiguration (503 before), TestRequestsDoNotWaitForAStoreThatIsDown.

--- a/internal/gateway/hosted.go
+++ b/internal/gateway/hosted.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"log/slog"
 	"math"
@@ -44,18 +45,22 @@
 	router   *router.Router
 	dialect  Dialect
 	requests *telemetry.RequestLog
+	started  time.Time
 }
 
 // NewHosted returns the Hosted in front of r. Refusals are told to log, which may
 // be nil.
 func NewHosted(r *router.Router, d Dialect, log *telemetry.RequestLog) *Hosted {
-	return &Hosted{router: r, dialect: d, requests: log}
+	return &Hosted{router: r, dialect: d, requests: log, started: time.Now()}
 }
 
 // ServeHTTP implements http.Handler.
 func (g *Hosted) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &hostedExchange{w: w, r: r, arrived: time.Now(), view: g.router.View(), said: g.dialect.Read(r.Header)}
+	x := &hostedExchange{w: w, r: r, arrived: time.Now(), said: g.dialect.Read(r.Header)}
 	if err := g.serve(x); err != nil {
+		if errors.Is(err, context.Canceled) {
+			return // its caller is gone, which its own line tells
+		}
 		e := verdict.From(err)
 		x.logRefusal(g.requests, e)
 		writeHostedProblem(w, e)
@@ -86,7 +91,30 @@
 	org     *profile.Organisation
 }
 
+// startWait is for how long after its start a router lets requests wait for its
+// first configuration. It has read it after 25 to 90 ms where the store answers. All
+// callers come back at the same moment after a loss of power; refused then, each
+// would be a second late.
+const startWait = 500 * time.Millisecond
+
+// awaitStart waits until the router is ready, if it has only just started.
+func (g *Hosted) awaitStart(x *hostedExchange) {
+	left := startWait - time.Since(g.started)
+	if left <= 0 || g.router.Ready() {
+		return
+	}
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-g.router.Began():
+	case <-timer.C:
+	case <-x.r.Context().Done():
+	}
+}
+
 func (g *Hosted) serve(x *hostedExchange) error {
+	g.awaitStart(x)
+	x.view = g.router.View()
 	if !g.router.Ready() {
 		return verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, "no configuration is known yet").Later(time.Second)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -72,6 +72,8 @@
 	loop     *loop.Loop[Event, Effect]
 	state    *State
 	view     atomic.Pointer[View]
+	began    chan struct{} // closed when the router is ready for the first time
+	begin    sync.Once
 	limits   *limits
 	claims   *claimBudget
 	suspects *suspects
@@ -104,6 +106,7 @@
 		config:   c,
 		ctx:      ctx,
 		state:    NewState(c.VM, placement.Locality{Domain: c.FailureDomain}, c.Pace, rand.Uint64()),
+		began:    make(chan struct{}),
 		asked:    make(map[uint64]chan config.Delta),
 		limits:   newLimits(),
 		claims:   newClaimBudget(time.Now()),
@@ -172,6 +175,9 @@
 func (r *Router) publish() {
 	r.view.Store(r.state.View())
 	r.ledger.publish()
+	if r.Ready() {
+		r.begin.Do(func() { close(r.began) })
+	}
 }
 
 // View returns the present picture of the control state.
@@ -185,6 +191,11 @@
 	return v.Trusted && len(v.Profiles) > 0 && len(v.VMs) > 0
 }
 
+// Began is closed when the router is ready for the first time.
+func (r *Router) Began() <-chan struct{} {
+	return r.began
+}
+
 // Alive returns nil when the control loop turns.
 func (r *Router) Alive(ctx context.Context) error {
 	return r.loop.Probe(ctx)
