config: routers that read a whole configuration afresh agree on it

After the loss of all power, one reader listed the store just before that change and one just after it. The second never knew the route, has no deletion to tell of it, and did not say that its listing is the whole truth; who pulled from the first and then from it kept the route, and gave it to others when they compared. The two also gave what had not changed different versions, those of their listings. Ruled out: a watch that missed the change (both readers held it after 30 ms). Change: a listing of a whole source counts like any other listing, so that those who pull from its reader take over what is missing; and parts have the version at which the source was written, not that of the reading.

--- a/internal/config/follow_store.go
+++ b/internal/config/follow_store.go
@@ -155,7 +155,9 @@
 func (f *Follower) listedStore(e Listed) []Effect {
 	f.relist = false
 	if e.Whole {
-		return f.replaced(e.Now, e.Objects, e.Version)
+		// Of what it does not hold, this node may never have known that it is gone: it
+		// has no deletion to tell of it, and those that pull from it need them all.
+		return f.replaced(e.Now, e.Objects, e.Version, e.Version)
 	}
 	f.tellStore(e.Version)
 	f.nextList = e.Now.Add(f.jitter(f.listInterval()))
@@ -210,7 +212,7 @@
 		return f.changed(Batch{Objects: e.Page.Objects, Raw: true})
 	}
 	if e.Page.Whole && len(e.Page.Objects) > 0 {
-		return f.replaced(e.Now, e.Page.Objects, e.Page.Version)
+		return f.replaced(e.Now, e.Page.Objects, e.Page.Version, 0)
 	}
 	out := f.storeAnswered(e.Now)
 	f.tellStore(e.Page.Version)
@@ -225,8 +227,8 @@
 }
 
 // replaced takes all objects that exist at a version, from a source that does not
-// know when each of them changed last.
-func (f *Follower) replaced(now time.Time, objects []topo.Object, version topo.Version) []Effect {
+// know when each of them changed last. known is as in Batch.
+func (f *Follower) replaced(now time.Time, objects []topo.Object, version, known topo.Version) []Effect {
 	if version < f.set.Complete() {
 		f.fail(now) // a replica that lags
 		return nil
@@ -241,6 +243,7 @@
 	out := f.storeAnswered(now)
 	f.tellStore(version)
 	f.nextList = now.Add(f.jitter(f.listInterval()))
-	out = append(out, f.changed(Batch{Objects: f.set.difference(objects, version), Claim: &Claim{To: version}})...)
+	out = append(out, f.changed(Batch{Objects: f.set.difference(objects, version), Claim: &Claim{To: version}, Known: known})...)
+	f.set.listed = max(f.set.listed, known)
 	return append(out, f.listed(now, first)...)
 }
--- a/internal/config/follower_test.go
+++ b/internal/config/follower_test.go
@@ -193,6 +193,39 @@
 	}
 }
 
+// All routers lose power. Two of them read the whole configuration from the store when
+// they are back, one just before a change that takes a route away and one just after
+// it, which has never known that route. A third has pulled from the first and now pulls
+// from the second: the route must go, or its callers are served by it for good. What
+// has not changed is the same at both, so that nothing is pulled for the sake of it.
+func TestRouteThatAFreshReaderNeverKnewGoes(t *testing.T) {
+	now := time.Unix(0, 0)
+	route := func(name string, n int, v topo.Version) topo.Object {
+		return topo.Object{Ref: topo.Ref{Kind: topo.KindProfile, Name: name}, Version: v, Value: value(n)}
+	}
+	pace := DefaultPace()
+	pace.Relayed = true
+	before, after, to := NewFollower(1, pace), NewFollower(2, pace), NewFollower(3, pace)
+	before.Step(Listed{Now: now, Whole: true, Version: 223, Objects: []topo.Object{route("goes", 1, 220), route("stays", 2, 220)}})
+	after.Step(Listed{Now: now, Whole: true, Version: 225, Objects: []topo.Object{route("stays", 2, 224)}})
+	to.Step(Ticked{Now: now})
+	to.Step(Duty{Now: now})
+	exchange(to, before, now, to.Step(PeersChanged{Now: now, Peers: []Peer{"before"}}))
+	if n := to.set.Len(); n != 2 {
+		t.Fatalf("%d routes from the first reader", n)
+	}
+	now = now.Add(time.Second)
+	exchange(to, after, now, to.Step(Heard{Now: now, Peer: "after", Mark: after.set.Mark()}))
+	if _, held := to.set.Get(route("goes", 0, 0).Ref); held {
+		t.Error("a route that was taken away is in force")
+	}
+	late := NewFollower(4, pace)
+	late.Step(Listed{Now: now, Whole: true, Version: 230, Objects: []topo.Object{route("stays", 2, 224)}})
+	if late.set.Mark().Digest != after.set.Mark().Digest {
+		t.Error("two readers of the same configuration take each other for different")
+	}
+}
+
 // A router has lost the store, and waits for its next try. Another of its calls is
 // answered meanwhile: it tries again at once, since a change may be in force that it
 // has not heard of.
--- a/internal/config/set.go
+++ b/internal/config/set.go
@@ -313,7 +313,9 @@
 // difference returns what has changed when objects are all that exist at a
 // version: those with another value than the Set holds, and as deleted those that
 // are not among them. What is the same keeps the version at which it changed, so
-// that nodes which have seen different stages of the source still agree.
+// that nodes which have seen different stages of the source still agree. What is new
+// has the version that the source gives it, the one at which the source changed last:
+// two nodes that begin to read it at different times agree as well.
 func (s *Set) difference(objects []topo.Object, version topo.Version) []topo.Object {
 	var out []topo.Object
 	seen := make(map[topo.Ref]bool, len(objects))
@@ -324,7 +326,10 @@
 			continue
 		}
 		// The value may be a part of a text that would be kept for its sake.
-		o.Value, o.Version = bytes.Clone(o.Value), version
+		o.Value = bytes.Clone(o.Value)
+		if o.Version == 0 {
+			o.Version = version
+		}
 		out = append(out, o)
 	}
 	s.Objects(func(o topo.Object) {
