outlier: upstreams that fail more of their requests than others come last

Routers went on sending each session to its home; breakdowns and payment holds cannot be run again. Ruled out: retries (the requests that are lost may have run); health checks (priced, and they pass). Change: package outlier keeps how requests went at each upstream of a pool, fading in 1.5 s, and doubts one that fails more than the best third of the pool does, from its second failure on, longer each time. Late first bytes, lost and torn answers and 5xx count. What each router sees goes with the loads to the one that it relies on, and back to all. Doubted upstreams come last, and the bound on load is worked out for those that do the work. Lines tell who is doubted and on what grounds. The fading counts of hot sessions and of outcomes are one package, fade.

--- /dev/null
+++ b/internal/fade/fade_test.go
@@ -0,0 +1,26 @@
+package fade
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// Events come every tenth of a second for a minute. Whatever the moment at which
+// weights are worked out anew, the sum stays what an exponential window holds.
+func TestSumIsThatOfAWindow(t *testing.T) {
+	const span, gap = 2 * time.Second, 100 * time.Millisecond
+	c := NewClock(span)
+	now, sum := time.Unix(1_000_000, 0), 0.0
+	want := 1 / (1 - math.Exp(-gap.Seconds()/span.Seconds()))
+	for i := range 600 {
+		now = now.Add(gap)
+		if weight, due := c.Rebase(now); due {
+			sum /= weight
+		}
+		sum += c.Weight(now)
+		if got := sum / c.Weight(now); i > 300 && math.Abs(got-want) > 1e-4 {
+			t.Fatalf("event %d: the sum is %v, want %v", i, got, want)
+		}
+	}
+}
--- a/internal/load/demand.go
+++ b/internal/load/demand.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/fade"
 )
 
 const (
@@ -10,9 +12,6 @@
 	// it a router of a large fleet sees a hundred requests, so that a session with a
 	// tenth of them stands out.
 	demandFor = 4 * time.Second
-	// demandRebase is how often weights are worked out anew, before they grow out of
-	// proportion.
-	demandRebase = 4 * demandFor
 	// demandLeast is the weight below which a session is forgotten.
 	demandLeast = 0.05
 	// tookUsually is how long a request of a kind takes that has not been seen yet.
@@ -29,7 +28,7 @@
 // router sees a sliver of the traffic, but a session's share of it is the same as
 // everywhere. It is not safe for concurrent use.
 type Demand struct {
-	since  time.Time // when a request's weight was one
+	clock  fade.Clock
 	counts map[uint64]float64
 	total  float64                  // of the requests' times, in seconds
 	took   map[string]time.Duration // by kind of request, on average
@@ -37,7 +36,7 @@
 
 // NewDemand returns an empty Demand.
 func NewDemand() *Demand {
-	return &Demand{counts: make(map[uint64]float64), took: make(map[string]time.Duration)}
+	return &Demand{clock: fade.NewClock(demandFor), counts: make(map[uint64]float64), took: make(map[string]time.Duration)}
 }
 
 // Took takes in how long a request of a kind was in flight.
@@ -58,10 +57,10 @@
 	if !ok {
 		takes = tookUsually
 	}
-	if now.Sub(d.since) > demandRebase {
-		d.rebase(now)
+	if weight, due := d.clock.Rebase(now); due {
+		d.divide(weight)
 	}
-	weight := d.weight(now)
+	weight := d.clock.Weight(now)
 	d.counts[session] += weight
 	d.total += weight * takes.Seconds()
 	count := d.counts[session] / weight
@@ -69,15 +68,8 @@
 	return inFlight * weight / max(d.total, math.SmallestNonzeroFloat64)
 }
 
-// weight returns what a request at now weighs, against one at d.since.
-func (d *Demand) weight(now time.Time) float64 {
-	return math.Exp(now.Sub(d.since).Seconds() / demandFor.Seconds())
-}
-
-// rebase makes the weight of a request at now one.
-func (d *Demand) rebase(now time.Time) {
-	weight := d.weight(now)
-	d.since = now
+// divide makes all counts smaller, and forgets the sessions with next to nothing.
+func (d *Demand) divide(weight float64) {
 	d.total /= weight
 	for session, count := range d.counts {
 		if count /= weight; count < demandLeast {
--- a/internal/load/demand_test.go
+++ b/internal/load/demand_test.go
@@ -26,7 +26,7 @@
 	if most > 0.01 {
 		t.Errorf("share %.2f of a session that came by chance", most)
 	}
-	if share := d.Ask(now.Add(demandRebase+time.Second), 1, "chat"); share != 0 {
+	if share := d.Ask(now.Add(5*demandFor), 1, "chat"); share != 0 {
 		t.Errorf("share %.2f long after the surge", share)
 	}
 }
--- /dev/null
+++ b/internal/outlier/outlier.go
@@ -0,0 +1,247 @@
+// Package outlier finds the upstreams of a pool that fail more of their requests than
+// the others, from their answers alone: those that answer with errors, lose answers,
+// hang or break off while their health checks pass.
+//
+// A router's requests report how they went; placement asks whom to put last. What may
+// be assumed: an upstream is doubted only next to others that do better. Where all of
+// them fail alike, nobody is, since to turn from one to the other helps nobody.
+package outlier
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/fade"
+	"github.com/parsleyfront/parsleyfront/internal/load"
+)
+
+const (
+	// memory is the time in which an outcome loses its weight. An upstream that is well
+	// again gets requests after about as long. With 3 s, a fifth more of cached prompts
+	// are moved, and no fewer requests are lost.
+	memory = 1500 * time.Millisecond
+	// referenceShare is the part of a pool, those that do best, by which the others are
+	// measured: with most of a pool failing, its mean would excuse them.
+	referenceShare = 1.0 / 3
+	// doubtTimes and doubtMargin are how much larger than theirs the share of failures
+	// of an upstream is from which it is doubted. Two failures in ten requests are
+	// enough next to others without any; two in a hundred are not.
+	doubtTimes, doubtMargin = 2.0, 0.1
+	// prior is how many requests with the reference's share of failures each upstream
+	// is taken to have had, so that the first failure of many requests says little.
+	prior = 1.0
+	// leastFailures is the weight of failures below which an upstream is not doubted:
+	// the second one in a few seconds, whichever router it met. Doubted from the first
+	// one on, sessions leave upstreams that are well, and two fifths more of cached
+	// prompts are moved.
+	leastFailures = 1.2
+	// negligible is the weight of failures below which an upstream need not be judged.
+	negligible = 0.01
+	// doubtFor is how long an upstream is doubted at least, times how often it has been
+	// lately, up to repeatsMost; forgiveAfter is how long it must have been trusted for
+	// that to begin anew. One that goes on failing costs two requests each time that it
+	// is tried: with this, 5 of 80 are lost to one of four upstreams that loses all
+	// answers, and 8 without.
+	doubtFor     = 1500 * time.Millisecond
+	repeatsMost  = 4
+	forgiveAfter = 10 * time.Second
+	// judgeEvery is how old a judgement may be.
+	judgeEvery = 100 * time.Millisecond
+)
+
+// count is the outcomes of one upstream's requests, by weight.
+type count struct{ failed, all float64 }
+
+// Detector judges the upstreams of one pool. It is not safe for concurrent use.
+type Detector struct {
+	clock    fade.Clock
+	counts   map[load.VM]count // of this router and those that report to it
+	told     map[load.VM]count // of the whole fleet, by the router that this one relies on
+	news     map[load.VM]count // since they were reported last, each of weight one
+	failing  bool              // any upstream has failures that count
+	doubts   map[load.VM]doubt
+	judgedAt time.Time
+	changes  []Change
+}
+
+// doubt is an upstream that is doubted, or was so lately.
+type doubt struct {
+	now     bool
+	until   time.Time // it lasts so long at least
+	ended   time.Time // when it ended last
+	repeats int
+}
+
+// renewed returns the doubt of an upstream that is doubted from now on.
+func (d doubt) renewed(now time.Time) doubt {
+	if now.Sub(d.ended) > forgiveAfter {
+		d.repeats = 0
+	}
+	d.now = true
+	d.repeats = min(d.repeats+1, repeatsMost)
+	d.until = now.Add(time.Duration(d.repeats) * doubtFor)
+	return d
+}
+
+// Change is an upstream of which the judgement has changed.
+type Change struct {
+	VM      load.VM
+	Doubted bool
+	// Failed and All are the weights of its failures and of all its outcomes.
+	Failed, All float64
+}
+
+// Changes returns what has changed since it was called last.
+func (d *Detector) Changes() []Change {
+	out := d.changes
+	d.changes = nil
+	return out
+}
+
+// New returns a Detector that has seen nothing.
+func New() *Detector {
+	return &Detector{clock: fade.NewClock(memory), counts: make(map[load.VM]count), news: make(map[load.VM]count), doubts: make(map[load.VM]doubt)}
+}
+
+// Succeeded takes in that an upstream has answered a request.
+func (d *Detector) Succeeded(now time.Time, vm load.VM) {
+	d.add(now, vm, count{all: 1})
+}
+
+// Failed takes in that an upstream has failed a request.
+func (d *Detector) Failed(now time.Time, vm load.VM) {
+	d.add(now, vm, count{failed: 1, all: 1})
+}
+
+func (d *Detector) add(now time.Time, vm load.VM, n count) {
+	d.rebase(now)
+	d.counts[vm] = d.counts[vm].plus(n.times(d.clock.Weight(now)))
+	d.news[vm] = d.news[vm].plus(n)
+	if n.failed > 0 {
+		d.failing, d.judgedAt = true, time.Time{}
+	}
+}
+
+func (c count) plus(other count) count {
+	return count{failed: c.failed + other.failed, all: c.all + other.all}
+}
+
+func (c count) times(x float64) count {
+	return count{failed: c.failed * x, all: c.all * x}
+}
+
+// most returns the larger of each.
+func (c count) most(other count) count {
+	return count{failed: max(c.failed, other.failed), all: max(c.all, other.all)}
+}
+
+func (d *Detector) rebase(now time.Time) {
+	weight, due := d.clock.Rebase(now)
+	if !due {
+		return
+	}
+	for _, counts := range []map[load.VM]count{d.counts, d.told} {
+		for vm, c := range counts {
+			counts[vm] = c.times(1 / weight)
+		}
+	}
+}
+
+// Keep forgets every upstream that is not among members.
+func (d *Detector) Keep(members []load.VM) {
+	wanted := make(map[load.VM]bool, len(members))
+	for _, vm := range members {
+		wanted[vm] = true
+	}
+	for _, counts := range []map[load.VM]count{d.counts, d.told, d.news} {
+		maps.DeleteFunc(counts, func(vm load.VM, _ count) bool { return !wanted[vm] })
+	}
+	maps.DeleteFunc(d.doubts, func(vm load.VM, _ doubt) bool { return !wanted[vm] })
+	d.judgedAt = time.Time{}
+}
+
+// known returns what is known of each upstream, as of now: the larger of what was
+// counted here and what was told, which holds most of that too.
+func (d *Detector) known(now time.Time) map[load.VM]count {
+	d.rebase(now)
+	weight := d.clock.Weight(now)
+	out := make(map[load.VM]count, len(d.counts))
+	for vm, c := range d.counts {
+		out[vm] = c.times(1 / weight)
+	}
+	for vm, c := range d.told {
+		out[vm] = out[vm].most(c.times(1 / weight))
+	}
+	return out
+}
+
+// Doubts reports whether an upstream is doubted.
+func (d *Detector) Doubts(now time.Time, vm load.VM) bool {
+	d.refresh(now)
+	return d.doubts[vm].now
+}
+
+// Doubted returns how many upstreams are doubted.
+func (d *Detector) Doubted(now time.Time) int {
+	d.refresh(now)
+	n := 0
+	for _, doubt := range d.doubts {
+		if doubt.now {
+			n++
+		}
+	}
+	return n
+}
+
+func (d *Detector) refresh(now time.Time) {
+	if d.failing && now.Sub(d.judgedAt) > judgeEvery {
+		d.judge(now)
+	}
+}
+
+// judge works out who is doubted now.
+func (d *Detector) judge(now time.Time) {
+	known := d.known(now)
+	d.judgedAt, d.failing = now, false
+	best := reference(known)
+	for vm := range d.doubts {
+		if _, ok := known[vm]; !ok {
+			known[vm] = count{} // those of which nothing is known any more are settled as well
+		}
+	}
+	for vm, c := range known {
+		fails := c.failed >= leastFailures && (c.failed+prior*best)/(c.all+prior) > doubtTimes*best+doubtMargin
+		d.settle(now, vm, c, fails)
+		d.failing = d.failing || d.doubts[vm].now || c.failed > negligible
+	}
+}
+
+// settle takes in whether an upstream fails more than others now.
+func (d *Detector) settle(now time.Time, vm load.VM, c count, fails bool) {
+	doubt := d.doubts[vm]
+	switch {
+	case fails && !doubt.now:
+		doubt = doubt.renewed(now)
+	case !fails && doubt.now && !now.Before(doubt.until):
+		doubt.now, doubt.ended = false, now
+	default:
+		return
+	}
+	d.doubts[vm] = doubt
+	d.changes = append(d.changes, Change{VM: vm, Doubted: doubt.now, Failed: c.failed, All: c.all})
+}
+
+// reference returns the share of failures of the upstreams that do best.
+func reference(known map[load.VM]count) float64 {
+	counts := slices.Collect(maps.Values(known))
+	slices.SortFunc(counts, func(a, b count) int {
+		return cmp.Or(cmp.Compare(a.failed/(a.all+prior), b.failed/(b.all+prior)), cmp.Compare(b.all, a.all))
+	})
+	var best count
+	for _, c := range counts[:min(max(1, int(referenceShare*float64(len(counts))+0.5)), len(counts))] {
+		best = best.plus(c)
+	}
+	return best.failed / (best.all + prior)
+}
--- /dev/null
+++ b/internal/outlier/outlier_test.go
@@ -0,0 +1,87 @@
+package outlier
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/parsleyfront/parsleyfront/internal/load"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+var start = time.Unix(1_000_000, 0)
+
+// pool returns the upstreams of a pool.
+func pool(n int) []load.VM {
+	out := make([]load.VM, n)
+	for i := range out {
+		out[i] = load.VM(i + 1)
+	}
+	return out
+}
+
+// One runner loses two of its answers in half a second, with its health check good.
+// It comes last, and is tried again some seconds later.
+func TestFailingUpstreamIsDoubtedForAWhile(t *testing.T) {
+	d := New()
+	vms := pool(6)
+	for _, vm := range vms {
+		d.Succeeded(start, vm)
+	}
+	d.Failed(start, vms[0])
+	if d.Doubts(start, vms[0]) {
+		t.Error("doubted after a single failure")
+	}
+	now := start.Add(500 * time.Millisecond)
+	d.Failed(now, vms[0])
+	for _, vm := range vms {
+		if d.Doubts(now, vm) != (vm == vms[0]) {
+			t.Errorf("upstream %d doubted: %v", vm, d.Doubts(now, vm))
+		}
+	}
+	if d.Doubts(now.Add(3*memory), vms[0]) {
+		t.Error("still doubted long after")
+	}
+}
+
+// A service answers every seventh request with an error, at each of its runners alike.
+// To turn from one runner to another helps nobody, and costs its sessions their cache.
+func TestNobodyIsDoubtedWhereAllFailAlike(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := New()
+		vms := pool(rapid.IntRange(1, 20).Draw(t, "upstreams"))
+		every := rapid.IntRange(2, 10).Draw(t, "every")
+		now := start
+		for i := range 40 * every {
+			now = now.Add(time.Millisecond)
+			for _, vm := range vms {
+				if i%every == 0 {
+					d.Failed(now, vm)
+				} else {
+					d.Succeeded(now, vm)
+				}
+			}
+		}
+		if n := d.Doubted(now); n > 0 {
+			t.Errorf("%d of %d upstreams are doubted", n, len(vms))
+		}
+	})
+}
+
+// Upstreams come and go by the thousand: those that have left are forgotten.
+func TestKeepForgets(t *testing.T) {
+	d := New()
+	for _, vm := range pool(100) {
+		d.Failed(start, vm)
+	}
+	d.Keep(pool(3))
+	if len(d.counts) != 3 || len(d.news) != 3 {
+		t.Errorf("%d counts and %d to report are kept", len(d.counts), len(d.news))
+	}
+}
--- /dev/null
+++ b/internal/outlier/share.go
@@ -0,0 +1,113 @@
+package outlier
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleyfront/parsleyfront/internal/load"
+)
+
+// A router of many sees an upstream every few seconds, and a failure of it less often.
+// So each reports what it has seen to the router that it relies on, which tells all
+// what comes of it. Upstreams are named by their place in the pool's list, which both
+// must hold. An entry is the place, in two bytes, and the two counts, a byte each.
+const (
+	entrySize = 4
+	// reported is how many upstreams a report names, those with most failures.
+	reported = 96
+	// toldMost is how many are told to all, and toldLeast the weight of failures from
+	// which one is.
+	toldMost, toldLeast = 32, 0.5
+	// scale is how many steps of a told count make one; the largest is 31.
+	scale = 8
+	// placeMost is the highest place that two bytes hold.
+	placeMost = 1<<16 - 1
+)
+
+// ErrMalformed is a message that makes no sense.
+var ErrMalformed = errors.New("outlier: malformed message")
+
+// Report returns what was seen since the last report, for the router that this one
+// relies on; nil: nothing.
+func (d *Detector) Report(members []load.VM) []byte {
+	b := pack(members, d.news, 1, reported)
+	clear(d.news)
+	return b
+}
+
+// MergeReport takes in what another router reports. It goes on with the next Report.
+func (d *Detector) MergeReport(now time.Time, members []load.VM, b []byte) error {
+	return each(b, members, 1, func(vm load.VM, c count) { d.add(now, vm, c) })
+}
+
+// Told returns what the routers that rely on this one are to know; nil: nothing.
+func (d *Detector) Told(now time.Time, members []load.VM) []byte {
+	if !d.failing {
+		return nil
+	}
+	known := d.known(now)
+	for vm, c := range known {
+		if c.failed < toldLeast {
+			delete(known, vm)
+		}
+	}
+	return pack(members, known, scale, toldMost)
+}
+
+// MergeTold takes in what the router tells that this one relies on. It takes the place
+// of what was told before.
+func (d *Detector) MergeTold(now time.Time, members []load.VM, b []byte) error {
+	d.rebase(now)
+	weight := d.clock.Weight(now)
+	told := make(map[load.VM]count)
+	err := each(b, members, scale, func(vm load.VM, c count) { told[vm] = c.times(weight) })
+	if err != nil {
+		return err
+	}
+	d.told = told
+	d.failing = d.failing || len(told) > 0
+	return nil
+}
+
+// pack returns counts as entries, at most some, those with most failures.
+func pack(members []load.VM, counts map[load.VM]count, scale float64, most int) []byte {
+	places := make([]int, 0, len(counts))
+	for i, vm := range members {
+		if counts[vm].all > 0 && i <= placeMost {
+			places = append(places, i)
+		}
+	}
+	slices.SortStableFunc(places, func(a, b int) int {
+		return cmp.Compare(counts[members[b]].failed, counts[members[a]].failed)
+	})
+	var out []byte
+	for _, i := range places[:min(len(places), most)] {
+		c := counts[members[i]]
+		out = binary.BigEndian.AppendUint16(out, uint16(i))
+		out = append(out, toByte(c.failed*scale), toByte(c.all*scale))
+	}
+	return out
+}
+
+func toByte(x float64) byte {
+	return byte(min(max(x+0.5, 0), 255))
+}
+
+// each calls f for each entry.
+func each(b []byte, members []load.VM, scale float64, f func(load.VM, count)) error {
+	if len(b)%entrySize != 0 {
+		return ErrMalformed
+	}
+	for ; len(b) > 0; b = b[entrySize:] {
+		place := int(binary.BigEndian.Uint16(b))
+		failed, all := float64(b[2])/scale, float64(b[3])/scale
+		if place < len(members) {
+			f(members[place], count{failed: failed, all: max(all, failed)})
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/outlier/share_test.go
@@ -0,0 +1,194 @@
+package outlier
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/load"
+)
+
+// Each of two routers meets one failure of a runner, and a third none. The router that
+// they rely on puts the two together, and all three turn away from the runner.
+func TestFailuresOfManyRoutersCount(t *testing.T) {
+	vms := pool(8)
+	reader := New()
+	routers := []*Detector{New(), New(), New()}
+	for _, r := range append(routers, reader) {
+		for _, vm := range vms {
+			r.Succeeded(start, vm)
+		}
+	}
+	routers[0].Failed(start, vms[4])
+	routers[1].Failed(start, vms[4])
+	for _, r := range routers {
+		if err := reader.MergeReport(start, vms, r.Report(vms)); err != nil {
+			t.Fatal(err)
+		}
+		if r.Report(vms) != nil {
+			t.Error("what was reported is reported again")
+		}
+	}
+	told := reader.Told(start, vms)
+	for i, r := range routers {
+		if err := r.MergeTold(start, vms, told); err != nil {
+			t.Fatal(err)
+		}
+		if !r.Doubts(start, vms[4]) || r.Doubted(start) != 1 {
+			t.Errorf("router %d doubts %d upstreams", i, r.Doubted(start))
+		}
+		if err := r.MergeTold(start, vms, nil); err != nil {
+			t.Fatal(err)
+		}
+		if i == 2 && r.Doubted(start.Add(doubtFor)) > 0 {
+			t.Error("doubted although nobody is told of any more")
+		}
+	}
+}
+
+// What one router passes on is not told back to it as news: else a failure would go
+// round between two routers and never fade.
+func TestToldIsNotReported(t *testing.T) {
+	vms := pool(2)
+	reader, router := New(), New()
+	reader.Failed(start, vms[0])
+	if err := router.MergeTold(start, vms, reader.Told(start, vms)); err != nil {
+		t.Fatal(err)
+	}
+	if b := router.Report(vms); b != nil {
+		t.Errorf("reported: %v", b)
+	}
+}
+
+// The trouble that the detector answers: three fifths of the runners lose two fifths of
+// their answers for four seconds. 5 routers before 18 runners send 105 requests a
+// second, each of a session with a ranking of its own.
+const (
+	lostRouters, lostRunners = 5, 18
+	lostPerSecond            = 105
+	lostSessions             = 600
+	lostRunnersShare         = 0.6
+	lostAnswersShare         = 0.4
+	lostFor                  = 4 * time.Second
+	calmBefore               = 3 * time.Second
+	// shareEvery is how often routers tell each other, seen is how long an outcome
+	// takes to be known.
+	shareEvery = 250 * time.Millisecond
+	seen       = 80 * time.Millisecond
+)
+
+// pending is an outcome that is not known yet.
+type pending struct {
+	at         time.Time
+	router, vm int
+	failed     bool
+}
+
+// replay returns which part of the requests fails during the trouble. Without doubt,
+// routers go by the rankings alone; without sharing, each knows what it has seen.
+func replay(t *testing.T, doubt, sharing bool, runnersShare float64) float64 {
+	t.Helper()
+	random := rand.New(rand.NewPCG(3, 4))
+	vms := pool(lostRunners)
+	var routers [lostRouters]*Detector
+	for i := range routers {
+		routers[i] = New()
+	}
+	var open []pending
+	failed, all := 0, 0
+	trouble, shared := start.Add(calmBefore), start
+	for now := start; now.Before(trouble.Add(lostFor)); {
+		now = now.Add(time.Duration(random.ExpFloat64() / lostPerSecond * float64(time.Second)))
+		for len(open) > 0 && !open[0].at.After(now) {
+			o := open[0]
+			open = open[1:]
+			if o.failed {
+				routers[o.router].Failed(o.at, vms[o.vm])
+			} else {
+				routers[o.router].Succeeded(o.at, vms[o.vm])
+			}
+		}
+		if sharing && now.Sub(shared) > shareEvery {
+			shared = now
+			share(t, now, vms, routers[:])
+		}
+		router, session := random.IntN(lostRouters), random.IntN(lostSessions)
+		vm := choose(routers[router], now, vms, session, doubt)
+		fails := now.After(trouble) && float64(vm) < runnersShare*lostRunners && random.Float64() < lostAnswersShare
+		open = append(open, pending{at: now.Add(seen), router: router, vm: vm, failed: fails})
+		if now.After(trouble) {
+			all++
+			if fails {
+				failed++
+			}
+		}
+	}
+	return float64(failed) / float64(all)
+}
+
+// share has the first router hear from the others and tell them.
+func share(t *testing.T, now time.Time, vms []load.VM, routers []*Detector) {
+	t.Helper()
+	for _, r := range routers[1:] {
+		if err := routers[0].MergeReport(now, vms, r.Report(vms)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	told := routers[0].Told(now, vms)
+	for _, r := range routers[1:] {
+		if err := r.MergeTold(now, vms, told); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// choose returns the first of a session's ranking that is not doubted.
+func choose(d *Detector, now time.Time, vms []load.VM, session int, doubt bool) int {
+	ranking := rand.New(rand.NewPCG(uint64(session), 9)).Perm(len(vms))
+	for _, vm := range ranking {
+		if !doubt || !d.Doubts(now, vms[vm]) {
+			return vm
+		}
+	}
+	return ranking[0]
+}
+
+// A quarter of the coaches' requests is lost for four seconds, though two fifths of the
+// runners are well. Each router alone sees a runner once a second and learns slowly;
+// together they turn away from the bad ones after two failures each.
+func TestRequestsTurnFromUpstreamsThatLoseAnswers(t *testing.T) {
+	none := replay(t, false, false, lostRunnersShare)
+	alone := replay(t, true, false, lostRunnersShare)
+	together := replay(t, true, true, lostRunnersShare)
+	t.Logf("lost: %.3f going by the rankings, %.3f by what each router sees, %.3f by what all see", none, alone, together)
+	if together > 0.6*none {
+		t.Errorf("%.3f of the requests are lost, %.3f without", together, none)
+	}
+	if together > alone {
+		t.Errorf("%.3f are lost when routers tell each other, %.3f when they do not", together, alone)
+	}
+}
+
+// FuzzMerge feeds a detector with what a router of any release may send.
+func FuzzMerge(f *testing.F) {
+	vms := pool(5)
+	d := New()
+	d.Failed(start, vms[1])
+	f.Add(d.Told(start, vms))
+	f.Add(d.Report(vms))
+	f.Add([]byte{255, 255, 9, 1})
+	f.Add([]byte{1})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		d := New()
+		_ = d.MergeReport(start, vms, b)
+		_ = d.MergeTold(start, vms, b)
+		if n := d.Doubted(start); n > len(vms) {
+			t.Fatalf("%d of %d upstreams are doubted", n, len(vms))
+		}
+		for _, c := range d.counts {
+			if c.failed > c.all || c.failed < 0 {
+				t.Fatalf("count %+v", c)
+			}
+		}
+	})
+}
--- a/internal/placement/bounded.go
+++ b/internal/placement/bounded.go
@@ -14,6 +14,8 @@
 	Load(vm load.VM) float64
 	Upper(vm load.VM) float64
 	Mean() float64
+	// Doubts reports whether an upstream fails more of its requests than others.
+	Doubts(vm load.VM) bool
 }
 
 const (
@@ -67,37 +69,55 @@
 }
 
 // underFirst writes the upstreams of a ranking that serve to out: those under the
-// bound in its order, then the others, the least loaded first.
+// bound in its order, and then the others, the least loaded first. In both, those that
+// are doubted come last.
 func (p *Pool) underFirst(l Loads, q Query, basis Basis, order []int, out *[Candidates]Choice) int {
-	var over [depth]weighed
-	n, full := 0, 0
+	var ranked [depth]weighed
+	n := 0
 	for _, i := range order {
 		vm := p.members[i].VM
-		switch upper := l.Upper(vm); {
-		case p.members[i].Leaving:
-		case upper >= basis.Bound:
-			over[full] = weighed{index: i, upper: upper}
-			full++
-		case n < Candidates:
-			out[n] = p.choice(l, q, order, i)
-			n++
+		if p.members[i].Leaving {
+			continue
 		}
-	}
-	if n == Candidates {
-		return n
-	}
-	slices.SortStableFunc(over[:full], func(a, b weighed) int { return cmp.Compare(a.upper, b.upper) })
-	for _, w := range over[:min(full, Candidates-n)] {
-		out[n] = p.choice(l, q, order, w.index)
+		w := weighed{index: i, doubted: l.Doubts(vm)}
+		if upper := l.Upper(vm); upper >= basis.Bound {
+			w.over = upper
+		}
+		ranked[n] = w
 		n++
 	}
+	slices.SortStableFunc(ranked[:n], weighed.compare)
+	n = min(n, Candidates)
+	for at, w := range ranked[:n] {
+		out[at] = p.choice(l, q, order, w.index)
+	}
 	return n
 }
 
-// weighed is an upstream with the load that it seldom exceeds.
+// weighed is an upstream with what speaks against it.
 type weighed struct {
-	index int
-	upper float64
+	index   int
+	over    float64 // the load that it seldom exceeds, if that is over the bound
+	doubted bool
+}
+
+// compare puts upstreams that are under the bound before the others, and doubted ones
+// behind those that are not.
+func (w weighed) compare(other weighed) int {
+	return cmp.Or(
+		compareBools(w.over > 0, other.over > 0),
+		compareBools(w.doubted, other.doubted),
+		cmp.Compare(w.over, other.over))
+}
+
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
 }
 
 func (p *Pool) choice(l Loads, q Query, order []int, i int) Choice {
@@ -131,11 +151,10 @@
 				return n
 			}
 			i, j := pick(group, &random), pick(group, &random)
-			load := l.Load(p.members[i].VM)
-			if other := l.Load(p.members[j].VM); other < load {
-				i, load = j, other
+			if p.better(l, j, i) {
+				i = j
 			}
-			n = p.add(out, n, i, load)
+			n = p.add(out, n, i, l.Load(p.members[i].VM))
 		}
 	}
 	// Chance may have picked the same few again and again.
@@ -147,6 +166,12 @@
 	return n
 }
 
+// better reports whether upstream i is to get a request rather than j.
+func (p *Pool) better(l Loads, i, j int) bool {
+	a, b := p.members[i].VM, p.members[j].VM
+	return cmp.Or(compareBools(l.Doubts(a), l.Doubts(b)), cmp.Compare(l.Load(a), l.Load(b))) < 0
+}
+
 // add adds upstream i to the n that are chosen, if there is room and it is not
 // among them, and returns how many there are then.
 func (p *Pool) add(out *[Candidates]Choice, n, i int, load float64) int {
--- a/internal/placement/bounded_test.go
+++ b/internal/placement/bounded_test.go
@@ -18,6 +18,8 @@
 
 func (l loads) Upper(vm load.VM) float64 { return l[vm] }
 
+func (l loads) Doubts(load.VM) bool { return false }
+
 func (l loads) Mean() float64 {
 	sum := 0.0
 	for _, n := range l {
@@ -107,6 +109,45 @@
 	})
 }
 
+// doubting is loads with upstreams that fail more than others.
+type doubting struct {
+	loads
+	doubted map[load.VM]bool
+}
+
+func (d doubting) Doubts(vm load.VM) bool { return d.doubted[vm] }
+
+// A session's home loses answers, and the next of its ranking is over the bound: the
+// third serves it, and the home is still offered before the one that has no room.
+func TestDoubtedUpstreamsComeLast(t *testing.T) {
+	ms := members(8)
+	q := Query{Session: 42, Multiple: 1.6, Now: start.Add(time.Hour)}
+	order := bounded(NewPool(ms, Locality{}), loads{}, q)
+	l := doubting{loads: loads{}, doubted: map[load.VM]bool{ms[order[0]].VM: true}}
+	for _, m := range ms {
+		l.loads[m.VM] = 4
+	}
+	l.loads[ms[order[1]].VM] = 40
+	var out [Candidates]Choice
+	NewPool(ms, Locality{}).Bounded(l, q, &out)
+	if out[0].Index != order[2] {
+		t.Errorf("served by %d, want %d", out[0].Index, order[2])
+	}
+	for _, c := range out {
+		if c.Index == order[1] {
+			t.Error("one over the bound comes before others with room")
+		}
+	}
+	counts := make([]int, len(ms))
+	p := NewPool(ms, Locality{})
+	for i := range uint64(800) {
+		counts[bounded(p, l, Query{Random: mix(i)})[0]]++
+	}
+	if counts[order[0]] > 800/len(ms)/4 {
+		t.Errorf("requests without a session go to the doubted one: %d of %v", counts[order[0]], counts)
+	}
+}
+
 // A session's home has been leaving for a moment: the next of the ranking serves
 // it, and gets the prompt from there.
 func TestLeavingHomeIsTheDonor(t *testing.T) {
--- a/internal/placement/sliver_test.go
+++ b/internal/placement/sliver_test.go
@@ -175,6 +175,7 @@
 
 func (l tallyAt) Load(vm load.VM) float64  { return l.tally.Load(l.now, vm) }
 func (l tallyAt) Upper(vm load.VM) float64 { return l.tally.Upper(l.now, vm) }
+func (l tallyAt) Doubts(load.VM) bool      { return false }
 func (l tallyAt) Mean() float64            { return l.tally.Mean(sliverUpstreams) }
 
 // Each of 28 routers sees its own requests and hears of an upstream's load when it
--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -9,6 +9,7 @@
 
 	"github.com/parsleyfront/parsleyfront/internal/eventstream"
 	"github.com/parsleyfront/parsleyfront/internal/exchange"
+	"github.com/parsleyfront/parsleyfront/internal/load"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/retry"
 	"github.com/parsleyfront/parsleyfront/internal/router/dispatch"
@@ -189,6 +190,7 @@
 	to, ok := a.carrier.target(e)
 	at := a.add(to.vm)
 	at.donor, at.tally = to.donor, to.tally
+	at.watch = &watch{tally: to.tally, vm: load.Hash(to.vm.ID), objective: a.req.Profile.Objective.Std()}
 	if e.Continue {
 		a.winner = nil
 		at.headed = true
@@ -339,6 +341,9 @@
 		at.stream.Close()
 		at.stream = nil
 		resumedStreams.Inc()
+		if a.plan.Direct {
+			at.watch.broke()
+		}
 		if a.cutter != nil && !a.cutter.Break() {
 			a.step(dispatch.Ended{Now: time.Now(), Attempt: at.number, Err: errTorn})
 			break
--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -32,7 +32,10 @@
 	at.span.Set(telemetry.AttrVM, at.vm.ID)
 	id := load.Hash(at.vm.ID)
 	at.tally.begin(id)
-	context.AfterFunc(at.ctx, func() { at.tally.end(id) })
+	context.AfterFunc(at.ctx, func() {
+		at.tally.end(id)
+		at.watch.giveUp()
+	})
 	s, err := a.router.config.Direct.Do(at.ctx, at.vm, a.call(at), func() bool { return a.pass(at) })
 	if err != nil {
 		at.span.Fail(string(verdict.From(err).Reason))
@@ -62,7 +65,11 @@
 		at.gate.seal()
 		return false
 	}
-	return at.gate.pass()
+	if !at.gate.pass() {
+		return false
+	}
+	at.watch.begin()
+	return true
 }
 
 // call returns what is sent to the upstream of an attempt.
@@ -92,9 +99,11 @@
 	now := time.Now()
 	switch {
 	case err.Verdict != verdict.NotRun:
+		a.lostAnswer(at)
 		return dispatch.Lost{Now: now, Attempt: at.number}
 	case err.Reason == verdict.ReasonNoUpstream:
 		a.router.avoid(at.vm.ID)
+		at.watch.broke()
 		return dispatch.Unreachable{Now: now, Attempt: at.number, Err: err}
 	default:
 		return dispatch.Sealed{Attempt: at.number}
@@ -123,6 +132,9 @@
 		if p.Head != nil {
 			continue
 		}
+		if telling(status) {
+			at.watch.judge(status < http.StatusInternalServerError)
+		}
 		if status >= http.StatusInternalServerError {
 			err := verdict.New(verdict.Ran, verdict.ReasonUpstreamFailed, "the upstream answered with status %d", status)
 			return dispatch.Declined{Now: time.Now(), Attempt: at.number, Err: err}
@@ -141,11 +153,20 @@
 	if at.ctx.Err() != nil {
 		return nil
 	}
+	a.lostAnswer(at)
 	at.stream.Close()
 	at.stream = nil
 	return dispatch.Lost{Now: time.Now(), Attempt: at.number}
 }
 
+// lostAnswer speaks against the upstream of an attempt whose connection broke, unless
+// this router has broken it.
+func (a direct) lostAnswer(at *attempt) {
+	if at.ctx.Err() == nil {
+		at.watch.judge(false)
+	}
+}
+
 // attach implements carrier. dispatch asks nobody to attach to what has no
 // sidecar.
 func (a direct) attach(at *attempt) dispatch.Event {
--- a/internal/router/directoffer.go
+++ b/internal/router/directoffer.go
@@ -8,6 +8,7 @@
 
 	"github.com/parsleyfront/parsleyfront/internal/exchange"
 	"github.com/parsleyfront/parsleyfront/internal/load"
+	"github.com/parsleyfront/parsleyfront/internal/outlier"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
 	"github.com/parsleyfront/parsleyfront/internal/router/dispatch"
@@ -120,6 +121,7 @@
 	q := placement.Query{Session: a.session, Multiple: a.router.tuning.Load().LoadMultiple, Random: rand.Uint64(), Share: a.share, Now: now}
 	n, basis := a.pool.tally.choose(now, a.pool.placed, q, &chosen)
 	a.basis = basis
+	a.pool.logDoubts(a.poolName)
 	out := make([]target, 0, n)
 	for _, avoided := range [...]bool{false, true} {
 		for _, c := range chosen[:n] {
@@ -164,17 +166,18 @@
 	mu     sync.Mutex
 	load   *load.Tally
 	demand *load.Demand
+	faults *outlier.Detector
 }
 
 func newTally() *tally {
-	return &tally{load: load.NewTally(), demand: load.NewDemand()}
+	return &tally{load: load.NewTally(), demand: load.NewDemand(), faults: outlier.New()}
 }
 
 func (t *tally) choose(now time.Time, p *placement.Pool, q placement.Query, out *[placement.Candidates]placement.Choice) (int, placement.Basis) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	q.Multiple *= boundShare(t.load.Seen(p.Len()))
-	return p.Bounded(loadsAt{t.load, now, p.Len()}, q, out)
+	return p.Bounded(loadsAt{t.load, t.faults, now, p.Len()}, q, out)
 }
 
 const (
@@ -227,13 +230,26 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.load.Keep(members)
+	t.faults.Keep(members)
+}
+
+// went takes in how a request went at an upstream.
+func (t *tally) went(now time.Time, vm load.VM, well bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if well {
+		t.faults.Succeeded(now, vm)
+	} else {
+		t.faults.Failed(now, vm)
+	}
 }
 
 // loadsAt is a Tally at one moment.
 type loadsAt struct {
-	tally *load.Tally
-	now   time.Time
-	n     int
+	tally  *load.Tally
+	faults *outlier.Detector
+	now    time.Time
+	n      int
 }
 
 // Load implements placement.Loads.
@@ -242,8 +258,19 @@
 // Upper implements placement.Loads.
 func (l loadsAt) Upper(vm load.VM) float64 { return l.tally.Upper(l.now, vm) }
 
-// Mean implements placement.Loads.
-func (l loadsAt) Mean() float64 { return l.tally.Mean(l.n) }
+// Mean implements placement.Loads. Those that are not doubted take the requests of the
+// others on, up to mostTakenOver times their own.
+func (l loadsAt) Mean() float64 {
+	serving := max(float64(l.n-l.faults.Doubted(l.now)), float64(l.n)/mostTakenOver)
+	return l.tally.Mean(l.n) * float64(l.n) / max(serving, 1)
+}
+
+// mostTakenOver bounds by how much upstreams are filled further while others are
+// doubted. With two thirds of a pool failing, the rest has three times its load.
+const mostTakenOver = 3
+
+// Doubts implements placement.Loads.
+func (l loadsAt) Doubts(vm load.VM) bool { return l.faults.Doubts(l.now, vm) }
 
 // upstreamName is what upstreams call an organisation.
 func upstreamName(o *profile.Organisation) string {
--- /dev/null
+++ b/internal/router/faults.go
@@ -0,0 +1,112 @@
+package router
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/load"
+	"github.com/parsleyfront/parsleyfront/internal/outlier"
+	"github.com/parsleyfront/parsleyfront/internal/topo"
+)
+
+// slowShare of its objective is how long an attempt that is given up must have waited
+// for its first byte to speak against its upstream. Of answers of usual length, the
+// first byte comes in a fifth of it.
+const slowShare = 0.5
+
+// watch tells how one attempt at a direct upstream goes, for the choice of upstreams
+// for others: well with the first byte of its answer, badly if that does not come
+// within the objective, is a failure, or is lost.
+type watch struct {
+	tally     *tally
+	vm        load.VM
+	objective time.Duration // zero: none
+
+	mu     sync.Mutex
+	sent   time.Time
+	late   *time.Timer
+	judged bool
+}
+
+// begin starts the watch, as the attempt is sent.
+func (w *watch) begin() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sent = time.Now()
+	if w.objective > 0 {
+		w.late = time.AfterFunc(w.objective, func() { w.judge(false) })
+	}
+}
+
+// judge says how the attempt went, unless that is known.
+func (w *watch) judge(well bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.judged || w.sent.IsZero() {
+		return
+	}
+	w.judged = true
+	w.stop()
+	w.tally.went(time.Now(), w.vm, well)
+}
+
+// broke says that an answer broke off that had begun well.
+func (w *watch) broke() {
+	w.tally.went(time.Now(), w.vm, false)
+}
+
+// giveUp ends the watch of an attempt whose answer nobody waits for any more.
+func (w *watch) giveUp() {
+	w.mu.Lock()
+	slow := w.objective > 0 && time.Since(w.sent) > time.Duration(slowShare*float64(w.objective))
+	w.stop()
+	w.mu.Unlock()
+	if slow {
+		w.judge(false)
+	}
+}
+
+func (w *watch) stop() {
+	if w.late != nil {
+		w.late.Stop()
+	}
+}
+
+// logDoubts tells which upstreams are doubted now, and which are not any more.
+func (p *Pool) logDoubts(name string) {
+	for _, c := range p.tally.doubts() {
+		vm := p.vm(c.VM)
+		level, msg := slog.LevelInfo, "upstream is trusted again"
+		if c.Doubted {
+			level, msg = slog.LevelWarn, "upstream fails more than others and comes last"
+		}
+		slog.LogAttrs(context.Background(), level, msg, slog.String("upstream", vm.ID), slog.String("addr", vm.Addr),
+			slog.String("pool", name), slog.Float64("failed", tenths(c.Failed)), slog.Float64("of", tenths(c.All)))
+	}
+}
+
+// vm returns an upstream of the pool.
+func (p *Pool) vm(id load.VM) topo.VM {
+	for _, vm := range p.VMs {
+		if load.Hash(vm.ID) == id {
+			return vm
+		}
+	}
+	return topo.VM{}
+}
+
+// doubts returns the upstreams of which the judgement has changed.
+func (t *tally) doubts() []outlier.Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.faults.Changes()
+}
+
+// telling reports whether a status speaks for or against an upstream. 504 is its word
+// that the time which it was given is over, which may have been short.
+func telling(status int) bool {
+	return status != http.StatusGatewayTimeout
+}
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	stderrors "errors"
 	"log/slog"
 	"time"
 
@@ -21,7 +22,9 @@
 	// List is a hash of the upstreams that serve. Loads are told by places in that
 	// list, and mean nothing to a router that has another one.
 	List  uint32 `cbor:"2,keyasint"`
-	Loads []byte `cbor:"3,keyasint"`
+	Loads []byte `cbor:"3,keyasint,omitempty"`
+	// Outcomes is how requests went at upstreams, by place as well.
+	Outcomes []byte `cbor:"4,keyasint,omitempty"`
 }
 
 // tellEvery is for how long what a router knows is not put together anew: beats to
@@ -34,7 +37,7 @@
 		return m.told
 	}
 	m.toldAt = now
-	m.told = m.pack(func(p *Pool) []byte { return p.tally.packKnown(now, p.serving) })
+	m.told = m.pack(func(p *Pool) sharedPool { return p.tally.tell(now, p.serving) })
 	return m.told
 }
 
@@ -42,14 +45,15 @@
 func (m *mesh) heard(now time.Time) []byte {
 	after := m.sharedAt
 	m.sharedAt = now
-	return m.pack(func(p *Pool) []byte { return p.tally.packHeard(now, after, p.serving) })
+	return m.pack(func(p *Pool) sharedPool { return p.tally.report(now, after, p.serving) })
 }
 
-func (m *mesh) pack(loads func(*Pool) []byte) []byte {
+func (m *mesh) pack(of func(*Pool) sharedPool) []byte {
 	var s sharing
 	for name, p := range m.router.View().Pools {
-		if b := loads(p); b != nil {
-			s.Pools = append(s.Pools, sharedPool{Pool: shortHash(name), List: p.list, Loads: b})
+		if shared := of(p); shared.Loads != nil || shared.Outcomes != nil {
+			shared.Pool, shared.List = shortHash(name), p.list
+			s.Pools = append(s.Pools, shared)
 		}
 	}
 	if len(s.Pools) == 0 {
@@ -91,7 +95,7 @@
 		if p == nil || p.list != told.List {
 			continue
 		}
-		if err := p.tally.merge(now, p.serving, told.Loads, from); err != nil {
+		if err := p.tally.merge(now, p.serving, told, from); err != nil {
 			meshMalformed.Inc()
 		}
 	}
@@ -101,23 +105,25 @@
 	return uint32(xxh3.HashString(s))
 }
 
-func (t *tally) packKnown(now time.Time, members []load.VM) []byte {
+// tell returns what a router knows of upstreams, for those that rely on it.
+func (t *tally) tell(now time.Time, members []load.VM) sharedPool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.load.PackKnown(now, members)
+	return sharedPool{Loads: t.load.PackKnown(now, members), Outcomes: t.faults.Told(now, members)}
 }
 
-func (t *tally) packHeard(now, after time.Time, members []load.VM) []byte {
+// report returns what a router has heard of upstreams, for the one that it relies on.
+func (t *tally) report(now, after time.Time, members []load.VM) sharedPool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.load.PackHeard(now, after, members)
+	return sharedPool{Loads: t.load.PackHeard(now, after, members), Outcomes: t.faults.Report(members)}
 }
 
-func (t *tally) merge(now time.Time, members []load.VM, loads []byte, from sharer) error {
+func (t *tally) merge(now time.Time, members []load.VM, shared sharedPool, from sharer) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if from == fromFollower {
-		return t.load.MergeHeard(now, members, loads)
+		return stderrors.Join(t.load.MergeHeard(now, members, shared.Loads), t.faults.MergeReport(now, members, shared.Outcomes))
 	}
-	return t.load.MergeKnown(now, members, loads)
+	return stderrors.Join(t.load.MergeKnown(now, members, shared.Loads), t.faults.MergeTold(now, members, shared.Outcomes))
 }
