--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -127,6 +127,7 @@
 	near      []Peer // of them, those with a connection
 	started   time.Time
 	waited    bool              // for peers, long enough
+	ready     bool              // the configuration has been trusted
 	heard     map[Peer]struct{} // peers that have answered, up to enoughPeers
 	pull      *pull
 	behind    Peer // said to know more than we do
@@ -181,7 +182,14 @@
 // a router that starts has compared it with a few peers, so that neither a
 // store that lags nor a single peer that was cut off makes it serve by rules
 // that are no longer in force.
+//
+// Once it is trusted it stays so. A router that has just begun to rely on another
+// one, which it has yet to hear, would else refuse callers for a moment.
 func (f *Follower) Ready() bool {
+	return f.ready
+}
+
+func (f *Follower) trusted() bool {
 	return f.set.Complete() > 0 && (f.compared() || f.waited)
 }
 
@@ -191,6 +199,12 @@
 
 // Step applies an event.
 func (f *Follower) Step(event Event) []Effect {
+	out := f.step(event)
+	f.ready = f.ready || f.trusted()
+	return out
+}
+
+func (f *Follower) step(event Event) []Effect {
 	switch e := event.(type) {
 	case Ticked:
 		return f.ticked(e.Now)
--- a/internal/config/follower_test.go
+++ b/internal/config/follower_test.go
@@ -14,6 +14,23 @@
 	return topo.Object{Ref: object, Version: v, Value: value(int(v))}
 }
 
+// A router has read its configuration from the store and serves callers when it learns
+// of another one that reads for all. Until it has heard that one it would be ready no
+// more, and refuse them for some milliseconds.
+func TestReadyStaysWhenAnotherReads(t *testing.T) {
+	f, now := NewFollower(1, DefaultPace()), time.Unix(0, 0)
+	f.Step(Ticked{Now: now})
+	f.Step(Listed{Now: now, Objects: []topo.Object{at(2)}, Version: 2})
+	if !f.Ready() {
+		t.Fatal("not ready after a listing")
+	}
+	f.Step(PeersChanged{Now: now, Peers: []Peer{"reader"}})
+	f.Step(Duty{Now: now})
+	if !f.Ready() {
+		t.Error("not ready any more")
+	}
+}
+
 // The store is down and a router starts. The first sidecar that it asks has
 // been cut off for an hour, and callers are served by the rules of an hour ago
 // until the router happens to ask another. It is ready only when it has
--- a/internal/gateway/hosted.go
+++ b/internal/gateway/hosted.go
@@ -116,7 +116,7 @@
 	g.awaitStart(x)
 	x.view = g.router.View()
 	if !g.router.Ready() {
-		return verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, "no configuration is known yet").Later(time.Second)
+		return verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, "no configuration or no upstream is known yet").Later(time.Second)
 	}
 	if err := x.checkHead(); err != nil {
 		return err
