placement: doubted upstreams keep what others have little room for

Two reasons: the mean against which the bound is held was that of the upstreams that take over, so the bound stood far above the operators', who count all; and each upstream without a doubt took the sessions of all doubted ones up to the full bound, where loads that are 100 ms old and chance carry it over.

Change: the mean is that of all upstreams; for a session whose home is doubted an upstream above 1.3 times the mean comes after the doubted ones.

Test: placement, TestDoubtedUpstreamsKeepWhatOthersHaveLittleRoomFor; fails with the former order.

--- a/internal/placement/bounded.go
+++ b/internal/placement/bounded.go
@@ -23,6 +23,10 @@
 	// mean: where the mean is a few requests, chance alone puts one or two more on
 	// an upstream.
 	boundSlack = 1.0
+	// reliefMultiple of the mean is up to which an upstream takes over requests of one
+	// that is doubted. With three fifths of a pool losing answers, the others would
+	// stand at the bound all the time, and chance would put them over the operators'.
+	reliefMultiple = 1.3
 	// newcomerFor is how long after it has joined an upstream is passed over as a
 	// donor. Among upstreams that are replaced one after the other, it lowers the
 	// shared tokens that are read again by a sixth; 15 s do no better.
@@ -68,20 +72,25 @@
 	return n, basis
 }
 
-// underFirst writes the upstreams of a ranking that serve to out: those under the
-// bound in its order, and then the others, the least loaded first. In both, those that
-// are doubted come last.
+// underFirst writes the upstreams of a ranking that serve to out, the best first.
 func (p *Pool) underFirst(l Loads, q Query, basis Basis, order []int, out *[Candidates]Choice) int {
 	var ranked [depth]weighed
-	n := 0
+	relief := reliefMultiple*basis.Mean + boundSlack
+	n, passedOver := 0, false
 	for _, i := range order {
 		vm := p.members[i].VM
 		if p.members[i].Leaving {
 			continue
 		}
-		w := weighed{index: i, doubted: l.Doubts(vm)}
-		if upper := l.Upper(vm); upper >= basis.Bound {
-			w.over = upper
+		w := weighed{index: i, upper: l.Upper(vm)}
+		switch {
+		case w.upper >= basis.Bound:
+			w.class = overBound
+		case l.Doubts(vm):
+			w.class = doubted
+			passedOver = true
+		case passedOver && w.upper >= relief:
+			w.class = loaded
 		}
 		ranked[n] = w
 		n++
@@ -94,20 +103,32 @@
 	return n
 }
 
+// class says how willingly an upstream is chosen, the best first.
+type class uint8
+
+const (
+	welcome class = iota
+	doubted
+	// loaded ones would be welcome, but for a doubted one that ranks before them: they
+	// have little room left for what is not their own.
+	loaded
+	overBound
+)
+
 // weighed is an upstream with what speaks against it.
 type weighed struct {
-	index   int
-	over    float64 // the load that it seldom exceeds, if that is over the bound
-	doubted bool
+	index int
+	class class
+	upper float64 // the load that it seldom exceeds
 }
 
-// compare puts upstreams that are under the bound before the others, and doubted ones
-// behind those that are not.
+// compare orders by class, in a class by the ranking, and those over the bound by
+// their load.
 func (w weighed) compare(other weighed) int {
-	return cmp.Or(
-		compareBools(w.over > 0, other.over > 0),
-		compareBools(w.doubted, other.doubted),
-		cmp.Compare(w.over, other.over))
+	if by := cmp.Compare(w.class, other.class); by != 0 || w.class != overBound {
+		return by
+	}
+	return cmp.Compare(w.upper, other.upper)
 }
 
 func compareBools(a, b bool) int {
--- a/internal/placement/bounded_test.go
+++ b/internal/placement/bounded_test.go
@@ -221,3 +221,37 @@
 		t.Errorf("order %v", order)
 	}
 }
+
+// Most upstreams of a pool lose answers for a while. The few others are within the
+// bound by what is believed, but it is a little old, and each takes the sessions of
+// all that are doubted: chance puts them over the operators' bound. A doubted home
+// keeps what the next of the ranking has little room for.
+func TestDoubtedUpstreamsKeepWhatOthersHaveLittleRoomFor(t *testing.T) {
+	ms := members(8)
+	q := Query{Session: 42, Multiple: 1.6, Now: start.Add(time.Hour)}
+	order := bounded(NewPool(ms, Locality{}), loads{}, q)
+	l := doubting{loads: loads{}, doubted: make(map[load.VM]bool)}
+	for i, m := range ms {
+		l.loads[m.VM] = 10
+		l.doubted[m.VM] = i != order[1] && i != order[2]
+	}
+	rest := bounded(NewPool(ms, Locality{}), l, q)
+	if rest[0] != order[1] {
+		t.Errorf("with the room of all others, %d serves, want %d", rest[0], order[1])
+	}
+	for _, at := range []int{1, 2} {
+		l.loads[ms[order[at]].VM] = 16.5 // of 19.6 to which the bound lets it rise
+	}
+	if got := bounded(NewPool(ms, Locality{}), l, q); got[0] != order[0] {
+		t.Errorf("served by %d, want the home %d: the others are near the bound", got[0], order[0])
+	}
+	own := q
+	for own.Session = 1; ; own.Session++ {
+		if ranked := bounded(NewPool(ms, Locality{}), loads{}, own); ranked[0] == order[1] {
+			break
+		}
+	}
+	if got := bounded(NewPool(ms, Locality{}), l, own); got[0] != order[1] {
+		t.Errorf("the sessions of one near the bound are served by %d, want their home %d", got[0], order[1])
+	}
+}
--- a/internal/router/directoffer.go
+++ b/internal/router/directoffer.go
@@ -258,16 +258,10 @@
 // Upper implements placement.Loads.
 func (l loadsAt) Upper(vm load.VM) float64 { return l.tally.Upper(l.now, vm) }
 
-// Mean implements placement.Loads. Those that are not doubted take the requests of the
-// others on, up to mostTakenOver times their own.
-func (l loadsAt) Mean() float64 {
-	serving := max(float64(l.n-l.faults.Doubted(l.now)), float64(l.n)/mostTakenOver)
-	return l.tally.Mean(l.n) * float64(l.n) / max(serving, 1)
-}
-
-// mostTakenOver bounds by how much upstreams are filled further while others are
-// doubted. With two thirds of a pool failing, the rest has three times its load.
-const mostTakenOver = 3
+// Mean implements placement.Loads. It is that of all upstreams, also while some are
+// doubted: measured against those that take their requests on, the bound would be far
+// above the operators', who count all.
+func (l loadsAt) Mean() float64 { return l.tally.Mean(l.n) }
 
 // Doubts implements placement.Loads.
 func (l loadsAt) Doubts(vm load.VM) bool { return l.faults.Doubts(l.now, vm) }
