membership, platform: a runner that starts again is another one; only whole entries are read

A runner may start again under its id; nothing read its start, so its former load, sessions, outcomes and connections were taken for the present one's, and a late heartbeat of the former life replaced it. An entry by another writer with an unknown state or without a service counted as usable, and one that was overwritten by something unreadable left the former one in use.

Ruled out: a field beside the id that each table compares (four tables, the relay, the mesh's lists, connections and donors would each need it); taking an entry at another's address as its successor (another writer could name the address of a runner that lives).

Change: each life has an id of its own, of name and start; an earlier start never replaces a later one; the removal of a former life's entry leaves the present one for a heartbeat; calls of a former life are broken off at once; the ranking of sessions goes by the name. Entries are read only whole, one line for each reason.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -46,6 +46,8 @@
 	// lapseHold is how long an entry that lapsed during an outage of the store
 	// still counts after its end. Upstreams that live are back in 2 s.
 	lapseHold = 2 * time.Second
+	// renewMargin is how much later than a heartbeat an upstream's entry may come.
+	renewMargin = 100 * time.Millisecond
 	// stopMargin is how much earlier than its last moment a stop ends, so that
 	// what is still in flight is broken off by us.
 	stopMargin = 300 * time.Millisecond
@@ -204,7 +206,7 @@
 			Dial:         n.Routers,
 			Slept:        n.Slept,
 			Members:      platform.Runners{Regions: p.Regions},
-			MemberTiming: membership.Timing{Hold: lapseHold, Linger: p.DrainBound},
+			MemberTiming: membership.Timing{Hold: lapseHold, Linger: p.DrainBound, Renew: p.HeartbeatGap + renewMargin},
 		},
 		Direct:        exchange.NewClient(platform.Calls{}, n.Upstreams),
 		Tuning:        tuning(p),
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -31,6 +31,8 @@
 		"Answers of upstreams that were dropped because they belong to another call.")
 	dials = telemetry.NewFamily[dialOutcome]("exchange_dials_total", "outcome",
 		"Connections opened to upstreams without a sidecar, by what came of it.")
+	abandoned = telemetry.NewCounter("exchange_abandoned_calls_total",
+		"Calls of upstreams that were broken off since their upstream had started again.")
 	reuses = telemetry.NewCounter("exchange_reuses_total",
 		"Calls of upstreams over a connection that had served another.")
 )
@@ -49,6 +51,7 @@
 
 	mu    sync.Mutex
 	hosts map[endpoint][]*conn // unused connections, the one used last at the end
+	busy  map[*conn]endpoint   // on which calls are under way
 }
 
 // endpoint is one incarnation of an upstream. Another one may get its address.
@@ -69,7 +72,7 @@
 
 // NewClient returns a Client that speaks d over connections that dial opens.
 func NewClient(d Dialect, dial DialFunc) *Client {
-	return &Client{dialect: d, dial: dial, hosts: make(map[endpoint][]*conn)}
+	return &Client{dialect: d, dial: dial, hosts: make(map[endpoint][]*conn), busy: make(map[*conn]endpoint)}
 }
 
 // Do makes a call of the upstream on vm and returns when the head of the answer
@@ -89,7 +92,7 @@
 		c.put(at, conn)
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonCancelled, "given up before it was sent")
 	}
-	release := conn.abortOn(ctx)
+	release := c.use(ctx, at, conn)
 	c.dialect.Tell(header, call)
 	if err := conn.send(call, header); err != nil {
 		release()
@@ -105,6 +108,37 @@
 	return &Stream{client: c, at: at, conn: conn, resp: resp, Word: word, release: release}, nil
 }
 
+// use marks a connection as busy with a call that the end of ctx breaks off, until
+// release is called. It reports whether the call was not broken off.
+func (c *Client) use(ctx context.Context, at endpoint, conn *conn) (release func() bool) {
+	c.mu.Lock()
+	c.busy[conn] = at
+	c.mu.Unlock()
+	stop := conn.abortOn(ctx)
+	return func() bool {
+		c.mu.Lock()
+		delete(c.busy, conn)
+		c.mu.Unlock()
+		return stop()
+	}
+}
+
+// Abandon breaks off the calls of an upstream that has started again. It does not work
+// on them any more; if it lost its power or its network, nothing else tells until the
+// probes of keepAliveIdle and after have failed, and callers wait for 3 s more for an
+// answer that cannot come.
+func (c *Client) Abandon(vm topo.VM) {
+	gone := endpoint{instance: vm.ID, addr: vm.Addr}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, at := range c.busy {
+		if at == gone {
+			abandoned.Inc()
+			_ = conn.Close() // the call's own goroutine finds it closed
+		}
+	}
+}
+
 // lost is the error of a call that was sent, in whole or in part, and got no
 // answer.
 func lost(ctx context.Context, err error) error {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -1,26 +1,49 @@
 // Package membership makes of the entries that upstreams keep in the platform's
 // store the list of VMs that a router works from.
+//
+// The router's control state feeds it what the follower of the entries brings. It may
+// assume that changes of one entry come in the order in which the store took them; it
+// may not assume that upstreams wrote them in that order, nor that only upstreams
+// write entries.
 package membership
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/topo"
 )
 
-// Reader makes VMs of the entries.
+// Entry is what an upstream says of itself in the store.
+type Entry struct {
+	// Name of the entry, under which the upstream is known for as long as it is
+	// restarted in place.
+	Name string
+	// Born is when this incarnation started, in Unix milliseconds; zero: it does not
+	// say, and an upstream that starts again has another name.
+	Born int64
+	// VM is how it is reached. Its ID is the State's to give.
+	VM topo.VM
+}
+
+// Reader makes entries of the store's objects.
 type Reader interface {
-	// Kind of the entries.
+	// Kind of the objects.
 	Kind() topo.Kind
-	// VM returns the VM of an entry.
-	VM(o topo.Object) (topo.VM, error)
+	// Entry returns the entry that an object holds. An error means that it names no
+	// upstream that could be used.
+	Entry(o topo.Object) (Entry, error)
 }
 
 // State is the entries as one router believes them. It is pure; the follower of
 // the entries feeds it.
+//
+// Invariant: an entry that is listed has the latest start of all that its name has
+// been seen with, for as long as former starts are remembered.
 type State struct {
-	entries map[string]*entry
-	back    time.Time // when the store answered again after an outage; zero: there was none
+	entries map[string]*entry // by name
+	former  map[string]former // names without an entry
+	back    time.Time         // when the store answered again after an outage; zero: there was none
 	timing  Timing
 }
 
@@ -34,30 +57,71 @@
 	// its having said that it leaves. Most still finish what they have, and others
 	// can get the prompts that they hold.
 	Linger time.Duration
+	// Renew is the time within which an upstream that lives writes its entry again.
+	Renew time.Duration
+}
+
+// formerFor is how long the start of an upstream without an entry is remembered. A
+// write of a former incarnation that the platform delays comes seconds late.
+const formerFor = 10 * time.Minute
+
+// former is an upstream that had an entry.
+type former struct {
+	born int64
+	at   time.Time // when its entry went
 }
 
 // entry is one upstream's entry.
 type entry struct {
 	vm      topo.VM
-	missing bool      // from the store, since an outage
+	born    int64
+	missing time.Time // until when it counts though the store has none; zero: the store has it
 	until   time.Time // when it is dropped; zero: not yet settled
+	// overwritten is set while the store's entry is one of a former incarnation.
+	overwritten bool
 }
 
 // NewState returns a State that knows nothing.
 func NewState(t Timing) *State {
-	return &State{entries: make(map[string]*entry), timing: t}
+	return &State{entries: make(map[string]*entry), former: make(map[string]former), timing: t}
 }
 
+// Kind is what has happened to an entry.
+type Kind uint8
+
+// What has happened to an entry.
+const (
+	Written  Kind = iota // it is there, as an upstream writes it
+	Removed              // it is gone
+	Unusable             // it is there and names no upstream that could be used
+)
+
 // Change is what became of one entry.
 type Change struct {
-	VM   topo.VM
-	Gone bool // only the VM's id is set then
+	Kind  Kind
+	Entry Entry // only the Name is set unless it was Written
+}
+
+// Taken is what a State made of changes.
+type Taken struct {
+	// Replaced are the VMs whose upstreams have started again: what they worked on is
+	// lost, though connections to them may not show it.
+	Replaced []topo.VM
+	// Outdated is how many writes of former incarnations were passed over.
+	Outdated int
 }
 
 // StoreBack takes in that the store answered again at a time, after an outage.
 func (s *State) StoreBack(at time.Time) {
-	if at.After(s.back) {
-		s.back = at
+	if !at.After(s.back) {
+		return
+	}
+	s.back = at
+	until := at.Add(s.timing.Hold)
+	for _, e := range s.entries {
+		if !e.missing.IsZero() && e.missing.Before(until) {
+			e.missing = until
+		}
 	}
 }
 
@@ -68,28 +132,105 @@
 }
 
 // Take takes in changes.
-func (s *State) Take(now time.Time, changes []Change) {
+func (s *State) Take(now time.Time, changes []Change) Taken {
+	var t Taken
 	for _, c := range changes {
-		e := s.entries[c.VM.ID]
-		switch {
-		case !c.Gone:
-			s.entries[c.VM.ID] = &entry{vm: c.VM}
-		case e == nil:
-		case s.holds(now) && !e.vm.Leaving:
-			e.missing = true
-		default:
-			s.gone(now, c.VM.ID, e)
+		switch c.Kind {
+		case Written:
+			s.written(now, c.Entry, &t)
+		case Removed:
+			s.removed(now, c.Entry.Name)
+		case Unusable:
+			s.unusable(now, c.Entry.Name)
+		}
+	}
+	return t
+}
+
+// written takes in an entry. One of a former incarnation may arrive after that of its
+// successor: a write that the platform delays, or whose answer was lost, is done later.
+// Taken for the present one, it would bring back loads, prompts and an address that are
+// gone. The start says which of two is the later one.
+func (s *State) written(now time.Time, e Entry, t *Taken) {
+	have, last := s.entries[e.Name], s.lastBorn(e.Name)
+	switch {
+	case e.Born == 0 && last != 0:
+		// An upstream that has told its start once tells it always.
+		s.unusable(now, e.Name)
+		return
+	case e.Born < last:
+		t.Outdated++
+		if have != nil {
+			have.overwritten = true
 		}
+		return
+	case have != nil && have.born != e.Born:
+		t.Replaced = append(t.Replaced, have.vm)
+	}
+	delete(s.former, e.Name)
+	vm := e.VM
+	vm.ID, vm.Instance = incarnation(e), e.Name
+	s.entries[e.Name] = &entry{vm: vm, born: e.Born}
+}
+
+// lastBorn returns the latest start that is known of a name.
+func (s *State) lastBorn(name string) int64 {
+	if e := s.entries[name]; e != nil {
+		return e.born
+	}
+	return s.former[name].born
+}
+
+// incarnation returns the id of one life of an upstream. All that is believed of an
+// upstream, by this router or by others that it tells, goes by this id: nothing of a
+// former life, its load, its outcomes, its sessions' prompts or its connections, is
+// taken for the present one's.
+func incarnation(e Entry) string {
+	if e.Born == 0 {
+		return e.Name
+	}
+	return e.Name + "@" + strconv.FormatInt(e.Born, 10)
+}
+
+// removed takes in that the store has no entry of an upstream any more.
+func (s *State) removed(now time.Time, name string) {
+	e := s.entries[name]
+	switch {
+	case e == nil:
+	case e.overwritten && !e.vm.Leaving:
+		// It was the former incarnation's entry that went. The present one writes its
+		// own again, if it lives.
+		e.overwritten, e.missing = false, now.Add(s.timing.Renew)
+	case s.holds(now) && !e.vm.Leaving:
+		e.missing = s.back.Add(s.timing.Hold)
+	default:
+		s.gone(now, name, e)
+	}
+}
+
+// unusable takes in that an entry was overwritten by something that names no upstream.
+// Whoever wrote it, the upstream that was there is not named any more; it is used again
+// when it has written its entry anew.
+func (s *State) unusable(now time.Time, name string) {
+	if e := s.entries[name]; e != nil {
+		s.gone(now, name, e)
 	}
 }
 
 // gone takes in that an upstream has no entry any more.
-func (s *State) gone(now time.Time, id string, e *entry) {
+func (s *State) gone(now time.Time, name string, e *entry) {
 	if e.vm.Leaving || s.timing.Linger <= 0 {
-		delete(s.entries, id)
+		s.drop(now, name, e)
 		return
 	}
-	e.missing, e.vm.Leaving, e.until = false, true, now.Add(s.timing.Linger)
+	e.missing, e.vm.Leaving, e.until = time.Time{}, true, now.Add(s.timing.Linger)
+}
+
+func (s *State) drop(now time.Time, name string, e *entry) {
+	delete(s.entries, name)
+	if e.born != 0 {
+		s.former[name] = former{born: e.born, at: now}
+	}
 }
 
 // holds reports whether an entry that is missing may have lapsed only because its
@@ -104,19 +245,28 @@
 // linger are dropped.
 func (s *State) Expire(now time.Time) bool {
 	changed := false
-	for id, e := range s.entries {
+	for name, e := range s.entries {
 		switch {
-		case e.missing && !s.holds(now):
-			s.gone(now, id, e)
+		case due(now, e.missing):
+			s.gone(now, name, e)
 			changed = true
-		case !e.until.IsZero() && !now.Before(e.until):
-			delete(s.entries, id)
+		case due(now, e.until):
+			s.drop(now, name, e)
 			changed = true
 		}
 	}
+	for name, f := range s.former {
+		if now.Sub(f.at) >= formerFor {
+			delete(s.former, name)
+		}
+	}
 	return changed
 }
 
+func due(now, at time.Time) bool {
+	return !at.IsZero() && !now.Before(at)
+}
+
 // VMs returns the upstreams that count, in no order.
 func (s *State) VMs() []topo.VM {
 	out := make([]topo.VM, 0, len(s.entries))
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -1,28 +1,37 @@
 package membership
 
 import (
+	"flag"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/parsleyfront/parsleyfront/internal/topo"
 )
 
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
 var (
-	timing = Timing{Hold: 2 * time.Second, Linger: time.Second}
+	timing = Timing{Hold: 2 * time.Second, Linger: time.Second, Renew: time.Second}
 	start  = time.Unix(1000, 0)
 )
 
 func listed(ids ...string) []Change {
 	out := make([]Change, 0, len(ids))
 	for _, id := range ids {
-		out = append(out, Change{VM: topo.VM{ID: id}})
+		out = append(out, Change{Entry: Entry{Name: id}})
 	}
 	return out
 }
 
 func gone(id string) []Change {
-	return []Change{{VM: topo.VM{ID: id}, Gone: true}}
+	return []Change{{Kind: Removed, Entry: Entry{Name: id}}}
 }
 
 // serving returns the upstreams that take new work, and those that leave.
@@ -65,7 +74,7 @@
 // An upstream says that it leaves, and later its entry goes: then it has left.
 func TestLeavingUpstreamIsDroppedWithItsEntry(t *testing.T) {
 	s := NewState(timing)
-	s.Take(start, []Change{{VM: topo.VM{ID: "a", Leaving: true}}})
+	s.Take(start, []Change{{Entry: Entry{Name: "a", VM: topo.VM{Leaving: true}}}})
 	check(t, s, nil, []string{"a"})
 	s.Take(start, gone("a"))
 	check(t, s, nil, nil)
@@ -76,7 +85,7 @@
 // that had said that it leaves is not held.
 func TestLapsedEntriesAreHeld(t *testing.T) {
 	s := NewState(timing)
-	s.Take(start, append(listed("back", "dead"), Change{VM: topo.VM{ID: "left", Leaving: true}}))
+	s.Take(start, append(listed("back", "dead"), Change{Entry: Entry{Name: "left", VM: topo.VM{Leaving: true}}}))
 	s.StoreBack(start)
 	for _, id := range []string{"back", "dead", "left"} {
 		s.Take(start, gone(id))
@@ -106,3 +115,129 @@
 		t.Errorf("the store was back at %v, want %v", s.Back(), start)
 	}
 }
+
+// born is the entry of an upstream "a" that started at a time.
+func born(at int64, addr string) []Change {
+	return []Change{{Entry: Entry{Name: "a", Born: at, VM: topo.VM{Addr: addr}}}}
+}
+
+// only returns the one upstream that counts.
+func only(t *testing.T, s *State) topo.VM {
+	t.Helper()
+	vms := s.VMs()
+	if len(vms) != 1 {
+		t.Fatalf("%d upstreams count, want one: %v", len(vms), vms)
+	}
+	return vms[0]
+}
+
+// A runner loses its power and starts again under its name. Guests whose chats it had
+// would be sent to it for prompts that it does not hold, and its load would be taken
+// for what it was. It counts as another upstream that calls itself the same.
+func TestAnUpstreamThatStartsAgainIsAnotherOne(t *testing.T) {
+	s := NewState(timing)
+	s.Take(start, born(1, "x:1"))
+	former := only(t, s)
+	taken := s.Take(start, born(2, "x:1"))
+	present := only(t, s)
+	if present.ID == former.ID || present.Name() != "a" || former.Name() != "a" {
+		t.Errorf("the former is %+v, the present %+v", former, present)
+	}
+	if !slices.Equal(taken.Replaced, []topo.VM{former}) {
+		t.Errorf("replaced %+v, want %+v", taken.Replaced, former)
+	}
+}
+
+// A runner starts again at another address. A heartbeat that it had sent before its
+// loss of power is done by the store after that, and then its old entry is removed.
+// Guests' requests went to an address where nobody is, and when the old entry was
+// removed, to none: the start tells which of two entries is the later one.
+func TestLateWritesOfAFormerLifeChangeNothing(t *testing.T) {
+	s := NewState(timing)
+	s.Take(start, born(2, "new:1"))
+	if taken := s.Take(start, born(1, "old:1")); taken.Outdated != 1 {
+		t.Errorf("%d outdated writes, want 1", taken.Outdated)
+	}
+	if vm := only(t, s); vm.Addr != "new:1" {
+		t.Errorf("reached at %s", vm.Addr)
+	}
+	s.Take(start, gone("a"))
+	check(t, s, []string{"a@2"}, nil)
+	now := start.Add(timing.Renew / 2)
+	s.Expire(now)
+	s.Take(now, born(2, "new:1"))
+	s.Expire(start.Add(2 * timing.Renew))
+	check(t, s, []string{"a@2"}, nil)
+}
+
+// As above, but the present runner is dead too and does not write its entry again.
+func TestAPresentLifeThatDoesNotRenewItsEntryIsGone(t *testing.T) {
+	s := NewState(timing)
+	s.Take(start, born(2, "new:1"))
+	s.Take(start, born(1, "old:1"))
+	s.Take(start, gone("a"))
+	s.Expire(start.Add(timing.Renew))
+	check(t, s, nil, []string{"a@2"})
+	s.Expire(start.Add(timing.Renew + timing.Linger))
+	check(t, s, nil, nil)
+	s.Take(start.Add(time.Minute), born(1, "old:1"))
+	check(t, s, nil, nil)
+}
+
+// Something else writes under a runner's name what names no runner. The runner is used
+// again once it has written its own entry.
+func TestAnOverwrittenEntryNamesNobody(t *testing.T) {
+	s := NewState(timing)
+	s.Take(start, append(listed("b"), born(2, "x:1")...))
+	s.Take(start, []Change{{Kind: Unusable, Entry: Entry{Name: "a"}}})
+	check(t, s, []string{"b"}, []string{"a@2"})
+	s.Take(start, born(2, "x:1"))
+	check(t, s, []string{"a@2", "b"}, nil)
+	s.Take(start, listed("a")) // without a start, which it always tells
+	check(t, s, []string{"b"}, []string{"a@2"})
+}
+
+// A second outage of the store ends while entries are held after the first: they are
+// held for as long after the second.
+func TestASecondOutageHoldsEntriesLonger(t *testing.T) {
+	s := NewState(timing)
+	s.Take(start, listed("a"))
+	s.StoreBack(start)
+	s.Take(start, gone("a"))
+	s.StoreBack(start.Add(time.Second))
+	s.Expire(start.Add(timing.Hold))
+	check(t, s, []string{"a"}, nil)
+	s.Expire(start.Add(time.Second + timing.Hold))
+	check(t, s, nil, []string{"a"})
+}
+
+// Writes of several lives of one runner, removals and strange entries come in any
+// order, as a platform that delays writes may bring them. Nothing of a former life is
+// ever believed after a later one was seen, and each life has an id of its own.
+func TestNoOrderOfEventsBringsAFormerLifeBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewState(timing)
+		now, latest := start, int64(0)
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0:
+				s.Take(now, gone("a"))
+			case 1:
+				s.Take(now, []Change{{Kind: Unusable, Entry: Entry{Name: "a"}}})
+			case 2:
+				s.StoreBack(now)
+			default:
+				life := int64(rapid.IntRange(1, 4).Draw(t, "life"))
+				latest = max(latest, life)
+				s.Take(now, born(life, strconv.FormatInt(life, 10)))
+			}
+			s.Expire(now)
+			for _, vm := range s.VMs() {
+				if want := "a@" + strconv.FormatInt(latest, 10); vm.ID != want || vm.Addr != strconv.FormatInt(latest, 10) {
+					t.Fatalf("%+v counts, the latest life is %d", vm, latest)
+				}
+			}
+		}
+	})
+}
--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -79,7 +79,7 @@
 		Call:      at.call,
 		Host:      a.req.Host,
 		ID:        a.req.ID,
-		Instance:  at.vm.ID,
+		Instance:  at.vm.Name(),
 		Urgency:   a.req.Urgency,
 		Left:      left(a.plan.Deadline, now, a.plan.Deadline.Sub(a.started)),
 		LastEvent: a.req.LastEvent,
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -26,11 +26,19 @@
 // MembersEffect is something to be done for the follower of entries.
 type MembersEffect struct{ Effect config.Effect }
 
-// Unreadable tells of an entry that makes no sense.
-type Unreadable struct{ Err error }
+// Unusable tells of an entry that names no upstream which could be used.
+type Unusable struct {
+	Err   error
+	Again bool // it was so for the same reason before it was written anew
+}
+
+// Restarted tells of upstreams that have started again, and of writes of former
+// incarnations that came late.
+type Restarted struct{ membership.Taken }
 
 func (RelayEffect) isEffect()   {}
-func (Unreadable) isEffect()    {}
+func (Unusable) isEffect()      {}
+func (Restarted) isEffect()     {}
 func (MembersEffect) isEffect() {}
 
 // relayed is what a router keeps that relies on others to read the store: a
@@ -41,6 +49,9 @@
 	members *config.Follower
 	entries *membership.State
 	reader  membership.Reader
+	// unusable are the reasons for which entries name no upstream, by name. Whoever
+	// writes such an entry may do so at each heartbeat, and one line tells it all.
+	unusable map[string]string
 }
 
 // membersRetry is how much longer than the configuration's the follower of entries
@@ -57,10 +68,11 @@
 func (s *State) Relaying(r *relay.State, reader membership.Reader, timing membership.Timing, pace config.Pace, seed uint64) {
 	pace.RetryMost *= membersRetry
 	s.relayed = &relayed{
-		relay:   r,
-		members: config.NewFollower(seed, pace),
-		entries: membership.NewState(timing),
-		reader:  reader,
+		relay:    r,
+		members:  config.NewFollower(seed, pace),
+		entries:  membership.NewState(timing),
+		reader:   reader,
+		unusable: make(map[string]string),
 	}
 }
 
@@ -106,9 +118,11 @@
 	for _, effect := range r.members.Step(e) {
 		switch effect := effect.(type) {
 		case config.Changed:
-			changes, unreadable := s.changes(effect.Objects)
-			out = append(out, unreadable...)
-			r.entries.Take(now, changes)
+			changes, unusable := r.changes(effect.Objects)
+			out = append(out, unusable...)
+			if t := r.entries.Take(now, changes); t.Outdated > 0 || len(t.Replaced) > 0 {
+				out = append(out, Restarted{Taken: t})
+			}
 			changed = true
 		case config.StoreRegained:
 			// While another router went on reading it, the store was not away, and no
@@ -129,23 +143,30 @@
 	return out
 }
 
-// changes reads entries. One that cannot be read is passed over, and told.
-func (s *State) changes(objects []topo.Object) ([]membership.Change, []Effect) {
+// changes reads entries. One that names no upstream is told.
+func (r *relayed) changes(objects []topo.Object) ([]membership.Change, []Effect) {
 	out := make([]membership.Change, 0, len(objects))
-	var unreadable []Effect
+	var unusable []Effect
 	for _, o := range objects {
+		c := membership.Change{Entry: membership.Entry{Name: o.Name}}
 		if o.Deleted {
-			out = append(out, membership.Change{VM: topo.VM{ID: o.Name}, Gone: true})
+			c.Kind = membership.Removed
+			delete(r.unusable, o.Name)
+			out = append(out, c)
 			continue
 		}
-		vm, err := s.relayed.reader.VM(o)
+		entry, err := r.reader.Entry(o)
 		if err != nil {
-			unreadable = append(unreadable, Unreadable{Err: err})
-			continue
+			c.Kind = membership.Unusable
+			unusable = append(unusable, Unusable{Err: err, Again: r.unusable[o.Name] == err.Error()})
+			r.unusable[o.Name] = err.Error()
+		} else {
+			c.Entry = entry
+			delete(r.unusable, o.Name)
 		}
-		out = append(out, membership.Change{VM: vm})
+		out = append(out, c)
 	}
-	return out, unreadable
+	return out, unusable
 }
 
 // listed takes the upstreams that count now as the list of VMs.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -23,6 +23,13 @@
 	"github.com/parsleyfront/parsleyfront/internal/wire"
 )
 
+var (
+	unusableEntries = telemetry.NewCounter("router_unusable_entries_total",
+		"Writes of entries of upstreams that named none which could be used.")
+	outdatedEntries = telemetry.NewCounter("router_outdated_entries_total",
+		"Writes of entries by former incarnations of upstreams, which were passed over.")
+)
+
 // listEvery is how often the list of VMs is read.
 const listEvery = 2 * time.Second
 
@@ -166,8 +173,24 @@
 		r.mesh.do(e.Effect)
 	case MembersEffect:
 		r.mesh.members.Do(r.ctx, e.Effect)
-	case Unreadable:
-		slog.Error("an entry of an upstream cannot be read and is passed over", "error", e.Err)
+	case Unusable:
+		unusableEntries.Inc()
+		if !e.Again {
+			slog.Error("an entry names no upstream that could be used", "error", e.Err)
+		}
+	case Restarted:
+		r.restarted(e)
+	}
+}
+
+// restarted ends what is under way at the former incarnations of upstreams.
+func (r *Router) restarted(e Restarted) {
+	outdatedEntries.Add(int64(e.Outdated))
+	for _, vm := range e.Replaced {
+		slog.Warn("upstream has started again: what it worked on is lost", "upstream", vm.ID, "addr", vm.Addr, "pool", vm.Pool)
+		if r.config.Direct != nil {
+			r.config.Direct.Abandon(vm)
+		}
 	}
 }
 
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -149,7 +149,7 @@
 	for i, vm := range p.VMs {
 		out[i] = placement.Member{
 			VM:     load.Hash(vm.ID),
-			Seed:   placement.Seed(vm.ID),
+			Seed:   placement.Seed(vm.Name()), // one that starts again moves no sessions of others
 			Weight: max(vm.Weight, 1),
 			Domain: vm.FailureDomain,
 
--- a/internal/topo/topo.go
+++ b/internal/topo/topo.go
@@ -106,7 +106,10 @@
 
 // VM is an entry of the platform's list. The list lags behind the truth.
 type VM struct {
-	ID            string `json:"id"`
+	ID string `json:"id"`
+	// Instance is what an upstream without a sidecar calls itself. One that starts
+	// again keeps that name and gets another ID. Empty: the ID.
+	Instance      string `json:"instance,omitempty"`
 	Role          Role   `json:"role"`
 	Addr          string `json:"addr"`                 // of the router's or sidecar's protocol, host:port
 	AdminAddr     string `json:"admin_addr,omitempty"` // of a router's HTTP API for operators, host:port
@@ -117,6 +120,14 @@
 	Leaving       bool   `json:"leaving,omitempty"`
 }
 
+// Name returns what the VM's upstream calls itself.
+func (vm VM) Name() string {
+	if vm.Instance != "" {
+		return vm.Instance
+	}
+	return vm.ID
+}
+
 // VMs is one reading of the list. Tag identifies its content.
 type VMs struct {
 	Tag     string `json:"tag"`
