--- a/internal/load/pace.go
+++ b/internal/load/pace.go
@@ -15,6 +15,9 @@
 	// paceMost bounds how much slower than usual a single answer counts: one request in
 	// a hundred takes many times as long as the others, wherever it runs.
 	paceMost = 8.0
+	// paceLeast is the shortest time that tells one answer from another: what the way
+	// there and back varies by.
+	paceLeast = time.Millisecond
 	// usualShare is the weight of one answer's time in what is usual of its kind.
 	usualShare = 0.02
 )
@@ -39,11 +42,11 @@
 
 // Took takes in how long an upstream took to begin the answer to a request of a kind.
 func (p *Pace) Took(now time.Time, vm VM, kind string, d time.Duration) {
-	usual, known := p.usual[kind]
-	if !known {
-		usual = d.Seconds()
+	usual := p.usual[kind]
+	if usual <= 0 {
+		usual = max(d, paceLeast).Seconds()
 	}
-	x := min(d.Seconds()/max(usual, math.SmallestNonzeroFloat64), paceMost)
+	x := min(max(d, paceLeast).Seconds()/usual, paceMost)
 	p.usual[kind] = usual * (1 + usualShare*(x-1))
 	slowness := p.Slowness(now, vm)
 	p.seen[vm] = pace{slowness: slowness + paceShare*(x-slowness), at: now}
--- /dev/null
+++ b/internal/load/pace_test.go
@@ -0,0 +1,62 @@
+package load
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// One of two booking services becomes five times slower, and is well again later. The
+// router knows the first after a few answers and forgets it when it sends nothing more
+// there; a service that others use meanwhile is what it was.
+func TestPaceKnowsASlowUpstreamAndForgetsIt(t *testing.T) {
+	p, now := NewPace(), time.Unix(1000, 0)
+	const usual = 60 * time.Millisecond
+	answer := func(vm VM, d time.Duration, n int) {
+		for range n {
+			now = now.Add(50 * time.Millisecond)
+			p.Took(now, vm, "login", d)
+		}
+	}
+	answer(1, usual, 20)
+	answer(2, usual, 20)
+	answer(2, 5*usual, 4)
+	if got := p.Slowness(now, 2); got < 2.5 {
+		t.Errorf("after four slow answers it counts as %.2f times slower", got)
+	}
+	if got := p.Slowness(now, 1); math.Abs(got-1) > 0.2 {
+		t.Errorf("the other counts as %.2f times slower", got)
+	}
+	now = now.Add(10 * time.Second)
+	if got := p.Slowness(now, 2); got > 1.2 {
+		t.Errorf("10 s later it still counts as %.2f times slower", got)
+	}
+}
+
+// Kinds of request take different times. An upstream that happens to get the long ones
+// is no slower for that.
+func TestPaceComparesWithTheSameKind(t *testing.T) {
+	p, now := NewPace(), time.Unix(1000, 0)
+	for range 40 {
+		now = now.Add(20 * time.Millisecond)
+		p.Took(now, 1, "short", 20*time.Millisecond)
+		p.Took(now, 2, "long", 2*time.Second)
+	}
+	if a, b := p.Slowness(now, 1), p.Slowness(now, 2); math.Abs(a-b) > 0.01 {
+		t.Errorf("slowness %.2f and %.2f", a, b)
+	}
+}
+
+// Answers that come at once, and a single one that takes very long, say little.
+func TestPaceIsNotCarriedAwayByOneAnswer(t *testing.T) {
+	p, now := NewPace(), time.Unix(1000, 0)
+	p.Took(now, 1, "login", 0)
+	p.Took(now, 1, "login", time.Hour)
+	if got := p.Slowness(now, 1); got > 1+paceShare*paceMost {
+		t.Errorf("slowness %.2f", got)
+	}
+	p.Keep(nil)
+	if got := p.Slowness(now, 1); got != 1 {
+		t.Errorf("slowness %.2f of one that is forgotten", got)
+	}
+}
--- a/internal/placement/bounded.go
+++ b/internal/placement/bounded.go
@@ -169,6 +169,11 @@
 // session is believed to take in the router's own failure domain before it leaves that.
 const leaveRatio = 1.5
 
+// chanceRatio is how many times longer a request is believed to take at an upstream
+// than at another before that is more than chance. Without it, the one that was fastest
+// lately gets all requests of a quiet hour.
+const chanceRatio = 1.25
+
 // leastLoaded chooses for a request without a session: of two random upstreams of the
 // router's own failure domain, the one at which it is believed to take less time, unless
 // one of the region's others is far better. A domain may have one upstream: if that is
@@ -209,7 +214,7 @@
 	}
 	*random = mix(*random)
 	j := group[(at+1+int(*random%uint64(len(group)-1)))%len(group)]
-	if p.sooner(l, j, i, 1) {
+	if p.sooner(l, j, i, chanceRatio) {
 		return j
 	}
 	return i
