test/soak: the shipped daemon as processes, with faults from outside

Change: it stands in test/soak. Routers are processes on loopback before the project's stand-ins of store and runners; proxies reset, silence, delay and cut one way; processes are stopped, paused, killed and restarted; configurations change and keys go. New here: runners that start again under their id, with heartbeats of their former life done late, and entries that no runner wrote.

Each check has yet to be shown to fail against a router with its guard taken out.

--- /dev/null
+++ b/test/soak/checks_test.go
@@ -0,0 +1,165 @@
+package soak
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/platform/fake"
+)
+
+// settle ends all troubles and waits until each router does as the newest
+// configuration says.
+func (w *world) settle() {
+	w.store.Outage(nil)
+	w.store.Lose(0)
+	for c := range int(chanceCount) {
+		w.setChance(c, false)
+	}
+	for _, r := range w.allRunners() {
+		if r.left.IsZero() {
+			r.proxy.turn(through)
+		}
+	}
+	newest, key := w.newestVersion(), w.newestKey()
+	revoked := w.revokedKeys()
+	for _, e := range w.entries {
+		e.store.turn(through)
+		e.signal(syscall.SIGCONT)
+		w.eventually(e.name+" does as the newest configuration says", func() bool {
+			if newest > 1 && w.askOnce(e, generation(newest), "") != http.StatusOK {
+				return false
+			}
+			for _, k := range revoked {
+				if w.askOnce(e, "/book/1", k) != http.StatusUnauthorized {
+					return false
+				}
+			}
+			return w.askOnce(e, "/book/1", key) == http.StatusOK
+		})
+	}
+	time.Sleep(time.Second) // what was passed on late has run
+}
+
+func (w *world) revokedKeys() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []string
+	for k := range w.revoked {
+		out = append(out, k)
+	}
+	return out
+}
+
+// lateBy is how long after a runner has left a request may still reach it. The
+// platform's bound is configBound; the rest is for a busy machine and for routers that
+// were cut off from the store.
+const lateBy = 12 * time.Second
+
+// check holds what callers were told against what runners did.
+func (w *world) check() {
+	runs := make(map[string][]fake.Run)
+	by := make(map[string][]string) // runners, by attempt
+	for _, r := range w.allRunners() {
+		for _, run := range r.Runs() {
+			runs[run.ID] = append(runs[run.ID], run)
+			by[run.ID] = append(by[run.ID], r.ID)
+			w.checkRun(r, run)
+		}
+	}
+	w.mu.Lock()
+	calls := append([]*call(nil), w.calls...)
+	w.mu.Unlock()
+	for _, c := range calls {
+		w.checkCall(c, runs[c.id], by[c.id])
+	}
+}
+
+// checkRun holds a request that a runner got against the one that was sent.
+func (w *world) checkRun(r *runner, run fake.Run) {
+	w.mu.Lock()
+	c := w.sent[run.ID]
+	w.mu.Unlock()
+	switch {
+	case c == nil:
+		w.t.Errorf("%s ran %s, which nobody sent", r.ID, run.ID)
+		return
+	case run.Path != c.path || run.Body != c.body:
+		w.t.Errorf("%s ran %s as %s with body %q, sent as %s with %q", r.ID, run.ID, run.Path, run.Body, c.path, c.body)
+	case c.key != "" && run.Organisation != "club", c.key == "" && run.Organisation != "":
+		w.t.Errorf("%s ran %s for organisation %q", r.ID, run.ID, run.Organisation)
+	case run.Header.Get("Authorization") != "":
+		w.t.Errorf("%s was shown the key of %s", r.ID, run.ID)
+	case run.Header.Get("Target-Instance") != r.ID:
+		w.t.Errorf("%s ran %s, which was for %s", r.ID, run.ID, run.Header.Get("Target-Instance"))
+	}
+	if !r.left.IsZero() && run.At.After(r.left.Add(lateBy)) {
+		w.t.Errorf("%s got %s %v after it had left", r.ID, run.ID, run.At.Sub(r.left).Round(time.Millisecond))
+	}
+}
+
+// checkCall holds what a caller was told against the runs of its request.
+func (w *world) checkCall(c *call, runs []fake.Run, by []string) {
+	fail := func(what string) {
+		w.t.Helper()
+		w.t.Errorf("%s: %s %s at %s (life %d): status %d, whole %v, run by %v, answer %q", what, c.method, c.path, c.entry.name, c.life, c.status, c.whole, by, c.answer)
+	}
+	if !c.idempotent && len(runs) > 1 {
+		fail("ran more than once")
+	}
+	if len(runs) > c.attempts {
+		fail("ran too often")
+	}
+	if c.extra {
+		fail("bytes came behind the answer")
+	}
+	switch {
+	case c.status == 0:
+		if w.planned && len(runs) > 0 {
+			fail("was passed on and not answered, though all that went on was planned")
+		}
+	case c.status == http.StatusOK:
+		w.checkAnswer(c, by, fail)
+	case c.status == http.StatusUnauthorized || c.status == http.StatusNotFound:
+		fail("refused though key and route were in force all the time")
+	case promise(c.status):
+		if len(runs) > 0 {
+			fail("said not to have run")
+		}
+	case c.signature != "":
+		fail("a failure with a runner's signature that no runner gave")
+	}
+}
+
+// promise reports whether a status says that the request has not run and never will.
+func promise(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// checkAnswer checks a success.
+func (w *world) checkAnswer(c *call, by []string, fail func(string)) {
+	want := plainAnswer(c.signature, c.id)
+	if c.stream {
+		var b strings.Builder
+		for i := 1; i <= streamEvents; i++ {
+			b.WriteString(streamEvent(c.id, i))
+		}
+		want = b.String()
+	}
+	switch {
+	case c.whole && c.answer != want:
+		fail("not the whole answer to this request")
+	case !strings.HasPrefix(want, c.answer):
+		fail("not the beginning of the answer to this request")
+	case !slices.Contains(by, c.signature):
+		fail("signed by a runner that did not run it")
+	case w.planned && !c.whole:
+		fail("cut, though all that went on was planned")
+	}
+}
--- /dev/null
+++ b/test/soak/faults_test.go
@@ -0,0 +1,266 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// trouble befalls the fleet for some time and is over when it returns.
+type trouble struct {
+	name    string
+	planned bool
+	strike  func(w *world)
+}
+
+var troubles = []trouble{
+	{"configuration", true, (*world).reconfigure},
+	{"configurations in quick succession", true, (*world).reconfigureOften},
+	{"runner leaves", true, (*world).leave},
+	{"runner joins", true, (*world).join},
+	{"router stops", true, (*world).stopRouter},
+	{"settings reload", true, (*world).reload},
+	{"router is killed", false, (*world).killRouter},
+	{"router stands still", false, (*world).pauseRouter},
+	{"store is away for a router", false, (*world).cutStore},
+	{"store refuses", false, (*world).refuseStore},
+	{"answers of the store are lost", false, (*world).loseStoreAnswers},
+	{"store forgets its history", false, func(w *world) { w.store.Compact() }},
+	{"way to a runner", false, (*world).cutRunner},
+	{"runner crashes", false, (*world).crashRunner},
+	{"runner starts again", false, (*world).restartRunner},
+	{"entries of others", false, (*world).writeForeignEntries},
+	{"answers of runners", false, (*world).spoilAnswers},
+}
+
+// befall lets troubles befall the fleet until stop, several at a time, and waits for
+// the last to be over.
+func (w *world) befall(stop <-chan struct{}) {
+	var open sync.WaitGroup
+	for !over(stop) {
+		tr := troubles[w.intN(len(troubles))]
+		if w.planned && !tr.planned {
+			continue
+		}
+		w.mu.Lock()
+		w.faults[tr.name]++
+		w.mu.Unlock()
+		open.Go(func() { tr.strike(w) })
+		time.Sleep(w.between(20*time.Millisecond, 500*time.Millisecond))
+	}
+	open.Wait()
+	w.running.Wait()
+}
+
+func (w *world) reconfigure() {
+	w.change(func(c *configuration) {
+		c.routes = append(c.routes, route(fmt.Sprint("g", c.version), generation(c.version), "idempotent", map[string]any{"anonymous": true}))
+		switch {
+		case len(c.keys) < 3:
+			key := fmt.Sprint("key-", c.version)
+			c.keys = append(c.keys, key)
+		default: // the first is the callers'
+			w.revoked[c.keys[1]] = c.version
+			c.keys = slices.Delete(c.keys, 1, 2)
+		}
+	})
+}
+
+func (w *world) reconfigureOften() {
+	for range 5 {
+		w.reconfigure()
+		time.Sleep(w.between(time.Millisecond, 60*time.Millisecond))
+	}
+}
+
+// leave lets a runner leave as planned, if enough are left.
+func (w *world) leave() {
+	live := w.liveRunners()
+	if len(live) <= 2 {
+		return
+	}
+	r := live[w.intN(len(live))]
+	w.announce(r, "draining")
+	w.markLeft(r)
+	time.Sleep(2 * configBound)
+	w.store.Remove("servers", r.ID)
+}
+
+func (w *world) markLeft(r *runner) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if r.left.IsZero() {
+		r.left = time.Now()
+	}
+}
+
+func (w *world) join() {
+	if len(w.liveRunners()) < 2*runnersAtStart {
+		_, err := w.newRunner()
+		if err != nil {
+			w.t.Error(err)
+		}
+	}
+}
+
+func (w *world) anEntry() *entry { return w.entries[w.intN(len(w.entries))] }
+
+// stopRouter stops a router as planned and starts it again.
+func (w *world) stopRouter() {
+	if !w.turns.TryLock() {
+		return
+	}
+	defer w.turns.Unlock()
+	e := w.anEntry()
+	e.signal(syscall.SIGTERM)
+	if !e.ended(grace) {
+		if w.planned {
+			w.t.Errorf("%s runs %v after SIGTERM", e.name, grace)
+		}
+		e.signal(syscall.SIGKILL)
+		e.ended(grace)
+	}
+	w.must2(e.start())
+	w.eventually(e.name+" is ready after a planned stop", e.ready)
+}
+
+// must2 is must for goroutines that are not the test's own.
+func (w *world) must2(err error) {
+	if err != nil {
+		w.t.Error(err)
+	}
+}
+
+func (w *world) reload() {
+	e := w.anEntry()
+	w.must2(e.settings(2 + float64(w.intN(10))/10))
+	e.signal(syscall.SIGHUP)
+}
+
+func (w *world) killRouter() {
+	if !w.turns.TryLock() {
+		return
+	}
+	defer w.turns.Unlock()
+	e := w.anEntry()
+	e.signal(syscall.SIGKILL)
+	e.signal(syscall.SIGCONT)
+	e.ended(grace)
+	time.Sleep(w.between(time.Millisecond, time.Second))
+	w.must2(e.start())
+}
+
+func (w *world) pauseRouter() {
+	e := w.anEntry()
+	e.signal(syscall.SIGSTOP)
+	time.Sleep(w.between(100*time.Millisecond, 3*time.Second))
+	e.signal(syscall.SIGCONT)
+}
+
+// cutStore turns the way from one router to the store.
+func (w *world) cutStore() {
+	e := w.anEntry()
+	e.store.turn(way(1 + w.intN(int(wayCount)-1)))
+	time.Sleep(w.between(200*time.Millisecond, 3*time.Second))
+	e.store.turn(through)
+}
+
+// refuseStore lets the store refuse everybody.
+func (w *world) refuseStore() {
+	status := []int{http.StatusServiceUnavailable, http.StatusTooManyRequests}[w.intN(2)]
+	w.store.Outage(func(string) int { return status })
+	time.Sleep(w.between(200*time.Millisecond, 2*time.Second))
+	w.store.Outage(nil)
+}
+
+func (w *world) loseStoreAnswers() { w.store.Lose(1 + w.intN(3)) }
+
+func (w *world) cutRunner() {
+	live := w.liveRunners()
+	r := live[w.intN(len(live))]
+	r.proxy.turn(way(1 + w.intN(int(wayCount)-1)))
+	time.Sleep(w.between(100*time.Millisecond, 2*time.Second))
+	r.proxy.turn(through)
+}
+
+// crashRunner ends a runner without a word. Its entry lapses later.
+func (w *world) crashRunner() {
+	live := w.liveRunners()
+	if len(live) <= 2 {
+		return
+	}
+	r := live[w.intN(len(live))]
+	r.proxy.turn(refused)
+	_ = r.Close()
+	time.Sleep(w.between(100*time.Millisecond, time.Second))
+	w.markLeft(r)
+	w.store.Remove("servers", r.ID)
+	w.join()
+}
+
+// restartRunner ends a runner without a word and starts it again under its id. The
+// store may do a heartbeat of its former life after the first of the present one.
+func (w *world) restartRunner() {
+	live := w.liveRunners()
+	if len(live) <= 2 {
+		return
+	}
+	former := live[w.intN(len(live))]
+	w.markLeft(former)
+	former.proxy.turn([]way{refused, silent}[w.intN(2)])
+	_ = former.Close()
+	time.Sleep(w.between(10*time.Millisecond, time.Second))
+	present, err := w.startRunner(former.ID)
+	if err != nil {
+		w.t.Error(err)
+		return
+	}
+	if w.intN(2) == 0 {
+		time.Sleep(w.between(time.Millisecond, 300*time.Millisecond))
+		w.announce(former, "ready")
+		time.Sleep(w.between(time.Millisecond, time.Second))
+		w.renew(present)
+	}
+}
+
+// renew writes the entry of a runner anew, unless it has left meanwhile.
+func (w *world) renew(r *runner) {
+	w.mu.Lock()
+	left := !r.left.IsZero()
+	w.mu.Unlock()
+	if !left {
+		w.announce(r, "ready")
+	}
+}
+
+// writeForeignEntries writes what no runner writes among their entries, and for a
+// while in place of one of theirs.
+func (w *world) writeForeignEntries() {
+	specs := []any{"?", 7, map[string]any{}, map[string]any{"service": "llm", "address": "127.0.0.1:9", "state": "ready"}}
+	spec := specs[w.intN(len(specs))]
+	w.store.Put("servers", fmt.Sprint("other-", w.intN(3)), spec)
+	live := w.liveRunners()
+	if len(live) <= 2 {
+		return
+	}
+	r := live[w.intN(len(live))]
+	w.store.Put("servers", r.ID, spec)
+	time.Sleep(w.between(time.Millisecond, time.Second))
+	w.renew(r)
+}
+
+func (w *world) spoilAnswers() {
+	c := w.intN(int(chanceCount))
+	w.setChance(c, true)
+	time.Sleep(w.between(200*time.Millisecond, 2*time.Second))
+	w.setChance(c, false)
+}
+
+func (w *world) setChance(c int, on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.chances[c] = on
+}
--- /dev/null
+++ b/test/soak/fleet_test.go
@@ -0,0 +1,253 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/platform/fake"
+)
+
+const (
+	runnersAtStart = 4
+	// configBound and grace are what the platform's settings say.
+	configBound = 2 * time.Second
+	grace       = 8 * time.Second
+)
+
+// entry is a router: one process after the other, at the same addresses.
+type entry struct {
+	world *world
+	name  string
+	ip    string
+	dir   string
+	store *proxy
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	exited  chan struct{}
+	paused  bool
+	log     *os.File
+	life    int // number of the process
+	planned bool
+}
+
+func (e *entry) addr() string { return net.JoinHostPort(e.ip, "8080") }
+
+// settings writes the file that the platform gives a process.
+func (e *entry) settings(loadMultiple float64) error {
+	text := fmt.Sprintf(`node: %q
+ip: %q
+zone: "a"
+region: "r"
+zones: {a: "r"}
+listen: {front: %q, ready: %q}
+internal_ports: [7340, 7355]
+limits: {cpu_share: 0.5, cores: 1, memory_mb: 256, max_fds: 2048, link_mbps: 1000.0}
+heartbeat_ms: 1200
+bounds: {config_apply_ms: %d, drain_ms: %d, grace_s: %d, retry_ratio: 0.2, retry_slack: 20, budget_window_s: 10, cap_factor: %g}
+platform: {address: %q}
+`, e.name, e.ip, e.addr(), net.JoinHostPort(e.ip, "8081"), configBound.Milliseconds(), configBound.Milliseconds(), int(grace.Seconds()), loadMultiple, e.store.addr())
+	next := filepath.Join(e.dir, "next.yaml")
+	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, e.settingsPath())
+}
+
+func (e *entry) settingsPath() string { return filepath.Join(e.dir, "local.yaml") }
+
+// start starts a process.
+func (e *entry) start() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	cmd := exec.Command(daemonPath, "entry", "--log-format", "json", "--metrics-port", "0")
+	cmd.Env = append(os.Environ(), "PARSLEYFRONT_BOOT="+e.settingsPath(), "GOMAXPROCS=2")
+	cmd.Stdout, cmd.Stderr = e.log, e.log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	e.cmd, e.exited, e.paused = cmd, exited, false
+	e.life++
+	go func() {
+		_ = cmd.Wait()
+		close(exited)
+	}()
+	return nil
+}
+
+// signal sends a signal to the process, which the soak has started itself.
+func (e *entry) signal(s syscall.Signal) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cmd != nil && e.cmd.Process != nil {
+		_ = e.cmd.Process.Signal(s)
+	}
+}
+
+// ended waits for the end of the process, for a time.
+func (e *entry) ended(within time.Duration) bool {
+	e.mu.Lock()
+	exited := e.exited
+	e.mu.Unlock()
+	select {
+	case <-exited:
+		return true
+	case <-time.After(within):
+		return false
+	}
+}
+
+func (e *entry) lives() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.life
+}
+
+// ready asks as the balancer does.
+func (e *entry) ready() bool {
+	c := http.Client{Timeout: 300 * time.Millisecond}
+	resp, err := c.Get("http://" + net.JoinHostPort(e.ip, "8081") + "/v1/ready")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// runner is a runner behind a proxy. Its entry names the proxy.
+type runner struct {
+	*fake.Runner
+	proxy *proxy
+	born  int64     // its start, in Unix milliseconds
+	left  time.Time // when its entry said that it leaves, or was removed
+}
+
+// newRunner starts a runner and enters it in the store.
+func (w *world) newRunner() (*runner, error) {
+	w.mu.Lock()
+	w.born++
+	id := "runner-" + strconv.Itoa(w.born)
+	w.mu.Unlock()
+	return w.startRunner(id)
+}
+
+// startRunner starts a runner under an id that a former one may have had.
+func (w *world) startRunner(id string) (*runner, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p, err := newProxy(l.Addr().String())
+	if err != nil {
+		return nil, err
+	}
+	r := &runner{Runner: fake.StartRunner(l, id, p.addr()), proxy: p, born: time.Now().UnixMilli()}
+	r.Behave(w.act(r.Runner))
+	w.mu.Lock()
+	w.runners = append(w.runners, r)
+	w.mu.Unlock()
+	w.announce(r, "ready")
+	return r, nil
+}
+
+func (w *world) announce(r *runner, state string) {
+	w.store.Put("servers", r.ID, map[string]any{
+		"service": "llm", "address": r.proxy.addr(), "zone": "a", "version": "v1",
+		"slots": 16, "state": state, "warmup_left_ms": 0, "sequence": 1, "born": r.born,
+	})
+}
+
+// act answers with what names the attempt, so that an answer that went to another
+// caller shows.
+func (w *world) act(r *fake.Runner) fake.Act {
+	return func(c net.Conn, req *http.Request, body string) fake.Acted {
+		r.Note(req, body)
+		id := req.Header.Get("Attempt-Id")
+		if w.unlucky(loseAnswer) {
+			return fake.Closed
+		}
+		if len(req.URL.Path) < 8 || req.URL.Path[:8] != "/stream/" {
+			time.Sleep(w.work())
+			text := plainAnswer(r.ID, id)
+			r.Head(c, req, http.StatusOK, "Content-Length: "+strconv.Itoa(len(text)))
+			fmt.Fprint(c, text)
+			if w.unlucky(extraAnswer) {
+				r.Head(c, req, http.StatusOK, "Content-Length: 5")
+				fmt.Fprint(c, "extra")
+			}
+			return fake.Kept
+		}
+		r.Head(c, req, http.StatusOK, "Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+		begin, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
+		for i := begin + 1; i <= streamEvents; i++ {
+			time.Sleep(w.work())
+			if w.unlucky(tearStream) {
+				fmt.Fprint(c, "40\r\nid: ")
+				return fake.Closed
+			}
+			fake.Chunk(c, streamEvent(streamName(req), i))
+		}
+		fmt.Fprint(c, "0\r\n\r\n")
+		return fake.Kept
+	}
+}
+
+// streamEvents is how many events a stream has.
+const streamEvents = 6
+
+func plainAnswer(runner, attempt string) string { return runner + " for " + attempt }
+
+// streamName is what the events of a stream name: the attempt, also where another
+// runner goes on with it.
+func streamName(r *http.Request) string { return r.Header.Get("Attempt-Id") }
+
+func streamEvent(name string, i int) string {
+	return fmt.Sprintf("id: %d\ndata: %s-%d\n\n", i, name, i)
+}
+
+// configuration is what the operator writes.
+type configuration struct {
+	version int
+	routes  []map[string]any
+	keys    []string
+}
+
+func route(name, prefix, kind string, more map[string]any) map[string]any {
+	r := map[string]any{
+		"name": name, "host": callerHost, "path_prefix": prefix, "service": "llm", "kind": kind,
+		"timeout_ms": 5000, "target_latency_ms": 400, "max_attempts": 1, "priority": 1,
+	}
+	for k, v := range more {
+		r[k] = v
+	}
+	return r
+}
+
+// write puts the configuration into the store.
+func (w *world) write(c configuration) {
+	w.store.Put("config", "main", map[string]any{
+		"version": c.version, "routes": c.routes,
+		"services": []map[string]any{{"name": "llm", "health_path": "/health", "max_connections": 200}},
+		"tenants":  []map[string]any{{"name": "club", "api_keys": c.keys}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	})
+}
+
+// asJSON is for messages of failures.
+func asJSON(v any) string {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return err.Error()
+	}
+	return string(b)
+}
