router: an upstream at whose address another one answers is avoided

Ruled out: taking the newer of two entries with one address as the truth: another writer could name the address of a runner that lives.

Change: 421 is an upstream's own word that it is not the one that was meant; that one goes behind the others for two seconds, as one that cannot be reached does.

--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -46,6 +46,12 @@
 	if s.Word.NotRun {
 		s.Drain()
 		at.stream = nil
+		if s.Status() == http.StatusMisdirectedRequest {
+			// Another one has its address: it is gone, though its entry is still there, or
+			// was written again by a heartbeat that came late. Each further request would
+			// be refused in the same way for as long.
+			a.router.avoid(at.vm.ID)
+		}
 		return dispatch.Refused{Now: time.Now(), Attempt: at.number, Err: declined(s.Status())}
 	}
 	if at.headed && s.Status() != http.StatusOK {
