placement: sessions spill within the failure domain of their home

Change: a session's ranking is by failure domain first (all with the same share while they are about equally large, else by size), and three of its domain come before those of the next.

Weighed: reordering the flat ranking by the home's domain: when the home goes, so does the order, and its replicas are in the wrong place.

Tests: internal/placement/domains_test.go.

--- a/internal/placement/bounded.go
+++ b/internal/placement/bounded.go
@@ -65,7 +65,7 @@
 		return p.leastLoaded(l, q.Random, out), basis
 	}
 	var ranked [depth]int
-	order := ranked[:p.near.top(q.Session, ranked[:])]
+	order := ranked[:p.local.top(q.Session, ranked[:])]
 	p.spreadHot(l, q, basis, order)
 	n := p.underFirst(l, q, basis, order, out)
 	// Upstreams of other regions come last.
--- /dev/null
+++ b/internal/placement/domains.go
@@ -0,0 +1,97 @@
+package placement
+
+import (
+	"math"
+	"slices"
+)
+
+const (
+	// perDomain is how many upstreams of a session's failure domain come before those
+	// of the next one. Prompts are handed on within a failure domain, at half the cost
+	// of a transfer between two; a request that all of them fail still reaches others.
+	perDomain = 3
+	// evenRatio is how many times larger than the smallest the largest failure domain
+	// of a region may be for all to get the same share of the sessions. While they do,
+	// an upstream that joins or leaves moves sessions within its failure domain only.
+	// Beyond it, each upstream of the smallest would have that many times as many.
+	evenRatio = 1.3
+)
+
+// domains orders the upstreams of a region for each session: failure domains by
+// weighted rendezvous hashing, and in each its upstreams.
+type domains []domainRanking
+
+type domainRanking struct {
+	seed   uint64
+	weight float64 // its share of the sessions, before those of others
+	ranking
+}
+
+func newDomains(members []Member, index []int) domains {
+	var names []string
+	by := make(map[string][]int)
+	for _, i := range index {
+		name := members[i].Domain
+		if by[name] == nil {
+			names = append(names, name)
+		}
+		by[name] = append(by[name], i)
+	}
+	slices.Sort(names)
+	least, most := math.MaxInt, 0
+	for _, name := range names {
+		least, most = min(least, len(by[name])), max(most, len(by[name]))
+	}
+	out := make(domains, 0, len(names))
+	for _, name := range names {
+		d := domainRanking{seed: Seed(name), weight: 1, ranking: newRanking(members, by[name])}
+		if float64(most) > evenRatio*float64(least) {
+			d.weight = float64(len(by[name]))
+		}
+		out = append(out, d)
+	}
+	return out
+}
+
+// top writes the indices of the upstreams that rank highest for session to best, the
+// highest first, and returns how many there are.
+func (d domains) top(session uint64, best []int) int {
+	order := d.order(session)
+	n := 0
+	for _, i := range order {
+		room := min(perDomain, len(best)-n)
+		n += d[i].top(session, best[n:n+room])
+	}
+	for _, i := range order {
+		var ranked [depth]int
+		more := d[i].top(session, ranked[:])
+		for _, at := range ranked[min(perDomain, more):more] {
+			if n == len(best) {
+				return n
+			}
+			best[n] = at
+			n++
+		}
+	}
+	return n
+}
+
+// order returns the failure domains in the order in which a session prefers them.
+func (d domains) order(session uint64) []int {
+	costs := make([]float64, len(d))
+	order := make([]int, len(d))
+	for i, domain := range d {
+		costs[i] = -math.Log(unit(mix(session^domain.seed))) / domain.weight
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		switch {
+		case costs[a] < costs[b]:
+			return -1
+		case costs[a] > costs[b]:
+			return 1
+		}
+		return a - b
+	})
+	return order
+}
--- /dev/null
+++ b/internal/placement/domains_test.go
@@ -0,0 +1,105 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// inDomains returns members in failure domains of the given sizes.
+func inDomains(sizes ...int) []Member {
+	total := 0
+	for _, n := range sizes {
+		total += n
+	}
+	ms := members(total)
+	at := 0
+	for d, n := range sizes {
+		for range n {
+			ms[at].Domain = fmt.Sprint("r/", d)
+			at++
+		}
+	}
+	return ms
+}
+
+func ranked(ms []Member, session uint64) []int {
+	var best [depth]int
+	index := make([]int, len(ms))
+	for i := range ms {
+		index[i] = i
+	}
+	return slices.Clone(best[:newDomains(ms, index).top(session, best[:])])
+}
+
+// A chat's home fills up and its next turns go to other upstreams, each of which gets
+// the prompt from where it is. Between two failure domains that takes twice as long, and
+// delays all that wait for the same link: the first few after the home are its
+// neighbours.
+func TestSessionsSpillWithinTheirFailureDomain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ms := inDomains(rapid.IntRange(1, 12).Draw(t, "a"), rapid.IntRange(1, 12).Draw(t, "b"), rapid.IntRange(0, 12).Draw(t, "c"))
+		order := ranked(ms, rapid.Uint64Min(1).Draw(t, "session"))
+		if want := min(len(ms), depth); len(order) != want {
+			t.Fatalf("%d upstreams of %d are ranked, want %d", len(order), len(ms), want)
+		}
+		seen := make(map[int]bool)
+		for _, i := range order {
+			if seen[i] {
+				t.Fatalf("upstream %d is ranked twice in %v", i, order)
+			}
+			seen[i] = true
+		}
+		home := ms[order[0]].Domain
+		size := 0
+		for _, m := range ms {
+			if m.Domain == home {
+				size++
+			}
+		}
+		for _, i := range order[:min(perDomain, size)] {
+			if ms[i].Domain != home {
+				t.Fatalf("%v: upstream %d is in %s, the home in %s", order, i, ms[i].Domain, home)
+			}
+		}
+	})
+}
+
+// An upstream joins or leaves. Only chats of its own failure domain move, and only to it
+// or from it, so that no prompt goes between two domains for that.
+func TestNoSessionLeavesItsFailureDomainForANewcomer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sizes := make([]int, rapid.IntRange(1, 4).Draw(t, "domains"))
+		n := rapid.IntRange(4, 12).Draw(t, "size")
+		for i := range sizes {
+			sizes[i] = n
+		}
+		before := inDomains(sizes...)
+		joined := before[rapid.IntRange(0, len(before)-1).Draw(t, "domain of")]
+		joined.VM, joined.Seed = 0xabcdef, Seed("newcomer")
+		after := append(slices.Clone(before), joined)
+		for range 50 {
+			session := rapid.Uint64Min(1).Draw(t, "session")
+			was, is := ranked(before, session)[0], ranked(after, session)[0]
+			if was != is && (is != len(before) || before[was].Domain != joined.Domain) {
+				t.Fatalf("the home moves from %d in %s to %d in %s", was, before[was].Domain, is, after[is].Domain)
+			}
+		}
+	})
+}
+
+// Failure domains of very different sizes: were each to get the same share of the
+// sessions, upstreams of the small one would have four times as many as the others.
+func TestUnevenFailureDomainsShareByTheirSize(t *testing.T) {
+	ms := inDomains(12, 12, 3)
+	counts := make(map[string]int)
+	const sessions = 20000
+	for s := range uint64(sessions) {
+		counts[ms[ranked(ms, mix(s+1))[0]].Domain]++
+	}
+	if small := float64(counts["r/2"]) / sessions; small < 0.09 || small > 0.13 {
+		t.Errorf("3 of 27 upstreams have %.3f of the sessions: %v", small, counts)
+	}
+}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -42,6 +42,7 @@
 	members   []Member
 	isNear    []bool  // in the node's region
 	near, far ranking // of the node's region, and of the others
+	local     domains // of the region of the node, by failure domain
 	own, rest []int   // of the node's failure domain, and of its region's others
 }
 
@@ -69,6 +70,7 @@
 		}
 	}
 	p.near, p.far = newRanking(members, near), newRanking(members, far)
+	p.local = newDomains(members, near)
 	return p
 }
 
