router: a request for which there is no upstream is answered

Cause: found in a trial that refused requests before they were offered: clients saw their connections closed without an answer, which says that the request may have run. A request that finds no upstream is given up before its state machine exists, and closing it looked at that: the handler panicked. It is so for every service all of whose runners have left.

Ruled out: the trial's own code; the test below fails without it.

Change: Close knows a request that was never offered.

Test: TestServiceWithoutRunnersIsSaidToBeSo.

--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -419,7 +419,7 @@
 	if a.counted {
 		a.pool.tally.took(a.req.Profile.Name, time.Since(a.started))
 	}
-	if !a.state.Finished() {
+	if a.state != nil && !a.state.Finished() { // nil: refused before it was offered
 		a.leave()
 	}
 	a.stop()
