--- /dev/null
+++ b/bench/ablation/newer.go
@@ -0,0 +1,23 @@
+package main
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+)
+
+// newer is a journal as far as this checkout has not got it yet.
+type newer struct{ fs.FS }
+
+// ReadDir implements fs.ReadDirFS.
+func (n newer) ReadDir(name string) ([]fs.DirEntry, error) {
+	entries, err := fs.ReadDir(n.FS, name)
+	var out []fs.DirEntry
+	for _, e := range entries {
+		_, missing := os.Stat(filepath.Join("journal", name, e.Name()))
+		if e.IsDir() || missing != nil {
+			out = append(out, e)
+		}
+	}
+	return out, err
+}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -14,6 +14,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/exchange"
 	"github.com/parsleyfront/parsleyfront/internal/gateway"
 	"github.com/parsleyfront/parsleyfront/internal/membership"
+	"github.com/parsleyfront/parsleyfront/internal/policy"
 	"github.com/parsleyfront/parsleyfront/internal/relay"
 	"github.com/parsleyfront/parsleyfront/internal/retry"
 	"github.com/parsleyfront/parsleyfront/internal/router"
@@ -147,6 +148,13 @@
 	requests := telemetry.NewRequestLog(slog.Default())
 	c := entryConfig(p, n)
 	c.Requests = requests
+	c.Tuning = tuning(p, s.Without.Policy)
+	if !s.Without.Policy.Linger {
+		c.Mesh.MemberTiming.Linger = 0
+	}
+	if off := s.Without.String(); off != "" {
+		slog.Warn("mechanisms are switched off", "without", off)
+	}
 	r := router.New(ctx, c)
 	h := newHealth(r.Alive, r.Ready)
 	g := gateway.NewHosted(r, platform.Clients{}, requests)
@@ -209,7 +217,6 @@
 			MemberTiming: membership.Timing{Hold: lapseHold, Linger: p.DrainBound, Renew: p.HeartbeatGap + renewMargin},
 		},
 		Direct:        exchange.NewClient(platform.Calls{}, n.Upstreams),
-		Tuning:        tuning(p),
 		VM:            p.VM,
 		FailureDomain: p.FailureDomain,
 	}
@@ -221,16 +228,17 @@
 }
 
 // tuning returns the bounds that the platform sets.
-func tuning(p platform.Settings) router.Tuning {
+func tuning(p platform.Settings, on policy.Policy) router.Tuning {
 	return router.Tuning{
 		Retries:      retry.Rule{Ratio: retryShare * p.RetryRatio, Slack: retrySlack, Window: p.RetryWindow},
 		LoadMultiple: p.LoadMultiple,
+		Policy:       on,
 	}
 }
 
 // reload takes changed settings. Addresses are the process's for life.
 func (e *Entry) reload(p platform.Settings) {
-	e.router.Tune(tuning(p))
+	e.router.Tune(tuning(p, e.settings.Without.Policy))
 	if p.CallerListen != e.platform.CallerListen || p.StoreURL != e.platform.StoreURL {
 		slog.Warn("settings: a changed address takes effect after a restart", "callers", p.CallerListen, "store", p.StoreURL)
 	}
--- a/internal/gateway/hosted.go
+++ b/internal/gateway/hosted.go
@@ -100,7 +100,7 @@
 // awaitStart waits until the router is ready, if it has only just started.
 func (g *Hosted) awaitStart(x *hostedExchange) {
 	left := startWait - time.Since(g.started)
-	if left <= 0 || g.router.Ready() {
+	if left <= 0 || g.router.Ready() || !g.router.Waits() {
 		return
 	}
 	timer := time.NewTimer(left)
--- a/internal/placement/bounded.go
+++ b/internal/placement/bounded.go
@@ -65,7 +65,7 @@
 		return p.leastLoaded(l, q.Random, out), basis
 	}
 	var ranked [depth]int
-	order := ranked[:p.local.top(q.Session, ranked[:])]
+	order := ranked[:p.rank(q, ranked[:])]
 	p.spreadHot(l, q, basis, order)
 	n := p.underFirst(l, q, basis, order, out)
 	// Upstreams of other regions come last.
@@ -75,6 +75,15 @@
 	return n, basis
 }
 
+// rank writes the indices of the region's upstreams to best, in the order in which a
+// session prefers them, and returns how many there are.
+func (p *Pool) rank(q Query, best []int) int {
+	if q.Flat {
+		return p.near.top(q.Session, best)
+	}
+	return p.local.top(q.Session, best)
+}
+
 // underFirst writes the upstreams of a ranking that serve to out, the best first.
 func (p *Pool) underFirst(l Loads, q Query, basis Basis, order []int, out *[Candidates]Choice) int {
 	var ranked [depth]weighed
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -24,6 +24,7 @@
 	Random    uint64        // for choices that chance decides
 	Share     float64       // part of the pool's requests that the session has at least
 	Now       time.Time
+	Flat      bool // failure domains do not count in the ranking
 }
 
 // Choose writes the upstreams to which a request is offered to out, in order,
--- /dev/null
+++ b/internal/policy/policy_test.go
@@ -0,0 +1,44 @@
+package policy
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// Each mechanism has one switch of its own, which switches nothing else off.
+func TestEachMechanismHasItsSwitch(t *testing.T) {
+	all := All()
+	seen := make(map[string]bool)
+	for _, name := range Names() {
+		p, err := Without(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		off := ""
+		for i := range reflect.TypeOf(p).NumField() {
+			if !reflect.ValueOf(p).Field(i).Bool() {
+				off += reflect.TypeOf(p).Field(i).Name
+			}
+			if !reflect.ValueOf(all).Field(i).Bool() {
+				t.Errorf("%s has no switch", reflect.TypeOf(p).Field(i).Name)
+			}
+		}
+		if seen[off] || off == "" {
+			t.Errorf("%s switches %q off", name, off)
+		}
+		seen[off] = true
+	}
+}
+
+// An operator who mistypes a name is told the names that there are, and nothing is
+// switched off.
+func TestUnknownMechanismsAreMistakes(t *testing.T) {
+	p, err := Without("hedges,hegdes")
+	if err == nil || !strings.Contains(err.Error(), "hedges") || p != All() {
+		t.Errorf("%+v, %v", p, err)
+	}
+	if p, err := Without(" hedges, linger ,"); err != nil || p.Hedges || p.Linger || !p.Pace {
+		t.Errorf("%+v, %v", p, err)
+	}
+}
--- a/internal/router/directoffer.go
+++ b/internal/router/directoffer.go
@@ -10,6 +10,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/load"
 	"github.com/parsleyfront/parsleyfront/internal/outlier"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
+	"github.com/parsleyfront/parsleyfront/internal/policy"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
 	"github.com/parsleyfront/parsleyfront/internal/router/dispatch"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
@@ -76,7 +77,7 @@
 		e := verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, "pool %q has no upstream", pool)
 		return nil, e.Later(time.Second)
 	}
-	a.plan = req.directPlan(len(a.targets))
+	a.plan = req.directPlan(r.policy(), len(a.targets))
 	a.state = dispatch.New(a.plan, r.limits.window(a.poolName))
 	if err := a.run(); err != nil {
 		a.Close()
@@ -118,8 +119,12 @@
 		return nil
 	}
 	var chosen [placement.Candidates]placement.Choice
-	q := placement.Query{Session: a.session, Multiple: a.router.tuning.Load().LoadMultiple, Random: rand.Uint64(), Share: a.share, Now: now}
-	n, basis := a.pool.tally.choose(now, a.pool.placed, q, &chosen)
+	on := a.router.policy()
+	q := placement.Query{Session: a.session, Multiple: a.router.tuning.Load().LoadMultiple, Random: rand.Uint64(), Now: now, Flat: !on.DomainSpill}
+	if on.HotSpread {
+		q.Share = a.share
+	}
+	n, basis := a.pool.tally.choose(now, a.pool.placed, on, q, &chosen)
 	a.basis = basis
 	a.pool.logDoubts(a.poolName)
 	out := make([]target, 0, n)
@@ -140,7 +145,11 @@
 // the one that has served the session last, if it is still there, else the likeliest
 // by the ranking.
 func (a *Answer) donor(now time.Time, c placement.Choice) topo.VM {
-	if last, ok := a.router.holders.last(a.session); ok && last.ID != a.pool.VMs[c.Index].ID {
+	on := a.router.policy()
+	if !on.Donors {
+		return topo.VM{}
+	}
+	if last, ok := a.router.holders.last(a.session); ok && on.LastServed && last.ID != a.pool.VMs[c.Index].ID {
 		if _, listed := a.view.VMs[last.ID]; listed && !a.router.avoids(last.ID, now) {
 			return last
 		}
@@ -174,11 +183,11 @@
 	return &tally{load: load.NewTally(), demand: load.NewDemand(), pace: load.NewPace(), faults: outlier.New()}
 }
 
-func (t *tally) choose(now time.Time, p *placement.Pool, q placement.Query, out *[placement.Candidates]placement.Choice) (int, placement.Basis) {
+func (t *tally) choose(now time.Time, p *placement.Pool, on policy.Policy, q placement.Query, out *[placement.Candidates]placement.Choice) (int, placement.Basis) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	q.Multiple *= boundShare(t.load.Seen(p.Len()))
-	return p.Bounded(loadsAt{t.load, t.pace, t.faults, now, p.Len()}, q, out)
+	return p.Bounded(loadsAt{t, on, now, p.Len()}, q, out)
 }
 
 const (
@@ -253,34 +262,39 @@
 	}
 }
 
-// loadsAt is a Tally at one moment.
+// loadsAt is a tally at one moment, for n upstreams. It implements placement.Loads.
 type loadsAt struct {
-	tally  *load.Tally
-	pace   *load.Pace
-	faults *outlier.Detector
-	now    time.Time
-	n      int
+	*tally
+	on  policy.Policy
+	now time.Time
+	n   int
 }
 
 // Load implements placement.Loads.
-func (l loadsAt) Load(vm load.VM) float64 { return l.tally.Load(l.now, vm) }
+func (l loadsAt) Load(vm load.VM) float64 { return l.load.Load(l.now, vm) }
 
 // Wait implements placement.Loads: the time of an answer grows with what waits before
 // it, of which this router knows its own requests.
 func (l loadsAt) Wait(vm load.VM) float64 {
-	return l.pace.Slowness(l.now, vm) * (l.tally.Load(l.now, vm) + 1)
+	wait := l.load.Load(l.now, vm) + 1
+	if l.on.Pace {
+		wait *= l.pace.Slowness(l.now, vm)
+	}
+	return wait
 }
 
 // Upper implements placement.Loads.
-func (l loadsAt) Upper(vm load.VM) float64 { return l.tally.Upper(l.now, vm) }
+func (l loadsAt) Upper(vm load.VM) float64 { return l.load.Upper(l.now, vm) }
 
 // Mean implements placement.Loads. It is that of all upstreams, also while some are
 // doubted: measured against those that take their requests on, the bound would be far
 // above the operators', who count all.
-func (l loadsAt) Mean() float64 { return l.tally.Mean(l.n) }
+func (l loadsAt) Mean() float64 { return l.load.Mean(l.n) }
 
 // Doubts implements placement.Loads.
-func (l loadsAt) Doubts(vm load.VM) bool { return l.faults.Doubts(l.now, vm) }
+func (l loadsAt) Doubts(vm load.VM) bool {
+	return l.on.Outliers && l.faults.Doubts(l.now, vm)
+}
 
 // upstreamName is what upstreams call an organisation.
 func upstreamName(o *profile.Organisation) string {
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -6,6 +6,7 @@
 
 	"github.com/zeebo/xxh3"
 
+	"github.com/parsleyfront/parsleyfront/internal/policy"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
 	"github.com/parsleyfront/parsleyfront/internal/router/dispatch"
 	"github.com/parsleyfront/parsleyfront/internal/wire"
@@ -76,16 +77,16 @@
 }
 
 // directPlan is plan for upstreams that have no sidecar.
-func (r *Request) directPlan(offers int) dispatch.Plan {
+func (r *Request) directPlan(on policy.Policy, offers int) dispatch.Plan {
 	p := r.plan(r.Arrived, offers)
 	p.Direct = true
-	p.Resumable = r.Profile.Resumable
+	p.Resumable = r.Profile.Resumable && on.Resumption
 	p.Sends = r.Profile.Attempts
 	objective := r.Profile.Objective.Std()
-	if p.HedgeAfter == 0 && r.Profile.Idempotent {
+	if p.HedgeAfter == 0 && r.Profile.Idempotent && on.Hedges {
 		p.HedgeAfter = time.Duration(hedgeShare * float64(objective))
 	}
-	if r.Profile.Resumable {
+	if p.Resumable && on.Switches {
 		p.SwitchAfter = time.Duration(switchShare * float64(objective))
 	}
 	if until := after(r.Arrived, r.Patience); r.Patience > 0 && (p.Deadline.IsZero() || until.Before(p.Deadline)) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -14,6 +14,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/exchange"
 	"github.com/parsleyfront/parsleyfront/internal/loop"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
+	"github.com/parsleyfront/parsleyfront/internal/policy"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
 	"github.com/parsleyfront/parsleyfront/internal/relay"
 	"github.com/parsleyfront/parsleyfront/internal/retry"
@@ -69,6 +70,18 @@
 	Retries retry.Rule
 	// LoadMultiple bounds an upstream's load to this multiple of the mean.
 	LoadMultiple float64
+	// Policy says which mechanisms are on.
+	Policy policy.Policy
+}
+
+// policy returns which mechanisms are on.
+func (r *Router) policy() policy.Policy {
+	return r.tuning.Load().Policy
+}
+
+// Waits reports whether requests wait for the router's first configuration.
+func (r *Router) Waits() bool {
+	return r.policy().StartWait
 }
 
 // Router serves requests.
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -50,8 +50,16 @@
 
 func (m *mesh) pack(of func(*Pool) sharedPool) []byte {
 	var s sharing
+	on := m.router.policy()
 	for name, p := range m.router.View().Pools {
-		if shared := of(p); shared.Loads != nil || shared.Outcomes != nil {
+		shared := of(p)
+		if !on.SharedLoads {
+			shared.Loads = nil
+		}
+		if !on.SharedOutcomes {
+			shared.Outcomes = nil
+		}
+		if shared.Loads != nil || shared.Outcomes != nil {
 			shared.Pool, shared.List = shortHash(name), p.list
 			s.Pools = append(s.Pools, shared)
 		}
--- a/internal/router/sharing_test.go
+++ b/internal/router/sharing_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/parsleyfront/parsleyfront/internal/load"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
+	"github.com/parsleyfront/parsleyfront/internal/policy"
 	"github.com/parsleyfront/parsleyfront/internal/relay"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
 )
@@ -17,6 +18,7 @@
 		vms[i] = topo.VM{ID: id, Role: topo.RoleDirect, Pool: "llm"}
 	}
 	r := &Router{}
+	r.tuning.Store(&Tuning{Policy: policy.All()})
 	r.view.Store(&View{Pools: map[string]*Pool{"llm": newPool(vms, newBeliefs(), newTally(), placement.Locality{}, nil)}})
 	return &mesh{router: r}
 }
@@ -25,7 +27,7 @@
 
 // loadOf returns what a router believes of an upstream's load.
 func loadOf(p *Pool, now time.Time, id string) float64 {
-	return loadsAt{p.tally.load, p.tally.pace, p.tally.faults, now, len(p.VMs)}.Load(load.Hash(id))
+	return loadsAt{p.tally, policy.All(), now, len(p.VMs)}.Load(load.Hash(id))
 }
 
 // A router hears of a load, tells the one that it relies on, and a third learns of it
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -114,6 +114,8 @@
 
 	MetricsPort Count    `long:"metrics-port" env:"PARSLEYD_METRICS_PORT" default:"9464" description:"port of counters and histograms, on the address of this VM; 0 turns them off"`
 	DrainDelay  Duration `long:"drain-delay" env:"PARSLEYD_DRAIN_DELAY" default:"2.7s" description:"how long a planned stop goes on taking requests after readiness has begun to fail: longer than the balancer takes to notice, which is two looks a second apart"`
+
+	Without Mechanisms `long:"without" env:"PARSLEYD_WITHOUT" default:"" description:"mechanisms to switch off, separated by commas: to find out whether one does harm"`
 }
 
 // Dev is the settings of dev mode.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
+
+	"github.com/parsleyfront/parsleyfront/internal/policy"
 )
 
 // An operator sets up the first entry VM at night and gets five things wrong.
@@ -117,3 +119,19 @@
 		t.Errorf("docs/operators/settings.md should list, in this order:\n%s", strings.Join(want, "\n"))
 	}
 }
+
+// All mechanisms are on unless an operator says otherwise, and a name that is none is a
+// mistake like any other.
+func TestMechanismsAreOnUnlessSwitchedOff(t *testing.T) {
+	p, err := Parse([]string{"entry"})
+	if err != nil || p.Entry.Without.Policy != policy.All() {
+		t.Errorf("%+v, %v", p.Entry.Without, err)
+	}
+	p, err = Parse([]string{"entry", "--without", "hedges,linger"})
+	if err != nil || p.Entry.Without.Policy.Hedges || p.Entry.Without.Policy.Linger || !p.Entry.Without.Policy.Pace {
+		t.Errorf("%+v, %v", p.Entry.Without, err)
+	}
+	if _, err = Parse([]string{"entry", "--without", "hegdes"}); err == nil || !strings.Contains(err.Error(), "hegdes") {
+		t.Errorf("%v", err)
+	}
+}
--- a/internal/settings/value.go
+++ b/internal/settings/value.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/parsleyfront/parsleyfront/internal/policy"
 )
 
 // The kinds of value below accept any text and keep what is wrong with it. A
@@ -55,6 +57,25 @@
 
 func (c Count) mistake() error { return c.err }
 
+// Mechanisms are those of package policy that are on.
+type Mechanisms struct {
+	Policy policy.Policy
+	off    string
+	err    error
+}
+
+// UnmarshalFlag implements flags.Unmarshaler.
+func (m *Mechanisms) UnmarshalFlag(text string) error {
+	m.off = text
+	m.Policy, m.err = policy.Without(text)
+	return nil
+}
+
+// String implements fmt.Stringer.
+func (m Mechanisms) String() string { return m.off }
+
+func (m Mechanisms) mistake() error { return m.err }
+
 // Ratio is a number from 0 to 1.
 type Ratio struct {
 	R   float64
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -31,13 +30,12 @@
 	dir   string
 	store *proxy
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	exited  chan struct{}
-	paused  bool
-	log     *os.File
-	life    int // number of the process
-	planned bool
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
+	paused bool
+	log    *os.File
+	life   int // number of the process
 }
 
 func (e *entry) addr() string { return net.JoinHostPort(e.ip, "8080") }
@@ -242,12 +240,3 @@
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 }
-
-// asJSON is for messages of failures.
-func asJSON(v any) string {
-	b, err := json.Marshal(v)
-	if err != nil {
-		return err.Error()
-	}
-	return string(b)
-}
