gateway, daemon: callers wait a second for a router's first configuration

All routers lost power and the store reset the calls of the first half second after their start. Callers waited for .5 s and were then refused (173 times) with the advice to come back after 1 s; the routers were ready .55 to .75 s after their start. The pauses between failed calls of the store were 250 and 500 ms.

Ruled out: the relay between routers (ready routers were found within .1 s), the store's rates.

Change: requests wait for as long as those that are refused are told to stay away, and the first pause after a failed call is 100 ms.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -39,6 +39,9 @@
 	pauseShare = 0.1
 	// storeRetryMost bounds the pause after a failed call of the store.
 	storeRetryMost = time.Second
+	// storeRetryFirst is the first pause after a failed call of the store, doubled at each
+	// one that follows. After a loss of power, callers wait for this.
+	storeRetryFirst = 100 * time.Millisecond
 	// settleTime is how long routers that start together take to find out which of
 	// them reads the store. Most then never begin to watch it.
 	settleTime = 200 * time.Millisecond
@@ -197,6 +200,7 @@
 	pace.WatchWait = share(bound, watchShare)
 	pace.PullEvery = pullPause
 	pace.WatchPause = share(bound, pauseShare)
+	pace.RetryFirst = storeRetryFirst
 	pace.RetryMost = storeRetryMost
 	pace.PeersFirst = 0
 	pace.Settle = settleTime
--- a/internal/gateway/hosted.go
+++ b/internal/gateway/hosted.go
@@ -92,10 +92,11 @@
 }
 
 // startWait is for how long after its start a router lets requests wait for its
-// first configuration. It has read it after 25 to 90 ms where the store answers. All
-// callers come back at the same moment after a loss of power; refused then, each
-// would be a second late.
-const startWait = 500 * time.Millisecond
+// first configuration: as long as those that it refuses are told to stay away. It has
+// read it after 25 to 90 ms where the store answers, and up to 800 ms where the store
+// resets its first calls or a small router has two thousand routes to read. All callers
+// come back at the same moment after a loss of power.
+const startWait = time.Second
 
 // awaitStart waits until the router is ready, if it has only just started.
 func (g *Hosted) awaitStart(x *hostedExchange) {
