config: a router that knows nothing asks the store again within .3 s

A trace of the store's calls: the listing of upstreams was tried again inside a single call after .25 to .75 s, where the news that the store is back, from the other set, could not reach it; and pauses doubled up to a second.

Change: the first page of a single kind is not tried again inside the call, and until the store has answered once, pauses stay under twice the first.

--- a/internal/config/follow/source.go
+++ b/internal/config/follow/source.go
@@ -91,9 +91,16 @@
 	return out, err
 }
 
+// page reads a page, several times if need be. The only first page there is is not tried
+// again here: there is nothing to start over, and the Follower knows better when to, since
+// the answer to another one's call tells it that the store is back.
 func (s storeSource) page(ctx context.Context, kind topo.Kind, cont string) (topo.Page, error) {
+	tries := pageTries
+	if cont == "" && len(s.kinds) == 1 {
+		tries = 1
+	}
 	page, err := s.tryPage(ctx, kind, cont)
-	for try := 1; err != nil && try < pageTries; try++ {
+	for try := 1; err != nil && try < tries; try++ {
 		pause := time.NewTimer(pagePause/2 + rand.N(pagePause))
 		select {
 		case <-ctx.Done():
--- a/internal/config/follow_store.go
+++ b/internal/config/follow_store.go
@@ -96,12 +96,20 @@
 	f.resume = now.Add(f.jitter(d))
 }
 
+// firstRetryMost is how many times longer than the first one a pause between failed calls
+// of the store is at most while a router knows nothing. Pauses that grow as usual let it
+// be refused up to a second after the store is back; with this, within .3 s.
+const firstRetryMost = 2
+
 // fail makes the next call of the store wait longer after each failure.
 func (f *Follower) fail(now time.Time) {
 	d := f.pace.RetryMost
 	if f.failures < 4 {
 		d = min(f.pace.RetryMost, f.pace.RetryFirst<<f.failures)
 	}
+	if !f.confirmed && f.set.Complete() == 0 {
+		d = min(d, firstRetryMost*f.pace.RetryFirst) // callers wait for this answer
+	}
 	f.failures++
 	f.pause(now, d)
 }
