decay, outlier, placement, dispatch: the field's words

Cause: readers have to learn words of our own: fade, doubts, welcome, relief, comeBack, patience.

Change: renamed, nothing else: package decay (exponential decay), suspected upstreams, eligible ones and spare capacity, defaultRetryAfter, reconnectsHere, upperDeviations. The two replays of placement share one heap.

--- a/internal/fade/fade.go
+++ b/internal/decay/decay.go
@@ -1,11 +1,11 @@
-// Package fade gives what has happened lately more weight than what lies back: each
+// Package decay counts with exponential decay: what has happened lately weighs more, and each
 // event loses its weight exponentially. What is counted is not touched as time goes
 // by; instead each new event weighs more than those before it, so that counting costs
 // the same however many counts there are.
 //
 // Package load uses it for what callers ask for, package outlier for what upstreams
 // answer.
-package fade
+package decay
 
 import (
 	"math"
--- a/internal/fade/fade_test.go
+++ b/internal/decay/decay_test.go
@@ -1,4 +1,4 @@
-package fade
+package decay
 
 import (
 	"math"
--- a/internal/load/demand.go
+++ b/internal/load/demand.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"github.com/parsleyfront/parsleyfront/internal/fade"
+	"github.com/parsleyfront/parsleyfront/internal/decay"
 )
 
 const (
@@ -28,7 +28,7 @@
 // router sees a sliver of the traffic, but a session's share of it is the same as
 // everywhere. It is not safe for concurrent use.
 type Demand struct {
-	clock  fade.Clock
+	clock  decay.Clock
 	counts map[uint64]float64
 	total  float64                  // of the requests' times, in seconds
 	took   map[string]time.Duration // by kind of request, on average
@@ -36,7 +36,7 @@
 
 // NewDemand returns an empty Demand.
 func NewDemand() *Demand {
-	return &Demand{clock: fade.NewClock(demandFor), counts: make(map[uint64]float64), took: make(map[string]time.Duration)}
+	return &Demand{clock: decay.NewClock(demandFor), counts: make(map[uint64]float64), took: make(map[string]time.Duration)}
 }
 
 // Took takes in how long a request of a kind was in flight.
--- a/internal/load/share_test.go
+++ b/internal/load/share_test.go
@@ -108,7 +108,7 @@
 		}
 		former = upper
 	}
-	if limit := 9 + doubt*3; former > limit {
+	if limit := 9 + upperDeviations*3; former > limit {
 		t.Errorf("upper bound %v, want at most %v", former, limit)
 	}
 }
--- a/internal/load/tally.go
+++ b/internal/load/tally.go
@@ -104,9 +104,9 @@
 	return float64(e.own) + trust*float64(e.others) + (1-trust)*t.meanOthers()
 }
 
-// doubt is how many standard deviations of what is not known of an upstream's load
+// upperDeviations is how many standard deviations of what is not known of an upstream's load
 // Upper adds.
-const doubt = 1.0
+const upperDeviations = 1.0
 
 // Upper returns a load that an upstream seldom exceeds: what is believed of it, and
 // some deviations of the part that was not heard of lately. Requests of others come
@@ -116,7 +116,7 @@
 	if e := t.entries[vm]; e != nil && !e.at.IsZero() {
 		trust = math.Exp(-now.Sub(e.at).Seconds() / othersFor)
 	}
-	return t.Load(now, vm) + doubt*(1-trust)*math.Sqrt(t.meanOthers())
+	return t.Load(now, vm) + upperDeviations*(1-trust)*math.Sqrt(t.meanOthers())
 }
 
 // Mean returns the believed mean load of n upstreams.
--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -3,7 +3,7 @@
 // hang or break off while their health checks pass.
 //
 // A router's requests report how they went; placement asks whom to put last. What may
-// be assumed: an upstream is doubted only next to others that do better. Where all of
+// be assumed: an upstream is suspected only next to others that do better. Where all of
 // them fail alike, nobody is, since to turn from one to the other helps nobody.
 package outlier
 
@@ -13,7 +13,7 @@
 	"slices"
 	"time"
 
-	"github.com/parsleyfront/parsleyfront/internal/fade"
+	"github.com/parsleyfront/parsleyfront/internal/decay"
 	"github.com/parsleyfront/parsleyfront/internal/load"
 )
 
@@ -25,26 +25,26 @@
 	// referenceShare is the part of a pool, those that do best, by which the others are
 	// measured: with most of a pool failing, its mean would excuse them.
 	referenceShare = 1.0 / 3
-	// doubtTimes and doubtMargin are how much larger than theirs the share of failures
-	// of an upstream is from which it is doubted. Two failures in ten requests are
+	// suspectTimes and suspectMargin are how much larger than theirs the share of failures
+	// of an upstream is from which it is suspected. Two failures in ten requests are
 	// enough next to others without any; two in a hundred are not.
-	doubtTimes, doubtMargin = 2.0, 0.1
+	suspectTimes, suspectMargin = 2.0, 0.1
 	// prior is how many requests with the reference's share of failures each upstream
 	// is taken to have had, so that the first failure of many requests says little.
 	prior = 1.0
-	// leastFailures is the weight of failures below which an upstream is not doubted:
-	// the second one in a few seconds, whichever router it met. Doubted from the first
+	// leastFailures is the weight of failures below which an upstream is not suspected:
+	// the second one in a few seconds, whichever router it met. Suspected from the first
 	// one on, sessions leave upstreams that are well, and two fifths more of cached
 	// prompts are moved.
 	leastFailures = 1.2
 	// negligible is the weight of failures below which an upstream need not be judged.
 	negligible = 0.01
-	// doubtFor is how long an upstream is doubted at least, times how often it has been
+	// suspectFor is how long an upstream is suspected at least, times how often it has been
 	// lately, up to repeatsMost; forgiveAfter is how long it must have been trusted for
 	// that to begin anew. One that goes on failing costs two requests each time that it
 	// is tried: with this, 5 of 80 are lost to one of four upstreams that loses all
 	// answers, and 8 without.
-	doubtFor     = 1500 * time.Millisecond
+	suspectFor   = 1500 * time.Millisecond
 	repeatsMost  = 4
 	forgiveAfter = 10 * time.Second
 	// judgeEvery is how old a judgement may be.
@@ -56,39 +56,39 @@
 
 // Detector judges the upstreams of one pool. It is not safe for concurrent use.
 type Detector struct {
-	clock    fade.Clock
-	counts   map[load.VM]count // of this router and those that report to it
-	told     map[load.VM]count // of the whole fleet, by the router that this one relies on
-	news     map[load.VM]count // since they were reported last, each of weight one
-	failing  bool              // any upstream has failures that count
-	doubts   map[load.VM]doubt
-	judgedAt time.Time
-	changes  []Change
-}
-
-// doubt is an upstream that is doubted, or was so lately.
-type doubt struct {
+	clock      decay.Clock
+	counts     map[load.VM]count // of this router and those that report to it
+	told       map[load.VM]count // of the whole fleet, by the router that this one relies on
+	news       map[load.VM]count // since they were reported last, each of weight one
+	failing    bool              // any upstream has failures that count
+	suspicions map[load.VM]suspicion
+	judgedAt   time.Time
+	changes    []Change
+}
+
+// suspicion is an upstream that is suspected, or was so lately.
+type suspicion struct {
 	now     bool
 	until   time.Time // it lasts so long at least
 	ended   time.Time // when it ended last
 	repeats int
 }
 
-// renewed returns the doubt of an upstream that is doubted from now on.
-func (d doubt) renewed(now time.Time) doubt {
-	if now.Sub(d.ended) > forgiveAfter {
-		d.repeats = 0
+// renewed returns the suspicion of an upstream that is suspected from now on.
+func (s suspicion) renewed(now time.Time) suspicion {
+	if now.Sub(s.ended) > forgiveAfter {
+		s.repeats = 0
 	}
-	d.now = true
-	d.repeats = min(d.repeats+1, repeatsMost)
-	d.until = now.Add(time.Duration(d.repeats) * doubtFor)
-	return d
+	s.now = true
+	s.repeats = min(s.repeats+1, repeatsMost)
+	s.until = now.Add(time.Duration(s.repeats) * suspectFor)
+	return s
 }
 
 // Change is an upstream of which the judgement has changed.
 type Change struct {
-	VM      load.VM
-	Doubted bool
+	VM        load.VM
+	Suspected bool
 	// Failed and All are the weights of its failures and of all its outcomes.
 	Failed, All float64
 }
@@ -102,7 +102,7 @@
 
 // New returns a Detector that has seen nothing.
 func New() *Detector {
-	return &Detector{clock: fade.NewClock(memory), counts: make(map[load.VM]count), news: make(map[load.VM]count), doubts: make(map[load.VM]doubt)}
+	return &Detector{clock: decay.NewClock(memory), counts: make(map[load.VM]count), news: make(map[load.VM]count), suspicions: make(map[load.VM]suspicion)}
 }
 
 // Succeeded takes in that an upstream has answered a request.
@@ -158,7 +158,7 @@
 	for _, counts := range []map[load.VM]count{d.counts, d.told, d.news} {
 		maps.DeleteFunc(counts, func(vm load.VM, _ count) bool { return !wanted[vm] })
 	}
-	maps.DeleteFunc(d.doubts, func(vm load.VM, _ doubt) bool { return !wanted[vm] })
+	maps.DeleteFunc(d.suspicions, func(vm load.VM, _ suspicion) bool { return !wanted[vm] })
 	d.judgedAt = time.Time{}
 }
 
@@ -177,18 +177,18 @@
 	return out
 }
 
-// Doubts reports whether an upstream is doubted.
-func (d *Detector) Doubts(now time.Time, vm load.VM) bool {
+// Suspects reports whether an upstream is suspected.
+func (d *Detector) Suspects(now time.Time, vm load.VM) bool {
 	d.refresh(now)
-	return d.doubts[vm].now
+	return d.suspicions[vm].now
 }
 
-// Doubted returns how many upstreams are doubted.
-func (d *Detector) Doubted(now time.Time) int {
+// Suspected returns how many upstreams are suspected.
+func (d *Detector) Suspected(now time.Time) int {
 	d.refresh(now)
 	n := 0
-	for _, doubt := range d.doubts {
-		if doubt.now {
+	for _, s := range d.suspicions {
+		if s.now {
 			n++
 		}
 	}
@@ -201,36 +201,36 @@
 	}
 }
 
-// judge works out who is doubted now.
+// judge works out who is suspected now.
 func (d *Detector) judge(now time.Time) {
 	known := d.known(now)
 	d.judgedAt, d.failing = now, false
 	best := reference(known)
-	for vm := range d.doubts {
+	for vm := range d.suspicions {
 		if _, ok := known[vm]; !ok {
 			known[vm] = count{} // those of which nothing is known any more are settled as well
 		}
 	}
 	for vm, c := range known {
-		fails := c.failed >= leastFailures && (c.failed+prior*best)/(c.all+prior) > doubtTimes*best+doubtMargin
+		fails := c.failed >= leastFailures && (c.failed+prior*best)/(c.all+prior) > suspectTimes*best+suspectMargin
 		d.settle(now, vm, c, fails)
-		d.failing = d.failing || d.doubts[vm].now || c.failed > negligible
+		d.failing = d.failing || d.suspicions[vm].now || c.failed > negligible
 	}
 }
 
 // settle takes in whether an upstream fails more than others now.
 func (d *Detector) settle(now time.Time, vm load.VM, c count, fails bool) {
-	doubt := d.doubts[vm]
+	s := d.suspicions[vm]
 	switch {
-	case fails && !doubt.now:
-		doubt = doubt.renewed(now)
-	case !fails && doubt.now && !now.Before(doubt.until):
-		doubt.now, doubt.ended = false, now
+	case fails && !s.now:
+		s = s.renewed(now)
+	case !fails && s.now && !now.Before(s.until):
+		s.now, s.ended = false, now
 	default:
 		return
 	}
-	d.doubts[vm] = doubt
-	d.changes = append(d.changes, Change{VM: vm, Doubted: doubt.now, Failed: c.failed, All: c.all})
+	d.suspicions[vm] = s
+	d.changes = append(d.changes, Change{VM: vm, Suspected: s.now, Failed: c.failed, All: c.all})
 }
 
 // reference returns the share of failures of the upstreams that do best.
--- a/internal/outlier/outlier_test.go
+++ b/internal/outlier/outlier_test.go
@@ -28,31 +28,31 @@
 
 // One runner loses two of its answers in half a second, with its health check good.
 // It comes last, and is tried again some seconds later.
-func TestFailingUpstreamIsDoubtedForAWhile(t *testing.T) {
+func TestFailingUpstreamIsSuspectedForAWhile(t *testing.T) {
 	d := New()
 	vms := pool(6)
 	for _, vm := range vms {
 		d.Succeeded(start, vm)
 	}
 	d.Failed(start, vms[0])
-	if d.Doubts(start, vms[0]) {
-		t.Error("doubted after a single failure")
+	if d.Suspects(start, vms[0]) {
+		t.Error("suspected after a single failure")
 	}
 	now := start.Add(500 * time.Millisecond)
 	d.Failed(now, vms[0])
 	for _, vm := range vms {
-		if d.Doubts(now, vm) != (vm == vms[0]) {
-			t.Errorf("upstream %d doubted: %v", vm, d.Doubts(now, vm))
+		if d.Suspects(now, vm) != (vm == vms[0]) {
+			t.Errorf("upstream %d suspected: %v", vm, d.Suspects(now, vm))
 		}
 	}
-	if d.Doubts(now.Add(3*memory), vms[0]) {
-		t.Error("still doubted long after")
+	if d.Suspects(now.Add(3*memory), vms[0]) {
+		t.Error("still suspected long after")
 	}
 }
 
 // A service answers every seventh request with an error, at each of its runners alike.
 // To turn from one runner to another helps nobody, and costs its sessions their cache.
-func TestNobodyIsDoubtedWhereAllFailAlike(t *testing.T) {
+func TestNobodyIsSuspectedWhereAllFailAlike(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		d := New()
 		vms := pool(rapid.IntRange(1, 20).Draw(t, "upstreams"))
@@ -68,8 +68,8 @@
 				}
 			}
 		}
-		if n := d.Doubted(now); n > 0 {
-			t.Errorf("%d of %d upstreams are doubted", n, len(vms))
+		if n := d.Suspected(now); n > 0 {
+			t.Errorf("%d of %d upstreams are suspected", n, len(vms))
 		}
 	})
 }
--- a/internal/outlier/share_test.go
+++ b/internal/outlier/share_test.go
@@ -34,14 +34,14 @@
 		if err := r.MergeTold(start, vms, told); err != nil {
 			t.Fatal(err)
 		}
-		if !r.Doubts(start, vms[4]) || r.Doubted(start) != 1 {
-			t.Errorf("router %d doubts %d upstreams", i, r.Doubted(start))
+		if !r.Suspects(start, vms[4]) || r.Suspected(start) != 1 {
+			t.Errorf("router %d suspects %d upstreams", i, r.Suspected(start))
 		}
 		if err := r.MergeTold(start, vms, nil); err != nil {
 			t.Fatal(err)
 		}
-		if i == 2 && r.Doubted(start.Add(doubtFor)) > 0 {
-			t.Error("doubted although nobody is told of any more")
+		if i == 2 && r.Suspected(start.Add(suspectFor)) > 0 {
+			t.Error("suspected although nobody is told of any more")
 		}
 	}
 }
@@ -84,9 +84,9 @@
 	failed     bool
 }
 
-// replay returns which part of the requests fails during the trouble. Without doubt,
+// replay returns which part of the requests fails during the trouble. Without suspicion,
 // routers go by the rankings alone; without sharing, each knows what it has seen.
-func replay(t *testing.T, doubt, sharing bool, runnersShare float64) float64 {
+func replay(t *testing.T, suspicion, sharing bool, runnersShare float64) float64 {
 	t.Helper()
 	random := rand.New(rand.NewPCG(3, 4))
 	vms := pool(lostRunners)
@@ -113,7 +113,7 @@
 			share(t, now, vms, routers[:])
 		}
 		router, session := random.IntN(lostRouters), random.IntN(lostSessions)
-		vm := choose(routers[router], now, vms, session, doubt)
+		vm := choose(routers[router], now, vms, session, suspicion)
 		fails := now.After(trouble) && float64(vm) < runnersShare*lostRunners && random.Float64() < lostAnswersShare
 		open = append(open, pending{at: now.Add(seen), router: router, vm: vm, failed: fails})
 		if now.After(trouble) {
@@ -142,11 +142,11 @@
 	}
 }
 
-// choose returns the first of a session's ranking that is not doubted.
-func choose(d *Detector, now time.Time, vms []load.VM, session int, doubt bool) int {
+// choose returns the first of a session's ranking that is not suspected.
+func choose(d *Detector, now time.Time, vms []load.VM, session int, suspicion bool) int {
 	ranking := rand.New(rand.NewPCG(uint64(session), 9)).Perm(len(vms))
 	for _, vm := range ranking {
-		if !doubt || !d.Doubts(now, vms[vm]) {
+		if !suspicion || !d.Suspects(now, vms[vm]) {
 			return vm
 		}
 	}
@@ -182,8 +182,8 @@
 		d := New()
 		_ = d.MergeReport(start, vms, b)
 		_ = d.MergeTold(start, vms, b)
-		if n := d.Doubted(start); n > len(vms) {
-			t.Fatalf("%d of %d upstreams are doubted", n, len(vms))
+		if n := d.Suspected(start); n > len(vms) {
+			t.Fatalf("%d of %d upstreams are suspected", n, len(vms))
 		}
 		for _, c := range d.counts {
 			if c.failed > c.all || c.failed < 0 {
--- a/internal/placement/bounded.go
+++ b/internal/placement/bounded.go
@@ -17,8 +17,8 @@
 	// Wait returns how long a request more is believed to take at an upstream, in
 	// units that mean something only next to those of the pool's others.
 	Wait(vm load.VM) float64
-	// Doubts reports whether an upstream fails more of its requests than others.
-	Doubts(vm load.VM) bool
+	// Suspects reports whether an upstream fails more of its requests than others.
+	Suspects(vm load.VM) bool
 }
 
 const (
@@ -26,10 +26,10 @@
 	// mean: where the mean is a few requests, chance alone puts one or two more on
 	// an upstream.
 	boundSlack = 1.0
-	// reliefMultiple of the mean is up to which an upstream takes over requests of one
-	// that is doubted. With three fifths of a pool losing answers, the others would
+	// spareMultiple of the mean is up to which an upstream takes over requests of one
+	// that is suspected. With three fifths of a pool losing answers, the others would
 	// stand at the bound all the time, and chance would put them over the operators'.
-	reliefMultiple = 1.3
+	spareMultiple = 1.3
 	// newcomerFor is how long after it has joined an upstream is passed over as a
 	// donor. Among upstreams that are replaced one after the other, it lowers the
 	// shared tokens that are read again by a sixth; 15 s do no better.
@@ -87,7 +87,7 @@
 // underFirst writes the upstreams of a ranking that serve to out, the best first.
 func (p *Pool) underFirst(l Loads, q Query, basis Basis, order []int, out *[Candidates]Choice) int {
 	var ranked [depth]weighed
-	relief := reliefMultiple*basis.Mean + boundSlack
+	spare := spareMultiple*basis.Mean + boundSlack
 	n, passedOver := 0, false
 	for _, i := range order {
 		vm := p.members[i].VM
@@ -98,10 +98,10 @@
 		switch {
 		case w.upper >= basis.Bound:
 			w.class = overBound
-		case l.Doubts(vm):
-			w.class = doubted
+		case l.Suspects(vm):
+			w.class = suspected
 			passedOver = true
-		case passedOver && w.upper >= relief:
+		case passedOver && w.upper >= spare:
 			w.class = loaded
 		}
 		ranked[n] = w
@@ -119,9 +119,9 @@
 type class uint8
 
 const (
-	welcome class = iota
-	doubted
-	// loaded ones would be welcome, but for a doubted one that ranks before them: they
+	eligible class = iota
+	suspected
+	// loaded ones would be eligible, but for a suspected one that ranks before them: they
 	// have little room left for what is not their own.
 	loaded
 	overBound
@@ -233,13 +233,13 @@
 // to j, where it takes ratio times as long at least.
 func (p *Pool) sooner(l Loads, i, j int, ratio float64) bool {
 	a, b := p.members[i].VM, p.members[j].VM
-	return cmp.Or(compareBools(l.Doubts(a), l.Doubts(b)), cmp.Compare(ratio*l.Wait(a), l.Wait(b))) < 0
+	return cmp.Or(compareBools(l.Suspects(a), l.Suspects(b)), cmp.Compare(ratio*l.Wait(a), l.Wait(b))) < 0
 }
 
 // better reports whether upstream i is to get a request of a session rather than j.
 func (p *Pool) better(l Loads, i, j int) bool {
 	a, b := p.members[i].VM, p.members[j].VM
-	return cmp.Or(compareBools(l.Doubts(a), l.Doubts(b)), cmp.Compare(l.Load(a), l.Load(b))) < 0
+	return cmp.Or(compareBools(l.Suspects(a), l.Suspects(b)), cmp.Compare(l.Load(a), l.Load(b))) < 0
 }
 
 // add adds upstream i to the n that are chosen, if there is room and it is not
--- a/internal/placement/bounded_test.go
+++ b/internal/placement/bounded_test.go
@@ -20,7 +20,7 @@
 
 func (l loads) Upper(vm load.VM) float64 { return l[vm] }
 
-func (l loads) Doubts(load.VM) bool { return false }
+func (l loads) Suspects(load.VM) bool { return false }
 
 func (l loads) Mean() float64 {
 	sum := 0.0
@@ -111,21 +111,21 @@
 	})
 }
 
-// doubting is loads with upstreams that fail more than others.
-type doubting struct {
+// suspecting is loads with upstreams that fail more than others.
+type suspecting struct {
 	loads
-	doubted map[load.VM]bool
+	suspected map[load.VM]bool
 }
 
-func (d doubting) Doubts(vm load.VM) bool { return d.doubted[vm] }
+func (d suspecting) Suspects(vm load.VM) bool { return d.suspected[vm] }
 
 // A session's home loses answers, and the next of its ranking is over the bound: the
 // third serves it, and the home is still offered before the one that has no room.
-func TestDoubtedUpstreamsComeLast(t *testing.T) {
+func TestSuspectedUpstreamsComeLast(t *testing.T) {
 	ms := members(8)
 	q := Query{Session: 42, Multiple: 1.6, Now: start.Add(time.Hour)}
 	order := bounded(NewPool(ms, Locality{}), loads{}, q)
-	l := doubting{loads: loads{}, doubted: map[load.VM]bool{ms[order[0]].VM: true}}
+	l := suspecting{loads: loads{}, suspected: map[load.VM]bool{ms[order[0]].VM: true}}
 	for _, m := range ms {
 		l.loads[m.VM] = 4
 	}
@@ -146,7 +146,7 @@
 		counts[bounded(p, l, Query{Random: mix(i)})[0]]++
 	}
 	if counts[order[0]] > 800/len(ms)/4 {
-		t.Errorf("requests without a session go to the doubted one: %d of %v", counts[order[0]], counts)
+		t.Errorf("requests without a session go to the suspected one: %d of %v", counts[order[0]], counts)
 	}
 }
 
@@ -226,16 +226,16 @@
 
 // Most upstreams of a pool lose answers for a while. The few others are within the
 // bound by what is believed, but it is a little old, and each takes the sessions of
-// all that are doubted: chance puts them over the operators' bound. A doubted home
+// all that are suspected: chance puts them over the operators' bound. A suspected home
 // keeps what the next of the ranking has little room for.
-func TestDoubtedUpstreamsKeepWhatOthersHaveLittleRoomFor(t *testing.T) {
+func TestSuspectedUpstreamsKeepWhatOthersHaveLittleRoomFor(t *testing.T) {
 	ms := members(8)
 	q := Query{Session: 42, Multiple: 1.6, Now: start.Add(time.Hour)}
 	order := bounded(NewPool(ms, Locality{}), loads{}, q)
-	l := doubting{loads: loads{}, doubted: make(map[load.VM]bool)}
+	l := suspecting{loads: loads{}, suspected: make(map[load.VM]bool)}
 	for i, m := range ms {
 		l.loads[m.VM] = 10
-		l.doubted[m.VM] = i != order[1] && i != order[2]
+		l.suspected[m.VM] = i != order[1] && i != order[2]
 	}
 	rest := bounded(NewPool(ms, Locality{}), l, q)
 	if rest[0] != order[1] {
--- a/internal/placement/plain_test.go
+++ b/internal/placement/plain_test.go
@@ -23,20 +23,6 @@
 	plainSpan      = 20 * time.Second
 )
 
-// plainEnd is the end of a request at an upstream of a plain service.
-type plainEnd struct {
-	at, began      time.Time
-	router, member int
-}
-
-type plainEnds []plainEnd
-
-func (d plainEnds) Len() int           { return len(d) }
-func (d plainEnds) Less(i, j int) bool { return d[i].at.Before(d[j].at) }
-func (d plainEnds) Swap(i, j int)      { d[i], d[j] = d[j], d[i] }
-func (d *plainEnds) Push(x any)        { *d = append(*d, x.(plainEnd)) }
-func (d *plainEnds) Pop() any          { x := (*d)[len(*d)-1]; *d = (*d)[:len(*d)-1]; return x }
-
 // plain is the service, and what its routers believe.
 type plain struct {
 	random  *rand.Rand
@@ -46,7 +32,7 @@
 	paces   [plainRouters]*load.Pace
 	free    [plainUpstreams][plainSlots]time.Time // when each slot of an upstream is free
 	waiting [plainUpstreams]int                   // or running
-	ends    plainEnds
+	ends    dones
 	slow    int
 }
 
@@ -71,7 +57,7 @@
 	for now := start; now.Before(start.Add(plainSpan)); {
 		now = now.Add(time.Duration(p.random.ExpFloat64() / plainPerSecond * float64(time.Second)))
 		for len(p.ends) > 0 && !p.ends[0].at.After(now) {
-			e := heap.Pop(&p.ends).(plainEnd)
+			e := heap.Pop(&p.ends).(done)
 			p.waiting[e.member]--
 			p.tallies[e.router].End(p.ids[e.member])
 			p.paces[e.router].Took(e.at, p.ids[e.member], "login", e.at.Sub(e.began))
@@ -110,7 +96,7 @@
 	p.free[member][first] = at
 	p.waiting[member]++
 	p.tallies[router].Begin(p.ids[member])
-	heap.Push(&p.ends, plainEnd{at: at, began: now, router: router, member: member})
+	heap.Push(&p.ends, done{at: at, began: now, router: router, member: member})
 	return at.Sub(now) <= plainAim
 }
 
@@ -124,7 +110,7 @@
 func (l plainAt) Load(vm load.VM) float64  { return l.tally.Load(l.now, vm) }
 func (l plainAt) Upper(vm load.VM) float64 { return l.tally.Upper(l.now, vm) }
 func (l plainAt) Wait(vm load.VM) float64  { return l.pace.Slowness(l.now, vm) * (l.Load(vm) + 1) }
-func (l plainAt) Doubts(load.VM) bool      { return false }
+func (l plainAt) Suspects(load.VM) bool    { return false }
 func (l plainAt) Mean() float64            { return l.tally.Mean(plainUpstreams) }
 
 // Guests book in a surge of three times the traffic while one of the three booking
--- a/internal/placement/sliver_test.go
+++ b/internal/placement/sliver_test.go
@@ -43,7 +43,7 @@
 
 // done is the end of a request.
 type done struct {
-	at             time.Time
+	at, began      time.Time
 	router, member int
 }
 
@@ -176,7 +176,7 @@
 func (l tallyAt) Load(vm load.VM) float64  { return l.tally.Load(l.now, vm) }
 func (l tallyAt) Wait(vm load.VM) float64  { return l.Load(vm) }
 func (l tallyAt) Upper(vm load.VM) float64 { return l.tally.Upper(l.now, vm) }
-func (l tallyAt) Doubts(load.VM) bool      { return false }
+func (l tallyAt) Suspects(load.VM) bool    { return false }
 func (l tallyAt) Mean() float64            { return l.tally.Mean(sliverUpstreams) }
 
 // Each of 28 routers sees its own requests and hears of an upstream's load when it
--- a/internal/router/directoffer.go
+++ b/internal/router/directoffer.go
@@ -126,7 +126,7 @@
 	}
 	n, basis := a.pool.tally.choose(now, a.pool.placed, on, q, &chosen)
 	a.basis = basis
-	a.pool.logDoubts(a.poolName)
+	a.pool.logSuspicions(a.poolName)
 	out := make([]target, 0, n)
 	for _, avoided := range [...]bool{false, true} {
 		for _, c := range chosen[:n] {
@@ -287,13 +287,13 @@
 func (l loadsAt) Upper(vm load.VM) float64 { return l.load.Upper(l.now, vm) }
 
 // Mean implements placement.Loads. It is that of all upstreams, also while some are
-// doubted: measured against those that take their requests on, the bound would be far
+// suspected: measured against those that take their requests on, the bound would be far
 // above the operators', who count all.
 func (l loadsAt) Mean() float64 { return l.load.Mean(l.n) }
 
-// Doubts implements placement.Loads.
-func (l loadsAt) Doubts(vm load.VM) bool {
-	return l.on.Outliers && l.faults.Doubts(l.now, vm)
+// Suspects implements placement.Loads.
+func (l loadsAt) Suspects(vm load.VM) bool {
+	return l.on.Outliers && l.faults.Suspects(l.now, vm)
 }
 
 // upstreamName is what upstreams call an organisation.
--- a/internal/router/dispatch/state.go
+++ b/internal/router/dispatch/state.go
@@ -16,11 +16,11 @@
 	// a request without any progress in between.
 	maxReconnects = 6
 
-	// patience is after how many of these a request runs elsewhere that may.
-	patience = 1
+	// reconnectsHere is after how many of these a request runs elsewhere that may.
+	reconnectsHere = 1
 
-	// comeBack is the advice to a caller where nobody gave a better one.
-	comeBack = time.Second
+	// defaultRetryAfter is the advice to a caller where nobody gave a better one.
+	defaultRetryAfter = time.Second
 )
 
 // Budget is what retries and hedges are paid from.
--- a/internal/router/dispatch/step.go
+++ b/internal/router/dispatch/step.go
@@ -38,7 +38,7 @@
 	if s.plan.Direct || a.reconnects > maxReconnects {
 		return s.failed(i, retry.Failure{Err: err, Asked: true})
 	}
-	if a.reconnects > patience && s.alive() == 1 && s.mayRunElsewhere() && s.budget.Withdraw() {
+	if a.reconnects > reconnectsHere && s.alive() == 1 && s.mayRunElsewhere() && s.budget.Withdraw() {
 		a.phase = over
 		s.note(err)
 		return s.offer(false)
@@ -203,7 +203,7 @@
 	if s.later > 0 {
 		return s.later
 	}
-	return comeBack
+	return defaultRetryAfter
 }
 
 // worthwhile reports whether the same request may fare better later.
--- a/internal/router/faults.go
+++ b/internal/router/faults.go
@@ -16,7 +16,7 @@
 	// hangTimes its objective is how long an attempt may wait for its first byte before
 	// that speaks against its upstream. An answer that is merely late does not: at a
 	// start, or where a session's long prompt has to be read, many are, and upstreams
-	// that are well would be doubted by turns. Their sessions left them, had their
+	// that are well would be suspected by turns. Their sessions left them, had their
 	// prompts read again elsewhere, and made others late. With 1 in its place, the
 	// worth of days with trouble is .01 less, that of surges beside slow upstreams .06;
 	// with 5, .002 and .02 less (three seeds each).
@@ -90,12 +90,12 @@
 	}
 }
 
-// logDoubts tells which upstreams are doubted now, and which are not any more.
-func (p *Pool) logDoubts(name string) {
-	for _, c := range p.tally.doubts() {
+// logSuspicions tells which upstreams are suspected now, and which are not any more.
+func (p *Pool) logSuspicions(name string) {
+	for _, c := range p.tally.suspicions() {
 		vm := p.vm(c.VM)
 		level, msg := slog.LevelInfo, "upstream is trusted again"
-		if c.Doubted {
+		if c.Suspected {
 			level, msg = slog.LevelWarn, "upstream fails more than others and comes last"
 		}
 		slog.LogAttrs(context.Background(), level, msg, slog.String("upstream", vm.ID), slog.String("addr", vm.Addr),
@@ -113,8 +113,8 @@
 	return topo.VM{}
 }
 
-// doubts returns the upstreams of which the judgement has changed.
-func (t *tally) doubts() []outlier.Change {
+// suspicions returns the upstreams of which the judgement has changed.
+func (t *tally) suspicions() []outlier.Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.faults.Changes()
