placement: requests leave a domain whose upstreams leave, evenly

Cause: found in reading. An upstream that leaves was compared like the others and dropped afterwards; where the router's own domain had no other, the rest of the list was taken in its order, and the first of it got most requests.

Change: an upstream that leaves is worse than any that serves.

Test: TestRequestsOfALeavingDomainAreShared fails without it.

--- a/internal/placement/bounded.go
+++ b/internal/placement/bounded.go
@@ -232,8 +232,12 @@
 // sooner reports whether a request without a session is to go to upstream i rather than
 // to j, where it takes ratio times as long at least.
 func (p *Pool) sooner(l Loads, i, j int, ratio float64) bool {
-	a, b := p.members[i].VM, p.members[j].VM
-	return cmp.Or(compareBools(l.Suspects(a), l.Suspects(b)), cmp.Compare(ratio*l.Wait(a), l.Wait(b))) < 0
+	a, b := p.members[i], p.members[j]
+	return cmp.Or(
+		compareBools(a.Leaving, b.Leaving),
+		compareBools(l.Suspects(a.VM), l.Suspects(b.VM)),
+		cmp.Compare(ratio*l.Wait(a.VM), l.Wait(b.VM)),
+	) < 0
 }
 
 // better reports whether upstream i is to get a request of a session rather than j.
--- a/internal/placement/bounded_test.go
+++ b/internal/placement/bounded_test.go
@@ -257,3 +257,24 @@
 		t.Errorf("the sessions of one near the bound are served by %d, want their home %d", got[0], order[1])
 	}
 }
+
+// The one booking service of a failure domain leaves. Its routers' requests are shared by
+// those of the other domains; taken in the order of the list, the first would get all.
+func TestRequestsOfALeavingDomainAreShared(t *testing.T) {
+	ms := members(5)
+	for i := range ms {
+		ms[i].Domain = "r/b"
+	}
+	ms[0].Domain, ms[0].Leaving = "r/a", true
+	p := NewPool(ms, Locality{Domain: "r/a"})
+	counts := make([]int, len(ms))
+	const requests = 4000
+	for i := range uint64(requests) {
+		counts[bounded(p, make(loads), Query{Random: mix(i)})[0]]++
+	}
+	for i, n := range counts[1:] {
+		if n < requests/8 || n > requests/2 {
+			t.Errorf("upstream %d of %v gets %d of %d", i+1, counts, n, requests)
+		}
+	}
+}
