--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -3,7 +3,8 @@
 // one of them at night, and by whoever measures what it is worth.
 //
 // Package router reads a Policy where a mechanism begins; none of them guards a promise
-// to callers, so that any may be off.
+// to callers, so that any may be off. Without HotSpread and SharedLoads a surge of one
+// session puts upstreams over the operators' bound on load.
 package policy
 
 import (
