placement: a session's ranking with six failure domains and more

Where a region has six failure domains or more, the ranking is full before the last of them, and that one was asked for no upstreams, which its search does not allow: it panicked, and each request of a session would have ended with a closed connection.

Change: the ranking ends when it is full, and no domain is ranked twice that need not be.

Test: TestSessionsSpillWithinTheirFailureDomain draws up to twelve domains now and fails without the change.

--- a/internal/placement/domains.go
+++ b/internal/placement/domains.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"math"
 	"slices"
 )
@@ -59,23 +60,28 @@
 	order := d.order(session)
 	n := 0
 	for _, i := range order {
-		room := min(perDomain, len(best)-n)
-		n += d[i].top(session, best[n:n+room])
+		if n == len(best) {
+			return n
+		}
+		n += d[i].top(session, best[n:min(n+perDomain, len(best))])
 	}
 	for _, i := range order {
-		var ranked [depth]int
-		more := d[i].top(session, ranked[:])
-		for _, at := range ranked[min(perDomain, more):more] {
-			if n == len(best) {
-				return n
-			}
-			best[n] = at
-			n++
+		if n == len(best) {
+			return n
 		}
+		n += d[i].beyond(session, best[n:])
 	}
 	return n
 }
 
+// beyond writes the upstreams that rank behind the first perDomain of a failure domain,
+// as far as there is room.
+func (d domainRanking) beyond(session uint64, rest []int) int {
+	var ranked [depth]int
+	n := d.top(session, ranked[:min(depth, perDomain+len(rest))])
+	return copy(rest, ranked[min(perDomain, n):n])
+}
+
 // order returns the failure domains in the order in which a session prefers them.
 func (d domains) order(session uint64) []int {
 	costs := make([]float64, len(d))
@@ -84,14 +90,6 @@
 		costs[i] = -math.Log(unit(mix(session^domain.seed))) / domain.weight
 		order[i] = i
 	}
-	slices.SortFunc(order, func(a, b int) int {
-		switch {
-		case costs[a] < costs[b]:
-			return -1
-		case costs[a] > costs[b]:
-			return 1
-		}
-		return a - b
-	})
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(costs[a], costs[b]) })
 	return order
 }
--- a/internal/placement/domains_test.go
+++ b/internal/placement/domains_test.go
@@ -40,7 +40,7 @@
 // neighbours.
 func TestSessionsSpillWithinTheirFailureDomain(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		ms := inDomains(rapid.IntRange(1, 12).Draw(t, "a"), rapid.IntRange(1, 12).Draw(t, "b"), rapid.IntRange(0, 12).Draw(t, "c"))
+		ms := inDomains(rapid.SliceOfN(rapid.IntRange(1, 12), 1, 12).Draw(t, "sizes")...)
 		order := ranked(ms, rapid.Uint64Min(1).Draw(t, "session"))
 		if want := min(len(ms), depth); len(order) != want {
 			t.Fatalf("%d upstreams of %d are ranked, want %d", len(order), len(ms), want)
