--- a/internal/router/faults.go
+++ b/internal/router/faults.go
@@ -17,9 +17,9 @@
 	// that speaks against its upstream. An answer that is merely late does not: at a
 	// start, or where a session's long prompt has to be read, many are, and upstreams
 	// that are well would be suspected by turns. Their sessions left them, had their
-	// prompts read again elsewhere, and made others late. With 1 in its place, the
-	// worth of days with trouble is .01 less, that of surges beside slow upstreams .06;
-	// with 5, .002 and .02 less (three seeds each).
+	// prompts read again elsewhere, and made others late. With 1 in its place, half as
+	// much memory again goes between upstreams on days with faults, and in surges beside
+	// slow upstreams a tenth more answers are late (five days and one, three seeds each).
 	hangTimes = 2.5
 	// givenUpTimes is the same for an attempt that is given up before.
 	givenUpTimes = hangTimes / 2
