--- a/bench/ablation/main.go
+++ b/bench/ablation/main.go
@@ -87,6 +87,9 @@
 	}
 	const role = "parsleyd entry "
 	changed := strings.Replace(string(text), role, role+"--without "+off+" ", 1)
+	if changed == string(text) {
+		return errors.Errorf("%s does not run %q: nothing would be switched off", path, role)
+	}
 	return errors.WithStack(os.WriteFile(path, []byte(changed), 0o600))
 }
 
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -149,12 +149,8 @@
 // NewEntry returns an Entry that works until ctx ends.
 func NewEntry(ctx context.Context, s settings.Entry, p platform.Settings, n Network) *Entry {
 	requests := telemetry.NewRequestLog(slog.Default())
-	c := entryConfig(p, n)
+	c := entryConfig(p, n, s.Without.Policy)
 	c.Requests = requests
-	c.Tuning = tuning(p, s.Without.Policy)
-	if !s.Without.Policy.Linger {
-		c.Mesh.MemberTiming.Linger = 0
-	}
 	if off := s.Without.String(); off != "" {
 		slog.Warn("mechanisms are switched off", "without", off)
 	}
@@ -190,8 +186,8 @@
 	return plan.stop(ctx, e.health, e.server.Server)
 }
 
-// entryConfig returns what the router reaches others by.
-func entryConfig(p platform.Settings, n Network) router.Config {
+// entryConfig returns what the router reaches others by, and what it does there.
+func entryConfig(p platform.Settings, n Network, on policy.Policy) router.Config {
 	bound := min(p.ConfigBound, p.DrainBound)
 	store := topo.NewHTTPOver(p.StoreURL, n.Store).Speaking(platform.Store{}, topo.Patience{
 		Call: share(bound, callShare), Watch: share(bound, graceShare),
@@ -218,14 +214,24 @@
 			Dial:         n.Routers,
 			Slept:        n.Slept,
 			Members:      platform.Runners{Regions: p.Regions},
-			MemberTiming: membership.Timing{Hold: lapseHold, Linger: p.DrainBound, Renew: p.HeartbeatGap + renewMargin},
+			MemberTiming: memberTiming(p, on),
 		},
 		Direct:        exchange.NewClient(platform.Calls{}, n.Upstreams),
+		Tuning:        tuning(p, on),
 		VM:            p.VM,
 		FailureDomain: p.FailureDomain,
 	}
 }
 
+// memberTiming returns how long entries of upstreams count.
+func memberTiming(p platform.Settings, on policy.Policy) membership.Timing {
+	t := membership.Timing{Hold: lapseHold, Renew: p.HeartbeatGap + renewMargin}
+	if on.Linger {
+		t.Linger = p.DrainBound
+	}
+	return t
+}
+
 // share returns a part of a time.
 func share(d time.Duration, part float64) time.Duration {
 	return time.Duration(part * float64(d))
