load: of two samples of one moment, the one with more load counts

In the log of decisions a sidecar that knew a load of 1 for another upstream had 0 for it one message later: a sample from before the burst, by way of a router, with the same time, took its place. Its bound came out too low, and it refused. Ruled out: finer times. Packed ages have a unit of 250 ms, so that samples of one burst arrive with equal times in any case. Test: TestLoadOfABurstHoldsWhicheverSampleComesLast, load 0 before, 3 after.

--- a/internal/load/table_test.go
+++ b/internal/load/table_test.go
@@ -101,3 +101,24 @@
 		t.Fatalf("mean %.2f of %d, true mean 50 of 40", mean, known)
 	}
 }
+
+// Three requests reach an upstream in one burst. A sample from before them, which went
+// by way of another node, arrives last, with the same time. Taken for the later one,
+// it made the pool's mean too low, and upstreams with room refused the rest of the
+// burst.
+func TestLoadOfABurstHoldsWhicheverSampleComesLast(t *testing.T) {
+	before, after := NewTable(), NewTable()
+	before.Observe(start, 1, Report{Load: 0})
+	after.Observe(start, 1, Report{Load: 3})
+	for _, order := range [][]*Table{{before, after}, {after, before}} {
+		table := NewTable()
+		for _, from := range order {
+			if err := table.Merge(start, from.Pack(start, 1)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got, _ := table.Get(start, 1); got.Load != 3 {
+			t.Errorf("load %d, want 3", got.Load)
+		}
+	}
+}
