soak: two runs at a time have addresses of their own

Cause: all test binaries were run several times beside each other, to look for tests that fail under load. Of six runs of the soak that overlapped, three failed: runners ran requests 'which nobody sent', or twice. The routers of a seed listened at 127.7.<seed>.<n>, whoever ran it, so that the callers of one run reached the routers of another. Ruled out: a fault of the routers. The requests that a runner had not been meant to get carry the numbers and paths of the other run's. Change: the address comes from the process and the seed.

--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -96,12 +96,19 @@
 	})
 }
 
+// address returns where a router listens. Two runs of the soak at a time have addresses
+// of their own: with the same ones, callers of one reach routers of the other.
+func (w *world) address(router int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 16+pid%200, (uint64(pid/200)+w.seed)%250, router+1)
+}
+
 func (w *world) newEntry(i int, store string) error {
 	p, err := newProxy(store)
 	if err != nil {
 		return err
 	}
-	e := &entry{world: w, name: fmt.Sprint("front-", i), ip: fmt.Sprintf("127.7.%d.%d", w.seed%250, i+1), store: p}
+	e := &entry{world: w, name: fmt.Sprint("front-", i), ip: w.address(i), store: p}
 	e.dir = filepath.Join(w.dir, e.name)
 	if err := os.Mkdir(e.dir, 0o700); err != nil {
 		return err
