router: callers are told to come back when the pool has room for them

Cause: the advice to a caller that is turned away was one second, whatever the backlog. In a surge of some seconds all come back into it and are turned away again. Ruled out: one slot for all without regard to the time that a caller has (a caller with 4 s stays away for a third of it at most and comes back outside its slot); the last slot in reach in place of the emptiest (a pool that answers nothing would have all back at one moment). Change: retry.Returns, pure: the rates of arrivals and answers of a pool as its router sees them, a calendar of those who were told to come back, and the first quarter of a second with room in what the caller would wait. Budget.RetryAfter hands it to the state machine of the request. Tests: a replay of a surge of twice what a pool can take. Bounds of the advice by property.

--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -2,6 +2,8 @@
 // tried again, and keeps what is tried again to a share of the traffic.
 package retry
 
+import "time"
+
 const (
 	// MaxRatio is the largest share of requests that may cost another attempt.
 	// It holds whatever a profile asks for, so that upstreams never see 1.1
@@ -43,3 +45,7 @@
 	b.credit -= attemptCost
 	return true
 }
+
+// RetryAfter returns zero: a Budget knows no time at which callers had better come back.
+// Upstreams with sidecars say themselves when they have room.
+func (b *Budget) RetryAfter(time.Duration) time.Duration { return 0 }
--- /dev/null
+++ b/internal/retry/returns.go
@@ -0,0 +1,98 @@
+package retry
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// returnSlots are the moments to which callers are told to come back, each
+	// returnSlot long: as far ahead as it is worth waiting for an answer.
+	returnSlots = 20
+	returnSlot  = 250 * time.Millisecond
+	// soonestReturn is the shortest time after which a caller is told to come back:
+	// less, and it meets the same queues.
+	soonestReturn = 500 * time.Millisecond
+	// ratesFor is the time over which the rates are averaged.
+	ratesFor = 2 * time.Second
+	// leastRoom is the part of what a pool answers that is left to callers that come
+	// back, however many new ones come: they have waited longest.
+	leastRoom = 0.2
+)
+
+// Returns tells callers that a pool has turned away when to come back. It spreads
+// them over the next seconds so that the pool has room for them beside those who
+// come for the first time, and counts in those whom it has told before. Each router
+// sees the same part of the pool's arrivals and of its answers, so that none needs to
+// know of the others.
+//
+// Told to come back after one second each, callers meet the same surge again. Of 1225
+// with 15 s each, in a surge of twice what the pool can take for 4 s, those who came back
+// were turned away 1744 times, and 221 with this; with 8 s, 1812 and 864
+// (TestCallersComeBackWhenThereIsRoom). Callers with 4 s have no time to let it pass.
+//
+// The zero value is ready to use. A Returns is not safe for concurrent use.
+type Returns struct {
+	booked  [returnSlots]float64 // callers by the slot to which they come back
+	at      int64                // number of the present slot
+	arrived float64              // requests of callers, their weight lowered by age
+	answers float64              // likewise
+	last    time.Time            // when the weights were right
+}
+
+// Arrived counts a request of a caller, also of one that comes back.
+func (r *Returns) Arrived(now time.Time) {
+	r.advance(now)
+	r.arrived++
+}
+
+// Answered counts an answer of the pool.
+func (r *Returns) Answered(now time.Time) {
+	r.advance(now)
+	r.answers++
+}
+
+// Advise returns when a caller that is turned away now is to come back, of the time that
+// it would wait at most: in the first slot that has room, or the emptiest. spread, from 0
+// to 1, is where in the slot.
+func (r *Returns) Advise(now time.Time, most time.Duration, spread float64) time.Duration {
+	r.advance(now)
+	room := r.room()
+	first := int64(soonestReturn / returnSlot)
+	end := min(max(int64(most/returnSlot), first+1), returnSlots)
+	best := first
+	for i := first; i < end && r.booked[r.slot(best)]+1 > room; i++ {
+		if r.booked[r.slot(i)] < r.booked[r.slot(best)] {
+			best = i
+		}
+	}
+	r.booked[r.slot(best)]++
+	return time.Duration((float64(best) + spread) * float64(returnSlot))
+}
+
+// room returns for how many callers that come back a slot has room.
+func (r *Returns) room() float64 {
+	seconds := ratesFor.Seconds()
+	perSlot := returnSlot.Seconds() / seconds
+	fresh := math.Max(0, r.arrived-r.booked[r.slot(0)]/perSlot)
+	return math.Max(r.answers-fresh, leastRoom*r.answers) * perSlot
+}
+
+func (r *Returns) slot(ahead int64) int {
+	return int((r.at + ahead) % returnSlots)
+}
+
+// advance makes the slot of now the present one, and lowers the weights.
+func (r *Returns) advance(now time.Time) {
+	if r.last.IsZero() {
+		r.last = now
+	}
+	weight := math.Exp(-now.Sub(r.last).Seconds() / ratesFor.Seconds())
+	r.arrived, r.answers, r.last = r.arrived*weight, r.answers*weight, now
+	at := int64(now.Sub(epoch) / returnSlot)
+	for steps := min(max(at-r.at, 0), returnSlots); steps > 0; steps-- {
+		r.booked[r.slot(0)] = 0
+		r.at++
+	}
+	r.at = max(r.at, at)
+}
--- /dev/null
+++ b/internal/retry/returns_test.go
@@ -0,0 +1,179 @@
+package retry
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// A pool of a plain service in a surge: it answers a hundred requests a second, lets
+// few wait, and gets twice as many for some seconds, through several routers.
+const (
+	surgeRouters  = 4
+	surgeAnswers  = 100 // a second
+	surgeWaiting  = 30
+	surgeArrivals = 200 // a second
+	usualArrivals = 50  // a second
+	surgeFor      = 4 * time.Second
+	surgeSpan     = 12 * time.Second
+)
+
+// visit is one time that a caller asks.
+type visit struct {
+	at    time.Time
+	first time.Time // when the caller asked first
+	again bool
+}
+
+type visits []visit
+
+func (v visits) Len() int           { return len(v) }
+func (v visits) Less(i, j int) bool { return v[i].at.Before(v[j].at) }
+func (v visits) Swap(i, j int)      { v[i], v[j] = v[j], v[i] }
+func (v *visits) Push(x any)        { *v = append(*v, x.(visit)) }
+func (v *visits) Pop() any {
+	old := *v
+	last := old[len(old)-1]
+	*v = old[:len(old)-1]
+	return last
+}
+
+// surgeOutcome is what callers of a surge have got.
+type surgeOutcome struct {
+	callers, unserved int
+	again             int // refusals of those who came back
+}
+
+// playSurge plays it for callers that have some time each, with what routers advise.
+func playSurge(patience time.Duration, advise func(router int, now time.Time, most time.Duration) time.Duration, told [surgeRouters]*Returns) surgeOutcome {
+	random := rand.New(rand.NewPCG(5, 6))
+	var next visits
+	start := epoch.Add(time.Hour)
+	for now := start; now.Before(start.Add(surgeSpan)); {
+		rate := float64(usualArrivals)
+		if now.Before(start.Add(surgeFor)) {
+			rate = surgeArrivals
+		}
+		now = now.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+		heap.Push(&next, visit{at: now, first: now})
+	}
+	var out surgeOutcome
+	free := start // when the pool has answered all that wait
+	for next.Len() > 0 {
+		v := heap.Pop(&next).(visit)
+		router := random.IntN(surgeRouters)
+		if !v.again {
+			out.callers++
+		}
+		told[router].Arrived(v.at)
+		waiting := max(0, free.Sub(v.at)) * surgeAnswers / time.Second
+		if waiting < surgeWaiting {
+			free = later(free, v.at).Add(time.Second / surgeAnswers)
+			told[router].Answered(v.at)
+			continue
+		}
+		if v.again {
+			out.again++
+		}
+		left := patience - v.at.Sub(v.first)
+		back := min(advise(router, v.at, left/3), left/3)
+		if back < 100*time.Millisecond {
+			out.unserved++
+			continue
+		}
+		heap.Push(&next, visit{at: v.at.Add(back), first: v.first, again: true})
+	}
+	return out
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func newReturns() (told [surgeRouters]*Returns) {
+	for i := range told {
+		told[i] = &Returns{}
+	}
+	return told
+}
+
+// Twice as many guests as a booking service can take ask for four seconds. Told to come
+// back after one second each, they meet the surge again, all of them, and are turned
+// away beside new ones. Told to come back when there is room, most are turned away
+// once. Guests with little time cannot wait until it is over; they fare alike.
+func TestCallersComeBackWhenThereIsRoom(t *testing.T) {
+	for _, c := range []struct {
+		patience time.Duration
+		again    float64 // part of the refusals of those who came back, at most
+		unserved int     // more than with a fixed second, at most
+	}{
+		{patience: 15 * time.Second, again: 0.2},
+		{patience: 8 * time.Second, again: 0.6},
+		{patience: 4 * time.Second, again: 1.1, unserved: 10},
+	} {
+		fixed := playSurge(c.patience, func(int, time.Time, time.Duration) time.Duration { return time.Second }, newReturns())
+		random := rand.New(rand.NewPCG(7, 8))
+		told := newReturns()
+		planned := playSurge(c.patience, func(router int, now time.Time, most time.Duration) time.Duration {
+			return told[router].Advise(now, most, random.Float64())
+		}, told)
+		t.Logf("of %d callers with %v, turned away after they came back: %d with a fixed second, %d as advised; unserved: %d, %d",
+			fixed.callers, c.patience, fixed.again, planned.again, fixed.unserved, planned.unserved)
+		if float64(planned.again) > c.again*float64(fixed.again) || planned.unserved > fixed.unserved+c.unserved {
+			t.Errorf("with %v: turned away again %d, %d with a fixed second; unserved %d, %d",
+				c.patience, planned.again, fixed.again, planned.unserved, fixed.unserved)
+		}
+	}
+}
+
+// Whatever has happened, the advice lies between the soonest and the farthest slot.
+func TestAdviceIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var r Returns
+		now := epoch
+		for range rapid.IntRange(0, 300).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				r.Arrived(now)
+			case 1:
+				r.Answered(now)
+			default:
+				d := r.Advise(now, time.Hour, rapid.Float64Range(0, 1).Draw(t, "spread"))
+				if d < soonestReturn || d > returnSlots*returnSlot {
+					t.Fatalf("advised %v", d)
+				}
+			}
+		}
+	})
+}
+
+// A router that has turned away one caller of a pool that is otherwise quiet tells it
+// to come back soon; one whose pool answers nothing spreads its callers evenly.
+func TestAdviceFollowsTheRoom(t *testing.T) {
+	var quiet Returns
+	now := epoch.Add(time.Minute)
+	for range 50 {
+		now = now.Add(20 * time.Millisecond)
+		quiet.Arrived(now)
+		quiet.Answered(now)
+		quiet.Answered(now)
+	}
+	if got := quiet.Advise(now, time.Hour, 0); got != soonestReturn {
+		t.Errorf("with room at once: %v, want %v", got, soonestReturn)
+	}
+	var dark Returns
+	seen := make(map[time.Duration]int)
+	for range returnSlots {
+		seen[dark.Advise(now, time.Hour, 0)]++
+	}
+	if len(seen) != returnSlots-int(soonestReturn/returnSlot) {
+		t.Errorf("%d moments for callers of a pool that answers nothing: %v", len(seen), seen)
+	}
+}
--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -157,6 +157,7 @@
 		if a.session != 0 {
 			a.router.holders.served(a.session, at.vm)
 		}
+		a.router.limits.answered(a.poolName)
 		return dispatch.Opened{Now: time.Now(), Attempt: at.number, Resumable: s.Events()}
 	}
 }
--- a/internal/router/directoffer.go
+++ b/internal/router/directoffer.go
@@ -78,7 +78,7 @@
 		return nil, e.Later(time.Second)
 	}
 	a.plan = req.directPlan(r.policy(), len(a.targets))
-	a.state = dispatch.New(a.plan, r.limits.window(a.poolName))
+	a.state = dispatch.New(a.plan, r.limits.pool(a.poolName))
 	if err := a.run(); err != nil {
 		a.Close()
 		return nil, err
--- a/internal/router/dispatch/dispatch_test.go
+++ b/internal/router/dispatch/dispatch_test.go
@@ -48,6 +48,8 @@
 	return ok
 }
 
+func (w *world) RetryAfter(time.Duration) time.Duration { return 0 }
+
 func (w *world) act(effect Effect) {
 	switch e := effect.(type) {
 	case Offer:
@@ -345,3 +347,37 @@
 		t.Fatalf("%v, want an offer to the first", got)
 	}
 }
+
+// advisor is a Budget that has an opinion on when to come back.
+type advisor struct {
+	retry.Budget
+	left time.Duration // that it was told of
+}
+
+func (a *advisor) RetryAfter(left time.Duration) time.Duration {
+	a.left = left
+	return 3 * time.Second
+}
+
+// A pool turns a guest away, and its requests speak for three seconds. The guest is told
+// so, unless an upstream has named a time itself.
+func TestCallersAreToldWhatThePoolSpeaksFor(t *testing.T) {
+	now := time.Unix(1000, 0)
+	full := verdict.New(verdict.NotRun, verdict.ReasonQueueFull, "")
+	for named, want := range map[time.Duration]time.Duration{0: 3 * time.Second, time.Second: time.Second} {
+		var a advisor
+		s := New(Plan{Direct: true, Offers: 1, Deadline: now.Add(9 * time.Second)}, &a)
+		s.Step(Began{Now: now})
+		err := full
+		if named > 0 {
+			err = full.Later(named)
+		}
+		got := s.Step(Refused{Now: now.Add(time.Second), Attempt: 0, Err: err})
+		if len(got) != 1 || got[0].(Finish).Err.RetryAfter != want {
+			t.Errorf("named %v: %v, want to come back after %v", named, got, want)
+		}
+		if named == 0 && a.left != 8*time.Second {
+			t.Errorf("%v are left, want 8s", a.left)
+		}
+	}
+}
--- a/internal/router/dispatch/state.go
+++ b/internal/router/dispatch/state.go
@@ -23,10 +23,14 @@
 	defaultRetryAfter = time.Second
 )
 
-// Budget is what retries and hedges are paid from.
+// Budget is what retries and hedges are paid from, and what callers that are turned away
+// are told.
 type Budget interface {
 	// Withdraw pays for one more attempt or reports false.
 	Withdraw() bool
+	// RetryAfter returns when a caller that has some time left, zero if any, is to come
+	// back; zero: nothing speaks for one time or another.
+	RetryAfter(left time.Duration) time.Duration
 }
 
 // phase is how far an attempt has come.
--- a/internal/router/dispatch/step.go
+++ b/internal/router/dispatch/step.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/retry"
@@ -204,12 +205,17 @@
 	return append(effects, Finish{Err: err})
 }
 
-// advice returns when to come back: the soonest that an upstream named.
+// advice returns when to come back: the soonest that an upstream named, else what the
+// requests of its pool speak for.
 func (s *State) advice() time.Duration {
 	if s.later > 0 {
 		return s.later
 	}
-	return defaultRetryAfter
+	left := time.Duration(0)
+	if !s.plan.Deadline.IsZero() {
+		left = s.plan.Deadline.Sub(s.now)
+	}
+	return cmp.Or(s.budget.RetryAfter(left), defaultRetryAfter)
 }
 
 // worthwhile reports whether the same request may fare better later.
--- a/internal/router/limits.go
+++ b/internal/router/limits.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -21,12 +23,12 @@
 	mu      sync.Mutex
 	open    map[string]int // requests in flight, by organisation
 	budgets map[string]*retry.Budget
-	windows map[string]*retry.Window // of direct upstreams, by pool
-	rule    retry.Rule               // of the windows
+	pools   map[string]*poolLimits // of direct upstreams
+	rule    retry.Rule             // of their windows
 }
 
 func newLimits() *limits {
-	return &limits{open: make(map[string]int), budgets: make(map[string]*retry.Budget), windows: make(map[string]*retry.Window)}
+	return &limits{open: make(map[string]int), budgets: make(map[string]*retry.Budget), pools: make(map[string]*poolLimits)}
 }
 
 // enter counts a request of org in until the result is called.
@@ -77,6 +79,9 @@
 	budget *retry.Budget
 }
 
+// RetryAfter implements dispatch.Budget.
+func (s sharedBudget) RetryAfter(left time.Duration) time.Duration { return s.budget.RetryAfter(left) }
+
 // Withdraw implements dispatch.Budget.
 func (s sharedBudget) Withdraw() bool {
 	s.limits.mu.Lock()
@@ -91,29 +96,61 @@
 	l.rule = rule
 }
 
-// window returns the retry budget of a pool of direct upstreams, in which the
-// request has been counted.
-func (l *limits) window(pool string) dispatch.Budget {
+// poolLimits is what the requests to a pool of direct upstreams share.
+type poolLimits struct {
+	window  retry.Window
+	returns retry.Returns
+}
+
+// pool returns the limits of a pool of direct upstreams, in which the request has been
+// counted.
+func (l *limits) pool(name string) dispatch.Budget {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.pools[name]
+	if p == nil {
+		p = &poolLimits{}
+		l.pools[name] = p
+	}
+	now := time.Now()
+	p.window.Request(now, l.rule)
+	p.returns.Arrived(now)
+	return poolBudget{limits: l, pool: p}
+}
+
+// answered counts an answer of a pool of direct upstreams.
+func (l *limits) answered(name string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	w := l.windows[pool]
-	if w == nil {
-		w = &retry.Window{}
-		l.windows[pool] = w
+	if p := l.pools[name]; p != nil {
+		p.returns.Answered(time.Now())
 	}
-	w.Request(time.Now(), l.rule)
-	return windowBudget{limits: l, window: w}
 }
 
-// windowBudget is a Budget that the requests of a pool share.
-type windowBudget struct {
+// poolBudget is a Budget that the requests of a pool share.
+type poolBudget struct {
 	limits *limits
-	window *retry.Window
+	pool   *poolLimits
 }
 
 // Withdraw implements dispatch.Budget.
-func (b windowBudget) Withdraw() bool {
+func (b poolBudget) Withdraw() bool {
+	b.limits.mu.Lock()
+	defer b.limits.mu.Unlock()
+	return b.pool.window.Withdraw(time.Now(), b.limits.rule)
+}
+
+// awayShare is the part of the time that it has left for which a caller stays away, at
+// most, when it is told to come back: it wants time for two more tries.
+const awayShare = 1.0 / 3
+
+// RetryAfter implements dispatch.Budget.
+func (b poolBudget) RetryAfter(left time.Duration) time.Duration {
+	most := times(awayShare, left)
+	if left <= 0 {
+		most = math.MaxInt64
+	}
 	b.limits.mu.Lock()
 	defer b.limits.mu.Unlock()
-	return b.window.Withdraw(time.Now(), b.limits.rule)
+	return b.pool.returns.Advise(time.Now(), most, rand.Float64())
 }
