balance: what a router knows of direct upstreams has a package of its own

internal/router held the loads, paces, outcomes and demands of a pool's upstreams, and how routers share them, in a private type among the code that carries requests. Moved, with no change of behaviour: tally becomes balance.Tracker; hear is Report, tell and report are Known and Seen, and merge is MergeKnown and MergeSeen. The router keeps the wire form (sharedPool) and the log lines. Tests: that of the bound moves along; TestFailuresAtOneRouterCountAtAnother is new, through three Trackers.

--- /dev/null
+++ b/internal/balance/share.go
@@ -0,0 +1,44 @@
+package balance
+
+import (
+	stderrors "errors"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/load"
+)
+
+// Shared is what routers tell each other of a pool's upstreams, by their places in a list
+// that both have.
+type Shared struct {
+	Loads    []byte
+	Outcomes []byte // how requests went
+}
+
+// Known returns what a router knows of upstreams, for those that rely on it.
+func (t *Tracker) Known(now time.Time, members []load.VM) Shared {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Shared{Loads: t.loads.PackKnown(now, members), Outcomes: t.outliers.Told(now, members)}
+}
+
+// Seen returns what a router has seen of upstreams since a time, for the one that it
+// relies on.
+func (t *Tracker) Seen(now, after time.Time, members []load.VM) Shared {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Shared{Loads: t.loads.PackHeard(now, after, members), Outcomes: t.outliers.Report(members)}
+}
+
+// MergeKnown takes in what the router knows that this one relies on.
+func (t *Tracker) MergeKnown(now time.Time, members []load.VM, s Shared) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return stderrors.Join(t.loads.MergeKnown(now, members, s.Loads), t.outliers.MergeTold(now, members, s.Outcomes))
+}
+
+// MergeSeen takes in what a router has seen that relies on this one.
+func (t *Tracker) MergeSeen(now time.Time, members []load.VM, s Shared) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return stderrors.Join(t.loads.MergeHeard(now, members, s.Loads), t.outliers.MergeReport(now, members, s.Outcomes))
+}
--- /dev/null
+++ b/internal/balance/tracker.go
@@ -0,0 +1,173 @@
+// Package balance is what one router knows of the upstreams of a pool that it calls
+// itself, with no sidecar to decide for them, and the choice among them: their loads as
+// it counts and is told them, how fast they answer, how their requests go, and which
+// sessions ask the most.
+//
+// Package router feeds a Tracker with what its requests meet, asks it for each request
+// where it may go, and has routers tell each other what theirs know. Package model does
+// the same in virtual time. A Tracker knows no clock and no connection; it is safe for
+// concurrent use, and outlives the lists of upstreams that it is asked about.
+package balance
+
+import (
+	"sync"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/load"
+	"github.com/parsleyfront/parsleyfront/internal/outlier"
+	"github.com/parsleyfront/parsleyfront/internal/placement"
+	"github.com/parsleyfront/parsleyfront/internal/policy"
+)
+
+// Tracker is what a router knows of the upstreams of one pool.
+type Tracker struct {
+	mu       sync.Mutex
+	loads    *load.Tally
+	demand   *load.Demand
+	pace     *load.Pace
+	outliers *outlier.Detector
+}
+
+// NewTracker returns a Tracker that knows nothing.
+func NewTracker() *Tracker {
+	return &Tracker{loads: load.NewTally(), demand: load.NewDemand(), pace: load.NewPace(), outliers: outlier.New()}
+}
+
+// Choose writes the upstreams of p to which a request is offered to out, in order, and
+// returns how many there are, and what that rests on. The multiple of q is the bound on
+// load of the platform's operators.
+func (t *Tracker) Choose(now time.Time, p *placement.Pool, on policy.Policy, q placement.Query, out *[placement.Candidates]placement.Choice) (int, placement.Basis) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	q.Multiple *= boundShare(t.loads.Seen(p.Len()))
+	return p.Bounded(loadsAt{t, on, now, p.Len()}, q, out)
+}
+
+const (
+	// toldShare is the part of the platform's bound on the load of an upstream up to
+	// which routers fill it where they go by what they are told, which is a little
+	// old, and mostShare where they count nearly everything themselves. In between,
+	// countedShare times the part that a router counts is added. With 4 routers that
+	// makes 0.9: a fifth fewer tokens are moved than with 0.8.
+	toldShare, countedShare, mostShare = 0.8, 0.4, 0.95
+)
+
+// boundShare returns the part of the platform's bound up to which a router fills an
+// upstream if it counts a part of all requests itself.
+func boundShare(seen float64) float64 {
+	return min(toldShare+countedShare*seen, mostShare)
+}
+
+// Ask counts a request of a session and returns its share of the pool's.
+func (t *Tracker) Ask(now time.Time, session uint64, profile string) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.demand.Ask(now, session, profile)
+}
+
+// Took takes in how long a request of a session was in flight.
+func (t *Tracker) Took(profile string, d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.demand.Took(profile, d)
+}
+
+// Report takes in that an upstream says how many requests it has, those of this router
+// among them.
+func (t *Tracker) Report(now time.Time, vm load.VM, requests int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.loads.Hear(now, vm, requests)
+}
+
+// Begin counts an attempt that goes to an upstream.
+func (t *Tracker) Begin(vm load.VM) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.loads.Begin(vm)
+}
+
+// End counts the end of an attempt that Begin has counted.
+func (t *Tracker) End(vm load.VM) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.loads.End(vm)
+}
+
+// Keep forgets every upstream that is not among members.
+func (t *Tracker) Keep(members []load.VM) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.loads.Keep(members)
+	t.pace.Keep(members)
+	t.outliers.Keep(members)
+}
+
+// Went takes in how an attempt went at an upstream, and how long that took to show.
+func (t *Tracker) Went(now time.Time, vm load.VM, profile string, d time.Duration, well bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if well {
+		t.pace.Took(now, vm, profile, d)
+		t.outliers.Succeeded(now, vm)
+	} else {
+		t.pace.Waited(now, vm, profile, d)
+		t.outliers.Failed(now, vm)
+	}
+}
+
+// Failed takes in that an attempt failed at an upstream, beside what Went has said of it.
+func (t *Tracker) Failed(now time.Time, vm load.VM) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.outliers.Failed(now, vm)
+}
+
+// Suspicions returns the upstreams of which the judgement has changed since it was called
+// last.
+func (t *Tracker) Suspicions() []outlier.Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.outliers.Changes()
+}
+
+// Load returns the believed load of an upstream.
+func (t *Tracker) Load(now time.Time, vm load.VM) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.loads.Load(now, vm)
+}
+
+// loadsAt is a Tracker at one moment, for n upstreams. It implements placement.Loads.
+type loadsAt struct {
+	*Tracker
+	on  policy.Policy
+	now time.Time
+	n   int
+}
+
+// Load implements placement.Loads.
+func (l loadsAt) Load(vm load.VM) float64 { return l.loads.Load(l.now, vm) }
+
+// Wait implements placement.Loads: the time of an answer grows with what waits before
+// it, of which this router knows its own requests.
+func (l loadsAt) Wait(vm load.VM) float64 {
+	wait := l.loads.Load(l.now, vm) + 1
+	if l.on.Pace {
+		wait *= l.pace.Slowness(l.now, vm)
+	}
+	return wait
+}
+
+// Upper implements placement.Loads.
+func (l loadsAt) Upper(vm load.VM) float64 { return l.loads.Upper(l.now, vm) }
+
+// Mean implements placement.Loads. It is that of all upstreams, also while some are
+// suspected: measured against those that take their requests on, the bound would be far
+// above the operators', who count all.
+func (l loadsAt) Mean() float64 { return l.loads.Mean(l.n) }
+
+// Suspects implements placement.Loads.
+func (l loadsAt) Suspects(vm load.VM) bool {
+	return l.on.Outliers && l.outliers.Suspects(l.now, vm)
+}
--- /dev/null
+++ b/internal/balance/tracker_test.go
@@ -0,0 +1,59 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/load"
+	"github.com/parsleyfront/parsleyfront/internal/placement"
+	"github.com/parsleyfront/parsleyfront/internal/policy"
+)
+
+// Four routers each count a quarter of the requests, and fill upstreams further than
+// one of many that goes by what it is told.
+func TestBoundGrowsWithWhatIsCounted(t *testing.T) {
+	for _, c := range []struct{ seen, want float64 }{{0, 0.8}, {0.25, 0.9}, {1, 0.95}} {
+		if got := boundShare(c.seen); got != c.want {
+			t.Errorf("seen %v: %v, want %v", c.seen, got, c.want)
+		}
+	}
+}
+
+// An upstream fails its requests at one router. The router that relies on the same
+// reader has sent it nothing yet, and puts it last all the same. With outliers switched
+// off nobody does.
+func TestFailuresAtOneRouterCountAtAnother(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var ids []load.VM
+	var ms []placement.Member
+	for _, name := range []string{"a", "b", "c", "d"} {
+		ids = append(ids, load.Hash(name))
+		ms = append(ms, placement.Member{VM: load.Hash(name), Seed: placement.Seed(name)})
+	}
+	pool := placement.NewPool(ms, placement.Locality{})
+	first, reader, third := NewTracker(), NewTracker(), NewTracker()
+	const session = 7
+	home := pool.Home(session)
+	for i := range ids {
+		for range 4 {
+			first.Went(now, ids[i], "chat", time.Second, i != home)
+		}
+	}
+	if err := reader.MergeSeen(now, ids, first.Seen(now, time.Time{}, ids)); err != nil {
+		t.Fatal(err)
+	}
+	if err := third.MergeKnown(now, ids, reader.Known(now, ids)); err != nil {
+		t.Fatal(err)
+	}
+	chosen := func(on policy.Policy) int {
+		var out [placement.Candidates]placement.Choice
+		third.Choose(now, pool, on, placement.Query{Session: session, Now: now}, &out)
+		return out[0].Index
+	}
+	if chosen(policy.All()) == home {
+		t.Error("the home that fails at another router comes first")
+	}
+	if chosen(policy.Policy{}) != home {
+		t.Error("without outliers the home does not come first")
+	}
+}
--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -189,8 +189,8 @@
 func (a *Answer) offer(e dispatch.Offer) {
 	to, ok := a.carrier.target(e)
 	at := a.add(to.vm)
-	at.donor, at.tally = to.donor, to.tally
-	at.watch = &watch{tally: to.tally, vm: load.Hash(to.vm.ID), profile: a.req.Profile.Name, objective: a.req.Profile.Objective.Std()}
+	at.donor, at.tracker = to.donor, to.tracker
+	at.watch = &watch{tracker: to.tracker, vm: load.Hash(to.vm.ID), profile: a.req.Profile.Name, objective: a.req.Profile.Objective.Std()}
 	if e.Continue {
 		a.winner = nil
 		at.headed = true
@@ -417,7 +417,7 @@
 func (a *Answer) Close() {
 	a.logEnd()
 	if a.counted {
-		a.pool.tally.took(a.req.Profile.Name, time.Since(a.started))
+		a.pool.tracker.Took(a.req.Profile.Name, time.Since(a.started))
 	}
 	if a.state != nil && !a.state.Finished() { // nil: refused before it was offered
 		a.leave()
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync/atomic"
 
+	"github.com/parsleyfront/parsleyfront/internal/balance"
 	"github.com/parsleyfront/parsleyfront/internal/router/dispatch"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/token"
@@ -52,10 +53,10 @@
 
 // target is an upstream that an attempt goes to.
 type target struct {
-	vm    topo.VM
-	donor topo.VM // of direct upstreams: where it may get the cached prompt from
-	load  float64 // of direct upstreams: as it is believed
-	tally *tally  // of direct upstreams: of their pool
+	vm      topo.VM
+	donor   topo.VM          // of direct upstreams: where it may get the cached prompt from
+	load    float64          // of direct upstreams: as it is believed
+	tracker *balance.Tracker // of direct upstreams: of their pool
 }
 
 // stream is the answer to an attempt, read piece by piece.
@@ -73,8 +74,8 @@
 	number    int
 	vm        topo.VM
 	donor     topo.VM
-	tally     *tally // of direct upstreams: counts the attempt
-	watch     *watch // of direct upstreams
+	tracker   *balance.Tracker // of direct upstreams: counts the attempt
+	watch     *watch           // of direct upstreams
 	call      wire.Call
 	link      int       // place in the chain of the caller's key
 	key       *wire.Key // nil until drawn
--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -31,9 +31,9 @@
 	at.span = telemetry.Start(telemetry.HopRouter, telemetry.Traceparent(a.req.Trace))
 	at.span.Set(telemetry.AttrVM, at.vm.ID)
 	id := load.Hash(at.vm.ID)
-	at.tally.begin(id)
+	at.tracker.Begin(id)
 	context.AfterFunc(at.ctx, func() {
-		at.tally.end(id)
+		at.tracker.End(id)
 		at.watch.giveUp()
 	})
 	s, err := a.router.config.Direct.Do(at.ctx, at.vm, a.call(at), func() bool { return a.pass(at) })
--- a/internal/router/directoffer.go
+++ b/internal/router/directoffer.go
@@ -3,14 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/exchange"
 	"github.com/parsleyfront/parsleyfront/internal/load"
-	"github.com/parsleyfront/parsleyfront/internal/outlier"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
-	"github.com/parsleyfront/parsleyfront/internal/policy"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
 	"github.com/parsleyfront/parsleyfront/internal/router/dispatch"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
@@ -69,7 +66,7 @@
 	a.ctx, a.stop = context.WithCancel(ctx)
 	if a.pool != nil && a.session != 0 {
 		a.counted = true
-		a.share = a.pool.tally.ask(now, a.session, req.Profile.Name)
+		a.share = a.pool.tracker.Ask(now, a.session, req.Profile.Name)
 	}
 	a.targets = a.choices(now)
 	if len(a.targets) == 0 {
@@ -124,13 +121,13 @@
 	if on.HotSpread {
 		q.Share = a.share
 	}
-	n, basis := a.pool.tally.choose(now, a.pool.placed, on, q, &chosen)
+	n, basis := a.pool.tracker.Choose(now, a.pool.placed, on, q, &chosen)
 	a.basis = basis
 	a.pool.logSuspicions(a.poolName)
 	out := make([]target, 0, n)
 	for _, avoided := range [...]bool{false, true} {
 		for _, c := range chosen[:n] {
-			t := target{vm: a.pool.VMs[c.Index], load: c.Load, tally: a.pool.tally}
+			t := target{vm: a.pool.VMs[c.Index], load: c.Load, tracker: a.pool.tracker}
 			if a.router.avoids(t.vm.ID, now) != avoided {
 				continue
 			}
@@ -165,139 +162,10 @@
 // answers tell 4.7.
 func (a direct) loadHeard(at *attempt, w exchange.Word) {
 	if w.Load != nil {
-		at.tally.hear(time.Now(), load.Hash(at.vm.ID), w.Load.Running+w.Load.Waiting+1)
+		at.tracker.Report(time.Now(), load.Hash(at.vm.ID), w.Load.Running+w.Load.Waiting+1)
 	}
 }
 
-// tally is the loads of one pool's upstreams as this router counts and hears
-// them. It outlives the views that refer to it.
-type tally struct {
-	mu     sync.Mutex
-	load   *load.Tally
-	demand *load.Demand
-	pace   *load.Pace
-	faults *outlier.Detector
-}
-
-func newTally() *tally {
-	return &tally{load: load.NewTally(), demand: load.NewDemand(), pace: load.NewPace(), faults: outlier.New()}
-}
-
-func (t *tally) choose(now time.Time, p *placement.Pool, on policy.Policy, q placement.Query, out *[placement.Candidates]placement.Choice) (int, placement.Basis) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	q.Multiple *= boundShare(t.load.Seen(p.Len()))
-	return p.Bounded(loadsAt{t, on, now, p.Len()}, q, out)
-}
-
-const (
-	// toldShare is the part of the platform's bound on the load of an upstream up to
-	// which routers fill it where they go by what they are told, which is a little
-	// old, and mostShare where they count nearly everything themselves. In between,
-	// countedShare times the part that a router counts is added. With 4 routers that
-	// makes 0.9: a fifth fewer tokens are moved than with 0.8.
-	toldShare, countedShare, mostShare = 0.8, 0.4, 0.95
-)
-
-// boundShare returns the part of the platform's bound up to which a router fills an
-// upstream if it counts a part of all requests itself.
-func boundShare(seen float64) float64 {
-	return min(toldShare+countedShare*seen, mostShare)
-}
-
-// ask counts a request of a session and returns its share of the pool's.
-func (t *tally) ask(now time.Time, session uint64, profile string) float64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.demand.Ask(now, session, profile)
-}
-
-func (t *tally) took(profile string, d time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.demand.Took(profile, d)
-}
-
-func (t *tally) hear(now time.Time, vm load.VM, requests int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.load.Hear(now, vm, requests)
-}
-
-func (t *tally) begin(vm load.VM) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.load.Begin(vm)
-}
-
-func (t *tally) end(vm load.VM) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.load.End(vm)
-}
-
-func (t *tally) keep(members []load.VM) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.load.Keep(members)
-	t.pace.Keep(members)
-	t.faults.Keep(members)
-}
-
-// went takes in how an attempt went at an upstream, and how long that took to show.
-func (t *tally) went(now time.Time, vm load.VM, profile string, d time.Duration, well bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if well {
-		t.pace.Took(now, vm, profile, d)
-		t.faults.Succeeded(now, vm)
-	} else {
-		t.pace.Waited(now, vm, profile, d)
-		t.faults.Failed(now, vm)
-	}
-}
-
-// failed takes in that an attempt failed at an upstream, beside what went has said of it.
-func (t *tally) failed(now time.Time, vm load.VM) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.faults.Failed(now, vm)
-}
-
-// loadsAt is a tally at one moment, for n upstreams. It implements placement.Loads.
-type loadsAt struct {
-	*tally
-	on  policy.Policy
-	now time.Time
-	n   int
-}
-
-// Load implements placement.Loads.
-func (l loadsAt) Load(vm load.VM) float64 { return l.load.Load(l.now, vm) }
-
-// Wait implements placement.Loads: the time of an answer grows with what waits before
-// it, of which this router knows its own requests.
-func (l loadsAt) Wait(vm load.VM) float64 {
-	wait := l.load.Load(l.now, vm) + 1
-	if l.on.Pace {
-		wait *= l.pace.Slowness(l.now, vm)
-	}
-	return wait
-}
-
-// Upper implements placement.Loads.
-func (l loadsAt) Upper(vm load.VM) float64 { return l.load.Upper(l.now, vm) }
-
-// Mean implements placement.Loads. It is that of all upstreams, also while some are
-// suspected: measured against those that take their requests on, the bound would be far
-// above the operators', who count all.
-func (l loadsAt) Mean() float64 { return l.load.Mean(l.n) }
-
-// Suspects implements placement.Loads.
-func (l loadsAt) Suspects(vm load.VM) bool {
-	return l.on.Outliers && l.faults.Suspects(l.now, vm)
-}
-
 // upstreamName is what upstreams call an organisation.
 func upstreamName(o *profile.Organisation) string {
 	if o.UpstreamName != "" {
--- a/internal/router/faults.go
+++ b/internal/router/faults.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/parsleyfront/parsleyfront/internal/balance"
 	"github.com/parsleyfront/parsleyfront/internal/load"
-	"github.com/parsleyfront/parsleyfront/internal/outlier"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
 )
 
@@ -29,7 +29,7 @@
 // for others: well with the first byte of its answer, badly if that does not come
 // for hangTimes the objective, is a failure, or is lost.
 type watch struct {
-	tally     *tally
+	tracker   *balance.Tracker
 	vm        load.VM
 	profile   string
 	objective time.Duration // zero: none
@@ -60,12 +60,12 @@
 	w.judged = true
 	w.stop()
 	now := time.Now()
-	w.tally.went(now, w.vm, w.profile, now.Sub(w.sent), well)
+	w.tracker.Went(now, w.vm, w.profile, now.Sub(w.sent), well)
 }
 
 // broke says that an answer broke off that had begun well.
 func (w *watch) broke() {
-	w.tally.failed(time.Now(), w.vm)
+	w.tracker.Failed(time.Now(), w.vm)
 }
 
 // giveUp ends the watch of an attempt whose answer nobody waits for any more.
@@ -91,7 +91,7 @@
 
 // logSuspicions tells which upstreams are suspected now, and which are not any more.
 func (p *Pool) logSuspicions(name string) {
-	for _, c := range p.tally.suspicions() {
+	for _, c := range p.tracker.Suspicions() {
 		vm := p.vm(c.VM)
 		level, msg := slog.LevelInfo, "upstream is trusted again"
 		if c.Suspected {
@@ -112,13 +112,6 @@
 	return topo.VM{}
 }
 
-// suspicions returns the upstreams of which the judgement has changed.
-func (t *tally) suspicions() []outlier.Change {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.faults.Changes()
-}
-
 // telling reports whether a status speaks for or against an upstream. 504 is its word
 // that the time which it was given is over, which may have been short.
 func telling(status int) bool {
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -1,14 +1,13 @@
 package router
 
 import (
-	stderrors "errors"
 	"log/slog"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/zeebo/xxh3"
 
-	"github.com/parsleyfront/parsleyfront/internal/load"
+	"github.com/parsleyfront/parsleyfront/internal/balance"
 )
 
 // sharing is what routers tell each other beside the sets that they follow.
@@ -37,7 +36,7 @@
 		return m.told
 	}
 	m.toldAt = now
-	m.told = m.pack(func(p *Pool) sharedPool { return p.tally.tell(now, p.serving) })
+	m.told = m.pack(func(p *Pool) balance.Shared { return p.tracker.Known(now, p.serving) })
 	return m.told
 }
 
@@ -45,10 +44,10 @@
 func (m *mesh) heard(now time.Time) []byte {
 	after := m.sharedAt
 	m.sharedAt = now
-	return m.pack(func(p *Pool) sharedPool { return p.tally.report(now, after, p.serving) })
+	return m.pack(func(p *Pool) balance.Shared { return p.tracker.Seen(now, after, p.serving) })
 }
 
-func (m *mesh) pack(of func(*Pool) sharedPool) []byte {
+func (m *mesh) pack(of func(*Pool) balance.Shared) []byte {
 	var s sharing
 	on := m.router.policy()
 	for name, p := range m.router.View().Pools {
@@ -60,8 +59,7 @@
 			shared.Outcomes = nil
 		}
 		if shared.Loads != nil || shared.Outcomes != nil {
-			shared.Pool, shared.List = shortHash(name), p.list
-			s.Pools = append(s.Pools, shared)
+			s.Pools = append(s.Pools, sharedPool{Pool: shortHash(name), List: p.list, Loads: shared.Loads, Outcomes: shared.Outcomes})
 		}
 	}
 	if len(s.Pools) == 0 {
@@ -103,7 +101,11 @@
 		if p == nil || p.list != told.List {
 			continue
 		}
-		if err := p.tally.merge(now, p.serving, told, from); err != nil {
+		merge := p.tracker.MergeKnown
+		if from == fromFollower {
+			merge = p.tracker.MergeSeen
+		}
+		if err := merge(now, p.serving, balance.Shared{Loads: told.Loads, Outcomes: told.Outcomes}); err != nil {
 			meshMalformed.Inc()
 		}
 	}
@@ -112,26 +114,3 @@
 func shortHash(s string) uint32 {
 	return uint32(xxh3.HashString(s))
 }
-
-// tell returns what a router knows of upstreams, for those that rely on it.
-func (t *tally) tell(now time.Time, members []load.VM) sharedPool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return sharedPool{Loads: t.load.PackKnown(now, members), Outcomes: t.faults.Told(now, members)}
-}
-
-// report returns what a router has heard of upstreams, for the one that it relies on.
-func (t *tally) report(now, after time.Time, members []load.VM) sharedPool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return sharedPool{Loads: t.load.PackHeard(now, after, members), Outcomes: t.faults.Report(members)}
-}
-
-func (t *tally) merge(now time.Time, members []load.VM, shared sharedPool, from sharer) error {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if from == fromFollower {
-		return stderrors.Join(t.load.MergeHeard(now, members, shared.Loads), t.faults.MergeReport(now, members, shared.Outcomes))
-	}
-	return stderrors.Join(t.load.MergeKnown(now, members, shared.Loads), t.faults.MergeTold(now, members, shared.Outcomes))
-}
--- a/internal/router/sharing_test.go
+++ b/internal/router/sharing_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/parsleyfront/parsleyfront/internal/balance"
 	"github.com/parsleyfront/parsleyfront/internal/load"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/policy"
@@ -19,7 +20,7 @@
 	}
 	r := &Router{}
 	r.tuning.Store(&Tuning{Policy: policy.All()})
-	r.view.Store(&View{Pools: map[string]*Pool{"llm": newPool(vms, newBeliefs(), newTally(), placement.Locality{}, nil)}})
+	r.view.Store(&View{Pools: map[string]*Pool{"llm": newPool(vms, newBeliefs(), balance.NewTracker(), placement.Locality{}, nil)}})
 	return &mesh{router: r}
 }
 
@@ -27,7 +28,7 @@
 
 // loadOf returns what a router believes of an upstream's load.
 func loadOf(p *Pool, now time.Time, id string) float64 {
-	return loadsAt{p.tally, policy.All(), now, len(p.VMs)}.Load(load.Hash(id))
+	return p.tracker.Load(now, load.Hash(id))
 }
 
 // A router hears of a load, tells the one that it relies on, and a third learns of it
@@ -35,7 +36,7 @@
 func TestLoadsGoThroughTheReader(t *testing.T) {
 	now := time.Unix(1000, 0)
 	first, reader, third := meshOf("a", "b"), meshOf("a", "b"), meshOf("a", "b")
-	first.pool().tally.hear(now, load.Hash("b"), 17)
+	first.pool().tracker.Report(now, load.Hash("b"), 17)
 	up, err := relay.Encode(relay.SendShare{Share: relay.Share{From: "first", Sharing: first.heard(now)}})
 	if err != nil {
 		t.Fatal(err)
@@ -56,7 +57,7 @@
 func TestLoadsOfAnotherListAreLeftOut(t *testing.T) {
 	now := time.Unix(1000, 0)
 	behind, ahead := meshOf("a", "b"), meshOf("b", "c")
-	behind.pool().tally.hear(now, load.Hash("a"), 17)
+	behind.pool().tracker.Report(now, load.Hash("a"), 17)
 	ahead.merge(now, behind.known(now), fromReader)
 	for _, id := range []string{"b", "c"} {
 		if got := loadOf(ahead.pool(), now, id); got != 0 {
@@ -64,13 +65,3 @@
 		}
 	}
 }
-
-// Four routers each count a quarter of the requests, and fill upstreams further than
-// one of many that goes by what it is told.
-func TestBoundGrowsWithWhatIsCounted(t *testing.T) {
-	for _, c := range []struct{ seen, want float64 }{{0, 0.8}, {0.25, 0.9}, {1, 0.95}} {
-		if got := boundShare(c.seen); got != c.want {
-			t.Errorf("seen %v: %v, want %v", c.seen, got, c.want)
-		}
-	}
-}
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/parsleyfront/parsleyfront/internal/admin"
+	"github.com/parsleyfront/parsleyfront/internal/balance"
 	"github.com/parsleyfront/parsleyfront/internal/config"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
@@ -75,10 +76,10 @@
 	wanted   map[string]wire.Notice   // what each VM is to be told
 	sent     map[string]sent          // what it has been told
 	vms      topo.VMs
-	beliefs  map[string]*beliefs  // by pool
-	tallies  map[string]*tally    // by pool
-	joined   map[string]time.Time // when VMs were first seen in the list
-	relayed  *relayed             // nil: this router always reads the store
+	beliefs  map[string]*beliefs         // by pool
+	trackers map[string]*balance.Tracker // by pool
+	joined   map[string]time.Time        // when VMs were first seen in the list
+	relayed  *relayed                    // nil: this router always reads the store
 
 	view  *View   // as it was published last
 	stale changes // since then
@@ -103,7 +104,7 @@
 		orders:   make(map[string]order),
 		sent:     make(map[string]sent),
 		beliefs:  make(map[string]*beliefs),
-		tallies:  make(map[string]*tally),
+		trackers: make(map[string]*balance.Tracker),
 		view:     &View{},
 		stale:    changes{profiles: true, orgs: true, pools: true},
 	}
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/parsleyfront/parsleyfront/internal/balance"
 	"github.com/parsleyfront/parsleyfront/internal/load"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
@@ -35,7 +36,7 @@
 	VMs     []topo.VM
 	placed  *placement.Pool // in the order of VMs
 	beliefs *beliefs
-	tally   *tally
+	tracker *balance.Tracker
 	serving []load.VM // those of VMs that are not leaving
 	list    uint32    // hash of serving
 }
@@ -106,14 +107,14 @@
 	v.Pools = make(map[string]*Pool, len(members))
 	for name, vms := range members {
 		if s.beliefs[name] == nil {
-			s.beliefs[name], s.tallies[name] = newBeliefs(), newTally()
+			s.beliefs[name], s.trackers[name] = newBeliefs(), balance.NewTracker()
 		}
-		v.Pools[name] = newPool(vms, s.beliefs[name], s.tallies[name], s.self, s.joined)
+		v.Pools[name] = newPool(vms, s.beliefs[name], s.trackers[name], s.self, s.joined)
 	}
 }
 
-func newPool(vms []topo.VM, b *beliefs, t *tally, self placement.Locality, joined map[string]time.Time) *Pool {
-	p := &Pool{VMs: vms, beliefs: b, tally: t}
+func newPool(vms []topo.VM, b *beliefs, t *balance.Tracker, self placement.Locality, joined map[string]time.Time) *Pool {
+	p := &Pool{VMs: vms, beliefs: b, tracker: t}
 	members := p.members()
 	for i, vm := range vms {
 		members[i].Joined = joined[vm.ID]
@@ -123,7 +124,7 @@
 		ids[i] = m.VM
 	}
 	b.keep(ids)
-	t.keep(ids)
+	t.Keep(ids)
 	p.listServing(members)
 	p.placed = placement.NewPool(members, self)
 	return p
