parsleybench: policies on a modelled pool, and load against a fleet

Three packages: model (engines with batches, prefill, a bounded memory of prompts and moves between them; plain services; callers with sessions, returns and deadlines; faults; in virtual time around the shipped balance, placement, load, outlier and retry), experiment (a strict YAML file of a pool, policies and seeds; a JSON line a run; a page with plots by gonum) and openloop (load against a running fleet, timed from when a request was due; HDR histograms). Tests: runs repeat, each caller is counted once under any fault, a plain upstream is the queue that theory knows, an engine takes what its settings say, delivered experiments play; the load's counts, that nothing slows it.

--- /dev/null
+++ b/internal/benchtool/benchtool.go
@@ -0,0 +1,154 @@
+// Package benchtool is parsleybench, the command that tries policies on a modelled pool
+// (package experiment) and plays load against a running fleet (package openloop).
+//
+// Results go to standard output and to the files that it names; errors go to standard
+// error.
+package benchtool
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"text/tabwriter"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"github.com/parsleyfront/parsleyfront/internal/experiment"
+	"github.com/parsleyfront/parsleyfront/internal/openloop"
+)
+
+const program = "parsleybench"
+
+// Code is an exit code.
+type Code int
+
+// Exit codes.
+const (
+	ExitOK     Code = 0
+	ExitFailed Code = 1
+	ExitUsage  Code = 2
+)
+
+// Options is the command line.
+type Options struct {
+	Check CheckCommand     `command:"check" description:"Say what is wrong with an experiment's file"`
+	Run   RunCommand       `command:"run" description:"Play an experiment and compare its policies"`
+	Load  openloop.Options `command:"load" description:"Play load against a fleet that runs"`
+}
+
+// CheckCommand is the command line of check.
+type CheckCommand struct {
+	Args struct {
+		File string `positional-arg-name:"FILE"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// RunCommand is the command line of run.
+type RunCommand struct {
+	Out  string `short:"o" long:"out" value-name:"DIR" default:"." description:"Folder for NAME.jsonl and NAME.html"`
+	Args struct {
+		File string `positional-arg-name:"FILE"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Run carries out one command line.
+func Run(ctx context.Context, args []string, out, errOut io.Writer) Code {
+	var o Options
+	parser := flags.NewNamedParser(program, flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Options", "", &o); err != nil {
+		fmt.Fprintln(errOut, err)
+		return ExitUsage
+	}
+	_, err := parser.ParseArgs(args)
+	if flags.WroteHelp(err) {
+		fmt.Fprintln(out, err)
+		return ExitOK
+	}
+	if err != nil {
+		fmt.Fprintf(errOut, "%s: %s\nadvice: see %s --help\n", program, err, program)
+		return ExitUsage
+	}
+	if err := o.dispatch(ctx, parser.Active.Name, out); err != nil {
+		fmt.Fprintf(errOut, "%s: %s\n", program, err)
+		return ExitFailed
+	}
+	return ExitOK
+}
+
+func (o *Options) dispatch(ctx context.Context, command string, out io.Writer) error {
+	switch command {
+	case "check":
+		_, err := read(o.Check.Args.File)
+		return err
+	case "run":
+		return o.Run.run(out)
+	case "load":
+		return openloop.Play(ctx, o.Load, out)
+	}
+	return errors.Errorf("no command %q", command)
+}
+
+func read(path string) (*experiment.File, error) {
+	r, err := os.Open(path)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	defer r.Close() // it was only read
+	f, err := experiment.Read(r)
+	return f, errors.Wrap(err, path)
+}
+
+// run plays an experiment and writes its runs, its page and a table.
+func (c *RunCommand) run(out io.Writer) error {
+	f, err := read(c.Args.File)
+	if err != nil {
+		return err
+	}
+	runs, err := experiment.Play(f)
+	if err != nil {
+		return err
+	}
+	lines := filepath.Join(c.Out, f.Name+".jsonl")
+	if err := write(lines, func(w io.Writer) error { return experiment.WriteLines(w, runs) }); err != nil {
+		return err
+	}
+	page := filepath.Join(c.Out, f.Name+".html")
+	if err := write(page, func(w io.Writer) error { return experiment.WriteReport(w, f, runs) }); err != nil {
+		return err
+	}
+	return table(out, experiment.Summarise(f, runs), lines, page)
+}
+
+func write(path string, content func(io.Writer) error) error {
+	w, err := os.Create(path)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	if err := content(w); err != nil {
+		_ = w.Close() // the first error says more
+		return err
+	}
+	return errors.WithStack(w.Close())
+}
+
+func table(out io.Writer, summaries []experiment.Summary, files ...string) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "policy\tin time %\tlate %\trefused %\tfailed %\tturned away %\tfound %\tread M\tmoved M\tskew\tp50 ms\tp95 ms\tp99 ms\t")
+	for _, s := range summaries {
+		fmt.Fprintf(w, "%s\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.1f\t%.2f\t%.2f\t%.2f\t%.0f\t%.0f\t%.0f\t\n", s.Policy,
+			100*s.InTime.Mean, 100*s.Late.Mean, 100*s.Refused.Mean, 100*s.Failed.Mean, 100*s.TurnedAway.Mean, 100*s.Reuse.Mean,
+			s.Read.Mean/million, s.Moved.Mean/million, s.Skew.Mean, s.P50.Mean, s.P95.Mean, s.P99.Mean)
+	}
+	if err := w.Flush(); err != nil {
+		return errors.WithStack(err)
+	}
+	for _, f := range files {
+		fmt.Fprintln(out, f)
+	}
+	return nil
+}
+
+const million = 1e6
--- /dev/null
+++ b/internal/experiment/file.go
@@ -0,0 +1,68 @@
+// Package experiment compares policies on a modelled pool: a file names the pool, its
+// callers, what befalls it, the policies and the seeds; each policy is played with each
+// seed in virtual time (package model), and the outcome is written as lines of JSON and
+// as a page with plots.
+//
+// Package benchtool calls it. It starts a goroutine for each processor and nothing else.
+package experiment
+
+import (
+	"bytes"
+	"io"
+
+	"github.com/goccy/go-yaml"
+	"github.com/pkg/errors"
+
+	"github.com/parsleyfront/parsleyfront/internal/model"
+	"github.com/parsleyfront/parsleyfront/internal/policy"
+)
+
+// File is an experiment.
+type File struct {
+	Name     string       `yaml:"name"`
+	About    string       `yaml:"about"` // what is to be found out
+	Seeds    []uint64     `yaml:"seeds"`
+	Policies []Policy     `yaml:"policies"`
+	Model    model.Config `yaml:"model"`
+}
+
+// Policy is one of those that are compared.
+type Policy struct {
+	Name    string `yaml:"name"`
+	Without string `yaml:"without"` // mechanisms that are off, separated by commas
+}
+
+// Read reads an experiment. What it does not know is an error, with its line.
+func Read(r io.Reader) (*File, error) {
+	b, err := io.ReadAll(r)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the experiment")
+	}
+	var f File
+	if err := yaml.NewDecoder(bytes.NewReader(b), yaml.Strict()).Decode(&f); err != nil {
+		return nil, errors.Wrap(err, "experiment")
+	}
+	return &f, f.check()
+}
+
+func (f *File) check() error {
+	switch {
+	case f.Name == "":
+		return errors.New("name: is missing")
+	case len(f.Seeds) == 0:
+		return errors.New("seeds: write one at least")
+	case len(f.Policies) == 0:
+		return errors.New("policies: write one at least")
+	}
+	names := make(map[string]bool)
+	for i, p := range f.Policies {
+		if p.Name == "" || names[p.Name] {
+			return errors.Errorf("policies[%d]: name is missing or not the only one", i)
+		}
+		names[p.Name] = true
+		if _, err := policy.Without(p.Without); err != nil {
+			return errors.Wrapf(err, "policies[%d].without", i)
+		}
+	}
+	return errors.Wrap(f.Model.Check(), "model")
+}
--- /dev/null
+++ b/internal/experiment/report.go
@@ -0,0 +1,181 @@
+package experiment
+
+import (
+	"bytes"
+	_ "embed"
+	"fmt"
+	"html/template"
+	"io"
+	"math"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/parsleyfront/parsleyfront/internal/model"
+)
+
+//go:embed report.html
+var reportText string
+
+var reportTemplate = template.Must(template.New("report").Funcs(template.FuncMap{
+	"percent": func(s Spread) string { return fmt.Sprintf("%.2f%% (%.2f to %.2f)", 100*s.Mean, 100*s.Low, 100*s.High) },
+	"number":  func(s Spread) string { return fmt.Sprintf("%.3g (%.3g to %.3g)", s.Mean, s.Low, s.High) },
+}).Parse(reportText))
+
+// The size of a plot.
+const (
+	plotWidth  = 7 * vg.Inch
+	plotHeight = 3 * vg.Inch
+)
+
+type report struct {
+	File      *File
+	Summaries []Summary
+	Plots     []template.HTML
+}
+
+// WriteReport writes a page that compares the policies.
+func WriteReport(w io.Writer, f *File, runs []Run) error {
+	r := report{File: f, Summaries: Summarise(f, runs)}
+	draw := []func(*File, []Run) (*plot.Plot, error){
+		latencies,
+		overTime("begun in time", "part of those who asked", func(s model.Second) float64 { return partOf(s.InTime, s.Asked) }),
+		overTime("turned away", "times a second", func(s model.Second) float64 { return float64(s.TurnedAway) }),
+		overTime("late, refused or failed", "callers a second", func(s model.Second) float64 { return float64(s.Late + s.Refused + s.Failed) }),
+		overTime("skew", "most loaded upstream over the mean", func(s model.Second) float64 { return s.Skew }),
+		overTime("queue", "requests that wait at upstreams", func(s model.Second) float64 { return s.Waiting }),
+	}
+	for _, d := range draw {
+		p, err := d(f, runs)
+		if err != nil {
+			return errors.Wrap(err, "plot")
+		}
+		svg, err := render(p)
+		if err != nil {
+			return err
+		}
+		r.Plots = append(r.Plots, svg)
+	}
+	return errors.Wrap(reportTemplate.Execute(w, r), "write the report")
+}
+
+// partOf returns NaN where nobody asked, which leaves a gap in a plot.
+func partOf(n, of int) float64 {
+	if of == 0 {
+		return math.NaN()
+	}
+	return float64(n) / float64(of)
+}
+
+// render returns a plot as an SVG for a page. What is in it comes from the plotting
+// library, which escapes names.
+func render(p *plot.Plot) (template.HTML, error) {
+	c, err := p.WriterTo(plotWidth, plotHeight, "svg")
+	if err != nil {
+		return "", errors.Wrap(err, "plot")
+	}
+	var b bytes.Buffer
+	if _, err := c.WriteTo(&b); err != nil {
+		return "", errors.Wrap(err, "plot")
+	}
+	svg := b.Bytes()
+	if at := bytes.Index(svg, []byte("<svg")); at > 0 {
+		svg = svg[at:] // a page has its own heading
+	}
+	return template.HTML(svg), nil
+}
+
+func newPlot(title, x, y string) *plot.Plot {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
+	p.Legend.Top = true
+	return p
+}
+
+func add(p *plot.Plot, i int, name string, points plotter.XYs) error {
+	if len(points) == 0 {
+		return nil
+	}
+	l, err := plotter.NewLine(points)
+	if err != nil {
+		return err
+	}
+	l.Color, l.Dashes = plotutil.Color(i), plotutil.Dashes(0)
+	p.Add(l)
+	p.Legend.Add(name, l)
+	return nil
+}
+
+// latencies plots which part of the first bytes came within which time.
+func latencies(f *File, runs []Run) (*plot.Plot, error) {
+	p := newPlot("time to the first byte", "milliseconds", "part of the answers")
+	p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
+	for i, policy := range f.Policies {
+		var all *hdrhistogram.Histogram
+		for _, r := range runs {
+			switch {
+			case r.Policy != policy.Name:
+			case all == nil:
+				all = hdrhistogram.Import(r.first.Export())
+			default:
+				all.Merge(r.first)
+			}
+		}
+		var points plotter.XYs
+		if all != nil {
+			for _, b := range all.CumulativeDistribution() {
+				points = append(points, plotter.XY{X: max(float64(b.ValueAt)/1000, leastMS), Y: b.Quantile / 100})
+			}
+		}
+		if err := add(p, i, policy.Name, points); err != nil {
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+// leastMS is the shortest time on a logarithmic axis.
+const leastMS = 0.1
+
+// overTime plots a figure of each second, the mean over the seeds.
+func overTime(title, label string, figure func(model.Second) float64) func(*File, []Run) (*plot.Plot, error) {
+	return func(f *File, runs []Run) (*plot.Plot, error) {
+		p := newPlot(title, "seconds", label)
+		for i, policy := range f.Policies {
+			if err := add(p, i, policy.Name, meanOverTime(policy.Name, runs, figure)); err != nil {
+				return nil, err
+			}
+		}
+		return p, nil
+	}
+}
+
+func meanOverTime(policy string, runs []Run, figure func(model.Second) float64) plotter.XYs {
+	var sums []float64
+	var counts []int
+	for _, r := range runs {
+		if r.Policy != policy {
+			continue
+		}
+		for at, s := range r.Seconds {
+			if at == len(sums) {
+				sums, counts = append(sums, 0), append(counts, 0)
+			}
+			if x := figure(s); !math.IsNaN(x) {
+				sums[at] += x
+				counts[at]++
+			}
+		}
+	}
+	var points plotter.XYs
+	for at, sum := range sums {
+		if counts[at] > 0 {
+			points = append(points, plotter.XY{X: float64(at), Y: sum / float64(counts[at])})
+		}
+	}
+	return points
+}
--- /dev/null
+++ b/internal/model/callers.go
@@ -0,0 +1,287 @@
+package model
+
+import (
+	"math"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/balance"
+	"github.com/parsleyfront/parsleyfront/internal/placement"
+	"github.com/parsleyfront/parsleyfront/internal/retry"
+)
+
+const (
+	// kind is the name of the one kind of requests.
+	kind = "request"
+	// retryWindow is the time over which retries are bounded.
+	retryWindow = 10 * time.Second
+	// awayShare is the part of the time that it has left for which a caller stays away
+	// when it is told to.
+	awayShare = 1.0 / 3
+)
+
+// session is a chat, and what its prompt has grown to.
+type session struct {
+	id     uint64
+	prompt int // tokens
+}
+
+// call is one request of a caller.
+type call struct {
+	session               *session
+	prompt, fresh, answer int // tokens
+	asked                 time.Time
+	tries                 int
+	attempts              int
+	tried                 map[int]bool
+	begun, late           bool // its first byte is there; not within the objective
+	left, ended           bool // its caller has gone; it is over
+}
+
+// arrive lets the next caller come, and all after it.
+func (f *fleet) arrive() {
+	rate, hot := f.rate()
+	f.clock.after(time.Duration(f.random.ExpFloat64()/rate*float64(time.Second)), func() {
+		if f.clock.now.Sub(start) > f.config.Length {
+			return
+		}
+		f.ask(f.newCall(hot))
+		f.arrive()
+	})
+}
+
+// rate returns how many callers come in a second now, and which part of them asks for
+// one session.
+func (f *fleet) rate() (perSecond, hot float64) {
+	usual := f.config.Callers.PerSecond
+	perSecond = usual
+	for _, s := range f.config.Surges {
+		if at := f.clock.now.Sub(start); at >= s.At && at < s.At+s.For {
+			perSecond += usual * (s.Times - 1)
+			if s.Session {
+				hot += usual * (s.Times - 1)
+			}
+		}
+	}
+	return perSecond, hot / perSecond
+}
+
+func (f *fleet) newCall(hot float64) *call {
+	c := &call{asked: f.clock.now, session: &session{}, tried: make(map[int]bool)}
+	if len(f.sessions) > 0 {
+		at := 0
+		if f.random.Float64() >= hot {
+			at = f.sessionAt()
+		}
+		c.session = f.sessions[at]
+	}
+	c.prompt = c.session.prompt
+	c.fresh = f.config.Callers.NewTokens
+	c.answer = int(f.random.ExpFloat64() * float64(f.config.Callers.AnswerTokens))
+	f.result.asked(c.asked)
+	f.clock.after(f.config.Callers.Patience, func() { f.leave(c) })
+	return c
+}
+
+// sessionAt draws a session: with a skew, the first ones more often.
+func (f *fleet) sessionAt() int {
+	n := float64(len(f.sessions))
+	x := f.random.Float64()
+	if skew := f.config.Callers.Skew; skew > 0 {
+		x = math.Pow(x, 1/(1-min(skew, mostSkew)))
+	}
+	return min(int(x*n), len(f.sessions)-1)
+}
+
+// mostSkew keeps the exponent of the skew finite.
+const mostSkew = 0.95
+
+func (f *fleet) promptAtStart() int {
+	return int(f.random.ExpFloat64() * float64(f.config.Callers.Prompt))
+}
+
+// leave ends the wait of a caller without a whole answer.
+func (f *fleet) leave(c *call) {
+	if c.ended {
+		return
+	}
+	c.ended, c.left = true, true
+	f.result.failed(c.asked)
+}
+
+// ask sends a request to a router.
+func (f *fleet) ask(c *call) {
+	if c.ended {
+		return
+	}
+	c.tries++
+	clear(c.tried)
+	c.attempts = 0
+	r := f.routers[f.random.IntN(len(f.routers))]
+	now := f.clock.now
+	r.window.Request(now, f.rule())
+	r.returns.Arrived(now)
+	q := placement.Query{Session: c.session.id, Multiple: f.config.Pool.LoadMultiple, Random: f.random.Uint64(), Now: now, Flat: !f.on.DomainSpill}
+	if c.session.id != 0 {
+		if share := r.tracker.Ask(now, c.session.id, kind); f.on.HotSpread {
+			q.Share = share
+		}
+	}
+	f.clock.after(hop, func() { f.send(r, c, q) })
+}
+
+func (f *fleet) rule() retry.Rule {
+	return retry.Rule{Ratio: f.config.Callers.RetryRatio, Slack: f.config.Callers.RetrySlack / float64(len(f.routers)), Window: retryWindow}
+}
+
+// send offers a request to the upstream that the router's decisions put first.
+func (f *fleet) send(r *router, c *call, q placement.Query) {
+	if c.ended {
+		return
+	}
+	var out [placement.Candidates]placement.Choice
+	q.Now = f.clock.now
+	n, _ := r.tracker.Choose(q.Now, r.placed, f.on, q, &out)
+	for _, choice := range out[:n] {
+		if !c.tried[choice.Index] {
+			c.tried[choice.Index] = true
+			c.attempts++
+			f.attempt(r, c, q, choice)
+			return
+		}
+	}
+	f.refuse(r, c)
+}
+
+// attempt sends a request to one upstream.
+func (f *fleet) attempt(r *router, c *call, q placement.Query, choice placement.Choice) {
+	u, sent, judged := f.upstreams[choice.Index], f.clock.now, false
+	judge := func(well bool) {
+		if !judged {
+			judged = true
+			r.tracker.Went(f.clock.now, u.id, kind, f.clock.now.Sub(sent), well)
+		}
+	}
+	life, over := u.life, false
+	end := func() {
+		if !over {
+			over = true
+			r.tracker.End(u.id)
+		}
+	}
+	r.tracker.Begin(u.id)
+	j := &job{call: c, donor: f.donor(r, c, choice)}
+	j.first = func() {
+		judge(true)
+		f.begun(r, c, choice.Index)
+	}
+	j.done = func(well bool) {
+		end()
+		if well {
+			f.answered(r, c)
+			return
+		}
+		judge(false)
+		f.again(r, c, q)
+	}
+	f.clock.after(time.Duration(balance.HangTimes*float64(f.config.Callers.Objective)), func() { judge(false) })
+	f.clock.after(f.config.Callers.Patience-f.clock.now.Sub(c.asked), end)
+	f.watchCrash(u, life, func() {
+		if !over && !c.ended {
+			end()
+			judge(false)
+			f.again(r, c, q)
+		}
+	})
+	f.clock.after(hop, func() {
+		if c.ended || u.offer(j) {
+			return
+		}
+		end()
+		judge(false)
+		f.again(r, c, q)
+	})
+}
+
+// watchCrash calls do when an upstream has crashed since a life of it.
+func (f *fleet) watchCrash(u *upstream, life int, do func()) {
+	f.clock.after(sampleEvery, func() {
+		switch {
+		case u.life != life:
+			do()
+		case f.clock.now.Before(f.clock.end):
+			if u.load() > 0 {
+				f.watchCrash(u, life, do)
+			}
+		}
+	})
+}
+
+// donor returns the upstream that the router names as the holder of a prompt, or nil.
+func (f *fleet) donor(r *router, c *call, choice placement.Choice) *upstream {
+	if !f.on.Donors || c.session.id == 0 || f.config.Pool.Engine == nil {
+		return nil
+	}
+	if last, ok := r.last[c.session.id]; ok && f.on.LastServed && last != choice.Index {
+		return f.upstreams[last]
+	}
+	if choice.Donor == placement.None {
+		return nil
+	}
+	return f.upstreams[choice.Donor]
+}
+
+// begun takes in the first byte of an answer.
+func (f *fleet) begun(r *router, c *call, at int) {
+	if f.config.Pool.TellsLoad {
+		r.tracker.Report(f.clock.now, f.upstreams[at].id, f.upstreams[at].load())
+	}
+	r.returns.Answered(f.clock.now)
+	if c.session.id != 0 {
+		r.last[c.session.id] = at
+	}
+	if !c.begun {
+		c.begun = true
+		c.late = f.result.begun(f.clock.now.Add(2 * hop).Sub(c.asked))
+	}
+}
+
+// answered takes in a whole answer.
+func (f *fleet) answered(r *router, c *call) {
+	if c.ended {
+		return
+	}
+	c.ended = true
+	if f.config.Callers.Grows {
+		c.session.prompt = max(c.session.prompt, c.prompt+c.fresh+c.answer)
+	}
+	r.tracker.Took(kind, f.clock.now.Sub(c.asked))
+	f.result.answered(c.asked, c.late)
+}
+
+// again offers a request to the next upstream, if that is allowed.
+func (f *fleet) again(r *router, c *call, q placement.Query) {
+	switch {
+	case c.ended:
+	case c.begun: // a part of the answer is with the caller
+		c.ended = true
+		f.result.failed(c.asked)
+	case c.attempts < f.config.Callers.Attempts && r.window.Withdraw(f.clock.now, f.rule()):
+		f.send(r, c, q)
+	default:
+		f.refuse(r, c)
+	}
+}
+
+// refuse tells a caller when to come back.
+func (f *fleet) refuse(r *router, c *call) {
+	left := f.config.Callers.Patience - f.clock.now.Sub(c.asked)
+	most := time.Duration(awayShare * float64(left))
+	back := r.returns.Advise(f.clock.now, most, f.random.Float64())
+	f.result.turnedAway(c.asked)
+	if c.tries >= f.config.Callers.Tries {
+		c.ended = true
+		f.result.refused(c.asked)
+		return
+	}
+	f.clock.after(min(back, most), func() { f.ask(c) })
+}
--- /dev/null
+++ b/internal/model/model.go
@@ -0,0 +1,138 @@
+// Package model plays a pool of upstreams, its routers and its callers in virtual time,
+// so that a change of policy is tried in seconds on pools of any size.
+//
+// The decisions are the shipped ones: packages balance (and through it placement, load
+// and outlier), policy and retry. What they meet is modelled: engines with batches,
+// prefill and a bounded memory of prompts, plain services with slots and a queue, and
+// callers with sessions, returns and deadlines. Package experiment reads a Config from a
+// file and compares policies; docs/operators/experiments.md says how far the model agrees
+// with played days.
+//
+// A run is decided by its Config and seed. It knows no clock and starts no goroutine.
+package model
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/balance"
+	"github.com/parsleyfront/parsleyfront/internal/load"
+	"github.com/parsleyfront/parsleyfront/internal/placement"
+	"github.com/parsleyfront/parsleyfront/internal/policy"
+	"github.com/parsleyfront/parsleyfront/internal/retry"
+)
+
+const (
+	// hop is the time of one way between a caller, a router and an upstream.
+	hop = 500 * time.Microsecond
+	// shareEvery is how often routers tell each other what they know.
+	shareEvery = 250 * time.Millisecond
+	// sampleEvery is how often the loads of upstreams are looked at.
+	sampleEvery = 100 * time.Millisecond
+)
+
+// start is the beginning of virtual time. Any would do.
+var start = time.Unix(1_000_000, 0)
+
+// fleet is a run under way.
+type fleet struct {
+	config    Config
+	on        policy.Policy
+	random    *rand.Rand
+	clock     clock
+	upstreams []*upstream
+	routers   []*router
+	ids       []load.VM
+	sessions  []*session
+	result    *Result
+}
+
+// router is what one router knows.
+type router struct {
+	tracker *balance.Tracker
+	placed  *placement.Pool
+	window  retry.Window
+	returns retry.Returns
+	last    map[uint64]int // upstream that has served a session last
+}
+
+// Play runs the configuration with a policy. The same arguments give the same Result.
+func Play(c Config, on policy.Policy, seed uint64) *Result {
+	f := &fleet{
+		config: c,
+		on:     on,
+		random: rand.New(rand.NewPCG(seed, 0)),
+		clock:  clock{now: start},
+		result: newResult(c),
+	}
+	f.build()
+	f.clock.every(shareEvery, f.share)
+	f.clock.every(sampleEvery, f.sample)
+	f.schedule()
+	f.arrive()
+	f.clock.run(start.Add(c.Length + c.Callers.Patience))
+	f.result.finish()
+	return f.result
+}
+
+// build makes upstreams, routers and sessions.
+func (f *fleet) build() {
+	domains := f.config.Pool.FailureDomains
+	members := make([]placement.Member, f.config.Pool.Upstreams)
+	for i := range members {
+		u := newUpstream(f, i)
+		f.upstreams = append(f.upstreams, u)
+		f.ids = append(f.ids, u.id)
+		members[i] = placement.Member{VM: u.id, Seed: placement.Seed(u.name), Domain: domainName(i % domains)}
+	}
+	for i := range f.config.Routers {
+		f.routers = append(f.routers, &router{
+			tracker: balance.NewTracker(),
+			placed:  placement.NewPool(members, placement.Locality{Domain: domainName(i % domains)}),
+			last:    make(map[uint64]int),
+		})
+	}
+	for i := range f.config.Callers.Sessions {
+		s := &session{id: uint64(i) + 1, prompt: f.promptAtStart()}
+		f.sessions = append(f.sessions, s)
+	}
+}
+
+// share has routers tell each other what they know, through the first of them.
+func (f *fleet) share() {
+	reader := f.routers[0]
+	for _, r := range f.routers[1:] {
+		_ = reader.tracker.MergeSeen(f.clock.now, f.ids, f.allowed(r.tracker.Seen(f.clock.now, f.clock.now.Add(-shareEvery), f.ids)))
+	}
+	known := f.allowed(reader.tracker.Known(f.clock.now, f.ids))
+	for _, r := range f.routers[1:] {
+		_ = r.tracker.MergeKnown(f.clock.now, f.ids, known)
+	}
+}
+
+// allowed returns what of s the policy lets routers tell each other. What one router
+// packs another can read, so that merging it does not fail.
+func (f *fleet) allowed(s balance.Shared) balance.Shared {
+	if !f.on.SharedLoads {
+		s.Loads = nil
+	}
+	if !f.on.SharedOutcomes {
+		s.Outcomes = nil
+	}
+	return s
+}
+
+// sample takes in how unevenly the upstreams are loaded.
+func (f *fleet) sample() {
+	most, sum, waiting := 0, 0, 0
+	for _, u := range f.upstreams {
+		most, sum = max(most, u.load()), sum+u.load()
+		waiting += u.waiting()
+	}
+	mean := float64(sum) / float64(len(f.upstreams))
+	f.result.sample(f.clock.now, float64(most), mean, waiting)
+}
+
+func domainName(i int) string {
+	return "region/" + string(rune('a'+i))
+}
--- /dev/null
+++ b/internal/model/upstream.go
@@ -0,0 +1,237 @@
+package model
+
+import (
+	"container/list"
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/load"
+)
+
+// stride is how many tokens an engine generates between two looks at its batch: the
+// step's time is taken to hold that long.
+const stride = 8
+
+// upstream is an engine or a plain service.
+type upstream struct {
+	fleet   *fleet
+	id      load.VM
+	name    string
+	life    int // how often it has crashed
+	running int
+	queue   []*job
+	reading time.Time // when the prompts that are being read have been
+	context int       // tokens of the prompts in the batch
+	memory  memory
+	slow    float64 // how many times slower it works
+	refuse  float64 // part of the requests
+	fail    float64
+	hang    float64
+}
+
+// job is one request at an upstream.
+type job struct {
+	call  *call
+	life  int // of the upstream
+	donor *upstream
+	first func()          // its first byte is there
+	done  func(well bool) // its answer has ended
+}
+
+func newUpstream(f *fleet, i int) *upstream {
+	name := fmt.Sprint("upstream-", i)
+	u := &upstream{fleet: f, id: load.Hash(name), name: name, slow: 1}
+	if e := f.config.Pool.Engine; e != nil {
+		u.memory = newMemory(e.Memory)
+	}
+	return u
+}
+
+// load is the requests at the upstream.
+func (u *upstream) load() int { return u.running + len(u.queue) }
+
+func (u *upstream) waiting() int { return len(u.queue) }
+
+// offer hands a request to the upstream, or reports that it is turned away.
+func (u *upstream) offer(j *job) bool {
+	random := u.fleet.random
+	if u.refuse > 0 && random.Float64() < u.refuse {
+		return false
+	}
+	j.life = u.life
+	switch {
+	case u.fail > 0 && random.Float64() < u.fail:
+		u.fleet.clock.after(hop, func() { j.done(false) })
+	case u.hang > 0 && random.Float64() < u.hang:
+		// nothing comes back
+	case u.running < u.places():
+		u.begin(j)
+	case len(u.queue) < u.room():
+		u.queue = append(u.queue, j)
+	default:
+		return false
+	}
+	return true
+}
+
+func (u *upstream) places() int {
+	if e := u.fleet.config.Pool.Engine; e != nil {
+		return e.Batch
+	}
+	return u.fleet.config.Pool.Plain.Slots
+}
+
+func (u *upstream) room() int {
+	if e := u.fleet.config.Pool.Engine; e != nil {
+		return e.Queue
+	}
+	return u.fleet.config.Pool.Plain.Queue
+}
+
+func (u *upstream) begin(j *job) {
+	u.running++
+	if e := u.fleet.config.Pool.Engine; e != nil {
+		u.read(e, j)
+		return
+	}
+	work := u.times(time.Duration(u.fleet.random.ExpFloat64() * float64(u.fleet.config.Pool.Plain.Work)))
+	u.after(j, work, func() {
+		j.first()
+		u.end(j)
+	})
+}
+
+// times returns how long something takes that usually takes d.
+func (u *upstream) times(d time.Duration) time.Duration {
+	return time.Duration(u.slow * float64(d))
+}
+
+// after lets something happen to a job, unless the upstream has crashed until then or
+// its caller has left.
+func (u *upstream) after(j *job, d time.Duration, do func()) {
+	u.fleet.clock.after(d, func() {
+		switch {
+		case u.life != j.life:
+		case j.call.left:
+			u.leave(j)
+		default:
+			do()
+		}
+	})
+}
+
+// read has an engine get and read what it lacks of a prompt, one prompt at a time, and
+// begin the answer.
+func (u *upstream) read(e *Engine, j *job) {
+	c := j.call
+	held := min(u.memory.held(c.session.id), c.prompt)
+	moved := 0
+	if j.donor != nil {
+		moved = max(0, min(j.donor.memory.held(c.session.id), c.prompt)-held)
+	}
+	lacks := c.prompt - held - moved
+	u.fleet.result.prompt(held, moved, lacks)
+	wait := time.Duration(0)
+	if moved > 0 {
+		wait = e.MoveSetup + milliseconds(float64(moved)/e.MovePerMS)
+	}
+	now := u.fleet.clock.now
+	begins := now.Add(wait)
+	if u.reading.After(begins) {
+		begins = u.reading
+	}
+	u.reading = begins.Add(u.times(milliseconds(float64(lacks+c.fresh) / e.PrefillPerMS)))
+	u.context += c.prompt
+	u.after(j, u.reading.Sub(now)+u.times(e.First), func() {
+		u.memory.keep(c.session.id, c.prompt+c.fresh)
+		j.first()
+		u.generate(e, j, c.answer)
+	})
+}
+
+// generate has an engine generate so many tokens more.
+func (u *upstream) generate(e *Engine, j *job, tokens int) {
+	if tokens <= 0 {
+		u.memory.keep(j.call.session.id, j.call.prompt+j.call.fresh+j.call.answer)
+		u.end(j)
+		return
+	}
+	step := e.Step + time.Duration(u.running)*e.StepPerSlot + time.Duration(float64(u.context)/1000*float64(e.StepPerKToken))
+	n := min(stride, tokens)
+	u.after(j, u.times(time.Duration(n)*step), func() { u.generate(e, j, tokens-n) })
+}
+
+func (u *upstream) end(j *job) {
+	u.leave(j)
+	j.done(true)
+}
+
+// leave frees the place of a job.
+func (u *upstream) leave(j *job) {
+	u.running--
+	u.context = max(0, u.context-j.call.prompt)
+	for u.running < u.places() && len(u.queue) > 0 {
+		next := u.queue[0]
+		u.queue = u.queue[1:]
+		if !next.call.left {
+			u.begin(next)
+		}
+	}
+}
+
+// crash loses all that the upstream has.
+func (u *upstream) crash() {
+	u.life++
+	u.running, u.queue, u.context, u.reading = 0, nil, 0, time.Time{}
+	if e := u.fleet.config.Pool.Engine; e != nil {
+		u.memory = newMemory(e.Memory)
+	}
+}
+
+func milliseconds(x float64) time.Duration {
+	return time.Duration(math.Round(x * float64(time.Millisecond)))
+}
+
+// memory is the prompts that an engine keeps, those used last.
+type memory struct {
+	most   int
+	tokens int
+	order  *list.List // of kept, the one used last in front
+	byID   map[uint64]*list.Element
+}
+
+type kept struct {
+	session uint64
+	tokens  int
+}
+
+func newMemory(most int) memory {
+	return memory{most: most, order: list.New(), byID: make(map[uint64]*list.Element)}
+}
+
+// held returns how many tokens of a session's prompt are kept.
+func (m *memory) held(session uint64) int {
+	if e, ok := m.byID[session]; ok {
+		return e.Value.(kept).tokens
+	}
+	return 0
+}
+
+// keep keeps a session's prompt and forgets those used longest ago.
+func (m *memory) keep(session uint64, tokens int) {
+	if e, ok := m.byID[session]; ok {
+		m.drop(e)
+	}
+	m.byID[session] = m.order.PushFront(kept{session, tokens})
+	m.tokens += tokens
+	for m.tokens > m.most && m.order.Len() > 1 {
+		m.drop(m.order.Back())
+	}
+}
+
+func (m *memory) drop(e *list.Element) {
+	k := m.order.Remove(e).(kept)
+	m.tokens -= k.tokens
+	delete(m.byID, k.session)
+}
--- /dev/null
+++ b/internal/openloop/openloop_test.go
@@ -0,0 +1,147 @@
+package openloop
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+func play(t *testing.T, o Options) Report {
+	t.Helper()
+	var out bytes.Buffer
+	if err := Play(t.Context(), o, &out); err != nil {
+		t.Fatal(err)
+	}
+	var r Report
+	if err := json.Unmarshal(out.Bytes(), &r); err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func options(url string) Options {
+	return Options{
+		URL: url, Method: http.MethodPost, PerSecond: 200, For: 300 * time.Millisecond,
+		Sessions: 5, Timeout: 10 * time.Second, Open: 100, Seed: 1,
+	}
+}
+
+// A fleet turns some requests away, breaks some answers off, and answers the rest. Each
+// is counted as what it was, and sessions are named as the options say.
+func TestEachRequestIsCountedAsWhatItWas(t *testing.T) {
+	var mu sync.Mutex
+	asked, want, sessions := 0, map[string]int{}, map[string]bool{}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		mu.Lock()
+		at := asked
+		asked++
+		sessions[r.Header.Get("Session")] = true
+		name := []string{"200", "503", "none"}[at%3]
+		want[name]++
+		mu.Unlock()
+		if r.Host != "chat.example" || string(body) != "body of "+r.Header.Get("Session") {
+			t.Errorf("host %q, body %q", r.Host, body)
+		}
+		switch name {
+		case "503":
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case "none":
+			w.Header().Set("Content-Length", "10")
+			fmt.Fprint(w, "half")
+		default:
+			fmt.Fprint(w, "answer")
+		}
+	}))
+	defer s.Close()
+	o := options(s.URL)
+	o.Host, o.Header, o.Body = "chat.example", []string{"Session: {session}"}, "body of {session}"
+	r := play(t, o)
+	mu.Lock()
+	defer mu.Unlock()
+	if len(want) != 3 || len(sessions) != 5 {
+		t.Fatalf("%d requests for sessions %v", asked, sessions)
+	}
+	for name, n := range want {
+		if r.Statuses[name] != n {
+			t.Errorf("%s: %d, want %d", name, r.Statuses[name], n)
+		}
+	}
+}
+
+// A fleet answers nothing until seven requests are there. They leave all the same.
+func TestNothingSlowsTheLoadDown(t *testing.T) {
+	release := make(chan struct{})
+	var mu sync.Mutex
+	open := 0
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		mu.Lock()
+		open++
+		if open == 7 {
+			close(release)
+		}
+		mu.Unlock()
+		<-release
+	}))
+	defer s.Close()
+	if r := play(t, options(s.URL)); r.Statuses["200"] < 7 || r.Statuses["none"] > 0 {
+		t.Errorf("%+v: the load waited for answers", r)
+	}
+}
+
+// The command may have one request open, and the first is answered when all were due.
+// The others are counted as not sent, and none is sent late.
+func TestRequestsBeyondTheBoundAreNotSent(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+	}))
+	defer s.Close()
+	o := options(s.URL)
+	o.Open, o.Timeout = 1, time.Second
+	if r := play(t, o); r.Statuses["none"] != 1 || r.NotSent == 0 {
+		t.Errorf("%+v, want one request without an answer", r)
+	}
+}
+
+// Whoever stops the command gets the report of what was sent.
+func TestStoppedLoadIsReported(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer s.Close()
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	o := options(s.URL)
+	o.For = time.Hour
+	var out bytes.Buffer
+	if err := Play(ctx, o, &out); err != nil || !strings.Contains(out.String(), "first_byte_ms") {
+		t.Errorf("%q, %v", out.String(), err)
+	}
+}
+
+func TestOptionsAreChecked(t *testing.T) {
+	for _, change := range []func(*Options){
+		func(o *Options) { o.PerSecond = 0 },
+		func(o *Options) { o.PerSecond = 1e9 },
+		func(o *Options) { o.For = 0 },
+		func(o *Options) { o.Open = 0 },
+		func(o *Options) { o.Sessions = 0 },
+		func(o *Options) { o.Header = []string{"no colon"} },
+		func(o *Options) { o.URL = "http://a b" },
+	} {
+		o := options("http://localhost")
+		change(&o)
+		if o.Check() == nil {
+			t.Errorf("%+v is taken", o)
+		}
+	}
+	if err := options("http://localhost").Check(); err != nil {
+		t.Error(err)
+	}
+}
