balance: a tight bound on load leaves routers room to choose

Routers fill upstreams to .8 of the operators' bound where they go by what they are told: 1.0 times the mean plus one request. What a router does not know of a load (Upper) is more than that one, so that most upstreams counted as over the bound, and those are ordered by their load: all routers, told the same, went to the same few. Change: routers use .8 of the room between the mean and the bound at least, up to 1.5 times the mean. Bounds of 1.9 and more are filled as before. Tried and left out: the mean of a pool of more than 96 upstreams told beside its 32 highest loads.

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -48,7 +48,9 @@
 func (t *Tracker) Choose(now time.Time, p *placement.Pool, on policy.Policy, q placement.Query, out *[placement.Candidates]placement.Choice) (int, placement.Basis) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	q.Multiple *= boundShare(t.loads.Seen(p.Len()))
+	if q.Multiple > 0 {
+		q.Multiple = fillTo(q.Multiple, t.loads.Seen(p.Len()))
+	}
 	return p.Bounded(loadsAt{t, on, now, p.Len()}, q, out)
 }
 
@@ -67,6 +69,23 @@
 	return min(toldShare+countedShare*seen, mostShare)
 }
 
+const (
+	// roomShare is the part of the room between the mean and the bound that a router uses
+	// at least, up to roomMost times the mean.
+	roomShare, roomMost = 0.8, 1.5
+)
+
+// fillTo returns up to which multiple of the mean a router fills an upstream.
+//
+// A part of a tight bound is next to the mean, and what a router does not know of a load
+// is more than that. Most upstreams then seem to be over the bound, and routers that
+// were told the same send their sessions to the same few that seem to be below. Of 60
+// routers before 24 upstreams with a bound of 1.25, 800 of 1261 answers were late, and
+// none with this (model.TestManyRoutersDoNotRunToTheSameUpstreams).
+func fillTo(multiple, seen float64) float64 {
+	return max(multiple*boundShare(seen), min(1+roomShare*(multiple-1), roomMost))
+}
+
 // Ask counts a request of a session and returns its share of the pool's.
 func (t *Tracker) Ask(now time.Time, session uint64, profile string) float64 {
 	t.mu.Lock()
--- a/internal/balance/tracker_test.go
+++ b/internal/balance/tracker_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -19,6 +20,22 @@
 	}
 }
 
+// A bound of a quarter over the mean leaves room to choose, one of twice the mean is
+// what it was, and no router fills past the operators' bound.
+func TestTightBoundLeavesRoom(t *testing.T) {
+	for _, c := range []struct{ multiple, seen, want float64 }{
+		{1.25, 0, 1.2}, {1.1, 0, 1.08}, {1.25, 1, 1.2}, {2, 0, 1.6}, {2, 0.25, 1.8}, {4, 0, 3.2},
+	} {
+		got := fillTo(c.multiple, c.seen)
+		if math.Abs(got-c.want) > 1e-9 {
+			t.Errorf("multiple %v, seen %v: filled to %v, want %v", c.multiple, c.seen, got, c.want)
+		}
+		if got > c.multiple {
+			t.Errorf("multiple %v: filled to %v", c.multiple, got)
+		}
+	}
+}
+
 // An upstream fails its requests at one router. The router that relies on the same
 // reader has sent requests to the others only, and puts it last all the same. With outliers switched
 // off nobody does.
--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -169,3 +169,24 @@
 		t.Errorf("turned away %d times, %d without outliers", on.TurnedAway, off.TurnedAway)
 	}
 }
+
+// Sixty routers, each with a sliver of the traffic, tell each other loads under a tight
+// bound. Going by a part of that bound, they took most upstreams for full and sent their
+// sessions to the same few: callers of those waited for seconds.
+func TestManyRoutersDoNotRunToTheSameUpstreams(t *testing.T) {
+	c := engineConfig()
+	c.Routers = 60
+	c.Pool.Upstreams, c.Pool.LoadMultiple = 24, 1.25
+	c.Pool.Engine.Step, c.Pool.Engine.StepPerSlot, c.Pool.Engine.PrefillPerMS = 30*time.Millisecond, 300*time.Microsecond, 20
+	c.Callers.PerSecond, c.Callers.Sessions, c.Callers.Prompt, c.Callers.AnswerTokens = 62, 20000, 3000, 276
+	c.Callers.Objective, c.Callers.Patience = 1900*time.Millisecond, 60*time.Second
+	alone, err := policy.Without("shared-loads")
+	if err != nil {
+		t.Fatal(err)
+	}
+	told, untold := Play(c, policy.All(), 1).Sum(), Play(c, alone, 1).Sum()
+	t.Logf("told %+v, untold %+v", told, untold)
+	if told.Skew > 1.1*untold.Skew || told.Late*50 > told.Asked {
+		t.Errorf("skew %.2f with loads told, %.2f without; %d of %d late", told.Skew, untold.Skew, told.Late, told.Asked)
+	}
+}
