openloop: times count from when each request was due

Cause: seen in the first run against a fleet (parsleyd dev): first bytes after .001 ms. The goroutine of a request read the time that the loop had moved on to the next request's. Change: each request has its own. The test that says so gave a p50 of 47.6 ms for answers that take 50 before, and passes now, also with the race detector.

--- a/internal/openloop/openloop.go
+++ b/internal/openloop/openloop.go
@@ -101,25 +101,25 @@
 // send sends the requests at their times and waits for their ends.
 func (p *player) send(ctx context.Context) {
 	random := rand.New(rand.NewPCG(p.options.Seed, 0))
-	began := time.Now()
-	due := time.Duration(0)
+	due := time.Now()
+	end := due.Add(p.options.For)
 	var all sync.WaitGroup
 	defer all.Wait()
 	for {
-		due += time.Duration(random.ExpFloat64() / p.options.PerSecond * float64(time.Second))
-		session := "session-" + strconv.Itoa(random.IntN(p.options.Sessions))
-		if due > p.options.For {
+		due = due.Add(time.Duration(random.ExpFloat64() / p.options.PerSecond * float64(time.Second)))
+		at, session := due, "session-"+strconv.Itoa(random.IntN(p.options.Sessions))
+		if at.After(end) {
 			return
 		}
 		select {
-		case <-time.After(time.Until(began.Add(due))):
+		case <-time.After(time.Until(at)):
 		case <-ctx.Done():
 			return
 		}
 		select {
 		case p.open <- struct{}{}:
 			all.Go(func() {
-				p.request(ctx, began.Add(due), session)
+				p.request(ctx, at, session)
 				<-p.open
 			})
 		default:
--- a/internal/openloop/openloop_test.go
+++ b/internal/openloop/openloop_test.go
@@ -111,6 +111,23 @@
 	}
 }
 
+// A fleet takes 50 ms for each answer. No time in the report is shorter: they are counted
+// from when each request was due, not from when a later one was.
+func TestTimesCountFromWhenEachRequestWasDue(t *testing.T) {
+	const work = 50 * time.Millisecond
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(work)
+		fmt.Fprint(w, "answer")
+	}))
+	defer s.Close()
+	r := play(t, options(s.URL))
+	for _, ms := range []float64{r.First.P50, r.Whole.P50} {
+		if ms < float64(work.Milliseconds()) {
+			t.Errorf("%+v: shorter than the work", r)
+		}
+	}
+}
+
 // Whoever stops the command gets the report of what was sent.
 func TestStoppedLoadIsReported(t *testing.T) {
 	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
