--- /dev/null
+++ b/internal/gateway/hostedrequest.go
@@ -0,0 +1,187 @@
+package gateway
+
+import (
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleyfront/parsleyfront/internal/netpeek"
+	"github.com/parsleyfront/parsleyfront/internal/profile"
+	"github.com/parsleyfront/parsleyfront/internal/router"
+	"github.com/parsleyfront/parsleyfront/internal/telemetry"
+	"github.com/parsleyfront/parsleyfront/internal/topo"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+)
+
+// logRefusal tells why a request gets no answer of an upstream.
+func (x *hostedExchange) logRefusal(log *telemetry.RequestLog, e *verdict.Error) {
+	log.Line(telemetry.LineFailure, "request refused", x.said.ID,
+		slog.Int("status", hostedStatus(e)),
+		slog.String("reason", string(e.Reason)),
+		slog.String("verdict", e.Verdict.String()),
+		slog.String("detail", e.Detail),
+		slog.Duration("retry_after", e.RetryAfter),
+		slog.String("host", x.r.Host),
+		slog.String("path", x.path()),
+		slog.Int64("config_version", int64(x.view.Version)))
+}
+
+// hostedExchange is one request of a caller.
+type hostedExchange struct {
+	w       http.ResponseWriter
+	r       *http.Request
+	arrived time.Time // when its headers had been read
+	view    *router.View
+	said    Said
+	profile *profile.Profile
+	org     *profile.Organisation
+}
+
+// checkHead refuses a request that upstreams could not tell from another one, or
+// whose headers are over the operators' limit.
+func (x *hostedExchange) checkHead() error {
+	if x.said.ID == "" {
+		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "the request names no attempt")
+	}
+	if limit := x.limits().HeaderBytes; headerBytes(x.r) > int64(limit) {
+		return verdict.New(verdict.NotRun, reasonHeader, "the headers exceed %d bytes", limit)
+	}
+	return nil
+}
+
+// endAfterChunks lets a chunked request be the last of its connection. One that has
+// a length beside its chunks is read by the chunks, as it should be; but who reads
+// it by the length takes what follows the last chunk for a part of its body, and
+// here it would be a request of its own. The server does not show both.
+func (x *hostedExchange) endAfterChunks() {
+	if len(x.r.TransferEncoding) > 0 {
+		x.w.Header().Set("Connection", "close")
+	}
+}
+
+// limits returns the operators' limits on callers.
+func (x *hostedExchange) limits() *profile.Limits {
+	return limitsOf(x.view)
+}
+
+func limitsOf(v *router.View) *profile.Limits {
+	if v.Limits != nil {
+		return v.Limits
+	}
+	return defaultLimits
+}
+
+// defaultLimits hold while operators set none.
+var defaultLimits = profile.New(topo.KindLimits).(*profile.Limits)
+
+// headerBytes returns the size of a request's first line and headers.
+func headerBytes(r *http.Request) int64 {
+	const separators, lineEnd = len(": \r\n"), len("  HTTP/1.1\r\n")
+	n := len(r.Method) + len(r.RequestURI) + lineEnd + len("Host") + len(r.Host) + separators
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + separators
+		}
+	}
+	return int64(n)
+}
+
+// patience returns for how long the request may take in all; zero: any time.
+func (x *hostedExchange) patience() time.Duration {
+	route := x.profile.Deadline.Std()
+	if x.said.Patience > 0 && (route == 0 || x.said.Patience < route) {
+		return x.said.Patience
+	}
+	return route
+}
+
+// path returns the path as the caller wrote it.
+func (x *hostedExchange) path() string {
+	path, _, _ := strings.Cut(x.target(), "?")
+	return path
+}
+
+// target returns path and query as the caller wrote them.
+func (x *hostedExchange) target() string {
+	if strings.HasPrefix(x.r.RequestURI, "/") {
+		return x.r.RequestURI
+	}
+	return x.r.URL.RequestURI()
+}
+
+// authorise finds the profile and the organisation.
+func (x *hostedExchange) authorise() error {
+	x.profile = x.view.ForHost(x.r.Host, x.path())
+	if x.profile == nil {
+		return verdict.New(verdict.NotRun, verdict.ReasonUnknownProfile, "no profile is for this host and path")
+	}
+	if x.said.APIKey != "" {
+		x.org = x.view.Orgs[profile.HashKey(x.said.APIKey)]
+	}
+	if x.profile.Anonymous || len(x.view.Orgs) == 0 {
+		return nil
+	}
+	if x.org == nil || !router.Allows(x.org, x.profile.Name) {
+		return verdict.New(verdict.NotRun, verdict.ReasonUnauthorized, "the API key is missing or unknown")
+	}
+	return nil
+}
+
+// body reads the body. A caller that has not sent it when its request's time is
+// over gets its answer then: it would hold a connection and its part of the memory
+// for as long as it likes.
+func (x *hostedExchange) body() ([]byte, error) {
+	limit := int64(x.limits().BodyBytes)
+	if x.r.ContentLength > limit {
+		return nil, tooLarge(limit)
+	}
+	if x.r.ContentLength == 0 {
+		return nil, nil
+	}
+	ctl := http.NewResponseController(x.w)
+	within := x.patience()
+	if within == 0 {
+		within = bodyTimeout
+	}
+	if err := ctl.SetReadDeadline(x.arrived.Add(within)); err != nil {
+		return nil, errors.Wrap(err, "gateway: body")
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	var tooLong *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, errors.Wrap(ctl.SetReadDeadline(time.Time{}), "gateway: body")
+	case errors.As(err, &tooLong):
+		return nil, tooLarge(limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		x.w.Header().Set("Connection", "close")
+		return nil, verdict.New(verdict.NotRun, reasonTimeout, "the body was not complete after %v", within)
+	default:
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "the body is cut short or malformed: %s", err)
+	}
+}
+
+// connKey is where a request's context holds the caller's connection.
+type connKey struct{}
+
+// gone reports whether the caller has closed its connection.
+func (x *hostedExchange) gone() bool {
+	c, ok := x.r.Context().Value(connKey{}).(net.Conn)
+	return ok && netpeek.Look(c) == netpeek.Closed
+}
+
+// urgency returns the rank of a request: 0 is first.
+func urgency(p *profile.Profile, o *profile.Organisation) int {
+	const last = 9
+	priority := p.Priority
+	if o != nil && o.Priority != nil {
+		priority = *o.Priority
+	}
+	return min(max(-priority, 0), last)
+}
--- /dev/null
+++ b/internal/relay/beat.go
@@ -0,0 +1,114 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/config"
+)
+
+// subscribe asks the candidates for beats, in order, up to the one that this
+// router may rely on or that has yet to answer. One that does not answer is left
+// alone for a while. A router whose own reading lags asks all.
+func (s *State) subscribe(now time.Time) []Effect {
+	candidates := s.candidates(now)
+	if s.reading && s.lagging(now) {
+		candidates = s.sorted
+	}
+	var out []Effect
+	for _, p := range candidates {
+		if !p.unanswered.IsZero() && now.Sub(p.unanswered) > s.timing.Silence {
+			p.suspect, p.unanswered = now.Add(s.timing.Suspect), time.Time{}
+		}
+		if now.Before(p.suspect) {
+			continue
+		}
+		if p.asked.IsZero() || now.Sub(p.asked) >= s.timing.Renew {
+			p.asked = now
+			if p.unanswered.IsZero() && now.Sub(p.beatAt) > s.timing.Silence {
+				p.unanswered = now
+			}
+			out = append(out, SendSubscribe{To: p.node, Subscribe: Subscribe{From: s.self, Wanted: true}})
+		}
+		relied := p == s.parent && s.fresh(now, p, 0) && !p.beat.Failing
+		if relied || !p.unanswered.IsZero() {
+			break
+		}
+	}
+	return out
+}
+
+// changed reports whether its subscribers should hear of what this router knows at
+// once: there is something new, or what they were told has meanwhile grown old.
+func (s *State) changed(now time.Time) bool {
+	for i, k := range s.beat(now).Knowledge {
+		if k.Mark != s.told[i] || k.Age >= 0 && trueAt(now, k).Sub(s.toldAt[i]) > s.timing.Fresh {
+			return true
+		}
+	}
+	return false
+}
+
+// trueAt returns when knowledge was known to be the newest; zero: it was not.
+func trueAt(now time.Time, k Knowledge) time.Time {
+	if k.Age < 0 {
+		return time.Time{}
+	}
+	return now.Add(-milliseconds(k.Age))
+}
+
+// beats sends a beat to each subscriber when one is due or there is news.
+func (s *State) beats(now time.Time, news bool) []Effect {
+	if !news && now.Before(s.nextBeat) {
+		return nil
+	}
+	var out []Effect
+	b := s.beat(now)
+	for _, p := range s.sorted {
+		if now.Before(p.wants) {
+			out = append(out, SendBeat{To: p.node, Beat: b})
+		}
+	}
+	s.nextBeat = now.Add(s.timing.Beat)
+	for i, k := range b.Knowledge {
+		s.told[i], s.toldAt[i] = k.Mark, trueAt(now, k)
+	}
+	return out
+}
+
+// beat returns what this router knows at now. Its marks are what it has itself;
+// the ages are those of whom it relies on.
+func (s *State) beat(now time.Time) Beat {
+	b := Beat{From: s.self, Knowledge: s.own, Failing: s.reading && s.failing}
+	source, at := s.own, s.ownAt
+	if s.parent != nil {
+		b.Failing = s.reading && s.parent.beat.Failing
+		b.Path = append(slices.Clone(s.parent.beat.Path), s.parent.node.Name)
+		source, at = s.parent.beat.Knowledge, s.parent.beatAt
+	}
+	passed := now.Sub(at).Milliseconds()
+	for i := range b.Knowledge {
+		b.Knowledge[i].Age = older(source[i].Age, passed)
+		b.Knowledge[i].Back = older(source[i].Back, passed)
+		if s.parent != nil && !caughtUp(b.Knowledge[i].Mark, source[i].Mark) {
+			b.Knowledge[i].Age = -1 // it has not pulled yet what its parent knows
+		}
+	}
+	return b
+}
+
+// caughtUp reports whether a mark is as far as another.
+func caughtUp(m, other config.Mark) bool {
+	return m.Version >= other.Version
+}
+
+func older(ms, passed int64) int64 {
+	if ms < 0 {
+		return ms
+	}
+	return ms + passed
+}
+
+func milliseconds(ms int64) time.Duration {
+	return time.Duration(ms) * time.Millisecond
+}
--- /dev/null
+++ b/internal/router/pieces.go
@@ -0,0 +1,131 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleyfront/parsleyfront/internal/exchange"
+	"github.com/parsleyfront/parsleyfront/internal/router/dispatch"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
+)
+
+// Next returns the next piece of the answer. After an End there is nothing
+// more; an error means that the answer stays incomplete.
+func (a *Answer) Next() (wire.Piece, error) {
+	for !a.state.Finished() {
+		p, ok, err := a.read()
+		if err != nil {
+			return wire.Piece{}, err
+		}
+		if ok {
+			return p, nil
+		}
+	}
+	if a.result != nil {
+		return wire.Piece{}, a.result
+	}
+	return wire.Piece{End: a.end}, nil
+}
+
+// read returns what the winner has to say next, if that is for the caller.
+func (a *Answer) read() (wire.Piece, bool, error) {
+	at := a.winner
+	if at == nil { // another upstream is asked to go on
+		return wire.Piece{}, false, a.wait()
+	}
+	if len(at.pieces) > 0 {
+		p := at.pieces[0]
+		at.pieces = at.pieces[1:]
+		return a.forward(p)
+	}
+	if at.busy {
+		return wire.Piece{}, false, a.wait()
+	}
+	p, err := a.nextPiece()
+	switch {
+	case err == nil:
+		return a.forward(p)
+	case a.caller.Err() != nil:
+		return wire.Piece{}, false, a.caller.Err()
+	case errors.Is(err, exchange.ErrSilent):
+		a.silent(at)
+	case passed(a.plan.Deadline, time.Now()):
+		a.tick()
+	default:
+		at.stream.Close()
+		at.stream = nil
+		resumedStreams.Inc()
+		if a.plan.Direct {
+			at.watch.broke()
+		}
+		if a.cutter != nil && !a.cutter.Break() {
+			a.step(dispatch.Ended{Now: time.Now(), Attempt: at.number, Err: errTorn})
+			break
+		}
+		a.step(dispatch.Lost{Now: time.Now(), Attempt: at.number})
+	}
+	return wire.Piece{}, false, nil
+}
+
+// silent handles a stream that has paused for too long. It is given up only if
+// another upstream goes on with it: silence alone is no reason to end an answer.
+func (a *Answer) silent(at *attempt) {
+	if a.cutter.Break() {
+		a.step(dispatch.Silent{Now: time.Now(), Attempt: at.number})
+	}
+	if s, ok := at.stream.(directStream); ok && a.winner == at {
+		s.Within(0)
+	}
+}
+
+// errTorn ends a stream of which the caller has a part of an event.
+var errTorn = verdict.New(verdict.Ran, verdict.ReasonCancelled, "the stream broke off within an event that is too long to hold back")
+
+func (a *Answer) nextPiece() (wire.Piece, error) {
+	if a.winner.stream == nil {
+		return wire.Piece{}, verdict.New(verdict.MayHaveRun, verdict.ReasonConnection, "not attached")
+	}
+	if a.plan.Deadline.IsZero() {
+		return a.winner.stream.Next(a.caller)
+	}
+	ctx, done := context.WithDeadline(a.caller, a.plan.Deadline)
+	defer done()
+	return a.winner.stream.Next(ctx)
+}
+
+// forward takes note of a piece and reports whether the caller gets it. The
+// head comes again with each attach, and goes out once.
+func (a *Answer) forward(p wire.Piece) (wire.Piece, bool, error) {
+	at := a.winner
+	if a.first == 0 {
+		a.first = time.Since(a.started)
+	}
+	switch {
+	case p.End != nil:
+		if a.cutter != nil && p.End.Error == nil && len(a.cutter.Rest()) > 0 {
+			rest := a.cutter.Rest()
+			a.cutter = nil
+			at.pieces = append(at.pieces, p)
+			return wire.Piece{Bytes: rest}, true, nil
+		}
+		a.end = p.End
+		a.carrier.ended(at, p.End)
+		a.step(dispatch.Ended{Now: time.Now(), Attempt: at.number, Err: p.End.Error})
+		return p, false, nil
+	case p.Head != nil:
+		again := at.headed
+		at.headed = true
+		return p, !again, nil
+	default:
+		at.offset += int64(len(p.Bytes))
+		if a.cutter != nil {
+			p.Bytes = a.cutter.Feed(p.Bytes)
+		}
+		a.written += int64(len(p.Bytes))
+		a.step(dispatch.Advanced{})
+		return p, len(p.Bytes) > 0, nil
+	}
+}
