load: a load that nobody tells any more leaves the mean

What routers chose, logged: at 20 to 22 s they believe in a mean load of 33, where about 5 requests an upstream run. Twelve of eighteen upstreams are suspected since the surge, get no requests and so tell no load, and the mean counts the 100 and more that they told last like the others' words of now. The bound, a multiple of it, holds for nobody, and all sessions go to the other six. Change: the mean weighs each load by how lately it was told (2 s).

--- a/internal/load/tally.go
+++ b/internal/load/tally.go
@@ -3,12 +3,14 @@
 import (
 	"math"
 	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/decay"
 )
 
 // othersFor is the time in which what an upstream said of its load loses its
-// weight to the mean, in seconds. Requests last about as long, so by then others
-// have taken their place.
-const othersFor = 2.0
+// weight to the mean. Requests last about as long, so by then others have taken their
+// place.
+const othersFor = 2 * time.Second
 
 // Tally is what one router knows of the loads of upstreams that it calls itself,
 // with no sidecar to decide for them: its own requests, which it counts, and
@@ -16,9 +18,10 @@
 // not safe for concurrent use.
 type Tally struct {
 	entries map[VM]*tally
-	own     int     // sum of the router's requests
-	others  float64 // sum of others' requests, as they were told
-	told    int     // upstreams that have told
+	own     int // sum of the router's requests
+	clock   decay.Clock
+	others  float64 // sum of others' requests, as they were told, by the clock's weights
+	weights float64 // sum of those weights
 }
 
 // tally is what is known of one upstream.
@@ -31,7 +34,7 @@
 
 // NewTally returns an empty Tally.
 func NewTally() *Tally {
-	return &Tally{entries: make(map[VM]*tally)}
+	return &Tally{clock: decay.NewClock(othersFor), entries: make(map[VM]*tally)}
 }
 
 func (t *Tally) entry(vm VM) *tally {
@@ -63,8 +66,28 @@
 	e := t.entry(vm)
 	t.forget(e)
 	e.others, e.at, e.told = max(load-e.own, 0), now, false
-	t.others += float64(e.others)
-	t.told++
+	if _, due := t.clock.Rebase(now); due {
+		t.sum()
+		return
+	}
+	t.add(e)
+}
+
+// sum works the sums out anew, which also takes out what rounding has left.
+func (t *Tally) sum() {
+	t.others, t.weights = 0, 0
+	for _, e := range t.entries {
+		t.add(e)
+	}
+}
+
+func (t *Tally) add(e *tally) {
+	if e.at.IsZero() {
+		return
+	}
+	weight := t.clock.Weight(e.at)
+	t.others += weight * float64(e.others)
+	t.weights += weight
 }
 
 // forget takes what an upstream has told out of the sums.
@@ -72,8 +95,9 @@
 	if e.at.IsZero() {
 		return
 	}
-	t.others -= float64(e.others)
-	t.told--
+	weight := t.clock.Weight(e.at)
+	t.others -= weight * float64(e.others)
+	t.weights -= weight
 }
 
 // Keep forgets every upstream that is not among members.
@@ -84,11 +108,11 @@
 	}
 	for vm, e := range t.entries {
 		if !wanted[vm] {
-			t.forget(e)
 			t.own -= e.own
 			delete(t.entries, vm)
 		}
 	}
+	t.sum()
 }
 
 // Load returns the believed load of an upstream.
@@ -100,7 +124,7 @@
 	if e.at.IsZero() {
 		return float64(e.own) + t.meanOthers()
 	}
-	trust := math.Exp(-now.Sub(e.at).Seconds() / othersFor)
+	trust := math.Exp(-now.Sub(e.at).Seconds() / othersFor.Seconds())
 	return float64(e.own) + trust*float64(e.others) + (1-trust)*t.meanOthers()
 }
 
@@ -114,7 +138,7 @@
 func (t *Tally) Upper(now time.Time, vm VM) float64 {
 	trust := 0.0
 	if e := t.entries[vm]; e != nil && !e.at.IsZero() {
-		trust = math.Exp(-now.Sub(e.at).Seconds() / othersFor)
+		trust = math.Exp(-now.Sub(e.at).Seconds() / othersFor.Seconds())
 	}
 	return t.Load(now, vm) + upperDeviations*(1-trust)*math.Sqrt(t.meanOthers())
 }
@@ -134,9 +158,15 @@
 	return float64(t.own) / float64(max(n, 1)) / mean
 }
 
+// meanOthers returns the mean of others' requests at an upstream. The later an upstream
+// has told its load, the more it counts: one that gets nothing any more, since it is
+// suspected, tells nothing either. With the same weight for all, the loads that upstreams
+// had in a surge stay in the mean for seconds after it, and no bound holds: of 653
+// requests in five calm seconds, 63 found their upstream over the operators' bound, and
+// 31 with this (four runs of a day).
 func (t *Tally) meanOthers() float64 {
-	if t.told == 0 {
+	if t.weights <= 0 {
 		return 0
 	}
-	return t.others / float64(t.told)
+	return max(0, t.others/t.weights)
 }
