outlier: the more of a pool is suspected, the sooner each is tried again

Change: the least time of a suspicion is multiplied by the part of the pool that does not fail, 1.5 s at least. Test: TestSuspicionsAreShortWhereFewAreLeft (twelve of eighteen: 6 s before, under 3 s now; one alone: 6 s as before).

--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -40,8 +40,9 @@
 	// negligible is the weight of failures below which an upstream need not be judged.
 	negligible = 0.01
 	// suspectFor is how long an upstream is suspected at least, times how often it has been
-	// lately, up to repeatsMost; forgiveAfter is how long it must have been trusted for
-	// that to begin anew. One that goes on failing costs two requests each time that it
+	// lately, up to repeatsMost, and times the part of the pool that is trusted: the fewer
+	// are left to take the others' requests, the sooner those are tried again. forgiveAfter
+	// is how long an upstream must have been trusted for the repeats to begin anew. One that goes on failing costs two requests each time that it
 	// is tried: with this, 5 of 80 are lost to one of four upstreams that loses all
 	// answers, and 8 without.
 	suspectFor   = 1500 * time.Millisecond
@@ -75,13 +76,14 @@
 }
 
 // renewed returns the suspicion of an upstream that is suspected from now on.
-func (s suspicion) renewed(now time.Time) suspicion {
+// trusted is the part of the pool that is not suspected.
+func (s suspicion) renewed(now time.Time, trusted float64) suspicion {
 	if now.Sub(s.ended) > forgiveAfter {
 		s.repeats = 0
 	}
 	s.now = true
 	s.repeats = min(s.repeats+1, repeatsMost)
-	s.until = now.Add(time.Duration(s.repeats) * suspectFor)
+	s.until = now.Add(time.Duration(max(1, trusted*float64(s.repeats)) * float64(suspectFor)))
 	return s
 }
 
@@ -211,19 +213,26 @@
 			known[vm] = count{} // those of which nothing is known any more are settled as well
 		}
 	}
+	failing := make(map[load.VM]bool)
 	for vm, c := range known {
-		fails := c.failed >= leastFailures && (c.failed+prior*best)/(c.all+prior) > suspectTimes*best+suspectMargin
-		d.settle(now, vm, c, fails)
+		if c.failed >= leastFailures && (c.failed+prior*best)/(c.all+prior) > suspectTimes*best+suspectMargin {
+			failing[vm] = true
+		}
+	}
+	trusted := 1 - float64(len(failing))/float64(max(1, len(known)))
+	for vm, c := range known {
+		d.settle(now, vm, c, failing[vm], trusted)
 		d.failing = d.failing || d.suspicions[vm].now || c.failed > negligible
 	}
 }
 
-// settle takes in whether an upstream fails more than others now.
-func (d *Detector) settle(now time.Time, vm load.VM, c count, fails bool) {
+// settle takes in whether an upstream fails more than others now. trusted is the part of
+// the pool that does not.
+func (d *Detector) settle(now time.Time, vm load.VM, c count, fails bool, trusted float64) {
 	s := d.suspicions[vm]
 	switch {
 	case fails && !s.now:
-		s = s.renewed(now)
+		s = s.renewed(now, trusted)
 	case !fails && s.now && !now.Before(s.until):
 		s.now, s.ended = false, now
 	default:
--- a/internal/outlier/outlier_test.go
+++ b/internal/outlier/outlier_test.go
@@ -85,3 +85,39 @@
 		t.Errorf("%d counts and %d to report are kept", len(d.counts), len(d.news))
 	}
 }
+
+// suspectedFor returns for how long the first of a pool of 18 is suspected the fourth time
+// in a row, when some of the pool fail so many requests at a time and the others none.
+func suspectedFor(failing, failures int) time.Duration {
+	d, vms, now := New(), pool(18), start
+	var lasted time.Duration
+	for range 4 {
+		for i, vm := range vms {
+			for range failures {
+				if i < failing {
+					d.Failed(now, vm)
+				} else {
+					d.Succeeded(now, vm)
+				}
+			}
+		}
+		began := now
+		for d.Suspects(now, vms[0]) {
+			now = now.Add(memory / 15)
+		}
+		lasted = now.Sub(began)
+	}
+	return lasted
+}
+
+// After a surge twelve of eighteen runners are suspected, some for the fourth time, and
+// the other six have all the requests. One that fails alone may stay away for long; of
+// twelve each is needed soon.
+func TestSuspicionsAreShortWhereFewAreLeft(t *testing.T) {
+	if alone := suspectedFor(1, 2); alone < 5*time.Second {
+		t.Errorf("one that fails alone is suspected for %v", alone)
+	}
+	if many := suspectedFor(12, 2); many > 3*time.Second {
+		t.Errorf("one of twelve that fail is suspected for %v", many)
+	}
+}
