--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -26,7 +26,7 @@
 func (t *Tracker) Seen(now, after time.Time, members []load.VM) Shared {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return Shared{Loads: t.loads.PackHeard(now, after, members), Outcomes: t.outliers.Report(members)}
+	return Shared{Loads: t.loads.PackObserved(now, after, members), Outcomes: t.outliers.Report(members)}
 }
 
 // MergeKnown takes in what the router knows that this one relies on.
@@ -40,5 +40,5 @@
 func (t *Tracker) MergeSeen(now time.Time, members []load.VM, s Shared) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return stderrors.Join(t.loads.MergeHeard(now, members, s.Loads), t.outliers.MergeReport(now, members, s.Outcomes))
+	return stderrors.Join(t.loads.MergeObserved(now, members, s.Loads), t.outliers.MergeReport(now, members, s.Outcomes))
 }
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -105,7 +105,7 @@
 func (t *Tracker) Report(now time.Time, vm load.VM, requests int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.loads.Hear(now, vm, requests)
+	t.loads.Observe(now, vm, requests)
 }
 
 // Begin counts an attempt that goes to an upstream.
--- a/internal/load/share.go
+++ b/internal/load/share.go
@@ -31,9 +31,9 @@
 	loadMost   = 254
 )
 
-// PackHeard returns what this router, or one that tells it, has heard of members
+// PackObserved returns what this router, or one that tells it, has heard of members
 // after a time; nil: nothing.
-func (t *Tally) PackHeard(now, after time.Time, members []VM) []byte {
+func (t *Tally) PackObserved(now, after time.Time, members []VM) []byte {
 	b := []byte{shareSome}
 	for i, vm := range members {
 		e := t.entries[vm]
@@ -104,8 +104,8 @@
 	return byte(min(max(t.Load(now, vm)+0.5, 0), loadMost))
 }
 
-// MergeHeard takes in what a router has heard that tells this one. It is passed on.
-func (t *Tally) MergeHeard(now time.Time, members []VM, packed []byte) error {
+// MergeObserved takes in what a router has heard that tells this one. It is passed on.
+func (t *Tally) MergeObserved(now time.Time, members []VM, packed []byte) error {
 	return eachShared(packed, members, func(vm VM, load int) { t.merge(now, vm, load, false) })
 }
 
@@ -119,7 +119,7 @@
 	if !e.told && now.Sub(e.at) < ownWordFor {
 		return
 	}
-	t.Hear(now, vm, load)
+	t.Observe(now, vm, load)
 	e.told = told
 }
 
--- a/internal/load/share_test.go
+++ b/internal/load/share_test.go
@@ -26,7 +26,7 @@
 		highest := 0
 		for _, vm := range members {
 			load := rapid.IntRange(0, loadMost).Draw(t, "load")
-			reader.Hear(start, vm, load)
+			reader.Observe(start, vm, load)
 			highest = max(highest, load)
 		}
 		if err := router.MergeKnown(start, members, reader.PackKnown(start, members)); err != nil {
@@ -51,16 +51,16 @@
 func TestToldLoadsAreNotToldBack(t *testing.T) {
 	members := vms(3)
 	reader, router := NewTally(), NewTally()
-	reader.Hear(start, members[0], 9)
+	reader.Observe(start, members[0], 9)
 	if err := router.MergeKnown(start, members, reader.PackKnown(start, members)); err != nil {
 		t.Fatal(err)
 	}
-	if b := router.PackHeard(start, start.Add(-time.Second), members); b != nil {
+	if b := router.PackObserved(start, start.Add(-time.Second), members); b != nil {
 		t.Errorf("the router tells %v of what it was told", b)
 	}
-	router.Hear(start.Add(time.Millisecond), members[1], 4)
-	b := router.PackHeard(start.Add(time.Millisecond), start, members)
-	if err := reader.MergeHeard(start.Add(time.Millisecond), members, b); err != nil {
+	router.Observe(start.Add(time.Millisecond), members[1], 4)
+	b := router.PackObserved(start.Add(time.Millisecond), start, members)
+	if err := reader.MergeObserved(start.Add(time.Millisecond), members, b); err != nil {
 		t.Fatal(err)
 	}
 	if got := reader.Load(start.Add(time.Millisecond), members[1]); got != 4 {
@@ -76,9 +76,9 @@
 func TestOwnWordGoesBeforeAnothersForAMoment(t *testing.T) {
 	members := vms(1)
 	reader, router := NewTally(), NewTally()
-	reader.Hear(start, members[0], 20)
+	reader.Observe(start, members[0], 20)
 	told := reader.PackKnown(start, members)
-	router.Hear(start, members[0], 3)
+	router.Observe(start, members[0], 3)
 	for _, c := range []struct {
 		after time.Duration
 		want  float64
@@ -98,7 +98,7 @@
 func TestUpperGrowsWithAge(t *testing.T) {
 	a := NewTally()
 	for _, vm := range vms(4) {
-		a.Hear(start, vm, 9)
+		a.Observe(start, vm, 9)
 	}
 	vm, former := VM(1), 9.0
 	for _, age := range []time.Duration{0, time.Second, 4 * time.Second} {
@@ -117,9 +117,9 @@
 func FuzzShared(f *testing.F) {
 	members := vms(5)
 	known := NewTally()
-	known.Hear(start, members[2], 7)
+	known.Observe(start, members[2], 7)
 	f.Add(known.PackKnown(start, members))
-	f.Add(known.PackHeard(start, time.Time{}, members))
+	f.Add(known.PackObserved(start, time.Time{}, members))
 	f.Add([]byte{shareSome, 255, 255, 1})
 	f.Add([]byte{9})
 	f.Fuzz(func(t *testing.T, b []byte) {
@@ -145,7 +145,7 @@
 		for range c.own {
 			a.Begin(1)
 		}
-		a.Hear(start, 1, c.own+c.told)
+		a.Observe(start, 1, c.own+c.told)
 		if got := a.Seen(1); math.Abs(got-c.want) > 1e-9 {
 			t.Errorf("%d of its own and %d told: seen %v, want %v", c.own, c.told, got, c.want)
 		}
--- a/internal/load/tally.go
+++ b/internal/load/tally.go
@@ -60,9 +60,9 @@
 	}
 }
 
-// Hear takes in that an upstream works on load requests, or has them wait. The
+// Observe takes in that an upstream works on load requests, or has them wait. The
 // router's own are among them.
-func (t *Tally) Hear(now time.Time, vm VM, load int) {
+func (t *Tally) Observe(now time.Time, vm VM, load int) {
 	e := t.entry(vm)
 	t.forget(e)
 	e.others, e.at, e.told = max(load-e.own, 0), now, false
--- a/internal/load/tally_test.go
+++ b/internal/load/tally_test.go
@@ -12,12 +12,12 @@
 func TestMeanForgetsLoadsThatNobodyTellsAnyMore(t *testing.T) {
 	tally, now := NewTally(), time.Unix(1000, 0)
 	for vm := range VM(18) {
-		tally.Hear(now, vm, 100)
+		tally.Observe(now, vm, 100)
 	}
 	for range 60 {
 		now = now.Add(100 * time.Millisecond)
 		for vm := range VM(6) {
-			tally.Hear(now, vm, 10)
+			tally.Observe(now, vm, 10)
 		}
 	}
 	if got := tally.Mean(18); got > 25 {
@@ -30,9 +30,9 @@
 func TestMeanOfOldLoadsIsTheirMean(t *testing.T) {
 	tally, now := NewTally(), time.Unix(1000, 0)
 	for vm := range VM(4) {
-		tally.Hear(now, vm, 10)
+		tally.Observe(now, vm, 10)
 	}
-	tally.Hear(now.Add(time.Minute), 9, 4)
+	tally.Observe(now.Add(time.Minute), 9, 4)
 	tally.Keep([]VM{0, 1, 2, 3})
 	if got := tally.Mean(4); math.Abs(got-10) > 0.01 {
 		t.Errorf("mean %.3f, want 10", got)
--- a/internal/placement/bounded.go
+++ b/internal/placement/bounded.go
@@ -69,7 +69,7 @@
 	p.spreadHot(l, q, basis, order)
 	n := p.underFirst(l, q, basis, order, out)
 	// Upstreams of other regions come last.
-	for _, i := range ranked[:p.far.top(q.Session, ranked[:])] {
+	for _, i := range ranked[:p.remote.top(q.Session, ranked[:])] {
 		n = p.add(out, n, i, l.Load(p.members[i].VM))
 	}
 	return n, basis
@@ -79,7 +79,7 @@
 // session prefers them, and returns how many there are.
 func (p *Pool) rank(q Query, best []int) int {
 	if q.Flat {
-		return p.near.top(q.Session, best)
+		return p.regional.top(q.Session, best)
 	}
 	return p.local.top(q.Session, best)
 }
@@ -191,18 +191,18 @@
 // the domain (TestRequestsGoAroundASlowUpstream).
 func (p *Pool) leastLoaded(l Loads, random uint64, out *[Candidates]Choice) int {
 	n := 0
-	for range p.near.index {
+	for range p.regional.index {
 		if n == Candidates {
 			return n
 		}
 		i := p.soonest(l, p.own, &random)
-		if j := p.soonest(l, p.near.index, &random); i == None || p.sooner(l, j, i, leaveRatio) {
+		if j := p.soonest(l, p.regional.index, &random); i == None || p.sooner(l, j, i, leaveRatio) {
 			i = j
 		}
 		n = p.add(out, n, i, l.Load(p.members[i].VM))
 	}
 	// Chance may have picked the same few again and again.
-	for _, group := range [...][]int{p.own, p.rest, p.far.index} {
+	for _, group := range [...][]int{p.own, p.rest, p.remote.index} {
 		for _, i := range group {
 			n = p.add(out, n, i, l.Load(p.members[i].VM))
 		}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -62,9 +62,9 @@
 // order of its ranking, so that it warms few caches.
 func (c *chooser) follow(q Query) {
 	var ranked [depth]int
-	order := ranked[:c.pool.near.top(q.Session, ranked[:])]
+	order := ranked[:c.pool.regional.top(q.Session, ranked[:])]
 	ticket := q.Ticket
-	if ticket < 0 || ticket >= len(c.pool.isNear) || !c.pool.isNear[ticket] {
+	if ticket < 0 || ticket >= len(c.pool.inRegion) || !c.pool.inRegion[ticket] {
 		ticket = None
 	}
 	if ticket != None && q.TicketAge < concurrentWithin {
@@ -145,11 +145,11 @@
 		return
 	}
 	var ranked [Candidates]int
-	c.fill(ranked[:c.pool.far.top(session, ranked[:])])
+	c.fill(ranked[:c.pool.remote.top(session, ranked[:])])
 	if c.n > 0 {
 		return
 	}
-	for _, i := range ranked[:c.pool.near.top(session, ranked[:])] {
+	for _, i := range ranked[:c.pool.regional.top(session, ranked[:])] {
 		c.add(i)
 	}
 }
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -39,38 +39,38 @@
 
 // Pool is an immutable list of upstreams as one node sees it.
 type Pool struct {
-	members   []Member
-	isNear    []bool  // in the node's region
-	near, far ranking // of the node's region, and of the others
-	local     domains // of the region of the node, by failure domain
-	own, rest []int   // of the node's failure domain, and of its region's others
+	members          []Member
+	inRegion         []bool  // in the node's region
+	regional, remote ranking // of the node's region, and of the others
+	local            domains // of the region of the node, by failure domain
+	own, rest        []int   // of the node's failure domain, and of its region's others
 }
 
 // NewPool returns the Pool of members for a node at self. The members keep
 // their indices. A region without upstreams counts as one with the others.
 func NewPool(members []Member, self Locality) *Pool {
-	p := &Pool{members: members, isNear: make([]bool, len(members))}
-	var near, far []int
+	p := &Pool{members: members, inRegion: make([]bool, len(members))}
+	var regional, remote []int
 	for i, m := range members {
 		if region(m.Domain) == region(self.Domain) {
-			near = append(near, i)
+			regional = append(regional, i)
 		} else {
-			far = append(far, i)
+			remote = append(remote, i)
 		}
 	}
-	if len(near) == 0 {
-		near, far = far, nil
+	if len(regional) == 0 {
+		regional, remote = remote, nil
 	}
-	for _, i := range near {
-		p.isNear[i] = true
+	for _, i := range regional {
+		p.inRegion[i] = true
 		if members[i].Domain == self.Domain {
 			p.own = append(p.own, i)
 		} else {
 			p.rest = append(p.rest, i)
 		}
 	}
-	p.near, p.far = newRanking(members, near), newRanking(members, far)
-	p.local = newDomains(members, near)
+	p.regional, p.remote = newRanking(members, regional), newRanking(members, remote)
+	p.local = newDomains(members, regional)
 	return p
 }
 
@@ -98,7 +98,7 @@
 // index of its present upstream, is gone; None if there is no other.
 func (p *Pool) Successor(session uint64, leaving int) int {
 	var best [2]int
-	n := p.near.top(session, best[:])
+	n := p.regional.top(session, best[:])
 	for _, i := range best[:n] {
 		if i != leaving {
 			return i
--- a/internal/placement/sliver_test.go
+++ b/internal/placement/sliver_test.go
@@ -135,7 +135,7 @@
 	}
 	heap.Push(&s.ends, done{at: now.Add(took), router: router, member: member})
 	s.tallies[router].Begin(s.ids[member])
-	s.tallies[router].Hear(now, s.ids[member], s.running[member])
+	s.tallies[router].Observe(now, s.ids[member], s.running[member])
 }
 
 func (s *sliver) end(now time.Time) {
@@ -154,7 +154,7 @@
 	}
 	reader := s.tallies[0]
 	for _, router := range s.tallies[1:] {
-		if err := reader.MergeHeard(now, s.ids, router.PackHeard(now, s.shared, s.ids)); err != nil {
+		if err := reader.MergeObserved(now, s.ids, router.PackObserved(now, s.shared, s.ids)); err != nil {
 			t.Fatal(err)
 		}
 	}
