balance: the policy's masks stand in one place

The router and the model each took out of a query, and of what routers tell each other, what the policy has off. Tracker.Choose and Shared.Allowed do it for both now.

--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/load"
+	"github.com/parsleyfront/parsleyfront/internal/policy"
 )
 
 // Shared is what routers tell each other of a pool's upstreams, by their places in a list
@@ -14,6 +15,17 @@
 	Outcomes []byte // how requests went
 }
 
+// Allowed returns what of s a policy lets routers tell each other.
+func (s Shared) Allowed(on policy.Policy) Shared {
+	if !on.SharedLoads {
+		s.Loads = nil
+	}
+	if !on.SharedOutcomes {
+		s.Outcomes = nil
+	}
+	return s
+}
+
 // Known returns what a router knows of upstreams, for those that rely on it.
 func (t *Tracker) Known(now time.Time, members []load.VM) Shared {
 	t.mu.Lock()
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -44,10 +44,14 @@
 
 // Choose writes the upstreams of p to which a request is offered to out, in order, and
 // returns how many there are, and what that rests on. The multiple of q is the bound on
-// load of the platform's operators.
+// load of the platform's operators; what the policy has off is taken out of q.
 func (t *Tracker) Choose(now time.Time, p *placement.Pool, on policy.Policy, q placement.Query, out *[placement.Candidates]placement.Choice) (int, placement.Basis) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	q.Flat = !on.DomainSpill
+	if !on.HotSpread {
+		q.Share = 0
+	}
 	if q.Multiple > 0 {
 		q.Multiple = fillTo(q.Multiple, t.loads.Seen(p.Len()))
 	}
--- a/internal/model/callers.go
+++ b/internal/model/callers.go
@@ -120,11 +120,9 @@
 	now := f.clock.now
 	r.window.Request(now, f.rule())
 	r.returns.Arrived(now)
-	q := placement.Query{Session: c.session.id, Multiple: f.config.Pool.LoadMultiple, Random: f.random.Uint64(), Now: now, Flat: !f.on.DomainSpill}
+	q := placement.Query{Session: c.session.id, Multiple: f.config.Pool.LoadMultiple, Random: f.random.Uint64(), Now: now}
 	if c.session.id != 0 {
-		if share := r.tracker.Ask(now, c.session.id, kind); f.on.HotSpread {
-			q.Share = share
-		}
+		q.Share = r.tracker.Ask(now, c.session.id, kind)
 	}
 	f.clock.after(hop, func() { f.send(r, c, q) })
 }
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -98,28 +98,17 @@
 	}
 }
 
-// share has routers tell each other what they know, through the first of them.
+// share has routers tell each other what they know, through the first of them. What one
+// packs another can read, so that merging it does not fail.
 func (f *fleet) share() {
-	reader := f.routers[0]
+	now, reader := f.clock.now, f.routers[0].tracker
 	for _, r := range f.routers[1:] {
-		_ = reader.tracker.MergeSeen(f.clock.now, f.ids, f.allowed(r.tracker.Seen(f.clock.now, f.clock.now.Add(-shareEvery), f.ids)))
+		_ = reader.MergeSeen(now, f.ids, r.tracker.Seen(now, now.Add(-shareEvery), f.ids).Allowed(f.on))
 	}
-	known := f.allowed(reader.tracker.Known(f.clock.now, f.ids))
+	known := reader.Known(now, f.ids).Allowed(f.on)
 	for _, r := range f.routers[1:] {
-		_ = r.tracker.MergeKnown(f.clock.now, f.ids, known)
-	}
-}
-
-// allowed returns what of s the policy lets routers tell each other. What one router
-// packs another can read, so that merging it does not fail.
-func (f *fleet) allowed(s balance.Shared) balance.Shared {
-	if !f.on.SharedLoads {
-		s.Loads = nil
-	}
-	if !f.on.SharedOutcomes {
-		s.Outcomes = nil
+		_ = r.tracker.MergeKnown(now, f.ids, known)
 	}
-	return s
 }
 
 // sample takes in how unevenly the upstreams are loaded.
--- a/internal/router/directoffer.go
+++ b/internal/router/directoffer.go
@@ -116,12 +116,9 @@
 		return nil
 	}
 	var chosen [placement.Candidates]placement.Choice
-	on := a.router.policy()
-	q := placement.Query{Session: a.session, Multiple: a.router.tuning.Load().LoadMultiple, Random: rand.Uint64(), Now: now, Flat: !on.DomainSpill}
-	if on.HotSpread {
-		q.Share = a.share
-	}
-	n, basis := a.pool.tracker.Choose(now, a.pool.placed, on, q, &chosen)
+	tuning := a.router.tuning.Load()
+	q := placement.Query{Session: a.session, Multiple: tuning.LoadMultiple, Random: rand.Uint64(), Share: a.share, Now: now}
+	n, basis := a.pool.tracker.Choose(now, a.pool.placed, tuning.Policy, q, &chosen)
 	a.basis = basis
 	a.pool.logSuspicions(a.poolName)
 	out := make([]target, 0, n)
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -51,13 +51,7 @@
 	var s sharing
 	on := m.router.policy()
 	for name, p := range m.router.View().Pools {
-		shared := of(p)
-		if !on.SharedLoads {
-			shared.Loads = nil
-		}
-		if !on.SharedOutcomes {
-			shared.Outcomes = nil
-		}
+		shared := of(p).Allowed(on)
 		if shared.Loads != nil || shared.Outcomes != nil {
 			s.Pools = append(s.Pools, sharedPool{Pool: shortHash(name), List: p.list, Loads: shared.Loads, Outcomes: shared.Outcomes})
 		}
