retry: one ring of time slots, one word on how long callers stay away

Window and Returns each numbered slots of time from their first event and cleared those that were past, in two ways; slots does it for both. The third of its time left for which a caller stays away stood in the router and in the model: Returns.Advise takes the time left and knows it. The tests' closures take the time left in place of a third of it; their assertions are as before.

--- a/internal/model/callers.go
+++ b/internal/model/callers.go
@@ -14,9 +14,6 @@
 	kind = "request"
 	// retryWindow is the time over which retries are bounded.
 	retryWindow = 10 * time.Second
-	// awayShare is the part of the time that it has left for which a caller stays away
-	// when it is told to.
-	awayShare = 1.0 / 3
 )
 
 // session is a chat, and what its prompt has grown to.
@@ -273,13 +270,13 @@
 // refuse tells a caller when to come back.
 func (f *fleet) refuse(r *router, c *call) {
 	left := f.config.Callers.Patience - f.clock.now.Sub(c.asked)
-	most := time.Duration(awayShare * float64(left))
-	back := r.returns.Advise(f.clock.now, most, f.random.Float64())
+	back := r.returns.Advise(f.clock.now, left, f.random.Float64())
 	f.result.turnedAway(c.asked)
 	if c.tries >= f.config.Callers.Tries {
 		c.ended = true
 		f.result.refused(c.asked)
 		return
 	}
+	most := time.Duration(retry.AwayShare * float64(left))
 	f.clock.after(min(back, most), func() { f.ask(c) })
 }
--- a/internal/retry/returns.go
+++ b/internal/retry/returns.go
@@ -18,6 +18,9 @@
 	// leastRoom is the part of what a pool answers that is left to callers that come
 	// back, however many new ones come: they have waited longest.
 	leastRoom = 0.2
+	// AwayShare is the part of the time that it has left for which a caller stays away, at
+	// most, when it is told to come back: it wants time for two more tries.
+	AwayShare = 1.0 / 3
 )
 
 // Returns tells callers that a pool has turned away when to come back. It spreads
@@ -34,11 +37,10 @@
 // The zero value is ready to use. A Returns is not safe for concurrent use.
 type Returns struct {
 	booked  [returnSlots]float64 // callers by the slot to which they come back
-	at      int64                // number of the present slot
-	since   time.Time            // when the first one began
-	arrived float64              // requests of callers, their weight lowered by age
-	answers float64              // likewise
-	last    time.Time            // when the weights were right
+	slots   slots
+	arrived float64   // requests of callers, their weight lowered by age
+	answers float64   // likewise
+	last    time.Time // when the weights were right
 }
 
 // Arrived counts a request of a caller, also of one that comes back.
@@ -53,14 +55,17 @@
 	r.answers++
 }
 
-// Advise returns when a caller that is turned away now is to come back, of the time that
-// it would wait at most: in the first slot that has room, or the emptiest. spread, from 0
-// to 1, is where in the slot.
-func (r *Returns) Advise(now time.Time, most time.Duration, spread float64) time.Duration {
+// Advise returns when a caller that is turned away now is to come back, if it has some time
+// left, or zero if it has any: in the first slot that has room, of those up to which it
+// would stay away, or the emptiest. spread, from 0 to 1, is where in the slot.
+func (r *Returns) Advise(now time.Time, left time.Duration, spread float64) time.Duration {
 	r.advance(now)
 	room := r.room()
-	first := int64(soonestReturn / returnSlot)
-	end := min(max(int64(most/returnSlot), first+1), returnSlots)
+	first, end := int64(soonestReturn/returnSlot), int64(returnSlots)
+	if left > 0 {
+		most := time.Duration(AwayShare * float64(left))
+		end = min(max(int64(most/returnSlot), first+1), end)
+	}
 	best := first
 	for i := first; i < end && r.booked[r.slot(best)]+1 > room; i++ {
 		if r.booked[r.slot(i)] < r.booked[r.slot(best)] {
@@ -80,20 +85,17 @@
 }
 
 func (r *Returns) slot(ahead int64) int {
-	return int((r.at + ahead) % returnSlots)
+	return r.slots.index(ahead, returnSlots)
 }
 
 // advance makes the slot of now the present one, and lowers the weights.
 func (r *Returns) advance(now time.Time) {
-	if r.since.IsZero() {
-		r.since, r.last = now, now
+	if r.last.IsZero() {
+		r.last = now
 	}
 	weight := math.Exp(-now.Sub(r.last).Seconds() / ratesFor.Seconds())
 	r.arrived, r.answers, r.last = r.arrived*weight, r.answers*weight, now
-	at := int64(now.Sub(r.since) / returnSlot)
-	for steps := min(max(at-r.at, 0), returnSlots); steps > 0; steps-- {
-		r.booked[r.slot(0)] = 0
-		r.at++
+	for back := range r.slots.advance(now, returnSlot, returnSlots) {
+		r.booked[r.slot(-1-back)] = 0 // it is past
 	}
-	r.at = max(r.at, at)
 }
--- a/internal/retry/returns_test.go
+++ b/internal/retry/returns_test.go
@@ -53,7 +53,7 @@
 }
 
 // playSurge plays it for callers that have some time each, with what routers advise.
-func playSurge(seed uint64, patience time.Duration, advise func(router int, now time.Time, most time.Duration) time.Duration, told [surgeRouters]*Returns) surgeOutcome {
+func playSurge(seed uint64, patience time.Duration, advise func(router int, now time.Time, left time.Duration) time.Duration, told [surgeRouters]*Returns) surgeOutcome {
 	random := rand.New(rand.NewPCG(seed, 6))
 	var next visits
 	start := time.Unix(1000, 0)
@@ -84,7 +84,7 @@
 			out.again++
 		}
 		left := patience - v.at.Sub(v.first)
-		back := min(advise(router, v.at, left/3), left/3)
+		back := min(advise(router, v.at, left), left/3)
 		if back < 100*time.Millisecond {
 			out.unserved++
 			continue
@@ -126,8 +126,8 @@
 			fixed = fixed.plus(playSurge(seed, c.patience, func(int, time.Time, time.Duration) time.Duration { return time.Second }, newReturns()))
 			random := rand.New(rand.NewPCG(seed, 8))
 			told := newReturns()
-			planned = planned.plus(playSurge(seed, c.patience, func(router int, now time.Time, most time.Duration) time.Duration {
-				return told[router].Advise(now, most, random.Float64())
+			planned = planned.plus(playSurge(seed, c.patience, func(router int, now time.Time, left time.Duration) time.Duration {
+				return told[router].Advise(now, left, random.Float64())
 			}, told))
 		}
 		t.Logf("of %d callers with %v, turned away after they came back: %d with a fixed second, %d as advised; unserved: %d, %d",
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -23,8 +23,7 @@
 	// One bucket more than the window is kept of retries and one less of requests,
 	// so that a window that begins within a bucket is covered.
 	buckets [windowBuckets + 1]windowBucket
-	at      int64     // number of the newest bucket
-	since   time.Time // when the first one began
+	slots   slots
 }
 
 type windowBucket struct {
@@ -58,21 +57,13 @@
 
 // index returns where the bucket lies that is back buckets before the newest.
 func (w *Window) index(back int) int {
-	n := int64(len(w.buckets))
-	return int(((w.at-int64(back))%n + n) % n)
+	return w.slots.index(-int64(back), len(w.buckets))
 }
 
-// advance makes the bucket of now the newest one. Time does not go back.
+// advance makes the bucket of now the newest one.
 func (w *Window) advance(now time.Time, r Rule) {
 	length := max(r.Window/windowBuckets, time.Millisecond)
-	if w.since.IsZero() {
-		w.since = now // differences are taken on the monotonic clock: the time of day may jump
+	for back := range w.slots.advance(now, length, int64(len(w.buckets))) {
+		w.buckets[w.index(int(back))] = windowBucket{}
 	}
-	at := now.Sub(w.since).Nanoseconds() / int64(length)
-	steps := min(max(at-w.at, 0), int64(len(w.buckets)))
-	for range steps {
-		w.at++
-		w.buckets[w.index(0)] = windowBucket{}
-	}
-	w.at = max(w.at, at)
 }
--- a/internal/router/limits.go
+++ b/internal/router/limits.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -140,17 +139,9 @@
 	return b.pool.window.Withdraw(time.Now(), b.limits.rule)
 }
 
-// awayShare is the part of the time that it has left for which a caller stays away, at
-// most, when it is told to come back: it wants time for two more tries.
-const awayShare = 1.0 / 3
-
 // RetryAfter implements dispatch.Budget.
 func (b poolBudget) RetryAfter(left time.Duration) time.Duration {
-	most := times(awayShare, left)
-	if left <= 0 {
-		most = math.MaxInt64
-	}
 	b.limits.mu.Lock()
 	defer b.limits.mu.Unlock()
-	return b.pool.returns.Advise(time.Now(), most, rand.Float64())
+	return b.pool.returns.Advise(time.Now(), left, rand.Float64())
 }
