load: one word on how far an old report is trusted

Load and Upper each worked out the weight of an upstream's last report, and Upper, which is asked for each candidate of a request, both; it is worked out once now. The set of the members to keep was built by hand in three types and in another way in the fourth: SetOf.

--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -23,6 +23,15 @@
 	return VM(xxh3.HashString(id))
 }
 
+// SetOf returns the set of some VMs, for those that forget all others.
+func SetOf(vms []VM) map[VM]bool {
+	set := make(map[VM]bool, len(vms))
+	for _, vm := range vms {
+		set[vm] = true
+	}
+	return set
+}
+
 // State is whether an upstream takes new work.
 type State byte
 
--- a/internal/load/pace.go
+++ b/internal/load/pace.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -83,11 +84,6 @@
 
 // Keep forgets every upstream that is not among members.
 func (p *Pace) Keep(members []VM) {
-	kept := make(map[VM]pace, len(members))
-	for _, vm := range members {
-		if s, known := p.seen[vm]; known {
-			kept[vm] = s
-		}
-	}
-	p.seen = kept
+	wanted := SetOf(members)
+	maps.DeleteFunc(p.seen, func(vm VM, _ pace) bool { return !wanted[vm] })
 }
--- a/internal/load/table.go
+++ b/internal/load/table.go
@@ -63,10 +63,7 @@
 
 // Keep forgets every upstream that is not among members.
 func (t *Table) Keep(members []VM) {
-	wanted := make(map[VM]bool, len(members))
-	for _, vm := range members {
-		wanted[vm] = true
-	}
+	wanted := SetOf(members)
 	t.removeIf(func(e *entry) bool { return !wanted[e.vm] })
 }
 
--- a/internal/load/tally.go
+++ b/internal/load/tally.go
@@ -102,10 +102,7 @@
 
 // Keep forgets every upstream that is not among members.
 func (t *Tally) Keep(members []VM) {
-	wanted := make(map[VM]bool, len(members))
-	for _, vm := range members {
-		wanted[vm] = true
-	}
+	wanted := SetOf(members)
 	for vm, e := range t.entries {
 		if !wanted[vm] {
 			t.own -= e.own
@@ -115,16 +112,25 @@
 	t.sum()
 }
 
+// trust returns how much what the upstream has told last counts against the mean: from 1,
+// as it tells, to 0.
+func (e *tally) trust(now time.Time) float64 {
+	if e == nil || e.at.IsZero() {
+		return 0
+	}
+	return math.Exp(-now.Sub(e.at).Seconds() / othersFor.Seconds())
+}
+
 // Load returns the believed load of an upstream.
 func (t *Tally) Load(now time.Time, vm VM) float64 {
 	e := t.entries[vm]
+	return t.believed(e, e.trust(now))
+}
+
+func (t *Tally) believed(e *tally, trust float64) float64 {
 	if e == nil {
 		return t.meanOthers()
 	}
-	if e.at.IsZero() {
-		return float64(e.own) + t.meanOthers()
-	}
-	trust := math.Exp(-now.Sub(e.at).Seconds() / othersFor.Seconds())
 	return float64(e.own) + trust*float64(e.others) + (1-trust)*t.meanOthers()
 }
 
@@ -136,11 +142,9 @@
 // some deviations of the part that was not heard of lately. Requests of others come
 // by chance, so that their number varies by its root.
 func (t *Tally) Upper(now time.Time, vm VM) float64 {
-	trust := 0.0
-	if e := t.entries[vm]; e != nil && !e.at.IsZero() {
-		trust = math.Exp(-now.Sub(e.at).Seconds() / othersFor.Seconds())
-	}
-	return t.Load(now, vm) + upperDeviations*(1-trust)*math.Sqrt(t.meanOthers())
+	e := t.entries[vm]
+	trust := e.trust(now)
+	return t.believed(e, trust) + upperDeviations*(1-trust)*math.Sqrt(t.meanOthers())
 }
 
 // Mean returns the believed mean load of n upstreams.
--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -164,10 +164,7 @@
 
 // Keep forgets every upstream that is not among members.
 func (d *Detector) Keep(members []load.VM) {
-	wanted := make(map[load.VM]bool, len(members))
-	for _, vm := range members {
-		wanted[vm] = true
-	}
+	wanted := load.SetOf(members)
 	for _, counts := range []map[load.VM]count{d.counts, d.told, d.news} {
 		maps.DeleteFunc(counts, func(vm load.VM, _ count) bool { return !wanted[vm] })
 	}
