model: the project's LRU, and no watching of attempts that are over

memory was a list and a map by hand; simplelru does it, as in the router. An upstream knows its settings in place of asking the configuration at each step. Each attempt went on looking for a crash of its upstream ten times a second for as long as that had any load, also long after it had ended: it stops with the attempt.

--- a/internal/model/callers.go
+++ b/internal/model/callers.go
@@ -156,7 +156,7 @@
 			r.tracker.Went(f.clock.now, u.id, kind, f.clock.now.Sub(sent), well)
 		}
 	}
-	life, over := u.life, false
+	over := false
 	end := func() {
 		if !over {
 			over = true
@@ -180,12 +180,10 @@
 	}
 	f.clock.after(time.Duration(balance.HangTimes*float64(f.config.Callers.Objective)), func() { judge(false) })
 	f.clock.after(f.config.Callers.Patience-f.clock.now.Sub(c.asked), end)
-	f.watchCrash(u, life, func() {
-		if !over && !c.ended {
-			end()
-			judge(false)
-			f.again(r, c, q)
-		}
+	f.watchCrash(u, u.life, func() bool { return over || c.ended }, func() {
+		end()
+		judge(false)
+		f.again(r, c, q)
 	})
 	f.clock.after(hop, func() {
 		if c.ended || u.offer(j) {
@@ -197,23 +195,23 @@
 	})
 }
 
-// watchCrash calls do when an upstream has crashed since a life of it.
-func (f *fleet) watchCrash(u *upstream, life int, do func()) {
+// watchCrash calls do when an upstream has crashed since a life of it, unless that is of
+// no more interest.
+func (f *fleet) watchCrash(u *upstream, life int, over func() bool, do func()) {
 	f.clock.after(sampleEvery, func() {
 		switch {
+		case over():
 		case u.life != life:
 			do()
-		case f.clock.now.Before(f.clock.end):
-			if u.load() > 0 {
-				f.watchCrash(u, life, do)
-			}
+		case u.load() > 0 && f.clock.now.Before(f.clock.end):
+			f.watchCrash(u, life, over, do)
 		}
 	})
 }
 
 // donor returns the upstream that the router names as the holder of a prompt, or nil.
 func (f *fleet) donor(r *router, c *call, choice placement.Choice) *upstream {
-	if !f.on.Donors || c.session.id == 0 || f.config.Pool.Engine == nil {
+	if !f.on.Donors || c.session.id == 0 || f.upstreams[choice.Index].engine == nil {
 		return nil
 	}
 	if last, ok := r.last[c.session.id]; ok && f.on.LastServed && last != choice.Index {
--- a/internal/model/upstream.go
+++ b/internal/model/upstream.go
@@ -1,11 +1,12 @@
 package model
 
 import (
-	"container/list"
 	"fmt"
 	"math"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"github.com/parsleyfront/parsleyfront/internal/load"
 )
 
@@ -16,8 +17,11 @@
 // upstream is an engine or a plain service.
 type upstream struct {
 	fleet   *fleet
+	engine  *Engine // nil: a plain service
 	id      load.VM
 	name    string
+	places  int // requests that it works on at a time
+	room    int // requests that may wait
 	life    int // how often it has crashed
 	running int
 	queue   []*job
@@ -42,8 +46,11 @@
 func newUpstream(f *fleet, i int) *upstream {
 	name := fmt.Sprint("upstream-", i)
 	u := &upstream{fleet: f, id: load.Hash(name), name: name, slow: 1}
+	if p := f.config.Pool.Plain; p != nil {
+		u.places, u.room = p.Slots, p.Queue
+	}
 	if e := f.config.Pool.Engine; e != nil {
-		u.memory = newMemory(e.Memory)
+		u.engine, u.places, u.room, u.memory = e, e.Batch, e.Queue, newMemory(e.Memory)
 	}
 	return u
 }
@@ -65,9 +72,9 @@
 		u.fleet.clock.after(hop, func() { j.done(false) })
 	case u.hang > 0 && random.Float64() < u.hang:
 		// nothing comes back
-	case u.running < u.places():
+	case u.running < u.places:
 		u.begin(j)
-	case len(u.queue) < u.room():
+	case len(u.queue) < u.room:
 		u.queue = append(u.queue, j)
 	default:
 		return false
@@ -75,24 +82,10 @@
 	return true
 }
 
-func (u *upstream) places() int {
-	if e := u.fleet.config.Pool.Engine; e != nil {
-		return e.Batch
-	}
-	return u.fleet.config.Pool.Plain.Slots
-}
-
-func (u *upstream) room() int {
-	if e := u.fleet.config.Pool.Engine; e != nil {
-		return e.Queue
-	}
-	return u.fleet.config.Pool.Plain.Queue
-}
-
 func (u *upstream) begin(j *job) {
 	u.running++
-	if e := u.fleet.config.Pool.Engine; e != nil {
-		u.read(e, j)
+	if u.engine != nil {
+		u.read(j)
 		return
 	}
 	work := u.times(time.Duration(u.fleet.random.ExpFloat64() * float64(u.fleet.config.Pool.Plain.Work)))
@@ -123,8 +116,8 @@
 
 // read has an engine get and read what it lacks of a prompt, one prompt at a time, and
 // begin the answer.
-func (u *upstream) read(e *Engine, j *job) {
-	c := j.call
+func (u *upstream) read(j *job) {
+	e, c := u.engine, j.call
 	held := min(u.memory.held(c.session.id), c.prompt)
 	moved := 0
 	if j.donor != nil {
@@ -146,20 +139,21 @@
 	u.after(j, u.reading.Sub(now)+u.times(e.First), func() {
 		u.memory.keep(c.session.id, c.prompt+c.fresh)
 		j.first()
-		u.generate(e, j, c.answer)
+		u.generate(j, c.answer)
 	})
 }
 
 // generate has an engine generate so many tokens more.
-func (u *upstream) generate(e *Engine, j *job, tokens int) {
+func (u *upstream) generate(j *job, tokens int) {
 	if tokens <= 0 {
 		u.memory.keep(j.call.session.id, j.call.prompt+j.call.fresh+j.call.answer)
 		u.end(j)
 		return
 	}
+	e := u.engine
 	step := e.Step + time.Duration(u.running)*e.StepPerSlot + time.Duration(float64(u.context)/1000*float64(e.StepPerKToken))
 	n := min(stride, tokens)
-	u.after(j, u.times(time.Duration(n)*step), func() { u.generate(e, j, tokens-n) })
+	u.after(j, u.times(time.Duration(n)*step), func() { u.generate(j, tokens-n) })
 }
 
 func (u *upstream) end(j *job) {
@@ -171,7 +165,7 @@
 func (u *upstream) leave(j *job) {
 	u.running--
 	u.context = max(0, u.context-j.call.prompt)
-	for u.running < u.places() && len(u.queue) > 0 {
+	for u.running < u.places && len(u.queue) > 0 {
 		next := u.queue[0]
 		u.queue = u.queue[1:]
 		if !next.call.left {
@@ -184,8 +178,8 @@
 func (u *upstream) crash() {
 	u.life++
 	u.running, u.queue, u.context, u.reading = 0, nil, 0, time.Time{}
-	if e := u.fleet.config.Pool.Engine; e != nil {
-		u.memory = newMemory(e.Memory)
+	if u.engine != nil {
+		u.memory = newMemory(u.engine.Memory)
 	}
 }
 
@@ -195,43 +189,31 @@
 
 // memory is the prompts that an engine keeps, those used last.
 type memory struct {
-	most   int
-	tokens int
-	order  *list.List // of kept, the one used last in front
-	byID   map[uint64]*list.Element
-}
-
-type kept struct {
-	session uint64
+	most    int
 	tokens  int
+	prompts *simplelru.LRU[uint64, int] // tokens by session
 }
 
 func newMemory(most int) memory {
-	return memory{most: most, order: list.New(), byID: make(map[uint64]*list.Element)}
+	prompts, err := simplelru.NewLRU[uint64, int](math.MaxInt, nil)
+	if err != nil {
+		panic(err) // only for a size that is not positive
+	}
+	return memory{most: most, prompts: prompts}
 }
 
 // held returns how many tokens of a session's prompt are kept.
 func (m *memory) held(session uint64) int {
-	if e, ok := m.byID[session]; ok {
-		return e.Value.(kept).tokens
-	}
-	return 0
+	tokens, _ := m.prompts.Peek(session)
+	return tokens
 }
 
 // keep keeps a session's prompt and forgets those used longest ago.
 func (m *memory) keep(session uint64, tokens int) {
-	if e, ok := m.byID[session]; ok {
-		m.drop(e)
+	m.tokens += tokens - m.held(session)
+	m.prompts.Add(session, tokens)
+	for m.tokens > m.most && m.prompts.Len() > 1 {
+		_, oldest, _ := m.prompts.RemoveOldest()
+		m.tokens -= oldest
 	}
-	m.byID[session] = m.order.PushFront(kept{session, tokens})
-	m.tokens += tokens
-	for m.tokens > m.most && m.order.Len() > 1 {
-		m.drop(m.order.Back())
-	}
-}
-
-func (m *memory) drop(e *list.Element) {
-	k := m.order.Remove(e).(kept)
-	m.tokens -= k.tokens
-	delete(m.byID, k.session)
 }
