--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -115,21 +115,14 @@
 	p := newPlot("time to the first byte", "milliseconds", "part of the answers")
 	p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
 	for i, policy := range f.Policies {
-		var all *hdrhistogram.Histogram
-		for _, r := range runs {
-			switch {
-			case r.Policy != policy.Name:
-			case all == nil:
-				all = hdrhistogram.Import(r.first.Export())
-			default:
-				all.Merge(r.first)
-			}
+		its := of(runs, policy.Name)
+		all := hdrhistogram.Import(its[0].first.Export())
+		for _, r := range its[1:] {
+			all.Merge(r.first)
 		}
 		var points plotter.XYs
-		if all != nil {
-			for _, b := range all.CumulativeDistribution() {
-				points = append(points, plotter.XY{X: max(float64(b.ValueAt)/1000, leastMS), Y: b.Quantile / 100})
-			}
+		for _, b := range all.CumulativeDistribution() {
+			points = append(points, plotter.XY{X: max(float64(b.ValueAt)/1000, leastMS), Y: b.Quantile / 100})
 		}
 		if err := add(p, i, policy.Name, points); err != nil {
 			return nil, err
@@ -146,7 +139,7 @@
 	return func(f *File, runs []Run) (*plot.Plot, error) {
 		p := newPlot(title, "seconds", label)
 		for i, policy := range f.Policies {
-			if err := add(p, i, policy.Name, meanOverTime(policy.Name, runs, figure)); err != nil {
+			if err := add(p, i, policy.Name, meanOverTime(of(runs, policy.Name), figure)); err != nil {
 				return nil, err
 			}
 		}
@@ -154,13 +147,10 @@
 	}
 }
 
-func meanOverTime(policy string, runs []Run, figure func(model.Second) float64) plotter.XYs {
+func meanOverTime(runs []Run, figure func(model.Second) float64) plotter.XYs {
 	var sums []float64
 	var counts []int
 	for _, r := range runs {
-		if r.Policy != policy {
-			continue
-		}
 		for at, s := range r.Seconds {
 			if at == len(sums) {
 				sums, counts = append(sums, 0), append(counts, 0)
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -89,6 +89,11 @@
 	return nil
 }
 
+// of returns the runs of one policy.
+func of(runs []Run, policy string) []Run {
+	return slices.DeleteFunc(slices.Clone(runs), func(r Run) bool { return r.Policy != policy })
+}
+
 // Spread is a figure over the seeds.
 type Spread struct {
 	Mean, Low, High float64
@@ -116,9 +121,9 @@
 func Summarise(f *File, runs []Run) []Summary {
 	out := make([]Summary, 0, len(f.Policies))
 	for _, p := range f.Policies {
-		of := slices.DeleteFunc(slices.Clone(runs), func(r Run) bool { return r.Policy != p.Name })
+		its := of(runs, p.Name)
 		part := func(n func(model.Second) int) Spread {
-			return spreadOf(of, func(r Run) float64 { return float64(n(r.Sum)) / float64(cmp.Or(r.Sum.Asked, 1)) })
+			return spreadOf(its, func(r Run) float64 { return float64(n(r.Sum)) / float64(cmp.Or(r.Sum.Asked, 1)) })
 		}
 		out = append(out, Summary{
 			Policy:     p.Name,
@@ -127,13 +132,13 @@
 			Refused:    part(func(s model.Second) int { return s.Refused }),
 			Failed:     part(func(s model.Second) int { return s.Failed }),
 			TurnedAway: part(func(s model.Second) int { return s.TurnedAway }),
-			Reuse:      spreadOf(of, func(r Run) float64 { return r.Reuse }),
-			Moved:      spreadOf(of, func(r Run) float64 { return float64(r.Moved) }),
-			Read:       spreadOf(of, func(r Run) float64 { return float64(r.Read) }),
-			Skew:       spreadOf(of, func(r Run) float64 { return r.Sum.Skew }),
-			P50:        spreadOf(of, func(r Run) float64 { return r.FirstMS.P50 }),
-			P95:        spreadOf(of, func(r Run) float64 { return r.FirstMS.P95 }),
-			P99:        spreadOf(of, func(r Run) float64 { return r.FirstMS.P99 }),
+			Reuse:      spreadOf(its, func(r Run) float64 { return r.Reuse }),
+			Moved:      spreadOf(its, func(r Run) float64 { return float64(r.Moved) }),
+			Read:       spreadOf(its, func(r Run) float64 { return float64(r.Read) }),
+			Skew:       spreadOf(its, func(r Run) float64 { return r.Sum.Skew }),
+			P50:        spreadOf(its, func(r Run) float64 { return r.FirstMS.P50 }),
+			P95:        spreadOf(its, func(r Run) float64 { return r.FirstMS.P95 }),
+			P99:        spreadOf(its, func(r Run) float64 { return r.FirstMS.P99 }),
 		})
 	}
 	return out
