load, outlier, router: loads are told by name, in full, with their age

Cause: of a pool of more than 96 upstreams only the 32 highest loads were told, so that each of 68 routers took the mean for the others; loads and outcomes were named by places in a list, and left out by whoever held another one; a load that had gone through three routers was taken for a new one.

Change: an entry is the short name of an upstream, its load and its age; up to 160 fit a message, larger pools are told the 32 highest and the others by turns; pools that do not fit into one message take turns (before, a message that was too long was not sent at all).

Tests, which fail on the former code: TestLargePoolsAreToldInFull (85 of 117 not known), TestOldLoadsDoNotReplaceNewerOnes (20 for 3), TestLoadsSurviveAChangeOfTheList, TestManyPoolsAreToldByTurns. TestLoadsOfAnotherListAreLeftOut holds unchanged.

--- a/internal/balance/share.go
+++ b/internal/balance/share.go
@@ -8,8 +8,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/policy"
 )
 
-// Shared is what routers tell each other of a pool's upstreams, by their places in a list
-// that both have.
+// Shared is what routers tell each other of a pool's upstreams, by their short names.
 type Shared struct {
 	Loads    []byte
 	Outcomes []byte // how requests went
--- a/internal/load/share.go
+++ b/internal/load/share.go
@@ -9,141 +9,138 @@
 
 // Routers that call upstreams themselves tell each other loads through the router
 // that they rely on: each tells that one what it has heard, and is told what that
-// one knows. Loads are named by their upstream's place in the pool's list, which
-// both must hold; a byte is a load.
+// one knows. An entry is the short name of its upstream (2 bytes, big-endian), its load
+// (1) and the age of that (1).
+//
+// Upstreams are named, not numbered by a list that both sides must hold: where they are
+// replaced one after the other, routers hold different lists much of the time.
 const (
-	// sharedMost is how many loads a message holds in full. In a larger pool the
-	// highest are told, which are those that a bound is about.
-	sharedMost = 96
-	// sharedHighest is how many loads are told of a larger pool.
+	// sharedMost is how many loads one message holds. Of a larger pool the highest are
+	// told, which are those that a bound is about, and the others by turns.
+	sharedMost = 160
+	// sharedHighest is how many of the highest loads each message about such a pool holds.
 	sharedHighest = 32
 	// sharedFor is how long after it was heard a load is told.
 	sharedFor = time.Second
 	// ownWordFor is how long a router's own word from an upstream counts more than
 	// another's: about as long as that one took.
 	ownWordFor = 100 * time.Millisecond
+	// sharedAge is the unit of the age of a load.
+	sharedAge = 10 * time.Millisecond
 
-	// A message begins with its form.
-	shareFull  = 1 // loads in the order of the list
-	shareSome  = 2 // place (2 bytes, big-endian) and load
-	someSize   = 3
-	loadUnsaid = 255 // in a full list: not known
-	loadMost   = 254
+	shareSize = 4
+	loadMost  = 255
+	ageMost   = 255
 )
 
-// PackObserved returns what this router, or one that tells it, has heard of members
-// after a time; nil: nothing.
-func (t *Tally) PackObserved(now, after time.Time, members []VM) []byte {
-	b := []byte{shareSome}
-	for i, vm := range members {
-		e := t.entries[vm]
-		if e == nil || e.told || !e.at.After(after) || i > placeMost {
-			continue
+// ShortName returns the name of an upstream in messages between routers. Two upstreams of
+// a pool seldom have the same; if so, neither is told of.
+func (vm VM) ShortName() uint16 { return uint16(vm) }
+
+// ShortNames returns the upstreams of a pool by their short names, without those of which
+// two have the same.
+func ShortNames(members []VM) map[uint16]VM {
+	named := make(map[uint16]VM, len(members))
+	var twice []uint16
+	for _, vm := range members {
+		if other, taken := named[vm.ShortName()]; taken && other != vm {
+			twice = append(twice, vm.ShortName())
 		}
-		b = appendSome(b, i, t.shared(now, vm))
+		named[vm.ShortName()] = vm
 	}
-	if len(b) == 1 {
-		return nil
+	for _, name := range twice {
+		delete(named, name)
 	}
-	return b
+	return named
 }
 
-// placeMost is the highest place that two bytes hold.
-const placeMost = 1<<16 - 1
-
-// PackKnown returns what this router knows of members; nil: nothing.
-func (t *Tally) PackKnown(now time.Time, members []VM) []byte {
-	if len(members) > sharedMost {
-		return t.packHighest(now, members)
-	}
-	b := make([]byte, 1, len(members)+1)
-	b[0] = shareFull
-	known := false
+// PackObserved returns what this router, or one that tells it, has heard of members
+// after a time; nil: nothing.
+func (t *Tally) PackObserved(now, after time.Time, members []VM) []byte {
+	var heard []VM
 	for _, vm := range members {
-		e := t.entries[vm]
-		if e == nil || e.at.IsZero() || now.Sub(e.at) > sharedFor {
-			b = append(b, loadUnsaid)
-			continue
+		if e := t.entries[vm]; e != nil && !e.told && e.at.After(after) {
+			heard = append(heard, vm)
 		}
-		b = append(b, t.shared(now, vm))
-		known = true
-	}
-	if !known {
-		return nil
 	}
-	return b
+	t.highestFirst(now, heard)
+	return t.pack(now, heard[:min(len(heard), sharedMost)])
 }
 
-// packHighest returns the highest loads.
-func (t *Tally) packHighest(now time.Time, members []VM) []byte {
-	places := make([]int, 0, len(members))
-	for i, vm := range members {
-		if e := t.entries[vm]; e != nil && !e.at.IsZero() && now.Sub(e.at) <= sharedFor && i <= placeMost {
-			places = append(places, i)
+// PackKnown returns what this router knows of members; nil: nothing. Of a pool that does
+// not fit into a message, it returns the highest loads, and of the others those that were
+// not told for longest.
+func (t *Tally) PackKnown(now time.Time, members []VM) []byte {
+	var known []VM
+	for _, vm := range members {
+		if e := t.entries[vm]; e != nil && !e.at.IsZero() && now.Sub(e.at) <= sharedFor {
+			known = append(known, vm)
 		}
 	}
-	if len(places) == 0 {
-		return nil
+	if len(known) > sharedMost {
+		t.highestFirst(now, known)
+		slices.SortStableFunc(known[sharedHighest:], func(a, b VM) int {
+			return t.entries[a].packed.Compare(t.entries[b].packed)
+		})
+		known = known[:sharedMost]
 	}
-	slices.SortFunc(places, func(x, y int) int {
-		return cmp.Compare(t.Load(now, members[y]), t.Load(now, members[x]))
-	})
-	b := []byte{shareSome}
-	for _, i := range places[:min(len(places), sharedHighest)] {
-		b = appendSome(b, i, t.shared(now, members[i]))
+	for _, vm := range known {
+		t.entries[vm].packed = now
 	}
-	return b
+	return t.pack(now, known)
 }
 
-func appendSome(b []byte, place int, load byte) []byte {
-	return append(binary.BigEndian.AppendUint16(b, uint16(place)), load)
+func (t *Tally) highestFirst(now time.Time, vms []VM) {
+	slices.SortStableFunc(vms, func(a, b VM) int { return cmp.Compare(t.Load(now, b), t.Load(now, a)) })
 }
 
-// shared returns a load as a byte.
-func (t *Tally) shared(now time.Time, vm VM) byte {
-	return byte(min(max(t.Load(now, vm)+0.5, 0), loadMost))
+func (t *Tally) pack(now time.Time, vms []VM) []byte {
+	var b []byte
+	for _, vm := range vms {
+		e := t.entries[vm]
+		age := min(max(now.Sub(e.at), 0)/sharedAge, ageMost)
+		b = binary.BigEndian.AppendUint16(b, vm.ShortName())
+		b = append(b, e.shared(), byte(age))
+	}
+	return b
+}
+
+// shared returns a load as a byte: what it was when it was heard, since it goes with its
+// age, and who is told lets it fade by that.
+func (e *tally) shared() byte {
+	return byte(min(max(e.own+e.others, 0), loadMost))
 }
 
 // MergeObserved takes in what a router has heard that tells this one. It is passed on.
 func (t *Tally) MergeObserved(now time.Time, members []VM, packed []byte) error {
-	return eachShared(packed, members, func(vm VM, load int) { t.merge(now, vm, load, false) })
+	return t.mergeAll(now, members, packed, false)
 }
 
 // MergeKnown takes in what the router knows that this one relies on.
 func (t *Tally) MergeKnown(now time.Time, members []VM, packed []byte) error {
-	return eachShared(packed, members, func(vm VM, load int) { t.merge(now, vm, load, true) })
-}
-
-func (t *Tally) merge(now time.Time, vm VM, load int, told bool) {
-	e := t.entry(vm)
-	if !e.told && now.Sub(e.at) < ownWordFor {
-		return
-	}
-	t.Observe(now, vm, load)
-	e.told = told
+	return t.mergeAll(now, members, packed, true)
 }
 
-// eachShared calls f for each load of a message.
-func eachShared(packed []byte, members []VM, f func(vm VM, load int)) error {
-	if len(packed) == 0 {
-		return nil
+func (t *Tally) mergeAll(now time.Time, members []VM, packed []byte, told bool) error {
+	if len(packed)%shareSize != 0 {
+		return ErrPacked
 	}
-	form, b := packed[0], packed[1:]
-	switch {
-	case form == shareFull && len(b) == len(members):
-		for i, load := range b {
-			if load != loadUnsaid {
-				f(members[i], int(load))
-			}
-		}
-	case form == shareSome && len(b)%someSize == 0:
-		for ; len(b) > 0; b = b[someSize:] {
-			if place := int(binary.BigEndian.Uint16(b)); place < len(members) {
-				f(members[place], int(b[2]))
-			}
+	named := ShortNames(members)
+	for b := packed; len(b) > 0; b = b[shareSize:] {
+		if vm, ok := named[binary.BigEndian.Uint16(b)]; ok {
+			t.merge(now.Add(-time.Duration(b[3])*sharedAge), vm, int(b[2]), told)
 		}
-	default:
-		return ErrPacked
 	}
 	return nil
 }
+
+// merge takes in a load of an earlier moment, unless what is known is as new. Without its
+// age, what comes through three routers would take the place of newer knowledge.
+func (t *Tally) merge(at time.Time, vm VM, load int, told bool) {
+	e := t.entry(vm)
+	if at.Sub(e.at) <= 0 || !e.told && at.Sub(e.at) < ownWordFor {
+		return
+	}
+	t.Observe(at, vm, load)
+	e.told = told
+}
--- a/internal/load/share_test.go
+++ b/internal/load/share_test.go
@@ -46,6 +46,61 @@
 	})
 }
 
+// A pool of 117 upstreams behind 68 routers, one of which knows all loads. Told the 32
+// highest only, the others take the mean for the rest, and do not see which upstreams have
+// room: 81 of 2410 requests went to upstreams over the operators' bound beside a hot
+// session. One of 2,900 upstreams does not fit into a message, and is known within a round
+// of them.
+func TestLargePoolsAreToldInFull(t *testing.T) {
+	for _, c := range []struct{ upstreams, messages int }{{117, 1}, {160, 1}, {400, 4}, {2900, 23}} {
+		members := vms(c.upstreams)
+		reader, router := NewTally(), NewTally()
+		now := start
+		for range c.messages {
+			for i, vm := range members {
+				reader.Observe(now, vm, i%60)
+			}
+			b := reader.PackKnown(now, members)
+			if limit := 4 * 160; len(b) > limit {
+				t.Errorf("%d upstreams: a message of %d bytes, want %d at most", c.upstreams, len(b), limit)
+			}
+			if err := router.MergeKnown(now, members, b); err != nil {
+				t.Fatal(err)
+			}
+			now = now.Add(200 * time.Millisecond)
+		}
+		unknown := 0
+		for _, vm := range members {
+			if router.entries[vm] == nil {
+				unknown++
+			}
+		}
+		if unknown > 0 {
+			t.Errorf("%d upstreams: after %d messages the loads of %d are not known", c.upstreams, c.messages, unknown)
+		}
+	}
+}
+
+// A load goes through three routers, which takes a second. By then a fourth router has
+// heard a newer one from the upstream's own answer, and must keep it.
+func TestOldLoadsDoNotReplaceNewerOnes(t *testing.T) {
+	members := vms(1)
+	first, second, last := NewTally(), NewTally(), NewTally()
+	first.Observe(start, members[0], 20)
+	then := start.Add(500 * time.Millisecond)
+	if err := second.MergeObserved(then, members, first.PackObserved(then, time.Time{}, members)); err != nil {
+		t.Fatal(err)
+	}
+	last.Observe(then, members[0], 3)
+	now := start.Add(900 * time.Millisecond)
+	if err := last.MergeKnown(now, members, second.PackKnown(now, members)); err != nil {
+		t.Fatal(err)
+	}
+	if got := last.Load(then, members[0]); got > 4 {
+		t.Errorf("load %.1f, want the newer 3", got)
+	}
+}
+
 // Two routers tell each other loads. If each passed on what it has only from the
 // other, a load that was true once would go between them for good.
 func TestToldLoadsAreNotToldBack(t *testing.T) {
@@ -120,7 +175,8 @@
 	known.Observe(start, members[2], 7)
 	f.Add(known.PackKnown(start, members))
 	f.Add(known.PackObserved(start, time.Time{}, members))
-	f.Add([]byte{shareSome, 255, 255, 1})
+	f.Add([]byte{255, 255, 1, 0})
+	f.Add([]byte{0, 1, 255, 255, 0, 1, 7, 0})
 	f.Add([]byte{9})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		tally := NewTally()
--- a/internal/load/tally.go
+++ b/internal/load/tally.go
@@ -30,6 +30,7 @@
 	others int       // requests of other routers when the upstream told its load
 	at     time.Time // when that was; zero: never
 	told   bool      // by the router that this one relies on, not by the upstream
+	packed time.Time // when it was told to other routers last; zero: never
 }
 
 // NewTally returns an empty Tally.
--- a/internal/outlier/share.go
+++ b/internal/outlier/share.go
@@ -13,8 +13,8 @@
 
 // A router of many sees an upstream every few seconds, and a failure of it less often.
 // So each reports what it has seen to the router that it relies on, which tells all
-// what comes of it. Upstreams are named by their place in the pool's list, which both
-// must hold. An entry is the place, in two bytes, and the two counts, a byte each.
+// what comes of it. An entry is the short name of an upstream, in two bytes, and the two
+// counts, a byte each.
 const (
 	entrySize = 4
 	// reported is how many upstreams a report names, those with most failures.
@@ -24,8 +24,6 @@
 	toldMost, toldLeast = 32, 0.5
 	// scale is how many steps of a told count make one; the largest is 31.
 	scale = 8
-	// placeMost is the highest place that two bytes hold.
-	placeMost = 1<<16 - 1
 )
 
 // ErrMalformed is a message that makes no sense.
@@ -75,19 +73,19 @@
 
 // pack returns counts as entries, at most some, those with most failures.
 func pack(members []load.VM, counts map[load.VM]count, scale float64, most int) []byte {
-	places := make([]int, 0, len(counts))
-	for i, vm := range members {
-		if counts[vm].all > 0 && i <= placeMost {
-			places = append(places, i)
+	counted := make([]load.VM, 0, len(counts))
+	for _, vm := range members {
+		if counts[vm].all > 0 {
+			counted = append(counted, vm)
 		}
 	}
-	slices.SortStableFunc(places, func(a, b int) int {
-		return cmp.Compare(counts[members[b]].failed, counts[members[a]].failed)
+	slices.SortStableFunc(counted, func(a, b load.VM) int {
+		return cmp.Compare(counts[b].failed, counts[a].failed)
 	})
 	var out []byte
-	for _, i := range places[:min(len(places), most)] {
-		c := counts[members[i]]
-		out = binary.BigEndian.AppendUint16(out, uint16(i))
+	for _, vm := range counted[:min(len(counted), most)] {
+		c := counts[vm]
+		out = binary.BigEndian.AppendUint16(out, vm.ShortName())
 		out = append(out, toByte(c.failed*scale), toByte(c.all*scale))
 	}
 	return out
@@ -102,11 +100,11 @@
 	if len(b)%entrySize != 0 {
 		return ErrMalformed
 	}
+	named := load.ShortNames(members)
 	for ; len(b) > 0; b = b[entrySize:] {
-		place := int(binary.BigEndian.Uint16(b))
 		failed, all := float64(b[2])/scale, float64(b[3])/scale
-		if place < len(members) {
-			f(members[place], count{failed: failed, all: max(all, failed)})
+		if vm, ok := named[binary.BigEndian.Uint16(b)]; ok {
+			f(vm, count{failed: failed, all: max(all, failed)})
 		}
 	}
 	return nil
--- a/internal/router/mesh.go
+++ b/internal/router/mesh.go
@@ -70,6 +70,7 @@
 	// What follows is owned by the control loop.
 	told     []byte    // with the last beats
 	toldAt   time.Time // when that was put together
+	turn     int       // the pool, in the order of names, with which the next beats begin
 	sharedAt time.Time // when what was heard was shared last
 }
 
@@ -152,7 +153,8 @@
 		e.Beat.Sharing = m.known(time.Now())
 		m.send(e.To, e, meshBeatSent)
 	case relay.SendShare:
-		if e.Share.Sharing = m.heard(time.Now()); e.Share.Sharing != nil {
+		for _, b := range m.heard(time.Now()) {
+			e.Share.Sharing = b
 			m.send(e.To, e, meshShareSent)
 		}
 	case relay.SendSubscribe:
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -17,49 +19,87 @@
 
 // sharedPool is the loads of one pool's upstreams.
 type sharedPool struct {
-	Pool uint32 `cbor:"1,keyasint"` // hash of its name
-	// List is a hash of the upstreams that serve. Loads are told by places in that
-	// list, and mean nothing to a router that has another one.
-	List  uint32 `cbor:"2,keyasint"`
+	Pool  uint32 `cbor:"1,keyasint"` // hash of its name
 	Loads []byte `cbor:"3,keyasint,omitempty"`
-	// Outcomes is how requests went at upstreams, by place as well.
+	// Outcomes is how requests went at upstreams.
 	Outcomes []byte `cbor:"4,keyasint,omitempty"`
 }
 
-// tellEvery is for how long what a router knows is not put together anew: beats to
-// many routers leave at the same moment.
-const tellEvery = 20 * time.Millisecond
+const (
+	// tellEvery is for how long what a router knows is not put together anew: beats to
+	// many routers leave at the same moment.
+	tellEvery = 20 * time.Millisecond
+	// sharingMost bounds what is shared in one message, in bytes: with what else a beat
+	// says it travels as one datagram. A pool's part takes at most 800.
+	sharingMost = 1000
+)
 
-// known returns what this router tells those that rely on it.
+// known returns what this router tells those that rely on it: of all pools, or of those
+// whose turn it is if they do not fit into one message.
 func (m *mesh) known(now time.Time) []byte {
 	if now.Sub(m.toldAt) < tellEvery {
 		return m.told
 	}
 	m.toldAt = now
-	m.told = m.pack(func(p *Pool) balance.Shared { return p.tracker.Known(now, p.serving) })
+	pools := m.pools(func(p *Pool) balance.Shared { return p.tracker.Known(now, p.serving) })
+	if len(pools) == 0 {
+		m.told = nil
+		return nil
+	}
+	m.turn %= len(pools)
+	pools = append(pools[m.turn:], pools[:m.turn]...)
+	n := fitting(pools)
+	m.turn += n
+	m.told = packed(pools[:n])
 	return m.told
 }
 
-// heard returns what this router tells the one that it relies on.
-func (m *mesh) heard(now time.Time) []byte {
+// heard returns what this router tells the one that it relies on, in messages.
+func (m *mesh) heard(now time.Time) [][]byte {
 	after := m.sharedAt
 	m.sharedAt = now
-	return m.pack(func(p *Pool) balance.Shared { return p.tracker.Seen(now, after, p.serving) })
+	pools := m.pools(func(p *Pool) balance.Shared { return p.tracker.Seen(now, after, p.serving) })
+	var out [][]byte
+	for len(pools) > 0 {
+		n := fitting(pools)
+		out = append(out, packed(pools[:n]))
+		pools = pools[n:]
+	}
+	return out
 }
 
-func (m *mesh) pack(of func(*Pool) balance.Shared) []byte {
-	var s sharing
+// pools returns what is to be told of each pool, in the order of their names.
+func (m *mesh) pools(of func(*Pool) balance.Shared) []sharedPool {
 	on := m.router.policy()
-	for name, p := range m.router.View().Pools {
-		shared := of(p).Allowed(on)
+	pools := m.router.View().Pools
+	var out []sharedPool
+	for _, name := range slices.Sorted(maps.Keys(pools)) {
+		shared := of(pools[name]).Allowed(on)
 		if shared.Loads != nil || shared.Outcomes != nil {
-			s.Pools = append(s.Pools, sharedPool{Pool: shortHash(name), List: p.list, Loads: shared.Loads, Outcomes: shared.Outcomes})
+			out = append(out, sharedPool{Pool: shortHash(name), Loads: shared.Loads, Outcomes: shared.Outcomes})
 		}
 	}
-	if len(s.Pools) == 0 {
-		return nil
+	return out
+}
+
+// sharedOverhead is what a pool takes in a message beside its entries, in bytes.
+const sharedOverhead = 16
+
+// fitting returns how many of the first pools fit into one message, one at least.
+func fitting(pools []sharedPool) int {
+	size := 0
+	for i, p := range pools {
+		size += sharedOverhead + len(p.Loads) + len(p.Outcomes)
+		if size > sharingMost && i > 0 {
+			return i
+		}
 	}
-	b, err := cbor.Marshal(s)
+	return len(pools)
+}
+
+// packed returns pools as they travel.
+func packed(pools []sharedPool) []byte {
+	b, err := cbor.Marshal(sharing{Pools: pools})
 	if err != nil {
 		slog.Error("what is shared between routers cannot be encoded", "error", err)
 		return nil
@@ -92,7 +132,7 @@
 	}
 	for _, told := range s.Pools {
 		p := byHash[told.Pool]
-		if p == nil || p.list != told.List {
+		if p == nil {
 			continue
 		}
 		merge := p.tracker.MergeKnown
--- a/internal/router/sharing_test.go
+++ b/internal/router/sharing_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -24,6 +25,15 @@
 	return &mesh{router: r}
 }
 
+// poolOf returns a pool of upstreams that are named after it.
+func poolOf(upstreams int, name string) *Pool {
+	vms := make([]topo.VM, upstreams)
+	for i := range vms {
+		vms[i] = topo.VM{ID: fmt.Sprint(name, "-", i), Role: topo.RoleDirect, Pool: name}
+	}
+	return newPool(vms, newBeliefs(), balance.NewTracker(), placement.Locality{}, nil)
+}
+
 func (m *mesh) pool() *Pool { return m.router.View().Pools["llm"] }
 
 // loadOf returns what a router believes of an upstream's load.
@@ -37,7 +47,7 @@
 	now := time.Unix(1000, 0)
 	first, reader, third := meshOf("a", "b"), meshOf("a", "b"), meshOf("a", "b")
 	first.pool().tracker.Report(now, load.Hash("b"), 17)
-	up, err := relay.Encode(relay.SendShare{Share: relay.Share{From: "first", Sharing: first.heard(now)}})
+	up, err := relay.Encode(relay.SendShare{Share: relay.Share{From: "first", Sharing: first.heard(now)[0]}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -52,8 +62,54 @@
 	}
 }
 
-// While upstreams come and go, routers hold different lists for a moment, and the
-// same place means different upstreams. A load that is told then is left out.
+// Upstreams are replaced one after the other. Each change of the list reaches routers at
+// different moments, and what they told each other of all other upstreams was left out for
+// as long: at each such moment a router knew only what it had heard itself.
+func TestLoadsSurviveAChangeOfTheList(t *testing.T) {
+	now := time.Unix(1000, 0)
+	behind, ahead := meshOf("a", "b"), meshOf("b", "c")
+	behind.pool().tracker.Report(now, load.Hash("b"), 17)
+	ahead.merge(now, behind.known(now), fromReader)
+	if got := loadOf(ahead.pool(), now, "b"); got < 16 || got > 18 {
+		t.Errorf("load %.1f of b, which both know, want 17", got)
+	}
+}
+
+// A router of 30 pools of 100 upstreams tells of all of them, none in a message that is
+// too long for a datagram: one that is not sent tells nothing at all.
+func TestManyPoolsAreToldByTurns(t *testing.T) {
+	const pools, upstreams = 30, 100
+	reader, other := meshOf(), meshOf()
+	now := time.Unix(1000, 0)
+	for _, m := range []*mesh{reader, other} {
+		view := &View{Pools: make(map[string]*Pool)}
+		for i := range pools {
+			view.Pools[fmt.Sprint("llm-", i)] = poolOf(upstreams, fmt.Sprint("vm-", i))
+		}
+		m.router.view.Store(view)
+	}
+	for range pools {
+		now = now.Add(time.Second)
+		for name, p := range reader.router.View().Pools {
+			for _, vm := range p.VMs {
+				p.tracker.Report(now, load.Hash(vm.ID), len(name))
+			}
+		}
+		told := reader.known(now)
+		if _, err := relay.Encode(relay.SendBeat{Beat: relay.Beat{Sharing: told}}); err != nil {
+			t.Fatal(err)
+		}
+		other.merge(now, told, fromReader)
+	}
+	for name, p := range other.router.View().Pools {
+		if got := loadOf(p, now, p.VMs[upstreams-1].ID); got == 0 {
+			t.Errorf("nothing is known of pool %s", name)
+		}
+	}
+}
+
+// While upstreams come and go, routers hold different lists for a moment. A load of one
+// that a router does not have is left out.
 func TestLoadsOfAnotherListAreLeftOut(t *testing.T) {
 	now := time.Unix(1000, 0)
 	behind, ahead := meshOf("a", "b"), meshOf("b", "c")
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -38,7 +38,6 @@
 	beliefs *beliefs
 	tracker *balance.Tracker
 	serving []load.VM // those of VMs that are not leaving
-	list    uint32    // hash of serving
 }
 
 // View returns the picture of the present state: the former one if nothing that
@@ -130,18 +129,13 @@
 	return p
 }
 
-// listServing notes which upstreams serve. Routers that know the same ones have the
-// same list.
+// listServing notes which upstreams serve.
 func (p *Pool) listServing(members []placement.Member) {
-	var names strings.Builder
-	for i, m := range members {
+	for _, m := range members {
 		if !m.Leaving {
 			p.serving = append(p.serving, m.VM)
-			names.WriteString(p.VMs[i].ID)
-			names.WriteByte(0)
 		}
 	}
-	p.list = shortHash(names.String())
 }
 
 // members returns the upstreams as package placement sees them.
