outlier: what speaks against an upstream has a bounded weight

While all failed alike nobody was suspected; when most recover, those that were not asked since stand out by failures that are seconds old, and 28.8 takes ln(24) x 1.5 s = 4.8 s to fall below the threshold. Their requests go to the others, over the bound. Ruled out: late first bytes of the backlog (no attempt fails after 19 s but single ones).

Change: an upstream's failures weigh 4 at most, its successes in proportion, so that the share that failed stays and the time to forget is 1.8 s.

Test: TestSuspicionsEndSoonAfterASurge (16 of 46 suspected 3 s after the surge, now none).

--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -37,6 +37,11 @@
 	// one on, sessions leave upstreams that are well, and two fifths more of cached
 	// prompts are moved.
 	leastFailures = 1.2
+	// mostFailures is up to which weight failures count. Together with the share that failed
+	// it says enough; more of it only takes longer to fade. After a surge in which hundreds
+	// fail at each upstream, those that do not recover first came to be suspected for five
+	// seconds when all was well, a third of the pool at a time.
+	mostFailures = 4.0
 	// negligible is the weight of failures below which an upstream need not be judged.
 	negligible = 0.01
 	// suspectFor is how long an upstream is suspected at least, times how often it has been
@@ -130,7 +135,8 @@
 
 func (d *Detector) add(now time.Time, vm load.VM, n count) {
 	d.rebase(now)
-	d.counts[vm] = d.counts[vm].plus(n.times(d.clock.Weight(now)))
+	weight := d.clock.Weight(now)
+	d.counts[vm] = d.counts[vm].plus(n.times(weight)).upTo(mostFailures * weight)
 	d.news[vm] = d.news[vm].plus(n)
 	if n.failed > 0 {
 		d.failing, d.judgedAt = true, time.Time{}
@@ -145,6 +151,14 @@
 	return count{failed: c.failed * x, all: c.all * x}
 }
 
+// upTo returns c with the same share of failures, but no more of them than most.
+func (c count) upTo(most float64) count {
+	if c.failed <= most {
+		return c
+	}
+	return c.times(most / c.failed)
+}
+
 // most returns the larger of each.
 func (c count) most(other count) count {
 	return count{failed: max(c.failed, other.failed), all: max(c.all, other.all)}
--- a/internal/outlier/outlier_test.go
+++ b/internal/outlier/outlier_test.go
@@ -151,3 +151,30 @@
 		t.Errorf("%d are suspected after %v by a router that is told", n, now.Sub(start))
 	}
 }
+
+// In a surge all upstreams fail for seven seconds, some twenty requests a second each. When
+// it is over two thirds of them answer well again, and the others are asked next to nothing.
+// What spoke against those weighed as much as all that had failed, and took five seconds to
+// fade: a third of the pool came to be suspected when all was well, and the others' loads
+// went over the operators' bound.
+func TestSuspicionsEndSoonAfterASurge(t *testing.T) {
+	const upstreams, perSecond = 46, 20
+	d, now := New(), start
+	for range 7 * perSecond {
+		now = now.Add(time.Second / perSecond)
+		for vm := range load.VM(upstreams) {
+			d.Failed(now, vm)
+		}
+	}
+	over := now
+	for now.Sub(over) < 3*time.Second {
+		now = now.Add(time.Second / perSecond)
+		for vm := range load.VM(upstreams * 2 / 3) {
+			d.Succeeded(now, vm)
+		}
+		d.Suspected(now)
+	}
+	if n := d.Suspected(now); n > 0 {
+		t.Errorf("%d of %d upstreams are suspected 3 s after the surge", n, upstreams)
+	}
+}
