load: older loads weigh less in the mean of a pool

Cause: the mean, from which the bound follows, weighed what an upstream told last by an e-th part for each two seconds.

Change: an e-th part for each half second in the mean. What is believed of a single upstream keeps its two seconds.

Test: TestMeanFollowsThoseThatTell (23.6 three seconds after a surge, now below 12).

--- a/internal/load/tally.go
+++ b/internal/load/tally.go
@@ -12,6 +12,10 @@
 // place.
 const othersFor = 2 * time.Second
 
+// meanFor is the time in which it loses its weight in the mean of the pool. Shorter than
+// othersFor: of one upstream nothing newer may be known, but of a pool there always is.
+const meanFor = 500 * time.Millisecond
+
 // Tally is what one router knows of the loads of upstreams that it calls itself,
 // with no sidecar to decide for them: its own requests, which it counts, and
 // those of other routers, as far as upstreams tell their load with answers. It is
@@ -35,7 +39,7 @@
 
 // NewTally returns an empty Tally.
 func NewTally() *Tally {
-	return &Tally{clock: decay.NewClock(othersFor), entries: make(map[VM]*tally)}
+	return &Tally{clock: decay.NewClock(meanFor), entries: make(map[VM]*tally)}
 }
 
 func (t *Tally) entry(vm VM) *tally {
--- a/internal/load/tally_test.go
+++ b/internal/load/tally_test.go
@@ -38,3 +38,22 @@
 		t.Errorf("mean %.3f, want 10", got)
 	}
 }
+
+// A surge is over. Two thirds of the upstreams have worked off what waited there and tell
+// so ten times a second; the others are asked nothing, and so tell nothing. Three seconds
+// later what they told in the surge made up half of the mean, and with it of the bound.
+func TestMeanFollowsThoseThatTell(t *testing.T) {
+	tally, now := NewTally(), time.Unix(1000, 0)
+	for vm := range VM(46) {
+		tally.Observe(now, vm, 150)
+	}
+	for range 30 {
+		now = now.Add(100 * time.Millisecond)
+		for vm := range VM(31) {
+			tally.Observe(now, vm, 10)
+		}
+	}
+	if got := tally.Mean(46); got > 12 {
+		t.Errorf("3 s after the surge the mean is believed to be %.1f", got)
+	}
+}
