load, balance: estimates of a quiet router, and urgencies that engines know

Cause, found in reading: a router that had seen no event of a stream (just started, or quiet for minutes) weighed what it was told of slow engines by a clock that had not begun: their slowness became no number, and with it each expected wait, until it saw events. And a request of an urgency of 5 or more that waits behind others was sent with one over 9, which no engine knows. Ruled out: harm to promises (comparisons with no number are false, so that requests went as without estimates).

Change: weights are rebased before what is told is taken in; urgencies end at 9.

Tests, which failed first: TestQuietRoutersTakeInWhatTheyAreTold (NaN for 3.56), TestUrgencyBehindOthersIsOneThatEnginesKnow (12 and 14 for 9).

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -81,7 +81,7 @@
 	n, basis := p.Bounded(l, l.request.Query, out)
 	if queues && r.Left > 0 && (basis.Late || r.Late) {
 		l.behind = true
-		l.request.Urgency += lastUrgencies
+		l.request.Urgency = min(r.Urgency+lastUrgencies, leastUrgency)
 		l.request.Within = waitShare * r.Left.Seconds()
 		l.request.Patient = true
 		n, basis = p.Bounded(l, l.request.Query, out)
@@ -94,6 +94,8 @@
 	// lastUrgencies is by how much less urgent a request is that cannot be answered in time
 	// any more: after all that can.
 	lastUrgencies = 5
+	// leastUrgency is the last one that upstreams tell apart.
+	leastUrgency = 9
 	// waitShare of what is left of its caller's time is how long such a request may wait
 	// for the first byte of its answer: the rest is for the answer.
 	waitShare = 0.5
--- a/internal/balance/waits_test.go
+++ b/internal/balance/waits_test.go
@@ -121,3 +121,20 @@
 		t.Error("a request is turned away for queues of which nothing was heard for 4 s")
 	}
 }
+
+// Urgencies end at 9. A request of little urgency that waits behind others is sent with that,
+// and not with one that no engine knows.
+func TestUrgencyBehindOthersIsOneThatEnginesKnow(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker, pool, _ := engines(now, 28)
+	for urgency, want := range map[int]int{0: 5, 4: 9, 7: 9, 9: 9} {
+		var out [placement.Candidates]placement.Choice
+		q := placement.Query{Session: 7, Multiple: 4, Now: now}
+		_, basis := tracker.Choose(now, pool, policy.All(), Request{
+			Query: q, Profile: "chat", Urgency: urgency, Objective: objective, Left: 10 * time.Second,
+		}, &out)
+		if !basis.Behind || basis.Urgency != want {
+			t.Errorf("urgency %d: sent with %d (behind %v), want %d", urgency, basis.Urgency, basis.Behind, want)
+		}
+	}
+}
--- a/internal/load/speed.go
+++ b/internal/load/speed.go
@@ -104,14 +104,21 @@
 	s.add(now, vm, events{count: float64(n), pauses: float64(n) * x})
 }
 
-func (s *Speed) add(now time.Time, vm VM, e events) {
-	if weight, due := s.clock.Rebase(now); due {
-		for _, m := range []map[VM]events{s.counts, s.told} {
-			for vm, e := range m {
-				m[vm] = e.times(1 / weight)
-			}
+// rebase makes an event of now weigh one where weights have grown too far.
+func (s *Speed) rebase(now time.Time) {
+	weight, due := s.clock.Rebase(now)
+	if !due {
+		return
+	}
+	for _, m := range []map[VM]events{s.counts, s.told} {
+		for vm, e := range m {
+			m[vm] = e.times(1 / weight)
 		}
 	}
+}
+
+func (s *Speed) add(now time.Time, vm VM, e events) {
+	s.rebase(now)
 	s.counts[vm] = s.counts[vm].plus(e.times(s.clock.Weight(now)))
 	s.news[vm] = s.news[vm].plus(e)
 }
--- a/internal/load/speed_test.go
+++ b/internal/load/speed_test.go
@@ -120,3 +120,25 @@
 		}
 	})
 }
+
+// A router has just started, or has served no stream for an hour. What it is told of slow
+// engines then must mean the same to it as to any other: weights that were worked out for
+// another time would make of it a number that is none, and all that follows from it.
+func TestQuietRoutersTakeInWhatTheyAreTold(t *testing.T) {
+	members := vms(2)
+	reader := NewSpeed()
+	stream(reader, start, members[1], 40*time.Millisecond)
+	stream(reader, start.Add(time.Second), members[0], 400*time.Millisecond)
+	now := start.Add(2 * time.Second)
+	told := reader.Told(now, members)
+	started, quiet := NewSpeed(), NewSpeed()
+	stream(quiet, now.Add(-time.Hour), members[1], 40*time.Millisecond)
+	for name, s := range map[string]*Speed{"started": started, "quiet": quiet} {
+		if err := s.MergeTold(now, members, told); err != nil {
+			t.Fatal(err)
+		}
+		if got, want := s.Slowness(now, members[0]), reader.Slowness(now, members[0]); !(math.Abs(got-want) < 0.3) {
+			t.Errorf("%s: the engine is taken to be %.2f times slower, want %.2f", name, got, want)
+		}
+	}
+}
--- a/internal/load/speedshare.go
+++ b/internal/load/speedshare.go
@@ -68,6 +68,7 @@
 // MergeTold takes in what the router tells that this one relies on. It takes the place
 // of what was told before.
 func (s *Speed) MergeTold(now time.Time, members []VM, packed []byte) error {
+	s.rebase(now)
 	weight := s.clock.Weight(now)
 	told := make(map[VM]events)
 	if err := eachEvents(packed, members, func(vm VM, e events) { told[vm] = e.times(weight) }); err != nil {
