--- a/internal/placement/bounded.go
+++ b/internal/placement/bounded.go
@@ -129,33 +129,18 @@
 // in question.
 func (p *Pool) underFirst(l Loads, q Query, basis *Basis, order []int, out *[Candidates]Choice) (int, weighed) {
 	var ranked [depth]weighed
-	spare := spareMultiple*basis.Mean + boundSlack
-	n, passedOver := 0, false
-	wait, speeds := 0.0, 0.0
-	late, atPace := false, false // whether one that ranks before is late, or works at the usual pace
+	pass := pass{spare: spareMultiple*basis.Mean + boundSlack}
+	n := 0
 	for _, i := range order {
-		if p.members[i].Leaving {
-			continue
-		}
-		w := p.weigh(l, q, *basis, i)
-		passedOver = passedOver || w.class == suspected
-		if w.class == eligible && passedOver && w.upper >= spare {
-			w.class = loaded
-		}
-		speed := 1 / max(w.expected.Slowness, 1)
-		wait, speeds = wait+speed*w.expected.Wait, speeds+speed
-		if late && atPace && w.class == eligible {
-			w.class = far
+		if !p.members[i].Leaving {
+			ranked[n] = pass.place(p.weigh(l, q, *basis, i))
+			n++
 		}
-		late = late || w.class == lateFree || w.class == queued
-		atPace = atPace || w.expected.Slowness < slowFrom
-		ranked[n] = w
-		n++
 	}
 	if n == 0 {
 		return 0, weighed{index: None, class: overBound}
 	}
-	basis.Wait = wait / speeds
+	basis.Wait = pass.wait / pass.speeds
 	slices.SortStableFunc(ranked[:n], weighed.compare)
 	first := ranked[0]
 	n = min(n, Candidates)
@@ -165,6 +150,33 @@
 	return n, first
 }
 
+// pass goes over the upstreams of a ranking and knows of those that rank before.
+type pass struct {
+	spare        float64 // load up to which one takes over requests of one that is suspected
+	suspects     bool    // one is suspected
+	late         bool    // at one the answer is not expected to begin in time
+	atPace       bool    // one works at the usual pace
+	wait, speeds float64 // seconds of waiting by speed, and the speeds
+}
+
+// place returns the next upstream with what those before it speak against it.
+func (s *pass) place(w weighed) weighed {
+	s.suspects = s.suspects || w.class == suspected
+	switch {
+	case w.class != eligible:
+	case s.suspects && w.upper >= s.spare:
+		w.class = loaded
+	case s.late && s.atPace:
+		w.class = far
+	}
+	s.late = s.late || w.class == lateFree || w.class == queued
+	s.atPace = s.atPace || w.expected.Slowness < slowFrom
+	speed := 1 / max(w.expected.Slowness, 1)
+	s.wait += speed * w.expected.Wait
+	s.speeds += speed
+	return w
+}
+
 // weigh says what speaks against an upstream.
 func (p *Pool) weigh(l Loads, q Query, basis Basis, i int) weighed {
 	vm := p.members[i].VM
