router, balance: streams that have begun do not wait behind others

Cause, found in reading: a stream that breaks off in a surge and goes on at another engine was chosen for like a new request, and could be sent behind all others; its caller gives up after a pause of two seconds. And a request that is turned away counted as one of its kind that took no time, by which a hot session's part of the load is worked out.

Change: what goes on has no objective, and goes as it is; what is turned away does not count.

Tests: TestStreamsThatGoOnDoNotWaitBehind (failed first: behind, and turned away), TestOnlyWhatBeginsHasAnObjective.

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -51,7 +51,7 @@
 	placement.Query
 	Profile   string
 	Urgency   int           // 0 is first
-	Objective time.Duration // for the first byte; zero: none
+	Objective time.Duration // for the first byte; zero: none, it goes as it is
 	Left      time.Duration // of its caller's time; zero: not known
 	Late      bool          // it cannot be answered within its objective any more
 }
@@ -74,7 +74,7 @@
 		r.Multiple = fillTo(r.Multiple, t.loads.Seen(p.Len()))
 	}
 	l := loadsAt{Tracker: t, on: on, now: now, n: p.Len(), request: r}
-	queues := on.Waits && t.places > 0
+	queues := on.Waits && t.places > 0 && r.Objective > 0
 	if queues {
 		l.request.Within, l.request.Most = r.Objective.Seconds(), t.mix.Objective().Seconds()*t.speed.Lightness(r.Profile)
 	}
--- a/internal/balance/waits_test.go
+++ b/internal/balance/waits_test.go
@@ -138,3 +138,19 @@
 		}
 	}
 }
+
+// A stream breaks off in a surge and goes on at another engine. Its caller has the first half
+// of it, and gives up after a pause of two seconds: it must not wait behind others, nor be
+// turned away, also if its caller was turned away before.
+func TestStreamsThatGoOnDoNotWaitBehind(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, requests := range []int{28, 40} {
+		tracker, pool, _ := engines(now, requests)
+		var out [placement.Candidates]placement.Choice
+		q := placement.Query{Session: 7, Multiple: 4, Now: now}
+		_, basis := tracker.Choose(now, pool, policy.All(), Request{Query: q, Profile: "chat", Left: 10 * time.Second, Late: true}, &out)
+		if basis.Behind || basis.Late || basis.Urgency != 0 {
+			t.Errorf("%d requests at each engine: behind %v, turned away %v, urgency %d", requests, basis.Behind, basis.Late, basis.Urgency)
+		}
+	}
+}
--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -177,7 +177,7 @@
 // Close ends the caller's interest in the answer.
 func (a *Answer) Close() {
 	a.logEnd()
-	if a.counted {
+	if a.counted && a.state != nil { // one that was turned away tells nothing of how long its kind takes
 		a.pool.tracker.Took(a.req.Profile.Name, time.Since(a.started))
 	}
 	if a.state != nil && !a.state.Finished() { // nil: refused before it was offered
--- a/internal/router/directoffer.go
+++ b/internal/router/directoffer.go
@@ -150,7 +150,7 @@
 	q := placement.Query{Session: a.session, Multiple: tuning.LoadMultiple, Random: rand.Uint64(), Share: a.share, Now: now}
 	r := balance.Request{
 		Query: q, Profile: a.req.Profile.Name, Urgency: a.req.Urgency,
-		Objective: a.req.Profile.Objective.Std(), Left: a.req.left(now), Late: a.late,
+		Objective: a.req.objective(a.first > 0), Left: a.req.left(now), Late: a.late,
 	}
 	n, basis := a.pool.tracker.Choose(now, a.pool.placed, tuning.Policy, r, &chosen)
 	a.basis = basis
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -105,9 +105,19 @@
 
 // mayHaveComeBack reports whether the caller has less time than its first try would have,
 // by more than the objective: its answer is late already. Callers that are less patient
-// than others look alike. One that goes on with a stream does not wait for its beginning.
+// than others look alike.
 func (r *Request) mayHaveComeBack() bool {
-	return r.Patience > 0 && r.LastEvent == "" && r.Profile.Deadline.Std()-r.Patience > r.Profile.Objective.Std()
+	return r.Patience > 0 && r.Profile.Deadline.Std()-r.Patience > r.Profile.Objective.Std()
+}
+
+// objective returns in which time the first byte is wanted; zero: no matter. A stream that
+// has begun goes on as soon as any upstream can: put behind other requests, it would pause
+// until its caller gives it up.
+func (r *Request) objective(begun bool) time.Duration {
+	if begun || r.LastEvent != "" {
+		return 0
+	}
+	return r.Profile.Objective.Std()
 }
 
 // left returns how much of its caller's time is left; zero: it is not known.
--- /dev/null
+++ b/internal/router/request_test.go
@@ -0,0 +1,25 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/profile"
+)
+
+// A stream that goes on at another upstream, by itself or because its caller came back for
+// the rest, has no first byte to wait for.
+func TestOnlyWhatBeginsHasAnObjective(t *testing.T) {
+	const objective = 400 * time.Millisecond
+	p := &profile.Profile{Objective: profile.Duration(objective)}
+	for _, c := range []struct {
+		begun bool
+		last  string
+		want  time.Duration
+	}{{false, "", objective}, {true, "", 0}, {false, "17", 0}} {
+		r := Request{Profile: p, LastEvent: c.last}
+		if got := r.objective(c.begun); got != c.want {
+			t.Errorf("begun %v, last event %q: %v, want %v", c.begun, c.last, got, c.want)
+		}
+	}
+}
