balance, outlier: nothing is worked out twice where no request waits

For each of a ranking's sixteen upstreams the time until the first byte was worked out twice, also where nothing waits, in which case the two are the same; and the rounding to a byte stood in load and in outlier alike. Now once, and one ToByte. No decision changes: the same numbers in the same order of operations.

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -306,16 +306,19 @@
 func (l loadsAt) Expect(vm load.VM) placement.Expected {
 	load := l.loads.Queued(l.now, vm)
 	behind := l.Tracker.behind(load, l.request.Urgency)
-	until := l.speed.Until(l.now, vm, l.request.Profile, behind, l.places)
+	first := l.speed.Until(l.now, vm, l.request.Profile, 0, l.places)
+	until := first
+	if behind > 0 {
+		until = l.speed.Until(l.now, vm, l.request.Profile, behind, l.places)
+	}
 	if l.behind && load >= queueShare*float64(l.places) {
 		until = math.Inf(1)
 	}
-	slowness := l.speed.Slowness(l.now, vm)
 	return placement.Expected{
 		Until:    until,
-		Wait:     until - l.speed.Until(l.now, vm, l.request.Profile, 0, l.places),
+		Wait:     until - first,
 		Waits:    behind > 0,
-		Slowness: slowness,
+		Slowness: l.speed.Slowness(l.now, vm),
 	}
 }
 
--- a/internal/load/speedshare.go
+++ b/internal/load/speedshare.go
@@ -80,10 +80,11 @@
 
 func appendEvents(b []byte, vm VM, e events) []byte {
 	b = binary.BigEndian.AppendUint16(b, vm.ShortName())
-	return append(b, toByte(e.count), toByte(pauseScale*e.pauses/e.count))
+	return append(b, ToByte(e.count), ToByte(pauseScale*e.pauses/e.count))
 }
 
-func toByte(x float64) byte {
+// ToByte returns the number nearest to x that a byte holds.
+func ToByte(x float64) byte {
 	return byte(min(max(x+0.5, 0), 255))
 }
 
--- a/internal/outlier/share.go
+++ b/internal/outlier/share.go
@@ -86,15 +86,11 @@
 	for _, vm := range counted[:min(len(counted), most)] {
 		c := counts[vm]
 		out = binary.BigEndian.AppendUint16(out, vm.ShortName())
-		out = append(out, toByte(c.failed*scale), toByte(c.all*scale))
+		out = append(out, load.ToByte(c.failed*scale), load.ToByte(c.all*scale))
 	}
 	return out
 }
 
-func toByte(x float64) byte {
-	return byte(min(max(x+0.5, 0), 255))
-}
-
 // each calls f for each entry.
 func each(b []byte, members []load.VM, scale float64, f func(load.VM, count)) error {
 	if len(b)%entrySize != 0 {
