test: processes under test listen where no connection is given a port

Ruled out: the change before it (no process had served a request yet), load (the machine was idle).

Change: ports lie below those that the kernel gives to connections, and none is tried twice. No assertion changes.

--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -8,7 +8,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"os/exec"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -70,11 +72,29 @@
 
 func freeAddr() string {
 	GinkgoHelper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	return l.Addr().String()
-}
+	for range portCount {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+int(nextPort.Add(1))%portCount)
+		if l, err := net.Listen("tcp", addr); err == nil {
+			Expect(l.Close()).To(Succeed())
+			return addr
+		}
+	}
+	Fail("no port is free")
+	return ""
+}
+
+// Ports of the processes under test lie below those that the kernel gives to connections. One
+// of the latter that is free now may be taken by any connection before its process listens:
+// "address already in use", and whoever waits for the process waits in vain.
+const firstPort, portCount = 21000, 11000
+
+// nextPort is the port that is tried next, no port twice. It begins with the process's id, so
+// that two runs at a time begin elsewhere.
+var nextPort = func() *atomic.Int64 {
+	var n atomic.Int64
+	n.Store(int64(os.Getpid()) * 131)
+	return &n
+}()
 
 // newFleet starts a platform with one chat profile and one organisation.
 func newFleet() *fleet {
