--- a/internal/config/revision.go
+++ b/internal/config/revision.go
@@ -16,6 +16,7 @@
 	topo.KindOrganisation,
 	topo.KindPool,
 	topo.KindDrain,
+	topo.KindDomainDrain,
 	topo.KindLimits,
 }
 
--- a/internal/ctl/change.go
+++ b/internal/ctl/change.go
@@ -99,7 +99,7 @@
 // rank orders writes so that no object refers to one that is not there yet;
 // deletions go the other way round.
 func rank(k topo.Kind) int {
-	return slices.Index([]topo.Kind{topo.KindPool, topo.KindProfile, topo.KindOrganisation, topo.KindDrain}, k)
+	return slices.Index([]topo.Kind{topo.KindPool, topo.KindProfile, topo.KindOrganisation, topo.KindDrain, topo.KindDomainDrain}, k)
 }
 
 // make makes edits, prints what became of each and waits if asked to.
--- a/internal/ctl/drain.go
+++ b/internal/ctl/drain.go
@@ -8,17 +8,41 @@
 	"github.com/parsleyfront/parsleyfront/internal/topo"
 )
 
-// drain orders a VM to take no new work.
+// order returns the drain order that a command is about.
+func (c drainCommand) order() (profile.Object, error) {
+	switch {
+	case c.Domain != "" && c.Args.VM != "":
+		return nil, fail(ExitUsage, "name one of the two", "both a VM and a failure domain are named")
+	case c.Domain != "":
+		return &profile.DomainDrain{Name: c.Domain, Reason: c.Reason}, nil
+	case c.Args.VM != "":
+		return &profile.Drain{Name: c.Args.VM, Reason: c.Reason}, nil
+	}
+	return nil, fail(ExitUsage, "name a VM, or a failure domain with --failure-domain", "nothing is named")
+}
+
+// concerns reports whether the command is about a VM of the platform's list.
+func (c drainCommand) concerns(vm topo.VM) bool {
+	if c.Domain != "" {
+		return vm.FailureDomain == c.Domain
+	}
+	return vm.ID == c.Args.VM
+}
+
+// drain orders a VM, or the upstreams of a failure domain, to take no new work.
 func (a *app) drain(ctx context.Context) error {
 	o := a.options.Drain
+	order, err := o.order()
+	if err != nil {
+		return err
+	}
 	vms, _, err := a.http.VMs(ctx, "")
 	if err != nil {
 		return err
 	}
-	if !slices.ContainsFunc(vms.Entries, func(vm topo.VM) bool { return vm.ID == o.Args.VM }) {
-		return fail(ExitNotFound, "see 'parsleyctl status --upstreams'; the list of VMs lags by some seconds", "the platform lists no VM %q", o.Args.VM)
+	if !slices.ContainsFunc(vms.Entries, o.concerns) {
+		return fail(ExitNotFound, "see 'parsleyctl status --upstreams'; the list of VMs lags by some seconds", "the platform lists no VM for %s", order.Ref())
 	}
-	order := &profile.Drain{Name: o.Args.VM, Reason: o.Reason}
 	if problems := profile.Check(order); len(problems) > 0 {
 		return problems
 	}
@@ -36,7 +60,11 @@
 // undrain takes a drain order back.
 func (a *app) undrain(ctx context.Context) error {
 	o := a.options.Undrain
-	base, err := a.existing(ctx, topo.Ref{Kind: topo.KindDrain, Name: o.Args.VM})
+	order, err := o.order()
+	if err != nil {
+		return err
+	}
+	base, err := a.existing(ctx, order.Ref())
 	if err != nil {
 		return err
 	}
--- a/internal/ctl/options.go
+++ b/internal/ctl/options.go
@@ -25,7 +25,7 @@
 	Rollback   rollbackCommand   `command:"rollback" description:"make a new revision with the content of a former one"`
 	Delete     deleteCommand     `command:"delete" description:"delete an object"`
 	Status     statusCommand     `command:"status" description:"show routers, pools, skew, control traffic and quarantined requests"`
-	Drain      drainCommand      `command:"drain" description:"order a VM to take no new work"`
+	Drain      drainCommand      `command:"drain" description:"order a VM, or all upstreams of a failure domain, to take no new work"`
 	Undrain    drainCommand      `command:"undrain" description:"take back a drain order"`
 	Explain    explainCommand    `command:"explain" description:"show where a request would go now, and why"`
 	Key        keyCommand        `command:"key" description:"make and remove the API keys of organisations"`
@@ -89,8 +89,9 @@
 
 type drainCommand struct {
 	changeOptions
-	Args struct {
-		VM string `positional-arg-name:"VM" required:"yes" description:"id of the VM in the platform's list"`
+	Domain string `long:"failure-domain" description:"drain all upstreams of this failure domain, in place of one VM"`
+	Args   struct {
+		VM string `positional-arg-name:"VM" description:"id of the VM in the platform's list"`
 	} `positional-args:"yes"`
 }
 
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -203,7 +203,7 @@
 	pace.Relayed = n.Packets != nil
 	return router.Config{
 		Store:  store,
-		Source: platform.NewConfig(store),
+		Source: platform.NewConfig(store, p.Regions),
 		Decode: platform.Decode,
 		Pace:   pace,
 		Mesh: &router.Mesh{
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -59,10 +59,11 @@
 	up := upstream.NewHTTP(string(s.Upstream))
 	c := sidecar.Config{
 		Settings: sidecar.Settings{
-			VM:          s.VM,
-			Incarnation: binary.BigEndian.Uint64(nonce[:]),
-			Weight:      s.Weight.N,
-			Keys:        s.Keys.N,
+			VM:            s.VM,
+			FailureDomain: s.FailureDomain,
+			Incarnation:   binary.BigEndian.Uint64(nonce[:]),
+			Weight:        s.Weight.N,
+			Keys:          s.Keys.N,
 			Admission: admission.Config{
 				Slots:      s.Slots.N,
 				Reserve:    s.Reserve.N,
--- /dev/null
+++ b/internal/drain/drain_test.go
@@ -0,0 +1,86 @@
+package drain
+
+import (
+	"flag"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/parsleyfront/parsleyfront/internal/topo"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+func object(kind topo.Kind, name string, version topo.Version, deleted bool) topo.Object {
+	return topo.Object{Ref: topo.Ref{Kind: kind, Name: name}, Version: version, Deleted: deleted}
+}
+
+// An operator empties a hall in which one engine is out of order and had been drained by
+// itself. The hall is taken back while that engine is still being repaired: it must not
+// get work with the others.
+func TestOrderToAVMOutlivesThatToItsDomain(t *testing.T) {
+	var o Orders
+	o.Take(object(topo.KindDrain, "broken", 3, false))
+	o.Take(object(topo.KindDomainDrain, "hall", 5, false))
+	o.Take(object(topo.KindDomainDrain, "hall", 9, true))
+	if got, _ := o.Of("broken", "hall"); got != (Order{Leave: true, Version: 9}) {
+		t.Errorf("the engine's order is %+v", got)
+	}
+	if got, ok := o.Of("well", "hall"); !ok || got != (Order{Version: 9}) {
+		t.Errorf("another engine's order is %+v, %v", got, ok)
+	}
+	if o.Returned("hall") != 9 {
+		t.Errorf("the hall was taken back at %d, want 9", o.Returned("hall"))
+	}
+}
+
+// Whatever else is in the configuration is no order, and nobody is drained by it.
+func TestOtherObjectsAreNoOrders(t *testing.T) {
+	var o Orders
+	if o.Take(object(topo.KindProfile, "hall", 1, false)) {
+		t.Error("a profile is taken for an order")
+	}
+	if _, ok := o.Of("hall", "hall"); ok {
+		t.Error("somebody has an order")
+	}
+}
+
+// For any series of orders: an upstream leaves if and only if the newest order to it or to
+// its failure domain says so, versions never fall, and the list of domains agrees.
+func TestNewestOrderHolds(t *testing.T) {
+	names := []string{"a", "b", "c"}
+	rapid.Check(t, func(t *rapid.T) {
+		var o Orders
+		vms, domains := make(map[string]bool), make(map[string]bool)
+		last := make(map[string]topo.Version)
+		for version := topo.Version(1); version <= 20; version++ {
+			name, deleted := rapid.SampledFrom(names).Draw(t, "name"), rapid.Bool().Draw(t, "deleted")
+			if rapid.Bool().Draw(t, "domain") {
+				o.Take(object(topo.KindDomainDrain, name, version, deleted))
+				domains[name] = !deleted
+			} else {
+				o.Take(object(topo.KindDrain, name, version, deleted))
+				vms[name] = !deleted
+			}
+			for _, vm := range names {
+				for _, domain := range names {
+					got, _ := o.Of(vm, domain)
+					if got.Leave != (vms[vm] || domains[domain]) {
+						t.Fatalf("vm %s in %s: %+v", vm, domain, got)
+					}
+					if got.Version < last[vm+domain] {
+						t.Fatalf("vm %s in %s went back from %d to %d", vm, domain, last[vm+domain], got.Version)
+					}
+					last[vm+domain] = got.Version
+				}
+				if slices.Contains(o.Domains(), vm) != domains[vm] {
+					t.Fatalf("domains %v, %s: %v", o.Domains(), vm, domains[vm])
+				}
+			}
+		}
+	})
+}
--- a/internal/profile/check.go
+++ b/internal/profile/check.go
@@ -23,6 +23,7 @@
 	MaxConcurrency    = 1_000_000
 	MaxMaxUnavailable = 0.5
 	MaxVMName         = 64 // bytes, as in a request key
+	MaxDomainName     = 128
 	MaxModelName      = 128
 	MaxAttempts       = 100
 	MaxSlots          = 1_000_000
@@ -33,7 +34,8 @@
 
 var (
 	label      = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
-	vmName     = regexp.MustCompile(`^[!-.0-~]+$`) // printable, without space and slash
+	vmName     = regexp.MustCompile(`^[!-.0-~]+$`)              // printable, without space and slash
+	domainName = regexp.MustCompile(`^[!-.0-~]+(/[!-.0-~]+)?$`) // a region may stand before a slash
 	modelName  = regexp.MustCompile(`^[!-~]+$`)
 	sha256Hash = regexp.MustCompile(`^[0-9a-f]{64}$`)
 )
@@ -283,6 +285,12 @@
 	c.duration("idle_time", l.IdleTime, MinDeadline, MaxIdleTime)
 }
 
+func (d *DomainDrain) check(c *checker) {
+	if len(d.Name) > MaxDomainName || !domainName.MatchString(d.Name) {
+		c.add("name", "%q is not a failure domain: write it as in the platform's list, such as casablanca/hall-a", d.Name)
+	}
+}
+
 func (d *Drain) check(c *checker) {
 	if len(d.Name) > MaxVMName || !vmName.MatchString(d.Name) {
 		c.add("name", "%q is not the id of a VM: write the id as in the platform's list", d.Name)
--- a/internal/profile/object.go
+++ b/internal/profile/object.go
@@ -9,7 +9,7 @@
 )
 
 // Kinds are the kinds of object that operators write.
-var Kinds = []topo.Kind{topo.KindProfile, topo.KindOrganisation, topo.KindPool, topo.KindDrain, topo.KindLimits}
+var Kinds = []topo.Kind{topo.KindProfile, topo.KindOrganisation, topo.KindPool, topo.KindDrain, topo.KindDomainDrain, topo.KindLimits}
 
 // Defaults of the fields that have one. A field that is left out gets its
 // default when the object is read, before it is stored, so that a release with
@@ -34,7 +34,8 @@
 	AllProfiles = "*"
 )
 
-// Object is one of *Profile, *Organisation, *Pool, *Drain and *Limits.
+// Object is one of *Profile, *Organisation, *Pool, *Drain, *DomainDrain and
+// *Limits.
 type Object interface {
 	// Ref names the object in the store.
 	Ref() topo.Ref
@@ -61,6 +62,11 @@
 	return topo.Ref{Kind: topo.KindDrain, Name: d.Name}
 }
 
+// Ref implements Object.
+func (d *DomainDrain) Ref() topo.Ref {
+	return topo.Ref{Kind: topo.KindDomainDrain, Name: d.Name}
+}
+
 // Ref implements Object.
 func (l *Limits) Ref() topo.Ref {
 	return topo.Ref{Kind: topo.KindLimits, Name: l.Name}
@@ -84,6 +90,8 @@
 		return &Pool{Role: DefaultEngineRole, MaxUnavailable: DefaultMaxUnavailable}
 	case topo.KindDrain:
 		return &Drain{}
+	case topo.KindDomainDrain:
+		return &DomainDrain{}
 	case topo.KindLimits:
 		return &Limits{
 			HeaderBytes: DefaultHeaderBytes,
--- a/internal/profile/profile.go
+++ b/internal/profile/profile.go
@@ -171,6 +171,15 @@
 	EngineDecode EngineRole = "decode"
 )
 
+// DomainDrain orders that the upstreams of a failure domain take no new work. It lasts
+// until it is deleted.
+type DomainDrain struct {
+	// Name of the failure domain in the platform's list, "region/domain" or "domain".
+	Name string `json:"name"`
+	// Reason tells other operators why.
+	Reason string `json:"reason,omitempty"`
+}
+
 // Drain orders that a VM takes no new work. It lasts until it is deleted.
 type Drain struct {
 	// Name is the VM's id in the platform's list.
--- a/internal/router/ledger.go
+++ b/internal/router/ledger.go
@@ -15,6 +15,7 @@
 type Followed struct {
 	Objects  []admin.ObjectVersion
 	Rejected []profile.Problem // each object's first problem
+	Drained  []DomainOrder
 	Complete topo.Version      // of the store, up to which all is known
 	// StoreHeard is when the store last answered with what was not stale.
 	StoreHeard time.Time
@@ -22,6 +23,14 @@
 
 func (Followed) isEffect() {}
 
+// DomainOrder is an order to a failure domain that has come into force.
+type DomainOrder struct {
+	Domain  string
+	Leave   bool // else it is taken back
+	Version topo.Version
+	InForce int // failure domains that are under an order now
+}
+
 // ledger is which version of each object is in force, for operators. The
 // control loop writes it, and publishes after the View that goes with it.
 type ledger struct {
--- a/internal/router/log.go
+++ b/internal/router/log.go
@@ -21,6 +21,9 @@
 		"Requests that were offered to upstreams, by how they ended: answered, the reason of a failure, or caller-left.")
 )
 
+var drainedDomains = telemetry.NewGauge("router_drained_domains",
+	"Failure domains whose upstreams take no new work by operators' order.")
+
 // answerOutcome is how a request has ended: one of the two below or a reason.
 type answerOutcome string
 
@@ -141,6 +144,10 @@
 		}
 		slog.Info("configuration is in force", "version", newest, "objects", len(e.Objects))
 	}
+	for _, order := range e.Drained {
+		drainedDomains.Set(int64(order.InForce))
+		slog.Warn("order to a failure domain is in force", "failure_domain", order.Domain, "drained", order.Leave, "version", order.Version)
+	}
 	for _, p := range e.Rejected {
 		slog.Error("configuration is invalid here and not in force", "object", p.Ref.String(), "problem", p.Message)
 	}
--- a/internal/router/notice.go
+++ b/internal/router/notice.go
@@ -50,12 +50,6 @@
 func (NoticeTaken) isEvent() {}
 func (NoticeLost) isEvent()  {}
 
-// order is an operator's order to a VM.
-type order struct {
-	version topo.Version
-	leave   bool // else to stay after all
-}
-
 // sent is a notice that is on its way or has arrived.
 type sent struct {
 	notice wire.Notice
@@ -70,8 +64,8 @@
 		if vm.Role != topo.RoleUpstream {
 			continue
 		}
-		if o, ok := s.orders[vm.ID]; ok {
-			out[vm.ID] = wire.Notice{Leaving: o.leave, Version: o.version}
+		if o, ok := s.orders.Of(vm.ID, vm.FailureDomain); ok {
+			out[vm.ID] = wire.Notice{Leaving: o.Leave, Version: o.Version}
 		}
 		if vm.Leaving && !out[vm.ID].Leaving {
 			out[vm.ID] = wire.Notice{Leaving: true}
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -11,6 +11,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/admin"
 	"github.com/parsleyfront/parsleyfront/internal/balance"
 	"github.com/parsleyfront/parsleyfront/internal/config"
+	"github.com/parsleyfront/parsleyfront/internal/drain"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
 	"github.com/parsleyfront/parsleyfront/internal/relay"
@@ -72,7 +73,7 @@
 	limits   *profile.Limits
 	loads    map[string]*profile.Pool // what pools load
 	vm       string                   // of this router
-	orders   map[string]order         // of operators, by VM
+	orders   drain.Orders             // of operators
 	wanted   map[string]wire.Notice   // what each VM is to be told
 	sent     map[string]sent          // what it has been told
 	vms      topo.VMs
@@ -101,7 +102,6 @@
 		profiles: make(map[string]*profile.Profile),
 		orgs:     make(map[string]*profile.Organisation),
 		loads:    make(map[string]*profile.Pool),
-		orders:   make(map[string]order),
 		sent:     make(map[string]sent),
 		beliefs:  make(map[string]*beliefs),
 		trackers: make(map[string]*balance.Tracker),
@@ -218,6 +218,9 @@
 		f.Rejected = append(f.Rejected, rejection(o.Ref, err))
 		return
 	}
+	if o.Kind == topo.KindDomainDrain {
+		f.Drained = append(f.Drained, DomainOrder{Domain: o.Name, Leave: !o.Deleted, Version: o.Version, InForce: len(s.orders.Domains())})
+	}
 	f.Objects = append(f.Objects, admin.ObjectVersion{Ref: o.Ref, Version: o.Version})
 }
 
@@ -241,8 +244,8 @@
 		s.orgs[o.Name], s.stale.orgs = v, true
 	case *profile.Pool:
 		s.loads[o.Name], s.stale.pools = v, true
-	case *profile.Drain:
-		s.order(o, true)
+	case *profile.Drain, *profile.DomainDrain:
+		s.order(o)
 	case *profile.Limits:
 		s.limits, s.stale.profiles = v, true
 	}
@@ -258,9 +261,9 @@
 	return profile.Decode(o.Ref, spec)
 }
 
-// order takes an operator's order to a VM.
-func (s *State) order(o topo.Object, leave bool) {
-	s.orders[o.Name] = order{version: o.Version, leave: leave}
+// order takes an operator's order to a VM or a failure domain.
+func (s *State) order(o topo.Object) {
+	s.orders.Take(o)
 	s.wanted = s.noticesFor()
 	s.stale.pools = true
 }
@@ -276,8 +279,8 @@
 	case topo.KindPool:
 		delete(s.loads, o.Name)
 		s.stale.pools = true
-	case topo.KindDrain:
-		s.order(o, false)
+	case topo.KindDrain, topo.KindDomainDrain:
+		s.order(o)
 	case topo.KindLimits:
 		s.limits, s.stale.profiles = nil, true
 	}
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -83,11 +83,18 @@
 	v.Routers = 0
 	for _, vm := range s.vms.Entries {
 		v.VMs[vm.ID] = vm
+		order, _ := s.orders.Of(vm.ID, vm.FailureDomain)
 		switch {
-		case vm.Leaving && vm.Role != topo.RoleDirect:
 		case vm.Role == topo.RoleRouter:
-			v.Routers++
-		case vm.Role != topo.RoleRouter && !s.orders[vm.ID].leave:
+			if !vm.Leaving {
+				v.Routers++
+			}
+		case vm.Role == topo.RoleDirect:
+			// One without a sidecar can still hand its prompts on to others, whoever has
+			// said that it leaves.
+			vm.Leaving = vm.Leaving || order.Leave
+			members[vm.Pool] = append(members[vm.Pool], vm)
+		case !vm.Leaving && !order.Leave:
 			members[vm.Pool] = append(members[vm.Pool], vm)
 		}
 	}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -60,12 +60,13 @@
 	return effects
 }
 
-// drainOrders looks for the order to drain this VM, which is an object of its
-// name, and for its removal.
+// drainOrders looks for orders to drain this VM or its failure domain, and for their
+// removal.
 func (s *State) drainOrders(objects []topo.Object) {
 	for _, o := range objects {
-		if o.Kind == topo.KindDrain && o.Name == s.settings.VM {
-			s.order(wire.Notice{Leaving: !o.Deleted, Version: o.Version})
-		}
+		s.orders.Take(o)
+	}
+	if o, ok := s.orders.Of(s.settings.VM, s.settings.FailureDomain); ok {
+		s.order(wire.Notice{Leaving: o.Leave, Version: o.Version})
 	}
 }
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -8,6 +8,7 @@
 
 	"github.com/parsleyfront/parsleyfront/internal/admission"
 	"github.com/parsleyfront/parsleyfront/internal/config"
+	"github.com/parsleyfront/parsleyfront/internal/drain"
 	"github.com/parsleyfront/parsleyfront/internal/idempotency"
 	"github.com/parsleyfront/parsleyfront/internal/load"
 	"github.com/parsleyfront/parsleyfront/internal/quarantine"
@@ -27,11 +28,12 @@
 
 // Settings is what a sidecar's decisions depend on.
 type Settings struct {
-	VM          string
-	Incarnation uint64
-	Weight      int // relative capacity of the upstream; below one counts as one
-	Keys        int // entries of the key table
-	Admission   admission.Config
+	VM            string
+	FailureDomain string
+	Incarnation   uint64
+	Weight        int // relative capacity of the upstream; below one counts as one
+	Keys          int // entries of the key table
+	Admission     admission.Config
 	// DetachGrace is how long a request goes on that nobody reads.
 	DetachGrace time.Duration
 	// KeepAnswer is how long each answer is kept at least.
@@ -59,6 +61,7 @@
 	soloNext time.Time  // when it is looked at next
 	broken   []*request // calls that broke off, until it is known why
 	probe    probe
+	orders   drain.Orders
 	leave    leave
 	emptying emptying
 	recent   sessions
--- a/internal/telemetry/metric.go
+++ b/internal/telemetry/metric.go
@@ -57,7 +57,7 @@
 // gaugeUnits are the last words that a gauge's name may have.
 var gaugeUnits = []string{
 	"bytes", "seconds", "ratio", "info", "version",
-	"connections", "entries", "objects", "requests", "streams", "tokens", "upstreams", "vms",
+	"connections", "domains", "entries", "objects", "requests", "streams", "tokens", "upstreams", "vms",
 }
 
 var registry struct {
--- a/internal/topo/topo.go
+++ b/internal/topo/topo.go
@@ -27,10 +27,11 @@
 	KindProfile      Kind = "profile"
 	KindOrganisation Kind = "organisation"
 	KindPool         Kind = "pool"
-	KindDrain        Kind = "drain"      // by the id of the VM
-	KindLimits       Kind = "limits"     // of what callers may send
-	KindClaim        Kind = "claim"      // of a caller's own idempotency key
-	KindConviction   Kind = "conviction" // of a request that crashes upstreams
+	KindDrain        Kind = "drain"        // by the id of the VM
+	KindDomainDrain  Kind = "domain-drain" // by the name of the failure domain
+	KindLimits       Kind = "limits"       // of what callers may send
+	KindClaim        Kind = "claim"        // of a caller's own idempotency key
+	KindConviction   Kind = "conviction"   // of a request that crashes upstreams
 	KindLease        Kind = "lease"
 	KindHistory      Kind = "history" // former revisions of configuration
 	KindRouter       Kind = "router"  // where a router can be reached by others
@@ -75,7 +76,7 @@
 	Version  Version  `json:"version"`            // of the store when the listing began
 	Continue string   `json:"continue,omitempty"` // for the next page; empty on the last
 	// Whole tells that Objects are all that exist at Version, with what their
-	// versions are left open. It is of sources that keep everything in one object.
+	// versions are left open. It is of sources that tell everything when anything changes.
 	Whole bool `json:"-"`
 }
 
--- a/test/ctl_test.go
+++ b/test/ctl_test.go
@@ -121,6 +121,9 @@
 	return faults
 }
 
+// testDomain is the failure domain of the upstreams.
+const testDomain = "casablanca/hall-a"
+
 var _ = Describe("parsleyctl", func() {
 	var f *fleet
 
@@ -158,10 +161,17 @@
 
 		Expect(run(f.platformURL, "drain", "vm-0", "--wait").code).To(Equal(ctl.ExitOK))
 		Expect(run(f.platformURL, "list", "drain").out).To(ContainSubstring("vm-0"))
-		Expect(run(f.platformURL, "status", "--upstreams").out).To(MatchRegexp(`vm-0 +notes +draining`))
+		Expect(run(f.platformURL, "status", "--upstreams").out).To(MatchRegexp(`vm-0 +notes +` + testDomain + ` +draining`))
 		Expect(run(f.platformURL, "undrain", "vm-0", "--wait").code).To(Equal(ctl.ExitOK))
 		Expect(run(f.platformURL, "drain", "vm-9").code).To(Equal(ctl.ExitNotFound))
 
+		Expect(run(f.platformURL, "drain", "--failure-domain", testDomain, "--wait", "-m", "works on the power").code).To(Equal(ctl.ExitOK))
+		Expect(run(f.platformURL, "list", "domain-drain").out).To(ContainSubstring(testDomain))
+		Expect(run(f.platformURL, "status", "--upstreams").out).To(MatchRegexp(`vm-0 +notes +` + testDomain + ` +draining`))
+		Expect(run(f.platformURL, "undrain", "--failure-domain", testDomain, "--wait").code).To(Equal(ctl.ExitOK))
+		Expect(run(f.platformURL, "drain", "--failure-domain", "nowhere").code).To(Equal(ctl.ExitNotFound))
+		Expect(run(f.platformURL, "drain").code).To(Equal(ctl.ExitUsage))
+
 		Eventually(func() string { return run(f.platformURL, "status").out }, startWithin).
 			Should(And(MatchRegexp(router+` .* serving`), Not(ContainSubstring("behind")), Not(ContainSubstring("no answer"))))
 		explained := run(f.platformURL, "explain", "--organisation", "club", "--model", model, "--session", "s")
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -142,7 +142,7 @@
 	args := []string{"sidecar", "--listen", sidecarAddr, "--upstream", url, "--admin-listen", vm.admin, "--platform", f.platformURL}
 	args = append(args, f.trust.flags(secure.Identity{Role: secure.RoleSidecar, VM: vm.id})...)
 	vm.sidecar = start(daemonPath, sidecarAddr, args...)
-	f.list(topo.VM{ID: vm.id, Role: topo.RoleUpstream, Addr: sidecarAddr, Pool: pool})
+	f.list(topo.VM{ID: vm.id, Role: topo.RoleUpstream, Addr: sidecarAddr, Pool: pool, FailureDomain: testDomain})
 	f.upstreams = append(f.upstreams, vm)
 }
 
