exchange: silence within the framing of a stream is noticed

Cause, found while tracing a test that failed beside busy processes: a runner that falls silent just after the end of a chunk, sent by itself, left bytes to read that are no part of the answer. The look ahead took them for the next event, and the read that followed had no bound: the caller waited for a minute, past its deadline, though another runner could have gone on.

Ruled out: a bound on the read itself (it may break within the framing, and could not be gone on with where nobody else may take over).

Change: bytes that can only be framing do not count as news.

--- a/internal/exchange/stream.go
+++ b/internal/exchange/stream.go
@@ -1,10 +1,12 @@
 package exchange
 
 import (
+	"bytes"
 	"io"
 	"mime"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -40,16 +42,46 @@
 
 // silent waits for the next bytes of the answer and reports whether they did not
 // come in time. It only looks at them: a read that ran out of time within the
-// framing of a body could not be gone on with.
+// framing of a body could not be gone on with. The framing alone is no answer: an
+// upstream that falls silent after the end of a chunk, sent by itself, would have the read
+// that follows wait without a bound, and the caller with it.
 func (s *Stream) silent() bool {
-	if s.conn.r.Buffered() > 0 {
+	if s.more() {
 		return false
 	}
 	// Setting a deadline fails only on a closed connection, as the read will.
 	_ = s.conn.SetReadDeadline(time.Now().Add(s.pause))
-	_, err := s.conn.r.Peek(1)
-	_ = s.conn.SetReadDeadline(time.Time{})
-	return errors.Is(err, os.ErrDeadlineExceeded)
+	defer func() { _ = s.conn.SetReadDeadline(time.Time{}) }()
+	for !s.more() {
+		if _, err := s.conn.r.Peek(s.conn.r.Buffered() + 1); err != nil {
+			return errors.Is(err, os.ErrDeadlineExceeded)
+		}
+	}
+	return false
+}
+
+// more reports whether something of the body has come that was not read yet.
+func (s *Stream) more() bool {
+	ahead, _ := s.conn.r.Peek(s.conn.r.Buffered()) // that many are there
+	return len(ahead) > 0 && !(s.chunked() && framing(ahead))
+}
+
+// chunked reports whether the body comes in chunks.
+func (s *Stream) chunked() bool {
+	return slices.Contains(s.resp.TransferEncoding, "chunked")
+}
+
+// lastChunk begins the end of a body that comes in chunks.
+var lastChunk = []byte("0\r\n")
+
+// framing reports whether bytes may be nothing but the end of a chunk and the beginning of
+// the size of the next one.
+func framing(b []byte) bool {
+	b = bytes.TrimPrefix(b, []byte("\r\n"))
+	if bytes.HasPrefix(b, lastChunk) {
+		return false
+	}
+	return len(bytes.Trim(b, "0123456789abcdefABCDEF\r\n")) == 0
 }
 
 // Within bounds the time that each further piece may take.
--- a/internal/router/ledger.go
+++ b/internal/router/ledger.go
@@ -16,7 +16,7 @@
 	Objects  []admin.ObjectVersion
 	Rejected []profile.Problem // each object's first problem
 	Drained  []DomainOrder
-	Complete topo.Version      // of the store, up to which all is known
+	Complete topo.Version // of the store, up to which all is known
 	// StoreHeard is when the store last answered with what was not stale.
 	StoreHeard time.Time
 }
