load, placement: drained upstreams count in the mean, and three more requests fit under the bound

Only upstreams that work tell their loads, so the believed mean was that of 36 of 54 (8.0 for 4.9), and routers filled them up to 13.9 where the operators' bound was 12.9.

Change: the mean counts drained upstreams as idle; the slack of the bound is 2.4 requests, .8 of what the operators allow on top of the multiple, as the multiple is filled to .8. What a suspected upstream's neighbours may take keeps its slack of one.

TestDrainedUpstreamsCountInTheMean fails before (mean 12.00 for 8.00).

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -72,9 +72,9 @@
 		r.Share = 0
 	}
 	if r.Multiple > 0 {
-		r.Multiple = fillTo(r.Multiple, t.loads.Seen(p.Len()))
+		r.Multiple = fillTo(r.Multiple, t.loads.Seen(p.Len(), p.Idle()))
 	}
-	l := loadsAt{Tracker: t, on: on, now: now, n: p.Len(), request: r}
+	l := loadsAt{Tracker: t, on: on, now: now, n: p.Len(), idle: p.Idle(), request: r}
 	queues := on.Waits && t.places > 0 && r.Objective > 0
 	if queues {
 		l.request.Within, l.request.Most = r.Objective.Seconds(), t.mix.Objective().Seconds()*t.speed.Lightness(r.Profile)
@@ -285,6 +285,7 @@
 	on      policy.Policy
 	now     time.Time
 	n       int
+	idle    int // of them, get nothing
 	request Request
 	behind  bool // the request waits behind those that can be answered in time
 }
@@ -328,7 +329,7 @@
 // Mean implements placement.Loads. It is that of all upstreams, also while some are
 // suspected: measured against those that take their requests on, the bound would be far
 // above the operators', who count all.
-func (l loadsAt) Mean() float64 { return l.loads.Mean(l.n) }
+func (l loadsAt) Mean() float64 { return l.loads.Mean(l.n, l.idle) }
 
 // Suspects implements placement.Loads.
 func (l loadsAt) Suspects(vm load.VM) bool {
--- a/internal/balance/tracker_test.go
+++ b/internal/balance/tracker_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -79,3 +80,36 @@
 		t.Error("without outliers the home does not come first")
 	}
 }
+
+// The operators drain a third of a pool. The engines that are left have half as much again
+// to do, and only they tell their loads; measured against those alone, the operators' bound
+// of twice the mean, which counts all, would be passed by a fifth before a router held back.
+func TestDrainedUpstreamsCountInTheMean(t *testing.T) {
+	const upstreams, drained, each = 54, 18, 12
+	now := time.Unix(1000, 0)
+	tracker := NewTracker()
+	var members []placement.Member
+	for i := range upstreams {
+		m := member(i)
+		m.Idle, m.Leaving = i < drained, i < drained
+		if !m.Idle {
+			tracker.Report(now, m.VM, each)
+		}
+		members = append(members, m)
+	}
+	var out [placement.Candidates]placement.Choice
+	q := placement.Query{Session: 7, Multiple: 2, Now: now}
+	_, basis := tracker.Choose(now, placement.NewPool(members, placement.Locality{}), policy.All(), Request{Query: q}, &out)
+	if want := float64(each) * (upstreams - drained) / upstreams; math.Abs(basis.Mean-want) > 0.01 {
+		t.Errorf("a mean of %.2f, want %.2f", basis.Mean, want)
+	}
+	if most := 2*basis.Mean + 3; basis.Bound > most {
+		t.Errorf("filled up to %.1f, where the operators' bound is %.1f", basis.Bound, most)
+	}
+}
+
+// member is upstream i of a pool.
+func member(i int) placement.Member {
+	name := fmt.Sprint("engine-", i)
+	return placement.Member{VM: load.Hash(name), Seed: placement.Seed(name)}
+}
--- a/internal/load/tally.go
+++ b/internal/load/tally.go
@@ -168,15 +168,20 @@
 	return t.believed(e, trust) + upperDeviations*(1-trust)*math.Sqrt(t.meanOthers())
 }
 
-// Mean returns the believed mean load of n upstreams.
-func (t *Tally) Mean(n int) float64 {
-	return float64(t.own)/float64(max(n, 1)) + t.meanOthers()
-}
-
-// Seen returns which part of the load of n upstreams is the router's own, which it
-// counts and need not be told.
-func (t *Tally) Seen(n int) float64 {
-	mean := t.Mean(n)
+// Mean returns the believed mean load of n upstreams, of which some are idle: they are
+// there, and get nothing. They tell nothing either, so that what the others tell would
+// pass for the mean of all, and a bound that counts all would be broken: with a third of
+// a pool drained, the others would be filled half as much again.
+func (t *Tally) Mean(n, idle int) float64 {
+	all := float64(max(n, 1))
+	working := float64(n-idle) / all
+	return float64(t.own)/all + working*t.meanOthers()
+}
+
+// Seen returns which part of the load of n upstreams, of which some are idle, is the
+// router's own, which it counts and need not be told.
+func (t *Tally) Seen(n, idle int) float64 {
+	mean := t.Mean(n, idle)
 	if mean <= 0 {
 		return 1
 	}
--- a/internal/placement/bounded.go
+++ b/internal/placement/bounded.go
@@ -25,13 +25,13 @@
 
 const (
 	// boundSlack is how many requests an upstream takes over the multiple of the
-	// mean: where the mean is a few requests, chance alone puts one or two more on
-	// an upstream.
-	boundSlack = 1.0
-	// spareMultiple of the mean is up to which an upstream takes over requests of one
-	// that is suspected. With three fifths of a pool losing answers, the others would
+	// mean: where the mean is a few requests, chance alone puts two or three more on
+	// an upstream, and sessions would leave their prompts for that.
+	boundSlack = 2.4
+	// spareMultiple of the mean, and spareSlack requests, is up to which an upstream takes
+	// over requests of one that is suspected. With three fifths of a pool losing answers, the others would
 	// stand at the bound all the time, and chance would put them over the operators'.
-	spareMultiple = 1.3
+	spareMultiple, spareSlack = 1.3, 1.0
 	// newcomerFor is how long after it has joined an upstream is passed over as a
 	// donor. Among upstreams that are replaced one after the other, it lowers the
 	// shared tokens that are read again by a sixth; 15 s do no better.
@@ -129,7 +129,7 @@
 // in question.
 func (p *Pool) underFirst(l Loads, q Query, basis *Basis, order []int, out *[Candidates]Choice) (int, weighed) {
 	var ranked [depth]weighed
-	pass := pass{spare: spareMultiple*basis.Mean + boundSlack}
+	pass := pass{spare: spareMultiple*basis.Mean + spareSlack}
 	n := 0
 	for _, i := range order {
 		if !p.members[i].Leaving {
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -19,6 +19,8 @@
 	// Leaving upstreams take no new requests. They still hold prompts that others
 	// may get from them.
 	Leaving bool
+	// Idle ones are Leaving, but stay: operators have ordered that they get nothing.
+	Idle bool
 	// Joined is when the upstream was first seen in the list.
 	Joined time.Time
 }
@@ -44,6 +46,7 @@
 	regional, remote ranking // of the node's region, and of the others
 	local            domains // of the region of the node, by failure domain
 	own, rest        []int   // of the node's failure domain, and of its region's others
+	idle             int     // members that are Idle
 }
 
 // NewPool returns the Pool of members for a node at self. The members keep
@@ -52,6 +55,9 @@
 	p := &Pool{members: members, inRegion: make([]bool, len(members))}
 	var regional, remote []int
 	for i, m := range members {
+		if m.Idle {
+			p.idle++
+		}
 		if region(m.Domain) == region(self.Domain) {
 			regional = append(regional, i)
 		} else {
@@ -79,6 +85,11 @@
 	return len(p.members)
 }
 
+// Idle returns how many of them are idle.
+func (p *Pool) Idle() int {
+	return p.idle
+}
+
 // Index returns the index of an upstream or None.
 func (p *Pool) Index(vm load.VM) int {
 	for i := range p.members {
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -204,7 +204,7 @@
 }
 
 func (a *Answer) homesByDomain(seen map[string]topo.VM) {
-	members := a.pool.members()
+	members := a.pool.members
 	domains := make(map[string]bool)
 	for _, vm := range a.pool.VMs {
 		domains[vm.FailureDomain] = true
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -34,7 +34,8 @@
 // Pool is the upstreams of one pool.
 type Pool struct {
 	VMs     []topo.VM
-	placed  *placement.Pool // in the order of VMs
+	members []placement.Member // in the order of VMs
+	placed  *placement.Pool    // of members
 	beliefs *beliefs
 	tracker *balance.Tracker
 	serving []load.VM // those of VMs that are not leaving
@@ -78,7 +79,7 @@
 
 // viewVMs sorts the upstreams that take new work by pool.
 func (s *State) viewVMs(v *View) {
-	members := make(map[string][]topo.VM)
+	members := make(map[string][]upstream)
 	v.VMs = make(map[string]topo.VM, len(s.vms.Entries))
 	v.Routers = 0
 	for _, vm := range s.vms.Entries {
@@ -92,10 +93,9 @@
 		case vm.Role == topo.RoleDirect:
 			// One without a sidecar can still hand its prompts on to others, whoever has
 			// said that it leaves.
-			vm.Leaving = vm.Leaving || order.Leave
-			members[vm.Pool] = append(members[vm.Pool], vm)
+			members[vm.Pool] = append(members[vm.Pool], upstream{vm: vm, joined: s.joined[vm.ID], drained: order.Leave})
 		case !vm.Leaving && !order.Leave:
-			members[vm.Pool] = append(members[vm.Pool], vm)
+			members[vm.Pool] = append(members[vm.Pool], upstream{vm: vm, joined: s.joined[vm.ID]})
 		}
 	}
 	v.Routers = max(v.Routers, 1)
@@ -111,54 +111,49 @@
 		}
 	}
 	v.Pools = make(map[string]*Pool, len(members))
-	for name, vms := range members {
+	for name, upstreams := range members {
 		if s.beliefs[name] == nil {
 			s.beliefs[name], s.trackers[name] = newBeliefs(), balance.NewTracker()
 		}
-		v.Pools[name] = newPool(vms, s.beliefs[name], s.trackers[name], s.self, s.joined)
+		v.Pools[name] = newPool(upstreams, s.beliefs[name], s.trackers[name], s.self)
 	}
 }
 
-func newPool(vms []topo.VM, b *beliefs, t *balance.Tracker, self placement.Locality, joined map[string]time.Time) *Pool {
-	p := &Pool{VMs: vms, beliefs: b, tracker: t}
-	members := p.members()
-	for i, vm := range vms {
-		members[i].Joined = joined[vm.ID]
-	}
-	ids := make([]load.VM, len(members))
-	for i, m := range members {
-		ids[i] = m.VM
-	}
-	b.keep(ids)
-	t.Keep(ids)
-	p.listServing(members)
-	p.placed = placement.NewPool(members, self)
-	return p
+// upstream is an upstream of a pool, with what the control state knows of it beside its
+// entry in the list.
+type upstream struct {
+	vm      topo.VM
+	joined  time.Time // when it was first seen in the list
+	drained bool      // it takes no new work by operators' order
 }
 
-// listServing notes which upstreams serve.
-func (p *Pool) listServing(members []placement.Member) {
-	for _, m := range members {
-		if !m.Leaving {
-			p.serving = append(p.serving, m.VM)
-		}
+// member returns the upstream as package placement sees it.
+func (u upstream) member() placement.Member {
+	return placement.Member{
+		VM:      load.Hash(u.vm.ID),
+		Seed:    placement.Seed(u.vm.Name()), // one that starts again moves no sessions of others
+		Weight:  max(u.vm.Weight, 1),
+		Domain:  u.vm.FailureDomain,
+		Leaving: u.vm.Leaving || u.drained,
+		Idle:    u.drained && !u.vm.Leaving,
+		Joined:  u.joined,
 	}
 }
 
-// members returns the upstreams as package placement sees them.
-func (p *Pool) members() []placement.Member {
-	out := make([]placement.Member, len(p.VMs))
-	for i, vm := range p.VMs {
-		out[i] = placement.Member{
-			VM:     load.Hash(vm.ID),
-			Seed:   placement.Seed(vm.Name()), // one that starts again moves no sessions of others
-			Weight: max(vm.Weight, 1),
-			Domain: vm.FailureDomain,
-
-			Leaving: vm.Leaving,
+func newPool(upstreams []upstream, b *beliefs, t *balance.Tracker, self placement.Locality) *Pool {
+	p := &Pool{beliefs: b, tracker: t}
+	var ids []load.VM
+	for _, u := range upstreams {
+		m := u.member()
+		p.VMs, p.members, ids = append(p.VMs, u.vm), append(p.members, m), append(ids, m.VM)
+		if !m.Leaving {
+			p.serving = append(p.serving, m.VM)
 		}
 	}
-	return out
+	b.keep(ids)
+	t.Keep(ids)
+	p.placed = placement.NewPool(p.members, self)
+	return p
 }
 
 // ForModel returns the profile by which org uses model: the named one, or the
