warmup, membership, router: cold upstreams get no more than they bear, from all routers together

Ruled out, before building: a keeper that grants sends (a wait that a healthy path would not have, and two keepers while routers disagree who it is); a list of the first routers of a ranking (most routers read the register at their start only and forget what they do not hear of, so that the lists differ by more than the limit allows); feedback by loads (.3 to .8 s late).

Change: entries tell how long an upstream is cold; internal/warmup works out from the size of the fleet what a router may send in 1.1 s: an equal part of .75 of the limit in a small fleet, in a large one a single request by routers that chance picks, by a hash of both names, so few of them that more than the limit would be picked once in a million. The choice passes over upstreams that are closed, and the gate counts just before the first byte: first tries, retries, hedges, streams that go on. The reader tells how many routers there are. Upstreams of a failure domain that is taken back count as cold until they have written their entries anew.

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -54,6 +54,8 @@
 	Objective time.Duration // for the first byte; zero: none, it goes as it is
 	Left      time.Duration // of its caller's time; zero: not known
 	Late      bool          // it cannot be answered within its objective any more
+	// Closed reports whether an upstream may get no request now; nil: none is closed.
+	Closed func(vm load.VM) bool
 }
 
 // Choose writes the upstreams of p to which a request is offered to out, in order, and
@@ -71,10 +73,11 @@
 	if !on.HotSpread {
 		r.Share = 0
 	}
+	idle := p.Idle()
 	if r.Multiple > 0 {
-		r.Multiple = fillTo(r.Multiple, t.loads.Seen(p.Len(), p.Idle()))
+		r.Multiple = fillTo(r.Multiple, t.loads.Seen(p.Len(), idle))
 	}
-	l := loadsAt{Tracker: t, on: on, now: now, n: p.Len(), idle: p.Idle(), request: r}
+	l := loadsAt{Tracker: t, on: on, now: now, n: p.Len(), idle: idle, request: r}
 	queues := on.Waits && t.places > 0 && r.Objective > 0
 	if queues {
 		l.request.Within, l.request.Most = r.Objective.Seconds(), t.mix.Objective().Seconds()*t.speed.Lightness(r.Profile)
@@ -331,6 +334,11 @@
 // above the operators', who count all.
 func (l loadsAt) Mean() float64 { return l.loads.Mean(l.n, l.idle) }
 
+// Closed implements placement.Loads.
+func (l loadsAt) Closed(vm load.VM) bool {
+	return l.request.Closed != nil && l.request.Closed(vm)
+}
+
 // Suspects implements placement.Loads.
 func (l loadsAt) Suspects(vm load.VM) bool {
 	return l.on.Outliers && l.outliers.Suspects(l.now, vm)
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -240,9 +240,12 @@
 // tuning returns the bounds that the platform sets.
 func tuning(p platform.Settings, on policy.Policy) router.Tuning {
 	return router.Tuning{
-		Retries:      retry.Rule{Ratio: retryShare * p.RetryRatio, Slack: retrySlack, Window: p.RetryWindow},
-		LoadMultiple: p.LoadMultiple,
-		Policy:       on,
+		Retries:       retry.Rule{Ratio: retryShare * p.RetryRatio, Slack: retrySlack, Window: p.RetryWindow},
+		LoadMultiple:  p.LoadMultiple,
+		WarmupOverage: p.WarmupOverage,
+		WarmupSlack:   p.WarmupSlack,
+		Regions:       p.RegionCount(),
+		Policy:        on,
 	}
 }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -22,7 +22,11 @@
 	// Born is when this incarnation started, in Unix milliseconds; zero: it does not
 	// say, and an upstream that starts again has another name.
 	Born int64
-	// VM is how it is reached. Its ID is the State's to give.
+	// Version of the entry in the store.
+	Version topo.Version
+	// Cold is for how much longer the upstream is cold, at the moment of its writing.
+	Cold time.Duration
+	// VM is how it is reached. Its ID and WarmAt are the State's to give.
 	VM topo.VM
 }
 
@@ -44,6 +48,7 @@
 	entries map[string]*entry // by name
 	former  map[string]former // names without an entry
 	back    time.Time         // when the store answered again after an outage; zero: there was none
+	doubts  map[string]doubt  // by failure domain
 	timing  Timing
 }
 
@@ -71,9 +76,17 @@
 	at   time.Time // when its entry went
 }
 
+// doubt is a failure domain whose upstreams may have become cold at a version of the
+// store, without their entries telling so yet.
+type doubt struct {
+	version topo.Version
+	until   time.Time
+}
+
 // entry is one upstream's entry.
 type entry struct {
 	vm      topo.VM
+	version topo.Version
 	born    int64
 	missing time.Time // until when it counts though the store has none; zero: the store has it
 	until   time.Time // when it is dropped; zero: not yet settled
@@ -83,7 +96,7 @@
 
 // NewState returns a State that knows nothing.
 func NewState(t Timing) *State {
-	return &State{entries: make(map[string]*entry), former: make(map[string]former), timing: t}
+	return &State{entries: make(map[string]*entry), former: make(map[string]former), doubts: make(map[string]doubt), timing: t}
 }
 
 // Kind is what has happened to an entry.
@@ -170,7 +183,34 @@
 	delete(s.former, e.Name)
 	vm := e.VM
 	vm.ID, vm.Instance = incarnation(e), e.Name
-	s.entries[e.Name] = &entry{vm: vm, born: e.Born}
+	if e.Cold > 0 {
+		vm.WarmAt = now.Add(e.Cold) // it was written before now, so that it is warm by then
+	}
+	written := &entry{vm: vm, version: e.Version, born: e.Born}
+	written.doubted(s.doubts[vm.FailureDomain])
+	s.entries[e.Name] = written
+}
+
+// Doubt takes in that upstreams of a failure domain may have become cold up to a version of
+// the store, as those of a domain do that is emptied and taken back: until they have
+// written their entries anew, they count as cold for as long as warm returns for their
+// pools.
+func (s *State) Doubt(now time.Time, domain string, version topo.Version, warm func(pool string) time.Duration) {
+	longest := time.Duration(0)
+	for _, e := range s.entries {
+		if e.vm.FailureDomain == domain {
+			longest = max(longest, warm(e.vm.Pool))
+			e.doubted(doubt{version: version, until: now.Add(warm(e.vm.Pool))})
+		}
+	}
+	s.doubts[domain] = doubt{version: version, until: now.Add(longest)}
+}
+
+// doubted applies a doubt to an entry that was written before it.
+func (e *entry) doubted(d doubt) {
+	if e.version <= d.version && d.until.After(e.vm.WarmAt) {
+		e.vm.WarmAt = d.until
+	}
 }
 
 // lastBorn returns the latest start that is known of a name.
@@ -255,6 +295,11 @@
 			changed = true
 		}
 	}
+	for domain, d := range s.doubts {
+		if due(now, d.until) {
+			delete(s.doubts, domain)
+		}
+	}
 	for name, f := range s.former {
 		if now.Sub(f.at) >= formerFor {
 			delete(s.former, name)
--- a/internal/placement/bounded.go
+++ b/internal/placement/bounded.go
@@ -21,6 +21,9 @@
 	Expect(vm load.VM) Expected
 	// Suspects reports whether an upstream fails more of its requests than others.
 	Suspects(vm load.VM) bool
+	// Closed reports whether an upstream may get no request now, whatever its load: it is
+	// cold, and has got what it bears.
+	Closed(vm load.VM) bool
 }
 
 const (
@@ -91,11 +94,16 @@
 	basis.Late = first.expected.Waits && tooMuch(q, basis)
 	// Upstreams of other regions come last.
 	for _, i := range ranked[:p.remote.top(q.Session, ranked[:])] {
-		n = p.add(out, n, i, l.Load(p.members[i].VM))
+		n = p.add(l, out, n, i)
 	}
 	return n, basis
 }
 
+// takes reports whether upstream i may get a request now.
+func (p *Pool) takes(l Loads, i int) bool {
+	return !p.members[i].Leaving && !l.Closed(p.members[i].VM)
+}
+
 // rank writes the indices of the region's upstreams to best, in the order in which a
 // session prefers them, and returns how many there are.
 func (p *Pool) rank(q Query, best []int) int {
@@ -132,7 +140,7 @@
 	pass := pass{spare: spareMultiple*basis.Mean + spareSlack}
 	n := 0
 	for _, i := range order {
-		if !p.members[i].Leaving {
+		if p.takes(l, i) {
 			ranked[n] = pass.place(p.weigh(l, q, *basis, i))
 			n++
 		}
@@ -295,12 +303,12 @@
 		if j := p.soonest(l, p.regional.index, &random); i == None || p.sooner(l, j, i, leaveRatio) {
 			i = j
 		}
-		n = p.add(out, n, i, l.Load(p.members[i].VM))
+		n = p.add(l, out, n, i)
 	}
 	// Chance may have picked the same few again and again.
 	for _, group := range [...][]int{p.own, p.rest, p.remote.index} {
 		for _, i := range group {
-			n = p.add(out, n, i, l.Load(p.members[i].VM))
+			n = p.add(l, out, n, i)
 		}
 	}
 	return n
@@ -330,7 +338,7 @@
 func (p *Pool) sooner(l Loads, i, j int, ratio float64) bool {
 	a, b := p.members[i], p.members[j]
 	return cmp.Or(
-		compareBools(a.Leaving, b.Leaving),
+		compareBools(!p.takes(l, i), !p.takes(l, j)),
 		compareBools(l.Suspects(a.VM), l.Suspects(b.VM)),
 		cmp.Compare(ratio*l.Wait(a.VM), l.Wait(b.VM)),
 	) < 0
@@ -344,11 +352,11 @@
 
 // add adds upstream i to the n that are chosen, if there is room and it is not
 // among them, and returns how many there are then.
-func (p *Pool) add(out *[Candidates]Choice, n, i int, load float64) int {
-	if n == Candidates || p.members[i].Leaving || chosen(out[:n], i) {
+func (p *Pool) add(l Loads, out *[Candidates]Choice, n, i int) int {
+	if n == Candidates || chosen(out[:n], i) || !p.takes(l, i) {
 		return n
 	}
-	out[n] = Choice{Index: i, Load: load, Donor: None}
+	out[n] = Choice{Index: i, Load: l.Load(p.members[i].VM), Donor: None}
 	return n + 1
 }
 
--- a/internal/placement/bounded_test.go
+++ b/internal/placement/bounded_test.go
@@ -21,6 +21,7 @@
 func (l loads) Upper(vm load.VM) float64 { return l[vm] }
 
 func (l loads) Suspects(load.VM) bool   { return false }
+func (l loads) Closed(load.VM) bool     { return false }
 func (l loads) Expect(load.VM) Expected { return Expected{} }
 
 func (l loads) Mean() float64 {
--- a/internal/placement/hot.go
+++ b/internal/placement/hot.go
@@ -20,7 +20,7 @@
 	random := mix(q.Random)
 	i := int(random % uint64(replicas))
 	j := int(mix(random) % uint64(replicas))
-	if p.members[order[i]].Leaving || p.better(l, order[j], order[i]) {
+	if !p.takes(l, order[i]) || p.better(l, order[j], order[i]) {
 		i = j
 	}
 	first := order[i]
--- a/internal/profile/check.go
+++ b/internal/profile/check.go
@@ -28,6 +28,7 @@
 	MaxAttempts       = 100
 	MaxSlots          = 1_000_000
 	MaxCacheTokens    = 1 << 40
+	MaxWarmupRate     = 1e6 // requests a second
 	MaxHeaderBytes    = 1 * MiB
 	MaxIdleTime       = Duration(24 * time.Hour)
 )
@@ -244,6 +245,8 @@
 	checkRange(c, "connections", p.Connections, 0, MaxSlots)
 	checkRange(c, "slots", p.Slots, 0, MaxSlots)
 	checkRange(c, "cache_tokens", p.CacheTokens, 0, MaxCacheTokens)
+	c.duration("warmup", p.Warmup, 0, MaxDeadline)
+	checkRange(c, "warmup_rate", p.WarmupRate, 0, MaxWarmupRate)
 	if p.Model == "" {
 		p.checkPlain(c)
 		return
--- a/internal/profile/profile.go
+++ b/internal/profile/profile.go
@@ -142,6 +142,10 @@
 	Slots int `json:"slots,omitempty"`
 	// CacheTokens is how many tokens one upstream holds, of running requests and cached prompts.
 	CacheTokens int `json:"cache_tokens,omitempty"`
+	// Warmup is how long an upstream is cold after its start.
+	Warmup Duration `json:"warmup,omitempty"`
+	// WarmupRate is how many requests a second a cold upstream bears from all routers; zero is no bound.
+	WarmupRate float64 `json:"warmup_rate,omitempty"`
 }
 
 // Limits bound what callers send, and how long they may take.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -196,6 +196,7 @@
 	sorted []*peer
 
 	parent    *peer // whom this router relies on; nil: its own reading
+	listed    bool  // the register was read
 	reading   bool  // the store is read by this router now
 	failing   bool  // and does not answer it
 	own       Sets[Knowledge]
@@ -240,6 +241,15 @@
 	return n
 }
 
+// Listed is how many routers of the region are listed, this one included, whether they
+// answer or not; zero: the register was not read yet.
+func (s *State) Listed() int {
+	if !s.listed {
+		return 0
+	}
+	return len(s.peers) + 1
+}
+
 // eager is how many routers, those next in order, take the place of a reader as soon
 // as it says that the store does not answer it. If the store answers nobody, few have
 // tried in vain; the others wait until what they know has grown old. Of nodes that a
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -39,6 +39,7 @@
 // registered makes this router known to those that it learns of.
 func (s *State) registered(e Registered) []Effect {
 	var out []Effect
+	s.listed = true
 	for _, n := range e.Nodes {
 		if s.peers[n.Name] == nil && s.learn(e.Now, n) != nil {
 			out = append(out, SendSubscribe{To: n, Subscribe: Subscribe{From: s.self}})
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -83,7 +83,8 @@
 	site      topo.VM
 	given     token.Nonce // of the key to which the site gave leave
 	gate      gate
-	resends   int // how often it was written again, since it had not been sent
+	closed    bool // of direct upstreams: it was cold, and may get no more now
+	resends   int  // how often it was written again, since it had not been sent
 	stream    stream
 	pieces    []wire.Piece // read ahead of delivery
 	offset    int64        // of the next byte for the caller
--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -106,6 +106,10 @@
 		at.gate.seal()
 		return false
 	}
+	if !a.router.admits(time.Now(), a.poolName, at.vm) {
+		at.closed = true
+		return false
+	}
 	if !at.gate.pass() {
 		return false
 	}
@@ -146,6 +150,8 @@
 		a.router.avoid(at.vm.ID)
 		at.watch.broke()
 		return dispatch.Unreachable{Now: now, Attempt: at.number, Err: err}
+	case at.closed:
+		return dispatch.Unreachable{Now: now, Attempt: at.number, Err: errCold}
 	default:
 		return dispatch.Sealed{Attempt: at.number}
 	}
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -99,6 +99,14 @@
 	return out
 }
 
+// Listed returns how many routers of the region are listed; zero: that is not known.
+func (s *State) Listed() int {
+	if s.relayed == nil {
+		return 0
+	}
+	return s.relayed.relay.Listed()
+}
+
 // told takes in how far the router is that this one relies on.
 func (s *State) told(now time.Time, e relay.Told) []Effect {
 	peer := config.Peer(e.Parent.Name)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -21,6 +21,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/token"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
+	"github.com/parsleyfront/parsleyfront/internal/warmup"
 	"github.com/parsleyfront/parsleyfront/internal/wire"
 )
 
@@ -70,6 +71,12 @@
 	Retries retry.Rule
 	// LoadMultiple bounds an upstream's load to this multiple of the mean.
 	LoadMultiple float64
+	// WarmupOverage times what its pool says that a cold upstream bears in a second, and
+	// WarmupSlack more, is what may reach it from all routers.
+	WarmupOverage, WarmupSlack float64
+	// Regions of the platform; zero counts as one. Routers know how many there are in
+	// their own only.
+	Regions int
 	// Policy says which mechanisms are on.
 	Policy policy.Policy
 }
@@ -99,6 +106,7 @@
 	suspects *suspects
 	ledger   *ledger
 	holders  *holders
+	warming  warming
 	tuning   atomic.Pointer[Tuning]
 
 	mesh *mesh
@@ -133,6 +141,7 @@
 		suspects: newSuspects(),
 		ledger:   newLedger(),
 		holders:  newHolders(),
+		warming:  warming{gate: warmup.NewGate(c.VM)},
 		peers:    make(map[endpoint]*wire.Peer),
 		avoided:  make(map[string]time.Time),
 	}
@@ -210,6 +219,7 @@
 // publish shows traffic the new state, and then tells operators of it.
 func (r *Router) publish() {
 	r.view.Store(r.state.View())
+	r.warming.listed.Store(int64(r.state.Listed()))
 	r.ledger.publish()
 	if r.Ready() {
 		r.begin.Do(func() { close(r.began) })
@@ -241,6 +251,7 @@
 	tag := ""
 	for ctx.Err() == nil {
 		r.suspects.expire(time.Now())
+		r.warming.gate.Expire(time.Now())
 		r.prunePeers()
 		if r.config.Direct != nil {
 			r.config.Direct.Keep(time.Now(), r.View().VMs)
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -15,6 +15,8 @@
 // sharing is what routers tell each other beside the sets that they follow.
 type sharing struct {
 	Pools []sharedPool `cbor:"1,keyasint,omitempty"`
+	// Routers is how many routers of the region the sender knows.
+	Routers int `cbor:"2,keyasint,omitempty"`
 }
 
 // sharedPool is the loads of one pool's upstreams.
@@ -58,7 +60,7 @@
 	pools = append(pools[m.turn:], pools[:m.turn]...)
 	n := fitting(pools)
 	m.turn += n
-	m.told = packed(pools[:n])
+	m.told = m.pack(pools[:n])
 	m.tellNext = now.Add(time.Duration(len(m.told)) * time.Second / tellRate)
 	return m.told
 }
@@ -71,7 +73,7 @@
 	var out [][]byte
 	for len(pools) > 0 {
 		n := fitting(pools)
-		out = append(out, packed(pools[:n]))
+		out = append(out, m.pack(pools[:n]))
 		pools = pools[n:]
 	}
 	return out
@@ -106,9 +108,9 @@
 	return len(pools)
 }
 
-// packed returns pools as they travel.
-func packed(pools []sharedPool) []byte {
-	b, err := cbor.Marshal(sharing{Pools: pools})
+// pack returns pools as they travel.
+func (m *mesh) pack(pools []sharedPool) []byte {
+	b, err := cbor.Marshal(sharing{Pools: pools, Routers: m.router.warming.routers(1)})
 	if err != nil {
 		slog.Error("what is shared between routers cannot be encoded", "error", err)
 		return nil
@@ -135,6 +137,9 @@
 		meshMalformed.Inc()
 		return
 	}
+	if from == fromReader && s.Routers > 0 {
+		m.router.warming.told.Store(int64(s.Routers))
+	}
 	byHash := make(map[uint32]*Pool)
 	for name, p := range m.router.View().Pools {
 		byHash[shortHash(name)] = p
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -198,6 +198,7 @@
 			for _, o := range effect.Objects {
 				s.apply(o, &followed)
 			}
+			effects = append(effects, s.returned(e.When(), followed.Drained)...)
 			continue
 		case config.StoreRegained:
 			if s.relayed != nil {
@@ -211,6 +212,33 @@
 	return append(effects, followed)
 }
 
+// returned takes in which failure domains are taken back. Their upstreams may have become
+// cold just before, and are not known to be warm until they have said so.
+func (s *State) returned(now time.Time, orders []DomainOrder) []Effect {
+	if s.relayed == nil {
+		return nil
+	}
+	doubted := false
+	for _, order := range orders {
+		if !order.Leave {
+			s.relayed.entries.Doubt(now, order.Domain, order.Version, s.warmup)
+			doubted = true
+		}
+	}
+	if !doubted {
+		return nil
+	}
+	return s.listed(now)
+}
+
+// warmup returns for how long upstreams of a pool are cold after their start.
+func (s *State) warmup(pool string) time.Duration {
+	if p := s.loads[pool]; p != nil && p.WarmupRate > 0 {
+		return p.Warmup.Std()
+	}
+	return 0
+}
+
 // apply takes an object. One that is invalid for this release is not taken: the
 // version before stays in force.
 func (s *State) apply(o topo.Object, f *Followed) {
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -39,6 +39,9 @@
 	beliefs *beliefs
 	tracker *balance.Tracker
 	serving []load.VM // those of VMs that are not leaving
+
+	warmupRate float64 // requests a second that a cold upstream bears; zero: any
+	cold       map[load.VM]coldUpstream
 }
 
 // View returns the picture of the present state: the former one if nothing that
@@ -116,6 +119,9 @@
 			s.beliefs[name], s.trackers[name] = newBeliefs(), balance.NewTracker()
 		}
 		v.Pools[name] = newPool(upstreams, s.beliefs[name], s.trackers[name], s.self)
+		if of := s.loads[name]; of != nil {
+			v.Pools[name].warm(of.WarmupRate)
+		}
 	}
 }
 
@@ -156,6 +162,21 @@
 	return p
 }
 
+// warm notes which upstreams are cold, if those of the pool bear only so many requests a
+// second then.
+func (p *Pool) warm(rate float64) {
+	if rate <= 0 {
+		return
+	}
+	p.warmupRate = rate
+	p.cold = make(map[load.VM]coldUpstream)
+	for i, vm := range p.VMs {
+		if !vm.WarmAt.IsZero() && !vm.Leaving {
+			p.cold[p.members[i].VM] = coldUpstream{id: vm.ID, warmAt: vm.WarmAt}
+		}
+	}
+}
+
 // ForModel returns the profile by which org uses model: the named one, or the
 // first of its profiles that serves the model.
 func (v *View) ForModel(org *profile.Organisation, name, model string) *profile.Profile {
--- a/internal/topo/topo.go
+++ b/internal/topo/topo.go
@@ -119,6 +119,8 @@
 	Weight        int    `json:"weight,omitempty"` // relative capacity; zero means one
 	Slots         int    `json:"slots,omitempty"`  // requests that it works on at a time; zero: not known
 	Leaving       bool   `json:"leaving,omitempty"`
+	// WarmAt is until when the upstream counts as cold after its start; zero: it does not.
+	WarmAt time.Time `json:"-"`
 }
 
 // Name returns what the VM's upstream calls itself.
