residency, router, platform: requests run in the regions where their profile and organisation allow it

Ruled out: a filter behind the choice (a pool of three candidates could have none left although there are upstreams at home); a bound for first tries only.

Change: profiles and organisations name regions; internal/residency intersects them. A request chooses within the part of its pool that lies there, for each attempt anew, and takes cached prompts from there only. Where nobody is at home it is refused at once, truly not run. A request key that a caller holds goes to its sidecar as before: only that one knows whether it has run. What a failure domain's region is stood in two packages, and stands in topo now.

--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -1,10 +1,10 @@
 package placement
 
 import (
-	"strings"
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/load"
+	"github.com/parsleyfront/parsleyfront/internal/topo"
 )
 
 // None is the index of no upstream.
@@ -30,15 +30,6 @@
 	Domain string
 }
 
-// region returns the part of a failure domain's name before the first slash.
-func region(domain string) string {
-	name, _, found := strings.Cut(domain, "/")
-	if !found {
-		return ""
-	}
-	return name
-}
-
 // Pool is an immutable list of upstreams as one node sees it.
 type Pool struct {
 	members          []Member
@@ -46,19 +37,19 @@
 	regional, remote ranking // of the node's region, and of the others
 	local            domains // of the region of the node, by failure domain
 	own, rest        []int   // of the node's failure domain, and of its region's others
-	idle             int     // members that are Idle
+	whole, idle      int     // upstreams of the whole pool, and those of them that are Idle
 }
 
 // NewPool returns the Pool of members for a node at self. The members keep
 // their indices. A region without upstreams counts as one with the others.
 func NewPool(members []Member, self Locality) *Pool {
-	p := &Pool{members: members, inRegion: make([]bool, len(members))}
+	p := &Pool{members: members, inRegion: make([]bool, len(members)), whole: len(members)}
 	var regional, remote []int
 	for i, m := range members {
 		if m.Idle {
 			p.idle++
 		}
-		if region(m.Domain) == region(self.Domain) {
+		if topo.Region(m.Domain) == topo.Region(self.Domain) {
 			regional = append(regional, i)
 		} else {
 			remote = append(remote, i)
@@ -80,9 +71,17 @@
 	return p
 }
 
-// Len returns the number of upstreams.
+// Part returns the Pool of some members of p, among which a request chooses that may not go
+// to the others. Bounds are those of the whole pool.
+func (p *Pool) Part(members []Member, self Locality) *Pool {
+	part := NewPool(members, self)
+	part.whole, part.idle = p.whole, p.idle
+	return part
+}
+
+// Len returns the number of upstreams of the whole pool.
 func (p *Pool) Len() int {
-	return len(p.members)
+	return p.whole
 }
 
 // Idle returns how many of them are idle.
--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/parsleyfront/parsleyfront/internal/load"
+	"github.com/parsleyfront/parsleyfront/internal/topo"
 )
 
 func init() {
@@ -118,7 +119,7 @@
 			if rapid.Bool().Draw(t, "down") {
 				table.Observe(start, ms[i].VM, load.Report{State: load.Down})
 			} else {
-				serves[region(ms[i].Domain)] = true
+				serves[topo.Region(ms[i].Domain)] = true
 			}
 		}
 		want := "casablanca"
@@ -129,7 +130,7 @@
 		var out [Candidates]int
 		n := NewPool(ms, Locality{Domain: "casablanca/1"}).Choose(start, table, q, &out)
 		for _, i := range out[:n] {
-			if region(ms[i].Domain) != want {
+			if topo.Region(ms[i].Domain) != want {
 				t.Fatalf("offered to %v, want upstreams in %s", out[:n], want)
 			}
 		}
--- a/internal/profile/check.go
+++ b/internal/profile/check.go
@@ -74,6 +74,19 @@
 	}
 }
 
+// regions checks names of regions, which stand before the slash of failure domains.
+func (c *checker) regions(names []string) {
+	for i, name := range names {
+		field := fmt.Sprintf("regions[%d]", i)
+		if len(name) > MaxDomainName || !vmName.MatchString(name) {
+			c.add(field, "%q is not a region: write it as it stands before the slash of a failure domain", name)
+		}
+		if slices.Contains(names[:i], name) {
+			c.add(field, "%q is there twice: remove one", name)
+		}
+	}
+}
+
 func checkRange[T int | float64](c *checker, field string, value, least, most T) {
 	if !(value >= least && value <= most) {
 		c.add(field, "%v is out of range: write %v to %v", value, least, most)
@@ -98,6 +111,7 @@
 	p.Queue.check(c)
 	checkRange(c, "retry_budget", p.RetryBudget, 0, 1)
 	checkRange(c, "attempts", p.Attempts, 0, MaxAttempts)
+	c.regions(p.Regions)
 	c.duration("objective", p.Objective, 0, MaxDeadline)
 	c.duration("max_pause", p.MaxPause, 0, MaxDeadline)
 	for i, s := range p.Split {
@@ -198,6 +212,7 @@
 	c.label("name", o.Name)
 	checkRange(c, "weight", o.Weight, 1, MaxWeight)
 	checkRange(c, "concurrency", o.Concurrency, 0, MaxConcurrency)
+	c.regions(o.Regions)
 	if len(o.Profiles) == 0 {
 		c.add("profiles", "is missing: write the profiles that the organisation may use")
 	}
--- a/internal/profile/profile.go
+++ b/internal/profile/profile.go
@@ -51,6 +51,8 @@
 	Resumable bool `json:"resumable,omitempty"`
 	// Anonymous allows requests without an API key.
 	Anonymous bool `json:"anonymous,omitempty"`
+	// Regions in which requests may run; none means all.
+	Regions []string `json:"regions,omitempty"`
 	// Objective is how soon the first byte of an answer should be there.
 	Objective Duration `json:"objective,omitempty"`
 	// MaxPause is how long the events of a stream should lie apart at most.
@@ -101,6 +103,8 @@
 	Weight int `json:"weight,omitempty"`
 	// Concurrency bounds the organisation's requests in the fleet; zero is no bound.
 	Concurrency int `json:"concurrency,omitempty"`
+	// Regions in which its requests may run, among those of the profile; none means all.
+	Regions []string `json:"regions,omitempty"`
 	// Profiles that it may use. The first that fits a model is its default.
 	Profiles []string `json:"profiles"`
 	// Keys are the API keys of its callers.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,6 +19,7 @@
 	"github.com/zeebo/xxh3"
 
 	"github.com/parsleyfront/parsleyfront/internal/config"
+	"github.com/parsleyfront/parsleyfront/internal/topo"
 )
 
 // Set names one of the sets of objects that routers follow.
@@ -177,16 +178,6 @@
 	return a.order.compare(b.order)
 }
 
-// region returns the part of a failure domain's name before the slash.
-func region(domain string) string {
-	for i := range domain {
-		if domain[i] == '/' {
-			return domain[:i]
-		}
-	}
-	return ""
-}
-
 // State is what one router knows of the others.
 type State struct {
 	self   Node
@@ -273,7 +264,7 @@
 
 // learn takes in that a router exists.
 func (s *State) learn(now time.Time, n Node) *peer {
-	if n.Name == s.self.Name || region(n.Domain) != region(s.self.Domain) {
+	if n.Name == s.self.Name || topo.Region(n.Domain) != topo.Region(s.self.Domain) {
 		return nil
 	}
 	p := s.peers[n.Name]
--- a/internal/router/directoffer.go
+++ b/internal/router/directoffer.go
@@ -56,7 +56,7 @@
 		router:   r,
 		req:      req,
 		view:     view,
-		pool:     view.Pools[pool],
+		pool:     view.Pools[pool].in(req.regions()),
 		poolName: pool,
 		session:  sessionHash("", req.Session),
 		started:  req.Arrived,
@@ -77,7 +77,7 @@
 	a.targets = a.choices(now)
 	if len(a.targets) == 0 {
 		a.Close()
-		e := verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, "pool %q has no upstream", pool)
+		e := verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, "pool %q has no upstream that takes requests in %v", pool, req.regions())
 		return nil, e.Later(time.Second)
 	}
 	a.plan = req.directPlan(r.policy(), len(a.targets))
@@ -119,7 +119,7 @@
 func (a direct) target(e dispatch.Offer) (target, bool) {
 	if e.Attempt > 0 {
 		a.view = a.router.View()
-		a.pool = a.view.Pools[a.poolName]
+		a.pool = a.view.Pools[a.poolName].in(a.req.regions())
 		a.targets = a.choices(time.Now())
 	}
 	for _, t := range a.targets {
@@ -179,7 +179,9 @@
 		return topo.VM{}
 	}
 	if last, ok := a.router.holders.last(a.session); ok && on.LastServed && last.ID != a.pool.VMs[c.Index].ID {
-		if _, listed := a.view.VMs[last.ID]; listed && !a.router.avoids(last.ID, now) {
+		_, listed := a.view.VMs[last.ID]
+		allowed := a.req.regions().Has(topo.Region(last.FailureDomain))
+		if listed && allowed && !a.router.avoids(last.ID, now) {
 			return last
 		}
 	}
--- a/internal/router/offer.go
+++ b/internal/router/offer.go
@@ -55,7 +55,7 @@
 		router:   r,
 		req:      req,
 		view:     view,
-		pool:     view.Pools[req.Profile.Pool],
+		pool:     view.Pools[req.Profile.Pool].in(req.regions()),
 		session:  sessionHash(req.Org.Name, req.Session),
 		print:    req.fingerprint(),
 		started:  now,
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -8,6 +8,7 @@
 
 	"github.com/parsleyfront/parsleyfront/internal/policy"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
+	"github.com/parsleyfront/parsleyfront/internal/residency"
 	"github.com/parsleyfront/parsleyfront/internal/router/dispatch"
 	"github.com/parsleyfront/parsleyfront/internal/wire"
 )
@@ -54,6 +55,16 @@
 	Trace     string        // W3C traceparent for the sidecar, or empty
 }
 
+// regions returns where the request may run: where its profile and its organisation both
+// allow it.
+func (r *Request) regions() residency.Regions {
+	of := residency.Only(r.Profile.Regions)
+	if r.Org != nil {
+		of = of.And(residency.Only(r.Org.Regions))
+	}
+	return of
+}
+
 // read reports whether the request's method is safe, in the sense of HTTP.
 func (r *Request) read() bool {
 	switch r.Call.Method {
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -4,12 +4,14 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/balance"
 	"github.com/parsleyfront/parsleyfront/internal/load"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
+	"github.com/parsleyfront/parsleyfront/internal/residency"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
 )
 
@@ -40,6 +42,9 @@
 	tracker *balance.Tracker
 	serving []load.VM // those of VMs that are not leaving
 
+	self  placement.Locality
+	parts sync.Map // by the key of regions: the *Pool of its upstreams there
+
 	warmupRate float64 // requests a second that a cold upstream bears; zero: any
 	cold       map[load.VM]coldUpstream
 }
@@ -147,7 +152,7 @@
 }
 
 func newPool(upstreams []upstream, b *beliefs, t *balance.Tracker, self placement.Locality) *Pool {
-	p := &Pool{beliefs: b, tracker: t}
+	p := &Pool{beliefs: b, tracker: t, self: self}
 	var ids []load.VM
 	for _, u := range upstreams {
 		m := u.member()
@@ -162,6 +167,30 @@
 	return p
 }
 
+// in returns the pool of the upstreams that are in some regions; nil: there is none. What is
+// known of upstreams is known of the whole pool.
+func (p *Pool) in(regions residency.Regions) *Pool {
+	if p == nil || regions.All() {
+		return p
+	}
+	if part, ok := p.parts.Load(regions.Key()); ok {
+		return part.(*Pool)
+	}
+	part := &Pool{beliefs: p.beliefs, tracker: p.tracker, self: p.self, warmupRate: p.warmupRate, cold: p.cold}
+	for i, vm := range p.VMs {
+		if regions.Has(topo.Region(vm.FailureDomain)) {
+			part.VMs, part.members = append(part.VMs, vm), append(part.members, p.members[i])
+		}
+	}
+	if len(part.VMs) == 0 {
+		part = nil
+	} else {
+		part.placed = p.placed.Part(part.members, p.self)
+	}
+	p.parts.Store(regions.Key(), part)
+	return part
+}
+
 // warm notes which upstreams are cold, if those of the pool bear only so many requests a
 // second then.
 func (p *Pool) warm(rate float64) {
--- a/internal/topo/topo.go
+++ b/internal/topo/topo.go
@@ -10,6 +10,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -123,6 +124,16 @@
 	WarmAt time.Time `json:"-"`
 }
 
+// Region returns the region of a failure domain: what stands before the first slash of its
+// name; empty: it names none.
+func Region(failureDomain string) string {
+	region, _, found := strings.Cut(failureDomain, "/")
+	if !found {
+		return ""
+	}
+	return region
+}
+
 // Name returns what the VM's upstream calls itself.
 func (vm VM) Name() string {
 	if vm.Instance != "" {
