placement, balance: the bound on load is drawn for each request

Routers are told the same; an upstream that is seen to pass the one bound loses the requests of all at the same moment, and the few with room get them.

Change: each request draws its bound, from .85 to 1.15 of the fill and 1.5 to 3 requests on top; not at routers that count a quarter of all requests and more, which know them.

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -75,7 +75,8 @@
 	}
 	idle := p.Idle()
 	if r.Multiple > 0 {
-		r.Multiple = fillTo(r.Multiple, t.loads.Seen(p.Len(), idle))
+		seen := t.loads.Seen(p.Len(), idle)
+		r.Multiple, r.Soft = fillTo(r.Multiple, seen), softness(seen)
 	}
 	l := loadsAt{Tracker: t, on: on, now: now, n: p.Len(), idle: idle, request: r}
 	queues := on.Waits && t.places > 0 && r.Objective > 0
@@ -123,6 +124,16 @@
 	return min(toldShare+countedShare*seen, mostShare)
 }
 
+// hardFrom is the part of all requests from which on a router that counts it keeps to one
+// bound for all: what it does not count is too little for all routers to turn away at once.
+const hardFrom = 0.25
+
+// softness returns how far chance draws the bounds of requests of a router that counts a
+// part of all requests itself.
+func softness(seen float64) float64 {
+	return max(1-seen/hardFrom, 0)
+}
+
 const (
 	// roomShare is the part of the room between the mean and the bound that a router uses
 	// at least, up to roomMost times the mean.
--- a/internal/placement/bounded.go
+++ b/internal/placement/bounded.go
@@ -30,7 +30,11 @@
 	// boundSlack is how many requests an upstream takes over the multiple of the
 	// mean: where the mean is a few requests, chance alone puts two or three more on
 	// an upstream, and sessions would leave their prompts for that.
-	boundSlack = 2.4
+	boundSlack = 2.25
+	// softLow and softHigh times the bound's multiple, and slackLow and slackHigh requests
+	// on top, are between which the bound of a request lies where chance draws it.
+	softLow, softHigh   = 0.85, 1.15
+	slackLow, slackHigh = 1.5, 3.0
 	// spareMultiple of the mean, and spareSlack requests, is up to which an upstream takes
 	// over requests of one that is suspected. With three fifths of a pool losing answers, the others would
 	// stand at the bound all the time, and chance would put them over the operators'.
@@ -81,7 +85,7 @@
 func (p *Pool) Bounded(l Loads, q Query, out *[Candidates]Choice) (int, Basis) {
 	basis := Basis{Mean: l.Mean(), Bound: math.Inf(1)}
 	if q.Multiple > 0 {
-		basis.Bound = q.Multiple*basis.Mean + boundSlack
+		basis.Bound = q.bound(basis.Mean)
 	}
 	if q.Session == 0 {
 		return p.leastLoaded(l, q.Random, out), basis
@@ -99,6 +103,23 @@
 	return n, basis
 }
 
+// boundSalt sets the draw of a bound apart from others of the same random number.
+const boundSalt = 0x5bd1e995
+
+// bound returns over which load an upstream comes last for a request.
+//
+// Routers are told the same loads, some tenths of a second old. With one bound for all
+// requests, an upstream that is seen to pass it loses those of all routers at the same
+// moment, and the one that is seen to have room gets them: with a third of the pool idle,
+// one request in twenty met an upstream over the operators' bound. Drawn anew for each
+// request, the bound has them leave one after the other.
+func (q Query) bound(mean float64) float64 {
+	draw := unit(mix(q.Random ^ boundSalt))
+	multiple := 1 + q.Soft*(softLow+draw*(softHigh-softLow)-1)
+	slack := boundSlack + q.Soft*(slackLow+draw*(slackHigh-slackLow)-boundSlack)
+	return multiple*q.Multiple*mean + slack
+}
+
 // takes reports whether upstream i may get a request now.
 func (p *Pool) takes(l Loads, i int) bool {
 	return !p.members[i].Leaving && !l.Closed(p.members[i].VM)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -22,9 +22,11 @@
 	TicketAge time.Duration // since the ticket was given
 	Multiple  float64       // bound on load as a multiple of the mean; zero: none
 	Random    uint64        // for choices that chance decides
-	Share     float64       // part of the pool's requests that the session has at least
-	Now       time.Time
-	Flat      bool // failure domains do not count in the ranking
+	// Soft is how far chance draws the bound of the request, from 0, not at all, to 1.
+	Soft  float64
+	Share float64 // part of the pool's requests that the session has at least
+	Now   time.Time
+	Flat  bool // failure domains do not count in the ranking
 	// Within is in how many seconds the first byte of the answer is wanted; zero: no matter.
 	Within float64
 	// Most is the shortest objective of the pool's requests, in seconds.
--- a/internal/placement/sliver_test.go
+++ b/internal/placement/sliver_test.go
@@ -36,8 +36,12 @@
 type mechanisms struct {
 	sharing bool // of loads between routers
 	spread  bool // of hot sessions
+	soft    bool // bounds, drawn by chance as far as routers of a fleet of this size do
 }
 
+// sliverSoft is how far they do: each counts a 28th of the requests.
+const sliverSoft = 0.86
+
 // surge is a session that gets a part of the traffic.
 type surge float64
 
@@ -62,6 +66,7 @@
 	members []Member
 	ids     []load.VM
 	pool    *Pool
+	idle    int // upstreams that are drained
 	tallies [sliverRouters]*load.Tally
 	running []int
 	ends    dones
@@ -77,7 +82,7 @@
 		s.members[i].Joined = start
 		s.ids = append(s.ids, s.members[i].VM)
 	}
-	s.pool = NewPool(s.members, Locality{})
+	s.drain(0)
 	for i := range s.tallies {
 		s.tallies[i], s.demands[i] = load.NewTally(), load.NewDemand()
 	}
@@ -85,6 +90,15 @@
 	return s
 }
 
+// drain drains the first n upstreams.
+func (s *sliver) drain(n int) {
+	s.idle = n
+	for i := range s.members {
+		s.members[i].Idle, s.members[i].Leaving = i < n, i < n
+	}
+	s.pool = NewPool(s.members, Locality{})
+}
+
 // play returns which part of the requests went to an upstream that held more than
 // the bound allows then.
 func (s *sliver) play(t *testing.T) float64 {
@@ -97,11 +111,14 @@
 		s.share(t, now)
 		router := s.random.IntN(sliverRouters)
 		q := Query{Session: s.session(!now.Before(surge)), Multiple: 0.8 * capMultiple, Random: s.random.Uint64(), Now: now}
+		if s.by.soft {
+			q.Soft = sliverSoft
+		}
 		if share := s.demands[router].Ask(now, q.Session, "chat"); s.by.spread {
 			q.Share = share
 		}
 		var out [Candidates]Choice
-		s.pool.Bounded(tallyAt{s.tallies[router], now}, q, &out)
+		s.pool.Bounded(tallyAt{s.tallies[router], now, s.idle}, q, &out)
 		i := out[0].Index
 		if !now.Before(surge) {
 			arrivals++
@@ -171,6 +188,7 @@
 type tallyAt struct {
 	tally *load.Tally
 	now   time.Time
+	idle  int
 }
 
 func (l tallyAt) Load(vm load.VM) float64  { return l.tally.Load(l.now, vm) }
@@ -179,7 +197,7 @@
 func (l tallyAt) Suspects(load.VM) bool    { return false }
 func (l tallyAt) Closed(load.VM) bool      { return false }
 func (l tallyAt) Expect(load.VM) Expected  { return Expected{} }
-func (l tallyAt) Mean() float64            { return l.tally.Mean(sliverUpstreams, 0) }
+func (l tallyAt) Mean() float64            { return l.tally.Mean(sliverUpstreams, l.idle) }
 
 // Each of 28 routers sees its own requests and hears of an upstream's load when it
 // gets an answer from it, seconds apart. On a calm day chance fills some upstreams
@@ -196,7 +214,7 @@
 			none := newSliver(mechanisms{}, c.hot).play(t)
 			shared := newSliver(mechanisms{sharing: true}, c.hot).play(t)
 			spread := newSliver(mechanisms{spread: true}, c.hot).play(t)
-			both := newSliver(mechanisms{sharing: true, spread: true}, c.hot).play(t)
+			both := newSliver(mechanisms{sharing: true, spread: true, soft: true}, c.hot).play(t)
 			t.Logf("over the bound: %.4f; with loads shared %.4f, hot sessions spread %.4f, both %.4f", none, shared, spread, both)
 			if both > allowedOver {
 				t.Errorf("%.4f of the requests reach an upstream over the bound", both)
@@ -207,3 +225,20 @@
 		})
 	}
 }
+
+// The operators drain a third of the pool in a busy hour. The engines that are left have
+// half as much again to do, and stand nearer to the operators' bound, which counts all. All
+// routers see the same engines pass their bound at the same moment; with one bound for all
+// requests they leave them together for the same few.
+func TestSoftBoundsHoldWhileADomainIsDrained(t *testing.T) {
+	over := func(soft bool) float64 {
+		s := newSliver(mechanisms{sharing: true, spread: true, soft: soft}, 0)
+		s.drain(sliverUpstreams / 3)
+		return s.play(t)
+	}
+	hard, soft := over(false), over(true)
+	t.Logf("over the bound: %.4f with one for all, %.4f with one drawn for each request", hard, soft)
+	if soft > allowedOver {
+		t.Errorf("%.4f of the requests reach an upstream over the bound", soft)
+	}
+}
