config/follow: in an outage one call finds out whether the store is back

Ruled out: one watch of both kinds (the platform watches one kind a call).

Change: after a call that failed, the first of the joined sources is watched alone, and the others once that has answered.

--- a/internal/config/follow/join.go
+++ b/internal/config/follow/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/topo"
@@ -11,21 +12,30 @@
 // them tells all that it has when it tells anything, and so does the result: a page
 // without a change is not Whole.
 func Join(sources ...Source) Source {
-	return joined(sources)
+	return &joined{sources: sources}
 }
 
-type joined []Source
+// probeWait is for how long a watch waits that is to find out whether the store answers.
+const probeWait = time.Millisecond
+
+// joined is several sources. A Runner calls it from one goroutine at a time.
+type joined struct {
+	sources []Source
+	failing atomic.Bool // the last call of the store was not answered
+}
 
 // Snapshot implements Source. The version is that of the oldest part.
-func (j joined) Snapshot(ctx context.Context) (Snapshot, error) {
-	return j.others(ctx, len(j))
+func (j *joined) Snapshot(ctx context.Context) (Snapshot, error) {
+	all, err := j.others(ctx, len(j.sources))
+	j.failing.Store(err != nil)
+	return all, err
 }
 
 // others returns the snapshot of all but one of the sources.
-func (j joined) others(ctx context.Context, but int) (Snapshot, error) {
+func (j *joined) others(ctx context.Context, but int) (Snapshot, error) {
 	all := Snapshot{Whole: true}
 	first := true
-	for i, s := range j {
+	for i, s := range j.sources {
 		if i == but {
 			continue
 		}
@@ -50,18 +60,32 @@
 
 // Watch implements Source. It watches all sources at the same time; once one tells of a
 // change, the others are read, since what they hold at that version is not known yet.
-func (j joined) Watch(ctx context.Context, since topo.Version, wait time.Duration) (topo.Page, error) {
+//
+// While the store does not answer, the first source alone finds out whether it does again:
+// in an outage every router that depends on nobody else calls it, and each call costs.
+func (j *joined) Watch(ctx context.Context, since topo.Version, wait time.Duration) (topo.Page, error) {
+	if j.failing.Load() {
+		if _, err := j.sources[0].Watch(ctx, since, probeWait); err != nil {
+			return topo.Page{}, err
+		}
+	}
+	page, err := j.watch(ctx, since, wait)
+	j.failing.Store(err != nil)
+	return page, err
+}
+
+func (j *joined) watch(ctx context.Context, since topo.Version, wait time.Duration) (topo.Page, error) {
 	watching, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ends := make(chan watchEnd, len(j))
-	for i, s := range j {
+	ends := make(chan watchEnd, len(j.sources))
+	for i, s := range j.sources {
 		go func() {
 			page, err := s.Watch(watching, since, wait)
 			ends <- watchEnd{source: i, page: page, err: err}
 		}()
 	}
 	var out topo.Page
-	for n := range j {
+	for n := range j.sources {
 		end := <-ends
 		switch {
 		case end.err != nil:
@@ -77,7 +101,7 @@
 }
 
 // complete returns what one of the sources has told together with what the others hold.
-func (j joined) complete(ctx context.Context, told watchEnd) (topo.Page, error) {
+func (j *joined) complete(ctx context.Context, told watchEnd) (topo.Page, error) {
 	rest, err := j.others(ctx, told.source)
 	if err != nil {
 		return topo.Page{}, err
--- /dev/null
+++ b/internal/config/follow/join_test.go
@@ -0,0 +1,105 @@
+package follow_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/config/follow"
+	"github.com/parsleyfront/parsleyfront/internal/topo"
+)
+
+// part is a source of one kind of object. It tells all that it holds.
+type part struct {
+	kind    topo.Kind
+	names   []string
+	version topo.Version
+	changes chan struct{} // a value: something changes while a watch waits
+	err     error
+	calls   atomic.Int32
+}
+
+func (p *part) Snapshot(context.Context) (follow.Snapshot, error) {
+	p.calls.Add(1)
+	s := follow.Snapshot{Version: p.version, Whole: true}
+	for _, name := range p.names {
+		s.Objects = append(s.Objects, topo.Object{Ref: topo.Ref{Kind: p.kind, Name: name}, Version: p.version})
+	}
+	return s, p.err
+}
+
+func (p *part) Watch(ctx context.Context, _ topo.Version, wait time.Duration) (topo.Page, error) {
+	if p.err != nil {
+		p.calls.Add(1)
+		return topo.Page{}, p.err
+	}
+	select {
+	case <-p.changes:
+		s, err := p.Snapshot(ctx)
+		return topo.Page{Objects: s.Objects, Version: s.Version, Whole: true}, err
+	case <-time.After(wait):
+		p.calls.Add(1)
+		return topo.Page{Version: p.version}, nil
+	case <-ctx.Done():
+		return topo.Page{}, ctx.Err()
+	}
+}
+
+func parts() (routes, orders *part, joined follow.Source) {
+	routes = &part{kind: topo.KindProfile, names: []string{"a", "b"}, version: 7, changes: make(chan struct{}, 1)}
+	orders = &part{kind: topo.KindDomainDrain, names: []string{"hall"}, version: 9, changes: make(chan struct{}, 1)}
+	return routes, orders, follow.Join(routes, orders)
+}
+
+// A hall is drained while routes stay as they are. What is told is all that exists: if the
+// routes were left out, every caller would be refused from then on.
+func TestAChangeOfOnePartTellsAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, orders, joined := parts()
+		orders.changes <- struct{}{}
+		page, err := joined.Watch(t.Context(), 7, time.Second)
+		if err != nil || !page.Whole || len(page.Objects) != 3 || page.Version != 7 {
+			t.Errorf("%+v, %v", page, err)
+		}
+	})
+}
+
+// Nothing changes. The version is that of the part which is known least far, or changes of
+// it would be skipped.
+func TestQuietPartsTellTheOldestVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, _, joined := parts()
+		page, err := joined.Watch(t.Context(), 7, time.Second)
+		if err != nil || page.Whole || len(page.Objects) != 0 || page.Version != 7 {
+			t.Errorf("%+v, %v", page, err)
+		}
+	})
+}
+
+// The store is down, and each call of it costs. One part is enough to find out whether it
+// is back; then all are known again.
+func TestOnePartFindsOutWhetherTheStoreIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		routes, orders, joined := parts()
+		down := errors.New("down")
+		routes.err, orders.err = down, down
+		for range 5 {
+			if _, err := joined.Watch(t.Context(), 7, time.Second); !errors.Is(err, down) {
+				t.Fatalf("%v", err)
+			}
+		}
+		synctest.Wait()
+		if n := routes.calls.Load() + orders.calls.Load(); n > 6 {
+			t.Errorf("%d calls of a store that is down in 5 watches", n)
+		}
+		routes.err, orders.err = nil, nil
+		orders.changes <- struct{}{}
+		page, err := joined.Watch(t.Context(), 7, time.Second)
+		if err != nil || !page.Whole || len(page.Objects) != 3 {
+			t.Errorf("back: %+v, %v", page, err)
+		}
+	})
+}
