--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -105,7 +105,7 @@
 		_ = conn.Close()
 		return nil, lost(ctx, err)
 	}
-	return &Stream{client: c, at: at, conn: conn, resp: resp, Word: word, release: release}, nil
+	return &Stream{client: c, at: at, conn: conn, resp: resp, events: ofEvents(resp), Word: word, release: release}, nil
 }
 
 // use marks a connection as busy with a call that the end of ctx breaks off, until
--- a/internal/exchange/stream.go
+++ b/internal/exchange/stream.go
@@ -28,6 +28,7 @@
 	at      endpoint
 	conn    *conn
 	resp    *http.Response
+	events  bool // it is a stream of events; asked at each of them
 	release func() bool
 	headed  bool
 	buf     []byte
@@ -96,7 +97,11 @@
 
 // Events reports whether the answer is a stream of events.
 func (s *Stream) Events() bool {
-	mediaType, _, _ := mime.ParseMediaType(s.resp.Header.Get("Content-Type"))
+	return s.events
+}
+
+func ofEvents(resp *http.Response) bool {
+	mediaType, _, _ := mime.ParseMediaType(resp.Header.Get("Content-Type"))
 	return mediaType == eventstream.MediaType
 }
 
