--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -78,6 +78,9 @@
 		seen := t.loads.Seen(p.Len(), idle)
 		r.Multiple, r.Soft = fillTo(r.Multiple, seen), softness(seen)
 	}
+	if !on.SoftBounds {
+		r.Soft = 0
+	}
 	l := loadsAt{Tracker: t, on: on, now: now, n: p.Len(), idle: idle, request: r}
 	queues := on.Waits && t.places > 0 && r.Objective > 0
 	if queues {
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -19,6 +19,9 @@
 	// HotSpread spreads a session that has more requests than its home may hold over as
 	// many upstreams as it needs, from the router's own sample of the traffic.
 	HotSpread bool
+	// SoftBounds draws the bound on load for each request, so that routers that are told the
+	// same do not turn away from an upstream together.
+	SoftBounds bool
 	// DomainSpill lets a session's requests that its home has no room for go to upstreams
 	// of the same failure domain first.
 	DomainSpill bool
@@ -93,6 +96,7 @@
 func (p *Policy) switches() []namedSwitch {
 	return []namedSwitch{
 		{"hot-spread", &p.HotSpread},
+		{"soft-bounds", &p.SoftBounds},
 		{"domain-spill", &p.DomainSpill},
 		{"shared-loads", &p.SharedLoads},
 		{"shared-outcomes", &p.SharedOutcomes},
