topo, config/follow: answers of the store that are left aside, and its era, are logged and counted

Change: a line and an alert counter when the store begins to answer with what is older than what is known (told and known versions, once while it lasts); a counter of refused watches; the era that the store names in its answers, a line and an alert counter when it rises. No decision changes.

Conclusion: with a rising era beside the line the store went back, without it a replica lags.

--- a/internal/config/event.go
+++ b/internal/config/event.go
@@ -164,6 +164,10 @@
 // StoreRegained tells that the store answers again.
 type StoreRegained struct{ After time.Duration }
 
+// StoreBehind tells that the store answers, with what is older than what is known. It
+// is told once until the store is used again.
+type StoreBehind struct{ Told, Known topo.Version }
+
 // Changed tells the role which objects have changed. They are in force from now.
 type Changed struct{ Objects []topo.Object }
 
@@ -175,3 +179,4 @@
 func (Differed) isConfigEffect()      {}
 func (StoreLost) isConfigEffect()     {}
 func (StoreRegained) isConfigEffect() {}
+func (StoreBehind) isConfigEffect()   {}
--- a/internal/config/follow/follow.go
+++ b/internal/config/follow/follow.go
@@ -27,6 +27,10 @@
 		"When the store answered a watch or a listing last, in seconds since 1970.")
 	listings = telemetry.NewCounter("config_listings_total",
 		"Listings of the whole configuration, at the start, after a compaction and to verify.")
+	behind = telemetry.NewCounter("config_store_behind_total",
+		"Times at which the store began to answer with what is older than what is known here.", telemetry.Alert)
+	compactions = telemetry.NewCounter("config_store_compacted_total",
+		"Watches from a version that the store does not have, or not any more.")
 	questions = telemetry.NewCounter("config_peer_questions_total",
 		"Questions to other nodes for configuration.")
 	questionFailures = telemetry.NewCounter("config_peer_failures_total",
@@ -99,6 +103,9 @@
 		slog.Warn("the platform's store does not answer", "follows", r.follows(), "error", r.lastError())
 	case config.StoreRegained:
 		slog.Info("the platform's store answers again", "follows", r.follows(), "after", e.After.Round(time.Millisecond))
+	case config.StoreBehind:
+		behind.Inc()
+		slog.Warn("the platform's store answers with what is older than what is known", "follows", r.follows(), "told", e.Told, "known", e.Known)
 	case config.Ask:
 		go r.ask(ctx, e)
 	}
@@ -164,7 +171,9 @@
 
 func (r *Runner) failed(ctx context.Context, err error) {
 	compacted := errors.Is(err, topo.ErrCompacted)
-	if !compacted {
+	if compacted {
+		compactions.Inc()
+	} else {
 		storeFailures.Inc()
 	}
 	r.mu.Lock()
--- a/internal/config/follow_store.go
+++ b/internal/config/follow_store.go
@@ -181,8 +181,7 @@
 	if stale {
 		// A listing by a replica that lags proves nothing about the present. If
 		// the watch is refused again, the next listing waits longer.
-		f.fail(e.Now)
-		return out
+		return append(out, f.passOver(e.Now, e.Version)...)
 	}
 	first := !f.confirmed
 	out = append(out, f.storeAnswered(e.Now)...)
@@ -203,8 +202,18 @@
 	return max(listEvery, time.Duration(f.set.Bytes())*time.Second/listRate)
 }
 
+// passOver passes over an answer of the store that is older than what is known.
+func (f *Follower) passOver(now time.Time, told topo.Version) []Effect {
+	f.fail(now)
+	if f.outdated {
+		return nil
+	}
+	f.outdated = true
+	return []Effect{StoreBehind{Told: told, Known: f.set.Complete()}}
+}
+
 func (f *Follower) storeAnswered(now time.Time) []Effect {
-	f.confirmed = true
+	f.confirmed, f.outdated = true, false
 	f.failures = 0
 	f.storeHeard = now
 	if f.lost.IsZero() {
@@ -218,8 +227,8 @@
 func (f *Follower) watched(e Watched) []Effect {
 	if e.Page.Version < e.Since {
 		// A replica that lags behind what is in force here.
-		f.fail(e.Now)
-		return f.changed(Batch{Objects: e.Page.Objects, Raw: true})
+		out := f.passOver(e.Now, e.Page.Version)
+		return append(out, f.changed(Batch{Objects: e.Page.Objects, Raw: true})...)
 	}
 	if e.Page.Whole && len(e.Page.Objects) > 0 {
 		return f.replaced(e.Now, e.Page.Objects, e.Page.Version, 0)
@@ -240,8 +249,7 @@
 // know when each of them changed last. known is as in Batch.
 func (f *Follower) replaced(now time.Time, objects []topo.Object, version, known topo.Version) []Effect {
 	if version < f.set.Complete() {
-		f.fail(now) // a replica that lags
-		return nil
+		return f.passOver(now, version) // a replica that lags
 	}
 	if len(objects) == 0 && f.set.Len() > 0 {
 		// Nothing is what a source holds before its first configuration, and never
--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -122,6 +122,7 @@
 	confirmed bool         // the store has answered
 	lost      time.Time    // since when it does not answer; zero: it does
 	back      time.Time    // when it answered again after it had not
+	outdated  bool         // its last answer was older than what is known
 
 	peers     []Peer
 	near      []Peer // of them, those with a connection
--- a/internal/topo/dialect.go
+++ b/internal/topo/dialect.go
@@ -26,8 +26,13 @@
 	Watch(kinds []Kind, since Version, wait time.Duration) Call
 	Object(ref Ref, body []byte) (Object, error)
 	Page(kind Kind, body []byte) (Page, error)
+	// Era returns the era of the store that has given an answer.
+	Era(answer http.Header) Era
 }
 
+// eraHeader names the era of the stand-in in its answers.
+const eraHeader = "Object-Api-Era"
+
 // Plain is the Dialect of this project's own stand-in. Objects live at
 // /v1/objects/{kind}/{name}; conditional writes use If-Match with the version
 // and If-None-Match: *; a watch is a GET of /v1/watch that the server holds
@@ -81,6 +86,20 @@
 	return p, err
 }
 
+// Era implements Dialect.
+func (Plain) Era(answer http.Header) Era {
+	return ParseEra(answer.Get(eraHeader))
+}
+
+// ParseEra returns the era that a header names; zero: it names none.
+func ParseEra(value string) Era {
+	era, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || era < 0 {
+		return 0
+	}
+	return Era(era)
+}
+
 func objectPath(ref Ref) string {
 	return "/v1/objects/" + url.PathEscape(string(ref.Kind)) + "/" + url.PathEscape(ref.Name)
 }
--- a/internal/topo/http.go
+++ b/internal/topo/http.go
@@ -41,6 +41,7 @@
 	dialect  Dialect
 	patience Patience
 	lanes    [laneCount]*http.Client
+	eras     eras
 }
 
 // Patience is how long a client waits for the platform.
@@ -213,6 +214,7 @@
 		return h.lost(client, r, a, err)
 	}
 	defer resp.Body.Close()
+	h.eras.heard(h.dialect.Era(resp.Header))
 	body, err := io.ReadAll(io.LimitReader(resp.Body, r.limit()+1))
 	if err != nil {
 		return h.lost(client, r, a, err)
