membership, topo: a copy's entry of an upstream says nothing that a later write has overruled

Of two writes of one start of an upstream, of which the one in a later era has no higher count, the latter says nothing new. One whose entry had gone lives only if the store has the entry still after three renewals: the store drops those of upstreams that are silent.

Ruled out: going by time alone (an upstream that leaves would be put to work until it writes again); going by the count within an era as well (heartbeats that change nothing else are not told, so nothing is gained).

Test: TestACopyPutsNobodyToWorkAgain (joins, drains, leaves, copies and returns in any order; an upstream that was told to leave takes no new work, and after ten seconds all that live do).

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -22,6 +22,8 @@
 	// Born is when this incarnation started, in Unix milliseconds; zero: it does not
 	// say, and an upstream that starts again has another name.
 	Born int64
+	// Sequence counts the upstream's writes from its start.
+	Sequence int64
 	// Version of the entry in the store.
 	Version topo.Version
 	// Cold is for how much longer the upstream is cold, at the moment of its writing.
@@ -47,6 +49,7 @@
 type State struct {
 	entries map[string]*entry // by name
 	former  map[string]former // names without an entry
+	copies  map[string]copied // entries that may be of upstreams that are gone, by name
 	back    time.Time         // when the store answered again after an outage; zero: there was none
 	doubts  map[string]doubt  // by failure domain
 	timing  Timing
@@ -72,10 +75,37 @@
 
 // former is an upstream that had an entry.
 type former struct {
-	born int64
-	at   time.Time // when its entry went
+	write write
+	at    time.Time // when its entry went
 }
 
+// write names a write of an entry.
+type write struct {
+	born, sequence int64
+	version        topo.Version
+}
+
+func writeOf(e Entry) write {
+	return write{born: e.Born, sequence: e.Sequence, version: e.Version}
+}
+
+// repeats reports whether w was made no later than last, although its version is higher:
+// the store has come back from an older copy that holds it.
+func (w write) repeats(last write) bool {
+	return last.version != 0 && w.version.Era() > last.version.Era() &&
+		w.born == last.born && w.sequence <= last.sequence
+}
+
+// copied is the last write of an upstream that is gone, in a store that has come back from
+// an older copy.
+type copied struct {
+	entry Entry
+	until time.Time // when its upstream lives, if the store has the entry still
+}
+
+// lapseRenewals is after how many renewals that are due the store drops an entry.
+const lapseRenewals = 3
+
 // doubt is a failure domain whose upstreams may have become cold at a version of the
 // store, without their entries telling so yet.
 type doubt struct {
@@ -86,8 +116,7 @@
 // entry is one upstream's entry.
 type entry struct {
 	vm      topo.VM
-	version topo.Version
-	born    int64
+	write   write
 	missing time.Time // until when it counts though the store has none; zero: the store has it
 	until   time.Time // when it is dropped; zero: not yet settled
 	// overwritten is set while the store's entry is one of a former incarnation.
@@ -96,7 +125,13 @@
 
 // NewState returns a State that knows nothing.
 func NewState(t Timing) *State {
-	return &State{entries: make(map[string]*entry), former: make(map[string]former), doubts: make(map[string]doubt), timing: t}
+	return &State{
+		entries: make(map[string]*entry),
+		former:  make(map[string]former),
+		copies:  make(map[string]copied),
+		doubts:  make(map[string]doubt),
+		timing:  t,
+	}
 }
 
 // Kind is what has happened to an entry.
@@ -165,28 +200,50 @@
 // Taken for the present one, it would bring back loads, prompts and an address that are
 // gone. The start says which of two is the later one.
 func (s *State) written(now time.Time, e Entry, t *Taken) {
-	have, last := s.entries[e.Name], s.lastBorn(e.Name)
+	have, last := s.entries[e.Name], s.lastWrite(e.Name)
+	delete(s.copies, e.Name)
 	switch {
-	case e.Born == 0 && last != 0:
+	case e.Born == 0 && last.born != 0:
 		// An upstream that has told its start once tells it always.
 		s.unusable(now, e.Name)
 		return
-	case e.Born < last:
+	case e.Born < last.born:
 		t.Outdated++
 		if have != nil {
 			have.overwritten = true
 		}
 		return
-	case have != nil && have.born != e.Born:
+	case writeOf(e).repeats(last):
+		t.Outdated++
+		s.repeated(now, have, e)
+		return
+	case have != nil && have.write.born != e.Born:
 		t.Replaced = append(t.Replaced, have.vm)
 	}
+	s.take(now, e)
+}
+
+// repeated takes in an entry of which this write or a later one is known. It says nothing
+// new: taken for news, it would put an upstream to work again that leaves. One whose entry
+// had gone lives only if the store goes on holding it.
+func (s *State) repeated(now time.Time, have *entry, e Entry) {
+	switch {
+	case have != nil && have.until.IsZero():
+		have.write.version, have.missing = e.Version, time.Time{}
+	case !e.VM.Leaving && e.Sequence == s.lastWrite(e.Name).sequence:
+		s.copies[e.Name] = copied{entry: e, until: now.Add(lapseRenewals * s.timing.Renew)}
+	}
+}
+
+// take makes an entry the one of its name.
+func (s *State) take(now time.Time, e Entry) {
 	delete(s.former, e.Name)
 	vm := e.VM
 	vm.ID, vm.Instance = incarnation(e), e.Name
 	if e.Cold > 0 {
 		vm.WarmAt = now.Add(e.Cold) // it was written before now, so that it is warm by then
 	}
-	written := &entry{vm: vm, version: e.Version, born: e.Born}
+	written := &entry{vm: vm, write: writeOf(e)}
 	written.doubted(s.doubts[vm.FailureDomain])
 	s.entries[e.Name] = written
 }
@@ -208,17 +265,17 @@
 
 // doubted applies a doubt to an entry that was written before it.
 func (e *entry) doubted(d doubt) {
-	if e.version <= d.version && d.until.After(e.vm.WarmAt) {
+	if e.write.version <= d.version && d.until.After(e.vm.WarmAt) {
 		e.vm.WarmAt = d.until
 	}
 }
 
-// lastBorn returns the latest start that is known of a name.
-func (s *State) lastBorn(name string) int64 {
+// lastWrite returns the latest write that is known of a name.
+func (s *State) lastWrite(name string) write {
 	if e := s.entries[name]; e != nil {
-		return e.born
+		return e.write
 	}
-	return s.former[name].born
+	return s.former[name].write
 }
 
 // incarnation returns the id of one life of an upstream. All that is believed of an
@@ -235,6 +292,7 @@
 // removed takes in that the store has no entry of an upstream any more.
 func (s *State) removed(now time.Time, name string) {
 	e := s.entries[name]
+	delete(s.copies, name)
 	switch {
 	case e == nil:
 	case e.overwritten && !e.vm.Leaving:
@@ -252,6 +310,7 @@
 // Whoever wrote it, the upstream that was there is not named any more; it is used again
 // when it has written its entry anew.
 func (s *State) unusable(now time.Time, name string) {
+	delete(s.copies, name)
 	if e := s.entries[name]; e != nil {
 		s.gone(now, name, e)
 	}
@@ -268,9 +327,7 @@
 
 func (s *State) drop(now time.Time, name string, e *entry) {
 	delete(s.entries, name)
-	if e.born != 0 {
-		s.former[name] = former{born: e.born, at: now}
-	}
+	s.former[name] = former{write: e.write, at: now}
 }
 
 // holds reports whether an entry that is missing may have lapsed only because its
@@ -281,8 +338,8 @@
 }
 
 // Expire settles the entries whose time is over, and reports whether there were
-// any: those that are still missing after an outage are gone, and those that
-// linger are dropped.
+// any: those that are still missing after an outage are gone, those that linger are
+// dropped, and those that a store from an older copy has kept are of upstreams that live.
 func (s *State) Expire(now time.Time) bool {
 	changed := false
 	for name, e := range s.entries {
@@ -295,6 +352,13 @@
 			changed = true
 		}
 	}
+	for name, c := range s.copies {
+		if due(now, c.until) {
+			delete(s.copies, name)
+			s.take(now, c.entry)
+			changed = true
+		}
+	}
 	for domain, d := range s.doubts {
 		if due(now, d.until) {
 			delete(s.doubts, domain)
--- a/internal/topo/topo.go
+++ b/internal/topo/topo.go
@@ -16,10 +16,6 @@
 	"github.com/pkg/errors"
 )
 
-// Version orders the changes of one store. A later change of any object has a
-// higher version than every earlier one.
-type Version int64
-
 // Kind is a kind of object.
 type Kind string
 
