topo, platform: versions hold the era of the store, so that they order its changes after a return from an older copy

Cause: a store that comes back from an older copy gives its revisions out again. Versions were its bare revisions: answers were taken for those of a replica that lags until the revision had passed the one known before, and a watch from there went on as if nothing lay between. Class: an order that holds within one life of its source, compared across lives.

Change: the adapter reads the era from the answers, the client of the store puts it above the revision. All that compares versions is right by that: sets, marks, watches, entries, orders, tokens of leases. The client never lets a watch from one era go on in another, nor a write depend on what an object was in another: by one who knows it is a conflict and not sent; by one who does not, its outcome is unknown; an answer from an era that is over is none.

--- a/internal/standin/objectapi.go
+++ b/internal/standin/objectapi.go
@@ -38,6 +38,7 @@
 	present *objects
 	replica *objects // lags behind present
 	log     []change // the latest changes, in order of version
+	era     topo.Era // rises at each Restore; the versions above are revisions within it
 	waiters map[*waiter]struct{}
 	faults  ObjectFaults
 	reads   bucket
@@ -95,7 +96,51 @@
 	if !ok {
 		return topo.Object{}, topo.ErrNotFound
 	}
-	return o, nil
+	return a.inEra(o), nil
+}
+
+// inEra returns an object with the version that callers know it by. It needs a.mu held.
+func (a *ObjectAPI) inEra(o topo.Object) topo.Object {
+	o.Version = topo.At(a.era, o.Version)
+	return o
+}
+
+// pageInEra does so for a page. It needs a.mu held.
+func (a *ObjectAPI) pageInEra(p topo.Page) topo.Page {
+	p.Version = topo.At(a.era, p.Version)
+	for i, o := range p.Objects {
+		p.Objects[i] = a.inEra(o)
+	}
+	return p
+}
+
+// ObjectCopy is the content of an ObjectAPI at a moment.
+type ObjectCopy struct{ content *objects }
+
+// Copy returns a copy of what the API holds.
+func (a *ObjectAPI) Copy() ObjectCopy {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return ObjectCopy{content: a.present.clone()}
+}
+
+// Restore lets the API come back from a copy, in a new era: what was written since is gone,
+// and its revisions are given out again.
+func (a *ObjectAPI) Restore(c ObjectCopy) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.era++
+	a.present, a.replica, a.log = c.content.clone(), c.content.clone(), nil
+	for w := range a.waiters {
+		w.wake()
+	}
+}
+
+// Era returns the era of the store.
+func (a *ObjectAPI) Era() topo.Era {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.era
 }
 
 // List implements topo.Store.
@@ -105,7 +150,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.readable().page(kind, cont), nil
+	return a.pageInEra(a.readable().page(kind, cont)), nil
 }
 
 // Put implements topo.Store.
@@ -129,6 +174,10 @@
 func (a *ObjectAPI) write(o topo.Object, ifVersion topo.Version) (topo.Object, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if ifVersion != 0 && ifVersion.Era() != a.era {
+		return topo.Object{}, topo.ErrConflict
+	}
+	ifVersion = ifVersion.Revision()
 	switch {
 	case a.faults.LoseKind != "" && a.faults.LoseKind != o.Kind:
 	case take(&a.faults.LoseRequests):
@@ -144,7 +193,8 @@
 		_, _ = a.commit(o, ifVersion)
 		return topo.Object{}, errors.Wrap(topo.ErrUnknown, "connection cut")
 	}
-	return a.commit(o, ifVersion)
+	o, err := a.commit(o, ifVersion)
+	return a.inEra(o), err
 }
 
 // commit makes a change if its condition holds. It needs a.mu held.
@@ -228,6 +278,10 @@
 	if a.faults.Down {
 		return topo.Page{}, errDown
 	}
+	if v != 0 && v.Era() != a.era {
+		return topo.Page{}, topo.ErrCompacted
+	}
+	v = v.Revision()
 	page := topo.Page{Version: a.readable().version}
 	first := a.present.version - topo.Version(len(a.log)) // before the log
 	if v < first {
@@ -241,7 +295,7 @@
 	if len(page.Objects) > 0 && take(&a.faults.WatchGaps) {
 		page.Objects = page.Objects[1:]
 	}
-	return page, nil
+	return a.pageInEra(page), nil
 }
 
 func (w *waiter) wake() {
--- a/internal/standin/objecthttp.go
+++ b/internal/standin/objecthttp.go
@@ -44,14 +44,49 @@
 	return topo.Ref{Kind: topo.Kind(r.PathValue("kind")), Name: r.PathValue("name")}
 }
 
+// tell answers with an object. On the wire versions are revisions, and the era stands in a
+// header.
+func (a *ObjectAPI) tell(w http.ResponseWriter, o topo.Object, err error) {
+	a.tellEra(w, o.Version, err)
+	o.Version = o.Version.Revision()
+	reply(w, o, err)
+}
+
+// tellPage answers with a page.
+func (a *ObjectAPI) tellPage(w http.ResponseWriter, p topo.Page, err error) {
+	a.tellEra(w, p.Version, err)
+	p.Version = p.Version.Revision()
+	for i := range p.Objects {
+		p.Objects[i].Version = p.Objects[i].Version.Revision()
+	}
+	reply(w, p, err)
+}
+
+// tellEra names the era of an answer: that of its version, if it has one.
+func (a *ObjectAPI) tellEra(w http.ResponseWriter, v topo.Version, err error) {
+	era := v.Era()
+	if err != nil {
+		era = a.Era()
+	}
+	w.Header().Set(topo.EraHeader, strconv.FormatInt(int64(era), 10))
+}
+
+// heard returns the version that a caller names by its revision.
+func (a *ObjectAPI) heard(revision topo.Version) topo.Version {
+	if revision == 0 {
+		return 0
+	}
+	return topo.At(a.Era(), revision)
+}
+
 func (a *ObjectAPI) serveGet(w http.ResponseWriter, r *http.Request) {
 	o, err := a.Get(r.Context(), ref(r))
-	reply(w, o, err)
+	a.tell(w, o, err)
 }
 
 func (a *ObjectAPI) serveList(w http.ResponseWriter, r *http.Request) {
 	p, err := a.List(r.Context(), topo.Kind(r.PathValue("kind")), r.URL.Query().Get("continue"))
-	reply(w, p, err)
+	a.tellPage(w, p, err)
 }
 
 func (a *ObjectAPI) servePut(w http.ResponseWriter, r *http.Request) {
@@ -61,8 +96,8 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	o, err := a.Put(r.Context(), ref(r), body, v)
-	reply(w, o, err)
+	o, err := a.Put(r.Context(), ref(r), body, a.heard(v))
+	a.tell(w, o, err)
 }
 
 func (a *ObjectAPI) serveDelete(w http.ResponseWriter, r *http.Request) {
@@ -71,7 +106,9 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	reply(w, struct{}{}, a.Delete(r.Context(), ref(r), v))
+	err := a.Delete(r.Context(), ref(r), a.heard(v))
+	a.tellEra(w, topo.At(a.Era(), 0), err)
+	reply(w, struct{}{}, err)
 }
 
 func (a *ObjectAPI) serveWatch(w http.ResponseWriter, r *http.Request) {
@@ -82,8 +119,8 @@
 	for _, k := range q["kind"] {
 		kinds = append(kinds, topo.Kind(k))
 	}
-	p, err := a.Watch(r.Context(), kinds, topo.Version(since), time.Duration(waitMS)*time.Millisecond)
-	reply(w, p, err)
+	p, err := a.Watch(r.Context(), kinds, a.heard(topo.Version(since)), time.Duration(waitMS)*time.Millisecond)
+	a.tellPage(w, p, err)
 }
 
 // condition reads the version on which a write depends; zero: must not exist.
--- a/internal/standin/objects.go
+++ b/internal/standin/objects.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/parsleyfront/parsleyfront/internal/topo"
@@ -20,6 +21,10 @@
 	}
 }
 
+func (s *objects) clone() *objects {
+	return &objects{version: s.version, byRef: maps.Clone(s.byRef), names: make(map[topo.Kind][]string)}
+}
+
 func (s *objects) apply(o topo.Object) {
 	_, existed := s.byRef[o.Ref]
 	s.version = o.Version
--- a/internal/topo/dialect.go
+++ b/internal/topo/dialect.go
@@ -17,7 +17,8 @@
 }
 
 // Dialect is how a platform spells the calls of its object API. Its answers to
-// one object and to a listing or watch are read by Object and Page.
+// one object and to a listing or watch are read by Object and Page. Versions in calls and
+// answers are the revisions of the era that Era returns.
 type Dialect interface {
 	Get(ref Ref) Call
 	List(kind Kind, cont string) Call
@@ -26,12 +27,13 @@
 	Watch(kinds []Kind, since Version, wait time.Duration) Call
 	Object(ref Ref, body []byte) (Object, error)
 	Page(kind Kind, body []byte) (Page, error)
-	// Era returns the era of the store that has given an answer.
+	// Era returns the era of the store that has given an answer; zero: its versions order
+	// all its changes.
 	Era(answer http.Header) Era
 }
 
-// eraHeader names the era of the stand-in in its answers.
-const eraHeader = "Object-Api-Era"
+// EraHeader names the era of the stand-in in its answers.
+const EraHeader = "Object-Era"
 
 // Plain is the Dialect of this project's own stand-in. Objects live at
 // /v1/objects/{kind}/{name}; conditional writes use If-Match with the version
@@ -88,7 +90,7 @@
 
 // Era implements Dialect.
 func (Plain) Era(answer http.Header) Era {
-	return ParseEra(answer.Get(eraHeader))
+	return ParseEra(answer.Get(EraHeader))
 }
 
 // ParseEra returns the era that a header names; zero: it names none.
--- a/internal/topo/era.go
+++ b/internal/topo/era.go
@@ -21,17 +21,40 @@
 	newest Era
 }
 
-// heard takes in the era that an answer names.
-func (e *eras) heard(era Era) {
+// heard takes in the era that an answer names, and returns the newest.
+func (e *eras) heard(era Era) Era {
 	e.mu.Lock()
 	before := e.newest
 	e.newest = max(before, era)
 	e.mu.Unlock()
 	if era <= before {
-		return
+		return before
 	}
 	if before != 0 {
 		storeRestores.Inc()
 		slog.Warn("the platform's store has come back from an older copy", "era", era, "before", before)
 	}
+	return era
+}
+
+// over reports whether an era is known to be over.
+func (e *eras) over(era Era) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return era < e.newest
+}
+
+// of returns an object with the version that it has in an era.
+func (era Era) of(o Object) Object {
+	o.Version = At(era, o.Version)
+	return o
+}
+
+// ofPage returns a page with the versions that its objects have in an era.
+func (era Era) ofPage(p Page) Page {
+	p.Version = At(era, p.Version)
+	for i, o := range p.Objects {
+		p.Objects[i] = era.of(o)
+	}
+	return p
 }
--- /dev/null
+++ b/internal/topo/era_test.go
@@ -0,0 +1,103 @@
+package topo_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleyfront/parsleyfront/internal/standin"
+	"github.com/parsleyfront/parsleyfront/internal/topo"
+)
+
+var claimed = topo.Ref{Kind: topo.KindClaim, Name: "a"}
+
+// restorable returns a store, a client of it and one that makes no call of its own while
+// the store comes back.
+func restorable(t *testing.T) (store *standin.ObjectAPI, client, unaware *topo.HTTP) {
+	store = standin.NewObjectAPI()
+	mux := http.NewServeMux()
+	store.Register(mux)
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return store, topo.NewHTTP(server.URL), topo.NewHTTP(server.URL)
+}
+
+func put(t *testing.T, s topo.Store, value string, ifVersion topo.Version) topo.Object {
+	t.Helper()
+	o, err := s.Put(t.Context(), claimed, json.RawMessage(value), ifVersion)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return o
+}
+
+// A write on top of what was read before the store came back from an older copy, where
+// another's object has been given the same revision: it would replace that one unseen.
+func TestWriteDoesNotDependOnARevisionGivenOutAgain(t *testing.T) {
+	store, client, unaware := restorable(t)
+	c := store.Copy()
+	read := put(t, client, `"mine"`, 0)
+	store.Restore(c)
+	other := put(t, client, `"another's"`, 0)
+	if other.Version <= read.Version || other.Version.Revision() != read.Version.Revision() {
+		t.Fatalf("version %s after %s", other.Version, read.Version)
+	}
+	if _, err := client.Put(t.Context(), claimed, json.RawMessage(`"mine, newer"`), read.Version); !errors.Is(err, topo.ErrConflict) {
+		t.Errorf("a write by one who knows that the store is another: %v", err)
+	}
+	if err := client.Delete(t.Context(), claimed, read.Version); !errors.Is(err, topo.ErrConflict) {
+		t.Errorf("a deletion: %v", err)
+	}
+	if o, err := client.Get(t.Context(), claimed); err != nil || string(o.Value) != `"another's"` {
+		t.Errorf("%s, %v", o.Value, err)
+	}
+	// Who does not know yet may be too late to keep the write from being made. It is not
+	// told that it was made in the place where it was meant to be.
+	if _, err := unaware.Put(t.Context(), claimed, json.RawMessage(`"mine, newer"`), read.Version); !errors.Is(err, topo.ErrUnknown) {
+		t.Errorf("a write by one who does not know: %v", err)
+	}
+}
+
+// A watch from a revision that the store has given out again: it is answered, and leaves
+// out what was changed up to there.
+func TestWatchDoesNotGoOnInAnotherEra(t *testing.T) {
+	store, client, unaware := restorable(t)
+	c := store.Copy()
+	for range 3 {
+		o := put(t, client, `1`, 0)
+		if err := client.Delete(t.Context(), claimed, o.Version); err != nil {
+			t.Fatal(err)
+		}
+	}
+	page, err := client.List(t.Context(), topo.KindClaim, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	store.Restore(c)
+	version := topo.Version(0)
+	for range 10 {
+		version = put(t, store, `2`, version).Version
+	}
+	for name, s := range map[string]topo.Store{"client": client, "unaware": unaware, "store": store} {
+		within, cancel := context.WithTimeout(t.Context(), time.Minute)
+		if _, err := s.Watch(within, []topo.Kind{topo.KindClaim}, page.Version, time.Second); !errors.Is(err, topo.ErrCompacted) {
+			t.Errorf("%s: %v", name, err)
+		}
+		cancel()
+	}
+}
+
+func TestVersionsOrderChangesAcrossEras(t *testing.T) {
+	last, first := topo.At(3, 1<<30), topo.At(4, 1)
+	if first <= last || first.Era() != 4 || first.Revision() != 1 || last.Revision() != 1<<30 {
+		t.Errorf("%s and %s", last, first)
+	}
+	if topo.At(0, 7) != 7 || topo.Version(7).String() != "7" || first.String() != "4.1" {
+		t.Errorf("%s, %s", topo.Version(7), first)
+	}
+}
--- a/internal/topo/http.go
+++ b/internal/topo/http.go
@@ -36,6 +36,10 @@
 // another. VMs are at /v1/vms.
 //
 // The platform answers 429 and 503 only to calls that it has not begun.
+//
+// Revisions of different eras of the store say nothing of each other. A watch from one era
+// is never taken to go on in the next, nor a write to depend on what an object was in
+// another: its revision may have been given out again.
 type HTTP struct {
 	base     string
 	dialect  Dialect
@@ -84,8 +88,9 @@
 // Get implements Store.
 func (h *HTTP) Get(ctx context.Context, ref Ref) (o Object, err error) {
 	r := request{name: callGet, kind: ref.Kind, Call: h.dialect.Get(ref)}
-	err = h.call(ctx, r, func(body []byte) error {
+	err = h.call(ctx, r, func(era Era, body []byte) error {
 		o, err = h.dialect.Object(ref, body)
+		o = era.of(o)
 		return err
 	})
 	return o, err
@@ -94,8 +99,9 @@
 // List implements Store.
 func (h *HTTP) List(ctx context.Context, kind Kind, cont string) (p Page, err error) {
 	r := request{name: callList, kind: kind, Call: h.dialect.List(kind, cont)}
-	err = h.call(ctx, r, func(body []byte) error {
+	err = h.call(ctx, r, func(era Era, body []byte) error {
 		p, err = h.dialect.Page(kind, body)
+		p = era.ofPage(p)
 		return err
 	})
 	return p, err
@@ -106,9 +112,10 @@
 	if len(value) > maxValue {
 		return Object{}, errors.Wrapf(ErrRefused, "%s: %d bytes, at most %d fit", ref, len(value), maxValue)
 	}
-	r := request{name: callPut, kind: ref.Kind, Call: h.dialect.Put(ref, value, ifVersion)}
-	err = h.call(ctx, r, func(body []byte) error {
+	r := request{name: callPut, kind: ref.Kind, depends: ifVersion, Call: h.dialect.Put(ref, value, ifVersion.Revision())}
+	err = h.call(ctx, r, func(era Era, body []byte) error {
 		o, err = h.dialect.Object(ref, body)
+		o = era.of(o)
 		return err
 	})
 	return o, err
@@ -116,15 +123,17 @@
 
 // Delete implements Store.
 func (h *HTTP) Delete(ctx context.Context, ref Ref, ifVersion Version) error {
-	return h.call(ctx, request{name: callDelete, kind: ref.Kind, Call: h.dialect.Delete(ref, ifVersion)}, nil)
+	r := request{name: callDelete, kind: ref.Kind, depends: ifVersion, Call: h.dialect.Delete(ref, ifVersion.Revision())}
+	return h.call(ctx, r, nil)
 }
 
 // Watch implements Store.
 func (h *HTTP) Watch(ctx context.Context, kinds []Kind, since Version, wait time.Duration) (p Page, err error) {
 	kind := kinds[len(kinds)-1]
-	r := request{name: callWatch, kind: kind, wait: wait, Call: h.dialect.Watch(kinds, since, wait)}
-	err = h.call(ctx, r, func(body []byte) error {
+	r := request{name: callWatch, kind: kind, wait: wait, depends: since, Call: h.dialect.Watch(kinds, since.Revision(), wait)}
+	err = h.call(ctx, r, func(era Era, body []byte) error {
 		p, err = h.dialect.Page(kind, body)
+		p = era.ofPage(p)
 		return err
 	})
 	return p, err
@@ -137,7 +146,7 @@
 		r.Header.Set("If-None-Match", strconv.Quote(tag))
 	}
 	var vms VMs
-	err := h.call(ctx, r, func(body []byte) error { return json.Unmarshal(body, &vms) })
+	err := h.call(ctx, r, func(_ Era, body []byte) error { return json.Unmarshal(body, &vms) })
 	if errors.Is(err, errNotModified) {
 		return VMs{}, false, nil
 	}
@@ -150,9 +159,20 @@
 // request is one call of the platform.
 type request struct {
 	Call
-	name callName
-	kind Kind          // of the objects, for the counters
-	wait time.Duration // of a watch
+	name    callName
+	kind    Kind          // of the objects, for the counters
+	wait    time.Duration // of a watch
+	depends Version       // from which it watches, or on which it depends; zero: none
+}
+
+// overtaken returns how a call ends that depends on a version of another era than the one
+// in which it is answered, or would be.
+func (r request) overtaken() error {
+	class := ErrConflict
+	if r.name == callWatch {
+		class = ErrCompacted
+	}
+	return errors.Wrapf(class, "%s %s: the store has come back from an older copy since %s", r.Method, r.Path, r.depends)
 }
 
 func (r request) writes() bool {
@@ -176,7 +196,12 @@
 // call makes a call and counts it. A read that got no answer on a kept
 // connection is made once more: the connection may have gone silent long ago,
 // and only a read can be repeated without harm.
-func (h *HTTP) call(ctx context.Context, r request, read func([]byte) error) error {
+func (h *HTTP) call(ctx context.Context, r request, read func(Era, []byte) error) error {
+	if r.depends != 0 && h.eras.over(r.depends.Era()) {
+		err := r.overtaken()
+		outcomes.Inc(outcomeOf(err))
+		return err
+	}
 	used, err := h.try(ctx, r, read)
 	if used.reused && used.unanswered && !r.writes() && r.name != callWatch && ctx.Err() == nil {
 		_, err = h.try(ctx, r, read)
@@ -192,7 +217,7 @@
 	unanswered bool
 }
 
-func (h *HTTP) try(ctx context.Context, r request, read func([]byte) error) (attempt, error) {
+func (h *HTTP) try(ctx context.Context, r request, read func(Era, []byte) error) (attempt, error) {
 	calls.Inc(r.name)
 	ctx, cancel := context.WithTimeout(ctx, h.patience.with(r))
 	defer cancel()
@@ -214,7 +239,8 @@
 		return h.lost(client, r, a, err)
 	}
 	defer resp.Body.Close()
-	h.eras.heard(h.dialect.Era(resp.Header))
+	era := h.dialect.Era(resp.Header)
+	newest := h.eras.heard(era)
 	body, err := io.ReadAll(io.LimitReader(resp.Body, r.limit()+1))
 	if err != nil {
 		return h.lost(client, r, a, err)
@@ -222,15 +248,33 @@
 	if int64(len(body)) > r.limit() {
 		return a, malformed(r, errors.Errorf("more than %d bytes", r.limit()))
 	}
-	if err := statusError(r, resp.StatusCode); err != nil || read == nil {
+	if err := statusError(r, resp.StatusCode); err != nil {
 		return a, err
 	}
-	if err := read(body); err != nil {
+	if err := r.inEra(era, newest); err != nil || read == nil {
+		return a, err
+	}
+	if err := read(era, body); err != nil {
 		return a, malformed(r, err)
 	}
 	return a, nil
 }
 
+// inEra returns why an answer from an era is of no use; nil: it is.
+func (r request) inEra(era, newest Era) error {
+	crossed := r.depends != 0 && r.depends.Era() != era
+	switch {
+	case r.writes() && (crossed || era < newest):
+		// It was made, on top of what another wrote, or in a store that has lost it.
+		return errors.Wrapf(ErrUnknown, "%s %s: written in era %d of the store", r.Method, r.Path, era)
+	case era < newest:
+		return errors.Wrapf(ErrRefused, "%s %s: answered in era %d of the store, which is over", r.Method, r.Path, era)
+	case crossed:
+		return r.overtaken()
+	}
+	return nil
+}
+
 // lost classifies a call without an answer. A read changed nothing. A write
 // that had no connection was not sent; any other may have taken effect before
 // its answer was lost. The kept connections may be as dead as this one was.
