router: a router whose entry of the register the store has lost writes it again

Routers enter the register at their start and looked at it again only while they read the store: after a return from an older copy, routers that start later do not find them and read the store by themselves.

Change: at a new era each router looks for its own entry, within a second, and writes it if it is gone: one read, spread over a second, and a write only where it is missing.

--- a/internal/router/mesh.go
+++ b/internal/router/mesh.go
@@ -60,12 +60,13 @@
 // mesh carries out what the relay decides.
 type mesh struct {
 	Mesh
-	router  *Router
-	members *follow.Runner
-	parent  relay.Node  // owned by the control loop
-	reads   atomic.Bool // this router reads the store
-	packed  *packer
-	entered bool // in the register; owned by its goroutine
+	router   *Router
+	members  *follow.Runner
+	parent   relay.Node  // owned by the control loop
+	reads    atomic.Bool // this router reads the store
+	packed   *packer
+	entered  bool          // in the register; owned by its goroutine
+	restored chan struct{} // of one: the store may have lost this router's entry
 
 	// What follows is owned by the control loop.
 	told     []byte    // to those that rely on this router, last
@@ -76,7 +77,7 @@
 }
 
 func newMesh(r *Router, m Mesh) *mesh {
-	out := &mesh{Mesh: m, router: r, packed: newPacker()}
+	out := &mesh{Mesh: m, router: r, packed: newPacker(), restored: make(chan struct{}, 1)}
 	out.members = &follow.Runner{
 		Source:  follow.FromStore(r.config.Store, m.Members.Kind()),
 		Follows: "upstreams",
--- a/internal/router/register.go
+++ b/internal/router/register.go
@@ -41,15 +41,52 @@
 			sleep(ctx, registerRetry/2+rand.N(registerRetry))
 			continue
 		}
-		for ctx.Err() == nil {
-			sleep(ctx, registerEvery/2+rand.N(registerEvery))
+		m.awaitReading(ctx)
+	}
+}
+
+// awaitReading returns when the register is to be read again. Meanwhile it sees to it that
+// the store has this router's entry, which one that comes back from an older copy may lack:
+// routers that start would not find this one.
+func (m *mesh) awaitReading(ctx context.Context) {
+	next := time.NewTimer(registerEvery/2 + rand.N(registerEvery))
+	defer next.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.restored:
+			sleep(ctx, rand.N(registerRetry))
+			if err := m.enterIfLost(ctx); err != nil {
+				slog.Warn("this router's entry of the register was not found, nor written again", "error", err)
+				return
+			}
+		case <-next.C:
 			if m.reads.Load() {
-				break
+				return
 			}
+			next.Reset(registerEvery/2 + rand.N(registerEvery))
 		}
 	}
 }
 
+// enterAgain has the entry of this router looked for.
+func (m *mesh) enterAgain() {
+	select {
+	case m.restored <- struct{}{}:
+	default: // it is about to be
+	}
+}
+
+// enterIfLost writes the entry of this router if the store has none.
+func (m *mesh) enterIfLost(ctx context.Context) error {
+	_, err := m.router.config.Store.Get(ctx, topo.Ref{Kind: topo.KindRouter, Name: m.Self.Name})
+	if errors.Is(err, topo.ErrNotFound) {
+		return m.enter(ctx, 0)
+	}
+	return err
+}
+
 // readRegister enters this router and then reads who else is there: of two that
 // start at the same moment, the one that enters later finds the other.
 func (m *mesh) readRegister(ctx context.Context) error {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -183,6 +183,9 @@
 	switch e := effect.(type) {
 	case ConfigEffect:
 		r.runner.Do(r.ctx, e.Effect)
+		if _, ok := e.Effect.(config.StoreRestored); ok && r.mesh != nil {
+			r.mesh.enterAgain()
+		}
 	case ConfigReply:
 		r.reply(e)
 	case Notify:
