test/soak: failure domains are drained, and the store comes back from an older copy

It now gives and takes back orders to drain a failure domain, lets the store go away for a moment and come back from a copy up to two seconds old, with its writers writing again one kind after the other, and runners that are gone lapsing after three heartbeats. When all is over each failure domain is drained in turn: routers keep out of it and come back.

--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -40,9 +40,48 @@
 			return w.askOnce(e, "/book/1", key) == http.StatusOK
 		})
 	}
+	w.settleDrains(key)
 	time.Sleep(time.Second) // what was passed on late has run
 }
 
+// settleDrains drains each failure domain in turn, after all that has happened to the
+// routers, and waits until each of them keeps out of it and comes back.
+func (w *world) settleDrains(key string) {
+	const asks = 10
+	for _, zone := range zones {
+		w.store.Remove(drained, zone)
+	}
+	for _, zone := range zones {
+		w.store.Put(drained, zone, map[string]any{})
+		for _, e := range w.entries {
+			w.eventually(e.name+" keeps out of the drained domain "+zone, func() bool {
+				before := w.runsIn(zone)
+				for range asks {
+					w.askOnce(e, "/book/1", key)
+				}
+				return w.runsIn(zone) == before
+			})
+		}
+		w.store.Remove(drained, zone)
+		for _, e := range w.entries {
+			w.eventually(e.name+" serves after the domain "+zone+" was taken back", func() bool {
+				return w.askOnce(e, "/book/1", key) == http.StatusOK
+			})
+		}
+	}
+}
+
+// runsIn returns how many requests the runners of a failure domain have got.
+func (w *world) runsIn(zone string) int {
+	n := 0
+	for _, r := range w.allRunners() {
+		if r.zone() == zone {
+			n += len(r.Runs())
+		}
+	}
+	return n
+}
+
 func (w *world) revokedKeys() []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -21,6 +21,7 @@
 	{"configurations in quick succession", true, (*world).reconfigureOften},
 	{"runner leaves", true, (*world).leave},
 	{"runner joins", true, (*world).join},
+	{"failure domain is drained", true, (*world).drainDomain},
 	{"router stops", true, (*world).stopRouter},
 	{"settings reload", true, (*world).reload},
 	{"router is killed", false, (*world).killRouter},
@@ -28,6 +29,7 @@
 	{"store is away for a router", false, (*world).cutStore},
 	{"store refuses", false, (*world).refuseStore},
 	{"answers of the store are lost", false, (*world).loseStoreAnswers},
+	{"store comes back from an older copy", false, (*world).restoreStore},
 	{"store forgets its history", false, func(w *world) { w.store.Compact() }},
 	{"way to a runner", false, (*world).cutRunner},
 	{"runner crashes", false, (*world).crashRunner},
@@ -97,6 +99,17 @@
 	}
 }
 
+// drained is the platform's kind of orders to empty a failure domain.
+const drained = "evacuations"
+
+// drainDomain orders that the runners of a failure domain get nothing, and takes that back.
+func (w *world) drainDomain() {
+	zone := zones[w.intN(len(zones))]
+	w.store.Put(drained, zone, map[string]any{})
+	time.Sleep(w.between(200*time.Millisecond, 2*time.Second))
+	w.store.Remove(drained, zone)
+}
+
 func (w *world) join() {
 	if len(w.liveRunners()) < 2*runnersAtStart {
 		_, err := w.newRunner()
@@ -176,6 +189,33 @@
 	w.store.Outage(nil)
 }
 
+// lapse is after how long without a heartbeat the store drops a runner's entry.
+const lapse = 3600 * time.Millisecond
+
+// restoreStore lets the store go away for a moment and come back from a copy that is up to
+// two seconds old. Its writers find out one after the other, and the entries of runners that
+// are gone lapse again.
+func (w *world) restoreStore() {
+	if !w.drill.TryLock() {
+		return
+	}
+	defer w.drill.Unlock()
+	c := w.store.Copy()
+	time.Sleep(w.between(10*time.Millisecond, 2*time.Second))
+	w.store.Outage(func(string) int { return http.StatusServiceUnavailable })
+	time.Sleep(w.between(10*time.Millisecond, time.Second))
+	lost := w.store.Copy()
+	w.store.Restore(c)
+	w.store.Outage(nil)
+	for _, kind := range []string{"config", drained, "servers"} {
+		time.Sleep(w.between(time.Millisecond, 300*time.Millisecond))
+		w.store.WriteAgain(c, lost, kind)
+	}
+	w.store.RemoveAgain(c, lost, drained)
+	time.Sleep(lapse)
+	w.store.RemoveAgain(c, lost, "servers")
+}
+
 func (w *world) loseStoreAnswers() { w.store.Lose(1 + w.intN(3)) }
 
 func (w *world) cutRunner() {
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -17,11 +18,15 @@
 
 const (
 	runnersAtStart = 4
+	runnerPrefix   = "runner-"
 	// configBound and grace are what the platform's settings say.
 	configBound = 2 * time.Second
 	grace       = 8 * time.Second
 )
 
+// zones are the failure domains of runners.
+var zones = []string{"a", "b"}
+
 // entry is a router: one process after the other, at the same addresses.
 type entry struct {
 	world *world
@@ -46,7 +51,7 @@
 ip: %q
 zone: "a"
 region: "r"
-zones: {a: "r"}
+zones: {a: "r", b: "r"}
 listen: {front: %q, ready: %q}
 internal_ports: [7340, 7355]
 limits: {cpu_share: 0.5, cores: 1, memory_mb: 256, max_fds: 2048, link_mbps: 1000.0}
@@ -130,11 +135,17 @@
 	left  time.Time // when its entry said that it leaves, or was removed
 }
 
+// zone returns the failure domain of a runner. One that starts again stays in its own.
+func (r *runner) zone() string {
+	number, _ := strconv.Atoi(strings.TrimPrefix(r.ID, runnerPrefix))
+	return zones[number%len(zones)]
+}
+
 // newRunner starts a runner and enters it in the store.
 func (w *world) newRunner() (*runner, error) {
 	w.mu.Lock()
 	w.born++
-	id := "runner-" + strconv.Itoa(w.born)
+	id := runnerPrefix + strconv.Itoa(w.born)
 	w.mu.Unlock()
 	return w.startRunner(id)
 }
@@ -160,8 +171,8 @@
 
 func (w *world) announce(r *runner, state string) {
 	w.store.Put("servers", r.ID, map[string]any{
-		"service": "llm", "address": r.proxy.addr(), "zone": "a", "version": "v1",
-		"slots": 16, "state": state, "warmup_left_ms": 0, "sequence": 1, "born": r.born,
+		"service": "llm", "address": r.proxy.addr(), "zone": r.zone(), "version": "v1",
+		"slots": 16, "state": state, "warmup_left_ms": 0, "sequence": r.Write(), "born": r.born,
 	})
 }
 
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -57,6 +57,7 @@
 	running sync.WaitGroup // callers and probers
 	next    atomic.Int64   // number of the next attempt
 	turns   sync.Mutex     // one router at a time is stopped as planned
+	drill   sync.Mutex     // one return of the store at a time
 }
 
 func newWorld(t *testing.T, seed uint64, planned bool) *world {
