lease, topo: nobody takes a lease that the store may have lost with its return from an older copy

A holder whose renewal hit a revision that had been given out again took itself for the holder still.

Change: a store tells its era; a candidate that sees a new one, or begins in one that is not the first, takes no lease for as long as an unseen holder may go by one. A write that took effect in another era than its condition was read in makes nobody holder.

Test: TestLeaseThatTheStoreHasLostIsNotTakenAtOnce (lost, released; a holder, a candidate, one that starts after the return). Without the guard: two hold the lease, in both. Cost: a router that starts as the only candidate of a restored store waits eighteen seconds for a lease that is free.

--- /dev/null
+++ b/internal/lease/restored_test.go
@@ -0,0 +1,77 @@
+package lease
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/standin"
+)
+
+// standing returns a Runner that stands for the lease.
+func standing(t *testing.T, store *standin.ObjectAPI, id string) *Runner {
+	ctx, stop := context.WithCancel(t.Context())
+	t.Cleanup(stop)
+	r := NewRunner(store, "controller", id, DefaultTTL, func() bool { return true })
+	go r.Run(ctx)
+	return r
+}
+
+// A lease that the store has lost, or shows as released, since it came back from an older
+// copy: whoever took it at once would give orders beside its holder.
+func TestLeaseThatTheStoreHasLostIsNotTakenAtOnce(t *testing.T) {
+	for name, before := range map[string]func(*testing.T, *standin.ObjectAPI){
+		"lost":     func(*testing.T, *standin.ObjectAPI) {},
+		"released": released,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := standin.NewObjectAPI()
+				before(t, store)
+				c := store.Copy()
+				holder := standing(t, store, "holder")
+				time.Sleep(time.Second)
+				other := standing(t, store, "other")
+				time.Sleep(time.Second)
+				former := holder.Grant().Token
+				if !holder.Grant().Valid(time.Now()) {
+					t.Fatal("not held")
+				}
+				store.Restore(c)
+				fresh := standing(t, store, "fresh")
+				var next Grant
+				for range 400 {
+					time.Sleep(100 * time.Millisecond)
+					held := 0
+					for _, r := range []*Runner{holder, other, fresh} {
+						if g := r.Grant(); g.Valid(time.Now()) {
+							held++
+							next = g
+						}
+					}
+					if held > 1 {
+						t.Fatal("two hold the lease")
+					}
+				}
+				if !next.Valid(time.Now()) || next.Token <= former {
+					t.Errorf("held at last by %+v, after token %d", next, former)
+				}
+			})
+		})
+	}
+}
+
+// released leaves a lease behind that its holder has given up.
+func released(t *testing.T, store *standin.ObjectAPI) {
+	ctx, stop := context.WithCancel(t.Context())
+	r := NewRunner(store, "controller", "first", DefaultTTL, func() bool { return true })
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.Run(ctx)
+	}()
+	time.Sleep(time.Second)
+	stop()
+	<-done
+}
--- a/internal/lease/runner.go
+++ b/internal/lease/runner.go
@@ -94,7 +94,7 @@
 	case Get:
 		go func() {
 			o, err := r.store.Get(r.ctx, r.ref)
-			r.loop.Post(Read{Now: time.Now(), Object: o, Err: err})
+			r.loop.Post(Read{Now: time.Now(), Era: topo.EraOf(r.store), Object: o, Err: err})
 		}()
 	case Put:
 		go r.write(e)
--- a/internal/lease/state.go
+++ b/internal/lease/state.go
@@ -24,6 +24,7 @@
 // Read is the end of a Get. Now is a time after the answer has come.
 type Read struct {
 	Now    time.Time
+	Era    topo.Era // of the store
 	Object topo.Object
 	Err    error
 }
@@ -85,6 +86,8 @@
 	record  Record
 	version topo.Version // zero: there is no object
 	since   time.Time    // when version was seen first
+	era     topo.Era     // of the store
+	entered time.Time    // when it was seen to be in it; zero: it never came back from a copy
 
 	attempts []attempt
 	token    wire.FencingToken // zero: not the holder
@@ -183,6 +186,9 @@
 }
 
 func (s *State) read(e Read) []Effect {
+	if e.Era > s.era {
+		s.era, s.entered = e.Era, e.Now
+	}
 	switch {
 	case errors.Is(e.Err, topo.ErrNotFound):
 		s.see(e.Now, Record{}, 0)
@@ -218,7 +224,7 @@
 	s.known, s.record, s.version = true, r, v
 	i := slices.IndexFunc(s.attempts, func(a attempt) bool { return a.id == r.Attempt })
 	switch {
-	case i >= 0 && r.Holder == s.self:
+	case i >= 0 && r.Holder == s.self && s.attempts[i].joins(v):
 		s.hold(TokenOf(r, v), s.attempts[i].sent)
 	case r.Holder != s.self || TokenOf(r, v) != s.token:
 		s.token = 0
@@ -235,12 +241,25 @@
 	s.deadline = sent.Add(s.ttl)
 }
 
+// joins reports whether a write that took effect at a version did so in the era of the store
+// in which its condition was read. In another one it has replaced what another has written.
+func (a attempt) joins(v topo.Version) bool {
+	return a.ifVersion == 0 || a.ifVersion.Era() == v.Era()
+}
+
 // free reports whether the lease may be taken. Its holder counts TTL from
 // before its write was sent; this counts from after that write was seen, and
-// longer, so the holder has stopped by then.
+// longer, so the holder has stopped by then. A store that has come back from an
+// older copy may have lost the write of a holder that goes by it still.
 func (s *State) free(now time.Time) bool {
-	ttl := s.record.TTL
-	return s.record.Holder == "" || now.Sub(s.since) >= ttl+ttl/marginShare
+	if !s.entered.IsZero() && !lapsed(now, s.entered, s.ttl) {
+		return false
+	}
+	return s.record.Holder == "" || lapsed(now, s.since, s.record.TTL)
+}
+
+func lapsed(now, since time.Time, ttl time.Duration) bool {
+	return now.Sub(since) >= ttl+ttl/marginShare
 }
 
 func (s *State) wrote(e Wrote) []Effect {
--- a/internal/topo/era.go
+++ b/internal/topo/era.go
@@ -44,6 +44,13 @@
 	return era < e.newest
 }
 
+// Era implements EraTeller.
+func (h *HTTP) Era() Era {
+	h.eras.mu.Lock()
+	defer h.eras.mu.Unlock()
+	return h.eras.newest
+}
+
 // of returns an object with the version that it has in an era.
 func (era Era) of(o Object) Object {
 	o.Version = At(era, o.Version)
