--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -23,11 +23,37 @@
 			r.proxy.turn(through)
 		}
 	}
-	newest, key := w.newestVersion(), w.newestKey()
-	revoked := w.revokedKeys()
 	for _, e := range w.entries {
 		e.store.turn(through)
 		e.signal(syscall.SIGCONT)
+	}
+	w.settleConfiguration()
+	w.settleRestore()
+	w.settleDrains(w.newestKey())
+	time.Sleep(time.Second) // what was passed on late has run
+}
+
+// settleRestore lets the store come back from a copy in which much is missing, and waits
+// until each router does as the first configuration after that says.
+func (w *world) settleRestore() {
+	const lostChanges = 30
+	c := w.store.Copy()
+	for range lostChanges {
+		w.reconfigure()
+	}
+	w.settleConfiguration()
+	lost := w.store.Copy()
+	w.store.Restore(c)
+	w.store.WriteAgain(c, lost, "config")
+	w.reconfigure()
+	w.settleConfiguration()
+}
+
+// settleConfiguration waits until each router does as the newest configuration says.
+func (w *world) settleConfiguration() {
+	newest, key := w.newestVersion(), w.newestKey()
+	revoked := w.revokedKeys()
+	for _, e := range w.entries {
 		w.eventually(e.name+" does as the newest configuration says", func() bool {
 			if newest > 1 && w.askOnce(e, generation(newest), "") != http.StatusOK {
 				return false
@@ -40,8 +66,6 @@
 			return w.askOnce(e, "/book/1", key) == http.StatusOK
 		})
 	}
-	w.settleDrains(key)
-	time.Sleep(time.Second) // what was passed on late has run
 }
 
 // settleDrains drains each failure domain in turn, after all that has happened to the
