router: idempotency keys are claimed again after the store has lost claims, before any other is

A store that comes back from an older copy has lost claims: a request that comes again under its key, at another router, claimed it anew and ran a second time.

Change: a router remembers the claims that it made in the last minute, and makes them again when the store goes on in a new era; for five seconds after that no key is claimed, and the caller is told that its request has not run and when to come back.

Ruled out: leaving it to the sidecars' tables (they go by the request key, which the claim gives).

Test: TestLostClaimIsMadeAgainBeforeItsKeyIsClaimed; with the doubt and the memory taken out the second router claims the key for itself. Open: a router that dies between its claim and the store's return makes none again.

--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -43,6 +43,7 @@
 	claimFound    claimOutcome = "found"
 	claimNoBudget claimOutcome = "no-budget"
 	claimNoStore  claimOutcome = "store-down"
+	claimDoubted  claimOutcome = "store-restored"
 )
 
 // Claim is the value of a claim object: the request key under which everything
@@ -73,9 +74,13 @@
 	}
 	ctx, done := context.WithTimeout(ctx, claimWait)
 	defer done()
-	key, outcome, err := r.claim(ctx, claimRef(org.Name, own), proposed)
+	key, outcome, err := r.claimer.claim(ctx, claimRef(org.Name, own), proposed)
 	claims.Inc(outcome)
-	if err != nil {
+	switch {
+	case outcome == claimDoubted:
+		return wire.Key{}, verdict.New(verdict.NotRun, verdict.ReasonStoreDown,
+			"the platform's store has lost what it took in the last seconds").Later(claimDoubt)
+	case err != nil:
 		return wire.Key{}, unclaimed("the platform's store does not answer")
 	}
 	return key, nil
@@ -85,28 +90,29 @@
 	return verdict.New(verdict.NotRun, verdict.ReasonStoreDown, "%s", detail).Later(time.Second)
 }
 
-// claim creates the claim object or reads the one that is there. An unanswered
+// create creates the claim object or reads the one that is there. An unanswered
 // create may have taken effect, now or a little later. Whichever create is the
 // first holds, and the object says which key that was, so reading it back and
 // creating it once more settle it without a guess.
-func (r *Router) claim(ctx context.Context, ref topo.Ref, proposed wire.Key) (wire.Key, claimOutcome, error) {
+func (c *claimer) create(ctx context.Context, ref topo.Ref, proposed wire.Key) (wire.Key, claimOutcome, error) {
 	value, err := json.Marshal(Claim{Key: proposed, KeepUntil: time.Now().Add(ClaimLife).Unix()})
 	if err != nil {
 		return wire.Key{}, claimNoStore, err
 	}
 	for range claimTries {
-		_, err = r.config.Store.Put(ctx, ref, value, 0)
+		_, err = c.store.Put(ctx, ref, value, 0)
 		if err == nil {
+			c.remember(time.Now(), madeClaim{ref: ref, key: proposed, value: value})
 			return proposed, claimMade, nil
 		}
 		if errors.Is(err, topo.ErrRefused) {
 			return wire.Key{}, claimNoStore, err
 		}
-		o, getErr := r.config.Store.Get(ctx, ref)
+		o, getErr := c.store.Get(ctx, ref)
 		if getErr == nil {
-			var c Claim
-			err = json.Unmarshal(o.Value, &c)
-			return c.Key, claimFound, err
+			var have Claim
+			err = json.Unmarshal(o.Value, &have)
+			return have.Key, claimFound, err
 		}
 		if !errors.Is(getErr, topo.ErrNotFound) {
 			return wire.Key{}, claimNoStore, getErr
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -103,6 +103,7 @@
 	begin    sync.Once
 	limits   *limits
 	claims   *claimBudget
+	claimer  *claimer
 	suspects *suspects
 	ledger   *ledger
 	holders  *holders
@@ -139,6 +140,7 @@
 		asked:    make(map[uint64]chan config.Delta),
 		limits:   newLimits(),
 		claims:   newClaimBudget(time.Now()),
+		claimer:  &claimer{store: c.Store},
 		suspects: newSuspects(),
 		ledger:   newLedger(),
 		holders:  newHolders(),
@@ -183,8 +185,8 @@
 	switch e := effect.(type) {
 	case ConfigEffect:
 		r.runner.Do(r.ctx, e.Effect)
-		if _, ok := e.Effect.(config.StoreRestored); ok && r.mesh != nil {
-			r.mesh.enterAgain()
+		if _, ok := e.Effect.(config.StoreRestored); ok {
+			r.restored()
 		}
 	case ConfigReply:
 		r.reply(e)
@@ -209,6 +211,14 @@
 	}
 }
 
+// restored writes again what this router wrote into a store that has lost its last seconds.
+func (r *Router) restored() {
+	if r.mesh != nil {
+		r.mesh.enterAgain()
+	}
+	go r.claimer.restored(r.ctx)
+}
+
 // restarted takes in which upstreams have started again.
 func (r *Router) restarted(e Restarted) {
 	outdatedEntries.Add(int64(e.Outdated))
