membership: a copy's entry of an upstream that was gone counts one renewal later

The store drops the entry of a silent upstream after three renewals, and the news of that takes its way: with three here as well, the two ran against each other by a tenth of a second. TestACopyPutsNobodyToWorkAgain now has the store's own time apart from ours.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -103,8 +103,9 @@
 	until time.Time // when its upstream lives, if the store has the entry still
 }
 
-// lapseRenewals is after how many renewals that are due the store drops an entry.
-const lapseRenewals = 3
+// lapseRenewals is after how many renewals that are due an entry is known to be gone if
+// nobody renews it: the store drops it after three.
+const lapseRenewals = 4
 
 // doubt is a failure domain whose upstreams may have become cold at a version of the
 // store, without their entries telling so yet.
--- a/internal/membership/restored_test.go
+++ b/internal/membership/restored_test.go
@@ -10,6 +10,9 @@
 	"github.com/parsleyfront/parsleyfront/internal/topo"
 )
 
+// storeLapse is after how long without a renewal the store drops an entry.
+const storeLapse = 3 * time.Second
+
 // restorable is a store of entries that may come back from an older copy, and a router that
 // hears of each change.
 type restorable struct {
@@ -89,7 +92,7 @@
 			if have, ok := r.entries[name]; !ok || have.VM.Leaving != e.VM.Leaving {
 				r.write(name, e.VM.Leaving)
 			}
-		case r.now.Sub(r.since[name]) >= lapseRenewals*timing.Renew:
+		case r.now.Sub(r.since[name]) >= storeLapse:
 			r.remove(name)
 		}
 	}
