test/soak: runners that start while callers call are cold, and get no more than they bear

A runner that joins or starts again is cold for two seconds and says so; in no second may more requests be sent and come to it than two a second, one and a half times and two more, from all routers together.

--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -126,6 +126,7 @@
 	runs := make(map[string][]fake.Run)
 	by := make(map[string][]string) // runners, by attempt
 	for _, r := range w.allRunners() {
+		w.checkCold(r)
 		for _, run := range r.Runs() {
 			runs[run.ID] = append(runs[run.ID], run)
 			by[run.ID] = append(by[run.ID], r.ID)
@@ -140,6 +141,26 @@
 	}
 }
 
+// checkCold looks for a second in which more requests were sent and came to a cold runner
+// than all routers together may send it.
+func (w *world) checkCold(r *runner) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	runs := r.Runs()
+	for i, last := range runs {
+		from, n := last.At.Add(-time.Second), 0
+		for _, run := range runs[:i+1] {
+			if c := w.sent[run.ID]; c != nil && c.sent.After(from) && run.At.After(from) {
+				n++
+			}
+		}
+		if last.At.Before(r.warm) && n > coldMost {
+			w.t.Errorf("%s got %d requests within a second, %v before it was warm", r.ID, n, r.warm.Sub(last.At).Round(time.Millisecond))
+			return
+		}
+	}
+}
+
 // checkRun holds a request that a runner got against the one that was sent.
 func (w *world) checkRun(r *runner, run fake.Run) {
 	w.mu.Lock()
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -22,6 +22,14 @@
 	// configBound and grace are what the platform's settings say.
 	configBound = 2 * time.Second
 	grace       = 8 * time.Second
+
+	// A runner that starts while callers call is cold for coldFor. It bears coldRate requests
+	// a second meanwhile, from all routers, and operators allow so many times that and more.
+	coldFor     = 2 * time.Second
+	coldRate    = 2
+	coldOverage = 1.5
+	coldSlack   = 2
+	coldMost    = int(coldRate*coldOverage) + coldSlack
 )
 
 // zones are the failure domains of runners.
@@ -56,9 +64,9 @@
 internal_ports: [7340, 7355]
 limits: {cpu_share: 0.5, cores: 1, memory_mb: 256, max_fds: 2048, link_mbps: 1000.0}
 heartbeat_ms: 1200
-bounds: {config_apply_ms: %d, drain_ms: %d, grace_s: %d, retry_ratio: 0.2, retry_slack: 20, budget_window_s: 10, cap_factor: %g}
+bounds: {config_apply_ms: %d, drain_ms: %d, grace_s: %d, retry_ratio: 0.2, retry_slack: 20, budget_window_s: 10, cap_factor: %g, warmup_overage: %g, warmup_slack: %d}
 platform: {address: %q}
-`, e.name, e.ip, e.addr(), net.JoinHostPort(e.ip, "8081"), configBound.Milliseconds(), configBound.Milliseconds(), int(grace.Seconds()), loadMultiple, e.store.addr())
+`, e.name, e.ip, e.addr(), net.JoinHostPort(e.ip, "8081"), configBound.Milliseconds(), configBound.Milliseconds(), int(grace.Seconds()), loadMultiple, coldOverage, coldSlack, e.store.addr())
 	next := filepath.Join(e.dir, "next.yaml")
 	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
 		return err
@@ -133,6 +141,7 @@
 	proxy *proxy
 	born  int64     // its start, in Unix milliseconds
 	left  time.Time // when its entry said that it leaves, or was removed
+	warm  time.Time // until when it is cold
 }
 
 // zone returns the failure domain of a runner. One that starts again stays in its own.
@@ -163,6 +172,9 @@
 	r := &runner{Runner: fake.StartRunner(l, id, p.addr()), proxy: p, born: time.Now().UnixMilli()}
 	r.Behave(w.act(r.Runner))
 	w.mu.Lock()
+	if len(w.calls) > 0 {
+		r.warm = time.Now().Add(coldFor)
+	}
 	w.runners = append(w.runners, r)
 	w.mu.Unlock()
 	w.announce(r, "ready")
@@ -172,7 +184,7 @@
 func (w *world) announce(r *runner, state string) {
 	w.store.Put("servers", r.ID, map[string]any{
 		"service": "llm", "address": r.proxy.addr(), "zone": r.zone(), "version": "v1",
-		"slots": 16, "state": state, "warmup_left_ms": 0, "sequence": r.Write(), "born": r.born,
+		"slots": 16, "state": state, "warmup_left_ms": max(0, time.Until(r.warm).Milliseconds()), "sequence": r.Write(), "born": r.born,
 	})
 }
 
@@ -246,8 +258,9 @@
 func (w *world) write(c configuration) {
 	w.store.Put("config", "main", map[string]any{
 		"version": c.version, "routes": c.routes,
-		"services": []map[string]any{{"name": "llm", "health_path": "/health", "max_connections": 200}},
-		"tenants":  []map[string]any{{"name": "club", "api_keys": c.keys}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"services": []map[string]any{{"name": "llm", "health_path": "/health", "max_connections": 200,
+			"warmup_s": coldFor.Seconds(), "warmup_per_s": coldRate}},
+		"tenants": []map[string]any{{"name": "club", "api_keys": c.keys}},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 }
