claim: claims of idempotency keys have a package of their own

internal/router is the largest room, and the memory of claims is a decision that knows nothing of requests: what claims, remembers and claims again is internal/claim now, the router keeps its budget and what callers are told. A router learns the store's era before its first claim, so that this one isn't refused for a return of long ago. Tests unchanged but for the names of what moved.

--- /dev/null
+++ b/internal/claim/keeper.go
@@ -0,0 +1,130 @@
+package claim
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleyfront/parsleyfront/internal/topo"
+	"github.com/parsleyfront/parsleyfront/internal/wire"
+)
+
+const (
+	// memory is for how long a router remembers the claims that it has made. The copy
+	// from which a store comes back is some seconds old.
+	memory = time.Minute
+	// Doubt is for how long after a return of the store no idempotency key of callers
+	// is claimed: until all routers have heard of it and made their claims again.
+	Doubt = 5 * time.Second
+	// againPause is the pause before a claim is tried again that has to be made anew.
+	againPause = 250 * time.Millisecond
+)
+
+// Keeper claims idempotency keys in the store. A store that comes back from an older copy
+// has lost claims: a request that comes again under its key would run a second time. So the
+// routers that made them make them again, and until they have, no key is claimed.
+type Keeper struct {
+	store topo.Store
+
+	mu      sync.Mutex
+	made    []made // the oldest first
+	era     topo.Era
+	entered time.Time // when the store was seen to be in it
+}
+
+// made is a claim as it was written.
+type made struct {
+	ref   topo.Ref
+	key   wire.Key
+	value json.RawMessage
+	at    time.Time
+}
+
+// NewKeeper returns a Keeper of claims in a store that has made none.
+func NewKeeper(store topo.Store) *Keeper {
+	return &Keeper{store: store}
+}
+
+// Saw takes in the era of the store, so that the first claim of a router does not find it new.
+func (k *Keeper) Saw(now time.Time, era topo.Era) {
+	k.doubted(now, era)
+}
+
+// doubted takes in the era of the store, and reports whether claims may still be missing.
+func (k *Keeper) doubted(now time.Time, era topo.Era) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if era > k.era {
+		k.era, k.entered = era, now
+	}
+	return !k.entered.IsZero() && now.Sub(k.entered) < Doubt
+}
+
+func (k *Keeper) remember(now time.Time, m made) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	m.at = now
+	k.made = append(k.kept(now), m)
+}
+
+// kept returns the claims that are remembered. It needs k.mu held.
+func (k *Keeper) kept(now time.Time) []made {
+	for i, m := range k.made {
+		if now.Sub(m.at) < memory {
+			return k.made[i:]
+		}
+	}
+	return nil
+}
+
+// Restored makes the remembered claims again that the store has lost.
+func (k *Keeper) Restored(ctx context.Context) {
+	now := time.Now()
+	k.doubted(now, topo.EraOf(k.store))
+	k.mu.Lock()
+	made := append([]made(nil), k.kept(now)...)
+	k.mu.Unlock()
+	for _, m := range made {
+		err := k.again(ctx, m)
+		for try := 1; err != nil && try < tries; try++ {
+			pause(ctx)
+			err = k.again(ctx, m)
+		}
+		if err != nil {
+			slog.Error("a claim that the store may have lost could not be made again", "claim", m.ref.Name, "error", err)
+		}
+	}
+}
+
+// again makes a claim again. One that another request has made since for its own key gives
+// way: under that key nothing has run.
+func (k *Keeper) again(ctx context.Context, m made) error {
+	_, err := k.store.Put(ctx, m.ref, m.value, 0)
+	if !errors.Is(err, topo.ErrConflict) {
+		return err
+	}
+	o, err := k.store.Get(ctx, m.ref)
+	if err != nil {
+		return err
+	}
+	var have Claim
+	if err := json.Unmarshal(o.Value, &have); err == nil && have.Key == m.key {
+		return nil
+	}
+	_, err = k.store.Put(ctx, m.ref, m.value, o.Version)
+	return err
+}
+
+// pause waits a little before the next try.
+func pause(ctx context.Context) {
+	timer := time.NewTimer(againPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/router/claimer_test.go
+++ b/internal/claim/keeper_test.go
@@ -1,4 +1,4 @@
-package router
+package claim
 
 import (
 	"testing"
@@ -14,20 +14,20 @@
 func TestLostClaimIsMadeAgainBeforeItsKeyIsClaimed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := standin.NewObjectAPI()
-		first, second := &claimer{store: store}, &claimer{store: store}
-		ref := claimRef("club", "pay-once")
+		first, second := NewKeeper(store), NewKeeper(store)
+		ref := Ref("club", "pay-once")
 		c := store.Copy()
-		ran, outcome, err := first.claim(t.Context(), ref, wire.Key{VM: "a"})
-		if err != nil || outcome != claimMade {
+		ran, outcome, err := first.Claim(t.Context(), ref, wire.Key{VM: "a"})
+		if err != nil || outcome != Made {
 			t.Fatal(outcome, err)
 		}
 		store.Restore(c)
-		if key, outcome, _ := second.claim(t.Context(), ref, wire.Key{VM: "b"}); outcome != claimDoubted {
+		if key, outcome, _ := second.Claim(t.Context(), ref, wire.Key{VM: "b"}); outcome != Doubted {
 			t.Errorf("right after: %s %+v", outcome, key)
 		}
-		first.restored(t.Context())
-		time.Sleep(claimDoubt)
-		if key, outcome, err := second.claim(t.Context(), ref, wire.Key{VM: "b"}); outcome != claimFound || key != ran {
+		first.Restored(t.Context())
+		time.Sleep(Doubt)
+		if key, outcome, err := second.Claim(t.Context(), ref, wire.Key{VM: "b"}); outcome != Found || key != ran {
 			t.Errorf("later: %s %+v, %v", outcome, key, err)
 		}
 	})
@@ -36,16 +36,16 @@
 // Claims are remembered for long enough, and no longer.
 func TestClaimsAreForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := &claimer{store: standin.NewObjectAPI()}
+		k := NewKeeper(standin.NewObjectAPI())
 		for _, name := range []string{"a", "b", "c"} {
-			if _, _, err := c.claim(t.Context(), claimRef("club", name), wire.Key{VM: name}); err != nil {
+			if _, _, err := k.Claim(t.Context(), Ref("club", name), wire.Key{VM: name}); err != nil {
 				t.Fatal(err)
 			}
-			time.Sleep(claimMemory / 2)
+			time.Sleep(memory / 2)
 		}
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if kept := c.kept(time.Now()); len(kept) != 1 || kept[0].key.VM != "c" {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		if kept := k.kept(time.Now()); len(kept) != 1 || kept[0].key.VM != "c" {
 			t.Errorf("%+v", kept)
 		}
 	})
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/parsleyfront/parsleyfront/internal/claim"
 	"github.com/parsleyfront/parsleyfront/internal/config"
 	"github.com/parsleyfront/parsleyfront/internal/config/follow"
 	"github.com/parsleyfront/parsleyfront/internal/exchange"
@@ -103,7 +104,7 @@
 	begin    sync.Once
 	limits   *limits
 	claims   *claimBudget
-	claimer  *claimer
+	claimer  *claim.Keeper
 	suspects *suspects
 	ledger   *ledger
 	holders  *holders
@@ -140,7 +141,7 @@
 		asked:    make(map[uint64]chan config.Delta),
 		limits:   newLimits(),
 		claims:   newClaimBudget(time.Now()),
-		claimer:  &claimer{store: c.Store},
+		claimer:  claim.NewKeeper(c.Store),
 		suspects: newSuspects(),
 		ledger:   newLedger(),
 		holders:  newHolders(),
@@ -216,7 +217,7 @@
 	if r.mesh != nil {
 		r.mesh.enterAgain()
 	}
-	go r.claimer.restored(r.ctx)
+	go r.claimer.Restored(r.ctx)
 }
 
 // restarted takes in which upstreams have started again.
@@ -277,6 +278,7 @@
 	for ctx.Err() == nil {
 		r.suspects.expire(time.Now())
 		r.warming.gate.Expire(time.Now())
+		r.claimer.Saw(time.Now(), topo.EraOf(r.config.Store))
 		r.prunePeers()
 		if r.config.Direct != nil {
 			r.config.Direct.Keep(time.Now(), r.View().VMs)
