config, platform: a router that starts while the store holds an older copy learns what is written again

What callers would see: one router of several answers 404 on a route that was added before the return, and 200 on one that was dropped, for good.

Cause: objects whose value stays the same kept the version at which it changed, also where a new era of the store told them. A router that had the newer configuration all the time had its former version on what was written again, below that of the copy which another router had started with: that one relied on it and never heard of anything newer.

Ruled out: the guard against peers with the older copy (the fresh one was refused nothing).

Change: what a later era tells has that era's version, silently where it says the same; a node that holds the same at a version of a former era takes the versions over, since others may rely on it.

TestWhatIsWrittenAgainReaches- RoutersThatStartedWithTheCopy fails before.

--- a/internal/config/follow_peer.go
+++ b/internal/config/follow_peer.go
@@ -140,6 +140,8 @@
 	}
 	mine := f.set.Mark()
 	switch {
+	case m.same(mine) && m.Version.Era() > mine.Version.Era():
+		return f.catchUp(now, peer, m.Version) // others may rely on this node's versions
 	case m.same(mine):
 		return f.refresh(now, peer, m)
 	case m.comparable(mine):
--- a/internal/config/restored_test.go
+++ b/internal/config/restored_test.go
@@ -157,3 +157,32 @@
 		t.Errorf("%+v", changed)
 	}
 }
+
+// A router that has started with the older copy, and relies on one that knew the newer
+// configuration all the time: when that is written again it changes nothing there, and must
+// be told all the same.
+func TestWhatIsWrittenAgainReachesRoutersThatStartedWithTheCopy(t *testing.T) {
+	r, fresh := newRestored(), newRestored()
+	r.listed(confirmed, topo.At(1, 50), topo.At(1, 52))
+	r.listed(olderCopy, topo.At(2, 30), topo.At(2, 31))
+	fresh.listed(olderCopy, topo.At(2, 30), topo.At(2, 38))
+	r.listed(confirmed, topo.At(2, 40), topo.At(2, 41))
+	relying := newRestored()
+	relying.listed(confirmed, topo.At(1, 50), topo.At(1, 52))
+	for _, to := range []*restored{relying, fresh} {
+		for range 2 { // a reader waits a little for its own watch
+			to.now = to.now.Add(2 * watchPatience)
+			to.Step(Heard{Now: to.now, Peer: "r", Mark: r.set.Mark()})
+		}
+		if to.pull == nil {
+			t.Fatal("it does not pull")
+		}
+		for pulls := 0; to.pull != nil && pulls < 3; pulls++ {
+			to.Step(Answered{Now: to.now, Peer: "r", Delta: r.set.Answer(to.pull.query)})
+		}
+		to.check(t, confirmed.routes)
+		if got, want := to.set.Mark(), r.set.Mark(); got.Version != want.Version {
+			t.Errorf("at %s, want %s", got.Version, want.Version)
+		}
+	}
+}
--- a/internal/config/set.go
+++ b/internal/config/set.go
@@ -327,7 +327,9 @@
 // difference returns what has changed when objects are all that exist at a
 // version: those with another value than the Set holds, and as deleted those that
 // are not among them. What is the same keeps the version at which it changed, so
-// that nodes which have seen different stages of the source still agree. What is new
+// that nodes which have seen different stages of the source still agree. Only a later era of
+// the store gives it another: nodes that have begun in that era take nothing for newer that
+// has a version of the one before. What is new
 // has the version that the source gives it, the one at which the source changed last:
 // two nodes that begin to read it at different times agree as well.
 func (s *Set) difference(objects []topo.Object, version topo.Version) []topo.Object {
@@ -335,15 +337,15 @@
 	seen := make(map[topo.Ref]bool, len(objects))
 	for _, o := range objects {
 		seen[o.Ref] = true
+		if o.Version == 0 {
+			o.Version = version
+		}
 		have, ok := s.Get(o.Ref)
-		if ok && bytes.Equal(have.Value, o.Value) {
+		if ok && bytes.Equal(have.Value, o.Value) && o.Version.Era() <= have.Version.Era() {
 			continue
 		}
 		// The value may be a part of a text that would be kept for its sake.
 		o.Value = bytes.Clone(o.Value)
-		if o.Version == 0 {
-			o.Version = version
-		}
 		out = append(out, o)
 	}
 	s.Objects(func(o topo.Object) {
