topo: an answer that names no era of the store is of the newest

Found in reading: such an answer counted as one of era zero, long over, so that a store which left the header out of one sort of answer would have been of no use at all.

Test: TestAnswerWithoutAnEraIsOfTheNewest fails before (refused) and passes.

--- a/internal/topo/era.go
+++ b/internal/topo/era.go
@@ -21,20 +21,21 @@
 	newest Era
 }
 
-// heard takes in the era that an answer names, and returns the newest.
-func (e *eras) heard(era Era) Era {
+// heard takes in the era that an answer names, and returns the one that it is of, and the
+// newest. An answer that names none is of the newest.
+func (e *eras) heard(named Era) (era, newest Era) {
 	e.mu.Lock()
 	before := e.newest
-	e.newest = max(before, era)
+	e.newest = max(before, named)
 	e.mu.Unlock()
-	if era <= before {
-		return before
+	if named == 0 {
+		return before, before
 	}
-	if before != 0 {
+	if named > before && before != 0 {
 		storeRestores.Inc()
-		slog.Warn("the platform's store has come back from an older copy", "era", era, "before", before)
+		slog.Warn("the platform's store has come back from an older copy", "era", named, "before", before)
 	}
-	return era
+	return named, max(before, named)
 }
 
 // over reports whether an era is known to be over.
--- a/internal/topo/era_test.go
+++ b/internal/topo/era_test.go
@@ -101,3 +101,22 @@
 		t.Errorf("%s, %s", topo.Version(7), first)
 	}
 }
+
+// A store that leaves the era out of some of its answers, as when something between answers
+// for it: what it tells is not taken for that of an era which is over.
+func TestAnswerWithoutAnEraIsOfTheNewest(t *testing.T) {
+	named := true
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if named {
+			w.Header().Set(topo.EraHeader, "3")
+		}
+		_ = json.NewEncoder(w).Encode(topo.Page{Version: 7})
+	}))
+	defer server.Close()
+	client := topo.NewHTTP(server.URL)
+	for _, named = range []bool{true, false} {
+		if page, err := client.List(t.Context(), topo.KindClaim, ""); err != nil || page.Version != topo.At(3, 7) {
+			t.Errorf("era named %v: %s, %v", named, page.Version, err)
+		}
+	}
+}
