ctl: versions are shown with their era, as in the log

A version after a return of the store was shown as one number of thirteen digits. get, status, apply and its waiting say 2.44 now (TestVersionsAreShownWithTheirEra: before).

--- a/internal/ctl/change.go
+++ b/internal/ctl/change.go
@@ -77,7 +77,7 @@
 func (r applyResult) table(w io.Writer) {
 	fmt.Fprintln(w, "OBJECT\tSTATE\tVERSION\tCHANGE")
 	for _, o := range r.Objects {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", o.Ref, o.State, dash(int64(o.Version)), o.Change)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", o.Ref, o.State, dash(o.Version), o.Change)
 	}
 	if r.InForce != nil {
 		r.InForce.table(w)
@@ -89,7 +89,7 @@
 }
 
 // dash returns n, or a dash for what is not known.
-func dash(n int64) string {
+func dash[N ~int64](n N) string {
 	if n == 0 {
 		return "-"
 	}
--- a/internal/ctl/get.go
+++ b/internal/ctl/get.go
@@ -45,7 +45,7 @@
 func (l listing) table(w io.Writer) {
 	fmt.Fprintln(w, "NAME\tVERSION\tCHANGED\tBY")
 	for _, o := range l.Objects {
-		fmt.Fprintf(w, "%s\t%d\t%s\t%s\n", o.Name, o.Version, o.Change.Time.Format(time.RFC3339), o.Change.Author)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", o.Name, o.Version, o.Change.Time.Format(time.RFC3339), o.Change.Author)
 	}
 }
 
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -148,7 +148,7 @@
 // versionOf returns a router's version, marked when others are further.
 func (s fleetStatus) versionOf(r admin.Status) string {
 	if r.Config.Version < s.Version {
-		return fmt.Sprintf("%d (behind)", r.Config.Version)
+		return fmt.Sprintf("%s (behind)", r.Config.Version)
 	}
 	return fmt.Sprint(r.Config.Version)
 }
--- a/internal/ctl/wait.go
+++ b/internal/ctl/wait.go
@@ -51,10 +51,10 @@
 	}
 	for _, b := range p.Behind {
 		if b.Kind == "" {
-			parts = append(parts, fmt.Sprintf("the changes up to version %d, not %d", b.InForce.Version, b.Version))
+			parts = append(parts, fmt.Sprintf("the changes up to version %s, not %s", b.InForce.Version, b.Version))
 			continue
 		}
-		part := fmt.Sprintf("%s at version %d, not %d", b.Ref, b.InForce.Version, b.Version)
+		part := fmt.Sprintf("%s at version %s, not %s", b.Ref, b.InForce.Version, b.Version)
 		if b.InForce.Problem != "" {
 			part += ", because it is invalid there: " + b.InForce.Problem
 		}
