lease: a renewal that has replaced another's lease holds nothing, and isn't renewed

Found in reading the whole change again, by taking out each guard: no test failed without the one of a renewal whose revision had been given out again.

Change: a write of our own that doesn't join the era of its condition ends the holding. Test: TestRenewalThatReplacedAnothersLeaseHoldsNothing fails before (it renews), without the guard (held), and passes. Not on the operators' platform, where routers take no lease.

--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -86,9 +87,9 @@
 	now := time.Now()
 	k.doubted(now, topo.EraOf(k.store))
 	k.mu.Lock()
-	made := append([]made(nil), k.kept(now)...)
+	kept := slices.Clone(k.kept(now))
 	k.mu.Unlock()
-	for _, m := range made {
+	for _, m := range kept {
 		err := k.again(ctx, m)
 		for try := 1; err != nil && try < tries; try++ {
 			pause(ctx)
--- a/internal/lease/restored_test.go
+++ b/internal/lease/restored_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/standin"
+	"github.com/parsleyfront/parsleyfront/internal/topo"
 )
 
 // standing returns a Runner that stands for the lease.
@@ -75,3 +76,33 @@
 	stop()
 	<-done
 }
+
+// A holder that slept through a return of the store, and whose renewal has replaced another's
+// lease since its revision was given out again: it would go on giving orders.
+func TestRenewalThatReplacedAnothersLeaseHoldsNothing(t *testing.T) {
+	s := NewState("a", DefaultTTL)
+	now := time.Unix(1000, 0)
+	written := func(v topo.Version) Wrote {
+		return Wrote{Now: now, Object: topo.Object{Version: v}}
+	}
+	s.Step(Tick{Now: now, Stands: true})
+	s.Step(Read{Now: now, Err: topo.ErrNotFound})
+	s.Step(written(7))
+	if _, held := s.Held(now); !held {
+		t.Fatal("not held")
+	}
+	now = now.Add(DefaultTTL + time.Second)
+	s.Step(Tick{Now: now, Stands: true}) // renews on top of version 7
+	s.Step(written(topo.At(1, 8)))
+	for range 4 {
+		if token, held := s.Held(now); held {
+			t.Fatalf("held by token %d", token)
+		}
+		now = now.Add(DefaultTTL / callShare)
+		for _, e := range s.Step(Tick{Now: now, Stands: true}) {
+			if _, renews := e.(Put); renews {
+				t.Fatal("it renews what it does not hold")
+			}
+		}
+	}
+}
--- a/internal/lease/state.go
+++ b/internal/lease/state.go
@@ -226,7 +226,7 @@
 	switch {
 	case i >= 0 && r.Holder == s.self && s.attempts[i].joins(v):
 		s.hold(TokenOf(r, v), s.attempts[i].sent)
-	case r.Holder != s.self || TokenOf(r, v) != s.token:
+	case i >= 0 || r.Holder != s.self || TokenOf(r, v) != s.token:
 		s.token = 0
 	}
 	// A write takes effect only while the object is at the version it names.
