exchange, router: what answers say of their upstream is counted and logged, and nothing goes by it yet

Cause of the change: no line and no counter tells that a runner has said in an answer that it leaves, or for how long it asked for rest, so that the hypotheses 'nothing reads it' and 'it is read and lost again' look alike.

Where requests go is unchanged.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -35,6 +35,10 @@
 	ID     string // of the call that is answered
 	NotRun bool   // the upstream has not run the call and never will
 	Load   *Load  // nil: the upstream does not tell
+	// Leaving tells that the upstream takes nothing new for as long as it lives.
+	Leaving bool
+	// Rest is for how long the upstream wants nothing from this router; zero: it asks for none.
+	Rest time.Duration
 }
 
 // Load is an upstream's own count of its requests.
--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -71,7 +71,7 @@
 		return a.failed(at, verdict.From(err))
 	}
 	at.stream = &directStream{Stream: s, tracker: at.tracker, vm: id, profile: a.req.Profile.Name}
-	a.loadHeard(at, s.Word)
+	a.heard(at, s.Word)
 	if s.Word.NotRun {
 		s.Drain()
 		at.stream = nil
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/claim"
+	"github.com/parsleyfront/parsleyfront/internal/condition"
 	"github.com/parsleyfront/parsleyfront/internal/config"
 	"github.com/parsleyfront/parsleyfront/internal/config/follow"
 	"github.com/parsleyfront/parsleyfront/internal/exchange"
@@ -109,6 +110,7 @@
 	ledger   *ledger
 	holders  *holders
 	warming  warming
+	said     *condition.Book // by upstreams without a sidecar
 	tuning   atomic.Pointer[Tuning]
 
 	mesh     *mesh
@@ -146,6 +148,7 @@
 		ledger:   newLedger(),
 		holders:  newHolders(),
 		warming:  warming{gate: warmup.NewGate(c.VM)},
+		said:     condition.NewBook(),
 		peers:    make(map[endpoint]*wire.Peer),
 		avoided:  make(map[string]time.Time),
 	}
@@ -282,6 +285,7 @@
 		r.prunePeers()
 		if r.config.Direct != nil {
 			r.config.Direct.Keep(time.Now(), r.View().VMs)
+			r.keepSaid(time.Now())
 		}
 		if r.config.VMs != nil {
 			tag = r.readVMs(ctx, tag)
--- a/internal/router/warming.go
+++ b/internal/router/warming.go
@@ -60,6 +60,7 @@
 // admits counts a request that is about to be sent, and reports whether it may be. It goes
 // by the present view: the upstream may have become cold since it was chosen.
 func (r *Router) admits(now time.Time, pool string, vm topo.VM) bool {
+	r.countAgainst(now, vm)
 	p := r.View().Pools[pool]
 	if p == nil {
 		return true
