router: an upstream that says in an answer that it leaves gets nothing new from the router that has heard it

Cause: who takes new work was known from the store and from operators' orders only; what an upstream says itself, on the path of a request, was read by nothing.

Change: the choice of upstreams and the check before the first byte ask condition.Book as well. What an upstream has said holds for its incarnation, whatever entries say: an entry that says ready was written before. It outlives an entry that lapses (10 min). Others may still get the upstream's cached prompts.

Counted before as sent against the word, now none can be.

--- a/internal/condition/condition.go
+++ b/internal/condition/condition.go
@@ -88,6 +88,13 @@
 	return Condition{}
 }
 
+// Empty reports whether no upstream has said anything that is remembered.
+func (b *Book) Empty() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.records) == 0
+}
+
 // Keep takes in which upstreams are listed now, and forgets those that have not been for a
 // long time.
 func (b *Book) Keep(now time.Time, listed map[load.VM]bool) {
--- a/internal/placement/bounded.go
+++ b/internal/placement/bounded.go
@@ -21,8 +21,8 @@
 	Expect(vm load.VM) Expected
 	// Suspects reports whether an upstream fails more of its requests than others.
 	Suspects(vm load.VM) bool
-	// Closed reports whether an upstream may get no request now, whatever its load: it is
-	// cold, and has got what it bears.
+	// Closed reports whether an upstream may get no request now, whatever its load: it leaves,
+	// or is cold and has got what it bears.
 	Closed(vm load.VM) bool
 }
 
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/token"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
 	"github.com/parsleyfront/parsleyfront/internal/wire"
 )
 
@@ -83,8 +84,8 @@
 	site      topo.VM
 	given     token.Nonce // of the key to which the site gave leave
 	gate      gate
-	closed    bool // of direct upstreams: it was cold, and may get no more now
-	resends   int  // how often it was written again, since it had not been sent
+	withheld  *verdict.Error // of direct upstreams: why it may not be sent
+	resends   int            // how often it was written again, since it had not been sent
 	stream    stream
 	pieces    []wire.Piece // read ahead of delivery
 	offset    int64        // of the next byte for the caller
--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -106,8 +106,7 @@
 		at.gate.seal()
 		return false
 	}
-	if !a.router.admits(time.Now(), a.poolName, at.vm) {
-		at.closed = true
+	if at.withheld = a.router.admits(time.Now(), a.poolName, at.vm); at.withheld != nil {
 		return false
 	}
 	if !at.gate.pass() {
@@ -150,8 +149,8 @@
 		a.router.avoid(at.vm.ID)
 		at.watch.broke()
 		return dispatch.Unreachable{Now: now, Attempt: at.number, Err: err}
-	case at.closed:
-		return dispatch.Unreachable{Now: now, Attempt: at.number, Err: errCold}
+	case at.withheld != nil:
+		return dispatch.Unreachable{Now: now, Attempt: at.number, Err: at.withheld}
 	default:
 		return dispatch.Sealed{Attempt: at.number}
 	}
--- a/internal/router/directoffer.go
+++ b/internal/router/directoffer.go
@@ -152,7 +152,7 @@
 		Query: q, Profile: a.req.Profile.Name, Urgency: a.req.Urgency,
 		Objective: a.req.objective(a.first > 0), Left: a.req.left(now), Late: a.late,
 	}
-	r.Closed = a.router.coldIn(now, a.pool)
+	r.Closed = a.router.closedIn(now, a.pool)
 	n, basis := a.pool.tracker.Choose(now, a.pool.placed, tuning.Policy, r, &chosen)
 	a.basis = basis
 	a.pool.logSuspicions(a.poolName)
--- a/internal/router/heard.go
+++ b/internal/router/heard.go
@@ -8,6 +8,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/load"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
 )
 
 // word is what an answer says of its upstream beside the answer itself.
@@ -21,6 +22,8 @@
 var (
 	wordsHeard = telemetry.NewFamily[word]("router_upstream_words_total", "word",
 		"Answers in which an upstream said that it leaves, or that it wants rest.")
+	withheld = telemetry.NewFamily[word]("router_withheld_attempts_total", "word",
+		"Attempts that were not sent to the upstream that was chosen, since it has said meanwhile that it leaves, or wants rest.")
 	sentAgainst = telemetry.NewFamily[word]("router_sent_against_word_total", "word",
 		"Attempts sent to upstreams that had said that they leave, or had asked for rest that was not over.", telemetry.Alert)
 )
@@ -53,17 +56,39 @@
 	}
 }
 
-// countAgainst counts an attempt that is sent although its upstream wants none.
-func (r *Router) countAgainst(now time.Time, vm topo.VM) {
-	c := r.said.Of(load.Hash(vm.ID))
-	if c.Leaving {
-		sentAgainst.Inc(wordLeaving)
+// closedIn returns which upstreams of a pool may get no request of this router now; nil: any
+// may get one.
+func (r *Router) closedIn(now time.Time, p *Pool) (closed func(load.VM) bool) {
+	cold := r.coldIn(now, p)
+	if r.said.Empty() {
+		return cold
 	}
-	if c.Rests(now) {
+	return func(vm load.VM) bool {
+		return r.said.Of(vm).Leaving || cold != nil && cold(vm)
+	}
+}
+
+// admits counts a request that is about to be sent to an upstream of a pool, and returns why it
+// may not be; nil: it may. What speaks against the upstream may have been heard since it was
+// chosen.
+func (r *Router) admits(now time.Time, pool string, vm topo.VM) *verdict.Error {
+	id := load.Hash(vm.ID)
+	switch {
+	case r.said.Of(id).Leaving:
+		withheld.Inc(wordLeaving)
+		return errLeaving
+	case !r.admitsCold(now, pool, id):
+		return errCold
+	}
+	if r.said.Of(id).Rests(now) {
 		sentAgainst.Inc(wordRest)
 	}
+	return nil
 }
 
+// errLeaving is why an attempt was not sent to an upstream that leaves.
+var errLeaving = verdict.New(verdict.NotRun, verdict.ReasonDraining, "the upstream has said that it leaves")
+
 // keepSaid forgets what upstreams have said that are gone for long.
 func (r *Router) keepSaid(now time.Time) {
 	listed := make(map[load.VM]bool)
--- a/internal/router/warming.go
+++ b/internal/router/warming.go
@@ -6,7 +6,6 @@
 
 	"github.com/parsleyfront/parsleyfront/internal/load"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
-	"github.com/parsleyfront/parsleyfront/internal/topo"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
 	"github.com/parsleyfront/parsleyfront/internal/warmup"
 )
@@ -57,15 +56,14 @@
 	}
 }
 
-// admits counts a request that is about to be sent, and reports whether it may be. It goes
+// admitsCold counts a request that is about to be sent, and reports whether it may be. It goes
 // by the present view: the upstream may have become cold since it was chosen.
-func (r *Router) admits(now time.Time, pool string, vm topo.VM) bool {
-	r.countAgainst(now, vm)
+func (r *Router) admitsCold(now time.Time, pool string, vm load.VM) bool {
 	p := r.View().Pools[pool]
 	if p == nil {
 		return true
 	}
-	u, ok := p.cold[load.Hash(vm.ID)]
+	u, ok := p.cold[vm]
 	if !ok || !now.Before(u.warmAt) {
 		return true
 	}
