router: an upstream that wants rest is left alone by the router that it asked, until the end of it

Ruled out: a rest that is heard and ends too early (97 attempts against 3 wishes, evenly over them).

--- a/internal/condition/condition.go
+++ b/internal/condition/condition.go
@@ -28,6 +28,27 @@
 // lapse while the platform's store is away, and come back.
 const forgetAfter = 10 * time.Minute
 
+// Reason is why an upstream may get nothing.
+type Reason string
+
+// Reasons, the first that holds counts.
+const (
+	None    Reason = ""
+	Leaving Reason = "leaving"
+	Resting Reason = "resting"
+)
+
+// Against returns why the upstream may get no request of this router now.
+func (c Condition) Against(now time.Time) Reason {
+	switch {
+	case c.Leaving:
+		return Leaving
+	case c.Rests(now):
+		return Resting
+	}
+	return None
+}
+
 // Book is the conditions of upstreams, as one router has heard them. It is safe for
 // concurrent use.
 type Book struct {
--- a/internal/router/heard.go
+++ b/internal/router/heard.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/parsleyfront/parsleyfront/internal/condition"
 	"github.com/parsleyfront/parsleyfront/internal/exchange"
 	"github.com/parsleyfront/parsleyfront/internal/load"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
@@ -11,21 +12,11 @@
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
 )
 
-// word is what an answer says of its upstream beside the answer itself.
-type word string
-
-const (
-	wordLeaving word = "leaving" // it takes nothing new
-	wordRest    word = "rest"    // it wants nothing from this router for a time
-)
-
 var (
-	wordsHeard = telemetry.NewFamily[word]("router_upstream_words_total", "word",
+	wordsHeard = telemetry.NewFamily[condition.Reason]("router_upstream_words_total", "word",
 		"Answers in which an upstream said that it leaves, or that it wants rest.")
-	withheld = telemetry.NewFamily[word]("router_withheld_attempts_total", "word",
+	withheld = telemetry.NewFamily[condition.Reason]("router_withheld_attempts_total", "word",
 		"Attempts that were not sent to the upstream that was chosen, since it has said meanwhile that it leaves, or wants rest.")
-	sentAgainst = telemetry.NewFamily[word]("router_sent_against_word_total", "word",
-		"Attempts sent to upstreams that had said that they leave, or had asked for rest that was not over.", telemetry.Alert)
 )
 
 // heard takes in what an answer says of its upstream.
@@ -33,13 +24,13 @@
 	a.loadHeard(at, w)
 	now, vm := time.Now(), load.Hash(at.vm.ID)
 	if w.Leaving {
-		wordsHeard.Inc(wordLeaving)
+		wordsHeard.Inc(condition.Leaving)
 		if a.router.said.Leaves(now, vm) {
 			a.log(telemetry.LineFailure, "upstream says that it leaves", at.vmAttrs()...)
 		}
 	}
 	if w.Rest > 0 {
-		wordsHeard.Inc(wordRest)
+		wordsHeard.Inc(condition.Resting)
 		a.router.said.Rests(now, vm, w.Rest)
 		a.log(telemetry.LineFailure, "upstream wants rest", append(at.vmAttrs(), slog.Int64("rest_ms", w.Rest.Milliseconds()))...)
 	}
@@ -64,7 +55,7 @@
 		return cold
 	}
 	return func(vm load.VM) bool {
-		return r.said.Of(vm).Leaving || cold != nil && cold(vm)
+		return r.said.Of(vm).Against(now) != condition.None || cold != nil && cold(vm)
 	}
 }
 
@@ -73,21 +64,21 @@
 // chosen.
 func (r *Router) admits(now time.Time, pool string, vm topo.VM) *verdict.Error {
 	id := load.Hash(vm.ID)
-	switch {
-	case r.said.Of(id).Leaving:
-		withheld.Inc(wordLeaving)
-		return errLeaving
-	case !r.admitsCold(now, pool, id):
-		return errCold
+	if reason := r.said.Of(id).Against(now); reason != condition.None {
+		withheld.Inc(reason)
+		return errWithheld[reason]
 	}
-	if r.said.Of(id).Rests(now) {
-		sentAgainst.Inc(wordRest)
+	if !r.admitsCold(now, pool, id) {
+		return errCold
 	}
 	return nil
 }
 
-// errLeaving is why an attempt was not sent to an upstream that leaves.
-var errLeaving = verdict.New(verdict.NotRun, verdict.ReasonDraining, "the upstream has said that it leaves")
+// errWithheld is why an attempt was not sent to an upstream that does not want it.
+var errWithheld = map[condition.Reason]*verdict.Error{
+	condition.Leaving: verdict.New(verdict.NotRun, verdict.ReasonDraining, "the upstream has said that it leaves"),
+	condition.Resting: verdict.New(verdict.NotRun, verdict.ReasonQueueFull, "the upstream wants rest"),
+}
 
 // keepSaid forgets what upstreams have said that are gone for long.
 func (r *Router) keepSaid(now time.Time) {
