router: callers are sent back to when the first upstream of a pool takes requests again

What callers would see: while all upstreams of a pool want rest, each is refused at once, told to come back after a second or whenever the pool's usual rate speaks for, and refused again, until the first rest ends.

Cause: the time was worked out from arrivals and answers, not from what speaks against the upstreams. Change: where no upstream of a pool takes a request now, the time is that until the first does (the end of a rest, a second for one that is cold), and up to a second more by chance, so that callers do not all come in the moment in which a rest ends. Condition.Ends says how long; the retry budget of the request asks it.

--- a/internal/condition/condition.go
+++ b/internal/condition/condition.go
@@ -7,6 +7,7 @@
 package condition
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -49,6 +50,21 @@
 	return None
 }
 
+// Ends returns how long what speaks against the upstream lasts at least: zero if nothing
+// does, Never while it leaves.
+func (c Condition) Ends(now time.Time) time.Duration {
+	switch c.Against(now) {
+	case Leaving:
+		return Never
+	case Resting:
+		return c.RestUntil.Sub(now)
+	}
+	return 0
+}
+
+// Never is how long what has no end lasts.
+const Never = time.Duration(math.MaxInt64)
+
 // Book is the conditions of upstreams, as one router has heard them. It is safe for
 // concurrent use.
 type Book struct {
--- a/internal/condition/condition_test.go
+++ b/internal/condition/condition_test.go
@@ -49,3 +49,22 @@
 		}
 	}
 }
+
+// Guards against callers that are told a wrong time to come back.
+func TestEnds(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name string
+		Condition
+		want time.Duration
+	}{
+		{"nothing", Condition{}, 0},
+		{"a rest", Condition{RestUntil: now.Add(time.Second)}, time.Second},
+		{"a rest that is over", Condition{RestUntil: now}, 0},
+		{"leaving, in a rest", Condition{Leaving: true, RestUntil: now.Add(time.Second)}, Never},
+	} {
+		if got := c.Ends(now); got != c.want {
+			t.Errorf("%s: ends in %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/router/directoffer.go
+++ b/internal/router/directoffer.go
@@ -78,10 +78,10 @@
 	if len(a.targets) == 0 {
 		a.Close()
 		e := verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, "pool %q has no upstream that takes requests in %v", pool, req.regions())
-		return nil, e.Later(time.Second)
+		return nil, e.Later(a.noneOpen(now))
 	}
 	a.plan = req.directPlan(r.policy(), len(a.targets))
-	budget := r.limits.pool(a.poolName)
+	budget := advisor{Budget: r.limits.pool(a.poolName), router: r, pool: a.pool}
 	if a.basis.Late {
 		a.Close()
 		return nil, a.expectedLate(budget.RetryAfter(time.Until(a.plan.Deadline)))
@@ -94,6 +94,18 @@
 	return a, nil
 }
 
+// noneOpenFor is when callers are to come back where nothing tells when an upstream will take
+// requests again.
+const noneOpenFor = time.Second
+
+// noneOpen returns when the caller of a request is to come back for which there is no upstream.
+func (a *Answer) noneOpen(now time.Time) time.Duration {
+	if a.pool == nil {
+		return noneOpenFor
+	}
+	return max(a.router.opens(now, a.pool), noneOpenFor)
+}
+
 var expectedLate = telemetry.NewCounter("router_expected_late_total",
 	"Requests turned away at once because no upstream was expected to begin their answer in time, or had a free place.")
 
--- a/internal/router/heard.go
+++ b/internal/router/heard.go
@@ -2,11 +2,13 @@
 
 import (
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/condition"
 	"github.com/parsleyfront/parsleyfront/internal/exchange"
 	"github.com/parsleyfront/parsleyfront/internal/load"
+	"github.com/parsleyfront/parsleyfront/internal/router/dispatch"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
@@ -80,6 +82,48 @@
 	condition.Resting: verdict.New(verdict.NotRun, verdict.ReasonQueueFull, "the upstream wants rest"),
 }
 
+const (
+	// coldEnds is within which time a cold upstream takes requests of this router again.
+	coldEnds = time.Second
+	// returnSpread is the time over which callers come back that were turned away for one rest:
+	// the upstream gets them one after the other.
+	returnSpread = time.Second
+)
+
+// opens returns when the first upstream of a pool takes requests again; zero: one does now, or
+// none of them will.
+func (r *Router) opens(now time.Time, p *Pool) time.Duration {
+	soonest := condition.Never
+	cold := r.coldIn(now, p)
+	for i, m := range p.members {
+		if p.members[i].Leaving {
+			continue
+		}
+		ends := r.said.Of(m.VM).Ends(now)
+		if cold != nil && cold(m.VM) {
+			ends = max(ends, coldEnds)
+		}
+		soonest = min(soonest, ends)
+	}
+	if soonest == 0 || soonest == condition.Never {
+		return 0
+	}
+	return soonest + time.Duration(rand.Int64N(int64(returnSpread)))
+}
+
+// advisor is a Budget that sends nobody back to a pool before one of its upstreams takes
+// requests.
+type advisor struct {
+	dispatch.Budget
+	router *Router
+	pool   *Pool
+}
+
+// RetryAfter implements dispatch.Budget.
+func (a advisor) RetryAfter(left time.Duration) time.Duration {
+	return max(a.Budget.RetryAfter(left), a.router.opens(time.Now(), a.pool))
+}
+
 // keepSaid forgets what upstreams have said that are gone for long.
 func (r *Router) keepSaid(now time.Time) {
 	listed := make(map[load.VM]bool)
