--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -25,6 +25,7 @@
 	answer    string
 	whole     bool
 	extra     bool // bytes came behind the answer
+	leaving   bool // it says that its runner leaves
 }
 
 const (
@@ -73,6 +74,7 @@
 	if err != nil {
 		return false
 	}
+	c.leaving = resp.Header.Get("Server-Leaving") != ""
 	body, err := io.ReadAll(resp.Body)
 	c.status, c.signature = resp.StatusCode, resp.Header.Get("Response-Signature")
 	c.answer, c.whole = string(body), err == nil
--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -125,8 +125,11 @@
 func (w *world) check() {
 	runs := make(map[string][]fake.Run)
 	by := make(map[string][]string) // runners, by attempt
+	told := w.toldLeaving()
 	for _, r := range w.allRunners() {
 		w.checkCold(r)
+		w.checkLeaving(r, told)
+		w.checkRests(r)
 		for _, run := range r.Runs() {
 			runs[run.ID] = append(runs[run.ID], run)
 			by[run.ID] = append(by[run.ID], r.ID)
@@ -161,6 +164,83 @@
 	}
 }
 
+// lifeOf is one process of a router.
+type lifeOf struct {
+	entry *entry
+	life  int
+}
+
+// told is what a router's process has passed on: an answer of a runner that leaves.
+type told struct {
+	by     lifeOf
+	runner string // its signature
+}
+
+// toldLeaving returns when each process has first passed on that a runner leaves.
+func (w *world) toldLeaving() map[told]time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := make(map[told]time.Time)
+	for _, c := range w.calls {
+		key := told{by: lifeOf{c.entry, c.life}, runner: c.signature}
+		if at, known := out[key]; c.leaving && (!known || c.done.Before(at)) {
+			out[key] = c.done
+		}
+	}
+	return out
+}
+
+// checkLeaving looks for requests that callers sent after their router had passed on that the
+// runner leaves, and that came to it all the same. A runner that has started again under its
+// id is another one.
+func (w *world) checkLeaving(r *runner, leaving map[told]time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, a := range r.Arrivals() {
+		c := w.sent[a.ID]
+		if c == nil || c.entry == nil {
+			continue
+		}
+		at, known := leaving[told{by: lifeOf{c.entry, c.life}, runner: r.ID}]
+		if known && r.leaves() && c.sent.After(at) {
+			w.t.Errorf("%s got %s, sent %v after %s had passed on that it leaves", r.ID, c.id, c.sent.Sub(at).Round(time.Millisecond), c.entry.name)
+		}
+	}
+}
+
+const (
+	// restGrace is how long after a runner has asked for rest what was under way may come.
+	restGrace = 500 * time.Millisecond
+	// restMost is how many requests more may come in the time of rest.
+	restMost = 2
+)
+
+// checkRests looks for routers that sent requests to a runner in the time of rest that it had
+// asked of them. Those that stood still, or whose way to it was harmed, may not have heard.
+func (w *world) checkRests(r *runner) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	arrivals := r.Arrivals()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, asked := range r.asked {
+		of := w.sent[asked.attempt]
+		if of == nil || of.entry == nil || of.entry.stoodIn(asked.span) || r.proxy.harmed(asked.span) {
+			continue
+		}
+		n := 0
+		for _, a := range arrivals {
+			c := w.sent[a.ID]
+			if c != nil && c.entry == of.entry && c.life == of.life && a.At.After(asked.from.Add(restGrace)) && a.At.Before(asked.to) {
+				n++
+			}
+		}
+		if n > restMost {
+			w.t.Errorf("%s got %d requests from %s in a rest of %v", r.ID, n, of.entry.name, asked.to.Sub(asked.from))
+		}
+	}
+}
+
 // checkRun holds a request that a runner got against the one that was sent.
 func (w *world) checkRun(r *runner, run fake.Run) {
 	w.mu.Lock()
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -20,6 +20,7 @@
 	{"configuration", true, (*world).reconfigure},
 	{"configurations in quick succession", true, (*world).reconfigureOften},
 	{"runner leaves", true, (*world).leave},
+	{"runner says that it leaves", true, (*world).leaveByAnswers},
 	{"runner joins", true, (*world).join},
 	{"failure domain is drained", true, (*world).drainDomain},
 	{"router stops", true, (*world).stopRouter},
@@ -34,6 +35,7 @@
 	{"way to a runner", false, (*world).cutRunner},
 	{"runner crashes", false, (*world).crashRunner},
 	{"runner starts again", false, (*world).restartRunner},
+	{"runner wants rest", false, (*world).rest},
 	{"entries of others", false, (*world).writeForeignEntries},
 	{"answers of runners", false, (*world).spoilAnswers},
 }
@@ -91,6 +93,42 @@
 	w.store.Remove("servers", r.ID)
 }
 
+// leaveByAnswers lets a runner leave whose answers tell it first. Its entry goes on saying that
+// it is ready, as late heartbeats do, and says otherwise later.
+func (w *world) leaveByAnswers() {
+	live := w.liveRunners()
+	if len(live) <= 2 {
+		return
+	}
+	r := live[w.intN(len(live))]
+	r.saysLeaving.Store(true)
+	r.Say(leavingLine)
+	time.Sleep(w.between(10*time.Millisecond, time.Second))
+	w.announce(r, "ready")
+	time.Sleep(w.between(10*time.Millisecond, 2*time.Second))
+	w.announce(r, "draining")
+	w.markLeft(r)
+	time.Sleep(2 * configBound)
+	w.store.Remove("servers", r.ID)
+}
+
+// rests are what runners that turn requests away say of the rest that they want, in seconds.
+// The last three make no sense.
+var rests = []string{"0.6", "1", "1.7", "3", "", "-1", "soon"}
+
+// rest lets a runner turn all requests away for a moment, and want rest.
+func (w *world) rest() {
+	live := w.liveRunners()
+	if len(live) <= 2 {
+		return
+	}
+	r := live[w.intN(len(live))]
+	seconds := rests[w.intN(len(rests))]
+	r.wants.Store(&seconds)
+	time.Sleep(w.between(50*time.Millisecond, 1500*time.Millisecond))
+	r.wants.Store(nil)
+}
+
 func (w *world) markLeft(r *runner) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -168,9 +206,11 @@
 
 func (w *world) pauseRouter() {
 	e := w.anEntry()
+	began := time.Now()
 	e.signal(syscall.SIGSTOP)
 	time.Sleep(w.between(100*time.Millisecond, 3*time.Second))
 	e.signal(syscall.SIGCONT)
+	e.stoodStill(span{began, time.Now()})
 }
 
 // cutStore turns the way from one router to the store.
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -7,9 +7,11 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -48,7 +50,27 @@
 	exited chan struct{}
 	paused bool
 	log    *os.File
-	life   int // number of the process
+	life   int    // number of the process
+	stood  []span // times in which the process stood still
+}
+
+// span is a time with a beginning and an end.
+type span struct{ from, to time.Time }
+
+// meets reports whether two spans have a moment in common.
+func (s span) meets(other span) bool { return s.from.Before(other.to) && other.from.Before(s.to) }
+
+func (e *entry) stoodStill(s span) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stood = append(e.stood, s)
+}
+
+// stoodIn reports whether the process has stood still in a time.
+func (e *entry) stoodIn(s span) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.ContainsFunc(e.stood, s.meets)
 }
 
 func (e *entry) addr() string { return net.JoinHostPort(e.ip, "8080") }
@@ -142,6 +164,45 @@
 	born  int64     // its start, in Unix milliseconds
 	left  time.Time // when its entry said that it leaves, or was removed
 	warm  time.Time // until when it is cold
+
+	saysLeaving atomic.Bool // in its answers
+
+	wants atomic.Pointer[string] // what it says of the rest that it wants while it turns all away
+	mu    sync.Mutex
+	asked []request // for rest
+}
+
+// leaves reports whether the runner has said in its answers that it leaves.
+func (r *runner) leaves() bool { return r.saysLeaving.Load() }
+
+// leavingLine is what a runner that leaves says in all its answers.
+const leavingLine = "Server-Leaving: 1"
+
+// request is a runner's request for rest, made in the answer to an attempt.
+type request struct {
+	attempt string
+	span
+}
+
+// refuse turns a request away, if the runner wants rest now.
+func (r *runner) refuse(c net.Conn, req *http.Request) bool {
+	seconds := r.wants.Load()
+	if seconds == nil {
+		return false
+	}
+	lines := []string{"Not-Executed: 1", "Content-Length: 0"}
+	if *seconds != "" {
+		lines = append(lines, "Retry-After: "+*seconds)
+	}
+	now := time.Now()
+	if d, err := strconv.ParseFloat(*seconds, 64); err == nil && d > 0 {
+		r.mu.Lock()
+		until := now.Add(time.Duration(d * float64(time.Second)))
+		r.asked = append(r.asked, request{attempt: req.Header.Get("Attempt-Id"), span: span{now, until}})
+		r.mu.Unlock()
+	}
+	r.Head(c, req, http.StatusServiceUnavailable, lines...)
+	return true
 }
 
 // zone returns the failure domain of a runner. One that starts again stays in its own.
@@ -170,7 +231,7 @@
 		return nil, err
 	}
 	r := &runner{Runner: fake.StartRunner(l, id, p.addr()), proxy: p, born: time.Now().UnixMilli()}
-	r.Behave(w.act(r.Runner))
+	r.Behave(w.act(r))
 	w.mu.Lock()
 	if len(w.calls) > 0 {
 		r.warm = time.Now().Add(coldFor)
@@ -190,8 +251,11 @@
 
 // act answers with what names the attempt, so that an answer that went to another
 // caller shows.
-func (w *world) act(r *fake.Runner) fake.Act {
+func (w *world) act(r *runner) fake.Act {
 	return func(c net.Conn, req *http.Request, body string) fake.Acted {
+		if r.refuse(c, req) {
+			return fake.Kept
+		}
 		r.Note(req, body)
 		id := req.Header.Get("Attempt-Id")
 		if w.unlucky(loseAnswer) {
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -32,6 +33,7 @@
 
 	mu    sync.Mutex
 	way   way
+	moved []span // times in which the way was another than through; the last may have no end
 	open  map[net.Conn]bool
 	turns chan struct{} // closed and replaced at each change of way
 }
@@ -56,6 +58,11 @@
 // turn changes the way.
 func (p *proxy) turn(w way) {
 	p.mu.Lock()
+	if now := time.Now(); p.way != through {
+		p.moved[len(p.moved)-1].to = now
+	} else if w != through {
+		p.moved = append(p.moved, span{from: now})
+	}
 	p.way = w
 	close(p.turns)
 	p.turns = make(chan struct{})
@@ -65,6 +72,18 @@
 	}
 }
 
+// harmed reports whether the way was another than through in a time.
+func (p *proxy) harmed(s span) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.moved, func(m span) bool {
+		if m.to.IsZero() {
+			m.to = time.Now()
+		}
+		return s.meets(m)
+	})
+}
+
 // resetAll resets the connections that are open.
 func (p *proxy) resetAll() {
 	p.mu.Lock()
