vocabulary, platform: words that come and that nothing reads are counted, told once and shown

Any other word, and a value that makes no sense, is counted (64 words at most), told in one line with the message that had it first, and shown by parsleyctl status. Fields are looked at in 50 objects a second at most, of 16 KB at most.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -11,6 +11,7 @@
 
 	"github.com/parsleyfront/parsleyfront/internal/profile"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
+	"github.com/parsleyfront/parsleyfront/internal/vocabulary"
 )
 
 // Paths of the API. Those under fleet ask every live router.
@@ -69,6 +70,8 @@
 	Pools         []PoolStatus  `json:"pools"`
 	Control       []ControlRate `json:"control"`
 	Quarantined   []Quarantined `json:"quarantined,omitempty"`
+	// Unread are words of other systems that came and that the router does not read.
+	Unread []vocabulary.Unread `json:"unread,omitempty"`
 }
 
 // ConfigStatus is how far a router follows the configuration.
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -127,6 +127,9 @@
 		for _, p := range r.Status.Config.Rejected {
 			fmt.Fprintf(w, "\nrejected by %s: %s\n", r.VM, p)
 		}
+		for _, u := range r.Status.Unread {
+			fmt.Fprintf(w, "\nnot read by %s: %s, %s (%d times, first in %s)\n", r.VM, u.Place, u.Word, u.Count, u.Of)
+		}
 	}
 	if len(s.Quarantined) > 0 {
 		fmt.Fprintln(w, "\nQUARANTINED REQUEST\tSTATE\tCRASHES\tUNTIL")
--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -14,6 +14,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/profile"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
+	"github.com/parsleyfront/parsleyfront/internal/vocabulary"
 )
 
 // States of an upstream as operators see it.
@@ -54,6 +55,7 @@
 		Config:        o.router.ledger.status(),
 		Control:       controlRates(now.Sub(o.started)),
 		Quarantined:   o.router.suspects.quarantined(now),
+		Unread:        vocabulary.All(),
 	}
 	for name, out := range o.upstreams() {
 		var p admin.PoolStatus
--- a/internal/topo/dialect.go
+++ b/internal/topo/dialect.go
@@ -6,6 +6,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/vocabulary"
 )
 
 // Call is one call of the platform as it is sent.
@@ -27,9 +29,9 @@
 	Watch(kinds []Kind, since Version, wait time.Duration) Call
 	Object(ref Ref, body []byte) (Object, error)
 	Page(kind Kind, body []byte) (Page, error)
-	// Era returns the era of the store that has given an answer; zero: its versions order
-	// all its changes.
-	Era(answer http.Header) Era
+	// Head reads the head of an answer. It returns the era of the store that has given it;
+	// zero: its versions order all its changes.
+	Head(status int, header http.Header) Era
 }
 
 // EraHeader names the era of the stand-in in its answers.
@@ -88,9 +90,43 @@
 	return p, err
 }
 
-// Era implements Dialect.
-func (Plain) Era(answer http.Header) Era {
-	return ParseEra(answer.Get(EraHeader))
+// Head implements Dialect.
+func (Plain) Head(status int, header http.Header) Era {
+	plainStatuses.Status(status, plainAnswer)
+	plainHeaders.Headers(header, plainAnswer)
+	return ParseEra(header.Get(EraHeader))
+}
+
+// plainAnswer names an answer of the object API where words are noticed.
+const plainAnswer = "an answer of the object API"
+
+// Words of the object API that Plain speaks.
+var (
+	plainHeaders = vocabulary.New("header of the object API's answer",
+		vocabulary.Word{Name: EraHeader, Reader: "topo.Plain.Head"},
+		vocabulary.Word{Name: "Content-Type", Why: "answers have one form"},
+		vocabulary.Word{Name: "Content-Length", Why: "net/http reads it"},
+		vocabulary.Word{Name: "Transfer-Encoding", Why: "net/http reads it"},
+		vocabulary.Word{Name: "Connection", Why: "net/http reads it"},
+		vocabulary.Word{Name: "X-Content-Type-Options", Why: "it is for browsers"},
+		vocabulary.Word{Name: "Date", Why: "clocks differ"},
+	)
+	plainStatuses = vocabulary.New("status of the object API's answer",
+		vocabulary.Word{Name: "200", Reader: "topo.statusError"},
+		vocabulary.Word{Name: "304", Reader: "topo.statusError"},
+		vocabulary.Word{Name: "400", Why: "it is a refusal like any other from there on"},
+		vocabulary.Word{Name: "404", Reader: "topo.statusError"},
+		vocabulary.Word{Name: "409", Reader: "topo.statusError"},
+		vocabulary.Word{Name: "410", Reader: "topo.statusError"},
+		vocabulary.Word{Name: "412", Reader: "topo.statusError"},
+		vocabulary.Word{Name: "429", Why: "it is a refusal like any other from there on"},
+		vocabulary.Word{Name: "503", Reader: "topo.statusError"},
+	)
+)
+
+// PlainVocabulary returns the tables of Plain, for those who ask what is read.
+func PlainVocabulary() []*vocabulary.Table {
+	return []*vocabulary.Table{plainHeaders, plainStatuses}
 }
 
 // ParseEra returns the era that a header names; zero: it names none.
--- a/internal/topo/http.go
+++ b/internal/topo/http.go
@@ -239,7 +239,7 @@
 		return h.lost(client, r, a, err)
 	}
 	defer resp.Body.Close()
-	era, newest := h.eras.heard(h.dialect.Era(resp.Header))
+	era, newest := h.eras.heard(h.dialect.Head(resp.StatusCode, resp.Header))
 	body, err := io.ReadAll(io.LimitReader(resp.Body, r.limit()+1))
 	if err != nil {
 		return h.lost(client, r, a, err)
--- /dev/null
+++ b/internal/vocabulary/vocabulary.go
@@ -0,0 +1,178 @@
+// Package vocabulary notices words of a protocol that nothing reads.
+//
+// Whoever decodes what another system sends keeps a Table of the words that may stand at a
+// place: those that it reads, and those that it passes over for a reason. Any other word is
+// told in a line when it comes first, and counted. What a peer says in a word that nobody
+// knows yet would else go unheard until it does harm.
+package vocabulary
+
+import (
+	"bytes"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/parsleyfront/parsleyfront/internal/telemetry"
+)
+
+var unreadWords = telemetry.NewFamily[string]("vocabulary_unread_words_total", "word",
+	"Words of other systems' messages that nothing here reads, nor passes over for a reason.", telemetry.Alert)
+
+// Word is a word that a protocol names.
+type Word struct {
+	Name string
+	// Reader is what reads it: a function or a type, as "package.Name" or "package.Type.Method".
+	Reader string
+	// Why nothing reads it, if that is so.
+	Why string
+}
+
+const (
+	// looksPerSecond bounds how many objects' fields are looked at, each of which takes some
+	// microseconds.
+	looksPerSecond = 50
+	// mostLooked is the size up to which an object's fields are looked at, in bytes.
+	mostLooked = 16 << 10
+	// mostUnread bounds the unread words that are remembered.
+	mostUnread = 64
+)
+
+// Table is the words that may stand at one place of a protocol. It is safe for concurrent use.
+type Table struct {
+	place    string
+	words    []Word
+	known    map[string]bool
+	statuses map[int]bool
+	looks    *rate.Limiter
+}
+
+// New returns the Table of a place, such as "header of an answer".
+func New(place string, words ...Word) *Table {
+	t := &Table{place: place, words: words, known: make(map[string]bool), statuses: make(map[int]bool), looks: rate.NewLimiter(looksPerSecond, looksPerSecond)}
+	for _, w := range words {
+		t.known[w.Name] = true
+		if status, err := strconv.Atoi(w.Name); err == nil {
+			t.statuses[status] = true
+		}
+	}
+	return t
+}
+
+// Place returns where the words stand.
+func (t *Table) Place() string { return t.place }
+
+// Words returns the words of the Table.
+func (t *Table) Words() []Word { return slices.Clone(t.words) }
+
+// Headers takes in the headers of a message, and of what it was a part.
+func (t *Table) Headers(h http.Header, of string) {
+	for name := range h {
+		if !t.known[name] {
+			t.unread(name, of)
+		}
+	}
+}
+
+// Status takes in the status of an answer.
+func (t *Table) Status(status int, of string) {
+	if !t.statuses[status] {
+		t.unread(strconv.Itoa(status), of)
+	}
+}
+
+// Fields takes in the fields of a JSON object. Large ones are not looked at, nor all of many
+// that come at once. What is no object has no fields.
+func (t *Table) Fields(object []byte, of string) {
+	if len(object) > mostLooked || !t.looks.Allow() {
+		return
+	}
+	for _, name := range fields(object) {
+		if !t.known[name] {
+			t.unread(name, of)
+		}
+	}
+}
+
+// Unreadable takes in that the value of a word makes no sense.
+func (t *Table) Unreadable(word, value, of string) {
+	t.unread(word+": "+clip(value), of)
+}
+
+// mostValue is how much of a value is told, in bytes.
+const mostValue = 32
+
+func clip(value string) string {
+	if len(value) > mostValue {
+		return value[:mostValue] + "..."
+	}
+	return value
+}
+
+// fields returns the names of the fields of a JSON object.
+func fields(object []byte) []string {
+	d := json.NewDecoder(bytes.NewReader(object))
+	if open, err := d.Token(); err != nil || open != json.Delim('{') {
+		return nil
+	}
+	var out []string
+	for d.More() {
+		name, err := d.Token()
+		if err != nil {
+			return out
+		}
+		var skipped json.RawMessage
+		if err := d.Decode(&skipped); err != nil {
+			return out
+		}
+		out = append(out, name.(string)) // a Decoder takes nothing else for a field's name
+	}
+	return out
+}
+
+// Unread is a word that nothing reads.
+type Unread struct {
+	Place string    `json:"place"`
+	Word  string    `json:"word"`
+	Of    string    `json:"of"` // the message in which it came first
+	First time.Time `json:"first"`
+	Count int       `json:"count"`
+}
+
+// seen is the unread words of the process.
+var seen struct {
+	mu    sync.Mutex
+	words []Unread
+}
+
+// All returns the words that have come and that nothing reads, by place and word.
+func All() []Unread {
+	seen.mu.Lock()
+	defer seen.mu.Unlock()
+	out := slices.Clone(seen.words)
+	slices.SortFunc(out, func(a, b Unread) int { return strings.Compare(a.Place+a.Word, b.Place+b.Word) })
+	return out
+}
+
+func (t *Table) unread(word, of string) {
+	unreadWords.Inc(t.place + ": " + word)
+	seen.mu.Lock()
+	defer seen.mu.Unlock()
+	for i := range seen.words {
+		if u := &seen.words[i]; u.Place == t.place && u.Word == word {
+			u.Count++
+			return
+		}
+	}
+	if len(seen.words) >= mostUnread {
+		return
+	}
+	seen.words = append(seen.words, Unread{Place: t.place, Word: word, Of: of, First: time.Now(), Count: 1})
+	slog.Warn("a word came that nothing reads", "place", t.place, "word", word, "of", of)
+}
--- /dev/null
+++ b/internal/vocabulary/vocabulary_test.go
@@ -0,0 +1,74 @@
+package vocabulary
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+)
+
+// unreadAt returns the unread words of a place, with how often they came.
+func unreadAt(place string) []string {
+	var out []string
+	for _, u := range All() {
+		if u.Place == place {
+			out = append(out, fmt.Sprint(u.Word, " ", u.Count))
+		}
+	}
+	return out
+}
+
+// Guards against a new word of a peer that goes unheard.
+func TestUnreadWordsAreNoticed(t *testing.T) {
+	table := New("test", Word{Name: "Known"}, Word{Name: "200"}, Word{Name: "state"})
+	for range 2 {
+		table.Headers(http.Header{"Known": {"1"}, "New": {"1"}}, "a")
+		table.Status(http.StatusOK, "a")
+		table.Status(http.StatusTeapot, "a")
+		table.Fields([]byte(`{"state": {"deep": 1}, "born": 5}`), "a")
+		table.Unreadable("Known", "soon", "a")
+	}
+	want := []string{"418 2", "Known: soon 2", "New 2", "born 2"}
+	if got := unreadAt("test"); !slices.Equal(got, want) {
+		t.Errorf("noticed %v, want %v", got, want)
+	}
+}
+
+// Guards against objects that others have spoilt.
+func TestWhatIsNoObjectHasNoFields(t *testing.T) {
+	for _, raw := range []string{"", "7", "null", "[1]", `"text"`, "{", `{"a"`, `{"a":`, `{"a":}`, "{{", "\x00"} {
+		if got := fields([]byte(raw)); len(got) != 0 {
+			t.Errorf("%q has fields %v", raw, got)
+		}
+	}
+}
+
+// Guards against fields of objects that take the processor when thousands come at once.
+func TestLooksAreBounded(t *testing.T) {
+	table := New("objects")
+	for range 40 * looksPerSecond {
+		table.Fields([]byte(`{"unknown": 1}`), "a")
+	}
+	for _, u := range All() {
+		if u.Place == "objects" && u.Count > 10*looksPerSecond {
+			t.Errorf("%d objects were looked at", u.Count)
+		}
+	}
+}
+
+// Guards against a peer whose words are all different, and fill the memory.
+func TestUnreadWordsAreBounded(t *testing.T) {
+	table := New("many")
+	for i := range 10 * mostUnread {
+		table.Headers(http.Header{fmt.Sprint("X-", i): {"1"}}, "a")
+	}
+	if n := len(All()); n > mostUnread {
+		t.Errorf("%d words are remembered", n)
+	}
+}
+
+func FuzzFields(f *testing.F) {
+	f.Add([]byte(`{"a": 1, "b": {"c": [null]}}`))
+	f.Add([]byte(`{"a": 1, 2: 3}`))
+	f.Fuzz(func(_ *testing.T, raw []byte) { fields(raw) })
+}
--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"syscall"
@@ -125,6 +127,7 @@
 func (w *world) check() {
 	runs := make(map[string][]fake.Run)
 	by := make(map[string][]string) // runners, by attempt
+	w.checkWords()
 	told := w.toldLeaving()
 	for _, r := range w.allRunners() {
 		w.checkCold(r)
@@ -164,6 +167,21 @@
 	}
 }
 
+// checkWords looks in the routers' logs for words of the stand-ins that nothing reads, but for
+// times of rest that make no sense and entries that no runner writes.
+func (w *world) checkWords() {
+	for _, e := range w.entries {
+		text, err := os.ReadFile(filepath.Join(e.dir, "log"))
+		w.must(err)
+		for line := range strings.Lines(string(text)) {
+			unread := strings.Contains(line, "a word came that nothing reads")
+			if unread && !strings.Contains(line, `"word":"Retry-After: `) {
+				w.t.Errorf("%s: %s", e.name, line)
+			}
+		}
+	}
+}
+
 // lifeOf is one process of a router.
 type lifeOf struct {
 	entry *entry
