topo: a store that says for how long it wants no calls gets none, for a second at most

Each router asked again after .1, .2, .4, .8 s, with both of its followers.

Change: topo.HTTP remembers until when the store wants no calls, reads and writes apart, and refuses those that come before by itself, whoever makes them (both followers, the register, leases, claims, parsleyctl). A refusal is told at once, so that another router takes over the reading as soon as before. At most a second on the platform, 2 s else: what the store takes from others meanwhile is not known here. Ruled out: a pause in each of the callers, which is the same decision five times; failing only after the time, since the others that rely on this router would hear of changes a second later.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -37,7 +37,7 @@
 	// burst of them, the reader takes several at once: each costs as much as a few
 	// requests, and the routers that pull from it the same.
 	pauseShare = 0.1
-	// storeRetryMost bounds the pause after a failed call of the store.
+	// storeRetryMost bounds the pause after a failed call of the store, whatever it asks for.
 	storeRetryMost = time.Second
 	// storeRetryFirst is the first pause after a failed call of the store, doubled at each
 	// one that follows. After a loss of power, callers wait for this.
@@ -190,7 +190,7 @@
 func entryConfig(p platform.Settings, n Network, on policy.Policy) router.Config {
 	bound := min(p.ConfigBound, p.DrainBound)
 	store := topo.NewHTTPOver(p.StoreURL, n.Store).Speaking(platform.Store{}, topo.Patience{
-		Call: share(bound, callShare), Watch: share(bound, graceShare),
+		Call: share(bound, callShare), Watch: share(bound, graceShare), Rest: storeRetryMost,
 	})
 	pace := config.DefaultPace()
 	pace.WatchWait = share(bound, watchShare)
--- a/internal/topo/dialect.go
+++ b/internal/topo/dialect.go
@@ -29,9 +29,14 @@
 	Watch(kinds []Kind, since Version, wait time.Duration) Call
 	Object(ref Ref, body []byte) (Object, error)
 	Page(kind Kind, body []byte) (Page, error)
-	// Head reads the head of an answer. It returns the era of the store that has given it;
-	// zero: its versions order all its changes.
-	Head(status int, header http.Header) Era
+	// Head reads the head of an answer.
+	Head(status int, header http.Header) Head
+}
+
+// Head is what the head of an answer says of the store that has given it.
+type Head struct {
+	Era  Era           // zero: its versions order all its changes
+	Rest time.Duration // for which it wants no more calls of this process; zero: it does not ask
 }
 
 // EraHeader names the era of the stand-in in its answers.
@@ -91,10 +96,26 @@
 }
 
 // Head implements Dialect.
-func (Plain) Head(status int, header http.Header) Era {
+func (Plain) Head(status int, header http.Header) Head {
 	plainStatuses.Status(status, plainAnswer)
 	plainHeaders.Headers(header, plainAnswer)
-	return ParseEra(header.Get(EraHeader))
+	return Head{Era: ParseEra(header.Get(EraHeader)), Rest: ParseRest(status, header.Get(RestHeader))}
+}
+
+// RestHeader names the seconds for which the stand-in wants no more calls.
+const RestHeader = "Retry-After"
+
+// ParseRest returns for how long a store that answers with a status and a time in seconds
+// wants no more calls; zero: it does not ask, or in a way that makes no sense.
+func ParseRest(status int, seconds string) time.Duration {
+	if status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests {
+		return 0
+	}
+	n, err := strconv.ParseFloat(seconds, 64)
+	if err != nil || !(n > 0) {
+		return 0
+	}
+	return time.Duration(min(n, time.Hour.Seconds()) * float64(time.Second))
 }
 
 // plainAnswer names an answer of the object API where words are noticed.
@@ -104,6 +125,7 @@
 var (
 	plainHeaders = vocabulary.New("header of the object API's answer",
 		vocabulary.Word{Name: EraHeader, Reader: "topo.Plain.Head"},
+		vocabulary.Word{Name: RestHeader, Reader: "topo.Plain.Head"},
 		vocabulary.Word{Name: "Content-Type", Why: "answers have one form"},
 		vocabulary.Word{Name: "Content-Length", Why: "net/http reads it"},
 		vocabulary.Word{Name: "Transfer-Encoding", Why: "net/http reads it"},
@@ -119,7 +141,7 @@
 		vocabulary.Word{Name: "409", Reader: "topo.statusError"},
 		vocabulary.Word{Name: "410", Reader: "topo.statusError"},
 		vocabulary.Word{Name: "412", Reader: "topo.statusError"},
-		vocabulary.Word{Name: "429", Why: "it is a refusal like any other from there on"},
+		vocabulary.Word{Name: "429", Reader: "topo.ParseRest"},
 		vocabulary.Word{Name: "503", Reader: "topo.statusError"},
 	)
 )
--- a/internal/topo/http.go
+++ b/internal/topo/http.go
@@ -22,6 +22,9 @@
 	// watchGrace is how much later than its wait a watch may be answered. A
 	// connection that something in between has forgotten is noticed by it.
 	watchGrace = time.Second
+	// restMost bounds for how long a store is left alone at its word: what it takes from others
+	// meanwhile is not known here.
+	restMost = 2 * time.Second
 
 	// maxValue is the most that the platform holds in one object, in bytes.
 	maxValue = 1 << 20
@@ -46,12 +49,14 @@
 	patience Patience
 	lanes    [laneCount]*http.Client
 	eras     eras
+	rests    rests
 }
 
 // Patience is how long a client waits for the platform.
 type Patience struct {
 	Call  time.Duration // for one call. A store that is merely slow must not hold its caller for ever
 	Watch time.Duration // beyond the wait of a watch: a connection that has gone silent shows by it
+	Rest  time.Duration // for which a store that wants no calls is left alone at most
 }
 
 // NewHTTP returns a client for the platform at base, such as http://10.0.0.2:7000.
@@ -62,7 +67,7 @@
 
 // NewHTTPOver is NewHTTP with connections that dial opens.
 func NewHTTPOver(base string, dial DialFunc) *HTTP {
-	h := &HTTP{base: base, dialect: Plain{}, patience: Patience{Call: callTimeout, Watch: watchGrace}}
+	h := &HTTP{base: base, dialect: Plain{}, patience: Patience{Call: callTimeout, Watch: watchGrace, Rest: restMost}}
 	for l := range laneCount {
 		h.lanes[l] = newClient(l, dial)
 	}
@@ -202,6 +207,10 @@
 		outcomes.Inc(outcomeOf(err))
 		return err
 	}
+	if left := h.rests.left(r, time.Now()); left > 0 {
+		outcomes.Inc(outcomeWithheld)
+		return errors.Wrapf(ErrRefused, "%s %s: the store wants no calls for another %v", r.Method, r.Path, left)
+	}
 	used, err := h.try(ctx, r, read)
 	if used.reused && used.unanswered && !r.writes() && r.name != callWatch && ctx.Err() == nil {
 		_, err = h.try(ctx, r, read)
@@ -239,7 +248,9 @@
 		return h.lost(client, r, a, err)
 	}
 	defer resp.Body.Close()
-	era, newest := h.eras.heard(h.dialect.Head(resp.StatusCode, resp.Header))
+	head := h.dialect.Head(resp.StatusCode, resp.Header)
+	era, newest := h.eras.heard(head.Era)
+	h.rests.asked(r, time.Now(), min(head.Rest, h.patience.Rest))
 	body, err := io.ReadAll(io.LimitReader(resp.Body, r.limit()+1))
 	if err != nil {
 		return h.lost(client, r, a, err)
--- /dev/null
+++ b/internal/topo/rest_test.go
@@ -0,0 +1,54 @@
+package topo
+
+import (
+	"net/http"
+	"testing"
+	"time"
+)
+
+// Guards against calls of a store that wants none, and against one that is never called again.
+func TestRests(t *testing.T) {
+	var s rests
+	now := time.Unix(1000, 0)
+	get, put := request{Call: Call{Method: http.MethodGet}}, request{Call: Call{Method: http.MethodPut}}
+	s.asked(get, now, 2*time.Second)
+	s.asked(get, now.Add(time.Second), 500*time.Millisecond)
+	s.asked(get, now, 0)
+	for _, c := range []struct {
+		name  string
+		r     request
+		after time.Duration
+		want  time.Duration
+	}{
+		{"a read in it", get, time.Second, time.Second},
+		{"a read at its end", get, 2 * time.Second, 0},
+		{"a write", put, time.Second, 0},
+	} {
+		if got := s.left(c.r, now.Add(c.after)); got != c.want {
+			t.Errorf("%s: %v left, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// Guards against times that make no sense.
+func TestParseRest(t *testing.T) {
+	for _, c := range []struct {
+		status  int
+		seconds string
+		want    time.Duration
+	}{
+		{http.StatusServiceUnavailable, "1", time.Second},
+		{http.StatusTooManyRequests, "0.5", 500 * time.Millisecond},
+		{http.StatusServiceUnavailable, "1e9", time.Hour},
+		{http.StatusServiceUnavailable, "-1", 0},
+		{http.StatusServiceUnavailable, "NaN", 0},
+		{http.StatusServiceUnavailable, "Thu, 03 Dec 2026 11:00:00 GMT", 0},
+		{http.StatusServiceUnavailable, "", 0},
+		{http.StatusOK, "1", 0},
+		{http.StatusGone, "1", 0},
+	} {
+		if got := ParseRest(c.status, c.seconds); got != c.want {
+			t.Errorf("%d %q: %v, want %v", c.status, c.seconds, got, c.want)
+		}
+	}
+}
--- a/internal/topo/transport.go
+++ b/internal/topo/transport.go
@@ -68,13 +68,14 @@
 	outcomeRefused   callOutcome = "refused"
 	outcomeUnknown   callOutcome = "unknown"
 	outcomeCompacted callOutcome = "compacted"
+	outcomeWithheld  callOutcome = "withheld" // not made: the store wants no calls
 )
 
 var (
 	calls = telemetry.NewFamily[callName]("platform_calls_total", "call",
 		"Calls made of the platform, repeated ones included. A waiting watch is one.")
 	outcomes = telemetry.NewFamily[callOutcome]("platform_outcomes_total", "outcome",
-		"Calls of the platform by how they ended; unknown are writes whose answer was lost.")
+		"Calls of the platform by how they ended; unknown are writes whose answer was lost, withheld those that were not made while it wants none.")
 	callBytes = telemetry.NewFamily[callName]("platform_bytes_total", "call",
 		"Bytes sent to and received from the platform, headers included.")
 )
