condition, router: what speaks against an upstream, in one account

Cause: what a router holds against an upstream stood in many places (list, orders, cold gates, failed connections, answers, regions), each asked on its own on the way to a choice, and how they add up was written nowhere.

Change: internal/condition has the kinds, what a set of them allows for a request and for a cached prompt (design 0016; a test holds page and code together, another all 256 sets), and the Book of what a router notes itself: leaving, rest, no connection. router/conditions.go collects the set of an upstream and asks it at each choice, before the first byte and for each donor; an attempt is withheld also if the list or operators have said meanwhile that its upstream leaves, is drained or gone, which nothing looked at again between the choice and the first byte. The line 'request placed' has the session's home and why it was passed over; 'attempt did not reach its upstream' the kind of condition; GET /upstreams beside the metrics tells for each upstream whether it gets requests, why not, and who says what since and until when. router_withheld_attempts_total takes the place of router_cold_closed_total.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -107,6 +107,26 @@
 	Load          int    `json:"load"`  // requests admitted and not ended
 }
 
+// UpstreamAccount is what a router holds against an upstream that has no sidecar.
+type UpstreamAccount struct {
+	VM            string      `json:"vm"`
+	Addr          string      `json:"addr"`
+	Pool          string      `json:"pool"`
+	FailureDomain string      `json:"failure_domain,omitempty"`
+	Load          float64     `json:"load"`          // requests, as believed
+	Work          string      `json:"work"`          // whether it gets requests: never, last or freely
+	Why           string      `json:"why,omitempty"` // the kind of condition that says so
+	Conditions    []Condition `json:"conditions,omitempty"`
+}
+
+// Condition is something that speaks against an upstream.
+type Condition struct {
+	Kind  string    `json:"kind"`
+	By    string    `json:"by"` // who says so
+	Since time.Time `json:"since,omitzero"`
+	Until time.Time `json:"until,omitzero"`
+}
+
 // ControlRate is what a router spends on control traffic of one kind.
 type ControlRate struct {
 	Kind           string  `json:"kind"`
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -289,6 +289,13 @@
 	return t.outliers.Changes()
 }
 
+// Suspected reports whether an upstream fails more of its requests than others do.
+func (t *Tracker) Suspected(now time.Time, vm load.VM) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.outliers.Suspects(now, vm)
+}
+
 // Load returns the believed load of an upstream.
 func (t *Tracker) Load(now time.Time, vm load.VM) float64 {
 	t.mu.Lock()
--- /dev/null
+++ b/internal/condition/book.go
@@ -0,0 +1,197 @@
+package condition
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/load"
+)
+
+const (
+	// forgetAfter is how long what an upstream has said outlives its entry in the list. Entries
+	// lapse while the platform's store is away, and come back.
+	forgetAfter = 10 * time.Minute
+	// unreachableFor is how long an upstream is unreachable to which no connection could be
+	// opened. It is this router's own experience: the way of others may be whole.
+	unreachableFor = 2 * time.Second
+)
+
+// Book is what a router notes of upstreams on the path of its requests: what their answers say
+// of them, and whether they can be reached. An upstream's own word is newer than what the
+// platform's store says of it, and no entry takes it back. A Book is safe for concurrent use.
+type Book struct {
+	mu      sync.Mutex
+	records map[load.VM]*record
+}
+
+// record is what is noted of one upstream.
+type record struct {
+	leaving     time.Time // when it said so first; zero: it has not
+	asked       time.Time // when it asked for rest first, of the present one
+	resting     time.Time // until when
+	unreachable time.Time // until when
+	listed      time.Time // when it was in the list last, or something was noted
+}
+
+// NewBook returns a Book that has heard nothing.
+func NewBook() *Book {
+	return &Book{records: make(map[load.VM]*record)}
+}
+
+// Leaves notes that an upstream has said that it leaves, and reports whether that is new.
+func (b *Book) Leaves(now time.Time, vm load.VM) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.record(now, vm)
+	news := r.leaving.IsZero()
+	if news {
+		r.leaving = now
+	}
+	return news
+}
+
+// Rests notes that an upstream wants nothing from this router for a time. Each wish holds to
+// its own end.
+func (b *Book) Rests(now time.Time, vm load.VM, d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.record(now, vm)
+	if !now.Before(r.resting) {
+		r.asked = now
+	}
+	r.resting = latest(r.resting, now.Add(d))
+}
+
+// Unreachable notes that no connection to an upstream could be opened.
+func (b *Book) Unreachable(now time.Time, vm load.VM) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.record(now, vm).unreachable = now.Add(unreachableFor)
+}
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+func (b *Book) record(now time.Time, vm load.VM) *record {
+	r := b.records[vm]
+	if r == nil {
+		r = &record{}
+		b.records[vm] = r
+	}
+	r.listed = now
+	return r
+}
+
+// Of returns the conditions of an upstream.
+func (b *Book) Of(now time.Time, vm load.VM) Set {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.records[vm]
+	if r == nil {
+		return 0
+	}
+	return r.set(now)
+}
+
+func (r *record) set(now time.Time) Set {
+	var s Set
+	if !r.leaving.IsZero() {
+		s |= Of(Leaving)
+	}
+	if now.Before(r.resting) {
+		s |= Of(Resting)
+	}
+	if now.Before(r.unreachable) {
+		s |= Of(Unreachable)
+	}
+	return s
+}
+
+// Forever is how long what has no end lasts.
+const Forever = time.Duration(math.MaxInt64)
+
+// Opens returns after what time an upstream may get work, as far as the Book knows: zero if it
+// may now, Forever if it leaves.
+func (b *Book) Opens(now time.Time, vm load.VM) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.records[vm]
+	switch {
+	case r == nil:
+		return 0
+	case !r.leaving.IsZero():
+		return Forever
+	}
+	return max(r.resting.Sub(now), 0)
+}
+
+// Empty reports whether nothing is noted of any upstream.
+func (b *Book) Empty() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.records) == 0
+}
+
+// Keep takes in which upstreams are listed now. It forgets what is over, and what was said by
+// those that have not been listed for long.
+func (b *Book) Keep(now time.Time, listed map[load.VM]bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for vm, r := range b.records {
+		switch {
+		case r.set(now) == 0:
+			delete(b.records, vm)
+		case listed[vm]:
+			r.listed = now
+		case now.Sub(r.listed) >= forgetAfter:
+			delete(b.records, vm)
+		}
+	}
+}
+
+// Statement is a condition of an upstream with where it comes from.
+type Statement struct {
+	Kind  Kind
+	By    Source
+	Since time.Time // zero: not known
+	Until time.Time // zero: no end is known
+}
+
+// Source is who says of a condition that it holds.
+type Source string
+
+// Sources of conditions.
+const (
+	ByAnswers     Source = "its answers"
+	ByEntry       Source = "its entry"
+	ByOperators   Source = "operators"
+	ByConnections Source = "connections of this router"
+	ByOutcomes    Source = "outcomes of all routers"
+)
+
+// Statements returns what is noted of an upstream.
+func (b *Book) Statements(now time.Time, vm load.VM) []Statement {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.records[vm]
+	if r == nil {
+		return nil
+	}
+	var out []Statement
+	s := r.set(now)
+	if s.Has(Leaving) {
+		out = append(out, Statement{Kind: Leaving, By: ByAnswers, Since: r.leaving})
+	}
+	if s.Has(Resting) {
+		out = append(out, Statement{Kind: Resting, By: ByAnswers, Since: r.asked, Until: r.resting})
+	}
+	if s.Has(Unreachable) {
+		out = append(out, Statement{Kind: Unreachable, By: ByConnections, Since: r.unreachable.Add(-unreachableFor), Until: r.unreachable})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/condition/book_test.go
@@ -0,0 +1,106 @@
+package condition
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/load"
+)
+
+const engine = load.VM(7)
+
+// Guards against a rest that is cut short by a shorter wish that comes after it.
+func TestEachWishForRestHoldsToItsEnd(t *testing.T) {
+	b, now := NewBook(), time.Unix(1000, 0)
+	b.Rests(now, engine, 10*time.Second)
+	b.Rests(now.Add(time.Second), engine, time.Second)
+	for after, want := range map[time.Duration]Set{
+		0: Of(Resting), 9 * time.Second: Of(Resting), 10 * time.Second: 0, time.Hour: 0,
+	} {
+		if got := b.Of(now.Add(after), engine); got != want {
+			t.Errorf("after %v: %q", after, got)
+		}
+	}
+}
+
+// Guards against work for an upstream that leaves, after its entry has lapsed and come back.
+func TestWordOutlivesTheEntry(t *testing.T) {
+	b, now := NewBook(), time.Unix(1000, 0)
+	if !b.Leaves(now, engine) || b.Leaves(now, engine) {
+		t.Error("only the first word is news")
+	}
+	listed := map[load.VM]bool{engine: true}
+	for _, step := range []struct {
+		after   time.Duration
+		listed  map[load.VM]bool
+		leaving bool
+	}{
+		{time.Hour, listed, true},
+		{time.Hour + forgetAfter/2, nil, true},
+		{time.Hour + forgetAfter, listed, true},
+		{time.Hour + 2*forgetAfter, nil, false},
+	} {
+		at := now.Add(step.after)
+		b.Keep(at, step.listed)
+		if got := b.Of(at, engine).Has(Leaving); got != step.leaving {
+			t.Errorf("after %v: leaving %v", step.after, got)
+		}
+	}
+}
+
+// Guards against callers that are told a wrong time to come back.
+func TestOpens(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name string
+		note func(*Book)
+		want time.Duration
+	}{
+		{"nothing", func(*Book) {}, 0},
+		{"a rest", func(b *Book) { b.Rests(now, engine, time.Second) }, time.Second},
+		{"a rest that is over", func(b *Book) { b.Rests(now.Add(-time.Second), engine, time.Second) }, 0},
+		{"no connection", func(b *Book) { b.Unreachable(now, engine) }, 0},
+		{"leaving, in a rest", func(b *Book) { b.Rests(now, engine, time.Second); b.Leaves(now, engine) }, Forever},
+	} {
+		b := NewBook()
+		c.note(b)
+		if got := b.Opens(now, engine); got != c.want {
+			t.Errorf("%s: opens in %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// Guards against a memory that grows with each upstream that could not be reached once.
+func TestWhatIsOverIsForgotten(t *testing.T) {
+	b, now := NewBook(), time.Unix(1000, 0)
+	for vm := range load.VM(100) {
+		b.Unreachable(now, vm)
+		b.Rests(now, vm, time.Second)
+	}
+	b.Leaves(now, engine)
+	b.Keep(now.Add(unreachableFor), nil)
+	if len(b.records) != 1 || b.Empty() {
+		t.Errorf("%d are remembered, want the one that leaves", len(b.records))
+	}
+}
+
+// Guards against a page for operators that lacks who says what, since when and until when.
+func TestStatements(t *testing.T) {
+	b, now := NewBook(), time.Unix(1000, 0)
+	b.Leaves(now, engine)
+	b.Rests(now, engine, 3*time.Second)
+	b.Rests(now.Add(time.Second), engine, 4*time.Second)
+	b.Unreachable(now.Add(time.Second), engine)
+	want := []Statement{
+		{Kind: Leaving, By: ByAnswers, Since: now},
+		{Kind: Resting, By: ByAnswers, Since: now, Until: now.Add(5 * time.Second)},
+		{Kind: Unreachable, By: ByConnections, Since: now.Add(time.Second), Until: now.Add(time.Second + unreachableFor)},
+	}
+	if got := b.Statements(now.Add(2*time.Second), engine); !slices.Equal(got, want) {
+		t.Errorf("%+v", got)
+	}
+	if got := b.Statements(now, engine+1); got != nil {
+		t.Errorf("of an upstream that nothing is noted of: %+v", got)
+	}
+}
--- a/internal/condition/condition.go
+++ b/internal/condition/condition.go
@@ -1,148 +1,140 @@
-// Package condition remembers what upstreams have said of themselves in their answers: that
-// they leave, or that they want rest.
+// Package condition is the account of what speaks against sending to an upstream: each kind of
+// condition, what a set of them allows, and a Book of those that a router notes on the path of
+// its requests.
 //
-// Package router notes what it hears on the path of a request. A Book knows no clock and no
-// connection. It may assume that an id names one incarnation of an upstream, so that nothing
-// that a former life has said holds for the next one.
+// Package router collects the conditions of an upstream from the list of upstreams, operators'
+// orders, outcomes and its Book, and asks a Set before each choice and each first byte. Nothing
+// here knows a clock or a connection. It may be assumed that an id names one incarnation of an
+// upstream: nothing that holds for a former life holds for the next one.
 package condition
 
-import (
-	"math"
-	"sync"
-	"time"
+import "strings"
 
-	"github.com/parsleyfront/parsleyfront/internal/load"
+// Kind is something that speaks against sending to an upstream.
+type Kind uint8
+
+// Kinds of conditions. Of several, the first is named as the reason.
+const (
+	Gone        Kind = iota // it is not listed any more
+	OutOfRegion             // the request may not run where it is
+	Drained                 // operators have ordered that it takes nothing new
+	Leaving                 // it has said that it leaves, in an answer or in its entry
+	Resting                 // it wants nothing from this router for a time
+	Cold                    // it has started lately, and has got what it bears
+	Unreachable             // no connection to it could be opened a moment ago
+	Suspected               // it fails more of its requests than others do
+	kindCount
 )
 
-// Condition is what an upstream has said of itself.
-type Condition struct {
-	Leaving   bool      // it takes nothing new for as long as it lives
-	RestUntil time.Time // it wants nothing from this router until then; zero: it never asked
+var kindNames = [kindCount]string{
+	"gone", "out of region", "drained", "leaving", "resting", "cold", "unreachable", "suspected",
 }
 
-// Rests reports whether the upstream wants rest now.
-func (c Condition) Rests(now time.Time) bool {
-	return now.Before(c.RestUntil)
+// String returns the name of the kind, as in lines and tables.
+func (k Kind) String() string {
+	if k >= kindCount {
+		return "none"
+	}
+	return kindNames[k]
 }
 
-// forgetAfter is how long what an upstream has said outlives its entry in the list. Entries
-// lapse while the platform's store is away, and come back.
-const forgetAfter = 10 * time.Minute
+// Kinds returns all kinds.
+func Kinds() []Kind {
+	out := make([]Kind, kindCount)
+	for k := range out {
+		out[k] = Kind(k)
+	}
+	return out
+}
 
-// Reason is why an upstream may get nothing.
-type Reason string
+// Use is what an upstream is wanted for.
+type Use uint8
 
-// Reasons, the first that holds counts.
+// Uses of an upstream.
 const (
-	None    Reason = ""
-	Leaving Reason = "leaving"
-	Resting Reason = "resting"
+	// Work is a request: a first try, a retry, a hedge, or a stream that goes on.
+	Work Use = iota
+	// Prompt is a cached prompt that another upstream gets from it.
+	Prompt
+	useCount
 )
 
-// Against returns why the upstream may get no request of this router now.
-func (c Condition) Against(now time.Time) Reason {
-	switch {
-	case c.Leaving:
-		return Leaving
-	case c.Rests(now):
-		return Resting
-	}
-	return None
-}
+var useNames = [useCount]string{"work", "prompt"}
 
-// Ends returns how long what speaks against the upstream lasts at least: zero if nothing
-// does, Never while it leaves.
-func (c Condition) Ends(now time.Time) time.Duration {
-	switch c.Against(now) {
-	case Leaving:
-		return Never
-	case Resting:
-		return c.RestUntil.Sub(now)
-	}
-	return 0
-}
+// String returns the name of the use.
+func (u Use) String() string { return useNames[u] }
 
-// Never is how long what has no end lasts.
-const Never = time.Duration(math.MaxInt64)
+// Uses returns all uses.
+func Uses() []Use { return []Use{Work, Prompt} }
 
-// Book is the conditions of upstreams, as one router has heard them. It is safe for
-// concurrent use.
-type Book struct {
-	mu      sync.Mutex
-	records map[load.VM]*record
-}
+// Leave is how far an upstream may be used, the least first.
+type Leave uint8
 
-type record struct {
-	condition Condition
-	listed    time.Time // when the upstream was in the list last, or was heard
-}
+// Degrees of Leave.
+const (
+	Never  Leave = iota // not at all
+	Last                // after all others
+	Freely              // like any other
+)
 
-// NewBook returns a Book that has heard nothing.
-func NewBook() *Book {
-	return &Book{records: make(map[load.VM]*record)}
+var leaveNames = [...]string{"never", "last", "freely"}
+
+// String returns the name of the degree.
+func (l Leave) String() string { return leaveNames[l] }
+
+// leaves is what each kind allows by itself.
+var leaves = [useCount][kindCount]Leave{
+	Work: {
+		Gone: Never, OutOfRegion: Never, Drained: Never, Leaving: Never, Resting: Never, Cold: Never,
+		Unreachable: Last, Suspected: Last,
+	},
+	// A transfer takes nothing of what an upstream wants to be spared: no place and no token.
+	Prompt: {
+		Gone: Never, OutOfRegion: Never, Drained: Freely, Leaving: Freely, Resting: Freely, Cold: Freely,
+		Unreachable: Never, Suspected: Freely,
+	},
 }
 
-// Leaves notes that an upstream has said that it leaves, and reports whether that is new.
-func (b *Book) Leaves(now time.Time, vm load.VM) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	r := b.record(now, vm)
-	news := !r.condition.Leaving
-	r.condition.Leaving = true
-	return news
-}
+// Set is the conditions of an upstream at a moment. Its zero value is none.
+type Set uint16
 
-// Rests notes that an upstream wants nothing from this router for a time, and reports whether
-// it wanted no rest before. Each wish holds to its own end.
-func (b *Book) Rests(now time.Time, vm load.VM, d time.Duration) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	r := b.record(now, vm)
-	news := !r.condition.Rests(now)
-	if until := now.Add(d); until.After(r.condition.RestUntil) {
-		r.condition.RestUntil = until
+// Of returns the Set of some kinds.
+func Of(kinds ...Kind) Set {
+	var s Set
+	for _, k := range kinds {
+		s |= 1 << k
 	}
-	return news
+	return s
 }
 
-func (b *Book) record(now time.Time, vm load.VM) *record {
-	r := b.records[vm]
-	if r == nil {
-		r = &record{}
-		b.records[vm] = r
-	}
-	r.listed = now
-	return r
-}
+// And returns the conditions of both.
+func (s Set) And(other Set) Set { return s | other }
 
-// Of returns the condition of an upstream.
-func (b *Book) Of(vm load.VM) Condition {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if r := b.records[vm]; r != nil {
-		return r.condition
-	}
-	return Condition{}
-}
+// Has reports whether a kind is in the Set.
+func (s Set) Has(k Kind) bool { return s&(1<<k) != 0 }
 
-// Empty reports whether no upstream has said anything that is remembered.
-func (b *Book) Empty() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return len(b.records) == 0
+// Allows returns how far the upstream may be used, and what says so: the kind that allows
+// least, the first of several.
+func (s Set) Allows(u Use) (Leave, Kind) {
+	least, by := Freely, kindCount
+	if s == 0 {
+		return least, by
+	}
+	for k, leave := range leaves[u] {
+		if s.Has(Kind(k)) && leave < least {
+			least, by = leave, Kind(k)
+		}
+	}
+	return least, by
 }
 
-// Keep takes in which upstreams are listed now, and forgets those that have not been for a
-// long time.
-func (b *Book) Keep(now time.Time, listed map[load.VM]bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for vm, r := range b.records {
-		switch {
-		case listed[vm]:
-			r.listed = now
-		case now.Sub(r.listed) >= forgetAfter:
-			delete(b.records, vm)
+// String names the kinds of the Set.
+func (s Set) String() string {
+	var names []string
+	for _, k := range Kinds() {
+		if s.Has(k) {
+			names = append(names, k.String())
 		}
 	}
+	return strings.Join(names, ", ")
 }
--- a/internal/condition/condition_test.go
+++ b/internal/condition/condition_test.go
@@ -1,70 +1,69 @@
 package condition
 
 import (
+	"os"
+	"strings"
 	"testing"
-	"time"
-
-	"github.com/parsleyfront/parsleyfront/internal/load"
 )
 
-const engine = load.VM(7)
+// page is where the table of what conditions allow stands for readers.
+const page = "../../docs/design/0016-conditions-of-upstreams.md"
 
-// Guards against a rest that is cut short by a shorter wish that comes after it.
-func TestEachWishForRestHoldsToItsEnd(t *testing.T) {
-	b, now := NewBook(), time.Unix(1000, 0)
-	if !b.Rests(now, engine, 10*time.Second) {
-		t.Error("the first wish is no news")
-	}
-	if b.Rests(now.Add(time.Second), engine, time.Second) {
-		t.Error("a second wish in the time of the first is news")
-	}
-	if !b.Of(engine).Rests(now.Add(9 * time.Second)) {
-		t.Error("the first wish does not hold to its end")
+// rows returns the table of the page: cells by the name of their row.
+func rows(t *testing.T) map[string][]string {
+	text, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
 	}
-	if b.Of(engine).Rests(now.Add(10 * time.Second)) {
-		t.Error("the rest does not end")
+	out := make(map[string][]string)
+	for line := range strings.Lines(string(text)) {
+		cells := strings.Split(strings.Trim(strings.TrimSpace(line), "|"), "|")
+		for i := range cells {
+			cells[i] = strings.TrimSpace(cells[i])
+		}
+		if len(cells) > 1 {
+			out[cells[0]] = cells[1:]
+		}
 	}
+	return out
 }
 
-// Guards against work for an upstream that leaves, after its entry has lapsed and come back.
-func TestWordOutlivesTheEntry(t *testing.T) {
-	b, now := NewBook(), time.Unix(1000, 0)
-	if !b.Leaves(now, engine) || b.Leaves(now, engine) {
-		t.Error("only the first word is news")
-	}
-	listed := map[load.VM]bool{engine: true}
-	for _, step := range []struct {
-		after   time.Duration
-		listed  map[load.VM]bool
-		leaving bool
-	}{
-		{time.Hour, listed, true},
-		{time.Hour + forgetAfter/2, nil, true},
-		{time.Hour + forgetAfter, listed, true},
-		{time.Hour + 2*forgetAfter, nil, false},
-	} {
-		b.Keep(now.Add(step.after), step.listed)
-		if got := b.Of(engine).Leaving; got != step.leaving {
-			t.Errorf("after %v: leaving %v", step.after, got)
+// Guards against a page that says otherwise than the code.
+func TestPageHasTheTable(t *testing.T) {
+	table := rows(t)
+	for _, k := range Kinds() {
+		for i, u := range Uses() {
+			leave, _ := Of(k).Allows(u)
+			if cells := table[k.String()]; len(cells) <= i || cells[i] != leave.String() {
+				t.Errorf("%s has %v for %q, want %s for %s", page, cells, k, leave, u)
+			}
 		}
 	}
 }
 
-// Guards against callers that are told a wrong time to come back.
-func TestEnds(t *testing.T) {
-	now := time.Unix(1000, 0)
-	for _, c := range []struct {
-		name string
-		Condition
-		want time.Duration
-	}{
-		{"nothing", Condition{}, 0},
-		{"a rest", Condition{RestUntil: now.Add(time.Second)}, time.Second},
-		{"a rest that is over", Condition{RestUntil: now}, 0},
-		{"leaving, in a rest", Condition{Leaving: true, RestUntil: now.Add(time.Second)}, Never},
-	} {
-		if got := c.Ends(now); got != c.want {
-			t.Errorf("%s: ends in %v, want %v", c.name, got, c.want)
+// Guards against a set that allows more than one of its kinds does, or names another reason.
+func TestSetsAllowTheLeast(t *testing.T) {
+	for s := Set(0); s < 1<<kindCount; s++ {
+		for _, u := range Uses() {
+			want, by := Freely, kindCount
+			for _, k := range Kinds() {
+				if alone, _ := Of(k).Allows(u); s.Has(k) && alone < want {
+					want, by = alone, k
+				}
+			}
+			if got, why := s.Allows(u); got != want || why != by {
+				t.Errorf("%q for %s: %s since %s, want %s since %s", s, u, got, why, want, by)
+			}
 		}
 	}
 }
+
+// Guards against sets that lose a kind.
+func TestSetsKeepTheirKinds(t *testing.T) {
+	if got := Of(Leaving).And(Of(Cold)).And(0); got != Of(Cold, Leaving) || got.String() != "leaving, cold" {
+		t.Errorf("%q", got)
+	}
+	if Of().String() != "" || kindCount.String() != "none" {
+		t.Errorf("%q, %q", Of(), kindCount)
+	}
+}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"log/slog"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/parsleyfront/parsleyfront/internal/admin"
 	"github.com/parsleyfront/parsleyfront/internal/config"
 	"github.com/parsleyfront/parsleyfront/internal/exchange"
 	"github.com/parsleyfront/parsleyfront/internal/gateway"
@@ -271,9 +273,23 @@
 	}
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", telemetry.Handler())
+	metrics.HandleFunc("GET /upstreams", e.upstreams)
 	return serveOn(ctx, net.JoinHostPort(e.platform.IP, strconv.Itoa(e.settings.MetricsPort.N)), metrics)
 }
 
+// Account returns what this router holds against each upstream.
+func (e *Entry) Account() []admin.UpstreamAccount {
+	return e.router.Account(time.Now())
+}
+
+// upstreams serves what this router holds against each upstream.
+func (e *Entry) upstreams(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(e.Account()); err != nil {
+		slog.Warn("what is held against upstreams could not be told", "error", err)
+	}
+}
+
 // serveOn serves h on addr until ctx ends.
 func serveOn(ctx context.Context, addr string, h http.Handler) error {
 	l, err := net.Listen("tcp", addr)
--- a/internal/placement/bounded.go
+++ b/internal/placement/bounded.go
@@ -63,11 +63,30 @@
 	// behind all those that can still be answered in time.
 	Urgency int
 	Behind  bool
+	// Home is the upstream that ranks first for the session, None without one, and Passed why
+	// it is not the first choice.
+	Home   int
+	Passed Passed
 	// Late tells that the request had better be turned away: more come than the pool
 	// answers in time, and the first choice has no free place.
 	Late bool
 }
 
+// Passed is why the upstream that ranks first for a session is not the first choice.
+type Passed string
+
+// Reasons to pass over an upstream.
+const (
+	NotPassed    Passed = ""
+	PassedClosed Passed = "closed" // it may get no request
+	PassedSpread Passed = "spread" // the session has more requests than it may hold
+)
+
+// passedFor names the classes for which an upstream is passed over.
+var passedFor = map[class]Passed{
+	suspected: "suspected", loaded: "loaded", lateFree: "slow", queued: "queued", far: "far", overBound: "over bound",
+}
+
 // Choice is an upstream to which a request is offered.
 type Choice struct {
 	Index int
@@ -83,7 +102,7 @@
 // session it spills over to the next in the ranking, always in the same order at
 // each router, so that few upstreams read the same prompt.
 func (p *Pool) Bounded(l Loads, q Query, out *[Candidates]Choice) (int, Basis) {
-	basis := Basis{Mean: l.Mean(), Bound: math.Inf(1)}
+	basis := Basis{Mean: l.Mean(), Bound: math.Inf(1), Home: None}
 	if q.Multiple > 0 {
 		basis.Bound = q.bound(basis.Mean)
 	}
@@ -92,6 +111,9 @@
 	}
 	var ranked [depth]int
 	order := ranked[:p.rank(q, ranked[:])]
+	if len(order) > 0 {
+		basis.Home = order[0]
+	}
 	p.spreadHot(l, q, basis, order)
 	n, first := p.underFirst(l, q, &basis, order, out)
 	basis.Until = first.expected.Until
@@ -172,6 +194,7 @@
 	basis.Wait = pass.wait / pass.speeds
 	slices.SortStableFunc(ranked[:n], weighed.compare)
 	first := ranked[0]
+	basis.passed(p.takes(l, basis.Home), ranked[:n])
 	n = min(n, Candidates)
 	for at, w := range ranked[:n] {
 		out[at] = p.choice(l, q, order, w.index)
@@ -179,6 +202,24 @@
 	return n, first
 }
 
+// passed notes why the session's home is not the first of those that were weighed, which are
+// in their order.
+func (b *Basis) passed(taken bool, order []weighed) {
+	switch {
+	case order[0].index == b.Home:
+		return
+	case !taken:
+		b.Passed = PassedClosed
+		return
+	}
+	b.Passed = PassedSpread
+	for _, w := range order {
+		if w.index == b.Home && w.class != eligible {
+			b.Passed = passedFor[w.class]
+		}
+	}
+}
+
 // pass goes over the upstreams of a ranking and knows of those that rank before.
 type pass struct {
 	spare        float64 // load up to which one takes over requests of one that is suspected
--- a/internal/placement/bounded_test.go
+++ b/internal/placement/bounded_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"testing"
@@ -280,3 +281,50 @@
 		}
 	}
 }
+
+// closing is loads of which some may get no request.
+type closing struct {
+	loads
+	closed map[load.VM]bool
+}
+
+func (c closing) Closed(vm load.VM) bool { return c.closed[vm] }
+
+// Guards against lines that do not say why a request did not go to its session's home.
+func TestBasisSaysWhyTheHomeIsPassedOver(t *testing.T) {
+	p, l := NewPool(members(6), Locality{}), make(loads)
+	for _, m := range p.members {
+		l[m.VM] = 4
+	}
+	q := Query{Session: 7, Multiple: 2}
+	home := p.Home(q.Session)
+	vm := p.members[home].VM
+	for _, c := range []struct {
+		name  string
+		loads Loads
+		share float64
+		want  Passed
+	}{
+		{"nothing", l, 0, NotPassed},
+		{"closed", closing{l, map[load.VM]bool{vm: true}}, 0, PassedClosed},
+		{"suspected", suspecting{loads: l, suspected: map[load.VM]bool{vm: true}}, 0, "suspected"},
+		{"over the bound", over(l, vm), 0, "over bound"},
+	} {
+		var out [Candidates]Choice
+		_, basis := p.Bounded(c.loads, q, &out)
+		if basis.Home != home || basis.Passed != c.want {
+			t.Errorf("%s: home %d passed over since %q, want %d, %q", c.name, basis.Home, basis.Passed, home, c.want)
+		}
+	}
+	var out [Candidates]Choice
+	if _, basis := p.Bounded(l, Query{Multiple: 2}, &out); basis.Home != None {
+		t.Errorf("a request without a session has home %d", basis.Home)
+	}
+}
+
+// over returns loads with one upstream over any bound.
+func over(l loads, vm load.VM) loads {
+	out := maps.Clone(l)
+	out[vm] = 100
+	return out
+}
--- /dev/null
+++ b/internal/router/account.go
@@ -0,0 +1,67 @@
+package router
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/admin"
+	"github.com/parsleyfront/parsleyfront/internal/condition"
+	"github.com/parsleyfront/parsleyfront/internal/load"
+	"github.com/parsleyfront/parsleyfront/internal/topo"
+)
+
+// Account returns what this router holds against each upstream that has no sidecar, by pool.
+func (r *Router) Account(now time.Time) []admin.UpstreamAccount {
+	var out []admin.UpstreamAccount
+	for _, p := range r.View().Pools {
+		for _, vm := range p.VMs {
+			if vm.Role == topo.RoleDirect {
+				out = append(out, r.account(now, p, vm))
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b admin.UpstreamAccount) int {
+		return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.VM, b.VM))
+	})
+	return out
+}
+
+func (r *Router) account(now time.Time, p *Pool, vm topo.VM) admin.UpstreamAccount {
+	id := load.Hash(vm.ID)
+	set := r.against(now, p, id)
+	statements := append(p.statements(now, id), r.conditions.Statements(now, id)...)
+	if p.tracker.Suspected(now, id) {
+		set = set.And(condition.Of(condition.Suspected))
+		statements = append(statements, condition.Statement{Kind: condition.Suspected, By: condition.ByOutcomes})
+	}
+	leave, why := set.Allows(condition.Work)
+	out := admin.UpstreamAccount{
+		VM: vm.ID, Addr: vm.Addr, Pool: vm.Pool, FailureDomain: vm.FailureDomain,
+		Load: tenths(p.tracker.Load(now, id)), Work: leave.String(),
+	}
+	if leave != condition.Freely {
+		out.Why = why.String()
+	}
+	for _, s := range statements {
+		out.Conditions = append(out.Conditions, admin.Condition{Kind: s.Kind.String(), By: string(s.By), Since: s.Since, Until: s.Until})
+	}
+	return out
+}
+
+// statements returns the conditions of an upstream that the pool's view tells. A cold one is
+// named also while it gets requests.
+func (p *Pool) statements(now time.Time, vm load.VM) []condition.Statement {
+	var out []condition.Statement
+	listed := p.of(vm)
+	if listed.Has(condition.Drained) {
+		out = append(out, condition.Statement{Kind: condition.Drained, By: condition.ByOperators})
+	}
+	if listed.Has(condition.Leaving) {
+		out = append(out, condition.Statement{Kind: condition.Leaving, By: condition.ByEntry})
+	}
+	if u, cold := p.coldAt(now, vm); cold {
+		out = append(out, condition.Statement{Kind: condition.Cold, By: condition.ByEntry, Until: u.warmAt})
+	}
+	return out
+}
--- a/internal/router/directoffer.go
+++ b/internal/router/directoffer.go
@@ -191,13 +191,11 @@
 		return topo.VM{}
 	}
 	if last, ok := a.router.holders.last(a.session); ok && on.LastServed && last.ID != a.pool.VMs[c.Index].ID {
-		_, listed := a.view.VMs[last.ID]
-		allowed := a.req.regions().Has(topo.Region(last.FailureDomain))
-		if listed && allowed && !a.router.avoids(last.ID, now) {
+		if a.router.givesPrompts(now, a.view, last, a.req.regions()) {
 			return last
 		}
 	}
-	if c.Donor == placement.None {
+	if c.Donor == placement.None || !a.router.givesPrompts(now, a.view, a.pool.VMs[c.Donor], a.req.regions()) {
 		return topo.VM{}
 	}
 	return a.pool.VMs[c.Donor]
--- a/internal/router/log.go
+++ b/internal/router/log.go
@@ -50,6 +50,9 @@
 			slog.Int64("expected_ms", a.expected().Milliseconds()),
 			slog.Bool("behind", a.basis.Behind),
 			slog.String("donor", at.donor.ID))
+		if home, why := a.passedOver(time.Now()); home != "" {
+			attrs = append(attrs, slog.String("home", home), slog.String("passed_over", why))
+		}
 	}
 	if e.Continue {
 		attrs = append(attrs, slog.Int64("from_offset", a.written))
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -5,17 +5,13 @@
 	"net"
 	"time"
 
+	"github.com/parsleyfront/parsleyfront/internal/condition"
 	"github.com/parsleyfront/parsleyfront/internal/config"
 	"github.com/parsleyfront/parsleyfront/internal/load"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
 	"github.com/parsleyfront/parsleyfront/internal/wire"
 )
 
-// avoidFor is how long an upstream whose sidecar could not be reached is
-// offered a request only after the others. It is this router's own experience
-// and is not told to others, whose way to the sidecar may be whole.
-const avoidFor = 2 * time.Second
-
 // endpoint is a sidecar at an address. A new VM may get the address of a former
 // one, and is not to be taken for it.
 type endpoint struct {
@@ -78,24 +74,14 @@
 	return c
 }
 
-// avoid puts an upstream behind the others for a while.
+// avoid puts an upstream behind the others for a while: it could not be reached.
 func (r *Router) avoid(vm string) {
-	now := time.Now()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for id, until := range r.avoided {
-		if now.After(until) {
-			delete(r.avoided, id)
-		}
-	}
-	r.avoided[vm] = now.Add(avoidFor)
+	r.conditions.Unreachable(time.Now(), load.Hash(vm))
 }
 
 // avoids reports whether an upstream is avoided at now.
 func (r *Router) avoids(vm string, now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return now.Before(r.avoided[vm])
+	return r.conditions.Of(now, load.Hash(vm)).Has(condition.Unreachable)
 }
 
 // prunePeers forgets the sidecars of VMs that have left. VMs come and go by the
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -110,18 +110,18 @@
 	ledger   *ledger
 	holders  *holders
 	warming  warming
-	said     *condition.Book // by upstreams without a sidecar
 	tuning   atomic.Pointer[Tuning]
 
 	mesh     *mesh
 	replaced []topo.VM // incarnations to be abandoned; owned by the control loop
 
+	conditions *condition.Book // of upstreams
+
 	mu      sync.Mutex
 	parent  relay.Node                   // that reads the store for this router
 	asked   map[uint64]chan config.Delta // calls of sidecars that wait for a reply
 	tickets uint64
 	peers   map[endpoint]*wire.Peer
-	avoided map[string]time.Time // VMs that could not be reached, until when
 }
 
 // New returns a Router that works until ctx ends.
@@ -136,21 +136,20 @@
 		c.VMsEvery = listEvery
 	}
 	r := &Router{
-		config:   c,
-		ctx:      ctx,
-		state:    NewState(c.VM, placement.Locality{Domain: c.FailureDomain}, c.Pace, rand.Uint64()),
-		began:    make(chan struct{}),
-		asked:    make(map[uint64]chan config.Delta),
-		limits:   newLimits(),
-		claims:   newClaimBudget(time.Now()),
-		claimer:  claim.NewKeeper(c.Store),
-		suspects: newSuspects(),
-		ledger:   newLedger(),
-		holders:  newHolders(),
-		warming:  warming{gate: warmup.NewGate(c.VM)},
-		said:     condition.NewBook(),
-		peers:    make(map[endpoint]*wire.Peer),
-		avoided:  make(map[string]time.Time),
+		config:     c,
+		ctx:        ctx,
+		state:      NewState(c.VM, placement.Locality{Domain: c.FailureDomain}, c.Pace, rand.Uint64()),
+		began:      make(chan struct{}),
+		asked:      make(map[uint64]chan config.Delta),
+		limits:     newLimits(),
+		claims:     newClaimBudget(time.Now()),
+		claimer:    claim.NewKeeper(c.Store),
+		suspects:   newSuspects(),
+		ledger:     newLedger(),
+		holders:    newHolders(),
+		warming:    warming{gate: warmup.NewGate(c.VM)},
+		peers:      make(map[endpoint]*wire.Peer),
+		conditions: condition.NewBook(),
 	}
 	if c.Decode != nil {
 		r.state.Decoding(c.Decode)
@@ -281,11 +280,11 @@
 	for ctx.Err() == nil {
 		r.suspects.expire(time.Now())
 		r.warming.gate.Expire(time.Now())
+		r.keepConditions(time.Now())
 		r.claimer.Saw(time.Now(), topo.EraOf(r.config.Store))
 		r.prunePeers()
 		if r.config.Direct != nil {
 			r.config.Direct.Keep(time.Now(), r.View().VMs)
-			r.keepSaid(time.Now())
 		}
 		if r.config.VMs != nil {
 			tag = r.readVMs(ctx, tag)
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/balance"
+	"github.com/parsleyfront/parsleyfront/internal/condition"
 	"github.com/parsleyfront/parsleyfront/internal/load"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
@@ -45,7 +46,8 @@
 	self  placement.Locality
 	parts sync.Map // by the key of regions: the *Pool of its upstreams there
 
-	warmupRate float64 // requests a second that a cold upstream bears; zero: any
+	listed     map[load.VM]condition.Set // what the list and operators' orders tell of each
+	warmupRate float64                   // requests a second that a cold upstream bears; zero: any
 	cold       map[load.VM]coldUpstream
 }
 
@@ -145,18 +147,24 @@
 		Seed:    placement.Seed(u.vm.Name()), // one that starts again moves no sessions of others
 		Weight:  max(u.vm.Weight, 1),
 		Domain:  u.vm.FailureDomain,
-		Leaving: u.vm.Leaving || u.drained,
+		Leaving: leaves(u.listed()),
 		Idle:    u.drained && !u.vm.Leaving,
 		Joined:  u.joined,
 	}
 }
 
+func leaves(s condition.Set) bool {
+	leave, _ := s.Allows(condition.Work)
+	return leave == condition.Never
+}
+
 func newPool(upstreams []upstream, b *beliefs, t *balance.Tracker, self placement.Locality) *Pool {
-	p := &Pool{beliefs: b, tracker: t, self: self}
+	p := &Pool{beliefs: b, tracker: t, self: self, listed: make(map[load.VM]condition.Set, len(upstreams))}
 	var ids []load.VM
 	for _, u := range upstreams {
 		m := u.member()
 		p.VMs, p.members, ids = append(p.VMs, u.vm), append(p.members, m), append(ids, m.VM)
+		p.listed[m.VM] = u.listed()
 		if !m.Leaving {
 			p.serving = append(p.serving, m.VM)
 		}
@@ -176,7 +184,7 @@
 	if part, ok := p.parts.Load(regions.Key()); ok {
 		return part.(*Pool)
 	}
-	part := &Pool{beliefs: p.beliefs, tracker: p.tracker, self: p.self, warmupRate: p.warmupRate, cold: p.cold}
+	part := &Pool{beliefs: p.beliefs, tracker: p.tracker, self: p.self, listed: p.listed, warmupRate: p.warmupRate, cold: p.cold}
 	for i, vm := range p.VMs {
 		if regions.Has(topo.Region(vm.FailureDomain)) {
 			part.VMs, part.members = append(part.VMs, vm), append(part.members, p.members[i])
--- a/internal/router/warming.go
+++ b/internal/router/warming.go
@@ -6,16 +6,11 @@
 
 	"github.com/parsleyfront/parsleyfront/internal/load"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
-	"github.com/parsleyfront/parsleyfront/internal/verdict"
 	"github.com/parsleyfront/parsleyfront/internal/warmup"
 )
 
-var (
-	coldSent = telemetry.NewCounter("router_cold_requests_total",
-		"Attempts that were sent to upstreams that are cold after their start.")
-	coldClosed = telemetry.NewCounter("router_cold_closed_total",
-		"Attempts that were not sent to their upstream since it is cold and has got from this router what it bears.")
-)
+var coldSent = telemetry.NewCounter("router_cold_requests_total",
+	"Attempts that were sent to upstreams that are cold after their start.")
 
 // warming is what a router goes by where upstreams are cold.
 type warming struct {
@@ -42,39 +37,37 @@
 	return warmup.Limit{PerSecond: p.warmupRate, Overage: t.WarmupOverage, Slack: t.WarmupSlack}
 }
 
-// coldIn returns which upstreams of a pool may get no request of this router now; nil: any
-// may get one.
-func (r *Router) coldIn(now time.Time, p *Pool) (closed func(load.VM) bool) {
-	if len(p.cold) == 0 {
-		return nil
+// coldClosed reports whether an upstream of a pool is cold, and has got from this router what it
+// bears.
+func (r *Router) coldClosed(now time.Time, p *Pool, vm load.VM) bool {
+	u, cold := p.coldAt(now, vm)
+	if !cold {
+		return false
 	}
 	tuning := r.tuning.Load()
-	limit, routers := tuning.limit(p), r.warming.routers(tuning.Regions)
-	return func(vm load.VM) bool {
-		u, ok := p.cold[vm]
-		return ok && now.Before(u.warmAt) && !r.warming.gate.Open(now, u.id, limit, routers)
-	}
+	return !r.warming.gate.Open(now, u.id, tuning.limit(p), r.warming.routers(tuning.Regions))
 }
 
-// admitsCold counts a request that is about to be sent, and reports whether it may be. It goes
-// by the present view: the upstream may have become cold since it was chosen.
-func (r *Router) admitsCold(now time.Time, pool string, vm load.VM) bool {
-	p := r.View().Pools[pool]
-	if p == nil {
-		return true
-	}
-	u, ok := p.cold[vm]
-	if !ok || !now.Before(u.warmAt) {
+// takeCold counts a request that is about to be sent to an upstream of a pool, and reports
+// whether it may be if that is cold.
+func (r *Router) takeCold(now time.Time, p *Pool, vm load.VM) bool {
+	u, cold := p.coldAt(now, vm)
+	if !cold {
 		return true
 	}
 	tuning := r.tuning.Load()
 	if !r.warming.gate.Take(now, u.id, tuning.limit(p), r.warming.routers(tuning.Regions)) {
-		coldClosed.Inc()
 		return false
 	}
 	coldSent.Inc()
 	return true
 }
 
-// errCold is why an attempt was not sent to an upstream that is cold.
-var errCold = verdict.New(verdict.NotRun, verdict.ReasonQueueFull, "the upstream is cold, and has got what it bears")
+// coldAt returns an upstream of the pool if it is cold.
+func (p *Pool) coldAt(now time.Time, vm load.VM) (coldUpstream, bool) {
+	if p == nil {
+		return coldUpstream{}, false
+	}
+	u, ok := p.cold[vm]
+	return u, ok && now.Before(u.warmAt)
+}
