profile: profiles are found by host and path, and allowed to organisations, where profiles are defined

A move, nothing else: Hosts and Organisation.Allows know profiles only and stood in internal/router.

--- a/internal/gateway/hostedrequest.go
+++ b/internal/gateway/hostedrequest.go
@@ -127,7 +127,7 @@
 	if x.profile.Anonymous || len(x.view.Orgs) == 0 {
 		return nil
 	}
-	if x.org == nil || !router.Allows(x.org, x.profile.Name) {
+	if x.org == nil || !x.org.Allows(x.profile.Name) {
 		return verdict.New(verdict.NotRun, verdict.ReasonUnauthorized, "the API key is missing or unknown")
 	}
 	return nil
--- /dev/null
+++ b/internal/profile/hosts.go
@@ -0,0 +1,44 @@
+package profile
+
+import "strings"
+
+// Hosts finds profiles by the host and path of a call: by host, then by the
+// prefix of the path.
+type Hosts map[string]map[string]*Profile
+
+// ByHost collects the profiles that are chosen by host.
+func ByHost(profiles map[string]*Profile) Hosts {
+	out := make(Hosts)
+	for _, p := range profiles {
+		for _, r := range p.Routes {
+			if r.Host == "" {
+				continue
+			}
+			host := strings.ToLower(r.Host)
+			if out[host] == nil {
+				out[host] = make(map[string]*Profile)
+			}
+			out[host][r.Prefix] = p
+		}
+	}
+	return out
+}
+
+// Find returns the profile for calls of a path of a host: the one with the
+// longest prefix, which ends with a slash; nil if there is none. A port in host
+// does not count.
+func (h Hosts) Find(host, path string) *Profile {
+	if at := strings.LastIndexByte(host, ':'); at >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:at]
+	}
+	prefixes := h[strings.ToLower(host)]
+	if prefixes == nil {
+		return nil
+	}
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if p := prefixes[path[:end+1]]; p != nil {
+			return p
+		}
+	}
+	return prefixes[""]
+}
--- a/internal/profile/profile.go
+++ b/internal/profile/profile.go
@@ -10,6 +10,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 )
 
 //go:generate go run ./genschema ../../docs/schema
@@ -111,6 +112,11 @@
 	Keys []APIKey `json:"keys"`
 }
 
+// Allows reports whether the organisation may use a profile.
+func (o *Organisation) Allows(name string) bool {
+	return slices.Contains(o.Profiles, name) || slices.Contains(o.Profiles, AllProfiles)
+}
+
 // APIKey is a caller's key, stored as its hash.
 type APIKey struct {
 	// ID tells the keys of an organisation apart.
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -25,7 +25,7 @@
 	Profiles map[string]*profile.Profile
 	Orgs     map[string]*profile.Organisation // by the hash of an API key
 	Limits   *profile.Limits                  // of what callers may send; nil: the defaults
-	hosts    hosts
+	hosts    profile.Hosts
 	Pools    map[string]*Pool
 	VMs      map[string]topo.VM
 	Loads    map[string]*profile.Pool // what pools load
@@ -63,7 +63,7 @@
 	v.Version, v.Digest, v.Trusted = mark.Version, mark.Digest, trusted
 	if s.stale.profiles {
 		v.Profiles = maps.Clone(s.profiles)
-		v.hosts = byHost(s.profiles)
+		v.hosts = profile.ByHost(s.profiles)
 		v.Limits = s.limits
 	}
 	if s.stale.orgs {
@@ -243,6 +243,11 @@
 	return best
 }
 
+// ForHost returns the profile for calls of a path of a host; nil if there is none.
+func (v *View) ForHost(host, path string) *profile.Profile {
+	return v.hosts.Find(host, path)
+}
+
 // matchRoutes returns the length of the longest matching prefix, or -1.
 func matchRoutes(routes []profile.Route, method, path string) int {
 	if len(routes) == 0 {
