--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -46,6 +46,11 @@
 func (ConfigAsked) isEvent() {}
 func (VMsChanged) isEvent()  {}
 
+// Members is an Effect: the list of VMs has changed.
+type Members struct{ Changes []topo.VMChange }
+
+func (Members) isEffect() {}
+
 // Effect is something that a router is to do.
 type Effect interface{ isEffect() }
 
@@ -136,7 +141,7 @@
 	case ConfigAsked:
 		return s.asked(e)
 	case VMsChanged:
-		members := Members{Changes: membersChanged(s.vms.Entries, e.VMs.Entries)}
+		members := Members{Changes: topo.Changes(s.vms.Entries, e.VMs.Entries)}
 		s.vms = e.VMs
 		s.join(e.Now)
 		s.stale.pools = true
--- /dev/null
+++ b/internal/topo/change.go
@@ -0,0 +1,42 @@
+package topo
+
+// VMChange is a VM that is there now, leaves or has left.
+type VMChange struct {
+	VM    VM
+	State VMState
+}
+
+// VMState is what the list of VMs says of one.
+type VMState string
+
+// States of a VM in the list.
+const (
+	VMJoined  VMState = "joined"
+	VMLeaving VMState = "leaving"
+	VMLeft    VMState = "left"
+)
+
+// Changes returns what differs between two readings of the list.
+func Changes(before, after []VM) []VMChange {
+	old := make(map[string]VM, len(before))
+	for _, vm := range before {
+		old[vm.ID] = vm
+	}
+	var out []VMChange
+	for _, vm := range after {
+		was, known := old[vm.ID]
+		delete(old, vm.ID)
+		switch {
+		case vm.Leaving && !was.Leaving:
+			out = append(out, VMChange{VM: vm, State: VMLeaving})
+		case !known:
+			out = append(out, VMChange{VM: vm, State: VMJoined})
+		}
+	}
+	for _, vm := range before {
+		if _, gone := old[vm.ID]; gone {
+			out = append(out, VMChange{VM: vm, State: VMLeft})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/topo/change_test.go
@@ -0,0 +1,22 @@
+package topo
+
+import (
+	"slices"
+	"testing"
+)
+
+// Guards against lines that do not tell who has joined, leaves or has left.
+func TestChanges(t *testing.T) {
+	vm := func(id string, leaving bool) VM { return VM{ID: id, Leaving: leaving} }
+	before := []VM{vm("stays", false), vm("leaves", false), vm("goes", true), vm("left", true)}
+	after := []VM{vm("stays", false), vm("leaves", true), vm("goes", true), vm("new", false), vm("comes leaving", true)}
+	want := []VMChange{
+		{VM: vm("leaves", true), State: VMLeaving},
+		{VM: vm("new", false), State: VMJoined},
+		{VM: vm("comes leaving", true), State: VMLeaving},
+		{VM: vm("left", true), State: VMLeft},
+	}
+	if got := Changes(before, after); !slices.Equal(got, want) {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+}
