--- a/internal/router/register.go
+++ b/internal/register/register.go
@@ -1,4 +1,9 @@
-package router
+// Package register keeps the entries in the platform's store by which routers find each other.
+//
+// A router runs a Keeper. It assumes that one router reads the store for the others, and that
+// routers that know each other tell each other the rest: the register is read at a start, and
+// now and then by who reads the store.
+package register
 
 import (
 	"context"
@@ -31,38 +36,54 @@
 	Written int64      `json:"written"` // Unix seconds
 }
 
-// register makes this router known in the store, learns of the others there, and
-// sweeps those that are long gone.
-func (m *mesh) register(ctx context.Context) {
+// Keeper keeps one router's entry.
+type Keeper struct {
+	store    topo.Store
+	self     relay.Node
+	reads    func() bool
+	found    func([]relay.Node)
+	entered  bool          // owned by Run
+	restored chan struct{} // of one: the store may have lost this router's entry
+}
+
+// New returns the Keeper of a router. reads reports whether it reads the store for others, and
+// found takes in who else is there.
+func New(store topo.Store, self relay.Node, reads func() bool, found func([]relay.Node)) *Keeper {
+	return &Keeper{store: store, self: self, reads: reads, found: found, restored: make(chan struct{}, 1)}
+}
+
+// Run makes this router known in the store, learns of the others there, and
+// sweeps those that are long gone, until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := m.readRegister(ctx)
+		err := k.read(ctx)
 		if err != nil {
 			slog.Warn("the register of routers could not be read", "error", err)
 			sleep(ctx, registerRetry/2+rand.N(registerRetry))
 			continue
 		}
-		m.awaitReading(ctx)
+		k.await(ctx)
 	}
 }
 
-// awaitReading returns when the register is to be read again. Meanwhile it sees to it that
+// await returns when the register is to be read again. Meanwhile it sees to it that
 // the store has this router's entry, which one that comes back from an older copy may lack:
 // routers that start would not find this one.
-func (m *mesh) awaitReading(ctx context.Context) {
+func (k *Keeper) await(ctx context.Context) {
 	next := time.NewTimer(registerEvery/2 + rand.N(registerEvery))
 	defer next.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-m.restored:
+		case <-k.restored:
 			sleep(ctx, rand.N(registerRetry))
-			if err := m.enterIfLost(ctx); err != nil {
+			if err := k.enterIfLost(ctx); err != nil {
 				slog.Warn("this router's entry of the register was not found, nor written again", "error", err)
 				return
 			}
 		case <-next.C:
-			if m.reads.Load() {
+			if k.reads() {
 				return
 			}
 			next.Reset(registerEvery/2 + rand.N(registerEvery))
@@ -70,47 +91,54 @@
 	}
 }
 
-// enterAgain has the entry of this router looked for.
-func (m *mesh) enterAgain() {
+// EnterAgain has the entry of this router looked for.
+func (k *Keeper) EnterAgain() {
 	select {
-	case m.restored <- struct{}{}:
+	case k.restored <- struct{}{}:
 	default: // it is about to be
 	}
 }
 
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 // enterIfLost writes the entry of this router if the store has none.
-func (m *mesh) enterIfLost(ctx context.Context) error {
-	_, err := m.router.config.Store.Get(ctx, topo.Ref{Kind: topo.KindRouter, Name: m.Self.Name})
+func (k *Keeper) enterIfLost(ctx context.Context) error {
+	_, err := k.store.Get(ctx, topo.Ref{Kind: topo.KindRouter, Name: k.self.Name})
 	if errors.Is(err, topo.ErrNotFound) {
-		return m.enter(ctx, 0)
+		return k.enter(ctx, 0)
 	}
 	return err
 }
 
-// readRegister enters this router and then reads who else is there: of two that
+// read enters this router and then reads who else is there: of two that
 // start at the same moment, the one that enters later finds the other.
-func (m *mesh) readRegister(ctx context.Context) error {
-	if !m.entered {
+func (k *Keeper) read(ctx context.Context) error {
+	if !k.entered {
 		// A conflict is the entry of an earlier start, which the reading shows.
-		if err := m.enter(ctx, 0); err != nil && !errors.Is(err, topo.ErrConflict) {
+		if err := k.enter(ctx, 0); err != nil && !errors.Is(err, topo.ErrConflict) {
 			return err
 		}
-		m.entered = true
+		k.entered = true
 	}
-	version, known, err := m.readOnce(ctx)
+	version, known, err := k.readOnce(ctx)
 	if err != nil || known {
 		return err
 	}
-	return m.enter(ctx, version)
+	return k.enter(ctx, version)
 }
 
 // readOnce reads the register and makes its routers known to the relay. It returns
 // the version of this router's own entry, and whether it says what it should.
-func (m *mesh) readOnce(ctx context.Context) (own topo.Version, known bool, err error) {
+func (k *Keeper) readOnce(ctx context.Context) (own topo.Version, known bool, err error) {
 	var nodes []relay.Node
 	cont := ""
 	for {
-		page, err := m.router.config.Store.List(ctx, topo.KindRouter, cont)
+		page, err := k.store.List(ctx, topo.KindRouter, cont)
 		if err != nil {
 			return 0, false, err
 		}
@@ -121,10 +149,10 @@
 				continue
 			}
 			switch {
-			case o.Name == m.Self.Name:
-				own, known = o.Version, r.Node == m.Self
+			case o.Name == k.self.Name:
+				own, known = o.Version, r.Node == k.self
 			case time.Since(time.Unix(r.Written, 0)) > registerLife:
-				m.sweep(ctx, o)
+				k.sweep(ctx, o)
 			default:
 				nodes = append(nodes, r.Node)
 			}
@@ -133,24 +161,24 @@
 			break
 		}
 	}
-	m.router.loop.Post(RelayEvent{Event: relay.Registered{Now: time.Now(), Nodes: nodes}})
+	k.found(nodes)
 	return own, known, nil
 }
 
 // enter writes this router's entry. If the answer is lost, the next reading shows
 // what became of it.
-func (m *mesh) enter(ctx context.Context, version topo.Version) error {
-	value, err := json.Marshal(registration{Node: m.Self, Written: time.Now().Unix()})
+func (k *Keeper) enter(ctx context.Context, version topo.Version) error {
+	value, err := json.Marshal(registration{Node: k.self, Written: time.Now().Unix()})
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	_, err = m.router.config.Store.Put(ctx, topo.Ref{Kind: topo.KindRouter, Name: m.Self.Name}, value, version)
+	_, err = k.store.Put(ctx, topo.Ref{Kind: topo.KindRouter, Name: k.self.Name}, value, version)
 	return err
 }
 
 // sweep removes an entry that nobody renews.
-func (m *mesh) sweep(ctx context.Context, o topo.Object) {
-	if err := m.router.config.Store.Delete(ctx, o.Ref, o.Version); err != nil && !errors.Is(err, topo.ErrNotFound) {
+func (k *Keeper) sweep(ctx context.Context, o topo.Object) {
+	if err := k.store.Delete(ctx, o.Ref, o.Version); err != nil && !errors.Is(err, topo.ErrNotFound) {
 		slog.Warn("an old entry of the register of routers could not be removed", "router", o.Name, "error", err)
 	}
 }
--- a/internal/router/mesh.go
+++ b/internal/router/mesh.go
@@ -14,6 +14,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/config/follow"
 	"github.com/parsleyfront/parsleyfront/internal/config/pack"
 	"github.com/parsleyfront/parsleyfront/internal/membership"
+	"github.com/parsleyfront/parsleyfront/internal/register"
 	"github.com/parsleyfront/parsleyfront/internal/relay"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
@@ -66,8 +67,7 @@
 	parent   relay.Node  // owned by the control loop
 	reads    atomic.Bool // this router reads the store
 	packed   *pack.Packer
-	entered  bool          // in the register; owned by its goroutine
-	restored chan struct{} // of one: the store may have lost this router's entry
+	register *register.Keeper
 
 	// What follows is owned by the control loop.
 	told     []byte    // to those that rely on this router, last
@@ -78,7 +78,10 @@
 }
 
 func newMesh(r *Router, m Mesh) *mesh {
-	out := &mesh{Mesh: m, router: r, packed: pack.New(), restored: make(chan struct{}, 1)}
+	out := &mesh{Mesh: m, router: r, packed: pack.New()}
+	out.register = register.New(r.config.Store, m.Self, out.reads.Load, func(nodes []relay.Node) {
+		r.loop.Post(RelayEvent{Event: relay.Registered{Now: time.Now(), Nodes: nodes}})
+	})
 	out.members = &follow.Runner{
 		Source:  follow.FromStore(r.config.Store, m.Members.Kind()),
 		Follows: "upstreams",
@@ -102,7 +105,7 @@
 	})
 	go m.hear()
 	go m.accept(ctx)
-	go m.register(ctx)
+	go m.register.Run(ctx)
 	if m.Slept != nil {
 		go m.watchSleep(ctx)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -217,7 +217,7 @@
 // restored writes again what this router wrote into a store that has lost its last seconds.
 func (r *Router) restored() {
 	if r.mesh != nil {
-		r.mesh.enterAgain()
+		r.mesh.register.EnterAgain()
 	}
 	go r.claimer.Restored(r.ctx)
 }
