balance: how an attempt goes is watched beside the tracker that it is told to

Tests green, unchanged. Conclusion: package balance has one type that runs on the clock, and says so.

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -6,7 +6,8 @@
 // Package router feeds a Tracker with what its requests meet, asks it for each request
 // where it may go, and has routers tell each other what theirs know. Package model does
 // the same in virtual time. A Tracker knows no clock and no connection; it is safe for
-// concurrent use, and outlives the lists of upstreams that it is asked about.
+// concurrent use, and outlives the lists of upstreams that it is asked about. A Watch feeds
+// it with one attempt, by the clock of the machine.
 package balance
 
 import (
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -76,7 +76,7 @@
 	vm        topo.VM
 	donor     topo.VM
 	tracker   *balance.Tracker // of direct upstreams: counts the attempt
-	watch     *watch           // of direct upstreams
+	watch     *balance.Watch   // of direct upstreams
 	call      wire.Call
 	link      int       // place in the chain of the caller's key
 	key       *wire.Key // nil until drawn
--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -63,7 +63,7 @@
 	at.tracker.Begin(id)
 	context.AfterFunc(at.ctx, func() {
 		at.tracker.End(id)
-		at.watch.giveUp()
+		at.watch.GiveUp()
 	})
 	s, err := a.router.config.Direct.Do(at.ctx, at.vm, a.call(at), func() bool { return a.pass(at) })
 	if err != nil {
@@ -85,7 +85,7 @@
 			// one that fails them: a request that may be sent once cannot go on to the next.
 			// With half of the upstreams turning half of their requests away, .7% of all
 			// were told to come back, .2% with this; in a surge beside slow ones .16, .11%.
-			at.watch.judge(false)
+			at.watch.Judge(false)
 		}
 		return dispatch.Refused{Now: time.Now(), Attempt: at.number, Err: declined(s.Status())}
 	}
@@ -112,7 +112,7 @@
 	if !at.gate.pass() {
 		return false
 	}
-	at.watch.begin()
+	at.watch.Begin()
 	return true
 }
 
@@ -147,7 +147,7 @@
 		return dispatch.Lost{Now: now, Attempt: at.number}
 	case err.Reason == verdict.ReasonNoUpstream:
 		a.router.avoid(at.vm.ID)
-		at.watch.broke()
+		at.watch.Broke()
 		return dispatch.Unreachable{Now: now, Attempt: at.number, Err: err}
 	case at.withheld != nil:
 		return dispatch.Unreachable{Now: now, Attempt: at.number, Err: at.withheld}
@@ -178,9 +178,9 @@
 		if p.Head != nil {
 			continue
 		}
-		at.watch.begun()
+		at.watch.Begun()
 		if telling(status) {
-			at.watch.judge(status < http.StatusInternalServerError)
+			at.watch.Judge(status < http.StatusInternalServerError)
 		}
 		if status >= http.StatusInternalServerError {
 			err := verdict.New(verdict.Ran, verdict.ReasonUpstreamFailed, "the upstream answered with status %d", status)
@@ -211,7 +211,7 @@
 // this router has broken it.
 func (a direct) lostAnswer(at *attempt) {
 	if at.ctx.Err() == nil {
-		at.watch.judge(false)
+		at.watch.Judge(false)
 	}
 }
 
--- a/internal/router/effects.go
+++ b/internal/router/effects.go
@@ -26,11 +26,9 @@
 	to, ok := a.carrier.target(e)
 	at := a.add(to.vm)
 	at.donor, at.tracker = to.donor, to.tracker
-	at.watch = &watch{
-		tracker:   to.tracker,
-		attempt:   balance.Attempt{VM: load.Hash(to.vm.ID), Profile: a.req.Profile.Name, Urgency: a.basis.Urgency, Load: to.load, Behind: a.basis.Behind},
-		objective: a.req.Profile.Objective.Std(),
-	}
+	at.watch = balance.NewWatch(to.tracker, balance.Attempt{
+		VM: load.Hash(to.vm.ID), Profile: a.req.Profile.Name, Urgency: a.basis.Urgency, Load: to.load, Behind: a.basis.Behind,
+	}, a.req.Profile.Objective.Std())
 	if e.Continue {
 		a.winner = nil
 		at.headed = true
