--- a/internal/router/ledger.go
+++ b/internal/admin/ledger/ledger.go
@@ -1,4 +1,8 @@
-package router
+// Package ledger keeps which version of each object is in force, for operators.
+//
+// A router's control loop writes a Ledger, and publishes after the view of the configuration
+// that goes with it. A Ledger is safe for concurrent use.
+package ledger
 
 import (
 	"cmp"
@@ -11,30 +15,18 @@
 	"github.com/parsleyfront/parsleyfront/internal/topo"
 )
 
-// Followed is an Effect: objects have come into force, or were rejected.
+// Followed is what has come into force, or was rejected.
 type Followed struct {
 	Objects  []admin.ObjectVersion
 	Rejected []profile.Problem // each object's first problem
-	Drained  []DomainOrder
-	Complete topo.Version // of the store, up to which all is known
-	Edition  int64        // the operators' number of a configuration that is written as a whole
+	Complete topo.Version      // of the store, up to which all is known
 	// StoreHeard is when the store last answered with what was not stale.
 	StoreHeard time.Time
 }
 
-func (Followed) isEffect() {}
-
-// DomainOrder is an order to a failure domain that has come into force.
-type DomainOrder struct {
-	Domain  string
-	Leave   bool // else it is taken back
-	Version topo.Version
-	InForce int // failure domains that are under an order now
-}
-
-// ledger is which version of each object is in force, for operators. The
+// Ledger is which version of each object is in force, for operators. The
 // control loop writes it, and publishes after the View that goes with it.
-type ledger struct {
+type Ledger struct {
 	mu       sync.Mutex
 	versions map[topo.Ref]topo.Version
 	rejected map[topo.Ref]profile.Problem
@@ -45,15 +37,17 @@
 	changed  chan struct{} // closed and replaced at each publication
 }
 
-func newLedger() *ledger {
-	return &ledger{
+// New returns a Ledger of nothing.
+func New() *Ledger {
+	return &Ledger{
 		versions: make(map[topo.Ref]topo.Version),
 		rejected: make(map[topo.Ref]profile.Problem),
 		changed:  make(chan struct{}),
 	}
 }
 
-func (l *ledger) follow(f Followed) {
+// Take takes in what has come into force.
+func (l *Ledger) Take(f Followed) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, o := range f.Objects {
@@ -69,7 +63,8 @@
 	l.heard = f.StoreHeard
 }
 
-func (l *ledger) publish() {
+// Publish tells those who wait for Next of what was taken in.
+func (l *Ledger) Publish() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.dirty {
@@ -79,7 +74,8 @@
 	}
 }
 
-func (l *ledger) inForce(ref topo.Ref) admin.InForce {
+// InForce says how far an object is followed.
+func (l *Ledger) InForce(ref topo.Ref) admin.InForce {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	in := admin.InForce{Version: l.versions[ref]}
@@ -94,13 +90,15 @@
 	return in
 }
 
-func (l *ledger) completeTo() topo.Version {
+// Complete returns up to which version of the store all is known.
+func (l *Ledger) Complete() topo.Version {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.complete
 }
 
-func (l *ledger) status() admin.ConfigStatus {
+// Status returns how far the configuration is followed.
+func (l *Ledger) Status() admin.ConfigStatus {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := admin.ConfigStatus{Version: l.newest, StoreHeard: l.heard}
@@ -111,7 +109,8 @@
 	return s
 }
 
-func (l *ledger) next() <-chan struct{} {
+// Next is closed when the configuration in force changes next.
+func (l *Ledger) Next() <-chan struct{} {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.changed
--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -52,7 +52,7 @@
 		FailureDomain: o.router.config.FailureDomain,
 		Started:       o.started,
 		Ready:         o.router.Ready(),
-		Config:        o.router.ledger.status(),
+		Config:        o.router.ledger.Status(),
 		Control:       controlRates(now.Sub(o.started)),
 		Quarantined:   o.router.suspects.quarantined(now),
 		Unread:        vocabulary.All(),
@@ -124,22 +124,22 @@
 }
 
 // InForce implements admin.Node.
-func (o *Operators) InForce(ref topo.Ref) admin.InForce { return o.router.ledger.inForce(ref) }
+func (o *Operators) InForce(ref topo.Ref) admin.InForce { return o.router.ledger.InForce(ref) }
 
 // Complete implements admin.Node.
-func (o *Operators) Complete() topo.Version { return o.router.ledger.completeTo() }
+func (o *Operators) Complete() topo.Version { return o.router.ledger.Complete() }
 
 // Rejected implements admin.Node.
 func (o *Operators) Rejected() []topo.Ref {
 	var refs []topo.Ref
-	for _, p := range o.router.ledger.status().Rejected {
+	for _, p := range o.router.ledger.Status().Rejected {
 		refs = append(refs, p.Ref)
 	}
 	return refs
 }
 
 // Changed implements admin.Node.
-func (o *Operators) Changed() <-chan struct{} { return o.router.ledger.next() }
+func (o *Operators) Changed() <-chan struct{} { return o.router.ledger.Next() }
 
 // Refresh implements admin.Node.
 func (o *Operators) Refresh() { o.router.refreshConfig() }
--- a/internal/router/ledger_test.go
+++ b/internal/router/ledger_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/parsleyfront/parsleyfront/internal/admin/ledger"
 	"github.com/parsleyfront/parsleyfront/internal/config"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
@@ -17,7 +18,7 @@
 // profile does not exist; were it passed over without a word, apply --wait
 // would say that it is in force.
 func TestInvalidObjectLeavesTheVersionBeforeInForce(t *testing.T) {
-	s, l := NewState("r", placement.Locality{}, config.DefaultPace(), 1), newLedger()
+	s, l := NewState("r", placement.Locality{}, config.DefaultPace(), 1), ledger.New()
 	step := func(v topo.Version, p profile.Profile) {
 		spec, err := json.Marshal(p)
 		if err != nil {
@@ -31,7 +32,7 @@
 		listed := config.Listed{Now: time.Unix(int64(v), 0), Objects: []topo.Object{o}, Version: v}
 		for _, e := range s.Step(ConfigEvent{Event: listed}) {
 			if followed, ok := e.(Followed); ok {
-				l.follow(followed)
+				l.Take(followed.Followed)
 			}
 		}
 	}
@@ -44,15 +45,15 @@
 	if p := s.View().Profiles["chat"]; p == nil || p.LoadMultiple != profile.DefaultLoadMultiple {
 		t.Errorf("in force is %+v, want the version before", p)
 	}
-	if in := l.inForce(good.Ref()); in.Version != 7 || in.Problem == "" || len(l.status().Rejected) != 1 {
-		t.Errorf("operators are told %+v, %+v", in, l.status())
+	if in := l.InForce(good.Ref()); in.Version != 7 || in.Problem == "" || len(l.Status().Rejected) != 1 {
+		t.Errorf("operators are told %+v, %+v", in, l.Status())
 	}
 	step(9, good)
-	if in := l.inForce(good.Ref()); in.Version != 9 || in.Problem != "" {
+	if in := l.InForce(good.Ref()); in.Version != 9 || in.Problem != "" {
 		t.Errorf("after a valid version operators are told %+v", in)
 	}
 	gone := topo.Ref{Kind: topo.KindPool, Name: "gone"}
-	if in := l.inForce(gone); in.Version != 9 {
+	if in := l.InForce(gone); in.Version != 9 {
 		t.Errorf("an object that does not exist is said to be followed to %d, want 9", in.Version)
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/parsleyfront/parsleyfront/internal/admin/ledger"
 	"github.com/parsleyfront/parsleyfront/internal/claim"
 	"github.com/parsleyfront/parsleyfront/internal/condition"
 	"github.com/parsleyfront/parsleyfront/internal/config"
@@ -107,7 +108,7 @@
 	claims   *claimBudget
 	claimer  *claim.Keeper
 	suspects *suspects
-	ledger   *ledger
+	ledger   *ledger.Ledger
 	holders  *holders
 	warming  warming
 	tuning   atomic.Pointer[Tuning]
@@ -145,7 +146,7 @@
 		claims:     newClaimBudget(time.Now()),
 		claimer:    claim.NewKeeper(c.Store),
 		suspects:   newSuspects(),
-		ledger:     newLedger(),
+		ledger:     ledger.New(),
 		holders:    newHolders(),
 		warming:    warming{gate: warmup.NewGate(c.VM)},
 		peers:      make(map[endpoint]*wire.Peer),
@@ -196,7 +197,7 @@
 	case Notify:
 		r.notify(e)
 	case Followed:
-		r.ledger.follow(e)
+		r.ledger.Take(e.Followed)
 		logFollowed(e)
 	case Members:
 		logMembers(e)
@@ -247,7 +248,7 @@
 func (r *Router) publish() {
 	r.view.Store(r.state.View())
 	r.warming.listed.Store(int64(r.state.Listed()))
-	r.ledger.publish()
+	r.ledger.Publish()
 	r.abandon()
 	if r.Ready() {
 		r.begin.Do(func() { close(r.began) })
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/parsleyfront/parsleyfront/internal/admin"
+	"github.com/parsleyfront/parsleyfront/internal/admin/ledger"
 	"github.com/parsleyfront/parsleyfront/internal/balance"
 	"github.com/parsleyfront/parsleyfront/internal/config"
 	"github.com/parsleyfront/parsleyfront/internal/drain"
@@ -51,6 +52,23 @@
 
 func (Members) isEffect() {}
 
+// Followed is an Effect: objects have come into force, or were rejected.
+type Followed struct {
+	ledger.Followed
+	Drained []DomainOrder
+	Edition int64 // the operators' number of a configuration that is written as a whole
+}
+
+func (Followed) isEffect() {}
+
+// DomainOrder is an order to a failure domain that has come into force.
+type DomainOrder struct {
+	Domain  string
+	Leave   bool // else it is taken back
+	Version topo.Version
+	InForce int // failure domains that are under an order now
+}
+
 // Effect is something that a router is to do.
 type Effect interface{ isEffect() }
 
