--- /dev/null
+++ b/internal/balance/holders.go
@@ -0,0 +1,42 @@
+package balance
+
+import (
+	"sync"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+// sessionsKept is how many sessions a router remembers. At the target's size, 19,000
+// of those that may come back go through one router; each takes 150 bytes.
+const sessionsKept = 32 << 10
+
+// Holders knows which upstream has answered each session last through this router, as what V
+// stands for. It holds the session's prompt, whatever the ranking says now: upstreams may have
+// joined and left since that have never seen it. It is safe for concurrent use.
+type Holders[V any] struct {
+	mu       sync.Mutex
+	sessions *simplelru.LRU[uint64, V]
+}
+
+// NewHolders returns a Holders that knows none.
+func NewHolders[V any]() *Holders[V] {
+	sessions, err := simplelru.NewLRU[uint64, V](sessionsKept, nil)
+	if err != nil {
+		panic(err) // only for a size that is not positive
+	}
+	return &Holders[V]{sessions: sessions}
+}
+
+// Served takes in that an upstream has begun to answer a request of a session.
+func (h *Holders[V]) Served(session uint64, by V) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sessions.Add(session, by)
+}
+
+// Last returns the upstream that has answered the session last.
+func (h *Holders[V]) Last(session uint64) (V, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.sessions.Get(session)
+}
--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -190,7 +190,7 @@
 			s.Within(time.Duration(pauseShare * float64(a.req.Profile.MaxPause.Std())))
 		}
 		if a.session != 0 {
-			a.router.holders.served(a.session, at.vm)
+			a.router.holders.Served(a.session, at.vm)
 		}
 		a.router.limits.answered(a.poolName)
 		return dispatch.Opened{Now: time.Now(), Attempt: at.number, Resumable: s.Events()}
--- a/internal/router/directoffer.go
+++ b/internal/router/directoffer.go
@@ -190,7 +190,7 @@
 	if !on.Donors {
 		return topo.VM{}
 	}
-	if last, ok := a.router.holders.last(a.session); ok && on.LastServed && last.ID != a.pool.VMs[c.Index].ID {
+	if last, ok := a.router.holders.Last(a.session); ok && on.LastServed && last.ID != a.pool.VMs[c.Index].ID {
 		if a.router.givesPrompts(now, a.view, last, a.req.regions()) {
 			return last
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/admin/ledger"
+	"github.com/parsleyfront/parsleyfront/internal/balance"
 	"github.com/parsleyfront/parsleyfront/internal/claim"
 	"github.com/parsleyfront/parsleyfront/internal/condition"
 	"github.com/parsleyfront/parsleyfront/internal/config"
@@ -109,7 +110,7 @@
 	claimer  *claim.Keeper
 	suspects *suspects
 	ledger   *ledger.Ledger
-	holders  *holders
+	holders  *balance.Holders[topo.VM]
 	warming  warming
 	tuning   atomic.Pointer[Tuning]
 
@@ -147,7 +148,7 @@
 		claimer:    claim.NewKeeper(c.Store),
 		suspects:   newSuspects(),
 		ledger:     ledger.New(),
-		holders:    newHolders(),
+		holders:    balance.NewHolders[topo.VM](),
 		warming:    warming{gate: warmup.NewGate(c.VM)},
 		peers:      make(map[endpoint]*wire.Peer),
 		conditions: condition.NewBook(),
