--- /dev/null
+++ b/internal/retry/pools.go
@@ -0,0 +1,83 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Pools is what the requests of one router to each pool share: the Window of their retries, and
+// the Returns of callers that were turned away. It is safe for concurrent use.
+type Pools struct {
+	mu    sync.Mutex
+	pools map[string]*pool
+	rule  Rule
+}
+
+type pool struct {
+	window  Window
+	returns Returns
+}
+
+// NewPools returns Pools of which no request is known.
+func NewPools() *Pools {
+	return &Pools{pools: make(map[string]*pool)}
+}
+
+// Tune replaces the rule of the windows.
+func (p *Pools) Tune(rule Rule) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rule = rule
+}
+
+// Request counts a request of a caller to a pool, and returns the PoolBudget that it draws on.
+func (p *Pools) Request(now time.Time, name string) PoolBudget {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	of := p.pools[name]
+	if of == nil {
+		of = &pool{}
+		p.pools[name] = of
+	}
+	of.window.Request(now, p.rule)
+	of.returns.Arrived(now)
+	return PoolBudget{pools: p, pool: of}
+}
+
+// CallersReturn reports whether callers that a pool has turned away may still come back.
+func (p *Pools) CallersReturn(now time.Time, name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	of := p.pools[name]
+	return of != nil && of.returns.Awaited(now)
+}
+
+// Answered counts an answer of a pool.
+func (p *Pools) Answered(now time.Time, name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if of := p.pools[name]; of != nil {
+		of.returns.Answered(now)
+	}
+}
+
+// PoolBudget is what one request draws on, by the clock of the machine.
+type PoolBudget struct {
+	pools *Pools
+	pool  *pool
+}
+
+// Withdraw pays for one more attempt or reports false.
+func (b PoolBudget) Withdraw() bool {
+	b.pools.mu.Lock()
+	defer b.pools.mu.Unlock()
+	return b.pool.window.Withdraw(time.Now(), b.pools.rule)
+}
+
+// RetryAfter returns when a caller that has some time left, zero if any, is to come back.
+func (b PoolBudget) RetryAfter(left time.Duration) time.Duration {
+	b.pools.mu.Lock()
+	defer b.pools.mu.Unlock()
+	return b.pool.returns.Advise(time.Now(), left, rand.Float64())
+}
--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -192,7 +192,7 @@
 		if a.session != 0 {
 			a.router.holders.Served(a.session, at.vm)
 		}
-		a.router.limits.answered(a.poolName)
+		a.router.retries.Answered(time.Now(), a.poolName)
 		return dispatch.Opened{Now: time.Now(), Attempt: at.number, Resumable: s.Events()}
 	}
 }
--- a/internal/router/directoffer.go
+++ b/internal/router/directoffer.go
@@ -73,7 +73,7 @@
 		a.counted = true
 		a.share = a.pool.tracker.Ask(now, a.session, req.Profile.Name)
 	}
-	a.late = req.mayHaveComeBack() && r.limits.callersReturn(pool, now)
+	a.late = req.mayHaveComeBack() && r.retries.CallersReturn(now, pool)
 	a.targets = a.choices(now)
 	if len(a.targets) == 0 {
 		a.Close()
@@ -81,7 +81,7 @@
 		return nil, e.Later(a.noneOpen(now))
 	}
 	a.plan = req.directPlan(r.policy(), len(a.targets))
-	budget := advisor{Budget: r.limits.pool(a.poolName), router: r, pool: a.pool}
+	budget := advisor{Budget: r.retries.Request(now, a.poolName), router: r, pool: a.pool}
 	if a.basis.Late {
 		a.Close()
 		return nil, a.expectedLate(budget.RetryAfter(time.Until(a.plan.Deadline)))
--- a/internal/router/limits.go
+++ b/internal/router/limits.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -22,12 +21,10 @@
 	mu      sync.Mutex
 	open    map[string]int // requests in flight, by organisation
 	budgets map[string]*retry.Budget
-	pools   map[string]*poolLimits // of direct upstreams
-	rule    retry.Rule             // of their windows
 }
 
 func newLimits() *limits {
-	return &limits{open: make(map[string]int), budgets: make(map[string]*retry.Budget), pools: make(map[string]*poolLimits)}
+	return &limits{open: make(map[string]int), budgets: make(map[string]*retry.Budget)}
 }
 
 // enter counts a request of org in until the result is called.
@@ -87,70 +84,3 @@
 	defer s.limits.mu.Unlock()
 	return s.budget.Withdraw()
 }
-
-// tune replaces the rule by which direct upstreams get retries.
-func (l *limits) tune(rule retry.Rule) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.rule = rule
-}
-
-// poolLimits is what the requests to a pool of direct upstreams share.
-type poolLimits struct {
-	window  retry.Window
-	returns retry.Returns
-}
-
-// pool returns the limits of a pool of direct upstreams, in which the request has been
-// counted.
-func (l *limits) pool(name string) dispatch.Budget {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	p := l.pools[name]
-	if p == nil {
-		p = &poolLimits{}
-		l.pools[name] = p
-	}
-	now := time.Now()
-	p.window.Request(now, l.rule)
-	p.returns.Arrived(now)
-	return poolBudget{limits: l, pool: p}
-}
-
-// callersReturn reports whether callers that a pool of direct upstreams has turned away
-// may still come back.
-func (l *limits) callersReturn(name string, now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	p := l.pools[name]
-	return p != nil && p.returns.Awaited(now)
-}
-
-// answered counts an answer of a pool of direct upstreams.
-func (l *limits) answered(name string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if p := l.pools[name]; p != nil {
-		p.returns.Answered(time.Now())
-	}
-}
-
-// poolBudget is a Budget that the requests of a pool share.
-type poolBudget struct {
-	limits *limits
-	pool   *poolLimits
-}
-
-// Withdraw implements dispatch.Budget.
-func (b poolBudget) Withdraw() bool {
-	b.limits.mu.Lock()
-	defer b.limits.mu.Unlock()
-	return b.pool.window.Withdraw(time.Now(), b.limits.rule)
-}
-
-// RetryAfter implements dispatch.Budget.
-func (b poolBudget) RetryAfter(left time.Duration) time.Duration {
-	b.limits.mu.Lock()
-	defer b.limits.mu.Unlock()
-	return b.pool.returns.Advise(time.Now(), left, rand.Float64())
-}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -106,6 +106,7 @@
 	began    chan struct{} // closed when the router is ready for the first time
 	begin    sync.Once
 	limits   *limits
+	retries  *retry.Pools // of upstreams without a sidecar
 	claims   *claimBudget
 	claimer  *claim.Keeper
 	suspects *suspects
@@ -144,6 +145,7 @@
 		began:      make(chan struct{}),
 		asked:      make(map[uint64]chan config.Delta),
 		limits:     newLimits(),
+		retries:    retry.NewPools(),
 		claims:     newClaimBudget(time.Now()),
 		claimer:    claim.NewKeeper(c.Store),
 		suspects:   newSuspects(),
@@ -182,7 +184,7 @@
 // Tune replaces the router's tuning.
 func (r *Router) Tune(t Tuning) {
 	r.tuning.Store(&t)
-	r.limits.tune(t.Retries)
+	r.retries.Tune(t.Retries)
 }
 
 // act carries out an effect, on the loop's goroutine.
