--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -2,8 +2,6 @@
 
 import (
 	"maps"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -22,7 +20,7 @@
 	Version  topo.Version // of the configuration, as nodes tell each other
 	Digest   uint64       // of the configuration at that version
 	Trusted  bool         // the configuration is known to be a recent one
-	Profiles map[string]*profile.Profile
+	Profiles profile.ByName
 	Orgs     map[string]*profile.Organisation // by the hash of an API key
 	Limits   *profile.Limits                  // of what callers may send; nil: the defaults
 	hosts    profile.Hosts
@@ -214,51 +212,17 @@
 	}
 }
 
-// ForModel returns the profile by which org uses model: the named one, or the
-// first of its profiles that serves the model.
+// ForModel returns the profile by which org uses model.
 func (v *View) ForModel(org *profile.Organisation, name, model string) *profile.Profile {
-	for _, allowed := range org.Profiles {
-		p := v.Profiles[allowed]
-		if p != nil && p.Model == model && (name == "" || name == p.Name) {
-			return p
-		}
-	}
-	return nil
+	return v.Profiles.ForModel(org, name, model)
 }
 
-// ForService returns the profile by which org makes a call of a service. Among
-// several the one with the longest matching route counts.
+// ForService returns the profile by which org makes a call of a service.
 func (v *View) ForService(org *profile.Organisation, name, service, method, path string) *profile.Profile {
-	var best *profile.Profile
-	longest := -1
-	for _, allowed := range org.Profiles {
-		p := v.Profiles[allowed]
-		if p == nil || p.Service != service || (name != "" && name != p.Name) {
-			continue
-		}
-		if n := matchRoutes(p.Routes, method, path); n > longest {
-			best, longest = p, n
-		}
-	}
-	return best
+	return v.Profiles.ForService(org, name, service, method, path)
 }
 
 // ForHost returns the profile for calls of a path of a host; nil if there is none.
 func (v *View) ForHost(host, path string) *profile.Profile {
 	return v.hosts.Find(host, path)
 }
-
-// matchRoutes returns the length of the longest matching prefix, or -1.
-func matchRoutes(routes []profile.Route, method, path string) int {
-	if len(routes) == 0 {
-		return 0
-	}
-	longest := -1
-	for _, r := range routes {
-		methodFits := len(r.Methods) == 0 || slices.Contains(r.Methods, method)
-		if methodFits && strings.HasPrefix(path, r.Prefix) {
-			longest = max(longest, len(r.Prefix))
-		}
-	}
-	return longest
-}
