condition, router: conditions are held by an upstream's id, not by the short name of loads

Change: Book, listed and cold go by the id; the choice asks for upstream i of its pool in place of a short name.

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -55,8 +55,8 @@
 	Objective time.Duration // for the first byte; zero: none, it goes as it is
 	Left      time.Duration // of its caller's time; zero: not known
 	Late      bool          // it cannot be answered within its objective any more
-	// Closed reports whether an upstream may get no request now; nil: none is closed.
-	Closed func(vm load.VM) bool
+	// Closed reports whether upstream i of the pool may get no request now; nil: none is closed.
+	Closed func(i int) bool
 }
 
 // Choose writes the upstreams of p to which a request is offered to out, in order, and
@@ -357,8 +357,8 @@
 func (l loadsAt) Mean() float64 { return l.loads.Mean(l.n, l.idle) }
 
 // Closed implements placement.Loads.
-func (l loadsAt) Closed(vm load.VM) bool {
-	return l.request.Closed != nil && l.request.Closed(vm)
+func (l loadsAt) Closed(i int) bool {
+	return l.request.Closed != nil && l.request.Closed(i)
 }
 
 // Suspects implements placement.Loads.
--- a/internal/condition/book.go
+++ b/internal/condition/book.go
@@ -4,8 +4,6 @@
 	"math"
 	"sync"
 	"time"
-
-	"github.com/parsleyfront/parsleyfront/internal/load"
 )
 
 const (
@@ -22,7 +20,7 @@
 // platform's store says of it, and no entry takes it back. A Book is safe for concurrent use.
 type Book struct {
 	mu      sync.Mutex
-	records map[load.VM]*record
+	records map[string]*record // by the id of the upstream
 }
 
 // record is what is noted of one upstream.
@@ -36,11 +34,11 @@
 
 // NewBook returns a Book that has heard nothing.
 func NewBook() *Book {
-	return &Book{records: make(map[load.VM]*record)}
+	return &Book{records: make(map[string]*record)}
 }
 
 // Leaves notes that an upstream has said that it leaves, and reports whether that is new.
-func (b *Book) Leaves(now time.Time, vm load.VM) bool {
+func (b *Book) Leaves(now time.Time, vm string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.record(now, vm)
@@ -53,7 +51,7 @@
 
 // Rests notes that an upstream wants nothing from this router for a time. Each wish holds to
 // its own end.
-func (b *Book) Rests(now time.Time, vm load.VM, d time.Duration) {
+func (b *Book) Rests(now time.Time, vm string, d time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.record(now, vm)
@@ -64,7 +62,7 @@
 }
 
 // Unreachable notes that no connection to an upstream could be opened.
-func (b *Book) Unreachable(now time.Time, vm load.VM) {
+func (b *Book) Unreachable(now time.Time, vm string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.record(now, vm).unreachable = now.Add(unreachableFor)
@@ -77,7 +75,7 @@
 	return a
 }
 
-func (b *Book) record(now time.Time, vm load.VM) *record {
+func (b *Book) record(now time.Time, vm string) *record {
 	r := b.records[vm]
 	if r == nil {
 		r = &record{}
@@ -88,7 +86,7 @@
 }
 
 // Of returns the conditions of an upstream.
-func (b *Book) Of(now time.Time, vm load.VM) Set {
+func (b *Book) Of(now time.Time, vm string) Set {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.records[vm]
@@ -117,7 +115,7 @@
 
 // Opens returns after what time an upstream may get work, as far as the Book knows: zero if it
 // may now, Forever if it leaves.
-func (b *Book) Opens(now time.Time, vm load.VM) time.Duration {
+func (b *Book) Opens(now time.Time, vm string) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.records[vm]
@@ -139,14 +137,14 @@
 
 // Keep takes in which upstreams are listed now. It forgets what is over, and what was said by
 // those that have not been listed for long.
-func (b *Book) Keep(now time.Time, listed map[load.VM]bool) {
+func (b *Book) Keep(now time.Time, listed func(vm string) bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for vm, r := range b.records {
 		switch {
 		case r.set(now) == 0:
 			delete(b.records, vm)
-		case listed[vm]:
+		case listed(vm):
 			r.listed = now
 		case now.Sub(r.listed) >= forgetAfter:
 			delete(b.records, vm)
@@ -175,7 +173,7 @@
 )
 
 // Statements returns what is noted of an upstream.
-func (b *Book) Statements(now time.Time, vm load.VM) []Statement {
+func (b *Book) Statements(now time.Time, vm string) []Statement {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.records[vm]
--- a/internal/condition/book_test.go
+++ b/internal/condition/book_test.go
@@ -1,14 +1,13 @@
 package condition
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
-
-	"github.com/parsleyfront/parsleyfront/internal/load"
 )
 
-const engine = load.VM(7)
+const engine = "engine-7"
 
 // Guards against a rest that is cut short by a shorter wish that comes after it.
 func TestEachWishForRestHoldsToItsEnd(t *testing.T) {
@@ -30,16 +29,16 @@
 	if !b.Leaves(now, engine) || b.Leaves(now, engine) {
 		t.Error("only the first word is news")
 	}
-	listed := map[load.VM]bool{engine: true}
+	listed, gone := func(string) bool { return true }, func(string) bool { return false }
 	for _, step := range []struct {
 		after   time.Duration
-		listed  map[load.VM]bool
+		listed  func(string) bool
 		leaving bool
 	}{
 		{time.Hour, listed, true},
-		{time.Hour + forgetAfter/2, nil, true},
+		{time.Hour + forgetAfter/2, gone, true},
 		{time.Hour + forgetAfter, listed, true},
-		{time.Hour + 2*forgetAfter, nil, false},
+		{time.Hour + 2*forgetAfter, gone, false},
 	} {
 		at := now.Add(step.after)
 		b.Keep(at, step.listed)
@@ -74,12 +73,13 @@
 // Guards against a memory that grows with each upstream that could not be reached once.
 func TestWhatIsOverIsForgotten(t *testing.T) {
 	b, now := NewBook(), time.Unix(1000, 0)
-	for vm := range load.VM(100) {
+	for i := range 100 {
+		vm := fmt.Sprint("engine-", i)
 		b.Unreachable(now, vm)
 		b.Rests(now, vm, time.Second)
 	}
 	b.Leaves(now, engine)
-	b.Keep(now.Add(unreachableFor), nil)
+	b.Keep(now.Add(unreachableFor), func(string) bool { return true })
 	if len(b.records) != 1 || b.Empty() {
 		t.Errorf("%d are remembered, want the one that leaves", len(b.records))
 	}
@@ -100,7 +100,7 @@
 	if got := b.Statements(now.Add(2*time.Second), engine); !slices.Equal(got, want) {
 		t.Errorf("%+v", got)
 	}
-	if got := b.Statements(now, engine+1); got != nil {
+	if got := b.Statements(now, "another"); got != nil {
 		t.Errorf("of an upstream that nothing is noted of: %+v", got)
 	}
 }
--- a/internal/placement/bounded.go
+++ b/internal/placement/bounded.go
@@ -21,9 +21,9 @@
 	Expect(vm load.VM) Expected
 	// Suspects reports whether an upstream fails more of its requests than others.
 	Suspects(vm load.VM) bool
-	// Closed reports whether an upstream may get no request now, whatever its load: it leaves,
-	// or is cold and has got what it bears.
-	Closed(vm load.VM) bool
+	// Closed reports whether upstream i of the pool may get no request now, whatever its load:
+	// it leaves, or is cold and has got what it bears.
+	Closed(i int) bool
 }
 
 const (
@@ -144,7 +144,7 @@
 
 // takes reports whether upstream i may get a request now.
 func (p *Pool) takes(l Loads, i int) bool {
-	return !p.members[i].Leaving && !l.Closed(p.members[i].VM)
+	return !p.members[i].Leaving && !l.Closed(i)
 }
 
 // rank writes the indices of the region's upstreams to best, in the order in which a
--- a/internal/placement/bounded_test.go
+++ b/internal/placement/bounded_test.go
@@ -22,7 +22,7 @@
 func (l loads) Upper(vm load.VM) float64 { return l[vm] }
 
 func (l loads) Suspects(load.VM) bool   { return false }
-func (l loads) Closed(load.VM) bool     { return false }
+func (l loads) Closed(int) bool         { return false }
 func (l loads) Expect(load.VM) Expected { return Expected{} }
 
 func (l loads) Mean() float64 {
@@ -285,10 +285,10 @@
 // closing is loads of which some may get no request.
 type closing struct {
 	loads
-	closed map[load.VM]bool
+	closed map[int]bool
 }
 
-func (c closing) Closed(vm load.VM) bool { return c.closed[vm] }
+func (c closing) Closed(i int) bool { return c.closed[i] }
 
 // Guards against lines that do not say why a request did not go to its session's home.
 func TestBasisSaysWhyTheHomeIsPassedOver(t *testing.T) {
@@ -306,7 +306,7 @@
 		want  Passed
 	}{
 		{"nothing", l, 0, NotPassed},
-		{"closed", closing{l, map[load.VM]bool{vm: true}}, 0, PassedClosed},
+		{"closed", closing{l, map[int]bool{home: true}}, 0, PassedClosed},
 		{"suspected", suspecting{loads: l, suspected: map[load.VM]bool{vm: true}}, 0, "suspected"},
 		{"over the bound", over(l, vm), 0, "over bound"},
 	} {
--- a/internal/placement/plain_test.go
+++ b/internal/placement/plain_test.go
@@ -132,7 +132,7 @@
 func (l plainAt) Upper(vm load.VM) float64 { return l.tally.Upper(l.now, vm) }
 func (l plainAt) Wait(vm load.VM) float64  { return l.pace.Slowness(l.now, vm) * (l.Load(vm) + 1) }
 func (l plainAt) Suspects(load.VM) bool    { return false }
-func (l plainAt) Closed(load.VM) bool      { return false }
+func (l plainAt) Closed(int) bool          { return false }
 func (l plainAt) Expect(load.VM) Expected  { return Expected{} }
 func (l plainAt) Mean() float64            { return l.tally.Mean(plainUpstreams, 0) }
 
--- a/internal/placement/sliver_test.go
+++ b/internal/placement/sliver_test.go
@@ -195,7 +195,7 @@
 func (l tallyAt) Wait(vm load.VM) float64  { return l.Load(vm) }
 func (l tallyAt) Upper(vm load.VM) float64 { return l.tally.Upper(l.now, vm) }
 func (l tallyAt) Suspects(load.VM) bool    { return false }
-func (l tallyAt) Closed(load.VM) bool      { return false }
+func (l tallyAt) Closed(int) bool          { return false }
 func (l tallyAt) Expect(load.VM) Expected  { return Expected{} }
 func (l tallyAt) Mean() float64            { return l.tally.Mean(sliverUpstreams, l.idle) }
 
--- a/internal/router/account.go
+++ b/internal/router/account.go
@@ -29,8 +29,8 @@
 
 func (r *Router) account(now time.Time, p *Pool, vm topo.VM) admin.UpstreamAccount {
 	id := load.Hash(vm.ID)
-	set := r.against(now, p, id)
-	statements := append(p.statements(now, id), r.conditions.Statements(now, id)...)
+	set := r.against(now, p, vm.ID)
+	statements := append(p.statements(now, vm.ID), r.conditions.Statements(now, vm.ID)...)
 	if p.tracker.Suspected(now, id) {
 		set = set.And(condition.Of(condition.Suspected))
 		statements = append(statements, condition.Statement{Kind: condition.Suspected, By: condition.ByOutcomes})
@@ -51,17 +51,17 @@
 
 // statements returns the conditions of an upstream that the pool's view tells. A cold one is
 // named also while it gets requests.
-func (p *Pool) statements(now time.Time, vm load.VM) []condition.Statement {
+func (p *Pool) statements(now time.Time, id string) []condition.Statement {
 	var out []condition.Statement
-	listed := p.of(vm)
+	listed := p.of(id)
 	if listed.Has(condition.Drained) {
 		out = append(out, condition.Statement{Kind: condition.Drained, By: condition.ByOperators})
 	}
 	if listed.Has(condition.Leaving) {
 		out = append(out, condition.Statement{Kind: condition.Leaving, By: condition.ByEntry})
 	}
-	if u, cold := p.coldAt(now, vm); cold {
-		out = append(out, condition.Statement{Kind: condition.Cold, By: condition.ByEntry, Until: u.warmAt})
+	if warmAt, cold := p.coldAt(now, id); cold {
+		out = append(out, condition.Statement{Kind: condition.Cold, By: condition.ByEntry, Until: warmAt})
 	}
 	return out
 }
--- a/internal/router/conditions.go
+++ b/internal/router/conditions.go
@@ -7,7 +7,6 @@
 
 	"github.com/parsleyfront/parsleyfront/internal/condition"
 	"github.com/parsleyfront/parsleyfront/internal/exchange"
-	"github.com/parsleyfront/parsleyfront/internal/load"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/residency"
 	"github.com/parsleyfront/parsleyfront/internal/router/dispatch"
@@ -26,7 +25,7 @@
 // heard takes in what an answer says of its upstream.
 func (a direct) heard(at *attempt, w exchange.Word) {
 	a.loadHeard(at, w)
-	now, vm := time.Now(), load.Hash(at.vm.ID)
+	now, vm := time.Now(), at.vm.ID
 	if w.Leaving {
 		wordsHeard.Inc(condition.Leaving.String())
 		if a.router.conditions.Leaves(now, vm) {
@@ -64,11 +63,11 @@
 }
 
 // of returns the conditions of an upstream that the pool's view tells.
-func (p *Pool) of(vm load.VM) condition.Set {
+func (p *Pool) of(id string) condition.Set {
 	if p == nil {
 		return condition.Of(condition.Gone)
 	}
-	listed, ok := p.listed[vm]
+	listed, ok := p.listed[id]
 	if !ok {
 		return condition.Of(condition.Gone)
 	}
@@ -77,9 +76,9 @@
 
 // against returns what speaks against an upstream of a pool now, but for its outcomes, which
 // count against others' in the choice.
-func (r *Router) against(now time.Time, p *Pool, vm load.VM) condition.Set {
-	s := p.of(vm).And(r.conditions.Of(now, vm))
-	if r.coldClosed(now, p, vm) {
+func (r *Router) against(now time.Time, p *Pool, id string) condition.Set {
+	s := p.of(id).And(r.conditions.Of(now, id))
+	if r.coldClosed(now, p, id) {
 		s = s.And(condition.Of(condition.Cold))
 	}
 	return s
@@ -87,12 +86,12 @@
 
 // closedIn returns which upstreams of a pool may get no request of this router now; nil: any
 // that the list allows.
-func (r *Router) closedIn(now time.Time, p *Pool) (closed func(load.VM) bool) {
+func (r *Router) closedIn(now time.Time, p *Pool) (closed func(i int) bool) {
 	if len(p.cold) == 0 && r.conditions.Empty() {
 		return nil
 	}
-	return func(vm load.VM) bool {
-		leave, _ := r.against(now, p, vm).Allows(condition.Work)
+	return func(i int) bool {
+		leave, _ := r.against(now, p, p.VMs[i].ID).Allows(condition.Work)
 		return leave == condition.Never
 	}
 }
@@ -101,11 +100,11 @@
 // may not be; nil: it may. It goes by what is known now: much may have been heard of the
 // upstream since it was chosen.
 func (r *Router) admits(now time.Time, pool string, vm topo.VM) *verdict.Error {
-	p, id := r.View().Pools[pool], load.Hash(vm.ID)
-	if leave, why := r.against(now, p, id).Allows(condition.Work); leave == condition.Never {
+	p := r.View().Pools[pool]
+	if leave, why := r.against(now, p, vm.ID).Allows(condition.Work); leave == condition.Never {
 		return withhold(why)
 	}
-	if !r.takeCold(now, p, id) {
+	if !r.takeCold(now, p, vm.ID) {
 		return withhold(condition.Cold)
 	}
 	return nil
@@ -127,7 +126,7 @@
 
 // givesPrompts reports whether others may get cached prompts from an upstream.
 func (r *Router) givesPrompts(now time.Time, view *View, vm topo.VM, allowed residency.Regions) bool {
-	s := r.conditions.Of(now, load.Hash(vm.ID))
+	s := r.conditions.Of(now, vm.ID)
 	if _, listed := view.VMs[vm.ID]; !listed {
 		s = s.And(condition.Of(condition.Gone))
 	}
@@ -147,7 +146,7 @@
 	vm := a.pool.VMs[a.basis.Home]
 	why = string(a.basis.Passed)
 	if a.basis.Passed == placement.PassedClosed {
-		why = a.router.against(now, a.pool, load.Hash(vm.ID)).String()
+		why = a.router.against(now, a.pool, vm.ID).String()
 	}
 	return vm.ID, why
 }
@@ -164,12 +163,12 @@
 // none of them will.
 func (r *Router) opens(now time.Time, p *Pool) time.Duration {
 	soonest := condition.Forever
-	for _, m := range p.members {
-		if m.Leaving {
+	for i, vm := range p.VMs {
+		if p.members[i].Leaving {
 			continue
 		}
-		ends := r.conditions.Opens(now, m.VM)
-		if r.coldClosed(now, p, m.VM) {
+		ends := r.conditions.Opens(now, vm.ID)
+		if r.coldClosed(now, p, vm.ID) {
 			ends = max(ends, coldEnds)
 		}
 		soonest = min(soonest, ends)
@@ -195,9 +194,9 @@
 
 // keepConditions forgets the conditions of upstreams that are gone for long.
 func (r *Router) keepConditions(now time.Time) {
-	listed := make(map[load.VM]bool)
-	for id := range r.View().VMs {
-		listed[load.Hash(id)] = true
-	}
-	r.conditions.Keep(now, listed)
+	vms := r.View().VMs
+	r.conditions.Keep(now, func(id string) bool {
+		_, listed := vms[id]
+		return listed
+	})
 }
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -44,9 +44,9 @@
 	self  placement.Locality
 	parts sync.Map // by the key of regions: the *Pool of its upstreams there
 
-	listed     map[load.VM]condition.Set // what the list and operators' orders tell of each
-	warmupRate float64                   // requests a second that a cold upstream bears; zero: any
-	cold       map[load.VM]coldUpstream
+	listed     map[string]condition.Set // what the list and operators' orders tell of each, by id
+	warmupRate float64                  // requests a second that a cold upstream bears; zero: any
+	cold       map[string]time.Time     // when those are warm that are cold, by id
 }
 
 // View returns the picture of the present state: the former one if nothing that
@@ -157,12 +157,12 @@
 }
 
 func newPool(upstreams []upstream, b *beliefs, t *balance.Tracker, self placement.Locality) *Pool {
-	p := &Pool{beliefs: b, tracker: t, self: self, listed: make(map[load.VM]condition.Set, len(upstreams))}
+	p := &Pool{beliefs: b, tracker: t, self: self, listed: make(map[string]condition.Set, len(upstreams))}
 	var ids []load.VM
 	for _, u := range upstreams {
 		m := u.member()
 		p.VMs, p.members, ids = append(p.VMs, u.vm), append(p.members, m), append(ids, m.VM)
-		p.listed[m.VM] = u.listed()
+		p.listed[u.vm.ID] = u.listed()
 		if !m.Leaving {
 			p.serving = append(p.serving, m.VM)
 		}
@@ -204,10 +204,10 @@
 		return
 	}
 	p.warmupRate = rate
-	p.cold = make(map[load.VM]coldUpstream)
-	for i, vm := range p.VMs {
+	p.cold = make(map[string]time.Time)
+	for _, vm := range p.VMs {
 		if !vm.WarmAt.IsZero() && !vm.Leaving {
-			p.cold[p.members[i].VM] = coldUpstream{id: vm.ID, warmAt: vm.WarmAt}
+			p.cold[vm.ID] = vm.WarmAt
 		}
 	}
 }
--- a/internal/router/warming.go
+++ b/internal/router/warming.go
@@ -4,7 +4,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/parsleyfront/parsleyfront/internal/load"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/warmup"
 )
@@ -26,12 +25,6 @@
 	return int(max(w.listed.Load(), w.told.Load())) * max(regions, 1)
 }
 
-// coldUpstream is an upstream that was cold when its pool's view was built.
-type coldUpstream struct {
-	id     string
-	warmAt time.Time
-}
-
 // limit returns what a cold upstream of a pool may get from all routers.
 func (t Tuning) limit(p *Pool) warmup.Limit {
 	return warmup.Limit{PerSecond: p.warmupRate, Overage: t.WarmupOverage, Slack: t.WarmupSlack}
@@ -39,35 +32,33 @@
 
 // coldClosed reports whether an upstream of a pool is cold, and has got from this router what it
 // bears.
-func (r *Router) coldClosed(now time.Time, p *Pool, vm load.VM) bool {
-	u, cold := p.coldAt(now, vm)
-	if !cold {
+func (r *Router) coldClosed(now time.Time, p *Pool, id string) bool {
+	if _, cold := p.coldAt(now, id); !cold {
 		return false
 	}
 	tuning := r.tuning.Load()
-	return !r.warming.gate.Open(now, u.id, tuning.limit(p), r.warming.routers(tuning.Regions))
+	return !r.warming.gate.Open(now, id, tuning.limit(p), r.warming.routers(tuning.Regions))
 }
 
 // takeCold counts a request that is about to be sent to an upstream of a pool, and reports
 // whether it may be if that is cold.
-func (r *Router) takeCold(now time.Time, p *Pool, vm load.VM) bool {
-	u, cold := p.coldAt(now, vm)
-	if !cold {
+func (r *Router) takeCold(now time.Time, p *Pool, id string) bool {
+	if _, cold := p.coldAt(now, id); !cold {
 		return true
 	}
 	tuning := r.tuning.Load()
-	if !r.warming.gate.Take(now, u.id, tuning.limit(p), r.warming.routers(tuning.Regions)) {
+	if !r.warming.gate.Take(now, id, tuning.limit(p), r.warming.routers(tuning.Regions)) {
 		return false
 	}
 	coldSent.Inc()
 	return true
 }
 
-// coldAt returns an upstream of the pool if it is cold.
-func (p *Pool) coldAt(now time.Time, vm load.VM) (coldUpstream, bool) {
+// coldAt returns until when an upstream of the pool is cold, if it is.
+func (p *Pool) coldAt(now time.Time, id string) (warmAt time.Time, cold bool) {
 	if p == nil {
-		return coldUpstream{}, false
+		return time.Time{}, false
 	}
-	u, ok := p.cold[vm]
-	return u, ok && now.Before(u.warmAt)
+	warmAt = p.cold[id]
+	return warmAt, now.Before(warmAt)
 }
