router: routers tell each other which upstreams have said that they leave

Cause: an upstream's word is heard by the router whose request got the answer. While the store is away each other router sends one more request to find out.

Change: messages between routers name upstreams that have said in answers that they leave, by 64 bits of their ids, as long as the list does not say so; followers tell the router that they rely on, that one tells all. The Book keeps who said it. Rest is told to nobody: it is asked of one router.

--- a/internal/condition/book.go
+++ b/internal/condition/book.go
@@ -1,7 +1,9 @@
 package condition
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sync"
 	"time"
 )
@@ -25,7 +27,8 @@
 
 // record is what is noted of one upstream.
 type record struct {
-	leaving     time.Time // when it said so first; zero: it has not
+	leaving     time.Time // when it said so first in an answer to this router; zero: it has not
+	told        time.Time // when another router told first that it has said so; zero: none has
 	asked       time.Time // when it asked for rest first, of the present one
 	resting     time.Time // until when
 	unreachable time.Time // until when
@@ -49,6 +52,40 @@
 	return news
 }
 
+// Told notes that another router has heard an upstream say that it leaves.
+func (b *Book) Told(now time.Time, vm string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r := b.record(now, vm); r.told.IsZero() {
+		r.told = now
+	}
+}
+
+// Leaving returns the upstreams that have said that they leave, the latest first: to this
+// router, or also to those that have told it.
+func (b *Book) Leaving(told bool) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []string
+	for vm, r := range b.records {
+		if !r.leaving.IsZero() || told && !r.told.IsZero() {
+			out = append(out, vm)
+		}
+	}
+	slices.SortFunc(out, func(x, y string) int {
+		return cmp.Or(b.records[y].left().Compare(b.records[x].left()), cmp.Compare(x, y))
+	})
+	return out
+}
+
+// left returns when the upstream was first known to leave; zero: it is not.
+func (r *record) left() time.Time {
+	if r.leaving.IsZero() || !r.told.IsZero() && r.told.Before(r.leaving) {
+		return r.told
+	}
+	return r.leaving
+}
+
 // Rests notes that an upstream wants nothing from this router for a time. Each wish holds to
 // its own end.
 func (b *Book) Rests(now time.Time, vm string, d time.Duration) {
@@ -98,7 +135,7 @@
 
 func (r *record) set(now time.Time) Set {
 	var s Set
-	if !r.leaving.IsZero() {
+	if !r.left().IsZero() {
 		s |= Of(Leaving)
 	}
 	if now.Before(r.resting) {
@@ -122,7 +159,7 @@
 	switch {
 	case r == nil:
 		return 0
-	case !r.leaving.IsZero():
+	case !r.left().IsZero():
 		return Forever
 	}
 	return max(r.resting.Sub(now), 0)
@@ -168,6 +205,7 @@
 	ByAnswers     Source = "its answers"
 	ByEntry       Source = "its entry"
 	ByOperators   Source = "operators"
+	ByRouters     Source = "other routers"
 	ByConnections Source = "connections of this router"
 	ByOutcomes    Source = "outcomes of all routers"
 )
@@ -182,9 +220,12 @@
 	}
 	var out []Statement
 	s := r.set(now)
-	if s.Has(Leaving) {
+	if !r.leaving.IsZero() {
 		out = append(out, Statement{Kind: Leaving, By: ByAnswers, Since: r.leaving})
 	}
+	if !r.told.IsZero() {
+		out = append(out, Statement{Kind: Leaving, By: ByRouters, Since: r.told})
+	}
 	if s.Has(Resting) {
 		out = append(out, Statement{Kind: Resting, By: ByAnswers, Since: r.asked, Until: r.resting})
 	}
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -15,6 +15,8 @@
 // sharing is what routers tell each other beside the sets that they follow.
 type sharing struct {
 	Pools []sharedPool `cbor:"1,keyasint,omitempty"`
+	// Leaving are upstreams that have said in answers that they leave, by hashes of their ids.
+	Leaving []uint64 `cbor:"3,keyasint,omitempty"`
 	// Routers is how many routers of the region the sender knows.
 	Routers int `cbor:"2,keyasint,omitempty"`
 }
@@ -36,6 +38,9 @@
 	// sharingMost bounds what is shared in one message, in bytes: it travels as one
 	// datagram. A pool's part takes at most 1,000.
 	sharingMost = 1000
+	// leavingMost bounds how many upstreams that leave one message names, 9 bytes each: those
+	// that said so last. The others were named before.
+	leavingMost = 24
 	// tellRate is how much of that a router is told, in bytes a second: of the 4 KB that
 	// control may take, beats and what it tells itself need 1.2.
 	tellRate = 2800
@@ -52,15 +57,19 @@
 	}
 	m.toldAt = now
 	pools := m.pools(func(p *Pool) balance.Shared { return p.tracker.Known(now, p.serving) })
-	if len(pools) == 0 {
+	leaving := m.leaving(true)
+	if len(pools) == 0 && len(leaving) == 0 {
 		m.told = nil
 		return nil
 	}
-	m.turn %= len(pools)
-	pools = append(pools[m.turn:], pools[:m.turn]...)
-	n := fitting(pools)
-	m.turn += n
-	m.told = m.pack(pools[:n])
+	n := 0
+	if len(pools) > 0 {
+		m.turn %= len(pools)
+		pools = append(pools[m.turn:], pools[:m.turn]...)
+		n = fitting(pools)
+		m.turn += n
+	}
+	m.told = m.pack(pools[:n], leaving)
 	m.tellNext = now.Add(time.Duration(len(m.told)) * time.Second / tellRate)
 	return m.told
 }
@@ -70,15 +79,41 @@
 	after := m.sharedAt
 	m.sharedAt = now
 	pools := m.pools(func(p *Pool) balance.Shared { return p.tracker.Seen(now, after, p.serving) })
+	leaving := m.leaving(false)
 	var out [][]byte
-	for len(pools) > 0 {
+	for len(pools) > 0 || len(leaving) > 0 {
 		n := fitting(pools)
-		out = append(out, m.pack(pools[:n]))
-		pools = pools[n:]
+		out = append(out, m.pack(pools[:n], leaving))
+		pools, leaving = pools[n:], nil
+	}
+	return out
+}
+
+// leaving returns the upstreams that have said that they leave, and of which the list does not
+// say so: to this router, or also to those that have told it.
+func (m *mesh) leaving(told bool) []uint64 {
+	vms := m.router.View().VMs
+	var out []uint64
+	for _, id := range m.router.conditions.Leaving(told) {
+		if vm, listed := vms[id]; listed && !vm.Leaving && len(out) < leavingMost {
+			out = append(out, xxh3.HashString(id))
+		}
 	}
 	return out
 }
 
+// takeLeaving takes in which upstreams have told another router that they leave.
+func (m *mesh) takeLeaving(now time.Time, leaving []uint64) {
+	if len(leaving) == 0 {
+		return
+	}
+	for id := range m.router.View().VMs {
+		if slices.Contains(leaving, xxh3.HashString(id)) {
+			m.router.conditions.Told(now, id)
+		}
+	}
+}
+
 // pools returns what is to be told of each pool, in the order of their names.
 func (m *mesh) pools(of func(*Pool) balance.Shared) []sharedPool {
 	on := m.router.policy()
@@ -108,9 +143,9 @@
 	return len(pools)
 }
 
-// pack returns pools as they travel.
-func (m *mesh) pack(pools []sharedPool) []byte {
-	b, err := cbor.Marshal(sharing{Pools: pools, Routers: m.router.warming.routers(1)})
+// pack returns pools and those that leave as they travel.
+func (m *mesh) pack(pools []sharedPool, leaving []uint64) []byte {
+	b, err := cbor.Marshal(sharing{Pools: pools, Leaving: leaving, Routers: m.router.warming.routers(1)})
 	if err != nil {
 		slog.Error("what is shared between routers cannot be encoded", "error", err)
 		return nil
@@ -140,6 +175,7 @@
 	if from == fromReader && s.Routers > 0 {
 		m.router.warming.told.Store(int64(s.Routers))
 	}
+	m.takeLeaving(now, s.Leaving)
 	byHash := make(map[uint32]*Pool)
 	for name, p := range m.router.View().Pools {
 		byHash[shortHash(name)] = p
--- a/internal/router/sharing_test.go
+++ b/internal/router/sharing_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/balance"
+	"github.com/parsleyfront/parsleyfront/internal/condition"
 	"github.com/parsleyfront/parsleyfront/internal/load"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/policy"
@@ -19,7 +20,7 @@
 	for i, id := range upstreams {
 		vms[i] = topo.VM{ID: id, Role: topo.RoleDirect, Pool: "llm"}
 	}
-	r := &Router{}
+	r := &Router{conditions: condition.NewBook()}
 	r.tuning.Store(&Tuning{Policy: policy.All()})
 	r.view.Store(&View{Pools: map[string]*Pool{"llm": newPool(listed(vms), newBeliefs(), balance.NewTracker(), placement.Locality{})}})
 	return &mesh{router: r}
