model: upstreams that turn requests away may want rest, as routers hear it

Cause: the model had no upstream that says anything beside its answers, so that what to do when most of a pool rests was not to be tried.

--- a/internal/model/callers.go
+++ b/internal/model/callers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/balance"
+	"github.com/parsleyfront/parsleyfront/internal/condition"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/retry"
 )
@@ -138,7 +139,7 @@
 	q.Now = f.clock.now
 	n, basis := r.tracker.Choose(q.Now, r.placed, f.on, balance.Request{
 		Query: q, Profile: kind, Objective: f.config.Callers.Objective,
-		Left: f.config.Callers.Patience - q.Now.Sub(c.asked), Late: c.tries > 1,
+		Left: f.config.Callers.Patience - q.Now.Sub(c.asked), Late: c.tries > 1, Closed: f.closed(r),
 	}, &out)
 	if basis.Late {
 		f.refuse(r, c)
@@ -155,6 +156,17 @@
 	f.refuse(r, c)
 }
 
+// closed returns which upstreams a router sends nothing; nil: none.
+func (f *fleet) closed(r *router) func(int) bool {
+	if r.said.Empty() {
+		return nil
+	}
+	return func(i int) bool {
+		leave, _ := r.said.Of(f.clock.now, f.upstreams[i].name).Allows(condition.Work)
+		return leave == condition.Never
+	}
+}
+
 // attempt sends a request to one upstream.
 func (f *fleet) attempt(r *router, c *call, q placement.Query, choice placement.Choice, basis placement.Basis) {
 	u, sent, judged := f.upstreams[choice.Index], f.clock.now, false
@@ -216,6 +228,9 @@
 			return
 		}
 		end()
+		if u.rest > 0 {
+			r.said.Rests(f.clock.now, u.name, u.rest)
+		}
 		judge(false)
 		f.again(r, c, q)
 	})
@@ -292,10 +307,19 @@
 	}
 }
 
+// opens returns when the first upstream takes requests of a router again; zero: one does now.
+func (f *fleet) opens(r *router) time.Duration {
+	soonest := condition.Forever
+	for _, u := range f.upstreams {
+		soonest = min(soonest, r.said.Opens(f.clock.now, u.name))
+	}
+	return soonest
+}
+
 // refuse tells a caller when to come back.
 func (f *fleet) refuse(r *router, c *call) {
 	left := f.config.Callers.Patience - f.clock.now.Sub(c.asked)
-	back := r.returns.Advise(f.clock.now, left, f.random.Float64())
+	back := max(r.returns.Advise(f.clock.now, left, f.random.Float64()), f.opens(r))
 	f.result.turnedAway(c.asked)
 	if c.tries >= f.config.Callers.Tries {
 		c.ended = true
--- a/internal/model/config.go
+++ b/internal/model/config.go
@@ -94,6 +94,9 @@
 	Share float64       `yaml:"share"` // of the upstreams, chosen by the seed
 	Times float64       `yaml:"times"` // for Slow
 	Part  float64       `yaml:"part"`  // of the requests; 0: all
+	// Rest is what Refuse tells a router with each refusal: for how long the upstream wants
+	// nothing from it. Zero: it says nothing.
+	Rest time.Duration `yaml:"rest"`
 }
 
 // Check returns what is wrong with the configuration.
@@ -147,6 +150,9 @@
 	default:
 		return errors.Errorf("kind: %q is none of slow, refuse, fail, hang, crash", f.Kind)
 	}
+	if f.Rest < 0 || f.Rest > 0 && f.Kind != Refuse {
+		return errors.New("rest: write a time of 0 or more, for refuse only")
+	}
 	if f.For <= 0 || f.Share <= 0 || f.Share > 1 || f.Part < 0 || f.Part > 1 {
 		return errors.New("for must be above 0, share above 0 and at most 1, part 0 to 1")
 	}
--- a/internal/model/faults.go
+++ b/internal/model/faults.go
@@ -30,7 +30,7 @@
 			u.slow = fault.Times
 		}
 	case Refuse:
-		u.refuse = part
+		u.refuse, u.rest = part, fault.Rest
 	case Fail:
 		u.fail = part
 	case Hang:
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/balance"
+	"github.com/parsleyfront/parsleyfront/internal/condition"
 	"github.com/parsleyfront/parsleyfront/internal/load"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/policy"
@@ -53,6 +54,7 @@
 	placed  *placement.Pool
 	window  retry.Window
 	returns retry.Returns
+	said    *condition.Book
 	last    map[uint64]int // upstream that has served a session last
 }
 
@@ -89,6 +91,7 @@
 		f.routers = append(f.routers, &router{
 			tracker: balance.NewTracker(),
 			placed:  placement.NewPool(members, placement.Locality{Domain: domainName(i % domains)}),
+			said:    condition.NewBook(),
 			last:    make(map[uint64]int),
 		})
 	}
--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -190,3 +190,20 @@
 		t.Errorf("skew %.2f with loads told, %.2f without; %d of %d late", told.Skew, untold.Skew, told.Late, told.Asked)
 	}
 }
+
+// Guards against requests of a router at an upstream that has asked it for rest: callers would
+// be turned away once more for each.
+func TestUpstreamsThatWantRestGetIt(t *testing.T) {
+	turnedAway := func(rest time.Duration) (n int) {
+		c := engineConfig()
+		c.Faults = []Fault{{Kind: Refuse, At: 2 * time.Second, For: 4 * time.Second, Share: 0.5, Part: 0.5, Rest: rest}}
+		for seed := range uint64(5) {
+			n += Play(c, policy.All(), seed).Sum().TurnedAway
+		}
+		return n
+	}
+	plain, rested := turnedAway(0), turnedAway(3*time.Second)
+	if rested >= plain {
+		t.Errorf("%d turned away, %d where no rest is asked for", rested, plain)
+	}
+}
--- a/internal/model/upstream.go
+++ b/internal/model/upstream.go
@@ -29,8 +29,9 @@
 	reading time.Time // when the prompts that are being read have been
 	context int       // tokens of the prompts in the batch
 	memory  memory
-	slow    float64 // how many times slower it works
-	refuse  float64 // part of the requests
+	slow    float64       // how many times slower it works
+	refuse  float64       // part of the requests
+	rest    time.Duration // that it wants of a router with each refusal
 	fail    float64
 	hang    float64
 }
