outlier: an upstream is suspected by the odds of its outcomes, not by two failures among few

Cause, traced now: where many engines fail a few of their requests, some have two failures among few by chance. The share from which one was suspected, a tenth above that of the third that does best, is passed by two failures among eighteen requests, and the third that does best is itself chosen by chance and has none. So half a pool and more was suspected by turns, 1.5 s each, and the rest got what it left.

Change: suspected is whose outcomes are nine times likelier those of an upstream that fails two fifths (or twice the others' share and a tenth, if that is more) than of one that fails as the others do, a twentieth at least. Two failures among five requests are enough, three among ten, not two among eight.

--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -10,6 +10,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -25,12 +26,18 @@
 	// referenceShare is the part of a pool, those that do best, by which the others are
 	// measured: with most of a pool failing, its mean would excuse them.
 	referenceShare = 1.0 / 3
-	// suspectTimes and suspectMargin are how much larger than theirs the share of failures
-	// of an upstream is from which it is suspected. Two failures in ten requests are
-	// enough next to others without any; two in a hundred are not.
+	// leastReference is the share of failures that the others are taken to have at least.
+	leastReference = 0.05
+	// suspectTimes the others' share and suspectMargin more, suspectLeast at least and
+	// suspectMost at most, is the share that an upstream has which is to be suspected.
 	suspectTimes, suspectMargin = 2.0, 0.1
-	// prior is how many requests with the reference's share of failures each upstream
-	// is taken to have had, so that the first failure of many requests says little.
+	suspectLeast, suspectMost   = 0.4, 0.95
+	// suspectOdds is how many times likelier its outcomes are to be those of such an upstream
+	// than of one like the others, from which on one is suspected. Where many fail a few
+	// requests, some have two failures among few by chance.
+	suspectOdds = 9.0
+	// prior is how many requests without a failure each upstream is taken to have had, where
+	// those that do best are looked for.
 	prior = 1.0
 	// leastFailures is the weight of failures below which an upstream is not suspected:
 	// the second one in a few seconds, whichever router it met. Suspected from the first
@@ -239,7 +246,7 @@
 	}
 	failing := make(map[load.VM]bool)
 	for vm, c := range known {
-		if c.failed >= leastFailures && (c.failed+prior*best)/(c.all+prior) > suspectTimes*best+suspectMargin {
+		if c.failed >= leastFailures && c.odds(best) > suspectOdds {
 			failing[vm] = true
 		}
 	}
@@ -250,6 +257,14 @@
 	}
 }
 
+// odds returns how many times likelier the outcomes are those of an upstream that is to be
+// suspected than of one that fails as the reference does.
+func (c count) odds(reference float64) float64 {
+	like := max(reference, leastReference)
+	bad := min(max(suspectTimes*like+suspectMargin, suspectLeast), suspectMost)
+	return math.Pow(bad/like, c.failed) * math.Pow((1-bad)/(1-like), c.all-c.failed)
+}
+
 // settle takes in whether an upstream fails more than others now. trusted is the part of
 // the pool that does not.
 func (d *Detector) settle(now time.Time, vm load.VM, c count, fails bool, trusted float64) {
--- a/internal/outlier/outlier_test.go
+++ b/internal/outlier/outlier_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -178,3 +179,32 @@
 		t.Errorf("%d of %d upstreams are suspected 3 s after the surge", n, upstreams)
 	}
 }
+
+// Guards against upstreams that are suspected by turns where all of them fail a few requests:
+// the others would get theirs, and stand over the bound on load.
+func TestAFewFailuresAtManyAreChance(t *testing.T) {
+	const (
+		upstreams = 18
+		perSecond = 8 // requests at each
+		length    = 30 * time.Second
+	)
+	for _, share := range []float64{0.03, 0.05, 0.1} {
+		worst := 0
+		for seed := range uint64(10) {
+			random := rand.New(rand.NewPCG(seed, 1))
+			d, vms := New(), pool(upstreams)
+			for now := start; now.Sub(start) < length; now = now.Add(time.Second / (perSecond * upstreams)) {
+				vm := vms[random.IntN(len(vms))]
+				if random.Float64() < share {
+					d.Failed(now, vm)
+				} else {
+					d.Succeeded(now, vm)
+				}
+				worst = max(worst, d.Suspected(now))
+			}
+		}
+		if most := upstreams / 3; worst > most {
+			t.Errorf("a share of %.2f fails at each: %d of %d are suspected at a time, want %d at most", share, worst, upstreams, most)
+		}
+	}
+}
