test/soak: the check for leaving runners tells incarnations apart

Cause: checkLeaving kept what a router has forwarded by the runner's id, and asked at the end of the run whether the present process leaves. Where a runner announces that it leaves, starts again under its id and announces it once more later, the requests that reached the new process before its own announcement counted against the former one's. The fakes' responses did not name the incarnation.

Ruled out: a router that takes back a leaving that holds.

Change: the signature of a soak runner's responses names its incarnation, and so do the reports, the arrivals and the runs that the checks compare. The logs of a failing seed are kept by default, in a folder that the test names, and the end of a run prints the command for each failing seed.

The check is as strict for each incarnation, and stricter where the present process never announces anything.

--- a/test/quarantine_test.go
+++ b/test/quarantine_test.go
@@ -49,6 +49,7 @@
 			continue
 		}
 		crashed++
+		GinkgoWriter.Printf("%s: engine exited with %d: %s\n", vm.id, vm.upstream.session.ExitCode(), vm.upstream.session.Err.Contents())
 		args := append([]string{"--kind", "engine", "--listen", vm.upstream.addr, "--name", model}, settings...)
 		vm.upstream = start(standinPath, vm.upstream.addr, args...)
 	}
--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -125,7 +126,7 @@
 // check compares what callers received with what runners ran.
 func (h *harness) check() {
 	runs := make(map[string][]fake.Run)
-	runnersByAttempt := make(map[string][]string) // ids of runners, by attempt
+	runnersByAttempt := make(map[string][]string) // incarnations of runners, by attempt
 	h.checkUnreadSignals()
 	reports := h.leavingReports()
 	for _, r := range h.allRunners() {
@@ -134,7 +135,7 @@
 		h.checkRests(r)
 		for _, run := range r.Runs() {
 			runs[run.ID] = append(runs[run.ID], run)
-			runnersByAttempt[run.ID] = append(runnersByAttempt[run.ID], r.ID)
+			runnersByAttempt[run.ID] = append(runnersByAttempt[run.ID], r.incarnation)
 			h.checkRun(r, run)
 		}
 	}
@@ -190,8 +191,8 @@
 // leavingReport identifies a response, forwarded by a router's process, that announces that its
 // runner leaves.
 type leavingReport struct {
-	process routerProcess
-	runner  string // from Response-Signature
+	process     routerProcess
+	incarnation string // of the runner, from Response-Signature
 }
 
 // leavingReports returns when each process first forwarded a response announcing that a runner
@@ -201,7 +202,7 @@
 	defer h.mu.Unlock()
 	out := make(map[leavingReport]time.Time)
 	for _, c := range h.calls {
-		key := leavingReport{process: routerProcess{c.entry, c.incarnation}, runner: c.signature}
+		key := leavingReport{process: routerProcess{c.entry, c.incarnation}, incarnation: c.signature}
 		if at, known := out[key]; c.signalsLeaving && (!known || c.done.Before(at)) {
 			out[key] = c.done
 		}
@@ -211,20 +212,30 @@
 
 // checkLeaving checks that a runner gets no request that a caller sent after its router had
 // forwarded a response announcing that the runner leaves. A runner restarted under the same id is
-// another runner.
+// another runner, whose responses have another signature.
 func (h *harness) checkLeaving(r *runner, reports map[leavingReport]time.Time) {
+	for _, late := range h.requestsAfterReport(r.incarnation, r.Arrivals(), reports) {
+		h.t.Errorf("%s got %s", r.incarnation, late)
+	}
+}
+
+// requestsAfterReport describes the arrivals at an incarnation of a runner that callers sent after
+// their router had forwarded that it leaves.
+func (h *harness) requestsAfterReport(incarnation string, arrivals []fake.Arrival, reports map[leavingReport]time.Time) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, a := range r.Arrivals() {
+	var out []string
+	for _, a := range arrivals {
 		c := h.sent[a.ID]
 		if c == nil || c.entry == nil {
 			continue
 		}
-		at, known := reports[leavingReport{process: routerProcess{c.entry, c.incarnation}, runner: r.ID}]
-		if known && r.isLeaving() && c.sent.After(at) {
-			h.t.Errorf("%s got %s, sent %v after %s had forwarded that it leaves", r.ID, c.id, c.sent.Sub(at).Round(time.Millisecond), c.entry.name)
+		at, known := reports[leavingReport{process: routerProcess{c.entry, c.incarnation}, incarnation: incarnation}]
+		if known && c.sent.After(at) {
+			out = append(out, fmt.Sprintf("%s, sent %v after %s had forwarded that it leaves", c.id, c.sent.Sub(at).Round(time.Millisecond), c.entry.name))
 		}
 	}
+	return out
 }
 
 const (
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -102,7 +102,6 @@
 		return
 	}
 	r := live[h.intN(len(live))]
-	r.signalsLeaving.Store(true)
 	r.SetExtraHeaders(leavingHeader)
 	time.Sleep(h.randomDuration(10*time.Millisecond, time.Second))
 	h.writeEntry(r, "ready")
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -166,16 +166,15 @@
 	leftAt    time.Time // when its entry announced that it leaves, or was removed; zero: it has not left
 	coldUntil time.Time // end of its warm-up; zero: never cold
 
-	signalsLeaving atomic.Bool // whether its responses announce that it leaves
+	// incarnation is unique among all runners, also among those with the same id. It is the
+	// signature of the runner's responses.
+	incarnation string
 
 	restSeconds  atomic.Pointer[string] // Retry-After value of its rejections; nil: accepts
 	mu           sync.Mutex
 	restRequests []restRequest
 }
 
-// isLeaving reports whether the runner has announced in its responses that it leaves.
-func (r *runner) isLeaving() bool { return r.signalsLeaving.Load() }
-
 // leavingHeader is the header line in all responses of a runner that leaves.
 const leavingHeader = "Server-Leaving: 1"
 
@@ -235,6 +234,8 @@
 	r := &runner{Runner: fake.StartRunner(l, id, p.addr()), proxy: p, startedMs: time.Now().UnixMilli()}
 	r.SetHandler(h.handler(r))
 	h.mu.Lock()
+	r.incarnation = fmt.Sprintf("%s/%d", id, len(h.runners))
+	r.SetSignature(r.incarnation)
 	if len(h.calls) > 0 {
 		r.coldUntil = time.Now().Add(coldDuration)
 	}
@@ -265,7 +266,7 @@
 		}
 		if len(req.URL.Path) < 8 || req.URL.Path[:8] != "/stream/" {
 			time.Sleep(h.randomServiceTime())
-			text := plainResponse(r.ID, id)
+			text := plainResponse(r.incarnation, id)
 			r.WriteHead(c, req, http.StatusOK, "Content-Length: "+strconv.Itoa(len(text)))
 			fmt.Fprint(c, text)
 			if h.drawResponseFault(extraResponse) {
@@ -292,7 +293,7 @@
 // streamEvents is the number of events in a stream.
 const streamEvents = 6
 
-func plainResponse(runner, attempt string) string { return runner + " for " + attempt }
+func plainResponse(incarnation, attempt string) string { return incarnation + " for " + attempt }
 
 // streamName returns the name in the events of a stream: the id of the attempt, which stays the
 // same when another runner resumes the stream.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -25,7 +25,7 @@
 	from       = flag.Uint64("from", 4, "the first seed")
 	duration   = flag.Duration("for", 4*time.Second, "how long faults are injected")
 	entryCount = flag.Int("entries", 3, "routers")
-	keepLogs   = flag.String("logs", "", "folder for the logs of seeds that fail")
+	keepLogs   = flag.String("logs", filepath.Join(os.TempDir(), "parsleyfront-soak"), "folder for the logs of seeds that fail")
 )
 
 // regressionSeeds holds seeds that have failed, with the cause. They run in addition to the seeds
@@ -67,8 +67,14 @@
 	for _, k := range regressionSeeds {
 		list = append(list, k.seed)
 	}
+	var failed []uint64
 	for _, seed := range list {
-		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) { soak(t, seed) })
+		if !t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) { soak(t, seed) }) {
+			failed = append(failed, seed)
+		}
+	}
+	for _, seed := range failed {
+		t.Logf("failed: go test ./test/soak -seeds 1 -for %v -entries %d -from %d", *duration, *entryCount, seed)
 	}
 }
 
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -140,12 +140,26 @@
 		_ = r.Close()
 		r.proxy.close()
 	}
-	if h.t.Failed() && *keepLogs != "" {
-		to := filepath.Join(*keepLogs, fmt.Sprint("seed-", h.seed))
-		if err := os.CopyFS(to, os.DirFS(h.dir)); err != nil {
-			h.t.Log(err)
-		}
+	if h.t.Failed() {
+		h.saveLogs()
+	}
+}
+
+// saveLogs copies the logs of the routers to a new folder, and logs its path.
+func (h *harness) saveLogs() {
+	if err := os.MkdirAll(*keepLogs, 0o700); err != nil {
+		h.t.Log(err)
+		return
+	}
+	to, err := os.MkdirTemp(*keepLogs, fmt.Sprintf("seed-%d-", h.seed))
+	if err == nil {
+		err = os.CopyFS(to, os.DirFS(h.dir))
+	}
+	if err != nil {
+		h.t.Log(err)
+		return
 	}
+	h.t.Logf("seed %d: the logs of its routers are in %s", h.seed, to)
 }
 
 func (h *harness) must(err error) {
