gateway: the bodies of callers' requests are held within a budget

Cause: a router keeps the body of a request until the request has ended, since another attempt may need it. Each body is bounded (operators' max_body_bytes), their sum was not: 1,950 connections of callers times 1 MB is ten times the memory of the smallest VM. Callers and upstreams that are slow at the same time make it grow, and a process over its memory is killed with all its requests.

Ruled out: responses. They are copied piece by piece, and a caller that does not read stops the reading from its upstream; what a router holds of one is a read and a write buffer of the connection, within the bound on connections.

Change: an eighth of the router's memory, of it half at most for one organisation, is reserved before bytes are read (in pieces of 16 KB where the length is unknown). What does not fit is refused at once with 503, truly not run, and when to come back. Counters gateway_body_bytes, gateway_body_refusals_total{by}.

Measured: 256 KB budget, two bodies of 96 KB held: the third is refused, one of 8 KB served, and after the two have ended all is given back (TestBodiesAreHeldWithinTheirBudget, with lengths and chunks). Before, nothing refused it.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -70,6 +70,11 @@
 	// sets no limit on file descriptors.
 	defaultCallerConnections = 4096
 
+	// bodyMemoryFraction is the fraction of a router's memory that the bodies of requests may
+	// take. The heap may hold as much again before the next collection, beside the growth that
+	// routerHeapGrowthFloor allows.
+	bodyMemoryFraction = 0.125
+
 	// retryFraction is the fraction of the platform's bound on retries that routers use.
 	// The windows of different routers are not aligned, so the sum of their budgets can
 	// exceed the bound by as much as traffic changes from one window to the next.
@@ -165,7 +170,8 @@
 	}
 	r := router.New(ctx, c)
 	h := newHealth(r.Alive, r.Ready)
-	g := gateway.NewPlatformGateway(r, platform.Clients{}, requestLog)
+	bodies := gateway.NewBodyBudget(int64(bodyMemoryFraction * float64(p.MemoryBytes)))
+	g := gateway.NewPlatformGateway(r, platform.Clients{}, bodies, requestLog)
 	return &Entry{settings: s, platform: p, router: r, health: h, server: g.Server(h.closeWhileLeaving(g), callerConnections(p), p.ConfigBound)}
 }
 
--- a/internal/gateway/hosted.go
+++ b/internal/gateway/hosted.go
@@ -36,18 +36,20 @@
 	router   *router.Router
 	dialect  Dialect
 	requests *telemetry.RequestLog
+	bodies   *BodyBudget
 	started  time.Time
 }
 
-// NewPlatformGateway returns a PlatformGateway in front of r. Rejected requests are
-// logged to log, which may be nil.
-func NewPlatformGateway(r *router.Router, d Dialect, log *telemetry.RequestLog) *PlatformGateway {
-	return &PlatformGateway{router: r, dialect: d, requests: log, started: time.Now()}
+// NewPlatformGateway returns a PlatformGateway in front of r, which holds the bodies of
+// requests within a budget. Rejected requests are logged to log, which may be nil.
+func NewPlatformGateway(r *router.Router, d Dialect, bodies *BodyBudget, log *telemetry.RequestLog) *PlatformGateway {
+	return &PlatformGateway{router: r, dialect: d, bodies: bodies, requests: log, started: time.Now()}
 }
 
 // ServeHTTP implements http.Handler.
 func (g *PlatformGateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &platformExchange{w: w, r: r, arrived: time.Now(), headers: g.dialect.Read(r.Header)}
+	x := &platformExchange{w: w, r: r, arrived: time.Now(), headers: g.dialect.Read(r.Header), memory: reservation{budget: g.bodies}}
+	defer x.memory.release()
 	if err := g.serve(x); err != nil {
 		if errors.Is(err, context.Canceled) {
 			return // the caller has disconnected, which is logged elsewhere
--- a/internal/gateway/hostedrequest.go
+++ b/internal/gateway/hostedrequest.go
@@ -42,6 +42,7 @@
 	headers CallerHeaders
 	profile *profile.Profile
 	org     *profile.Organisation
+	memory  reservation // of the body
 }
 
 // checkHeaders rejects a request that has no attempt id or whose headers are over the
@@ -157,11 +158,14 @@
 	if err := ctl.SetReadDeadline(x.arrived.Add(timeout)); err != nil {
 		return nil, errors.Wrap(err, "gateway: body")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	body, err := x.readBody(limit)
 	var tooLong *http.MaxBytesError
 	switch {
 	case err == nil:
 		return body, errors.Wrap(ctl.SetReadDeadline(time.Time{}), "gateway: body")
+	case errors.Is(err, errNoBodyMemory):
+		x.w.Header().Set("Connection", "close") // the rest of the body is not read
+		return nil, noBodyMemory()
 	case errors.As(err, &tooLong):
 		return nil, tooLarge(limit)
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -172,6 +176,21 @@
 	}
 }
 
+// readBody reads a body of at most limit bytes into memory that it reserves first.
+func (x *platformExchange) readBody(limit int64) ([]byte, error) {
+	if x.org != nil {
+		x.memory.org = x.org.Name
+	}
+	limited := http.MaxBytesReader(x.w, x.r.Body, limit)
+	if x.r.ContentLength < 0 {
+		return io.ReadAll(&reservedReader{Reader: limited, reservation: &x.memory})
+	}
+	if err := x.memory.grow(x.r.ContentLength); err != nil {
+		return nil, err
+	}
+	return io.ReadAll(limited)
+}
+
 // connKey is the context key of the caller's connection.
 type connKey struct{}
 
