config: a store that keeps dropping its history is listed slowly

Cause: a watch from a version that the store no longer has is followed by a listing after 100 ms and a new watch. While the store keeps dropping its history and other writers go on, that watch is refused too: the reader lists everything, page by page, several times a second, for as long as it lasts. Bytes and calls of one such round grow with the number of entries.

Ruled out: one pause for all. A single loss of the history has to be made up for at once, since what was removed in it is in force until the listing.

Change: the first refused watch is followed by a listing as before; from the second in a row on, listings come half of a watch's wait apart on average, so that the reader's state is never older than a whole wait, which is what its routers go by.

--- a/internal/config/follow_store.go
+++ b/internal/config/follow_store.go
@@ -148,7 +148,8 @@
 		// The store's change history begins after the version held here. Every watch from
 		// there would fail, so the next call is a listing.
 		f.listNext = true
-		f.pause(e.Now, f.timing.RetryInitial)
+		f.compactions++
+		f.pause(e.Now, f.compactionPause())
 	case e.TimedOut:
 		// The call has lasted until its timeout, so the pause does not grow with the number
 		// of failures: a new connection may work at once.
@@ -164,6 +165,18 @@
 	return []Effect{StoreUnavailable{}}
 }
 
+// compactionPause returns the mean pause before the listing after a watch from a version that the
+// store no longer has. A single such watch is followed by a listing soon. While the store keeps
+// dropping its history, even a watch from the listing before fails, and with the same pause a router
+// would list the whole store several times a second. It then lists as often as a watch of half its
+// usual wait would be answered, so that its state grows no older than the relay allows.
+func (f *Follower) compactionPause() time.Duration {
+	if f.compactions <= 1 {
+		return f.timing.RetryInitial
+	}
+	return max(f.timing.RetryInitial, time.Duration(minWatchFraction*float64(f.timing.WatchWait)))
+}
+
 func (f *Follower) storeListed(e Listed) []Effect {
 	f.listNext = false
 	if e.Whole {
@@ -233,6 +246,7 @@
 		out := f.rejectStale(e.Now, e.Page.Version)
 		return append(out, f.applyBatch(Batch{Objects: e.Page.Objects, Raw: true})...)
 	}
+	f.compactions = 0
 	if e.Page.Whole && len(e.Page.Objects) > 0 {
 		return f.replaceAll(e.Now, e.Page.Objects, e.Page.Version, 0)
 	}
--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -125,6 +125,7 @@
 	listNext         bool // the next call to the store is a listing
 	nextList         time.Time
 	failures         int          // consecutive failed calls to the store
+	compactions      int          // watches refused for lack of history since one was answered
 	storeVersion     topo.Version // the store has returned all changes up to it
 	storeConfirmed   bool         // the store has answered at least once
 	unavailableSince time.Time    // when the store stopped answering; zero: it answers
