relay: a starting router waits for another one before it lists the store

Cause: each router begins with its own listing of configuration, orders and entries (four calls here, two of them pages of entries) beside its write and its listing of the register (two), and gives it up when it hears of a router that reads. By then the calls are made. Besides, each router announced itself to every other one in the register: messages of a start of all grow as the square of the fleet, and a small router decodes hundreds of them in the moment in which its callers wait.

Ruled out: reading the register from a stale replica at a tenth of the price: of routers that start together none would find another. A fixed pause before the listing (PeerWait): the first router in rank would wait as well, and all others for it.

Change: the relay says when reading begins. A router waits until the register has answered, and for a tenth of the bound if it names routers before this one; the first in rank reads at once. The first subscription after a start is answered at once, also where the former life's still counts. A router announces itself to its failure domain and the first four of each other one.

--- a/internal/relay/beat.go
+++ b/internal/relay/beat.go
@@ -27,7 +27,7 @@
 			if p.unansweredSince.IsZero() && now.Sub(p.heartbeatAt) > s.timing.HeartbeatTimeout {
 				p.unansweredSince = now
 			}
-			out = append(out, SendSubscribe{To: p.router, Subscribe: Subscribe{From: s.self, WantHeartbeats: true}})
+			out = append(out, SendSubscribe{To: p.router, Subscribe: Subscribe{From: s.self, WantHeartbeats: true, AtOnce: p.heartbeatAt.IsZero()}})
 		}
 		isUsableParent := p == s.parent && s.isFresh(now, p, 0) && !p.heartbeat.StoreFailing
 		if isUsableParent || !p.unansweredSince.IsZero() {
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -74,7 +74,7 @@
 	if parent != nil && parent.heartbeat.StoreFailing && (s.isImmediateSuccessor(now, candidates) || !s.isLagging(now)) {
 		parent = nil
 	}
-	if parent == nil {
+	if parent == nil && !s.awaitsParent(now, candidates) {
 		reading = true
 		if s.isLagging(now) {
 			parent = s.firstFresh(now, s.sorted)
@@ -96,6 +96,17 @@
 	return out
 }
 
+// awaitsParent reports whether this router has just started and another one may soon be
+// followed: the register of routers was not read yet, or lists routers before this one.
+// Without this wait, each of hundreds of routers that start together would list the whole
+// store, and most of them would give the listing up a moment later.
+func (s *State) awaitsParent(now time.Time, candidates []*peer) bool {
+	if s.reading || now.Sub(s.startedAt) >= s.timing.StartWait {
+		return false
+	}
+	return !s.registerRead || slices.ContainsFunc(candidates, func(p *peer) bool { return !now.Before(p.suspectUntil) })
+}
+
 // firstFresh returns the first of candidates that this router may follow, or nil. A
 // candidate that gets no answer from the store is used only if there is no other.
 func (s *State) firstFresh(now time.Time, candidates []*peer) *peer {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -80,6 +80,9 @@
 type Subscribe struct {
 	From           Router `cbor:"1,keyasint"`
 	WantHeartbeats bool   `cbor:"2,keyasint"`
+	// AtOnce requests the first heartbeat at once, also from a router that takes the sender
+	// for a subscriber already: the sender may have restarted since it subscribed.
+	AtOnce bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Report carries data other than the sets. A subscriber sends what it has observed to
@@ -118,6 +121,9 @@
 	RenewInterval time.Duration
 	// SuspectTime is how long a router that did not answer is not tried again.
 	SuspectTime time.Duration
+	// StartWait is how long a router that has just started waits for another one to follow
+	// before it reads the store. A router that finds itself first in rank does not wait.
+	StartWait time.Duration
 }
 
 // maxReportInterval limits the interval of Reports. In a region with several failure
@@ -134,7 +140,9 @@
 // PullTimeout, a fifth of the bound, is added to MaxAge: a pull takes milliseconds, and
 // a tenth of a second on a small VM that applies a thousand routes. A reader gets an
 // answer from the store at least every half of the bound and sends it on within
-// HeartbeatInterval, an eighth of the bound.
+// HeartbeatInterval, an eighth of the bound. StartWait covers the listing of the store by
+// the first router in rank and two pulls, to the first routers of the failure domains and
+// to the others; callers of a router that finds no other one wait for it.
 func TimingFor(bound time.Duration) Timing {
 	return Timing{
 		HeartbeatInterval: bound / 8,
@@ -145,6 +153,7 @@
 		Stagger:           bound * 6 / 100,
 		RenewInterval:     bound / 2,
 		SuspectTime:       3 * bound,
+		StartWait:         bound / 10,
 	}
 }
 
@@ -200,6 +209,7 @@
 	peers  map[string]*peer // of the router's region, by name
 	sorted []*peer          // all peers, by rank
 
+	startedAt     time.Time      // time of the first event
 	parent        *peer          // the router that this one follows; nil: none
 	registerRead  bool           // the register of routers was read
 	reading       bool           // this router reads the store
@@ -212,10 +222,10 @@
 	publishedAt   Sets[time.Time]      // when published was confirmed to be the newest; zero: never
 }
 
-// New returns the State of a router that knows no other routers. It starts by reading
-// the store.
+// New returns the State of a router that knows no other routers. Unless StartWait is
+// positive, it starts by reading the store.
 func New(self Router, t Timing) *State {
-	s := &State{self: self, rank: rankOf(self), timing: t, peers: make(map[string]*peer), reading: true}
+	s := &State{self: self, rank: rankOf(self), timing: t, peers: make(map[string]*peer), reading: t.StartWait <= 0}
 	for i := range s.own {
 		s.own[i] = Progress{Age: -1, SinceRecovery: -1}
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -47,6 +47,8 @@
 	roleChanges       int            // how often a router started or stopped reading the store
 	reportsSent       map[string]int // reports to the parent by sender; nil: not counted
 	summariesReceived map[string]int // summaries sent to subscribers, by receiver
+	countMessages     bool           // count subscribesSent
+	subscribesSent    int            // subscriptions and announcements
 }
 
 // testRouter is a simulated router.
@@ -68,6 +70,7 @@
 	lastFault        time.Time // when a fault last began or ended
 	watchVersion     topo.Version
 	callStarted      time.Time
+	hasRead          bool // it has read the store since its start
 }
 
 type delivery struct {
@@ -81,7 +84,7 @@
 	s.written = []time.Time{s.now, s.now}
 	for i := range n {
 		router := Router{Name: fmt.Sprintf("front-%d", i), Addr: fmt.Sprint(i), Domain: fmt.Sprintf("r/%d", i%domains)}
-		s.routers = append(s.routers, &testRouter{router: router, state: New(router, TimingFor(bound)), reading: true})
+		s.routers = append(s.routers, newTestRouter(router))
 	}
 	for _, r := range s.routers {
 		s.register(r)
@@ -89,6 +92,11 @@
 	return s
 }
 
+func newTestRouter(router Router) *testRouter {
+	state := New(router, TimingFor(bound))
+	return &testRouter{router: router, state: state, reading: state.Reading()}
+}
+
 func (s *simulation) register(r *testRouter) {
 	var all []Router
 	for _, other := range s.routers {
@@ -112,6 +120,9 @@
 		case SendHeartbeat:
 			s.send(r, e.To, func(now time.Time) Event { return HeartbeatReceived{Now: now, Heartbeat: e.Heartbeat} })
 		case SendSubscribe:
+			if s.countMessages {
+				s.subscribesSent++
+			}
 			s.send(r, e.To, func(now time.Time) Event { return SubscribeReceived{Now: now, Subscribe: e.Subscribe} })
 		case SendReport:
 			switch {
@@ -175,6 +186,7 @@
 		r.callDeadline, r.failures = time.Time{}, 0
 		return
 	}
+	r.hasRead = true
 	if r.callDeadline.IsZero() {
 		r.callCount++
 		r.callDeadline = s.now.Add(storeTimeout)
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -6,6 +6,9 @@
 
 // Step applies an event and returns the effects to perform.
 func (s *State) Step(event Event) []Effect {
+	if s.startedAt.IsZero() {
+		s.startedAt = event.When()
+	}
 	switch e := event.(type) {
 	case Ticked:
 		return s.tick(e.Now)
@@ -36,18 +39,50 @@
 	return s.parent != nil
 }
 
-// registered announces this router to the routers that are new to it.
+// registered announces this router to those of the routers new to it that may come to
+// follow it.
 func (s *State) registered(e Registered) []Effect {
 	var out []Effect
 	s.registerRead = true
+	isNew := make(map[*peer]bool)
 	for _, router := range e.Routers {
-		if s.peers[router.Name] == nil && s.recordPeer(e.Now, router) != nil {
-			out = append(out, SendSubscribe{To: router, Subscribe: Subscribe{From: s.self}})
+		if s.peers[router.Name] == nil {
+			isNew[s.recordPeer(e.Now, router)] = true
+		}
+	}
+	for _, p := range s.announcees() {
+		if isNew[p] {
+			out = append(out, SendSubscribe{To: p.router, Subscribe: Subscribe{From: s.self}})
 		}
 	}
 	return append(out, s.tick(e.Now)...)
 }
 
+// announcedPerDomain is how many routers of each other failure domain a router announces
+// itself to, the first in rank: the one that may follow it, and those that replace that
+// one.
+const announcedPerDomain = 4
+
+// announcees returns the routers that this one announces itself to: all of a small region,
+// and in a large one those of its failure domain and the first of each other one. If every
+// router announced itself to every other one, a start of all would send as many messages as
+// the square of the number of routers.
+func (s *State) announcees() []*peer {
+	if len(s.sorted) < maxFlatRouters {
+		return s.sorted
+	}
+	var out []*peer
+	fromDomain := make(map[string]int)
+	for _, p := range s.sorted {
+		domain := p.router.Domain
+		if domain == s.self.Domain || fromDomain[domain] < announcedPerDomain {
+			fromDomain[domain]++
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 func (s *State) subscribeReceived(e SubscribeReceived) []Effect {
 	p := s.recordPeer(e.Now, e.Subscribe.From)
 	if p == nil {
@@ -57,7 +92,7 @@
 	if !e.Subscribe.WantHeartbeats {
 		return nil
 	}
-	isNew := e.Now.After(p.subscribedUntil)
+	isNew := e.Now.After(p.subscribedUntil) || e.Subscribe.AtOnce
 	p.subscribedUntil = e.Now.Add(3 * s.timing.RenewInterval)
 	if isNew { // a new subscriber gets its first heartbeat at once
 		return []Effect{SendHeartbeat{To: p.router, Heartbeat: s.heartbeat(e.Now)}}
--- a/internal/router/mesh.go
+++ b/internal/router/mesh.go
@@ -96,9 +96,19 @@
 	return out
 }
 
+// newRelay returns the relay of this router. A router that no other one can reach has nobody to
+// wait for at its start.
+func (m *mesh) newRelay() *relay.State {
+	timing := m.Timing
+	if m.Packets == nil {
+		timing.StartWait = 0
+	}
+	return relay.New(m.Self, timing)
+}
+
 // run serves the other routers until ctx ends.
 func (m *mesh) run(ctx context.Context) {
-	m.setReading(true)
+	m.setReading(m.Packets == nil)
 	if m.Packets == nil {
 		return
 	}
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -65,7 +65,8 @@
 const failingStoreCalls = 2
 
 // EnableRelay makes the State follow the entries of upstreams in the same way as the
-// configuration. The relay chooses the router that reads both from the store.
+// configuration. The relay chooses the router that reads both from the store. Until it does,
+// nothing is read.
 func (s *State) EnableRelay(r *relay.State, decoder membership.Decoder, timing membership.Timing, configTiming config.Timing, seed uint64) {
 	configTiming.RetryMax *= membersRetryFactor
 	s.relayState = &relayState{
@@ -75,6 +76,11 @@
 		decoder:  decoder,
 		unusable: make(map[string]string),
 	}
+	if !r.Reading() {
+		off := config.StoreReadingSwitched{On: false}
+		s.follower.Step(off)
+		s.relayState.members.Step(off)
+	}
 }
 
 // stepRelay passes an event to the relay and applies the effects that concern the State.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -173,7 +173,7 @@
 	context.AfterFunc(ctx, r.closePeers)
 	if c.Mesh != nil {
 		r.mesh = newMesh(r, *c.Mesh)
-		r.state.EnableRelay(relay.New(c.Mesh.Self, c.Mesh.Timing), c.Mesh.MemberDecoder, c.Mesh.MemberTiming, c.ConfigTiming, rand.Uint64())
+		r.state.EnableRelay(r.mesh.newRelay(), c.Mesh.MemberDecoder, c.Mesh.MemberTiming, c.ConfigTiming, rand.Uint64())
 		r.mesh.run(ctx)
 	}
 	go r.loop.Run(ctx)
