platform: a load with more figures than three is read, and values that grow keep what is known

Cause: parseLoad took three figures and no other number. Server-Load of a runner that shares its machine has a fourth, how long work takes there now, so that every load it told was thrown away as malformed, and the bound rested on each router's own count. Class: a value with more than is known costs what is known.

Change: the first three figures count whatever follows, the fourth is kept as the slowdown that the upstream reports, further ones are counted as unread parts (vocabulary: "Server-Load: part 5").

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -119,14 +119,18 @@
 // UpstreamConditions is an upstream without a sidecar as a router sees it, with
 // the conditions that restrict its use.
 type UpstreamConditions struct {
-	VM            string      `json:"vm"`
-	Addr          string      `json:"addr"`
-	Pool          string      `json:"pool"`
-	FailureDomain string      `json:"failure_domain,omitempty"`
-	Load          float64     `json:"load"`          // estimated number of requests
-	Permission    string      `json:"work"`          // whether it gets requests: never, last or freely
-	Reason        string      `json:"why,omitempty"` // kind of the condition that decides Permission
-	Conditions    []Condition `json:"conditions,omitempty"`
+	VM            string  `json:"vm"`
+	Addr          string  `json:"addr"`
+	Pool          string  `json:"pool"`
+	FailureDomain string  `json:"failure_domain,omitempty"`
+	Load          float64 `json:"load"` // estimated number of requests
+	// ReportedSlowdown is how long work takes on its machine according to its latest response, as a
+	// multiple of the usual time; zero: not reported lately.
+	ReportedSlowdown float64 `json:"reported_slowdown,omitempty"`
+
+	Permission string      `json:"work"`          // whether it gets requests: never, last or freely
+	Reason     string      `json:"why,omitempty"` // kind of the condition that decides Permission
+	Conditions []Condition `json:"conditions,omitempty"`
 }
 
 // Condition is a reason to use an upstream less or not at all.
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -39,13 +39,14 @@
 	relativeLatency *load.RelativeLatency
 	outliers        *outlier.Detector
 	speed           *load.Speed
+	slowdowns       *load.ReportedSlowdowns
 	urgencies       load.UrgencyMix
 	slots           int // of an engine; zero: engines do not report them
 }
 
 // NewTracker returns an empty Tracker.
 func NewTracker() *Tracker {
-	return &Tracker{loads: load.NewPoolLoad(), demand: load.NewDemand(), relativeLatency: load.NewRelativeLatency(), outliers: outlier.New(), speed: load.NewSpeed()}
+	return &Tracker{loads: load.NewPoolLoad(), demand: load.NewDemand(), relativeLatency: load.NewRelativeLatency(), outliers: outlier.New(), speed: load.NewSpeed(), slowdowns: load.NewReportedSlowdowns()}
 }
 
 // Request is a request for which Choose chooses upstreams.
@@ -188,6 +189,23 @@
 	t.loads.Observe(now, vm, requests)
 }
 
+// RecordReportedSlowdown records that an upstream reports that work on its machine takes factor times
+// as long as usual.
+func (t *Tracker) RecordReportedSlowdown(now time.Time, vm load.VM, factor float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.slowdowns.Record(now, vm, factor)
+}
+
+// ReportedSlowdown returns the slowdown that an upstream has reported lately, or zero if there is
+// none. No choice depends on it: it changes several times a second, faster than reports of it reach
+// the other routers, and to follow it would move sessions away from their cached prompts.
+func (t *Tracker) ReportedSlowdown(now time.Time, vm load.VM) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.slowdowns.Get(now, vm)
+}
+
 // SetSlots sets how many requests an engine serves at a time. All engines of a pool have the
 // same number.
 func (t *Tracker) SetSlots(n int) {
@@ -255,6 +273,7 @@
 	t.relativeLatency.Keep(members)
 	t.outliers.Keep(members)
 	t.speed.Keep(members)
+	t.slowdowns.Keep(members)
 }
 
 // Attempt is one attempt of a request at an upstream.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -43,9 +43,12 @@
 	RetryAfter time.Duration
 }
 
-// Load is an upstream's own count of its requests and slots.
+// Load is what an upstream reports of its load: its own count of its requests and slots.
 type Load struct {
 	Running, Waiting, Slots int
+	// Slowdown is how long work takes on the upstream's machine at this moment, as a multiple
+	// of the usual time; zero: not reported.
+	Slowdown float64
 }
 
 // Dialect encodes and decodes the headers that a platform's routers and upstreams exchange.
--- a/internal/router/directoffer.go
+++ b/internal/router/directoffer.go
@@ -206,9 +206,14 @@
 // one: the request of that response has only just started and is not included. Of 5.9 requests
 // at an upstream, the heads of responses reported 4.7.
 func (d directTransport) recordReportedLoad(at *attempt, signal exchange.Signal) {
-	if signal.Load != nil {
-		at.tracker.SetSlots(signal.Load.Slots)
-		at.tracker.RecordLoad(time.Now(), load.Hash(at.vm.ID), signal.Load.Running+signal.Load.Waiting+1)
+	if signal.Load == nil {
+		return
+	}
+	now, vm := time.Now(), load.Hash(at.vm.ID)
+	at.tracker.SetSlots(signal.Load.Slots)
+	at.tracker.RecordLoad(now, vm, signal.Load.Running+signal.Load.Waiting+1)
+	if signal.Load.Slowdown > 0 {
+		at.tracker.RecordReportedSlowdown(now, vm, signal.Load.Slowdown)
 	}
 }
 
--- a/internal/router/log.go
+++ b/internal/router/log.go
@@ -6,6 +6,7 @@
 	"math"
 	"time"
 
+	"github.com/parsleyfront/parsleyfront/internal/load"
 	"github.com/parsleyfront/parsleyfront/internal/router/dispatch"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
@@ -52,6 +53,9 @@
 			slog.Int64("expected_ms", resp.estimatedStart().Milliseconds()),
 			slog.Bool("behind", resp.basis.Deferred),
 			slog.String("donor", at.donor.ID))
+		if slowdown := to.tracker.ReportedSlowdown(time.Now(), load.Hash(at.vm.ID)); slowdown > 0 {
+			attrs = append(attrs, slog.Float64("reported_slowdown", roundTenths(slowdown)))
+		}
 		if home, reason := resp.passedOver(time.Now()); home != "" {
 			attrs = append(attrs, slog.String("home", home), slog.String("passed_over", reason))
 		}
--- a/internal/vocabulary/vocabulary.go
+++ b/internal/vocabulary/vocabulary.go
@@ -9,6 +9,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"slices"
@@ -111,6 +112,12 @@
 	t.report(word+": "+truncate(value), source)
 }
 
+// ReportUnreadPart reports a known word whose value has more parts than the code reads, as the
+// unknown word "NAME: part N". part counts from one. source identifies the message.
+func (t *Table) ReportUnreadPart(word string, part int, source string) {
+	t.report(fmt.Sprintf("%s: part %d", word, part), source)
+}
+
 // maxValueBytes is the number of bytes of a malformed value that are reported.
 const maxValueBytes = 32
 
@@ -147,7 +154,7 @@
 // Table with a malformed value.
 type UnknownWord struct {
 	Place  string    `json:"place"`
-	Word   string    `json:"word"` // its name; "NAME: VALUE" if the value is malformed
+	Word   string    `json:"word"` // its name; "NAME: VALUE" if the value is malformed, "NAME: part N" if it has unread parts
 	Source string    `json:"of"`   // identifies the message of its first occurrence
 	First  time.Time `json:"first"`
 	Count  int       `json:"count"`
