relay: a peer is inserted at the place of its rank

Cause: recordPeer appended a new peer and sorted all of them, for each entry of the register: a start costs each router n sorts of n peers. It is on the way to its first answer now that a starting router waits for the register.

Change: binary search and insertion; a peer whose rank changes is taken out first.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -282,16 +282,25 @@
 	if router.Name == s.self.Name || topo.Region(router.Domain) != topo.Region(s.self.Domain) {
 		return nil
 	}
-	p := s.peers[router.Name]
+	p, newRank := s.peers[router.Name], rankOf(router)
+	if p != nil && p.rank != newRank {
+		s.sorted = slices.DeleteFunc(s.sorted, func(other *peer) bool { return other == p })
+	}
 	if p == nil {
 		p = &peer{}
 		s.peers[router.Name] = p
-		s.sorted = append(s.sorted, p)
 	}
-	if newRank := rankOf(router); p.rank != newRank {
+	if p.rank != newRank {
 		p.rank = newRank
-		slices.SortFunc(s.sorted, byRank)
+		s.insertSorted(p)
 	}
 	p.router, p.lastSeen = router, now
 	return p
 }
+
+// insertSorted inserts a peer at the place of its rank. To sort all peers for each new one would take
+// a router of a large fleet longer than the rest of its start.
+func (s *State) insertSorted(p *peer) {
+	at, _ := slices.BinarySearchFunc(s.sorted, p, byRank)
+	s.sorted = slices.Insert(s.sorted, at, p)
+}
