--- a/internal/benchtool/benchtool.go
+++ b/internal/benchtool/benchtool.go
@@ -1,5 +1,6 @@
 // Package benchtool implements parsleybench, the command that compares policies on a modelled pool
-// (package experiment) and sends load to a running fleet (package openloop).
+// (package experiment), plays what control costs fleets of several sizes (package fleetmodel), and
+// sends load to a running fleet (package openloop).
 //
 // Results are written to standard output and to the files that it lists there; errors are written
 // to standard error.
@@ -17,6 +18,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/parsleyfront/parsleyfront/internal/experiment"
+	"github.com/parsleyfront/parsleyfront/internal/fleetmodel"
 	"github.com/parsleyfront/parsleyfront/internal/openloop"
 )
 
@@ -36,6 +38,7 @@
 type Options struct {
 	Check CheckCommand     `command:"check" description:"Say what is wrong with an experiment's file"`
 	Run   RunCommand       `command:"run" description:"Play an experiment and compare its policies"`
+	Fleet FleetCommand     `command:"fleet" description:"Play what control costs fleets of several sizes"`
 	Load  openloop.Options `command:"load" description:"Play load against a fleet that runs"`
 }
 
@@ -54,6 +57,13 @@
 	} `positional-args:"yes" required:"yes"`
 }
 
+// FleetCommand holds the arguments of the fleet command.
+type FleetCommand struct {
+	Args struct {
+		File string `positional-arg-name:"FILE"`
+	} `positional-args:"yes" required:"yes"`
+}
+
 // Run executes one command line, without the name of the program, and returns its exit code.
 func Run(ctx context.Context, args []string, out, errOut io.Writer) ExitCode {
 	var o Options
@@ -85,6 +95,8 @@
 		return err
 	case "run":
 		return o.Run.run(out)
+	case "fleet":
+		return o.Fleet.run(out)
 	case "load":
 		return openloop.Run(ctx, o.Load, out)
 	}
@@ -101,6 +113,20 @@
 	return f, errors.Wrap(err, path)
 }
 
+// run plays the fleets of a file and writes a table to out.
+func (c *FleetCommand) run(out io.Writer) error {
+	r, err := os.Open(c.Args.File)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	defer r.Close() // an error does not matter: the file was only read
+	fleets, err := fleetmodel.Read(r)
+	if err != nil {
+		return errors.Wrap(err, c.Args.File)
+	}
+	return fleetmodel.Write(out, fleetmodel.Play(fleets))
+}
+
 // run runs an experiment and writes its runs and its report to files and a table to out.
 func (c *RunCommand) run(out io.Writer) error {
 	f, err := readExperiment(c.Args.File)
--- /dev/null
+++ b/internal/fleetmodel/fleet.go
@@ -0,0 +1,334 @@
+package fleetmodel
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/config"
+	"github.com/parsleyfront/parsleyfront/internal/relay"
+	"github.com/parsleyfront/parsleyfront/internal/topo"
+)
+
+// Calls of the store, as the routers make them.
+const (
+	registerCalls  = 1 // an entry in the register is written once
+	configKinds    = 2 // the configuration and the operators' orders to drain
+	watchesAtATime = 3 // one for each kind of object that is followed
+	// watchWaitShare is how long a watch waits for a change, as a share of the bound.
+	watchWaitShare = 0.45
+	// ipOverheadBytes is the size of the headers of a datagram.
+	ipOverheadBytes = 28
+	capacities      = 5 // distinct capacities of routers
+)
+
+// fleet is one fleet in virtual time.
+type fleet struct {
+	config  Config
+	random  *rand.Rand
+	now     time.Time
+	queue   eventQueue
+	order   int // of the next event, so that events of the same time keep their order
+	routers []*router
+	byName  map[string]*router
+
+	version      topo.Version // newest version in the store
+	storeCalls   int
+	storeBytes   int
+	listings     map[*router]bool
+	announcement int
+}
+
+// router is one modelled router.
+type router struct {
+	node          relay.Router
+	state         *relay.State
+	version       topo.Version
+	parent        relay.Router
+	isLost        bool
+	answeredAt    time.Time // when the store last answered it
+	call          int       // number of its current call; a result of an earlier one is dropped
+	pulling       bool
+	linkFreeAt    time.Time // when its link has sent the pulls that were requested so far
+	sent, got     traffic
+	subscribersOf int
+}
+
+// traffic is a number of messages and their bytes.
+type traffic struct{ messages, bytes int }
+
+func (t *traffic) add(bytes int) {
+	t.messages++
+	t.bytes += bytes + ipOverheadBytes
+}
+
+// event is a function to call at a time.
+type event struct {
+	at    time.Time
+	order int
+	do    func()
+}
+
+// eventQueue implements heap.Interface.
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if !q[i].at.Equal(q[j].at) {
+		return q[i].at.Before(q[j].at)
+	}
+	return q[i].order < q[j].order
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push implements heap.Interface.
+func (q *eventQueue) Push(x any) { *q = append(*q, x.(event)) }
+
+// Pop implements heap.Interface.
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+func newFleet(c Config, size int) *fleet {
+	f := &fleet{
+		config: c, random: rand.New(rand.NewPCG(c.Seed, uint64(size))), now: time.Unix(1_000_000, 0),
+		byName: make(map[string]*router), version: 1, listings: make(map[*router]bool),
+	}
+	for i := range size {
+		node := relay.Router{
+			Name: fmt.Sprintf("router-%d", i), Addr: fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250),
+			Domain: fmt.Sprintf("region/domain-%d", i%c.FailureDomains), Capacity: f.random.IntN(capacities),
+		}
+		r := &router{node: node, state: relay.New(node, relay.TimingFor(c.Bound))}
+		f.routers = append(f.routers, r)
+		f.byName[node.Name] = r
+	}
+	return f
+}
+
+func (f *fleet) after(d time.Duration, do func()) {
+	f.order++
+	heap.Push(&f.queue, event{at: f.now.Add(d), order: f.order, do: do})
+}
+
+// checkInterval is how often run asks whether it is done: to ask a thousand routers after each event
+// would take longer than the events.
+const checkInterval = time.Millisecond
+
+// run plays for d, or until done reports true, and returns how long it has played.
+func (f *fleet) run(d time.Duration, done func() bool) time.Duration {
+	begin := f.now
+	end, nextCheck := begin.Add(d), begin
+	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
+		e := heap.Pop(&f.queue).(event)
+		f.now = e.at
+		e.do()
+		if done == nil || f.now.Before(nextCheck) {
+			continue
+		}
+		nextCheck = f.now.Add(checkInterval)
+		if done() {
+			return f.now.Sub(begin)
+		}
+	}
+	f.now = end
+	return d
+}
+
+// startAll starts all routers within StartSpread.
+func (f *fleet) startAll() {
+	var started []*router
+	for _, r := range f.routers {
+		at := time.Duration(f.random.Int64N(int64(f.config.StartSpread)))
+		f.after(at, func() {
+			f.tick(r)
+			f.callStore(r, registerCalls, f.config.EntryBytes, func() {
+				started = append(started, r)
+				entered := len(started)
+				f.callStore(r, f.pages(entered), entered*f.config.EntryBytes, func() { f.register(r, started[:entered]) })
+			})
+		})
+	}
+}
+
+// pages returns the number of pages of a listing.
+func (f *fleet) pages(entries int) int {
+	return max(1, (entries+f.config.PageEntries-1)/f.config.PageEntries)
+}
+
+// callStore makes n calls one after the other, which return so many bytes in all.
+func (f *fleet) callStore(r *router, n, bytes int, then func()) {
+	f.storeCalls += n
+	f.storeBytes += bytes
+	f.after(time.Duration(n)*f.config.StoreDelay, func() {
+		if !r.isLost {
+			then()
+		}
+	})
+}
+
+func (f *fleet) register(r *router, entered []*router) {
+	var nodes []relay.Router
+	for _, other := range entered {
+		nodes = append(nodes, other.node)
+	}
+	f.step(r, relay.Registered{Now: f.now, Routers: nodes})
+}
+
+// tick steps a router at each config.TickInterval until it is lost.
+func (f *fleet) tick(r *router) {
+	if r.isLost {
+		return
+	}
+	f.step(r, relay.Ticked{Now: f.now})
+	f.after(config.TickInterval, func() { f.tick(r) })
+}
+
+func (f *fleet) step(r *router, e relay.Event) {
+	for _, effect := range r.state.Step(e) {
+		f.execute(r, effect)
+	}
+}
+
+func (f *fleet) execute(r *router, effect relay.Effect) {
+	switch e := effect.(type) {
+	case relay.SendHeartbeat:
+		f.send(r, e.To, e, func(to *router) relay.Event { return relay.HeartbeatReceived{Now: f.now, Heartbeat: e.Heartbeat} })
+	case relay.SendSubscribe:
+		f.announcement++
+		f.send(r, e.To, e, func(to *router) relay.Event { return relay.SubscribeReceived{Now: f.now, Subscribe: e.Subscribe} })
+	case relay.SendReport:
+		e.Report.Payload = make([]byte, f.reportBytes(r, e.Report.IsSummary))
+		f.send(r, e.To, e, nil)
+	case relay.SetParent:
+		r.parent = e.Parent
+	case relay.SwitchStoreReading:
+		r.call++
+		if e.On {
+			f.list(r)
+		}
+	case relay.ParentProgress:
+		f.pull(r, f.byName[e.Parent.Name], e.Progress[relay.SetMembers].Summary.Version)
+	}
+}
+
+// reportBytes returns the size of a report. That to a parent holds what the router and its subscribers
+// have observed since the last one.
+func (f *fleet) reportBytes(r *router, isSummary bool) int {
+	if isSummary {
+		return f.config.SummaryBytes
+	}
+	interval := relay.TimingFor(f.config.Bound).ReportInterval.Seconds()
+	observed := float64(r.subscribersOf+1) * f.config.RequestsPerSecond * interval
+	return min(int(observed*float64(f.config.ObservedBytes)), relay.MaxMessageBytes-100)
+}
+
+// send sends a message. received returns the event that it causes; nil: none that the model needs.
+func (f *fleet) send(from *router, node relay.Router, effect relay.Effect, received func(*router) relay.Event) {
+	b, err := relay.Encode(effect)
+	if err != nil {
+		panic(err) // the model sends nothing that the routers could not send
+	}
+	from.sent.add(len(b))
+	to := f.byName[node.Name]
+	f.after(f.config.HopDelay, func() {
+		if to.isLost {
+			return
+		}
+		to.got.add(len(b))
+		if received != nil {
+			f.step(to, received(to))
+		}
+	})
+}
+
+// list lists the whole store and then watches it.
+func (f *fleet) list(r *router) {
+	f.listings[r] = true
+	call := r.call
+	upstreams := f.upstreams()
+	f.callStore(r, configKinds+f.pages(upstreams), f.config.ConfigBytes+upstreams*f.config.EntryBytes, func() {
+		if r.call == call {
+			f.storeAnswered(r)
+			f.watch(r)
+		}
+	})
+}
+
+func (f *fleet) watch(r *router) {
+	call, since := r.call, f.version
+	f.storeCalls += watchesAtATime
+	wait := time.Duration(watchWaitShare * float64(f.config.Bound))
+	end := f.now.Add(wait)
+	var poll func()
+	poll = func() {
+		switch {
+		case r.isLost || r.call != call:
+		case f.version > since || !f.now.Before(end):
+			f.storeAnswered(r)
+			f.watch(r)
+		default:
+			f.after(f.config.StoreDelay, poll)
+		}
+	}
+	f.after(f.config.StoreDelay, poll)
+}
+
+func (f *fleet) storeAnswered(r *router) {
+	r.answeredAt = f.now
+	r.version = max(r.version, f.version)
+	f.reportProgress(r)
+}
+
+func (f *fleet) reportProgress(r *router) {
+	p := relay.Progress{Summary: config.Summary{Version: r.version}, Age: -1, SinceRecovery: -1}
+	if !r.answeredAt.IsZero() {
+		p.Age = f.now.Sub(r.answeredAt).Milliseconds()
+	}
+	f.step(r, relay.ProgressUpdated{Now: f.now, Progress: relay.Sets[relay.Progress]{p, p}})
+}
+
+// pull pulls what a router lacks from its parent. The parent's link sends one pull after the other.
+func (f *fleet) pull(r, parent *router, version topo.Version) {
+	if r.pulling || version <= r.version || parent.isLost {
+		return
+	}
+	r.pulling = true
+	bytes := f.config.PackedShare * float64(f.config.EntryBytes)
+	if r.version == 0 {
+		bytes = f.config.PackedShare * float64(f.config.ConfigBytes+f.upstreams()*f.config.EntryBytes)
+	}
+	transfer := time.Duration(bytes * 8 / (f.config.LinkMbps * megabyte) * float64(time.Second))
+	parent.linkFreeAt = latest(parent.linkFreeAt, f.now).Add(transfer)
+	f.after(parent.linkFreeAt.Sub(f.now)+2*f.config.HopDelay, func() {
+		r.pulling = false
+		if !parent.isLost && !r.isLost {
+			r.version = max(r.version, parent.version)
+			f.reportProgress(r)
+		}
+	})
+}
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+func (f *fleet) upstreams() int {
+	return int(f.config.UpstreamsPerRouter * float64(len(f.routers)))
+}
+
+// isCurrent reports whether every router has the newest version.
+func (f *fleet) isCurrent() bool {
+	for _, r := range f.routers {
+		if !r.isLost && r.version < f.version {
+			return false
+		}
+	}
+	return true
+}
