relay: the age of a router's state stays known while it pulls or loses its parent

Cause: a router tells its subscribers an unknown age while a newer state of its parent is not pulled yet, and, once it has lost its parent, until the store has answered it. A periodic heartbeat that falls into that time makes every subscriber, a whole failure domain, give it up at once, without the grace that is there for this, and list the store. How many do is a matter of phases and of the size of a failure domain; each listing is a few hundred KB here.

Ruled out: renewals of subscriptions that wait for the lost reader's answer.

Change: a router keeps when the store has confirmed the state that it holds, by its own reading or by a parent whose state it had pulled, and tells the age of that. The age is true and grows, so that subscribers leave it after the same limit as before.

--- a/internal/relay/beat.go
+++ b/internal/relay/beat.go
@@ -6,17 +6,19 @@
 )
 
 // subscribe subscribes to the candidates in order of rank. It stops after the first that
-// is a usable parent or that has yet to answer, or at the start after startCandidates that
-// have yet to answer. A candidate that does not answer is skipped for SuspectTime. For a
-// router that reads the store and lags, all peers are candidates.
+// is a usable parent or that has yet to answer, and without a fresh parent after
+// candidatesAtOnce that have yet to answer: if it waited for one after the other, all routers
+// that renew their subscriptions as their parent is lost would list the store. A candidate
+// that does not answer is skipped for SuspectTime. For a router that reads the store and
+// lags, all peers are candidates.
 func (s *State) subscribe(now time.Time) []Effect {
 	candidates := s.candidates(now)
 	if s.reading && s.isLagging(now) {
 		candidates = s.sorted
 	}
 	unanswered := 1
-	if s.awaitsParent(now, candidates) {
-		unanswered = startCandidates
+	if !s.reading && (s.parent == nil || !s.isFresh(now, s.parent, 0)) {
+		unanswered = candidatesAtOnce
 	}
 	var out []Effect
 	for _, p := range candidates {
@@ -84,8 +86,7 @@
 	return out
 }
 
-// heartbeat returns the heartbeat to send at now. Its summaries are those of this
-// router's own state; its ages are the parent's, if there is one.
+// heartbeat returns the heartbeat to send at now, with the state of this router and its age.
 func (s *State) heartbeat(now time.Time) Heartbeat {
 	h := Heartbeat{From: s.self, Progress: s.own, StoreFailing: s.reading && s.storeFailing}
 	source, at := s.own, s.ownAsOf
@@ -96,15 +97,23 @@
 	}
 	elapsed := now.Sub(at).Milliseconds()
 	for i := range h.Progress {
-		h.Progress[i].Age = addElapsed(source[i].Age, elapsed)
+		h.Progress[i].Age = s.age(now, i)
 		h.Progress[i].SinceRecovery = addElapsed(source[i].SinceRecovery, elapsed)
-		if s.parent != nil && !h.Progress[i].Summary.CaughtUp(source[i].Summary) {
-			h.Progress[i].Age = -1 // the parent's state is not pulled yet
-		}
 	}
 	return h
 }
 
+// age returns the time since the store has confirmed the state held here of a set, in milliseconds;
+// negative: unknown. It stays known while a newer state of the parent is being pulled, and while a
+// router that has lost its parent begins to read the store. If it were unknown then, the subscribers
+// of a router that sends a heartbeat in that time would all list the store at once.
+func (s *State) age(now time.Time, set int) int64 {
+	if s.confirmed[set].IsZero() {
+		return -1
+	}
+	return now.Sub(s.confirmed[set]).Milliseconds()
+}
+
 // addElapsed adds the elapsed time to an age, both in milliseconds. A negative age
 // means unknown and stays.
 func addElapsed(ms, elapsed int64) int64 {
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -78,6 +78,7 @@
 	var out []Effect
 	if parent != s.parent {
 		s.parent = parent
+		s.updateConfirmed()
 		effect := SetParent{}
 		if parent != nil {
 			effect.Parent = parent.router
@@ -91,10 +92,10 @@
 	return out
 }
 
-// startCandidates is how many routers, the first in rank, a starting router asks at once, and of
-// how many the loss delays the reading of the store: in a start of all, each of these reads the
-// store if those before it are gone, one StartWait/startCandidates after the other.
-const startCandidates = 5
+// candidatesAtOnce is how many routers, the first in rank, a router without a fresh parent asks at
+// once, and of how many the loss delays the reading of the store at a start: each of these reads the
+// store if those before it are gone, one StartWait/candidatesAtOnce after the other.
+const candidatesAtOnce = 5
 
 // awaitsParent reports whether this router has just started and another one may soon be
 // followed: the register of routers was not read yet, or lists routers before this one.
@@ -106,7 +107,7 @@
 	}
 	wait := s.timing.StartWait
 	if s.registerRead {
-		wait = wait * time.Duration(min(s.liveCount(now, candidates), startCandidates)) / startCandidates
+		wait = wait * time.Duration(min(s.liveCount(now, candidates), candidatesAtOnce)) / candidatesAtOnce
 	}
 	return now.Sub(s.startedAt) < wait
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -122,7 +122,7 @@
 	// SuspectTime is how long a router that did not answer is not tried again.
 	SuspectTime time.Duration
 	// StartWait is how long a router that has just started waits for another one to follow
-	// before it reads the store. A router that finds itself among the first startCandidates
+	// before it reads the store. A router that finds itself among the first candidatesAtOnce
 	// in rank waits for a shorter time, the first one not at all.
 	StartWait time.Duration
 }
@@ -210,13 +210,14 @@
 	peers  map[string]*peer // of the router's region, by name
 	sorted []*peer          // all peers, by rank
 
-	startedAt     time.Time      // time of the first event
-	parent        *peer          // the router that this one follows; nil: none
-	registerRead  bool           // the register of routers was read
-	reading       bool           // this router reads the store
-	storeFailing  bool           // the store does not answer this router
-	own           Sets[Progress] // of this router; the ages are those of its own reading of the store
-	ownAsOf       time.Time      // when own was last updated; its ages are relative to this time
+	startedAt     time.Time       // time of the first event
+	parent        *peer           // the router that this one follows; nil: none
+	registerRead  bool            // the register of routers was read
+	reading       bool            // this router reads the store
+	storeFailing  bool            // the store does not answer this router
+	own           Sets[Progress]  // of this router; the ages are those of its own reading of the store
+	ownAsOf       time.Time       // when own was last updated; its ages are relative to this time
+	confirmed     Sets[time.Time] // when the store confirmed that the state held here was the newest; zero: never
 	nextHeartbeat time.Time
 	nextReport    time.Time
 	published     Sets[config.Summary] // in the last heartbeat
--- a/internal/relay/start_test.go
+++ b/internal/relay/start_test.go
@@ -92,7 +92,7 @@
 			t.Errorf("%d routers: up to date %v after the last start, want %v", size, got.upToDate, limit)
 		}
 		// In each failure domain, one for each of the first that are gone.
-		if got.listings > domains*startCandidates {
+		if got.listings > domains*candidatesAtOnce {
 			t.Errorf("%d of %d routers list the store", got.listings, size)
 		}
 	}
@@ -106,9 +106,9 @@
 	for _, size := range []int{10, 40, 160, 320} {
 		got := runStartOfAll(t, size, domains, false, 0)
 		t.Logf("%d routers: %d list the store, %.0f announcements a router, up to date %v after the last start", size, got.listings, got.announcements, got.upToDate)
-		// A router may list the store if it finds fewer than startCandidates before it in the
+		// A router may list the store if it finds fewer than candidatesAtOnce before it in the
 		// register, as do so many in a random order.
-		if limit := startCandidates * (1 + math.Log(float64(size))); float64(got.listings) > limit {
+		if limit := candidatesAtOnce * (1 + math.Log(float64(size))); float64(got.listings) > limit {
 			t.Errorf("%d of %d routers list the store", got.listings, size)
 		}
 		if limit := float64(size/domains + announcedPerDomain*domains + 10); size > maxFlatRouters && got.announcements > limit {
@@ -168,3 +168,31 @@
 		t.Errorf("version %d in place of %d, has read the store: %v", last.version, s.version, last.hasRead)
 	}
 }
+
+// All routers have started together, so that they renew their subscriptions at the same moment. The
+// reader is lost at each phase of these renewals. Guards against routers that wait for the answer to a
+// renewal that the lost reader cannot give, and then list the store together.
+func TestLossOfTheReaderAtAnyPhaseOfRenewals(t *testing.T) {
+	const size, domains, phases = 80, 2, 10
+	for phase := range phases {
+		s := newSimulation(size, domains)
+		s.run(5*time.Second + time.Duration(phase)*TimingFor(bound).RenewInterval/phases)
+		for _, r := range s.routers {
+			r.frozen = r.reading
+		}
+		for _, r := range s.routers {
+			r.hasRead = false
+		}
+		s.write()
+		s.run(2 * bound)
+		listed := 0
+		for _, r := range s.routers {
+			if r.hasRead && !r.frozen {
+				listed++
+			}
+		}
+		if listed > domains+candidatesAtOnce {
+			t.Errorf("phase %d: %d of %d routers list the store", phase, listed, size)
+		}
+	}
+}
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -30,6 +30,7 @@
 	failingChanged := e.StoreFailing != s.storeFailing
 	s.own, s.ownAsOf, s.storeFailing = e.Progress, e.Now, e.StoreFailing
 	s.updateUnpulled(e.Now)
+	s.updateConfirmed()
 	return s.sendHeartbeats(e.Now, s.hasNews(e.Now) || failingChanged)
 }
 
@@ -114,10 +115,33 @@
 	if p != s.parent {
 		return out
 	}
+	s.updateConfirmed()
 	out = append(out, ParentProgress{Parent: p.router, Progress: e.Heartbeat.Progress})
 	return append(out, s.sendHeartbeats(e.Now, s.hasNews(e.Now))...)
 }
 
+// updateConfirmed records when the store has confirmed the state held here, according to this
+// router's own reading of the store and to the parent, if this router has pulled all that the
+// parent has.
+func (s *State) updateConfirmed() {
+	for i, own := range s.own {
+		s.confirmed[i] = latest(s.confirmed[i], confirmedAt(s.ownAsOf, own))
+		if s.parent == nil {
+			continue
+		}
+		if told := s.parent.heartbeat.Progress[i]; own.Summary.CaughtUp(told.Summary) {
+			s.confirmed[i] = latest(s.confirmed[i], confirmedAt(s.parent.heartbeatAt, told))
+		}
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // updateUnpulled records since when the parent is ahead of what this router has pulled.
 func (s *State) updateUnpulled(now time.Time) {
 	p := s.parent
@@ -144,6 +168,7 @@
 	for i := range s.own {
 		s.own[i].Age = -1
 	}
+	s.confirmed = Sets[time.Time]{}
 	return s.chooseParent(now)
 }
 
