relay: ages from before a suspension do not come back

Read, not seen: after a suspension of the VM, during which the steady clock may stand still, a router forgets the ages that it knows; its next report of its own progress brings them back, worked out from times before the suspension. A router that reads the store did so before as well; with the kept age of the state held, one that has stopped reading a moment before would.

Change: a confirmation from before the last suspension is not recorded.

TestAgeIsUnknownAfterASuspension fails without it; the random search of package relay holds.

--- a/internal/relay/age_test.go
+++ b/internal/relay/age_test.go
@@ -58,11 +58,14 @@
 	wantAge(t, s, lost, lost.Sub(now)+100*time.Millisecond)
 }
 
-// The VM was suspended, and the clock did not run meanwhile. Guards against an age from before.
+// The VM was suspended, and the clock did not run meanwhile. Guards against an age from before, also
+// one of this router's own reading, which is reported again after it.
 func TestAgeIsUnknownAfterASuspension(t *testing.T) {
 	now := time.Unix(1000, 0)
 	s, _ := ageFixture(now)
 	s.Step(Resumed{Now: now.Add(time.Millisecond)})
+	held := config.Summary{Version: 7}
+	s.Step(ProgressUpdated{Now: now.Add(2 * time.Millisecond), Progress: Sets[Progress]{{Summary: held, Age: 300}, {Summary: held, Age: 300}}})
 	for set, p := range s.heartbeat(now.Add(2 * time.Millisecond)).Progress {
 		if p.Age >= 0 {
 			t.Errorf("set %d: age %d ms, want unknown", set, p.Age)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -218,6 +218,7 @@
 	own           Sets[Progress]  // of this router; the ages are those of its own reading of the store
 	ownAsOf       time.Time       // when own was last updated; its ages are relative to this time
 	confirmed     Sets[time.Time] // when the store confirmed that the state held here was the newest; zero: never
+	resumedAt     time.Time       // end of the last suspension; ages from before are invalid
 	nextHeartbeat time.Time
 	nextReport    time.Time
 	published     Sets[config.Summary] // in the last heartbeat
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -125,21 +125,23 @@
 // parent has.
 func (s *State) updateConfirmed() {
 	for i, own := range s.own {
-		s.confirmed[i] = latest(s.confirmed[i], confirmedAt(s.ownAsOf, own))
+		s.recordConfirmed(i, confirmedAt(s.ownAsOf, own))
 		if s.parent == nil {
 			continue
 		}
 		if told := s.parent.heartbeat.Progress[i]; own.Summary.CaughtUp(told.Summary) {
-			s.confirmed[i] = latest(s.confirmed[i], confirmedAt(s.parent.heartbeatAt, told))
+			s.recordConfirmed(i, confirmedAt(s.parent.heartbeatAt, told))
 		}
 	}
 }
 
-func latest(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
+// recordConfirmed records that the store confirmed the state of a set at a time, unless a later one is
+// known. A time before the last suspension is not comparable with the present: the clock may have
+// stood still meanwhile.
+func (s *State) recordConfirmed(set int, at time.Time) {
+	if at.After(s.confirmed[set]) && at.After(s.resumedAt) {
+		s.confirmed[set] = at
 	}
-	return a
 }
 
 // updateUnpulled records since when the parent is ahead of what this router has pulled.
@@ -168,7 +170,7 @@
 	for i := range s.own {
 		s.own[i].Age = -1
 	}
-	s.confirmed = Sets[time.Time]{}
+	s.confirmed, s.resumedAt = Sets[time.Time]{}, now
 	return s.chooseParent(now)
 }
 
