--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -29,9 +29,16 @@
 	// bounds the delay of a requested check.
 	retryPause = time.Second
 	// entryTTL is how long after its last write an entry is kept. A router rewrites its
-	// own entry when a read, such as the one at its start, finds it missing or with other
-	// content; it does not rewrite an entry that is up to date.
-	entryTTL = 48 * time.Hour
+	// own entry when a read, such as the one at its start, finds it missing, with other
+	// content or older than entryRewriteAge.
+	entryTTL        = 48 * time.Hour
+	entryRewriteAge = entryTTL / 2
+	// entryCheckInterval is the mean interval at which every router reads the register for
+	// the sake of its own entry; each one is between half and one and a half of it. With an
+	// entry that is younger than entryRewriteAge at one read, the next read comes before
+	// entryTTL is over. Without these reads, a router that runs for longer would be removed
+	// from the register, and routers that start would not find it.
+	entryCheckInterval = entryTTL / 4
 )
 
 // registration is the value of a router's entry in the store.
@@ -72,12 +79,14 @@
 }
 
 // waitForNextRead waits for about readInterval, and for as long as this router does not read
-// the store for others. Meanwhile, on request, it checks that the store has this router's
+// the store for others, but no longer than for about entryCheckInterval. Meanwhile, on request, it checks that the store has this router's
 // entry: a store that was restored from an older copy may lack it, and routers that start
 // would not find this one. If the check fails, it returns, so that Run reads the register.
 func (reg *Registrar) waitForNextRead(ctx context.Context) {
 	next := time.NewTimer(readInterval/2 + rand.N(readInterval))
 	defer next.Stop()
+	entryCheck := time.NewTimer(entryCheckInterval/2 + rand.N(entryCheckInterval))
+	defer entryCheck.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -88,6 +97,8 @@
 				slog.Warn("checking or rewriting this router's entry in the register failed", "error", err)
 				return
 			}
+		case <-entryCheck.C:
+			return
 		case <-next.C:
 			if reg.isReader() {
 				return
@@ -144,7 +155,7 @@
 
 // readAll reads the register, passes the other routers to onRouters and removes expired
 // entries. It returns the version of this router's own entry, and whether that entry is
-// up to date.
+// up to date and younger than entryRewriteAge.
 func (reg *Registrar) readAll(ctx context.Context) (own topo.Version, upToDate bool, err error) {
 	var nodes []relay.Router
 	cont := ""
@@ -159,10 +170,11 @@
 				slog.Warn("malformed entry in the register of routers", "router", o.Name, "error", err)
 				continue
 			}
+			age := time.Since(time.Unix(r.Written, 0))
 			switch {
 			case o.Name == reg.self.Name:
-				own, upToDate = o.Version, r.Node == reg.self
-			case time.Since(time.Unix(r.Written, 0)) > entryTTL:
+				own, upToDate = o.Version, r.Node == reg.self && age < entryRewriteAge
+			case age > entryTTL:
 				reg.sweep(ctx, o)
 			default:
 				nodes = append(nodes, r.Node)
