secure: a bundle of authorities with a damaged block is rejected

Cause: pem.Decode skips what it cannot parse up to the next block, so that a bundle whose first authority is damaged is accepted with the others, and peers of the lost one are refused from then on. Damage behind the last block was rejected already.

Change: as many certificates must come out as blocks begin.

TestBundleWithADamagedAuthorityIsRejected fails before for a damaged first block; whole bundles are accepted as before (tests of rotation).

--- a/internal/secure/material.go
+++ b/internal/secure/material.go
@@ -52,11 +52,14 @@
 	}, nil
 }
 
+// pemBegin is how a PEM block begins.
+const pemBegin = "-----BEGIN "
+
 // parseCAs parses a PEM bundle of authorities. Unlike x509.CertPool it rejects what
 // it can't parse, so that a truncated bundle is not accepted as a smaller one.
 func parseCAs(b []byte) (*x509.CertPool, error) {
 	pool := x509.NewCertPool()
-	n := 0
+	n, begun := 0, bytes.Count(b, []byte(pemBegin)) // pem.Decode passes over damaged blocks
 	for {
 		var block *pem.Block
 		block, b = pem.Decode(b)
@@ -73,6 +76,9 @@
 	if n == 0 || len(bytes.TrimSpace(b)) > 0 {
 		return nil, errors.Errorf("bundle must consist of PEM certificates, got %d and then %d other bytes", n, len(b))
 	}
+	if n != begun {
+		return nil, errors.Errorf("bundle must consist of PEM certificates, but %d of %d blocks are damaged", begun-n, begun)
+	}
 	return pool, nil
 }
 
--- a/internal/secure/secure_test.go
+++ b/internal/secure/secure_test.go
@@ -1,6 +1,7 @@
 package secure
 
 import (
+	"bytes"
 	"context"
 	"crypto/x509"
 	"io"
@@ -319,3 +320,21 @@
 	r, err2 := token.NewKeyring(must(t, s, err)...)
 	return must(t, r, err2).Seal(token.Token{Purpose: token.PurposeKey})
 }
+
+// A bundle of two authorities is damaged at the beginning of the first one. Guards against a bundle that
+// is accepted with fewer authorities, so that peers of the lost one are refused.
+func TestBundleWithADamagedAuthorityIsRejected(t *testing.T) {
+	first, second := newCA(t).PEM, newCA(t).PEM
+	if _, err := parseCAs(append(bytes.Clone(first), second...)); err != nil {
+		t.Fatalf("two authorities: %v", err)
+	}
+	damaged := bytes.Replace(first, []byte("\n"), []byte("\n*"), 1)
+	for name, bundle := range map[string][]byte{
+		"first":  append(bytes.Clone(damaged), second...),
+		"second": append(bytes.Clone(second), damaged...),
+	} {
+		if _, err := parseCAs(bundle); err == nil {
+			t.Errorf("a bundle whose %s authority is damaged is accepted", name)
+		}
+	}
+}
