--- a/internal/fleetmodel/fleet.go
+++ b/internal/fleetmodel/fleet.go
@@ -1,7 +1,6 @@
 package fleetmodel
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -9,6 +8,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/config"
 	"github.com/parsleyfront/parsleyfront/internal/relay"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
+	"github.com/parsleyfront/parsleyfront/internal/virtualtime"
 )
 
 // Calls of the store, as the routers make them.
@@ -27,9 +27,7 @@
 type fleet struct {
 	config  Config
 	random  *rand.Rand
-	now     time.Time
-	queue   eventQueue
-	order   int // of the next event, so that events of the same time keep their order
+	clock   *virtualtime.Clock
 	routers []*router
 	byName  map[string]*router
 
@@ -63,38 +61,9 @@
 	t.bytes += bytes + ipOverheadBytes
 }
 
-// event is a function to call at a time.
-type event struct {
-	at    time.Time
-	order int
-	do    func()
-}
-
-// eventQueue implements heap.Interface.
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	if !q[i].at.Equal(q[j].at) {
-		return q[i].at.Before(q[j].at)
-	}
-	return q[i].order < q[j].order
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-// Push implements heap.Interface.
-func (q *eventQueue) Push(x any) { *q = append(*q, x.(event)) }
-
-// Pop implements heap.Interface.
-func (q *eventQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 func newFleet(c Config, size int) *fleet {
 	f := &fleet{
-		config: c, random: rand.New(rand.NewPCG(c.Seed, uint64(size))), now: time.Unix(1_000_000, 0),
+		config: c, random: rand.New(rand.NewPCG(c.Seed, uint64(size))), clock: virtualtime.NewClock(time.Unix(1_000_000, 0)),
 		byName: make(map[string]*router), version: 1, listings: make(map[*router]bool),
 	}
 	for i := range size {
@@ -109,33 +78,13 @@
 	return f
 }
 
-func (f *fleet) after(d time.Duration, do func()) {
-	f.order++
-	heap.Push(&f.queue, event{at: f.now.Add(d), order: f.order, do: do})
-}
-
 // checkInterval is how often run asks whether it is done: to ask a thousand routers after each event
 // would take longer than the events.
 const checkInterval = time.Millisecond
 
 // run plays for d, or until done reports true, and returns how long it has played.
 func (f *fleet) run(d time.Duration, done func() bool) time.Duration {
-	begin := f.now
-	end, nextCheck := begin.Add(d), begin
-	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
-		e := heap.Pop(&f.queue).(event)
-		f.now = e.at
-		e.do()
-		if done == nil || f.now.Before(nextCheck) {
-			continue
-		}
-		nextCheck = f.now.Add(checkInterval)
-		if done() {
-			return f.now.Sub(begin)
-		}
-	}
-	f.now = end
-	return d
+	return f.clock.RunFor(d, checkInterval, done)
 }
 
 // startAll starts all routers within StartSpread.
@@ -143,7 +92,7 @@
 	var started []*router
 	for _, r := range f.routers {
 		at := time.Duration(f.random.Int64N(int64(f.config.StartSpread)))
-		f.after(at, func() {
+		f.clock.After(at, func() {
 			f.tick(r)
 			f.callStore(r, registerCalls, f.config.EntryBytes, func() {
 				started = append(started, r)
@@ -163,7 +112,7 @@
 func (f *fleet) callStore(r *router, n, bytes int, then func()) {
 	f.storeCalls += n
 	f.storeBytes += bytes
-	f.after(time.Duration(n)*f.config.StoreDelay, func() {
+	f.clock.After(time.Duration(n)*f.config.StoreDelay, func() {
 		if !r.isLost {
 			then()
 		}
@@ -175,7 +124,7 @@
 	for _, other := range entered {
 		nodes = append(nodes, other.node)
 	}
-	f.step(r, relay.Registered{Now: f.now, Routers: nodes})
+	f.step(r, relay.Registered{Now: f.clock.Now(), Routers: nodes})
 }
 
 // tick steps a router at each config.TickInterval until it is lost.
@@ -183,8 +132,8 @@
 	if r.isLost {
 		return
 	}
-	f.step(r, relay.Ticked{Now: f.now})
-	f.after(config.TickInterval, func() { f.tick(r) })
+	f.step(r, relay.Ticked{Now: f.clock.Now()})
+	f.clock.After(config.TickInterval, func() { f.tick(r) })
 }
 
 func (f *fleet) step(r *router, e relay.Event) {
@@ -196,10 +145,14 @@
 func (f *fleet) execute(r *router, effect relay.Effect) {
 	switch e := effect.(type) {
 	case relay.SendHeartbeat:
-		f.send(r, e.To, e, func(to *router) relay.Event { return relay.HeartbeatReceived{Now: f.now, Heartbeat: e.Heartbeat} })
+		f.send(r, e.To, e, func(to *router) relay.Event {
+			return relay.HeartbeatReceived{Now: f.clock.Now(), Heartbeat: e.Heartbeat}
+		})
 	case relay.SendSubscribe:
 		f.announcement++
-		f.send(r, e.To, e, func(to *router) relay.Event { return relay.SubscribeReceived{Now: f.now, Subscribe: e.Subscribe} })
+		f.send(r, e.To, e, func(to *router) relay.Event {
+			return relay.SubscribeReceived{Now: f.clock.Now(), Subscribe: e.Subscribe}
+		})
 	case relay.SendReport:
 		e.Report.Payload = make([]byte, f.reportBytes(r, e.Report.IsSummary))
 		f.send(r, e.To, e, nil)
@@ -234,7 +187,7 @@
 	}
 	from.sent.add(len(b))
 	to := f.byName[node.Name]
-	f.after(f.config.HopDelay, func() {
+	f.clock.After(f.config.HopDelay, func() {
 		if to.isLost {
 			return
 		}
@@ -262,23 +215,23 @@
 	call, since := r.call, f.version
 	f.storeCalls += watchesAtATime
 	wait := time.Duration(watchWaitShare * float64(f.config.Bound))
-	end := f.now.Add(wait)
+	end := f.clock.Now().Add(wait)
 	var poll func()
 	poll = func() {
 		switch {
 		case r.isLost || r.call != call:
-		case f.version > since || !f.now.Before(end):
+		case f.version > since || !f.clock.Now().Before(end):
 			f.storeAnswered(r)
 			f.watch(r)
 		default:
-			f.after(f.config.StoreDelay, poll)
+			f.clock.After(f.config.StoreDelay, poll)
 		}
 	}
-	f.after(f.config.StoreDelay, poll)
+	f.clock.After(f.config.StoreDelay, poll)
 }
 
 func (f *fleet) storeAnswered(r *router) {
-	r.answeredAt = f.now
+	r.answeredAt = f.clock.Now()
 	r.version = max(r.version, f.version)
 	f.reportProgress(r)
 }
@@ -286,9 +239,9 @@
 func (f *fleet) reportProgress(r *router) {
 	p := relay.Progress{Summary: config.Summary{Version: r.version}, Age: -1, SinceRecovery: -1}
 	if !r.answeredAt.IsZero() {
-		p.Age = f.now.Sub(r.answeredAt).Milliseconds()
+		p.Age = f.clock.Now().Sub(r.answeredAt).Milliseconds()
 	}
-	f.step(r, relay.ProgressUpdated{Now: f.now, Progress: relay.Sets[relay.Progress]{p, p}})
+	f.step(r, relay.ProgressUpdated{Now: f.clock.Now(), Progress: relay.Sets[relay.Progress]{p, p}})
 }
 
 // pull pulls what a router lacks from its parent. The parent's link sends one pull after the other.
@@ -302,8 +255,8 @@
 		bytes = f.config.PackedShare * float64(f.config.ConfigBytes+f.upstreams()*f.config.EntryBytes)
 	}
 	transfer := time.Duration(bytes * 8 / (f.config.LinkMbps * megabyte) * float64(time.Second))
-	parent.linkFreeAt = latest(parent.linkFreeAt, f.now).Add(transfer)
-	f.after(parent.linkFreeAt.Sub(f.now)+2*f.config.HopDelay, func() {
+	parent.linkFreeAt = latest(parent.linkFreeAt, f.clock.Now()).Add(transfer)
+	f.clock.After(parent.linkFreeAt.Sub(f.clock.Now())+2*f.config.HopDelay, func() {
 		r.pulling = false
 		if !parent.isLost && !r.isLost {
 			r.version = max(r.version, parent.version)
--- a/internal/model/callers.go
+++ b/internal/model/callers.go
@@ -38,8 +38,8 @@
 // scheduleArrivals schedules the next arrival, which schedules the one after it.
 func (f *fleet) scheduleArrivals() {
 	rate, hotShare := f.rate()
-	f.clock.after(time.Duration(f.random.ExpFloat64()/rate*float64(time.Second)), func() {
-		if f.clock.now.Sub(startTime) > f.config.Length {
+	f.clock.After(time.Duration(f.random.ExpFloat64()/rate*float64(time.Second)), func() {
+		if f.clock.Now().Sub(startTime) > f.config.Length {
 			return
 		}
 		f.submit(f.newCall(hotShare))
@@ -53,7 +53,7 @@
 	base := f.config.Callers.PerSecond
 	perSecond = base
 	for _, s := range f.config.Surges {
-		if at := f.clock.now.Sub(startTime); at >= s.At && at < s.At+s.Duration {
+		if at := f.clock.Now().Sub(startTime); at >= s.At && at < s.At+s.Duration {
 			perSecond += base * (s.Factor - 1)
 			if s.SingleSession {
 				hotShare += base * (s.Factor - 1)
@@ -64,7 +64,7 @@
 }
 
 func (f *fleet) newCall(hotShare float64) *call {
-	c := &call{arrivedAt: f.clock.now, session: &session{}, tried: make(map[int]bool)}
+	c := &call{arrivedAt: f.clock.Now(), session: &session{}, tried: make(map[int]bool)}
 	if len(f.sessions) > 0 {
 		index := 0
 		if f.random.Float64() >= hotShare {
@@ -76,7 +76,7 @@
 	c.newTokens = f.config.Callers.NewTokens
 	c.answerTokens = int(f.random.ExpFloat64() * float64(f.config.Callers.AnswerTokens))
 	f.result.recordArrival(c.arrivedAt)
-	f.clock.after(f.config.Callers.Patience, func() { f.abandon(c) })
+	f.clock.After(f.config.Callers.Patience, func() { f.abandon(c) })
 	return c
 }
 
@@ -115,7 +115,7 @@
 	clear(c.tried)
 	c.attempts = 0
 	r := f.routers[f.random.IntN(len(f.routers))]
-	now := f.clock.now
+	now := f.clock.Now()
 	r.retryBudget.Request(now, f.retryRule())
 	r.returnScheduler.Arrived(now)
 	r.tracker.RecordObjective(0, f.config.Callers.Objective)
@@ -123,7 +123,7 @@
 	if c.session.id != 0 {
 		q.SessionShare = r.tracker.RecordRequest(now, c.session.id, requestProfile)
 	}
-	f.clock.after(hopLatency, func() { f.dispatch(r, c, q) })
+	f.clock.After(hopLatency, func() { f.dispatch(r, c, q) })
 }
 
 func (f *fleet) retryRule() retry.Rule {
@@ -136,7 +136,7 @@
 		return
 	}
 	var choices [placement.MaxCandidates]placement.Choice
-	q.Now = f.clock.now
+	q.Now = f.clock.Now()
 	n, basis := r.tracker.Choose(q.Now, r.pool, f.policy, balance.Request{
 		Query: q, Profile: requestProfile, Objective: f.config.Callers.Objective,
 		TimeLeft: f.config.Callers.Patience - q.Now.Sub(c.arrivedAt), ObjectiveMissed: c.tries > 1, Unavailable: f.unavailable(r),
@@ -163,14 +163,14 @@
 		return nil
 	}
 	return func(i int) bool {
-		permission, _ := r.observations.Conditions(f.clock.now, f.upstreams[i].name).Permission(condition.Work)
+		permission, _ := r.observations.Conditions(f.clock.Now(), f.upstreams[i].name).Permission(condition.Work)
 		return permission == condition.Never
 	}
 }
 
 // startAttempt sends a request to one upstream and records its progress and outcome.
 func (f *fleet) startAttempt(r *router, c *call, q placement.Query, choice placement.Choice, basis placement.Basis) {
-	u, sent, outcomeRecorded := f.upstreams[choice.Index], f.clock.now, false
+	u, sent, outcomeRecorded := f.upstreams[choice.Index], f.clock.Now(), false
 	a := balance.Attempt{VM: u.id, Profile: requestProfile, Urgency: basis.Urgency, Load: choice.Load, Deferred: basis.Deferred}
 	r.tracker.BeginWait(a)
 	waiting := true
@@ -183,7 +183,7 @@
 	recordOutcome := func(succeeded bool) {
 		if !outcomeRecorded {
 			outcomeRecorded = true
-			r.tracker.RecordOutcome(f.clock.now, a, f.clock.now.Sub(sent), succeeded)
+			r.tracker.RecordOutcome(f.clock.Now(), a, f.clock.Now().Sub(sent), succeeded)
 		}
 	}
 	ended := false
@@ -200,37 +200,37 @@
 	j.onFirstByte = func() {
 		endWait()
 		recordOutcome(true)
-		firstByteAt, lastEventAt = f.clock.now, f.clock.now
+		firstByteAt, lastEventAt = f.clock.Now(), f.clock.Now()
 		f.recordFirstByte(r, c, choice.Index)
 	}
 	j.onEvent = func() {
-		r.tracker.RecordEvents(f.clock.now, u.id, requestProfile, 1, f.clock.now.Sub(lastEventAt))
-		lastEventAt = f.clock.now
+		r.tracker.RecordEvents(f.clock.Now(), u.id, requestProfile, 1, f.clock.Now().Sub(lastEventAt))
+		lastEventAt = f.clock.Now()
 	}
 	j.onDone = func(succeeded bool) {
 		endAttempt()
 		if succeeded {
-			r.tracker.RecordAnswerTime(f.clock.now, u.id, requestProfile, f.clock.now.Sub(firstByteAt))
+			r.tracker.RecordAnswerTime(f.clock.Now(), u.id, requestProfile, f.clock.Now().Sub(firstByteAt))
 			f.recordResponse(r, c)
 			return
 		}
 		recordOutcome(false)
 		f.retryOrReject(r, c, q)
 	}
-	f.clock.after(time.Duration(balance.HangMultiple*float64(f.config.Callers.Objective)), func() { recordOutcome(false) })
-	f.clock.after(f.config.Callers.Patience-f.clock.now.Sub(c.arrivedAt), endAttempt)
+	f.clock.After(time.Duration(balance.HangMultiple*float64(f.config.Callers.Objective)), func() { recordOutcome(false) })
+	f.clock.After(f.config.Callers.Patience-f.clock.Now().Sub(c.arrivedAt), endAttempt)
 	f.watchCrash(u, u.incarnation, func() bool { return ended || c.ended }, func() {
 		endAttempt()
 		recordOutcome(false)
 		f.retryOrReject(r, c, q)
 	})
-	f.clock.after(hopLatency, func() {
+	f.clock.After(hopLatency, func() {
 		if c.ended || u.offer(j) {
 			return
 		}
 		endAttempt()
 		if u.rest > 0 {
-			r.observations.RecordResting(f.clock.now, u.name, u.rest)
+			r.observations.RecordResting(f.clock.Now(), u.name, u.rest)
 		}
 		recordOutcome(false)
 		f.retryOrReject(r, c, q)
@@ -240,12 +240,12 @@
 // watchCrash calls onCrash once the upstream's incarnation differs from the given one. It checks
 // every sampleInterval and stops when isOver returns true.
 func (f *fleet) watchCrash(u *upstream, incarnation int, isOver func() bool, onCrash func()) {
-	f.clock.after(sampleInterval, func() {
+	f.clock.After(sampleInterval, func() {
 		switch {
 		case isOver():
 		case u.incarnation != incarnation:
 			onCrash()
-		case u.load() > 0 && f.clock.now.Before(f.clock.end):
+		case u.load() > 0 && f.clock.HasTimeLeft():
 			f.watchCrash(u, incarnation, isOver, onCrash)
 		}
 	})
@@ -269,16 +269,16 @@
 // with it.
 func (f *fleet) recordFirstByte(r *router, c *call, index int) {
 	if f.config.Pool.ReportsLoad {
-		r.tracker.RecordLoad(f.clock.now, f.upstreams[index].id, f.upstreams[index].load())
+		r.tracker.RecordLoad(f.clock.Now(), f.upstreams[index].id, f.upstreams[index].load())
 		r.tracker.SetSlots(f.upstreams[index].slots)
 	}
-	r.returnScheduler.Answered(f.clock.now)
+	r.returnScheduler.Answered(f.clock.Now())
 	if c.session.id != 0 {
 		r.lastServed[c.session.id] = index
 	}
 	if !c.responseStarted {
 		c.responseStarted = true
-		c.late = f.result.recordFirstByte(f.clock.now.Add(2 * hopLatency).Sub(c.arrivedAt))
+		c.late = f.result.recordFirstByte(f.clock.Now().Add(2 * hopLatency).Sub(c.arrivedAt))
 	}
 }
 
@@ -291,7 +291,7 @@
 	if f.config.Callers.PromptsGrow {
 		c.session.promptTokens = max(c.session.promptTokens, c.promptTokens+c.newTokens+c.answerTokens)
 	}
-	r.tracker.RecordDuration(requestProfile, f.clock.now.Sub(c.arrivedAt))
+	r.tracker.RecordDuration(requestProfile, f.clock.Now().Sub(c.arrivedAt))
 	f.result.recordResponse(c.arrivedAt, c.late)
 }
 
@@ -303,7 +303,7 @@
 	case c.responseStarted: // the caller has received part of the response, so that it cannot be retried
 		c.ended = true
 		f.result.recordFailure(c.arrivedAt)
-	case c.attempts < f.config.Callers.MaxAttempts && r.retryBudget.Withdraw(f.clock.now, f.retryRule()):
+	case c.attempts < f.config.Callers.MaxAttempts && r.retryBudget.Withdraw(f.clock.Now(), f.retryRule()):
 		f.dispatch(r, c, q)
 	default:
 		f.reject(r, c)
@@ -315,7 +315,7 @@
 func (f *fleet) earliestAvailability(r *router) time.Duration {
 	soonest := condition.Forever
 	for _, u := range f.upstreams {
-		soonest = min(soonest, r.observations.AvailableIn(f.clock.now, u.name))
+		soonest = min(soonest, r.observations.AvailableIn(f.clock.Now(), u.name))
 	}
 	return soonest
 }
@@ -323,8 +323,8 @@
 // reject rejects a request. Its caller submits it again after a delay, unless it has used all its
 // tries.
 func (f *fleet) reject(r *router, c *call) {
-	left := f.config.Callers.Patience - f.clock.now.Sub(c.arrivedAt)
-	delay := max(r.returnScheduler.Schedule(f.clock.now, left, f.random.Float64()), f.earliestAvailability(r))
+	left := f.config.Callers.Patience - f.clock.Now().Sub(c.arrivedAt)
+	delay := max(r.returnScheduler.Schedule(f.clock.Now(), left, f.random.Float64()), f.earliestAvailability(r))
 	f.result.recordRejection(c.arrivedAt)
 	if c.tries >= f.config.Callers.MaxTries {
 		c.ended = true
@@ -332,5 +332,5 @@
 		return
 	}
 	maxDelay := time.Duration(retry.MaxDelayShare * float64(left))
-	f.clock.after(min(delay, maxDelay), func() { f.submit(c) })
+	f.clock.After(min(delay, maxDelay), func() { f.submit(c) })
 }
--- a/internal/model/faults.go
+++ b/internal/model/faults.go
@@ -8,8 +8,8 @@
 		n := max(1, int(fault.UpstreamShare*float64(len(f.upstreams))+0.5))
 		for _, i := range f.random.Perm(len(f.upstreams))[:n] {
 			u := f.upstreams[i]
-			f.clock.after(fault.At, func() { u.setFault(fault, true) })
-			f.clock.after(fault.At+fault.Duration, func() { u.setFault(fault, false) })
+			f.clock.After(fault.At, func() { u.setFault(fault, true) })
+			f.clock.After(fault.At+fault.Duration, func() { u.setFault(fault, false) })
 		}
 	}
 }
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -21,6 +21,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/policy"
 	"github.com/parsleyfront/parsleyfront/internal/retry"
+	"github.com/parsleyfront/parsleyfront/internal/virtualtime"
 )
 
 const (
@@ -41,7 +42,7 @@
 	config    Config
 	policy    policy.Policy
 	random    *rand.Rand
-	clock     clock
+	clock     *virtualtime.Clock
 	upstreams []*upstream
 	routers   []*router
 	ids       []load.VM
@@ -66,15 +67,15 @@
 		config: c,
 		policy: p,
 		random: rand.New(rand.NewPCG(seed, 0)),
-		clock:  clock{now: startTime},
+		clock:  virtualtime.NewClock(startTime),
 		result: newResult(c),
 	}
 	f.build()
-	f.clock.every(reportInterval, f.exchangeReports)
-	f.clock.every(sampleInterval, f.sampleLoads)
+	f.clock.Every(reportInterval, f.exchangeReports)
+	f.clock.Every(sampleInterval, f.sampleLoads)
 	f.scheduleFaults()
 	f.scheduleArrivals()
-	f.clock.run(startTime.Add(c.Length + c.Callers.Patience))
+	f.clock.Run(startTime.Add(c.Length + c.Callers.Patience))
 	f.result.computeAverages()
 	return f.result
 }
@@ -107,7 +108,7 @@
 // parent's summary into all others. Merging cannot fail, because the reports come from the
 // same code.
 func (f *fleet) exchangeReports() {
-	now, parent := f.clock.now, f.routers[0].tracker
+	now, parent := f.clock.Now(), f.routers[0].tracker
 	for _, r := range f.routers[1:] {
 		_ = parent.MergeReport(now, f.ids, r.tracker.Report(now, now.Add(-reportInterval), f.ids).Allowed(f.policy))
 	}
@@ -125,7 +126,7 @@
 		waiting += u.waiting()
 	}
 	mean := float64(sum) / float64(len(f.upstreams))
-	f.result.recordSample(f.clock.now, float64(maxLoad), mean, waiting)
+	f.result.recordSample(f.clock.Now(), float64(maxLoad), mean, waiting)
 }
 
 func domainName(i int) string {
--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/parsleyfront/parsleyfront/internal/policy"
+	"github.com/parsleyfront/parsleyfront/internal/virtualtime"
 )
 
 func plainConfig() Config {
@@ -107,14 +108,14 @@
 // A single request on an idle engine must take the prefill time, the delay of the first token, and
 // one step for each token of the response.
 func TestEngineTimesFollowSettings(t *testing.T) {
-	f := &fleet{config: engineConfig(), clock: clock{now: startTime}, result: newResult(engineConfig())}
+	f := &fleet{config: engineConfig(), clock: virtualtime.NewClock(startTime), result: newResult(engineConfig())}
 	u := newUpstream(f, 0)
 	var firstByte, done time.Duration
 	j := &job{call: &call{session: &session{id: 1}, promptTokens: 6000, newTokens: 600, answerTokens: 80}}
-	j.onFirstByte = func() { firstByte = f.clock.now.Sub(startTime) }
-	j.onDone = func(bool) { done = f.clock.now.Sub(startTime) }
+	j.onFirstByte = func() { firstByte = f.clock.Now().Sub(startTime) }
+	j.onDone = func(bool) { done = f.clock.Now().Sub(startTime) }
 	u.begin(j)
-	f.clock.run(startTime.Add(time.Minute))
+	f.clock.Run(startTime.Add(time.Minute))
 	wantFirst := 110*time.Millisecond + 12*time.Millisecond // 6600 tokens at 60 per millisecond
 	if firstByte != wantFirst {
 		t.Errorf("time to the first token %v, want %v", firstByte, wantFirst)
--- a/internal/model/upstream.go
+++ b/internal/model/upstream.go
@@ -74,7 +74,7 @@
 	j.incarnation = u.incarnation
 	switch {
 	case u.failShare > 0 && random.Float64() < u.failShare:
-		u.fleet.clock.after(hopLatency, func() { j.onDone(false) })
+		u.fleet.clock.After(hopLatency, func() { j.onDone(false) })
 	case u.hangShare > 0 && random.Float64() < u.hangShare:
 		// no response
 	case u.running < u.slots:
@@ -108,7 +108,7 @@
 // after schedules do for a job. It is skipped if the upstream has crashed by then; if the caller
 // has left, the job's slot is freed instead.
 func (u *upstream) after(j *job, d time.Duration, do func()) {
-	u.fleet.clock.after(d, func() {
+	u.fleet.clock.After(d, func() {
 		switch {
 		case u.incarnation != j.incarnation:
 		case j.call.abandoned:
@@ -134,7 +134,7 @@
 	if transferred > 0 {
 		wait = e.TransferSetup + milliseconds(float64(transferred)/e.TransferPerMS)
 	}
-	now := u.fleet.clock.now
+	now := u.fleet.clock.Now()
 	prefillStart := now.Add(wait)
 	if u.prefillEnd.After(prefillStart) {
 		prefillStart = u.prefillEnd
