--- a/internal/fleetmodel/fleet.go
+++ b/internal/fleetmodel/fleet.go
@@ -31,26 +31,26 @@
 	routers []*router
 	byName  map[string]*router
 
-	version      topo.Version // newest version in the store
-	storeCalls   int
-	storeBytes   int
-	listings     map[*router]bool
-	announcement int
+	version       topo.Version // newest version in the store
+	storeCalls    int
+	storeBytes    int
+	listings      map[*router]bool // routers that have listed the whole store
+	announcements int              // subscriptions and announcements sent
 }
 
 // router is one modelled router.
 type router struct {
-	node          relay.Router
-	state         *relay.State
-	version       topo.Version
-	parent        relay.Router
-	isLost        bool
-	answeredAt    time.Time // when the store last answered it
-	call          int       // number of its current call; a result of an earlier one is dropped
-	pulling       bool
-	linkFreeAt    time.Time // when its link has sent the pulls that were requested so far
-	sent, got     traffic
-	subscribersOf int
+	node        relay.Router
+	state       *relay.State
+	version     topo.Version
+	parent      relay.Router
+	isLost      bool
+	answeredAt  time.Time // when the store last answered it
+	call        int       // number of its current call; a result of an earlier one is dropped
+	pulling     bool
+	linkFreeAt  time.Time // when its link has sent the pulls that were requested so far
+	sent, got   traffic
+	subscribers int // routers that rely on it; set by countSteady
 }
 
 // traffic is a number of messages and their bytes.
@@ -61,9 +61,12 @@
 	t.bytes += bytes + ipOverheadBytes
 }
 
+// startTime is what the clock shows at the beginning. It is not the zero time, which stands for never.
+var startTime = time.Unix(1_000_000, 0)
+
 func newFleet(c Config, size int) *fleet {
 	f := &fleet{
-		config: c, random: rand.New(rand.NewPCG(c.Seed, uint64(size))), clock: virtualtime.NewClock(time.Unix(1_000_000, 0)),
+		config: c, random: rand.New(rand.NewPCG(c.Seed, uint64(size))), clock: virtualtime.NewClock(startTime),
 		byName: make(map[string]*router), version: 1, listings: make(map[*router]bool),
 	}
 	for i := range size {
@@ -149,7 +152,7 @@
 			return relay.HeartbeatReceived{Now: f.clock.Now(), Heartbeat: e.Heartbeat}
 		})
 	case relay.SendSubscribe:
-		f.announcement++
+		f.announcements++
 		f.send(r, e.To, e, func(to *router) relay.Event {
 			return relay.SubscribeReceived{Now: f.clock.Now(), Subscribe: e.Subscribe}
 		})
@@ -175,7 +178,7 @@
 		return f.config.SummaryBytes
 	}
 	interval := relay.TimingFor(f.config.Bound).ReportInterval.Seconds()
-	observed := float64(r.subscribersOf+1) * f.config.RequestsPerSecond * interval
+	observed := float64(r.subscribers+1) * f.config.RequestsPerSecond * interval
 	return min(int(observed*float64(f.config.ObservedBytes)), relay.MaxMessageBytes-100)
 }
 
--- a/internal/fleetmodel/play.go
+++ b/internal/fleetmodel/play.go
@@ -25,7 +25,7 @@
 	f.run(c.Bound, nil)
 	out.StartCalls = float64(f.storeCalls) / float64(size)
 	out.StartBytes, out.StartListings = f.storeBytes, len(f.listings)
-	out.Announcements = float64(f.announcement) / float64(size)
+	out.Announcements = float64(f.announcements) / float64(size)
 	f.run(settle, nil)
 
 	f.countSteady(c.Steady, &out)
@@ -45,7 +45,7 @@
 	}
 	calls := f.storeCalls
 	for _, r := range f.routers {
-		r.subscribersOf, r.sent, r.got = subscribers[r.node.Name], traffic{}, traffic{}
+		r.subscribers, r.sent, r.got = subscribers[r.node.Name], traffic{}, traffic{}
 	}
 	f.run(d, nil)
 	seconds := d.Seconds()
@@ -53,7 +53,7 @@
 	for _, r := range f.routers {
 		l := &out.Steady[r.role()]
 		l.Routers++
-		l.Subscribers += float64(r.subscribersOf)
+		l.Subscribers += float64(r.subscribers)
 		l.MessagesSent += float64(r.sent.messages) / seconds
 		l.BytesSent += float64(r.sent.bytes) / seconds
 		l.MessagesReceived += float64(r.got.messages) / seconds
@@ -68,7 +68,7 @@
 	switch {
 	case r.state.Reading():
 		return Reader
-	case r.subscribersOf > 0:
+	case r.subscribers > 0:
 		return Head
 	}
 	return Leaf
