--- a/internal/relay/beat.go
+++ b/internal/relay/beat.go
@@ -7,10 +7,10 @@
 
 // subscribe subscribes to the candidates in order of rank. It stops after the first that
 // is a usable parent or that has yet to answer, and without a fresh parent after
-// candidatesAtOnce that have yet to answer: if it waited for one after the other, all routers
-// that renew their subscriptions as their parent is lost would list the store. A candidate
-// that does not answer is skipped for SuspectTime. For a router that reads the store and
-// lags, all peers are candidates.
+// candidatesAtOnce that have yet to answer: in a start of all, the first in rank may be gone,
+// and routers that asked one after the other would list the store before they come to one
+// that is alive. A candidate that does not answer is skipped for SuspectTime. For a router
+// that reads the store and lags, all peers are candidates.
 func (s *State) subscribe(now time.Time) []Effect {
 	candidates := s.candidates(now)
 	if s.reading && s.isLagging(now) {
