sidecar, standin: log lines that tell which path loses an engine

Cause looked for: the spec "crashes two engines" loses three engines in place of two, and no sidecar logs the third crash. Its output could not tell a request from an import of cached memory from an engine that ends for another reason.

Added: the stand-in writes path and process of the request that makes it crash; a sidecar logs each export of cached prefixes (reason, sessions, how many went over, how many failed) and each import that fails, which was an error without a line.

Ruled out: a third request (the stand-ins' lines show two), another exit code (3 in all).

--- a/internal/sidecar/export.go
+++ b/internal/sidecar/export.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/placement"
@@ -38,7 +40,7 @@
 		return
 	}
 	ranked := newSuccessors(list.Entries, s.config.Settings.VM)
-	s.exportSessions(ctx, sessions, ranked.successorOf)
+	s.exportSessions(ctx, sessions, ranked.successorOf, exportLeaving)
 }
 
 // exportTo transfers cached prefixes to a VM that has joined: those of the given
@@ -58,7 +60,7 @@
 	s.exportSessions(ctx, e.Sessions, func(session uint64) (topo.VM, bool) {
 		home, ok := ranked.home(session)
 		return home, ok && home.ID == e.VM
-	})
+	}, exportJoined)
 }
 
 // announceJoin asks the other upstreams of the pool for the cached prefixes of the
@@ -103,6 +105,7 @@
 // importPrefix imports a cached prefix from another sidecar into the engine.
 func (s *Sidecar) importPrefix(ctx context.Context, p wire.Import) (any, error) {
 	if err := s.config.Upstream.Import(ctx, p.Session, p.Cached); err != nil {
+		slog.Warn("import of a cached prefix failed", "vm", s.config.Settings.VM, "session", upstream.SessionID(p.Session), "error", err)
 		return nil, err
 	}
 	s.loop.Post(PrefixImported{Now: time.Now(), Session: p.Session})
@@ -110,11 +113,23 @@
 	return wire.Empty{}, nil
 }
 
-// exportSessions transfers the cached prefix of each session to the VM that to
+// exportReason is the reason for an export of cached prefixes.
+type exportReason string
+
+const (
+	exportLeaving exportReason = "leaving" // this upstream is draining
+	exportJoined  exportReason = "joined"  // another upstream has joined
+)
+
+// exportSessions transfers the cached prefix of each session to the VM that targetOf
 // returns for it, if any.
-func (s *Sidecar) exportSessions(ctx context.Context, sessions []uint64, targetOf func(uint64) (topo.VM, bool)) {
+func (s *Sidecar) exportSessions(ctx context.Context, sessions []uint64, targetOf func(uint64) (topo.VM, bool), reason exportReason) {
 	x := exporter{sidecar: s, peers: make(map[string]*wire.Peer)}
 	defer x.close()
+	defer func() {
+		slog.Info("cached prefixes exported", "vm", s.config.Settings.VM, "reason", reason,
+			"sessions", len(sessions), "exported", x.exported.Load(), "failed", x.failed.Load())
+	}()
 	forEachConcurrently(exportConcurrency, sessions, func(session uint64) {
 		if vm, ok := targetOf(session); ok {
 			x.exportSession(ctx, session, vm)
@@ -142,7 +157,9 @@
 
 // exporter holds the connections of one export.
 type exporter struct {
-	sidecar *Sidecar
+	sidecar  *Sidecar
+	exported atomic.Int64 // sessions
+	failed   atomic.Int64 // sessions
 
 	mu    sync.Mutex
 	peers map[string]*wire.Peer // by VM
@@ -160,9 +177,11 @@
 	}
 	if err != nil {
 		exportFailures.Inc()
+		x.failed.Add(1)
 		return
 	}
 	exportedSessions.Inc()
+	x.exported.Add(1)
 }
 
 func (x *exporter) peer(vm topo.VM) *wire.Peer {
--- a/internal/standin/poison.go
+++ b/internal/standin/poison.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"io"
+	"log"
 	"net/http"
+	"os"
 	"time"
 )
 
@@ -11,7 +13,8 @@
 const crashDelay = 50 * time.Millisecond
 
 // Poisoned wraps h and calls crash shortly after it receives a request whose body
-// contains marker. An empty marker disables this.
+// contains marker. It first writes the request's path to the log. An empty marker
+// disables this.
 func Poisoned(h http.Handler, marker string, crash func()) http.Handler {
 	if marker == "" {
 		return h
@@ -22,6 +25,7 @@
 			return
 		}
 		if bytes.Contains(body, []byte(marker)) {
+			log.Printf("pid %d crashes: %s %s", os.Getpid(), r.Method, r.URL)
 			time.AfterFunc(crashDelay, crash)
 		}
 		r.Body = io.NopCloser(bytes.NewReader(body))
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -99,15 +99,15 @@
 		h.Set(HeaderPriority, strconv.Itoa(r.Priority))
 	}
 	if r.Session != 0 {
-		h.Set(HeaderSession, sessionID(r.Session))
+		h.Set(HeaderSession, SessionID(r.Session))
 	}
 	if r.Traceparent != "" {
 		h.Set(telemetry.HeaderTraceparent, r.Traceparent)
 	}
 }
 
-// sessionID formats a session for headers and paths, in hexadecimal.
-func sessionID(session uint64) string {
+// SessionID formats a session for headers and paths, in hexadecimal.
+func SessionID(session uint64) string {
 	return strconv.FormatUint(session, 16)
 }
 
--- a/internal/upstream/kv.go
+++ b/internal/upstream/kv.go
@@ -24,7 +24,7 @@
 
 // Export implements Upstream.
 func (h *HTTP) Export(ctx context.Context, session uint64) ([]byte, error) {
-	resp, err := h.get(ctx, exportPath+sessionID(session))
+	resp, err := h.get(ctx, exportPath+SessionID(session))
 	if err != nil {
 		return nil, errors.Wrap(err, "upstream: export")
 	}
@@ -41,7 +41,7 @@
 
 // Import implements Upstream.
 func (h *HTTP) Import(ctx context.Context, session uint64, cached []byte) error {
-	url := h.base + importPath + sessionID(session)
+	url := h.base + importPath + SessionID(session)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(cached))
 	if err != nil {
 		return errors.Wrap(err, "upstream: import")
