sidecar: cached prefixes of requests that have not finished stay where they are

What callers saw: a chat that crashes engines cost a third engine with all its chats, beside load, though the quarantine had it run alone. No sidecar logged the third crash.

Cause: a sidecar that had just started announced its join late (beside load, after the first crash), and the sidecar at which the suspect ran alone exported the prompts of all its recent sessions to the new home, the running suspect's among them. Reading an imported prompt is what running the request does. A session counted as recent from the start of its request on, and neither end asked the quarantine.

Ruled out: a third run of the request; the announcement itself (it is right that a new engine gets the prefixes).

Change: a prefix is transferred only if the newest request of its session has run to its end and the quarantine allows that request; this is asked when an export begins and again when the prefix has been read. Import carries the fingerprint of the request, and the sidecar that imports asks its own quarantine, which may know more (the home of a suspect is told of the crash first), and imports nothing beside a suspect that runs alone or while it is not known whether its upstream crashed. Sessions whose request is in flight are exported when it ends, so that a leaving upstream still hands over what it is serving; the list of VMs is read at most every 10 s for that. The end of one export no longer counts as that of a later one (drainState.exports).

TestPromptOfRunningRequestIsNotExported fails on the code before (session 1000 imported); the other tests are of the new decisions.

--- a/internal/sidecar/counters.go
+++ b/internal/sidecar/counters.go
@@ -24,6 +24,10 @@
 		"Cached prefixes handed to another upstream, before leaving or because it joined.")
 	exportFailures = telemetry.NewCounter("sidecar_export_failures_total",
 		"Cached prefixes that could not be handed over.")
+	withheldExports = telemetry.NewCounter("sidecar_withheld_exports_total",
+		"Cached prefixes that were not handed over since a request of their session has not run to its end, or is a suspect.")
+	refusedImports = telemetry.NewFamily[verdict.Reason]("sidecar_refused_imports_total", "reason",
+		"Cached prefixes of other upstreams that were not taken over, by reason.")
 	importedSessions = telemetry.NewCounter("sidecar_imported_sessions_total",
 		"Cached prefixes taken over from other upstreams.")
 )
--- a/internal/sidecar/event.go
+++ b/internal/sidecar/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/config"
+	"github.com/parsleyfront/parsleyfront/internal/quarantine"
 	"github.com/parsleyfront/parsleyfront/internal/token"
 	"github.com/parsleyfront/parsleyfront/internal/upstream"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
@@ -97,7 +98,7 @@
 	Report wire.Report
 }
 
-// ExportFinished is posted when the export of cached prefixes before leaving ends.
+// ExportFinished is posted when an Export has ended.
 type ExportFinished struct {
 	Now time.Time
 }
@@ -110,8 +111,9 @@
 
 // PrefixImported is posted when a cached prefix from another sidecar is imported.
 type PrefixImported struct {
-	Now     time.Time
-	Session uint64
+	Now         time.Time
+	Session     uint64
+	Fingerprint quarantine.Fingerprint // of the request whose prompt it is; zero: not known
 }
 
 // OrderDrainStarted stops the admission of new requests until OrderDrainEnded,
@@ -220,10 +222,10 @@
 	Sessions []uint64
 }
 
-// ExportTo transfers cached prefixes to a VM that has joined: those of the given
-// sessions for which it ranks first.
+// ExportTo transfers cached prefixes to VMs that have joined: those of the given sessions
+// for which one of them ranks first.
 type ExportTo struct {
-	VM       string
+	VMs      []string
 	Sessions []uint64
 }
 
--- a/internal/sidecar/export.go
+++ b/internal/sidecar/export.go
@@ -4,13 +4,18 @@
 	"context"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/parsleyfront/parsleyfront/internal/placement"
+	"github.com/parsleyfront/parsleyfront/internal/quarantine"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
 	"github.com/parsleyfront/parsleyfront/internal/upstream"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
 	"github.com/parsleyfront/parsleyfront/internal/wire"
 )
 
@@ -20,6 +25,9 @@
 	// announceTimeout limits the announcement of a new VM, including the wait until
 	// the list of VMs contains it.
 	announceTimeout = 2 * time.Minute
+	// rankedTTL is how long the VMs of the pool are used for exports before their list is
+	// read again.
+	rankedTTL = 10 * time.Second
 	// listPollInterval is the interval between reads of the list during that wait.
 	listPollInterval = 2 * time.Second
 )
@@ -34,35 +42,52 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, exportTimeout)
 	defer cancel()
-	list, _, err := s.config.VMs.VMs(ctx, "")
+	ranked, err := s.rankedVMs(ctx, nil)
 	if err != nil {
 		exportFailures.Add(int64(len(sessions)))
+		slog.Warn("no cached prefix exported: the list of VMs cannot be read", "vm", s.config.Settings.VM, "sessions", len(sessions), "error", err)
 		return
 	}
-	ranked := newSuccessors(list.Entries, s.config.Settings.VM)
 	s.exportSessions(ctx, sessions, ranked.successorOf, exportLeaving)
 }
 
-// exportTo transfers cached prefixes to a VM that has joined: those of the given
-// sessions for which it ranks first. The target must be in the list of VMs,
+// exportTo transfers cached prefixes to VMs that have joined: those of the given
+// sessions for which one of them ranks first. The target must be in the list of VMs,
 // whichever peer announced it.
 func (s *Sidecar) exportTo(e ExportTo) {
-	if s.config.VMs == nil {
+	if s.config.VMs == nil || len(e.Sessions) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, exportTimeout)
 	defer cancel()
-	list, _, err := s.config.VMs.VMs(ctx, "")
+	ranked, err := s.rankedVMs(ctx, e.VMs)
 	if err != nil {
+		slog.Warn("no cached prefix exported: the list of VMs cannot be read", "vm", s.config.Settings.VM, "to", e.VMs, "error", err)
 		return
 	}
-	ranked := newSuccessors(list.Entries, s.config.Settings.VM)
 	s.exportSessions(ctx, e.Sessions, func(session uint64) (topo.VM, bool) {
 		home, ok := ranked.home(session)
-		return home, ok && home.ID == e.VM
+		return home, ok && slices.Contains(e.VMs, home.ID)
 	}, exportJoined)
 }
 
+// rankedVMs returns the VMs of the pool, which must include the given ones if the list of
+// VMs does. It reads the list at most once in rankedTTL while that is the case: exports
+// follow the end of each request that was running when the first one began.
+func (s *Sidecar) rankedVMs(ctx context.Context, include []string) (successors, error) {
+	s.rankedMu.Lock()
+	defer s.rankedMu.Unlock()
+	if time.Since(s.rankedAt) < rankedTTL && s.ranked.contains(include) {
+		return s.ranked, nil
+	}
+	list, _, err := s.config.VMs.VMs(ctx, "")
+	if err != nil {
+		return successors{}, err
+	}
+	s.ranked, s.rankedAt = newSuccessors(list.Entries, s.config.Settings.VM), time.Now()
+	return s.ranked, nil
+}
+
 // announceJoin asks the other upstreams of the pool for the cached prefixes of the
 // sessions for which this upstream ranks first now that it has joined. Routers
 // send these sessions here as soon as they see this VM in the list, and each
@@ -80,7 +105,10 @@
 	x := exporter{sidecar: s, peers: make(map[string]*wire.Peer)}
 	defer x.close()
 	forEachConcurrently(exportConcurrency, ranked.others(), func(vm topo.VM) {
-		_ = x.peer(vm).Call(ctx, wire.MethodJoined, wire.Joined{VM: s.config.Settings.VM}, nil)
+		err := x.peer(vm).Call(ctx, wire.MethodJoined, wire.Joined{VM: s.config.Settings.VM}, nil)
+		if err != nil {
+			slog.Info("join not announced", "vm", s.config.Settings.VM, "to", vm.ID, "error", err)
+		}
 	})
 }
 
@@ -104,15 +132,35 @@
 
 // importPrefix imports a cached prefix from another sidecar into the engine.
 func (s *Sidecar) importPrefix(ctx context.Context, p wire.Import) (any, error) {
+	fp := quarantine.Fingerprint(p.Fingerprint)
+	_, err := s.transfer(ctx, func(t Ticket) Event { return ImportRequested{Now: time.Now(), Ticket: t, Fingerprint: fp} })
+	if err != nil {
+		refusedImports.Inc(verdict.From(err).Reason)
+		return nil, err
+	}
 	if err := s.config.Upstream.Import(ctx, p.Session, p.Cached); err != nil {
 		slog.Warn("import of a cached prefix failed", "vm", s.config.Settings.VM, "session", upstream.SessionID(p.Session), "error", err)
 		return nil, err
 	}
-	s.loop.Post(PrefixImported{Now: time.Now(), Session: p.Session})
+	s.loop.Post(PrefixImported{Now: time.Now(), Session: p.Session, Fingerprint: fp})
 	importedSessions.Inc()
 	return wire.Empty{}, nil
 }
 
+// transfer posts the event that f returns for a new ticket. It returns the fingerprint of
+// the request whose prompt may be transferred, or the reason why it may not.
+func (s *Sidecar) transfer(ctx context.Context, f func(Ticket) Event) (quarantine.Fingerprint, error) {
+	e, err := s.ask(ctx, f)
+	if err != nil {
+		return 0, err
+	}
+	reply := e.(ReplyTransfer)
+	if reply.Err != nil {
+		return 0, reply.Err
+	}
+	return reply.Fingerprint, nil
+}
+
 // exportReason is the reason for an export of cached prefixes.
 type exportReason string
 
@@ -166,18 +214,24 @@
 }
 
 // exportSession transfers the cached prefix of one session. A session without a
-// cached prefix is skipped.
+// cached prefix, or whose prefix may no longer be transferred, is skipped.
 func (x *exporter) exportSession(ctx context.Context, session uint64, to topo.VM) {
 	cached, err := x.sidecar.config.Upstream.Export(ctx, session)
-	if err == upstream.ErrNotCached {
+	if errors.Is(err, upstream.ErrNotCached) {
 		return
 	}
 	if err == nil {
-		err = x.peer(to).Call(ctx, wire.MethodImport, wire.Import{Session: session, Cached: cached}, nil)
+		fp, withheld := x.sidecar.transfer(ctx, func(t Ticket) Event { return PrefixRead{Now: time.Now(), Ticket: t, Session: session} })
+		if withheld != nil {
+			withheldExports.Inc()
+			return
+		}
+		err = x.peer(to).Call(ctx, wire.MethodImport, wire.Import{Session: session, Fingerprint: uint64(fp), Cached: cached}, nil)
 	}
 	if err != nil {
 		exportFailures.Inc()
 		x.failed.Add(1)
+		slog.Debug("export of a cached prefix failed", "vm", x.sidecar.config.Settings.VM, "to", to.ID, "session", upstream.SessionID(session), "error", err)
 		return
 	}
 	exportedSessions.Inc()
--- a/internal/sidecar/finish.go
+++ b/internal/sidecar/finish.go
@@ -40,7 +40,7 @@
 	case e.Err == nil:
 		s.quarantine.RecordFinished(e.Now, r.fingerprint())
 		s.table.Finish(e.Nonce, verdict.Ran, s.keepUntil(e.Now, r))
-		return s.finishRequest(e.Now, r, Finish{Nonce: e.Nonce})
+		return append(s.finishRequest(e.Now, r, Finish{Nonce: e.Nonce}), s.exportCompleted(e.Now, r)...)
 	case e.Err.Verdict == verdict.NotRun:
 		s.probe.next = e.Now
 		return s.withdraw(e.Now, r, e.Err)
--- a/internal/sidecar/heirs.go
+++ b/internal/sidecar/heirs.go
@@ -46,6 +46,16 @@
 	return s
 }
 
+// contains reports whether the VMs with the given ids are among them.
+func (s *successors) contains(ids []string) bool {
+	for _, id := range ids {
+		if !slices.ContainsFunc(s.vms, func(vm topo.VM) bool { return vm.ID == id }) {
+			return false
+		}
+	}
+	return true
+}
+
 // successorOf returns the upstream that serves a session after this one has left.
 func (s *successors) successorOf(session uint64) (topo.VM, bool) {
 	return s.vmAt(s.pool.Successor(session, s.self))
--- a/internal/sidecar/join.go
+++ b/internal/sidecar/join.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"slices"
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/upstream"
@@ -17,6 +18,19 @@
 	lastExports map[string]time.Time // start of the latest export by VM, within joinExportInterval
 }
 
+// joinedSince returns the VMs that have joined since a time, and no longer ago than
+// joinExportInterval, in a fixed order.
+func (j *joinState) joinedSince(now, since time.Time) []string {
+	var vms []string
+	for vm, at := range j.lastExports {
+		if !at.Before(since) && now.Sub(at) < joinExportInterval {
+			vms = append(vms, vm)
+		}
+	}
+	slices.Sort(vms)
+	return vms
+}
+
 // announceOnce announces this upstream when it is up for the first time.
 func (s *State) announceOnce(state upstream.State) []Effect {
 	if s.join.announced || state != upstream.Up {
@@ -42,5 +56,5 @@
 		return nil
 	}
 	j.lastExports[e.VM] = e.Now
-	return []Effect{ExportTo{VM: e.VM, Sessions: s.recent.mostRecent()}}
+	return []Effect{ExportTo{VMs: []string{e.VM}, Sessions: s.transferable(e.Now)}}
 }
--- a/internal/sidecar/join_test.go
+++ b/internal/sidecar/join_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -16,6 +17,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/token"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
 	"github.com/parsleyfront/parsleyfront/internal/upstream"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
 	"github.com/parsleyfront/parsleyfront/internal/wire"
 )
 
@@ -26,10 +28,17 @@
 	imported []uint64
 }
 
-func (u *kvUpstream) Do(_ context.Context, r upstream.Request) (*upstream.Response, error) {
+// hangingSession is the session whose requests do not end by themselves.
+const hangingSession = 1000
+
+func (u *kvUpstream) Do(ctx context.Context, r upstream.Request) (*upstream.Response, error) {
 	u.mu.Lock()
-	defer u.mu.Unlock()
 	u.cached[r.Session] = true
+	u.mu.Unlock()
+	if r.Session == hangingSession {
+		<-ctx.Done()
+		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonCancelled, "%s", ctx.Err())
+	}
 	return &upstream.Response{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader(""))}, nil
 }
 
@@ -106,6 +115,59 @@
 	return u, func() { cancel(); <-serveErr }
 }
 
+// submitAll submits requests of the given sessions to vm-0.
+func (p *kvPool) submitAll(t *testing.T, sessions []uint64) {
+	peer := wire.NewPeer(wire.PeerConfig{Dial: p.pipes["vm-0"].dial})
+	for n, session := range sessions {
+		key := wire.Key{VM: "vm-0", Incarnation: 1, Nonce: token.Nonce{byte(n)}, Expires: time.Now().Add(time.Hour).Unix()}
+		sub := wire.Submit{Key: key, Org: "org", Session: session, Fingerprint: session, Window: 1 << 10, Policy: wire.RequestPolicy{Deadline: time.Hour}}
+		if _, _, err := peer.Submit(t.Context(), sub); err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+	}
+	peer.Close()
+}
+
+// homes returns those of the sessions for which a VM ranks first.
+func (p *kvPool) homes(sessions []uint64, id string) []uint64 {
+	ranked := newSuccessors(p.list, id)
+	return slices.DeleteFunc(slices.Clone(sessions), func(session uint64) bool {
+		vm, _ := ranked.home(session)
+		return vm.ID != id
+	})
+}
+
+// Guards against an engine that is lost on its return: the request that crashed it runs
+// alone at another VM, which gets the announcement of the join at that moment.
+func TestPromptOfRunningRequestIsNotExported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &kvPool{pipes: make(map[string]*pipeListener)}
+		_, stopFirst := p.start("vm-0")
+		sessions := []uint64{hangingSession}
+		for session := uint64(1); session <= 40; session++ {
+			sessions = append(sessions, session)
+		}
+		p.submitAll(t, sessions)
+		// The hanging session must rank first at the VM that joins.
+		joining := ""
+		for n := 1; joining == ""; n++ {
+			id := fmt.Sprint("vm-", n)
+			with := &kvPool{list: append(slices.Clone(p.list), topo.VM{ID: id, Role: topo.RoleUpstream, Pool: "notes"})}
+			if slices.Contains(with.homes(sessions, id), hangingSession) {
+				joining = id
+			}
+		}
+		second, stopSecond := p.start(joining)
+		expected := p.homes(sessions[1:], joining)
+		if got := second.importedSessions(); len(expected) == 0 || !slices.Equal(got, expected) {
+			t.Errorf("imported at the join: %v, want %v", got, expected)
+		}
+		stopSecond()
+		stopFirst()
+	})
+}
+
 // When a second engine joins, routers send it the sessions for which it ranks
 // first, so their cached prefixes must be transferred to it; otherwise each is
 // recomputed. When the second engine leaves, the prefixes must be transferred back.
@@ -113,25 +175,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := &kvPool{pipes: make(map[string]*pipeListener)}
 		first, stopFirst := p.start("vm-0")
-		peer := wire.NewPeer(wire.PeerConfig{Dial: p.pipes["vm-0"].dial})
-		const sessions = 40
-		for n := range byte(sessions) {
-			key := wire.Key{VM: "vm-0", Incarnation: 1, Nonce: token.Nonce{n}, Expires: time.Now().Add(time.Hour).Unix()}
-			if _, _, err := peer.Submit(t.Context(), wire.Submit{Key: key, Org: "org", Session: uint64(n) + 1, Window: 1 << 10}); err != nil {
-				t.Fatal(err)
-			}
-			synctest.Wait()
+		var sessions []uint64
+		for session := uint64(1); session <= 40; session++ {
+			sessions = append(sessions, session)
 		}
-		peer.Close()
+		p.submitAll(t, sessions)
 
 		second, stopSecond := p.start("vm-1")
-		ranked := newSuccessors(p.list, "vm-1")
-		var expected []uint64
-		for session := uint64(1); session <= sessions; session++ {
-			if vm, _ := ranked.home(session); vm.ID == "vm-1" {
-				expected = append(expected, session)
-			}
-		}
+		expected := p.homes(sessions, "vm-1")
 		if got := second.importedSessions(); len(expected) == 0 || !slices.Equal(got, expected) {
 			t.Errorf("imported at the join: %v, want %v", got, expected)
 		}
--- a/internal/sidecar/leave.go
+++ b/internal/sidecar/leave.go
@@ -1,9 +1,6 @@
 package sidecar
 
 import (
-	"cmp"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/token"
@@ -19,9 +16,6 @@
 	listNoticeTTL = 2 * time.Minute
 	// exportTimeout limits the duration of an export of cached prefixes.
 	exportTimeout = 20 * time.Second
-	// maxRecentSessions limits the sessions whose prefixes are exported. It is twice
-	// an upstream's share of 6.3 million chats over 2,900 upstreams.
-	maxRecentSessions = 4096
 )
 
 // drainState is the state of draining the upstream, whichever reason State.draining
@@ -30,8 +24,8 @@
 	notice          wire.Notice // with the highest version so far; from an operators' order to drain
 	listNoticeUntil time.Time   // until when a notice from the list of VMs is valid
 	begun           bool        // this drain has started: the queued requests have been withdrawn
-	exportEnded     bool
-	exportBy        time.Time // limit of the wait for the export
+	exports         int         // exports in progress
+	exportBy        time.Time   // limit of the wait for them
 	stopping        bool
 	stopBy          time.Time
 	exited          bool // Exit has been emitted
@@ -62,6 +56,11 @@
 	}
 }
 
+// exporting reports whether exports are in progress and have not timed out.
+func (d *drainState) exporting(now time.Time) bool {
+	return d.exports > 0 && now.Before(d.exportBy)
+}
+
 func (s *State) beginStop(now time.Time) {
 	if s.drain.stopping {
 		return
@@ -81,11 +80,9 @@
 	}
 	var effects []Effect
 	if !d.begun {
-		d.begun, d.exportEnded = true, false
-		d.exportBy = now.Add(exportTimeout)
-		s.timers.add(d.exportBy, token.Nonce{})
+		d.begun = true
 		effects = append(s.withdrawQueued(now, verdict.ReasonDraining, "the upstream is leaving"),
-			Export{Sessions: s.recent.mostRecent()})
+			s.export(now, s.transferable(now)))
 	}
 	if d.stopping && !d.exited && s.mayExit(now) {
 		d.exited = true
@@ -94,15 +91,15 @@
 	return effects
 }
 
-// mayExit reports whether the process can exit without interrupting a response. The
-// export of prefixes must have ended or timed out. Each response must have ended and
+// mayExit reports whether the process can exit without interrupting a response. All
+// exports of prefixes must have ended or timed out. Each response must have ended and
 // have no reader, and must have been sent completely to a router, unless DetachGrace
 // has passed since its end. From stopBy on, mayExit always reports true.
 func (s *State) mayExit(now time.Time) bool {
 	if !now.Before(s.drain.stopBy) {
 		return true
 	}
-	if !s.drain.exportEnded && now.Before(s.drain.exportBy) {
+	if s.drain.exporting(now) {
 		return false
 	}
 	for _, r := range s.requests {
@@ -113,41 +110,3 @@
 	}
 	return true
 }
-
-// recentSessionSet is the set of the most recently served sessions.
-type recentSessionSet struct {
-	seq     uint64
-	lastUse map[uint64]uint64 // sequence number of the last use, by session
-}
-
-func (s *recentSessionSet) touch(session uint64) {
-	if session == 0 {
-		return
-	}
-	if s.lastUse == nil {
-		s.lastUse = make(map[uint64]uint64)
-	}
-	s.seq++
-	s.lastUse[session] = s.seq
-	if len(s.lastUse) >= 2*maxRecentSessions {
-		s.trim()
-	}
-}
-
-func (s *recentSessionSet) trim() {
-	for _, session := range s.byRecency()[maxRecentSessions:] {
-		delete(s.lastUse, session)
-	}
-}
-
-// mostRecent returns up to maxRecentSessions sessions, most recent first.
-func (s *recentSessionSet) mostRecent() []uint64 {
-	all := s.byRecency()
-	return all[:min(len(all), maxRecentSessions)]
-}
-
-func (s *recentSessionSet) byRecency() []uint64 {
-	all := slices.Collect(maps.Keys(s.lastUse))
-	slices.SortFunc(all, func(x, y uint64) int { return cmp.Compare(s.lastUse[y], s.lastUse[x]) })
-	return all
-}
--- a/internal/sidecar/order.go
+++ b/internal/sidecar/order.go
@@ -21,8 +21,7 @@
 // cached prefixes has finished or timed out.
 func (s *State) advanceOrderDrain(now time.Time) []Effect {
 	t := s.orderDrain.ticket
-	exported := s.drain.exportEnded || !now.Before(s.drain.exportBy)
-	if t == 0 || !s.drain.begun || !exported || s.queue.Running() > 0 || len(s.interrupted) > 0 {
+	if t == 0 || !s.drain.begun || s.drain.exporting(now) || s.queue.Running() > 0 || len(s.interrupted) > 0 {
 		return nil
 	}
 	s.orderDrain.ticket = 0
--- a/internal/sidecar/schedule.go
+++ b/internal/sidecar/schedule.go
@@ -84,7 +84,7 @@
 	r.phase, r.started = running, now
 	effect := Start{Submit: r.submit, Deadline: r.deadline}
 	r.submit.Call.Body, r.submit.Call.Header = nil, nil
-	s.recent.touch(r.submit.Session)
+	s.prefixes.begin(now, r.submit.Session, r.fingerprint())
 	return effect
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -54,6 +54,10 @@
 
 	peersMu sync.Mutex // serializes postPeers
 
+	rankedMu sync.Mutex // held while the list of VMs is read
+	ranked   successors // of rankedAt
+	rankedAt time.Time
+
 	mu        sync.Mutex
 	waiting   map[Ticket]chan Effect
 	calls     map[token.Nonce]context.CancelFunc
@@ -149,6 +153,8 @@
 		s.deliver(e.Ticket, e)
 	case ReplyConfig:
 		s.deliver(e.Ticket, e)
+	case ReplyTransfer:
+		s.deliver(e.Ticket, e)
 	case ConfigEffect:
 		s.follower.Do(s.ctx, e.Effect)
 	case Probe:
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -68,7 +68,7 @@
 	drainOrders        drain.Orders
 	drain              drainState
 	orderDrain         orderDrain
-	recent             recentSessionSet
+	prefixes           cachedPrefixes
 	join               joinState
 	availability       ReportAvailability // as last reported
 }
@@ -170,11 +170,15 @@
 	case ReportReceived:
 		return s.handleReport(e)
 	case ExportFinished:
-		s.drain.exportEnded = true
+		s.drain.exports = max(0, s.drain.exports-1)
 	case VMJoined:
 		return s.handleVMJoined(e)
+	case PrefixRead:
+		return s.handlePrefixRead(e)
+	case ImportRequested:
+		return s.handleImport(e)
 	case PrefixImported:
-		s.recent.touch(e.Session)
+		s.prefixes.imported(e.Session, e.Fingerprint)
 	case ConfigEvent:
 		return s.handleConfig(e)
 	case ConfigRequested:
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -189,8 +189,9 @@
 // Import transfers the cached prefix of a session to the sidecar that will serve
 // the session next.
 type Import struct {
-	Session uint64 `json:"session"`
-	Cached  []byte `json:"cached"` // in the format that the engine exported
+	Session     uint64 `json:"session"`
+	Fingerprint uint64 `json:"print,omitempty"` // of the request whose prompt it is; zero: not known
+	Cached      []byte `json:"cached"`          // in the format that the engine exported
 }
 
 // Joined asks a sidecar to transfer the cached prefixes of the sessions that now
