sidecar: a probe tells of a crash only what it can have seen

What callers saw: the response ended with a failure and without evidence of the crash, so that the next copy of a request that crashes engines ran beside others, at one more engine.

Cause, by the reducer alone (no processes, no clock): whether the upstream crashed under a request whose call broke was decided by the next result of a probe, compared with the state of that moment. Three orders of events lose it: a periodic probe that began before the crash answers "up, the same process"; a probe names the new process before the end of the call is handled, so that the probe after it finds no restart; the probe after the call times out, which was taken for "not crashed". The class: a question that opened at one moment is answered by an observation that began before it, or is compared with a later state than the one it started from.

Change: probes are numbered as they begin. A request keeps the process and the number of probes that were known when it started, and the number when its call failed. The process as it was then is compared with the newest one; only a probe that began after the failure shows that the upstream has survived; one that timed out shows nothing and is followed by another at once, up to the two after which an upstream counts as down, and then counts as a crash. A probe that is asked for during another one follows it (an upstream that was down counted as up for 5 s). Requests that began at the new process are no suspects of the crash of the former one any more.

In newCrashSite, benchState and the random fleet a probe begins before it returns, as in the sidecar.

--- a/internal/sidecar/bench_test.go
+++ b/internal/sidecar/bench_test.go
@@ -22,6 +22,7 @@
 		Admission:   admission.Config{Slots: slots, MaxWaiting: math.MaxInt, MaxBytes: math.MaxInt},
 		DetachGrace: 15 * time.Second, KeepAnswer: 30 * time.Second,
 	})
+	s.Step(Ticked{Now: benchStart})
 	s.Step(Probed{Now: benchStart, Health: upstream.Health{}})
 	return s
 }
--- /dev/null
+++ b/internal/sidecar/crash_test.go
@@ -0,0 +1,175 @@
+package sidecar
+
+import (
+	"testing"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/quarantine"
+	"github.com/parsleyfront/parsleyfront/internal/token"
+	"github.com/parsleyfront/parsleyfront/internal/upstream"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+)
+
+// pass lets time pass and returns the effects of the timers that are due then.
+func (l *lone) pass(d time.Duration) []Effect {
+	l.now = l.now.Add(d)
+	return l.Step(Ticked{Now: l.now})
+}
+
+// isProbing reports whether the effects start a probe.
+func isProbing(effects []Effect) bool {
+	for _, effect := range effects {
+		if _, ok := effect.(Probe); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// finishOf returns the end of a response among the effects, nil if it has not ended.
+func finishOf(effects []Effect, n token.Nonce) *Finish {
+	for _, effect := range effects {
+		if f, ok := effect.(Finish); ok && f.Nonce == n {
+			return &f
+		}
+	}
+	return nil
+}
+
+// isSuspect reports whether a fingerprint is a suspect at this sidecar.
+func (l *lone) isSuspect(fp quarantine.Fingerprint) bool {
+	return l.quarantine.Decide(l.now, fp, false).Action != quarantine.Allow
+}
+
+// expectCrash checks that effects record the crash before the response of n ends.
+func (l *lone) expectCrash(t *testing.T, effects []Effect, n token.Nonce) {
+	t.Helper()
+	f := finishOf(effects, n)
+	if f == nil || f.Error == nil || len(f.Control.Suspects) == 0 || !l.isSuspect(crasherFingerprint) {
+		t.Errorf("the end of the response has no evidence of the crash: %+v", f)
+	}
+}
+
+// Guards against a crash that is not recorded because a probe that began before it found
+// the upstream up.
+func TestProbeFromBeforeTheCrashDecidesNothing(t *testing.T) {
+	l := newLone()
+	n := l.start(1, crasherFingerprint)
+	if !isProbing(l.pass(probeIntervalUp)) {
+		t.Fatal("no periodic probe")
+	}
+	l.end(n, errBroken)
+	effects := l.probed(upstream.Health{Instance: "1"})
+	if finishOf(effects, n) != nil {
+		t.Fatal("the response ends by a probe from before the crash")
+	}
+	if !isProbing(effects) {
+		t.Fatal("no probe follows at once")
+	}
+	l.expectCrash(t, l.probed(upstream.Health{Instance: "2"}), n)
+}
+
+// Guards against a crash that is not recorded because a probe has seen the restarted
+// upstream before the end of the call was handled.
+func TestRestartSeenBeforeTheEndOfTheCall(t *testing.T) {
+	l := newLone()
+	n := l.start(1, crasherFingerprint)
+	l.pass(probeIntervalUp)
+	l.probed(upstream.Health{Instance: "2"})
+	effects := l.end(n, errBroken)
+	if finishOf(effects, n) == nil {
+		effects = l.probed(upstream.Health{Instance: "2"})
+	}
+	l.expectCrash(t, effects, n)
+}
+
+// Guards against a crash that is not recorded because a probe has found that the process
+// has ended before the end of the call was handled, and it is back by then. This upstream
+// does not name its process.
+func TestEndOfProcessSeenBeforeTheEndOfTheCall(t *testing.T) {
+	l := newLoneAt("")
+	n := l.start(1, crasherFingerprint)
+	l.pass(probeIntervalUp)
+	l.probed(upstream.Health{State: upstream.Gone})
+	l.pass(probeIntervalDown)
+	l.probed(upstream.Health{})
+	effects := l.end(n, errBroken)
+	if finishOf(effects, n) == nil {
+		effects = l.probed(upstream.Health{})
+	}
+	l.expectCrash(t, effects, n)
+}
+
+// Guards against a crash that is not recorded because the probe after it timed out: the
+// machine is busy, or the upstream is starting.
+func TestTimedOutProbeDecidesNothing(t *testing.T) {
+	for name, last := range map[string]upstream.Health{
+		"is back":       {Instance: "2"},
+		"is gone":       {State: upstream.Gone},
+		"does not wake": {State: upstream.Frozen},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newLone()
+			n := l.start(1, crasherFingerprint)
+			l.end(n, errBroken)
+			l.now = l.now.Add(upstream.ProbeTimeout)
+			effects := l.probed(upstream.Health{State: upstream.Frozen})
+			if finishOf(effects, n) != nil {
+				t.Fatal("the response ends though it is not known whether the upstream crashed")
+			}
+			if !isProbing(effects) {
+				t.Fatal("no probe follows at once")
+			}
+			l.expectCrash(t, l.probed(last), n)
+		})
+	}
+}
+
+// Guards against harmless requests that are taken for suspects: the upstream has broken off
+// a call and goes on.
+func TestBrokenCallOfALivingUpstreamIsNoCrash(t *testing.T) {
+	l := newLone()
+	n := l.start(1, crasherFingerprint)
+	other := l.start(2, 8)
+	l.end(n, errBroken)
+	l.now = l.now.Add(upstream.ProbeTimeout)
+	l.probed(upstream.Health{State: upstream.Frozen})
+	f := finishOf(l.probed(upstream.Health{Instance: "1"}), n)
+	if f == nil || f.Error.Reason != verdict.ReasonUpstreamFailed || len(f.Control.Suspects) > 0 {
+		t.Errorf("end of the response: %+v", f)
+	}
+	if l.isSuspect(crasherFingerprint) || l.isSuspect(8) {
+		t.Error("a request is a suspect though nothing crashed")
+	}
+	l.end(other, nil)
+}
+
+// Guards against innocent suspects: a request that began at the new process was not running
+// when the former one crashed.
+func TestRequestsOfTheNewProcessAreNoSuspects(t *testing.T) {
+	l := newLone()
+	n := l.start(1, crasherFingerprint)
+	l.pass(probeIntervalUp)
+	l.probed(upstream.Health{Instance: "2"})
+	l.start(2, 8)
+	effects := l.end(n, errBroken)
+	if finishOf(effects, n) == nil {
+		effects = l.probed(upstream.Health{Instance: "2"})
+	}
+	l.expectCrash(t, effects, n)
+	if l.isSuspect(8) {
+		t.Error("a request that began after the crash is a suspect")
+	}
+}
+
+// Guards against an upstream that is down and counts as up for seconds: the call that found
+// it down asked for a probe while another one, from before, was under way.
+func TestProbeAskedForDuringAProbeFollows(t *testing.T) {
+	l := newLone()
+	n := l.start(1, 8)
+	l.pass(probeIntervalUp)
+	l.end(n, verdict.New(verdict.NotRun, verdict.ReasonUpstreamDown, ""))
+	if !isProbing(l.probed(upstream.Health{Instance: "1"})) {
+		t.Error("no probe follows")
+	}
+}
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -138,7 +138,7 @@
 	})
 	n.leaving, n.version, n.listNoticeUntil = false, 0, time.Time{}
 	n.probing = true
-	n.state.probe.pending = true
+	n.state.probe.begun++
 }
 
 func (f *fleet) vm(id string) *testVM {
--- a/internal/sidecar/schedule.go
+++ b/internal/sidecar/schedule.go
@@ -17,7 +17,7 @@
 // probe has returned, while a suspect runs alone, or while it is not known
 // whether the upstream has crashed.
 func (s *State) schedule(now time.Time) []Effect {
-	if !s.probe.known || len(s.interrupted) > 0 || s.checkIsolated(now) {
+	if !s.probe.known() || len(s.interrupted) > 0 || s.checkIsolated(now) {
 		return nil
 	}
 	if len(s.lane) > 0 {
@@ -82,6 +82,7 @@
 // header of the request.
 func (s *State) startRequest(now time.Time, r *request) Effect {
 	r.phase, r.started = running, now
+	r.instance, r.probesAtStart = s.probe.instance, s.probe.begun
 	effect := Start{Submit: r.submit, Deadline: r.deadline}
 	r.submit.Call.Body, r.submit.Call.Header = nil, nil
 	s.prefixes.begin(now, r.submit.Session, r.fingerprint())
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -94,14 +94,19 @@
 	expires       time.Time // latest time to start; zero: none
 	deadline      time.Time // zero: none
 	started       time.Time
-	failure       *verdict.Error // of an interrupted call
-	readers       int
-	readSeq       uint64
-	delivered     bool
-	unreadSince   time.Time // start of the time without readers; zero: it has readers
-	discarding    bool      // DiscardOverflow has been emitted
-	endedAt       time.Time // when the response ended
-	keepUntil     time.Time
+	// instance and probesAtStart describe what was known of the upstream when the request
+	// started: its process, and the number of probes that had begun.
+	instance        upstream.Instance
+	probesAtStart   probeNumber
+	failure         *verdict.Error // of an interrupted call
+	probesAtFailure probeNumber    // number of probes that had begun when the call failed
+	readers         int
+	readSeq         uint64
+	delivered       bool
+	unreadSince     time.Time // start of the time without readers; zero: it has readers
+	discarding      bool      // DiscardOverflow has been emitted
+	endedAt         time.Time // when the response ended
+	keepUntil       time.Time
 }
 
 func (r *request) nonce() token.Nonce { return r.submit.Key.Nonce }
@@ -257,14 +262,3 @@
 	}
 	return []Effect{Reply{Ticket: t, Admission: a}}
 }
-
-// probe is the health of the upstream as last probed.
-type probe struct {
-	pending  bool // a probe is in progress
-	known    bool // a probe has returned since the start
-	next     time.Time
-	down     bool
-	timeouts int // consecutive probes that timed out
-	instance upstream.Instance
-	external int // as counted by countExternal
-}
--- a/internal/sidecar/suspect_test.go
+++ b/internal/sidecar/suspect_test.go
@@ -24,6 +24,7 @@
 func newCrashSite() *crashSite {
 	s := &crashSite{State: NewState(Settings{VM: "a", Incarnation: 1, Keys: 100}), now: time.Unix(1_800_000_000, 0)}
 	s.quarantine.RecordCrash(s.now, []quarantine.RunningRequest{{Fingerprint: crasherFingerprint, Started: s.now}, {Fingerprint: 8, Started: s.now}})
+	s.Step(Ticked{Now: s.now})
 	s.Step(Probed{Now: s.now, Health: upstream.Health{State: upstream.Gone}})
 	return s
 }
--- a/internal/sidecar/transfer_test.go
+++ b/internal/sidecar/transfer_test.go
@@ -20,14 +20,18 @@
 	count byte // requests submitted
 }
 
-func newLone() *lone {
+func newLone() *lone { return newLoneAt("1") }
+
+// newLoneAt returns a sidecar whose upstream is up and names its process, or does not if
+// instance is empty.
+func newLoneAt(instance upstream.Instance) *lone {
 	s := NewState(Settings{
 		VM: "a", Incarnation: 1, Keys: 100, DetachGrace: time.Minute, KeepAnswer: time.Minute, StopTimeout: time.Hour,
 		Admission: admission.Config{Slots: 8, MaxWaiting: 8, MaxBytes: 1 << 20},
 	})
 	l := &lone{State: s, now: time.Unix(1_800_000_000, 0)}
 	l.Step(Ticked{Now: l.now})
-	l.probed(upstream.Health{Instance: "1"})
+	l.probed(upstream.Health{Instance: instance})
 	return l
 }
 
