sidecar: a crash while a prefix is imported is recorded

What callers saw: an engine that crashes of an imported prompt was lost without a trace: no request ran, so that no crash was logged and nothing was held against the chat, whose prompt could be handed on to the next engine.

Cause: imports went past the reducer. It knew neither what was being imported nor that an import had broken, and crashes were looked for only after the call of a request had broken.

What is recorded at a crash are the requests that ran and these imports, by the fingerprint that Import carries. A suspect runs alone only when no import is unsettled: it could not be convicted otherwise, and would cost a third upstream. An import of a request that is not known (from a sidecar of an earlier release) gets no entry, but nobody counts as alone beside it. The log line of a crash says how many imports there were.

Four tests in crash_test.go are of this (there was no event to post before); TestNothingIsImportedBesideASuspect lets its import end before it goes on.

--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -140,13 +140,14 @@
 
 // RunningRequest is a request that was running on the upstream when it crashed.
 type RunningRequest struct {
-	Fingerprint Fingerprint
+	Fingerprint Fingerprint // zero: not known
 	Started     time.Time
 }
 
 // RecordCrash records a crash of this sidecar's upstream and returns the new entries.
 // If only one fingerprint was running, it is convicted only if it was already a suspect
-// of an earlier crash: upstreams also crash for unrelated reasons.
+// of an earlier crash: upstreams also crash for unrelated reasons. A request whose
+// fingerprint is not known gets no entry, but the others did not run alone.
 func (t *Table) RecordCrash(now time.Time, running []RunningRequest) []Entry {
 	t.crashes++
 	c := crashID(t.vm, t.incarnation, t.crashes)
@@ -158,6 +159,9 @@
 	}
 	var out []Entry
 	for _, r := range running {
+		if r.Fingerprint == 0 {
+			continue
+		}
 		runTime := max(0, now.Sub(r.Started)).Truncate(time.Millisecond)
 		e := Entry{Fingerprint: r.Fingerprint, Crash: c, VM: t.vm, At: at, Alone: isAlone, RunTime: runTime, Status: status}
 		t.mergeEntry(now, e)
--- a/internal/sidecar/crash_test.go
+++ b/internal/sidecar/crash_test.go
@@ -173,3 +173,109 @@
 		t.Error("no probe follows")
 	}
 }
+
+// importPrefix starts the import of a prefix and returns its ticket.
+func (l *lone) importPrefix(t *testing.T, fp quarantine.Fingerprint) Ticket {
+	t.Helper()
+	l.tickets++
+	effects := l.Step(ImportRequested{Now: l.now, Ticket: l.tickets, Session: 5, Fingerprint: fp})
+	if err := transferError(t, effects); err != nil {
+		t.Fatalf("import refused: %v", err)
+	}
+	return l.tickets
+}
+
+// Guards against a crash that nobody is suspected of: the upstream crashes of a prefix that
+// it has imported, while no request runs, before or after the import has ended.
+func TestCrashOfAnImportIsRecorded(t *testing.T) {
+	t.Run("broken off", func(t *testing.T) {
+		l := newLone()
+		ticket := l.importPrefix(t, crasherFingerprint)
+		if !isProbing(l.Step(ImportEnded{Now: l.now, Ticket: ticket, Err: errBroken})) {
+			t.Fatal("no probe follows the broken import")
+		}
+		l.probed(upstream.Health{State: upstream.Gone})
+		if !l.isSuspect(crasherFingerprint) {
+			t.Error("nobody is suspected of the crash")
+		}
+	})
+	t.Run("ended", func(t *testing.T) {
+		l := newLone()
+		l.Step(ImportEnded{Now: l.now, Ticket: l.importPrefix(t, crasherFingerprint)})
+		if !isProbing(l.pass(importSettleTime)) {
+			t.Fatal("no probe follows the import")
+		}
+		l.probed(upstream.Health{Instance: "2"})
+		if !l.isSuspect(crasherFingerprint) {
+			t.Error("nobody is suspected of the crash")
+		}
+	})
+	t.Run("ended, and a request runs", func(t *testing.T) {
+		l := newLone()
+		l.Step(ImportEnded{Now: l.now, Ticket: l.importPrefix(t, crasherFingerprint)})
+		l.end(l.start(1, 8), errBroken)
+		l.probed(upstream.Health{Instance: "2"})
+		if !l.isSuspect(crasherFingerprint) || !l.isSuspect(8) {
+			t.Error("not both are suspected of the crash")
+		}
+	})
+}
+
+// Guards against harmless prefixes that are suspected of a crash which came later.
+func TestImportThatTheUpstreamSurvivesIsNoSuspect(t *testing.T) {
+	l := newLone()
+	l.Step(ImportEnded{Now: l.now, Ticket: l.importPrefix(t, 8)})
+	l.pass(importSettleTime)
+	l.probed(upstream.Health{Instance: "1"})
+	l.end(l.start(1, crasherFingerprint), errBroken)
+	l.probed(upstream.Health{Instance: "2"})
+	if l.isSuspect(8) || !l.isSuspect(crasherFingerprint) {
+		t.Error("a prefix that the upstream has survived is suspected, or the request that crashed it is not")
+	}
+}
+
+// Guards against a third lost upstream: a suspect that crashes an upstream alone is convicted
+// only if an import beside it cannot have been the cause.
+func TestSuspectWaitsForImports(t *testing.T) {
+	l := newLone()
+	l.end(l.start(1, crasherFingerprint), errBroken)
+	l.probed(upstream.Health{Instance: "2"})
+	ticket := l.importPrefix(t, 8)
+	suspect := l.start(1, crasherFingerprint)
+	if l.isolated != nil {
+		t.Fatal("the suspect runs beside an import")
+	}
+	l.Step(ImportEnded{Now: l.now, Ticket: ticket})
+	if l.isolated != nil {
+		t.Fatal("the suspect runs before the upstream has survived the import")
+	}
+	l.pass(importSettleTime)
+	l.probed(upstream.Health{Instance: "2"})
+	if l.isolated == nil {
+		t.Fatal("the suspect does not run")
+	}
+	l.end(suspect, errBroken)
+	l.probed(upstream.Health{Instance: "3"})
+	if action := l.quarantine.Decide(l.now, crasherFingerprint, false).Action; action != quarantine.Refuse {
+		t.Errorf("the request that crashed two upstreams is not convicted: action %d", action)
+	}
+}
+
+// Guards against an innocent request that is convicted of a crash beside an import of which
+// only its session is known, as from a sidecar of an earlier release.
+func TestImportOfUnknownRequestIsNoEvidenceAgainstOthers(t *testing.T) {
+	l := newLone()
+	l.end(l.start(1, 8), errBroken)
+	l.probed(upstream.Health{Instance: "2"})
+	l.end(l.start(1, 8), nil)
+	l.end(l.start(1, 8), errBroken)
+	l.probed(upstream.Health{Instance: "3"})
+	l.Step(ImportEnded{Now: l.now, Ticket: l.importPrefix(t, 0)})
+	l.end(l.start(2, 9), errBroken)
+	l.probed(upstream.Health{Instance: "4"})
+	for _, e := range l.quarantine.Cases(l.now) {
+		if e.Convicted {
+			t.Errorf("request %s is convicted", e.Fingerprint)
+		}
+	}
+}
--- a/internal/sidecar/event.go
+++ b/internal/sidecar/event.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/config"
-	"github.com/parsleyfront/parsleyfront/internal/quarantine"
 	"github.com/parsleyfront/parsleyfront/internal/token"
 	"github.com/parsleyfront/parsleyfront/internal/upstream"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
@@ -109,13 +108,6 @@
 	VM  string
 }
 
-// PrefixImported is posted when a cached prefix from another sidecar is imported.
-type PrefixImported struct {
-	Now         time.Time
-	Session     uint64
-	Fingerprint quarantine.Fingerprint // of the request whose prompt it is; zero: not known
-}
-
 // OrderDrainStarted stops the admission of new requests until OrderDrainEnded,
 // for an order of the controller. The reply is sent when no request runs and the
 // export of cached prefixes has finished or timed out.
@@ -152,7 +144,6 @@
 func (e ReportReceived) at() time.Time    { return e.Now }
 func (e ExportFinished) at() time.Time    { return e.Now }
 func (e VMJoined) at() time.Time          { return e.Now }
-func (e PrefixImported) at() time.Time    { return e.Now }
 func (e OrderDrainStarted) at() time.Time { return e.Now }
 func (e OrderDrainEnded) at() time.Time   { return e.Now }
 func (e StopRequested) at() time.Time     { return e.Now }
@@ -236,6 +227,7 @@
 // ReportCrash reports a crash of the upstream in logs and metrics.
 type ReportCrash struct {
 	Running int // calls in progress at the crash
+	Imports int // prefixes that the upstream was importing or had just imported
 }
 
 // ReportAvailability logs a change in whether the upstream is down or draining
--- a/internal/sidecar/export.go
+++ b/internal/sidecar/export.go
@@ -132,17 +132,22 @@
 
 // importPrefix imports a cached prefix from another sidecar into the engine.
 func (s *Sidecar) importPrefix(ctx context.Context, p wire.Import) (any, error) {
-	fp := quarantine.Fingerprint(p.Fingerprint)
-	_, err := s.transfer(ctx, func(t Ticket) Event { return ImportRequested{Now: time.Now(), Ticket: t, Fingerprint: fp} })
+	var ticket Ticket
+	_, err := s.transfer(ctx, func(t Ticket) Event {
+		ticket = t
+		return ImportRequested{Now: time.Now(), Ticket: t, Session: p.Session, Fingerprint: quarantine.Fingerprint(p.Fingerprint)}
+	})
+	defer func() { s.loop.Post(ImportEnded{Now: time.Now(), Ticket: ticket, Err: err}) }()
 	if err != nil {
 		refusedImports.Inc(verdict.From(err).Reason)
 		return nil, err
 	}
-	if err := s.config.Upstream.Import(ctx, p.Session, p.Cached); err != nil {
+	ctx, cancel := context.WithTimeout(ctx, exportTimeout)
+	defer cancel()
+	if err = s.config.Upstream.Import(ctx, p.Session, p.Cached); err != nil {
 		slog.Warn("import of a cached prefix failed", "vm", s.config.Settings.VM, "session", upstream.SessionID(p.Session), "error", err)
 		return nil, err
 	}
-	s.loop.Post(PrefixImported{Now: time.Now(), Session: p.Session, Fingerprint: fp})
 	importedSessions.Inc()
 	return wire.Empty{}, nil
 }
--- a/internal/sidecar/finish.go
+++ b/internal/sidecar/finish.go
@@ -28,11 +28,11 @@
 	case e.Err.Verdict == verdict.NotRun:
 		s.requestProbe(e.Now)
 		return s.withdraw(e.Now, r, e.Err)
-	case e.Err.Reason == verdict.ReasonUpstreamFailed && !r.crashRecorded:
-		r.phase, r.failure, r.probesAtFailure = interrupted, e.Err, s.probe.begun
+	case e.Err.Reason == verdict.ReasonUpstreamFailed && !r.exposure.isRecorded:
+		r.phase, r.failure = interrupted, e.Err
 		s.interrupted = append(s.interrupted, r)
-		s.requestProbe(e.Now)
-		return s.resolveInterrupted(e.Now)
+		s.endExposure(e.Now, &r.exposure)
+		return s.resolveCrashes(e.Now)
 	default:
 		return s.finishFailed(e.Now, r, e.Err)
 	}
@@ -41,12 +41,12 @@
 // finishFailed finishes a request that failed and may have run. If it ran during a
 // crash of the upstream, the end of the response carries the evidence on it.
 func (s *State) finishFailed(now time.Time, r *request, err *verdict.Error) []Effect {
-	if !r.crashRecorded {
+	if !r.exposure.isRecorded {
 		s.quarantine.Revoke(r.fingerprint())
 	}
 	s.table.Finish(r.nonce(), err.Verdict, s.keepUntil(now, r))
 	f := Finish{Nonce: r.nonce(), Error: err}
-	if r.crashRecorded {
+	if r.exposure.isRecorded {
 		f.Control.Suspects = s.quarantine.EvidenceFor(now, r.fingerprint())
 	}
 	return s.finishRequest(now, r, f)
--- a/internal/sidecar/health.go
+++ b/internal/sidecar/health.go
@@ -75,7 +75,7 @@
 		p.instance = h.Instance
 	}
 	withdrawn := s.updateDown(e.Now, h.State)
-	effects := append(s.resolveInterrupted(e.Now), withdrawn...)
+	effects := append(s.resolveCrashes(e.Now), withdrawn...)
 	effects = append(effects, s.announceOnce(h.State)...)
 	p.next = e.Now.Add(s.probeInterval())
 	s.timers.add(p.next, token.Nonce{})
--- a/internal/sidecar/schedule.go
+++ b/internal/sidecar/schedule.go
@@ -40,7 +40,7 @@
 	if s.isolated == nil {
 		return false
 	}
-	if s.quarantine.ClearIfSurvived(now, s.isolated.fingerprint(), s.isolated.started) {
+	if s.quarantine.ClearIfSurvived(now, s.isolated.fingerprint(), s.isolated.exposure.started) {
 		s.isolated = nil
 		return false
 	}
@@ -51,11 +51,11 @@
 	return true
 }
 
-// scheduleIsolated starts a suspect from the isolation lane if no other request runs:
-// the one that is the most likely cause of the crashes. If that one has been convicted
+// scheduleIsolated starts a suspect from the isolation lane if no other request runs and
+// the upstream has survived all imports: the one that is the most likely cause of the crashes. If that one has been convicted
 // while it waited, it is withdrawn instead and scheduling continues.
 func (s *State) scheduleIsolated(now time.Time) []Effect {
-	if s.queue.Running() > 0 {
+	if s.queue.Running() > 0 || len(s.imports) > 0 {
 		return nil
 	}
 	r := slices.MinFunc(s.lane, func(x, y *request) int {
@@ -81,8 +81,7 @@
 // startRequest returns the effect that starts the call, and releases the body and
 // header of the request.
 func (s *State) startRequest(now time.Time, r *request) Effect {
-	r.phase, r.started = running, now
-	r.instance, r.probesAtStart = s.probe.instance, s.probe.begun
+	r.phase, r.exposure = running, s.beginExposure(now, r.fingerprint())
 	effect := Start{Submit: r.submit, Deadline: r.deadline}
 	r.submit.Call.Body, r.submit.Call.Header = nil, nil
 	s.prefixes.begin(now, r.submit.Session, r.fingerprint())
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -167,7 +167,7 @@
 		go s.announceJoin()
 	case ReportCrash:
 		crashes.Inc()
-		slog.Error("upstream crashed", "vm", s.config.Settings.VM, "running", e.Running)
+		slog.Error("upstream crashed", "vm", s.config.Settings.VM, "running", e.Running, "imports", e.Imports)
 	case ReportAvailability:
 		s.unavailable.Store(e.Down || e.Draining)
 		slog.Info("upstream availability changed", "vm", s.config.Settings.VM, "down", e.Down, "leaving", e.Draining)
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -13,7 +13,6 @@
 	"github.com/parsleyfront/parsleyfront/internal/load"
 	"github.com/parsleyfront/parsleyfront/internal/quarantine"
 	"github.com/parsleyfront/parsleyfront/internal/token"
-	"github.com/parsleyfront/parsleyfront/internal/upstream"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
 	"github.com/parsleyfront/parsleyfront/internal/wire"
 )
@@ -64,6 +63,7 @@
 	isolated           *request    // the suspect that is running alone
 	nextIsolationCheck time.Time   // when isolated is checked next
 	interrupted        []*request  // requests whose call failed; a probe determines the cause
+	imports            prefixImports
 	probe              probe
 	drainOrders        drain.Orders
 	drain              drainState
@@ -85,28 +85,22 @@
 
 // request is an admitted request whose response is pending or retained.
 type request struct {
-	submit        wire.Submit // Call has no body and header after the start
-	seq           uint64      // order of admission
-	phase         phase
-	isolated      bool      // it must run alone
-	cancelled     bool      // by the caller
-	crashRecorded bool      // a crash of the upstream while it ran is recorded; its call may not have ended yet
-	expires       time.Time // latest time to start; zero: none
-	deadline      time.Time // zero: none
-	started       time.Time
-	// instance and probesAtStart describe what was known of the upstream when the request
-	// started: its process, and the number of probes that had begun.
-	instance        upstream.Instance
-	probesAtStart   probeNumber
-	failure         *verdict.Error // of an interrupted call
-	probesAtFailure probeNumber    // number of probes that had begun when the call failed
-	readers         int
-	readSeq         uint64
-	delivered       bool
-	unreadSince     time.Time // start of the time without readers; zero: it has readers
-	discarding      bool      // DiscardOverflow has been emitted
-	endedAt         time.Time // when the response ended
-	keepUntil       time.Time
+	submit      wire.Submit // Call has no body and header after the start
+	seq         uint64      // order of admission
+	phase       phase
+	isolated    bool           // it must run alone
+	cancelled   bool           // by the caller
+	expires     time.Time      // latest time to start; zero: none
+	deadline    time.Time      // zero: none
+	exposure    exposure       // from its start to the end of its call
+	failure     *verdict.Error // of an interrupted call
+	readers     int
+	readSeq     uint64
+	delivered   bool
+	unreadSince time.Time // start of the time without readers; zero: it has readers
+	discarding  bool      // DiscardOverflow has been emitted
+	endedAt     time.Time // when the response ended
+	keepUntil   time.Time
 }
 
 func (r *request) nonce() token.Nonce { return r.submit.Key.Nonce }
@@ -126,6 +120,7 @@
 		quarantine: quarantine.New(c.VM, c.Incarnation),
 		config:     config.NewSidecarFollower(c.Incarnation),
 		requests:   make(map[token.Nonce]*request),
+		imports:    make(prefixImports),
 	}
 }
 
@@ -182,8 +177,8 @@
 		return s.handlePrefixRead(e)
 	case ImportRequested:
 		return s.handleImport(e)
-	case PrefixImported:
-		s.prefixes.imported(e.Session, e.Fingerprint)
+	case ImportEnded:
+		return s.handleImportEnded(e)
 	case ConfigEvent:
 		return s.handleConfig(e)
 	case ConfigRequested:
--- a/internal/sidecar/timer.go
+++ b/internal/sidecar/timer.go
@@ -75,6 +75,7 @@
 		}
 	}
 	s.sweepTimers()
+	s.settleImports(now)
 	effects = append(effects, s.startDueProbe(now)...)
 	effects = append(effects, s.advanceDrain(now)...)
 	return append(effects, s.advanceOrderDrain(now)...)
--- a/internal/sidecar/transfer.go
+++ b/internal/sidecar/transfer.go
@@ -8,13 +8,6 @@
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
 )
 
-// ImportRequested is posted when another sidecar transfers a cached prefix.
-type ImportRequested struct {
-	Now         time.Time
-	Ticket      Ticket
-	Fingerprint quarantine.Fingerprint // of the request whose prompt it is; zero: not known
-}
-
 // PrefixRead is posted when a cached prefix has been read from the upstream and is about
 // to be transferred. Another request of the session may have started since the export
 // began.
@@ -24,8 +17,7 @@
 	Session uint64
 }
 
-func (e ImportRequested) at() time.Time { return e.Now }
-func (e PrefixRead) at() time.Time      { return e.Now }
+func (e PrefixRead) at() time.Time { return e.Now }
 
 // ReplyTransfer answers an ImportRequested or PrefixRead.
 type ReplyTransfer struct {
@@ -85,24 +77,3 @@
 	}
 	return []Effect{reply}
 }
-
-// handleImport decides whether a cached prefix may be imported now. Nothing may reach the
-// upstream beside a suspect that runs alone: after a crash it would not be known which of
-// the two was the cause.
-func (s *State) handleImport(e ImportRequested) []Effect {
-	reply := ReplyTransfer{Ticket: e.Ticket, Fingerprint: e.Fingerprint}
-	action := s.quarantine.Decide(e.Now, e.Fingerprint, false).Action
-	switch {
-	case action == quarantine.Refuse:
-		reply.Err = verdict.New(verdict.NotRun, verdict.ReasonQuarantined, "the prefix is of a request that crashes upstreams")
-	case action != quarantine.Allow:
-		reply.Err = verdict.New(verdict.NotRun, verdict.ReasonSuspect, "the prefix is of a request that may crash upstreams")
-	case s.draining(e.Now):
-		reply.Err = verdict.New(verdict.NotRun, verdict.ReasonDraining, "the upstream is leaving")
-	case s.probe.down || len(s.interrupted) > 0:
-		reply.Err = verdict.New(verdict.NotRun, verdict.ReasonUpstreamDown, "the upstream is down or may have crashed")
-	case s.isolated != nil || len(s.lane) > 0:
-		reply.Err = verdict.New(verdict.NotRun, verdict.ReasonSuspect, "a suspect runs alone or waits to do so")
-	}
-	return []Effect{reply}
-}
--- a/internal/sidecar/transfer_test.go
+++ b/internal/sidecar/transfer_test.go
@@ -16,8 +16,9 @@
 // lone is the State of one sidecar in virtual time.
 type lone struct {
 	*State
-	now   time.Time
-	count byte // requests submitted
+	now     time.Time
+	count   byte // requests submitted
+	tickets Ticket
 }
 
 func newLone() *lone { return newLoneAt("1") }
@@ -212,6 +213,9 @@
 	if err := request(); err != nil {
 		t.Errorf("refused after the upstream has restarted: %v", err)
 	}
+	l.Step(ImportEnded{Now: l.now})
+	l.pass(importSettleTime)
+	l.probed(upstream.Health{Instance: "2"})
 	suspect := l.start(1, crasherFingerprint)
 	if l.isolated == nil || request() == nil {
 		t.Error("imported beside a suspect")
