sidecar: a request that becomes a suspect in the queue does not start

What callers saw: one more engine lost. A copy of a request that crashes engines waits at a busy sidecar while evidence arrives that another engine has crashed of it; when a place is free it starts beside others, since only suspects that wait to run alone were asked about again.

Change: the quarantine counts changes that may turn a request into a suspect, and after such a change the sidecar withdraws queued requests that may not run beside others, with the evidence, which sends them to the VM where they may run alone.

TestQueuedSuspectDoesNotStart fails on the code before, for a suspect and for a convicted request.

--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -17,6 +17,7 @@
 	byFingerprint map[Fingerprint][]*Entry
 	byCrash       map[Crash][]*Entry
 	size          int
+	changes       uint64                    // entries added and raised so far
 	grants        map[Fingerprint]time.Time // when the permission to run alone ends
 	outbox        outbox
 }
@@ -34,6 +35,10 @@
 	}
 }
 
+// Changes returns a number that grows with each change that may turn a request into a
+// suspect or convict it.
+func (t *Table) Changes() uint64 { return t.changes }
+
 // Action says whether and how a request may run.
 type Action uint8
 
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -105,6 +105,7 @@
 		return
 	}
 	t.size++
+	t.changes++
 	t.byFingerprint[e.Fingerprint] = append(t.byFingerprint[e.Fingerprint], &e)
 	t.byCrash[e.Crash] = append(t.byCrash[e.Crash], &e)
 	t.outbox.add(now, &e)
@@ -117,6 +118,7 @@
 		return
 	}
 	e.Status = to
+	t.changes++
 	t.Revoke(e.Fingerprint)
 	t.outbox.add(now, e)
 }
--- a/internal/sidecar/schedule.go
+++ b/internal/sidecar/schedule.go
@@ -88,6 +88,31 @@
 	return effect
 }
 
+// withdrawSuspects withdraws the queued requests that have become suspects, or have been
+// convicted, since they were admitted to run beside others. The evidence sends them on to
+// the VM where they may run alone.
+func (s *State) withdrawSuspects(now time.Time) []Effect {
+	if s.quarantineChanges == s.quarantine.Changes() {
+		return nil
+	}
+	s.quarantineChanges = s.quarantine.Changes()
+	var effects []Effect
+	for _, r := range s.inPhase(queued) {
+		if r.isolated {
+			continue
+		}
+		switch s.quarantine.Decide(now, r.fingerprint(), false).Action {
+		case quarantine.Allow:
+		case quarantine.Refuse:
+			effects = append(effects, s.withdraw(now, r, verdict.New(verdict.NotRun, verdict.ReasonQuarantined, "this request crashes upstreams"))...)
+		default:
+			err := verdict.New(verdict.NotRun, verdict.ReasonSuspect, "the request may run alone only").WithRetryAfter(quarantine.RetryAfter)
+			effects = append(effects, s.withdraw(now, r, err)...)
+		}
+	}
+	return effects
+}
+
 // withdrawExpired withdraws a request that can no longer start in time.
 func (s *State) withdrawExpired(now time.Time, r *request) []Effect {
 	err := verdict.New(verdict.NotRun, verdict.ReasonDeadline, "its turn did not come within its deadline")
@@ -95,7 +120,8 @@
 }
 
 // withdraw ends a request that has not run and will not run here. Unless it was
-// cancelled, its readers are redirected to its successor key, if it has one.
+// cancelled, its readers are redirected to its successor key, if it has one. The end of
+// a suspect's response carries the evidence on it.
 func (s *State) withdraw(now time.Time, r *request, err *verdict.Error) []Effect {
 	s.queue.Remove(r.nonce())
 	if r.isolated {
@@ -108,6 +134,9 @@
 	} else {
 		f.Moved = s.table.Withdraw(r.nonce(), err.Reason)
 	}
+	if err.Reason == verdict.ReasonSuspect || err.Reason == verdict.ReasonQuarantined {
+		f.Control.Suspects = s.quarantine.EvidenceFor(now, r.fingerprint())
+	}
 	return s.finishRequest(now, r, f)
 }
 
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -53,6 +53,7 @@
 	queue              *admission.Queue
 	loads              *load.Table
 	quarantine         *quarantine.Table
+	quarantineChanges  uint64           // Changes of quarantine that queued requests were last checked against
 	config             *config.Follower // copy of the configuration, served to routers
 	requests           map[token.Nonce]*request
 	admittedCount      uint64 // total requests admitted
@@ -125,12 +126,13 @@
 }
 
 // Step applies an event and returns the resulting effects: those of the event
-// itself, then those of timers that are due, then starts of requests, then a
-// change of availability.
+// itself, then those of timers that are due, then withdrawals of queued suspects and
+// starts of requests, then a change of availability.
 func (s *State) Step(event Event) []Effect {
 	now := event.at()
 	effects := s.apply(event)
 	effects = append(effects, s.runTimers(now)...)
+	effects = append(effects, s.withdrawSuspects(now)...)
 	effects = append(effects, s.schedule(now)...)
 	return append(effects, s.updateAvailability(now)...)
 }
--- a/internal/sidecar/suspect_test.go
+++ b/internal/sidecar/suspect_test.go
@@ -67,6 +67,38 @@
 	}
 }
 
+// Guards against another lost upstream: a copy of a request waits in the queue while evidence
+// arrives that the request has crashed an upstream, and starts beside others when a place is
+// free.
+func TestQueuedSuspectDoesNotStart(t *testing.T) {
+	for name, crashes := range map[string]int{"suspect": 1, "convicted": 2} {
+		t.Run(name, func(t *testing.T) {
+			l := newLone()
+			var busy []token.Nonce
+			for session := range uint64(8) {
+				busy = append(busy, l.start(session+1, quarantine.Fingerprint(100+session)))
+			}
+			waiting := l.start(20, crasherFingerprint)
+			harmless := l.start(21, 8)
+			site := quarantine.New("b", 1)
+			for range crashes {
+				site.RecordCrash(l.now, []quarantine.RunningRequest{{Fingerprint: crasherFingerprint, Started: l.now}})
+			}
+			effects := l.Step(ReportReceived{Now: l.now, Report: wire.Report{Suspects: site.All(l.now)}})
+			f := finishOf(effects, waiting)
+			if f == nil || f.Error.Verdict != verdict.NotRun || len(f.Control.Suspects) == 0 {
+				t.Fatalf("the request waits on, or its end has no evidence: %+v", f)
+			}
+			for _, n := range busy[:2] {
+				l.end(n, nil)
+			}
+			if l.requests[waiting].phase != ended || l.requests[harmless].phase != running {
+				t.Error("the suspect runs, or the harmless request does not")
+			}
+		})
+	}
+}
+
 // The sidecar of a session's home upstream receives evidence that a request crashed
 // another upstream, and is then drained. The caller resends the request. If the sidecar
 // rejected it as draining and without the evidence, the router would send it to an
