sidecar: a reader that returns after the abort is not told that it cancelled

What callers saw: an idempotent request ends with "cancelled" though its caller has cancelled nothing. A router that lost its connection for longer than the grace comes back for the response just when the call is being aborted because nobody read it, joins it, and gets the end of the abort, a reason that no router tries again.

Traced: the abort is right when it is decided, the reader joins between it and the end of the call. Ruled out: counts of readers that arrive out of order.

Change: a call that was aborted because nobody read it ends with answer-gone, which says that it may have run and lets a router run the request again, as its profile allows.

--- a/internal/sidecar/finish.go
+++ b/internal/sidecar/finish.go
@@ -33,6 +33,10 @@
 		s.interrupted = append(s.interrupted, r)
 		s.endExposure(e.Now, &r.exposure)
 		return s.resolveCrashes(e.Now)
+	case e.Err.Reason == verdict.ReasonCancelled && r.abandoned && !r.cancelled:
+		// A reader may have come back after the abort. It has cancelled nothing, and may
+		// have the request run again.
+		return s.finishFailed(e.Now, r, verdict.New(e.Err.Verdict, verdict.ReasonAnswerGone, "the call was aborted because nobody read its response"))
 	default:
 		return s.finishFailed(e.Now, r, e.Err)
 	}
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -100,6 +100,7 @@
 	delivered   bool
 	unreadSince time.Time // start of the time without readers; zero: it has readers
 	discarding  bool      // DiscardOverflow has been emitted
+	abandoned   bool      // its call was aborted because nobody read its response
 	endedAt     time.Time // when the response ended
 	keepUntil   time.Time
 }
--- a/internal/sidecar/timer.go
+++ b/internal/sidecar/timer.go
@@ -139,6 +139,7 @@
 // caller may ask for its outcome.
 func (s *State) handleUnread(now time.Time, r *request) []Effect {
 	if r.phase == queued || r.submit.Policy.Idempotent {
+		r.abandoned = true
 		return s.abort(now, r)
 	}
 	if r.discarding {
