sidecar: calls of an earlier sidecar are not counted off for later ones

What callers saw: waits at an upstream that runs more requests than it has slots, after its sidecar has restarted.

The calls that an earlier incarnation of the sidecar left running are what the upstream's probe counts, less the sidecar's own. Its own were those of the moment when the result was handled; a request that started while the probe was under way was taken off without being in it, and the number can only fall, so that it stayed too low until those calls ended. And if the first probe timed out, the later ones never counted them at all, while requests started.

Change: only requests that had started before the probe began are taken off; nothing starts before a probe has counted.

Two unit tests fail on the code before.

--- a/internal/sidecar/crash_test.go
+++ b/internal/sidecar/crash_test.go
@@ -279,3 +279,47 @@
 		}
 	}
 }
+
+// Guards against an upstream that runs more requests than it has slots: those of an earlier
+// incarnation of the sidecar were counted off for requests that began during the probe.
+func TestExternalRequestsAreNotCountedOffForLaterOnes(t *testing.T) {
+	l := newLoneAt("")
+	l.State = NewState(l.settings)
+	l.Step(Ticked{Now: l.now})
+	l.probed(upstream.Health{Running: 6})
+	l.start(1, 11)
+	l.pass(probeIntervalDown) // a probe begins and is answered: 7 run
+	l.start(2, 12)
+	l.probed(upstream.Health{Running: 7})
+	if l.probe.external != 6 {
+		t.Errorf("%d external requests are counted, want 6", l.probe.external)
+	}
+	l.pass(probeIntervalDown)
+	l.probed(upstream.Health{Running: 3}) // 5 of the external ones have ended
+	if l.probe.external != 1 {
+		t.Errorf("%d external requests are counted, want 1", l.probe.external)
+	}
+}
+
+// Guards against the same where the first probe times out: nothing starts before the
+// requests of earlier incarnations are counted.
+func TestExternalRequestsAreCountedAfterAProbeThatTimedOut(t *testing.T) {
+	l := newLone()
+	l.State = NewState(l.settings)
+	l.Step(Ticked{Now: l.now})
+	l.probed(upstream.Health{State: upstream.Frozen})
+	n := l.start(1, 11)
+	if l.requests[n].phase != queued {
+		t.Error("a request runs before it is known how many do")
+	}
+	l.pass(probeIntervalDown)
+	l.probed(upstream.Health{Running: 8})
+	if l.requests[n].phase != queued || l.probe.external != 8 {
+		t.Errorf("%d external requests are counted, want 8", l.probe.external)
+	}
+	l.pass(probeIntervalDown)
+	l.probed(upstream.Health{Running: 7})
+	if l.requests[n].phase != running {
+		t.Error("the request does not run though a slot is free")
+	}
+}
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -13,6 +13,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/load"
 	"github.com/parsleyfront/parsleyfront/internal/token"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
+	"github.com/parsleyfront/parsleyfront/internal/upstream"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
 	"github.com/parsleyfront/parsleyfront/internal/wire"
 )
@@ -42,6 +43,7 @@
 	calls           map[token.Nonce]*call // at the upstream, started by this incarnation of the sidecar
 	external        int                   // calls at the upstream, started by earlier incarnations
 	probing         bool
+	sample          *upstream.Health // answer to the probe in progress; nil: not answered yet
 	leaving         bool
 	version         topo.Version
 	listNoticeUntil time.Time // until when a notice from the list of VMs is valid
@@ -78,6 +80,7 @@
 	firstKey  map[int]wire.Key // key under which the caller sends each request
 	cancelled map[int]bool     // requests cancelled by their caller
 	requestOf map[token.Nonce]int
+	broken    map[token.Nonce]bool // calls that a crash of their upstream has broken off
 	delayed   []delayedSubmit
 	keyCount  uint64
 	routers   [2]routerView
@@ -104,6 +107,7 @@
 		firstKey:  make(map[int]wire.Key),
 		cancelled: make(map[int]bool),
 		requestOf: make(map[token.Nonce]int),
+		broken:    make(map[token.Nonce]bool),
 	}
 	for i := range f.routers {
 		f.routers[i].loads = load.NewTable()
@@ -126,6 +130,7 @@
 		}
 	}
 	n.calls = make(map[token.Nonce]*call)
+	n.sample = nil
 	n.probing, n.stopping, n.exited = false, false, false
 	n.state = NewState(Settings{
 		VM:          n.id,
@@ -259,6 +264,9 @@
 	if e.Error != nil && e.Error.Reason == verdict.ReasonCancelled {
 		f.checkUnread(t, e.Nonce)
 	}
+	if f.broken[e.Nonce] && !r.exposure.isRecorded {
+		t.Fatalf("%s: the response of a request that ran during a crash ends without evidence", n.id)
+	}
 	for _, c := range f.copies {
 		if c.finished || !c.admitted || c.key.Nonce != e.Nonce || c.key.Incarnation != n.incarnation {
 			continue
--- a/internal/sidecar/health.go
+++ b/internal/sidecar/health.go
@@ -35,15 +35,13 @@
 	down     bool
 	timeouts int // consecutive probes that timed out
 	instance upstream.Instance
-	external int // as counted by countExternal
+	external int  // as counted by countExternal
+	counted  bool // external is known
 }
 
 // pending reports whether a probe is in progress.
 func (p *probe) pending() bool { return p.begun != p.returned }
 
-// known reports whether a probe has returned.
-func (p *probe) known() bool { return p.returned != 0 }
-
 // requestProbe requests a probe that begins now. The result of one that is in progress
 // may describe the upstream as it was before.
 func (s *State) requestProbe(now time.Time) {
@@ -96,20 +94,33 @@
 
 // countExternal updates the number of external requests: those that an earlier
 // incarnation of the sidecar has left running at the upstream. Without this, a
-// restarted sidecar would load its upstream beyond the bound. The count starts as the
-// number that the first probe returned and can only decrease: later probes lag behind
-// and include requests of this incarnation.
+// restarted sidecar would load its upstream beyond the bound. No request starts before
+// the first probe that counts them. The number can only decrease, since later probes
+// include requests of this incarnation: those that started before the probe began and
+// still run are certainly among them.
 func (s *State) countExternal(h upstream.Health, restarted bool) {
+	p := &s.probe
 	switch {
 	case restarted || h.State == upstream.Gone:
-		s.probe.external = 0
-	case h.State == upstream.Up && !s.probe.known():
-		s.probe.external = h.Running
-	case h.State == upstream.Up:
-		own := s.queue.Running() - s.probe.external
-		s.probe.external = max(0, min(s.probe.external, h.Running-own))
+		p.external, p.counted = 0, true
+	case h.State == upstream.Up && !p.counted:
+		p.external, p.counted = h.Running, true
+	case h.State == upstream.Up && p.external > 0:
+		p.external = max(0, min(p.external, h.Running-s.runningSince(p.begun)))
+	}
+	s.queue.SetExternal(p.external)
+}
+
+// runningSince returns the number of running requests that had started before a probe
+// began.
+func (s *State) runningSince(n probeNumber) int {
+	count := 0
+	for _, r := range s.requests {
+		if r.phase == running && r.exposure.probesAtStart < n {
+			count++
+		}
 	}
-	s.queue.SetExternal(s.probe.external)
+	return count
 }
 
 // updateDown updates whether the upstream is down. If it is, queued requests are
--- a/internal/sidecar/schedule.go
+++ b/internal/sidecar/schedule.go
@@ -13,11 +13,11 @@
 // alone has run for long enough to be cleared.
 const isolationCheckInterval = time.Second
 
-// schedule starts the requests that may start. None may start before the first
-// probe has returned, while a suspect runs alone, or while it is not known
+// schedule starts the requests that may start. None may start before a probe has
+// shown what the upstream is running, while a suspect runs alone, or while it is not known
 // whether the upstream has crashed.
 func (s *State) schedule(now time.Time) []Effect {
-	if !s.probe.known() || len(s.interrupted) > 0 || s.checkIsolated(now) {
+	if !s.probe.counted || len(s.interrupted) > 0 || s.checkIsolated(now) {
 		return nil
 	}
 	if len(s.lane) > 0 {
