load: the mean counts upstreams that get no requests

Cause, the first wrong belief: the mean is too high. An upstream tells its load with each answer that begins, and the mean weighs loads by how lately they were told, so that it is the mean of the upstreams that get requests. Whoever gets none (suspected, drained, cold, too slow) counts for nothing, and the bound of the others rises.

Change: silence counts. A router that is told all loads (every 200 ms, by a message with room for more, or since all others report to it) knows that an upstream without a new report has begun no answer, and takes off what ends meanwhile, by the mean time that requests stay (in flight over ended, of its own). In pools whose loads do not fit into a message, an upstream that is not named is only weighed less, as before. Drained upstreams whose silence is heard no longer count as idle a second time.

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -56,6 +56,9 @@
 	Objective       time.Duration // for the first byte; zero: none, the request is never deferred or rejected
 	TimeLeft        time.Duration // until the caller gives up; zero: unknown
 	ObjectiveMissed bool          // the request can no longer be answered within its objective
+	// HearsAll reports whether this router hears of all loads that upstreams report to any
+	// router, since all others report to it.
+	HearsAll bool
 	// Unavailable reports whether upstream i of the pool may get no request now; nil: all
 	// upstreams are available.
 	Unavailable func(i int) bool
@@ -79,6 +82,9 @@
 	if !mechanisms.HotSpread {
 		r.SessionShare = 0
 	}
+	if r.HearsAll && mechanisms.SharedLoads {
+		t.loads.HearAllIfDue(now)
+	}
 	drained := p.Drained()
 	if r.LoadMultiple > 0 {
 		ownShare := t.loads.OwnShare(p.Len(), drained)
--- a/internal/balance/tracker_test.go
+++ b/internal/balance/tracker_test.go
@@ -117,3 +117,34 @@
 	name := fmt.Sprint("engine-", i)
 	return placement.Member{VM: load.Hash(name), Seed: placement.Seed(name)}
 }
+
+// Guards against upstreams that are filled over the load bound by the router to which all others
+// report: it must know of the silence of upstreams that get no requests, as the others do by its
+// reports.
+func TestRouterThatHearsAllCountsSilentUpstreams(t *testing.T) {
+	const upstreams, busy = 18, 6
+	now := time.Unix(1000, 0)
+	tracker := NewTracker()
+	var members []placement.Member
+	for i := range upstreams {
+		members = append(members, newMember(i))
+	}
+	pool := placement.NewPool(members, placement.Locality{})
+	var basis placement.Basis
+	for step := range 50 {
+		now = now.Add(100 * time.Millisecond)
+		for i, m := range members {
+			if step < 20 {
+				tracker.RecordLoad(now, m.VM, 4)
+			} else if i < busy {
+				tracker.RecordLoad(now, m.VM, 12)
+			}
+		}
+		var out [placement.MaxCandidates]placement.Choice
+		q := placement.Query{Session: 7, LoadMultiple: 2, Now: now}
+		_, basis = tracker.Choose(now, pool, policy.All(), Request{Query: q, HearsAll: true}, &out)
+	}
+	if basis.Mean > 5 {
+		t.Errorf("mean load %.2f, want 4 to 5", basis.Mean)
+	}
+}
--- a/internal/load/share.go
+++ b/internal/load/share.go
@@ -116,9 +116,14 @@
 	return p.mergeEntries(now, members, packed, false)
 }
 
-// MergeKnown records loads published by the parent.
+// MergeKnown records loads published by the parent. A message with room for more names all
+// upstreams that have reported a load within maxSharedAge, a full one only some of them.
 func (p *PoolLoad) MergeKnown(now time.Time, members []VM, packed []byte) error {
-	return p.mergeEntries(now, members, packed, true)
+	err := p.mergeEntries(now, members, packed, true)
+	if err == nil && len(packed) > 0 && len(packed) < maxSharedEntries*sharedEntrySize {
+		p.HearAll(now)
+	}
+	return err
 }
 
 func (p *PoolLoad) mergeEntries(now time.Time, members []VM, packed []byte, fromParent bool) error {
@@ -127,10 +132,16 @@
 	}
 	byName := ShortNames(members)
 	for b := packed; len(b) > 0; b = b[sharedEntrySize:] {
-		if vm, ok := byName[binary.BigEndian.Uint16(b)]; ok {
-			p.merge(now.Add(-time.Duration(b[3])*sharedAgeUnit), vm, int(b[2]), fromParent)
+		vm, ok := byName[binary.BigEndian.Uint16(b)]
+		if !ok {
+			continue
+		}
+		p.merge(now.Add(-time.Duration(b[3])*sharedAgeUnit), vm, int(b[2]), fromParent)
+		if fromParent {
+			p.hearSilence(now, p.entries[vm])
 		}
 	}
+	p.recomputeTotals()
 	return nil
 }
 
--- a/internal/load/tally.go
+++ b/internal/load/tally.go
@@ -12,10 +12,15 @@
 // place.
 const othersDecay = 2 * time.Second
 
-// meanDecay is the time in which the weight of a reported load in the mean of the pool falls to
-// 1/e. It is shorter than othersDecay because a pool always has newer reports, while a single
-// upstream may have none.
-const meanDecay = 500 * time.Millisecond
+const (
+	// meanDecay is the time in which the weight of an upstream in the mean of the pool falls to
+	// 1/e while nothing is heard of it. It is shorter than othersDecay because a pool always has
+	// newer reports, while a single upstream may have none.
+	meanDecay = 500 * time.Millisecond
+	// silenceDelay is how long a report of a load may take to arrive. Only after that does
+	// silence mean that there was no report.
+	silenceDelay = 400 * time.Millisecond
+)
 
 // PoolLoad estimates the loads of upstreams that a router calls directly, without a sidecar that
 // admits requests. It combines the router's own requests, which it counts, with the requests of
@@ -24,9 +29,12 @@
 type PoolLoad struct {
 	entries        map[VM]*upstreamLoad
 	ownTotal       int // requests of this router at all upstreams
+	stays          stays
 	clock          decay.Clock
-	weightedOthers float64 // sum of the reported requests of other routers, weighted by the clock
-	weightTotal    float64 // sum of those weights
+	weightedOthers float64   // sum of the remaining requests of other routers, weighted by the clock
+	weightTotal    float64   // sum of those weights
+	heardAllAt     time.Time // time of the last HearAll
+	heard          int       // upstreams with a report at that time
 }
 
 // upstreamLoad holds the known load of one upstream.
@@ -34,8 +42,12 @@
 	own        int
 	others     int       // requests of other routers at the last report
 	reportedAt time.Time // time of the last report; zero: never
-	fromParent bool      // received from the parent, not from the upstream
-	sentAt     time.Time // when it was last sent to other routers; zero: never
+	// silentUntil is until when it is known that no newer load has been reported, and remaining
+	// is how many of the others are expected to be left by then.
+	silentUntil time.Time
+	remaining   float64
+	fromParent  bool      // received from the parent, not from the upstream
+	sentAt      time.Time // when it was last sent to other routers; zero: never
 }
 
 // NewPoolLoad returns an empty PoolLoad.
@@ -63,6 +75,7 @@
 	if e := p.entries[vm]; e != nil && e.own > 0 {
 		e.own--
 		p.ownTotal--
+		p.stays.ended++
 	}
 }
 
@@ -70,8 +83,12 @@
 // router.
 func (p *PoolLoad) Observe(now time.Time, vm VM, load int) {
 	e := p.entry(vm)
+	if now.Sub(p.heardAllAt) > heardTTL {
+		p.heard = 0
+	}
 	p.subtractFromTotals(e)
 	e.others, e.reportedAt, e.fromParent = max(load-e.own, 0), now, false
+	e.silentUntil, e.remaining = now, float64(e.others)
 	if _, due := p.clock.Rebase(now); due {
 		p.recomputeTotals()
 		return
@@ -92,8 +109,8 @@
 	if e.reportedAt.IsZero() {
 		return
 	}
-	weight := p.clock.Weight(e.reportedAt)
-	p.weightedOthers += weight * float64(e.others)
+	weight := p.clock.Weight(e.silentUntil)
+	p.weightedOthers += weight * e.remaining
 	p.weightTotal += weight
 }
 
@@ -102,11 +119,55 @@
 	if e.reportedAt.IsZero() {
 		return
 	}
-	weight := p.clock.Weight(e.reportedAt)
-	p.weightedOthers -= weight * float64(e.others)
+	weight := p.clock.Weight(e.silentUntil)
+	p.weightedOthers -= weight * e.remaining
 	p.weightTotal -= weight
 }
 
+// HearAll records that by now this router has heard of all loads that upstreams have reported
+// to any router, but for those of the last silenceDelay. An upstream reports its load with each
+// answer that begins. One without a newer report has begun none since, and what it had is
+// ending. Without this, the mean would be that of the upstreams that get requests: while two
+// thirds of a pool get few, for example because they are suspected, it would be far too high,
+// and so would the load bound of the others.
+func (p *PoolLoad) HearAll(now time.Time) {
+	p.heardAllAt = now
+	p.stays.advance(now, p.ownTotal)
+	p.heard = 0
+	for _, e := range p.entries {
+		if !e.reportedAt.IsZero() {
+			p.heard++
+			p.hearSilence(now, e)
+		}
+	}
+	p.clock.Rebase(now)
+	p.recomputeTotals()
+}
+
+// hearSilence records that by now an upstream has reported no newer load. The totals must be
+// recomputed.
+func (p *PoolLoad) hearSilence(now time.Time, e *upstreamLoad) {
+	if now.Before(e.silentUntil) {
+		return
+	}
+	silence := max(now.Sub(e.reportedAt)-silenceDelay, 0)
+	e.silentUntil = now
+	e.remaining = float64(e.others) * math.Exp(-silence.Seconds()/p.stays.mean().Seconds())
+}
+
+// heardTTL is how long after HearAll the silence of upstreams counts as heard.
+const heardTTL = 2 * time.Second
+
+// hearAllInterval is the minimum time between two calls of HearAll by HearAllIfDue.
+const hearAllInterval = 100 * time.Millisecond
+
+// HearAllIfDue is HearAll at a router that all others report to.
+func (p *PoolLoad) HearAllIfDue(now time.Time) {
+	if now.Sub(p.heardAllAt) >= hearAllInterval {
+		p.HearAll(now)
+	}
+}
+
 // Keep drops all upstreams that are not in members.
 func (p *PoolLoad) Keep(members []VM) {
 	kept := SetOf(members)
@@ -180,10 +241,11 @@
 // Mean returns the estimated mean load of n upstreams, including idle ones, which receive no
 // requests. Idle upstreams report no load. If the mean of the reports counted for all n, a bound
 // based on it would be too high: with a third of a pool drained, the others would receive half as
-// much load again.
+// much load again. An idle upstream whose silence has been heard is in the mean of the reports.
 func (p *PoolLoad) Mean(n, idle int) float64 {
 	all := float64(max(n, 1))
-	working := float64(n-idle) / all
+	unheardIdle := min(idle, max(n-p.heard, 0))
+	working := float64(n-unheardIdle) / all
 	return float64(p.ownTotal)/all + working*p.meanOthers()
 }
 
--- a/internal/model/callers.go
+++ b/internal/model/callers.go
@@ -139,7 +139,7 @@
 	q.Now = f.clock.Now()
 	n, basis := r.tracker.Choose(q.Now, r.pool, f.policy, balance.Request{
 		Query: q, Profile: requestProfile, Objective: f.config.Callers.Objective,
-		TimeLeft: f.config.Callers.Patience - q.Now.Sub(c.arrivedAt), ObjectiveMissed: c.tries > 1, Unavailable: f.unavailable(r),
+		TimeLeft: f.config.Callers.Patience - q.Now.Sub(c.arrivedAt), ObjectiveMissed: c.tries > 1, HearsAll: r == f.routers[0], Unavailable: f.unavailable(r),
 	}, &choices)
 	if basis.ShouldReject {
 		f.reject(r, c)
--- a/internal/router/directoffer.go
+++ b/internal/router/directoffer.go
@@ -165,6 +165,7 @@
 		Query: q, Profile: resp.req.Profile.Name, Urgency: resp.req.Urgency,
 		Objective: resp.req.objective(resp.timeToFirstByte > 0), TimeLeft: resp.req.callerTimeLeft(now), ObjectiveMissed: resp.isLikelyRetry,
 	}
+	r.HearsAll = resp.router.hearsAllLoads()
 	r.Unavailable = resp.router.unavailableIn(now, resp.pool)
 	n, basis := resp.pool.tracker.Choose(now, resp.pool.placed, tuning.Policy, r, &chosen)
 	resp.basis = basis
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -198,6 +198,12 @@
 	}
 }
 
+// hearsAllLoads reports whether all other routers of the region report loads to this one. The
+// tree of reports has its root at the router that reads the store.
+func (r *Router) hearsAllLoads() bool {
+	return r.mesh == nil || r.mesh.readsStore.Load()
+}
+
 // shortHash returns the short hash that identifies a pool in messages.
 func shortHash(s string) uint32 {
 	return uint32(xxh3.HashString(s))
