--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -257,17 +257,17 @@
 }
 
 // BeginAttempt counts an attempt that is sent to an upstream.
-func (t *Tracker) BeginAttempt(now time.Time, vm load.VM) {
+func (t *Tracker) BeginAttempt(vm load.VM) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.loads.Begin(now, vm)
+	t.loads.Begin(vm)
 }
 
 // EndAttempt counts the end of an attempt that BeginAttempt has counted.
-func (t *Tracker) EndAttempt(now time.Time, vm load.VM) {
+func (t *Tracker) EndAttempt(vm load.VM) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.loads.End(now, vm)
+	t.loads.End(vm)
 }
 
 // Keep removes every upstream that is not among members.
--- a/internal/load/share.go
+++ b/internal/load/share.go
@@ -108,7 +108,7 @@
 // sharedLoad returns the load as a byte, as it was when it was reported. The message contains its
 // age, by which the receiver decays it.
 func (e *upstreamLoad) sharedLoad() byte {
-	return byte(min(max(e.reported, 0), maxSharedLoad))
+	return byte(min(max(e.own+e.others, 0), maxSharedLoad))
 }
 
 // MergeObserved records loads observed by a subscriber. They are included in PackObserved.
--- a/internal/load/share_test.go
+++ b/internal/load/share_test.go
@@ -201,7 +201,7 @@
 	}{{0, 0, 1}, {3, 0, 1}, {1, 3, 0.25}, {0, 4, 0}} {
 		loads := NewPoolLoad()
 		for range c.own {
-			loads.Begin(start, 1)
+			loads.Begin(1)
 		}
 		loads.Observe(start, 1, c.own+c.reported)
 		if got := loads.OwnShare(1, 0); math.Abs(got-c.want) > 1e-9 {
--- a/internal/load/silence_test.go
+++ b/internal/load/silence_test.go
@@ -117,13 +117,13 @@
 		loads, now := NewPoolLoad(), start
 		credit := 0.0
 		for range 40 {
-			loads.Begin(now, 1)
+			loads.Begin(1)
 		}
 		for range 100 {
 			now = now.Add(100 * time.Millisecond)
 			for credit += 40 * 0.1 / stay.Seconds(); credit >= 1; credit-- {
-				loads.End(now, 1)
-				loads.Begin(now, 1)
+				loads.End(1)
+				loads.Begin(1)
 			}
 			loads.HearAll(now)
 		}
--- a/internal/load/tally.go
+++ b/internal/load/tally.go
@@ -40,8 +40,6 @@
 // upstreamLoad holds the known load of one upstream.
 type upstreamLoad struct {
 	own        int
-	recentOwn  ownHistory
-	reported   int       // load at the last report
 	others     int       // requests of other routers at the last report
 	reportedAt time.Time // time of the last report; zero: never
 	// silentUntil is until when it is known that no newer load has been reported, and remaining
@@ -67,36 +65,31 @@
 }
 
 // Begin counts a request that is sent to an upstream.
-func (p *PoolLoad) Begin(now time.Time, vm VM) {
-	e := p.entry(vm)
-	e.recentOwn.record(now, e.own)
-	e.own++
+func (p *PoolLoad) Begin(vm VM) {
+	p.entry(vm).own++
 	p.ownTotal++
 }
 
 // End counts the end of a request counted by Begin.
-func (p *PoolLoad) End(now time.Time, vm VM) {
+func (p *PoolLoad) End(vm VM) {
 	if e := p.entries[vm]; e != nil && e.own > 0 {
-		e.recentOwn.record(now, e.own)
 		e.own--
 		p.ownTotal--
 		p.stays.ended++
 	}
 }
 
-// Observe records that an upstream had load requests running or waiting at a time, including
-// those of this router. Of these, the router subtracts the number that it had there at that
-// time, not the present one: requests that it has sent since come on top of the reported load.
-func (p *PoolLoad) Observe(at time.Time, vm VM, load int) {
+// Observe records that an upstream has load requests running or waiting, including those of this
+// router.
+func (p *PoolLoad) Observe(now time.Time, vm VM, load int) {
 	e := p.entry(vm)
-	if at.Sub(p.heardAllAt) > heardTTL {
+	if now.Sub(p.heardAllAt) > heardTTL {
 		p.heard = 0
 	}
 	p.subtractFromTotals(e)
-	e.reported, e.others = load, max(load-e.recentOwn.at(at, e.own), 0)
-	e.reportedAt, e.fromParent = at, false
-	e.silentUntil, e.remaining = at, float64(e.others)
-	if _, due := p.clock.Rebase(at); due {
+	e.others, e.reportedAt, e.fromParent = max(load-e.own, 0), now, false
+	e.silentUntil, e.remaining = now, float64(e.others)
+	if _, due := p.clock.Rebase(now); due {
 		p.recomputeTotals()
 		return
 	}
--- a/internal/model/callers.go
+++ b/internal/model/callers.go
@@ -191,10 +191,10 @@
 		if !ended {
 			ended = true
 			endWait()
-			r.tracker.EndAttempt(f.clock.Now(), u.id)
+			r.tracker.EndAttempt(u.id)
 		}
 	}
-	r.tracker.BeginAttempt(f.clock.Now(), u.id)
+	r.tracker.BeginAttempt(u.id)
 	j := &job{call: c, donor: f.donor(r, c, choice), deferred: basis.Deferred}
 	var firstByteAt, lastEventAt time.Time
 	j.onFirstByte = func() {
--- a/internal/placement/plain_test.go
+++ b/internal/placement/plain_test.go
@@ -61,7 +61,7 @@
 		for len(p.pending) > 0 && !p.pending[0].at.After(now) {
 			c := heap.Pop(&p.pending).(completion)
 			p.inFlight[c.member]--
-			p.loads[c.router].End(now, p.ids[c.member])
+			p.loads[c.router].End(p.ids[c.member])
 			p.recordLatency(c)
 		}
 		router := p.random.IntN(plainRouters)
@@ -117,7 +117,7 @@
 // start adds a request that its upstream completes at the given time.
 func (p *plainSim) start(now, at time.Time, router, member int) {
 	p.inFlight[member]++
-	p.loads[router].Begin(now, p.ids[member])
+	p.loads[router].Begin(p.ids[member])
 	heap.Push(&p.pending, completion{at: at, began: now, router: router, member: member})
 }
 
--- a/internal/placement/sliver_test.go
+++ b/internal/placement/sliver_test.go
@@ -153,7 +153,7 @@
 		took = time.Duration((0.5 + f.random.Float64()) * float64(longRequest))
 	}
 	heap.Push(&f.pending, completion{at: now.Add(took), router: router, member: member})
-	f.loads[router].Begin(now, f.ids[member])
+	f.loads[router].Begin(f.ids[member])
 	f.loads[router].Observe(now, f.ids[member], f.running[member])
 }
 
@@ -162,7 +162,7 @@
 	for len(f.pending) > 0 && !f.pending[0].at.After(now) {
 		c := heap.Pop(&f.pending).(completion)
 		f.running[c.member]--
-		f.loads[c.router].End(now, f.ids[c.member])
+		f.loads[c.router].End(f.ids[c.member])
 	}
 }
 
--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -60,9 +60,9 @@
 	at.span = telemetry.Start(telemetry.HopRouter, telemetry.Traceparent(d.req.Trace))
 	at.span.Set(telemetry.AttrVM, at.vm.ID)
 	id := load.Hash(at.vm.ID)
-	at.tracker.BeginAttempt(time.Now(), id)
+	at.tracker.BeginAttempt(id)
 	context.AfterFunc(at.ctx, func() {
-		at.tracker.EndAttempt(time.Now(), id)
+		at.tracker.EndAttempt(id)
 		at.watch.Abandon()
 	})
 	s, err := d.router.config.Direct.Do(at.ctx, at.vm, d.exchangeCall(at), func() bool { return d.admitAttempt(at) })
