placement: a takeover leaves room for what a report does not contain

Healthy engines take over the sessions of suspected ones up to 1.3 times the mean and one; all routers find the same few with room at the same moment.

Change: the limit of a takeover is compared with the load and its drift, the standard deviation of what may have come and gone since the report (mean load and mean stay of the router's own count); beyond it the suspected upstream is used, as when the other one is known to be loaded. Where nobody is suspected nothing changes.

What is left there are bursts of one session within a report's time.

TestTakeoverLeavesRoomForUnreportedRequests and TestDriftGrowsWithTheAgeOfAReport are of the new decision.

--- a/internal/balance/moment.go
+++ b/internal/balance/moment.go
@@ -57,6 +57,9 @@
 // UpperLoad implements placement.Loads.
 func (l loadsAt) UpperLoad(vm load.VM) float64 { return l.loads.UpperBound(l.now, vm) }
 
+// Drift implements placement.Loads.
+func (l loadsAt) Drift(vm load.VM) float64 { return l.loads.Drift(l.now, vm) }
+
 // Mean implements placement.Loads. The mean is that of all upstreams even while some are
 // suspected: relative to the mean of those that take over their requests, the bound would be far
 // above the configured load bound, which counts all upstreams.
--- a/internal/load/silence_test.go
+++ b/internal/load/silence_test.go
@@ -110,6 +110,26 @@
 	}
 }
 
+// Guards against upstreams that all routers fill at once because a load of a moment ago looks
+// certain.
+func TestDriftGrowsWithTheAgeOfAReport(t *testing.T) {
+	loads := NewPoolLoad()
+	for _, vm := range vms(4) {
+		loads.Observe(start, vm, 8)
+	}
+	previous := -1.0
+	for _, age := range []time.Duration{0, 100 * time.Millisecond, 400 * time.Millisecond, priorStay} {
+		drift := loads.Drift(start.Add(age), 1)
+		if drift <= previous {
+			t.Errorf("drift %.2f after %v, want more than %.2f", drift, age, previous)
+		}
+		previous = drift
+	}
+	if late, unknown := loads.Drift(start.Add(time.Minute), 1), loads.Drift(start, 9); previous != 4 || late != 4 || unknown != 4 {
+		t.Errorf("drift %.2f after the stay, %.2f later, %.2f without a report, want 4", previous, late, unknown)
+	}
+}
+
 // Guards against loads that are forgotten too early where requests take long: the silence of an
 // upstream is compared with how long requests stay.
 func TestSilenceIsComparedWithTheStayOfRequests(t *testing.T) {
--- a/internal/load/tally.go
+++ b/internal/load/tally.go
@@ -238,6 +238,17 @@
 	return p.estimate(e, confidence) + upperDeviations*(1-confidence)*math.Sqrt(p.meanOthers())
 }
 
+// Drift returns the standard deviation of the change of an upstream's load since its last
+// report. Requests arrive and end at random, each at a rate of the mean load over the mean stay,
+// and after the mean stay the last report tells nothing.
+func (p *PoolLoad) Drift(now time.Time, vm VM) float64 {
+	stays := 1.0
+	if e := p.entries[vm]; e != nil && !e.reportedAt.IsZero() {
+		stays = min(now.Sub(e.reportedAt).Seconds()/p.stays.mean().Seconds(), 1)
+	}
+	return math.Sqrt(2 * p.meanOthers() * max(stays, 0))
+}
+
 // Mean returns the estimated mean load of n upstreams, including idle ones, which receive no
 // requests. Idle upstreams report no load. If the mean of the reports counted for all n, a bound
 // based on it would be too high: with a third of a pool drained, the others would receive half as
--- a/internal/placement/bound_test.go
+++ b/internal/placement/bound_test.go
@@ -17,12 +17,14 @@
 
 type belief struct {
 	load, upper, cost      float64
+	drift                  float64
 	estimate               Estimate
 	suspected, unavailable bool
 }
 
 func (b beliefs) Load(vm load.VM) float64      { return b.of[vm].load }
 func (b beliefs) UpperLoad(vm load.VM) float64 { return b.of[vm].upper }
+func (b beliefs) Drift(vm load.VM) float64     { return b.of[vm].drift }
 func (b beliefs) Mean() float64                { return b.mean }
 func (b beliefs) Cost(vm load.VM) float64      { return b.of[vm].cost }
 func (b beliefs) Estimate(vm load.VM) Estimate { return b.of[vm].estimate }
@@ -35,6 +37,7 @@
 		x := belief{
 			load:        rapid.Float64Range(0, 30).Draw(t, "load"),
 			estimate:    Estimate{Start: rapid.Float64Range(0, 3).Draw(t, "start"), Queued: rapid.Bool().Draw(t, "queued"), Slowdown: rapid.Float64Range(0.5, 5).Draw(t, "slowdown")},
+			drift:       rapid.Float64Range(0, 4).Draw(t, "drift"),
 			suspected:   rapid.Bool().Draw(t, "suspected"),
 			unavailable: rapid.IntRange(0, 4).Draw(t, "unavailable") == 0,
 		}
@@ -86,3 +89,25 @@
 		}
 	})
 }
+
+// Guards against upstreams that many routers fill over the load bound within the time that a
+// report takes: they take over requests of suspected ones only with room for what their last
+// report does not contain.
+func TestTakeoverLeavesRoomForUnreportedRequests(t *testing.T) {
+	members := newMembers(2)
+	pool := NewPool(members, Locality{})
+	l := beliefs{mean: 7, at: []load.VM{members[0].VM, members[1].VM}}
+	for _, c := range []struct {
+		drift     float64
+		takesOver bool
+	}{{0, true}, {1, true}, {3, false}} {
+		l.of = map[load.VM]belief{
+			members[0].VM: {load: 2, upper: 2, suspected: true},
+			members[1].VM: {load: 8, upper: 8, drift: c.drift},
+		}
+		chosen := chosenIndices(pool, l, Query{Session: 5, LoadMultiple: 2})
+		if takesOver := chosen[0] == 1; takesOver != c.takesOver {
+			t.Errorf("with a drift of %.0f the other upstream takes over: %v, want %v", c.drift, takesOver, c.takesOver)
+		}
+	}
+}
--- a/internal/placement/bounded.go
+++ b/internal/placement/bounded.go
@@ -15,6 +15,8 @@
 	Load(vm load.VM) float64
 	// UpperLoad returns a load that an upstream seldom exceeds.
 	UpperLoad(vm load.VM) float64
+	// Drift returns by how much the load of an upstream may have changed since it was reported.
+	Drift(vm load.VM) float64
 	// Mean returns the estimated mean load of the pool's upstreams.
 	Mean() float64
 	// Cost returns the estimated response time of one more request at an upstream, in units that
@@ -41,9 +43,11 @@
 	jitterMultipleMin, jitterMultipleMax = 0.85, 1.15
 	jitterSlackMin, jitterSlackMax       = 1.5, 3.0
 	// An upstream takes over requests of a suspected one up to a load of takeoverMultiple times
-	// the mean plus takeoverSlack requests. Without this limit, when three fifths of a pool's
-	// upstreams lose responses, the rest of the pool would be filled up to the bound that the
-	// router applies, and chance would put it over the configured load bound.
+	// the mean plus takeoverSlack requests, less the drift of its load: all routers find the same
+	// few upstreams with room, and send to them what they have in the time that a report takes.
+	// Without this limit, when three fifths of a pool's upstreams lose responses, the rest of the
+	// pool would be filled up to the bound that the router applies, and chance would put it over
+	// the configured load bound.
 	takeoverMultiple, takeoverSlack = 1.3, 1.0
 	// donorMinAge is how long ago an upstream must have joined to be preferred as a donor. When
 	// upstreams are replaced one after the other, an age of 5 s reduces the shared prompt tokens
@@ -252,7 +256,7 @@
 	s.hasSuspected = s.hasSuspected || c.class == suspected
 	switch {
 	case c.class != eligible:
-	case s.hasSuspected && c.upperLoad >= s.takeoverLimit:
+	case s.hasSuspected && c.upperLoad+c.drift >= s.takeoverLimit:
 		c.class = loaded
 	case s.hasLate && s.hasNormalSpeed:
 		c.class = lowerRanked
@@ -268,7 +272,7 @@
 // classify returns upstream i with its class, regardless of the other upstreams.
 func (p *Pool) classify(l Loads, q Query, basis Basis, i int) candidate {
 	vm := p.members[i].VM
-	c := candidate{index: i, upperLoad: l.UpperLoad(vm), estimate: l.Estimate(vm)}
+	c := candidate{index: i, upperLoad: l.UpperLoad(vm), drift: l.Drift(vm), estimate: l.Estimate(vm)}
 	late := q.LatencyLimit > 0 && c.estimate.Start > q.LatencyLimit
 	switch {
 	case c.upperLoad >= basis.Bound:
@@ -318,6 +322,7 @@
 	index     int
 	class     class
 	upperLoad float64 // load that it seldom exceeds
+	drift     float64 // by how much its load may have changed since it was reported
 	estimate  Estimate
 }
 
--- a/internal/placement/bounded_test.go
+++ b/internal/placement/bounded_test.go
@@ -21,6 +21,7 @@
 
 func (l fixedLoads) UpperLoad(vm load.VM) float64 { return l[vm] }
 
+func (l fixedLoads) Drift(load.VM) float64     { return 0 }
 func (l fixedLoads) IsSuspected(load.VM) bool  { return false }
 func (l fixedLoads) Unavailable(int) bool      { return false }
 func (l fixedLoads) Estimate(load.VM) Estimate { return Estimate{} }
--- a/internal/placement/plain_test.go
+++ b/internal/placement/plain_test.go
@@ -128,7 +128,9 @@
 	now     time.Time
 }
 
-func (l plainLoads) Load(vm load.VM) float64      { return l.loads.Load(l.now, vm) }
+func (l plainLoads) Load(vm load.VM) float64  { return l.loads.Load(l.now, vm) }
+func (l plainLoads) Drift(vm load.VM) float64 { return l.loads.Drift(l.now, vm) }
+
 func (l plainLoads) UpperLoad(vm load.VM) float64 { return l.loads.UpperBound(l.now, vm) }
 func (l plainLoads) Cost(vm load.VM) float64      { return l.latency.Factor(l.now, vm) * (l.Load(vm) + 1) }
 func (l plainLoads) IsSuspected(load.VM) bool     { return false }
--- a/internal/placement/sliver_test.go
+++ b/internal/placement/sliver_test.go
@@ -197,6 +197,7 @@
 
 func (l poolLoadAt) Load(vm load.VM) float64      { return l.loads.Load(l.now, vm) }
 func (l poolLoadAt) Cost(vm load.VM) float64      { return l.Load(vm) }
+func (l poolLoadAt) Drift(vm load.VM) float64     { return l.loads.Drift(l.now, vm) }
 func (l poolLoadAt) UpperLoad(vm load.VM) float64 { return l.loads.UpperBound(l.now, vm) }
 func (l poolLoadAt) IsSuspected(load.VM) bool     { return false }
 func (l poolLoadAt) Unavailable(int) bool         { return false }
