balance: a router of many fills upstreams to .85 of the bound

Change: a router that counts next to no requests itself fills to .85 of the configured bound, one of four to .9 as before. Not a mend: the rule is held by the mean, this gives back part of what its error gave.

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -131,7 +131,7 @@
 	// slightly old. The share grows by fillPerOwnShare times the share of all requests that the
 	// router counts itself, up to maxFillShare. With 4 routers the result is 0.9: a fifth fewer
 	// tokens are transferred between upstreams than with 0.8.
-	minFillShare, fillPerOwnShare, maxFillShare = 0.8, 0.4, 0.95
+	minFillShare, fillPerOwnShare, maxFillShare = 0.85, 0.2, 0.95
 )
 
 // fillShare returns the share of the configured load bound up to which a router fills upstreams
