router, telemetry: log lines from which true loads can be worked out

Change: of too many routine lines, whole seconds are kept, one in so many that the rate holds, and the same ones at all processes with about as many lines. "request placed" has load_age_ms, despite (the class of the chosen upstream, if something speaks against it) and suspected (how many are); "request ended" has reported_load, the upstream's own figure at the head of the answer.

TestRoutineLinesAreKeptForWholeSeconds: at 250 lines a second each second is kept whole or left out, by both of two processes alike; before, each second lost lines. No decision changes.

--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -336,6 +336,21 @@
 	return t.outliers.IsSuspected(now, vm)
 }
 
+// LoadAge returns the time since an upstream's load was last reported, or a negative value if it
+// never was.
+func (t *Tracker) LoadAge(now time.Time, vm load.VM) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.loads.Age(now, vm)
+}
+
+// SuspectedCount returns the number of upstreams that fail more of their requests than others do.
+func (t *Tracker) SuspectedCount(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.outliers.SuspectedCount(now)
+}
+
 // Load returns the estimated load of an upstream.
 func (t *Tracker) Load(now time.Time, vm load.VM) float64 {
 	t.mu.Lock()
--- a/internal/load/tally.go
+++ b/internal/load/tally.go
@@ -180,6 +180,16 @@
 	p.recomputeTotals()
 }
 
+// Age returns the time since an upstream's load was last reported, or a negative value if it
+// never was.
+func (p *PoolLoad) Age(now time.Time, vm VM) time.Duration {
+	e := p.entries[vm]
+	if e == nil || e.reportedAt.IsZero() {
+		return -1
+	}
+	return max(now.Sub(e.reportedAt), 0)
+}
+
 // fullConfidenceFor is how long a reported load is used without decay. Reports arrive through
 // other routers, and using the mean instead would hide the upstream with the highest load.
 const fullConfidenceFor = 500 * time.Millisecond
--- a/internal/placement/bounded.go
+++ b/internal/placement/bounded.go
@@ -104,7 +104,10 @@
 type Choice struct {
 	Index int
 	Load  float64 // estimated load
-	Donor int     // upstream other than this one that most likely holds the session's prompt, or None
+	// Despite is the reason that speaks against the upstream, if there is one: all others that
+	// rank for the session have one too.
+	Despite PassOverReason
+	Donor   int // upstream other than this one that most likely holds the session's prompt, or None
 }
 
 // ChooseBounded writes the upstreams that a request is offered to into out, for pools in which
@@ -217,7 +220,7 @@
 		best = p.preferBelowBound(l, q, *basis, best)
 	}
 	for at, c := range best {
-		out[at] = p.newChoice(l, q, order, c.index)
+		out[at] = p.newChoice(l, q, order, c)
 	}
 	return len(best), best[0]
 }
@@ -348,9 +351,14 @@
 	return 1
 }
 
-// newChoice returns the Choice of upstream i for a session with the given ranking.
-func (p *Pool) newChoice(l Loads, q Query, order []int, i int) Choice {
-	return Choice{Index: i, Load: l.Load(p.members[i].VM), Donor: p.donor(q.Now, order, i)}
+// newChoice returns the Choice of a candidate for a session with the given ranking.
+func (p *Pool) newChoice(l Loads, q Query, order []int, c candidate) Choice {
+	return Choice{
+		Index:   c.index,
+		Load:    l.Load(p.members[c.index].VM),
+		Despite: passOverReasons[c.class],
+		Donor:   p.donor(q.Now, order, c.index),
+	}
 }
 
 // donor returns the upstream other than i that most likely holds a session's prompt: the first
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 
 	"github.com/parsleyfront/parsleyfront/internal/balance"
+	"github.com/parsleyfront/parsleyfront/internal/exchange"
 	"github.com/parsleyfront/parsleyfront/internal/router/dispatch"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/token"
@@ -60,6 +61,7 @@
 	vm      topo.VM
 	donor   topo.VM          // direct upstreams only: may hold the cached prompt
 	load    float64          // direct upstreams only: estimated load
+	despite string           // direct upstreams only: what speaks against it; empty: nothing
 	tracker *balance.Tracker // direct upstreams only: tracker of their pool
 }
 
@@ -89,6 +91,7 @@
 	permitNonce token.Nonce // nonce of the key that the permit is for
 	gate        sendGate
 	withheldErr *verdict.Error // direct upstreams only: why it was not sent
+	reported    *exchange.Load // direct upstreams only: load in the head of its response; nil: none
 	resends     int            // how often it was submitted again because it had not been sent
 	stream      stream
 	readAhead   []wire.Piece // pieces that were read before the response is delivered
--- a/internal/router/directoffer.go
+++ b/internal/router/directoffer.go
@@ -173,7 +173,7 @@
 	out := make([]target, 0, n)
 	for _, unreachable := range [...]bool{false, true} {
 		for _, c := range chosen[:n] {
-			t := target{vm: resp.pool.VMs[c.Index], load: c.Load, tracker: resp.pool.tracker}
+			t := target{vm: resp.pool.VMs[c.Index], load: c.Load, despite: string(c.Despite), tracker: resp.pool.tracker}
 			if resp.router.isUnreachable(t.vm.ID, now) != unreachable {
 				continue
 			}
@@ -210,6 +210,7 @@
 	if signal.Load == nil {
 		return
 	}
+	at.reported = signal.Load
 	now, vm := time.Now(), load.Hash(at.vm.ID)
 	at.tracker.SetSlots(signal.Load.Slots)
 	at.tracker.RecordLoad(now, vm, signal.Load.Running+signal.Load.Waiting+1)
--- a/internal/router/log.go
+++ b/internal/router/log.go
@@ -53,10 +53,20 @@
 			slog.Int64("expected_ms", resp.estimatedStart().Milliseconds()),
 			slog.Bool("behind", resp.basis.Deferred),
 			slog.String("donor", at.donor.ID))
-		if slowdown := to.tracker.ReportedSlowdown(time.Now(), load.Hash(at.vm.ID)); slowdown > 0 {
+		now := time.Now()
+		if age := to.tracker.LoadAge(now, load.Hash(at.vm.ID)); age >= 0 {
+			attrs = append(attrs, slog.Int64("load_age_ms", age.Milliseconds()))
+		}
+		if to.despite != "" {
+			attrs = append(attrs, slog.String("despite", to.despite))
+		}
+		if n := to.tracker.SuspectedCount(now); n > 0 {
+			attrs = append(attrs, slog.Int("suspected", n))
+		}
+		if slowdown := to.tracker.ReportedSlowdown(now, load.Hash(at.vm.ID)); slowdown > 0 {
 			attrs = append(attrs, slog.Float64("reported_slowdown", roundTenths(slowdown)))
 		}
-		if home, reason := resp.passedOver(time.Now()); home != "" {
+		if home, reason := resp.passedOver(now); home != "" {
 			attrs = append(attrs, slog.String("home", home), slog.String("passed_over", reason))
 		}
 	}
@@ -125,6 +135,9 @@
 		slog.Int64("first_byte_ms", resp.timeToFirstByte.Milliseconds()),
 		slog.Int64("took_ms", took.Milliseconds()),
 	}
+	if resp.winner != nil && resp.winner.reported != nil {
+		attrs = append(attrs, slog.Int("reported_load", resp.winner.reported.Running+resp.winner.reported.Waiting))
+	}
 	if resp.result != nil {
 		attrs = append(attrs, slog.String("verdict", resp.result.Verdict.String()), slog.String("detail", resp.result.Detail))
 	}
--- a/internal/telemetry/lines.go
+++ b/internal/telemetry/lines.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"math"
 	"sync"
 	"time"
 )
@@ -115,19 +116,36 @@
 	lastReport time.Time // of suppressed lines
 }
 
-// lineLimiter is a token bucket that limits one class of lines.
+// lineLimiter is a token bucket that limits one class of lines. With wholeSeconds, it keeps the
+// lines of whole seconds, if there are too many: one second in so many that the mean rate
+// holds. These are the same seconds at all processes with about as many lines, so that what
+// several processes did in one second can be put together.
 type lineLimiter struct {
-	rate, burst float64
-	tokens      float64
-	refilledAt  time.Time
-	suppressed  int // since the last report
+	rate, burst  float64
+	wholeSeconds bool
+	tokens       float64
+	refilledAt   time.Time
+	second       int64 // Unix time of the current second
+	seen         int   // lines in that second, suppressed ones included
+	every        int64 // one second in every is kept
+	suppressed   int   // since the last report
+}
+
+// isSampled reports whether lines of the current second are kept, and counts the line.
+func (l *lineLimiter) isSampled(now time.Time) bool {
+	if second := now.Unix(); second != l.second {
+		l.every = max(1, int64(math.Ceil(float64(l.seen)/l.rate)))
+		l.second, l.seen = second, 0
+	}
+	l.seen++
+	return !l.wholeSeconds || l.second%l.every == 0
 }
 
 // NewRequestLog returns a RequestLog that writes to l.
 func NewRequestLog(l *slog.Logger) *RequestLog {
 	return &RequestLog{logger: l, limits: map[LineClass]*lineLimiter{
-		LineRoutine: {rate: routineLinesPerSecond, burst: routineBurst, tokens: routineBurst},
-		LineFailure: {rate: failureLinesPerSecond, burst: failureBurst, tokens: failureBurst},
+		LineRoutine: {rate: routineLinesPerSecond, burst: routineBurst, tokens: routineBurst, wholeSeconds: true, every: 1},
+		LineFailure: {rate: failureLinesPerSecond, burst: failureBurst, tokens: failureBurst, every: 1},
 	}}
 }
 
@@ -160,7 +178,7 @@
 		l.tokens = min(l.burst, l.tokens+elapsed*l.rate)
 	}
 	l.refilledAt = now
-	if l.tokens < 1 {
+	if !l.isSampled(now) || l.tokens < 1 {
 		l.suppressed++
 		return false
 	}
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -194,3 +194,38 @@
 		}
 	}
 }
+
+// Guards against logs from which nothing can be worked out because lines are left out at random:
+// at a rate over the limit, lines about requests are kept for whole seconds, which are the same
+// at each process.
+func TestRoutineLinesAreKeptForWholeSeconds(t *testing.T) {
+	const perSecond, seconds = 250, 60
+	keptSeconds := make(map[int]int) // number of processes that have kept a second
+	for process := range 2 {
+		l := NewRequestLog(slog.New(slog.DiscardHandler))
+		total := 0
+		for second := range seconds {
+			kept := 0
+			for line := range perSecond {
+				now := time.Unix(1_800_000_000+int64(second), int64(process)*1000+int64(line)*int64(time.Second)/(perSecond+1))
+				if l.allow(now, LineRoutine) {
+					kept++
+				}
+			}
+			if kept != 0 && kept != perSecond {
+				t.Errorf("second %d: %d of %d lines are kept", second, kept, perSecond)
+			}
+			if total += kept; kept > 0 {
+				keptSeconds[second]++
+			}
+		}
+		if total > routineLinesPerSecond*seconds+routineBurst || total < routineLinesPerSecond*seconds/2 {
+			t.Errorf("%d lines in %d seconds", total, seconds)
+		}
+	}
+	for second, processes := range keptSeconds {
+		if processes != 2 {
+			t.Errorf("second %d is kept by %d of 2 processes", second, processes)
+		}
+	}
+}
