retry, router, exchange: counters and a line for repeats, and for calls left before their answer

Cause: an operator who sees BUDGET cannot say which clause it was. There was no counter of repeats, of those that the budget refused, of the window's own counts, or of calls that were left before their upstream answered. Ruled out: one counter by pool as a second family; the line of each repeat names the pool. Change: Withdraw takes the cause (failure, hedge, slow, stall); two families, one counter, one line with the two counts of the window.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -33,6 +33,8 @@
 		"Connections opened to upstreams without a sidecar, by what came of it.")
 	abortedCalls = telemetry.NewCounter("exchange_abandoned_calls_total",
 		"Calls of upstreams that were broken off since their upstream had started again.")
+	leftCalls = telemetry.NewCounter("exchange_left_calls_total",
+		"Calls of upstreams that were left before their answer began: another attempt was taken, or nobody waits any more.")
 	reuses = telemetry.NewCounter("exchange_reuses_total",
 		"Calls of upstreams over a connection that had served another.")
 )
@@ -106,6 +108,9 @@
 	}
 	resp, signal, err := conn.readResponse(call.Method, call.ID, c.dialect)
 	if err != nil {
+		if ctx.Err() != nil {
+			leftCalls.Inc()
+		}
 		release()
 		_ = conn.Close()
 		return nil, lostError(ctx, err)
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -38,12 +38,13 @@
 // Withdraw takes the cost of one more attempt and reports whether the credit exceeds it. Some
 // credit always remains, so the number of attempts is always strictly less than 1+MaxRatio times
 // the number of requests.
-func (b *Budget) Withdraw() bool {
-	if b.credit <= attemptCost {
-		return false
+func (b *Budget) Withdraw(cause Cause) bool {
+	allowed := b.credit > attemptCost
+	if allowed {
+		b.credit -= attemptCost
 	}
-	b.credit -= attemptCost
-	return true
+	countRepeat(cause, allowed)
+	return allowed
 }
 
 // RetryAfter returns zero: a Budget has no estimate of when callers should retry. It is used for
--- a/internal/retry/pools.go
+++ b/internal/retry/pools.go
@@ -70,10 +70,19 @@
 }
 
 // Withdraw counts one more attempt and reports whether the rule allows it.
-func (b PoolBudget) Withdraw() bool {
+func (b PoolBudget) Withdraw(cause Cause) bool {
 	b.pools.mu.Lock()
 	defer b.pools.mu.Unlock()
-	return b.pool.window.Withdraw(time.Now(), b.pools.rule)
+	allowed := b.pool.window.Withdraw(time.Now(), b.pools.rule)
+	countRepeat(cause, allowed)
+	return allowed
+}
+
+// Counts returns the counts of the pool's window that ends now.
+func (b PoolBudget) Counts() WindowCounts {
+	b.pools.mu.Lock()
+	defer b.pools.mu.Unlock()
+	return b.pool.window.Counts(time.Now(), b.pools.rule)
 }
 
 // RetryAfter returns the delay after which a rejected caller should retry. left is the time that
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -19,6 +19,17 @@
 	Retry
 )
 
+// Cause is why another attempt of a request is wanted.
+type Cause string
+
+// Causes of further attempts.
+const (
+	CauseFailure Cause = "failure" // an attempt failed
+	CauseHedge   Cause = "hedge"   // an attempt is slow, and a second one is to run beside it
+	CauseSlow    Cause = "slow"    // an attempt has no answer yet, and another one is to replace it
+	CauseStall   Cause = "stall"   // an answer has paused, and another upstream is to continue it
+)
+
 // Failure describes a failed attempt.
 type Failure struct {
 	Err *verdict.Error
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -26,7 +26,7 @@
 			if rapid.IntRange(0, 3).Draw(t, "kind") == 0 {
 				b.Deposit(ratio)
 				requests++
-			} else if b.Withdraw() {
+			} else if b.Withdraw(CauseFailure) {
 				extra++
 			}
 			if extra > 0 && 10*(requests+extra) >= 11*requests {
@@ -43,7 +43,7 @@
 	const requests = 1000
 	for range requests {
 		b.Deposit(MaxRatio)
-		if b.Withdraw() {
+		if b.Withdraw(CauseFailure) {
 			extra++
 		}
 	}
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -40,20 +40,31 @@
 // Withdraw counts one more attempt of this router and returns true, or returns false if the rule
 // does not allow it.
 func (w *WindowBudget) Withdraw(now time.Time, r Rule) bool {
+	c := w.Counts(now, r)
+	if float64(c.Retries+1) > r.Ratio*float64(c.Requests)+r.Slack {
+		return false
+	}
+	w.buckets[w.index(0)].retries++
+	return true
+}
+
+// WindowCounts are the counts of a window that its limit is worked out from.
+type WindowCounts struct {
+	Requests, Retries int
+}
+
+// Counts returns the counts of the window that ends now.
+func (w *WindowBudget) Counts(now time.Time, r Rule) WindowCounts {
 	w.advance(now, r)
-	requests, retries := 0, 0
+	var c WindowCounts
 	for i := range windowBuckets + 1 {
 		b := w.buckets[w.index(i)]
-		retries += b.retries
+		c.Retries += b.retries
 		if i < windowBuckets {
-			requests += b.requests
+			c.Requests += b.requests
 		}
 	}
-	if float64(retries+1) > r.Ratio*float64(requests)+r.Slack {
-		return false
-	}
-	w.buckets[w.index(0)].retries++
-	return true
+	return c
 }
 
 // index returns the index of the bucket that is back buckets before the newest.
--- a/internal/router/conditions.go
+++ b/internal/router/conditions.go
@@ -9,7 +9,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/exchange"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/residency"
-	"github.com/parsleyfront/parsleyfront/internal/router/dispatch"
+	"github.com/parsleyfront/parsleyfront/internal/retry"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
@@ -186,17 +186,27 @@
 	return soonest + time.Duration(rand.Int64N(int64(retryAfterJitter)))
 }
 
-// availabilityBudget is a Budget whose RetryAfter is not shorter than the time until an upstream
-// of the pool takes requests again.
-type availabilityBudget struct {
-	dispatch.Budget
-	router *Router
-	pool   *Pool
+// directBudget is the Budget of a request to upstreams without a sidecar. It logs what the budget
+// of the pool allows and refuses. Its RetryAfter is not shorter than the time until an upstream of
+// the pool takes requests again.
+type directBudget struct {
+	retry.PoolBudget
+	resp *Response
+}
+
+// Withdraw implements dispatch.Budget.
+func (b directBudget) Withdraw(cause retry.Cause) bool {
+	allowed := b.PoolBudget.Withdraw(cause)
+	counts := b.Counts()
+	b.resp.log(telemetry.LineFailure, "another attempt was wanted",
+		slog.String("cause", string(cause)), slog.Bool("allowed", allowed), slog.String("pool", b.resp.poolName),
+		slog.Int("window_requests", counts.Requests), slog.Int("window_repeats", counts.Retries))
+	return allowed
 }
 
 // RetryAfter implements dispatch.Budget.
-func (a availabilityBudget) RetryAfter(left time.Duration) time.Duration {
-	return max(a.Budget.RetryAfter(left), a.router.availableAfter(time.Now(), a.pool))
+func (b directBudget) RetryAfter(left time.Duration) time.Duration {
+	return max(b.PoolBudget.RetryAfter(left), b.resp.router.availableAfter(time.Now(), b.resp.pool))
 }
 
 // pruneConditions drops the conditions of upstreams that left the list a while ago.
--- a/internal/router/directoffer.go
+++ b/internal/router/directoffer.go
@@ -82,7 +82,7 @@
 		return nil, e.WithRetryAfter(resp.retryAfterNoUpstream(now))
 	}
 	resp.plan = req.directPlan(r.policy(), len(resp.targets))
-	budget := availabilityBudget{Budget: r.retries.Request(now, resp.poolName), router: r, pool: resp.pool}
+	budget := directBudget{PoolBudget: r.retries.Request(now, resp.poolName), resp: resp}
 	if resp.basis.ShouldReject {
 		resp.Close()
 		return nil, resp.rejectLate(budget.RetryAfter(time.Until(resp.plan.Deadline)))
--- a/internal/router/dispatch/dispatch_test.go
+++ b/internal/router/dispatch/dispatch_test.go
@@ -42,8 +42,8 @@
 }
 
 // Withdraw implements Budget.
-func (s *simulation) Withdraw() bool {
-	ok := s.budget.Withdraw()
+func (s *simulation) Withdraw(cause retry.Cause) bool {
+	ok := s.budget.Withdraw(cause)
 	if ok {
 		s.withdrawals++
 	}
--- a/internal/router/dispatch/state.go
+++ b/internal/router/dispatch/state.go
@@ -29,7 +29,7 @@
 // Budget pays for retries and hedges, and sets when rejected callers retry.
 type Budget interface {
 	// Withdraw pays for one more attempt, or reports false if the budget is too low.
-	Withdraw() bool
+	Withdraw(retry.Cause) bool
 	// RetryAfter returns after which time a caller should retry; zero: no
 	// preference. left is the time until the deadline; zero: no deadline.
 	RetryAfter(left time.Duration) time.Duration
--- a/internal/router/dispatch/step.go
+++ b/internal/router/dispatch/step.go
@@ -40,7 +40,7 @@
 	if s.plan.Direct || a.reconnects > maxReconnects {
 		return s.failed(i, retry.Failure{Err: err, Reached: true})
 	}
-	if a.reconnects > reconnectsBeforeFailover && s.activeAttempts() == 1 && s.mayRunElsewhere() && s.budget.Withdraw() {
+	if a.reconnects > reconnectsBeforeFailover && s.activeAttempts() == 1 && s.mayRunElsewhere() && s.budget.Withdraw(retry.CauseFailure) {
 		a.phase = ended
 		s.recordFailure(err)
 		return s.offer(false)
@@ -98,7 +98,7 @@
 	if s.deliveryStarted { // part of another response, which this one cannot continue
 		return append([]Effect{Cancel{Attempt: e.Attempt}}, s.failed(e.Attempt, f)...)
 	}
-	if retry.Decide(f, s.requestInfo()) != retry.Retry || s.exhausted() || s.activeAttempts() > 1 || !s.budget.Withdraw() {
+	if retry.Decide(f, s.requestInfo()) != retry.Retry || s.exhausted() || s.activeAttempts() > 1 || !s.budget.Withdraw(retry.CauseFailure) {
 		return s.responseStarted(ResponseStarted{Now: e.Now, Attempt: e.Attempt})
 	}
 	s.attempts[e.Attempt].phase = ended
@@ -161,7 +161,7 @@
 		return s.offerAgain()
 	case s.plan.AttachOnly || s.exhausted() || next == retry.Stop:
 		return s.finish(f.Err)
-	case next == retry.Retry && !s.budget.Withdraw():
+	case next == retry.Retry && !s.budget.Withdraw(retry.CauseFailure):
 		return s.finish(f.Err)
 	default:
 		return s.offer(false)
@@ -242,7 +242,7 @@
 		return s.switchUpstream()
 	case s.mayHedge() && reached(s.startedAt.Add(s.plan.HedgeAfter), now):
 		s.hedged = true
-		if s.activeAttempts() > 0 && s.budget.Withdraw() {
+		if s.activeAttempts() > 0 && s.budget.Withdraw(retry.CauseHedge) {
 			return s.offer(false)
 		}
 	}
@@ -252,7 +252,7 @@
 // stalled cancels a response that has paused for too long, if another upstream can
 // continue it. Otherwise it keeps waiting: a pause alone never ends a response.
 func (s *State) stalled(e Stalled) []Effect {
-	if e.Attempt != s.winner || !s.resumable || s.exhausted() || !s.budget.Withdraw() {
+	if e.Attempt != s.winner || !s.resumable || s.exhausted() || !s.budget.Withdraw(retry.CauseStall) {
 		return nil
 	}
 	s.winner = none
@@ -264,7 +264,7 @@
 // the request to another upstream. The cause may be an upstream that hangs, or a
 // response that was lost on a connection that stays open.
 func (s *State) switchUpstream() []Effect {
-	if !s.budget.Withdraw() {
+	if !s.budget.Withdraw(retry.CauseSlow) {
 		s.switchBudgetSpent = true
 		return nil
 	}
--- a/internal/router/limits.go
+++ b/internal/router/limits.go
@@ -82,8 +82,8 @@
 func (s sharedBudget) RetryAfter(left time.Duration) time.Duration { return s.budget.RetryAfter(left) }
 
 // Withdraw implements dispatch.Budget.
-func (s sharedBudget) Withdraw() bool {
+func (s sharedBudget) Withdraw(cause retry.Cause) bool {
 	s.limits.mu.Lock()
 	defer s.limits.mu.Unlock()
-	return s.budget.Withdraw()
+	return s.budget.Withdraw(cause)
 }
