--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -16,6 +16,7 @@
 	idempotent                  bool
 	maxAttempts                 int // limit of the runners that it may be sent to
 	stream                      bool
+	patience                    time.Duration // how long the caller waits for the response
 	entry                       *entry
 	incarnation                 int
 	sent, done                  time.Time
@@ -32,6 +33,11 @@
 	callerCount = 6
 	// callTimeout is how long a caller waits for a response.
 	callTimeout = 6 * time.Second
+	// callDeadline is how long it says that it waits.
+	callDeadline = 5 * time.Second
+	// minPatience and maxPatience bound how long a caller waits that leaves early.
+	minPatience = 50 * time.Millisecond
+	maxPatience = 450 * time.Millisecond
 )
 
 // clientConn is a caller's connection to a router.
@@ -56,7 +62,7 @@
 func (l *clientConn) send(c *call) bool {
 	c.entry, c.incarnation, c.sent = l.entry, l.incarnation, time.Now()
 	defer func() { c.done = time.Now() }()
-	_ = l.conn.SetDeadline(c.sent.Add(callTimeout))
+	_ = l.conn.SetDeadline(c.sent.Add(c.patience))
 	auth := ""
 	if c.key != "" {
 		auth = "Authorization: Token " + c.key + "\r\n"
@@ -65,8 +71,8 @@
 	if c.stream {
 		prefix = "Model: m\r\nToken-Usage: 30,20\r\nPrompt-Prefix: aa:10,s" + c.id[len(c.id)-1:] + ":20,cc:5\r\n"
 	}
-	_, err := fmt.Fprintf(l.conn, "%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: 5000\r\n%s%sContent-Length: %d\r\n\r\n%s",
-		c.method, c.path, callerHost, c.id, auth, prefix, len(c.body), c.body)
+	_, err := fmt.Fprintf(l.conn, "%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n%s%sContent-Length: %d\r\n\r\n%s",
+		c.method, c.path, callerHost, c.id, callDeadline.Milliseconds(), auth, prefix, len(c.body), c.body)
 	if err != nil {
 		return false
 	}
@@ -84,7 +90,7 @@
 
 // newCall returns a call with a unique id and registers it as sent.
 func (h *harness) newCall(method, path, key string) *call {
-	c := &call{id: "attempt-" + strconv.FormatInt(h.nextAttempt.Add(1), 10), method: method, path: path, key: key, maxAttempts: 1}
+	c := &call{id: "attempt-" + strconv.FormatInt(h.nextAttempt.Add(1), 10), method: method, path: path, key: key, maxAttempts: 1, patience: callTimeout}
 	if method == http.MethodPost {
 		c.body = "body of " + c.id
 	}
@@ -142,6 +148,9 @@
 					}
 				}
 				c := h.randomCall()
+				if h.callersLeave {
+					c.patience = h.randomDuration(minPatience, maxPatience)
+				}
 				reusable := l.send(c)
 				h.recordCall(c)
 				if !reusable {
--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -142,6 +142,9 @@
 	h.mu.Lock()
 	calls := append([]*call(nil), h.calls...)
 	h.mu.Unlock()
+	h.checkRepeats()
+	h.checkDeadlines()
+	h.checkCrashingCalls()
 	for _, c := range calls {
 		h.checkCall(c, runs[c.id], runnersByAttempt[c.id])
 	}
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -45,8 +45,8 @@
 // last is over.
 func (h *harness) injectFaults(stop <-chan struct{}) {
 	var active sync.WaitGroup
-	for !isStopped(stop) {
-		f := faults[h.intN(len(faults))]
+	for !isStopped(stop) && len(h.faults) > 0 {
+		f := h.faults[h.intN(len(h.faults))]
 		if h.planned && !f.planned {
 			continue
 		}
@@ -56,6 +56,7 @@
 		active.Go(func() { f.inject(h) })
 		time.Sleep(h.randomDuration(20*time.Millisecond, 500*time.Millisecond))
 	}
+	<-stop
 	active.Wait()
 	h.running.Wait()
 }
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -51,8 +51,9 @@
 	exited      chan struct{}
 	paused      bool
 	log         *os.File
-	incarnation int    // number of the current process, counted from 1
-	pauses      []span // periods in which the process was stopped by SIGSTOP
+	incarnation int         // number of the current process, counted from 1
+	startedAt   []time.Time // when each process was started
+	pauses      []span      // periods in which the process was stopped by SIGSTOP
 }
 
 // span is a period of time.
@@ -74,6 +75,14 @@
 	return slices.ContainsFunc(e.pauses, s.overlaps)
 }
 
+// disturbedDuring reports whether a process was started or paused at any time in a span.
+func (e *entry) disturbedDuring(s span) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	started := slices.ContainsFunc(e.startedAt, func(at time.Time) bool { return !at.Before(s.from) && !at.After(s.to) })
+	return started || slices.ContainsFunc(e.pauses, s.overlaps)
+}
+
 func (e *entry) addr() string { return net.JoinHostPort(e.ip, "8080") }
 
 // settings writes the boot settings file that the platform provides for a process.
@@ -87,9 +96,9 @@
 internal_ports: [7340, 7355]
 limits: {cpu_share: 0.5, cores: 1, memory_mb: 256, max_fds: 2048, link_mbps: 1000.0}
 heartbeat_ms: 1200
-bounds: {config_apply_ms: %d, drain_ms: %d, grace_s: %d, retry_ratio: 0.2, retry_slack: 20, budget_window_s: 10, cap_factor: %g, warmup_overage: %g, warmup_slack: %d}
+bounds: {config_apply_ms: %d, drain_ms: %d, grace_s: %d, retry_ratio: %g, retry_slack: %d, budget_window_s: %g, cap_factor: %g, warmup_overage: %g, warmup_slack: %d}
 platform: {address: %q}
-`, e.name, e.ip, e.addr(), net.JoinHostPort(e.ip, "8081"), configBound.Milliseconds(), configBound.Milliseconds(), int(grace.Seconds()), loadMultiple, coldOverage, coldSlack, e.store.addr())
+`, e.name, e.ip, e.addr(), net.JoinHostPort(e.ip, "8081"), configBound.Milliseconds(), configBound.Milliseconds(), int(grace.Seconds()), retryRatio, retrySlack, retryWindow.Seconds(), loadMultiple, coldOverage, coldSlack, e.store.addr())
 	next := filepath.Join(e.dir, "next.yaml")
 	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
 		return err
@@ -112,6 +121,7 @@
 	exited := make(chan struct{})
 	e.cmd, e.exited, e.paused = cmd, exited, false
 	e.incarnation++
+	e.startedAt = append(e.startedAt, time.Now())
 	go func() {
 		_ = cmd.Wait()
 		close(exited)
@@ -161,6 +171,7 @@
 // runner is a fake runner behind a proxy. Its entry in the store has the address of the proxy.
 type runner struct {
 	*fake.Runner
+	harness   *harness
 	proxy     *proxy
 	startedMs int64     // start time, in Unix milliseconds
 	leftAt    time.Time // when its entry announced that it leaves, or was removed; zero: it has not left
@@ -194,6 +205,9 @@
 	if *seconds != "" {
 		lines = append(lines, "Retry-After: "+*seconds)
 	}
+	if delay := r.harness.maxRestDelay; delay > 0 {
+		time.Sleep(r.harness.randomDuration(0, delay))
+	}
 	now := time.Now()
 	if d, err := strconv.ParseFloat(*seconds, 64); err == nil && d > 0 {
 		r.mu.Lock()
@@ -231,7 +245,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &runner{Runner: fake.StartRunner(l, id, p.addr()), proxy: p, startedMs: time.Now().UnixMilli()}
+	r := &runner{Runner: fake.StartRunner(l, id, p.addr()), harness: h, proxy: p, startedMs: time.Now().UnixMilli()}
 	r.SetHandler(h.handler(r))
 	h.mu.Lock()
 	r.incarnation = fmt.Sprintf("%s/%d", id, len(h.runners))
@@ -260,6 +274,10 @@
 			return fake.KeepOpen
 		}
 		r.RecordRun(req, body)
+		if strings.Contains(req.URL.Path, crashMark) {
+			h.crash(r)
+			return fake.CloseConn
+		}
 		id := req.Header.Get("Attempt-Id")
 		if h.drawResponseFault(loseResponse) {
 			return fake.CloseConn
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -82,7 +82,11 @@
 const plannedEvery = 5
 
 func soak(t *testing.T, seed uint64) {
-	h := newHarness(t, seed, seed%plannedEvery == 0)
+	newHarness(t, seed, seed%plannedEvery == 0).play()
+}
+
+// play runs the fleet under its faults for the duration of a seed, and checks what was observed.
+func (h *harness) play() {
 	defer h.close()
 	h.start()
 	stop := make(chan struct{})
@@ -92,8 +96,11 @@
 	}()
 	h.callers(stop)
 	h.probers(stop)
+	if h.crashingCallers {
+		h.running.Go(func() { h.sendCrashingCalls(stop) })
+	}
 	h.injectFaults(stop)
 	h.settle()
 	h.check()
-	t.Logf("seed %d: %s", seed, h.summary())
+	h.t.Logf("seed %d: %s", h.seed, h.summary())
 }
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -38,6 +38,13 @@
 	seed    uint64
 	planned bool // planned operations only
 	dir     string
+	faults  []fault // kinds of faults to inject
+	// callersLeave makes callers close their connection after a short random time.
+	callersLeave bool
+	// crashingCallers makes a caller send copies of a request that crashes runners.
+	crashingCallers bool
+	// maxRestDelay is how long after a request a resting runner rejects it at most; zero: at once.
+	maxRestDelay time.Duration
 
 	store   *fake.Store
 	server  *http.Server
@@ -64,6 +71,7 @@
 	return &harness{
 		t: t, seed: seed, planned: planned,
 		dir:         t.TempDir(),
+		faults:      faults,
 		store:       fake.NewStore(),
 		random:      rand.New(rand.NewPCG(seed, 1)),
 		revoked:     make(map[string]int),
