exchange, router: what an upstream says in an answer to a call that was left is read

Cause: the end of an attempt closed its connection at once, so that a 503 with Retry-After that its runner wrote afterwards was read by nobody, and the runner got requests in its rest. Class: a word about an upstream is lost because the request on which it came is not wanted any more. Change: while the head of an answer is awaited, leaving a call closes the sending side only, which an upstream sees as before, and the head is read for a second at most, on 16 connections an upstream and 256 in all; others are closed at once. Its words, and those of second answers, are recorded; counters say what became of them.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -33,8 +33,6 @@
 		"Connections opened to upstreams without a sidecar, by what came of it.")
 	abortedCalls = telemetry.NewCounter("exchange_abandoned_calls_total",
 		"Calls of upstreams that were broken off since their upstream had started again.")
-	leftCalls = telemetry.NewCounter("exchange_left_calls_total",
-		"Calls of upstreams that were left before their answer began: another attempt was taken, or nobody waits any more.")
 	reuses = telemetry.NewCounter("exchange_reuses_total",
 		"Calls of upstreams over a connection that had served another.")
 )
@@ -53,9 +51,13 @@
 	dialect Dialect
 	dial    DialFunc
 
-	mu    sync.Mutex
-	idle  map[endpoint][]*conn // least recently used first
-	inUse map[*conn]endpoint   // connections with a call in progress
+	// lateSignal handles what an upstream says in an answer that no call waits for; nil: dropped.
+	lateSignal func(vm topo.VM, signal Signal)
+
+	mu        sync.Mutex
+	idle      map[endpoint][]*conn // least recently used first
+	inUse     map[*conn]endpoint   // connections with a call in progress
+	lingering lingerCounts
 }
 
 // endpoint identifies one incarnation of an upstream by the id of its VM entry, which is
@@ -78,13 +80,22 @@
 
 // NewClient returns a Client that uses the headers of d, over connections that dial opens.
 func NewClient(d Dialect, dial DialFunc) *Client {
-	return &Client{dialect: d, dial: dial, idle: make(map[endpoint][]*conn), inUse: make(map[*conn]endpoint)}
+	return &Client{
+		dialect: d, dial: dial, idle: make(map[endpoint][]*conn), inUse: make(map[*conn]endpoint),
+		lingering: lingerCounts{byUpstream: make(map[endpoint]int)},
+	}
+}
+
+// HandleLateSignals sets the function that handles what an upstream says of itself in an answer to a
+// call that was left, or that was answered before. It must be set before the first call.
+func (c *Client) HandleLateSignals(handle func(vm topo.VM, signal Signal)) {
+	c.lateSignal = handle
 }
 
 // Do calls the upstream on vm and returns once the head of the response has arrived.
 // maySend is called once, before the first byte is sent; if it returns false, nothing
-// is sent. The end of ctx aborts the call, also after Do has returned. An error is a
-// *verdict.Error.
+// is sent. The end of ctx aborts the call, also after Do has returned; Do itself may then
+// take up to lingerTimeout to return. An error is a *verdict.Error.
 func (c *Client) Do(ctx context.Context, vm topo.VM, call Call, maySend func() bool) (*Stream, error) {
 	ep := endpoint{instance: vm.ID, addr: vm.Addr}
 	header := call.Header.Clone()
@@ -106,11 +117,8 @@
 		_ = conn.Close()
 		return nil, lostError(ctx, err)
 	}
-	resp, signal, err := conn.readResponse(call.Method, call.ID, c.dialect)
+	resp, signal, err := c.awaitResponse(ctx, vm, conn, call)
 	if err != nil {
-		if ctx.Err() != nil {
-			leftCalls.Inc()
-		}
 		release()
 		_ = conn.Close()
 		return nil, lostError(ctx, err)
@@ -125,7 +133,7 @@
 	c.mu.Lock()
 	c.inUse[conn] = ep
 	c.mu.Unlock()
-	stop := conn.closeOnDone(ctx)
+	stop := context.AfterFunc(ctx, func() { c.leave(ep, conn) })
 	return func() bool {
 		c.mu.Lock()
 		delete(c.inUse, conn)
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"io"
 	"net"
 	"net/http"
@@ -39,6 +38,10 @@
 	reused      bool       // the connection has been idle before
 	expires     time.Time  // when an idle connection is to be closed
 	bodyWritten chan error // receives the result of writing a long body; nil: none in progress
+
+	// The client's mutex guards the fields below.
+	awaitsHead bool // a call was sent, and the head of its response has not been read
+	lingers    bool // the call was left, and the head is still read
 }
 
 // newConn returns a conn with an empty read buffer.
@@ -115,8 +118,8 @@
 const maxStrayResponses = 2
 
 // readResponse reads the head of the response to call id. Late responses to earlier
-// calls on the same connection are skipped.
-func (c *conn) readResponse(method, id string, d Dialect) (*http.Response, Signal, error) {
+// calls on the same connection are skipped, and their signals passed to stray.
+func (c *conn) readResponse(method, id string, d Dialect, stray func(Signal)) (*http.Response, Signal, error) {
 	for range maxStrayResponses + 1 {
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
 		if err != nil {
@@ -130,6 +133,7 @@
 			return resp, signal, nil
 		}
 		strayAnswers.Inc()
+		stray(signal)
 		if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			break // the body ends where the connection is closed, so no response follows it
 		}
@@ -151,11 +155,3 @@
 	}
 	return defaultIdleTimeout
 }
-
-// closeOnDone closes the connection when ctx ends, which unblocks its reader. An
-// upstream drops a request whose connection is closed. release cancels this; it returns
-// false if ctx has ended, so that the connection is closed or about to be, or if release
-// was called before.
-func (c *conn) closeOnDone(ctx context.Context) (release func() bool) {
-	return context.AfterFunc(ctx, func() { _ = c.Close() })
-}
--- /dev/null
+++ b/internal/exchange/linger.go
@@ -0,0 +1,135 @@
+package exchange
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/telemetry"
+	"github.com/parsleyfront/parsleyfront/internal/topo"
+)
+
+const (
+	// lingerTimeout is how long the head of a response is still read after its call was left.
+	lingerTimeout = time.Second
+	// maxLingering and maxLingeringPerUpstream bound the calls that were left and whose heads are
+	// still read. What one answer of an upstream says of it mostly stands in its other answers too.
+	maxLingering            = 256
+	maxLingeringPerUpstream = 16
+)
+
+var (
+	leftCalls = telemetry.NewFamily[leftOutcome]("exchange_left_calls_total", "outcome",
+		"Calls of upstreams that were left before their answer began, by whether its head was still read.")
+	lingeringCalls = telemetry.NewGauge("exchange_lingering_connections",
+		"Connections to upstreams of calls that were left, on which the head of an answer is still awaited.")
+)
+
+// leftOutcome is what became of the answer to a call that was left.
+type leftOutcome string
+
+const (
+	leftAnswered   leftOutcome = "answered"   // its head arrived and was read
+	leftUnanswered leftOutcome = "unanswered" // none came within lingerTimeout, or the connection ended
+	leftClosed     leftOutcome = "closed"     // the connection was closed at once
+)
+
+// lingerCounts counts the calls that were left and whose heads are still read.
+type lingerCounts struct {
+	total      int
+	byUpstream map[endpoint]int
+}
+
+func (l *lingerCounts) begin(ep endpoint) bool {
+	if l.total >= maxLingering || l.byUpstream[ep] >= maxLingeringPerUpstream {
+		return false
+	}
+	l.total++
+	l.byUpstream[ep]++
+	return true
+}
+
+func (l *lingerCounts) end(ep endpoint) {
+	l.total--
+	l.byUpstream[ep]--
+	if l.byUpstream[ep] == 0 {
+		delete(l.byUpstream, ep)
+	}
+}
+
+// leave ends a call that nobody waits for any more. An upstream drops a request when the bytes from
+// its router end.
+//
+// While the head of the response has not been read, only the sending side is closed, and the reader
+// goes on for lingerTimeout. An upstream may answer just then that it leaves or wants a pause; if the
+// connection were closed, nothing would read that, and the upstream would get further requests.
+func (c *Client) leave(ep endpoint, conn *conn) {
+	c.mu.Lock()
+	conn.lingers = conn.awaitsHead && c.lingering.begin(ep)
+	lingers := conn.lingers
+	lingeringCalls.Set(int64(c.lingering.total))
+	c.mu.Unlock()
+	if !lingers || closeWrite(conn) != nil {
+		_ = conn.Close()
+		return
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(lingerTimeout)) // fails only on a closed connection
+}
+
+// closeWrite closes the sending side of a connection, or all of it if it has no such operation.
+func closeWrite(c *conn) error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return c.Close()
+}
+
+// awaitResponse reads the head of the response to a call that was sent. If the call is left
+// meanwhile, it passes the signal of a head that still arrives to the handler of late signals, and
+// returns an error.
+func (c *Client) awaitResponse(ctx context.Context, vm topo.VM, conn *conn, call Call) (*http.Response, Signal, error) {
+	c.setAwaitsHead(conn, true)
+	stray := func(s Signal) { c.handleLateSignal(vm, s) }
+	resp, signal, err := conn.readResponse(call.Method, call.ID, c.dialect, stray)
+	c.setAwaitsHead(conn, false)
+	if ctx.Err() == nil {
+		return resp, signal, err
+	}
+	lingered := c.endLinger(endpoint{instance: vm.ID, addr: vm.Addr}, conn)
+	switch {
+	case err == nil:
+		leftCalls.Inc(leftAnswered)
+		c.handleLateSignal(vm, signal)
+	case lingered:
+		leftCalls.Inc(leftUnanswered)
+	default:
+		leftCalls.Inc(leftClosed)
+	}
+	return nil, Signal{}, ctx.Err()
+}
+
+func (c *Client) setAwaitsHead(conn *conn, awaits bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn.awaitsHead = awaits
+}
+
+// endLinger reports whether the call on a connection has lingered, and ends that.
+func (c *Client) endLinger(ep endpoint, conn *conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !conn.lingers {
+		return false
+	}
+	conn.lingers = false
+	c.lingering.end(ep)
+	lingeringCalls.Set(int64(c.lingering.total))
+	return true
+}
+
+// handleLateSignal passes on what an upstream says of itself in an answer that no call waits for.
+func (c *Client) handleLateSignal(vm topo.VM, signal Signal) {
+	if c.lateSignal != nil {
+		c.lateSignal(vm, signal)
+	}
+}
--- a/internal/router/conditions.go
+++ b/internal/router/conditions.go
@@ -7,6 +7,7 @@
 
 	"github.com/parsleyfront/parsleyfront/internal/condition"
 	"github.com/parsleyfront/parsleyfront/internal/exchange"
+	"github.com/parsleyfront/parsleyfront/internal/load"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/residency"
 	"github.com/parsleyfront/parsleyfront/internal/retry"
@@ -18,6 +19,8 @@
 var (
 	signalsReceived = telemetry.NewFamily[string]("router_upstream_words_total", "condition",
 		"Answers in which an upstream said that it leaves, or that it wants rest.")
+	lateSignals = telemetry.NewCounter("router_late_answers_total",
+		"Answers of upstreams that no request waited for, and that were read for what they say of their upstream.")
 	withheld = telemetry.NewFamily[string]("router_withheld_attempts_total", "condition",
 		"Attempts that were not sent to the upstream that was chosen, by what speaks against it by now.")
 )
@@ -25,28 +28,44 @@
 // handleSignal applies the signals about an upstream that came in the headers of its response.
 func (d directTransport) handleSignal(at *attempt, signal exchange.Signal) {
 	d.recordReportedLoad(at, signal)
-	now, vm := time.Now(), at.vm.ID
+	d.router.recordConditions(at.vm, signal, slog.Int("attempt", at.number))
+}
+
+// handleLateSignal applies the signals of a response that no attempt waits for: its attempt has
+// ended, or the response is a second one.
+func (r *Router) handleLateSignal(vm topo.VM, signal exchange.Signal) {
+	lateSignals.Inc()
+	if pool := r.View().Pools[vm.Pool]; pool != nil && signal.Load != nil {
+		pool.tracker.RecordLoad(time.Now(), load.Hash(vm.ID), signal.Load.Running+signal.Load.Waiting)
+	}
+	r.recordConditions(vm, signal, slog.Bool("late", true))
+}
+
+// recordConditions records and logs the conditions of an upstream that its response states.
+func (r *Router) recordConditions(vm topo.VM, signal exchange.Signal, attr slog.Attr) {
+	now := time.Now()
+	attrs := append(upstreamAttrs(vm), attr)
 	if signal.Leaving {
 		signalsReceived.Inc(condition.Leaving.String())
-		if d.router.conditions.RecordLeaving(now, vm) {
-			d.log(telemetry.LineFailure, "upstream announced that it is leaving", at.upstreamAttrs()...)
+		if r.conditions.RecordLeaving(now, vm.ID) {
+			r.config.RequestLog.Log(telemetry.LineFailure, "upstream announced that it is leaving", signal.ID, attrs...)
 		}
 	}
 	if signal.RetryAfter > 0 {
 		signalsReceived.Inc(condition.Resting.String())
-		d.router.conditions.RecordResting(now, vm, signal.RetryAfter)
-		d.log(telemetry.LineFailure, "upstream asked for a pause", append(at.upstreamAttrs(), slog.Int64("rest_ms", signal.RetryAfter.Milliseconds()))...)
+		r.conditions.RecordResting(now, vm.ID, signal.RetryAfter)
+		attrs = append(attrs, slog.Int64("rest_ms", signal.RetryAfter.Milliseconds()))
+		r.config.RequestLog.Log(telemetry.LineFailure, "upstream asked for a pause", signal.ID, attrs...)
 	}
 }
 
-// upstreamAttrs returns the log attributes that identify the upstream of an attempt.
-func (at *attempt) upstreamAttrs() []slog.Attr {
+// upstreamAttrs returns the log attributes that identify an upstream.
+func upstreamAttrs(vm topo.VM) []slog.Attr {
 	return []slog.Attr{
-		slog.Int("attempt", at.number),
-		slog.String("upstream", at.vm.ID),
-		slog.String("addr", at.vm.Addr),
-		slog.String("pool", at.vm.Pool),
-		slog.Bool("listed_leaving", at.vm.Leaving),
+		slog.String("upstream", vm.ID),
+		slog.String("addr", vm.Addr),
+		slog.String("pool", vm.Pool),
+		slog.Bool("listed_leaving", vm.Leaving),
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -159,6 +159,9 @@
 		peers:          make(map[endpoint]*wire.Peer),
 		conditions:     condition.NewObservations(),
 	}
+	if c.Direct != nil {
+		c.Direct.HandleLateSignals(r.handleLateSignal)
+	}
 	if c.Decode != nil {
 		r.state.SetDecoder(c.Decode)
 	}
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"io"
 	"net"
 	"slices"
 	"sync"
@@ -122,8 +123,11 @@
 	p.mu.Lock()
 	p.open[client], p.open[server] = true, true
 	p.mu.Unlock()
-	go p.copy(server, client, false)
-	p.copy(client, server, true)
+	var directions sync.WaitGroup
+	directions.Go(func() { p.copy(server, client, false) })
+	directions.Go(func() { p.copy(client, server, true) })
+	directions.Wait()
+	p.closePair(client, server)
 }
 
 func (p *proxy) currentMode() (proxyMode, chan struct{}) {
@@ -132,17 +136,23 @@
 	return p.mode, p.modeChanged
 }
 
-// copy forwards bytes of one direction, each according to the mode at that moment. The flag
-// responses says that the bytes come from the server.
+// copy forwards bytes of one direction, each according to the mode at that moment, and then the end
+// of that direction alone, as a network does. The flag responses says that the bytes come from the
+// server.
 func (p *proxy) copy(to, from net.Conn, responses bool) {
-	defer p.closePair(to, from)
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
 		if n > 0 && !p.forward(to, buf[:n], responses) {
+			p.closePair(to, from)
 			return
 		}
-		if err != nil {
+		switch {
+		case err == io.EOF:
+			_ = to.(*net.TCPConn).CloseWrite()
+			return
+		case err != nil:
+			p.closePair(to, from)
 			return
 		}
 	}
