quarantine, router: a request that crashes upstreams without sidecars is refused after the third

Cause: the quarantine rested on sidecars; without them each copy of a request was a new request, so that a request which crashes the runners that run it cost one or two of them a copy, for as long as its caller sent it. Class: what bounds a request is kept by a role that the platform does not have. Ruled out: fewer attempts (non-idempotent requests cost one a copy); conviction at the second crash (the first retry of an innocent request may meet it); counting lost connections (answers are lost and connections reset without a crash: nothing is refused in twelve losses); the store (a call for each crash, and away when it matters). Change: a router that loses a sent request finds out whether its upstream has crashed: it refuses connections (one connection, kept for the next call), another incarnation is in its place, or its entry has ended unannounced. The requests that it lost there, the 16 that started last, are entries in the quarantine's table, told to the other routers within their reports, repeated for routers that start while they convict. From the second crash on copies run one by one, not beside another suspect, without retries; from the third all are refused as not run, with the time until the conviction ends. A request that was lost twice is not sent a third time before it is known why. What was served lately is never held guilty, and others at a crash are explained by its cause. Memory and messages are bounded (1,024 lost, 4,096 entries, 512 bytes a second).

--- a/internal/condition/book.go
+++ b/internal/condition/book.go
@@ -153,6 +153,14 @@
 	return s
 }
 
+// IsLeaving reports whether an upstream has announced that it leaves.
+func (o *Observations) IsLeaving(id string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	r := o.records[id]
+	return r != nil && !r.leavingKnownSince().IsZero()
+}
+
 // Forever is the duration of a condition without an end.
 const Forever = time.Duration(math.MaxInt64)
 
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -58,6 +58,7 @@
 	idle      map[endpoint][]*conn // least recently used first
 	inUse     map[*conn]endpoint   // connections with a call in progress
 	lingering lingerCounts
+	checking  map[endpoint]bool // upstreams that Refuses is checking
 }
 
 // endpoint identifies one incarnation of an upstream by the id of its VM entry, which is
@@ -83,6 +84,7 @@
 	return &Client{
 		dialect: d, dial: dial, idle: make(map[endpoint][]*conn), inUse: make(map[*conn]endpoint),
 		lingering: lingerCounts{byUpstream: make(map[endpoint]int)},
+		checking:  make(map[endpoint]bool),
 	}
 }
 
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -20,6 +20,7 @@
 	changes       uint64                    // entries added and raised so far
 	grants        map[Fingerprint]time.Time // when the permission to run alone ends
 	outbox        outbox
+	served        servedSet
 }
 
 // New returns an empty Table. vm and incarnation identify a sidecar; a router passes ""
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -45,6 +45,7 @@
 	At          time.Time     // time of the crash, in whole milliseconds
 	RunTime     time.Duration // how long it had run at the crash, in whole milliseconds
 	Alone       bool          // no other fingerprint was running
+	Observed    bool          // a router observed the crash: the upstream has no sidecar
 	Status      Status
 }
 
--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -13,6 +13,11 @@
 	// gossipPeriod is how long a process gossips an entry after it was added or its status
 	// changed.
 	gossipPeriod = 30 * time.Second
+	// firstRepeat is the pause after the first message with the entry of an observed crash. It
+	// doubles with each message, up to maxRepeat: routers send their messages to the same few
+	// others, and the repeats would leave no room for new entries.
+	firstRepeat = 100 * time.Millisecond
+	maxRepeat   = 2 * time.Second
 	// gossipBytesPerSecond limits the gossip of a process.
 	gossipBytesPerSecond = 512
 	// gossipBurstBytes is how many bytes a process may gossip at once.
@@ -34,6 +39,7 @@
 	VM       string     `json:"vm"`
 	At       int64      `json:"t"` // Unix milliseconds
 	Alone    bool       `json:"a,omitempty"`
+	Observed bool       `json:"r,omitempty"`
 	Suspects [][3]int64 `json:"s"` // fingerprint (its bits), run time in ms, status
 }
 
@@ -49,8 +55,24 @@
 	entry *Entry
 	since time.Time // when the entry was added or its status changed
 	sent  int       // number of messages that carried it
+	at    time.Time // of the latest message that carried it
 }
 
+// isDue reports whether the entry may be sent again.
+func (n *pendingEntry) isDue(now time.Time) bool {
+	if !n.entry.Observed || n.sent == 0 {
+		return true
+	}
+	pause := maxRepeat
+	if doublings := n.sent - 1; doublings < maxRepeatDoublings {
+		pause = min(firstRepeat<<doublings, maxRepeat)
+	}
+	return now.Sub(n.at) >= pause
+}
+
+// maxRepeatDoublings is the number of doublings of firstRepeat after which maxRepeat is reached.
+const maxRepeatDoublings = 5
+
 func newOutbox() outbox {
 	return outbox{pending: make(map[key]*pendingEntry), tokens: gossipBurstBytes}
 }
@@ -59,6 +81,14 @@
 	t.pending[e.key()] = &pendingEntry{entry: e, since: now}
 }
 
+// addAll adds the entries that convict a fingerprint. Some may have been sent long ago, and a router
+// that has started since would not convict it.
+func (t *outbox) addAll(now time.Time, entries []*Entry) {
+	for _, e := range entries {
+		t.add(now, e)
+	}
+}
+
 func (t *outbox) drop(e *Entry) {
 	delete(t.pending, e.key())
 }
@@ -81,25 +111,29 @@
 	if budget < minGossipBytes {
 		return nil
 	}
-	picked := t.outbox.pick(now)
+	picked := t.outbox.pick(now, func(e *Entry) bool { return e.Observed && t.isConvictedByCount(now, e.Fingerprint) })
 	out, n := encode(picked, budget)
 	t.outbox.tokens -= float64(len(out))
 	for _, e := range picked[:n] {
 		t.outbox.pending[e.key()].sent++
+		t.outbox.pending[e.key()].at = now
 	}
 	return out
 }
 
 // pick returns the entries to send, in order: those sent least often first, then those
-// with the highest status. It removes entries that are older than gossipPeriod.
-func (t *outbox) pick(now time.Time) []*Entry {
+// with the highest status. It removes entries that are older than gossipPeriod, unless keep
+// returns true for them.
+func (t *outbox) pick(now time.Time, keep func(*Entry) bool) []*Entry {
 	current := make([]*pendingEntry, 0, len(t.pending))
 	for k, n := range t.pending {
-		if now.Sub(n.since) > gossipPeriod || !n.entry.isLive(now) {
+		if !n.entry.isLive(now) || now.Sub(n.since) > gossipPeriod && !keep(n.entry) {
 			delete(t.pending, k)
 			continue
 		}
-		current = append(current, n)
+		if n.isDue(now) {
+			current = append(current, n)
+		}
 	}
 	slices.SortFunc(current, func(x, y *pendingEntry) int {
 		return cmp.Or(
@@ -194,6 +228,7 @@
 		At:          time.UnixMilli(c.At),
 		RunTime:     time.Duration(s[1]) * time.Millisecond,
 		Alone:       c.Alone,
+		Observed:    c.Observed,
 		Status:      min(Status(s[2]), Convicted),
 	}
 }
@@ -210,7 +245,7 @@
 		size += jsonSize(suspect) + len(",")
 		if !known {
 			i = len(crashes)
-			c := crashJSON{Crash: e.Crash, VM: e.VM, At: e.At.UnixMilli(), Alone: e.Alone, Suspects: [][3]int64{}}
+			c := crashJSON{Crash: e.Crash, VM: e.VM, At: e.At.UnixMilli(), Alone: e.Alone, Observed: e.Observed, Suspects: [][3]int64{}}
 			size += jsonSize(c) + len(",")
 			at[e.Crash] = i
 			crashes = append(crashes, c)
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -18,9 +18,9 @@
 }
 
 // isConvicted reports whether p is convicted: either by the sidecar that saw the crash,
-// or by entries of two sidecars that each saw one crash.
+// by entries of two sidecars that each saw one crash, or by observed crashes.
 func (t *Table) isConvicted(now time.Time, p Fingerprint) bool {
-	return t.isConvictedBySidecar(now, p) || t.isConvictedByEvidence(now, p)
+	return t.isConvictedBySidecar(now, p) || t.isConvictedByEvidence(now, p) || t.isConvictedByCount(now, p)
 }
 
 // isConvictedBySidecar reports whether a sidecar has convicted p.
@@ -95,6 +95,9 @@
 	if !e.isLive(now) {
 		return
 	}
+	if e.Observed && e.Status == Suspect && t.served.has(e.Fingerprint) {
+		e.Status = Cleared
+	}
 	for _, known := range t.byFingerprint[e.Fingerprint] {
 		if known.Crash == e.Crash {
 			t.raiseStatus(now, known, e.Status)
@@ -109,6 +112,9 @@
 	t.byFingerprint[e.Fingerprint] = append(t.byFingerprint[e.Fingerprint], &e)
 	t.byCrash[e.Crash] = append(t.byCrash[e.Crash], &e)
 	t.outbox.add(now, &e)
+	if e.Observed && t.isConvictedByCount(now, e.Fingerprint) {
+		t.outbox.addAll(now, t.byFingerprint[e.Fingerprint])
+	}
 }
 
 // raiseStatus sets a higher status; a lower one has no effect. An outcome ends the
--- /dev/null
+++ b/internal/quarantine/observed_test.go
@@ -0,0 +1,248 @@
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// lostNow returns requests that were lost at a crash, each started a moment before it.
+func lostNow(now time.Time, fingerprints ...Fingerprint) []RunningRequest {
+	var out []RunningRequest
+	for _, p := range fingerprints {
+		out = append(out, RunningRequest{Fingerprint: p, Started: now.Add(-time.Millisecond)})
+	}
+	return out
+}
+
+// Guards against a request that crashes each upstream which runs it being sent on without end, and
+// against one that is refused for the crashes of one or two.
+func TestThirdObservedCrashConvicts(t *testing.T) {
+	table := New("", 0)
+	for i, want := range []Action{Allow, RunAlone, Refuse} {
+		now := epoch.Add(time.Duration(i) * time.Second)
+		table.RecordObservedCrash(now, fmt.Sprint("upstream-", i), lostNow(now, 7))
+		if got := table.DecideObserved(now, 7); got.Action != want || got.Crashes != i+1 {
+			t.Errorf("after %d crashes: %+v", i+1, got)
+		}
+	}
+	d := table.DecideObserved(epoch.Add(2*time.Second), 7)
+	if before := table.DecideObserved(d.Until.Add(-time.Millisecond), 7); before.Action != Refuse {
+		t.Errorf("before its end: %+v", before)
+	}
+	if after := table.DecideObserved(d.Until, 7); after.Action == Refuse {
+		t.Errorf("at its end: %+v", after)
+	}
+}
+
+// Several routers lose copies of a request at the same crash. Guards against one crash that counts
+// several times.
+func TestCrashSeenByManyRoutersCountsOnce(t *testing.T) {
+	a, b := New("", 0), New("", 0)
+	for i := range 2 {
+		a.RecordObservedCrash(epoch, fmt.Sprint("upstream-", i), lostNow(epoch, 7))
+		b.RecordObservedCrash(epoch.Add(40*time.Millisecond), fmt.Sprint("upstream-", i), lostNow(epoch, 7))
+	}
+	if err := a.Merge(epoch, b.All(epoch)); err != nil {
+		t.Fatal(err)
+	}
+	if got := a.DecideObserved(epoch, 7); got.Crashes != 2 {
+		t.Errorf("%+v, want 2 crashes", got)
+	}
+}
+
+// Others run beside the request that crashes upstreams, one of them at two of the crashes. Guards
+// against refusing them, or holding them back, once the cause is known.
+func TestOthersAtObservedCrashesAreExplained(t *testing.T) {
+	table := New("", 0)
+	for i := range 3 {
+		others := []Fingerprint{7, Fingerprint(100 + i)}
+		if i < 2 {
+			others = append(others, 8)
+		}
+		table.RecordObservedCrash(epoch, fmt.Sprint("upstream-", i), lostNow(epoch, others...))
+	}
+	if got := table.DecideObserved(epoch, 7); got.Action != Refuse {
+		t.Errorf("the cause: %+v", got)
+	}
+	for _, p := range []Fingerprint{8, 100, 101, 102} {
+		if got := table.DecideObserved(epoch, p); got.Action != Allow {
+			t.Errorf("request %d that ran beside it: %+v", p, got)
+		}
+	}
+}
+
+// Many callers ask for the same thing, at all upstreams, when a failure domain fails. Guards against a
+// conviction of what is served all the time, at the router that has served it and at others.
+func TestServedRequestIsNotConvicted(t *testing.T) {
+	serving, other := New("", 0), New("", 0)
+	serving.RecordServed(epoch, 7)
+	for i := range 4 {
+		serving.RecordObservedCrash(epoch, fmt.Sprint("upstream-", i), lostNow(epoch, 7))
+		other.RecordObservedCrash(epoch, fmt.Sprint("upstream-", i), lostNow(epoch, 7))
+	}
+	if got := serving.DecideObserved(epoch, 7); got.Action != Allow {
+		t.Errorf("at the router that has served it: %+v", got)
+	}
+	if err := serving.Merge(epoch, other.All(epoch)); err != nil {
+		t.Fatal(err)
+	}
+	if err := other.Merge(epoch, serving.All(epoch)); err != nil {
+		t.Fatal(err)
+	}
+	if got := other.DecideObserved(epoch, 7); got.Action != Allow {
+		t.Errorf("at a router that has heard of it: %+v", got)
+	}
+}
+
+// Guards against a request that was served once, before the upstreams were replaced by a release that
+// it crashes, and is never convicted for that.
+func TestServedLongAgoDoesNotProtect(t *testing.T) {
+	table := New("", 0)
+	table.RecordServed(epoch, 7)
+	table.RecordServed(epoch.Add(servedFor), 8)
+	now := epoch.Add(2 * servedFor)
+	table.RecordServed(now, 9)
+	for i := range 3 {
+		table.RecordObservedCrash(now, fmt.Sprint("upstream-", i), lostNow(now, 7))
+	}
+	if got := table.DecideObserved(now, 7); got.Action != Refuse {
+		t.Errorf("%+v", got)
+	}
+}
+
+// Guards against routers that decide differently, depending on the order in which they learn of
+// crashes and of requests that were served.
+func TestObservedCrashesMergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		routers := []*Table{New("", 0), New("", 0), New("", 0)}
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			r := rapid.SampledFrom(routers).Draw(t, "router")
+			p := Fingerprint(rapid.IntRange(1, 4).Draw(t, "fingerprint"))
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0:
+				r.RecordFinished(epoch, p)
+			case 1:
+				_ = r.Merge(epoch, rapid.SampledFrom(routers).Draw(t, "from").All(epoch))
+			default:
+				upstream := fmt.Sprint("upstream-", rapid.IntRange(1, 5).Draw(t, "upstream"))
+				r.RecordObservedCrash(epoch, upstream, lostNow(epoch, p, p%4+1))
+			}
+		}
+		for range 2 {
+			for _, to := range routers {
+				for _, from := range routers {
+					_ = to.Merge(epoch, from.All(epoch))
+				}
+			}
+		}
+		for p := Fingerprint(1); p <= 4; p++ {
+			first := routers[0].DecideObserved(epoch, p)
+			for _, r := range routers[1:] {
+				if got := r.DecideObserved(epoch, p); got != first {
+					t.Fatalf("fingerprint %d: %+v and %+v", p, first, got)
+				}
+			}
+		}
+	})
+}
+
+// All upstreams lose their power at once, and millions of chats break. Guards against memory and
+// messages without bound, and against holding any of them back.
+func TestCrashOfAllUpstreamsConvictsNobody(t *testing.T) {
+	const upstreams, requestsPerUpstream = 500, 40
+	table, observer := New("", 0), NewObserver()
+	next := Fingerprint(1)
+	for i := range upstreams {
+		for range requestsPerUpstream {
+			observer.Lost(epoch, fmt.Sprint("upstream-", i), RunningRequest{Fingerprint: next, Started: epoch})
+			next++
+		}
+	}
+	for i := range upstreams {
+		upstream := fmt.Sprint("upstream-", i)
+		table.RecordObservedCrash(epoch, upstream, observer.Crashed(epoch, upstream))
+	}
+	if table.size > maxLost {
+		t.Errorf("%d entries", table.size)
+	}
+	for p := Fingerprint(1); p < next; p++ {
+		if got := table.DecideObserved(epoch, p); got.Action != Allow {
+			t.Fatalf("request %d: %+v", p, got)
+		}
+	}
+	sent := 0
+	for at := epoch; at.Before(epoch.Add(10 * time.Second)); at = at.Add(90 * time.Millisecond) {
+		sent += len(table.Gossip(at, 256))
+	}
+	if most := gossipBurstBytes + 10*gossipBytesPerSecond; sent > most {
+		t.Errorf("%d bytes sent in 10 s, want at most %d", sent, most)
+	}
+	observer.Expire(epoch.Add(observerWindow))
+	if observer.size != 0 || len(observer.crashed) != 0 {
+		t.Errorf("%d lost requests and %d crashes are kept", observer.size, len(observer.crashed))
+	}
+}
+
+// Guards against the newest of many requests at a crash, which are its likeliest cause, being left out.
+func TestLatestRequestsOfACrashAreRecorded(t *testing.T) {
+	table := New("", 0)
+	var lost []RunningRequest
+	for i := range 3 * maxSuspectsPerCrash {
+		lost = append(lost, RunningRequest{Fingerprint: Fingerprint(i + 1), Started: epoch.Add(time.Duration(i) * time.Millisecond)})
+	}
+	slices.Reverse(lost)
+	if n := table.RecordObservedCrash(epoch.Add(time.Second), "upstream-1", lost); n != maxSuspectsPerCrash {
+		t.Errorf("%d recorded", n)
+	}
+	if !table.WasLostAt(epoch, 3*maxSuspectsPerCrash, "upstream-1") {
+		t.Error("the newest one is not recorded")
+	}
+}
+
+// A router learns of a crash before or after it loses the requests, or of none at all. Guards against
+// requests that are taken for the cause of a crash that happened at another time.
+func TestObserverRelatesLostRequestsToCrashes(t *testing.T) {
+	o := NewObserver()
+	r := RunningRequest{Fingerprint: 7, Started: epoch}
+	if o.Lost(epoch, "a", r) {
+		t.Error("known to have crashed before it was reported")
+	}
+	if got := o.Crashed(epoch.Add(time.Second), "a"); !slices.Equal(got, []RunningRequest{r}) {
+		t.Errorf("lost before: %v", got)
+	}
+	if !o.Lost(epoch.Add(2*time.Second), "a", r) {
+		t.Error("lost after: not known to have crashed")
+	}
+	o.Lost(epoch, "b", r)
+	if got := o.Crashed(epoch.Add(observerWindow), "b"); len(got) > 0 {
+		t.Errorf("lost long before: %v", got)
+	}
+}
+
+// Guards against a router that starts after a request was convicted and knows nothing of it.
+func TestConvictionsAreRepeatedForRoutersThatStart(t *testing.T) {
+	table := New("", 0)
+	for i := range 3 {
+		table.RecordObservedCrash(epoch, fmt.Sprint("upstream-", i), lostNow(epoch, 7))
+	}
+	table.RecordObservedCrash(epoch, "upstream-9", lostNow(epoch, 8))
+	at := epoch
+	for at.Before(epoch.Add(2 * gossipPeriod)) {
+		table.Gossip(at, 256)
+		at = at.Add(90 * time.Millisecond)
+	}
+	started := New("", 0)
+	for until := at.Add(2 * maxRepeat); at.Before(until); at = at.Add(90 * time.Millisecond) {
+		_ = started.Merge(at, table.Gossip(at, 256))
+	}
+	if got := started.DecideObserved(at, 7); got.Action != Refuse {
+		t.Errorf("%+v", got)
+	}
+	if started.size != 3 {
+		t.Errorf("%d entries, want those of the conviction only", started.size)
+	}
+}
--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -26,16 +26,17 @@
 	targets       []target // direct upstreams only: the latest choice, best first
 	view          *View
 	candidates    []topo.VM
-	home          string  // id of the upstream that ranks first
-	session       uint64  // hash of the session; zero: none
-	sessionShare  float64 // lower estimate of the session's fraction of the pool's requests
-	shareCounted  bool    // the request was counted in sessionShare
-	isLikelyRetry bool    // the request is probably the retry of a rejected one
-	fingerprint   uint64  // hash of the content; zero: not known
-	suspect       bool    // the request may have crashed an upstream and runs alone
-	hasPermit     bool    // the suspect may run alone at a VM other than the crash site
-	resumeOffset  int64   // offset in an earlier response to resume from
-	release       func()  // ends its count against the organisation's concurrency limit
+	home          string   // id of the upstream that ranks first
+	session       uint64   // hash of the session; zero: none
+	sessionShare  float64  // lower estimate of the session's fraction of the pool's requests
+	shareCounted  bool     // the request was counted in sessionShare
+	isLikelyRetry bool     // the request is probably the retry of a rejected one
+	fingerprint   uint64   // hash of the content; zero: not known
+	suspect       bool     // the request may have crashed an upstream and runs alone
+	lostAt        []string // direct upstreams only: upstreams at which attempts were lost
+	hasPermit     bool     // the suspect may run alone at a VM other than the crash site
+	resumeOffset  int64    // offset in an earlier response to resume from
+	release       func()   // ends its count against the organisation's concurrency limit
 
 	started         time.Time
 	timeToFirstByte time.Duration   // from started to the first piece for the caller; zero: none yet
@@ -153,6 +154,9 @@
 
 // step passes an event to the state and carries out the effects.
 func (resp *Response) step(e dispatch.Event) {
+	if lost, ok := e.(dispatch.ConnectionLost); ok && resp.plan.Direct {
+		resp.lostAt = append(resp.lostAt, resp.attempts[lost.Attempt].vm.ID)
+	}
 	effects := resp.state.Step(e)
 	resp.logEvent(e, len(effects) > 0)
 	for _, effect := range effects {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/balance"
 	"github.com/parsleyfront/parsleyfront/internal/exchange"
@@ -90,6 +91,7 @@
 	crashSite   topo.VM
 	permitNonce token.Nonce // nonce of the key that the permit is for
 	gate        sendGate
+	startedAt   time.Time      // direct upstreams only: when it was sent
 	withheldErr *verdict.Error // direct upstreams only: why it was not sent
 	reported    *exchange.Load // direct upstreams only: load in the head of its response; nil: none
 	resends     int            // how often it was submitted again because it had not been sent
--- a/internal/router/conditions.go
+++ b/internal/router/conditions.go
@@ -215,7 +215,7 @@
 
 // Withdraw implements dispatch.Budget.
 func (b directBudget) Withdraw(cause retry.Cause) bool {
-	allowed := b.PoolBudget.Withdraw(cause)
+	allowed := b.resp.mayRunAgain() && b.PoolBudget.Withdraw(cause)
 	counts := b.Counts()
 	b.resp.log(telemetry.LineFailure, "another attempt was wanted",
 		slog.String("cause", string(cause)), slog.Bool("allowed", allowed), slog.String("pool", b.resp.poolName),
--- /dev/null
+++ b/internal/router/crashes.go
@@ -0,0 +1,222 @@
+package router
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/quarantine"
+	"github.com/parsleyfront/parsleyfront/internal/telemetry"
+	"github.com/parsleyfront/parsleyfront/internal/topo"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
+)
+
+var (
+	observedCrashes = telemetry.NewFamily[crashEvidence]("router_upstream_crashes_total", "evidence",
+		"Upstreams without a sidecar that have crashed under requests of this router, by what shows it.")
+	lostAttempts = telemetry.NewCounter("router_lost_attempts_total",
+		"Attempts at upstreams without a sidecar whose connection broke after they were sent.")
+	suspectRefusals = telemetry.NewCounter("router_suspect_refusals_total",
+		"Requests that were turned away for a moment because a copy of them that may crash its upstream was under way.")
+)
+
+// crashEvidence is what shows that an upstream has crashed.
+type crashEvidence string
+
+const (
+	crashRefused  crashEvidence = "refused"  // connections to it are refused after requests were lost
+	crashReplaced crashEvidence = "replaced" // another incarnation is in its place
+	crashGone     crashEvidence = "gone"     // its entry has ended, though it had not said that it leaves
+)
+
+// lost records that an attempt was lost, and reports whether its upstream is known to have crashed.
+func (s *suspects) lost(now time.Time, upstream string, r quarantine.RunningRequest) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.observer.Lost(now, upstream, r) {
+		return false
+	}
+	s.book.RecordObservedCrash(now, upstream, []quarantine.RunningRequest{r})
+	return true
+}
+
+// crashed records that an upstream has crashed. It returns the number of requests that it was
+// running, as far as this router has lost them, and of those that were recorded.
+func (s *suspects) crashed(now time.Time, upstream string) (lost, recorded int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	running := s.observer.Crashed(now, upstream)
+	return len(running), s.book.RecordObservedCrash(now, upstream, running)
+}
+
+// decideObserved returns how a request may run at an upstream without a sidecar.
+func (s *suspects) decideObserved(now time.Time, fingerprint uint64) quarantine.ObservedDecision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.DecideObserved(now, quarantine.Fingerprint(fingerprint))
+}
+
+// wasLostAt reports whether a crash of an upstream is recorded at which a request was lost.
+func (s *suspects) wasLostAt(now time.Time, fingerprint uint64, upstream string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.WasLostAt(now, quarantine.Fingerprint(fingerprint), upstream)
+}
+
+// served records that a request has run to its end.
+func (s *suspects) served(now time.Time, fingerprint uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.RecordServed(now, quarantine.Fingerprint(fingerprint))
+}
+
+// beginInFlight records an attempt at an upstream if its request was lost at a crash before.
+func (s *suspects) beginInFlight(now time.Time, upstream string, fingerprint uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := quarantine.Fingerprint(fingerprint)
+	if s.book.DecideObserved(now, p).Crashes > 0 {
+		s.inFlight[upstream] = append(s.inFlight[upstream], p)
+	}
+}
+
+// endInFlight ends the record of an attempt.
+func (s *suspects) endInFlight(upstream string, fingerprint uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := s.inFlight[upstream]
+	i := slices.Index(at, quarantine.Fingerprint(fingerprint))
+	if i < 0 {
+		return
+	}
+	if at = slices.Delete(at, i, i+1); len(at) == 0 {
+		delete(s.inFlight, upstream)
+	} else {
+		s.inFlight[upstream] = at
+	}
+}
+
+// hasInFlight reports whether an attempt of a request is recorded at any upstream.
+func (s *suspects) hasInFlight(fingerprint uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, at := range s.inFlight {
+		if slices.Contains(at, quarantine.Fingerprint(fingerprint)) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasOtherInFlight reports whether an attempt of another request is recorded at an upstream.
+func (s *suspects) hasOtherInFlight(upstream string, fingerprint uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := quarantine.Fingerprint(fingerprint)
+	return slices.ContainsFunc(s.inFlight[upstream], func(q quarantine.Fingerprint) bool { return q != p })
+}
+
+// applyObservedCrashes returns an error if the request has crashed so many upstreams that it is
+// refused, or if it is suspected and a copy of it is under way. Copies of a suspect that run one by one
+// cost one upstream until it is convicted or cleared, and not one each.
+func (resp *Response) applyObservedCrashes(now time.Time) *verdict.Error {
+	resp.fingerprint = resp.req.directFingerprint()
+	d := resp.router.suspects.decideObserved(now, resp.fingerprint)
+	switch d.Action {
+	case quarantine.Refuse:
+		quarantinedRequests.Inc()
+		err := verdict.New(verdict.NotRun, verdict.ReasonQuarantined, "%d upstreams crashed while they ran this request", d.Crashes)
+		return err.WithRetryAfter(d.Until.Sub(now))
+	case quarantine.RunAlone:
+		resp.suspect = true
+		if resp.router.suspects.hasInFlight(resp.fingerprint) {
+			suspectRefusals.Inc()
+			err := verdict.New(verdict.NotRun, verdict.ReasonSuspect, "a copy of this request is running, and upstreams crashed while they ran others")
+			return err.WithRetryAfter(quarantine.RetryAfter)
+		}
+	}
+	return nil
+}
+
+// mayRunAgain reports whether the request may have another attempt. A request whose upstream crashes
+// is sent to a second one, as most of its kind are innocent; if it is lost there as well, it is not sent
+// to a third one, before it is known whether the second one has crashed.
+func (resp *Response) mayRunAgain() bool {
+	now := time.Now()
+	crashes := resp.router.suspects.decideObserved(now, resp.fingerprint).Crashes
+	if crashes == 0 {
+		return true
+	}
+	for _, upstream := range resp.lostAt {
+		if !resp.router.suspects.wasLostAt(now, resp.fingerprint, upstream) {
+			crashes++
+		}
+	}
+	return crashes <= 1
+}
+
+// separate returns the first of the targets that runs no other request which was lost at a crash
+// before: of two that run at one upstream when it crashes, it is not known which one has done it. If
+// there is none, it returns the first target, unless the request is a suspect.
+func (resp *Response) separate(targets []target) (target, bool) {
+	if len(targets) == 0 {
+		return target{}, false
+	}
+	s := resp.router.suspects
+	if s.decideObserved(time.Now(), resp.fingerprint).Crashes == 0 {
+		return targets[0], true
+	}
+	i := slices.IndexFunc(targets, func(t target) bool { return !s.hasOtherInFlight(t.vm.ID, resp.fingerprint) })
+	switch {
+	case i >= 0:
+		return targets[i], true
+	case resp.suspect:
+		return target{}, false
+	}
+	return targets[0], true
+}
+
+// recordLost records that an attempt that was sent to an upstream without a sidecar was lost, and finds
+// out whether the upstream has crashed.
+func (r *Router) recordLost(vm topo.VM, fingerprint uint64, startedAt time.Time) {
+	lostAttempts.Inc()
+	lost := quarantine.RunningRequest{Fingerprint: quarantine.Fingerprint(fingerprint), Started: startedAt}
+	if !r.suspects.lost(time.Now(), vm.ID, lost) {
+		go r.checkCrash(vm)
+	}
+}
+
+// checkCrash records a crash if an upstream refuses connections. An upstream that only loses answers
+// still accepts them.
+func (r *Router) checkCrash(vm topo.VM) {
+	ctx, cancel := context.WithTimeout(r.ctx, crashCheckTimeout)
+	defer cancel()
+	if r.config.Direct.Refuses(ctx, vm) {
+		r.recordCrash(vm, crashRefused)
+	}
+}
+
+// crashCheckTimeout bounds a check whether an upstream accepts connections.
+const crashCheckTimeout = time.Second
+
+// recordCrash records that an upstream has crashed if this router has lost requests at it.
+func (r *Router) recordCrash(vm topo.VM, evidence crashEvidence) {
+	lost, recorded := r.suspects.crashed(time.Now(), vm.ID)
+	if lost == 0 {
+		return
+	}
+	observedCrashes.Inc(evidence)
+	slog.Warn("upstream has crashed while it ran requests", "upstream", vm.ID, "addr", vm.Addr, "pool", vm.Pool,
+		"evidence", string(evidence), "lost", lost, "recorded", recorded)
+}
+
+// onMembersLeft records the crashes of upstreams whose entries have ended though they had not said that
+// they leave.
+func (r *Router) onMembersLeft(e MembershipChanged) {
+	for _, c := range e.Changes {
+		if c.State == topo.VMLeft && c.VM.Role == topo.RoleDirect && !c.VM.Leaving && !r.conditions.IsLeaving(c.VM.ID) {
+			r.recordCrash(c.VM, crashGone)
+		}
+	}
+}
--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -57,6 +57,7 @@
 
 // submit implements transport.
 func (d directTransport) submit(at *attempt) dispatch.Event {
+	d.router.suspects.beginInFlight(time.Now(), at.vm.ID, d.fingerprint)
 	at.span = telemetry.Start(telemetry.HopRouter, telemetry.Traceparent(d.req.Trace))
 	at.span.Set(telemetry.AttrVM, at.vm.ID)
 	id := load.Hash(at.vm.ID)
@@ -64,6 +65,7 @@
 	context.AfterFunc(at.ctx, func() {
 		at.tracker.EndAttempt(id)
 		at.watch.Abandon()
+		d.router.suspects.endInFlight(at.vm.ID, d.fingerprint)
 	})
 	s, err := d.router.config.Direct.Do(at.ctx, at.vm, d.exchangeCall(at), func() bool { return d.admitAttempt(at) })
 	if err != nil {
@@ -80,6 +82,7 @@
 			// entry is still in the store, or was written again by a late heartbeat. Until
 			// the entry is removed, each further request would be refused in the same way.
 			d.router.markUnreachable(at.vm.ID)
+			d.router.recordCrash(at.vm, crashReplaced)
 		} else {
 			// An upstream that rejects requests while others accept theirs is chosen last,
 			// like one that fails them: a request that may be sent only once cannot try
@@ -114,6 +117,7 @@
 		return false
 	}
 	at.watch.Start()
+	at.startedAt = time.Now()
 	return true
 }
 
@@ -217,6 +221,7 @@
 func (d directTransport) recordLostResponse(at *attempt) {
 	if at.ctx.Err() == nil {
 		at.watch.RecordOutcome(false)
+		d.router.recordLost(at.vm, d.fingerprint, at.startedAt)
 	}
 }
 
--- a/internal/router/directoffer.go
+++ b/internal/router/directoffer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/balance"
@@ -74,6 +75,10 @@
 		resp.shareCounted = true
 		resp.sessionShare = resp.pool.tracker.RecordRequest(now, resp.session, req.Profile.Name)
 	}
+	if err := resp.applyObservedCrashes(now); err != nil {
+		resp.Close()
+		return nil, err
+	}
 	resp.isLikelyRetry = req.mayBeRetry() && r.retries.HasPendingReturns(now, pool)
 	resp.targets = resp.chooseTargets(now)
 	if len(resp.targets) == 0 {
@@ -82,6 +87,9 @@
 		return nil, e.WithRetryAfter(resp.retryAfterNoUpstream(now))
 	}
 	resp.plan = req.directPlan(r.policy(), len(resp.targets))
+	if resp.suspect {
+		resp.plan.MaxSends, resp.plan.HedgeAfter, resp.plan.SwitchAfter = 1, 0, 0
+	}
 	budget := directBudget{PoolBudget: r.retries.Request(now, resp.poolName), resp: resp}
 	if resp.basis.ShouldReject {
 		resp.Close()
@@ -135,12 +143,8 @@
 		d.pool = d.view.Pools[d.poolName].inRegions(d.req.regions())
 		d.targets = d.chooseTargets(time.Now())
 	}
-	for _, t := range d.targets {
-		if !d.wasTried(t.vm) {
-			return t, true
-		}
-	}
-	return target{}, false
+	left := slices.DeleteFunc(slices.Clone(d.targets), func(t target) bool { return d.wasTried(t.vm) })
+	return d.separate(left)
 }
 
 // wasTried reports whether the request has had an attempt at an upstream.
--- a/internal/router/log.go
+++ b/internal/router/log.go
@@ -124,6 +124,9 @@
 	took := time.Since(resp.started)
 	outcome, class := resp.outcome()
 	requestOutcomes.Inc(outcome)
+	if outcome == outcomeAnswered && resp.plan.Direct {
+		resp.router.suspects.served(time.Now(), resp.fingerprint)
+	}
 	responseTime.Observe(took)
 	if resp.timeToFirstByte > 0 {
 		firstByteTime.Observe(resp.timeToFirstByte)
--- a/internal/router/mesh.go
+++ b/internal/router/mesh.go
@@ -78,6 +78,8 @@
 	nextReportAt time.Time // earliest time of the next report
 	nextPool     int       // first pool of the next report, in the order of names
 	sharedAt     time.Time // time of the latest report to the parent
+	crashes      []byte    // entries of crashes in the latest reports
+	crashesAt    time.Time // when crashes was built
 }
 
 func newMesh(r *Router, m Mesh) *mesh {
--- a/internal/router/pieces.go
+++ b/internal/router/pieces.go
@@ -61,6 +61,7 @@
 		resumedStreams.Inc()
 		if resp.plan.Direct {
 			at.watch.RecordFailure()
+			resp.router.recordLost(at.vm, resp.fingerprint, at.startedAt)
 		}
 		if resp.framer != nil && !resp.framer.Discard() {
 			resp.step(dispatch.Ended{Now: time.Now(), Attempt: at.number, Err: errPartialEvent})
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -174,8 +174,23 @@
 // fingerprint returns a hash of the request's content, never zero. Copies of a
 // request that its caller sends again have the same fingerprint.
 func (r *Request) fingerprint() uint64 {
+	return r.hashContent(r.Org.Name, r.Profile.Name, r.Call.Method, r.Call.Path)
+}
+
+// directFingerprint is fingerprint for upstreams without a sidecar. It does not contain the profile,
+// which a change of the configuration may replace, and the organisation may be unknown.
+func (r *Request) directFingerprint() uint64 {
+	org := ""
+	if r.Org != nil {
+		org = r.Org.Name
+	}
+	return r.hashContent(org, r.Host, r.Call.Method, r.Call.Path)
+}
+
+// hashContent returns a hash of the parts and of the request's body, never zero.
+func (r *Request) hashContent(parts ...string) uint64 {
 	h := xxh3.New()
-	for _, part := range []string{r.Org.Name, r.Profile.Name, r.Call.Method, r.Call.Path} {
+	for _, part := range parts {
 		_, _ = h.WriteString(part)
 		_, _ = h.Write([]byte{0})
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -211,6 +211,7 @@
 		logFollowed(e)
 	case MembershipChanged:
 		logMembers(e)
+		r.onMembersLeft(e)
 	case RelayEffect:
 		r.mesh.execute(e.Effect)
 	case MembersEffect:
@@ -241,6 +242,7 @@
 	outdatedEntries.Add(int64(e.Outdated))
 	for _, vm := range e.Replaced {
 		slog.Warn("upstream has started again: what it worked on is lost", "upstream", vm.ID, "addr", vm.Addr, "pool", vm.Pool)
+		r.recordCrash(vm, crashReplaced)
 	}
 	r.replaced = append(r.replaced, e.Replaced...)
 }
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -19,6 +19,8 @@
 	// Leaving holds the hashes of the ids of upstreams that have announced in responses that
 	// they are leaving.
 	Leaving []uint64 `cbor:"3,keyasint,omitempty"`
+	// Crashes holds entries of crashes of upstreams, as encoded by package quarantine.
+	Crashes []byte `cbor:"4,keyasint,omitempty"`
 	// Routers is the number of routers of the region that the sender knows.
 	Routers int `cbor:"2,keyasint,omitempty"`
 }
@@ -60,7 +62,8 @@
 	m.lastReportAt = now
 	pools := m.collectPools(func(p *Pool) balance.SharedState { return p.tracker.Summary(now, p.serving) })
 	leaving := m.leavingUpstreams(true)
-	if len(pools) == 0 && len(leaving) == 0 {
+	crashes := m.crashesToShare(now)
+	if len(pools) == 0 && len(leaving) == 0 && len(crashes) == 0 {
 		m.lastReport = nil
 		return nil
 	}
@@ -71,7 +74,7 @@
 		n = fittingPools(pools)
 		m.nextPool += n
 	}
-	m.lastReport = m.encodeSharing(pools[:n], leaving)
+	m.lastReport = m.encodeSharing(pools[:n], leaving, crashes)
 	m.nextReportAt = now.Add(time.Duration(len(m.lastReport)) * time.Second / reportBytesPerSecond)
 	return m.lastReport
 }
@@ -82,15 +85,26 @@
 	m.sharedAt = now
 	pools := m.collectPools(func(p *Pool) balance.SharedState { return p.tracker.Report(now, after, p.serving) })
 	leaving := m.leavingUpstreams(false)
+	crashes := m.crashesToShare(now)
 	var out [][]byte
-	for len(pools) > 0 || len(leaving) > 0 {
+	for len(pools) > 0 || len(leaving) > 0 || len(crashes) > 0 {
 		n := fittingPools(pools)
-		out = append(out, m.encodeSharing(pools[:n], leaving))
-		pools, leaving = pools[n:], nil
+		out = append(out, m.encodeSharing(pools[:n], leaving, crashes))
+		pools, leaving, crashes = pools[n:], nil, nil
 	}
 	return out
 }
 
+// crashesToShare returns the entries of crashes for a report. The reports of the same moment, to the
+// parent and to the subscribers, carry the same ones.
+func (m *mesh) crashesToShare(now time.Time) []byte {
+	if now.Sub(m.crashesAt) >= reportInterval {
+		m.crashesAt = now
+		m.crashes = m.router.suspects.gossip(now)
+	}
+	return m.crashes
+}
+
 // leavingUpstreams returns the hashes of upstreams that have announced to this router that they
 // are leaving, and are not listed as leaving. With includeReported, it adds those that other
 // routers have reported.
@@ -147,8 +161,8 @@
 }
 
 // encodeSharing returns the encoded message; nil if it can't be encoded.
-func (m *mesh) encodeSharing(pools []sharedPool, leaving []uint64) []byte {
-	b, err := cbor.Marshal(sharingMessage{Pools: pools, Leaving: leaving, Routers: m.router.coldStart.routerCount(1)})
+func (m *mesh) encodeSharing(pools []sharedPool, leaving []uint64, crashes []byte) []byte {
+	b, err := cbor.Marshal(sharingMessage{Pools: pools, Leaving: leaving, Crashes: crashes, Routers: m.router.coldStart.routerCount(1)})
 	if err != nil {
 		slog.Error("the state to share with other routers could not be encoded", "error", err)
 		return nil
@@ -179,6 +193,7 @@
 		m.router.coldStart.reportedRouters.Store(int64(s.Routers))
 	}
 	m.mergeLeaving(now, s.Leaving)
+	m.router.suspects.merge(now, s.Crashes)
 	byHash := make(map[uint32]*Pool)
 	for name, p := range m.router.View().Pools {
 		byHash[shortHash(name)] = p
--- a/internal/router/sharing_test.go
+++ b/internal/router/sharing_test.go
@@ -20,7 +20,7 @@
 	for i, id := range upstreams {
 		vms[i] = topo.VM{ID: id, Role: topo.RoleDirect, Pool: "llm"}
 	}
-	r := &Router{conditions: condition.NewObservations()}
+	r := &Router{suspects: newSuspects(), conditions: condition.NewObservations()}
 	r.tuning.Store(&Tuning{Policy: policy.All()})
 	r.view.Store(&View{Pools: map[string]*Pool{"llm": newPool(asUpstreams(vms), newLoadReports(), balance.NewTracker(), placement.Locality{})}})
 	return &mesh{router: r}
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -47,12 +47,20 @@
 // quarantine.Book that is safe for concurrent use. Suspected upstreams, which fail more
 // requests than others, have nothing to do with it.
 type suspects struct {
-	mu   sync.Mutex
-	book *quarantine.Table
+	mu       sync.Mutex
+	book     *quarantine.Table
+	observer *quarantine.Observer
+	// inFlight holds the attempts at upstreams without a sidecar whose requests were lost at a crash
+	// before, by upstream.
+	inFlight map[string][]quarantine.Fingerprint
 }
 
 func newSuspects() *suspects {
-	return &suspects{book: quarantine.New("", 0)}
+	return &suspects{
+		book:     quarantine.New("", 0),
+		observer: quarantine.NewObserver(),
+		inFlight: make(map[string][]quarantine.Fingerprint),
+	}
 }
 
 // merge adds the suspects that a sidecar sent. Data that can't be decoded comes
@@ -66,6 +74,13 @@
 	_ = s.book.Merge(now, data)
 }
 
+// gossip returns entries of crashes for other routers; nil: none now.
+func (s *suspects) gossip(now time.Time) json.RawMessage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Gossip(now, maxSuspectsBytes)
+}
+
 // decide returns how a request may run, and the suspects to send to its sidecar:
 // those about the request if it is a suspect, else some of the others.
 func (s *suspects) decide(now time.Time, fingerprint uint64) (quarantine.Decision, json.RawMessage) {
@@ -90,6 +105,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.book.Expire(now)
+	s.observer.Expire(now)
 }
 
 // applyQuarantine returns an error for a convicted request. A suspect may only run
