router: a report with crashes fits one datagram

Cause: the loads of a large pool, 24 leaving upstreams and 256 bytes of crashes add up to more than the 1,400 bytes of a message between routers, and a message that is too long is not sent at all. Change: crashes take 200 bytes, and beside them 8 leaving upstreams are named. Ruled out: a message of its own, which would not be counted in the rate of reports.

--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -45,6 +45,10 @@
 	// maxLeavingShared bounds how many leaving upstreams one message names, at 9 bytes each: the
 	// latest ones. The others were named in earlier messages.
 	maxLeavingShared = 24
+	// maxCrashBytes bounds the entries of crashes in one message, and maxLeavingBesideCrashes the
+	// leaving upstreams in such a message, so that it fits into one datagram.
+	maxCrashBytes           = 200
+	maxLeavingBesideCrashes = 8
 	// reportBytesPerSecond bounds the rate of reports to each subscriber. Of the 4 KB a second
 	// that its control traffic may take, beats and its own reports need 1.2 KB.
 	reportBytesPerSecond = 2800
@@ -100,7 +104,7 @@
 func (m *mesh) crashesToShare(now time.Time) []byte {
 	if now.Sub(m.crashesAt) >= reportInterval {
 		m.crashesAt = now
-		m.crashes = m.router.suspects.gossip(now)
+		m.crashes = m.router.suspects.gossip(now, maxCrashBytes)
 	}
 	return m.crashes
 }
@@ -162,6 +166,9 @@
 
 // encodeSharing returns the encoded message; nil if it can't be encoded.
 func (m *mesh) encodeSharing(pools []sharedPool, leaving []uint64, crashes []byte) []byte {
+	if len(crashes) > 0 {
+		leaving = leaving[:min(len(leaving), maxLeavingBesideCrashes)]
+	}
 	b, err := cbor.Marshal(sharingMessage{Pools: pools, Leaving: leaving, Crashes: crashes, Routers: m.router.coldStart.routerCount(1)})
 	if err != nil {
 		slog.Error("the state to share with other routers could not be encoded", "error", err)
--- a/internal/router/sharing_test.go
+++ b/internal/router/sharing_test.go
@@ -5,11 +5,14 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/parsleyfront/parsleyfront/internal/balance"
 	"github.com/parsleyfront/parsleyfront/internal/condition"
 	"github.com/parsleyfront/parsleyfront/internal/load"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/policy"
+	"github.com/parsleyfront/parsleyfront/internal/quarantine"
 	"github.com/parsleyfront/parsleyfront/internal/relay"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
 )
@@ -160,3 +163,50 @@
 	}
 	return out
 }
+
+// pooledBytes returns how many bytes of a report are of its pools.
+func pooledBytes(t *testing.T, report []byte) int {
+	var s sharingMessage
+	if err := cbor.Unmarshal(report, &s); err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	for _, p := range s.Pools {
+		n += len(p.Loads) + len(p.Outcomes) + len(p.Speeds)
+	}
+	return n
+}
+
+// Crashes, leaving upstreams and the loads of a large pool come together. Guards against a message that
+// is too long for a datagram, which would not be sent at all.
+func TestReportWithCrashesFitsOneDatagram(t *testing.T) {
+	const upstreams = 640
+	now := time.Unix(1000, 0)
+	pool := newTestPool(upstreams, "a-pool-with-a-long-name")
+	m := newTestMesh()
+	view := &View{Pools: map[string]*Pool{"llm": pool}, VMs: make(map[string]topo.VM)}
+	for i, vm := range pool.VMs {
+		view.VMs[vm.ID] = vm
+		pool.tracker.RecordLoad(now, load.Hash(vm.ID), 1000+i)
+		if i < 2*maxLeavingShared {
+			m.router.conditions.RecordLeaving(now, vm.ID)
+		}
+	}
+	m.router.view.Store(view)
+	for i := range 8 {
+		lost := quarantine.RunningRequest{Fingerprint: quarantine.Fingerprint(1<<63 + uint64(i)), Started: now}
+		m.router.suspects.lost(now, pool.VMs[i].ID, lost)
+		m.router.suspects.crashed(now, pool.VMs[i].ID)
+	}
+	reports := append(m.reportsForParent(now), m.reportForSubscribers(now.Add(time.Second)))
+	for _, report := range reports {
+		b, err := relay.Encode(relay.SendReport{Report: relay.Report{From: "front-of-a-long-name-1", IsSummary: true, Payload: report}})
+		if err != nil {
+			t.Error(err)
+		}
+		t.Logf("%d bytes", len(b))
+		if most := relay.MaxMessageBytes - maxSharingBytes + pooledBytes(t, report); len(b) > most {
+			t.Errorf("%d bytes, more than %d with as many of its pool", len(b), most)
+		}
+	}
+}
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -74,11 +74,11 @@
 	_ = s.book.Merge(now, data)
 }
 
-// gossip returns entries of crashes for other routers; nil: none now.
-func (s *suspects) gossip(now time.Time) json.RawMessage {
+// gossip returns entries of crashes for other routers, in at most budget bytes; nil: none now.
+func (s *suspects) gossip(now time.Time, budget int) json.RawMessage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.book.Gossip(now, maxSuspectsBytes)
+	return s.book.Gossip(now, budget)
 }
 
 // decide returns how a request may run, and the suspects to send to its sidecar:
