--- a/internal/router/crashes.go
+++ b/internal/router/crashes.go
@@ -71,25 +71,24 @@
 	s.book.RecordServed(now, quarantine.Fingerprint(fingerprint))
 }
 
-// beginInFlight records an attempt at an upstream if its request was lost at a crash before.
-func (s *suspects) beginInFlight(now time.Time, upstream string, fingerprint uint64) {
+// beginInFlight records an attempt at an upstream if its request was lost at a crash before. The
+// returned function ends the record.
+func (s *suspects) beginInFlight(now time.Time, upstream string, fingerprint uint64) (end func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := quarantine.Fingerprint(fingerprint)
-	if s.book.DecideObserved(now, p).Crashes > 0 {
-		s.inFlight[upstream] = append(s.inFlight[upstream], p)
+	if s.book.DecideObserved(now, p).Crashes == 0 {
+		return func() {}
 	}
+	s.inFlight[upstream] = append(s.inFlight[upstream], p)
+	return func() { s.endInFlight(upstream, p) }
 }
 
-// endInFlight ends the record of an attempt.
-func (s *suspects) endInFlight(upstream string, fingerprint uint64) {
+func (s *suspects) endInFlight(upstream string, p quarantine.Fingerprint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at := s.inFlight[upstream]
-	i := slices.Index(at, quarantine.Fingerprint(fingerprint))
-	if i < 0 {
-		return
-	}
+	i := slices.Index(at, p)
 	if at = slices.Delete(at, i, i+1); len(at) == 0 {
 		delete(s.inFlight, upstream)
 	} else {
@@ -188,17 +187,25 @@
 }
 
 // checkCrash records a crash if an upstream refuses connections. An upstream that only loses answers
-// still accepts them.
+// still accepts them. It checks twice: while a process ends, its other connections may still be open.
 func (r *Router) checkCrash(vm topo.VM) {
 	ctx, cancel := context.WithTimeout(r.ctx, crashCheckTimeout)
 	defer cancel()
-	if r.config.Direct.Refuses(ctx, vm) {
-		r.recordCrash(vm, crashRefused)
+	if !r.config.Direct.Refuses(ctx, vm) {
+		sleep(ctx, crashCheckPause)
+		if !r.config.Direct.Refuses(ctx, vm) {
+			return
+		}
 	}
+	r.recordCrash(vm, crashRefused)
 }
 
-// crashCheckTimeout bounds a check whether an upstream accepts connections.
-const crashCheckTimeout = time.Second
+const (
+	// crashCheckTimeout bounds the checks whether an upstream accepts connections.
+	crashCheckTimeout = time.Second
+	// crashCheckPause is the pause between the two checks.
+	crashCheckPause = 50 * time.Millisecond
+)
 
 // recordCrash records that an upstream has crashed if this router has lost requests at it.
 func (r *Router) recordCrash(vm topo.VM, evidence crashEvidence) {
--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -57,15 +57,15 @@
 
 // submit implements transport.
 func (d directTransport) submit(at *attempt) dispatch.Event {
-	d.router.suspects.beginInFlight(time.Now(), at.vm.ID, d.fingerprint)
 	at.span = telemetry.Start(telemetry.HopRouter, telemetry.Traceparent(d.req.Trace))
 	at.span.Set(telemetry.AttrVM, at.vm.ID)
 	id := load.Hash(at.vm.ID)
 	at.tracker.BeginAttempt(id)
+	endInFlight := d.router.suspects.beginInFlight(time.Now(), at.vm.ID, d.fingerprint)
 	context.AfterFunc(at.ctx, func() {
 		at.tracker.EndAttempt(id)
 		at.watch.Abandon()
-		d.router.suspects.endInFlight(at.vm.ID, d.fingerprint)
+		endInFlight()
 	})
 	s, err := d.router.config.Direct.Do(at.ctx, at.vm, d.exchangeCall(at), func() bool { return d.admitAttempt(at) })
 	if err != nil {
