test/soak: late rests, leaving callers and crashing requests beside all faults

Change: by seed, runners reject late, callers leave early and one caller sends requests that crash runners, beside signals, cuts, restores and changes.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -82,7 +82,21 @@
 const plannedEvery = 5
 
 func soak(t *testing.T, seed uint64) {
-	newHarness(t, seed, seed%plannedEvery == 0).play()
+	h := newHarness(t, seed, seed%plannedEvery == 0)
+	if !h.planned {
+		h.varyCallersAndRunners()
+	}
+	h.play()
+}
+
+// varyCallersAndRunners makes runners reject late, callers leave early and a caller send requests that
+// crash runners, in all combinations over the seeds.
+func (h *harness) varyCallersAndRunners() {
+	if h.seed%2 == 1 {
+		h.maxRestDelay = maxLateRest
+	}
+	h.callersLeave = h.seed%3 == 1
+	h.crashingCallers = h.seed%4 == 3
 }
 
 // play runs the fleet under its faults for the duration of a seed, and checks what was observed.
