--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -100,28 +100,18 @@
 // awaitsParent reports whether this router has just started and another one may soon be
 // followed: the register of routers was not read yet, or lists routers before this one.
 // Without this wait, each of hundreds of routers that start together would list the whole
-// store, and most of them would give the listing up a moment later. It waits longer while
-// one of those before it answers: the listings of many routers slow each other down.
+// store, and most of them would give the listing up a moment later.
 func (s *State) awaitsParent(now time.Time, candidates []*peer) bool {
 	if s.reading {
 		return false
 	}
 	wait := s.timing.StartWait
-	if slices.ContainsFunc(candidates, func(p *peer) bool { return s.mayBeReading(now, p) }) {
-		wait = s.timing.ReadWait
-	}
 	if s.registerRead {
 		wait = wait * time.Duration(min(s.liveCount(now, candidates), candidatesAtOnce)) / candidatesAtOnce
 	}
 	return now.Sub(s.startedAt) < wait
 }
 
-// mayBeReading reports whether p has sent a heartbeat lately and has not reported that the store
-// fails.
-func (s *State) mayBeReading(now time.Time, p *peer) bool {
-	return !p.heartbeatAt.IsZero() && now.Sub(p.heartbeatAt) <= s.timing.HeartbeatTimeout && !p.heartbeat.StoreFailing
-}
-
 // liveCount returns the number of candidates that are not suspect.
 func (s *State) liveCount(now time.Time, candidates []*peer) int {
 	n := 0
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -125,9 +125,6 @@
 	// before it reads the store. A router that finds itself among the first candidatesAtOnce
 	// in rank waits for a shorter time, the first one not at all.
 	StartWait time.Duration
-	// ReadWait is the same while a router before it in rank answers that it is there and does
-	// not report that the store fails. That one is reading, or waits for one that is.
-	ReadWait time.Duration
 }
 
 // maxReportInterval limits the interval of Reports. In a region with several failure
@@ -146,7 +143,7 @@
 // answer from the store at least every half of the bound and sends it on within
 // HeartbeatInterval, an eighth of the bound. StartWait covers the listing of the store by
 // the first router in rank and two pulls, to the first routers of the failure domains and
-// to the others. The listing of thousands of upstreams takes longer, and ReadWait covers it.
+// to the others.
 func TimingFor(bound time.Duration) Timing {
 	return Timing{
 		HeartbeatInterval: bound / 8,
@@ -158,7 +155,6 @@
 		RenewInterval:     bound / 2,
 		SuspectTime:       3 * bound,
 		StartWait:         bound / 10,
-		ReadWait:          bound / 2,
 	}
 }
 
