suspects: what a router knows of crashing requests is a package of its own

Change: the registry, safe for concurrent use, moves to internal/suspects; messages that cannot be decoded are counted. Ruled out: the checks and effects around it, which need the request and stay.

--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -54,7 +54,7 @@
 		Ready:         n.router.Ready(),
 		Config:        n.router.ledger.Status(),
 		Control:       controlRates(now.Sub(n.started)),
-		Quarantined:   n.router.suspects.quarantined(now),
+		Quarantined:   n.router.quarantined(now),
 		UnknownWords:  vocabulary.UnknownWords(),
 	}
 	for name, out := range n.upstreams() {
@@ -102,11 +102,9 @@
 
 // quarantined returns the requests that are suspected or convicted of crashing
 // upstreams, as far as this router knows.
-func (s *suspects) quarantined(now time.Time) []admin.Quarantined {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+func (r *Router) quarantined(now time.Time) []admin.Quarantined {
 	var out []admin.Quarantined
-	for _, c := range s.book.Cases(now) {
+	for _, c := range r.suspects.Cases(now) {
 		state := suspected
 		if c.Convicted {
 			state = convicted
--- a/internal/router/bench_test.go
+++ b/internal/router/bench_test.go
@@ -16,6 +16,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/profile"
 	"github.com/parsleyfront/parsleyfront/internal/retry"
 	"github.com/parsleyfront/parsleyfront/internal/router/dispatch"
+	"github.com/parsleyfront/parsleyfront/internal/suspects"
 	"github.com/parsleyfront/parsleyfront/internal/token"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
 	"github.com/parsleyfront/parsleyfront/internal/wire"
@@ -96,7 +97,7 @@
 func BenchmarkDecision(b *testing.B) {
 	for _, upstreams := range []int{130, 1000, 2900} {
 		ring, _ := token.NewKeyring(token.Secret{ID: 1, Value: make([]byte, 16)})
-		r := &Router{config: Config{Ring: ring}, limits: newLimits(), suspects: newSuspects(), conditions: condition.NewObservations()}
+		r := &Router{config: Config{Ring: ring}, limits: newLimits(), suspects: suspects.NewRegistry(), conditions: condition.NewObservations()}
 		v := benchState(1, upstreams).View()
 		r.view.Store(v)
 		req := Request{Org: benchOrg(0), Profile: v.Profiles["chat"], Session: "s", Call: wire.Call{Method: "POST", Path: "/", Body: make([]byte, 1024)}}
@@ -160,7 +161,7 @@
 		wire.NewConn(ctx, far, idleSidecar{})
 		return near, nil
 	}
-	r := &Router{config: Config{Ring: ring, Dial: dial}, ctx: ctx, limits: newLimits(), suspects: newSuspects(),
+	r := &Router{config: Config{Ring: ring, Dial: dial}, ctx: ctx, limits: newLimits(), suspects: suspects.NewRegistry(),
 		peers: make(map[endpoint]*wire.Peer), conditions: condition.NewObservations()}
 	v := benchState(1, 1).View()
 	r.view.Store(v)
--- a/internal/router/conviction.go
+++ b/internal/router/conviction.go
@@ -44,7 +44,7 @@
 	p := quarantine.Fingerprint(fingerprint)
 	now := time.Now()
 	value, err := json.Marshal(Conviction{
-		Suspects:  r.suspects.evidence(now, fingerprint),
+		Suspects:  r.suspects.Evidence(now, fingerprint),
 		KeepUntil: now.Add(quarantine.ConvictionTTL).Unix(),
 	})
 	if err != nil {
@@ -76,7 +76,7 @@
 		for _, o := range page.Objects {
 			var c Conviction
 			if json.Unmarshal(o.Value, &c) == nil {
-				r.suspects.merge(time.Now(), c.Suspects)
+				r.mergeSuspects(time.Now(), c.Suspects)
 			}
 		}
 		if cont = page.Continue; cont == "" {
--- a/internal/router/crashes.go
+++ b/internal/router/crashes.go
@@ -30,98 +30,12 @@
 	crashGone     crashEvidence = "gone"     // its entry has ended, though it had not said that it leaves
 )
 
-// lost records that an attempt was lost, and reports whether its upstream is known to have crashed.
-func (s *suspects) lost(now time.Time, upstream string, r quarantine.RunningRequest) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.observer.Lost(now, upstream, r) {
-		return false
-	}
-	s.book.RecordObservedCrash(now, upstream, []quarantine.RunningRequest{r})
-	return true
-}
-
-// crashed records that an upstream has crashed. It returns the number of requests that it was
-// running, as far as this router has lost them, and of those that were recorded.
-func (s *suspects) crashed(now time.Time, upstream string) (lost, recorded int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	running := s.observer.Crashed(now, upstream)
-	return len(running), s.book.RecordObservedCrash(now, upstream, running)
-}
-
-// decideObserved returns how a request may run at an upstream without a sidecar.
-func (s *suspects) decideObserved(now time.Time, fingerprint uint64) quarantine.ObservedDecision {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.book.DecideObserved(now, quarantine.Fingerprint(fingerprint))
-}
-
-// wasLostAt reports whether a crash of an upstream is recorded at which a request was lost.
-func (s *suspects) wasLostAt(now time.Time, fingerprint uint64, upstream string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.book.WasLostAt(now, quarantine.Fingerprint(fingerprint), upstream)
-}
-
-// served records that a request has run to its end.
-func (s *suspects) served(now time.Time, fingerprint uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.book.RecordServed(now, quarantine.Fingerprint(fingerprint))
-}
-
-// beginInFlight records an attempt at an upstream if its request was lost at a crash before. The
-// returned function ends the record.
-func (s *suspects) beginInFlight(now time.Time, upstream string, fingerprint uint64) (end func()) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	p := quarantine.Fingerprint(fingerprint)
-	if s.book.DecideObserved(now, p).Crashes == 0 {
-		return func() {}
-	}
-	s.inFlight[upstream] = append(s.inFlight[upstream], p)
-	return func() { s.endInFlight(upstream, p) }
-}
-
-func (s *suspects) endInFlight(upstream string, p quarantine.Fingerprint) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	at := s.inFlight[upstream]
-	i := slices.Index(at, p)
-	if at = slices.Delete(at, i, i+1); len(at) == 0 {
-		delete(s.inFlight, upstream)
-	} else {
-		s.inFlight[upstream] = at
-	}
-}
-
-// hasInFlight reports whether an attempt of a request is recorded at any upstream.
-func (s *suspects) hasInFlight(fingerprint uint64) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, at := range s.inFlight {
-		if slices.Contains(at, quarantine.Fingerprint(fingerprint)) {
-			return true
-		}
-	}
-	return false
-}
-
-// hasOtherInFlight reports whether an attempt of another request is recorded at an upstream.
-func (s *suspects) hasOtherInFlight(upstream string, fingerprint uint64) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	p := quarantine.Fingerprint(fingerprint)
-	return slices.ContainsFunc(s.inFlight[upstream], func(q quarantine.Fingerprint) bool { return q != p })
-}
-
 // applyObservedCrashes returns an error if the request has crashed so many upstreams that it is
 // refused, or if it is suspected and a copy of it is under way. Copies of a suspect that run one by one
 // cost one upstream until it is convicted or cleared, and not one each.
 func (resp *Response) applyObservedCrashes(now time.Time) *verdict.Error {
 	resp.fingerprint = resp.req.directFingerprint()
-	d := resp.router.suspects.decideObserved(now, resp.fingerprint)
+	d := resp.router.suspects.DecideObserved(now, resp.fingerprint)
 	switch d.Action {
 	case quarantine.Refuse:
 		quarantinedRequests.Inc()
@@ -129,7 +43,7 @@
 		return err.WithRetryAfter(d.Until.Sub(now))
 	case quarantine.RunAlone:
 		resp.suspect = true
-		if resp.router.suspects.hasInFlight(resp.fingerprint) {
+		if resp.router.suspects.HasInFlight(resp.fingerprint) {
 			suspectRefusals.Inc()
 			err := verdict.New(verdict.NotRun, verdict.ReasonSuspect, "a copy of this request is running, and upstreams crashed while they ran others")
 			return err.WithRetryAfter(quarantine.RetryAfter)
@@ -143,12 +57,12 @@
 // to a third one, before it is known whether the second one has crashed.
 func (resp *Response) mayRunAgain() bool {
 	now := time.Now()
-	crashes := resp.router.suspects.decideObserved(now, resp.fingerprint).Crashes
+	crashes := resp.router.suspects.DecideObserved(now, resp.fingerprint).Crashes
 	if crashes == 0 {
 		return true
 	}
 	for _, upstream := range resp.lostAt {
-		if !resp.router.suspects.wasLostAt(now, resp.fingerprint, upstream) {
+		if !resp.router.suspects.WasLostAt(now, resp.fingerprint, upstream) {
 			crashes++
 		}
 	}
@@ -163,10 +77,10 @@
 		return target{}, false
 	}
 	s := resp.router.suspects
-	if s.decideObserved(time.Now(), resp.fingerprint).Crashes == 0 {
+	if s.DecideObserved(time.Now(), resp.fingerprint).Crashes == 0 {
 		return targets[0], true
 	}
-	i := slices.IndexFunc(targets, func(t target) bool { return !s.hasOtherInFlight(t.vm.ID, resp.fingerprint) })
+	i := slices.IndexFunc(targets, func(t target) bool { return !s.HasOtherInFlight(t.vm.ID, resp.fingerprint) })
 	switch {
 	case i >= 0:
 		return targets[i], true
@@ -181,7 +95,7 @@
 func (r *Router) recordLost(vm topo.VM, fingerprint uint64, startedAt time.Time) {
 	lostAttempts.Inc()
 	lost := quarantine.RunningRequest{Fingerprint: quarantine.Fingerprint(fingerprint), Started: startedAt}
-	if !r.suspects.lost(time.Now(), vm.ID, lost) {
+	if !r.suspects.Lost(time.Now(), vm.ID, lost) {
 		go r.checkCrash(vm)
 	}
 }
@@ -209,7 +123,7 @@
 
 // recordCrash records that an upstream has crashed if this router has lost requests at it.
 func (r *Router) recordCrash(vm topo.VM, evidence crashEvidence) {
-	lost, recorded := r.suspects.crashed(time.Now(), vm.ID)
+	lost, recorded := r.suspects.Crashed(time.Now(), vm.ID)
 	if lost == 0 {
 		return
 	}
--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -61,7 +61,7 @@
 	at.span.Set(telemetry.AttrVM, at.vm.ID)
 	id := load.Hash(at.vm.ID)
 	at.tracker.BeginAttempt(id)
-	endInFlight := d.router.suspects.beginInFlight(time.Now(), at.vm.ID, d.fingerprint)
+	endInFlight := d.router.suspects.BeginInFlight(time.Now(), at.vm.ID, d.fingerprint)
 	context.AfterFunc(at.ctx, func() {
 		at.tracker.EndAttempt(id)
 		at.watch.Abandon()
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -53,7 +53,7 @@
 	if !c.Draining && r.View().Leaving[vm.ID] {
 		r.loop.Post(NoticeLost{VM: vm.ID})
 	}
-	r.suspects.merge(now, c.Suspects)
+	r.mergeSuspects(now, c.Suspects)
 	if pool := r.View().Pools[vm.Pool]; pool != nil {
 		pool.loadReports.observe(now, load.Hash(vm.ID), max(vm.Weight, 1), c)
 	}
@@ -66,7 +66,7 @@
 	if view := r.View(); view.ConfigCopies[vm] {
 		c.Config, c.ConfigDigest = view.Version, view.Digest
 	}
-	_, c.Suspects = r.suspects.decide(now, fingerprint)
+	_, c.Suspects = r.suspects.Decide(now, fingerprint)
 	if pool != nil {
 		c.Samples = pool.loadReports.samples(now, load.Hash(vm))
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -22,6 +22,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/profile"
 	"github.com/parsleyfront/parsleyfront/internal/relay"
 	"github.com/parsleyfront/parsleyfront/internal/retry"
+	"github.com/parsleyfront/parsleyfront/internal/suspects"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/token"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
@@ -113,7 +114,7 @@
 	retries        *retry.PoolBudgets // direct upstreams only
 	claimBudget    *claimBudget
 	claimer        *claim.Claimer
-	suspects       *suspects
+	suspects       *suspects.Registry
 	ledger         *ledger.Ledger
 	lastServed     *balance.LastServed[topo.VM]
 	coldStart      coldStart
@@ -152,7 +153,7 @@
 		retries:        retry.NewPoolBudgets(),
 		claimBudget:    newClaimBudget(time.Now()),
 		claimer:        claim.NewClaimer(c.Store),
-		suspects:       newSuspects(),
+		suspects:       suspects.NewRegistry(),
 		ledger:         ledger.New(),
 		lastServed:     balance.NewLastServed[topo.VM](),
 		coldStart:      coldStart{limiter: warmup.NewLimiter(c.VM)},
@@ -295,7 +296,7 @@
 func (r *Router) runMaintenance(ctx context.Context) {
 	tag := ""
 	for ctx.Err() == nil {
-		r.suspects.expire(time.Now())
+		r.suspects.Expire(time.Now())
 		r.coldStart.limiter.Expire(time.Now())
 		r.pruneConditions(time.Now())
 		r.claimer.ObserveEra(time.Now(), topo.EraOf(r.config.Store))
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -104,7 +104,7 @@
 func (m *mesh) crashesToShare(now time.Time) []byte {
 	if now.Sub(m.crashesAt) >= reportInterval {
 		m.crashesAt = now
-		m.crashes = m.router.suspects.gossip(now, maxCrashBytes)
+		m.crashes = m.router.suspects.Gossip(now, maxCrashBytes)
 	}
 	return m.crashes
 }
@@ -200,7 +200,9 @@
 		m.router.coldStart.reportedRouters.Store(int64(s.Routers))
 	}
 	m.mergeLeaving(now, s.Leaving)
-	m.router.suspects.merge(now, s.Crashes)
+	if err := m.router.suspects.Merge(now, s.Crashes); err != nil {
+		meshMalformed.Inc()
+	}
 	byHash := make(map[uint32]*Pool)
 	for name, p := range m.router.View().Pools {
 		byHash[shortHash(name)] = p
--- a/internal/router/sharing_test.go
+++ b/internal/router/sharing_test.go
@@ -14,6 +14,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/policy"
 	"github.com/parsleyfront/parsleyfront/internal/quarantine"
 	"github.com/parsleyfront/parsleyfront/internal/relay"
+	"github.com/parsleyfront/parsleyfront/internal/suspects"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
 )
 
@@ -23,7 +24,7 @@
 	for i, id := range upstreams {
 		vms[i] = topo.VM{ID: id, Role: topo.RoleDirect, Pool: "llm"}
 	}
-	r := &Router{suspects: newSuspects(), conditions: condition.NewObservations()}
+	r := &Router{suspects: suspects.NewRegistry(), conditions: condition.NewObservations()}
 	r.tuning.Store(&Tuning{Policy: policy.All()})
 	r.view.Store(&View{Pools: map[string]*Pool{"llm": newPool(asUpstreams(vms), newLoadReports(), balance.NewTracker(), placement.Locality{})}})
 	return &mesh{router: r}
@@ -195,8 +196,8 @@
 	m.router.view.Store(view)
 	for i := range 8 {
 		lost := quarantine.RunningRequest{Fingerprint: quarantine.Fingerprint(1<<63 + uint64(i)), Started: now}
-		m.router.suspects.lost(now, pool.VMs[i].ID, lost)
-		m.router.suspects.crashed(now, pool.VMs[i].ID)
+		m.router.suspects.Lost(now, pool.VMs[i].ID, lost)
+		m.router.suspects.Crashed(now, pool.VMs[i].ID)
 	}
 	reports := append(m.reportsForParent(now), m.reportForSubscribers(now.Add(time.Second)))
 	for _, report := range reports {
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -18,8 +18,6 @@
 )
 
 const (
-	// maxSuspectsBytes bounds the suspects that one message carries, in bytes.
-	maxSuspectsBytes = 256
 	// reportTimeout bounds a report of a crash, for which a caller has to wait.
 	reportTimeout = 500 * time.Millisecond
 	// resendTargetsPerRouter is the number of upstreams of which one is a router's
@@ -31,6 +29,8 @@
 var (
 	quarantinedRequests = telemetry.NewCounter("router_quarantined_requests_total",
 		"Requests answered at once because copies of them have crashed upstreams.", telemetry.Alert)
+	malformedSuspects = telemetry.NewCounter("router_malformed_suspects_total",
+		"Messages about suspected requests, of sidecars or in the store, that could not be decoded.")
 	crashReports = telemetry.NewFamily[reportOutcome]("router_crash_reports_total", "outcome",
 		"Reports of crashes to the sidecars that a resend would go to, by what came of them.", telemetry.Alert)
 )
@@ -43,69 +43,12 @@
 	reportLost      reportOutcome = "lost"
 )
 
-// suspects holds what this router knows of requests that may crash upstreams. It is a
-// quarantine.Book that is safe for concurrent use. Suspected upstreams, which fail more
-// requests than others, have nothing to do with it.
-type suspects struct {
-	mu       sync.Mutex
-	book     *quarantine.Table
-	observer *quarantine.Observer
-	// inFlight holds the attempts at upstreams without a sidecar whose requests were lost at a crash
-	// before, by upstream.
-	inFlight map[string][]quarantine.Fingerprint
-}
-
-func newSuspects() *suspects {
-	return &suspects{
-		book:     quarantine.New("", 0),
-		observer: quarantine.NewObserver(),
-		inFlight: make(map[string][]quarantine.Fingerprint),
-	}
-}
-
-// merge adds the suspects that a sidecar sent. Data that can't be decoded comes
-// from a peer of another release and is ignored: the suspects are only hints.
-func (s *suspects) merge(now time.Time, data json.RawMessage) {
-	if len(data) == 0 {
-		return
+// mergeSuspects adds the suspects that a sidecar sent, or those of a conviction in the store. Data that
+// can't be decoded comes from a peer of another release and is only counted: the suspects are hints.
+func (r *Router) mergeSuspects(now time.Time, data json.RawMessage) {
+	if err := r.suspects.Merge(now, data); err != nil {
+		malformedSuspects.Inc()
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	_ = s.book.Merge(now, data)
-}
-
-// gossip returns entries of crashes for other routers, in at most budget bytes; nil: none now.
-func (s *suspects) gossip(now time.Time, budget int) json.RawMessage {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.book.Gossip(now, budget)
-}
-
-// decide returns how a request may run, and the suspects to send to its sidecar:
-// those about the request if it is a suspect, else some of the others.
-func (s *suspects) decide(now time.Time, fingerprint uint64) (quarantine.Decision, json.RawMessage) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	p := quarantine.Fingerprint(fingerprint)
-	r := s.book.Decide(now, p, false)
-	if r.Action == quarantine.Allow {
-		return r, s.book.Gossip(now, maxSuspectsBytes)
-	}
-	return r, s.book.EvidenceFor(now, p)
-}
-
-// evidence returns all that is known about a request's crashes; empty: nothing.
-func (s *suspects) evidence(now time.Time, fingerprint uint64) json.RawMessage {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.book.EvidenceFor(now, quarantine.Fingerprint(fingerprint))
-}
-
-func (s *suspects) expire(now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.book.Expire(now)
-	s.observer.Expire(now)
 }
 
 // applyQuarantine returns an error for a convicted request. A suspect may only run
@@ -114,7 +57,7 @@
 // applyQuarantine makes it the first candidate (reassign sends later attempts there
 // as well), or permits the suspect to run alone elsewhere if the VM has left the list.
 func (resp *Response) applyQuarantine(now time.Time) *verdict.Error {
-	ruling, _ := resp.router.suspects.decide(now, resp.fingerprint)
+	ruling, _ := resp.router.suspects.Decide(now, resp.fingerprint)
 	switch ruling.Action {
 	case quarantine.Refuse:
 		quarantinedRequests.Inc()
@@ -159,7 +102,7 @@
 // reassign returns the site of the crash if the request is a suspect and the site
 // is listed, else vm.
 func (resp *Response) reassign(vm topo.VM) topo.VM {
-	ruling, _ := resp.router.suspects.decide(time.Now(), resp.fingerprint)
+	ruling, _ := resp.router.suspects.Decide(time.Now(), resp.fingerprint)
 	if ruling.Action != quarantine.Redirect {
 		return vm
 	}
@@ -177,11 +120,11 @@
 	if err.Reason != verdict.ReasonUpstreamFailed || err.Verdict == verdict.NotRun {
 		return
 	}
-	evidence := resp.router.suspects.evidence(time.Now(), resp.fingerprint)
+	evidence := resp.router.suspects.Evidence(time.Now(), resp.fingerprint)
 	if len(evidence) == 0 {
 		return
 	}
-	if ruling, _ := resp.router.suspects.decide(time.Now(), resp.fingerprint); ruling.Action == quarantine.Refuse {
+	if ruling, _ := resp.router.suspects.Decide(time.Now(), resp.fingerprint); ruling.Action == quarantine.Refuse {
 		go resp.router.storeConviction(resp.fingerprint)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
--- /dev/null
+++ b/internal/suspects/suspects.go
@@ -0,0 +1,175 @@
+// Package suspects holds what a router knows of requests that may crash upstreams: the entries of its
+// quarantine.Table, the requests that it has lost, and which of them are in flight. Package router calls
+// it from the goroutines of requests. Suspected upstreams, which fail more requests than others, have
+// nothing to do with it.
+package suspects
+
+import (
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/quarantine"
+)
+
+// maxSuspectsBytes bounds the suspects that one message to a sidecar carries, in bytes.
+const maxSuspectsBytes = 256
+
+// Registry holds what a router knows of requests that may crash upstreams. It is safe for concurrent
+// use.
+type Registry struct {
+	mu       sync.Mutex
+	book     *quarantine.Table
+	observer *quarantine.Observer
+	// inFlight holds the attempts at upstreams without a sidecar whose requests were lost at a crash
+	// before, by upstream.
+	inFlight map[string][]quarantine.Fingerprint
+}
+
+// NewRegistry returns a Registry that knows of nothing.
+func NewRegistry() *Registry {
+	return &Registry{
+		book:     quarantine.New("", 0),
+		observer: quarantine.NewObserver(),
+		inFlight: make(map[string][]quarantine.Fingerprint),
+	}
+}
+
+// Merge adds the suspects that a sidecar or another router sent.
+func (r *Registry) Merge(now time.Time, data json.RawMessage) error {
+	if len(data) == 0 {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.book.Merge(now, data)
+}
+
+// Gossip returns entries of crashes for other routers, in at most budget bytes; nil: none now.
+func (r *Registry) Gossip(now time.Time, budget int) json.RawMessage {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.book.Gossip(now, budget)
+}
+
+// Decide returns how a request may run, and the suspects to send to its sidecar:
+// those about the request if it is a suspect, else some of the others.
+func (r *Registry) Decide(now time.Time, fingerprint uint64) (quarantine.Decision, json.RawMessage) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := quarantine.Fingerprint(fingerprint)
+	d := r.book.Decide(now, p, false)
+	if d.Action == quarantine.Allow {
+		return d, r.book.Gossip(now, maxSuspectsBytes)
+	}
+	return d, r.book.EvidenceFor(now, p)
+}
+
+// Evidence returns all that is known about a request's crashes; empty: nothing.
+func (r *Registry) Evidence(now time.Time, fingerprint uint64) json.RawMessage {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.book.EvidenceFor(now, quarantine.Fingerprint(fingerprint))
+}
+
+// Expire drops what is no longer valid.
+func (r *Registry) Expire(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.book.Expire(now)
+	r.observer.Expire(now)
+}
+
+// Lost records that an attempt was lost, and reports whether its upstream is known to have crashed.
+func (r *Registry) Lost(now time.Time, upstream string, lost quarantine.RunningRequest) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.observer.Lost(now, upstream, lost) {
+		return false
+	}
+	r.book.RecordObservedCrash(now, upstream, []quarantine.RunningRequest{lost})
+	return true
+}
+
+// Crashed records that an upstream has crashed. It returns the number of requests that it was
+// running, as far as this router has lost them, and of those that were recorded.
+func (r *Registry) Crashed(now time.Time, upstream string) (lost, recorded int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	running := r.observer.Crashed(now, upstream)
+	return len(running), r.book.RecordObservedCrash(now, upstream, running)
+}
+
+// DecideObserved returns how a request may run at an upstream without a sidecar.
+func (r *Registry) DecideObserved(now time.Time, fingerprint uint64) quarantine.ObservedDecision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.book.DecideObserved(now, quarantine.Fingerprint(fingerprint))
+}
+
+// WasLostAt reports whether a crash of an upstream is recorded at which a request was lost.
+func (r *Registry) WasLostAt(now time.Time, fingerprint uint64, upstream string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.book.WasLostAt(now, quarantine.Fingerprint(fingerprint), upstream)
+}
+
+// Served records that a request has run to its end.
+func (r *Registry) Served(now time.Time, fingerprint uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.book.RecordServed(now, quarantine.Fingerprint(fingerprint))
+}
+
+// BeginInFlight records an attempt at an upstream if its request was lost at a crash before. The
+// returned function ends the record.
+func (r *Registry) BeginInFlight(now time.Time, upstream string, fingerprint uint64) (end func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := quarantine.Fingerprint(fingerprint)
+	if r.book.DecideObserved(now, p).Crashes == 0 {
+		return func() {}
+	}
+	r.inFlight[upstream] = append(r.inFlight[upstream], p)
+	return func() { r.endInFlight(upstream, p) }
+}
+
+func (r *Registry) endInFlight(upstream string, p quarantine.Fingerprint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at := r.inFlight[upstream]
+	i := slices.Index(at, p)
+	if at = slices.Delete(at, i, i+1); len(at) == 0 {
+		delete(r.inFlight, upstream)
+	} else {
+		r.inFlight[upstream] = at
+	}
+}
+
+// HasInFlight reports whether an attempt of a request is recorded at any upstream.
+func (r *Registry) HasInFlight(fingerprint uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, at := range r.inFlight {
+		if slices.Contains(at, quarantine.Fingerprint(fingerprint)) {
+			return true
+		}
+	}
+	return false
+}
+
+// HasOtherInFlight reports whether an attempt of another request is recorded at an upstream.
+func (r *Registry) HasOtherInFlight(upstream string, fingerprint uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := quarantine.Fingerprint(fingerprint)
+	return slices.ContainsFunc(r.inFlight[upstream], func(q quarantine.Fingerprint) bool { return q != p })
+}
+
+// Cases returns the suspected and convicted requests.
+func (r *Registry) Cases(now time.Time) []quarantine.Case {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.book.Cases(now)
+}
