--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -261,6 +261,9 @@
 
 func (h *harness) cutRunner() {
 	live := h.liveRunners()
+	if len(live) == 0 {
+		return
+	}
 	r := live[h.intN(len(live))]
 	r.proxy.setMode(proxyMode(1 + h.intN(int(proxyModeCount)-1)))
 	time.Sleep(h.randomDuration(100*time.Millisecond, 2*time.Second))
