--- a/internal/router/crashes.go
+++ b/internal/router/crashes.go
@@ -52,9 +52,9 @@
 	return nil
 }
 
-// mayRunAgain reports whether the request may have another attempt. A request whose upstream crashes
-// is sent to a second one, as most of its kind are innocent; if it is lost there as well, it is not sent
-// to a third one, before it is known whether the second one has crashed.
+// mayRunAgain reports whether the request may have another attempt. A request whose upstream has
+// crashed is sent to a second one, since most such requests are innocent. If it is lost there as well, it
+// is not sent to a third one, although it is not known yet whether the second one has crashed.
 func (resp *Response) mayRunAgain() bool {
 	now := time.Now()
 	crashes := resp.router.suspects.DecideObserved(now, resp.fingerprint).Crashes
@@ -90,8 +90,8 @@
 	return targets[0], true
 }
 
-// recordLost records that an attempt that was sent to an upstream without a sidecar was lost, and finds
-// out whether the upstream has crashed.
+// recordLost records that the connection of an attempt at an upstream without a sidecar broke after the
+// request was sent, and finds out whether the upstream has crashed.
 func (r *Router) recordLost(vm topo.VM, fingerprint uint64, startedAt time.Time) {
 	lostAttempts.Inc()
 	lost := quarantine.RunningRequest{Fingerprint: quarantine.Fingerprint(fingerprint), Started: startedAt}
--- a/test/soak/budget_test.go
+++ b/test/soak/budget_test.go
@@ -102,7 +102,7 @@
 	runnerDowntime = 2 * time.Second
 )
 
-// sendCrashingCalls sends copies of one request that crashes runners, at routers by turns, until stop
+// sendCrashingCalls sends copies of one request that crashes runners, at the routers in turn, until stop
 // is closed.
 func (h *harness) sendCrashingCalls(stop <-chan struct{}) {
 	kind := crashingCalls[h.seed%uint64(len(crashingCalls))]
