exchange: a call that was left lingers until it is due

Cause: the head of an answer was read for a second after its call was left. A runner that holds requests in its queue rejects them when it likes, until the time that it was given has passed; what it said later than a second was still lost. Class: a constant in the place of the bound that the parties have agreed on. Change: the head is read until the call is due and half a second more, 15 s at most, on the same few connections. The soak has a flag for the number of callers.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -97,7 +97,7 @@
 // Do calls the upstream on vm and returns once the head of the response has arrived.
 // maySend is called once, before the first byte is sent; if it returns false, nothing
 // is sent. The end of ctx aborts the call, also after Do has returned; Do itself may then
-// take up to lingerTimeout to return. An error is a *verdict.Error.
+// return only when the call is due, see leave. An error is a *verdict.Error.
 func (c *Client) Do(ctx context.Context, vm topo.VM, call Call, maySend func() bool) (*Stream, error) {
 	ep := endpoint{instance: vm.ID, addr: vm.Addr}
 	header := call.Header.Clone()
@@ -112,7 +112,7 @@
 		c.putIdle(ep, conn)
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonCancelled, "the call was cancelled before it was sent")
 	}
-	release := c.markInUse(ctx, ep, conn)
+	release := c.markInUse(ctx, ep, conn, call.Due)
 	if !call.Due.IsZero() {
 		call.TimeLeft = max(time.Until(call.Due), time.Millisecond)
 	}
@@ -132,13 +132,13 @@
 }
 
 // markInUse records that a connection has a call in progress, until release is called.
-// The end of ctx aborts the call. release returns false if ctx has ended, so that the
+// The end of ctx aborts the call, which is due at a time. release returns false if ctx has ended, so that the
 // connection is closed or about to be, or if release was called before.
-func (c *Client) markInUse(ctx context.Context, ep endpoint, conn *conn) (release func() bool) {
+func (c *Client) markInUse(ctx context.Context, ep endpoint, conn *conn, due time.Time) (release func() bool) {
 	c.mu.Lock()
 	c.inUse[conn] = ep
 	c.mu.Unlock()
-	stop := context.AfterFunc(ctx, func() { c.leave(ep, conn) })
+	stop := context.AfterFunc(ctx, func() { c.leave(ep, conn, due) })
 	return func() bool {
 		c.mu.Lock()
 		delete(c.inUse, conn)
--- a/internal/exchange/linger.go
+++ b/internal/exchange/linger.go
@@ -10,8 +10,14 @@
 )
 
 const (
-	// lingerTimeout is how long the head of a response is still read after its call was left.
+	// lingerTimeout is how long the head of a response is still read after its call was left, if the
+	// call has no deadline.
 	lingerTimeout = time.Second
+	// lingerMargin is how long after a call was due the answer of an upstream may arrive that rejects
+	// it then.
+	lingerMargin = 500 * time.Millisecond
+	// maxLingerTimeout bounds the time for a call with a deadline.
+	maxLingerTimeout = 15 * time.Second
 	// maxLingering and maxLingeringPerUpstream bound the calls that were left and whose heads are
 	// still read. What one answer of an upstream says of it mostly stands in its other answers too.
 	maxLingering            = 256
@@ -30,7 +36,7 @@
 
 const (
 	leftAnswered   leftOutcome = "answered"   // its head arrived and was read
-	leftUnanswered leftOutcome = "unanswered" // none came within lingerTimeout, or the connection ended
+	leftUnanswered leftOutcome = "unanswered" // none came in time, or the connection ended
 	leftClosed     leftOutcome = "closed"     // the connection was closed at once
 )
 
@@ -61,9 +67,10 @@
 // its router end.
 //
 // While the head of the response has not been read, only the sending side is closed, and the reader
-// goes on for lingerTimeout. An upstream may answer just then that it leaves or wants a pause; if the
-// connection were closed, nothing would read that, and the upstream would get further requests.
-func (c *Client) leave(ep endpoint, conn *conn) {
+// goes on until the call is due: an upstream works no longer. It may still answer that it leaves or wants
+// a pause; if the connection were closed, nothing would read that, and the upstream would get further
+// requests.
+func (c *Client) leave(ep endpoint, conn *conn, due time.Time) {
 	c.mu.Lock()
 	conn.lingers = conn.awaitsHead && c.lingering.begin(ep)
 	lingers := conn.lingers
@@ -73,7 +80,16 @@
 		_ = conn.Close()
 		return
 	}
-	_ = conn.SetReadDeadline(time.Now().Add(lingerTimeout)) // fails only on a closed connection
+	_ = conn.SetReadDeadline(lingerUntil(time.Now(), due)) // fails only on a closed connection
+}
+
+// lingerUntil returns until when the head of the response to a call that is left now is read. A zero
+// due means that the call has no deadline.
+func lingerUntil(now, due time.Time) time.Time {
+	if due.IsZero() {
+		return now.Add(lingerTimeout)
+	}
+	return now.Add(min(max(due.Sub(now), 0)+lingerMargin, maxLingerTimeout))
 }
 
 // closeWrite closes the sending side of a connection, or all of it if it has no such operation.
--- a/test/soak/budget_test.go
+++ b/test/soak/budget_test.go
@@ -42,12 +42,13 @@
 	for _, s := range []struct {
 		name         string
 		callersLeave bool
-	}{{"callers stay", false}, {"callers leave", true}} {
+		late         time.Duration // how late at most
+	}{{"callers stay", false, maxLateRest}, {"callers leave", true, maxLateRest}, {"callers leave long before", true, callDeadline}} {
 		t.Run(s.name, func(t *testing.T) {
 			for i := range uint64(*seeds) {
 				h := newHarness(t, *from+i, false)
 				h.faults = []fault{restFault}
-				h.maxRestDelay, h.callersLeave = maxLateRest, s.callersLeave
+				h.maxRestDelay, h.callersLeave = s.late, s.callersLeave
 				h.play()
 			}
 		})
--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -30,7 +30,6 @@
 }
 
 const (
-	callerCount = 6
 	// callTimeout is how long a caller waits for a response.
 	callTimeout = 6 * time.Second
 	// callDeadline is how long it says that it waits.
@@ -137,7 +136,7 @@
 // callers sends random calls, from several callers at a time, until stop is closed. They reuse
 // their connections until the router closes them or announces in a response that it will.
 func (h *harness) callers(stop <-chan struct{}) {
-	for range callerCount {
+	for range *callers {
 		h.running.Go(func() {
 			var l *clientConn
 			for !isStopped(stop) {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -25,6 +25,7 @@
 	from       = flag.Uint64("from", 4, "the first seed")
 	duration   = flag.Duration("for", 4*time.Second, "how long faults are injected")
 	entryCount = flag.Int("entries", 3, "routers")
+	callers    = flag.Int("callers", 6, "callers")
 	keepLogs   = flag.String("logs", filepath.Join(os.TempDir(), "parsleyfront-soak"), "folder for the logs of seeds that fail")
 )
 
