exchange: calls that were left linger whatever their upstream

Cause: 16 calls at one upstream could linger. A runner that holds all requests it gets, from 60 callers of which each leaves after .05 to .45 s, reaches that in a second; the pauses that it asks for in its other answers were lost. Ruled out: to try such an upstream last (played: where the others rest, it gets everything, and its answers are lost all the same). Change: one bound of 512 for all upstreams, which lies over all calls of a router at the target's size for 15 s (CAPACITY); bodies are let go when the request ends. An upstream's connections are not more for it: it holds them until it notices their end, whichever way they are closed.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -57,8 +57,8 @@
 	mu        sync.Mutex
 	idle      map[endpoint][]*conn // least recently used first
 	inUse     map[*conn]endpoint   // connections with a call in progress
-	lingering lingerCounts
-	checking  map[endpoint]bool // upstreams that Refuses is checking
+	lingering int                  // calls that were left and whose heads are still read
+	checking  map[endpoint]bool    // upstreams that Refuses is checking
 }
 
 // endpoint identifies one incarnation of an upstream by the id of its VM entry, which is
@@ -83,8 +83,7 @@
 func NewClient(d Dialect, dial DialFunc) *Client {
 	return &Client{
 		dialect: d, dial: dial, idle: make(map[endpoint][]*conn), inUse: make(map[*conn]endpoint),
-		lingering: lingerCounts{byUpstream: make(map[endpoint]int)},
-		checking:  make(map[endpoint]bool),
+		checking: make(map[endpoint]bool),
 	}
 }
 
@@ -138,7 +137,7 @@
 	c.mu.Lock()
 	c.inUse[conn] = ep
 	c.mu.Unlock()
-	stop := context.AfterFunc(ctx, func() { c.leave(ep, conn, due) })
+	stop := context.AfterFunc(ctx, func() { c.leave(conn, due) })
 	return func() bool {
 		c.mu.Lock()
 		delete(c.inUse, conn)
--- a/internal/exchange/linger.go
+++ b/internal/exchange/linger.go
@@ -18,10 +18,10 @@
 	lingerMargin = 500 * time.Millisecond
 	// maxLingerTimeout bounds the time for a call with a deadline.
 	maxLingerTimeout = 15 * time.Second
-	// maxLingering and maxLingeringPerUpstream bound the calls that were left and whose heads are
-	// still read. What one answer of an upstream says of it mostly stands in its other answers too.
-	maxLingering            = 256
-	maxLingeringPerUpstream = 16
+	// maxLingering bounds the calls that were left and whose heads are still read. There is no bound
+	// for each upstream: if one holds all requests that it gets, each of its answers may ask for a
+	// longer pause.
+	maxLingering = 512
 )
 
 var (
@@ -40,29 +40,6 @@
 	leftClosed     leftOutcome = "closed"     // the connection was closed at once
 )
 
-// lingerCounts counts the calls that were left and whose heads are still read.
-type lingerCounts struct {
-	total      int
-	byUpstream map[endpoint]int
-}
-
-func (l *lingerCounts) begin(ep endpoint) bool {
-	if l.total >= maxLingering || l.byUpstream[ep] >= maxLingeringPerUpstream {
-		return false
-	}
-	l.total++
-	l.byUpstream[ep]++
-	return true
-}
-
-func (l *lingerCounts) end(ep endpoint) {
-	l.total--
-	l.byUpstream[ep]--
-	if l.byUpstream[ep] == 0 {
-		delete(l.byUpstream, ep)
-	}
-}
-
 // leave ends a call that nobody waits for any more. An upstream drops a request when the bytes from
 // its router end.
 //
@@ -70,13 +47,8 @@
 // goes on until the call is due: an upstream works no longer. It may still answer that it leaves or wants
 // a pause; if the connection were closed, nothing would read that, and the upstream would get further
 // requests.
-func (c *Client) leave(ep endpoint, conn *conn, due time.Time) {
-	c.mu.Lock()
-	conn.lingers = conn.awaitsHead && c.lingering.begin(ep)
-	lingers := conn.lingers
-	lingeringCalls.Set(int64(c.lingering.total))
-	c.mu.Unlock()
-	if !lingers || closeWrite(conn) != nil {
+func (c *Client) leave(conn *conn, due time.Time) {
+	if !c.beginLinger(conn) || closeWrite(conn) != nil {
 		_ = conn.Close()
 		return
 	}
@@ -111,7 +83,7 @@
 	if ctx.Err() == nil {
 		return resp, signal, err
 	}
-	lingered := c.endLinger(endpoint{instance: vm.ID, addr: vm.Addr}, conn)
+	lingered := c.endLinger(conn)
 	switch {
 	case err == nil:
 		leftCalls.Inc(leftAnswered)
@@ -130,16 +102,29 @@
 	conn.awaitsHead = awaits
 }
 
+// beginLinger reports whether the call on a connection lingers from now on.
+func (c *Client) beginLinger(conn *conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !conn.awaitsHead || c.lingering >= maxLingering {
+		return false
+	}
+	conn.lingers = true
+	c.lingering++
+	lingeringCalls.Set(int64(c.lingering))
+	return true
+}
+
 // endLinger reports whether the call on a connection has lingered, and ends that.
-func (c *Client) endLinger(ep endpoint, conn *conn) bool {
+func (c *Client) endLinger(conn *conn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !conn.lingers {
 		return false
 	}
 	conn.lingers = false
-	c.lingering.end(ep)
-	lingeringCalls.Set(int64(c.lingering.total))
+	c.lingering--
+	lingeringCalls.Set(int64(c.lingering))
 	return true
 }
 
--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -196,6 +196,7 @@
 	if resp.state != nil && !resp.state.Finished() { // nil: rejected before it was offered to an upstream
 		resp.handleCallerGone()
 	}
+	resp.req.Call.Body = nil
 	resp.stop()
 	for _, at := range resp.attempts {
 		if !at.busy {
--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -67,7 +67,9 @@
 		at.watch.Abandon()
 		endInFlight()
 	})
-	s, err := d.router.config.Direct.Do(at.ctx, at.vm, d.exchangeCall(at), func() bool { return d.admitAttempt(at) })
+	call := d.exchangeCall(at)
+	at.call.Body = nil // the call may linger after the request has ended
+	s, err := d.router.config.Direct.Do(at.ctx, at.vm, call, func() bool { return d.admitAttempt(at) })
 	if err != nil {
 		at.span.Fail(string(verdict.From(err).Reason))
 		return d.failureEvent(at, verdict.From(err))
