test/soak: orders that a restore has left over are revoked before routers are asked

Trace of the failed play: failure domain b was drained from era 2 on at all routers, also at those that listed the store anew when it started era 3, and the only runner that had not left was in it, so that each request was refused with 'has no upstream that takes requests'. The harness had written the order again after it had revoked it: a restore's writer repeats lost changes up to .3 s later. Ruled out: routers that miss the revocation (a listing of all objects shows what the store holds).

--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -29,12 +29,38 @@
 		e.store.setMode(passThrough)
 		e.signal(syscall.SIGCONT)
 	}
+	h.logUpstreams()
+	h.revokeDrains()
 	h.settleConfiguration()
 	h.settleRestore()
 	h.settleDrains(h.newestKey())
 	time.Sleep(time.Second) // delayed requests have run by then
 }
 
+// logUpstreams logs which runners are live and which failure domains are drained. Routers can serve
+// nothing unless a runner is live in a domain that is not drained.
+func (h *harness) logUpstreams() {
+	var live []string
+	for _, r := range h.liveRunners() {
+		live = append(live, r.incarnation+" in "+r.zone())
+	}
+	var drained []string
+	for _, zone := range zones {
+		if h.store.Has(drainKind, zone) {
+			drained = append(drained, zone)
+		}
+	}
+	h.t.Logf("after the faults: live runners %v, drained domains %v", live, drained)
+}
+
+// revokeDrains revokes the orders to drain failure domains. One may be left over: its writer repeats it
+// after a restore of the store, although it has revoked it meanwhile.
+func (h *harness) revokeDrains() {
+	for _, zone := range zones {
+		h.store.Remove(drainKind, zone)
+	}
+}
+
 // settleRestore restores the store from a copy that lacks many changes, and waits until every
 // router applies the first configuration written after that.
 func (h *harness) settleRestore() {
@@ -74,9 +100,7 @@
 // router sends nothing to it, and serves again when the drain is revoked.
 func (h *harness) settleDrains(key string) {
 	const requests = 10
-	for _, zone := range zones {
-		h.store.Remove(drainKind, zone)
-	}
+	h.revokeDrains()
 	for _, zone := range zones {
 		h.store.Put(drainKind, zone, map[string]any{})
 		for _, e := range h.entries {
