--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -2,12 +2,13 @@
 // the platform's store and runners. It injects faults in a random order set by a seed, and
 // checks what callers and runners observe.
 //
-//	go test ./test/soak                              # what CI runs: two short seeds
-//	go test ./test/soak -seeds 50 -from 1 -for 20s   # a longer run by hand
-//	go test ./test/soak -seeds 1 -from 17 -v         # repeat one seed
+//	go test ./test/soak                                            # what CI runs: two short seeds of each test
+//	go test ./test/soak -run 'TestSoak$' -seeds 50 -from 1 -for 20s  # a longer run by hand
+//	go test ./test/soak -run 'TestSoak$' -seeds 1 -from 17 -v        # repeat one seed
 //
 // Every fifth seed has planned operations only (stops, reloads, configuration changes, runners
-// that leave). In these, every request must get a complete response.
+// that leave). In these, every request must get a complete response. In others, by seed, runners reject
+// late, callers leave early, and one caller sends requests that crash runners.
 package soak
 
 import (
@@ -75,7 +76,7 @@
 		}
 	}
 	for _, seed := range failed {
-		t.Logf("failed: go test ./test/soak -seeds 1 -for %v -entries %d -from %d", *duration, *entryCount, seed)
+		t.Logf("failed: go test ./test/soak -run 'TestSoak$' -seeds 1 -for %v -entries %d -from %d", *duration, *entryCount, seed)
 	}
 }
 
