suspects, router: copies of a suspect are admitted in one step

Cause: whether a copy is under way was asked when a request came, and recorded when it was sent, so that copies that came at the same moment all passed. Class: a check and the record that it rests on are two steps. Ruled out: the same in the claims of keys and the cold gates (each is one step under its lock, read). Change: a copy is admitted and recorded in one step, until its response is closed.

--- a/internal/router/crashes.go
+++ b/internal/router/crashes.go
@@ -42,12 +42,13 @@
 		err := verdict.New(verdict.NotRun, verdict.ReasonQuarantined, "%d upstreams crashed while they ran this request", d.Crashes)
 		return err.WithRetryAfter(d.Until.Sub(now))
 	case quarantine.RunAlone:
-		resp.suspect = true
-		if resp.router.suspects.HasInFlight(resp.fingerprint) {
+		end, ok := resp.router.suspects.TryRunAlone(resp.fingerprint)
+		if !ok {
 			suspectRefusals.Inc()
 			err := verdict.New(verdict.NotRun, verdict.ReasonSuspect, "a copy of this request is running, and upstreams crashed while they ran others")
 			return err.WithRetryAfter(quarantine.RetryAfter)
 		}
+		resp.suspect, resp.release = true, end
 	}
 	return nil
 }
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -25,6 +25,8 @@
 	// inFlight holds the attempts at upstreams without a sidecar whose requests were lost at a crash
 	// before, by upstream.
 	inFlight map[string][]quarantine.Fingerprint
+	// alone holds the suspected requests of which a copy is under way.
+	alone map[quarantine.Fingerprint]bool
 }
 
 // NewRegistry returns a Registry that knows of nothing.
@@ -33,6 +35,7 @@
 		book:     quarantine.New("", 0),
 		observer: quarantine.NewObserver(),
 		inFlight: make(map[string][]quarantine.Fingerprint),
+		alone:    make(map[quarantine.Fingerprint]bool),
 	}
 }
 
@@ -147,12 +150,29 @@
 	}
 }
 
-// HasInFlight reports whether an attempt of a request is recorded at any upstream.
-func (r *Registry) HasInFlight(fingerprint uint64) bool {
+// TryRunAlone admits a copy of a suspected request if no other one is under way. The returned function
+// must be called when the copy has ended.
+func (r *Registry) TryRunAlone(fingerprint uint64) (end func(), ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	p := quarantine.Fingerprint(fingerprint)
+	if r.alone[p] || r.hasInFlight(p) {
+		return nil, false
+	}
+	r.alone[p] = true
+	return func() { r.endAlone(p) }, true
+}
+
+func (r *Registry) endAlone(p quarantine.Fingerprint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.alone, p)
+}
+
+// hasInFlight reports whether an attempt of a request is recorded at any upstream.
+func (r *Registry) hasInFlight(p quarantine.Fingerprint) bool {
 	for _, at := range r.inFlight {
-		if slices.Contains(at, quarantine.Fingerprint(fingerprint)) {
+		if slices.Contains(at, p) {
 			return true
 		}
 	}
--- /dev/null
+++ b/internal/suspects/suspects_test.go
@@ -0,0 +1,89 @@
+package suspects
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/quarantine"
+)
+
+var epoch = time.UnixMilli(1_800_000_000_000)
+
+// crashedUnder returns a Registry in which so many upstreams have crashed under a request.
+func crashedUnder(fingerprint uint64, crashes int) *Registry {
+	r := NewRegistry()
+	for i := range crashes {
+		upstream := fmt.Sprint("upstream-", i)
+		r.Lost(epoch, upstream, quarantine.RunningRequest{Fingerprint: quarantine.Fingerprint(fingerprint), Started: epoch})
+		r.Crashed(epoch, upstream)
+	}
+	return r
+}
+
+// Guards against the attempts of all requests being recorded, and against records that outlive their
+// attempts: later copies would be turned away for good.
+func TestOnlyAttemptsOfRequestsThatWereLostAreInFlight(t *testing.T) {
+	r := crashedUnder(7, 1)
+	endOther := r.BeginInFlight(epoch, "a", 8)
+	if len(r.inFlight) > 0 {
+		t.Error("a request that was never lost is recorded")
+	}
+	endOther()
+	endFirst, endSecond := r.BeginInFlight(epoch, "a", 7), r.BeginInFlight(epoch, "b", 7)
+	endFirst()
+	if _, ok := r.TryRunAlone(7); ok {
+		t.Error("the end of one attempt ends the record of the other")
+	}
+	endSecond()
+	if _, ok := r.TryRunAlone(7); !ok || len(r.inFlight) > 0 {
+		t.Errorf("recorded after the end of both: %v", r.inFlight)
+	}
+}
+
+// Guards against copies that come at the same moment and are all admitted.
+func TestCopiesOfSuspectAreAdmittedOneByOne(t *testing.T) {
+	r := crashedUnder(7, 2)
+	end, ok := r.TryRunAlone(7)
+	if !ok {
+		t.Fatal("the first copy is not admitted")
+	}
+	if _, second := r.TryRunAlone(7); second {
+		t.Error("a second copy is admitted")
+	}
+	end()
+	if _, again := r.TryRunAlone(7); !again {
+		t.Error("no copy is admitted after the end of the first")
+	}
+}
+
+// Guards against two suspects at one upstream, of which it is not known which one crashes it, and against
+// copies of one request that keep each other away.
+func TestOtherSuspectsAtAnUpstreamAreKnown(t *testing.T) {
+	r := crashedUnder(7, 2)
+	defer r.BeginInFlight(epoch, "a", 7)()
+	if !r.HasOtherInFlight("a", 8) {
+		t.Error("the suspect is not seen by another request")
+	}
+	if r.HasOtherInFlight("a", 7) || r.HasOtherInFlight("b", 8) {
+		t.Error("a copy of the same request, or an upstream without a suspect, counts")
+	}
+}
+
+// An attempt is lost before or after its upstream is found to have crashed. Guards against requests that
+// are recorded only in one of the two orders.
+func TestRequestsAreRecordedInBothOrders(t *testing.T) {
+	r := NewRegistry()
+	lost := quarantine.RunningRequest{Fingerprint: 7, Started: epoch}
+	r.Lost(epoch, "a", lost)
+	if n, recorded := r.Crashed(epoch, "a"); n != 1 || recorded != 1 {
+		t.Errorf("lost before the crash was known: %d of %d recorded", recorded, n)
+	}
+	r.Crashed(epoch, "b")
+	if !r.Lost(epoch, "b", lost) {
+		t.Error("lost after the crash was known: not recorded")
+	}
+	if d := r.DecideObserved(epoch, 7); d.Crashes != 2 || d.Action != quarantine.RunAlone {
+		t.Errorf("%+v", d)
+	}
+}
