--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -5,9 +5,6 @@
 
 import "bytes"
 
-// MediaType is the content type of a stream of server-sent events.
-const MediaType = "text/event-stream"
-
 // maxPendingBytes bounds the buffered part of an event. A longer event is passed on in
 // parts, and the stream cannot be resumed within it.
 const maxPendingBytes = 1 << 20
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/parsleyfront/parsleyfront/internal/eventstream"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
@@ -127,7 +128,7 @@
 		_ = conn.Close()
 		return nil, lostError(ctx, err)
 	}
-	return &Stream{client: c, endpoint: ep, conn: conn, resp: resp, eventStream: ofEvents(resp), Signal: signal, release: release}, nil
+	return &Stream{client: c, endpoint: ep, conn: conn, resp: resp, eventStream: eventstream.IsStream(resp.Header), Signal: signal, release: release}, nil
 }
 
 // markInUse records that a connection has a call in progress, until release is called.
--- a/internal/exchange/stream.go
+++ b/internal/exchange/stream.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"io"
-	"mime"
 	"net/http"
 	"os"
 	"slices"
@@ -12,10 +11,28 @@
 	"github.com/pkg/errors"
 
 	"github.com/parsleyfront/parsleyfront/internal/eventstream"
+	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
 	"github.com/parsleyfront/parsleyfront/internal/wire"
 )
 
+var (
+	bodyEnds = telemetry.NewFamily[bodyEnd]("exchange_body_ends_total", "end",
+		"Bodies of answers of upstreams without a sidecar, by how they ended.")
+	waitErrors = telemetry.NewCounter("exchange_wait_errors_total",
+		"Connections found broken while the next piece of an answer was awaited.")
+)
+
+// bodyEnd is how the body of a response ended.
+type bodyEnd string
+
+const (
+	endFramed     bodyEnd = "framed"     // where its length or its last chunk says
+	endConnection bodyEnd = "connection" // with its connection; a stream after a whole event
+	endInEvent    bodyEnd = "in_event"   // with its connection, within an event or before the first
+	endLost       bodyEnd = "lost"       // with an error
+)
+
 // pieceBytes is the size of the largest piece of a response. An event of a stream is
 // typically a tenth of it.
 const pieceBytes = 2 << 10
@@ -32,7 +49,8 @@
 	release      func() bool
 	headReturned bool // Next has returned the head
 	buf          []byte
-	atEOF        bool          // the body ended with the bytes that Next returned last
+	atEOF        bool // the body ended with the bytes that Next returned last
+	position     eventstream.Position
 	closed       bool          // the connection was closed or given back
 	stallTimeout time.Duration // longest wait for the next piece; zero: no limit
 }
@@ -57,7 +75,13 @@
 	defer func() { _ = s.conn.SetReadDeadline(time.Time{}) }()
 	for !s.bodyBuffered() {
 		if _, err := s.conn.r.Peek(s.conn.r.Buffered() + 1); err != nil {
-			return errors.Is(err, os.ErrDeadlineExceeded)
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				return true
+			}
+			if !errors.Is(err, io.EOF) {
+				waitErrors.Inc()
+			}
+			return false
 		}
 	}
 	return false
@@ -102,12 +126,6 @@
 	return s.eventStream
 }
 
-// ofEvents reports whether a response is a stream of server-sent events.
-func ofEvents(resp *http.Response) bool {
-	mediaType, _, _ := mime.ParseMediaType(resp.Header.Get("Content-Type"))
-	return mediaType == eventstream.MediaType
-}
-
 // Next waits for the next piece: the head, the bytes in order, then the end. The bytes
 // are valid until the next call. An error other than ErrStalled means that the response
 // is incomplete. The end of the context that was passed to Do ends the wait.
@@ -129,16 +147,33 @@
 			// Read returns EOF with the last bytes if both came in one packet. Nothing
 			// follows then, which must not count as a pause.
 			s.atEOF = errors.Is(err, io.EOF)
+			if s.eventStream {
+				s.position.Advance(s.buf[:n])
+			}
 			return wire.Piece{Bytes: s.buf[:n]}, nil
 		case errors.Is(err, io.EOF):
+			bodyEnds.Inc(s.bodyEnd())
 			s.finish()
 			return wire.Piece{End: &wire.End{}}, nil
 		case err != nil:
+			bodyEnds.Inc(endLost)
 			return wire.Piece{}, verdict.New(verdict.Ran, verdict.ReasonConnection, "%s", err)
 		}
 	}
 }
 
+// bodyEnd returns how a body ended that was read to its end.
+func (s *Stream) bodyEnd() bodyEnd {
+	switch {
+	case eventstream.IsFramed(s.resp):
+		return endFramed
+	case s.eventStream && !s.position.AfterEvent():
+		return endInEvent
+	default:
+		return endConnection
+	}
+}
+
 // finish gives the connection back to the client after a complete response, or closes
 // it if it cannot be reused.
 func (s *Stream) finish() {
