--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -93,6 +94,32 @@
 	}
 }
 
+// An upstream's connection ends within an event of a stream that has neither a length nor chunks. Guards
+// against keeping the response as a complete one, under its key too.
+func TestUnframedStreamThatEndsInAnEventIsInterrupted(t *testing.T) {
+	for _, c := range []struct {
+		body  string
+		whole bool
+	}{{"", false}, {"data: a", false}, {"data: a\n", false}, {"data: a\n\n", true}, {"data: a\n\nda", false}} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			conn, b, _ := http.NewResponseController(w).Hijack()
+			_, _ = b.WriteString("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + c.body)
+			_ = b.Flush()
+			_ = conn.Close()
+		}))
+		resp, err := NewHTTP(server.URL).Do(context.Background(), getRequest)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		if whole := err == nil; whole != c.whole || string(body) != c.body {
+			t.Errorf("%q: read %q, error %v", c.body, body, err)
+		}
+		_ = resp.Body.Close()
+		server.Close()
+	}
+}
+
 // BenchmarkConnections compares a new connection for each call with pooled connections.
 func BenchmarkConnections(b *testing.B) {
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -293,18 +293,7 @@
 			}
 			return fake.KeepOpen
 		}
-		r.WriteHead(c, req, http.StatusOK, "Content-Type: text/event-stream", "Transfer-Encoding: chunked")
-		begin, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
-		for i := begin + 1; i <= streamEvents; i++ {
-			time.Sleep(h.randomServiceTime())
-			if h.drawResponseFault(truncateStream) {
-				fmt.Fprint(c, "40\r\nid: ")
-				return fake.CloseConn
-			}
-			fake.WriteChunk(c, streamEvent(streamName(req), i))
-		}
-		fmt.Fprint(c, "0\r\n\r\n")
-		return fake.KeepOpen
+		return h.writeStream(r, c, req)
 	}
 }
 
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -90,9 +90,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.open {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
+		reset(c)
 		_ = c.Close()
 	}
 	clear(p.open)
@@ -110,13 +108,13 @@
 
 func (p *proxy) handle(client net.Conn) {
 	if w, _ := p.currentMode(); w == resetting {
-		_ = client.(*net.TCPConn).SetLinger(0)
+		reset(client)
 		_ = client.Close()
 		return
 	}
 	server, err := net.Dial("tcp", p.target)
 	if err != nil {
-		_ = client.(*net.TCPConn).SetLinger(0)
+		reset(client)
 		_ = client.Close()
 		return
 	}
@@ -137,14 +135,14 @@
 }
 
 // copy forwards bytes of one direction, each according to the mode at that moment, and then the end
-// of that direction alone, as a network does. The flag responses says that the bytes come from the
+// of that direction alone, as a network does. A connection that is reset on one side is reset on the other. The flag responses says that the bytes come from the
 // server.
 func (p *proxy) copy(to, from net.Conn, responses bool) {
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
 		if n > 0 && !p.forward(to, buf[:n], responses) {
-			p.closePair(to, from)
+			p.resetPair(to, from)
 			return
 		}
 		switch {
@@ -152,7 +150,7 @@
 			_ = to.(*net.TCPConn).CloseWrite()
 			return
 		case err != nil:
-			p.closePair(to, from)
+			p.resetPair(to, from)
 			return
 		}
 	}
@@ -176,6 +174,12 @@
 	}
 }
 
+func (p *proxy) resetPair(a, b net.Conn) {
+	reset(a)
+	reset(b)
+	p.closePair(a, b)
+}
+
 func (p *proxy) closePair(a, b net.Conn) {
 	p.mu.Lock()
 	delete(p.open, a)
