eventstream, exchange, upstream: the end of a connection ends a stream only after a whole event

Callers got the part of an event as the end of a complete answer. Cause: a stream with neither a length nor chunks ends with its connection, and whoever read it took any end for the regular one: the router handed on what its framer still held, streams that run once had no framer, and sidecars kept such an answer under its key as complete. Ruled out: chunks and lengths, whose framing is checked by net/http. Change: eventstream.Body, one reader for routers and sidecars, ends such a stream with an error unless it stands after a whole event; the existing path for lost connections does the rest (another upstream goes on behind the last whole event, the failure counts, the connection is closed). A framed stream is whole by its framing, also without its last empty line. An event too long to hold back is now passed on as it arrives, and its id counts.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -12,8 +12,9 @@
 // Framer buffers the bytes of an event until the event is complete. The zero value is
 // ready to use.
 type Framer struct {
+	position Position
 	pending  []byte // start of an incomplete event
-	lastID   string // of the last complete event
+	lastID   string // see LastID
 	partSent bool   // a part of an event was passed on, and no event has been completed since
 }
 
@@ -21,23 +22,32 @@
 // complete events, or, once an event exceeds maxPendingBytes, its bytes as they arrive.
 // The result may share memory with b, and is valid until the next call.
 func (f *Framer) Feed(b []byte) []byte {
-	if len(f.pending) > 0 {
-		b = append(f.pending, b...)
-		f.pending = f.pending[:0]
-	}
-	end := wholeEventsLen(b)
-	if end == 0 && len(b) > maxPendingBytes {
+	end := f.position.Advance(b)
+	if end == 0 {
+		f.pending = append(f.pending, b...)
+		if !f.partSent && len(f.pending) <= maxPendingBytes {
+			return nil
+		}
 		f.partSent = true
-		return b
-	}
-	if end > 0 {
-		f.partSent = false
-		f.recordLastID(b[:end])
+		part := f.takePending()
+		f.recordLastID(part)
+		return part
 	}
-	if end < len(b) {
-		f.pending = append([]byte(nil), b[end:]...)
+	whole := b[:end]
+	if len(f.pending) > 0 {
+		whole = append(f.takePending(), whole...)
 	}
-	return b[:end]
+	f.pending = append([]byte(nil), b[end:]...)
+	f.partSent = false
+	f.recordLastID(whole)
+	return whole
+}
+
+// takePending empties the buffer and returns what it held.
+func (f *Framer) takePending() []byte {
+	b := f.pending
+	f.pending = nil
+	return b
 }
 
 // Pending returns the buffered bytes, to be passed on at the stream's regular end.
@@ -49,35 +59,23 @@
 // another upstream may continue the stream after LastID, which is not the case within an
 // event of which a part was passed on.
 func (f *Framer) Discard() bool {
-	f.pending = nil
+	f.pending, f.position = nil, Position{}
 	return !f.partSent
 }
 
 // LastID returns the last event id that was passed on; empty: none. An event without an id
-// does not change it.
+// does not change it. Within an event of which a part was passed on, it may be the id of that event.
 func (f *Framer) LastID() string {
 	return f.lastID
 }
 
-// wholeEventsLen returns the length in bytes of the complete events at the start of b;
-// zero: there is none. An event ends with an empty line, and lines end with LF or CRLF.
-func wholeEventsLen(b []byte) int {
-	// LastIndex returns -1 if there is no empty line, so the sum is less than its length.
-	end := bytes.LastIndex(b, []byte("\n\n")) + len("\n\n")
-	if crlf := bytes.LastIndex(b, []byte("\r\n\r\n")) + len("\r\n\r\n"); crlf >= len("\r\n\r\n") {
-		end = max(end, crlf)
-	}
-	if end < len("\n\n") {
-		return 0
-	}
-	return end
-}
-
 // recordLastID records the last id in complete events.
 func (f *Framer) recordLastID(b []byte) {
-	for line := range bytes.Lines(b) {
+	for line := range bytes.FieldsFuncSeq(b, isLineEnd) {
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			f.lastID = string(bytes.TrimSpace(id))
 		}
 	}
 }
+
+func isLineEnd(r rune) bool { return r == '\n' || r == '\r' }
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -20,7 +20,7 @@
 // arrive, the caller must receive the whole stream.
 func TestResumedStreamHasNoGapOrRepeat(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		newline := rapid.SampledFrom([]string{"\n", "\r\n"}).Draw(t, "newline")
+		newline := rapid.SampledFrom([]string{"\n", "\r\n", "\r"}).Draw(t, "newline")
 		n := rapid.IntRange(1, 6).Draw(t, "events")
 		stream := func(from int) []byte {
 			var b bytes.Buffer
--- a/internal/eventstream/position.go
+++ b/internal/eventstream/position.go
@@ -1,13 +1,5 @@
 package eventstream
 
-import (
-	"mime"
-	"net/http"
-)
-
-// MediaType is the content type of a stream of server-sent events.
-const MediaType = "text/event-stream"
-
 // Position follows the bytes of a stream and knows whether they end between two events. Lines
 // end with LF, CR or CRLF, and an event with an empty line. Comments belong to no event. The
 // zero value is the start of a stream.
@@ -15,6 +7,7 @@
 	line    lineKind // of the line that has begun
 	inEvent bool     // a line of an event has begun, and the empty line that ends it has not come
 	afterCR bool     // the last byte was CR: LF would belong to the same end of line
+	endsLF  bool     // LF has followed the latest CR that is not the last byte
 	hasRead bool     // an event has been complete
 }
 
@@ -43,6 +36,9 @@
 // next takes one byte.
 func (p *Position) next(c byte) {
 	completesCRLF := c == '\n' && p.afterCR
+	if p.afterCR {
+		p.endsLF = completesCRLF
+	}
 	p.afterCR = c == '\r'
 	switch {
 	case completesCRLF:
@@ -64,9 +60,10 @@
 	p.line = emptyLine
 }
 
-// BetweenEvents reports whether no event has begun that is not complete.
+// BetweenEvents reports whether no event has begun that is not complete. In a stream whose lines end
+// with CRLF, an event is not complete before the LF.
 func (p *Position) BetweenEvents() bool {
-	return !p.inEvent && p.line == emptyLine
+	return !p.inEvent && p.line == emptyLine && !(p.afterCR && p.endsLF)
 }
 
 // AfterEvent reports whether the stream may end here: at least one event is complete, and no other
@@ -74,15 +71,3 @@
 func (p *Position) AfterEvent() bool {
 	return p.hasRead && p.BetweenEvents()
 }
-
-// IsStream reports whether headers announce a stream of server-sent events.
-func IsStream(h http.Header) bool {
-	mediaType, _, _ := mime.ParseMediaType(h.Get("Content-Type"))
-	return mediaType == MediaType
-}
-
-// IsFramed reports whether a response marks the end of its body, by a length or by chunks.
-// Otherwise the body ends with its connection.
-func IsFramed(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
-}
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -128,6 +128,7 @@
 		_ = conn.Close()
 		return nil, lostError(ctx, err)
 	}
+	resp.Body = eventstream.Body(resp)
 	return &Stream{client: c, endpoint: ep, conn: conn, resp: resp, eventStream: eventstream.IsStream(resp.Header), Signal: signal, release: release}, nil
 }
 
--- a/internal/exchange/stream.go
+++ b/internal/exchange/stream.go
@@ -49,8 +49,7 @@
 	release      func() bool
 	headReturned bool // Next has returned the head
 	buf          []byte
-	atEOF        bool // the body ended with the bytes that Next returned last
-	position     eventstream.Position
+	atEnd        bool          // reading ended with the bytes that Next returned last
 	closed       bool          // the connection was closed or given back
 	stallTimeout time.Duration // longest wait for the next piece; zero: no limit
 }
@@ -137,41 +136,42 @@
 	if s.buf == nil {
 		s.buf = make([]byte, pieceBytes)
 	}
-	if !s.atEOF && s.stallTimeout > 0 && s.stalled() {
+	if !s.atEnd && s.stallTimeout > 0 && s.stalled() {
 		return wire.Piece{}, ErrStalled
 	}
 	for {
 		n, err := s.resp.Body.Read(s.buf)
 		switch {
 		case n > 0:
-			// Read returns EOF with the last bytes if both came in one packet. Nothing
+			// Read returns the end with the last bytes if both came in one packet. Nothing
 			// follows then, which must not count as a pause.
-			s.atEOF = errors.Is(err, io.EOF)
-			if s.eventStream {
-				s.position.Advance(s.buf[:n])
-			}
+			s.atEnd = err != nil
 			return wire.Piece{Bytes: s.buf[:n]}, nil
 		case errors.Is(err, io.EOF):
-			bodyEnds.Inc(s.bodyEnd())
+			bodyEnds.Inc(s.regularEnd())
 			s.finish()
 			return wire.Piece{End: &wire.End{}}, nil
 		case err != nil:
-			bodyEnds.Inc(endLost)
+			bodyEnds.Inc(brokenEnd(err))
 			return wire.Piece{}, verdict.New(verdict.Ran, verdict.ReasonConnection, "%s", err)
 		}
 	}
 }
 
-// bodyEnd returns how a body ended that was read to its end.
-func (s *Stream) bodyEnd() bodyEnd {
-	switch {
-	case eventstream.IsFramed(s.resp):
+// regularEnd returns how a complete body ended.
+func (s *Stream) regularEnd() bodyEnd {
+	if eventstream.IsFramed(s.resp) {
 		return endFramed
-	case s.eventStream && !s.position.AfterEvent():
+	}
+	return endConnection
+}
+
+// brokenEnd returns how a body ended that is incomplete, from the error of its reader.
+func brokenEnd(err error) bodyEnd {
+	if errors.Is(err, eventstream.ErrInEvent) {
 		return endInEvent
-	default:
-		return endConnection
 	}
+	return endLost
 }
 
 // finish gives the connection back to the client after a complete response, or closes
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/parsleyfront/parsleyfront/internal/eventstream"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
 )
@@ -84,7 +85,7 @@
 	if err != nil {
 		return nil, callError(err, connected.Load())
 	}
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, nil
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: eventstream.Body(resp)}, nil
 }
 
 // setHeader adds the headers of the call and those of the sidecar. A header that the
