exchange: a connection repeats its first read error

Callers got a stream that was reset between two events as a complete one. Cause: while the next piece of a resumable stream is awaited, the router peeks at the connection; bufio clears the error that a peek returns, and a socket tells of a reset once and reads as ended after that. So the read that followed saw the regular end of a body that ends with its connection. Ruled out: a reset while a read into the body waits, which is returned (tests without a stall timeout pass on the code before). Change: the connection keeps its first error other than a timeout, so that no reader of it, a peek, a drain, a lingering one, can swallow it.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -35,6 +36,7 @@
 type conn struct {
 	net.Conn
 	r           *bufio.Reader
+	readErr     error      // first error of Read other than a timeout
 	reused      bool       // the connection has been idle before
 	expires     time.Time  // when an idle connection is to be closed
 	bodyWritten chan error // receives the result of writing a long body; nil: none in progress
@@ -46,7 +48,23 @@
 
 // newConn returns a conn with an empty read buffer.
 func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, r: bufio.NewReaderSize(c, readBufferBytes)}
+	out := &conn{Conn: c}
+	out.r = bufio.NewReaderSize(out, readBufferBytes)
+	return out
+}
+
+// Read implements net.Conn. It repeats the first error for ever. A socket and a bufio.Reader tell of
+// an error once: after a reset that was met while nothing was read into a body, the connection would
+// read as ended, and the body as complete.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.readErr != nil {
+		return 0, c.readErr
+	}
+	n, err := c.Conn.Read(b)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.readErr = err
+	}
+	return n, err
 }
 
 // reusable reports whether an idle connection is open and has nothing to read. Bytes
