gateway: a broken answer without a length resets the connection of an HTTP/1.0 caller

Callers that speak HTTP/1.0 got broken answers that ended like whole ones. Cause: an answer whose length is not known goes to them without chunks and ends with its connection, and the router closed it in the regular way when the answer had broken off. Ruled out: HTTP/1.1 with Connection: close, whose missing last chunk shows it. Change: such a connection is reset. All soak runs have streams without framing and such callers now. Conclusion: mended where the router lives on; a router that is killed ends its connections like a regular close, which HTTP/1.0 can't tell apart.

--- a/internal/gateway/hostedanswer.go
+++ b/internal/gateway/hostedanswer.go
@@ -12,8 +12,8 @@
 )
 
 // copyResponse copies a response to the caller and closes it. If the response is
-// incomplete, it breaks the connection by a panic with http.ErrAbortHandler, so that
-// the caller does not take the response for a complete one.
+// incomplete, it breaks the connection, so that the caller does not take the response
+// for a complete one.
 func (x *platformExchange) copyResponse(response *router.Response) {
 	defer response.Close()
 	ctl := http.NewResponseController(x.w)
@@ -23,7 +23,7 @@
 		piece, err := response.Next()
 		switch {
 		case err != nil:
-			panic(http.ErrAbortHandler)
+			x.breakConnection()
 		case piece.End != nil:
 			return
 		case piece.Head != nil:
@@ -44,6 +44,17 @@
 	}
 }
 
+// breakConnection ends an incomplete response by a panic with http.ErrAbortHandler. Where chunks
+// are not known, only a reset distinguishes the end of a response without a length from its
+// regular end.
+func (x *platformExchange) breakConnection() {
+	c, ok := x.conn().(interface{ SetLinger(seconds int) error })
+	if ok && !x.r.ProtoAtLeast(1, 1) {
+		_ = c.SetLinger(0) // fails only on a closed connection
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // setWriteDeadline ends the writing of a response writeSlack after the request's
 // timeout. Otherwise a caller that keeps its connection open without reading would
 // occupy the memory of the response and a slot of the upstream indefinitely.
--- a/internal/gateway/hostedrequest.go
+++ b/internal/gateway/hostedrequest.go
@@ -194,10 +194,16 @@
 // connKey is the context key of the caller's connection.
 type connKey struct{}
 
+// conn returns the caller's connection; nil: not known.
+func (x *platformExchange) conn() net.Conn {
+	c, _ := x.r.Context().Value(connKey{}).(net.Conn)
+	return c
+}
+
 // callerGone reports whether the caller has closed its connection.
 func (x *platformExchange) callerGone() bool {
-	c, ok := x.r.Context().Value(connKey{}).(net.Conn)
-	return ok && netpeek.Peek(c) == netpeek.Closed
+	c := x.conn()
+	return c != nil && netpeek.Peek(c) == netpeek.Closed
 }
 
 // urgency returns the rank of a request in the queue, from 0 (first) to 9. It is the
--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -16,6 +16,7 @@
 	idempotent                  bool
 	maxAttempts                 int // limit of the runners that it may be sent to
 	stream                      bool
+	http10                      bool          // the caller speaks HTTP/1.0
 	patience                    time.Duration // how long the caller waits for the response
 	entry                       *entry
 	incarnation                 int
@@ -37,6 +38,8 @@
 	// minPatience and maxPatience bound how long a caller waits that leaves early.
 	minPatience = 50 * time.Millisecond
 	maxPatience = 450 * time.Millisecond
+	// http10Every is the mean number of calls for each one over HTTP/1.0.
+	http10Every = 6
 )
 
 // clientConn is a caller's connection to a router.
@@ -70,8 +73,12 @@
 	if c.stream {
 		prefix = "Model: m\r\nToken-Usage: 30,20\r\nPrompt-Prefix: aa:10,s" + c.id[len(c.id)-1:] + ":20,cc:5\r\n"
 	}
-	_, err := fmt.Fprintf(l.conn, "%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n%s%sContent-Length: %d\r\n\r\n%s",
-		c.method, c.path, callerHost, c.id, callDeadline.Milliseconds(), auth, prefix, len(c.body), c.body)
+	version := "HTTP/1.1"
+	if c.http10 {
+		version = "HTTP/1.0"
+	}
+	_, err := fmt.Fprintf(l.conn, "%s %s %s\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n%s%sContent-Length: %d\r\n\r\n%s",
+		c.method, c.path, version, callerHost, c.id, callDeadline.Milliseconds(), auth, prefix, len(c.body), c.body)
 	if err != nil {
 		return false
 	}
@@ -147,6 +154,7 @@
 					}
 				}
 				c := h.randomCall()
+				c.http10 = h.intN(http10Every) == 0
 				if h.callersLeave {
 					c.patience = h.randomDuration(minPatience, maxPatience)
 				}
--- a/test/soak/streams_test.go
+++ b/test/soak/streams_test.go
@@ -27,7 +27,7 @@
 	for i := range uint64(*seeds) {
 		t.Run(fmt.Sprint("seed=", *from+i), func(t *testing.T) {
 			h := newHarness(t, *from+i, false)
-			h.faults, h.unframedStreams = streamFaults, true
+			h.faults = streamFaults
 			h.play()
 		})
 	}
@@ -42,7 +42,7 @@
 
 // writeStream responds with a stream, with chunks or with neither chunks nor a length.
 func (h *harness) writeStream(r *runner, c net.Conn, req *http.Request) fake.HandlerResult {
-	chunked := !h.unframedStreams || h.intN(2) == 0
+	chunked := h.intN(2) == 0
 	r.WriteHead(c, req, http.StatusOK, streamHeaders(chunked)...)
 	if h.drawResponseFault(truncateStream) {
 		return h.breakOff(c, "", false)
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -41,8 +41,6 @@
 	faults  []fault // kinds of faults to inject
 	// callersLeave makes callers close their connection after a short random time.
 	callersLeave bool
-	// unframedStreams makes runners send half of the streams with neither a length nor chunks.
-	unframedStreams bool
 	// crashingCallers makes a caller send copies of a request that crashes runners.
 	crashingCallers bool
 	// maxRestDelay is how long after a request a resting runner rejects it at most; zero: at once.
