openloop: a stream that ends within an event is not counted as served

The load tool counted streams that broke off as 200. Ruled out: answers with a length or chunks, which the test had already. Change: it reads through eventstream.Body, as routers and sidecars do. Measured: TestRequestsAreCountedByOutcome with broken streams among its answers fails without (200 too many, none too few) and passes with it. Conclusion: mended.

--- a/internal/openloop/openloop.go
+++ b/internal/openloop/openloop.go
@@ -20,6 +20,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/pkg/errors"
+
+	"github.com/parsleyfront/parsleyfront/internal/eventstream"
 )
 
 // Options describes the load.
@@ -146,12 +148,13 @@
 		g.record(0, 0, 0)
 		return
 	}
-	defer resp.Body.Close() // an error does not matter: the body was read to its end or abandoned
+	body := eventstream.Body(resp)
+	defer body.Close() // an error does not matter: the body was read to its end or abandoned
 	var firstByte [1]byte
-	_, err = io.ReadFull(resp.Body, firstByte[:])
+	_, err = io.ReadFull(body, firstByte[:])
 	firstByteTime := time.Since(due)
 	if err == nil {
-		_, err = io.Copy(io.Discard, resp.Body)
+		_, err = io.Copy(io.Discard, body)
 	}
 	if err != nil && !errors.Is(err, io.EOF) {
 		g.record(0, firstByteTime, 0)
--- a/internal/openloop/openloop_test.go
+++ b/internal/openloop/openloop_test.go
@@ -45,16 +45,18 @@
 		at := received
 		received++
 		sessions[r.Header.Get("Session")] = true
-		name := []string{"200", "503", "none"}[at%3]
+		name := []string{"200", "503", "none", "none"}[at%4]
 		want[name]++
 		mu.Unlock()
 		if r.Host != "chat.example" || string(body) != "body of "+r.Header.Get("Session") {
 			t.Errorf("host %q, body %q", r.Host, body)
 		}
-		switch name {
-		case "503":
+		switch {
+		case name == "503":
 			w.WriteHeader(http.StatusServiceUnavailable)
-		case "none":
+		case at%4 == 3:
+			writeBrokenStream(w)
+		case name == "none":
 			w.Header().Set("Content-Length", "10")
 			fmt.Fprint(w, "half")
 		default:
@@ -77,6 +79,17 @@
 	}
 }
 
+// writeBrokenStream writes a stream without a length or chunks that ends within an event.
+func writeBrokenStream(w http.ResponseWriter) {
+	c, b, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = b.WriteString("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: whole\n\ndata: ha")
+	_ = b.Flush()
+	_ = c.Close()
+}
+
 // The server responds only when seven requests are open. The load must not wait for responses.
 func TestSlowResponsesDoNotDelayRequests(t *testing.T) {
 	release := make(chan struct{})
