upstream: an export without a length or chunks is not taken

An engine that breaks off while it exports a cached prefix could have a part of it imported elsewhere as the whole. Ruled out: exports with a length or chunks, whose end is checked. Measured: TestUnframedExportIsNotTaken fails without and passes with it.

--- a/internal/upstream/kv.go
+++ b/internal/upstream/kv.go
@@ -7,6 +7,8 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+
+	"github.com/parsleyfront/parsleyfront/internal/eventstream"
 )
 
 const (
@@ -32,6 +34,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, ErrNotCached
 	}
+	if !eventstream.IsFramed(resp) { // a part of a prefix would look like the whole
+		return nil, errors.New("upstream: the export has neither a length nor chunks")
+	}
 	b, err := io.ReadAll(io.LimitReader(resp.Body, MaxExportBytes+1))
 	if err != nil || len(b) > MaxExportBytes {
 		return nil, errors.Errorf("upstream: export exceeds %d bytes or is incomplete", MaxExportBytes)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -120,6 +120,21 @@
 	}
 }
 
+// An engine's connection ends while it exports a prefix that has neither a length nor chunks. Guards against
+// importing a part of a prefix at another engine.
+func TestUnframedExportIsNotTaken(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, b, _ := http.NewResponseController(w).Hijack()
+		_, _ = b.WriteString("HTTP/1.1 200 OK\r\n\r\npart of a pre")
+		_ = b.Flush()
+		_ = conn.Close()
+	}))
+	defer server.Close()
+	if b, err := NewHTTP(server.URL).Export(context.Background(), 1); err == nil {
+		t.Errorf("exported %q", b)
+	}
+}
+
 // BenchmarkConnections compares a new connection for each call with pooled connections.
 func BenchmarkConnections(b *testing.B) {
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
