router, topo, platform: versions and take-ups of streams can be seen

No decision uses them. Ruled out: reading the version from answers, which do not carry it. Measured: the tests of platform, gateway and daemon pass.

--- a/internal/gateway/hosted.go
+++ b/internal/gateway/hosted.go
@@ -21,6 +21,7 @@
 	Timeout     time.Duration // how long the caller waits; zero if it does not say
 	Session     string        // identifies the prompt prefix shared by the turns of a chat; empty if there is none
 	LastEventID string        // id of the last event of an earlier response; empty if there is none
+	Resumes     string        // id of the attempt that brought the first event of the stream; empty if it is new
 }
 
 // Dialect parses the headers that the callers of a platform send.
@@ -120,6 +121,7 @@
 		Arrived:       x.arrived,
 		CallerTimeout: x.headers.Timeout,
 		LastEventID:   x.headers.LastEventID,
+		Resumes:       x.headers.Resumes,
 		CallerGone:    x.callerGone,
 	})
 	if err != nil {
--- a/internal/router/log.go
+++ b/internal/router/log.go
@@ -52,7 +52,11 @@
 			slog.Float64("bound", roundTenths(resp.basis.Bound)),
 			slog.Int64("expected_ms", resp.estimatedStart().Milliseconds()),
 			slog.Bool("behind", resp.basis.Deferred),
-			slog.String("donor", at.donor.ID))
+			slog.String("donor", at.donor.ID),
+			slog.String("version", at.vm.SoftwareVersion))
+		if resp.req.LastEventID != "" || resp.req.Resumes != "" {
+			attrs = append(attrs, slog.String("resumes", resp.req.Resumes), slog.String("last_event", resp.req.LastEventID))
+		}
 		now := time.Now()
 		if age := to.tracker.LoadAge(now, load.Hash(at.vm.ID)); age >= 0 {
 			attrs = append(attrs, slog.Int64("load_age_ms", age.Milliseconds()))
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -53,6 +53,7 @@
 	Arrived       time.Time     // arrival time, from which its deadlines count
 	CallerTimeout time.Duration // how long the caller waits from Arrived on; zero: not known
 	LastEventID   string        // id of the last event that the caller has received of an earlier response
+	Resumes       string        // id of the caller's attempt that brought the first event of the stream; empty: it is new
 	CallerGone    func() bool   // reports whether the caller has closed its connection; nil: not known
 	Trace         string        // W3C traceparent; empty: none
 }
--- a/internal/topo/topo.go
+++ b/internal/topo/topo.go
@@ -131,6 +131,9 @@
 	Weight        int    `json:"weight,omitempty"` // relative capacity; zero counts as one
 	Slots         int    `json:"slots,omitempty"`  // requests that it processes at a time; zero: unknown
 	Leaving       bool   `json:"leaving,omitempty"`
+	// SoftwareVersion is the version of the upstream's software, not of the models that it serves;
+	// empty: not known.
+	SoftwareVersion string `json:"software_version,omitempty"`
 	// WarmAt is when the upstream stops counting as cold after its start; zero: it is warm.
 	WarmAt time.Time `json:"-"`
 }
