--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -17,6 +17,8 @@
 	maxAttempts                 int // limit of the runners that it may be sent to
 	stream                      bool
 	http10                      bool          // the caller speaks HTTP/1.0
+	resumes                     string        // the call that brought the first event of its stream; empty: it is new
+	lastEvent                   int           // number of the last event that the caller has
 	patience                    time.Duration // how long the caller waits for the response
 	entry                       *entry
 	incarnation                 int
@@ -77,6 +79,9 @@
 	if c.http10 {
 		version = "HTTP/1.0"
 	}
+	if c.resumes != "" {
+		prefix += fmt.Sprintf("Resumes: %s\r\nLast-Event-Id: %d\r\n", c.resumes, c.lastEvent)
+	}
 	_, err := fmt.Fprintf(l.conn, "%s %s %s\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n%s%sContent-Length: %d\r\n\r\n%s",
 		c.method, c.path, version, callerHost, c.id, callDeadline.Milliseconds(), auth, prefix, len(c.body), c.body)
 	if err != nil {
@@ -160,6 +165,9 @@
 				}
 				reusable := l.send(c)
 				h.recordCall(c)
+				if h.takesUp {
+					h.takeUp(c)
+				}
 				if !reusable {
 					l.close()
 					l = nil
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -172,7 +172,7 @@
 		if h.planned {
 			h.t.Errorf("%s runs %v after SIGTERM", e.name, grace)
 		}
-		e.signal(syscall.SIGKILL)
+		e.kill()
 		e.waitExit(grace)
 	}
 	h.checkError(e.start())
@@ -198,7 +198,7 @@
 	}
 	defer h.restartMu.Unlock()
 	e := h.randomEntry()
-	e.signal(syscall.SIGKILL)
+	e.kill()
 	e.signal(syscall.SIGCONT)
 	e.waitExit(grace)
 	time.Sleep(h.randomDuration(time.Millisecond, time.Second))
--- /dev/null
+++ b/test/soak/versions_test.go
@@ -0,0 +1,153 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+)
+
+// versionFaults are the disturbances beside streams that are taken up.
+var versionFaults = []fault{
+	{"rollout that stops half-way", true, (*harness).rollOut},
+	{"streams are broken off", false, (*harness).breakStreams},
+	{"way to a runner", false, (*harness).cutRunner},
+	{"runner crashes", false, (*harness).crashRunner},
+	{"runner joins", true, (*harness).addRunner},
+	{"router is killed", false, (*harness).killRouter},
+	{"router stops", true, (*harness).stopRouter},
+	{"router stands still", false, (*harness).pauseRouter},
+}
+
+// Runners of several versions serve side by side and break off streams, which callers take up at any router. Guards
+// against streams that hold events of two versions, in one answer or over a caller's tries.
+func TestSoakVersions(t *testing.T) {
+	for i := range uint64(*seeds) {
+		t.Run(fmt.Sprint("seed=", *from+i), func(t *testing.T) {
+			h := newHarness(t, *from+i, false)
+			h.faults, h.takesUp, h.callersLeave = versionFaults, true, true
+			h.play()
+		})
+	}
+}
+
+// newestSoftware returns the version of the software that new runners have.
+func (h *harness) newestSoftware() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return fmt.Sprint("v", h.software+1)
+}
+
+// rollOut replaces some runners by such of the next version, one after the other.
+func (h *harness) rollOut() {
+	h.mu.Lock()
+	h.software++
+	h.mu.Unlock()
+	for range 1 + h.intN(runnersAtStart) {
+		if _, err := h.newRunner(); err != nil {
+			h.t.Error(err)
+			return
+		}
+		time.Sleep(h.randomDuration(10*time.Millisecond, 300*time.Millisecond))
+		h.running.Go(h.drainRunner)
+	}
+}
+
+// maxTakeUps is how often a caller takes up one stream.
+const maxTakeUps = 3
+
+// takeUp takes up the stream of a call that broke off after its first event, at any router, again and again.
+func (h *harness) takeUp(c *call) {
+	first := c.id
+	for range maxTakeUps {
+		events := c.lastEvent + strings.Count(c.responseBody, "\n\n")
+		if !c.stream || !c.idempotent || c.status != http.StatusOK || c.complete || events == 0 {
+			return
+		}
+		next := h.newCall(c.method, c.path, c.key)
+		next.stream, next.idempotent, next.maxAttempts = true, true, c.maxAttempts
+		next.resumes, next.lastEvent, next.patience = first, events, c.patience
+		l := connect(h.pickEntry())
+		if l == nil {
+			return
+		}
+		l.send(next)
+		l.close()
+		h.recordCall(next)
+		c = next
+	}
+}
+
+var versionInEvent = regexp.MustCompile(`@[^\n]*`)
+
+// withoutVersions removes the versions from the events of a stream.
+func withoutVersions(body string) string { return versionInEvent.ReplaceAllString(body, "") }
+
+// checkVersions checks that no stream holds events of two versions, over all tries of its caller, and that of the
+// streams that are taken up at routers without a disturbance, while two runners of their version serve, at least half
+// as many go on as new ones begin.
+func (h *harness) checkVersions(calls []*call) {
+	byStream := make(map[string]map[string]bool)
+	var begun, new, wentOn, takenUp int
+	for _, c := range calls {
+		if !c.stream || !c.idempotent || c.status == 0 {
+			continue
+		}
+		stream := c.resumes
+		if stream == "" {
+			stream = c.id
+		}
+		versions := byStream[stream]
+		if c.resumes == "" {
+			new++
+			if c.status == http.StatusOK {
+				begun++
+			}
+		} else if h.mustGoOn(c, versions) {
+			takenUp++
+			if c.status == http.StatusOK {
+				wentOn++
+			}
+		}
+		if versions == nil {
+			versions = make(map[string]bool)
+			byStream[stream] = versions
+		}
+		for _, v := range versionInEvent.FindAllString(c.responseBody, -1) {
+			versions[v] = true
+		}
+	}
+	crossed := 0
+	for stream, versions := range byStream {
+		if len(versions) > 1 {
+			crossed++
+			h.t.Errorf("%s holds events of versions %v", stream, versions)
+		}
+	}
+	if new == 0 {
+		return
+	}
+	h.t.Logf("%d streams at two versions; %d of %d new streams began, %d of %d that were taken up went on", crossed, begun, new, wentOn, takenUp)
+	const enough = 12
+	if takenUp >= enough && 2*wentOn*new < begun*takenUp {
+		h.t.Errorf("%d of %d streams that were taken up went on, %d of %d new ones began", wentOn, takenUp, begun, new)
+	}
+}
+
+// mustGoOn reports whether a call that takes up a stream was sent to a router that had not been disturbed, while two
+// runners of the version of the stream served.
+func (h *harness) mustGoOn(c *call, versions map[string]bool) bool {
+	if len(versions) != 1 || c.entry.disturbedDuring(span{c.sent.Add(-stableTime), c.done}) {
+		return false
+	}
+	serving := 0
+	for _, r := range h.allRunners() {
+		started := time.UnixMilli(r.startedMs)
+		if versions["@"+r.version] && started.Before(c.sent) && (r.leftAt.IsZero() || r.leftAt.After(c.done)) {
+			serving++
+		}
+	}
+	return serving >= 2
+}
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -41,6 +41,8 @@
 	faults  []fault // kinds of faults to inject
 	// callersLeave makes callers close their connection after a short random time.
 	callersLeave bool
+	// takesUp makes callers take up streams that broke off.
+	takesUp bool
 	// crashingCallers makes a caller send copies of a request that crashes runners.
 	crashingCallers bool
 	// maxRestDelay is how long after a request a resting runner rejects it at most; zero: at once.
@@ -54,6 +56,7 @@
 	random         *rand.Rand
 	runners        []*runner
 	runnersStarted int
+	software       int // version that new runners have
 	responseFaults [responseFaultCount]bool
 	config         configuration
 	revoked        map[string]int // version that revoked a key, by key
