router: within one answer, a stream goes on only at the version that made its first event

Callers got one answer with events of two software versions. Cause: version was decoded and read by nobody, so that a stream that broke off, stalled or lost its upstream went on at the next in rank. Ruled out: attempts before the first event, which may go anywhere. Change: the version of the upstream whose first event was passed on, as listed when the attempt was sent, bounds all later choices through one place (eligiblePool); load bounds stay those of the whole pool; without such an upstream the answer breaks off at once. If the id that made the event is listed with another version by then, which of the two made it can't be told, and nobody goes on. A pool that has gone meanwhile no longer replaces the one in use, which the end of the request reads. Conclusion: mended within one answer.

--- a/internal/router/continued.go
+++ b/internal/router/continued.go
@@ -5,32 +5,54 @@
 	"github.com/parsleyfront/parsleyfront/internal/topo"
 )
 
-var continuedStreams = telemetry.NewFamily[continuation]("router_continued_streams_total", "version",
-	"Streams that broke off and that this router has continued at another upstream, by the software version there.")
+var continuedStreams = telemetry.NewFamily[continuation]("router_continued_streams_total", "outcome",
+	"Streams that broke off after their first event, by whether this router has continued them at another upstream of their version.")
 
-// continuation is how a stream was continued at another upstream.
+// continuation is what became of a stream that broke off.
 type continuation string
 
 const (
-	continuedAtSame  continuation = "same"
-	continuedAtOther continuation = "other"
-	continuedNowhere continuation = "none" // there was no upstream
+	continued    continuation = "continued"
+	notContinued continuation = "no-upstream"
 )
 
-// countContinued counts that a stream which broke off at an upstream continues at another one; the zero
-// VM: at none.
-func countContinued(from, to topo.VM) {
-	switch {
-	case to.ID == "":
-		continuedStreams.Inc(continuedNowhere)
-	case to.SoftwareVersion == from.SoftwareVersion:
-		continuedStreams.Inc(continuedAtSame)
-	default:
-		continuedStreams.Inc(continuedAtOther)
+// origin is where a stream began. What two versions of an upstream's software write doesn't fit together,
+// so a stream goes on only at the version that made its first event.
+type origin struct {
+	known   bool    // the first event has been passed on
+	version string  // of the software of the upstream that made it
+	vm      topo.VM // that upstream; the zero VM if another router has passed the event on
+}
+
+// isUncertain reports whether the upstream that made the first event is listed with another version by
+// now. It may have started again before it made the event, which its entry showed only later.
+func (o origin) isUncertain(view *View) bool {
+	if o.vm.ID == "" {
+		return false
+	}
+	for _, vm := range view.VMs {
+		if vm.Pool == o.vm.Pool && vm.Name() == o.vm.Name() && vm.SoftwareVersion != o.version {
+			return true
+		}
 	}
+	return false
 }
 
-// lastTried returns the upstream of the latest attempt.
-func (resp *Response) lastTried() topo.VM {
-	return resp.attempts[len(resp.attempts)-1].vm
+// recordOrigin records the upstream that has made events which are passed on, if they are the first.
+func (resp *Response) recordOrigin(vm topo.VM) {
+	if !resp.origin.known {
+		resp.origin = origin{known: true, version: vm.SoftwareVersion, vm: vm}
+	}
+}
+
+// countContinued counts a stream that broke off after its first event, by whether there is an upstream that
+// may continue it.
+func (resp *Response) countContinued(found bool) {
+	switch {
+	case !resp.origin.known:
+	case found:
+		continuedStreams.Inc(continued)
+	default:
+		continuedStreams.Inc(notContinued)
+	}
 }
--- a/internal/router/directoffer.go
+++ b/internal/router/directoffer.go
@@ -140,13 +140,29 @@
 func (d directTransport) target(e dispatch.Offer) (target, bool) {
 	if e.Attempt > 0 {
 		d.view = d.router.View()
-		d.pool = d.view.Pools[d.poolName].inRegions(d.req.regions())
+		pool := d.eligiblePool()
+		if pool == nil {
+			return target{}, false
+		}
+		d.pool = pool
 		d.targets = d.chooseTargets(time.Now())
 	}
 	left := slices.DeleteFunc(slices.Clone(d.targets), func(t target) bool { return d.wasTried(t.vm) })
 	return d.separate(left)
 }
 
+// eligiblePool returns the upstreams of the request's pool at which it may run; nil: there are none.
+func (resp *Response) eligiblePool() *Pool {
+	pool := resp.view.Pools[resp.poolName].inRegions(resp.req.regions())
+	switch {
+	case !resp.origin.known:
+		return pool
+	case resp.origin.isUncertain(resp.view):
+		return nil
+	}
+	return pool.atVersion(resp.origin.version)
+}
+
 // wasTried reports whether the request has had an attempt at an upstream.
 func (resp *Response) wasTried(vm topo.VM) bool {
 	for _, at := range resp.attempts {
--- a/internal/router/effects.go
+++ b/internal/router/effects.go
@@ -32,7 +32,7 @@
 		VM: load.Hash(to.vm.ID), Profile: resp.req.Profile.Name, Urgency: resp.basis.Urgency, Load: to.load, Deferred: resp.basis.Deferred,
 	}, resp.req.Profile.Objective.Std())
 	if e.Continue {
-		countContinued(resp.lastTried(), to.vm)
+		resp.countContinued(ok)
 		resp.winner = nil
 		at.headSent = true
 		at.lastEventID = resp.framer.LastID()
--- a/internal/router/pieces.go
+++ b/internal/router/pieces.go
@@ -133,6 +133,9 @@
 			p.Bytes = resp.framer.Feed(p.Bytes)
 		}
 		resp.bytesSent += int64(len(p.Bytes))
+		if resp.framer != nil && len(p.Bytes) > 0 {
+			resp.recordOrigin(at.vm)
+		}
 		resp.step(dispatch.PieceDelivered{})
 		return p, len(p.Bytes) > 0, nil
 	}
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -35,7 +35,7 @@
 // Pool holds the upstreams of one pool, with their load reports and conditions. Upstreams with
 // a sidecar that are leaving or drained are not in it; those without one are, because others can
 // still fetch cached prompts from them. Its contents are immutable but for loadReports, tracker
-// and byRegions, which are safe for concurrent use.
+// and parts, which are safe for concurrent use.
 type Pool struct {
 	VMs         []topo.VM
 	members     []placement.Member // in the order of VMs
@@ -44,8 +44,8 @@
 	tracker     *balance.Tracker
 	serving     []load.VM // upstreams that are neither leaving nor drained
 
-	locality  placement.Locality
-	byRegions sync.Map // *Pool of the upstreams in some regions, by the key of the regions
+	locality placement.Locality
+	parts    sync.Map // *Pool of some of the upstreams, by partKey
 
 	listed     map[string]condition.Set // conditions from the list and operators' orders, by id
 	warmupRate float64                  // requests a second that a cold upstream may get; zero: no limit
@@ -177,18 +177,44 @@
 	return p
 }
 
+// partKey identifies a part of a pool.
+type partKey struct {
+	regions string // key of the regions; empty: all
+	version string // of the software; only if ofVersion
+	// ofVersion reports whether the part is limited to upstreams of a version.
+	ofVersion bool
+}
+
 // inRegions returns the pool restricted to the upstreams in some regions; nil if there are none.
-// The result shares the load reports, tracker and conditions of the whole pool.
 func (p *Pool) inRegions(regions residency.Regions) *Pool {
 	if p == nil || regions.Unrestricted() {
 		return p
 	}
-	if part, ok := p.byRegions.Load(regions.Key()); ok {
+	return p.part(partKey{regions: regions.Key()}, func(vm topo.VM) bool {
+		return regions.Has(topo.Region(vm.FailureDomain))
+	})
+}
+
+// atVersion returns the pool restricted to the upstreams with a version of their software; nil if there
+// are none.
+func (p *Pool) atVersion(version string) *Pool {
+	if p == nil {
+		return nil
+	}
+	return p.part(partKey{version: version, ofVersion: true}, func(vm topo.VM) bool {
+		return vm.SoftwareVersion == version
+	})
+}
+
+// part returns the pool restricted to some of its upstreams; nil if there are none. The result
+// shares the load reports, tracker and conditions of the whole pool.
+func (p *Pool) part(key partKey, contains func(topo.VM) bool) *Pool {
+	if part, ok := p.parts.Load(key); ok {
 		return part.(*Pool)
 	}
 	part := &Pool{loadReports: p.loadReports, tracker: p.tracker, locality: p.locality, listed: p.listed, warmupRate: p.warmupRate, warmAt: p.warmAt}
 	for i, vm := range p.VMs {
-		if regions.Has(topo.Region(vm.FailureDomain)) {
+		if contains(vm) {
 			part.VMs, part.members = append(part.VMs, vm), append(part.members, p.members[i])
 		}
 	}
@@ -197,7 +223,7 @@
 	} else {
 		part.placed = p.placed.Subset(part.members, p.locality)
 	}
-	p.byRegions.Store(regions.Key(), part)
+	p.parts.Store(key, part)
 	return part
 }
 
