origins, router, platform: a stream that its client takes up goes on only at the version that began it

Clients that took a stream up at another router got events of another software version. Cause: Resumes was read nowhere, and the router that knew where the stream began may be dead or cut off. Ruled out: guessing from the session's home (views differ for a second, shares move in a rollout; likely is not exact); one version for long (a runner that has just left the list, and a router that has just started, hide a second one); the runner's own list of runs, which ends with the connection; the store, at 7,600 writes a second where 400 are allowed. Change: the router that passes on a first event keeps 13 bytes (hash of organisation and attempt, hash of pool and version, time to live) and tells two others, ranked by rendezvous of the stream, in other failure domains, in batches of 20 ms. Who is asked to go on and does not know asks the first of that ranking, for 150 ms at most, and refuses at once, not run, if nobody knows, if two versions are told, or if none of that version is left; else the request is held to that version by the same place as within one answer. Without Resumes a stream goes on only if the pool has one version. The routers that are registered are read again each six minutes by all, so that rankings agree; who leaves a question unanswered holds nothing.

--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -25,6 +25,10 @@
 	// announce themselves to each other at their start, so these reads only make up for
 	// announcements that were lost.
 	readInterval = 30 * time.Second
+	// refreshInterval is the mean interval between reads of the register by the other routers, with
+	// the same range: they have to agree on which routers there are, and in a large region they do
+	// not hear of all that start.
+	refreshInterval = 6 * time.Minute
 	// retryPause is the mean pause after a failed read, with the same range. It also
 	// bounds the delay of a requested check.
 	retryPause = time.Second
@@ -85,6 +89,8 @@
 func (reg *Registrar) waitForNextRead(ctx context.Context) {
 	next := time.NewTimer(readInterval/2 + rand.N(readInterval))
 	defer next.Stop()
+	refresh := time.NewTimer(refreshInterval/2 + rand.N(refreshInterval))
+	defer refresh.Stop()
 	entryCheck := time.NewTimer(entryCheckInterval/2 + rand.N(entryCheckInterval))
 	defer entryCheck.Stop()
 	for {
@@ -99,6 +105,8 @@
 			}
 		case <-entryCheck.C:
 			return
+		case <-refresh.C:
+			return
 		case <-next.C:
 			if reg.isReader() {
 				return
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -13,6 +13,16 @@
 	Heartbeat *Heartbeat `cbor:"1,keyasint,omitempty"`
 	Subscribe *Subscribe `cbor:"2,keyasint,omitempty"`
 	Report    *Report    `cbor:"3,keyasint,omitempty"`
+	Origins   Origins    `cbor:"4,keyasint,omitempty"`
+}
+
+// Origins is a message about the streams of callers. State does not handle it.
+type Origins []byte
+
+// EncodeOrigins returns the datagram for a message about streams. It returns an error if it is longer than
+// MaxMessageBytes.
+func EncodeOrigins(o Origins) ([]byte, error) {
+	return encode(message{Origins: o})
 }
 
 // Encode returns the datagram for a SendHeartbeat, SendSubscribe or SendReport effect.
@@ -30,6 +40,10 @@
 	default:
 		return nil, errors.Errorf("relay: %T cannot be encoded as a message", e)
 	}
+	return encode(m)
+}
+
+func encode(m message) ([]byte, error) {
 	b, err := cbor.Marshal(m)
 	if err == nil && len(b) > MaxMessageBytes {
 		err = errors.Errorf("relay: message of %d bytes exceeds the limit of %d", len(b), MaxMessageBytes)
@@ -40,20 +54,28 @@
 // ErrMalformed is returned for a datagram that is not a valid message.
 var ErrMalformed = errors.New("relay: malformed message")
 
-// Decode parses a datagram and returns a *Heartbeat, a *Subscribe or a *Report. Its
+// Decode parses a datagram and returns a *Heartbeat, a *Subscribe, a *Report or Origins. Its
 // error wraps ErrMalformed.
 func Decode(b []byte) (any, error) {
 	var m message
 	if err := cbor.Unmarshal(b, &m); err != nil {
 		return nil, errors.Wrap(ErrMalformed, err.Error())
 	}
-	switch {
-	case m.Heartbeat != nil && m.Subscribe == nil && m.Report == nil:
-		return m.Heartbeat, nil
-	case m.Subscribe != nil && m.Heartbeat == nil && m.Report == nil:
-		return m.Subscribe, nil
-	case m.Report != nil && m.Heartbeat == nil && m.Subscribe == nil:
-		return m.Report, nil
+	var set []any
+	if m.Heartbeat != nil {
+		set = append(set, m.Heartbeat)
+	}
+	if m.Subscribe != nil {
+		set = append(set, m.Subscribe)
+	}
+	if m.Report != nil {
+		set = append(set, m.Report)
+	}
+	if m.Origins != nil {
+		set = append(set, m.Origins)
+	}
+	if len(set) != 1 {
+		return nil, errors.Wrapf(ErrMalformed, "%d fields are set", len(set))
 	}
-	return nil, ErrMalformed
+	return set[0], nil
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -209,6 +209,8 @@
 	timing Timing
 	peers  map[string]*peer // of the router's region, by name
 	sorted []*peer          // all peers, by rank
+	// listVersion is the number of changes to the list of peers.
+	listVersion int
 
 	startedAt     time.Time       // time of the first event
 	parent        *peer           // the router that this one follows; nil: none
@@ -274,6 +276,7 @@
 		expired := p != s.parent && now.Sub(p.lastSeen) > forgetAfter
 		if expired {
 			delete(s.peers, p.router.Name)
+			s.listVersion++
 		}
 		return expired
 	})
@@ -297,10 +300,27 @@
 		p.rank = newRank
 		s.insertSorted(p)
 	}
+	if p.router != router {
+		s.listVersion++
+	}
 	p.router, p.lastSeen = router, now
 	return p
 }
 
+// ListVersion returns the number of changes that there have been to the result of Routers.
+func (s *State) ListVersion() int {
+	return s.listVersion
+}
+
+// Routers returns the other routers of the region that are known, whether they answer or not.
+func (s *State) Routers() []Router {
+	out := make([]Router, len(s.sorted))
+	for i, p := range s.sorted {
+		out[i] = p.router
+	}
+	return out
+}
+
 // insertSorted inserts a peer at the place of its rank. To sort all peers for each new one would take
 // a router of a large fleet longer than the rest of its start.
 func (s *State) insertSorted(p *peer) {
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -47,7 +47,9 @@
 	s.registerRead = true
 	isNew := make(map[*peer]bool)
 	for _, router := range e.Routers {
-		if s.peers[router.Name] == nil {
+		if p := s.peers[router.Name]; p != nil {
+			p.lastSeen = e.Now
+		} else {
 			isNew[s.recordPeer(e.Now, router)] = true
 		}
 	}
--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -34,6 +34,7 @@
 	fingerprint   uint64   // hash of the content; zero: not known
 	suspect       bool     // the request may have crashed an upstream and runs alone
 	origin        origin   // direct upstreams only: where the stream began
+	originTold    bool     // other routers have been told of it
 	lostAt        []string // direct upstreams only: upstreams at which attempts were lost
 	hasPermit     bool     // the suspect may run alone at a VM other than the crash site
 	resumeOffset  int64    // offset in an earlier response to resume from
--- a/internal/router/directoffer.go
+++ b/internal/router/directoffer.go
@@ -9,6 +9,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/balance"
 	"github.com/parsleyfront/parsleyfront/internal/exchange"
 	"github.com/parsleyfront/parsleyfront/internal/load"
+	"github.com/parsleyfront/parsleyfront/internal/origins"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
 	"github.com/parsleyfront/parsleyfront/internal/router/dispatch"
@@ -50,6 +51,20 @@
 	return r.Profile.Pool
 }
 
+// poolNames returns the pools that may serve the request.
+func (r *Request) poolNames() []string {
+	if len(r.Profile.Split) == 0 {
+		return []string{r.Profile.Pool}
+	}
+	names := make([]string, 0, len(r.Profile.Split))
+	for _, s := range r.Profile.Split {
+		if s.Weight > 0 {
+			names = append(names, s.Pool)
+		}
+	}
+	return names
+}
+
 // dispatchDirect is Dispatch for upstreams without a sidecar.
 func (r *Router) dispatchDirect(ctx context.Context, view *View, req Request) (*Response, error) {
 	now := time.Now()
@@ -68,6 +83,10 @@
 	}
 	resp.transport = directTransport{resp}
 	resp.ctx, resp.stop = context.WithCancel(ctx)
+	if err := resp.holdToOrigin(); err != nil {
+		resp.Close()
+		return nil, err
+	}
 	if resp.pool != nil {
 		resp.pool.tracker.RecordObjective(req.Urgency, req.Profile.Objective.Std())
 	}
@@ -142,6 +161,9 @@
 		d.view = d.router.View()
 		pool := d.eligiblePool()
 		if pool == nil {
+			if d.origin.isUncertain(d.view) {
+				d.tellOrigin(origins.Ambiguous)
+			}
 			return target{}, false
 		}
 		d.pool = pool
--- a/internal/router/mesh.go
+++ b/internal/router/mesh.go
@@ -58,6 +58,8 @@
 	meshSubscribeReceived meshKind = "subscribe-heard"
 	meshShareSent         meshKind = "share-sent"
 	meshShareReceived     meshKind = "share-heard"
+	meshOriginsSent       meshKind = "origins-sent"
+	meshOriginsReceived   meshKind = "origins-heard"
 )
 
 // mesh connects a router with the others: it carries out the relay's effects, and handles
@@ -76,6 +78,7 @@
 	lastReport   []byte    // latest report to the subscribers
 	lastReportAt time.Time // when lastReport was built
 	nextReportAt time.Time // earliest time of the next report
+	listVersion  int       // of the routers that are known, as passed on last
 	nextPool     int       // first pool of the next report, in the order of names
 	sharedAt     time.Time // time of the latest report to the parent
 	crashes      []byte    // entries of crashes in the latest reports
@@ -130,7 +133,7 @@
 func (m *mesh) receiveMessages() {
 	buf := make([]byte, 2*relay.MaxMessageBytes)
 	for {
-		n, _, err := m.Packets.ReadFrom(buf)
+		n, from, err := m.Packets.ReadFrom(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -138,7 +141,7 @@
 			time.Sleep(socketRetryDelay) // may be the delivery error of an earlier message
 			continue
 		}
-		m.handleMessage(buf[:n])
+		m.handleMessage(from, buf[:n])
 	}
 }
 
@@ -146,7 +149,7 @@
 const socketRetryDelay = 100 * time.Millisecond
 
 // handleMessage decodes and processes a message of another router.
-func (m *mesh) handleMessage(b []byte) {
+func (m *mesh) handleMessage(from net.Addr, b []byte) {
 	message, err := relay.Decode(b)
 	if err != nil {
 		meshMalformed.Inc()
@@ -162,11 +165,16 @@
 		m.router.loop.Post(RelayEvent{Event: relay.SubscribeReceived{Now: now, Subscribe: *e}})
 	case *relay.Report:
 		meshBytes.Add(meshShareReceived, int64(len(b)))
-		from := fromSubscriber
+		source := fromSubscriber
 		if e.IsSummary {
-			from = fromParent
+			source = fromParent
+		}
+		m.mergeSharing(now, e.Payload, source)
+	case relay.Origins:
+		meshBytes.Add(meshOriginsReceived, int64(len(b)))
+		if err := m.router.origins.handle(now, from.String(), e); err != nil {
+			meshMalformed.Inc()
 		}
-		m.mergeSharing(now, e.Payload, from)
 	}
 }
 
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"net"
 	"slices"
 	"strings"
 	"time"
@@ -115,6 +116,25 @@
 	return s.relayState.relay.ListedRouters()
 }
 
+// publishRouters passes the list of the other routers on to the exchange of origins if it has changed.
+func (r *Router) publishRouters() {
+	if r.mesh == nil {
+		return
+	}
+	if known := r.state.relayState.relay; known.ListVersion() != r.mesh.listVersion {
+		r.mesh.listVersion = known.ListVersion()
+		r.origins.setRouters(known.Routers())
+	}
+}
+
+// packetsOf returns the connection for messages between routers; nil: there is none.
+func packetsOf(m *Mesh) net.PacketConn {
+	if m == nil {
+		return nil
+	}
+	return m.Packets
+}
+
 // onParentReport passes the parent's summaries of the configuration and of the entries to the
 // followers.
 func (s *State) onParentReport(now time.Time, e relay.ParentProgress) []Effect {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -115,6 +115,7 @@
 	claimBudget    *claimBudget
 	claimer        *claim.Claimer
 	suspects       *suspects.Registry
+	origins        *originExchange
 	ledger         *ledger.Ledger
 	lastServed     *balance.LastServed[topo.VM]
 	coldStart      coldStart
@@ -154,6 +155,7 @@
 		claimBudget:    newClaimBudget(time.Now()),
 		claimer:        claim.NewClaimer(c.Store),
 		suspects:       suspects.NewRegistry(),
+		origins:        newOriginExchange(c.FailureDomain, packetsOf(c.Mesh)),
 		ledger:         ledger.New(),
 		lastServed:     balance.NewLastServed[topo.VM](),
 		coldStart:      coldStart{limiter: warmup.NewLimiter(c.VM)},
@@ -264,6 +266,7 @@
 func (r *Router) publish() {
 	r.view.Store(r.state.View())
 	r.coldStart.registeredRouters.Store(int64(r.state.RegisteredRouters()))
+	r.publishRouters()
 	r.ledger.Publish()
 	r.abandonReplaced()
 	if r.Ready() {
@@ -297,6 +300,7 @@
 	tag := ""
 	for ctx.Err() == nil {
 		r.suspects.Expire(time.Now())
+		r.origins.expire(time.Now())
 		r.coldStart.limiter.Expire(time.Now())
 		r.pruneConditions(time.Now())
 		r.claimer.ObserveEra(time.Now(), topo.EraOf(r.config.Store))
--- a/internal/router/sharing_test.go
+++ b/internal/router/sharing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -57,12 +58,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	parent.handleMessage(up)
+	parent.handleMessage(&net.UDPAddr{}, up)
 	down, err := relay.Encode(relay.SendReport{Report: relay.Report{From: "reader", IsSummary: true, Payload: parent.reportForSubscribers(time.Now())}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	third.handleMessage(down)
+	third.handleMessage(&net.UDPAddr{}, down)
 	if got := loadOf(third.pool(), time.Now(), "b"); got < 16 || got > 18 {
 		t.Errorf("load at the third router: %.1f, want 17", got)
 	}
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -206,6 +206,21 @@
 	})
 }
 
+// onlyVersion returns the version of the software that all upstreams of the pool have; false: there are several
+// or no upstreams.
+func (p *Pool) onlyVersion() (string, bool) {
+	if p == nil {
+		return "", false
+	}
+	version := p.VMs[0].SoftwareVersion
+	for _, vm := range p.VMs {
+		if vm.SoftwareVersion != version {
+			return "", false
+		}
+	}
+	return version, true
+}
+
 // part returns the pool restricted to some of its upstreams; nil if there are none. The result
 // shares the load reports, tracker and conditions of the whole pool.
 func (p *Pool) part(key partKey, contains func(topo.VM) bool) *Pool {
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -128,6 +128,12 @@
 	ReasonStoreDown Reason = "store-down"
 	// ReasonConcurrency is an organisation at its concurrency limit.
 	ReasonConcurrency Reason = "concurrency"
+	// ReasonOriginUnknown is a stream to be continued of which it is not known at which software version
+	// it began.
+	ReasonOriginUnknown Reason = "origin-unknown"
+	// ReasonVersionGone is a stream to be continued that began at a software version which no upstream has
+	// any more.
+	ReasonVersionGone Reason = "version-gone"
 	// ReasonCancelled is a request that its caller cancelled.
 	ReasonCancelled Reason = "cancelled"
 	// ReasonConnection is a connection to an upstream or its sidecar that broke or
