--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -123,7 +123,8 @@
 	Addr          string  `json:"addr"`
 	Pool          string  `json:"pool"`
 	FailureDomain string  `json:"failure_domain,omitempty"`
-	Load          float64 `json:"load"` // estimated number of requests
+	Version       string  `json:"version,omitempty"` // of its software
+	Load          float64 `json:"load"`              // estimated number of requests
 	// ReportedSlowdown is how long work takes on its machine according to its latest response, as a
 	// multiple of the usual time; zero: not reported lately.
 	ReportedSlowdown float64 `json:"reported_slowdown,omitempty"`
--- a/internal/router/account.go
+++ b/internal/router/account.go
@@ -38,7 +38,7 @@
 	}
 	permission, reason := set.Permission(condition.Work)
 	out := admin.UpstreamConditions{
-		VM: vm.ID, Addr: vm.Addr, Pool: vm.Pool, FailureDomain: vm.FailureDomain,
+		VM: vm.ID, Addr: vm.Addr, Pool: vm.Pool, FailureDomain: vm.FailureDomain, Version: vm.SoftwareVersion,
 		Load: roundTenths(p.tracker.Load(now, id)), ReportedSlowdown: roundTenths(p.tracker.ReportedSlowdown(now, id)), Permission: permission.String(),
 	}
 	if permission != condition.Freely {
