eventstream, router: a stall drops nothing unless another upstream goes on

A client got the end of an event without its beginning, in an answer that ended as complete. Cause: when a stream paused for too long, the part of an event that was held back was dropped before it was decided whether another upstream goes on; where none did (no attempt left, no budget), the same upstream went on in the middle of the event. Ruled out: stalls between events, which hold nothing back (TestStallAloneEndsNoStream). Change: asking whether a stream may be continued changes nothing; what is held back is dropped when another upstream is offered the rest. Conclusion: an old fault, mended.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -55,14 +55,17 @@
 	return f.pending
 }
 
-// Discard drops the buffered bytes after the stream was interrupted. It reports whether
-// another upstream may continue the stream after LastID, which is not the case within an
-// event of which a part was passed on.
-func (f *Framer) Discard() bool {
-	f.pending, f.position = nil, Position{}
+// MayContinue reports whether another upstream may continue the stream after LastID, which is
+// not the case within an event of which a part was passed on.
+func (f *Framer) MayContinue() bool {
 	return !f.partSent
 }
 
+// Discard drops the buffered bytes, when another upstream continues the stream after LastID.
+func (f *Framer) Discard() {
+	f.pending, f.position = nil, Position{}
+}
+
 // LastID returns the last event id that was passed on; empty: none. An event without an id
 // does not change it. Within an event of which a part was passed on, it may be the id of that event.
 func (f *Framer) LastID() string {
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -40,9 +40,10 @@
 		}
 		whole := stream(1)
 		feed(whole[:rapid.IntRange(0, len(whole)).Draw(t, "cut")])
-		if !f.Discard() {
+		if !f.MayContinue() {
 			t.Fatal("parts of short events were passed on")
 		}
+		f.Discard()
 		from := 1
 		if f.LastID() != "" {
 			if _, err := fmt.Sscan(f.LastID(), &from); err != nil {
@@ -67,7 +68,7 @@
 	if out := f.Feed(make([]byte, maxPendingBytes+1)); len(out) != maxPendingBytes+1 {
 		t.Fatalf("%d bytes were passed on", len(out))
 	}
-	if f.Discard() {
+	if f.MayContinue() {
 		t.Error("a stream interrupted within an event is reported as resumable")
 	}
 }
--- a/internal/router/effects.go
+++ b/internal/router/effects.go
@@ -35,6 +35,7 @@
 		resp.countContinued(ok)
 		resp.winner = nil
 		at.headSent = true
+		resp.framer.Discard()
 		at.lastEventID = resp.framer.LastID()
 	}
 	if !ok {
--- a/internal/router/pieces.go
+++ b/internal/router/pieces.go
@@ -63,7 +63,7 @@
 			at.watch.RecordFailure()
 			resp.router.recordLost(at.vm, resp.fingerprint, at.startedAt)
 		}
-		if resp.framer != nil && !resp.framer.Discard() {
+		if resp.framer != nil && !resp.framer.MayContinue() {
 			resp.step(dispatch.Ended{Now: time.Now(), Attempt: at.number, Err: errPartialEvent})
 			break
 		}
@@ -76,7 +76,7 @@
 // stream is abandoned only if another upstream continues it: a pause alone is no reason to
 // end a response. If none does, the timeout is switched off.
 func (resp *Response) handleStall(at *attempt) {
-	if resp.framer.Discard() {
+	if resp.framer.MayContinue() {
 		resp.step(dispatch.Stalled{Now: time.Now(), Attempt: at.number})
 	}
 	if s, ok := at.stream.(*directStream); ok && resp.winner == at {
