router: a stall of the last runner of a version ends no stream

A stream whose runner paused was broken off when no other upstream of its version was left. Cause: the attempt was given up before it was known whether another upstream may go on; with streams held to their version that is often not so. Ruled out: no attempts left, which was seen before. Change: whether there is an upstream is asked first; without one the timeout is switched off, as before. An offer that finds nobody to go on is final: the next ones would find the same.

--- a/internal/router/effects.go
+++ b/internal/router/effects.go
@@ -38,6 +38,10 @@
 		resp.framer.Discard()
 		at.lastEventID = resp.framer.LastID()
 	}
+	if !ok && e.Continue {
+		resp.launch(at, 0, nobodyContinues)
+		return
+	}
 	if !ok {
 		resp.launch(at, 0, noUpstreamLeft)
 		return
@@ -57,6 +61,13 @@
 	return dispatch.Unreachable{Now: time.Now(), Attempt: at.number, Err: err}
 }
 
+// nobodyContinues returns the event for an attempt to continue a stream for which there is no upstream.
+// Further offers would find none either.
+func nobodyContinues(at *attempt) dispatch.Event {
+	err := verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, "no upstream is left that may continue the stream")
+	return dispatch.Refused{Now: time.Now(), Attempt: at.number, Err: err, Final: true}
+}
+
 // followKey starts an attempt at the VM of the successor key under which the
 // request goes on.
 func (resp *Response) followKey(key wire.Key, effect effectFunc) {
--- a/internal/router/pieces.go
+++ b/internal/router/pieces.go
@@ -76,7 +76,7 @@
 // stream is abandoned only if another upstream continues it: a pause alone is no reason to
 // end a response. If none does, the timeout is switched off.
 func (resp *Response) handleStall(at *attempt) {
-	if resp.framer.MayContinue() {
+	if _, found := resp.transport.target(dispatch.Offer{Attempt: len(resp.attempts), Continue: true}); found && resp.framer.MayContinue() {
 		resp.step(dispatch.Stalled{Now: time.Now(), Attempt: at.number})
 	}
 	if s, ok := at.stream.(*directStream); ok && resp.winner == at {
