--- a/internal/origins/origins_test.go
+++ b/internal/origins/origins_test.go
@@ -183,3 +183,45 @@
 		t.Errorf("%d of %d copies went to routers that are gone", toGone, told)
 	}
 }
+
+// Most routers are lost in one moment, among them those that serve the streams. At least half of the streams must be
+// known to a router that is left: so many have to go on, of those that clients take up.
+func TestMostStreamsAreKnownAfterTheLossOfMostRouters(t *testing.T) {
+	for _, fleet := range []struct{ routers, domains, lost int }{{5, 3, 3}, {10, 3, 6}, {330, 12, 198}} {
+		all := routers(fleet.routers, fleet.domains)
+		const streams = 1000
+		known := 0
+		for i := range streams {
+			s := StreamOf("org", fmt.Sprint(i))
+			isLost := func(addr string) bool {
+				at := slices.IndexFunc(all, func(r Peer) bool { return r.Addr == addr })
+				return (at-i%len(all)+len(all))%len(all) < fleet.lost // the router that serves the stream is among them
+			}
+			asker := (i + fleet.lost) % len(all)
+			asked := append(peersOf(all, asker).Ask(start, s), all[asker].Addr)
+			for addr := range peersOf(all, i%len(all)).Tell(start, s) {
+				if !isLost(addr) && slices.Contains(asked, addr) {
+					known++
+					break
+				}
+			}
+		}
+		t.Logf("%d of %d routers are lost: %d of %d streams are known", fleet.lost, fleet.routers, known, streams)
+		if 2*known < streams {
+			t.Errorf("%d of %d routers are lost: %d of %d streams are known", fleet.lost, fleet.routers, known, streams)
+		}
+	}
+}
+
+// What it costs to find the holders of a stream in a fleet of the target's size.
+func BenchmarkTell(b *testing.B) {
+	p := peersOf(routers(330, 12), 0)
+	m, err := Message{Records: []Record{{1 << 60, 1 << 30, 30 * time.Second}}}.Encode()
+	if err != nil {
+		b.Fatal(err)
+	}
+	for i := 0; b.Loop(); i++ {
+		p.Tell(start, Stream(i))
+	}
+	b.ReportMetric(float64(len(m)), "bytes/message")
+}
