origins: the exchange between routers is in the package of its records; tests of it

Package router had grown by what tells other routers of streams and asks them. It is now origins.Exchange, which sends by a function that it is given; the router encodes and sends datagrams. No decision changes. Conclusion: moves and tests.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -4,10 +4,10 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"mime"
 	"net/http"
 	"time"
 
+	"github.com/parsleyfront/parsleyfront/internal/eventstream"
 	"github.com/parsleyfront/parsleyfront/internal/router"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
@@ -103,8 +103,7 @@
 	if c.offset > 0 {
 		h.Del("Content-Length") // it counts the whole response
 	}
-	mediaType, _, _ := mime.ParseMediaType(h.Get("Content-Type"))
-	c.events = mediaType == "text/event-stream"
+	c.events = eventstream.IsStream(h)
 	h.Set(HeaderVerdict, verdict.Ran.String())
 	c.w.WriteHeader(head.Status)
 }
--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -4,7 +4,8 @@
 // Record and tells it to a few others, the holders of the stream; a router that is asked to go on and
 // has no Record asks them. One that learns nothing must refuse.
 //
-// The package does no I/O. Package router calls it from the goroutines of requests and of messages.
+// The package does no I/O: Exchange sends messages by a function that it is given. Package router calls it from
+// the goroutines of requests and of messages.
 package origins
 
 import (
--- a/internal/router/continued.go
+++ b/internal/router/continued.go
@@ -80,7 +80,7 @@
 	if !resp.plan.Deadline.IsZero() {
 		ttl = max(resp.plan.Deadline.Sub(now), 0) + originSlack
 	}
-	resp.router.origins.tell(now, origins.Record{Stream: resp.req.stream(), Version: v, TTL: ttl})
+	resp.router.origins.Tell(now, origins.Record{Stream: resp.req.stream(), Version: v, TTL: ttl})
 }
 
 var takenUpStreams = telemetry.NewFamily[takeUp]("router_taken_up_streams_total", "outcome",
@@ -145,7 +145,7 @@
 		}
 		return resp.poolName, version, takeUpOneVersion
 	}
-	v, asked := resp.router.origins.lookup(resp.caller, resp.req.stream())
+	v, asked := resp.router.origins.Lookup(resp.caller, resp.req.stream())
 	switch v {
 	case origins.Unknown:
 		return "", "", takeUpUnknown
--- a/internal/router/mesh.go
+++ b/internal/router/mesh.go
@@ -172,7 +172,7 @@
 		m.mergeSharing(now, e.Payload, source)
 	case relay.Origins:
 		meshBytes.Add(meshOriginsReceived, int64(len(b)))
-		if err := m.router.origins.handle(now, from.String(), e); err != nil {
+		if err := m.router.origins.Handle(now, from.String(), e); err != nil {
 			meshMalformed.Inc()
 		}
 	}
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -123,7 +123,7 @@
 	}
 	if known := r.state.relayState.relay; known.ListVersion() != r.mesh.listVersion {
 		r.mesh.listVersion = known.ListVersion()
-		r.origins.setRouters(known.Routers())
+		r.origins.SetPeers(originPeers(known.Routers()))
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -17,6 +17,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/config/follow"
 	"github.com/parsleyfront/parsleyfront/internal/exchange"
 	"github.com/parsleyfront/parsleyfront/internal/loop"
+	"github.com/parsleyfront/parsleyfront/internal/origins"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/policy"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
@@ -115,7 +116,7 @@
 	claimBudget    *claimBudget
 	claimer        *claim.Claimer
 	suspects       *suspects.Registry
-	origins        *originExchange
+	origins        *origins.Exchange
 	ledger         *ledger.Ledger
 	lastServed     *balance.LastServed[topo.VM]
 	coldStart      coldStart
@@ -300,7 +301,7 @@
 	tag := ""
 	for ctx.Err() == nil {
 		r.suspects.Expire(time.Now())
-		r.origins.expire(time.Now())
+		originRecords.Set(int64(r.origins.Expire(time.Now())))
 		r.coldStart.limiter.Expire(time.Now())
 		r.pruneConditions(time.Now())
 		r.claimer.ObserveEra(time.Now(), topo.EraOf(r.config.Store))
