soak: all faults beside rollouts that stop half-way and callers that take streams up

Change: the general soak has runners of several versions, and in half of its seeds callers that take up streams; rollouts keep to the number of runners of other faults. Ruled out: callers that take up in planned seeds, where nothing breaks off.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -8,7 +8,7 @@
 //
 // Every fifth seed has planned operations only (stops, reloads, configuration changes, runners
 // that leave). In these, every request must get a complete response. In others, by seed, runners reject
-// late, callers leave early, and one caller sends requests that crash runners.
+// late, callers leave early or take up streams, and one caller sends requests that crash runners.
 package soak
 
 import (
@@ -91,14 +91,15 @@
 	h.play()
 }
 
-// varyCallersAndRunners makes runners reject late, callers leave early and a caller send requests that
-// crash runners, in all combinations over the seeds.
+// varyCallersAndRunners makes runners reject late, callers leave early or take up streams and a caller send
+// requests that crash runners, in all combinations over the seeds.
 func (h *harness) varyCallersAndRunners() {
 	if h.seed%2 == 1 {
 		h.maxRestDelay = maxLateRest
 	}
 	h.callersLeave = h.seed%3 == 1
 	h.crashingCallers = h.seed%3 == 2
+	h.takesUp = h.seed%4 < 2
 }
 
 // play runs the fleet under its faults for the duration of a seed, and checks what was observed.
--- a/test/soak/versions_test.go
+++ b/test/soak/versions_test.go
@@ -46,6 +46,9 @@
 	h.software++
 	h.mu.Unlock()
 	for range 1 + h.intN(runnersAtStart) {
+		if len(h.liveRunners()) >= 2*runnersAtStart {
+			return
+		}
 		if _, err := h.newRunner(); err != nil {
 			h.t.Error(err)
 			return
