register: one interval after which a router reads the register again

Since all routers read the register again each six minutes, the second timer for the sake of the own entry, each twelve hours, could never be the first. Change: one timer; the page of the package says who reads how often. Ruled out: dropping the check of the own entry, which each read makes.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -1,6 +1,7 @@
 // Package eventstream passes on a stream of server-sent events in whole events, so that
 // another upstream can continue the stream where it was interrupted. The caller must not
-// receive an incomplete event or the same event twice.
+// receive an incomplete event or the same event twice. It also says where the body of a stream ends
+// that nothing but the end of its connection marks (Body).
 package eventstream
 
 import "bytes"
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -1,9 +1,9 @@
 // Package register maintains the entries in the platform's store by which routers discover
 // each other.
 //
-// Each router runs a Registrar. A router reads the register at its start. After that, only
-// a router that reads the store for others reads the register again, periodically: it is
-// assumed that connected routers report further routers to each other.
+// Each router runs a Registrar, which reads the register at its start and then periodically: often
+// in a router that reads the store for others, and seldom in the others, which only have to agree
+// in the long run on which routers there are.
 package register
 
 import (
@@ -27,7 +27,8 @@
 	readInterval = 30 * time.Second
 	// refreshInterval is the mean interval between reads of the register by the other routers, with
 	// the same range: they have to agree on which routers there are, and in a large region they do
-	// not hear of all that start.
+	// not hear of all that start. It is also how soon a router finds that its own entry has become
+	// older than entryRewriteAge, long before the entry ends.
 	refreshInterval = 6 * time.Minute
 	// retryPause is the mean pause after a failed read, with the same range. It also
 	// bounds the delay of a requested check.
@@ -37,12 +38,6 @@
 	// content or older than entryRewriteAge.
 	entryTTL        = 48 * time.Hour
 	entryRewriteAge = entryTTL / 2
-	// entryCheckInterval is the mean interval at which every router reads the register for
-	// the sake of its own entry; each one is between half and one and a half of it. With an
-	// entry that is younger than entryRewriteAge at one read, the next read comes before
-	// entryTTL is over. Without these reads, a router that runs for longer would be removed
-	// from the register, and routers that start would not find it.
-	entryCheckInterval = entryTTL / 4
 )
 
 // registration is the value of a router's entry in the store.
@@ -82,8 +77,8 @@
 	}
 }
 
-// waitForNextRead waits for about readInterval, and for as long as this router does not read
-// the store for others, but no longer than for about entryCheckInterval. Meanwhile, on request, it checks that the store has this router's
+// waitForNextRead waits for about readInterval, or for about refreshInterval while this router does
+// not read the store for others. Meanwhile, on request, it checks that the store has this router's
 // entry: a store that was restored from an older copy may lack it, and routers that start
 // would not find this one. If the check fails, it returns, so that Run reads the register.
 func (reg *Registrar) waitForNextRead(ctx context.Context) {
@@ -91,8 +86,6 @@
 	defer next.Stop()
 	refresh := time.NewTimer(refreshInterval/2 + rand.N(refreshInterval))
 	defer refresh.Stop()
-	entryCheck := time.NewTimer(entryCheckInterval/2 + rand.N(entryCheckInterval))
-	defer entryCheck.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -103,8 +96,6 @@
 				slog.Warn("checking or rewriting this router's entry in the register failed", "error", err)
 				return
 			}
-		case <-entryCheck.C:
-			return
 		case <-refresh.C:
 			return
 		case <-next.C:
