--- a/internal/quarantine/observed.go
+++ b/internal/quarantine/observed.go
@@ -83,9 +83,10 @@
 
 // ObservedDecision is the result of DecideObserved.
 type ObservedDecision struct {
-	Action  Action    // Allow, RunAlone if the request is suspected, or Refuse
-	Crashes int       // observed crashes that no other fingerprint explains
-	Until   time.Time // only for Refuse: when the conviction ends
+	Action    Action    // Allow, RunAlone if the request is suspected, or Refuse
+	Crashes   int       // observed crashes that no other fingerprint explains
+	Explained int       // observed crashes that another fingerprint explains
+	Until     time.Time // only for Refuse: when the conviction ends
 }
 
 // DecideObserved returns how a request may run at an upstream without a sidecar.
@@ -93,13 +94,18 @@
 	if len(t.byFingerprint[p]) == 0 {
 		return ObservedDecision{Action: Allow}
 	}
+	var d ObservedDecision
 	var ends []time.Time
 	for _, e := range t.byFingerprint[p] {
-		if e.countsAt(now) && !t.isExplainedByCount(now, e) {
+		switch {
+		case !e.countsAt(now):
+		case t.isExplainedByCount(now, e):
+			d.Explained++
+		default:
 			ends = append(ends, e.Expires())
 		}
 	}
-	d := ObservedDecision{Crashes: len(ends)}
+	d.Crashes = len(ends)
 	switch {
 	case d.Crashes >= crashesToConvict:
 		slices.SortFunc(ends, time.Time.Compare)
--- a/internal/router/crashes.go
+++ b/internal/router/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net/http"
 	"slices"
 	"time"
 
@@ -24,6 +25,10 @@
 		"Requests that were turned away for a moment because copies of them are at upstreams that are not heard of any more.")
 	retractedCrashes = telemetry.NewCounter("router_retracted_crashes_total",
 		"Upstreams without a sidecar that were found to have crashed, and answered again.")
+	retractingSigns = telemetry.NewFamily[sign]("router_retracting_signs_total", "sign",
+		"Upstreams without a sidecar that were found to have crashed, by what they have sent that shows they have not.")
+	excusedRequests = telemetry.NewCounter("router_excused_requests_total",
+		"Requests that were sent although as many upstreams have crashed under them as convict, since other requests explain these crashes.")
 	suspectRefusals = telemetry.NewCounter("router_suspect_refusals_total",
 		"Requests that were turned away for a moment because a copy of them that may crash its upstream was under way.")
 )
@@ -37,6 +42,17 @@
 	crashGone     crashEvidence = "gone"     // its entry has ended, though it had not said that it leaves
 )
 
+// sign is what has arrived of an upstream, and shows that it lives.
+type sign string
+
+const (
+	signAnswer     sign = "answer"      // the head of an answer
+	signRejection  sign = "rejection"   // a rejection of a request that was not run
+	signMisdirect  sign = "misdirected" // a rejection since it is another upstream that was addressed
+	signPiece      sign = "piece"       // a piece of the body of an answer
+	signLateAnswer sign = "late"        // an answer that no attempt waits for
+)
+
 // applyObservedCrashes returns an error if the request has crashed so many upstreams that it is
 // refused, if copies of it are at as many of which nothing is heard any more, or if it is suspected and a
 // copy of it is under way. Copies of a suspect that run one by one cost one upstream until it is
@@ -54,6 +70,9 @@
 		err := verdict.New(verdict.NotRun, verdict.ReasonSuspect, "copies of this request are at %d upstreams that have not been heard of since", n)
 		return err.WithRetryAfter(quarantine.RetryAfter)
 	}
+	if d.Crashes+d.Explained >= quarantine.MaxUnknown {
+		excusedRequests.Inc()
+	}
 	if d.Action == quarantine.RunAlone {
 		end, ok := resp.router.suspects.TryRunAlone(resp.fingerprint)
 		if !ok {
@@ -207,23 +226,35 @@
 }
 
 // recordSign records that something of an upstream has arrived.
-func (r *Router) recordSign(vm topo.VM) {
-	r.countRetracted(vm, r.suspects.Sign(time.Now(), vm.ID))
+func (r *Router) recordSign(vm topo.VM, s sign) {
+	r.countRetracted(vm, s, r.suspects.Sign(time.Now(), vm.ID))
 }
 
 // recordResponded records that the response to an attempt has begun.
-func (r *Router) recordResponded(at *attempt) {
+func (r *Router) recordResponded(at *attempt, s sign) {
 	if sent := at.sent.Load(); sent != nil {
-		r.countRetracted(at.vm, r.suspects.Responded(time.Now(), sent))
+		r.countRetracted(at.vm, s, r.suspects.Responded(time.Now(), sent))
 	}
 }
 
-func (r *Router) countRetracted(vm topo.VM, retracted bool) {
+func (r *Router) countRetracted(vm topo.VM, s sign, retracted bool) {
 	if !retracted {
 		return
 	}
 	retractedCrashes.Inc()
-	slog.Warn("upstream has not crashed: it answers", "upstream", vm.ID, "addr", vm.Addr, "pool", vm.Pool)
+	retractingSigns.Inc(s)
+	slog.Warn("upstream has not crashed: it answers", "upstream", vm.ID, "addr", vm.Addr, "pool", vm.Pool, "sign", string(s))
+}
+
+// responseSign returns what the head of a response shows of its upstream.
+func responseSign(s *exchange.Stream) sign {
+	switch {
+	case s.Status() == http.StatusMisdirectedRequest:
+		return signMisdirect
+	case s.Signal.NotRun:
+		return signRejection
+	}
+	return signAnswer
 }
 
 // recordAnswered records that the answer to an attempt has arrived, or as much of it as shows that the
--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -58,7 +58,7 @@
 	if p.End != nil {
 		s.router.recordAnswered(s.attempt)
 	} else {
-		s.router.recordSign(s.attempt.vm)
+		s.router.recordSign(s.attempt.vm, signPiece)
 	}
 	return p, nil
 }
@@ -99,7 +99,7 @@
 		at.span.Fail(string(verdict.From(err).Reason))
 		return d.failureEvent(at, verdict.From(err))
 	}
-	d.router.recordResponded(at)
+	d.router.recordResponded(at, responseSign(s))
 	at.stream = &directStream{Stream: s, router: d.router, attempt: at, tracker: at.tracker, vm: id, profile: d.req.Profile.Name}
 	d.handleSignal(at, s.Signal)
 	if s.Signal.NotRun {
