exchange, router: what a successor answers at an address is no sign of the upstream that had it before

Class: what comes from an address is taken as said by the incarnation that was called. Change: a response counts as proven once its connection has brought an answer of a run, since only the incarnation that was called runs it; a rejection before that, a 421 in any case, is no sign, no survived copy and tells no load; the connection of a 421 is closed, and was kept under the old id, where a check found it open; a late 421 is evidence of a crash like one in time. A rejection of a left copy is no survival either: it has not run. Ruled out: news between routers (one router has the fault, too). Why it works: a crash is taken back only by an answer that names the request and was run for the id that it was sent to. Conclusion: the first cause is mended; several requests at once still go on.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -38,6 +38,7 @@
 	r           *bufio.Reader
 	readErr     error      // first error of Read other than a timeout
 	reused      bool       // the connection has been idle before
+	proven      bool       // the incarnation that was called is at the other end: it has run a call
 	expires     time.Time  // when an idle connection is to be closed
 	bodyWritten chan error // receives the result of writing a long body; nil: none in progress
 
@@ -147,6 +148,8 @@
 			continue // an interim response, which has no body
 		}
 		signal := d.Read(resp.StatusCode, resp.Header)
+		c.proven = c.proven || signal.ID == id && !signal.NotRun
+		signal.Proven = c.proven && !signal.Misdirected
 		if signal.ID == id {
 			return resp, signal, nil
 		}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -35,7 +35,8 @@
 type LeftEnd int
 
 const (
-	LeftAnswered LeftEnd = iota // it was rejected, or the head of a response that is no stream arrived
+	LeftAnswered LeftEnd = iota // the head of a response that is no stream arrived
+	LeftRejected                // it was rejected, and has not run
 	LeftClosed                  // the upstream closed the connection
 	LeftReset                   // the connection broke
 )
@@ -48,9 +49,15 @@
 type Signal struct {
 	ID     string // id of the call that the response belongs to
 	NotRun bool   // the upstream has not run the call and never will
-	Load   *Load  // nil: the upstream does not report its load
+	// Misdirected reports that the response is from another incarnation, which has the address of the one
+	// that was called. The fields below are not set then.
+	Misdirected bool
+	Load        *Load // nil: the upstream does not report its load
 	// Leaving reports that this incarnation of the upstream accepts no new requests.
 	Leaving bool
+	// Proven reports that the incarnation that was called has sent the response. A rejection on a new
+	// connection may come from another one at its address. Set by the Client.
+	Proven bool
 	// RetryAfter is for how long this router should send nothing to the upstream;
 	// zero: the upstream gave no time.
 	RetryAfter time.Duration
--- a/internal/exchange/linger.go
+++ b/internal/exchange/linger.go
@@ -100,16 +100,18 @@
 		leftCalls.Inc(leftClosed)
 	}
 	runsOn := err == nil && !signal.NotRun && eventstream.IsStream(resp.Header)
-	if end, heard := leftEnd(err); heard && !runsOn && (lingered || err == nil) && call.AfterLeft != nil {
+	if end, heard := leftEnd(signal, err); heard && !runsOn && (lingered || err == nil) && call.AfterLeft != nil {
 		call.AfterLeft(end)
 	}
 	return nil, Signal{}, ctx.Err()
 }
 
-// leftEnd returns what the error with which the head of a response was awaited says of a call that was
-// left, and whether it says anything: the wait ends without a word when the call is due.
-func leftEnd(err error) (end LeftEnd, heard bool) {
+// leftEnd returns what the head of a response, or the error with which it was awaited, says of a call that
+// was left, and whether it says anything: the wait ends without a word when the call is due.
+func leftEnd(head Signal, err error) (end LeftEnd, heard bool) {
 	switch {
+	case err == nil && head.NotRun:
+		return LeftRejected, true
 	case err == nil:
 		return LeftAnswered, true
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, net.ErrClosed):
--- a/internal/router/conditions.go
+++ b/internal/router/conditions.go
@@ -35,7 +35,13 @@
 // ended, or the response is a second one.
 func (r *Router) handleLateSignal(vm topo.VM, signal exchange.Signal) {
 	lateSignals.Inc()
-	r.recordSign(vm, signLateAnswer)
+	if signal.Misdirected {
+		r.recordMisdirected(vm)
+		return
+	}
+	if signal.Proven {
+		r.recordSign(vm, signLateAnswer)
+	}
 	if pool := r.View().Pools[vm.Pool]; pool != nil && signal.Load != nil {
 		pool.tracker.RecordLoad(time.Now(), load.Hash(vm.ID), signal.Load.Running+signal.Load.Waiting)
 	}
--- a/internal/router/crashes.go
+++ b/internal/router/crashes.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"net/http"
 	"slices"
 	"time"
 
@@ -46,11 +45,10 @@
 type sign string
 
 const (
-	signAnswer     sign = "answer"      // the head of an answer
-	signRejection  sign = "rejection"   // a rejection of a request that was not run
-	signMisdirect  sign = "misdirected" // a rejection since it is another upstream that was addressed
-	signPiece      sign = "piece"       // a piece of the body of an answer
-	signLateAnswer sign = "late"        // an answer that no attempt waits for
+	signAnswer     sign = "answer"    // the head of an answer
+	signRejection  sign = "rejection" // a rejection of a request that was not run
+	signPiece      sign = "piece"     // a piece of the body of an answer
+	signLateAnswer sign = "late"      // an answer that no attempt waits for
 )
 
 // applyObservedCrashes returns an error if the request has crashed so many upstreams that it is
@@ -203,9 +201,13 @@
 		return
 	}
 	r.recordLeft(at) // its context may end at this moment
-	if end == exchange.LeftAnswered {
+	switch end {
+	case exchange.LeftAnswered:
 		r.suspects.Answered(time.Now(), sent)
 		return
+	case exchange.LeftRejected:
+		r.suspects.Rejected(sent)
+		return
 	}
 	leftFor := r.suspects.Closed(time.Now(), sent)
 	if end == exchange.LeftReset || leftFor > promptClose {
@@ -230,10 +232,11 @@
 	r.countRetracted(vm, s, r.suspects.Sign(time.Now(), vm.ID))
 }
 
-// recordResponded records that the response to an attempt has begun.
-func (r *Router) recordResponded(at *attempt, s sign) {
-	if sent := at.sent.Load(); sent != nil {
-		r.countRetracted(at.vm, s, r.suspects.Responded(time.Now(), sent))
+// recordResponded records that the response to an attempt has begun. It is a sign of life only if it is known
+// to come from the upstream that was called.
+func (r *Router) recordResponded(at *attempt, signal exchange.Signal) {
+	if sent := at.sent.Load(); sent != nil && signal.Proven {
+		r.countRetracted(at.vm, responseSign(signal), r.suspects.Responded(time.Now(), sent))
 	}
 }
 
@@ -247,11 +250,8 @@
 }
 
 // responseSign returns what the head of a response shows of its upstream.
-func responseSign(s *exchange.Stream) sign {
-	switch {
-	case s.Status() == http.StatusMisdirectedRequest:
-		return signMisdirect
-	case s.Signal.NotRun:
+func responseSign(signal exchange.Signal) sign {
+	if signal.NotRun {
 		return signRejection
 	}
 	return signAnswer
@@ -265,6 +265,21 @@
 	}
 }
 
+// recordRejected records that an attempt was rejected and has not run.
+func (r *Router) recordRejected(at *attempt) {
+	if sent := at.sent.Load(); sent != nil {
+		r.suspects.Rejected(sent)
+	}
+}
+
+// recordMisdirected records that another incarnation has the address of an upstream that was called. Its entry
+// is still in the store, or was written again by a late heartbeat: until it is removed, each further
+// request would be refused in the same way.
+func (r *Router) recordMisdirected(vm topo.VM) {
+	r.markUnreachable(vm.ID)
+	r.recordCrash(vm, crashReplaced)
+}
+
 // checkCrash records a crash if an upstream refuses connections, and returns what it has found. An
 // upstream that only loses answers still accepts them. It checks twice: while a process ends, its other
 // connections may still be open.
--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -99,25 +99,22 @@
 		at.span.Fail(string(verdict.From(err).Reason))
 		return d.failureEvent(at, verdict.From(err))
 	}
-	d.router.recordResponded(at, responseSign(s))
+	d.router.recordResponded(at, s.Signal)
 	at.stream = &directStream{Stream: s, router: d.router, attempt: at, tracker: at.tracker, vm: id, profile: d.req.Profile.Name}
 	d.handleSignal(at, s.Signal)
 	if s.Signal.NotRun {
-		d.router.recordAnswered(at)
-		s.Drain()
+		d.router.recordRejected(at)
 		at.stream = nil
-		if s.Status() == http.StatusMisdirectedRequest {
-			// Another upstream has its address: the one that was addressed is gone, but its
-			// entry is still in the store, or was written again by a late heartbeat. Until
-			// the entry is removed, each further request would be refused in the same way.
-			d.router.markUnreachable(at.vm.ID)
-			d.router.recordCrash(at.vm, crashReplaced)
+		if s.Signal.Misdirected {
+			s.Close()
+			d.router.recordMisdirected(at.vm)
 		} else {
 			// An upstream that rejects requests while others accept theirs is chosen last,
 			// like one that fails them: a request that may be sent only once cannot try
 			// another upstream. With half of the upstreams rejecting half of their requests,
 			// .7% of all requests were rejected without this and .2% with it; in a surge
 			// with slow upstreams, .16 and .11%.
+			s.Drain()
 			at.watch.RecordOutcome(false)
 		}
 		return dispatch.Refused{Now: time.Now(), Attempt: at.number, Err: refusedError(s.Status())}
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -122,6 +122,14 @@
 	r.recordSurvivedIf(r.account.Answered(sent), now, sent)
 }
 
+// Rejected records that a request was rejected by its upstream, or by another one at its address. It has not
+// run, which says nothing of what it does to one that runs it.
+func (r *Registry) Rejected(sent *quarantine.Sent) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.account.Answered(sent)
+}
+
 // Outlived records that an upstream accepts connections after it has closed that of a request which was
 // left.
 func (r *Registry) Outlived(now time.Time, sent *quarantine.Sent) {
--- a/internal/suspects/suspects_test.go
+++ b/internal/suspects/suspects_test.go
@@ -88,3 +88,20 @@
 		t.Errorf("%+v", d)
 	}
 }
+
+// A copy that nobody awaits any more is rejected late, without having run. Guards against taking that for a
+// copy that its upstream has survived.
+func TestRejectedCopiesAreNotSurvived(t *testing.T) {
+	r := crashedUnder(7, 3)
+	for i := range 12 {
+		sent := r.Send(epoch, fmt.Sprint("upstream-", i), 7, epoch.Add(5*time.Second))
+		r.Left(epoch.Add(time.Second), sent)
+		r.Rejected(sent)
+	}
+	if d := r.DecideObserved(epoch.Add(time.Second), 7); d.Action != quarantine.Refuse {
+		t.Errorf("%+v", d)
+	}
+	if r.HasEnded("upstream-1") {
+		t.Error("a rejected copy is still accounted for")
+	}
+}
