router, topo: an upstream whose address another one has joined at has crashed

What callers saw: requests for a crashed upstream go to the next process at its address, which rejects them, one for each router and more while the former entry stands; of a runner that falls silent the crash is known only when its entry ends, 1.6 s after its successor is listed. Cause: the list was compared by id only. Change: when an upstream joins, those at the same address that have not said that they leave count as replaced, as after a 421. An entry that a late heartbeat writes at the address of a living upstream makes that one rank last for a moment; what it answers takes the crash back. Ruled out: ending the calls there as for an id that starts again, which would cut a living upstream in that case.

--- a/internal/router/conditions.go
+++ b/internal/router/conditions.go
@@ -36,7 +36,7 @@
 func (r *Router) handleLateSignal(vm topo.VM, signal exchange.Signal) {
 	lateSignals.Inc()
 	if signal.Misdirected {
-		r.recordMisdirected(vm)
+		r.recordReplaced(vm)
 		return
 	}
 	if signal.Proven {
--- a/internal/router/crashes.go
+++ b/internal/router/crashes.go
@@ -272,10 +272,9 @@
 	}
 }
 
-// recordMisdirected records that another incarnation has the address of an upstream that was called. Its entry
-// is still in the store, or was written again by a late heartbeat: until it is removed, each further
-// request would be refused in the same way.
-func (r *Router) recordMisdirected(vm topo.VM) {
+// recordReplaced records that another upstream has the address of one whose entry is still in the store, or
+// was written again by a late heartbeat. Until it is removed, each further request for it would be refused.
+func (r *Router) recordReplaced(vm topo.VM) {
 	r.markUnreachable(vm.ID)
 	r.recordCrash(vm, crashReplaced)
 }
@@ -326,3 +325,13 @@
 		}
 	}
 }
+
+// onMembersSuperseded records the crashes of upstreams at whose addresses others have started, though they had
+// not said that they leave.
+func (r *Router) onMembersSuperseded(e MembershipChanged) {
+	for _, vm := range e.Superseded {
+		if vm.Role == topo.RoleDirect && !vm.Leaving && !r.conditions.IsLeaving(vm.ID) {
+			r.recordReplaced(vm)
+		}
+	}
+}
--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -107,7 +107,7 @@
 		at.stream = nil
 		if s.Signal.Misdirected {
 			s.Close()
-			d.router.recordMisdirected(at.vm)
+			d.router.recordReplaced(at.vm)
 		} else {
 			// An upstream that rejects requests while others accept theirs is chosen last,
 			// like one that fails them: a request that may be sent only once cannot try
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -219,6 +219,7 @@
 	case MembershipChanged:
 		logMembers(e)
 		r.onMembersLeft(e)
+		r.onMembersSuperseded(e)
 	case RelayEffect:
 		r.mesh.execute(e.Effect)
 	case MembersEffect:
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -51,8 +51,11 @@
 func (ConfigQueried) isEvent() {}
 func (VMsChanged) isEvent()    {}
 
-// MembershipChanged is an Effect: log changes of the list of VMs.
-type MembershipChanged struct{ Changes []topo.VMChange }
+// MembershipChanged is an Effect: log changes of the list of VMs, and act on VMs that have ended.
+type MembershipChanged struct {
+	Changes    []topo.VMChange
+	Superseded []topo.VM // at whose addresses others have joined
+}
 
 func (MembershipChanged) isEffect() {}
 
@@ -165,7 +168,8 @@
 	case ConfigQueried:
 		return s.answerQuery(e)
 	case VMsChanged:
-		members := MembershipChanged{Changes: topo.Changes(s.vms.Entries, e.VMs.Entries)}
+		changes := topo.Changes(s.vms.Entries, e.VMs.Entries)
+		members := MembershipChanged{Changes: changes, Superseded: topo.Superseded(changes, e.VMs.Entries)}
 		s.vms = e.VMs
 		s.recordFirstSeen(e.Now)
 		s.stale.pools = true
--- a/internal/topo/change.go
+++ b/internal/topo/change.go
@@ -42,3 +42,24 @@
 	}
 	return out
 }
+
+// Superseded returns the VMs of a list at whose addresses others have joined. Only one process has an address:
+// those that were there before have ended, though their entries still exist.
+func Superseded(changes []VMChange, after []VM) []VM {
+	joined := make(map[string]string) // id by address
+	for _, c := range changes {
+		if c.State == VMJoined {
+			joined[c.VM.Addr] = c.VM.ID
+		}
+	}
+	if len(joined) == 0 {
+		return nil
+	}
+	var out []VM
+	for _, vm := range after {
+		if id, taken := joined[vm.Addr]; taken && id != vm.ID {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
--- a/internal/topo/change_test.go
+++ b/internal/topo/change_test.go
@@ -20,3 +20,17 @@
 		t.Errorf("%+v, want %+v", got, want)
 	}
 }
+
+// Guards against VMs that are taken for replaced though nobody has joined at their address, and against those
+// that go unnoticed until their entries end.
+func TestSuperseded(t *testing.T) {
+	at := func(id, addr string) VM { return VM{ID: id, Addr: addr} }
+	before := []VM{at("a", "1"), at("b", "2")}
+	after := []VM{at("a", "1"), at("b", "2"), at("c", "2"), at("d", "3")}
+	if got := Superseded(Changes(before, after), after); !slices.Equal(got, []VM{at("b", "2")}) {
+		t.Errorf("%+v", got)
+	}
+	if got := Superseded(Changes(after, after), after); len(got) > 0 {
+		t.Errorf("nobody has joined: %+v", got)
+	}
+}
