router, dispatch: a request that another upstream rejects for one that is gone has not used up an attempt

What callers saw: while plain runners start again, requests that may be sent to one runner only are refused as soon as the first choice is one that is gone and whose address the next one has: 503, though nothing has run and others are free. Cause: a 421 counted like an attempt that has reached its upstream. Class: an address is taken for the process that had it. Change: a misdirected attempt counts like one that could not be reached, and the next one still draws on the budget of repeats, since the platform counts arrivals that are rejected. Ruled out: leaving the limit of attempts, which holds for what runs (model of dispatch).

--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -117,7 +117,7 @@
 			s.Drain()
 			at.watch.RecordOutcome(false)
 		}
-		return dispatch.Refused{Now: time.Now(), Attempt: at.number, Err: refusedError(s.Status())}
+		return dispatch.Refused{Now: time.Now(), Attempt: at.number, Err: refusedError(s), Misdirected: s.Signal.Misdirected}
 	}
 	if at.headSent && s.Status() != http.StatusOK {
 		d.router.recordAnswered(at)
@@ -199,12 +199,12 @@
 
 // refusedError returns the error for a request that an upstream has rejected without running
 // it.
-func refusedError(status int) *verdict.Error {
+func refusedError(s *exchange.Stream) *verdict.Error {
 	reason := verdict.ReasonQueueFull
-	if status == http.StatusMisdirectedRequest {
+	if s.Signal.Misdirected {
 		reason = verdict.ReasonUpstreamDown // another upstream has its address
 	}
-	return verdict.New(verdict.NotRun, reason, "the upstream refused with status %d", status)
+	return verdict.New(verdict.NotRun, reason, "the upstream refused with status %d", s.Status())
 }
 
 // awaitFirstByte waits for the first byte of a response, which counts as an outcome of the
--- a/internal/router/dispatch/dispatch_test.go
+++ b/internal/router/dispatch/dispatch_test.go
@@ -103,7 +103,8 @@
 		sidecar.ran = rapid.Bool().Draw(s.t, "arrived")
 		s.post(ConnectionLost{Now: s.now, Attempt: i})
 	case 2:
-		s.post(Refused{Now: s.now, Attempt: i, Err: verdict.New(verdict.NotRun, verdict.ReasonQueueFull, "")})
+		misdirected := rapid.Bool().Draw(s.t, "misdirected")
+		s.post(Refused{Now: s.now, Attempt: i, Err: verdict.New(verdict.NotRun, verdict.ReasonQueueFull, ""), Misdirected: misdirected})
 	case 3:
 		sidecar.ran = true
 		s.post(ErrorResponse{Now: s.now, Attempt: i, Err: failed})
--- a/internal/router/dispatch/event.go
+++ b/internal/router/dispatch/event.go
@@ -56,6 +56,9 @@
 	Err       *verdict.Error
 	Successor *wire.Key // successor key under which the request continues; nil: none
 	Final     bool      // no other upstream would accept the request
+	// Misdirected reports that another upstream, which has the address of the one that was offered the
+	// request, has refused it.
+	Misdirected bool
 }
 
 // ConnectionLost reports that a connection broke after the request had been sent over it.
--- a/internal/router/dispatch/step.go
+++ b/internal/router/dispatch/step.go
@@ -70,6 +70,9 @@
 	if e.Successor != nil {
 		e.Err = verdict.New(verdict.MayHaveRun, verdict.ReasonMoved, "the request has moved too often to be followed")
 	}
+	if e.Misdirected { // the upstream that was chosen was not reached
+		s.unreachedAttempts++
+	}
 	// An attach is refused by a sidecar that no longer has the request, or by the
 	// sidecar's next incarnation. The request had been admitted there.
 	reachedUpstream := a.phase == admitted || s.plan.Direct
