--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -41,7 +41,7 @@
 type Entry struct {
 	Fingerprint Fingerprint
 	Crash       Crash
-	VM          string        // VM that crashed
+	VM          string        // VM that crashed; empty in observed entries of other routers
 	At          time.Time     // time of the crash, in whole milliseconds
 	RunTime     time.Duration // how long it had run at the crash, or had been awaited if it was observed, in whole milliseconds
 	Alone       bool          // no other fingerprint was running
--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -102,7 +102,16 @@
 
 // Gossip returns entries to add to a message to another process, in at most budget
 // bytes. It returns nil if there is nothing to send or the rate limit is reached.
+// It contains no entries of observed crashes, see GossipObserved.
 func (t *Table) Gossip(now time.Time, budget int) json.RawMessage {
+	return t.gossip(now, budget, false, func(entries []*Entry, budget int) ([]byte, int) {
+		out, n := encode(entries, budget)
+		return out, n
+	})
+}
+
+// gossip is Gossip for the entries of crashes that were observed, or of those that were not.
+func (t *Table) gossip(now time.Time, budget int, observed bool, encode func([]*Entry, int) ([]byte, int)) []byte {
 	if len(t.outbox.pending) == 0 {
 		return nil
 	}
@@ -111,7 +120,7 @@
 	if budget < minGossipBytes {
 		return nil
 	}
-	picked := t.outbox.pick(now, func(e *Entry) bool { return e.Observed && t.isConvictedByCount(now, e.Fingerprint) })
+	picked := t.pick(now, observed)
 	out, n := encode(picked, budget)
 	t.outbox.tokens -= float64(len(out))
 	for _, e := range picked[:n] {
@@ -121,22 +130,26 @@
 	return out
 }
 
-// pick returns the entries to send, in order: those sent least often first, then those
-// with the highest status. It removes entries that are older than gossipPeriod, unless keep
-// returns true for them.
-func (t *outbox) pick(now time.Time, keep func(*Entry) bool) []*Entry {
-	current := make([]*pendingEntry, 0, len(t.pending))
-	for k, n := range t.pending {
-		if !n.entry.isLive(now) || now.Sub(n.since) > gossipPeriod && !keep(n.entry) {
-			delete(t.pending, k)
+// pick returns the entries to send, in order: first those of fingerprints with several crashes, which may soon be
+// refused, or were and are cleared, then those sent least often, then those with the highest status. It
+// removes entries that are older than gossipPeriod, unless they convict a fingerprint.
+func (t *Table) pick(now time.Time, observed bool) []*Entry {
+	pending := t.outbox.pending
+	current := make([]*pendingEntry, 0, len(pending))
+	for k, n := range pending {
+		isOld := now.Sub(n.since) > gossipPeriod && !(n.entry.Observed && t.isConvictedByCount(now, n.entry.Fingerprint))
+		if isOld || !n.entry.isLive(now) {
+			delete(pending, k)
 			continue
 		}
-		if n.isDue(now) {
+		if n.entry.Observed == observed && n.isDue(now) {
 			current = append(current, n)
 		}
 	}
+	hasSeveral := func(n *pendingEntry) int { return min(len(t.byFingerprint[n.entry.Fingerprint]), crashesToSuspect) }
 	slices.SortFunc(current, func(x, y *pendingEntry) int {
 		return cmp.Or(
+			cmp.Compare(hasSeveral(y), hasSeveral(x)),
 			cmp.Compare(x.sent, y.sent),
 			cmp.Compare(y.entry.Status, x.entry.Status),
 			compare(x.entry, y.entry),
--- a/internal/quarantine/observed.go
+++ b/internal/quarantine/observed.go
@@ -118,7 +118,8 @@
 
 // WasLostAt reports whether a crash of an upstream that p was lost at is recorded.
 func (t *Table) WasLostAt(now time.Time, p Fingerprint, upstream string) bool {
-	return slices.ContainsFunc(t.byFingerprint[p], func(e *Entry) bool { return e.VM == upstream && e.countsAt(now) })
+	crash := observedCrash(upstream)
+	return slices.ContainsFunc(t.byFingerprint[p], func(e *Entry) bool { return e.Crash == crash && e.countsAt(now) })
 }
 
 // countsAt reports whether the entry of an observed crash counts at now.
--- a/internal/quarantine/observed_test.go
+++ b/internal/quarantine/observed_test.go
@@ -176,7 +176,7 @@
 	}
 	sent := 0
 	for at := epoch; at.Before(epoch.Add(10 * time.Second)); at = at.Add(90 * time.Millisecond) {
-		sent += len(table.Gossip(at, 256))
+		sent += len(table.GossipObserved(at, 256))
 	}
 	if most := gossipBurstBytes + 10*gossipBytesPerSecond; sent > most {
 		t.Errorf("%d bytes sent in 10 s, want at most %d", sent, most)
@@ -212,12 +212,12 @@
 	table.RecordObservedCrash(epoch, "upstream-9", epoch, lostNow(epoch, 8))
 	at := epoch
 	for at.Before(epoch.Add(2 * gossipPeriod)) {
-		table.Gossip(at, 256)
+		table.GossipObserved(at, 256)
 		at = at.Add(90 * time.Millisecond)
 	}
 	started := New("", 0)
 	for until := at.Add(2 * maxRepeat); at.Before(until); at = at.Add(90 * time.Millisecond) {
-		_ = started.Merge(at, table.Gossip(at, 256))
+		_ = started.MergeObserved(at, table.GossipObserved(at, 256))
 	}
 	if got := started.DecideObserved(at, 7); got.Action != Refuse {
 		t.Errorf("%+v", got)
--- a/internal/quarantine/survived.go
+++ b/internal/quarantine/survived.go
@@ -39,6 +39,12 @@
 	return min(int(waitBucketsPerOctave*math.Log2(ms)), waitBuckets-1)
 }
 
+// waitOf returns the shortest time in a bucket, in whole milliseconds.
+func waitOf(bucket uint8) time.Duration {
+	ms := math.Ceil(math.Exp2(float64(bucket) / waitBucketsPerOctave))
+	return time.Duration(ms) * time.Millisecond
+}
+
 // add records a survival.
 func (s *survivals) add(now time.Time, p Fingerprint, awaited time.Duration) {
 	if s.current == nil || now.Sub(s.since) >= survivalsFor || len(s.current) >= maxSurvivingRequests {
--- a/internal/router/mesh.go
+++ b/internal/router/mesh.go
@@ -16,6 +16,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/membership"
 	"github.com/parsleyfront/parsleyfront/internal/register"
 	"github.com/parsleyfront/parsleyfront/internal/relay"
+	"github.com/parsleyfront/parsleyfront/internal/suspects"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
@@ -75,14 +76,14 @@
 	register   *register.Registrar
 
 	// The control loop owns the fields below.
-	lastReport   []byte    // latest report to the subscribers
-	lastReportAt time.Time // when lastReport was built
-	nextReportAt time.Time // earliest time of the next report
-	listVersion  int       // of the routers that are known, as passed on last
-	nextPool     int       // first pool of the next report, in the order of names
-	sharedAt     time.Time // time of the latest report to the parent
-	crashes      []byte    // entries of crashes in the latest reports
-	crashesAt    time.Time // when crashes was built
+	lastReport   []byte        // latest report to the subscribers
+	lastReportAt time.Time     // when lastReport was built
+	nextReportAt time.Time     // earliest time of the next report
+	listVersion  int           // of the routers that are known, as passed on last
+	nextPool     int           // first pool of the next report, in the order of names
+	sharedAt     time.Time     // time of the latest report to the parent
+	crashes      suspects.News // of the latest reports
+	crashesAt    time.Time     // when crashes was built
 }
 
 func newMesh(r *Router, m Mesh) *mesh {
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -10,6 +10,7 @@
 	"github.com/zeebo/xxh3"
 
 	"github.com/parsleyfront/parsleyfront/internal/balance"
+	"github.com/parsleyfront/parsleyfront/internal/suspects"
 )
 
 // sharingMessage is the state that routers share with each other, apart from the objects that
@@ -19,8 +20,10 @@
 	// Leaving holds the hashes of the ids of upstreams that have announced in responses that
 	// they are leaving.
 	Leaving []uint64 `cbor:"3,keyasint,omitempty"`
-	// Crashes holds entries of crashes of upstreams, as encoded by package quarantine.
+	// Crashes holds entries of crashes of upstreams with sidecars, as encoded by package quarantine.
 	Crashes []byte `cbor:"4,keyasint,omitempty"`
+	// Observed holds entries of crashes of upstreams without sidecars.
+	Observed []byte `cbor:"5,keyasint,omitempty"`
 	// Routers is the number of routers of the region that the sender knows.
 	Routers int `cbor:"2,keyasint,omitempty"`
 }
@@ -67,7 +70,7 @@
 	pools := m.collectPools(func(p *Pool) balance.SharedState { return p.tracker.Summary(now, p.serving) })
 	leaving := m.leavingUpstreams(true)
 	crashes := m.crashesToShare(now)
-	if len(pools) == 0 && len(leaving) == 0 && len(crashes) == 0 {
+	if len(pools) == 0 && len(leaving) == 0 && crashes.IsEmpty() {
 		m.lastReport = nil
 		return nil
 	}
@@ -91,17 +94,17 @@
 	leaving := m.leavingUpstreams(false)
 	crashes := m.crashesToShare(now)
 	var out [][]byte
-	for len(pools) > 0 || len(leaving) > 0 || len(crashes) > 0 {
+	for len(pools) > 0 || len(leaving) > 0 || !crashes.IsEmpty() {
 		n := fittingPools(pools)
 		out = append(out, m.encodeSharing(pools[:n], leaving, crashes))
-		pools, leaving, crashes = pools[n:], nil, nil
+		pools, leaving, crashes = pools[n:], nil, suspects.News{}
 	}
 	return out
 }
 
 // crashesToShare returns the entries of crashes for a report. The reports of the same moment, to the
 // parent and to the subscribers, carry the same ones.
-func (m *mesh) crashesToShare(now time.Time) []byte {
+func (m *mesh) crashesToShare(now time.Time) suspects.News {
 	if now.Sub(m.crashesAt) >= reportInterval {
 		m.crashesAt = now
 		m.crashes = m.router.suspects.Gossip(now, maxCrashBytes)
@@ -165,11 +168,11 @@
 }
 
 // encodeSharing returns the encoded message; nil if it can't be encoded.
-func (m *mesh) encodeSharing(pools []sharedPool, leaving []uint64, crashes []byte) []byte {
-	if len(crashes) > 0 {
+func (m *mesh) encodeSharing(pools []sharedPool, leaving []uint64, crashes suspects.News) []byte {
+	if !crashes.IsEmpty() {
 		leaving = leaving[:min(len(leaving), maxLeavingBesideCrashes)]
 	}
-	b, err := cbor.Marshal(sharingMessage{Pools: pools, Leaving: leaving, Crashes: crashes, Routers: m.router.coldStart.routerCount(1)})
+	b, err := cbor.Marshal(sharingMessage{Pools: pools, Leaving: leaving, Crashes: crashes.Crashes, Observed: crashes.Observed, Routers: m.router.coldStart.routerCount(1)})
 	if err != nil {
 		slog.Error("the state to share with other routers could not be encoded", "error", err)
 		return nil
@@ -200,7 +203,7 @@
 		m.router.coldStart.reportedRouters.Store(int64(s.Routers))
 	}
 	m.mergeLeaving(now, s.Leaving)
-	if err := m.router.suspects.Merge(now, s.Crashes); err != nil {
+	if err := m.router.suspects.MergeNews(now, suspects.News{Crashes: s.Crashes, Observed: s.Observed}); err != nil {
 		meshMalformed.Inc()
 	}
 	byHash := make(map[uint32]*Pool)
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -49,11 +49,31 @@
 	return r.book.Merge(now, data)
 }
 
-// Gossip returns entries of crashes for other routers, in at most budget bytes; nil: none now.
-func (r *Registry) Gossip(now time.Time, budget int) json.RawMessage {
+// News is what a router tells others of crashes.
+type News struct {
+	Crashes  json.RawMessage // of upstreams with sidecars
+	Observed []byte          // of those without
+}
+
+// IsEmpty reports whether there is no news.
+func (n News) IsEmpty() bool { return len(n.Crashes) == 0 && len(n.Observed) == 0 }
+
+// Gossip returns news for other routers, in at most budget bytes.
+func (r *Registry) Gossip(now time.Time, budget int) News {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	observed := r.book.GossipObserved(now, budget)
+	return News{Observed: observed, Crashes: r.book.Gossip(now, budget-len(observed))}
+}
+
+// MergeNews adds the news of another router.
+func (r *Registry) MergeNews(now time.Time, n News) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.book.Gossip(now, budget)
+	if err := r.book.MergeObserved(now, n.Observed); err != nil {
+		return err
+	}
+	return r.book.Merge(now, n.Crashes)
 }
 
 // Decide returns how a request may run, and the suspects to send to its sidecar:
