quarantine, suspects, router: of requests at the same crashes each is tried alone

What callers saw: several requests that crash runners at once share crashes. Cause: a crash was taken for explained by whoever was at more crashes, and a conviction could not be cleared, since nothing that could clear it was sent. Class: who is guilty was decided by comparing counts of the same crashes. Change: a request at three crashes, of which fewer than three are free of others at three, is neither refused nor excused: one copy is tried alone. Its loss, with no such other there, convicts; its answer clears it, at all routers. Entries say whether they come from a trial.

--- a/internal/quarantine/account.go
+++ b/internal/quarantine/account.go
@@ -30,9 +30,8 @@
 // Sent is a request that was sent to an upstream. The Account that returned it owns its fields.
 type Sent struct {
 	upstream string
-	print    Fingerprint
+	copy     Copy
 	started  time.Time
-	due      time.Time // when its upstream is to stop; zero: not known
 	state    sentState
 	endedAt  time.Time // when it was lost or left
 	until    time.Time // lost or left: it does not run after this time
@@ -73,14 +72,21 @@
 	return &Account{upstreams: make(map[string]*record)}
 }
 
-// Send records that a request is being sent to an upstream, which is to stop at due; zero: not known.
-func (a *Account) Send(now time.Time, upstream string, p Fingerprint, due time.Time) *Sent {
+// Copy is a copy of a request that is sent to an upstream.
+type Copy struct {
+	Fingerprint Fingerprint
+	Due         time.Time // when its upstream is to stop; zero: not known
+	Tried       bool      // it is sent alone, to see whether it crashes its upstream
+}
+
+// Send records that a copy of a request is being sent to an upstream.
+func (a *Account) Send(now time.Time, upstream string, c Copy) *Sent {
 	r := a.upstreams[upstream]
 	if r == nil {
 		r = &record{}
 		a.upstreams[upstream] = r
 	}
-	s := &Sent{upstream: upstream, print: p, started: now, due: due}
+	s := &Sent{upstream: upstream, copy: c, started: now}
 	r.waiting = append(r.waiting, s)
 	return s
 }
@@ -139,10 +145,10 @@
 func (a *Account) Left(now time.Time, s *Sent) (crashed bool) {
 	until := now.Add(dueMargin)
 	switch {
-	case s.due.IsZero():
+	case s.copy.Due.IsZero():
 		until = now.Add(defaultRunTime)
-	case s.due.After(now):
-		until = s.due.Add(dueMargin)
+	case s.copy.Due.After(now):
+		until = s.copy.Due.Add(dueMargin)
 	}
 	return a.end(now, s, left, until)
 }
@@ -181,14 +187,14 @@
 func (s *Sent) Upstream() string { return s.upstream }
 
 // Fingerprint returns the fingerprint of the request.
-func (s *Sent) Fingerprint() uint64 { return uint64(s.print) }
+func (s *Sent) Fingerprint() uint64 { return uint64(s.copy.Fingerprint) }
 
 // Started returns when the request was sent.
 func (s *Sent) Started() time.Time { return s.started }
 
 // Running returns the request, which was lost or left, as one that was running at a crash.
 func (s *Sent) Running() RunningRequest {
-	return RunningRequest{Fingerprint: s.print, Started: s.started, Awaited: max(0, s.endedAt.Sub(s.started))}
+	return RunningRequest{Fingerprint: s.copy.Fingerprint, Started: s.started, Awaited: max(0, s.endedAt.Sub(s.started)), Tried: s.copy.Tried}
 }
 
 // CrashedRequests is what an Account knows of the requests at a crash.
@@ -233,7 +239,7 @@
 // HasWaiting reports whether the answer to a copy of a request is awaited.
 func (a *Account) HasWaiting(p Fingerprint) bool {
 	for _, r := range a.upstreams {
-		if slices.ContainsFunc(r.waiting, func(s *Sent) bool { return s.print == p }) {
+		if slices.ContainsFunc(r.waiting, func(s *Sent) bool { return s.copy.Fingerprint == p }) {
 			return true
 		}
 	}
--- a/internal/quarantine/account_test.go
+++ b/internal/quarantine/account_test.go
@@ -16,18 +16,18 @@
 // requests that are taken for the cause of a crash that happened at another time.
 func TestAccountRelatesLostRequestsToCrashes(t *testing.T) {
 	a := NewAccount()
-	s := a.Send(epoch, "a", 7, time.Time{})
+	s := a.Send(epoch, "a", Copy{Fingerprint: 7})
 	if a.Lost(epoch, s) {
 		t.Error("known to have crashed before it was reported")
 	}
 	if got := a.Crashed(after(1), "a"); !slices.Equal(got.Lost, []RunningRequest{s.Running()}) {
 		t.Errorf("lost before: %v", got)
 	}
-	s = a.Send(after(.5), "a", 7, time.Time{})
+	s = a.Send(after(.5), "a", Copy{Fingerprint: 7})
 	if !a.Lost(after(2), s) {
 		t.Error("lost after: not known to have crashed")
 	}
-	a.Lost(epoch, a.Send(epoch, "b", 7, time.Time{}))
+	a.Lost(epoch, a.Send(epoch, "b", Copy{Fingerprint: 7}))
 	if got := a.Crashed(epoch.Add(evidenceWindow), "b"); len(got.Lost) > 0 {
 		t.Errorf("lost long before: %v", got)
 	}
@@ -65,7 +65,7 @@
 	for _, story := range leftStories {
 		t.Run(story.name, func(t *testing.T) {
 			a := NewAccount()
-			s := a.Send(epoch, "a", 7, after(5))
+			s := a.Send(epoch, "a", Copy{Fingerprint: 7, Due: after(5)})
 			a.Left(after(1), s)
 			if story.play != nil {
 				story.play(a, s)
@@ -85,7 +85,7 @@
 // crashed before.
 func TestRequestLeftAfterItsUpstreamCrashedCounts(t *testing.T) {
 	a := NewAccount()
-	before, later := a.Send(epoch, "a", 7, after(5)), a.Send(after(3), "a", 8, after(5))
+	before, later := a.Send(epoch, "a", Copy{Fingerprint: 7, Due: after(5)}), a.Send(after(3), "a", Copy{Fingerprint: 8, Due: after(5)})
 	a.Crashed(after(2), "a")
 	if !a.Left(after(4), before) {
 		t.Error("sent before the crash: not counted")
@@ -101,7 +101,7 @@
 	a := NewAccount()
 	for i := range 3 * maxEnded {
 		at := epoch.Add(time.Duration(i) * time.Millisecond)
-		a.Left(at, a.Send(at, fmt.Sprint("upstream-", i%50), Fingerprint(i+1), after(60)))
+		a.Left(at, a.Send(at, fmt.Sprint("upstream-", i%50), Copy{Fingerprint: Fingerprint(i + 1), Due: after(60)}))
 	}
 	if a.size != maxEnded {
 		t.Errorf("%d requests are kept, want %d", a.size, maxEnded)
@@ -131,10 +131,10 @@
 		a := NewAccount()
 		var sent []*Sent
 		for range c.lostAt {
-			sent = append(sent, a.Send(epoch, "a", 7, time.Time{}))
+			sent = append(sent, a.Send(epoch, "a", Copy{Fingerprint: 7}))
 		}
 		if c.waiting {
-			a.Send(epoch, "a", 8, time.Time{})
+			a.Send(epoch, "a", Copy{Fingerprint: 8})
 		}
 		for i, s := range sent {
 			a.Lost(after(c.lostAt[i]), s)
--- a/internal/quarantine/bench_test.go
+++ b/internal/quarantine/bench_test.go
@@ -99,11 +99,11 @@
 		b.Run(fmt.Sprint(kept), func(b *testing.B) {
 			a := NewAccount()
 			for i := range kept {
-				a.Left(epoch, a.Send(epoch, fmt.Sprint("upstream-", i%500), Fingerprint(i+1), epoch.Add(time.Minute)))
+				a.Left(epoch, a.Send(epoch, fmt.Sprint("upstream-", i%500), Copy{Fingerprint: Fingerprint(i + 1), Due: epoch.Add(time.Minute)}))
 			}
 			b.ReportAllocs()
 			for i := range b.N {
-				s := a.Send(epoch, fmt.Sprint("upstream-", i%500), 7, epoch.Add(time.Minute))
+				s := a.Send(epoch, fmt.Sprint("upstream-", i%500), Copy{Fingerprint: 7, Due: epoch.Add(time.Minute)})
 				a.Whereabouts(7)
 				a.Left(epoch, s)
 				a.Answered(s)
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -58,6 +58,9 @@
 	Wait
 	// Refuse means that the fingerprint is convicted and must not run.
 	Refuse
+	// Try means that one copy may run alone, to see whether it is the cause of crashes that others may have
+	// caused as well. Only for upstreams without a sidecar.
+	Try
 )
 
 // Decision is the result of Decide.
@@ -150,6 +153,7 @@
 	Fingerprint Fingerprint // zero: not known
 	Started     time.Time
 	Awaited     time.Duration // observed crashes only: for how long its answer was awaited
+	Tried       bool          // observed crashes only: it was sent alone to see whether it is the cause
 }
 
 // RecordCrash records a crash of this sidecar's upstream and returns the new entries.
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -46,9 +46,11 @@
 	RunTime     time.Duration // how long it had run at the crash, or had been awaited if it was observed, in whole milliseconds
 	Alone       bool          // no other fingerprint was running
 	Observed    bool          // a router observed the crash: the upstream has no sidecar
+	Tried       bool          // observed crashes only: the request was sent alone to see whether it is the cause
 	Status      Status
 
-	own bool // this process observed the crash, and had sent the request
+	own     bool      // this process observed the crash, and had sent the request
+	heardAt time.Time // when this process observed or heard of it
 }
 
 // key identifies an Entry.
--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -35,14 +35,21 @@
 // crashJSON is the wire form of the entries of one crash. It contains the crash once,
 // since the suspects of a crash are mostly sent together.
 type crashJSON struct {
-	Crash    Crash      `json:"c"`
-	VM       string     `json:"vm"`
-	At       int64      `json:"t"` // Unix milliseconds
-	Alone    bool       `json:"a,omitempty"`
-	Observed bool       `json:"r,omitempty"`
-	Suspects [][3]int64 `json:"s"` // fingerprint (its bits), run time in ms, status
+	Crash    Crash         `json:"c"`
+	VM       string        `json:"vm"`
+	At       int64         `json:"t"` // Unix milliseconds
+	Alone    bool          `json:"a,omitempty"`
+	Observed bool          `json:"r,omitempty"`
+	Suspects []suspectJSON `json:"s"`
 }
 
+// suspectJSON is the wire form of one of the suspects of a crash: fingerprint (its bits), run time in ms, status,
+// and for a request that was tried suspectTried.
+type suspectJSON []int64
+
+// suspectTried is the value of the fourth number of a suspectJSON. A process that does not know it ignores it.
+const suspectTried = 1
+
 // outbox holds the entries to gossip and a token bucket that limits their rate.
 type outbox struct {
 	pending    map[key]*pendingEntry
@@ -227,13 +234,21 @@
 	}
 	for _, c := range crashes {
 		for _, s := range c.Suspects {
-			t.mergeEntry(now, c.entry(s))
+			e, ok := c.entry(s)
+			if !ok {
+				return errors.Errorf("quarantine: suspect with %d numbers", len(s))
+			}
+			t.mergeEntry(now, e)
 		}
 	}
 	return nil
 }
 
-func (c *crashJSON) entry(s [3]int64) Entry {
+// entry returns the entry of a suspect. ok is false if numbers are missing.
+func (c *crashJSON) entry(s suspectJSON) (e Entry, ok bool) {
+	if len(s) < 3 {
+		return Entry{}, false
+	}
 	return Entry{
 		Fingerprint: Fingerprint(s[0]),
 		Crash:       c.Crash,
@@ -243,7 +258,17 @@
 		Alone:       c.Alone,
 		Observed:    c.Observed,
 		Status:      min(Status(s[2]), Convicted),
+		Tried:       len(s) > 3 && s[3] == suspectTried,
+	}, true
+}
+
+// newSuspectJSON returns the wire form of an entry, which leaves out its crash.
+func newSuspectJSON(e *Entry) suspectJSON {
+	s := suspectJSON{int64(e.Fingerprint), e.RunTime.Milliseconds(), int64(e.Status)}
+	if e.Tried {
+		s = append(s, suspectTried)
 	}
+	return s
 }
 
 // encode encodes as many of the entries, in order, as fit into budget bytes, and
@@ -254,11 +279,11 @@
 	size, n := len("[]"), 0
 	for _, e := range entries {
 		i, known := at[e.Crash]
-		suspect := [3]int64{int64(e.Fingerprint), e.RunTime.Milliseconds(), int64(e.Status)}
+		suspect := newSuspectJSON(e)
 		size += jsonSize(suspect) + len(",")
 		if !known {
 			i = len(crashes)
-			c := crashJSON{Crash: e.Crash, VM: e.VM, At: e.At.UnixMilli(), Alone: e.Alone, Observed: e.Observed, Suspects: [][3]int64{}}
+			c := crashJSON{Crash: e.Crash, VM: e.VM, At: e.At.UnixMilli(), Alone: e.Alone, Observed: e.Observed, Suspects: []suspectJSON{}}
 			size += jsonSize(c) + len(",")
 			at[e.Crash] = i
 			crashes = append(crashes, c)
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -101,6 +101,7 @@
 	for _, known := range t.byFingerprint[e.Fingerprint] {
 		if known.Crash == e.Crash {
 			known.own = known.own || e.own
+			known.Tried = known.Tried || e.Tried
 			t.raiseStatus(now, known, e.Status)
 			return
 		}
@@ -110,6 +111,7 @@
 	}
 	t.size++
 	t.changes++
+	e.heardAt = now
 	t.byFingerprint[e.Fingerprint] = append(t.byFingerprint[e.Fingerprint], &e)
 	t.byCrash[e.Crash] = append(t.byCrash[e.Crash], &e)
 	t.outbox.add(now, &e)
--- a/internal/quarantine/observed.go
+++ b/internal/quarantine/observed.go
@@ -20,6 +20,9 @@
 
 	// maxSuspectsPerCrash bounds the entries that a router records of a crash.
 	maxSuspectsPerCrash = 16
+	// trialTimeout is how long after its latest crash a fingerprint that is to be tried keeps others from the
+	// upstreams at which it ranks first. Its caller may have gone.
+	trialTimeout = 15 * time.Second
 	// observedCrashSeed separates the ids of observed crashes from those that sidecars give.
 	observedCrashSeed = 1
 	// servedFor is the shortest time for which a fingerprint counts as served after a request with
@@ -45,7 +48,7 @@
 	before := t.size
 	for _, r := range running[:min(len(running), maxSuspectsPerCrash)] {
 		awaited := r.Awaited.Truncate(time.Millisecond)
-		t.mergeEntry(now, Entry{Fingerprint: r.Fingerprint, Crash: crash, VM: upstream, At: at, RunTime: awaited, Observed: true, own: true})
+		t.mergeEntry(now, Entry{Fingerprint: r.Fingerprint, Crash: crash, VM: upstream, At: at, RunTime: awaited, Observed: true, Tried: r.Tried, own: true})
 	}
 	return t.size - before
 }
@@ -83,39 +86,84 @@
 
 // ObservedDecision is the result of DecideObserved.
 type ObservedDecision struct {
-	Action    Action    // Allow, RunAlone if the request is suspected, or Refuse
+	Action    Action    // Allow, RunAlone if the request is suspected, Try, or Refuse
 	Crashes   int       // observed crashes that no other fingerprint explains
 	Explained int       // observed crashes that another fingerprint explains
 	Until     time.Time // only for Refuse: when the conviction ends
+	Since     time.Time // only for Try: when the latest of its crashes was heard of
+}
+
+// SuspectedCrashes returns the number of crashes that a request is held responsible for. One that is to be tried
+// counts as one crash short of a conviction.
+func (d ObservedDecision) SuspectedCrashes() int {
+	if d.Action == Try {
+		return crashesToConvict - 1
+	}
+	return d.Crashes
 }
 
 // DecideObserved returns how a request may run at an upstream without a sidecar.
+//
+// A fingerprint that was lost at as many crashes as convict is refused if no other that may be their cause was
+// there, or if it was lost when it was tried. Otherwise each of them may be the cause or a bystander: one
+// copy of each is tried alone.
 func (t *Table) DecideObserved(now time.Time, p Fingerprint) ObservedDecision {
 	if len(t.byFingerprint[p]) == 0 {
 		return ObservedDecision{Action: Allow}
 	}
 	var d ObservedDecision
 	var ends []time.Time
+	failedTrial := false
 	for _, e := range t.byFingerprint[p] {
-		switch {
-		case !e.countsAt(now):
-		case t.isExplainedByCount(now, e):
+		if !e.countsAt(now) {
+			continue
+		}
+		ends = append(ends, e.Expires())
+		if e.heardAt.After(d.Since) {
+			d.Since = e.heardAt
+		}
+		if t.isExplainedByCount(now, e) {
 			d.Explained++
-		default:
-			ends = append(ends, e.Expires())
+		} else {
+			d.Crashes++
+			failedTrial = failedTrial || e.Tried
 		}
 	}
-	d.Crashes = len(ends)
 	switch {
-	case d.Crashes >= crashesToConvict:
+	case len(ends) >= crashesToConvict && (d.Crashes >= crashesToConvict || failedTrial):
 		slices.SortFunc(ends, time.Time.Compare)
 		d.Action, d.Until = Refuse, ends[len(ends)-crashesToConvict]
+	case len(ends) >= crashesToConvict:
+		d.Action = Try
 	case d.Crashes >= crashesToSuspect:
 		d.Action = RunAlone
 	}
 	return d
 }
 
+// MayTryAt returns a function that reports whether a fingerprint that is to be tried may be tried at an upstream:
+// two that run at one upstream when it crashes tell nothing. Of those that are to be tried, each upstream
+// has one that ranks first. Tables with the same entries agree on it.
+func (t *Table) MayTryAt(now time.Time, p Fingerprint) func(upstream string) bool {
+	var others []Fingerprint
+	for q, entries := range t.byFingerprint {
+		if q == p || len(entries) < crashesToConvict {
+			continue
+		}
+		if d := t.DecideObserved(now, q); d.Action == Try && now.Sub(d.Since) < trialTimeout {
+			others = append(others, q)
+		}
+	}
+	return func(upstream string) bool {
+		score := trialScore(upstream, p)
+		return !slices.ContainsFunc(others, func(q Fingerprint) bool { return trialScore(upstream, q) > score })
+	}
+}
+
+func trialScore(upstream string, p Fingerprint) uint64 {
+	return xxh3.HashStringSeed(upstream, uint64(p))
+}
+
 // WasLostAt reports whether a crash of an upstream that p was lost at is recorded.
 func (t *Table) WasLostAt(now time.Time, p Fingerprint, upstream string) bool {
 	crash := observedCrash(upstream)
@@ -138,13 +186,11 @@
 	return n
 }
 
-// isExplainedByCount reports whether another fingerprint that was lost at e's crash has enough
-// crashes to be convicted, and more than that of e. The other requests at a crash are not held
-// guilty of it.
+// isExplainedByCount reports whether another fingerprint that was lost at e's crash has enough crashes to be
+// convicted.
 func (t *Table) isExplainedByCount(now time.Time, e *Entry) bool {
-	least := max(crashesToConvict, t.observedCrashes(now, e.Fingerprint)+1)
 	return slices.ContainsFunc(t.byCrash[e.Crash], func(o *Entry) bool {
-		return o.Fingerprint != e.Fingerprint && t.observedCrashes(now, o.Fingerprint) >= least
+		return o.Fingerprint != e.Fingerprint && o.countsAt(now) && t.observedCrashes(now, o.Fingerprint) >= crashesToConvict
 	})
 }
 
--- a/internal/quarantine/observed_test.go
+++ b/internal/quarantine/observed_test.go
@@ -158,7 +158,7 @@
 	next := Fingerprint(1)
 	for i := range upstreams {
 		for range requestsPerUpstream {
-			account.Lost(epoch, account.Send(epoch, fmt.Sprint("upstream-", i), next, time.Time{}))
+			account.Lost(epoch, account.Send(epoch, fmt.Sprint("upstream-", i), Copy{Fingerprint: next}))
 			next++
 		}
 	}
@@ -226,3 +226,81 @@
 		t.Errorf("%d entries, want those of the conviction only", started.size)
 	}
 }
+
+// crashedTogether records so many crashes at each of which all the fingerprints were lost.
+func crashedTogether(table *Table, crashes int, fingerprints ...Fingerprint) {
+	for i := range crashes {
+		table.RecordObservedCrash(epoch, fmt.Sprint("shared-", i), epoch, lostNow(epoch, fingerprints...))
+	}
+}
+
+// tried returns a request that was tried alone, and lost.
+func tried(p Fingerprint) []RunningRequest {
+	lost := lostNow(epoch, p)
+	lost[0].Tried = true
+	return lost
+}
+
+// Several requests were at the same crashes, more than one of them the cause. Guards against each of them being
+// taken for a bystander of the others, and against refusing a bystander without a trial.
+func TestRequestsAtTheSameCrashesAreTried(t *testing.T) {
+	const cause, another, bystander = 7, 8, 9
+	table := New("", 0)
+	crashedTogether(table, 3, cause, another, bystander)
+	crashedTogether(table, 5, cause)
+	for _, p := range []Fingerprint{cause, another, bystander} {
+		if got := table.DecideObserved(epoch, p); got.Action != Try || got.SuspectedCrashes() != 2 {
+			t.Errorf("request %d before its trial: %+v", p, got)
+		}
+	}
+	table.RecordObservedCrash(epoch, "upstream-1", epoch, tried(cause))
+	table.RecordObservedCrash(epoch, "upstream-2", epoch, tried(another))
+	table.RecordServed(epoch, bystander)
+	for p, want := range map[Fingerprint]Action{cause: Refuse, another: Refuse, bystander: Allow} {
+		if got := table.DecideObserved(epoch, p); got.Action != want {
+			t.Errorf("request %d after its trial: %+v", p, got)
+		}
+	}
+}
+
+// Two requests are tried at one upstream, which crashes. Guards against taking both for causes.
+func TestSharedTrialTellsNothing(t *testing.T) {
+	table := New("", 0)
+	crashedTogether(table, 3, 7, 8)
+	table.RecordObservedCrash(epoch, "upstream-1", epoch, append(tried(7), tried(8)...))
+	for _, p := range []Fingerprint{7, 8} {
+		if got := table.DecideObserved(epoch, p); got.Action != Try {
+			t.Errorf("request %d: %+v", p, got)
+		}
+	}
+}
+
+// Guards against two requests that are tried at one upstream, and against requests or upstreams that are left out.
+func TestEachUpstreamHasOneTrial(t *testing.T) {
+	table := New("", 0)
+	requests := []Fingerprint{7, 8, 9}
+	crashedTogether(table, 3, requests...)
+	upstreams := make(map[Fingerprint]int)
+	for i := range 60 {
+		n := 0
+		for _, p := range requests {
+			if table.MayTryAt(epoch, p)(fmt.Sprint("upstream-", i)) {
+				n++
+				upstreams[p]++
+			}
+		}
+		if n != 1 {
+			t.Errorf("%d requests may be tried at upstream %d", n, i)
+		}
+	}
+	for _, p := range requests {
+		if upstreams[p] < 10 {
+			t.Errorf("request %d may be tried at %d of 60 upstreams", p, upstreams[p])
+		}
+	}
+	table.RecordServed(epoch, 8)
+	table.RecordServed(epoch, 9)
+	if may := table.MayTryAt(epoch, 7); !may("upstream-1") || !may("upstream-2") {
+		t.Error("the only one left may not be tried everywhere")
+	}
+}
--- a/internal/quarantine/observedgossip.go
+++ b/internal/quarantine/observedgossip.go
@@ -23,10 +23,12 @@
 	_           struct{} `cbor:",toarray"`
 	Fingerprint Fingerprint
 	Awaited     uint8 // the bucket of Entry.RunTime
-	Status      Status
+	Flags       uint8 // status, and triedFlag
 }
 
 const (
+	statusMask = 0x0f
+	triedFlag  = 0x10
 	// observedCrashBytes and observedSuspectBytes are the largest sizes of these on the wire.
 	observedCrashBytes   = 21
 	observedSuspectBytes = 14
@@ -57,7 +59,7 @@
 			at[e.Crash] = i
 			crashes = append(crashes, observedCrashCBOR{Crash: e.Crash, At: e.At.UnixMilli()})
 		}
-		crashes[i].Suspects = append(crashes[i].Suspects, observedSuspectCBOR{Fingerprint: e.Fingerprint, Awaited: uint8(waitBucket(e.RunTime)), Status: e.Status})
+		crashes[i].Suspects = append(crashes[i].Suspects, newObservedSuspect(e))
 		n++
 	}
 	if n == 0 {
@@ -67,6 +69,14 @@
 	return out, n
 }
 
+func newObservedSuspect(e *Entry) observedSuspectCBOR {
+	s := observedSuspectCBOR{Fingerprint: e.Fingerprint, Awaited: uint8(waitBucket(e.RunTime)), Flags: uint8(e.Status)}
+	if e.Tried {
+		s.Flags |= triedFlag
+	}
+	return s
+}
+
 // MergeObserved adds the entries of a message of GossipObserved. It has the properties of Merge.
 func (t *Table) MergeObserved(now time.Time, message []byte) error {
 	if len(message) == 0 {
@@ -87,7 +97,8 @@
 				At:          time.UnixMilli(c.At),
 				RunTime:     waitOf(s.Awaited),
 				Observed:    true,
-				Status:      min(s.Status, Convicted),
+				Tried:       s.Flags&triedFlag != 0,
+				Status:      min(Status(s.Flags&statusMask), Convicted),
 			})
 		}
 	}
--- a/internal/quarantine/observedgossip_test.go
+++ b/internal/quarantine/observedgossip_test.go
@@ -19,6 +19,7 @@
 				lost = append(lost, RunningRequest{
 					Fingerprint: Fingerprint(rapid.Uint64Min(1).Draw(t, "fingerprint")), Started: epoch,
 					Awaited: time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "awaited")),
+					Tried:   rapid.Bool().Draw(t, "tried"),
 				})
 			}
 			from.RecordObservedCrash(epoch, fmt.Sprint("upstream-", i), epoch, lost)
@@ -43,7 +44,7 @@
 					t.Fatalf("%+v has not arrived", e)
 				}
 				got := to.byFingerprint[p][i]
-				if got.Status != e.Status || !got.At.Equal(e.At) || waitBucket(got.RunTime) != waitBucket(e.RunTime) {
+				if got.Tried != e.Tried || got.Status != e.Status || !got.At.Equal(e.At) || waitBucket(got.RunTime) != waitBucket(e.RunTime) {
 					t.Fatalf("sent %+v, arrived %+v", e, got)
 				}
 			}
--- a/internal/quarantine/whereabouts.go
+++ b/internal/quarantine/whereabouts.go
@@ -34,7 +34,7 @@
 		for _, s := range r.ended {
 			awaited := s.endedAt.Sub(s.started)
 			switch {
-			case s.print != p || s.state != left || s.survived || s.begun:
+			case s.copy.Fingerprint != p || s.state != left || s.survived || s.begun:
 			case latest.After(s.endedAt):
 				heard = append(heard, awaited)
 			case out.Silent == nil && !isSilent || awaited < out.Awaited:
--- a/internal/router/crashes.go
+++ b/internal/router/crashes.go
@@ -26,8 +26,8 @@
 		"Upstreams without a sidecar that were found to have crashed, and answered again.")
 	retractingSigns = telemetry.NewFamily[sign]("router_retracting_signs_total", "sign",
 		"Upstreams without a sidecar that were found to have crashed, by what they have sent that shows they have not.")
-	excusedRequests = telemetry.NewCounter("router_excused_requests_total",
-		"Requests that were sent although as many upstreams have crashed under them as convict, since other requests explain these crashes.")
+	triedRequests = telemetry.NewCounter("router_tried_requests_total",
+		"Requests that were sent alone although as many upstreams have crashed under them as convict, since other requests may be the cause.")
 	suspectRefusals = telemetry.NewCounter("router_suspect_refusals_total",
 		"Requests that were turned away for a moment because a copy of them that may crash its upstream was under way.")
 )
@@ -53,33 +53,45 @@
 
 // applyObservedCrashes returns an error if the request has crashed so many upstreams that it is
 // refused, if copies of it are at as many of which nothing is heard any more, or if it is suspected and a
-// copy of it is under way. Copies of a suspect that run one by one cost one upstream until it is
-// convicted or cleared, and not one each.
+// copy of it is under way, or another router is to try it. Copies of a suspect that run one by one cost one
+// upstream until it is convicted or cleared, and not one each.
 func (resp *Response) applyObservedCrashes(now time.Time) *verdict.Error {
 	resp.fingerprint = resp.req.directFingerprint()
 	d := resp.router.suspects.DecideObserved(now, resp.fingerprint)
 	if d.Action == quarantine.Refuse {
 		quarantinedRequests.Inc()
-		err := verdict.New(verdict.NotRun, verdict.ReasonQuarantined, "%d upstreams crashed while they ran this request", d.Crashes)
+		err := verdict.New(verdict.NotRun, verdict.ReasonQuarantined, "%d upstreams crashed while they ran this request", d.Crashes+d.Explained)
 		return err.WithRetryAfter(d.Until.Sub(now))
 	}
-	if n := resp.awaitAccounted(d.Crashes); d.Crashes+n >= quarantine.MaxUnknown {
+	crashes := d.SuspectedCrashes()
+	if n := resp.awaitAccounted(crashes); crashes+n >= quarantine.MaxUnknown {
 		heldCopies.Inc()
 		err := verdict.New(verdict.NotRun, verdict.ReasonSuspect, "copies of this request are at %d upstreams that have not been heard of since", n)
 		return err.WithRetryAfter(quarantine.RetryAfter)
 	}
-	if d.Crashes+d.Explained >= quarantine.MaxUnknown {
-		excusedRequests.Inc()
+	if d.Action == quarantine.RunAlone || d.Action == quarantine.Try {
+		return resp.runAlone(now, d)
 	}
-	if d.Action == quarantine.RunAlone {
-		end, ok := resp.router.suspects.TryRunAlone(resp.fingerprint)
-		if !ok {
-			suspectRefusals.Inc()
-			err := verdict.New(verdict.NotRun, verdict.ReasonSuspect, "a copy of this request is running, and upstreams crashed while they ran others")
-			return err.WithRetryAfter(quarantine.RetryAfter)
-		}
-		resp.suspect, resp.release = true, end
+	return nil
+}
+
+// runAlone returns an error unless the request, which is suspected, may be sent by itself now.
+func (resp *Response) runAlone(now time.Time, d quarantine.ObservedDecision) *verdict.Error {
+	if d.Action == quarantine.Try && !resp.router.suspects.IsTurn(now, resp.fingerprint, d) {
+		suspectRefusals.Inc()
+		err := verdict.New(verdict.NotRun, verdict.ReasonSuspect, "upstreams crashed while they ran this request and others, and another router is to try it")
+		return err.WithRetryAfter(quarantine.RetryAfter)
 	}
+	end, ok := resp.router.suspects.TryRunAlone(resp.fingerprint)
+	if !ok {
+		suspectRefusals.Inc()
+		err := verdict.New(verdict.NotRun, verdict.ReasonSuspect, "a copy of this request is running, and upstreams crashed while they ran others")
+		return err.WithRetryAfter(quarantine.RetryAfter)
+	}
+	if d.Action == quarantine.Try {
+		triedRequests.Inc()
+	}
+	resp.suspect, resp.release = true, end
 	return nil
 }
 
@@ -109,7 +121,7 @@
 // that has had a copy and is not heard of any more counts like one that has crashed.
 func (resp *Response) mayRunAgain() bool {
 	now := time.Now()
-	crashes := resp.router.suspects.DecideObserved(now, resp.fingerprint).Crashes
+	crashes := resp.router.suspects.DecideObserved(now, resp.fingerprint).SuspectedCrashes()
 	unaccounted := len(resp.router.suspects.Unaccounted(resp.fingerprint))
 	if crashes == 0 {
 		return unaccounted <= 1
@@ -130,15 +142,21 @@
 	if len(targets) == 0 {
 		return target{}, false
 	}
+	now := time.Now()
 	s := resp.router.suspects
-	if s.DecideObserved(time.Now(), resp.fingerprint).Crashes == 0 {
+	d := s.DecideObserved(now, resp.fingerprint)
+	if d.SuspectedCrashes() == 0 {
 		return targets[0], true
 	}
+	if d.Action == quarantine.Try {
+		mayTryAt := s.MayTryAt(now, resp.fingerprint)
+		targets = slices.DeleteFunc(slices.Clone(targets), func(t target) bool { return !mayTryAt(t.vm.ID) })
+	}
 	i := slices.IndexFunc(targets, func(t target) bool { return !s.HasOtherInFlight(t.vm.ID, resp.fingerprint) })
 	switch {
 	case i >= 0:
 		return targets[i], true
-	case resp.suspect:
+	case resp.suspect || len(targets) == 0:
 		return target{}, false
 	}
 	return targets[0], true
@@ -164,7 +182,7 @@
 	now := time.Now()
 	r.suspects.Left(now, sent)
 	unaccounted := r.suspects.Unaccounted(sent.Fingerprint())
-	if len(unaccounted)+r.suspects.DecideObserved(now, sent.Fingerprint()).Crashes < minUnknownToCheck {
+	if len(unaccounted)+r.suspects.DecideObserved(now, sent.Fingerprint()).SuspectedCrashes() < minUnknownToCheck {
 		return
 	}
 	for _, id := range unaccounted {
--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -9,6 +9,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/balance"
 	"github.com/parsleyfront/parsleyfront/internal/exchange"
 	"github.com/parsleyfront/parsleyfront/internal/load"
+	"github.com/parsleyfront/parsleyfront/internal/quarantine"
 	"github.com/parsleyfront/parsleyfront/internal/router/dispatch"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
@@ -144,7 +145,8 @@
 		return false
 	}
 	at.watch.Start()
-	at.sent.Store(d.router.suspects.Send(time.Now(), at.vm.ID, d.fingerprint, d.upstreamDue()))
+	sent := quarantine.Copy{Fingerprint: quarantine.Fingerprint(d.fingerprint), Due: d.upstreamDue(), Tried: d.suspect}
+	at.sent.Store(d.router.suspects.Send(time.Now(), at.vm.ID, sent))
 	if at.ctx.Err() != nil { // it may have ended before there was a record
 		d.router.recordLeft(at)
 	}
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -116,17 +116,28 @@
 	return s.relayState.relay.ListedRouters()
 }
 
-// publishRouters passes the list of the other routers on to the exchange of origins if it has changed.
+// publishRouters passes the list of the other routers on to the exchange of origins, and to the turns in which
+// they try requests, if it has changed.
 func (r *Router) publishRouters() {
 	if r.mesh == nil {
 		return
 	}
 	if known := r.state.relayState.relay; known.ListVersion() != r.mesh.listVersion {
 		r.mesh.listVersion = known.ListVersion()
-		r.origins.SetPeers(originPeers(known.Routers()))
+		routers := known.Routers()
+		r.origins.SetPeers(originPeers(routers))
+		r.suspects.SetRouters(r.config.VM, routerNames(routers))
 	}
 }
 
+func routerNames(routers []relay.Router) []string {
+	names := make([]string, len(routers))
+	for i, r := range routers {
+		names[i] = r.Name
+	}
+	return names
+}
+
 // packetsOf returns the connection for messages between routers; nil: there is none.
 func packetsOf(m *Mesh) net.PacketConn {
 	if m == nil {
--- a/internal/router/sharing_test.go
+++ b/internal/router/sharing_test.go
@@ -13,6 +13,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/load"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/policy"
+	"github.com/parsleyfront/parsleyfront/internal/quarantine"
 	"github.com/parsleyfront/parsleyfront/internal/relay"
 	"github.com/parsleyfront/parsleyfront/internal/suspects"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
@@ -195,7 +196,7 @@
 	}
 	m.router.view.Store(view)
 	for i := range 8 {
-		m.router.suspects.Lost(now, m.router.suspects.Send(now, pool.VMs[i].ID, 1<<63+uint64(i), time.Time{}))
+		m.router.suspects.Lost(now, m.router.suspects.Send(now, pool.VMs[i].ID, quarantine.Copy{Fingerprint: 1<<63 + quarantine.Fingerprint(i)}))
 		m.router.suspects.Crashed(now, pool.VMs[i].ID)
 	}
 	reports := append(m.reportsForParent(now), m.reportForSubscribers(now.Add(time.Second)))
--- a/internal/suspects/model_test.go
+++ b/internal/suspects/model_test.go
@@ -110,7 +110,7 @@
 		t.Skip("its caller still waits for the copy before")
 	}
 	d := r.DecideObserved(m.now, print)
-	held := d.Crashes+len(r.Unaccounted(print)) >= quarantine.MaxUnknown
+	held := d.SuspectedCrashes()+len(r.Unaccounted(print)) >= quarantine.MaxUnknown
 	switch {
 	case (d.Action == quarantine.Refuse || held) && m.lostWith(print) < quarantine.MaxUnknown:
 		t.Fatalf("request %d is turned away (%+v, held %v), and %d upstreams were lost with it", print, d, held, m.lostWith(print))
@@ -118,16 +118,19 @@
 		return
 	case d.Action == quarantine.RunAlone && m.lostWith(print) < 2:
 		t.Fatalf("request %d is a suspect, and %d upstreams were lost with it", print, m.lostWith(print))
+	case d.Action == quarantine.Try && m.lostWith(print) < quarantine.MaxUnknown:
+		t.Fatalf("request %d is to be tried, and %d upstreams were lost with it", print, m.lostWith(print))
 	}
 	var endAlone func()
-	if d.Action == quarantine.RunAlone {
+	if d.Action == quarantine.RunAlone || d.Action == quarantine.Try {
 		end, ok := r.TryRunAlone(print)
 		if !ok {
 			return
 		}
 		endAlone = end
 	}
-	c := &modelCopy{router: r, upstream: u, print: print, at: m.now, endAlone: endAlone, sent: r.Send(m.now, u.id, print, m.now.Add(deadline))}
+	c := &modelCopy{router: r, upstream: u, print: print, at: m.now, endAlone: endAlone,
+		sent: r.Send(m.now, u.id, quarantine.Copy{Fingerprint: quarantine.Fingerprint(print), Due: m.now.Add(deadline), Tried: endAlone != nil})}
 	m.pending = append(m.pending, c)
 	u.copies[print] = true
 	if print != guilty {
@@ -194,7 +197,7 @@
 // check asks upstreams that are not heard of whether they accept connections, as routers do.
 func (m *model) check(r *Registry, print uint64) {
 	unaccounted := r.Unaccounted(print)
-	if len(unaccounted)+r.DecideObserved(m.now, print).Crashes < quarantine.MaxUnknown-1 {
+	if len(unaccounted)+r.DecideObserved(m.now, print).SuspectedCrashes() < quarantine.MaxUnknown-1 {
 		return
 	}
 	for _, u := range m.upstreams {
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -27,6 +27,7 @@
 	inFlight map[string][]quarantine.Fingerprint
 	// alone holds the suspected requests of which a copy is under way.
 	alone map[quarantine.Fingerprint]bool
+	turns turns
 }
 
 // NewRegistry returns a Registry that knows of nothing.
@@ -39,6 +40,14 @@
 	}
 }
 
+// SetRouters sets the names of this router and of the others of its region, for the turns in which they try
+// requests.
+func (r *Registry) SetRouters(self string, others []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.turns = turns{self: self, others: others}
+}
+
 // Merge adds the suspects that a sidecar or another router sent.
 func (r *Registry) Merge(now time.Time, data json.RawMessage) error {
 	if len(data) == 0 {
@@ -104,11 +113,11 @@
 	r.account.Expire(now)
 }
 
-// Send records that a request is being sent to an upstream without a sidecar, which is to stop at due.
-func (r *Registry) Send(now time.Time, upstream string, fingerprint uint64, due time.Time) *quarantine.Sent {
+// Send records that a copy of a request is being sent to an upstream without a sidecar.
+func (r *Registry) Send(now time.Time, upstream string, c quarantine.Copy) *quarantine.Sent {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.account.Send(now, upstream, quarantine.Fingerprint(fingerprint), due)
+	return r.account.Send(now, upstream, c)
 }
 
 // Sign records that something of an upstream has arrived. It reports whether a crash of the upstream was
@@ -272,7 +281,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := quarantine.Fingerprint(fingerprint)
-	if r.book.DecideObserved(now, p).Crashes == 0 {
+	if r.book.DecideObserved(now, p).SuspectedCrashes() == 0 {
 		return func() {}
 	}
 	r.inFlight[upstream] = append(r.inFlight[upstream], p)
@@ -291,6 +300,20 @@
 	}
 }
 
+// IsTurn reports whether this router may try a request now that is to be tried.
+func (r *Registry) IsTurn(now time.Time, fingerprint uint64, d quarantine.ObservedDecision) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !now.Before(r.turns.begins(quarantine.Fingerprint(fingerprint), d))
+}
+
+// MayTryAt returns a function that reports whether a request that is to be tried may be tried at an upstream.
+func (r *Registry) MayTryAt(now time.Time, fingerprint uint64) func(upstream string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.book.MayTryAt(now, quarantine.Fingerprint(fingerprint))
+}
+
 // TryRunAlone admits a copy of a suspected request if no other one is under way. The returned function
 // must be called when the copy has ended.
 func (r *Registry) TryRunAlone(fingerprint uint64) (end func(), ok bool) {
--- a/internal/suspects/suspects_test.go
+++ b/internal/suspects/suspects_test.go
@@ -15,7 +15,7 @@
 	r := NewRegistry()
 	for i := range crashes {
 		upstream := fmt.Sprint("upstream-", i)
-		r.Lost(epoch, r.Send(epoch, upstream, fingerprint, time.Time{}))
+		r.Lost(epoch, r.Send(epoch, upstream, quarantine.Copy{Fingerprint: quarantine.Fingerprint(fingerprint)}))
 		r.Crashed(epoch, upstream)
 	}
 	return r
@@ -74,11 +74,11 @@
 // are recorded only in one of the two orders.
 func TestRequestsAreRecordedInBothOrders(t *testing.T) {
 	r := NewRegistry()
-	r.Lost(epoch, r.Send(epoch, "a", 7, time.Time{}))
+	r.Lost(epoch, r.Send(epoch, "a", quarantine.Copy{Fingerprint: 7}))
 	if counts := r.Crashed(epoch, "a"); counts != (CrashCounts{Lost: 1, Recorded: 1}) {
 		t.Errorf("lost before the crash was known: %+v", counts)
 	}
-	lost := r.Send(epoch, "b", 7, time.Time{})
+	lost := r.Send(epoch, "b", quarantine.Copy{Fingerprint: 7})
 	now := epoch.Add(time.Second)
 	r.Crashed(now, "b")
 	if !r.Lost(now, lost) {
@@ -94,7 +94,7 @@
 func TestRejectedCopiesAreNotSurvived(t *testing.T) {
 	r := crashedUnder(7, 3)
 	for i := range 12 {
-		sent := r.Send(epoch, fmt.Sprint("upstream-", i), 7, epoch.Add(5*time.Second))
+		sent := r.Send(epoch, fmt.Sprint("upstream-", i), quarantine.Copy{Fingerprint: 7, Due: epoch.Add(5 * time.Second)})
 		r.Left(epoch.Add(time.Second), sent)
 		r.Rejected(sent)
 	}
