--- a/test/soak/budget_test.go
+++ b/test/soak/budget_test.go
@@ -36,18 +36,19 @@
 // A runner rejects a request late, when the router has stopped waiting for its answer. Guards
 // against losing the rest that the answer asks for: the runner gets requests during the rest.
 func TestSoakLateRests(t *testing.T) {
+	t.Parallel()
 	for _, s := range []struct {
 		name         string
 		callersLeave bool
 		late         time.Duration // how late at most
 	}{{"callers stay", false, maxLateRest}, {"callers leave", true, maxLateRest}, {"callers leave long before", true, callDeadline}} {
 		t.Run(s.name, func(t *testing.T) {
-			for i := range uint64(*seeds) {
-				h := newHarness(t, *from+i, false)
+			eachSeed(t, func(t *testing.T, seed uint64) {
+				h := newHarness(t, seed, false)
 				h.faults = []fault{restFault}
 				h.maxRestDelay, h.callersLeave = s.late, s.callersLeave
 				h.play()
-			}
+			})
 		})
 	}
 }
--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -43,7 +43,7 @@
 func (h *harness) logUpstreams() {
 	var live []string
 	for _, r := range h.liveRunners() {
-		live = append(live, r.incarnation+" in "+r.zone())
+		live = append(live, r.incarnation+" in "+r.domain)
 	}
 	var drained []string
 	for _, zone := range zones {
@@ -126,7 +126,7 @@
 func (h *harness) runsIn(zone string) int {
 	n := 0
 	for _, r := range h.allRunners() {
-		if r.zone() == zone {
+		if r.domain == zone {
 			n += len(r.Runs())
 		}
 	}
--- a/test/soak/crashing_test.go
+++ b/test/soak/crashing_test.go
@@ -24,20 +24,37 @@
 // Callers send requests again and again that crash each runner which runs them. Guards against
 // runners that are lost to one request for as long as its caller sends it.
 func TestSoakRequestsThatCrashRunners(t *testing.T) {
+	t.Parallel()
 	for _, s := range []struct {
 		name   string
 		faults []fault
 	}{{"alone", nil}, {"beside faults", crashFaults}} {
 		t.Run(s.name, func(t *testing.T) {
-			for i := range uint64(*seeds) {
-				h := newHarness(t, *from+i, false)
-				h.faults, h.crashingCallers = s.faults, true
+			eachSeed(t, func(t *testing.T, seed uint64) {
+				h := newHarness(t, seed, false)
+				h.faults, h.crashingCalls = s.faults, 1
 				h.play()
-			}
+			})
 		})
 	}
 }
 
+// Several requests at a time crash the few runners of a plain service, at five routers. Guards against runners that
+// are lost to each of them since the runners that start in their place answer for them, or since each is
+// taken for a bystander of the others.
+func TestSoakSeveralRequestsThatCrashFewRunners(t *testing.T) {
+	t.Parallel()
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		h := newHarness(t, seed, false)
+		h.entryCount, h.runnersAtStart = 5, 3
+		h.faults, h.crashingCalls, h.crashingCallsAfter = nil, 1+int(seed/2%3), time.Second
+		if seed%2 == 1 {
+			h.faults = crashFaults
+		}
+		h.play()
+	})
+}
+
 // crashWay is how a request crashes the runner that runs it, and for how long its caller waits.
 type crashWay struct {
 	name     string
@@ -65,19 +82,18 @@
 // runner falls silent. Guards against runners that are lost to it for as long as its caller sends it,
 // since no attempt waits when they crash.
 func TestSoakCrashesThatNoAttemptSees(t *testing.T) {
-	for i := range uint64(*seeds) {
-		seed := *from + i
+	t.Parallel()
+	eachSeed(t, func(t *testing.T, seed uint64) {
 		way := unseenCrashes[seed/2%uint64(len(unseenCrashes))]
-		t.Run(fmt.Sprintf("seed=%d %s", seed, way.name), func(t *testing.T) {
-			h := newHarness(t, seed, false)
-			h.faults, h.crashingCallers, h.crashWay = nil, true, way
-			if seed%2 == 1 {
-				h.faults, h.callersLeave = slices.Concat(crashFaults, []fault{restFault}), true
-				h.maxRestDelay = maxLateRest
-			}
-			h.play()
-		})
-	}
+		t.Log(way.name)
+		h := newHarness(t, seed, false)
+		h.faults, h.crashingCalls, h.crashWay = nil, 1, way
+		if seed%2 == 1 {
+			h.faults, h.callersLeave = slices.Concat(crashFaults, []fault{restFault}), true
+			h.maxRestDelay = maxLateRest
+		}
+		h.play()
+	})
 }
 
 // crashMark is the part of a path that makes a request crash the runner which runs it.
@@ -101,15 +117,15 @@
 	maxCrashInterval = 900 * time.Millisecond
 	// atOnceInterval is the pause of a caller that repeats at once.
 	atOnceInterval = 20 * time.Millisecond
-	// runnerDowntime is how long after a crash a runner is back, with a new id and address.
+	// runnerDowntime is how long after a crash a runner is usually back, with a new id.
 	runnerDowntime = 2 * time.Second
 )
 
 // sendCrashingCalls sends copies of one request that crashes runners, at the routers in turn, until stop
 // is closed. Its caller waits for as long as the way of the crash says.
-func (h *harness) sendCrashingCalls(stop <-chan struct{}) {
-	kind := crashingCalls[h.seed%uint64(len(crashingCalls))]
-	path := fmt.Sprint(kind.prefix, crashMark, h.seed)
+func (h *harness) sendCrashingCalls(stop <-chan struct{}, number int) {
+	kind := crashingCalls[(h.seed+uint64(number))%uint64(len(crashingCalls))]
+	path := fmt.Sprint(kind.prefix, crashMark, h.seed, "-", number)
 	for i := 0; !isStopped(stop); i++ {
 		if l := connect(h.entries[i%len(h.entries)]); l != nil {
 			c := h.newCall(kind.method, path, "key-0")
@@ -141,8 +157,7 @@
 	h.crash(r)
 }
 
-// crash ends a runner that has begun to run a request, and starts another one in its place after
-// runnerDowntime.
+// crash ends a runner that has begun to run a request, and starts another one in its place.
 func (h *harness) crash(r *runner) {
 	if !h.markLeft(r) {
 		return // another request has crashed it
@@ -153,14 +168,7 @@
 		_ = r.Close()
 		r.proxy.close()
 	}
-	h.running.Go(func() {
-		time.Sleep(runnerDowntime)
-		if _, err := h.newRunner(); err != nil {
-			h.t.Error(err)
-		}
-		time.Sleep(entryExpiry - runnerDowntime)
-		h.store.Remove("servers", r.ID)
-	})
+	h.running.Go(func() { h.succeed(r) })
 }
 
 // checkCrashingCalls checks that at most maxLateCopies copies of a request that crashes runners reach
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -153,7 +153,7 @@
 }
 
 func (h *harness) addRunner() {
-	if len(h.liveRunners()) < 2**runnersAtStart {
+	if len(h.liveRunners()) < 2*h.runnersAtStart {
 		_, err := h.newRunner()
 		if err != nil {
 			h.t.Error(err)
@@ -282,10 +282,30 @@
 	r := live[h.intN(len(live))]
 	r.proxy.setMode(resetting)
 	_ = r.Close()
-	time.Sleep(h.randomDuration(100*time.Millisecond, time.Second))
 	h.markLeft(r)
-	h.store.Remove("servers", r.ID)
-	h.addRunner()
+	h.succeed(r)
+}
+
+// successions are the times after which the next runner starts in the place of one that has ended, at its address
+// and with a new id: long before the former entry ends, beside that, and after it.
+var successions = []time.Duration{50 * time.Millisecond, runnerDowntime, entryExpiry, entryExpiry + 1500*time.Millisecond}
+
+// succeed lets another runner take the place of one that has ended without a word, and returns when that has
+// started and the former entry has ended.
+func (h *harness) succeed(r *runner) {
+	downtime := successions[h.intN(len(successions))]
+	var steps sync.WaitGroup
+	steps.Go(func() {
+		time.Sleep(entryExpiry)
+		h.store.Remove("servers", r.ID)
+	})
+	steps.Go(func() {
+		time.Sleep(downtime)
+		r.proxy.close()
+		_, err := h.startRunner(runnerID(h.nextRunner()), r.proxy.addr(), r.domain)
+		h.checkError(err)
+	})
+	steps.Wait()
 }
 
 // restartRunner ends a runner without notice and starts it again under its id. The store may apply
@@ -300,7 +320,7 @@
 	former.proxy.setMode([]proxyMode{resetting, stalled}[h.intN(2)])
 	_ = former.Close()
 	time.Sleep(h.randomDuration(10*time.Millisecond, time.Second))
-	present, err := h.startRunner(former.ID)
+	present, err := h.startRunner(former.ID, h.runnerAddr(h.nextRunner()), former.domain)
 	if err != nil {
 		h.t.Error(err)
 		return
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -211,6 +211,7 @@
 	harness   *harness
 	proxy     *proxy
 	version   string    // of its software
+	domain    string    // its failure domain
 	startedMs int64     // start time, in Unix milliseconds
 	leftAt    time.Time // when its entry announced that it leaves, or was removed; zero: it has not left
 	coldUntil time.Time // end of its warm-up; zero: never cold
@@ -257,33 +258,47 @@
 	return true
 }
 
-// zone returns the failure domain of a runner, which depends on its id only. A restarted runner
-// stays in its failure domain.
-func (r *runner) zone() string {
-	number, _ := strconv.Atoi(strings.TrimPrefix(r.ID, runnerPrefix))
-	return zones[number%len(zones)]
+// newRunner starts a runner with a new id at a new address, and writes its entry to the store.
+func (h *harness) newRunner() (*runner, error) {
+	number := h.nextRunner()
+	return h.startRunner(runnerID(number), h.runnerAddr(number), zones[number%len(zones)])
 }
 
-// newRunner starts a runner with a new id and writes its entry to the store.
-func (h *harness) newRunner() (*runner, error) {
+const (
+	// firstRunnerHost and runnerHosts are the host numbers of runners, those below are of routers, and
+	// firstRunnerPort is the port of the first runner at each.
+	firstRunnerHost = 100
+	runnerHosts     = 150
+	firstRunnerPort = 8080
+)
+
+// runnerAddr returns the address of a runner that takes nobody's place. Its port stays free for the next one
+// there: nothing else listens or connects from that host.
+func (h *harness) runnerAddr(number int) string {
+	return net.JoinHostPort(h.address(firstRunnerHost+number%runnerHosts), strconv.Itoa(firstRunnerPort+number/runnerHosts))
+}
+
+// nextRunner returns the number of the next runner with a new id.
+func (h *harness) nextRunner() int {
 	h.mu.Lock()
+	defer h.mu.Unlock()
 	h.runnersStarted++
-	id := runnerPrefix + strconv.Itoa(h.runnersStarted)
-	h.mu.Unlock()
-	return h.startRunner(id)
+	return h.runnersStarted
 }
 
-// startRunner starts a runner under an id that an earlier runner may have had.
-func (h *harness) startRunner(id string) (*runner, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func runnerID(number int) string { return runnerPrefix + strconv.Itoa(number) }
+
+// startRunner starts a runner under an id and at an address that an earlier runner may have had.
+func (h *harness) startRunner(id, addr, domain string) (*runner, error) {
+	l, err := net.Listen("tcp", anyAddr)
 	if err != nil {
 		return nil, err
 	}
-	p, err := newProxy(l.Addr().String())
+	p, err := newProxy(addr, l.Addr().String())
 	if err != nil {
 		return nil, err
 	}
-	r := &runner{Runner: fake.StartRunner(l, id, p.addr()), harness: h, proxy: p, version: h.newestSoftware(), startedMs: time.Now().UnixMilli()}
+	r := &runner{Runner: fake.StartRunner(l, id, p.addr()), harness: h, proxy: p, version: h.newestSoftware(), domain: domain, startedMs: time.Now().UnixMilli()}
 	r.SetHandler(h.handler(r))
 	h.mu.Lock()
 	r.incarnation = fmt.Sprintf("%s/%d", id, len(h.runners))
@@ -299,7 +314,7 @@
 
 func (h *harness) writeEntry(r *runner, state string) {
 	h.store.Put("servers", r.ID, map[string]any{
-		"service": "llm", "address": r.proxy.addr(), "zone": r.zone(), "version": r.version,
+		"service": "llm", "address": r.proxy.addr(), "zone": r.domain, "version": r.version,
 		"slots": 16, "state": state, "warmup_left_ms": max(0, time.Until(r.coldUntil).Milliseconds()), "sequence": r.NextSequence(), "born": r.startedMs,
 	})
 }
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -41,8 +41,12 @@
 	dark        chan struct{} // closed when the server is no longer reached, for good
 }
 
-func newProxy(target string) (*proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// anyAddr is the address of a listener that gets a free port.
+const anyAddr = "127.0.0.1:0"
+
+// newProxy starts a proxy that listens at an address.
+func newProxy(addr, target string) (*proxy, error) {
+	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -31,6 +31,7 @@
 	runnersAtStart = flag.Int("runners", 4, "runners")
 
 	callers  = flag.Int("callers", 6, "callers")
+	fleets   = flag.Int("fleets", 3, "fleets that are played at the same time")
 	daemon   = flag.String("daemon", "", "path of a daemon to play instead of the one that is built")
 	keepLogs = flag.String("logs", filepath.Join(os.TempDir(), "parsleyfront-soak"), "folder for the logs of seeds that fail")
 )
@@ -42,11 +43,15 @@
 	cause string
 }{}
 
+// playing holds an element for each fleet that is being played.
+var playing chan struct{}
+
 // daemonPath is the path of the daemon, which TestMain builds once.
 var daemonPath string
 
 func TestMain(m *testing.M) {
 	flag.Parse()
+	playing = make(chan struct{}, *fleets)
 	if daemonPath = *daemon; daemonPath != "" {
 		os.Exit(m.Run())
 	}
@@ -70,24 +75,33 @@
 }
 
 func TestSoak(t *testing.T) {
-	list := make([]uint64, 0, *seeds+len(regressionSeeds))
-	for i := range uint64(*seeds) {
-		list = append(list, *from+i)
-	}
+	t.Parallel()
+	eachSeed(t, soak)
 	for _, k := range regressionSeeds {
-		list = append(list, k.seed)
+		runSeed(t, k.seed, soak)
 	}
-	var failed []uint64
-	for _, seed := range list {
-		if !t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) { soak(t, seed) }) {
-			failed = append(failed, seed)
-		}
-	}
-	for _, seed := range failed {
-		t.Logf("failed: go test ./test/soak -run 'TestSoak$' -seeds 1 -for %v -entries %d -from %d", *duration, *entryCount, seed)
+}
+
+// eachSeed runs a test with each of the seeds from the flags, several at a time.
+func eachSeed(t *testing.T, test func(t *testing.T, seed uint64)) {
+	for i := range uint64(*seeds) {
+		runSeed(t, *from+i, test)
 	}
 }
 
+func runSeed(t *testing.T, seed uint64, test func(t *testing.T, seed uint64)) {
+	name := t.Name()
+	t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+		t.Parallel()
+		t.Cleanup(func() {
+			if t.Failed() {
+				t.Logf("failed: go test ./test/soak -run '%s$' -seeds 1 -for %v -entries %d -from %d", name, *duration, *entryCount, seed)
+			}
+		})
+		test(t, seed)
+	})
+}
+
 // plannedEvery is the interval of seeds that have planned operations only.
 const plannedEvery = 5
 
@@ -106,7 +120,9 @@
 		h.maxRestDelay = maxLateRest
 	}
 	h.callersLeave = h.seed%3 == 1
-	h.crashingCallers = h.seed%3 == 2
+	if h.seed%3 == 2 {
+		h.crashingCalls = 1 + int(h.seed/3%3)
+	}
 	if h.seed%4 < 2 {
 		h.takesUp = true
 		h.faults = append(slices.Clone(faults), rolloutFault)
@@ -115,6 +131,8 @@
 
 // play runs the fleet under its faults for the duration of a seed, and checks what was observed.
 func (h *harness) play() {
+	playing <- struct{}{}
+	defer func() { <-playing }()
 	defer h.close()
 	h.start()
 	stop := make(chan struct{})
@@ -124,8 +142,11 @@
 	}()
 	h.callers(stop)
 	h.probers(stop)
-	if h.crashingCallers {
-		h.running.Go(func() { h.sendCrashingCalls(stop) })
+	for i := range h.crashingCalls {
+		h.running.Go(func() {
+			time.Sleep(h.crashingCallsAfter)
+			h.sendCrashingCalls(stop, i)
+		})
 	}
 	h.injectFaults(stop)
 	h.settle()
--- a/test/soak/streams_test.go
+++ b/test/soak/streams_test.go
@@ -24,13 +24,12 @@
 // Runners break off streams at any place, with and without chunks, by a close or a reset. Guards against
 // an answer that looks complete and isn't.
 func TestSoakBrokenStreams(t *testing.T) {
-	for i := range uint64(*seeds) {
-		t.Run(fmt.Sprint("seed=", *from+i), func(t *testing.T) {
-			h := newHarness(t, *from+i, false)
-			h.faults = streamFaults
-			h.play()
-		})
-	}
+	t.Parallel()
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		h := newHarness(t, seed, false)
+		h.faults = streamFaults
+		h.play()
+	})
 }
 
 // breakStreams makes runners break off streams for a short time.
--- a/test/soak/versions_test.go
+++ b/test/soak/versions_test.go
@@ -27,13 +27,12 @@
 // Runners of several versions serve side by side and break off streams, which callers take up at any router. Guards
 // against streams that hold events of two versions, in one answer or over a caller's tries.
 func TestSoakVersions(t *testing.T) {
-	for i := range uint64(*seeds) {
-		t.Run(fmt.Sprint("seed=", *from+i), func(t *testing.T) {
-			h := newHarness(t, *from+i, false)
-			h.faults, h.takesUp, h.callersLeave = versionFaults, true, true
-			h.play()
-		})
-	}
+	t.Parallel()
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		h := newHarness(t, seed, false)
+		h.faults, h.takesUp, h.callersLeave = versionFaults, true, true
+		h.play()
+	})
 }
 
 // newestSoftware returns the version of the software that new runners have.
@@ -48,8 +47,8 @@
 	h.mu.Lock()
 	h.software++
 	h.mu.Unlock()
-	for range 1 + h.intN(*runnersAtStart) {
-		if len(h.liveRunners()) >= 2**runnersAtStart {
+	for range 1 + h.intN(h.runnersAtStart) {
+		if len(h.liveRunners()) >= 2*h.runnersAtStart {
 			return
 		}
 		if _, err := h.newRunner(); err != nil {
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -36,16 +36,21 @@
 type harness struct {
 	t       *testing.T
 	seed    uint64
-	planned bool // planned operations only
+	number  uint64 // unique among the harnesses of this process
+	planned bool   // planned operations only
 	dir     string
 	faults  []fault // kinds of faults to inject
+
+	entryCount, runnersAtStart int
+
 	// callersLeave makes callers close their connection after a short random time.
 	callersLeave bool
 	// takesUp makes callers take up streams that broke off.
 	takesUp bool
-	// crashingCallers makes a caller send copies of a request that crashes runners.
-	crashingCallers bool
-	crashWay        crashWay // how it crashes them
+	// crashingCalls is the number of requests that crash runners, of which callers send copies.
+	crashingCalls      int
+	crashingCallsAfter time.Duration // from the start to the first of these copies
+	crashWay           crashWay      // how they crash their runners
 	// maxRestDelay is how long after a request a resting runner rejects it at most; zero: at once.
 	maxRestDelay time.Duration
 
@@ -74,8 +79,10 @@
 func newHarness(t *testing.T, seed uint64, planned bool) *harness {
 	return &harness{
 		t: t, seed: seed, planned: planned,
-		dir:         t.TempDir(),
-		faults:      faults,
+		dir:        t.TempDir(),
+		faults:     faults,
+		number:     harnesses.Add(1),
+		entryCount: *entryCount, runnersAtStart: *runnersAtStart,
 		store:       fake.NewStore(),
 		random:      rand.New(rand.NewPCG(seed, 1)),
 		revoked:     make(map[string]int),
@@ -86,7 +93,7 @@
 
 // start starts the store, runners and routers, and waits until the routers are ready.
 func (h *harness) start() {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", anyAddr)
 	h.must(err)
 	h.server = &http.Server{Handler: h.store, ReadHeaderTimeout: time.Second}
 	go func() { _ = h.server.Serve(l) }()
@@ -97,11 +104,11 @@
 		route("note", "/stream/note/", "streaming", map[string]any{"sticky": true, "gap_aim_ms": 400, "resumable": true, "max_attempts": 3}),
 	}}
 	h.writeConfiguration(h.config)
-	for range *runnersAtStart {
+	for range h.runnersAtStart {
 		_, err := h.newRunner()
 		h.must(err)
 	}
-	for i := range *entryCount {
+	for i := range h.entryCount {
 		h.must(h.newEntry(i, l.Addr().String()))
 	}
 	h.eventually("the routers are ready", func() bool {
@@ -109,15 +116,18 @@
 	})
 }
 
-// address returns the IP address of a router. It depends on the process id and the seed: with equal
-// addresses, callers of one soak run would reach routers of another that runs at the same time.
+// harnesses counts the harnesses of this process.
+var harnesses atomic.Uint64
+
+// address returns the IP address of a router. It depends on the process id and the number of the harness: with
+// equal addresses, callers of one soak run would reach routers of another that runs at the same time.
 func (h *harness) address(index int) string {
 	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 16+pid%200, (uint64(pid/200)+h.seed)%250, index+1)
+	return fmt.Sprintf("127.%d.%d.%d", 16+pid%200, (uint64(pid/200)+h.number)%250, index+1)
 }
 
 func (h *harness) newEntry(i int, store string) error {
-	p, err := newProxy(store)
+	p, err := newProxy(anyAddr, store)
 	if err != nil {
 		return err
 	}
