gateway, router, suspects: the shared parts of prompts that upstreams crash under can be seen

Change: the parts that requests share are read, kept with what was sent, and counted at crashes until a request with them is answered by a whole event or to its end; the line of a crash has the largest count. No decision rests on it.

--- a/internal/gateway/hosted.go
+++ b/internal/gateway/hosted.go
@@ -20,6 +20,7 @@
 	APIKey      string        // empty if there is none
 	Timeout     time.Duration // how long the caller waits; zero if it does not say
 	Session     string        // identifies the prompt prefix shared by the turns of a chat; empty if there is none
+	Parts       []string      // ids of the parts of the prompt that other requests may share, in order
 	LastEventID string        // id of the last event of an earlier response; empty if there is none
 	Resumes     string        // id of the attempt that brought the first event of the stream; empty if it is new
 }
@@ -113,6 +114,7 @@
 		Org:           x.org,
 		Profile:       x.profile,
 		Session:       x.headers.Session,
+		Parts:         x.headers.Parts,
 		Call:          wire.Call{Method: x.r.Method, Path: x.target(), Header: withoutHeaders(x.r.Header, rewrittenHeaders), Body: body},
 		Trace:         string(span.Traceparent()),
 		ID:            x.headers.ID,
--- a/internal/quarantine/account.go
+++ b/internal/quarantine/account.go
@@ -75,8 +75,9 @@
 // Copy is a copy of a request that is sent to an upstream.
 type Copy struct {
 	Fingerprint Fingerprint
-	Due         time.Time // when its upstream is to stop; zero: not known
-	Tried       bool      // it is sent alone, to see whether it crashes its upstream
+	Parts       []Fingerprint // of the parts of its prompt that other requests may share
+	Due         time.Time     // when its upstream is to stop; zero: not known
+	Tried       bool          // it is sent alone, to see whether it crashes its upstream
 }
 
 // Send records that a copy of a request is being sent to an upstream.
@@ -189,12 +190,15 @@
 // Fingerprint returns the fingerprint of the request.
 func (s *Sent) Fingerprint() uint64 { return uint64(s.copy.Fingerprint) }
 
+// Parts returns the fingerprints of the shared parts of the request's prompt.
+func (s *Sent) Parts() []Fingerprint { return s.copy.Parts }
+
 // Started returns when the request was sent.
 func (s *Sent) Started() time.Time { return s.started }
 
 // Running returns the request, which was lost or left, as one that was running at a crash.
 func (s *Sent) Running() RunningRequest {
-	return RunningRequest{Fingerprint: s.copy.Fingerprint, Started: s.started, Awaited: max(0, s.endedAt.Sub(s.started)), Tried: s.copy.Tried}
+	return RunningRequest{Fingerprint: s.copy.Fingerprint, Parts: s.copy.Parts, Started: s.started, Awaited: max(0, s.endedAt.Sub(s.started)), Tried: s.copy.Tried}
 }
 
 // CrashedRequests is what an Account knows of the requests at a crash.
--- a/internal/quarantine/account_test.go
+++ b/internal/quarantine/account_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"slices"
+	"reflect"
 	"testing"
 	"time"
 )
@@ -20,7 +20,7 @@
 	if a.Lost(epoch, s) {
 		t.Error("known to have crashed before it was reported")
 	}
-	if got := a.Crashed(after(1), "a"); !slices.Equal(got.Lost, []RunningRequest{s.Running()}) {
+	if got := a.Crashed(after(1), "a"); !reflect.DeepEqual(got.Lost, []RunningRequest{s.Running()}) {
 		t.Errorf("lost before: %v", got)
 	}
 	s = a.Send(after(.5), "a", Copy{Fingerprint: 7})
@@ -71,7 +71,7 @@
 				story.play(a, s)
 			}
 			got := a.Crashed(after(story.crashAt), "a")
-			if counts := slices.Equal(got.Left, []RunningRequest{s.Running()}); counts != story.counts {
+			if counts := reflect.DeepEqual(got.Left, []RunningRequest{s.Running()}); counts != story.counts {
 				t.Errorf("left at the crash: %v, want %v", got.Left, story.counts)
 			}
 			if a.size != 0 {
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -150,7 +150,8 @@
 
 // RunningRequest is a request that was running on the upstream when it crashed.
 type RunningRequest struct {
-	Fingerprint Fingerprint // zero: not known
+	Fingerprint Fingerprint   // zero: not known
+	Parts       []Fingerprint // observed crashes only: of the shared parts of its prompt
 	Started     time.Time
 	Awaited     time.Duration // observed crashes only: for how long its answer was awaited
 	Tried       bool          // observed crashes only: it was sent alone to see whether it is the cause
--- a/internal/router/crashes.go
+++ b/internal/router/crashes.go
@@ -283,6 +283,13 @@
 	}
 }
 
+// recordPartsServed records that an upstream has written on the parts of the prompt of a request.
+func (r *Router) recordPartsServed(at *attempt) {
+	if sent := at.sent.Load(); sent != nil {
+		r.suspects.PartsServed(sent)
+	}
+}
+
 // recordRejected records that an attempt was rejected and has not run.
 func (r *Router) recordRejected(at *attempt) {
 	if sent := at.sent.Load(); sent != nil {
@@ -330,7 +337,7 @@
 	}
 	observedCrashes.Inc(evidence)
 	slog.Warn("upstream has crashed while it ran requests", "upstream", vm.ID, "addr", vm.Addr, "pool", vm.Pool,
-		"evidence", string(evidence), "lost", counts.Lost, "left", counts.Left, "recorded", counts.Recorded)
+		"evidence", string(evidence), "lost", counts.Lost, "left", counts.Left, "recorded", counts.Recorded, "part_crashes", counts.PartCrashes)
 }
 
 // onMembersLeft records the crashes of upstreams whose entries have ended though they had not said that
--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/balance"
+	"github.com/parsleyfront/parsleyfront/internal/eventstream"
 	"github.com/parsleyfront/parsleyfront/internal/exchange"
 	"github.com/parsleyfront/parsleyfront/internal/load"
 	"github.com/parsleyfront/parsleyfront/internal/quarantine"
@@ -32,6 +33,8 @@
 	firstBytesAt time.Time // arrival of the first bytes
 	lastEventAt  time.Time // arrival of the newest event
 	lastPieceAt  time.Time // arrival of the newest piece
+	position     eventstream.Position
+	eventSeen    bool // a whole event has arrived
 }
 
 // overdueGrace is how long after a request's deadline, or after the piece before it if that is later, the
@@ -55,15 +58,28 @@
 	s.lastPieceAt = now
 	if s.IsEventStream() {
 		s.observeTiming(now, p)
+		s.observeFirstEvent(p)
 	}
 	if p.End != nil {
 		s.router.recordAnswered(s.attempt)
+		if s.Status() < http.StatusInternalServerError {
+			s.router.recordPartsServed(s.attempt)
+		}
 	} else {
 		s.router.recordSign(s.attempt.vm, signPiece)
 	}
 	return p, nil
 }
 
+// observeFirstEvent records the first whole event of an event stream: the upstream has written on the parts of the
+// prompt.
+func (s *directStream) observeFirstEvent(p wire.Piece) {
+	if !s.eventSeen && s.position.Advance(p.Bytes) > 0 {
+		s.eventSeen = true
+		s.router.recordPartsServed(s.attempt)
+	}
+}
+
 // observeTiming records the arrival of a piece of an event stream.
 func (s *directStream) observeTiming(now time.Time, p wire.Piece) {
 	switch n := bytes.Count(p.Bytes, eventEnd); {
@@ -145,7 +161,7 @@
 		return false
 	}
 	at.watch.Start()
-	sent := quarantine.Copy{Fingerprint: quarantine.Fingerprint(d.fingerprint), Due: d.upstreamDue(), Tried: d.suspect}
+	sent := quarantine.Copy{Fingerprint: quarantine.Fingerprint(d.fingerprint), Parts: d.req.partFingerprints(d.poolName), Due: d.upstreamDue(), Tried: d.suspect}
 	at.sent.Store(d.router.suspects.Send(time.Now(), at.vm.ID, sent))
 	if at.ctx.Err() != nil { // it may have ended before there was a record
 		d.router.recordLeft(at)
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -8,6 +8,7 @@
 
 	"github.com/parsleyfront/parsleyfront/internal/policy"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
+	"github.com/parsleyfront/parsleyfront/internal/quarantine"
 	"github.com/parsleyfront/parsleyfront/internal/residency"
 	"github.com/parsleyfront/parsleyfront/internal/router/dispatch"
 	"github.com/parsleyfront/parsleyfront/internal/wire"
@@ -41,6 +42,7 @@
 	Org     *profile.Organisation
 	Profile *profile.Profile
 	Session string    // identifies the chat within the organisation; empty: none
+	Parts   []string  // ids of the parts of the prompt that other requests may share; only used for upstreams without a sidecar
 	Ticket  string    // placement ticket that the caller sent; empty: none
 	Key     *wire.Key // request key that the caller holds; nil: none
 	Call    wire.Call
@@ -196,6 +198,16 @@
 	return r.hashContent(org, r.Host, r.Call.Method, r.Call.Path)
 }
 
+// partFingerprints returns the fingerprints of the parts of the prompt that other requests may share. Those of two
+// pools differ: what crashes the upstreams of one may do nothing to those of the other.
+func (r *Request) partFingerprints(pool string) []quarantine.Fingerprint {
+	out := make([]quarantine.Fingerprint, len(r.Parts))
+	for i, part := range r.Parts {
+		out[i] = quarantine.Fingerprint(xxh3.HashStringSeed(part, xxh3.HashString(pool)))
+	}
+	return out
+}
+
 // hashContent returns a hash of the parts and of the request's body, never zero.
 func (r *Request) hashContent(parts ...string) uint64 {
 	h := xxh3.New()
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -28,6 +28,9 @@
 	// alone holds the suspected requests of which a copy is under way.
 	alone map[quarantine.Fingerprint]bool
 	turns turns
+	// partCrashes counts, for parts of prompts, the upstreams that have crashed under requests with them since
+	// one of these was served.
+	partCrashes map[quarantine.Fingerprint]int
 }
 
 // NewRegistry returns a Registry that knows of nothing.
@@ -37,6 +40,8 @@
 		account:  quarantine.NewAccount(),
 		inFlight: make(map[string][]quarantine.Fingerprint),
 		alone:    make(map[quarantine.Fingerprint]bool),
+
+		partCrashes: make(map[quarantine.Fingerprint]int),
 	}
 }
 
@@ -243,6 +248,9 @@
 type CrashCounts struct {
 	Lost, Left int // whose connections broke; that nobody awaited any more
 	Recorded   int // new entries of them
+	// PartCrashes is how many upstreams have crashed under requests with one of the parts of their prompts, the
+	// one with most, since one of these was served.
+	PartCrashes int
 }
 
 // Crashed records that an upstream has crashed.
@@ -251,7 +259,39 @@
 	defer r.mu.Unlock()
 	running := r.account.Crashed(now, upstream)
 	recorded := r.book.RecordObservedCrash(now, upstream, running.LastSign, slices.Concat(running.Lost, running.Left))
-	return CrashCounts{Lost: len(running.Lost), Left: len(running.Left), Recorded: recorded}
+	parts := r.countParts(slices.Concat(running.Lost, running.Left))
+	return CrashCounts{Lost: len(running.Lost), Left: len(running.Left), Recorded: recorded, PartCrashes: parts}
+}
+
+// maxCountedParts bounds the parts of which crashes are counted. All counts are dropped when there are more.
+const maxCountedParts = 4096
+
+// countParts counts a crash for each part of the prompts of requests, and returns the largest count among them.
+func (r *Registry) countParts(running []quarantine.RunningRequest) int {
+	if len(r.partCrashes) > maxCountedParts {
+		clear(r.partCrashes)
+	}
+	seen := make(map[quarantine.Fingerprint]bool)
+	most := 0
+	for _, request := range running {
+		for _, part := range request.Parts {
+			if !seen[part] {
+				seen[part] = true
+				r.partCrashes[part]++
+				most = max(most, r.partCrashes[part])
+			}
+		}
+	}
+	return most
+}
+
+// PartsServed records that an upstream has written on the parts of the prompt of a request.
+func (r *Registry) PartsServed(sent *quarantine.Sent) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, part := range sent.Parts() {
+		delete(r.partCrashes, part)
+	}
 }
 
 // DecideObserved returns how a request may run at an upstream without a sidecar.
