--- a/internal/quarantine/account.go
+++ b/internal/quarantine/account.go
@@ -80,6 +80,16 @@
 	Tried       bool          // it is sent alone, to see whether it crashes its upstream
 }
 
+// has reports whether a fingerprint is one of the request's.
+func (c Copy) has(p Fingerprint) bool {
+	return c.Fingerprint == p || slices.Contains(c.Parts, p)
+}
+
+// prints returns the fingerprints of the request.
+func (c Copy) prints() []Fingerprint {
+	return append([]Fingerprint{c.Fingerprint}, c.Parts...)
+}
+
 // Send records that a copy of a request is being sent to an upstream.
 func (a *Account) Send(now time.Time, upstream string, c Copy) *Sent {
 	r := a.upstreams[upstream]
@@ -187,8 +197,8 @@
 // Upstream returns the id of the incarnation of the upstream.
 func (s *Sent) Upstream() string { return s.upstream }
 
-// Fingerprint returns the fingerprint of the request.
-func (s *Sent) Fingerprint() uint64 { return uint64(s.copy.Fingerprint) }
+// Fingerprints returns the fingerprints of the request.
+func (s *Sent) Fingerprints() []Fingerprint { return s.copy.prints() }
 
 // Parts returns the fingerprints of the shared parts of the request's prompt.
 func (s *Sent) Parts() []Fingerprint { return s.copy.Parts }
@@ -240,16 +250,28 @@
 	return survived
 }
 
-// HasWaiting reports whether the answer to a copy of a request is awaited.
+// HasWaiting reports whether the answer to a request with a fingerprint is awaited. Of requests with a part of
+// prompts, those count whose answers have not begun.
 func (a *Account) HasWaiting(p Fingerprint) bool {
 	for _, r := range a.upstreams {
-		if slices.ContainsFunc(r.waiting, func(s *Sent) bool { return s.copy.Fingerprint == p }) {
+		if slices.ContainsFunc(r.waiting, func(s *Sent) bool { return s.copy.has(p) && !(p.IsPart() && s.begun) }) {
 			return true
 		}
 	}
 	return false
 }
 
+// WaitingAt returns the fingerprints of the requests whose answers are awaited at an upstream.
+func (a *Account) WaitingAt(upstream string) []Fingerprint {
+	var out []Fingerprint
+	if r := a.upstreams[upstream]; r != nil {
+		for _, s := range r.waiting {
+			out = append(out, s.copy.prints()...)
+		}
+	}
+	return out
+}
+
 // HasEnded reports whether requests were lost or left at an upstream of which nothing more is known.
 func (a *Account) HasEnded(upstream string) bool {
 	r := a.upstreams[upstream]
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -20,7 +20,8 @@
 	changes       uint64                    // entries added and raised so far
 	grants        map[Fingerprint]time.Time // when the permission to run alone ends
 	outbox        outbox
-	served        servedSet
+	served        servedSet   // contents of requests
+	partsServed   servedTimes // parts of prompts
 	survivals     survivals
 }
 
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -63,8 +63,11 @@
 
 // ttl returns how long after the crash the entry is valid.
 func (e *Entry) ttl() time.Duration {
-	if e.Status == Convicted {
+	switch {
+	case e.Status == Convicted:
 		return ConvictionTTL
+	case e.Tried && e.Fingerprint.IsPart():
+		return failedTrialTTL
 	}
 	return SuspectTTL
 }
--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -139,12 +139,12 @@
 
 // pick returns the entries to send, in order: first those of fingerprints with several crashes, which may soon be
 // refused, or were and are cleared, then those sent least often, then those with the highest status. It
-// removes entries that are older than gossipPeriod, unless they convict a fingerprint.
+// removes entries that are older than gossipPeriod, unless a fingerprint is refused or tried because of them.
 func (t *Table) pick(now time.Time, observed bool) []*Entry {
 	pending := t.outbox.pending
 	current := make([]*pendingEntry, 0, len(pending))
 	for k, n := range pending {
-		isOld := now.Sub(n.since) > gossipPeriod && !(n.entry.Observed && t.isConvictedByCount(now, n.entry.Fingerprint))
+		isOld := now.Sub(n.since) > gossipPeriod && !(n.entry.Observed && t.isHeldResponsible(now, n.entry.Fingerprint))
 		if isOld || !n.entry.isLive(now) {
 			delete(pending, k)
 			continue
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -95,7 +95,7 @@
 	if !e.isLive(now) {
 		return
 	}
-	if e.Observed && e.Status == Suspect && t.served.has(e.Fingerprint) {
+	if e.Observed && e.Status == Suspect && t.wasServedSince(e.At, e.Fingerprint) {
 		e.Status = Cleared
 	}
 	for _, known := range t.byFingerprint[e.Fingerprint] {
@@ -119,7 +119,7 @@
 		return
 	}
 	t.clearIfMostSurvived(now, e.Fingerprint)
-	if t.isConvictedByCount(now, e.Fingerprint) {
+	if t.isHeldResponsible(now, e.Fingerprint) {
 		t.outbox.addAll(now, t.byFingerprint[e.Fingerprint])
 	}
 }
--- a/internal/quarantine/observed.go
+++ b/internal/quarantine/observed.go
@@ -18,7 +18,7 @@
 	// not sent before that is known.
 	MaxUnknown = crashesToConvict
 
-	// maxSuspectsPerCrash bounds the entries that a router records of a crash.
+	// maxSuspectsPerCrash bounds the requests of which a router records entries at a crash.
 	maxSuspectsPerCrash = 16
 	// trialTimeout is how long after its latest crash a fingerprint that is to be tried keeps others from the
 	// upstreams at which it ranks first. Its caller may have gone.
@@ -39,20 +39,45 @@
 // upstream arrived last: a request that crashes its upstream mostly does so soon, and what is sent to
 // an upstream that has fallen silent is not the cause.
 func (t *Table) RecordObservedCrash(now time.Time, upstream string, lastSign time.Time, running []RunningRequest) int {
-	crash := observedCrash(upstream)
-	at := now.Truncate(time.Millisecond)
-	running = slices.DeleteFunc(slices.Clone(running), func(r RunningRequest) bool { return r.Fingerprint == 0 || t.served.has(r.Fingerprint) })
+	running = slices.DeleteFunc(slices.Clone(running), func(r RunningRequest) bool { return len(t.suspectsOf(r)) == 0 })
 	slices.SortStableFunc(running, func(a, b RunningRequest) int {
 		return cmp.Compare(a.Started.Sub(lastSign).Abs(), b.Started.Sub(lastSign).Abs())
 	})
 	before := t.size
 	for _, r := range running[:min(len(running), maxSuspectsPerCrash)] {
-		awaited := r.Awaited.Truncate(time.Millisecond)
-		t.mergeEntry(now, Entry{Fingerprint: r.Fingerprint, Crash: crash, VM: upstream, At: at, RunTime: awaited, Observed: true, Tried: r.Tried, own: true})
+		for _, p := range t.suspectsOf(r) {
+			t.mergeEntry(now, Entry{
+				Fingerprint: p, Crash: observedCrash(upstream), VM: upstream, At: now.Truncate(time.Millisecond),
+				RunTime: r.Awaited.Truncate(time.Millisecond), Observed: true, Tried: r.Tried, own: true,
+			})
+		}
 	}
 	return t.size - before
 }
 
+// suspectsOf returns the fingerprints of a request that may be the cause of a crash at which it was lost.
+func (t *Table) suspectsOf(r RunningRequest) []Fingerprint {
+	var out []Fingerprint
+	for _, p := range append([]Fingerprint{r.Fingerprint}, r.Parts...) {
+		if p != 0 && !t.wasServedSince(r.Started, p) && !slices.Contains(out, p) {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// MostPartCrashes returns how many upstreams have crashed under one of the parts of requests, the one with most,
+// since a request with it was served.
+func (t *Table) MostPartCrashes(now time.Time, running []RunningRequest) int {
+	most := 0
+	for _, r := range running {
+		for _, p := range r.Parts {
+			most = max(most, t.observedCrashes(now, p))
+		}
+	}
+	return most
+}
+
 // RetractCrash clears all requests of an observed crash of an upstream that is known to have lived at a
 // time after the crash was recorded: its connections or its entry were lost, and it was not. It reports
 // whether there was such a crash.
@@ -81,122 +106,12 @@
 	}
 }
 
-// WasServed reports whether a request was served lately.
-func (t *Table) WasServed(p Fingerprint) bool { return t.served.has(p) }
-
-// ObservedDecision is the result of DecideObserved.
-type ObservedDecision struct {
-	Action    Action    // Allow, RunAlone if the request is suspected, Try, or Refuse
-	Crashes   int       // observed crashes that no other fingerprint explains
-	Explained int       // observed crashes that another fingerprint explains
-	Until     time.Time // only for Refuse: when the conviction ends
-	Since     time.Time // only for Try: when the latest of its crashes was heard of
-}
-
-// SuspectedCrashes returns the number of crashes that a request is held responsible for. One that is to be tried
-// counts as one crash short of a conviction.
-func (d ObservedDecision) SuspectedCrashes() int {
-	if d.Action == Try {
-		return crashesToConvict - 1
-	}
-	return d.Crashes
-}
-
-// DecideObserved returns how a request may run at an upstream without a sidecar.
-//
-// A fingerprint that was lost at as many crashes as convict is refused if no other that may be their cause was
-// there, or if it was lost when it was tried. Otherwise each of them may be the cause or a bystander: one
-// copy of each is tried alone.
-func (t *Table) DecideObserved(now time.Time, p Fingerprint) ObservedDecision {
-	if len(t.byFingerprint[p]) == 0 {
-		return ObservedDecision{Action: Allow}
-	}
-	var d ObservedDecision
-	var ends []time.Time
-	failedTrial := false
-	for _, e := range t.byFingerprint[p] {
-		if !e.countsAt(now) {
-			continue
-		}
-		ends = append(ends, e.Expires())
-		if e.heardAt.After(d.Since) {
-			d.Since = e.heardAt
-		}
-		if t.isExplainedByCount(now, e) {
-			d.Explained++
-		} else {
-			d.Crashes++
-			failedTrial = failedTrial || e.Tried
-		}
-	}
-	switch {
-	case len(ends) >= crashesToConvict && (d.Crashes >= crashesToConvict || failedTrial):
-		slices.SortFunc(ends, time.Time.Compare)
-		d.Action, d.Until = Refuse, ends[len(ends)-crashesToConvict]
-	case len(ends) >= crashesToConvict:
-		d.Action = Try
-	case d.Crashes >= crashesToSuspect:
-		d.Action = RunAlone
-	}
-	return d
-}
-
-// MayTryAt returns a function that reports whether a fingerprint that is to be tried may be tried at an upstream:
-// two that run at one upstream when it crashes tell nothing. Of those that are to be tried, each upstream
-// has one that ranks first. Tables with the same entries agree on it.
-func (t *Table) MayTryAt(now time.Time, p Fingerprint) func(upstream string) bool {
-	var others []Fingerprint
-	for q, entries := range t.byFingerprint {
-		if q == p || len(entries) < crashesToConvict {
-			continue
-		}
-		if d := t.DecideObserved(now, q); d.Action == Try && now.Sub(d.Since) < trialTimeout {
-			others = append(others, q)
-		}
-	}
-	return func(upstream string) bool {
-		score := trialScore(upstream, p)
-		return !slices.ContainsFunc(others, func(q Fingerprint) bool { return trialScore(upstream, q) > score })
+// WasServed reports whether a request, or one with a part of prompts, was served lately.
+func (t *Table) WasServed(now time.Time, p Fingerprint) bool {
+	if p.IsPart() {
+		return t.partsServed.since(now.Add(-partServedFor), p)
 	}
-}
-
-func trialScore(upstream string, p Fingerprint) uint64 {
-	return xxh3.HashStringSeed(upstream, uint64(p))
-}
-
-// WasLostAt reports whether a crash of an upstream that p was lost at is recorded.
-func (t *Table) WasLostAt(now time.Time, p Fingerprint, upstream string) bool {
-	crash := observedCrash(upstream)
-	return slices.ContainsFunc(t.byFingerprint[p], func(e *Entry) bool { return e.Crash == crash && e.countsAt(now) })
-}
-
-// countsAt reports whether the entry of an observed crash counts at now.
-func (e *Entry) countsAt(now time.Time) bool {
-	return e.Observed && e.Status == Suspect && e.isLive(now)
-}
-
-// observedCrashes returns the number of observed crashes that count for p.
-func (t *Table) observedCrashes(now time.Time, p Fingerprint) int {
-	n := 0
-	for _, e := range t.byFingerprint[p] {
-		if e.countsAt(now) {
-			n++
-		}
-	}
-	return n
-}
-
-// isExplainedByCount reports whether another fingerprint that was lost at e's crash has enough crashes to be
-// convicted.
-func (t *Table) isExplainedByCount(now time.Time, e *Entry) bool {
-	return slices.ContainsFunc(t.byCrash[e.Crash], func(o *Entry) bool {
-		return o.Fingerprint != e.Fingerprint && o.countsAt(now) && t.observedCrashes(now, o.Fingerprint) >= crashesToConvict
-	})
-}
-
-// isConvictedByCount reports whether observed crashes convict p.
-func (t *Table) isConvictedByCount(now time.Time, p Fingerprint) bool {
-	return t.DecideObserved(now, p).Action == Refuse
+	return t.served.has(p)
 }
 
 // servedSet remembers fingerprints for at least servedFor and at most twice as long, and at most
--- a/internal/quarantine/observed_test.go
+++ b/internal/quarantine/observed_test.go
@@ -284,7 +284,7 @@
 	for i := range 60 {
 		n := 0
 		for _, p := range requests {
-			if table.MayTryAt(epoch, p)(fmt.Sprint("upstream-", i)) {
+			if table.MayTryAt(epoch, []Fingerprint{p})(fmt.Sprint("upstream-", i)) {
 				n++
 				upstreams[p]++
 			}
@@ -300,7 +300,7 @@
 	}
 	table.RecordServed(epoch, 8)
 	table.RecordServed(epoch, 9)
-	if may := table.MayTryAt(epoch, 7); !may("upstream-1") || !may("upstream-2") {
+	if may := table.MayTryAt(epoch, []Fingerprint{7}); !may("upstream-1") || !may("upstream-2") {
 		t.Error("the only one left may not be tried everywhere")
 	}
 }
--- /dev/null
+++ b/internal/quarantine/observeddecision.go
@@ -0,0 +1,209 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/zeebo/xxh3"
+)
+
+// ObservedDecision is the result of DecideObserved.
+type ObservedDecision struct {
+	Action Action // Allow, RunAlone if the request is suspected, Try, or Refuse
+	// Fingerprint is that of the request, or of the part of its prompt, because of which it may not run as usual.
+	Fingerprint Fingerprint
+	Crashes     int       // observed crashes that no fingerprint of other requests explains
+	Explained   int       // observed crashes that a fingerprint of other requests explains
+	Until       time.Time // only for Refuse: when it ends
+	Since       time.Time // only for Try: from when on the routers take turns
+}
+
+// SuspectedCrashes returns the number of crashes that a request is held responsible for. One that is to be tried
+// counts as one crash short of a conviction.
+func (d ObservedDecision) SuspectedCrashes() int {
+	if d.Action == Try {
+		return crashesToConvict - 1
+	}
+	return d.Crashes
+}
+
+// strictness orders decisions: the strictest about any of its fingerprints holds for a request.
+func (d ObservedDecision) strictness() int {
+	return slices.Index([]Action{Allow, RunAlone, Try, Refuse}, d.Action)
+}
+
+// DecideObserved returns how a request with these fingerprints may run at an upstream without a sidecar.
+//
+// The content of a request that was lost at as many crashes as convict is refused if no other fingerprint that may be
+// their cause was there, or if it was lost when it was tried. Otherwise each of them may be the cause or a
+// bystander: one copy of each is tried alone.
+//
+// A part of prompts is never refused before a trial has failed: many requests share it, and none of those that
+// could clear it runs once it is refused. It is tried again after a while.
+func (t *Table) DecideObserved(now time.Time, prints ...Fingerprint) ObservedDecision {
+	var strictest ObservedDecision
+	for _, p := range prints {
+		if d := t.DecideAmong(now, p, prints); d.strictness() > strictest.strictness() || d.Crashes > strictest.Crashes && d.strictness() == strictest.strictness() {
+			strictest = d
+		}
+	}
+	return strictest
+}
+
+// DecideAmong is DecideObserved for one of the fingerprints of a request. Crashes at which another one of them was
+// are not explained by it: the request has both.
+func (t *Table) DecideAmong(now time.Time, p Fingerprint, prints []Fingerprint) ObservedDecision {
+	if len(t.byFingerprint[p]) == 0 {
+		return ObservedDecision{Action: Allow}
+	}
+	c := t.countCrashes(now, p, prints)
+	if p.IsPart() {
+		return c.decidePart(now, p)
+	}
+	return c.decideContent(p)
+}
+
+// crashCounts is what the observed crashes of a fingerprint say of it.
+type crashCounts struct {
+	ends         []time.Time // when each of its entries ends
+	explained    int         // of them, those that others may be the cause of
+	failedTrials int         // of the others, those at which it was tried
+	heardAt      time.Time   // when the latest crash was heard of
+	failedAt     time.Time   // when the latest failed trial was heard of
+}
+
+func (t *Table) countCrashes(now time.Time, p Fingerprint, prints []Fingerprint) crashCounts {
+	var c crashCounts
+	for _, e := range t.byFingerprint[p] {
+		if !e.countsAt(now) {
+			continue
+		}
+		c.ends = append(c.ends, e.Expires())
+		c.heardAt = latest(c.heardAt, e.heardAt)
+		switch {
+		case t.isExplainedByCount(now, e, prints):
+			c.explained++
+		case e.Tried:
+			c.failedTrials++
+			c.failedAt = latest(c.failedAt, e.heardAt)
+		}
+	}
+	return c
+}
+
+func (c crashCounts) decision(p Fingerprint, a Action) ObservedDecision {
+	return ObservedDecision{Action: a, Fingerprint: p, Crashes: len(c.ends) - c.explained, Explained: c.explained}
+}
+
+func (c crashCounts) decideContent(p Fingerprint) ObservedDecision {
+	unexplained := len(c.ends) - c.explained
+	switch {
+	case len(c.ends) >= crashesToConvict && (unexplained >= crashesToConvict || c.failedTrials > 0):
+		d := c.decision(p, Refuse)
+		slices.SortFunc(c.ends, time.Time.Compare)
+		d.Until = c.ends[len(c.ends)-crashesToConvict]
+		return d
+	case len(c.ends) >= crashesToConvict:
+		d := c.decision(p, Try)
+		d.Since = c.heardAt
+		return d
+	case unexplained >= crashesToSuspect:
+		return c.decision(p, RunAlone)
+	}
+	return c.decision(p, Allow)
+}
+
+func (c crashCounts) decidePart(now time.Time, p Fingerprint) ObservedDecision {
+	if c.failedTrials > 0 {
+		next := c.failedAt.Add(trialPause(c.failedTrials))
+		if now.Before(next) {
+			d := c.decision(p, Refuse)
+			d.Until = next
+			return d
+		}
+		d := c.decision(p, Try)
+		d.Since = latest(next, c.heardAt)
+		return d
+	}
+	if len(c.ends) >= crashesToConvict {
+		d := c.decision(p, Try)
+		d.Since = c.heardAt
+		return d
+	}
+	return c.decision(p, Allow)
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// countsAt reports whether the entry of an observed crash counts at now.
+func (e *Entry) countsAt(now time.Time) bool {
+	return e.Observed && e.Status == Suspect && e.isLive(now)
+}
+
+// observedCrashes returns the number of observed crashes that count for p.
+func (t *Table) observedCrashes(now time.Time, p Fingerprint) int {
+	n := 0
+	for _, e := range t.byFingerprint[p] {
+		if e.countsAt(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// isExplainedByCount reports whether a fingerprint that is none of prints was lost at e's crash and has enough
+// crashes to be the cause.
+func (t *Table) isExplainedByCount(now time.Time, e *Entry, prints []Fingerprint) bool {
+	return slices.ContainsFunc(t.byCrash[e.Crash], func(o *Entry) bool {
+		return o.countsAt(now) && !slices.Contains(prints, o.Fingerprint) && t.observedCrashes(now, o.Fingerprint) >= crashesToConvict
+	})
+}
+
+// isConvictedByCount reports whether observed crashes convict p.
+func (t *Table) isConvictedByCount(now time.Time, p Fingerprint) bool {
+	return t.DecideObserved(now, p).Action == Refuse
+}
+
+// isHeldResponsible reports whether p is refused or to be tried for observed crashes.
+func (t *Table) isHeldResponsible(now time.Time, p Fingerprint) bool {
+	return t.DecideObserved(now, p).strictness() >= ObservedDecision{Action: Try}.strictness()
+}
+
+// MayTryAt returns a function that reports whether a request that is to be tried may be tried at an upstream:
+// two that run at one upstream when it crashes tell nothing. Of the fingerprints that are to be tried, each upstream
+// has one that ranks first. Tables with the same entries agree on it.
+func (t *Table) MayTryAt(now time.Time, prints []Fingerprint) func(upstream string) bool {
+	var own, others []Fingerprint
+	for q := range t.byFingerprint {
+		d := t.DecideObserved(now, q)
+		switch {
+		case d.Action != Try || now.Sub(d.Since) >= trialTimeout:
+		case slices.Contains(prints, q):
+			own = append(own, q)
+		default:
+			others = append(others, q)
+		}
+	}
+	return func(upstream string) bool {
+		return len(others) == 0 || highestTrialScore(upstream, own) > highestTrialScore(upstream, others)
+	}
+}
+
+func highestTrialScore(upstream string, prints []Fingerprint) uint64 {
+	var highest uint64
+	for _, p := range prints {
+		highest = max(highest, xxh3.HashStringSeed(upstream, uint64(p)))
+	}
+	return highest
+}
+
+// WasLostAt reports whether a crash of an upstream that p was lost at is recorded.
+func (t *Table) WasLostAt(now time.Time, p Fingerprint, upstream string) bool {
+	crash := observedCrash(upstream)
+	return slices.ContainsFunc(t.byFingerprint[p], func(e *Entry) bool { return e.Crash == crash && e.countsAt(now) })
+}
--- a/internal/quarantine/whereabouts.go
+++ b/internal/quarantine/whereabouts.go
@@ -10,15 +10,15 @@
 	}
 }
 
-// Whereabouts is what an Account knows of the copies of a request that were left lately, before their
-// responses had begun.
+// Whereabouts is what an Account knows of the requests with a fingerprint that were left lately, before their
+// responses had begun: copies of one request, or requests with one part of prompts.
 type Whereabouts struct {
 	Silent  []string      // upstreams of which nothing was heard since they had a copy
 	Awaited time.Duration // the shortest time for which one of these copies was awaited
 	Heard   int           // copies that were awaited as long at upstreams that were heard of since
 }
 
-// Whereabouts returns where copies of a request were left.
+// Whereabouts returns where requests with a fingerprint were left.
 func (a *Account) Whereabouts(p Fingerprint) Whereabouts {
 	var out Whereabouts
 	if a.size == 0 {
@@ -34,8 +34,8 @@
 		for _, s := range r.ended {
 			awaited := s.endedAt.Sub(s.started)
 			switch {
-			case s.copy.Fingerprint != p || s.state != left || s.survived || s.begun:
-			case latest.After(s.endedAt):
+			case !s.copy.has(p) || s.state != left || s.survived || s.begun:
+			case !latest.Before(s.endedAt):
 				heard = append(heard, awaited)
 			case out.Silent == nil && !isSilent || awaited < out.Awaited:
 				isSilent, out.Awaited = true, awaited
--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -6,6 +6,7 @@
 
 	"github.com/parsleyfront/parsleyfront/internal/eventstream"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
+	"github.com/parsleyfront/parsleyfront/internal/quarantine"
 	"github.com/parsleyfront/parsleyfront/internal/router/dispatch"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
@@ -26,19 +27,21 @@
 	targets       []target // direct upstreams only: the latest choice, best first
 	view          *View
 	candidates    []topo.VM
-	home          string   // id of the upstream that ranks first
-	session       uint64   // hash of the session; zero: none
-	sessionShare  float64  // lower estimate of the session's fraction of the pool's requests
-	shareCounted  bool     // the request was counted in sessionShare
-	isLikelyRetry bool     // the request is probably the retry of a rejected one
-	fingerprint   uint64   // hash of the content; zero: not known
-	suspect       bool     // the request may have crashed an upstream and runs alone
-	origin        origin   // direct upstreams only: where the stream began
-	originTold    bool     // other routers have been told of it
-	lostAt        []string // direct upstreams only: upstreams at which attempts were lost
-	hasPermit     bool     // the suspect may run alone at a VM other than the crash site
-	resumeOffset  int64    // offset in an earlier response to resume from
-	release       func()   // ends its count against the organisation's concurrency limit
+	home          string                   // id of the upstream that ranks first
+	session       uint64                   // hash of the session; zero: none
+	sessionShare  float64                  // lower estimate of the session's fraction of the pool's requests
+	shareCounted  bool                     // the request was counted in sessionShare
+	isLikelyRetry bool                     // the request is probably the retry of a rejected one
+	fingerprint   uint64                   // hash of the content; zero: not known
+	prints        []quarantine.Fingerprint // direct upstreams only: of the content and of the shared parts of the prompt
+	tried         bool                     // direct upstreams only: it is sent alone to see whether it crashes its upstream
+	suspect       bool                     // the request may have crashed an upstream and runs alone
+	origin        origin                   // direct upstreams only: where the stream began
+	originTold    bool                     // other routers have been told of it
+	lostAt        []string                 // direct upstreams only: upstreams at which attempts were lost
+	hasPermit     bool                     // the suspect may run alone at a VM other than the crash site
+	resumeOffset  int64                    // offset in an earlier response to resume from
+	release       func()                   // ends its count against the organisation's concurrency limit
 
 	started         time.Time
 	timeToFirstByte time.Duration   // from started to the first piece for the caller; zero: none yet
--- a/internal/router/crashes.go
+++ b/internal/router/crashes.go
@@ -8,6 +8,7 @@
 
 	"github.com/parsleyfront/parsleyfront/internal/exchange"
 	"github.com/parsleyfront/parsleyfront/internal/quarantine"
+	"github.com/parsleyfront/parsleyfront/internal/suspects"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
@@ -26,6 +27,8 @@
 		"Upstreams without a sidecar that were found to have crashed, and answered again.")
 	retractingSigns = telemetry.NewFamily[sign]("router_retracting_signs_total", "sign",
 		"Upstreams without a sidecar that were found to have crashed, by what they have sent that shows they have not.")
+	refusedParts = telemetry.NewCounter("router_refused_parts_total",
+		"Requests answered at once because upstreams have crashed under others with a part of their prompts.", telemetry.Alert)
 	triedRequests = telemetry.NewCounter("router_tried_requests_total",
 		"Requests that were sent alone although as many upstreams have crashed under them as convict, since other requests may be the cause.")
 	suspectRefusals = telemetry.NewCounter("router_suspect_refusals_total",
@@ -51,47 +54,53 @@
 	signLateAnswer sign = "late"      // an answer that no attempt waits for
 )
 
-// applyObservedCrashes returns an error if the request has crashed so many upstreams that it is
-// refused, if copies of it are at as many of which nothing is heard any more, or if it is suspected and a
-// copy of it is under way, or another router is to try it. Copies of a suspect that run one by one cost one
-// upstream until it is convicted or cleared, and not one each.
+// applyObservedCrashes returns an error if the request, or others with a part of its prompt, have crashed so many
+// upstreams that it is refused, if such requests are at as many of which nothing is heard any more, or if it is
+// suspected and another one is under way, or another router is to try it. Suspected requests that run one by
+// one cost one upstream until they are convicted or cleared, and not one each.
 func (resp *Response) applyObservedCrashes(now time.Time) *verdict.Error {
-	resp.fingerprint = resp.req.directFingerprint()
-	d := resp.router.suspects.DecideObserved(now, resp.fingerprint)
-	if d.Action == quarantine.Refuse {
-		quarantinedRequests.Inc()
-		err := verdict.New(verdict.NotRun, verdict.ReasonQuarantined, "%d upstreams crashed while they ran this request", d.Crashes+d.Explained)
-		return err.WithRetryAfter(d.Until.Sub(now))
+	resp.prints = resp.req.directFingerprints(resp.poolName)
+	j := resp.judge(now)
+	part := resp.req.partOf(j.Fingerprint, resp.prints)
+	if part != "" && j.Action != quarantine.Allow {
+		resp.router.suspects.NamePart(j.Fingerprint, part)
 	}
-	crashes := d.SuspectedCrashes()
-	if n := resp.awaitAccounted(crashes); crashes+n >= quarantine.MaxUnknown {
+	switch {
+	case j.Action == quarantine.Refuse:
+		quarantinedRequests.Inc()
+		return refusedForCrashes(j, part).WithRetryAfter(j.Until.Sub(now))
+	case j.IsHeld:
 		heldCopies.Inc()
-		err := verdict.New(verdict.NotRun, verdict.ReasonSuspect, "copies of this request are at %d upstreams that have not been heard of since", n)
+		err := verdict.New(verdict.NotRun, verdict.ReasonSuspect, "copies of this request, or requests with a part of its prompt, are at %d upstreams that have not been heard of since", len(j.Silent))
 		return err.WithRetryAfter(quarantine.RetryAfter)
-	}
-	if d.Action == quarantine.RunAlone || d.Action == quarantine.Try {
-		return resp.runAlone(now, d)
+	case j.Action != quarantine.Allow:
+		return resp.runAlone(now, j, part)
 	}
 	return nil
 }
 
-// runAlone returns an error unless the request, which is suspected, may be sent by itself now.
-func (resp *Response) runAlone(now time.Time, d quarantine.ObservedDecision) *verdict.Error {
-	if d.Action == quarantine.Try && !resp.router.suspects.IsTurn(now, resp.fingerprint, d) {
-		suspectRefusals.Inc()
-		err := verdict.New(verdict.NotRun, verdict.ReasonSuspect, "upstreams crashed while they ran this request and others, and another router is to try it")
-		return err.WithRetryAfter(quarantine.RetryAfter)
+// refusedForCrashes returns the error of a request that is refused for what it, or others with a part of its
+// prompt, have crashed.
+func refusedForCrashes(j suspects.Judgement, part string) *verdict.Error {
+	if part == "" {
+		return verdict.New(verdict.NotRun, verdict.ReasonQuarantined, "%d upstreams crashed while they ran this request", j.Crashes+j.Explained)
 	}
-	end, ok := resp.router.suspects.TryRunAlone(resp.fingerprint)
+	refusedParts.Inc()
+	return verdict.New(verdict.NotRun, verdict.ReasonQuarantined, "%d upstreams crashed while they ran requests with part %s of their prompts", j.Crashes+j.Explained, part)
+}
+
+// runAlone returns an error unless the request, which is suspected, may be sent by itself now.
+func (resp *Response) runAlone(now time.Time, j suspects.Judgement, part string) *verdict.Error {
+	end, ok := resp.router.suspects.TryRunAlone(now, j.ObservedDecision)
 	if !ok {
 		suspectRefusals.Inc()
-		err := verdict.New(verdict.NotRun, verdict.ReasonSuspect, "a copy of this request is running, and upstreams crashed while they ran others")
+		err := verdict.New(verdict.NotRun, verdict.ReasonSuspect, "upstreams crashed while they ran this request, or others with part %q of its prompt, and one is to be tried first", part)
 		return err.WithRetryAfter(quarantine.RetryAfter)
 	}
-	if d.Action == quarantine.Try {
+	if j.Action == quarantine.Try {
 		triedRequests.Inc()
 	}
-	resp.suspect, resp.release = true, end
+	resp.suspect, resp.tried, resp.release = true, true, end
 	return nil
 }
 
@@ -103,36 +112,20 @@
 	checkWaitStep = 5 * time.Millisecond
 )
 
-// awaitAccounted returns at how many upstreams copies of the request are of which nothing was heard since.
-// If these and the crashes are enough for the request to be held, it waits for the checks that are
-// under way.
-func (resp *Response) awaitAccounted(crashes int) int {
-	n := len(resp.router.suspects.Unaccounted(resp.fingerprint))
-	for waited := time.Duration(0); crashes+n >= quarantine.MaxUnknown && waited < maxCheckWait; waited += checkWaitStep {
+// judge returns how the request may be sent. If it would be held since upstreams with copies are not heard of, it
+// waits for the checks that are under way.
+func (resp *Response) judge(now time.Time) suspects.Judgement {
+	j := resp.router.suspects.Judge(now, resp.prints)
+	for waited := time.Duration(0); j.IsHeld && j.Action != quarantine.Refuse && waited < maxCheckWait; waited += checkWaitStep {
 		sleep(resp.ctx, checkWaitStep)
-		n = len(resp.router.suspects.Unaccounted(resp.fingerprint))
+		j = resp.router.suspects.Judge(time.Now(), resp.prints)
 	}
-	return n
+	return j
 }
 
-// mayRunAgain reports whether the request may have another attempt. A request whose upstream has
-// crashed is sent to a second one, since most such requests are innocent. If it is lost there as well, it
-// is not sent to a third one, although it is not known yet whether the second one has crashed. An upstream
-// that has had a copy and is not heard of any more counts like one that has crashed.
+// mayRunAgain reports whether the request may have another attempt.
 func (resp *Response) mayRunAgain() bool {
-	now := time.Now()
-	crashes := resp.router.suspects.DecideObserved(now, resp.fingerprint).SuspectedCrashes()
-	unaccounted := len(resp.router.suspects.Unaccounted(resp.fingerprint))
-	if crashes == 0 {
-		return unaccounted <= 1
-	}
-	crashes += unaccounted
-	for _, upstream := range resp.lostAt {
-		if !resp.router.suspects.WasLostAt(now, resp.fingerprint, upstream) {
-			crashes++
-		}
-	}
-	return crashes <= 1
+	return resp.router.suspects.MayRunAgain(time.Now(), resp.prints, resp.lostAt)
 }
 
 // separate returns the first of the targets that runs no other request which was lost at a crash
@@ -144,15 +137,16 @@
 	}
 	now := time.Now()
 	s := resp.router.suspects
-	d := s.DecideObserved(now, resp.fingerprint)
-	if d.SuspectedCrashes() == 0 {
+	j := s.Judge(now, resp.prints)
+	if j.SuspectedCrashes() == 0 {
 		return targets[0], true
 	}
-	if d.Action == quarantine.Try {
-		mayTryAt := s.MayTryAt(now, resp.fingerprint)
+	if j.Action == quarantine.Try {
+		mayTryAt := s.MayTryAt(now, resp.prints)
 		targets = slices.DeleteFunc(slices.Clone(targets), func(t target) bool { return !mayTryAt(t.vm.ID) })
 	}
-	i := slices.IndexFunc(targets, func(t target) bool { return !s.HasOtherInFlight(t.vm.ID, resp.fingerprint) })
+	hasOtherSuspect := s.HasOtherSuspect(now, resp.prints)
+	i := slices.IndexFunc(targets, func(t target) bool { return !hasOtherSuspect(t.vm.ID) })
 	switch {
 	case i >= 0:
 		return targets[i], true
@@ -181,21 +175,13 @@
 	}
 	now := time.Now()
 	r.suspects.Left(now, sent)
-	unaccounted := r.suspects.Unaccounted(sent.Fingerprint())
-	if len(unaccounted)+r.suspects.DecideObserved(now, sent.Fingerprint()).SuspectedCrashes() < minUnknownToCheck {
-		return
-	}
-	for _, id := range unaccounted {
+	for _, id := range r.suspects.AboutToHold(now, sent.Fingerprints()) {
 		if vm, listed := r.View().VMs[id]; listed {
 			go r.checkAccepts(vm)
 		}
 	}
 }
 
-// minUnknownToCheck is the number of upstreams that have crashed under a request, or are not heard of since
-// copies of it were left there, from which on the latter are checked: one more, and copies are held.
-const minUnknownToCheck = quarantine.MaxUnknown - 1
-
 // checkAccepts finds out whether an upstream accepts connections.
 func (r *Router) checkAccepts(vm topo.VM) {
 	ctx, cancel := context.WithTimeout(r.ctx, crashCheckTimeout)
@@ -286,7 +272,7 @@
 // recordPartsServed records that an upstream has written on the parts of the prompt of a request.
 func (r *Router) recordPartsServed(at *attempt) {
 	if sent := at.sent.Load(); sent != nil {
-		r.suspects.PartsServed(sent)
+		r.suspects.PartsServed(time.Now(), sent)
 	}
 }
 
--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -102,11 +102,9 @@
 	at.span.Set(telemetry.AttrVM, at.vm.ID)
 	id := load.Hash(at.vm.ID)
 	at.tracker.BeginAttempt(id)
-	endInFlight := d.router.suspects.BeginInFlight(time.Now(), at.vm.ID, d.fingerprint)
 	context.AfterFunc(at.ctx, func() {
 		at.tracker.EndAttempt(id)
 		at.watch.Abandon()
-		endInFlight()
 		d.router.recordLeft(at)
 	})
 	call := d.exchangeCall(at)
@@ -161,7 +159,7 @@
 		return false
 	}
 	at.watch.Start()
-	sent := quarantine.Copy{Fingerprint: quarantine.Fingerprint(d.fingerprint), Parts: d.req.partFingerprints(d.poolName), Due: d.upstreamDue(), Tried: d.suspect}
+	sent := quarantine.Copy{Fingerprint: d.prints[0], Parts: d.prints[1:], Due: d.upstreamDue(), Tried: d.tried}
 	at.sent.Store(d.router.suspects.Send(time.Now(), at.vm.ID, sent))
 	if at.ctx.Err() != nil { // it may have ended before there was a record
 		d.router.recordLeft(at)
--- a/internal/router/log.go
+++ b/internal/router/log.go
@@ -129,7 +129,7 @@
 	outcome, class := resp.outcome()
 	requestOutcomes.Inc(outcome)
 	if outcome == outcomeAnswered && resp.plan.Direct {
-		resp.router.suspects.Served(time.Now(), resp.fingerprint)
+		resp.router.suspects.Served(time.Now(), resp.prints[0])
 	}
 	responseTime.Observe(took)
 	if resp.timeToFirstByte > 0 {
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -188,24 +189,31 @@
 	return r.hashContent(r.Org.Name, r.Profile.Name, r.Call.Method, r.Call.Path)
 }
 
-// directFingerprint is fingerprint for upstreams without a sidecar. It does not contain the profile,
-// which a change of the configuration may replace, and the organisation may be unknown.
-func (r *Request) directFingerprint() uint64 {
+// directFingerprints returns the fingerprints of the request for upstreams without a sidecar: of its content, and of
+// the parts of its prompt that other requests may share. The former does not contain the profile, which a change
+// of the configuration may replace, and the organisation may be unknown. Those of parts differ between pools:
+// what crashes the upstreams of one may do nothing to those of another.
+func (r *Request) directFingerprints(pool string) []quarantine.Fingerprint {
 	org := ""
 	if r.Org != nil {
 		org = r.Org.Name
 	}
-	return r.hashContent(org, r.Host, r.Call.Method, r.Call.Path)
+	out := make([]quarantine.Fingerprint, 1, 1+len(r.Parts))
+	out[0] = quarantine.ContentFingerprint(r.hashContent(org, r.Host, r.Call.Method, r.Call.Path))
+	seed := xxh3.HashString(pool)
+	for _, part := range r.Parts {
+		out = append(out, quarantine.PartFingerprint(xxh3.HashStringSeed(part, seed)))
+	}
+	return out
 }
 
-// partFingerprints returns the fingerprints of the parts of the prompt that other requests may share. Those of two
-// pools differ: what crashes the upstreams of one may do nothing to those of the other.
-func (r *Request) partFingerprints(pool string) []quarantine.Fingerprint {
-	out := make([]quarantine.Fingerprint, len(r.Parts))
-	for i, part := range r.Parts {
-		out[i] = quarantine.Fingerprint(xxh3.HashStringSeed(part, xxh3.HashString(pool)))
+// partOf returns the id of the part of the prompt with a fingerprint, which is one of prints; empty: it is that of
+// the content.
+func (r *Request) partOf(p quarantine.Fingerprint, prints []quarantine.Fingerprint) string {
+	if i := slices.Index(prints, p); i > 0 {
+		return r.Parts[i-1]
 	}
-	return out
+	return ""
 }
 
 // hashContent returns a hash of the parts and of the request's body, never zero.
--- a/internal/suspects/model_test.go
+++ b/internal/suspects/model_test.go
@@ -79,6 +79,11 @@
 	ambiguous bool
 }
 
+// prints returns the fingerprints of a request.
+func prints(print uint64) []quarantine.Fingerprint {
+	return []quarantine.Fingerprint{quarantine.Fingerprint(print)}
+}
+
 func (m *model) start() {
 	m.started++
 	m.upstreams = append(m.upstreams, &modelUpstream{id: fmt.Sprint("upstream-", m.started), copies: make(map[uint64]bool)})
@@ -109,12 +114,11 @@
 	if print == guilty && slices.ContainsFunc(m.pending, func(c *modelCopy) bool { return c.print == guilty && !c.left }) {
 		t.Skip("its caller still waits for the copy before")
 	}
-	d := r.DecideObserved(m.now, print)
-	held := d.SuspectedCrashes()+len(r.Unaccounted(print)) >= quarantine.MaxUnknown
+	d := r.Judge(m.now, prints(print))
 	switch {
-	case (d.Action == quarantine.Refuse || held) && m.lostWith(print) < quarantine.MaxUnknown:
-		t.Fatalf("request %d is turned away (%+v, held %v), and %d upstreams were lost with it", print, d, held, m.lostWith(print))
-	case d.Action == quarantine.Refuse || held:
+	case (d.Action == quarantine.Refuse || d.IsHeld) && m.lostWith(print) < quarantine.MaxUnknown:
+		t.Fatalf("request %d is turned away (%+v), and %d upstreams were lost with it", print, d, m.lostWith(print))
+	case d.Action == quarantine.Refuse || d.IsHeld:
 		return
 	case d.Action == quarantine.RunAlone && m.lostWith(print) < 2:
 		t.Fatalf("request %d is a suspect, and %d upstreams were lost with it", print, m.lostWith(print))
@@ -123,7 +127,7 @@
 	}
 	var endAlone func()
 	if d.Action == quarantine.RunAlone || d.Action == quarantine.Try {
-		end, ok := r.TryRunAlone(print)
+		end, ok := r.TryRunAlone(m.now, d.ObservedDecision)
 		if !ok {
 			return
 		}
@@ -176,7 +180,7 @@
 	c.router.Answered(m.now, c.sent)
 	c.end()
 	if !c.left {
-		c.router.Served(m.now, c.print)
+		c.router.Served(m.now, quarantine.Fingerprint(c.print))
 	}
 	m.pending = slices.DeleteFunc(m.pending, func(o *modelCopy) bool { return o == c })
 	another := slices.ContainsFunc(m.pending, func(o *modelCopy) bool { return o.upstream == c.upstream && o.print == c.print })
@@ -196,12 +200,9 @@
 
 // check asks upstreams that are not heard of whether they accept connections, as routers do.
 func (m *model) check(r *Registry, print uint64) {
-	unaccounted := r.Unaccounted(print)
-	if len(unaccounted)+r.DecideObserved(m.now, print).SuspectedCrashes() < quarantine.MaxUnknown-1 {
-		return
-	}
+	silent := r.AboutToHold(m.now, prints(print))
 	for _, u := range m.upstreams {
-		if u.state == alive && slices.Contains(unaccounted, u.id) {
+		if u.state == alive && slices.Contains(silent, u.id) {
 			r.Accepted(m.now, u.id)
 		}
 	}
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -22,26 +22,18 @@
 	mu      sync.Mutex
 	book    *quarantine.Table
 	account *quarantine.Account
-	// inFlight holds the attempts at upstreams without a sidecar whose requests were lost at a crash
-	// before, by upstream.
-	inFlight map[string][]quarantine.Fingerprint
-	// alone holds the suspected requests of which a copy is under way.
+	// alone holds the fingerprints of suspected requests that are under way.
 	alone map[quarantine.Fingerprint]bool
 	turns turns
-	// partCrashes counts, for parts of prompts, the upstreams that have crashed under requests with them since
-	// one of these was served.
-	partCrashes map[quarantine.Fingerprint]int
+	names partNames
 }
 
 // NewRegistry returns a Registry that knows of nothing.
 func NewRegistry() *Registry {
 	return &Registry{
-		book:     quarantine.New("", 0),
-		account:  quarantine.NewAccount(),
-		inFlight: make(map[string][]quarantine.Fingerprint),
-		alone:    make(map[quarantine.Fingerprint]bool),
-
-		partCrashes: make(map[quarantine.Fingerprint]int),
+		book:    quarantine.New("", 0),
+		account: quarantine.NewAccount(),
+		alone:   make(map[quarantine.Fingerprint]bool),
 	}
 }
 
@@ -145,7 +137,14 @@
 
 func (r *Registry) sign(now time.Time, upstream string) {
 	for _, survived := range r.account.Sign(now, upstream) {
-		r.book.RecordSurvived(now, survived.Fingerprint, survived.Awaited)
+		r.recordSurvived(now, survived)
+	}
+}
+
+func (r *Registry) recordSurvived(now time.Time, survived quarantine.RunningRequest) {
+	r.book.RecordSurvived(now, survived.Fingerprint, survived.Awaited)
+	for _, part := range survived.Parts {
+		r.book.RecordSurvived(now, part, survived.Awaited)
 	}
 }
 
@@ -153,7 +152,9 @@
 func (r *Registry) Answered(now time.Time, sent *quarantine.Sent) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.recordSurvivedIf(r.account.Answered(sent), now, sent)
+	if r.account.Answered(sent) {
+		r.recordSurvived(now, sent.Running())
+	}
 }
 
 // Rejected records that a request was rejected by its upstream, or by another one at its address. It has not
@@ -169,13 +170,8 @@
 func (r *Registry) Outlived(now time.Time, sent *quarantine.Sent) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.recordSurvivedIf(r.account.Outlived(sent), now, sent)
-}
-
-func (r *Registry) recordSurvivedIf(survived bool, now time.Time, sent *quarantine.Sent) {
-	if survived {
-		running := sent.Running()
-		r.book.RecordSurvived(now, running.Fingerprint, running.Awaited)
+	if r.account.Outlived(sent) {
+		r.recordSurvived(now, sent.Running())
 	}
 }
 
@@ -184,18 +180,18 @@
 func (r *Registry) Lost(now time.Time, sent *quarantine.Sent) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.recordIf(r.account.Lost(now, sent), now, sent)
+	return r.recordAtCrash(now, sent, r.account.Lost(now, sent))
 }
 
 // Left records that nobody awaits the answer to a request any more, and reports the same.
 func (r *Registry) Left(now time.Time, sent *quarantine.Sent) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.recordIf(r.account.Left(now, sent), now, sent)
+	return r.recordAtCrash(now, sent, r.account.Left(now, sent))
 }
 
-// recordIf records a request at the crash of its upstream, if that is known.
-func (r *Registry) recordIf(crashed bool, now time.Time, sent *quarantine.Sent) bool {
+// recordAtCrash records a request at the crash of its upstream, if that is known.
+func (r *Registry) recordAtCrash(now time.Time, sent *quarantine.Sent, crashed bool) bool {
 	if crashed {
 		r.book.RecordObservedCrash(now, sent.Upstream(), now, []quarantine.RunningRequest{sent.Running()})
 	}
@@ -210,19 +206,6 @@
 	return r.account.Closed(now, sent)
 }
 
-// Unaccounted returns the upstreams at which copies of a request were left and of which nothing was heard
-// since; nil if upstreams have survived most of its other copies, or it was served lately.
-func (r *Registry) Unaccounted(fingerprint uint64) []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	p := quarantine.Fingerprint(fingerprint)
-	at := r.account.Whereabouts(p)
-	if len(at.Silent) == 0 || r.book.WasServed(p) || r.book.IsMostlySurvived(p, at) {
-		return nil
-	}
-	return at.Silent
-}
-
 // Accepted records that an upstream has accepted a connection that was opened to see whether it does.
 func (r *Registry) Accepted(now time.Time, upstream string) {
 	r.mu.Lock()
@@ -259,108 +242,35 @@
 	defer r.mu.Unlock()
 	running := r.account.Crashed(now, upstream)
 	recorded := r.book.RecordObservedCrash(now, upstream, running.LastSign, slices.Concat(running.Lost, running.Left))
-	parts := r.countParts(slices.Concat(running.Lost, running.Left))
+	parts := r.book.MostPartCrashes(now, slices.Concat(running.Lost, running.Left))
 	return CrashCounts{Lost: len(running.Lost), Left: len(running.Left), Recorded: recorded, PartCrashes: parts}
 }
 
-// maxCountedParts bounds the parts of which crashes are counted. All counts are dropped when there are more.
-const maxCountedParts = 4096
-
-// countParts counts a crash for each part of the prompts of requests, and returns the largest count among them.
-func (r *Registry) countParts(running []quarantine.RunningRequest) int {
-	if len(r.partCrashes) > maxCountedParts {
-		clear(r.partCrashes)
-	}
-	seen := make(map[quarantine.Fingerprint]bool)
-	most := 0
-	for _, request := range running {
-		for _, part := range request.Parts {
-			if !seen[part] {
-				seen[part] = true
-				r.partCrashes[part]++
-				most = max(most, r.partCrashes[part])
-			}
-		}
-	}
-	return most
-}
-
 // PartsServed records that an upstream has written on the parts of the prompt of a request.
-func (r *Registry) PartsServed(sent *quarantine.Sent) {
+func (r *Registry) PartsServed(now time.Time, sent *quarantine.Sent) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, part := range sent.Parts() {
-		delete(r.partCrashes, part)
-	}
-}
-
-// DecideObserved returns how a request may run at an upstream without a sidecar.
-func (r *Registry) DecideObserved(now time.Time, fingerprint uint64) quarantine.ObservedDecision {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.book.DecideObserved(now, quarantine.Fingerprint(fingerprint))
-}
-
-// WasLostAt reports whether a crash of an upstream is recorded at which a request was lost.
-func (r *Registry) WasLostAt(now time.Time, fingerprint uint64, upstream string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.book.WasLostAt(now, quarantine.Fingerprint(fingerprint), upstream)
+	r.book.RecordPartsServed(now, sent.Parts())
 }
 
 // Served records that a request has run to its end.
-func (r *Registry) Served(now time.Time, fingerprint uint64) {
+func (r *Registry) Served(now time.Time, fingerprint quarantine.Fingerprint) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.book.RecordServed(now, quarantine.Fingerprint(fingerprint))
+	r.book.RecordServed(now, fingerprint)
 }
 
-// BeginInFlight records an attempt at an upstream if its request was lost at a crash before. The
-// returned function ends the record.
-func (r *Registry) BeginInFlight(now time.Time, upstream string, fingerprint uint64) (end func()) {
+// TryRunAlone admits a request that a decision holds back, if no other one with the same suspected fingerprint is
+// under way, and if it is this router's turn where one is to be tried. The returned function must be called when
+// the request has ended.
+func (r *Registry) TryRunAlone(now time.Time, d quarantine.ObservedDecision) (end func(), ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p := quarantine.Fingerprint(fingerprint)
-	if r.book.DecideObserved(now, p).SuspectedCrashes() == 0 {
-		return func() {}
-	}
-	r.inFlight[upstream] = append(r.inFlight[upstream], p)
-	return func() { r.endInFlight(upstream, p) }
-}
-
-func (r *Registry) endInFlight(upstream string, p quarantine.Fingerprint) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	at := r.inFlight[upstream]
-	i := slices.Index(at, p)
-	if at = slices.Delete(at, i, i+1); len(at) == 0 {
-		delete(r.inFlight, upstream)
-	} else {
-		r.inFlight[upstream] = at
+	p := d.Fingerprint
+	if d.Action == quarantine.Try && now.Before(r.turns.begins(d)) {
+		return nil, false
 	}
-}
-
-// IsTurn reports whether this router may try a request now that is to be tried.
-func (r *Registry) IsTurn(now time.Time, fingerprint uint64, d quarantine.ObservedDecision) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return !now.Before(r.turns.begins(quarantine.Fingerprint(fingerprint), d))
-}
-
-// MayTryAt returns a function that reports whether a request that is to be tried may be tried at an upstream.
-func (r *Registry) MayTryAt(now time.Time, fingerprint uint64) func(upstream string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.book.MayTryAt(now, quarantine.Fingerprint(fingerprint))
-}
-
-// TryRunAlone admits a copy of a suspected request if no other one is under way. The returned function
-// must be called when the copy has ended.
-func (r *Registry) TryRunAlone(fingerprint uint64) (end func(), ok bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	p := quarantine.Fingerprint(fingerprint)
-	if r.alone[p] || r.account.HasWaiting(p) || r.hasInFlight(p) {
+	if r.alone[p] || r.account.HasWaiting(p) {
 		return nil, false
 	}
 	r.alone[p] = true
@@ -373,22 +283,23 @@
 	delete(r.alone, p)
 }
 
-// hasInFlight reports whether an attempt of a request is recorded at any upstream.
-func (r *Registry) hasInFlight(p quarantine.Fingerprint) bool {
-	for _, at := range r.inFlight {
-		if slices.Contains(at, p) {
-			return true
-		}
+// HasOtherSuspect returns a function that reports whether an upstream has a request of this router that was lost at
+// crashes, has other fingerprints, and is awaited.
+func (r *Registry) HasOtherSuspect(now time.Time, prints []quarantine.Fingerprint) func(upstream string) bool {
+	return func(upstream string) bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return slices.ContainsFunc(r.account.WaitingAt(upstream), func(p quarantine.Fingerprint) bool {
+			return !slices.Contains(prints, p) && r.book.DecideObserved(now, p).SuspectedCrashes() > 0
+		})
 	}
-	return false
 }
 
-// HasOtherInFlight reports whether an attempt of another request is recorded at an upstream.
-func (r *Registry) HasOtherInFlight(upstream string, fingerprint uint64) bool {
+// MayTryAt returns a function that reports whether a request that is to be tried may be tried at an upstream.
+func (r *Registry) MayTryAt(now time.Time, prints []quarantine.Fingerprint) func(upstream string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p := quarantine.Fingerprint(fingerprint)
-	return slices.ContainsFunc(r.inFlight[upstream], func(q quarantine.Fingerprint) bool { return q != p })
+	return r.book.MayTryAt(now, prints)
 }
 
 // Cases returns the suspected and convicted requests.
--- a/internal/suspects/suspects_test.go
+++ b/internal/suspects/suspects_test.go
@@ -21,51 +21,53 @@
 	return r
 }
 
-// Guards against the attempts of all requests being recorded, and against records that outlive their
-// attempts: later copies would be turned away for good.
-func TestOnlyAttemptsOfRequestsThatWereLostAreInFlight(t *testing.T) {
-	r := crashedUnder(7, 1)
-	endOther := r.BeginInFlight(epoch, "a", 8)
-	if len(r.inFlight) > 0 {
-		t.Error("a request that was never lost is recorded")
-	}
-	endOther()
-	endFirst, endSecond := r.BeginInFlight(epoch, "a", 7), r.BeginInFlight(epoch, "b", 7)
-	endFirst()
-	if _, ok := r.TryRunAlone(7); ok {
-		t.Error("the end of one attempt ends the record of the other")
+// judge returns the decision on a request.
+func judge(r *Registry, p quarantine.Fingerprint) quarantine.ObservedDecision {
+	return r.Judge(epoch, []quarantine.Fingerprint{p}).ObservedDecision
+}
+
+// Guards against copies of a suspect beside one that is under way at any upstream, and against copies that are
+// turned away for good after it has ended.
+func TestSuspectWaitsForAllOfItsCopies(t *testing.T) {
+	r := crashedUnder(7, 2)
+	first, second := r.Send(epoch, "a", quarantine.Copy{Fingerprint: 7}), r.Send(epoch, "b", quarantine.Copy{Fingerprint: 7})
+	r.Answered(epoch, first)
+	if _, ok := r.TryRunAlone(epoch, judge(r, 7)); ok {
+		t.Error("the end of one copy ends the wait for the other")
 	}
-	endSecond()
-	if _, ok := r.TryRunAlone(7); !ok || len(r.inFlight) > 0 {
-		t.Errorf("recorded after the end of both: %v", r.inFlight)
+	r.Left(epoch, second)
+	if _, ok := r.TryRunAlone(epoch, judge(r, 7)); !ok {
+		t.Error("turned away after the end of both")
 	}
 }
 
 // Guards against copies that come at the same moment and are all admitted.
 func TestCopiesOfSuspectAreAdmittedOneByOne(t *testing.T) {
 	r := crashedUnder(7, 2)
-	end, ok := r.TryRunAlone(7)
+	end, ok := r.TryRunAlone(epoch, judge(r, 7))
 	if !ok {
 		t.Fatal("the first copy is not admitted")
 	}
-	if _, second := r.TryRunAlone(7); second {
+	if _, second := r.TryRunAlone(epoch, judge(r, 7)); second {
 		t.Error("a second copy is admitted")
 	}
 	end()
-	if _, again := r.TryRunAlone(7); !again {
+	if _, again := r.TryRunAlone(epoch, judge(r, 7)); !again {
 		t.Error("no copy is admitted after the end of the first")
 	}
 }
 
 // Guards against two suspects at one upstream, of which it is not known which one crashes it, and against
-// copies of one request that keep each other away.
+// copies of one request, or others that were never lost, that keep each other away.
 func TestOtherSuspectsAtAnUpstreamAreKnown(t *testing.T) {
 	r := crashedUnder(7, 2)
-	defer r.BeginInFlight(epoch, "a", 7)()
-	if !r.HasOtherInFlight("a", 8) {
+	r.Send(epoch, "a", quarantine.Copy{Fingerprint: 7})
+	r.Send(epoch, "b", quarantine.Copy{Fingerprint: 9})
+	other, same := r.HasOtherSuspect(epoch, []quarantine.Fingerprint{8}), r.HasOtherSuspect(epoch, []quarantine.Fingerprint{7})
+	if !other("a") {
 		t.Error("the suspect is not seen by another request")
 	}
-	if r.HasOtherInFlight("a", 7) || r.HasOtherInFlight("b", 8) {
+	if same("a") || other("b") {
 		t.Error("a copy of the same request, or an upstream without a suspect, counts")
 	}
 }
@@ -84,7 +86,7 @@
 	if !r.Lost(now, lost) {
 		t.Error("lost after the crash was known: not recorded")
 	}
-	if d := r.DecideObserved(epoch, 7); d.Crashes != 2 || d.Action != quarantine.RunAlone {
+	if d := judge(r, 7); d.Crashes != 2 || d.Action != quarantine.RunAlone {
 		t.Errorf("%+v", d)
 	}
 }
@@ -98,7 +100,7 @@
 		r.Left(epoch.Add(time.Second), sent)
 		r.Rejected(sent)
 	}
-	if d := r.DecideObserved(epoch.Add(time.Second), 7); d.Action != quarantine.Refuse {
+	if d := judge(r, 7); d.Action != quarantine.Refuse {
 		t.Errorf("%+v", d)
 	}
 	if r.HasEnded("upstream-1") {
--- a/internal/suspects/turns.go
+++ b/internal/suspects/turns.go
@@ -12,6 +12,9 @@
 	// turnInterval is the time from one router's turn to try a request to that of the next: within it, the
 	// outcome of a trial is known to all that hear of each other, unless its upstream falls silent.
 	turnInterval = 2 * time.Second
+	// bystanderInterval is the same for a request whose crashes others may all be the cause of: it is more likely
+	// to be served than to crash one more upstream.
+	bystanderInterval = time.Second
 	// maxTurn is the latest turn. The routers that rank after it have their turns at the same time.
 	maxTurn = 5
 )
@@ -24,8 +27,12 @@
 }
 
 // begins returns when the turn of this router begins to try a request.
-func (t *turns) begins(p quarantine.Fingerprint, d quarantine.ObservedDecision) time.Time {
-	return d.Since.Add(time.Duration(min(t.rank(p), maxTurn)) * turnInterval)
+func (t *turns) begins(d quarantine.ObservedDecision) time.Time {
+	interval := turnInterval
+	if d.Crashes == 0 {
+		interval = bystanderInterval
+	}
+	return d.Since.Add(time.Duration(min(t.rank(d.Fingerprint), maxTurn)) * interval)
 }
 
 // rank returns how many other routers come before this one for a request.
--- a/internal/suspects/turns_test.go
+++ b/internal/suspects/turns_test.go
@@ -15,13 +15,13 @@
 	for i := range 5 {
 		names = append(names, fmt.Sprint("router-", i))
 	}
-	d := quarantine.ObservedDecision{Action: quarantine.Try, Since: epoch}
 	for p := range quarantine.Fingerprint(50) {
+		d := quarantine.ObservedDecision{Action: quarantine.Try, Fingerprint: p, Crashes: 1, Since: epoch}
 		var begins []time.Duration
 		for _, self := range names {
 			others := slices.DeleteFunc(slices.Clone(names), func(o string) bool { return o == self })
 			turns := turns{self: self, others: others}
-			begins = append(begins, turns.begins(p, d).Sub(epoch))
+			begins = append(begins, turns.begins(d).Sub(epoch))
 		}
 		slices.Sort(begins)
 		for i, at := range begins {
@@ -38,10 +38,10 @@
 	for i := range 330 {
 		names = append(names, fmt.Sprint("router-", i))
 	}
-	d := quarantine.ObservedDecision{Action: quarantine.Try, Since: epoch}
+	d := quarantine.ObservedDecision{Action: quarantine.Try, Fingerprint: 7, Crashes: 1, Since: epoch}
 	for i, self := range names {
 		turns := turns{self: self, others: slices.Delete(slices.Clone(names), i, i+1)}
-		if after := turns.begins(7, d).Sub(epoch); after > maxTurn*turnInterval {
+		if after := turns.begins(d).Sub(epoch); after > maxTurn*turnInterval {
 			t.Fatalf("the turn of router %d begins after %v", i, after)
 		}
 	}
