quarantine, suspects: a request of which no copy was left costs no look through the account

Change: an account counts its ended requests by fingerprint; the choice of an upstream asks for the decision alone.

--- a/internal/quarantine/account.go
+++ b/internal/quarantine/account.go
@@ -10,10 +10,12 @@
 // too old to be running, whether or not anybody still waits for it: an upstream may crash after the
 // caller has left, or fall silent. It is pure: it reads no clock.
 //
-// Invariant: size is the number of requests in the ended lists of all records.
+// Invariant: size is the number of requests in the ended lists of all records, and ended that of those with each
+// fingerprint.
 type Account struct {
 	upstreams map[string]*record
 	size      int
+	ended     map[Fingerprint]int
 }
 
 // record is what an Account holds of one incarnation of an upstream.
@@ -69,7 +71,7 @@
 
 // NewAccount returns an empty Account.
 func NewAccount() *Account {
-	return &Account{upstreams: make(map[string]*record)}
+	return &Account{upstreams: make(map[string]*record), ended: make(map[Fingerprint]int)}
 }
 
 // Copy is a copy of a request that is sent to an upstream.
@@ -176,12 +178,23 @@
 		return true
 	}
 	r.ended = append(r.ended, s)
-	if a.size++; a.size > maxEnded {
+	a.count(s, 1)
+	if a.size > maxEnded {
 		a.dropOldest()
 	}
 	return false
 }
 
+// count adds one to the counts of ended requests for a request, or takes it off.
+func (a *Account) count(s *Sent, change int) {
+	a.size += change
+	for _, p := range s.copy.prints() {
+		if a.ended[p] += change; a.ended[p] == 0 {
+			delete(a.ended, p)
+		}
+	}
+}
+
 // Closed records that an upstream has closed the connection of a request that was left, so that it does
 // not run any more: the upstream has dropped it, or has crashed. It returns how long before it was left.
 func (a *Account) Closed(now time.Time, s *Sent) time.Duration {
@@ -235,8 +248,8 @@
 			out.Left = append(out.Left, s.Running())
 		}
 		s.state = answered
+		a.count(s, -1)
 	}
-	a.size -= len(r.ended)
 	r.ended = nil
 	return out
 }
@@ -282,12 +295,13 @@
 // upstreams that live.
 func (a *Account) Expire(now time.Time) {
 	for upstream, r := range a.upstreams {
-		before := len(r.ended)
 		r.ended = slices.DeleteFunc(r.ended, func(s *Sent) bool {
-			isOver := s.state == left && r.lastSign.After(s.until.Add(SignMargin))
-			return isOver || now.Sub(s.until) >= evidenceWindow
+			isOver := s.state == left && r.lastSign.After(s.until.Add(SignMargin)) || now.Sub(s.until) >= evidenceWindow
+			if isOver {
+				a.count(s, -1)
+			}
+			return isOver
 		})
-		a.size -= before - len(r.ended)
 		if len(r.waiting) == 0 && len(r.ended) == 0 && !r.hasCrashed(now) {
 			delete(a.upstreams, upstream)
 		}
@@ -314,7 +328,7 @@
 	}
 	if i := slices.Index(r.ended, s); i >= 0 {
 		r.ended = slices.Delete(r.ended, i, i+1)
-		a.size--
+		a.count(s, -1)
 	}
 }
 
--- a/internal/quarantine/bench_test.go
+++ b/internal/quarantine/bench_test.go
@@ -93,21 +93,69 @@
 	}
 }
 
-// BenchmarkAccount measures a request that is left, among as many as an Account keeps.
+// BenchmarkAccount measures a request that is left, among as many as an Account keeps: one of which other copies were
+// left, and one of which none were.
 func BenchmarkAccount(b *testing.B) {
 	for _, kept := range []int{700, maxEnded} {
-		b.Run(fmt.Sprint(kept), func(b *testing.B) {
-			a := NewAccount()
-			for i := range kept {
-				a.Left(epoch, a.Send(epoch, fmt.Sprint("upstream-", i%500), Copy{Fingerprint: Fingerprint(i + 1), Due: epoch.Add(time.Minute)}))
-			}
+		for name, p := range map[string]Fingerprint{"repeated": 7, "new": 1 << 40} {
+			b.Run(fmt.Sprint(kept, "/", name), func(b *testing.B) {
+				a := NewAccount()
+				for i := range kept {
+					a.Left(epoch, a.Send(epoch, fmt.Sprint("upstream-", i%500), Copy{Fingerprint: Fingerprint(i + 1), Due: epoch.Add(time.Minute)}))
+				}
+				b.ReportAllocs()
+				for i := range b.N {
+					s := a.Send(epoch, fmt.Sprint("upstream-", i%500), Copy{Fingerprint: p, Due: epoch.Add(time.Minute)})
+					a.Whereabouts(p)
+					a.Left(epoch, s)
+					a.Answered(s)
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkDecideObserved measures the decision on a request with three shared parts, which no crash is known of, and
+// on one with a part that is refused, among the entries of power losses.
+func BenchmarkDecideObserved(b *testing.B) {
+	table := New("", 0)
+	for i := range 60 {
+		var lost []RunningRequest
+		for j := range 16 {
+			lost = append(lost, RunningRequest{Fingerprint: Fingerprint(100*i + j + 1), Parts: []Fingerprint{PartFingerprint(uint64(100*i + j)), badPart}, Started: epoch})
+		}
+		table.RecordObservedCrash(epoch, fmt.Sprint("upstream-", i), epoch, lost)
+	}
+	failTrial(table, epoch, badPart)
+	for name, part := range map[string]Fingerprint{"sound": PartFingerprint(1 << 40), "refused": badPart} {
+		b.Run(name, func(b *testing.B) {
 			b.ReportAllocs()
-			for i := range b.N {
-				s := a.Send(epoch, fmt.Sprint("upstream-", i%500), Copy{Fingerprint: 7, Due: epoch.Add(time.Minute)})
-				a.Whereabouts(7)
-				a.Left(epoch, s)
-				a.Answered(s)
+			for b.Loop() {
+				table.DecideObserved(epoch, 1<<41, PartFingerprint(1<<42), PartFingerprint(1<<43), part)
+			}
+		})
+	}
+}
+
+// BenchmarkGossipObserved measures one message of news of crashes, and its bytes for each entry.
+func BenchmarkGossipObserved(b *testing.B) {
+	for _, crashes := range []int{1, 60, 500} {
+		b.Run(fmt.Sprint("crashes=", crashes), func(b *testing.B) {
+			table := New("", 0)
+			for i := range crashes {
+				table.RecordObservedCrash(epoch, fmt.Sprint("upstream-", i), epoch, lostWith(epoch, Fingerprint(i+1), badPart, PartFingerprint(uint64(100+i))))
+			}
+			entries := table.pick(epoch, true)
+			message, n := encodeObserved(entries, 200)
+			now := epoch
+			for b.Loop() {
+				if now = now.Add(time.Second); now.After(epoch.Add(20 * time.Second)) {
+					now = epoch
+				}
+				table.GossipObserved(now, 200)
 			}
+			b.ReportMetric(float64(len(message))/float64(n), "wire-bytes/entry")
+			b.ReportMetric(float64(n), "entries/message")
 		})
 	}
 }
--- a/internal/quarantine/whereabouts.go
+++ b/internal/quarantine/whereabouts.go
@@ -21,7 +21,7 @@
 // Whereabouts returns where requests with a fingerprint were left.
 func (a *Account) Whereabouts(p Fingerprint) Whereabouts {
 	var out Whereabouts
-	if a.size == 0 {
+	if a.ended[p] == 0 {
 		return out
 	}
 	var heard []time.Duration
@@ -32,16 +32,18 @@
 		}
 		isSilent := false
 		for _, s := range r.ended {
+			if !s.copy.has(p) || s.state != left || s.survived || s.begun {
+				continue
+			}
 			awaited := s.endedAt.Sub(s.started)
-			switch {
-			case !s.copy.has(p) || s.state != left || s.survived || s.begun:
-			case !latest.Before(s.endedAt):
+			if !latest.Before(s.endedAt) {
 				heard = append(heard, awaited)
-			case out.Silent == nil && !isSilent || awaited < out.Awaited:
-				isSilent, out.Awaited = true, awaited
-			default:
-				isSilent = true
+				continue
+			}
+			if len(out.Silent) == 0 && !isSilent || awaited < out.Awaited {
+				out.Awaited = awaited
 			}
+			isSilent = true
 		}
 		if isSilent {
 			out.Silent = append(out.Silent, upstream)
--- a/internal/router/crashes.go
+++ b/internal/router/crashes.go
@@ -137,11 +137,11 @@
 	}
 	now := time.Now()
 	s := resp.router.suspects
-	j := s.Judge(now, resp.prints)
-	if j.SuspectedCrashes() == 0 {
+	d := s.DecideObserved(now, resp.prints)
+	if d.SuspectedCrashes() == 0 {
 		return targets[0], true
 	}
-	if j.Action == quarantine.Try {
+	if d.Action == quarantine.Try {
 		mayTryAt := s.MayTryAt(now, resp.prints)
 		targets = slices.DeleteFunc(slices.Clone(targets), func(t target) bool { return !mayTryAt(t.vm.ID) })
 	}
--- a/internal/suspects/judgement.go
+++ b/internal/suspects/judgement.go
@@ -29,6 +29,13 @@
 	return j
 }
 
+// DecideObserved returns how a request with these fingerprints may run, whatever has become of others that were left.
+func (r *Registry) DecideObserved(now time.Time, prints []quarantine.Fingerprint) quarantine.ObservedDecision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.book.DecideObserved(now, prints...)
+}
+
 // suspectedCrashes returns the number of crashes that a request is held responsible for because of one of its
 // fingerprints.
 func (r *Registry) suspectedCrashes(now time.Time, p quarantine.Fingerprint, prints []quarantine.Fingerprint) int {
