quarantine: a router that hears an entry with a lower status than it knows tells the entry again

Cause: an entry is told for 30 s after its status rose. A router that was not heard for that time, as when regions part, has cleared a content whose crashes others go on suspecting: they go on telling them, since the content is to be tried, and are never answered.

Ruled out: telling cleared entries for as long as crashes count, which would fill the 512 bytes a second of a router with what nobody suspects.

Change: mergeEntry adds the known entry to the outbox again when the one told had a lower status, unless it is pending.

Measured: TestClearedEntriesAreToldToWhoSuspectsThem (35 s apart, then 5 s of news each way): without the change the other router still has the part to be tried, with 3 crashes; with it, it allows it. The packages quarantine, suspects and platform pass. TestNewsOfPartsPassesThoseOfOthers, added beside it, passes with and without the change: it guards the order of the news at a router that tells those of a whole region.

Conclusion: routers that part and meet again agree on what was cleared.

--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -88,6 +88,13 @@
 	t.pending[e.key()] = &pendingEntry{entry: e, since: now}
 }
 
+// addAgain adds an entry that another process does not know in its present status, unless it is pending.
+func (t *outbox) addAgain(now time.Time, e *Entry) {
+	if t.pending[e.key()] == nil {
+		t.add(now, e)
+	}
+}
+
 // addAll adds the entries that convict a fingerprint. Some may have been sent long ago, and a router
 // that has started since would not convict it.
 func (t *outbox) addAll(now time.Time, entries []*Entry) {
@@ -138,7 +145,7 @@
 }
 
 // pick returns the entries to send, in order: first those of fingerprints with several crashes, which may soon be
-// refused, or were and are cleared, then those sent least often, then those with the highest status. It
+// refused, or were and are cleared; then those sent least often, then those with the highest status. It
 // removes entries that are older than gossipPeriod, unless a fingerprint is refused or tried because of them.
 func (t *Table) pick(now time.Time, observed bool) []*Entry {
 	pending := t.outbox.pending
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -90,11 +90,13 @@
 }
 
 // mergeEntry adds an entry, or raises the status of the one already known. It ignores an
-// entry that is not valid at now, and one that a full Table would evict first.
+// entry that is not valid at now, and one that a full Table would evict first. An entry that was told with a
+// lower status than is known here is sent again: whoever told it has missed the higher one.
 func (t *Table) mergeEntry(now time.Time, e Entry) {
 	if !e.isLive(now) {
 		return
 	}
+	told := e.Status
 	if e.Observed && e.Status == Suspect && t.wasServedSince(e.At, e.Fingerprint) {
 		e.Status = Cleared
 	}
@@ -103,6 +105,9 @@
 			known.own = known.own || e.own
 			known.Tried = known.Tried || e.Tried
 			t.raiseStatus(now, known, e.Status)
+			if known.Status > told {
+				t.outbox.addAgain(now, known)
+			}
 			return
 		}
 	}
--- a/internal/quarantine/observedgossip_test.go
+++ b/internal/quarantine/observedgossip_test.go
@@ -85,3 +85,58 @@
 		t.Errorf("%+v", got)
 	}
 }
+
+// An upstream ends each 700 ms under requests of which one has a bad part, each time at another router, and with
+// it many that had begun. Guards against news of the part that waits for seconds at the router which all news of a
+// region goes through.
+func TestNewsOfPartsPassesThoseOfOthers(t *testing.T) {
+	const begun, notBegun = 40, 3
+	root, leaf := New("", 0), New("", 0)
+	next := uint64(1000)
+	lose := func(now time.Time, upstream string, parts ...Fingerprint) {
+		next++
+		root.RecordObservedCrash(now, upstream, now, lostWith(now, Fingerprint(next), parts...))
+	}
+	now := epoch
+	for i := range 12 {
+		upstream := fmt.Sprint("upstream-", i)
+		for range begun {
+			lose(now, upstream)
+		}
+		for j := range notBegun {
+			parts := []Fingerprint{PartFingerprint(next + 1), PartFingerprint(next + 2)}
+			if j == notBegun-1 {
+				parts[0] = badPart
+			}
+			lose(now, upstream, parts...)
+		}
+		for until := now.Add(700 * time.Millisecond); now.Before(until); now = now.Add(200 * time.Millisecond) {
+			if err := leaf.MergeObserved(now, root.GossipObserved(now, 200)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if i >= 3 {
+			if got := leaf.DecideObserved(now, 7, badPart); got.Action == Allow {
+				t.Fatalf("%d crashes, and %v after the third one: %+v", i+1, now.Sub(epoch)-3*700*time.Millisecond, got)
+			}
+		}
+	}
+}
+
+// Guards against a router that goes on suspecting what another one has cleared while it was not heard.
+func TestClearedEntriesAreToldToWhoSuspectsThem(t *testing.T) {
+	cleared, suspecting := New("", 0), crashedUnderParts(3, popular)
+	_ = cleared.MergeObserved(epoch, suspecting.GossipObserved(epoch, 200))
+	cleared.RecordPartsServed(epoch, []Fingerprint{popular})
+	now := epoch
+	for ; now.Before(epoch.Add(gossipPeriod + 5*time.Second)); now = now.Add(200 * time.Millisecond) {
+		cleared.GossipObserved(now, 200) // nobody hears it
+	}
+	for until := now.Add(5 * time.Second); now.Before(until); now = now.Add(200 * time.Millisecond) {
+		_ = cleared.MergeObserved(now, suspecting.GossipObserved(now, 200))
+		_ = suspecting.MergeObserved(now, cleared.GossipObserved(now, 200))
+	}
+	if got := suspecting.DecideObserved(now, 7, popular); got.Action != Allow {
+		t.Errorf("%+v", got)
+	}
+}
