quarantine, ctl: operators are told which parts of prompts crash upstreams, and at which

Cause: Table.Cases listed what the rule for sidecars suspects: on a platform, each request that was at one observed crash was shown as a suspect, most of them bystanders, and a part to be tried not at all. It was shown by the admin API only, which routers on the platform do not serve.

Ruled out: a metric with labels by part; parts are as many as prompts, and a metric keeps each label for good.

Change: Cases goes by the same decisions as requests do and says which action holds. A router on the platform serves GET /quarantined at its metrics address, with the names of the parts that it has held requests back for, and the upstreams that it lost requests at. `parsleyctl crashes HOST:PORT...` merges the routers' lists.

Conclusion: one command says which part it is while the incident is under way.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -25,6 +25,8 @@
 	PathFleet     = "/admin/fleet"
 	PathFleetWait = "/admin/fleet/wait"
 	PathVars      = "/debug/vars"
+	// PathQuarantined is served at the metrics address of a router on a platform.
+	PathQuarantined = "/quarantined"
 )
 
 // Node is the router that a Server reports on. Its methods are safe for
@@ -149,11 +151,13 @@
 	BytesPerSecond float64 `json:"bytes_per_second"` // mean since the router's start
 }
 
-// Quarantined is a request that is known or suspected to crash upstreams.
+// Quarantined is a request, or a part of prompts, that is known or suspected to crash upstreams.
 type Quarantined struct {
 	Fingerprint string    `json:"fingerprint"`
-	State       string    `json:"state"`   // suspect or convicted
-	Crashes     int       `json:"crashes"` // of upstreams while it ran
+	Part        string    `json:"part,omitempty"`      // name of the part; empty: a request, or a part that this router has refused no request for
+	State       string    `json:"state"`               // suspect, trial or convicted
+	Crashes     int       `json:"crashes"`             // of upstreams while it ran
+	Upstreams   []string  `json:"upstreams,omitempty"` // that have crashed, as far as this router lost requests at them
 	Until       time.Time `json:"until,omitzero"`
 }
 
--- a/internal/ctl/budget.go
+++ b/internal/ctl/budget.go
@@ -61,22 +61,28 @@
 
 // readMetrics returns the metrics of the router with a metrics address.
 func readMetrics(ctx context.Context, addr string) (map[string]json.RawMessage, error) {
+	var out map[string]json.RawMessage
+	err := readJSON(ctx, addr, "/metrics", &out)
+	return out, err
+}
+
+// readJSON reads the value that a router serves on a path of its metrics address.
+func readJSON(ctx context.Context, addr, path string, value any) error {
 	ctx, cancel := context.WithTimeout(ctx, metricsTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/metrics", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil)
 	if err != nil {
-		return nil, errors.WithStack(err)
+		return errors.WithStack(err)
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return nil, errors.WithStack(err)
+		return errors.WithStack(err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("status %d", resp.StatusCode)
+		return errors.Errorf("%s: status %d", path, resp.StatusCode)
 	}
-	var out map[string]json.RawMessage
-	return out, errors.Wrap(json.NewDecoder(resp.Body).Decode(&out), "metrics")
+	return errors.Wrap(json.NewDecoder(resp.Body).Decode(value), path)
 }
 
 // add adds the metrics of one router. Those that a router of an earlier release lacks count as zero.
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -51,6 +51,7 @@
 	{"delete", (*app).delete, true},
 	{"status", (*app).status, false},
 	{"budget", (*app).budget, false},
+	{"crashes", (*app).crashes, false},
 	{"drain", (*app).drain, true},
 	{"undrain", (*app).undrain, true},
 	{"explain", (*app).explain, false},
--- a/internal/ctl/options.go
+++ b/internal/ctl/options.go
@@ -26,6 +26,7 @@
 	Delete     deleteCommand     `command:"delete" description:"delete an object"`
 	Status     statusCommand     `command:"status" description:"show routers, pools, skew, control traffic and quarantined requests"`
 	Budget     budgetCommand     `command:"budget" description:"sum what routers on the platform count of retries and of requests that crash upstreams"`
+	Crashes    crashesCommand    `command:"crashes" description:"list the requests and the parts of prompts that crash upstreams, as routers on the platform know them"`
 	Drain      drainCommand      `command:"drain" description:"order a VM, or all upstreams of a failure domain, to take no new work"`
 	Undrain    drainCommand      `command:"undrain" description:"take back a drain order"`
 	Explain    explainCommand    `command:"explain" description:"show where a request would go now, and why"`
@@ -88,12 +89,21 @@
 	Upstreams bool `long:"upstreams" description:"also show each upstream, as the asked router sees it"`
 }
 
-type budgetCommand struct {
+// addrsCommand has the arguments of commands that ask routers at their metrics addresses.
+type addrsCommand struct {
 	Args struct {
 		Addrs []string `positional-arg-name:"HOST:PORT" required:"1" description:"metrics address of a router"`
 	} `positional-args:"yes"`
 }
 
+type budgetCommand struct {
+	addrsCommand
+}
+
+type crashesCommand struct {
+	addrsCommand
+}
+
 type drainCommand struct {
 	changeOptions
 	Domain string `long:"failure-domain" description:"drain all upstreams of this failure domain, in place of one VM"`
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -134,10 +134,10 @@
 		}
 	}
 	if len(s.Quarantined) > 0 {
-		fmt.Fprintln(w, "\nQUARANTINED REQUEST\tSTATE\tCRASHES\tUNTIL")
+		fmt.Fprintln(w, "\nQUARANTINED REQUEST\tPART\tSTATE\tCRASHES\tUNTIL")
 	}
 	for _, q := range s.Quarantined {
-		fmt.Fprintf(w, "%s\t%s\t%d\t%s\n", q.Fingerprint, q.State, q.Crashes, q.Until.Format(time.RFC3339))
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", q.Fingerprint, q.Part, q.State, q.Crashes, q.Until.Format(time.RFC3339))
 	}
 	if s.Upstreams == nil {
 		return
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -288,6 +288,7 @@
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", telemetry.Handler())
 	metrics.HandleFunc("GET /upstreams", e.serveUpstreams)
+	metrics.HandleFunc("GET "+admin.PathQuarantined, e.serveQuarantined)
 	return serveOn(ctx, net.JoinHostPort(e.platform.IP, strconv.Itoa(e.settings.MetricsPort.N)), metrics)
 }
 
@@ -298,9 +299,22 @@
 
 // serveUpstreams serves the result of UpstreamConditions as JSON.
 func (e *Entry) serveUpstreams(w http.ResponseWriter, _ *http.Request) {
+	serveJSON(w, "conditions of upstreams", e.UpstreamConditions())
+}
+
+// Quarantined returns the requests and the parts of prompts that crash upstreams, as far as this router knows.
+func (e *Entry) Quarantined() []admin.Quarantined { return e.router.Quarantined(time.Now()) }
+
+// serveQuarantined serves the result of Quarantined as JSON.
+func (e *Entry) serveQuarantined(w http.ResponseWriter, _ *http.Request) {
+	serveJSON(w, "quarantined requests", e.Quarantined())
+}
+
+// serveJSON writes a value, which messages call what, as the response.
+func serveJSON(w http.ResponseWriter, what string, value any) {
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(e.UpstreamConditions()); err != nil {
-		slog.Warn("could not write the conditions of upstreams", "error", err)
+	if err := json.NewEncoder(w).Encode(value); err != nil {
+		slog.Warn("could not write a response to an operator", "of", what, "error", err)
 	}
 }
 
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
 	"encoding/binary"
 	"slices"
 	"time"
@@ -245,33 +244,6 @@
 	return d
 }
 
-// Case is a suspected or convicted fingerprint as shown to operators.
-type Case struct {
-	Fingerprint Fingerprint
-	Convicted   bool // false: suspect
-	Crashes     int
-	Until       time.Time // when its last entry expires
-}
-
-// Cases returns the suspected and convicted fingerprints in ascending order.
-func (t *Table) Cases(now time.Time) []Case {
-	var out []Case
-	for p, entries := range t.byFingerprint {
-		c := Case{Fingerprint: p, Convicted: t.isConvicted(now, p), Crashes: t.crashCount(now, entries)}
-		if !c.Convicted && t.firstSuspicion(now, entries) == nil {
-			continue
-		}
-		for _, e := range entries {
-			if until := e.At.Add(e.ttl()); until.After(c.Until) {
-				c.Until = until
-			}
-		}
-		out = append(out, c)
-	}
-	slices.SortFunc(out, func(x, y Case) int { return cmp.Compare(x.Fingerprint, y.Fingerprint) })
-	return out
-}
-
 // Convicted returns the convicted fingerprints.
 func (t *Table) Convicted(now time.Time) []Fingerprint {
 	var out []Fingerprint
--- /dev/null
+++ b/internal/quarantine/cases.go
@@ -0,0 +1,62 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Case is a fingerprint that may not run as usual, as shown to operators.
+type Case struct {
+	Fingerprint Fingerprint
+	Action      Action // RunAlone, Try or Refuse
+	Crashes     int
+	Upstreams   []string  // those of the crashes whose names are known here, without repetition, in ascending order
+	Until       time.Time // when its last entry expires
+}
+
+// Cases returns the fingerprints that may not run as usual, in ascending order.
+func (t *Table) Cases(now time.Time) []Case {
+	var out []Case
+	for p, entries := range t.byFingerprint {
+		c := Case{Fingerprint: p, Action: t.actionOn(now, p), Crashes: t.crashCount(now, entries)}
+		if c.Action == Allow {
+			continue
+		}
+		for _, e := range entries {
+			if until := e.At.Add(e.ttl()); until.After(c.Until) {
+				c.Until = until
+			}
+			if e.isLive(now) && e.Status != Cleared && e.VM != "" {
+				c.Upstreams = append(c.Upstreams, e.VM)
+			}
+		}
+		slices.Sort(c.Upstreams)
+		c.Upstreams = slices.Compact(c.Upstreams)
+		out = append(out, c)
+	}
+	slices.SortFunc(out, func(x, y Case) int { return cmp.Compare(x.Fingerprint, y.Fingerprint) })
+	return out
+}
+
+// actionOn returns how a fingerprint may run at an upstream that has had none of its crashes.
+func (t *Table) actionOn(now time.Time, p Fingerprint) Action {
+	if t.isConvicted(now, p) {
+		return Refuse
+	}
+	if t.firstSuspicion(now, t.unobserved(p)) != nil {
+		return RunAlone
+	}
+	return t.DecideObserved(now, p).Action
+}
+
+// unobserved returns the entries of a fingerprint that sidecars have recorded.
+func (t *Table) unobserved(p Fingerprint) []*Entry {
+	var out []*Entry
+	for _, e := range t.byFingerprint[p] {
+		if !e.Observed {
+			out = append(out, e)
+		}
+	}
+	return out
+}
--- a/internal/router/admin.go
+++ b/internal/router/admin.go
@@ -12,6 +12,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/load"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
+	"github.com/parsleyfront/parsleyfront/internal/quarantine"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
 	"github.com/parsleyfront/parsleyfront/internal/vocabulary"
@@ -28,6 +29,7 @@
 // States of a quarantined request in the operators' API.
 const (
 	suspected = "suspect"   // runs alone, at one upstream only
+	onTrial   = "trial"     // one is run alone, to see whether it is the cause
 	convicted = "convicted" // rejected without being run
 )
 
@@ -54,7 +56,7 @@
 		Ready:         n.router.Ready(),
 		Config:        n.router.ledger.Status(),
 		Control:       controlRates(now.Sub(n.started)),
-		Quarantined:   n.router.quarantined(now),
+		Quarantined:   n.router.Quarantined(now),
 		UnknownWords:  vocabulary.UnknownWords(),
 	}
 	for name, out := range n.upstreams() {
@@ -100,20 +102,33 @@
 	return slices.ContainsFunc(p.VMs, func(other topo.VM) bool { return other.ID == vm.ID })
 }
 
-// quarantined returns the requests that are suspected or convicted of crashing
+// Quarantined returns the requests and the parts of prompts that are suspected or convicted of crashing
 // upstreams, as far as this router knows.
-func (r *Router) quarantined(now time.Time) []admin.Quarantined {
-	var out []admin.Quarantined
+func (r *Router) Quarantined(now time.Time) []admin.Quarantined {
+	out := []admin.Quarantined{}
 	for _, c := range r.suspects.Cases(now) {
-		state := suspected
-		if c.Convicted {
-			state = convicted
-		}
-		out = append(out, admin.Quarantined{Fingerprint: c.Fingerprint.String(), State: state, Crashes: c.Crashes, Until: c.Until})
+		out = append(out, admin.Quarantined{
+			Fingerprint: c.Fingerprint.String(),
+			Part:        r.suspects.PartName(c.Fingerprint),
+			State:       quarantineState(c.Action),
+			Crashes:     c.Crashes,
+			Upstreams:   c.Upstreams,
+			Until:       c.Until,
+		})
 	}
 	return out
 }
 
+func quarantineState(a quarantine.Action) string {
+	switch a {
+	case quarantine.Refuse:
+		return convicted
+	case quarantine.Try:
+		return onTrial
+	}
+	return suspected
+}
+
 func controlRates(since time.Duration) []admin.ControlRate {
 	var rates []admin.ControlRate
 	telemetry.ControlBytes.Do(func(kind telemetry.ControlKind, n int64) {
--- a/internal/sidecar/crash_test.go
+++ b/internal/sidecar/crash_test.go
@@ -274,7 +274,7 @@
 	l.end(l.start(2, 9), errBroken)
 	l.probed(upstream.Health{Instance: "4"})
 	for _, e := range l.quarantine.Cases(l.now) {
-		if e.Convicted {
+		if e.Action == quarantine.Refuse {
 			t.Errorf("request %s is convicted", e.Fingerprint)
 		}
 	}
