gateway: callers on the platform are told why a request is refused for the crashes of upstreams

Cause: the problem document of a platform's caller had the reason and the verdict only. Who writes a part of prompts that crashes upstreams could not see from a refusal which of the parts it is.

Ruled out: the detail of every error. Those of other reasons name addresses and upstreams, which callers can do nothing about.

Change: the document of a refused request (`quarantined`) has the detail, which counts the upstreams and names the part. It is encoded by the standard library in place of joined strings.

Measured: TestPlatformProblemHasDetailsOnlyOfTheRequest fails without the change (no detail), passes with it; the packages gateway and the stories of parts and of doors in platform pass.

Conclusion: the refusal itself says which part to change.

--- a/internal/gateway/hostedanswer.go
+++ b/internal/gateway/hostedanswer.go
@@ -1,7 +1,7 @@
 package gateway
 
 import (
-	"io"
+	"encoding/json"
 	"math"
 	"net/http"
 	"strconv"
@@ -75,7 +75,22 @@
 		h.Set("Retry-After", strconv.FormatFloat(math.Ceil(e.RetryAfter.Seconds()*100)/100, 'f', -1, 64))
 	}
 	w.WriteHeader(platformStatus(e))
-	_, _ = io.WriteString(w, `{"title":"`+string(e.Reason)+`","verdict":"`+e.Verdict.String()+`"}`+"\n")
+	_ = json.NewEncoder(w).Encode(newPlatformProblem(e)) // fails only on a closed connection
+}
+
+// platformProblem is the problem document of a request that a platform's caller has sent.
+type platformProblem struct {
+	Title   verdict.Reason  `json:"title"`
+	Verdict verdict.Verdict `json:"verdict"`
+	Detail  string          `json:"detail,omitempty"` // only where the caller can change the request
+}
+
+func newPlatformProblem(e *verdict.Error) platformProblem {
+	p := platformProblem{Title: e.Reason, Verdict: e.Verdict}
+	if e.Reason == verdict.ReasonQuarantined {
+		p.Detail = e.Detail
+	}
+	return p
 }
 
 // platformStatus returns the HTTP status for a request that has no response. 503
