--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -210,6 +210,7 @@
 	e.Common.check(errs)
 	errs.count("metrics-port", e.MetricsPort, 0, maxPort)
 	errs.duration("drain-delay", e.DrainDelay, 0, maxDelay)
+	errs.oneOf("share-pools", string(e.SharePools), string(SharePoolsAuto), string(SharePoolsOn), string(SharePoolsOff))
 }
 
 func (d Dev) check(errs *ValidationErrors) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -116,8 +116,20 @@
 	DrainDelay  Duration `long:"drain-delay" env:"PARSLEYD_DRAIN_DELAY" default:"2.7s" description:"how long a planned stop goes on taking requests after readiness has begun to fail: longer than the balancer takes to notice, which is two looks a second apart"`
 
 	Without Mechanisms `long:"without" env:"PARSLEYD_WITHOUT" default:"" description:"mechanisms to switch off, separated by commas: to find out whether one does harm"`
+
+	SharePools SharePools `long:"share-pools" env:"PARSLEYD_SHARE_POOLS" default:"auto" description:"whether organisations get shares of a pool that is too small for all of them: on, off, or auto: for all pools if the platform's settings list the contract pressure, else for pools whose engines report a slowdown"`
 }
 
+// SharePools sets which pools are shared by organisations while they are short.
+type SharePools string
+
+// Values of SharePools.
+const (
+	SharePoolsAuto SharePools = "auto" // as the platform's settings and the engines' reports say
+	SharePoolsOn   SharePools = "on"   // all pools
+	SharePoolsOff  SharePools = "off"  // none
+)
+
 // Dev holds the settings of dev mode.
 type Dev struct {
 	Common `group:"Process"`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -137,3 +137,31 @@
 		t.Errorf("the error for the unknown name hegdes is %v", err)
 	}
 }
+
+// Guards against a misspelt value that leaves pools unshared, or shared, without anyone noticing.
+func TestSharePoolsTakesThreeValues(t *testing.T) {
+	p, err := Parse([]string{"entry"})
+	if err != nil || p.Entry.SharePools != SharePoolsAuto {
+		t.Errorf("without the flag: %q, %v", p.Entry.SharePools, err)
+	}
+	t.Setenv("PARSLEYD_SHARE_POOLS", "off")
+	p, err = Parse([]string{"entry"})
+	if err != nil || p.Entry.SharePools != SharePoolsOff {
+		t.Errorf("with off in the environment: %q, %v", p.Entry.SharePools, err)
+	}
+	p, err = Parse([]string{"entry", "--share-pools=on"})
+	if err != nil || p.Entry.SharePools != SharePoolsOn {
+		t.Errorf("with on as a flag: %q, %v", p.Entry.SharePools, err)
+	}
+	for _, value := range []string{"", "On", "true", "auto,on"} {
+		_, err = Parse([]string{"entry", "--share-pools=" + value})
+		if err == nil || !strings.Contains(err.Error(), "--share-pools: want one of auto, on, off, have \""+value+"\"") {
+			t.Errorf("the error for the flag %q is %v", value, err)
+		}
+		t.Setenv("PARSLEYD_SHARE_POOLS", value)
+		_, err = Parse([]string{"entry"})
+		if value != "" && (err == nil || !strings.Contains(err.Error(), "--share-pools: ")) {
+			t.Errorf("the error for the variable %q is %v", value, err)
+		}
+	}
+}
