platform, daemon: the settings' contracts say whether callers compete for pools

Their field contracts was not read.

Ruled out: a list of strings as the field's type: one entry of another type would cost a router the whole file, and with it its start.

Change: contracts is read entry by entry; entries that are no strings, unknown ones and a value that is no list are ignored. platform.Settings gets CallersCompete, router.Tuning gets SharePools, filled at the start and at each reload. The line 'settings reloaded' has callers_compete. The router does not use the mode yet.

Measured: TestContractsThatAreNotKnownAreIgnored (12 forms), TestAddedContractIsReloaded and TestPoolsAreSharedAsTheSettingsSay; the packages platform (101 s), daemon, router and settings pass. A map with a list as a key is rejected by the YAML library when it parses the file, as in any other field.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -163,7 +163,7 @@
 // NewEntry returns an Entry whose router runs until ctx ends.
 func NewEntry(ctx context.Context, s settings.Entry, p platform.Settings, n Network) *Entry {
 	requestLog := telemetry.NewRequestLog(slog.Default())
-	c := entryConfig(p, n, s.Without.Policy)
+	c := entryConfig(p, n, s)
 	c.RequestLog = requestLog
 	if off := s.Without.String(); off != "" {
 		slog.Warn("mechanisms are switched off", "without", off)
@@ -202,7 +202,7 @@
 }
 
 // entryConfig returns the configuration of a router on the operators' platform.
-func entryConfig(p platform.Settings, n Network, enabled policy.Policy) router.Config {
+func entryConfig(p platform.Settings, n Network, s settings.Entry) router.Config {
 	changeBound := min(p.ConfigBound, p.DrainBound)
 	store := topo.NewHTTPWithDialer(p.StoreURL, n.Store).WithDialect(platform.Store{}, topo.Timeouts{
 		Call: scaleDuration(changeBound, callTimeoutFraction), WatchGrace: scaleDuration(changeBound, watchGraceFraction), MaxRetryAfter: storeRetryMax,
@@ -229,10 +229,10 @@
 			Dial:          n.Routers,
 			SuspendedTime: n.SuspendedTime,
 			MemberDecoder: platform.Runners{Regions: p.Regions},
-			MemberTiming:  memberTiming(p, enabled),
+			MemberTiming:  memberTiming(p, s.Without.Policy),
 		},
 		Direct:        exchange.NewClient(platform.Calls{}, n.Upstreams),
-		Tuning:        tuning(p, enabled),
+		Tuning:        tuning(p, s),
 		VM:            p.VM,
 		FailureDomain: p.FailureDomain,
 	}
@@ -253,25 +253,39 @@
 }
 
 // tuning returns the limits that the platform's settings define, with the mechanisms that
-// are enabled.
-func tuning(p platform.Settings, enabled policy.Policy) router.Tuning {
+// the process's own settings enable.
+func tuning(p platform.Settings, s settings.Entry) router.Tuning {
 	return router.Tuning{
 		Retries:       retry.Rule{Ratio: retryFraction * p.RetryRatio, Slack: retrySlack, Window: p.RetryWindow},
 		LoadMultiple:  p.LoadMultiple,
 		WarmupOverage: p.WarmupOverage,
 		WarmupSlack:   p.WarmupSlack,
 		Regions:       p.RegionCount(),
-		Policy:        enabled,
+		Policy:        s.Without.Policy,
+		SharePools:    shareMode(p, s.SharePools),
+	}
+}
+
+// shareMode returns which pools are shared by organisations: as the process's own settings say,
+// or with SharePoolsAuto as the platform's settings do.
+func shareMode(p platform.Settings, s settings.SharePools) router.ShareMode {
+	switch {
+	case s == settings.SharePoolsOff:
+		return router.ShareNever
+	case s == settings.SharePoolsOn || p.CallersCompete:
+		return router.ShareAlways
+	default:
+		return router.ShareAuto
 	}
 }
 
 // reload applies changed settings. A changed address only takes effect at the next start.
 func (e *Entry) reload(p platform.Settings) {
-	e.router.Tune(tuning(p, e.settings.Without.Policy))
+	e.router.Tune(tuning(p, e.settings))
 	if p.CallerListen != e.platform.CallerListen || p.StoreURL != e.platform.StoreURL {
 		slog.Warn("settings: a changed address takes effect after a restart", "callers", p.CallerListen, "store", p.StoreURL)
 	}
-	slog.Info("settings reloaded", "retry_ratio", p.RetryRatio, "load_multiple", p.LoadMultiple)
+	slog.Info("settings reloaded", "retry_ratio", p.RetryRatio, "load_multiple", p.LoadMultiple, "callers_compete", p.CallersCompete)
 }
 
 // serveReadinessAndMetrics starts the servers of the load balancer's readiness checks and
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -88,6 +88,8 @@
 	Regions int
 	// Policy sets which mechanisms are on.
 	Policy policy.Policy
+	// SharePools sets of which pools organisations get shares while the pools are short.
+	SharePools ShareMode
 }
 
 // policy returns which mechanisms are on.
