verdict, retry: reasons of refusals in a short pool

Ruled out: queue-full for both, which the dispatcher offers to the next upstream: an organisation beyond its share would get one chance for each upstream of the pool.

Change: over-share and pool-short. They are transient, so that the refusal gets a Retry-After, and final for the request. Nothing gives these reasons yet.

Measured: TestRefusalsOfShortPoolsAreFinalAndTransient and TestRefusalOfShortPoolEndsTheRequest fail without the case in maySucceedElsewhere (the request is offered again) and pass with it; TestRefusalsOfShortPoolsSayWhenToRetry; the packages retry, gateway, router and dispatch pass.

--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -86,6 +86,9 @@
 	case verdict.ReasonUpstreamFailed, verdict.ReasonIncarnationGone, verdict.ReasonUnknownRequest,
 		verdict.ReasonAnswerGone, verdict.ReasonEvicted, verdict.ReasonDeadline:
 		return true
+	case verdict.ReasonOverShare, verdict.ReasonPoolShort:
+		// They hold for all upstreams of the pool.
+		return false
 	}
 	return Transient(r)
 }
@@ -95,7 +98,8 @@
 	switch r {
 	case verdict.ReasonOverBound, verdict.ReasonQueueFull, verdict.ReasonDraining,
 		verdict.ReasonNoUpstream, verdict.ReasonUpstreamDown, verdict.ReasonConnection,
-		verdict.ReasonInternal, verdict.ReasonSuspect, verdict.ReasonStoreDown, verdict.ReasonConcurrency, verdict.ReasonDeadline:
+		verdict.ReasonInternal, verdict.ReasonSuspect, verdict.ReasonStoreDown, verdict.ReasonConcurrency, verdict.ReasonDeadline,
+		verdict.ReasonOverShare, verdict.ReasonPoolShort:
 		return true
 	}
 	return false
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -58,7 +58,7 @@
 	reasons := []verdict.Reason{
 		verdict.ReasonBadRequest, verdict.ReasonOverBound, verdict.ReasonDraining, verdict.ReasonUpstreamFailed,
 		verdict.ReasonIncarnationGone, verdict.ReasonConnection, verdict.ReasonDeadline, verdict.ReasonQuarantined,
-		verdict.ReasonCancelled, verdict.ReasonAnswerGone, "a reason of a newer peer",
+		verdict.ReasonCancelled, verdict.ReasonAnswerGone, verdict.ReasonOverShare, verdict.ReasonPoolShort, "a reason of a newer peer",
 	}
 	rapid.Check(t, func(t *rapid.T) {
 		c := RequestInfo{
@@ -83,3 +83,21 @@
 		}
 	})
 }
+
+// Guards against a request beyond its organisation's share that gets another chance at each upstream
+// of the pool, so that the organisation gets more than its share, and against a caller who is not
+// told when to retry.
+func TestRefusalsOfShortPoolsAreFinalAndTransient(t *testing.T) {
+	for _, r := range []verdict.Reason{verdict.ReasonOverShare, verdict.ReasonPoolShort} {
+		for _, c := range []RequestInfo{{}, {Idempotent: true, ReadOnly: true}} {
+			for _, reached := range []bool{false, true} {
+				if d := Decide(Failure{Err: verdict.New(verdict.NotRun, r, ""), Reached: reached}, c); d != Stop {
+					t.Errorf("%s: decision %d for %+v, reached %v; want Stop", r, d, c, reached)
+				}
+			}
+		}
+		if !Transient(r) {
+			t.Errorf("%s is not transient", r)
+		}
+	}
+}
--- a/internal/router/dispatch/dispatch_test.go
+++ b/internal/router/dispatch/dispatch_test.go
@@ -395,3 +395,21 @@
 		}
 	}
 }
+
+// Guards against a request beyond its organisation's share that is offered to the next upstream, and against a refusal without
+// a Retry-After.
+func TestRefusalOfShortPoolEndsTheRequest(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, reason := range []verdict.Reason{verdict.ReasonOverShare, verdict.ReasonPoolShort} {
+		s := New(Plan{Direct: true, MaxOffers: 3, Idempotent: true, Deadline: now.Add(9 * time.Second)}, &fixedRetryAfterBudget{})
+		s.Step(Began{Now: now})
+		got := s.Step(Refused{Now: now, Attempt: 0, Err: verdict.New(verdict.NotRun, reason, "")})
+		if len(got) != 1 {
+			t.Fatalf("%s: effects %v, want the end of the request", reason, got)
+		}
+		end, ok := got[0].(Finish)
+		if !ok || end.Err.Reason != reason || end.Err.Verdict != verdict.NotRun || end.Err.RetryAfter != 3*time.Second {
+			t.Errorf("%s: %v, want its end with a Retry-After of 3s", reason, got)
+		}
+	}
+}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -128,6 +128,12 @@
 	ReasonStoreDown Reason = "store-down"
 	// ReasonConcurrency is an organisation at its concurrency limit.
 	ReasonConcurrency Reason = "concurrency"
+	// ReasonOverShare is a request beyond its organisation's share of a pool that is too small
+	// for all organisations.
+	ReasonOverShare Reason = "over-share"
+	// ReasonPoolShort is a request within its organisation's share of such a pool, whose place
+	// goes to a more urgent one.
+	ReasonPoolShort Reason = "pool-short"
 	// ReasonOriginUnknown is a stream to be continued of which it is not known at which software version
 	// it began.
 	ReasonOriginUnknown Reason = "origin-unknown"
