gateway: refusals are logged with their organisation, and with a delay that has a unit

Cause: the line 'request refused' did not say whose request it was, which is the first question when organisations compete for a pool; retry_after was in nanoseconds in JSON and in text as a duration.

Ruled out: keeping retry_after beside the new name: two values of one thing, and no reader of the old one is in the repository (searched: Go, scripts, YAML, pages).

--- a/internal/gateway/hostedrequest.go
+++ b/internal/gateway/hostedrequest.go
@@ -27,7 +27,8 @@
 		slog.String("reason", string(e.Reason)),
 		slog.String("verdict", e.Verdict.String()),
 		slog.String("detail", e.Detail),
-		slog.Duration("retry_after", e.RetryAfter),
+		slog.String("organisation", x.organisation()),
+		slog.Int64("retry_after_ms", e.RetryAfter.Milliseconds()),
 		slog.String("host", x.r.Host),
 		slog.String("path", x.path()),
 		slog.Any("config_version", x.view.Version))
@@ -45,6 +46,14 @@
 	memory  reservation // of the body
 }
 
+// organisation returns the name of the request's organisation; empty: not known.
+func (x *platformExchange) organisation() string {
+	if x.org == nil {
+		return ""
+	}
+	return x.org.Name
+}
+
 // checkHeaders rejects a request that has no attempt id or whose headers are over the
 // operators' limit. Without the id, upstreams could not distinguish the request from others.
 func (x *platformExchange) checkHeaders() error {
@@ -178,9 +187,7 @@
 
 // readBody reads a body of at most limit bytes into memory that it reserves first.
 func (x *platformExchange) readBody(limit int64) ([]byte, error) {
-	if x.org != nil {
-		x.memory.org = x.org.Name
-	}
+	x.memory.org = x.organisation()
 	limited := http.MaxBytesReader(x.w, x.r.Body, limit)
 	if x.r.ContentLength < 0 {
 		return io.ReadAll(&reservedReader{Reader: limited, reservation: &x.memory})
