--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -27,6 +27,8 @@
 	PathVars      = "/debug/vars"
 	// PathQuarantined is served at the metrics address of a router on a platform.
 	PathQuarantined = "/quarantined"
+	// PathShares is served there as well.
+	PathShares = "/shares"
 )
 
 // Node is the router that a Server reports on. Its methods are safe for
--- a/internal/telemetry/metric.go
+++ b/internal/telemetry/metric.go
@@ -58,7 +58,7 @@
 // gaugeUnits lists the units that a gauge's name may end with.
 var gaugeUnits = []string{
 	"bytes", "seconds", "ratio", "info", "version",
-	"connections", "domains", "entries", "objects", "requests", "streams", "tokens", "upstreams", "vms",
+	"connections", "domains", "entries", "objects", "pools", "requests", "streams", "tokens", "upstreams", "vms",
 }
 
 var registry struct {
