admin, ctl: operators see how pools are shared, of one router and of all

Cause: which organisation is refused in a short pool, and whether routers agree on it, is in no counter.

Ruled out: the admin API, which routers on the platform do not serve.

Change: GET /shares at the metrics address of a router on the platform, and 'parsleyctl shares HOST:PORT...', which sums what is offered and refused by pool, organisation, rank and returning callers, shows the smallest and the largest fraction that a router admits, and takes capacity and use from the first router with complete totals.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -52,6 +52,7 @@
 	{"status", (*app).status, false},
 	{"budget", (*app).budget, false},
 	{"crashes", (*app).crashes, false},
+	{"shares", (*app).shares, false},
 	{"drain", (*app).drain, true},
 	{"undrain", (*app).undrain, true},
 	{"explain", (*app).explain, false},
--- a/internal/ctl/options.go
+++ b/internal/ctl/options.go
@@ -27,6 +27,7 @@
 	Status     statusCommand     `command:"status" description:"show routers, pools, skew, control traffic and quarantined requests"`
 	Budget     budgetCommand     `command:"budget" description:"sum what routers on the platform count of retries and of requests that crash upstreams"`
 	Crashes    crashesCommand    `command:"crashes" description:"list the requests and the parts of prompts that crash upstreams, as routers on the platform know them"`
+	Shares     sharesCommand     `command:"shares" description:"show how routers on the platform share pools that are too small among organisations"`
 	Drain      drainCommand      `command:"drain" description:"order a VM, or all upstreams of a failure domain, to take no new work"`
 	Undrain    drainCommand      `command:"undrain" description:"take back a drain order"`
 	Explain    explainCommand    `command:"explain" description:"show where a request would go now, and why"`
@@ -104,6 +105,10 @@
 	addrsCommand
 }
 
+type sharesCommand struct {
+	addrsCommand
+}
+
 type drainCommand struct {
 	changeOptions
 	Domain string `long:"failure-domain" description:"drain all upstreams of this failure domain, in place of one VM"`
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -303,6 +303,7 @@
 	metrics.Handle("GET /metrics", telemetry.Handler())
 	metrics.HandleFunc("GET /upstreams", e.serveUpstreams)
 	metrics.HandleFunc("GET "+admin.PathQuarantined, e.serveQuarantined)
+	metrics.HandleFunc("GET "+admin.PathShares, e.serveShares)
 	return serveOn(ctx, net.JoinHostPort(e.platform.IP, strconv.Itoa(e.settings.MetricsPort.N)), metrics)
 }
 
@@ -324,6 +325,16 @@
 	serveJSON(w, "quarantined requests", e.Quarantined())
 }
 
+// Shares returns how this router shares pools among organisations.
+func (e *Entry) Shares() admin.Shares {
+	return admin.Shares{Pools: e.router.Shares(time.Now())}
+}
+
+// serveShares serves the result of Shares as JSON.
+func (e *Entry) serveShares(w http.ResponseWriter, _ *http.Request) {
+	serveJSON(w, "shares of pools", e.Shares())
+}
+
 // serveJSON writes a value, which messages call what, as the response.
 func serveJSON(w http.ResponseWriter, what string, value any) {
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/daemon/entry_test.go
+++ b/internal/daemon/entry_test.go
@@ -1,8 +1,17 @@
 package daemon
 
 import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
+	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/parsleyfront/parsleyfront/internal/admin"
 	"github.com/parsleyfront/parsleyfront/internal/router"
 	"github.com/parsleyfront/parsleyfront/internal/settings"
 	"github.com/parsleyfront/parsleyfront/platform"
@@ -33,3 +42,22 @@
 		}
 	}
 }
+
+// Guards against scripts that get null, or nothing, from a router without short pools.
+func TestSharesAreServedAsJSON(t *testing.T) {
+	n := Network{Store: func(context.Context, string, string) (net.Conn, error) {
+		return nil, errors.New("no store in this test")
+	}}
+	parsed, err := settings.Parse([]string{"entry"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	e := NewEntry(ctx, parsed.Entry, platform.Settings{StoreURL: "http://store.example", ConfigBound: time.Second, DrainBound: time.Second}, n)
+	w := httptest.NewRecorder()
+	e.serveShares(w, httptest.NewRequest(http.MethodGet, admin.PathShares, nil))
+	if body := strings.TrimSpace(w.Body.String()); w.Code != http.StatusOK || body != `{"pools":[]}` || w.Header().Get("Content-Type") != "application/json" {
+		t.Errorf("status %d, %s", w.Code, body)
+	}
+}
