shares: allocate a short pool to organisations and their kinds

Cause: in a surge the organisation that sends most takes most of a pool, and its long requests take the places of urgent ones (design 0020).

Ruled out: one group of organisations for each combined rate. The combined rates of one priority are mostly kinds of the same organisations, which would then count once for each kind.

Change: Allocate: priorities with a reserve of 5% for the lower ones, weighted max-min between organisations, ranks and returning callers within an organisation, a floor of 5% for each class.

--- /dev/null
+++ b/internal/shares/allocate.go
@@ -0,0 +1,286 @@
+package shares
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/parsleyfront/parsleyfront/internal/demand"
+)
+
+const (
+	// minFraction is the part of its work that each class is admitted at least, so that no kind of
+	// request starves.
+	minFraction = 0.05
+	// lowerLevelsReserve is the part of a priority level's capacity that is left to the levels
+	// below it.
+	lowerLevelsReserve = 0.05
+	// priorityLevels is the number of priorities of organisations.
+	priorityLevels = 10
+	// rankLevels is the number of ranks of kinds of request.
+	rankLevels = 10
+	// maxWeight is the largest weight of an organisation.
+	maxWeight = 1000
+	// maxOrgs limits the number of organisations in one demand. It is far above that of any
+	// deployment, and prevents that a malformed message takes the whole pool.
+	maxOrgs = 1 << 20
+	// maxWork limits work and capacity, so that sums and products of them stay finite and precise.
+	maxWork = 1e12
+	// roundingTolerance is the relative error of sums of work that is ignored.
+	roundingTolerance = 1e-9
+)
+
+// Demand is the work that is offered in a class.
+type Demand struct {
+	demand.Class
+	// Orgs is the number of organisations that the demand covers. A demand of more than one, or
+	// one with Class.Org zero, is combined: it names no organisation.
+	Orgs int
+	Work float64 // in the unit of the capacity
+}
+
+// combined reports whether the demand names no organisation.
+func (d *Demand) combined() bool {
+	return d.Orgs > 1 || d.Org == 0
+}
+
+// Allocate returns the admitted fraction of each demand, from 0.05 to 1, if a pool can take
+// capacity. The admitted work is at most the capacity, plus 5% of each class whose share is
+// smaller than that.
+//
+// Organisations with a higher priority come first, and those of the same priority share by
+// weighted max-min fairness. The share of an organisation goes to its classes by rank, and within a
+// rank to returning callers first. Combined demands of the same priority are taken as the
+// classes of the same organisations, which are equal to each other: their number is the largest of
+// the demands, and their weight is the mean.
+//
+// Work that is negative or not a number counts as zero, and infinite work as a very large amount;
+// the same applies to the capacity.
+func Allocate(capacity float64, demands []Demand) []float64 {
+	return allocate(capacity, demands).fractions
+}
+
+// allocation is the result of allocate, by demand.
+type allocation struct {
+	fractions []float64 // admitted
+	// unordered is the fraction that would be admitted if all organisations had the same priority
+	// and all classes the same rank. It tells why work is refused.
+	unordered []float64
+}
+
+// group is an organisation, or several equal ones that are combined. Work is that of one of them.
+type group struct {
+	priority int
+	weight   float64
+	orgs     float64
+	work     float64
+	// share is the work admitted without the floors of classes. take reduces it.
+	share     float64
+	exhausted bool    // a class was refused a part of its work
+	weighted  float64 // sum of the weights of combined demands times their organisations
+	counted   float64 // sum of the organisations of combined demands
+}
+
+func allocate(capacity float64, demands []Demand) allocation {
+	result := allocation{fractions: make([]float64, len(demands)), unordered: make([]float64, len(demands))}
+	capacity = sanitizeWork(capacity)
+	total := 0.0
+	for i := range demands {
+		total += sanitizeWork(demands[i].Work)
+		result.fractions[i], result.unordered[i] = 1, 1
+	}
+	if total <= capacity*(1+roundingTolerance) {
+		return result
+	}
+	groups, groupOf := groupByOrganisation(demands)
+	byNeed := make([]*group, len(groups))
+	for i := range groups {
+		byNeed[i] = &groups[i]
+	}
+	slices.SortFunc(byNeed, func(a, b *group) int { return cmp.Compare(a.work/a.weight, b.work/b.weight) })
+	level := waterLevel(capacity, byNeed)
+	for i, g := range groupOf {
+		result.unordered[i] = groups[g].fraction(level)
+	}
+	allocateByPriority(capacity, total, byNeed)
+	allocateByRank(demands, groups, groupOf, result.fractions)
+	return result
+}
+
+// sanitizeWork returns work, limited to between 0 and maxWork.
+func sanitizeWork(work float64) float64 {
+	if !(work > 0) { // including NaN
+		return 0
+	}
+	return min(work, maxWork)
+}
+
+// sanitizeWeight returns the weight of an organisation, limited to between 1 and maxWeight.
+func sanitizeWeight(weight uint16) float64 {
+	return float64(min(max(weight, 1), maxWeight))
+}
+
+// sanitizePriority returns the priority of an organisation, limited to the lowest.
+func sanitizePriority(priority uint8) int {
+	return int(min(priority, priorityLevels-1))
+}
+
+// sanitizeRank returns the rank of a kind, limited to the least urgent.
+func sanitizeRank(rank uint8) int {
+	return int(min(rank, rankLevels-1))
+}
+
+// groupByOrganisation returns the organisations of the demands, and for each demand the index of
+// its organisation. While a change of settings spreads, routers may report an organisation with
+// different priorities and weights: the highest applies.
+func groupByOrganisation(demands []Demand) ([]group, []int) {
+	groups := make([]group, 0, len(demands))
+	groupOf := make([]int, len(demands))
+	named := make(map[uint32]int, len(demands))
+	var combined [priorityLevels]int // index + 1; 0: none
+	for i := range demands {
+		d := &demands[i]
+		priority, index, known := sanitizePriority(d.OrgPriority), 0, false
+		if d.combined() {
+			index, known = combined[priority]-1, combined[priority] > 0
+		} else {
+			index, known = named[d.Org]
+		}
+		if !known {
+			index = len(groups)
+			groups = append(groups, group{priority: priority, orgs: 1})
+			if d.combined() {
+				combined[priority] = index + 1
+			} else {
+				named[d.Org] = index
+			}
+		}
+		groupOf[i] = index
+		groups[index].add(d)
+	}
+	for i := range groups {
+		groups[i].work /= groups[i].orgs
+	}
+	return groups, groupOf
+}
+
+// add adds a demand to the group. Until all are added, g.work is the sum of the organisations.
+func (g *group) add(d *Demand) {
+	orgs, weight := float64(min(max(d.Orgs, 1), maxOrgs)), sanitizeWeight(d.Weight)
+	g.priority = min(g.priority, sanitizePriority(d.OrgPriority))
+	g.orgs = max(g.orgs, orgs)
+	g.work += sanitizeWork(d.Work)
+	if d.combined() {
+		g.weighted += orgs * weight
+		g.counted += orgs
+		g.weight = g.weighted / g.counted
+	} else {
+		g.weight = max(g.weight, weight)
+	}
+}
+
+// fraction returns the part of the group's work that is admitted at a water level.
+func (g *group) fraction(level float64) float64 {
+	if g.work <= level*g.weight {
+		return 1
+	}
+	return level * g.weight / g.work
+}
+
+// waterLevel returns the work per weight up to which the organisations are admitted, so that they
+// use the capacity together; +Inf if all their work fits. The groups must be ordered by work per
+// weight.
+func waterLevel(capacity float64, byNeed []*group) float64 {
+	weight := 0.0
+	for _, g := range byNeed {
+		weight += g.orgs * g.weight
+	}
+	for _, g := range byNeed {
+		// Weights are multiples of small numbers, except means, so that this sum may be off by a
+		// rounding error; it is never less than the weight of the current group.
+		weight = max(weight, g.orgs*g.weight)
+		level := capacity / weight
+		if g.work/g.weight > level {
+			return level
+		}
+		capacity = max(0, capacity-g.orgs*g.work)
+		weight -= g.orgs * g.weight
+	}
+	return math.Inf(1)
+}
+
+// allocateByPriority sets the shares of the organisations. total is their work.
+func allocateByPriority(capacity, total float64, byNeed []*group) {
+	level := make([]*group, 0, len(byNeed))
+	below := total
+	for priority := range priorityLevels {
+		level = level[:0]
+		work := 0.0
+		for _, g := range byNeed {
+			if g.priority == priority {
+				level = append(level, g)
+				work += g.orgs * g.work
+			}
+		}
+		if len(level) == 0 {
+			continue
+		}
+		below = max(0, below-work)
+		if below < total*roundingTolerance {
+			below = 0
+		}
+		water := waterLevel(capacity-min(below, lowerLevelsReserve*capacity), level)
+		for _, g := range level {
+			g.share = g.work
+			if g.work > water*g.weight {
+				g.share = water * g.weight
+			}
+			capacity = max(0, capacity-g.orgs*g.share)
+		}
+	}
+}
+
+// allocateByRank sets the admitted fractions of the classes of each organisation.
+func allocateByRank(demands []Demand, groups []group, groupOf []int, fractions []float64) {
+	order := make([]int, len(demands))
+	for i := range order {
+		order[i] = i
+	}
+	urgency := func(i int) int { // of a class within its organisation; lower is more urgent
+		u := 2 * sanitizeRank(demands[i].Rank)
+		if !demands[i].Returning {
+			u++
+		}
+		return u
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Or(cmp.Compare(groupOf[a], groupOf[b]), cmp.Compare(urgency(a), urgency(b)))
+	})
+	for start := 0; start < len(order); {
+		g := &groups[groupOf[order[start]]]
+		end, work := start, 0.0 // demands of the same class
+		for end < len(order) && groupOf[order[end]] == groupOf[order[start]] && urgency(order[end]) == urgency(order[start]) {
+			work += sanitizeWork(demands[order[end]].Work) / g.orgs
+			end++
+		}
+		fraction := g.take(work)
+		for _, i := range order[start:end] {
+			fractions[i] = fraction
+		}
+		start = end
+	}
+}
+
+// take takes the work of the next class from the rest of the group's share, and returns the fraction
+// that is admitted. Once a class is refused, the less urgent ones get only their floor.
+func (g *group) take(work float64) float64 {
+	if g.exhausted {
+		return minFraction
+	}
+	if work <= g.share+g.work*roundingTolerance {
+		g.share = max(0, g.share-work)
+		return 1
+	}
+	g.exhausted = true
+	return max(minFraction, g.share/work)
+}
