--- /dev/null
+++ b/internal/shares/rate.go
@@ -0,0 +1,204 @@
+package shares
+
+import (
+	"math"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/demand"
+)
+
+const (
+	// minRejectedPart is the part of the attempts that upstreams must reject for their accepted
+	// rate to be a measure of the capacity.
+	minRejectedPart = 0.02
+	// probeFactor is the ratio of the estimate to the accepted rate, so that a few attempts always
+	// probe for more capacity. It must exceed 1 + minRejectedPart.
+	probeFactor = 1.05
+	// growthPerSecond is the factor by which an estimate grows while upstreams reject nothing.
+	growthPerSecond = 1.05
+	// fastGrowthPerSecond applies instead after estimateRetention without rejections, if requests
+	// are still held back: the estimate is then far too low.
+	fastGrowthPerSecond = 1.5
+	// estimateRetention is the time without rejections after which an estimate is forgotten,
+	// unless requests are held back according to it.
+	estimateRetention = 5 * time.Second
+	// incompleteRetention is the same while the totals are not complete. Then the router uses its
+	// part of the pool and may see no rejections although the pool is short, and it does not know
+	// whether it is. It is longer than the outage of the root of the tree of routers.
+	incompleteRetention = 30 * time.Second
+	// ratesTimeConstant is the time constant with which the rates of package demand decay.
+	ratesTimeConstant = time.Second
+	// intervalLength is the minimum length of the intervals in which rates are measured. In
+	// shorter ones the difference of two decaying rates is mostly noise.
+	intervalLength = 250 * time.Millisecond
+	// intervalCount is the number of the last intervals that are kept: one second together. Before
+	// totals are complete for so long, there is no estimate: the first ones lack the reports of
+	// routers that have just begun to report.
+	intervalCount = 4
+	// minSaturated is the number of these in which upstreams must have rejected attempts, so that
+	// there is an estimate.
+	minSaturated = 2
+)
+
+// RateCapacity estimates the capacity of a pool whose upstreams report no load, from what they
+// reject. The zero value is ready to use. It is not safe for concurrent use.
+//
+// The decayed rates of the totals are not used directly, since they include the time before
+// upstreams began to reject. After a surge the rejections in them decay as slowly as the accepted
+// rate, so that the estimate would follow the traffic down and requests would be held back for
+// seconds. Therefore the rates within short intervals are computed from them, and the accepted rate
+// is that of the intervals in which upstreams rejected attempts.
+type RateCapacity struct {
+	capacity   float64   // estimate in requests per second; 0: none
+	used       float64   // at the last Update with complete totals
+	updatedAt  time.Time // time of the last Update
+	rejectedAt time.Time // last time when upstreams rejected attempts
+	neededAt   time.Time // last time when they did, or requests were held back
+	// The rest is about complete totals since the last incomplete ones.
+	last      sample
+	intervals []interval // the latest ones, at most intervalCount
+}
+
+// sample is the decayed rates at a time.
+type sample struct {
+	at                 time.Time
+	accepted, rejected float64
+}
+
+// interval is what upstreams did in an interval.
+type interval struct {
+	accepted, rejected float64 // attempts per second
+}
+
+// Update returns the estimated capacity and its use, in requests per second; both are 0 if there is
+// no estimate. While the totals are not complete, they cover too few routers to tell the capacity:
+// the last results are kept for up to 30 s.
+func (c *RateCapacity) Update(now time.Time, t demand.Totals) (capacity, used float64) {
+	elapsed := max(0, now.Sub(c.updatedAt))
+	c.updatedAt = now
+	s := sample{now, sanitizeWork(t.Accepted), sanitizeWork(t.Rejected)}
+	if t.Complete {
+		c.updateComplete(s, elapsed, offeredRate(t))
+	} else {
+		c.updateIncomplete(s)
+	}
+	return c.capacity, c.used
+}
+
+// updateIncomplete keeps the estimate.
+func (c *RateCapacity) updateIncomplete(s sample) {
+	c.last, c.intervals = sample{}, c.intervals[:0]
+	if isSaturated(s.accepted, s.rejected) {
+		c.rejectedAt, c.neededAt = s.at, s.at
+	}
+	c.forget(s.at, incompleteRetention)
+}
+
+func (c *RateCapacity) updateComplete(s sample, elapsed time.Duration, offered float64) {
+	isNew := c.addSample(s)
+	accepted, rejected, saturated := c.saturatedRates()
+	if saturated >= minSaturated && len(c.intervals) == intervalCount {
+		c.rejectedAt = s.at
+		if isNew {
+			c.capacity = c.measured(accepted, rejected)
+		}
+	} else if c.capacity > 0 {
+		c.grow(s.at, elapsed)
+	}
+	if offered > c.capacity || c.rejectedAt.Equal(s.at) {
+		c.neededAt = s.at
+	}
+	c.forget(s.at, estimateRetention)
+	c.used = min(offered, c.capacity)
+}
+
+// grow increases the estimate while upstreams reject nothing. It is not forgotten while requests
+// are held back, since the lack of rejections does not show then that the capacity suffices, and
+// the pool would alternate between short and not short.
+func (c *RateCapacity) grow(now time.Time, elapsed time.Duration) {
+	perSecond := growthPerSecond
+	if now.Sub(c.rejectedAt) >= estimateRetention {
+		perSecond = fastGrowthPerSecond
+	}
+	c.capacity = min(c.capacity*math.Pow(perSecond, elapsed.Seconds()), maxWork)
+	if len(c.intervals) == intervalCount {
+		c.capacity = max(c.capacity, c.acceptedRate())
+	}
+}
+
+// acceptedRate returns the accepted rate of all intervals. The capacity is at least as large. An
+// estimate may be less if it is from the first complete totals, which lack some routers.
+func (c *RateCapacity) acceptedRate() float64 {
+	accepted := 0.0
+	for _, i := range c.intervals {
+		accepted += i.accepted / float64(len(c.intervals))
+	}
+	return accepted
+}
+
+// forget removes the estimate if it was not needed for a time.
+func (c *RateCapacity) forget(now time.Time, after time.Duration) {
+	if now.Sub(c.neededAt) >= after {
+		c.capacity, c.used = 0, 0
+	}
+}
+
+// offeredRate returns the work per second in all classes.
+func offeredRate(t demand.Totals) float64 {
+	offered := 0.0
+	for i := range t.Rates {
+		offered += sanitizeWork(t.Rates[i].Offered)
+	}
+	return offered
+}
+
+// addSample adds the interval since the last sample if it is long enough, and reports whether it is.
+func (c *RateCapacity) addSample(s sample) bool {
+	length := s.at.Sub(c.last.at)
+	if c.last.at.IsZero() || length < 0 {
+		c.last = s
+		return false
+	}
+	if length < intervalLength {
+		return false
+	}
+	remaining := math.Exp(-length.Seconds() / ratesTimeConstant.Seconds())
+	accepted := max(0, s.accepted-c.last.accepted*remaining) / (1 - remaining)
+	rejected := max(0, s.rejected-c.last.rejected*remaining) / (1 - remaining)
+	if len(c.intervals) == intervalCount {
+		c.intervals = append(c.intervals[:0], c.intervals[1:]...)
+	}
+	c.intervals = append(c.intervals, interval{accepted, rejected})
+	c.last = s
+	return true
+}
+
+func isSaturated(accepted, rejected float64) bool {
+	return rejected > 0 && rejected >= minRejectedPart*(accepted+rejected)
+}
+
+// saturatedRates returns the number of intervals in which upstreams rejected attempts, and the
+// rates that they accepted and rejected in these.
+func (c *RateCapacity) saturatedRates() (accepted, rejected float64, count int) {
+	for _, i := range c.intervals {
+		if isSaturated(i.accepted, i.rejected) {
+			accepted += i.accepted
+			rejected += i.rejected
+			count++
+		}
+	}
+	n := float64(max(count, 1))
+	return accepted / n, rejected / n, count
+}
+
+// measured returns the estimate for the rates of saturated intervals. It is not reduced by more
+// than the rejected part of the attempts explains: when a surge ends, reports of some routers are
+// still from the surge, so that the accepted rate falls while upstreams seem to reject attempts.
+// The mean with the previous estimate halves the error that is due to random rejections.
+func (c *RateCapacity) measured(accepted, rejected float64) float64 {
+	if c.capacity == 0 {
+		return min(probeFactor*accepted, maxWork)
+	}
+	least := c.capacity * accepted / (accepted + rejected)
+	return min((probeFactor*max(accepted, least)+c.capacity)/2, maxWork)
+}
