shares: an overfull pool admits less, twice as fast

At the start of a surge the demand is known too late, so the pool fills up to its places within a second and then rejects requests of all organisations.

Change: above a ratio of 1 the factor falls by 2 per unit: 3 - 2 x Used/Capacity, at least 0.5 as before.

--- a/internal/shares/fleet_test.go
+++ b/internal/shares/fleet_test.go
@@ -33,7 +33,7 @@
 	state(now time.Duration, r *simRouter, t demand.Totals) Pool
 }
 
-// engines is a pool that reports its load. It accepts half as many requests again as its capacity,
+// engines is a pool that reports its load. It accepts a quarter more requests than its capacity,
 // each of which takes one second on average.
 type engines struct {
 	random     *rand.Rand
@@ -57,7 +57,7 @@
 
 func (e *engines) accept(now time.Duration) bool {
 	e.advance(now)
-	if float64(e.held) >= 1.5*simCapacity {
+	if float64(e.held) >= 1.25*simCapacity {
 		return false
 	}
 	e.held++
--- a/internal/shares/gate.go
+++ b/internal/shares/gate.go
@@ -33,6 +33,10 @@
 	// minCapacityFactor and maxCapacityFactor limit the capacity for new work, as a multiple of the
 	// pool's capacity. It is above 1 while the pool is not full, and below 1 while it is overfull.
 	minCapacityFactor, maxCapacityFactor = 0.5, 1.5
+	// overfullSlope is the decrease of this factor with the ratio of Used to Capacity above 1. At the
+	// start of a surge the demand is known too late and a pool fills beyond its capacity; it must
+	// become less full before it rejects requests of all organisations alike.
+	overfullSlope = 2
 )
 
 // Pool is the state of a pool of upstreams.
@@ -174,7 +178,11 @@
 // capacityForNewWork returns the work to allocate to the demand. A router that does not know the
 // demand at all routers uses at most its part of the pool.
 func (p *Pool) capacityForNewWork(complete bool) float64 {
-	factor := min(max(2-p.ratio(), minCapacityFactor), maxCapacityFactor)
+	spare := 1 - p.ratio() // negative if the pool is overfull
+	if spare < 0 {
+		spare *= overfullSlope
+	}
+	factor := min(max(1+spare, minCapacityFactor), maxCapacityFactor)
 	if complete {
 		return p.Capacity * factor
 	}
