shedding, router: organisations share a short pool, the more urgent kinds first, by fractions that all routers know

Cause: in a surge of 3.5 times the traffic with one organisation at eight times its usual, nobody decided on the platform who goes first. Engines filled all their places and their queues, so that urgent chats ended at their deadlines while less urgent plans were served, and full plain upstreams turned requests away whoever sent them.

Change: package shedding puts pace, demand and shares together for a pool; routers ask it before they choose an upstream, and send each other what they are offered beside their reports. Upstreams are told an urgency by the organisation's priority and then the kind's. Returning callers have .3 of their share reserved. The log line of an ended request names the organisation.

What the surge asks beyond the pool is still refused."

--- a/internal/admin/shares.go
+++ b/internal/admin/shares.go
@@ -26,7 +26,7 @@
 	Classes  []ClassShares `json:"classes"`
 }
 
-// ClassShares is what one router offers and admits of a class of requests: those of an organisation with the
+// ClassShares is what one router knows and admits of a class of requests: those of an organisation with the
 // same rank, returning or not.
 type ClassShares struct {
 	// Organisation is the name, or a hash as returned by OrganisationLabel if the router does not
@@ -35,7 +35,7 @@
 	Priority     int     `json:"priority"`  // of the organisation, 0 (highest) to 9
 	Rank         int     `json:"rank"`      // of the kind of request, 0 (most urgent) to 9
 	Returning    bool    `json:"returning"` // callers that were told when to retry, and do so
-	Offered      float64 `json:"offered"`   // work per second at this router
+	Offered      float64 `json:"offered"`   // work per second, at all routers that this one hears of
 	Fraction     float64 `json:"fraction"`  // of the requests that is admitted, 0 to 1
 	Refused      int64   `json:"refused"`   // requests that this router has refused since its start
 }
--- a/internal/balance/tracker.go
+++ b/internal/balance/tracker.go
@@ -211,6 +211,28 @@
 	return t.slowdowns.Get(now, vm)
 }
 
+// ReportsSlowdowns reports whether any upstream has ever reported that work on its machine takes
+// longer than usual: the pool's upstreams share their machines.
+func (t *Tracker) ReportsSlowdowns() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.slowdowns.Seen()
+}
+
+// Slots returns how many requests an engine serves at a time; zero: the upstreams do not report it.
+func (t *Tracker) Slots() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.slots
+}
+
+// MeanLoad returns the mean of the estimated loads of n upstreams of which idle get no requests.
+func (t *Tracker) MeanLoad(n, idle int) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.loads.Mean(n, idle)
+}
+
 // SetSlots sets how many requests an engine serves at a time. All engines of a pool have the
 // same number.
 func (t *Tracker) SetSlots(n int) {
--- a/internal/ctl/shares.go
+++ b/internal/ctl/shares.go
@@ -48,7 +48,7 @@
 
 // admission is what routers admit of requests.
 type admission struct {
-	Offered     float64 `json:"offered"`      // work per second, sum over routers
+	Offered     float64 `json:"offered"`      // work per second at all routers, as told by the router that hears of most
 	Refused     int64   `json:"refused"`      // since the start of each router, sum over routers
 	MinFraction float64 `json:"fraction_min"` // smallest fraction that a router admits of a class
 	MaxFraction float64 `json:"fraction_max"` // largest
@@ -129,9 +129,7 @@
 	})
 	if i < 0 {
 		i = len(p.Organisations)
-		p.Organisations = append(p.Organisations, &organisationShares{Organisation: c.Organisation, Priority: c.Priority, admission: newAdmission(c)})
-	} else {
-		p.Organisations[i].admission.add(c)
+		p.Organisations = append(p.Organisations, &organisationShares{Organisation: c.Organisation, Priority: c.Priority})
 	}
 	o := p.Organisations[i]
 	j := slices.IndexFunc(o.Classes, func(x *classShares) bool { return x.Rank == c.Rank && x.Returning == c.Returning })
@@ -146,8 +144,21 @@
 	return admission{Offered: c.Offered, Refused: c.Refused, MinFraction: c.Fraction, MaxFraction: c.Fraction}
 }
 
+// sum sets what is admitted of the organisation to that of its classes together.
+func (o *organisationShares) sum() {
+	o.admission = o.Classes[0].admission
+	for _, c := range o.Classes[1:] {
+		o.Offered += c.Offered
+		o.Refused += c.Refused
+		o.MinFraction = min(o.MinFraction, c.MinFraction)
+		o.MaxFraction = max(o.MaxFraction, c.MaxFraction)
+	}
+}
+
+// add adds what another router admits of the same class. Each router tells what all that it hears
+// of are offered, so that the largest figure is the most complete one.
 func (a *admission) add(c admin.ClassShares) {
-	a.Offered += c.Offered
+	a.Offered = max(a.Offered, c.Offered)
 	a.Refused += c.Refused
 	a.MinFraction = min(a.MinFraction, c.Fraction)
 	a.MaxFraction = max(a.MaxFraction, c.Fraction)
@@ -158,6 +169,9 @@
 func (l *shareList) sort() {
 	slices.SortFunc(l.Pools, func(x, y *poolShares) int { return cmp.Compare(x.Pool, y.Pool) })
 	for _, p := range l.Pools {
+		for _, o := range p.Organisations {
+			o.sum()
+		}
 		slices.SortFunc(p.Organisations, func(x, y *organisationShares) int {
 			return cmp.Or(cmp.Compare(y.Refused, x.Refused), cmp.Compare(y.Offered, x.Offered),
 				cmp.Compare(x.Organisation, y.Organisation), cmp.Compare(x.Priority, y.Priority))
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -327,7 +327,7 @@
 
 // Shares returns how this router shares pools among organisations.
 func (e *Entry) Shares() admin.Shares {
-	return admin.Shares{Pools: e.router.Shares(time.Now())}
+	return admin.Shares{Pools: e.router.Shares()}
 }
 
 // serveShares serves the result of Shares as JSON.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -259,6 +259,11 @@
 	return len(s.peers) + 1
 }
 
+// HasSubscribers reports whether another router is subscribed to this one.
+func (s *State) HasSubscribers(now time.Time) bool {
+	return slices.ContainsFunc(s.sorted, func(p *peer) bool { return now.Before(p.subscribedUntil) })
+}
+
 // immediateSuccessors is how many routers, the next in rank, start to read the store as
 // soon as the reader reports that the store does not answer it. The others wait until
 // their state has grown old, so that only these few call a store that answers no router.
--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -12,6 +12,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/load"
 	"github.com/parsleyfront/parsleyfront/internal/quarantine"
 	"github.com/parsleyfront/parsleyfront/internal/router/dispatch"
+	"github.com/parsleyfront/parsleyfront/internal/shedding"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
 	"github.com/parsleyfront/parsleyfront/internal/wire"
@@ -28,12 +29,16 @@
 	router       *Router
 	attempt      *attempt
 	tracker      *balance.Tracker
+	shedder      *shedding.Pool // nil: nothing is shed
 	vm           load.VM
 	profile      string
 	firstBytesAt time.Time // arrival of the first bytes
 	lastEventAt  time.Time // arrival of the newest event
 	lastPieceAt  time.Time // arrival of the newest piece
+	sentAt       time.Time
 	position     eventstream.Position
+	events       int  // that have arrived
+	resumed      bool // it goes on with a stream that began elsewhere
 	eventSeen    bool // a whole event has arrived
 }
 
@@ -87,8 +92,10 @@
 		s.firstBytesAt, s.lastEventAt = now, now
 	case p.End != nil:
 		s.tracker.RecordAnswerTime(now, s.vm, s.profile, now.Sub(s.firstBytesAt))
+		s.observeAnswer(now)
 	case n > 0:
 		s.tracker.RecordEvents(now, s.vm, s.profile, n, now.Sub(s.lastEventAt))
+		s.observePace(now, n)
 		s.lastEventAt = now
 	}
 }
@@ -109,13 +116,18 @@
 	})
 	call := d.exchangeCall(at)
 	at.call.Body = nil // the call may linger after the request has ended
+	sentAt := time.Now()
 	s, err := d.router.config.Direct.Do(at.ctx, at.vm, call, func() bool { return d.admitAttempt(at) })
 	if err != nil {
 		at.span.Fail(string(verdict.From(err).Reason))
 		return d.failureEvent(at, verdict.From(err))
 	}
 	d.router.recordResponded(at, s.Signal)
-	at.stream = &directStream{Stream: s, router: d.router, attempt: at, tracker: at.tracker, vm: id, profile: d.req.Profile.Name}
+	d.recordAccepted(s.Signal)
+	at.stream = &directStream{
+		Stream: s, router: d.router, attempt: at, tracker: at.tracker, shedder: d.shedder(), vm: id, profile: d.req.Profile.Name,
+		sentAt: sentAt, resumed: at.headSent || d.req.LastEventID != "",
+	}
 	d.handleSignal(at, s.Signal)
 	if s.Signal.NotRun {
 		d.router.recordRejected(at)
--- a/internal/router/directoffer.go
+++ b/internal/router/directoffer.go
@@ -87,8 +87,9 @@
 		resp.Close()
 		return nil, err
 	}
+	resp.orderUrgency()
 	if resp.pool != nil {
-		resp.pool.tracker.RecordObjective(req.Urgency, req.Profile.Objective.Std())
+		resp.pool.tracker.RecordObjective(resp.req.Urgency, req.Profile.Objective.Std())
 	}
 	if resp.pool != nil && resp.session != 0 {
 		resp.shareCounted = true
@@ -99,6 +100,10 @@
 		return nil, err
 	}
 	resp.isLikelyRetry = req.mayBeRetry() && r.retries.HasPendingReturns(now, pool)
+	if err := resp.shed(now); err != nil {
+		resp.Close()
+		return nil, err
+	}
 	resp.targets = resp.chooseTargets(now)
 	if len(resp.targets) == 0 {
 		resp.Close()
--- a/internal/router/log.go
+++ b/internal/router/log.go
@@ -148,6 +148,9 @@
 	if resp.result != nil {
 		attrs = append(attrs, slog.String("verdict", resp.result.Verdict.String()), slog.String("detail", resp.result.Detail))
 	}
+	if resp.req.Org != nil {
+		attrs = append(attrs, slog.String("organisation", resp.req.Org.Name))
+	}
 	resp.log(class, "request ended", attrs...)
 }
 
--- a/internal/router/mesh.go
+++ b/internal/router/mesh.go
@@ -72,12 +72,15 @@
 	members    *follow.Runner
 	parent     relay.Router // owned by the control loop
 	readsStore atomic.Bool  // this router reads the store
+	followed   atomic.Bool  // another router is subscribed to this one
 	packer     *pack.Packer
 	register   *register.Registrar
 
 	// The control loop owns the fields below.
 	lastReport   []byte        // latest report to the subscribers
 	lastReportAt time.Time     // when lastReport was built
+	lastDemand   [][]byte      // latest messages with the demand for pools to the subscribers
+	lastDemandAt time.Time     // when lastDemand was built
 	nextReportAt time.Time     // earliest time of the next report
 	listVersion  int           // of the routers that are known, as passed on last
 	nextPool     int           // first pool of the next report, in the order of names
@@ -170,7 +173,7 @@
 		if e.IsSummary {
 			source = fromParent
 		}
-		m.mergeSharing(now, e.Payload, source)
+		m.mergeSharing(now, e.From, e.Payload, source)
 	case relay.Origins:
 		meshBytes.Add(meshOriginsReceived, int64(len(b)))
 		if err := m.router.origins.Handle(now, from.String(), e); err != nil {
@@ -199,9 +202,12 @@
 // sendShare sends a router the loads and outcomes of upstreams that this one knows.
 func (m *mesh) sendShare(e relay.SendReport) {
 	now := time.Now()
-	messages := [][]byte{m.reportForSubscribers(now)}
-	if !e.Report.IsSummary {
-		messages = m.reportsForParent(now)
+	var messages [][]byte
+	if e.Report.IsSummary {
+		messages = append(messages, m.reportForSubscribers(now))
+		messages = append(messages, m.demandForSubscribers(now)...)
+	} else {
+		messages = append(m.reportsForParent(now), m.demandForParent(now)...)
 	}
 	for _, b := range messages {
 		if b != nil {
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -122,6 +122,7 @@
 	if r.mesh == nil {
 		return
 	}
+	r.mesh.followed.Store(r.state.relayState.relay.HasSubscribers(time.Now()))
 	if known := r.state.relayState.relay; known.ListVersion() != r.mesh.listVersion {
 		r.mesh.listVersion = known.ListVersion()
 		routers := known.Routers()
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -36,6 +36,8 @@
 	Outcomes []byte `cbor:"4,keyasint,omitempty"`
 	// Speeds holds the stream slowdown of engines.
 	Speeds []byte `cbor:"5,keyasint,omitempty"`
+	// Demand holds what callers offer to the pool, as encoded by package demand.
+	Demand []byte `cbor:"6,keyasint,omitempty"`
 }
 
 const (
@@ -52,6 +54,9 @@
 	// leaving upstreams in such a message, so that it fits into one datagram.
 	maxCrashBytes           = 200
 	maxLeavingBesideCrashes = 8
+	// demandReuse is how long messages with the demand for pools are reused: shorter than the
+	// interval of reports to one subscriber, and longer than reports to all of them take.
+	demandReuse = 80 * time.Millisecond
 	// reportBytesPerSecond bounds the rate of reports to each subscriber. Of the 4 KB a second
 	// that its control traffic may take, beats and its own reports need 1.2 KB.
 	reportBytesPerSecond = 2800
@@ -159,7 +164,7 @@
 func fittingPools(pools []sharedPool) int {
 	size := 0
 	for i, p := range pools {
-		size += sharedOverhead + len(p.Loads) + len(p.Outcomes) + len(p.Speeds)
+		size += sharedOverhead + len(p.Loads) + len(p.Outcomes) + len(p.Speeds) + len(p.Demand)
 		if size > maxSharingBytes && i > 0 {
 			return i
 		}
@@ -190,7 +195,7 @@
 
 // mergeSharing adds the state that another router has sent. Data that can't be decoded comes
 // from a router of another release and is ignored, which only makes the loads less accurate.
-func (m *mesh) mergeSharing(now time.Time, b []byte, from shareSource) {
+func (m *mesh) mergeSharing(now time.Time, sender string, b []byte, from shareSource) {
 	if len(b) == 0 {
 		return
 	}
@@ -222,6 +227,58 @@
 		if err := merge(now, p.serving, balance.SharedState{Loads: shared.Loads, Outcomes: shared.Outcomes, Speeds: shared.Speeds}); err != nil {
 			meshMalformed.Inc()
 		}
+		if err := p.mergeDemand(now, sender, shared.Demand, from); err != nil {
+			meshMalformed.Inc()
+		}
+	}
+}
+
+// demandForSubscribers returns the messages with the demand for pools to this router's subscribers.
+// Each is the same for all of them: package demand gives a summary once.
+func (m *mesh) demandForSubscribers(now time.Time) [][]byte {
+	if now.Sub(m.lastDemandAt) >= demandReuse {
+		m.lastDemandAt = now
+		m.lastDemand = m.demandMessages(func(p *Pool) []byte { return p.shedder.Summary(now) })
+	}
+	return m.lastDemand
+}
+
+// demandForParent returns the messages with the demand for pools to the parent.
+func (m *mesh) demandForParent(now time.Time) [][]byte {
+	return m.demandMessages(func(p *Pool) []byte { return p.shedder.Report(now) })
+}
+
+// demandMessages returns messages with the demand for the pools that may be short, apart from the
+// reports of loads: a message that is too long for a datagram would lose both.
+func (m *mesh) demandMessages(collect func(*Pool) []byte) [][]byte {
+	pools := m.router.View().Pools
+	var shared []sharedPool
+	for _, name := range slices.Sorted(maps.Keys(pools)) {
+		if !m.router.sheds(pools[name]) {
+			continue
+		}
+		if b := collect(pools[name]); b != nil {
+			shared = append(shared, sharedPool{Pool: shortHash(name), Demand: b})
+		}
+	}
+	var out [][]byte
+	for len(shared) > 0 {
+		n := fittingPools(shared)
+		out = append(out, m.encodeSharing(shared[:n], nil, suspects.News{}))
+		shared = shared[n:]
+	}
+	return out
+}
+
+// mergeDemand records what another router has reported of the demand for the pool.
+func (p *Pool) mergeDemand(now time.Time, sender string, offered []byte, from shareSource) error {
+	switch {
+	case len(offered) == 0:
+		return nil
+	case from == fromSubscriber:
+		return p.shedder.MergeReport(now, sender, offered)
+	default:
+		return p.shedder.MergeSummary(now, offered)
 	}
 }
 
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -20,6 +20,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
 	"github.com/parsleyfront/parsleyfront/internal/relay"
+	"github.com/parsleyfront/parsleyfront/internal/shedding"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
 	"github.com/parsleyfront/parsleyfront/internal/wire"
 )
@@ -111,6 +112,7 @@
 	vms            topo.VMs
 	loadReports    map[string]*loadReports     // by pool
 	trackers       map[string]*balance.Tracker // by pool
+	shedders       map[string]*shedding.Pool   // by pool
 	firstSeen      map[string]time.Time        // when VMs were first seen in the list
 	relayState     *relayState                 // nil: this router always reads the store
 
@@ -137,6 +139,7 @@
 		sentNotices: make(map[string]sentNotice),
 		loadReports: make(map[string]*loadReports),
 		trackers:    make(map[string]*balance.Tracker),
+		shedders:    make(map[string]*shedding.Pool),
 		view:        &View{},
 		stale:       staleParts{profiles: true, orgs: true, pools: true},
 	}
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
 	"github.com/parsleyfront/parsleyfront/internal/residency"
+	"github.com/parsleyfront/parsleyfront/internal/shedding"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
 )
 
@@ -24,6 +26,7 @@
 	Orgs         map[string]*profile.Organisation // by the hash of each API key
 	Limits       *profile.Limits                  // on requests of callers; nil: the defaults
 	hosts        profile.Hosts
+	urgencies    urgencyTable
 	Pools        map[string]*Pool
 	VMs          map[string]topo.VM
 	PoolSpecs    map[string]*profile.Pool // by pool
@@ -34,14 +37,15 @@
 
 // Pool holds the upstreams of one pool, with their load reports and conditions. Upstreams with
 // a sidecar that are leaving or drained are not in it; those without one are, because others can
-// still fetch cached prompts from them. Its contents are immutable but for loadReports, tracker
-// and parts, which are safe for concurrent use.
+// still fetch cached prompts from them. Its contents are immutable but for loadReports, tracker,
+// shedder and parts, which are safe for concurrent use.
 type Pool struct {
 	VMs         []topo.VM
 	members     []placement.Member // in the order of VMs
 	placed      *placement.Pool    // of members
 	loadReports *loadReports
 	tracker     *balance.Tracker
+	shedder     *shedding.Pool
 	serving     []load.VM // upstreams that are neither leaving nor drained
 
 	locality placement.Locality
@@ -70,6 +74,9 @@
 	if s.stale.orgs {
 		v.Orgs = byKey(s.orgs)
 	}
+	if s.stale.profiles || s.stale.orgs {
+		v.urgencies = newUrgencyTable(s.orgs, s.profiles)
+	}
 	if s.stale.pools {
 		s.buildPools(&v)
 	}
@@ -126,8 +133,10 @@
 	for name, upstreams := range members {
 		if s.loadReports[name] == nil {
 			s.loadReports[name], s.trackers[name] = newLoadReports(), balance.NewTracker()
+			s.shedders[name] = shedding.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 		}
 		v.Pools[name] = newPool(upstreams, s.loadReports[name], s.trackers[name], s.self)
+		v.Pools[name].shedder = s.shedders[name]
 		if spec := s.poolSpecs[name]; spec != nil {
 			v.Pools[name].setWarmupRate(spec.WarmupRate)
 		}
@@ -222,12 +231,12 @@
 }
 
 // part returns the pool restricted to some of its upstreams; nil if there are none. The result
-// shares the load reports, tracker and conditions of the whole pool.
+// shares the load reports, tracker, shedder and conditions of the whole pool.
 func (p *Pool) part(key partKey, contains func(topo.VM) bool) *Pool {
 	if part, ok := p.parts.Load(key); ok {
 		return part.(*Pool)
 	}
-	part := &Pool{loadReports: p.loadReports, tracker: p.tracker, locality: p.locality, listed: p.listed, warmupRate: p.warmupRate, warmAt: p.warmAt}
+	part := &Pool{loadReports: p.loadReports, tracker: p.tracker, shedder: p.shedder, locality: p.locality, listed: p.listed, warmupRate: p.warmupRate, warmAt: p.warmAt}
 	for i, vm := range p.VMs {
 		if contains(vm) {
 			part.VMs, part.members = append(part.VMs, vm), append(part.members, p.members[i])
--- a/internal/shares/allocate.go
+++ b/internal/shares/allocate.go
@@ -12,6 +12,10 @@
 	// minFraction is the part of its work that each class is admitted at least, so that no kind of
 	// request starves.
 	minFraction = 0.05
+	// returningReserve is the part of an organisation's share that its returning callers get before
+	// new requests of the same rank. If they got all of it, a long surge would serve each caller late
+	// and none in time.
+	returningReserve = 0.3
 	// lowerLevelsReserve is the part of a priority level's capacity that is left to the levels
 	// below it.
 	lowerLevelsReserve = 0.05
@@ -50,7 +54,7 @@
 //
 // Organisations with a higher priority come first, and those of the same priority share by
 // weighted max-min fairness. The share of an organisation goes to its classes by rank, and within a
-// rank to returning callers first. Combined demands of the same priority are taken as the
+// rank returning callers come first, with a limited part of the share. Combined demands of the same priority are taken as the
 // classes of the same organisations, which are equal to each other: their number is the largest of
 // the demands, and their weight is the mean.
 //
@@ -246,41 +250,58 @@
 	for i := range order {
 		order[i] = i
 	}
-	urgency := func(i int) int { // of a class within its organisation; lower is more urgent
-		u := 2 * sanitizeRank(demands[i].Rank)
-		if !demands[i].Returning {
-			u++
-		}
-		return u
+	compare := func(a, b int) int {
+		return cmp.Or(cmp.Compare(groupOf[a], groupOf[b]), cmp.Compare(sanitizeRank(demands[a].Rank), sanitizeRank(demands[b].Rank)))
 	}
-	slices.SortFunc(order, func(a, b int) int {
-		return cmp.Or(cmp.Compare(groupOf[a], groupOf[b]), cmp.Compare(urgency(a), urgency(b)))
-	})
-	for start := 0; start < len(order); {
-		g := &groups[groupOf[order[start]]]
-		end, work := start, 0.0 // demands of the same class
-		for end < len(order) && groupOf[order[end]] == groupOf[order[start]] && urgency(order[end]) == urgency(order[start]) {
-			work += sanitizeWork(demands[order[end]].Work) / g.orgs
+	slices.SortFunc(order, compare)
+	for len(order) > 0 {
+		g, end := &groups[groupOf[order[0]]], 0
+		var work rankWork // of one organisation
+		for end < len(order) && compare(order[end], order[0]) == 0 {
+			d := &demands[order[end]]
+			*work.of(d) += sanitizeWork(d.Work) / g.orgs
 			end++
 		}
-		fraction := g.take(work)
-		for _, i := range order[start:end] {
-			fractions[i] = fraction
+		admitted := g.take(work)
+		for _, i := range order[:end] {
+			fractions[i] = *admitted.of(&demands[i])
 		}
-		start = end
+		order = order[end:]
+	}
+}
+
+// rankWork is a value for each of the two classes of a rank of an organisation.
+type rankWork struct{ returning, first float64 }
+
+// of returns the value for the class of a demand.
+func (w *rankWork) of(d *Demand) *float64 {
+	if d.Returning {
+		return &w.returning
 	}
+	return &w.first
 }
 
-// take takes the work of the next class from the rest of the group's share, and returns the fraction
-// that is admitted. Once a class is refused, the less urgent ones get only their floor.
-func (g *group) take(work float64) float64 {
+// take takes the work of the next rank from the rest of the group's share, and returns the fractions
+// that are admitted. Once a rank is refused, the less urgent ones get only their floor. Of a rank that
+// does not fit, returning callers get what the first requests of others leave, and at least
+// returningReserve of the share.
+func (g *group) take(work rankWork) rankWork {
 	if g.exhausted {
-		return minFraction
+		return rankWork{minFraction, minFraction}
 	}
-	if work <= g.share+g.work*roundingTolerance {
-		g.share = max(0, g.share-work)
-		return 1
+	if work.returning+work.first <= g.share+g.work*roundingTolerance {
+		g.share = max(0, g.share-work.returning-work.first)
+		return rankWork{1, 1}
 	}
 	g.exhausted = true
-	return max(minFraction, g.share/work)
+	returning := min(work.returning, max(returningReserve*g.share, g.share-work.first))
+	return rankWork{admittedFraction(returning, work.returning), admittedFraction(g.share-returning, work.first)}
+}
+
+// admittedFraction returns the fraction of work that is admitted if a part of it fits.
+func admittedFraction(part, work float64) float64 {
+	if work <= part*(1+roundingTolerance) {
+		return 1
+	}
+	return max(minFraction, part/work)
 }
--- a/internal/shares/gate.go
+++ b/internal/shares/gate.go
@@ -32,11 +32,11 @@
 	maxClasses = 4096
 	// minCapacityFactor and maxCapacityFactor limit the capacity for new work, as a multiple of the
 	// pool's capacity. It is above 1 while the pool is not full, and below 1 while it is overfull.
-	minCapacityFactor, maxCapacityFactor = 0.5, 1.5
-	// overfullSlope is the decrease of this factor with the ratio of Used to Capacity above 1. At the
-	// start of a surge the demand is known too late and a pool fills beyond its capacity; it must
-	// become less full before it rejects requests of all organisations alike.
-	overfullSlope = 2
+	minCapacityFactor, maxCapacityFactor = 0.5, 2.5
+	// fillSlope is by how much the capacity for new work changes, in multiples of the capacity, with
+	// the part of the pool that is free or overfull. Work is an estimate, and with a small slope a
+	// pool whose work is overestimated stays half empty while requests are refused.
+	fillSlope = 3.0
 )
 
 // Pool is the state of a pool of upstreams.
@@ -178,11 +178,8 @@
 // capacityForNewWork returns the work to allocate to the demand. A router that does not know the
 // demand at all routers uses at most its part of the pool.
 func (p *Pool) capacityForNewWork(complete bool) float64 {
-	spare := 1 - p.ratio() // negative if the pool is overfull
-	if spare < 0 {
-		spare *= overfullSlope
-	}
-	factor := min(max(1+spare, minCapacityFactor), maxCapacityFactor)
+	free := 1 - p.ratio() // negative if the pool is overfull
+	factor := min(max(1+fillSlope*free, minCapacityFactor), maxCapacityFactor)
 	if complete {
 		return p.Capacity * factor
 	}
--- a/internal/shares/rate.go
+++ b/internal/shares/rate.go
@@ -10,10 +10,10 @@
 const (
 	// minRejectedPart is the part of the attempts that upstreams must reject for their accepted
 	// rate to be a measure of the capacity.
-	minRejectedPart = 0.02
+	minRejectedPart = 0.01
 	// probeFactor is the ratio of the estimate to the accepted rate, so that a few attempts always
 	// probe for more capacity. It must exceed 1 + minRejectedPart.
-	probeFactor = 1.05
+	probeFactor = 1.02
 	// growthPerSecond is the factor by which an estimate grows while upstreams reject nothing.
 	growthPerSecond = 1.05
 	// fastGrowthPerSecond applies instead after estimateRetention without rejections, if requests
--- /dev/null
+++ b/internal/shedding/pool.go
@@ -0,0 +1,190 @@
+// Package shedding decides, for one pool, which requests a router admits while the pool is short.
+//
+// It answers a surge beyond what the pool can serve: engines that would fill all their places and
+// answer nobody in time, and plain upstreams that would turn requests away whoever sent them. It
+// puts together how much the pool can serve (packages pace and shares), what all routers are
+// offered (package demand) and who gets how much of it (package shares).
+//
+// Package router asks it about each request and passes on the events of attempts and the messages
+// of other routers. A Pool uses no clock and no connection of its own. It is safe for concurrent
+// use.
+package shedding
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/demand"
+	"github.com/parsleyfront/parsleyfront/internal/pace"
+	"github.com/parsleyfront/parsleyfront/internal/shares"
+)
+
+const (
+	// updateInterval is the interval at which the admitted fractions are worked out again.
+	updateInterval = 100 * time.Millisecond
+	// scarceShare is the used share of a pool's capacity from which routers tell each other what
+	// they are offered, so that they know it before the pool is short.
+	scarceShare = 0.5
+	// usablePlaces is the part of an engine's places that requests may take while the pool is short.
+	// Loads are uneven and some tenths of a second old: without free places urgent requests would
+	// wait for their first event.
+	usablePlaces = 0.75
+	// defaultWork is the work of a request whose duration is not known yet, in seconds.
+	defaultWork = 1.0
+	// maxNames bounds the names of organisations that are kept for operators.
+	maxNames = 4096
+)
+
+// Request is a request for which Admit decides.
+type Request struct {
+	Class        demand.Class
+	Kind         string // of request, usually its profile
+	Requirement  pace.Requirement
+	Organisation string // its name, for operators
+}
+
+// Situation is what the caller of Admit knows of the pool.
+type Situation struct {
+	Upstreams int     // that take requests
+	Places    int     // of an engine; zero: the upstreams report no load
+	MeanLoad  float64 // of engines, in requests
+	Routers   int     // that share the pool, this one included
+	Root      bool    // all other routers report to this one
+}
+
+// Pool is what one router knows of a pool that may be short.
+type Pool struct {
+	mu        sync.Mutex
+	pace      *pace.Model
+	account   *demand.Account
+	gate      *shares.Gate
+	rate      shares.RateCapacity
+	names     map[uint32]string // of organisations, by hash
+	updatedAt time.Time
+	latest    shares.Pool
+	complete  bool // the latest totals cover all routers
+	engines   bool // the upstreams report their load
+	wasShort  bool // at the last call of Transition
+}
+
+// New returns a Pool without observations. r is the source of the gate's first credits.
+func New(r *rand.Rand) *Pool {
+	return &Pool{pace: pace.New(), account: demand.NewAccount(), gate: shares.NewGate(r), names: make(map[uint32]string)}
+}
+
+// Admit counts what the request offers, and decides whether it may be sent. situation is called
+// when the fractions are due to be worked out again.
+func (p *Pool) Admit(now time.Time, r Request, situation func() Situation) shares.Decision {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.names) < maxNames {
+		p.names[r.Class.Org] = r.Organisation
+	}
+	p.pace.SetRequirement(r.Kind, r.Requirement)
+	p.account.Offer(now, r.Class, p.work(now, r.Kind))
+	p.updateIfDue(now, situation)
+	return p.gate.Decide(now, r.Class)
+}
+
+// work returns the work of a request: 1, or at engines the time that it takes there, in seconds,
+// so that the work offered in a second is a number of requests that engines hold.
+func (p *Pool) work(now time.Time, kind string) float64 {
+	if !p.engines {
+		return 1
+	}
+	if d, known := p.pace.Duration(now, kind); known {
+		return d.Seconds()
+	}
+	return defaultWork
+}
+
+// updateIfDue works out the admitted fractions again, at most every updateInterval.
+func (p *Pool) updateIfDue(now time.Time, situation func() Situation) {
+	if now.Sub(p.updatedAt) < updateInterval {
+		return
+	}
+	p.updatedAt = now
+	s := situation()
+	p.account.SetRoot(s.Root)
+	totals := p.account.Totals(now)
+	p.complete = totals.Complete
+	p.engines = s.Places > 0
+	p.latest = shares.Pool{Routers: s.Routers}
+	if p.engines {
+		p.latest.Capacity, p.latest.Used = p.engineCapacity(now, s)
+	} else {
+		p.latest.Capacity, p.latest.Used = p.rate.Update(now, totals)
+	}
+	p.gate.Update(now, p.latest, totals)
+	p.account.SetScarce(now, p.isScarce(totals))
+}
+
+// engineCapacity returns how many requests the pool's engines may hold together, and how many they
+// hold; zero: not known.
+func (p *Pool) engineCapacity(now time.Time, s Situation) (capacity, used float64) {
+	limit, known := p.pace.Limit(now, int(usablePlaces*float64(s.Places)))
+	if !known {
+		return 0, 0
+	}
+	n := float64(s.Upstreams)
+	return limit * n, s.MeanLoad * n
+}
+
+// isScarce reports whether the pool is short or may soon be. Plain upstreams show it by their
+// rejections only.
+func (p *Pool) isScarce(t demand.Totals) bool {
+	return p.gate.Short() || p.latest.Capacity > 0 && p.latest.Used >= scarceShare*p.latest.Capacity || !p.engines && t.Rejected > 0
+}
+
+// RecordEvents records n events of a stream that arrived together from an engine that holds so many
+// requests, with the given time since the event before them.
+func (p *Pool) RecordEvents(now time.Time, held float64, n int, elapsed time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pace.RecordEvents(now, held, n, elapsed)
+}
+
+// RecordAnswer records a complete stream: its number of events, and the time to its first byte.
+func (p *Pool) RecordAnswer(now time.Time, kind string, events int, first time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pace.RecordAnswer(now, kind, events, first)
+}
+
+// RecordAttempt records whether an upstream accepted an attempt or rejected it without running it.
+func (p *Pool) RecordAttempt(now time.Time, accepted bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.account.Outcome(now, accepted)
+}
+
+// Report returns what this router and its subscribers are offered, for its parent; nil: nothing now.
+func (p *Pool) Report(now time.Time) []byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.account.Report(now)
+}
+
+// Summary returns what all routers are offered, for this router's subscribers; nil: nothing now.
+func (p *Pool) Summary(now time.Time) []byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.account.Summary(now)
+}
+
+// MergeReport records what Report returned at a subscriber. It returns an error, and changes
+// nothing, if the report is malformed.
+func (p *Pool) MergeReport(now time.Time, from string, b []byte) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.account.MergeReport(now, from, b)
+}
+
+// MergeSummary records what Summary returned at this router's parent. It returns an error, and
+// changes nothing, if the summary is malformed.
+func (p *Pool) MergeSummary(now time.Time, b []byte) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.account.MergeSummary(now, b)
+}
