soak: runners may have a limited number of places, and several organisations send requests

Cause: the runs for design 0020 need pools that can be short. Runners of the soak served whatever arrived, all callers had keys of one organisation, and streams had a fixed number of events at random intervals.

Ruled out: a second kind of stand-in runner. The places are taken in the handler of the existing one, so that all checks of runs and answers hold for both.

A path may give the number of events. Runs compare the organisation with the one of the key. A stream ends when its router has closed the connection. checkCold returns at once for runners that were never cold, for which its condition never holds.

--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -181,6 +181,9 @@
 // than all routers together may send it. A process that started within that second knows nothing of what
 // the one before it has sent, and may send one of its own: the platform's bound is for routers that run.
 func (h *harness) checkCold(r *runner) {
+	if r.coldUntil.IsZero() {
+		return
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	runs := r.Runs()
@@ -314,7 +317,7 @@
 		return
 	case run.Path != c.path || run.Body != c.body:
 		h.t.Errorf("%s ran %s as %s with body %q, sent as %s with %q", r.ID, run.ID, run.Path, run.Body, c.path, c.body)
-	case c.key != "" && run.Organisation != "club", c.key == "" && run.Organisation != "":
+	case run.Organisation != organisationOf(c.key):
 		h.t.Errorf("%s ran %s for organisation %q", r.ID, run.ID, run.Organisation)
 	case run.Header.Get("Authorization") != "":
 		h.t.Errorf("%s received the API key of %s", r.ID, run.ID)
@@ -380,7 +383,7 @@
 	got := c.responseBody
 	if c.stream {
 		var b strings.Builder
-		for i := c.lastEvent + 1; i <= streamEvents; i++ {
+		for i := c.lastEvent + 1; i <= streamLength(c.path); i++ {
 			b.WriteString(streamEvent(cmp.Or(c.resumes, c.id), "", i))
 		}
 		want, got = withoutVersions(b.String()), withoutVersions(got)
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -210,10 +210,14 @@
 }
 
 func (h *harness) pauseRouter() {
-	e := h.randomEntry()
+	h.randomEntry().pauseFor(h.randomDuration(100*time.Millisecond, 3*time.Second))
+}
+
+// pauseFor stops the current process by SIGSTOP for a time.
+func (e *entry) pauseFor(d time.Duration) {
 	began := time.Now()
 	e.signal(syscall.SIGSTOP)
-	time.Sleep(h.randomDuration(100*time.Millisecond, 3*time.Second))
+	time.Sleep(d)
 	e.signal(syscall.SIGCONT)
 	e.addPause(span{began, time.Now()})
 }
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -149,7 +149,8 @@
 func (e *entry) start() error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	cmd := exec.Command(daemonPath, "entry", "--log-format", "json", "--metrics-port", "0")
+	args := append([]string{"entry", "--log-format", "json", "--metrics-port", "0"}, e.harness.routerArgs...)
+	cmd := exec.Command(daemonPath, args...)
 	cmd.Env = append(os.Environ(), "PARSLEYFRONT_BOOT="+e.settingsPath(), "GOMAXPROCS=2")
 	cmd.Stdout, cmd.Stderr = e.log, e.log
 	if err := cmd.Start(); err != nil {
@@ -220,6 +221,8 @@
 	// signature of the runner's responses.
 	incarnation string
 
+	places *places // nil: unlimited
+
 	restSeconds  atomic.Pointer[string] // Retry-After value of its rejections; nil: accepts
 	mu           sync.Mutex
 	restRequests []restRequest
@@ -299,6 +302,9 @@
 		return nil, err
 	}
 	r := &runner{Runner: fake.StartRunner(l, id, p.addr()), harness: h, proxy: p, version: h.newestSoftware(), domain: domain, startedMs: time.Now().UnixMilli()}
+	if h.pool != nil {
+		r.places = h.pool.newPlaces(r.Runner)
+	}
 	r.SetHandler(h.handler(r))
 	h.mu.Lock()
 	r.incarnation = fmt.Sprintf("%s/%d", id, len(h.runners))
@@ -315,7 +321,7 @@
 func (h *harness) writeEntry(r *runner, state string) {
 	h.store.Put("servers", r.ID, map[string]any{
 		"service": "llm", "address": r.proxy.addr(), "zone": r.domain, "version": r.version,
-		"slots": 16, "state": state, "warmup_left_ms": max(0, time.Until(r.coldUntil).Milliseconds()), "sequence": r.NextSequence(), "born": r.startedMs,
+		"slots": h.slots(), "state": state, "warmup_left_ms": max(0, time.Until(r.coldUntil).Milliseconds()), "sequence": r.NextSequence(), "born": r.startedMs,
 	})
 }
 
@@ -326,6 +332,13 @@
 		if r.rejectWhileResting(c, req) {
 			return fake.KeepOpen
 		}
+		if r.places != nil {
+			if !r.places.take(urgencyOf(req)) {
+				r.WriteHead(c, req, http.StatusServiceUnavailable, "Not-Executed: 1", "Content-Length: 0")
+				return fake.KeepOpen
+			}
+			defer r.places.release()
+		}
 		r.RecordRun(req, body)
 		if strings.Contains(req.URL.Path, crashMark) || badPartOf(req.Header) != "" {
 			h.runUntilCrash(r, c, req)
@@ -336,7 +349,7 @@
 			return fake.CloseConn
 		}
 		if len(req.URL.Path) < 8 || req.URL.Path[:8] != "/stream/" {
-			time.Sleep(h.randomServiceTime())
+			time.Sleep(h.serviceTime())
 			text := plainResponse(r.incarnation, id)
 			r.WriteHead(c, req, http.StatusOK, "Content-Length: "+strconv.Itoa(len(text)))
 			fmt.Fprint(c, text)
@@ -350,8 +363,20 @@
 	}
 }
 
-// streamEvents is the number of events in a stream.
-const streamEvents = 6
+const (
+	// streamEvents is the number of events in a stream whose path doesn't give another one after eventsMark.
+	streamEvents = 6
+	eventsMark   = "events-"
+)
+
+// streamLength returns the number of events in a stream.
+func streamLength(path string) int {
+	_, text, _ := strings.Cut(path, eventsMark)
+	if n, err := strconv.Atoi(text); err == nil {
+		return n
+	}
+	return streamEvents
+}
 
 func plainResponse(incarnation, attempt string) string { return incarnation + " for " + attempt }
 
@@ -373,7 +398,8 @@
 type configuration struct {
 	version int
 	routes  []map[string]any
-	keys    []string
+	keys    []string // of the organisation club
+	others  int      // number of further organisations, each with one key
 }
 
 func route(name, prefix, kind string, more map[string]any) map[string]any {
@@ -387,13 +413,35 @@
 	return r
 }
 
+// club is the organisation that has the keys which change, and otherPrefix begins the names of the others.
+const (
+	club        = "club"
+	otherPrefix = "org-"
+	otherSuffix = "-key" // after the name of an organisation: its key
+)
+
+// organisationOf returns the organisation that a key belongs to.
+func organisationOf(key string) string {
+	if name, ok := strings.CutSuffix(key, otherSuffix); ok || key == "" {
+		return name
+	}
+	return club
+}
+
+func otherKey(number int) string { return fmt.Sprint(otherPrefix, number, otherSuffix) }
+
 // writeConfiguration writes a configuration to the store.
 func (h *harness) writeConfiguration(c configuration) {
+	tenants := []map[string]any{{"name": club, "api_keys": c.keys}}
+	for i := range c.others {
+		key := otherKey(i)
+		tenants = append(tenants, map[string]any{"name": organisationOf(key), "api_keys": []string{key}})
+	}
 	h.store.Put("config", "main", map[string]any{
 		"version": c.version, "routes": c.routes,
 		"services": []map[string]any{{"name": "llm", "health_path": "/health", "max_connections": 200,
 			"warmup_s": coldDuration.Seconds(), "warmup_per_s": coldRatePerSecond}},
-		"tenants": []map[string]any{{"name": "club", "api_keys": c.keys}},
+		"tenants": tenants,
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 }
--- a/test/soak/streams_test.go
+++ b/test/soak/streams_test.go
@@ -47,8 +47,8 @@
 		return h.breakOff(c, "", false)
 	}
 	begin, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
-	for i := begin + 1; i <= streamEvents; i++ {
-		time.Sleep(h.randomServiceTime())
+	for i := begin + 1; i <= streamLength(req.URL.Path); i++ {
+		time.Sleep(h.eventInterval(r))
 		event := streamEvent(streamName(req), r.version, i)
 		if h.drawResponseFault(truncateStream) {
 			part := event[:h.intN(len(event))]
@@ -58,10 +58,14 @@
 			// Without chunks, nothing but a reset shows that an event is missing.
 			return h.breakOff(c, part, part == "")
 		}
+		var err error
 		if chunked {
-			fake.WriteChunk(c, event)
+			err = fake.WriteChunk(c, event)
 		} else {
-			fmt.Fprint(c, event)
+			_, err = fmt.Fprint(c, event)
+		}
+		if err != nil {
+			return fake.CloseConn // the router has left
 		}
 	}
 	if !chunked {
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -42,6 +42,10 @@
 	faults  []fault // kinds of faults to inject
 
 	entryCount, runnersAtStart int
+	routerArgs                 []string         // further arguments of routers
+	moreRoutes                 []map[string]any // beside the usual ones
+	organisations              int              // beside the usual one
+	pool                       *poolShape       // nil: runners have places for all that comes
 
 	// callersLeave makes callers close their connection after a short random time.
 	callersLeave bool
@@ -51,6 +55,7 @@
 	crashingCalls      int
 	crashingCallsAfter time.Duration // from the start to the first of these copies
 	calmUntil          time.Time
+	surge              span     // in which organisations send more
 	crashWay           crashWay // how they crash their runners
 	badParts           int      // parts of prompts that crash runners
 	// maxRestDelay is how long after a request a resting runner rejects it at most; zero: at once.
@@ -99,12 +104,12 @@
 	h.must(err)
 	h.server = &http.Server{Handler: h.store, ReadHeaderTimeout: time.Second}
 	go func() { _ = h.server.Serve(l) }()
-	h.config = configuration{version: 1, keys: []string{"key-0"}, routes: []map[string]any{
+	h.config = configuration{version: 1, keys: []string{"key-0"}, others: h.organisations, routes: append([]map[string]any{
 		route("book", "/book/", "non_idempotent", nil),
 		route("fetch", "/fetch/", "idempotent", map[string]any{"max_attempts": 2}),
 		route("chat", "/stream/", "streaming", map[string]any{"sticky": true, "gap_aim_ms": 400}),
 		route("note", "/stream/note/", "streaming", map[string]any{"sticky": true, "gap_aim_ms": 400, "resumable": true, "max_attempts": 3}),
-	}}
+	}, h.moreRoutes...)}
 	h.writeConfiguration(h.config)
 	for range h.runnersAtStart {
 		_, err := h.newRunner()
