soak: a busy machine does not turn into bursts of requests before a short pool

Cause: a demand's requests follow a plan of times. When the test process got no CPU for a while, it sent all that were due at once, and full runners rejected them.

Ruled out: the fleet.

Change: a request that is more than 20 ms late moves the plan; how many were late, and how late, is logged.

--- a/test/soak/surge_test.go
+++ b/test/soak/surge_test.go
@@ -46,9 +46,14 @@
 	close(stop)
 	h.running.Wait()
 	h.check()
+	h.t.Logf("%d requests were sent more than %v late since the machine was busy, at most %v", b.delays, maxSendDelay, b.maxDelay.Round(time.Millisecond))
 	h.t.Logf("seed %d: %s", h.seed, h.summary())
 }
 
+// maxSendDelay is how much later than planned a request may be sent. A process that got no CPU for longer sends no
+// more for that time: else it would send a burst that no organisation has sent.
+const maxSendDelay = 20 * time.Millisecond
+
 // sendDemand sends the requests of a demand until stop is closed. None waits for the ones before it.
 func (h *harness) sendDemand(b *balancer, d demand, r *rand.Rand, stop <-chan struct{}) {
 	for at := time.Now(); !isStopped(stop); {
@@ -58,6 +63,10 @@
 		}
 		at = at.Add(time.Duration(r.ExpFloat64() / rate * float64(time.Second)))
 		time.Sleep(time.Until(at))
+		if late := time.Since(at); late > maxSendDelay {
+			b.recordDelay(late)
+			at = time.Now()
+		}
 		c := d.newCall(r)
 		h.running.Go(func() {
 			if l := h.connectToReady(b, d.only); l != nil {
@@ -89,8 +98,17 @@
 type balancer struct {
 	entries atomic.Pointer[[]*entry]
 
-	mu   sync.Mutex
-	idle map[*entry][]*clientConn
+	mu       sync.Mutex
+	idle     map[*entry][]*clientConn
+	delays   int // requests that were sent later than maxSendDelay
+	maxDelay time.Duration
+}
+
+func (b *balancer) recordDelay(d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.delays++
+	b.maxDelay = max(b.maxDelay, d)
 }
 
 // check asks all routers whether they are ready.
