shares, shedding: less urgent ranks keep a part of the share, engines are filled to .85 of their places

Engines that were filled to .75 of their places lost an eighth of what they can do.

Change: each rank leaves .15 of what is left of the share to the ones after it while they have work; .85 of the places; routers tell each other what they are offered from .4 of the capacity on (.5), so that it is known when the pool is short.

--- a/internal/shares/allocate.go
+++ b/internal/shares/allocate.go
@@ -16,6 +16,9 @@
 	// new requests of the same rank. If they got all of it, a long surge would serve each caller late
 	// and none in time.
 	returningReserve = 0.3
+	// lowerRanksReserve is the part of an organisation's share that each rank leaves to the less urgent
+	// ones. Short requests of these need little, and to refuse them would gain next to nothing.
+	lowerRanksReserve = 0.15
 	// lowerLevelsReserve is the part of a priority level's capacity that is left to the levels
 	// below it.
 	lowerLevelsReserve = 0.05
@@ -72,17 +75,17 @@
 	unordered []float64
 }
 
-// group is an organisation, or several equal ones that are combined. Work is that of one of them.
+// group is an organisation, or several equal ones that are combined. Work is that of one of them, from
+// which take takes away.
 type group struct {
 	priority int
 	weight   float64
 	orgs     float64
 	work     float64
 	// share is the work admitted without the floors of classes. take reduces it.
-	share     float64
-	exhausted bool    // a class was refused a part of its work
-	weighted  float64 // sum of the weights of combined demands times their organisations
-	counted   float64 // sum of the organisations of combined demands
+	share    float64
+	weighted float64 // sum of the weights of combined demands times their organisations
+	counted  float64 // sum of the organisations of combined demands
 }
 
 func allocate(capacity float64, demands []Demand) allocation {
@@ -282,20 +285,21 @@
 }
 
 // take takes the work of the next rank from the rest of the group's share, and returns the fractions
-// that are admitted. Once a rank is refused, the less urgent ones get only their floor. Of a rank that
-// does not fit, returning callers get what the first requests of others leave, and at least
-// returningReserve of the share.
+// that are admitted. A rank leaves at least lowerRanksReserve of the rest to the ones after it, while
+// they have work. Of a rank that does not fit, returning callers get what the first requests of others
+// leave, and at least returningReserve.
 func (g *group) take(work rankWork) rankWork {
-	if g.exhausted {
-		return rankWork{minFraction, minFraction}
-	}
-	if work.returning+work.first <= g.share+g.work*roundingTolerance {
-		g.share = max(0, g.share-work.returning-work.first)
+	sum := work.returning + work.first
+	allFits := g.work <= g.share*(1+roundingTolerance)
+	g.work = max(0, g.work-sum)
+	available := g.share - min(g.work, lowerRanksReserve*g.share)
+	if allFits || sum <= available*(1+roundingTolerance) {
+		g.share = max(0, g.share-sum)
 		return rankWork{1, 1}
 	}
-	g.exhausted = true
-	returning := min(work.returning, max(returningReserve*g.share, g.share-work.first))
-	return rankWork{admittedFraction(returning, work.returning), admittedFraction(g.share-returning, work.first)}
+	g.share -= available
+	returning := min(work.returning, max(returningReserve*available, available-work.first))
+	return rankWork{admittedFraction(returning, work.returning), admittedFraction(available-returning, work.first)}
 }
 
 // admittedFraction returns the fraction of work that is admitted if a part of it fits.
--- a/internal/shedding/pool.go
+++ b/internal/shedding/pool.go
@@ -25,11 +25,11 @@
 	updateInterval = 100 * time.Millisecond
 	// scarceShare is the used share of a pool's capacity from which routers tell each other what
 	// they are offered, so that they know it before the pool is short.
-	scarceShare = 0.5
+	scarceShare = 0.4
 	// usablePlaces is the part of an engine's places that requests may take while the pool is short.
 	// Loads are uneven and some tenths of a second old: without free places urgent requests would
 	// wait for their first event.
-	usablePlaces = 0.75
+	usablePlaces = 0.85
 	// defaultWork is the work of a request whose duration is not known yet, in seconds.
 	defaultWork = 1.0
 	// maxNames bounds the names of organisations that are kept for operators.
