suspects, router: one function decides whether a request is held

Cause: Judge and AboutToHold each compared crashes and silent upstreams with the bound, and a refused request could be marked as held too, so that the router compared IsHeld with Refuse again before it waited for checks.

Ruled out: MayRunAgain by the same function: it also counts upstreams at which the request was lost and that are not known to have crashed, and allows one silent upstream if there are no crashes.

Change: silentAtThreshold makes the comparison for both, and Judge holds no request that it refuses. The router's behaviour is the same: it looked at IsHeld only if the request was not refused. The crashes are counted only if there are silent upstreams, which changes no result.

Measured: the packages suspects and router pass, as do the tests of platform whose names match Crash|Silent|Copies|Repeat|Refused|Part|Successor|Bystander. With a bound that is too high by two in Judge TestOnlyRequestsThatLoseUpstreamsAreTurnedAwayInAnyOrder fails (4 upstreams lost, want at most 3). With one that is too high by two in AboutToHold all tests of suspects pass, so they do not guard that bound; whether those of platform do was not tried.

Conclusion: the bound is compared in one place.

--- a/internal/router/crashes.go
+++ b/internal/router/crashes.go
@@ -116,7 +116,7 @@
 // waits for the checks that are under way.
 func (resp *Response) judge(now time.Time) suspects.Judgement {
 	j := resp.router.suspects.Judge(now, resp.prints)
-	for waited := time.Duration(0); j.IsHeld && j.Action != quarantine.Refuse && waited < maxCheckWait; waited += checkWaitStep {
+	for waited := time.Duration(0); j.IsHeld && waited < maxCheckWait; waited += checkWaitStep {
 		sleep(resp.ctx, checkWaitStep)
 		j = resp.router.suspects.Judge(time.Now(), resp.prints)
 	}
--- a/internal/suspects/judgement.go
+++ b/internal/suspects/judgement.go
@@ -9,8 +9,8 @@
 // Judgement says how a request may be sent to an upstream without a sidecar.
 type Judgement struct {
 	quarantine.ObservedDecision
-	// IsHeld says that the request may not be sent now: with the upstreams that have crashed, Silent would be as
-	// many as convict.
+	// IsHeld says that the request may not be sent now, though it is not refused: with the upstreams that have
+	// crashed, Silent would be as many as convict.
 	IsHeld bool
 	Silent []string // upstreams that have had a copy, or a request with one of its parts, and are not heard of since
 }
@@ -20,9 +20,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	j := Judgement{ObservedDecision: r.book.DecideObserved(now, prints...)}
+	if j.Action == quarantine.Refuse {
+		return j
+	}
 	for _, p := range prints {
-		silent := r.silent(now, p)
-		if n := r.suspectedCrashes(now, p, prints) + len(silent); len(silent) > 0 && n >= quarantine.MaxUnknown {
+		if silent := r.silentAtThreshold(now, p, prints, quarantine.MaxUnknown); len(silent) > 0 {
 			j.IsHeld, j.Silent = true, silent
 		}
 	}
@@ -42,6 +44,16 @@
 	return r.book.DecideAmong(now, p, prints).SuspectedCrashes()
 }
 
+// silentAtThreshold returns the silent upstreams of a fingerprint if they and the crashes that the request is held
+// responsible for because of it are together at least threshold; otherwise nil.
+func (r *Registry) silentAtThreshold(now time.Time, p quarantine.Fingerprint, prints []quarantine.Fingerprint, threshold int) []string {
+	silent := r.silent(now, p)
+	if len(silent) == 0 || r.suspectedCrashes(now, p, prints)+len(silent) < threshold {
+		return nil
+	}
+	return silent
+}
+
 // silent returns the upstreams at which requests with a fingerprint were left and of which nothing was heard
 // since; nil if upstreams have survived most of the others, or one was served lately.
 func (r *Registry) silent(now time.Time, p quarantine.Fingerprint) []string {
@@ -62,10 +74,7 @@
 	defer r.mu.Unlock()
 	var out []string
 	for _, p := range prints {
-		silent := r.silent(now, p)
-		if len(silent) > 0 && r.suspectedCrashes(now, p, prints)+len(silent) >= quarantine.MaxUnknown-1 {
-			out = append(out, silent...)
-		}
+		out = append(out, r.silentAtThreshold(now, p, prints, quarantine.MaxUnknown-1)...)
 	}
 	return out
 }
