quarantine: an entry's time is named for both kinds of crashes

Cause: Entry.RunTime held the time that a request had run for crashes that a sidecar saw, but the time for which it was awaited for observed ones.

Ruled out: Awaited, which is wrong for the entries of sidecars; two fields, of which each entry would leave one empty, while both have one place in the message. Messages keep their form: the field's name is in none of them.

Entry.RunTime -> Entry.Elapsed shortestRunTime -> shortestElapsed minRunTime -> minElapsed runTime -> elapsed

Measured: the packages quarantine, suspects, sidecar and router pass.

--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -175,8 +175,8 @@
 		if r.Fingerprint == 0 {
 			continue
 		}
-		runTime := max(0, now.Sub(r.Started)).Truncate(time.Millisecond)
-		e := Entry{Fingerprint: r.Fingerprint, Crash: c, VM: t.vm, At: at, Alone: isAlone, RunTime: runTime, Status: status}
+		elapsed := max(0, now.Sub(r.Started)).Truncate(time.Millisecond)
+		e := Entry{Fingerprint: r.Fingerprint, Crash: c, VM: t.vm, At: at, Alone: isAlone, Elapsed: elapsed, Status: status}
 		t.mergeEntry(now, e)
 		t.Revoke(r.Fingerprint)
 		out = append(out, e)
@@ -211,11 +211,11 @@
 // its end counted, a harmless request with a long response would block the upstream, and
 // all other suspects, until then.
 func (t *Table) ClearIfSurvived(now time.Time, p Fingerprint, started time.Time) bool {
-	minRunTime := minAloneTime
+	minElapsed := minAloneTime
 	for _, e := range t.byFingerprint[p] {
-		minRunTime = max(minRunTime, 2*e.RunTime)
+		minElapsed = max(minElapsed, 2*e.Elapsed)
 	}
-	if now.Sub(started) < minRunTime {
+	if now.Sub(started) < minElapsed {
 		return false
 	}
 	t.RecordFinished(now, p)
@@ -231,14 +231,14 @@
 	if n, m := t.crashCount(now, ep), t.crashCount(now, eq); n != m {
 		return n > m
 	}
-	return shortestRunTime(ep) < shortestRunTime(eq)
+	return shortestElapsed(ep) < shortestElapsed(eq)
 }
 
-func shortestRunTime(entries []*Entry) time.Duration {
+func shortestElapsed(entries []*Entry) time.Duration {
 	var d time.Duration
 	for i, e := range entries {
-		if i == 0 || e.RunTime < d {
-			d = e.RunTime
+		if i == 0 || e.Elapsed < d {
+			d = e.Elapsed
 		}
 	}
 	return d
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -43,7 +43,7 @@
 	Crash       Crash
 	VM          string        // VM that crashed; empty in observed entries of other routers
 	At          time.Time     // time of the crash, in whole milliseconds
-	RunTime     time.Duration // how long it had run at the crash, or had been awaited if it was observed, in whole milliseconds
+	Elapsed     time.Duration // from its start to the crash, or, if observed, until it was lost or left, in whole milliseconds
 	Alone       bool          // no other fingerprint was running
 	Observed    bool          // a router observed the crash: the upstream has no sidecar
 	Tried       bool          // observed crashes only: the request was sent alone to see whether it is the cause
--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -43,7 +43,7 @@
 	Suspects []suspectJSON `json:"s"`
 }
 
-// suspectJSON is the wire form of one of the suspects of a crash: fingerprint (its bits), run time in ms, status,
+// suspectJSON is the wire form of one of the suspects of a crash: fingerprint (its bits), elapsed time in ms, status,
 // and for a request that was tried suspectTried.
 type suspectJSON []int64
 
@@ -261,7 +261,7 @@
 		Crash:       c.Crash,
 		VM:          c.VM,
 		At:          time.UnixMilli(c.At),
-		RunTime:     time.Duration(s[1]) * time.Millisecond,
+		Elapsed:     time.Duration(s[1]) * time.Millisecond,
 		Alone:       c.Alone,
 		Observed:    c.Observed,
 		Status:      min(Status(s[2]), Convicted),
@@ -271,7 +271,7 @@
 
 // newSuspectJSON returns the wire form of an entry, which leaves out its crash.
 func newSuspectJSON(e *Entry) suspectJSON {
-	s := suspectJSON{int64(e.Fingerprint), e.RunTime.Milliseconds(), int64(e.Status)}
+	s := suspectJSON{int64(e.Fingerprint), e.Elapsed.Milliseconds(), int64(e.Status)}
 	if e.Tried {
 		s = append(s, suspectTried)
 	}
--- a/internal/quarantine/observed.go
+++ b/internal/quarantine/observed.go
@@ -48,7 +48,7 @@
 		for _, p := range t.suspectsOf(r) {
 			t.mergeEntry(now, Entry{
 				Fingerprint: p, Crash: observedCrash(upstream), VM: upstream, At: now.Truncate(time.Millisecond),
-				RunTime: r.Awaited.Truncate(time.Millisecond), Observed: true, Tried: r.Tried, own: true,
+				Elapsed: r.Awaited.Truncate(time.Millisecond), Observed: true, Tried: r.Tried, own: true,
 			})
 		}
 	}
--- a/internal/quarantine/observedgossip.go
+++ b/internal/quarantine/observedgossip.go
@@ -22,7 +22,7 @@
 type observedSuspectCBOR struct {
 	_           struct{} `cbor:",toarray"`
 	Fingerprint Fingerprint
-	Awaited     uint8 // the bucket of Entry.RunTime
+	Awaited     uint8 // the bucket of Entry.Elapsed
 	Flags       uint8 // status, and triedFlag
 }
 
@@ -70,7 +70,7 @@
 }
 
 func newObservedSuspect(e *Entry) observedSuspectCBOR {
-	s := observedSuspectCBOR{Fingerprint: e.Fingerprint, Awaited: uint8(waitBucket(e.RunTime)), Flags: uint8(e.Status)}
+	s := observedSuspectCBOR{Fingerprint: e.Fingerprint, Awaited: uint8(waitBucket(e.Elapsed)), Flags: uint8(e.Status)}
 	if e.Tried {
 		s.Flags |= triedFlag
 	}
@@ -95,7 +95,7 @@
 				Fingerprint: s.Fingerprint,
 				Crash:       c.Crash,
 				At:          time.UnixMilli(c.At),
-				RunTime:     waitOf(s.Awaited),
+				Elapsed:     waitOf(s.Awaited),
 				Observed:    true,
 				Tried:       s.Flags&triedFlag != 0,
 				Status:      min(Status(s.Flags&statusMask), Convicted),
--- a/internal/quarantine/observedgossip_test.go
+++ b/internal/quarantine/observedgossip_test.go
@@ -44,7 +44,7 @@
 					t.Fatalf("%+v has not arrived", e)
 				}
 				got := to.byFingerprint[p][i]
-				if got.Tried != e.Tried || got.Status != e.Status || !got.At.Equal(e.At) || waitBucket(got.RunTime) != waitBucket(e.RunTime) {
+				if got.Tried != e.Tried || got.Status != e.Status || !got.At.Equal(e.At) || waitBucket(got.Elapsed) != waitBucket(e.Elapsed) {
 					t.Fatalf("sent %+v, arrived %+v", e, got)
 				}
 			}
--- a/internal/quarantine/survived.go
+++ b/internal/quarantine/survived.go
@@ -99,8 +99,8 @@
 		if e.own && now.Sub(e.At) < 2*survivalsFor {
 			own++
 		}
-		if e.countsAt(now) && (!suspected || e.RunTime < least) {
-			suspected, least = true, e.RunTime
+		if e.countsAt(now) && (!suspected || e.Elapsed < least) {
+			suspected, least = true, e.Elapsed
 		}
 	}
 	if suspected && t.survivals.count(p, least) >= survivalsPerCrash*max(own, 1) {
