test: the crashes that no attempt sees are one list, which platform and soak share

Cause: package platform and the soak test listed the same five ways of crashing each, with other names.

Ruled out: one type for all that platform and soak know of a crash, and one stand-in for a runner that is replaced. In platform (*fleet).end is that already, for crash and goDark. The soak test draws when and where the next runner starts from its seed, so that the two share no more than closing a runner.

Change: fake.UnseenCrashes holds the five ways in the order of the soak test, whose seeds choose by it, with its times. The ways that only one has stay with it: "reset later" in platform, copies at once in soak.

--- a/test/soak/crashing_test.go
+++ b/test/soak/crashing_test.go
@@ -67,16 +67,17 @@
 	atOnce   bool          // the caller sends the next copy without a pause
 }
 
-// unseenCrashes are crashes that happen when nobody waits for the request any more, or that nothing tells
-// of.
-var unseenCrashes = []crashWay{
-	{name: "reset after its caller has left", after: 400 * time.Millisecond, patience: 150 * time.Millisecond},
-	{name: "silent, its caller leaves", silent: true, patience: 300 * time.Millisecond},
-	{name: "reset after its deadline", after: time.Second, deadline: 800 * time.Millisecond},
-	{name: "silent until its deadline", silent: true, deadline: time.Second},
-	{name: "reset within its answer after its caller has left", after: 400 * time.Millisecond, answers: true, patience: 150 * time.Millisecond},
-	{name: "reset while the next copy is under way", after: 400 * time.Millisecond, patience: 150 * time.Millisecond, atOnce: true},
-	{name: "silent, copies at once", silent: true, patience: 150 * time.Millisecond, atOnce: true},
+// unseenCrashes returns crashes that happen when nobody waits for the request any more, or that nothing tells of: the
+// shared ways, and those in which the next copy is sent at once.
+func unseenCrashes() []crashWay {
+	var out []crashWay
+	for _, c := range fake.UnseenCrashes {
+		out = append(out, crashWay{name: c.Name, after: c.After, silent: c.Silent, answers: c.Answers, patience: c.Leaves, deadline: c.Deadline})
+	}
+	return append(out,
+		crashWay{name: "reset while the next copy is under way", after: 400 * time.Millisecond, patience: 150 * time.Millisecond, atOnce: true},
+		crashWay{name: "silent, copies at once", silent: true, patience: 150 * time.Millisecond, atOnce: true},
+	)
 }
 
 // One request crashes each runner that runs it when its caller has left or its time has run out, or the
@@ -85,7 +86,8 @@
 func TestSoakCrashesThatNoAttemptSees(t *testing.T) {
 	t.Parallel()
 	eachSeed(t, func(t *testing.T, seed uint64) {
-		way := unseenCrashes[seed/2%uint64(len(unseenCrashes))]
+		ways := unseenCrashes()
+		way := ways[seed/2%uint64(len(ways))]
 		t.Log(way.name)
 		h := newHarness(t, seed, false)
 		h.faults, h.crashingCalls, h.crashWay = nil, 1, way
