demand: incomplete totals are of the router's own demand

A router without a summary of the root allocates its part of the pool, capacity / routers, to its totals. These contained the reports of its subscribers too, so that a former root with current reports admitted a third of its own requests while the pool was not short.

Ruled out: treating a root without current reports as incomplete.

TestIncompleteTotalsAreOfThisRouterAlone fails before and passes after.

--- a/internal/demand/account.go
+++ b/internal/demand/account.go
@@ -303,7 +303,9 @@
 	})
 }
 
-// Totals returns the demand of all routers with current reports. If these are several, it names
+// Totals returns the demand of all routers with current reports. Without a current summary of the
+// root, that is this router's own alone: the caller then uses its part of the pool, which is not
+// meant for its subscribers. If these are several, it names
 // the same organisations as a summary, and combines the others, so that all routers allocate from
 // the same data. A combined rate has no Org; its Weight is the mean of its organisations.
 // Otherwise all organisations are named. The cost grows with the number of this router's
@@ -315,7 +317,7 @@
 	case !a.isRoot && a.hasCompleteSummary(now):
 		return a.replaced(now).totals(true)
 	}
-	return a.presentDemand(now).detailed().totals(a.isRoot)
+	return newMerger(a.ownDemand(now), a.index).detailed().totals(a.isRoot)
 }
 
 func (m *message) totals(complete bool) Totals {
--- a/internal/demand/demand_test.go
+++ b/internal/demand/demand_test.go
@@ -69,6 +69,25 @@
 	}
 }
 
+// A router with subscribers has no summary of a root. Guards against its part of the pool being
+// allocated to the demand of its subscribers as well, who use their own parts.
+func TestIncompleteTotalsAreOfThisRouterAlone(t *testing.T) {
+	sub, a := NewAccount(), NewAccount()
+	now := offerSteadily(sub, Class{Org: 1}, 100)
+	sub.SetScarce(now, true)
+	if err := a.MergeReport(now, "sub", sub.Report(now)); err != nil {
+		t.Fatal(err)
+	}
+	offerSteadily(a, Class{Org: 2}, 20)
+	if got := a.Totals(now); got.Complete || !near(total(got), 20, 0.02) {
+		t.Errorf("got %+v, want 20 per second", got)
+	}
+	a.SetRoot(true)
+	if got := a.Totals(now); !got.Complete || !near(total(got), 120, 0.02) {
+		t.Errorf("at the root: got %+v, want 120 per second", got)
+	}
+}
+
 // Guards against memory that grows with the number of organisations that callers name, and
 // against the eviction of those with the most work. Works are equal but for one.
 func TestClassesAreBounded(t *testing.T) {
