retry: the first slot respects the caller's remaining time

Schedule limits the slots to a third of the time that the caller has left, but always allows the first one, which lasts from 500 to 750 ms. The delay is limited now, but not below minReturnDelay: with less than 1.5 s left a third is shorter, and callers that always come back after a third of the rest would come back many times.

TestReturnDelayLeavesTimeForMoreAttempts fails before (747.5 ms) and passes after, as do the simulated surges of the package.

--- a/internal/retry/returns.go
+++ b/internal/retry/returns.go
@@ -84,6 +84,9 @@
 	}
 	r.scheduled[r.slot(chosen)]++
 	delay := time.Duration((float64(chosen) + jitter) * float64(returnSlotLength))
+	if left > 0 { // the first slot may reach beyond the largest share of the time left
+		delay = min(delay, max(time.Duration(MaxDelayShare*float64(left)), minReturnDelay))
+	}
 	if until := now.Add(delay + returnSlotLength); until.After(r.lastReturn) {
 		r.lastReturn = until
 	}
--- a/internal/retry/returns_test.go
+++ b/internal/retry/returns_test.go
@@ -164,6 +164,20 @@
 	})
 }
 
+// Guards against callers that are told to return so late that they have no time for two more attempts. Nobody is
+// told to return sooner than after minReturnDelay.
+func TestReturnDelayLeavesTimeForMoreAttempts(t *testing.T) {
+	for left := 100 * time.Millisecond; left < 10*time.Second; left += 50 * time.Millisecond {
+		var r ReturnScheduler
+		longest := max(time.Duration(MaxDelayShare*float64(left)), minReturnDelay)
+		for range 2 * returnSlotCount {
+			if got := r.Schedule(time.Unix(1000, 0), left, 0.99); got > longest || got < minReturnDelay {
+				t.Fatalf("with %v left, the delay is %v, want at most %v", left, got, longest)
+			}
+		}
+	}
+}
+
 // A router that has rejected one caller of an otherwise idle pool must schedule it soon. If the
 // pool answers nothing, the callers must be spread evenly over the slots.
 func TestReturnDelayFollowsCapacity(t *testing.T) {
