router: attempts keep the pool that sheds, as they keep its tracker

Cause: submit runs on a goroutine of its own and read the pool of the Response, which target replaces for a hedge or another attempt: a data race. Ruled out: a lock around the pool; attempts already keep the tracker of theirs for the same reason. Change: target and attempt hold the pool's shedder, chosen with the upstreams.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -8,6 +8,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/exchange"
 	"github.com/parsleyfront/parsleyfront/internal/quarantine"
 	"github.com/parsleyfront/parsleyfront/internal/router/dispatch"
+	"github.com/parsleyfront/parsleyfront/internal/shedding"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/token"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
@@ -64,6 +65,7 @@
 	load    float64          // direct upstreams only: estimated load
 	despite string           // direct upstreams only: what speaks against it; empty: nothing
 	tracker *balance.Tracker // direct upstreams only: tracker of their pool
+	shedder *shedding.Pool   // direct upstreams only: of their pool; nil: nothing is shed
 }
 
 // stream is the response to an attempt, read piece by piece.
@@ -83,6 +85,7 @@
 	vm          topo.VM
 	donor       topo.VM
 	tracker     *balance.Tracker // direct upstreams only: counts the attempt
+	shedder     *shedding.Pool   // direct upstreams only: records how the attempt goes; nil: nothing is shed
 	watch       *balance.Watch   // direct upstreams only: records how the attempt goes
 	call        wire.Call
 	chainIndex  int       // position in the chain of successor keys
--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -123,9 +123,9 @@
 		return d.failureEvent(at, verdict.From(err))
 	}
 	d.router.recordResponded(at, s.Signal)
-	d.recordAccepted(s.Signal)
+	d.recordAccepted(at, s.Signal)
 	at.stream = &directStream{
-		Stream: s, router: d.router, attempt: at, tracker: at.tracker, shedder: d.shedder(), vm: id, profile: d.req.Profile.Name,
+		Stream: s, router: d.router, attempt: at, tracker: at.tracker, shedder: at.shedder, vm: id, profile: d.req.Profile.Name,
 		sentAt: sentAt, resumed: at.headSent || d.req.LastEventID != "",
 	}
 	d.handleSignal(at, s.Signal)
--- a/internal/router/directoffer.go
+++ b/internal/router/directoffer.go
@@ -220,10 +220,10 @@
 	n, basis := resp.pool.tracker.Choose(now, resp.pool.placed, tuning.Policy, r, &chosen)
 	resp.basis = basis
 	resp.pool.logSuspicions(resp.poolName)
-	out := make([]target, 0, n)
+	out, shedder := make([]target, 0, n), resp.shedder()
 	for _, unreachable := range [...]bool{false, true} {
 		for _, c := range chosen[:n] {
-			t := target{vm: resp.pool.VMs[c.Index], load: c.Load, despite: string(c.Despite), tracker: resp.pool.tracker}
+			t := target{vm: resp.pool.VMs[c.Index], load: c.Load, despite: string(c.Despite), tracker: resp.pool.tracker, shedder: shedder}
 			if resp.router.isUnreachable(t.vm.ID, now) != unreachable {
 				continue
 			}
--- a/internal/router/shedding.go
+++ b/internal/router/shedding.go
@@ -114,10 +114,11 @@
 }
 
 // recordAccepted records whether an upstream accepted an attempt. A request that reached another
-// upstream than the one that was called says nothing about the pool.
-func (d directTransport) recordAccepted(signal exchange.Signal) {
-	if s := d.shedder(); s != nil && !signal.Misdirected {
-		s.RecordAttempt(time.Now(), !signal.NotRun)
+// upstream than the one that was called says nothing about the pool. The pool of the Response is not
+// used: target replaces it while attempts are under way.
+func (d directTransport) recordAccepted(at *attempt, signal exchange.Signal) {
+	if at.shedder != nil && !signal.Misdirected {
+		at.shedder.RecordAttempt(time.Now(), !signal.NotRun)
 	}
 }
 
