shedding, router: a pool without requests is no longer short

Cause: only requests announced that a pool ceases to be short. If the traffic of a short pool ended, the pool left the view or the sharing was switched off, router_short_pools counted it and /shares showed it as short until the next request, or for good. Ruled out: to reset the gate where the setting changes; it would not cover the other two cases. Change: a pool counts as short for 2 s after the last update, as its fractions apply for 2 s, and the maintenance of the router announces the end of announced shortages.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -122,6 +122,7 @@
 	ledger         *ledger.Ledger
 	lastServed     *balance.LastServed[topo.VM]
 	coldStart      coldStart
+	shortages      shortages
 	tuning         atomic.Pointer[Tuning]
 
 	mesh     *mesh
@@ -309,6 +310,7 @@
 		r.suspects.Expire(time.Now())
 		originRecords.Set(int64(r.origins.Expire(time.Now())))
 		r.coldStart.limiter.Expire(time.Now())
+		r.shortages.announceEnded(time.Now())
 		r.pruneConditions(time.Now())
 		r.claimer.ObserveEra(time.Now(), topo.EraOf(r.config.Store))
 		r.prunePeers()
--- a/internal/router/shares.go
+++ b/internal/router/shares.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/admin"
 	"github.com/parsleyfront/parsleyfront/internal/shares"
@@ -58,10 +59,10 @@
 // Shares returns how this router shares pools among organisations, in the order of their names.
 func (r *Router) Shares() []admin.PoolShares {
 	out := []admin.PoolShares{} // not nil, which is null in JSON
-	pools := r.View().Pools
+	pools, now := r.View().Pools, time.Now()
 	for _, name := range slices.Sorted(maps.Keys(pools)) {
 		if r.sheds(pools[name]) {
-			out = append(out, poolShares(name, pools[name].shedder.Status()))
+			out = append(out, poolShares(name, pools[name].shedder.Status(now)))
 		}
 	}
 	return out
--- a/internal/router/shedding.go
+++ b/internal/router/shedding.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"sync"
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/demand"
@@ -46,7 +47,7 @@
 		return nil
 	}
 	d := s.Admit(now, resp.shedRequest(), func() shedding.Situation { return resp.router.situation(resp.view.Pools[resp.poolName]) })
-	announceTransition(resp.poolName, s)
+	resp.router.shortages.announce(now, resp.poolName, s)
 	if d.Admit {
 		return nil
 	}
@@ -106,10 +107,43 @@
 	return s
 }
 
-// announceTransition announces that a pool has become short or has ceased to be.
-func announceTransition(name string, p *shedding.Pool) {
-	if s, changed := p.Transition(); changed {
-		announceShort(name, s.Short, s.Capacity, s.Used)
+// shortages holds the pools that were announced as short, so that their end is announced as well
+// when they get no requests any more: their traffic has ended, they have left the view, or the sharing
+// of pools was switched off. The zero value is ready to use. It is safe for concurrent use.
+type shortages struct {
+	mu    sync.Mutex
+	pools map[*shedding.Pool]string // their names
+}
+
+// announce announces that a pool has become short or has ceased to be.
+func (s *shortages) announce(now time.Time, name string, p *shedding.Pool) {
+	status, changed := p.Transition(now)
+	if !changed {
+		return
+	}
+	announceShort(name, status.Short, status.Capacity, status.Used)
+	if status.Short {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.pools == nil {
+			s.pools = make(map[*shedding.Pool]string)
+		}
+		s.pools[p] = name
+	}
+}
+
+// announceEnded announces which pools have ceased to be short without a request.
+func (s *shortages) announceEnded(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for p, name := range s.pools {
+		status, changed := p.Transition(now)
+		if changed {
+			announceShort(name, status.Short, status.Capacity, status.Used)
+		}
+		if !status.Short {
+			delete(s.pools, p)
+		}
 	}
 }
 
--- a/internal/shedding/status.go
+++ b/internal/shedding/status.go
@@ -1,6 +1,14 @@
 package shedding
 
-import "github.com/parsleyfront/parsleyfront/internal/shares"
+import (
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/shares"
+)
+
+// shortValidity is how long a pool counts as short after the last request. It is the time for which
+// package shares applies admitted fractions: after it, all requests are admitted.
+const shortValidity = 2 * time.Second
 
 // Status is what operators are shown of a Pool.
 type Status struct {
@@ -21,10 +29,10 @@
 func (c ClassStatus) Combined() bool { return c.Orgs > 1 || c.Org == 0 }
 
 // Status returns the present state of the pool.
-func (p *Pool) Status() Status {
+func (p *Pool) Status(now time.Time) Status {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := Status{Short: p.gate.Short(), Capacity: p.latest.Capacity, Used: p.latest.Used, Complete: p.complete}
+	out := Status{Short: p.isShort(now), Capacity: p.latest.Capacity, Used: p.latest.Used, Complete: p.complete}
 	for _, c := range p.gate.Classes() {
 		status := ClassStatus{Admitted: c}
 		if !status.Combined() {
@@ -35,11 +43,17 @@
 	return out
 }
 
-// Transition reports whether the pool has become short, or has ceased to be, since the last call.
-func (p *Pool) Transition() (s Status, changed bool) {
+// isShort reports whether requests are held back. A pool that gets no requests any more is not short.
+func (p *Pool) isShort(now time.Time) bool {
+	return p.gate.Short() && now.Sub(p.updatedAt) <= shortValidity
+}
+
+// Transition reports whether the pool has become short, or has ceased to be, since the last call. A
+// pool ceases to be short without a request, so the caller also asks at intervals.
+func (p *Pool) Transition(now time.Time) (s Status, changed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	short := p.gate.Short()
+	short := p.isShort(now)
 	changed = short != p.wasShort
 	p.wasShort = short
 	return Status{Short: short, Capacity: p.latest.Capacity, Used: p.latest.Used}, changed
