shedding: a single rejection does not keep routers reporting for minutes

Cause: a router counted a pool of plain upstreams as scarce while the decayed rate of rejections was above zero. It is for some 700 s after one rejection, while requests come in. Ruled out: to drop the rates in package demand; its totals are right. Change: the rate must be at least 0.05 per second, which a single rejection falls below after 3 s. Measured: the new test fails without the change, at 6 s after the rejection, and passes with it.

--- a/internal/shedding/pool.go
+++ b/internal/shedding/pool.go
@@ -26,6 +26,10 @@
 	// scarceShare is the used share of a pool's capacity from which routers tell each other what
 	// they are offered, so that they know it before the pool is short.
 	scarceShare = 0.5
+	// scarceRejections is the rate of rejections per second from which plain upstreams show that
+	// their pool may be short. Rates decay exponentially and are never zero; after a single
+	// rejection, this one falls below the limit after 3 s.
+	scarceRejections = 0.05
 	// usablePlaces is the part of an engine's places that requests may take while the pool is short.
 	// Loads are uneven and some tenths of a second old: without free places urgent requests would
 	// wait for their first event.
@@ -134,7 +138,7 @@
 // isScarce reports whether the pool is short or may soon be. Plain upstreams show it by their
 // rejections only.
 func (p *Pool) isScarce(t demand.Totals) bool {
-	return p.gate.Short() || p.latest.Capacity > 0 && p.latest.Used >= scarceShare*p.latest.Capacity || !p.engines && t.Rejected > 0
+	return p.gate.Short() || p.latest.Capacity > 0 && p.latest.Used >= scarceShare*p.latest.Capacity || !p.engines && t.Rejected >= scarceRejections
 }
 
 // RecordEvents records n events of a stream that arrived together from an engine that holds so many
--- a/internal/shedding/pool_test.go
+++ b/internal/shedding/pool_test.go
@@ -306,3 +306,25 @@
 		}
 	}
 }
+
+// Guards against messages between routers that do not stop: the decayed rate of the rejections is above
+// zero for minutes after a single one.
+func TestSingleRejectionEndsTheReportsSoon(t *testing.T) {
+	p, now := New(rand.New(rand.NewPCG(1, 2))), time.Unix(1000, 0)
+	reports := 0
+	for i := range 2000 {
+		now = now.Add(simTick)
+		p.Admit(now, Request{Class: demand.Class{Org: 1}}, func() Situation { return Situation{Upstreams: 3, Routers: 2} })
+		p.RecordAttempt(now, i != 0)
+		if p.Report(now) == nil {
+			continue
+		}
+		reports++
+		if i*int(simTick) > int(6*time.Second) {
+			t.Fatalf("a report %v after the last rejection", time.Duration(i)*simTick)
+		}
+	}
+	if reports == 0 {
+		t.Error("no report after a rejection")
+	}
+}
