router, shedding: a root without requests sends summaries of the demand

Cause: only requests told the account of a pool whether its router is the root, and with the setting auto a router that has seen no slowdown itself left the pool out of its messages. A router that reads the store and gets no requests to a pool, as while the balancer does not send to it, sent no complete summary, and all others used Capacity / Routers. Ruled out: to pass it on at merges only; the state of the relay changes without a message. Change: the messages set it, and they cover all pools unless the sharing is off. Measured: the new test fails without the change (incomplete, not short) for both settings.

--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -249,14 +249,17 @@
 }
 
 // demandMessages returns messages with the demand for the pools that may be short, apart from the
-// reports of loads: a message that is too long for a datagram would lose both.
+// reports of loads: a message that is too long for a datagram would lose both. Unless the sharing of
+// pools is off, this router passes on what others report also of pools of which it gets no requests
+// itself: without a summary of the root, each router would use its part of the pool only.
 func (m *mesh) demandMessages(collect func(*Pool) []byte) [][]byte {
-	pools := m.router.View().Pools
+	if m.router.tuning.Load().SharePools == ShareNever {
+		return nil
+	}
+	pools, root := m.router.View().Pools, m.router.isReportRoot()
 	var shared []sharedPool
 	for _, name := range slices.Sorted(maps.Keys(pools)) {
-		if !m.router.sheds(pools[name]) {
-			continue
-		}
+		pools[name].shedder.SetRoot(root)
 		if b := collect(pools[name]); b != nil {
 			shared = append(shared, sharedPool{Pool: shortHash(name), Demand: b})
 		}
--- a/internal/router/shedding.go
+++ b/internal/router/shedding.go
@@ -103,10 +103,16 @@
 func (r *Router) situation(p *Pool) shedding.Situation {
 	s := shedding.Situation{Upstreams: len(p.serving), Places: p.tracker.Slots(), Routers: max(r.coldStart.routerCount(1), 1)}
 	s.MeanLoad = p.tracker.MeanLoad(len(p.serving), 0)
-	s.Root = r.mesh == nil || r.mesh.readsStore.Load() && (r.mesh.followed.Load() || s.Routers == 1)
+	s.Root = r.isReportRoot()
 	return s
 }
 
+// isReportRoot reports whether all other routers report to this one. One that reads the store without
+// subscribers, although there are other routers, is cut off from them.
+func (r *Router) isReportRoot() bool {
+	return r.mesh == nil || r.mesh.readsStore.Load() && (r.mesh.followed.Load() || r.coldStart.routerCount(1) <= 1)
+}
+
 // shortages holds the pools that were announced as short, so that their end is announced as well
 // when they get no requests any more: their traffic has ended, they have left the view, or the sharing
 // of pools was switched off. The zero value is ready to use. It is safe for concurrent use.
--- a/internal/router/shedding_test.go
+++ b/internal/router/shedding_test.go
@@ -8,9 +8,49 @@
 
 	"github.com/parsleyfront/parsleyfront/internal/demand"
 	"github.com/parsleyfront/parsleyfront/internal/exchange"
+	"github.com/parsleyfront/parsleyfront/internal/policy"
 	"github.com/parsleyfront/parsleyfront/internal/shedding"
 )
 
+// newSheddingMesh returns the mesh of a router with a pool of plain upstreams, of two routers.
+func newSheddingMesh(mode ShareMode, isRoot bool) *mesh {
+	m := newTestMesh("a")
+	m.router.mesh = m
+	m.router.tuning.Store(&Tuning{Policy: policy.All(), SharePools: mode})
+	m.router.coldStart.registeredRouters.Store(2)
+	m.readsStore.Store(isRoot)
+	m.followed.Store(isRoot)
+	m.pool().shedder = newTestShedder()
+	return m
+}
+
+// A router that reads the store gets no requests of callers, as while the balancer does not send to it.
+// Guards against a root that sends no summaries then: the others would know no complete demand, and use
+// only their parts of the pool. It does not know either that engines report slowdowns.
+func TestRootWithoutRequestsSendsSummaries(t *testing.T) {
+	for _, mode := range []ShareMode{ShareAlways, ShareAuto} {
+		root, other, now := newSheddingMesh(mode, true), newSheddingMesh(ShareAlways, false), time.Unix(1000, 0)
+		for i := range 300 {
+			now = now.Add(10 * time.Millisecond)
+			p := other.pool().shedder
+			p.Admit(now, shedding.Request{Class: demand.Class{Org: 1}}, func() shedding.Situation { return other.router.situation(other.pool()) })
+			p.RecordAttempt(now, i%2 == 0)
+			if i%9 > 0 {
+				continue
+			}
+			for _, b := range other.demandForParent(now) {
+				root.mergeSharing(now, "other", b, fromSubscriber)
+			}
+			for _, b := range root.demandForSubscribers(now) {
+				other.mergeSharing(now, "root", b, fromParent)
+			}
+		}
+		if s := other.pool().shedder.Status(now); !s.Complete || !s.Short {
+			t.Errorf("mode %d: complete is %v and short %v, want both", mode, s.Complete, s.Short)
+		}
+	}
+}
+
 func newTestShedder() *shedding.Pool {
 	return shedding.New(rand.New(rand.NewPCG(1, 2)))
 }
--- a/internal/shedding/pool.go
+++ b/internal/shedding/pool.go
@@ -163,6 +163,14 @@
 	p.account.Outcome(now, accepted)
 }
 
+// SetRoot records whether all other routers report to this one. Admit does so too, but a root may get
+// no requests to the pool.
+func (p *Pool) SetRoot(root bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.account.SetRoot(root)
+}
+
 // Report returns what this router and its subscribers are offered, for its parent; nil: nothing now.
 func (p *Pool) Report(now time.Time) []byte {
 	p.mu.Lock()
