retry, router: requests rejected in a short pool allow no retries

Cause: the path of a request that is rejected in a short pool counted it in the budget for retries. In a surge of four times the capacity, three of four requests are not sent, and the budget allowed four times the retries per request that upstreams see. Ruled out: to leave out Request altogether; the scheduler of returns needs all arrivals and a delay. Change: PoolBudgets.Reject counts the arrival, schedules the return, and leaves the budget as it is. Measured: the new test fails if Reject counts in the budget.

--- a/internal/retry/pools.go
+++ b/internal/retry/pools.go
@@ -35,14 +35,32 @@
 func (p *PoolBudgets) Request(now time.Time, name string) PoolBudget {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	state := p.state(name)
+	state.window.Request(now, p.rule)
+	state.scheduler.Arrived(now)
+	return PoolBudget{pools: p, pool: state}
+}
+
+// Reject counts a request that is rejected before it is sent to any upstream, and returns the delay
+// after which its caller should retry. left is the time that the caller has left, or zero if unlimited.
+// The request does not increase the budget for retries: upstreams do not see it, so they would see more
+// retries per request than the rule allows.
+func (p *PoolBudgets) Reject(now time.Time, name string, left time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state := p.state(name)
+	state.scheduler.Arrived(now)
+	return state.scheduler.Schedule(now, left, rand.Float64())
+}
+
+// state returns the state of a pool, and adds it if it is new.
+func (p *PoolBudgets) state(name string) *poolState {
 	state := p.pools[name]
 	if state == nil {
 		state = &poolState{}
 		p.pools[name] = state
 	}
-	state.window.Request(now, p.rule)
-	state.scheduler.Arrived(now)
-	return PoolBudget{pools: p, pool: state}
+	return state
 }
 
 // HasPendingReturns reports whether callers rejected by a pool may still return.
--- a/internal/retry/window_test.go
+++ b/internal/retry/window_test.go
@@ -86,3 +86,21 @@
 		t.Errorf("%d of 128 retries were denied", denied)
 	}
 }
+
+// In a short pool a router rejects most requests without sending them. Guards against a budget that counts
+// these: upstreams would see more retries per request than the rule allows.
+func TestRejectedRequestsAllowNoRetries(t *testing.T) {
+	p, now := NewPoolBudgets(), time.Now()
+	p.SetRule(Rule{Ratio: 0.2, Window: time.Minute})
+	for range 100 {
+		if d := p.Reject(now, "chat", 0); d < minReturnDelay {
+			t.Fatalf("a caller is to return after %v", d)
+		}
+	}
+	if !p.HasPendingReturns(now, "chat") {
+		t.Error("no caller is expected to return")
+	}
+	if p.Request(now, "chat").Withdraw(CauseFailure) {
+		t.Error("a retry after one request that was sent, want one in five")
+	}
+}
--- a/internal/router/shedding.go
+++ b/internal/router/shedding.go
@@ -51,8 +51,8 @@
 	if d.Admit {
 		return nil
 	}
-	plan := resp.req.directPlan(resp.router.policy(), 0)
-	return refuseForShares(d.Cause, resp.poolName).WithRetryAfter(resp.router.retries.Request(now, resp.poolName).RetryAfter(time.Until(plan.Deadline)))
+	left := resp.req.directPlan(resp.router.policy(), 0).Deadline.Sub(now)
+	return refuseForShares(d.Cause, resp.poolName).WithRetryAfter(resp.router.retries.Reject(now, resp.poolName, left))
 }
 
 // shedRequest returns the request as package shedding sees it.
