router: a stream that resumes without the id of an event is not rejected in a short pool

Cause: a caller that names the attempt that brought the first event, but no last event, was taken for a new request: it was offered as demand, could be rejected, and the rest of its answer counted as a whole one. Ruled out: isTakeUp, which leaves out profiles that are not resumable; their callers also name an event. Change: Request.resumesStream is true for either. Measured: the new test fails without the change.

--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -126,7 +126,7 @@
 	d.recordAccepted(at, s.Signal)
 	at.stream = &directStream{
 		Stream: s, router: d.router, attempt: at, tracker: at.tracker, shedder: at.shedder, vm: id, profile: d.req.Profile.Name,
-		sentAt: sentAt, resumed: at.headSent || d.req.LastEventID != "",
+		sentAt: sentAt, resumed: at.headSent || d.req.resumesStream(),
 	}
 	d.handleSignal(at, s.Signal)
 	if s.Signal.NotRun {
--- a/internal/router/log.go
+++ b/internal/router/log.go
@@ -54,7 +54,7 @@
 			slog.Bool("behind", resp.basis.Deferred),
 			slog.String("donor", at.donor.ID),
 			slog.String("version", at.vm.SoftwareVersion))
-		if resp.req.LastEventID != "" || resp.req.Resumes != "" {
+		if resp.req.resumesStream() {
 			attrs = append(attrs, slog.String("resumes", resp.req.Resumes), slog.String("last_event", resp.req.LastEventID))
 		}
 		now := time.Now()
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -71,6 +71,11 @@
 	return allowed
 }
 
+// resumesStream reports whether the caller asks for the rest of a stream of which it has received a part.
+func (r *Request) resumesStream() bool {
+	return r.Resumes != "" || r.LastEventID != ""
+}
+
 // isRead reports whether the request's method is safe, in the sense of HTTP.
 func (r *Request) isRead() bool {
 	switch r.Call.Method {
--- a/internal/router/shedding.go
+++ b/internal/router/shedding.go
@@ -39,11 +39,11 @@
 }
 
 // shed counts what the request offers to its pool. If the pool is short and the request is not to
-// be sent, it returns the error for its caller. A stream that goes on is never turned away for this:
-// the work already done for it would be lost.
+// be sent, it returns the error for its caller. A stream that resumes is never rejected for this: the
+// work already done for it would be lost.
 func (resp *Response) shed(now time.Time) error {
 	s := resp.shedder()
-	if s == nil || resp.req.LastEventID != "" {
+	if s == nil || resp.req.resumesStream() {
 		return nil
 	}
 	d := s.Admit(now, resp.shedRequest(), func() shedding.Situation { return resp.router.situation(resp.view.Pools[resp.poolName]) })
--- a/internal/router/shedding_test.go
+++ b/internal/router/shedding_test.go
@@ -9,6 +9,8 @@
 	"github.com/parsleyfront/parsleyfront/internal/demand"
 	"github.com/parsleyfront/parsleyfront/internal/exchange"
 	"github.com/parsleyfront/parsleyfront/internal/policy"
+	"github.com/parsleyfront/parsleyfront/internal/profile"
+	"github.com/parsleyfront/parsleyfront/internal/retry"
 	"github.com/parsleyfront/parsleyfront/internal/shedding"
 )
 
@@ -74,12 +76,12 @@
 	attempts.Wait()
 }
 
-// shortShedder returns what decides for a pool of plain upstreams that reject half of the attempts,
-// and the time.
-func shortShedder(t *testing.T) (*shedding.Pool, time.Time) {
+// shortShedder returns what decides for a pool of plain upstreams that reject half of the attempts of an
+// organisation, and the time.
+func shortShedder(t *testing.T, org uint32) (*shedding.Pool, time.Time) {
 	t.Helper()
 	p, other, now := newTestShedder(), newTestShedder(), time.Unix(1000, 0)
-	r := shedding.Request{Class: demand.Class{Org: 1}}
+	r := shedding.Request{Class: demand.Class{Org: org}}
 	for i := range 3000 {
 		now = now.Add(time.Millisecond)
 		p.Admit(now, r, func() shedding.Situation { return shedding.Situation{Upstreams: 1, Routers: 2, Root: true} })
@@ -104,7 +106,7 @@
 // in what operators are shown.
 func TestShortPoolWithoutRequestsIsNoLongerShort(t *testing.T) {
 	var s shortages
-	p, now := shortShedder(t)
+	p, now := shortShedder(t, 1)
 	before := shortPools.Value()
 	s.announce(now, "chat", p)
 	s.announceEnded(now.Add(time.Second))
@@ -118,3 +120,32 @@
 		t.Errorf("%d short pools 3 s after the last request, %d kept, short is %v; want none", n, len(s.pools), p.Status(now).Short)
 	}
 }
+
+// Guards against the rejection of a stream that resumes in a short pool, whether its caller names the last
+// event or the attempt that brought the first one.
+func TestStreamsThatResumeAreNotShed(t *testing.T) {
+	m := newSheddingMesh(ShareAlways, true)
+	m.router.retries = retry.NewPoolBudgets()
+	p, now := shortShedder(t, shortHash("greedy"))
+	m.pool().shedder = p
+	rejected := func(req Request) int {
+		n := 0
+		for range 20 {
+			req.Profile = &profile.Profile{}
+			resp := &Response{router: m.router, view: m.router.View(), pool: m.pool(), poolName: "llm", req: req}
+			if resp.shed(now) != nil {
+				n++
+			}
+		}
+		return n
+	}
+	org := &profile.Organisation{Name: "greedy"}
+	if rejected(Request{Org: org}) == 0 {
+		t.Fatal("no new request is rejected")
+	}
+	for _, req := range []Request{{Org: org, LastEventID: "7"}, {Org: org, Resumes: "attempt-1"}} {
+		if n := rejected(req); n != 0 {
+			t.Errorf("%d streams of 20 that resume are rejected: %+v", n, req)
+		}
+	}
+}
