router: requests shed in a short pool do not count for their session

Cause: a request was counted for its session, and might be marked as running alone for crashes, before the decision to shed it. A session whose requests are mostly rejected seemed to have many at the upstreams, and was spread over several. Ruled out: to count sessions after crashes are considered, which would change pools that are not shared. Change: the decision comes first. Where nothing is shed, the order is as before.

--- a/internal/router/directoffer.go
+++ b/internal/router/directoffer.go
@@ -91,6 +91,13 @@
 	if resp.pool != nil {
 		resp.pool.tracker.RecordObjective(resp.req.Urgency, req.Profile.Objective.Std())
 	}
+	resp.isLikelyRetry = req.mayBeRetry() && r.retries.HasPendingReturns(now, pool)
+	if err := resp.shed(now); err != nil {
+		resp.Close()
+		return nil, err
+	}
+	// Requests that are shed reach no upstream: they must not make their session count as one of those
+	// with the most requests, which are spread over several upstreams.
 	if resp.pool != nil && resp.session != 0 {
 		resp.shareCounted = true
 		resp.sessionShare = resp.pool.tracker.RecordRequest(now, resp.session, req.Profile.Name)
@@ -99,11 +106,6 @@
 		resp.Close()
 		return nil, err
 	}
-	resp.isLikelyRetry = req.mayBeRetry() && r.retries.HasPendingReturns(now, pool)
-	if err := resp.shed(now); err != nil {
-		resp.Close()
-		return nil, err
-	}
 	resp.targets = resp.chooseTargets(now)
 	if len(resp.targets) == 0 {
 		resp.Close()
--- a/internal/router/shedding_test.go
+++ b/internal/router/shedding_test.go
@@ -6,20 +6,24 @@
 	"testing"
 	"time"
 
+	"github.com/parsleyfront/parsleyfront/internal/balance"
 	"github.com/parsleyfront/parsleyfront/internal/demand"
 	"github.com/parsleyfront/parsleyfront/internal/exchange"
+	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/policy"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
 	"github.com/parsleyfront/parsleyfront/internal/retry"
 	"github.com/parsleyfront/parsleyfront/internal/shedding"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
 )
 
 // newSheddingMesh returns the mesh of a router with a pool of plain upstreams, of two routers.
-func newSheddingMesh(mode ShareMode, isRoot bool) *mesh {
+func newSheddingMesh(t *testing.T, mode ShareMode, isRoot bool) *mesh {
 	m := newTestMesh("a")
 	m.router.mesh = m
 	m.router.tuning.Store(&Tuning{Policy: policy.All(), SharePools: mode})
 	m.router.coldStart.registeredRouters.Store(2)
+	t.Cleanup(func() { m.router.shortages.announceEnded(time.Now().Add(24 * time.Hour)) }) // the metric is shared by all tests
 	m.readsStore.Store(isRoot)
 	m.followed.Store(isRoot)
 	m.pool().shedder = newTestShedder()
@@ -31,7 +35,7 @@
 // only their parts of the pool. It does not know either that engines report slowdowns.
 func TestRootWithoutRequestsSendsSummaries(t *testing.T) {
 	for _, mode := range []ShareMode{ShareAlways, ShareAuto} {
-		root, other, now := newSheddingMesh(mode, true), newSheddingMesh(ShareAlways, false), time.Unix(1000, 0)
+		root, other, now := newSheddingMesh(t, mode, true), newSheddingMesh(t, ShareAlways, false), time.Unix(1000, 0)
 		for i := range 300 {
 			now = now.Add(10 * time.Millisecond)
 			p := other.pool().shedder
@@ -77,10 +81,10 @@
 }
 
 // shortShedder returns what decides for a pool of plain upstreams that reject half of the attempts of an
-// organisation, and the time.
-func shortShedder(t *testing.T, org uint32) (*shedding.Pool, time.Time) {
+// organisation from the given time on, and the time at which the pool is short.
+func shortShedder(t *testing.T, now time.Time, org uint32) (*shedding.Pool, time.Time) {
 	t.Helper()
-	p, other, now := newTestShedder(), newTestShedder(), time.Unix(1000, 0)
+	p, other := newTestShedder(), newTestShedder()
 	r := shedding.Request{Class: demand.Class{Org: org}}
 	for i := range 3000 {
 		now = now.Add(time.Millisecond)
@@ -106,7 +110,7 @@
 // in what operators are shown.
 func TestShortPoolWithoutRequestsIsNoLongerShort(t *testing.T) {
 	var s shortages
-	p, now := shortShedder(t, 1)
+	p, now := shortShedder(t, time.Unix(1000, 0), 1)
 	before := shortPools.Value()
 	s.announce(now, "chat", p)
 	s.announceEnded(now.Add(time.Second))
@@ -124,9 +128,9 @@
 // Guards against the rejection of a stream that resumes in a short pool, whether its caller names the last
 // event or the attempt that brought the first one.
 func TestStreamsThatResumeAreNotShed(t *testing.T) {
-	m := newSheddingMesh(ShareAlways, true)
+	m := newSheddingMesh(t, ShareAlways, true)
 	m.router.retries = retry.NewPoolBudgets()
-	p, now := shortShedder(t, shortHash("greedy"))
+	p, now := shortShedder(t, time.Unix(1000, 0), shortHash("greedy"))
 	m.pool().shedder = p
 	rejected := func(req Request) int {
 		n := 0
@@ -149,3 +153,37 @@
 		}
 	}
 }
+
+// Guards against a session that counts as one with the most requests of its pool, and is spread over several
+// upstreams, because of requests that were shed and reached none.
+func TestShedRequestsDoNotCountForTheirSession(t *testing.T) {
+	const requests = 200
+	m := newSheddingMesh(t, ShareAlways, true)
+	m.router.retries = retry.NewPoolBudgets()
+	// All requests, which have the time of the system clock, are before the next update of the fractions.
+	m.pool().shedder, _ = shortShedder(t, time.Now().Add(time.Hour), shortHash("greedy"))
+	req := Request{Org: &profile.Organisation{Name: "greedy"}, Profile: &profile.Profile{Name: "chat", Pool: "llm", Regions: []string{"none"}}, Session: "s"}
+	m.pool().parts.Store(partKey{regions: req.regions().Key()}, &Pool{tracker: m.pool().tracker, shedder: m.pool().shedder, placed: placement.NewPool(nil, placement.Locality{})})
+	shed := 0
+	for range requests {
+		if _, err := m.router.dispatchDirect(t.Context(), m.router.View(), req); verdict.From(err).Reason == verdict.ReasonOverShare {
+			shed++
+		}
+	}
+	if shed == 0 || shed == requests {
+		t.Fatalf("%d of %d requests are shed", shed, requests)
+	}
+	// The others found no upstream; they count.
+	reference := balance.NewTracker()
+	now := time.Now()
+	for range requests - shed {
+		reference.RecordRequest(now, 2, "chat")
+	}
+	session := sessionHash("", "s")
+	m.pool().tracker.RecordRequest(now, 1, "chat")
+	reference.RecordRequest(now, 1, "chat")
+	got, want := m.pool().tracker.RecordRequest(now, session, "chat"), reference.RecordRequest(now, 2, "chat")
+	if got > want {
+		t.Errorf("the session's share is %.4f, want at most the %.4f of %d requests", got, want, requests-shed)
+	}
+}
