--- a/internal/demand/account.go
+++ b/internal/demand/account.go
@@ -315,9 +315,29 @@
 	case !a.isRoot && a.hasCompleteSummary(now):
 		return a.replaced(now).totals(true)
 	}
+	if len(a.currentReports(now)) == 0 {
+		return a.ownTotals(now)
+	}
 	return a.presentDemand(now).detailed().totals(a.isRoot)
 }
 
+// ownTotals returns this router's own demand. It is the result for all pools that no router reports as
+// scarce, so it is computed without the copies that merging needs.
+func (a *Account) ownTotals(now time.Time) Totals {
+	scale := 1 / (a.clock.Weight(now) * rateDecay.Seconds())
+	t := Totals{Accepted: a.accepted * scale, Rejected: a.rejected * scale, Complete: a.isRoot, Rates: make([]Rate, 0, a.classes)}
+	for i := range a.own {
+		o := &a.own[i]
+		for set := o.classes; set != 0; set &= set - 1 {
+			class := bits.TrailingZeros32(set)
+			if rate := o.offered[class] * scale; rate >= minRate {
+				t.Rates = append(t.Rates, Rate{Class: newClass(o.id, o.priority, class, o.weight), Orgs: 1, Offered: rate})
+			}
+		}
+	}
+	return t
+}
+
 func (m *message) totals(complete bool) Totals {
 	t := Totals{Accepted: m.accepted, Rejected: m.rejected, Complete: complete}
 	t.Rates = make([]Rate, 0, 2*len(m.orgs)+len(m.combined))
--- a/internal/demand/demand_test.go
+++ b/internal/demand/demand_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/hex"
 	"flag"
 	"fmt"
@@ -9,6 +10,7 @@
 	"math/rand/v2"
 	"os"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -539,3 +541,26 @@
 		})
 	}
 }
+
+// Guards against totals of this router alone that differ from those that merging its own demand gives.
+func TestOwnTotalsAreThoseOfMerging(t *testing.T) {
+	a, now := NewAccount(), time.Unix(1000, 0)
+	for i := range 500 {
+		now = now.Add(20 * time.Millisecond)
+		a.Offer(now, Class{Org: uint32(i % 20), OrgPriority: uint8(i % 3), Rank: uint8(i % 12), Returning: i%5 == 0, Weight: uint16(i % 7)}, float64(i%4))
+		a.Outcome(now, i%3 == 0)
+	}
+	now = now.Add(time.Second)
+	for _, isRoot := range []bool{false, true} {
+		a.SetRoot(isRoot)
+		got, want := a.Totals(now), a.presentDemand(now).detailed().totals(isRoot)
+		for _, rates := range [][]Rate{got.Rates, want.Rates} {
+			slices.SortFunc(rates, func(x, y Rate) int {
+				return cmp.Or(cmp.Compare(x.Org, y.Org), cmp.Compare(classIndex(x.Class), classIndex(y.Class)))
+			})
+		}
+		if len(got.Rates) == 0 || !reflect.DeepEqual(got, want) {
+			t.Errorf("root %v: %+v, want %+v", isRoot, got, want)
+		}
+	}
+}
