--- a/internal/router/shedding_test.go
+++ b/internal/router/shedding_test.go
@@ -1,17 +1,21 @@
 package router
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/parsleyfront/parsleyfront/internal/balance"
 	"github.com/parsleyfront/parsleyfront/internal/demand"
 	"github.com/parsleyfront/parsleyfront/internal/exchange"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/policy"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
+	"github.com/parsleyfront/parsleyfront/internal/relay"
 	"github.com/parsleyfront/parsleyfront/internal/retry"
 	"github.com/parsleyfront/parsleyfront/internal/shedding"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
@@ -187,3 +191,47 @@
 		t.Errorf("the session's share is %.4f, want at most the %.4f of %d requests", got, want, requests-shed)
 	}
 }
+
+// Many pools are short, with organisations of many priorities and kinds. Guards against a message with their
+// demand that is too long for a datagram, which would not be sent at all, and against a pool that is in none.
+func TestMessagesWithDemandFitOneDatagram(t *testing.T) {
+	const pools = 31
+	m, now := newSheddingMesh(t, ShareAlways, false), time.Unix(1000, 0)
+	view := &View{Pools: make(map[string]*Pool)}
+	for i := range pools {
+		p := newTestPool(1, fmt.Sprint("a-pool-with-a-long-name-", i))
+		p.shedder = newTestShedder()
+		view.Pools[fmt.Sprint("a-pool-with-a-long-name-", i)] = p
+	}
+	m.router.view.Store(view)
+	for _, p := range view.Pools {
+		p.shedder.RecordAttempt(now, false)
+		for i := range 4000 {
+			c := demand.Class{Org: uint32(i%200 + 1), OrgPriority: uint8(i % 200 % 10), Rank: uint8(i / 200 % 10), Returning: i >= 2000, Weight: 1000}
+			p.shedder.Admit(now, shedding.Request{Class: c}, func() shedding.Situation { return shedding.Situation{Upstreams: 1, Routers: 330} })
+		}
+	}
+	sent := make(map[uint32]bool)
+	for _, payload := range m.demandForParent(now) {
+		b, err := relay.Encode(relay.SendReport{Report: relay.Report{From: "front-of-a-long-name-1", Payload: payload}})
+		if err != nil {
+			t.Error(err)
+		}
+		t.Logf("%d bytes", len(b))
+		var s sharingMessage
+		if err := cbor.Unmarshal(payload, &s); err != nil {
+			t.Fatal(err)
+		}
+		for _, p := range s.Pools {
+			sent[p.Pool] = len(p.Demand) > 200
+		}
+	}
+	if len(sent) != pools {
+		t.Errorf("the demand for %d of %d pools is sent", len(sent), pools)
+	}
+	for name := range view.Pools {
+		if !sent[shortHash(name)] {
+			t.Errorf("the demand for %s is not sent, or is too small for this test", name)
+		}
+	}
+}
