shedding: names of present organisations; engines with one place have a capacity

Cause: once 4,096 names were kept, later organisations were shown to operators without theirs for good. Three quarters of one place were rounded down to none, so such engines were never short. Ruled out: an LRU of names; they return with the next request. Change: a full table is cleared, names are written only if they differ, and an engine's limit is at least one. Measured: both new tests fail without the changes.

--- a/internal/shedding/pool.go
+++ b/internal/shedding/pool.go
@@ -82,8 +82,8 @@
 func (p *Pool) Admit(now time.Time, r Request, situation func() Situation) shares.Decision {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.names) < maxNames {
-		p.names[r.Class.Org] = r.Organisation
+	if p.names[r.Class.Org] != r.Organisation {
+		p.setName(r.Class.Org, r.Organisation)
 	}
 	p.pace.SetRequirement(r.Kind, r.Requirement)
 	p.account.Offer(now, r.Class, p.work(now, r.Kind))
@@ -91,6 +91,15 @@
 	return p.gate.Decide(now, r.Class)
 }
 
+// setName keeps the name of an organisation for operators. If there are too many, all are forgotten:
+// those with requests return with the next ones.
+func (p *Pool) setName(org uint32, name string) {
+	if _, known := p.names[org]; !known && len(p.names) >= maxNames {
+		clear(p.names)
+	}
+	p.names[org] = name
+}
+
 // work returns the work of a request: 1, or at engines the time that it takes there, in seconds,
 // so that the work offered in a second is a number of requests that engines hold.
 func (p *Pool) work(now time.Time, kind string) float64 {
@@ -127,7 +136,7 @@
 // engineCapacity returns how many requests the pool's engines may hold together, and how many they
 // hold; zero: not known.
 func (p *Pool) engineCapacity(now time.Time, s Situation) (capacity, used float64) {
-	limit, known := p.pace.Limit(now, int(usablePlaces*float64(s.Places)))
+	limit, known := p.pace.Limit(now, max(int(usablePlaces*float64(s.Places)), 1))
 	if !known {
 		return 0, 0
 	}
--- a/internal/shedding/pool_test.go
+++ b/internal/shedding/pool_test.go
@@ -328,3 +328,40 @@
 		t.Error("no report after a rejection")
 	}
 }
+
+// Guards against operators who see no names in a fleet with more organisations than are kept: the names of
+// those that came first would stay for good.
+func TestNamesOfPresentOrganisationsAreKept(t *testing.T) {
+	p, now := New(rand.New(rand.NewPCG(1, 2))), time.Unix(1000, 0)
+	situation := func() Situation { return Situation{Upstreams: 3, Routers: 1, Root: true} }
+	for i := range 3 * maxNames {
+		p.Admit(now, Request{Class: demand.Class{Org: uint32(i + 1)}, Organisation: fmt.Sprint("old-", i)}, situation)
+	}
+	now = now.Add(time.Minute)
+	for range 2 {
+		now = now.Add(updateInterval)
+		p.Admit(now, Request{Class: demand.Class{Org: 1 << 20}, Organisation: "present"}, situation)
+	}
+	if len(p.names) > maxNames {
+		t.Errorf("%d names are kept, want at most %d", len(p.names), maxNames)
+	}
+	if c := p.Status(now).Classes; len(c) != 1 || c[0].Organisation != "present" {
+		t.Errorf("%+v, want the class of the present organisation", c)
+	}
+}
+
+// Guards against engines with one place that are never short, because three quarters of it are none.
+func TestEnginesWithOnePlaceHaveACapacity(t *testing.T) {
+	p, now := New(rand.New(rand.NewPCG(1, 2))), time.Unix(1000, 0)
+	r := Request{Class: demand.Class{Org: 1}, Kind: "chat", Requirement: pace.Requirement{Objective: time.Second, Deadline: 12 * time.Second}}
+	situation := func() Situation { return Situation{Upstreams: 4, Places: 1, MeanLoad: 3, Routers: 1, Root: true} }
+	for i := range 400 {
+		now = now.Add(simTick)
+		p.Admit(now, r, situation)
+		p.RecordEvents(now, float64(1+i%5), 3, time.Duration(1+i%5)*50*time.Millisecond)
+		p.RecordAnswer(now, r.Kind, 40, 100*time.Millisecond)
+	}
+	if s := p.Status(now); s.Capacity != 4 || !s.Short {
+		t.Errorf("capacity %.1f of 4 engines that hold 3 requests each, short %v; want 4 and true", s.Capacity, s.Short)
+	}
+}
