shedding, demand, router: comments in the usual terms

Doc comments described callers and routers as persons, and did not say that Situation is determined with the Pool locked. No change of code.

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -22,8 +22,8 @@
 	Offered float64 // work per second
 }
 
-// Totals is what all routers that are heard are offered, and what upstreams did with their
-// attempts.
+// Totals is the demand at all routers with current reports, and the results of their attempts at
+// upstreams.
 type Totals struct {
 	Rates    []Rate
 	Accepted float64 // attempts per second that upstreams accepted
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -234,7 +234,7 @@
 }
 
 // demandForSubscribers returns the messages with the demand for pools to this router's subscribers.
-// Each is the same for all of them: package demand gives a summary once.
+// They are reused for all subscribers, because package demand returns each summary once.
 func (m *mesh) demandForSubscribers(now time.Time) [][]byte {
 	if now.Sub(m.lastDemandAt) >= demandReuse {
 		m.lastDemandAt = now
--- a/internal/router/shedding.go
+++ b/internal/router/shedding.go
@@ -22,7 +22,7 @@
 	return p.tracker.ReportsSlowdowns()
 }
 
-// shedder returns what decides on requests while the pool of the request is short; nil: nothing.
+// shedder returns the Pool that decides whether the request is sent; nil: the request's pool is not shared.
 func (resp *Response) shedder() *shedding.Pool {
 	if resp.pool == nil || !resp.router.sheds(resp.pool) {
 		return nil
@@ -99,7 +99,7 @@
 	return orgRank(resp.req.Org)
 }
 
-// situation returns what is known of a pool for the decision on its requests.
+// situation returns the state of a pool for the decision on its requests.
 func (r *Router) situation(p *Pool) shedding.Situation {
 	s := shedding.Situation{Upstreams: len(p.serving), Places: p.tracker.Slots(), Routers: max(r.coldStart.routerCount(1), 1)}
 	s.MeanLoad = p.tracker.MeanLoad(len(p.serving), 0)
--- a/internal/shedding/pool.go
+++ b/internal/shedding/pool.go
@@ -1,13 +1,12 @@
 // Package shedding decides, for one pool, which requests a router admits while the pool is short.
 //
-// It answers a surge beyond what the pool can serve: engines that would fill all their places and
-// answer nobody in time, and plain upstreams that would turn requests away whoever sent them. It
-// puts together how much the pool can serve (packages pace and shares), what all routers are
-// offered (package demand) and who gets how much of it (package shares).
+// It addresses a surge beyond the capacity of the pool, in which engines would fill all their places
+// and finish few answers in time, and plain upstreams would reject requests of all organisations
+// alike. It combines the capacity of the pool (packages pace and shares), the demand at all routers
+// (package demand) and its allocation to organisations (package shares).
 //
-// Package router asks it about each request and passes on the events of attempts and the messages
-// of other routers. A Pool uses no clock and no connection of its own. It is safe for concurrent
-// use.
+// Package router calls it for each request, and with the events of attempts and the messages of
+// other routers. A Pool uses no clock and no connection of its own. It is safe for concurrent use.
 package shedding
 
 import (
@@ -21,10 +20,10 @@
 )
 
 const (
-	// updateInterval is the interval at which the admitted fractions are worked out again.
+	// updateInterval is the interval at which the admitted fractions are computed.
 	updateInterval = 100 * time.Millisecond
-	// scarceShare is the used share of a pool's capacity from which routers tell each other what
-	// they are offered, so that they know it before the pool is short.
+	// scarceShare is the used share of a pool's capacity from which routers report demand to each
+	// other, so that they know it before the pool is short.
 	scarceShare = 0.5
 	// scarceRejections is the rate of rejections per second from which plain upstreams show that
 	// their pool may be short. Rates decay exponentially and are never zero; after a single
@@ -48,7 +47,7 @@
 	Organisation string // its name, for operators
 }
 
-// Situation is what the caller of Admit knows of the pool.
+// Situation is the state of the pool's upstreams and routers at a call of Admit.
 type Situation struct {
 	Upstreams int     // that take requests
 	Places    int     // of an engine; zero: the upstreams report no load
@@ -57,7 +56,7 @@
 	Root      bool    // all other routers report to this one
 }
 
-// Pool is what one router knows of a pool that may be short.
+// Pool holds the state of one router about a pool that may be short.
 type Pool struct {
 	mu        sync.Mutex
 	pace      *pace.Model
@@ -77,8 +76,8 @@
 	return &Pool{pace: pace.New(), account: demand.NewAccount(), gate: shares.NewGate(r), names: make(map[uint32]string)}
 }
 
-// Admit counts what the request offers, and decides whether it may be sent. situation is called
-// when the fractions are due to be worked out again.
+// Admit counts the request as demand, and decides whether it may be sent. situation is called, with
+// the Pool locked, when the fractions are due to be computed.
 func (p *Pool) Admit(now time.Time, r Request, situation func() Situation) shares.Decision {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -112,7 +111,7 @@
 	return defaultWork
 }
 
-// updateIfDue works out the admitted fractions again, at most every updateInterval.
+// updateIfDue computes the admitted fractions, at most every updateInterval.
 func (p *Pool) updateIfDue(now time.Time, situation func() Situation) {
 	if now.Sub(p.updatedAt) < updateInterval {
 		return
@@ -180,14 +179,14 @@
 	p.account.SetRoot(root)
 }
 
-// Report returns what this router and its subscribers are offered, for its parent; nil: nothing now.
+// Report returns the demand at this router and its subscribers, for its parent; nil: none is due.
 func (p *Pool) Report(now time.Time) []byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.account.Report(now)
 }
 
-// Summary returns what all routers are offered, for this router's subscribers; nil: nothing now.
+// Summary returns the demand at all routers, for this router's subscribers; nil: none is due.
 func (p *Pool) Summary(now time.Time) []byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
