--- a/internal/demand/account.go
+++ b/internal/demand/account.go
@@ -303,13 +303,12 @@
 	})
 }
 
-// Totals returns the demand of all routers with current reports. Without a current summary of the
-// root, that is this router's own alone: the caller then uses its part of the pool, which is not
-// meant for its subscribers. If these are several, it names
-// the same organisations as a summary, and combines the others, so that all routers allocate from
-// the same data. A combined rate has no Org; its Weight is the mean of its organisations.
-// Otherwise all organisations are named. The cost grows with the number of this router's
-// classes; it is meant to be called about every 100 ms.
+// Totals returns the demand of all routers with current reports. A router that has no current summary of
+// the root, and a root that hears no reports, which may be cut off, returns its own demand alone: the
+// caller then uses its part of the pool. Complete totals name the same organisations as a summary, and
+// combine the others, so that all routers allocate from the same data. A combined rate has no Org; its
+// Weight is the mean of its organisations. Otherwise all organisations are named. The cost grows with
+// the number of this router's classes; it is meant to be called about every 100 ms.
 func (a *Account) Totals(now time.Time) Totals {
 	switch {
 	case a.isRoot && len(a.currentReports(now)) > 0:
@@ -317,7 +316,24 @@
 	case !a.isRoot && a.hasCompleteSummary(now):
 		return a.replaced(now).totals(true)
 	}
-	return newMerger(a.ownDemand(now), a.index).detailed().totals(a.isRoot)
+	return a.Own(now)
+}
+
+// Own returns this router's own demand, which is not complete. It is the result of Totals for all pools
+// that no router reports as scarce, so it is computed without the copies that merging needs.
+func (a *Account) Own(now time.Time) Totals {
+	scale := 1 / (a.clock.Weight(now) * rateDecay.Seconds())
+	t := Totals{Accepted: a.accepted * scale, Rejected: a.rejected * scale, Rates: make([]Rate, 0, a.classes)}
+	for i := range a.own {
+		o := &a.own[i]
+		for set := o.classes; set != 0; set &= set - 1 {
+			class := bits.TrailingZeros32(set)
+			if rate := o.offered[class] * scale; rate >= minRate {
+				t.Rates = append(t.Rates, Rate{Class: newClass(o.id, o.priority, class, o.weight), Orgs: 1, Offered: rate})
+			}
+		}
+	}
+	return t
 }
 
 func (m *message) totals(complete bool) Totals {
--- a/internal/router/directoffer.go
+++ b/internal/router/directoffer.go
@@ -91,6 +91,13 @@
 	if resp.pool != nil {
 		resp.pool.tracker.RecordObjective(resp.req.Urgency, req.Profile.Objective.Std())
 	}
+	resp.isLikelyRetry = req.mayBeRetry() && r.retries.HasPendingReturns(now, pool)
+	if err := resp.shed(now); err != nil {
+		resp.Close()
+		return nil, err
+	}
+	// Requests that are shed reach no upstream: they must not make their session count as one of those
+	// with the most requests, which are spread over several upstreams.
 	if resp.pool != nil && resp.session != 0 {
 		resp.shareCounted = true
 		resp.sessionShare = resp.pool.tracker.RecordRequest(now, resp.session, req.Profile.Name)
@@ -99,11 +106,6 @@
 		resp.Close()
 		return nil, err
 	}
-	resp.isLikelyRetry = req.mayBeRetry() && r.retries.HasPendingReturns(now, pool)
-	if err := resp.shed(now); err != nil {
-		resp.Close()
-		return nil, err
-	}
 	resp.targets = resp.chooseTargets(now)
 	if len(resp.targets) == 0 {
 		resp.Close()
@@ -220,10 +222,10 @@
 	n, basis := resp.pool.tracker.Choose(now, resp.pool.placed, tuning.Policy, r, &chosen)
 	resp.basis = basis
 	resp.pool.logSuspicions(resp.poolName)
-	out := make([]target, 0, n)
+	out, shedder := make([]target, 0, n), resp.shedder()
 	for _, unreachable := range [...]bool{false, true} {
 		for _, c := range chosen[:n] {
-			t := target{vm: resp.pool.VMs[c.Index], load: c.Load, despite: string(c.Despite), tracker: resp.pool.tracker}
+			t := target{vm: resp.pool.VMs[c.Index], load: c.Load, despite: string(c.Despite), tracker: resp.pool.tracker, shedder: shedder}
 			if resp.router.isUnreachable(t.vm.ID, now) != unreachable {
 				continue
 			}
--- a/internal/router/shedding.go
+++ b/internal/router/shedding.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"sync"
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/demand"
@@ -21,7 +22,7 @@
 	return p.tracker.ReportsSlowdowns()
 }
 
-// shedder returns what decides on requests while the pool of the request is short; nil: nothing.
+// shedder returns the Pool that decides whether the request is sent; nil: the request's pool is not shared.
 func (resp *Response) shedder() *shedding.Pool {
 	if resp.pool == nil || !resp.router.sheds(resp.pool) {
 		return nil
@@ -38,20 +39,20 @@
 }
 
 // shed counts what the request offers to its pool. If the pool is short and the request is not to
-// be sent, it returns the error for its caller. A stream that goes on is never turned away for this:
-// the work already done for it would be lost.
+// be sent, it returns the error for its caller. A stream that resumes is never rejected for this: the
+// work already done for it would be lost.
 func (resp *Response) shed(now time.Time) error {
 	s := resp.shedder()
-	if s == nil || resp.req.LastEventID != "" {
+	if s == nil || resp.req.resumesStream() {
 		return nil
 	}
 	d := s.Admit(now, resp.shedRequest(), func() shedding.Situation { return resp.router.situation(resp.view.Pools[resp.poolName]) })
-	announceTransition(resp.poolName, s)
+	resp.router.shortages.announce(now, resp.poolName, s)
 	if d.Admit {
 		return nil
 	}
-	plan := resp.req.directPlan(resp.router.policy(), 0)
-	return refuseForShares(d.Cause, resp.poolName).WithRetryAfter(resp.router.retries.Request(now, resp.poolName).RetryAfter(time.Until(plan.Deadline)))
+	left := resp.req.directPlan(resp.router.policy(), 0).Deadline.Sub(now)
+	return refuseForShares(d.Cause, resp.poolName).WithRetryAfter(resp.router.retries.Reject(now, resp.poolName, left))
 }
 
 // shedRequest returns the request as package shedding sees it.
@@ -98,26 +99,66 @@
 	return orgRank(resp.req.Org)
 }
 
-// situation returns what is known of a pool for the decision on its requests.
+// situation returns the state of a pool for the decision on its requests.
 func (r *Router) situation(p *Pool) shedding.Situation {
 	s := shedding.Situation{Upstreams: len(p.serving), Places: p.tracker.Slots(), Routers: max(r.coldStart.routerCount(1), 1)}
 	s.MeanLoad = p.tracker.MeanLoad(len(p.serving), 0)
-	s.Root = r.mesh == nil || r.mesh.readsStore.Load() && (r.mesh.followed.Load() || s.Routers == 1)
+	s.Root = r.isReportRoot()
 	return s
 }
 
-// announceTransition announces that a pool has become short or has ceased to be.
-func announceTransition(name string, p *shedding.Pool) {
-	if s, changed := p.Transition(); changed {
-		announceShort(name, s.Short, s.Capacity, s.Used)
+// isReportRoot reports whether all other routers report to this one. One that reads the store without
+// subscribers, although there are other routers, is cut off from them.
+func (r *Router) isReportRoot() bool {
+	return r.mesh == nil || r.mesh.readsStore.Load() && (r.mesh.followed.Load() || r.coldStart.routerCount(1) <= 1)
+}
+
+// shortages holds the pools that were announced as short, so that their end is announced as well
+// when they get no requests any more: their traffic has ended, they have left the view, or the sharing
+// of pools was switched off. The zero value is ready to use. It is safe for concurrent use.
+type shortages struct {
+	mu    sync.Mutex
+	pools map[*shedding.Pool]string // their names
+}
+
+// announce announces that a pool has become short or has ceased to be.
+func (s *shortages) announce(now time.Time, name string, p *shedding.Pool) {
+	status, changed := p.Transition(now)
+	if !changed {
+		return
+	}
+	announceShort(name, status.Short, status.Capacity, status.Used)
+	if status.Short {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.pools == nil {
+			s.pools = make(map[*shedding.Pool]string)
+		}
+		s.pools[p] = name
+	}
+}
+
+// announceEnded announces which pools have ceased to be short without a request.
+func (s *shortages) announceEnded(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for p, name := range s.pools {
+		status, changed := p.Transition(now)
+		if changed {
+			announceShort(name, status.Short, status.Capacity, status.Used)
+		}
+		if !status.Short {
+			delete(s.pools, p)
+		}
 	}
 }
 
 // recordAccepted records whether an upstream accepted an attempt. A request that reached another
-// upstream than the one that was called says nothing about the pool.
-func (d directTransport) recordAccepted(signal exchange.Signal) {
-	if s := d.shedder(); s != nil && !signal.Misdirected {
-		s.RecordAttempt(time.Now(), !signal.NotRun)
+// upstream than the one that was called says nothing about the pool. The pool of the Response is not
+// used: target replaces it while attempts are under way.
+func (d directTransport) recordAccepted(at *attempt, signal exchange.Signal) {
+	if at.shedder != nil && !signal.Misdirected {
+		at.shedder.RecordAttempt(time.Now(), !signal.NotRun)
 	}
 }
 
--- a/internal/shares/allocate.go
+++ b/internal/shares/allocate.go
@@ -298,7 +298,8 @@
 		return rankWork{1, 1}
 	}
 	g.share -= available
-	returning := min(work.returning, max(returningReserve*available, available-work.first))
+	reserved := max(returningReserve*available, available*work.returning/sum)
+	returning := min(work.returning, max(reserved, available-work.first))
 	return rankWork{admittedFraction(returning, work.returning), admittedFraction(available-returning, work.first)}
 }
 
--- a/internal/shedding/pool.go
+++ b/internal/shedding/pool.go
@@ -1,13 +1,12 @@
 // Package shedding decides, for one pool, which requests a router admits while the pool is short.
 //
-// It answers a surge beyond what the pool can serve: engines that would fill all their places and
-// answer nobody in time, and plain upstreams that would turn requests away whoever sent them. It
-// puts together how much the pool can serve (packages pace and shares), what all routers are
-// offered (package demand) and who gets how much of it (package shares).
+// It addresses a surge beyond the capacity of the pool, in which engines would fill all their places
+// and finish few answers in time, and plain upstreams would reject requests of all organisations
+// alike. It combines the capacity of the pool (packages pace and shares), the demand at all routers
+// (package demand) and its allocation to organisations (package shares).
 //
-// Package router asks it about each request and passes on the events of attempts and the messages
-// of other routers. A Pool uses no clock and no connection of its own. It is safe for concurrent
-// use.
+// Package router calls it for each request, and with the events of attempts and the messages of
+// other routers. A Pool uses no clock and no connection of its own. It is safe for concurrent use.
 package shedding
 
 import (
@@ -21,11 +20,15 @@
 )
 
 const (
-	// updateInterval is the interval at which the admitted fractions are worked out again.
+	// updateInterval is the interval at which the admitted fractions are computed.
 	updateInterval = 100 * time.Millisecond
-	// scarceShare is the used share of a pool's capacity from which routers tell each other what
-	// they are offered, so that they know it before the pool is short.
+	// scarceShare is the used share of a pool's capacity from which routers report demand to each
+	// other, so that they know it before the pool is short.
 	scarceShare = 0.4
+	// scarceRejections is the rate of rejections per second from which plain upstreams show that
+	// their pool may be short. Rates decay exponentially and are never zero; after a single
+	// rejection, this one falls below the limit after 3 s.
+	scarceRejections = 0.05
 	// usablePlaces is the part of an engine's places that requests may take while the pool is short.
 	// Loads are uneven and some tenths of a second old: without free places urgent requests would
 	// wait for their first event.
@@ -44,7 +47,7 @@
 	Organisation string // its name, for operators
 }
 
-// Situation is what the caller of Admit knows of the pool.
+// Situation is the state of the pool's upstreams and routers at a call of Admit.
 type Situation struct {
 	Upstreams int     // that take requests
 	Places    int     // of an engine; zero: the upstreams report no load
@@ -53,14 +56,15 @@
 	Root      bool    // all other routers report to this one
 }
 
-// Pool is what one router knows of a pool that may be short.
+// Pool holds the state of one router about a pool that may be short.
 type Pool struct {
 	mu        sync.Mutex
 	pace      *pace.Model
 	account   *demand.Account
 	gate      *shares.Gate
-	rate      shares.RateCapacity
-	names     map[uint32]string // of organisations, by hash
+	rate      shares.RateCapacity // what plain upstreams accept from all routers
+	ownRate   shares.RateCapacity // what they accept from this one
+	names     map[uint32]string   // of organisations, by hash
 	updatedAt time.Time
 	latest    shares.Pool
 	complete  bool // the latest totals cover all routers
@@ -73,13 +77,13 @@
 	return &Pool{pace: pace.New(), account: demand.NewAccount(), gate: shares.NewGate(r), names: make(map[uint32]string)}
 }
 
-// Admit counts what the request offers, and decides whether it may be sent. situation is called
-// when the fractions are due to be worked out again.
+// Admit counts the request as demand, and decides whether it may be sent. situation is called, with
+// the Pool locked, when the fractions are due to be computed.
 func (p *Pool) Admit(now time.Time, r Request, situation func() Situation) shares.Decision {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.names) < maxNames {
-		p.names[r.Class.Org] = r.Organisation
+	if p.names[r.Class.Org] != r.Organisation {
+		p.setName(r.Class.Org, r.Organisation)
 	}
 	p.pace.SetRequirement(r.Kind, r.Requirement)
 	p.account.Offer(now, r.Class, p.work(now, r.Kind))
@@ -87,6 +91,15 @@
 	return p.gate.Decide(now, r.Class)
 }
 
+// setName keeps the name of an organisation for operators. If there are too many, all are forgotten:
+// those with requests return with the next ones.
+func (p *Pool) setName(org uint32, name string) {
+	if _, known := p.names[org]; !known && len(p.names) >= maxNames {
+		clear(p.names)
+	}
+	p.names[org] = name
+}
+
 // work returns the work of a request: 1, or at engines the time that it takes there, in seconds,
 // so that the work offered in a second is a number of requests that engines hold.
 func (p *Pool) work(now time.Time, kind string) float64 {
@@ -99,7 +112,7 @@
 	return defaultWork
 }
 
-// updateIfDue works out the admitted fractions again, at most every updateInterval.
+// updateIfDue computes the admitted fractions, at most every updateInterval.
 func (p *Pool) updateIfDue(now time.Time, situation func() Situation) {
 	if now.Sub(p.updatedAt) < updateInterval {
 		return
@@ -110,11 +123,11 @@
 	totals := p.account.Totals(now)
 	p.complete = totals.Complete
 	p.engines = s.Places > 0
-	p.latest = shares.Pool{Routers: s.Routers}
 	if p.engines {
+		p.latest = shares.Pool{Routers: s.Routers}
 		p.latest.Capacity, p.latest.Used = p.engineCapacity(now, s)
 	} else {
-		p.latest.Capacity, p.latest.Used = p.rate.Update(now, totals)
+		p.latest, totals = p.plainCapacity(now, totals)
 	}
 	p.gate.Update(now, p.latest, totals)
 	p.account.SetScarce(now, p.isScarce(totals))
@@ -123,7 +136,7 @@
 // engineCapacity returns how many requests the pool's engines may hold together, and how many they
 // hold; zero: not known.
 func (p *Pool) engineCapacity(now time.Time, s Situation) (capacity, used float64) {
-	limit, known := p.pace.Limit(now, int(usablePlaces*float64(s.Places)))
+	limit, known := p.pace.Limit(now, max(int(usablePlaces*float64(s.Places)), 1))
 	if !known {
 		return 0, 0
 	}
@@ -131,10 +144,27 @@
 	return limit * n, s.MeanLoad * n
 }
 
+// plainCapacity returns what plain upstreams accept per second, and the demand to allocate it to. Until
+// this router knows the demand of all routers and what upstreams accept of it, and again once it is cut
+// off, it allocates what they accept from itself to its own demand.
+func (p *Pool) plainCapacity(now time.Time, totals demand.Totals) (shares.Pool, demand.Totals) {
+	own := p.account.Own(now)
+	own.Complete = true // of what this router sends
+	ownPool := shares.Pool{Routers: 1}
+	ownPool.Capacity, ownPool.Used = p.ownRate.Update(now, own)
+	if totals.Complete {
+		pool := shares.Pool{Routers: 1}
+		if pool.Capacity, pool.Used = p.rate.Update(now, totals); pool.Capacity > 0 {
+			return pool, totals
+		}
+	}
+	return ownPool, own
+}
+
 // isScarce reports whether the pool is short or may soon be. Plain upstreams show it by their
 // rejections only.
 func (p *Pool) isScarce(t demand.Totals) bool {
-	return p.gate.Short() || p.latest.Capacity > 0 && p.latest.Used >= scarceShare*p.latest.Capacity || !p.engines && t.Rejected > 0
+	return p.gate.Short() || p.latest.Capacity > 0 && p.latest.Used >= scarceShare*p.latest.Capacity || !p.engines && t.Rejected >= scarceRejections
 }
 
 // RecordEvents records n events of a stream that arrived together from an engine that holds so many
@@ -159,14 +189,22 @@
 	p.account.Outcome(now, accepted)
 }
 
-// Report returns what this router and its subscribers are offered, for its parent; nil: nothing now.
+// SetRoot records whether all other routers report to this one. Admit does so too, but a root may get
+// no requests to the pool.
+func (p *Pool) SetRoot(root bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.account.SetRoot(root)
+}
+
+// Report returns the demand at this router and its subscribers, for its parent; nil: none is due.
 func (p *Pool) Report(now time.Time) []byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.account.Report(now)
 }
 
-// Summary returns what all routers are offered, for this router's subscribers; nil: nothing now.
+// Summary returns the demand at all routers, for this router's subscribers; nil: none is due.
 func (p *Pool) Summary(now time.Time) []byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
