shedding: plain upstreams are filled to .95 of what they accept, and a router that is cut off keeps to its part

Cause: at the full rate of plain upstreams their queues overflow and reject whoever comes, also within an organisation's share. A router that lost the demand of the others went by its own estimate, which had grown while upstreams rejected next to nothing.

Change: usableRate; the part of the last known capacity that this router had, for 10 s; its own estimate until the demand of all routers is known.

--- a/internal/shedding/pool.go
+++ b/internal/shedding/pool.go
@@ -33,6 +33,13 @@
 	// Loads are uneven and some tenths of a second old: without free places urgent requests would
 	// wait for their first event.
 	usablePlaces = 0.85
+	// usableRate is the part of the estimated capacity of plain upstreams that is allocated. Upstreams at
+	// their full rate reject whoever comes when their queues are full, also within an organisation's
+	// share.
+	usableRate = 0.95
+	// ownPartTTL is how long a router that no longer knows the demand of all routers keeps to what was
+	// its part of the capacity. While upstreams reject next to nothing, its own estimate grows beyond.
+	ownPartTTL = 10 * time.Second
 	// defaultWork is the work of a request whose duration is not known yet, in seconds.
 	defaultWork = 1.0
 	// maxNames bounds the names of organisations that are kept for operators.
@@ -65,6 +72,8 @@
 	rate      shares.RateCapacity // what plain upstreams accept from all routers
 	ownRate   shares.RateCapacity // what they accept from this one
 	names     map[uint32]string   // of organisations, by hash
+	ownPart   float64             // of the capacity for all routers, in requests per second
+	ownPartAt time.Time           // when ownPart was computed
 	updatedAt time.Time
 	latest    shares.Pool
 	complete  bool // the latest totals cover all routers
@@ -150,15 +159,24 @@
 func (p *Pool) plainCapacity(now time.Time, totals demand.Totals) (shares.Pool, demand.Totals) {
 	own := p.account.Own(now)
 	own.Complete = true // of what this router sends
-	ownPool := shares.Pool{Routers: 1}
-	ownPool.Capacity, ownPool.Used = p.ownRate.Update(now, own)
+	ownCapacity, ownUsed := p.ownRate.Update(now, own)
 	if totals.Complete {
-		pool := shares.Pool{Routers: 1}
-		if pool.Capacity, pool.Used = p.rate.Update(now, totals); pool.Capacity > 0 {
-			return pool, totals
+		if capacity, used := p.rate.Update(now, totals); capacity > 0 {
+			p.ownPart, p.ownPartAt = capacity*min(own.Accepted/max(totals.Accepted, 1), 1), now
+			return usablePool(capacity, used), totals
 		}
 	}
-	return ownPool, own
+	if now.Sub(p.ownPartAt) < ownPartTTL && ownCapacity > 0 {
+		ownCapacity = min(ownCapacity, p.ownPart)
+		ownUsed = min(ownUsed, ownCapacity)
+	}
+	return usablePool(ownCapacity, ownUsed), own
+}
+
+// usablePool returns the pool of plain upstreams with an estimated capacity in requests per second.
+func usablePool(capacity, used float64) shares.Pool {
+	capacity *= usableRate
+	return shares.Pool{Capacity: capacity, Used: min(used, capacity), Routers: 1}
 }
 
 // isScarce reports whether the pool is short or may soon be. Plain upstreams show it by their
