router: a router is the root for shares only if the store answers it and it follows no other

Cause: a router counted as the root of the tree of reports if it reads the store and another one follows it. When the store does not answer, several routers try to read it, some of which follow each other. Each took the few requests that were reported to it for those of all routers. The estimate stays when the tree has a root again.

Ruled out: to ask only that the root follows no router.

Change: the root also is a router that the store answers, and that follows none. A router that is alone needs no store.

What stays open: routers that have no estimate when the store goes away get none until it returns, so that nothing is shared.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -264,6 +264,9 @@
 	return slices.ContainsFunc(s.sorted, func(p *peer) bool { return now.Before(p.subscribedUntil) })
 }
 
+// StoreFails reports whether the store does not answer this router.
+func (s *State) StoreFails() bool { return s.storeFailing }
+
 // immediateSuccessors is how many routers, the next in rank, start to read the store as
 // soon as the reader reports that the store does not answer it. The others wait until
 // their state has grown old, so that only these few call a store that answers no router.
--- a/internal/router/mesh.go
+++ b/internal/router/mesh.go
@@ -72,6 +72,8 @@
 	members    *follow.Runner
 	parent     relay.Router // owned by the control loop
 	readsStore atomic.Bool  // this router reads the store
+	storeFails atomic.Bool  // the store does not answer this router
+	follows    atomic.Bool  // parent is set
 	followed   atomic.Bool  // another router is subscribed to this one
 	packer     *pack.Packer
 	register   *register.Registrar
@@ -236,6 +238,7 @@
 		slog.Info("another router reads the store for this one", "router", node.Name, "addr", node.Addr)
 	}
 	m.parent = node
+	m.follows.Store(node.Name != "")
 	m.router.setParent(node)
 }
 
--- a/internal/router/sharing_test.go
+++ b/internal/router/sharing_test.go
@@ -211,3 +211,33 @@
 		}
 	}
 }
+
+// Guards against routers that take a part of the demand for that of all routers: while the store does not answer,
+// several routers try to read it, some of which follow another.
+func TestWhichRouterIsTheRootOfTheTree(t *testing.T) {
+	for _, c := range []struct {
+		name                          string
+		reads, fails, follows, others bool
+		routers                       int
+		want                          bool
+	}{
+		{"the only router", true, false, false, false, 1, true},
+		{"the only router, the store does not answer", true, true, false, false, 1, true},
+		{"reads the store for others", true, false, false, true, 5, true},
+		{"reads the store, and no other router has found it yet", true, false, false, false, 5, false},
+		{"reads the store in vain", true, true, false, true, 5, false},
+		{"begins to read the store, and follows another router", true, false, true, true, 5, false},
+		{"follows another router", false, false, true, true, 5, false},
+	} {
+		m := newTestMesh("a")
+		m.readsStore.Store(c.reads)
+		m.storeFails.Store(c.fails)
+		m.followed.Store(c.others)
+		if c.follows {
+			m.setParent(relay.Router{Name: "parent"})
+		}
+		if got := m.isRoot(c.routers); got != c.want {
+			t.Errorf("%s: is the root: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/router/shedding.go
+++ b/internal/router/shedding.go
@@ -102,10 +102,21 @@
 func (r *Router) situation(p *Pool) shedding.Situation {
 	s := shedding.Situation{Upstreams: len(p.serving), Places: p.tracker.Slots(), Routers: max(r.coldStart.routerCount(1), 1)}
 	s.MeanLoad = p.tracker.MeanLoad(len(p.serving), 0)
-	s.Root = r.mesh == nil || r.mesh.readsStore.Load() && (r.mesh.followed.Load() || s.Routers == 1)
+	s.Root = r.mesh == nil || r.mesh.isRoot(s.Routers)
 	return s
 }
 
+// isRoot reports whether the demand of all other routers is reported to this one. While the store does not answer,
+// several routers try to read it, some of which follow each other, and each has a few subscribers or none. If these
+// took the demand that is reported to them for that of all routers, they would take the few requests that they know of
+// for the capacity of the pool, and hold to it after the tree has a root again.
+func (m *mesh) isRoot(routers int) bool {
+	if routers == 1 {
+		return m.readsStore.Load()
+	}
+	return m.readsStore.Load() && m.followed.Load() && !m.follows.Load() && !m.storeFails.Load()
+}
+
 // announceTransition announces that a pool has become short or has ceased to be.
 func announceTransition(name string, p *shedding.Pool) {
 	if s, changed := p.Transition(); changed {
