--- a/internal/router/shedding.go
+++ b/internal/router/shedding.go
@@ -107,10 +107,21 @@
 	return s
 }
 
-// isReportRoot reports whether all other routers report to this one. One that reads the store without
-// subscribers, although there are other routers, is cut off from them.
+// isReportRoot reports whether all other routers report to this one.
 func (r *Router) isReportRoot() bool {
-	return r.mesh == nil || r.mesh.readsStore.Load() && (r.mesh.followed.Load() || r.coldStart.routerCount(1) <= 1)
+	return r.mesh == nil || r.mesh.isRoot(r.coldStart.routerCount(1))
+}
+
+// isRoot reports whether the demand of all other routers is reported to this one. While the store does not answer,
+// several routers try to read it, some of which follow each other, and each has a few subscribers or none. If these
+// took the demand that is reported to them for that of all routers, they would take the few requests that they know of
+// for the capacity of the pool, and hold to it after the tree has a root again. A router that reads the store without
+// subscribers, although there are other routers, is cut off from them.
+func (m *mesh) isRoot(routers int) bool {
+	if routers <= 1 {
+		return m.readsStore.Load()
+	}
+	return m.readsStore.Load() && m.followed.Load() && !m.follows.Load() && !m.storeFails.Load()
 }
 
 // shortages holds the pools that were announced as short, so that their end is announced as well
