shares: a pool of plain upstreams has an estimate as soon as its demand is known

Cause: the estimate of what plain upstreams accept began a second after the demand of all routers was known, 2.6 to 2.9 s after the first rejection. Until then upstreams rejected whoever came.

Ruled out: waiting until all routers report; too low an estimate costs only those who ask for most, since shares are max-min, and is measured anew within a second.

Change: the first estimate is the decayed accepted rate.

--- a/internal/shares/rate.go
+++ b/internal/shares/rate.go
@@ -32,8 +32,8 @@
 	// shorter ones the difference of two decaying rates is mostly noise.
 	intervalLength = 250 * time.Millisecond
 	// intervalCount is the number of the last intervals that are kept: one second together. Before
-	// totals are complete for so long, there is no estimate: the first ones lack the reports of
-	// routers that have just begun to report.
+	// totals are complete for so long, the estimate is that of the decayed rates: the first totals
+	// lack the reports of routers that have just begun to report.
 	intervalCount = 4
 	// minSaturated is the number of these in which upstreams must have rejected attempts, so that
 	// there is an estimate.
@@ -104,6 +104,10 @@
 		}
 	} else if c.capacity > 0 {
 		c.grow(s.at, elapsed)
+	} else if isSaturated(s.accepted, s.rejected) {
+		// The decayed rate is partly that of the time before the surge. Too low an estimate costs those
+		// who ask for most, and is replaced within a second.
+		c.capacity, c.rejectedAt = min(probeFactor*s.accepted, maxWork), s.at
 	}
 	if offered > c.capacity || c.rejectedAt.Equal(s.at) {
 		c.neededAt = s.at
