shares, shedding: a router with few attempts makes no estimate of its own

Cause: of 24 routers before a plain pool each has a few attempts per 250 ms, of which one that is rejected looks like saturation. Routers held requests back by estimates of 13 a second, a second before they knew the demand of all.

Change: a rate of attempts below which totals give no first estimate, for a router's own.

--- a/internal/shares/rate.go
+++ b/internal/shares/rate.go
@@ -49,6 +49,10 @@
 // seconds. Therefore the rates within short intervals are computed from them, and the accepted rate
 // is that of the intervals in which upstreams rejected attempts.
 type RateCapacity struct {
+	// MinAttempts is the rate of attempts per second below which the totals give no first estimate. Of
+	// a few attempts, one that is rejected looks like saturation.
+	MinAttempts float64
+
 	capacity   float64   // estimate in requests per second; 0: none
 	used       float64   // at the last Update with complete totals
 	updatedAt  time.Time // time of the last Update
@@ -97,14 +101,15 @@
 func (c *RateCapacity) updateComplete(s sample, elapsed time.Duration, offered float64) {
 	isNew := c.addSample(s)
 	accepted, rejected, saturated := c.saturatedRates()
-	if saturated >= minSaturated && len(c.intervals) == intervalCount {
+	known := c.capacity > 0 || s.accepted+s.rejected >= c.MinAttempts
+	if known && saturated >= minSaturated && len(c.intervals) == intervalCount {
 		c.rejectedAt = s.at
 		if isNew {
 			c.capacity = c.measured(accepted, rejected)
 		}
 	} else if c.capacity > 0 {
 		c.grow(s.at, elapsed)
-	} else if isSaturated(s.accepted, s.rejected) {
+	} else if isSaturated(s.accepted, s.rejected) && s.accepted+s.rejected >= c.MinAttempts {
 		// The decayed rate is partly that of the time before the surge. Too low an estimate costs those
 		// who ask for most, and is replaced within a second.
 		c.capacity, c.rejectedAt = min(probeFactor*s.accepted, maxWork), s.at
--- a/internal/shedding/pool.go
+++ b/internal/shedding/pool.go
@@ -40,6 +40,9 @@
 	// ownPartTTL is how long a router that no longer knows the demand of all routers keeps to what was
 	// its part of the capacity. While upstreams reject next to nothing, its own estimate grows beyond.
 	ownPartTTL = 10 * time.Second
+	// minOwnAttempts is the rate of attempts per second from which a router tells what plain upstreams
+	// accept by its own attempts alone.
+	minOwnAttempts = 50
 	// defaultWork is the work of a request whose duration is not known yet, in seconds.
 	defaultWork = 1.0
 	// maxNames bounds the names of organisations that are kept for operators.
@@ -83,7 +86,8 @@
 
 // New returns a Pool without observations. r is the source of the gate's first credits.
 func New(r *rand.Rand) *Pool {
-	return &Pool{pace: pace.New(), account: demand.NewAccount(), gate: shares.NewGate(r), names: make(map[uint32]string)}
+	return &Pool{pace: pace.New(), account: demand.NewAccount(), gate: shares.NewGate(r),
+		ownRate: shares.RateCapacity{MinAttempts: minOwnAttempts}, names: make(map[uint32]string)}
 }
 
 // Admit counts the request as demand, and decides whether it may be sent. situation is called, with
