--- a/internal/shedding/pool.go
+++ b/internal/shedding/pool.go
@@ -78,16 +78,18 @@
 	ownPart   float64             // of the capacity for all routers, in requests per second
 	ownPartAt time.Time           // when ownPart was computed
 	updatedAt time.Time
-	latest    shares.Pool
-	complete  bool // the latest totals cover all routers
-	engines   bool // the upstreams report their load
-	wasShort  bool // at the last call of Transition
+	latest    shares.Pool // of the last update
+	complete  bool        // the latest totals cover all routers
+	engines   bool        // the upstreams report their load
+	wasShort  bool        // at the last call of Transition
 }
 
 // New returns a Pool without observations. r is the source of the gate's first credits.
 func New(r *rand.Rand) *Pool {
-	return &Pool{pace: pace.New(), account: demand.NewAccount(), gate: shares.NewGate(r),
-		ownRate: shares.RateCapacity{MinAttempts: minOwnAttempts}, names: make(map[uint32]string)}
+	return &Pool{
+		pace: pace.New(), account: demand.NewAccount(), gate: shares.NewGate(r),
+		ownRate: shares.RateCapacity{MinAttempts: minOwnAttempts}, names: make(map[uint32]string),
+	}
 }
 
 // Admit counts the request as demand, and decides whether it may be sent. situation is called, with
