--- a/internal/shares/rate.go
+++ b/internal/shares/rate.go
@@ -43,7 +43,7 @@
 // RateCapacity estimates the capacity of a pool whose upstreams report no load, from what they
 // reject. The zero value is ready to use. It is not safe for concurrent use.
 //
-// The decayed rates of the totals are not used directly, since they include the time before
+// But for the first estimate the decayed rates of the totals are not used directly, since they include the time before
 // upstreams began to reject. After a surge the rejections in them decay as slowly as the accepted
 // rate, so that the estimate would follow the traffic down and requests would be held back for
 // seconds. Therefore the rates within short intervals are computed from them, and the accepted rate
@@ -101,15 +101,15 @@
 func (c *RateCapacity) updateComplete(s sample, elapsed time.Duration, offered float64) {
 	isNew := c.addSample(s)
 	accepted, rejected, saturated := c.saturatedRates()
-	known := c.capacity > 0 || s.accepted+s.rejected >= c.MinAttempts
-	if known && saturated >= minSaturated && len(c.intervals) == intervalCount {
+	isEnough := s.accepted+s.rejected >= c.MinAttempts // for a first estimate
+	if (isEnough || c.capacity > 0) && saturated >= minSaturated && len(c.intervals) == intervalCount {
 		c.rejectedAt = s.at
 		if isNew {
 			c.capacity = c.measured(accepted, rejected)
 		}
 	} else if c.capacity > 0 {
 		c.grow(s.at, elapsed)
-	} else if isSaturated(s.accepted, s.rejected) && s.accepted+s.rejected >= c.MinAttempts {
+	} else if isEnough && isSaturated(s.accepted, s.rejected) {
 		// The decayed rate is partly that of the time before the surge. Too low an estimate costs those
 		// who ask for most, and is replaced within a second.
 		c.capacity, c.rejectedAt = min(probeFactor*s.accepted, maxWork), s.at
--- a/internal/shedding/pool.go
+++ b/internal/shedding/pool.go
@@ -159,9 +159,9 @@
 	return limit * n, s.MeanLoad * n
 }
 
-// plainCapacity returns what plain upstreams accept per second, and the demand to allocate it to. Until
-// this router knows the demand of all routers and what upstreams accept of it, and again once it is cut
-// off, it allocates what they accept from itself to its own demand.
+// plainCapacity returns what plain upstreams accept per second, and the demand to allocate it to. A router
+// that does not know the demand of all routers, or not yet what upstreams accept of it, allocates what they
+// accept from itself to its own demand.
 func (p *Pool) plainCapacity(now time.Time, totals demand.Totals) (shares.Pool, demand.Totals) {
 	own := p.account.Own(now)
 	own.Complete = true // of what this router sends
