router, quarantine: what changes the decision on a request that crashes upstreams, and why one is sent, can be seen

Each changed decision is logged with its crashes, those explained, trials lost, whether another router told of it and how late (router_crash_news_seconds); each request sent that was lost at crashes is logged with the same counts. Decides nothing.

--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -22,6 +22,8 @@
 	served        servedSet   // contents of requests
 	partsServed   servedTimes // parts of prompts
 	survivals     survivals
+
+	decisionChanges []DecisionChange // since TakeDecisionChanges
 }
 
 // New returns an empty Table. vm and incarnation identify a sidecar; a router passes ""
--- a/internal/quarantine/cases.go
+++ b/internal/quarantine/cases.go
@@ -39,6 +39,15 @@
 	return out
 }
 
+// String returns the name of an action that is shown to operators.
+func (a Action) String() string {
+	names := [...]string{Allow: "allow", RunAlone: "run-alone", Redirect: "redirect", Wait: "wait", Refuse: "refuse", Try: "try"}
+	if int(a) < len(names) {
+		return names[a]
+	}
+	return "unknown"
+}
+
 // actionOn returns how a fingerprint may run at an upstream that has had none of its crashes.
 func (t *Table) actionOn(now time.Time, p Fingerprint) Action {
 	if t.isConvicted(now, p) {
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -96,6 +96,10 @@
 	if !e.isLive(now) {
 		return
 	}
+	if e.Observed {
+		before := t.DecideObserved(now, e.Fingerprint).Action
+		defer func() { t.recordDecisionChange(now, before, &e) }()
+	}
 	told := e.Status
 	if e.Observed && e.Status == Suspect && t.wasServedSince(e.At, e.Fingerprint) {
 		e.Status = Cleared
--- a/internal/router/crashes.go
+++ b/internal/router/crashes.go
@@ -31,6 +31,8 @@
 		"Requests answered at once because upstreams have crashed under others with a part of their prompts.", telemetry.Alert)
 	triedRequests = telemetry.NewCounter("router_tried_requests_total",
 		"Requests that were sent alone although as many upstreams have crashed under them as convict, since other requests may be the cause.")
+	crashNewsDelay = telemetry.NewHistogram("router_crash_news_seconds",
+		"Time from a crash of an upstream without a sidecar to when this router was told of it, if that changed a decision on a request.")
 	suspectRefusals = telemetry.NewCounter("router_suspect_refusals_total",
 		"Requests that were turned away for a moment because a copy of them that may crash its upstream was under way.")
 )
@@ -74,8 +76,11 @@
 		err := verdict.New(verdict.NotRun, verdict.ReasonSuspect, "copies of this request, or requests with a part of its prompt, are at %d upstreams that have not been heard of since", len(j.Silent))
 		return err.WithRetryAfter(quarantine.RetryAfter)
 	case j.Action != quarantine.Allow:
-		return resp.runAlone(now, j, part)
+		if err := resp.runAlone(now, j, part); err != nil {
+			return err
+		}
 	}
+	resp.logSuspectSent(j)
 	return nil
 }
 
@@ -324,6 +329,28 @@
 	observedCrashes.Inc(evidence)
 	slog.Warn("upstream has crashed while it ran requests", "upstream", vm.ID, "addr", vm.Addr, "pool", vm.Pool,
 		"evidence", string(evidence), "lost", counts.Lost, "left", counts.Left, "recorded", counts.Recorded, "part_crashes", counts.PartCrashes)
+	r.logDecisionChanges()
+}
+
+// logDecisionChanges logs the changes of decisions on requests that may crash upstreams.
+func (r *Router) logDecisionChanges() {
+	for _, c := range r.suspects.TakeDecisionChanges() {
+		if c.Told {
+			crashNewsDelay.Observe(c.Delay)
+		}
+		slog.Warn("the decision on a request that may crash upstreams has changed", "fingerprint", c.Fingerprint.String(),
+			"from", c.From.String(), "to", c.To.String(), "crashes", c.Crashes, "explained", c.Explained, "failed_trials", c.FailedTrials,
+			"told", c.Told, "delay_ms", c.Delay.Milliseconds())
+	}
+}
+
+// logSuspectSent logs that a request is sent which was lost at crashes, and why it may be.
+func (resp *Response) logSuspectSent(j suspects.Judgement) {
+	if j.Crashes+j.Explained == 0 {
+		return
+	}
+	slog.Info("request that may crash upstreams is sent", "request", resp.req.ID, "fingerprint", j.Fingerprint.String(),
+		"action", j.Action.String(), "crashes", j.Crashes, "explained", j.Explained)
 }
 
 // onMembersLeft records the crashes of upstreams whose entries have ended though they had not said that
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -82,6 +82,14 @@
 	return r.book.Merge(now, n.Crashes)
 }
 
+// TakeDecisionChanges returns the changes of decisions on requests that may crash upstreams without a sidecar since
+// the last call, in order.
+func (r *Registry) TakeDecisionChanges() []quarantine.DecisionChange {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.book.TakeDecisionChanges()
+}
+
 // Decide returns how a request may run, and the suspects to send to its sidecar:
 // those about the request if it is a suspect, else some of the others.
 func (r *Registry) Decide(now time.Time, fingerprint uint64) (quarantine.Decision, json.RawMessage) {
