--- a/internal/quarantine/changes.go
+++ b/internal/quarantine/changes.go
@@ -22,7 +22,7 @@
 	if to == from || len(t.decisionChanges) >= maxDecisionChanges {
 		return
 	}
-	c := t.countCrashes(now, e.Fingerprint, nil)
+	c := t.countCrashes(now, e.Fingerprint, []Fingerprint{e.Fingerprint})
 	t.decisionChanges = append(t.decisionChanges, DecisionChange{
 		Fingerprint: e.Fingerprint, From: from, To: to, Crashes: len(c.ends), Explained: c.explained, FailedTrials: c.failedTrials,
 		Told: !e.own, Delay: now.Sub(e.At),
