--- a/internal/router/log.go
+++ b/internal/router/log.go
@@ -109,8 +109,13 @@
 }
 
 func (resp *Response) logFailure(msg string, number int, err *verdict.Error, decided bool) {
+	var fingerprint string
+	if len(resp.prints) > 0 {
+		fingerprint = resp.prints[0].String()
+	}
 	resp.log(telemetry.LineFailure, msg,
 		slog.Int("attempt", number),
+		slog.String("fingerprint", fingerprint),
 		slog.String("upstream", resp.attempts[number].vm.ID),
 		slog.String("reason", string(err.Reason)),
 		slog.String("verdict", err.Verdict.String()),
