--- a/internal/quarantine/observedgossip_test.go
+++ b/internal/quarantine/observedgossip_test.go
@@ -86,6 +86,30 @@
 	}
 }
 
+// Many crashes of refused requests are told again and again. Guards against a first entry that never has its turn:
+// each router would need crashes of its own to know a request.
+func TestNewEntriesAreToldBeforeRepeats(t *testing.T) {
+	const refused, crashes = 8, 10
+	leaf, root := New("", 0), New("", 0)
+	now := epoch
+	tell := func(d time.Duration) {
+		for until := now.Add(d); now.Before(until); now = now.Add(100 * time.Millisecond) {
+			if err := root.MergeObserved(now, leaf.GossipObserved(now, 200)); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	for i := range refused * crashes {
+		leaf.RecordObservedCrash(now, fmt.Sprint("upstream-", i), now, lostNow(now, Fingerprint(1+i%refused)))
+	}
+	tell(20 * time.Second)
+	leaf.RecordObservedCrash(now, "upstream-new", now, lostNow(now, 100))
+	tell(time.Second)
+	if root.observedCrashes(now, 100) == 0 {
+		t.Error("an entry has not been told a second after its crash")
+	}
+}
+
 // An upstream ends each 700 ms under requests of which one has a bad part, each time at another router, and with
 // it many that had begun. Guards against news of the part that waits for seconds at the router which all news of a
 // region goes through.
