quarantine: what is refused is told as one fact, and new entries before repeats

Callers of a request that crashes its upstreams got 502 at one router after the other for 25 s, others of its pool were refused. Cause: routers told all entries of a refused request again at each of its crashes, and repeated them for as long as it was refused, in 512 bytes a second; an entry that was never told waited behind all of them. So each router needed crashes of its own, which made more entries. Class: a bounded channel in which what is known passes what is new, and news that grows with the fault.

Change: a Restriction (fingerprint, since, failed trials, lifted) of 32 bytes at most is what routers tell for as long as a request is refused or tried, at most 160 bytes a second of repeats; entries are told for 30 s, those never told first. A restriction ends when a request is served or survived, or when the router that began it finds that its entries say so no longer. Ruled out: only another order (trial: holds with six streams, not with two plain causes beside them).

TestNewEntriesAreToldBeforeRepeats failed, passes. TestConvictionsAreRepeatedForRoutersThatStart asks for the restriction in place of three entries, and that nothing else is told; the exchange in TestClearedEntriesAreToldToWhoSuspectsThem has both messages.

--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -22,6 +22,7 @@
 	served        servedSet   // contents of requests
 	partsServed   servedTimes // parts of prompts
 	survivals     survivals
+	restrictions  map[Fingerprint]*restriction
 
 	decisionChanges []DecisionChange // since TakeDecisionChanges
 }
@@ -36,6 +37,7 @@
 		byCrash:       make(map[Crash][]*Entry),
 		grants:        make(map[Fingerprint]time.Time),
 		outbox:        newOutbox(),
+		restrictions:  make(map[Fingerprint]*restriction),
 	}
 }
 
@@ -205,6 +207,7 @@
 	for _, e := range t.byFingerprint[p] {
 		t.raiseStatus(now, e, Cleared)
 	}
+	t.lift(now, p, true)
 }
 
 // ClearIfSurvived reports whether p, which has run alone since the time started, has run
--- a/internal/quarantine/cases.go
+++ b/internal/quarantine/cases.go
@@ -18,11 +18,15 @@
 // Cases returns the fingerprints that may not run as usual, in ascending order.
 func (t *Table) Cases(now time.Time) []Case {
 	var out []Case
-	for p, entries := range t.byFingerprint {
+	for p := range t.restrictedOrLost() {
+		entries := t.byFingerprint[p]
 		c := Case{Fingerprint: p, Action: t.actionOn(now, p), Crashes: t.crashCount(now, entries)}
 		if c.Action == Allow {
 			continue
 		}
+		if r, ok := t.inForce(now, p); ok {
+			c.Until, c.Crashes = r.Since.Add(r.ttl()), max(c.Crashes, crashesToConvict)
+		}
 		for _, e := range entries {
 			if until := e.At.Add(e.ttl()); until.After(c.Until) {
 				c.Until = until
--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -70,11 +70,15 @@
 	if !n.entry.Observed || n.sent == 0 {
 		return true
 	}
-	pause := maxRepeat
-	if doublings := n.sent - 1; doublings < maxRepeatDoublings {
-		pause = min(firstRepeat<<doublings, maxRepeat)
+	return now.Sub(n.at) >= repeatPause(n.sent)
+}
+
+// repeatPause returns the pause after the last of so many messages.
+func repeatPause(sent int) time.Duration {
+	if doublings := sent - 1; doublings < maxRepeatDoublings {
+		return min(firstRepeat<<doublings, maxRepeat)
 	}
-	return now.Sub(n.at) >= pause
+	return maxRepeat
 }
 
 // maxRepeatDoublings is the number of doublings of firstRepeat after which maxRepeat is reached.
@@ -95,14 +99,6 @@
 	}
 }
 
-// addAll adds the entries that convict a fingerprint. Some may have been sent long ago, and a router
-// that has started since would not convict it.
-func (t *outbox) addAll(now time.Time, entries []*Entry) {
-	for _, e := range entries {
-		t.add(now, e)
-	}
-}
-
 func (t *outbox) drop(e *Entry) {
 	delete(t.pending, e.key())
 }
@@ -144,15 +140,13 @@
 	return out
 }
 
-// pick returns the entries to send, in order: first those of fingerprints with several crashes, which may soon be
-// refused, or were and are cleared; then those sent least often, then those with the highest status. It
-// removes entries that are older than gossipPeriod, unless a fingerprint is refused or tried because of them.
+// pick returns the entries to send, in the order of their turns, then those sent least often, then those with the
+// highest status. It removes entries that are older than gossipPeriod: restrictions last longer.
 func (t *Table) pick(now time.Time, observed bool) []*Entry {
 	pending := t.outbox.pending
 	current := make([]*pendingEntry, 0, len(pending))
 	for k, n := range pending {
-		isOld := now.Sub(n.since) > gossipPeriod && !(n.entry.Observed && t.isHeldResponsible(now, n.entry.Fingerprint))
-		if isOld || !n.entry.isLive(now) {
+		if now.Sub(n.since) > gossipPeriod || !n.entry.isLive(now) {
 			delete(pending, k)
 			continue
 		}
@@ -160,10 +154,9 @@
 			current = append(current, n)
 		}
 	}
-	hasSeveral := func(n *pendingEntry) int { return min(len(t.byFingerprint[n.entry.Fingerprint]), crashesToSuspect) }
 	slices.SortFunc(current, func(x, y *pendingEntry) int {
 		return cmp.Or(
-			cmp.Compare(hasSeveral(y), hasSeveral(x)),
+			cmp.Compare(t.turn(x), t.turn(y)),
 			cmp.Compare(x.sent, y.sent),
 			cmp.Compare(y.entry.Status, x.entry.Status),
 			compare(x.entry, y.entry),
@@ -176,6 +169,39 @@
 	return out
 }
 
+// sendTurn is when an entry has its turn to be sent: lower values come first.
+type sendTurn uint8
+
+const (
+	// turnRepeated is that of an entry that was not sent and whose fingerprint has several crashes: it may soon be
+	// refused, or was and is cleared.
+	turnRepeated sendTurn = iota
+	// turnOwn is that of an entry that was not sent and that nobody else may know.
+	turnOwn
+	// turnSecond is that of the first repeat of an entry whose fingerprint has several crashes: a message may be lost.
+	turnSecond
+	// turnTold is that of an entry that was not sent, and that another process has told.
+	turnTold
+	// turnAgain is that of all further repeats, which must not delay what was not sent yet.
+	turnAgain
+)
+
+func (t *Table) turn(n *pendingEntry) sendTurn {
+	known := len(t.byFingerprint[n.entry.Fingerprint])
+	hasSeveral := known >= crashesToSuspect && (known <= crashesToConvict || n.entry.Tried || n.entry.Status == Cleared)
+	switch {
+	case n.sent == 0 && hasSeveral:
+		return turnRepeated
+	case n.sent == 0 && (n.entry.own || !n.entry.Observed):
+		return turnOwn
+	case n.sent == 1 && hasSeveral:
+		return turnSecond
+	case n.sent == 0:
+		return turnTold
+	}
+	return turnAgain
+}
+
 func compare(x, y *Entry) int {
 	if isEarlier(x, y) {
 		return -1
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -98,7 +98,7 @@
 	}
 	if e.Observed {
 		before := t.DecideObserved(now, e.Fingerprint).Action
-		defer func() { t.recordDecisionChange(now, before, &e) }()
+		defer func() { t.recordDecisionChange(now, before, change{p: e.Fingerprint, told: !e.own, at: e.At}) }()
 	}
 	told := e.Status
 	if e.Observed && e.Status == Suspect && t.wasServedSince(e.At, e.Fingerprint) {
@@ -112,6 +112,7 @@
 			if known.Status > told {
 				t.outbox.addAgain(now, known)
 			}
+			t.review(now, known)
 			return
 		}
 	}
@@ -128,9 +129,16 @@
 		return
 	}
 	t.clearIfMostSurvived(now, e.Fingerprint)
-	if t.isHeldResponsible(now, e.Fingerprint) {
-		t.outbox.addAll(now, t.byFingerprint[e.Fingerprint])
+	t.review(now, &e)
+}
+
+// review brings the restrictions into line with the entries, of which one has changed.
+func (t *Table) review(now time.Time, e *Entry) {
+	if !e.Observed {
+		return
 	}
+	t.reviewOwn(now)
+	t.restrictByEvidence(now, e.Fingerprint)
 }
 
 // raiseStatus sets a higher status; a lower one has no effect. An outcome ends the
@@ -154,6 +162,7 @@
 			}
 		}
 	}
+	t.expireRestrictions(now)
 }
 
 // evict makes room for e and reports whether e may be added. It removes expired entries
--- a/internal/quarantine/observed.go
+++ b/internal/quarantine/observed.go
@@ -88,6 +88,9 @@
 			retracted = true
 		}
 	}
+	if retracted {
+		t.reviewOwn(now)
+	}
 	return retracted
 }
 
--- a/internal/quarantine/observeddecision.go
+++ b/internal/quarantine/observeddecision.go
@@ -53,14 +53,27 @@
 // DecideAmong is DecideObserved for one of the fingerprints of a request. Crashes at which another one of them was
 // are not explained by it: the request has both.
 func (t *Table) DecideAmong(now time.Time, p Fingerprint, prints []Fingerprint) ObservedDecision {
+	d, _ := t.decideByEvidence(now, p, prints)
+	if r, ok := t.inForce(now, p); ok {
+		if restricted := r.decide(now); restricted.strictness() > d.strictness() || restricted.Action == Refuse && restricted.Until.After(d.Until) {
+			restricted.Crashes = max(restricted.Crashes, d.Crashes)
+			restricted.Explained = d.Explained
+			return restricted
+		}
+	}
+	return d
+}
+
+// decideByEvidence is DecideAmong from the entries alone.
+func (t *Table) decideByEvidence(now time.Time, p Fingerprint, prints []Fingerprint) (ObservedDecision, crashCounts) {
 	if len(t.byFingerprint[p]) == 0 {
-		return ObservedDecision{Action: Allow}
+		return ObservedDecision{Action: Allow}, crashCounts{}
 	}
 	c := t.countCrashes(now, p, prints)
 	if p.IsPart() {
-		return c.decidePart(now, p)
+		return c.decidePart(now, p), c
 	}
-	return c.decideContent(p)
+	return c.decideContent(p), c
 }
 
 // crashCounts is what the observed crashes of a fingerprint say of it.
@@ -160,26 +173,27 @@
 // crashes to be the cause.
 func (t *Table) isExplainedByCount(now time.Time, e *Entry, prints []Fingerprint) bool {
 	return slices.ContainsFunc(t.byCrash[e.Crash], func(o *Entry) bool {
-		return o.countsAt(now) && !slices.Contains(prints, o.Fingerprint) && t.observedCrashes(now, o.Fingerprint) >= crashesToConvict
+		return o.countsAt(now) && !slices.Contains(prints, o.Fingerprint) && t.mayBeCause(now, o.Fingerprint)
 	})
 }
 
+// mayBeCause reports whether a fingerprint has enough crashes to be the cause of any of them.
+func (t *Table) mayBeCause(now time.Time, p Fingerprint) bool {
+	_, restricted := t.inForce(now, p)
+	return restricted || t.observedCrashes(now, p) >= crashesToConvict
+}
+
 // isConvictedByCount reports whether observed crashes convict p.
 func (t *Table) isConvictedByCount(now time.Time, p Fingerprint) bool {
 	return t.DecideObserved(now, p).Action == Refuse
 }
 
-// isHeldResponsible reports whether p is refused or to be tried for observed crashes.
-func (t *Table) isHeldResponsible(now time.Time, p Fingerprint) bool {
-	return t.DecideObserved(now, p).strictness() >= ObservedDecision{Action: Try}.strictness()
-}
-
 // MayTryAt returns a function that reports whether a request that is to be tried may be tried at an upstream:
 // two that run at one upstream when it crashes tell nothing. Of the fingerprints that are to be tried, each upstream
 // has one that ranks first. Tables with the same entries agree on it.
 func (t *Table) MayTryAt(now time.Time, prints []Fingerprint) func(upstream string) bool {
 	var own, others []Fingerprint
-	for q := range t.byFingerprint {
+	for q := range t.restrictedOrLost() {
 		d := t.DecideObserved(now, q)
 		switch {
 		case d.Action != Try || now.Sub(d.Since) >= trialTimeout:
@@ -194,6 +208,18 @@
 	}
 }
 
+// restrictedOrLost returns the fingerprints that have entries or restrictions.
+func (t *Table) restrictedOrLost() map[Fingerprint]struct{} {
+	out := make(map[Fingerprint]struct{}, len(t.byFingerprint)+len(t.restrictions))
+	for p := range t.byFingerprint {
+		out[p] = struct{}{}
+	}
+	for p := range t.restrictions {
+		out[p] = struct{}{}
+	}
+	return out
+}
+
 func highestTrialScore(upstream string, prints []Fingerprint) uint64 {
 	var highest uint64
 	for _, p := range prints {
--- /dev/null
+++ b/internal/quarantine/restriction.go
@@ -0,0 +1,240 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// Restriction says that requests with a fingerprint are refused at upstreams without a sidecar, or are to be tried.
+// It is what processes tell each other, and keep, of many entries: it stays the same size however many crashes there
+// are, and who knows it needs none of the entries.
+type Restriction struct {
+	Fingerprint  Fingerprint
+	Since        time.Time // in whole milliseconds
+	FailedTrials uint8     // zero: to be tried; noFurtherTrial: refused as long as it is valid
+	LiftedAt     time.Time // when it was last found that the restriction has no reason; zero: never
+	Cleared      bool      // a request with the fingerprint was served or survived, by LiftedAt
+	Stored       bool      // it is in the store
+}
+
+const (
+	// noFurtherTrial is the number of failed trials of a content that is refused without another trial.
+	noFurtherTrial = 255
+	// maxRestrictions bounds the restrictions in a Table. The oldest are dropped first.
+	maxRestrictions = 256
+)
+
+// ttl returns how long a restriction is valid.
+func (r Restriction) ttl() time.Duration {
+	if r.Fingerprint.IsPart() {
+		return failedTrialTTL
+	}
+	return SuspectTTL
+}
+
+// isValid reports whether the restriction is neither over nor from a clock that is wrong.
+func (r Restriction) isValid(now time.Time) bool {
+	changed := latest(r.Since, r.LiftedAt)
+	return now.Before(changed.Add(r.ttl())) && changed.Before(now.Add(maxClockSkew))
+}
+
+// refusedUntil returns when requests are to be tried.
+func (r Restriction) refusedUntil() time.Time {
+	switch r.FailedTrials {
+	case 0:
+		return r.Since
+	case noFurtherTrial:
+		return r.Since.Add(r.ttl())
+	}
+	return r.Since.Add(trialPause(int(r.FailedTrials)))
+}
+
+// isInForce reports whether the restriction has not been lifted since it began.
+func (r Restriction) isInForce() bool { return r.Since.After(r.LiftedAt) }
+
+// merge returns what follows from two restrictions of the same fingerprint: the latest end of a restriction ends all
+// that began before it, and of two that are in force the one that refuses longer remains.
+func (r Restriction) merge(o Restriction) Restriction {
+	switch {
+	case r.LiftedAt.Equal(o.LiftedAt):
+		r.Cleared = r.Cleared || o.Cleared
+	case r.LiftedAt.Before(o.LiftedAt):
+		r.LiftedAt, r.Cleared = o.LiftedAt, o.Cleared
+	}
+	o.LiftedAt, o.Cleared = r.LiftedAt, r.Cleared
+	switch {
+	case !o.isInForce():
+		return r
+	case !r.isInForce() || o.isStricterThan(r):
+		return o
+	}
+	r.Stored = r.Stored || o.Stored && o.isSame(r)
+	return r
+}
+
+func (r Restriction) isStricterThan(o Restriction) bool {
+	x, y := r.refusedUntil(), o.refusedUntil()
+	return x.After(y) || x.Equal(y) && r.FailedTrials > o.FailedTrials
+}
+
+// isSame reports whether two restrictions differ in Stored at most.
+func (r Restriction) isSame(o Restriction) bool {
+	return r.Since.Equal(o.Since) && r.FailedTrials == o.FailedTrials && r.LiftedAt.Equal(o.LiftedAt) && r.Cleared == o.Cleared
+}
+
+// restriction is a Restriction as a Table holds it.
+type restriction struct {
+	Restriction
+	own    bool // from the entries of this process
+	sent   int  // number of messages that carried it in its present form
+	sentAt time.Time
+}
+
+// decide returns how a request with the fingerprint may run.
+func (r Restriction) decide(now time.Time) ObservedDecision {
+	d := ObservedDecision{Fingerprint: r.Fingerprint, Crashes: crashesToConvict}
+	if until := r.refusedUntil(); now.Before(until) {
+		d.Action, d.Until = Refuse, until
+		return d
+	}
+	d.Action, d.Since = Try, r.refusedUntil()
+	return d
+}
+
+// inForce returns the restriction of a fingerprint that is valid and not lifted.
+func (t *Table) inForce(now time.Time, p Fingerprint) (Restriction, bool) {
+	r := t.restrictions[p]
+	if r == nil || !r.isInForce() || !r.isValid(now) {
+		return Restriction{}, false
+	}
+	return r.Restriction, true
+}
+
+// Restrictions returns the restrictions that are valid, those that were lifted included, in ascending order of their
+// fingerprints.
+func (t *Table) Restrictions(now time.Time) []Restriction {
+	var out []Restriction
+	for _, r := range t.restrictions {
+		if r.isValid(now) {
+			out = append(out, r.Restriction)
+		}
+	}
+	slices.SortFunc(out, func(x, y Restriction) int {
+		if x.Fingerprint < y.Fingerprint {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// MergeRestriction adds a restriction that another process has told of, or that is in the store.
+func (t *Table) MergeRestriction(now time.Time, r Restriction) {
+	if !r.isValid(now) {
+		return
+	}
+	before := t.DecideObserved(now, r.Fingerprint).Action
+	if !t.setRestriction(now, r, false) {
+		return
+	}
+	t.recordDecisionChange(now, before, change{p: r.Fingerprint, told: true, at: latest(r.Since, r.LiftedAt)})
+	if r.isInForce() && t.wasServedSince(r.Since, r.Fingerprint) {
+		t.lift(now, r.Fingerprint, true)
+	}
+	t.clearUntil(now, t.restrictions[r.Fingerprint].Restriction)
+}
+
+// clearUntil clears the entries of a fingerprint that are older than a request which was served or survived.
+func (t *Table) clearUntil(now time.Time, r Restriction) {
+	if !r.Cleared {
+		return
+	}
+	for _, e := range t.byFingerprint[r.Fingerprint] {
+		if !e.At.After(r.LiftedAt) {
+			t.raiseStatus(now, e, Cleared)
+		}
+	}
+}
+
+// setRestriction merges a restriction with what is known, and reports whether that has changed.
+func (t *Table) setRestriction(now time.Time, r Restriction, own bool) bool {
+	known := t.restrictions[r.Fingerprint]
+	if known == nil || !known.isValid(now) {
+		if known == nil && len(t.restrictions) >= maxRestrictions {
+			t.dropOldestRestriction()
+		}
+		t.restrictions[r.Fingerprint] = &restriction{Restriction: r, own: own}
+		t.changes++
+		return true
+	}
+	merged := known.merge(r)
+	if merged.isSame(known.Restriction) {
+		known.Stored = merged.Stored
+		return false
+	}
+	t.restrictions[r.Fingerprint] = &restriction{Restriction: merged, own: own}
+	t.changes++
+	return true
+}
+
+func (t *Table) dropOldestRestriction() {
+	var oldest *restriction
+	for _, r := range t.restrictions {
+		if oldest == nil || latest(r.Since, r.LiftedAt).Before(latest(oldest.Since, oldest.LiftedAt)) {
+			oldest = r
+		}
+	}
+	delete(t.restrictions, oldest.Fingerprint)
+}
+
+// restrictByEvidence sets the restriction that follows from the entries of a fingerprint.
+func (t *Table) restrictByEvidence(now time.Time, p Fingerprint) {
+	d, c := t.decideByEvidence(now, p, []Fingerprint{p})
+	r := Restriction{Fingerprint: p, Since: now.Truncate(time.Millisecond)}
+	switch {
+	case d.Action == Refuse && p.IsPart():
+		r.FailedTrials = uint8(min(c.failedTrials, noFurtherTrial-1))
+	case d.Action == Refuse:
+		r.FailedTrials = noFurtherTrial
+	case d.Action != Try:
+		return
+	}
+	if known, ok := t.inForce(now, p); ok && known.FailedTrials >= r.FailedTrials {
+		return
+	}
+	t.setRestriction(now, r, true)
+}
+
+// reviewOwn lifts the restrictions that follow from entries of this process no longer: others may be the cause of
+// crashes that seemed to be those of one fingerprint only, or an upstream has not crashed.
+func (t *Table) reviewOwn(now time.Time) {
+	for p, r := range t.restrictions {
+		if r.own && r.isInForce() && r.isValid(now) {
+			if d, _ := t.decideByEvidence(now, p, []Fingerprint{p}); d.strictness() < r.decide(r.Since).strictness() {
+				t.lift(now, p, false)
+				t.restrictByEvidence(now, p)
+			}
+		}
+	}
+}
+
+// lift ends the restriction of a fingerprint, at all processes.
+func (t *Table) lift(now time.Time, p Fingerprint, cleared bool) {
+	r := t.restrictions[p]
+	if r == nil || !r.isInForce() {
+		return
+	}
+	lifted := r.Restriction
+	// The clock of the process that began the restriction may be ahead.
+	lifted.LiftedAt, lifted.Cleared, lifted.Stored = latest(now.Truncate(time.Millisecond), r.Since), cleared, false
+	t.setRestriction(now, lifted, true)
+}
+
+// expireRestrictions removes the restrictions that are not valid any more.
+func (t *Table) expireRestrictions(now time.Time) {
+	for p, r := range t.restrictions {
+		if !r.isValid(now) {
+			delete(t.restrictions, p)
+		}
+	}
+}
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -24,6 +24,8 @@
 	Crashes []byte `cbor:"4,keyasint,omitempty"`
 	// Observed holds entries of crashes of upstreams without sidecars.
 	Observed []byte `cbor:"5,keyasint,omitempty"`
+	// Restrictions holds the requests that are refused or tried at upstreams without sidecars.
+	Restrictions []byte `cbor:"7,keyasint,omitempty"`
 	// Routers is the number of routers of the region that the sender knows.
 	Routers int `cbor:"2,keyasint,omitempty"`
 }
@@ -177,7 +179,7 @@
 	if !crashes.IsEmpty() {
 		leaving = leaving[:min(len(leaving), maxLeavingBesideCrashes)]
 	}
-	b, err := cbor.Marshal(sharingMessage{Pools: pools, Leaving: leaving, Crashes: crashes.Crashes, Observed: crashes.Observed, Routers: m.router.coldStart.routerCount(1)})
+	b, err := cbor.Marshal(sharingMessage{Pools: pools, Leaving: leaving, Crashes: crashes.Crashes, Observed: crashes.Observed, Restrictions: crashes.Restrictions, Routers: m.router.coldStart.routerCount(1)})
 	if err != nil {
 		slog.Error("the state to share with other routers could not be encoded", "error", err)
 		return nil
@@ -208,7 +210,7 @@
 		m.router.coldStart.reportedRouters.Store(int64(s.Routers))
 	}
 	m.mergeLeaving(now, s.Leaving)
-	if err := m.router.suspects.MergeNews(now, suspects.News{Crashes: s.Crashes, Observed: s.Observed}); err != nil {
+	if err := m.router.suspects.MergeNews(now, suspects.News{Crashes: s.Crashes, Observed: s.Observed, Restrictions: s.Restrictions}); err != nil {
 		meshMalformed.Inc()
 	}
 	m.router.logDecisionChanges()
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -57,25 +57,33 @@
 
 // News is what a router tells others of crashes.
 type News struct {
-	Crashes  json.RawMessage // of upstreams with sidecars
-	Observed []byte          // of those without
+	Crashes      json.RawMessage // of upstreams with sidecars
+	Observed     []byte          // of those without
+	Restrictions []byte          // of requests at upstreams without sidecars
 }
 
 // IsEmpty reports whether there is no news.
-func (n News) IsEmpty() bool { return len(n.Crashes) == 0 && len(n.Observed) == 0 }
+func (n News) IsEmpty() bool {
+	return len(n.Crashes) == 0 && len(n.Observed) == 0 && len(n.Restrictions) == 0
+}
 
 // Gossip returns news for other routers, in at most budget bytes.
 func (r *Registry) Gossip(now time.Time, budget int) News {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	restrictions := r.book.GossipRestrictions(now, budget/2)
+	budget -= len(restrictions)
 	observed := r.book.GossipObserved(now, budget)
-	return News{Observed: observed, Crashes: r.book.Gossip(now, budget-len(observed))}
+	return News{Restrictions: restrictions, Observed: observed, Crashes: r.book.Gossip(now, budget-len(observed))}
 }
 
 // MergeNews adds the news of another router.
 func (r *Registry) MergeNews(now time.Time, n News) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if err := r.book.MergeRestrictions(now, n.Restrictions); err != nil {
+		return err
+	}
 	if err := r.book.MergeObserved(now, n.Observed); err != nil {
 		return err
 	}
