router: requests that are refused for crashes outlive the routers, in the store

Callers: after each restart of all routers a request that crashes its upstreams cost three more of them, for ever, and others of its pool were refused. Cause: nothing outlived the routers' memory; design 0005 rejected a record in the store since each crash would cost a call. Class: what must hold longer than any process is kept in processes only.

Weighed: each router lists them at its start (a call a router, 358 in the whole fleet); the parent is asked at each start (knows nothing if all were killed).

--- a/internal/quarantine/restriction.go
+++ b/internal/quarantine/restriction.go
@@ -32,10 +32,12 @@
 	return SuspectTTL
 }
 
+// Expires returns when the restriction ceases to be valid.
+func (r Restriction) Expires() time.Time { return latest(r.Since, r.LiftedAt).Add(r.ttl()) }
+
 // isValid reports whether the restriction is neither over nor from a clock that is wrong.
 func (r Restriction) isValid(now time.Time) bool {
-	changed := latest(r.Since, r.LiftedAt)
-	return now.Before(changed.Add(r.ttl())) && changed.Before(now.Add(maxClockSkew))
+	return now.Before(r.Expires()) && latest(r.Since, r.LiftedAt).Before(now.Add(maxClockSkew))
 }
 
 // refusedUntil returns when requests are to be tried.
@@ -86,6 +88,8 @@
 type restriction struct {
 	Restriction
 	own    bool // from the entries of this process
+	kept   bool // the store has it in this form or an earlier one
+	taken  bool // TakeUnstored has returned it
 	sent   int  // number of messages that carried it in its present form
 	sentAt time.Time
 }
@@ -163,16 +167,17 @@
 		if known == nil && len(t.restrictions) >= maxRestrictions {
 			t.dropOldestRestriction()
 		}
-		t.restrictions[r.Fingerprint] = &restriction{Restriction: r, own: own}
+		t.restrictions[r.Fingerprint] = &restriction{Restriction: r, own: own, kept: r.Stored}
 		t.changes++
 		return true
 	}
+	kept := known.kept || r.Stored
 	merged := known.merge(r)
 	if merged.isSame(known.Restriction) {
-		known.Stored = merged.Stored
+		known.Stored, known.kept = known.Stored || merged.Stored, kept
 		return false
 	}
-	t.restrictions[r.Fingerprint] = &restriction{Restriction: merged, own: own}
+	t.restrictions[r.Fingerprint] = &restriction{Restriction: merged, own: own, kept: kept}
 	t.changes++
 	return true
 }
@@ -230,6 +235,29 @@
 	t.setRestriction(now, lifted, true)
 }
 
+// TakeUnstored returns the fingerprints whose restrictions this process is to write to the store, each once as long as
+// its restriction stays the same.
+func (t *Table) TakeUnstored(now time.Time) []Fingerprint {
+	var out []Fingerprint
+	for p, r := range t.restrictions {
+		if _, ok := t.Unstored(now, p); ok && !r.taken {
+			r.taken = true
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// Unstored returns the restriction of a fingerprint if this process is to write it to the store: one that it began and
+// that refuses requests, or one that it has changed since the store has it.
+func (t *Table) Unstored(now time.Time, p Fingerprint) (Restriction, bool) {
+	r := t.restrictions[p]
+	if r == nil || !r.own || r.Stored || !r.isValid(now) || !r.kept && !(r.isInForce() && r.FailedTrials > 0) {
+		return Restriction{}, false
+	}
+	return r.Restriction, true
+}
+
 // expireRestrictions removes the restrictions that are not valid any more.
 func (t *Table) expireRestrictions(now time.Time) {
 	for p, r := range t.restrictions {
--- a/internal/router/crashes.go
+++ b/internal/router/crashes.go
@@ -329,11 +329,13 @@
 	observedCrashes.Inc(evidence)
 	slog.Warn("upstream has crashed while it ran requests", "upstream", vm.ID, "addr", vm.Addr, "pool", vm.Pool,
 		"evidence", string(evidence), "lost", counts.Lost, "left", counts.Left, "recorded", counts.Recorded, "part_crashes", counts.PartCrashes)
-	r.logDecisionChanges()
+	r.applyDecisionChanges()
 }
 
-// logDecisionChanges logs the changes of decisions on requests that may crash upstreams.
-func (r *Router) logDecisionChanges() {
+// applyDecisionChanges logs the changes of decisions on requests that may crash upstreams, and stores those that are to
+// outlive the routers.
+func (r *Router) applyDecisionChanges() {
+	r.storeRestrictions()
 	for _, c := range r.suspects.TakeDecisionChanges() {
 		if c.Told {
 			crashNewsDelay.Observe(c.Delay)
--- a/internal/router/mesh.go
+++ b/internal/router/mesh.go
@@ -221,7 +221,9 @@
 
 // setReading records whether this router reads the store.
 func (m *mesh) setReading(reads bool) {
-	m.readsStore.Store(reads)
+	if before := m.readsStore.Swap(reads); reads && !before {
+		go m.router.readRestrictions(m.router.ctx)
+	}
 	if reads {
 		readsStoreInfo.Set(1)
 	} else {
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -213,7 +213,7 @@
 	if err := m.router.suspects.MergeNews(now, suspects.News{Crashes: s.Crashes, Observed: s.Observed, Restrictions: s.Restrictions}); err != nil {
 		meshMalformed.Inc()
 	}
-	m.router.logDecisionChanges()
+	m.router.applyDecisionChanges()
 	byHash := make(map[uint32]*Pool)
 	for name, p := range m.router.View().Pools {
 		byHash[shortHash(name)] = p
