quarantine: trials that prove nothing are followed by a pause, and restrictions are not begun anew

Class: an experiment without a bound on how often it may fail to tell.

Change: after two such trials the content, or the part, is refused for 3 s, then 6, 12 and so on: in that time the others are found, and the next trial is clear. A restriction says for how long it refuses.

TestTrialsThatProveNothingAreFew failed (20 trials in 20 s), passes.

--- a/internal/quarantine/observed.go
+++ b/internal/quarantine/observed.go
@@ -25,6 +25,12 @@
 	trialTimeout = 15 * time.Second
 	// observedCrashSeed separates the ids of observed crashes from those that sidecars give.
 	observedCrashSeed = 1
+	// maxUnclearTrials is how many trials of a content may be lost at crashes that others may be the cause of,
+	// until it is refused for a while: for unclearTrialPause, and twice as long after each further one. In that time
+	// the others are found, so that the next trial is clear.
+	maxUnclearTrials    = 2
+	unclearTrialPause   = 3 * time.Second
+	maxUnclearDoublings = 9
 	// servedFor is the shortest time for which a fingerprint counts as served after a request with
 	// it has run to its end, unless maxServed others have since.
 	servedFor = time.Minute
--- a/internal/quarantine/observed_test.go
+++ b/internal/quarantine/observed_test.go
@@ -304,3 +304,37 @@
 		t.Error("the only one left may not be tried everywhere")
 	}
 }
+
+// Two causes are at the same crashes in a small pool, and when one of them is tried a copy of the other is lost with it.
+// Guards against trials that prove nothing, one after the other, each of which costs an upstream.
+func TestTrialsThatProveNothingAreFew(t *testing.T) {
+	table := New("", 0)
+	crashedTogether(table, 3, 7, 8)
+	now := epoch
+	late := 0 // trials later than stableTime after the third crash, of which three are allowed
+	const stableTime, maxLate = 3 * time.Second, 3
+	for i := range 40 {
+		now = now.Add(time.Second)
+		if d := table.DecideObserved(now, 7); d.Action != Try {
+			if d.Action != Refuse {
+				t.Fatalf("%+v", d)
+			}
+			continue
+		}
+		if now.After(epoch.Add(stableTime)) {
+			late++
+		}
+		table.RecordObservedCrash(now, fmt.Sprint("upstream-", i), now, append(tried(7), lostNow(now, 8)...))
+	}
+	if late > maxLate {
+		t.Errorf("%d late trials in %v", late, now.Sub(epoch))
+	}
+	now = now.Add(maxTrialPause / 2)
+	if d := table.DecideObserved(now, 7); d.Action != Try {
+		t.Errorf("it may be a bystander, and %v later %+v", maxTrialPause/2, d)
+	}
+	table.RecordServed(now, 7)
+	if d := table.DecideObserved(now, 7); d.Action != Allow {
+		t.Errorf("it was served: %+v", d)
+	}
+}
--- a/internal/quarantine/observeddecision.go
+++ b/internal/quarantine/observeddecision.go
@@ -36,7 +36,8 @@
 //
 // The content of a request that was lost at as many crashes as convict is refused if no other fingerprint that may be
 // their cause was there, or if it was lost when it was tried. Otherwise each of them may be the cause or a
-// bystander: one copy of each is tried alone.
+// bystander: one copy of each is tried alone. If trials are lost together with others that may be the cause, it is
+// refused for a while, like a part: each trial costs an upstream, and the next one may prove as little.
 //
 // A part of prompts is never refused before a trial has failed: many requests share it, and none of those that
 // could clear it runs once it is refused. It is tried again after a while.
@@ -73,16 +74,36 @@
 	if p.IsPart() {
 		return c.decidePart(now, p), c
 	}
-	return c.decideContent(p), c
+	return c.decideContent(now, p), c
 }
 
 // crashCounts is what the observed crashes of a fingerprint say of it.
 type crashCounts struct {
-	ends         []time.Time // when each of its entries ends
-	explained    int         // of them, those that others may be the cause of
-	failedTrials int         // of the others, those at which it was tried
-	heardAt      time.Time   // when the latest crash was heard of
-	failedAt     time.Time   // when the latest failed trial was heard of
+	ends          []time.Time // when each of its entries ends
+	explained     int         // of them, those that others may be the cause of
+	unclearTrials int         // of the explained ones, those at which it was tried
+	failedTrials  int         // of the others, those at which it was tried
+	heardAt       time.Time   // when the latest crash was heard of
+	failedAt      time.Time   // when the latest lost trial was heard of
+}
+
+// unexplained returns the number of crashes of which nothing else may be the cause.
+func (c crashCounts) unexplained() int { return len(c.ends) - c.explained }
+
+// isCertain reports whether a content needs no further trial.
+func (c crashCounts) isCertain() bool {
+	return len(c.ends) >= crashesToConvict && (c.unexplained() >= crashesToConvict || c.failedTrials > 0)
+}
+
+// trialPause returns the time from the latest lost trial to the next one.
+func (c crashCounts) trialPause() time.Duration {
+	switch {
+	case c.failedTrials > 0:
+		return trialPause(c.failedTrials)
+	case c.unclearTrials >= maxUnclearTrials:
+		return min(unclearTrialPause<<min(c.unclearTrials-maxUnclearTrials, maxUnclearDoublings), maxTrialPause)
+	}
+	return 0
 }
 
 func (t *Table) countCrashes(now time.Time, p Fingerprint, prints []Fingerprint) crashCounts {
@@ -96,6 +117,10 @@
 		switch {
 		case t.isExplainedByCount(now, e, prints):
 			c.explained++
+			if e.Tried {
+				c.unclearTrials++
+				c.failedAt = latest(c.failedAt, e.heardAt)
+			}
 		case e.Tried:
 			c.failedTrials++
 			c.failedAt = latest(c.failedAt, e.heardAt)
@@ -105,45 +130,46 @@
 }
 
 func (c crashCounts) decision(p Fingerprint, a Action) ObservedDecision {
-	return ObservedDecision{Action: a, Fingerprint: p, Crashes: len(c.ends) - c.explained, Explained: c.explained}
+	return ObservedDecision{Action: a, Fingerprint: p, Crashes: c.unexplained(), Explained: c.explained}
 }
 
-func (c crashCounts) decideContent(p Fingerprint) ObservedDecision {
-	unexplained := len(c.ends) - c.explained
+func (c crashCounts) decideContent(now time.Time, p Fingerprint) ObservedDecision {
 	switch {
-	case len(c.ends) >= crashesToConvict && (unexplained >= crashesToConvict || c.failedTrials > 0):
+	case c.isCertain():
 		d := c.decision(p, Refuse)
 		slices.SortFunc(c.ends, time.Time.Compare)
 		d.Until = c.ends[len(c.ends)-crashesToConvict]
 		return d
 	case len(c.ends) >= crashesToConvict:
-		d := c.decision(p, Try)
-		d.Since = c.heardAt
-		return d
-	case unexplained >= crashesToSuspect:
+		return c.decideTrial(now, p)
+	case c.unexplained() >= crashesToSuspect:
 		return c.decision(p, RunAlone)
 	}
 	return c.decision(p, Allow)
 }
 
 func (c crashCounts) decidePart(now time.Time, p Fingerprint) ObservedDecision {
-	if c.failedTrials > 0 {
-		next := c.failedAt.Add(trialPause(c.failedTrials))
-		if now.Before(next) {
-			d := c.decision(p, Refuse)
-			d.Until = next
-			return d
-		}
-		d := c.decision(p, Try)
-		d.Since = latest(next, c.heardAt)
+	if c.failedTrials > 0 || len(c.ends) >= crashesToConvict {
+		return c.decideTrial(now, p)
+	}
+	return c.decision(p, Allow)
+}
+
+// decideTrial returns the decision on a fingerprint that is to be tried, or to be refused until the next trial.
+func (c crashCounts) decideTrial(now time.Time, p Fingerprint) ObservedDecision {
+	d := c.decision(p, Try)
+	d.Since = c.heardAt
+	pause := c.trialPause()
+	if pause == 0 {
 		return d
 	}
-	if len(c.ends) >= crashesToConvict {
-		d := c.decision(p, Try)
-		d.Since = c.heardAt
+	next := c.failedAt.Add(pause)
+	if now.Before(next) {
+		d.Action, d.Until = Refuse, next
 		return d
 	}
-	return c.decision(p, Allow)
+	d.Since = latest(next, c.heardAt)
+	return d
 }
 
 func latest(a, b time.Time) time.Time {
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -43,11 +43,16 @@
 func trialPause(failed int) time.Duration {
 	pause := firstTrialPause
 	for range failed - 1 {
-		pause = min(trialPauseFactor*pause, maxTrialPause)
+		pause = nextTrialPause(pause)
 	}
 	return pause
 }
 
+// nextTrialPause returns the pause after a trial that has failed after a pause.
+func nextTrialPause(pause time.Duration) time.Duration {
+	return min(trialPauseFactor*pause, maxTrialPause)
+}
+
 // servedTimes remembers when fingerprints were served last, of at least the maxServed latest.
 type servedTimes struct {
 	current, previous map[Fingerprint]time.Time
--- a/internal/quarantine/restriction.go
+++ b/internal/quarantine/restriction.go
@@ -9,19 +9,19 @@
 // It is what processes tell each other, and keep, of many entries: it stays the same size however many crashes there
 // are, and who knows it needs none of the entries.
 type Restriction struct {
-	Fingerprint  Fingerprint
-	Since        time.Time // in whole milliseconds
-	FailedTrials uint8     // zero: to be tried; noFurtherTrial: refused as long as it is valid
-	LiftedAt     time.Time // when it was last found that the restriction has no reason; zero: never
-	Cleared      bool      // a request with the fingerprint was served or survived, by LiftedAt
-	Stored       bool      // it is in the store
+	Fingerprint Fingerprint
+	Since       time.Time     // in whole milliseconds
+	RefusedFor  time.Duration // from Since on, in whole milliseconds; afterwards requests are to be tried
+	LiftedAt    time.Time     // when it was last found that the restriction has no reason; zero: never
+	Cleared     bool          // a request with the fingerprint was served or survived, by LiftedAt
+	Stored      bool          // it is in the store
 }
 
 const (
-	// noFurtherTrial is the number of failed trials of a content that is refused without another trial.
-	noFurtherTrial = 255
 	// maxRestrictions bounds the restrictions in a Table. The oldest are dropped first.
 	maxRestrictions = 256
+	// minStoredRefusal is for how long a restriction refuses requests that is worth a write to the store.
+	minStoredRefusal = firstTrialPause
 )
 
 // ttl returns how long a restriction is valid.
@@ -41,15 +41,7 @@
 }
 
 // refusedUntil returns when requests are to be tried.
-func (r Restriction) refusedUntil() time.Time {
-	switch r.FailedTrials {
-	case 0:
-		return r.Since
-	case noFurtherTrial:
-		return r.Since.Add(r.ttl())
-	}
-	return r.Since.Add(trialPause(int(r.FailedTrials)))
-}
+func (r Restriction) refusedUntil() time.Time { return r.Since.Add(r.RefusedFor) }
 
 // isInForce reports whether the restriction has not been lifted since it began.
 func (r Restriction) isInForce() bool { return r.Since.After(r.LiftedAt) }
@@ -76,12 +68,12 @@
 
 func (r Restriction) isStricterThan(o Restriction) bool {
 	x, y := r.refusedUntil(), o.refusedUntil()
-	return x.After(y) || x.Equal(y) && r.FailedTrials > o.FailedTrials
+	return x.After(y) || x.Equal(y) && r.RefusedFor > o.RefusedFor
 }
 
 // isSame reports whether two restrictions differ in Stored at most.
 func (r Restriction) isSame(o Restriction) bool {
-	return r.Since.Equal(o.Since) && r.FailedTrials == o.FailedTrials && r.LiftedAt.Equal(o.LiftedAt) && r.Cleared == o.Cleared
+	return r.Since.Equal(o.Since) && r.RefusedFor == o.RefusedFor && r.LiftedAt.Equal(o.LiftedAt) && r.Cleared == o.Cleared
 }
 
 // restriction is a Restriction as a Table holds it.
@@ -196,15 +188,20 @@
 func (t *Table) restrictByEvidence(now time.Time, p Fingerprint) {
 	d, c := t.decideByEvidence(now, p, []Fingerprint{p})
 	r := Restriction{Fingerprint: p, Since: now.Truncate(time.Millisecond)}
+	known, restricted := t.inForce(now, p)
+	isOver := known.RefusedFor > 0 && !r.Since.Before(known.refusedUntil())
 	switch {
-	case d.Action == Refuse && p.IsPart():
-		r.FailedTrials = uint8(min(c.failedTrials, noFurtherTrial-1))
+	case d.Action == Refuse && !p.IsPart() && c.isCertain():
+		r.RefusedFor = SuspectTTL
 	case d.Action == Refuse:
-		r.FailedTrials = noFurtherTrial
+		r.RefusedFor = c.trialPause()
+		if restricted && isOver {
+			r.RefusedFor = max(r.RefusedFor, nextTrialPause(known.RefusedFor)) // trials that this process knows nothing of
+		}
 	case d.Action != Try:
 		return
 	}
-	if known, ok := t.inForce(now, p); ok && known.FailedTrials >= r.FailedTrials {
+	if restricted && known.RefusedFor >= r.RefusedFor && !(isOver && r.RefusedFor > 0) {
 		return
 	}
 	t.setRestriction(now, r, true)
@@ -249,10 +246,10 @@
 }
 
 // Unstored returns the restriction of a fingerprint if this process is to write it to the store: one that it began and
-// that refuses requests, or one that it has changed since the store has it.
+// that refuses requests for long, or one that it has changed since the store has it.
 func (t *Table) Unstored(now time.Time, p Fingerprint) (Restriction, bool) {
 	r := t.restrictions[p]
-	if r == nil || !r.own || r.Stored || !r.isValid(now) || !r.kept && !(r.isInForce() && r.FailedTrials > 0) {
+	if r == nil || !r.own || r.Stored || !r.isValid(now) || !r.kept && !(r.isInForce() && r.RefusedFor >= minStoredRefusal) {
 		return Restriction{}, false
 	}
 	return r.Restriction, true
--- a/internal/quarantine/restriction_test.go
+++ b/internal/quarantine/restriction_test.go
@@ -22,10 +22,10 @@
 
 func drawRestriction(t *rapid.T) Restriction {
 	return Restriction{
-		Fingerprint:  Fingerprint(rapid.Uint64Range(1, 3).Draw(t, "fingerprint")) | Fingerprint(rapid.Uint64Range(0, 1).Draw(t, "part")<<63),
-		Since:        epoch.Add(time.Duration(rapid.Int64Range(0, 5).Draw(t, "since")) * time.Second),
-		FailedTrials: rapid.SampledFrom([]uint8{0, 1, 2, noFurtherTrial}).Draw(t, "failed trials"),
-		LiftedAt:     epoch.Add(time.Duration(rapid.Int64Range(-1, 5).Draw(t, "lifted")) * time.Second),
+		Fingerprint: Fingerprint(rapid.Uint64Range(1, 3).Draw(t, "fingerprint")) | Fingerprint(rapid.Uint64Range(0, 1).Draw(t, "part")<<63),
+		Since:       epoch.Add(time.Duration(rapid.Int64Range(0, 5).Draw(t, "since")) * time.Second),
+		RefusedFor:  rapid.SampledFrom([]time.Duration{0, time.Second, firstTrialPause, SuspectTTL}).Draw(t, "refused for"),
+		LiftedAt:    epoch.Add(time.Duration(rapid.Int64Range(-1, 5).Draw(t, "lifted")) * time.Second),
 	}
 }
 
@@ -62,7 +62,7 @@
 	from, to := New("", 0), New("", 0)
 	const n = maxRestrictions
 	for i := range n {
-		from.MergeRestriction(epoch, Restriction{Fingerprint: Fingerprint(i + 1), Since: epoch, FailedTrials: uint8(i), LiftedAt: epoch.Add(time.Duration(i%3-1) * time.Second), Stored: i%2 == 0})
+		from.MergeRestriction(epoch, Restriction{Fingerprint: Fingerprint(i + 1), Since: epoch, RefusedFor: time.Duration(i) * time.Second, LiftedAt: epoch.Add(time.Duration(i%3-1) * time.Second), Stored: i%2 == 0})
 	}
 	bytes := 0
 	const period = 30 * time.Second
@@ -91,8 +91,8 @@
 			t.Errorf("%q is accepted", m)
 		}
 	}
-	table.MergeRestriction(epoch, Restriction{Fingerprint: 1, Since: epoch.Add(time.Hour), FailedTrials: noFurtherTrial})
-	table.MergeRestriction(epoch, Restriction{Fingerprint: 1, Since: epoch.Add(-time.Hour), FailedTrials: noFurtherTrial})
+	table.MergeRestriction(epoch, Restriction{Fingerprint: 1, Since: epoch.Add(time.Hour), RefusedFor: SuspectTTL})
+	table.MergeRestriction(epoch, Restriction{Fingerprint: 1, Since: epoch.Add(-time.Hour), RefusedFor: SuspectTTL})
 	if len(table.restrictions) > 0 {
 		t.Errorf("%d restrictions", len(table.restrictions))
 	}
@@ -153,7 +153,7 @@
 func TestRestrictionsAreBounded(t *testing.T) {
 	table := New("", 0)
 	for i := range 2 * maxRestrictions {
-		table.MergeRestriction(epoch, Restriction{Fingerprint: Fingerprint(i + 1), Since: epoch.Add(time.Duration(i) * time.Millisecond), FailedTrials: noFurtherTrial})
+		table.MergeRestriction(epoch, Restriction{Fingerprint: Fingerprint(i + 1), Since: epoch.Add(time.Duration(i) * time.Millisecond), RefusedFor: SuspectTTL})
 	}
 	if len(table.restrictions) > maxRestrictions {
 		t.Errorf("%d restrictions", len(table.restrictions))
--- a/internal/quarantine/restrictiongossip.go
+++ b/internal/quarantine/restrictiongossip.go
@@ -11,12 +11,12 @@
 
 // restrictionCBOR is the wire form of a Restriction.
 type restrictionCBOR struct {
-	_            struct{} `cbor:",toarray"`
-	Fingerprint  Fingerprint
-	Since        int64 // Unix milliseconds
-	FailedTrials uint8
-	LiftedAt     int64 // Unix milliseconds; zero: never
-	Flags        uint8
+	_           struct{} `cbor:",toarray"`
+	Fingerprint Fingerprint
+	Since       int64  // Unix milliseconds
+	RefusedFor  uint32 // milliseconds
+	LiftedAt    int64  // Unix milliseconds; zero: never
+	Flags       uint8
 }
 
 const (
@@ -25,7 +25,7 @@
 
 	// restrictionBytes is the largest size of a restriction on the wire, and restrictionsHeader that of what is before
 	// them.
-	restrictionBytes   = 32
+	restrictionBytes   = 36
 	restrictionsHeader = 3
 	// restrictionBytesPerSecond bounds the repeats of restrictions: with many, each is repeated less often.
 	restrictionBytesPerSecond = 160
@@ -55,7 +55,7 @@
 	for i, r := range due {
 		r.sent++
 		r.sentAt = now
-		out[i] = restrictionCBOR{Fingerprint: r.Fingerprint, Since: r.Since.UnixMilli(), FailedTrials: r.FailedTrials}
+		out[i] = restrictionCBOR{Fingerprint: r.Fingerprint, Since: r.Since.UnixMilli(), RefusedFor: uint32(r.RefusedFor.Milliseconds())}
 		if !r.LiftedAt.IsZero() {
 			out[i].LiftedAt = r.LiftedAt.UnixMilli()
 		}
@@ -97,7 +97,7 @@
 		return errors.Wrap(err, "quarantine: malformed message of restrictions")
 	}
 	for _, r := range told {
-		restriction := Restriction{Fingerprint: r.Fingerprint, Since: time.UnixMilli(r.Since), FailedTrials: r.FailedTrials, Stored: r.Flags&storedFlag != 0, Cleared: r.Flags&clearedFlag != 0}
+		restriction := Restriction{Fingerprint: r.Fingerprint, Since: time.UnixMilli(r.Since), RefusedFor: time.Duration(r.RefusedFor) * time.Millisecond, Stored: r.Flags&storedFlag != 0, Cleared: r.Flags&clearedFlag != 0}
 		if r.LiftedAt != 0 {
 			restriction.LiftedAt = time.UnixMilli(r.LiftedAt)
 		}
--- a/internal/router/restrictions.go
+++ b/internal/router/restrictions.go
@@ -27,17 +27,17 @@
 
 // storedRestriction is the value of a restriction object. Its name is the fingerprint.
 type storedRestriction struct {
-	Fingerprint  uint64 `json:"fingerprint"`
-	Since        int64  `json:"since_ms"` // Unix milliseconds
-	FailedTrials uint8  `json:"failed_trials"`
-	LiftedAt     int64  `json:"lifted_at_ms,omitempty"` // Unix milliseconds
-	Cleared      bool   `json:"cleared,omitempty"`
-	KeepUntil    int64  `json:"keep_until"` // Unix seconds; it may be removed afterwards
+	Fingerprint uint64 `json:"fingerprint"`
+	Since       int64  `json:"since_ms"` // Unix milliseconds
+	RefusedFor  int64  `json:"refused_for_ms"`
+	LiftedAt    int64  `json:"lifted_at_ms,omitempty"` // Unix milliseconds
+	Cleared     bool   `json:"cleared,omitempty"`
+	KeepUntil   int64  `json:"keep_until"` // Unix seconds; it may be removed afterwards
 }
 
 func newStoredRestriction(r quarantine.Restriction) storedRestriction {
 	s := storedRestriction{
-		Fingerprint: uint64(r.Fingerprint), Since: r.Since.UnixMilli(), FailedTrials: r.FailedTrials, Cleared: r.Cleared,
+		Fingerprint: uint64(r.Fingerprint), Since: r.Since.UnixMilli(), RefusedFor: r.RefusedFor.Milliseconds(), Cleared: r.Cleared,
 		KeepUntil: r.Expires().Unix() + 1,
 	}
 	if !r.LiftedAt.IsZero() {
@@ -48,7 +48,7 @@
 
 func (s storedRestriction) restriction() quarantine.Restriction {
 	r := quarantine.Restriction{
-		Fingerprint: quarantine.Fingerprint(s.Fingerprint), Since: time.UnixMilli(s.Since), FailedTrials: s.FailedTrials, Cleared: s.Cleared, Stored: true,
+		Fingerprint: quarantine.Fingerprint(s.Fingerprint), Since: time.UnixMilli(s.Since), RefusedFor: time.Duration(s.RefusedFor) * time.Millisecond, Cleared: s.Cleared, Stored: true,
 	}
 	if s.LiftedAt != 0 {
 		r.LiftedAt = time.UnixMilli(s.LiftedAt)
