--- a/test/soak/crashing_test.go
+++ b/test/soak/crashing_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -55,6 +57,55 @@
 	})
 }
 
+// restartFaults are the disturbances that make routers forget.
+var restartFaults = []fault{
+	{"all routers are killed", false, (*harness).killAllRouters},
+}
+
+const (
+	// routerLearnsIn is how long after its start a router knows the requests that are refused.
+	routerLearnsIn = 2 * time.Second
+	// restartPause is the time from a restart of all routers to the next one.
+	restartPause = 2 * routerLearnsIn
+)
+
+// Several requests crash the few runners of a plain service, while all routers are killed at once, again and again.
+// Guards against restarts that cost further runners, since nothing outlives what routers know. Run by hand with as many
+// routers as the machine bears: -entries 30.
+func TestSoakRestartsBesideRequestsThatCrashRunners(t *testing.T) {
+	t.Parallel()
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		h := newHarness(t, seed, false)
+		h.entryCount, h.runnersAtStart = max(5, *entryCount), 3
+		h.faults, h.crashingCalls, h.crashingCallsAfter = restartFaults, 1+int(seed/2%3), time.Second
+		h.crashesKnownIn = routerLearnsIn
+		h.play()
+	})
+}
+
+// killAllRouters kills all routers at once. They start again within a second of each other.
+func (h *harness) killAllRouters() {
+	if !h.restartMu.TryLock() {
+		return
+	}
+	defer h.restartMu.Unlock()
+	for _, e := range h.entries {
+		e.kill()
+	}
+	var starting sync.WaitGroup
+	for _, e := range h.entries {
+		pause := h.randomDuration(time.Millisecond, time.Second)
+		starting.Go(func() {
+			e.signal(syscall.SIGCONT)
+			e.waitExit(grace)
+			time.Sleep(pause)
+			h.checkError(e.start())
+		})
+	}
+	starting.Wait()
+	time.Sleep(restartPause)
+}
+
 // crashWay is how a request crashes the runner that runs it, and for how long its caller waits.
 type crashWay struct {
 	name     string
@@ -208,13 +259,13 @@
 	}
 }
 
-// disturbed reports whether the router that sent a run was started, killed or paused within
-// stableTime before the run.
+// disturbed reports whether the router that sent a run was started, killed or paused shortly before the run: within
+// stableTime, or within crashesKnownIn.
 func (h *harness) disturbed(run fake.Run) bool {
 	h.mu.Lock()
 	c := h.sent[run.ID]
 	h.mu.Unlock()
-	return c == nil || c.entry == nil || c.entry.disturbedDuring(span{run.At.Add(-stableTime), run.At})
+	return c == nil || c.entry == nil || c.entry.disturbedDuring(span{run.At.Add(-cmp.Or(h.crashesKnownIn, stableTime)), run.At})
 }
 
 // isRefusedForCrashes reports whether a call was refused because copies of it are said to crash runners.
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -58,6 +58,7 @@
 	beforeSurge        time.Duration // how long organisations send their usual traffic before a surge
 	surge              span          // in which organisations send more
 	crashWay           crashWay      // how they crash their runners
+	crashesKnownIn     time.Duration // how long after a start or a pause routers know what is refused; zero: stableTime
 	badParts           int           // parts of prompts that crash runners
 	// maxRestDelay is how long after a request a resting runner rejects it at most; zero: at once.
 	maxRestDelay time.Duration
