quarantine: a request and a part of its own prompt do not excuse each other in what is told

A stream and the part that no other request has are at the same crashes; each by itself seems to be explained by the other, so that routers told and stored 'to be tried' for a content that the one which knows both refuses. Who did not know its entries tried it once more. Now what follows for a content is worked out among the fingerprints of its request, at the crash and when a copy is refused; the restriction ends when the entries say the refusal ends.

TestRequestIsRefusedDespitePartsOfItsOwn failed (try), passes.

--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -138,7 +138,7 @@
 		return
 	}
 	t.reviewOwn(now)
-	t.restrictByEvidence(now, e.Fingerprint)
+	t.restrictByEvidence(now, e.Fingerprint, []Fingerprint{e.Fingerprint})
 }
 
 // raiseStatus sets a higher status; a lower one has no effect. An outcome ends the
--- a/internal/quarantine/observed.go
+++ b/internal/quarantine/observed.go
@@ -50,7 +50,8 @@
 		return cmp.Compare(a.Started.Sub(lastSign).Abs(), b.Started.Sub(lastSign).Abs())
 	})
 	before := t.size
-	for _, r := range running[:min(len(running), maxSuspectsPerCrash)] {
+	running = running[:min(len(running), maxSuspectsPerCrash)]
+	for _, r := range running {
 		for _, p := range t.suspectsOf(r) {
 			t.mergeEntry(now, Entry{
 				Fingerprint: p, Crash: observedCrash(upstream), VM: upstream, At: now.Truncate(time.Millisecond),
@@ -58,9 +59,21 @@
 			})
 		}
 	}
+	for _, r := range running {
+		t.RecordEvidence(now, r.Fingerprint, append([]Fingerprint{r.Fingerprint}, r.Parts...))
+	}
 	return t.size - before
 }
 
+// RecordEvidence sets the restriction that follows from the entries of a request's content. A caller that knows all
+// its fingerprints finds more than the entries of the content by itself show: a request that crashes upstreams and a
+// part of its prompt that no other request has are at the same crashes.
+func (t *Table) RecordEvidence(now time.Time, content Fingerprint, prints []Fingerprint) {
+	if content != 0 {
+		t.restrictByEvidence(now, content, prints)
+	}
+}
+
 // suspectsOf returns the fingerprints of a request that may be the cause of a crash at which it was lost.
 func (t *Table) suspectsOf(r RunningRequest) []Fingerprint {
 	var out []Fingerprint
--- a/internal/quarantine/restriction.go
+++ b/internal/quarantine/restriction.go
@@ -79,17 +79,18 @@
 // restriction is a Restriction as a Table holds it.
 type restriction struct {
 	Restriction
-	own    bool // from the entries of this process
-	kept   bool // the store has it in this form or an earlier one
-	taken  bool // TakeUnstored has returned it
-	sent   int  // number of messages that carried it in its present form
+	own    bool          // from the entries of this process
+	among  []Fingerprint // own: those of the request that it is known from
+	kept   bool          // the store has it in this form or an earlier one
+	taken  bool          // TakeUnstored has returned it
+	sent   int           // number of messages that carried it in its present form
 	sentAt time.Time
 }
 
 // decide returns how a request with the fingerprint may run.
 func (r Restriction) decide(now time.Time) ObservedDecision {
 	d := ObservedDecision{Fingerprint: r.Fingerprint, Crashes: crashesToConvict}
-	if until := r.refusedUntil(); now.Before(until) {
+	if until := r.refusedUntil(); r.RefusedFor > 0 && now.Before(until) {
 		d.Action, d.Until = Refuse, until
 		return d
 	}
@@ -184,15 +185,19 @@
 	delete(t.restrictions, oldest.Fingerprint)
 }
 
-// restrictByEvidence sets the restriction that follows from the entries of a fingerprint.
-func (t *Table) restrictByEvidence(now time.Time, p Fingerprint) {
-	d, c := t.decideByEvidence(now, p, []Fingerprint{p})
+// restrictByEvidence sets the restriction that follows from the entries of a fingerprint. The fingerprints of the
+// request that it is known from, among, explain none of its crashes: they are always there.
+func (t *Table) restrictByEvidence(now time.Time, p Fingerprint, among []Fingerprint) {
+	d, c := t.decideByEvidence(now, p, among)
 	r := Restriction{Fingerprint: p, Since: now.Truncate(time.Millisecond)}
 	known, restricted := t.inForce(now, p)
+	if lifted := t.restrictions[p]; lifted != nil && !lifted.isInForce() {
+		r.Since = latest(r.Since, lifted.LiftedAt.Add(time.Millisecond))
+	}
 	isOver := known.RefusedFor > 0 && !r.Since.Before(known.refusedUntil())
 	switch {
 	case d.Action == Refuse && !p.IsPart() && c.isCertain():
-		r.RefusedFor = SuspectTTL
+		r.RefusedFor = d.Until.Sub(r.Since)
 	case d.Action == Refuse:
 		r.RefusedFor = c.trialPause()
 		if restricted && isOver {
@@ -204,7 +209,9 @@
 	if restricted && known.RefusedFor >= r.RefusedFor && !(isOver && r.RefusedFor > 0) {
 		return
 	}
-	t.setRestriction(now, r, true)
+	if t.setRestriction(now, r, true) {
+		t.restrictions[p].among = among
+	}
 }
 
 // reviewOwn lifts the restrictions that follow from entries of this process no longer: others may be the cause of
@@ -212,9 +219,8 @@
 func (t *Table) reviewOwn(now time.Time) {
 	for p, r := range t.restrictions {
 		if r.own && r.isInForce() && r.isValid(now) {
-			if d, _ := t.decideByEvidence(now, p, []Fingerprint{p}); d.strictness() < r.decide(r.Since).strictness() {
+			if d, _ := t.decideByEvidence(now, p, r.among); d.strictness() < r.decide(r.Since).strictness() {
 				t.lift(now, p, false)
-				t.restrictByEvidence(now, p)
 			}
 		}
 	}
--- a/internal/quarantine/restriction_test.go
+++ b/internal/quarantine/restriction_test.go
@@ -166,3 +166,21 @@
 		t.Errorf("%d restrictions after an hour", len(table.restrictions))
 	}
 }
+
+// A stream crashes its upstreams, and with it a part of its prompt that no other request has. Guards against routers that
+// are told to try it, each once, since the two explain each other.
+func TestRequestIsRefusedDespitePartsOfItsOwn(t *testing.T) {
+	table, told := New("", 0), New("", 0)
+	const content, own = Fingerprint(7), Fingerprint(9) | partBit
+	for i := range 3 {
+		lost := lostWith(epoch, content, own)
+		table.RecordObservedCrash(epoch, fmt.Sprint("upstream-", i), epoch, lost)
+	}
+	restrictions := table.GossipRestrictions(epoch, 400)
+	if err := told.MergeRestrictions(epoch, restrictions); err != nil {
+		t.Fatal(err)
+	}
+	if got := told.DecideObserved(epoch, content, own); got.Action != Refuse || got.Fingerprint != content {
+		t.Errorf("%+v", got)
+	}
+}
--- a/internal/suspects/judgement.go
+++ b/internal/suspects/judgement.go
@@ -21,6 +21,7 @@
 	defer r.mu.Unlock()
 	j := Judgement{ObservedDecision: r.book.DecideObserved(now, prints...)}
 	if j.Action == quarantine.Refuse {
+		r.book.RecordEvidence(now, prints[0], prints)
 		return j
 	}
 	for _, p := range prints {
