--- a/internal/quarantine/observed.go
+++ b/internal/quarantine/observed.go
@@ -123,7 +123,7 @@
 // several of them are lost when a failure domain fails; their fingerprint must not be convicted.
 func (t *Table) RecordServed(now time.Time, p Fingerprint) {
 	t.served.add(now, p)
-	if len(t.byFingerprint[p]) > 0 {
+	if t.isKnown(p) {
 		t.RecordFinished(now, p)
 	}
 }
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -79,7 +79,7 @@
 func (t *Table) RecordPartsServed(now time.Time, parts []Fingerprint) {
 	for _, p := range parts {
 		t.partsServed.add(now, p)
-		if len(t.byFingerprint[p]) > 0 {
+		if t.isKnown(p) {
 			t.RecordFinished(now, p)
 		}
 	}
--- a/internal/quarantine/restriction.go
+++ b/internal/quarantine/restriction.go
@@ -107,6 +107,11 @@
 	return r.Restriction, true
 }
 
+// isKnown reports whether there are entries or a restriction of a fingerprint.
+func (t *Table) isKnown(p Fingerprint) bool {
+	return len(t.byFingerprint[p]) > 0 || t.restrictions[p] != nil
+}
+
 // Restrictions returns the restrictions that are valid, those that were lifted included, in ascending order of their
 // fingerprints.
 func (t *Table) Restrictions(now time.Time) []Restriction {
--- a/internal/quarantine/restriction_test.go
+++ b/internal/quarantine/restriction_test.go
@@ -184,3 +184,26 @@
 		t.Errorf("%+v", got)
 	}
 }
+
+// A router that has started since knows a restriction and none of its crashes, tries the request, and it is served. Guards
+// against a request, or a part of prompts, that is tried for good.
+func TestRestrictionEndsWhereOnlyItIsKnown(t *testing.T) {
+	for _, p := range []Fingerprint{7, 7 | partBit} {
+		started, other := New("", 0), New("", 0)
+		r := Restriction{Fingerprint: p, Since: epoch}
+		started.MergeRestriction(epoch, r)
+		other.MergeRestriction(epoch, r)
+		served := epoch.Add(2 * time.Second)
+		if p.IsPart() {
+			started.RecordPartsServed(served, []Fingerprint{p})
+		} else {
+			started.RecordServed(served, p)
+		}
+		tell(t, served, started, other, 400)
+		for _, table := range []*Table{started, other} {
+			if got := table.DecideObserved(served, p); got.Action != Allow {
+				t.Errorf("%v: %+v", p, got)
+			}
+		}
+	}
+}
