--- a/internal/quarantine/changes.go
+++ b/internal/quarantine/changes.go
@@ -6,11 +6,13 @@
 type DecisionChange struct {
 	Fingerprint  Fingerprint
 	From, To     Action
-	Crashes      int           // that count for the fingerprint, of which this process has entries
-	Explained    int           // of them, those that other fingerprints may be the cause of
-	FailedTrials int           // of the others, those at which it was tried
-	Told         bool          // another router has told of it
-	Delay        time.Duration // from the crash, or the begin of the restriction, to when this process knew it, by the clocks of both routers
+	Crashes      int  // that count for the fingerprint, of which this process has entries
+	Explained    int  // of them, those that other fingerprints may be the cause of
+	FailedTrials int  // of the others, those at which it was tried
+	Told         bool // another router has told of it
+	// Delay is the time from the crash, or from the begin of the restriction, to when this process knew it, by
+	// the clocks of both routers.
+	Delay time.Duration
 }
 
 // maxDecisionChanges bounds the changes that are kept until they are taken. Further ones are not kept.
--- a/internal/router/crashes.go
+++ b/internal/router/crashes.go
@@ -32,7 +32,7 @@
 	triedRequests = telemetry.NewCounter("router_tried_requests_total",
 		"Requests that were sent alone although as many upstreams have crashed under them as convict, since other requests may be the cause.")
 	crashNewsDelay = telemetry.NewHistogram("router_crash_news_seconds",
-		"Time from a crash of an upstream without a sidecar to when this router was told of it, if that changed a decision on a request.")
+		"Time from a crash of an upstream without a sidecar, or from the begin of a restriction, to when this router was told of it, if that changed a decision on a request.")
 	suspectRefusals = telemetry.NewCounter("router_suspect_refusals_total",
 		"Requests that were turned away for a moment because a copy of them that may crash its upstream was under way.")
 )
@@ -346,7 +346,7 @@
 	}
 }
 
-// logSuspectSent logs that a request is sent which was lost at crashes, and why it may be.
+// logSuspectSent logs that a request is sent which was lost at crashes, and what is known of these.
 func (resp *Response) logSuspectSent(j suspects.Judgement) {
 	if j.Crashes+j.Explained == 0 {
 		return
