router: an answer that the deadline has passed does not clear a request that crashes upstreams

The restriction was read from the store .04 s after the restart and told to all at 14.70 s; at 14.71 s a copy that had been sent before was answered 504, its deadline having passed in the queue of an upstream. The router took that for a request that has run to its end, and lifted the restriction at all. Class: an answer is taken for more than it says. The same cleared entries before restrictions.

Not mended: a late 504 to a copy that nobody awaits still counts as survived.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -85,6 +85,7 @@
 	vm          topo.VM
 	donor       topo.VM
 	tracker     *balance.Tracker // direct upstreams only: counts the attempt
+	timedOut    bool             // direct upstreams only: answered that the deadline has passed, which shows no run to its end
 	shedder     *shedding.Pool   // direct upstreams only: records how the attempt goes; nil: nothing is shed
 	watch       *balance.Watch   // direct upstreams only: records how the attempt goes
 	call        wire.Call
--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -252,6 +252,8 @@
 		at.watch.EndWait()
 		if countsAsOutcome(status) {
 			at.watch.RecordOutcome(status < http.StatusInternalServerError)
+		} else {
+			at.timedOut = true
 		}
 		if status >= http.StatusInternalServerError {
 			d.router.recordAnswered(at)
--- a/internal/router/log.go
+++ b/internal/router/log.go
@@ -133,7 +133,7 @@
 	took := time.Since(resp.started)
 	outcome, class := resp.outcome()
 	requestOutcomes.Inc(outcome)
-	if outcome == outcomeAnswered && resp.plan.Direct {
+	if outcome == outcomeAnswered && resp.plan.Direct && (resp.winner == nil || !resp.winner.timedOut) {
 		resp.router.suspects.Served(time.Now(), resp.prints[0])
 	}
 	responseTime.Observe(took)
