quarantine: a restriction does not hold where its crashes are cleared

Cause: three runners end at once under requests with a shared part of prompts. A router that has seen three of them, and not that the part was served meanwhile, begins a restriction (try) and tells it. Another router that knows two of the crashes as cleared took it as it was: a restriction named no evidence, so that what is known of the crashes could not be held against it. The router that began it lifts it one message later. Class: a conclusion that is passed on without what it rests on.

Traced by the routers' lines of changed decisions and a dump of the entries at the refusal.

Change: a restriction carries the earliest crash without which there are too few for it. It is not in force where an entry of a crash from then to its begin is cleared. This is computed from entries and restriction, so that it does not matter which came first. Restrictions that rest on a failed trial of a part name none. 41 bytes in place of 36.

Measured: TestRestrictionDoesNotHoldWhereItsCrashesAreCleared failed before, in both orders.

--- a/internal/quarantine/changes.go
+++ b/internal/quarantine/changes.go
@@ -33,7 +33,7 @@
 	}
 	c := t.countCrashes(now, by.p, []Fingerprint{by.p})
 	t.decisionChanges = append(t.decisionChanges, DecisionChange{
-		Fingerprint: by.p, From: from, To: to, Crashes: len(c.ends), Explained: c.explained, FailedTrials: c.failedTrials,
+		Fingerprint: by.p, From: from, To: to, Crashes: len(c.at), Explained: c.explained, FailedTrials: c.failedTrials,
 		Told: by.told, Delay: now.Sub(by.at),
 	})
 }
--- a/internal/quarantine/observeddecision.go
+++ b/internal/quarantine/observeddecision.go
@@ -79,7 +79,7 @@
 
 // crashCounts is what the observed crashes of a fingerprint say of it.
 type crashCounts struct {
-	ends          []time.Time // when each of its entries ends
+	at            []time.Time // of each of them
 	explained     int         // of them, those that others may be the cause of
 	unclearTrials int         // of the explained ones, those at which it was tried
 	failedTrials  int         // of the others, those at which it was tried
@@ -88,11 +88,17 @@
 }
 
 // unexplained returns the number of crashes of which nothing else may be the cause.
-func (c crashCounts) unexplained() int { return len(c.ends) - c.explained }
+func (c crashCounts) unexplained() int { return len(c.at) - c.explained }
 
 // isCertain reports whether a content needs no further trial.
 func (c crashCounts) isCertain() bool {
-	return len(c.ends) >= crashesToConvict && (c.unexplained() >= crashesToConvict || c.failedTrials > 0)
+	return len(c.at) >= crashesToConvict && (c.unexplained() >= crashesToConvict || c.failedTrials > 0)
+}
+
+// neededCrash returns the time of the earliest crash without which there are fewer than convict, of at least one.
+func (c crashCounts) neededCrash() time.Time {
+	at := slices.SortedFunc(slices.Values(c.at), time.Time.Compare)
+	return at[max(0, len(at)-crashesToConvict)]
 }
 
 // trialPause returns the time from the latest lost trial to the next one.
@@ -112,7 +118,7 @@
 		if !e.countsAt(now) {
 			continue
 		}
-		c.ends = append(c.ends, e.Expires())
+		c.at = append(c.at, e.At)
 		c.heardAt = latest(c.heardAt, e.heardAt)
 		switch {
 		case t.isExplainedByCount(now, e, prints):
@@ -137,10 +143,9 @@
 	switch {
 	case c.isCertain():
 		d := c.decision(p, Refuse)
-		slices.SortFunc(c.ends, time.Time.Compare)
-		d.Until = c.ends[len(c.ends)-crashesToConvict]
+		d.Until = c.neededCrash().Add(SuspectTTL)
 		return d
-	case len(c.ends) >= crashesToConvict:
+	case len(c.at) >= crashesToConvict:
 		return c.decideTrial(now, p)
 	case c.unexplained() >= crashesToSuspect:
 		return c.decision(p, RunAlone)
@@ -149,7 +154,7 @@
 }
 
 func (c crashCounts) decidePart(now time.Time, p Fingerprint) ObservedDecision {
-	if c.failedTrials > 0 || len(c.ends) >= crashesToConvict {
+	if c.failedTrials > 0 || len(c.at) >= crashesToConvict {
 		return c.decideTrial(now, p)
 	}
 	return c.decision(p, Allow)
@@ -179,6 +184,13 @@
 	return b
 }
 
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // countsAt reports whether the entry of an observed crash counts at now.
 func (e *Entry) countsAt(now time.Time) bool {
 	return e.Observed && e.Status == Suspect && e.isLive(now)
--- a/internal/quarantine/restriction.go
+++ b/internal/quarantine/restriction.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Restriction says that requests with a fingerprint are refused at upstreams without a sidecar, or are to be tried.
 // It is what processes tell each other, and keep, of many entries: it stays the same size however many crashes there
@@ -8,6 +12,7 @@
 type Restriction struct {
 	Fingerprint Fingerprint
 	Since       time.Time     // in whole milliseconds
+	NeededCrash time.Time     // the earliest crash without which there are too few for the restriction; zero: not known
 	RefusedFor  time.Duration // from Since on, in whole milliseconds; afterwards requests are to be tried
 	LiftedAt    time.Time     // when it was last found that the restriction has no reason; zero: never
 	Cleared     bool          // a request with the fingerprint was served or survived, by LiftedAt
@@ -63,15 +68,15 @@
 	return r
 }
 
-// isStricterThan reports whether the restriction refuses requests until later, or for longer until the same time.
+// isStricterThan reports whether the restriction refuses requests until later, or for longer until the same time, or
+// needs a later crash.
 func (r Restriction) isStricterThan(o Restriction) bool {
-	x, y := r.refusedUntil(), o.refusedUntil()
-	return x.After(y) || x.Equal(y) && r.RefusedFor > o.RefusedFor
+	return cmp.Or(r.refusedUntil().Compare(o.refusedUntil()), cmp.Compare(r.RefusedFor, o.RefusedFor), r.NeededCrash.Compare(o.NeededCrash)) > 0
 }
 
 // isSame reports whether two restrictions differ in Stored at most.
 func (r Restriction) isSame(o Restriction) bool {
-	return r.Since.Equal(o.Since) && r.RefusedFor == o.RefusedFor && r.LiftedAt.Equal(o.LiftedAt) && r.Cleared == o.Cleared
+	return r.Since.Equal(o.Since) && r.NeededCrash.Equal(o.NeededCrash) && r.RefusedFor == o.RefusedFor && r.LiftedAt.Equal(o.LiftedAt) && r.Cleared == o.Cleared
 }
 
 // restriction is a Restriction as a Table holds it.
@@ -96,15 +101,26 @@
 	return d
 }
 
-// inForce returns the restriction of a fingerprint that is valid and not lifted.
+// inForce returns the restriction of a fingerprint that is valid, not lifted and not refuted.
 func (t *Table) inForce(now time.Time, p Fingerprint) (Restriction, bool) {
 	r := t.restrictions[p]
-	if r == nil || !r.isInForce() || !r.isValid(now) {
+	if r == nil || !r.isInForce() || !r.isValid(now) || t.isRefuted(now, r.Restriction) {
 		return Restriction{}, false
 	}
 	return r.Restriction, true
 }
 
+// isRefuted reports whether a crash is cleared here that a restriction needs. The process that began the restriction
+// had not heard of that, and lifts it as soon as it does; until then the entries count here.
+func (t *Table) isRefuted(now time.Time, r Restriction) bool {
+	if r.NeededCrash.IsZero() {
+		return false
+	}
+	return slices.ContainsFunc(t.byFingerprint[r.Fingerprint], func(e *Entry) bool {
+		return e.Observed && e.Status == Cleared && e.isLive(now) && !e.At.Before(r.NeededCrash) && !e.At.After(r.Since)
+	})
+}
+
 // isKnown reports whether there are entries or a restriction of a fingerprint.
 func (t *Table) isKnown(p Fingerprint) bool {
 	return len(t.byFingerprint[p]) > 0 || t.restrictions[p] != nil
@@ -194,6 +210,9 @@
 	if restricted && known.RefusedFor >= r.RefusedFor && !(isOver && r.RefusedFor > 0) {
 		return
 	}
+	if !p.IsPart() || c.failedTrials == 0 { // a failed trial alone restricts a part
+		r.NeededCrash = earliest(c.neededCrash(), r.Since)
+	}
 	if t.setRestriction(now, r, true) {
 		t.restrictions[p].among = among
 	}
--- a/internal/quarantine/restriction_test.go
+++ b/internal/quarantine/restriction_test.go
@@ -36,6 +36,7 @@
 		Fingerprint: Fingerprint(rapid.Uint64Range(1, 3).Draw(t, "fingerprint")) | Fingerprint(rapid.Uint64Range(0, 1).Draw(t, "part")<<63),
 		Since:       epoch.Add(time.Duration(rapid.Int64Range(0, 5).Draw(t, "since")) * time.Second),
 		RefusedFor:  rapid.SampledFrom([]time.Duration{0, time.Second, firstTrialPause, SuspectTTL}).Draw(t, "refused for"),
+		NeededCrash: epoch.Add(time.Duration(rapid.Int64Range(-5, 0).Draw(t, "needed")) * time.Second),
 		LiftedAt:    epoch.Add(time.Duration(rapid.Int64Range(-1, 5).Draw(t, "lifted")) * time.Second),
 	}
 }
@@ -73,7 +74,7 @@
 	from, to := New("", 0), New("", 0)
 	const n = maxRestrictions
 	for i := range n {
-		from.MergeRestriction(epoch, Restriction{Fingerprint: Fingerprint(i + 1), Since: epoch, RefusedFor: time.Duration(i) * time.Second, LiftedAt: epoch.Add(time.Duration(i%3-1) * time.Second), Stored: i%2 == 0})
+		from.MergeRestriction(epoch, Restriction{Fingerprint: Fingerprint(i + 1), Since: epoch, RefusedFor: time.Duration(i) * time.Second, NeededCrash: epoch.Add(-time.Duration(i) * time.Millisecond), LiftedAt: epoch.Add(time.Duration(i%3-1) * time.Second), Stored: i%2 == 0})
 	}
 	bytes := 0
 	const period = 30 * time.Second
@@ -218,3 +219,36 @@
 		}
 	}
 }
+
+// Runners end for reasons of their own. One router has seen three end under requests with a part of prompts, and another
+// one has served the part since the second of them. Guards against a part that is tried at routers which know that it was
+// served, since one that does not has told them to.
+func TestRestrictionDoesNotHoldWhereItsCrashesAreCleared(t *testing.T) {
+	const part = Fingerprint(7) | partBit
+	lostAt := func(table *Table, after time.Duration, upstream string) {
+		at := epoch.Add(after)
+		table.RecordObservedCrash(at, upstream, at, lostWith(at, 0, part))
+	}
+	crashes := []time.Duration{0, 150 * time.Millisecond, 300 * time.Millisecond}
+	later := epoch.Add(6 * time.Second) // what the third router has served itself does not count
+	for _, restrictionFirst := range []bool{true, false} {
+		restricted, serving, third := New("", 0), New("", 0), New("", 0)
+		for i, after := range crashes {
+			lostAt(restricted, after, fmt.Sprint("upstream-", i))
+		}
+		for i, after := range crashes[:2] {
+			lostAt(serving, after, fmt.Sprint("upstream-", i))
+		}
+		serving.RecordPartsServed(epoch.Add(200*time.Millisecond), []Fingerprint{part})
+		order := []*Table{restricted, serving}
+		if !restrictionFirst {
+			slices.Reverse(order)
+		}
+		for _, from := range order {
+			tell(t, later, from, third, 400)
+		}
+		if got := third.DecideObserved(later, part); got.Action != Allow {
+			t.Errorf("restriction first %v: %+v", restrictionFirst, got)
+		}
+	}
+}
--- a/internal/quarantine/restrictiongossip.go
+++ b/internal/quarantine/restrictiongossip.go
@@ -14,6 +14,7 @@
 	_           struct{} `cbor:",toarray"`
 	Fingerprint Fingerprint
 	Since       int64  // Unix milliseconds
+	NeededFor   uint32 // milliseconds from NeededCrash to Since, if flagged
 	RefusedFor  uint32 // milliseconds
 	LiftedAt    int64  // Unix milliseconds; zero: never
 	Flags       uint8
@@ -22,10 +23,11 @@
 const (
 	storedFlag  = 0x01
 	clearedFlag = 0x02
+	neededFlag  = 0x04 // NeededCrash is known
 
 	// restrictionBytes is the largest size of a restriction on the wire, and restrictionsHeader that of what is before
 	// them.
-	restrictionBytes   = 36
+	restrictionBytes   = 41
 	restrictionsHeader = 3
 	// restrictionBytesPerSecond bounds the repeats of restrictions: with many, each is repeated less often.
 	restrictionBytesPerSecond = 160
@@ -59,6 +61,10 @@
 		if !r.LiftedAt.IsZero() {
 			out[i].LiftedAt = r.LiftedAt.UnixMilli()
 		}
+		if !r.NeededCrash.IsZero() {
+			out[i].NeededFor = uint32(r.Since.Sub(r.NeededCrash).Milliseconds())
+			out[i].Flags |= neededFlag
+		}
 		if r.Stored {
 			out[i].Flags |= storedFlag
 		}
@@ -104,6 +110,9 @@
 		if r.LiftedAt != 0 {
 			restriction.LiftedAt = time.UnixMilli(r.LiftedAt)
 		}
+		if r.Flags&neededFlag != 0 {
+			restriction.NeededCrash = restriction.Since.Add(-time.Duration(r.NeededFor) * time.Millisecond)
+		}
 		t.MergeRestriction(now, restriction)
 	}
 	return nil
--- a/internal/router/restrictions.go
+++ b/internal/router/restrictions.go
@@ -28,7 +28,8 @@
 // storedRestriction is the value of a restriction object. Its name is the fingerprint.
 type storedRestriction struct {
 	Fingerprint uint64 `json:"fingerprint"`
-	Since       int64  `json:"since_ms"` // Unix milliseconds
+	Since       int64  `json:"since_ms"`                  // Unix milliseconds
+	NeededCrash int64  `json:"needed_crash_ms,omitempty"` // Unix milliseconds; zero: not known
 	RefusedFor  int64  `json:"refused_for_ms"`
 	LiftedAt    int64  `json:"lifted_at_ms,omitempty"` // Unix milliseconds
 	Cleared     bool   `json:"cleared,omitempty"`
@@ -40,6 +41,9 @@
 		Fingerprint: uint64(r.Fingerprint), Since: r.Since.UnixMilli(), RefusedFor: r.RefusedFor.Milliseconds(), Cleared: r.Cleared,
 		KeepUntil: r.Expires().Unix() + 1,
 	}
+	if !r.NeededCrash.IsZero() {
+		s.NeededCrash = r.NeededCrash.UnixMilli()
+	}
 	if !r.LiftedAt.IsZero() {
 		s.LiftedAt = r.LiftedAt.UnixMilli()
 	}
@@ -50,6 +54,9 @@
 	r := quarantine.Restriction{
 		Fingerprint: quarantine.Fingerprint(s.Fingerprint), Since: time.UnixMilli(s.Since), RefusedFor: time.Duration(s.RefusedFor) * time.Millisecond, Cleared: s.Cleared, Stored: true,
 	}
+	if s.NeededCrash != 0 {
+		r.NeededCrash = time.UnixMilli(s.NeededCrash)
+	}
 	if s.LiftedAt != 0 {
 		r.LiftedAt = time.UnixMilli(s.LiftedAt)
 	}
