shares: an interval of the estimate ends with new totals

Cause: a router below the root gets a summary every 750 ms. The estimate computes rates in intervals of 250 ms from the difference of decayed rates; between two summaries these do not change, which reads as rejections that go on. So a surge's first rejections counted as saturation for some 3 s after the last one, in which the estimate followed down what the routers themselves admitted (.95 of it): 717 at 9.6 s, 662 at 12.7 s, of some 770. After a root was cut off the same stale totals kept refusing.

Change: Totals says when the other routers' rates were received; a sample is new only with new ones. The window is a second, of intervals of unequal lengths, in place of four intervals.

Measured: TestRateCapacityDoesNotFollowItself failed before (604 of 770).

--- a/internal/demand/account.go
+++ b/internal/demand/account.go
@@ -314,7 +314,9 @@
 	case a.isRoot && len(a.currentReports(now)) > 0:
 		return a.present(now).totals(true)
 	case !a.isRoot && a.hasCompleteSummary(now):
-		return a.replaced(now).totals(true)
+		t := a.replaced(now).totals(true)
+		t.ReceivedAt = a.summary.receivedAt
+		return t
 	}
 	return a.Own(now)
 }
--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -6,6 +6,8 @@
 // offered, in messages of bounded size, while one of them sees the pool as scarce.
 package demand
 
+import "time"
+
 // Class identifies the requests of one organisation that are admitted alike in a short pool.
 type Class struct {
 	Org         uint32 // hash of the organisation's name
@@ -29,4 +31,7 @@
 	Accepted float64 // attempts per second that upstreams accepted
 	Rejected float64 // attempts per second that upstreams rejected
 	Complete bool    // the totals cover all routers, not only this one and its subscribers
+	// ReceivedAt is when the rates of the other routers were received. Until the next summary they stay the same,
+	// whatever happens meanwhile. Zero: the rates are the present ones.
+	ReceivedAt time.Time
 }
--- a/internal/shares/rate.go
+++ b/internal/shares/rate.go
@@ -31,13 +31,13 @@
 	// intervalLength is the minimum length of the intervals in which rates are measured. In
 	// shorter ones the difference of two decaying rates is mostly noise.
 	intervalLength = 250 * time.Millisecond
-	// intervalCount is the number of the last intervals that are kept: one second together. Before
+	// windowLength is the time for which the last intervals are kept, at least. Before
 	// totals are complete for so long, the estimate is that of the decayed rates: the first totals
 	// lack the reports of routers that have just begun to report.
-	intervalCount = 4
-	// minSaturated is the number of these in which upstreams must have rejected attempts, so that
+	windowLength = time.Second
+	// minSaturatedPart is the part of the window in which upstreams must have rejected attempts, so that
 	// there is an estimate.
-	minSaturated = 2
+	minSaturatedPart = 0.5
 )
 
 // RateCapacity estimates the capacity of a pool whose upstreams report no load, from what they
@@ -47,7 +47,8 @@
 // upstreams began to reject. After a surge the rejections in them decay as slowly as the accepted
 // rate, so that the estimate would follow the traffic down and requests would be held back for
 // seconds. Therefore the rates within short intervals are computed from them, and the accepted rate
-// is that of the intervals in which upstreams rejected attempts.
+// is that of the intervals in which upstreams rejected attempts. An interval ends with new totals:
+// between two summaries the same ones would look like rejections that go on.
 type RateCapacity struct {
 	// MinAttempts is the rate of attempts per second below which the totals give no first estimate. Of
 	// a few attempts, one that is rejected looks like saturation.
@@ -60,7 +61,7 @@
 	neededAt   time.Time // last time when they did, or requests were held back
 	// The rest is about complete totals since the last incomplete ones.
 	last      sample
-	intervals []interval // the latest ones, at most intervalCount
+	intervals []interval // the latest ones, windowLength together as soon as there are enough
 }
 
 // sample is the decayed rates at a time.
@@ -71,6 +72,7 @@
 
 // interval is what upstreams did in an interval.
 type interval struct {
+	length             time.Duration
 	accepted, rejected float64 // attempts per second
 }
 
@@ -81,43 +83,47 @@
 	elapsed := max(0, now.Sub(c.updatedAt))
 	c.updatedAt = now
 	s := sample{now, sanitizeWork(t.Accepted), sanitizeWork(t.Rejected)}
+	if !t.ReceivedAt.IsZero() {
+		s.at = t.ReceivedAt
+	}
 	if t.Complete {
-		c.updateComplete(s, elapsed, offeredRate(t))
+		c.updateComplete(now, s, elapsed, offeredRate(t))
 	} else {
-		c.updateIncomplete(s)
+		c.updateIncomplete(now, s)
 	}
 	return c.capacity, c.used
 }
 
 // updateIncomplete keeps the estimate.
-func (c *RateCapacity) updateIncomplete(s sample) {
+func (c *RateCapacity) updateIncomplete(now time.Time, s sample) {
 	c.last, c.intervals = sample{}, c.intervals[:0]
 	if isSaturated(s.accepted, s.rejected) {
-		c.rejectedAt, c.neededAt = s.at, s.at
+		c.rejectedAt, c.neededAt = now, now
 	}
-	c.forget(s.at, incompleteRetention)
+	c.forget(now, incompleteRetention)
 }
 
-func (c *RateCapacity) updateComplete(s sample, elapsed time.Duration, offered float64) {
+func (c *RateCapacity) updateComplete(now time.Time, s sample, elapsed time.Duration, offered float64) {
 	isNew := c.addSample(s)
 	accepted, rejected, saturated := c.saturatedRates()
 	isEnough := s.accepted+s.rejected >= c.MinAttempts // for a first estimate
-	if (isEnough || c.capacity > 0) && saturated >= minSaturated && len(c.intervals) == intervalCount {
-		c.rejectedAt = s.at
+	window := c.window()
+	if (isEnough || c.capacity > 0) && window >= windowLength && saturated.Seconds() >= minSaturatedPart*window.Seconds() {
+		c.rejectedAt = now
 		if isNew {
 			c.capacity = c.measured(accepted, rejected)
 		}
 	} else if c.capacity > 0 {
-		c.grow(s.at, elapsed)
+		c.grow(now, elapsed)
 	} else if isEnough && isSaturated(s.accepted, s.rejected) {
 		// The decayed rate is partly that of the time before the surge. Too low an estimate costs those
 		// who ask for most, and is replaced within a second.
-		c.capacity, c.rejectedAt = min(probeFactor*s.accepted, maxWork), s.at
+		c.capacity, c.rejectedAt = min(probeFactor*s.accepted, maxWork), now
 	}
-	if offered > c.capacity || c.rejectedAt.Equal(s.at) {
-		c.neededAt = s.at
+	if offered > c.capacity || c.rejectedAt.Equal(now) {
+		c.neededAt = now
 	}
-	c.forget(s.at, estimateRetention)
+	c.forget(now, estimateRetention)
 	c.used = min(offered, c.capacity)
 }
 
@@ -130,7 +136,7 @@
 		perSecond = fastGrowthPerSecond
 	}
 	c.capacity = min(c.capacity*math.Pow(perSecond, elapsed.Seconds()), maxWork)
-	if len(c.intervals) == intervalCount {
+	if c.window() >= windowLength {
 		c.capacity = max(c.capacity, c.acceptedRate())
 	}
 }
@@ -138,13 +144,22 @@
 // acceptedRate returns the accepted rate of all intervals. The capacity is at least as large. An
 // estimate may be less if it is from the first complete totals, which lack some routers.
 func (c *RateCapacity) acceptedRate() float64 {
-	accepted := 0.0
+	accepted, window := 0.0, c.window().Seconds()
 	for _, i := range c.intervals {
-		accepted += i.accepted / float64(len(c.intervals))
+		accepted += i.accepted * i.length.Seconds() / window
 	}
 	return accepted
 }
 
+// window returns the length of the intervals together.
+func (c *RateCapacity) window() time.Duration {
+	var length time.Duration
+	for _, i := range c.intervals {
+		length += i.length
+	}
+	return length
+}
+
 // forget removes the estimate if it was not needed for a time.
 func (c *RateCapacity) forget(now time.Time, after time.Duration) {
 	if now.Sub(c.neededAt) >= after {
@@ -174,10 +189,10 @@
 	remaining := math.Exp(-length.Seconds() / ratesTimeConstant.Seconds())
 	accepted := max(0, s.accepted-c.last.accepted*remaining) / (1 - remaining)
 	rejected := max(0, s.rejected-c.last.rejected*remaining) / (1 - remaining)
-	if len(c.intervals) == intervalCount {
+	c.intervals = append(c.intervals, interval{length, accepted, rejected})
+	for c.window()-c.intervals[0].length >= windowLength {
 		c.intervals = append(c.intervals[:0], c.intervals[1:]...)
 	}
-	c.intervals = append(c.intervals, interval{accepted, rejected})
 	c.last = s
 	return true
 }
@@ -186,18 +201,20 @@
 	return rejected > 0 && rejected >= minRejectedPart*(accepted+rejected)
 }
 
-// saturatedRates returns the number of intervals in which upstreams rejected attempts, and the
+// saturatedRates returns the length of the intervals in which upstreams rejected attempts, and the
 // rates that they accepted and rejected in these.
-func (c *RateCapacity) saturatedRates() (accepted, rejected float64, count int) {
+func (c *RateCapacity) saturatedRates() (accepted, rejected float64, length time.Duration) {
 	for _, i := range c.intervals {
 		if isSaturated(i.accepted, i.rejected) {
-			accepted += i.accepted
-			rejected += i.rejected
-			count++
+			accepted += i.accepted * i.length.Seconds()
+			rejected += i.rejected * i.length.Seconds()
+			length += i.length
 		}
 	}
-	n := float64(max(count, 1))
-	return accepted / n, rejected / n, count
+	if length == 0 {
+		return 0, 0, 0
+	}
+	return accepted / length.Seconds(), rejected / length.Seconds(), length
 }
 
 // measured returns the estimate for the rates of saturated intervals. It is not reduced by more
--- a/internal/shares/rate_test.go
+++ b/internal/shares/rate_test.go
@@ -258,3 +258,36 @@
 		t.Errorf("the estimate falls from %v to %v", before, c.capacity)
 	}
 }
+
+// Upstreams cease to reject in a surge, since requests are held back. A router below the root learns of it with the next
+// summaries, in which the rejections decay. Guards against an estimate that follows down what is admitted according to it,
+// since the same summary looks like rejections that go on until the next one.
+func TestRateCapacityDoesNotFollowItself(t *testing.T) {
+	const offered, capacity, summaryInterval = 1250, 770, 750 * time.Millisecond
+	var c RateCapacity
+	present, received := demand.Totals{Accepted: 600, Rejected: 300, Complete: true}, demand.Totals{}
+	rates := func() (float64, float64) {
+		if admitted := 0.95 * c.capacity; c.capacity > 0 && admitted < capacity {
+			return admitted, 0
+		}
+		return capacity, 150
+	}
+	lowest := math.Inf(1)
+	for now := start; now.Before(start.Add(8 * time.Second)); now = now.Add(50 * time.Millisecond) {
+		accepted, rejected := rates()
+		weight := 1 - math.Exp(-0.05)
+		present.Accepted += weight * (accepted - present.Accepted)
+		present.Rejected += weight * (rejected - present.Rejected)
+		if now.Sub(received.ReceivedAt) >= summaryInterval {
+			received = present
+			received.ReceivedAt, received.Rates = now, []demand.Rate{rateOf(1, 0, offered)}
+		}
+		c.Update(now, received)
+		if now.Sub(start) >= 4*time.Second {
+			lowest = min(lowest, c.capacity)
+		}
+	}
+	if lowest < 0.95*capacity {
+		t.Errorf("upstreams can accept %v requests per second, the estimate falls to %.0f", capacity, lowest)
+	}
+}
