router: a request whose part was just at a third crash waits for news of it

What callers saw: when a domain ends at once, a router that lost requests with a shared part of prompts at three runners refuses the next ones with that part (503 suspect, one second) until it hears that others have served it.

Cause: the decision to try a part is taken from the crashes alone, a moment before the news that clears it can have come. Class: an answer that is final to its caller, given while what decides it is under way.

Ruled out: sending such requests meanwhile (a part that does crash runners would cost one for each request in .3 s).

Change: requests with a part that came to a third crash less than 300 ms ago wait, looked at every 50 ms, .3 s at most. Contents are refused as before: few others have served them.

--- a/internal/router/crashes.go
+++ b/internal/router/crashes.go
@@ -63,6 +63,7 @@
 func (resp *Response) applyObservedCrashes(now time.Time) *verdict.Error {
 	resp.prints = resp.req.directFingerprints(resp.poolName)
 	j := resp.judge(now)
+	now = time.Now() // it may have waited
 	part := resp.req.partOf(j.Fingerprint, resp.prints)
 	if part != "" && j.Action != quarantine.Allow {
 		resp.router.suspects.NamePart(j.Fingerprint, part)
@@ -117,14 +118,21 @@
 	checkWaitStep = 5 * time.Millisecond
 )
 
+// newsWaitStep is the pause between two looks at whether news of other routers has come.
+const newsWaitStep = 50 * time.Millisecond
+
 // judge returns how the request may be sent. If it would be held since upstreams with copies are not heard of, it
-// waits for the checks that are under way.
+// waits for the checks that are under way, and if a part of its prompt would be tried, for news of it.
 func (resp *Response) judge(now time.Time) suspects.Judgement {
 	j := resp.router.suspects.Judge(now, resp.prints)
 	for waited := time.Duration(0); j.IsHeld && waited < maxCheckWait; waited += checkWaitStep {
 		sleep(resp.ctx, checkWaitStep)
 		j = resp.router.suspects.Judge(time.Now(), resp.prints)
 	}
+	for waited := time.Duration(0); j.AwaitsNews(time.Now()) && waited < suspects.NewsDelay; waited += newsWaitStep {
+		sleep(resp.ctx, newsWaitStep)
+		j = resp.router.suspects.Judge(time.Now(), resp.prints)
+	}
 	return j
 }
 
--- a/internal/suspects/judgement.go
+++ b/internal/suspects/judgement.go
@@ -15,6 +15,17 @@
 	Silent []string // upstreams that have had a copy, or a request with one of its parts, and are not heard of since
 }
 
+// NewsDelay is how long news of what other routers have served takes, with a margin: two messages, each with the next
+// report or summary.
+const NewsDelay = 300 * time.Millisecond
+
+// AwaitsNews reports whether the request may have to wait for a trial only because news of the other routers is under
+// way: a part of prompts was at as many crashes as convict just now, and other routers may have served it since. A
+// domain that ends at once does that to each part that many requests share.
+func (j Judgement) AwaitsNews(now time.Time) bool {
+	return j.Action == quarantine.Try && j.Fingerprint.IsPart() && now.Sub(j.Since) < NewsDelay
+}
+
 // Judge returns how a request with these fingerprints may be sent.
 func (r *Registry) Judge(now time.Time, prints []quarantine.Fingerprint) Judgement {
 	r.mu.Lock()
