--- a/internal/quarantine/observeddecision.go
+++ b/internal/quarantine/observeddecision.go
@@ -79,7 +79,7 @@
 
 // crashCounts is what the observed crashes of a fingerprint say of it.
 type crashCounts struct {
-	at            []time.Time // of each of them
+	at            []time.Time // when they were
 	explained     int         // of them, those that others may be the cause of
 	unclearTrials int         // of the explained ones, those at which it was tried
 	failedTrials  int         // of the others, those at which it was tried
@@ -95,7 +95,7 @@
 	return len(c.at) >= crashesToConvict && (c.unexplained() >= crashesToConvict || c.failedTrials > 0)
 }
 
-// neededCrash returns the time of the earliest crash without which there are fewer than convict, of at least one.
+// neededCrash returns the time of the earliest crash without which there are fewer than convict. There must be a crash.
 func (c crashCounts) neededCrash() time.Time {
 	at := slices.SortedFunc(slices.Values(c.at), time.Time.Compare)
 	return at[max(0, len(at)-crashesToConvict)]
--- a/internal/quarantine/restrictiongossip.go
+++ b/internal/quarantine/restrictiongossip.go
@@ -62,7 +62,7 @@
 			out[i].LiftedAt = r.LiftedAt.UnixMilli()
 		}
 		if !r.NeededCrash.IsZero() {
-			out[i].NeededFor = uint32(r.Since.Sub(r.NeededCrash).Milliseconds())
+			out[i].NeededFor = uint32(max(0, r.Since.Sub(r.NeededCrash)).Milliseconds())
 			out[i].Flags |= neededFlag
 		}
 		if r.Stored {
--- a/internal/shares/rate.go
+++ b/internal/shares/rate.go
@@ -117,7 +117,7 @@
 		c.grow(now, elapsed)
 	} else if isEnough && isSaturated(s.accepted, s.rejected) {
 		// The decayed rate is partly that of the time before the surge. Too low an estimate costs those
-		// who ask for most, and is replaced within a second.
+		// who ask for most. It is measured anew while upstreams reject, and grows when they do not.
 		c.capacity, c.rejectedAt = min(probeFactor*s.accepted, maxWork), now
 	}
 	if offered > c.capacity || c.rejectedAt.Equal(now) {
