--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -186,8 +186,8 @@
 	turnAgain
 )
 
-// turn returns when an entry has its turn. Further crashes of a fingerprint that as many as convict are known of are no
-// more urgent than single ones: a restriction tells of it.
+// turn returns when an entry has its turn. Once as many crashes of a fingerprint are known as convict, further ones are
+// no more urgent than single ones: a restriction tells of it.
 func (t *Table) turn(n *pendingEntry) sendTurn {
 	known := len(t.byFingerprint[n.entry.Fingerprint])
 	hasSeveral := known >= crashesToSuspect && (known <= crashesToConvict || n.entry.Tried || n.entry.Status == Cleared)
--- a/internal/router/crashes.go
+++ b/internal/router/crashes.go
@@ -60,10 +60,10 @@
 // upstreams that it is refused, if such requests are at as many of which nothing is heard any more, or if it is
 // suspected and another one is under way, or another router is to try it. Suspected requests that run one by
 // one cost one upstream until they are convicted or cleared, and not one each.
-func (resp *Response) applyObservedCrashes(now time.Time) *verdict.Error {
+func (resp *Response) applyObservedCrashes() *verdict.Error {
 	resp.prints = resp.req.directFingerprints(resp.poolName)
-	j := resp.judge(now)
-	now = time.Now() // it may have waited
+	j := resp.judge()
+	now := time.Now()
 	part := resp.req.partOf(j.Fingerprint, resp.prints)
 	if part != "" && j.Action != quarantine.Allow {
 		resp.router.suspects.NamePart(j.Fingerprint, part)
@@ -123,16 +123,16 @@
 
 // judge returns how the request may be sent. If it would be held since upstreams with copies are not heard of, it
 // waits for the checks that are under way, and if a part of its prompt would be tried, for news of it.
-func (resp *Response) judge(now time.Time) suspects.Judgement {
-	j := resp.router.suspects.Judge(now, resp.prints)
-	for waited := time.Duration(0); j.IsHeld && waited < maxCheckWait; waited += checkWaitStep {
-		sleep(resp.ctx, checkWaitStep)
-		j = resp.router.suspects.Judge(time.Now(), resp.prints)
-	}
-	for waited := time.Duration(0); j.AwaitsNews(time.Now()) && waited < suspects.NewsDelay; waited += newsWaitStep {
-		sleep(resp.ctx, newsWaitStep)
-		j = resp.router.suspects.Judge(time.Now(), resp.prints)
+func (resp *Response) judge() suspects.Judgement {
+	j := resp.router.suspects.Judge(time.Now(), resp.prints)
+	judgeWhile := func(isOpen func() bool, step, most time.Duration) {
+		for waited := time.Duration(0); isOpen() && waited < most; waited += step {
+			sleep(resp.ctx, step)
+			j = resp.router.suspects.Judge(time.Now(), resp.prints)
+		}
 	}
+	judgeWhile(func() bool { return j.IsHeld }, checkWaitStep, maxCheckWait)
+	judgeWhile(func() bool { return j.AwaitsNews(time.Now()) }, newsWaitStep, suspects.NewsDelay)
 	return j
 }
 
--- a/internal/router/directoffer.go
+++ b/internal/router/directoffer.go
@@ -102,7 +102,7 @@
 		resp.shareCounted = true
 		resp.sessionShare = resp.pool.tracker.RecordRequest(now, resp.session, req.Profile.Name)
 	}
-	if err := resp.applyObservedCrashes(now); err != nil {
+	if err := resp.applyObservedCrashes(); err != nil {
 		resp.Close()
 		return nil, err
 	}
--- a/internal/shares/rate.go
+++ b/internal/shares/rate.go
@@ -1,7 +1,9 @@
 package shares
 
 import (
+	"iter"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/demand"
@@ -76,6 +78,24 @@
 	accepted, rejected float64 // attempts per second
 }
 
+func (i interval) isSaturated() bool { return isSaturated(i.accepted, i.rejected) }
+
+// mean returns the length of intervals together, and the mean of their rates.
+func mean(intervals iter.Seq[interval]) interval {
+	var sum interval
+	for i := range intervals {
+		seconds := i.length.Seconds()
+		sum.length += i.length
+		sum.accepted += i.accepted * seconds
+		sum.rejected += i.rejected * seconds
+	}
+	if seconds := sum.length.Seconds(); seconds > 0 {
+		sum.accepted /= seconds
+		sum.rejected /= seconds
+	}
+	return sum
+}
+
 // Update returns the estimated capacity and its use, in requests per second; both are 0 if there is
 // no estimate. While the totals are not complete, they cover too few routers to tell the capacity:
 // the last results are kept for up to 30 s.
@@ -105,13 +125,13 @@
 
 func (c *RateCapacity) updateComplete(now time.Time, s sample, elapsed time.Duration, offered float64) {
 	isNew := c.addSample(s)
-	accepted, rejected, saturated := c.saturatedRates()
+	window, saturated := c.window(), c.saturated()
 	isEnough := s.accepted+s.rejected >= c.MinAttempts // for a first estimate
-	window := c.window()
-	if (isEnough || c.capacity > 0) && window >= windowLength && saturated.Seconds() >= minSaturatedPart*window.Seconds() {
+	isSaturatedNow := window.length >= windowLength && saturated.length.Seconds() >= minSaturatedPart*window.length.Seconds()
+	if (isEnough || c.capacity > 0) && isSaturatedNow {
 		c.rejectedAt = now
 		if isNew {
-			c.capacity = c.measured(accepted, rejected)
+			c.capacity = c.measured(saturated)
 		}
 	} else if c.capacity > 0 {
 		c.grow(now, elapsed)
@@ -136,28 +156,25 @@
 		perSecond = fastGrowthPerSecond
 	}
 	c.capacity = min(c.capacity*math.Pow(perSecond, elapsed.Seconds()), maxWork)
-	if c.window() >= windowLength {
-		c.capacity = max(c.capacity, c.acceptedRate())
+	// The capacity is at least what upstreams accept. An estimate may be less if it is from the first
+	// complete totals, which lack some routers.
+	if window := c.window(); window.length >= windowLength {
+		c.capacity = max(c.capacity, window.accepted)
 	}
 }
 
-// acceptedRate returns the accepted rate of all intervals. The capacity is at least as large. An
-// estimate may be less if it is from the first complete totals, which lack some routers.
-func (c *RateCapacity) acceptedRate() float64 {
-	accepted, window := 0.0, c.window().Seconds()
-	for _, i := range c.intervals {
-		accepted += i.accepted * i.length.Seconds() / window
-	}
-	return accepted
-}
+// window returns the mean of the intervals that are kept.
+func (c *RateCapacity) window() interval { return mean(slices.Values(c.intervals)) }
 
-// window returns the length of the intervals together.
-func (c *RateCapacity) window() time.Duration {
-	var length time.Duration
-	for _, i := range c.intervals {
-		length += i.length
-	}
-	return length
+// saturated returns the mean of those in which upstreams rejected attempts.
+func (c *RateCapacity) saturated() interval {
+	return mean(func(yield func(interval) bool) {
+		for _, i := range c.intervals {
+			if i.isSaturated() && !yield(i) {
+				return
+			}
+		}
+	})
 }
 
 // forget removes the estimate if it was not needed for a time.
@@ -190,7 +207,7 @@
 	accepted := max(0, s.accepted-c.last.accepted*remaining) / (1 - remaining)
 	rejected := max(0, s.rejected-c.last.rejected*remaining) / (1 - remaining)
 	c.intervals = append(c.intervals, interval{length, accepted, rejected})
-	for c.window()-c.intervals[0].length >= windowLength {
+	for c.window().length-c.intervals[0].length >= windowLength {
 		c.intervals = append(c.intervals[:0], c.intervals[1:]...)
 	}
 	c.last = s
@@ -201,30 +218,14 @@
 	return rejected > 0 && rejected >= minRejectedPart*(accepted+rejected)
 }
 
-// saturatedRates returns the length of the intervals in which upstreams rejected attempts, and the
-// rates that they accepted and rejected in these.
-func (c *RateCapacity) saturatedRates() (accepted, rejected float64, length time.Duration) {
-	for _, i := range c.intervals {
-		if isSaturated(i.accepted, i.rejected) {
-			accepted += i.accepted * i.length.Seconds()
-			rejected += i.rejected * i.length.Seconds()
-			length += i.length
-		}
-	}
-	if length == 0 {
-		return 0, 0, 0
-	}
-	return accepted / length.Seconds(), rejected / length.Seconds(), length
-}
-
-// measured returns the estimate for the rates of saturated intervals. It is not reduced by more
+// measured returns the estimate for the mean of saturated intervals. It is not reduced by more
 // than the rejected part of the attempts explains: when a surge ends, reports of some routers are
 // still from the surge, so that the accepted rate falls while upstreams seem to reject attempts.
 // The mean with the previous estimate halves the error that is due to random rejections.
-func (c *RateCapacity) measured(accepted, rejected float64) float64 {
+func (c *RateCapacity) measured(s interval) float64 {
 	if c.capacity == 0 {
-		return min(probeFactor*accepted, maxWork)
+		return min(probeFactor*s.accepted, maxWork)
 	}
-	least := c.capacity * accepted / (accepted + rejected)
-	return min((probeFactor*max(accepted, least)+c.capacity)/2, maxWork)
+	least := c.capacity * s.accepted / (s.accepted + s.rejected)
+	return min((probeFactor*max(s.accepted, least)+c.capacity)/2, maxWork)
 }
--- a/internal/suspects/judgement.go
+++ b/internal/suspects/judgement.go
@@ -15,8 +15,8 @@
 	Silent []string // upstreams that have had a copy, or a request with one of its parts, and are not heard of since
 }
 
-// NewsDelay is how long news of what other routers have served takes, with a margin: two messages, each with the next
-// report or summary.
+// NewsDelay is how long news of what other routers have served takes, with a margin: 50 to 200 ms were seen among five
+// routers.
 const NewsDelay = 300 * time.Millisecond
 
 // AwaitsNews reports whether the request may have to wait for a trial only because news of the other routers is under
