--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -7,6 +7,9 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/platform/fake"
@@ -33,6 +36,7 @@
 	dir    string
 	subnet string // first three numbers of the addresses
 	server *http.Server
+	closed atomic.Bool // no process is started any more
 }
 
 // New starts the store, and prepares so many routers. The record is written to the file that the command
@@ -67,9 +71,26 @@
 		}
 		r.Routers = append(r.Routers, n)
 	}
+	go r.endEarly()
 	return r, nil
 }
 
+// maxDuration ends a case that hangs, before the limit of 120 s.
+const maxDuration = 115 * time.Second
+
+// endEarly ends all processes when the case is stopped from outside or lasts too long.
+func (r *Rig) endEarly() {
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	select {
+	case <-stopped:
+	case <-time.After(maxDuration):
+	}
+	r.Close()
+	fmt.Fprintln(os.Stderr, "the case could not run to its end")
+	os.Exit(CannotRun)
+}
+
 // StartRouters starts all routers and waits until they are ready.
 func (r *Rig) StartRouters() error {
 	for _, n := range r.Routers {
@@ -103,10 +124,8 @@
 
 // Close ends all processes and stand-ins, and removes the temporary folder.
 func (r *Rig) Close() {
+	r.closed.Store(true)
 	for _, n := range r.Routers {
-		n.mu.Lock()
-		n.ending = true
-		n.mu.Unlock()
 		n.Kill()
 		_ = n.log.Close()
 	}
--- a/review/rig/router.go
+++ b/review/rig/router.go
@@ -1,6 +1,7 @@
 package rig
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -31,7 +32,6 @@
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{}
-	ending bool
 }
 
 // settingsText is the settings file of a front machine of the small deployment nest-ktm (DEPLOY.md).
@@ -120,6 +120,9 @@
 func (n *Router) Start() error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.rig.closed.Load() {
+		return errors.New("the case is over")
+	}
 	cmd := exec.Command(program, strings.Fields(arguments)...)
 	cmd.Env = []string{"PARSLEYFRONT_BOOT=" + n.settings}
 	for _, name := range []string{"PATH", "HOME", "LANG"} {
