exchange: the first bytes that begin no response end the call

What callers saw: an upstream sends a few bytes that are no response, without the end of a line, and then nothing, or the rest slowly. Callers of requests that may not be repeated wait until their deadline; others until a hedge.

Cause: http.ReadResponse looks at the protocol's name only once it has a whole line.

Ruled out: a bound in time of its own for the rest of a begun line. A response may be late for other reasons, and the deadline of the call bounds those.

Change: readHead looks at the first five bytes. The call fails as for other malformed heads: it may have run.

--- a/internal/exchange/endless_test.go
+++ b/internal/exchange/endless_test.go
@@ -183,3 +183,24 @@
 		})
 	}
 }
+
+// Guards against a caller who waits until its deadline for an upstream that has sent bytes which begin no response,
+// and then nothing more.
+func TestCallEndsWithTheFirstBytesThatAreNoResponse(t *testing.T) {
+	for _, begin := range []string{"weights\x00", "HTTQ/1.1 200 OK", "\r\n\r\nHT", "http/1.1"} {
+		t.Run(begin, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				client, server := net.Pipe()
+				go func() {
+					_, _ = server.Read(make([]byte, 64<<10))
+					_, _ = server.Write([]byte(begin))
+				}()
+				dial := func(context.Context, string, string) (net.Conn, error) { return client, nil }
+				_, err := exchange.NewClient(plainDialect{}, dial).Do(context.Background(), endlessVM, endlessCall(), func() bool { return true })
+				if err == nil {
+					t.Fatal("it is a response")
+				}
+			})
+		})
+	}
+}
--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -23,6 +23,9 @@
 	// maxErrorBytes bounds what a message repeats of a malformed response.
 	maxErrorBytes = 200
 
+	// protocolName begins each response. http.ReadResponse looks at it once it has a whole line, which may never come.
+	protocolName = "HTTP/"
+
 	// unlimited is the allowance of a connection on which a body is read, whose bytes are not kept.
 	unlimited = math.MaxInt64
 )
@@ -74,6 +77,10 @@
 // readHead reads the head of a response.
 func (c *conn) readHead(method string) (*http.Response, error) {
 	defer c.limit(maxHeadBytes)()
+	if begin, err := c.r.Peek(len(protocolName)); err == nil && string(begin) != protocolName {
+		malformedResponses.Inc(headMalformed)
+		return nil, errors.Errorf("exchange: the answer begins with %q", begin)
+	}
 	resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
 	if err == nil {
 		return resp, nil
