eventstream: an event that does not end is held back up to 32 KiB

What callers saw: nothing yet. Found on the list of what a router reads from others: an event without end is kept up to 1 MiB a stream, and nothing bounds all streams together. 2,050 of them (half of 4,100 descriptors) take 2.2 GB at a router that has 184 to 284 MB.

Ruled out: a budget over all streams. It would have to pass on parts of the events of sound streams, which could not be resumed then.

Change: maxPendingBytes is 32 KiB, as the head of a response. Events hold some tokens, a few hundred bytes; one that is longer is passed on in parts as before, and its stream can't be continued elsewhere within it.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -8,7 +8,7 @@
 
 // maxPendingBytes bounds the buffered part of an event. A longer event is passed on in
 // parts, and the stream cannot be resumed within it.
-const maxPendingBytes = 1 << 20
+const maxPendingBytes = 32 << 10
 
 // Framer buffers the bytes of an event until the event is complete. The zero value is
 // ready to use.
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"flag"
 	"fmt"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -72,3 +73,21 @@
 		t.Error("a stream interrupted within an event is reported as resumable")
 	}
 }
+
+// Guards against a router that exceeds its memory because upstreams send events without end on all of its streams: the
+// smallest router has 184 MB for 2,050 of them.
+func TestEventsWithoutEndFitIntoTheMemoryOfARouter(t *testing.T) {
+	const streams, maxBytes = 2050, 184 << 20 / 2
+	for _, text := range []string{"data: weights", ": weights", "id: 1"} {
+		var f Framer
+		held := 0
+		for range 2000 {
+			f.Feed([]byte(text))
+			held = max(held, cap(f.pending)+len(f.lastID))
+			text = strings.Repeat("w", 1<<10)
+		}
+		if held*streams > maxBytes {
+			t.Errorf("a stream holds %d bytes, %d streams more than %d", held, streams, maxBytes)
+		}
+	}
+}
