topo: bounds of the store's responses that a small router can bear

Found on the list of what a router reads from others; nothing was lost to it yet.

Cause: heads of the store's responses had net/http's bound of 10 MiB, pages and answers to watches one of 64 MiB. io.ReadAll grows past a body by a quarter each time, and decoding copies it: two such bodies take more than the 184 to 284 MB of a router. A watch whose changes exceed the bound failed with ErrRefused, so that the follower would ask for the same changes again until the store dropped them. A page that continues at itself was read for ever.

Ruled out: a smaller bound on pages. The platform's are 1 MB at most, but a watch brings each version of the configuration since its start.

Change: heads 32 KiB, interim ones included; pages and watches 16 MiB. A watch over its bound fails with ErrCompacted: the follower lists what is in force, which is less than all changes of it. A page that continues where it began is refused.

--- a/internal/topo/http.go
+++ b/internal/topo/http.go
@@ -27,7 +27,7 @@
 	maxValueBytes = 1 << 20
 	// maxObjectResponseBytes and maxPageResponseBytes bound the bodies of responses, in bytes.
 	maxObjectResponseBytes = maxValueBytes + 64<<10
-	maxPageResponseBytes   = 64 << 20
+	maxPageResponseBytes   = 16 << 20
 )
 
 // HTTP is an HTTP client of the platform. It implements Store and VMList.
@@ -111,6 +111,9 @@
 	err = h.call(ctx, r, func(era Era, body []byte) error {
 		p, err = h.dialect.Page(kind, body)
 		p = era.versionedPage(p)
+		if err == nil && p.Continue != "" && p.Continue == cont {
+			return errors.Errorf("the page after %q continues there again", cont)
+		}
 		return err
 	})
 	return p, err
@@ -188,6 +191,15 @@
 	return r.Method != http.MethodGet
 }
 
+// tooLongError returns the error of a response that exceeds its limit. The events of a watch may: the objects in
+// force, which a listing returns, take less than all their changes.
+func (r request) tooLongError() error {
+	if r.name == callWatch {
+		return errors.Wrapf(ErrCompacted, "%s %s: the changes take more than %d bytes", r.Method, r.Path, r.responseLimit())
+	}
+	return malformedError(r, errors.Errorf("more than %d bytes", r.responseLimit()))
+}
+
 // callTimeoutFor returns the timeout of a call, waiting time of a watch included.
 func (p Timeouts) callTimeoutFor(r request) time.Duration {
 	if r.name == callWatch {
@@ -263,7 +275,7 @@
 		return h.classifyUnanswered(client, r, a, err)
 	}
 	if int64(len(body)) > r.responseLimit() {
-		return a, malformedError(r, errors.Errorf("more than %d bytes", r.responseLimit()))
+		return a, r.tooLongError()
 	}
 	if err := statusError(r, resp.StatusCode); err != nil {
 		return a, err
--- a/internal/topo/transport.go
+++ b/internal/topo/transport.go
@@ -20,6 +20,8 @@
 	idleTimeout = 30 * time.Second
 	// maxIdleConnections is how many unused connections each client keeps.
 	maxIdleConnections = 2
+	// maxResponseHeadBytes bounds the heads of a response, interim ones included.
+	maxResponseHeadBytes = 32 << 10
 )
 
 // clientKind selects one of the HTTP clients. Each has its own connections.
@@ -112,6 +114,8 @@
 			DisableKeepAlives:   kind == writeClient,
 			MaxIdleConnsPerHost: maxIdleConnections,
 			IdleConnTimeout:     idleTimeout,
+
+			MaxResponseHeaderBytes: maxResponseHeadBytes,
 		},
 		// A redirect could send a write to a server that ignores its condition.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
