upstream, admin, ctl: bounds for the other answers that a process reads

Heads of upstreams beside a sidecar, and of routers that routers ask, had net/http's bound of 10 MiB each; a sidecar has 216 MB and calls of 64 callers and more. parsleyctl budget decoded metrics of any length.

Ruled out: a smaller bound on the status of routers. The fleet's status of 330 routers was not measured, so it stays at 64 MiB.

Change: heads 32 KiB, interim ones included; metrics 16 MiB, and the error says so.

--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -14,8 +14,12 @@
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 )
 
-// maxResponseBytes limits the body of a response.
-const maxResponseBytes = 64 << 20
+const (
+	// maxResponseBytes limits the body of a response.
+	maxResponseBytes = 64 << 20
+	// maxHeadBytes limits the heads of a response, interim ones included.
+	maxHeadBytes = 32 << 10
+)
 
 // fleetTimeout bounds calls that query every router, in addition to their wait.
 const fleetTimeout = 10 * time.Second
--- a/internal/admin/fleet.go
+++ b/internal/admin/fleet.go
@@ -42,6 +42,8 @@
 		DialContext:         (&net.Dialer{Timeout: peerTimeout}).DialContext,
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     idleConnTimeout,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
--- a/internal/ctl/budget.go
+++ b/internal/ctl/budget.go
@@ -13,8 +13,11 @@
 	"github.com/pkg/errors"
 )
 
-// metricsTimeout bounds the reading of one router's metrics.
-const metricsTimeout = 3 * time.Second
+const (
+	// metricsTimeout bounds the reading of one router's metrics, and maxMetricsBytes their size.
+	metricsTimeout  = 3 * time.Second
+	maxMetricsBytes = 16 << 20
+)
 
 // budgetFamilies are the metrics whose values show which part of the budget of retries is used, and by what.
 var budgetFamilies = []string{
@@ -82,7 +85,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return errors.Errorf("%s: status %d", path, resp.StatusCode)
 	}
-	return errors.Wrap(json.NewDecoder(resp.Body).Decode(value), path)
+	return errors.Wrap(json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxMetricsBytes)).Decode(value), path)
 }
 
 // add adds the metrics of one router. Those that a router of an earlier release lacks count as zero.
--- a/internal/ctl/budget_test.go
+++ b/internal/ctl/budget_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -57,3 +58,22 @@
 		}
 	}
 }
+
+// Guards against a command that keeps a list of metrics without end until the memory of its machine is used up.
+func TestMetricsWithoutEndAreRefused(t *testing.T) {
+	endless := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		name := []byte(`{"` + strings.Repeat("x", 64<<10))
+		for n := 0; n < 4*maxMetricsBytes; n += len(name) {
+			if _, err := w.Write(name); err != nil {
+				return
+			}
+			name = name[len(name)-64<<10:]
+		}
+	}))
+	defer endless.Close()
+	var out map[string]json.RawMessage
+	var tooLong *http.MaxBytesError
+	if err := readJSON(context.Background(), strings.TrimPrefix(endless.URL, "http://"), "/metrics", &out); !errors.As(err, &tooLong) {
+		t.Errorf("error %.200v", err)
+	}
+}
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -26,8 +26,12 @@
 	HeaderSession = "X-Session-Id"
 )
 
-// maxIdleConns is the number of idle connections that are kept to the upstream.
-const maxIdleConns = 64
+const (
+	// maxIdleConns is the number of idle connections that are kept to the upstream.
+	maxIdleConns = 64
+	// maxHeadBytes bounds the heads of a response, interim ones included.
+	maxHeadBytes = 32 << 10
+)
 
 // HTTP is an upstream at an HTTP address.
 type HTTP struct {
@@ -52,6 +56,7 @@
 	transport.DisableKeepAlives = !pooled
 	transport.MaxIdleConnsPerHost = maxIdleConns
 	transport.DisableCompression = true
+	transport.MaxResponseHeaderBytes = maxHeadBytes
 	transport.Proxy = nil
 	return &http.Client{Transport: transport, CheckRedirect: noRedirect}
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -154,3 +155,39 @@
 		})
 	}
 }
+
+// Guards against a sidecar that keeps a head without end until its memory is used up.
+func TestHeadWithoutEndIsBounded(t *testing.T) {
+	const maxRead = 1 << 20 // with the buffers of the sockets
+	for name, text := range map[string]string{"no response": "weights\x00", "header": "HTTP/1.1 200 OK\r\nX: ", "interim": "HTTP/1.1 103 Early Hints\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			client, server := net.Pipe()
+			read := make(chan int)
+			go func() {
+				n := 0
+				_, err := server.Read(make([]byte, 64<<10))
+				for piece := []byte(text); err == nil && n < 2*maxRead; piece = bytes.Repeat(piece[len(piece)-1:], 4<<10) {
+					if name == "interim" {
+						piece = []byte(text)
+					}
+					var k int
+					k, err = server.Write(piece)
+					n += k
+				}
+				_ = server.Close()
+				read <- n
+			}()
+			u := NewHTTP("http://upstream")
+			for _, c := range []*http.Client{u.pooled, u.unpooled} {
+				c.Transport.(*http.Transport).DialContext = func(context.Context, string, string) (net.Conn, error) { return client, nil }
+			}
+			_, err := u.Do(context.Background(), getRequest)
+			if e := verdict.From(err); e == nil || e.Verdict != verdict.MayHaveRun {
+				t.Errorf("error %v", err)
+			}
+			if n := <-read; n > maxRead {
+				t.Errorf("%d bytes were read", n)
+			}
+		})
+	}
+}
