gateway, platform: a client without time left is refused, not served without a limit

Cause: Clients.Read took a Deadline-Ms of zero or less, as a client or a proxy sends that has no time left, for a missing one. The request ran for up to its route's timeout.

Ruled out: the same for a value that is no number. Nothing says that its client waits no longer; it counts as missing, as before.

--- a/internal/gateway/hosted.go
+++ b/internal/gateway/hosted.go
@@ -19,6 +19,7 @@
 	ID          string        // of this attempt; a retry has another one
 	APIKey      string        // empty if there is none
 	Timeout     time.Duration // how long the caller waits; zero if it does not say
+	Expired     bool          // the caller says that it waits no longer
 	Session     string        // identifies the prompt prefix shared by the turns of a chat; empty if there is none
 	Parts       []string      // ids of the parts of the prompt that other requests may share, in order
 	LastEventID string        // id of the last event of an earlier response; empty if there is none
--- a/internal/gateway/hostedrequest.go
+++ b/internal/gateway/hostedrequest.go
@@ -54,12 +54,15 @@
 	return x.org.Name
 }
 
-// checkHeaders rejects a request that has no attempt id or whose headers are over the
-// operators' limit. Without the id, upstreams could not distinguish the request from others.
+// checkHeaders rejects a request that has no attempt id, whose caller has no time left, or whose headers are over
+// the operators' limit. Without the id, upstreams could not distinguish the request from others.
 func (x *platformExchange) checkHeaders() error {
 	if x.headers.ID == "" {
 		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "the request names no attempt")
 	}
+	if x.headers.Expired {
+		return verdict.New(verdict.NotRun, verdict.ReasonDeadline, "the caller has no time left")
+	}
 	if limit := x.limits().HeaderBytes; headerBytes(x.r) > int64(limit) {
 		return verdict.New(verdict.NotRun, reasonHeader, "the headers exceed %d bytes", limit)
 	}
