router: in an outage of the store an upstream is asked whether it has started again

Cause: the list shows one version until the store is back, and a router took that for a reason not to doubt any upstream (isVersionInDoubt asked hasSeveralVersions first). Two more were found with the test: the doubt ended 5 s after the connections broke, however old the list was; and streams that began at a runner which had started again were recorded at its former version.

Ruled out: doubting each upstream whose connections broke, and nothing else.

Change: membership.Currency knows when the list was confirmed and which outage has just ended. Where the list may lack a restart, a stream goes on at an upstream only after this has said that it is the incarnation in the list (its report carries its start); what may be another one comes last, and one that is never gets it. If the upstream does not say, lost connections decide, until the list can show its entry. A stream that begins there is recorded as of no known version. An upstream that closes idle connections before their time, with no answer awaited, may have ended. With the store up nothing changes but that a runner which lost all of a router's answers in the last seconds is asked before a stream goes on there.

The network of the tests tells the state of a connection as a socket does.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -4,12 +4,14 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/parsleyfront/parsleyfront/internal/eventstream"
+	"github.com/parsleyfront/parsleyfront/internal/netpeek"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/topo"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
@@ -54,6 +56,8 @@
 
 	// lateSignal handles what an upstream says in an answer that no call waits for; nil: dropped.
 	lateSignal func(vm topo.VM, signal Signal)
+	// idleClosed handles that an upstream has closed an idle connection before it announced to; nil: not needed.
+	idleClosed func(vm topo.VM)
 
 	mu        sync.Mutex
 	idle      map[endpoint][]*conn // least recently used first
@@ -94,21 +98,37 @@
 	c.lateSignal = handle
 }
 
+// HandleIdleClosed sets the function that is called when an upstream has closed an idle connection before the time that
+// it had named, which it does if it ends. It must be set before the first call.
+func (c *Client) HandleIdleClosed(handle func(vm topo.VM)) {
+	c.idleClosed = handle
+}
+
+// HasOpenSince reports whether a connection to an incarnation of an upstream that was opened before a time is idle, and
+// still open: the upstream has not ended since.
+func (c *Client) HasOpenSince(vm topo.VM, at time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.ContainsFunc(c.idle[endpoint{instance: vm.ID, addr: vm.Addr}], func(conn *conn) bool {
+		return conn.opened.Before(at) && netpeek.Peek(conn.Conn) == netpeek.Idle
+	})
+}
+
 // Do calls the upstream on vm and returns once the head of the response has arrived.
-// maySend is called once, before the first byte is sent; if it returns false, nothing
-// is sent. The end of ctx aborts the call, also after Do has returned; Do itself may then
+// maySend is called once, before the first byte is sent, with the time at which the connection was opened; if it
+// returns false, nothing is sent. The end of ctx aborts the call, also after Do has returned; Do itself may then
 // return only when the call is due, see leave. An error is a *verdict.Error.
-func (c *Client) Do(ctx context.Context, vm topo.VM, call Call, maySend func() bool) (*Stream, error) {
+func (c *Client) Do(ctx context.Context, vm topo.VM, call Call, maySend func(opened time.Time) bool) (*Stream, error) {
 	ep := endpoint{instance: vm.ID, addr: vm.Addr}
 	header := call.Header.Clone()
 	if header == nil {
 		header = make(http.Header)
 	}
-	conn, err := c.getConn(ctx, ep)
+	conn, err := c.getConn(ctx, vm, ep)
 	if err != nil {
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, "%s", err)
 	}
-	if !maySend() {
+	if !maySend(conn.opened) {
 		c.putIdle(ep, conn)
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonCancelled, "the call was cancelled before it was sent")
 	}
@@ -176,7 +196,7 @@
 
 // getConn returns the most recently used idle connection that is still usable, or a
 // new one.
-func (c *Client) getConn(ctx context.Context, ep endpoint) (*conn, error) {
+func (c *Client) getConn(ctx context.Context, vm topo.VM, ep endpoint) (*conn, error) {
 	now := time.Now()
 	for {
 		conn := c.takeIdle(ep)
@@ -187,6 +207,9 @@
 			reuses.Inc()
 			return conn, nil
 		}
+		if now.Before(conn.expires) && c.idleClosed != nil && netpeek.Peek(conn.Conn) == netpeek.Closed {
+			c.idleClosed(vm)
+		}
 		_ = conn.Close()
 	}
 	return c.openConn(ctx, ep)
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -37,6 +37,7 @@
 	r           *bufio.Reader
 	allowance   int64      // bytes that Read may still take from the socket
 	readErr     error      // first error of Read other than a timeout
+	opened      time.Time  // when it was opened
 	reused      bool       // the connection has been idle before
 	proven      bool       // the incarnation that was called is at the other end: it has run a call
 	expires     time.Time  // when an idle connection is to be closed
@@ -49,7 +50,7 @@
 
 // newConn returns a conn with an empty read buffer.
 func newConn(c net.Conn) *conn {
-	out := &conn{Conn: c, allowance: unlimited}
+	out := &conn{Conn: c, allowance: unlimited, opened: time.Now()}
 	out.r = bufio.NewReaderSize(out, readBufferBytes)
 	return out
 }
--- a/internal/netpeek/netpeek.go
+++ b/internal/netpeek/netpeek.go
@@ -24,9 +24,15 @@
 	Closed
 )
 
+// Stater is a connection without a socket that knows its State.
+type Stater interface{ PeekState() State }
+
 // Peek returns the state of c without blocking. It reads nothing from c, so other
 // goroutines may use c at the same time.
 func Peek(c net.Conn) State {
+	if known, ok := c.(Stater); ok {
+		return known.PeekState()
+	}
 	s, ok := c.(syscall.Conn)
 	if !ok {
 		return Unknown
--- a/internal/quarantine/account.go
+++ b/internal/quarantine/account.go
@@ -274,6 +274,15 @@
 	return false
 }
 
+// IsAwaited reports whether the answer to a request is awaited.
+func (a *Account) IsAwaited(s *Sent) bool { return s.state == waiting }
+
+// AwaitsAny reports whether the answer to any request is awaited at an upstream.
+func (a *Account) AwaitsAny(upstream string) bool {
+	r := a.upstreams[upstream]
+	return r != nil && len(r.waiting) > 0
+}
+
 // WaitingAt returns the fingerprints of the requests whose answers are awaited at an upstream.
 func (a *Account) WaitingAt(upstream string) []Fingerprint {
 	var out []Fingerprint
--- a/internal/relay/beat.go
+++ b/internal/relay/beat.go
@@ -114,6 +114,10 @@
 	return now.Sub(s.confirmed[set]).Milliseconds()
 }
 
+// ConfirmedAt returns when the store has confirmed that the state held here of a set was the newest, as this router or
+// its parent has been told; zero: never, or not since the process was suspended.
+func (s *State) ConfirmedAt(set Set) time.Time { return s.confirmed[set] }
+
 // addElapsed adds the elapsed time to an age, both in milliseconds. A negative age
 // means unknown and stays.
 func addElapsed(ms, elapsed int64) int64 {
--- a/internal/router/continued.go
+++ b/internal/router/continued.go
@@ -23,13 +23,17 @@
 // so a stream goes on only at the version that made its first event.
 type origin struct {
 	known   bool    // the first event has been passed on
+	doubted bool    // the upstream that made it may have started again, with a version that is not known
 	version string  // of the software of the upstream that made it
 	vm      topo.VM // that upstream; the zero VM if another router has passed the event on
 }
 
-// isUncertain reports whether the upstream that made the first event is listed with another version by
-// now. It may have started again before it made the event, which its entry showed only later.
+// isUncertain reports whether it is not known which version made the first event: the upstream may have started again
+// before it made the event, which the list could not show, or its entry shows another version by now.
 func (o origin) isUncertain(view *View) bool {
+	if o.doubted {
+		return true
+	}
 	if o.vm.ID == "" {
 		return false
 	}
@@ -44,9 +48,27 @@
 // isVersionInDoubt reports whether an upstream may have started again with another version than that in
 // the list.
 func (resp *Response) isVersionInDoubt(now time.Time, vm topo.VM) bool {
+	if resp.router.doubt(now, vm) == isDoubted {
+		return true
+	}
 	return resp.hasSeveralVersions() && resp.router.suspects.MayHaveRestarted(now, vm.ID)
 }
 
+// withoutDoubtful returns the targets at which a stream may go on as far as is known. Those that may have started again
+// in an outage of the store come last: they are asked before anything is sent.
+func (resp *Response) withoutDoubtful(now time.Time, targets []target) []target {
+	var sure, asked []target
+	for _, t := range targets {
+		switch {
+		case t.vm.StartedAt != 0 && resp.router.doubt(now, t.vm) != noDoubt:
+			asked = append(asked, t)
+		case !resp.isVersionInDoubt(now, t.vm):
+			sure = append(sure, t)
+		}
+	}
+	return append(sure, asked...)
+}
+
 // hasSeveralVersions reports whether upstreams of the request's pool have different versions.
 func (resp *Response) hasSeveralVersions() bool {
 	pool := resp.router.View().Pools[resp.poolName]
@@ -80,12 +102,17 @@
 // response, and tells other routers.
 func (resp *Response) recordOrigin(vm topo.VM) {
 	if !resp.origin.known {
-		resp.origin = origin{known: true, version: vm.SoftwareVersion, vm: vm}
+		resp.origin = origin{known: true, doubted: resp.router.doubt(time.Now(), vm) == isDoubted, version: vm.SoftwareVersion, vm: vm}
 	}
-	if !resp.originTold {
-		resp.originTold = true
+	switch {
+	case resp.originTold:
+		return
+	case resp.origin.doubted:
+		resp.tellOrigin(origins.Ambiguous)
+	default:
 		resp.tellOrigin(origins.VersionOf(resp.poolName, resp.origin.version))
 	}
+	resp.originTold = true
 }
 
 // tellOrigin records at which version the stream began, for its caller's later attempts.
--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -117,7 +117,7 @@
 	call := d.exchangeCall(at)
 	at.call.Body = nil // the call may linger after the request has ended
 	sentAt := time.Now()
-	s, err := d.router.config.Direct.Do(at.ctx, at.vm, call, func() bool { return d.admitAttempt(at) })
+	s, err := d.router.config.Direct.Do(at.ctx, at.vm, call, func(opened time.Time) bool { return d.admitAttempt(at, opened) })
 	if err != nil {
 		at.span.Fail(string(verdict.From(err).Reason))
 		return d.failureEvent(at, verdict.From(err))
@@ -158,12 +158,19 @@
 
 // admitAttempt reports whether the attempt may be sent now, and marks it as sent if so. It
 // checks the caller's connection, because a caller may have closed it while its request waited
-// for the processor of this router: the upstream would work for nobody.
-func (d directTransport) admitAttempt(at *attempt) bool {
+// for the processor of this router: the upstream would work for nobody. opened is when the connection was opened.
+func (d directTransport) admitAttempt(at *attempt, opened time.Time) bool {
 	if d.req.CallerGone != nil && d.req.CallerGone() {
 		at.gate.seal()
 		return false
 	}
+	switch now := time.Now(); {
+	case !d.origin.known && d.plan.Resumable:
+		d.router.resolveDoubt(now, at.vm, opened)
+	case d.origin.known && !d.router.mayContinueAt(at.ctx, now, at.vm, opened):
+		at.withheldErr = verdict.New(verdict.NotRun, verdict.ReasonVersionGone, "upstream %s may have started again with another version", at.vm.ID)
+		return false
+	}
 	if at.withheldErr = d.router.admitSend(time.Now(), d.poolName, at.vm); at.withheldErr != nil {
 		return false
 	}
--- a/internal/router/directoffer.go
+++ b/internal/router/directoffer.go
@@ -178,8 +178,11 @@
 	}
 	now := time.Now()
 	left := slices.DeleteFunc(slices.Clone(d.targets), func(t target) bool {
-		return d.wasTried(t.vm) || d.origin.known && d.isVersionInDoubt(now, t.vm)
+		return d.wasTried(t.vm)
 	})
+	if d.origin.known {
+		left = d.withoutDoubtful(now, left)
+	}
 	return d.separate(left)
 }
 
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -124,6 +124,7 @@
 	}
 	r.mesh.followed.Store(r.state.relayState.relay.HasSubscribers(time.Now()))
 	r.mesh.storeFails.Store(r.state.relayState.relay.StoreFails())
+	r.publishListCurrency()
 	if known := r.state.relayState.relay; known.ListVersion() != r.mesh.listVersion {
 		r.mesh.listVersion = known.ListVersion()
 		routers := known.Routers()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -17,6 +17,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/config/follow"
 	"github.com/parsleyfront/parsleyfront/internal/exchange"
 	"github.com/parsleyfront/parsleyfront/internal/loop"
+	"github.com/parsleyfront/parsleyfront/internal/membership"
 	"github.com/parsleyfront/parsleyfront/internal/origins"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/policy"
@@ -124,6 +125,8 @@
 	coldStart      coldStart
 	shortages      shortages
 	tuning         atomic.Pointer[Tuning]
+	listCurrency   atomic.Pointer[membership.Currency] // of the upstreams; nil: entries of upstreams are not followed
+	askedNow       sync.Map                            // ids of upstreams that are being asked when they started
 
 	mesh     *mesh
 	replaced []topo.VM // former incarnations, for abandonReplaced; owned by the control loop
@@ -168,6 +171,7 @@
 	}
 	if c.Direct != nil {
 		c.Direct.HandleLateSignals(r.handleLateSignal)
+		c.Direct.HandleIdleClosed(func(vm topo.VM) { r.suspects.IdleClosed(time.Now(), vm.ID) })
 	}
 	if c.Decode != nil {
 		r.state.SetDecoder(c.Decode)
@@ -183,6 +187,7 @@
 	context.AfterFunc(ctx, r.closePeers)
 	if c.Mesh != nil {
 		r.mesh = newMesh(r, *c.Mesh)
+		r.listCurrency.Store(newListCurrency(*c.Mesh))
 		r.state.EnableRelay(r.mesh.newRelay(), c.Mesh.MemberDecoder, c.Mesh.MemberTiming, c.ConfigTiming, rand.Uint64())
 		r.mesh.run(ctx)
 	}
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -26,6 +26,8 @@
 	alone map[quarantine.Fingerprint]bool
 	turns turns
 	names partNames
+
+	restarts restarts
 }
 
 // NewRegistry returns a Registry that knows of nothing.
@@ -34,6 +36,8 @@
 		book:    quarantine.New("", 0),
 		account: quarantine.NewAccount(),
 		alone:   make(map[quarantine.Fingerprint]bool),
+
+		restarts: make(restarts),
 	}
 }
 
@@ -124,6 +128,7 @@
 	defer r.mu.Unlock()
 	r.book.Expire(now)
 	r.account.Expire(now)
+	r.restarts.expire(now)
 }
 
 // Send records that a copy of a request is being sent to an upstream without a sidecar.
@@ -196,7 +201,12 @@
 func (r *Registry) Lost(now time.Time, sent *quarantine.Sent) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.recordAtCrash(now, sent, r.account.Lost(now, sent))
+	awaited := r.account.IsAwaited(sent)
+	crashed := r.account.Lost(now, sent)
+	if awaited && !r.account.AwaitsAny(sent.Upstream()) {
+		r.restarts.mayHaveEnded(now, sent.Upstream())
+	}
+	return r.recordAtCrash(now, sent, crashed)
 }
 
 // Left records that nobody awaits the answer to a request any more, and reports the same.
--- a/internal/topo/topo.go
+++ b/internal/topo/topo.go
@@ -138,6 +138,8 @@
 	// SoftwareVersion is the version of the upstream's software, not of the models that it serves;
 	// empty: not known.
 	SoftwareVersion string `json:"software_version,omitempty"`
+	// StartedAt is when this incarnation of the upstream started, in Unix milliseconds; zero: it does not say.
+	StartedAt int64 `json:"-"`
 	// WarmAt is when the upstream stops counting as cold after its start; zero: it is warm.
 	WarmAt time.Time `json:"-"`
 }
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -305,6 +305,7 @@
 	if h.pool != nil {
 		r.places = h.pool.newPlaces(r.Runner)
 	}
+	r.SetBorn(r.startedMs)
 	r.SetHandler(h.handler(r))
 	h.mu.Lock()
 	r.incarnation = fmt.Sprintf("%s/%d", id, len(h.runners))
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -50,6 +50,8 @@
 
 	// callersLeave makes callers close their connection after a short random time.
 	callersLeave bool
+	// streamPath is the path of streams that may be taken up; empty: the usual one.
+	streamPath string
 	// takesUp makes callers take up streams that broke off.
 	takesUp bool
 	// crashingCalls is the number of requests that crash runners, of which callers send copies.
@@ -82,6 +84,7 @@
 	sent           map[string]*call
 	calls          []*call
 	faultCounts    map[string]int  // injected faults, by name
+	storeAway      []span          // when the store was unavailable for all
 	endless        map[string]bool // attempts that a runner has answered without an end
 
 	running     sync.WaitGroup // callers and probers
