router: a process that was stopped trusts no ages from before

Cause: heartbeats that wait in the socket while a process is stopped are read as if they had just been sent, so that their ages are too small by the length of the stop. Only a suspension of the VM was noticed, by its clocks.

--- a/internal/router/mesh.go
+++ b/internal/router/mesh.go
@@ -309,23 +309,29 @@
 // been suspended: the two clocks behind it may drift apart.
 const suspendSlack = 200 * time.Millisecond
 
-// watchSuspend posts an event when the VM was suspended. The monotonic clock does not count
-// that time, so messages from before the suspension would seem to be recent.
+// watchSuspend posts an event when the VM was suspended, or this process was stopped for longer than ages are valid.
+// The monotonic clock does not count the former, and messages from before either would seem to be recent.
 func (m *mesh) watchSuspend(ctx context.Context) {
 	tick := time.NewTicker(config.TickInterval)
 	defer tick.Stop()
-	suspended := m.SuspendedTime()
+	suspended, ticked := m.SuspendedTime(), time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-tick.C:
-			if total := m.SuspendedTime(); total > suspended+suspendSlack {
-				slog.Warn("the VM was suspended", "for", total-suspended)
-				suspended = total
-				m.router.loop.Post(RelayEvent{Event: relay.Resumed{Now: now}})
-			}
+		case <-tick.C:
 		}
+		now, total := time.Now(), m.SuspendedTime()
+		stopped := now.Sub(ticked)
+		switch {
+		case total > suspended+suspendSlack:
+			slog.Warn("the VM was suspended", "for", total-suspended)
+			m.router.loop.Post(RelayEvent{Event: relay.Resumed{Now: now}})
+		case stopped > m.Timing.MaxAge:
+			slog.Warn("the process was stopped", "for", stopped)
+			m.router.loop.Post(RelayEvent{Event: relay.Resumed{Now: now}})
+		}
+		suspended, ticked = total, now
 	}
 }
 
