gateway: a caller that closes its sending side is not told a success

What callers saw: one that closes only its sending side after its request, and reads on, gets "200 OK" with an empty body and no signature.

Cause: net/http ends the context of a request whose connection reads as ended. The handler returned without a response then, which net/http completes as a success.

Ruled out: serving such a caller to the end. A half-closed connection can't be told from one that was closed, and runners would work for callers who are gone (GONE).

Change: the connection is broken off, as for responses that are cut.

--- a/internal/gateway/hosted.go
+++ b/internal/gateway/hosted.go
@@ -55,7 +55,9 @@
 	defer x.memory.release()
 	if err := g.serve(x); err != nil {
 		if errors.Is(err, context.Canceled) {
-			return // the caller has disconnected, which is logged elsewhere
+			// The caller has disconnected, which is logged elsewhere. If it closed only its sending side, it would
+			// read the response that net/http writes for a handler which returns: an empty success.
+			x.breakConnection()
 		}
 		e := verdict.From(err)
 		x.logRefusal(g.requests, e)
