router: a runner that may have started again in an outage of the store is cold

What callers saw: none directly.

Coldness comes from the list, which can't show the restart.

Ruled out: taking all runners for cold in an outage. Those whose connections only broke would serve a fraction of what they can; they are asked, as for streams.

Change: Router.coldUntil adds what is known of restarts that the list may lack: for the pool's warm-up time after another incarnation has answered, or, if the upstream does not say, after it may have started. Requests to pools with a warm-up limit have their upstream asked where there is doubt, as resumable streams do. Nothing is asked or computed while the list is current, but one comparison a choice.

An attempt reads whether it continues a stream from its own field; the field of the response is written by another goroutine.

--- a/internal/router/account.go
+++ b/internal/router/account.go
@@ -31,7 +31,7 @@
 func (r *Router) directUpstream(now time.Time, p *Pool, vm topo.VM) admin.UpstreamConditions {
 	id := load.Hash(vm.ID)
 	set := r.conditionsOf(now, p, vm.ID)
-	statements := append(p.listedStatements(now, vm.ID), r.conditions.Statements(now, vm.ID)...)
+	statements := append(r.listedStatements(now, p, vm.ID), r.conditions.Statements(now, vm.ID)...)
 	if p.tracker.IsSuspected(now, id) {
 		set = set.Union(condition.Of(condition.Suspected))
 		statements = append(statements, condition.Statement{Kind: condition.Suspected, By: condition.ByOutcomes})
@@ -52,7 +52,7 @@
 
 // listedStatements returns the conditions of an upstream according to the pool's view. A cold
 // upstream is included even while it may get requests.
-func (p *Pool) listedStatements(now time.Time, id string) []condition.Statement {
+func (r *Router) listedStatements(now time.Time, p *Pool, id string) []condition.Statement {
 	var out []condition.Statement
 	listed := p.listedConditions(id)
 	if listed.Has(condition.Drained) {
@@ -61,7 +61,7 @@
 	if listed.Has(condition.Leaving) {
 		out = append(out, condition.Statement{Kind: condition.Leaving, By: condition.ByEntry})
 	}
-	if warmAt, cold := p.coldUntil(now, id); cold {
+	if warmAt, cold := r.coldUntil(now, p, id); cold {
 		out = append(out, condition.Statement{Kind: condition.Cold, By: condition.ByEntry, Until: warmAt})
 	}
 	return out
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -103,6 +103,7 @@
 	readAhead   []wire.Piece // pieces that were read before the response is delivered
 	offset      int64        // offset in the response of the next byte for the caller
 	headSent    bool         // the head has been sent to the caller
+	continues   bool         // direct upstreams only: it goes on with a stream that began elsewhere
 	lastEventID string       // direct upstreams only: id of the last event that the caller has received
 	span        telemetry.Span
 }
--- a/internal/router/conditions.go
+++ b/internal/router/conditions.go
@@ -116,7 +116,8 @@
 // unavailableIn returns a function that reports whether this router may not send requests to
 // upstream i of a pool now; nil if only the list restricts the choice.
 func (r *Router) unavailableIn(now time.Time, p *Pool) (unavailable func(i int) bool) {
-	if len(p.warmAt) == 0 && r.conditions.Empty() {
+	mayBeCold := len(p.warmAt) > 0 || p.warmupRate > 0 && r.mayListLackRestarts(now)
+	if !mayBeCold && r.conditions.Empty() {
 		return nil
 	}
 	return func(i int) bool {
--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -164,11 +164,7 @@
 		at.gate.seal()
 		return false
 	}
-	switch now := time.Now(); {
-	case !d.origin.known && d.plan.Resumable:
-		d.router.resolveDoubt(now, at.vm, opened)
-	case d.origin.known && !d.router.mayContinueAt(at.ctx, now, at.vm, opened):
-		at.withheldErr = verdict.New(verdict.NotRun, verdict.ReasonVersionGone, "upstream %s may have started again with another version", at.vm.ID)
+	if at.withheldErr = d.admitIncarnation(at, opened); at.withheldErr != nil {
 		return false
 	}
 	if at.withheldErr = d.router.admitSend(time.Now(), d.poolName, at.vm); at.withheldErr != nil {
@@ -186,6 +182,22 @@
 	return true
 }
 
+// admitIncarnation returns why the attempt may not be sent to its upstream if that may be another incarnation than the
+// one in the list; nil: it may be sent. Only the rest of a stream depends on it; else the answer is for those that follow.
+func (d directTransport) admitIncarnation(at *attempt, opened time.Time) *verdict.Error {
+	now := time.Now()
+	if at.continues {
+		if d.router.mayContinueAt(at.ctx, now, at.vm, opened) {
+			return nil
+		}
+		return verdict.New(verdict.NotRun, verdict.ReasonVersionGone, "upstream %s may have started again with another version", at.vm.ID)
+	}
+	if pool := d.router.View().Pools[d.poolName]; d.plan.Resumable || pool != nil && pool.warmupRate > 0 {
+		d.router.resolveDoubt(now, at.vm, opened)
+	}
+	return nil
+}
+
 // upstreamDue returns when upstreams are to stop working on the request.
 func (d directTransport) upstreamDue() time.Time {
 	return upstreamDue(d.plan.Deadline, d.plan.Deadline.Sub(d.started))
@@ -267,7 +279,7 @@
 			err := verdict.New(verdict.Ran, verdict.ReasonUpstreamFailed, "the upstream answered with status %d", status)
 			return dispatch.ErrorResponse{Now: time.Now(), Attempt: at.number, Err: err}
 		}
-		if d.origin.known && d.isVersionInDoubt(time.Now(), at.vm) {
+		if at.continues && d.isVersionInDoubt(time.Now(), at.vm) {
 			d.router.recordAnswered(at)
 			s.Close()
 			at.stream = nil
--- a/internal/router/effects.go
+++ b/internal/router/effects.go
@@ -34,7 +34,7 @@
 	}
 	to, ok := resp.transport.target(e)
 	at := resp.addAttempt(to.vm)
-	at.donor, at.tracker, at.shedder = to.donor, to.tracker, to.shedder
+	at.donor, at.tracker, at.shedder, at.continues = to.donor, to.tracker, to.shedder, resp.origin.known
 	at.watch = balance.NewWatch(to.tracker, balance.Attempt{
 		VM: load.Hash(to.vm.ID), Profile: resp.req.Profile.Name, Urgency: resp.basis.Urgency, Load: to.load, Deferred: resp.basis.Deferred,
 	}, resp.req.Profile.Objective.Std())
--- a/internal/router/incarnation.go
+++ b/internal/router/incarnation.go
@@ -37,6 +37,13 @@
 	return &membership.Currency{MaxAge: m.Timing.MaxAge, Grace: m.MemberTiming.OutageGrace}
 }
 
+// mayListLackRestarts reports whether upstreams may have started again without the list showing it, because of an
+// outage of the store that lasts or has just ended.
+func (r *Router) mayListLackRestarts(now time.Time) bool {
+	list := r.listCurrency.Load()
+	return list != nil && list.MayLack(now, now)
+}
+
 // restartDoubt is how sure it is that an upstream is still the incarnation in the list.
 type restartDoubt int
 
@@ -55,7 +62,7 @@
 	}
 	ended, replaced := r.suspects.MayHaveEndedAt(vm.ID)
 	switch {
-	case replaced:
+	case !replaced.IsZero():
 		return isDoubted
 	case ended.IsZero() || !list.MayNotShow(ended) || r.config.Direct.HasOpenSince(vm, ended):
 		return noDoubt
@@ -91,8 +98,8 @@
 	return d != isDoubted
 }
 
-// resolveDoubt asks an upstream when it started, without waiting for the answer, if it may have started again. A
-// stream that begins there can go on elsewhere only if its version is known by its first event.
+// resolveDoubt asks an upstream when it started, without waiting for the answer, if it may have started again: whether
+// it is cold depends on that, and whether a stream that begins there can go on elsewhere.
 func (r *Router) resolveDoubt(now time.Time, vm topo.VM, opened time.Time) {
 	if vm.StartedAt == 0 || r.doubtAt(now, vm, opened) == noDoubt {
 		return
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -53,6 +53,7 @@
 
 	listed     map[string]condition.Set // conditions from the list and operators' orders, by id
 	warmupRate float64                  // requests a second that a cold upstream may get; zero: no limit
+	warmup     time.Duration            // for which an upstream is cold after its start
 	warmAt     map[string]time.Time     // when cold upstreams become warm, by id
 }
 
@@ -138,7 +139,7 @@
 		v.Pools[name] = newPool(upstreams, s.loadReports[name], s.trackers[name], s.self)
 		v.Pools[name].shedder = s.shedders[name]
 		if spec := s.poolSpecs[name]; spec != nil {
-			v.Pools[name].setWarmupRate(spec.WarmupRate)
+			v.Pools[name].setWarmup(spec.WarmupRate, spec.Warmup.Std())
 		}
 	}
 }
@@ -236,7 +237,7 @@
 	if part, ok := p.parts.Load(key); ok {
 		return part.(*Pool)
 	}
-	part := &Pool{loadReports: p.loadReports, tracker: p.tracker, shedder: p.shedder, locality: p.locality, listed: p.listed, warmupRate: p.warmupRate, warmAt: p.warmAt}
+	part := &Pool{loadReports: p.loadReports, tracker: p.tracker, shedder: p.shedder, locality: p.locality, listed: p.listed, warmupRate: p.warmupRate, warmup: p.warmup, warmAt: p.warmAt}
 	for i, vm := range p.VMs {
 		if contains(vm) {
 			part.VMs, part.members = append(part.VMs, vm), append(part.members, p.members[i])
@@ -251,13 +252,13 @@
 	return part
 }
 
-// setWarmupRate sets how many requests a second a cold upstream may get, and records which
-// upstreams are cold. It does nothing if rate is not positive: there is no limit then.
-func (p *Pool) setWarmupRate(rate float64) {
+// setWarmup sets how many requests a second a cold upstream may get, and for how long one is cold after its start. It
+// records which upstreams are cold. It does nothing if rate is not positive: there is no limit then.
+func (p *Pool) setWarmup(rate float64, duration time.Duration) {
 	if rate <= 0 {
 		return
 	}
-	p.warmupRate = rate
+	p.warmupRate, p.warmup = rate, duration
 	p.warmAt = make(map[string]time.Time)
 	for _, vm := range p.VMs {
 		if !vm.WarmAt.IsZero() && !vm.Leaving {
--- a/internal/router/warming.go
+++ b/internal/router/warming.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/parsleyfront/parsleyfront/internal/membership"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/warmup"
 )
@@ -33,7 +34,7 @@
 // isAtWarmupLimit reports whether an upstream of a pool is cold and this router has used up its
 // share of the upstream's warm-up limit.
 func (r *Router) isAtWarmupLimit(now time.Time, p *Pool, id string) bool {
-	if _, cold := p.coldUntil(now, id); !cold {
+	if _, cold := r.coldUntil(now, p, id); !cold {
 		return false
 	}
 	tuning := r.tuning.Load()
@@ -43,7 +44,7 @@
 // admitCold reports whether a request may be sent to an upstream of a pool within its warm-up
 // limit, and counts the request if the upstream is cold.
 func (r *Router) admitCold(now time.Time, p *Pool, id string) bool {
-	if _, cold := p.coldUntil(now, id); !cold {
+	if _, cold := r.coldUntil(now, p, id); !cold {
 		return true
 	}
 	tuning := r.tuning.Load()
@@ -54,8 +55,26 @@
 	return true
 }
 
-// coldUntil returns when an upstream of the pool will be warm, and reports whether it is cold
-// now.
+// coldUntil returns when an upstream of a pool will be warm, and reports whether it is cold now: by the list, or
+// because it may have started again in an outage of the store.
+func (r *Router) coldUntil(now time.Time, p *Pool, id string) (warmAt time.Time, cold bool) {
+	if warmAt, cold = p.coldUntil(now, id); cold || p == nil || p.warmupRate <= 0 || !r.mayListLackRestarts(now) {
+		return warmAt, cold
+	}
+	vm, listed := r.View().VMs[id]
+	if !listed || r.doubt(now, vm) != isDoubted {
+		return time.Time{}, false
+	}
+	ended, replaced := r.suspects.MayHaveEndedAt(id)
+	warmAt = ended.Add(membership.RestartDelay)
+	if !replaced.IsZero() {
+		warmAt = replaced
+	}
+	warmAt = warmAt.Add(p.warmup)
+	return warmAt, now.Before(warmAt)
+}
+
+// coldUntil is Router.coldUntil by the list alone.
 func (p *Pool) coldUntil(now time.Time, id string) (warmAt time.Time, cold bool) {
 	if p == nil {
 		return time.Time{}, false
--- a/internal/suspects/restarts.go
+++ b/internal/suspects/restarts.go
@@ -12,7 +12,7 @@
 
 type restart struct {
 	endedAt    time.Time // when it may have ended
-	replacedAt time.Time // when its next incarnation has answered; zero: it has not
+	replacedAt time.Time // when its next incarnation has answered first; zero: it has not
 }
 
 // mayHaveEnded records that nothing is left of what an upstream was connected by.
@@ -53,16 +53,18 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.restarts[upstream]
-	known.replacedAt = now
+	if known.replacedAt.IsZero() {
+		known.replacedAt = now
+	}
 	r.restarts[upstream] = known
 }
 
 // MayHaveEndedAt returns when an upstream may have ended: all answers that were awaited there were lost, or it closed a
 // connection while none was; zero: that did not happen lately. Answers that are awaited since then prove nothing: they
-// may be those of its next incarnation. replaced reports that this one has answered.
-func (r *Registry) MayHaveEndedAt(upstream string) (at time.Time, replaced bool) {
+// may be those of its next incarnation. replaced is when this one has answered first; zero: it has not.
+func (r *Registry) MayHaveEndedAt(upstream string) (at, replaced time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.restarts[upstream]
-	return known.endedAt, !known.replacedAt.IsZero()
+	return known.endedAt, known.replacedAt
 }
--- a/internal/suspects/restarts_test.go
+++ b/internal/suspects/restarts_test.go
@@ -22,15 +22,15 @@
 	r.Lost(at(3), second)
 	next := r.Send(at(4), "a", quarantine.Copy{Fingerprint: 9})
 	r.Answered(at(5), next)
-	if ended, replaced := r.MayHaveEndedAt("a"); !ended.Equal(at(2)) || replaced {
+	if ended, replaced := r.MayHaveEndedAt("a"); !ended.Equal(at(2)) || !replaced.IsZero() {
 		t.Errorf("it may have ended at %v, replaced %v", ended, replaced)
 	}
 	r.Replaced(at(6), "a")
-	if _, replaced := r.MayHaveEndedAt("a"); !replaced {
+	if _, replaced := r.MayHaveEndedAt("a"); !replaced.Equal(at(6)) {
 		t.Error("its next incarnation has answered, and it counts as the same")
 	}
 	r.IsSameIncarnation("a")
-	if ended, replaced := r.MayHaveEndedAt("a"); !ended.IsZero() || replaced {
+	if ended, replaced := r.MayHaveEndedAt("a"); !ended.IsZero() || !replaced.IsZero() {
 		t.Errorf("it has not ended, and may have at %v, replaced %v", ended, replaced)
 	}
 	r.IdleClosed(at(7), "b")
