gateway: at its maximum of connections a router closes the longest idle one

What callers saw: most new connections go to one router, and callers keep them open.

Cause: callerListener.Accept waited for a slot, and nothing frees one but the ends of connections. net/http closes idle ones at their timeout only.

Ruled out: refusing new connections. Callers that come back are then sent to the same router, and its idle connections serve nobody. Not ready at the limit: it remains for the case that all connections have requests, and is not built.

Change: Accept closes the connection that has been without a request for the longest time, or the next that becomes idle. One on which bytes have arrived is left alone; a request whose bytes cross the close is not sent to an upstream, since its caller counts as gone. gateway_evicted_connections_total (alert) counts it. Nothing changes below the maximum.

--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -7,7 +7,9 @@
 	"sync"
 	"time"
 
+	"github.com/parsleyfront/parsleyfront/internal/netpeek"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
+	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 )
 
 const (
@@ -33,18 +35,22 @@
 // may still rely on the longer ones, and when they become longer, this router may not have
 // received them yet.
 func (g *PlatformGateway) Server(h http.Handler, connections int, grace time.Duration) *CallerServer {
-	return &CallerServer{
-		Server: &http.Server{
-			Handler:           h,
-			ConnContext:       contextWithConn,
-			ReadHeaderTimeout: headerTimeoutSentinel,
-			IdleTimeout:       idleTimeoutSentinel,
-			MaxHeaderBytes:    serverMaxHeaderBytes,
-		},
-		limits: g.limits,
-		grace:  grace,
-		slots:  make(chan struct{}, connections),
+	s := newCallerServer(h, connections)
+	s.limits, s.grace = g.limits, grace
+	return s
+}
+
+func newCallerServer(h http.Handler, connections int) *CallerServer {
+	s := &CallerServer{slots: make(chan struct{}, connections), idle: make(map[*callerConn]time.Time)}
+	s.Server = &http.Server{
+		Handler:           h,
+		ConnContext:       contextWithConn,
+		ConnState:         s.recordState,
+		ReadHeaderTimeout: headerTimeoutSentinel,
+		IdleTimeout:       idleTimeoutSentinel,
+		MaxHeaderBytes:    serverMaxHeaderBytes,
 	}
+	return s
 }
 
 // limits returns the operators' limits for callers that are in force.
@@ -58,6 +64,10 @@
 	limits func() *profile.Limits
 	grace  time.Duration
 	slots  chan struct{} // holds one value for each open connection
+
+	mu        sync.Mutex
+	idle      map[*callerConn]time.Time // connections without a request, and since when
+	needsRoom bool                      // a new connection waits until another is closed
 }
 
 // Serve accepts and serves connections of l until l is closed.
@@ -65,20 +75,81 @@
 	return s.Server.Serve(callerListener{Listener: l, server: s})
 }
 
+// recordState records whether a connection is idle.
+func (s *CallerServer) recordState(c net.Conn, state http.ConnState) {
+	caller, ok := c.(*callerConn)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state != http.StateIdle {
+		delete(s.idle, caller)
+		return
+	}
+	s.idle[caller] = time.Now()
+	if s.needsRoom {
+		s.closeLongestIdle()
+	}
+}
+
+// makeRoom closes a connection without a request, at once or as soon as there is one.
+func (s *CallerServer) makeRoom() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.needsRoom = true
+	s.closeLongestIdle()
+}
+
+// hasRoom ends what makeRoom has begun, also if a connection was closed for another reason.
+func (s *CallerServer) hasRoom() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.needsRoom = false
+}
+
+// closeLongestIdle closes the connection that has been without a request for the longest time, if there is one. A
+// request whose bytes arrive at this moment is not sent to an upstream: its caller has gone by then. The server's mutex
+// must be held.
+func (s *CallerServer) closeLongestIdle() {
+	var longest *callerConn
+	for c, since := range s.idle {
+		if (longest == nil || since.Before(s.idle[longest])) && netpeek.Peek(c.Conn) != netpeek.Readable {
+			longest = c
+		}
+	}
+	if longest != nil {
+		s.needsRoom = false
+		delete(s.idle, longest)
+		evictedConns.Inc()
+		_ = longest.Close()
+	}
+}
+
+var evictedConns = telemetry.NewCounter("gateway_evicted_connections_total",
+	"Idle connections of callers that were closed because the maximum number of connections was open.", telemetry.Alert)
+
 type callerListener struct {
 	net.Listener
 	server *CallerServer
 }
 
-// Accept implements net.Listener. It blocks while the maximum number of connections
-// is open. Without this limit the router could run out of file descriptors and
-// would then be unable to connect to upstreams for its open connections.
+// Accept implements net.Listener. While the maximum number of connections is open, it closes the one that has been
+// idle for the longest time, and blocks if all have requests. Without this limit the router could run out of file
+// descriptors and would then be unable to connect to upstreams for its open connections. Without the closing, callers
+// that keep connections which they do not use would shut out all others for as long as a connection may stay idle.
 func (l callerListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	l.server.slots <- struct{}{}
+	select {
+	case l.server.slots <- struct{}{}:
+	default:
+		l.server.makeRoom()
+		l.server.slots <- struct{}{}
+		l.server.hasRoom()
+	}
 	return &callerConn{Conn: c, server: l.server}, nil
 }
 
--- /dev/null
+++ b/internal/gateway/callerconn_test.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/profile"
+	"github.com/parsleyfront/parsleyfront/internal/topo"
+)
+
+// callersOf starts a server for so many connections whose requests to /held last until release is closed. dial opens a
+// connection to it.
+func callersOf(t *testing.T, connections int) (dial func() *bufio.ReadWriter, release chan struct{}) {
+	release = make(chan struct{})
+	server := newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/held" {
+			<-release
+		}
+		_, _ = fmt.Fprint(w, "served")
+	}), connections)
+	limits := profile.New(topo.KindLimits).(*profile.Limits)
+	server.limits = func() *profile.Limits { return limits }
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = server.Close() })
+	go func() { _ = server.Serve(l) }()
+	return func() *bufio.ReadWriter {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		if err := c.SetDeadline(time.Now().Add(5 * time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		return bufio.NewReadWriter(bufio.NewReader(c), bufio.NewWriter(c))
+	}, release
+}
+
+func sendTo(c *bufio.ReadWriter, path string) {
+	fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: a\r\n\r\n", path)
+	_ = c.Flush()
+}
+
+func receiveFrom(c *bufio.ReadWriter) error {
+	resp, err := http.ReadResponse(c.Reader, nil)
+	if err == nil {
+		_, err = bufio.NewReader(resp.Body).ReadString('d')
+	}
+	return err
+}
+
+// Callers keep as many connections as a router has, and use them no more. Guards against a router that says it is ready
+// and reads nothing from others until the idle timeout.
+func TestIdleConnectionsMakeRoomForOthers(t *testing.T) {
+	const connections = 4
+	dial, release := callersOf(t, connections)
+	defer close(release)
+	held := dial()
+	sendTo(held, "/held")
+	var idle []*bufio.ReadWriter
+	for i := range 3 * connections {
+		c := dial()
+		sendTo(c, "/")
+		if err := receiveFrom(c); err != nil {
+			t.Fatalf("connection %d: %v", i, err)
+		}
+		idle = append(idle, c)
+	}
+	newest := idle[len(idle)-1]
+	sendTo(newest, "/")
+	if err := receiveFrom(newest); err != nil {
+		t.Errorf("the newest connection: %v", err)
+	}
+	sendTo(idle[0], "/")
+	if err := receiveFrom(idle[0]); err == nil {
+		t.Error("the connection that was idle for the longest time is open")
+	}
+}
+
+// Guards against closing a connection whose request is being served to make room for another.
+func TestBusyConnectionsStayOpen(t *testing.T) {
+	const connections = 4
+	dial, release := callersOf(t, connections)
+	var busy []*bufio.ReadWriter
+	for range connections {
+		c := dial()
+		sendTo(c, "/held")
+		busy = append(busy, c)
+	}
+	waits := dial()
+	sendTo(waits, "/")
+	close(release)
+	for i, c := range append(busy, waits) {
+		if err := receiveFrom(c); err != nil {
+			t.Errorf("connection %d: %v", i, err)
+		}
+	}
+}
