router: an upstream is not asked again over a connection that proves it

Cause: while the list may lack restarts, each new connection to an upstream had it asked when it started. In the two seconds after a start of all routers every connection is new: about one question for each request.

Change: an upstream that has said that it is the incarnation in the list is not asked again while a connection from then is idle and open. Upstreams that report no start count as no question. The line that one has started again is written once.

--- a/internal/router/incarnation.go
+++ b/internal/router/incarnation.go
@@ -76,10 +76,14 @@
 // upstream that it has no connection to: in an outage of the store, a new connection may lead to another incarnation.
 func (r *Router) doubtAt(now time.Time, vm topo.VM, opened time.Time) restartDoubt {
 	d := r.doubt(now, vm)
-	if list := r.listCurrency.Load(); d == noDoubt && list != nil && list.MayLack(now, opened) {
-		return mayBeUnseen
+	list := r.listCurrency.Load()
+	if d != noDoubt || list == nil || !list.MayLack(now, opened) {
+		return d
+	}
+	if same := r.suspects.SameAt(vm.ID); !same.IsZero() && r.config.Direct.HasOpenSince(vm, same) {
+		return noDoubt // the connection over which it said so is still open
 	}
-	return d
+	return mayBeUnseen
 }
 
 // mayContinueAt reports whether a stream of the upstream's version in the list may go on there, over a connection that
@@ -115,16 +119,19 @@
 
 // askStart asks an upstream when it started, and records what that shows.
 func (r *Router) askStart(ctx context.Context, vm topo.VM) startAnswer {
+	if vm.StartedAt == 0 {
+		return startUnknown
+	}
 	answer := startUnknown
-	if vm.StartedAt != 0 {
-		switch at, err := r.config.Direct.AskStart(ctx, vm); {
-		case err != nil:
-		case at == vm.StartedAt:
-			answer = startSame
-			r.suspects.IsSameIncarnation(vm.ID)
-		default:
-			answer = startOther
-			r.suspects.Replaced(time.Now(), vm.ID)
+	at, err := r.config.Direct.AskStart(ctx, vm)
+	switch now := time.Now(); {
+	case err != nil:
+	case at == vm.StartedAt:
+		answer = startSame
+		r.suspects.Same(now, vm.ID)
+	default:
+		answer = startOther
+		if r.suspects.Replaced(now, vm.ID) {
 			slog.Warn("upstream has started again, which the list does not show", "upstream", vm.ID, "addr", vm.Addr, "started", time.UnixMilli(at))
 		}
 	}
--- a/internal/suspects/restarts_test.go
+++ b/internal/suspects/restarts_test.go
@@ -29,12 +29,22 @@
 	if _, replaced := r.MayHaveEndedAt("a"); !replaced.Equal(at(6)) {
 		t.Error("its next incarnation has answered, and it counts as the same")
 	}
-	r.IsSameIncarnation("a")
+	if r.Replaced(at(7), "a") {
+		t.Error("its next incarnation is new once more")
+	}
+	r.Same(at(7), "a")
 	if ended, replaced := r.MayHaveEndedAt("a"); !ended.IsZero() || !replaced.IsZero() {
 		t.Errorf("it has not ended, and may have at %v, replaced %v", ended, replaced)
 	}
+	if same := r.SameAt("a"); !same.Equal(at(7)) {
+		t.Errorf("it is the same at %v", same)
+	}
+	r.IdleClosed(at(8), "a")
+	if same := r.SameAt("a"); !same.IsZero() {
+		t.Errorf("it may have ended, and is the same at %v", same)
+	}
 	r.IdleClosed(at(7), "b")
-	r.Expire(at(7).Add(restartMemory))
+	r.Expire(at(8).Add(restartMemory))
 	if len(r.restarts) != 0 {
 		t.Errorf("%d upstreams are kept", len(r.restarts))
 	}
