router: upstreams with a warm-up limit are asked only where answers were lost

Cause: in an outage, and for two seconds after it and after a start, each new connection to an upstream with a warm-up limit had it asked when it started: one question for each pair of router and upstream.

Ruled out: the same for streams that may be taken up. A router notices nothing of an upstream that it has no connection to; without the question streams that begin there cross versions (2 of 36 in TestStreamsStayAtTheirVersionWhileTheStoreIsAway).

Change: for coldness alone an upstream is asked where all answers of the router were lost, as TestRunnerRebornWhileTheStoreIsAwayCountsAsCold has it.

--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -192,8 +192,12 @@
 		}
 		return verdict.New(verdict.NotRun, verdict.ReasonVersionGone, "upstream %s may have started again with another version", at.vm.ID)
 	}
-	if pool := d.router.View().Pools[d.poolName]; d.plan.Resumable || pool != nil && pool.warmupRate > 0 {
-		d.router.resolveDoubt(now, at.vm, opened)
+	pool := d.router.View().Pools[d.poolName]
+	switch {
+	case d.plan.Resumable:
+		d.router.resolve(d.router.doubtAt(now, at.vm, opened), at.vm)
+	case pool != nil && pool.warmupRate > 0 && d.router.doubt(now, at.vm) == isDoubted:
+		d.router.resolve(isDoubted, at.vm) // until then it gets what a cold one bears
 	}
 	return nil
 }
--- a/internal/router/incarnation.go
+++ b/internal/router/incarnation.go
@@ -102,10 +102,10 @@
 	return d != isDoubted
 }
 
-// resolveDoubt asks an upstream when it started, without waiting for the answer, if it may have started again: whether
-// it is cold depends on that, and whether a stream that begins there can go on elsewhere.
-func (r *Router) resolveDoubt(now time.Time, vm topo.VM, opened time.Time) {
-	if vm.StartedAt == 0 || r.doubtAt(now, vm, opened) == noDoubt {
+// resolve asks an upstream when it started, without waiting for the answer, if there is doubt: whether it is cold depends
+// on that, and whether a stream that begins there can go on elsewhere.
+func (r *Router) resolve(d restartDoubt, vm topo.VM) {
+	if vm.StartedAt == 0 || d == noDoubt {
 		return
 	}
 	if _, asking := r.askedNow.LoadOrStore(vm.ID, struct{}{}); asking {
