--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -29,6 +29,9 @@
 	serverMaxHeaderBytes = 1 << 20
 )
 
+var evictedConns = telemetry.NewCounter("gateway_evicted_connections_total",
+	"Idle connections of callers that were closed because the maximum number of connections was open.", telemetry.Alert)
+
 // Server returns a server for callers that serves h on at most the given number of
 // connections at a time. Its timeouts are those of the operators' limits in force plus
 // grace, as a change of the limits takes time to arrive: when they become shorter, callers
@@ -126,9 +129,6 @@
 	}
 }
 
-var evictedConns = telemetry.NewCounter("gateway_evicted_connections_total",
-	"Idle connections of callers that were closed because the maximum number of connections was open.", telemetry.Alert)
-
 type callerListener struct {
 	net.Listener
 	server *CallerServer
--- a/internal/router/continued.go
+++ b/internal/router/continued.go
@@ -54,8 +54,8 @@
 	return resp.hasSeveralVersions() && resp.router.suspects.MayHaveRestarted(now, vm.ID)
 }
 
-// withoutDoubtful returns the targets at which a stream may go on as far as is known. Those that may have started again
-// in an outage of the store come last: they are asked before anything is sent.
+// withoutDoubtful returns the targets at which a stream may go on. Upstreams that may have started again without the
+// list showing it, and can be asked, come last: they are asked before anything is sent.
 func (resp *Response) withoutDoubtful(now time.Time, targets []target) []target {
 	var sure, asked []target
 	for _, t := range targets {
--- a/internal/router/incarnation.go
+++ b/internal/router/incarnation.go
@@ -44,13 +44,13 @@
 	return list != nil && list.MayLack(now, now)
 }
 
-// restartDoubt is how sure it is that an upstream is still the incarnation in the list.
+// restartDoubt is how likely it is that an upstream is another incarnation than the one in the list.
 type restartDoubt int
 
 const (
 	noDoubt     restartDoubt = iota
-	mayBeUnseen              // it may have started again at this moment, which is to be asked
-	isDoubted                // nothing of it goes to another upstream's stream unless it says that it is the same
+	mayBeUnseen              // it is asked; without an answer it counts as the one in the list
+	isDoubted                // it is asked; without an answer it counts as another one
 )
 
 // doubt returns whether an upstream may have started again without the list showing it: all connections to it broke,
