--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -44,6 +44,7 @@
 	"endless": playEndless,
 	"pause":   playPause,
 	"grace":   playGrace,
+	"late":    playLate,
 }
 
 func main() {
--- a/review/rig-2/pause.go
+++ b/review/rig-2/pause.go
@@ -16,11 +16,11 @@
 const (
 	pauseSlots    = 4 // requests that an engine runs at once
 	pauseQueue    = 2 // and that wait there
-	chatEvents    = 150
-	chatInterval  = 100 * time.Millisecond
+	chatEvents    = 300
+	chatInterval  = 40 * time.Millisecond
 	chatTimeout   = 25 * time.Second
 	chatGapAim    = 400 * time.Millisecond // the longest pause for which an answer is on time
-	preemptedFor  = 350 * time.Millisecond // shorter than chatGapAim
+	preemptedFor  = 340 * time.Millisecond // with chatInterval it is shorter than chatGapAim
 	configApplied = 2 * time.Second
 )
 
@@ -145,14 +145,14 @@
 			for time.Since(hup) < configApplied {
 				c := &client{router: clientRouter, out: w.out}
 				done := c.do(request{method: http.MethodPost, path: path, body: "chat", patience: chatTimeout,
-					header: map[string]string{"Model": "m", "Token-Usage": "1460,80", "Prompt-Prefix": fmt.Sprintf("5c1e07a2:800,91bd3f0%x:410", i)}}, nil)
+					header: map[string]string{"Model": "m", "Token-Usage": "1460,80", "Prompt-Prefix": fmt.Sprintf("5c1e07a2:800,91bd3f0%x:410,e4402b7%x:250", i, i)}}, nil)
 				mu.Lock()
 				calls = append(calls, done)
 				mu.Unlock()
 				if done.status != http.StatusServiceUnavailable {
 					return
 				}
-				time.Sleep(100 * time.Millisecond)
+				time.Sleep(300 * time.Millisecond)
 			}
 		})
 		time.Sleep(60 * time.Millisecond)
@@ -162,11 +162,14 @@
 		running, waiting := e.load()
 		w.out.say("engine %s runs %d and has %d waiting", e.ID, running, waiting)
 	}
-	if trouble {
-		w.out.say("the streams of engine %s stand still for %v", engines[0].ID, preemptedFor)
-		engines[0].mu.Lock()
-		engines[0].pauseAt = time.Now()
-		engines[0].mu.Unlock()
+	for _, e := range engines {
+		if trouble {
+			w.out.say("the streams of engine %s stand still for %v", e.ID, preemptedFor)
+			e.mu.Lock()
+			e.pauseAt = time.Now()
+			e.mu.Unlock()
+		}
+		time.Sleep(time.Second)
 	}
 	streams.Wait()
 	cut := 0
--- a/review/rig-2/world.go
+++ b/review/rig-2/world.go
@@ -218,10 +218,9 @@
 	slots   int
 	born    int64
 
-	mu       sync.Mutex
-	state    string
-	stopped  bool
-	lastSpec map[string]any
+	mu      sync.Mutex
+	state   string
+	stopped bool
 }
 
 const heartbeat = 1200 * time.Millisecond
@@ -254,6 +253,13 @@
 	r.world.store.Put("servers", r.ID, r.entry())
 }
 
+// stopBeats ends the heartbeats.
+func (r *runner) stopBeats() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopped = true
+}
+
 func (r *runner) beat() {
 	tick := time.NewTicker(heartbeat)
 	defer tick.Stop()
