--- a/review/rig-2/grace.go
+++ b/review/rig-2/grace.go
@@ -51,16 +51,18 @@
 	if trouble {
 		first = formerGraceS
 	}
-	r, err := w.startRouter(0, first)
-	if err != nil {
-		return false, err
+	for i := range 4 {
+		if _, err := w.startRouter(i, first); err != nil {
+			return false, err
+		}
 	}
+	r := w.routers[0]
 	if err := w.awaitReady(10 * time.Second); err != nil {
 		return false, err
 	}
 	time.Sleep(4 * time.Second)
 	if trouble {
-		w.out.say("the settings file changes: grace_s is %d, it was %d; SIGHUP", presentGraceS, formerGraceS)
+		w.out.say("the settings file of %s, one of %d routers, changes: grace_s is %d, it was %d; SIGHUP", r.name, len(w.routers), presentGraceS, formerGraceS)
 		if err := r.writeSettings(presentGraceS); err != nil {
 			return false, err
 		}
--- a/review/rig-2/late.go
+++ b/review/rig-2/late.go
@@ -133,7 +133,7 @@
 		[]map[string]any{{"name": "desk", "health_path": "/health", "max_connections": 100}})
 	var ended sync.Map // ids of runners that have ended
 	var runners []*runner
-	for i := range 3 {
+	for i := range 5 {
 		r, err := w.startRunner(i, "desk", 6)
 		if err != nil {
 			return false, err
@@ -188,7 +188,7 @@
 		}
 	}
 	beats(4)
-	burst(12)
+	burst(20)
 	if trouble {
 		w.out.say("runner %s is cut from the store", leaving.ID)
 		l.setCut(true)
@@ -224,7 +224,7 @@
 		}
 	}()
 	time.Sleep(time.Until(cutAt.Add(cutFor + lateBy + 150*time.Millisecond)))
-	calls := burst(12)
+	calls := burst(20)
 	time.Sleep(time.Second)
 	late := 0
 	for _, a := range leaving.Arrivals() {
--- a/review/rig-2/pause.go
+++ b/review/rig-2/pause.go
@@ -127,23 +127,22 @@
 		return false, err
 	}
 	time.Sleep(4 * time.Second)
-	for _, r := range w.routers {
-		w.out.say("SIGHUP to %s; its settings file is the same", r.name)
-		r.signal(syscall.SIGHUP)
-	}
+	first := w.routers[0]
+	w.out.say("SIGHUP to %s, one of %d routers; its settings file is the same", first.name, len(w.routers))
+	first.signal(syscall.SIGHUP)
 	hup := time.Now()
 	// Eight chats and four drafts fill both engines: clients repeat what was turned away, as they may.
 	var mu sync.Mutex
 	var calls []*call
 	var streams sync.WaitGroup
 	for i := range 12 {
-		path, clientRouter := fmt.Sprintf("/c/%d", i), w.routers[i%len(w.routers)]
+		path := fmt.Sprintf("/c/%d", i)
 		if i >= 2*pauseSlots {
 			path = fmt.Sprintf("/d/%d", i)
 		}
 		streams.Go(func() {
 			for time.Since(hup) < configApplied {
-				c := &client{router: clientRouter, out: w.out}
+				c := &client{router: first, out: w.out}
 				done := c.do(request{method: http.MethodPost, path: path, body: "chat", patience: chatTimeout,
 					header: map[string]string{"Model": "m", "Token-Usage": "1460,80", "Prompt-Prefix": fmt.Sprintf("5c1e07a2:800,91bd3f0%x:410,e4402b7%x:250", i, i)}}, nil)
 				mu.Lock()
