--- a/review/rig-2/client.go
+++ b/review/rig-2/client.go
@@ -90,6 +90,7 @@
 	}
 	b.WriteString("\r\n" + q.body)
 	out.sent = time.Now()
+	c.out.printf("call %s to %s: sent %s %s, Deadline-Ms %d", out.id, out.router, q.method, q.path, q.patience.Milliseconds())
 	_ = c.conn.SetDeadline(out.sent.Add(q.patience))
 	if _, err := c.conn.Write(b.Bytes()); err != nil {
 		return c.failed(out, err)
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -7,8 +7,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -45,6 +47,7 @@
 	"pause":   playPause,
 	"grace":   playGrace,
 	"late":    playLate,
+	"replay":  playReplay,
 }
 
 func main() {
@@ -71,6 +74,13 @@
 		return exitNotRun
 	}
 	defer w.close()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		w.close()
+		os.Exit(exitNotRun)
+	}()
 	broken, err := plays[os.Args[1]](w, trouble)
 	switch {
 	case err != nil:
