--- a/review/rig-2/late.go
+++ b/review/rig-2/late.go
@@ -169,12 +169,13 @@
 	if err := w.awaitReady(10 * time.Second); err != nil {
 		return false, err
 	}
-	burst := func(n int) []*call {
+	burst := func(n int, apart time.Duration) []*call {
 		calls := make([]*call, n)
 		var done sync.WaitGroup
 		for i := range calls {
 			c := &client{router: w.routers[i%len(w.routers)], out: w.out}
 			done.Go(func() {
+				time.Sleep(time.Duration(i) * apart)
 				calls[i] = c.do(request{method: http.MethodPost, path: fmt.Sprintf("/b/%d", i), body: "commit", patience: 1500 * time.Millisecond}, nil)
 			})
 		}
@@ -188,7 +189,7 @@
 		}
 	}
 	beats(4)
-	burst(20)
+	burst(20, 0)
 	if trouble {
 		w.out.say("runner %s is cut from the store", leaving.ID)
 		l.setCut(true)
@@ -224,7 +225,7 @@
 		}
 	}()
 	time.Sleep(time.Until(cutAt.Add(cutFor + lateBy + 150*time.Millisecond)))
-	calls := burst(20)
+	calls := burst(20, 15*time.Millisecond)
 	time.Sleep(time.Second)
 	late := 0
 	for _, a := range leaving.Arrivals() {
