--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -47,7 +47,8 @@
 	"pause":   playPause,
 	"grace":   playGrace,
 	"late":    playLate,
-	"replay":  playReplay,
+
+	"rollback": playRollback,
 }
 
 func main() {
--- a/review/rig-2/world.go
+++ b/review/rig-2/world.go
@@ -31,6 +31,7 @@
 	ctx     context.Context
 
 	mu      sync.Mutex
+	handler http.Handler // of the store
 	routers []*router
 	version int // of the configuration
 }
@@ -43,6 +44,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &world{out: out, dir: dir, store: fake.NewStore(), ctx: ctx, cancel: cancel, version: 3}
+	w.handler = w.store
 	for range 20 {
 		w.network = fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))
 		l, listenErr := net.Listen("tcp", w.network+".2:0")
@@ -50,13 +52,38 @@
 			continue
 		}
 		w.address = l.Addr().String()
-		server := &http.Server{Handler: w.store, ReadHeaderTimeout: 10 * time.Second}
+		server := &http.Server{Handler: http.HandlerFunc(w.serveStore), ReadHeaderTimeout: 10 * time.Second}
 		go func() { _ = server.Serve(l) }()
 		return w, nil
 	}
 	return nil, err
 }
 
+// serveStore serves the calls of the store.
+func (w *world) serveStore(rw http.ResponseWriter, r *http.Request) {
+	w.mu.Lock()
+	h := w.handler
+	w.mu.Unlock()
+	h.ServeHTTP(rw, r)
+}
+
+// setHandler puts a handler before the store.
+func (w *world) setHandler(h http.Handler) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.handler = h
+}
+
+// endRouters ends all routers.
+func (w *world) endRouters() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.routers {
+		r.kill()
+	}
+	w.routers = nil
+}
+
 // close ends all processes that the world started.
 func (w *world) close() {
 	w.cancel()
@@ -101,6 +128,7 @@
 	name   string
 	ip     string
 	dir    string
+	store  string // its address of the store
 	graceS int
 	cmd    *exec.Cmd
 	exited chan struct{}
@@ -113,6 +141,16 @@
 	if err := os.Mkdir(r.dir, 0o700); err != nil {
 		return nil, err
 	}
+	l, err := net.Listen("tcp", w.network+".2:0") // its own address of the store, which tells the routers apart
+	if err != nil {
+		return nil, err
+	}
+	r.store = l.Addr().String()
+	server := &http.Server{ReadHeaderTimeout: 10 * time.Second, Handler: http.HandlerFunc(func(rw http.ResponseWriter, q *http.Request) {
+		q.RemoteAddr = r.ip + ":1"
+		w.serveStore(rw, q)
+	})}
+	go func() { _ = server.Serve(l) }()
 	if err := r.writeSettings(graceS); err != nil {
 		return nil, err
 	}
@@ -153,7 +191,7 @@
 	fmt.Fprintf(&b, "limits:\n  cpu_share: 0.304\n  cores: 1\n  memory_mb: 284\n  max_fds: 4100\n  link_mbps: 1000.0\n  disk_mb: 0\ndata_dir: null\ndiscovery: \"platform\"\nentry: \"vip\"\nheartbeat_ms: 1200\n")
 	fmt.Fprintf(&b, "contracts:\n  - \"base\"\n  - \"drain\"\n  - \"config\"\n  - \"cost\"\n  - \"retry\"\n  - \"recover\"\n  - \"engine\"\n  - \"stream\"\n  - \"tenants\"\n  - \"platform\"\nfault_tolerance:\n  machines: 1\n  zones: 0\n  regions: 0\n")
 	fmt.Fprintf(&b, "bounds:\n  seed_lag_s: 3\n  reuse_after_s: 2\n  stable_ms: 3000\n  ack_ms: 4000\n  catch_up_s: 4\n  drain_ms: 2000\n  grace_s: %d\n  loss_slack_ms: 200\n  config_apply_ms: 2000\n  downgrade_slack_ms: 250\n  outer_ms: 5000\n  strict_revoke: false\n  revoke_ms: 5000\n  retry_ratio: 0.2\n  budget_window_s: 10\n  retry_slack: 54\n  recover_s: 12\n  pass_ms: 120\n  reuse_window_s: 10\n  cap_factor: 2\n", graceS)
-	fmt.Fprintf(&b, "platform:\n  address: %q\n  form: \"objects\"\n  writes_per_s: 400\n  reads_per_s: 2000\n  history_s: 20\n  value_bytes: 1048576\n  ttl_min_ms: 1000\n", r.world.address)
+	fmt.Fprintf(&b, "platform:\n  address: %q\n  form: \"objects\"\n  writes_per_s: 400\n  reads_per_s: 2000\n  history_s: 20\n  value_bytes: 1048576\n  ttl_min_ms: 1000\n", r.store)
 	next := filepath.Join(r.dir, "next.yaml")
 	if err := os.WriteFile(next, []byte(b.String()), 0o600); err != nil {
 		return err
