--- a/review/rig-2/rollback.go
+++ b/review/rig-2/rollback.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	rollbackPlays = 9
+	rollbackPlays = 8
 	configBound   = 2 * time.Second // config_apply_ms
 	watchEndsIn   = 850 * time.Millisecond
 )
@@ -141,7 +141,7 @@
 			reader.signal(syscall.SIGCONT)
 			w.out.say("%s goes on, after %v", reader.name, time.Since(stopped).Round(time.Millisecond))
 		}
-		time.Sleep(time.Until(rolledBack.Add(configBound + 4*time.Second)))
+		time.Sleep(time.Until(rolledBack.Add(configBound + 2*time.Second)))
 		stale := 0
 		for _, r := range w.routers {
 			if r == reader {
