config: a change that was taken back ends at all routers

Cause: a configuration that is written as a whole is split into objects, and an object whose value has not changed keeps its version. A router that has skipped a version holds the route at 5, others at 7 and 9. "What is newer than 7" left the route out, the asker took over the peer's completeness, and the repair of the difference spread version 7.

Ruled out: old ages at the router that woke up (the state lasts); a new version for all objects with each write (each change would send everything to all routers).

Change: a Set remembers between which versions of the store it has held exactly what existed. Its answer says if the asker is in none of these states, or holds parts of a later one (Delta.WholeUpTo); the asker pulls everything and takes over what differs at that version. Related, found by the same property test, each with the guard before it in place: a part of a former edition is not accepted beside a later one, and not removed by a peer in a former state; a pull whose first state has been replaced meanwhile proves nothing; an order that is given again has its new version; an order that was withdrawn before the last whole reading is not taken from a late answer.

Why it works: the answer to a pull is exact if the peer has held the asker's state, since it then has seen each change after it; otherwise no version is compared, only values, and the later state wins.

--- a/internal/config/delta.go
+++ b/internal/config/delta.go
@@ -33,6 +33,11 @@
 	// has been deleted. Objects may lack deletions up to there, because the sender has
 	// forgotten them or has learnt of them from a listing.
 	DeletionHorizon topo.Version `json:"known,omitempty"`
+	// WholeUpTo is set if Objects may leave out a change, because the sender may have
+	// skipped the state that the requesting node is in, see span, and in answers to queries
+	// for all objects, which show what that node holds and the sender does not. It is the
+	// version of the sender's newest object.
+	WholeUpTo topo.Version `json:"whole,omitempty"`
 }
 
 // PiggybackedSummary returns the summary of a node whose version and digest arrived with
@@ -56,6 +61,9 @@
 // remaining objects of that version would never be sent.
 func (s *Set) Answer(q Query) Delta {
 	d := Delta{Summary: s.Summary(), DeletionHorizon: s.deletionHorizon()}
+	if s.edition.Number != 0 && !s.isExactFor(q) {
+		d.WholeUpTo = s.newest
+	}
 	from := max(q.Since, q.After)
 	size := 0
 	start := sort.Search(len(s.order), func(i int) bool { return s.order[i].Version > from })
--- a/internal/config/follow_peer.go
+++ b/internal/config/follow_peer.go
@@ -11,6 +11,7 @@
 	peer            Peer
 	query           Query
 	deletionHorizon topo.Version // of the peer; the same for all pieces
+	wholeUpTo       topo.Version // of the first piece, see Delta
 	completeUpTo    topo.Version // of the peer when it sent the first piece
 	seen            map[topo.Ref]struct{}
 	deadline        time.Time
@@ -21,6 +22,11 @@
 	return p.query.Since == 0
 }
 
+// horizon returns the version up to which a pull of all objects shows which ones exist.
+func (p *pull) horizon() topo.Version {
+	return max(p.deletionHorizon, p.wholeUpTo)
+}
+
 // repairWidths are the steps of a repair: how many changes before the newest its pull begins.
 var repairWidths = [...]int{64, 1024}
 
@@ -242,10 +248,12 @@
 		// Later pieces do not include what the peer has learnt since the first one
 		// below the version that the pull has reached.
 		p.deletionHorizon, p.completeUpTo = d.DeletionHorizon, d.Summary.CompleteUpTo
+		p.wholeUpTo = d.WholeUpTo
 	}
 	b := Batch{Objects: d.Objects}
 	if p.isFull() {
-		b.DeletionHorizon = d.DeletionHorizon
+		b.Objects = f.set.restate(d.Objects, p.wholeUpTo)
+		b.DeletionHorizon = p.horizon()
 		for _, o := range d.Objects {
 			if !o.Deleted {
 				p.seen[o.Ref] = struct{}{}
@@ -285,22 +293,26 @@
 }
 
 // adoptCompleteness raises the version up to which this node is complete to that of the peer,
-// if the pull proves that this node has missed none of the deletions that the peer has
-// forgotten. Otherwise a pull of all objects is needed, which may have to wait for
-// fullPullInterval.
+// if the pull proves that this node has missed neither a deletion that the peer has forgotten
+// nor a change in a state that the peer has skipped. Otherwise a pull of all objects is needed,
+// which may have to wait for fullPullInterval.
 func (f *Follower) adoptCompleteness(e QueryAnswered, p *pull) []Effect {
 	d := e.Delta
+	horizon := p.horizon()
 	var out []Effect
 	switch {
-	case p.query.Summary.CompleteUpTo >= d.DeletionHorizon:
-		// This node knows all deletions that the peer has forgotten.
+	case f.set.edition.Number != 0 && f.set.Version() != p.query.Summary.Version:
+		return nil // the pull started from a state that has been replaced since
+	case p.query.Summary.CompleteUpTo >= horizon:
+		// This node knows all deletions that the peer has forgotten, and its state is not
+		// one that the peer has skipped.
 	case p.isFull():
-		f.repair.fullPullHorizon = d.DeletionHorizon
-		out = changedEffects(f.set.RemoveUnseen(p.seen, d.DeletionHorizon))
+		f.repair.fullPullHorizon = horizon
+		out = changedEffects(f.set.RemoveUnseen(p.seen, min(horizon, max(p.deletionHorizon, p.completeUpTo))))
 	case f.set.Summary().sameObjects(d.Summary):
-		// None of the forgotten deletions concerned objects of this node.
+		// None of the forgotten deletions and skipped states concerned objects of this node.
 		f.set.listedUpTo = max(f.set.listedUpTo, d.DeletionHorizon)
-	case e.Now.Before(f.repair.nextFullPull) && !(f.timing.Relayed && d.DeletionHorizon > f.repair.fullPullHorizon):
+	case e.Now.Before(f.repair.nextFullPull) && !(f.timing.Relayed && horizon > f.repair.fullPullHorizon):
 		return nil // too soon after the last pull of all objects
 	default:
 		f.repair.nextFullPull = e.Now.Add(fullPullInterval)
--- a/internal/config/follow_store.go
+++ b/internal/config/follow_store.go
@@ -280,5 +280,6 @@
 	f.nextList = now.Add(f.jitter(f.listInterval()))
 	out = append(out, f.applyBatch(Batch{Objects: f.replacement(now, objects, version), Claim: &Claim{To: version}, DeletionHorizon: horizon})...)
 	f.set.listedUpTo = max(f.set.listedUpTo, horizon)
+	f.set.wholeReadAt = version
 	return append(out, f.afterListing(now, first)...)
 }
--- a/internal/config/set.go
+++ b/internal/config/set.go
@@ -25,6 +25,8 @@
 	// maxPieceBytes bounds a Delta. It is small for a connection that also carries
 	// responses, and large compared with the cost of a round trip.
 	maxPieceBytes = 128 << 10
+	// maxSpans bounds the versions that a Set remembers to have held, see span.
+	maxSpans = 64
 	// objectOverheadBytes is the size of an object's name and version in a Delta.
 	objectOverheadBytes = 64
 	// emptyDigest is the digest of a Set without objects. Zero means no digest.
@@ -48,8 +50,11 @@
 	completeUpTo  topo.Version
 	forgottenUpTo topo.Version // deletions at or below this version may have been forgotten
 	listedUpTo    topo.Version // version of the newest listing of the store, by this node or one that it pulled from
+	wholeReadAt   topo.Version // version of the newest reading of all objects, by this node from a source that is whole
 	digest        uint64       // of the live objects
 	edition       Edition      // of a configuration written as a whole
+	wholeEdition  topo.Version // of the newest edition of which the Set holds all parts
+	spans         []span       // of versions that the Set has held, the latest last; none without an edition
 
 	maxTombstones int // deletions that are remembered
 	maxPieceBytes int // upper bound of the size of a Delta
@@ -135,7 +140,7 @@
 // Apply adds the objects in b that are newer than those held and returns the ones that have
 // changed. An object that has the same value in a later era of the store has not changed.
 // An object is never replaced by an older version, so no stale source can bring a former
-// version back into force.
+// version back into force. See isSuperseded for objects that are part of an edition.
 func (s *Set) Apply(b Batch) []topo.Object {
 	var changed []topo.Object
 	sorted := true
@@ -162,6 +167,9 @@
 		s.applyClaim(*b.Claim)
 	}
 	s.advanceVersion()
+	if b.Claim != nil {
+		s.recordSpan()
+	}
 	s.trim()
 	return changed
 }
@@ -184,6 +192,9 @@
 	if have != nil && o.Version <= have.Version {
 		return false
 	}
+	if s.isSuperseded(o) {
+		return false
+	}
 	if have != nil && !have.Deleted {
 		return true
 	}
@@ -191,7 +202,8 @@
 	// last listing has been deleted, and its source has missed the deletion. Accepting it
 	// would, for example, make a deleted organisation work again. Only a source that has
 	// listed the store later can prove that the object exists.
-	return o.Version > s.deletionHorizon() || (b.DeletionHorizon >= s.deletionHorizon() && !o.Deleted)
+	horizon := max(s.deletionHorizon(), s.wholeReadAt)
+	return o.Version > horizon || (b.DeletionHorizon >= horizon && !o.Deleted)
 }
 
 // isRepeat reports whether o repeats the value held, in a later era of the store.
@@ -247,6 +259,9 @@
 	if c.From <= s.completeUpTo {
 		s.completeUpTo = max(s.completeUpTo, c.To)
 	}
+	if s.edition.Version <= s.completeUpTo {
+		s.wholeEdition = max(s.wholeEdition, s.edition.Version)
+	}
 }
 
 // advanceVersion updates the result of Version.
@@ -303,13 +318,17 @@
 
 // RemoveUnseen removes the objects at or below upTo that are not in seen, and returns a
 // deletion for each of them. seen names the objects of a source that holds all objects up to
-// that version.
+// that version. Parts of a complete edition that is newer than upTo stay: such a source may be
+// in a state that was replaced since.
 func (s *Set) RemoveUnseen(seen map[topo.Ref]struct{}, upTo topo.Version) []topo.Object {
 	var removed []topo.Object
 	for ref, o := range s.objects {
 		if _, ok := seen[ref]; ok || o.Deleted || o.Version > upTo {
 			continue
 		}
+		if isPartOfEdition(*o) && upTo < s.wholeEdition {
+			continue
+		}
 		s.uncount(o)
 		s.replaced++
 		delete(s.objects, ref)
@@ -328,22 +347,28 @@
 // are all that exist at a version: objects that are new or have another value, and deletions
 // of those that are not among them.
 //
-// An unchanged object keeps the version at which it changed, so that nodes that have read
-// the source at different times still agree. Only a later era of the store gives it a new
-// version: nodes that started in that era do not accept versions of the era before as newer.
+// An object whose value is the one held keeps its version, so that a change of one object is
+// not sent as a change of all. Its version may be too low: the Set may have skipped a state
+// in which the object had another value, see span. Two exceptions: an order has a version of
+// its own; and a later era of the store gives each object a new version, since nodes that
+// started in that era do not accept versions of the era before as newer.
+//
 // A new object has the version that the source gives it, which is that of the last change of
-// the source, so that nodes that begin to read it at different times agree as well. If the
-// source gives none, it has the given version.
+// the source, so that nodes that begin to read it at different times agree. If the source
+// gives none, it has the given version. A deletion has the version of the newest object if
+// that is higher than the deleted object's, for the same reason.
 func (s *Set) difference(objects []topo.Object, version topo.Version) []topo.Object {
 	var out []topo.Object
+	var newest topo.Version
 	seen := make(map[topo.Ref]bool, len(objects))
 	for _, o := range objects {
 		seen[o.Ref] = true
 		if o.Version == 0 {
 			o.Version = version
 		}
+		newest = max(newest, o.Version)
 		have, ok := s.Get(o.Ref)
-		if ok && bytes.Equal(have.Value, o.Value) && o.Version.Era() <= have.Version.Era() {
+		if ok && bytes.Equal(have.Value, o.Value) && !isRewritten(have, o) {
 			continue
 		}
 		// The value may be part of a larger text, which it would keep in memory.
@@ -351,9 +376,20 @@
 		out = append(out, o)
 	}
 	s.Objects(func(o topo.Object) {
-		if !seen[o.Ref] {
-			out = append(out, topo.Object{Ref: o.Ref, Version: version, Deleted: true})
+		if seen[o.Ref] {
+			return
 		}
+		deletion := topo.Object{Ref: o.Ref, Version: version, Deleted: true}
+		if o.Version < newest {
+			deletion.Version = newest
+		}
+		out = append(out, deletion)
 	})
 	return out
 }
+
+// isRewritten reports whether an object that the source holds has to take the place of the
+// one held, although it has the same value.
+func isRewritten(have, o topo.Object) bool {
+	return o.Version.Era() > have.Version.Era() || (isOrder(o.Kind) && o.Version > have.Version)
+}
