router: a body without an end ends with its route's timeout

Cause: at its deadline a response goes on while its pieces come, .2 s for each piece, since what an upstream still sends then is on its way. Nothing bounded the number of such pieces.

Ruled out: a timer that does not run while a body is passed on (a silent runner is ended in time); backpressure (the test's caller reads at once); to end at the deadline whatever comes: a caller that sets a shorter time than the route's and waits on would lose whole streams (TestStreamWhoseEventsStillComeAtItsDeadlineIsWhole).

Change: a response ends .4 s after its route's timeout, or after the caller's own if the route has none, whatever still comes, with and without sidecars.

Why it works: the bound is worked out from the arrival of the request, and is the read deadline of the connection as well as a check before each piece, so that bytes that have arrived already can't pass it by.

--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -37,9 +37,10 @@
 	lastPieceAt  time.Time // arrival of the newest piece
 	sentAt       time.Time
 	position     eventstream.Position
-	events       int  // that have arrived
-	resumed      bool // it goes on with a stream that began elsewhere
-	eventSeen    bool // a whole event has arrived
+	events       int       // that have arrived
+	endsBy       time.Time // when a response without an end is ended; zero: never
+	resumed      bool      // it goes on with a stream that began elsewhere
+	eventSeen    bool      // a whole event has arrived
 }
 
 // overdueGrace is how long after a request's deadline, or after the piece before it if that is later, the
@@ -50,10 +51,7 @@
 // Next implements stream. The deadline of ctx is that of the request.
 func (s *directStream) Next(ctx context.Context) (wire.Piece, error) {
 	if deadline, ok := ctx.Deadline(); ok {
-		if s.lastPieceAt.After(deadline) {
-			deadline = s.lastPieceAt
-		}
-		s.SetOverdueAt(deadline.Add(overdueGrace))
+		s.SetOverdueAt(s.overdueAt(deadline))
 	}
 	p, err := s.Stream.Next()
 	if err != nil || p.Head != nil {
@@ -76,6 +74,18 @@
 	return p, nil
 }
 
+// overdueAt returns until when the next piece is awaited if the request has a deadline.
+func (s *directStream) overdueAt(deadline time.Time) time.Time {
+	if s.lastPieceAt.After(deadline) {
+		deadline = s.lastPieceAt
+	}
+	at := deadline.Add(overdueGrace)
+	if !s.endsBy.IsZero() && s.endsBy.Before(at) {
+		return s.endsBy
+	}
+	return at
+}
+
 // observeFirstEvent records the first whole event of an event stream: the upstream has written on the parts of the
 // prompt.
 func (s *directStream) observeFirstEvent(p wire.Piece) {
@@ -126,7 +136,7 @@
 	d.recordAccepted(at, s.Signal)
 	at.stream = &directStream{
 		Stream: s, router: d.router, attempt: at, tracker: at.tracker, shedder: at.shedder, vm: id, profile: d.req.Profile.Name,
-		sentAt: sentAt, resumed: at.headSent || d.req.resumesStream(),
+		sentAt: sentAt, endsBy: d.endsBy(), resumed: at.headSent || d.req.resumesStream(),
 	}
 	d.handleSignal(at, s.Signal)
 	if s.Signal.NotRun {
--- a/internal/router/pieces.go
+++ b/internal/router/pieces.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -45,6 +46,10 @@
 	if at.busy {
 		return wire.Piece{}, false, resp.waitForEvent()
 	}
+	if isPast(resp.endsBy(), time.Now()) {
+		resp.tick()
+		return wire.Piece{}, false, nil
+	}
 	p, err := resp.readPiece()
 	switch {
 	case err == nil:
@@ -72,6 +77,22 @@
 	return wire.Piece{}, false, nil
 }
 
+// maxOverdue is how long after the timeout of its profile a response is ended even if its pieces
+// still come. An upstream in trouble may send bytes without end, and each piece extends the wait
+// for the next one by overdueGrace.
+const maxOverdue = 400 * time.Millisecond
+
+// endsBy returns when a response without an end is ended; zero: never, since the request has no
+// deadline. It goes by the timeout of the profile: until then, a caller that sets a shorter one
+// decides for itself how long it waits.
+func (resp *Response) endsBy() time.Time {
+	if resp.plan.Deadline.IsZero() {
+		return time.Time{}
+	}
+	timeout := cmp.Or(resp.req.Profile.Deadline.Std(), resp.req.CallerTimeout)
+	return resp.started.Add(timeout + maxOverdue)
+}
+
 // handleStall handles a stream that has paused for longer than its stall timeout. The
 // stream is abandoned only if another upstream continues it: a pause alone is no reason to
 // end a response. If none does, the timeout is switched off.
