membership: an earlier write of the same life that comes late changes nothing

Cause: of two writes of one incarnation the later commit won. The runner's own count of its writes was compared only across eras of a restored store.

Ruled out: the grace after an outage and the relay (the test needs neither a cut nor a second reader); to hold "leaving" for good (an upstream that takes it back would never be used again).

Change: a write with the start of the last one and a lower sequence is ignored and counted, also after the entry was removed. Without a start it is compared only while there is an entry: the upstream may have started again under its name.

--- a/internal/membership/change.go
+++ b/internal/membership/change.go
@@ -23,7 +23,7 @@
 	// Replaced are the VMs whose upstreams have restarted: their requests are lost,
 	// although connections to them may not show it.
 	Replaced []topo.VM
-	// Outdated is the number of ignored writes, made by former incarnations or
-	// repeated by a restored store.
+	// Outdated is the number of ignored writes: made by former incarnations, overtaken by later
+	// writes of the same one, or repeated by a restored store.
 	Outdated int
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -43,8 +43,9 @@
 // State is one router's view of the entries. It does no I/O; the follower of the
 // entries passes it their changes.
 //
-// Invariant: a listed entry has the latest start that its name was seen with, for as
-// long as earlier starts are remembered.
+// Invariant: a listed entry has the latest start that its name was seen with, and of the writes
+// of that incarnation the one with the highest sequence, for as long as earlier writes are
+// remembered.
 type State struct {
 	entries         map[string]*entry           // by name
 	tombstones      map[string]tombstone        // by name; these names have no entry
@@ -97,6 +98,14 @@
 		w.startedAt == last.startedAt && w.sequence <= last.sequence
 }
 
+// isOvertakenBy reports whether w was made before last, by the same incarnation, and the store has
+// committed it later. A write without a start is only compared with an entry that exists: its
+// upstream may have started again under the name.
+func (w write) isOvertakenBy(last write, exists bool) bool {
+	return last.version != 0 && w.startedAt == last.startedAt && w.sequence < last.sequence &&
+		(w.startedAt != 0 || exists)
+}
+
 // unconfirmedEntry is the last write of an upstream that had been removed, found again
 // in a store that was restored from an older copy.
 type unconfirmedEntry struct {
@@ -176,10 +185,11 @@
 	return result
 }
 
-// applyWritten applies a written entry. An entry of a former incarnation may arrive after
-// that of its successor: the platform may delay a write, or commit one whose response was
-// lost. Accepting it would restore loads, prompts and an address that no longer exist.
-// The start tells which of two incarnations is the later one.
+// applyWritten applies a written entry. The platform may delay a write, or commit one whose
+// response was lost, so that an entry may arrive after a later one. Of two incarnations, the start
+// tells which is the later one: accepting a write of the former would restore loads, prompts and an
+// address that no longer exist. Of two writes of one incarnation, the sequence does: accepting the
+// earlier one would send work to an upstream that has announced its leaving since.
 func (s *State) applyWritten(now time.Time, e Entry, result *ApplyResult) {
 	current, last := s.entries[e.Name], s.lastWrite(e.Name)
 	delete(s.unconfirmed, e.Name)
@@ -198,6 +208,9 @@
 		result.Outdated++
 		s.applyReplay(now, current, e)
 		return
+	case writeOf(e).isOvertakenBy(last, current != nil):
+		result.Outdated++
+		return
 	case current != nil && current.write.startedAt != e.StartedAt:
 		result.Replaced = append(result.Replaced, current.vm)
 	}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -261,3 +261,60 @@
 		}
 	}
 }
+
+// Guards against an earlier write of a running upstream that the store commits late: the upstream that has announced its
+// leaving since got new work again, and one whose entry has been removed was listed again.
+func TestLateWritesOfTheSameIncarnationAreIgnored(t *testing.T) {
+	write := func(startedAt, sequence int64, leaving bool) []Change {
+		return []Change{{Entry: Entry{Name: "a", StartedAt: startedAt, Sequence: sequence, Version: topo.Version(sequence), VM: topo.VM{Leaving: leaving}}}}
+	}
+	for _, startedAt := range []int64{0, 2} {
+		s := NewState(timing)
+		id := incarnationID(Entry{Name: "a", StartedAt: startedAt})
+		s.Apply(start, write(startedAt, 5, false))
+		s.Apply(start, write(startedAt, 7, true))
+		if result := s.Apply(start, write(startedAt, 6, false)); result.Outdated != 1 {
+			t.Errorf("start %d: %d outdated writes, want 1", startedAt, result.Outdated)
+		}
+		checkListed(t, s, nil, []string{id})
+		s.Apply(start, write(startedAt, 8, false)) // it has changed its mind
+		checkListed(t, s, []string{id}, nil)
+	}
+	s := NewState(timing)
+	s.Apply(start, write(2, 7, true))
+	s.Apply(start, removedChange("a"))
+	s.Apply(start, write(2, 6, false))
+	checkListed(t, s, nil, nil)
+	s.Apply(start, write(3, 1, false)) // its next incarnation counts anew
+	checkListed(t, s, []string{"a@3"}, nil)
+}
+
+// Guards against any order in which the store commits the writes of several incarnations, and removals between them,
+// after which a listed upstream is in another state than its latest write says.
+func TestNoOrderOfWritesRestoresAnEarlierState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewState(timing)
+		var latest Entry
+		for i := range rapid.IntRange(1, 40).Draw(t, "events") {
+			if rapid.IntRange(0, 5).Draw(t, "event") == 0 {
+				s.Apply(start, removedChange("a"))
+				continue
+			}
+			e := Entry{
+				Name: "a", Version: topo.Version(i + 1),
+				StartedAt: int64(rapid.IntRange(1, 3).Draw(t, "start")), Sequence: int64(rapid.IntRange(1, 9).Draw(t, "sequence")),
+			}
+			e.VM.Slots = int(10*e.StartedAt + e.Sequence)
+			e.VM.Leaving = e.VM.Slots%2 == 0
+			s.Apply(start, []Change{{Entry: e}})
+			if e.VM.Slots >= latest.VM.Slots {
+				latest = e
+			}
+			for _, vm := range s.VMs() {
+				if vm.Slots != latest.VM.Slots || latest.VM.Leaving && !vm.Leaving {
+					t.Fatalf("%+v is listed after write %d of the incarnation of %d", vm, latest.Sequence, latest.StartedAt)
+				}
+			}
+		}
+	})
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -36,7 +36,7 @@
 	unusableEntries = telemetry.NewCounter("router_unusable_entries_total",
 		"Writes of entries of upstreams that named none which could be used.")
 	outdatedEntries = telemetry.NewCounter("router_outdated_entries_total",
-		"Writes of entries by former incarnations of upstreams, which were passed over.")
+		"Writes of entries by former incarnations of upstreams, or made before a later one, which were passed over.")
 )
 
 // defaultVMListInterval is the default interval between two readings of the list of VMs.
