router: a stream without a name goes on only where its version is known

Cause: for such a caller the router took the one version that it lists at that moment for the one that began the stream. Neither what it had listed before counted, nor how long it had run, nor that the route may have had another service.

Change: origins.History holds the versions that each pool has listed, since when the list is current, and when the routes of a host changed.

Why it works: a stream began where requests went then, and what is compared is all that decides where they go; a router that can't have seen it says so.

--- /dev/null
+++ b/internal/origins/history.go
@@ -0,0 +1,116 @@
+package origins
+
+import (
+	"sync"
+	"time"
+)
+
+// maxHistory is for how long a History remembers a version that is not listed any more.
+const maxHistory = time.Hour
+
+// Hosts are the routes of each host, as a hash of which paths are served by which pools.
+type Hosts map[string]uint64
+
+// Pools are the software versions of the upstreams that are listed in each pool.
+type Pools map[string][]string
+
+// History holds what a router has seen of the software versions in each pool, and of the routes of each host. A stream
+// that its caller takes up without naming it began where requests for it went then: if one version has served it for
+// longer than a stream can last, it began there. A router that has just started has not seen that, and neither has one
+// whose list was not current meanwhile. The zero value is ready to use. It is safe for concurrent use.
+type History struct {
+	mu       sync.Mutex
+	since    time.Time                       // since when nothing was missed; zero: the list is not current
+	listed   Pools                           // now
+	unlisted map[string]map[string]time.Time // when a version was listed last, by pool
+	hosts    Hosts                           // now
+	changed  map[string]time.Time            // when the routes of a host changed last
+}
+
+// ObserveCurrency records whether the list of upstreams is current: versions may come and go unseen while it is not.
+func (h *History) ObserveCurrency(now time.Time, isCurrent bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case !isCurrent:
+		h.since = time.Time{}
+	case h.since.IsZero():
+		h.since = now
+	}
+}
+
+// ObservePools records which versions are listed from now on.
+func (h *History) ObservePools(now time.Time, listed Pools) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.unlisted == nil {
+		h.unlisted = make(map[string]map[string]time.Time)
+	}
+	for pool, versions := range h.listed {
+		if h.unlisted[pool] == nil {
+			h.unlisted[pool] = make(map[string]time.Time)
+		}
+		for _, v := range versions {
+			h.unlisted[pool][v] = now
+		}
+	}
+	h.listed = listed
+	h.expire(now)
+}
+
+// expire drops the versions that were listed last before maxHistory.
+func (h *History) expire(now time.Time) {
+	for pool, versions := range h.unlisted {
+		for v, at := range versions {
+			if now.Sub(at) > maxHistory {
+				delete(versions, v)
+			}
+		}
+		if len(versions) == 0 {
+			delete(h.unlisted, pool)
+		}
+	}
+}
+
+// ObserveHosts records the routes of hosts from now on.
+func (h *History) ObserveHosts(now time.Time, hosts Hosts) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.changed == nil {
+		h.changed = make(map[string]time.Time)
+	}
+	for host, routes := range hosts {
+		if former, ok := h.hosts[host]; !ok || former != routes {
+			h.changed[host] = now
+		}
+	}
+	for host := range h.changed {
+		if _, ok := hosts[host]; !ok {
+			delete(h.changed, host)
+		}
+	}
+	h.hosts = hosts
+}
+
+// OnlyVersion returns the version of the software at which every stream began that a caller has begun at a host and in a
+// pool within the given time. It returns false if there may have been several, or if this router can't know.
+func (h *History) OnlyVersion(now time.Time, host, pool string, within time.Duration) (string, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	from := now.Add(-within)
+	if within > maxHistory || h.since.IsZero() || h.since.After(from) || h.changed[host].After(from) || len(h.listed[pool]) == 0 {
+		return "", false
+	}
+	only := h.listed[pool][0]
+	for _, v := range h.listed[pool] {
+		if v != only {
+			return "", false
+		}
+	}
+	for v, at := range h.unlisted[pool] {
+		if v != only && at.After(from) {
+			return "", false
+		}
+	}
+	return only, true
+}
--- /dev/null
+++ b/internal/origins/history_test.go
@@ -0,0 +1,87 @@
+package origins
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// pastState is where streams of a host began from a time on.
+type pastState struct {
+	at       time.Time
+	current  bool     // the list of upstreams was current
+	routes   uint64   // of the host
+	versions []string // that were listed in the pool
+}
+
+// Versions come and go, routes change, and the list is not current at times. Guards against naming a version for streams
+// that may have begun at another one within the time that they may last.
+func TestOnlyVersionIsThatOfAllStreams(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		var h History
+		past := []pastState{{at: now}}
+		for range rapid.IntRange(1, 30).Draw(t, "events") {
+			next := past[len(past)-1]
+			now = now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "seconds")) * time.Second)
+			next.at = now
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0:
+				next.current = !next.current
+				h.ObserveCurrency(now, next.current)
+			case 1:
+				next.routes = uint64(rapid.IntRange(0, 2).Draw(t, "routes"))
+				h.ObserveHosts(now, Hosts{"host": next.routes})
+			default:
+				next.versions = nil
+				for i := range 3 {
+					if rapid.IntRange(0, 2).Draw(t, fmt.Sprint("v", i)) == 0 {
+						next.versions = append(next.versions, fmt.Sprint("v", i))
+					}
+				}
+				h.ObservePools(now, Pools{"pool": next.versions})
+			}
+			past = append(past, next)
+			within := time.Duration(rapid.IntRange(1, 200).Draw(t, "within")) * time.Second
+			only, ok := h.OnlyVersion(now, "host", "pool", within)
+			if !ok {
+				continue
+			}
+			for i, s := range past {
+				if i+1 < len(past) && !past[i+1].at.After(now.Add(-within)) {
+					continue // it was over by then
+				}
+				if !s.current || s.routes != next.routes || slices.ContainsFunc(s.versions, func(v string) bool { return v != only }) {
+					t.Fatalf("%q within %v at %v, but %+v", only, within, now.Unix(), s)
+				}
+			}
+		}
+	})
+}
+
+// One version serves, and others have come and gone long before. Guards against refusing for ever.
+func TestOnlyVersionIsKnownOnceOthersAreGone(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var h History
+	h.ObserveCurrency(now, true)
+	h.ObservePools(now, Pools{"pool": {"v1", "v2"}, "other": {"v7"}})
+	h.ObserveHosts(now, Hosts{"host": 1})
+	now = now.Add(time.Minute)
+	h.ObservePools(now, Pools{"pool": {"v2"}, "other": {"v8"}})
+	if v, ok := h.OnlyVersion(now.Add(29*time.Second), "host", "pool", 30*time.Second); ok {
+		t.Errorf("%q, though another was listed within the time", v)
+	}
+	if v, ok := h.OnlyVersion(now.Add(31*time.Second), "host", "pool", 30*time.Second); !ok || v != "v2" {
+		t.Errorf("%q, %v, want v2", v, ok)
+	}
+	if v, ok := h.OnlyVersion(now.Add(2*time.Hour), "host", "pool", time.Hour); !ok || v != "v2" {
+		t.Errorf("%q, %v after two hours, want v2", v, ok)
+	}
+	h.ObserveHosts(now.Add(2*time.Hour), Hosts{"host": 2})
+	if v, ok := h.OnlyVersion(now.Add(2*time.Hour), "host", "pool", 30*time.Second); ok {
+		t.Errorf("%q, though the routes have just changed", v)
+	}
+}
--- a/internal/profile/hosts.go
+++ b/internal/profile/hosts.go
@@ -2,7 +2,7 @@
 
 import "strings"
 
-// Hosts maps the host of a call, in lower case, and then the prefix of its path to the
+// Hosts maps the host of a call, as HostName returns it, and then the prefix of its path to the
 // profile.
 type Hosts map[string]map[string]*Profile
 
@@ -14,7 +14,7 @@
 			if r.Host == "" {
 				continue
 			}
-			host := strings.ToLower(r.Host)
+			host := strings.ToLower(r.Host) // a route names no port
 			if out[host] == nil {
 				out[host] = make(map[string]*Profile)
 			}
@@ -24,14 +24,19 @@
 	return out
 }
 
+// HostName returns the host that a caller has named, without a port and in lower case.
+func HostName(host string) string {
+	if at := strings.LastIndexByte(host, ':'); at >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:at]
+	}
+	return strings.ToLower(host)
+}
+
 // Find returns the profile for a call to a host and path: the one with the longest
 // matching prefix, or else the one without a prefix. It returns nil if there is none.
 // Only prefixes that end with a slash are found. A port in host is ignored.
 func (h Hosts) Find(host, path string) *Profile {
-	if at := strings.LastIndexByte(host, ':'); at >= 0 && !strings.HasSuffix(host, "]") {
-		host = host[:at]
-	}
-	prefixes := h[strings.ToLower(host)]
+	prefixes := h[HostName(host)]
 	if prefixes == nil {
 		return nil
 	}
--- a/internal/profile/profile.go
+++ b/internal/profile/profile.go
@@ -66,6 +66,20 @@
 	MaxBody Size `json:"max_body,omitempty"`
 }
 
+// PoolNames returns the pools that may serve the traffic.
+func (p *Profile) PoolNames() []string {
+	if len(p.Split) == 0 {
+		return []string{p.Pool}
+	}
+	names := make([]string, 0, len(p.Split))
+	for _, s := range p.Split {
+		if s.Weight > 0 {
+			names = append(names, s.Pool)
+		}
+	}
+	return names
+}
+
 // Share is a part of a profile's traffic.
 type Share struct {
 	// Pool names the upstreams that serve it.
--- a/internal/router/continued.go
+++ b/internal/router/continued.go
@@ -72,11 +72,7 @@
 // hasSeveralVersions reports whether upstreams of the request's pool have different versions.
 func (resp *Response) hasSeveralVersions() bool {
 	pool := resp.router.View().Pools[resp.poolName]
-	if pool == nil {
-		return false
-	}
-	_, only := pool.onlyVersion()
-	return !only
+	return pool != nil && pool.severalVersions()
 }
 
 // stream returns the stream that the request begins or continues.
--- a/internal/router/directoffer.go
+++ b/internal/router/directoffer.go
@@ -51,20 +51,6 @@
 	return r.Profile.Pool
 }
 
-// poolNames returns the pools that may serve the request.
-func (r *Request) poolNames() []string {
-	if len(r.Profile.Split) == 0 {
-		return []string{r.Profile.Pool}
-	}
-	names := make([]string, 0, len(r.Profile.Split))
-	for _, s := range r.Profile.Split {
-		if s.Weight > 0 {
-			names = append(names, s.Pool)
-		}
-	}
-	return names
-}
-
 // dispatchDirect is Dispatch for upstreams without a sidecar.
 func (r *Router) dispatchDirect(ctx context.Context, view *View, req Request) (*Response, error) {
 	now := time.Now()
--- a/internal/router/origins.go
+++ b/internal/router/origins.go
@@ -4,8 +4,14 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/zeebo/xxh3"
 
 	"github.com/parsleyfront/parsleyfront/internal/origins"
+	"github.com/parsleyfront/parsleyfront/internal/profile"
 	"github.com/parsleyfront/parsleyfront/internal/relay"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 )
@@ -50,3 +56,38 @@
 	}
 	return peers
 }
+
+// routesOf returns the routes of hosts for a History.
+func routesOf(hosts profile.Hosts) origins.Hosts {
+	out := make(origins.Hosts, len(hosts))
+	for host, prefixes := range hosts {
+		for prefix, p := range prefixes {
+			out[host] ^= xxh3.HashString(prefix + "\x00" + strings.Join(p.PoolNames(), "\x00"))
+		}
+	}
+	return out
+}
+
+// versionsOf returns the software versions of upstreams for a History.
+func versionsOf(pools map[string]*Pool) origins.Pools {
+	out := make(origins.Pools, len(pools))
+	for name, p := range pools {
+		var versions []string
+		for _, vm := range p.VMs {
+			if !slices.Contains(versions, vm.SoftwareVersion) {
+				versions = append(versions, vm.SoftwareVersion)
+			}
+		}
+		out[name] = versions
+	}
+	return out
+}
+
+// observeOrigins records what the latest view shows of where streams begin.
+func (r *Router) observeOrigins(now time.Time, former, latest *View) {
+	r.versions.ObserveCurrency(now, !r.mayListLackRestarts(now))
+	if former != latest {
+		r.versions.ObservePools(now, latest.versions)
+		r.versions.ObserveHosts(now, latest.routes)
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -120,6 +120,7 @@
 	claimer        *claim.Claimer
 	suspects       *suspects.Registry
 	origins        *origins.Exchange
+	versions       origins.History
 	ledger         *ledger.Ledger
 	lastServed     *balance.LastServed[topo.VM]
 	coldStart      coldStart
@@ -277,9 +278,10 @@
 
 // publish publishes the new state to requests, and then to operators.
 func (r *Router) publish() {
-	r.view.Store(r.state.View())
+	former := r.view.Swap(r.state.View())
 	r.coldStart.registeredRouters.Store(int64(r.state.RegisteredRouters()))
 	r.publishRouters()
+	r.observeOrigins(time.Now(), former, r.View())
 	r.ledger.Publish()
 	r.abandonReplaced()
 	if r.Ready() {
--- a/internal/router/takeup.go
+++ b/internal/router/takeup.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/origins"
+	"github.com/parsleyfront/parsleyfront/internal/profile"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
 )
@@ -18,7 +19,7 @@
 const (
 	takeUpKnown      takeUp = "known"
 	takeUpAsked      takeUp = "asked"        // another router knew
-	takeUpOneVersion takeUp = "one-version"  // the caller does not name its stream, and the pool has one version
+	takeUpOneVersion takeUp = "one-version"  // the caller does not name its stream, and one version has served it for long
 	takeUpUnknown    takeUp = "unknown"      // refused: no router knew
 	takeUpAmbiguous  takeUp = "ambiguous"    // refused: it can't be told which of two versions began it
 	takeUpGone       takeUp = "version-gone" // refused: no upstream has the version any more
@@ -65,11 +66,7 @@
 // wait for other routers.
 func (resp *Response) findOrigin() (pool, version string, how takeUp) {
 	if resp.req.Resumes == "" {
-		version, ok := resp.view.Pools[resp.poolName].onlyVersion()
-		if !ok {
-			return resp.poolName, "", takeUpUnknown
-		}
-		return resp.poolName, version, takeUpOneVersion
+		return resp.findUnnamedOrigin(time.Now())
 	}
 	v, asked := resp.router.origins.Lookup(resp.caller, resp.req.stream())
 	switch v {
@@ -89,10 +86,33 @@
 	return pool, version, takeUpKnown
 }
 
+// findUnnamedOrigin is findOrigin for a stream that its caller does not name. Which version serves now says nothing of
+// the one that began the stream: upstreams may have been replaced since, and this router may have started since.
+func (resp *Response) findUnnamedOrigin(now time.Time) (pool, version string, how takeUp) {
+	pools := resp.req.Profile.PoolNames()
+	if len(pools) != 1 || resp.router.mayListLackRestarts(now) {
+		return "", "", takeUpUnknown
+	}
+	version, ok := resp.router.versions.OnlyVersion(now, profile.HostName(resp.req.Host), pools[0], resp.req.originTTL())
+	if !ok {
+		return pools[0], "", takeUpUnknown
+	}
+	return pools[0], version, takeUpOneVersion
+}
+
+// originTTL returns for how long after its beginning a stream may be taken up.
+func (r *Request) originTTL() time.Duration {
+	longest := max(r.Profile.Deadline.Std(), r.CallerTimeout)
+	if longest == 0 {
+		return defaultOriginTTL
+	}
+	return longest + originSlack
+}
+
 // findVersion returns the pool and the version that v stands for, if the request may go to that pool and
 // an upstream there has that version.
 func (resp *Response) findVersion(v origins.Version) (pool, version string, ok bool) {
-	for _, name := range resp.req.poolNames() {
+	for _, name := range resp.req.Profile.PoolNames() {
 		p := resp.view.Pools[name].inRegions(resp.req.regions())
 		if p == nil {
 			continue
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -3,12 +3,14 @@
 import (
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/balance"
 	"github.com/parsleyfront/parsleyfront/internal/condition"
 	"github.com/parsleyfront/parsleyfront/internal/load"
+	"github.com/parsleyfront/parsleyfront/internal/origins"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
 	"github.com/parsleyfront/parsleyfront/internal/residency"
@@ -26,6 +28,8 @@
 	Orgs         map[string]*profile.Organisation // by the hash of each API key
 	Limits       *profile.Limits                  // on requests of callers; nil: the defaults
 	hosts        profile.Hosts
+	routes       origins.Hosts
+	versions     origins.Pools // of the software of upstreams
 	urgencies    urgencyTable
 	Pools        map[string]*Pool
 	VMs          map[string]topo.VM
@@ -70,6 +74,7 @@
 	if s.stale.profiles {
 		v.Profiles = maps.Clone(s.profiles)
 		v.hosts = profile.ByHost(s.profiles)
+		v.routes = routesOf(v.hosts)
 		v.Limits = s.limits
 	}
 	if s.stale.orgs {
@@ -142,6 +147,7 @@
 			v.Pools[name].setWarmup(spec.WarmupRate, spec.Warmup.Std())
 		}
 	}
+	v.versions = versionsOf(v.Pools)
 }
 
 // upstream is an upstream of a pool, with the control state about it.
@@ -216,19 +222,9 @@
 	})
 }
 
-// onlyVersion returns the version of the software that all upstreams of the pool have; false: there are several
-// or no upstreams.
-func (p *Pool) onlyVersion() (string, bool) {
-	if p == nil {
-		return "", false
-	}
-	version := p.VMs[0].SoftwareVersion
-	for _, vm := range p.VMs {
-		if vm.SoftwareVersion != version {
-			return "", false
-		}
-	}
-	return version, true
+// severalVersions reports whether upstreams of the pool have different versions of the software.
+func (p *Pool) severalVersions() bool {
+	return slices.ContainsFunc(p.VMs, func(vm topo.VM) bool { return vm.SoftwareVersion != p.VMs[0].SoftwareVersion })
 }
 
 // part returns the pool restricted to some of its upstreams; nil if there are none. The result
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -145,6 +145,9 @@
 		close(stop)
 	}()
 	h.callers(stop)
+	for range h.streamCallers {
+		h.running.Go(func() { h.sendStreams(stop) })
+	}
 	h.probers(stop)
 	if h.maxMemoryMB > 0 {
 		h.watchMemory(stop)
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -54,6 +54,13 @@
 	streamPath string
 	// takesUp makes callers take up streams that broke off.
 	takesUp bool
+	// streamCallers is the number of callers that send nothing but streams which may be taken up, beside the usual ones.
+	streamCallers int
+	// unnamedTakeUps makes callers take up every other stream without naming it.
+	unnamedTakeUps bool
+	// routersLost is set if all routers are lost at times, and with them the knowledge where streams began. Whether the
+	// streams go on is not checked then.
+	routersLost bool
 	// crashingCalls is the number of requests that crash runners, of which callers send copies.
 	crashingCalls      int
 	crashingCallsAfter time.Duration // from the start to the first of these copies
