router: routers tell each other of leaving that the store has lost

Cause: the store holds an earlier write, "ready", in place of "draining". Routers that have seen both go by the later one; one that stood still between the two has seen the earlier one only, and nothing tells it of the other. The log shows "upstream leaving" at two routers and not at the third.

Ruled out: to pass on entries between routers by their sequence instead of the store's version: a Set orders by version in all its claims.

Change: an entry that was overtaken by one that says "leaving" is marked, and its upstream is named among those that have announced in answers that they leave, which routers share already.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -210,6 +210,9 @@
 		return
 	case writeOf(e).isOvertakenBy(last, current != nil):
 		result.Outdated++
+		if current != nil {
+			current.vm.Overtaken = current.vm.Leaving && !e.VM.Leaving
+		}
 		return
 	case current != nil && current.write.startedAt != e.StartedAt:
 		result.Replaced = append(result.Replaced, current.vm)
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -119,12 +119,17 @@
 	return m.crashes
 }
 
-// leavingUpstreams returns the hashes of upstreams that have announced to this router that they
-// are leaving, and are not listed as leaving. With includeReported, it adds those that other
-// routers have reported.
+// leavingUpstreams returns the hashes of upstreams of which other routers can't tell from the list that they leave: those
+// that have announced it to this router in answers, and those whose announcement the store has lost to an earlier write.
+// With includeReported, it adds those that other routers have reported.
 func (m *mesh) leavingUpstreams(includeReported bool) []uint64 {
 	vms := m.router.View().VMs
 	var out []uint64
+	for _, vm := range vms {
+		if vm.Overtaken && len(out) < maxLeavingShared {
+			out = append(out, xxh3.HashString(vm.ID))
+		}
+	}
 	for _, id := range m.router.conditions.Leaving(includeReported) {
 		if vm, listed := vms[id]; listed && !vm.Leaving && len(out) < maxLeavingShared {
 			out = append(out, xxh3.HashString(id))
--- a/internal/topo/topo.go
+++ b/internal/topo/topo.go
@@ -135,6 +135,9 @@
 	// Lapsed reports that the entry was removed though it had not announced that the upstream leaves.
 	// Leaving is set as well.
 	Lapsed bool `json:"-"`
+	// Overtaken reports that the store holds an earlier entry than the one that says that the upstream
+	// leaves: nodes that have not seen the later one can't know it. Leaving is set as well.
+	Overtaken bool `json:"-"`
 	// SoftwareVersion is the version of the upstream's software, not of the models that it serves;
 	// empty: not known.
 	SoftwareVersion string `json:"software_version,omitempty"`
