membership: an earlier entry of a restored copy is shared as one that was overtaken

Cause: an earlier write that a restored store gives out again takes another path than one that comes late in the same era (applyReplay), and that path did not mark the entry, so that routers which knew did not tell the others.

Ruled out: the sharing itself (the three stories before hold).

Change: both paths mark it; a replay of the same or a later word takes the mark back.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -135,6 +135,11 @@
 	overwritten bool
 }
 
+// overtake records that the store holds an earlier entry than the one that is in force here.
+func (e *entry) overtake(earlier Entry) {
+	e.vm.Overtaken = e.vm.Leaving && !earlier.VM.Leaving
+}
+
 // NewState returns a State without entries.
 func NewState(t Timing) *State {
 	return &State{
@@ -211,7 +216,7 @@
 	case writeOf(e).isOvertakenBy(last, current != nil):
 		result.Outdated++
 		if current != nil {
-			current.vm.Overtaken = current.vm.Leaving && !e.VM.Leaving
+			current.overtake(e)
 		}
 		return
 	case current != nil && current.write.startedAt != e.StartedAt:
@@ -231,6 +236,7 @@
 	switch {
 	case current != nil && current.dropAt.IsZero():
 		current.write.version, current.missingUntil = e.Version, time.Time{}
+		current.overtake(e)
 	case !e.VM.Leaving && e.Sequence == s.lastWrite(e.Name).sequence:
 		s.unconfirmed[e.Name] = unconfirmedEntry{entry: e, confirmAt: now.Add(lapseIntervals * s.timing.MaxRenewInterval)}
 	}
