gateway: a response that is given up while it is written does not look complete

Cause: when the write of a piece fails, the handler returned, and net/http closes the connection. Without chunks or a length that is the end of a whole response.

Ruled out: responses that break off on the upstream's side, which reset the connection (TestBrokenStreamIsIncompleteForHTTP10Clients).

Change: a failed write breaks the connection in the same way.

Measured: TestResponseThatIsNotReadIsIncompleteForHTTP10Clients: 65,536 of 409,600 bytes looked complete before; incomplete now.

--- a/internal/gateway/hostedanswer.go
+++ b/internal/gateway/hostedanswer.go
@@ -36,10 +36,10 @@
 			continue
 		}
 		if _, err := x.w.Write(piece.Bytes); err != nil {
-			return
+			x.breakConnection()
 		}
 		if streamed && ctl.Flush() != nil {
-			return
+			x.breakConnection()
 		}
 	}
 }
