router: an upstream that sends on after its route's timeout is chosen last

Cause: the first byte of a response is its outcome, and a response that is ended at its deadline had no other.

Ruled out: the load that such requests cause, which turns some of the traffic away already (a test with four requests at a time does not tell the two apart).

Change: a response that still comes .4 s after its route's timeout counts as a failure of its upstream, as one that breaks off does, and router_overdue_responses_total counts it.

--- a/internal/router/pieces.go
+++ b/internal/router/pieces.go
@@ -9,10 +9,14 @@
 
 	"github.com/parsleyfront/parsleyfront/internal/exchange"
 	"github.com/parsleyfront/parsleyfront/internal/router/dispatch"
+	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
 	"github.com/parsleyfront/parsleyfront/internal/wire"
 )
 
+var overdueResponses = telemetry.NewCounter("router_overdue_responses_total",
+	"Responses of upstreams without a sidecar that were ended because they went on after the timeout of their route.")
+
 // Next returns the next piece of the response. A piece with an End is the last
 // one; an error means that the response is incomplete and stays so.
 func (resp *Response) Next() (wire.Piece, error) {
@@ -47,7 +51,7 @@
 		return wire.Piece{}, false, resp.waitForEvent()
 	}
 	if isPast(resp.endsBy(), time.Now()) {
-		resp.tick()
+		resp.endOverdue(at)
 		return wire.Piece{}, false, nil
 	}
 	p, err := resp.readPiece()
@@ -59,7 +63,7 @@
 	case errors.Is(err, exchange.ErrStalled):
 		resp.handleStall(at)
 	case isPast(resp.plan.Deadline, time.Now()):
-		resp.tick()
+		resp.endOverdue(at)
 	default:
 		at.stream.Close()
 		at.stream = nil
@@ -93,6 +97,16 @@
 	return resp.started.Add(timeout + maxOverdue)
 }
 
+// endOverdue ends a response after its deadline. An upstream that still sends at endsBy keeps to no deadline, and is
+// chosen last like one that fails.
+func (resp *Response) endOverdue(at *attempt) {
+	if resp.plan.Direct && isPast(resp.endsBy(), time.Now()) {
+		overdueResponses.Inc()
+		at.watch.RecordFailure()
+	}
+	resp.tick()
+}
+
 // handleStall handles a stream that has paused for longer than its stall timeout. The
 // stream is abandoned only if another upstream continues it: a pause alone is no reason to
 // end a response. If none does, the timeout is switched off.
--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -347,6 +347,9 @@
 	if c.patience == callTimeout && !c.complete && c.done.Sub(c.sent) >= callTimeout {
 		fail("no end long after its deadline")
 	}
+	if took := c.done.Sub(c.sent); h.endsWithin > 0 && h.isEndless(c.id) && took > h.endsWithin {
+		fail(fmt.Sprintf("ended after %v, its route's timeout is %v", took.Round(time.Millisecond), h.routeTimeout))
+	}
 	if c.trailingBytes {
 		fail("bytes after the end of the response")
 	}
--- a/test/soak/endless_test.go
+++ b/test/soak/endless_test.go
@@ -156,3 +156,58 @@
 	}
 	return 0
 }
+
+const (
+	// shortTimeout is the timeout of the routes in a soak of bodies without an end, and endsWithin the time within which
+	// their requests end, with a margin for a busy machine.
+	shortTimeout = 800 * time.Millisecond
+	endsWithin   = shortTimeout + 3*time.Second
+	// slowPieceInterval is the pause between the pieces of a body without an end.
+	slowPieceInterval = 50 * time.Millisecond
+)
+
+// slowBodyFaults are the disturbances beside bodies without an end.
+var slowBodyFaults = []fault{
+	{"bodies without an end", false, (*harness).sendSlowBodies},
+	{"bodies without an end", false, (*harness).sendSlowBodies},
+	{"way to a runner", false, (*harness).cutRunner},
+	{"runner joins", true, (*harness).addRunner},
+	{"router stops", true, (*harness).stopRouter},
+	{"configuration", true, (*harness).reconfigure},
+}
+
+// Runners send a few bytes of a body again and again, without an end. Guards against callers who are held past their
+// route's timeout for as long as they wait.
+func TestSoakBodiesWithoutEnd(t *testing.T) {
+	t.Parallel()
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		h := newHarness(t, seed, false)
+		h.faults = slowBodyFaults
+		h.routeTimeout, h.endsWithin = shortTimeout, endsWithin
+		h.play()
+	})
+}
+
+// sendSlowBodies makes runners send bodies without an end for a short time.
+func (h *harness) sendSlowBodies() {
+	h.setResponseFault(int(slowResponse), true)
+	time.Sleep(h.randomDuration(200*time.Millisecond, 2*time.Second))
+	h.setResponseFault(int(slowResponse), false)
+}
+
+// writeSlowBody answers a request with a body without an end, until the router closes the connection or endlessTime has
+// passed.
+func (h *harness) writeSlowBody(r *runner, c net.Conn, req *http.Request) fake.HandlerResult {
+	h.mu.Lock()
+	h.endless[req.Header.Get("Attempt-Id")] = true
+	h.mu.Unlock()
+	headers := []string{"Transfer-Encoding: chunked"}
+	if strings.HasPrefix(req.URL.Path, "/stream") {
+		headers = append(headers, "Content-Type: text/event-stream")
+	}
+	r.WriteHead(c, req, http.StatusOK, headers...)
+	for began := time.Now(); time.Since(began) < endlessTime && fake.WriteChunk(c, ": weights\n") == nil; {
+		time.Sleep(slowPieceInterval)
+	}
+	return fake.CloseConn
+}
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -321,10 +321,15 @@
 }
 
 func (h *harness) writeEntry(r *runner, state string) {
-	h.store.Put("servers", r.ID, map[string]any{
+	h.store.Put("servers", r.ID, h.entryOf(r, state))
+}
+
+// entryOf returns the next entry of a runner.
+func (h *harness) entryOf(r *runner, state string) map[string]any {
+	return map[string]any{
 		"service": "llm", "address": r.proxy.addr(), "zone": r.domain, "version": r.version,
 		"slots": h.slots(), "state": state, "warmup_left_ms": max(0, time.Until(r.coldUntil).Milliseconds()), "sequence": r.NextSequence(), "born": r.startedMs,
-	})
+	}
 }
 
 // handler returns the behaviour of a runner. Its responses contain the id of the attempt, so that a
@@ -353,6 +358,9 @@
 		if h.drawResponseFault(endlessResponse) {
 			return h.writeEndlessAnswer(r, c, req)
 		}
+		if h.drawResponseFault(slowResponse) {
+			return h.writeSlowBody(r, c, req)
+		}
 		if len(req.URL.Path) < 8 || req.URL.Path[:8] != "/stream/" {
 			time.Sleep(h.serviceTime())
 			text := plainResponse(r.incarnation, id)
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -27,6 +27,7 @@
 	extraResponse
 	truncateStream
 	endlessResponse
+	slowResponse
 	responseFaultCount
 )
 
@@ -73,6 +74,11 @@
 	// maxRestDelay is how long after a request a resting runner rejects it at most; zero: at once.
 	maxRestDelay time.Duration
 
+	// routeTimeout is the timeout of routes; zero: the usual one.
+	routeTimeout time.Duration
+	// endsWithin is the time within which requests end that runners answer without an end; zero: not checked.
+	endsWithin time.Duration
+
 	// maxMemoryMB is the memory of a router, in MiB; zero: not watched.
 	maxMemoryMB int
 
@@ -128,6 +134,11 @@
 		route("chat", "/stream/", "streaming", map[string]any{"sticky": true, "gap_aim_ms": 400}),
 		route("note", "/stream/note/", "streaming", map[string]any{"sticky": true, "gap_aim_ms": 400, "resumable": true, "max_attempts": 3}),
 	}, h.moreRoutes...)}
+	if h.routeTimeout > 0 {
+		for _, r := range h.config.routes {
+			r["timeout_ms"] = h.routeTimeout.Milliseconds()
+		}
+	}
 	h.writeConfiguration(h.config)
 	for range h.runnersAtStart {
 		_, err := h.newRunner()
