daemon: a planned stop goes by the settings file as it is then

Cause: a reload passed limits on retries and loads on and kept the former settings, from which a stop takes its time.

Ruled out: a stop that begins before the reload (the test calls one after the other).

Change: the latest settings are kept; a stop reads the file once more, since it may change without a signal and is looked at every two seconds only. A reload names the settings that take effect at the next start.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -6,7 +6,9 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"reflect"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -119,7 +121,7 @@
 // or through a parent.
 type Entry struct {
 	settings settings.Entry
-	platform platform.Settings
+	platform atomic.Pointer[platform.Settings] // latest
 	router   *router.Router
 	health   *health
 	server   *gateway.CallerServer
@@ -157,6 +159,7 @@
 		return err
 	case <-ctx.Done():
 	}
+	e.reloadBeforeStop(path)
 	return e.Stop(background)
 }
 
@@ -172,7 +175,9 @@
 	h := newHealth(r.Alive, r.Ready)
 	bodies := gateway.NewBodyBudget(int64(bodyMemoryFraction * float64(p.MemoryBytes)))
 	g := gateway.NewPlatformGateway(r, platform.Clients{}, bodies, requestLog)
-	return &Entry{settings: s, platform: p, router: r, health: h, server: g.Server(h.closeWhileLeaving(g), callerConnections(p), p.ConfigBound)}
+	e := &Entry{settings: s, router: r, health: h, server: g.Server(h.closeWhileLeaving(g), callerConnections(p), p.ConfigBound)}
+	e.platform.Store(&p)
+	return e
 }
 
 // callerConnections returns the maximum number of open caller connections.
@@ -196,9 +201,13 @@
 // Stop performs a planned stop. It returns when no request is in flight any more, or with
 // an error shortly before the platform's grace period is over.
 func (e *Entry) Stop(ctx context.Context) error {
+	return e.stopPlan().stop(ctx, e.health, e.server.Server)
+}
+
+// stopPlan returns the plan of a planned stop that begins now.
+func (e *Entry) stopPlan() stopPlan {
 	delay := e.settings.DrainDelay.D
-	plan := stopPlan{delay: delay, timeout: max(e.platform.GracePeriod-delay-stopMargin, 0)}
-	return plan.stop(ctx, e.health, e.server.Server)
+	return stopPlan{delay: delay, timeout: max(e.platform.Load().GracePeriod-delay-stopMargin, 0)}
 }
 
 // entryConfig returns the configuration of a router on the operators' platform.
@@ -279,13 +288,27 @@
 	}
 }
 
-// reload applies changed settings. A changed address only takes effect at the next start.
+// reload applies changed settings. Those that shape a running process take effect at its next start.
 func (e *Entry) reload(p platform.Settings) {
+	former := e.platform.Swap(&p)
 	e.router.Tune(tuning(p, e.settings))
-	if p.CallerListen != e.platform.CallerListen || p.StoreURL != e.platform.StoreURL {
-		slog.Warn("settings: a changed address takes effect after a restart", "callers", p.CallerListen, "store", p.StoreURL)
+	if names := former.ChangedAtStart(p); len(names) > 0 {
+		slog.Warn("settings: changes of these take effect after a restart", "settings", names)
+	}
+	slog.Info("settings reloaded", "retry_ratio", p.RetryRatio, "load_multiple", p.LoadMultiple, "callers_compete", p.CallersCompete, "grace_period", p.GracePeriod)
+}
+
+// reloadBeforeStop applies a change of the settings file of which there was no signal: the time for which a planned
+// stop may last is that of the file as it is now.
+func (e *Entry) reloadBeforeStop(path string) {
+	p, err := platform.ReadSettings(path)
+	if err != nil {
+		slog.Error("settings: the file could not be read before the stop, which goes by the former settings", "error", err)
+		return
+	}
+	if !reflect.DeepEqual(p, *e.platform.Load()) {
+		e.reload(p)
 	}
-	slog.Info("settings reloaded", "retry_ratio", p.RetryRatio, "load_multiple", p.LoadMultiple, "callers_compete", p.CallersCompete)
 }
 
 // serveReadinessAndMetrics starts the servers of the load balancer's readiness checks and
@@ -293,7 +316,7 @@
 func (e *Entry) serveReadinessAndMetrics(ctx context.Context) error {
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+platform.ReadyPath, e.Ready)
-	if err := serveOn(ctx, e.platform.ReadyListen, ready); err != nil {
+	if err := serveOn(ctx, e.platform.Load().ReadyListen, ready); err != nil {
 		return err
 	}
 	if e.settings.MetricsPort.N == 0 {
@@ -304,7 +327,7 @@
 	metrics.HandleFunc("GET /upstreams", e.serveUpstreams)
 	metrics.HandleFunc("GET "+admin.PathQuarantined, e.serveQuarantined)
 	metrics.HandleFunc("GET "+admin.PathShares, e.serveShares)
-	return serveOn(ctx, net.JoinHostPort(e.platform.IP, strconv.Itoa(e.settings.MetricsPort.N)), metrics)
+	return serveOn(ctx, net.JoinHostPort(e.platform.Load().IP, strconv.Itoa(e.settings.MetricsPort.N)), metrics)
 }
 
 // UpstreamConditions returns the conditions that this router has recorded of each upstream.
--- a/internal/daemon/entry_test.go
+++ b/internal/daemon/entry_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -61,3 +63,60 @@
 		t.Errorf("status %d, %s", w.Code, body)
 	}
 }
+
+// newTestEntry returns a router on the operators' platform without a store.
+func newTestEntry(t *testing.T, p platform.Settings) *Entry {
+	t.Helper()
+	parsed, err := settings.Parse([]string{"entry"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	p.StoreURL, p.ConfigBound, p.DrainBound = "http://store.example", time.Second, time.Second
+	return NewEntry(ctx, parsed.Entry, p, Network{Store: func(context.Context, string, string) (net.Conn, error) {
+		return nil, errors.New("no store in this test")
+	}})
+}
+
+// The platform raises the time between SIGTERM and SIGKILL while a router runs. Guards against a planned stop that cuts
+// streams as if it had the former time.
+func TestStopLastsAsLongAsReloadedSettingsSay(t *testing.T) {
+	for _, grace := range []time.Duration{20 * time.Second, 3 * time.Second} {
+		e := newTestEntry(t, platform.Settings{GracePeriod: 8 * time.Second})
+		changed := *e.platform.Load()
+		changed.GracePeriod = grace
+		e.reload(changed)
+		if p := e.stopPlan(); p.delay+p.timeout != grace-stopMargin {
+			t.Errorf("a stop lasts %v, want %v less than %v", p.delay+p.timeout, stopMargin, grace)
+		}
+	}
+}
+
+// The settings file changes without a signal, and the router is stopped before it has looked at the file. Guards against
+// a planned stop that goes by the former file, and against none if the file can't be read.
+func TestStopReadsTheSettingsFile(t *testing.T) {
+	const file = `node: "n"
+ip: "127.0.0.1"
+zone: "a"
+region: "r"
+zones: {a: "r"}
+listen: {front: "127.0.0.1:1", ready: "127.0.0.1:2"}
+heartbeat_ms: 1200
+bounds: {config_apply_ms: 2000, drain_ms: 2000, grace_s: 20, retry_ratio: 0.2, retry_slack: 5, budget_window_s: 10, cap_factor: 2}
+platform: {address: "127.0.0.1:3"}
+`
+	path := filepath.Join(t.TempDir(), "settings")
+	e := newTestEntry(t, platform.Settings{GracePeriod: 8 * time.Second})
+	e.reloadBeforeStop(path)
+	if got := e.platform.Load().GracePeriod; got != 8*time.Second {
+		t.Errorf("without a file: %v", got)
+	}
+	if err := os.WriteFile(path, []byte(file), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	e.reloadBeforeStop(path)
+	if got := e.platform.Load().GracePeriod; got != 20*time.Second {
+		t.Errorf("the stop goes by %v, the file says 20 s", got)
+	}
+}
