router: a paused stream is offered elsewhere while it is still read

Cause: a pause cancelled the attempt that lived before another had begun. The refusal that followed ended the request, with both attempts of the route used.

Change: the rest of a paused stream is offered to another upstream while the stream is still read. The first that sends anything serves the caller: an event of the former cancels the attempt, the first byte of the latter cancels the former. If nobody takes over, that is tried again after twice the time; the timeout was switched off before.

Why it works: an attempt is given up only for one that has begun, so that a pause by itself ends nothing; no event comes twice, since the attempt goes on after the last event that was passed on, and any event after that cancels it.

TestStalledRunnersAreReplaced and the tests of streams at one version hold.

--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -55,6 +55,7 @@
 	attempts        []*attempt
 	outcomes        chan outcome
 	winner          *attempt
+	takeover        *attempt            // is to continue the paused response of the winner; nil: none
 	framer          *eventstream.Framer // of a response that another upstream may continue
 	result          *verdict.Error      // once state is finished; nil: the response is complete
 	end             *wire.End           // the last piece; nil: not received yet
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -68,6 +68,12 @@
 	shedder *shedding.Pool   // direct upstreams only: of their pool; nil: nothing is shed
 }
 
+// hasFreePlace reports whether the upstream is expected to run a request at once. One that does not
+// say how many it runs at a time is.
+func (t target) hasFreePlace() bool {
+	return t.vm.Slots == 0 || t.load < float64(t.vm.Slots)
+}
+
 // stream is the response to an attempt, read piece by piece.
 type stream interface {
 	Next(ctx context.Context) (wire.Piece, error)
--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -37,10 +37,12 @@
 	lastPieceAt  time.Time // arrival of the newest piece
 	sentAt       time.Time
 	position     eventstream.Position
-	events       int       // that have arrived
-	endsBy       time.Time // when a response without an end is ended; zero: never
-	resumed      bool      // it goes on with a stream that began elsewhere
-	eventSeen    bool      // a whole event has arrived
+	events       int           // that have arrived
+	maxPause     time.Duration // after which the stream may go on elsewhere; zero: never
+	nextPause    time.Duration // after which a pause that lasts is looked at again
+	endsBy       time.Time     // when a response without an end is ended; zero: never
+	resumed      bool          // it goes on with a stream that began elsewhere
+	eventSeen    bool          // a whole event has arrived
 }
 
 // overdueGrace is how long after a request's deadline, or after the piece before it if that is later, the
@@ -59,6 +61,7 @@
 	}
 	now := time.Now()
 	s.lastPieceAt = now
+	s.setMaxPause(s.maxPause) // the timeout may have been extended, or shortened during a takeover
 	if s.IsEventStream() {
 		s.observeTiming(now, p)
 		s.observeFirstEvent(p)
@@ -74,6 +77,18 @@
 	return p, nil
 }
 
+// setMaxPause sets the pause after which the stream may go on elsewhere; zero: it may not.
+func (s *directStream) setMaxPause(d time.Duration) {
+	s.maxPause, s.nextPause = d, d
+	s.SetStallTimeout(d)
+}
+
+// extendStallTimeout doubles the time after which a pause that lasts is looked at again.
+func (s *directStream) extendStallTimeout() {
+	s.nextPause *= 2
+	s.SetStallTimeout(s.nextPause)
+}
+
 // overdueAt returns until when the next piece is awaited if the request has a deadline.
 func (s *directStream) overdueAt(deadline time.Time) time.Time {
 	if s.lastPieceAt.After(deadline) {
@@ -300,7 +315,7 @@
 			return dispatch.ConnectionLost{Now: time.Now(), Attempt: at.number}
 		}
 		if s.IsEventStream() && d.plan.Resumable {
-			s.SetStallTimeout(time.Duration(pauseFraction * float64(d.req.Profile.MaxPause.Std())))
+			at.stream.(*directStream).setMaxPause(time.Duration(pauseFraction * float64(d.req.Profile.MaxPause.Std())))
 		}
 		if d.session != 0 {
 			d.router.lastServed.Record(d.session, at.vm)
--- a/internal/router/dispatch/event.go
+++ b/internal/router/dispatch/event.go
@@ -133,7 +133,8 @@
 type Offer struct {
 	Attempt   int
 	Candidate int
-	Continue  bool // continue a response that was interrupted
+	Continue  bool // continue a response that was interrupted, or has paused
+	Takeover  bool // the response has paused, and goes on unless this attempt begins first
 }
 
 // Follow submits the request under a successor key.
--- a/internal/router/dispatch/state.go
+++ b/internal/router/dispatch/state.go
@@ -68,6 +68,7 @@
 	hedged            bool
 	switchBudgetSpent bool // the budget did not cover a switch: the attempt continues
 	winner            int  // attempt whose response goes to the caller, or none
+	takeover          int  // attempt that is to continue the paused response of the winner, or none
 	deliveryStarted   bool // a response to the caller has started
 	resumable         bool // another run may continue that response
 	finished          bool
@@ -81,7 +82,7 @@
 
 // New returns the State of a request that has not started.
 func New(p Plan, b Budget) *State {
-	return &State{plan: p, budget: b, winner: none, firstOverBound: none, mayOfferAgain: true}
+	return &State{plan: p, budget: b, winner: none, takeover: none, firstOverBound: none, mayOfferAgain: true}
 }
 
 // Finished reports whether Step has returned a Finish.
@@ -141,7 +142,7 @@
 	case ResponseStarted:
 		return s.responseStarted(e)
 	case PieceDelivered:
-		s.attempts[s.winner].reconnects = 0
+		return s.pieceDelivered()
 	case Stalled:
 		return s.stalled(e)
 	case Ended:
@@ -248,7 +249,7 @@
 func (s *State) offerTo(candidate int, underCallerKey bool) []Effect {
 	s.lastOfferAt = s.now
 	i := s.addAttempt(attempt{candidate: candidate, underCallerKey: underCallerKey})
-	return []Effect{Offer{Attempt: i, Candidate: candidate, Continue: s.deliveryStarted}}
+	return []Effect{Offer{Attempt: i, Candidate: candidate, Continue: s.deliveryStarted, Takeover: s.winner != none}}
 }
 
 // offerAgain offers the request once more to the first candidate that refused it
--- a/internal/router/dispatch/step.go
+++ b/internal/router/dispatch/step.go
@@ -83,10 +83,10 @@
 // response serves the caller, and all others are cancelled.
 func (s *State) responseStarted(e ResponseStarted) []Effect {
 	i := e.Attempt
-	if s.winner != none || s.attempts[i].phase == ended {
+	if s.attempts[i].phase == ended || s.winner != none && i != s.takeover {
 		return nil
 	}
-	s.winner, s.deliveryStarted = i, true
+	s.winner, s.takeover, s.deliveryStarted = i, none, true
 	s.resumable = s.plan.Resumable && e.Resumable
 	return append(s.cancelOthers(i), Deliver{Attempt: i, Resumable: s.resumable})
 }
@@ -94,7 +94,7 @@
 // errorResponse handles a response in which the upstream says that it failed. The
 // request runs again if it may; otherwise this response goes to the caller.
 func (s *State) errorResponse(e ErrorResponse) []Effect {
-	if s.winner != none || s.attempts[e.Attempt].phase == ended {
+	if s.attempts[e.Attempt].phase == ended || s.winner != none && e.Attempt != s.takeover {
 		return nil
 	}
 	f := retry.Failure{Err: e.Err, Reached: true}
@@ -139,6 +139,9 @@
 	}
 	a.phase = ended
 	s.recordFailure(f.Err)
+	if i == s.takeover {
+		s.takeover = none
+	}
 	if i == s.winner && s.resumable { // another attempt may continue the response
 		s.winner = none
 	}
@@ -252,15 +255,26 @@
 	return nil
 }
 
-// stalled cancels a response that has paused for too long, if another upstream can
-// continue it. Otherwise it keeps waiting: a pause alone never ends a response.
+// stalled offers the rest of a response that has paused for too long to another upstream. The
+// response goes on meanwhile: a pause alone never ends one, and the other upstream may refuse. The
+// first of the two that sends anything is the one that serves the caller.
 func (s *State) stalled(e Stalled) []Effect {
-	if e.Attempt != s.winner || !s.resumable || s.exhausted() || !s.budget.Withdraw(retry.CauseStall) {
+	if e.Attempt != s.winner || !s.resumable || s.exhausted() || s.activeAttempts() > 1 || !s.budget.Withdraw(retry.CauseStall) {
 		return nil
 	}
-	s.winner = none
-	s.recordFailure(verdict.New(verdict.MayHaveRun, verdict.ReasonConnection, "the stream paused for too long"))
-	return append(s.cancelOthers(none), s.offer(false)...)
+	s.takeover = len(s.attempts)
+	return s.offer(false)
+}
+
+// pieceDelivered handles a piece of the winner's response. The response has not ended, so no other
+// attempt takes it over.
+func (s *State) pieceDelivered() []Effect {
+	s.attempts[s.winner].reconnects = 0
+	if s.takeover == none {
+		return nil
+	}
+	s.takeover = none
+	return s.cancelOthers(s.winner)
 }
 
 // switchUpstream cancels an attempt that has had no response for too long and offers
--- a/internal/router/effects.go
+++ b/internal/router/effects.go
@@ -40,10 +40,13 @@
 	}, resp.req.Profile.Objective.Std())
 	if e.Continue {
 		resp.countContinued(ok)
-		resp.winner = nil
 		at.headSent = true
-		resp.framer.Discard()
 		at.lastEventID = resp.framer.LastID()
+		if e.Takeover {
+			resp.takeover = at
+		} else {
+			resp.awaitContinuation()
+		}
 	}
 	if !ok && e.Continue {
 		resp.launch(at, 0, nobodyContinues)
@@ -97,10 +100,20 @@
 	resp.launchWithKey(at, *resp.req.Key, resp.transport.attach)
 }
 
+// awaitContinuation makes the response wait for another attempt, without what has arrived of an event that
+// is not complete.
+func (resp *Response) awaitContinuation() {
+	resp.winner = nil
+	resp.framer.Discard()
+}
+
 // deliver makes an attempt's response the one that goes to the caller. If no other
 // upstream may continue the response, it also drops the request's body, so that it
 // is not kept in memory for the minutes that a response may take.
 func (resp *Response) deliver(at *attempt, resumable bool) {
+	if resp.winner != nil {
+		resp.awaitContinuation() // the attempt takes over
+	}
 	resp.winner = at
 	if resumable {
 		if resp.framer == nil {
--- a/internal/router/pieces.go
+++ b/internal/router/pieces.go
@@ -77,6 +77,9 @@
 			break
 		}
 		resp.step(dispatch.ConnectionLost{Now: time.Now(), Attempt: at.number})
+		if resp.winner == at && resp.isBeingTakenOver() {
+			resp.awaitContinuation()
+		}
 	}
 	return wire.Piece{}, false, nil
 }
@@ -107,15 +110,48 @@
 	resp.tick()
 }
 
-// handleStall handles a stream that has paused for longer than its stall timeout. The
-// stream is abandoned only if another upstream continues it: a pause alone is no reason to
-// end a response. If none does, the timeout is switched off.
+// takeoverPoll is how often the outcome of an attempt is looked at that is to take over a paused
+// response, while the next piece of that response is awaited.
+const takeoverPoll = 20 * time.Millisecond
+
+// handleStall handles a stream that has paused for longer than its stall timeout. The rest of it is
+// offered to another upstream, if there is one with a free place. Meanwhile the stream is still read,
+// and goes on if it sends anything first: a pause alone is no reason to end a response. If nobody
+// takes over, that is tried again after a longer pause.
 func (resp *Response) handleStall(at *attempt) {
-	if _, found := resp.transport.target(dispatch.Offer{Attempt: len(resp.attempts), Continue: true}); found && resp.framer.MayContinue() {
+	s, ok := at.stream.(*directStream)
+	if !ok {
+		return
+	}
+	if resp.isBeingTakenOver() {
+		resp.handleReadyOutcome()
+		if resp.winner == at && !resp.isBeingTakenOver() {
+			s.extendStallTimeout()
+		}
+		return
+	}
+	t, found := resp.transport.target(dispatch.Offer{Attempt: len(resp.attempts), Continue: true})
+	if found && t.hasFreePlace() && resp.framer.MayContinue() {
 		resp.step(dispatch.Stalled{Now: time.Now(), Attempt: at.number})
 	}
-	if s, ok := at.stream.(*directStream); ok && resp.winner == at {
-		s.SetStallTimeout(0)
+	if resp.isBeingTakenOver() {
+		s.SetStallTimeout(takeoverPoll)
+	} else {
+		s.extendStallTimeout()
+	}
+}
+
+// isBeingTakenOver reports whether an attempt is under way that may take over the winner's response.
+func (resp *Response) isBeingTakenOver() bool {
+	return resp.takeover != nil && resp.takeover.busy
+}
+
+// handleReadyOutcome processes an outcome of an attempt if there is one.
+func (resp *Response) handleReadyOutcome() {
+	select {
+	case o := <-resp.outcomes:
+		resp.handleOutcome(o)
+	default:
 	}
 }
 
