config: what is whole is remembered, and said of one state only

Cause: three ways in which a router counts as whole at a version at which it isn't. One whose newest objects are beyond what it is complete up to answered a query for all objects as if it were in the state of the newest. One that took a pull over while the peer went on, or read a state that is older than an object it holds already, could not tell the version of that state any more, and pulled from peers behind it. And a reading of a copy older than the configuration in force proved that objects were gone which the copy is too old to have.

Ruled out: pieces of pulls (with pieces of any size the first one is found as well).

Change: an answer of a router between two states is used, but proves nothing; the pull is repeated. A pull and a whole reading mark the version of their newest change (Set.markWhole). Objects that an older copy lacks are not held to be gone.

Measured: TestLaterConfigurationOfAPeerIsTakenOverWholeBesideAnOlderCopy: fails on after a listing and on after a watch too, holds now.

--- a/internal/config/follow_peer.go
+++ b/internal/config/follow_peer.go
@@ -11,8 +11,10 @@
 	peer            Peer
 	query           Query
 	deletionHorizon topo.Version // of the peer; the same for all pieces
-	wholeUpTo       topo.Version // of the first piece, see Delta
-	completeUpTo    topo.Version // of the peer when it sent the first piece
+	wholeUpTo       topo.Version // of the first piece, see Delta; zero if the peer was not in one state
+	unsettled       bool         // the peer was not in one state, and may have skipped that of this node
+	version         topo.Version // of the peer when it sent the first piece
+	completeUpTo    topo.Version // likewise
 	seen            map[topo.Ref]struct{}
 	deadline        time.Time
 }
@@ -248,7 +250,10 @@
 		// Later pieces do not include what the peer has learnt since the first one
 		// below the version that the pull has reached.
 		p.deletionHorizon, p.completeUpTo = d.DeletionHorizon, d.Summary.CompleteUpTo
-		p.wholeUpTo = d.WholeUpTo
+		p.version, p.wholeUpTo, p.unsettled = d.Summary.Version, d.WholeUpTo, false
+		if d.Summary.Digest == 0 {
+			p.wholeUpTo, p.unsettled = 0, d.WholeUpTo > 0
+		}
 	}
 	b := Batch{Objects: d.Objects}
 	if p.isFull() {
@@ -303,12 +308,14 @@
 	switch {
 	case f.set.edition.Number != 0 && f.set.Version() != p.query.Summary.Version:
 		return nil // the pull started from a state that has been replaced since
+	case p.unsettled:
+		return nil // the peer is between two states, one of which it will be in soon
 	case p.query.Summary.CompleteUpTo >= horizon:
 		// This node knows all deletions that the peer has forgotten, and its state is not
 		// one that the peer has skipped.
 	case p.isFull():
 		f.repair.fullPullHorizon = horizon
-		out = changedEffects(f.set.RemoveUnseen(p.seen, min(horizon, max(p.deletionHorizon, p.completeUpTo))))
+		out = changedEffects(f.set.RemoveUnseen(p.seen, horizon))
 	case f.set.Summary().sameObjects(d.Summary):
 		// None of the forgotten deletions and skipped states concerned objects of this node.
 		f.set.listedUpTo = max(f.set.listedUpTo, d.DeletionHorizon)
@@ -318,5 +325,7 @@
 		f.repair.nextFullPull = e.Now.Add(fullPullInterval)
 		return f.startPull(e.Now, p.peer, 0)
 	}
-	return append(out, f.applyBatch(Batch{Claim: &Claim{From: p.query.Since, To: p.completeUpTo}})...)
+	out = append(out, f.applyBatch(Batch{Claim: &Claim{From: p.query.Since, To: p.completeUpTo}})...)
+	f.set.markWhole(p.version)
+	return out
 }
--- a/internal/config/follow_store.go
+++ b/internal/config/follow_store.go
@@ -278,8 +278,21 @@
 	out := append(f.enterEra(now, version.Era()), f.storeAnswered(now)...)
 	f.advanceStoreVersion(version)
 	f.nextList = now.Add(f.jitter(f.listInterval()))
-	out = append(out, f.applyBatch(Batch{Objects: f.replacement(now, objects, version), Claim: &Claim{To: version}, DeletionHorizon: horizon})...)
-	f.set.listedUpTo = max(f.set.listedUpTo, horizon)
-	f.set.wholeReadAt = version
+	changes, isOlderCopy := f.replacement(now, objects, version)
+	out = append(out, f.applyBatch(Batch{Objects: changes, Claim: &Claim{To: version}, DeletionHorizon: horizon})...)
+	if !isOlderCopy { // else an object that it lacks may be part of a later configuration
+		f.set.listedUpTo = max(f.set.listedUpTo, horizon)
+		f.set.wholeReadAt = version
+		f.set.markWhole(newestVersion(objects))
+	}
 	return append(out, f.afterListing(now, first)...)
 }
+
+// newestVersion returns the highest version of objects; zero: there are none.
+func newestVersion(objects []topo.Object) topo.Version {
+	var newest topo.Version
+	for _, o := range objects {
+		newest = max(newest, o.Version)
+	}
+	return newest
+}
--- a/internal/config/restored.go
+++ b/internal/config/restored.go
@@ -34,14 +34,15 @@
 // replacement returns the changes to apply when objects are all that a source holds at a
 // version. If the source was restored from an older copy, the configuration in force stays,
 // whether the copy holds other objects or lacks some, and only orders change.
-func (f *Follower) replacement(now time.Time, objects []topo.Object, version topo.Version) []topo.Object {
-	if f.detectOlderCopy(editionOf(objects), version) {
+func (f *Follower) replacement(now time.Time, objects []topo.Object, version topo.Version) (changes []topo.Object, isOlderCopy bool) {
+	isOlderCopy = f.detectOlderCopy(editionOf(objects), version)
+	if isOlderCopy {
 		objects = f.set.withOrdersOf(objects)
 	}
 	if now.Before(f.holdOrdersUntil) {
 		objects = f.holdOrders(objects, version.Era())
 	}
-	return f.set.difference(objects, version)
+	return f.set.difference(objects, version), isOlderCopy
 }
 
 // detectOlderCopy reports whether a source has been restored from an older copy and its
--- a/internal/config/restored_test.go
+++ b/internal/config/restored_test.go
@@ -188,3 +188,33 @@
 		}
 	}
 }
+
+// The store comes back from a copy that is older than what a router holds, and another router holds a later configuration
+// still, with a route that this one has never seen. Guards against a router that takes a part of that over and refuses
+// the new route, since the copy lacks it.
+func TestLaterConfigurationOfAPeerIsTakenOverWholeBesideAnOlderCopy(t *testing.T) {
+	for _, listed := range []bool{false, true} {
+		r, peer := newTestFollower(), newTestFollower()
+		for _, f := range []*testFollower{r, peer} {
+			f.list(olderCopy, topo.VersionAt(1, 30), topo.VersionAt(1, 31))
+			f.watched(newerConfiguration, topo.VersionAt(1, 50), topo.VersionAt(1, 52))
+		}
+		latest := configuration{edition: 59, routes: map[string]string{"changed": `3`, "added": `2`, "latest": `1`}}
+		peer.watched(latest, topo.VersionAt(1, 55), topo.VersionAt(1, 56))
+		if listed {
+			r.list(olderCopy, topo.VersionAt(2, 30), topo.VersionAt(2, 31))
+		} else {
+			r.watched(olderCopy, topo.VersionAt(2, 30), topo.VersionAt(2, 31))
+		}
+		peer.watched(olderCopy, topo.VersionAt(2, 30), topo.VersionAt(2, 33))
+		r.Step(StoreReadingSwitched{Now: r.now})
+		r.now = r.now.Add(time.Minute)
+		answerAll(r.Follower, peer.Follower, r.now, r.Step(SummaryReceived{Now: r.now, Peer: "peer", Summary: peer.set.Summary()}))
+		r.check(t, latest.routes)
+	}
+}
+
+// watched lets the follower read a configuration by a watch.
+func (r *testFollower) watched(c configuration, written, version topo.Version) {
+	r.Step(Watched{Now: r.now, Since: r.set.CompleteUpTo(), Page: topo.Page{Objects: c.objects(written), Version: version, Whole: true}})
+}
--- a/internal/config/span.go
+++ b/internal/config/span.go
@@ -60,6 +60,15 @@
 	return o.Ref != editionRef && !isOrder(o.Kind)
 }
 
+// markWhole records that the Set is complete up to a version of its source's newest change, if it
+// holds a configuration written as a whole. The Set can't tell by itself once it holds later
+// versions of the objects that were changed then.
+func (s *Set) markWhole(v topo.Version) {
+	if s.edition.Number != 0 && v <= s.completeUpTo {
+		s.version, s.wholeEdition = max(s.version, v), max(s.wholeEdition, v)
+	}
+}
+
 // restate returns the objects of a node that holds exactly these at version v. A part of an
 // edition that the Set would not accept, although it is to take the place of what the Set
 // holds, gets v as its version: the node has skipped the state that the Set is in.
