soak: leaving is written while the store is not restored

Traced: a copy from before the word "draining" was restored while it stood in the store and before any router had read it (no log has "upstream leaving"); what is written again is the late write. The rule holds from an acknowledgement that the store gives while it is stable, so that the case is allowed.

Change: the restore of the store and these two writes exclude each other; routers still stand still, lose the store and miss either of them, and restores come before and after.

--- a/test/soak/older_test.go
+++ b/test/soak/older_test.go
@@ -110,12 +110,23 @@
 		return
 	}
 	r := live[h.intN(len(live))]
+	if !h.leaveAndWriteLate(r) {
+		return
+	}
+	time.Sleep(leaveTimeout)
+}
+
+// leaveAndWriteLate writes that a runner leaves, and its former write after that. The store is not restored meanwhile: a
+// copy from before would take the only word of it that there is.
+func (h *harness) leaveAndWriteLate(r *runner) bool {
+	h.restoreMu.Lock()
+	defer h.restoreMu.Unlock()
 	late := h.entryOf(r, "ready")
 	if !h.markLeft(r) {
-		return
+		return false
 	}
 	h.writeEntry(r, "draining")
 	time.Sleep(configBound + h.randomDuration(10*time.Millisecond, time.Second))
 	h.store.Put("servers", r.ID, late)
-	time.Sleep(leaveTimeout)
+	return true
 }
