router: what was seen of stream origins outlives all routers

Cause: since a router vouches for a stream that nobody names only for the time that it has seen itself. After a loss of all routers nobody has seen enough, and all such callers are refused, also where one version has served throughout.

Change: the router that reads the store for its region keeps in it which versions each pool has listed, and which hosts kept their routes, within the time for which a stream may be away (kind origins). A router that starts begins with that. One that has not seen all of that time only adds to it; without the object it knows nothing, unless the settings say that the whole system starts for the first time. The pools that serve streams are kept per host, so that a change of other routes refuses nobody. What is seen before a write, 0.1 s or as long as the store takes no writes, is lost if all routers are killed then.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -244,6 +244,7 @@
 		Tuning:        tuning(p, s),
 		VM:            p.VM,
 		FailureDomain: p.FailureDomain,
+		FirstStart:    p.FirstStart,
 	}
 }
 
--- a/internal/membership/currency.go
+++ b/internal/membership/currency.go
@@ -49,3 +49,9 @@
 	}
 	return now.Sub(c.outageTo) < c.Grace && written.After(c.outageFrom)
 }
+
+// ShowsAll reports whether the list is current and no outage of the store has just ended, other than the time before the
+// first confirmation: an upstream that has started again since is listed.
+func (c Currency) ShowsAll(now time.Time) bool {
+	return c.IsCurrent(now) && (c.outageFrom.IsZero() || now.Sub(c.outageTo) >= c.Grace)
+}
--- a/internal/origins/history_test.go
+++ b/internal/origins/history_test.go
@@ -13,7 +13,7 @@
 type pastState struct {
 	at       time.Time
 	current  bool     // the list of upstreams was current
-	routes   uint64   // of the host
+	routes   string   // of the host
 	versions []string // that were listed in the pool
 }
 
@@ -33,7 +33,7 @@
 				next.current = !next.current
 				h.ObserveCurrency(now, next.current)
 			case 1:
-				next.routes = uint64(rapid.IntRange(0, 2).Draw(t, "routes"))
+				next.routes = fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "routes"))
 				h.ObserveHosts(now, Hosts{"host": next.routes})
 			default:
 				next.versions = nil
@@ -68,7 +68,7 @@
 	var h History
 	h.ObserveCurrency(now, true)
 	h.ObservePools(now, Pools{"pool": {"v1", "v2"}, "other": {"v7"}})
-	h.ObserveHosts(now, Hosts{"host": 1})
+	h.ObserveHosts(now, Hosts{"host": "one"})
 	now = now.Add(time.Minute)
 	h.ObservePools(now, Pools{"pool": {"v2"}, "other": {"v8"}})
 	if v, ok := h.OnlyVersion(now.Add(29*time.Second), "host", "pool", 30*time.Second); ok {
@@ -80,7 +80,7 @@
 	if v, ok := h.OnlyVersion(now.Add(2*time.Hour), "host", "pool", time.Hour); !ok || v != "v2" {
 		t.Errorf("%q, %v after two hours, want v2", v, ok)
 	}
-	h.ObserveHosts(now.Add(2*time.Hour), Hosts{"host": 2})
+	h.ObserveHosts(now.Add(2*time.Hour), Hosts{"host": "two"})
 	if v, ok := h.OnlyVersion(now.Add(2*time.Hour), "host", "pool", 30*time.Second); ok {
 		t.Errorf("%q, though the routes have just changed", v)
 	}
--- a/internal/router/origins.go
+++ b/internal/router/origins.go
@@ -2,9 +2,11 @@
 
 import (
 	"log/slog"
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -61,9 +63,11 @@
 func routesOf(hosts profile.Hosts) origins.Hosts {
 	out := make(origins.Hosts, len(hosts))
 	for host, prefixes := range hosts {
+		hash := uint64(0)
 		for prefix, p := range prefixes {
-			out[host] ^= xxh3.HashString(prefix + "\x00" + strings.Join(p.PoolNames(), "\x00"))
+			hash ^= xxh3.HashString(prefix + "\x00" + strings.Join(p.PoolNames(), "\x00"))
 		}
+		out[host] = strconv.FormatUint(hash, 16) // a number may lose digits in the store
 	}
 	return out
 }
@@ -83,11 +87,38 @@
 	return out
 }
 
+// streamPools returns the pools that serve the streams of each host, for a History.
+func streamPools(hosts profile.Hosts) origins.Pools {
+	out := make(origins.Pools, len(hosts))
+	for host, prefixes := range hosts {
+		var pools []string
+		for _, p := range prefixes {
+			if p.Stream || p.Resumable {
+				pools = append(pools, p.PoolNames()...)
+			}
+		}
+		slices.Sort(pools)
+		out[origins.HostKey(host)] = slices.Compact(pools)
+	}
+	return out
+}
+
 // observeOrigins records what the latest view shows of where streams begin.
 func (r *Router) observeOrigins(now time.Time, former, latest *View) {
-	r.versions.ObserveCurrency(now, !r.mayListLackRestarts(now))
+	r.versions.ObserveCurrency(now, r.listShowsAll(now))
 	if former != latest {
-		r.versions.ObservePools(now, latest.versions)
+		pools := maps.Clone(latest.versions)
+		if pools == nil {
+			pools = make(origins.Pools)
+		}
+		maps.Copy(pools, latest.streamPools)
+		r.versions.ObservePools(now, pools)
 		r.versions.ObserveHosts(now, latest.routes)
 	}
 }
+
+// listShowsAll reports whether no version can serve that the list does not show.
+func (r *Router) listShowsAll(now time.Time) bool {
+	list := r.listCurrency.Load()
+	return list == nil || list.ShowsAll(now)
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -71,6 +71,8 @@
 	VM string
 	// FailureDomain is the failure domain that the router runs in; empty: not known.
 	FailureDomain string
+	// FirstStart is set if the whole system starts for the first time.
+	FirstStart bool
 }
 
 // Tuning holds the settings that may change while a router runs. They apply to
@@ -200,6 +202,8 @@
 	go r.runMaintenance(ctx)
 	if c.Mesh == nil {
 		go r.readConvictions(ctx)
+	} else {
+		go r.keepSeen(ctx)
 	}
 	return r
 }
--- a/internal/router/takeup.go
+++ b/internal/router/takeup.go
@@ -90,7 +90,7 @@
 // the one that began the stream: upstreams may have been replaced since, and this router may have started since.
 func (resp *Response) findUnnamedOrigin(now time.Time) (pool, version string, how takeUp) {
 	pools := resp.req.Profile.PoolNames()
-	if len(pools) != 1 || resp.router.mayListLackRestarts(now) {
+	if len(pools) != 1 || !resp.router.listShowsAll(now) {
 		return "", "", takeUpUnknown
 	}
 	version, ok := resp.router.versions.OnlyVersion(now, profile.HostName(resp.req.Host), pools[0], resp.req.originTTL())
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -30,6 +30,7 @@
 	hosts        profile.Hosts
 	routes       origins.Hosts
 	versions     origins.Pools // of the software of upstreams
+	streamPools  origins.Pools // of hosts
 	urgencies    urgencyTable
 	Pools        map[string]*Pool
 	VMs          map[string]topo.VM
@@ -74,7 +75,7 @@
 	if s.stale.profiles {
 		v.Profiles = maps.Clone(s.profiles)
 		v.hosts = profile.ByHost(s.profiles)
-		v.routes = routesOf(v.hosts)
+		v.routes, v.streamPools = routesOf(v.hosts), streamPools(v.hosts)
 		v.Limits = s.limits
 	}
 	if s.stale.orgs {
