origins: what routers have seen vouches for no time after a gap

Cause: a router whose list had not been current for a while added to what the store keeps, and the time for which that vouches stayed. A version may have come and gone in the gap; after a loss of all routers a stream that began there could go on at another one. The router itself refuses such callers after a gap, its successors did not.

Ruled out: to write nothing after a gap, which leaves the old claim in the store; to write how long the gap is over, a write each 0.1 s.

Change: Extend vouches for no time. Nothing is written before the list has been current, and if only the longest time away has grown, the former one is still vouched for.

--- a/internal/origins/history.go
+++ b/internal/origins/history.go
@@ -25,6 +25,7 @@
 type History struct {
 	mu          sync.Mutex
 	since       time.Time                       // since when nothing was missed; zero: the list is not current
+	wasCurrent  bool                            // the list has been current
 	knownBefore time.Duration                   // how long before the list becomes current for the first time others have seen all
 	listed      Pools                           // now
 	unlisted    map[string]map[string]time.Time // when a version was listed last, by pool
@@ -43,6 +44,7 @@
 	case h.since.IsZero():
 		h.since = now.Add(-h.knownBefore)
 		h.knownBefore = 0
+		h.wasCurrent = true
 	}
 }
 
--- a/internal/origins/history_test.go
+++ b/internal/origins/history_test.go
@@ -85,3 +85,58 @@
 		t.Errorf("%q, though the routes have just changed", v)
 	}
 }
+
+// Routers are killed and start again from what they have written, with gaps in what they see. Guards against naming a
+// version for streams that may have begun at another one before the start.
+func TestSeenOfFormerRoutersNamesOnlyTheVersionOfAllStreams(t *testing.T) {
+	const within = 60 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		h, stored := &History{}, Seen{}
+		write := func() {
+			if seen, ok := h.Seen(now, within); ok {
+				if seen.Within == 0 {
+					seen = stored.Extend(seen)
+				}
+				stored = seen
+			}
+		}
+		past := []pastState{{at: now}}
+		observe := func(s pastState) {
+			h.ObserveCurrency(now, s.current)
+			h.ObserveHosts(now, Hosts{"host": s.routes})
+			h.ObservePools(now, Pools{"pool": s.versions})
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "events") {
+			next := past[len(past)-1]
+			now = now.Add(time.Duration(rapid.IntRange(1, 40).Draw(t, "seconds")) * time.Second)
+			next.at = now
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0:
+				next.current = !next.current
+			case 1:
+				next.routes = fmt.Sprint(rapid.IntRange(0, 1).Draw(t, "routes"))
+			case 2:
+				h = &History{}
+				h.Seed(now, stored)
+			default:
+				next.versions = []string{fmt.Sprint("v", rapid.IntRange(0, 1).Draw(t, "version"))}
+			}
+			observe(next)
+			write()
+			past = append(past, next)
+			only, ok := h.OnlyVersion(now, "host", "pool", within)
+			if !ok {
+				continue
+			}
+			for i, s := range past {
+				if i+1 < len(past) && !past[i+1].at.After(now.Add(-within)) {
+					continue // it was over by then
+				}
+				if !s.current || s.routes != next.routes || slices.ContainsFunc(s.versions, func(v string) bool { return v != only }) {
+					t.Fatalf("%q at %v, but %+v", only, now.Unix(), s)
+				}
+			}
+		}
+	})
+}
--- a/internal/origins/seen.go
+++ b/internal/origins/seen.go
@@ -9,7 +9,7 @@
 // Seen is what routers have seen of where streams begin, for routers that start when no other is left that has seen it.
 // The router that reads the platform's store for others keeps it there.
 type Seen struct {
-	Within time.Duration `json:"within_ns"` // for how long before it was written
+	Within time.Duration `json:"within_ns"` // for how long before it was written; zero: something was missed
 	Pools  Pools         `json:"pools"`     // the versions that were listed then
 	Hosts  Hosts         `json:"hosts"`     // the routes of hosts that had the same ones all the time
 }
@@ -19,9 +19,10 @@
 	return s.Within == other.Within && maps.Equal(s.Hosts, other.Hosts) && maps.EqualFunc(s.Pools, other.Pools, slices.Equal)
 }
 
-// Extend returns s with what has been seen since: further versions, and without hosts whose routes have changed.
+// Extend returns s with what has been seen since by a router that has missed something: further versions, and without hosts
+// whose routes have changed. It vouches for no time.
 func (s Seen) Extend(since Seen) Seen {
-	out := Seen{Within: s.Within, Pools: maps.Clone(s.Pools), Hosts: make(Hosts)}
+	out := Seen{Pools: maps.Clone(s.Pools), Hosts: make(Hosts)}
 	if out.Pools == nil {
 		out.Pools = make(Pools)
 	}
@@ -81,12 +82,15 @@
 	}
 }
 
-// Seen returns what has been seen within the given time, and whether nothing was missed.
+// Seen returns what has been seen within the given time. It returns false if the list has never been current.
 func (h *History) Seen(now time.Time, within time.Duration) (Seen, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	from := now.Add(-within)
-	out := Seen{Within: within, Pools: make(Pools), Hosts: make(Hosts)}
+	out := Seen{Pools: make(Pools), Hosts: make(Hosts)}
+	if !h.since.IsZero() && !h.since.After(from) {
+		out.Within = within
+	}
 	for pool, versions := range h.listed {
 		out.Pools[pool] = slices.Clone(versions)
 	}
@@ -105,5 +109,5 @@
 			out.Hosts[host] = routes
 		}
 	}
-	return out, !h.since.IsZero() && !h.since.After(from)
+	return out, h.wasCurrent
 }
--- a/internal/router/seen.go
+++ b/internal/router/seen.go
@@ -86,17 +86,24 @@
 	return nil
 }
 
-// update writes the object if it says something else than what has been seen. A router that has not seen all of the time
-// before only adds to it.
+// update writes the object if it says something else than what has been seen. If this router has missed something, the
+// object vouches for no time until it has seen enough again.
 func (k *seenKeeper) update(ctx context.Context) error {
 	if !k.router.mesh.readsStore.Load() {
 		return nil
 	}
-	seen, nothingMissed := k.router.versions.Seen(time.Now(), k.longestAway())
-	if !nothingMissed {
+	now, longest := time.Now(), k.longestAway()
+	seen, ok := k.router.versions.Seen(now, longest)
+	if !ok || longest == 0 {
+		return nil
+	}
+	if seen.Within == 0 && k.stored.Within > 0 { // the longest time may just have grown
+		seen, _ = k.router.versions.Seen(now, k.stored.Within)
+	}
+	if seen.Within == 0 {
 		seen = k.stored.Extend(seen)
 	}
-	if seen.Equal(k.stored) || !nothingMissed && k.version == 0 {
+	if seen.Equal(k.stored) || seen.Within == 0 && k.version == 0 {
 		return nil
 	}
 	value, err := json.Marshal(seen)
