--- a/internal/origins/history_test.go
+++ b/internal/origins/history_test.go
@@ -17,6 +17,24 @@
 	versions []string // that were listed in the pool
 }
 
+// checkOnlyVersion fails if h names a version now, the time of the last state, for streams that may have begun within the
+// given time at another version or unseen.
+func checkOnlyVersion(t *rapid.T, h *History, past []pastState, within time.Duration) {
+	last := past[len(past)-1]
+	only, ok := h.OnlyVersion(last.at, "host", "pool", within)
+	if !ok {
+		return
+	}
+	for i, s := range past {
+		if i+1 < len(past) && !past[i+1].at.After(last.at.Add(-within)) {
+			continue // it was over by then
+		}
+		if !s.current || s.routes != last.routes || slices.ContainsFunc(s.versions, func(v string) bool { return v != only }) {
+			t.Fatalf("%q within %v at %v, but %+v", only, within, last.at.Unix(), s)
+		}
+	}
+}
+
 // Versions come and go, routes change, and the list is not current at times. Guards against naming a version for streams
 // that may have begun at another one within the time that they may last.
 func TestOnlyVersionIsThatOfAllStreams(t *testing.T) {
@@ -34,7 +52,7 @@
 				h.ObserveCurrency(now, next.current)
 			case 1:
 				next.routes = fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "routes"))
-				h.ObserveHosts(now, Hosts{"host": next.routes})
+				h.ObserveRoutes(now, Routes{"host": next.routes}, nil)
 			default:
 				next.versions = nil
 				for i := range 3 {
@@ -42,22 +60,11 @@
 						next.versions = append(next.versions, fmt.Sprint("v", i))
 					}
 				}
-				h.ObservePools(now, Pools{"pool": next.versions})
+				h.ObserveVersions(now, Sets{"pool": next.versions})
 			}
 			past = append(past, next)
 			within := time.Duration(rapid.IntRange(1, 200).Draw(t, "within")) * time.Second
-			only, ok := h.OnlyVersion(now, "host", "pool", within)
-			if !ok {
-				continue
-			}
-			for i, s := range past {
-				if i+1 < len(past) && !past[i+1].at.After(now.Add(-within)) {
-					continue // it was over by then
-				}
-				if !s.current || s.routes != next.routes || slices.ContainsFunc(s.versions, func(v string) bool { return v != only }) {
-					t.Fatalf("%q within %v at %v, but %+v", only, within, now.Unix(), s)
-				}
-			}
+			checkOnlyVersion(t, &h, past, within)
 		}
 	})
 }
@@ -67,10 +74,10 @@
 	now := time.Unix(1000, 0)
 	var h History
 	h.ObserveCurrency(now, true)
-	h.ObservePools(now, Pools{"pool": {"v1", "v2"}, "other": {"v7"}})
-	h.ObserveHosts(now, Hosts{"host": "one"})
+	h.ObserveVersions(now, Sets{"pool": {"v1", "v2"}, "other": {"v7"}})
+	h.ObserveRoutes(now, Routes{"host": "one"}, nil)
 	now = now.Add(time.Minute)
-	h.ObservePools(now, Pools{"pool": {"v2"}, "other": {"v8"}})
+	h.ObserveVersions(now, Sets{"pool": {"v2"}, "other": {"v8"}})
 	if v, ok := h.OnlyVersion(now.Add(29*time.Second), "host", "pool", 30*time.Second); ok {
 		t.Errorf("%q, though another was listed within the time", v)
 	}
@@ -80,7 +87,7 @@
 	if v, ok := h.OnlyVersion(now.Add(2*time.Hour), "host", "pool", time.Hour); !ok || v != "v2" {
 		t.Errorf("%q, %v after two hours, want v2", v, ok)
 	}
-	h.ObserveHosts(now.Add(2*time.Hour), Hosts{"host": "two"})
+	h.ObserveRoutes(now.Add(2*time.Hour), Routes{"host": "two"}, nil)
 	if v, ok := h.OnlyVersion(now.Add(2*time.Hour), "host", "pool", 30*time.Second); ok {
 		t.Errorf("%q, though the routes have just changed", v)
 	}
@@ -104,8 +111,8 @@
 		past := []pastState{{at: now}}
 		observe := func(s pastState) {
 			h.ObserveCurrency(now, s.current)
-			h.ObserveHosts(now, Hosts{"host": s.routes})
-			h.ObservePools(now, Pools{"pool": s.versions})
+			h.ObserveRoutes(now, Routes{"host": s.routes}, nil)
+			h.ObserveVersions(now, Sets{"pool": s.versions})
 		}
 		for range rapid.IntRange(1, 40).Draw(t, "events") {
 			next := past[len(past)-1]
@@ -125,18 +132,7 @@
 			observe(next)
 			write()
 			past = append(past, next)
-			only, ok := h.OnlyVersion(now, "host", "pool", within)
-			if !ok {
-				continue
-			}
-			for i, s := range past {
-				if i+1 < len(past) && !past[i+1].at.After(now.Add(-within)) {
-					continue // it was over by then
-				}
-				if !s.current || s.routes != next.routes || slices.ContainsFunc(s.versions, func(v string) bool { return v != only }) {
-					t.Fatalf("%q at %v, but %+v", only, now.Unix(), s)
-				}
-			}
+			checkOnlyVersion(t, h, past, within)
 		}
 	})
 }
--- a/internal/origins/seen.go
+++ b/internal/origins/seen.go
@@ -2,44 +2,50 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 )
 
 // Seen is what routers have seen of where streams begin, for routers that start when no other is left that has seen it.
 // The router that reads the platform's store for others keeps it there.
 type Seen struct {
-	Within time.Duration `json:"within_ns"` // for how long before it was written; zero: something was missed
-	Pools  Pools         `json:"pools"`     // the versions that were listed then
-	Hosts  Hosts         `json:"hosts"`     // the routes of hosts that had the same ones all the time
+	Within   time.Duration `json:"within_ns"` // for how long before it was written; zero: something was missed
+	Versions Sets          `json:"versions"`  // that were listed within that time, by pool
+	Pools    Sets          `json:"pools"`     // that served streams within that time, by host
+	Routes   Routes        `json:"routes"`    // of hosts that had the same ones all the time
 }
 
 // Equal reports whether two Seen say the same.
 func (s Seen) Equal(other Seen) bool {
-	return s.Within == other.Within && maps.Equal(s.Hosts, other.Hosts) && maps.EqualFunc(s.Pools, other.Pools, slices.Equal)
+	return s.Within == other.Within && s.Versions.equal(other.Versions) && s.Pools.equal(other.Pools) && maps.Equal(s.Routes, other.Routes)
 }
 
-// Extend returns s with what has been seen since by a router that has missed something: further versions, and without hosts
-// whose routes have changed. It vouches for no time.
+// Extend returns s with what has been seen since by a router that has missed something: further versions and pools, and
+// without hosts whose routes have changed. It vouches for no time.
 func (s Seen) Extend(since Seen) Seen {
-	out := Seen{Pools: maps.Clone(s.Pools), Hosts: make(Hosts)}
-	if out.Pools == nil {
-		out.Pools = make(Pools)
-	}
-	for pool, versions := range since.Pools {
-		out.Pools[pool] = sortedSet(slices.Concat(out.Pools[pool], versions))
-	}
-	for host, routes := range s.Hosts {
-		if now, ok := since.Hosts[host]; ok && now == routes {
-			out.Hosts[host] = routes
+	out := Seen{Versions: s.Versions.union(since.Versions), Pools: s.Pools.union(since.Pools), Routes: make(Routes)}
+	for host, routes := range s.Routes {
+		if now, ok := since.Routes[host]; ok && now == routes {
+			out.Routes[host] = routes
 		}
 	}
 	return out
 }
 
-func sortedSet(versions []string) []string {
-	slices.Sort(versions)
-	return slices.Compact(versions)
+// Seen returns what has been seen within the given time. It returns false if the list has never been current.
+func (h *History) Seen(now time.Time, within time.Duration) (Seen, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	from := now.Add(-within)
+	out := Seen{Versions: h.versions.since(from), Pools: h.pools.since(from), Routes: make(Routes)}
+	if !h.since.IsZero() && !h.since.After(from) {
+		out.Within = within
+	}
+	for host, routes := range h.routes {
+		if !h.changed[host].After(from) {
+			out.Routes[host] = routes
+		}
+	}
+	return out, h.wasCurrent
 }
 
 // Seed records what routers had seen before this one started.
@@ -47,16 +53,13 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.extendBack(now, s.Within)
-	for pool, versions := range s.Pools {
-		for _, v := range versions {
-			h.recordUnlisted(now, pool, v)
-		}
+	h.versions.recordFormer(now, s.Versions)
+	h.pools.recordFormer(now, s.Pools)
+	if h.routes == nil {
+		h.routes = s.Routes
 	}
-	if h.hosts == nil {
-		h.hosts = s.Hosts
-	}
-	for host, routes := range h.hosts {
-		if before, ok := s.Hosts[host]; ok && before == routes {
+	for host, routes := range h.routes {
+		if before, ok := s.Routes[host]; ok && before == routes {
 			delete(h.changed, host)
 		}
 	}
@@ -67,7 +70,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.extendBack(now, maxHistory)
-	h.first = h.hosts == nil
+	h.isFirst = h.routes == nil
 	clear(h.changed)
 }
 
@@ -81,33 +84,3 @@
 		h.since = earlier
 	}
 }
-
-// Seen returns what has been seen within the given time. It returns false if the list has never been current.
-func (h *History) Seen(now time.Time, within time.Duration) (Seen, bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	from := now.Add(-within)
-	out := Seen{Pools: make(Pools), Hosts: make(Hosts)}
-	if !h.since.IsZero() && !h.since.After(from) {
-		out.Within = within
-	}
-	for pool, versions := range h.listed {
-		out.Pools[pool] = slices.Clone(versions)
-	}
-	for pool, versions := range h.unlisted {
-		for v, at := range versions {
-			if at.After(from) {
-				out.Pools[pool] = append(out.Pools[pool], v)
-			}
-		}
-	}
-	for pool := range out.Pools {
-		out.Pools[pool] = sortedSet(out.Pools[pool])
-	}
-	for host, routes := range h.hosts {
-		if !h.changed[host].After(from) {
-			out.Hosts[host] = routes
-		}
-	}
-	return out, h.wasCurrent
-}
--- a/internal/router/origins.go
+++ b/internal/router/origins.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -60,8 +59,8 @@
 }
 
 // routesOf returns the routes of hosts for a History.
-func routesOf(hosts profile.Hosts) origins.Hosts {
-	out := make(origins.Hosts, len(hosts))
+func routesOf(hosts profile.Hosts) origins.Routes {
+	out := make(origins.Routes, len(hosts))
 	for host, prefixes := range hosts {
 		hash := uint64(0)
 		for prefix, p := range prefixes {
@@ -72,33 +71,32 @@
 	return out
 }
 
-// versionsOf returns the software versions of upstreams for a History.
-func versionsOf(pools map[string]*Pool) origins.Pools {
-	out := make(origins.Pools, len(pools))
-	for name, p := range pools {
-		var versions []string
-		for _, vm := range p.VMs {
-			if !slices.Contains(versions, vm.SoftwareVersion) {
-				versions = append(versions, vm.SoftwareVersion)
+// streamPools returns the pools that serve the streams of each host.
+func streamPools(hosts profile.Hosts) origins.Sets {
+	out := make(origins.Sets, len(hosts))
+	for host, prefixes := range hosts {
+		var pools []string
+		for _, p := range prefixes {
+			if p.Stream || p.Resumable {
+				pools = append(pools, p.PoolNames()...)
 			}
 		}
-		out[name] = versions
+		out[host] = origins.SortedSet(pools)
 	}
 	return out
 }
 
-// streamPools returns the pools that serve the streams of each host, for a History.
-func streamPools(hosts profile.Hosts) origins.Pools {
-	out := make(origins.Pools, len(hosts))
-	for host, prefixes := range hosts {
-		var pools []string
-		for _, p := range prefixes {
-			if p.Stream || p.Resumable {
-				pools = append(pools, p.PoolNames()...)
+// versionsOf returns the software versions of the upstreams of each pool.
+func versionsOf(pools map[string]*Pool) origins.Sets {
+	out := make(origins.Sets, len(pools))
+	for name, p := range pools {
+		var versions []string
+		for _, vm := range p.VMs {
+			if !slices.Contains(versions, vm.SoftwareVersion) {
+				versions = append(versions, vm.SoftwareVersion)
 			}
 		}
-		slices.Sort(pools)
-		out[origins.HostKey(host)] = slices.Compact(pools)
+		out[name] = origins.SortedSet(versions)
 	}
 	return out
 }
@@ -107,13 +105,8 @@
 func (r *Router) observeOrigins(now time.Time, former, latest *View) {
 	r.versions.ObserveCurrency(now, r.listShowsAll(now))
 	if former != latest {
-		pools := maps.Clone(latest.versions)
-		if pools == nil {
-			pools = make(origins.Pools)
-		}
-		maps.Copy(pools, latest.streamPools)
-		r.versions.ObservePools(now, pools)
-		r.versions.ObserveHosts(now, latest.routes)
+		r.versions.ObserveVersions(now, latest.versions)
+		r.versions.ObserveRoutes(now, latest.routes, latest.streamPools)
 	}
 }
 
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -28,9 +28,9 @@
 	Orgs         map[string]*profile.Organisation // by the hash of each API key
 	Limits       *profile.Limits                  // on requests of callers; nil: the defaults
 	hosts        profile.Hosts
-	routes       origins.Hosts
-	versions     origins.Pools // of the software of upstreams
-	streamPools  origins.Pools // of hosts
+	routes       origins.Routes // by host
+	streamPools  origins.Sets   // by host
+	versions     origins.Sets   // of the software of upstreams, by pool
 	urgencies    urgencyTable
 	Pools        map[string]*Pool
 	VMs          map[string]topo.VM
--- a/test/soak/endless_test.go
+++ b/test/soak/endless_test.go
@@ -78,17 +78,13 @@
 
 // sendEndlessAnswers makes runners send answers without an end for a short time.
 func (h *harness) sendEndlessAnswers() {
-	h.setResponseFault(int(endlessResponse), true)
-	time.Sleep(h.randomDuration(200*time.Millisecond, 2*time.Second))
-	h.setResponseFault(int(endlessResponse), false)
+	h.causeResponseFault(int(endlessResponse))
 }
 
 // writeEndlessAnswer answers a request without an end, until the router closes the connection or endlessTime has
 // passed.
 func (h *harness) writeEndlessAnswer(r *runner, c net.Conn, req *http.Request) fake.HandlerResult {
-	h.mu.Lock()
-	h.endless[req.Header.Get("Attempt-Id")] = true
-	h.mu.Unlock()
+	h.markEndless(req)
 	a := endlessAnswers[h.intN(len(endlessAnswers))]
 	if a.head != nil {
 		r.WriteHead(c, req, http.StatusOK, a.head...)
@@ -105,6 +101,13 @@
 	return fake.CloseConn
 }
 
+// markEndless records that a runner answers a request without an end.
+func (h *harness) markEndless(req *http.Request) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.endless[req.Header.Get("Attempt-Id")] = true
+}
+
 // isEndless reports whether a runner has answered an attempt without an end.
 func (h *harness) isEndless(attempt string) bool {
 	h.mu.Lock()
@@ -190,17 +193,13 @@
 
 // sendSlowBodies makes runners send bodies without an end for a short time.
 func (h *harness) sendSlowBodies() {
-	h.setResponseFault(int(slowResponse), true)
-	time.Sleep(h.randomDuration(200*time.Millisecond, 2*time.Second))
-	h.setResponseFault(int(slowResponse), false)
+	h.causeResponseFault(int(slowResponse))
 }
 
 // writeSlowBody answers a request with a body without an end, until the router closes the connection or endlessTime has
 // passed.
 func (h *harness) writeSlowBody(r *runner, c net.Conn, req *http.Request) fake.HandlerResult {
-	h.mu.Lock()
-	h.endless[req.Header.Get("Attempt-Id")] = true
-	h.mu.Unlock()
+	h.markEndless(req)
 	headers := []string{"Transfer-Encoding: chunked"}
 	if strings.HasPrefix(req.URL.Path, "/stream") {
 		headers = append(headers, "Content-Type: text/event-stream")
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -365,7 +365,11 @@
 }
 
 func (h *harness) injectResponseFault() {
-	c := h.intN(int(endlessResponse)) // the last fault, answers without an end have a test of their own
+	h.causeResponseFault(h.intN(int(endlessResponse))) // answers without an end have tests of their own
+}
+
+// causeResponseFault makes runners answer with a fault for a short time.
+func (h *harness) causeResponseFault(c int) {
 	h.setResponseFault(c, true)
 	time.Sleep(h.randomDuration(200*time.Millisecond, 2*time.Second))
 	h.setResponseFault(c, false)
--- a/test/soak/streams_test.go
+++ b/test/soak/streams_test.go
@@ -34,9 +34,7 @@
 
 // breakStreams makes runners break off streams for a short time.
 func (h *harness) breakStreams() {
-	h.setResponseFault(int(truncateStream), true)
-	time.Sleep(h.randomDuration(200*time.Millisecond, 2*time.Second))
-	h.setResponseFault(int(truncateStream), false)
+	h.causeResponseFault(int(truncateStream))
 }
 
 // writeStream responds with a stream, with chunks or with neither chunks nor a length.
