soak: clients that do not behave, at each door of a router

What a crowd of others does to a process was measured by hand once and is no test.

Change: TestSoakBadClients starts two routers of the smallest sheet (160 MB, 4,100 descriptors), plays each of 19 kinds of bad clients at the first (bodies of legal size in one piece, small pieces and chunks, bodies far over, chunks without end, heads of very many short fields, whole and half, slow heads, heads and lines without end, requests sent ahead, trickled and half bodies, half heads, silent connections, answers unread and read slowly, prompts of thousands of parts, one long field) at a route, without one, at ready and at metrics, and sends ordinary requests to both. It watches the resident memory of its child, which it ends when that passes the sheet, and the kernel's receive queues beside it, asks the ready address, and compares what is served with the router that nobody attacks.

--- /dev/null
+++ b/test/soak/badclients_test.go
@@ -0,0 +1,292 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	// soundCallers is the number of callers that behave, at each router, soundInterval is the time from one request of
+	// theirs to the next, and soundPatience how long they wait for an answer.
+	soundCallers  = 24
+	soundInterval = 400 * time.Millisecond
+	soundPatience = 3 * time.Second
+	// soundConnection is how many requests a caller that behaves sends over a connection.
+	soundConnection = 3
+	// minServed is the least share of sound requests that are served beside bad clients, of those that are served by
+	// a router without bad clients.
+	minServed = .95
+	// readyInterval is the pause between two readiness checks, and readyTimeout how long one waits.
+	readyInterval = 250 * time.Millisecond
+	readyTimeout  = time.Second
+	// readyMisses is how many failed readiness checks in a row take a router out.
+	readyMisses = 2
+	// memoryInterval is the pause between two looks at the memory of a process.
+	memoryInterval = 20 * time.Millisecond
+	// badClientPause is the pause of a bad client before it connects again.
+	badClientPause = 50 * time.Millisecond
+	// badClientTime is how long a bad client stays that sends or reads nothing more.
+	badClientTime = 20 * time.Second
+)
+
+// smallMachine is the smallest machine on which routers run.
+var smallMachine = machine{memoryMB: 160, descriptors: 4100}
+
+// Clients of one kind that do not behave come at each door of a router, many at a time, beside callers that behave.
+// Guards against a process that takes more memory than its machine has, ends or hangs, and against callers that
+// behave and are no longer served.
+func TestSoakBadClients(t *testing.T) {
+	t.Parallel()
+	for _, kind := range badClients {
+		t.Run(strings.ReplaceAll(kind.name, " ", "-"), func(t *testing.T) {
+			t.Parallel()
+			playBadClients(t, func(f *badClientFleet) {
+				for _, d := range doors {
+					f.phase(kind.name+" at "+d.name, []attack{{kind, d, kind.clients}}, *duration/2)
+				}
+			})
+		})
+	}
+}
+
+// playBadClients starts a fleet of two routers with callers that behave at both, and plays phases of bad clients at
+// the first.
+func playBadClients(t *testing.T, play func(f *badClientFleet)) {
+	playing <- struct{}{}
+	defer func() { <-playing }()
+	h := newHarness(t, *from, true)
+	h.entryCount = 2
+	h.machine = smallMachine
+	h.organisations = 1
+	h.routerArgs = []string{"--metrics-port", metricsPort}
+	h.badClients = true
+	defer h.close()
+	h.start()
+	f := &badClientFleet{harness: h, attacked: h.entries[0], control: h.entries[1]}
+	play(f)
+	h.running.Wait()
+}
+
+// badClientFleet is two routers, of which one has bad clients.
+type badClientFleet struct {
+	*harness
+	attacked, control *entry
+}
+
+// attack is bad clients of one kind at one door.
+type attack struct {
+	kind    badClientKind
+	door    door
+	clients int
+}
+
+// phase plays attacks for some time, and checks what callers that behave and the balancer saw meanwhile.
+func (f *badClientFleet) phase(name string, attacks []attack, lasts time.Duration) {
+	stop := make(chan struct{})
+	var running sync.WaitGroup
+	watch := &processWatch{entry: f.attacked, pid: f.attacked.processID(), limitMB: f.machine.memoryMB}
+	readiness := &readinessWatch{entry: f.attacked}
+	sound, usual := &soundCounts{}, &soundCounts{}
+	running.Go(func() { watch.run(f.t, stop) })
+	running.Go(func() { readiness.run(stop) })
+	for i := range soundCallers {
+		running.Go(func() { f.callSoundly(f.attacked, i, sound, stop) })
+		running.Go(func() { f.callSoundly(f.control, i, usual, stop) })
+	}
+	ticks := f.attacked.processorTime()
+	for _, a := range attacks {
+		for range a.clients {
+			running.Go(func() { a.repeat(f.attacked, stop) })
+		}
+	}
+	time.Sleep(lasts)
+	ticks = f.attacked.processorTime() - ticks
+	close(stop)
+	running.Wait()
+	f.t.Logf("%-38s memory %3d MiB, received and unread %3d MiB at most; sound requests served %3d of %3d, at the other router %3d of %3d, slowest %v; missed readiness checks %d of %d; processor %d ticks",
+		name, watch.peakMB, watch.peakUnread>>20, sound.served.Load(), sound.due.Load(), usual.served.Load(), usual.due.Load(), sound.longest(), readiness.missed, readiness.asked, ticks)
+	if watch.ended {
+		f.t.Errorf("%s: the process has ended", name)
+	}
+	if float64(sound.served.Load()) < minServed*float64(usual.served.Load()) {
+		f.t.Errorf("%s: %d sound requests are served of %d, without bad clients %d of %d", name, sound.served.Load(), sound.due.Load(), usual.served.Load(), usual.due.Load())
+	}
+	if readiness.mostInARow >= readyMisses {
+		f.t.Errorf("%s: the router misses %d readiness checks in a row", name, readiness.mostInARow)
+	}
+}
+
+// repeat plays one client of an attack, again and again, until stop is closed.
+func (a attack) repeat(e *entry, stop <-chan struct{}) {
+	for !isStopped(stop) {
+		if conn, err := net.DialTimeout("tcp", a.door.addr(e), time.Second); err == nil {
+			a.playOnce(conn, stop)
+		}
+		select {
+		case <-stop:
+		case <-time.After(badClientPause):
+		}
+	}
+}
+
+// playOnce plays a client over a connection, until the router closes it or stop is closed.
+func (a attack) playOnce(conn net.Conn, stop <-chan struct{}) {
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		select {
+		case <-stop:
+		case <-ended:
+		}
+		_ = conn.Close()
+	}()
+	_ = conn.SetDeadline(time.Now().Add(badClientTime))
+	a.kind.play(&badClient{Conn: conn, door: a.door, kind: a.kind, began: time.Now()})
+}
+
+// soundCounts counts requests of callers that behave.
+type soundCounts struct {
+	due, served atomic.Int64
+	longestMS   atomic.Int64
+}
+
+func (c *soundCounts) longest() time.Duration {
+	return time.Duration(c.longestMS.Load()) * time.Millisecond
+}
+
+// callSoundly sends requests of a caller that behaves until stop is closed, one each soundInterval. A request that is
+// due while the caller still waits for the one before is not sent, and not served.
+func (f *badClientFleet) callSoundly(e *entry, number int, counts *soundCounts, stop <-chan struct{}) {
+	time.Sleep(time.Duration(number) * soundInterval / soundCallers)
+	var l *clientConn
+	due := time.Now()
+	for n := 0; !isStopped(stop); n++ {
+		time.Sleep(time.Until(due))
+		due = due.Add(soundInterval)
+		counts.due.Add(1)
+		if time.Since(due) > 0 {
+			continue
+		}
+		began := time.Now()
+		if l == nil {
+			if l = connect(e); l == nil {
+				continue
+			}
+		}
+		c := f.randomCall()
+		c.patience, c.deadline = soundPatience, soundPatience
+		reusable := l.send(c)
+		if c.status == http.StatusOK && c.complete {
+			counts.served.Add(1)
+		}
+		counts.record(time.Since(began))
+		if !reusable || n%soundConnection == soundConnection-1 {
+			l.close()
+			l = nil
+		}
+	}
+	if l != nil {
+		l.close()
+	}
+}
+
+// record records how long a request took.
+func (c *soundCounts) record(took time.Duration) {
+	for {
+		longest := c.longestMS.Load()
+		if took.Milliseconds() <= longest || c.longestMS.CompareAndSwap(longest, took.Milliseconds()) {
+			return
+		}
+	}
+}
+
+// readinessWatch is the balancer's view of a router.
+type readinessWatch struct {
+	entry              *entry
+	asked, missed      int
+	inARow, mostInARow int // missed
+}
+
+func (w *readinessWatch) run(stop <-chan struct{}) {
+	c := http.Client{Timeout: readyTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	for !isStopped(stop) {
+		w.asked++
+		resp, err := c.Get("http://" + net.JoinHostPort(w.entry.ip, readyPort) + readyPath)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		if err != nil || resp.StatusCode != http.StatusOK {
+			w.missed++
+			w.inARow++
+			w.mostInARow = max(w.mostInARow, w.inARow)
+		} else {
+			w.inARow = 0
+		}
+		time.Sleep(readyInterval)
+	}
+}
+
+// processWatch watches the memory of a process, and kills it if it takes more than its machine has.
+type processWatch struct {
+	entry              *entry
+	pid                int
+	limitMB            int
+	peakMB, peakUnread int
+	ended              bool
+}
+
+func (w *processWatch) run(t *testing.T, stop <-chan struct{}) {
+	for !isStopped(stop) {
+		time.Sleep(memoryInterval)
+		if w.entry.processID() != w.pid {
+			w.ended = true
+			return
+		}
+		mb := w.entry.residentMB()
+		w.peakMB = max(w.peakMB, mb)
+		w.peakUnread = max(w.peakUnread, w.entry.unreadBytes())
+		if mb <= w.limitMB {
+			continue
+		}
+		t.Errorf("%s: its process takes %d MiB, its machine has %d", w.entry.name, mb, w.limitMB)
+		w.entry.signal(syscall.SIGKILL)
+		w.entry.waitExit(grace)
+		w.entry.harness.checkError(w.entry.start())
+		w.pid = w.entry.processID()
+	}
+}
+
+// door is a way into a router: a path at one of its addresses.
+type door struct {
+	name, port, method, target string
+	key                        string // empty: none
+}
+
+var doors = []door{
+	{"route", callerPort, http.MethodPost, "/stream/1", otherKey(0)},
+	{"no route", callerPort, http.MethodPost, "/nothing/1", ""},
+	{"ready", readyPort, http.MethodGet, readyPath, ""},
+	{"metrics", metricsPort, http.MethodGet, "/metrics", ""},
+}
+
+func (d door) addr(e *entry) string { return net.JoinHostPort(e.ip, d.port) }
+
+// head returns the head of a request without the empty line at its end.
+func (d door) head() string {
+	auth := ""
+	if d.key != "" {
+		auth = "Authorization: Token " + d.key + "\r\n"
+	}
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: bad-%d\r\nDeadline-Ms: 5000\r\n%s",
+		d.method, d.target, callerHost, badAttempts.Add(1), auth)
+}
+
+// badAttempts is the number of the newest request of a bad client.
+var badAttempts atomic.Int64
--- a/test/soak/endless_test.go
+++ b/test/soak/endless_test.go
@@ -4,10 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
-	"strconv"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -140,26 +137,6 @@
 	}
 }
 
-// residentMB returns the resident memory of the current process in MiB; zero: it has ended.
-func (e *entry) residentMB() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.cmd.Process.Signal(syscall.Signal(0)) != nil {
-		return 0
-	}
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", e.cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(text)) {
-		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
-			kb, _ := strconv.Atoi(strings.Fields(rest)[0])
-			return kb >> 10
-		}
-	}
-	return 0
-}
-
 const (
 	// shortTimeout is the timeout of the routes in a soak of bodies without an end, and endsWithin the time within which
 	// their requests end, with a margin for a busy machine.
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -121,7 +121,20 @@
 	return n
 }
 
-func (e *entry) addr() string { return net.JoinHostPort(e.ip, "8080") }
+// Ports of a router.
+const (
+	callerPort  = "8080"
+	readyPort   = "8081"
+	metricsPort = "9464" // if routers serve metrics
+)
+
+func (e *entry) addr() string { return net.JoinHostPort(e.ip, callerPort) }
+
+// machine is what the settings say of a router's machine.
+type machine struct{ memoryMB, descriptors int }
+
+// usualMachine is the machine of routers whose limits a soak does not reach.
+var usualMachine = machine{memoryMB: memoryMB, descriptors: 2048}
 
 // settings writes the boot settings file that the platform provides for a process.
 func (e *entry) settings(loadMultiple float64) error {
@@ -132,11 +145,11 @@
 zones: {a: "r", b: "r"}
 listen: {front: %q, ready: %q}
 internal_ports: [7340, 7355]
-limits: {cpu_share: 0.5, cores: 1, memory_mb: %d, max_fds: 2048, link_mbps: 1000.0}
+limits: {cpu_share: 0.5, cores: 1, memory_mb: %d, max_fds: %d, link_mbps: 1000.0}
 heartbeat_ms: 1200
 bounds: {config_apply_ms: %d, drain_ms: %d, grace_s: %d, retry_ratio: %g, retry_slack: %d, budget_window_s: %g, cap_factor: %g, warmup_overage: %g, warmup_slack: %d}
 platform: {address: %q}
-`, e.name, e.ip, e.addr(), net.JoinHostPort(e.ip, "8081"), memoryMB, configBound.Milliseconds(), configBound.Milliseconds(), int(grace.Seconds()), retryRatio, retrySlack, retryWindow.Seconds(), loadMultiple, coldOverage, coldSlack, e.store.addr())
+`, e.name, e.ip, e.addr(), net.JoinHostPort(e.ip, readyPort), e.harness.machine.memoryMB, e.harness.machine.descriptors, configBound.Milliseconds(), configBound.Milliseconds(), int(grace.Seconds()), retryRatio, retrySlack, retryWindow.Seconds(), loadMultiple, coldOverage, coldSlack, e.store.addr())
 	next := filepath.Join(e.dir, "next.yaml")
 	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
 		return err
@@ -196,10 +209,13 @@
 	return e.incarnation
 }
 
+// readyPath is the path of the balancer's readiness check.
+const readyPath = "/v1/ready"
+
 // ready reports whether the router passes the balancer's readiness check.
 func (e *entry) ready() bool {
 	c := http.Client{Timeout: 300 * time.Millisecond}
-	resp, err := c.Get("http://" + net.JoinHostPort(e.ip, "8081") + "/v1/ready")
+	resp, err := c.Get("http://" + net.JoinHostPort(e.ip, readyPort) + readyPath)
 	if err != nil {
 		return false
 	}
@@ -336,6 +352,9 @@
 // response delivered to the wrong caller is detected.
 func (h *harness) handler(r *runner) fake.Handler {
 	return func(c net.Conn, req *http.Request, body string) fake.HandlerResult {
+		if h.handleBadClient(r, c, req) {
+			return fake.KeepOpen
+		}
 		if r.rejectWhileResting(c, req) {
 			return fake.KeepOpen
 		}
@@ -460,6 +479,6 @@
 		"services": []map[string]any{{"name": "llm", "health_path": "/health", "max_connections": 200,
 			"warmup_s": coldDuration.Seconds(), "warmup_per_s": coldRatePerSecond}},
 		"tenants": tenants,
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"limits":  map[string]any{"max_header_bytes": headerLimit, "max_body_bytes": bodyLimit, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 }
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -79,6 +79,12 @@
 	// endsWithin is the time within which requests end that runners answer without an end; zero: not checked.
 	endsWithin time.Duration
 
+	// machine is what the settings say of each router's machine.
+	machine machine
+
+	// badClients is set if some clients do not behave. Runners answer them and record nothing.
+	badClients bool
+
 	// maxMemoryMB is the memory of a router, in MiB; zero: not watched.
 	maxMemoryMB int
 
@@ -111,6 +117,7 @@
 		t: t, seed: seed, planned: planned,
 		dir:        t.TempDir(),
 		faults:     faults,
+		machine:    usualMachine,
 		number:     harnesses.Add(1),
 		entryCount: *entryCount, runnersAtStart: *runnersAtStart,
 		store:       fake.NewStore(),
