quarantine, router: what a prompt has very many parts costs no router its time

What callers saw: after 200 clients with a valid key had sent prompts of some thousand parts for 2 s and had left, a router served nobody for the 6 s that the test went on, at any address, with two processors busy (0 of 24 sound requests; 139 of 139 at the other router).

Cause: for each request that is left, Registry.AboutToHold asks for each part where requests with it were left, under the registry's lock, and Account.Whereabouts went through all ended requests and all their parts: the square of the parts times the requests. A dump of the process's goroutines: 134 wait for that lock, one is in mapIterNext below Whereabouts. Ruled out: memory (75 MB), the collector.

Change: an Account keeps the ended requests by fingerprint, so that Whereabouts looks at those with it only; and the first 32 parts of a prompt have fingerprints. What routers keep, merge and tell of a request's parts no longer grows with what a caller writes.

--- a/internal/quarantine/account.go
+++ b/internal/quarantine/account.go
@@ -10,12 +10,13 @@
 // too old to be running, whether or not anybody still waits for it: an upstream may crash after the
 // caller has left, or fall silent. It is pure: it reads no clock.
 //
-// Invariant: size is the number of requests in the ended lists of all records, and ended that of those with each
-// fingerprint.
+// Invariant: size is the number of requests in the ended lists of all records, and ended holds those with each
+// fingerprint, in no order. A request is asked for by each of its fingerprints, so that a search of all requests
+// would cost the square of what callers write in their prompts.
 type Account struct {
 	upstreams map[string]*record
 	size      int
-	ended     map[Fingerprint]int
+	ended     map[Fingerprint][]*Sent
 }
 
 // record is what an Account holds of one incarnation of an upstream.
@@ -71,7 +72,7 @@
 
 // NewAccount returns an empty Account.
 func NewAccount() *Account {
-	return &Account{upstreams: make(map[string]*record), ended: make(map[Fingerprint]int)}
+	return &Account{upstreams: make(map[string]*record), ended: make(map[Fingerprint][]*Sent)}
 }
 
 // Copy is a copy of a request that is sent to an upstream.
@@ -178,20 +179,36 @@
 		return true
 	}
 	r.ended = append(r.ended, s)
-	a.count(s, 1)
+	a.index(s)
 	if a.size > maxEnded {
 		a.dropOldest()
 	}
 	return false
 }
 
-// count adds one to the counts of ended requests for a request, or takes it off.
-func (a *Account) count(s *Sent, change int) {
-	a.size += change
+// index adds a request to the ended ones with its fingerprints.
+func (a *Account) index(s *Sent) {
+	a.size++
 	for _, p := range s.copy.prints() {
-		if a.ended[p] += change; a.ended[p] == 0 {
+		a.ended[p] = append(a.ended[p], s)
+	}
+}
+
+// unindex takes a request from the ended ones with its fingerprints.
+func (a *Account) unindex(s *Sent) {
+	a.size--
+	for _, p := range s.copy.prints() {
+		all := a.ended[p]
+		if i := slices.Index(all, s); i >= 0 {
+			all[i] = all[len(all)-1]
+			all[len(all)-1] = nil
+			all = all[:len(all)-1]
+		}
+		if len(all) == 0 {
 			delete(a.ended, p)
+			continue
 		}
+		a.ended[p] = all
 	}
 }
 
@@ -248,7 +265,7 @@
 			out.Left = append(out.Left, s.Running())
 		}
 		s.state = answered
-		a.count(s, -1)
+		a.unindex(s)
 	}
 	r.ended = nil
 	return out
@@ -307,7 +324,7 @@
 		r.ended = slices.DeleteFunc(r.ended, func(s *Sent) bool {
 			isOver := s.state == left && r.lastSign.After(s.until.Add(SignMargin)) || now.Sub(s.until) >= evidenceWindow
 			if isOver {
-				a.count(s, -1)
+				a.unindex(s)
 			}
 			return isOver
 		})
@@ -337,7 +354,7 @@
 	}
 	if i := slices.Index(r.ended, s); i >= 0 {
 		r.ended = slices.Delete(r.ended, i, i+1)
-		a.count(s, -1)
+		a.unindex(s)
 	}
 }
 
--- a/internal/quarantine/whereabouts.go
+++ b/internal/quarantine/whereabouts.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Accepted records that an upstream has accepted a connection. That is no sign of life at a crash: the
 // connections of a process that stands still are accepted as well.
@@ -21,32 +24,21 @@
 // Whereabouts returns where requests with a fingerprint were left.
 func (a *Account) Whereabouts(p Fingerprint) Whereabouts {
 	var out Whereabouts
-	if a.ended[p] == 0 {
-		return out
-	}
 	var heard []time.Duration
-	for upstream, r := range a.upstreams {
-		latest := r.lastSign
-		if r.acceptedAt.After(latest) {
-			latest = r.acceptedAt
+	for _, s := range a.ended[p] {
+		if s.state != left || s.survived || s.begun {
+			continue
+		}
+		awaited := s.endedAt.Sub(s.started)
+		if !a.upstreams[s.upstream].lastHeard().Before(s.endedAt) {
+			heard = append(heard, awaited)
+			continue
 		}
-		isSilent := false
-		for _, s := range r.ended {
-			if !s.copy.has(p) || s.state != left || s.survived || s.begun {
-				continue
-			}
-			awaited := s.endedAt.Sub(s.started)
-			if !latest.Before(s.endedAt) {
-				heard = append(heard, awaited)
-				continue
-			}
-			if len(out.Silent) == 0 && !isSilent || awaited < out.Awaited {
-				out.Awaited = awaited
-			}
-			isSilent = true
+		if len(out.Silent) == 0 || awaited < out.Awaited {
+			out.Awaited = awaited
 		}
-		if isSilent {
-			out.Silent = append(out.Silent, upstream)
+		if !slices.Contains(out.Silent, s.upstream) {
+			out.Silent = append(out.Silent, s.upstream)
 		}
 	}
 	for _, awaited := range heard {
@@ -56,3 +48,11 @@
 	}
 	return out
 }
+
+// lastHeard returns when the upstream sent something last, or accepted a connection.
+func (r *record) lastHeard() time.Time {
+	if r.acceptedAt.After(r.lastSign) {
+		return r.acceptedAt
+	}
+	return r.lastSign
+}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -194,19 +194,25 @@
 	return r.hashContent(r.Org.Name, r.Profile.Name, r.Call.Method, r.Call.Path)
 }
 
+// maxTrackedParts is how many parts of a prompt may be known to crash upstreams. Prompts share a few: those of all
+// chats of an organisation, of a document, and of a session.
+const maxTrackedParts = 32
+
 // directFingerprints returns the fingerprints of the request for upstreams without a sidecar: of its content, and of
 // the parts of its prompt that other requests may share. The former does not contain the profile, which a change
 // of the configuration may replace, and the organisation may be unknown. Those of parts differ between pools:
-// what crashes the upstreams of one may do nothing to those of another.
+// what crashes the upstreams of one may do nothing to those of another. Of a prompt with very many parts the first
+// maxTrackedParts have one: what is kept of a request, and looked up, must not grow with what callers write.
 func (r *Request) directFingerprints(pool string) []quarantine.Fingerprint {
 	org := ""
 	if r.Org != nil {
 		org = r.Org.Name
 	}
-	out := make([]quarantine.Fingerprint, 1, 1+len(r.Parts))
+	parts := r.Parts[:min(len(r.Parts), maxTrackedParts)]
+	out := make([]quarantine.Fingerprint, 1, 1+len(parts))
 	out[0] = quarantine.ContentFingerprint(r.hashContent(org, r.Host, r.Call.Method, r.Call.Path))
 	seed := xxh3.HashString(pool)
-	for _, part := range r.Parts {
+	for _, part := range parts {
 		out = append(out, quarantine.PartFingerprint(xxh3.HashStringSeed(part, seed)))
 	}
 	return out
