--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -14,9 +14,11 @@
 	"github.com/pkg/errors"
 
 	"github.com/parsleyfront/parsleyfront/internal/admin"
+	"github.com/parsleyfront/parsleyfront/internal/budget"
 	"github.com/parsleyfront/parsleyfront/internal/config"
 	"github.com/parsleyfront/parsleyfront/internal/exchange"
 	"github.com/parsleyfront/parsleyfront/internal/gateway"
+	"github.com/parsleyfront/parsleyfront/internal/httpserver"
 	"github.com/parsleyfront/parsleyfront/internal/membership"
 	"github.com/parsleyfront/parsleyfront/internal/policy"
 	"github.com/parsleyfront/parsleyfront/internal/relay"
@@ -72,10 +74,14 @@
 	// sets no limit on file descriptors.
 	defaultCallerConnections = 4096
 
-	// bodyMemoryFraction is the fraction of a router's memory that the bodies of requests may
-	// take. The heap may hold as much again before the next collection, beside the growth that
-	// routerHeapGrowthFloor allows.
-	bodyMemoryFraction = 0.125
+	// callerMemoryFraction is the fraction of a router's memory that what callers have sent may take: heads, parsed
+	// requests and bodies. Connections take about half as much, the router itself a quarter, and the heap grows by
+	// the rest between collections.
+	callerMemoryFraction = 0.25
+
+	// readyConnections and metricsConnections are the maximum numbers of connections to the addresses that say ready
+	// and that serve metrics. The balancer and the operators use few, for a moment each.
+	readyConnections, metricsConnections = 128, 64
 
 	// retryFraction is the fraction of the platform's bound on retries that routers use.
 	// The windows of different routers are not aligned, so the sum of their budgets can
@@ -124,7 +130,9 @@
 	platform atomic.Pointer[platform.Settings] // latest
 	router   *router.Router
 	health   *health
-	server   *gateway.CallerServer
+	gateway  *gateway.PlatformGateway
+	memory   *budget.Memory // of what callers send, to any address
+	server   *httpserver.Server
 }
 
 // runEntry runs a router on the operators' platform until ctx ends and its
@@ -173,9 +181,9 @@
 	}
 	r := router.New(ctx, c)
 	h := newHealth(r.Alive, r.Ready)
-	bodies := gateway.NewBodyBudget(int64(bodyMemoryFraction * float64(p.MemoryBytes)))
-	g := gateway.NewPlatformGateway(r, platform.Clients{}, bodies, requestLog)
-	e := &Entry{settings: s, router: r, health: h, server: g.Server(h.closeWhileLeaving(g), callerConnections(p), p.ConfigBound)}
+	memory := budget.NewMemory(int64(callerMemoryFraction * float64(p.MemoryBytes)))
+	g := gateway.NewPlatformGateway(r, platform.Clients{}, memory, requestLog)
+	e := &Entry{settings: s, router: r, health: h, gateway: g, memory: memory, server: g.Server(h.closeWhileLeaving(g), callerConnections(p), p.ConfigBound)}
 	e.platform.Store(&p)
 	return e
 }
@@ -317,7 +325,7 @@
 func (e *Entry) serveReadinessAndMetrics(ctx context.Context) error {
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+platform.ReadyPath, e.Ready)
-	if err := serveOn(ctx, e.platform.Load().ReadyListen, ready); err != nil {
+	if err := e.serveOn(ctx, e.platform.Load().ReadyListen, ready, readyConnections); err != nil {
 		return err
 	}
 	if e.settings.MetricsPort.N == 0 {
@@ -328,7 +336,7 @@
 	metrics.HandleFunc("GET /upstreams", e.serveUpstreams)
 	metrics.HandleFunc("GET "+admin.PathQuarantined, e.serveQuarantined)
 	metrics.HandleFunc("GET "+admin.PathShares, e.serveShares)
-	return serveOn(ctx, net.JoinHostPort(e.platform.Load().IP, strconv.Itoa(e.settings.MetricsPort.N)), metrics)
+	return e.serveOn(ctx, net.JoinHostPort(e.platform.Load().IP, strconv.Itoa(e.settings.MetricsPort.N)), metrics, metricsConnections)
 }
 
 // UpstreamConditions returns the conditions that this router has recorded of each upstream.
@@ -367,15 +375,19 @@
 	}
 }
 
-// serveOn listens on addr and serves h in the background until ctx ends.
-func serveOn(ctx context.Context, addr string, h http.Handler) error {
+// serveOn listens on addr and serves h in the background until ctx ends, on so many connections at a time. What comes
+// there is within the limits for callers.
+func (e *Entry) serveOn(ctx context.Context, addr string, h http.Handler, connections int) error {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
-	context.AfterFunc(ctx, func() { _ = server.Close() })
-	go func() { _ = server.Serve(l) }()
+	httpserver.New(httpserver.Config{
+		Handler:     h,
+		Connections: connections,
+		Limits:      e.gateway.ServerLimits(e.platform.Load().ConfigBound),
+		Memory:      e.memory,
+	}).ServeUntil(ctx, retryingListener{l})
 	return nil
 }
 
--- a/internal/gateway/bodies.go
+++ b/internal/gateway/bodies.go
@@ -2,21 +2,19 @@
 
 import (
 	"io"
-	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
+	"github.com/parsleyfront/parsleyfront/internal/budget"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
 )
 
 const (
-	// orgBodyShare is the largest share of the budget that the bodies of one organisation may
-	// take, so that an organisation whose callers send slowly does not use it up for all.
-	orgBodyShare = 0.5
-	// bodyReserve is how many bytes of a body of unknown length are reserved at a time.
-	bodyReserve = 16 << 10
+	// minBodyPiece and maxBodyPiece bound the pieces in bytes in which a body is received. Each is twice as large as
+	// the one before, so that callers who send slowly hold little.
+	minBodyPiece = 4 << 10
+	maxBodyPiece = 16 << 10
 	// bodyRetryAfter is when a caller may return whose body there was no memory for. Bodies are
 	// held for as long as their requests, some seconds.
 	bodyRetryAfter = time.Second
@@ -26,7 +24,7 @@
 	bodyBytes = telemetry.NewGauge("gateway_body_bytes",
 		"Bytes of memory that the bodies of callers' requests take now.")
 	bodyRefusals = telemetry.NewFamily[bodyRefusal]("gateway_body_refusals_total", "by",
-		"Requests that were refused because there was no memory for their bodies: of the router, or of the organisation's share.", telemetry.Alert)
+		"Requests that were refused because there was no memory for their bodies: of the router, of the organisation's share, or taken back because the caller was slow.", telemetry.Alert)
 )
 
 // bodyRefusal is the limit by which a body was refused.
@@ -35,101 +33,115 @@
 const (
 	bodyRefusedInAll        bodyRefusal = "router"
 	bodyRefusedOrganisation bodyRefusal = "organisation"
+	bodyRefusedSlow         bodyRefusal = "slow"
 )
 
-// errNoBodyMemory is returned for a body that does not fit into the budget.
-var errNoBodyMemory = errors.New("gateway: no memory for the body")
+// bodyRefusalOf holds the limit by the error of the claim.
+var bodyRefusalOf = map[error]bodyRefusal{
+	budget.ErrNoMemory:  bodyRefusedInAll,
+	budget.ErrNoShare:   bodyRefusedOrganisation,
+	budget.ErrReclaimed: bodyRefusedSlow,
+}
 
-// BodyBudget bounds the memory that the bodies of requests take at one router. A router keeps a body
-// until its request has ended, because another attempt may need it. Without a bound, callers and
-// upstreams that are slow at the same time would make it grow until the VM's memory is used up, and
-// every request of the router would be lost. It is safe for concurrent use.
-type BodyBudget struct {
-	limit int64 // in bytes; zero: unlimited
+// heldBodies is the memory in bytes that bodies take.
+var heldBodies atomic.Int64
 
-	mu    sync.Mutex
-	held  int64
-	byOrg map[string]int64
+// body is the body of one request, and the memory that it takes. A router keeps a body until its request has ended,
+// because another attempt may need it.
+type body struct {
+	claim   *budget.Claim
+	claimed int64
 }
 
-// NewBodyBudget returns a BodyBudget of so many bytes; zero: unlimited.
-func NewBodyBudget(limit int64) *BodyBudget {
-	return &BodyBudget{limit: limit, byOrg: make(map[string]int64)}
+// read reads a body of the given length, or of an unknown one if that is negative, in pieces whose memory it claims
+// first. The error of a claim is returned as it is.
+func (b *body) read(r io.Reader, length int64) ([]byte, error) {
+	b.claim.SetIncomplete(time.Now())
+	var pieces [][]byte
+	for size, total := int64(minBodyPiece), int64(0); ; size = min(2*size, maxBodyPiece) {
+		if length > 0 {
+			size = min(size, max(length-total, 1)) // one byte shows the end
+		}
+		if err := b.grow(size); err != nil {
+			return nil, err
+		}
+		piece, err := readPiece(r, make([]byte, size))
+		pieces = append(pieces, piece)
+		total += int64(len(piece))
+		if err == io.EOF {
+			return b.complete(pieces, total)
+		}
+		if err != nil {
+			return nil, b.reclaimedOr(err)
+		}
+	}
 }
 
-// reserve takes n bytes for a body of an organisation, which is empty for anonymous requests. It
-// returns errNoBodyMemory, and takes nothing, if that would exceed the limit.
-func (b *BodyBudget) reserve(org string, n int64) error {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	switch {
-	case b.limit <= 0:
-	case b.held+n > b.limit:
-		bodyRefusals.Inc(bodyRefusedInAll)
-		return errNoBodyMemory
-	case float64(b.byOrg[org]+n) > orgBodyShare*float64(b.limit):
-		bodyRefusals.Inc(bodyRefusedOrganisation)
-		return errNoBodyMemory
+// readPiece reads until the piece is full or r returns an error, and returns what was read. It returns io.EOF only if r
+// does: io.ReadFull has one error for an end and for a body that is cut short.
+func readPiece(r io.Reader, piece []byte) ([]byte, error) {
+	n := 0
+	for n < len(piece) {
+		more, err := r.Read(piece[n:])
+		n += more
+		if err != nil {
+			return piece[:n], err
+		}
 	}
-	b.held += n
-	b.byOrg[org] += n
-	bodyBytes.Set(b.held)
-	return nil
+	return piece, nil
 }
 
-// release returns n bytes that reserve has taken.
-func (b *BodyBudget) release(org string, n int64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.held -= n
-	if b.byOrg[org] -= n; b.byOrg[org] <= 0 {
-		delete(b.byOrg, org)
+// complete returns a body that has arrived, in one piece. While it is joined it takes its memory twice, which is not
+// claimed: no more bodies are joined at a time than there are processors.
+func (b *body) complete(pieces [][]byte, total int64) ([]byte, error) {
+	if err := b.reclaimedOr(nil); err != nil {
+		return nil, err
+	}
+	if len(pieces) == 1 {
+		return pieces[0], nil
 	}
-	bodyBytes.Set(b.held)
+	out := make([]byte, 0, total)
+	for _, piece := range pieces {
+		out = append(out, piece...)
+	}
+	return out, nil
 }
 
-// reservation is the part of a BodyBudget that one body takes.
-type reservation struct {
-	budget *BodyBudget
-	org    string
-	bytes  int64
+// reclaimedOr returns the error of a claim that was taken back, which ends the reading, or else err. The claim can't
+// be taken back after that.
+func (b *body) reclaimedOr(err error) error {
+	if reclaimed := b.claim.SetComplete(); reclaimed != nil {
+		bodyRefusals.Inc(bodyRefusalOf[reclaimed])
+		return reclaimed
+	}
+	return err
 }
 
-// grow reserves n more bytes.
-func (r *reservation) grow(n int64) error {
-	if err := r.budget.reserve(r.org, n); err != nil {
+// grow claims n bytes more.
+func (b *body) grow(n int64) error {
+	if err := b.claim.Grow(time.Now(), n); err != nil {
+		bodyRefusals.Inc(bodyRefusalOf[err])
 		return err
 	}
-	r.bytes += n
+	b.claimed += n
+	bodyBytes.Set(heldBodies.Add(n))
 	return nil
 }
 
-// release returns all reserved bytes.
-func (r *reservation) release() {
-	r.budget.release(r.org, r.bytes)
-	r.bytes = 0
+// release returns the memory of the body.
+func (b *body) release() {
+	b.claim.Shrink(b.claimed)
+	bodyBytes.Set(heldBodies.Add(-b.claimed))
+	b.claimed = 0
 }
 
-// reservedReader reads a body of unknown length and reserves its bytes before it reads them.
-type reservedReader struct {
-	io.Reader
-	reservation *reservation
-	read        int64
-}
-
-// Read implements io.Reader. It returns errNoBodyMemory if the budget is used up.
-func (r *reservedReader) Read(p []byte) (int, error) {
-	if r.read >= r.reservation.bytes {
-		if err := r.reservation.grow(bodyReserve); err != nil {
-			return 0, err
-		}
-	}
-	n, err := r.Reader.Read(p[:min(int64(len(p)), r.reservation.bytes-r.read)])
-	r.read += int64(n)
-	return n, err
+// isNoMemory reports whether a body was refused because there is no memory for it.
+func isNoMemory(err error) bool {
+	_, ok := bodyRefusalOf[err]
+	return ok
 }
 
-// noBodyMemory returns the refusal of a request whose body does not fit into the budget.
-func noBodyMemory() *verdict.Error {
-	return verdict.New(verdict.NotRun, verdict.ReasonQueueFull, "there is no memory for the body now").WithRetryAfter(bodyRetryAfter)
+// noMemory returns the refusal of a request that does not fit into the memory for callers.
+func noMemory() *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.ReasonQueueFull, "there is no memory for the request now").WithRetryAfter(bodyRetryAfter)
 }
--- a/internal/gateway/bodies_test.go
+++ b/internal/gateway/bodies_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/parsleyfront/parsleyfront/internal/budget"
+	"github.com/parsleyfront/parsleyfront/internal/httpserver"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
 	"github.com/parsleyfront/parsleyfront/internal/router"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
@@ -15,9 +17,9 @@
 
 // bodyServer reads the bodies of requests within a budget. The header Org names the organisation, and
 // a request keeps its body until release is closed.
-func bodyServer(t *testing.T, budget *BodyBudget, release <-chan struct{}) *httptest.Server {
+func bodyServer(t *testing.T, memory *budget.Memory, release <-chan struct{}) *httptest.Server {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		x := &platformExchange{w: w, r: r, arrived: time.Now(), view: &router.View{}, profile: &profile.Profile{}, memory: reservation{budget: budget}}
+		x := &platformExchange{w: w, r: r, arrived: time.Now(), view: &router.View{}, profile: &profile.Profile{}, memory: body{claim: httpserver.ClaimOf(r, memory)}}
 		defer x.memory.release()
 		if org := r.Header.Get("Org"); org != "" {
 			x.org = &profile.Organisation{}
@@ -68,8 +70,8 @@
 func TestBodiesAreHeldWithinTheirBudget(t *testing.T) {
 	for name, chunked := range map[string]bool{"with a length": false, "in chunks": true} {
 		t.Run(name, func(t *testing.T) {
-			budget, release := NewBodyBudget(256<<10), make(chan struct{})
-			s := bodyServer(t, budget, release)
+			memory, release := budget.NewMemory(256<<10), make(chan struct{})
+			s := bodyServer(t, memory, release)
 			for _, org := range []string{"a", "b"} {
 				if got := send(t, s, 96<<10, chunked, map[string]string{"Org": org, "Keep": "1"}); got.StatusCode != http.StatusOK {
 					t.Fatalf("status %d within the budget", got.StatusCode)
@@ -83,9 +85,9 @@
 				t.Errorf("status %d for a small body that fits", got.StatusCode)
 			}
 			close(release)
-			for end := time.Now().Add(10 * time.Second); budget.bytesHeld() > 0; time.Sleep(time.Millisecond) {
+			for end := time.Now().Add(10 * time.Second); memory.Held() > 0; time.Sleep(time.Millisecond) {
 				if time.Now().After(end) {
-					t.Fatalf("%d bytes are still held", budget.bytesHeld())
+					t.Fatalf("%d bytes are still held", memory.Held())
 				}
 			}
 			if got := send(t, s, 96<<10, chunked, map[string]string{"Org": "c"}); got.StatusCode != http.StatusOK {
@@ -95,35 +97,10 @@
 	}
 }
 
-func (b *BodyBudget) bytesHeld() int64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.held
-}
-
-// Callers of one organisation send slowly. Guards against refusals of all others.
-func TestOneOrganisationTakesHalfOfTheBodyBudget(t *testing.T) {
-	b := NewBodyBudget(100)
-	if err := b.reserve("a", 50); err != nil {
-		t.Fatal(err)
-	}
-	if err := b.reserve("a", 1); err == nil {
-		t.Error("one organisation takes more than half")
-	}
-	if err := b.reserve("b", 50); err != nil {
-		t.Errorf("another organisation is refused: %v", err)
-	}
-	b.release("a", 50)
-	b.release("b", 50)
-	if len(b.byOrg) > 0 || b.held != 0 {
-		t.Errorf("%d bytes and %v are left", b.held, b.byOrg)
-	}
-}
-
 // Guards against a body that is refused although its length is within the limits.
 func TestBodyOfUnknownLengthIsReadWhole(t *testing.T) {
-	s := bodyServer(t, NewBodyBudget(0), nil)
-	for _, n := range []int{1, bodyReserve - 1, bodyReserve, bodyReserve + 1, 5*bodyReserve + 7} {
+	s := bodyServer(t, budget.NewMemory(0), nil)
+	for _, n := range []int{1, minBodyPiece - 1, minBodyPiece, minBodyPiece + 1, 5*maxBodyPiece + 7} {
 		got, err := io.ReadAll(send(t, s, n, true, nil).Body)
 		if err != nil || len(got) != n {
 			t.Errorf("%d of %d bytes, %v", len(got), n, err)
--- a/internal/gateway/hosted.go
+++ b/internal/gateway/hosted.go
@@ -7,6 +7,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/parsleyfront/parsleyfront/internal/budget"
+	"github.com/parsleyfront/parsleyfront/internal/httpserver"
 	"github.com/parsleyfront/parsleyfront/internal/router"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
@@ -39,19 +41,19 @@
 	router   *router.Router
 	dialect  Dialect
 	requests *telemetry.RequestLog
-	bodies   *BodyBudget
+	memory   *budget.Memory
 	started  time.Time
 }
 
-// NewPlatformGateway returns a PlatformGateway in front of r, which holds the bodies of
-// requests within a budget. Rejected requests are logged to log, which may be nil.
-func NewPlatformGateway(r *router.Router, d Dialect, bodies *BodyBudget, log *telemetry.RequestLog) *PlatformGateway {
-	return &PlatformGateway{router: r, dialect: d, bodies: bodies, requests: log, started: time.Now()}
+// NewPlatformGateway returns a PlatformGateway in front of r, which holds what callers send
+// within memory. Rejected requests are logged to log, which may be nil.
+func NewPlatformGateway(r *router.Router, d Dialect, memory *budget.Memory, log *telemetry.RequestLog) *PlatformGateway {
+	return &PlatformGateway{router: r, dialect: d, memory: memory, requests: log, started: time.Now()}
 }
 
 // ServeHTTP implements http.Handler.
 func (g *PlatformGateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &platformExchange{w: w, r: r, arrived: time.Now(), headers: g.dialect.Read(r.Header), memory: reservation{budget: g.bodies}}
+	x := &platformExchange{w: w, r: r, arrived: time.Now(), headers: g.dialect.Read(r.Header), memory: body{claim: httpserver.ClaimOf(r, g.memory)}}
 	defer x.memory.release()
 	if err := g.serve(x); err != nil {
 		if errors.Is(err, context.Canceled) {
@@ -97,7 +99,6 @@
 	if err := x.checkHeaders(); err != nil {
 		return err
 	}
-	x.closeAfterChunked()
 	if err := x.authorise(); err != nil {
 		return err
 	}
@@ -113,6 +114,9 @@
 	span := telemetry.Start(telemetry.HopCaller, telemetry.ParseTraceparent(x.r.Header.Get(telemetry.HeaderTraceparent)))
 	defer span.End()
 	span.Set(telemetry.AttrProfile, x.profile.Name)
+	if err := x.memory.grow(requestBytes); err != nil {
+		return noMemory()
+	}
 	response, err := g.router.Dispatch(x.r.Context(), router.Request{
 		Org:           x.org,
 		Profile:       x.profile,
@@ -138,6 +142,9 @@
 }
 
 const (
+	// requestBytes is the memory in bytes that a request takes while it is served, beside its head and body: the
+	// goroutines of its attempts, and the buffers of their connections.
+	requestBytes = 16 << 10
 	// writeSlack is how long after the timeout of its request a response may still
 	// be written. Data in flight at the timeout may need a few round trips of a slow
 	// link to arrive.
--- a/internal/gateway/hostedanswer.go
+++ b/internal/gateway/hostedanswer.go
@@ -67,8 +67,11 @@
 	_ = ctl.SetWriteDeadline(at)
 }
 
-// writePlatformProblem writes the problem document for a request that has no response.
+// writePlatformProblem writes the problem document for a request that has no response. A caller that does not read it
+// loses its connection after writeSlack.
 func writePlatformProblem(w http.ResponseWriter, e *verdict.Error) {
+	// It fails only on a closed connection, where writes fail as well.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeSlack))
 	h := w.Header()
 	h.Set("Content-Type", problemType)
 	if e.RetryAfter > 0 {
--- a/internal/gateway/hostedrequest.go
+++ b/internal/gateway/hostedrequest.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -11,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/parsleyfront/parsleyfront/internal/httpserver"
 	"github.com/parsleyfront/parsleyfront/internal/netpeek"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
 	"github.com/parsleyfront/parsleyfront/internal/router"
@@ -43,7 +43,7 @@
 	headers CallerHeaders
 	profile *profile.Profile
 	org     *profile.Organisation
-	memory  reservation // of the body
+	memory  body
 }
 
 // organisation returns the name of the request's organisation; empty: not known.
@@ -69,18 +69,6 @@
 	return nil
 }
 
-// closeAfterChunked closes the connection after a chunked request, which prevents
-// request smuggling. If a request has both chunks and a Content-Length, the server
-// reads its body by the chunks, as it should. A proxy in front that goes by the length
-// may forward bytes after the last chunk as part of the body, and the server would read
-// them as the next request. Such requests can't be recognised here, as the server
-// removes the Content-Length.
-func (x *platformExchange) closeAfterChunked() {
-	if len(x.r.TransferEncoding) > 0 {
-		x.w.Header().Set("Connection", "close")
-	}
-}
-
 // limits returns the operators' limits for callers.
 func (x *platformExchange) limits() *profile.Limits {
 	return limitsOf(x.view)
@@ -96,9 +84,10 @@
 // defaultLimits apply while operators set no limits.
 var defaultLimits = profile.New(topo.KindLimits).(*profile.Limits)
 
-// headerBytes returns the size in bytes of a request's first line and headers.
+// headerBytes returns the least size in bytes that a request's first line and headers have had. How they were
+// separated is not known any more.
 func headerBytes(r *http.Request) int64 {
-	const separators, lineEnd = len(": \r\n"), len("  HTTP/1.1\r\n")
+	const separators, lineEnd = len(":\n"), len("  HTTP/1.1\n")
 	n := len(r.Method) + len(r.RequestURI) + lineEnd + len("Host") + len(r.Host) + separators
 	for name, values := range r.Header {
 		for _, v := range values {
@@ -175,9 +164,9 @@
 	switch {
 	case err == nil:
 		return body, errors.Wrap(ctl.SetReadDeadline(time.Time{}), "gateway: body")
-	case errors.Is(err, errNoBodyMemory):
+	case isNoMemory(err):
 		x.w.Header().Set("Connection", "close") // the rest of the body is not read
-		return nil, noBodyMemory()
+		return nil, noMemory()
 	case errors.As(err, &tooLong):
 		return nil, tooLarge(limit)
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -188,26 +177,15 @@
 	}
 }
 
-// readBody reads a body of at most limit bytes into memory that it reserves first.
+// readBody reads a body of at most limit bytes.
 func (x *platformExchange) readBody(limit int64) ([]byte, error) {
-	x.memory.org = x.organisation()
-	limited := http.MaxBytesReader(x.w, x.r.Body, limit)
-	if x.r.ContentLength < 0 {
-		return io.ReadAll(&reservedReader{Reader: limited, reservation: &x.memory})
-	}
-	if err := x.memory.grow(x.r.ContentLength); err != nil {
-		return nil, err
-	}
-	return io.ReadAll(limited)
+	x.memory.claim.SetParty(x.organisation())
+	return x.memory.read(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength)
 }
 
-// connKey is the context key of the caller's connection.
-type connKey struct{}
-
 // conn returns the caller's connection; nil: not known.
 func (x *platformExchange) conn() net.Conn {
-	c, _ := x.r.Context().Value(connKey{}).(net.Conn)
-	return c
+	return httpserver.ConnOf(x.r)
 }
 
 // callerGone reports whether the caller has closed its connection.
--- /dev/null
+++ b/internal/httpserver/conn.go
@@ -0,0 +1,381 @@
+package httpserver
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleyfront/parsleyfront/internal/budget"
+	"github.com/parsleyfront/parsleyfront/internal/telemetry"
+)
+
+const (
+	// minHeadBuffer is the size in bytes of the first buffer for a head that does not arrive at once. Each further
+	// one is twice as large.
+	minHeadBuffer = 2 << 10
+	// lingerTime and lingerBytes bound how long a connection stays open after a refusal, and how much of what still
+	// arrives is dropped. A connection that is closed while bytes arrive is reset, and the caller may lose the answer.
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 256 << 10
+	// refusalTimeout bounds the writing of a refusal.
+	refusalTimeout = time.Second
+	// memoryRetryAfter is when a caller may return for whose head there is no memory, in seconds. What takes the memory
+	// are requests that are served, for some seconds.
+	memoryRetryAfter = 1
+)
+
+// refusal is why a head is refused.
+type refusal string
+
+// Reasons of refusals.
+const (
+	refusedTooLarge refusal = "header-too-large"
+	refusedTimeout  refusal = "request-timeout"
+	refusedMemory   refusal = "queue-full"
+)
+
+// statuses holds the statuses of refusals. 408 and 503 promise that the request has not run and never will.
+var statuses = map[refusal]int{
+	refusedTooLarge: http.StatusRequestHeaderFieldsTooLarge,
+	refusedTimeout:  http.StatusRequestTimeout,
+	refusedMemory:   http.StatusServiceUnavailable,
+}
+
+var refusedHeads = telemetry.NewFamily[refusal]("httpserver_refused_heads_total", "reason",
+	"Requests that were refused before their heads were parsed: too large, too slow, or without memory for them.", telemetry.Alert)
+
+// conn is a connection of a caller. It lets net/http read the head of a request once all of it has arrived, and
+// replaces the timeouts of the server by those of the limits.
+type conn struct {
+	net.Conn
+	server  *Server
+	claim   *budget.Claim
+	closing sync.Once
+
+	phase   atomic.Uint32 // a budget.Phase
+	since   atomic.Int64  // when it began, in nanoseconds since the server began
+	writing atomic.Int64  // when the write began that has not returned, likewise; zero: none
+
+	// The goroutine that reads owns the fields below. net/http lets one at a time read.
+	buffer    []byte // received, and not read by net/http
+	claimed   int64  // of claim, for buffer
+	headLeft  int    // bytes of buffer that are a head, or the rest of one
+	bodyLeft  int64  // bytes of the request's body that net/http has not read
+	afterHead bool   // the head of a request has been read, and no new one has begun
+	noMore    bool   // no further request is read
+}
+
+func newConn(c net.Conn, s *Server) *conn {
+	out := &conn{Conn: c, server: s}
+	out.claim = s.config.Memory.NewClaim(func() { _ = c.SetReadDeadline(time.Unix(1, 0)) })
+	out.enter(budget.PhaseSilent)
+	return out
+}
+
+// enter begins a phase.
+func (c *conn) enter(p budget.Phase) {
+	c.since.Store(int64(c.server.age()))
+	c.phase.Store(uint32(p))
+}
+
+// age returns how long the server has been there.
+func (s *Server) age() time.Duration { return time.Since(s.began) }
+
+// state returns the state of the connection. Another goroutine may change it meanwhile.
+func (c *conn) state() budget.Connection {
+	now := c.server.age()
+	if began := c.writing.Load(); began > 0 {
+		return budget.Connection{Phase: budget.PhaseWrite, Age: now - time.Duration(began)}
+	}
+	return budget.Connection{Phase: budget.Phase(c.phase.Load()), Age: now - time.Duration(c.since.Load())}
+}
+
+// Close implements net.Conn. The connection may be closed to make room while its goroutine claims memory, which is
+// released when net/http closes it at last.
+func (c *conn) Close() error {
+	c.claim.Release()
+	c.closing.Do(func() { c.server.remove(c) })
+	return c.Conn.Close()
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	c.writing.Store(int64(c.server.age()))
+	defer c.writing.Store(0)
+	return c.Conn.Write(b)
+}
+
+// CloseWrite ends the sending side and then the connection. net/http calls it before it waits for a caller to read the
+// refusal of a request whose body has not been read: what still arrives is dropped meanwhile, as it would take memory
+// of the kernel.
+func (c *conn) CloseWrite() error {
+	c.enter(budget.PhaseClosing)
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return c.Close()
+	}
+	if err := half.CloseWrite(); err != nil {
+		return err
+	}
+	if err := c.Conn.SetReadDeadline(time.Now().Add(lingerTime)); err != nil {
+		return err
+	}
+	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+	return c.Close()
+}
+
+// SetReadDeadline implements net.Conn. It replaces a deadline that the server derived from a sentinel by that of the
+// limit, and takes from it what the server reads next.
+func (c *conn) SetReadDeadline(at time.Time) error {
+	now := time.Now()
+	switch remaining := at.Sub(now); {
+	case at.IsZero():
+		switch budget.Phase(c.phase.Load()) {
+		case budget.PhaseHead: // net/http has read all of it
+			c.afterHead = true
+			c.enter(budget.PhaseWork)
+		case budget.PhaseBody:
+			c.enter(budget.PhaseWork)
+		}
+	case remaining > idleTimeoutSentinel-sentinelSlack:
+		c.beginHead(budget.PhaseIdle)
+		at = now.Add(c.server.config.Limits().IdleTime)
+	case remaining > headTimeoutSentinel-sentinelSlack:
+		if phase := budget.Phase(c.phase.Load()); phase == budget.PhaseHead || phase == budget.PhaseIdle {
+			return nil // the deadline was set at the first byte
+		}
+		c.beginHead(budget.PhaseSilent)
+		at = now.Add(c.server.config.Limits().HeadTime)
+	case remaining > 0:
+		c.enter(budget.PhaseBody)
+	}
+	return c.Conn.SetReadDeadline(at)
+}
+
+// beginHead prepares for the head of a request.
+func (c *conn) beginHead(p budget.Phase) {
+	c.afterHead = false
+	c.enter(p)
+}
+
+// endRequest releases what a request has held, once its response has been written.
+func (c *conn) endRequest() {
+	c.claim.Release()
+	c.claimed = 0
+	if len(c.buffer) > 0 { // what the caller has sent ahead
+		c.claimed = int64(cap(c.buffer))
+		if c.claim.Grow(time.Now(), c.claimed) != nil {
+			c.noMore = true
+			c.drop()
+		}
+	}
+}
+
+// Read implements net.Conn. While net/http expects the head of a request, Read returns when all of it has arrived.
+// After that it returns no more than the request's body, so that the head of the next request is not parsed while it
+// arrives.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.afterHead {
+		return c.readBody(p)
+	}
+	if c.headLeft == 0 {
+		if n, err := c.receiveHead(p); n > 0 || err != nil {
+			return n, err
+		}
+	}
+	n := copy(p[:min(len(p), c.headLeft)], c.buffer)
+	c.headLeft -= n
+	c.discard(n)
+	return n, nil
+}
+
+// readBody reads the body of a request, or what arrives while it is served.
+func (c *conn) readBody(p []byte) (int, error) {
+	p = p[:min(int64(len(p)), max(c.bodyLeft, 1))]
+	if len(p) == 0 {
+		return 0, nil
+	}
+	n, err := 0, error(nil)
+	if len(c.buffer) > 0 {
+		n = copy(p, c.buffer)
+		c.discard(n)
+	} else {
+		n, err = c.Conn.Read(p)
+	}
+	if c.bodyLeft != unknownLength {
+		c.bodyLeft = max(c.bodyLeft-int64(n), 0)
+	}
+	return n, err
+}
+
+// discard removes n bytes from the beginning of the buffer, which net/http has read.
+func (c *conn) discard(n int) {
+	c.buffer = c.buffer[n:]
+	if len(c.buffer) == 0 {
+		c.drop()
+	}
+}
+
+// drop frees the buffer.
+func (c *conn) drop() {
+	c.buffer = nil
+	c.claim.Shrink(c.claimed)
+	c.claimed = 0
+}
+
+// receiveHead receives the head of a request. It returns the number of bytes in p if all of the head has arrived there,
+// with no more than its body. Otherwise it returns zero, and the head is the first headLeft bytes of the buffer.
+func (c *conn) receiveHead(p []byte) (int, error) {
+	if c.noMore {
+		return 0, io.EOF
+	}
+	var scan headScan
+	limit := c.server.config.Limits()
+	if len(c.buffer) > 0 {
+		c.beginsToArrive(limit)
+		c.headLeft = scan.feed(c.buffer)
+	} else {
+		n, err := c.Conn.Read(p)
+		if n == 0 {
+			return 0, err
+		}
+		c.beginsToArrive(limit)
+		end := scan.feed(p[:n])
+		if scan.ended && int64(n-end) <= scan.body {
+			if err := c.endHead(&scan, limit, int64(n-end)); err != nil {
+				return 0, err
+			}
+			return n, nil
+		}
+		if err := c.keep(p[:n]); err != nil {
+			return 0, c.refuse(refusedMemory)
+		}
+		c.headLeft = end
+	}
+	for !scan.ended {
+		if scan.size() > limit.HeadBytes+maxIgnoredBytes {
+			return 0, c.refuse(refusedTooLarge)
+		}
+		arrived := len(c.buffer)
+		if err := c.receiveMore(limit.HeadBytes); err != nil {
+			return 0, c.refuseReading(err)
+		}
+		c.headLeft += scan.feed(c.buffer[arrived:])
+	}
+	return 0, c.endHead(&scan, limit, 0)
+}
+
+// beginsToArrive records that the first bytes of a head have arrived.
+func (c *conn) beginsToArrive(limit Limits) {
+	now := time.Now()
+	if c.phase.Load() == uint32(budget.PhaseIdle) {
+		_ = c.Conn.SetReadDeadline(now.Add(limit.HeadTime)) // fails only on a closed connection
+	}
+	c.enter(budget.PhaseHead)
+	c.claim.SetIncomplete(now)
+}
+
+// endHead claims the memory that a complete head takes once it is parsed. inBody is how many bytes of the body net/http
+// reads with it.
+func (c *conn) endHead(scan *headScan, limit Limits, inBody int64) error {
+	if scan.size() > limit.HeadBytes+maxIgnoredBytes {
+		return c.refuse(refusedTooLarge)
+	}
+	if err := c.claim.Grow(time.Now(), scan.parsedBytes()); err != nil {
+		return c.refuse(refusedMemory)
+	}
+	if c.claim.SetComplete() != nil {
+		return c.refuse(refusedMemory)
+	}
+	c.bodyLeft = scan.body
+	if scan.body == unknownLength {
+		c.noMore = true // where it ends is known to net/http only
+	} else {
+		c.bodyLeft -= inBody
+	}
+	return nil
+}
+
+// keep puts received bytes into a new buffer.
+func (c *conn) keep(b []byte) error {
+	size := max(minHeadBuffer, len(b))
+	if err := c.claim.Grow(time.Now(), int64(size)); err != nil {
+		return err
+	}
+	c.buffer = append(make([]byte, 0, size), b...)
+	c.claimed = int64(size)
+	return nil
+}
+
+// receiveMore receives more of a head of at most limit bytes into the buffer.
+func (c *conn) receiveMore(limit int) error {
+	if len(c.buffer) == cap(c.buffer) {
+		if err := c.growBuffer(min(2*len(c.buffer), limit) + minHeadBuffer); err != nil {
+			return err
+		}
+	}
+	n, err := c.Conn.Read(c.buffer[len(c.buffer):cap(c.buffer)])
+	c.buffer = c.buffer[:len(c.buffer)+n]
+	if n > 0 {
+		return nil
+	}
+	return err
+}
+
+// growBuffer moves the buffer to one of size bytes, which is larger.
+func (c *conn) growBuffer(size int) error {
+	if err := c.claim.Grow(time.Now(), int64(size)); err != nil {
+		return err
+	}
+	c.buffer = append(make([]byte, 0, size), c.buffer...)
+	c.claim.Shrink(c.claimed)
+	c.claimed = int64(size)
+	return nil
+}
+
+// refuseReading ends a connection on which a head could not be received.
+func (c *conn) refuseReading(err error) error {
+	switch {
+	case c.claim.SetComplete() != nil, errors.Is(err, budget.ErrNoMemory), errors.Is(err, budget.ErrNoShare), errors.Is(err, budget.ErrReclaimed):
+		return c.refuse(refusedMemory)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return c.refuse(refusedTimeout)
+	}
+	return err
+}
+
+// refuse answers a request whose head was not parsed, and returns io.EOF, after which net/http closes the connection
+// without an answer of its own.
+func (c *conn) refuse(reason refusal) error {
+	refusedHeads.Inc(reason)
+	c.enter(budget.PhaseClosing)
+	c.noMore = true
+	c.drop()
+	c.claim.Release()
+	_ = c.Conn.SetDeadline(time.Now().Add(refusalTimeout))
+	if _, err := io.WriteString(c.Conn, refusalText(reason)); err == nil {
+		_ = c.CloseWrite() // fails only on a closed connection
+	}
+	return io.EOF
+}
+
+// refusalText returns the response to a refused request.
+func refusalText(reason refusal) string {
+	var b strings.Builder
+	status := statuses[reason]
+	body := fmt.Sprintf("{\"title\":%q,\"verdict\":\"not-run\"}\n", reason)
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\nContent-Type: application/problem+json\r\nContent-Length: %d\r\nConnection: close\r\n", status, http.StatusText(status), len(body))
+	if reason == refusedMemory {
+		fmt.Fprintf(&b, "Retry-After: %d\r\n", memoryRetryAfter)
+	}
+	fmt.Fprintf(&b, "\r\n%s", body)
+	return b.String()
+}
--- /dev/null
+++ b/internal/httpserver/conn_test.go
@@ -0,0 +1,255 @@
+package httpserver
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/parsleyfront/parsleyfront/internal/budget"
+)
+
+// pipeListener accepts connections in memory.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{Name: "pipe"} }
+
+// dial returns the caller's end of a new connection.
+func (l *pipeListener) dial() net.Conn {
+	near, far := net.Pipe()
+	l.conns <- far
+	return near
+}
+
+// echo answers with the method, path and body of a request.
+func echo(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	_, _ = fmt.Fprintf(w, "%s %s %s", r.Method, r.URL.Path, body)
+}
+
+// start starts a server in memory, which ends with the test.
+func start(t interface{ Cleanup(func()) }, c Config) *pipeListener {
+	if c.Handler == nil {
+		c.Handler = http.HandlerFunc(echo)
+	}
+	if c.Limits == nil {
+		c.Limits = func() Limits { return testLimits }
+	}
+	if c.Memory == nil {
+		c.Memory = budget.NewMemory(0)
+	}
+	if c.Connections == 0 {
+		c.Connections = 100
+	}
+	l, s := newPipeListener(), New(c)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return l
+}
+
+// readStatus reads a response and returns its status and Retry-After; zero: the connection ended without one.
+func readStatus(c net.Conn) (status int, retryAfter string) {
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, ""
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, resp.Header.Get("Retry-After")
+}
+
+// requests draws requests with and without bodies, and returns their text and the answers of echo.
+func requests(t *rapid.T) (text string, answers []string) {
+	for i := range rapid.IntRange(1, 6).Draw(t, "requests") {
+		path := fmt.Sprint("/", i)
+		fields := strings.Repeat("x:\r\n", rapid.IntRange(0, 40).Draw(t, "fields"))
+		if !rapid.Bool().Draw(t, "has a body") {
+			text += fmt.Sprintf("GET %s HTTP/1.1\r\nHost: a\r\n%s\r\n", path, fields)
+			answers = append(answers, "GET "+path+" ")
+			continue
+		}
+		body := strings.Repeat("b\r\n", rapid.IntRange(1, 3000).Draw(t, "lines of the body"))
+		text += fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a\r\n%sContent-Length: %d\r\n\r\n%s", path, fields, len(body), body)
+		if rapid.Bool().Draw(t, "an old client") {
+			text += "\r\n" // net/http skips it
+		}
+		answers = append(answers, "POST "+path+" "+body)
+	}
+	return text, answers
+}
+
+// Requests arrive in pieces that end anywhere, and before the answers of earlier ones are read. Guards against requests
+// that are lost, mixed or changed because a part of one is read with another, and against memory that stays claimed.
+func TestRequestsInPiecesAreServedAsSent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		memory := budget.NewMemory(0)
+		l := start(t, Config{Memory: memory})
+		text, answers := requests(t)
+		c := l.dial()
+		go func() {
+			for len(text) > 0 {
+				n := min(rapid.SampledFrom([]int{1, 2, 3, 7, 50, 1000, 5000}).Draw(t, "piece"), len(text))
+				if _, err := io.WriteString(c, text[:n]); err != nil {
+					return
+				}
+				text = text[n:]
+			}
+		}()
+		r := bufio.NewReader(c)
+		for i, want := range answers {
+			resp, err := http.ReadResponse(r, nil)
+			if err != nil {
+				t.Fatalf("answer %d of %d: %v", i, len(answers), err)
+			}
+			got, err := io.ReadAll(resp.Body)
+			if err != nil || string(got) != want {
+				t.Fatalf("answer %d is %.40q, %v, want %.40q", i, got, err, want)
+			}
+		}
+		_ = c.Close()
+		for end := time.Now().Add(10 * time.Second); memory.Held() > 0; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%d bytes are still claimed", memory.Held())
+			}
+		}
+	})
+}
+
+// headOf returns a head of exactly size bytes, without the empty line at its end.
+func headOf(size int, field string) string {
+	head := "GET / HTTP/1.1\r\nHost: a\r\n"
+	for len(head)+2*len(field) <= size {
+		head += field
+	}
+	const last = "y:\r\n"
+	return head + strings.Replace(last, ":", ":"+strings.Repeat("v", size-len(head)-len(last)), 1)
+}
+
+// Guards against a request that is refused though its head is within the limits: in short fields, in one, or so slow
+// that it uses all of the time.
+func TestHeadsAtTheLimitAreServed(t *testing.T) {
+	for name, field := range map[string]string{"short fields": "x:\r\n", "one field": strings.Repeat(" ", testLimits.HeadBytes)} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := start(t, Config{Memory: budget.NewMemory(64 << 20)}).dial()
+				head := headOf(testLimits.HeadBytes, field)
+				go func() {
+					_, _ = io.WriteString(c, head[:1])
+					time.Sleep(testLimits.HeadTime - time.Millisecond)
+					_, _ = io.WriteString(c, head[1:]+"\r\n")
+				}()
+				if status, _ := readStatus(c); status != http.StatusOK {
+					t.Errorf("status %d", status)
+				}
+				_ = c.Close()
+			})
+		})
+	}
+}
+
+// Guards against heads that are held or parsed without a bound, and against a caller that is not told.
+func TestHeadsBeyondTheLimitsAreRefused(t *testing.T) {
+	cases := map[string]struct {
+		head   string
+		memory int64
+		status int
+	}{
+		"short fields":     {headOf(testLimits.HeadBytes+100, "x:\r\n") + "\r\n", 0, http.StatusRequestHeaderFieldsTooLarge},
+		"without end":      {headOf(4*testLimits.HeadBytes, "x:\r\n"), 0, http.StatusRequestHeaderFieldsTooLarge},
+		"line with no end": {"GET /" + strings.Repeat("x", 4*testLimits.HeadBytes), 0, http.StatusRequestHeaderFieldsTooLarge},
+		"never whole":      {"GET / HTTP/1.1\r\nHost: a\r\n", 0, http.StatusRequestTimeout},
+		"no memory":        {headOf(testLimits.HeadBytes, "x:\r\n") + "\r\n", 64 << 10, http.StatusServiceUnavailable},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				memory := budget.NewMemory(test.memory)
+				c := start(t, Config{Memory: memory}).dial()
+				go func() { _, _ = io.WriteString(c, test.head) }()
+				status, retryAfter := readStatus(c)
+				if status != test.status || (retryAfter != "") != (status == http.StatusServiceUnavailable) {
+					t.Errorf("status %d, Retry-After %q, want %d", status, retryAfter, test.status)
+				}
+				_ = c.Close()
+				synctest.Wait()
+				if memory.Held() != 0 {
+					t.Errorf("%d bytes are still claimed", memory.Held())
+				}
+			})
+		})
+	}
+}
+
+// Guards against a router that closes connections which its callers may use: an idle one within its time, and a head
+// that begins late in it.
+func TestIdleConnectionIsServedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := start(t, Config{}).dial()
+		for range 3 {
+			go func() { _, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n") }()
+			if status, _ := readStatus(c); status != http.StatusOK {
+				t.Fatalf("status %d", status)
+			}
+			time.Sleep(testLimits.IdleTime * 4 / 5)
+		}
+		go func() {
+			_, _ = io.WriteString(c, "G")
+			time.Sleep(testLimits.HeadTime * 4 / 5)
+			_, _ = io.WriteString(c, "ET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		}()
+		if status, _ := readStatus(c); status != http.StatusOK {
+			t.Errorf("status %d for a head that begins late", status)
+		}
+		_ = c.Close()
+	})
+}
+
+// A caller sends a line end after a request, as old ones do, and then a head without end. Guards against a head that is
+// read without a bound because another one seemed to end before it.
+func TestHeadAfterALineEndIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := start(t, Config{}).dial()
+		go func() { _, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n") }()
+		if status, _ := readStatus(c); status != http.StatusOK {
+			t.Fatalf("status %d", status)
+		}
+		go func() { _, _ = io.WriteString(c, "\r\n"+headOf(4*testLimits.HeadBytes, "x:\r\n")) }()
+		if status, _ := readStatus(c); status != http.StatusRequestHeaderFieldsTooLarge {
+			t.Errorf("status %d", status)
+		}
+		_ = c.Close()
+	})
+}
--- /dev/null
+++ b/internal/httpserver/server.go
@@ -0,0 +1,242 @@
+// Package httpserver serves HTTP/1.1 to callers that may not behave: it bounds how many connections are open, and what
+// callers can make a process hold before a handler sees a request.
+//
+// The head of a request is received whole, within its limits in bytes and time, before net/http parses it: a head that
+// is being parsed takes many times its bytes. The memory for it is claimed first from package budget, which also
+// decides which connection makes room for another. Packages daemon and gateway call it, once for each address at which
+// a process serves HTTP.
+package httpserver
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/budget"
+	"github.com/parsleyfront/parsleyfront/internal/netpeek"
+	"github.com/parsleyfront/parsleyfront/internal/telemetry"
+)
+
+const (
+	// headTimeoutSentinel and idleTimeoutSentinel are the timeouts that the http.Server is configured with. A server's
+	// timeouts are fixed for its lifetime, but limits may change while connections are open. So when the server sets a
+	// deadline, a conn derives from the sentinel which timeout is meant and sets the deadline of the limit instead.
+	// Both sentinels are far longer than any timeout that operators set.
+	headTimeoutSentinel = 24 * time.Hour
+	idleTimeoutSentinel = 48 * time.Hour
+	// sentinelSlack is the time that may pass between the computation of a deadline by the server and the call that
+	// sets it.
+	sentinelSlack = time.Hour
+	// serverMaxHeaderBytes is the limit of net/http on a head, which must be above all that Limits allow.
+	serverMaxHeaderBytes = 64 << 20
+	// writeTimeout bounds the time from the end of a request's head to the end of its response, unless the handler
+	// sets another deadline.
+	writeTimeout = 30 * time.Second
+	// maxCandidates is how many connections are looked at for the one that makes room, if one of them does. To look at
+	// all, for each new connection, would cost more than to serve it.
+	maxCandidates = 64
+	// roomRetryInterval is the pause before another look for a connection that makes room for a new one.
+	roomRetryInterval = 20 * time.Millisecond
+)
+
+var evictedConns = telemetry.NewCounter("gateway_evicted_connections_total",
+	"Connections without a whole request, or whose caller does not read, that were closed because the maximum number of connections was open.", telemetry.Alert)
+
+// Limits bound what a caller sends.
+type Limits struct {
+	HeadBytes int           // of a request's first line and headers
+	HeadTime  time.Duration // from the first byte of a head to its last
+	IdleTime  time.Duration // for which a connection may be unused between two requests
+}
+
+// Config holds the settings of a Server.
+type Config struct {
+	Handler http.Handler
+	// Connections is how many connections may be open at a time.
+	Connections int
+	// Limits returns the limits in force.
+	Limits func() Limits
+	// Memory is what the process holds for callers. Several servers may share it.
+	Memory *budget.Memory
+}
+
+// Server is an http.Server on bounded connections.
+type Server struct {
+	*http.Server
+	config Config
+	began  time.Time
+
+	mu     sync.Mutex
+	conns  map[*conn]struct{}
+	closed chan struct{} // gets a value when a connection has closed
+}
+
+// New returns a Server. Its Handler, ConnContext, ConnState, timeouts and MaxHeaderBytes must not be changed.
+func New(c Config) *Server {
+	s := &Server{config: c, began: time.Now(), conns: make(map[*conn]struct{}), closed: make(chan struct{}, 1)}
+	s.Server = &http.Server{
+		Handler:           closeAfterChunks(c.Handler),
+		ConnContext:       contextWithConn,
+		ConnState:         recordState,
+		ReadHeaderTimeout: headTimeoutSentinel,
+		IdleTimeout:       idleTimeoutSentinel,
+		WriteTimeout:      writeTimeout,
+		MaxHeaderBytes:    serverMaxHeaderBytes,
+	}
+	return s
+}
+
+// Serve accepts and serves connections of l until l is closed.
+func (s *Server) Serve(l net.Listener) error {
+	return s.Server.Serve(boundedListener{Listener: l, server: s})
+}
+
+// ServeUntil serves connections of l in the background until ctx ends.
+func (s *Server) ServeUntil(ctx context.Context, l net.Listener) {
+	context.AfterFunc(ctx, func() { _ = s.Close() })
+	go func() { _ = s.Serve(l) }()
+}
+
+// boundedListener accepts connections for a Server.
+type boundedListener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept implements net.Listener. While the maximum number of connections is open, it closes the one that
+// budget.Connection.MakesRoomBefore says, and blocks while there is none. Without the limit the process could run out
+// of file descriptors and would then be unable to connect to upstreams. Without the closing, callers that keep
+// connections which they do not use would shut out all others.
+func (l boundedListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := newConn(accepted, l.server)
+	for !l.server.add(c) {
+		if !l.server.makeRoom() {
+			l.server.waitForRoom()
+		}
+	}
+	return c, nil
+}
+
+// add adds a connection, and reports whether there was room for it.
+func (s *Server) add(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.conns) >= s.config.Connections {
+		return false
+	}
+	s.conns[c] = struct{}{}
+	return true
+}
+
+// remove removes a connection that is closed.
+func (s *Server) remove(c *conn) {
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+	select {
+	case s.closed <- struct{}{}:
+	default:
+	}
+}
+
+// waitForRoom waits until a connection closes, and for roomRetryInterval at most.
+func (s *Server) waitForRoom() {
+	timer := time.NewTimer(roomRetryInterval)
+	defer timer.Stop()
+	select {
+	case <-s.closed:
+	case <-timer.C:
+	}
+}
+
+// makeRoom closes the connection that makes room before all others, and reports whether there was one.
+func (s *Server) makeRoom() bool {
+	victim := s.expendable()
+	if victim == nil {
+		return false
+	}
+	evictedConns.Inc()
+	_ = victim.Close()
+	return true
+}
+
+// expendable returns the connection that makes room before all others; nil: there is none. If there are many, it is the
+// first of maxCandidates, in the random order of a map. A connection whose caller
+// has sent bytes that were not read yet is spared where the process has waited for them: the request is not sent to an
+// upstream, but its caller would have to come again.
+func (s *Server) expendable() *conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found *conn
+	var state budget.Connection
+	candidates := 0
+	for c := range s.conns {
+		if candidates++; candidates > maxCandidates && found != nil {
+			return found
+		}
+		candidate := c.state()
+		better := candidate.MakesRoom()
+		if found != nil {
+			better = candidate.MakesRoomBefore(state)
+		}
+		if better && !((candidate.Phase == budget.PhaseIdle || candidate.Phase == budget.PhaseSilent) && netpeek.Peek(c.Conn) == netpeek.Readable) {
+			found, state = c, candidate
+		}
+	}
+	return found
+}
+
+// closeAfterChunks returns a handler that closes the connection after a request in chunks, and passes it to next. Where
+// such a body ends is known to net/http only, which may have read a part of the next request with it.
+//
+// It also prevents request smuggling. If a request has both chunks and a Content-Length, the server reads its body by
+// the chunks, as it should. A proxy in front that goes by the length may forward bytes after the last chunk as part of
+// the body, and the server would read them as the next request. Such requests can't be recognised here, as net/http
+// removes the Content-Length.
+func closeAfterChunks(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if len(r.TransferEncoding) > 0 {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// recordState is the http.Server's ConnState.
+func recordState(c net.Conn, state http.ConnState) {
+	if own, ok := c.(*conn); ok && state == http.StateIdle {
+		own.endRequest()
+	}
+}
+
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+// contextWithConn stores the connection in the context of its requests.
+func contextWithConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// ConnOf returns the caller's connection of a request, as its listener returned it; nil: the request does not come
+// from a Server.
+func ConnOf(r *http.Request) net.Conn {
+	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+		return c.Conn
+	}
+	return nil
+}
+
+// ClaimOf returns the claim that holds the memory of a request until its response has been written. The memory for
+// its body is added to it. For a request that does not come from a Server it is a claim of nothing, of memory.
+func ClaimOf(r *http.Request, memory *budget.Memory) *budget.Claim {
+	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+		return c.claim
+	}
+	return memory.NewClaim(func() {})
+}
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -1,4 +1,4 @@
-package gateway
+package httpserver
 
 import (
 	"bufio"
@@ -8,22 +8,21 @@
 	"testing"
 	"time"
 
-	"github.com/parsleyfront/parsleyfront/internal/profile"
-	"github.com/parsleyfront/parsleyfront/internal/topo"
+	"github.com/parsleyfront/parsleyfront/internal/budget"
 )
 
+var testLimits = Limits{HeadBytes: 16 << 10, HeadTime: 3 * time.Second, IdleTime: time.Minute}
+
 // callersOf starts a server for so many connections whose requests to /held last until release is closed. dial opens a
 // connection to it.
 func callersOf(t *testing.T, connections int) (dial func() *bufio.ReadWriter, release chan struct{}) {
 	release = make(chan struct{})
-	server := newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := New(Config{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/held" {
 			<-release
 		}
 		_, _ = fmt.Fprint(w, "served")
-	}), connections)
-	limits := profile.New(topo.KindLimits).(*profile.Limits)
-	server.limits = func() *profile.Limits { return limits }
+	}), Connections: connections, Limits: func() Limits { return testLimits }, Memory: budget.NewMemory(0)})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
