httpserver: silent and slow connections make room for others

What callers saw: while a crowd that sends nothing, half of a head, or a few bytes of a body at a time has all connections of a router, a new connection is not read for as long as header_timeout_ms or the route's timeout allows, some seconds, and the readiness check neither.

Cause: only connections between two requests made room for new ones. Ruled out: memory (116 MB at most), the processor (10 to 20 of 400 ticks).

Change: at the maximum number of connections, one makes room in this order: one that is being closed after a refusal; one without a whole head for its patience (100 ms for callers, 20 ms at ready and metrics); one whose body is read for as long; one between two requests; one whose caller has not read for 20 times as long. The longest goes first. One whose request is served makes no room. package budget decides it from the phase of each connection and its age. No caller is closed for this while there are connections left.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -82,6 +82,9 @@
 	// readyConnections and metricsConnections are the maximum numbers of connections to the addresses that say ready
 	// and that serve metrics. The balancer and the operators use few, for a moment each.
 	readyConnections, metricsConnections = 128, 64
+	// probePatience is how long a new connection to these addresses may take to send a request before it makes room
+	// for others, if there is none left.
+	probePatience = 20 * time.Millisecond
 
 	// retryFraction is the fraction of the platform's bound on retries that routers use.
 	// The windows of different routers are not aligned, so the sum of their budgets can
@@ -385,6 +388,7 @@
 	httpserver.New(httpserver.Config{
 		Handler:     h,
 		Connections: connections,
+		Patience:    probePatience,
 		Limits:      e.gateway.ServerLimits(e.platform.Load().ConfigBound),
 		Memory:      e.memory,
 	}).ServeUntil(ctx, retryingListener{l})
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -8,12 +8,17 @@
 	"github.com/parsleyfront/parsleyfront/internal/profile"
 )
 
+// callerPatience is how long a caller's new connection may take to send a request before it makes room for others, if
+// there is none left.
+const callerPatience = 100 * time.Millisecond
+
 // Server returns a server for callers that serves h on at most the given number of
 // connections at a time, with the limits that ServerLimits returns.
 func (g *PlatformGateway) Server(h http.Handler, connections int, grace time.Duration) *httpserver.Server {
 	return httpserver.New(httpserver.Config{
 		Handler:     h,
 		Connections: connections,
+		Patience:    callerPatience,
 		Limits:      g.ServerLimits(grace),
 		Memory:      g.memory,
 	})
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -56,6 +56,9 @@
 	Handler http.Handler
 	// Connections is how many connections may be open at a time.
 	Connections int
+	// Patience is how long a new connection may take to send a request before it makes room for others, if there is
+	// none left.
+	Patience time.Duration
 	// Limits returns the limits in force.
 	Limits func() Limits
 	// Memory is what the process holds for callers. Several servers may share it.
@@ -147,7 +150,7 @@
 
 // waitForRoom waits until a connection closes, and for roomRetryInterval at most.
 func (s *Server) waitForRoom() {
-	timer := time.NewTimer(roomRetryInterval)
+	timer := time.NewTimer(min(roomRetryInterval, max(s.config.Patience, time.Millisecond)))
 	defer timer.Stop()
 	select {
 	case <-s.closed:
@@ -181,9 +184,9 @@
 			return found
 		}
 		candidate := c.state()
-		better := candidate.MakesRoom()
+		better := candidate.MakesRoom(s.config.Patience)
 		if found != nil {
-			better = candidate.MakesRoomBefore(state)
+			better = candidate.MakesRoomBefore(state, s.config.Patience)
 		}
 		if better && !((candidate.Phase == budget.PhaseIdle || candidate.Phase == budget.PhaseSilent) && netpeek.Peek(c.Conn) == netpeek.Readable) {
 			found, state = c, candidate
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -22,7 +22,7 @@
 			<-release
 		}
 		_, _ = fmt.Fprint(w, "served")
-	}), Connections: connections, Limits: func() Limits { return testLimits }, Memory: budget.NewMemory(0)})
+	}), Connections: connections, Patience: time.Minute, Limits: func() Limits { return testLimits }, Memory: budget.NewMemory(0)})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
