httpserver: an answer does not wait for a body that nobody wants

What callers saw: at ready, at metrics and at paths without a route, a request whose body stops half-way is answered when the rest has come, so never, and its connection is taken for good, also by the order in which connections make room: its request counts as served. 128 such callers at ready make the balancer take the router out.

Cause: net/http reads up to 256 KiB of a body that its handler has not read before it writes the response, with no deadline.

TestUnwantedBodiesDelayNoAnswer (synctest).

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -386,7 +386,7 @@
 		return errors.WithStack(err)
 	}
 	httpserver.New(httpserver.Config{
-		Handler:     h,
+		Handler:     httpserver.WithoutBodies(h),
 		Connections: connections,
 		Patience:    probePatience,
 		Limits:      e.gateway.ServerLimits(e.platform.Load().ConfigBound),
--- a/internal/httpserver/conn_test.go
+++ b/internal/httpserver/conn_test.go
@@ -254,6 +254,27 @@
 	})
 }
 
+// Callers send the head of a request and half of a body that nobody wants. Guards against answers that wait for the rest
+// of it, and so against connections that are taken for as long as the callers like.
+func TestUnwantedBodiesDelayNoAnswer(t *testing.T) {
+	for name, head := range map[string]string{
+		"with a length": "Content-Length: 1000\r\n\r\nabc",
+		"in chunks":     "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := start(t, Config{Handler: WithoutBodies(http.NotFoundHandler())}).dial()
+				began := time.Now()
+				go func() { _, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\n"+head) }()
+				if status, _ := readStatus(c); status != http.StatusNotFound || time.Since(began) > unwantedBodyWait {
+					t.Errorf("status %d after %v", status, time.Since(began))
+				}
+				_ = c.Close()
+			})
+		})
+	}
+}
+
 // Silent connections take all that there may be. Guards against a sound caller that is not served then, and against a
 // connection whose request is served being closed for it.
 func TestSilentConnectionsMakeRoom(t *testing.T) {
