httpserver: requests that are sent ahead take turns

Cause: a connection whose next request is there already is always runnable, and each hop of another request waits behind all of these. Ruled out: memory (51 MB), locks (the refused requests take none for long).

Change: a request that was received with the one before it waits for one of four turns of 1 ms each, 4,000 a second in all. Callers that read an answer before they send the next request never wait.

TestRequestsSentAheadTakeTurns (synctest).

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -241,6 +241,7 @@
 	limit := c.server.config.Limits()
 	if len(c.buffer) > 0 {
 		c.beginsToArrive(limit)
+		c.server.awaitTurn()
 		c.headLeft = scan.feed(c.buffer)
 	} else {
 		n, err := c.Conn.Read(p)
@@ -273,6 +274,14 @@
 	return 0, c.endHead(&scan, limit, 0)
 }
 
+// awaitTurn waits until a request that was sent ahead may be read. Otherwise callers that send requests as fast as they
+// are answered, and read no answers, would take the processor from those that wait for theirs.
+func (s *Server) awaitTurn() {
+	s.ahead <- struct{}{}
+	time.Sleep(aheadPause)
+	<-s.ahead
+}
+
 // beginsToArrive records that the first bytes of a head have arrived.
 func (c *conn) beginsToArrive(limit Limits) {
 	now := time.Now()
--- a/internal/httpserver/conn_test.go
+++ b/internal/httpserver/conn_test.go
@@ -307,3 +307,35 @@
 		}
 	})
 }
+
+// Callers send requests ahead, as fast as they are answered. Guards against a process that does nothing else: the
+// requests that were sent ahead take turns, whatever the number of connections.
+func TestRequestsSentAheadTakeTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const connections, each = 8, 50
+		l := start(t, Config{})
+		began := time.Now()
+		var running sync.WaitGroup
+		for range connections {
+			c := l.dial()
+			go func() { _, _ = io.WriteString(c, strings.Repeat("GET / HTTP/1.1\r\nHost: a\r\n\r\n", each)) }()
+			running.Go(func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for range each {
+					resp, err := http.ReadResponse(r, nil)
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					_, _ = io.Copy(io.Discard, resp.Body)
+				}
+			})
+		}
+		running.Wait()
+		const least = connections * (each - 1) / aheadConcurrency * aheadPause
+		if took := time.Since(began); took < least {
+			t.Errorf("%d requests that were sent ahead took %v, want %v at least", connections*each, took, least)
+		}
+	})
+}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -37,6 +37,10 @@
 	// maxCandidates is how many connections are looked at for the one that makes room, if one of them does. To look at
 	// all, for each new connection, would cost more than to serve it.
 	maxCandidates = 64
+	// aheadConcurrency is how many requests that callers have sent ahead are taken at a time, in all, and aheadPause
+	// how long each waits. Callers that read an answer before they send the next request do not wait.
+	aheadConcurrency = 4
+	aheadPause       = time.Millisecond
 	// roomRetryInterval is the pause before another look for a connection that makes room for a new one.
 	roomRetryInterval = 20 * time.Millisecond
 )
@@ -74,11 +78,12 @@
 	mu     sync.Mutex
 	conns  map[*conn]struct{}
 	closed chan struct{} // gets a value when a connection has closed
+	ahead  chan struct{} // holds a value for each request that was sent ahead and is about to be read
 }
 
 // New returns a Server. Its Handler, ConnContext, ConnState, timeouts and MaxHeaderBytes must not be changed.
 func New(c Config) *Server {
-	s := &Server{config: c, began: time.Now(), conns: make(map[*conn]struct{}), closed: make(chan struct{}, 1)}
+	s := &Server{config: c, began: time.Now(), conns: make(map[*conn]struct{}), closed: make(chan struct{}, 1), ahead: make(chan struct{}, aheadConcurrency)}
 	s.Server = &http.Server{
 		Handler:           closeAfterChunks(c.Handler),
 		ConnContext:       contextWithConn,
