--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -152,6 +152,9 @@
 	if h.maxMemoryMB > 0 {
 		h.watchMemory(stop)
 	}
+	if h.badClients {
+		h.sendBadClients(stop)
+	}
 	h.calmUntil = time.Now().Add(h.crashingCallsAfter)
 	for i := range h.badParts {
 		h.running.Go(func() {
