daemon: a router's garbage is collected more often near its machine's memory

Cause: by GOGC=100 the heap grows to twice what is live, whatever the machine has. With what callers hold bounded, the rest of the peak is garbage: 1,900 connections that send a byte now and then leave a parsed request each.

Change: limitHeap sets the runtime's memory limit to 0.7 of limits.memory_mb, unless GOMEMLIMIT is set.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -79,6 +79,9 @@
 	// the rest between collections.
 	callerMemoryFraction = 0.25
 
+	// heapLimitFraction is the fraction of a router's memory from which on its garbage is collected more often.
+	heapLimitFraction = 0.7
+
 	// readyConnections and metricsConnections are the maximum numbers of connections to the addresses that say ready
 	// and that serve metrics. The balancer and the operators use few, for a moment each.
 	readyConnections, metricsConnections = 128, 64
@@ -149,6 +152,7 @@
 	if err != nil {
 		return err
 	}
+	limitHeap(p.MemoryBytes)
 	n, err := systemNetwork(p)
 	if err != nil {
 		return err
--- a/internal/daemon/heap.go
+++ b/internal/daemon/heap.go
@@ -79,3 +79,12 @@
 func memoryLimit(live, nonHeap, floor uint64) int64 {
 	return int64(2*live + floor + nonHeap)
 }
+
+// limitHeap makes the garbage of a process be collected more often as its memory approaches that of its machine, unless
+// the environment sets GOMEMLIMIT. By the percentage alone the heap may be twice its live size, so that half of the
+// machine's memory in use would be too much. memoryBytes is zero if the machine's memory is not known.
+func limitHeap(memoryBytes int64) {
+	if memoryBytes > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(heapLimitFraction * float64(memoryBytes)))
+	}
+}
