soak: requests that use all of the operators' limits are served

What callers saw: a head of exactly max_header_bytes was refused with 431, which is final, if its fields had no space behind the colon: counted one for each field. The head is counted as it was sent since it is received before it is parsed.

TestSoakRequestsAtTheLimits sends, to a router of 160 MB in calm, a body of the limit with a length and in chunks of one byte, a head of the limit in short fields and in one, a head that takes all of header_timeout_ms, and a request after four fifths of idle_timeout_ms.

--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -479,6 +479,6 @@
 		"services": []map[string]any{{"name": "llm", "health_path": "/health", "max_connections": 200,
 			"warmup_s": coldDuration.Seconds(), "warmup_per_s": coldRatePerSecond}},
 		"tenants": tenants,
-		"limits":  map[string]any{"max_header_bytes": headerLimit, "max_body_bytes": bodyLimit, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"limits":  map[string]any{"max_header_bytes": headerLimit, "max_body_bytes": bodyLimit, "header_timeout_ms": headerTime.Milliseconds(), "idle_timeout_ms": idleTime.Milliseconds()},
 	})
 }
