router: an attempt keeps the urgency that was chosen with its upstream

Cause: the goroutine of an attempt reads the basis of its response's latest choice, which the response writes when it chooses another upstream, for a hedge or after a failure: a data race, older than this work. An attempt could be sent with the urgency of the next choice.

Change: the urgency is part of the attempt, set when it is offered. No decision changes.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -94,6 +94,7 @@
 	timedOut    bool             // direct upstreams only: answered that the deadline has passed, which shows no run to its end
 	shedder     *shedding.Pool   // direct upstreams only: records how the attempt goes; nil: nothing is shed
 	watch       *balance.Watch   // direct upstreams only: records how the attempt goes
+	urgency     int              // direct upstreams only: rank in the upstream's queue, as chosen with the upstream
 	call        wire.Call
 	chainIndex  int       // position in the chain of successor keys
 	key         *wire.Key // nil until generated
--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -239,7 +239,7 @@
 		Host:        d.req.Host,
 		ID:          d.req.ID,
 		Instance:    at.vm.Name(),
-		Urgency:     d.basis.Urgency,
+		Urgency:     at.urgency,
 		Due:         d.upstreamDue(),
 		LastEventID: d.req.LastEventID,
 		Donor:       at.donor.Addr,
--- a/internal/router/effects.go
+++ b/internal/router/effects.go
@@ -35,6 +35,7 @@
 	to, ok := resp.transport.target(e)
 	at := resp.addAttempt(to.vm)
 	at.donor, at.tracker, at.shedder, at.continues = to.donor, to.tracker, to.shedder, resp.origin.known
+	at.urgency = resp.basis.Urgency
 	at.watch = balance.NewWatch(to.tracker, balance.Attempt{
 		VM: load.Hash(to.vm.ID), Profile: resp.req.Profile.Name, Urgency: resp.basis.Urgency, Load: to.load, Deferred: resp.basis.Deferred,
 	}, resp.req.Profile.Objective.Std())
