httpserver, gateway: whole heads are not listed as incomplete; log lines repeat 256 bytes

A head that arrives at once, as most do, was entered into the list of incomplete claims and taken out again, under the lock that all requests share: now only one that is kept. Lines about refused requests repeated paths and hosts of up to the header limit, 100 a second: now their first 256 bytes. No decision changes.

--- a/internal/gateway/hostedrequest.go
+++ b/internal/gateway/hostedrequest.go
@@ -29,11 +29,19 @@
 		slog.String("detail", e.Detail),
 		slog.String("organisation", x.organisation()),
 		slog.Int64("retry_after_ms", e.RetryAfter.Milliseconds()),
-		slog.String("host", x.r.Host),
-		slog.String("path", x.path()),
+		slog.String("host", beginning(x.r.Host)),
+		slog.String("path", beginning(x.path())),
 		slog.Any("config_version", x.view.Version))
 }
 
+// maxLoggedBytes bounds what a line repeats of a field that a caller has written.
+const maxLoggedBytes = 256
+
+// beginning returns the first maxLoggedBytes of text.
+func beginning(text string) string {
+	return text[:min(len(text), maxLoggedBytes)]
+}
+
 // platformExchange is one request of a caller of the platform.
 type platformExchange struct {
 	w       http.ResponseWriter
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -241,6 +241,7 @@
 	limit := c.server.config.Limits()
 	if len(c.buffer) > 0 {
 		c.beginsToArrive(limit)
+		c.claim.SetIncomplete(time.Now())
 		c.server.awaitTurn()
 		c.headLeft = scan.feed(c.buffer)
 	} else {
@@ -284,12 +285,10 @@
 
 // beginsToArrive records that the first bytes of a head have arrived.
 func (c *conn) beginsToArrive(limit Limits) {
-	now := time.Now()
 	if c.phase.Load() == uint32(budget.PhaseIdle) {
-		_ = c.Conn.SetReadDeadline(now.Add(limit.HeadTime)) // fails only on a closed connection
+		_ = c.Conn.SetReadDeadline(time.Now().Add(limit.HeadTime)) // fails only on a closed connection
 	}
 	c.enter(budget.PhaseHead)
-	c.claim.SetIncomplete(now)
 }
 
 // endHead claims the memory that a complete head takes once it is parsed. inBody is how many bytes of the body net/http
@@ -313,10 +312,11 @@
 	return nil
 }
 
-// keep puts received bytes into a new buffer.
+// keep puts received bytes into a new buffer, in which the rest of their request is awaited.
 func (c *conn) keep(b []byte) error {
-	size := max(minHeadBuffer, len(b))
-	if err := c.claim.Grow(time.Now(), int64(size)); err != nil {
+	size, now := max(minHeadBuffer, len(b)), time.Now()
+	c.claim.SetIncomplete(now)
+	if err := c.claim.Grow(now, int64(size)); err != nil {
 		return err
 	}
 	c.buffer = append(make([]byte, 0, size), b...)
