--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -5,6 +5,7 @@
 //	go test ./test/soak                                            # what CI runs: two short seeds of each test
 //	go test ./test/soak -run 'TestSoak$' -seeds 50 -from 1 -for 20s  # a longer run by hand
 //	go test ./test/soak -run 'TestSoak$' -seeds 1 -from 17 -v        # repeat one seed
+//	go test ./test/soak -run 'TestSoakBadClients$' -timely -fleets 1 # bad clients, and how soon others are answered
 //
 // Every fifth seed has planned operations only (stops, reloads, configuration changes, runners
 // that leave). In these, every request must get a complete response. In others, by seed, runners reject
@@ -31,6 +32,8 @@
 
 	runnersAtStart = flag.Int("runners", 4, "runners")
 
+	timely = flag.Bool("timely", false, "check also when callers and readiness checks are answered beside bad clients; the machine must have nothing else to do")
+
 	callers  = flag.Int("callers", 6, "callers")
 	fleets   = flag.Int("fleets", 3, "fleets that are played at the same time")
 	daemon   = flag.String("daemon", "", "path of a daemon to play instead of the one that is built")
