gateway: the memory of a request is named so

A type named body also claimed the 16 KiB of a request that is served, and its gauge said bodies only. Renames: body -> requestMemory, read -> readBody, heldBodies -> heldBytes, bodies.go -> requestmemory.go; the help of gateway_body_bytes says both. No behaviour changes.

--- a/internal/gateway/hosted.go
+++ b/internal/gateway/hosted.go
@@ -53,7 +53,7 @@
 
 // ServeHTTP implements http.Handler.
 func (g *PlatformGateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &platformExchange{w: w, r: r, arrived: time.Now(), headers: g.dialect.Read(r.Header), memory: body{claim: httpserver.ClaimOf(r, g.memory)}}
+	x := &platformExchange{w: w, r: r, arrived: time.Now(), headers: g.dialect.Read(r.Header), memory: requestMemory{claim: httpserver.ClaimOf(r, g.memory)}}
 	defer x.memory.release()
 	if err := g.serve(x); err != nil {
 		if errors.Is(err, context.Canceled) {
--- a/internal/gateway/hostedrequest.go
+++ b/internal/gateway/hostedrequest.go
@@ -51,7 +51,7 @@
 	headers CallerHeaders
 	profile *profile.Profile
 	org     *profile.Organisation
-	memory  body
+	memory  requestMemory
 }
 
 // organisation returns the name of the request's organisation; empty: not known.
@@ -188,7 +188,7 @@
 // readBody reads a body of at most limit bytes.
 func (x *platformExchange) readBody(limit int64) ([]byte, error) {
 	x.memory.claim.SetParty(x.organisation())
-	return x.memory.read(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength)
+	return x.memory.readBody(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength)
 }
 
 // conn returns the caller's connection; nil: not known.
--- a/internal/gateway/bodies.go
+++ b/internal/gateway/requestmemory.go
@@ -22,7 +22,7 @@
 
 var (
 	bodyBytes = telemetry.NewGauge("gateway_body_bytes",
-		"Bytes of memory that the bodies of callers' requests take now.")
+		"Bytes of memory that the bodies of callers' requests take now, with 16 KiB for each request that is served.")
 	bodyRefusals = telemetry.NewFamily[bodyRefusal]("gateway_body_refusals_total", "by",
 		"Requests that were refused because there was no memory for their bodies: of the router, of the organisation's share, or taken back because the caller was slow.", telemetry.Alert)
 )
@@ -43,36 +43,36 @@
 	budget.ErrReclaimed: bodyRefusedSlow,
 }
 
-// heldBodies is the memory in bytes that bodies take.
-var heldBodies atomic.Int64
+// heldBytes is the memory in bytes that all requests take.
+var heldBytes atomic.Int64
 
-// body is the body of one request, and the memory that it takes. A router keeps a body until its request has ended,
-// because another attempt may need it.
-type body struct {
+// requestMemory is the memory that one request takes beside its head. A router keeps its body until the request has
+// ended, because another attempt may need it.
+type requestMemory struct {
 	claim   *budget.Claim
-	claimed int64
+	claimed int64 // in bytes
 }
 
-// read reads a body of the given length, or of an unknown one if that is negative, in pieces whose memory it claims
+// readBody reads a body of the given length, or of an unknown one if that is negative, in pieces whose memory it claims
 // first. The error of a claim is returned as it is.
-func (b *body) read(r io.Reader, length int64) ([]byte, error) {
-	b.claim.SetIncomplete(time.Now())
+func (m *requestMemory) readBody(r io.Reader, length int64) ([]byte, error) {
+	m.claim.SetIncomplete(time.Now())
 	var pieces [][]byte
 	for size, total := int64(minBodyPiece), int64(0); ; size = min(2*size, maxBodyPiece) {
 		if length > 0 {
 			size = min(size, max(length-total, 1)) // one byte shows the end
 		}
-		if err := b.grow(size); err != nil {
+		if err := m.grow(size); err != nil {
 			return nil, err
 		}
 		piece, err := readPiece(r, make([]byte, size))
 		pieces = append(pieces, piece)
 		total += int64(len(piece))
 		if err == io.EOF {
-			return b.complete(pieces, total)
+			return m.complete(pieces, total)
 		}
 		if err != nil {
-			return nil, b.reclaimedOr(err)
+			return nil, m.reclaimedOr(err)
 		}
 	}
 }
@@ -93,8 +93,8 @@
 
 // complete returns a body that has arrived, in one piece. While it is joined it takes its memory twice, which is not
 // claimed: no more bodies are joined at a time than there are processors.
-func (b *body) complete(pieces [][]byte, total int64) ([]byte, error) {
-	if err := b.reclaimedOr(nil); err != nil {
+func (m *requestMemory) complete(pieces [][]byte, total int64) ([]byte, error) {
+	if err := m.reclaimedOr(nil); err != nil {
 		return nil, err
 	}
 	if len(pieces) == 1 {
@@ -109,8 +109,8 @@
 
 // reclaimedOr returns the error of a claim that was taken back, which ends the reading, or else err. The claim can't
 // be taken back after that.
-func (b *body) reclaimedOr(err error) error {
-	if reclaimed := b.claim.SetComplete(); reclaimed != nil {
+func (m *requestMemory) reclaimedOr(err error) error {
+	if reclaimed := m.claim.SetComplete(); reclaimed != nil {
 		bodyRefusals.Inc(bodyRefusalOf[reclaimed])
 		return reclaimed
 	}
@@ -118,21 +118,21 @@
 }
 
 // grow claims n bytes more.
-func (b *body) grow(n int64) error {
-	if err := b.claim.Grow(time.Now(), n); err != nil {
+func (m *requestMemory) grow(n int64) error {
+	if err := m.claim.Grow(time.Now(), n); err != nil {
 		bodyRefusals.Inc(bodyRefusalOf[err])
 		return err
 	}
-	b.claimed += n
-	bodyBytes.Set(heldBodies.Add(n))
+	m.claimed += n
+	bodyBytes.Set(heldBytes.Add(n))
 	return nil
 }
 
-// release returns the memory of the body.
-func (b *body) release() {
-	b.claim.Shrink(b.claimed)
-	bodyBytes.Set(heldBodies.Add(-b.claimed))
-	b.claimed = 0
+// release returns the memory of the request.
+func (m *requestMemory) release() {
+	m.claim.Shrink(m.claimed)
+	bodyBytes.Set(heldBytes.Add(-m.claimed))
+	m.claimed = 0
 }
 
 // isNoMemory reports whether a body was refused because there is no memory for it.
--- a/internal/gateway/bodies_test.go
+++ b/internal/gateway/requestmemory_test.go
@@ -19,7 +19,7 @@
 // a request keeps its body until release is closed.
 func bodyServer(t *testing.T, memory *budget.Memory, release <-chan struct{}) *httptest.Server {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		x := &platformExchange{w: w, r: r, arrived: time.Now(), view: &router.View{}, profile: &profile.Profile{}, memory: body{claim: httpserver.ClaimOf(r, memory)}}
+		x := &platformExchange{w: w, r: r, arrived: time.Now(), view: &router.View{}, profile: &profile.Profile{}, memory: requestMemory{claim: httpserver.ClaimOf(r, memory)}}
 		defer x.memory.release()
 		if org := r.Header.Get("Org"); org != "" {
 			x.org = &profile.Organisation{}
