httpserver: no deadline is set for a body that has arrived

Cause: DropBody set a read deadline of 50 ms before it looked for the rest of a body, also after a refusal whose body had been read whole. net/http watches the connection for its end then; a deadline that passes in that moment, as in a process that stands still for 50 ms, counts as the end, and each later request of a kept connection would be given up. Found on reading; not seen in a run.

Change: nothing is set if all of a body of known length has arrived; a connection is closed after a request in chunks anyway.

TestBodyThatHasArrivedNeedsNoDeadline fails without it for a body that was read.

--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -18,7 +18,7 @@
 // unwantedBodyWait, the connection is closed after the response. Without that, net/http waits for the body before it
 // writes the response, for as long as the caller likes. It must be called before the response is written.
 func DropBody(w http.ResponseWriter, r *http.Request) {
-	if r.ContentLength == 0 {
+	if r.ContentLength == 0 || hasArrived(r) {
 		return
 	}
 	c := http.NewResponseController(w)
@@ -32,6 +32,13 @@
 	_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection
 }
 
+// hasArrived reports whether all of a request's body is known to have arrived. net/http drops it without waiting then,
+// and may be watching the connection for its end already: a deadline would look like one.
+func hasArrived(r *http.Request) bool {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	return ok && c.bodyLeft == 0
+}
+
 // WithoutBodies returns a handler that drops the bodies of requests and passes these to next.
 func WithoutBodies(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -210,8 +210,8 @@
 	} else {
 		n, err = c.Conn.Read(p)
 	}
-	if c.bodyLeft != unknownLength {
-		c.bodyLeft = max(c.bodyLeft-int64(n), 0)
+	if c.bodyLeft != unknownLength && c.bodyLeft > 0 {
+		c.bodyLeft -= int64(n)
 	}
 	return n, err
 }
--- a/internal/httpserver/conn_test.go
+++ b/internal/httpserver/conn_test.go
@@ -275,6 +275,47 @@
 	}
 }
 
+// deadlineRecorder is a ResponseWriter that records whether a read deadline was set.
+type deadlineRecorder struct {
+	http.ResponseWriter
+	set bool
+}
+
+func (r *deadlineRecorder) SetReadDeadline(at time.Time) error {
+	r.set = true
+	return http.NewResponseController(r.ResponseWriter).SetReadDeadline(at)
+}
+
+// A request is refused after its body has arrived, while net/http watches the connection for its end. Guards against a
+// deadline that it takes for the end: each later request of the connection would be given up.
+func TestBodyThatHasArrivedNeedsNoDeadline(t *testing.T) {
+	for name, read := range map[string]bool{"read": true, "not read": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := start(t, Config{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if read {
+						_, _ = io.Copy(io.Discard, r.Body)
+					}
+					recorder := &deadlineRecorder{ResponseWriter: w}
+					DropBody(recorder, r)
+					if recorder.set {
+						t.Error("a deadline is set")
+					}
+				})}).dial()
+				for range 2 {
+					go func() {
+						_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc")
+					}()
+					if status, _ := readStatus(c); status != http.StatusOK {
+						t.Errorf("status %d", status)
+					}
+				}
+				_ = c.Close()
+			})
+		})
+	}
+}
+
 // Silent connections take all that there may be. Guards against a sound caller that is not served then, and against a
 // connection whose request is served being closed for it.
 func TestSilentConnectionsMakeRoom(t *testing.T) {
