daemon, gateway: the door of the router role holds what callers send within bounds

What callers saw: at a router with sidecars, silent connections keep others out until its header timeout of 10 s, and an answer to a request whose body stops half-way waits for the rest. Heads, parsed as they arrive, and bodies were bounded for a connection only.

Cause: as at the operators' platform; this role has a server of its own.

The operators' API has 1,024 connections and 16 MiB for heads. The time for a response is a field of httpserver.Config, as chats have none.

The role entry, which the operators run, takes no other path than before.

--- a/internal/daemon/dev.go
+++ b/internal/daemon/dev.go
@@ -38,6 +38,7 @@
 	devTokenCount   = 24
 	devCacheSize    = 256
 	devLoadInterval = time.Second
+	devCallerBytes  = 64 << 20
 	devLoadTime     = time.Second
 	devLoadMultiple = 1.25
 )
@@ -78,10 +79,12 @@
 	vms.Set(topo.VM{ID: devRouter, Role: topo.RoleRouter, Addr: l.Addr().String(), AdminAddr: adminAddr})
 	fmt.Fprint(out, devUsage(platformURL, l.Addr().String(), adminAddr, string(s.Key)))
 	server := callerServer{
-		listener: l,
-		config:   router.Config{Store: p, VMs: p, Ring: keyring, Dial: dialer(secure.Plain{})},
-		admin:    o,
-		plan:     stopPlan{timeout: s.StopTimeout.D},
+		listener:    l,
+		connections: defaultCallerConnections,
+		memoryBytes: devCallerBytes,
+		config:      router.Config{Store: p, VMs: p, Ring: keyring, Dial: dialer(secure.Plain{})},
+		admin:       o,
+		plan:        stopPlan{timeout: s.StopTimeout.D},
 
 		vm: devRouter,
 		controller: settings.Controller{
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -390,11 +390,12 @@
 		return errors.WithStack(err)
 	}
 	httpserver.New(httpserver.Config{
-		Handler:     httpserver.WithoutBodies(h),
-		Connections: connections,
-		Patience:    probePatience,
-		Limits:      e.gateway.ServerLimits(e.platform.Load().ConfigBound),
-		Memory:      e.memory,
+		Handler:      httpserver.WithoutBodies(h),
+		Connections:  connections,
+		Patience:     probePatience,
+		WriteTimeout: gateway.WriteTimeout,
+		Limits:       e.gateway.ServerLimits(e.platform.Load().ConfigBound),
+		Memory:       e.memory,
 	}).ServeUntil(ctx, retryingListener{l})
 	return nil
 }
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -8,15 +8,29 @@
 	"net/http"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/parsleyfront/parsleyfront/internal/admin"
+	"github.com/parsleyfront/parsleyfront/internal/budget"
+	"github.com/parsleyfront/parsleyfront/internal/httpserver"
 	"github.com/parsleyfront/parsleyfront/internal/router"
 	"github.com/parsleyfront/parsleyfront/internal/settings"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 )
 
+const (
+	// operatorConnections is the maximum number of connections to the operators' API. Each router may ask each other
+	// one for its state.
+	operatorConnections = 1024
+	// operatorPatience is how long a new connection to it may take to send a request before it makes room for others,
+	// if there is none left.
+	operatorPatience = time.Second
+	// operatorBytes is the memory in bytes for the heads of its requests.
+	operatorBytes = 16 << 20
+)
+
 // operatorAPI holds the settings and the listener of the operators' API.
 type operatorAPI struct {
 	vm       string
@@ -94,8 +108,12 @@
 	mux := http.NewServeMux()
 	h.register(mux)
 	mux.Handle("/", api)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	context.AfterFunc(ctx, func() { _ = server.Close() })
-	go func() { _ = server.Serve(o.listener) }()
+	httpserver.New(httpserver.Config{
+		Handler:     mux,
+		Connections: operatorConnections,
+		Patience:    operatorPatience,
+		Limits:      fixedLimits,
+		Memory:      budget.NewMemory(operatorBytes),
+	}).ServeUntil(ctx, o.listener)
 	slog.Info("operators' API listening", "addr", o.listener.Addr().String())
 }
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -11,7 +11,9 @@
 	"github.com/pkg/errors"
 	"golang.org/x/net/netutil"
 
+	"github.com/parsleyfront/parsleyfront/internal/budget"
 	"github.com/parsleyfront/parsleyfront/internal/gateway"
+	"github.com/parsleyfront/parsleyfront/internal/httpserver"
 	"github.com/parsleyfront/parsleyfront/internal/router"
 	"github.com/parsleyfront/parsleyfront/internal/secure"
 	"github.com/parsleyfront/parsleyfront/internal/settings"
@@ -31,11 +33,13 @@
 
 // callerServer holds what a router needs to serve callers and operators.
 type callerServer struct {
-	listener net.Listener
-	tls      *tls.Config // nil: plain HTTP
-	config   router.Config
-	admin    operatorAPI
-	plan     stopPlan
+	listener    net.Listener
+	connections int         // of callers that may be open at a time
+	memoryBytes int64       // of what callers have sent
+	tls         *tls.Config // nil: plain HTTP
+	config      router.Config
+	admin       operatorAPI
+	plan        stopPlan
 
 	vm         string // id in the platform's list
 	controller settings.Controller
@@ -59,6 +63,9 @@
 		return err
 	}
 	server := callerServer{
+		connections: s.MaxConnections.N,
+		memoryBytes: int64(s.MaxCallerBytes.N),
+
 		config:     c,
 		plan:       stopPlan{delay: s.DrainDelay.D, timeout: s.StopTimeout.D},
 		vm:         s.VM,
@@ -70,12 +77,10 @@
 	if server.admin, err = listenOperatorAPI(s.AdminListen, s.Node); err != nil {
 		return err
 	}
-	l, err := net.Listen("tcp", s.Listen)
-	if err != nil {
+	if server.listener, err = net.Listen("tcp", s.Listen); err != nil {
 		return errors.WithStack(err)
 	}
-	server.listener = netutil.LimitListener(l, s.MaxConnections.N)
-	slog.Info("router listening", "addr", l.Addr().String(), "vm", s.VM)
+	slog.Info("router listening", "addr", server.listener.Addr().String(), "vm", s.VM)
 	return server.serve(ctx, background)
 }
 
@@ -121,21 +126,10 @@
 	h := newHealth(r.Alive, r.Ready)
 	c.admin.serveRouter(background, r, h)
 	go runController(ctx, c.config.Store, c.vm, c.controller, r)
-	server := &http.Server{
-		Handler:           h.withHealthPaths(gateway.New(r)),
-		TLSConfig:         c.tls,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
+	memory := budget.NewMemory(c.memoryBytes)
+	server, serveCallers := c.newServer(h.withHealthPaths(gateway.New(r, memory)), memory)
 	serveErr := make(chan error, 1)
-	go func() {
-		if c.tls != nil {
-			serveErr <- server.ServeTLS(c.listener, "", "")
-			return
-		}
-		serveErr <- server.Serve(c.listener)
-	}()
+	go func() { serveErr <- serveCallers() }()
 	select {
 	case err := <-serveErr:
 		return errors.WithStack(err)
@@ -144,6 +138,36 @@
 	return c.plan.stop(background, h, server)
 }
 
+// newServer returns the server of callers, and the function that serves them until the server is shut down. With TLS,
+// net/http bounds the head of each request, and the connections of callers who send nothing make no room for others.
+func (c callerServer) newServer(h http.Handler, memory *budget.Memory) (server *http.Server, serve func() error) {
+	if c.tls == nil {
+		plain := httpserver.New(httpserver.Config{
+			Handler:     h,
+			Connections: c.connections,
+			Patience:    httpserver.CallerPatience,
+			Limits:      fixedLimits,
+			Memory:      memory,
+		})
+		return plain.Server, func() error { return plain.Serve(c.listener) }
+	}
+	server = &http.Server{
+		Handler:           h,
+		TLSConfig:         c.tls,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	return server, func() error {
+		return server.ServeTLS(netutil.LimitListener(c.listener, c.connections), "", "")
+	}
+}
+
+// fixedLimits returns the limits on callers and operators where the platform sets none.
+func fixedLimits() httpserver.Limits {
+	return httpserver.Limits{HeadBytes: maxHeaderBytes, HeadTime: headerTimeout, IdleTime: idleTimeout}
+}
+
 // stop shuts server down without cutting off requests. First readiness fails while the
 // router still serves, because the balancer sends requests until its next check. From then
 // on each response closes its connection. Otherwise a request could arrive on an idle
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/admission"
+	"github.com/parsleyfront/parsleyfront/internal/budget"
 	"github.com/parsleyfront/parsleyfront/internal/gateway"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
 	"github.com/parsleyfront/parsleyfront/internal/router"
@@ -95,7 +96,7 @@
 func (f *fleet) startRouter(name string, s topo.Store, l topo.VMList) {
 	ctx, stop := context.WithCancel(f.ctx)
 	r := router.New(ctx, router.Config{VM: name, Store: s, VMs: l, Ring: f.ring, Dial: f.net.dialer(name)})
-	f.gateways = append(f.gateways, gateway.New(r))
+	f.gateways = append(f.gateways, gateway.New(r, budget.NewMemory(0)))
 	f.stopRouters = append(f.stopRouters, stop)
 }
 
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/parsleyfront/parsleyfront/internal/budget"
 	"github.com/parsleyfront/parsleyfront/internal/gateway"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
 	"github.com/parsleyfront/parsleyfront/internal/router"
@@ -83,5 +84,5 @@
 	for len(r.View().Orgs) == 0 || len(r.View().Profiles) < 2 {
 		time.Sleep(time.Millisecond) // wait until the configuration has been read
 	}
-	return gateway.New(r)
+	return gateway.New(r, budget.NewMemory(0))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,11 +3,14 @@
 package gateway
 
 import (
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/parsleyfront/parsleyfront/internal/budget"
+	"github.com/parsleyfront/parsleyfront/internal/httpserver"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
 	"github.com/parsleyfront/parsleyfront/internal/router"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
@@ -43,12 +46,13 @@
 // Gateway is the HTTP handler of the API for callers.
 type Gateway struct {
 	router *router.Router
+	memory *budget.Memory
 	mux    *http.ServeMux
 }
 
-// New returns a Gateway in front of r.
-func New(r *router.Router) *Gateway {
-	g := &Gateway{router: r, mux: http.NewServeMux()}
+// New returns a Gateway in front of r, which holds what callers send within memory.
+func New(r *router.Router, memory *budget.Memory) *Gateway {
+	g := &Gateway{router: r, memory: memory, mux: http.NewServeMux()}
 	g.handle("POST /v1/chat/completions", g.chat)
 	g.handle("GET /v1/models", g.models)
 	g.handle("POST /v1/keys", g.mintKeys)
@@ -86,6 +90,7 @@
 	// the sidecar that decides on its key. Until then, a not-run verdict is valid only
 	// for this copy of the request, not for others with the same key.
 	dispatched bool
+	memory     requestMemory
 }
 
 // handler serves an exchange. Its error is written as a problem document.
@@ -94,7 +99,8 @@
 // handle routes pattern to h, after authentication.
 func (g *Gateway) handle(pattern string, h handler) {
 	g.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
-		x := &exchange{w: w, r: r, view: g.router.View()}
+		x := &exchange{w: w, r: r, view: g.router.View(), memory: requestMemory{claim: httpserver.ClaimOf(r, g.memory)}}
+		defer x.memory.release()
 		err := checkHeader(r.Header)
 		if err == nil {
 			err = x.authenticate()
@@ -103,6 +109,7 @@
 			err = h(x)
 		}
 		if err != nil {
+			httpserver.DropBody(w, r)
 			writeProblem(w, x.withEarlierUnknown(err))
 		}
 	})
@@ -169,11 +176,16 @@
 	ctl := http.NewResponseController(x.w)
 	_ = ctl.SetReadDeadline(time.Now().Add(bodyTimeout))
 	defer ctl.SetReadDeadline(time.Time{})
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
-	if err == nil {
+	x.memory.claim.SetParty(x.org.Name)
+	body, err := x.memory.readBody(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength)
+	var tooLong *http.MaxBytesError
+	switch {
+	case err == nil:
 		return body, nil
-	}
-	if int64(len(body)) >= limit {
+	case isNoMemory(err):
+		x.w.Header().Set("Connection", "close") // the rest of the body is not read
+		return nil, noMemory()
+	case errors.As(err, &tooLong):
 		return nil, tooLarge(limit)
 	}
 	return nil, verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "the body was cut short")
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -8,19 +8,20 @@
 	"github.com/parsleyfront/parsleyfront/internal/profile"
 )
 
-// callerPatience is how long a caller's new connection may take to send a request before it makes room for others, if
-// there is none left.
-const callerPatience = 100 * time.Millisecond
+// WriteTimeout bounds the time from the end of a request's head to the end of its response, or for callers until their
+// response begins, which has a deadline of its own.
+const WriteTimeout = 30 * time.Second
 
 // Server returns a server for callers that serves h on at most the given number of
 // connections at a time, with the limits that ServerLimits returns.
 func (g *PlatformGateway) Server(h http.Handler, connections int, grace time.Duration) *httpserver.Server {
 	return httpserver.New(httpserver.Config{
-		Handler:     h,
-		Connections: connections,
-		Patience:    callerPatience,
-		Limits:      g.ServerLimits(grace),
-		Memory:      g.memory,
+		Handler:      h,
+		Connections:  connections,
+		Patience:     httpserver.CallerPatience,
+		WriteTimeout: WriteTimeout,
+		Limits:       g.ServerLimits(grace),
+		Memory:       g.memory,
 	})
 }
 
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -19,6 +19,9 @@
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 )
 
+// CallerPatience is the Patience of servers for callers: more than the first packet of a caller takes.
+const CallerPatience = 100 * time.Millisecond
+
 const (
 	// headTimeoutSentinel and idleTimeoutSentinel are the timeouts that the http.Server is configured with. A server's
 	// timeouts are fixed for its lifetime, but limits may change while connections are open. So when the server sets a
@@ -31,9 +34,6 @@
 	sentinelSlack = time.Hour
 	// serverMaxHeaderBytes is the limit of net/http on a head, which must be above all that Limits allow.
 	serverMaxHeaderBytes = 64 << 20
-	// writeTimeout bounds the time from the end of a request's head to the end of its response, unless the handler
-	// sets another deadline.
-	writeTimeout = 30 * time.Second
 	// maxCandidates is how many connections are looked at for the one that makes room, if one of them does. To look at
 	// all, for each new connection, would cost more than to serve it.
 	maxCandidates = 64
@@ -63,6 +63,9 @@
 	// Patience is how long a new connection may take to send a request before it makes room for others, if there is
 	// none left.
 	Patience time.Duration
+	// WriteTimeout bounds the time from the end of a request's head to the end of its response, unless the handler sets
+	// another deadline; zero: no limit.
+	WriteTimeout time.Duration
 	// Limits returns the limits in force.
 	Limits func() Limits
 	// Memory is what the process holds for callers. Several servers may share it.
@@ -90,7 +93,7 @@
 		ConnState:         recordState,
 		ReadHeaderTimeout: headTimeoutSentinel,
 		IdleTimeout:       idleTimeoutSentinel,
-		WriteTimeout:      writeTimeout,
+		WriteTimeout:      c.WriteTimeout,
 		MaxHeaderBytes:    serverMaxHeaderBytes,
 	}
 	return s
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -169,6 +169,7 @@
 	errs.file("token-secrets", r.TokenSecrets)
 	errs.duration("drain-delay", r.DrainDelay, 0, maxDelay)
 	errs.count("max-connections", r.MaxConnections, 1, 1<<20)
+	errs.count("max-caller-bytes", r.MaxCallerBytes, 1<<20, 1<<40)
 	errs.duration("lease-ttl", r.LeaseTTL, time.Second, maxDelay)
 	errs.duration("weight-load-interval", r.WeightLoadInterval, 0, maxDelay)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -61,7 +61,9 @@
 
 	DrainDelay Duration `long:"drain-delay" env:"PARSLEYD_DRAIN_DELAY" default:"10s" description:"how long a planned stop goes on taking requests after readiness has begun to fail: longer than the balancer takes to notice"`
 
-	MaxConnections Count `long:"max-connections" env:"PARSLEYD_MAX_CONNECTIONS" default:"12000" description:"callers' connections that are open at a time; more wait to be accepted"`
+	MaxConnections Count `long:"max-connections" env:"PARSLEYD_MAX_CONNECTIONS" default:"12000" description:"callers' connections that are open at a time; of more, those that send nothing are closed, and the others wait to be accepted"`
+
+	MaxCallerBytes Count `long:"max-caller-bytes" env:"PARSLEYD_MAX_CALLER_BYTES" default:"268435456" description:"bytes of what callers have sent and the router holds for them; what does not fit is refused"`
 
 	Controller `group:"Controller"`
 }
