register, router: calls that the end of a process breaks off are not logged

Cause: a process that ends cancels the calls of its background goroutines before it logs why it ends, and they log the cancellation.

Change: the register and the reading of restrictions return without a line once their context has ended.

--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -68,6 +68,9 @@
 func (reg *Registrar) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := reg.sync(ctx)
+		if ctx.Err() != nil {
+			return // the process is ending: the last line of its log says why
+		}
 		if err != nil {
 			slog.Warn("the register of routers could not be read", "error", err)
 			sleep(ctx, retryPause/2+rand.N(retryPause))
--- a/internal/router/restrictions.go
+++ b/internal/router/restrictions.go
@@ -145,6 +145,9 @@
 			r.applyDecisionChanges()
 			return
 		}
+		if ctx.Err() != nil {
+			return
+		}
 		slog.Warn("the restrictions of requests could not be read from the store", "error", err)
 		sleep(ctx, restrictionRetryInterval)
 	}
