soak: each request of a bad client has an id of its own

Cause: clients that send requests ahead wrote the same head sixteen times, with one Attempt-Id; what reaches runners under one id counts as repeats of a router.

Change: the heads of requests that are sent ahead are made one by one. The check is as before.

--- a/test/soak/badclientkinds_test.go
+++ b/test/soak/badclientkinds_test.go
@@ -216,7 +216,7 @@
 // sendAhead sends requests without reading the answers.
 func (c *badClient) sendAhead() {
 	for {
-		requests := strings.Repeat(c.door.head()+"Content-Length: 0\r\n\r\n", 16)
+		requests := c.door.requests(16)
 		if !c.write(requests) {
 			return
 		}
@@ -255,7 +255,7 @@
 	if d.key != "" {
 		d.target += largeMark
 	}
-	if !c.write(strings.Repeat(d.head()+"Content-Length: 0\r\n\r\n", 4)) {
+	if !c.write(d.requests(4)) {
 		return
 	}
 	for deadline := time.Now().Add(badClientTime); time.Now().Before(deadline); time.Sleep(slowPause) {
--- a/test/soak/badclients_test.go
+++ b/test/soak/badclients_test.go
@@ -385,5 +385,14 @@
 		d.method, d.target, callerHost, badAttempts.Add(1), auth)
 }
 
+// requests returns so many requests without bodies, one behind the other. Each has an id of its own.
+func (d door) requests(n int) string {
+	var b strings.Builder
+	for range n {
+		b.WriteString(d.head() + "Content-Length: 0\r\n\r\n")
+	}
+	return b.String()
+}
+
 // badAttempts is the number of the newest request of a bad client.
 var badAttempts atomic.Int64
