--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/budget"
@@ -102,3 +104,61 @@
 		}
 	}
 }
+
+// Bodies that nobody wants take all connections. Guards against closing a caller that is about to send its request for
+// them.
+func TestUnwantedBodiesMakeRoomBeforeOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const connections, patience = 5, 10 * time.Millisecond
+		l := start(t, Config{Connections: connections, Patience: patience, Handler: WithoutBodies(http.NotFoundHandler())})
+		sound := l.dial()
+		time.Sleep(patience)
+		var others []net.Conn
+		for range 3 * connections {
+			c := l.dial()
+			others = append(others, c)
+			go func() { _, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n") }()
+			synctest.Wait()
+		}
+		go func() { _, _ = io.WriteString(sound, "GET / HTTP/1.1\r\nHost: a\r\n\r\n") }()
+		if status, _ := readStatus(sound); status != http.StatusNotFound {
+			t.Errorf("status %d", status)
+		}
+		for _, c := range append(others, sound) {
+			_ = c.Close()
+		}
+	})
+}
+
+// Silent connections take all that there may be. Guards against a sound caller that is not served then, and against a
+// connection whose request is served being closed for it.
+func TestSilentConnectionsMakeRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const connections, patience = 5, 100 * time.Millisecond
+		release := make(chan struct{})
+		l := start(t, Config{Connections: connections, Patience: patience, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/held" {
+				<-release
+			}
+		})})
+		held := l.dial()
+		_, _ = io.WriteString(held, "GET /held HTTP/1.1\r\nHost: a\r\n\r\n")
+		var silent []net.Conn
+		for range 3 * connections {
+			silent = append(silent, l.dial())
+		}
+		began := time.Now()
+		sound := l.dial()
+		go func() { _, _ = io.WriteString(sound, "GET / HTTP/1.1\r\nHost: a\r\n\r\n") }()
+		if status, _ := readStatus(sound); status != http.StatusOK || time.Since(began) > time.Second {
+			t.Errorf("status %d after %v", status, time.Since(began))
+		}
+		close(release)
+		if status, _ := readStatus(held); status != http.StatusOK {
+			t.Errorf("status %d for the request that was served", status)
+		}
+		for _, c := range append(silent, held, sound) {
+			_ = c.Close()
+		}
+	})
+}
