httpserver: a body whose length is folded or padded does not pass for one that has arrived

What callers saw: clients that send `Content-Length:` with 64 spaces before the figure, or with the figure in a continuation line, and nothing of the body, at a path without a route. 2,300 of them left other callers 1 of 25 and 4 of 28 requests (141 of 141 at the router beside it), and the readiness check waited 3 s. Found by seven new kinds of clients in TestSoakBadClients, which are in this commit; the other five held at each door.

Cause: headScan keeps 64 bytes of a line and knows no continuation lines. It took the length for zero, so that DropBody found the body arrived and set no deadline; net/http, which reads the true length, waits for the body before it writes the answer, and a connection whose request is served makes room for nobody.

Ruled out: the memory (92 MiB), Expect: 100-continue (held), silent connections (held).

Change: where net/http finds another length than headScan, the end of the body counts as unknown, as that of a body in chunks, and the connection is closed after the answer. Unfolding lines in headScan was weighed: it would have to follow net/http in each detail, while the comparison holds whatever the difference is.

Tests: TestUnwantedBodiesDelayNoAnswer (padded: hangs before) and TestBodyOfFoldedLengthIsServed.

--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -27,7 +27,7 @@
 	if c.SetReadDeadline(time.Now().Add(unwantedBodyWait)) != nil {
 		return // the connection is closed
 	}
-	if own, ok := r.Context().Value(connKey{}).(*conn); ok {
+	if own := connOf(r); own != nil {
 		own.enter(budget.PhaseClosing) // makes room before callers that may still send a sound request
 	}
 	if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, maxUnwantedBody)); err != nil {
@@ -40,8 +40,8 @@
 // hasArrived reports whether all of a request's body is known to have arrived. net/http drops it without waiting then,
 // and may be watching the connection for its end already: a deadline would look like one.
 func hasArrived(r *http.Request) bool {
-	c, ok := r.Context().Value(connKey{}).(*conn)
-	return ok && c.bodyLeft == 0
+	c := connOf(r)
+	return c != nil && c.bodyLeft == 0
 }
 
 // WithoutBodies returns a handler that drops the bodies of requests and passes these to next.
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -68,6 +68,7 @@
 	buffer    []byte // received, and not read by net/http
 	claimed   int64  // of claim, for buffer
 	headLeft  int    // bytes of buffer that are a head, or the rest of one
+	body      int64  // length of the request's body as headScan found it
 	bodyLeft  int64  // bytes of the request's body that net/http has not read
 	afterHead bool   // the head of a request has been read, and no new one has begun
 	noMore    bool   // no further request is read
@@ -303,7 +304,7 @@
 	if c.claim.SetComplete() != nil {
 		return c.refuse(refusedMemory)
 	}
-	c.bodyLeft = scan.body
+	c.body, c.bodyLeft = scan.body, scan.body
 	if scan.body == unknownLength {
 		c.noMore = true // where it ends is known to net/http only
 	} else {
@@ -312,6 +313,19 @@
 	return nil
 }
 
+// knowsBody reports whether the request's body ends where headScan says, given its length according to net/http. It must
+// be called before the body is read. If it does not, because the length stands in a line that is folded or padded, where
+// the body ends is known to net/http only.
+func (c *conn) knowsBody(length int64) bool {
+	if c.body == length {
+		return true
+	}
+	if length != 0 { // otherwise net/http may be reading already
+		c.bodyLeft, c.noMore = unknownLength, true
+	}
+	return false
+}
+
 // keep puts received bytes into a new buffer, in which the rest of their request is awaited.
 func (c *conn) keep(b []byte) error {
 	size, now := max(minHeadBuffer, len(b)), time.Now()
--- a/internal/httpserver/conn_test.go
+++ b/internal/httpserver/conn_test.go
@@ -260,6 +260,9 @@
 	for name, head := range map[string]string{
 		"with a length": "Content-Length: 1000\r\n\r\nabc",
 		"in chunks":     "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+		"padded length": "Content-Length:" + strings.Repeat(" ", maxScannedLine) + "1000\r\n\r\nabc",
+		"folded length": "Content-Length:\r\n 1000\r\n\r\nabc",
+		"folded chunks": "Transfer-Encoding:\r\n chunked\r\n\r\n3\r\nabc\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -275,6 +278,35 @@
 	}
 }
 
+// The length of a body stands in a line that is padded or folded. Guards against a body that is cut short or read byte by
+// byte, and against a next request that is taken for a part of it.
+func TestBodyOfFoldedLengthIsServed(t *testing.T) {
+	for name, length := range map[string]string{"padded": strings.Repeat(" ", maxScannedLine), "folded": "\r\n "} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const size = 100 << 10
+				c := start(t, Config{}).dial()
+				go func() {
+					_, _ = io.WriteString(c, fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length:%s%d\r\n\r\n%sGET /2 HTTP/1.1\r\nHost: a\r\n\r\n", length, size, strings.Repeat("b", size)))
+				}()
+				r := bufio.NewReader(c)
+				resp, err := http.ReadResponse(r, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				body, err := io.ReadAll(resp.Body)
+				if resp.StatusCode != http.StatusOK || len(body) != len("POST / ")+size || err != nil {
+					t.Errorf("status %d, %d bytes, %v", resp.StatusCode, len(body), err)
+				}
+				if _, err := r.ReadByte(); err == nil {
+					t.Error("the connection is still open")
+				}
+				_ = c.Close()
+			})
+		})
+	}
+}
+
 // deadlineRecorder is a ResponseWriter that records whether a read deadline was set.
 type deadlineRecorder struct {
 	http.ResponseWriter
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -88,7 +88,7 @@
 func New(c Config) *Server {
 	s := &Server{config: c, began: time.Now(), conns: make(map[*conn]struct{}), closed: make(chan struct{}, 1), ahead: make(chan struct{}, aheadConcurrency)}
 	s.Server = &http.Server{
-		Handler:           closeAfterChunks(c.Handler),
+		Handler:           closeAfterUnknownBody(c.Handler),
 		ConnContext:       contextWithConn,
 		ConnState:         recordState,
 		ReadHeaderTimeout: headTimeoutSentinel,
@@ -203,16 +203,18 @@
 	return found
 }
 
-// closeAfterChunks returns a handler that closes the connection after a request in chunks, and passes it to next. Where
-// such a body ends is known to net/http only, which may have read a part of the next request with it.
+// closeAfterUnknownBody returns a handler that closes the connection after a request whose body ends where only net/http
+// knows, and passes it to next: a body in chunks, or of a length that headScan does not find. net/http may have read a part
+// of the next request with it.
 //
 // It also prevents request smuggling. If a request has both chunks and a Content-Length, the server reads its body by
 // the chunks, as it should. A proxy in front that goes by the length may forward bytes after the last chunk as part of
 // the body, and the server would read them as the next request. Such requests can't be recognised here, as net/http
 // removes the Content-Length.
-func closeAfterChunks(next http.Handler) http.Handler {
+func closeAfterUnknownBody(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if len(r.TransferEncoding) > 0 {
+		c := connOf(r)
+		if len(r.TransferEncoding) > 0 || c != nil && !c.knowsBody(r.ContentLength) {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
@@ -234,10 +236,16 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
+// connOf returns the conn of a request; nil: the request does not come from a Server.
+func connOf(r *http.Request) *conn {
+	c, _ := r.Context().Value(connKey{}).(*conn)
+	return c
+}
+
 // ConnOf returns the caller's connection of a request, as its listener returned it; nil: the request does not come
 // from a Server.
 func ConnOf(r *http.Request) net.Conn {
-	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+	if c := connOf(r); c != nil {
 		return c.Conn
 	}
 	return nil
@@ -246,7 +254,7 @@
 // ClaimOf returns the claim that holds the memory of a request until its response has been written. The memory for
 // its body is added to it. For a request that does not come from a Server it is a claim of nothing, of memory.
 func ClaimOf(r *http.Request, memory *budget.Memory) *budget.Claim {
-	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+	if c := connOf(r); c != nil {
 		return c.claim
 	}
 	return memory.NewClaim(func() {})
--- a/test/soak/badclientkinds_test.go
+++ b/test/soak/badclientkinds_test.go
@@ -74,6 +74,13 @@
 	{"answers read slowly", largeAnswers, func(c *badClient) { c.readAnswers(64) }},
 	{"many parts", 200, (*badClient).sendManyParts},
 	{"one long field", 200, (*badClient).sendLongField},
+	{"padded lengths", 2300, func(c *badClient) { c.holdBody("Content-Length:" + strings.Repeat(" ", 64) + "%d\r\n") }},
+	{"folded lengths", 2300, func(c *badClient) { c.holdBody("Content-Length:\r\n %d\r\n") }},
+	{"expecting 100-continue", 2300, func(c *badClient) { c.holdBody("Expect: 100-continue\r\nContent-Length: %d\r\n") }},
+	{"long ids", 200, (*badClient).sendLongIDs},
+	{"asked without a pause", 300, (*badClient).askWithoutPause},
+	{"hung up at once", 200, (*badClient).hangUpAtOnce},
+	{"half closed", 300, (*badClient).halfClose},
 }
 
 // write writes text and reports whether the connection is still open.
@@ -303,6 +310,46 @@
 	}
 }
 
+// holdBody sends the head of a request with a header that says the length of its body, and nothing of the body.
+func (c *badClient) holdBody(header string) {
+	if c.write(c.door.head() + fmt.Sprintf(header, bodyLimit/8) + "\r\n") {
+		c.hold()
+	}
+}
+
+// sendLongIDs sends requests whose id and names fill a head of the largest legal size, and reads the answers.
+func (c *badClient) sendLongIDs() {
+	const each = headerLimit / 5
+	r := bufio.NewReader(c)
+	for {
+		head := c.door.head()
+		long := fmt.Sprintf("%d%s", badAttempts.Add(1), strings.Repeat("0", each))
+		head = strings.Replace(head, "Attempt-Id: bad-", "Attempt-Id: bad-"+long, 1)
+		head = strings.Replace(head, " HTTP/1.1", "?"+long+" HTTP/1.1", 1)
+		if !c.write(head+"Model: "+long+"\r\nPrompt-Prefix: "+long+":1,0:1\r\nContent-Length: 0\r\n\r\n") || !c.roundTrip(r) {
+			return
+		}
+	}
+}
+
+// askWithoutPause sends requests one after the other, and reads the answers.
+func (c *badClient) askWithoutPause() {
+	r := bufio.NewReader(c)
+	for c.write(c.door.requests(1)) && c.roundTrip(r) {
+	}
+}
+
+// hangUpAtOnce sends a request and closes the connection.
+func (c *badClient) hangUpAtOnce() { c.write(c.door.requests(1)) }
+
+// halfClose sends a request, closes the sending side of the connection and keeps the other one.
+func (c *badClient) halfClose() {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if ok && c.write(c.door.requests(1)) && tcp.CloseWrite() == nil {
+		c.hold()
+	}
+}
+
 // handleBadClient answers a request of a bad client, and reports whether it was one. Nothing of it is recorded.
 func (h *harness) handleBadClient(r *runner, c net.Conn, req *http.Request) bool {
 	if !h.badClients || !strings.HasPrefix(req.Header.Get("Attempt-Id"), "bad-") {
