wire, router: connections that send no call leave the descriptors to others

What callers saw: 4,300 clients that connect to the port at which routers call each other and send nothing leave ordinary callers at that router 84 of 108 requests (139 of 139 at the router beside it), and one of four readiness checks is missed. The test limits the processes to the 4,100 descriptors of their sheet now, without which this, and whatever else takes descriptors, did not show.

Cause: the listener for calls of other routers had no limit on connections, and a connection that sends nothing stayed until a keep-alive found its peer gone. It shares the process's descriptors with the doors for callers.

Ruled out: memory (67 MiB of 160); the doors for callers, ready and metrics, which hold with the true limit, all kinds (122 of 122 phases).

Change: wire.Acceptor. 512 connections; the first frame within 1 s; beyond the limit the one that has been silent for longest makes room, and one that has called never does; 16 KiB a call, of which a query takes some hundred. Routers send their hello at once, and 512 is above the 330 routers of the target. The 512 descriptors are taken from those that callers and upstreams share: 1,378 connections of callers instead of 1,634 on the smallest machine.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -190,7 +190,7 @@
 	if p.MaxDescriptors == 0 {
 		return defaultCallerConnections
 	}
-	return max(1, int(callerFraction*float64(p.MaxDescriptors-spareDescriptors-readyConnections-metricsConnections)))
+	return max(1, int(callerFraction*float64(p.MaxDescriptors-spareDescriptors-readyConnections-metricsConnections-router.MaxCalls)))
 }
 
 // Serve serves callers on l until Stop.
--- a/internal/router/mesh.go
+++ b/internal/router/mesh.go
@@ -128,7 +128,7 @@
 		_ = m.Calls.Close()
 	})
 	go m.receiveMessages()
-	go m.accept(ctx)
+	go (&wire.Acceptor{Listener: m.Calls, Handler: meshCalls{m}, MaxConnections: MaxCalls, MaxContent: maxCallBytes}).Run(ctx)
 	go m.register.Run(ctx)
 	if m.SuspendedTime != nil {
 		go m.watchSuspend(ctx)
@@ -151,6 +151,13 @@
 	}
 }
 
+const (
+	// MaxCalls is the maximum number of connections of other routers: each may pull from this one.
+	MaxCalls = 512
+	// maxCallBytes is the largest call of another router. A query takes some hundred bytes.
+	maxCallBytes = 16 << 10
+)
+
 // socketRetryDelay is the pause after an error of a socket that may be temporary.
 const socketRetryDelay = 100 * time.Millisecond
 
@@ -261,21 +268,6 @@
 	}
 }
 
-// accept serves the connections of routers that pull objects.
-func (m *mesh) accept(ctx context.Context) {
-	for {
-		c, err := m.Calls.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			time.Sleep(socketRetryDelay)
-			continue
-		}
-		wire.NewConn(ctx, c, meshCalls{m})
-	}
-}
-
 // meshCalls handles the calls of other routers. It implements wire.Handler.
 type meshCalls struct{ mesh *mesh }
 
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -59,22 +59,33 @@
 
 // newConn is NewConn with a function that is called once the connection has ended.
 func newConn(ctx context.Context, c net.Conn, h Handler, onClose func(*Conn)) *Conn {
+	conn := prepareConn(c, h)
+	conn.run(ctx, onClose)
+	return conn
+}
+
+// prepareConn returns a Conn that neither reads nor writes before run.
+func prepareConn(c net.Conn, h Handler) *Conn {
 	setKeepAlive(c)
 	conn := &Conn{transport: newTransport(c, writeTimeout), handler: h, pendingSubmits: make(map[StreamID]chan submitReply)}
 	conn.transport.onFrame = conn.handleFrame
+	return conn
+}
+
+// run starts the protocol. onClose, which may be nil, is called once the connection has ended.
+func (c *Conn) run(ctx context.Context, onClose func(*Conn)) {
 	ctx, cancel := context.WithCancel(ctx)
-	conn.ctx = ctx
-	conn.transport.onClose = func() {
+	c.ctx = ctx
+	c.transport.onClose = func() {
 		openConnections.Add(-1)
 		cancel()
 		if onClose != nil {
-			onClose(conn)
+			onClose(c)
 		}
 	}
 	openConnections.Add(1)
-	conn.rpc = jsonrpc2.NewConn(ctx, conn.transport, conn,
-		jsonrpc2.OnSend(conn.onSend), jsonrpc2.OnRecv(conn.onReceive), jsonrpc2.SetLogger(discardLogger{}))
-	return conn
+	c.rpc = jsonrpc2.NewConn(ctx, c.transport, c,
+		jsonrpc2.OnSend(c.onSend), jsonrpc2.OnRecv(c.onReceive), jsonrpc2.SetLogger(discardLogger{}))
 }
 
 func setKeepAlive(c net.Conn) {
--- a/internal/wire/middle_test.go
+++ b/internal/wire/middle_test.go
@@ -82,7 +82,7 @@
 }
 
 func rawFrame(in *bufio.Reader) ([]byte, error) {
-	h, content, err := readFrame(in)
+	h, content, err := readFrame(in, 0)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -54,6 +54,8 @@
 	in           *bufio.Reader
 	onFrame      func(Frame)
 	onClose      func()
+	onFirstFrame func() // nil: nothing is to be done
+	maxContent   int    // of a frame, in bytes, if that is less than the limit of its kind; zero: that limit
 	writeTimeout time.Duration
 	received     uint32       // number of frames
 	lastRead     atomic.Int64 // Unix nanoseconds
@@ -174,10 +176,13 @@
 // nextFrame reads the next frame and skips repeated ones. It returns ErrGap if a frame is missing.
 func (t *transport) nextFrame() (frameKind, []byte, error) {
 	for {
-		h, content, err := readFrame(t.in)
+		h, content, err := readFrame(t.in, t.maxContent)
 		if err != nil {
 			return 0, nil, err
 		}
+		if t.received == 0 && t.onFirstFrame != nil {
+			t.onFirstFrame()
+		}
 		switch ahead := int32(h.number - t.received); {
 		case ahead <= 0:
 			duplicateFrames.Inc()
@@ -226,8 +231,8 @@
 	number uint32
 }
 
-// readFrame reads the header and the content of one frame.
-func readFrame(r io.Reader) (header, []byte, error) {
+// readFrame reads the header and the content of one frame, of at most maxContent bytes if that is not zero.
+func readFrame(r io.Reader, maxContent int) (header, []byte, error) {
 	var b [headerSize]byte
 	if _, err := io.ReadFull(r, b[:]); err != nil {
 		return header{}, nil, err
@@ -237,7 +242,7 @@
 		kind:   frameKind(b[4]),
 		number: binary.BigEndian.Uint32(b[5:]),
 	}
-	if h.length > contentLimit(h.kind) {
+	if h.length > contentLimit(h.kind) || maxContent > 0 && h.length > maxContent {
 		return header{}, nil, countProtocolError(ErrTooLarge)
 	}
 	content, err := readContent(r, h.length)
--- a/test/soak/badclientkinds_test.go
+++ b/test/soak/badclientkinds_test.go
@@ -83,6 +83,9 @@
 	{"half closed", 300, (*badClient).halfClose},
 }
 
+// stoppingKinds are the kinds that stop before a request is whole.
+var stoppingKinds = []string{"short fields half-way", "trickled bodies", "half of a head", "silent"}
+
 // write writes text and reports whether the connection is still open.
 func (c *badClient) write(text string) bool {
 	_, err := io.WriteString(c, text)
--- a/test/soak/badclients_test.go
+++ b/test/soak/badclients_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -56,7 +57,7 @@
 		t.Run(strings.ReplaceAll(kind.name, " ", "-"), func(t *testing.T) {
 			t.Parallel()
 			playBadClients(t, func(f *badClientFleet) {
-				for _, d := range doors {
+				for _, d := range kind.doors() {
 					a := attack{kind, d, kind.clients}
 					f.phase(a.String(), []attack{a}, *duration/2)
 				}
@@ -131,6 +132,7 @@
 // randomAttack returns an attack of a share of the clients of a random kind at a random door.
 func (h *harness) randomAttack() attack {
 	kind := badClients[h.intN(len(badClients))]
+	doors := kind.doors()
 	return attack{kind: kind, door: doors[h.intN(len(doors))], clients: max(1, kind.clients/mixedAttacks)}
 }
 
@@ -430,6 +432,17 @@
 	{"metrics", metricsPort, http.MethodGet, "/metrics", ""},
 }
 
+// peerDoor is where other routers call. All that clients send there is no frame: only those matter which stop before that shows.
+var peerDoor = door{"calls of routers", peerPort, http.MethodGet, "/", ""}
+
+// doors returns the doors at which clients of a kind come.
+func (k badClientKind) doors() []door {
+	if slices.Contains(stoppingKinds, k.name) {
+		return append(doors[:len(doors):len(doors)], peerDoor)
+	}
+	return doors
+}
+
 func (d door) addr(e *entry) string { return net.JoinHostPort(e.ip, d.port) }
 
 // head returns the head of a request without the empty line at its end.
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -126,6 +126,7 @@
 	callerPort  = "8080"
 	readyPort   = "8081"
 	metricsPort = "9464" // if routers serve metrics
+	peerPort    = "7340" // of the calls of other routers
 )
 
 func (e *entry) addr() string { return net.JoinHostPort(e.ip, callerPort) }
@@ -144,12 +145,12 @@
 region: "r"
 zones: {a: "r", b: "r"}
 listen: {front: %q, ready: %q}
-internal_ports: [7340, 7355]
+internal_ports: [%s, 7355]
 limits: {cpu_share: 0.5, cores: 1, memory_mb: %d, max_fds: %d, link_mbps: 1000.0}
 heartbeat_ms: 1200
 bounds: {config_apply_ms: %d, drain_ms: %d, grace_s: %d, retry_ratio: %g, retry_slack: %d, budget_window_s: %g, cap_factor: %g, warmup_overage: %g, warmup_slack: %d}
 platform: {address: %q}
-`, e.name, e.ip, e.addr(), net.JoinHostPort(e.ip, readyPort), e.harness.machine.memoryMB, e.harness.machine.descriptors, configBound.Milliseconds(), configBound.Milliseconds(), int(grace.Seconds()), retryRatio, retrySlack, retryWindow.Seconds(), loadMultiple, coldOverage, coldSlack, e.store.addr())
+`, e.name, e.ip, e.addr(), net.JoinHostPort(e.ip, readyPort), peerPort, e.harness.machine.memoryMB, e.harness.machine.descriptors, configBound.Milliseconds(), configBound.Milliseconds(), int(grace.Seconds()), retryRatio, retrySlack, retryWindow.Seconds(), loadMultiple, coldOverage, coldSlack, e.store.addr())
 	next := filepath.Join(e.dir, "next.yaml")
 	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
 		return err
@@ -170,6 +171,9 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	if err := limitDescriptors(cmd.Process.Pid, e.harness.machine.descriptors); err != nil {
+		return err
+	}
 	exited := make(chan struct{})
 	e.cmd, e.exited, e.paused = cmd, exited, false
 	e.incarnation++
--- a/test/soak/memory_test.go
+++ b/test/soak/memory_test.go
@@ -8,8 +8,16 @@
 	"strconv"
 	"strings"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
+// limitDescriptors makes a process have no more descriptors than its machine.
+func limitDescriptors(pid, descriptors int) error {
+	limit := unix.Rlimit{Cur: uint64(descriptors), Max: uint64(descriptors)}
+	return unix.Prlimit(pid, unix.RLIMIT_NOFILE, &limit, nil)
+}
+
 // processID returns the id of the current process; zero: it has ended.
 func (e *entry) processID() int {
 	e.mu.Lock()
