httpserver: what a handler leaves of a body is dropped at each path

What callers saw, at the router role and at the operators' API: a request whose body does not come is not answered at a path without a route, with a method that is not served and at the paths that say live and ready; each such connection is taken for as long as its client likes, and makes room for nobody.

Cause: net/http waits for the rest of a body before it writes the answer, and the dropping stood at the places that refuse a request. Three of these had been forgotten.

Change: the server itself wraps each handler and drops what it has left. The calls in package gateway go. A body that has been read to its end, or has arrived, costs a request nothing but a flag. WithoutBodies stays for the answers that are written while their handler still runs, metrics.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,7 +109,6 @@
 			err = h(x)
 		}
 		if err != nil {
-			httpserver.DropBody(w, r)
 			writeProblem(w, x.withEarlierUnknown(err))
 		}
 	})
--- a/internal/gateway/hosted.go
+++ b/internal/gateway/hosted.go
@@ -63,7 +63,6 @@
 		}
 		e := verdict.From(err)
 		x.logRefusal(g.requests, e)
-		httpserver.DropBody(w, r)
 		writePlatformProblem(w, e)
 	}
 }
--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -16,10 +16,39 @@
 	maxUnwantedBody = 64 << 10
 )
 
-// DropBody reads and drops the body of a request that is answered without it. If it does not arrive within
-// unwantedBodyWait, the connection is closed after the response. Without that, net/http waits for the body before it
-// writes the response, for as long as the caller likes. It must be called before the response is written.
-func DropBody(w http.ResponseWriter, r *http.Request) {
+// trackedBody is the body of a request that knows whether any of it is left.
+type trackedBody struct {
+	io.ReadCloser
+	ended bool // it has been read or dropped
+}
+
+// Read implements io.Reader.
+func (b *trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.ended = b.ended || err == io.EOF
+	return n, err
+}
+
+// dropUnread returns a handler that passes requests to next and drops what that leaves of their bodies. Without that,
+// net/http waits for the rest before it writes the response, for as long as the caller likes.
+func dropUnread(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength == 0 {
+			next.ServeHTTP(w, r)
+			return
+		}
+		body := &trackedBody{ReadCloser: r.Body}
+		r.Body = body
+		next.ServeHTTP(w, r)
+		if !body.ended {
+			dropBody(w, r)
+		}
+	})
+}
+
+// dropBody reads and drops the body of a request. If it does not arrive within unwantedBodyWait, the connection is closed
+// after the response.
+func dropBody(w http.ResponseWriter, r *http.Request) {
 	if r.ContentLength == 0 || hasArrived(r) {
 		return
 	}
@@ -30,6 +59,9 @@
 	if own := connOf(r); own != nil {
 		own.enter(budget.PhaseClosing) // makes room before callers that may still send a sound request
 	}
+	if body, ok := r.Body.(*trackedBody); ok {
+		defer func() { body.ended = true }()
+	}
 	if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, maxUnwantedBody)); err != nil {
 		w.Header().Set("Connection", "close")
 		return
@@ -44,10 +76,11 @@
 	return c != nil && c.bodyLeft == 0
 }
 
-// WithoutBodies returns a handler that drops the bodies of requests and passes these to next.
+// WithoutBodies returns a handler that drops the bodies of requests and passes these to next. It is for handlers that read
+// none and whose responses are so long that net/http begins to write them before the handler returns.
 func WithoutBodies(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		DropBody(w, r)
+		dropBody(w, r)
 		next.ServeHTTP(w, r)
 	})
 }
--- a/internal/httpserver/conn_test.go
+++ b/internal/httpserver/conn_test.go
@@ -254,6 +254,9 @@
 	})
 }
 
+// longAnswer writes a response that net/http does not buffer until its handler returns.
+var longAnswer = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 16<<10)) })
+
 // Callers send the head of a request and half of a body that nobody wants. Guards against answers that wait for the rest
 // of it, and so against connections that are taken for as long as the callers like.
 func TestUnwantedBodiesDelayNoAnswer(t *testing.T) {
@@ -265,15 +268,17 @@
 		"folded chunks": "Transfer-Encoding:\r\n chunked\r\n\r\n3\r\nabc\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				c := start(t, Config{Handler: WithoutBodies(http.NotFoundHandler())}).dial()
-				began := time.Now()
-				go func() { _, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\n"+head) }()
-				if status, _ := readStatus(c); status != http.StatusNotFound || time.Since(began) > unwantedBodyWait {
-					t.Errorf("status %d after %v", status, time.Since(began))
-				}
-				_ = c.Close()
-			})
+			for _, h := range []http.Handler{http.NotFoundHandler(), WithoutBodies(longAnswer)} {
+				synctest.Test(t, func(t *testing.T) {
+					c := start(t, Config{Handler: h}).dial()
+					began := time.Now()
+					go func() { _, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\n"+head) }()
+					if status, _ := readStatus(c); status == 0 || time.Since(began) > unwantedBodyWait {
+						t.Errorf("status %d after %v", status, time.Since(began))
+					}
+					_ = c.Close()
+				})
+			}
 		})
 	}
 }
@@ -329,7 +334,7 @@
 						_, _ = io.Copy(io.Discard, r.Body)
 					}
 					recorder := &deadlineRecorder{ResponseWriter: w}
-					DropBody(recorder, r)
+					dropBody(recorder, r)
 					if recorder.set {
 						t.Error("a deadline is set")
 					}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -88,7 +88,7 @@
 func New(c Config) *Server {
 	s := &Server{config: c, began: time.Now(), conns: make(map[*conn]struct{}), closed: make(chan struct{}, 1), ahead: make(chan struct{}, aheadConcurrency)}
 	s.Server = &http.Server{
-		Handler:           closeAfterUnknownBody(c.Handler),
+		Handler:           closeAfterUnknownBody(dropUnread(c.Handler)),
 		ConnContext:       contextWithConn,
 		ConnState:         recordState,
 		ReadHeaderTimeout: headTimeoutSentinel,
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -110,7 +110,7 @@
 func TestUnwantedBodiesMakeRoomBeforeOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const connections, patience = 5, 10 * time.Millisecond
-		l := start(t, Config{Connections: connections, Patience: patience, Handler: WithoutBodies(http.NotFoundHandler())})
+		l := start(t, Config{Connections: connections, Patience: patience, Handler: http.NotFoundHandler()})
 		sound := l.dial()
 		time.Sleep(patience)
 		var others []net.Conn
--- a/test/badclients_test.go
+++ b/test/badclients_test.go
@@ -54,15 +54,20 @@
 	})
 
 	// Guards against an answer that waits for a body that nobody wants, for as long as its caller likes.
-	It("are answered though the rest of their body does not come", func() {
+	DescribeTable("are answered though the rest of their body does not come", func(request string, status int) {
 		c, err := net.Dial("tcp", r.addr)
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(c.Close)
 		Expect(c.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
-		_, err = io.WriteString(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\n{")
+		_, err = io.WriteString(c, request+" HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\n{")
 		Expect(err).NotTo(HaveOccurred())
 		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(resp.StatusCode).To(Equal(http.StatusUnauthorized))
-	})
+		Expect(resp.StatusCode).To(Equal(status))
+	},
+		Entry("at a route", "POST /v1/chat/completions", http.StatusUnauthorized),
+		Entry("without a route", "POST /nothing", http.StatusNotFound),
+		Entry("at a route of another method", "PUT /v1/chat/completions", http.StatusMethodNotAllowed),
+		Entry("at the path that says ready", "GET /readyz", http.StatusOK),
+	)
 })
