daemon, httpserver: with TLS the router role has the same bounds

What callers saw, at a router of the `router` role whose callers speak TLS: 120 connections that send nothing, or 40 that send half of a head, shut out everybody else for 10 s at a time (40 connections allowed); a request whose body does not come is not answered. Heads of 64 KiB were parsed as they arrived.

Cause: with TLS the door was net/http's alone behind a listener that waits while all connections are taken.

Change: httpserver serves TLS connections as well. The handshake is a part of the first read, so that it has the time of a head and makes room as silence does; a connection that makes room is closed below TLS, as the last message of TLS may wait for a caller that does not read. Callers are offered HTTP/1.1 only: net/http holds up to 1 MiB for each connection and stream of HTTP/2, which is bounded a connection only.

--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/net/netutil"
 
 	"github.com/parsleyfront/parsleyfront/internal/budget"
 	"github.com/parsleyfront/parsleyfront/internal/gateway"
@@ -127,40 +126,31 @@
 	c.admin.serveRouter(background, r, h)
 	go runController(ctx, c.config.Store, c.vm, c.controller, r)
 	memory := budget.NewMemory(c.memoryBytes)
-	server, serveCallers := c.newServer(h.withHealthPaths(gateway.New(r, memory)), memory)
+	server, listener := c.newServer(h.withHealthPaths(gateway.New(r, memory)), memory)
 	serveErr := make(chan error, 1)
-	go func() { serveErr <- serveCallers() }()
+	go func() { serveErr <- server.Serve(listener) }()
 	select {
 	case err := <-serveErr:
 		return errors.WithStack(err)
 	case <-ctx.Done():
 	}
-	return c.plan.stop(background, h, server)
+	return c.plan.stop(background, h, server.Server)
 }
 
-// newServer returns the server of callers, and the function that serves them until the server is shut down. With TLS,
-// net/http bounds the head of each request, and the connections of callers who send nothing make no room for others.
-func (c callerServer) newServer(h http.Handler, memory *budget.Memory) (server *http.Server, serve func() error) {
+// newServer returns the server of callers, and the listener that it serves. With TLS callers speak HTTP/1.1 only: what the
+// streams of HTTP/2 hold could not be claimed before it is held.
+func (c callerServer) newServer(h http.Handler, memory *budget.Memory) (*httpserver.Server, net.Listener) {
+	server := httpserver.New(httpserver.Config{
+		Handler:     h,
+		Connections: c.connections,
+		Patience:    httpserver.CallerPatience,
+		Limits:      fixedLimits,
+		Memory:      memory,
+	})
 	if c.tls == nil {
-		plain := httpserver.New(httpserver.Config{
-			Handler:     h,
-			Connections: c.connections,
-			Patience:    httpserver.CallerPatience,
-			Limits:      fixedLimits,
-			Memory:      memory,
-		})
-		return plain.Server, func() error { return plain.Serve(c.listener) }
-	}
-	server = &http.Server{
-		Handler:           h,
-		TLSConfig:         c.tls,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
-	return server, func() error {
-		return server.ServeTLS(netutil.LimitListener(c.listener, c.connections), "", "")
+		return server, c.listener
 	}
+	return server, tls.NewListener(c.listener, c.tls)
 }
 
 // fixedLimits returns the limits on callers and operators where the platform sets none.
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -107,6 +107,22 @@
 	return c.Conn.Close()
 }
 
+// abort closes the connection to make room for another, without waiting for the caller: a TLS connection would write a last
+// message first.
+func (c *conn) abort() {
+	_ = c.raw().Close() // fails only on a closed connection
+	c.claim.Release()
+	c.closing.Do(func() { c.server.remove(c) })
+}
+
+// raw returns the connection below TLS.
+func (c *conn) raw() net.Conn {
+	if wrapped, ok := c.Conn.(interface{ NetConn() net.Conn }); ok {
+		return wrapped.NetConn()
+	}
+	return c.Conn
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
 	c.writing.Store(int64(c.server.age()))
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -173,7 +173,7 @@
 		return false
 	}
 	evictedConns.Inc()
-	_ = victim.Close()
+	victim.abort()
 	return true
 }
 
@@ -196,7 +196,7 @@
 		if found != nil {
 			better = candidate.MakesRoomBefore(state, s.config.Patience)
 		}
-		if better && !((candidate.Phase == budget.PhaseIdle || candidate.Phase == budget.PhaseSilent) && netpeek.Peek(c.Conn) == netpeek.Readable) {
+		if better && !((candidate.Phase == budget.PhaseIdle || candidate.Phase == budget.PhaseSilent) && netpeek.Peek(c.raw()) == netpeek.Readable) {
 			found, state = c, candidate
 		}
 	}
--- a/internal/secure/public.go
+++ b/internal/secure/public.go
@@ -36,12 +36,12 @@
 	return errors.WithStack(err)
 }
 
-// Config returns the TLS configuration for an HTTP server.
+// Config returns the TLS configuration for a server of HTTP/1.1.
 func (s *CallerTLS) Config() *tls.Config {
 	return &tls.Config{
 		MinVersion:     tls.VersionTLS12,
 		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return s.cert.Load(), nil },
-		NextProtos:     []string{"h2", "http/1.1"},
+		NextProtos:     []string{"http/1.1"},
 	}
 }
 
