gateway: requests without a body count for their organisation

What callers saw: a crowd of 2,300 with the key of one organisation, which asks for long answers and reads them slowly, has other organisations refused: 91 of 145 requests (150 of 150 at the router beside it), 503 with "there is no memory for the request now", though the other organisation holds next to nothing.

Cause: a request's memory was assigned to its organisation where its body is read, and never if it has none. All requests without bodies counted for the callers that are not known, who hold half of the memory together: 1,280 such requests of one organisation and everybody else's are refused. Evidence: 638 lines of the refused, all of the organisation that behaves, none of the crowd's.

Ruled out: the upstreams' connections (no refusal by them), processor time (three of eight cores idle).

Change: it is assigned once the key is known, at both roles.

The soak gets a flag -core-share, with which the routers beside bad clients have that share of a core, as a quota of each tenth of a second; and it adds what the kernel has received for a process to what the process takes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -154,6 +154,7 @@
 		x.w.Header().Set("Www-Authenticate", "Bearer")
 		return verdict.New(verdict.NotRun, verdict.ReasonUnauthorized, "the API key is missing or unknown")
 	}
+	x.memory.claim.SetParty(x.org.Name)
 	return nil
 }
 
@@ -175,7 +176,6 @@
 	ctl := http.NewResponseController(x.w)
 	_ = ctl.SetReadDeadline(time.Now().Add(bodyTimeout))
 	defer ctl.SetReadDeadline(time.Time{})
-	x.memory.claim.SetParty(x.org.Name)
 	body, err := x.memory.readBody(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength)
 	var tooLong *http.MaxBytesError
 	switch {
--- a/internal/gateway/hosted.go
+++ b/internal/gateway/hosted.go
@@ -102,6 +102,7 @@
 	if err := x.authorise(); err != nil {
 		return err
 	}
+	x.memory.claim.SetParty(x.organisation())
 	body, err := x.body()
 	if err != nil {
 		return err
--- a/internal/gateway/hostedrequest.go
+++ b/internal/gateway/hostedrequest.go
@@ -187,7 +187,6 @@
 
 // readBody reads a body of at most limit bytes.
 func (x *platformExchange) readBody(limit int64) ([]byte, error) {
-	x.memory.claim.SetParty(x.organisation())
 	return x.memory.readBody(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength)
 }
 
--- a/internal/gateway/requestmemory_test.go
+++ b/internal/gateway/requestmemory_test.go
@@ -25,6 +25,7 @@
 			x.org = &profile.Organisation{}
 			x.org.Name = org
 		}
+		x.memory.claim.SetParty(x.organisation())
 		body, err := x.body()
 		if err != nil {
 			writePlatformProblem(w, verdict.From(err))
--- a/test/soak/badclientkinds_test.go
+++ b/test/soak/badclientkinds_test.go
@@ -81,6 +81,7 @@
 	{"asked without a pause", 300, (*badClient).askWithoutPause},
 	{"hung up at once", 200, (*badClient).hangUpAtOnce},
 	{"half closed", 300, (*badClient).halfClose},
+	{"crowd that reads slowly", 2300, func(c *badClient) { c.readAnswers(64) }},
 }
 
 // stoppingKinds are the kinds that stop before a request is whole.
--- a/test/soak/badclients_test.go
+++ b/test/soak/badclients_test.go
@@ -153,6 +153,15 @@
 	defer h.close()
 	h.start()
 	f := &badClientFleet{harness: h, attacked: h.entries[0], control: h.entries[1]}
+	if *coreShare > 0 {
+		stop := make(chan struct{})
+		var limited sync.WaitGroup
+		for _, e := range h.entries {
+			limited.Go(func() { e.limitProcessor(*coreShare, stop) })
+		}
+		defer limited.Wait()
+		defer close(stop)
+	}
 	play(f)
 	h.running.Wait()
 }
@@ -197,6 +206,9 @@
 	running.Wait()
 	f.t.Logf("%-38s memory %3d MiB, received and unread %3d MiB at most; sound requests served %v, at the other router %v, slowest %v; missed readiness checks %d of %d, %d late; processor %d ticks",
 		name, watch.peakMB, watch.peakUnread>>20, sound, usual, sound.longest(), readiness.missed, readiness.asked, readiness.late, ticks)
+	if watch.peakSumMB > watch.limitMB {
+		f.t.Errorf("%s: the process takes %d MiB with what the kernel has received for it, its machine has %d", name, watch.peakSumMB, watch.limitMB)
+	}
 	if watch.ended {
 		f.t.Errorf("%s: the process has ended", name)
 	}
@@ -395,6 +407,7 @@
 	pid                int
 	limitMB            int
 	peakMB, peakUnread int
+	peakSumMB          int // of both
 	ended              bool
 }
 
@@ -407,7 +420,9 @@
 		}
 		mb := w.entry.residentMB()
 		w.peakMB = max(w.peakMB, mb)
-		w.peakUnread = max(w.peakUnread, w.entry.unreadBytes())
+		unread := w.entry.unreadBytes()
+		w.peakUnread = max(w.peakUnread, unread)
+		w.peakSumMB = max(w.peakSumMB, mb+unread>>20)
 		if mb <= w.limitMB {
 			continue
 		}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -34,6 +34,8 @@
 
 	timely = flag.Bool("timely", false, "check also when callers and readiness checks are answered beside bad clients; the machine must have nothing else to do")
 
+	coreShare = flag.Float64("core-share", 0, "share of a core that routers with bad clients have; 0: all cores")
+
 	callers  = flag.Int("callers", 6, "callers")
 	fleets   = flag.Int("fleets", 3, "fleets that are played at the same time")
 	daemon   = flag.String("daemon", "", "path of a daemon to play instead of the one that is built")
