httpserver: heads of very many fields take turns to be parsed

What callers saw, with a third of a core: 1,000 clients with legal heads of 16 KiB in fields of three bytes leave others 23 requests in the time of 136, each up to 3 s, at a path without a route; 37 of 140 at a route.

Cause: such a head takes net/http 1 to 3 ms, a hundred times as long as that of a sound request, and hundreds of them are parsed at the same time, before anybody else gets the processor.

Ruled out: memory (88 MiB), the refusals, of which there are few.

Change: heads of more than 128 lines are parsed two at a time; one waits for its turn for 1 s at most, and is then told to come back: 503, not run. Sound requests have some 15 lines and wait for nobody.

Test: TestHeadsOfManyFieldsTakeTurns.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -28,6 +28,10 @@
 	lingerBytes = 256 << 10
 	// refusalTimeout bounds the writing of a refusal.
 	refusalTimeout = time.Second
+	// manyFields is the number of header fields from which on requests take turns to have their heads parsed, and
+	// turnTimeout how long one waits for its turn. The field of three bytes takes as long to parse as any other.
+	manyFields  = 128
+	turnTimeout = time.Second
 	// memoryRetryAfter is when a caller may return for whose head there is no memory, in seconds. What takes the memory
 	// are requests that are served, for some seconds.
 	memoryRetryAfter = 1
@@ -66,6 +70,7 @@
 
 	lingers atomic.Bool   // the caller may still send when net/http closes the connection
 	aborted chan struct{} // closed when the connection is closed to make room
+	hasTurn atomic.Bool   // to have a costly head parsed
 
 	phase   atomic.Uint32 // a budget.Phase
 	since   atomic.Int64  // when it began, in nanoseconds since the server began
@@ -112,6 +117,7 @@
 func (c *conn) Close() error {
 	c.closing.Do(func() {
 		c.claim.Release()
+		c.endTurn()
 		if !c.lingers.Load() || c.isAborted() {
 			c.finish()
 			return
@@ -342,6 +348,28 @@
 	}
 }
 
+// awaitTurn waits until a head of many fields may be parsed, and reports whether that was within turnTimeout. The turn ends
+// when the request's handler is called. Otherwise callers that send such heads would take the processor from all others.
+func (c *conn) awaitTurn() bool {
+	timer := time.NewTimer(turnTimeout)
+	defer timer.Stop()
+	select {
+	case c.server.costly <- struct{}{}:
+		c.hasTurn.Store(true)
+		return true
+	case <-timer.C:
+	case <-c.aborted:
+	}
+	return false
+}
+
+// endTurn ends the turn of the connection, if it has one.
+func (c *conn) endTurn() {
+	if c.hasTurn.Swap(false) {
+		<-c.server.costly
+	}
+}
+
 // beginsToArrive records that the first bytes of a head have arrived.
 func (c *conn) beginsToArrive(limit Limits) {
 	if c.phase.Load() == uint32(budget.PhaseIdle) {
@@ -356,6 +384,9 @@
 	if scan.size() > limit.HeadBytes+maxIgnoredBytes {
 		return c.refuse(refusedTooLarge)
 	}
+	if scan.lines > manyFields && !c.awaitTurn() {
+		return c.refuse(refusedMemory)
+	}
 	if err := c.claim.Grow(time.Now(), scan.parsedBytes()); err != nil {
 		return c.refuse(refusedMemory)
 	}
--- a/internal/httpserver/conn_test.go
+++ b/internal/httpserver/conn_test.go
@@ -75,10 +75,16 @@
 	if c.Connections == 0 {
 		c.Connections = 100
 	}
+	l, _ := startServer(t, c)
+	return l
+}
+
+// startServer is start, and returns the server as well.
+func startServer(t interface{ Cleanup(func()) }, c Config) (*pipeListener, *Server) {
 	l, s := newPipeListener(), New(c)
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() { _ = s.Close() })
-	return l
+	return l, s
 }
 
 // readStatus reads a response and returns its status and Retry-After; zero: the connection ended without one.
@@ -183,6 +189,43 @@
 	}
 }
 
+// Heads of very many fields are being parsed. Guards against callers that wait until all of them have been, against a head of
+// many fields that is never parsed, and against one that waits without being told.
+func TestHeadsOfManyFieldsTakeTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, s := startServer(t, Config{
+			Handler: http.HandlerFunc(echo), Connections: 10, Memory: budget.NewMemory(0), Limits: func() Limits { return testLimits },
+		})
+		ask := func(head string) (status int, took time.Duration) {
+			c := l.dial()
+			defer c.Close()
+			began := time.Now()
+			go func() { _, _ = io.WriteString(c, head+"\r\n") }()
+			status, _ = readStatus(c)
+			return status, time.Since(began)
+		}
+		many := headOf(testLimits.HeadBytes, "x:\r\n")
+		for range costlyConcurrency + 1 {
+			if status, took := ask(many); status != http.StatusOK || took > 0 {
+				t.Errorf("status %d after %v while no head is parsed", status, took)
+			}
+		}
+		for range costlyConcurrency {
+			s.costly <- struct{}{}
+		}
+		if status, took := ask("GET / HTTP/1.1\r\nHost: a\r\n"); status != http.StatusOK || took > 0 {
+			t.Errorf("status %d after %v for a head of few fields", status, took)
+		}
+		if status, took := ask(many); status != http.StatusServiceUnavailable || took != turnTimeout {
+			t.Errorf("status %d after %v, want 503 after %v", status, took, turnTimeout)
+		}
+		time.AfterFunc(turnTimeout/2, func() { <-s.costly })
+		if status, took := ask(many); status != http.StatusOK || took != turnTimeout/2 {
+			t.Errorf("status %d after %v for a head whose turn comes", status, took)
+		}
+	})
+}
+
 // Guards against heads that are held or parsed without a bound, and against a caller that is not told.
 func TestHeadsBeyondTheLimitsAreRefused(t *testing.T) {
 	cases := map[string]struct {
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -41,6 +41,8 @@
 	// how long each waits. Callers that read an answer before they send the next request do not wait.
 	aheadConcurrency = 4
 	aheadPause       = time.Millisecond
+	// costlyConcurrency is how many heads of many fields are parsed at a time.
+	costlyConcurrency = 2
 	// roomRetryInterval is the pause before another look for a connection that makes room for a new one.
 	roomRetryInterval = 20 * time.Millisecond
 )
@@ -82,12 +84,13 @@
 	conns  map[*conn]struct{}
 	closed chan struct{} // gets a value when a connection has closed
 	ahead  chan struct{} // holds a value for each request that was sent ahead and is about to be read
+	costly chan struct{} // holds a value for each head of many fields that is being parsed
 }
 
 // New returns a Server. Its Handler, ConnContext, ConnState, timeouts and MaxHeaderBytes must not be changed.
 func New(c Config) *Server {
 	s := &Server{config: c, began: time.Now(), conns: make(map[*conn]struct{}), closed: make(chan struct{}, 1),
-		ahead: make(chan struct{}, aheadConcurrency)}
+		ahead: make(chan struct{}, aheadConcurrency), costly: make(chan struct{}, costlyConcurrency)}
 	s.Server = &http.Server{
 		Handler:           closeAfterUnknownBody(dropUnread(c.Handler)),
 		ConnContext:       contextWithConn,
@@ -221,6 +224,9 @@
 func closeAfterUnknownBody(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connOf(r)
+		if c != nil {
+			c.endTurn()
+		}
 		if len(r.TransferEncoding) > 0 || c != nil && !c.knowsBody(r.ContentLength) {
 			w.Header().Set("Connection", "close")
 		}
