httpserver: a body that net/http waits for by itself has a deadline

What callers saw: 2,300 clients that ask for `OPTIONS *` with a body that does not come leave others 10 of 34 requests at a route and 1 of 25 at a path without one; with an expectation that HTTP does not know, `Expect: something`, 7 of 31 and 1 of 25. The check at ready waits 3 s. They stay as long as they like. Found on reading what net/http answers before it calls a handler; two new kinds of TestSoakBadClients show it.

Cause: net/http answers both itself, and reads up to 256 KiB of the body first, without a deadline. The connection counts as one whose request is served, which makes room for nobody.

Ruled out: other expectations (100-continue held), paths (all the same).

Change: a request whose body has not arrived has the time of a head for it, and counts as one whose body is read, until a handler sets another deadline or the body has ended. `OPTIONS *` goes to our handler, which knows no such route: 400 or 404 instead of an empty 200. A turn for a costly head ends when net/http has parsed it, not when a handler begins, as it may call none.

Test: TestBodiesThatNetHTTPWaitsForHaveATime.

--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -18,13 +18,19 @@
 // trackedBody is the body of a request that knows whether any of it is left.
 type trackedBody struct {
 	io.ReadCloser
-	ended bool // it has been read or dropped
+	conn  *conn // nil: not known
+	ended bool  // it has been read or dropped
 }
 
 // Read implements io.Reader.
 func (b *trackedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	b.ended = b.ended || err == io.EOF
+	if err == io.EOF && !b.ended {
+		b.ended = true
+		if b.conn != nil {
+			b.conn.endBody()
+		}
+	}
 	return n, err
 }
 
@@ -36,11 +42,12 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		body := &trackedBody{ReadCloser: r.Body}
+		c := connOf(r)
+		body := &trackedBody{ReadCloser: r.Body, conn: c}
 		tracked := r.WithContext(r.Context()) // net/http goes by the type of the request's own body
 		tracked.Body = body
 		next.ServeHTTP(w, tracked)
-		if c := connOf(r); c != nil && c.isAborted() {
+		if c != nil && c.isAborted() {
 			panic(http.ErrAbortHandler) // otherwise net/http may wait before it closes a connection
 		}
 		if !body.ended {
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -197,9 +197,17 @@
 	switch remaining := at.Sub(now); {
 	case at.IsZero():
 		switch budget.Phase(c.phase.Load()) {
-		case budget.PhaseHead: // net/http has read all of it
+		case budget.PhaseHead: // net/http has parsed all of it
 			c.afterHead = true
-			c.enter(budget.PhaseWork)
+			c.endTurn()
+			if c.bodyLeft == 0 {
+				c.enter(budget.PhaseWork)
+				break
+			}
+			// net/http may wait for the body by itself, for as long as the caller likes. A handler that reads it sets
+			// another deadline.
+			c.enter(budget.PhaseBody)
+			at = now.Add(c.server.config.Limits().HeadTime)
 		case budget.PhaseBody, budget.PhaseClosing:
 			c.enter(budget.PhaseWork)
 		}
@@ -218,6 +226,15 @@
 	return c.Conn.SetReadDeadline(at)
 }
 
+// endBody records that all of the body has been read.
+func (c *conn) endBody() {
+	if budget.Phase(c.phase.Load()) != budget.PhaseBody {
+		return
+	}
+	c.enter(budget.PhaseWork)
+	_ = c.Conn.SetReadDeadline(time.Time{}) // fails only on a closed connection
+}
+
 // beginHead prepares for the head of a request.
 func (c *conn) beginHead(p budget.Phase) {
 	c.afterHead = false
@@ -272,7 +289,10 @@
 		}
 	}
 	if c.bodyLeft != unknownLength && c.bodyLeft > 0 {
-		c.bodyLeft -= int64(n)
+		if c.bodyLeft -= int64(n); c.bodyLeft <= 0 {
+			c.bodyLeft = 0
+			c.endBody()
+		}
 	}
 	return n, err
 }
@@ -349,7 +369,7 @@
 }
 
 // awaitTurn waits until a head of many fields may be parsed, and reports whether that was within turnTimeout. The turn ends
-// when the request's handler is called. Otherwise callers that send such heads would take the processor from all others.
+// when net/http has parsed it. Otherwise callers that send such heads would take the processor from all others.
 func (c *conn) awaitTurn() bool {
 	timer := time.NewTimer(turnTimeout)
 	defer timer.Stop()
--- a/internal/httpserver/conn_test.go
+++ b/internal/httpserver/conn_test.go
@@ -329,6 +329,29 @@
 	}
 }
 
+// net/http answers a request itself, before any handler, and waits for its body first. Guards against a connection that is
+// taken for as long as the caller likes.
+func TestBodiesThatNetHTTPWaitsForHaveATime(t *testing.T) {
+	for name, head := range map[string]string{
+		"unknown expectation": "POST / HTTP/1.1\r\nHost: a\r\nExpect: something\r\n",
+		"options of no path":  "OPTIONS * HTTP/1.1\r\nHost: a\r\n",
+	} {
+		for _, length := range []string{"Content-Length: 1000", "Transfer-Encoding: chunked"} {
+			t.Run(name+", "+length, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c := start(t, Config{Handler: http.NotFoundHandler()}).dial()
+					began := time.Now()
+					go func() { _, _ = io.WriteString(c, head+length+"\r\n\r\n") }()
+					if status, _ := readStatus(c); status == 0 || time.Since(began) > testLimits.HeadTime {
+						t.Errorf("status %d after %v", status, time.Since(began))
+					}
+					_ = c.Close()
+				})
+			})
+		}
+	}
+}
+
 // The length of a body stands in a line that is padded or folded. Guards against a body that is cut short or read byte by
 // byte, and against a next request that is taken for a part of it.
 func TestBodyOfFoldedLengthIsServed(t *testing.T) {
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -92,13 +92,14 @@
 	s := &Server{config: c, began: time.Now(), conns: make(map[*conn]struct{}), closed: make(chan struct{}, 1),
 		ahead: make(chan struct{}, aheadConcurrency), costly: make(chan struct{}, costlyConcurrency)}
 	s.Server = &http.Server{
-		Handler:           closeAfterUnknownBody(dropUnread(c.Handler)),
-		ConnContext:       contextWithConn,
-		ConnState:         recordState,
-		ReadHeaderTimeout: headTimeoutSentinel,
-		IdleTimeout:       idleTimeoutSentinel,
-		WriteTimeout:      c.WriteTimeout,
-		MaxHeaderBytes:    serverMaxHeaderBytes,
+		DisableGeneralOptionsHandler: true, // it reads bodies before any handler of ours
+		Handler:                      closeAfterUnknownBody(dropUnread(c.Handler)),
+		ConnContext:                  contextWithConn,
+		ConnState:                    recordState,
+		ReadHeaderTimeout:            headTimeoutSentinel,
+		IdleTimeout:                  idleTimeoutSentinel,
+		WriteTimeout:                 c.WriteTimeout,
+		MaxHeaderBytes:               serverMaxHeaderBytes,
 	}
 	return s
 }
@@ -224,9 +225,6 @@
 func closeAfterUnknownBody(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connOf(r)
-		if c != nil {
-			c.endTurn()
-		}
 		if len(r.TransferEncoding) > 0 || c != nil && !c.knowsBody(r.ContentLength) {
 			w.Header().Set("Connection", "close")
 		}
--- a/test/soak/badclientkinds_test.go
+++ b/test/soak/badclientkinds_test.go
@@ -77,6 +77,8 @@
 	{"padded lengths", 2300, func(c *badClient) { c.holdBody("Content-Length:" + strings.Repeat(" ", 64) + "%d\r\n") }},
 	{"folded lengths", 2300, func(c *badClient) { c.holdBody("Content-Length:\r\n %d\r\n") }},
 	{"expecting 100-continue", 2300, func(c *badClient) { c.holdBody("Expect: 100-continue\r\nContent-Length: %d\r\n") }},
+	{"unknown expectations", 2300, func(c *badClient) { c.holdBody("Expect: something\r\nContent-Length: %d\r\n") }},
+	{"options of no path", 2300, (*badClient).holdOptions},
 	{"long ids", 200, (*badClient).sendLongIDs},
 	{"asked without a pause", 300, (*badClient).askWithoutPause},
 	{"hung up at once", 200, (*badClient).hangUpAtOnce},
@@ -321,6 +323,12 @@
 	}
 }
 
+// holdOptions asks for the options of no path, with a body that does not come.
+func (c *badClient) holdOptions() {
+	c.door.method, c.door.target = http.MethodOptions, "*"
+	c.holdBody("Content-Length: %d\r\n")
+}
+
 // sendLongIDs sends requests whose id and names fill a head of the largest legal size, and reads the answers.
 func (c *badClient) sendLongIDs() {
 	const each = headerLimit / 5
