httpserver: a length that is not understood counts as unknown before net/http parses it

Read, then shown by TestBodiesThatNetHTTPWaitsForHaveATime with a folded length, which does not end before this, and by three new seeds of FuzzHeadScan (a body of 0 bytes, for net/http 3).

Cause: headScan returned zero for a length that it could not read.

Change: it returns that the length is unknown, as for chunks. The comparison with what net/http has found stays. A connection that has a turn for a costly head does not take a second one if net/http asks for more of the same head.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -371,6 +371,9 @@
 // awaitTurn waits until a head of many fields may be parsed, and reports whether that was within turnTimeout. The turn ends
 // when net/http has parsed it. Otherwise callers that send such heads would take the processor from all others.
 func (c *conn) awaitTurn() bool {
+	if c.hasTurn.Load() {
+		return true
+	}
 	timer := time.NewTimer(turnTimeout)
 	defer timer.Stop()
 	select {
--- a/internal/httpserver/conn_test.go
+++ b/internal/httpserver/conn_test.go
@@ -336,7 +336,7 @@
 		"unknown expectation": "POST / HTTP/1.1\r\nHost: a\r\nExpect: something\r\n",
 		"options of no path":  "OPTIONS * HTTP/1.1\r\nHost: a\r\n",
 	} {
-		for _, length := range []string{"Content-Length: 1000", "Transfer-Encoding: chunked"} {
+		for _, length := range []string{"Content-Length: 1000", "Content-Length:\r\n 1000", "Transfer-Encoding: chunked"} {
 			t.Run(name+", "+length, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					c := start(t, Config{Handler: http.NotFoundHandler()}).dial()
--- a/internal/httpserver/head.go
+++ b/internal/httpserver/head.go
@@ -21,12 +21,12 @@
 	lines     int
 	lineBytes int    // of the line that is being scanned, without its end
 	line      []byte // the beginning of that line
-	body      int64  // length of the body; unknownLength: chunks
+	body      int64  // length of the body; unknownLength: chunks, or it is not known
 	ended     bool
 }
 
 const (
-	// unknownLength is the length of a body in chunks.
+	// unknownLength is the length of a body in chunks, or one that headScan does not understand.
 	unknownLength = math.MaxInt64
 	// maxScannedLine is how much of a line is kept: what it takes to read the headers that say the body's length.
 	maxScannedLine = 64
@@ -81,10 +81,19 @@
 	case bytes.EqualFold(name, transferEncoding):
 		s.body = unknownLength
 	case bytes.EqualFold(name, contentLength) && s.body != unknownLength:
-		s.body, _ = strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+		s.body = s.parseLength(value)
 	}
 }
 
+// parseLength returns the length of a body, or unknownLength if it is not all in the line that is scanned.
+func (s *headScan) parseLength(value []byte) int64 {
+	n, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 63)
+	if err != nil || s.lineBytes > maxScannedLine {
+		return unknownLength
+	}
+	return int64(n)
+}
+
 // size returns the size of the head without the empty line at its end.
 func (s *headScan) size() int {
 	return s.bytes - emptyLine
--- a/internal/httpserver/head_test.go
+++ b/internal/httpserver/head_test.go
@@ -22,6 +22,9 @@
 		"GET / HTTP/1.1\r\nHost: a\r\nX: 1\r\n  2\r\n\r\n",
 		"GET / HTTP/1.1\r\nHost: a\r\nX: 1\r\n \r\nY: 2\r\n\r\n",
 		"GET / HTTP/1.0\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: a\r\nContent-Length:\r\n 3\r\n\r\nabc",
+		"POST / HTTP/1.1\r\nHost: a\r\nContent-Length:" + strings.Repeat(" ", maxScannedLine) + "3\r\n\r\nabc",
+		"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n \r\n\r\nabc",
 		"\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n",
 	} {
 		f.Add([]byte(text), 1)
