httpserver: tests of what is parsed of a body, and of connections that make room

TestUnwantedChunksAreNotParsed on, before its fix: 404 after 147,512 bytes, where 8 KiB at most are wanted. TestConnectionThatMakesRoomCountsUntilItsHandlerEnds on, before its fix: eight handlers at a time with two connections allowed. Both pass now, with the race detector.

--- a/internal/httpserver/conn_test.go
+++ b/internal/httpserver/conn_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -329,6 +330,30 @@
 	}
 }
 
+// A caller sends a body in many small chunks that nobody wants. Guards against a router that parses hundreds of kilobytes of
+// them, which takes a thousand times as long as to answer.
+func TestUnwantedChunksAreNotParsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const most = 8 << 10 // what net/http buffers before it asks
+		c := start(t, Config{Handler: http.NotFoundHandler()}).dial()
+		var sent atomic.Int64
+		go func() {
+			text := "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+			for {
+				n, err := io.WriteString(c, text)
+				if sent.Add(int64(n)); err != nil {
+					return
+				}
+				text = "4\r\nabcd\r\n"
+			}
+		}()
+		if status, _ := readStatus(c); status != http.StatusNotFound || sent.Load() > most {
+			t.Errorf("status %d after %d bytes, want no more than %d", status, sent.Load(), most)
+		}
+		_ = c.Close()
+	})
+}
+
 // net/http answers a request itself, before any handler, and waits for its body first. Guards against a connection that is
 // taken for as long as the caller likes.
 func TestBodiesThatNetHTTPWaitsForHaveATime(t *testing.T) {
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -130,6 +131,32 @@
 	})
 }
 
+// A connection makes room while its handler is busy. Guards against a router that accepts connections faster than what
+// they take is freed: it holds more of them than it counts.
+func TestConnectionThatMakesRoomCountsUntilItsHandlerEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const connections, patience, busy = 2, 10 * time.Millisecond, time.Second
+		var handlers, most atomic.Int64
+		l := start(t, Config{Connections: connections, Patience: patience, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			most.Store(max(most.Load(), handlers.Add(1)))
+			defer handlers.Add(-1)
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(time.Minute)) // as a handler that reads a body
+			time.Sleep(busy)
+		})})
+		const callers = 4 * connections
+		defer time.Sleep(callers * busy) // until all handlers have ended
+		for range callers {
+			c := l.dial()
+			defer c.Close()
+			go func() { _, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n") }()
+			time.Sleep(2 * patience)
+		}
+		if most.Load() != connections {
+			t.Errorf("%d handlers at a time, want %d", most.Load(), connections)
+		}
+	})
+}
+
 // Silent connections take all that there may be. Guards against a sound caller that is not served then, and against a
 // connection whose request is served being closed for it.
 func TestSilentConnectionsMakeRoom(t *testing.T) {
