daemon: on a machine with few descriptors callers keep a quarter of them

The sheets have 4,096 and more, where nothing changes: 1,378 of 4,100, 3,424 of 8,192.

Change: what is kept is half of the descriptors at most. Test: TestCallersHaveAShareOfAnyNumberOfDescriptors (1 and 352 before, 256 and 512 now).

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -67,6 +67,9 @@
 	// connections of callers. Each request takes one of these and one to an upstream, and
 	// idle connections are kept open on both sides.
 	callerFraction = 0.5
+	// reservedDescriptors are the descriptors that callers and upstreams do not share. On a machine with few they are
+	// half of them at most.
+	reservedDescriptors = spareDescriptors + readyConnections + metricsConnections + router.MaxCalls
 	// defaultCallerConnections is the maximum number of caller connections if the platform
 	// sets no limit on file descriptors.
 	defaultCallerConnections = 4096
@@ -190,7 +193,8 @@
 	if p.MaxDescriptors == 0 {
 		return defaultCallerConnections
 	}
-	return max(1, int(callerFraction*float64(p.MaxDescriptors-spareDescriptors-readyConnections-metricsConnections-router.MaxCalls)))
+	reserved := min(reservedDescriptors, p.MaxDescriptors/2)
+	return max(1, int(callerFraction*float64(p.MaxDescriptors-reserved)))
 }
 
 // Serve serves callers on l until Stop.
--- a/internal/daemon/entry_test.go
+++ b/internal/daemon/entry_test.go
@@ -120,3 +120,13 @@
 		t.Errorf("the stop goes by %v, the file says 20 s", got)
 	}
 }
+
+// Guards against a router on a machine with few descriptors that takes one connection at a time, and against one that
+// leaves none for its upstreams.
+func TestCallersHaveAShareOfAnyNumberOfDescriptors(t *testing.T) {
+	for descriptors, want := range map[int]int{0: defaultCallerConnections, 2: 1, 1024: 256, 2048: 512, 4100: 1378, 8192: 3424} {
+		if got := callerConnections(platform.Settings{MaxDescriptors: descriptors}); got != want {
+			t.Errorf("%d descriptors: %d connections of callers, want %d", descriptors, got, want)
+		}
+	}
+}
