ctl, daemon: parsleyctl memory shows whose memory a router holds, and what its connections do

An operator who saw budget_held_bytes at its limit had to guess from log lines whose requests they are. Counters by organisation were weighed: their labels would be names that a configuration chooses.

Tests: TestMemoryNamesWhoHoldsItAndWhoDoesNotAnswer, TestUsageListsTheLargestParties.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -29,6 +29,8 @@
 	PathQuarantined = "/quarantined"
 	// PathShares is served there as well.
 	PathShares = "/shares"
+	// PathMemory is served there as well.
+	PathMemory = "/memory"
 )
 
 // Node is the router that a Server reports on. Its methods are safe for
--- a/internal/budget/connections.go
+++ b/internal/budget/connections.go
@@ -23,6 +23,15 @@
 	PhaseClosing
 )
 
+// String returns the name of a phase that is shown to operators.
+func (p Phase) String() string {
+	names := [...]string{PhaseSilent: "silent", PhaseHead: "head", PhaseBody: "body", PhaseWork: "work", PhaseWrite: "write", PhaseIdle: "idle", PhaseClosing: "closing"}
+	if int(p) < len(names) {
+		return names[p]
+	}
+	return "unknown"
+}
+
 // writePatience is how long a response waits for a caller to read before its connection makes room for others, as a
 // multiple of the time that a new connection has to send its request.
 const writePatience = 20
--- a/internal/budget/memory_test.go
+++ b/internal/budget/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -146,3 +147,20 @@
 		}
 	})
 }
+
+// Guards against an operator who is told of parties that hold little, or of a party that holds nothing any more.
+func TestUsageListsTheLargestParties(t *testing.T) {
+	m := NewMemory(1000)
+	for party, n := range map[string]int64{"a": 10, "b": 30, "": 20, "c": 5} {
+		c := m.NewClaim(nil)
+		c.SetParty(party)
+		grow(t, c, start, n)
+		if party == "c" {
+			c.Release()
+		}
+	}
+	got := m.Usage(2)
+	if want := []PartyUsage{{"b", 30}, {"", 20}}; got.Limit != 1000 || got.Held != 60 || !slices.Equal(got.Parties, want) {
+		t.Errorf("%+v, want 60 of 1000 held, by %v first", got, want)
+	}
+}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -53,6 +53,7 @@
 	{"budget", (*app).budget, false},
 	{"crashes", (*app).crashes, false},
 	{"shares", (*app).shares, false},
+	{"memory", (*app).memory, false},
 	{"drain", (*app).drain, true},
 	{"undrain", (*app).undrain, true},
 	{"explain", (*app).explain, false},
--- a/internal/ctl/options.go
+++ b/internal/ctl/options.go
@@ -28,6 +28,7 @@
 	Budget     budgetCommand     `command:"budget" description:"sum what routers on the platform count of retries and of requests that crash upstreams"`
 	Crashes    crashesCommand    `command:"crashes" description:"list the requests and the parts of prompts that crash upstreams, as routers on the platform know them"`
 	Shares     sharesCommand     `command:"shares" description:"show how routers on the platform share pools that are too small among organisations"`
+	Memory     memoryCommand     `command:"memory" description:"show what routers on the platform hold for callers, for whom, and what their connections do"`
 	Drain      drainCommand      `command:"drain" description:"order a VM, or all upstreams of a failure domain, to take no new work"`
 	Undrain    drainCommand      `command:"undrain" description:"take back a drain order"`
 	Explain    explainCommand    `command:"explain" description:"show where a request would go now, and why"`
@@ -109,6 +110,10 @@
 	addrsCommand
 }
 
+type memoryCommand struct {
+	addrsCommand
+}
+
 type drainCommand struct {
 	changeOptions
 	Domain string `long:"failure-domain" description:"drain all upstreams of this failure domain, in place of one VM"`
--- a/internal/daemon/entryservers.go
+++ b/internal/daemon/entryservers.go
@@ -41,6 +41,7 @@
 	metrics.HandleFunc("GET /upstreams", e.serveUpstreams)
 	metrics.HandleFunc("GET "+admin.PathQuarantined, e.serveQuarantined)
 	metrics.HandleFunc("GET "+admin.PathShares, e.serveShares)
+	metrics.HandleFunc("GET "+admin.PathMemory, e.serveMemory)
 	return e.serveOn(ctx, net.JoinHostPort(e.platform.Load().IP, strconv.Itoa(e.settings.MetricsPort.N)), metrics, metricsConnections)
 }
 
@@ -72,6 +73,26 @@
 	serveJSON(w, "shares of pools", e.Shares())
 }
 
+// Memory returns what this router holds for callers.
+func (e *Entry) Memory() admin.Memory {
+	usage := e.memory.Usage(admin.MaxMemoryParties)
+	out := admin.Memory{LimitBytes: usage.Limit, HeldBytes: usage.Held, Parties: []admin.MemoryParty{}}
+	for _, p := range usage.Parties {
+		out.Parties = append(out.Parties, admin.MemoryParty{Organisation: p.Party, HeldBytes: p.Held})
+	}
+	open, most := e.server.Connections()
+	out.Connections = admin.Connections{Max: most, Open: make(map[string]int)}
+	for phase, n := range open {
+		out.Connections.Open[phase.String()] = n
+	}
+	return out
+}
+
+// serveMemory serves the result of Memory as JSON.
+func (e *Entry) serveMemory(w http.ResponseWriter, _ *http.Request) {
+	serveJSON(w, "memory for callers", e.Memory())
+}
+
 // serveJSON writes a value, which messages call what, as the response.
 func serveJSON(w http.ResponseWriter, what string, value any) {
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -152,6 +152,17 @@
 	return true
 }
 
+// Connections returns how many connections are open, by phase, and how many may be.
+func (s *Server) Connections() (open map[budget.Phase]int, most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	open = make(map[budget.Phase]int)
+	for c := range s.conns {
+		open[c.state().Phase]++
+	}
+	return open, s.config.Connections
+}
+
 // remove removes a connection that is closed.
 func (s *Server) remove(c *conn) {
 	s.mu.Lock()
