soak: long answers to bad clients are paced by how many of these ask for them

Traced: the stand-in paces long answers as if 300 clients asked for them, and the crowd is 2,300. It had the router pass on up to 500 MB a second, where attackPace bounds the load of each kind to 64 MB. The pace goes by the number of clients now, which stands in the path. The check is as it was.

--- a/test/soak/badclientkinds_test.go
+++ b/test/soak/badclientkinds_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -43,15 +44,14 @@
 const (
 	// slowPause is the pause between two pieces of a client that sends or reads slowly.
 	slowPause = 50 * time.Millisecond
-	// largeAnswer is the size in bytes of a response to a path with largeMark.
+	// largeAnswer is the size in bytes of a response to a path with largeMark, behind which stands how many clients ask
+	// for such responses at a time.
 	largeAnswer = 4 << 20
 	// smallWindow is the receive buffer in bytes of a client that does not read.
 	smallWindow = 4 << 10
 	// attackPace bounds how many bytes a second the clients of one kind send.
 	attackPace = 64 << 20
-	largeMark  = "large"
-	// largeAnswers is how many clients ask for large answers at a time.
-	largeAnswers = 300
+	largeMark  = "large-"
 )
 
 var badClients = []badClientKind{
@@ -70,8 +70,8 @@
 	{"half of a body", 1000, (*badClient).holdHalfOfBody},
 	{"half of a head", 2300, (*badClient).holdHalfOfHead},
 	{"silent", 4300, (*badClient).hold},
-	{"answers unread", largeAnswers, func(c *badClient) { c.readAnswers(0) }},
-	{"answers read slowly", largeAnswers, func(c *badClient) { c.readAnswers(64) }},
+	{"answers unread", 300, func(c *badClient) { c.readAnswers(0) }},
+	{"answers read slowly", 300, func(c *badClient) { c.readAnswers(64) }},
 	{"many parts", 200, (*badClient).sendManyParts},
 	{"one long field", 200, (*badClient).sendLongField},
 	{"padded lengths", 2300, func(c *badClient) { c.holdBody("Content-Length:" + strings.Repeat(" ", 64) + "%d\r\n") }},
@@ -266,7 +266,7 @@
 	}
 	d := c.door
 	if d.key != "" {
-		d.target += largeMark
+		d.target += largeMark + strconv.Itoa(c.clients)
 	}
 	if !c.write(d.requests(4)) {
 		return
@@ -368,13 +368,15 @@
 		return false
 	}
 	const small, piece = "served", 16 << 10
-	if !strings.Contains(req.URL.Path, largeMark) {
+	_, clients, isLarge := strings.Cut(req.URL.Path, largeMark)
+	if !isLarge {
 		r.WriteHead(c, req, http.StatusOK, fmt.Sprintf("Content-Length: %d", len(small)))
 		fmt.Fprint(c, small)
 		return true
 	}
 	r.WriteHead(c, req, http.StatusOK, fmt.Sprintf("Content-Length: %d", largeAnswer))
-	out := &badClient{Conn: c, clients: largeAnswers, began: time.Now()}
+	out := &badClient{Conn: c, began: time.Now()}
+	out.clients, _ = strconv.Atoi(clients) // as readAnswers has written it
 	for range largeAnswer / piece {
 		if _, err := c.Write(make([]byte, piece)); err != nil {
 			break
