--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -104,7 +104,7 @@
 	return s
 }
 
-// Serve accepts and serves connections of l until l is closed.
+// Serve accepts and serves connections of l until l is closed. A Server serves one listener.
 func (s *Server) Serve(l net.Listener) error {
 	return s.Server.Serve(boundedListener{Listener: l, server: s})
 }
@@ -197,9 +197,9 @@
 }
 
 // expendable returns the connection that makes room before all others; nil: there is none. If there are many, it is the
-// first of maxCandidates, in the random order of a map. A connection whose caller
-// has sent bytes that were not read yet is spared where the process has waited for them: the request is not sent to an
-// upstream, but its caller would have to come again.
+// first of maxCandidates, in the random order of a map. A connection whose caller has sent bytes that were not read yet
+// is spared where the process has waited for them: the request is not sent to an upstream, but its caller would have to
+// come again.
 func (s *Server) expendable() *conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
