--- a/internal/ctl/budget.go
+++ b/internal/ctl/budget.go
@@ -56,10 +56,7 @@
 	if err := a.print(sum); err != nil {
 		return err
 	}
-	if len(sum.Failed) > 0 {
-		return newExitError(ExitFailed, "the sums are without these routers", "%d of %d routers did not answer", len(sum.Failed), len(a.options.Budget.Args.Addrs))
-	}
-	return nil
+	return checkAnswers(sum.Failed, a.options.Budget.Args.Addrs, "the sums are without these routers")
 }
 
 // readMetrics returns the metrics of the router with a metrics address.
--- a/internal/ctl/crashes.go
+++ b/internal/ctl/crashes.go
@@ -47,10 +47,7 @@
 	if err := a.print(list); err != nil {
 		return err
 	}
-	if len(list.Failed) > 0 {
-		return newExitError(ExitFailed, "the list is without what these routers know", "%d of %d routers did not answer", len(list.Failed), len(addrs))
-	}
-	return nil
+	return checkAnswers(list.Failed, addrs, "the list is without what these routers know")
 }
 
 // add adds what the router at an address knows of a case.
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -69,3 +69,12 @@
 		return ExitFailed, ""
 	}
 }
+
+// checkAnswers returns an error if routers at some of the addresses did not answer. failed holds their errors by address,
+// and advice says what the output lacks.
+func checkAnswers(failed map[string]string, addrs []string, advice string) error {
+	if len(failed) == 0 {
+		return nil
+	}
+	return newExitError(ExitFailed, advice, "%d of %d routers did not answer", len(failed), len(addrs))
+}
--- a/internal/ctl/memory.go
+++ b/internal/ctl/memory.go
@@ -32,10 +32,7 @@
 	if err := a.print(list); err != nil {
 		return err
 	}
-	if len(list.Failed) > 0 {
-		return newExitError(ExitFailed, "the list is without these routers", "%d of %d routers did not answer", len(list.Failed), len(addrs))
-	}
-	return nil
+	return checkAnswers(list.Failed, addrs, "the list is without these routers")
 }
 
 // unknownCallers stands for the callers whose organisation is not known.
--- a/internal/ctl/shares.go
+++ b/internal/ctl/shares.go
@@ -76,10 +76,7 @@
 	if err := a.print(list); err != nil {
 		return err
 	}
-	if len(list.Failed) > 0 {
-		return newExitError(ExitFailed, "the sums are without these routers", "%d of %d routers did not answer", len(list.Failed), len(addrs))
-	}
-	return nil
+	return checkAnswers(list.Failed, addrs, "the sums are without these routers")
 }
 
 // organisationNames returns the names of organisations that some router knows, by their hashes.
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -117,7 +117,7 @@
 	if n.Packets, err = net.ListenPacket("udp", p.PeerAddr); err != nil {
 		return n, errors.WithStack(err)
 	}
-	n.Calls, err = listenForCallers(p.PeerAddr)
+	n.Calls, err = listenBounded(p.PeerAddr)
 	return n, err
 }
 
@@ -154,7 +154,7 @@
 	if err := e.serveReadinessAndMetrics(background); err != nil {
 		return err
 	}
-	l, err := listenForCallers(p.CallerListen)
+	l, err := listenBounded(p.CallerListen)
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/entryservers.go
+++ b/internal/daemon/entryservers.go
@@ -104,7 +104,7 @@
 // serveOn listens on addr and serves h in the background until ctx ends, on so many connections at a time. What comes
 // there is within the limits for callers.
 func (e *Entry) serveOn(ctx context.Context, addr string, h http.Handler, connections int) error {
-	l, err := listenForCallers(addr)
+	l, err := listenBounded(addr)
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -9,13 +9,13 @@
 	"github.com/pkg/errors"
 )
 
-// receiveBuffer is the size in bytes of the kernel's receive buffer of a connection of a caller, which Linux doubles. What
+// receiveBuffer is the size in bytes of the kernel's receive buffer of an accepted connection, which Linux doubles. What
 // has arrived there and has not been read counts as memory of the process on the operators' platform. Left to itself the
 // kernel lets it grow to megabytes a connection.
 const receiveBuffer = 16 << 10
 
-// listenForCallers listens on a TCP address to which anyone may connect.
-func listenForCallers(addr string) (net.Listener, error) {
+// listenBounded listens on a TCP address to which anyone may connect, with receive buffers of receiveBuffer.
+func listenBounded(addr string) (net.Listener, error) {
 	c := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) {
 			if err := syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer); err != nil {
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -76,7 +76,7 @@
 	if server.admin, err = listenOperatorAPI(s.AdminListen, s.Node); err != nil {
 		return err
 	}
-	if server.listener, err = listenForCallers(s.Listen); err != nil {
+	if server.listener, err = listenBounded(s.Listen); err != nil {
 		return err
 	}
 	slog.Info("router listening", "addr", server.listener.Addr().String(), "vm", s.VM)
--- a/internal/httpserver/conn_test.go
+++ b/internal/httpserver/conn_test.go
@@ -190,9 +190,9 @@
 	}
 }
 
-// Heads of very many fields are being parsed. Guards against callers that wait until all of them have been, against a head of
-// many fields that is never parsed, and against one that waits without being told.
-func TestHeadsOfManyFieldsTakeTurns(t *testing.T) {
+// Heads of very many lines are being parsed. Guards against callers that wait until all of them have been, against a head of
+// many lines that is never parsed, and against one that waits without being told.
+func TestHeadsOfManyLinesTakeTurns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l, s := startServer(t, Config{
 			Handler: http.HandlerFunc(echo), Connections: 10, Memory: budget.NewMemory(0), Limits: func() Limits { return testLimits },
@@ -315,13 +315,13 @@
 		"folded chunks": "Transfer-Encoding:\r\n chunked\r\n\r\n3\r\nabc\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			for _, h := range []http.Handler{http.NotFoundHandler(), WithoutBodies(longAnswer)} {
+			for want, h := range map[int]http.Handler{http.StatusNotFound: http.NotFoundHandler(), http.StatusOK: WithoutBodies(longAnswer)} {
 				synctest.Test(t, func(t *testing.T) {
 					c := start(t, Config{Handler: h}).dial()
 					began := time.Now()
 					go func() { _, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\n"+head) }()
-					if status, _ := readStatus(c); status == 0 || time.Since(began) > unwantedBodyWait {
-						t.Errorf("status %d after %v", status, time.Since(began))
+					if status, _ := readStatus(c); status != want || time.Since(began) > unwantedBodyWait {
+						t.Errorf("status %d after %v, want %d", status, time.Since(began), want)
 					}
 					_ = c.Close()
 				})
@@ -357,18 +357,18 @@
 // net/http answers a request itself, before any handler, and waits for its body first. Guards against a connection that is
 // taken for as long as the caller likes.
 func TestBodiesThatNetHTTPWaitsForHaveATime(t *testing.T) {
-	for name, head := range map[string]string{
-		"unknown expectation": "POST / HTTP/1.1\r\nHost: a\r\nExpect: something\r\n",
-		"options of no path":  "OPTIONS * HTTP/1.1\r\nHost: a\r\n",
+	for head, want := range map[string]int{
+		"POST / HTTP/1.1\r\nHost: a\r\nExpect: something\r\n": http.StatusExpectationFailed,
+		"OPTIONS * HTTP/1.1\r\nHost: a\r\n":                   http.StatusNotFound,
 	} {
 		for _, length := range []string{"Content-Length: 1000", "Content-Length:\r\n 1000", "Transfer-Encoding: chunked"} {
-			t.Run(name+", "+length, func(t *testing.T) {
+			t.Run(fmt.Sprintf("%.7s, %s", head, length), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					c := start(t, Config{Handler: http.NotFoundHandler()}).dial()
 					began := time.Now()
 					go func() { _, _ = io.WriteString(c, head+length+"\r\n\r\n") }()
-					if status, _ := readStatus(c); status == 0 || time.Since(began) > testLimits.HeadTime {
-						t.Errorf("status %d after %v", status, time.Since(began))
+					if status, _ := readStatus(c); status != want || time.Since(began) > testLimits.HeadTime {
+						t.Errorf("status %d after %v, want %d", status, time.Since(began), want)
 					}
 					_ = c.Close()
 				})
--- a/internal/httpserver/receive.go
+++ b/internal/httpserver/receive.go
@@ -11,9 +11,9 @@
 	// minHeadBuffer is the size in bytes of the first buffer for a head that does not arrive at once. Each further
 	// one is twice as large.
 	minHeadBuffer = 2 << 10
-	// manyFields is the number of header fields from which on requests take turns to have their heads parsed, and
-	// turnTimeout how long one waits for its turn. A field of three bytes takes as long to parse as any other.
-	manyFields  = 128
+	// manyLines is the number of lines beyond which heads take turns to be parsed, and turnTimeout how long one waits
+	// for its turn. A field of three bytes takes as long to parse as any other.
+	manyLines   = 128
 	turnTimeout = time.Second
 )
 
@@ -73,7 +73,7 @@
 	}
 }
 
-// awaitTurn waits until a head of many fields may be parsed, and reports whether that was within turnTimeout. The turn ends
+// awaitTurn waits until a head of many lines may be parsed, and reports whether that was within turnTimeout. The turn ends
 // when net/http has parsed it. Otherwise callers that send such heads would take the processor from all others.
 func (c *conn) awaitTurn() bool {
 	if c.hasTurn.Load() {
@@ -91,7 +91,7 @@
 	return false
 }
 
-// endTurn ends the turn of the connection, if it has one.
+// endTurn lets another head of many lines be parsed, if the connection has a turn.
 func (c *conn) endTurn() {
 	if c.hasTurn.Swap(false) {
 		<-c.server.costly
@@ -112,7 +112,7 @@
 	if scan.size() > limit.HeadBytes+maxIgnoredBytes {
 		return c.refuse(refusedTooLarge)
 	}
-	if scan.lines > manyFields && !c.awaitTurn() {
+	if scan.lines > manyLines && !c.awaitTurn() {
 		return c.refuse(refusedMemory)
 	}
 	if err := c.claim.Grow(time.Now(), scan.parsedBytes()); err != nil {
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -41,7 +41,7 @@
 	// how long each waits. Callers that read an answer before they send the next request do not wait.
 	aheadConcurrency = 4
 	aheadPause       = time.Millisecond
-	// costlyConcurrency is how many heads of many fields are parsed at a time.
+	// costlyConcurrency is how many heads of many lines are parsed at a time.
 	costlyConcurrency = 2
 	// roomRetryInterval is the pause before another look for a connection that makes room for a new one.
 	roomRetryInterval = 20 * time.Millisecond
@@ -84,7 +84,7 @@
 	conns  map[*conn]struct{}
 	closed chan struct{} // gets a value when a connection has closed
 	ahead  chan struct{} // holds a value for each request that was sent ahead and is about to be read
-	costly chan struct{} // holds a value for each head of many fields that is being parsed
+	costly chan struct{} // holds a value for each head of many lines that is being parsed
 }
 
 // New returns a Server. Its Handler, ConnContext, ConnState, timeouts and MaxHeaderBytes must not be changed.
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -109,26 +109,31 @@
 // Bodies that nobody wants take all connections. Guards against closing a caller that is about to send its request for
 // them.
 func TestUnwantedBodiesMakeRoomBeforeOthers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		const connections, patience = 5, 10 * time.Millisecond
-		l := start(t, Config{Connections: connections, Patience: patience, Handler: http.NotFoundHandler()})
-		sound := l.dial()
-		time.Sleep(patience)
-		var others []net.Conn
-		for range 3 * connections {
-			c := l.dial()
-			others = append(others, c)
-			go func() { _, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n") }()
-			synctest.Wait()
-		}
-		go func() { _, _ = io.WriteString(sound, "GET / HTTP/1.1\r\nHost: a\r\n\r\n") }()
-		if status, _ := readStatus(sound); status != http.StatusNotFound {
-			t.Errorf("status %d", status)
-		}
-		for _, c := range append(others, sound) {
-			_ = c.Close()
-		}
-	})
+	for _, h := range []http.Handler{http.NotFoundHandler(), WithoutBodies(http.NotFoundHandler())} {
+		synctest.Test(t, func(t *testing.T) { testUnwantedBodiesMakeRoom(t, h) })
+	}
+}
+
+// testUnwantedBodiesMakeRoom is the test with one handler.
+func testUnwantedBodiesMakeRoom(t *testing.T, h http.Handler) {
+	const connections, patience = 5, 10 * time.Millisecond
+	l := start(t, Config{Connections: connections, Patience: patience, Handler: h})
+	sound := l.dial()
+	time.Sleep(patience)
+	var others []net.Conn
+	for range 3 * connections {
+		c := l.dial()
+		others = append(others, c)
+		go func() { _, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n") }()
+		synctest.Wait()
+	}
+	go func() { _, _ = io.WriteString(sound, "GET / HTTP/1.1\r\nHost: a\r\n\r\n") }()
+	if status, _ := readStatus(sound); status != http.StatusNotFound {
+		t.Errorf("status %d", status)
+	}
+	for _, c := range append(others, sound) {
+		_ = c.Close()
+	}
 }
 
 // A connection makes room while its handler is busy. Guards against a router that accepts connections faster than what
