--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -19,6 +19,7 @@
 		Handler:      h,
 		Connections:  connections,
 		Patience:     httpserver.CallerPatience,
+		DropsHungUp:  true,
 		WriteTimeout: WriteTimeout,
 		Limits:       g.ServerLimits(grace),
 		Memory:       g.memory,
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/budget"
+	"github.com/parsleyfront/parsleyfront/internal/netpeek"
 )
 
 // longAgo is a deadline that ends all reading.
@@ -72,6 +73,15 @@
 	return c.Conn
 }
 
+// isHungUp reports whether nobody waits for a response any more, where the server drops such requests.
+func (c *conn) isHungUp() bool {
+	if !c.server.config.DropsHungUp || !netpeek.HasHungUp(c.raw()) {
+		return false
+	}
+	hungUpConns.Inc()
+	return true
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
 	c.writing.Store(int64(c.server.age()))
--- a/internal/httpserver/receive.go
+++ b/internal/httpserver/receive.go
@@ -112,6 +112,9 @@
 	if scan.size() > limit.HeadBytes+maxIgnoredBytes {
 		return c.refuse(refusedTooLarge)
 	}
+	if c.isHungUp() {
+		return io.EOF
+	}
 	if scan.lines > manyLines && !c.awaitTurn() {
 		return c.refuse(refusedMemory)
 	}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -47,6 +47,9 @@
 	roomRetryInterval = 20 * time.Millisecond
 )
 
+var hungUpConns = telemetry.NewCounter("gateway_hung_up_connections_total",
+	"Connections whose callers had hung up before their request was parsed. Nothing of it is served.")
+
 var evictedConns = telemetry.NewCounter("gateway_evicted_connections_total",
 	"Connections without a whole request, or whose caller does not read, that were closed because the maximum number of connections was open.", telemetry.Alert)
 
@@ -65,6 +68,9 @@
 	// Patience is how long a new connection may take to send a request before it makes room for others, if there is
 	// none left.
 	Patience time.Duration
+	// DropsHungUp is whether a request is dropped unread if its caller has closed its sending side by the time it has
+	// arrived. Callers that only half-close their connections get no response then.
+	DropsHungUp bool
 	// WriteTimeout bounds the time from the end of a request's head to the end of its response, unless the handler sets
 	// another deadline; zero: no limit.
 	WriteTimeout time.Duration
@@ -126,11 +132,10 @@
 // of file descriptors and would then be unable to connect to upstreams. Without the closing, callers that keep
 // connections which they do not use would shut out all others.
 func (l boundedListener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
+	c, err := l.acceptOpen()
 	if err != nil {
 		return nil, err
 	}
-	c := newConn(accepted, l.server)
 	var retry time.Time // when another connection makes room, if the one before is not yet done with
 	for !l.server.add(c) {
 		if now := time.Now(); !now.Before(retry) && l.server.makeRoom() {
@@ -141,6 +146,22 @@
 	return c, nil
 }
 
+// acceptOpen accepts a connection whose caller has not hung up. Callers that send requests and hang up at once, thousands of
+// times a second, would otherwise take the processor from those that wait for a response.
+func (l boundedListener) acceptOpen() (*conn, error) {
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := newConn(accepted, l.server)
+		if !c.isHungUp() {
+			return c, nil
+		}
+		_ = accepted.Close() // nobody waits for anything from it
+	}
+}
+
 // add adds a connection, and reports whether there was room for it.
 func (s *Server) add(c *conn) bool {
 	s.mu.Lock()
--- a/internal/netpeek/netpeek.go
+++ b/internal/netpeek/netpeek.go
@@ -6,6 +6,7 @@
 	"syscall"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 // State is the state of a connection as its reading end sees it.
@@ -59,3 +60,24 @@
 	}
 	return state
 }
+
+// HasHungUp reports whether the other side of c has closed its sending side or reset the connection, also while bytes that
+// it sent before have not been read. It does not block and reads nothing from c. It is false for a connection that can't
+// be inspected.
+func HasHungUp(c net.Conn) bool {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	hungUp := false
+	err = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(fds, 0)
+		hungUp = err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return err == nil && hungUp
+}
--- a/internal/netpeek/netpeek_test.go
+++ b/internal/netpeek/netpeek_test.go
@@ -1,6 +1,7 @@
 package netpeek
 
 import (
+	"errors"
 	"net"
 	"testing"
 	"time"
@@ -65,3 +66,56 @@
 	_ = far.Close()
 	waitForState(t, near, Closed)
 }
+
+// A client sends a request and closes its connection, or resets it. HasHungUp must see that while the request is still
+// unread, when Peek sees the request only.
+func TestHasHungUpBesideUnreadBytes(t *testing.T) {
+	for name, hangUp := range map[string]func(c *net.TCPConn) error{
+		"closed":      (*net.TCPConn).Close,
+		"half-closed": (*net.TCPConn).CloseWrite,
+		"reset":       func(c *net.TCPConn) error { return errors.Join(c.SetLinger(0), c.Close()) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			near, far := tcpPair(t)
+			if _, err := far.Write([]byte("x")); err != nil {
+				t.Fatal(err)
+			}
+			waitForState(t, near, Readable)
+			if HasHungUp(near) {
+				t.Fatal("an open connection is taken for one whose other side has hung up")
+			}
+			if err := hangUp(far); err != nil {
+				t.Fatal(err)
+			}
+			for end := time.Now().Add(10 * time.Second); !HasHungUp(near); time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatal("the other side has hung up and is taken for one that has not")
+				}
+			}
+		})
+	}
+}
+
+// What each request of a caller pays for the question whether it has hung up.
+func BenchmarkHasHungUp(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer l.Close()
+	far, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer far.Close()
+	near, err := l.Accept()
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer near.Close()
+	for b.Loop() {
+		if HasHungUp(near) {
+			b.Fatal("the other side has not hung up")
+		}
+	}
+}
