--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -24,6 +24,9 @@
 	if err != nil {
 		return err
 	}
+	if err := admit(x.w, x.r, req.Org.Name); err != nil {
+		return err
+	}
 	req.Key = key
 	req.Ticket = x.r.Header.Get(HeaderTicket)
 	span := telemetry.Start(telemetry.HopCaller, telemetry.ParseTraceparent(x.r.Header.Get(telemetry.HeaderTraceparent)))
--- a/internal/gateway/hosted.go
+++ b/internal/gateway/hosted.go
@@ -107,6 +107,9 @@
 	if err != nil {
 		return err
 	}
+	if err := admit(x.w, x.r, x.organisation()); err != nil {
+		return err
+	}
 	return g.forward(x, body)
 }
 
--- a/internal/httpserver/closing.go
+++ b/internal/httpserver/closing.go
@@ -21,6 +21,7 @@
 	c.closing.Do(func() {
 		c.claim.Release()
 		c.endTurn()
+		c.endServed()
 		if !c.lingers.Load() || c.isAborted() {
 			c.finish()
 			return
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -22,6 +22,8 @@
 	claim   *budget.Claim
 	closing sync.Once
 
+	served atomic.Pointer[string] // party of the request that is served; nil: none is admitted
+
 	lingers atomic.Bool   // the caller may still send when net/http closes the connection
 	aborted chan struct{} // closed when the connection is closed to make room
 	hasTurn atomic.Bool   // to have a costly head parsed
@@ -140,8 +142,25 @@
 	c.enter(p)
 }
 
+// admit counts the request that is served for a party.
+func (c *conn) admit(party string) error {
+	if err := c.server.requests.Begin(party); err != nil {
+		return err
+	}
+	c.served.Store(&party)
+	return nil
+}
+
+// endServed ends what admit began.
+func (c *conn) endServed() {
+	if party := c.served.Swap(nil); party != nil {
+		c.server.requests.End(*party)
+	}
+}
+
 // endRequest releases what a request has held, once its response has been written.
 func (c *conn) endRequest() {
+	c.endServed()
 	c.claim.Release()
 	c.claimed = 0
 	if len(c.buffer) > 0 { // what the caller has sent ahead
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -86,6 +86,8 @@
 	config Config
 	began  time.Time
 
+	requests *budget.Requests
+
 	mu     sync.Mutex
 	conns  map[*conn]struct{}
 	closed chan struct{} // gets a value when a connection has closed
@@ -95,7 +97,7 @@
 
 // New returns a Server. Its Handler, ConnContext, ConnState, timeouts and MaxHeaderBytes must not be changed.
 func New(c Config) *Server {
-	s := &Server{config: c, began: time.Now(), conns: make(map[*conn]struct{}), closed: make(chan struct{}, 1),
+	s := &Server{config: c, began: time.Now(), requests: budget.NewRequests(c.Connections), conns: make(map[*conn]struct{}), closed: make(chan struct{}, 1),
 		ahead: make(chan struct{}, aheadConcurrency), costly: make(chan struct{}, costlyConcurrency)}
 	s.Server = &http.Server{
 		DisableGeneralOptionsHandler: true, // it reads bodies before any handler of ours
@@ -294,6 +296,16 @@
 	return nil
 }
 
+// Admit counts a request for a party, an organisation, until its response has been written. It returns
+// budget.ErrNoConnections if the party's requests take as many of the server's connections as they may. A request that
+// does not come from a Server is admitted.
+func Admit(r *http.Request, party string) error {
+	if c := connOf(r); c != nil {
+		return c.admit(party)
+	}
+	return nil
+}
+
 // ClaimOf returns the claim that holds the memory of a request until its response has been written. The memory for
 // its body is added to it. For a request that does not come from a Server it is a claim of nothing, of memory.
 func ClaimOf(r *http.Request, memory *budget.Memory) *budget.Claim {
--- a/test/soak/badclientkinds_test.go
+++ b/test/soak/badclientkinds_test.go
@@ -52,6 +52,9 @@
 	// attackPace bounds how many bytes a second the clients of one kind send.
 	attackPace = 64 << 20
 	largeMark  = "large-"
+	// slowAnswerTime is how long an upstream takes for a response to a path with slowMark.
+	slowAnswerTime = 4 * time.Second
+	slowMark       = "slow-"
 )
 
 var badClients = []badClientKind{
@@ -84,8 +87,12 @@
 	{"hung up at once", 200, (*badClient).hangUpAtOnce},
 	{"half closed", 300, (*badClient).halfClose},
 	{"crowd that reads slowly", 2300, func(c *badClient) { c.readAnswers(64) }},
+	{slowUpstreamsCrowd, 2300, (*badClient).askForSlowAnswers},
 }
 
+// slowUpstreamsCrowd is the kind that waits for slow upstreams with a valid key.
+const slowUpstreamsCrowd = "crowd at slow upstreams"
+
 // stoppingKinds are the kinds that stop before a request is whole.
 var stoppingKinds = []string{"short fields half-way", "trickled bodies", "half of a head", "silent"}
 
@@ -351,6 +358,15 @@
 	}
 }
 
+// askForSlowAnswers sends requests that take their upstreams long, one each second at most, and reads the answers.
+func (c *badClient) askForSlowAnswers() {
+	c.door.target += slowMark
+	r := bufio.NewReader(c)
+	for began := time.Now(); c.write(c.door.requests(1)) && c.roundTrip(r); began = time.Now() {
+		time.Sleep(time.Until(began.Add(time.Second)))
+	}
+}
+
 // hangUpAtOnce sends a request and closes the connection.
 func (c *badClient) hangUpAtOnce() { c.write(c.door.requests(1)) }
 
@@ -368,6 +384,9 @@
 		return false
 	}
 	const small, piece = "served", 16 << 10
+	if strings.Contains(req.URL.Path, slowMark) {
+		time.Sleep(slowAnswerTime)
+	}
 	_, clients, isLarge := strings.Cut(req.URL.Path, largeMark)
 	if !isLarge {
 		r.WriteHead(c, req, http.StatusOK, fmt.Sprintf("Content-Length: %d", len(small)))
--- a/test/soak/badclients_test.go
+++ b/test/soak/badclients_test.go
@@ -56,7 +56,7 @@
 	for _, kind := range badClients {
 		t.Run(strings.ReplaceAll(kind.name, " ", "-"), func(t *testing.T) {
 			t.Parallel()
-			playBadClients(t, func(f *badClientFleet) {
+			playBadClients(t, smallMachine, func(f *badClientFleet) {
 				for _, d := range kind.doors() {
 					a := attack{kind, d, kind.clients}
 					f.phase(a.String(), []attack{a}, *duration/2)
@@ -66,6 +66,17 @@
 	}
 }
 
+// A crowd with one organisation's key waits for slow upstreams, at a router with memory for more requests than it has
+// connections. Guards against a crowd that takes all connections, which are not closed while their requests are served.
+func TestSoakCrowdLeavesConnectionsToOthers(t *testing.T) {
+	t.Parallel()
+	playBadClients(t, usualMachine, func(f *badClientFleet) {
+		kind := badClients[slices.IndexFunc(badClients, func(k badClientKind) bool { return k.name == slowUpstreamsCrowd })]
+		a := attack{kind, doors[0], kind.clients}
+		f.phase(a.String(), []attack{a}, *duration)
+	})
+}
+
 const (
 	// mixedAttacks is how many kinds of bad clients come at a time in a mix, each with a share of its clients.
 	mixedAttacks = 4
@@ -78,7 +89,7 @@
 func TestSoakBadClientsMixed(t *testing.T) {
 	t.Parallel()
 	eachSeed(t, func(t *testing.T, seed uint64) {
-		playBadClients(t, func(f *badClientFleet) {
+		playBadClients(t, smallMachine, func(f *badClientFleet) {
 			f.random = rand.New(rand.NewPCG(seed, 1))
 			for range 2 {
 				var names []string
@@ -139,14 +150,14 @@
 // String returns the kind and the door of an attack.
 func (a attack) String() string { return a.kind.name + " at " + a.door.name }
 
-// playBadClients starts a fleet of two routers with callers that behave at both, and plays phases of bad clients at
-// the first.
-func playBadClients(t *testing.T, play func(f *badClientFleet)) {
+// playBadClients starts a fleet of two routers on a kind of machine, with callers that behave at both, and plays phases of
+// bad clients at the first.
+func playBadClients(t *testing.T, m machine, play func(f *badClientFleet)) {
 	playing <- struct{}{}
 	defer func() { <-playing }()
 	h := newHarness(t, *from, true)
 	h.entryCount = 2
-	h.machine = smallMachine
+	h.machine = m
 	h.organisations = 1
 	h.routerArgs = []string{"--metrics-port", metricsPort}
 	h.badClients = true
