--- a/internal/quarantine/account.go
+++ b/internal/quarantine/account.go
@@ -28,18 +28,20 @@
 	ended      []*Sent   // requests that were lost or left, and of which nothing more is known
 	lostAt     time.Time // when a connection broke last while an answer was awaited; zero: none did
 	lostBefore time.Time // the same of the connection before that one
+	begunSent  time.Time // when the latest request was sent whose response has begun; zero: none has
 }
 
 // Sent is a request that was sent to an upstream. The Account that returned it owns its fields.
 type Sent struct {
-	upstream string
-	copy     Copy
-	started  time.Time
-	state    sentState
-	endedAt  time.Time // when it was lost or left
-	until    time.Time // lost or left: it does not run after this time
-	survived bool      // left: it was reported as survived
-	begun    bool      // its response has begun
+	upstream   string
+	copy       Copy
+	started    time.Time
+	state      sentState
+	endedAt    time.Time // when it was lost or left
+	until      time.Time // lost or left: it does not run after this time
+	survived   bool      // left: it was reported as survived
+	begun      bool      // its response has begun
+	mayHaveRun bool      // left: it may have run by then, unlike one that its upstream has dropped from a queue
 }
 
 // sentState is what is known of a request that was sent.
@@ -108,6 +110,10 @@
 // Sign records that something of an upstream has arrived. It returns the requests that were left there and
 // that the upstream has survived so far, each once. One that may still run stays in the account: it counts
 // at a crash all the same.
+//
+// One that was given up counts as survived only if its upstream had begun to respond to it, or to one that was sent after
+// it. It was given up because nothing had come of it: a slow upstream drops it from its queue, which shows nothing of
+// what happens when it runs.
 func (a *Account) Sign(now time.Time, upstream string) (survived []RunningRequest) {
 	r := a.upstreams[upstream]
 	if r == nil {
@@ -118,7 +124,7 @@
 		r.crashedAt = time.Time{} // it has not crashed
 	}
 	for _, s := range r.ended {
-		if s.state == left && !s.survived && now.After(s.endedAt.Add(SignMargin)) {
+		if s.state == left && s.mayHaveRun && !s.survived && now.After(s.endedAt.Add(SignMargin)) {
 			s.survived = true
 			survived = append(survived, s.Running())
 		}
@@ -127,7 +133,12 @@
 }
 
 // Begun records that the response to a request has begun.
-func (a *Account) Begun(s *Sent) { s.begun = true }
+func (a *Account) Begun(s *Sent) {
+	s.begun = true
+	if r := a.upstreams[s.upstream]; r != nil {
+		r.begunSent = latest(r.begunSent, s.started)
+	}
+}
 
 // Answered records that the answer to a request has arrived, or as much of it as shows that it did not
 // crash its upstream. It reports whether the request was left and has been survived thereby.
@@ -153,10 +164,24 @@
 	return a.end(now, s, lost, now)
 }
 
-// Left records that nobody awaits the answer to a request any more. Its upstream may go on with it until
-// it is due, or has closed the connection. Left reports the same as Lost. It does nothing if the request
+// Left records that the caller of a request has left, so that nobody awaits the answer any more. Its upstream may go on
+// with it until it is due, or has closed the connection. Left reports the same as Lost. It does nothing if the request
 // has ended before.
 func (a *Account) Left(now time.Time, s *Sent) (crashed bool) {
+	return a.leave(now, s, true)
+}
+
+// GivenUp records that a request was given up since nothing of its response had come in time, and is the same as Left
+// otherwise.
+func (a *Account) GivenUp(now time.Time, s *Sent) (crashed bool) {
+	r := a.upstreams[s.upstream]
+	return a.leave(now, s, s.begun || r != nil && r.begunSent.After(s.started))
+}
+
+func (a *Account) leave(now time.Time, s *Sent, mayHaveRun bool) (crashed bool) {
+	if s.state == waiting {
+		s.mayHaveRun = mayHaveRun
+	}
 	until := now.Add(dueMargin)
 	switch {
 	case s.copy.Due.IsZero():
@@ -277,7 +302,7 @@
 // left. It reports whether the request has been survived thereby. The request stays in the account: the
 // upstream may be another incarnation at the same address, of which the list does not tell yet.
 func (a *Account) Outlived(s *Sent) (survived bool) {
-	survived = s.state == left && !s.survived
+	survived = s.state == left && s.mayHaveRun && !s.survived
 	s.survived = s.survived || survived
 	return survived
 }
--- a/internal/quarantine/account_test.go
+++ b/internal/quarantine/account_test.go
@@ -144,3 +144,42 @@
 		}
 	}
 }
+
+// A request is given up at a slow upstream that lives on. Guards against taking one that the upstream has dropped from its
+// queue for one that it has run: a request that crashes upstreams was cleared by copies that had never run.
+func TestOnlyCopiesThatMayHaveRunAreSurvived(t *testing.T) {
+	begin := func(a *Account, sentAt float64) { a.Begun(a.Send(after(sentAt), "a", Copy{Fingerprint: 8})) }
+	for _, story := range []struct {
+		name     string
+		play     func(a *Account, s *Sent) // before the request is left, a second after it was sent
+		survived bool
+	}{
+		{"nothing begins", func(*Account, *Sent) {}, false},
+		{"an earlier request begins", func(a *Account, _ *Sent) { begin(a, -.1) }, false},
+		{"a later request begins", func(a *Account, _ *Sent) { begin(a, .1) }, true},
+		{"a later request begins at another upstream", func(a *Account, _ *Sent) {
+			a.Begun(a.Send(after(.1), "b", Copy{Fingerprint: 8}))
+		}, false},
+		{"it begins itself", func(a *Account, s *Sent) { a.Begun(s) }, true},
+		{"its caller leaves", func(a *Account, s *Sent) { a.Left(after(.9), s) }, true},
+	} {
+		t.Run(story.name, func(t *testing.T) {
+			for _, bySign := range []bool{true, false} {
+				a := NewAccount()
+				s := a.Send(epoch, "a", Copy{Fingerprint: 7})
+				story.play(a, s)
+				a.GivenUp(after(1), s)
+				begin(a, 2) // later than it was given up, which shows nothing
+				got := false
+				if bySign {
+					got = len(a.Sign(after(3), "a")) == 1
+				} else {
+					got = a.Outlived(s)
+				}
+				if got != story.survived {
+					t.Errorf("by a sign of life %v: survived %v", bySign, got)
+				}
+			}
+		})
+	}
+}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -86,7 +86,8 @@
 type attempt struct {
 	ctx         context.Context
 	stop        context.CancelFunc
-	busy        bool // a goroutine is carrying out an effect; owned by the Response
+	caller      context.Context // ends when the caller has left
+	busy        bool            // a goroutine is carrying out an effect; owned by the Response
 	number      int
 	vm          topo.VM
 	donor       topo.VM
--- a/internal/router/crashes.go
+++ b/internal/router/crashes.go
@@ -187,7 +187,11 @@
 		return
 	}
 	now := time.Now()
-	r.suspects.Left(now, sent)
+	if at.caller.Err() != nil {
+		r.suspects.Left(now, sent)
+	} else {
+		r.suspects.GivenUp(now, sent)
+	}
 	for _, id := range r.suspects.AboutToHold(now, sent.Fingerprints()) {
 		if vm, listed := r.View().VMs[id]; listed {
 			go r.checkAccepts(vm)
--- a/internal/router/effects.go
+++ b/internal/router/effects.go
@@ -18,7 +18,7 @@
 // addAttempt adds an attempt at a VM.
 func (resp *Response) addAttempt(vm topo.VM) *attempt {
 	ctx, stop := context.WithCancel(resp.ctx)
-	at := &attempt{ctx: ctx, stop: stop, number: len(resp.attempts), vm: vm, call: resp.req.Call}
+	at := &attempt{ctx: ctx, stop: stop, caller: resp.caller, number: len(resp.attempts), vm: vm, call: resp.req.Call}
 	resp.attempts = append(resp.attempts, at)
 	return at
 }
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -209,7 +209,14 @@
 	return r.recordAtCrash(now, sent, crashed)
 }
 
-// Left records that nobody awaits the answer to a request any more, and reports the same.
+// GivenUp records that a request was given up since nothing of its response had come in time, and reports the same.
+func (r *Registry) GivenUp(now time.Time, sent *quarantine.Sent) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.recordAtCrash(now, sent, r.account.GivenUp(now, sent))
+}
+
+// Left records that the caller of a request has left, and reports the same.
 func (r *Registry) Left(now time.Time, sent *quarantine.Sent) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
