--- a/internal/router/takeup.go
+++ b/internal/router/takeup.go
@@ -19,7 +19,7 @@
 const (
 	takeUpKnown      takeUp = "known"
 	takeUpAsked      takeUp = "asked"        // another router knew
-	takeUpOneVersion takeUp = "one-version"  // the caller does not name its stream, and one version has served it for long
+	takeUpOneVersion takeUp = "one-version"  // no router knows the stream, or its caller does not name it, and one version has served it for long
 	takeUpUnknown    takeUp = "unknown"      // refused: no router knew
 	takeUpAmbiguous  takeUp = "ambiguous"    // refused: it can't be told which of two versions began it
 	takeUpGone       takeUp = "version-gone" // refused: no upstream has the version any more
@@ -66,12 +66,12 @@
 // wait for other routers.
 func (resp *Response) findOrigin() (pool, version string, how takeUp) {
 	if resp.req.Resumes == "" {
-		return resp.findUnnamedOrigin(time.Now())
+		return resp.findOnlyOrigin(time.Now())
 	}
 	v, asked := resp.router.origins.Lookup(resp.caller, resp.req.stream())
 	switch v {
-	case origins.Unknown:
-		return "", "", takeUpUnknown
+	case origins.Unknown: // all routers that knew may be lost
+		return resp.findOnlyOrigin(time.Now())
 	case origins.Ambiguous:
 		return "", "", takeUpAmbiguous
 	}
@@ -86,9 +86,10 @@
 	return pool, version, takeUpKnown
 }
 
-// findUnnamedOrigin is findOrigin for a stream that its caller does not name. Which version serves now says nothing of
-// the one that began the stream: upstreams may have been replaced since, and this router may have started since.
-func (resp *Response) findUnnamedOrigin(now time.Time) (pool, version string, how takeUp) {
+// findOnlyOrigin is findOrigin for a stream that its caller does not name, or that no router knows. Which version serves now
+// says nothing of the one that began the stream: upstreams may have been replaced since, and this router may have started
+// since.
+func (resp *Response) findOnlyOrigin(now time.Time) (pool, version string, how takeUp) {
 	pools := resp.req.Profile.PoolNames()
 	if len(pools) != 1 || !resp.router.listShowsAll(now) {
 		return "", "", takeUpUnknown
