--- a/internal/origins/exchange.go
+++ b/internal/origins/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -26,6 +27,12 @@
 	mu      sync.Mutex
 	pending map[string]*Message // for the next batch, by address
 	waiting map[Stream][]chan answer
+
+	doubted  atomic.Pointer[Versions]
+	toStore  chan struct{} // gets a value when there are unstored records
+	begun    []Stream      // that are to be passed on to the keeper
+	unstored []Record      // that this router, as the keeper, is to write to the store
+	restored []Record      // read from the store, and not told to the holders of their streams yet
 }
 
 // answer is what a router has answered.
@@ -38,12 +45,12 @@
 // copies, and a question is asked again.
 type SendFunc func(addr string, m Message)
 
-// NewExchange returns the Exchange of a router in a failure domain. A nil send means that there are no other
+// NewExchange returns the Exchange of a router with a name in a failure domain. A nil send means that there are no other
 // routers.
-func NewExchange(domain string, send SendFunc) *Exchange {
+func NewExchange(name, domain string, send SendFunc) *Exchange {
 	return &Exchange{
-		table: NewTable(), peers: NewPeers(domain), send: send,
-		pending: make(map[string]*Message), waiting: make(map[Stream][]chan answer),
+		table: NewTable(), peers: NewPeers(name, domain), send: send,
+		pending: make(map[string]*Message), waiting: make(map[Stream][]chan answer), toStore: make(chan struct{}, 1),
 	}
 }
 
@@ -60,10 +67,17 @@
 
 // Tell keeps a record and tells it to the holders of its stream, with others of the next moment.
 func (x *Exchange) Tell(now time.Time, r Record) {
-	x.table.Add(now, r)
-	if x.send == nil {
-		return
+	x.table.AddOwn(now, r)
+	if x.isDoubted(r.Version) {
+		x.passSoon(r.Stream)
+	}
+	if x.send != nil {
+		x.tellHolders(now, r)
 	}
+}
+
+// tellHolders tells a record to the holders of its stream, with others of the next moment.
+func (x *Exchange) tellHolders(now time.Time, r Record) {
 	for addr, wantsReply := range x.peers.Tell(now, r.Stream) {
 		x.enqueue(addr, r, wantsReply)
 	}
@@ -172,6 +186,12 @@
 	for _, r := range m.Records {
 		x.table.Add(now, r)
 	}
+	for _, r := range m.Kept {
+		x.table.Add(now, r)
+	}
+	if len(m.Kept) > 0 {
+		x.keep(m.Kept)
+	}
 	for _, r := range m.Answers {
 		x.deliver(from, r)
 	}
--- a/internal/origins/exchange_test.go
+++ b/internal/origins/exchange_test.go
@@ -22,7 +22,7 @@
 	all := routers(n, 3)
 	var addrs []string
 	for i, r := range all {
-		x := NewExchange(r.Domain, func(to string, m Message) { net.deliver(t, r.Addr, to, m) })
+		x := NewExchange(r.Name, r.Domain, func(to string, m Message) { net.deliver(t, r.Addr, to, m) })
 		var others []Peer
 		others = append(others, all[:i]...)
 		x.SetPeers(append(others, all[i+1:]...))
--- a/internal/origins/history.go
+++ b/internal/origins/history.go
@@ -1,6 +1,7 @@
 package origins
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -91,3 +92,13 @@
 	}
 	return h.versions.only(pool, from)
 }
+
+// SeveralVersions returns the versions of the software of each pool that has had several within the given time, as far
+// as this router has seen.
+func (h *History) SeveralVersions(now time.Time, within time.Duration) Sets {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := h.versions.since(now.Add(-within))
+	maps.DeleteFunc(out, func(_ string, versions []string) bool { return len(versions) < 2 })
+	return out
+}
--- a/internal/origins/message.go
+++ b/internal/origins/message.go
@@ -11,6 +11,7 @@
 // Message is a message between routers about the origins of streams.
 type Message struct {
 	Records []Record // for the receiver to keep
+	Kept    []Record // for the receiver to keep, and to have written to the store
 	Asked   []Stream // of which the receiver is to answer what it knows
 	Answers []Record // to what the receiver has asked; Unknown for streams that are not known
 	// WantsReply asks for a reply, which shows that the receiver is up.
@@ -32,11 +33,12 @@
 	Asked      []byte `cbor:"2,keyasint,omitempty"`
 	Answers    []byte `cbor:"3,keyasint,omitempty"`
 	WantsReply bool   `cbor:"4,keyasint,omitempty"`
+	Kept       []byte `cbor:"5,keyasint,omitempty"`
 }
 
 // Encode returns the wire form of a message.
 func (m Message) Encode() ([]byte, error) {
-	e := encoded{Records: encodeRecords(m.Records), Answers: encodeRecords(m.Answers), WantsReply: m.WantsReply}
+	e := encoded{Records: encodeRecords(m.Records), Answers: encodeRecords(m.Answers), WantsReply: m.WantsReply, Kept: encodeRecords(m.Kept)}
 	for _, s := range m.Asked {
 		e.Asked = binary.BigEndian.AppendUint64(e.Asked, uint64(s))
 	}
@@ -63,10 +65,10 @@
 	if err := cbor.Unmarshal(b, &e); err != nil {
 		return Message{}, errors.Wrap(ErrMalformed, err.Error())
 	}
-	if len(e.Records)%recordBytes != 0 || len(e.Answers)%recordBytes != 0 || len(e.Asked)%streamBytes != 0 {
-		return Message{}, errors.Wrapf(ErrMalformed, "%d, %d and %d bytes", len(e.Records), len(e.Asked), len(e.Answers))
+	if len(e.Records)%recordBytes != 0 || len(e.Answers)%recordBytes != 0 || len(e.Kept)%recordBytes != 0 || len(e.Asked)%streamBytes != 0 {
+		return Message{}, errors.Wrapf(ErrMalformed, "%d, %d, %d and %d bytes", len(e.Records), len(e.Asked), len(e.Answers), len(e.Kept))
 	}
-	m := Message{Records: decodeRecords(e.Records), Answers: decodeRecords(e.Answers), WantsReply: e.WantsReply}
+	m := Message{Records: decodeRecords(e.Records), Answers: decodeRecords(e.Answers), WantsReply: e.WantsReply, Kept: decodeRecords(e.Kept)}
 	for b := e.Asked; len(b) > 0; b = b[streamBytes:] {
 		m.Asked = append(m.Asked, Stream(binary.BigEndian.Uint64(b)))
 	}
--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -64,8 +64,10 @@
 
 // held is a record in a Table.
 type held struct {
-	version Version
-	until   time.Time
+	version  Version
+	until    time.Time
+	own      bool   // this router has passed on the stream's first event
+	passedTo string // own: name of the keeper that was told; empty: none was
 }
 
 // NewTable returns an empty Table.
@@ -78,16 +80,24 @@
 }
 
 // Add adds a record. A stream with records of two versions is Ambiguous from then on.
-func (t *Table) Add(now time.Time, r Record) {
+func (t *Table) Add(now time.Time, r Record) { t.add(now, r, false) }
+
+// AddOwn adds a record of a stream that this router has begun.
+func (t *Table) AddOwn(now time.Time, r Record) { t.add(now, r, true) }
+
+func (t *Table) add(now time.Time, r Record, own bool) {
 	if r.Version == Unknown {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	h := held{version: r.Version, until: now.Add(min(r.TTL, MaxTTL))}
+	h := held{version: r.Version, until: now.Add(min(r.TTL, MaxTTL)), own: own}
 	if last, ok := t.records.Peek(r.Stream); ok && now.Before(last.until) {
+		h.own = h.own || last.own
 		if last.version != h.version {
 			h.version = Ambiguous
+		} else {
+			h.passedTo = last.passedTo
 		}
 		if last.until.After(h.until) {
 			h.until = last.until
@@ -107,6 +117,31 @@
 	return h.version
 }
 
+// streams returns the streams with records.
+func (t *Table) streams() []Stream {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.records.Keys()
+}
+
+// takeOwn returns the records of those of the streams that this router has begun, at versions for which isWanted returns
+// true, and that have not been passed to a keeper. They count as passed to it then.
+func (t *Table) takeOwn(now time.Time, keeper string, streams []Stream, isWanted func(Version) bool) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Record
+	for _, s := range streams {
+		h, _ := t.records.Peek(s)
+		if !h.own || h.passedTo == keeper || !now.Before(h.until) || !isWanted(h.version) {
+			continue
+		}
+		h.passedTo = keeper
+		t.records.Add(s, h)
+		out = append(out, Record{Stream: s, Version: h.version, TTL: h.until.Sub(now)})
+	}
+	return out
+}
+
 // Expire drops the records whose time has passed.
 func (t *Table) Expire(now time.Time) {
 	t.mu.Lock()
--- a/internal/origins/origins_test.go
+++ b/internal/origins/origins_test.go
@@ -112,7 +112,7 @@
 
 // peersOf returns the Peers of one of the routers.
 func peersOf(all []Peer, i int) *Peers {
-	p := NewPeers(all[i].Domain)
+	p := NewPeers(all[i].Name, all[i].Domain)
 	p.Set(slices.Delete(slices.Clone(all), i, i+1))
 	return p
 }
--- a/internal/origins/peers.go
+++ b/internal/origins/peers.go
@@ -23,6 +23,8 @@
 	// replyTimeout how long that may take. Between routers of a busy fleet no reply need be asked for.
 	checkInterval = 20 * time.Second
 	replyTimeout  = time.Second
+	// keeperCheckInterval is how often the keeper is asked for a reply, while it is sent records.
+	keeperCheckInterval = 500 * time.Millisecond
 )
 
 // Peer is another router.
@@ -33,6 +35,7 @@
 // Peers ranks the other routers for each stream. Routers that know the same others, and find the same
 // ones up, agree on the holders of a stream. It is safe for concurrent use.
 type Peers struct {
+	name   string // of this router
 	domain string // the failure domain of this router
 
 	mu     sync.Mutex
@@ -48,9 +51,9 @@
 	unansweredSince time.Time // when it was first asked for the reply that is missing; zero: none is
 }
 
-// NewPeers returns the Peers of a router in a failure domain, which knows no others yet.
-func NewPeers(domain string) *Peers {
-	return &Peers{domain: domain, byAddr: make(map[string]*peer)}
+// NewPeers returns the Peers of a router with a name in a failure domain, which knows no others yet.
+func NewPeers(name, domain string) *Peers {
+	return &Peers{name: name, domain: domain, byAddr: make(map[string]*peer)}
 }
 
 // Set replaces the routers that are known.
@@ -68,6 +71,36 @@
 	p.byAddr = byAddr
 }
 
+// Len returns the number of other routers that are known.
+func (p *Peers) Len() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.byAddr)
+}
+
+// Keeper returns the router that has records written to the store, and whether it is this one.
+func (p *Peers) Keeper(now time.Time) (keeper Peer, isSelf bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	own := peer{Peer: Peer{Name: p.name, Domain: p.domain}, seed: xxh3.HashString(p.name)}
+	first := place{peer: &own, score: own.score(keeperStream)}
+	for _, q := range p.byAddr {
+		candidate := place{peer: q, score: q.score(keeperStream)}
+		if !q.isDown(now) && candidate.compare(first) < 0 {
+			first = candidate
+		}
+	}
+	return first.peer.Peer, first.peer == &own
+}
+
+// CheckKeeper reports whether the keeper at an address is to be asked for a reply now, and records that it is.
+func (p *Peers) CheckKeeper(now time.Time, addr string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.byAddr[addr]
+	return known != nil && known.checkAfter(now, keeperCheckInterval)
+}
+
 // Heard records that something was heard from the router at an address.
 func (p *Peers) Heard(now time.Time, addr string) {
 	p.mu.Lock()
@@ -167,7 +200,12 @@
 
 // check reports whether the router is to be asked for a reply now, and records that it is.
 func (q *peer) check(now time.Time) bool {
-	if now.Sub(q.heardAt) < checkInterval || now.Sub(q.checkedAt) < checkInterval {
+	return now.Sub(q.heardAt) >= checkInterval && q.checkAfter(now, checkInterval)
+}
+
+// checkAfter is check for a router that may have been heard since, and was not asked within the interval.
+func (q *peer) checkAfter(now time.Time, interval time.Duration) bool {
+	if now.Sub(q.checkedAt) < interval {
 		return false
 	}
 	q.checkedAt = now
--- a/internal/router/continued_test.go
+++ b/internal/router/continued_test.go
@@ -47,7 +47,7 @@
 	}), 0, 8)
 	rapid.Check(t, func(t *rapid.T) {
 		resp := &Response{
-			router: &Router{origins: newOriginExchange("r/a", nil)}, poolName: "llm",
+			router: &Router{origins: newOriginExchange("front-0", "r/a", nil)}, poolName: "llm",
 			req: Request{ID: "a", Profile: &profile.Profile{}},
 		}
 		var first *topo.VM
--- a/internal/router/origins.go
+++ b/internal/router/origins.go
@@ -20,13 +20,13 @@
 var originRecords = telemetry.NewGauge("router_stream_origins_entries",
 	"Streams of which this router knows at which software version they began.")
 
-// newOriginExchange returns the exchange of origins of a router in a failure domain, over the connection for
+// newOriginExchange returns the exchange of origins of a router with a name in a failure domain, over the connection for
 // messages between routers; nil: there are no other routers.
-func newOriginExchange(domain string, packets net.PacketConn) *origins.Exchange {
+func newOriginExchange(name, domain string, packets net.PacketConn) *origins.Exchange {
 	if packets == nil {
-		return origins.NewExchange(domain, nil)
+		return origins.NewExchange(name, domain, nil)
 	}
-	return origins.NewExchange(domain, func(addr string, m origins.Message) { sendOrigins(packets, addr, m) })
+	return origins.NewExchange(name, domain, func(addr string, m origins.Message) { sendOrigins(packets, addr, m) })
 }
 
 // sendOrigins sends a message about origins to the router at an address.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -110,6 +110,7 @@
 type Router struct {
 	config         Config
 	ctx            context.Context
+	started        time.Time
 	runner         *follow.Runner
 	loop           *loop.Loop[Event, Effect]
 	state          *State
@@ -157,6 +158,7 @@
 	r := &Router{
 		config:         c,
 		ctx:            ctx,
+		started:        time.Now(),
 		state:          NewState(c.VM, placement.Locality{Domain: c.FailureDomain}, c.ConfigTiming, rand.Uint64()),
 		firstReady:     make(chan struct{}),
 		pendingQueries: make(map[uint64]chan config.Delta),
@@ -165,7 +167,7 @@
 		claimBudget:    newClaimBudget(time.Now()),
 		claimer:        claim.NewClaimer(c.Store),
 		suspects:       suspects.NewRegistry(),
-		origins:        newOriginExchange(c.FailureDomain, packetsOf(c.Mesh)),
+		origins:        newOriginExchange(c.VM, c.FailureDomain, packetsOf(c.Mesh)),
 		ledger:         ledger.New(),
 		lastServed:     balance.NewLastServed[topo.VM](),
 		coldStart:      coldStart{limiter: warmup.NewLimiter(c.VM)},
@@ -204,6 +206,7 @@
 		go r.readConvictions(ctx)
 	} else {
 		go r.keepSeen(ctx)
+		go r.keepStreams(ctx)
 	}
 	return r
 }
--- a/internal/router/seen.go
+++ b/internal/router/seen.go
@@ -17,10 +17,16 @@
 	seenInterval = 100 * time.Millisecond
 	// seenRetryInterval is the pause after a failed call.
 	seenRetryInterval = time.Second
-	// seenWithoutRegion names the object of routers whose region is not known.
-	seenWithoutRegion = "none"
 )
 
+// regionName returns the name of the region of a failure domain in the names of objects.
+func regionName(domain string) string {
+	if region := topo.Region(domain); region != "" {
+		return region
+	}
+	return "none"
+}
+
 // seenKeeper keeps in the store what routers have seen of where streams begin. A router that starts when no other is left
 // can't have seen it: it would refuse all streams that nobody names.
 type seenKeeper struct {
@@ -28,17 +34,30 @@
 	ref     topo.Ref
 	stored  origins.Seen
 	version topo.Version // of the object; zero: there is none
-	view    *View        // from which within was derived
-	within  time.Duration
+	away    awayTime
+}
+
+// awayTime is for how long after its beginning any stream may be taken up, by the latest configuration.
+type awayTime struct {
+	view    *View // from which longest was derived
+	longest time.Duration
+}
+
+// of returns the time for a view.
+func (t *awayTime) of(view *View) time.Duration {
+	if view != t.view {
+		t.view, t.longest = view, 0
+		for _, p := range view.Profiles {
+			t.longest = max(t.longest, (&Request{Profile: p}).originTTL())
+		}
+	}
+	return t.longest
 }
 
 // keepSeen reads what was seen before this router started, and keeps it up to date while this router reads the store for
 // others, until ctx ends.
 func (r *Router) keepSeen(ctx context.Context) {
-	k := &seenKeeper{router: r, ref: topo.Ref{Kind: topo.KindOrigins, Name: topo.Region(r.config.FailureDomain)}}
-	if k.ref.Name == "" {
-		k.ref.Name = seenWithoutRegion
-	}
+	k := &seenKeeper{router: r, ref: topo.Ref{Kind: topo.KindOrigins, Name: regionName(r.config.FailureDomain)}}
 	for !k.start(ctx) {
 		if ctx.Err() != nil {
 			return
@@ -92,7 +111,7 @@
 	if !k.router.mesh.readsStore.Load() {
 		return nil
 	}
-	now, longest := time.Now(), k.longestAway()
+	now, longest := time.Now(), k.away.of(k.router.View())
 	seen, ok := k.router.versions.Seen(now, longest)
 	if !ok || longest == 0 {
 		return nil
@@ -124,14 +143,3 @@
 	}
 	return nil
 }
-
-// longestAway returns for how long after its beginning any stream may be taken up.
-func (k *seenKeeper) longestAway() time.Duration {
-	if view := k.router.View(); view != k.view {
-		k.view, k.within = view, 0
-		for _, p := range view.Profiles {
-			k.within = max(k.within, (&Request{Profile: p}).originTTL())
-		}
-	}
-	return k.within
-}
--- /dev/null
+++ b/internal/router/streams.go
@@ -0,0 +1,178 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleyfront/parsleyfront/internal/origins"
+	"github.com/parsleyfront/parsleyfront/internal/telemetry"
+	"github.com/parsleyfront/parsleyfront/internal/topo"
+)
+
+const (
+	// doubtInterval is how often this router looks which pools have several versions.
+	doubtInterval = 200 * time.Millisecond
+	// streamsWriteInterval is the least time from one write of streams to the next. Streams that are younger are not known
+	// after a loss of all routers.
+	streamsWriteInterval = 80 * time.Millisecond
+	// streamsRetryInterval is the pause after a failed call to the store.
+	streamsRetryInterval = 500 * time.Millisecond
+	// streamsPutAttempts is how often an object is written that another router changes meanwhile.
+	streamsPutAttempts = 3
+)
+
+var (
+	keptStreams = telemetry.NewCounter("router_kept_streams_total",
+		"Streams whose origin this router has written to the store, since several versions serve their pool.")
+	restoredStreams = telemetry.NewCounter("router_restored_streams_total",
+		"Streams whose origin this router has read from the store.")
+)
+
+// streamKeeper keeps in the store where streams began while several versions serve their pool. What routers know of them
+// would be lost with all of them.
+//
+// The objects of a region are a ring, of which each is written once in a round: the records of a round ago have expired.
+type streamKeeper struct {
+	router   *Router
+	region   string
+	away     awayTime
+	versions map[string]topo.Version // of the objects that this router has written, by name
+}
+
+// keepStreams finds out which streams are to be kept in the store, until ctx ends.
+func (r *Router) keepStreams(ctx context.Context) {
+	go r.writeStreams(ctx)
+	var away awayTime
+	for ctx.Err() == nil {
+		now := time.Now()
+		r.origins.SetDoubted(now, r.doubtedVersions(now, away.of(r.View())))
+		r.origins.TellRestored(now)
+		sleep(ctx, doubtInterval)
+	}
+}
+
+// doubtedVersions returns the versions of the pools that have had several within the given time.
+func (r *Router) doubtedVersions(now time.Time, within time.Duration) origins.Versions {
+	out := make(origins.Versions)
+	for pool, versions := range r.versions.SeveralVersions(now, within) {
+		for _, v := range versions {
+			out[origins.VersionOf(pool, v)] = true
+		}
+	}
+	return out
+}
+
+// writeStreams writes the records of streams to the store while this router is the keeper, until ctx ends.
+func (r *Router) writeStreams(ctx context.Context) {
+	k := &streamKeeper{router: r, region: regionName(r.config.FailureDomain), versions: make(map[string]topo.Version)}
+	for {
+		select {
+		case <-r.origins.ToStore():
+		case <-ctx.Done():
+			return
+		}
+		sleep(ctx, k.write(ctx))
+	}
+}
+
+// write writes the records that are to be written, and returns the time to the next write.
+func (k *streamKeeper) write(ctx context.Context) (pause time.Duration) {
+	records := k.router.origins.TakeUnstored()
+	if len(records) == 0 {
+		return 0
+	}
+	if err := k.put(ctx, time.Now(), records); err != nil {
+		k.router.origins.GiveBack(records)
+		slog.Warn("where streams began could not be written to the store", "streams", len(records), "error", err)
+		return streamsRetryInterval
+	}
+	keptStreams.Add(int64(len(records)))
+	return streamsWriteInterval
+}
+
+// put writes records to the object of a time. If another router has written it since, its records that are still valid
+// are kept.
+func (k *streamKeeper) put(ctx context.Context, now time.Time, records []origins.Record) error {
+	ref := topo.Ref{Kind: topo.KindStreams, Name: k.objectAt(now)}
+	for range streamsPutAttempts {
+		value, err := json.Marshal(origins.NewKept(now, records))
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		o, err := k.router.config.Store.Put(ctx, ref, value, k.versions[ref.Name])
+		if err == nil {
+			k.versions[ref.Name] = o.Version
+			return nil
+		}
+		delete(k.versions, ref.Name)
+		if errors.Is(err, topo.ErrNotFound) {
+			continue // a store that was restored does not have it
+		}
+		if !errors.Is(err, topo.ErrConflict) {
+			return err
+		}
+		if o, err = k.router.config.Store.Get(ctx, ref); err != nil {
+			return err
+		}
+		records = append(keptRecords(now, o), records...)
+		k.versions[ref.Name] = o.Version
+	}
+	return errors.Errorf("router: object %s is being changed by others", ref.Name)
+}
+
+// objectAt returns the name of the object for the records of a time.
+func (k *streamKeeper) objectAt(now time.Time) string {
+	round := int64(k.away.of(k.router.View())/streamsWriteInterval) + 2
+	return fmt.Sprintf("%s-%d", k.region, now.UnixMilli()/streamsWriteInterval.Milliseconds()%round)
+}
+
+// keptRecords returns the records of an object that are still valid. A malformed one has none.
+func keptRecords(now time.Time, o topo.Object) []origins.Record {
+	var kept origins.Kept
+	err := json.Unmarshal(o.Value, &kept)
+	if err == nil {
+		var records []origins.Record
+		if records, err = kept.RecordsAt(now); err == nil {
+			return records
+		}
+	}
+	slog.Error("records of streams are malformed in the store", "object", o.Name, "error", err)
+	return nil
+}
+
+// readStreams reads the records of streams in the store, if this router has started so lately that all routers may have been
+// lost with what they knew. A router that begins to read the store for others tells them.
+func (r *Router) readStreams(ctx context.Context) {
+	for ctx.Err() == nil && r.mesh.readsStore.Load() && time.Since(r.started) < origins.MaxTTL {
+		err := r.listStreams(ctx)
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		slog.Warn("where streams began could not be read from the store", "error", err)
+		sleep(ctx, streamsRetryInterval)
+	}
+}
+
+func (r *Router) listStreams(ctx context.Context) error {
+	cont := ""
+	for {
+		page, err := r.config.Store.List(ctx, topo.KindStreams, cont)
+		if err != nil {
+			return err
+		}
+		now := time.Now()
+		for _, o := range page.Objects {
+			records := keptRecords(now, o)
+			r.origins.Restore(now, records)
+			restoredStreams.Add(int64(len(records)))
+		}
+		if cont = page.Continue; cont == "" {
+			return nil
+		}
+	}
+}
--- a/internal/topo/topo.go
+++ b/internal/topo/topo.go
@@ -31,6 +31,7 @@
 	KindConviction   Kind = "conviction"   // the conviction of a request that crashes upstreams
 	KindRestriction  Kind = "restriction"  // a request that is refused at upstreams without sidecars, named by its fingerprint
 	KindOrigins      Kind = "origins"      // what the routers of a region have seen of where streams begin
+	KindStreams      Kind = "streams"      // where streams began, a few at a time
 	KindLease        Kind = "lease"
 	KindHistory      Kind = "history" // earlier revisions of the configuration
 	KindRouter       Kind = "router"  // the address at which other routers reach a router
