--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -172,6 +172,9 @@
 	h.checkCrashingCalls()
 	h.checkBadParts()
 	h.checkVersions(calls)
+	if h.streamsOutlive {
+		h.checkOutlived(calls)
+	}
 	for _, c := range calls {
 		h.checkCall(c, runs[c.id], runnersByAttempt[c.id])
 	}
--- a/test/soak/versions_test.go
+++ b/test/soak/versions_test.go
@@ -60,6 +60,9 @@
 	}
 }
 
+// enoughTakeUps is how many streams must be taken up for their share that goes on to be checked.
+const enoughTakeUps = 12
+
 const (
 	// maxTakeUps is how often a caller takes up one stream, and maxRefusedTakeUps how often if it is refused because all
 	// routers were lost.
@@ -79,7 +82,7 @@
 		case c.status == http.StatusOK:
 			events = c.lastEvent + strings.Count(c.responseBody, "\n\n")
 			tries++
-		case !h.routersLost || c.status != http.StatusServiceUnavailable:
+		case !h.routersLost || c.status != http.StatusServiceUnavailable && !(h.streamsOutlive && c.status == http.StatusBadGateway):
 			return
 		default:
 			refused++
@@ -153,8 +156,7 @@
 		return
 	}
 	h.t.Logf("%d streams at two versions; %d of %d new streams began, %d of %d that were taken up went on", crossed, begun, new, wentOn, takenUp)
-	const enough = 12
-	if !h.routersLost && takenUp >= enough && 2*wentOn*new < begun*takenUp {
+	if !h.routersLost && takenUp >= enoughTakeUps && 2*wentOn*new < begun*takenUp {
 		h.t.Errorf("%d of %d streams that were taken up went on, %d of %d new ones began", wentOn, takenUp, begun, new)
 	}
 }
@@ -163,15 +165,24 @@
 // runners of the version of the stream served.
 func (h *harness) mustGoOn(c *call, versions map[string]bool) bool {
 	calm := span{c.sent.Add(-stableTime), c.done}
-	if len(versions) != 1 || c.entry.disturbedDuring(calm) || h.isStoreAway(calm) {
+	if c.entry.disturbedDuring(calm) || h.isStoreAway(calm) {
 		return false
 	}
+	return h.runnersServing(versions, span{c.sent, c.done}) >= 2
+}
+
+// runnersServing returns how many runners have served all through a time at the one version of a stream; zero if the
+// stream has events of none, or of several.
+func (h *harness) runnersServing(versions map[string]bool, through span) int {
+	if len(versions) != 1 {
+		return 0
+	}
 	serving := 0
 	for _, r := range h.allRunners() {
 		started := time.UnixMilli(r.startedMs)
-		if versions["@"+r.version] && started.Before(c.sent) && (r.leftAt.IsZero() || r.leftAt.After(c.done)) {
+		if versions["@"+r.version] && started.Before(through.from) && (r.leftAt.IsZero() || r.leftAt.After(through.to)) {
 			serving++
 		}
 	}
-	return serving >= 2
+	return serving
 }
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -62,6 +62,8 @@
 	// routersLost is set if all routers are lost at times, and with them the knowledge where streams began. Whether the
 	// streams go on is not checked then.
 	routersLost bool
+	// streamsOutlive is set if most streams are to go on all the same.
+	streamsOutlive bool
 	// crashingCalls is the number of requests that crash runners, of which callers send copies.
 	crashingCalls      int
 	crashingCallsAfter time.Duration // from the start to the first of these copies
