--- a/internal/budget/connections.go
+++ b/internal/budget/connections.go
@@ -40,13 +40,11 @@
 type Connection struct {
 	Phase Phase
 	Age   time.Duration // of its phase
-	// Known is whether a request of a known organisation was admitted on it.
-	Known bool
 }
 
 // rank returns the place of a connection in the order in which connections make room for others, from zero: those that
-// cost their callers nothing, that are slow, that are unused, first those of callers that are not known, and whose callers
-// do not read. Lower ones go first, and the ones of the highest age among equals. ok is false if it makes room for nobody.
+// cost their callers nothing, that are slow, that are unused, and those that have just begun. Lower ones go first, and
+// the ones of the highest age among equals. ok is false if it makes room for nobody.
 func (c Connection) rank(patience time.Duration) (rank int, ok bool) {
 	slow := c.Age >= patience
 	switch {
@@ -56,12 +54,10 @@
 		return 1, true
 	case slow && c.Phase == PhaseBody:
 		return 2, true
-	case c.Phase == PhaseIdle && !c.Known:
-		return 3, true
 	case c.Phase == PhaseIdle:
-		return 4, true
+		return 3, true
 	case c.Phase == PhaseWrite && c.Age >= writePatience*patience:
-		return 5, true
+		return 4, true
 	}
 	return 0, false
 }
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -23,7 +23,6 @@
 	closing sync.Once
 
 	served atomic.Pointer[string] // party of the request that is served; nil: none is admitted
-	known  atomic.Bool            // a request of a known party was admitted
 
 	lingers atomic.Bool   // the caller may still send when net/http closes the connection
 	aborted chan struct{} // closed when the connection is closed to make room
@@ -65,7 +64,7 @@
 	if began := c.writing.Load(); began > 0 {
 		return budget.Connection{Phase: budget.PhaseWrite, Age: now - time.Duration(began)}
 	}
-	return budget.Connection{Phase: budget.Phase(c.phase.Load()), Age: now - time.Duration(c.since.Load()), Known: c.known.Load()}
+	return budget.Connection{Phase: budget.Phase(c.phase.Load()), Age: now - time.Duration(c.since.Load())}
 }
 
 // raw returns the connection below TLS.
@@ -149,7 +148,6 @@
 		return err
 	}
 	c.served.Store(&party)
-	c.known.Store(party != "")
 	return nil
 }
 
