--- /dev/null
+++ b/internal/originstore/originstore.go
@@ -0,0 +1,59 @@
+// Package originstore keeps in the platform's store what package origins holds of where streams began, for routers that
+// start when no other is left that knows it: which versions have served for how long, and, while several versions serve a
+// pool, where each of its streams began.
+//
+// Package router calls it. It runs in goroutines of its own, beside requests, and nothing waits for it.
+package originstore
+
+import (
+	"context"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/origins"
+	"github.com/parsleyfront/parsleyfront/internal/topo"
+)
+
+// Config holds what a Keeper works on.
+type Config struct {
+	Store    topo.Store
+	Domain   string // failure domain of this router
+	History  *origins.History
+	Exchange *origins.Exchange
+	// FirstStart is set if the whole system starts for the first time: there was nothing before.
+	FirstStart bool
+	// ReadsStore reports whether this router reads the store for others.
+	ReadsStore func() bool
+	// LongestAway returns for how long after its beginning any stream may be taken up; zero: not known yet.
+	LongestAway func() time.Duration
+}
+
+// Keeper keeps the knowledge of one router.
+type Keeper struct {
+	config  Config
+	region  string // in the names of objects
+	started time.Time
+}
+
+// New returns a Keeper.
+func New(c Config) *Keeper {
+	k := &Keeper{config: c, region: topo.Region(c.Domain), started: time.Now()}
+	if k.region == "" {
+		k.region = "none"
+	}
+	return k
+}
+
+// Run keeps the store up to date until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	go k.keepSeen(ctx)
+	go k.writeStreams(ctx)
+	k.observeDoubt(ctx)
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- a/internal/router/seen.go
+++ b/internal/originstore/seen.go
@@ -1,4 +1,4 @@
-package router
+package originstore
 
 import (
 	"context"
@@ -19,45 +19,19 @@
 	seenRetryInterval = time.Second
 )
 
-// regionName returns the name of the region of a failure domain in the names of objects.
-func regionName(domain string) string {
-	if region := topo.Region(domain); region != "" {
-		return region
-	}
-	return "none"
-}
-
 // seenKeeper keeps in the store what routers have seen of where streams begin. A router that starts when no other is left
 // can't have seen it: it would refuse all streams that nobody names.
 type seenKeeper struct {
-	router  *Router
+	*Keeper
 	ref     topo.Ref
 	stored  origins.Seen
 	version topo.Version // of the object; zero: there is none
-	away    awayTime
-}
-
-// awayTime is for how long after its beginning any stream may be taken up, by the latest configuration.
-type awayTime struct {
-	view    *View // from which longest was derived
-	longest time.Duration
-}
-
-// of returns the time for a view.
-func (t *awayTime) of(view *View) time.Duration {
-	if view != t.view {
-		t.view, t.longest = view, 0
-		for _, p := range view.Profiles {
-			t.longest = max(t.longest, (&Request{Profile: p}).originTTL())
-		}
-	}
-	return t.longest
 }
 
 // keepSeen reads what was seen before this router started, and keeps it up to date while this router reads the store for
 // others, until ctx ends.
-func (r *Router) keepSeen(ctx context.Context) {
-	k := &seenKeeper{router: r, ref: topo.Ref{Kind: topo.KindOrigins, Name: regionName(r.config.FailureDomain)}}
+func (keeper *Keeper) keepSeen(ctx context.Context) {
+	k := &seenKeeper{Keeper: keeper, ref: topo.Ref{Kind: topo.KindOrigins, Name: keeper.region}}
 	for !k.start(ctx) {
 		if ctx.Err() != nil {
 			return
@@ -80,10 +54,10 @@
 	err := k.read(ctx)
 	switch {
 	case err == nil:
-		k.router.versions.Seed(time.Now(), k.stored)
+		k.config.History.Seed(time.Now(), k.stored)
 	case errors.Is(err, topo.ErrNotFound):
-		if k.router.config.FirstStart {
-			k.router.versions.SeedFirst(time.Now())
+		if k.config.FirstStart {
+			k.config.History.SeedFirst(time.Now())
 		}
 	default:
 		return false
@@ -93,7 +67,7 @@
 
 // read reads the object. A malformed one says nothing.
 func (k *seenKeeper) read(ctx context.Context) error {
-	o, err := k.router.config.Store.Get(ctx, k.ref)
+	o, err := k.config.Store.Get(ctx, k.ref)
 	if err != nil {
 		return err
 	}
@@ -108,16 +82,16 @@
 // update writes the object if it says something else than what has been seen. If this router has missed something, the
 // object vouches for no time until it has seen enough again.
 func (k *seenKeeper) update(ctx context.Context) error {
-	if !k.router.mesh.readsStore.Load() {
+	if !k.config.ReadsStore() {
 		return nil
 	}
-	now, longest := time.Now(), k.away.of(k.router.View())
-	seen, ok := k.router.versions.Seen(now, longest)
+	now, longest := time.Now(), k.config.LongestAway()
+	seen, ok := k.config.History.Seen(now, longest)
 	if !ok || longest == 0 {
 		return nil
 	}
 	if seen.Within == 0 && k.stored.Within > 0 { // the longest time may just have grown
-		seen, _ = k.router.versions.Seen(now, k.stored.Within)
+		seen, _ = k.config.History.Seen(now, k.stored.Within)
 	}
 	if seen.Within == 0 {
 		seen = k.stored.Extend(seen)
@@ -129,7 +103,7 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	o, err := k.router.config.Store.Put(ctx, k.ref, value, k.version)
+	o, err := k.config.Store.Put(ctx, k.ref, value, k.version)
 	switch {
 	case err == nil:
 		k.stored, k.version = seen, o.Version
--- a/internal/router/streams.go
+++ b/internal/originstore/streams.go
@@ -1,4 +1,4 @@
-package router
+package originstore
 
 import (
 	"context"
@@ -33,33 +33,29 @@
 		"Streams whose origin this router has read from the store.")
 )
 
-// streamKeeper keeps in the store where streams began while several versions serve their pool. What routers know of them
-// would be lost with all of them.
+// streamWriter writes where streams began while several versions serve their pool. What routers know of them would be lost
+// with all of them.
 //
 // The objects of a region are a ring, of which each is written once in a round: the records of a round ago have expired.
-type streamKeeper struct {
-	router   *Router
-	region   string
-	away     awayTime
+type streamWriter struct {
+	*Keeper
 	versions map[string]topo.Version // of the objects that this router has written, by name
 }
 
-// keepStreams finds out which streams are to be kept in the store, until ctx ends.
-func (r *Router) keepStreams(ctx context.Context) {
-	go r.writeStreams(ctx)
-	var away awayTime
+// observeDoubt finds out which streams are to be kept in the store, until ctx ends.
+func (k *Keeper) observeDoubt(ctx context.Context) {
 	for ctx.Err() == nil {
 		now := time.Now()
-		r.origins.SetDoubted(now, r.doubtedVersions(now, away.of(r.View())))
-		r.origins.TellRestored(now)
+		k.config.Exchange.SetDoubted(now, k.doubtedVersions(now))
+		k.config.Exchange.TellRestored(now)
 		sleep(ctx, doubtInterval)
 	}
 }
 
-// doubtedVersions returns the versions of the pools that have had several within the given time.
-func (r *Router) doubtedVersions(now time.Time, within time.Duration) origins.Versions {
+// doubtedVersions returns the versions of the pools that have had several within the time for which a stream may be away.
+func (k *Keeper) doubtedVersions(now time.Time) origins.Versions {
 	out := make(origins.Versions)
-	for pool, versions := range r.versions.SeveralVersions(now, within) {
+	for pool, versions := range k.config.History.SeveralVersions(now, k.config.LongestAway()) {
 		for _, v := range versions {
 			out[origins.VersionOf(pool, v)] = true
 		}
@@ -67,27 +63,27 @@
 	return out
 }
 
-// writeStreams writes the records of streams to the store while this router is the keeper, until ctx ends.
-func (r *Router) writeStreams(ctx context.Context) {
-	k := &streamKeeper{router: r, region: regionName(r.config.FailureDomain), versions: make(map[string]topo.Version)}
+// writeStreams writes the records of streams to the store while this router is the keeper of its region, until ctx ends.
+func (k *Keeper) writeStreams(ctx context.Context) {
+	w := &streamWriter{Keeper: k, versions: make(map[string]topo.Version)}
 	for {
 		select {
-		case <-r.origins.ToStore():
+		case <-k.config.Exchange.ToStore():
 		case <-ctx.Done():
 			return
 		}
-		sleep(ctx, k.write(ctx))
+		sleep(ctx, w.write(ctx))
 	}
 }
 
 // write writes the records that are to be written, and returns the time to the next write.
-func (k *streamKeeper) write(ctx context.Context) (pause time.Duration) {
-	records := k.router.origins.TakeUnstored()
+func (w *streamWriter) write(ctx context.Context) (pause time.Duration) {
+	records := w.config.Exchange.TakeUnstored()
 	if len(records) == 0 {
 		return 0
 	}
-	if err := k.put(ctx, time.Now(), records); err != nil {
-		k.router.origins.GiveBack(records)
+	if err := w.put(ctx, time.Now(), records); err != nil {
+		w.config.Exchange.GiveBack(records)
 		slog.Warn("where streams began could not be written to the store", "streams", len(records), "error", err)
 		return streamsRetryInterval
 	}
@@ -97,38 +93,38 @@
 
 // put writes records to the object of a time. If another router has written it since, its records that are still valid
 // are kept.
-func (k *streamKeeper) put(ctx context.Context, now time.Time, records []origins.Record) error {
-	ref := topo.Ref{Kind: topo.KindStreams, Name: k.objectAt(now)}
+func (w *streamWriter) put(ctx context.Context, now time.Time, records []origins.Record) error {
+	ref := topo.Ref{Kind: topo.KindStreams, Name: w.objectAt(now)}
 	for range streamsPutAttempts {
 		value, err := json.Marshal(origins.NewKept(now, records))
 		if err != nil {
 			return errors.WithStack(err)
 		}
-		o, err := k.router.config.Store.Put(ctx, ref, value, k.versions[ref.Name])
+		o, err := w.config.Store.Put(ctx, ref, value, w.versions[ref.Name])
 		if err == nil {
-			k.versions[ref.Name] = o.Version
+			w.versions[ref.Name] = o.Version
 			return nil
 		}
-		delete(k.versions, ref.Name)
+		delete(w.versions, ref.Name)
 		if errors.Is(err, topo.ErrNotFound) {
 			continue // a store that was restored does not have it
 		}
 		if !errors.Is(err, topo.ErrConflict) {
 			return err
 		}
-		if o, err = k.router.config.Store.Get(ctx, ref); err != nil {
+		if o, err = w.config.Store.Get(ctx, ref); err != nil {
 			return err
 		}
 		records = append(keptRecords(now, o), records...)
-		k.versions[ref.Name] = o.Version
+		w.versions[ref.Name] = o.Version
 	}
-	return errors.Errorf("router: object %s is being changed by others", ref.Name)
+	return errors.Errorf("originstore: object %s is being changed by others", ref.Name)
 }
 
 // objectAt returns the name of the object for the records of a time.
-func (k *streamKeeper) objectAt(now time.Time) string {
-	round := int64(k.away.of(k.router.View())/streamsWriteInterval) + 2
-	return fmt.Sprintf("%s-%d", k.region, now.UnixMilli()/streamsWriteInterval.Milliseconds()%round)
+func (w *streamWriter) objectAt(now time.Time) string {
+	round := int64(w.config.LongestAway()/streamsWriteInterval) + 2
+	return fmt.Sprintf("%s-%d", w.region, now.UnixMilli()/streamsWriteInterval.Milliseconds()%round)
 }
 
 // keptRecords returns the records of an object that are still valid. A malformed one has none.
@@ -145,11 +141,11 @@
 	return nil
 }
 
-// readStreams reads the records of streams in the store, if this router has started so lately that all routers may have been
-// lost with what they knew. A router that begins to read the store for others tells them.
-func (r *Router) readStreams(ctx context.Context) {
-	for ctx.Err() == nil && r.mesh.readsStore.Load() && time.Since(r.started) < origins.MaxTTL {
-		err := r.listStreams(ctx)
+// ReadStreams reads the records of streams in the store, and tells them to the routers that are asked for them. It is called
+// when this router begins to read the store for others. It does nothing if that is long after its start.
+func (k *Keeper) ReadStreams(ctx context.Context) {
+	for ctx.Err() == nil && k.config.ReadsStore() && time.Since(k.started) < origins.MaxTTL {
+		err := k.listStreams(ctx)
 		if err == nil || ctx.Err() != nil {
 			return
 		}
@@ -158,17 +154,17 @@
 	}
 }
 
-func (r *Router) listStreams(ctx context.Context) error {
+func (k *Keeper) listStreams(ctx context.Context) error {
 	cont := ""
 	for {
-		page, err := r.config.Store.List(ctx, topo.KindStreams, cont)
+		page, err := k.config.Store.List(ctx, topo.KindStreams, cont)
 		if err != nil {
 			return err
 		}
 		now := time.Now()
 		for _, o := range page.Objects {
 			records := keptRecords(now, o)
-			r.origins.Restore(now, records)
+			k.config.Exchange.Restore(now, records)
 			restoredStreams.Add(int64(len(records)))
 		}
 		if cont = page.Continue; cont == "" {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -19,6 +19,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/loop"
 	"github.com/parsleyfront/parsleyfront/internal/membership"
 	"github.com/parsleyfront/parsleyfront/internal/origins"
+	"github.com/parsleyfront/parsleyfront/internal/originstore"
 	"github.com/parsleyfront/parsleyfront/internal/placement"
 	"github.com/parsleyfront/parsleyfront/internal/policy"
 	"github.com/parsleyfront/parsleyfront/internal/profile"
@@ -110,7 +111,6 @@
 type Router struct {
 	config         Config
 	ctx            context.Context
-	started        time.Time
 	runner         *follow.Runner
 	loop           *loop.Loop[Event, Effect]
 	state          *State
@@ -124,6 +124,7 @@
 	suspects       *suspects.Registry
 	origins        *origins.Exchange
 	versions       origins.History
+	originKeeper   *originstore.Keeper
 	ledger         *ledger.Ledger
 	lastServed     *balance.LastServed[topo.VM]
 	coldStart      coldStart
@@ -158,7 +159,6 @@
 	r := &Router{
 		config:         c,
 		ctx:            ctx,
-		started:        time.Now(),
 		state:          NewState(c.VM, placement.Locality{Domain: c.FailureDomain}, c.ConfigTiming, rand.Uint64()),
 		firstReady:     make(chan struct{}),
 		pendingQueries: make(map[uint64]chan config.Delta),
@@ -188,6 +188,11 @@
 		Post:      func(e config.Event) { r.loop.Post(ConfigEvent{Event: e}) },
 	}
 	r.view.Store(r.state.View())
+	r.originKeeper = originstore.New(originstore.Config{
+		Store: c.Store, Domain: c.FailureDomain, History: &r.versions, Exchange: r.origins, FirstStart: c.FirstStart,
+		ReadsStore:  func() bool { return r.mesh.readsStore.Load() },
+		LongestAway: func() time.Duration { return r.View().longestAway },
+	})
 	r.loop = loop.New(r.state, r.execute, r.publish)
 	context.AfterFunc(ctx, r.closePeers)
 	if c.Mesh != nil {
@@ -205,8 +210,7 @@
 	if c.Mesh == nil {
 		go r.readConvictions(ctx)
 	} else {
-		go r.keepSeen(ctx)
-		go r.keepStreams(ctx)
+		go r.originKeeper.Run(ctx)
 	}
 	return r
 }
--- a/internal/router/takeup.go
+++ b/internal/router/takeup.go
@@ -110,6 +110,15 @@
 	return longest + originSlack
 }
 
+// longestAway returns for how long after its beginning any stream of the profiles may be taken up.
+func longestAway(profiles map[string]*profile.Profile) time.Duration {
+	longest := time.Duration(0)
+	for _, p := range profiles {
+		longest = max(longest, (&Request{Profile: p}).originTTL())
+	}
+	return longest
+}
+
 // findVersion returns the pool and the version that v stands for, if the request may go to that pool and
 // an upstream there has that version.
 func (resp *Response) findVersion(v origins.Version) (pool, version string, ok bool) {
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -30,6 +30,7 @@
 	hosts        profile.Hosts
 	routes       origins.Routes // by host
 	streamPools  origins.Sets   // by host
+	longestAway  time.Duration  // for which after its beginning any stream may be taken up
 	versions     origins.Sets   // of the software of upstreams, by pool
 	urgencies    urgencyTable
 	Pools        map[string]*Pool
@@ -76,6 +77,7 @@
 		v.Profiles = maps.Clone(s.profiles)
 		v.hosts = profile.ByHost(s.profiles)
 		v.routes, v.streamPools = routesOf(v.hosts), streamPools(v.hosts)
+		v.longestAway = longestAway(v.Profiles)
 		v.Limits = s.limits
 	}
 	if s.stale.orgs {
