--- a/internal/originstore/originstore.go
+++ b/internal/originstore/originstore.go
@@ -32,11 +32,12 @@
 	config  Config
 	region  string // in the names of objects
 	started time.Time
+	wanted  chan struct{} // gets a value when the records in the store are wanted
 }
 
 // New returns a Keeper.
 func New(c Config) *Keeper {
-	k := &Keeper{config: c, region: topo.Region(c.Domain), started: time.Now()}
+	k := &Keeper{config: c, region: topo.Region(c.Domain), started: time.Now(), wanted: make(chan struct{}, 1)}
 	if k.region == "" {
 		k.region = "none"
 	}
@@ -47,6 +48,7 @@
 func (k *Keeper) Run(ctx context.Context) {
 	go k.keepSeen(ctx)
 	go k.writeStreams(ctx)
+	go k.readWanted(ctx)
 	k.observeDoubt(ctx)
 }
 
--- a/internal/originstore/streams.go
+++ b/internal/originstore/streams.go
@@ -22,6 +22,8 @@
 	streamsWriteInterval = 80 * time.Millisecond
 	// streamsRetryInterval is the pause after a failed call to the store.
 	streamsRetryInterval = 500 * time.Millisecond
+	// streamsReadInterval is the least time from one reading of streams that are not known to the next.
+	streamsReadInterval = time.Second
 	// streamsPutAttempts is how often an object is written that another router changes meanwhile.
 	streamsPutAttempts = 3
 )
@@ -154,6 +156,33 @@
 	}
 }
 
+// Want asks for the records in the store, since this router and those that it asks do not know a stream: the routers that
+// did may be lost, while this one lives on. It returns at once; the caller of the stream may come again.
+func (k *Keeper) Want() {
+	if len(k.doubtedVersions(time.Now())) == 0 {
+		return // nothing is kept
+	}
+	select {
+	case k.wanted <- struct{}{}:
+	default:
+	}
+}
+
+// readWanted reads the records when they are wanted, until ctx ends.
+func (k *Keeper) readWanted(ctx context.Context) {
+	for {
+		select {
+		case <-k.wanted:
+		case <-ctx.Done():
+			return
+		}
+		if err := k.listStreams(ctx); err != nil && ctx.Err() == nil {
+			slog.Warn("where streams began could not be read from the store", "error", err)
+		}
+		sleep(ctx, streamsReadInterval)
+	}
+}
+
 func (k *Keeper) listStreams(ctx context.Context) error {
 	cont := ""
 	for {
