--- a/internal/budget/requests.go
+++ b/internal/budget/requests.go
@@ -10,7 +10,7 @@
 // parties, some connections stay free: one party alone takes two thirds of them, n parties 2n of 2n+1.
 const freeMultiple = 2
 
-// ErrNoConnections means that the requests of the claim's party take as many connections as they may.
+// ErrNoConnections means that the requests of a party take as many connections as they may.
 var ErrNoConnections = errors.New("budget: no connection for this organisation")
 
 // Requests bounds how many requests a process serves at a time for each party. A connection whose request is served makes
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -77,11 +77,7 @@
 
 // isHungUp reports whether nobody waits for a response any more, where the server drops such requests.
 func (c *conn) isHungUp() bool {
-	if !c.server.config.DropsHungUp || !netpeek.HasHungUp(c.raw()) {
-		return false
-	}
-	hungUpConns.Inc()
-	return true
+	return c.server.config.DropsHungUp && netpeek.HasHungUp(c.raw())
 }
 
 // Write implements net.Conn.
--- a/internal/httpserver/receive.go
+++ b/internal/httpserver/receive.go
@@ -113,6 +113,7 @@
 		return c.refuse(refusedTooLarge)
 	}
 	if c.isHungUp() {
+		hungUpConns.Inc()
 		return io.EOF
 	}
 	if scan.lines > manyLines && !c.awaitTurn() {
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -160,6 +160,7 @@
 		if !c.isHungUp() {
 			return c, nil
 		}
+		hungUpConns.Inc()
 		_ = accepted.Close() // nobody waits for anything from it
 	}
 }
