--- a/internal/origins/keep.go
+++ b/internal/origins/keep.go
@@ -111,35 +111,53 @@
 	if excess := len(x.unstored) - maxRecords; excess > 0 {
 		x.unstored = x.unstored[excess:]
 	}
-	select {
-	case x.toStore <- struct{}{}:
-	default:
-	}
+	x.signalUnstored()
 }
 
 // ToStore returns a channel that gets a value when this router, as the keeper, has records to write to the store.
 func (x *Exchange) ToStore() <-chan struct{} { return x.toStore }
 
-// TakeUnstored returns the records that this router, as the keeper, is to write to the store. If that fails, they are to
-// be given back with GiveBack.
+// maxStored is how many records are written to the store at a time, at 18 bytes each.
+const maxStored = 16 << 10
+
+// TakeUnstored returns records that this router, as the keeper, is to write to the store. If that fails, they are to be
+// given back with GiveBack.
 func (x *Exchange) TakeUnstored() []Record {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	out := x.unstored
-	x.unstored = nil
+	n := min(len(x.unstored), maxStored)
+	out := x.unstored[:n:n]
+	x.unstored = x.unstored[n:]
+	x.signalUnstored()
 	return out
 }
 
+// signalUnstored makes ToStore say so if there are records to write. The mutex must be held.
+func (x *Exchange) signalUnstored() {
+	if len(x.unstored) == 0 {
+		return
+	}
+	select {
+	case x.toStore <- struct{}{}:
+	default:
+	}
+}
+
 // GiveBack returns records that could not be written.
 func (x *Exchange) GiveBack(records []Record) {
 	x.keep(records)
 }
 
-// Restore adds records that were read from the store. They are told to the holders of their streams with TellRestored.
-func (x *Exchange) Restore(now time.Time, records []Record) {
+// Add adds records that were read from the store.
+func (x *Exchange) Add(now time.Time, records []Record) {
 	for _, r := range records {
 		x.table.Add(now, r)
 	}
+}
+
+// Restore adds records that were read from the store, to be told to the holders of their streams with TellRestored.
+func (x *Exchange) Restore(now time.Time, records []Record) {
+	x.Add(now, records)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.restored = append(x.restored, records...)
--- a/internal/origins/keep_test.go
+++ b/internal/origins/keep_test.go
@@ -56,6 +56,35 @@
 	})
 }
 
+// A second version comes to a pool with very many streams. Guards against an object that is too large for the store, which
+// would never be written, and against records that are left because nothing says that there are more.
+func TestManyStreamsAreTakenInParts(t *testing.T) {
+	x := NewExchange("a", "r/a", nil)
+	v := VersionOf("pool", "v1")
+	for i := range 2*maxStored + 1 {
+		x.Tell(time.Now(), Record{Stream: Stream(i + 1), Version: v, TTL: time.Minute})
+	}
+	x.SetDoubted(time.Now(), Versions{v: true})
+	taken := 0
+	for _, want := range []int{maxStored, maxStored, 1} {
+		select {
+		case <-x.ToStore():
+		default:
+			t.Fatalf("%d records are left after %d and nothing says so", 2*maxStored+1-taken, taken)
+		}
+		got := len(x.TakeUnstored())
+		if got != want {
+			t.Fatalf("%d records at a time, want %d", got, want)
+		}
+		taken += got
+	}
+	select {
+	case <-x.ToStore():
+		t.Error("there are said to be more records")
+	default:
+	}
+}
+
 // The keeper is lost with what it has not written. Guards against streams that only a keeper knew which is gone.
 func TestAnotherKeeperGetsAllStreams(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -52,9 +52,9 @@
 // MaxTTL is the longest time for which a record is kept.
 const MaxTTL = 255 * time.Second
 
-// maxRecords bounds the records of one router, at some 100 bytes each. At the target size it gets 46 new
-// ones a second and keeps each for about 20 s.
-const maxRecords = 32 << 10
+// maxRecords bounds the records of one router, at some 100 bytes each. At the target size it gets 46 new ones a second and
+// keeps each for about 20 s; the keeper of a region gets 1,900 a second in a rollout and keeps each for about 35 s.
+const maxRecords = 128 << 10
 
 // Table holds the records that a router has. It is safe for concurrent use.
 type Table struct {
--- a/internal/originstore/originstore.go
+++ b/internal/originstore/originstore.go
@@ -13,7 +13,7 @@
 	"github.com/parsleyfront/parsleyfront/internal/topo"
 )
 
-// Config holds what a Keeper works on.
+// Config holds what an Archive works on.
 type Config struct {
 	Store    topo.Store
 	Domain   string // failure domain of this router
@@ -27,29 +27,29 @@
 	LongestAway func() time.Duration
 }
 
-// Keeper keeps the knowledge of one router.
-type Keeper struct {
+// Archive keeps the knowledge of one router in the store.
+type Archive struct {
 	config  Config
 	region  string // in the names of objects
 	started time.Time
 	wanted  chan struct{} // gets a value when the records in the store are wanted
 }
 
-// New returns a Keeper.
-func New(c Config) *Keeper {
-	k := &Keeper{config: c, region: topo.Region(c.Domain), started: time.Now(), wanted: make(chan struct{}, 1)}
-	if k.region == "" {
-		k.region = "none"
+// New returns an Archive.
+func New(c Config) *Archive {
+	a := &Archive{config: c, region: topo.Region(c.Domain), started: time.Now(), wanted: make(chan struct{}, 1)}
+	if a.region == "" {
+		a.region = "none"
 	}
-	return k
+	return a
 }
 
 // Run keeps the store up to date until ctx ends.
-func (k *Keeper) Run(ctx context.Context) {
-	go k.keepSeen(ctx)
-	go k.writeStreams(ctx)
-	go k.readWanted(ctx)
-	k.observeDoubt(ctx)
+func (a *Archive) Run(ctx context.Context) {
+	go a.keepSeen(ctx)
+	go a.writeStreams(ctx)
+	go a.readWanted(ctx)
+	a.observeDoubt(ctx)
 }
 
 // sleep waits for d or until ctx ends.
--- a/internal/originstore/seen.go
+++ b/internal/originstore/seen.go
@@ -19,10 +19,10 @@
 	seenRetryInterval = time.Second
 )
 
-// seenKeeper keeps in the store what routers have seen of where streams begin. A router that starts when no other is left
+// seenWriter keeps in the store what routers have seen of where streams begin. A router that starts when no other is left
 // can't have seen it: it would refuse all streams that nobody names.
-type seenKeeper struct {
-	*Keeper
+type seenWriter struct {
+	*Archive
 	ref     topo.Ref
 	stored  origins.Seen
 	version topo.Version // of the object; zero: there is none
@@ -30,9 +30,9 @@
 
 // keepSeen reads what was seen before this router started, and keeps it up to date while this router reads the store for
 // others, until ctx ends.
-func (keeper *Keeper) keepSeen(ctx context.Context) {
-	k := &seenKeeper{Keeper: keeper, ref: topo.Ref{Kind: topo.KindOrigins, Name: keeper.region}}
-	for !k.start(ctx) {
+func (a *Archive) keepSeen(ctx context.Context) {
+	w := &seenWriter{Archive: a, ref: topo.Ref{Kind: topo.KindOrigins, Name: a.region}}
+	for !w.start(ctx) {
 		if ctx.Err() != nil {
 			return
 		}
@@ -40,7 +40,7 @@
 	}
 	for ctx.Err() == nil {
 		pause := seenInterval
-		if err := k.update(ctx); err != nil {
+		if err := w.update(ctx); err != nil {
 			slog.Warn("what was seen of where streams begin could not be written to the store", "error", err)
 			pause = seenRetryInterval
 		}
@@ -50,14 +50,14 @@
 
 // start reads the object, and reports whether that is known. Without one, nothing is known of the time before, unless the
 // whole system starts for the first time.
-func (k *seenKeeper) start(ctx context.Context) bool {
-	err := k.read(ctx)
+func (w *seenWriter) start(ctx context.Context) bool {
+	err := w.read(ctx)
 	switch {
 	case err == nil:
-		k.config.History.Seed(time.Now(), k.stored)
+		w.config.History.Seed(time.Now(), w.stored)
 	case errors.Is(err, topo.ErrNotFound):
-		if k.config.FirstStart {
-			k.config.History.SeedFirst(time.Now())
+		if w.config.FirstStart {
+			w.config.History.SeedFirst(time.Now())
 		}
 	default:
 		return false
@@ -66,50 +66,50 @@
 }
 
 // read reads the object. A malformed one says nothing.
-func (k *seenKeeper) read(ctx context.Context) error {
-	o, err := k.config.Store.Get(ctx, k.ref)
+func (w *seenWriter) read(ctx context.Context) error {
+	o, err := w.config.Store.Get(ctx, w.ref)
 	if err != nil {
 		return err
 	}
-	k.version, k.stored = o.Version, origins.Seen{}
-	if err := json.Unmarshal(o.Value, &k.stored); err != nil {
+	w.version, w.stored = o.Version, origins.Seen{}
+	if err := json.Unmarshal(o.Value, &w.stored); err != nil {
 		slog.Error("what was seen of where streams begin is malformed in the store", "error", err)
-		k.stored = origins.Seen{}
+		w.stored = origins.Seen{}
 	}
 	return nil
 }
 
 // update writes the object if it says something else than what has been seen. If this router has missed something, the
 // object vouches for no time until it has seen enough again.
-func (k *seenKeeper) update(ctx context.Context) error {
-	if !k.config.ReadsStore() {
+func (w *seenWriter) update(ctx context.Context) error {
+	if !w.config.ReadsStore() {
 		return nil
 	}
-	now, longest := time.Now(), k.config.LongestAway()
-	seen, ok := k.config.History.Seen(now, longest)
+	now, longest := time.Now(), w.config.LongestAway()
+	seen, ok := w.config.History.Seen(now, longest)
 	if !ok || longest == 0 {
 		return nil
 	}
-	if seen.Within == 0 && k.stored.Within > 0 { // the longest time may just have grown
-		seen, _ = k.config.History.Seen(now, k.stored.Within)
+	if seen.Within == 0 && w.stored.Within > 0 { // the longest time may just have grown
+		seen, _ = w.config.History.Seen(now, w.stored.Within)
 	}
 	if seen.Within == 0 {
-		seen = k.stored.Extend(seen)
+		seen = w.stored.Extend(seen)
 	}
-	if seen.Equal(k.stored) || seen.Within == 0 && k.version == 0 {
+	if seen.Equal(w.stored) || seen.Within == 0 && w.version == 0 {
 		return nil
 	}
 	value, err := json.Marshal(seen)
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	o, err := k.config.Store.Put(ctx, k.ref, value, k.version)
+	o, err := w.config.Store.Put(ctx, w.ref, value, w.version)
 	switch {
 	case err == nil:
-		k.stored, k.version = seen, o.Version
+		w.stored, w.version = seen, o.Version
 	case errors.Is(err, topo.ErrConflict), errors.Is(err, topo.ErrNotFound):
-		k.stored, k.version = origins.Seen{}, 0
-		if err := k.read(ctx); err != nil && !errors.Is(err, topo.ErrNotFound) {
+		w.stored, w.version = origins.Seen{}, 0
+		if err := w.read(ctx); err != nil && !errors.Is(err, topo.ErrNotFound) {
 			return err
 		}
 	default:
--- a/internal/originstore/streams.go
+++ b/internal/originstore/streams.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -40,24 +41,24 @@
 //
 // The objects of a region are a ring, of which each is written once in a round: the records of a round ago have expired.
 type streamWriter struct {
-	*Keeper
+	*Archive
 	versions map[string]topo.Version // of the objects that this router has written, by name
 }
 
 // observeDoubt finds out which streams are to be kept in the store, until ctx ends.
-func (k *Keeper) observeDoubt(ctx context.Context) {
+func (a *Archive) observeDoubt(ctx context.Context) {
 	for ctx.Err() == nil {
 		now := time.Now()
-		k.config.Exchange.SetDoubted(now, k.doubtedVersions(now))
-		k.config.Exchange.TellRestored(now)
+		a.config.Exchange.SetDoubted(now, a.doubtedVersions(now))
+		a.config.Exchange.TellRestored(now)
 		sleep(ctx, doubtInterval)
 	}
 }
 
 // doubtedVersions returns the versions of the pools that have had several within the time for which a stream may be away.
-func (k *Keeper) doubtedVersions(now time.Time) origins.Versions {
+func (a *Archive) doubtedVersions(now time.Time) origins.Versions {
 	out := make(origins.Versions)
-	for pool, versions := range k.config.History.SeveralVersions(now, k.config.LongestAway()) {
+	for pool, versions := range a.config.History.SeveralVersions(now, a.config.LongestAway()) {
 		for _, v := range versions {
 			out[origins.VersionOf(pool, v)] = true
 		}
@@ -66,11 +67,11 @@
 }
 
 // writeStreams writes the records of streams to the store while this router is the keeper of its region, until ctx ends.
-func (k *Keeper) writeStreams(ctx context.Context) {
-	w := &streamWriter{Keeper: k, versions: make(map[string]topo.Version)}
+func (a *Archive) writeStreams(ctx context.Context) {
+	w := &streamWriter{Archive: a, versions: make(map[string]topo.Version)}
 	for {
 		select {
-		case <-k.config.Exchange.ToStore():
+		case <-a.config.Exchange.ToStore():
 		case <-ctx.Done():
 			return
 		}
@@ -126,9 +127,12 @@
 // objectAt returns the name of the object for the records of a time.
 func (w *streamWriter) objectAt(now time.Time) string {
 	round := int64(w.config.LongestAway()/streamsWriteInterval) + 2
-	return fmt.Sprintf("%s-%d", w.region, now.UnixMilli()/streamsWriteInterval.Milliseconds()%round)
+	return fmt.Sprintf("%s%d", w.objectPrefix(), now.UnixMilli()/streamsWriteInterval.Milliseconds()%round)
 }
 
+// objectPrefix returns what the names of a region's objects begin with.
+func (a *Archive) objectPrefix() string { return a.region + "." }
+
 // keptRecords returns the records of an object that are still valid. A malformed one has none.
 func keptRecords(now time.Time, o topo.Object) []origins.Record {
 	var kept origins.Kept
@@ -145,9 +149,9 @@
 
 // ReadStreams reads the records of streams in the store, and tells them to the routers that are asked for them. It is called
 // when this router begins to read the store for others. It does nothing if that is long after its start.
-func (k *Keeper) ReadStreams(ctx context.Context) {
-	for ctx.Err() == nil && k.config.ReadsStore() && time.Since(k.started) < origins.MaxTTL {
-		err := k.listStreams(ctx)
+func (a *Archive) ReadStreams(ctx context.Context) {
+	for ctx.Err() == nil && a.config.ReadsStore() && time.Since(a.started) < origins.MaxTTL {
+		err := a.listStreams(ctx, a.config.Exchange.Restore)
 		if err == nil || ctx.Err() != nil {
 			return
 		}
@@ -158,42 +162,46 @@
 
 // Want asks for the records in the store, since this router and those that it asks do not know a stream: the routers that
 // did may be lost, while this one lives on. It returns at once; the caller of the stream may come again.
-func (k *Keeper) Want() {
-	if len(k.doubtedVersions(time.Now())) == 0 {
+func (a *Archive) Want() {
+	if len(a.doubtedVersions(time.Now())) == 0 {
 		return // nothing is kept
 	}
 	select {
-	case k.wanted <- struct{}{}:
+	case a.wanted <- struct{}{}:
 	default:
 	}
 }
 
 // readWanted reads the records when they are wanted, until ctx ends.
-func (k *Keeper) readWanted(ctx context.Context) {
+func (a *Archive) readWanted(ctx context.Context) {
 	for {
 		select {
-		case <-k.wanted:
+		case <-a.wanted:
 		case <-ctx.Done():
 			return
 		}
-		if err := k.listStreams(ctx); err != nil && ctx.Err() == nil {
+		if err := a.listStreams(ctx, a.config.Exchange.Add); err != nil && ctx.Err() == nil {
 			slog.Warn("where streams began could not be read from the store", "error", err)
 		}
 		sleep(ctx, streamsReadInterval)
 	}
 }
 
-func (k *Keeper) listStreams(ctx context.Context) error {
+// listStreams reads the records of this region's streams in the store, and passes them to add.
+func (a *Archive) listStreams(ctx context.Context, add func(time.Time, []origins.Record)) error {
 	cont := ""
 	for {
-		page, err := k.config.Store.List(ctx, topo.KindStreams, cont)
+		page, err := a.config.Store.List(ctx, topo.KindStreams, cont)
 		if err != nil {
 			return err
 		}
 		now := time.Now()
 		for _, o := range page.Objects {
+			if !strings.HasPrefix(o.Name, a.objectPrefix()) {
+				continue
+			}
 			records := keptRecords(now, o)
-			k.config.Exchange.Restore(now, records)
+			add(now, records)
 			restoredStreams.Add(int64(len(records)))
 		}
 		if cont = page.Continue; cont == "" {
--- a/internal/router/mesh.go
+++ b/internal/router/mesh.go
@@ -230,7 +230,7 @@
 func (m *mesh) setReading(reads bool) {
 	if before := m.readsStore.Swap(reads); reads && !before {
 		go m.router.readRestrictions(m.router.ctx)
-		go m.router.originKeeper.ReadStreams(m.router.ctx)
+		go m.router.originArchive.ReadStreams(m.router.ctx)
 	}
 	if reads {
 		readsStoreInfo.Set(1)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -124,7 +124,7 @@
 	suspects       *suspects.Registry
 	origins        *origins.Exchange
 	versions       origins.History
-	originKeeper   *originstore.Keeper
+	originArchive  *originstore.Archive
 	ledger         *ledger.Ledger
 	lastServed     *balance.LastServed[topo.VM]
 	coldStart      coldStart
@@ -188,7 +188,7 @@
 		Post:      func(e config.Event) { r.loop.Post(ConfigEvent{Event: e}) },
 	}
 	r.view.Store(r.state.View())
-	r.originKeeper = originstore.New(originstore.Config{
+	r.originArchive = originstore.New(originstore.Config{
 		Store: c.Store, Domain: c.FailureDomain, History: &r.versions, Exchange: r.origins, FirstStart: c.FirstStart,
 		ReadsStore:  func() bool { return r.mesh.readsStore.Load() },
 		LongestAway: func() time.Duration { return r.View().longestAway },
@@ -210,7 +210,7 @@
 	if c.Mesh == nil {
 		go r.readConvictions(ctx)
 	} else {
-		go r.originKeeper.Run(ctx)
+		go r.originArchive.Run(ctx)
 	}
 	return r
 }
--- a/internal/router/takeup.go
+++ b/internal/router/takeup.go
@@ -71,7 +71,7 @@
 	v, asked := resp.router.origins.Lookup(resp.caller, resp.req.stream())
 	switch v {
 	case origins.Unknown: // all routers that knew may be lost
-		resp.router.originKeeper.Want()
+		resp.router.originArchive.Want()
 		return resp.findOnlyOrigin(time.Now())
 	case origins.Ambiguous:
 		return "", "", takeUpAmbiguous
