--- a/internal/quarantine/observeddecision.go
+++ b/internal/quarantine/observeddecision.go
@@ -83,6 +83,7 @@
 	explained     int         // of them, those that others may be the cause of
 	unclearTrials int         // of the explained ones, those at which it was tried
 	failedTrials  int         // of the others, those at which it was tried
+	ownTrial      bool        // this process has made one of the failed trials
 	heardAt       time.Time   // when the latest crash was heard of
 	failedAt      time.Time   // when the latest lost trial was heard of
 }
@@ -129,6 +130,7 @@
 			}
 		case e.Tried:
 			c.failedTrials++
+			c.ownTrial = c.ownTrial || e.own
 			c.failedAt = latest(c.failedAt, e.heardAt)
 		}
 	}
--- a/internal/quarantine/restriction.go
+++ b/internal/quarantine/restriction.go
@@ -188,6 +188,9 @@
 
 // restrictByEvidence sets the restriction that follows from the entries of a fingerprint. The fingerprints of the
 // request that it is known from, among, explain none of its crashes: they are always there.
+//
+// A part of prompts that was lost when it was tried is restricted by the process that has tried it. One that has just
+// started may be told of that trial before it is told what else explains the crash.
 func (t *Table) restrictByEvidence(now time.Time, p Fingerprint, among []Fingerprint) {
 	d, c := t.decideByEvidence(now, p, among)
 	r := Restriction{Fingerprint: p, Since: now.Truncate(time.Millisecond)}
@@ -199,6 +202,8 @@
 	switch {
 	case d.Action == Refuse && !p.IsPart() && c.isCertain():
 		r.RefusedFor = d.Until.Sub(r.Since)
+	case d.Action == Refuse && p.IsPart() && c.failedTrials > 0 && !c.ownTrial:
+		return
 	case d.Action == Refuse:
 		r.RefusedFor = c.trialPause()
 		if restricted && isOver {
--- a/internal/quarantine/restriction_test.go
+++ b/internal/quarantine/restriction_test.go
@@ -252,3 +252,35 @@
 		}
 	}
 }
+
+// A request that crashes upstreams is tried alone and lost, and a router that has just started hears of a part of its prompt at
+// that crash first, then that the content is restricted. Guards against a router that takes the part for the cause and tells
+// that to all, so that others with the part are refused everywhere.
+func TestTrialsOfOthersRestrictNoPart(t *testing.T) {
+	const content, part = Fingerprint(7), Fingerprint(8 | 1<<63)
+	tried := []RunningRequest{{Fingerprint: content, Parts: []Fingerprint{part}, Started: epoch, Tried: true}}
+	trier, started := New("", 0), New("", 0)
+	for i := range crashesToConvict - 1 {
+		trier.RecordObservedCrash(epoch, fmt.Sprint("upstream-", i), epoch, []RunningRequest{{Fingerprint: content, Started: epoch}})
+	}
+	trier.RecordObservedCrash(epoch, "upstream-tried", epoch, tried)
+	if got := trier.DecideObserved(epoch, content); got.Action != Refuse {
+		t.Fatalf("the content: %+v", got)
+	}
+	if got := trier.DecideObserved(epoch, part); got.Action != Allow {
+		t.Fatalf("the part, at the router that tried: %+v", got)
+	}
+	crash := observedCrash("upstream-tried")
+	for _, e := range trier.byCrash[crash] {
+		if e.Fingerprint == part {
+			started.mergeEntry(epoch, Entry{Fingerprint: part, Crash: crash, At: e.At, Observed: true, Tried: true})
+		}
+	}
+	if got := restrictionsOf(started); len(got) > 0 {
+		t.Errorf("the router that has just started restricts %+v", got)
+	}
+	tell(t, epoch, trier, started, 400)
+	if got := started.DecideObserved(epoch, part); got.Action != Allow {
+		t.Errorf("the part, once the content is known: %+v", got)
+	}
+}
