--- a/test/soak/outlive_test.go
+++ b/test/soak/outlive_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
+
+	"github.com/parsleyfront/parsleyfront/platform/fake"
 )
 
 // lossBesideVersions is the loss of all routers beside streams that their callers name and take up.
@@ -48,12 +51,17 @@
 	playOutlivingStreams(t, []fault{lossBesideVersions, {"router stands still", false, (*harness).pauseRouter}})
 }
 
+// outlivingEvents is the number of events of each stream.
+const outlivingEvents = 150
+
+// playOutlivingStreams plays streams that are of all ages when their routers are lost.
 func playOutlivingStreams(t *testing.T, faults []fault) {
 	eachSeed(t, func(t *testing.T, seed uint64) {
 		h := newHarness(t, seed, false)
 		h.faults, h.takesUp, h.routersLost = faults, true, true
 		h.streamCallers, h.streamsOutlive = 20, true
-		h.streamPath = "/stream/note/" + eventsMark + "150"
+		h.streamCallersWithin = outlivingEvents * fake.EventInterval
+		h.streamPath = "/stream/note/" + eventsMark + strconv.Itoa(outlivingEvents)
 		h.play()
 	})
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -151,7 +151,12 @@
 	}()
 	h.callers(stop)
 	for range h.streamCallers {
-		h.running.Go(func() { h.sendStreams(stop) })
+		h.running.Go(func() {
+			if h.streamCallersWithin > 0 {
+				time.Sleep(h.randomDuration(0, h.streamCallersWithin))
+			}
+			h.sendStreams(stop)
+		})
 	}
 	h.probers(stop)
 	if h.maxMemoryMB > 0 {
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -57,6 +57,8 @@
 	takesUp bool
 	// streamCallers is the number of callers that send nothing but streams which may be taken up, beside the usual ones.
 	streamCallers int
+	// streamCallersWithin is the time within which these callers come; zero: at once.
+	streamCallersWithin time.Duration
 	// unnamedTakeUps makes callers take up every other stream without naming it.
 	unnamedTakeUps bool
 	// routersLost is set if all routers are lost at times, and with them the knowledge where streams began. Whether the
