--- a/internal/budget/requests.go
+++ b/internal/budget/requests.go
@@ -51,10 +51,3 @@
 		delete(r.byParty, party)
 	}
 }
-
-// Of returns how many requests of a party are served.
-func (r *Requests) Of(party string) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.byParty[party]
-}
--- a/internal/budget/requests_test.go
+++ b/internal/budget/requests_test.go
@@ -63,8 +63,8 @@
 					counts[party]++
 				}
 				for _, party := range []string{"", "a", "b"} {
-					if r.Of(party) != counts[party] {
-						t.Fatalf("party %q has %d requests, want %d", party, r.Of(party), counts[party])
+					if got := r.byParty[party]; got != counts[party] {
+						t.Fatalf("party %q has %d requests, want %d", party, got, counts[party])
 					}
 				}
 				if len(running) > connections {
--- a/internal/origins/exchange.go
+++ b/internal/origins/exchange.go
@@ -28,11 +28,11 @@
 	pending map[string]*Message // for the next batch, by address
 	waiting map[Stream][]chan answer
 
-	doubted  atomic.Pointer[Versions]
-	toStore  chan struct{} // gets a value when there are unstored records
-	begun    []Stream      // that are to be passed on to the keeper
-	unstored []Record      // that this router, as the keeper, is to write to the store
-	restored []Record      // read from the store, and not told to the holders of their streams yet
+	stored   atomic.Pointer[Versions] // of which streams are to be kept in the store; nil: not known yet
+	toStore  chan struct{}            // gets a value when there are unstored records
+	begun    []Stream                 // that are to be passed on to the keeper
+	unstored []Record                 // that this router, as the keeper, is to write to the store
+	restored []Record                 // read from the store, and not told to the holders of their streams yet
 }
 
 // answer is what a router has answered.
@@ -68,7 +68,7 @@
 // Tell keeps a record and tells it to the holders of its stream, with others of the next moment.
 func (x *Exchange) Tell(now time.Time, r Record) {
 	x.table.AddOwn(now, r)
-	if x.isDoubted(r.Version) {
+	if x.isStored(r.Version) {
 		x.passSoon(r.Stream)
 	}
 	if x.send != nil {
--- a/internal/origins/keep.go
+++ b/internal/origins/keep.go
@@ -47,19 +47,19 @@
 // Versions is a set of versions.
 type Versions map[Version]bool
 
-// SetDoubted sets the versions of which streams are to be kept in the store, and passes the records of the streams that
+// SetStored sets the versions of which streams are to be kept in the store, and passes the records of the streams that
 // this router has begun there on to the keeper: those that no keeper has got, and all of them to another keeper.
-func (x *Exchange) SetDoubted(now time.Time, doubted Versions) {
-	x.doubted.Store(&doubted)
-	if len(doubted) > 0 {
+func (x *Exchange) SetStored(now time.Time, stored Versions) {
+	x.stored.Store(&stored)
+	if len(stored) > 0 {
 		x.pass(now, x.table.streams())
 	}
 }
 
-// isDoubted reports whether streams at a version are to be kept in the store.
-func (x *Exchange) isDoubted(v Version) bool {
-	doubted := x.doubted.Load()
-	return doubted != nil && ((*doubted)[v] || v == Ambiguous && len(*doubted) > 0)
+// isStored reports whether streams at a version are to be kept in the store.
+func (x *Exchange) isStored(v Version) bool {
+	stored := x.stored.Load()
+	return stored != nil && ((*stored)[v] || v == Ambiguous && len(*stored) > 0)
 }
 
 // passSoon passes the record of a stream on to the keeper, with others of the next moment.
@@ -84,7 +84,7 @@
 // pass passes the records of those of the streams on to the keeper that it is to have and was not told.
 func (x *Exchange) pass(now time.Time, streams []Stream) {
 	keeper, isSelf := x.peers.Keeper(now)
-	records := x.table.takeOwn(now, keeper.Name, streams, x.isDoubted)
+	records := x.table.takeOwn(now, keeper.Name, streams, x.isStored)
 	switch {
 	case len(records) == 0:
 	case isSelf:
--- a/internal/origins/keep_test.go
+++ b/internal/origins/keep_test.go
@@ -34,21 +34,21 @@
 	synctest.Test(t, func(t *testing.T) {
 		net, addrs := newNetwork(t, 5)
 		keeper, _, other := net.keeperOf(addrs)
-		x, doubted := net.exchanges[other], VersionOf("pool", "v1")
+		x, stored := net.exchanges[other], VersionOf("pool", "v1")
 		tell := func(s Stream, v Version) { x.Tell(time.Now(), Record{Stream: s, Version: v, TTL: time.Minute}) }
-		tell(1, doubted)
+		tell(1, stored)
 		tell(2, VersionOf("other pool", "v1"))
 		time.Sleep(time.Second)
 		if got := keeper.TakeUnstored(); len(got) > 0 {
 			t.Fatalf("%v are kept while all pools have one version", got)
 		}
-		x.SetDoubted(time.Now(), Versions{doubted: true})
-		tell(3, doubted)
+		x.SetStored(time.Now(), Versions{stored: true})
+		tell(3, stored)
 		tell(4, VersionOf("other pool", "v1"))
 		tell(5, Ambiguous)
 		for range 5 {
 			time.Sleep(time.Second)
-			x.SetDoubted(time.Now(), Versions{doubted: true})
+			x.SetStored(time.Now(), Versions{stored: true})
 		}
 		if got, want := streamsOf(keeper.TakeUnstored()), []Stream{1, 3, 5}; !slices.Equal(got, want) {
 			t.Errorf("%v are kept, want %v", got, want)
@@ -64,7 +64,7 @@
 	for i := range 2*maxStored + 1 {
 		x.Tell(time.Now(), Record{Stream: Stream(i + 1), Version: v, TTL: time.Minute})
 	}
-	x.SetDoubted(time.Now(), Versions{v: true})
+	x.SetStored(time.Now(), Versions{v: true})
 	taken := 0
 	for _, want := range []int{maxStored, maxStored, 1} {
 		select {
@@ -91,11 +91,11 @@
 		net, addrs := newNetwork(t, 5)
 		_, lost, other := net.keeperOf(addrs)
 		net.loseIf(func(to string, _ Message) bool { return to == lost })
-		x, doubted := net.exchanges[other], Versions{VersionOf("pool", "v1"): true}
-		x.SetDoubted(time.Now(), doubted)
+		x, stored := net.exchanges[other], Versions{VersionOf("pool", "v1"): true}
+		x.SetStored(time.Now(), stored)
 		x.Tell(time.Now(), Record{Stream: 1, Version: VersionOf("pool", "v1"), TTL: time.Minute})
 		time.Sleep(2 * replyTimeout)
-		x.SetDoubted(time.Now(), doubted)
+		x.SetStored(time.Now(), stored)
 		time.Sleep(time.Second)
 		var kept []Stream
 		for _, addr := range addrs {
--- a/internal/originstore/originstore.go
+++ b/internal/originstore/originstore.go
@@ -49,7 +49,7 @@
 	go a.keepSeen(ctx)
 	go a.writeStreams(ctx)
 	go a.readWanted(ctx)
-	a.observeDoubt(ctx)
+	a.observeVersions(ctx)
 }
 
 // sleep waits for d or until ctx ends.
--- a/internal/originstore/streams.go
+++ b/internal/originstore/streams.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// doubtInterval is how often this router looks which pools have several versions.
-	doubtInterval = 200 * time.Millisecond
+	// versionsInterval is how often this router looks which pools have several versions.
+	versionsInterval = 200 * time.Millisecond
 	// streamsWriteInterval is the least time from one write of streams to the next. Streams that are younger are not known
 	// after a loss of all routers.
 	streamsWriteInterval = 80 * time.Millisecond
@@ -45,18 +45,18 @@
 	versions map[string]topo.Version // of the objects that this router has written, by name
 }
 
-// observeDoubt finds out which streams are to be kept in the store, until ctx ends.
-func (a *Archive) observeDoubt(ctx context.Context) {
+// observeVersions finds out which streams are to be kept in the store, until ctx ends.
+func (a *Archive) observeVersions(ctx context.Context) {
 	for ctx.Err() == nil {
 		now := time.Now()
-		a.config.Exchange.SetDoubted(now, a.doubtedVersions(now))
+		a.config.Exchange.SetStored(now, a.storedVersions(now))
 		a.config.Exchange.TellRestored(now)
-		sleep(ctx, doubtInterval)
+		sleep(ctx, versionsInterval)
 	}
 }
 
-// doubtedVersions returns the versions of the pools that have had several within the time for which a stream may be away.
-func (a *Archive) doubtedVersions(now time.Time) origins.Versions {
+// storedVersions returns the versions of the pools that have had several within the time for which a stream may be away.
+func (a *Archive) storedVersions(now time.Time) origins.Versions {
 	out := make(origins.Versions)
 	for pool, versions := range a.config.History.SeveralVersions(now, a.config.LongestAway()) {
 		for _, v := range versions {
@@ -163,7 +163,7 @@
 // Want asks for the records in the store, since this router and those that it asks do not know a stream: the routers that
 // did may be lost, while this one lives on. It returns at once; the caller of the stream may come again.
 func (a *Archive) Want() {
-	if len(a.doubtedVersions(time.Now())) == 0 {
+	if len(a.storedVersions(time.Now())) == 0 {
 		return // nothing is kept
 	}
 	select {
--- a/test/soak/outlive_test.go
+++ b/test/soak/outlive_test.go
@@ -84,10 +84,7 @@
 		if !c.stream || !c.idempotent || c.status == 0 {
 			continue
 		}
-		name := c.resumes
-		if name == "" {
-			name = c.id
-		}
+		name := c.streamName()
 		s := streams[name]
 		if s == nil {
 			s = &takenUpStream{versions: make(map[string]bool), served: true}
--- a/test/soak/versions_test.go
+++ b/test/soak/versions_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"regexp"
@@ -106,6 +107,9 @@
 	}
 }
 
+// streamName returns the id of the attempt that began the stream of a call.
+func (c *call) streamName() string { return cmp.Or(c.resumes, c.id) }
+
 var versionInEvent = regexp.MustCompile(`@[^\n]*`)
 
 // withoutVersions removes the versions from the events of a stream.
@@ -121,10 +125,7 @@
 		if !c.stream || !c.idempotent || c.status == 0 {
 			continue
 		}
-		stream := c.resumes
-		if stream == "" {
-			stream = c.id
-		}
+		stream := c.streamName()
 		versions := byStream[stream]
 		if c.resumes == "" {
 			new++
