exchange, http1: a body without a length is whole only if its request was sent and received

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent half of its body and reset the connection while the upload was written. The caller got the half as a complete response.

Cause: a socket reports a reset once, to whoever reads or writes next. The goroutine that writes the body took it, and the reader met a regular end. conn.Read remembered the errors of reads only, and nothing asked whether the call had been sent. Besides, an upstream that closes the connection with the upload unread sends a regular end first if the rest has not arrived yet, and resets the connection only then.

Change: package http1 says when a body that ends with its connection is whole. http1.Conn remembers the first failure of either direction. ConfirmEnd awaits that the call was written and acknowledged, for 5 s or until the response is overdue, and that no reset has followed the end: the kernel of an upstream that has closed the connection answers what still arrives with a reset and acknowledges nothing. Where an upstream answers first, ends its sending side and reads the upload to its end, all of it is acknowledged, and the response is served as before.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -110,7 +110,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return slices.ContainsFunc(c.idle[endpoint{instance: vm.ID, addr: vm.Addr}], func(conn *conn) bool {
-		return conn.opened.Before(at) && netpeek.Peek(conn.Conn) == netpeek.Idle
+		return conn.opened.Before(at) && netpeek.Peek(conn.NetConn()) == netpeek.Idle
 	})
 }
 
@@ -207,7 +207,7 @@
 			reuses.Inc()
 			return conn, nil
 		}
-		if now.Before(conn.expires) && c.idleClosed != nil && netpeek.Peek(conn.Conn) == netpeek.Closed {
+		if now.Before(conn.expires) && c.idleClosed != nil && netpeek.Peek(conn.NetConn()) == netpeek.Closed {
 			c.idleClosed(vm)
 		}
 		_ = conn.Close()
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -5,13 +5,11 @@
 	"bytes"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
+	"github.com/parsleyfront/parsleyfront/internal/http1"
 	"github.com/parsleyfront/parsleyfront/internal/netpeek"
 )
 
@@ -33,15 +31,14 @@
 
 // conn is a connection to an upstream. One call uses it at a time.
 type conn struct {
-	net.Conn
-	r           *bufio.Reader
-	allowance   int64      // bytes that Read may still take from the socket
-	readErr     error      // first error of Read other than a timeout
-	opened      time.Time  // when it was opened
-	reused      bool       // the connection has been idle before
-	proven      bool       // the incarnation that was called is at the other end: it has run a call
-	expires     time.Time  // when an idle connection is to be closed
-	bodyWritten chan error // receives the result of writing a long body; nil: none in progress
+	*http1.Conn
+	r         *bufio.Reader
+	allowance int64         // bytes that Read may still take from the socket
+	opened    time.Time     // when it was opened
+	reused    bool          // the connection has been idle before
+	proven    bool          // the incarnation that was called is at the other end: it has run a call
+	expires   time.Time     // when an idle connection is to be closed
+	upload    *http1.Upload // of the latest call; nil: none was sent
 
 	// The client's mutex guards the fields below.
 	awaitsHead bool // a call was sent, and the head of its response has not been read
@@ -50,26 +47,18 @@
 
 // newConn returns a conn with an empty read buffer.
 func newConn(c net.Conn) *conn {
-	out := &conn{Conn: c, allowance: unlimited, opened: time.Now()}
+	out := &conn{Conn: http1.NewConn(c), allowance: unlimited, opened: time.Now()}
 	out.r = bufio.NewReaderSize(out, readBufferBytes)
 	return out
 }
 
-// Read implements net.Conn. It repeats the first error for ever. A socket and a bufio.Reader tell of
-// an error once: after a reset that was met while nothing was read into a body, the connection would
-// read as ended, and the body as complete. Once the allowance is used up, it returns errTooLong.
+// Read implements net.Conn. Once the allowance is used up, it returns errTooLong.
 func (c *conn) Read(b []byte) (int, error) {
-	if c.readErr != nil {
-		return 0, c.readErr
-	}
 	if c.allowance <= 0 {
 		return 0, errTooLong
 	}
 	n, err := c.Conn.Read(b[:min(int64(len(b)), c.allowance)])
 	c.allowance -= int64(n)
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.readErr = err
-	}
 	return n, err
 }
 
@@ -77,12 +66,12 @@
 // after a complete response belong to no call, and the next call would take them for
 // its own response.
 func (c *conn) reusable() bool {
-	state := netpeek.Peek(c.Conn)
+	state := netpeek.Peek(c.NetConn())
 	return c.r.Buffered() == 0 && (state == netpeek.Idle || state == netpeek.Unknown)
 }
 
 // send writes a call. A long body is written by another goroutine, which may still be
-// running when send returns; allSent reports when it is done.
+// running when send returns; upload tells when it is done.
 func (c *conn) send(call Call, header http.Header) error {
 	var b bytes.Buffer
 	b.Grow(readBufferBytes)
@@ -99,19 +88,21 @@
 	}
 	_ = header.Write(&b) // writes to a Buffer do not fail
 	b.WriteString("\r\n")
+	upload := http1.NewUpload()
+	c.upload = upload
 	if len(call.Body) < concurrentBodyBytes {
 		b.Write(call.Body)
 		_, err := c.Write(b.Bytes())
+		upload.End(err)
 		return err
 	}
 	if _, err := c.Write(b.Bytes()); err != nil {
+		upload.End(err)
 		return err
 	}
-	written := make(chan error, 1)
-	c.bodyWritten = written
 	go func() {
 		_, err := c.Write(call.Body)
-		written <- err
+		upload.End(err)
 	}()
 	return nil
 }
@@ -122,21 +113,6 @@
 	return method == http.MethodGet || method == http.MethodHead
 }
 
-// allSent reports whether the whole call has been written without an error. It does
-// not wait. Only the first call after a long body has failed returns false for it.
-func (c *conn) allSent() bool {
-	if c.bodyWritten == nil {
-		return true
-	}
-	select {
-	case err := <-c.bodyWritten:
-		c.bodyWritten = nil
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // keepFor returns how long a connection may stay idle after a response with headers h:
 // less than the Keep-Alive timeout, or defaultIdleTimeout if there is none.
 func keepFor(h http.Header) time.Duration {
--- a/internal/exchange/linger.go
+++ b/internal/exchange/linger.go
@@ -72,7 +72,7 @@
 
 // closeWrite closes the sending side of a connection, or all of it if it has no such operation.
 func closeWrite(c *conn) error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+	if half, ok := c.NetConn().(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
 	return c.Close()
--- a/internal/exchange/refuses.go
+++ b/internal/exchange/refuses.go
@@ -62,7 +62,7 @@
 	if conn == nil {
 		return false
 	}
-	if netpeek.Peek(conn.Conn) != netpeek.Idle {
+	if netpeek.Peek(conn.NetConn()) != netpeek.Idle {
 		_ = conn.Close()
 		return false
 	}
--- a/internal/exchange/stream.go
+++ b/internal/exchange/stream.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/parsleyfront/parsleyfront/internal/eventstream"
+	"github.com/parsleyfront/parsleyfront/internal/http1"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
 	"github.com/parsleyfront/parsleyfront/internal/wire"
@@ -165,9 +166,7 @@
 			s.atEnd = err != nil
 			return wire.Piece{Bytes: s.buf[:n]}, nil
 		case errors.Is(err, io.EOF):
-			bodyEnds.Inc(s.regularEnd())
-			s.finish()
-			return wire.Piece{End: &wire.End{}}, nil
+			return s.end()
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			bodyEnds.Inc(endOverdue)
 			return wire.Piece{}, ErrOverdue
@@ -178,12 +177,29 @@
 	}
 }
 
-// regularEnd returns how a complete body ended.
-func (s *Stream) regularEnd() bodyEnd {
-	if eventstream.IsFramed(s.resp) {
-		return endFramed
+// end ends a response whose body has been read to its end. Where only the end of the connection marks that, the body is
+// whole only if the call was sent and received as a whole.
+func (s *Stream) end() (wire.Piece, error) {
+	end := endFramed
+	if !eventstream.IsFramed(s.resp) {
+		end = endConnection
+		if err := s.conn.ConfirmEnd(s.conn.upload, s.confirmUntil()); err != nil {
+			bodyEnds.Inc(endLost)
+			return wire.Piece{}, verdict.New(verdict.Ran, verdict.ReasonConnection, "%s", err)
+		}
+	}
+	bodyEnds.Inc(end)
+	s.finish()
+	return wire.Piece{End: &wire.End{}}, nil
+}
+
+// confirmUntil returns until when the end of the call is awaited after that of its response.
+func (s *Stream) confirmUntil() time.Time {
+	until := time.Now().Add(http1.EndTimeout)
+	if !s.overdueAt.IsZero() && s.overdueAt.Before(until) {
+		return s.overdueAt
 	}
-	return endConnection
+	return until
 }
 
 // brokenEnd returns how a body ended that is incomplete, from the error of its reader.
@@ -199,7 +215,7 @@
 func (s *Stream) finish() {
 	s.closed = true
 	idleTimeout := keepFor(s.resp.Header)
-	usable := s.release() && s.conn.allSent() && !s.resp.Close && idleTimeout > 0 && s.conn.r.Buffered() == 0
+	usable := s.release() && s.conn.upload.Succeeded() && !s.resp.Close && idleTimeout > 0 && s.conn.r.Buffered() == 0
 	if !usable {
 		_ = s.conn.Close()
 		return
--- /dev/null
+++ b/internal/http1/conn.go
@@ -0,0 +1,121 @@
+// Package http1 decides what of an HTTP/1.1 response may be believed: when a body is whole whose end only the end of its
+// connection marks. Each client of the module that reads responses uses it.
+package http1
+
+import (
+	"io"
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/parsleyfront/parsleyfront/internal/netpeek"
+)
+
+const (
+	// EndTimeout bounds how long the end of a request is awaited once the response has ended with the connection.
+	EndTimeout = 5 * time.Second
+
+	// minAckPause and maxAckPause are the first and the longest pause between two looks at what the other side has
+	// acknowledged.
+	minAckPause = time.Millisecond
+	maxAckPause = 20 * time.Millisecond
+)
+
+// Conn is a connection that remembers its first failure. A socket reports a reset once, to whoever reads or writes next,
+// so that the other direction would see a regular end. One goroutine reads at a time, and one writes.
+type Conn struct {
+	net.Conn
+	failure atomic.Pointer[error] // first error of either direction, other than a timeout or a regular end
+	ended   bool                  // Read has met a regular end
+}
+
+// NewConn returns a Conn over c.
+func NewConn(c net.Conn) *Conn {
+	return &Conn{Conn: c}
+}
+
+// NetConn returns the connection that c was made of.
+func (c *Conn) NetConn() net.Conn {
+	return c.Conn
+}
+
+// Read implements net.Conn. It repeats the first error, and returns io.EOF only if neither direction has failed.
+func (c *Conn) Read(b []byte) (int, error) {
+	if err := c.failed(); err != nil {
+		return 0, err
+	}
+	if c.ended {
+		return 0, io.EOF
+	}
+	n, err := c.Conn.Read(b)
+	if err == io.EOF {
+		c.ended = true
+		if failure := c.failed(); failure != nil {
+			err = failure
+		}
+		return n, err
+	}
+	c.remember(err)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.remember(err)
+	return n, err
+}
+
+// remember keeps the first error that ends the use of the connection.
+func (c *Conn) remember(err error) {
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.failure.CompareAndSwap(nil, &err)
+	}
+}
+
+// failed returns the first failure of either direction; nil: there was none.
+func (c *Conn) failed() error {
+	if err := c.failure.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
+
+// ConfirmEnd returns nil if a body that has ended with the connection is whole: the request was written, the other
+// side has received it, and neither direction has failed. A connection whose other side has closed it with a part of the
+// request unread is reset, which shows up only after the regular end that it has sent before. ConfirmEnd waits at most
+// until the given time for the end of the request.
+func (c *Conn) ConfirmEnd(request *Upload, until time.Time) error {
+	if err := request.wait(until); err != nil {
+		return err
+	}
+	for pause := minAckPause; ; pause = min(2*pause, maxAckPause) {
+		if err := c.failed(); err != nil {
+			return err
+		}
+		if netpeek.HasFailed(c.Conn) {
+			return errReset
+		}
+		if unacknowledged, known := netpeek.Unacknowledged(c.Conn); !known || unacknowledged == 0 {
+			return c.confirmNoReset()
+		}
+		if !time.Now().Before(until) {
+			return ErrUnfinished
+		}
+		time.Sleep(pause)
+	}
+}
+
+// confirmNoReset returns an error if the connection was reset while its state was looked at.
+func (c *Conn) confirmNoReset() error {
+	if netpeek.HasFailed(c.Conn) {
+		return errReset
+	}
+	return c.failed()
+}
+
+// errReset reports that the other side has reset the connection after it had ended its sending side.
+var errReset = errors.New("http1: the connection was reset after the end of the response")
--- a/internal/netpeek/netpeek.go
+++ b/internal/netpeek/netpeek.go
@@ -65,19 +65,49 @@
 // it sent before have not been read. It does not block and reads nothing from c. It is false for a connection that can't
 // be inspected.
 func HasHungUp(c net.Conn) bool {
+	return polls(c, unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR)
+}
+
+// HasFailed reports whether c can be used in neither direction any more, as after a reset. It does not block, and leaves
+// the error of the reset to the next read or write. It is false for a connection that can't be inspected.
+func HasFailed(c net.Conn) bool {
+	return polls(c, unix.POLLHUP|unix.POLLERR)
+}
+
+// polls reports whether c is in one of the states of events.
+func polls(c net.Conn, events int16) bool {
+	found := false
+	err := control(c, func(fd int) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: events}}
+		n, err := unix.Poll(fds, 0)
+		found = err == nil && n > 0 && fds[0].Revents&events != 0
+	})
+	return err == nil && found
+}
+
+// Unacknowledged returns how many bytes that were written to c the other side has not acknowledged. known is false for a
+// connection that can't be inspected.
+func Unacknowledged(c net.Conn) (bytes int, known bool) {
+	err := control(c, func(fd int) {
+		var err error
+		bytes, err = unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+		known = err == nil
+	})
+	return bytes, err == nil && known
+}
+
+// errNoSocket reports that a connection is not a socket of this process.
+var errNoSocket = errors.New("netpeek: not a socket")
+
+// control calls f with the file descriptor of c.
+func control(c net.Conn, f func(fd int)) error {
 	s, ok := c.(syscall.Conn)
 	if !ok {
-		return false
+		return errNoSocket
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return false
+		return errors.WithStack(err)
 	}
-	hungUp := false
-	err = raw.Control(func(fd uintptr) {
-		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(fds, 0)
-		hungUp = err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
-	})
-	return err == nil && hungUp
+	return raw.Control(func(fd uintptr) { f(int(fd)) })
 }
--- a/internal/netpeek/netpeek_test.go
+++ b/internal/netpeek/netpeek_test.go
@@ -87,15 +87,70 @@
 			if err := hangUp(far); err != nil {
 				t.Fatal(err)
 			}
-			for end := time.Now().Add(10 * time.Second); !HasHungUp(near); time.Sleep(time.Millisecond) {
-				if time.Now().After(end) {
-					t.Fatal("the other side has hung up and is taken for one that has not")
-				}
-			}
+			eventually(t, "the other side has hung up and is taken for one that has not", func() bool { return HasHungUp(near) })
 		})
 	}
 }
 
+// eventually waits for up to 10 s until f reports true.
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !f(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal(what)
+		}
+	}
+}
+
+// The other side resets a connection after it has ended its sending side regularly. HasFailed must tell that from the
+// regular end alone, and must not take the error from the next write.
+func TestHasFailedAfterARegularEnd(t *testing.T) {
+	near, far := tcpPair(t)
+	if err := far.CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the end has not arrived", func() bool { return HasHungUp(near) })
+	if HasFailed(near) {
+		t.Fatal("a regular end is taken for a failure")
+	}
+	if err := errors.Join(far.SetLinger(0), far.Close()); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the reset has not been noticed", func() bool { return HasFailed(near) })
+	if _, err := near.Write([]byte("x")); err == nil {
+		t.Error("a write after the reset succeeds")
+	}
+}
+
+// Bytes are sent while the other side accepts no more. Unacknowledged must count them until it does.
+func TestUnacknowledgedCountsWhatHasNotArrived(t *testing.T) {
+	near, far := tcpPair(t)
+	sent := 0
+	_ = near.SetWriteDeadline(time.Now().Add(50 * time.Millisecond))
+	for piece := make([]byte, 64<<10); ; { // until the buffers of both sides are full
+		n, err := near.Write(piece)
+		if sent += n; err != nil {
+			break
+		}
+	}
+	if n, known := Unacknowledged(near); !known || n == 0 {
+		t.Fatalf("%d bytes are not acknowledged, known %v", n, known)
+	}
+	go func() {
+		b := make([]byte, 64<<10)
+		for read := 0; read < sent; {
+			n, err := far.Read(b)
+			if read += n; err != nil {
+				return
+			}
+		}
+	}()
+	eventually(t, "what was read is not acknowledged", func() bool {
+		n, known := Unacknowledged(near)
+		return known && n == 0
+	})
+}
+
 // What each request of a caller pays for the question whether it has hung up.
 func BenchmarkHasHungUp(b *testing.B) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -346,8 +346,12 @@
 
 // entryOf returns the next entry of a runner.
 func (h *harness) entryOf(r *runner, state string) map[string]any {
+	addr := r.proxy.addr()
+	if h.withoutProxies {
+		addr = r.proxy.target
+	}
 	return map[string]any{
-		"service": "llm", "address": r.proxy.addr(), "zone": r.domain, "version": r.version,
+		"service": "llm", "address": addr, "zone": r.domain, "version": r.version,
 		"slots": h.slots(), "state": state, "warmup_left_ms": max(0, time.Until(r.coldUntil).Milliseconds()), "sequence": r.NextSequence(), "born": r.startedMs,
 	}
 }
@@ -483,6 +487,6 @@
 		"services": []map[string]any{{"name": "llm", "health_path": "/health", "max_connections": 200,
 			"warmup_s": coldDuration.Seconds(), "warmup_per_s": coldRatePerSecond}},
 		"tenants": tenants,
-		"limits":  map[string]any{"max_header_bytes": headerLimit, "max_body_bytes": bodyLimit, "header_timeout_ms": headerTime.Milliseconds(), "idle_timeout_ms": idleTime.Milliseconds()},
+		"limits":  map[string]any{"max_header_bytes": headerLimit, "max_body_bytes": cmp.Or(h.bodyLimit, bodyLimit), "header_timeout_ms": headerTime.Milliseconds(), "idle_timeout_ms": idleTime.Milliseconds()},
 	})
 }
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -85,6 +85,10 @@
 
 	// machine is what the settings say of each router's machine.
 	machine machine
+	// withoutProxies is set if routers call runners without a proxy between.
+	withoutProxies bool
+	// bodyLimit is the operators' limit on bodies, in bytes; zero: the usual one.
+	bodyLimit int
 
 	// badClients is set if some clients do not behave. Runners answer them and record nothing.
 	badClients bool
