http1: an answer whose status is none is no answer

What callers saw: an upstream in trouble answered with the status 000. With a sidecar the answer was kept, and the router broke the caller's connection over it. Without one it was skipped as if it were an interim response, so that bytes after it were taken for the answer to the call.

Cause: http.ReadResponse takes any three characters that strconv.Atoi reads, +20 too, and a status below 200 counts as interim. Ruled out: the id in the response, which the bytes after it may repeat.

Change: http1.HeadChecker follows the bytes of a head before net/http sees their end. A status has three digits and is from 100 to 599, as RFC 9110 has it; 101 answers no call, as none asks for another protocol; the version is one of HTTP/1. Package exchange and http1.Transport, and so all clients of the module, check each head, interim ones included.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -33,12 +33,13 @@
 type conn struct {
 	*http1.Conn
 	r         *bufio.Reader
-	allowance int64         // bytes that Read may still take from the socket
-	opened    time.Time     // when it was opened
-	reused    bool          // the connection has been idle before
-	proven    bool          // the incarnation that was called is at the other end: it has run a call
-	expires   time.Time     // when an idle connection is to be closed
-	upload    *http1.Upload // of the latest call; nil: none was sent
+	allowance int64             // bytes that Read may still take from the socket
+	head      http1.HeadChecker // of the head that is read, or of the latest one
+	opened    time.Time         // when it was opened
+	reused    bool              // the connection has been idle before
+	proven    bool              // the incarnation that was called is at the other end: it has run a call
+	expires   time.Time         // when an idle connection is to be closed
+	upload    *http1.Upload     // of the latest call; nil: none was sent
 
 	// The client's mutex guards the fields below.
 	awaitsHead bool // a call was sent, and the head of its response has not been read
@@ -52,13 +53,18 @@
 	return out
 }
 
-// Read implements net.Conn. Once the allowance is used up, it returns errTooLong.
+// Read implements net.Conn. It returns no bytes that complete a faulty head. Once the allowance is used up, it returns
+// errTooLong.
 func (c *conn) Read(b []byte) (int, error) {
 	if c.allowance <= 0 {
 		return 0, errTooLong
 	}
 	n, err := c.Conn.Read(b[:min(int64(len(b)), c.allowance)])
 	c.allowance -= int64(n)
+	if _, fault := c.head.Check(b[:n]); fault != nil {
+		c.Fail(fault)
+		return 0, fault
+	}
 	return n, err
 }
 
--- a/internal/exchange/earlyanswer_test.go
+++ b/internal/exchange/earlyanswer_test.go
@@ -57,6 +57,11 @@
 		return "", err
 	}
 	defer s.Close()
+	return readBody(s)
+}
+
+// readBody reads a response to its end, and returns an error if it is not whole.
+func readBody(s *exchange.Stream) (string, error) {
 	var body bytes.Buffer
 	for {
 		p, err := s.Next()
--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -77,6 +77,10 @@
 // readHead reads the head of a response.
 func (c *conn) readHead(method string) (*http.Response, error) {
 	defer c.limit(maxHeadBytes)()
+	if err := c.beginHead(); err != nil {
+		malformedResponses.Inc(headMalformed)
+		return nil, err
+	}
 	if begin, err := c.r.Peek(len(protocolName)); err == nil && string(begin) != protocolName {
 		malformedResponses.Inc(headMalformed)
 		return nil, errors.Errorf("exchange: the answer begins with %q", begin)
@@ -95,6 +99,14 @@
 	return nil, errors.WithStack(err)
 }
 
+// beginHead checks the bytes of a head that are buffered. Read checks those that still arrive.
+func (c *conn) beginHead() error {
+	c.head.Reset()
+	buffered, _ := c.r.Peek(c.r.Buffered()) // as many bytes as are buffered
+	_, err := c.head.Check(buffered)
+	return err
+}
+
 // isReadError reports whether http.ReadResponse failed because no more bytes could be read, and not because of those
 // that were.
 func isReadError(err error) bool {
--- /dev/null
+++ b/internal/exchange/head_test.go
@@ -0,0 +1,81 @@
+package exchange_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/exchange"
+	"github.com/parsleyfront/parsleyfront/internal/standin"
+	"github.com/parsleyfront/parsleyfront/internal/topo"
+)
+
+// callRaw calls an upstream that sends text, with $ID for the id of the call, and ends the connection. It returns the body of
+// the response, and an error if there is none or it is not whole.
+func callRaw(t *testing.T, text string) (string, error) {
+	t.Helper()
+	u, err := standin.StartRaw(func(c *net.TCPConn, r *http.Request) {
+		_, _ = io.WriteString(c, strings.ReplaceAll(text, "$ID", r.Header.Get("Id")))
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer u.Close()
+	client := exchange.NewClient(plainDialect{}, exchange.Dialer())
+	s, err := client.Do(context.Background(), topo.VM{ID: "vm", Addr: u.Addr()}, endlessCall(), func(time.Time) bool { return true })
+	if err != nil {
+		return "", err
+	}
+	defer s.Close()
+	return readBody(s)
+}
+
+// soundResponse is a response to the call, which may follow bytes that are none.
+const soundResponse = "HTTP/1.1 200 OK\r\nId: $ID\r\nContent-Length: 5\r\n\r\nhello"
+
+// An upstream sends an answer whose status is none. Guards against a caller that gets it as an answer, or the bytes after
+// it, which were read as if it were an interim response.
+func TestAnswersWithoutAStatusAreNone(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "+20", "+99", "101", "600", "999"} {
+		head := "HTTP/1.1 " + status + " OK\r\nId: $ID\r\n"
+		for _, text := range []string{
+			head + "Content-Length: 5\r\n\r\nhello", head + "\r\n" + soundResponse,
+			"HTTP/1.1 100 Continue\r\n\r\n" + head + "\r\n" + soundResponse,
+		} {
+			if body, err := callRaw(t, text); err == nil {
+				t.Errorf("%q is an answer with %q", text, body)
+			}
+		}
+	}
+}
+
+// Interim responses are skipped, and the response after them is delivered.
+func TestResponseAfterInterimOnesIsDelivered(t *testing.T) {
+	const interim = "HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n"
+	if body, err := callRaw(t, interim+"HTTP/1.1 100 Continue\r\n\r\n"+soundResponse); err != nil || body != "hello" {
+		t.Errorf("%q, error %v", body, err)
+	}
+}
+
+// An upstream sends a faulty line of a head, and then nothing more. Guards against a caller that waits until its deadline.
+func TestCallEndsWithTheFirstFaultyLine(t *testing.T) {
+	for _, begin := range []string{"HTTP/1.1 000 OK\r\n"} {
+		t.Run(begin, func(t *testing.T) {
+			client, server := net.Pipe()
+			defer server.Close()
+			go func() {
+				_, _ = server.Read(make([]byte, 64<<10))
+				_, _ = server.Write([]byte(begin))
+			}()
+			dial := func(context.Context, string, string) (net.Conn, error) { return client, nil }
+			_, err := exchange.NewClient(plainDialect{}, dial).Do(context.Background(), endlessVM, endlessCall(), func(time.Time) bool { return true })
+			if err == nil {
+				t.Fatal("it is a response")
+			}
+		})
+	}
+}
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -59,19 +59,19 @@
 		}
 		return n, err
 	}
-	c.remember(err)
+	c.Fail(err)
 	return n, err
 }
 
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
-	c.remember(err)
+	c.Fail(err)
 	return n, err
 }
 
-// remember keeps the first error that ends the use of the connection.
-func (c *Conn) remember(err error) {
+// Fail records an error that ends the use of the connection, unless there was one before. Nil and timeouts are none.
+func (c *Conn) Fail(err error) {
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.failure.CompareAndSwap(nil, &err)
 	}
--- /dev/null
+++ b/internal/http1/head.go
@@ -0,0 +1,243 @@
+package http1
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"strconv"
+)
+
+const (
+	// maxStatus is the largest status that HTTP defines a meaning for (RFC 9110, section 15).
+	maxStatus = 599
+	// maxTextBytes bounds what is kept of a line, of a name and of a value. All that is looked at is shorter.
+	maxTextBytes = 64
+
+	// protocolPrefix begins each response, and a digit follows it.
+	protocolPrefix = "HTTP/1."
+)
+
+// HeadError reports bytes that are no head of a response.
+type HeadError struct {
+	Fault string // what is wrong
+	Text  string // the beginning of the line, the name or the value
+}
+
+// Error implements error.
+func (e *HeadError) Error() string {
+	return fmt.Sprintf("http1: %s: %q", e.Fault, e.Text)
+}
+
+// HeadChecker follows the bytes of the head of one response and knows whether it may be believed. net/http takes for a
+// response what is refused here: a status that is none. The zero value is the start of a head.
+type HeadChecker struct {
+	part    headPart
+	afterCR bool   // the latest byte was a CR, which only the end of a line follows
+	text    []byte // the beginning of the part
+	field   field  // the field of the latest line
+	status  int
+	framing framing
+}
+
+// headPart is the part of a head that the next byte belongs to.
+type headPart uint8
+
+const (
+	inStatusLine headPart = iota
+	atLineStart           // of a field, of the rest of the one before, or of the empty line
+	inName
+	inValue
+	afterHead
+)
+
+// field is a field that is looked at.
+type field uint8
+
+const (
+	noField field = iota
+	otherField
+	contentLength
+	transferEncoding
+)
+
+// framing is what a head says of the end of the body.
+type framing struct {
+	length  []byte // value of Content-Length; nil: there is none
+	chunked bool
+}
+
+// Reset makes h the start of another head.
+func (h *HeadChecker) Reset() {
+	*h = HeadChecker{text: h.text[:0]}
+}
+
+// Check takes the next bytes. It returns how many of them belong to the head, and a *HeadError once the head can't be
+// believed any more.
+func (h *HeadChecker) Check(b []byte) (n int, err error) {
+	for n < len(b) && h.part != afterHead {
+		if err := h.next(b[n]); err != nil {
+			return n, err
+		}
+		n++
+	}
+	return n, nil
+}
+
+// Ended reports whether the head has ended.
+func (h *HeadChecker) Ended() bool {
+	return h.part == afterHead
+}
+
+// IsInterim reports whether the head, which has ended, is that of an interim response, which another head follows.
+func (h *HeadChecker) IsInterim() bool {
+	return h.status < http.StatusOK
+}
+
+// IsFramed reports whether the head, which has ended, says where the body ends.
+func (h *HeadChecker) IsFramed() bool {
+	return h.framing.chunked || h.framing.length != nil
+}
+
+// next takes a byte.
+func (h *HeadChecker) next(c byte) error {
+	switch {
+	case c == '\n':
+		h.afterCR = false
+		return h.endLine()
+	case h.afterCR, c < ' ' && c != '\t' && c != '\r', c == 0x7f:
+		return h.fault("a control byte")
+	case c == '\r':
+		h.afterCR = true
+		return nil
+	case h.part == atLineStart:
+		return h.beginLine(c)
+	case h.part == inName:
+		return h.nextOfName(c)
+	case h.part == inValue && h.field == otherField:
+		return nil
+	}
+	h.keep(c)
+	return nil
+}
+
+// keep adds a byte to the text of the part. Blanks at its beginning, and more than one in a row, are left out.
+func (h *HeadChecker) keep(c byte) {
+	if isBlank(c) {
+		if len(h.text) == 0 || h.text[len(h.text)-1] == ' ' {
+			return
+		}
+		c = ' '
+	}
+	if len(h.text) < maxTextBytes {
+		h.text = append(h.text, c)
+	}
+}
+
+// beginLine takes the first byte of a line after the status line. A blank continues the value of the line before.
+func (h *HeadChecker) beginLine(c byte) error {
+	if isBlank(c) {
+		if h.field == noField {
+			return h.fault("the first field begins with a blank")
+		}
+		h.part = inValue
+		h.keep(c)
+		return nil
+	}
+	if err := h.endField(); err != nil {
+		return err
+	}
+	h.part = inName
+	return h.nextOfName(c)
+}
+
+// nextOfName takes a byte of the name of a field, or the colon after it.
+func (h *HeadChecker) nextOfName(c byte) error {
+	if c != ':' {
+		h.keep(c)
+		return nil
+	}
+	if len(h.text) == 0 {
+		return h.fault("a field without a name")
+	}
+	h.field = fieldOf(h.text)
+	h.part, h.text = inValue, h.text[:0]
+	return nil
+}
+
+// endLine ends a line.
+func (h *HeadChecker) endLine() error {
+	switch h.part {
+	case inStatusLine:
+		err := h.readStatusLine()
+		h.text = h.text[:0]
+		h.part = atLineStart
+		return err
+	case inName:
+		return h.fault("a field without a colon")
+	case atLineStart: // the empty line
+		if err := h.endField(); err != nil {
+			return err
+		}
+		h.part = afterHead
+		return nil
+	}
+	h.part = atLineStart
+	return nil
+}
+
+// readStatusLine reads the first line. net/http takes any number of three characters for a status, and one below 200 for
+// that of an interim response. No call asks for another protocol, so that 101 answers none.
+func (h *HeadChecker) readStatusLine() error {
+	version, rest, _ := bytes.Cut(h.text, []byte(" "))
+	minor, ok := bytes.CutPrefix(version, []byte(protocolPrefix))
+	if !ok || len(minor) != 1 || !isDigit(minor[0]) {
+		return h.fault("not a version of HTTP/1")
+	}
+	digits, _, _ := bytes.Cut(rest, []byte(" "))
+	if len(digits) != 3 || !isNumber(digits) {
+		return h.fault("the status is not a number of three digits")
+	}
+	h.status, _ = strconv.Atoi(string(digits)) // digits do not fail
+	if h.status < http.StatusContinue || h.status > maxStatus || h.status == http.StatusSwitchingProtocols {
+		return h.fault("a status that answers no request")
+	}
+	return nil
+}
+
+// endField ends the field of the lines before.
+func (h *HeadChecker) endField() error {
+	value := bytes.TrimSuffix(h.text, []byte(" "))
+	switch h.field {
+	case contentLength:
+		h.framing.length = bytes.Clone(value)
+	case transferEncoding:
+		h.framing.chunked = true
+	}
+	h.text = h.text[:0]
+	return nil
+}
+
+// fault returns a *HeadError about the current part.
+func (h *HeadChecker) fault(text string) error {
+	return &HeadError{Fault: text, Text: string(h.text)}
+}
+
+// fieldOf returns the field with a name.
+func fieldOf(name []byte) field {
+	switch {
+	case bytes.EqualFold(name, []byte("Content-Length")):
+		return contentLength
+	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		return transferEncoding
+	}
+	return otherField
+}
+
+func isBlank(c byte) bool { return c == ' ' || c == '\t' }
+
+func isDigit(c byte) bool { return '0' <= c && c <= '9' }
+
+// isNumber reports whether b holds digits, and nothing else.
+func isNumber(b []byte) bool {
+	return len(b) > 0 && bytes.IndexFunc(b, func(r rune) bool { return r < '0' || r > '9' }) < 0
+}
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -19,7 +19,8 @@
 // errUnknownLength reports a request whose end can't be known.
 var errUnknownLength = errors.New("http1: the request has a body of unknown length")
 
-// Transport is an http.RoundTripper that speaks HTTP/1.1 over an http.Transport. A body that ends with its connection ends
+// Transport is an http.RoundTripper that speaks HTTP/1.1 over an http.Transport. A response whose head a HeadChecker refuses
+// is an error that wraps a *HeadError. A body that ends with its connection ends
 // with an error unless it is whole, see Conn.ConfirmEnd. Requests must have a known length.
 type Transport struct {
 	base *http.Transport
@@ -107,9 +108,24 @@
 
 // call is one request and its response.
 type call struct {
-	request  requestMeter // used by Write
-	upload   *Upload
-	answered bool // bytes of the response have been read; used by Read
+	request requestMeter // used by Write
+	upload  *Upload
+	head    HeadChecker // used by Read
+}
+
+// checkHead checks the heads of a response in the bytes that have arrived, interim ones included.
+func (c *call) checkHead(b []byte) error {
+	for len(b) > 0 && !c.head.Ended() {
+		n, err := c.head.Check(b)
+		if err != nil {
+			return err
+		}
+		b = b[n:]
+		if c.head.Ended() && c.head.IsInterim() {
+			c.head.Reset()
+		}
+	}
+	return nil
 }
 
 // begin starts a call with a body of a length.
@@ -117,7 +133,7 @@
 	c.call.Store(&call{request: requestMeter{bodyLeft: bodyBytes}, upload: NewUpload()})
 }
 
-// Read implements net.Conn. It returns io.EOF within a response only once ConfirmEnd has confirmed the end. http.Transport
+// Read implements net.Conn. It returns no bytes that complete a faulty head. It returns io.EOF within a response only once ConfirmEnd has confirmed the end. http.Transport
 // closes the connection with the end of the response, and thus ends the writing of the request.
 func (c *callConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
@@ -125,12 +141,15 @@
 	if call == nil {
 		return n, err
 	}
-	call.answered = call.answered || n > 0
-	if err != io.EOF || !call.answered {
+	if failure := call.checkHead(b[:n]); failure != nil {
+		c.Fail(failure)
+		return 0, failure
+	}
+	if err != io.EOF || !call.head.Ended() {
 		return n, err
 	}
 	if failure := c.ConfirmEnd(call.upload, time.Now().Add(EndTimeout)); failure != nil {
-		c.remember(failure)
+		c.Fail(failure)
 		return n, failure
 	}
 	return n, io.EOF
--- a/internal/upstream/broken_test.go
+++ b/internal/upstream/broken_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/standin"
+	"github.com/parsleyfront/parsleyfront/internal/verdict"
 	"github.com/parsleyfront/parsleyfront/internal/wire"
 )
 
@@ -105,3 +106,41 @@
 		})
 	}
 }
+
+// newTextUpstream returns an upstream that answers each call with a text and ends the connection.
+func newTextUpstream(t *testing.T, text string) *HTTP {
+	return newRawUpstream(t, func(conn *net.TCPConn, _ *http.Request) { _, _ = io.WriteString(conn, text) })
+}
+
+// checkNoAnswer checks that a text is taken for an answer by none of the clients, and that the call may have run.
+func checkNoAnswer(t *testing.T, text string) {
+	t.Helper()
+	u := newTextUpstream(t, text)
+	for _, idempotent := range []bool{false, true} {
+		body, err := upload(u, 0, idempotent)
+		if err == nil {
+			t.Errorf("%q is an answer with %q", text, body)
+			continue
+		}
+		if e := verdict.From(err); e == nil || e.Verdict != verdict.MayHaveRun {
+			t.Errorf("%q: error %v", text, err)
+		}
+	}
+}
+
+// soundResponse is a response, which may follow bytes that are none.
+const soundResponse = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+
+// An upstream sends an answer whose status is none. Guards against a sidecar that passes it on, so that the router breaks the
+// caller's connection without a reason, and against one that takes the bytes after it for the answer.
+func TestAnswersWithoutAStatusAreNone(t *testing.T) {
+	for _, status := range []string{"000", "099", "+20", "101", "600", "999"} {
+		head := "HTTP/1.1 " + status + " OK\r\n"
+		for _, text := range []string{
+			head + "Content-Length: 5\r\n\r\nhello", head + "\r\n" + soundResponse,
+			"HTTP/1.1 100 Continue\r\n\r\n" + head + "\r\n" + soundResponse,
+		} {
+			checkNoAnswer(t, text)
+		}
+	}
+}
--- a/test/soak/brokenanswers_test.go
+++ b/test/soak/brokenanswers_test.go
@@ -179,3 +179,35 @@
 		})
 	}
 }
+
+// brokenHead returns an answer whose head is none, and after it what would be one.
+func brokenHead(name, status string, headers ...string) answer {
+	return answer{name, false, func(r *runner, c net.Conn, req *http.Request) {
+		sendUnframed("HTTP/1.1", status, plainResponse(r.incarnation, "nobody"), headers...)(r, c, req)
+	}}
+}
+
+// Runners in trouble send answers that are none. Guards against callers that get them as answers.
+func TestSoakAnswersThatAreNone(t *testing.T) {
+	t.Parallel()
+	for _, a := range []answer{
+		brokenHead("status 000", "000 OK", "Content-Length: 20"),
+		{"status 000, then an answer", false, func(r *runner, c net.Conn, req *http.Request) {
+			sendUnframed("HTTP/1.1", "000 OK", "")(r, c, req)
+			sendUnframed("HTTP/1.1", "200 OK", "another", "Content-Length: 7")(r, c, req)
+		}},
+		brokenHead("status +20", "+20 OK", "Content-Length: 20"),
+		brokenHead("status 999", "999 OK", "Content-Length: 20"),
+		brokenHead("another protocol", "101 Switching Protocols"),
+	} {
+		t.Run(strings.ReplaceAll(a.name, " ", "-"), func(t *testing.T) {
+			t.Parallel()
+			h := newAnswerHarness(t)
+			h.eachCall(a, 0, func(kind string, c *call) {
+				if c.signature != "" || c.status/100 == 2 {
+					t.Errorf("%s, HTTP/1.0 %v: status %d of %q with %q", kind, c.http10, c.status, c.signature, c.responseBody)
+				}
+			})
+		})
+	}
+}
