http1: an answer whose head holds a name that no field has is no answer

What callers saw: an upstream in trouble answered with a head in which the name of a field held a blank. The caller got the answer without that line, with a sidecar with it, and where the line was the length or the encoding a body that was not the upstream's: bytes after it, or the sizes of chunks.

Cause: net/textproto keeps a name with a blank as it is, and net/http knows the fields that say where a body ends by their exact name. Ruled out: control bytes and tabs in names, names that are empty and control bytes in values, which net/textproto refuses; these hold, and keep a test.

Change: http1.HeadChecker accepts the bytes of a token alone in a name (RFC 9110, section 5.6.2), in interim heads too. RFC 9112, section 5.1, would let a proxy remove blanks before the colon; an upstream that writes them can't be trusted with where its body ends, and the operators call it no answer.

--- a/internal/exchange/head_test.go
+++ b/internal/exchange/head_test.go
@@ -53,6 +53,22 @@
 	}
 }
 
+// An upstream sends an answer in whose head the name of a field holds a blank or a control byte. Guards against a caller that
+// gets it as an answer, without that line, or with a body that is not the upstream's where the line says its length.
+func TestAnswersWithFaultyNamesAreNone(t *testing.T) {
+	for _, field := range []string{"Content-Length : 5", "Transfer-Encoding : chunked", "X Y: z", "X : z", "X\t: z", "X\x00: z", "\x01: z", "X\x7fY: z", ": z", "X: z\x00"} {
+		for _, text := range []string{
+			"HTTP/1.1 200 OK\r\nId: $ID\r\n" + field + "\r\n\r\nhello, and more",
+			"HTTP/1.1 200 OK\r\n" + field + "\r\nId: $ID\r\nContent-Length: 5\r\n\r\nhello",
+			"HTTP/1.1 103 Early Hints\r\n" + field + "\r\n\r\n" + soundResponse,
+		} {
+			if body, err := callRaw(t, text); err == nil {
+				t.Errorf("%q is an answer with %q", text, body)
+			}
+		}
+	}
+}
+
 // Interim responses are skipped, and the response after them is delivered.
 func TestResponseAfterInterimOnesIsDelivered(t *testing.T) {
 	const interim = "HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n"
@@ -63,7 +79,7 @@
 
 // An upstream sends a faulty line of a head, and then nothing more. Guards against a caller that waits until its deadline.
 func TestCallEndsWithTheFirstFaultyLine(t *testing.T) {
-	for _, begin := range []string{"HTTP/1.1 000 OK\r\n"} {
+	for _, begin := range []string{"HTTP/1.1 000 OK\r\n", "HTTP/1.1 200 OK\r\nX Y: z\r\n", "HTTP/1.1 200 OK\r\nX Y"} {
 		t.Run(begin, func(t *testing.T) {
 			client, server := net.Pipe()
 			defer server.Close()
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -29,7 +29,8 @@
 }
 
 // HeadChecker follows the bytes of the head of one response and knows whether it may be believed. net/http takes for a
-// response what is refused here: a status that is none. The zero value is the start of a head.
+// response what is refused here: a status that is none, and names of fields with blanks, under which it does not know how
+// long the body is. The zero value is the start of a head.
 type HeadChecker struct {
 	part    headPart
 	afterCR bool   // the latest byte was a CR, which only the end of a line follows
@@ -154,6 +155,9 @@
 func (h *HeadChecker) nextOfName(c byte) error {
 	if c != ':' {
 		h.keep(c)
+		if !isTokenByte(c) {
+			return h.fault("a byte that no name of a field holds")
+		}
 		return nil
 	}
 	if len(h.text) == 0 {
@@ -241,3 +245,12 @@
 func isNumber(b []byte) bool {
 	return len(b) > 0 && bytes.IndexFunc(b, func(r rune) bool { return r < '0' || r > '9' }) < 0
 }
+
+// isTokenByte reports whether the name of a field may hold a byte (RFC 9110, section 5.6.2).
+func isTokenByte(c byte) bool {
+	switch {
+	case 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z', isDigit(c):
+		return true
+	}
+	return bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), c) >= 0
+}
--- a/internal/http1/head_test.go
+++ b/internal/http1/head_test.go
@@ -44,6 +44,28 @@
 	}
 }
 
+// faultyNames are names that no field has.
+var faultyNames = []string{"Content-Length ", "Content Length", "X Y", "X ", "X\t", "X\x00", "\x01", "X\x7f", "\x80", "X(Y)", "Content-Length\r", "", "X\x1fY", "X/Y", "<html>"}
+
+// Guards against answers in whose head the name of a field holds a blank or a control byte: net/http keeps some of these
+// as they are, and does not know the length that such a line gives.
+func TestNamesThatNoFieldHas(t *testing.T) {
+	for _, name := range faultyNames {
+		for _, status := range []string{"200 OK", "503 Service Unavailable", "103 Early Hints"} {
+			for _, before := range []string{"", "X: y\r\n", "X: y\r\n z\r\n"} {
+				if checkWhole(t, "HTTP/1.1 "+status+"\r\n"+before+name+": 5\r\n\r\n") == nil {
+					t.Errorf("%q is taken for the name of a field", name)
+				}
+			}
+		}
+	}
+	for _, line := range []string{" X: y", "\tX: y", "X", "hello world", "X: y\x00", "X: y\rZ: q", "X: y\r\n z\x01"} {
+		if checkWhole(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n\r\n") == nil {
+			t.Errorf("%q is taken for a field", line)
+		}
+	}
+}
+
 // Heads that are lax, and mean one thing only, must be served.
 func TestLaxHeadsAreHeads(t *testing.T) {
 	for _, head := range []string{
--- a/internal/upstream/broken_test.go
+++ b/internal/upstream/broken_test.go
@@ -144,3 +144,13 @@
 		}
 	}
 }
+
+// An upstream sends an answer in whose head the name of a field holds a blank or a control byte. Guards against a sidecar that
+// passes that line on, or a body that is not the upstream's where the line says its length.
+func TestAnswersWithFaultyNamesAreNone(t *testing.T) {
+	for _, field := range []string{"Content-Length : 5", "Transfer-Encoding : chunked", "X Y: z", "X : z", "X\t: z", "X\x00: z", ": z", "X: z\x00"} {
+		checkNoAnswer(t, "HTTP/1.1 200 OK\r\n"+field+"\r\n\r\nhello, and more")
+		checkNoAnswer(t, "HTTP/1.1 200 OK\r\n"+field+"\r\nContent-Length: 5\r\n\r\nhello")
+		checkNoAnswer(t, "HTTP/1.1 103 Early Hints\r\n"+field+"\r\n\r\n"+soundResponse)
+	}
+}
--- a/test/soak/brokenanswers_test.go
+++ b/test/soak/brokenanswers_test.go
@@ -199,6 +199,16 @@
 		brokenHead("status +20", "+20 OK", "Content-Length: 20"),
 		brokenHead("status 999", "999 OK", "Content-Length: 20"),
 		brokenHead("another protocol", "101 Switching Protocols"),
+		brokenHead("a blank in a name", "200 OK", "Content-Length: 20", "X Y: z"),
+		brokenHead("a blank after a name", "200 OK", "Content-Length: 20", "X : z"),
+		brokenHead("a blank after the name of the length", "200 OK", "Content-Length : 5"),
+		brokenHead("a blank after the name of the encoding", "200 OK", "Transfer-Encoding : chunked"),
+		brokenHead("a tab in a name", "200 OK", "Content-Length: 20", "X\tY: z"),
+		brokenHead("a control byte in a name", "200 OK", "Content-Length: 20", "X\x01: z"),
+		{"a blank in a name of an interim answer", false, func(r *runner, c net.Conn, req *http.Request) {
+			sendUnframed("HTTP/1.1", "103 Early Hints", "", "X Y: z")(r, c, req)
+			sendUnframed("HTTP/1.1", "200 OK", "whole", "Content-Length: 5")(r, c, req)
+		}},
 	} {
 		t.Run(strings.ReplaceAll(a.name, " ", "-"), func(t *testing.T) {
 			t.Parallel()
