http1: an answer that says twice where its body ends is no answer

What callers saw: an answer of HTTP/1.0 with Transfer-Encoding was delivered with the sizes of its chunks as a whole body; one with a length and chunks was read by its chunks, whatever the length said.

Cause: net/http ignores the encoding in HTTP/1.0 and drops the length beside chunks, both before a client can see them. Ruled out: two lengths, a length that is no number, other and repeated encodings, which net/http refuses; these hold, and keep a test.

Change: http1.HeadChecker refuses what RFC 9112, sections 6.1 and 6.3, calls faulty, or leaves to chance: both fields, an encoding in HTTP/1.0, any but chunked once, lengths that differ or are no number; and, by 6.1 and RFC 9110, section 8.6, an encoding or a length above 0 where the status allows no body, as the bytes that they announce would be read as the next answer. A transport awaits the end of the request only where the body ends with the connection.

The tests failed before. Answers with one framing are delivered as before.

--- a/internal/exchange/head_test.go
+++ b/internal/exchange/head_test.go
@@ -69,6 +69,47 @@
 	}
 }
 
+// An upstream says twice where the body of its answer ends, or in a way that the version of its answer doesn't have. Guards
+// against a caller that gets the sizes of chunks, or bytes after the body, as the body.
+func TestAnswersWithFaultyFramingAreNone(t *testing.T) {
+	const chunks = "\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+	for _, text := range []string{
+		"HTTP/1.0 200 OK\r\nId: $ID\r\nTransfer-Encoding: chunked" + chunks,
+		"HTTP/1.0 200 OK\r\nId: $ID\r\nContent-Length: 15\r\nTransfer-Encoding: chunked" + chunks,
+		"HTTP/1.1 200 OK\r\nId: $ID\r\nContent-Length: 15\r\nTransfer-Encoding: chunked" + chunks,
+		"HTTP/1.1 200 OK\r\nId: $ID\r\nTransfer-Encoding: chunked\r\nContent-Length: 5" + chunks,
+		"HTTP/1.1 200 OK\r\nId: $ID\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked" + chunks,
+		"HTTP/1.1 200 OK\r\nId: $ID\r\nTransfer-Encoding: gzip, chunked" + chunks,
+		"HTTP/1.1 200 OK\r\nId: $ID\r\nTransfer-Encoding: identity" + chunks,
+		"HTTP/1.1 200 OK\r\nId: $ID\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello",
+		"HTTP/1.1 200 OK\r\nId: $ID\r\nContent-Length: 5, 6\r\n\r\nhello",
+		"HTTP/1.1 200 OK\r\nId: $ID\r\nContent-Length: +5\r\n\r\nhello",
+		"HTTP/1.1 204 No Content\r\nId: $ID\r\nTransfer-Encoding: chunked" + chunks,
+		"HTTP/1.1 204 No Content\r\nId: $ID\r\nContent-Length: 5\r\n\r\nhello",
+		"HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\n" + soundResponse,
+		"HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n" + soundResponse,
+	} {
+		if body, err := callRaw(t, text); err == nil {
+			t.Errorf("%q is an answer with %q", text, body)
+		}
+	}
+}
+
+// Bodies that end in chunks, or have one length or the same one twice, are delivered, also with an answer of HTTP/1.0.
+func TestAnswersWithOneFramingAreDelivered(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nId: $ID\r\ntransfer-encoding: Chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nId: $ID\r\nContent-Length: 5\r\ncontent-length:5 \r\n\r\nhello",
+		"HTTP/1.0 200 OK\r\nId: $ID\r\nContent-Length: 5\r\n\r\nhello",
+		"HTTP/1.0 200 OK\r\nId: $ID\r\n\r\nhello",
+		"HTTP/1.1 200 OK\nId: $ID\n\nhello",
+	} {
+		if body, err := callRaw(t, text); err != nil || body != "hello" {
+			t.Errorf("%q: %q, error %v", text, body, err)
+		}
+	}
+}
+
 // Interim responses are skipped, and the response after them is delivered.
 func TestResponseAfterInterimOnesIsDelivered(t *testing.T) {
 	const interim = "HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n"
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -29,14 +29,15 @@
 }
 
 // HeadChecker follows the bytes of the head of one response and knows whether it may be believed. net/http takes for a
-// response what is refused here: a status that is none, and names of fields with blanks, under which it does not know how
-// long the body is. The zero value is the start of a head.
+// response what is refused here: a status that is none, names of fields with blanks, under which it does not know how long
+// the body is, and two statements of its length. The zero value is the start of a head.
 type HeadChecker struct {
 	part    headPart
 	afterCR bool   // the latest byte was a CR, which only the end of a line follows
 	text    []byte // the beginning of the part
 	field   field  // the field of the latest line
 	status  int
+	minor   byte // digit of the version
 	framing framing
 }
 
@@ -183,7 +184,7 @@
 			return err
 		}
 		h.part = afterHead
-		return nil
+		return h.checkFraming()
 	}
 	h.part = atLineStart
 	return nil
@@ -201,6 +202,7 @@
 	if len(digits) != 3 || !isNumber(digits) {
 		return h.fault("the status is not a number of three digits")
 	}
+	h.minor = minor[0]
 	h.status, _ = strconv.Atoi(string(digits)) // digits do not fail
 	if h.status < http.StatusContinue || h.status > maxStatus || h.status == http.StatusSwitchingProtocols {
 		return h.fault("a status that answers no request")
@@ -213,14 +215,40 @@
 	value := bytes.TrimSuffix(h.text, []byte(" "))
 	switch h.field {
 	case contentLength:
+		if !isNumber(value) {
+			return h.fault("the length is not a number")
+		}
+		if h.framing.length != nil && !bytes.Equal(value, h.framing.length) {
+			return h.fault("two lengths")
+		}
 		h.framing.length = bytes.Clone(value)
 	case transferEncoding:
+		if h.framing.chunked {
+			return h.fault("two transfer encodings")
+		}
+		if !bytes.EqualFold(value, []byte("chunked")) {
+			return h.fault("an unknown transfer encoding")
+		}
 		h.framing.chunked = true
 	}
 	h.text = h.text[:0]
 	return nil
 }
 
+// checkFraming checks what the head says of the end of the body (RFC 9112, sections 6.1 to 6.3; RFC 9110, section 8.6).
+func (h *HeadChecker) checkFraming() error {
+	hasNoBody := h.IsInterim() || h.status == http.StatusNoContent
+	switch {
+	case h.framing.chunked && h.framing.length != nil:
+		return h.fault("both a length and a transfer encoding")
+	case h.framing.chunked && h.minor == '0':
+		return h.fault("a transfer encoding in HTTP/1.0")
+	case h.framing.chunked && hasNoBody, hasNoBody && len(bytes.Trim(h.framing.length, "0")) > 0:
+		return h.fault("a body where the status allows none")
+	}
+	return nil
+}
+
 // fault returns a *HeadError about the current part.
 func (h *HeadChecker) fault(text string) error {
 	return &HeadError{Fault: text, Text: string(h.text)}
--- a/internal/http1/head_test.go
+++ b/internal/http1/head_test.go
@@ -66,6 +66,32 @@
 	}
 }
 
+// faultyFramings are lines that say twice where a body ends, in a way that HTTP/1.1 doesn't have, or not at all.
+var faultyFramings = []string{
+	"Content-Length: 5\r\nTransfer-Encoding: chunked", "Transfer-Encoding: chunked\r\nContent-Length: 5", "Transfer-Encoding: chunked\r\ncontent-length: 0",
+	"Content-Length: 5\r\nContent-Length: 6", "Content-Length: 5\r\nX: y\r\nContent-Length: 05", "Content-Length: 5, 5", "Content-Length: 5,6", "Content-Length: 5\r\n 6",
+	"Content-Length:", "Content-Length: ", "Content-Length: +5", "Content-Length: -5", "Content-Length: 0x5", "Content-Length: 5 5", "Content-Length: 5;", "Content-Length: 5.0", "Content-Length: \xb2",
+	"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", "Transfer-Encoding: chunked, chunked", "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: gzip",
+	"Transfer-Encoding: identity", "Transfer-Encoding:", "Transfer-Encoding: chunked;q=1", "Transfer-Encoding: xchunked", "Transfer-Encoding: chun\r\n ked",
+}
+
+// Guards against a body that is read to where the upstream did not mean it to end.
+func TestFramingsThatSayNothingSure(t *testing.T) {
+	for _, lines := range faultyFramings {
+		if checkWhole(t, "HTTP/1.1 200 OK\r\n"+lines+"\r\n\r\n") == nil {
+			t.Errorf("%q is believed", lines)
+		}
+	}
+	for _, head := range []string{
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked", "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked", "HTTP/1.1 204 No Content\r\nContent-Length: 5",
+		"HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked", "HTTP/1.1 100 Continue\r\nContent-Length: 05",
+	} {
+		if checkWhole(t, head+"\r\n\r\n") == nil {
+			t.Errorf("%q is believed", head)
+		}
+	}
+}
+
 // Heads that are lax, and mean one thing only, must be served.
 func TestLaxHeadsAreHeads(t *testing.T) {
 	for _, head := range []string{
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -145,7 +145,7 @@
 		c.Fail(failure)
 		return 0, failure
 	}
-	if err != io.EOF || !call.head.Ended() {
+	if err != io.EOF || !call.head.Ended() || call.head.IsFramed() {
 		return n, err
 	}
 	if failure := c.ConfirmEnd(call.upload, time.Now().Add(EndTimeout)); failure != nil {
--- a/internal/upstream/broken_test.go
+++ b/internal/upstream/broken_test.go
@@ -154,3 +154,20 @@
 		checkNoAnswer(t, "HTTP/1.1 103 Early Hints\r\n"+field+"\r\n\r\n"+soundResponse)
 	}
 }
+
+// An upstream says twice where the body of its answer ends, or in a way that the version of its answer doesn't have. Guards
+// against a sidecar that keeps the sizes of chunks, or bytes after the body, as the body.
+func TestAnswersWithFaultyFramingAreNone(t *testing.T) {
+	const chunks = "\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+	for _, text := range []string{
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked" + chunks,
+		"HTTP/1.1 200 OK\r\nContent-Length: 15\r\nTransfer-Encoding: chunked" + chunks,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked" + chunks,
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello",
+		"HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked" + chunks,
+		"HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\nhello",
+		"HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\n" + soundResponse,
+	} {
+		checkNoAnswer(t, text)
+	}
+}
--- a/test/soak/brokenanswers_test.go
+++ b/test/soak/brokenanswers_test.go
@@ -190,6 +190,7 @@
 // Runners in trouble send answers that are none. Guards against callers that get them as answers.
 func TestSoakAnswersThatAreNone(t *testing.T) {
 	t.Parallel()
+	const chunks = "5\r\nhello\r\n0\r\n\r\n"
 	for _, a := range []answer{
 		brokenHead("status 000", "000 OK", "Content-Length: 20"),
 		{"status 000, then an answer", false, func(r *runner, c net.Conn, req *http.Request) {
@@ -205,6 +206,8 @@
 		brokenHead("a blank after the name of the encoding", "200 OK", "Transfer-Encoding : chunked"),
 		brokenHead("a tab in a name", "200 OK", "Content-Length: 20", "X\tY: z"),
 		brokenHead("a control byte in a name", "200 OK", "Content-Length: 20", "X\x01: z"),
+		{"both a length and chunks", false, sendUnframed("HTTP/1.1", "200 OK", chunks, "Content-Length: 5", "Transfer-Encoding: chunked")},
+		{"chunks in HTTP/1.0", false, sendUnframed("HTTP/1.0", "200 OK", chunks, "Transfer-Encoding: chunked")},
 		{"a blank in a name of an interim answer", false, func(r *runner, c net.Conn, req *http.Request) {
 			sendUnframed("HTTP/1.1", "103 Early Hints", "", "X Y: z")(r, c, req)
 			sendUnframed("HTTP/1.1", "200 OK", "whole", "Content-Length: 5")(r, c, req)
