gateway: an incomplete response to a caller of HTTP/1.0 ends with a reset, with sidecars and over TLS

What callers saw: with a sidecar, a response that broke off ended regularly for callers of HTTP/1.0, who took the part for the whole. Without one the same held over TLS.

Cause: HTTP/1.0 has no chunks, so that the end of the connection is that of the response. The gateway of chats and services ended it regularly, and with TLS with a close_notify; the one of hosted profiles reset the connection, but asked the TLS connection for it, which can't. Ruled out: HTTP/1.1, where the last chunk or bytes of the length are missing.

Change: httpserver.Reset resets the connection below TLS and closes it, so that no close_notify follows; both gateways use it for callers of HTTP/1.0, the first also after a write that failed (read, no test).

The spec 'end visibly broken over HTTP/1.0' failed before, over http and https, and so did 'while a long body is sent', whose sidecar side had mended, at a caller each of up to ten. Whole answers that end with their connection are served before and after.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/parsleyfront/parsleyfront/internal/eventstream"
+	"github.com/parsleyfront/parsleyfront/internal/httpserver"
 	"github.com/parsleyfront/parsleyfront/internal/router"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 	"github.com/parsleyfront/parsleyfront/internal/verdict"
@@ -54,6 +55,7 @@
 // copier writes one response to its caller.
 type copier struct {
 	w         http.ResponseWriter
+	r         *http.Request
 	ctl       *http.ResponseController
 	id        string
 	events    bool   // the response is a stream of server-sent events
@@ -66,7 +68,7 @@
 // returns an error, for which no problem document can be written any more.
 func (x *exchange) copyResponse(response *router.Response, offset int64) *verdict.Error {
 	defer response.Close()
-	c := &copier{w: x.w, ctl: http.NewResponseController(x.w), id: response.ID(), offset: offset}
+	c := &copier{w: x.w, r: x.r, ctl: http.NewResponseController(x.w), id: response.ID(), offset: offset}
 	x.w.Header().Set(HeaderRequestID, c.id)
 	for {
 		piece, err := response.Next()
@@ -79,6 +81,7 @@
 			return nil
 		}
 		if c.write(piece) != nil {
+			resetUnframed(x.r)
 			return verdict.New(verdict.Ran, verdict.ReasonConnection, "the caller is gone")
 		}
 	}
@@ -129,5 +132,14 @@
 		_, _ = fmt.Fprintf(c.w, "data: %s\n\n", body)
 		_ = c.ctl.Flush()
 	}
+	resetUnframed(c.r)
 	panic(http.ErrAbortHandler)
 }
+
+// resetUnframed resets the connection of an incomplete response to a caller that knows no chunks. The regular end of the
+// connection would be that of the response.
+func resetUnframed(r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		httpserver.Reset(r)
+	}
+}
--- a/internal/gateway/hostedanswer.go
+++ b/internal/gateway/hostedanswer.go
@@ -44,14 +44,9 @@
 	}
 }
 
-// breakConnection ends an incomplete response by a panic with http.ErrAbortHandler. Where chunks
-// are not known, only a reset distinguishes the end of a response without a length from its
-// regular end.
+// breakConnection ends an incomplete response by a panic with http.ErrAbortHandler.
 func (x *platformExchange) breakConnection() {
-	c, ok := x.conn().(interface{ SetLinger(seconds int) error })
-	if ok && !x.r.ProtoAtLeast(1, 1) {
-		_ = c.SetLinger(0) // fails only on a closed connection
-	}
+	resetUnframed(x.r)
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -297,6 +297,20 @@
 	return nil
 }
 
+// Reset resets the caller's connection of a request, below TLS, so that no regular end is sent. It has no effect on a request
+// that does not come from a Server.
+func Reset(r *http.Request) {
+	c := connOf(r)
+	if c == nil {
+		return
+	}
+	raw := c.raw()
+	if socket, ok := raw.(interface{ SetLinger(seconds int) error }); ok {
+		_ = socket.SetLinger(0) // fails only on a closed connection
+	}
+	_ = raw.Close()
+}
+
 // Admit counts a request for a party, an organisation, until its response has been written. It returns
 // budget.ErrNoConnections if the party's requests take as many of the server's connections as they may. A request that
 // does not come from a Server is admitted.
