http1: a connection that is closed confirms no end of a response

A call may be aborted, as its upstream has started again, while the end of its response waits for that of the request. The socket can't be looked at then, which counted as a connection without a socket, whose end is believed. Found by reading the change; TestClosedConnectionConfirmsNothing failed before. Close records a failure, so that ConfirmEnd returns it.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -70,6 +70,12 @@
 	return n, err
 }
 
+// Close implements net.Conn. An end that was not confirmed before is not confirmed any more.
+func (c *Conn) Close() error {
+	c.Fail(net.ErrClosed)
+	return c.Conn.Close()
+}
+
 // Fail records an error that ends the use of the connection, unless there was one before. Nil and timeouts are none.
 func (c *Conn) Fail(err error) {
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/http1/conn_test.go
+++ b/internal/http1/conn_test.go
@@ -17,6 +17,7 @@
 }
 
 func (c *scriptedConn) Read([]byte) (int, error)  { return 0, c.readErr }
+func (c *scriptedConn) Close() error              { return nil }
 func (c *scriptedConn) Write([]byte) (int, error) { return 0, c.writeErr }
 
 // A socket reports a reset to the goroutine that writes a request, and a regular end to the one that reads the response.
@@ -43,6 +44,18 @@
 	}
 }
 
+// A call is aborted while the end of its response waits for that of the request. Guards against a response that is confirmed
+// because its socket can't be looked at any more.
+func TestClosedConnectionConfirmsNothing(t *testing.T) {
+	request := NewUpload()
+	request.End(nil)
+	c := NewConn(&scriptedConn{})
+	_ = c.Close()
+	if err := c.ConfirmEnd(request, time.Now().Add(EndTimeout)); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("error %v", err)
+	}
+}
+
 // A response has ended with its connection before its request was written. Guards against a response that is confirmed
 // without the end of the request, and against one that is never confirmed.
 func TestConfirmEndAwaitsTheRequest(t *testing.T) {
