soak: answers that are none beside other faults, and requests that may be repeated

Seeded: runners send one of fourteen answers that are none, while answers are lost and cut, runners crash and join, routers stop. While half of the runners send such answers all the time, nine of ten requests that may be repeated are served: held on and holds.

--- a/test/soak/brokenanswers_test.go
+++ b/test/soak/brokenanswers_test.go
@@ -180,39 +180,42 @@
 	}
 }
 
-// brokenHead returns an answer whose head is none, and after it what would be one.
+// chunkedBody is a body in chunks.
+const chunkedBody = "5\r\nhello\r\n0\r\n\r\n"
+
+// brokenHead returns an answer whose head is none, with a body that is no caller's.
 func brokenHead(name, status string, headers ...string) answer {
-	return answer{name, false, func(r *runner, c net.Conn, req *http.Request) {
-		sendUnframed("HTTP/1.1", status, plainResponse(r.incarnation, "nobody"), headers...)(r, c, req)
-	}}
+	return answer{name, false, sendUnframed("HTTP/1.1", status, "a body of no caller's", headers...)}
+}
+
+// brokenHeads are answers of runners in trouble that are none.
+var brokenHeads = []answer{
+	brokenHead("status 000", "000 OK", "Content-Length: 20"),
+	{"status 000, then an answer", false, func(r *runner, c net.Conn, req *http.Request) {
+		sendUnframed("HTTP/1.1", "000 OK", "")(r, c, req)
+		sendUnframed("HTTP/1.1", "200 OK", "another", "Content-Length: 7")(r, c, req)
+	}},
+	brokenHead("status +20", "+20 OK", "Content-Length: 20"),
+	brokenHead("status 999", "999 OK", "Content-Length: 20"),
+	brokenHead("another protocol", "101 Switching Protocols"),
+	brokenHead("a blank in a name", "200 OK", "Content-Length: 20", "X Y: z"),
+	brokenHead("a blank after a name", "200 OK", "Content-Length: 20", "X : z"),
+	brokenHead("a blank after the name of the length", "200 OK", "Content-Length : 5"),
+	brokenHead("a blank after the name of the encoding", "200 OK", "Transfer-Encoding : chunked"),
+	brokenHead("a tab in a name", "200 OK", "Content-Length: 20", "X\tY: z"),
+	brokenHead("a control byte in a name", "200 OK", "Content-Length: 20", "X\x01: z"),
+	{"both a length and chunks", false, sendUnframed("HTTP/1.1", "200 OK", chunkedBody, "Content-Length: 5", "Transfer-Encoding: chunked")},
+	{"chunks in HTTP/1.0", false, sendUnframed("HTTP/1.0", "200 OK", chunkedBody, "Transfer-Encoding: chunked")},
+	{"a blank in a name of an interim answer", false, func(r *runner, c net.Conn, req *http.Request) {
+		sendUnframed("HTTP/1.1", "103 Early Hints", "", "X Y: z")(r, c, req)
+		sendUnframed("HTTP/1.1", "200 OK", "whole", "Content-Length: 5")(r, c, req)
+	}},
 }
 
 // Runners in trouble send answers that are none. Guards against callers that get them as answers.
 func TestSoakAnswersThatAreNone(t *testing.T) {
 	t.Parallel()
-	const chunks = "5\r\nhello\r\n0\r\n\r\n"
-	for _, a := range []answer{
-		brokenHead("status 000", "000 OK", "Content-Length: 20"),
-		{"status 000, then an answer", false, func(r *runner, c net.Conn, req *http.Request) {
-			sendUnframed("HTTP/1.1", "000 OK", "")(r, c, req)
-			sendUnframed("HTTP/1.1", "200 OK", "another", "Content-Length: 7")(r, c, req)
-		}},
-		brokenHead("status +20", "+20 OK", "Content-Length: 20"),
-		brokenHead("status 999", "999 OK", "Content-Length: 20"),
-		brokenHead("another protocol", "101 Switching Protocols"),
-		brokenHead("a blank in a name", "200 OK", "Content-Length: 20", "X Y: z"),
-		brokenHead("a blank after a name", "200 OK", "Content-Length: 20", "X : z"),
-		brokenHead("a blank after the name of the length", "200 OK", "Content-Length : 5"),
-		brokenHead("a blank after the name of the encoding", "200 OK", "Transfer-Encoding : chunked"),
-		brokenHead("a tab in a name", "200 OK", "Content-Length: 20", "X\tY: z"),
-		brokenHead("a control byte in a name", "200 OK", "Content-Length: 20", "X\x01: z"),
-		{"both a length and chunks", false, sendUnframed("HTTP/1.1", "200 OK", chunks, "Content-Length: 5", "Transfer-Encoding: chunked")},
-		{"chunks in HTTP/1.0", false, sendUnframed("HTTP/1.0", "200 OK", chunks, "Transfer-Encoding: chunked")},
-		{"a blank in a name of an interim answer", false, func(r *runner, c net.Conn, req *http.Request) {
-			sendUnframed("HTTP/1.1", "103 Early Hints", "", "X Y: z")(r, c, req)
-			sendUnframed("HTTP/1.1", "200 OK", "whole", "Content-Length: 5")(r, c, req)
-		}},
-	} {
+	for _, a := range brokenHeads {
 		t.Run(strings.ReplaceAll(a.name, " ", "-"), func(t *testing.T) {
 			t.Parallel()
 			h := newAnswerHarness(t)
@@ -224,3 +227,60 @@
 		})
 	}
 }
+
+// brokenHeadFaults are the disturbances beside answers that are none.
+var brokenHeadFaults = []fault{
+	{"answers that are none", false, (*harness).sendBrokenHeads},
+	{"answers that are none", false, (*harness).sendBrokenHeads},
+	{"answers of runners", false, (*harness).injectResponseFault},
+	{"way to a runner", false, (*harness).cutRunner},
+	{"runner crashes", false, (*harness).crashRunner},
+	{"runner joins", true, (*harness).addRunner},
+	{"router stops", true, (*harness).stopRouter},
+}
+
+// Runners send answers that are none, with lost and broken ones, while runners and routers come and go. Guards against
+// callers that get bytes of no answer, and against connections that go on being used after them.
+func TestSoakBrokenHeads(t *testing.T) {
+	t.Parallel()
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		h := newHarness(t, seed, false)
+		h.faults = brokenHeadFaults
+		h.callersLeave = seed%2 == 0
+		h.play()
+	})
+}
+
+// sendBrokenHeads makes runners send answers that are none for a short time.
+func (h *harness) sendBrokenHeads() {
+	h.causeResponseFault(int(brokenHeadResponse))
+}
+
+// Half of the runners send answers that are none. Guards against requests that may be repeated and end with the first such
+// answer, and against runners that get their share of the requests all the same.
+func TestSoakRequestsAreServedBesideAnswersThatAreNone(t *testing.T) {
+	t.Parallel()
+	const calls = 30
+	h := newAnswerHarness(t)
+	for i, r := range h.allRunners() {
+		if a := brokenHeads[i%len(brokenHeads)]; i%2 == 0 {
+			r.SetHandler(func(c net.Conn, req *http.Request, body string) fake.HandlerResult {
+				r.RecordRun(req, body)
+				a.send(r, c, req)
+				return fake.CloseConn
+			})
+		}
+	}
+	for _, kind := range answerKinds[:2] { // those that may be repeated
+		served := 0
+		for range calls {
+			c := h.callForAnswer(kind.path, kind.stream, false, 0)
+			if c.complete && c.status == http.StatusOK {
+				served++
+			}
+		}
+		if served < calls*9/10 {
+			t.Errorf("%s: %d of %d served", kind.name, served, calls)
+		}
+	}
+}
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -388,6 +388,10 @@
 		if h.drawResponseFault(slowResponse) {
 			return h.writeSlowBody(r, c, req)
 		}
+		if h.drawResponseFault(brokenHeadResponse) {
+			brokenHeads[h.intN(len(brokenHeads))].send(r, c, req)
+			return fake.CloseConn
+		}
 		if len(req.URL.Path) < 8 || req.URL.Path[:8] != "/stream/" {
 			time.Sleep(h.serviceTime())
 			text := plainResponse(r.incarnation, id)
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -28,6 +28,7 @@
 	truncateStream
 	endlessResponse
 	slowResponse
+	brokenHeadResponse
 	responseFaultCount
 )
 
