http1, topo: one function dials TLS; the end of a response is confirmed with one look less

Reading the change: DialTLS stood in topo and in http1; the bound on heads in exchange and http1. ConfirmEnd looked twice for a reset: it asks for what is not acknowledged first, so that a reset that comes between is seen. A request whose length is 0 for want of a known one is refused as well. No decision changes; tests of http1, exchange, upstream, topo, admin, openloop and ctl pass, with the race detector those of gateway, httpserver and sidecar too.

--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -8,13 +8,14 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/parsleyfront/parsleyfront/internal/http1"
 	"github.com/parsleyfront/parsleyfront/internal/telemetry"
 )
 
 const (
 	// maxHeadBytes bounds the head of a response. http.ReadResponse has no bound of its own: it would keep the bytes
 	// of an upstream that sends a line without end until the router exceeds its memory.
-	maxHeadBytes = 32 << 10
+	maxHeadBytes = http1.MaxHeadBytes
 	// maxStrayResponses is the number of interim responses and of responses to other calls that are skipped for one
 	// call.
 	maxStrayResponses = 2
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -1,6 +1,6 @@
-// Package http1 decides what of an HTTP/1.1 response may be believed: when a body is whole whose end only the end of its
-// connection marks. Each client of the module that reads responses uses it, package exchange for its own connections, the
-// others by Transport.
+// Package http1 decides which HTTP/1.1 responses may be believed: what a head may hold (HeadChecker), and when a body is whole
+// whose end only the end of its connection marks (Conn.ConfirmEnd). Each client of the module that reads responses uses
+// it: package exchange on connections of its own, the others by Transport.
 package http1
 
 import (
@@ -101,30 +101,21 @@
 	}
 	socket := socketOf(c.Conn)
 	for pause := minAckPause; ; pause = min(2*pause, maxAckPause) {
-		if err := c.failed(); err != nil {
+		unacknowledged, known := netpeek.Unacknowledged(socket)
+		switch err := c.failed(); { // after the look at the socket, so that no reset is missed
+		case err != nil:
 			return err
-		}
-		if netpeek.HasFailed(socket) {
+		case netpeek.HasFailed(socket):
 			return errReset
-		}
-		if unacknowledged, known := netpeek.Unacknowledged(socket); !known || unacknowledged == 0 {
-			return c.confirmNoReset(socket)
-		}
-		if !time.Now().Before(until) {
+		case !known || unacknowledged == 0:
+			return nil
+		case !time.Now().Before(until):
 			return ErrUnfinished
 		}
 		time.Sleep(pause)
 	}
 }
 
-// confirmNoReset returns an error if the connection was reset while its state was looked at.
-func (c *Conn) confirmNoReset(socket net.Conn) error {
-	if netpeek.HasFailed(socket) {
-		return errReset
-	}
-	return c.failed()
-}
-
 // socketOf returns the innermost connection of c, below TLS for example.
 func socketOf(c net.Conn) net.Conn {
 	for {
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -20,22 +20,24 @@
 var errUnknownLength = errors.New("http1: the request has a body of unknown length")
 
 // Transport is an http.RoundTripper that speaks HTTP/1.1 over an http.Transport. A response whose head a HeadChecker refuses
-// is an error that wraps a *HeadError. A body that ends with its connection ends
-// with an error unless it is whole, see Conn.ConfirmEnd. Requests must have a known length.
+// is an error that wraps a *HeadError. A body that ends with its connection ends with an error unless it is whole, see
+// Conn.ConfirmEnd. Requests must have a known length.
 type Transport struct {
 	base *http.Transport
 }
 
-// dialFunc opens a connection.
-type dialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
+// DialFunc opens a connection.
+type DialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
 
-// NewTransport returns a Transport over base, which must not be used otherwise any more.
+// NewTransport returns a Transport over base, which must not be used otherwise any more. Its MaxResponseHeaderBytes is
+// replaced by MaxHeadBytes.
 func NewTransport(base *http.Transport) *Transport {
 	if base.DialContext == nil {
 		base.DialContext = new(net.Dialer).DialContext
 	}
 	if base.DialTLSContext == nil {
-		base.DialTLSContext = dialTLS(base.DialContext, base.TLSClientConfig)
+		config := base.TLSClientConfig.Clone() // nil if there is none
+		base.DialTLSContext = DialTLS(base.DialContext, func() *tls.Config { return config }, base.TLSHandshakeTimeout)
 	}
 	base.DialContext = dialCalls(base.DialContext)
 	base.DialTLSContext = dialCalls(base.DialTLSContext)
@@ -43,8 +45,8 @@
 	return &Transport{base: base}
 }
 
-// dialCalls returns a dialFunc whose connections follow the calls on them.
-func dialCalls(dial dialFunc) dialFunc {
+// dialCalls returns a DialFunc whose connections follow the calls on them.
+func dialCalls(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := dial(ctx, network, addr)
 		if err != nil {
@@ -54,8 +56,10 @@
 	}
 }
 
-// dialTLS returns a dialFunc for HTTP/1.1 over TLS.
-func dialTLS(dial dialFunc, config *tls.Config) dialFunc {
+// DialTLS returns a DialFunc for HTTP/1.1 over TLS, over connections that dial opens. config returns the configuration, in which
+// an empty ServerName stands for the host that is dialled; nil: that of package tls. The handshake is bounded by timeout;
+// zero: by the context alone.
+func DialTLS(dial DialFunc, config func() *tls.Config, timeout time.Duration) DialFunc {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		host, _, err := net.SplitHostPort(addr)
 		if err != nil {
@@ -65,14 +69,12 @@
 		if err != nil {
 			return nil, err
 		}
-		own := config.Clone()
-		if own == nil {
-			own = new(tls.Config)
+		if timeout > 0 {
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithTimeout(ctx, timeout)
+			defer cancel()
 		}
-		if own.ServerName == "" {
-			own.ServerName = host
-		}
-		secured := tls.Client(c, own)
+		secured := tls.Client(c, configFor(config(), host))
 		if err := secured.HandshakeContext(ctx); err != nil {
 			_ = c.Close()
 			return nil, errors.WithStack(err)
@@ -81,9 +83,21 @@
 	}
 }
 
+// configFor returns a copy of config that has the name of a server.
+func configFor(config *tls.Config, host string) *tls.Config {
+	if config == nil {
+		return &tls.Config{ServerName: host}
+	}
+	config = config.Clone()
+	if config.ServerName == "" {
+		config.ServerName = host
+	}
+	return config
+}
+
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	if r.ContentLength < 0 {
+	if r.ContentLength < 0 || r.ContentLength == 0 && r.Body != nil && r.Body != http.NoBody {
 		_ = r.Body.Close()
 		return nil, errUnknownLength
 	}
@@ -133,8 +147,9 @@
 	c.call.Store(&call{request: requestMeter{bodyLeft: bodyBytes}, upload: NewUpload()})
 }
 
-// Read implements net.Conn. It returns no bytes that complete a faulty head. It returns io.EOF within a response only once ConfirmEnd has confirmed the end. http.Transport
-// closes the connection with the end of the response, and thus ends the writing of the request.
+// Read implements net.Conn. It returns no bytes that complete a faulty head. At the end of a body that ends with the
+// connection, it returns io.EOF once ConfirmEnd has confirmed it: http.Transport closes the connection then, and so ends the
+// writing of the request.
 func (c *callConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	call := c.call.Load()
--- a/internal/topo/transport.go
+++ b/internal/topo/transport.go
@@ -111,7 +111,7 @@
 		IdleConnTimeout:     idleTimeout,
 	}
 	if tlsConfig != nil {
-		transport.DialTLSContext = dialTLS(counted, tlsConfig)
+		transport.DialTLSContext = http1.DialTLS(counted, tlsConfig, dialTimeout)
 	}
 	return &http.Client{
 		Transport: http1.NewTransport(transport),
@@ -131,29 +131,6 @@
 	}
 }
 
-func dialTLS(dial DialFunc, config func() *tls.Config) DialFunc {
-	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		host, _, err := net.SplitHostPort(addr)
-		if err != nil {
-			return nil, errors.WithStack(err)
-		}
-		c, err := dial(ctx, network, addr)
-		if err != nil {
-			return nil, err
-		}
-		tlsConfig := config().Clone()
-		tlsConfig.ServerName = host
-		tlsConn := tls.Client(c, tlsConfig)
-		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-		defer cancel()
-		if err := tlsConn.HandshakeContext(ctx); err != nil {
-			_ = c.Close()
-			return nil, errors.WithStack(err)
-		}
-		return tlsConn, nil
-	}
-}
-
 // countedConn counts the bytes of the call that uses it. HTTP/1.1 has one call at a
 // time on a connection.
 type countedConn struct {
