--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -1,6 +1,6 @@
-// Package http1 decides which HTTP/1.1 responses may be believed: what a head may hold (HeadChecker), and when a body is whole
-// whose end only the end of its connection marks (Conn.ConfirmEnd). Each client of the module that reads responses uses
-// it: package exchange on connections of its own, the others by Transport.
+// Package http1 decides which HTTP/1.1 responses are valid and whole: what a head may hold (HeadChecker), and when a body is
+// whole whose end is marked by the end of its connection alone (Conn.ConfirmEnd). Each client of the module that reads
+// responses uses it: package exchange on connections of its own, the others through Transport.
 package http1
 
 import (
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -10,14 +10,14 @@
 const (
 	// maxStatus is the largest status that HTTP defines a meaning for (RFC 9110, section 15).
 	maxStatus = 599
-	// maxTextBytes bounds what is kept of a line, of a name and of a value. All that is looked at is shorter.
+	// maxTextBytes bounds what is kept of the status line, a name or a value. What is compared with them is shorter.
 	maxTextBytes = 64
 
 	// protocolPrefix begins each response, and a digit follows it.
 	protocolPrefix = "HTTP/1."
 )
 
-// HeadError reports bytes that are no head of a response.
+// HeadError reports that the head of a response is invalid.
 type HeadError struct {
 	Fault string // what is wrong
 	Text  string // the beginning of the line, the name or the value
@@ -28,9 +28,9 @@
 	return fmt.Sprintf("http1: %s: %q", e.Fault, e.Text)
 }
 
-// HeadChecker follows the bytes of the head of one response and knows whether it may be believed. net/http takes for a
-// response what is refused here: a status that is none, names of fields with blanks, under which it does not know how long
-// the body is, and two statements of its length. The zero value is the start of a head.
+// HeadChecker follows the bytes of the head of one response and reports whether it is valid. net/http accepts what is refused
+// here: a status that is out of range, field names with blanks, among them those of the fields that say how long the body is,
+// and heads that say it twice. The zero value is the start of a head.
 type HeadChecker struct {
 	part    headPart
 	afterCR bool   // the latest byte was a CR, which only the end of a line follows
@@ -73,8 +73,8 @@
 	*h = HeadChecker{text: h.text[:0]}
 }
 
-// Check takes the next bytes. It returns how many of them belong to the head, and a *HeadError once the head can't be
-// believed any more.
+// Check takes the next bytes. It returns how many of them belong to the head, and a *HeadError at the first byte that makes
+// the head invalid. The HeadChecker must not be used after an error until Reset.
 func (h *HeadChecker) Check(b []byte) (n int, err error) {
 	for n < len(b) && h.part != afterHead {
 		if err := h.next(b[n]); err != nil {
@@ -107,7 +107,7 @@
 		h.afterCR = false
 		return h.endLine()
 	case h.afterCR, c < ' ' && c != '\t' && c != '\r', c == 0x7f:
-		return h.fault("a control byte")
+		return h.fault("control character")
 	case c == '\r':
 		h.afterCR = true
 		return nil
@@ -139,7 +139,7 @@
 func (h *HeadChecker) beginLine(c byte) error {
 	if isBlank(c) {
 		if h.field == noField {
-			return h.fault("the first field begins with a blank")
+			return h.fault("the first field line is a continuation")
 		}
 		h.part = inValue
 		h.keep(c)
@@ -157,12 +157,12 @@
 	if c != ':' {
 		h.keep(c)
 		if !isTokenByte(c) {
-			return h.fault("a byte that no name of a field holds")
+			return h.fault("invalid character in a field name")
 		}
 		return nil
 	}
 	if len(h.text) == 0 {
-		return h.fault("a field without a name")
+		return h.fault("empty field name")
 	}
 	h.field = fieldOf(h.text)
 	h.part, h.text = inValue, h.text[:0]
@@ -178,7 +178,7 @@
 		h.part = atLineStart
 		return err
 	case inName:
-		return h.fault("a field without a colon")
+		return h.fault("field line without a colon")
 	case atLineStart: // the empty line
 		if err := h.endField(); err != nil {
 			return err
@@ -205,7 +205,7 @@
 	h.minor = minor[0]
 	h.status, _ = strconv.Atoi(string(digits)) // digits do not fail
 	if h.status < http.StatusContinue || h.status > maxStatus || h.status == http.StatusSwitchingProtocols {
-		return h.fault("a status that answers no request")
+		return h.fault("the status is out of range, or unexpected")
 	}
 	return nil
 }
@@ -216,18 +216,18 @@
 	switch h.field {
 	case contentLength:
 		if !isNumber(value) {
-			return h.fault("the length is not a number")
+			return h.fault("invalid Content-Length")
 		}
 		if h.framing.length != nil && !bytes.Equal(value, h.framing.length) {
-			return h.fault("two lengths")
+			return h.fault("conflicting Content-Length")
 		}
 		h.framing.length = bytes.Clone(value)
 	case transferEncoding:
 		if h.framing.chunked {
-			return h.fault("two transfer encodings")
+			return h.fault("repeated Transfer-Encoding")
 		}
 		if !bytes.EqualFold(value, []byte("chunked")) {
-			return h.fault("an unknown transfer encoding")
+			return h.fault("unsupported Transfer-Encoding")
 		}
 		h.framing.chunked = true
 	}
@@ -240,9 +240,9 @@
 	hasNoBody := h.IsInterim() || h.status == http.StatusNoContent
 	switch {
 	case h.framing.chunked && h.framing.length != nil:
-		return h.fault("both a length and a transfer encoding")
+		return h.fault("both Content-Length and Transfer-Encoding")
 	case h.framing.chunked && h.minor == '0':
-		return h.fault("a transfer encoding in HTTP/1.0")
+		return h.fault("Transfer-Encoding in HTTP/1.0")
 	case h.framing.chunked && hasNoBody, hasNoBody && len(bytes.Trim(h.framing.length, "0")) > 0:
 		return h.fault("a body where the status allows none")
 	}
