http1: a reset that answers a repetition of the last bytes does not break a whole response

What callers saw: an upstream answered early without a length, ended its sending side, read the upload to its end and closed; the response was broken off.

Cause, traced with the kernel's figures of the connection: the process closes as soon as it has read all, before the last segment is acknowledged. Its kernel had no room for one more TIME_WAIT (63,000 overflows in 85 s while the soaks ran), so that nobody knew the connection when the segment was repeated, and it was reset: acked 1,019,905, not acked 28,826, sent twice 28,826. ConfirmEnd took each reset after the regular end for an unread upload.

Ruled out: an upload that was not read (the stand-in counted all bytes), a write that failed, the wait of 5 s (0.7 s), ports of other tests.

Change: ConfirmEnd looks at what was sent (netpeek.TransmissionOf). A reset is passed over if less than two segments were not acknowledged, all of the request was sent, and as much was sent again since the end: bytes that find a closed connection are answered with a reset the first time.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -96,18 +96,22 @@
 // request unread is reset, which shows up only after the regular end that it has sent before. ConfirmEnd waits at most
 // until the given time for the end of the request.
 func (c *Conn) ConfirmEnd(request *Upload, until time.Time) error {
+	socket := socketOf(c.Conn)
+	atEnd, _ := netpeek.TransmissionOf(socket)
 	if err := request.wait(until); err != nil {
 		return err
 	}
-	socket := socketOf(c.Conn)
 	for pause := minAckPause; ; pause = min(2*pause, maxAckPause) {
-		unacknowledged, known := netpeek.Unacknowledged(socket)
+		now, known := netpeek.TransmissionOf(socket)
 		switch err := c.failed(); { // after the look at the socket, so that no reset is missed
 		case err != nil:
 			return err
 		case netpeek.HasFailed(socket):
+			if now, known = netpeek.TransmissionOf(socket); known && isResetOfRepeat(atEnd, now) {
+				return nil
+			}
 			return errReset
-		case !known || unacknowledged == 0:
+		case !known || now.Unacknowledged == 0:
 			return nil
 		case !time.Now().Before(until):
 			return ErrUnfinished
@@ -116,6 +120,16 @@
 	}
 }
 
+// isResetOfRepeat reports whether a reset after the regular end of a response has answered a repetition of the last bytes of
+// a request, which had been received. A process that has read all of it and closes the connection may do so before these
+// bytes, less than two segments, are acknowledged. If its kernel remembers nothing of the connection then, it answers
+// their repetition with a reset. Bytes that arrive after a close with a part unread are answered with a reset the first
+// time.
+func isResetOfRepeat(atEnd, now netpeek.Transmission) bool {
+	isTail := now.Unsent == 0 && now.Unacknowledged > 0 && now.Unacknowledged < 2*now.SegmentBytes
+	return isTail && now.Retransmitted-atEnd.Retransmitted >= now.Unacknowledged
+}
+
 // socketOf returns the innermost connection of c, below TLS for example.
 func socketOf(c net.Conn) net.Conn {
 	for {
--- a/internal/http1/conn_test.go
+++ b/internal/http1/conn_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/parsleyfront/parsleyfront/internal/netpeek"
 )
 
 // scriptedConn is a connection whose reads and writes end with given errors.
@@ -56,6 +58,30 @@
 	}
 }
 
+// An upstream reads a request to its end after it has ended its response, and closes the connection; its kernel resets it
+// as the last bytes are repeated, whose acknowledgement is lost. Guards against a whole response that counts as broken, and
+// against any other reset that does not.
+func TestResetThatAnswersARepetitionEndsNothing(t *testing.T) {
+	const segment = 65_483
+	atEnd := netpeek.Transmission{Acknowledged: 200_000, Unacknowledged: 848_731, Unsent: 700_000, SegmentBytes: segment}
+	for _, c := range []struct {
+		name string
+		now  netpeek.Transmission
+		want bool
+	}{
+		{"the last bytes were repeated", netpeek.Transmission{Acknowledged: 1_019_905, Unacknowledged: 28_826, Retransmitted: 28_826, SegmentBytes: segment}, true},
+		{"nothing was repeated", netpeek.Transmission{Acknowledged: 1_019_905, Unacknowledged: 28_826, SegmentBytes: segment}, false},
+		{"a part was repeated", netpeek.Transmission{Acknowledged: 1_019_905, Unacknowledged: 28_826, Retransmitted: 10_000, SegmentBytes: segment}, false},
+		{"a part has not been sent", netpeek.Transmission{Acknowledged: 1_000_000, Unacknowledged: 48_731, Unsent: 10_000, Retransmitted: 50_000, SegmentBytes: segment}, false},
+		{"more than the last bytes", netpeek.Transmission{Acknowledged: 200_000, Unacknowledged: 848_731, Retransmitted: 848_731, SegmentBytes: segment}, false},
+		{"all was received, and not read", netpeek.Transmission{Acknowledged: 1_048_731, Retransmitted: 28_826, SegmentBytes: segment}, false},
+	} {
+		if got := isResetOfRepeat(atEnd, c.now); got != c.want {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
+
 // A response has ended with its connection before its request was written. Guards against a response that is confirmed
 // without the end of the request, and against one that is never confirmed.
 func TestConfirmEndAwaitsTheRequest(t *testing.T) {
--- a/internal/netpeek/netpeek.go
+++ b/internal/netpeek/netpeek.go
@@ -85,15 +85,34 @@
 	return err == nil && found
 }
 
-// Unacknowledged returns how many bytes that were written to c the other side has not acknowledged. known is false for a
-// connection that can't be inspected.
-func Unacknowledged(c net.Conn) (bytes int, known bool) {
+// Transmission is what the kernel knows of the bytes that were written to a TCP connection.
+type Transmission struct {
+	Acknowledged   uint64 // bytes that the other side has acknowledged
+	Unacknowledged uint64 // bytes that it has not
+	Unsent         uint64 // bytes of these that have not been sent yet
+	Retransmitted  uint64 // bytes that have been sent again
+	SegmentBytes   uint64 // size of the largest segment that is sent
+}
+
+// TransmissionOf returns the Transmission of c. known is false for a connection that can't be inspected.
+func TransmissionOf(c net.Conn) (t Transmission, known bool) {
 	err := control(c, func(fd int) {
-		var err error
-		bytes, err = unix.IoctlGetInt(fd, unix.SIOCOUTQ)
-		known = err == nil
+		queued, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+		if err != nil {
+			return
+		}
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil {
+			return
+		}
+		t = Transmission{
+			Acknowledged: info.Bytes_acked, Unacknowledged: uint64(queued),
+			Unsent: uint64(info.Notsent_bytes), Retransmitted: info.Bytes_retrans,
+			SegmentBytes: uint64(info.Snd_mss),
+		}
+		known = true
 	})
-	return bytes, err == nil && known
+	return t, err == nil && known
 }
 
 // errNoSocket reports that a connection is not a socket of this process.
--- a/internal/netpeek/netpeek_test.go
+++ b/internal/netpeek/netpeek_test.go
@@ -122,8 +122,8 @@
 	}
 }
 
-// Bytes are sent while the other side accepts no more. Unacknowledged must count them until it does.
-func TestUnacknowledgedCountsWhatHasNotArrived(t *testing.T) {
+// Bytes are sent while the other side accepts no more. TransmissionOf must count them until it does.
+func TestTransmissionCountsWhatHasNotArrived(t *testing.T) {
 	near, far := tcpPair(t)
 	sent := 0
 	_ = near.SetWriteDeadline(time.Now().Add(50 * time.Millisecond))
@@ -133,8 +133,9 @@
 			break
 		}
 	}
-	if n, known := Unacknowledged(near); !known || n == 0 {
-		t.Fatalf("%d bytes are not acknowledged, known %v", n, known)
+	before, known := TransmissionOf(near)
+	if !known || before.Unacknowledged == 0 || before.Unsent == 0 {
+		t.Fatalf("%+v, known %v", before, known)
 	}
 	go func() {
 		b := make([]byte, 64<<10)
@@ -146,8 +147,8 @@
 		}
 	}()
 	eventually(t, "what was read is not acknowledged", func() bool {
-		n, known := Unacknowledged(near)
-		return known && n == 0
+		now, known := TransmissionOf(near)
+		return known && now.Unacknowledged == 0 && now.Unsent == 0 && now.Acknowledged > before.Acknowledged
 	})
 }
 
--- a/test/brokenanswers_test.go
+++ b/test/brokenanswers_test.go
@@ -69,7 +69,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 		if err != nil {
-			return response{}, err
+			return response{}, fmt.Errorf("head: %w", err)
 		}
 		text, err := io.ReadAll(resp.Body)
 		return response{status: resp.StatusCode, header: resp.Header, body: string(text)}, err
@@ -122,7 +122,7 @@
 			}
 			for range 5 {
 				got, err := call(version, longBodyBytes)
-				Expect(err).NotTo(HaveOccurred())
+				Expect(err).NotTo(HaveOccurred(), "status %d with %q", got.status, got.body)
 				Expect(got.status).To(Equal(http.StatusOK))
 				Expect(got.body).To(Equal("hello"))
 			}
