soak: late writes leave two runners, also where several wait for the lock

The number of runners was looked at before restoreMu was taken: several of these faults saw more than two, waited for one another, and each took one away.

Ruled out: the store's client over http1.Transport (the store was read and followed into its new era), a spin (all goroutines of the test slept; the figure of 1.5 processors was an average since its start).

Change: the runners are counted, and one is chosen, under the lock.

--- a/test/soak/older_test.go
+++ b/test/soak/older_test.go
@@ -105,22 +105,22 @@
 // writeLate lets a runner leave, and the store do its former write again after that. The entry stays until the end, and so
 // does the runner. It returns once no request may reach it any more.
 func (h *harness) writeLate() {
-	live := h.liveRunners()
-	if len(live) <= 2 {
-		return
-	}
-	r := live[h.intN(len(live))]
-	if !h.leaveAndWriteLate(r) {
-		return
+	if h.leaveAndWriteLate() {
+		time.Sleep(leaveTimeout)
 	}
-	time.Sleep(leaveTimeout)
 }
 
 // leaveAndWriteLate writes that a runner leaves, and its former write after that. The store is not restored meanwhile: a
-// copy from before would take the only word of it that there is.
-func (h *harness) leaveAndWriteLate(r *runner) bool {
+// copy from before would take the only word of it that there is. Two runners at least stay: they are counted under the
+// lock, for which several of these may wait.
+func (h *harness) leaveAndWriteLate() bool {
 	h.restoreMu.Lock()
 	defer h.restoreMu.Unlock()
+	live := h.liveRunners()
+	if len(live) <= 2 {
+		return false
+	}
+	r := live[h.intN(len(live))]
 	late := h.entryOf(r, "ready")
 	if !h.markLeft(r) {
 		return false
