netpeek, http1: one way to the socket below a connection, one type of dial functions

Reading the change again: http1.socketOf and httpserver's raw both went to the connection below TLS, and admin and upstream declared http1.DialFunc anew.

--- a/internal/admin/fleet.go
+++ b/internal/admin/fleet.go
@@ -37,11 +37,8 @@
 	self bool
 }
 
-// dialFunc opens a connection.
-type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
-
 // newTransport returns a transport for calls to the routers' API, over connections that dial opens; nil: TCP.
-func newTransport(dial dialFunc) http.RoundTripper {
+func newTransport(dial http1.DialFunc) http.RoundTripper {
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: peerTimeout}).DialContext
 	}
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -96,7 +96,7 @@
 // request unread is reset, which shows up only after the regular end that it has sent before. ConfirmEnd waits at most
 // until the given time for the end of the request.
 func (c *Conn) ConfirmEnd(request *Upload, until time.Time) error {
-	socket := socketOf(c.Conn)
+	socket := netpeek.Socket(c.Conn)
 	atEnd, _ := netpeek.TransmissionOf(socket)
 	if err := request.wait(until); err != nil {
 		return err
@@ -131,16 +131,5 @@
 	return isTail && now.Retransmitted-atEnd.Retransmitted >= now.Unacknowledged
 }
 
-// socketOf returns the innermost connection of c, below TLS for example.
-func socketOf(c net.Conn) net.Conn {
-	for {
-		outer, ok := c.(interface{ NetConn() net.Conn })
-		if !ok {
-			return c
-		}
-		c = outer.NetConn()
-	}
-}
-
 // errReset reports that the other side has reset the connection after it had ended its sending side.
 var errReset = errors.New("http1: the connection was reset after the end of the response")
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -69,10 +69,7 @@
 
 // raw returns the connection below TLS.
 func (c *conn) raw() net.Conn {
-	if wrapped, ok := c.Conn.(interface{ NetConn() net.Conn }); ok {
-		return wrapped.NetConn()
-	}
-	return c.Conn
+	return netpeek.Socket(c.Conn)
 }
 
 // isHungUp reports whether nobody waits for a response any more, where the server drops such requests.
--- a/internal/netpeek/netpeek.go
+++ b/internal/netpeek/netpeek.go
@@ -115,6 +115,17 @@
 	return t, err == nil && known
 }
 
+// Socket returns the innermost connection of c, below TLS for example.
+func Socket(c net.Conn) net.Conn {
+	for {
+		outer, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return c
+		}
+		c = outer.NetConn()
+	}
+}
+
 // errNoSocket reports that a connection is not a socket of this process.
 var errNoSocket = errors.New("netpeek: not a socket")
 
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -50,16 +49,13 @@
 	return newHTTP(base, nil)
 }
 
-// dialFunc opens a connection.
-type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
-
-// newHTTP is NewHTTP with a dialFunc; nil: the usual one.
-func newHTTP(base string, dial dialFunc) *HTTP {
+// newHTTP is NewHTTP over connections that dial opens; nil: TCP.
+func newHTTP(base string, dial http1.DialFunc) *HTTP {
 	return &HTTP{base: base, unpooled: newClient(false, dial), pooled: newClient(true, dial)}
 }
 
 // newClient returns a client that does not follow redirects and uses no proxy.
-func newClient(pooled bool, dial dialFunc) *http.Client {
+func newClient(pooled bool, dial http1.DialFunc) *http.Client {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.DisableKeepAlives = !pooled
 	transport.MaxIdleConnsPerHost = maxIdleConns
